--- /dev/null
+++ b/internal/beat/beat.go
@@ -0,0 +1,57 @@
+// Package beat derives every time constant of the system from the few bounds
+// in the settings, as ratios, and runs periodic work.
+package beat
+
+import (
+	"context"
+	"time"
+)
+
+// Bounds are the times an operator promises to users. All else is a ratio.
+type Bounds struct {
+	// Charter is the time within which an acknowledged charter holds everywhere.
+	Charter time.Duration
+}
+
+// Default is the bound of the brief.
+var Default = Bounds{Charter: 3 * time.Second}
+
+// Ratio is a part of a bound, in thousandths.
+type Ratio int64
+
+// Ratios to the charter bound. Invariant: Fresh + Poll*3 stays below 1000, so
+// a daemon that hears nothing stops before the bound has passed.
+const (
+	Fresh    Ratio = 750  // a view older than this stops its daemon
+	Poll     Ratio = 40   // one hop of the feed asks this often
+	Vote     Ratio = 250  // least silence before a replica stands for owner
+	VoteSpan Ratio = 250  // random spread added to Vote
+	Pulse    Ratio = 40   // an owner's heartbeat
+	Term     Ratio = 230  // an owner serves reads this long after a confirmed pulse
+	Gone     Ratio = 700  // a daemon silent this long has lost its session
+	Idle     Ratio = 150  // an idle transport session sends an empty frame
+	Dead     Ratio = 600  // a transport session that hears nothing is closed
+	Redial   Ratio = 60   // pause before a new dial
+	Settle   Ratio = 500  // an adapter tries this long to settle a batch's fate
+	Fence    Ratio = 1000 // a new duty holder waits this long before it acts
+	Permit   Ratio = 300  // a granted slot lapses unused after this
+	AskHold  Ratio = 30   // an ask for a slot waits at the holder this long
+	Resend   Ratio = 60   // a result not yet acknowledged is sent again
+)
+
+// Of gives the ratio's share of the charter bound.
+func (b Bounds) Of(r Ratio) time.Duration { return b.Charter * time.Duration(r) / 1000 }
+
+// Every calls work once per period until ctx ends.
+func Every(ctx context.Context, period time.Duration, work func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			work()
+		}
+	}
+}
--- /dev/null
+++ b/internal/group/elect.go
@@ -0,0 +1,164 @@
+package group
+
+import (
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/wire"
+)
+
+// become is the one place where a replica changes its role, owner or term.
+func (g *Group) become(role Role, term int64, owner string, now time.Duration, out *Out) {
+	if term > g.hard.Term {
+		g.hard.Term, g.hard.Vote = term, ""
+		g.saveHard(out)
+	}
+	if role != g.role || owner != g.owner {
+		out.Changed = true
+	}
+	g.role, g.owner = role, owner
+	g.votes, g.peers, g.rounds = nil, nil, nil
+	g.isSure = false
+	switch role {
+	case Follower:
+		g.resetBeat(now)
+	case Asking, Standing:
+		g.votes = map[string]bool{g.opts.Self: true}
+		g.resetBeat(now)
+	case Owner:
+		g.peers, g.heirName, g.pulseAt = map[string]*peerState{}, "", now
+		g.confirmed = now
+		g.append(wire.Entry{Kind: EntryBlank}, out)
+		g.blankAt = g.last()
+		g.pulse(now, out)
+	}
+}
+
+func (g *Group) saveHard(out *Out) {
+	hard := g.hard
+	g.persist(out).Hard = &hard
+}
+
+func (g *Group) persist(out *Out) *Persist {
+	if out.Persist == nil {
+		out.Persist = &Persist{}
+	}
+	return out.Persist
+}
+
+// ask starts a pre-vote: it changes no term, so a returning replica that
+// cannot win disturbs nobody.
+func (g *Group) ask(now time.Duration, out *Out) {
+	if !g.isVoter() {
+		g.resetBeat(now)
+		return
+	}
+	g.become(Asking, g.hard.Term, "", now, out)
+	g.canvass(MsgAsk, g.hard.Term+1, &out.Now)
+	g.count(now, out)
+}
+
+func (g *Group) stand(now time.Duration, out *Out) {
+	g.become(Standing, g.hard.Term+1, "", now, out)
+	g.hard.Vote = g.opts.Self
+	g.saveHard(out)
+	g.canvass(MsgVote, g.hard.Term, &out.After)
+	g.count(now, out)
+}
+
+func (g *Group) canvass(kind int32, term int64, into *[]wire.GroupMsg) {
+	for _, m := range Voters(g.roster()) {
+		if m != g.opts.Self {
+			*into = append(*into, g.msg(kind, m, wire.GroupMsg{Term: term, Index: g.last(), LogTerm: g.lastTerm()}))
+		}
+	}
+}
+
+func (g *Group) msg(kind int32, to string, m wire.GroupMsg) wire.GroupMsg {
+	m.Group, m.Kind, m.From, m.To = g.opts.Id, kind, g.opts.Self, to
+	if m.Term == 0 {
+		m.Term = g.hard.Term
+	}
+	return m
+}
+
+// count looks whether the votes so far are a majority.
+func (g *Group) count(now time.Duration, out *Out) {
+	if !g.majority(func(m string) bool { return g.votes[m] }) {
+		return
+	}
+	if g.role == Asking {
+		g.stand(now, out)
+	} else if g.role == Standing {
+		g.become(Owner, g.hard.Term, g.opts.Self, now, out)
+	}
+}
+
+// upToDate tells whether a candidate's log holds all that ours may have
+// helped to commit.
+func (g *Group) upToDate(m wire.GroupMsg) bool {
+	return m.LogTerm > g.lastTerm() || m.LogTerm == g.lastTerm() && m.Index >= g.last()
+}
+
+// hasOwner tells whether an owner was heard so lately that no election is due.
+func (g *Group) hasOwner(now time.Duration) bool {
+	return g.role == Owner || g.owner != "" && now-g.heardAt < g.opts.Bounds.Of(beat.Vote)
+}
+
+func (g *Group) onAsk(m wire.GroupMsg, now time.Duration, out *Out) {
+	isGranted := m.Term > g.hard.Term && g.upToDate(m) && !g.hasOwner(now) && g.holdsState()
+	term := m.Term
+	if term <= g.hard.Term { // the asker is behind: let it catch up with our term
+		term = g.hard.Term + 1
+	}
+	out.Now = append(out.Now, g.msg(MsgAskReply, m.From, wire.GroupMsg{Term: term, Reject: !isGranted}))
+}
+
+func (g *Group) onVote(m wire.GroupMsg, now time.Duration, out *Out) {
+	isGranted := m.Term == g.hard.Term && (g.hard.Vote == "" || g.hard.Vote == m.From) &&
+		g.upToDate(m) && g.role == Follower && g.holdsState()
+	if isGranted {
+		g.hard.Vote = m.From
+		g.saveHard(out)
+		g.resetBeat(now)
+	}
+	out.After = append(out.After, g.msg(MsgVoteReply, m.From, wire.GroupMsg{Reject: !isGranted}))
+}
+
+// holdsState is false for a replica that was never told its roster: it may
+// have lost what it once promised, so it never votes.
+func (g *Group) holdsState() bool { return len(g.roster()) > 0 }
+
+func (g *Group) onVoteReply(m wire.GroupMsg, now time.Duration, out *Out) {
+	isOurs := g.role == Asking && m.Kind == MsgAskReply && m.Term == g.hard.Term+1 ||
+		g.role == Standing && m.Kind == MsgVoteReply && m.Term == g.hard.Term
+	if isOurs && !m.Reject {
+		g.votes[m.From] = true
+		g.count(now, out)
+	}
+}
+
+// HandOver asks the member to stand at once; it does so only if it is up to
+// date. Used before a planned stop and to bring ownership home.
+func (g *Group) HandOver(to string) Out {
+	out := Out{}
+	if p := g.peers[to]; g.role == Owner && p != nil && p.match == g.last() {
+		out.Now = append(out.Now, g.msg(MsgStand, to, wire.GroupMsg{}))
+	}
+	return out
+}
+
+// Heir gives the voter that is best placed to take over, other than avoid.
+func (g *Group) Heir(isAvoided func(member string) bool) string {
+	best := ""
+	for _, m := range Voters(g.roster()) {
+		p := g.peers[m]
+		if m == g.opts.Self || p == nil || isAvoided(m) || p.match < g.last() {
+			continue
+		}
+		if best == "" || p.ackedAt > g.peers[best].ackedAt {
+			best = m
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/group/group.go
@@ -0,0 +1,237 @@
+// Package group is the replicated group that places and control parts share:
+// a majority elects an owner for a term, the owner's log is replicated, and
+// its roster changes one member at a time. Group is a pure state machine.
+package group
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/wire"
+)
+
+// Role is the explicit state of a replica.
+type Role int
+
+// Roles. A Listener never votes: it is a learner or not in the roster at all.
+const (
+	Follower Role = iota
+	Asking        // asks whether an election could be won, without a new term
+	Standing      // stands for owner in a new term
+	Owner
+)
+
+func (r Role) String() string { return [...]string{"follower", "asking", "standing", "owner"}[r] }
+
+// Kinds of log entry.
+const (
+	EntryData   int32 = iota // a command of the state machine above
+	EntryBlank               // opens an owner's term
+	EntryRoster              // a new roster
+)
+
+// Kinds of message.
+const (
+	MsgAsk int32 = iota // pre-vote
+	MsgAskReply
+	MsgVote
+	MsgVoteReply
+	MsgAppend
+	MsgAppendReply
+	MsgImage // a whole state for a replica that is too far behind
+	MsgStand // the owner hands over: stand at once
+	MsgNotMe // the member addressed is gone; From is its new incarnation
+)
+
+// Options found a replica.
+type Options struct {
+	Id     int64
+	Self   string // member id: name/incarnation
+	Roster []string
+	Bounds beat.Bounds
+	Seed   uint64
+	Prefer func(roster []string) string // who should own the group
+}
+
+// Hard is what must be durable before a replica answers. Kept says that the
+// replica holds state; a replica that has none never votes.
+type Hard struct {
+	Term   int64
+	Vote   string
+	Commit int64
+}
+
+// Image is a whole state up to an index.
+type Image struct {
+	Index, Term int64
+	Roster      []string
+	State       []byte
+}
+
+// Persist is what one step must sync before its After messages may leave.
+type Persist struct {
+	Hard    *Hard
+	Entries []wire.Entry // replaces everything from Entries[0].Index on
+	Image   *Image       // replaces the whole log
+}
+
+// Out is all that one step wants done.
+type Out struct {
+	Persist *Persist
+	Now     []wire.GroupMsg // may leave at once
+	After   []wire.GroupMsg // may leave once Persist is synced
+	Apply   []wire.Entry    // committed, in order
+	Install *Image          // replaces the state machine's state, before Apply
+	Changed bool            // role, owner or term changed
+}
+
+// peerState is what an owner knows of another member.
+type peerState struct {
+	match, next  int64
+	acked        int64 // newest pulse round answered
+	ackedAt      time.Duration
+	sentAt       time.Duration // last image
+	isProbing    bool
+	matchAtPulse int64 // match when the last pulse left
+}
+
+// Group is one replica.
+//
+// Invariants: term and commit never go back; log[i].Index == base+1+i; an entry
+// at or below commit is never replaced; at most one roster change is under way;
+// synced is how far this replica's own log is on disk, and only that counts
+// towards a majority.
+type Group struct {
+	opts   Options
+	rand   *rand.Rand
+	role   Role
+	hard   Hard
+	owner  string
+	base   int64
+	baseT  int64
+	log    []wire.Entry
+	rosts  []rosterAt // newest last; the first is that of base
+	synced int64
+
+	applied   int64
+	heardAt   time.Duration // last word from the owner
+	standAt   time.Duration
+	pulseAt   time.Duration
+	votes     map[string]bool
+	peers     map[string]*peerState
+	round     int64
+	rounds    []roundAt // sent and not yet confirmed
+	confirmed time.Duration
+	isSure    bool // confirmed is valid in this term
+	blankAt   int64
+	heirSince time.Duration
+	heirName  string
+	renamed   map[string]string // name -> new member id told by MsgNotMe
+}
+
+type rosterAt struct {
+	index   int64
+	members []string
+}
+
+type roundAt struct {
+	round int64
+	at    time.Duration
+}
+
+// New makes a replica from what its disk held. With no image and no roster it
+// is a listener that waits for an owner to bring it up to date.
+func New(opts Options, hard Hard, image *Image, log []wire.Entry, now time.Duration) *Group {
+	g := &Group{opts: opts, hard: hard, log: log, renamed: map[string]string{},
+		rand: rand.New(rand.NewPCG(opts.Seed, uint64(opts.Id)))}
+	roster := opts.Roster
+	if image != nil {
+		g.base, g.baseT, roster = image.Index, image.Term, image.Roster
+	}
+	g.rosts = []rosterAt{{g.base, roster}}
+	for _, e := range log {
+		g.noteRoster(e)
+	}
+	g.hard.Commit = max(g.hard.Commit, g.base)
+	g.hard.Commit = min(g.hard.Commit, g.last())
+	g.applied, g.synced = g.base, g.last()
+	g.resetBeat(now)
+	if g.isHeir() { // the preferred owner of a fresh start stands first
+		g.standAt = now + g.opts.Bounds.Of(beat.Pulse)
+	}
+	return g
+}
+
+// Committed gives the entries that New found committed, for replay.
+func (g *Group) Committed() []wire.Entry {
+	out := slices.Clone(g.log[:g.hard.Commit-g.base])
+	g.applied = g.hard.Commit
+	return out
+}
+
+func (g *Group) last() int64 { return g.base + int64(len(g.log)) }
+
+func (g *Group) termAt(index int64) (int64, bool) {
+	switch {
+	case index == g.base:
+		return g.baseT, true
+	case index < g.base || index > g.last():
+		return 0, false
+	}
+	return g.log[index-g.base-1].Term, true
+}
+
+func (g *Group) lastTerm() int64 { t, _ := g.termAt(g.last()); return t }
+
+// Name gives the store's name within a member id.
+func Name(member string) string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(member, learner), "/")
+	return name
+}
+
+const learner = "~"
+
+// IsLearner tells whether a roster entry has no vote.
+func IsLearner(member string) bool { return strings.HasPrefix(member, learner) }
+
+// Voters gives the members that count.
+func Voters(roster []string) []string {
+	return slices.DeleteFunc(slices.Clone(roster), IsLearner)
+}
+
+func (g *Group) roster() []string { return g.rosts[len(g.rosts)-1].members }
+
+func (g *Group) isVoter() bool { return slices.Contains(g.roster(), g.opts.Self) }
+
+func (g *Group) others() []string {
+	out := []string{}
+	for _, m := range g.roster() {
+		if m = strings.TrimPrefix(m, learner); m != g.opts.Self {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (g *Group) isHeir() bool {
+	return g.opts.Prefer != nil && g.isVoter() && g.opts.Prefer(g.roster()) == g.opts.Self
+}
+
+func (g *Group) resetBeat(now time.Duration) {
+	spread := time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(beat.VoteSpan))))
+	g.standAt = now + g.opts.Bounds.Of(beat.Vote) + spread
+}
+
+// majority tells whether the members for which test holds are enough.
+func (g *Group) majority(test func(member string) bool) bool {
+	voters, count := Voters(g.roster()), 0
+	for _, m := range voters {
+		if test(m) {
+			count++
+		}
+	}
+	return len(voters) > 0 && count > len(voters)/2
+}
--- /dev/null
+++ b/internal/group/group_test.go
@@ -0,0 +1,128 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+var trio = []string{"a/0", "b/0", "c/0"}
+
+func follower(roster []string, hard Hard, log []wire.Entry) *Group {
+	return New(Options{Id: 1, Self: "b/0", Roster: roster, Bounds: beat.Default, Seed: 1}, hard, nil, log, 0)
+}
+
+func entries(terms ...int64) []wire.Entry {
+	out := []wire.Entry{}
+	for i, term := range terms {
+		out = append(out, wire.Entry{Index: int64(i + 1), Term: term})
+	}
+	return out
+}
+
+// TestVotes is the table of who gets a vote.
+func TestVotes(t *testing.T) {
+	cases := []struct {
+		name   string
+		roster []string
+		hard   Hard
+		log    []wire.Entry
+		ask    wire.GroupMsg
+		isYes  bool
+	}{
+		{"a new term and an equal log", trio, Hard{Term: 1}, entries(1, 1), wire.GroupMsg{Term: 2, Index: 2, LogTerm: 1}, true},
+		{"a shorter log", trio, Hard{Term: 1}, entries(1, 1), wire.GroupMsg{Term: 2, Index: 1, LogTerm: 1}, false},
+		{"a shorter log of a later term", trio, Hard{Term: 2}, entries(1, 1), wire.GroupMsg{Term: 3, Index: 1, LogTerm: 2}, true},
+		{"an older term", trio, Hard{Term: 5}, nil, wire.GroupMsg{Term: 4, Index: 9, LogTerm: 4}, false},
+		{"a vote already given to another", trio, Hard{Term: 2, Vote: "c/0"}, nil, wire.GroupMsg{Term: 2}, false},
+		{"a vote already given to the same", trio, Hard{Term: 2, Vote: "a/0"}, nil, wire.GroupMsg{Term: 2}, true},
+		{"a blank replica, which may have forgotten promises", nil, Hard{}, nil, wire.GroupMsg{Term: 2, Index: 9, LogTerm: 1}, false},
+	}
+	Convey("A replica asked for its vote", t, func() {
+		for _, c := range cases {
+			Convey("given "+c.name, func() {
+				g := follower(c.roster, c.hard, c.log)
+				c.ask.Kind, c.ask.From, c.ask.To = MsgVote, "a/0", "b/0"
+				out := g.Receive(c.ask, time.Millisecond)
+				isYes := false
+				for _, m := range append(out.Now, out.After...) {
+					isYes = isYes || m.Kind == MsgVoteReply && !m.Reject
+				}
+				So(isYes, ShouldEqual, c.isYes)
+				if isYes {
+					So(out.Persist.Hard.Vote, ShouldEqual, "a/0")
+				}
+			})
+		}
+	})
+}
+
+func TestImageKeepsWhatWasAcknowledged(t *testing.T) {
+	Convey("Given a replica that has acknowledged entry 3", t, func() {
+		g := follower(trio, Hard{Term: 1}, nil)
+		g.Receive(wire.GroupMsg{Kind: MsgAppend, From: "a/0", To: "b/0", Term: 1, Entries: entries(1, 1, 1)}, 0)
+		Convey("an image that ends at entry 2 takes nothing back", func() {
+			out := g.Receive(wire.GroupMsg{Kind: MsgImage, From: "a/0", To: "b/0", Term: 1, Index: 2, LogTerm: 1, Roster: trio}, 0)
+			So(out.Install, ShouldBeNil)
+			So(g.View().Last, ShouldEqual, 3)
+			So(g.View().Commit, ShouldEqual, 2)
+		})
+		Convey("an image of another history replaces it", func() {
+			out := g.Receive(wire.GroupMsg{Kind: MsgImage, From: "c/0", To: "b/0", Term: 2, Index: 2, LogTerm: 2, Roster: trio}, 0)
+			So(out.Install, ShouldNotBeNil)
+			So(g.View().Last, ShouldEqual, 2)
+		})
+	})
+}
+
+func TestReturningReplicaDisturbsNobody(t *testing.T) {
+	Convey("Given a replica that hears its owner", t, func() {
+		g := follower(trio, Hard{Term: 4}, nil)
+		g.Receive(wire.GroupMsg{Kind: MsgAppend, From: "a/0", To: "b/0", Term: 4}, 0)
+		Convey("it denies a pre-vote and stays in its term", func() {
+			out := g.Receive(wire.GroupMsg{Kind: MsgAsk, From: "c/0", To: "b/0", Term: 5, Index: 99, LogTerm: 4}, time.Millisecond)
+			So(out.Now[0].Reject, ShouldBeTrue)
+			So(g.View().Term, ShouldEqual, 4)
+		})
+		Convey("it grants one once the owner has been silent", func() {
+			out := g.Receive(wire.GroupMsg{Kind: MsgAsk, From: "c/0", To: "b/0", Term: 5, Index: 99, LogTerm: 4}, beat.Default.Charter)
+			So(out.Now[0].Reject, ShouldBeFalse)
+		})
+	})
+}
+
+func TestRosterChangesOneAtATime(t *testing.T) {
+	Convey("Given the owner of a group of one", t, func() {
+		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: beat.Default}, Hard{}, nil, nil, 0)
+		g.Tick(beat.Default.Charter)
+		So(g.View().Role, ShouldEqual, Owner)
+		_, err := g.ChangeRoster(Change{Learn: "b/0"}, 0)
+		So(mishap.Is(err, mishap.Conflict), ShouldBeTrue) // its own term has no commit yet
+		g.Synced(1, 1, 0)
+		_, err = g.ChangeRoster(Change{Learn: "b/0"}, 0)
+		So(err, ShouldBeNil)
+		cases := []struct {
+			name   string
+			change Change
+			kind   mishap.Kind
+		}{
+			{"a second change under way", Change{Learn: "c/0"}, mishap.Conflict},
+			{"a learner that is behind", Change{Promote: "b/0"}, mishap.Conflict},
+			{"the last voter", Change{Drop: "a/0"}, mishap.Rejected},
+		}
+		for i, c := range cases {
+			Convey("it refuses "+c.name, func() {
+				if i > 0 {
+					g.Synced(2, 1, 0)
+				}
+				_, err := g.ChangeRoster(c.change, 0)
+				So(mishap.KindOf(err), ShouldEqual, c.kind)
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/group/step.go
@@ -0,0 +1,173 @@
+package group
+
+import (
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/wire"
+)
+
+// Tick lets time pass.
+func (g *Group) Tick(now time.Duration) Out {
+	out := Out{}
+	if g.role == Owner {
+		g.tickOwner(now, &out)
+	} else if now >= g.standAt {
+		g.ask(now, &out)
+	}
+	g.advance(&out)
+	return out
+}
+
+func (g *Group) tickOwner(now time.Duration, out *Out) {
+	if now-g.confirmed > g.opts.Bounds.Of(beat.Vote)*2 {
+		g.become(Follower, g.hard.Term, "", now, out) // cut off from the majority
+		return
+	}
+	if now >= g.pulseAt {
+		g.pulse(now, out)
+		g.bringHome(now, out)
+	}
+}
+
+// bringHome hands the group to its preferred owner once that one has kept up
+// for a whole bound.
+func (g *Group) bringHome(now time.Duration, out *Out) {
+	if g.opts.Prefer == nil {
+		return
+	}
+	heir := g.opts.Prefer(g.roster())
+	p := g.peers[heir]
+	isReady := heir != g.opts.Self && p != nil && p.match == g.last() &&
+		now-p.ackedAt < g.opts.Bounds.Of(beat.Pulse)*3
+	if !isReady {
+		if heir != g.heirName || p == nil || now-p.ackedAt >= g.opts.Bounds.Of(beat.Pulse)*3 {
+			g.heirName = ""
+		}
+		return
+	}
+	if g.heirName != heir {
+		g.heirName, g.heirSince = heir, now
+	}
+	if now-g.heirSince > g.opts.Bounds.Charter {
+		g.heirSince = now
+		out.Now = append(out.Now, g.msg(MsgStand, heir, wire.GroupMsg{}))
+	}
+}
+
+// Receive takes one message from another replica.
+func (g *Group) Receive(m wire.GroupMsg, now time.Duration) Out {
+	out := Out{}
+	if m.To != g.opts.Self {
+		out.Now = append(out.Now, g.msg(MsgNotMe, m.From, wire.GroupMsg{}))
+		return out
+	}
+	if m.Kind == MsgNotMe {
+		g.renamed[Name(m.From)] = m.From
+		return out
+	}
+	if !g.admit(m, now, &out) {
+		return out
+	}
+	switch m.Kind {
+	case MsgAsk:
+		g.onAsk(m, now, &out)
+	case MsgVote:
+		g.onVote(m, now, &out)
+	case MsgAskReply, MsgVoteReply:
+		g.onVoteReply(m, now, &out)
+	case MsgAppend:
+		g.onAppend(m, now, &out)
+	case MsgImage:
+		g.onImage(m, now, &out)
+	case MsgAppendReply:
+		g.onAppendReply(m, now, &out)
+	case MsgStand:
+		if g.role == Follower && m.From == g.owner && g.isVoter() {
+			g.stand(now, &out)
+		}
+	}
+	g.advance(&out)
+	return out
+}
+
+// admit compares the message's term with ours. It is false when the message
+// has been dealt with.
+func (g *Group) admit(m wire.GroupMsg, now time.Duration, out *Out) bool {
+	switch m.Kind {
+	case MsgAsk:
+		return true
+	case MsgAskReply: // carries a term that nobody has entered yet
+		if m.Reject && m.Term > g.hard.Term+1 {
+			g.become(Follower, m.Term-1, "", now, out)
+		}
+		return true
+	}
+	if m.Term < g.hard.Term {
+		if m.Kind == MsgAppend || m.Kind == MsgImage { // tell an old owner
+			out.Now = append(out.Now, g.msg(MsgAppendReply, m.From, wire.GroupMsg{Reject: true, Index: g.last()}))
+		}
+		return false
+	}
+	if m.Term == g.hard.Term {
+		return true
+	}
+	g.become(Follower, m.Term, "", now, out)
+	return true
+}
+
+// Synced tells that all of this replica's log up to index (of that term) is on
+// disk.
+func (g *Group) Synced(index, term int64, now time.Duration) Out {
+	out := Out{}
+	if t, isHeld := g.termAt(index); isHeld && t == term {
+		g.synced = max(g.synced, index)
+	}
+	g.commitUp(now, &out)
+	g.advance(&out)
+	return out
+}
+
+// advance hands out what has been committed and not yet applied.
+func (g *Group) advance(out *Out) {
+	if g.applied < g.base {
+		g.applied = g.base
+	}
+	for g.applied < g.hard.Commit {
+		g.applied++
+		out.Apply = append(out.Apply, g.log[g.applied-g.base-1])
+	}
+}
+
+// Propose appends a command. The index and term name it; it is committed when
+// an entry with both is applied. False when this replica is not the owner.
+func (g *Group) Propose(data []byte, now time.Duration) (index, term int64, out Out, isOwner bool) {
+	if g.role != Owner {
+		return 0, 0, out, false
+	}
+	g.append(wire.Entry{Kind: EntryData, Data: data}, &out)
+	g.spread(now, &out)
+	return g.last(), g.hard.Term, out, true
+}
+
+// Compact forgets the log up to an applied index; state is the image there.
+func (g *Group) Compact(index int64, state []byte) *Image {
+	if index <= g.base || index > g.applied {
+		return nil
+	}
+	term, _ := g.termAt(index)
+	roster := g.rosterAt(index)
+	g.log = append([]wire.Entry{}, g.log[index-g.base:]...)
+	g.base, g.baseT = index, term
+	kept := []rosterAt{{index, roster}}
+	for _, r := range g.rosts {
+		if r.index > index {
+			kept = append(kept, r)
+		}
+	}
+	g.rosts = kept
+	return &Image{Index: index, Term: term, Roster: roster, State: state}
+}
+
+// Whole gives all that must be durable, for a slot on disk.
+func (g *Group) Whole() (Hard, []wire.Entry) { return g.hard, append([]wire.Entry{}, g.log...) }
--- /dev/null
+++ b/internal/group/view.go
@@ -0,0 +1,46 @@
+package group
+
+import (
+	"slices"
+	"time"
+)
+
+// View is what others may know of a replica.
+type View struct {
+	Role      Role
+	Term      int64
+	Owner     string
+	Commit    int64
+	Last      int64
+	Roster    []string
+	Lag       int64 // entries that the slowest voter misses; owners only
+	Confirmed time.Duration
+	IsSure    bool // Confirmed holds: reads as of then are safe
+}
+
+// View of this replica now.
+func (g *Group) View() View {
+	v := View{Role: g.role, Term: g.hard.Term, Owner: g.owner, Commit: g.hard.Commit, Last: g.last(),
+		Roster: slices.Clone(g.roster()), Confirmed: g.confirmed,
+		IsSure: g.role == Owner && g.isSure && g.hard.Commit >= g.blankAt && g.applied >= g.blankAt}
+	for _, m := range Voters(g.roster()) {
+		if p := g.peers[m]; g.role == Owner && m != g.opts.Self && p != nil {
+			v.Lag = max(v.Lag, g.last()-p.match)
+		}
+	}
+	return v
+}
+
+// confirm finds the newest round that a majority has answered.
+func (g *Group) confirm(now time.Duration) {
+	for i := len(g.rounds) - 1; i >= 0; i-- {
+		r := g.rounds[i]
+		if g.majority(func(m string) bool {
+			return m == g.opts.Self || g.peers[m] != nil && g.peers[m].acked >= r.round
+		}) {
+			g.confirmed, g.isSure = max(g.confirmed, r.at), true
+			g.rounds = g.rounds[i+1:]
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/groupcheck.go
@@ -0,0 +1,136 @@
+package sim
+
+import (
+	"slices"
+	"time"
+
+	"caperwheel/internal/group"
+	"caperwheel/internal/wire"
+)
+
+func (g *Groups) apply(r *Replica, entries []wire.Entry) {
+	for _, e := range entries {
+		if e.Kind == group.EntryData {
+			command := string(e.Data)
+			r.Applied = append(r.Applied, command)
+			if wait, isOurs := g.waiting[command]; isOurs && wait.by == r.Id && wait.index == e.Index && wait.term == e.Term {
+				g.Acked[command], g.ackedAt[command] = true, g.now
+				delete(g.waiting, command)
+			}
+		}
+	}
+	if len(entries) > 0 {
+		g.matches(r)
+	}
+}
+
+// matches checks that all replicas apply the same commands in the same order.
+func (g *Groups) matches(r *Replica) {
+	shared := min(len(r.Applied), len(g.newest))
+	if !slices.Equal(r.Applied[:shared], g.newest[:shared]) {
+		g.breach("%s applied another order", r.Id)
+	}
+	if len(r.Applied) > len(g.newest) {
+		g.newest = slices.Clone(r.Applied)
+	}
+}
+
+// Propose gives a command to whoever thinks it is the owner.
+func (g *Groups) Propose(command string) bool {
+	for _, id := range g.Names {
+		r := g.Replicas[id]
+		if !r.isUp || r.machine.View().Role != group.Owner {
+			continue
+		}
+		index, term, out, isOwner := r.machine.Propose([]byte(command), g.now)
+		if isOwner {
+			g.waiting[command] = waiter{index, term, id}
+			g.do(r, out)
+			return true
+		}
+	}
+	return false
+}
+
+// CheckReads looks at every owner that says its view is sure as of some
+// moment: all that was acknowledged before must be in its state.
+func (g *Groups) CheckReads() {
+	for _, id := range g.Names {
+		r := g.Replicas[id]
+		if !r.isUp {
+			continue
+		}
+		v := r.machine.View()
+		if !v.IsSure {
+			continue
+		}
+		for command, at := range g.ackedAt {
+			if at < v.Confirmed && !slices.Contains(r.Applied, command) {
+				g.breach("%s is sure as of %v but misses %s, acknowledged at %v", id, v.Confirmed, command, at)
+			}
+		}
+	}
+}
+
+// Mend does what the store's repair beat does.
+func (g *Groups) Mend(wanted ...string) {
+	known := map[string]string{}
+	for _, id := range g.Names {
+		if g.Replicas[id].isUp {
+			known[group.Name(id)] = id
+		}
+	}
+	for _, id := range g.Names {
+		r := g.Replicas[id]
+		if !r.isUp {
+			continue
+		}
+		if change, isDue := r.machine.Mend(known, wanted); isDue {
+			if out, err := r.machine.ChangeRoster(change, g.now); err == nil {
+				g.Note("%s mends %+v", id, change)
+				g.do(r, out)
+			}
+		}
+	}
+}
+
+// Finish heals everything and checks that nothing acknowledged is lost and
+// that all replicas agree.
+func (g *Groups) Finish() {
+	g.Heal()
+	g.Loss = 0
+	for _, id := range g.Names {
+		g.Start(id)
+	}
+	for range 40 {
+		g.Run(g.now + 500*time.Millisecond)
+		names := []string{}
+		for _, id := range g.Names {
+			names = append(names, group.Name(id))
+		}
+		g.Mend(names...)
+	}
+	isTaken := false
+	for try := range 20 {
+		g.Run(g.now + time.Second)
+		if isTaken = g.Propose("last" + string(rune('a'+try))); isTaken {
+			break
+		}
+	}
+	g.Run(g.now + 3*time.Second)
+	if !isTaken {
+		g.breach("no owner after everything was healed")
+	}
+	g.CheckReads()
+	for _, id := range g.Names {
+		r := g.Replicas[id]
+		if len(r.Applied) != len(g.newest) {
+			g.breach("%s applied %d of %d commands", id, len(r.Applied), len(g.newest))
+		}
+		for command := range g.Acked {
+			if !slices.Contains(r.Applied, command) {
+				g.breach("%s lost %s, which was acknowledged", id, command)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/groups.go
@@ -0,0 +1,237 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/group"
+	"caperwheel/internal/wire"
+)
+
+// disk is a replica's durable record; what waits in unsynced is lost in a
+// power cut, from a random point on.
+type disk struct {
+	hard     group.Hard
+	image    *group.Image
+	log      []wire.Entry
+	unsynced []func()
+}
+
+// Replica is one member of a simulated group, with its state machine: a list
+// of the commands applied.
+type Replica struct {
+	Id      string
+	machine *group.Group
+	disk    disk
+	isUp    bool
+	life    int
+	Applied []string
+	image   *group.Image
+}
+
+// Groups is one replicated group under simulation.
+type Groups struct {
+	*World
+	Replicas map[string]*Replica
+	Names    []string
+	founders []string
+	owners   map[int64]string // term -> owner, to find two in one term
+	Acked    map[string]bool  // commands whose commit was seen by their proposer
+	Broken   []string         // rules found broken
+	newest   []string         // the longest applied list seen
+	ackedAt  map[string]time.Duration
+	waiting  map[string]waiter
+	incs     int
+}
+
+type waiter struct {
+	index, term int64
+	by          string
+}
+
+// NewGroups founds a group over the names.
+func NewGroups(w *World, names ...string) *Groups {
+	g := &Groups{World: w, Replicas: map[string]*Replica{}, owners: map[int64]string{}, Acked: map[string]bool{},
+		ackedAt: map[string]time.Duration{}, waiting: map[string]waiter{}}
+	for _, name := range names {
+		g.founders = append(g.founders, name+"/0")
+	}
+	for _, id := range g.founders {
+		g.Names = append(g.Names, id)
+		g.Replicas[id] = &Replica{Id: id}
+		g.Start(id)
+	}
+	return g
+}
+
+func (g *Groups) breach(form string, args ...any) {
+	text := fmt.Sprintf(form, args...)
+	g.Note("BROKEN %s", text)
+	g.Broken = append(g.Broken, text)
+}
+
+// Start brings a replica up from its disk.
+func (g *Groups) Start(id string) {
+	r := g.Replicas[id]
+	if r.isUp {
+		return
+	}
+	r.isUp, r.life = true, r.life+1
+	roster := []string(nil)
+	if slices.Contains(g.founders, id) {
+		roster = g.founders
+	}
+	r.machine = group.New(group.Options{Id: 1, Self: id, Roster: roster, Bounds: beat.Default,
+		Seed: g.Seed + uint64(r.life)}, r.disk.hard, r.disk.image, slices.Clone(r.disk.log), g.now)
+	r.Applied, r.image = nil, r.disk.image
+	if r.image != nil {
+		r.Applied = unpack(r.image.State)
+	}
+	g.apply(r, r.machine.Committed())
+	life := r.life
+	var tick func()
+	tick = func() {
+		if r.isUp && r.life == life {
+			g.do(r, r.machine.Tick(g.now))
+			g.After(20*time.Millisecond, tick)
+		}
+	}
+	g.After(0, tick)
+	g.Note("start %s", id)
+}
+
+// Kill stops a replica as a power cut would: unsynced writes go, from a random
+// point on.
+func (g *Groups) Kill(id string) {
+	r := g.Replicas[id]
+	if !r.isUp {
+		return
+	}
+	r.isUp, r.life = false, r.life+1
+	kept := g.Rand.IntN(len(r.disk.unsynced) + 1)
+	for _, write := range r.disk.unsynced[:kept] {
+		write()
+	}
+	r.disk.unsynced = nil
+	g.Note("kill %s, kept %d unsynced", id, kept)
+}
+
+// Blank replaces a replica's disk: it returns as a new incarnation.
+func (g *Groups) Blank(id string) string {
+	g.Kill(id)
+	g.incs++
+	fresh := fmt.Sprintf("%s/%d", group.Name(id), g.incs)
+	delete(g.Replicas, id)
+	g.Names[slices.Index(g.Names, id)] = fresh
+	g.Replicas[fresh] = &Replica{Id: fresh}
+	g.Note("blank %s is now %s", id, fresh)
+	g.Start(fresh)
+	return fresh
+}
+
+func pack(list []string) []byte {
+	out := []byte{}
+	for _, s := range list {
+		out = append(append(out, s...), '\n')
+	}
+	return out
+}
+
+func unpack(raw []byte) []string {
+	out, from := []string{}, 0
+	for i, b := range raw {
+		if b == '\n' {
+			out, from = append(out, string(raw[from:i])), i+1
+		}
+	}
+	return out
+}
+
+// do carries out what one step wants.
+func (g *Groups) do(r *Replica, out group.Out) {
+	for _, m := range out.Now {
+		g.post(r, m)
+	}
+	if p := out.Persist; p != nil {
+		g.persist(r, p, out.After)
+	} else {
+		for _, m := range out.After { // behind whatever is still unsynced
+			g.persist(r, &group.Persist{}, []wire.GroupMsg{m})
+		}
+	}
+	if out.Install != nil {
+		r.image, r.Applied = out.Install, unpack(out.Install.State)
+		g.matches(r)
+	}
+	g.apply(r, out.Apply)
+	if v := r.machine.View(); v.Role == group.Owner {
+		if was := g.owners[v.Term]; was != "" && was != r.Id {
+			g.breach("two owners in term %d: %s and %s", v.Term, was, r.Id)
+		}
+		g.owners[v.Term] = r.Id
+	}
+	if len(r.Applied) > 0 && len(r.Applied)%40 == 0 {
+		if image := r.machine.Compact(r.machine.View().Commit, pack(r.Applied)); image != nil {
+			r.image = image
+			hard, log := r.machine.Whole()
+			g.write(r, func() { r.disk.hard, r.disk.image, r.disk.log = hard, image, log }, nil)
+		}
+	}
+}
+
+func (g *Groups) persist(r *Replica, p *group.Persist, after []wire.GroupMsg) {
+	g.write(r, func() {
+		if p.Image != nil {
+			r.disk.image, r.disk.log = p.Image, nil
+		}
+		if p.Hard != nil {
+			r.disk.hard = *p.Hard
+		}
+		if len(p.Entries) > 0 {
+			base := int64(0)
+			if r.disk.image != nil {
+				base = r.disk.image.Index
+			}
+			r.disk.log = append(slices.Clone(r.disk.log[:p.Entries[0].Index-base-1]), p.Entries...)
+		}
+	}, func() {
+		for _, m := range after {
+			g.post(r, m)
+		}
+		if n := len(p.Entries); n > 0 {
+			e := p.Entries[n-1]
+			g.do(r, r.machine.Synced(e.Index, e.Term, g.now))
+		}
+	})
+}
+
+// write queues one write; it is synced a little later, in order.
+func (g *Groups) write(r *Replica, write, then func()) {
+	life := r.life
+	r.disk.unsynced = append(r.disk.unsynced, write)
+	g.After(time.Millisecond, func() {
+		if !r.isUp || r.life != life {
+			return
+		}
+		r.disk.unsynced[0]()
+		r.disk.unsynced = r.disk.unsynced[1:]
+		if then != nil {
+			then()
+		}
+	})
+}
+
+func (g *Groups) post(r *Replica, m wire.GroupMsg) {
+	if m.Kind == group.MsgImage {
+		m.State = r.image.State
+	}
+	g.Send(group.Name(m.From), group.Name(m.To), func() {
+		for _, to := range g.Names { // whoever lives at that name gets it
+			if t := g.Replicas[to]; group.Name(to) == group.Name(m.To) && t.isUp {
+				g.do(t, t.machine.Receive(m, g.now))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/sim/world.go
@@ -0,0 +1,94 @@
+// Package sim runs the real state machines on a simulated clock, network and
+// disk. One seed decides everything: the same seed gives the same run.
+package sim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+type event struct {
+	at   time.Duration
+	rank int64
+	work func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].rank < q[j].rank
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// World is the clock, the dice and the trace of one run.
+type World struct {
+	Seed  uint64
+	Rand  *rand.Rand
+	Trace []string
+	now   time.Duration
+	rank  int64
+	queue queue
+	cuts  map[[2]string]bool
+	// Loss is the share of messages lost, in thousandths. Slow is the longest
+	// delay of a message.
+	Loss int
+	Slow time.Duration
+}
+
+// NewWorld starts a run.
+func NewWorld(seed uint64) *World {
+	return &World{Seed: seed, Rand: rand.New(rand.NewPCG(seed, 17)), cuts: map[[2]string]bool{}, Slow: 5 * time.Millisecond}
+}
+
+// Now is the simulated time.
+func (w *World) Now() time.Duration { return w.now }
+
+// After does work once delay has passed.
+func (w *World) After(delay time.Duration, work func()) {
+	w.rank++
+	heap.Push(&w.queue, event{w.now + delay, w.rank, work})
+}
+
+// Run lets time pass until the given moment.
+func (w *World) Run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.work()
+	}
+	w.now = until
+}
+
+// Note adds a line to the trace that a failing seed prints.
+func (w *World) Note(form string, args ...any) {
+	line := fmt.Sprintf("%8.3fs ", w.now.Seconds()) + fmt.Sprintf(form, args...)
+	if len(w.Trace) > 400 {
+		w.Trace = w.Trace[100:]
+	}
+	w.Trace = append(w.Trace, line)
+}
+
+// Cut stops messages from one name to another; one way only.
+func (w *World) Cut(from, to string) { w.cuts[[2]string{from, to}] = true }
+
+// Heal ends all cuts.
+func (w *World) Heal() { w.cuts = map[[2]string]bool{} }
+
+// Send delivers a message after a random delay, unless it is cut or lost.
+// Messages of one pair may overtake each other.
+func (w *World) Send(from, to string, deliver func()) {
+	if w.cuts[[2]string{from, to}] || w.Rand.IntN(1000) < w.Loss {
+		return
+	}
+	w.After(time.Duration(w.Rand.Int64N(int64(w.Slow)))+100*time.Microsecond, deliver)
+}
--- /dev/null
+++ b/internal/transport/frame.go
@@ -0,0 +1,67 @@
+// Package transport is the daemon-to-daemon link of caperwheel. The ordinary
+// path is that of Suriarachchi's thesis (chapter 3): messages are buffered per
+// peer up to a count, a pool turns each buffer into one byte array that starts
+// with the count, and one long-lived connection per peer carries length and
+// array. Checksums, credits, replies and the handshake are ours.
+package transport
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"io"
+
+	"caperwheel/internal/mishap"
+)
+
+// A frame is a fixed head and one byte array. The head holds the array's
+// length, its checksum, the batch number, and how many messages of the other
+// direction the sender of the frame has consumed since the session opened.
+const headSize = 20
+
+type head struct {
+	length   uint32
+	sum      uint32
+	seq      uint32
+	consumed uint64
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func (h head) put(raw []byte) {
+	binary.BigEndian.PutUint32(raw[0:], h.length)
+	binary.BigEndian.PutUint32(raw[4:], h.sum)
+	binary.BigEndian.PutUint32(raw[8:], h.seq)
+	binary.BigEndian.PutUint64(raw[12:], h.consumed)
+}
+
+func readHead(raw []byte) head {
+	return head{
+		length:   binary.BigEndian.Uint32(raw[0:]),
+		sum:      binary.BigEndian.Uint32(raw[4:]),
+		seq:      binary.BigEndian.Uint32(raw[8:]),
+		consumed: binary.BigEndian.Uint64(raw[12:]),
+	}
+}
+
+// readFrame reads one frame into a reused buffer.
+func readFrame(r io.Reader, buffer []byte, limit int) (head, []byte, error) {
+	var raw [headSize]byte
+	if _, err := io.ReadFull(r, raw[:]); err != nil {
+		return head{}, buffer, mishap.Wrap(err, mishap.Lost, "read head")
+	}
+	h := readHead(raw[:])
+	if int(h.length) > limit {
+		return h, buffer, mishap.New(mishap.TooLarge, "frame of %d bytes, limit %d", h.length, limit)
+	}
+	if cap(buffer) < int(h.length) {
+		buffer = make([]byte, h.length)
+	}
+	buffer = buffer[:h.length]
+	if _, err := io.ReadFull(r, buffer); err != nil {
+		return h, buffer, mishap.Wrap(err, mishap.Lost, "read array")
+	}
+	if crc32.Checksum(buffer, castagnoli) != h.sum {
+		return h, buffer, mishap.New(mishap.Broken, "frame checksum")
+	}
+	return h, buffer, nil
+}
--- /dev/null
+++ b/internal/transport/node.go
@@ -0,0 +1,86 @@
+package transport
+
+import (
+	"net"
+	"sync"
+
+	"github.com/alitto/pond/v2"
+
+	"caperwheel/internal/mishap"
+)
+
+// Node is a daemon's end of all its links.
+type Node struct {
+	opts     Options
+	pool     pond.Pool
+	listener net.Listener
+
+	mu       sync.Mutex
+	accepted map[*session]bool
+	peers    map[string]*Peer // by link and address
+	closed   bool
+}
+
+// NewNode opens the listener, if any; Serve starts accepting.
+func NewNode(opts Options) (*Node, error) {
+	n := &Node{opts: opts.filled(), accepted: map[*session]bool{}, peers: map[string]*Peer{}}
+	n.pool = pond.NewPool(n.opts.Pool)
+	if n.opts.Listen != "" {
+		listener, err := net.Listen("tcp", n.opts.Listen)
+		if err != nil {
+			return nil, mishap.Wrap(err, mishap.Invalid, "listen on %s", n.opts.Listen)
+		}
+		n.listener = listener
+	}
+	return n, nil
+}
+
+// Addr is the address listened on.
+func (n *Node) Addr() string { return n.listener.Addr().String() }
+
+// Serve accepts sessions until Close.
+func (n *Node) Serve() {
+	for {
+		conn, err := n.listener.Accept()
+		if err != nil {
+			return
+		}
+		go n.accept(conn)
+	}
+}
+
+func (n *Node) track(s *session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.accepted[s] = true
+}
+
+func (n *Node) untrack(s *session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.accepted, s)
+}
+
+// Close ends all sessions.
+func (n *Node) Close() {
+	n.mu.Lock()
+	n.closed = true
+	if n.listener != nil {
+		n.listener.Close()
+	}
+	sessions := []*session{}
+	for s := range n.accepted {
+		sessions = append(sessions, s)
+	}
+	peers := []*Peer{}
+	for _, p := range n.peers {
+		peers = append(peers, p)
+	}
+	n.mu.Unlock()
+	for _, s := range sessions {
+		s.down(mishap.New(mishap.Lost, "node closed"))
+	}
+	for _, p := range peers {
+		p.Close()
+	}
+}
--- /dev/null
+++ b/internal/transport/outbox.go
@@ -0,0 +1,198 @@
+package transport
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// outbox buffers the messages of one direction of one session, turns full
+// buffers into byte arrays on the pool, and writes them.
+//
+// Invariants: sent - credited never passes window, so neither side holds more
+// than window messages of the other; pending never passes batch.
+type outbox struct {
+	opts   *Options
+	codec  *wire.Codec
+	pool   pond.Pool
+	conn   net.Conn
+	window int64
+
+	mu       sync.Mutex
+	pending  []wire.Item
+	seq      uint32
+	sent     int64
+	credited int64
+	flush    *time.Timer
+	armed    bool
+	broken   error
+
+	ready    []frame // for the writing goroutine; the window bounds it
+	consumed atomic.Uint64
+	nudge    chan struct{}
+	done     chan struct{}
+	fail     func(error)
+}
+
+type frame struct {
+	raw []byte // head and array; reused
+	seq uint32
+}
+
+var rawPool = sync.Pool{New: func() any { raw := make([]byte, 0, 16<<10); return &raw }}
+
+func newOutbox(opts *Options, codec *wire.Codec, pool pond.Pool, conn net.Conn, window int64, fail func(error)) *outbox {
+	o := &outbox{opts: opts, codec: codec, pool: pool, conn: conn, window: window, fail: fail,
+		nudge: make(chan struct{}, 1), done: make(chan struct{})}
+	o.flush = time.AfterFunc(time.Hour, o.onBeat)
+	o.flush.Stop()
+	go o.write()
+	return o
+}
+
+// put adds a message to the buffer; a full window is a definite reject.
+func (o *outbox) put(item wire.Item) error {
+	o.mu.Lock()
+	if o.broken != nil {
+		o.mu.Unlock()
+		return o.broken
+	}
+	if o.sent-o.credited >= o.window {
+		o.mu.Unlock()
+		counters.full.Inc()
+		return mishap.New(mishap.Full, "session window of %d", o.window)
+	}
+	o.sent++
+	o.pending = append(o.pending, item)
+	if len(o.pending) >= o.opts.Batch {
+		o.cut()
+	} else if !o.armed {
+		o.armed = true
+		o.flush.Reset(o.opts.Flush)
+	}
+	o.mu.Unlock()
+	return nil
+}
+
+func (o *outbox) onBeat() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.armed = false
+	if len(o.pending) > 0 && o.broken == nil {
+		o.cut()
+	}
+}
+
+// cut hands the buffer to the pool. Called with mu held.
+func (o *outbox) cut() {
+	batch, seq := o.pending, o.seq
+	o.pending, o.seq = make([]wire.Item, 0, o.opts.Batch), o.seq+1
+	counters.batches.Inc()
+	counters.messages.Add(float64(len(batch)))
+	o.pool.Submit(func() { o.convert(batch, seq) })
+}
+
+func (o *outbox) convert(batch []wire.Item, seq uint32) {
+	raw := rawPool.Get().(*[]byte)
+	w := o.codec.Writer(512)
+	for _, item := range batch {
+		if err := o.codec.Append(w, item); err != nil {
+			o.fail(err)
+			return
+		}
+	}
+	out := append((*raw)[:0], make([]byte, headSize+4)...)
+	binary.BigEndian.PutUint32(out[headSize:], uint32(len(batch)))
+	out = append(out, w.Buffer()...)
+	if len(out)-headSize > o.opts.FrameLimit {
+		o.fail(mishap.New(mishap.TooLarge, "batch of %d bytes", len(out)))
+		return
+	}
+	o.mu.Lock()
+	o.ready = append(o.ready, frame{raw: out, seq: seq})
+	o.mu.Unlock()
+	o.wake()
+}
+
+func (o *outbox) wake() {
+	select {
+	case o.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// write is the only goroutine that writes to the connection. Frames of an
+// idle session carry no messages, only the credit.
+func (o *outbox) write() {
+	idle := time.NewTicker(o.opts.Bounds.Of(idleRatio))
+	defer idle.Stop()
+	for {
+		select {
+		case <-o.nudge:
+		case <-idle.C:
+		case <-o.done:
+			return
+		}
+		o.mu.Lock()
+		frames := o.ready
+		o.ready = nil
+		o.mu.Unlock()
+		if len(frames) == 0 {
+			frames = []frame{{raw: make([]byte, headSize+4)}}
+		}
+		for _, f := range frames {
+			if err := o.send(f); err != nil {
+				o.fail(err)
+				return
+			}
+		}
+	}
+}
+
+func (o *outbox) send(f frame) error {
+	body := f.raw[headSize:]
+	head{length: uint32(len(body)), sum: crc32.Checksum(body, castagnoli), seq: f.seq,
+		consumed: o.consumed.Load()}.put(f.raw)
+	o.conn.SetWriteDeadline(time.Now().Add(o.opts.Bounds.Of(deadRatio)))
+	if _, err := o.conn.Write(f.raw); err != nil {
+		return mishap.Wrap(err, mishap.Lost, "write frame")
+	}
+	counters.bytes.Add(float64(len(f.raw)))
+	rawPool.Put(&f.raw)
+	return nil
+}
+
+// credit notes how many of our messages the peer has consumed.
+func (o *outbox) credit(consumed uint64) {
+	o.mu.Lock()
+	o.credited = max(o.credited, int64(consumed))
+	o.mu.Unlock()
+}
+
+// consume notes that we consumed n of the peer's messages, and tells the peer
+// at once when half a window is owed.
+func (o *outbox) consume(n int) {
+	was := o.consumed.Add(uint64(n))
+	half := uint64(o.window / 2)
+	if half > 0 && was/half != (was-uint64(n))/half {
+		o.wake()
+	}
+}
+
+func (o *outbox) close(cause error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.broken == nil {
+		o.broken = cause
+		o.flush.Stop()
+		close(o.done)
+	}
+}
--- /dev/null
+++ b/internal/transport/peer.go
@@ -0,0 +1,200 @@
+package transport
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// Peer is one long-lived link to one other daemon. It redials when it breaks.
+//
+// Invariant: every registered answer is called exactly once, with a reply or
+// with a mishap; the map holds at most Window of them.
+type Peer struct {
+	node *Node
+	link *wire.Link
+	addr string
+
+	mu      sync.Mutex
+	session *session
+	corr    int64
+	waiting map[int64]func(any, error)
+	closed  bool
+	dialing bool
+	failed  time.Time
+	raised  []func() // told once when the session stands
+}
+
+// Peer gives the link to an address, opening it when first used.
+func (n *Node) Peer(link *wire.Link, addr string) *Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	key := link.Name + " " + addr
+	p := n.peers[key]
+	if p == nil {
+		p = &Peer{node: n, link: link, addr: addr, waiting: map[int64]func(any, error){}}
+		n.peers[key] = p
+	}
+	return p
+}
+
+// Up tells whether the session stands.
+func (p *Peer) Up() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.session != nil
+}
+
+// onUp calls tell once the session stands, at once if it does already.
+func (p *Peer) onUp(tell func()) {
+	p.mu.Lock()
+	isUp := p.session != nil
+	if !isUp {
+		p.raised = append(p.raised, tell)
+	}
+	p.mu.Unlock()
+	if isUp {
+		tell()
+		return
+	}
+	p.connect()
+}
+
+// Addr is the peer's address.
+func (p *Peer) Addr() string { return p.addr }
+
+// connect dials in the background, at most once per Redial beat.
+func (p *Peer) connect() {
+	p.mu.Lock()
+	pause := p.node.opts.Bounds.Of(beat.Redial)
+	if p.closed || p.dialing || p.session != nil || time.Since(p.failed) < pause {
+		p.mu.Unlock()
+		return
+	}
+	p.dialing = true
+	p.mu.Unlock()
+	go func() {
+		s, err := p.node.dial(p.link, p.addr)
+		p.mu.Lock()
+		p.dialing = false
+		if err != nil || p.closed {
+			p.failed = time.Now()
+			p.mu.Unlock()
+			if s != nil {
+				s.down(mishap.New(mishap.Lost, "peer closed"))
+			}
+			return
+		}
+		s.handle = p.onReply
+		s.onDown = func(cause error) { p.lose(s, cause) }
+		p.session = s
+		raised := p.raised
+		p.raised = nil
+		p.mu.Unlock()
+		go s.read()
+		for _, tell := range raised {
+			tell()
+		}
+	}()
+}
+
+func (p *Peer) lose(s *session, cause error) {
+	p.mu.Lock()
+	if p.session != s {
+		p.mu.Unlock()
+		return
+	}
+	p.session = nil
+	orphans := p.waiting
+	p.waiting = map[int64]func(any, error){}
+	p.mu.Unlock()
+	for _, answer := range orphans {
+		answer(nil, mishap.Wrap(cause, mishap.Lost, "session with %s", p.addr))
+	}
+}
+
+func (p *Peer) onReply(item wire.Item) {
+	p.mu.Lock()
+	answer := p.waiting[item.Corr]
+	delete(p.waiting, item.Corr)
+	p.mu.Unlock()
+	if answer != nil {
+		answer(item.Body, nil)
+	}
+}
+
+// Post sends a message without waiting. A nil answer wants no reply. An error
+// is definite: nothing was sent and answer will not be called.
+func (p *Peer) Post(body any, answer func(any, error)) error {
+	p.mu.Lock()
+	s := p.session
+	if s == nil {
+		p.mu.Unlock()
+		p.connect()
+		return mishap.New(mishap.Lost, "no session with %s", p.addr)
+	}
+	corr := int64(0)
+	if answer != nil {
+		if len(p.waiting) >= p.node.opts.Window {
+			p.mu.Unlock()
+			return mishap.New(mishap.Full, "%d asks wait for %s", p.node.opts.Window, p.addr)
+		}
+		p.corr++
+		corr = p.corr
+		p.waiting[corr] = answer
+	}
+	p.mu.Unlock()
+	err := s.out.put(wire.Item{Corr: corr, Body: body})
+	if err != nil && corr != 0 {
+		p.mu.Lock()
+		_, isOurs := p.waiting[corr]
+		delete(p.waiting, corr)
+		p.mu.Unlock()
+		if !isOurs {
+			return nil // lose() has told the answer already
+		}
+	}
+	return err
+}
+
+// Call posts and waits for the reply, until ctx ends. Wrapped kinds: Lost and
+// Late mean that the fate is unknown, unless Sent is false.
+func (p *Peer) Call(ctx context.Context, body any) (any, error) {
+	type result struct {
+		body any
+		err  error
+	}
+	got := make(chan result, 1)
+	if err := p.Post(body, func(reply any, err error) { got <- result{reply, err} }); err != nil {
+		return nil, &Unsent{err}
+	}
+	select {
+	case r := <-got:
+		return r.body, r.err
+	case <-ctx.Done():
+		return nil, mishap.Wrap(ctx.Err(), mishap.Late, "call to %s", p.addr)
+	}
+}
+
+// Unsent marks a failure before anything was sent.
+type Unsent struct{ cause error }
+
+func (u *Unsent) Error() string { return "unsent: " + u.cause.Error() }
+
+// Unwrap gives the cause.
+func (u *Unsent) Unwrap() error { return u.cause }
+
+// Close ends the link for good.
+func (p *Peer) Close() {
+	p.mu.Lock()
+	p.closed = true
+	s := p.session
+	p.mu.Unlock()
+	if s != nil {
+		s.down(mishap.New(mishap.Lost, "peer closed"))
+	}
+}
--- /dev/null
+++ b/internal/transport/session.go
@@ -0,0 +1,123 @@
+package transport
+
+import (
+	"bufio"
+	"encoding/binary"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// session is one open connection after its handshake. The dialer sends asks
+// and gets replies; the acceptor the other way round.
+type session struct {
+	node    *Node
+	link    *wire.Link
+	peer    wire.Who
+	version int64
+	conn    net.Conn
+	out     *outbox
+	in      *wire.Codec
+	handle  func(item wire.Item)
+	once    sync.Once
+	onDown  func(error)
+
+	// Ordered links: batches parsed ahead of their turn wait here. Bounded by
+	// the peer's window, since they are not yet consumed.
+	turn  sync.Mutex
+	early map[uint32][]wire.Item
+	next  uint32
+	alive atomic.Bool
+}
+
+// read frames what arrives and leaves the rest to the pool.
+func (s *session) read() {
+	r := bufio.NewReaderSize(s.conn, 64<<10)
+	for {
+		s.conn.SetReadDeadline(time.Now().Add(s.node.opts.Bounds.Of(deadRatio)))
+		buffer := rawPool.Get().(*[]byte)
+		h, raw, err := readFrame(r, (*buffer)[:0], s.node.opts.FrameLimit)
+		if err != nil {
+			s.down(err)
+			return
+		}
+		s.out.credit(h.consumed)
+		if len(raw) < 4 {
+			s.down(mishap.New(mishap.Broken, "array without a count"))
+			return
+		}
+		count := int(binary.BigEndian.Uint32(raw))
+		if count == 0 {
+			continue
+		}
+		if count > s.node.opts.Window {
+			s.down(mishap.New(mishap.Broken, "batch of %d messages", count))
+			return
+		}
+		s.node.pool.Submit(func() {
+			items, err := s.in.Parse(raw[4:], count)
+			rawPool.Put(&raw)
+			if err != nil {
+				s.down(err)
+				return
+			}
+			s.dispatch(h.seq, items)
+		})
+	}
+}
+
+func (s *session) dispatch(seq uint32, items []wire.Item) {
+	if !s.link.Ordered {
+		s.consume(items)
+		return
+	}
+	s.turn.Lock()
+	defer s.turn.Unlock()
+	s.early[seq] = items
+	for {
+		items, ready := s.early[s.next]
+		if !ready {
+			return
+		}
+		delete(s.early, s.next)
+		s.next++
+		s.consume(items)
+	}
+}
+
+func (s *session) consume(items []wire.Item) {
+	for _, item := range items {
+		s.handle(item)
+	}
+	s.out.consume(len(items))
+}
+
+// down closes the session once, whatever found the failure.
+func (s *session) down(cause error) {
+	s.once.Do(func() {
+		s.alive.Store(false)
+		counters.lost.Inc()
+		s.conn.Close()
+		s.out.close(mishap.Wrap(cause, mishap.Lost, "session with %s", s.peer.Name))
+		if s.onDown != nil {
+			s.onDown(cause)
+		}
+	})
+}
+
+func (n *Node) newSession(link *wire.Link, conn net.Conn, peer wire.Who, version, window int64, isDialer bool) *session {
+	s := &session{node: n, link: link, peer: peer, version: version, conn: conn, early: map[uint32][]wire.Item{}}
+	out := link.Replies
+	s.in = link.Asks
+	if isDialer {
+		out, s.in = link.Asks, link.Replies
+	}
+	s.alive.Store(true)
+	counters.sessions.Inc()
+	s.out = newOutbox(&n.opts, out, n.pool, conn, window, func(err error) { s.down(err) })
+	return s
+}
--- /dev/null
+++ b/internal/transport/shake.go
@@ -0,0 +1,111 @@
+package transport
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"time"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+var (
+	helloCodec   = wire.NewPlain(&wire.Hello{})
+	welcomeCodec = wire.NewPlain(&wire.Welcome{})
+)
+
+const shakeLimit = 4 << 10
+
+// magic opens every connection, so that a stranger is told apart at once.
+var magic = [4]byte{'c', 'w', 'h', 1}
+
+func writeShake(conn net.Conn, body []byte) error {
+	raw := append(append([]byte{}, magic[:]...), binary.BigEndian.AppendUint32(nil, uint32(len(body)))...)
+	_, err := conn.Write(append(raw, body...))
+	return mishap.Wrap(err, mishap.Lost, "write handshake")
+}
+
+func readShake(conn net.Conn) ([]byte, error) {
+	var raw [8]byte
+	if _, err := io.ReadFull(conn, raw[:]); err != nil {
+		return nil, mishap.Wrap(err, mishap.Lost, "read handshake")
+	}
+	size := binary.BigEndian.Uint32(raw[4:])
+	if [4]byte(raw[:4]) != magic || size > shakeLimit {
+		return nil, mishap.New(mishap.Broken, "not a caperwheel peer")
+	}
+	body := make([]byte, size)
+	_, err := io.ReadFull(conn, body)
+	return body, mishap.Wrap(err, mishap.Lost, "read handshake")
+}
+
+// dial opens a session and shakes hands. Both sides settle on the lower of
+// their newest wire versions; no overlap is a reject.
+func (n *Node) dial(link *wire.Link, addr string) (*session, error) {
+	conn, err := net.DialTimeout("tcp", addr, n.opts.Bounds.Of(deadRatio))
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.Lost, "dial %s", addr)
+	}
+	conn.SetDeadline(time.Now().Add(n.opts.Bounds.Of(deadRatio)))
+	hello := wire.Hello{Who: n.opts.Self, Link: link.Name, Newest: n.opts.Newest,
+		Oldest: n.opts.Oldest, Window: int64(n.opts.Window)}
+	var welcome wire.Welcome
+	err = writeShake(conn, helloCodec.Encode(&hello))
+	if err == nil {
+		var raw []byte
+		if raw, err = readShake(conn); err == nil {
+			err = welcomeCodec.Decode(raw, &welcome)
+		}
+	}
+	if err == nil && welcome.Reject != "" {
+		err = mishap.New(mishap.Rejected, "%s: %s", addr, welcome.Reject)
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	conn.SetDeadline(time.Time{})
+	return n.newSession(link, conn, welcome.Who, welcome.Version, welcome.Window, true), nil
+}
+
+// accept answers one handshake and serves the session.
+func (n *Node) accept(conn net.Conn) {
+	conn.SetDeadline(time.Now().Add(n.opts.Bounds.Of(deadRatio)))
+	var hello wire.Hello
+	raw, err := readShake(conn)
+	if err == nil {
+		err = helloCodec.Decode(raw, &hello)
+	}
+	if err != nil {
+		conn.Close()
+		return
+	}
+	welcome := wire.Welcome{Who: n.opts.Self, Window: int64(n.opts.Window), Version: min(hello.Newest, n.opts.Newest)}
+	link, handler := wire.Links[hello.Link], n.opts.Handlers[hello.Link]
+	switch {
+	case link == nil || handler == nil:
+		welcome.Reject = "no such link here: " + hello.Link
+	case welcome.Version < n.opts.Oldest || welcome.Version < hello.Oldest:
+		welcome.Reject = "no wire version in common"
+	case n.opts.Refuse != nil:
+		welcome.Reject = n.opts.Refuse(hello)
+	}
+	if err := writeShake(conn, welcomeCodec.Encode(&welcome)); err != nil || welcome.Reject != "" {
+		conn.Close()
+		return
+	}
+	conn.SetDeadline(time.Time{})
+	s := n.newSession(link, conn, hello.Who, welcome.Version, hello.Window, false)
+	s.handle = func(item wire.Item) {
+		handler(s.peer, item.Body, func(reply any) {
+			// A full or broken session loses the reply; the asker's cutoff tells it.
+			if err := s.out.put(wire.Item{Corr: item.Corr, Body: reply}); mishap.Is(err, mishap.Full) {
+				s.down(err)
+			}
+		})
+	}
+	n.track(s)
+	s.onDown = func(error) { n.untrack(s) }
+	s.read()
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,154 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+func pair(opts Options, handler Handler) (*Node, *Node) {
+	opts.Listen = "127.0.0.1:0"
+	opts.Handlers = map[string]Handler{"place": handler, "group": handler}
+	server, err := NewNode(opts)
+	So(err, ShouldBeNil)
+	go server.Serve()
+	client, err := NewNode(Options{Batch: opts.Batch, Window: opts.Window, Self: wire.Who{Name: "client"}})
+	So(err, ShouldBeNil)
+	return server, client
+}
+
+func dialled(p *Peer) {
+	got := make(chan struct{})
+	p.onUp(func() { close(got) })
+	<-got
+}
+
+func TestCallsAreAnswered(t *testing.T) {
+	Convey("Given a node that answers with what it got", t, func() {
+		server, client := pair(Options{Self: wire.Who{Name: "server"}}, func(from wire.Who, body any, answer func(any)) {
+			take := body.(*wire.Take)
+			answer(&wire.Taken{Id: take.Id, Text: from.Name + string(take.Body)})
+		})
+		defer server.Close()
+		defer client.Close()
+		peer := client.Peer(wire.PlaceLink, server.Addr())
+		dialled(peer)
+		Convey("every one of a thousand concurrent calls gets its own answer", func() {
+			var group sync.WaitGroup
+			wrong := make(chan string, 1000)
+			for i := range 1000 {
+				group.Add(1)
+				go func() {
+					defer group.Done()
+					id := string(rune('a'+i%26)) + time.Duration(i).String()
+					reply, err := peer.Call(context.Background(), &wire.Take{Id: id, Body: []byte(id)})
+					if err != nil {
+						wrong <- err.Error()
+					} else if got := reply.(*wire.Taken); got.Id != id || got.Text != "client"+id {
+						wrong <- got.Id
+					}
+				}()
+			}
+			group.Wait()
+			So(len(wrong), ShouldEqual, 0)
+		})
+	})
+}
+
+func TestFullWindowRejects(t *testing.T) {
+	Convey("Given a peer that consumes nothing", t, func() {
+		gate := make(chan struct{})
+		server, client := pair(Options{Window: 8, Batch: 2}, func(wire.Who, any, func(any)) { <-gate })
+		defer server.Close()
+		defer client.Close()
+		defer close(gate)
+		peer := client.Peer(wire.PlaceLink, server.Addr())
+		dialled(peer)
+		Convey("the sender is rejected once the window is used up", func() {
+			for range 8 {
+				So(peer.Post(&wire.Look{}, nil), ShouldBeNil)
+			}
+			So(mishap.Is(peer.Post(&wire.Look{}, nil), mishap.Full), ShouldBeTrue)
+		})
+	})
+}
+
+func TestLostSessionTellsEveryCall(t *testing.T) {
+	Convey("Given calls that wait for an answer", t, func() {
+		arrived := make(chan struct{}, 10)
+		server, client := pair(Options{}, func(wire.Who, any, func(any)) { arrived <- struct{}{} })
+		defer client.Close()
+		peer := client.Peer(wire.PlaceLink, server.Addr())
+		dialled(peer)
+		got := make(chan error, 10)
+		for range 10 {
+			So(peer.Post(&wire.Look{}, func(_ any, err error) { got <- err }), ShouldBeNil)
+			<-arrived
+		}
+		Convey("a broken connection answers each of them with Lost", func() {
+			server.Close()
+			for range 10 {
+				So(mishap.Is(<-got, mishap.Lost), ShouldBeTrue)
+			}
+		})
+	})
+}
+
+func TestHandshakeRejects(t *testing.T) {
+	cases := []struct {
+		name string
+		opts Options
+		link *wire.Link
+	}{
+		{"a link that the peer does not serve", Options{}, wire.RunLink},
+		{"no wire version in common", Options{Newest: 9, Oldest: 9}, wire.PlaceLink},
+	}
+	Convey("Given a server of the place link", t, func() {
+		server, client := pair(Options{}, func(wire.Who, any, func(any)) {})
+		defer server.Close()
+		defer client.Close()
+		for _, c := range cases {
+			Convey("it rejects "+c.name, func() {
+				stranger, err := NewNode(c.opts)
+				So(err, ShouldBeNil)
+				_, err = stranger.dial(c.link, server.Addr())
+				So(mishap.Is(err, mishap.Rejected), ShouldBeTrue)
+			})
+		}
+		Convey("it hangs up on a stranger", func() {
+			conn, err := net.Dial("tcp", server.Addr())
+			So(err, ShouldBeNil)
+			conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+			_, err = conn.Read(make([]byte, 1))
+			So(err, ShouldNotBeNil)
+		})
+	})
+}
+
+func TestOrderedLinkKeepsOrder(t *testing.T) {
+	Convey("Given an ordered link with batches of one", t, func() {
+		seen := make(chan int64, 2000)
+		server, client := pair(Options{Batch: 1}, func(_ wire.Who, body any, _ func(any)) { seen <- body.(*wire.GroupMsg).Index })
+		defer server.Close()
+		defer client.Close()
+		peer := client.Peer(wire.GroupLink, server.Addr())
+		dialled(peer)
+		Convey("two thousand messages arrive as they were sent", func() {
+			for i := range int64(2000) {
+				So(peer.Post(&wire.GroupMsg{Index: i}, nil), ShouldBeNil)
+			}
+			isSorted := true
+			for i := range int64(2000) {
+				isSorted = isSorted && <-seen == i
+			}
+			So(isSorted, ShouldBeTrue)
+		})
+	})
+}
--- /dev/null
+++ b/internal/wire/control.go
@@ -0,0 +1,160 @@
+package wire
+
+// Version is the newest wire version this build speaks; Oldest the oldest.
+// Both ends of a session use the lower of their newest versions.
+const (
+	Version int64 = 1
+	Oldest  int64 = 1
+)
+
+// Who tells what a daemon is. Boot is new at every start, so that two lives of
+// one daemon are never taken for one.
+type Who struct {
+	Name string `avro:"name"`
+	Kind string `avro:"kind"`
+	Boot string `avro:"boot"`
+	Cell string `avro:"cell"`
+	Addr string `avro:"addr"`
+	Http string `avro:"http"`
+}
+
+// Hello opens a session; Welcome answers it. An empty Reject means accepted.
+type Hello struct {
+	Who     Who    `avro:"who"`
+	Link    string `avro:"link"`
+	Newest  int64  `avro:"newest"`
+	Oldest  int64  `avro:"oldest"`
+	Window  int64  `avro:"window"`
+	Cluster string `avro:"cluster"`
+}
+
+// Welcome is the acceptor's half of the handshake.
+type Welcome struct {
+	Who     Who    `avro:"who"`
+	Version int64  `avro:"version"`
+	Window  int64  `avro:"window"`
+	Reject  string `avro:"reject"`
+}
+
+// PartStamp is how far a follower has read one part.
+type PartStamp struct {
+	Part  int64 `avro:"part"`
+	Stamp int64 `avro:"stamp"`
+}
+
+// Change is one key's newest value. Stamp is its number in the part's feed.
+type Change struct {
+	Key   string `avro:"key"`
+	Value []byte `avro:"value"`
+	Stamp int64  `avro:"stamp"`
+	Gone  bool   `avro:"gone"`
+	By    string `avro:"by"`
+}
+
+// PartNews brings a follower from one stamp to another. Age is how long ago, in
+// microseconds, the part's owner confirmed that nothing newer was acknowledged.
+type PartNews struct {
+	Part    int64    `avro:"part"`
+	From    int64    `avro:"from"`
+	To      int64    `avro:"to"`
+	Age     int64    `avro:"age"`
+	Changes []Change `avro:"changes"`
+}
+
+// Member is a daemon whose session stands. Age in milliseconds.
+type Member struct {
+	Who  Who     `avro:"who"`
+	Age  int64   `avro:"age"`
+	Owns []Owned `avro:"owns"`
+	Fact Fact    `avro:"fact"`
+}
+
+// Fact is what a daemon says of itself in its session, for status and doctor.
+type Fact struct {
+	Stamp  int64            `avro:"stamp"`
+	Fresh  bool             `avro:"fresh"`
+	Counts map[string]int64 `avro:"counts"`
+}
+
+// Owned says that a daemon owns a group in a term. A hint, never a proof.
+type Owned struct {
+	Group int64 `avro:"group"`
+	Term  int64 `avro:"term"`
+	Lag   int64 `avro:"lag"`
+	Size  int64 `avro:"size"`
+}
+
+// Poll renews a daemon's session and asks for news behind the given stamps.
+type Poll struct {
+	Who    Who         `avro:"who"`
+	Stamps []PartStamp `avro:"stamps"`
+	Roll   string      `avro:"roll"`
+	Owns   []Owned     `avro:"owns"`
+	Fact   Fact        `avro:"fact"`
+	Beside []Member    `avro:"beside"`
+}
+
+// News answers a poll. Members is empty when Roll matches the asker's.
+type News struct {
+	Parts   []PartNews `avro:"parts"`
+	Roll    string     `avro:"roll"`
+	Members []Member   `avro:"members"`
+	Reject  string     `avro:"reject"`
+}
+
+// Share tells another manager the sessions that stand here.
+type Share struct {
+	Who     Who      `avro:"who"`
+	Members []Member `avro:"members"`
+}
+
+// Follow asks a store for news of all parts that it owns.
+type Follow struct {
+	Stamps []PartStamp `avro:"stamps"`
+}
+
+// Followed answers with news of the owned parts only.
+type Followed struct {
+	Parts []PartNews `avro:"parts"`
+}
+
+// Edit changes one key of a part if the key's stamp is still IfStamp: 0 for
+// absent, -1 for any.
+type Edit struct {
+	Part    int64  `avro:"part"`
+	Key     string `avro:"key"`
+	Value   []byte `avro:"value"`
+	IfStamp int64  `avro:"if_stamp"`
+	Gone    bool   `avro:"gone"`
+	By      string `avro:"by"`
+}
+
+// Edited answers an edit. Kind is a mishap kind, empty when it holds.
+type Edited struct {
+	Kind  string `avro:"kind"`
+	Text  string `avro:"text"`
+	Stamp int64  `avro:"stamp"`
+}
+
+// Pull reads one key through a majority.
+type Pull struct {
+	Part int64  `avro:"part"`
+	Key  string `avro:"key"`
+}
+
+// Pulled answers a read.
+type Pulled struct {
+	Kind   string `avro:"kind"`
+	Change Change `avro:"change"`
+}
+
+// Retire asks a store's groups to take a store out of their rosters.
+type Retire struct {
+	Store string `avro:"store"`
+}
+
+// Retired tells in how many of the asked store's groups it still stands.
+type Retired struct {
+	Left int64  `avro:"left"`
+	Text string `avro:"text"`
+}
--- /dev/null
+++ b/internal/wire/data.go
@@ -0,0 +1,188 @@
+package wire
+
+// Take asks a place's owner to hold a message durably. Cutoff is what remains
+// of the message's patience, in milliseconds.
+type Take struct {
+	Place  int64  `avro:"place"`
+	Id     string `avro:"id"`
+	Lane   string `avro:"lane"`
+	Key    string `avro:"key"`
+	Idem   string `avro:"idem"`
+	Ctype  string `avro:"ctype"`
+	Body   []byte `avro:"body"`
+	Sum    string `avro:"sum"`
+	Cutoff int64  `avro:"cutoff"`
+	Parent string `avro:"parent"`
+}
+
+// Taken answers Take and Settle. Kind is empty when the message is held; Id is
+// the held message's, which differs from the asked one for a repeat.
+type Taken struct {
+	Id    string `avro:"id"`
+	State string `avro:"state"`
+	Kind  string `avro:"kind"`
+	Text  string `avro:"text"`
+	Owner string `avro:"owner"`
+	Retry int64  `avro:"retry"`
+}
+
+// Settle asks the owner to decide an undecided message: held, or never.
+type Settle struct {
+	Place int64  `avro:"place"`
+	Id    string `avro:"id"`
+	Lane  string `avro:"lane"`
+}
+
+// Look asks for a message's state, or its bytes, or both.
+type Look struct {
+	Place int64  `avro:"place"`
+	Id    string `avro:"id"`
+	Body  bool   `avro:"body"`
+}
+
+// Proof is the record of one run.
+type Proof struct {
+	Attempt int64  `avro:"attempt"`
+	Worker  string `avro:"worker"`
+	Adapter string `avro:"adapter"`
+	Status  int64  `avro:"status"`
+	Ctype   string `avro:"ctype"`
+	Answer  []byte `avro:"answer"`
+	Sum     string `avro:"sum"`
+}
+
+// Sight answers Look.
+type Sight struct {
+	Kind     string `avro:"kind"`
+	Owner    string `avro:"owner"`
+	Id       string `avro:"id"`
+	Lane     string `avro:"lane"`
+	Key      string `avro:"key"`
+	State    string `avro:"state"`
+	Attempts int64  `avro:"attempts"`
+	Cause    string `avro:"cause"`
+	Ctype    string `avro:"ctype"`
+	Body     []byte `avro:"body"`
+	Sum      string `avro:"sum"`
+	Parent   string `avro:"parent"`
+	Child    string `avro:"child"`
+	Proof    Proof  `avro:"proof"`
+}
+
+// Outcome brings the result of a run to the place's owner. Kind is empty for a
+// success. Begun tells whether the worker may have seen the request.
+type Outcome struct {
+	Place int64  `avro:"place"`
+	Id    string `avro:"id"`
+	Boot  string `avro:"boot"`
+	Proof Proof  `avro:"proof"`
+	Kind  string `avro:"kind"`
+	Begun bool   `avro:"begun"`
+	Final bool   `avro:"final"`
+	Wait  int64  `avro:"wait"`
+}
+
+// OutcomeAck says that the result is durable, or that another store owns it.
+type OutcomeAck struct {
+	Kind  string `avro:"kind"`
+	Owner string `avro:"owner"`
+}
+
+// Want asks a duty's holder for a slot on a worker.
+type Want struct {
+	Pool   string `avro:"pool"`
+	Worker string `avro:"worker"`
+	Hold   int64  `avro:"hold"`
+}
+
+// Grant gives a slot under a permit, or says why not and when to ask again.
+type Grant struct {
+	Permit int64  `avro:"permit"`
+	Kind   string `avro:"kind"`
+	Retry  int64  `avro:"retry"`
+}
+
+// Run hands a due message to the holder of a permit.
+type Run struct {
+	Place   int64  `avro:"place"`
+	Term    int64  `avro:"term"`
+	Id      string `avro:"id"`
+	Attempt int64  `avro:"attempt"`
+	Lane    string `avro:"lane"`
+	Key     string `avro:"key"`
+	Pool    string `avro:"pool"`
+	Worker  string `avro:"worker"`
+	Ctype   string `avro:"ctype"`
+	Body    []byte `avro:"body"`
+	Sum     string `avro:"sum"`
+	Permit  int64  `avro:"permit"`
+	Bound   int64  `avro:"bound"`
+}
+
+// RunAck tells that the run is in hand, or (Kind set) that it never starts.
+type RunAck struct {
+	Kind string `avro:"kind"`
+}
+
+// Release gives an unused permit back.
+type Release struct {
+	Permit int64 `avro:"permit"`
+}
+
+// Open asks an adapter, in a new owner's term, what became of a run. The
+// adapter refuses from then on everything of an older term for that place.
+type Open struct {
+	Place   int64  `avro:"place"`
+	Term    int64  `avro:"term"`
+	Id      string `avro:"id"`
+	Attempt int64  `avro:"attempt"`
+}
+
+// OpenAck: State is "open" (a result will come) or "never" (it will not run).
+type OpenAck struct {
+	State string `avro:"state"`
+	Kind  string `avro:"kind"`
+}
+
+// Entry is one record of a group's replicated log.
+type Entry struct {
+	Index int64  `avro:"index"`
+	Term  int64  `avro:"term"`
+	Kind  int32  `avro:"kind"`
+	Data  []byte `avro:"data"`
+}
+
+// GroupMsg is all that replicas of a group say to each other.
+type GroupMsg struct {
+	Group   int64    `avro:"group"`
+	Kind    int32    `avro:"kind"`
+	From    string   `avro:"from"`
+	To      string   `avro:"to"`
+	Term    int64    `avro:"term"`
+	Index   int64    `avro:"index"`
+	LogTerm int64    `avro:"log_term"`
+	Commit  int64    `avro:"commit"`
+	Round   int64    `avro:"round"`
+	Reject  bool     `avro:"reject"`
+	Entries []Entry  `avro:"entries"`
+	State   []byte   `avro:"state"`
+	Roster  []string `avro:"roster"`
+}
+
+// Ballot asks a blank store to help found a deployment with this roster.
+type Ballot struct {
+	Number  int64    `avro:"number"`
+	Cluster string   `avro:"cluster"`
+	Roster  []string `avro:"roster"`
+	Step    string   `avro:"step"`
+}
+
+// BallotAck answers each step of a ballot; Cluster and Roster carry what the
+// store has already promised.
+type BallotAck struct {
+	Ok      bool     `avro:"ok"`
+	Number  int64    `avro:"number"`
+	Cluster string   `avro:"cluster"`
+	Roster  []string `avro:"roster"`
+	Founded bool     `avro:"founded"`
+}
--- /dev/null
+++ b/internal/wire/schema.go
@@ -0,0 +1,158 @@
+// Package wire holds what caperwheel's daemons say to each other: one Avro
+// schema for each direction of each kind of link, and the Go types behind it.
+package wire
+
+import (
+	"encoding/json"
+	"reflect"
+
+	"github.com/hamba/avro/v2"
+
+	"caperwheel/internal/mishap"
+)
+
+// Codec turns items of one direction of one link kind into bytes and back.
+// Invariant: fields are written in the order in which the Go type declares
+// them; no metadata travels but the branch index of the union.
+type Codec struct {
+	Schema avro.Schema
+	api    avro.API
+}
+
+// Item is one message with the number that joins an ask and its reply.
+type Item struct {
+	Corr int64 `avro:"corr"`
+	Body any   `avro:"body"`
+}
+
+type field struct {
+	Name string `json:"name"`
+	Type any    `json:"type"`
+}
+
+type record struct {
+	Type   string  `json:"type"`
+	Name   string  `json:"name"`
+	Fields []field `json:"fields"`
+}
+
+// limitSlice bounds what one datum may make a receiver allocate.
+const limitSlice = 16 << 20
+
+func schemaOf(t reflect.Type, seen map[string]bool) any {
+	switch t.Kind() {
+	case reflect.String:
+		return "string"
+	case reflect.Bool:
+		return "boolean"
+	case reflect.Int32:
+		return "int"
+	case reflect.Int64, reflect.Int:
+		return "long"
+	case reflect.Float64:
+		return "double"
+	case reflect.Slice:
+		if t.Elem().Kind() == reflect.Uint8 {
+			return "bytes"
+		}
+		return map[string]any{"type": "array", "items": schemaOf(t.Elem(), seen)}
+	case reflect.Map:
+		return map[string]any{"type": "map", "values": schemaOf(t.Elem(), seen)}
+	case reflect.Struct:
+		if seen[t.Name()] {
+			return t.Name()
+		}
+		seen[t.Name()] = true
+		out := record{Type: "record", Name: t.Name(), Fields: []field{}}
+		for i := range t.NumField() {
+			f := t.Field(i)
+			out.Fields = append(out.Fields, field{Name: f.Tag.Get("avro"), Type: schemaOf(f.Type, seen)})
+		}
+		return out
+	}
+	panic(mishap.New(mishap.Internal, "no schema for %s", t))
+}
+
+func mustParse(text []byte) avro.Schema {
+	schema, err := avro.ParseBytesWithCache(text, "", &avro.SchemaCache{})
+	if err != nil {
+		panic(mishap.Wrap(err, mishap.Internal, "schema %s", text))
+	}
+	return schema
+}
+
+// newCodec builds the schema of a direction from the types it may carry.
+func newCodec(name string, kinds ...any) *Codec {
+	api := avro.Config{MaxByteSliceSize: limitSlice, MaxSliceAllocSize: limitSlice}.Freeze()
+	seen := map[string]bool{}
+	union := []any{}
+	for _, kind := range kinds {
+		t := reflect.TypeOf(kind).Elem()
+		api.Register(t.Name(), kind)
+		union = append(union, schemaOf(t, seen))
+	}
+	text, err := json.Marshal(record{Type: "record", Name: name, Fields: []field{
+		{Name: "corr", Type: "long"}, {Name: "body", Type: union},
+	}})
+	if err != nil {
+		panic(err)
+	}
+	return &Codec{Schema: mustParse(text), api: api}
+}
+
+// Writer gives a reusable avro writer of this codec.
+func (c *Codec) Writer(size int) *avro.Writer {
+	return avro.NewWriter(nil, size, avro.WithWriterConfig(c.api))
+}
+
+// Append writes one item behind what the writer holds.
+func (c *Codec) Append(w *avro.Writer, item Item) error {
+	w.WriteVal(c.Schema, item)
+	return mishap.Wrap(w.Error, mishap.Internal, "encode %T", item.Body)
+}
+
+// Parse reads count items from one received byte array.
+func (c *Codec) Parse(raw []byte, count int) ([]Item, error) {
+	r := avro.NewReader(nil, 0, avro.WithReaderConfig(c.api))
+	r.Reset(raw)
+	out := make([]Item, 0, min(count, len(raw)))
+	for range count {
+		var item Item
+		r.ReadVal(c.Schema, &item)
+		if r.Error != nil {
+			return nil, mishap.Wrap(r.Error, mishap.Broken, "parse item %d of %d", len(out), count)
+		}
+		out = append(out, item)
+	}
+	return out, nil
+}
+
+// Plain is a codec for one record type, used on disk and inside log entries.
+type Plain struct {
+	schema avro.Schema
+	api    avro.API
+}
+
+// NewPlain builds a codec for the type of sample, a pointer to a struct.
+func NewPlain(sample any) *Plain {
+	text, err := json.Marshal(schemaOf(reflect.TypeOf(sample).Elem(), map[string]bool{}))
+	if err != nil {
+		panic(err)
+	}
+	api := avro.Config{MaxByteSliceSize: 1 << 30, MaxSliceAllocSize: 1 << 30}.Freeze()
+	return &Plain{schema: mustParse(text), api: api}
+}
+
+// Encode gives the record's bytes. A type that fits its schema cannot fail.
+func (p *Plain) Encode(value any) []byte {
+	out, err := p.api.Marshal(p.schema, value)
+	if err != nil {
+		panic(mishap.Wrap(err, mishap.Internal, "encode %T", value))
+	}
+	return out
+}
+
+// Decode reads the record back.
+func (p *Plain) Decode(raw []byte, value any) error {
+	return mishap.Wrap(p.api.Unmarshal(p.schema, raw, value), mishap.Broken, "decode %T", value)
+}
