--- /dev/null
+++ b/internal/slot/log.go
@@ -0,0 +1,205 @@
+package slot
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"caperwheel/internal/group"
+	"caperwheel/internal/mishap"
+)
+
+// Options of the disk. Zero values mean defaults.
+type Options struct {
+	SegmentBytes int64  // a log segment is closed beyond this
+	Ring         int    // writes that may wait for the syncing goroutine
+	FreePermille uint64 // intake stops when less of the disk is free
+	FreeBytes    uint64 // … or less than this
+}
+
+// write is one thing for the syncing goroutine to do.
+type write struct {
+	group int64
+	body  []byte
+	slot  *record // when set, save the group's slot instead
+	then  func(error)
+}
+
+// Log is the store's disk.
+//
+// Invariants: writes reach the log in the order in which they were given; then
+// is called only once all that came before it is synced; a segment goes only
+// when each group's newest slot stands behind it.
+type Log struct {
+	opts  Options
+	files Files
+	ring  chan write
+	slots chan slotWrite
+	done  chan struct{}
+	quit  sync.Once
+
+	mu       sync.Mutex
+	pairs    map[int64]*Pair
+	passed   map[int64]int64 // group -> segment of its newest slot
+	segments []int64
+	lost     bool // replay found that something promised is gone
+	broken   error
+
+	file     File
+	segment  int64
+	offset   int64
+	syncedAt int64
+	slotDone sync.WaitGroup
+}
+
+type slotWrite struct {
+	group int64
+	body  []byte
+	at    int64
+	then  func(error)
+}
+
+var counters = struct{ syncs, records, bytes, slots prometheus.Counter }{
+	syncs:   counter("syncs_total", "Syncs of the log."),
+	records: counter("records_total", "Records written to the log."),
+	bytes:   counter("bytes_total", "Bytes written to the log."),
+	slots:   counter("slots_total", "Slots written."),
+}
+
+func counter(name, help string) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "disk", Name: name, Help: help})
+	prometheus.MustRegister(c)
+	return c
+}
+
+func segmentName(n int64) string { return fmt.Sprintf("log-%012d", n) }
+
+// Persist queues what one step of a group must have on disk.
+func (l *Log) Persist(id int64, p *group.Persist, then func(error)) {
+	r := toRecord(id, p)
+	l.put(write{group: id, body: recordCodec.Encode(&r), then: then})
+}
+
+// After calls then once all that was queued before is synced.
+func (l *Log) After(then func(error)) { l.put(write{then: then}) }
+
+// SaveSlot writes the group's whole state into its next slot, in the
+// background; what is persisted later stays in the log behind it.
+func (l *Log) SaveSlot(id int64, hard group.Hard, image *group.Image, entries *group.Persist, then func(error)) {
+	r := toRecord(id, &group.Persist{Hard: &hard, Image: image, Entries: entries.Entries})
+	l.put(write{group: id, slot: &r, then: then})
+}
+
+func (l *Log) put(w write) {
+	l.ring <- w // the syncing goroutine takes writes even when it has stopped
+}
+
+// refuse answers all writes once the disk has stopped.
+func (l *Log) refuse() {
+	for w := range l.ring {
+		w.then(mishap.New(mishap.Disk, "the disk is closed"))
+	}
+}
+
+// sync is the one goroutine that writes the log: it takes all that waits,
+// writes it, syncs once, and then tells everyone (group commit).
+func (l *Log) sync() {
+	buffer := []byte{}
+	for {
+		var batch []write
+		select {
+		case w := <-l.ring:
+			batch = append(batch, w)
+		case <-l.done:
+			l.refuse()
+			return
+		}
+		for isMore := true; isMore && len(batch) < cap(l.ring); {
+			select {
+			case w := <-l.ring:
+				batch = append(batch, w)
+			default:
+				isMore = false
+			}
+		}
+		buffer = buffer[:0]
+		l.mu.Lock()
+		for _, w := range batch {
+			if w.body != nil {
+				l.note(w.group, l.segment)
+			}
+		}
+		l.mu.Unlock()
+		for _, w := range batch {
+			if w.body != nil {
+				buffer = appendRecord(buffer, w.body, l.syncedAt)
+				counters.records.Inc()
+			}
+			if w.slot != nil {
+				all := whole{Segment: l.segment, Offset: l.offset + int64(len(buffer)), All: *w.slot}
+				l.slotDone.Add(1)
+				l.slots <- slotWrite{w.group, wholeCodec.Encode(&all), l.segment, w.then}
+			}
+		}
+		err := l.flush(buffer)
+		for _, w := range batch {
+			if w.slot == nil {
+				w.then(err)
+			}
+		}
+		if err != nil {
+			l.fail(err)
+			l.refuse()
+			return
+		}
+	}
+}
+
+func (l *Log) flush(buffer []byte) error {
+	if len(buffer) == 0 {
+		return nil
+	}
+	if _, err := l.file.Write(buffer); err != nil {
+		return mishap.Wrap(err, mishap.Disk, "write log")
+	}
+	if err := l.file.Sync(); err != nil {
+		return mishap.Wrap(err, mishap.Disk, "sync log")
+	}
+	counters.syncs.Inc()
+	counters.bytes.Add(float64(len(buffer)))
+	l.offset += int64(len(buffer))
+	l.syncedAt = l.offset
+	if l.offset >= l.opts.SegmentBytes {
+		return l.rotate()
+	}
+	return nil
+}
+
+func (l *Log) rotate() error {
+	if l.file != nil {
+		if err := l.file.Close(); err != nil {
+			return mishap.Wrap(err, mishap.Disk, "close log")
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.segment++
+	file, err := l.files.Open(segmentName(l.segment))
+	if err != nil {
+		return err
+	}
+	l.file, l.offset, l.syncedAt = file, 0, 0
+	l.segments = append(l.segments, l.segment)
+	return nil
+}
+
+// fail stops the disk for good: what was promised stays, nothing new is taken.
+func (l *Log) fail(err error) {
+	l.mu.Lock()
+	if l.broken == nil {
+		l.broken = err
+	}
+	l.mu.Unlock()
+	l.quit.Do(func() { close(l.done) })
+}
--- /dev/null
+++ b/internal/slot/open.go
@@ -0,0 +1,199 @@
+package slot
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"caperwheel/internal/mishap"
+)
+
+// Open reads all that the disk holds and readies it for writing.
+func Open(files Files, opts Options) (*Log, map[int64]*Held, error) {
+	if opts.SegmentBytes == 0 {
+		opts.SegmentBytes = 16 << 20
+	}
+	if opts.Ring == 0 {
+		opts.Ring = 8192
+	}
+	if opts.FreePermille == 0 && opts.FreeBytes == 0 {
+		opts.FreePermille, opts.FreeBytes = 20, 256<<20
+	}
+	l := &Log{opts: opts, files: files, ring: make(chan write, opts.Ring), slots: make(chan slotWrite, 256),
+		done: make(chan struct{}), pairs: map[int64]*Pair{}, passed: map[int64]int64{}}
+	held, from, err := l.readSlots()
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := l.replay(held, from); err != nil {
+		return nil, nil, err
+	}
+	if err := l.rotate(); err != nil {
+		return nil, nil, err
+	}
+	go l.sync()
+	go l.writeSlots()
+	return l, held, nil
+}
+
+type position struct{ segment, offset int64 }
+
+func (p position) before(q position) bool {
+	return p.segment < q.segment || p.segment == q.segment && p.offset < q.offset
+}
+
+func (l *Log) readSlots() (map[int64]*Held, map[int64]position, error) {
+	held, from := map[int64]*Held{}, map[int64]position{}
+	names, err := l.files.List()
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, name := range names {
+		if number, isLog := strings.CutPrefix(name, "log-"); isLog {
+			if n, err := strconv.ParseInt(number, 10, 64); err == nil {
+				l.segments = append(l.segments, n)
+				l.segment = max(l.segment, n)
+			}
+		}
+		number, isGroup := strings.CutPrefix(strings.TrimSuffix(strings.TrimSuffix(name, ".0"), ".1"), "group-")
+		id, err := strconv.ParseInt(number, 10, 64)
+		if !isGroup || err != nil || held[id] != nil {
+			continue
+		}
+		if held[id], from[id], err = l.readGroup(id); err != nil {
+			return nil, nil, err
+		}
+	}
+	return held, from, nil
+}
+
+func (l *Log) readGroup(id int64) (*Held, position, error) {
+	pair, raw, isTorn, err := OpenPair(l.files, groupFile(id))
+	if err != nil {
+		return nil, position{}, err
+	}
+	l.pairs[id] = pair
+	h := &Held{}
+	if raw == nil {
+		h.IsDamaged = isTorn && pair.stamp > 1
+		return h, position{}, nil
+	}
+	var all whole
+	if err := wholeCodec.Decode(raw, &all); err != nil {
+		h.IsDamaged = true
+		return h, position{}, nil
+	}
+	h.apply(&all.All)
+	l.passed[id] = all.Segment
+	return h, position{all.Segment, all.Offset}, nil
+}
+
+func groupFile(id int64) string { return fmt.Sprintf("group-%d", id) }
+
+// replay applies the log behind each group's slot.
+func (l *Log) replay(held map[int64]*Held, from map[int64]position) error {
+	for _, p := range from { // a slot that fell back needs segments that may be gone
+		if len(l.segments) > 0 && p.segment < l.segments[0] && p.segment > 0 {
+			l.damage(held, from, position{l.segments[0], 0})
+		}
+	}
+	for i, n := range l.segments {
+		raw, err := l.files.Read(segmentName(n))
+		if err != nil {
+			return err
+		}
+		isLast := i == len(l.segments)-1
+		for at := 0; at < len(raw); {
+			body, _, size := readRecord(raw[at:])
+			if size == 0 {
+				if isLast && !wasPromised(raw, at) {
+					if err := l.files.Cut(segmentName(n), int64(at)); err != nil {
+						return err
+					}
+					break
+				}
+				// A restart cuts the torn tail and opens a new segment, so an older
+				// segment has none: this was promised and is lost.
+				l.damage(held, from, position{n, int64(len(raw))})
+				break
+			}
+			var r record
+			if err := recordCodec.Decode(body, &r); err != nil {
+				return mishap.Wrap(err, mishap.Broken, "record in %s at %d", segmentName(n), at)
+			}
+			if held[r.Group] == nil {
+				held[r.Group] = &Held{}
+			}
+			l.note(r.Group, n)
+			if !(position{n, int64(at)}).before(from[r.Group]) {
+				held[r.Group].apply(&r)
+			}
+			at += size
+		}
+	}
+	return nil
+}
+
+// note remembers the first segment that a group without a slot needs.
+func (l *Log) note(id, segment int64) {
+	if _, isKnown := l.passed[id]; !isKnown {
+		l.passed[id] = segment
+	}
+}
+
+// damage marks all groups whose slot does not stand behind the lost part.
+func (l *Log) damage(held map[int64]*Held, from map[int64]position, lost position) {
+	l.lost = true
+	for id, h := range held {
+		if from[id].before(lost) {
+			h.IsDamaged = true
+		}
+	}
+}
+
+// writeSlots is the one goroutine that writes slots and drops old segments.
+func (l *Log) writeSlots() {
+	for {
+		select {
+		case s := <-l.slots:
+			s.then(l.writeSlot(s))
+			l.slotDone.Done()
+		case <-l.done:
+			return
+		}
+	}
+}
+
+func (l *Log) writeSlot(s slotWrite) error {
+	l.mu.Lock()
+	pair := l.pairs[s.group]
+	if pair == nil {
+		pair = &Pair{files: l.files, name: groupFile(s.group)}
+		l.pairs[s.group] = pair
+	}
+	l.mu.Unlock()
+	if err := pair.Save(s.body); err != nil {
+		l.fail(err)
+		return err
+	}
+	counters.slots.Inc()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.passed[s.group] = max(l.passed[s.group], s.at)
+	return l.dropPassed()
+}
+
+// dropPassed removes segments that every group's newest slot stands behind.
+func (l *Log) dropPassed() error {
+	least := l.segment
+	for _, at := range l.passed {
+		least = min(least, at)
+	}
+	for len(l.segments) > 0 && l.segments[0] < least {
+		if err := l.files.Remove(segmentName(l.segments[0])); err != nil {
+			return err
+		}
+		l.segments = l.segments[1:]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/slot/record.go
@@ -0,0 +1,135 @@
+package slot
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+
+	"caperwheel/internal/group"
+	"caperwheel/internal/wire"
+)
+
+// record is what the log holds of one step of one group.
+type record struct {
+	Group    int64        `avro:"group"`
+	HasHard  bool         `avro:"has_hard"`
+	Term     int64        `avro:"term"`
+	Vote     string       `avro:"vote"`
+	Commit   int64        `avro:"commit"`
+	Entries  []wire.Entry `avro:"entries"`
+	HasImage bool         `avro:"has_image"`
+	Index    int64        `avro:"index"`
+	LogTerm  int64        `avro:"log_term"`
+	Roster   []string     `avro:"roster"`
+	State    []byte       `avro:"state"`
+}
+
+// whole is a group's slot: all of its state at a position of the log.
+type whole struct {
+	Segment int64  `avro:"segment"`
+	Offset  int64  `avro:"offset"`
+	All     record `avro:"all"`
+}
+
+var (
+	recordCodec = wire.NewPlain(&record{})
+	wholeCodec  = wire.NewPlain(&whole{})
+)
+
+func toRecord(id int64, p *group.Persist) record {
+	r := record{Group: id, Entries: p.Entries, Roster: []string{}}
+	if r.Entries == nil {
+		r.Entries = []wire.Entry{}
+	}
+	if p.Hard != nil {
+		r.HasHard, r.Term, r.Vote, r.Commit = true, p.Hard.Term, p.Hard.Vote, p.Hard.Commit
+	}
+	if p.Image != nil {
+		r.HasImage, r.Index, r.LogTerm = true, p.Image.Index, p.Image.Term
+		r.Roster, r.State = p.Image.Roster, p.Image.State
+	}
+	return r
+}
+
+// Held is a group as the disk has it.
+type Held struct {
+	Hard      group.Hard
+	Image     *group.Image
+	Log       []wire.Entry
+	IsDamaged bool // something synced was lost: rebuild from peers
+}
+
+func (h *Held) base() int64 {
+	if h.Image != nil {
+		return h.Image.Index
+	}
+	return 0
+}
+
+// apply takes one record in, as the replica's log did.
+func (h *Held) apply(r *record) {
+	if r.HasImage {
+		h.Image = &group.Image{Index: r.Index, Term: r.LogTerm, Roster: r.Roster, State: r.State}
+		h.Log = nil
+	}
+	if r.HasHard {
+		h.Hard = group.Hard{Term: r.Term, Vote: r.Vote, Commit: r.Commit}
+	}
+	if len(r.Entries) == 0 {
+		return
+	}
+	keep := r.Entries[0].Index - h.base() - 1
+	if keep < 0 || keep > int64(len(h.Log)) {
+		h.IsDamaged = true // a gap: a record between is missing
+		return
+	}
+	h.Log = append(h.Log[:keep:keep], r.Entries...)
+}
+
+// A log record is a head and an Avro body. synced is how much of the segment
+// was known to be on disk when the record was written: it tells a torn tail,
+// which was never promised, from damage to something that was.
+const recordHead = 4 + 4 + 4 + 8
+
+var recordMagic = []byte{0xca, 0x9e, 0x10, 0x91}
+
+func appendRecord(into []byte, body []byte, synced int64) []byte {
+	tail := binary.BigEndian.AppendUint64(nil, uint64(synced))
+	sum := crc32.Update(crc32.Checksum(tail, castagnoli), castagnoli, body)
+	into = append(into, recordMagic...)
+	into = binary.BigEndian.AppendUint32(into, uint32(len(body)))
+	into = binary.BigEndian.AppendUint32(into, sum)
+	return append(append(into, tail...), body...)
+}
+
+// readRecord reads the record at the start of raw. size 0 means none is whole.
+func readRecord(raw []byte) (body []byte, synced int64, size int) {
+	if len(raw) < recordHead || !bytes.Equal(raw[:4], recordMagic) {
+		return nil, 0, 0
+	}
+	length := int(binary.BigEndian.Uint32(raw[4:]))
+	if length > len(raw)-recordHead {
+		return nil, 0, 0
+	}
+	body = raw[recordHead : recordHead+length]
+	if crc32.Update(crc32.Checksum(raw[12:recordHead], castagnoli), castagnoli, body) != binary.BigEndian.Uint32(raw[8:]) {
+		return nil, 0, 0
+	}
+	return body, int64(binary.BigEndian.Uint64(raw[12:])), recordHead + length
+}
+
+// wasPromised looks behind a broken record at offset for a whole one that was
+// written after the broken one had been synced.
+func wasPromised(raw []byte, offset int) bool {
+	for at := offset + 1; ; {
+		next := bytes.Index(raw[at:], recordMagic)
+		if next < 0 {
+			return false
+		}
+		at += next
+		if _, synced, size := readRecord(raw[at:]); size > 0 && synced > int64(offset) {
+			return true
+		}
+		at++
+	}
+}
--- /dev/null
+++ b/internal/slot/room.go
@@ -0,0 +1,49 @@
+package slot
+
+// Behind gives the groups whose newest slot keeps old segments alive.
+func (l *Log) Behind(groups []int64) []int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := []int64{}
+	for _, id := range groups {
+		if at, isKnown := l.passed[id]; isKnown && at < l.segment {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Forget takes a group out of account once the store no longer holds it.
+func (l *Log) Forget(id int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.passed, id)
+}
+
+// Segments tells how many log segments there are.
+func (l *Log) Segments() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.segments)
+}
+
+// IsFull tells whether the disk is too full for more intake. It leaves room
+// for what is held to come to its end.
+func (l *Log) IsFull() bool {
+	free, all, err := l.files.Free()
+	return err != nil || free < max(l.opts.FreeBytes, all/1000*l.opts.FreePermille)
+}
+
+// HasLost tells whether something promised was found gone at the start. A
+// group that the disk then knows nothing of is damaged too.
+func (l *Log) HasLost() bool { return l.lost }
+
+// Mishap tells why the disk stopped, if it did.
+func (l *Log) Mishap() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.broken
+}
+
+// Close stops writing; what was synced stays.
+func (l *Log) Close() { l.quit.Do(func() { close(l.done) }) }
--- /dev/null
+++ b/internal/slot/slot_test.go
@@ -0,0 +1,212 @@
+package slot
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/group"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// frail is a folder whose machine can lose power: what was not synced goes,
+// from a random point on. failAt makes the nth write fail.
+type frail struct {
+	*Folder
+	whole  map[string]int64
+	synced map[string]int64
+	failAt int
+}
+
+type frailFile struct {
+	File
+	f    *frail
+	name string
+}
+
+func (f *frail) Open(name string) (File, error) {
+	file, err := f.Folder.Open(name)
+	return &frailFile{file, f, name}, err
+}
+
+func (w *frailFile) Write(raw []byte) (int, error) {
+	if w.f.failAt--; w.f.failAt == 0 {
+		return 0, mishap.New(mishap.Disk, "caused by the test")
+	}
+	w.f.whole[w.name] += int64(len(raw))
+	return w.File.Write(raw)
+}
+
+func (w *frailFile) Sync() error {
+	w.f.synced[w.name] = w.f.whole[w.name]
+	return nil
+}
+
+func newFrail(dir string) *frail {
+	folder, err := OpenFolder(dir)
+	So(err, ShouldBeNil)
+	return &frail{Folder: folder, whole: map[string]int64{}, synced: map[string]int64{}}
+}
+
+func put(l *Log, id, from, to, term int64) {
+	got := make(chan error, 1)
+	entries := []wire.Entry{}
+	for i := from; i <= to; i++ {
+		entries = append(entries, wire.Entry{Index: i, Term: term, Data: []byte(fmt.Sprint(i))})
+	}
+	l.Persist(id, &group.Persist{Hard: &group.Hard{Term: term, Vote: "a"}, Entries: entries}, func(err error) { got <- err })
+	So(<-got, ShouldBeNil)
+}
+
+func save(l *Log, id, index, last int64) {
+	got := make(chan error, 1)
+	entries := []wire.Entry{}
+	for i := index + 1; i <= last; i++ {
+		entries = append(entries, wire.Entry{Index: i, Term: 1})
+	}
+	l.SaveSlot(id, group.Hard{Term: 1}, &group.Image{Index: index, Term: 1, Roster: []string{"a"}, State: []byte("state")},
+		&group.Persist{Entries: entries}, func(err error) { got <- err })
+	So(<-got, ShouldBeNil)
+}
+
+func reopen(dir string, opts Options) (*Log, map[int64]*Held) {
+	l, held, err := Open(newFrail(dir), opts)
+	So(err, ShouldBeNil)
+	return l, held
+}
+
+func TestLogAndSlots(t *testing.T) {
+	Convey("Given a disk with two groups", t, func() {
+		dir := t.TempDir()
+		files := newFrail(dir)
+		l, _, err := Open(files, Options{SegmentBytes: 400})
+		So(err, ShouldBeNil)
+		put(l, 1, 1, 3, 1)
+		put(l, 2, 1, 2, 1)
+		Convey("all that was synced is there again", func() {
+			l.Close()
+			files.Close()
+			_, held := reopen(dir, Options{})
+			So(len(held[1].Log), ShouldEqual, 3)
+			So(held[2].Hard, ShouldResemble, group.Hard{Term: 1, Vote: "a"})
+		})
+		Convey("a replaced tail stays replaced", func() {
+			put(l, 1, 2, 2, 2)
+			l.Close()
+			files.Close()
+			_, held := reopen(dir, Options{})
+			So(len(held[1].Log), ShouldEqual, 2)
+			So(held[1].Log[1].Term, ShouldEqual, 2)
+		})
+		Convey("segments go once every slot stands behind them", func() {
+			for i := int64(4); i < 60; i++ {
+				put(l, 1, i, i, 1)
+			}
+			So(l.Segments(), ShouldBeGreaterThan, 5)
+			save(l, 1, 50, 59)
+			So(l.Segments(), ShouldBeGreaterThan, 5) // group 2 still needs the first
+			So(l.Behind([]int64{1, 2}), ShouldResemble, []int64{2})
+			save(l, 2, 2, 2)
+			So(l.Segments(), ShouldEqual, 1)
+			l.Close()
+			files.Close()
+			_, held := reopen(dir, Options{})
+			So(held[1].Image.Index, ShouldEqual, 50)
+			So(len(held[1].Log), ShouldEqual, 9)
+			So(held[1].IsDamaged, ShouldBeFalse)
+		})
+		Convey("a second process is kept out", func() {
+			_, err := OpenFolder(dir)
+			So(mishap.Is(err, mishap.Conflict), ShouldBeTrue)
+		})
+		Convey("a failed write is told and stops the disk", func() {
+			files.failAt = 1
+			got := make(chan error, 2)
+			l.Persist(1, &group.Persist{}, func(err error) { got <- err })
+			So(mishap.Is(<-got, mishap.Disk), ShouldBeTrue)
+			<-l.done
+			l.Persist(1, &group.Persist{}, func(err error) { got <- err })
+			So(mishap.Is(<-got, mishap.Disk), ShouldBeTrue)
+		})
+	})
+}
+
+// TestDamage is the table of what a crash or a rotten disk may leave.
+func TestDamage(t *testing.T) {
+	cases := []struct {
+		name      string
+		hurt      func(raw []byte) []byte
+		isDamaged bool
+		log       int
+	}{
+		{"nothing", func(raw []byte) []byte { return raw }, false, 5},
+		{"a torn tail", func(raw []byte) []byte { return raw[:len(raw)-3] }, false, 4},
+		{"rubbish behind the tail", func(raw []byte) []byte { return append(raw, recordMagic...) }, false, 5},
+		{"a flipped bit in the last record", func(raw []byte) []byte { raw[len(raw)-1] ^= 1; return raw }, false, 4},
+		{"a flipped bit in what was promised", func(raw []byte) []byte { raw[30] ^= 1; return raw }, true, 0},
+	}
+	Convey("A log of five records", t, func() {
+		for _, c := range cases {
+			Convey("with "+c.name, func() {
+				dir := t.TempDir()
+				l, _, err := Open(newFrail(dir), Options{})
+				So(err, ShouldBeNil)
+				for i := int64(1); i <= 5; i++ {
+					put(l, 1, i, i, 1)
+				}
+				put(l, 2, 1, 1, 1)
+				save(l, 2, 1, 1)
+				l.Close()
+				l.files.(*frail).Close()
+				folder := newFrail(dir)
+				raw, err := folder.Read(segmentName(1))
+				So(err, ShouldBeNil)
+				// The record of group 2 is the last: cut it off first.
+				at := 0
+				for range 5 {
+					_, _, size := readRecord(raw[at:])
+					at += size
+				}
+				So(folder.Write(segmentName(1), c.hurt(raw[:at])), ShouldBeNil)
+				folder.Close()
+				l, held := reopen(dir, Options{})
+				So(l.HasLost(), ShouldEqual, c.isDamaged)
+				if c.isDamaged {
+					So(held[1], ShouldBeNil)
+				} else {
+					So(held[1].IsDamaged, ShouldBeFalse)
+					So(len(held[1].Log), ShouldEqual, c.log)
+				}
+				So(held[2].IsDamaged, ShouldBeFalse) // its slot stands behind
+			})
+		}
+	})
+}
+
+func TestPairFallsBack(t *testing.T) {
+	Convey("Given a pair written three times", t, func() {
+		files := newFrail(t.TempDir())
+		pair, raw, _, err := OpenPair(files, "x")
+		So(err, ShouldBeNil)
+		So(raw, ShouldBeNil)
+		for _, text := range []string{"one", "two", "three"} {
+			So(pair.Save([]byte(text)), ShouldBeNil)
+		}
+		_, raw, isTorn, _ := OpenPair(files, "x")
+		So(string(raw), ShouldEqual, "three")
+		So(isTorn, ShouldBeFalse)
+		Convey("a torn newest slot falls back to the other, at any length", func() {
+			body, err := files.Read(pair.file(3))
+			So(err, ShouldBeNil)
+			for range 10 {
+				So(files.Folder.Write(pair.file(3), body[:rand.New(rand.NewPCG(1, 1)).IntN(len(body))]), ShouldBeNil)
+				_, raw, isTorn, _ := OpenPair(files, "x")
+				So(string(raw), ShouldEqual, "two")
+				So(isTorn, ShouldBeTrue)
+			}
+		})
+	})
+}
