--- /dev/null
+++ b/internal/place/command.go
@@ -0,0 +1,78 @@
+// Package place is the state machine of one durable place: the errands taken
+// in, their runs and their ends. It is pure; a replicated group carries its
+// commands, and every replica applies them alike.
+package place
+
+import (
+	"caperwheel/internal/wire"
+)
+
+// Kinds of command.
+const (
+	CmdTake  int32 = iota + 1 // hold a message
+	CmdStart                  // a run begins
+	CmdEnd                    // a run succeeded
+	CmdBack                   // a run ended without success
+	CmdClose                  // held or started errand fails or expires
+	CmdTomb                   // an undecided message will never run
+	CmdTrim                   // forget what has been over for long enough
+	CmdSent                   // an outbox entry has been taken elsewhere
+)
+
+// Command is one entry of a place's log. All that depends on settings or time
+// is decided by the owner and written in, so that replicas need neither.
+type Command struct {
+	Kind    int32      `avro:"kind"`
+	At      int64      `avro:"at"` // place time in milliseconds: durations, no wall clock
+	Id      string     `avro:"id"`
+	Lane    string     `avro:"lane"`
+	Key     string     `avro:"key"`
+	Idem    string     `avro:"idem"`
+	Ctype   string     `avro:"ctype"`
+	Body    []byte     `avro:"body"`
+	Sum     string     `avro:"sum"`
+	Parent  string     `avro:"parent"`
+	Ordered bool       `avro:"ordered"`
+	Cutoff  int64      `avro:"cutoff"` // Take: patience left; Back: pause before the next run
+	Attempt int64      `avro:"attempt"`
+	Adapter string     `avro:"adapter"`
+	Boot    string     `avro:"boot"`
+	Pool    string     `avro:"pool"`
+	Worker  string     `avro:"worker"`
+	Proof   wire.Proof `avro:"proof"`
+	Cause   string     `avro:"cause"`
+	Costs   bool       `avro:"costs"`  // Back: the run counts as an attempt
+	State   string     `avro:"state"`  // Close: failed or expired
+	Retain  int64      `avro:"retain"` // how long an end is kept
+	Child   Child      `avro:"child"`
+	Ids     []string   `avro:"ids"`
+	Hold    bool       `avro:"hold"` // Close: later messages of the key wait
+}
+
+// Child is a call-back that leaves with the end of its parent: same record, so
+// neither is without the other. An empty Id means none.
+type Child struct {
+	Id     string `avro:"id"`
+	Lane   string `avro:"lane"`
+	Ctype  string `avro:"ctype"`
+	Body   []byte `avro:"body"`
+	Sum    string `avro:"sum"`
+	Parent string `avro:"parent"`
+}
+
+var commandCodec = wire.NewPlain(&Command{})
+
+// Encode gives the command's bytes for the log.
+func (c Command) Encode() []byte {
+	if c.Ids == nil {
+		c.Ids = []string{}
+	}
+	return commandCodec.Encode(&c)
+}
+
+// Decode reads a command back.
+func Decode(raw []byte) (Command, error) {
+	var c Command
+	err := commandCodec.Decode(raw, &c)
+	return c, err
+}
--- /dev/null
+++ b/internal/place/errand.go
@@ -0,0 +1,79 @@
+package place
+
+import (
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// State of an errand. Callers see these words.
+type State string
+
+// The states. Tomb is an errand that was never taken and never will be.
+const (
+	Held    State = "held"
+	Started State = "started"
+	Ended   State = "ended"
+	Failed  State = "failed"
+	Expired State = "expired"
+	Tomb    State = "rejected"
+	Unknown State = "unknown"
+)
+
+// IsOver tells whether nothing more can happen to the errand.
+func (s State) IsOver() bool { return s == Ended || s == Failed || s == Expired || s == Tomb }
+
+// moves lists every change of state that may happen.
+var moves = map[State][]State{
+	Held:    {Started, Ended, Failed, Expired},
+	Started: {Held, Ended, Failed, Expired},
+	"":      {Held, Tomb},
+}
+
+// Errand is one message on its way through the system.
+//
+// Invariants: State changes only through move; Attempt counts the runs begun
+// and never goes back; Proof is set exactly when State is Ended, and Proof
+// .Attempt names a run that this errand began; Body is what the caller sent.
+type Errand struct {
+	Id       string     `avro:"id"`
+	Seq      int64      `avro:"seq"`
+	Lane     string     `avro:"lane"`
+	Key      string     `avro:"key"`
+	Ordered  bool       `avro:"ordered"`
+	Idem     string     `avro:"idem"`
+	Ctype    string     `avro:"ctype"`
+	Body     []byte     `avro:"body"`
+	Sum      string     `avro:"sum"`
+	Parent   string     `avro:"parent"`
+	Child    string     `avro:"child"`
+	State    State      `avro:"state"`
+	Cutoff   int64      `avro:"cutoff"` // place time
+	Due      int64      `avro:"due"`    // place time
+	Over     int64      `avro:"over"`   // place time at which an end is forgotten
+	Attempt  int64      `avro:"attempt"`
+	Spent    int64      `avro:"spent"` // attempts that count
+	Adapter  string     `avro:"adapter"`
+	Boot     string     `avro:"boot"`
+	Pool     string     `avro:"pool"`
+	Worker   string     `avro:"worker"`
+	Proof    wire.Proof `avro:"proof"`
+	Late     wire.Proof `avro:"late"` // success of an older run that came while a newer one is open
+	Cause    string     `avro:"cause"`
+	IsHolder bool       `avro:"is_holder"` // failed, and the key waits behind it
+}
+
+// move is the one place where an errand changes its state.
+func (e *Errand) move(to State) error {
+	for _, allowed := range moves[e.State] {
+		if allowed == to {
+			e.State = to
+			return nil
+		}
+	}
+	return mishap.New(mishap.Conflict, "errand %s cannot go from %q to %q", e.Id, e.State, to)
+}
+
+// keyOf joins errands that must run one after another.
+func (e *Errand) keyOf() string { return e.Lane + "\x00" + e.Key }
+
+func (e *Errand) idemOf() string { return e.Lane + "\x00" + e.Key + "\x00" + e.Idem }
--- /dev/null
+++ b/internal/place/image.go
@@ -0,0 +1,65 @@
+package place
+
+import (
+	"maps"
+	"slices"
+
+	"caperwheel/internal/wire"
+)
+
+type image struct {
+	Clock   int64    `avro:"clock"`
+	Seq     int64    `avro:"seq"`
+	Errands []Errand `avro:"errands"`
+	Outbox  []Child  `avro:"outbox"`
+}
+
+var imageCodec = wire.NewPlain(&image{})
+
+// Image gives the whole state as bytes.
+func (m *Machine) Image() []byte {
+	out := image{Clock: m.clock, Seq: m.seq, Errands: []Errand{}, Outbox: []Child{}}
+	for _, e := range m.errands {
+		out.Errands = append(out.Errands, *e)
+	}
+	slices.SortFunc(out.Errands, func(a, b Errand) int { return int(a.Seq - b.Seq) })
+	for _, id := range slices.Sorted(maps.Keys(m.outbox)) {
+		out.Outbox = append(out.Outbox, m.outbox[id])
+	}
+	return imageCodec.Encode(&out)
+}
+
+// Restore reads a whole state back.
+func Restore(raw []byte) (*Machine, error) {
+	var in image
+	if err := imageCodec.Decode(raw, &in); err != nil {
+		return nil, err
+	}
+	m := New()
+	m.clock, m.seq = in.Clock, in.Seq
+	for i := range in.Errands {
+		e := &in.Errands[i]
+		m.errands[e.Id] = e
+		m.bytes += int64(len(e.Body))
+		if e.Idem != "" {
+			m.idems[e.idemOf()] = e.Id
+		}
+		if e.Ordered && (!e.State.IsOver() || e.IsHolder) {
+			m.keys[e.keyOf()] = append(m.keys[e.keyOf()], e.Id)
+		}
+	}
+	for _, c := range in.Outbox {
+		m.outbox[c.Id] = c
+	}
+	m.Requeue()
+	return m, nil
+}
+
+// Requeue derives the queue anew: a new owner picks afresh.
+func (m *Machine) Requeue() {
+	m.queue = newQueue()
+	all := slices.SortedFunc(maps.Values(m.errands), func(a, b *Errand) int { return int(a.Seq - b.Seq) })
+	for _, e := range all {
+		m.queue.note(m, e)
+	}
+}
--- /dev/null
+++ b/internal/place/machine.go
@@ -0,0 +1,230 @@
+package place
+
+import (
+	"slices"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// Machine is the replicated state of a place.
+//
+// Invariants: clock never goes back; errands holds every id ever taken until
+// it is trimmed; keys lists, in the order taken, the ordered errands that are
+// not over, so only the first of a list may run; outbox holds each call-back
+// until another place has taken it.
+type Machine struct {
+	clock   int64
+	seq     int64
+	errands map[string]*Errand
+	idems   map[string]string
+	keys    map[string][]string
+	outbox  map[string]Child
+	bytes   int64
+	queue   queue
+}
+
+// New gives an empty place.
+func New() *Machine {
+	return &Machine{errands: map[string]*Errand{}, idems: map[string]string{}, keys: map[string][]string{},
+		outbox: map[string]Child{}, queue: newQueue()}
+}
+
+// Verdict is what a command came to. A Kind other than "" means that it
+// changed nothing.
+type Verdict struct {
+	Id    string
+	State State
+	Kind  mishap.Kind
+	Text  string
+}
+
+func no(kind mishap.Kind, id, text string) Verdict { return Verdict{Id: id, Kind: kind, Text: text} }
+
+// Clock is the place time of the newest command.
+func (m *Machine) Clock() int64 { return m.clock }
+
+// Find gives an errand by id.
+func (m *Machine) Find(id string) *Errand { return m.errands[id] }
+
+// Count tells how many errands and body bytes the place holds.
+func (m *Machine) Count() (int, int64) { return len(m.errands), m.bytes }
+
+// Outbox gives the call-backs that must still be taken elsewhere.
+func (m *Machine) Outbox() map[string]Child { return m.outbox }
+
+// Apply takes one committed command in.
+func (m *Machine) Apply(c Command) Verdict {
+	m.clock = max(m.clock, c.At)
+	e := m.errands[c.Id]
+	switch c.Kind {
+	case CmdTake:
+		return m.take(c, e)
+	case CmdTomb:
+		if e != nil {
+			return Verdict{Id: c.Id, State: e.State}
+		}
+		e = &Errand{Id: c.Id, Lane: c.Lane, Over: m.clock + c.Retain}
+		m.errands[c.Id] = e
+		return m.finish(e, e.move(Tomb))
+	case CmdTrim:
+		for _, id := range c.Ids {
+			m.forget(id)
+		}
+		return Verdict{}
+	case CmdSent:
+		delete(m.outbox, c.Id)
+		return Verdict{Id: c.Id}
+	}
+	if e == nil {
+		return no(mishap.Unknown, c.Id, "no such message")
+	}
+	switch c.Kind {
+	case CmdStart:
+		return m.start(c, e)
+	case CmdEnd:
+		return m.end(c, e)
+	case CmdBack:
+		return m.back(c, e)
+	case CmdClose:
+		return m.shut(c, e)
+	}
+	return no(mishap.Internal, c.Id, "unknown command")
+}
+
+func (m *Machine) take(c Command, e *Errand) Verdict {
+	if e != nil { // the same take again, or a tombstone came first
+		if e.State == Tomb {
+			return no(mishap.Rejected, c.Id, "settled as not taken")
+		}
+		return Verdict{Id: c.Id, State: e.State}
+	}
+	m.seq++
+	e = &Errand{Id: c.Id, Seq: m.seq, Lane: c.Lane, Key: c.Key, Ordered: c.Ordered, Idem: c.Idem, Ctype: c.Ctype,
+		Body: c.Body, Sum: c.Sum, Parent: c.Parent, Cutoff: m.clock + c.Cutoff, Due: m.clock}
+	if c.Idem != "" {
+		if was := m.errands[m.idems[e.idemOf()]]; was != nil {
+			if was.Sum != c.Sum {
+				return no(mishap.Conflict, was.Id, "the same Idempotency-Key came with other bytes")
+			}
+			return Verdict{Id: was.Id, State: was.State}
+		}
+		m.idems[e.idemOf()] = c.Id
+	}
+	m.errands[c.Id] = e
+	m.bytes += int64(len(e.Body))
+	if e.Ordered {
+		m.keys[e.keyOf()] = append(m.keys[e.keyOf()], e.Id)
+	}
+	return m.finish(e, e.move(Held))
+}
+
+func (m *Machine) start(c Command, e *Errand) Verdict {
+	if e.State != Held || c.Attempt != e.Attempt+1 || !m.isFirst(e) {
+		return no(mishap.Conflict, e.Id, "not to be started")
+	}
+	e.Attempt, e.Adapter, e.Boot, e.Pool, e.Worker = c.Attempt, c.Adapter, c.Boot, c.Pool, c.Worker
+	return m.finish(e, e.move(Started))
+}
+
+// end records a success. An answer of an older run does not end an errand
+// while a newer run is open: it waits for that run's outcome.
+func (m *Machine) end(c Command, e *Errand) Verdict {
+	switch {
+	case e.State.IsOver():
+		return Verdict{Id: e.Id, State: e.State}
+	case c.Proof.Attempt < 1 || c.Proof.Attempt > e.Attempt:
+		return no(mishap.Conflict, e.Id, "no such run")
+	case e.State == Started && c.Proof.Attempt != e.Attempt:
+		e.Late = c.Proof
+		return Verdict{Id: e.Id, State: e.State}
+	}
+	return m.close(e, Ended, c, c.Proof)
+}
+
+func (m *Machine) back(c Command, e *Errand) Verdict {
+	if e.State != Started || c.Attempt != e.Attempt {
+		return Verdict{Id: e.Id, State: e.State} // a repeat, or an older run
+	}
+	if e.Late.Attempt > 0 {
+		return m.close(e, Ended, c, e.Late)
+	}
+	e.Cause = c.Cause
+	if c.Costs {
+		e.Spent++
+	}
+	e.Due = m.clock + c.Cutoff
+	return m.finish(e, e.move(Held))
+}
+
+func (m *Machine) shut(c Command, e *Errand) Verdict {
+	if e.State.IsOver() || c.Attempt != e.Attempt {
+		return Verdict{Id: e.Id, State: e.State}
+	}
+	if e.Late.Attempt > 0 {
+		return m.close(e, Ended, c, e.Late)
+	}
+	e.Cause = c.Cause
+	if c.Costs {
+		e.Spent++
+	}
+	e.IsHolder = c.Hold && e.Ordered
+	return m.close(e, State(c.State), c, wire.Proof{})
+}
+
+func (m *Machine) close(e *Errand, to State, c Command, proof wire.Proof) Verdict {
+	if err := e.move(to); err != nil {
+		return no(mishap.Conflict, e.Id, err.Error())
+	}
+	e.Proof, e.Late, e.Over = proof, wire.Proof{}, m.clock+c.Retain
+	if c.Child.Id != "" {
+		e.Child = c.Child.Id
+		m.outbox[c.Child.Id] = c.Child
+	}
+	if e.Ordered && !e.IsHolder {
+		m.release(e)
+	}
+	return m.finish(e, nil)
+}
+
+// release lets the next errand of the key go.
+func (m *Machine) release(e *Errand) {
+	key := e.keyOf()
+	list := slices.DeleteFunc(m.keys[key], func(id string) bool { return id == e.Id })
+	if len(list) == 0 {
+		delete(m.keys, key)
+		return
+	}
+	m.keys[key] = list
+	m.queue.note(m, m.errands[list[0]])
+}
+
+// isFirst: an ordered errand runs only when all before it are over.
+func (m *Machine) isFirst(e *Errand) bool {
+	return !e.Ordered || len(m.keys[e.keyOf()]) > 0 && m.keys[e.keyOf()][0] == e.Id
+}
+
+func (m *Machine) finish(e *Errand, err error) Verdict {
+	if err != nil {
+		return no(mishap.Conflict, e.Id, err.Error())
+	}
+	m.queue.note(m, e)
+	return Verdict{Id: e.Id, State: e.State}
+}
+
+func (m *Machine) forget(id string) {
+	e := m.errands[id]
+	if e == nil || !e.State.IsOver() || m.outbox[e.Child].Id != "" {
+		return
+	}
+	if e.IsHolder {
+		e.IsHolder = false
+		m.release(e)
+	}
+	m.bytes -= int64(len(e.Body))
+	delete(m.errands, id)
+	if e.Idem != "" && m.idems[e.idemOf()] == id {
+		delete(m.idems, e.idemOf())
+	}
+	m.queue.drop(e)
+}
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,187 @@
+package place
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+func take(id string) Command {
+	return Command{Kind: CmdTake, Id: id, Lane: "l", Key: "k", Body: []byte("b" + id), Sum: "s" + id, Cutoff: 1000}
+}
+
+func ordered(id string) Command { c := take(id); c.Ordered = true; return c }
+
+func idem(id, key, sum string) Command { c := take(id); c.Idem, c.Sum = key, sum; return c }
+
+func start(id string, attempt int64) Command {
+	return Command{Kind: CmdStart, Id: id, Attempt: attempt, Adapter: "a", Boot: "b"}
+}
+
+func end(id string, attempt int64) Command {
+	return Command{Kind: CmdEnd, Id: id, Proof: wire.Proof{Attempt: attempt, Worker: "w"}, Retain: 100}
+}
+
+func back(id string, attempt int64) Command {
+	return Command{Kind: CmdBack, Id: id, Attempt: attempt, Cause: "unsound", Costs: true}
+}
+
+func shut(id string, attempt int64, state State) Command {
+	return Command{Kind: CmdClose, Id: id, Attempt: attempt, State: string(state), Retain: 100}
+}
+
+func tomb(id string) Command { return Command{Kind: CmdTomb, Id: id, Retain: 100} }
+
+// TestCommands is the table of what each command does in each state.
+func TestCommands(t *testing.T) {
+	cases := []struct {
+		name   string
+		before []Command
+		last   Command
+		state  State
+		kind   mishap.Kind
+	}{
+		{"a message is held", nil, take("1"), Held, ""},
+		{"the same take again changes nothing", []Command{take("1"), start("1", 1)}, take("1"), Started, ""},
+		{"a settled message is never taken", []Command{tomb("1")}, take("1"), Tomb, mishap.Rejected},
+		{"a held message is not settled away", []Command{take("1")}, tomb("1"), Held, ""},
+		{"a held message starts", []Command{take("1")}, start("1", 1), Started, ""},
+		{"a started message does not start again", []Command{take("1"), start("1", 1)}, start("1", 2), Started, mishap.Conflict},
+		{"an attempt number is not skipped", []Command{take("1")}, start("1", 2), Held, mishap.Conflict},
+		{"a run's success ends it", []Command{take("1"), start("1", 1)}, end("1", 1), Ended, ""},
+		{"a run that never began ends nothing", []Command{take("1"), start("1", 1)}, end("1", 2), Started, mishap.Conflict},
+		{"an ended message does not start again", []Command{take("1"), start("1", 1), end("1", 1)}, start("1", 2), Ended, mishap.Conflict},
+		{"a mishap brings it back", []Command{take("1"), start("1", 1)}, back("1", 1), Held, ""},
+		{"an older run's mishap is passed over", []Command{take("1"), start("1", 1), back("1", 1), start("1", 2)}, back("1", 1), Started, ""},
+		{"an older run's success ends a held message", []Command{take("1"), start("1", 1), back("1", 1)}, end("1", 1), Ended, ""},
+		{"an older run's success waits for the open run", []Command{take("1"), start("1", 1), back("1", 1), start("1", 2)}, end("1", 1), Started, ""},
+		{"… and counts once that run has failed", []Command{take("1"), start("1", 1), back("1", 1), start("1", 2), end("1", 1)}, back("1", 2), Ended, ""},
+		{"a held message expires", []Command{take("1")}, shut("1", 0, Expired), Expired, ""},
+		{"a message that has started since does not expire", []Command{take("1"), start("1", 1)}, shut("1", 0, Expired), Started, ""},
+		{"an end is not undone by a failure", []Command{take("1"), start("1", 1), end("1", 1)}, shut("1", 1, Failed), Ended, ""},
+		{"a command for a stranger does nothing", nil, end("1", 1), "", mishap.Unknown},
+		{"an ordered message does not pass an earlier one", []Command{ordered("0"), ordered("1")}, start("1", 1), Held, mishap.Conflict},
+		{"… nor while that one is started", []Command{ordered("0"), ordered("1"), start("0", 1)}, start("1", 1), Held, mishap.Conflict},
+		{"… but starts once it has ended", []Command{ordered("0"), ordered("1"), start("0", 1), end("0", 1)}, start("1", 1), Started, ""},
+		{"the same idempotency key and bytes are one message", []Command{idem("0", "i", "s"), start("0", 1)}, idem("1", "i", "s"), "", ""},
+		{"the same idempotency key and other bytes conflict", []Command{idem("0", "i", "s")}, idem("1", "i", "t"), "", mishap.Conflict},
+	}
+	Convey("In a place", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				m := New()
+				for _, b := range c.before {
+					So(m.Apply(b).Kind, ShouldBeEmpty)
+				}
+				v := m.Apply(c.last)
+				So(v.Kind, ShouldEqual, c.kind)
+				state := State("")
+				if e := m.Find("1"); e != nil {
+					state = e.State
+				}
+				So(state, ShouldEqual, c.state)
+				again, err := Restore(m.Image()) // an image tells the same
+				So(err, ShouldBeNil)
+				So(again.Image(), ShouldResemble, m.Image())
+			})
+		}
+	})
+}
+
+func TestProofIsOfTheRunThatSucceeded(t *testing.T) {
+	Convey("Given a message whose first run's answer came late", t, func() {
+		m := New()
+		for _, c := range []Command{take("1"), start("1", 1), back("1", 1), start("1", 2), end("1", 1)} {
+			m.Apply(c)
+		}
+		Convey("the second run's success is proved by the second run", func() {
+			m.Apply(end("1", 2))
+			So(m.Find("1").Proof.Attempt, ShouldEqual, 2)
+		})
+		Convey("the second run's mishap leaves the first run's proof", func() {
+			m.Apply(back("1", 2))
+			So(m.Find("1").Proof.Attempt, ShouldEqual, 1)
+			Convey("which no later answer replaces", func() {
+				m.Apply(end("1", 2))
+				So(m.Find("1").Proof.Attempt, ShouldEqual, 1)
+			})
+		})
+	})
+}
+
+func TestQueue(t *testing.T) {
+	Convey("Given three ordered messages and two free ones", t, func() {
+		m := New()
+		for _, id := range []string{"1", "2", "3"} {
+			m.Apply(ordered(id))
+		}
+		m.Apply(take("4"))
+		m.Apply(take("5"))
+		Convey("only the first of the key and the free ones are ready", func() {
+			So(m.Ready(0), ShouldResemble, map[string]int{"l": 3})
+			So(m.Pick("l", 0).Id, ShouldEqual, "1")
+			So(m.Pick("l", 0).Id, ShouldEqual, "4")
+			So(m.Pick("l", 0).Id, ShouldEqual, "5")
+			So(m.Pick("l", 0), ShouldBeNil)
+			m.Unpick(m.Find("4"))
+			So(m.Pick("l", 0).Id, ShouldEqual, "4")
+		})
+		Convey("a pause is kept, and a new owner keeps it too", func() {
+			m.Apply(start("4", 1))
+			pause := back("4", 1)
+			pause.Cutoff = 50
+			m.Apply(pause)
+			again, err := Restore(m.Image())
+			So(err, ShouldBeNil)
+			So(again.Ready(49)["l"], ShouldEqual, 2)
+			So(again.Ready(50)["l"], ShouldEqual, 3)
+		})
+		Convey("repeated runs cannot crowd out fresh ones", func() {
+			for i := range 8 {
+				id := "r" + string(rune('a'+i))
+				m.Apply(take(id))
+				m.Apply(start(id, 1))
+				m.Apply(back(id, 1))
+			}
+			fresh := 0
+			for range 4 {
+				if m.Pick("l", 0).Attempt == 0 {
+					fresh++
+				}
+			}
+			So(fresh, ShouldEqual, 3)
+		})
+		Convey("what is late is told once, what is over is told to be forgotten", func() {
+			So(len(m.Late(999)), ShouldEqual, 0)
+			So(len(m.Late(1000)), ShouldEqual, 5)
+			m.Apply(shut("4", 0, Expired))
+			So(m.Stale(99, 9), ShouldBeEmpty)
+			So(m.Stale(100, 9), ShouldResemble, []string{"4"})
+			m.Apply(Command{Kind: CmdTrim, Ids: []string{"4"}})
+			So(m.Find("4"), ShouldBeNil)
+		})
+		Convey("a failure that holds its key keeps the next waiting", func() {
+			c := shut("1", 0, Failed)
+			c.Hold = true
+			m.Apply(c)
+			So(m.Ready(0)["l"], ShouldEqual, 2)
+			m.Apply(Command{Kind: CmdTrim, Ids: []string{"1"}})
+			So(m.Ready(0)["l"], ShouldEqual, 3)
+		})
+		Convey("a call-back stays in the outbox until it is taken elsewhere", func() {
+			m.Apply(start("4", 1))
+			e := end("4", 1)
+			e.Child = Child{Id: "c", Lane: "back"}
+			m.Apply(e)
+			m.Apply(Command{Kind: CmdTrim, Ids: []string{"4"}})
+			So(m.Find("4"), ShouldNotBeNil)
+			again, _ := Restore(m.Image())
+			So(again.Outbox()["c"].Lane, ShouldEqual, "back")
+			m.Apply(Command{Kind: CmdSent, Id: "c"})
+			So(m.Outbox(), ShouldBeEmpty)
+		})
+	})
+}
