--- /dev/null
+++ b/internal/charter/charter.go
@@ -0,0 +1,162 @@
+// Package charter reads, checks and merges the operators' tree of settings. A
+// lane or pool inherits everything from its parent and overrides what differs.
+package charter
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+)
+
+// Lane is one kind of message, with all that it inherited.
+type Lane struct {
+	Name        string
+	Urgency     int64         // 1 to 9; share of turns among lanes of a pool
+	Patience    time.Duration // a message not ended by then expires
+	IsOrdered   bool          // one message of a key after another
+	Attempts    int64         // runs that may fail; 0 for as long as patience lasts
+	Backoff     time.Duration // pause after the first failed run; doubles
+	BackoffMost time.Duration
+	Retention   time.Duration // an end can be asked for that long
+	Size        int64         // most bytes of a body
+	Pools       []string      // pools that may run it
+	Rerun       bool          // a run whose fate is unknown may be run again
+	Callback    string        // lane that gets the answer of a success
+	HoldFailed  bool          // after a failed ordered message the key waits
+}
+
+// Pool is a set of workers, or one outside endpoint.
+type Pool struct {
+	Name        string
+	IsEndpoint  bool
+	Address     string        // endpoints only
+	Path        string        // of the request to a worker
+	Rate        float64       // runs a second over the whole fleet; 0 for no cap
+	Concurrency int64         // runs at once on one worker
+	Ease        time.Duration // a cold worker reaches its full share after this
+	Bound       time.Duration // a run that takes longer is given up
+	Spill       bool          // may use workers of other cells
+}
+
+// Rules are a charter ready for use.
+type Rules struct {
+	Lanes map[string]Lane
+	Pools map[string]Pool
+}
+
+// Fault is one thing wrong with a charter, at a path of its tree.
+type Fault struct {
+	Path string `json:"path"`
+	Text string `json:"text"`
+}
+
+// field is one setting of a lane or pool: how to check and to read it.
+type field[T any] struct {
+	kind  gjson.Type
+	check func(gjson.Result) string
+	read  func(*T, gjson.Result)
+}
+
+func number(least, most float64) func(gjson.Result) string {
+	return func(r gjson.Result) string {
+		if r.Num < least || r.Num > most {
+			return fmt.Sprintf("must be from %g to %g", least, most)
+		}
+		return ""
+	}
+}
+
+func whole(least, most float64) func(gjson.Result) string {
+	return func(r gjson.Result) string {
+		if r.Num != float64(int64(r.Num)) {
+			return "must be a whole number"
+		}
+		return number(least, most)(r)
+	}
+}
+
+func span(least, most time.Duration) func(gjson.Result) string {
+	return func(r gjson.Result) string {
+		d, err := time.ParseDuration(r.Str)
+		if err != nil {
+			return "must be a duration such as 500ms or 2m"
+		}
+		if d < least || d > most {
+			return fmt.Sprintf("must be from %v to %v", least, most)
+		}
+		return ""
+	}
+}
+
+func word(words ...string) func(gjson.Result) string {
+	return func(r gjson.Result) string {
+		for _, w := range words {
+			if r.Str == w {
+				return ""
+			}
+		}
+		return "must be one of " + strings.Join(words, ", ")
+	}
+}
+
+func duration(r gjson.Result) time.Duration { d, _ := time.ParseDuration(r.Str); return d }
+
+var laneFields = map[string]field[Lane]{
+	"urgency":       {gjson.Number, whole(1, 9), func(l *Lane, r gjson.Result) { l.Urgency = r.Int() }},
+	"patience":      {gjson.String, span(time.Second, 24*time.Hour), func(l *Lane, r gjson.Result) { l.Patience = duration(r) }},
+	"ordering":      {gjson.String, word("none", "key"), func(l *Lane, r gjson.Result) { l.IsOrdered = r.Str == "key" }},
+	"attempts":      {gjson.Number, whole(0, 1000), func(l *Lane, r gjson.Result) { l.Attempts = r.Int() }},
+	"backoff":       {gjson.String, span(time.Millisecond, time.Hour), func(l *Lane, r gjson.Result) { l.Backoff = duration(r) }},
+	"backoff_most":  {gjson.String, span(time.Millisecond, time.Hour), func(l *Lane, r gjson.Result) { l.BackoffMost = duration(r) }},
+	"retention":     {gjson.String, span(time.Second, 7*24*time.Hour), func(l *Lane, r gjson.Result) { l.Retention = duration(r) }},
+	"size":          {gjson.Number, whole(1, 4<<20), func(l *Lane, r gjson.Result) { l.Size = r.Int() }},
+	"rerun":         {gjson.True, nil, func(l *Lane, r gjson.Result) { l.Rerun = r.Bool() }},
+	"callback":      {gjson.String, nil, func(l *Lane, r gjson.Result) { l.Callback = r.Str }},
+	"after_failure": {gjson.String, word("skip", "hold"), func(l *Lane, r gjson.Result) { l.HoldFailed = r.Str == "hold" }},
+	"pools": {gjson.JSON, names, func(l *Lane, r gjson.Result) {
+		l.Pools = nil
+		for _, p := range r.Array() {
+			l.Pools = append(l.Pools, p.Str)
+		}
+	}},
+}
+
+var poolFields = map[string]field[Pool]{
+	"kind":        {gjson.String, word("workers", "endpoint"), func(p *Pool, r gjson.Result) { p.IsEndpoint = r.Str == "endpoint" }},
+	"address":     {gjson.String, address, func(p *Pool, r gjson.Result) { p.Address = r.Str }},
+	"path":        {gjson.String, urlPath, func(p *Pool, r gjson.Result) { p.Path = r.Str }},
+	"rate":        {gjson.Number, number(0, 100000), func(p *Pool, r gjson.Result) { p.Rate = r.Num }},
+	"concurrency": {gjson.Number, whole(1, 1000), func(p *Pool, r gjson.Result) { p.Concurrency = r.Int() }},
+	"ease":        {gjson.String, span(0, time.Hour), func(p *Pool, r gjson.Result) { p.Ease = duration(r) }},
+	"bound":       {gjson.String, span(10*time.Millisecond, time.Hour), func(p *Pool, r gjson.Result) { p.Bound = duration(r) }},
+	"spill":       {gjson.True, nil, func(p *Pool, r gjson.Result) { p.Spill = r.Bool() }},
+}
+
+func names(r gjson.Result) string {
+	if !r.IsArray() || len(r.Array()) == 0 {
+		return "must be a list of at least one name"
+	}
+	for _, name := range r.Array() {
+		if name.Type != gjson.String || name.Str == "" {
+			return "must be a list of names"
+		}
+	}
+	return ""
+}
+
+func urlPath(r gjson.Result) string {
+	if !strings.HasPrefix(r.Str, "/") {
+		return "must start with /"
+	}
+	return ""
+}
+
+func address(r gjson.Result) string { return CheckAddress(r.Str) }
+
+var (
+	rootLane = Lane{Urgency: 5, Patience: 2 * time.Minute, Attempts: 8, Backoff: 200 * time.Millisecond,
+		BackoffMost: 10 * time.Second, Retention: 10 * time.Minute, Size: 64 << 10, Rerun: true}
+	rootPool = Pool{Path: "/", Concurrency: 4, Ease: 10 * time.Second, Bound: 5 * time.Second, Spill: true}
+)
--- /dev/null
+++ b/internal/charter/compile.go
@@ -0,0 +1,213 @@
+package charter
+
+import (
+	"net"
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/gjson"
+)
+
+// Most bounds what a charter may hold.
+const (
+	MostBytes = 1 << 20
+	MostNames = 10000
+	mostDepth = 16
+)
+
+type compiler struct {
+	rules  Rules
+	faults []Fault
+}
+
+func (c *compiler) fault(path, text string) {
+	if len(c.faults) < 100 {
+		c.faults = append(c.faults, Fault{path, text})
+	}
+}
+
+// Compile checks a whole charter and makes rules of it. Any fault means that
+// there are no rules.
+func Compile(doc []byte) (*Rules, []Fault) {
+	c := &compiler{rules: Rules{Lanes: map[string]Lane{}, Pools: map[string]Pool{}}}
+	switch {
+	case len(doc) > MostBytes:
+		return nil, []Fault{{"", "is larger than a charter may be"}}
+	case !gjson.ValidBytes(doc):
+		return nil, []Fault{{"", "is not JSON"}}
+	}
+	root := gjson.ParseBytes(doc)
+	if !root.IsObject() {
+		return nil, []Fault{{"", "must be an object"}}
+	}
+	c.uniqueKeys("", root, 0)
+	for key, value := range root.Map() {
+		switch key {
+		case "lanes", "pools":
+			if !value.IsObject() {
+				c.fault(key, "must be an object")
+			}
+		case "note":
+			if value.Type != gjson.String {
+				c.fault(key, "must be a text")
+			}
+		default:
+			c.fault(key, "is not known")
+		}
+	}
+	each(root.Get("pools"), func(name string, r gjson.Result) {
+		walk(c, "pools."+name, name, r, rootPool, poolFields, c.addPool, 0)
+	})
+	each(root.Get("lanes"), func(name string, r gjson.Result) {
+		walk(c, "lanes."+name, name, r, rootLane, laneFields, c.addLane, 0)
+	})
+	c.join()
+	if len(c.faults) > 0 {
+		return nil, c.faults
+	}
+	return &c.rules, nil
+}
+
+func each(r gjson.Result, visit func(name string, r gjson.Result)) {
+	r.ForEach(func(key, value gjson.Result) bool { visit(key.Str, value); return true })
+}
+
+// uniqueKeys refuses a key given twice: which one counts would be a guess.
+func (c *compiler) uniqueKeys(path string, r gjson.Result, depth int) {
+	if depth > 4*mostDepth {
+		c.fault(path, "is nested too deeply")
+		return
+	}
+	if r.IsArray() {
+		for _, item := range r.Array() {
+			c.uniqueKeys(path, item, depth+1)
+		}
+		return
+	}
+	if !r.IsObject() {
+		return
+	}
+	seen := map[string]bool{}
+	each(r, func(name string, value gjson.Result) {
+		at := strings.TrimPrefix(path+"."+name, ".")
+		if seen[name] {
+			c.fault(at, "is given twice")
+		}
+		seen[name] = true
+		c.uniqueKeys(at, value, depth+1)
+	})
+}
+
+func isName(name string) bool {
+	if name == "" || len(name) > 64 {
+		return false
+	}
+	return strings.Trim(name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_") == ""
+}
+
+// walk reads one node of a tree: it starts as its parent was and overrides
+// what it names itself. Only nodes without children are lanes or pools.
+func walk[T any](c *compiler, path, name string, r gjson.Result, node T, fields map[string]field[T],
+	add func(path, name string, node T), depth int) {
+	last := name[strings.LastIndex(name, ".")+1:]
+	if !isName(last) {
+		c.fault(path, "has a name that is not letters, digits, - and _")
+		return
+	}
+	if !r.IsObject() || depth > mostDepth {
+		c.fault(path, "must be an object, not nested too deeply")
+		return
+	}
+	each(r, func(key string, value gjson.Result) {
+		if key == "children" {
+			if !value.IsObject() || len(value.Map()) == 0 {
+				c.fault(path+".children", "must be an object that is not empty")
+			}
+			return
+		}
+		f, isKnown := fields[key]
+		if !isKnown {
+			c.fault(path+"."+key, "is not known")
+			return
+		}
+		isBool := f.kind == gjson.True && value.IsBool()
+		if value.Type != f.kind && !isBool {
+			c.fault(path+"."+key, "is of the wrong kind")
+			return
+		}
+		if f.check != nil {
+			if text := f.check(value); text != "" {
+				c.fault(path+"."+key, text)
+				return
+			}
+		}
+		f.read(&node, value)
+	})
+	children := r.Get("children")
+	if !children.Exists() {
+		add(path, name, node)
+		return
+	}
+	each(children, func(child string, r gjson.Result) {
+		walk(c, path+".children."+child, name+"."+child, r, node, fields, add, depth+1)
+	})
+}
+
+func (c *compiler) addLane(path, name string, l Lane) {
+	l.Name = name
+	if len(l.Pools) == 0 {
+		c.fault(path, "has no pool")
+	}
+	if l.BackoffMost < l.Backoff {
+		c.fault(path+".backoff_most", "is less than backoff")
+	}
+	c.rules.Lanes[name] = l
+}
+
+func (c *compiler) addPool(path, name string, p Pool) {
+	p.Name = name
+	if p.IsEndpoint != (p.Address != "") {
+		c.fault(path+".address", "must be given for an endpoint, and only there")
+	}
+	c.rules.Pools[name] = p
+}
+
+// join checks what lanes and pools say of each other.
+func (c *compiler) join() {
+	if len(c.rules.Lanes)+len(c.rules.Pools) > MostNames {
+		c.fault("", "has too many lanes and pools")
+	}
+	for name, l := range c.rules.Lanes {
+		for _, pool := range l.Pools {
+			if _, isKnown := c.rules.Pools[pool]; !isKnown {
+				c.fault("lanes."+name+".pools", "names "+pool+", which is no pool")
+			}
+		}
+		if l.Callback == "" {
+			continue
+		}
+		if _, isKnown := c.rules.Lanes[l.Callback]; !isKnown {
+			c.fault("lanes."+name+".callback", "names "+l.Callback+", which is no lane")
+		}
+		seen := map[string]bool{name: true}
+		for next := l.Callback; next != ""; next = c.rules.Lanes[next].Callback {
+			if seen[next] {
+				c.fault("lanes."+name+".callback", "leads back to "+next)
+				break
+			}
+			seen[next] = true
+		}
+	}
+}
+
+// CheckAddress says what is wrong with an IP number and port; empty if nothing.
+func CheckAddress(text string) string {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || net.ParseIP(host) == nil {
+		return "must be an IP number and a port"
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+		return "must have a port from 1 to 65535"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/charter/merge.go
@@ -0,0 +1,90 @@
+package charter
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"caperwheel/internal/mishap"
+)
+
+// Merge applies a JSON merge patch (RFC 7396) to a document.
+func Merge(doc, patch []byte) ([]byte, error) {
+	var base, change any
+	if err := json.Unmarshal(doc, &base); err != nil {
+		return nil, mishap.Wrap(err, mishap.Broken, "charter")
+	}
+	if err := json.Unmarshal(patch, &change); err != nil {
+		return nil, mishap.Wrap(err, mishap.Invalid, "patch")
+	}
+	if _, isObject := change.(map[string]any); !isObject {
+		return nil, mishap.New(mishap.Invalid, "a patch must be an object")
+	}
+	out, err := json.Marshal(merge(base, change))
+	return out, mishap.Wrap(err, mishap.Internal, "merged charter")
+}
+
+func merge(base, change any) any {
+	patch, isObject := change.(map[string]any)
+	if !isObject {
+		return change
+	}
+	out, isObject := base.(map[string]any)
+	if !isObject {
+		out = map[string]any{}
+	}
+	for key, value := range patch {
+		if value == nil {
+			delete(out, key)
+		} else {
+			out[key] = merge(out[key], value)
+		}
+	}
+	return out
+}
+
+// Difference is one path whose value differs between two documents.
+type Difference struct {
+	Path string `json:"path"`
+	From any    `json:"from,omitempty"`
+	To   any    `json:"to,omitempty"`
+}
+
+// Diff lists what differs, in order of paths.
+func Diff(from, to []byte) ([]Difference, error) {
+	var a, b any
+	if err := json.Unmarshal(from, &a); err != nil {
+		return nil, mishap.Wrap(err, mishap.Invalid, "first document")
+	}
+	if err := json.Unmarshal(to, &b); err != nil {
+		return nil, mishap.Wrap(err, mishap.Invalid, "second document")
+	}
+	return differ("", a, b, nil), nil
+}
+
+func differ(path string, a, b any, out []Difference) []Difference {
+	x, isX := a.(map[string]any)
+	y, isY := b.(map[string]any)
+	if !isX || !isY {
+		if fmt.Sprint(a) != fmt.Sprint(b) {
+			out = append(out, Difference{path, a, b})
+		}
+		return out
+	}
+	keys := map[string]bool{}
+	for k := range x {
+		keys[k] = true
+	}
+	for k := range y {
+		keys[k] = true
+	}
+	for _, k := range slices.Sorted(maps.Keys(keys)) {
+		at := k
+		if path != "" {
+			at = path + "." + k
+		}
+		out = differ(at, x[k], y[k], out)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/charter/workers.go
@@ -0,0 +1,74 @@
+package charter
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"caperwheel/internal/mishap"
+)
+
+// Worker is one entry of the platform's live list of a pool.
+type Worker struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Cell    string `json:"cell"`
+	State   string `json:"state"` // live or leaving
+}
+
+// Workers is a pool's live list.
+type Workers struct {
+	Workers []Worker `json:"workers"`
+}
+
+// ReadWorkers reads and checks a live list.
+func ReadWorkers(doc []byte) (Workers, []Fault) {
+	var out Workers
+	if err := strict(doc, &out); err != nil {
+		return out, []Fault{{"", "is not a list of workers: " + err.Error()}}
+	}
+	faults, seen := []Fault{}, map[string]bool{}
+	for i, w := range out.Workers {
+		path := "workers." + strconv.Itoa(i)
+		if !isName(w.Name) || seen[w.Name] {
+			faults = append(faults, Fault{path + ".name", "must be a name of its own"})
+		}
+		seen[w.Name] = true
+		if text := CheckAddress(w.Address); text != "" {
+			faults = append(faults, Fault{path + ".address", text})
+		}
+		if w.State == "" {
+			out.Workers[i].State = "live"
+		} else if w.State != "live" && w.State != "leaving" {
+			faults = append(faults, Fault{path + ".state", "must be live or leaving"})
+		}
+	}
+	return out, faults
+}
+
+// Encode gives the list's JSON.
+func (w Workers) Encode() []byte {
+	out, err := json.Marshal(w)
+	if err != nil {
+		panic(mishap.Wrap(err, mishap.Internal, "workers"))
+	}
+	return out
+}
+
+// Patch changes single entries of a list: a worker given replaces the one of
+// its name; one with the state gone is taken out.
+func (w Workers) Patch(change Workers) Workers {
+	out := Workers{Workers: []Worker{}}
+	at := map[string]int{}
+	for _, x := range w.Workers {
+		at[x.Name] = len(out.Workers)
+		out.Workers = append(out.Workers, x)
+	}
+	for _, x := range change.Workers {
+		if i, isKnown := at[x.Name]; isKnown {
+			out.Workers[i] = x
+		} else {
+			out.Workers = append(out.Workers, x)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,96 @@
+package feed
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/wire"
+)
+
+func edit(key string, ifStamp int64) wire.Edit {
+	return wire.Edit{Key: key, Value: []byte(key), IfStamp: ifStamp}
+}
+
+func TestEdits(t *testing.T) {
+	cases := []struct {
+		name string
+		last wire.Edit
+		kind string
+	}{
+		{"a new key on nothing", edit("b", 0), ""},
+		{"a known key as if it were new", edit("a", 0), "conflict"},
+		{"a known key on its stamp", edit("a", 2), ""},
+		{"a known key on an old stamp", edit("a", 1), "conflict"},
+		{"a known key on any stamp", edit("a", -1), ""},
+		{"an unknown key on a stamp", edit("b", 1), "conflict"},
+		{"a gone key as new", edit("gone", 0), ""},
+		{"a gone key on its stamp", edit("gone", 3), "conflict"},
+	}
+	Convey("A part takes", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				p := NewPart()
+				p.Apply(edit("a", 0))
+				p.Apply(edit("a", 1))
+				p.Apply(wire.Edit{Key: "gone", Gone: true, IfStamp: -1})
+				So(p.Apply(c.last).Kind, ShouldEqual, c.kind)
+				again, err := RestorePart(p.Image())
+				So(err, ShouldBeNil)
+				So(again.Image(), ShouldResemble, p.Image())
+			})
+		}
+	})
+}
+
+func TestViewFollows(t *testing.T) {
+	Convey("Given a part with many changes and a follower", t, func() {
+		p := NewPart()
+		for i := range 1200 {
+			p.Apply(edit(fmt.Sprintf("k%d", i), 0))
+		}
+		v := NewView(0)
+		ask := func(age int64) {
+			news, isNewest := p.News(0, v.Stamp(0))
+			if isNewest {
+				news.Age = age
+			}
+			v.Take([]wire.PartNews{news}, 10*time.Second)
+		}
+		Convey("it is not sure before it has all", func() {
+			ask(0)
+			_, isSure := v.Age(10 * time.Second)
+			So(isSure, ShouldBeFalse)
+			ask(0)
+			ask(0)
+			So(v.Stamp(0), ShouldEqual, 1200)
+			So(v.IsFresh(12*time.Second, 2*time.Second), ShouldBeTrue)
+			So(v.IsFresh(12*time.Second+1, 2*time.Second), ShouldBeFalse)
+		})
+		Convey("the age told is taken off, and passed on with our own", func() {
+			for range 3 {
+				ask(500_000)
+			}
+			age, _ := v.Age(11 * time.Second)
+			So(age, ShouldEqual, 1500*time.Millisecond)
+			news := v.News([]wire.PartStamp{{Part: 0, Stamp: 1200}}, 11*time.Second)
+			So(news[0].Age, ShouldEqual, 1_500_000)
+		})
+		Convey("it never goes back to an older history", func() {
+			for range 3 {
+				ask(0)
+			}
+			old := wire.PartNews{From: 0, To: 5, Age: 0, Changes: []wire.Change{{Key: "k1", Value: []byte("old"), Stamp: 5}}}
+			v.Take([]wire.PartNews{old}, 99*time.Second)
+			c, _ := v.Get(0, "k1")
+			So(string(c.Value), ShouldEqual, "k1")
+			So(v.IsFresh(20*time.Second, time.Second), ShouldBeFalse)
+		})
+		Convey("news that leave a gap are passed over", func() {
+			v.Take([]wire.PartNews{{From: 100, To: 101}}, 0)
+			So(v.Stamp(0), ShouldEqual, 0)
+		})
+	})
+}
--- /dev/null
+++ b/internal/feed/view.go
@@ -0,0 +1,167 @@
+package feed
+
+import (
+	"iter"
+	"strings"
+	"sync"
+	"time"
+
+	"caperwheel/internal/wire"
+)
+
+// View is what a daemon knows of the control state. It is safe for many
+// goroutines.
+//
+// Invariants: a part's stamp never goes back; sureAt only moves forward, and
+// is a moment by this daemon's own clock at or after which the part's owner
+// confirmed, through a majority, that nothing newer had been acknowledged.
+type View struct {
+	mu    sync.RWMutex
+	parts map[int64]*partView
+	count int
+	turns int64 // grows with every change, for those that cache
+}
+
+type partView struct {
+	stamp  int64
+	sureAt time.Duration
+	isSure bool
+	keys   map[string]wire.Change
+}
+
+// NewView gives an empty view that follows the charter part and count others.
+func NewView(count int) *View {
+	v := &View{parts: map[int64]*partView{}, count: count}
+	for part := range int64(count) + 1 {
+		v.parts[part] = &partView{keys: map[string]wire.Change{}}
+	}
+	return v
+}
+
+// Stamps tells how far the view has come, for the next poll.
+func (v *View) Stamps() []wire.PartStamp {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	out := []wire.PartStamp{}
+	for part := range int64(v.count) + 1 {
+		out = append(out, wire.PartStamp{Part: part, Stamp: v.parts[part].stamp})
+	}
+	return out
+}
+
+// Take brings news in. askedAt is when they were asked for, by our own clock:
+// what the answer confirms was true then or later, less its age.
+func (v *View) Take(news []wire.PartNews, askedAt time.Duration) (isChanged bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, n := range news {
+		p := v.parts[n.Part]
+		if p == nil || n.From > p.stamp || n.To < p.stamp {
+			continue // another history, or a gap: never go back, never guess
+		}
+		for _, c := range n.Changes {
+			if c.Stamp > p.stamp {
+				p.keys[c.Key] = c
+				isChanged = true
+			}
+		}
+		p.stamp = n.To
+		if n.Age >= 0 {
+			p.sureAt = max(p.sureAt, askedAt-time.Duration(n.Age)*time.Microsecond)
+			p.isSure = true
+		}
+	}
+	if isChanged {
+		v.turns++
+	}
+	return isChanged
+}
+
+// Age tells how old the oldest part's confirmation is; false before the first.
+func (v *View) Age(now time.Duration) (time.Duration, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	oldest := time.Duration(0)
+	for _, p := range v.parts {
+		if !p.isSure {
+			return 0, false
+		}
+		oldest = max(oldest, now-p.sureAt)
+	}
+	return oldest, true
+}
+
+// IsFresh tells whether the daemon may act: every part was confirmed within
+// the bound.
+func (v *View) IsFresh(now, bound time.Duration) bool {
+	age, isSure := v.Age(now)
+	return isSure && age <= bound
+}
+
+// News passes on what this view has, with its own age: no hop ever confirms
+// more than it was told itself.
+func (v *View) News(stamps []wire.PartStamp, now time.Duration) []wire.PartNews {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	out := []wire.PartNews{}
+	for _, s := range stamps {
+		p := v.parts[s.Part]
+		if p == nil || s.Stamp > p.stamp {
+			continue
+		}
+		whole := Part{stamp: p.stamp, keys: p.keys}
+		news, isNewest := whole.News(s.Part, s.Stamp)
+		if p.isSure && isNewest {
+			news.Age = max(0, int64((now-p.sureAt)/time.Microsecond))
+		}
+		out = append(out, news)
+	}
+	return out
+}
+
+// Get gives a key of a part.
+func (v *View) Get(part int64, key string) (wire.Change, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	c, isKnown := v.parts[part].keys[key]
+	return c, isKnown && !c.Gone
+}
+
+// Turns grows with every change.
+func (v *View) Turns() int64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.turns
+}
+
+// Stamp is the sum of all parts' stamps, a measure of how far the view is.
+func (v *View) Stamp(part int64) int64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.parts[part].stamp
+}
+
+// Keys iterates over a snapshot of the standing keys with a prefix, of all parts.
+func (v *View) Keys(prefix string) iter.Seq2[int64, wire.Change] {
+	type row struct {
+		part   int64
+		change wire.Change
+	}
+	rows := []row{}
+	v.mu.RLock()
+	for part, p := range v.parts {
+		for key, c := range p.keys {
+			if strings.HasPrefix(key, prefix) && !c.Gone {
+				rows = append(rows, row{part, c})
+			}
+		}
+	}
+	v.mu.RUnlock()
+	return func(yield func(int64, wire.Change) bool) {
+		for _, r := range rows {
+			if !yield(r.part, r.change) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,295 @@
+// Package host runs one replica of a group inside a store: the pure group and
+// the state machine above it on one goroutine, joined by bounded rings to the
+// disk and to the other stores.
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/group"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/slot"
+	"caperwheel/internal/wire"
+)
+
+// Machine is the replicated state above a group. It is used by the host's
+// goroutine alone.
+type Machine interface {
+	Apply(data []byte) any // the verdict for whoever proposed it
+	Image() []byte
+	Restore(image []byte) error
+	Owned(isOwner bool) // ownership has begun (all that was committed is applied) or ended
+	Beat(now time.Duration)
+}
+
+// Options of a host.
+type Options struct {
+	Id      int64
+	Self    string
+	Roster  []string
+	Bounds  beat.Bounds
+	Seed    uint64
+	Disk    *slot.Log
+	Held    *slot.Held
+	Machine Machine
+	Now     func() time.Duration
+	Send    func(wire.GroupMsg)
+	Prefer  func(roster []string) string
+	Mend    func() (known map[string]string, wanted []string)
+	Ring    int // events that may wait
+	Compact int // applied entries after which the group is put into its slot
+	Failed  func(error)
+}
+
+// Host is one running replica.
+//
+// Invariants: all but view, synced and the ring is touched by the goroutine
+// alone; pending counts persists that are not synced yet, and an After message
+// leaves only behind all persists before it; each waiter is told exactly once.
+type Host struct {
+	opts    Options
+	machine *group.Group
+	ring    chan func()
+	image   *group.Image
+	pending int
+	applied int64
+	since   int // entries applied since the last slot
+	waiters map[int64]waiter
+	isOwner bool
+	mended  time.Duration
+
+	mu     sync.Mutex
+	view   group.View
+	synced []func()
+	wake   chan struct{}
+}
+
+type waiter struct {
+	term int64
+	tell func(verdict any, err error)
+}
+
+// New readies a replica from what its disk held.
+func New(opts Options) (*Host, error) {
+	if opts.Ring == 0 {
+		opts.Ring = 4096
+	}
+	if opts.Compact == 0 {
+		opts.Compact = 4000
+	}
+	h := &Host{opts: opts, ring: make(chan func(), opts.Ring), waiters: map[int64]waiter{}, wake: make(chan struct{}, 1)}
+	held := opts.Held
+	if held == nil {
+		held = &slot.Held{}
+	}
+	if held.Image != nil {
+		if err := opts.Machine.Restore(held.Image.State); err != nil {
+			return nil, err
+		}
+		h.image = held.Image
+	}
+	h.machine = group.New(group.Options{Id: opts.Id, Self: opts.Self, Roster: opts.Roster, Bounds: opts.Bounds,
+		Seed: opts.Seed, Prefer: opts.Prefer}, held.Hard, held.Image, held.Log, opts.Now())
+	h.apply(h.machine.Committed())
+	h.publish()
+	return h, nil
+}
+
+// Run works until ctx ends.
+func (h *Host) Run(ctx context.Context) {
+	ticker := time.NewTicker(h.opts.Bounds.Of(beat.Pulse) / 6)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case work := <-h.ring:
+			work()
+		case <-h.wake:
+			h.mu.Lock()
+			synced := h.synced
+			h.synced = nil
+			h.mu.Unlock()
+			for _, work := range synced {
+				work()
+			}
+		case <-ticker.C:
+			h.do(h.machine.Tick(h.opts.Now()))
+			h.beat()
+		}
+	}
+}
+
+// Do has work done on the host's goroutine; a full ring is a definite reject.
+func (h *Host) Do(work func()) error {
+	select {
+	case h.ring <- work:
+		return nil
+	default:
+		return mishap.New(mishap.Full, "group %d has %d events waiting", h.opts.Id, cap(h.ring))
+	}
+}
+
+// Receive takes a message from another store; a full ring loses it.
+func (h *Host) Receive(m wire.GroupMsg) {
+	_ = h.Do(func() { h.do(h.machine.Receive(m, h.opts.Now())) })
+}
+
+// Propose must be called on the host's goroutine. tell gets the verdict once
+// the command is committed and applied. NotOwner means that it never will be;
+// Undecided that a new owner decides.
+func (h *Host) Propose(data []byte, tell func(verdict any, err error)) {
+	if !h.isOwner {
+		tell(nil, mishap.New(mishap.NotOwner, "group %d", h.opts.Id))
+		return
+	}
+	index, term, out, isOwner := h.machine.Propose(data, h.opts.Now())
+	if !isOwner {
+		tell(nil, mishap.New(mishap.NotOwner, "group %d", h.opts.Id))
+		return
+	}
+	h.waiters[index] = waiter{term, tell}
+	h.do(out)
+}
+
+// Waiting tells how many proposals are under way. On the goroutine only.
+func (h *Host) Waiting() int { return len(h.waiters) }
+
+// IsOwner tells it on the host's goroutine.
+func (h *Host) IsOwner() bool { return h.isOwner }
+
+// Term of the group, on the host's goroutine.
+func (h *Host) Term() int64 { return h.machine.View().Term }
+
+// View of the replica, for any goroutine.
+func (h *Host) View() group.View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view
+}
+
+// HandOver gives ownership to the best other voter that is not avoided.
+func (h *Host) HandOver(isAvoided func(member string) bool) {
+	_ = h.Do(func() {
+		if heir := h.machine.Heir(isAvoided); heir != "" {
+			h.do(h.machine.HandOver(heir))
+		}
+	})
+}
+
+// do carries out what one step of the group wants.
+func (h *Host) do(out group.Out) {
+	for _, m := range out.Now {
+		h.send(m)
+	}
+	if p := out.Persist; p != nil {
+		h.pending++
+		h.opts.Disk.Persist(h.opts.Id, p, h.onSynced(func() {
+			h.sendAll(out.After)
+			if n := len(p.Entries); n > 0 {
+				h.do(h.machine.Synced(p.Entries[n-1].Index, p.Entries[n-1].Term, h.opts.Now()))
+			}
+		}))
+	} else if len(out.After) > 0 {
+		if h.pending == 0 {
+			h.sendAll(out.After)
+		} else {
+			h.pending++
+			h.opts.Disk.After(h.onSynced(func() { h.sendAll(out.After) }))
+		}
+	}
+	if out.Install != nil {
+		if err := h.opts.Machine.Restore(out.Install.State); err != nil {
+			h.opts.Failed(err)
+			return
+		}
+		h.image, h.applied = out.Install, out.Install.Index
+	}
+	h.apply(out.Apply)
+	h.settle()
+	h.publish()
+}
+
+// onSynced brings the disk's word back to the host's goroutine.
+func (h *Host) onSynced(work func()) func(error) {
+	return func(err error) {
+		if err != nil {
+			h.opts.Failed(err)
+			return
+		}
+		h.mu.Lock()
+		h.synced = append(h.synced, func() { h.pending--; work() })
+		h.mu.Unlock()
+		select {
+		case h.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (h *Host) send(m wire.GroupMsg) {
+	if m.Kind == group.MsgImage {
+		if h.image == nil || h.image.Index != m.Index {
+			return
+		}
+		m.State = h.image.State
+	}
+	h.opts.Send(m)
+}
+
+func (h *Host) sendAll(messages []wire.GroupMsg) {
+	for _, m := range messages {
+		h.send(m)
+	}
+}
+
+func (h *Host) apply(entries []wire.Entry) {
+	for _, e := range entries {
+		var verdict any
+		if e.Kind == group.EntryData {
+			verdict = h.opts.Machine.Apply(e.Data)
+		}
+		h.applied = e.Index
+		h.since++
+		if w, isKnown := h.waiters[e.Index]; isKnown {
+			delete(h.waiters, e.Index)
+			if w.term == e.Term {
+				w.tell(verdict, nil)
+			} else { // another entry took its place: it can never be committed
+				w.tell(nil, mishap.New(mishap.NotOwner, "group %d", h.opts.Id))
+			}
+		}
+	}
+}
+
+// settle notices that ownership has begun or ended. It begins only once all
+// that earlier owners committed has been applied.
+func (h *Host) settle() {
+	v := h.machine.View()
+	isOwner := v.Role == group.Owner && v.IsSure
+	if h.isOwner && v.Role == group.Owner {
+		isOwner = true
+	}
+	if isOwner == h.isOwner {
+		return
+	}
+	h.isOwner = isOwner
+	if !isOwner {
+		orphans := h.waiters
+		h.waiters = map[int64]waiter{}
+		for _, w := range orphans {
+			w.tell(nil, mishap.New(mishap.Undecided, "group %d changes hands", h.opts.Id))
+		}
+	}
+	h.opts.Machine.Owned(isOwner)
+}
+
+func (h *Host) publish() {
+	v := h.machine.View()
+	h.mu.Lock()
+	h.view = v
+	h.mu.Unlock()
+}
--- /dev/null
+++ b/internal/host/upkeep.go
@@ -0,0 +1,55 @@
+package host
+
+import (
+	"k8s.io/klog/v2"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/group"
+)
+
+// beat does the host's periodic work.
+func (h *Host) beat() {
+	now := h.opts.Now()
+	h.settle()
+	h.opts.Machine.Beat(now)
+	if h.since >= h.opts.Compact {
+		h.compact()
+	}
+	if h.isOwner && h.opts.Mend != nil && now-h.mended > h.opts.Bounds.Of(beat.Vote) {
+		h.mended = now
+		h.mend()
+	}
+	h.publish()
+}
+
+// Compact puts the group into its slot, so that old log segments can go.
+func (h *Host) Compact() { _ = h.Do(h.compact) }
+
+func (h *Host) compact() {
+	if image := h.machine.Compact(h.applied, h.opts.Machine.Image()); image != nil {
+		h.image = image
+	} // else nothing is new, but the slot must pass the log's old segments
+	h.since = 0
+	hard, log := h.machine.Whole()
+	h.opts.Disk.SaveSlot(h.opts.Id, hard, h.image, &group.Persist{Entries: log}, func(err error) {
+		if err != nil {
+			h.opts.Failed(err)
+		}
+	})
+}
+
+// mend takes one step towards the roster that should be.
+func (h *Host) mend() {
+	known, wanted := h.opts.Mend()
+	change, isDue := h.machine.Mend(known, wanted)
+	if !isDue {
+		return
+	}
+	out, err := h.machine.ChangeRoster(change, h.opts.Now())
+	if err != nil {
+		klog.V(1).Infof("repair: Group %d cannot change its roster yet: %v.", h.opts.Id, err)
+		return
+	}
+	klog.Infof("repair: Group %d changes its roster: %+v.", h.opts.Id, change)
+	h.do(out)
+}
--- /dev/null
+++ b/internal/session/client.go
@@ -0,0 +1,101 @@
+package session
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/transport"
+	"caperwheel/internal/wire"
+)
+
+// Client keeps a daemon's session: it polls one manager (or an adapter's
+// agent) by beat, renews the session with each poll, and brings news into the
+// view and the roll. When the manager does not answer it turns to the next.
+type Client struct {
+	Node   *transport.Node
+	Bounds beat.Bounds
+	Seeds  []string
+	View   *feed.View
+	Roll   *Roll
+	Now    func() time.Duration
+	Self   func() wire.Poll // what to say of ourselves; Stamps and Roll are filled in
+	OnNews func()           // called after each answer
+
+	mu       sync.Mutex
+	at       int
+	answered time.Duration
+	isAsking bool
+	refused  string
+}
+
+// Run polls until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	c.at = rand.IntN(len(c.Seeds))
+	beat.Every(ctx, c.Bounds.Of(beat.Poll), c.poll)
+}
+
+func (c *Client) poll() {
+	now := c.Now()
+	c.mu.Lock()
+	if now-c.answered > c.Bounds.Of(beat.Vote) { // silent: turn to the next
+		targets := c.targets()
+		c.at = (c.at + 1) % len(targets)
+		c.answered, c.isAsking = now, false
+	}
+	if c.isAsking {
+		c.mu.Unlock()
+		return
+	}
+	targets := c.targets()
+	addr := targets[c.at%len(targets)]
+	c.isAsking = true
+	c.mu.Unlock()
+	ask := c.Self()
+	ask.Stamps, ask.Roll = c.View.Stamps(), c.Roll.Hash()
+	err := c.Node.Peer(wire.SessionLink, addr).Post(&ask, func(reply any, err error) {
+		news, isNews := reply.(*wire.News)
+		c.mu.Lock()
+		c.isAsking = false
+		if err != nil || !isNews {
+			c.mu.Unlock()
+			return
+		}
+		isRefused := news.Reject != "" && news.Reject != c.refused
+		c.answered, c.refused = c.Now(), news.Reject
+		c.mu.Unlock()
+		if isRefused {
+			klog.Warningf("session: %s refuses us: %s.", addr, news.Reject)
+			return
+		}
+		if news.Roll != ask.Roll {
+			c.Roll.Take(news.Roll, news.Members)
+		}
+		c.View.Take(news.Parts, now)
+		if c.OnNews != nil {
+			c.OnNews()
+		}
+	})
+	if err != nil {
+		c.mu.Lock()
+		c.isAsking = false
+		c.mu.Unlock()
+	}
+}
+
+// targets are the seeds, and any managers learnt of besides.
+func (c *Client) targets() []string {
+	out := slices.Clone(c.Seeds)
+	for _, who := range c.Roll.Kind("manager") {
+		if !slices.Contains(out, who.Addr) && c.Self().Who.Kind != "adapter" {
+			out = append(out, who.Addr)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/session/registry.go
@@ -0,0 +1,103 @@
+// Package session is membership: a daemon is a member while its session with
+// a manager stands, and managers tell each other their sessions.
+package session
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"caperwheel/internal/wire"
+)
+
+// Registry is a manager's list of sessions, its own and its peers'.
+//
+// Invariant: of one name only the life heard last is a member; ages only ever
+// add up, so no manager makes a session younger than it was told.
+type Registry struct {
+	mu    sync.Mutex
+	gone  time.Duration // silence after which a session is over
+	known map[string]entry
+	roll  string
+	list  []wire.Member
+}
+
+type entry struct {
+	member  wire.Member
+	heardAt time.Duration
+	isOwn   bool
+}
+
+// NewRegistry gives an empty one.
+func NewRegistry(gone time.Duration) *Registry {
+	return &Registry{gone: gone, known: map[string]entry{}}
+}
+
+// Hear renews a session.
+func (r *Registry) Hear(m wire.Member, now time.Duration, isOwn bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	heardAt := now - time.Duration(m.Age)*time.Millisecond
+	was, isKnown := r.known[m.Who.Name]
+	if now-heardAt > r.gone || isKnown && heardAt < was.heardAt {
+		return
+	}
+	r.known[m.Who.Name] = entry{m, heardAt, isOwn}
+}
+
+// End drops a session that its daemon has closed itself.
+func (r *Registry) End(who wire.Who) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e, isKnown := r.known[who.Name]; isKnown && e.member.Who.Boot == who.Boot {
+		delete(r.known, who.Name)
+	}
+}
+
+// Members lists who is a member now, with ages, by name, and the roll: a hash
+// of what other daemons need to know of them.
+func (r *Registry) Members(now time.Duration) (string, []wire.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := []wire.Member{}
+	for name, e := range r.known {
+		if now-e.heardAt > r.gone {
+			delete(r.known, name)
+			continue
+		}
+		e.member.Age = int64((now - e.heardAt) / time.Millisecond)
+		out = append(out, e.member)
+	}
+	slices.SortFunc(out, func(a, b wire.Member) int { return cmp.Compare(a.Who.Name, b.Who.Name) })
+	return RollOf(out), out
+}
+
+// Own lists the sessions that stand with this manager, for its peers.
+func (r *Registry) Own(now time.Duration) []wire.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := []wire.Member{}
+	for _, e := range r.known {
+		if e.isOwn && now-e.heardAt <= r.gone {
+			e.member.Age = int64((now - e.heardAt) / time.Millisecond)
+			out = append(out, e.member)
+		}
+	}
+	return out
+}
+
+// RollOf hashes what matters of a list of members.
+func RollOf(members []wire.Member) string {
+	h := sha256.New()
+	for _, m := range members {
+		fmt.Fprintf(h, "%v", m.Who)
+		for _, o := range m.Owns {
+			fmt.Fprintf(h, " %d/%d", o.Group, o.Term)
+		}
+	}
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
