--- /dev/null
+++ b/internal/charter/rules.go
@@ -0,0 +1,143 @@
+package charter
+
+import (
+	"encoding/json"
+	"sync"
+
+	"caperwheel/internal/feed"
+	"caperwheel/internal/mishap"
+)
+
+// Keys of the control state.
+const (
+	Key        = "charter"  // the charter document, in the charter part
+	CellKey    = "cell/"    // + cell: emptied when it stands
+	StoreKey   = "store/"   // + store: retired when it stands
+	WorkersKey = "workers/" // + pool: the platform's live list, in the pool's part
+	DutyKey    = "duty/"    // + pool + "/" + worker: its holder, in the pool's part
+	WeightKey  = "weight/"  // + pool: published weights, in the pool's part
+)
+
+// Duty says which adapter serves a worker or endpoint. Its term is the stamp
+// of the change that wrote it.
+type Duty struct {
+	Holder string `json:"holder"`
+	Boot   string `json:"boot"`
+	Before string `json:"before"`  // boot of the holder before; empty for none
+	IsFree bool   `json:"is_free"` // the holder before has given it up: no fence
+}
+
+// Encode gives the duty's JSON.
+func (d Duty) Encode() []byte {
+	raw, err := json.Marshal(d)
+	if err != nil {
+		panic(mishap.Wrap(err, mishap.Internal, "duty"))
+	}
+	return raw
+}
+
+// Held is a duty as the view has it.
+type Held struct {
+	Duty
+	Term int64
+}
+
+// Scene is all that a daemon needs of its view, compiled: rules, live workers,
+// duties, emptied cells. It is made anew when the view changes and never
+// written after that.
+type Scene struct {
+	Rules   *Rules
+	Stamp   int64
+	Workers map[string]map[string]Worker // by pool and name
+	Duties  map[string]map[string]Held
+	Emptied map[string]bool
+	Retired map[string]bool
+	Weights map[string]json.RawMessage
+}
+
+// Scenes keeps the scene of a view.
+type Scenes struct {
+	View *feed.View
+
+	mu    sync.Mutex
+	turn  int64
+	scene *Scene
+}
+
+// Now gives the scene of the view as it is.
+func (s *Scenes) Now() *Scene {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	turn := s.View.Turns()
+	if s.scene == nil || turn != s.turn {
+		s.scene, s.turn = compose(s.View, s.scene), turn
+	}
+	return s.scene
+}
+
+func compose(view *feed.View, old *Scene) *Scene {
+	out := &Scene{Workers: map[string]map[string]Worker{}, Duties: map[string]map[string]Held{},
+		Emptied: map[string]bool{}, Retired: map[string]bool{}, Weights: map[string]json.RawMessage{},
+		Rules: &Rules{Lanes: map[string]Lane{}, Pools: map[string]Pool{}}}
+	if c, isKnown := view.Get(feed.CharterPart, Key); isKnown {
+		out.Stamp = c.Stamp
+		if old != nil && old.Stamp == c.Stamp {
+			out.Rules = old.Rules
+		} else if rules, faults := Compile(c.Value); len(faults) == 0 {
+			out.Rules = rules
+		}
+	}
+	for _, c := range view.Keys(CellKey) {
+		out.Emptied[c.Key[len(CellKey):]] = true
+	}
+	for _, c := range view.Keys(StoreKey) {
+		out.Retired[c.Key[len(StoreKey):]] = true
+	}
+	for _, c := range view.Keys(WeightKey) {
+		out.Weights[c.Key[len(WeightKey):]] = c.Value
+	}
+	for _, c := range view.Keys(WorkersKey) {
+		list, _ := ReadWorkers(c.Value)
+		pool := map[string]Worker{}
+		for _, w := range list.Workers {
+			pool[w.Name] = w
+		}
+		out.Workers[c.Key[len(WorkersKey):]] = pool
+	}
+	for name, p := range out.Rules.Pools {
+		if p.IsEndpoint {
+			out.Workers[name] = map[string]Worker{Endpoint: {Name: Endpoint, Address: p.Address, State: "live"}}
+		}
+	}
+	for _, c := range view.Keys(DutyKey) {
+		pool, worker := splitDuty(c.Key[len(DutyKey):])
+		var d Duty
+		if err := json.Unmarshal(c.Value, &d); err != nil {
+			continue
+		}
+		if out.Duties[pool] == nil {
+			out.Duties[pool] = map[string]Held{}
+		}
+		out.Duties[pool][worker] = Held{d, c.Stamp}
+	}
+	return out
+}
+
+// Endpoint is the name under which an endpoint pool's one address is served.
+const Endpoint = "endpoint"
+
+func splitDuty(text string) (pool, worker string) {
+	for i := len(text) - 1; i >= 0; i-- {
+		if text[i] == '/' {
+			return text[:i], text[i+1:]
+		}
+	}
+	return "", text
+}
+
+// CanServe says whether new work may go to a worker: it is in the live list,
+// live, and its cell is not being emptied.
+func (s *Scene) CanServe(pool, worker string) (Worker, bool) {
+	w, isListed := s.Workers[pool][worker]
+	return w, isListed && w.State == "live" && !s.Emptied[w.Cell]
+}
--- a/internal/group/roster.go
+++ b/internal/group/roster.go
@@ -101,13 +101,18 @@
 	if g.role != Owner {
 		return Change{}, false
 	}
+	roster := g.roster()
 	fresh := func(name string) string {
 		if id := g.renamed[name]; id != "" {
 			return id
 		}
+		for _, m := range roster { // a replica rebuilt on a disk that lost only this group
+			if m = strings.TrimPrefix(m, learner); known[name] != "" && strings.HasPrefix(m, known[name]+".") {
+				return m
+			}
+		}
 		return known[name]
 	}
-	roster := g.roster()
 	for _, m := range Voters(roster) { // an incarnation that never returns only costs votes
 		if now := fresh(Name(m)); now != "" && now != m && len(Voters(roster)) > 1 {
 			return Change{Drop: m}, true
--- /dev/null
+++ b/internal/store/dispatch.go
@@ -0,0 +1,237 @@
+package store
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// dispatcher matches what this store's places have ready with slots on
+// workers. It asks the holders of workers for slots and binds an errand only
+// when a slot is granted, so urgency counts at the last moment and a busy or
+// downed pool holds no errand.
+//
+// Invariants: wants of a pool never pass what is ready for it, nor mostWants;
+// a granted slot is used or released.
+type dispatcher struct {
+	s    *Store
+	wake chan struct{}
+
+	mu     sync.Mutex
+	wants  map[string]int           // asks under way, by pool
+	pauses map[string]time.Duration // worker -> not to be asked before
+	passed map[string]float64       // lane -> turns taken, divided by urgency
+	taken  map[string]int           // lane -> grants given since the last count
+	next   int
+}
+
+const mostWants = 128
+
+func newDispatcher(s *Store) *dispatcher {
+	return &dispatcher{s: s, wake: make(chan struct{}, 1), wants: map[string]int{}, pauses: map[string]time.Duration{},
+		passed: map[string]float64{}, taken: map[string]int{}}
+}
+
+func (d *dispatcher) nudge() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (d *dispatcher) run(ctx context.Context) {
+	ticker := time.NewTicker(d.s.d.Bounds.Of(beat.Pulse) / 12)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-d.wake:
+		}
+		d.turn()
+	}
+}
+
+// ready sums up what may run, by lane.
+func (d *dispatcher) ready() map[string]int {
+	out := map[string]int{}
+	for _, p := range d.s.ownPlaces() {
+		for lane, n := range *p.ready.Load() {
+			out[lane] += n
+		}
+	}
+	return out
+}
+
+// turn asks for as many slots as there are errands ready.
+func (d *dispatcher) turn() {
+	if !d.s.d.IsFresh() {
+		return
+	}
+	ready, scene := d.ready(), d.s.scenes.Now()
+	need := map[string]int{}
+	for lane, n := range ready {
+		for _, pool := range scene.Rules.Lanes[lane].Pools {
+			need[pool] += n
+		}
+	}
+	d.mu.Lock()
+	clear(d.taken)
+	d.mu.Unlock()
+	for pool, n := range need {
+		d.mu.Lock()
+		n = min(n, mostWants) - d.wants[pool]
+		d.mu.Unlock()
+		for range n {
+			if !d.want(scene, pool) {
+				break
+			}
+		}
+	}
+}
+
+// want asks for one slot of the pool, at a worker drawn by weight.
+func (d *dispatcher) want(scene *charter.Scene, pool string) bool {
+	worker, holder, isFound := d.draw(scene, pool)
+	if !isFound {
+		return false
+	}
+	d.mu.Lock()
+	d.wants[pool]++
+	d.mu.Unlock()
+	hold := d.s.d.Bounds.Of(beat.AskHold)
+	asked := d.s.d.Now()
+	done := func(reply any, err error) {
+		d.mu.Lock()
+		d.wants[pool]--
+		grant, isGrant := reply.(*wire.Grant)
+		if err != nil || !isGrant || grant.Kind != "" {
+			rest := d.s.d.Bounds.Of(beat.Redial)
+			if isGrant && grant.Kind != "" {
+				rest = time.Duration(grant.Retry) * time.Millisecond
+			}
+			d.pauses[pool+"/"+worker] = d.s.d.Now() + rest
+			d.mu.Unlock()
+			return
+		}
+		d.mu.Unlock()
+		d.use(slotGrant{pool: pool, worker: worker, holder: holder, permit: grant.Permit,
+			until: asked + d.s.d.Bounds.Of(beat.Permit)/2})
+	}
+	err := d.s.d.Node.Peer(wire.RunLink, holder.Addr).Post(&wire.Want{Pool: pool, Worker: worker,
+		Hold: int64(hold / time.Millisecond)}, done)
+	if err != nil {
+		done(nil, err)
+	}
+	return true
+}
+
+// draw picks a worker that may serve, whose holder is here, by weight: own
+// cell first, others as far as the pool spills.
+func (d *dispatcher) draw(scene *charter.Scene, pool string) (string, wire.Who, bool) {
+	type choice struct {
+		worker string
+		holder wire.Who
+		weight float64
+	}
+	choices, sum := []choice{}, 0.0
+	now, spill := d.s.d.Now(), scene.Rules.Pools[pool].Spill
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, isOwnCell := range []bool{true, false} {
+		for name, duty := range scene.Duties[pool] {
+			worker, isLive := scene.CanServe(pool, name)
+			if !isLive || now < d.pauses[pool+"/"+name] {
+				continue
+			}
+			if (worker.Cell == "" || worker.Cell == d.s.d.Who.Cell) != isOwnCell {
+				continue
+			}
+			holder, isMember := d.s.d.Roll.Find(duty.Holder)
+			if !isMember || holder.Boot != duty.Boot {
+				continue
+			}
+			weight := 1.0
+			if !isOwnCell {
+				weight = 0.25
+			}
+			choices, sum = append(choices, choice{name, holder, weight}), sum+weight
+		}
+		if isOwnCell && len(choices) > 0 && !spill {
+			break
+		}
+	}
+	at := rand.Float64() * sum
+	for _, c := range choices {
+		if at -= c.weight; at <= 0 {
+			return c.worker, c.holder, true
+		}
+	}
+	return "", wire.Who{}, false
+}
+
+// use gives a granted slot to the lane whose turn it is: turns are shared by
+// urgency among the lanes that the pool may run.
+func (d *dispatcher) use(g slotGrant) {
+	lane := d.pickLane(g.pool)
+	if lane == "" {
+		d.release(g)
+		return
+	}
+	places := d.s.ownPlaces()
+	d.mu.Lock()
+	d.next++
+	first := d.next
+	d.mu.Unlock()
+	for i := range places {
+		p := places[(first+i)%len(places)]
+		if (*p.ready.Load())[lane] > 0 {
+			if err := p.host.Do(func() { p.start(lane, g) }); err != nil {
+				break
+			}
+			return
+		}
+	}
+	d.release(g)
+}
+
+func (d *dispatcher) pickLane(pool string) string {
+	ready, scene := d.ready(), d.s.scenes.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	best, least := "", 0.0
+	for name, n := range ready {
+		lane := scene.Rules.Lanes[name]
+		if n <= d.taken[name] || !slices.Contains(lane.Pools, pool) {
+			continue
+		}
+		if best == "" || d.passed[name] < least {
+			best, least = name, d.passed[name]
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	d.taken[best]++
+	d.passed[best] += 1 / float64(max(1, scene.Rules.Lanes[best].Urgency))
+	for name := range d.passed { // a lane that was idle does not catch up on turns
+		d.passed[name] = max(d.passed[name], least)
+	}
+	return best
+}
+
+// release gives a slot back unused.
+func (d *dispatcher) release(g slotGrant) {
+	err := d.s.d.Node.Peer(wire.RunLink, g.holder.Addr).Post(&wire.Release{Permit: g.permit}, nil)
+	if err != nil && !mishap.Is(err, mishap.Lost) {
+		d.nudge() // the holder takes it back when it lapses
+	}
+}
--- /dev/null
+++ b/internal/store/runs.go
@@ -0,0 +1,229 @@
+package store
+
+import (
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/place"
+	"caperwheel/internal/wire"
+)
+
+// slotGrant is a permitted slot on a worker, held by an adapter.
+type slotGrant struct {
+	pool, worker string
+	holder       wire.Who
+	permit       int64
+	until        time.Duration
+}
+
+// start runs the lane's next errand in a granted slot. The run is durable
+// before its adapter hears of it.
+func (p *placeHost) start(lane string, g slotGrant) {
+	now := p.s.d.Now()
+	if !p.host.IsOwner() || now > g.until || !p.s.d.IsFresh() {
+		p.s.dispatch.release(g)
+		return
+	}
+	e := p.machine.Pick(lane, p.now())
+	if e == nil {
+		p.publish()
+		p.s.dispatch.release(g)
+		return
+	}
+	attempt := e.Attempt + 1
+	p.propose(place.Command{Kind: place.CmdStart, Id: e.Id, Attempt: attempt, Adapter: g.holder.Name, Boot: g.holder.Boot,
+		Pool: g.pool, Worker: g.worker}, func(v place.Verdict, err error) {
+		if err != nil || v.Kind != "" {
+			p.s.dispatch.release(g)
+			if err == nil {
+				p.machine.Unpick(e)
+			}
+			return
+		}
+		p.send(e, attempt, g)
+	})
+}
+
+// send hands a started run to the adapter that granted the slot.
+func (p *placeHost) send(e *place.Errand, attempt int64, g slotGrant) {
+	pool := p.s.scenes.Now().Rules.Pools[g.pool]
+	run := &wire.Run{Place: p.number, Term: p.host.Term(), Id: e.Id, Attempt: attempt, Lane: e.Lane, Key: e.Key,
+		Pool: g.pool, Worker: g.worker, Ctype: e.Ctype, Body: e.Body, Sum: e.Sum, Permit: g.permit,
+		Bound: int64(pool.Bound / time.Millisecond)}
+	peer := p.s.d.Node.Peer(wire.RunLink, g.holder.Addr)
+	err := peer.Post(run, func(reply any, err error) {
+		ack, isAck := reply.(*wire.RunAck)
+		if err != nil || !isAck {
+			return // its fate is unknown: the beat asks the adapter
+		}
+		_ = p.host.Do(func() {
+			if ack.Kind == "" {
+				p.noteInHand(e.Id, attempt)
+			} else {
+				p.undo(e.Id, attempt, ack.Kind)
+			}
+		})
+	})
+	if err != nil { // definitely not sent
+		p.undo(e.Id, attempt, string(mishap.KindOf(err)))
+	}
+}
+
+func (p *placeHost) noteInHand(id string, attempt int64) {
+	if p.inHand != nil {
+		p.inHand[id] = inHand{attempt, p.s.d.Now() + p.s.d.Bounds.Charter}
+	}
+}
+
+// undo brings a run back that never started. It costs no attempt.
+func (p *placeHost) undo(id string, attempt int64, cause string) {
+	p.propose(place.Command{Kind: place.CmdBack, Id: id, Attempt: attempt, Cause: cause,
+		Cutoff: int64(p.s.d.Bounds.Of(beat.AskHold) / time.Millisecond)}, nil)
+}
+
+// outcome makes a run's result durable and acknowledges it.
+func (p *placeHost) outcome(o *wire.Outcome, answer func(any)) {
+	if !p.host.IsOwner() {
+		answer(&wire.OutcomeAck{Kind: string(mishap.NotOwner), Owner: p.ownerName()})
+		return
+	}
+	e := p.machine.Find(o.Id)
+	if e == nil {
+		answer(&wire.OutcomeAck{}) // ended and forgotten long ago
+		return
+	}
+	p.propose(p.judge(e, o), func(_ place.Verdict, err error) {
+		if err != nil {
+			answer(&wire.OutcomeAck{Kind: string(mishap.KindOf(err)), Owner: p.ownerName()})
+			return
+		}
+		delete(p.inHand, o.Id)
+		delete(p.lostAt, o.Id)
+		answer(&wire.OutcomeAck{})
+	})
+}
+
+// judge decides what a result means for its errand.
+func (p *placeHost) judge(e *place.Errand, o *wire.Outcome) place.Command {
+	lane := p.lane(e.Lane)
+	retain := int64(lane.Retention / time.Millisecond)
+	if o.Kind == "" {
+		c := place.Command{Kind: place.CmdEnd, Id: e.Id, Proof: o.Proof, Retain: retain}
+		if lane.Callback != "" {
+			c.Child = place.Child{Id: p.s.childId(e.Id), Lane: lane.Callback, Ctype: o.Proof.Ctype, Body: o.Proof.Answer,
+				Sum: SumOf(o.Proof.Answer), Parent: e.Id}
+		}
+		return c
+	}
+	back := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: o.Proof.Attempt, Cause: o.Kind, Costs: o.Begun, Retain: retain}
+	if o.Begun && (o.Final || lane.Attempts > 0 && e.Spent+1 >= lane.Attempts) {
+		back.Kind, back.State, back.Hold = place.CmdClose, string(place.Failed), lane.HoldFailed
+		return back
+	}
+	spent := e.Spent
+	if o.Begun {
+		spent++
+	}
+	back.Cutoff = max(pause(lane, spent), o.Wait)
+	return back
+}
+
+// Beat does the owner's periodic work.
+func (p *placeHost) Beat(now time.Duration) {
+	if !p.host.IsOwner() {
+		return
+	}
+	at := p.now()
+	for _, e := range p.machine.Late(at) {
+		lane := p.lane(e.Lane)
+		p.propose(place.Command{Kind: place.CmdClose, Id: e.Id, Attempt: e.Attempt, State: string(place.Expired), Cause: "patience",
+			Retain: int64(lane.Retention / time.Millisecond)}, nil)
+	}
+	if now-p.trimmed > p.s.d.Bounds.Of(beat.Vote) {
+		p.trimmed = now
+		if ids := p.machine.Stale(at, trimBatch); len(ids) > 0 {
+			p.propose(place.Command{Kind: place.CmdTrim, Ids: ids}, nil)
+		}
+	}
+	p.askOpen(now)
+	p.sendChildren()
+	p.publish()
+}
+
+// askOpen asks adapters for runs that this owner does not know to be in hand.
+func (p *placeHost) askOpen(now time.Duration) {
+	for _, e := range p.machine.Open() {
+		if h := p.inHand[e.Id]; h.attempt == e.Attempt && now < h.until || now < p.asking[e.Id] {
+			continue
+		}
+		who, isMember := p.s.d.Roll.Find(e.Adapter)
+		switch {
+		case !isMember: // it may still come back with a success: wait
+		case who.Boot != e.Boot:
+			p.lost(e, now)
+		default:
+			p.asking[e.Id] = now + p.s.d.Bounds.Of(beat.Vote)
+			p.ask(e.Id, e.Attempt, who)
+		}
+	}
+}
+
+func (p *placeHost) ask(id string, attempt int64, who wire.Who) {
+	ask := &wire.Open{Place: p.number, Term: p.host.Term(), Id: id, Attempt: attempt}
+	_ = p.s.d.Node.Peer(wire.RunLink, who.Addr).Post(ask, func(reply any, err error) {
+		ack, isAck := reply.(*wire.OpenAck)
+		if err != nil || !isAck || ack.Kind != "" {
+			return
+		}
+		_ = p.host.Do(func() {
+			delete(p.asking, id)
+			if ack.State == "open" {
+				p.noteInHand(id, attempt)
+			} else {
+				p.undo(id, attempt, "never_started")
+			}
+		})
+	})
+}
+
+// lost deals with a run whose adapter has begun a new life: whether the worker
+// did it is unknown. For an ordered lane the worker is given time to end it.
+func (p *placeHost) lost(e *place.Errand, now time.Duration) {
+	lane, pool := p.lane(e.Lane), p.s.scenes.Now().Rules.Pools[e.Pool]
+	if p.lostAt[e.Id] == 0 {
+		p.lostAt[e.Id] = now
+	}
+	if e.Ordered && now-p.lostAt[e.Id] < pool.Bound {
+		return
+	}
+	p.asking[e.Id] = now + p.s.d.Bounds.Charter
+	delete(p.lostAt, e.Id)
+	c := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: e.Attempt, Cause: "unknown_run", Costs: true,
+		Retain: int64(lane.Retention / time.Millisecond)}
+	if !lane.Rerun || lane.Attempts > 0 && e.Spent+1 >= lane.Attempts {
+		c.Kind, c.State, c.Hold = place.CmdClose, string(place.Failed), lane.HoldFailed
+	}
+	p.propose(c, nil)
+}
+
+// sendChildren gives call-backs to the places that they belong to.
+func (p *placeHost) sendChildren() {
+	for id, child := range p.machine.Outbox() {
+		if p.sending[id] {
+			continue
+		}
+		p.sending[id] = true
+		lane := p.lane(child.Lane)
+		take := &wire.Take{Place: p.s.placeOfId(id), Id: id, Lane: child.Lane, Ctype: child.Ctype, Body: child.Body,
+			Sum: child.Sum, Cutoff: int64(lane.Patience / time.Millisecond), Parent: child.Parent}
+		p.s.takeElsewhere(take, func(isTaken bool) {
+			_ = p.host.Do(func() {
+				delete(p.sending, id)
+				if isTaken && p.host.IsOwner() {
+					p.propose(place.Command{Kind: place.CmdSent, Id: id}, nil)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/store/serve.go
@@ -0,0 +1,133 @@
+package store
+
+import (
+	"slices"
+
+	"caperwheel/internal/group"
+	"caperwheel/internal/host"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/repair"
+	"caperwheel/internal/wire"
+)
+
+func ownerOf(h *host.Host) string {
+	if owner := h.View().Owner; owner != "" {
+		return group.Name(owner)
+	}
+	return ""
+}
+
+// onPlace serves adapters, and stores that send call-backs.
+func (s *Store) onPlace(_ wire.Who, body any, answer func(any)) {
+	with := func(number int64, work func(*placeHost), reject func(mishap.Kind)) {
+		s.mu.RLock()
+		p := s.places[number]
+		s.mu.RUnlock()
+		if p == nil {
+			reject(mishap.NotOwner)
+			return
+		}
+		if err := p.host.Do(func() { work(p) }); err != nil {
+			reject(mishap.KindOf(err))
+		}
+	}
+	switch m := body.(type) {
+	case *wire.Take:
+		with(m.Place, func(p *placeHost) { p.take(m, answer) },
+			func(kind mishap.Kind) { answer(&wire.Taken{Id: m.Id, Kind: string(kind)}) })
+	case *wire.Settle:
+		with(m.Place, func(p *placeHost) { p.settle(m, answer) },
+			func(kind mishap.Kind) { answer(&wire.Taken{Id: m.Id, Kind: string(kind)}) })
+	case *wire.Look:
+		with(m.Place, func(p *placeHost) { p.look(m, answer) }, func(kind mishap.Kind) {
+			answer(&wire.Sight{Kind: string(kind), Body: []byte{}, Proof: wire.Proof{Answer: []byte{}}})
+		})
+	case *wire.Outcome:
+		with(m.Place, func(p *placeHost) { p.outcome(m, answer) },
+			func(kind mishap.Kind) { answer(&wire.OutcomeAck{Kind: string(kind)}) })
+	}
+}
+
+// takeElsewhere gives a message to the owner of its place, which may be here.
+func (s *Store) takeElsewhere(t *wire.Take, tell func(isTaken bool)) {
+	who, isKnown := s.d.Roll.Owner(PlaceGroup + t.Place)
+	if !isKnown {
+		tell(false)
+		return
+	}
+	if t.Body == nil {
+		t.Body = []byte{}
+	}
+	done := func(reply any, err error) {
+		taken, isTaken := reply.(*wire.Taken)
+		tell(err == nil && isTaken && taken.Kind == "")
+	}
+	if who.Name == s.d.Who.Name {
+		s.onPlace(who, t, func(reply any) { done(reply, nil) })
+		return
+	}
+	if err := s.d.Node.Peer(wire.PlaceLink, who.Addr).Post(t, done); err != nil {
+		tell(false)
+	}
+}
+
+// say is what the store tells of itself in its session.
+func (s *Store) say() wire.Poll {
+	poll := s.d.Poll()
+	count, bytes, under := int64(0), int64(0), int64(0)
+	for _, id := range s.groupIds() {
+		v := s.hostOf(id).View()
+		if v.Role == group.Owner {
+			poll.Owns = append(poll.Owns, wire.Owned{Group: id, Term: v.Term, Lag: v.Lag, Size: int64(len(group.Voters(v.Roster)))})
+			if len(group.Voters(v.Roster)) < s.copies() || v.Lag > 1000 {
+				under++
+			}
+		}
+	}
+	for _, p := range s.ownPlaces() {
+		for _, n := range *p.ready.Load() {
+			count += int64(n)
+		}
+	}
+	isFull := int64(0)
+	if s.diskFull.Load() {
+		isFull = 1
+	}
+	poll.Fact.Counts = map[string]int64{"ready": count, "bytes": bytes, "under": under, "full": isFull,
+		"segments": int64(s.disk.Segments())}
+	return poll
+}
+
+func (s *Store) copies() int { return min(3, max(1, s.d.Settings.Founders)) }
+
+// mendPlan gives the member ids of the stores that are here and the names that
+// should hold the group.
+func (s *Store) mendPlan(groupId int64) (map[string]string, []string) {
+	known, stores, scene := map[string]string{}, []repair.Store{}, s.scenes.Now()
+	if !s.d.IsFresh() { // who is here, and who is retired, is not known well enough
+		return known, nil
+	}
+	for _, who := range s.d.Roll.Kind("store") {
+		known[who.Name] = who.Name + "/" + repair.Incarnation(who.Boot)
+		stores = append(stores, repair.Store{Name: who.Name, Cell: who.Cell, IsRetired: scene.Retired[who.Name]})
+	}
+	roster := []string{}
+	for _, m := range s.hostOf(groupId).View().Roster {
+		if name := group.Name(m); !slices.Contains(roster, name) {
+			roster = append(roster, name)
+		}
+	}
+	return known, repair.Wanted(groupId, roster, stores, scene.Retired, s.copies())
+}
+
+// retired tells in how many groups held here a store still stands.
+func (s *Store) retired(name string) *wire.Retired {
+	out := &wire.Retired{}
+	for _, id := range s.groupIds() {
+		v := s.hostOf(id).View()
+		if v.Role == group.Owner && slices.ContainsFunc(v.Roster, func(m string) bool { return group.Name(m) == name }) {
+			out.Left++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,288 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/group"
+	"caperwheel/internal/host"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/slot"
+	"caperwheel/internal/transport"
+	"caperwheel/internal/wire"
+)
+
+// PlaceGroup is the group id of place 0; parts have the ids from 0 on.
+const PlaceGroup = 1000
+
+// Store is the daemon.
+type Store struct {
+	d        *daemon.Daemon
+	disk     *slot.Log
+	founder  *founder
+	scenes   *charter.Scenes
+	dispatch *dispatcher
+	diskFull atomic.Bool
+	ctx      context.Context
+
+	mu     sync.RWMutex
+	held   map[int64]*slot.Held
+	hosts  map[int64]*host.Host
+	places map[int64]*placeHost
+	parts  map[int64]*partHost
+	own    atomic.Pointer[[]*placeHost]
+	begun  sync.Once
+	isOpen atomic.Bool
+}
+
+// Run is the store's main.
+func Run() {
+	d := daemon.New("store")
+	s := &Store{d: d, scenes: &charter.Scenes{View: d.View}, hosts: map[int64]*host.Host{},
+		places: map[int64]*placeHost{}, parts: map[int64]*partHost{}}
+	s.own.Store(&[]*placeHost{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.ctx = ctx
+	s.dispatch = newDispatcher(s)
+	folder, err := slot.OpenFolder(d.Settings.Data)
+	d.Must(err)
+	s.disk, s.held, err = slot.Open(folder, slot.Options{FreeBytes: uint64(d.Settings.Reserve)})
+	d.Must(err)
+	s.founder, err = newFounder(d, folder, s.begin)
+	d.Must(err)
+	d.Who.Boot = s.founder.snapshot().Inc + "." + d.Who.Boot
+	d.Link(map[string]transport.Handler{"group": s.onGroup, "part": s.onPart, "place": s.onPlace})
+	d.Ready = s.ready
+	client := d.Client(s.say)
+	go client.Run(ctx)
+	if s.founder.snapshot().Founded {
+		s.begin()
+	}
+	go s.upkeep(ctx)
+	go s.dispatch.run(ctx)
+	d.Serve(s.leave)
+}
+
+// begin opens the groups once the store belongs to a deployment.
+func (s *Store) begin() {
+	s.begun.Do(func() {
+		id := s.founder.snapshot()
+		if !slices.Contains(id.Roster, id.Name+"/"+id.Inc) {
+			for groupId := range s.held { // a joiner opens what it holds; the rest comes by message
+				s.open(groupId)
+			}
+		} else {
+			for part := range int64(s.d.Settings.Parts) + 1 {
+				s.open(part)
+			}
+			for number := range int64(s.d.Settings.Places) {
+				s.open(PlaceGroup + number)
+			}
+		}
+		s.isOpen.Store(true)
+		klog.Infof("store: %d groups are open.", len(s.groupIds()))
+	})
+}
+
+// open starts the replica of a group on this store. A replica that lost what
+// it had promised starts blank, under a new member id that has no vote.
+func (s *Store) open(groupId int64) *host.Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.hosts[groupId]; h != nil {
+		return h
+	}
+	held := s.held[groupId]
+	if held == nil && s.disk.HasLost() || held != nil && held.IsDamaged {
+		klog.Errorf("store: Group %d has lost what was on disk; it is rebuilt from its peers.", groupId)
+		s.d.Must(s.founder.rebuild(groupId))
+		done := make(chan error, 1)
+		s.disk.SaveSlot(groupId, group.Hard{}, nil, &group.Persist{}, func(err error) { done <- err })
+		s.d.Must(<-done)
+		held = nil
+	}
+	member, roster := s.founder.member(groupId), []string(nil)
+	if founding := s.founder.snapshot().Roster; slices.Contains(founding, member) {
+		roster = founding
+	}
+	seed := fnv.New64a()
+	seed.Write([]byte(s.d.Who.Boot))
+	opts := host.Options{Id: groupId, Self: member, Roster: roster, Bounds: s.d.Bounds, Seed: seed.Sum64(),
+		Disk: s.disk, Held: held, Now: s.d.Now, Send: s.sendGroup, Failed: s.fail,
+		Prefer: func(roster []string) string { return s.prefer(groupId, roster) },
+		Mend:   func() (map[string]string, []string) { return s.mendPlan(groupId) }}
+	var h *host.Host
+	var err error
+	if groupId >= PlaceGroup {
+		p := newPlaceHost(s, groupId-PlaceGroup)
+		opts.Machine = p
+		h, err = host.New(opts)
+		p.host = h
+		s.places[groupId-PlaceGroup] = p
+	} else {
+		p := newPartHost(s, groupId)
+		opts.Machine = p
+		h, err = host.New(opts)
+		p.host = h
+		s.parts[groupId] = p
+	}
+	s.d.Must(err)
+	s.hosts[groupId] = h
+	go h.Run(s.ctx)
+	all := slices.Collect(maps.Values(s.places))
+	s.own.Store(&all)
+	return h
+}
+
+// fail stops the whole store: a disk that fails may have lost anything.
+func (s *Store) fail(err error) { s.d.Must(err) }
+
+func (s *Store) groupIds() []int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Sorted(maps.Keys(s.hosts))
+}
+
+func (s *Store) hostOf(groupId int64) *host.Host {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.hosts[groupId]
+}
+
+// ownPlaces lists the places held here; those not owned have nothing ready.
+func (s *Store) ownPlaces() []*placeHost { return *s.own.Load() }
+
+func (s *Store) sendGroup(m wire.GroupMsg) {
+	if who, isMember := s.d.Roll.Find(group.Name(m.To)); isMember {
+		fill(&m)
+		_ = s.d.Node.Peer(wire.GroupLink, who.Addr).Post(&m, nil) // lost messages are sent again by beat
+	}
+}
+
+func fill(m *wire.GroupMsg) {
+	if m.Entries == nil {
+		m.Entries = []wire.Entry{}
+	}
+	if m.State == nil {
+		m.State = []byte{}
+	}
+	if m.Roster == nil {
+		m.Roster = []string{}
+	}
+}
+
+func (s *Store) onGroup(from wire.Who, body any, answer func(any)) {
+	switch m := body.(type) {
+	case *wire.Ballot:
+		go func() { answer(s.founder.onBallot(m)) }() // it writes to disk
+	case *wire.GroupMsg:
+		if !s.isOpen.Load() {
+			return
+		}
+		h := s.hostOf(m.Group)
+		if h == nil {
+			if m.Kind != group.MsgAppend && m.Kind != group.MsgImage {
+				return
+			}
+			h = s.open(m.Group)
+		}
+		h.Receive(*m)
+	}
+}
+
+// prefer spreads ownership evenly: by hash of group and member, over the
+// members that are here, not retired, and not in an emptied cell.
+func (s *Store) prefer(groupId int64, roster []string) string {
+	scene, best, top := s.scenes.Now(), "", uint64(0)
+	for _, m := range group.Voters(roster) {
+		name := group.Name(m)
+		who, isMember := s.d.Roll.Find(name)
+		if !isMember && name != s.d.Who.Name || scene.Retired[name] || scene.Emptied[who.Cell] {
+			continue
+		}
+		h := fnv.New64a()
+		fmt.Fprintf(h, "%d|%s", groupId, name)
+		if rank := h.Sum64() * 0x9e3779b97f4a7c15; best == "" || rank > top {
+			best, top = m, rank
+		}
+	}
+	return best
+}
+
+// upkeep founds, watches the disk, and keeps the log short.
+func (s *Store) upkeep(ctx context.Context) {
+	beat.Every(ctx, s.d.Bounds.Of(beat.Vote), func() {
+		s.founder.try()
+		isFull := s.disk.IsFull()
+		if s.diskFull.Swap(isFull) != isFull {
+			klog.Warningf("store: Disk nearly full is now %t; intake follows.", isFull)
+		}
+		if s.disk.Segments() > 4 {
+			for _, id := range s.disk.Behind(s.groupIds()) {
+				s.hostOf(id).Compact()
+			}
+		}
+	})
+}
+
+// leave hands every owned group over before the store stops.
+func (s *Store) leave(ctx context.Context) {
+	for ctx.Err() == nil {
+		left := 0
+		for _, id := range s.groupIds() {
+			h := s.hostOf(id)
+			if v := h.View(); v.Role == group.Owner && len(group.Voters(v.Roster)) > 1 {
+				left++
+				h.HandOver(func(string) bool { return false })
+			}
+		}
+		if left == 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(s.d.Bounds.Of(beat.Pulse)):
+		}
+	}
+	s.disk.Close()
+}
+
+func (s *Store) ready() (bool, string) {
+	switch {
+	case !s.isOpen.Load():
+		return false, string(mishap.Unfounded)
+	case !s.d.IsFresh():
+		return false, string(mishap.Stale)
+	}
+	return true, ""
+}
+
+// placeOfId reads the place out of a message's id.
+func (s *Store) placeOfId(id string) int64 {
+	text, _, _ := strings.Cut(id, "-")
+	n, _ := strconv.ParseInt(text, 10, 64)
+	return n
+}
+
+// childId gives a call-back's id: derived from its parent's, so that it is the
+// same whoever derives it.
+func (s *Store) childId(parent string) string {
+	h := fnv.New32a()
+	h.Write([]byte(parent))
+	_, rest, _ := strings.Cut(parent, "-")
+	return fmt.Sprintf("%d-c%s", h.Sum32()%uint32(s.d.Settings.Places), rest)
+}
--- a/internal/transport/options.go
+++ b/internal/transport/options.go
@@ -27,7 +27,7 @@
 	Newest     int64
 	Bounds     beat.Bounds
 	Handlers   map[string]Handler // by link name
-	Refuse     func(wire.Hello) string
+	Shape      string             // what both ends of a session must agree on
 }
 
 // Handler takes one message of a link. It must not block for long: what waits
--- a/internal/transport/shake.go
+++ b/internal/transport/shake.go
@@ -49,7 +49,7 @@
 	}
 	conn.SetDeadline(time.Now().Add(n.opts.Bounds.Of(deadRatio)))
 	hello := wire.Hello{Who: n.opts.Self, Link: link.Name, Newest: n.opts.Newest,
-		Oldest: n.opts.Oldest, Window: int64(n.opts.Window)}
+		Oldest: n.opts.Oldest, Window: int64(n.opts.Window), Cluster: n.opts.Shape}
 	var welcome wire.Welcome
 	err = writeShake(conn, helloCodec.Encode(&hello))
 	if err == nil {
@@ -88,8 +88,8 @@
 		welcome.Reject = "no such link here: " + hello.Link
 	case welcome.Version < n.opts.Oldest || welcome.Version < hello.Oldest:
 		welcome.Reject = "no wire version in common"
-	case n.opts.Refuse != nil:
-		welcome.Reject = n.opts.Refuse(hello)
+	case hello.Cluster != n.opts.Shape:
+		welcome.Reject = "shape is " + n.opts.Shape + ", not " + hello.Cluster
 	}
 	if err := writeShake(conn, welcomeCodec.Encode(&welcome)); err != nil || welcome.Reject != "" {
 		conn.Close()
