--- /dev/null
+++ b/cmd/adapter/main.go
@@ -0,0 +1,43 @@
+// Command adapter is the front proxy: it takes messages in over HTTP and
+// delivers them to workers and outside endpoints.
+package main
+
+import (
+	"context"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/deliver"
+	"caperwheel/internal/intake"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/transport"
+	"caperwheel/internal/wire"
+)
+
+func main() {
+	d := daemon.New("adapter")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	scenes := &charter.Scenes{View: d.View}
+	out := deliver.New(ctx, d, scenes)
+	d.Link(map[string]transport.Handler{"run": out.Serve})
+	out.Link()
+	intake.New(d, scenes)
+	client := d.Client(func() wire.Poll {
+		poll := d.Poll()
+		poll.Fact.Counts["runs"] = int64(out.InHand())
+		return poll
+	})
+	go client.Run(ctx)
+	go out.Run(ctx)
+	d.Ready = func() (bool, string) {
+		switch {
+		case !d.IsFresh():
+			return false, string(mishap.Stale)
+		case len(d.Roll.Kind("store")) == 0:
+			return false, "no store is here"
+		}
+		return true, ""
+	}
+	d.Serve(out.Drain)
+}
--- /dev/null
+++ b/cmd/store/main.go
@@ -0,0 +1,6 @@
+// Command store keeps durable places and parts of the control state on disk.
+package main
+
+import "caperwheel/internal/store"
+
+func main() { store.Run() }
--- a/internal/charter/compile.go
+++ b/internal/charter/compile.go
@@ -186,8 +186,10 @@
 		if l.Callback == "" {
 			continue
 		}
-		if _, isKnown := c.rules.Lanes[l.Callback]; !isKnown {
+		if next, isKnown := c.rules.Lanes[l.Callback]; !isKnown {
 			c.fault("lanes."+name+".callback", "names "+l.Callback+", which is no lane")
+		} else if next.IsOrdered {
+			c.fault("lanes."+name+".callback", "names an ordered lane, and a call-back has no key")
 		}
 		seen := map[string]bool{name: true}
 		for next := l.Callback; next != ""; next = c.rules.Lanes[next].Callback {
--- /dev/null
+++ b/internal/deliver/slots.go
@@ -0,0 +1,194 @@
+package deliver
+
+import (
+	"sync"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// slots grants slots on the workers whose duty this adapter holds.
+//
+// Invariants: a permit is used or lapses once; asks are bounded by mostAsks a
+// worker and answered by their cutoff; a worker's state lives as long as its
+// duty stays with this boot and its address is the same.
+type slots struct {
+	a *Adapter
+
+	mu      sync.Mutex
+	next    int64
+	workers map[string]*held
+	permits map[int64]*permit
+}
+
+type held struct {
+	worker  *Worker
+	term    int64
+	address string
+	asks    []ask
+}
+
+type ask struct {
+	until  time.Duration
+	answer func(any)
+}
+
+type permit struct {
+	key    string
+	worker *Worker
+	until  time.Duration
+}
+
+const mostAsks = 256
+
+func newSlots(a *Adapter) *slots {
+	return &slots{a: a, next: time.Now().UnixNano(), workers: map[string]*held{}, permits: map[int64]*permit{}}
+}
+
+// find gives the state of a worker that this adapter may serve now. Called
+// with mu held.
+func (s *slots) find(scene *charter.Scene, pool, worker string) (*held, error) {
+	key := pool + "/" + worker
+	duty, isAssigned := scene.Duties[pool][worker]
+	if !isAssigned || duty.Holder != s.a.d.Who.Name || duty.Boot != s.a.d.Who.Boot {
+		delete(s.workers, key)
+		return nil, mishap.New(mishap.NotOwner, "the duty of %s is not held here", key)
+	}
+	w, isLive := scene.CanServe(pool, worker)
+	if !isLive {
+		return nil, mishap.New(mishap.Rejected, "%s is not live", key)
+	}
+	h, now := s.workers[key], s.a.d.Now()
+	if h == nil || h.address != w.Address || h.term != duty.Term {
+		fence := time.Duration(0)
+		if scene.Rules.Pools[pool].Rate > 0 && duty.Before != "" && !duty.IsFree {
+			fence = s.a.d.Bounds.Of(beat.Fence)
+		}
+		h = &held{worker: NewWorker(scene.Rules.Pools[pool], fence, now), term: duty.Term, address: w.Address}
+		s.workers[key] = h
+	}
+	h.worker.Change(scene.Rules.Pools[pool])
+	return h, nil
+}
+
+// want answers an ask for a slot, at once or when one comes free in time.
+func (s *slots) want(m *wire.Want, answer func(any)) {
+	if !s.a.d.IsFresh() {
+		answer(&wire.Grant{Kind: string(mishap.Stale), Retry: 200})
+		return
+	}
+	scene := s.a.scenes.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, err := s.find(scene, m.Pool, m.Worker)
+	if err != nil {
+		answer(&wire.Grant{Kind: string(mishap.KindOf(err)), Retry: 200})
+		return
+	}
+	now := s.a.d.Now()
+	isGranted, wait := false, time.Duration(0)
+	if len(h.asks) == 0 {
+		isGranted, wait = h.worker.Grant(now)
+	}
+	hold := time.Duration(m.Hold) * time.Millisecond
+	switch {
+	case isGranted:
+		answer(s.grant(m.Pool+"/"+m.Worker, h.worker, now))
+	case wait > hold || len(h.asks) >= mostAsks:
+		answer(busy(wait))
+	default:
+		h.asks = append(h.asks, ask{now + hold, answer})
+	}
+}
+
+func busy(wait time.Duration) *wire.Grant {
+	return &wire.Grant{Kind: string(mishap.Full), Retry: int64(max(wait, 2*time.Millisecond) / time.Millisecond)}
+}
+
+func (s *slots) grant(key string, w *Worker, now time.Duration) *wire.Grant {
+	s.next++
+	s.permits[s.next] = &permit{key, w, now + s.a.d.Bounds.Of(beat.Permit)}
+	return &wire.Grant{Permit: s.next}
+}
+
+// serve answers waiting asks as slots come free, and takes lapsed permits back.
+func (s *slots) serve() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.a.d.Now()
+	for id, p := range s.permits {
+		if now > p.until {
+			delete(s.permits, id)
+			p.worker.Release()
+		}
+	}
+	for key, h := range s.workers {
+		s.answerAsks(key, h, now)
+	}
+}
+
+func (s *slots) answerAsks(key string, h *held, now time.Duration) {
+	for len(h.asks) > 0 {
+		if now >= h.asks[0].until {
+			h.asks[0].answer(busy(0))
+			h.asks = h.asks[1:]
+			continue
+		}
+		isGranted, _ := h.worker.Grant(now)
+		if !isGranted {
+			return
+		}
+		h.asks[0].answer(s.grant(key, h.worker, now))
+		h.asks = h.asks[1:]
+	}
+}
+
+// use turns a permit into a run. The worker given must get Done.
+func (s *slots) use(id int64, key string) (*Worker, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.permits[id]
+	if p == nil || p.key != key || s.a.d.Now() > p.until {
+		return nil, mishap.New(mishap.Late, "the permit has lapsed")
+	}
+	delete(s.permits, id)
+	return p.worker, nil
+}
+
+func (s *slots) release(id int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.permits[id]; p != nil {
+		delete(s.permits, id)
+		p.worker.Release()
+		if h := s.workers[p.key]; h != nil {
+			s.answerAsks(p.key, h, s.a.d.Now())
+		}
+	}
+}
+
+func (s *slots) pace(w *Worker) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.Pace(s.a.d.Now())
+}
+
+// unused gives a slot back whose run was never sent.
+func (s *slots) unused(w *Worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Release()
+}
+
+func (s *slots) done(key string, w *Worker, isSound bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.a.d.Now()
+	w.Done(isSound, now)
+	if h := s.workers[key]; h != nil {
+		s.answerAsks(key, h, now)
+	}
+}
--- /dev/null
+++ b/internal/deliver/worker.go
@@ -0,0 +1,181 @@
+// Package deliver is an adapter's side towards workers and outside endpoints:
+// it grants slots on the workers whose duty it holds, runs what stores send in
+// granted slots, and brings results back until they are durable.
+package deliver
+
+import (
+	"math"
+	"time"
+
+	"caperwheel/internal/charter"
+)
+
+// Soundness is the explicit state of a worker.
+type Soundness string
+
+// The states. A worker is easing while cold, and probed while unsound.
+const (
+	Easing  Soundness = "easing"
+	Sound   Soundness = "sound"
+	Unsound Soundness = "unsound"
+)
+
+// Worker is what the holder of a worker's duty knows of it. It is pure: the
+// same calls at the same times give the same answers.
+//
+// Invariants: inUse counts granted slots not yet given back; tokens never pass
+// burst, so an endpoint gets at most 5·rate+burst starts in any 5 s; since is
+// when the state was entered.
+type Worker struct {
+	pool    charter.Pool
+	state   Soundness
+	since   time.Duration
+	heldAt  time.Duration // no slot before: the fence of a duty that changed hands
+	inUse   int64
+	tokens  float64
+	filled  time.Duration
+	failed  int // runs that failed one after another
+	probeAt time.Duration
+	rest    time.Duration // pause between probes; doubles
+	startAt time.Duration // the newest start
+}
+
+// Constants of a worker's soundness.
+const (
+	failsToUnsound = 3
+	firstRest      = 250 * time.Millisecond
+	mostRest       = 4 * time.Second
+	easeDoublings  = 8.0 // the start rate doubles so often while easing
+	easeRate       = 2.0 // starts a second of a worker that is stone cold
+)
+
+// NewWorker takes a duty up. An endpoint's holder waits out the fence, during
+// which the holder before may still act, and starts with an empty bucket.
+func NewWorker(pool charter.Pool, fence, now time.Duration) *Worker {
+	w := &Worker{pool: pool, heldAt: now + fence, filled: now + fence}
+	w.enter(Easing, now+fence)
+	return w
+}
+
+// enter is the one place where a worker changes its state.
+func (w *Worker) enter(state Soundness, now time.Duration) {
+	if w.state == Unsound && state != Unsound {
+		w.rest = 0
+	}
+	w.state, w.since = state, now
+	if state == Easing {
+		w.tokens = min(w.tokens, 1)
+	}
+	if state == Unsound {
+		w.rest = min(max(firstRest, 2*w.rest), mostRest)
+		w.probeAt = now + w.rest
+	}
+}
+
+// Change takes a new charter's settings of the pool.
+func (w *Worker) Change(pool charter.Pool) { w.pool = pool }
+
+// State tells the worker's soundness.
+func (w *Worker) State() Soundness { return w.state }
+
+// InUse tells how many slots are given.
+func (w *Worker) InUse() int64 { return w.inUse }
+
+// warmth goes from 0 for a cold worker to 1 once it has been eased in.
+func (w *Worker) warmth(now time.Duration) float64 {
+	if w.state == Sound || w.pool.Ease <= 0 {
+		return 1
+	}
+	return min(1, max(0, float64(now-w.since)/float64(w.pool.Ease)))
+}
+
+// limit is how many runs at once the worker gets now.
+func (w *Worker) limit(now time.Duration) int64 {
+	if w.state == Unsound {
+		return 1
+	}
+	return 1 + int64(math.Floor(float64(w.pool.Concurrency-1)*w.warmth(now)))
+}
+
+// rate is how many starts a second it gets now; 0 means no cap.
+func (w *Worker) rate(now time.Duration) float64 {
+	rate := w.pool.Rate
+	if w.state == Easing && w.warmth(now) < 1 {
+		eased := easeRate * math.Exp2(easeDoublings*w.warmth(now))
+		if rate == 0 || eased < rate {
+			rate = eased
+		}
+	}
+	return rate
+}
+
+func (w *Worker) fill(now time.Duration) {
+	rate := w.rate(now)
+	if now > w.filled {
+		w.tokens = min(w.burst(rate), w.tokens+rate*(now-w.filled).Seconds())
+		w.filled = now
+	}
+}
+
+func (w *Worker) burst(rate float64) float64 { return max(1, rate/10) }
+
+// Grant gives a slot, or tells how long to wait before asking again.
+func (w *Worker) Grant(now time.Duration) (isGranted bool, wait time.Duration) {
+	if now < w.heldAt {
+		return false, w.heldAt - now
+	}
+	if w.state == Easing && w.warmth(now) >= 1 {
+		w.enter(Sound, now)
+	}
+	if w.state == Unsound && now < w.probeAt {
+		return false, w.probeAt - now
+	}
+	if w.inUse >= w.limit(now) {
+		return false, 5 * time.Millisecond
+	}
+	rate := w.rate(now)
+	w.fill(now)
+	if rate > 0 {
+		if w.tokens < 1 {
+			return false, time.Duration((1 - w.tokens) / rate * float64(time.Second))
+		}
+		w.tokens--
+	}
+	w.inUse++
+	return true, 0
+}
+
+// Release gives a slot back that was never used; its token too.
+func (w *Worker) Release() {
+	w.inUse = max(0, w.inUse-1)
+	w.tokens = min(w.tokens+1, w.burst(w.pool.Rate))
+}
+
+// Pace tells how long a run with a granted slot must still wait, so that slots
+// granted earlier and used late do not bunch up at a capped endpoint.
+func (w *Worker) Pace(now time.Duration) time.Duration {
+	if w.pool.Rate == 0 {
+		return 0
+	}
+	gap := time.Duration(0.8 / w.pool.Rate * float64(time.Second))
+	at := max(now, w.startAt+gap)
+	w.startAt = at
+	return at - now
+}
+
+// Done takes a run's end in. isSound is false when the worker failed, not when
+// it answered that the message is at fault.
+func (w *Worker) Done(isSound bool, now time.Duration) {
+	w.inUse = max(0, w.inUse-1)
+	if isSound {
+		w.failed = 0
+		if w.state == Unsound {
+			w.enter(Easing, now) // back, but cold
+		}
+		return
+	}
+	w.failed++
+	if w.state == Unsound || w.failed >= failsToUnsound {
+		w.enter(Unsound, now)
+	}
+}
--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,129 @@
+// Package duty cuts work that one daemon does by key over the live daemons. A
+// key changes hands under a fence: the new holder waits until the one before
+// must have stopped.
+package duty
+
+import (
+	"hash/fnv"
+	"slices"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/wire"
+)
+
+// Rank orders daemons for a key: the highest has the first claim.
+func Rank(key, name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(key + "\x00" + name))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+// First gives the daemon with the first claim to a key.
+func First(key string, names []string) string {
+	best, top := "", uint64(0)
+	for _, name := range names {
+		if rank := Rank(key, name); best == "" || rank > top {
+			best, top = name, rank
+		}
+	}
+	return best
+}
+
+// Change is one duty that must be written anew.
+type Change struct {
+	Pool, Worker string
+	Next         charter.Duty
+	IfStamp      int64
+	IsGone       bool // the worker is no longer listed
+}
+
+// Plan tells which duties of a pool must change hands. A duty stays where it
+// is while its holder lives and may serve; a lost one goes to the adapter of
+// the worker's cell, if there is one, that has the fewest duties.
+func Plan(pool string, scene *charter.Scene, adapters []wire.Who, stamp func(key string) (int64, bool)) []Change {
+	usable, load := map[string]wire.Who{}, map[string]int{}
+	for _, a := range adapters {
+		if !scene.Emptied[a.Cell] {
+			usable[a.Name] = a
+		}
+	}
+	for _, duties := range scene.Duties {
+		for _, d := range duties {
+			load[d.Holder]++
+		}
+	}
+	out := []Change{}
+	for _, name := range sortedKeys(scene.Workers[pool]) {
+		worker := scene.Workers[pool][name]
+		held, isAssigned := scene.Duties[pool][name]
+		holder, isHere := usable[held.Holder]
+		isRight := isAssigned && isHere && holder.Boot == held.Boot
+		if isRight && (worker.Cell == "" || holder.Cell == worker.Cell || !hasCell(usable, worker.Cell)) {
+			continue
+		}
+		next := choose(pool+"/"+name, worker.Cell, usable, load)
+		if next.Name == "" || isRight && next.Name == held.Holder {
+			continue
+		}
+		load[held.Holder]--
+		load[next.Name]++
+		ifStamp, wasKnown := stamp(charter.DutyKey + pool + "/" + name)
+		before := held.Boot
+		if !isAssigned && wasKnown {
+			before = "an earlier holder"
+		}
+		out = append(out, Change{pool, name, charter.Duty{Holder: next.Name, Boot: next.Boot, Before: before}, ifStamp, false})
+	}
+	for _, name := range sortedKeys(scene.Duties[pool]) {
+		if _, isListed := scene.Workers[pool][name]; !isListed {
+			out = append(out, Change{Pool: pool, Worker: name, IfStamp: scene.Duties[pool][name].Term, IsGone: true})
+		}
+	}
+	return out
+}
+
+func hasCell(usable map[string]wire.Who, cell string) bool {
+	for _, a := range usable {
+		if a.Cell == cell {
+			return true
+		}
+	}
+	return false
+}
+
+func choose(key, cell string, usable map[string]wire.Who, load map[string]int) wire.Who {
+	best := wire.Who{}
+	for _, name := range sortedKeys(usable) {
+		a := usable[name]
+		if best.Name == "" {
+			best = a
+			continue
+		}
+		isHome, bestIsHome := a.Cell == cell, best.Cell == cell
+		switch {
+		case isHome != bestIsHome:
+			if isHome {
+				best = a
+			}
+		case load[name] != load[best.Name]:
+			if load[name] < load[best.Name] {
+				best = a
+			}
+		case Rank(key, name) > Rank(key, best.Name):
+			best = a
+		}
+	}
+	return best
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := []string{}
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/feed/part.go
+++ b/internal/feed/part.go
@@ -30,8 +30,17 @@
 type Part struct {
 	stamp int64
 	keys  map[string]wire.Change
+	past  []wire.Change // the newest changes of Remembered, without values
 }
 
+// Remembered is the key whose recent changes are kept by author, and History
+// the name under which they can be pulled.
+const (
+	Remembered = "charter"
+	History    = "#history"
+	mostPast   = 30
+)
+
 // NewPart gives an empty part.
 func NewPart() *Part { return &Part{keys: map[string]wire.Change{}} }
 
@@ -56,9 +65,16 @@
 	}
 	p.stamp++
 	p.keys[e.Key] = wire.Change{Key: e.Key, Value: e.Value, Stamp: p.stamp, Gone: e.Gone, By: e.By}
+	if e.Key == Remembered {
+		p.past = append(p.past, wire.Change{Key: e.Key, Value: []byte{}, Stamp: p.stamp, By: e.By})
+		p.past = p.past[max(0, len(p.past)-mostPast):]
+	}
 	return wire.Edited{Stamp: p.stamp}
 }
 
+// Past gives the recent changes of the remembered key, oldest first.
+func (p *Part) Past() []wire.Change { return slices.Clone(p.past) }
+
 // newsCount bounds the changes of one answer; the follower asks again.
 const newsCount = 512
 
@@ -86,6 +102,7 @@
 type partImage struct {
 	Stamp   int64         `avro:"stamp"`
 	Changes []wire.Change `avro:"changes"`
+	Past    []wire.Change `avro:"past"`
 }
 
 var (
@@ -95,7 +112,7 @@
 
 // Image gives the whole state as bytes.
 func (p *Part) Image() []byte {
-	out := partImage{Stamp: p.stamp, Changes: []wire.Change{}}
+	out := partImage{Stamp: p.stamp, Changes: []wire.Change{}, Past: append([]wire.Change{}, p.past...)}
 	for _, key := range slices.Sorted(maps.Keys(p.keys)) {
 		out.Changes = append(out.Changes, p.keys[key])
 	}
@@ -109,7 +126,7 @@
 		return nil, err
 	}
 	p := NewPart()
-	p.stamp = in.Stamp
+	p.stamp, p.past = in.Stamp, in.Past
 	for _, c := range in.Changes {
 		p.keys[c.Key] = c
 	}
--- /dev/null
+++ b/internal/intake/ask.go
@@ -0,0 +1,169 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/store"
+	"caperwheel/internal/web"
+	"caperwheel/internal/wire"
+)
+
+// Message is what a caller is told of a message.
+type Message struct {
+	Id       string `json:"id"`
+	Lane     string `json:"lane,omitempty"`
+	Key      string `json:"ordering_key,omitempty"`
+	State    string `json:"state"`
+	Attempts int64  `json:"attempts"`
+	Cause    string `json:"cause,omitempty"` // of the newest mishap
+	Sum      string `json:"sha256,omitempty"`
+	Parent   string `json:"parent,omitempty"`
+	Callback string `json:"callback,omitempty"`
+	Proof    *Proof `json:"proof,omitempty"`
+	Taken    any    `json:"taken,omitempty"`
+}
+
+// Proof is the record of the run that succeeded.
+type Proof struct {
+	Attempt int64  `json:"attempt"`
+	Worker  string `json:"worker"`
+	Adapter string `json:"adapter"`
+	Status  int64  `json:"status"`
+	Ctype   string `json:"content_type,omitempty"`
+	Answer  []byte `json:"answer"` // base64
+	Sum     string `json:"answer_sha256"`
+}
+
+const mostWait = 30 * time.Second
+
+func isJson(body []byte) bool { return json.Valid(body) }
+
+func waitOf(r *http.Request) (time.Duration, error) {
+	text := r.URL.Query().Get("wait")
+	if text == "" {
+		return 0, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > mostWait {
+		return 0, mishap.New(mishap.Invalid, "wait must be a duration up to %v", mostWait)
+	}
+	return wait, nil
+}
+
+// look asks the owner of the message's place.
+func (in *Intake) look(ctx context.Context, id string, isWithBody bool) (*wire.Sight, error) {
+	text, rest, isWhole := strings.Cut(id, "-")
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || !isWhole || rest == "" || len(id) > mostKey || number < 0 || number >= int64(in.d.Settings.Places) {
+		return nil, mishap.New(mishap.Unknown, "no message has such an id")
+	}
+	ctx, cancel := context.WithTimeout(ctx, in.d.Bounds.Charter)
+	defer cancel()
+	reply, err := in.reach.Group(ctx, store.PlaceGroup+number, &wire.Look{Place: number, Id: id, Body: isWithBody}, isOwner)
+	if err != nil {
+		return nil, mishap.New(mishap.Lost, "the message's place cannot be reached")
+	}
+	s := reply.(*wire.Sight)
+	if s.Kind != "" {
+		return nil, mishap.New(mishap.Kind(s.Kind), "message %s", id)
+	}
+	return s, nil
+}
+
+func isOver(state string) bool {
+	return state == "ended" || state == "failed" || state == "expired" || state == "rejected"
+}
+
+// await looks until the message is over or the wait has passed.
+func (in *Intake) await(ctx context.Context, id string, wait time.Duration) (*wire.Sight, error) {
+	until := time.Now().Add(wait)
+	for {
+		s, err := in.look(ctx, id, false)
+		if err != nil || isOver(s.State) || time.Now().After(until) {
+			return s, err
+		}
+		select {
+		case <-ctx.Done():
+			return s, nil
+		case <-time.After(min(in.d.Bounds.Of(beat.Poll)/4, time.Until(until)+time.Millisecond)):
+		}
+	}
+}
+
+func messageOf(s *wire.Sight) Message {
+	m := Message{Id: s.Id, Lane: s.Lane, Key: s.Key, State: s.State, Attempts: s.Attempts, Cause: s.Cause, Sum: s.Sum,
+		Parent: s.Parent, Callback: s.Child}
+	if s.State == "ended" {
+		p := s.Proof
+		m.Proof = &Proof{p.Attempt, p.Worker, p.Adapter, p.Status, p.Ctype, p.Answer, p.Sum}
+	}
+	if s.State == "rejected" {
+		m.Taken = false
+	}
+	return m
+}
+
+func (in *Intake) answerTaken(w http.ResponseWriter, r *http.Request, id, state string) {
+	w.Header().Set("Location", "/v1/messages/"+id)
+	wait, _ := waitOf(r)
+	m := Message{Id: id, State: state, Taken: true}
+	if wait > 0 {
+		if s, err := in.await(r.Context(), id, wait); err == nil {
+			m = messageOf(s)
+			m.Taken = true
+		}
+	}
+	code := 202
+	if isOver(m.State) {
+		code = 200
+	}
+	web.Answer(w, code, m)
+}
+
+func (in *Intake) get(w http.ResponseWriter, r *http.Request) {
+	wait, err := waitOf(r)
+	if err != nil {
+		web.Fail(w, err)
+		return
+	}
+	s, err := in.await(r.Context(), r.PathValue("id"), wait)
+	if mishap.Is(err, mishap.Unknown) {
+		web.Reject(w, 404, web.Problem{Error: mishap.Unknown, Text: err.Error(), More: map[string]string{"state": "unknown"}}, 0)
+		return
+	}
+	if err != nil {
+		web.Fail(w, err)
+		return
+	}
+	web.Answer(w, 200, messageOf(s))
+}
+
+func (in *Intake) getBody(w http.ResponseWriter, r *http.Request) {
+	s, err := in.look(r.Context(), r.PathValue("id"), true)
+	if err != nil {
+		web.Fail(w, err)
+		return
+	}
+	if s.State == "rejected" {
+		web.Fail(w, mishap.New(mishap.Unknown, "the message was not taken"))
+		return
+	}
+	if store.SumOf(s.Body) != s.Sum {
+		web.Fail(w, mishap.New(mishap.Broken, "the bytes do not match their checksum"))
+		return
+	}
+	if s.Ctype != "" {
+		w.Header().Set("Content-Type", s.Ctype)
+	}
+	w.Header().Set("X-Content-SHA256", s.Sum)
+	w.Header().Set("Content-Length", strconv.Itoa(len(s.Body)))
+	w.WriteHeader(200)
+	_, _ = w.Write(s.Body) // a broken write breaks the connection, never closes it neatly
+}
--- /dev/null
+++ b/internal/manager/api.go
@@ -0,0 +1,168 @@
+package manager
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/web"
+	"caperwheel/internal/wire"
+)
+
+func (m *Manager) serveApi() {
+	type by = map[string]http.HandlerFunc
+	paths := map[string]by{
+		"/v1/charter":                {"GET": m.getCharter, "PUT": m.putCharter, "PATCH": m.patchCharter},
+		"/v1/charter/history":        {"GET": m.getHistory},
+		"/v1/pools/{pool}/workers":   {"GET": m.getWorkers, "PUT": m.putWorkers, "PATCH": m.patchWorkers},
+		"/v1/cells/{cell}/empty":     {"POST": m.mark(charter.CellKey, "cell", false)},
+		"/v1/cells/{cell}/restore":   {"POST": m.mark(charter.CellKey, "cell", true)},
+		"/v1/stores/{store}/retire":  {"POST": m.mark(charter.StoreKey, "store", false)},
+		"/v1/stores/{store}/restore": {"POST": m.mark(charter.StoreKey, "store", true)},
+		"/v1/stores/{store}":         {"GET": m.getStore},
+		"/v1/status":                 {"GET": m.getStatus},
+		"/v1/daemons":                {"GET": m.getDaemons},
+	}
+	for path, methods := range paths {
+		m.d.Mux.HandleFunc(path, web.Methods(methods))
+	}
+	m.d.Mux.HandleFunc("/", web.NotFound)
+}
+
+// stampOf reads the stamp that an edit is based on. A missing one is a reject:
+// an edit without a base could undo another unseen.
+func stampOf(r *http.Request) (int64, error) {
+	text := r.Header.Get("If-Match")
+	if r.Header.Get("If-None-Match") == "*" && text == "" {
+		return 0, nil
+	}
+	if text == "" {
+		return 0, mishap.New(mishap.Missing, "give the stamp that the change is based on, in If-Match")
+	}
+	stamp, err := strconv.ParseInt(strings.Trim(text, `"`), 10, 64)
+	if err != nil || stamp < 0 {
+		return 0, mishap.New(mishap.Invalid, "If-Match must be a stamp")
+	}
+	return stamp, nil
+}
+
+func etag(stamp int64) string { return `"` + strconv.FormatInt(stamp, 10) + `"` }
+
+// operator names who made a change and when, for the history. The time is for
+// people alone: nothing compares it.
+func operator(r *http.Request) string {
+	name := r.Header.Get("X-Operator")
+	if name == "" {
+		name = "operator"
+	}
+	return name[:min(len(name), 64)] + " from " + r.RemoteAddr + " at " + time.Now().UTC().Format(time.RFC3339)
+}
+
+// failEdit answers for an edit that does not hold, or may not.
+func failEdit(w http.ResponseWriter, err error) {
+	if mishap.Is(err, mishap.Conflict) {
+		web.Reject(w, 412, web.Problem{Error: mishap.Conflict, Text: "another change came first: " + err.Error()}, 0)
+		return
+	}
+	web.Fail(w, err)
+}
+
+func (m *Manager) getCharter(w http.ResponseWriter, r *http.Request) {
+	c, err := m.pull(r.Context(), feed.CharterPart, charter.Key)
+	if mishap.Is(err, mishap.Unknown) {
+		c, err = wire.Change{Value: []byte("{}")}, nil
+	}
+	if err != nil {
+		web.Fail(w, err)
+		return
+	}
+	w.Header().Set("ETag", etag(c.Stamp))
+	web.Answer(w, 200, json.RawMessage(c.Value))
+}
+
+func (m *Manager) putCharter(w http.ResponseWriter, r *http.Request) {
+	body, err := web.Body(r, charter.MostBytes)
+	if err != nil {
+		web.Fail(w, err)
+		return
+	}
+	m.proposeCharter(w, r, func([]byte) ([]byte, error) { return body, nil })
+}
+
+func (m *Manager) patchCharter(w http.ResponseWriter, r *http.Request) {
+	body, err := web.Body(r, charter.MostBytes)
+	if err != nil {
+		web.Fail(w, err)
+		return
+	}
+	m.proposeCharter(w, r, func(base []byte) ([]byte, error) { return charter.Merge(base, body) })
+}
+
+// proposeCharter checks a charter on its base and writes it on that base only.
+func (m *Manager) proposeCharter(w http.ResponseWriter, r *http.Request, make func(base []byte) ([]byte, error)) {
+	stamp, err := stampOf(r)
+	if err != nil {
+		web.Fail(w, err)
+		return
+	}
+	base, err := m.pull(r.Context(), feed.CharterPart, charter.Key)
+	if mishap.Is(err, mishap.Unknown) {
+		base, err = wire.Change{Value: []byte("{}")}, nil
+	}
+	if err != nil {
+		web.Fail(w, err)
+		return
+	}
+	if base.Stamp != stamp {
+		web.Reject(w, 412, web.Problem{Error: mishap.Conflict, Text: "the charter's stamp is " + strconv.FormatInt(base.Stamp, 10)}, 0)
+		return
+	}
+	doc, err := make(base.Value)
+	if err != nil {
+		web.Fail(w, err)
+		return
+	}
+	if _, faults := charter.Compile(doc); len(faults) > 0 {
+		web.Reject(w, 422, web.Problem{Error: mishap.Invalid, Text: "the charter has faults", More: faults}, 0)
+		return
+	}
+	differences, err := charter.Diff(base.Value, doc)
+	if err != nil {
+		web.Fail(w, err)
+		return
+	}
+	if r.URL.Query().Get("check") == "true" {
+		web.Answer(w, 200, map[string]any{"checked": true, "differences": differences})
+		return
+	}
+	held, err := m.edit(r.Context(), wire.Edit{Part: feed.CharterPart, Key: charter.Key, Value: doc, IfStamp: stamp, By: operator(r)})
+	if err != nil {
+		failEdit(w, err)
+		return
+	}
+	w.Header().Set("ETag", etag(held))
+	web.Answer(w, 200, map[string]any{"stamp": held, "differences": differences})
+}
+
+func (m *Manager) getHistory(w http.ResponseWriter, r *http.Request) {
+	c, err := m.pull(r.Context(), feed.CharterPart, feed.History)
+	if err != nil {
+		web.Fail(w, err)
+		return
+	}
+	var past []wire.Change
+	if err := json.Unmarshal(c.Value, &past); err != nil {
+		web.Fail(w, mishap.Wrap(err, mishap.Broken, "history"))
+		return
+	}
+	out := []map[string]any{}
+	for _, p := range past {
+		out = append(out, map[string]any{"stamp": p.Stamp, "by": author(p.By)})
+	}
+	web.Answer(w, 200, out)
+}
--- /dev/null
+++ b/internal/manager/duties.go
@@ -0,0 +1,85 @@
+package manager
+
+import (
+	"context"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"k8s.io/klog/v2"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/duty"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// controlDuties keeps every worker's duty with a live adapter. Each pool is
+// looked after by one manager; should two think so, the stamps let one win.
+func (m *Manager) controlDuties(ctx context.Context) {
+	pool := pond.NewPool(8)
+	steadySince := m.d.Now()
+	beat.Every(ctx, m.d.Bounds.Of(beat.Poll)*2, func() {
+		if !m.d.IsFresh() {
+			steadySince = m.d.Now()
+			return
+		}
+		// A manager that has just come does not know all sessions yet.
+		if m.d.Now()-steadySince < m.d.Bounds.Of(beat.Gone) {
+			return
+		}
+		m.planDuties(ctx, pool)
+	})
+}
+
+func (m *Manager) planDuties(ctx context.Context, workers pond.Pool) {
+	scene, managers := m.scenes.Now(), []string{}
+	for _, who := range m.d.Roll.Kind("manager") {
+		managers = append(managers, who.Name)
+	}
+	adapters := m.d.Roll.Kind("adapter")
+	group := workers.NewGroup()
+	pools := map[string]bool{}
+	for name := range scene.Rules.Pools {
+		pools[name] = true
+	}
+	for name := range scene.Duties {
+		pools[name] = true
+	}
+	for name := range pools {
+		if duty.First("pool/"+name, managers) != m.d.Who.Name {
+			continue
+		}
+		part := feed.PartOf(name, m.d.Settings.Parts)
+		stamp := func(key string) (int64, bool) {
+			c, isStanding := m.d.View.Get(part, key)
+			if !isStanding {
+				return 0, c.Stamp > 0
+			}
+			return c.Stamp, true
+		}
+		for _, change := range duty.Plan(name, scene, adapters, stamp) {
+			group.Submit(func() { m.assign(ctx, part, change) })
+		}
+	}
+	_ = group.Wait()
+}
+
+func (m *Manager) assign(ctx context.Context, part int64, change duty.Change) {
+	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter)
+	defer cancel()
+	e := wire.Edit{Part: part, Key: charter.DutyKey + change.Pool + "/" + change.Worker, IfStamp: change.IfStamp,
+		Gone: change.IsGone, By: "duty controller at " + m.d.Who.Name}
+	if !change.IsGone {
+		e.Value = change.Next.Encode()
+	}
+	started := time.Now()
+	if _, err := m.edit(ctx, e); err != nil {
+		if !mishap.Is(err, mishap.Conflict) {
+			klog.Warningf("duty: %s/%s cannot be assigned after %v: %v.", change.Pool, change.Worker, time.Since(started), err)
+		}
+		return
+	}
+	klog.V(1).Infof("duty: %s/%s goes to %q.", change.Pool, change.Worker, change.Next.Holder)
+}
--- /dev/null
+++ b/internal/manager/manager.go
@@ -0,0 +1,116 @@
+// Package manager is the control daemon: it holds sessions, follows the parts
+// and passes them on, serves the operators' API and runs the controllers. It
+// keeps nothing on disk.
+package manager
+
+import (
+	"context"
+	"slices"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/reach"
+	"caperwheel/internal/session"
+	"caperwheel/internal/transport"
+	"caperwheel/internal/wire"
+)
+
+// Manager is the daemon.
+type Manager struct {
+	d        *daemon.Daemon
+	scenes   *charter.Scenes
+	registry *session.Registry
+	reach    *reach.Reach
+}
+
+// Run is the manager's main.
+func Run() {
+	d := daemon.New("manager")
+	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: session.NewRegistry(d.Bounds.Of(beat.Gone))}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d.Link(map[string]transport.Handler{"session": m.onSession, "peer": m.onPeer})
+	m.reach = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PartLink}
+	d.Ready = func() (bool, string) { return d.IsFresh(), string(mishap.Stale) }
+	m.serveApi()
+	go beat.Every(ctx, d.Bounds.Of(beat.Poll), m.follow)
+	go beat.Every(ctx, d.Bounds.Of(beat.Poll), m.share)
+	go m.controlDuties(ctx)
+	d.Serve(nil)
+}
+
+// onSession renews a daemon's session and answers with news.
+func (m *Manager) onSession(_ wire.Who, body any, answer func(any)) {
+	poll, isPoll := body.(*wire.Poll)
+	if !isPoll {
+		return
+	}
+	now := m.d.Now()
+	m.registry.Hear(wire.Member{Who: poll.Who, Owns: poll.Owns, Fact: poll.Fact}, now, true)
+	for _, b := range poll.Beside {
+		m.registry.Hear(b, now, true)
+	}
+	answer(session.NewsFor(poll, m.d.View, now, m.d.Roll.All))
+}
+
+// onPeer takes another manager's sessions in and tells ours.
+func (m *Manager) onPeer(_ wire.Who, body any, answer func(any)) {
+	share, isShare := body.(*wire.Share)
+	if !isShare {
+		return
+	}
+	m.takeShare(share)
+	answer(m.ownShare())
+}
+
+func (m *Manager) ownShare() *wire.Share {
+	return &wire.Share{Who: m.d.Who, Members: m.registry.Own(m.d.Now())}
+}
+
+func (m *Manager) takeShare(share *wire.Share) {
+	now := m.d.Now()
+	m.registry.Hear(wire.Member{Who: share.Who, Owns: []wire.Owned{}, Fact: wire.Fact{Counts: map[string]int64{}}}, now, false)
+	for _, member := range share.Members {
+		m.registry.Hear(member, now, false)
+	}
+}
+
+// share exchanges sessions with the other managers, and renews our own roll.
+func (m *Manager) share() {
+	own := m.d.Poll()
+	m.registry.Hear(wire.Member{Who: m.d.Who, Owns: []wire.Owned{}, Fact: own.Fact}, m.d.Now(), true)
+	peers := []string{}
+	for _, seed := range m.d.Settings.Seeds {
+		if seed != m.d.Who.Addr {
+			peers = append(peers, seed)
+		}
+	}
+	for _, who := range m.d.Roll.Kind("manager") {
+		if who.Name != m.d.Who.Name && !slices.Contains(peers, who.Addr) {
+			peers = append(peers, who.Addr)
+		}
+	}
+	for _, addr := range peers {
+		_ = m.d.Node.Peer(wire.PeerLink, addr).Post(m.ownShare(), func(reply any, err error) {
+			if share, isShare := reply.(*wire.Share); err == nil && isShare {
+				m.takeShare(share)
+			}
+		})
+	}
+	m.d.Roll.Take(m.registry.Members(m.d.Now()))
+}
+
+// follow asks every store for news of the parts that it owns.
+func (m *Manager) follow() {
+	now := m.d.Now()
+	for _, who := range m.d.Roll.Kind("store") {
+		ask := &wire.Follow{Stamps: m.d.View.Stamps()}
+		_ = m.d.Node.Peer(wire.PartLink, who.Addr).Post(ask, func(reply any, err error) {
+			if got, isNews := reply.(*wire.Followed); err == nil && isNews {
+				m.d.View.Take(got.Parts, now)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/path/path.go
@@ -0,0 +1,72 @@
+// Package path is a message's way through a process: a small interpreter over
+// rules that are compiled from the charter, once for each charter.
+package path
+
+import (
+	"caperwheel/internal/charter"
+	"caperwheel/internal/mishap"
+)
+
+// Op is one kind of step.
+type Op string
+
+// The steps of intake, in the order in which they are compiled.
+const (
+	Fresh   Op = "fresh"   // the view must be fresh
+	Size    Op = "size"    // the body must fit
+	Keyed   Op = "keyed"   // an ordering key must be given
+	Keyless Op = "keyless" // none may be given
+	ByKey   Op = "by_key"  // the place follows from lane and ordering key
+	ByIdem  Op = "by_idem" // the place follows from lane and idempotency key, else from chance
+	Hold    Op = "hold"    // the place's owner holds it
+)
+
+// The steps of delivery.
+const (
+	Allowed Op = "allowed" // the lane may use the pool
+	Live    Op = "live"    // the worker is live and its cell not emptied
+	Holder  Op = "holder"  // this daemon holds the worker's duty
+	Whole   Op = "whole"   // the bytes are those that were taken
+	Send    Op = "send"    // run it
+)
+
+// Step is one instruction.
+type Step struct {
+	Op     Op
+	Number int64
+	Names  []string
+}
+
+// Program is a compiled way.
+type Program []Step
+
+// Intake compiles the way of a lane's messages in.
+func Intake(l charter.Lane) Program {
+	out := Program{{Op: Fresh}, {Op: Size, Number: l.Size}}
+	if l.IsOrdered {
+		return append(out, Step{Op: Keyed}, Step{Op: ByKey}, Step{Op: Hold})
+	}
+	return append(out, Step{Op: Keyless}, Step{Op: ByIdem}, Step{Op: Hold})
+}
+
+// Delivery compiles the way of a lane's messages out.
+func Delivery(l charter.Lane) Program {
+	return Program{{Op: Fresh}, {Op: Allowed, Names: l.Pools}, {Op: Live}, {Op: Holder}, {Op: Whole}, {Op: Send}}
+}
+
+// Doers carry out steps on an errand of some type.
+type Doers[E any] map[Op]func(step Step, errand E) error
+
+// Run interprets a program. The first mishap ends it.
+func Run[E any](program Program, doers Doers[E], errand E) error {
+	for _, step := range program {
+		do, isKnown := doers[step.Op]
+		if !isKnown {
+			return mishap.New(mishap.Internal, "no doer for step %s", step.Op)
+		}
+		if err := do(step, errand); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/session/news.go
@@ -0,0 +1,26 @@
+package session
+
+import (
+	"time"
+
+	"caperwheel/internal/feed"
+	"caperwheel/internal/wire"
+)
+
+// NewsFor answers a poll from a view and a list of members. Whoever passes
+// news on confirms no more than it was told itself.
+func NewsFor(poll *wire.Poll, view *feed.View, now time.Duration, members func() (string, []wire.Member)) *wire.News {
+	out := &wire.News{Parts: view.News(poll.Stamps, now), Members: []wire.Member{}}
+	roll, list := members()
+	out.Roll = roll
+	if roll != poll.Roll {
+		for _, m := range list {
+			m.Fact = wire.Fact{Counts: map[string]int64{}} // only managers need it
+			if m.Owns == nil {
+				m.Owns = []wire.Owned{}
+			}
+			out.Members = append(out.Members, m)
+		}
+	}
+	return out
+}
--- a/internal/session/roll.go
+++ b/internal/session/roll.go
@@ -74,3 +74,14 @@
 	}
 	return out
 }
+
+// All gives the list as it was taken, to pass on.
+func (r *Roll) All() (string, []wire.Member) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := []wire.Member{}
+	for _, m := range r.members {
+		out = append(out, m)
+	}
+	return r.hash, out
+}
--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"encoding/json"
 	"time"
 
 	"caperwheel/internal/beat"
@@ -78,6 +79,12 @@
 				answer(&wire.Pulled{Kind: string(mishap.Full), Change: wire.Change{Value: []byte{}}})
 			}
 		})
+	case key == feed.History:
+		raw, err := json.Marshal(p.part.Past())
+		if err != nil {
+			raw = []byte("[]")
+		}
+		answer(&wire.Pulled{Change: wire.Change{Key: key, Value: raw}})
 	default:
 		c, isKnown := p.part.Get(key)
 		if !isKnown {
