--- /dev/null
+++ b/cmd/fleet/main.go
@@ -0,0 +1,95 @@
+// Command fleet runs whole deployments on one machine, with stand-in callers
+// and back ends, and checks what happened against the rules.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"caperwheel/internal/fleet"
+	"caperwheel/internal/mishap"
+)
+
+type runCommand struct {
+	Charter string        `arg:"--charter,required" help:"charter file; the plan lies beside it as NAME.fleet.json"`
+	For     time.Duration `arg:"--for" default:"30s" help:"how long callers send"`
+	Root    string        `arg:"--root" default:"." help:"root of the sources, for building"`
+	Dir     string        `arg:"--dir" help:"where data and logs go; a temporary folder if not given"`
+	Bin     string        `arg:"--bin" help:"folder with built programs; built if not given"`
+	Keep    bool          `arg:"--keep" help:"keep the folder"`
+}
+
+type arguments struct {
+	Run *runCommand `arg:"subcommand:run" help:"run a deployment and check it"`
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	var err error
+	switch {
+	case args.Run != nil:
+		err = run(args.Run)
+	default:
+		parser.WriteHelp(os.Stdout)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(a *runCommand) error {
+	ctx := context.Background()
+	plan, doc, err := fleet.ReadPlan(a.Charter)
+	if err != nil {
+		return err
+	}
+	if a.Dir == "" {
+		if a.Dir, err = os.MkdirTemp("", "fleet-"); err != nil {
+			return mishap.Wrap(err, mishap.Internal, "temporary folder")
+		}
+	}
+	if !a.Keep {
+		defer os.RemoveAll(a.Dir)
+	}
+	if a.Bin == "" {
+		a.Bin = a.Dir + "/bin"
+		if err := fleet.Build(ctx, a.Root, a.Bin, false); err != nil {
+			return err
+		}
+	}
+	f, err := fleet.New(plan, doc, a.Bin, a.Dir)
+	if err != nil {
+		return err
+	}
+	defer f.Down()
+	upCtx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	began := time.Now()
+	if err := f.Up(upCtx); err != nil {
+		return err
+	}
+	fmt.Fprintf(os.Stderr, "fleet: %d daemons serve after %v.\n", len(f.All()), time.Since(began).Round(time.Millisecond))
+	callers := fleet.NewCallers(f)
+	loadCtx, cancel := context.WithTimeout(ctx, a.For)
+	defer cancel()
+	callers.Run(loadCtx)
+	settleCtx, cancel := context.WithTimeout(ctx, 2*time.Minute)
+	defer cancel()
+	report := f.Report(callers, f.Settle(settleCtx, true))
+	raw, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return mishap.Wrap(err, mishap.Internal, "report")
+	}
+	fmt.Println(string(raw))
+	if len(report.Breaches) > 0 || report.Unsettled != "" {
+		return mishap.New(mishap.Unsound, "%d rules broken", len(report.Breaches))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/api.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/manager"
+	"caperwheel/internal/mishap"
+)
+
+// Api drives the operators' API as an operator would.
+type Api struct{ f *Fleet }
+
+var apiClient = &http.Client{Timeout: 15 * time.Second}
+
+// Do sends one request to one daemon.
+func Do(ctx context.Context, method, url, ifMatch string, body []byte) (int, http.Header, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, nil, mishap.Wrap(err, mishap.Internal, "request")
+	}
+	if ifMatch != "" {
+		req.Header.Set("If-Match", ifMatch)
+	}
+	resp, err := apiClient.Do(req)
+	if err != nil {
+		return 0, nil, nil, mishap.Wrap(err, mishap.Lost, "%s %s", method, url)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, raw, mishap.Wrap(err, mishap.CutShort, "%s %s", method, url)
+}
+
+// try repeats work by turns over the managers until it holds or ctx ends.
+func (a *Api) try(ctx context.Context, work func(manager string) error) error {
+	var last error
+	for turn := 0; ctx.Err() == nil; turn++ {
+		if last = work("http://" + a.f.Managers[turn%len(a.f.Managers)].Http); last == nil {
+			return nil
+		}
+		pause(ctx, 100*time.Millisecond)
+	}
+	return last
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// put reads a document's stamp and replaces the document.
+func (a *Api) put(ctx context.Context, path string, body []byte) error {
+	return a.try(ctx, func(manager string) error {
+		code, head, _, err := Do(ctx, "GET", manager+path, "", nil)
+		if err != nil {
+			return err
+		}
+		if code != 200 {
+			return mishap.New(mishap.Unsound, "GET %s: %d", path, code)
+		}
+		code, _, raw, err := Do(ctx, "PUT", manager+path, head.Get("ETag"), body)
+		if err == nil && code != 200 {
+			err = mishap.New(mishap.Unsound, "PUT %s: %d %s", path, code, raw)
+		}
+		return err
+	})
+}
+
+// PutCharter replaces the charter.
+func (a *Api) PutCharter(ctx context.Context, doc []byte) error {
+	return a.put(ctx, "/v1/charter", doc)
+}
+
+// PutWorkers replaces a pool's live list.
+func (a *Api) PutWorkers(ctx context.Context, pool string, workers []charter.Worker) error {
+	return a.put(ctx, "/v1/pools/"+pool+"/workers", charter.Workers{Workers: workers}.Encode())
+}
+
+// Post does what needs no body.
+func (a *Api) Post(ctx context.Context, path string) error {
+	return a.try(ctx, func(manager string) error {
+		code, _, raw, err := Do(ctx, "POST", manager+path, "", nil)
+		if err == nil && code != 200 {
+			err = mishap.New(mishap.Unsound, "POST %s: %d %s", path, code, raw)
+		}
+		return err
+	})
+}
+
+// Status reads what a manager knows.
+func (a *Api) Status(ctx context.Context, turn int) (manager.Status, error) {
+	var out manager.Status
+	m := a.f.Managers[turn%len(a.f.Managers)]
+	code, _, raw, err := Do(ctx, "GET", "http://"+m.Http+"/v1/status", "", nil)
+	if err != nil || code != 200 {
+		return out, mishap.New(mishap.Unsound, "status of %s: %d", m.Name, code)
+	}
+	return out, mishap.Wrap(json.Unmarshal(raw, &out), mishap.Broken, "status")
+}
+
+// Ready waits until all adapters are ready, and every worker has a holder.
+func (a *Api) Ready(ctx context.Context) error {
+	why := ""
+	for turn := 0; ctx.Err() == nil; turn++ {
+		if why = a.unready(ctx, turn); why == "" {
+			return nil
+		}
+		pause(ctx, 100*time.Millisecond)
+	}
+	return mishap.New(mishap.Late, "the fleet does not get ready: %s", why)
+}
+
+func (a *Api) unready(ctx context.Context, turn int) string {
+	for _, p := range a.f.Adapters {
+		if code, _, raw, err := Do(ctx, "GET", "http://"+p.Http+"/readyz", "", nil); err != nil || code != 200 {
+			return fmt.Sprintf("%s: %d %s %v", p.Name, code, raw, err)
+		}
+	}
+	status, err := a.Status(ctx, turn)
+	if err != nil {
+		return err.Error()
+	}
+	for _, pool := range status.Pools {
+		if len(pool.Duties) < pool.Workers {
+			return fmt.Sprintf("pool %s: %d of %d workers have a holder", pool.Name, len(pool.Duties), pool.Workers)
+		}
+	}
+	for _, place := range status.Places {
+		if place.Owner == "" {
+			return fmt.Sprintf("place %d has no owner", place.Number)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/fleet/callers.go
@@ -0,0 +1,149 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"caperwheel/internal/check"
+)
+
+// Callers send the plan's load until their context ends.
+type Callers struct {
+	f       *Fleet
+	client  *http.Client
+	serial  atomic.Int64
+	mu      sync.Mutex
+	Times   []time.Duration // of requests that were answered taken
+	TakenAt []time.Duration
+	Codes   map[int]int
+	wg      sync.WaitGroup
+}
+
+// NewCallers readies them.
+func NewCallers(f *Fleet) *Callers {
+	return &Callers{f: f, Codes: map[int]int{}, client: &http.Client{Timeout: 10 * time.Second,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}}}
+}
+
+// Run sends all loads; it returns when ctx has ended and all are answered.
+func (c *Callers) Run(ctx context.Context) {
+	for _, load := range c.f.Plan.Load {
+		lanes := []string{}
+		for name := range c.f.Rules.Lanes {
+			if name == load.Lane || strings.HasPrefix(name, load.Lane+".") {
+				lanes = append(lanes, name)
+			}
+		}
+		sort.Strings(lanes)
+		if load.Keys > 0 {
+			c.runOrdered(ctx, load, lanes)
+		} else {
+			c.runFree(ctx, load, lanes)
+		}
+	}
+	<-ctx.Done()
+	c.wg.Wait()
+}
+
+func (c *Callers) runFree(ctx context.Context, load PlanLoad, lanes []string) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		ticker := time.NewTicker(time.Duration(float64(time.Second) / load.Rate))
+		defer ticker.Stop()
+		for turn := 0; ; turn++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			c.wg.Add(1)
+			go func() {
+				defer c.wg.Done()
+				c.Send(lanes[turn%len(lanes)], "", load.Size, false)
+			}()
+		}
+	}()
+}
+
+// runOrdered: each key has one caller, which sends the next message when the
+// one before has been answered.
+func (c *Callers) runOrdered(ctx context.Context, load PlanLoad, lanes []string) {
+	gap := time.Duration(float64(time.Second) * float64(load.Keys) / load.Rate)
+	for k := range load.Keys {
+		c.wg.Add(1)
+		go func() {
+			defer c.wg.Done()
+			pause(ctx, time.Duration(rand.Int64N(int64(gap))))
+			for ctx.Err() == nil {
+				at := time.Now()
+				c.Send(lanes[k%len(lanes)], fmt.Sprintf("key-%d", k), load.Size, false)
+				pause(ctx, gap-time.Since(at))
+			}
+		}()
+	}
+}
+
+// Send sends one message to some adapter and records what was told.
+func (c *Callers) Send(lane, key string, size int, isPoison bool) check.Sent {
+	token := fmt.Sprintf("%s-%d", lane, c.serial.Add(1))
+	body, _ := json.Marshal(map[string]any{"token": token, "poison": isPoison, "fill": strings.Repeat("x", rand.IntN(size+1))})
+	s := check.Sent{Token: token, Lane: lane, Key: key, Sum: Sum(body), At: c.f.Now(), Told: check.Undecided}
+	adapter := c.f.Adapters[rand.IntN(len(c.f.Adapters))]
+	began := time.Now()
+	code := 0
+	req, err := http.NewRequest("POST", "http://"+adapter.Http+"/v1/lanes/"+lane+"/messages", bytes.NewReader(body))
+	if err == nil {
+		req.Header.Set("Content-Type", "application/json")
+		if key != "" {
+			req.Header.Set("Ordering-Key", key)
+		}
+		var resp *http.Response
+		if resp, err = c.client.Do(req); err == nil {
+			code = resp.StatusCode
+			var told struct {
+				Id    string `json:"id"`
+				Taken any    `json:"taken"`
+			}
+			if json.NewDecoder(resp.Body).Decode(&told) == nil {
+				s.Id = told.Id
+				switch told.Taken {
+				case true:
+					s.Told = check.Taken
+				case false:
+					s.Told = check.NotTaken
+				}
+			}
+			resp.Body.Close()
+		}
+	}
+	s.ToldAt = c.f.Now()
+	c.f.History.AddSent(s)
+	c.mu.Lock()
+	c.Codes[code]++
+	if s.Told == check.Taken {
+		c.Times = append(c.Times, time.Since(began))
+		c.TakenAt = append(c.TakenAt, s.ToldAt)
+	}
+	c.mu.Unlock()
+	return s
+}
+
+// Percentile of a list of times.
+func Percentile(times []time.Duration, p float64) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	sorted := append([]time.Duration{}, times...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
+	return sorted[min(len(sorted)-1, int(float64(len(sorted))*p))]
+}
--- /dev/null
+++ b/internal/fleet/deploy.go
@@ -0,0 +1,220 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/check"
+	"caperwheel/internal/mishap"
+)
+
+// Plan is a deployment to run: how many daemons, which back ends, what load.
+type Plan struct {
+	Name     string                 `json:"name"`
+	Cells    []string               `json:"cells"`
+	Fronts   int                    `json:"fronts"`
+	Stores   int                    `json:"stores"`
+	Managers int                    `json:"managers"`
+	Workers  map[string]PlanWorkers `json:"workers"`
+	Load     []PlanLoad             `json:"load"`
+}
+
+// PlanWorkers are the stand-ins of a pool.
+type PlanWorkers struct {
+	Count  int    `json:"count"`
+	WorkMs int    `json:"work_ms"`
+	Kind   string `json:"kind,omitempty"`
+}
+
+// PlanLoad is what callers send to a lane, and to its children by turns.
+type PlanLoad struct {
+	Lane string  `json:"lane"`
+	Rate float64 `json:"rate"` // messages a second
+	Keys int     `json:"keys"` // ordering keys; 0 for an unordered lane
+	Size int     `json:"size"` // bytes of a body, about
+}
+
+// Fleet is a deployment that runs.
+type Fleet struct {
+	Plan     Plan
+	Dir      string
+	Charter  []byte
+	Rules    *charter.Rules
+	History  *check.History
+	Managers []*Process
+	Stores   []*Process
+	Agents   []*Process
+	Adapters []*Process
+	Backends Backends
+	started  time.Time
+	api      *Api
+}
+
+// Now is the fleet's clock, which every record uses.
+func (f *Fleet) Now() time.Duration { return time.Since(f.started) }
+
+// ReadPlan reads a charter and the plan beside it.
+func ReadPlan(charterFile string) (Plan, []byte, error) {
+	var plan Plan
+	doc, err := os.ReadFile(charterFile)
+	if err != nil {
+		return plan, nil, mishap.Wrap(err, mishap.Invalid, "charter file")
+	}
+	raw, err := os.ReadFile(strings.TrimSuffix(charterFile, ".json") + ".fleet.json")
+	if err != nil {
+		return plan, nil, mishap.Wrap(err, mishap.Invalid, "plan beside the charter")
+	}
+	return plan, doc, mishap.Wrap(json.Unmarshal(raw, &plan), mishap.Invalid, "plan")
+}
+
+// New lays a deployment out: processes and back ends, nothing started yet but
+// the back ends.
+func New(plan Plan, doc []byte, bin, dir string) (*Fleet, error) {
+	f := &Fleet{Plan: plan, Dir: dir, History: check.NewHistory(), Backends: Backends{}, started: time.Now()}
+	if err := f.layBackends(doc); err != nil {
+		return nil, err
+	}
+	return f, f.layDaemons(bin)
+}
+
+func (f *Fleet) layBackends(doc []byte) error {
+	rules, faults := charter.Compile(doc)
+	if len(faults) > 0 {
+		return mishap.New(mishap.Invalid, "charter: %v", faults)
+	}
+	for pool, p := range rules.Pools {
+		spec := f.Plan.Workers[pool]
+		if p.IsEndpoint {
+			spec.Count = 1
+			f.History.Caps[pool] = p.Rate
+			if spec.WorkMs == 0 {
+				spec.WorkMs = 20
+			}
+		}
+		for i := range spec.Count {
+			name, cell := fmt.Sprintf("%s-%02d", pool[strings.LastIndex(pool, ".")+1:], i+1), f.Plan.Cells[i%len(f.Plan.Cells)]
+			if p.IsEndpoint {
+				name, cell = charter.Endpoint, ""
+			}
+			b, err := NewBackend(pool, name, cell, time.Duration(spec.WorkMs)*time.Millisecond, f.History, f.Now)
+			if err != nil {
+				return mishap.Wrap(err, mishap.Internal, "back end")
+			}
+			f.Backends[b.Key()] = b
+			f.History.Cells[b.Key()] = cell
+			if p.IsEndpoint { // the stand-in's address takes the place of the example's
+				doc = []byte(strings.ReplaceAll(string(doc), `"`+p.Address+`"`, `"`+b.Addr+`"`))
+			}
+		}
+	}
+	f.Charter = doc
+	f.Rules, _ = charter.Compile(doc)
+	for name, lane := range f.Rules.Lanes {
+		f.History.Pools[name] = lane.Pools
+		f.History.Order[name] = lane.IsOrdered
+	}
+	return nil
+}
+
+func (f *Fleet) layDaemons(bin string) error {
+	if err := os.MkdirAll(filepath.Join(f.Dir, "log"), 0o755); err != nil {
+		return mishap.Wrap(err, mishap.Internal, "log folder")
+	}
+	lay := func(kind, name, cell string) (*Process, error) {
+		addr, err := FreePort()
+		if err != nil {
+			return nil, err
+		}
+		http, err := FreePort()
+		return &Process{Kind: kind, Name: name, Cell: cell, Addr: addr, Http: http, bin: bin,
+			log: filepath.Join(f.Dir, "log", name+".log")}, err
+	}
+	all := []struct {
+		kind  string
+		count int
+		into  *[]*Process
+	}{{"manager", f.Plan.Managers, &f.Managers}, {"store", f.Plan.Stores, &f.Stores},
+		{"agent", f.Plan.Fronts, &f.Agents}, {"adapter", f.Plan.Fronts, &f.Adapters}}
+	for _, a := range all {
+		for i := range a.count {
+			p, err := lay(a.kind, fmt.Sprintf("%s-%d", a.kind, i+1), f.Plan.Cells[i%len(f.Plan.Cells)])
+			if err != nil {
+				return err
+			}
+			*a.into = append(*a.into, p)
+		}
+	}
+	seeds := []string{}
+	for _, m := range f.Managers {
+		seeds = append(seeds, m.Addr)
+	}
+	for i, p := range f.All() {
+		p.args = flags("name", p.Name, "cell", p.Cell, "listen", p.Addr, "http", p.Http, "verbosity", "1")
+		switch p.Kind {
+		case "adapter":
+			p.args = append(p.args, "--seeds", f.Agents[i-len(f.Managers)-len(f.Stores)-len(f.Agents)].Addr)
+		case "store":
+			p.args = append(p.args, "--data="+filepath.Join(f.Dir, p.Name), fmt.Sprintf("--founders=%d", min(3, f.Plan.Stores)),
+				"--reserve=1000000", "--seeds")
+			p.args = append(p.args, seeds...)
+		default:
+			p.args = append(append(p.args, "--seeds"), seeds...)
+		}
+	}
+	f.api = &Api{f: f}
+	return nil
+}
+
+// All lists every daemon.
+func (f *Fleet) All() []*Process {
+	out := append([]*Process{}, f.Managers...)
+	out = append(out, f.Stores...)
+	out = append(out, f.Agents...)
+	return append(out, f.Adapters...)
+}
+
+// Up starts everything and waits until the charter is accepted, the workers
+// are listed and all adapters are ready.
+func (f *Fleet) Up(ctx context.Context) error {
+	for _, p := range f.All() {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	if err := f.api.PutCharter(ctx, f.Charter); err != nil {
+		return err
+	}
+	pools := map[string][]charter.Worker{}
+	for _, b := range f.Backends {
+		if b.Name != charter.Endpoint {
+			pools[b.Pool] = append(pools[b.Pool], charter.Worker{Name: b.Name, Address: b.Addr, Cell: b.Cell, State: "live"})
+		}
+	}
+	for pool, workers := range pools {
+		if err := f.api.PutWorkers(ctx, pool, workers); err != nil {
+			return err
+		}
+	}
+	return f.api.Ready(ctx)
+}
+
+// Down stops everything, asking first.
+func (f *Fleet) Down() {
+	done := make(chan struct{})
+	all := f.All()
+	for _, p := range all {
+		go func() { p.Signal(18); p.end(9); done <- struct{}{} }()
+	}
+	for range all {
+		<-done
+	}
+	for _, b := range f.Backends {
+		b.Stop()
+	}
+}
--- /dev/null
+++ b/internal/fleet/process.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"caperwheel/internal/mishap"
+)
+
+// Process is one daemon of the fleet.
+type Process struct {
+	Kind, Name, Cell string
+	Addr, Http       string
+	args             []string
+	bin, log         string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+var ports struct {
+	sync.Mutex
+	given map[int]bool
+}
+
+// FreePort gives an address that is free and was not given before. It lies
+// below the range that the system draws outgoing ports from, so that no
+// connection takes it before its daemon listens.
+func FreePort() (string, error) {
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.given == nil {
+		ports.given = map[int]bool{}
+	}
+	for range 1000 {
+		port := 12000 + rand.IntN(20000)
+		if ports.given[port] {
+			continue
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			l.Close()
+			ports.given[port] = true
+			return addr, nil
+		}
+	}
+	return "", mishap.New(mishap.Internal, "no free port")
+}
+
+// Build compiles the product's programs into a folder, from their sources.
+func Build(ctx context.Context, root, bin string, isRace bool) error {
+	args := []string{"build", "-o", bin + "/"}
+	if isRace {
+		args = append(args, "-race")
+	}
+	for _, name := range []string{"adapter", "agent", "store", "manager"} {
+		args = append(args, "./cmd/"+name)
+	}
+	cmd := exec.CommandContext(ctx, "go", args...)
+	cmd.Dir = root
+	out, err := cmd.CombinedOutput()
+	return mishap.Wrap(err, mishap.Internal, "go build: %s", out)
+}
+
+// Start begins the process, again if it has ended.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return mishap.Wrap(err, mishap.Internal, "log of %s", p.Name)
+	}
+	defer log.Close()
+	cmd := exec.Command(filepath.Join(p.bin, p.Kind), p.args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return mishap.Wrap(err, mishap.Internal, "start %s", p.Name)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() { _ = cmd.Wait(); close(done) }()
+	return nil
+}
+
+// Signal sends a signal to this process alone.
+func (p *Process) Signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(sig)
+	}
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() { p.end(syscall.SIGKILL) }
+
+// Stop asks the process to leave and waits, up to a bound.
+func (p *Process) Stop() { p.end(syscall.SIGTERM) }
+
+func (p *Process) end(sig syscall.Signal) {
+	p.mu.Lock()
+	cmd, done := p.cmd, p.done
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Signal(sig)
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		_ = cmd.Process.Kill()
+		<-done
+	}
+}
+
+// IsUp tells whether the process runs.
+func (p *Process) IsUp() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func flags(kv ...string) []string {
+	out := []string{}
+	for i := 0; i+1 < len(kv); i += 2 {
+		out = append(out, fmt.Sprintf("--%s=%s", kv[i], kv[i+1]))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/settle.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"caperwheel/internal/check"
+	"caperwheel/internal/intake"
+	"caperwheel/internal/mishap"
+)
+
+// Settle asks for every message that was told taken, or whose fate is open,
+// until all are over or ctx ends, and records the ends.
+func (f *Fleet) Settle(ctx context.Context, isWithBody bool) error {
+	open := []check.Sent{}
+	for _, s := range f.History.Sent {
+		if s.Id != "" && s.Told != check.NotTaken {
+			open = append(open, s)
+		}
+	}
+	pool := pond.NewPool(32)
+	defer pool.Stop()
+	for ctx.Err() == nil && len(open) > 0 {
+		left := make(chan check.Sent, len(open))
+		group := pool.NewGroup()
+		for i, s := range open {
+			group.Submit(func() {
+				if !f.readEnd(ctx, s, i, isWithBody) {
+					left <- s
+				}
+			})
+		}
+		_ = group.Wait()
+		close(left)
+		open = open[:0]
+		for s := range left {
+			open = append(open, s)
+		}
+		if len(open) > 0 {
+			pause(ctx, 200*time.Millisecond)
+		}
+	}
+	if len(open) > 0 {
+		return mishap.New(mishap.Late, "%d messages are not over, such as %s", len(open), open[0].Id)
+	}
+	return nil
+}
+
+// readEnd asks any adapter for a message; true when it is over or unknown.
+func (f *Fleet) readEnd(ctx context.Context, s check.Sent, turn int, isWithBody bool) bool {
+	base := "http://" + f.Adapters[turn%len(f.Adapters)].Http + "/v1/messages/" + s.Id
+	code, _, raw, err := Do(ctx, "GET", base, "", nil)
+	if err != nil || code != 200 && code != 404 {
+		return false
+	}
+	var m intake.Message
+	if json.Unmarshal(raw, &m) != nil {
+		return false
+	}
+	end := check.End{State: m.State}
+	if code == 404 {
+		end.State = "unknown"
+	}
+	if m.Proof != nil {
+		end.Attempt, end.Worker, end.Sum = m.Proof.Attempt, m.Proof.Worker, Sum(m.Proof.Answer)
+	}
+	if isWithBody && code == 200 {
+		if code, _, raw, err := Do(ctx, "GET", base+"/body", "", nil); err == nil && code == 200 {
+			end.BodySum = Sum(raw)
+		}
+	}
+	f.History.AddEnd(s.Id, end)
+	return end.State != "held" && end.State != "started"
+}
+
+// Report is what a run of a fleet came to.
+type Report struct {
+	Sent      int            `json:"sent"`
+	Taken     int            `json:"taken"`
+	NotTaken  int            `json:"not_taken"`
+	Undecided int            `json:"undecided"`
+	Runs      int            `json:"runs"`
+	Codes     map[string]int `json:"codes"`
+	Ends      map[string]int `json:"ends"`
+	IntakeP50 string         `json:"intake_p50"`
+	IntakeP99 string         `json:"intake_p99"`
+	EndP50    string         `json:"end_p50"`
+	EndP99    string         `json:"end_p99"`
+	Breaches  []check.Breach `json:"breaches"`
+	Unsettled string         `json:"unsettled,omitempty"`
+}
+
+// Report sums the run up and checks it.
+func (f *Fleet) Report(c *Callers, unsettled error) Report {
+	out := Report{Sent: len(f.History.Sent), Runs: len(f.History.Runs), Codes: map[string]int{}, Ends: map[string]int{},
+		Breaches: check.Check(f.History)}
+	for code, n := range c.Codes {
+		out.Codes[fmt.Sprint(code)] = n
+	}
+	sentAt := map[string]time.Duration{}
+	for _, s := range f.History.Sent {
+		sentAt[s.Token] = s.At
+		switch s.Told {
+		case check.Taken:
+			out.Taken++
+		case check.NotTaken:
+			out.NotTaken++
+		default:
+			out.Undecided++
+		}
+	}
+	for _, e := range f.History.Ends {
+		out.Ends[e.State]++
+	}
+	whole := []time.Duration{}
+	for _, r := range f.History.Runs {
+		if at, isSent := sentAt[r.Token]; isSent && r.Status == 200 {
+			whole = append(whole, r.End-at)
+		}
+	}
+	out.IntakeP50, out.IntakeP99 = Percentile(c.Times, 0.5).String(), Percentile(c.Times, 0.99).String()
+	out.EndP50, out.EndP99 = Percentile(whole, 0.5).String(), Percentile(whole, 0.99).String()
+	if unsettled != nil {
+		out.Unsettled = unsettled.Error()
+	}
+	return out
+}
