--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -22,6 +22,7 @@
 	Dir     string        `arg:"--dir" help:"where data and logs go; a temporary folder if not given"`
 	Bin     string        `arg:"--bin" help:"folder with built programs; built if not given"`
 	Keep    bool          `arg:"--keep" help:"keep the folder"`
+	Faults  string        `arg:"--faults" help:"schedule of faults to cause"`
 }
 
 type arguments struct {
@@ -77,18 +78,33 @@
 	}
 	fmt.Fprintf(os.Stderr, "fleet: %d daemons serve after %v.\n", len(f.All()), time.Since(began).Round(time.Millisecond))
 	callers := fleet.NewCallers(f)
+	var schedule fleet.Schedule
+	if a.Faults != "" {
+		if schedule, err = fleet.ReadSchedule(a.Faults); err != nil {
+			return err
+		}
+		if schedule.For != "" {
+			if a.For, err = time.ParseDuration(schedule.For); err != nil {
+				return mishap.Wrap(err, mishap.Invalid, "schedule")
+			}
+		}
+	}
 	loadCtx, cancel := context.WithTimeout(ctx, a.For)
 	defer cancel()
+	caused := make(chan struct{})
+	go func() { f.Cause(loadCtx, schedule); close(caused) }()
 	callers.Run(loadCtx)
+	<-caused
 	settleCtx, cancel := context.WithTimeout(ctx, 2*time.Minute)
 	defer cancel()
 	report := f.Report(callers, f.Settle(settleCtx, true))
+	report.Charter = f.CheckCharter(settleCtx)
 	raw, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
 		return mishap.Wrap(err, mishap.Internal, "report")
 	}
 	fmt.Println(string(raw))
-	if len(report.Breaches) > 0 || report.Unsettled != "" {
+	if len(report.Breaches) > 0 || report.Unsettled != "" || len(report.Charter) > 0 {
 		return mishap.New(mishap.Unsound, "%d rules broken", len(report.Breaches))
 	}
 	return nil
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -107,3 +107,14 @@
 	defer h.mu.Unlock()
 	return len(h.Sent), len(h.Runs)
 }
+
+// EndMarks ends the marks that are meant.
+func (h *History) EndMarks(isMeant func(Mark) bool, at time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i, m := range h.Marks {
+		if isMeant(m) {
+			h.Marks[i].Until = at
+		}
+	}
+}
--- a/internal/fleet/callers.go
+++ b/internal/fleet/callers.go
@@ -30,8 +30,9 @@
 
 // NewCallers readies them.
 func NewCallers(f *Fleet) *Callers {
-	return &Callers{f: f, Codes: map[int]int{}, client: &http.Client{Timeout: 10 * time.Second,
+	f.callers = &Callers{f: f, Codes: map[int]int{}, client: &http.Client{Timeout: 10 * time.Second,
 		Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}}}
+	return f.callers
 }
 
 // Run sends all loads; it returns when ctx has ended and all are answered.
--- a/internal/fleet/deploy.go
+++ b/internal/fleet/deploy.go
@@ -54,6 +54,8 @@
 	Backends Backends
 	started  time.Time
 	api      *Api
+	callers  *Callers
+	edits    edits
 }
 
 // Now is the fleet's clock, which every record uses.
--- a/internal/fleet/settle.go
+++ b/internal/fleet/settle.go
@@ -92,6 +92,8 @@
 	EndP99    string         `json:"end_p99"`
 	Breaches  []check.Breach `json:"breaches"`
 	Unsettled string         `json:"unsettled,omitempty"`
+	Charter   []string       `json:"charter,omitempty"`
+	PerSecond []int          `json:"runs_ended_per_second"`
 }
 
 // Report sums the run up and checks it.
@@ -124,6 +126,15 @@
 	}
 	out.IntakeP50, out.IntakeP99 = Percentile(c.Times, 0.5).String(), Percentile(c.Times, 0.99).String()
 	out.EndP50, out.EndP99 = Percentile(whole, 0.5).String(), Percentile(whole, 0.99).String()
+	for _, r := range f.History.Runs {
+		if r.Status != 200 {
+			continue
+		}
+		for second := int(r.End.Seconds()); len(out.PerSecond) <= second; {
+			out.PerSecond = append(out.PerSecond, 0)
+		}
+		out.PerSecond[int(r.End.Seconds())]++
+	}
 	if unsettled != nil {
 		out.Unsettled = unsettled.Error()
 	}
