--- /dev/null
+++ b/internal/cli/calls.go
@@ -0,0 +1,155 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/go-resty/resty/v2"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/manager"
+	"caperwheel/internal/mishap"
+)
+
+func (t *tool) get(path string) (*resty.Response, error) {
+	resp, err := t.client.R().Get(path)
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.Lost, "manager %s", t.args.Manager)
+	}
+	if resp.IsError() {
+		return nil, problem(resp)
+	}
+	return resp, nil
+}
+
+func (t *tool) show(path string) error {
+	resp, err := t.get(path)
+	if err != nil {
+		return err
+	}
+	if tag := resp.Header().Get("ETag"); tag != "" {
+		fmt.Fprintf(t.err, "stamp %s\n", strings.Trim(tag, `"`))
+	}
+	fmt.Fprint(t.out, string(resp.Body()))
+	return nil
+}
+
+func (t *tool) post(path string) error {
+	resp, err := t.client.R().Post(path)
+	if err != nil {
+		return mishap.Wrap(err, mishap.Lost, "manager %s", t.args.Manager)
+	}
+	if resp.IsError() {
+		return problem(resp)
+	}
+	fmt.Fprint(t.out, string(resp.Body()))
+	return nil
+}
+
+// edit changes a document on a base: the stamp given, or the newest.
+func (t *tool) edit(method, path string, e editCommand) error {
+	body, err := readFile(e.File)
+	if err != nil {
+		return err
+	}
+	if e.Stamp == "" {
+		resp, err := t.get(path)
+		if err != nil {
+			return err
+		}
+		e.Stamp = strings.Trim(resp.Header().Get("ETag"), `"`)
+	}
+	req := t.client.R().SetHeader("If-Match", `"`+e.Stamp+`"`).SetHeader("Content-Type", "application/json").SetBody(body)
+	if e.DryRun {
+		req.SetQueryParam("check", "true")
+	}
+	resp, err := req.Execute(method, path)
+	if err != nil {
+		return mishap.Wrap(err, mishap.Undecided, "manager %s; read the document back", t.args.Manager)
+	}
+	if resp.IsError() {
+		return problem(resp)
+	}
+	fmt.Fprint(t.out, string(resp.Body()))
+	return nil
+}
+
+func (t *tool) checkCharter(file string) error {
+	doc, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	rules, faults := charter.Compile(doc)
+	if len(faults) > 0 {
+		for _, f := range faults {
+			fmt.Fprintf(t.out, "%s: %s\n", f.Path, f.Text)
+		}
+		return mishap.New(mishap.Invalid, "%d faults", len(faults))
+	}
+	fmt.Fprintf(t.out, "good: %d lanes, %d pools\n", len(rules.Lanes), len(rules.Pools))
+	return nil
+}
+
+func (t *tool) readStatus() (manager.Status, error) {
+	var status manager.Status
+	resp, err := t.get("/v1/status")
+	if err != nil {
+		return status, err
+	}
+	return status, mishap.Wrap(json.Unmarshal(resp.Body(), &status), mishap.Broken, "status")
+}
+
+func (t *tool) status() error {
+	if t.args.Json {
+		return t.show("/v1/status")
+	}
+	s, err := t.readStatus()
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "%s, charter stamp %d, fresh: %t\n\n", s.Manager, s.Stamp, s.Fresh)
+	fmt.Fprintf(t.out, "%-14s %-8s %-6s %-6s %-6s %s\n", "daemon", "kind", "cell", "fresh", "stamp", "heard")
+	for _, m := range s.Members {
+		fmt.Fprintf(t.out, "%-14s %-8s %-6s %-6t %-6d %d ms ago\n", m.Name, m.Kind, m.Cell, m.Fresh, m.Stamp, m.AgeMs)
+	}
+	owners := map[string]int{}
+	for _, g := range append(s.Places, s.Parts...) {
+		owners[g.Owner]++
+	}
+	fmt.Fprintf(t.out, "\nplaces and parts by owner: %v\n", owners)
+	for _, p := range s.Pools {
+		fmt.Fprintf(t.out, "pool %-24s %d workers, %d with a holder\n", p.Name, p.Workers, len(p.Duties))
+	}
+	if len(s.Emptied)+len(s.Retired) > 0 {
+		fmt.Fprintf(t.out, "emptied cells: %v, retired stores: %v\n", s.Emptied, s.Retired)
+	}
+	return nil
+}
+
+func (t *tool) message(c *messageCommand) error {
+	if c.Adapter == "" {
+		resp, err := t.get("/v1/daemons?ready=true&kind=adapter")
+		if err != nil {
+			return err
+		}
+		var list []manager.StatusMember
+		if err := json.Unmarshal(resp.Body(), &list); err != nil || len(list) == 0 {
+			return mishap.New(mishap.Unknown, "no adapter is ready")
+		}
+		c.Adapter = list[0].Http
+	}
+	path := "http://" + c.Adapter + "/v1/messages/" + c.Id
+	if c.Body {
+		path += "/body"
+	}
+	resp, err := t.client.R().Get(path)
+	if err != nil {
+		return mishap.Wrap(err, mishap.Lost, "adapter %s", c.Adapter)
+	}
+	if resp.IsError() {
+		return problem(resp)
+	}
+	fmt.Fprint(t.out, string(resp.Body()))
+	return nil
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,209 @@
+// Package cli is the operators' command line.
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-resty/resty/v2"
+
+	"caperwheel/internal/mishap"
+)
+
+// Exit codes.
+const (
+	ExitWell     = 0 // done
+	ExitFailed   = 1 // the request failed, or the doctor found a fault
+	ExitUsage    = 2 // the command line or a file given is wrong
+	ExitConflict = 3 // lost a race, or a stale base: read again and retry
+	ExitOpen     = 4 // undecided: the change may or may not hold
+)
+
+type charterCommand struct {
+	Get     *struct{}    `arg:"subcommand:get" help:"print the charter; its stamp goes to standard error"`
+	Set     *editCommand `arg:"subcommand:set" help:"replace the charter"`
+	Patch   *editCommand `arg:"subcommand:patch" help:"apply a JSON merge patch"`
+	Check   *fileCommand `arg:"subcommand:check" help:"check a charter file here, without a manager"`
+	Diff    *fileCommand `arg:"subcommand:diff" help:"show what a charter file would change"`
+	History *struct{}    `arg:"subcommand:history" help:"list recent stamps with who and when"`
+}
+
+type fileCommand struct {
+	File string `arg:"positional,required"`
+}
+
+type editCommand struct {
+	File   string `arg:"positional,required" help:"file with the document; - for standard input"`
+	Stamp  string `arg:"--stamp" help:"stamp that the change is based on; the newest if not given"`
+	DryRun bool   `arg:"--dry-run" help:"only check, and show the differences"`
+}
+
+type poolEditCommand struct {
+	Pool string `arg:"positional,required"`
+	editCommand
+}
+
+type workersCommand struct {
+	Get   *nameCommand     `arg:"subcommand:get" help:"print the live list of a pool"`
+	Set   *poolEditCommand `arg:"subcommand:set" help:"replace the live list: POOL FILE"`
+	Patch *poolEditCommand `arg:"subcommand:patch" help:"change the entries given, by name: POOL FILE"`
+}
+
+type nameCommand struct {
+	Name string `arg:"positional,required"`
+}
+
+type cellCommand struct {
+	Empty   *nameCommand `arg:"subcommand:empty" help:"give a cell no new work"`
+	Restore *nameCommand `arg:"subcommand:restore" help:"use a cell again"`
+}
+
+type storeCommand struct {
+	Retire   *nameCommand `arg:"subcommand:retire" help:"move all off a store"`
+	Restore  *nameCommand `arg:"subcommand:restore" help:"use a store again"`
+	Progress *nameCommand `arg:"subcommand:progress" help:"tell how far a retirement has come"`
+}
+
+type messageCommand struct {
+	Adapter string `arg:"--adapter,env:CAPERWHEEL_ADAPTER" help:"HTTP address of an adapter; one is looked up if not given"`
+	Id      string `arg:"positional,required"`
+	Body    bool   `arg:"--body" help:"print the message's bytes"`
+}
+
+type arguments struct {
+	Manager  string          `arg:"--manager,env:CAPERWHEEL_MANAGER" default:"127.0.0.1:8090" help:"HTTP address of any manager"`
+	Json     bool            `arg:"--json" help:"print JSON as the API gives it"`
+	Operator string          `arg:"--operator,env:CAPERWHEEL_OPERATOR" help:"your name, for the history"`
+	Doctor   *doctorCommand  `arg:"subcommand:doctor" help:"look for common faults"`
+	Charter  *charterCommand `arg:"subcommand:charter" help:"the tree of settings"`
+	Workers  *workersCommand `arg:"subcommand:workers" help:"a pool's live list"`
+	Cell     *cellCommand    `arg:"subcommand:cell" help:"empty or restore a cell"`
+	Store    *storeCommand   `arg:"subcommand:store" help:"retire a store"`
+	Status   *struct{}       `arg:"subcommand:status" help:"members, places, pools"`
+	Message  *messageCommand `arg:"subcommand:message" help:"a message's state, proof or bytes"`
+}
+
+// Version is printed by --version.
+func (arguments) Version() string { return "caperwheel (unreleased)" }
+
+type tool struct {
+	args     arguments
+	out, err io.Writer
+	client   *resty.Client
+}
+
+// Main runs one command and gives the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	t := &tool{out: out, err: errOut, client: resty.New()}
+	parser, err := arg.NewParser(arg.Config{Program: "caperwheel"}, &t.args)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return ExitUsage
+	}
+	switch err := parser.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+		return ExitWell
+	case errors.Is(err, arg.ErrVersion):
+		fmt.Fprintln(out, t.args.Version())
+		return ExitWell
+	case err != nil:
+		fmt.Fprintln(errOut, err)
+		return ExitUsage
+	}
+	t.client.SetBaseURL("http://"+t.args.Manager).SetHeader("X-Operator", t.args.Operator)
+	return t.code(t.run(parser))
+}
+
+func (t *tool) code(err error) int {
+	if err == nil {
+		return ExitWell
+	}
+	fmt.Fprintln(t.err, err)
+	switch mishap.KindOf(err) {
+	case mishap.Conflict:
+		return ExitConflict
+	case mishap.Undecided:
+		return ExitOpen
+	case mishap.Invalid, mishap.Missing:
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+func (t *tool) run(parser *arg.Parser) error {
+	a := t.args
+	switch {
+	case a.Doctor != nil:
+		return t.doctor(a.Doctor)
+	case a.Charter != nil && a.Charter.Get != nil:
+		return t.show("/v1/charter")
+	case a.Charter != nil && a.Charter.History != nil:
+		return t.show("/v1/charter/history")
+	case a.Charter != nil && a.Charter.Check != nil:
+		return t.checkCharter(a.Charter.Check.File)
+	case a.Charter != nil && a.Charter.Diff != nil:
+		return t.edit("PUT", "/v1/charter", editCommand{File: a.Charter.Diff.File, DryRun: true})
+	case a.Charter != nil && a.Charter.Set != nil:
+		return t.edit("PUT", "/v1/charter", *a.Charter.Set)
+	case a.Charter != nil && a.Charter.Patch != nil:
+		return t.edit("PATCH", "/v1/charter", *a.Charter.Patch)
+	case a.Workers != nil && a.Workers.Set != nil:
+		return t.edit("PUT", "/v1/pools/"+a.Workers.Set.Pool+"/workers", a.Workers.Set.editCommand)
+	case a.Workers != nil && a.Workers.Patch != nil:
+		return t.edit("PATCH", "/v1/pools/"+a.Workers.Patch.Pool+"/workers", a.Workers.Patch.editCommand)
+	case a.Workers != nil && a.Workers.Get != nil:
+		return t.show("/v1/pools/" + a.Workers.Get.Name + "/workers")
+	case a.Cell != nil && a.Cell.Empty != nil:
+		return t.post("/v1/cells/" + a.Cell.Empty.Name + "/empty")
+	case a.Cell != nil && a.Cell.Restore != nil:
+		return t.post("/v1/cells/" + a.Cell.Restore.Name + "/restore")
+	case a.Store != nil && a.Store.Retire != nil:
+		return t.post("/v1/stores/" + a.Store.Retire.Name + "/retire")
+	case a.Store != nil && a.Store.Restore != nil:
+		return t.post("/v1/stores/" + a.Store.Restore.Name + "/restore")
+	case a.Store != nil && a.Store.Progress != nil:
+		return t.show("/v1/stores/" + a.Store.Progress.Name)
+	case a.Status != nil:
+		return t.status()
+	case a.Message != nil:
+		return t.message(a.Message)
+	}
+	_ = parser.WriteHelpForSubcommand(t.out, parser.SubcommandNames()...)
+	return mishap.New(mishap.Invalid, "a command is missing")
+}
+
+func readFile(name string) ([]byte, error) {
+	if name == "-" {
+		raw, err := io.ReadAll(os.Stdin)
+		return raw, mishap.Wrap(err, mishap.Invalid, "standard input")
+	}
+	raw, err := os.ReadFile(name)
+	return raw, mishap.Wrap(err, mishap.Invalid, "file %s", name)
+}
+
+// problem makes an error of an answer that is no success.
+func problem(resp *resty.Response) error {
+	var p struct {
+		Error string `json:"error"`
+		Text  string `json:"text"`
+		More  any    `json:"more"`
+	}
+	if json.Unmarshal(resp.Body(), &p) != nil || p.Error == "" {
+		return mishap.New(mishap.Unsound, "%s %s: %s", resp.Request.Method, resp.Request.URL, resp.Status())
+	}
+	more := ""
+	if p.More != nil {
+		raw, _ := json.MarshalIndent(p.More, "", "  ")
+		more = "\n" + string(raw)
+	}
+	if after := resp.Header().Get("Retry-After"); after != "" {
+		more += "\ncome back after " + after + " s"
+	}
+	return mishap.New(mishap.Kind(p.Error), "%s%s", strings.TrimPrefix(p.Text, p.Error+": "), more)
+}
--- /dev/null
+++ b/internal/cli/doctor.go
@@ -0,0 +1,158 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"caperwheel/internal/manager"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/settings"
+)
+
+type doctorCommand struct {
+	Settings []string `arg:"--settings" help:"settings files to check, as KIND=FILE"`
+}
+
+// finding is one fault that the doctor names, with what to do about it.
+type finding struct {
+	Grave  bool   `json:"grave"`
+	Where  string `json:"where"`
+	Fault  string `json:"fault"`
+	Remedy string `json:"remedy"`
+}
+
+// doctor looks for common faults. It compares no clocks.
+func (t *tool) doctor(c *doctorCommand) error {
+	found := []finding{}
+	for _, pair := range c.Settings {
+		found = append(found, checkSettings(pair)...)
+	}
+	if status, err := t.readStatus(); err != nil {
+		found = append(found, finding{true, t.args.Manager, "the manager does not answer: " + err.Error(),
+			"is it running, and is --manager its HTTP address?"})
+	} else {
+		found = append(found, examine(status)...)
+	}
+	isGrave := false
+	if t.args.Json {
+		raw, err := json.MarshalIndent(found, "", "  ")
+		if err != nil {
+			return mishap.Wrap(err, mishap.Internal, "findings")
+		}
+		fmt.Fprintln(t.out, string(raw))
+	}
+	for _, f := range found {
+		isGrave = isGrave || f.Grave
+		if !t.args.Json {
+			fmt.Fprintf(t.out, "%s %s: %s\n    %s\n", map[bool]string{true: "FAULT", false: "note "}[f.Grave], f.Where, f.Fault, f.Remedy)
+		}
+	}
+	if isGrave {
+		return mishap.New(mishap.Unsound, "the doctor found faults")
+	}
+	if len(found) == 0 && !t.args.Json {
+		fmt.Fprintln(t.out, "No fault was found.")
+	}
+	return nil
+}
+
+// checkSettings reads a file as its daemon would and tries the seeds in it.
+func checkSettings(pair string) []finding {
+	kind, file := "", pair
+	for i, r := range pair {
+		if r == '=' {
+			kind, file = pair[:i], pair[i+1:]
+			break
+		}
+	}
+	s, err := settings.Load(kind, []string{"--settings", file})
+	if err != nil {
+		return []finding{{true, file, err.Error(), "mend the file; the daemon would not start with it"}}
+	}
+	out := []finding{}
+	for _, seed := range s.Seeds {
+		conn, err := net.DialTimeout("tcp", seed, 2*time.Second)
+		if err != nil {
+			out = append(out, finding{false, file, "seed " + seed + " does not answer", "is a daemon running there, and can this machine reach it?"})
+			continue
+		}
+		conn.Close()
+	}
+	return out
+}
+
+// examine looks through a manager's status.
+func examine(s manager.Status) []finding {
+	out := []finding{}
+	add := func(isGrave bool, where, fault, remedy string) {
+		out = append(out, finding{isGrave, where, fault, remedy})
+	}
+	if !s.Fresh {
+		add(true, s.Manager, "its view is stale", "are the stores up, and a majority of each part's replicas?")
+	}
+	stores, managers, cells := 0, 0, map[string]bool{}
+	for _, m := range s.Members {
+		if !m.Fresh {
+			add(true, m.Name, "its view is stale: it takes and starts nothing", "look at its way to the managers, and at its log")
+		} else if m.Stamp < s.Stamp {
+			add(false, m.Name, fmt.Sprintf("holds charter %d, the newest is %d", m.Stamp, s.Stamp), "it should follow within the bound; ask again")
+		}
+		switch m.Kind {
+		case "store":
+			stores++
+			cells[m.Cell] = true
+			if m.Counts["full"] > 0 {
+				add(true, m.Name, "its disk is nearly full: its places reject intake", "free room on the disk, or retire the store")
+			}
+			if m.Counts["segments"] > 8 {
+				add(false, m.Name, fmt.Sprintf("its log has %d segments", m.Counts["segments"]), "slots are not keeping up; is the disk slow?")
+			}
+		case "manager":
+			managers++
+		}
+	}
+	if stores < 3 || len(cells) < 3 {
+		add(stores < 2, "stores", fmt.Sprintf("%d stores in %d cells are here", stores, len(cells)),
+			"with fewer than three, in as many cells, the loss of one more stops places")
+	}
+	if managers < 2 {
+		add(false, "managers", fmt.Sprintf("%d manager is here", managers), "start another: without one, all daemons go stale")
+	}
+	groups := func(kind string, list []manager.StatusGroup) {
+		missing, under, behind := 0, 0, 0
+		for _, g := range list {
+			switch {
+			case g.Owner == "":
+				missing++
+			case g.Voters < 3:
+				under++
+			case g.Lag > 1000:
+				behind++
+			}
+		}
+		if missing > 0 {
+			add(true, kind, fmt.Sprintf("%d have no owner", missing), "is a majority of the stores up?")
+		}
+		if under > 0 {
+			add(false, kind, fmt.Sprintf("%d have fewer than three replicas", under), "is a store missing or retired without a spare?")
+		}
+		if behind > 0 {
+			add(false, kind, fmt.Sprintf("%d have a replica far behind", behind), "a store is down, or catching up")
+		}
+	}
+	groups("places", s.Places)
+	groups("parts", s.Parts)
+	for _, p := range s.Pools {
+		if p.Workers == 0 {
+			add(false, "pool "+p.Name, "no workers are listed", "give its live list: caperwheel workers set "+p.Name+" FILE")
+		} else if len(p.Duties) < p.Workers {
+			add(false, "pool "+p.Name, fmt.Sprintf("%d of %d workers have a holder", len(p.Duties), p.Workers), "are adapters up, in cells that are not emptied?")
+		}
+	}
+	for _, cell := range s.Emptied {
+		add(false, "cell "+cell, "is emptied", "restore it when its work is done: caperwheel cell restore "+cell)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,185 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/check"
+	"caperwheel/internal/cli"
+)
+
+const smallCharter = `{"pools":{"work":{"concurrency":4,"ease":"1s"},"out":{"kind":"endpoint","address":"127.0.0.1:9","rate":50,"ease":"0s"}},
+ "lanes":{"free":{"pools":["work"],"size":5000},"seq":{"pools":["work"],"ordering":"key","attempts":0},"capped":{"pools":["out"]},
+ "quote":{"pools":["work"],"callback":"capped"}}}`
+
+var smallPlan = Plan{Name: "small", Cells: []string{"a", "b", "c"}, Fronts: 2, Stores: 3, Managers: 2,
+	Workers: map[string]PlanWorkers{"work": {Count: 4, WorkMs: 2}, "out": {Count: 1, WorkMs: 2}}}
+
+// TestWholePath runs a small fleet of real processes, built with the race
+// detector, through the loss of a store and of an adapter. Only counts judge.
+func TestWholePath(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds and runs processes")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	dir := t.TempDir()
+	Convey("Given a small fleet of processes", t, func() {
+		So(Build(ctx, "../..", filepath.Join(dir, "bin"), true), ShouldBeNil)
+		f, err := New(smallPlan, []byte(smallCharter), filepath.Join(dir, "bin"), dir)
+		So(err, ShouldBeNil)
+		defer f.Down()
+		So(f.Up(ctx), ShouldBeNil)
+		callers := NewCallers(f)
+		Convey("messages are taken, run and proved, also while a store and an adapter are lost", func() {
+			sendAll(callers, 40)
+			f.Stores[0].Kill()
+			sendAll(callers, 40)
+			So(f.Stores[0].Start(), ShouldBeNil)
+			f.History.AddLost(check.Window{From: 0, Until: time.Hour})
+			f.Adapters[0].Kill()
+			sendAll(callers, 20)
+			So(f.Adapters[0].Start(), ShouldBeNil)
+			sendAll(callers, 20)
+			So(f.Settle(ctx, true), ShouldBeNil)
+			report := f.Report(callers, nil)
+			So(report.Breaches, ShouldBeEmpty)
+			So(report.Taken, ShouldBeGreaterThan, 300)
+			So(report.Ends["ended"], ShouldEqual, len(f.History.Ends))
+			So(f.CheckCharter(ctx), ShouldBeEmpty)
+			So(raced(dir), ShouldBeEmpty)
+			checkRejects(ctx, f)
+			checkCli(f)
+		})
+	})
+}
+
+func sendAll(c *Callers, each int) {
+	var wg sync.WaitGroup
+	for _, lane := range []string{"free", "seq", "capped", "quote"} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range each {
+				key := ""
+				if lane == "seq" {
+					key = fmt.Sprint("k", i%3)
+				}
+				c.Send(lane, key, 50, false)
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// raced finds what the race detector or a panic has left in the logs.
+func raced(dir string) string {
+	logs, _ := filepath.Glob(filepath.Join(dir, "log", "*.log"))
+	for _, file := range logs {
+		raw, _ := os.ReadFile(file)
+		for _, bad := range []string{"DATA RACE", "panic:"} {
+			if at := bytes.Index(raw, []byte(bad)); at >= 0 {
+				return file + ": " + string(raw[at:min(len(raw), at+3000)])
+			}
+		}
+	}
+	return ""
+}
+
+// checkRejects is the table of what a caller or an operator may get wrong.
+func checkRejects(ctx context.Context, f *Fleet) {
+	adapter, manager := "http://"+f.Adapters[1].Http, "http://"+f.Managers[0].Http
+	cases := []struct {
+		method, url, body string
+		head              map[string]string
+		code              int
+		kind              string
+	}{
+		{"POST", adapter + "/v1/lanes/nowhere/messages", "x", nil, 404, "unknown"},
+		{"GET", adapter + "/v1/lanes/free/messages", "", nil, 405, "bad_method"},
+		{"POST", adapter + "/v1/lanes/free/messages", strings.Repeat("x", 5001), nil, 413, "too_large"},
+		{"POST", adapter + "/v1/lanes/free/messages", "{", map[string]string{"Content-Type": "application/json"}, 400, "invalid"},
+		{"POST", adapter + "/v1/lanes/free/messages?wiat=1s", "x", nil, 400, "invalid"},
+		{"POST", adapter + "/v1/lanes/free/messages?wait=9h", "x", nil, 400, "invalid"},
+		{"POST", adapter + "/v1/lanes/seq/messages", "x", nil, 400, "invalid"},
+		{"POST", adapter + "/v1/lanes/free/messages", "x", map[string]string{"Ordering-Key": "k"}, 400, "invalid"},
+		{"POST", adapter + "/v1/lanes/free/messages", "x", map[string]string{"Idempotency-Key": strings.Repeat("k", 201)}, 400, "invalid"},
+		{"POST", adapter + "/v1/lanes/free/messages", "one", map[string]string{"Idempotency-Key": "same"}, 202, ""},
+		{"POST", adapter + "/v1/lanes/free/messages", "two", map[string]string{"Idempotency-Key": "same"}, 409, "conflict"},
+		{"GET", adapter + "/v1/messages/99999-x", "", nil, 404, "unknown"},
+		{"GET", adapter + "/v1/messages/1-nobody", "", nil, 404, "unknown"},
+		{"GET", adapter + "/elsewhere", "", nil, 404, "unknown"},
+		{"PUT", manager + "/v1/charter", smallCharter, nil, 428, "missing"},
+		{"PUT", manager + "/v1/charter", smallCharter, map[string]string{"If-Match": `"99999"`}, 412, "conflict"},
+		{"PUT", manager + "/v1/charter", smallCharter, map[string]string{"If-Match": "x"}, 400, "invalid"},
+		{"PUT", manager + "/v1/pools/out/workers", `{"workers":[]}`, map[string]string{"If-Match": "0"}, 409, "rejected"},
+		{"PUT", manager + "/v1/pools/none/workers", `{"workers":[]}`, map[string]string{"If-Match": "0"}, 404, "unknown"},
+		{"PUT", manager + "/v1/pools/work/workers", `{"wrokers":[]}`, map[string]string{"If-Match": "0"}, 422, "invalid"},
+		{"POST", manager + "/v1/cells/nowhere/empty", "", nil, 404, "unknown"},
+		{"DELETE", manager + "/v1/charter", "", nil, 405, "bad_method"},
+	}
+	for _, c := range cases {
+		req, err := http.NewRequestWithContext(ctx, c.method, c.url, strings.NewReader(c.body))
+		So(err, ShouldBeNil)
+		for name, value := range c.head {
+			req.Header.Set(name, value)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		So(err, ShouldBeNil)
+		raw := new(bytes.Buffer)
+		_, err = raw.ReadFrom(resp.Body)
+		resp.Body.Close()
+		So(err, ShouldBeNil)
+		So(fmt.Sprint(c.method, c.url, resp.StatusCode), ShouldEqual, fmt.Sprint(c.method, c.url, c.code))
+		if c.kind != "" {
+			So(raw.String(), ShouldContainSubstring, `"error": "`+c.kind+`"`)
+		}
+	}
+}
+
+// checkCli uses the command line as an operator would.
+func checkCli(f *Fleet) {
+	run := func(args ...string) (int, string) {
+		var out, errOut bytes.Buffer
+		code := cli.Main(append([]string{"--manager", f.Managers[0].Http}, args...), &out, &errOut)
+		return code, out.String() + errOut.String()
+	}
+	file := filepath.Join(f.Dir, "patch.json")
+	write := func(text string) { So(os.WriteFile(file, []byte(text), 0o644), ShouldBeNil) }
+	cases := []struct {
+		text string
+		args []string
+		code int
+		says string
+	}{
+		{"", []string{"status"}, cli.ExitWell, "store-1"},
+		{"", []string{"charter", "get"}, cli.ExitWell, `"lanes"`},
+		{`{"note":"n"}`, []string{"charter", "patch", file, "--dry-run"}, cli.ExitWell, `"checked": true`},
+		{`{"note":"n"}`, []string{"charter", "patch", file}, cli.ExitWell, `"stamp"`},
+		{`{"note":"m"}`, []string{"charter", "patch", file, "--stamp", "1"}, cli.ExitConflict, "stamp is"},
+		{`{"nope":1}`, []string{"charter", "patch", file}, cli.ExitUsage, "is not known"},
+		{`{"nope":1}`, []string{"charter", "check", file}, cli.ExitUsage, "nope: is not known"},
+		{"", []string{"charter", "history"}, cli.ExitWell, "operator from"},
+		{"", []string{"workers", "get", "work"}, cli.ExitWell, "work-01"},
+		{"", []string{"message", f.History.Sent[0].Id}, cli.ExitWell, `"state": "ended"`},
+		{"", []string{"message", f.History.Sent[0].Id, "--body"}, cli.ExitWell, "token"},
+		{"", []string{"message", "1-none"}, cli.ExitFailed, "unknown"},
+		{"", []string{"nonsense"}, cli.ExitUsage, "nonsense"},
+	}
+	for _, c := range cases {
+		write(c.text)
+		code, says := run(c.args...)
+		So(says, ShouldContainSubstring, c.says)
+		So(fmt.Sprint(c.args, code), ShouldEqual, fmt.Sprint(c.args, c.code))
+	}
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -62,7 +62,7 @@
 	if isRace {
 		args = append(args, "-race")
 	}
-	for _, name := range []string{"adapter", "agent", "store", "manager"} {
+	for _, name := range []string{"adapter", "agent", "store", "manager", "caperwheel"} {
 		args = append(args, "./cmd/"+name)
 	}
 	cmd := exec.CommandContext(ctx, "go", args...)
