Store waits for its view before it takes a lane for removed

Cause: after all daemons lost power, a store that owned places again judged open runs by the default rules (one attempt, no rerun), since its view had no charter yet. 13 of 16711 messages ended as failed in the power schedule. Ruled out: lost log entries (all messages were found), attempts used up (lanes allow 10 and more), back ends (all answered 200).

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -161,9 +161,10 @@
 }
 
 func (in *Intake) read(r *http.Request, e *errand) error {
+	isFresh := in.d.IsFresh() // asked before the scene, so that a lane missing from it is missing
 	lane, isKnown := in.scenes.Now().Rules.Lanes[r.PathValue("lane")]
 	if !isKnown {
-		if !in.d.IsFresh() {
+		if !isFresh {
 			return mishap.New(mishap.Stale, "this adapter has lost touch with the control plane")
 		}
 		return mishap.New(mishap.Unknown, "no lane %s", r.PathValue("lane"))
--- a/internal/manager/workers.go
+++ b/internal/manager/workers.go
@@ -12,10 +12,10 @@
 
 // pool finds the pool named in the path and its workers' key.
 func (m *Manager) pool(r *http.Request) (part int64, key string, err error) {
-	name := r.PathValue("pool")
+	name, isFresh := r.PathValue("pool"), m.d.IsFresh()
 	pool, isKnown := m.scenes.Now().Rules.Pools[name]
 	switch {
-	case !m.d.IsFresh():
+	case !isFresh:
 		return 0, "", mishap.New(mishap.Stale, "this manager has lost touch with the stores")
 	case !isKnown:
 		return 0, "", mishap.New(mishap.Unknown, "no pool %s", name)
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -212,11 +212,22 @@
 
 func (p *placeHost) ownerName() string { return ownerOf(p.host) }
 
-func (p *placeHost) lane(name string) charter.Lane {
-	if l, isKnown := p.s.scenes.Now().Rules.Lanes[name]; isKnown {
-		return l
+// lane gives a lane's rules, or false when they are not known now: a store
+// that has just started must wait for its view rather than take every lane for
+// one that was removed.
+func (p *placeHost) lane(name string) (charter.Lane, bool) {
+	isFresh := p.s.d.IsFresh() // before the scene: what is fresh now is in it
+	return laneOf(p.s.scenes.Now().Rules, name, isFresh)
+}
+
+func laneOf(rules *charter.Rules, name string, isFresh bool) (charter.Lane, bool) {
+	if l, isKnown := rules.Lanes[name]; isKnown {
+		return l, true
+	}
+	if !isFresh {
+		return charter.Lane{}, false
 	}
-	return charter.Lane{Name: name, Attempts: 1, Retention: 10 * time.Minute, Backoff: time.Second, BackoffMost: time.Second}
+	return charter.Lane{Name: name, Attempts: 1, Retention: 10 * time.Minute, Backoff: time.Second, BackoffMost: time.Second}, true
 }
 
 // pause is the time before the next run: it doubles, with jitter, so that a
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/place"
 	"caperwheel/internal/wire"
@@ -93,7 +94,12 @@
 		answer(&wire.OutcomeAck{}) // ended and forgotten long ago
 		return
 	}
-	p.propose(p.judge(e, o), func(_ place.Verdict, err error) {
+	lane, isKnown := p.lane(e.Lane)
+	if !isKnown {
+		answer(&wire.OutcomeAck{Kind: string(mishap.Stale)}) // its adapter keeps it and comes again
+		return
+	}
+	p.propose(p.judge(e, o, lane), func(_ place.Verdict, err error) {
 		if err != nil {
 			answer(&wire.OutcomeAck{Kind: string(mishap.KindOf(err)), Owner: p.ownerName()})
 			return
@@ -105,8 +111,7 @@
 }
 
 // judge decides what a result means for its errand.
-func (p *placeHost) judge(e *place.Errand, o *wire.Outcome) place.Command {
-	lane := p.lane(e.Lane)
+func (p *placeHost) judge(e *place.Errand, o *wire.Outcome, lane charter.Lane) place.Command {
 	retain := int64(lane.Retention / time.Millisecond)
 	if o.Kind == "" {
 		c := place.Command{Kind: place.CmdEnd, Id: e.Id, Proof: o.Proof, Retain: retain}
@@ -134,9 +139,13 @@
 	if !p.host.IsOwner() {
 		return
 	}
+	if !p.s.d.IsFresh() {
+		p.publish()
+		return
+	}
 	at := p.now()
 	for _, e := range p.machine.Late(at) {
-		lane := p.lane(e.Lane)
+		lane, _ := p.lane(e.Lane)
 		p.propose(place.Command{Kind: place.CmdClose, Id: e.Id, Attempt: e.Attempt, State: string(place.Expired), Cause: "patience",
 			Retain: int64(lane.Retention / time.Millisecond)}, nil)
 	}
@@ -190,7 +199,11 @@
 // lost deals with a run whose adapter has begun a new life: whether the worker
 // did it is unknown. For an ordered lane the worker is given time to end it.
 func (p *placeHost) lost(e *place.Errand, now time.Duration) {
-	lane, pool := p.lane(e.Lane), p.s.scenes.Now().Rules.Pools[e.Pool]
+	lane, isKnown := p.lane(e.Lane)
+	if !isKnown {
+		return
+	}
+	pool := p.s.scenes.Now().Rules.Pools[e.Pool]
 	if p.lostAt[e.Id] == 0 {
 		p.lostAt[e.Id] = now
 	}
@@ -213,8 +226,11 @@
 		if p.sending[id] {
 			continue
 		}
+		lane, isKnown := p.lane(child.Lane)
+		if !isKnown {
+			return
+		}
 		p.sending[id] = true
-		lane := p.lane(child.Lane)
 		take := &wire.Take{Place: p.s.placeOfId(id), Id: id, Lane: child.Lane, Ctype: child.Ctype, Body: child.Body,
 			Sum: child.Sum, Cutoff: int64(lane.Patience / time.Millisecond), Parent: child.Parent}
 		p.s.takeElsewhere(take, func(isTaken bool) {
