--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -25,7 +25,7 @@
 	intake.New(d, scenes)
 	client := d.Client(func() wire.Poll {
 		poll := d.Poll()
-		poll.Fact.Counts["runs"] = int64(out.InHand())
+		out.Say(poll.Fact.Counts)
 		return poll
 	})
 	go client.Run(ctx)
--- a/internal/charter/rules.go
+++ b/internal/charter/rules.go
@@ -6,6 +6,7 @@
 
 	"caperwheel/internal/feed"
 	"caperwheel/internal/mishap"
+	"caperwheel/internal/weight"
 )
 
 // Keys of the control state.
@@ -52,7 +53,7 @@
 	Duties  map[string]map[string]Held
 	Emptied map[string]bool
 	Retired map[string]bool
-	Weights map[string]json.RawMessage
+	Weights map[string]weight.Weights // by pool, as published
 }
 
 // Scenes keeps the scene of a view.
@@ -77,7 +78,7 @@
 
 func compose(view *feed.View, old *Scene) *Scene {
 	out := &Scene{Workers: map[string]map[string]Worker{}, Duties: map[string]map[string]Held{},
-		Emptied: map[string]bool{}, Retired: map[string]bool{}, Weights: map[string]json.RawMessage{},
+		Emptied: map[string]bool{}, Retired: map[string]bool{}, Weights: map[string]weight.Weights{},
 		Rules: &Rules{Lanes: map[string]Lane{}, Pools: map[string]Pool{}}}
 	if c, isKnown := view.Get(feed.CharterPart, Key); isKnown {
 		out.Stamp = c.Stamp
@@ -94,7 +95,10 @@
 		out.Retired[c.Key[len(StoreKey):]] = true
 	}
 	for _, c := range view.Keys(WeightKey) {
-		out.Weights[c.Key[len(WeightKey):]] = c.Value
+		var w weight.Weights
+		if json.Unmarshal(c.Value, &w) == nil {
+			out.Weights[c.Key[len(WeightKey):]] = w
+		}
 	}
 	for _, c := range view.Keys(WorkersKey) {
 		list, _ := ReadWorkers(c.Value)
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -86,6 +86,12 @@
 	})
 }
 
+// Say adds to what the adapter tells of itself in its session.
+func (a *Adapter) Say(counts map[string]int64) {
+	counts["runs"] = int64(a.InHand())
+	a.slots.observed(counts)
+}
+
 // InHand tells how many runs are in hand.
 func (a *Adapter) InHand() int {
 	a.mu.Lock()
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -98,12 +98,12 @@
 	if wait := a.slots.pace(r.worker); wait > 0 {
 		time.Sleep(wait)
 	}
-	lane := a.scenes.Now().Rules.Lanes[r.Lane]
+	lane, began := a.scenes.Now().Rules.Lanes[r.Lane], a.d.Now()
 	err := path.Run(path.Delivery(lane), a.doers, &delivery{r, &o})
 	if !r.isSent.Load() {
 		a.slots.unused(r.worker)
 	} else {
-		a.slots.done(r.Pool+"/"+r.Worker, r.worker, isWorkerSound(err, &o))
+		a.slots.done(r.Pool+"/"+r.Worker, r.worker, isWorkerSound(err, &o), a.d.Now()-began)
 	}
 	if err != nil {
 		o.Kind, o.Begun = string(mishap.KindOf(err)), r.isSent.Load()
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -183,11 +183,25 @@
 	w.Release()
 }
 
-func (s *slots) done(key string, w *Worker, isSound bool) {
+// observed tells managers what this adapter sees of its workers: by worker,
+// microseconds of a run, failed runs in thousands, and 1 if it is only probed.
+func (s *slots) observed(into map[string]int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, h := range s.workers {
+		micros, misses, isProbe := h.worker.Observed()
+		into["run_micros "+key], into["run_misses "+key] = int64(micros), int64(misses*1000)
+		if isProbe {
+			into["run_probes "+key] = 1
+		}
+	}
+}
+
+func (s *slots) done(key string, w *Worker, isSound bool, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.a.d.Now()
-	w.Done(isSound, now)
+	w.Done(isSound, took, now)
 	if h := s.workers[key]; h != nil {
 		s.answerAsks(key, h, now)
 	}
--- a/internal/deliver/worker.go
+++ b/internal/deliver/worker.go
@@ -38,6 +38,9 @@
 	probeAt time.Duration
 	rest    time.Duration // pause between probes; doubles
 	startAt time.Duration // the newest start
+	ceiling float64       // runs at once, as the worker seems to bear
+	micros  float64       // smoothed time of a sound run
+	misses  float64       // smoothed share of failed runs
 }
 
 // Constants of a worker's soundness.
@@ -52,7 +55,7 @@
 // NewWorker takes a duty up. An endpoint's holder waits out the fence, during
 // which the holder before may still act, and starts with an empty bucket.
 func NewWorker(pool charter.Pool, fence, now time.Duration) *Worker {
-	w := &Worker{pool: pool, heldAt: now + fence, filled: now + fence}
+	w := &Worker{pool: pool, heldAt: now + fence, filled: now + fence, ceiling: float64(pool.Concurrency)}
 	w.enter(Easing, now+fence)
 	return w
 }
@@ -94,7 +97,31 @@
 	if w.state == Unsound {
 		return 1
 	}
-	return 1 + int64(math.Floor(float64(w.pool.Concurrency-1)*w.warmth(now)))
+	warm := 1 + math.Floor(float64(w.pool.Concurrency-1)*w.warmth(now))
+	return max(1, int64(min(warm, w.ceiling)))
+}
+
+// observe moves the ceiling: down by half when the worker fails, up by one for
+// each ceiling's worth of sound runs. It also smooths what is reported.
+func (w *Worker) observe(isSound bool, took time.Duration) {
+	const smooth = 0.1
+	if isSound {
+		w.ceiling = min(float64(w.pool.Concurrency), w.ceiling+1/max(1, w.ceiling))
+		w.misses -= w.misses * smooth
+		if w.micros == 0 {
+			w.micros = float64(took.Microseconds())
+		}
+		w.micros += (float64(took.Microseconds()) - w.micros) * smooth
+		return
+	}
+	w.ceiling = max(1, w.ceiling/2)
+	w.misses += (1 - w.misses) * smooth
+}
+
+// Observed tells the smoothed time of a run, the share that failed, and
+// whether the worker is only probed.
+func (w *Worker) Observed() (micros, misses float64, isProbe bool) {
+	return w.micros, w.misses, w.state == Unsound
 }
 
 // rate is how many starts a second it gets now; 0 means no cap.
@@ -165,8 +192,9 @@
 
 // Done takes a run's end in. isSound is false when the worker failed, not when
 // it answered that the message is at fault.
-func (w *Worker) Done(isSound bool, now time.Duration) {
+func (w *Worker) Done(isSound bool, took, now time.Duration) {
 	w.inUse = max(0, w.inUse-1)
+	w.observe(isSound, took)
 	if isSound {
 		w.failed = 0
 		if w.state == Unsound {
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -33,11 +33,22 @@
 	})
 }
 
-func (m *Manager) planDuties(ctx context.Context, workers pond.Pool) {
-	scene, managers := m.scenes.Now(), []string{}
+// ownPools lists the pools that this manager looks after.
+func (m *Manager) ownPools(names map[string]bool) []string {
+	managers, out := []string{}, []string{}
 	for _, who := range m.d.Roll.Kind("manager") {
 		managers = append(managers, who.Name)
 	}
+	for name := range names {
+		if duty.First("pool/"+name, managers) == m.d.Who.Name {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func (m *Manager) planDuties(ctx context.Context, workers pond.Pool) {
+	scene := m.scenes.Now()
 	adapters := m.d.Roll.Kind("adapter")
 	group := workers.NewGroup()
 	pools := map[string]bool{}
@@ -47,10 +58,7 @@
 	for name := range scene.Duties {
 		pools[name] = true
 	}
-	for name := range pools {
-		if duty.First("pool/"+name, managers) != m.d.Who.Name {
-			continue
-		}
+	for _, name := range m.ownPools(pools) {
 		part := feed.PartOf(name, m.d.Settings.Parts)
 		stamp := func(key string) (int64, bool) {
 			c, isStanding := m.d.View.Get(part, key)
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -38,6 +38,7 @@
 	go beat.Every(ctx, d.Bounds.Of(beat.Poll), m.follow)
 	go beat.Every(ctx, d.Bounds.Of(beat.Poll), m.share)
 	go m.controlDuties(ctx)
+	go m.controlWeights(ctx)
 	d.Serve(nil)
 }
 
--- /dev/null
+++ b/internal/manager/weights.go
@@ -0,0 +1,89 @@
+package manager
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/weight"
+	"caperwheel/internal/wire"
+
+	"k8s.io/klog/v2"
+)
+
+// controlWeights runs one controller for each pool that this manager looks
+// after: what adapters see goes in, weights come out, and are published when
+// they have changed enough to matter.
+func (m *Manager) controlWeights(ctx context.Context) {
+	beat.Every(ctx, m.d.Bounds.Of(beat.Gone), func() {
+		if !m.d.IsFresh() {
+			return
+		}
+		scene, seen := m.scenes.Now(), m.seen()
+		pools := map[string]bool{}
+		for name, p := range scene.Rules.Pools {
+			pools[name] = !p.IsEndpoint && len(scene.Workers[name]) > 1
+		}
+		for _, pool := range m.ownPools(pools) {
+			if pools[pool] {
+				m.publishWeights(ctx, scene, pool, seen[pool])
+			}
+		}
+	})
+}
+
+// seen gathers what adapters tell of their workers, by pool and worker.
+func (m *Manager) seen() map[string]map[string]weight.Seen {
+	out := map[string]map[string]weight.Seen{}
+	scene := m.scenes.Now()
+	_, members := m.registry.Members(m.d.Now())
+	for _, member := range members {
+		for key, micros := range member.Fact.Counts {
+			name, isIt := strings.CutPrefix(key, "run_micros ")
+			at := strings.LastIndex(name, "/")
+			if !isIt || at < 0 {
+				continue
+			}
+			pool, worker := name[:at], name[at+1:]
+			if out[pool] == nil {
+				out[pool] = map[string]weight.Seen{}
+			}
+			out[pool][worker] = weight.Seen{Cell: scene.Workers[pool][worker].Cell, Micros: float64(micros),
+				Failed:  float64(member.Fact.Counts["run_misses "+name]) / 1000,
+				IsProbe: member.Fact.Counts["run_probes "+name] > 0}
+		}
+	}
+	return out
+}
+
+func (m *Manager) publishWeights(ctx context.Context, scene *charter.Scene, pool string, seen map[string]weight.Seen) {
+	for worker := range seen {
+		if _, isListed := scene.Workers[pool][worker]; !isListed {
+			delete(seen, worker)
+		}
+	}
+	old := scene.Weights[pool]
+	next := weight.Next(old, seen)
+	if len(seen) == 0 || !weight.IsNews(old, next) {
+		return
+	}
+	raw, err := json.Marshal(next)
+	if err != nil {
+		return
+	}
+	part := feed.PartOf(pool, m.d.Settings.Parts)
+	stamp := int64(0)
+	if c, isStanding := m.d.View.Get(part, charter.WeightKey+pool); isStanding {
+		stamp = c.Stamp
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter)
+	defer cancel()
+	_, err = m.edit(ctx, wire.Edit{Part: part, Key: charter.WeightKey + pool, Value: raw, IfStamp: stamp, By: "weight controller at " + m.d.Who.Name})
+	if err != nil && !mishap.Is(err, mishap.Conflict) {
+		klog.Warningf("weight: Weights of %s cannot be published: %v.", pool, err)
+	}
+}
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
 )
 
@@ -140,7 +139,7 @@
 	type choice struct {
 		worker string
 		holder wire.Who
-		weight float64
+		share  float64
 	}
 	choices, sum := []choice{}, 0.0
 	now, spill := d.s.d.Now(), scene.Rules.Pools[pool].Spill
@@ -159,11 +158,8 @@
 			if !isMember || holder.Boot != duty.Boot {
 				continue
 			}
-			weight := 1.0
-			if !isOwnCell {
-				weight = 0.25
-			}
-			choices, sum = append(choices, choice{name, holder, weight}), sum+weight
+			share := drawWeight(scene.Weights[pool], name, worker.Cell, isOwnCell)
+			choices, sum = append(choices, choice{name, holder, share}), sum+share
 		}
 		if isOwnCell && len(choices) > 0 && !spill {
 			break
@@ -171,67 +167,25 @@
 	}
 	at := rand.Float64() * sum
 	for _, c := range choices {
-		if at -= c.weight; at <= 0 {
+		if at -= c.share; at <= 0 {
 			return c.worker, c.holder, true
 		}
 	}
 	return "", wire.Who{}, false
 }
 
-// use gives a granted slot to the lane whose turn it is: turns are shared by
-// urgency among the lanes that the pool may run.
-func (d *dispatcher) use(g slotGrant) {
-	lane := d.pickLane(g.pool)
-	if lane == "" {
-		d.release(g)
-		return
-	}
-	places := d.s.ownPlaces()
-	d.mu.Lock()
-	d.next++
-	first := d.next
-	d.mu.Unlock()
-	for i := range places {
-		p := places[(first+i)%len(places)]
-		if (*p.ready.Load())[lane] > 0 {
-			if err := p.host.Do(func() { p.start(lane, g) }); err != nil {
-				break
-			}
-			return
-		}
-	}
-	d.release(g)
-}
-
-func (d *dispatcher) pickLane(pool string) string {
-	ready, scene := d.ready(), d.s.scenes.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	best, least := "", 0.0
-	for name, n := range ready {
-		lane := scene.Rules.Lanes[name]
-		if n <= d.taken[name] || !slices.Contains(lane.Pools, pool) {
-			continue
-		}
-		if best == "" || d.passed[name] < least {
-			best, least = name, d.passed[name]
-		}
-	}
-	if best == "" {
-		return ""
+// drawWeight is how likely a worker is asked, against others: as published by
+// its pool's controller, and less across cells.
+func drawWeight(published weight.Weights, worker, cell string, isOwnCell bool) float64 {
+	out := 1.0
+	if w, isKnown := published.Workers[worker]; isKnown {
+		out = w
 	}
-	d.taken[best]++
-	d.passed[best] += 1 / float64(max(1, scene.Rules.Lanes[best].Urgency))
-	for name := range d.passed { // a lane that was idle does not catch up on turns
-		d.passed[name] = max(d.passed[name], least)
+	if w, isKnown := published.Cells[cell]; isKnown {
+		out *= w
 	}
-	return best
-}
-
-// release gives a slot back unused.
-func (d *dispatcher) release(g slotGrant) {
-	err := d.s.d.Node.Peer(wire.RunLink, g.holder.Addr).Post(&wire.Release{Permit: g.permit}, nil)
-	if err != nil && !mishap.Is(err, mishap.Lost) {
-		d.nudge() // the holder takes it back when it lapses
+	if !isOwnCell {
+		out /= 4
 	}
+	return max(out, weight.Least*weight.Least)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,20 +6,15 @@
 	"hash/fnv"
 	"maps"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/group"
 	"caperwheel/internal/host"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/slot"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
@@ -222,67 +217,3 @@
 	}
 	return best
 }
-
-// upkeep founds, watches the disk, and keeps the log short.
-func (s *Store) upkeep(ctx context.Context) {
-	beat.Every(ctx, s.d.Bounds.Of(beat.Vote), func() {
-		s.founder.try()
-		isFull := s.disk.IsFull()
-		if s.diskFull.Swap(isFull) != isFull {
-			klog.Warningf("store: Disk nearly full is now %t; intake follows.", isFull)
-		}
-		if s.disk.Segments() > 4 {
-			for _, id := range s.disk.Behind(s.groupIds()) {
-				s.hostOf(id).Compact()
-			}
-		}
-	})
-}
-
-// leave hands every owned group over before the store stops.
-func (s *Store) leave(ctx context.Context) {
-	for ctx.Err() == nil {
-		left := 0
-		for _, id := range s.groupIds() {
-			h := s.hostOf(id)
-			if v := h.View(); v.Role == group.Owner && len(group.Voters(v.Roster)) > 1 {
-				left++
-				h.HandOver(func(string) bool { return false })
-			}
-		}
-		if left == 0 {
-			break
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(s.d.Bounds.Of(beat.Pulse)):
-		}
-	}
-	s.disk.Close()
-}
-
-func (s *Store) ready() (bool, string) {
-	switch {
-	case !s.isOpen.Load():
-		return false, string(mishap.Unfounded)
-	case !s.d.IsFresh():
-		return false, string(mishap.Stale)
-	}
-	return true, ""
-}
-
-// placeOfId reads the place out of a message's id.
-func (s *Store) placeOfId(id string) int64 {
-	text, _, _ := strings.Cut(id, "-")
-	n, _ := strconv.ParseInt(text, 10, 64)
-	return n
-}
-
-// childId gives a call-back's id: derived from its parent's, so that it is the
-// same whoever derives it.
-func (s *Store) childId(parent string) string {
-	h := fnv.New32a()
-	h.Write([]byte(parent))
-	_, rest, _ := strings.Cut(parent, "-")
-	return fmt.Sprintf("%d-c%s", h.Sum32()%uint32(s.d.Settings.Places), rest)
-}
--- /dev/null
+++ b/internal/store/use.go
@@ -0,0 +1,66 @@
+package store
+
+import (
+	"slices"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// use gives a granted slot to the lane whose turn it is: turns are shared by
+// urgency among the lanes that the pool may run.
+func (d *dispatcher) use(g slotGrant) {
+	lane := d.pickLane(g.pool)
+	if lane == "" {
+		d.release(g)
+		return
+	}
+	places := d.s.ownPlaces()
+	d.mu.Lock()
+	d.next++
+	first := d.next
+	d.mu.Unlock()
+	for i := range places {
+		p := places[(first+i)%len(places)]
+		if (*p.ready.Load())[lane] > 0 {
+			if err := p.host.Do(func() { p.start(lane, g) }); err != nil {
+				break
+			}
+			return
+		}
+	}
+	d.release(g)
+}
+
+func (d *dispatcher) pickLane(pool string) string {
+	ready, scene := d.ready(), d.s.scenes.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	best, least := "", 0.0
+	for name, n := range ready {
+		lane := scene.Rules.Lanes[name]
+		if n <= d.taken[name] || !slices.Contains(lane.Pools, pool) {
+			continue
+		}
+		if best == "" || d.passed[name] < least {
+			best, least = name, d.passed[name]
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	d.taken[best]++
+	d.passed[best] += 1 / float64(max(1, scene.Rules.Lanes[best].Urgency))
+	for name := range d.passed { // a lane that was idle does not catch up on turns
+		d.passed[name] = max(d.passed[name], least)
+	}
+	return best
+}
+
+// release gives a slot back unused.
+func (d *dispatcher) release(g slotGrant) {
+	err := d.s.d.Node.Peer(wire.RunLink, g.holder.Addr).Post(&wire.Release{Permit: g.permit}, nil)
+	if err != nil && !mishap.Is(err, mishap.Lost) {
+		d.nudge() // the holder takes it back when it lapses
+	}
+}
