--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -8,7 +8,10 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/mishap"
+	"caperwheel/internal/reach"
+	"caperwheel/internal/repair"
 	"caperwheel/internal/session"
+	"caperwheel/internal/store"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 )
@@ -16,7 +19,14 @@
 func main() {
 	d := daemon.New("agent")
 	beside := session.NewRegistry(d.Bounds.Of(beat.Gone))
-	d.Link(map[string]transport.Handler{"session": func(_ wire.Who, body any, answer func(any)) {
+	keeper := repair.NewKeeper(d.Settings.Most, d.Bounds.Of(beat.Vote), d.Bounds.Of(beat.Settle))
+	d.Link(map[string]transport.Handler{"place": func(_ wire.Who, body any, answer func(any)) {
+		if o, isOutcome := body.(*wire.Outcome); isOutcome {
+			if ack := keeper.Serve(o, d.Now()); ack != nil {
+				answer(ack)
+			}
+		}
+	}, "session": func(_ wire.Who, body any, answer func(any)) {
 		poll, isPoll := body.(*wire.Poll)
 		if !isPoll {
 			return
@@ -29,8 +39,11 @@
 	client := d.Client(func() wire.Poll {
 		poll := d.Poll()
 		_, poll.Beside = beside.Members(d.Now())
+		poll.Fact.Counts["kept"] = int64(keeper.Count())
 		return poll
 	})
 	go client.Run(context.Background())
+	home := &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink}
+	go keeper.HandOver(context.Background(), home, func(place int64) int64 { return store.PlaceGroup + place }, d.Now)
 	d.Serve(nil)
 }
--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -25,8 +25,15 @@
 	Faults  string        `arg:"--faults" help:"schedule of faults to cause"`
 }
 
+type sweepCommand struct {
+	From  uint64 `arg:"--from" default:"1" help:"first seed"`
+	Seeds uint64 `arg:"--seeds" default:"1000" help:"how many seeds of each kind"`
+	Kind  string `arg:"--kind" help:"group, place or control; all if not given"`
+}
+
 type arguments struct {
-	Run *runCommand `arg:"subcommand:run" help:"run a deployment and check it"`
+	Sweep *sweepCommand `arg:"subcommand:sweep" help:"simulate many seeds with mixed faults"`
+	Run   *runCommand   `arg:"subcommand:run" help:"run a deployment and check it"`
 }
 
 func main() {
@@ -36,6 +43,8 @@
 	switch {
 	case args.Run != nil:
 		err = run(args.Run)
+	case args.Sweep != nil:
+		err = sweep(args.Sweep)
 	default:
 		parser.WriteHelp(os.Stdout)
 	}
--- /dev/null
+++ b/cmd/fleet/sweep.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/alitto/pond/v2"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/sim"
+)
+
+// sweep simulates many seeds, each with all faults mixed. A failing seed
+// prints its number, its trace and what was broken; the same seed fails alike.
+func sweep(a *sweepCommand) error {
+	pool := pond.NewPool(runtime.NumCPU())
+	var failed atomic.Int64
+	var printing sync.Mutex
+	for _, kind := range sim.SweepKinds() {
+		if a.Kind != "" && a.Kind != kind {
+			continue
+		}
+		group := pool.NewGroup()
+		for seed := a.From; seed < a.From+a.Seeds; seed++ {
+			group.Submit(func() {
+				broken, trace := sim.SweepSeed(kind, seed)
+				if len(broken) == 0 {
+					return
+				}
+				failed.Add(1)
+				printing.Lock()
+				defer printing.Unlock()
+				fmt.Printf("%s seed %d is broken:\n%s\n%s\n", kind, seed, strings.Join(trace, "\n"), strings.Join(broken, "\n"))
+			})
+		}
+		if err := group.Wait(); err != nil {
+			return mishap.Wrap(err, mishap.Internal, "sweep")
+		}
+		fmt.Printf("%s: %d seeds done, %d broken so far\n", kind, a.Seeds, failed.Load())
+	}
+	if n := failed.Load(); n > 0 {
+		return mishap.New(mishap.Unsound, "%d seeds broke a rule", n)
+	}
+	return nil
+}
--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -90,10 +90,10 @@
 }
 
 // wasLost tells whether an adapter was killed about when the run's answer was
-// read: the window that docs/delivery.md describes.
+// read, before anybody else had it: the window that docs/delivery.md describes.
 func (c *checker) wasLost(r Run) bool {
 	for _, w := range c.h.Lost {
-		if r.End >= w.From && r.Start <= w.Until {
+		if r.End >= w.From && r.End <= w.Until {
 			return true
 		}
 	}
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -14,14 +13,11 @@
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/path"
 	"caperwheel/internal/reach"
+	"caperwheel/internal/repair"
 	"caperwheel/internal/wire"
 )
 
 // Adapter is the delivering half of the adapter daemon.
-//
-// Invariants: terms has the newest term heard of each place, and nothing older
-// is obeyed; never keeps each run that was told never to start for as long as
-// a stray order for it could still arrive.
 type Adapter struct {
 	d      *daemon.Daemon
 	scenes *charter.Scenes
@@ -31,11 +27,7 @@
 	pool   pond.Pool
 	doers  path.Doers[*delivery]
 	ctx    context.Context
-
-	mu    sync.Mutex
-	runs  map[runKey]*run
-	never map[runKey]time.Duration
-	terms map[int64]int64
+	book   *Book
 }
 
 var ended = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "deliver",
@@ -46,7 +38,7 @@
 // New readies the delivering half.
 func New(ctx context.Context, d *daemon.Daemon, scenes *charter.Scenes) *Adapter {
 	a := &Adapter{d: d, scenes: scenes, ctx: ctx, client: newClient(), pool: pond.NewPool(d.Settings.Most),
-		runs: map[runKey]*run{}, never: map[runKey]time.Duration{}, terms: map[int64]int64{}}
+		book: NewBook(d.Settings.Most)}
 	a.slots = newSlots(a)
 	a.doers = a.steps()
 	return a
@@ -67,22 +59,36 @@
 	case *wire.Release:
 		a.slots.release(m.Permit)
 	case *wire.Open:
-		answer(a.open(m))
+		if m.Boot != a.d.Who.Boot {
+			a.askAgent(m, answer)
+			return
+		}
+		answer(a.book.Open(m, a.d.Now()))
 	}
 }
 
+// askAgent looks whether the agent keeps the result of a run that an earlier
+// life of this adapter had. No answer means that the owner asks again.
+func (a *Adapter) askAgent(m *wire.Open, answer func(any)) {
+	ask := &wire.Outcome{Place: m.Place, Id: m.Id, Step: repair.StepHas, Proof: wire.Proof{Attempt: m.Attempt, Answer: []byte{}}}
+	_ = a.d.Node.Peer(wire.PlaceLink, a.d.Settings.Seeds[0]).Post(ask, func(reply any, err error) {
+		ack, isAck := reply.(*wire.OutcomeAck)
+		if err != nil || !isAck {
+			return
+		}
+		state := "open"
+		if ack.Kind != "" {
+			state = "gone"
+		}
+		answer(&wire.OpenAck{State: state})
+	})
+}
+
 // Run does the periodic work until ctx ends.
 func (a *Adapter) Run(ctx context.Context) {
 	beat.Every(ctx, a.d.Bounds.Of(beat.Pulse)/24, func() {
 		a.slots.serve()
-		now := a.d.Now()
-		a.mu.Lock()
-		for key, at := range a.never {
-			if now-at > 20*a.d.Bounds.Charter {
-				delete(a.never, key)
-			}
-		}
-		a.mu.Unlock()
+		a.book.Tidy(a.d.Now(), 20*a.d.Bounds.Charter)
 	})
 }
 
@@ -93,11 +99,7 @@
 }
 
 // InHand tells how many runs are in hand.
-func (a *Adapter) InHand() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.runs)
-}
+func (a *Adapter) InHand() int { return a.book.Count() }
 
 // Drain waits until no run is in hand, or ctx ends.
 func (a *Adapter) Drain(ctx context.Context) {
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -8,16 +8,11 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
+	"caperwheel/internal/repair"
 	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
 )
 
-// runKey names one run of one message.
-type runKey struct {
-	id      string
-	attempt int64
-}
-
 // run is a run in hand.
 //
 // Invariant: it stays in hand from its acknowledgement until its result is
@@ -33,10 +28,10 @@
 func (a *Adapter) start(m *wire.Run, answer func(any)) {
 	key := m.Pool + "/" + m.Worker
 	r := &run{Run: *m}
-	err := a.admit(r)
+	err := a.book.Admit(m, a.d.Now())
 	if err == nil {
 		if r.worker, err = a.slots.use(m.Permit, key); err != nil {
-			a.forget(r)
+			a.book.Forget(m)
 		}
 	}
 	if err != nil {
@@ -47,50 +42,6 @@
 	a.pool.Submit(func() { a.carry(r) })
 }
 
-// admit refuses what an older term sends, and what a newer owner was told
-// would never run.
-func (a *Adapter) admit(r *run) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	key := runKey{r.Id, r.Attempt}
-	switch {
-	case r.Term < a.terms[r.Place]:
-		return mishap.New(mishap.Stale, "term %d of place %d is over", r.Term, r.Place)
-	case a.runs[key] != nil:
-		return mishap.New(mishap.Conflict, "the run is in hand already")
-	case a.never[key] != 0:
-		return mishap.New(mishap.Rejected, "the run was given up")
-	case len(a.runs) >= a.d.Settings.Most:
-		return mishap.New(mishap.Full, "%d runs are in hand", len(a.runs))
-	}
-	a.terms[r.Place] = r.Term
-	a.runs[key] = r
-	return nil
-}
-
-func (a *Adapter) forget(r *run) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.runs, runKey{r.Id, r.Attempt})
-}
-
-// open tells a new owner what became of a run. A run that is not in hand here
-// never will be: the word given is kept.
-func (a *Adapter) open(m *wire.Open) *wire.OpenAck {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if m.Term < a.terms[m.Place] {
-		return &wire.OpenAck{Kind: string(mishap.Stale)}
-	}
-	a.terms[m.Place] = m.Term
-	key := runKey{m.Id, m.Attempt}
-	if a.runs[key] != nil {
-		return &wire.OpenAck{State: "open"}
-	}
-	a.never[key] = a.d.Now()
-	return &wire.OpenAck{State: "never"}
-}
-
 // carry brings a run through delivery and its result home.
 func (a *Adapter) carry(r *run) {
 	o := wire.Outcome{Place: r.Place, Id: r.Id, Boot: a.d.Who.Boot, Proof: wire.Proof{Attempt: r.Attempt,
@@ -119,18 +70,38 @@
 func isWorkerSound(err error, o *wire.Outcome) bool { return err == nil || o.Final }
 
 // bringHome sends the result to the place's owner until one has made it
-// durable. It is kept in memory only: see docs/delivery.md for what remains.
+// durable. Before that it leaves the result with the agent beside it, which
+// lives on should this process be killed; when no owner is found it leaves it
+// with every store too.
 func (a *Adapter) bringHome(r *run, o *wire.Outcome) {
-	for a.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Charter)
-		_, err := a.reach.Group(ctx, store.PlaceGroup+r.Place, o, func(reply any) (bool, string) {
-			ack, isAck := reply.(*wire.OutcomeAck)
-			return isAck && ack.Kind == "", ack.Owner
-		})
+	if o.Begun || o.Kind == "" {
+		a.leave(a.d.Settings.Seeds, o, repair.StepLeave)
+	}
+	for turn := 0; a.ctx.Err() == nil; turn++ {
+		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(beat.Settle))
+		_, err := a.reach.Group(ctx, store.PlaceGroup+r.Place, o, repair.Home)
 		cancel()
 		if err == nil {
 			break
 		}
+		if turn == 0 {
+			stores := []string{}
+			for _, who := range a.d.Roll.Kind("store") {
+				stores = append(stores, who.Addr)
+			}
+			a.leave(stores, o, repair.StepLeave)
+		}
+	}
+	a.leave(a.d.Settings.Seeds, o, repair.StepForget)
+	a.book.Forget(&r.Run)
+}
+
+// leave gives a result into keeping, or takes it out again. What is lost on
+// the way costs nothing but the safety net.
+func (a *Adapter) leave(addrs []string, o *wire.Outcome, step string) {
+	kept := *o
+	kept.Step = step
+	for _, addr := range addrs {
+		_ = a.d.Node.Peer(wire.PlaceLink, addr).Post(&kept, nil)
 	}
-	a.forget(r)
 }
--- a/internal/host/apply.go
+++ b/internal/host/apply.go
@@ -1,6 +1,9 @@
 package host
 
 import (
+	"maps"
+	"slices"
+
 	"caperwheel/internal/group"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
@@ -40,8 +43,8 @@
 	if !isOwner {
 		orphans := h.waiters
 		h.waiters = map[int64]waiter{}
-		for _, w := range orphans {
-			w.tell(nil, mishap.New(mishap.Undecided, "group %d changes hands", h.opts.Id))
+		for _, index := range slices.Sorted(maps.Keys(orphans)) {
+			orphans[index].tell(nil, mishap.New(mishap.Undecided, "group %d changes hands", h.opts.Id))
 		}
 	}
 	h.opts.Machine.Owned(isOwner)
@@ -53,3 +56,45 @@
 	h.view = v
 	h.mu.Unlock()
 }
+
+// HandOver gives ownership to the best other voter that is not avoided.
+func (h *Host) HandOver(isAvoided func(member string) bool) {
+	_ = h.Do(func() {
+		if heir := h.machine.Heir(isAvoided); heir != "" {
+			h.do(h.machine.HandOver(heir))
+		}
+	})
+}
+
+// onSynced brings the disk's word back to the host's goroutine.
+func (h *Host) onSynced(work func()) func(error) {
+	return func(err error) {
+		if err != nil {
+			h.opts.Failed(err)
+			return
+		}
+		h.mu.Lock()
+		h.synced = append(h.synced, func() { h.pending--; work() })
+		h.mu.Unlock()
+		select {
+		case h.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (h *Host) send(m wire.GroupMsg) {
+	if m.Kind == group.MsgImage {
+		if h.image == nil || h.image.Index != m.Index {
+			return
+		}
+		m.State = h.image.State
+	}
+	h.opts.Send(m)
+}
+
+func (h *Host) sendAll(messages []wire.GroupMsg) {
+	for _, m := range messages {
+		h.send(m)
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -25,6 +25,13 @@
 	Beat(now time.Duration)
 }
 
+// Disk is what a host needs of the store's disk.
+type Disk interface {
+	Persist(id int64, p *group.Persist, then func(error))
+	After(then func(error))
+	SaveSlot(id int64, hard group.Hard, image *group.Image, entries *group.Persist, then func(error))
+}
+
 // Options of a host.
 type Options struct {
 	Id      int64
@@ -32,7 +39,7 @@
 	Roster  []string
 	Bounds  beat.Bounds
 	Seed    uint64
-	Disk    *slot.Log
+	Disk    Disk
 	Held    *slot.Held
 	Machine Machine
 	Now     func() time.Duration
@@ -109,16 +116,41 @@
 		case work := <-h.ring:
 			work()
 		case <-h.wake:
-			h.mu.Lock()
-			synced := h.synced
-			h.synced = nil
-			h.mu.Unlock()
-			for _, work := range synced {
-				work()
-			}
+			h.takeSynced()
 		case <-ticker.C:
-			h.do(h.machine.Tick(h.opts.Now()))
-			h.beat()
+			h.Tick()
+		}
+	}
+}
+
+func (h *Host) takeSynced() bool {
+	h.mu.Lock()
+	synced := h.synced
+	h.synced = nil
+	h.mu.Unlock()
+	for _, work := range synced {
+		work()
+	}
+	return len(synced) > 0
+}
+
+// Tick lets time pass. Run calls it; the simulation does, in Run's place.
+func (h *Host) Tick() {
+	h.do(h.machine.Tick(h.opts.Now()))
+	h.beat()
+}
+
+// Pump does all that waits, without a goroutine: for the simulation.
+func (h *Host) Pump() {
+	for {
+		select {
+		case work := <-h.ring:
+			work()
+			continue
+		default:
+		}
+		if !h.takeSynced() {
+			return
 		}
 	}
 }
@@ -171,15 +203,6 @@
 	return h.view
 }
 
-// HandOver gives ownership to the best other voter that is not avoided.
-func (h *Host) HandOver(isAvoided func(member string) bool) {
-	_ = h.Do(func() {
-		if heir := h.machine.Heir(isAvoided); heir != "" {
-			h.do(h.machine.HandOver(heir))
-		}
-	})
-}
-
 // do carries out what one step of the group wants.
 func (h *Host) do(out group.Out) {
 	for _, m := range out.Now {
@@ -212,36 +235,3 @@
 	h.settle()
 	h.publish()
 }
-
-// onSynced brings the disk's word back to the host's goroutine.
-func (h *Host) onSynced(work func()) func(error) {
-	return func(err error) {
-		if err != nil {
-			h.opts.Failed(err)
-			return
-		}
-		h.mu.Lock()
-		h.synced = append(h.synced, func() { h.pending--; work() })
-		h.mu.Unlock()
-		select {
-		case h.wake <- struct{}{}:
-		default:
-		}
-	}
-}
-
-func (h *Host) send(m wire.GroupMsg) {
-	if m.Kind == group.MsgImage {
-		if h.image == nil || h.image.Index != m.Index {
-			return
-		}
-		m.State = h.image.State
-	}
-	h.opts.Send(m)
-}
-
-func (h *Host) sendAll(messages []wire.GroupMsg) {
-	for _, m := range messages {
-		h.send(m)
-	}
-}
--- /dev/null
+++ b/internal/repair/handover.go
@@ -0,0 +1,62 @@
+package repair
+
+import (
+	"context"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/reach"
+	"caperwheel/internal/wire"
+)
+
+// Steps of an outcome that is not simply meant for the owner.
+const (
+	StepLeave  = "leave"  // keep it, and hand it over should we not come back
+	StepForget = "forget" // it is durable: drop it
+	StepHas    = "has"    // is the run's result kept?
+)
+
+// Serve takes an outcome that is to be kept, forgotten or asked for; nil when
+// it is meant for an owner.
+func (k *Keeper) Serve(o *wire.Outcome, now time.Duration) *wire.OutcomeAck {
+	ack := &wire.OutcomeAck{}
+	switch o.Step {
+	case StepHas:
+		if !k.Has(o.Id, o.Proof.Attempt) {
+			ack.Kind = string(mishap.Unknown)
+		}
+	case StepLeave:
+		k.Keep(o, now)
+	case StepForget:
+		k.Forget(o.Id, o.Proof.Attempt)
+	default:
+		return nil
+	}
+	return ack
+}
+
+// HandOver brings kept results home until ctx ends.
+func (k *Keeper) HandOver(ctx context.Context, r *reach.Reach, group func(place int64) int64, now func() time.Duration) {
+	beat.Every(ctx, r.Bounds.Of(beat.Resend), func() {
+		for _, o := range k.Due(now()) {
+			go func() {
+				ctx, cancel := context.WithTimeout(ctx, r.Bounds.Charter)
+				defer cancel()
+				_, err := r.Group(ctx, group(o.Place), o, Home)
+				if err == nil {
+					k.Forget(o.Id, o.Proof.Attempt)
+				}
+			}()
+		}
+	})
+}
+
+// Home tells an owner's acknowledgement from the word of a store that is not.
+func Home(reply any) (isOwner bool, hint string) {
+	ack, isAck := reply.(*wire.OutcomeAck)
+	if !isAck {
+		return false, ""
+	}
+	return ack.Kind == "", ack.Owner
+}
--- /dev/null
+++ b/internal/sim/adapter.go
@@ -0,0 +1,244 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/check"
+	"caperwheel/internal/deliver"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/repair"
+	"caperwheel/internal/wire"
+)
+
+// simAdapter is one adapter with its worker. The book is the real one.
+type simAdapter struct {
+	w      *Places
+	name   string
+	isUp   bool
+	life   int
+	frozen time.Duration // nothing is done before this
+	book   *deliver.Book
+	fresh  time.Duration
+	permit int64
+	agent  *repair.Keeper // the agent beside it, which lives on when it is killed
+}
+
+func (a *simAdapter) boot() string { return fmt.Sprint(a.name, ".", a.life) }
+
+func (a *simAdapter) start() {
+	if a.isUp {
+		return
+	}
+	a.isUp, a.life, a.book, a.fresh = true, a.life+1, deliver.NewBook(1000), a.w.now
+	a.w.Note("start %s", a.boot())
+	life := a.life
+	var tick func()
+	tick = func() { // sessions and freshness: the control plane is one hop here
+		if !a.isUp || a.life != life {
+			return
+		}
+		if a.w.now >= a.frozen {
+			at := a.w.now
+			a.w.Send(a.name, "ctl", func() { a.w.Send("ctl", a.name, func() { a.fresh = max(a.fresh, at) }) })
+			for _, s := range a.w.stores {
+				who := wire.Who{Name: a.name, Kind: "adapter", Boot: a.boot()}
+				a.w.Send(a.name, "ctl", func() {
+					a.w.Send("ctl", s.name, func() {
+						if s.isUp {
+							s.roll[a.name] = presence{who, a.w.now}
+							s.fresh = a.w.now
+						}
+					})
+				})
+			}
+		}
+		a.w.After(beat.Default.Of(beat.Poll), tick)
+	}
+	tick()
+}
+
+// runAgent hands over what the adapter did not bring home.
+func (a *simAdapter) runAgent() {
+	a.agent = repair.NewKeeper(1000, beat.Default.Of(beat.Vote), beat.Default.Of(beat.Settle))
+	var tick func()
+	tick = func() {
+		for _, o := range a.agent.Due(a.w.now) {
+			for _, s := range a.w.stores {
+				a.w.askStore(a.name, s, func(p placeOwner, answer func(any)) { p.Outcome(o, answer) }, func(reply any) {
+					if isHome, _ := repair.Home(reply); isHome {
+						a.agent.Forget(o.Id, o.Proof.Attempt)
+					}
+				})
+			}
+		}
+		a.w.After(beat.Default.Of(beat.Resend), tick)
+	}
+	tick()
+}
+
+func (a *simAdapter) kill() {
+	if a.isUp {
+		a.w.H.AddLost(check.Window{From: a.w.now - time.Millisecond, Until: a.w.now})
+		a.isUp, a.life = false, a.life+1
+		a.w.Note("kill %s", a.name)
+	}
+}
+
+func (a *simAdapter) isFresh() bool { return a.w.now-a.fresh < beat.Default.Of(beat.Fresh) }
+
+func (a *simAdapter) grant() any { a.permit++; return a.permit }
+
+// ask sends an ask and brings the reply back; a message lost on the way is
+// told as Lost, late, as a broken session would be.
+func (p *Places) ask(from string, a *simAdapter, serve func() any, answer func(any, error)) {
+	isTold := false
+	tell := func(reply any, err error) {
+		if !isTold {
+			isTold = true
+			answer(reply, err)
+		}
+	}
+	p.Send(from, a.name, func() {
+		a.whenThawed(func() {
+			reply := serve()
+			p.Send(a.name, from, func() { tell(reply, nil) })
+		})
+	})
+	p.After(beat.Default.Of(beat.Dead), func() { tell(nil, mishap.New(mishap.Lost, "no answer")) })
+}
+
+// whenThawed does work now, or when the freeze ends; never in another life.
+func (a *simAdapter) whenThawed(work func()) {
+	life := a.life
+	a.w.After(max(0, a.frozen-a.w.now), func() {
+		if a.isUp && a.life == life {
+			if a.w.now < a.frozen {
+				a.whenThawed(work)
+				return
+			}
+			work()
+		}
+	})
+}
+
+func (a *simAdapter) serve(ask any) any {
+	switch m := ask.(type) {
+	case *wire.Open:
+		if m.Boot != a.boot() {
+			if a.agent.Has(m.Id, m.Attempt) {
+				return &wire.OpenAck{State: "open"}
+			}
+			return &wire.OpenAck{State: "gone"}
+		}
+		ack := a.book.Open(m, a.w.now)
+		a.w.Note("open %s/%d at %s, term %d: %s%s", m.Id, m.Attempt, a.boot(), m.Term, ack.State, ack.Kind)
+		return ack
+	case *wire.Run:
+		if err := a.book.Admit(m, a.w.now); err != nil {
+			return &wire.RunAck{Kind: string(mishap.KindOf(err))}
+		}
+		a.carry(m)
+		return &wire.RunAck{}
+	}
+	return nil
+}
+
+// carry runs the message on the adapter's worker and brings the result home.
+func (a *simAdapter) carry(m *wire.Run) {
+	o := &wire.Outcome{Id: m.Id, Boot: a.boot(), Proof: wire.Proof{Attempt: m.Attempt, Worker: m.Worker, Answer: []byte{}}}
+	if !a.isFresh() {
+		o.Kind = string(mishap.Stale)
+		a.home(m, o)
+		return
+	}
+	token := string(m.Body)
+	run := check.Run{Token: token, Id: m.Id, Attempt: m.Attempt, Pool: m.Pool, Worker: m.Worker, Sum: m.Sum,
+		Start: a.w.now, Status: 200, Answer: fmt.Sprint(token, "/", m.Attempt), IsWhole: true}
+	took := time.Duration(10+a.w.Rand.IntN(200)) * time.Millisecond
+	dice := a.w.Rand.IntN(1000)
+	isFailed, isLost := dice < a.w.Unsound, dice >= a.w.Unsound && dice < a.w.Unsound+a.w.LoseAns
+	if isFailed {
+		run.Status = 500
+	}
+	run.IsWhole = false
+	life := a.life
+	a.w.Note("run %s/%d at %s, term %d", m.Id, m.Attempt, a.boot(), m.Term)
+	a.w.runs = append(a.w.runs, &run)
+	a.w.After(took, func() { // the worker goes on, whatever becomes of the adapter
+		run.End = a.w.now
+		a.w.Note("answered %s/%d at %s.%d: %d", m.Id, m.Attempt, a.name, life, run.Status)
+		if !a.isUp || a.life != life {
+			return
+		}
+		a.whenThawed(func() {
+			o.Begun, run.IsWhole = true, !isLost // only now has it been read
+			a.w.Note("read %s/%d at %s", m.Id, m.Attempt, a.boot())
+			switch {
+			case isFailed:
+				o.Kind = string(mishap.Unsound)
+			case isLost:
+				o.Kind = string(mishap.CutShort)
+			default:
+				o.Proof.Status, o.Proof.Sum = 200, run.Answer
+			}
+			a.home(m, o)
+		})
+	})
+}
+
+// home sends the result by beat, to one store after another, until an owner
+// has made it durable.
+func (a *simAdapter) home(m *wire.Run, o *wire.Outcome) {
+	life, turn, isDone := a.life, a.w.Rand.IntN(3), false
+	if o.Begun {
+		a.w.After(200*time.Microsecond, func() { a.agent.Keep(o, a.w.now) })
+	}
+	var try func()
+	try = func() {
+		if isDone || !a.isUp || a.life != life {
+			return
+		}
+		if a.w.now >= a.frozen {
+			turn++
+			s := a.w.stores[turn%len(a.w.stores)]
+			a.w.askStore(a.name, s, func(p placeOwner, answer func(any)) { p.Outcome(o, answer) }, func(reply any) {
+				if ack, isAck := reply.(*wire.OutcomeAck); isAck && ack.Kind == "" && !isDone && a.life == life {
+					isDone = true
+					a.w.Note("home %s/%d from %s at %s", m.Id, m.Attempt, a.boot(), s.name)
+					a.book.Forget(m)
+					a.agent.Forget(m.Id, m.Attempt)
+				}
+			})
+		}
+		a.w.After(beat.Default.Of(beat.Resend), try)
+	}
+	try()
+}
+
+// placeOwner is what asks to a store need of its place.
+type placeOwner interface {
+	Take(*wire.Take, func(any))
+	Settle(*wire.Settle, func(any))
+	Outcome(*wire.Outcome, func(any))
+	Look(*wire.Look, func(any))
+}
+
+// askStore brings an ask to a store and the answer back, or nothing.
+func (p *Places) askStore(from string, s *simStore, ask func(placeOwner, func(any)), tell func(any)) {
+	p.Send(from, s.name, func() {
+		if !s.isUp {
+			return
+		}
+		life := s.life
+		_ = s.host.Do(func() {
+			ask(s.place, func(reply any) {
+				if s.isUp && s.life == life {
+					p.Send(s.name, from, func() { tell(reply) })
+				}
+			})
+		})
+		s.host.Pump()
+	})
+}
--- a/internal/sim/groups_test.go
+++ b/internal/sim/groups_test.go
@@ -2,74 +2,18 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// faults are the ways a group is hurt; each gets a seeded run of its own.
-var faults = map[string]func(g *Groups){
-	"nothing": func(*Groups) {},
-	"kills":   func(g *Groups) { g.Kill(g.pick()) },
-	"cuts": func(g *Groups) {
-		a, b := g.pick(), g.pick()
-		g.Cut(a[:2], b[:2])
-		g.After(2*time.Second, g.Heal)
-	},
-	"power loss of all": func(g *Groups) {
-		for _, id := range g.Names {
-			g.Kill(id)
-		}
-	},
-	"loss": func(g *Groups) { g.Loss = 100 },
-	"blank disk": func(g *Groups) {
-		for _, id := range g.Names { // one disk at a time: all others must vote
-			r := g.Replicas[id]
-			if !r.isUp || len(r.Applied) < len(g.newest) || !slices.Equal(sorted(r.machine.View().Roster), sorted(g.Names)) {
-				return
-			}
-		}
-		g.Blank(g.pick())
-	},
-}
-
-func sorted(list []string) []string { return slices.Sorted(slices.Values(list)) }
-
-func (g *Groups) pick() string { return g.Names[g.Rand.IntN(len(g.Names))] }
-
-// runGroup hurts a group of three for a while and checks it throughout.
-func runGroup(seed uint64, hurts ...func(*Groups)) *Groups {
-	w := NewWorld(seed)
-	g := NewGroups(w, "s1", "s2", "s3")
-	count := 0
-	for w.Now() < 40*time.Second {
-		w.Run(w.Now() + 100*time.Millisecond)
-		for range 3 {
-			count++
-			g.Propose(fmt.Sprintf("c%d", count))
-		}
-		if w.Rand.IntN(20) == 0 {
-			hurts[w.Rand.IntN(len(hurts))](g)
-		}
-		if w.Rand.IntN(10) == 0 {
-			g.Start(g.pick())
-		}
-		g.Mend("s1", "s2", "s3")
-		g.CheckReads()
-	}
-	g.Finish()
-	return g
-}
-
 func TestGroupUnderFaults(t *testing.T) {
 	Convey("A group of three", t, func() {
-		for name, hurt := range faults {
+		for name, hurt := range GroupFaults {
 			Convey("keeps its promises under "+name, func() {
 				for seed := uint64(1); seed <= 4; seed++ {
-					g := runGroup(seed, hurt)
+					g := RunGroup(seed, hurt)
 					if len(g.Broken) > 0 {
 						fmt.Println("seed", seed, strings.Join(g.Trace, "\n"))
 					}
--- /dev/null
+++ b/internal/sim/place.go
@@ -0,0 +1,241 @@
+package sim
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/check"
+	"caperwheel/internal/group"
+	"caperwheel/internal/host"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/store"
+	"caperwheel/internal/wire"
+)
+
+// Places simulates one place with its stores, adapters, workers and callers:
+// the real group, host, place owner and adapter's book, on a simulated clock,
+// network and disk.
+type Places struct {
+	*World
+	H        *check.History
+	stores   []*simStore
+	adapters []*simAdapter
+	rules    *charter.Rules
+	serial   int
+	runs     []*check.Run // as the workers saw them
+	Unsound  int          // share of runs that fail, in thousandths
+	LoseAns  int          // share of runs whose answer is lost
+}
+
+// simStore is one store; it is the place's surroundings too.
+type simStore struct {
+	w     *Places
+	name  string
+	disk  *Disk
+	isUp  bool
+	life  int
+	host  *host.Host
+	place *store.PlaceHost
+	roll  map[string]presence
+	fresh time.Duration // newest confirmation; before it is too old, the store may act
+}
+
+type presence struct {
+	who     wire.Who
+	heardAt time.Duration
+}
+
+// NewPlaces lays everything out and starts it.
+func NewPlaces(w *World, adapters int) *Places {
+	p := &Places{World: w, H: check.NewHistory()}
+	rules, faults := charter.Compile([]byte(`{"pools":{"work":{"bound":"1s"}},"lanes":{
+		"free":{"pools":["work"],"attempts":0,"patience":"2m","retention":"1h"},
+		"seq":{"pools":["work"],"attempts":0,"ordering":"key","patience":"2m","retention":"1h"}}}`))
+	if len(faults) > 0 {
+		panic(mishap.New(mishap.Internal, "rules of the simulation: %v", faults))
+	}
+	p.rules = rules
+	p.H.Pools["free"], p.H.Pools["seq"], p.H.Order["seq"] = []string{"work"}, []string{"work"}, true
+	for i := range 3 {
+		s := &simStore{w: p, name: fmt.Sprintf("s%d", i+1), disk: &Disk{w: w}}
+		p.stores = append(p.stores, s)
+	}
+	for i := range adapters {
+		a := &simAdapter{w: p, name: fmt.Sprintf("a%d", i+1)}
+		p.adapters = append(p.adapters, a)
+		a.runAgent()
+		a.start()
+	}
+	for _, s := range p.stores {
+		s.start()
+	}
+	return p
+}
+
+func (p *Places) roster() []string {
+	out := []string{}
+	for _, s := range p.stores {
+		out = append(out, s.name+"/0")
+	}
+	return out
+}
+
+func (s *simStore) start() {
+	if s.isUp {
+		return
+	}
+	s.isUp, s.life, s.roll, s.fresh = true, s.life+1, map[string]presence{}, s.w.now
+	s.place = store.NewPlaceHost(s, 0)
+	h, err := host.New(host.Options{Id: 1, Self: s.name + "/0", Roster: s.w.roster(), Bounds: beat.Default,
+		Seed: s.w.Seed + uint64(s.life), Disk: &pumped{s.disk, s}, Held: s.disk.Held(), Machine: s.place, Now: s.w.Now,
+		Send: s.post, Failed: s.Fail, Compact: 300})
+	if err != nil {
+		panic(err)
+	}
+	s.host = h
+	s.place.Use(h)
+	s.w.Note("start %s", s.name)
+	life := s.life
+	var tick func()
+	tick = func() {
+		if s.isUp && s.life == life {
+			h.Tick()
+			h.Pump()
+			s.dispatch()
+			s.w.After(20*time.Millisecond, tick)
+		}
+	}
+	tick()
+}
+
+func (s *simStore) kill() {
+	if s.isUp {
+		s.isUp, s.life = false, s.life+1
+		s.disk.Cut()
+		s.w.Note("kill %s", s.name)
+	}
+}
+
+// pumped lets the host go on whenever its disk has answered.
+type pumped struct {
+	*Disk
+	s *simStore
+}
+
+func (d *pumped) wrap(then func(error)) func(error) {
+	return func(err error) { then(err); d.s.host.Pump() }
+}
+func (d *pumped) Persist(id int64, p *group.Persist, then func(error)) {
+	d.Disk.Persist(id, p, d.wrap(then))
+}
+func (d *pumped) After(then func(error)) { d.Disk.After(d.wrap(then)) }
+func (d *pumped) SaveSlot(id int64, hard group.Hard, image *group.Image, e *group.Persist, then func(error)) {
+	d.Disk.SaveSlot(id, hard, image, e, d.wrap(then))
+}
+
+func (s *simStore) post(m wire.GroupMsg) {
+	for _, to := range s.w.stores {
+		if to.name == group.Name(m.To) {
+			s.w.Send(s.name, to.name, func() {
+				if to.isUp {
+					to.host.Receive(m)
+					to.host.Pump()
+				}
+			})
+		}
+	}
+}
+
+// dispatch stands for the dispatcher: while something is ready, it asks some
+// adapter for a slot.
+func (s *simStore) dispatch() {
+	if !s.host.IsOwner() || !s.IsFresh() {
+		return
+	}
+	ready := s.place.Ready()
+	for _, lane := range slices.Sorted(maps.Keys(ready)) { // in order: a seed must replay exactly
+		for range min(ready[lane], 3) {
+			a := s.w.adapters[s.w.Rand.IntN(len(s.w.adapters))]
+			who, isMember := s.Find(a.name)
+			if !isMember {
+				continue
+			}
+			asked, life := s.w.now, s.life
+			s.w.ask(s.name, a, func() any {
+				if !a.isFresh() || who.Boot != a.boot() {
+					return nil
+				}
+				return a.grant()
+			}, func(reply any, err error) {
+				if permit, isGranted := reply.(int64); err == nil && isGranted && s.isUp && s.life == life {
+					g := store.SlotGrant{Pool: "work", Worker: "w-" + a.name, Holder: who, Permit: permit,
+						Until: asked + beat.Default.Of(beat.Permit)/2}
+					_ = s.host.Do(func() { s.place.Start(lane, g) })
+					s.host.Pump()
+				}
+			})
+		}
+	}
+}
+
+// The surroundings of a place.
+
+// Now is the simulated time.
+func (s *simStore) Now() time.Duration { return s.w.now }
+
+// Bounds are the usual ones.
+func (s *simStore) Bounds() beat.Bounds { return beat.Default }
+
+// IsFresh follows the simulated control plane.
+func (s *simStore) IsFresh() bool { return s.w.now-s.fresh < beat.Default.Of(beat.Fresh) }
+
+// IsFull is never.
+func (s *simStore) IsFull() bool { return false }
+
+// Scene has the rules.
+func (s *simStore) Scene() *charter.Scene { return &charter.Scene{Rules: s.w.rules} }
+
+// Find gives an adapter whose session stands, as this store knows.
+func (s *simStore) Find(name string) (wire.Who, bool) {
+	p, isKnown := s.roll[name]
+	return p.who, isKnown && s.w.now-p.heardAt < beat.Default.Of(beat.Gone)
+}
+
+// Post asks an adapter.
+func (s *simStore) Post(who wire.Who, ask any, answer func(any, error)) error {
+	for _, a := range s.w.adapters {
+		if a.name == who.Name {
+			life := s.life
+			s.w.ask(s.name, a, func() any { return a.serve(ask) }, func(reply any, err error) {
+				if s.isUp && s.life == life {
+					answer(reply, err)
+					s.host.Pump()
+				}
+			})
+			return nil
+		}
+	}
+	return mishap.New(mishap.Lost, "no adapter %s", who.Name)
+}
+
+// TakeElsewhere is not used: no lane here has a call-back.
+func (s *simStore) TakeElsewhere(_ *wire.Take, tell func(bool)) { tell(false) }
+
+// Release needs nothing: permits lapse.
+func (s *simStore) Release(store.SlotGrant) {}
+
+// Nudge needs nothing: dispatch goes by beat.
+func (s *simStore) Nudge() {}
+
+// PlaceOf is the one place.
+func (s *simStore) PlaceOf(string) int64 { return 0 }
+
+// ChildOf is not used.
+func (s *simStore) ChildOf(parent string) string { return parent + "c" }
+
+// Fail must not happen.
+func (s *simStore) Fail(err error) { panic(err) }
--- /dev/null
+++ b/internal/sim/placefaults.go
@@ -0,0 +1,72 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"caperwheel/internal/check"
+)
+
+// PlaceFaults are the ways a place, its adapters and its workers are hurt.
+var PlaceFaults = map[string]func(p *Places){
+	"nothing":       func(*Places) {},
+	"killed stores": func(p *Places) { p.store().kill() },
+	"power loss of all": func(p *Places) {
+		for _, s := range p.stores {
+			s.kill()
+		}
+	},
+	"killed adapters": func(p *Places) { p.adapter().kill() },
+	"frozen adapters": func(p *Places) { p.adapter().frozen = p.now + time.Duration(p.Rand.IntN(6000))*time.Millisecond },
+	"failing workers": func(p *Places) { p.Unsound = 300; p.After(2*time.Second, func() { p.Unsound = 0 }) },
+	"lost answers":    func(p *Places) { p.LoseAns = 300; p.After(2*time.Second, func() { p.LoseAns = 0 }) },
+	"lost messages":   func(p *Places) { p.Loss = 150; p.After(3*time.Second, func() { p.Loss = 0 }) },
+	"slow links": func(p *Places) {
+		p.Slow = 300 * time.Millisecond
+		p.After(3*time.Second, func() { p.Slow = 5 * time.Millisecond })
+	},
+	"adapters cut off": func(p *Places) { p.cutOff(p.adapter().name, true) },
+	"one-way cuts":     func(p *Places) { p.cutOff(p.adapter().name, false) },
+	"stores cut off":   func(p *Places) { p.cutOff(p.store().name, true) },
+}
+
+func (p *Places) store() *simStore     { return p.stores[p.Rand.IntN(len(p.stores))] }
+func (p *Places) adapter() *simAdapter { return p.adapters[p.Rand.IntN(len(p.adapters))] }
+
+func (p *Places) cutOff(name string, isBothWays bool) {
+	for _, other := range []string{"s1", "s2", "s3", "a1", "a2", "a3", "ctl", "caller"} {
+		if other != name {
+			p.Cut(name, other)
+			if isBothWays {
+				p.Cut(other, name)
+			}
+		}
+	}
+	p.After(time.Duration(500+p.Rand.IntN(6000))*time.Millisecond, p.Heal)
+}
+
+// RunPlaces hurts a place for a while and checks all that was recorded.
+func RunPlaces(seed uint64, chosen ...func(*Places)) (*Places, []check.Breach) {
+	p := NewPlaces(NewWorld(seed), 3)
+	for k := range 4 { // one caller a key: the next message follows the answer
+		var next func()
+		next = func() {
+			if p.now < 40*time.Second {
+				p.Call("seq", fmt.Sprint("k", k), func() { p.After(100*time.Millisecond, next) })
+			}
+		}
+		p.After(2*time.Second, next)
+	}
+	for p.now < 40*time.Second {
+		p.Run(p.now + 100*time.Millisecond)
+		p.Call("free", "", func() {})
+		if p.Rand.IntN(20) == 0 {
+			chosen[p.Rand.IntN(len(chosen))](p)
+		}
+		if p.Rand.IntN(15) == 0 {
+			p.store().start()
+			p.adapter().start()
+		}
+	}
+	return p, p.Finish()
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -72,8 +72,8 @@
 // Note adds a line to the trace that a failing seed prints.
 func (w *World) Note(form string, args ...any) {
 	line := fmt.Sprintf("%8.3fs ", w.now.Seconds()) + fmt.Sprintf(form, args...)
-	if len(w.Trace) > 400 {
-		w.Trace = w.Trace[100:]
+	if len(w.Trace) > 20000 {
+		w.Trace = w.Trace[5000:]
 	}
 	w.Trace = append(w.Trace, line)
 }
--- /dev/null
+++ b/internal/store/around.go
@@ -0,0 +1,60 @@
+package store
+
+import (
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/group"
+	"caperwheel/internal/wire"
+)
+
+// Around is what a place's owner needs of the daemon that it runs in. The
+// simulation gives another one.
+type Around interface {
+	Now() time.Duration
+	Bounds() beat.Bounds
+	IsFresh() bool
+	IsFull() bool
+	Scene() *charter.Scene
+	Find(name string) (wire.Who, bool)
+	Post(who wire.Who, ask any, answer func(any, error)) error // to an adapter
+	TakeElsewhere(t *wire.Take, tell func(isTaken bool))
+	Release(g SlotGrant)
+	Nudge()
+	PlaceOf(id string) int64
+	ChildOf(parent string) string
+	Fail(err error)
+}
+
+// Hosting is the replicated group below a place.
+type Hosting interface {
+	IsOwner() bool
+	Term() int64
+	Waiting() int
+	View() group.View
+	Propose(data []byte, tell func(verdict any, err error))
+	Do(work func()) error
+}
+
+// Use joins a place to its group; called once, before anything else.
+func (p *PlaceHost) Use(h Hosting) { p.host = h }
+
+// around is the store daemon as its places see it.
+type around struct{ s *Store }
+
+func (a *around) Now() time.Duration                { return a.s.d.Now() }
+func (a *around) Bounds() beat.Bounds               { return a.s.d.Bounds }
+func (a *around) IsFresh() bool                     { return a.s.d.IsFresh() }
+func (a *around) IsFull() bool                      { return a.s.diskFull.Load() }
+func (a *around) Scene() *charter.Scene             { return a.s.scenes.Now() }
+func (a *around) Find(name string) (wire.Who, bool) { return a.s.d.Roll.Find(name) }
+func (a *around) Post(who wire.Who, ask any, answer func(any, error)) error {
+	return a.s.d.Node.Peer(wire.RunLink, who.Addr).Post(ask, answer)
+}
+func (a *around) TakeElsewhere(t *wire.Take, tell func(bool)) { a.s.takeElsewhere(t, tell) }
+func (a *around) Release(g SlotGrant)                         { a.s.dispatch.release(g) }
+func (a *around) Nudge()                                      { a.s.dispatch.nudge() }
+func (a *around) PlaceOf(id string) int64                     { return a.s.placeOfId(id) }
+func (a *around) ChildOf(parent string) string                { return a.s.childId(parent) }
+func (a *around) Fail(err error)                              { a.s.fail(err) }
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -122,8 +122,8 @@
 			return
 		}
 		d.mu.Unlock()
-		d.use(slotGrant{pool: pool, worker: worker, holder: holder, permit: grant.Permit,
-			until: asked + d.s.d.Bounds.Of(beat.Permit)/2})
+		d.use(SlotGrant{Pool: pool, Worker: worker, Holder: holder, Permit: grant.Permit,
+			Until: asked + d.s.d.Bounds.Of(beat.Permit)/2})
 	}
 	err := d.s.d.Node.Peer(wire.RunLink, holder.Addr).Post(&wire.Want{Pool: pool, Worker: worker,
 		Hold: int64(hold / time.Millisecond)}, done)
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -3,7 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"math/rand/v2"
+	"fmt"
+	"hash/fnv"
 	"sync/atomic"
 	"time"
 
@@ -11,21 +12,20 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
-	"caperwheel/internal/host"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/place"
 	"caperwheel/internal/wire"
 )
 
-// placeHost is a place on this store: the state machine, and while this store
+// PlaceHost is a place on this store: the state machine, and while this store
 // owns it, the runs under way.
 //
 // Invariants: all but ready is touched by the host's goroutine alone; inHand
 // has a run only after its adapter said so in this ownership.
-type placeHost struct {
-	s       *Store
+type PlaceHost struct {
+	around  Around
 	number  int64
-	host    *host.Host
+	host    Hosting
 	machine *place.Machine
 	clockAt time.Duration // when the machine's clock last moved, by our own
 	inHand  map[string]inHand
@@ -49,48 +49,48 @@
 	trimBatch   = 200
 )
 
-func newPlaceHost(s *Store, number int64) *placeHost {
-	p := &placeHost{s: s, number: number, machine: place.New()}
+func NewPlaceHost(around Around, number int64) *PlaceHost {
+	p := &PlaceHost{around: around, number: number, machine: place.New()}
 	p.ready.Store(&map[string]int{})
 	return p
 }
 
 // Apply takes one committed command in.
-func (p *placeHost) Apply(data []byte) any {
+func (p *PlaceHost) Apply(data []byte) any {
 	c, err := place.Decode(data)
 	if err != nil {
-		p.s.fail(err) // a replica that cannot follow must stop, not guess
+		p.around.Fail(err) // a replica that cannot follow must stop, not guess
 		return nil
 	}
 	was := p.machine.Clock()
 	v := p.machine.Apply(c)
 	if p.machine.Clock() != was {
-		p.clockAt = p.s.d.Now()
+		p.clockAt = p.around.Now()
 	}
 	return v
 }
 
 // Image gives the state for a slot.
-func (p *placeHost) Image() []byte { return p.machine.Image() }
+func (p *PlaceHost) Image() []byte { return p.machine.Image() }
 
 // Restore replaces the state.
-func (p *placeHost) Restore(image []byte) error {
+func (p *PlaceHost) Restore(image []byte) error {
 	m, err := place.Restore(image)
 	if err == nil {
-		p.machine, p.clockAt = m, p.s.d.Now()
+		p.machine, p.clockAt = m, p.around.Now()
 	}
 	return err
 }
 
 // now is the place time: the newest command's, and what has passed since by
 // our own clock. No two clocks are ever compared.
-func (p *placeHost) now() int64 {
-	return p.machine.Clock() + int64((p.s.d.Now()-p.clockAt)/time.Millisecond)
+func (p *PlaceHost) now() int64 {
+	return p.machine.Clock() + int64((p.around.Now()-p.clockAt)/time.Millisecond)
 }
 
 // Owned starts or ends an ownership. Runs that an earlier owner began are not
 // in hand: their adapters are asked before anything is run again.
-func (p *placeHost) Owned(isOwner bool) {
+func (p *PlaceHost) Owned(isOwner bool) {
 	p.inHand, p.asking = map[string]inHand{}, map[string]time.Duration{}
 	p.lostAt, p.sending = map[string]time.Duration{}, map[string]bool{}
 	if isOwner {
@@ -100,8 +100,11 @@
 	p.publish()
 }
 
+// Ready tells what may run now, by lane.
+func (p *PlaceHost) Ready() map[string]int { return *p.ready.Load() }
+
 // publish tells the dispatcher what may run.
-func (p *placeHost) publish() {
+func (p *PlaceHost) publish() {
 	counts := map[string]int{}
 	if p.host != nil && p.host.IsOwner() {
 		counts = p.machine.Ready(p.now())
@@ -113,11 +116,11 @@
 	}
 	if !isSame {
 		p.ready.Store(&counts)
-		p.s.dispatch.nudge()
+		p.around.Nudge()
 	}
 }
 
-func (p *placeHost) propose(c place.Command, tell func(place.Verdict, error)) {
+func (p *PlaceHost) propose(c place.Command, tell func(place.Verdict, error)) {
 	c.At = p.now()
 	p.host.Propose(c.Encode(), func(verdict any, err error) {
 		v, _ := verdict.(place.Verdict)
@@ -130,8 +133,8 @@
 	})
 }
 
-// take holds a message, or says definitely that it does not.
-func (p *placeHost) take(t *wire.Take, answer func(any)) {
+// Take holds a message, or says definitely that it does not.
+func (p *PlaceHost) Take(t *wire.Take, answer func(any)) {
 	reject := func(kind mishap.Kind, text string, retry time.Duration) {
 		answer(&wire.Taken{Id: t.Id, Kind: string(kind), Text: text, Owner: p.ownerName(), Retry: int64(retry / time.Millisecond)})
 	}
@@ -140,14 +143,14 @@
 	case !p.host.IsOwner():
 		reject(mishap.NotOwner, "", 0)
 		return
-	case p.s.diskFull.Load():
+	case p.around.IsFull():
 		reject(mishap.DiskFull, "the store's disk is nearly full", 30*time.Second)
 		return
 	case count >= mostErrands || bytes >= mostBytes || p.host.Waiting() >= mostWaiting:
 		reject(mishap.Full, "the place holds as much as it may", 2*time.Second)
 		return
 	}
-	lane, isKnown := p.s.scenes.Now().Rules.Lanes[t.Lane]
+	lane, isKnown := p.around.Scene().Rules.Lanes[t.Lane]
 	if !isKnown {
 		reject(mishap.Unknown, "no such lane", 0)
 		return
@@ -162,8 +165,8 @@
 	})
 }
 
-// settle makes an undecided message's fate definite: held, or never.
-func (p *placeHost) settle(t *wire.Settle, answer func(any)) {
+// Settle makes an undecided message's fate definite: held, or never.
+func (p *PlaceHost) Settle(t *wire.Settle, answer func(any)) {
 	p.propose(place.Command{Kind: place.CmdTomb, Id: t.Id, Lane: t.Lane, Retain: int64(10 * time.Minute / time.Millisecond)},
 		func(v place.Verdict, err error) {
 			out := &wire.Taken{Id: t.Id, State: string(v.State), Kind: string(v.Kind)}
@@ -176,10 +179,10 @@
 		})
 }
 
-// look answers from the owner's state. The owner must have been confirmed so
+// Look answers from the owner's state. The owner must have been confirmed so
 // lately that nobody else can have become owner since.
-func (p *placeHost) look(l *wire.Look, answer func(any)) {
-	if v := p.host.View(); !p.host.IsOwner() || p.s.d.Now()-v.Confirmed > p.s.d.Bounds.Of(beat.Term) {
+func (p *PlaceHost) Look(l *wire.Look, answer func(any)) {
+	if v := p.host.View(); !p.host.IsOwner() || p.around.Now()-v.Confirmed > p.around.Bounds().Of(beat.Term) {
 		answer(p.sight(nil, mishap.NotOwner))
 		return
 	}
@@ -195,7 +198,7 @@
 	answer(out)
 }
 
-func (p *placeHost) sight(e *place.Errand, kind mishap.Kind) *wire.Sight {
+func (p *PlaceHost) sight(e *place.Errand, kind mishap.Kind) *wire.Sight {
 	if e == nil {
 		return &wire.Sight{Kind: string(kind), Owner: p.ownerName(), Body: []byte{}, Proof: wire.Proof{Answer: []byte{}}}
 	}
@@ -210,14 +213,14 @@
 	return out
 }
 
-func (p *placeHost) ownerName() string { return ownerOf(p.host) }
+func (p *PlaceHost) ownerName() string { return ownerOf(p.host) }
 
 // lane gives a lane's rules, or false when they are not known now: a store
 // that has just started must wait for its view rather than take every lane for
 // one that was removed.
-func (p *placeHost) lane(name string) (charter.Lane, bool) {
-	isFresh := p.s.d.IsFresh() // before the scene: what is fresh now is in it
-	return laneOf(p.s.scenes.Now().Rules, name, isFresh)
+func (p *PlaceHost) lane(name string) (charter.Lane, bool) {
+	isFresh := p.around.IsFresh() // before the scene: what is fresh now is in it
+	return laneOf(p.around.Scene().Rules, name, isFresh)
 }
 
 func laneOf(rules *charter.Rules, name string, isFresh bool) (charter.Lane, bool) {
@@ -230,12 +233,15 @@
 	return charter.Lane{Name: name, Attempts: 1, Retention: 10 * time.Minute, Backoff: time.Second, BackoffMost: time.Second}, true
 }
 
-// pause is the time before the next run: it doubles, with jitter, so that a
-// recovering pool does not meet all of them at once.
-func pause(l charter.Lane, spent int64) int64 {
+// pause is the time before the next run: it doubles, with jitter drawn from
+// the message's id, so that a recovering pool does not meet all at once.
+func pause(l charter.Lane, id string, spent int64) int64 {
 	d := l.Backoff << min(max(spent-1, 0), 20)
 	d = min(max(d, l.Backoff), l.BackoffMost)
-	return int64(d/time.Millisecond)/2 + rand.Int64N(int64(d/time.Millisecond)/2+1)
+	h := fnv.New64a()
+	fmt.Fprint(h, id, spent)
+	half := int64(d/time.Millisecond) / 2
+	return half + int64(h.Sum64()%uint64(half+1))
 }
 
 // SumOf is the checksum of bytes as callers and workers see it.
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -10,33 +10,33 @@
 	"caperwheel/internal/wire"
 )
 
-// slotGrant is a permitted slot on a worker, held by an adapter.
-type slotGrant struct {
-	pool, worker string
-	holder       wire.Who
-	permit       int64
-	until        time.Duration
+// SlotGrant is a permitted slot on a worker, held by an adapter.
+type SlotGrant struct {
+	Pool, Worker string
+	Holder       wire.Who
+	Permit       int64
+	Until        time.Duration
 }
 
-// start runs the lane's next errand in a granted slot. The run is durable
+// Start runs the lane's next errand in a granted slot. The run is durable
 // before its adapter hears of it.
-func (p *placeHost) start(lane string, g slotGrant) {
-	now := p.s.d.Now()
-	if !p.host.IsOwner() || now > g.until || !p.s.d.IsFresh() {
-		p.s.dispatch.release(g)
+func (p *PlaceHost) Start(lane string, g SlotGrant) {
+	now := p.around.Now()
+	if !p.host.IsOwner() || now > g.Until || !p.around.IsFresh() {
+		p.around.Release(g)
 		return
 	}
 	e := p.machine.Pick(lane, p.now())
 	if e == nil {
 		p.publish()
-		p.s.dispatch.release(g)
+		p.around.Release(g)
 		return
 	}
 	attempt := e.Attempt + 1
-	p.propose(place.Command{Kind: place.CmdStart, Id: e.Id, Attempt: attempt, Adapter: g.holder.Name, Boot: g.holder.Boot,
-		Pool: g.pool, Worker: g.worker}, func(v place.Verdict, err error) {
+	p.propose(place.Command{Kind: place.CmdStart, Id: e.Id, Attempt: attempt, Adapter: g.Holder.Name, Boot: g.Holder.Boot,
+		Pool: g.Pool, Worker: g.Worker}, func(v place.Verdict, err error) {
 		if err != nil || v.Kind != "" {
-			p.s.dispatch.release(g)
+			p.around.Release(g)
 			if err == nil {
 				p.machine.Unpick(e)
 			}
@@ -47,13 +47,12 @@
 }
 
 // send hands a started run to the adapter that granted the slot.
-func (p *placeHost) send(e *place.Errand, attempt int64, g slotGrant) {
-	pool := p.s.scenes.Now().Rules.Pools[g.pool]
+func (p *PlaceHost) send(e *place.Errand, attempt int64, g SlotGrant) {
+	pool := p.around.Scene().Rules.Pools[g.Pool]
 	run := &wire.Run{Place: p.number, Term: p.host.Term(), Id: e.Id, Attempt: attempt, Lane: e.Lane, Key: e.Key,
-		Pool: g.pool, Worker: g.worker, Ctype: e.Ctype, Body: e.Body, Sum: e.Sum, Permit: g.permit,
+		Pool: g.Pool, Worker: g.Worker, Ctype: e.Ctype, Body: e.Body, Sum: e.Sum, Permit: g.Permit,
 		Bound: int64(pool.Bound / time.Millisecond)}
-	peer := p.s.d.Node.Peer(wire.RunLink, g.holder.Addr)
-	err := peer.Post(run, func(reply any, err error) {
+	err := p.around.Post(g.Holder, run, func(reply any, err error) {
 		ack, isAck := reply.(*wire.RunAck)
 		if err != nil || !isAck {
 			return // its fate is unknown: the beat asks the adapter
@@ -71,28 +70,29 @@
 	}
 }
 
-func (p *placeHost) noteInHand(id string, attempt int64) {
+func (p *PlaceHost) noteInHand(id string, attempt int64) {
 	if p.inHand != nil {
-		p.inHand[id] = inHand{attempt, p.s.d.Now() + p.s.d.Bounds.Charter}
+		p.inHand[id] = inHand{attempt, p.around.Now() + p.around.Bounds().Charter}
 	}
 }
 
 // undo brings a run back that never started. It costs no attempt.
-func (p *placeHost) undo(id string, attempt int64, cause string) {
+func (p *PlaceHost) undo(id string, attempt int64, cause string) {
 	p.propose(place.Command{Kind: place.CmdBack, Id: id, Attempt: attempt, Cause: cause,
-		Cutoff: int64(p.s.d.Bounds.Of(beat.AskHold) / time.Millisecond)}, nil)
+		Cutoff: int64(p.around.Bounds().Of(beat.AskHold) / time.Millisecond)}, nil)
 }
 
-// outcome makes a run's result durable and acknowledges it.
-func (p *placeHost) outcome(o *wire.Outcome, answer func(any)) {
+// Outcome makes a run's result durable and acknowledges it.
+func (p *PlaceHost) Outcome(o *wire.Outcome, answer func(any)) {
 	if !p.host.IsOwner() {
 		answer(&wire.OutcomeAck{Kind: string(mishap.NotOwner), Owner: p.ownerName()})
 		return
 	}
 	e := p.machine.Find(o.Id)
 	if e == nil {
-		answer(&wire.OutcomeAck{}) // ended and forgotten long ago
-		return
+		// Ended and forgotten long ago, or else this owner has been replaced and
+		// never heard of it: only a commit can tell.
+		e = &place.Errand{Id: o.Id}
 	}
 	lane, isKnown := p.lane(e.Lane)
 	if !isKnown {
@@ -111,12 +111,12 @@
 }
 
 // judge decides what a result means for its errand.
-func (p *placeHost) judge(e *place.Errand, o *wire.Outcome, lane charter.Lane) place.Command {
+func (p *PlaceHost) judge(e *place.Errand, o *wire.Outcome, lane charter.Lane) place.Command {
 	retain := int64(lane.Retention / time.Millisecond)
 	if o.Kind == "" {
 		c := place.Command{Kind: place.CmdEnd, Id: e.Id, Proof: o.Proof, Retain: retain}
 		if lane.Callback != "" {
-			c.Child = place.Child{Id: p.s.childId(e.Id), Lane: lane.Callback, Ctype: o.Proof.Ctype, Body: o.Proof.Answer,
+			c.Child = place.Child{Id: p.around.ChildOf(e.Id), Lane: lane.Callback, Ctype: o.Proof.Ctype, Body: o.Proof.Answer,
 				Sum: SumOf(o.Proof.Answer), Parent: e.Id}
 		}
 		return c
@@ -130,16 +130,16 @@
 	if o.Begun {
 		spent++
 	}
-	back.Cutoff = max(pause(lane, spent), o.Wait)
+	back.Cutoff = max(pause(lane, e.Id, spent), o.Wait)
 	return back
 }
 
 // Beat does the owner's periodic work.
-func (p *placeHost) Beat(now time.Duration) {
+func (p *PlaceHost) Beat(now time.Duration) {
 	if !p.host.IsOwner() {
 		return
 	}
-	if !p.s.d.IsFresh() {
+	if !p.around.IsFresh() {
 		p.publish()
 		return
 	}
@@ -149,7 +149,7 @@
 		p.propose(place.Command{Kind: place.CmdClose, Id: e.Id, Attempt: e.Attempt, State: string(place.Expired), Cause: "patience",
 			Retain: int64(lane.Retention / time.Millisecond)}, nil)
 	}
-	if now-p.trimmed > p.s.d.Bounds.Of(beat.Vote) {
+	if now-p.trimmed > p.around.Bounds().Of(beat.Vote) {
 		p.trimmed = now
 		if ids := p.machine.Stale(at, trimBatch); len(ids) > 0 {
 			p.propose(place.Command{Kind: place.CmdTrim, Ids: ids}, nil)
@@ -161,35 +161,40 @@
 }
 
 // askOpen asks adapters for runs that this owner does not know to be in hand.
-func (p *placeHost) askOpen(now time.Duration) {
+func (p *PlaceHost) askOpen(now time.Duration) {
 	for _, e := range p.machine.Open() {
 		if h := p.inHand[e.Id]; h.attempt == e.Attempt && now < h.until || now < p.asking[e.Id] {
 			continue
 		}
-		who, isMember := p.s.d.Roll.Find(e.Adapter)
-		switch {
-		case !isMember: // it may still come back with a success: wait
-		case who.Boot != e.Boot:
-			p.lost(e, now)
-		default:
-			p.asking[e.Id] = now + p.s.d.Bounds.Of(beat.Vote)
-			p.ask(e.Id, e.Attempt, who)
+		// An adapter that is away may still come back with a success: wait.
+		if who, isMember := p.around.Find(e.Adapter); isMember {
+			p.asking[e.Id] = now + p.around.Bounds().Of(beat.Vote)
+			p.ask(e, who)
 		}
 	}
 }
 
-func (p *placeHost) ask(id string, attempt int64, who wire.Who) {
-	ask := &wire.Open{Place: p.number, Term: p.host.Term(), Id: id, Attempt: attempt}
-	_ = p.s.d.Node.Peer(wire.RunLink, who.Addr).Post(ask, func(reply any, err error) {
+// ask learns what became of a run from its adapter, or from the adapter's next
+// life, which looks whether the agent beside it keeps a result.
+func (p *PlaceHost) ask(e *place.Errand, who wire.Who) {
+	id, attempt := e.Id, e.Attempt
+	ask := &wire.Open{Place: p.number, Term: p.host.Term(), Id: id, Attempt: attempt, Boot: e.Boot}
+	_ = p.around.Post(who, ask, func(reply any, err error) {
 		ack, isAck := reply.(*wire.OpenAck)
 		if err != nil || !isAck || ack.Kind != "" {
 			return
 		}
 		_ = p.host.Do(func() {
+			if !p.host.IsOwner() || e.State != place.Started || e.Attempt != attempt {
+				return
+			}
 			delete(p.asking, id)
-			if ack.State == "open" {
+			switch ack.State {
+			case "open":
 				p.noteInHand(id, attempt)
-			} else {
+			case "gone":
+				p.lost(e, p.around.Now())
+			default:
 				p.undo(id, attempt, "never_started")
 			}
 		})
@@ -198,19 +203,24 @@
 
 // lost deals with a run whose adapter has begun a new life: whether the worker
 // did it is unknown. For an ordered lane the worker is given time to end it.
-func (p *placeHost) lost(e *place.Errand, now time.Duration) {
+func (p *PlaceHost) lost(e *place.Errand, now time.Duration) {
 	lane, isKnown := p.lane(e.Lane)
 	if !isKnown {
 		return
 	}
-	pool := p.s.scenes.Now().Rules.Pools[e.Pool]
+	pool := p.around.Scene().Rules.Pools[e.Pool]
 	if p.lostAt[e.Id] == 0 {
 		p.lostAt[e.Id] = now
 	}
-	if e.Ordered && now-p.lostAt[e.Id] < pool.Bound {
+	wait := p.around.Bounds().Of(beat.Gone) // whoever keeps its result hands it over by then
+	if e.Ordered {
+		wait = max(wait, pool.Bound)
+	}
+	if now-p.lostAt[e.Id] < wait {
+		p.asking[e.Id] = now + p.around.Bounds().Of(beat.Vote)
 		return
 	}
-	p.asking[e.Id] = now + p.s.d.Bounds.Charter
+	p.asking[e.Id] = now + p.around.Bounds().Charter
 	delete(p.lostAt, e.Id)
 	c := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: e.Attempt, Cause: "unknown_run", Costs: true,
 		Retain: int64(lane.Retention / time.Millisecond)}
@@ -221,7 +231,7 @@
 }
 
 // sendChildren gives call-backs to the places that they belong to.
-func (p *placeHost) sendChildren() {
+func (p *PlaceHost) sendChildren() {
 	for id, child := range p.machine.Outbox() {
 		if p.sending[id] {
 			continue
@@ -231,9 +241,9 @@
 			return
 		}
 		p.sending[id] = true
-		take := &wire.Take{Place: p.s.placeOfId(id), Id: id, Lane: child.Lane, Ctype: child.Ctype, Body: child.Body,
+		take := &wire.Take{Place: p.around.PlaceOf(id), Id: id, Lane: child.Lane, Ctype: child.Ctype, Body: child.Body,
 			Sum: child.Sum, Cutoff: int64(lane.Patience / time.Millisecond), Parent: child.Parent}
-		p.s.takeElsewhere(take, func(isTaken bool) {
+		p.around.TakeElsewhere(take, func(isTaken bool) {
 			_ = p.host.Do(func() {
 				delete(p.sending, id)
 				if isTaken && p.host.IsOwner() {
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -4,13 +4,12 @@
 	"slices"
 
 	"caperwheel/internal/group"
-	"caperwheel/internal/host"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/wire"
 )
 
-func ownerOf(h *host.Host) string {
+func ownerOf(h Hosting) string {
 	if owner := h.View().Owner; owner != "" {
 		return group.Name(owner)
 	}
@@ -19,7 +18,7 @@
 
 // onPlace serves adapters, and stores that send call-backs.
 func (s *Store) onPlace(_ wire.Who, body any, answer func(any)) {
-	with := func(number int64, work func(*placeHost), reject func(mishap.Kind)) {
+	with := func(number int64, work func(*PlaceHost), reject func(mishap.Kind)) {
 		s.mu.RLock()
 		p := s.places[number]
 		s.mu.RUnlock()
@@ -33,17 +32,21 @@
 	}
 	switch m := body.(type) {
 	case *wire.Take:
-		with(m.Place, func(p *placeHost) { p.take(m, answer) },
+		with(m.Place, func(p *PlaceHost) { p.Take(m, answer) },
 			func(kind mishap.Kind) { answer(&wire.Taken{Id: m.Id, Kind: string(kind)}) })
 	case *wire.Settle:
-		with(m.Place, func(p *placeHost) { p.settle(m, answer) },
+		with(m.Place, func(p *PlaceHost) { p.Settle(m, answer) },
 			func(kind mishap.Kind) { answer(&wire.Taken{Id: m.Id, Kind: string(kind)}) })
 	case *wire.Look:
-		with(m.Place, func(p *placeHost) { p.look(m, answer) }, func(kind mishap.Kind) {
+		with(m.Place, func(p *PlaceHost) { p.Look(m, answer) }, func(kind mishap.Kind) {
 			answer(&wire.Sight{Kind: string(kind), Body: []byte{}, Proof: wire.Proof{Answer: []byte{}}})
 		})
 	case *wire.Outcome:
-		with(m.Place, func(p *placeHost) { p.outcome(m, answer) },
+		if ack := s.keeper.Serve(m, s.d.Now()); ack != nil {
+			answer(ack)
+			return
+		}
+		with(m.Place, func(p *PlaceHost) { p.Outcome(m, answer) },
 			func(kind mishap.Kind) { answer(&wire.OutcomeAck{Kind: string(kind)}) })
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -11,10 +11,13 @@
 
 	"k8s.io/klog/v2"
 
+	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/group"
 	"caperwheel/internal/host"
+	"caperwheel/internal/reach"
+	"caperwheel/internal/repair"
 	"caperwheel/internal/slot"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
@@ -30,15 +33,16 @@
 	founder  *founder
 	scenes   *charter.Scenes
 	dispatch *dispatcher
+	keeper   *repair.Keeper // results that adapters could not bring home
 	diskFull atomic.Bool
 	ctx      context.Context
 
 	mu     sync.RWMutex
 	held   map[int64]*slot.Held
 	hosts  map[int64]*host.Host
-	places map[int64]*placeHost
+	places map[int64]*PlaceHost
 	parts  map[int64]*partHost
-	own    atomic.Pointer[[]*placeHost]
+	own    atomic.Pointer[[]*PlaceHost]
 	begun  sync.Once
 	isOpen atomic.Bool
 }
@@ -47,12 +51,13 @@
 func Run() {
 	d := daemon.New("store")
 	s := &Store{d: d, scenes: &charter.Scenes{View: d.View}, hosts: map[int64]*host.Host{},
-		places: map[int64]*placeHost{}, parts: map[int64]*partHost{}}
-	s.own.Store(&[]*placeHost{})
+		places: map[int64]*PlaceHost{}, parts: map[int64]*partHost{}}
+	s.own.Store(&[]*PlaceHost{})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.ctx = ctx
 	s.dispatch = newDispatcher(s)
+	s.keeper = repair.NewKeeper(4*d.Settings.Most, d.Bounds.Of(beat.Resend), d.Bounds.Of(beat.Settle))
 	folder, err := slot.OpenFolder(d.Settings.Data)
 	d.Must(err)
 	s.disk, s.held, err = slot.Open(folder, slot.Options{FreeBytes: uint64(d.Settings.Reserve)})
@@ -69,6 +74,8 @@
 	}
 	go s.upkeep(ctx)
 	go s.dispatch.run(ctx)
+	home := &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink}
+	go s.keeper.HandOver(ctx, home, func(place int64) int64 { return PlaceGroup + place }, d.Now)
 	d.Serve(s.leave)
 }
 
@@ -123,7 +130,7 @@
 	var h *host.Host
 	var err error
 	if groupId >= PlaceGroup {
-		p := newPlaceHost(s, groupId-PlaceGroup)
+		p := NewPlaceHost(&around{s}, groupId-PlaceGroup)
 		opts.Machine = p
 		h, err = host.New(opts)
 		p.host = h
@@ -159,7 +166,7 @@
 }
 
 // ownPlaces lists the places held here; those not owned have nothing ready.
-func (s *Store) ownPlaces() []*placeHost { return *s.own.Load() }
+func (s *Store) ownPlaces() []*PlaceHost { return *s.own.Load() }
 
 func (s *Store) sendGroup(m wire.GroupMsg) {
 	if who, isMember := s.d.Roll.Find(group.Name(m.To)); isMember {
--- a/internal/store/use.go
+++ b/internal/store/use.go
@@ -9,8 +9,8 @@
 
 // use gives a granted slot to the lane whose turn it is: turns are shared by
 // urgency among the lanes that the pool may run.
-func (d *dispatcher) use(g slotGrant) {
-	lane := d.pickLane(g.pool)
+func (d *dispatcher) use(g SlotGrant) {
+	lane := d.pickLane(g.Pool)
 	if lane == "" {
 		d.release(g)
 		return
@@ -23,7 +23,7 @@
 	for i := range places {
 		p := places[(first+i)%len(places)]
 		if (*p.ready.Load())[lane] > 0 {
-			if err := p.host.Do(func() { p.start(lane, g) }); err != nil {
+			if err := p.host.Do(func() { p.Start(lane, g) }); err != nil {
 				break
 			}
 			return
@@ -58,8 +58,8 @@
 }
 
 // release gives a slot back unused.
-func (d *dispatcher) release(g slotGrant) {
-	err := d.s.d.Node.Peer(wire.RunLink, g.holder.Addr).Post(&wire.Release{Permit: g.permit}, nil)
+func (d *dispatcher) release(g SlotGrant) {
+	err := d.s.d.Node.Peer(wire.RunLink, g.Holder.Addr).Post(&wire.Release{Permit: g.Permit}, nil)
 	if err != nil && !mishap.Is(err, mishap.Lost) {
 		d.nudge() // the holder takes it back when it lapses
 	}
--- a/internal/wire/data.go
+++ b/internal/wire/data.go
@@ -80,6 +80,7 @@
 	Begun bool   `avro:"begun"`
 	Final bool   `avro:"final"`
 	Wait  int64  `avro:"wait"`
+	Step  string `avro:"step"` // empty: for the place's owner; see internal/repair
 }
 
 // OutcomeAck says that the result is durable, or that another store owns it.
@@ -136,9 +137,11 @@
 	Term    int64  `avro:"term"`
 	Id      string `avro:"id"`
 	Attempt int64  `avro:"attempt"`
+	Boot    string `avro:"boot"` // of the adapter that the run was given to
 }
 
-// OpenAck: State is "open" (a result will come) or "never" (it will not run).
+// OpenAck: State is "open" (a result will come), "never" (it will not run) or
+// "gone" (an earlier life had it, and nobody beside it keeps a result).
 type OpenAck struct {
 	State string `avro:"state"`
 	Kind  string `avro:"kind"`
