--- /dev/null
+++ b/cmd/fleet/bench.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/transport"
+	"caperwheel/internal/wire"
+)
+
+// benchCommand measures the transport alone, between two processes, with
+// messages of 46 bytes, over a grid of batch and pool sizes, as the source did.
+type benchCommand struct {
+	For     time.Duration `arg:"--for" default:"1s" help:"how long each cell of the grid is measured"`
+	Rounds  int           `arg:"--rounds" default:"3" help:"rounds over the whole grid, interleaved"`
+	Batches []int         `arg:"--batches" help:"batch sizes"`
+	Pools   []int         `arg:"--pools" help:"pool sizes"`
+	Serve   bool          `arg:"--serve" help:"be the receiving process (internal)"`
+	Pool    int           `arg:"--pool" default:"40" help:"pool of the receiving process (internal)"`
+}
+
+// body is 46 bytes as an encoded Look with its correlation number.
+const bodyId = "0123456789012345678901234567890123456789"
+
+func bench(a *benchCommand) error {
+	if a.Serve {
+		return serveBench(a.Pool)
+	}
+	if len(a.Batches) == 0 {
+		a.Batches = []int{1, 10, 40, 100}
+	}
+	if len(a.Pools) == 0 {
+		a.Pools = []int{1, 8, 40}
+	}
+	rates := map[[2]int][]float64{}
+	for range a.Rounds {
+		for _, batch := range a.Batches {
+			for _, pool := range a.Pools {
+				rate, err := benchCell(batch, pool, a.For)
+				if err != nil {
+					return err
+				}
+				rates[[2]int{batch, pool}] = append(rates[[2]int{batch, pool}], rate)
+			}
+		}
+	}
+	fmt.Printf("%8s %8s %14s %14s %14s\n", "batch", "pool", "median msg/s", "least", "most")
+	for _, batch := range a.Batches {
+		for _, pool := range a.Pools {
+			r := rates[[2]int{batch, pool}]
+			slices.Sort(r)
+			fmt.Printf("%8d %8d %14.0f %14.0f %14.0f\n", batch, pool, r[len(r)/2], r[0], r[len(r)-1])
+		}
+	}
+	return nil
+}
+
+func serveBench(pool int) error {
+	node, err := transport.NewNode(transport.Options{Listen: "127.0.0.1:0", Pool: pool, Window: 1 << 16,
+		Handlers: map[string]transport.Handler{"place": func(_ wire.Who, body any, answer func(any)) {
+			if look, isLook := body.(*wire.Look); isLook && look.Body {
+				answer(&wire.OutcomeAck{})
+			}
+		}}})
+	if err != nil {
+		return err
+	}
+	fmt.Println(node.Addr())
+	go node.Serve()
+	_, _ = os.Stdin.Read(make([]byte, 1)) // until the other side closes
+	return nil
+}
+
+func benchCell(batch, pool int, length time.Duration) (float64, error) {
+	exe, err := os.Executable()
+	if err != nil {
+		return 0, mishap.Wrap(err, mishap.Internal, "executable")
+	}
+	cmd := exec.Command(exe, "bench", "--serve", "--pool", strconv.Itoa(pool))
+	in, _ := cmd.StdinPipe()
+	out, _ := cmd.StdoutPipe()
+	if err := cmd.Start(); err != nil {
+		return 0, mishap.Wrap(err, mishap.Internal, "receiver")
+	}
+	defer func() { in.Close(); _ = cmd.Wait() }()
+	raw := make([]byte, 64)
+	n, err := out.Read(raw)
+	if err != nil {
+		return 0, mishap.Wrap(err, mishap.Internal, "receiver's address")
+	}
+	node, err := transport.NewNode(transport.Options{Batch: batch, Pool: pool, Window: 1 << 16})
+	if err != nil {
+		return 0, err
+	}
+	defer node.Close()
+	peer := node.Peer(wire.PlaceLink, strings.TrimSpace(string(raw[:n])))
+	done := make(chan struct{})
+	for peer.Post(&wire.Look{Id: bodyId}, nil) != nil {
+		time.Sleep(time.Millisecond)
+	}
+	sent, began := 0, time.Now()
+	for time.Since(began) < length {
+		for range 64 {
+			if peer.Post(&wire.Look{Id: bodyId}, nil) == nil {
+				sent++
+			} else {
+				time.Sleep(20 * time.Microsecond) // the window is full
+			}
+		}
+	}
+	for peer.Post(&wire.Look{Id: bodyId, Body: true}, func(any, error) { close(done) }) != nil {
+		time.Sleep(100 * time.Microsecond)
+	}
+	<-done
+	return float64(sent) / time.Since(began).Seconds(), nil
+}
--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -32,6 +32,7 @@
 }
 
 type arguments struct {
+	Bench *benchCommand `arg:"subcommand:bench" help:"measure the transport alone"`
 	Sweep *sweepCommand `arg:"subcommand:sweep" help:"simulate many seeds with mixed faults"`
 	Run   *runCommand   `arg:"subcommand:run" help:"run a deployment and check it"`
 }
@@ -43,6 +44,8 @@
 	switch {
 	case args.Run != nil:
 		err = run(args.Run)
+	case args.Bench != nil:
+		err = bench(args.Bench)
 	case args.Sweep != nil:
 		err = sweep(args.Sweep)
 	default:
--- /dev/null
+++ b/internal/beat/beat_test.go
@@ -0,0 +1,50 @@
+package beat
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestRatiosStopADaemonInTime(t *testing.T) {
+	Convey("A daemon that hears nothing more stops before the bound has passed", t, func() {
+		So(int(Fresh+3*Poll), ShouldBeLessThan, 1000)
+	})
+	Convey("An owner serves reads for less time than others wait before they stand", t, func() {
+		So(int(Term), ShouldBeLessThan, int(Vote))
+	})
+	Convey("A duty's fence is no shorter than a stale holder may go on", t, func() {
+		So(int(Fence), ShouldBeGreaterThanOrEqualTo, int(Fresh))
+	})
+}
+
+// TestPatience: a frozen adapter once gave runs up as it thawed, though their
+// answers had come in, and the messages were run again.
+func TestPatience(t *testing.T) {
+	Convey("Given a bound of one second", t, func() {
+		var next func()
+		spans := time.Duration(0)
+		after := func(d time.Duration, work func()) { next, spans = work, spans+d }
+		ctx, cancel := patience(context.Background(), time.Second, after)
+		defer cancel()
+		Convey("it ends when the process has run for that long", func() {
+			for range patienceTurns - 1 {
+				next()
+				So(ctx.Err(), ShouldBeNil)
+			}
+			next()
+			So(context.Cause(ctx), ShouldEqual, context.DeadlineExceeded)
+			So(spans, ShouldEqual, time.Second)
+		})
+		Convey("a freeze, however long, is one late turn and does not end it", func() {
+			next()
+			So(ctx.Err(), ShouldBeNil)
+		})
+		Convey("it ends when it is cancelled", func() {
+			cancel()
+			So(context.Cause(ctx), ShouldEqual, context.Canceled)
+		})
+	})
+}
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-resty/resty/v2"
 
+	"caperwheel/internal/beat"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
 	"caperwheel/internal/store"
@@ -95,7 +96,7 @@
 func (a *Adapter) send(e *delivery) error {
 	r := e.run
 	pool := a.scenes.Now().Rules.Pools[r.Pool]
-	ctx, cancel := context.WithTimeout(a.ctx, time.Duration(r.Bound)*time.Millisecond)
+	ctx, cancel := beat.Patience(a.ctx, time.Duration(r.Bound)*time.Millisecond)
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { r.isSent.Store(true) }})
 	req := a.client.R().SetContext(ctx).SetDoNotParseResponse(true).SetBody(r.Body).
@@ -137,7 +138,7 @@
 }
 
 func (a *Adapter) nameFailure(ctx context.Context, err error) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return mishap.Wrap(err, mishap.Late, "the worker did not answer in time")
 	}
 	return mishap.Wrap(err, mishap.Lost, "the worker could not be asked")
