Simulate the control plane: feeds, freshness, duties under a fence; more case tables

Found on the way: two managers that saw different adapters pulled a duty to and fro, and its fence kept the endpoint from being served (0 runs in 5 s after healing, in every kind of fault). Cause: absence of a holder is only a guess of one manager. Ruled out: a lost edit (each held), a stale view (both were fresh).

--- /dev/null
+++ b/internal/deliver/worker_test.go
@@ -0,0 +1,143 @@
+package deliver
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// starts grants slots every 10 ms for a while, each run taking work, and gives
+// the times of the starts.
+func starts(w *Worker, from, length, work time.Duration, isSound func(now time.Duration) bool) []time.Duration {
+	out, ends := []time.Duration{}, []time.Duration{}
+	for now := from; now < from+length; now += 10 * time.Millisecond {
+		for len(ends) > 0 && ends[0] <= now {
+			ends = ends[1:]
+			w.Done(isSound(now), work, now)
+		}
+		for {
+			isGranted, _ := w.Grant(now)
+			if !isGranted {
+				break
+			}
+			at := now + w.Pace(now)
+			out, ends = append(out, at), append(ends, at+work)
+		}
+	}
+	return out
+}
+
+func always(time.Duration) bool { return true }
+
+func within(list []time.Duration, from, until time.Duration) int {
+	n := 0
+	for _, at := range list {
+		if at >= from && at < until {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRate: an endpoint never gets much more than its rate over any 5 s.
+func TestRate(t *testing.T) {
+	cases := []struct {
+		name  string
+		rate  float64
+		fence time.Duration
+		ease  time.Duration
+	}{
+		{"a slow endpoint", 1, 0, 0},
+		{"a usual endpoint", 6, 0, 0},
+		{"a fast endpoint", 200, 0, 0},
+		{"one that is eased in", 6, 0, 5 * time.Second},
+		{"one taken over under a fence", 6, 3 * time.Second, 0},
+	}
+	Convey("Over any five seconds", t, func() {
+		for _, c := range cases {
+			Convey(c.name+" gets no more than its rate and a little, and not much less", func() {
+				w := NewWorker(charter.Pool{Rate: c.rate, Concurrency: 50, Ease: c.ease}, c.fence, 0)
+				list := starts(w, 0, 40*time.Second, 20*time.Millisecond, always)
+				So(within(list, 0, c.fence), ShouldEqual, 0)
+				for from := time.Duration(0); from < 35*time.Second; from += 50 * time.Millisecond {
+					So(float64(within(list, from, from+5*time.Second)), ShouldBeLessThanOrEqualTo, 5*c.rate*1.02+1)
+				}
+				So(float64(within(list, 20*time.Second, 40*time.Second)), ShouldBeGreaterThan, 20*c.rate*0.9)
+			})
+		}
+	})
+}
+
+func TestSoundness(t *testing.T) {
+	pool := charter.Pool{Concurrency: 8, Ease: 10 * time.Second}
+	Convey("A cold worker is eased in", t, func() {
+		list := starts(NewWorker(pool, 0, 0), 0, 20*time.Second, 50*time.Millisecond, always)
+		So(within(list, 0, time.Second), ShouldBeLessThan, 8)
+		So(within(list, 4*time.Second, 5*time.Second), ShouldBeGreaterThan, within(list, 1*time.Second, 2*time.Second))
+		So(within(list, 15*time.Second, 16*time.Second), ShouldBeGreaterThan, 80)
+	})
+	Convey("A worker that fails is only probed, and comes back cold", t, func() {
+		w := NewWorker(pool, 0, 0)
+		isSound := func(now time.Duration) bool { return now < 20*time.Second || now > 40*time.Second }
+		list := starts(w, 0, 42*time.Second, 50*time.Millisecond, isSound)
+		So(within(list, 30*time.Second, 40*time.Second), ShouldBeBetween, 1, 6)
+		So(within(list, 41*time.Second, 42*time.Second), ShouldBeLessThan, 8)
+	})
+	Convey("Given a warm worker", t, func() {
+		w := NewWorker(charter.Pool{Concurrency: 2}, 0, 0)
+		grant := func() bool { isGranted, _ := w.Grant(0); return isGranted }
+		Convey("its slots are bounded, and come back when they lapse", func() {
+			So([]bool{grant(), grant(), grant()}, ShouldResemble, []bool{true, true, false})
+			w.Release()
+			So(grant(), ShouldBeTrue)
+		})
+		Convey("its ceiling halves on failure and grows back", func() {
+			grant()
+			w.Done(false, 0, 0)
+			So([]bool{grant(), grant()}, ShouldResemble, []bool{true, false})
+			w.Done(true, time.Millisecond, 0)
+			So([]bool{grant(), grant()}, ShouldResemble, []bool{true, true})
+		})
+	})
+}
+
+// TestBook is the table of what an adapter promises to owners.
+func TestBook(t *testing.T) {
+	run := func(term int64) *wire.Run { return &wire.Run{Place: 1, Term: term, Id: "x", Attempt: 1} }
+	open := func(term int64) *wire.Open { return &wire.Open{Place: 1, Term: term, Id: "x", Attempt: 1} }
+	Convey("Given an adapter's book", t, func() {
+		b := NewBook(2)
+		kind := func(err error) mishap.Kind {
+			if err == nil {
+				return ""
+			}
+			return mishap.KindOf(err)
+		}
+		Convey("a run in hand is told to be open, also in a later term", func() {
+			So(b.Admit(run(3), 0), ShouldBeNil)
+			So(b.Open(open(4), 0).State, ShouldEqual, "open")
+		})
+		Convey("a run told never to start never starts, whatever arrives later", func() {
+			So(b.Open(open(4), 0).State, ShouldEqual, "never")
+			So(kind(b.Admit(run(4), 0)), ShouldEqual, mishap.Rejected)
+		})
+		Convey("an older term is refused", func() {
+			So(b.Open(&wire.Open{Place: 1, Term: 5, Id: "y"}, 0).State, ShouldEqual, "never")
+			So(kind(b.Admit(run(4), 0)), ShouldEqual, mishap.Stale)
+			So(b.Open(open(4), 0).Kind, ShouldEqual, "stale")
+		})
+		Convey("the same run is not taken twice, nor more than it can carry", func() {
+			So(b.Admit(run(3), 0), ShouldBeNil)
+			So(kind(b.Admit(run(3), 0)), ShouldEqual, mishap.Conflict)
+			So(b.Admit(&wire.Run{Id: "y"}, 0), ShouldBeNil)
+			So(kind(b.Admit(&wire.Run{Id: "z"}, 0)), ShouldEqual, mishap.Full)
+			b.Forget(run(3))
+			So(b.Admit(&wire.Run{Id: "z"}, 0), ShouldBeNil)
+		})
+	})
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -6,6 +6,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"time"
 
 	"caperwheel/internal/charter"
 	"caperwheel/internal/wire"
@@ -38,6 +39,45 @@
 	Next         charter.Duty
 	IfStamp      int64
 	IsGone       bool // the worker is no longer listed
+	IsGuess      bool // the holder is not here: it may only be out of our sight
+}
+
+// Steady keeps two planners that see different daemons from pulling a duty to
+// and fro: one that has just changed hands is not moved on a guess.
+//
+// Invariant: seen has the newest term of each duty and when it was first seen.
+type Steady struct {
+	Least time.Duration // a duty stays so long before a guess may move it
+	seen  map[string]seenTerm
+}
+
+type seenTerm struct {
+	term int64
+	at   time.Duration
+}
+
+// Filter drops the guesses that come too early.
+func (s *Steady) Filter(plan []Change, now time.Duration) []Change {
+	if s.seen == nil {
+		s.seen = map[string]seenTerm{}
+	}
+	out := []Change{}
+	for _, c := range plan {
+		key := c.Pool + "/" + c.Worker
+		was, isKnown := s.seen[key]
+		if !isKnown || was.term != c.IfStamp {
+			was = seenTerm{c.IfStamp, now}
+			s.seen[key] = was
+			if !isKnown { // we have just come: what we know of it may be old
+				was.at = now - s.Least
+				s.seen[key] = was
+			}
+		}
+		if !c.IsGuess || now-was.at >= s.Least {
+			out = append(out, c)
+		}
+	}
+	return out
 }
 
 // Plan tells which duties of a pool must change hands. A duty stays where it
@@ -75,7 +115,7 @@
 		if !isAssigned && wasKnown {
 			before = "an earlier holder"
 		}
-		out = append(out, Change{pool, name, charter.Duty{Holder: next.Name, Boot: next.Boot, Before: before}, ifStamp, false})
+		out = append(out, Change{pool, name, charter.Duty{Holder: next.Name, Boot: next.Boot, Before: before}, ifStamp, false, isAssigned && !isHere && !isEmptied(scene, adapters, held.Holder)})
 	}
 	for _, name := range sortedKeys(scene.Duties[pool]) {
 		if _, isListed := scene.Workers[pool][name]; !isListed {
@@ -85,6 +125,16 @@
 	return out
 }
 
+// isEmptied: a holder that is left out for its cell's sake is no guess.
+func isEmptied(scene *charter.Scene, adapters []wire.Who, name string) bool {
+	for _, a := range adapters {
+		if a.Name == name {
+			return scene.Emptied[a.Cell]
+		}
+	}
+	return false
+}
+
 func hasCell(usable map[string]wire.Who, cell string) bool {
 	for _, a := range usable {
 		if a.Cell == cell {
--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,117 @@
+package duty
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/wire"
+)
+
+func scene(workers map[string]charter.Worker, duties map[string]charter.Held, emptied ...string) *charter.Scene {
+	out := &charter.Scene{Workers: map[string]map[string]charter.Worker{"p": workers},
+		Duties: map[string]map[string]charter.Held{"p": duties}, Emptied: map[string]bool{}}
+	for _, cell := range emptied {
+		out.Emptied[cell] = true
+	}
+	return out
+}
+
+func held(holder, boot string) charter.Held {
+	return charter.Held{Duty: charter.Duty{Holder: holder, Boot: boot}, Term: 7}
+}
+
+// TestPlan is the table of when a duty changes hands.
+func TestPlan(t *testing.T) {
+	adapters := []wire.Who{{Name: "a1", Boot: "1", Cell: "a"}, {Name: "a2", Boot: "1", Cell: "a"}, {Name: "b1", Boot: "1", Cell: "b"}}
+	inA := map[string]charter.Worker{"w": {Name: "w", Cell: "a"}}
+	known := func(string) (int64, bool) { return 7, true }
+	never := func(string) (int64, bool) { return 0, false }
+	cases := []struct {
+		name   string
+		scene  *charter.Scene
+		stamp  func(string) (int64, bool)
+		holder string // "" for no change, "gone" for removal
+		before string
+	}{
+		{"a worker that nobody ever held goes to its cell, without a fence", scene(inA, nil), never, "a", ""},
+		{"a worker that somebody held once goes with a fence", scene(inA, nil), func(string) (int64, bool) { return 0, true }, "a", "an earlier holder"},
+		{"a holder that lives keeps its duty", scene(inA, map[string]charter.Held{"w": held("a1", "1")}), known, "", ""},
+		{"a holder's next life is not the holder", scene(inA, map[string]charter.Held{"w": held("a1", "0")}), known, "a", "0"},
+		{"a holder that is gone loses it", scene(inA, map[string]charter.Held{"w": held("x", "1")}), known, "a", "1"},
+		{"a holder of another cell gives way to the worker's own", scene(inA, map[string]charter.Held{"w": held("b1", "1")}), known, "a", "1"},
+		{"an emptied cell's holder loses it", scene(inA, map[string]charter.Held{"w": held("a1", "1")}, "a"), known, "b", "1"},
+		{"a worker of a cell without adapters keeps any holder", scene(map[string]charter.Worker{"w": {Name: "w", Cell: "z"}},
+			map[string]charter.Held{"w": held("b1", "1")}), known, "", ""},
+		{"a worker that is no longer listed has its duty removed", scene(nil, map[string]charter.Held{"w": held("a1", "1")}), known, "gone", ""},
+	}
+	Convey("In the plan of duties", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				plan := Plan("p", c.scene, adapters, c.stamp)
+				if c.holder == "" {
+					So(plan, ShouldBeEmpty)
+					return
+				}
+				So(len(plan), ShouldEqual, 1)
+				if c.holder == "gone" {
+					So(plan[0].IsGone, ShouldBeTrue)
+					So(plan[0].IfStamp, ShouldEqual, 7)
+					return
+				}
+				So(plan[0].Next.Holder[:1], ShouldEqual, c.holder)
+				So(plan[0].Next.Before, ShouldEqual, c.before)
+			})
+		}
+		Convey("many workers are spread evenly", func() {
+			workers := map[string]charter.Worker{}
+			for i := range 30 {
+				workers[string(rune('A'+i))] = charter.Worker{Cell: "a"}
+			}
+			count := map[string]int{}
+			for _, change := range Plan("p", scene(workers, nil), adapters, never) {
+				count[change.Next.Holder]++
+			}
+			So(count, ShouldResemble, map[string]int{"a1": 15, "a2": 15})
+		})
+	})
+	Convey("Of the daemons left, the same one has the first claim as before", t, func() {
+		names := []string{"m1", "m2", "m3"}
+		moved := 0
+		for i := range 100 {
+			key := string(rune(i))
+			if first := First(key, names); first != "m3" && First(key, names[:2]) != first {
+				moved++
+			}
+		}
+		So(moved, ShouldEqual, 0)
+	})
+}
+
+// TestSteady: two managers that saw different adapters once pulled a duty to
+// and fro, and its fence kept the endpoint from being served at all.
+func TestSteady(t *testing.T) {
+	cases := []struct {
+		name    string
+		isGuess bool
+		term    int64
+		at      time.Duration
+		isKept  bool
+	}{
+		{"a guess about a duty that has been steady", true, 1, 20 * time.Second, true},
+		{"not a guess about one that has just changed hands", true, 2, 21 * time.Second, false},
+		{"not a guess a little later either", true, 2, 26 * time.Second, false},
+		{"a guess once it has been steady again", true, 2, 27 * time.Second, true},
+		{"what is known for sure, at any time", false, 3, 27 * time.Second, true},
+	}
+	Convey("A plan keeps", t, func() {
+		s := Steady{Least: 6 * time.Second}
+		for _, c := range cases {
+			kept := s.Filter([]Change{{Pool: "p", Worker: "w", IfStamp: c.term, IsGuess: c.isGuess}}, c.at)
+			So(c.name+": "+fmt.Sprint(len(kept) == 1), ShouldEqual, c.name+": "+fmt.Sprint(c.isKept))
+		}
+	})
+}
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -19,6 +19,7 @@
 // looked after by one manager; should two think so, the stamps let one win.
 func (m *Manager) controlDuties(ctx context.Context) {
 	pool := pond.NewPool(8)
+	steady := &duty.Steady{Least: 2 * m.d.Bounds.Charter}
 	steadySince := m.d.Now()
 	beat.Every(ctx, m.d.Bounds.Of(beat.Poll)*2, func() {
 		if !m.d.IsFresh() {
@@ -29,7 +30,7 @@
 		if m.d.Now()-steadySince < m.d.Bounds.Of(beat.Gone) {
 			return
 		}
-		m.planDuties(ctx, pool)
+		m.planDuties(ctx, pool, steady)
 	})
 }
 
@@ -47,7 +48,7 @@
 	return out
 }
 
-func (m *Manager) planDuties(ctx context.Context, workers pond.Pool) {
+func (m *Manager) planDuties(ctx context.Context, workers pond.Pool, steady *duty.Steady) {
 	scene := m.scenes.Now()
 	adapters := m.d.Roll.Kind("adapter")
 	group := workers.NewGroup()
@@ -67,7 +68,7 @@
 			}
 			return c.Stamp, true
 		}
-		for _, change := range duty.Plan(name, scene, adapters, stamp) {
+		for _, change := range steady.Filter(duty.Plan(name, scene, adapters, stamp), m.d.Now()) {
 			group.Submit(func() { m.assign(ctx, part, change) })
 		}
 	}
--- /dev/null
+++ b/internal/repair/repair_test.go
@@ -0,0 +1,79 @@
+package repair
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/wire"
+)
+
+// TestWanted is the table of who should hold a group.
+func TestWanted(t *testing.T) {
+	four := []Store{{"s1", "a", false}, {"s2", "b", false}, {"s3", "c", false}, {"s4", "a", false}}
+	cases := []struct {
+		name    string
+		roster  []string
+		stores  []Store
+		retired map[string]bool
+		want    []string
+	}{
+		{"a whole roster stays", []string{"s1", "s2", "s3"}, four, nil, []string{"s1", "s2", "s3"}},
+		{"a store that is away keeps its seat", []string{"s1", "s2", "s3"}, four[1:], nil, []string{"s1", "s2", "s3"}},
+		{"a retired store's seat goes to a spare", []string{"s1", "s2", "s3"}, four, map[string]bool{"s1": true}, []string{"s2", "s3", "s4"}},
+		{"without a spare two are left", []string{"s1", "s2", "s3"}, four[:3], map[string]bool{"s1": true}, []string{"s2", "s3"}},
+		{"the last other one is not left alone", []string{"s1", "s2"}, four[:2], map[string]bool{"s1": true}, []string{"s2", "s1"}},
+		{"an empty seat goes to a cell that has none", []string{"s1", "s2"}, four, nil, []string{"s1", "s2", "s3"}},
+	}
+	Convey("A group is wanted on", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				stores := []Store{}
+				for _, s := range c.stores {
+					s.IsRetired = c.retired[s.Name]
+					stores = append(stores, s)
+				}
+				So(Wanted(1, c.roster, stores, c.retired, 3), ShouldResemble, c.want)
+			})
+		}
+	})
+}
+
+func TestKeeper(t *testing.T) {
+	result := func(id string, attempt int64) *wire.Outcome {
+		return &wire.Outcome{Id: id, Step: StepLeave, Proof: wire.Proof{Attempt: attempt}}
+	}
+	Convey("Given a keeper with room for two", t, func() {
+		k := NewKeeper(2, time.Second, 2*time.Second)
+		k.Serve(result("x", 1), 0)
+		ids := func(now time.Duration) string {
+			out := ""
+			for _, o := range k.Due(now) {
+				out += o.Id
+			}
+			return out
+		}
+		Convey("a result is handed over in time, and again until it is forgotten", func() {
+			So([]string{ids(999 * time.Millisecond), ids(time.Second), ids(2 * time.Second), ids(3 * time.Second)}, ShouldResemble,
+				[]string{"", "x", "", "x"})
+			k.Serve(&wire.Outcome{Id: "x", Step: StepForget, Proof: wire.Proof{Attempt: 1}}, 0)
+			So(ids(time.Hour), ShouldEqual, "")
+		})
+		Convey("it knows what it keeps, by attempt", func() {
+			has := func(attempt int64) string {
+				return k.Serve(&wire.Outcome{Id: "x", Step: StepHas, Proof: wire.Proof{Attempt: attempt}}, 0).Kind
+			}
+			So([]string{has(1), has(2)}, ShouldResemble, []string{"", "unknown"})
+		})
+		Convey("what it hands over is meant for an owner, and what is meant for one is not its own", func() {
+			So(k.Due(time.Hour)[0].Step, ShouldEqual, "")
+			So(k.Serve(&wire.Outcome{Id: "y"}, 0), ShouldBeNil)
+		})
+		Convey("a third result finds no room", func() {
+			So(k.Keep(result("y", 1), 0), ShouldBeTrue)
+			So(k.Keep(result("z", 1), 0), ShouldBeFalse)
+			So(k.Keep(result("x", 1), 0), ShouldBeTrue)
+		})
+	})
+}
--- /dev/null
+++ b/internal/sim/controlfaults.go
@@ -0,0 +1,155 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/wire"
+)
+
+const controlCharter = `{"note":"%d","pools":{"p":{"kind":"endpoint","address":"127.0.0.1:9","rate":10,"concurrency":9,"ease":"0s"}},"lanes":{"l":{"pools":["p"]}}}`
+
+// checkAct holds the act of a fresh adapter against the charters that were
+// acknowledged: one older than the bound must be known to it.
+func (c *Control) checkAct(n *node) {
+	stamp := n.view.Stamp(feed.CharterPart)
+	for _, e := range c.acked {
+		if c.now-e.at > beat.Default.Charter && stamp < e.stamp {
+			text := fmt.Sprintf("%s acts on stamp %d, though %d was acknowledged %v ago", n.boot(), stamp, e.stamp, c.now-e.at)
+			c.Note("BROKEN %s", text)
+			c.Broken = append(c.Broken, text)
+			return
+		}
+	}
+}
+
+// change edits the charter through each manager at once, on the base that the
+// manager knows.
+func (c *Control) change() {
+	for _, m := range c.managers {
+		if !m.isUp || c.now < m.frozen {
+			continue
+		}
+		was, isKnown := m.view.Get(feed.CharterPart, charter.Key)
+		base := int64(0)
+		if isKnown {
+			base = was.Stamp
+		}
+		c.edits++
+		e := wire.Edit{Key: charter.Key, IfStamp: base, Value: fmt.Appendf(nil, controlCharter, c.edits)}
+		m.edit(e, func(stamp int64) {
+			for _, other := range c.acked {
+				if other.base == base && other.stamp != stamp {
+					c.Broken = append(c.Broken, fmt.Sprintf("edits %d and %d on one base %d were both acknowledged", other.stamp, stamp, base))
+				}
+			}
+			c.acked = append(c.acked, ackedEdit{stamp, c.now, base})
+			c.Note("edit %d on %d is acknowledged", stamp, base)
+		})
+	}
+}
+
+func (c *Control) node() *node {
+	all := append(append(append([]*node{}, c.managers...), c.agents...), c.adapters...)
+	return all[c.Rand.IntN(len(all))]
+}
+
+func (c *Control) cutOff(name string) {
+	for _, other := range []string{"s1", "s2", "s3", "m1", "m2", "g1", "g2", "g3", "a1", "a2", "a3"} {
+		if other != name && c.Rand.IntN(2) == 0 {
+			c.Cut(name, other)
+			if c.Rand.IntN(2) == 0 {
+				c.Cut(other, name)
+			}
+		}
+	}
+	c.Note("%s is cut off from some", name)
+	c.After(time.Duration(500+c.Rand.IntN(8000))*time.Millisecond, c.Heal)
+}
+
+// ControlFaults are the ways the control plane is hurt.
+var ControlFaults = map[string]func(c *Control){
+	"nothing":      func(*Control) {},
+	"killed nodes": func(c *Control) { c.node().kill() },
+	"frozen nodes": func(c *Control) {
+		n := c.node()
+		n.frozen = c.now + time.Duration(c.Rand.IntN(7000))*time.Millisecond
+		c.Note("freeze %s until %v", n.name, n.frozen)
+	},
+	"cut nodes":     func(c *Control) { c.cutOff(c.node().name) },
+	"killed stores": func(c *Control) { c.stores[c.Rand.IntN(3)].kill() },
+	"cut stores":    func(c *Control) { c.cutOff(c.stores[c.Rand.IntN(3)].name) },
+	"lost messages": func(c *Control) { c.Loss = 200; c.After(4*time.Second, func() { c.Loss = 0 }) },
+	"slow links": func(c *Control) {
+		c.Slow = 600 * time.Millisecond
+		c.After(4*time.Second, func() { c.Slow = 5 * time.Millisecond })
+	},
+}
+
+// RunControl hurts a control plane for a while and checks it throughout.
+func RunControl(seed uint64, faults ...func(*Control)) *Control {
+	c := NewControl(NewWorld(seed))
+	for c.now < 60*time.Second {
+		c.Run(c.now + 100*time.Millisecond)
+		if c.Rand.IntN(15) == 0 || c.now < 2*time.Second {
+			c.change()
+		}
+		if c.Rand.IntN(25) == 0 {
+			faults[c.Rand.IntN(len(faults))](c)
+		}
+		if c.Rand.IntN(15) == 0 {
+			c.stores[c.Rand.IntN(3)].start()
+			c.node().start()
+		}
+	}
+	c.finish()
+	return c
+}
+
+// finish heals everything: the endpoint must be served again, at its rate, and
+// the newest acknowledged charter must stand everywhere.
+func (c *Control) finish() {
+	c.Heal()
+	c.Loss, c.Slow = 0, 5*time.Millisecond
+	for _, s := range c.stores {
+		s.start()
+	}
+	for _, n := range append(append(append([]*node{}, c.managers...), c.agents...), c.adapters...) {
+		n.frozen = 0
+		n.start()
+	}
+	c.Run(c.now + 15*time.Second)
+	from := c.now
+	c.Run(c.now + 5*time.Second)
+	served := 0
+	for i, at := range c.Acts {
+		if at >= from {
+			served++
+		}
+		within := 0
+		for _, other := range c.Acts[:i+1] {
+			if other > at-5*time.Second {
+				within++
+			}
+		}
+		if within > int(5*c.rate*1.1)+2 {
+			c.Broken = append(c.Broken, fmt.Sprintf("the endpoint got %d runs in the 5 s before %v", within, at))
+			break
+		}
+	}
+	if served < int(5*c.rate*0.7) {
+		c.Broken = append(c.Broken, fmt.Sprintf("the endpoint got only %d runs in 5 s after all was healed", served))
+	}
+	newest := int64(0)
+	for _, e := range c.acked {
+		newest = max(newest, e.stamp)
+	}
+	for _, n := range c.adapters {
+		if was, _ := n.view.Get(feed.CharterPart, charter.Key); was.Stamp < newest {
+			c.Broken = append(c.Broken, fmt.Sprintf("%s ends with charter %d, acknowledged was %d", n.name, was.Stamp, newest))
+		}
+	}
+}
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -6,7 +6,7 @@
 )
 
 // SweepKinds lists what can be swept.
-func SweepKinds() []string { return []string{"group", "place"} }
+func SweepKinds() []string { return []string{"group", "place", "control"} }
 
 // SweepSeed runs one seed with all faults mixed, and tells what was broken.
 func SweepSeed(kind string, seed uint64) (broken, trace []string) {
@@ -20,6 +20,9 @@
 			broken = append(broken, b.Rule+": "+b.Text)
 		}
 		return broken, p.Trace
+	case "control":
+		c := RunControl(seed, mixed(ControlFaults)...)
+		return c.Broken, c.Trace
 	}
 	return []string{"no such kind"}, nil
 }
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -196,3 +196,19 @@
 		}
 	})
 }
+
+func TestFullDiskRejectsIntakeOnly(t *testing.T) {
+	Convey("Given a disk that is nearly full", t, func() {
+		b, e := started("l")
+		b.isFull = true
+		Convey("nothing more is taken, and what is held comes to its end", func() {
+			answers := []*wire.Taken{}
+			b.place.Take(&wire.Take{Id: "0-y", Lane: "l"}, func(reply any) { answers = append(answers, reply.(*wire.Taken)) })
+			So(answers[0].Kind, ShouldEqual, "disk_full")
+			So(answers[0].Retry, ShouldBeGreaterThan, 0)
+			b.place.Outcome(&wire.Outcome{Id: "0-x", Proof: wire.Proof{Attempt: 1}}, func(any) {})
+			b.commit(true)
+			So(e.State, ShouldEqual, place.Ended)
+		})
+	})
+}
--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -6,38 +6,38 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/host"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
-// partHost is a part of the control state on this store.
-type partHost struct {
-	s      *Store
+// PartHost is a part of the control state on this store.
+type PartHost struct {
+	around Around
 	number int64
-	host   *host.Host
+	host   Hosting
 	part   *feed.Part
 }
 
-func newPartHost(s *Store, number int64) *partHost {
-	return &partHost{s: s, number: number, part: feed.NewPart()}
+// NewPartHost gives an empty part.
+func NewPartHost(around Around, number int64) *PartHost {
+	return &PartHost{around: around, number: number, part: feed.NewPart()}
 }
 
 // Apply takes one committed edit in.
-func (p *partHost) Apply(data []byte) any {
+func (p *PartHost) Apply(data []byte) any {
 	e, err := feed.DecodeEdit(data)
 	if err != nil {
-		p.s.fail(err)
+		p.around.Fail(err)
 		return nil
 	}
 	return p.part.Apply(e)
 }
 
 // Image gives the state for a slot.
-func (p *partHost) Image() []byte { return p.part.Image() }
+func (p *PartHost) Image() []byte { return p.part.Image() }
 
 // Restore replaces the state.
-func (p *partHost) Restore(image []byte) error {
+func (p *PartHost) Restore(image []byte) error {
 	part, err := feed.RestorePart(image)
 	if err == nil {
 		p.part = part
@@ -46,12 +46,16 @@
 }
 
 // Owned has nothing to do: a part has no work of its own.
-func (p *partHost) Owned(bool) {}
+func (p *PartHost) Owned(bool) {}
 
 // Beat has nothing to do either.
-func (p *partHost) Beat(time.Duration) {}
+func (p *PartHost) Beat(time.Duration) {}
 
-func (p *partHost) edit(e wire.Edit, answer func(any)) {
+// Use joins a part to its group; called once, before anything else.
+func (p *PartHost) Use(h Hosting) { p.host = h }
+
+// Edit changes a key.
+func (p *PartHost) Edit(e wire.Edit, answer func(any)) {
 	p.host.Propose(feed.EncodeEdit(e), func(verdict any, err error) {
 		if err != nil {
 			answer(&wire.Edited{Kind: string(mishap.KindOf(err))})
@@ -64,17 +68,17 @@
 
 // pull reads a key. Only an owner that a majority has confirmed after the ask
 // came may answer, so what was acknowledged before is always seen.
-func (p *partHost) pull(key string, askedAt time.Duration, answer func(any)) {
+func (p *PartHost) pull(key string, askedAt time.Duration, answer func(any)) {
 	v := p.host.View()
 	switch {
 	case !p.host.IsOwner():
 		answer(&wire.Pulled{Kind: string(mishap.NotOwner), Change: wire.Change{Value: []byte{}}})
 	case !v.IsSure || v.Confirmed < askedAt:
-		if p.s.d.Now()-askedAt > p.s.d.Bounds.Of(beat.Vote) {
+		if p.around.Now()-askedAt > p.around.Bounds().Of(beat.Vote) {
 			answer(&wire.Pulled{Kind: string(mishap.Late), Change: wire.Change{Value: []byte{}}})
 			return
 		}
-		time.AfterFunc(p.s.d.Bounds.Of(beat.Pulse)/4, func() {
+		time.AfterFunc(p.around.Bounds().Of(beat.Pulse)/4, func() {
 			if err := p.host.Do(func() { p.pull(key, askedAt, answer) }); err != nil {
 				answer(&wire.Pulled{Kind: string(mishap.Full), Change: wire.Change{Value: []byte{}}})
 			}
@@ -95,16 +99,16 @@
 	}
 }
 
-// news answers a follower: what it misses, and how long ago a majority
+// News answers a follower: what it misses, and how long ago a majority
 // confirmed that this owner's state is the newest acknowledged.
-func (p *partHost) news(from int64) (wire.PartNews, bool) {
+func (p *PartHost) News(from int64) (wire.PartNews, bool) {
 	v := p.host.View()
 	if !p.host.IsOwner() || !v.IsSure {
 		return wire.PartNews{}, false
 	}
 	n, isNewest := p.part.News(p.number, from)
 	if isNewest {
-		n.Age = int64((p.s.d.Now() - v.Confirmed) / time.Microsecond)
+		n.Age = int64((p.around.Now() - v.Confirmed) / time.Microsecond)
 	}
 	return n, true
 }
@@ -116,17 +120,17 @@
 	case *wire.Follow:
 		go s.follow(m, answer)
 	case *wire.Edit:
-		s.withPart(m.Part, func(p *partHost) { p.edit(*m, answer) },
+		s.withPart(m.Part, func(p *PartHost) { p.Edit(*m, answer) },
 			func(kind mishap.Kind) { answer(&wire.Edited{Kind: string(kind)}) })
 	case *wire.Pull:
-		s.withPart(m.Part, func(p *partHost) { p.pull(m.Key, now, answer) },
+		s.withPart(m.Part, func(p *PartHost) { p.pull(m.Key, now, answer) },
 			func(kind mishap.Kind) { answer(&wire.Pulled{Kind: string(kind), Change: wire.Change{Value: []byte{}}}) })
 	case *wire.Retire:
 		answer(s.retired(m.Store))
 	}
 }
 
-func (s *Store) withPart(number int64, work func(*partHost), reject func(mishap.Kind)) {
+func (s *Store) withPart(number int64, work func(*PartHost), reject func(mishap.Kind)) {
 	s.mu.RLock()
 	p := s.parts[number]
 	s.mu.RUnlock()
@@ -146,8 +150,8 @@
 	asked := 0
 	for _, stamp := range f.Stamps {
 		asked++
-		s.withPart(stamp.Part, func(p *partHost) {
-			news, isOurs := p.news(stamp.Stamp)
+		s.withPart(stamp.Part, func(p *PartHost) {
+			news, isOurs := p.News(stamp.Stamp)
 			if !isOurs {
 				news.Part = -1
 			}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -41,7 +41,7 @@
 	held   map[int64]*slot.Held
 	hosts  map[int64]*host.Host
 	places map[int64]*PlaceHost
-	parts  map[int64]*partHost
+	parts  map[int64]*PartHost
 	own    atomic.Pointer[[]*PlaceHost]
 	begun  sync.Once
 	isOpen atomic.Bool
@@ -51,7 +51,7 @@
 func Run() {
 	d := daemon.New("store")
 	s := &Store{d: d, scenes: &charter.Scenes{View: d.View}, hosts: map[int64]*host.Host{},
-		places: map[int64]*PlaceHost{}, parts: map[int64]*partHost{}}
+		places: map[int64]*PlaceHost{}, parts: map[int64]*PartHost{}}
 	s.own.Store(&[]*PlaceHost{})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -136,7 +136,7 @@
 		p.host = h
 		s.places[groupId-PlaceGroup] = p
 	} else {
-		p := newPartHost(s, groupId)
+		p := NewPartHost(&around{s}, groupId)
 		opts.Machine = p
 		h, err = host.New(opts)
 		p.host = h
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -152,3 +152,25 @@
 		})
 	})
 }
+
+func TestMixedVersionsSettle(t *testing.T) {
+	Convey("Given a server of wire version 1", t, func() {
+		server, client := pair(Options{Newest: 1, Oldest: 1}, func(wire.Who, any, func(any)) {})
+		defer server.Close()
+		defer client.Close()
+		Convey("a daemon that speaks 1 to 3 settles on 1", func() {
+			newer, err := NewNode(Options{Newest: 3, Oldest: 1})
+			So(err, ShouldBeNil)
+			s, err := newer.dial(wire.PlaceLink, server.Addr())
+			So(err, ShouldBeNil)
+			So(s.version, ShouldEqual, 1)
+			s.down(mishap.New(mishap.Lost, "the test is over"))
+		})
+		Convey("a daemon of another shape is refused", func() {
+			other, err := NewNode(Options{Shape: "places=7 parts=1"})
+			So(err, ShouldBeNil)
+			_, err = other.dial(wire.PlaceLink, server.Addr())
+			So(mishap.Is(err, mishap.Rejected), ShouldBeTrue)
+		})
+	})
+}
