--- /dev/null
+++ b/internal/sim/node.go
@@ -0,0 +1,160 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/duty"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/session"
+	"caperwheel/internal/wire"
+)
+
+func (n *node) boot() string { return fmt.Sprint(n.name, ".", n.life) }
+
+func (n *node) start() {
+	if n.isUp {
+		return
+	}
+	n.isUp, n.life, n.worker, n.term, n.steady = true, n.life+1, nil, 0, duty.Steady{Least: 2 * beat.Default.Charter}
+	n.view, n.roll, n.registry = feed.NewView(0), session.NewRoll(), session.NewRegistry(beat.Default.Of(beat.Gone))
+	n.c.Note("start %s", n.boot())
+	life := n.life
+	var tick, act func()
+	tick = func() {
+		if n.isUp && n.life == life {
+			if n.c.now >= n.frozen {
+				n.poll()
+			}
+			n.c.After(beat.Default.Of(beat.Poll), tick)
+		}
+	}
+	act = func() {
+		if n.isUp && n.life == life {
+			if n.c.now >= n.frozen {
+				n.act()
+			}
+			n.c.After(20*time.Millisecond, act)
+		}
+	}
+	n.c.After(time.Duration(n.c.Rand.IntN(100))*time.Millisecond, tick)
+	if n.kind != "agent" {
+		n.c.After(0, act)
+	}
+}
+
+func (n *node) kill() {
+	if n.isUp {
+		n.isUp, n.life = false, n.life+1
+		n.c.Note("kill %s", n.name)
+	}
+}
+
+func (n *node) whenThawed(work func()) {
+	life := n.life
+	n.c.After(max(0, n.frozen-n.c.now), func() {
+		if n.isUp && n.life == life {
+			if n.c.now < n.frozen {
+				n.whenThawed(work)
+				return
+			}
+			work()
+		}
+	})
+}
+
+func (n *node) who() wire.Who { return wire.Who{Name: n.name, Kind: n.kind, Boot: n.boot()} }
+
+// poll asks for news, as session.Client and the manager's follow do.
+func (n *node) poll() {
+	asked := n.c.now
+	if n.kind == "manager" {
+		for _, s := range n.c.stores {
+			n.follow(s, asked)
+		}
+		n.share()
+		return
+	}
+	if asked-n.heard > beat.Default.Of(beat.Vote) {
+		n.at, n.heard = n.at+1, asked
+	}
+	to := n.targets[n.at%len(n.targets)]
+	ask := &wire.Poll{Who: n.who(), Stamps: n.view.Stamps()}
+	if n.kind == "agent" {
+		_, ask.Beside = n.registry.Members(asked)
+	}
+	life := n.life
+	n.c.Send(n.name, to.name, func() {
+		to.whenThawed(func() {
+			to.registry.Hear(wire.Member{Who: ask.Who}, n.c.now, true)
+			for _, m := range ask.Beside {
+				to.registry.Hear(m, n.c.now, true)
+			}
+			news := session.NewsFor(ask, to.view, n.c.now, to.roll.All)
+			n.c.Send(to.name, n.name, func() {
+				if n.life == life {
+					n.whenThawed(func() { n.heard = n.c.now; n.view.Take(news.Parts, asked) })
+				}
+			})
+		})
+	})
+}
+
+// share tells the other managers of our sessions, as managers do.
+func (n *node) share() {
+	n.registry.Hear(wire.Member{Who: n.who()}, n.c.now, true)
+	own := n.registry.Own(n.c.now)
+	for _, to := range n.c.managers {
+		if to != n {
+			n.c.Send(n.name, to.name, func() {
+				to.whenThawed(func() {
+					for _, m := range own {
+						to.registry.Hear(m, n.c.now, false)
+					}
+				})
+			})
+		}
+	}
+}
+
+func (n *node) follow(s *partStore, asked time.Duration) {
+	stamp, life := n.view.Stamp(feed.CharterPart), n.life
+	n.c.Send(n.name, s.name, func() {
+		if !s.isUp {
+			return
+		}
+		_ = s.host.Do(func() {
+			news, isOurs := s.part.News(stamp)
+			if isOurs {
+				n.c.Send(s.name, n.name, func() {
+					if n.life == life {
+						n.whenThawed(func() { n.view.Take([]wire.PartNews{news}, asked) })
+					}
+				})
+			}
+		})
+		s.host.Pump()
+	})
+}
+
+// edit brings an edit to whichever store owns the part, and tells if it held.
+func (n *node) edit(e wire.Edit, tell func(stamp int64)) {
+	for _, s := range n.c.stores {
+		n.c.Send(n.name, s.name, func() {
+			if !s.isUp {
+				return
+			}
+			life := s.life
+			_ = s.host.Do(func() {
+				s.part.Edit(e, func(reply any) {
+					got, isEdited := reply.(*wire.Edited)
+					if isEdited && got.Kind == "" && s.isUp && s.life == life {
+						tell(got.Stamp)
+					}
+				})
+			})
+			s.host.Pump()
+		})
+	}
+}
