Emptied cells bind their adapters; simulated power cuts find unsynced writes

Ruled out: a stale view (it was fresh and knew). Simulated syncs take random times and faults come at random moments, so that power cuts find writes that are not synced.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -34,6 +34,8 @@
 		switch {
 		case !d.IsFresh():
 			return false, string(mishap.Stale)
+		case !scenes.Now().MayWork(d.Who.Cell):
+			return false, "the cell is being emptied"
 		case len(d.Roll.Kind("store")) == 0:
 			return false, "no store is here"
 		}
--- a/internal/charter/rules.go
+++ b/internal/charter/rules.go
@@ -145,3 +145,7 @@
 	w, isListed := s.Workers[pool][worker]
 	return w, isListed && w.State == "live" && !s.Emptied[w.Cell]
 }
+
+// MayWork says whether a daemon of the cell may begin new work: not while the
+// cell is being emptied, whoever still thinks that it holds a duty there.
+func (s *Scene) MayWork(cell string) bool { return !s.Emptied[cell] }
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -60,7 +60,7 @@
 		},
 		path.Live: func(_ path.Step, e *delivery) error {
 			w, isLive := a.scenes.Now().CanServe(e.run.Pool, e.run.Worker)
-			if !isLive {
+			if !isLive || !a.scenes.Now().MayWork(a.d.Who.Cell) {
 				return mishap.New(mishap.Rejected, "%s/%s is not live", e.run.Pool, e.run.Worker)
 			}
 			e.run.address = w.Address
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -58,7 +58,7 @@
 		return nil, mishap.New(mishap.NotOwner, "the duty of %s is not held here", key)
 	}
 	w, isLive := scene.CanServe(pool, worker)
-	if !isLive {
+	if !isLive || !scene.MayWork(s.a.d.Who.Cell) {
 		return nil, mishap.New(mishap.Rejected, "%s is not live", key)
 	}
 	h, now := s.workers[key], s.a.d.Now()
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -83,8 +83,8 @@
 // Finish heals everything, lets all messages come to their end, reads them
 // from the owner, and checks the history.
 func (p *Places) Finish() []check.Breach {
-	p.Heal()
-	p.Loss, p.Unsound, p.LoseAns = 0, 0, 0
+	p.Calm()
+	p.Unsound, p.LoseAns = 0, 0
 	for _, s := range p.stores {
 		s.start()
 	}
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -27,7 +27,8 @@
 	agents   []*node
 	adapters []*node
 	acked    []ackedEdit
-	Acts     []time.Duration // starts at the endpoint
+	emptied  map[string]time.Duration // cell -> since when it is acknowledged to be emptied
+	Acts     []time.Duration          // starts at the endpoint
 	Broken   []string
 	rate     float64
 	edits    int
@@ -68,7 +69,7 @@
 
 // NewControl lays everything out and starts it.
 func NewControl(w *World) *Control {
-	c := &Control{World: w, rate: 10}
+	c := &Control{World: w, rate: 10, emptied: map[string]time.Duration{}}
 	for i := range 3 {
 		s := &partStore{c: c}
 		s.w, s.name, s.disk = &Places{World: w}, fmt.Sprintf("s%d", i+1), &Disk{w: w}
@@ -86,7 +87,7 @@
 		c.managers = append(c.managers, add("manager", fmt.Sprintf("m%d", i+1), nil))
 	}
 	for i := range 3 {
-		agent := add("agent", fmt.Sprintf("g%d", i+1), c.managers)
+		agent := add("agent", fmt.Sprintf("g%d", i+1), c.managers) // each adapter stands in a cell of its own
 		c.agents = append(c.agents, agent)
 		c.adapters = append(c.adapters, add("adapter", fmt.Sprintf("a%d", i+1), []*node{agent}))
 	}
@@ -147,7 +148,7 @@
 	}
 	n.c.checkAct(n)
 	held := scene.Duties["p"][charter.Endpoint]
-	if held.Holder != n.name || held.Boot != n.boot() {
+	if held.Holder != n.name || held.Boot != n.boot() || !scene.MayWork(n.cell()) {
 		n.worker = nil
 		return
 	}
@@ -159,6 +160,7 @@
 		n.worker, n.term = deliver.NewWorker(scene.Rules.Pools["p"], fence, n.c.now), held.Term
 	}
 	if isGranted, _ := n.worker.Grant(n.c.now); isGranted {
+		n.c.checkEmptied(n)
 		n.c.Acts = append(n.c.Acts, n.c.now+n.worker.Pace(n.c.now))
 		n.worker.Done(true, 0, n.c.now)
 	}
--- a/internal/sim/controlfaults.go
+++ b/internal/sim/controlfaults.go
@@ -52,6 +52,43 @@
 	}
 }
 
+// empty gives a cell no new work, for a while, as an operator would.
+func (c *Control) empty() {
+	cell := fmt.Sprint(1 + c.Rand.IntN(3))
+	if len(c.emptied) > 0 || !c.managers[0].isUp {
+		return // one room at a time
+	}
+	mark := wire.Edit{Key: charter.CellKey + cell, Value: []byte("{}"), IfStamp: -1}
+	c.managers[0].edit(mark, func(int64) {
+		c.Note("cell %s is emptied", cell)
+		c.emptied[cell] = c.now
+		c.After(12*time.Second, func() {
+			delete(c.emptied, cell)
+			mark.Gone = true
+			c.Note("cell %s is restored", cell)
+			c.restore(mark)
+		})
+	})
+}
+
+// restore tries until the restoring holds, so that no run ends emptied.
+func (c *Control) restore(mark wire.Edit) {
+	isDone := false
+	c.managers[0].edit(mark, func(int64) { isDone = true })
+	c.After(2*time.Second, func() {
+		if !isDone {
+			c.restore(mark)
+		}
+	})
+}
+
+// checkEmptied: an emptied cell's adapter starts nothing after 5 s.
+func (c *Control) checkEmptied(n *node) {
+	if at, isEmptied := c.emptied[n.cell()]; isEmptied && c.now-at > 5*time.Second {
+		c.Broken = append(c.Broken, fmt.Sprintf("%s starts a run %v after its cell was emptied", n.name, c.now-at))
+	}
+}
+
 func (c *Control) node() *node {
 	all := append(append(append([]*node{}, c.managers...), c.agents...), c.adapters...)
 	return all[c.Rand.IntN(len(all))]
@@ -82,6 +119,7 @@
 	"cut nodes":     func(c *Control) { c.cutOff(c.node().name) },
 	"killed stores": func(c *Control) { c.stores[c.Rand.IntN(3)].kill() },
 	"cut stores":    func(c *Control) { c.cutOff(c.stores[c.Rand.IntN(3)].name) },
+	"emptied cells": func(c *Control) { c.empty() },
 	"lost messages": func(c *Control) { c.Loss = 200; c.After(4*time.Second, func() { c.Loss = 0 }) },
 	"slow links": func(c *Control) {
 		c.Slow = 600 * time.Millisecond
@@ -98,7 +136,7 @@
 			c.change()
 		}
 		if c.Rand.IntN(25) == 0 {
-			faults[c.Rand.IntN(len(faults))](c)
+			c.soon(func() { faults[c.Rand.IntN(len(faults))](c) })
 		}
 		if c.Rand.IntN(15) == 0 {
 			c.stores[c.Rand.IntN(3)].start()
@@ -112,8 +150,7 @@
 // finish heals everything: the endpoint must be served again, at its rate, and
 // the newest acknowledged charter must stand everywhere.
 func (c *Control) finish() {
-	c.Heal()
-	c.Loss, c.Slow = 0, 5*time.Millisecond
+	c.Calm()
 	for _, s := range c.stores {
 		s.start()
 	}
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"caperwheel/internal/group"
 	"caperwheel/internal/slot"
@@ -57,7 +56,7 @@
 func (d *Disk) put(write func(), then func(error)) {
 	life := d.life
 	d.unsynced = append(d.unsynced, pending{write, then})
-	d.w.After(time.Millisecond, func() {
+	d.w.After(d.w.syncTime(), func() {
 		if d.life == life && len(d.unsynced) > 0 {
 			p := d.unsynced[0]
 			d.unsynced = d.unsynced[1:]
--- a/internal/sim/groupcheck.go
+++ b/internal/sim/groupcheck.go
@@ -97,8 +97,7 @@
 // Finish heals everything and checks that nothing acknowledged is lost and
 // that all replicas agree.
 func (g *Groups) Finish() {
-	g.Heal()
-	g.Loss = 0
+	g.Calm()
 	for _, id := range g.Names {
 		g.Start(id)
 	}
--- a/internal/sim/groupfaults.go
+++ b/internal/sim/groupfaults.go
@@ -48,10 +48,10 @@
 			g.Propose(fmt.Sprintf("c%d", count))
 		}
 		if w.Rand.IntN(20) == 0 {
-			hurts[w.Rand.IntN(len(hurts))](g)
+			w.soon(func() { hurts[w.Rand.IntN(len(hurts))](g) })
 		}
 		if w.Rand.IntN(10) == 0 {
-			g.Start(g.pick())
+			w.soon(func() { g.Start(g.pick()) })
 		}
 		g.Mend("s1", "s2", "s3")
 		g.CheckReads()
--- a/internal/sim/groups.go
+++ b/internal/sim/groups.go
@@ -16,7 +16,7 @@
 	hard     group.Hard
 	image    *group.Image
 	log      []wire.Entry
-	unsynced []func()
+	unsynced []pending
 }
 
 // Replica is one member of a simulated group, with its state machine: a list
@@ -111,8 +111,8 @@
 	}
 	r.isUp, r.life = false, r.life+1
 	kept := g.Rand.IntN(len(r.disk.unsynced) + 1)
-	for _, write := range r.disk.unsynced[:kept] {
-		write()
+	for _, p := range r.disk.unsynced[:kept] {
+		p.write()
 	}
 	r.disk.unsynced = nil
 	g.Note("kill %s, kept %d unsynced", id, kept)
@@ -210,16 +210,18 @@
 // write queues one write; it is synced a little later, in order.
 func (g *Groups) write(r *Replica, write, then func()) {
 	life := r.life
-	r.disk.unsynced = append(r.disk.unsynced, write)
-	g.After(time.Millisecond, func() {
-		if !r.isUp || r.life != life {
-			return
-		}
-		r.disk.unsynced[0]()
-		r.disk.unsynced = r.disk.unsynced[1:]
+	r.disk.unsynced = append(r.disk.unsynced, pending{write, func(error) {
 		if then != nil {
 			then()
 		}
+	}})
+	g.After(g.syncTime(), func() { // whichever sync comes first, it is of the first write
+		if r.isUp && r.life == life {
+			p := r.disk.unsynced[0]
+			r.disk.unsynced = r.disk.unsynced[1:]
+			p.write()
+			p.then(nil)
+		}
 	})
 }
 
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -64,7 +64,12 @@
 	})
 }
 
-func (n *node) who() wire.Who { return wire.Who{Name: n.name, Kind: n.kind, Boot: n.boot()} }
+func (n *node) who() wire.Who {
+	return wire.Who{Name: n.name, Kind: n.kind, Boot: n.boot(), Cell: n.cell()}
+}
+
+// cell: adapters stand each in one of their own, named by their number.
+func (n *node) cell() string { return n.name[1:] }
 
 // poll asks for news, as session.Client and the manager's follow do.
 func (n *node) poll() {
--- a/internal/sim/placefaults.go
+++ b/internal/sim/placefaults.go
@@ -61,7 +61,7 @@
 		p.Run(p.now + 100*time.Millisecond)
 		p.Call("free", "", func() {})
 		if p.Rand.IntN(20) == 0 {
-			chosen[p.Rand.IntN(len(chosen))](p)
+			p.soon(func() { chosen[p.Rand.IntN(len(chosen))](p) })
 		}
 		if p.Rand.IntN(15) == 0 {
 			p.store().start()
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -39,6 +39,8 @@
 	rank  int64
 	queue queue
 	cuts  map[[2]string]bool
+	// isCalm: no more faults are caused.
+	isCalm bool
 	// Loss is the share of messages lost, in thousandths. Slow is the longest
 	// delay of a message.
 	Loss int
@@ -81,6 +83,12 @@
 // Cut stops messages from one name to another; one way only.
 func (w *World) Cut(from, to string) { w.cuts[[2]string{from, to}] = true }
 
+// Calm ends all faults for good.
+func (w *World) Calm() {
+	w.isCalm, w.Loss, w.Slow = true, 0, 5*time.Millisecond
+	w.Heal()
+}
+
 // Heal ends all cuts.
 func (w *World) Heal() { w.cuts = map[[2]string]bool{} }
 
@@ -92,3 +100,23 @@
 	}
 	w.After(time.Duration(w.Rand.Int64N(int64(w.Slow)))+100*time.Microsecond, deliver)
 }
+
+// syncTime is how long a sync takes: mostly short, now and then long, so that a
+// power cut finds something unsynced.
+func (w *World) syncTime() time.Duration {
+	if w.Rand.IntN(10) == 0 {
+		return time.Duration(w.Rand.IntN(80)) * time.Millisecond
+	}
+	return time.Duration(500+w.Rand.IntN(2000)) * time.Microsecond
+}
+
+// soon does work at a random moment of the next tenth of a second, unless the
+// run has come to its calm end by then.
+func (w *World) soon(work func()) {
+
+	w.After(time.Duration(w.Rand.Int64N(int64(100*time.Millisecond))), func() {
+		if !w.isCalm {
+			work()
+		}
+	})
+}
