--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -32,9 +32,10 @@
 }
 
 type arguments struct {
-	Bench *benchCommand `arg:"subcommand:bench" help:"measure the transport alone"`
-	Sweep *sweepCommand `arg:"subcommand:sweep" help:"simulate many seeds with mixed faults"`
-	Run   *runCommand   `arg:"subcommand:run" help:"run a deployment and check it"`
+	Backend *backendCommand `arg:"subcommand:backend" help:"run one stand-in worker"`
+	Bench   *benchCommand   `arg:"subcommand:bench" help:"measure the transport alone"`
+	Sweep   *sweepCommand   `arg:"subcommand:sweep" help:"simulate many seeds with mixed faults"`
+	Run     *runCommand     `arg:"subcommand:run" help:"run a deployment and check it"`
 }
 
 func main() {
@@ -44,6 +45,8 @@
 	switch {
 	case args.Run != nil:
 		err = run(args.Run)
+	case args.Backend != nil:
+		err = backend(args.Backend)
 	case args.Bench != nil:
 		err = bench(args.Bench)
 	case args.Sweep != nil:
--- a/internal/cli/doctor.go
+++ b/internal/cli/doctor.go
@@ -114,11 +114,11 @@
 		}
 	}
 	if stores < 3 || len(cells) < 3 {
-		add(stores < 2, "stores", fmt.Sprintf("%d stores in %d cells are here", stores, len(cells)),
+		add(stores < 2, "stores", fmt.Sprintf("only %d here, in %d cells", stores, len(cells)),
 			"with fewer than three, in as many cells, the loss of one more stops places")
 	}
 	if managers < 2 {
-		add(false, "managers", fmt.Sprintf("%d manager is here", managers), "start another: without one, all daemons go stale")
+		add(false, "managers", fmt.Sprintf("only %d here", managers), "start another: without one, all daemons go stale")
 	}
 	groups := func(kind string, list []manager.StatusGroup) {
 		missing, under, behind := 0, 0, 0
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,7 +47,7 @@
 // New reads the settings and opens the HTTP port. A mishap ends the process
 // with exit code 2 (settings) or 1.
 func New(kind string) *Daemon {
-	s, err := settings.Load("caperwheel-"+kind, os.Args[1:])
+	s, err := settings.Load(kind, os.Args[1:])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -52,6 +52,9 @@
 	return b, b.Start("127.0.0.1:0")
 }
 
+// Record tells where to write runs down, and by which clock.
+func (b *Backend) Record(h *check.History, now func() time.Duration) { b.h, b.now = h, now }
+
 // Start listens; also after a stop, at the same address.
 func (b *Backend) Start(addr string) error {
 	listener, err := net.Listen("tcp", addr)
--- a/internal/manager/workers.go
+++ b/internal/manager/workers.go
@@ -14,6 +14,13 @@
 func (m *Manager) pool(r *http.Request) (part int64, key string, err error) {
 	name, isFresh := r.PathValue("pool"), m.d.IsFresh()
 	pool, isKnown := m.scenes.Now().Rules.Pools[name]
+	if !isKnown { // a charter accepted a moment ago may not be in the view yet
+		if c, err := m.pull(r.Context(), feed.CharterPart, charter.Key); err == nil {
+			if rules, faults := charter.Compile(c.Value); len(faults) == 0 {
+				pool, isKnown = rules.Pools[name]
+			}
+		}
+	}
 	switch {
 	case !isFresh:
 		return 0, "", mishap.New(mishap.Stale, "this manager has lost touch with the stores")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -58,6 +58,14 @@
 				So(err.Error(), ShouldContainSubstring, c.says)
 			})
 		}
+		Convey("a manager needs no seeds and no folder, a store needs both", func() {
+			args := []string{"--name=m", "--cell=a", "--listen=127.0.0.1:1", "--http=127.0.0.1:2"}
+			_, err := Load("manager", args)
+			So(err, ShouldBeNil)
+			_, err = Load("store", args)
+			So(err.Error(), ShouldContainSubstring, "data")
+			So(err.Error(), ShouldContainSubstring, "seeds")
+		})
 		Convey("several faults are told at once", func() {
 			_, err := Load("store", []string{"--settings", write(t, `{"places":0,"parts":0}`)})
 			So(err.Error(), ShouldContainSubstring, "places")
