--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -23,6 +23,7 @@
 	Bin     string        `arg:"--bin" help:"folder with built programs; built if not given"`
 	Keep    bool          `arg:"--keep" help:"keep the folder"`
 	Faults  string        `arg:"--faults" help:"schedule of faults to cause"`
+	Stores  int           `arg:"--stores" help:"so many stores instead of the plan's"`
 }
 
 type sweepCommand struct {
@@ -66,6 +67,9 @@
 	if err != nil {
 		return err
 	}
+	if a.Stores > 0 {
+		plan.Stores = a.Stores
+	}
 	if a.Dir == "" {
 		if a.Dir, err = os.MkdirTemp("", "fleet-"); err != nil {
 			return mishap.Wrap(err, mishap.Internal, "temporary folder")
--- a/internal/fleet/deploy.go
+++ b/internal/fleet/deploy.go
@@ -56,6 +56,7 @@
 	api      *Api
 	callers  *Callers
 	edits    edits
+	relays   *relays
 }
 
 // Now is the fleet's clock, which every record uses.
@@ -78,7 +79,7 @@
 // New lays a deployment out: processes and back ends, nothing started yet but
 // the back ends.
 func New(plan Plan, doc []byte, bin, dir string) (*Fleet, error) {
-	f := &Fleet{Plan: plan, Dir: dir, History: check.NewHistory(), Backends: Backends{}, started: time.Now()}
+	f := &Fleet{Plan: plan, Dir: dir, History: check.NewHistory(), Backends: Backends{}, started: time.Now(), relays: newRelays()}
 	if err := f.layBackends(doc); err != nil {
 		return nil, err
 	}
@@ -153,11 +154,19 @@
 		}
 	}
 	seeds := []string{}
-	for _, m := range f.Managers {
-		seeds = append(seeds, m.Addr)
+	advertised := map[string]string{}
+	for _, p := range f.All() {
+		addr, err := f.relays.lay(p.Addr, p.Cell)
+		if err != nil {
+			return err
+		}
+		advertised[p.Name] = addr
+		if p.Kind == "manager" {
+			seeds = append(seeds, addr)
+		}
 	}
 	for i, p := range f.All() {
-		p.args = flags("name", p.Name, "cell", p.Cell, "listen", p.Addr, "http", p.Http, "verbosity", "1")
+		p.args = flags("name", p.Name, "cell", p.Cell, "listen", p.Addr, "http", p.Http, "verbosity", "1", "advertise", advertised[p.Name])
 		switch p.Kind {
 		case "adapter":
 			p.args = append(p.args, "--seeds", f.Agents[i-len(f.Managers)-len(f.Stores)-len(f.Agents)].Addr)
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -80,6 +80,10 @@
 			}
 		}
 	},
+	"cut cell": func(_ context.Context, f *Fleet, who string) func() {
+		f.relays.set(who, true)
+		return func() { f.relays.set(who, false) }
+	},
 	"fail":  behave(Fail),
 	"crawl": behave(Crawl),
 	"cut":   behave(Cut),
--- /dev/null
+++ b/internal/fleet/relay.go
@@ -0,0 +1,117 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// relays carry all daemon-to-daemon connections of the fleet, so that a cell
+// can be cut off without touching the machine. A cut connection stands still,
+// as one would whose packets are lost; it is not closed.
+//
+// Invariant: a connection moves only while neither of its two cells is cut off
+// from the other.
+type relays struct {
+	mu     sync.Mutex
+	cut    map[string]bool
+	healed chan struct{}
+}
+
+func newRelays() *relays { return &relays{cut: map[string]bool{}, healed: make(chan struct{})} }
+
+func (r *relays) set(cell string, isCut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut[cell] = isCut
+	close(r.healed)
+	r.healed = make(chan struct{})
+}
+
+// wait returns once the two cells can hear each other.
+func (r *relays) wait(from, to string) {
+	for {
+		r.mu.Lock()
+		isCut, healed := from != to && (r.cut[from] || r.cut[to]), r.healed
+		r.mu.Unlock()
+		if !isCut {
+			return
+		}
+		<-healed
+	}
+}
+
+var helloCodec = wire.NewPlain(&wire.Hello{})
+
+// lay opens a relay before a daemon and gives the address to advertise.
+func (r *relays) lay(target, cell string) (string, error) {
+	addr, err := FreePort()
+	if err != nil {
+		return "", err
+	}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", mishap.Wrap(err, mishap.Internal, "relay")
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go r.carry(conn, target, cell)
+		}
+	}()
+	return addr, nil
+}
+
+// carry reads who is calling out of the handshake and passes all on.
+func (r *relays) carry(from net.Conn, target, cell string) {
+	defer from.Close()
+	var head [8]byte
+	if _, err := io.ReadFull(from, head[:]); err != nil {
+		return
+	}
+	body := make([]byte, min(binary.BigEndian.Uint32(head[4:]), 4096))
+	if _, err := io.ReadFull(from, body); err != nil {
+		return
+	}
+	var hello wire.Hello
+	if err := helloCodec.Decode(body, &hello); err != nil {
+		return
+	}
+	r.wait(hello.Who.Cell, cell)
+	to, err := net.DialTimeout("tcp", target, time.Second)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	if _, err := to.Write(append(head[:], body...)); err != nil {
+		return
+	}
+	done := make(chan struct{}, 2)
+	go func() { r.pass(to, from, hello.Who.Cell, cell); done <- struct{}{} }()
+	go func() { r.pass(from, to, hello.Who.Cell, cell); done <- struct{}{} }()
+	<-done // one side is gone: close both
+}
+
+func (r *relays) pass(to, from net.Conn, a, b string) {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			r.wait(a, b)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/internal/sim/controlfaults.go
+++ b/internal/sim/controlfaults.go
@@ -53,8 +53,7 @@
 }
 
 // empty gives a cell no new work, for a while, as an operator would.
-func (c *Control) empty() {
-	cell := fmt.Sprint(1 + c.Rand.IntN(3))
+func (c *Control) empty(cell string) {
 	if len(c.emptied) > 0 || !c.managers[0].isUp {
 		return // one room at a time
 	}
@@ -71,6 +70,22 @@
 	})
 }
 
+// emptyHolder empties the cell of whoever serves the endpoint, while that one
+// hears nothing: it goes on until its view is too old, and only the fence keeps
+// the next holder from serving besides.
+func (c *Control) emptyHolder() {
+	for i, a := range c.adapters {
+		if a.isUp && a.worker != nil {
+			agent := c.agents[i].name
+			c.Cut(agent, a.name)
+			c.Note("%s holds the endpoint and hears nothing", a.name)
+			c.After(6*time.Second, c.Heal)
+			c.empty(a.cell())
+			return
+		}
+	}
+}
+
 // restore tries until the restoring holds, so that no run ends emptied.
 func (c *Control) restore(mark wire.Edit) {
 	isDone := false
@@ -116,11 +131,12 @@
 		n.frozen = c.now + time.Duration(c.Rand.IntN(7000))*time.Millisecond
 		c.Note("freeze %s until %v", n.name, n.frozen)
 	},
-	"cut nodes":     func(c *Control) { c.cutOff(c.node().name) },
-	"killed stores": func(c *Control) { c.stores[c.Rand.IntN(3)].kill() },
-	"cut stores":    func(c *Control) { c.cutOff(c.stores[c.Rand.IntN(3)].name) },
-	"emptied cells": func(c *Control) { c.empty() },
-	"lost messages": func(c *Control) { c.Loss = 200; c.After(4*time.Second, func() { c.Loss = 0 }) },
+	"cut nodes":            func(c *Control) { c.cutOff(c.node().name) },
+	"killed stores":        func(c *Control) { c.stores[c.Rand.IntN(3)].kill() },
+	"cut stores":           func(c *Control) { c.cutOff(c.stores[c.Rand.IntN(3)].name) },
+	"emptied cells":        func(c *Control) { c.empty(fmt.Sprint(1 + c.Rand.IntN(3))) },
+	"emptied behind a cut": func(c *Control) { c.emptyHolder() },
+	"lost messages":        func(c *Control) { c.Loss = 200; c.After(4*time.Second, func() { c.Loss = 0 }) },
 	"slow links": func(c *Control) {
 		c.Slow = 600 * time.Millisecond
 		c.After(4*time.Second, func() { c.Slow = 5 * time.Millisecond })
