--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -26,6 +26,7 @@
 	RuleRate     = "endpoint over its rate"
 	RuleLeaving  = "new work after leaving"
 	RuleUnended  = "ended without a run"
+	RuleOpen     = "undecided for good"
 	rateWindow   = 5 * time.Second
 	rateAllowed  = 1.15 // "not much more" than the agreed rate
 	rateHeadroom = 2
@@ -71,6 +72,12 @@
 		c.breach(RuleGhost, "%s was told not taken and was run by %s", s.Token, runs[0].Worker)
 	}
 	end, isKnown := c.h.Ends[s.Id]
+	if isKnown && end.State == "rejected" && len(runs) > 0 {
+		c.breach(RuleGhost, "%s was settled as not taken and was run by %s", s.Token, runs[0].Worker)
+	}
+	if isKnown && s.Told == Undecided && end.State == "unknown" {
+		c.breach(RuleOpen, "%s was undecided and cannot be settled", s.Id)
+	}
 	if s.Told == Taken && (!isKnown || end.State == "unknown" || end.State == "rejected" || end.State == "") {
 		c.breach(RuleLost, "%s (%s) was told taken and is %q", s.Token, s.Id, end.State)
 	}
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -37,6 +37,8 @@
 		{RuleLost, func(h *History) { delete(h.Ends, "1") }},
 		{RuleLost, func(h *History) { h.Ends["1"] = End{State: "unknown"} }},
 		{RuleGhost, func(h *History) { h.AddRun(Run{Token: "b", Pool: "p", Worker: "w", Sum: "sb", Start: 9 * s}) }},
+		{RuleGhost, func(h *History) { h.Sent[0].Told, h.Ends["1"] = Undecided, End{State: "rejected"} }},
+		{RuleOpen, func(h *History) { h.Sent[0].Told, h.Ends["1"] = Undecided, End{State: "unknown"} }},
 		{RuleOrder, func(h *History) { h.Runs[3].Start = 5 * s }},
 		{RuleOrder, func(h *History) { h.Runs[2].End = 8 * s }},
 		{RuleDouble, func(h *History) { h.Runs[0].Status = 200 }},
--- a/internal/fleet/settle.go
+++ b/internal/fleet/settle.go
@@ -17,7 +17,8 @@
 // until all are over or ctx ends, and records the ends.
 func (f *Fleet) Settle(ctx context.Context, isWithBody bool) error {
 	open := []check.Sent{}
-	for _, s := range f.History.Sent {
+	all, _, _ := f.History.Copies()
+	for _, s := range all {
 		if s.Id != "" && s.Told != check.NotTaken {
 			open = append(open, s)
 		}
@@ -53,7 +54,11 @@
 // readEnd asks any adapter for a message; true when it is over or unknown.
 func (f *Fleet) readEnd(ctx context.Context, s check.Sent, turn int, isWithBody bool) bool {
 	base := "http://" + f.Adapters[turn%len(f.Adapters)].Http + "/v1/messages/" + s.Id
-	code, _, raw, err := Do(ctx, "GET", base, "", nil)
+	query := ""
+	if s.Told == check.Undecided {
+		query = "?settle=true" // its fate must come out definite
+	}
+	code, _, raw, err := Do(ctx, "GET", base+query, "", nil)
 	if err != nil || code != 200 && code != 404 {
 		return false
 	}
@@ -98,13 +103,14 @@
 
 // Report sums the run up and checks it.
 func (f *Fleet) Report(c *Callers, unsettled error) Report {
-	out := Report{Sent: len(f.History.Sent), Runs: len(f.History.Runs), Codes: map[string]int{}, Ends: map[string]int{},
+	sent, runs, ends := f.History.Copies()
+	out := Report{Sent: len(sent), Runs: len(runs), Codes: map[string]int{}, Ends: map[string]int{},
 		Breaches: check.Check(f.History)}
 	for code, n := range c.Codes {
 		out.Codes[fmt.Sprint(code)] = n
 	}
 	sentAt := map[string]time.Duration{}
-	for _, s := range f.History.Sent {
+	for _, s := range sent {
 		sentAt[s.Token] = s.At
 		switch s.Told {
 		case check.Taken:
@@ -115,18 +121,18 @@
 			out.Undecided++
 		}
 	}
-	for _, e := range f.History.Ends {
+	for _, e := range ends {
 		out.Ends[e.State]++
 	}
 	whole := []time.Duration{}
-	for _, r := range f.History.Runs {
+	for _, r := range runs {
 		if at, isSent := sentAt[r.Token]; isSent && r.Status == 200 {
 			whole = append(whole, r.End-at)
 		}
 	}
 	out.IntakeP50, out.IntakeP99 = Percentile(c.Times, 0.5).String(), Percentile(c.Times, 0.99).String()
 	out.EndP50, out.EndP99 = Percentile(whole, 0.5).String(), Percentile(whole, 0.99).String()
-	for _, r := range f.History.Runs {
+	for _, r := range runs {
 		if r.Status != 200 {
 			continue
 		}
--- a/internal/intake/ask.go
+++ b/internal/intake/ask.go
@@ -59,10 +59,9 @@
 
 // look asks the owner of the message's place.
 func (in *Intake) look(ctx context.Context, id string, isWithBody bool) (*wire.Sight, error) {
-	text, rest, isWhole := strings.Cut(id, "-")
-	number, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || !isWhole || rest == "" || len(id) > mostKey || number < 0 || number >= int64(in.d.Settings.Places) {
-		return nil, mishap.New(mishap.Unknown, "no message has such an id")
+	number, err := in.placeOf(id)
+	if err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, in.d.Bounds.Charter)
 	defer cancel()
@@ -134,6 +133,9 @@
 		return
 	}
 	s, err := in.await(r.Context(), r.PathValue("id"), wait)
+	if mishap.Is(err, mishap.Unknown) && r.URL.Query().Get("settle") == "true" {
+		s, err = in.settleById(r.Context(), r.PathValue("id"))
+	}
 	if mishap.Is(err, mishap.Unknown) {
 		web.Reject(w, 404, web.Problem{Error: mishap.Unknown, Text: err.Error(), More: map[string]string{"state": "unknown"}}, 0)
 		return
@@ -145,6 +147,31 @@
 	web.Answer(w, 200, messageOf(s))
 }
 
+// settleById makes the fate of an undecided message definite: if its place has
+// not held it by now, it never will.
+func (in *Intake) settleById(ctx context.Context, id string) (*wire.Sight, error) {
+	number, err := in.placeOf(id)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, in.d.Bounds.Charter)
+	defer cancel()
+	if _, err := in.reach.Group(ctx, store.PlaceGroup+number, &wire.Settle{Place: number, Id: id}, isOwner); err != nil {
+		return nil, mishap.New(mishap.Lost, "the message's place cannot be reached")
+	}
+	return in.look(ctx, id, false)
+}
+
+// placeOf reads the place out of an id, which is place, dash, token.
+func (in *Intake) placeOf(id string) (int64, error) {
+	text, rest, isWhole := strings.Cut(id, "-")
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || !isWhole || rest == "" || len(id) > mostKey || number < 0 || number >= int64(in.d.Settings.Places) {
+		return 0, mishap.New(mishap.Unknown, "no message has such an id")
+	}
+	return number, nil
+}
+
 func (in *Intake) getBody(w http.ResponseWriter, r *http.Request) {
 	s, err := in.look(r.Context(), r.PathValue("id"), true)
 	if err != nil {
--- a/internal/session/registry.go
+++ b/internal/session/registry.go
@@ -49,15 +49,6 @@
 	r.known[m.Who.Name] = entry{m, heardAt, isOwn}
 }
 
-// End drops a session that its daemon has closed itself.
-func (r *Registry) End(who wire.Who) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if e, isKnown := r.known[who.Name]; isKnown && e.member.Who.Boot == who.Boot {
-		delete(r.known, who.Name)
-	}
-}
-
 // Members lists who is a member now, with ages, by name, and the roll: a hash
 // of what other daemons need to know of them.
 func (r *Registry) Members(now time.Duration) (string, []wire.Member) {
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -94,6 +94,11 @@
 	}
 	p.Run(p.now + 130*time.Second)
 	for _, s := range p.H.Sent {
+		if s.Told == check.Undecided { // ask for a definite fate, as a caller would
+			p.reach(beat.Default.Charter, func(o placeOwner, answer func(any)) { o.Settle(&wire.Settle{Id: s.Id, Lane: s.Lane}, answer) },
+				func(*wire.Taken, bool) {})
+			p.Run(p.now + time.Second)
+		}
 		for range 20 {
 			for _, st := range p.stores {
 				p.askStore("caller", st, func(o placeOwner, answer func(any)) { o.Look(&wire.Look{Id: s.Id, Body: true}, answer) }, func(reply any) {
--- a/internal/slot/room.go
+++ b/internal/slot/room.go
@@ -13,13 +13,6 @@
 	return out
 }
 
-// Forget takes a group out of account once the store no longer holds it.
-func (l *Log) Forget(id int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.passed, id)
-}
-
 // Segments tells how many log segments there are.
 func (l *Log) Segments() int {
 	l.mu.Lock()
--- a/internal/store/around.go
+++ b/internal/store/around.go
@@ -40,6 +40,9 @@
 // Use joins a place to its group; called once, before anything else.
 func (p *PlaceHost) Use(h Hosting) { p.host = h }
 
+// Do has work done on the place's goroutine.
+func (p *PlaceHost) Do(work func()) error { return p.host.Do(work) }
+
 // around is the store daemon as its places see it.
 type around struct{ s *Store }
 
--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -54,6 +54,9 @@
 // Use joins a part to its group; called once, before anything else.
 func (p *PartHost) Use(h Hosting) { p.host = h }
 
+// Do has work done on the part's goroutine.
+func (p *PartHost) Do(work func()) error { return p.host.Do(work) }
+
 // Edit changes a key.
 func (p *PartHost) Edit(e wire.Edit, answer func(any)) {
 	p.host.Propose(feed.EncodeEdit(e), func(verdict any, err error) {
@@ -131,16 +134,7 @@
 }
 
 func (s *Store) withPart(number int64, work func(*PartHost), reject func(mishap.Kind)) {
-	s.mu.RLock()
-	p := s.parts[number]
-	s.mu.RUnlock()
-	if p == nil {
-		reject(mishap.NotOwner)
-		return
-	}
-	if err := p.host.Do(func() { work(p) }); err != nil {
-		reject(mishap.KindOf(err))
-	}
+	withHeld(s, s.parts, number, work, reject)
 }
 
 // follow gathers the news of all parts owned here.
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -16,19 +16,25 @@
 	return ""
 }
 
+// withHeld does work on a place or part held here, on its own goroutine, or
+// rejects.
+func withHeld[P interface{ Do(work func()) error }](s *Store, held map[int64]P, number int64, work func(P), reject func(mishap.Kind)) {
+	s.mu.RLock()
+	p, isHeld := held[number]
+	s.mu.RUnlock()
+	if !isHeld {
+		reject(mishap.NotOwner)
+		return
+	}
+	if err := p.Do(func() { work(p) }); err != nil {
+		reject(mishap.KindOf(err))
+	}
+}
+
 // onPlace serves adapters, and stores that send call-backs.
 func (s *Store) onPlace(_ wire.Who, body any, answer func(any)) {
 	with := func(number int64, work func(*PlaceHost), reject func(mishap.Kind)) {
-		s.mu.RLock()
-		p := s.places[number]
-		s.mu.RUnlock()
-		if p == nil {
-			reject(mishap.NotOwner)
-			return
-		}
-		if err := p.host.Do(func() { work(p) }); err != nil {
-			reject(mishap.KindOf(err))
-		}
+		withHeld(s, s.places, number, work, reject)
 	}
 	switch m := body.(type) {
 	case *wire.Take:
