--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,6 +10,7 @@
 	"caperwheel/internal/deliver"
 	"caperwheel/internal/intake"
 	"caperwheel/internal/mishap"
+	"caperwheel/internal/store"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 )
@@ -36,8 +37,8 @@
 			return false, string(mishap.Stale)
 		case !scenes.Now().MayWork(d.Who.Cell):
 			return false, "the cell is being emptied"
-		case len(d.Roll.Kind("store")) == 0:
-			return false, "no store is here"
+		case !d.Roll.HasOwner(store.PlaceGroup):
+			return false, "no place can be reached"
 		}
 		return true, ""
 	}
--- a/internal/manager/status.go
+++ b/internal/manager/status.go
@@ -9,6 +9,7 @@
 	"caperwheel/internal/charter"
 	"caperwheel/internal/store"
 	"caperwheel/internal/web"
+	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
 )
 
@@ -50,6 +51,7 @@
 	Name    string            `json:"name"`
 	Workers int               `json:"workers"`
 	Duties  map[string]string `json:"duties"`
+	Weights weight.Weights    `json:"weights"`
 }
 
 func (m *Manager) getStatus(w http.ResponseWriter, _ *http.Request) {
@@ -74,7 +76,7 @@
 	}
 	out.Lanes = sorted(scene.Rules.Lanes)
 	for _, name := range sorted(scene.Rules.Pools) {
-		p := StatusPool{Name: name, Workers: len(scene.Workers[name]), Duties: map[string]string{}}
+		p := StatusPool{Name: name, Workers: len(scene.Workers[name]), Duties: map[string]string{}, Weights: scene.Weights[name]}
 		for worker, d := range scene.Duties[name] {
 			p.Duties[worker] = d.Holder
 		}
--- a/internal/session/roll.go
+++ b/internal/session/roll.go
@@ -62,6 +62,18 @@
 	return m.Who, isKnown
 }
 
+// HasOwner tells whether any group from first on has an owner that is here.
+func (r *Roll) HasOwner(first int64) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for id := range r.owners {
+		if id >= first {
+			return true
+		}
+	}
+	return false
+}
+
 // Kind lists the members of a kind.
 func (r *Roll) Kind(kind string) []wire.Who {
 	r.mu.RLock()
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -67,5 +67,6 @@
 		So(who.Name, ShouldEqual, "b")
 		_, isKnown := roll.Owner(2)
 		So(isKnown, ShouldBeFalse)
+		So([]bool{roll.HasOwner(1), roll.HasOwner(2)}, ShouldResemble, []bool{true, false})
 	})
 }
