--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -126,3 +126,36 @@
 		}
 	})
 }
+
+// TestNewOwner: what an owner may count and say before its own term is sure.
+func TestNewOwner(t *testing.T) {
+	Convey("Given a new owner with an entry of an older term that is not committed", t, func() {
+		g := follower(trio, Hard{Term: 1}, entries(1))
+		now := beat.Default.Charter
+		g.Tick(now)
+		g.Receive(wire.GroupMsg{Kind: MsgAskReply, From: "a/0", To: "b/0", Term: 2}, now)
+		g.Receive(wire.GroupMsg{Kind: MsgVoteReply, From: "a/0", To: "b/0", Term: 2}, now)
+		So(g.View().Role, ShouldEqual, Owner)
+		reply := func(index int64) {
+			g.Receive(wire.GroupMsg{Kind: MsgAppendReply, From: "a/0", To: "b/0", Term: 2, Index: index, Round: 1}, now)
+		}
+		Convey("a majority that holds the old entry commits nothing yet", func() {
+			reply(1)
+			So(g.View().Commit, ShouldEqual, 0)
+		})
+		Convey("a majority that holds its own entry commits both, once its own disk has them too", func() {
+			reply(2)
+			So(g.View().Commit, ShouldEqual, 0)
+			g.Synced(2, 2, now)
+			So(g.View().Commit, ShouldEqual, 2)
+		})
+		Convey("its view is not sure before its own entry is committed and a round is answered", func() {
+			So(g.View().IsSure, ShouldBeFalse)
+			reply(1)
+			So(g.View().IsSure, ShouldBeFalse)
+			reply(2)
+			g.Synced(2, 2, now)
+			So(g.View().IsSure, ShouldBeTrue)
+		})
+	})
+}
