Compile each lane's way once a charter; one check of who holds a duty

The ways in and out were compiled anew for every message, though the package said once for each charter. Who holds a duty was checked by two copies, what is ready was read around its accessor, a status count of bytes was always 0, and an argument of the adapter's book was not used.

--- a/internal/charter/rules.go
+++ b/internal/charter/rules.go
@@ -146,6 +146,12 @@
 	return w, isListed && w.State == "live" && !s.Emptied[w.Cell]
 }
 
+// IsHolder says whether a life of an adapter holds a worker's duty.
+func (s *Scene) IsHolder(pool, worker, name, boot string) bool {
+	held, isAssigned := s.Duties[pool][worker]
+	return isAssigned && held.Holder == name && held.Boot == boot
+}
+
 // MayWork says whether a daemon of the cell may begin new work: not while the
 // cell is being emptied, whoever still thinks that it holds a duty there.
 func (s *Scene) MayWork(cell string) bool { return !s.Emptied[cell] }
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -19,15 +19,16 @@
 
 // Adapter is the delivering half of the adapter daemon.
 type Adapter struct {
-	d      *daemon.Daemon
-	scenes *charter.Scenes
-	reach  *reach.Reach
-	slots  *slots
-	client *resty.Client
-	pool   pond.Pool
-	doers  path.Doers[*delivery]
-	ctx    context.Context
-	book   *Book
+	d        *daemon.Daemon
+	scenes   *charter.Scenes
+	reach    *reach.Reach
+	slots    *slots
+	client   *resty.Client
+	pool     pond.Pool
+	doers    path.Doers[*delivery]
+	programs path.Programs
+	ctx      context.Context
+	book     *Book
 }
 
 var ended = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "deliver",
--- a/internal/deliver/book.go
+++ b/internal/deliver/book.go
@@ -36,7 +36,7 @@
 
 // Admit refuses what an older term sends, and what a newer owner was told
 // would never run.
-func (b *Book) Admit(r *wire.Run, _ time.Duration) error {
+func (b *Book) Admit(r *wire.Run) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key := runKey{r.Id, r.Attempt}
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -28,7 +28,7 @@
 func (a *Adapter) start(m *wire.Run, answer func(any)) {
 	key := m.Pool + "/" + m.Worker
 	r := &run{Run: *m}
-	err := a.book.Admit(m, a.d.Now())
+	err := a.book.Admit(m)
 	if err == nil {
 		if r.worker, err = a.slots.use(m.Permit, key); err != nil {
 			a.book.Forget(m)
@@ -49,8 +49,8 @@
 	if wait := a.slots.pace(r.worker); wait > 0 {
 		time.Sleep(wait)
 	}
-	lane, began := a.scenes.Now().Rules.Lanes[r.Lane], a.d.Now()
-	err := path.Run(path.Delivery(lane), a.doers, &delivery{r, &o})
+	rules, began := a.scenes.Now().Rules, a.d.Now()
+	err := path.Run(a.programs.Delivery(rules, r.Lane), a.doers, &delivery{r, &o})
 	if !r.isSent.Load() {
 		a.slots.unused(r.worker)
 	} else {
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -67,8 +67,7 @@
 			return nil
 		},
 		path.Holder: func(_ path.Step, e *delivery) error {
-			duty := a.scenes.Now().Duties[e.run.Pool][e.run.Worker]
-			if duty.Holder != a.d.Who.Name || duty.Boot != a.d.Who.Boot {
+			if !a.scenes.Now().IsHolder(e.run.Pool, e.run.Worker, a.d.Who.Name, a.d.Who.Boot) {
 				return mishap.New(mishap.NotOwner, "the duty of %s/%s has moved on", e.run.Pool, e.run.Worker)
 			}
 			return nil
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -52,8 +52,8 @@
 // with mu held.
 func (s *slots) find(scene *charter.Scene, pool, worker string) (*held, error) {
 	key := pool + "/" + worker
-	duty, isAssigned := scene.Duties[pool][worker]
-	if !isAssigned || duty.Holder != s.a.d.Who.Name || duty.Boot != s.a.d.Who.Boot {
+	duty := scene.Duties[pool][worker]
+	if !scene.IsHolder(pool, worker, s.a.d.Who.Name, s.a.d.Who.Boot) {
 		delete(s.workers, key)
 		return nil, mishap.New(mishap.NotOwner, "the duty of %s is not held here", key)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -24,16 +24,18 @@
 
 // Intake of one adapter. Invariant: at most Most requests are in hand.
 type Intake struct {
-	d      *daemon.Daemon
-	scenes *charter.Scenes
-	reach  *reach.Reach
-	inHand atomic.Int64
-	doers  path.Doers[*errand]
+	d        *daemon.Daemon
+	scenes   *charter.Scenes
+	reach    *reach.Reach
+	inHand   atomic.Int64
+	doers    path.Doers[*errand]
+	programs path.Programs
 }
 
 // errand is one request on its way in.
 type errand struct {
 	ctx    context.Context
+	rules  *charter.Rules
 	lane   charter.Lane
 	take   wire.Take
 	taken  *wire.Taken
@@ -149,7 +151,7 @@
 		in.reject(w, err, e)
 		return
 	}
-	if err := path.Run(path.Intake(e.lane), in.doers, e); err != nil {
+	if err := path.Run(in.programs.Intake(e.rules, e.lane.Name), in.doers, e); err != nil {
 		in.reject(w, err, e)
 		return
 	}
@@ -162,7 +164,8 @@
 
 func (in *Intake) read(r *http.Request, e *errand) error {
 	isFresh := in.d.IsFresh() // asked before the scene, so that a lane missing from it is missing
-	lane, isKnown := in.scenes.Now().Rules.Lanes[r.PathValue("lane")]
+	e.rules = in.scenes.Now().Rules
+	lane, isKnown := e.rules.Lanes[r.PathValue("lane")]
 	if !isKnown {
 		if !isFresh {
 			return mishap.New(mishap.Stale, "this adapter has lost touch with the control plane")
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -3,6 +3,8 @@
 package path
 
 import (
+	"sync"
+
 	"caperwheel/internal/charter"
 	"caperwheel/internal/mishap"
 )
@@ -54,6 +56,38 @@
 	return Program{{Op: Fresh}, {Op: Allowed, Names: l.Pools}, {Op: Live}, {Op: Holder}, {Op: Whole}, {Op: Send}}
 }
 
+// Programs keeps the compiled ways of one charter's lanes, until another
+// charter's rules are asked for.
+type Programs struct {
+	mu    sync.Mutex
+	rules *charter.Rules
+	known map[string]Program
+}
+
+// Intake gives the way in of a lane's messages.
+func (p *Programs) Intake(rules *charter.Rules, lane string) Program {
+	return p.get(rules, "in "+lane, func() Program { return Intake(rules.Lanes[lane]) })
+}
+
+// Delivery gives the way out of a lane's messages.
+func (p *Programs) Delivery(rules *charter.Rules, lane string) Program {
+	return p.get(rules, "out "+lane, func() Program { return Delivery(rules.Lanes[lane]) })
+}
+
+func (p *Programs) get(rules *charter.Rules, key string, compile func() Program) Program {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.rules != rules {
+		p.rules, p.known = rules, map[string]Program{}
+	}
+	out, isKnown := p.known[key]
+	if !isKnown {
+		out = compile()
+		p.known[key] = out
+	}
+	return out
+}
+
 // Doers carry out steps on an errand of some type.
 type Doers[E any] map[Op]func(step Step, errand E) error
 
--- a/internal/sim/adapter.go
+++ b/internal/sim/adapter.go
@@ -136,7 +136,7 @@
 		a.w.Note("open %s/%d at %s, term %d: %s%s", m.Id, m.Attempt, a.boot(), m.Term, ack.State, ack.Kind)
 		return ack
 	case *wire.Run:
-		if err := a.book.Admit(m, a.w.now); err != nil {
+		if err := a.book.Admit(m); err != nil {
 			return &wire.RunAck{Kind: string(mishap.KindOf(err))}
 		}
 		a.carry(m)
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -63,7 +63,7 @@
 func (d *dispatcher) ready() map[string]int {
 	out := map[string]int{}
 	for _, p := range d.s.ownPlaces() {
-		for lane, n := range *p.ready.Load() {
+		for lane, n := range p.Ready() {
 			out[lane] += n
 		}
 	}
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -83,7 +83,7 @@
 // say is what the store tells of itself in its session.
 func (s *Store) say() wire.Poll {
 	poll := s.d.Poll()
-	count, bytes, under := int64(0), int64(0), int64(0)
+	count, under := int64(0), int64(0)
 	for _, id := range s.groupIds() {
 		v := s.hostOf(id).View()
 		if v.Role == group.Owner {
@@ -94,7 +94,7 @@
 		}
 	}
 	for _, p := range s.ownPlaces() {
-		for _, n := range *p.ready.Load() {
+		for _, n := range p.Ready() {
 			count += int64(n)
 		}
 	}
@@ -102,7 +102,7 @@
 	if s.diskFull.Load() {
 		isFull = 1
 	}
-	poll.Fact.Counts = map[string]int64{"ready": count, "bytes": bytes, "under": under, "full": isFull,
+	poll.Fact.Counts = map[string]int64{"ready": count, "under": under, "full": isFull,
 		"segments": int64(s.disk.Segments())}
 	return poll
 }
--- a/internal/store/use.go
+++ b/internal/store/use.go
@@ -22,7 +22,7 @@
 	d.mu.Unlock()
 	for i := range places {
 		p := places[(first+i)%len(places)]
-		if (*p.ready.Load())[lane] > 0 {
+		if p.Ready()[lane] > 0 {
 			if err := p.host.Do(func() { p.Start(lane, g) }); err != nil {
 				break
 			}
