Queue of a place as sorted sets; a run that may go on holds its key

Cause: the cutoff heap got an entry for each change of a message's state and kept forgotten messages alive by them; leaving the ready lists searched them. An ordered message whose last run might still go on at its worker could expire and let the next one begin. Ruled out: the cost of encoding (the same before and after). Conclusion: sorted sets of gods, left exactly; a held message that IsHolder waits out its pause before it expires. Log and image formats stay as they were.

--- a/internal/place/command.go
+++ b/internal/place/command.go
@@ -46,7 +46,7 @@
 	Retain  int64      `avro:"retain"` // how long an end is kept
 	Child   Child      `avro:"child"`
 	Ids     []string   `avro:"ids"`
-	Hold    bool       `avro:"hold"` // Close: later messages of the key wait
+	Hold    bool       `avro:"hold"` // Close: later messages of the key wait; Back: the run may go on until the pause ends
 }
 
 // Child is a call-back that leaves with the end of its parent: same record, so
--- a/internal/place/errand.go
+++ b/internal/place/errand.go
@@ -59,7 +59,7 @@
 	Proof    wire.Proof `avro:"proof"`
 	Late     wire.Proof `avro:"late"` // success of an older run that came while a newer one is open
 	Cause    string     `avro:"cause"`
-	IsHolder bool       `avro:"is_holder"` // failed, and the key waits behind it
+	IsHolder bool       `avro:"is_holder"` // the key waits behind it: failed, or held while its last run may go on until Due
 }
 
 // move is the one place where an errand changes its state.
@@ -73,6 +73,15 @@
 	return mishap.New(mishap.Conflict, "errand %s cannot go from %q to %q", e.Id, e.State, to)
 }
 
+// expiry is when an errand that is held has had its patience, in place time. A
+// run that may still go on is waited for: the next of the key must not begin.
+func (e *Errand) expiry() int64 {
+	if e.IsHolder {
+		return max(e.Cutoff, e.Due)
+	}
+	return e.Cutoff
+}
+
 // keyOf joins errands that must run one after another.
 func (e *Errand) keyOf() string { return e.Lane + "\x00" + e.Key }
 
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -39,6 +39,8 @@
 	Text  string
 }
 
+const otherBytes = "the same Idempotency-Key came with other bytes"
+
 func no(kind mishap.Kind, id, text string) Verdict { return Verdict{Id: id, Kind: kind, Text: text} }
 
 // Clock is the place time of the newest command.
@@ -97,6 +99,9 @@
 		if e.State == Tomb {
 			return no(mishap.Rejected, c.Id, "settled as not taken")
 		}
+		if e.Sum != c.Sum {
+			return no(mishap.Conflict, c.Id, otherBytes)
+		}
 		return Verdict{Id: c.Id, State: e.State}
 	}
 	m.seq++
@@ -105,7 +110,7 @@
 	if c.Idem != "" {
 		if was := m.errands[m.idems[e.idemOf()]]; was != nil {
 			if was.Sum != c.Sum {
-				return no(mishap.Conflict, was.Id, "the same Idempotency-Key came with other bytes")
+				return no(mishap.Conflict, was.Id, otherBytes)
 			}
 			return Verdict{Id: was.Id, State: was.State}
 		}
@@ -123,6 +128,7 @@
 	if e.State != Held || c.Attempt != e.Attempt+1 || !m.isFirst(e) {
 		return no(mishap.Conflict, e.Id, "not to be started")
 	}
+	e.IsHolder = false
 	e.Attempt, e.Adapter, e.Boot, e.Pool, e.Worker = c.Attempt, c.Adapter, c.Boot, c.Pool, c.Worker
 	return m.finish(e, e.move(Started))
 }
@@ -153,7 +159,7 @@
 	if c.Costs {
 		e.Spent++
 	}
-	e.Due = m.clock + c.Cutoff
+	e.Due, e.IsHolder = m.clock+c.Cutoff, c.Hold && e.Ordered
 	return m.finish(e, e.move(Held))
 }
 
@@ -226,5 +232,5 @@
 	if e.Idem != "" && m.idems[e.idemOf()] == id {
 		delete(m.idems, e.idemOf())
 	}
-	m.queue.drop(e)
+	m.queue.leave(e)
 }
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -1,125 +1,159 @@
 package place
 
 import (
-	"container/heap"
+	"cmp"
 	"slices"
+
+	"github.com/emirpasic/gods/maps/treemap"
 )
 
 // queue orders what the owner may do next. It is derived from the machine's
 // state, so it needs no place in the image.
 //
-// Invariant: an errand stands in at most one of the sets: ready (by lane,
-// fresh or again), pausing, open, or over.
+// Invariants: an errand that is over stands in over alone; one that is started
+// in open; one that is held in cutoff, until it has been told late, and in at
+// most one of ready and pauses. Nothing else keeps an errand alive: what is
+// forgotten stands nowhere.
 type queue struct {
-	where  map[string]string // id -> set
+	stands map[string][]standing // id -> where it stands
 	ready  map[string]*lane
-	pauses timeHeap // held, due later
-	cutoff timeHeap // held or started, by cutoff
-	over   timeHeap // over, by when to forget
+	pauses *sortedSet // held, by when due
+	cutoff *sortedSet // held, by expiry
+	over   *sortedSet // over, by when to forget
 	open   map[string]bool
+	picked map[string]bool
 }
 
 // lane holds the ready errands of one lane. Fresh ones were never run; those
 // to be run again stand apart, so that they cannot crowd the fresh ones out.
 type lane struct {
-	fresh, again []*Errand
+	fresh, again *sortedSet
 	turns        int
 }
 
 // againShare: of so many turns one goes to a repeated run while both wait.
 const againShare = 4
 
-func newQueue() queue {
-	return queue{where: map[string]string{}, ready: map[string]*lane{}, open: map[string]bool{}}
+// rank orders errands by a moment, and those of one moment as they were taken.
+type rank struct {
+	at, seq int64
+	id      string
+}
+
+// sortedSet is a sorted set of errands; entering and leaving take logarithmic time.
+type sortedSet struct{ tree *treemap.Map }
+
+type standing struct {
+	set  *sortedSet
+	rank rank
+}
+
+func newSortedSet() *sortedSet {
+	return &sortedSet{treemap.NewWith(func(a, b any) int {
+		x, y := a.(rank), b.(rank)
+		return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.seq, y.seq), cmp.Compare(x.id, y.id))
+	})}
 }
 
-type timed struct {
-	at int64
-	e  *Errand
+func newLane() *lane { return &lane{fresh: newSortedSet(), again: newSortedSet()} }
+
+func (l *lane) size() int { return l.fresh.tree.Size() + l.again.tree.Size() }
+
+// first gives the errand of the least rank.
+func (o *sortedSet) first() (at int64, e *Errand) {
+	key, value := o.tree.Min()
+	if key == nil {
+		return 0, nil
+	}
+	return key.(rank).at, value.(*Errand)
 }
 
-type timeHeap []timed
+func newQueue() queue {
+	return queue{stands: map[string][]standing{}, ready: map[string]*lane{}, open: map[string]bool{}, picked: map[string]bool{},
+		pauses: newSortedSet(), cutoff: newSortedSet(), over: newSortedSet()}
+}
 
-func (h timeHeap) Len() int { return len(h) }
-func (h timeHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].e.Seq < h[j].e.Seq
+// enter has an errand stand in a set; leave has it stand nowhere, leaveSet not
+// in one set.
+func (q *queue) enter(e *Errand, set *sortedSet, at int64) {
+	r := rank{at, e.Seq, e.Id}
+	set.tree.Put(r, e)
+	q.stands[e.Id] = append(q.stands[e.Id], standing{set, r})
 }
-func (h timeHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timeHeap) Push(x any)   { *h = append(*h, x.(timed)) }
-func (h *timeHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
+
+func (q *queue) leave(e *Errand) {
+	for _, s := range q.stands[e.Id] {
+		s.set.tree.Remove(s.rank)
+	}
+	delete(q.stands, e.Id)
+	delete(q.open, e.Id)
+	delete(q.picked, e.Id)
 }
 
-// note puts an errand into the set that its state asks for.
+func (q *queue) leaveSet(e *Errand, set *sortedSet) {
+	q.stands[e.Id] = slices.DeleteFunc(q.stands[e.Id], func(s standing) bool {
+		if s.set == set {
+			set.tree.Remove(s.rank)
+		}
+		return s.set == set
+	})
+	if len(q.stands[e.Id]) == 0 {
+		delete(q.stands, e.Id)
+	}
+}
+
+// note puts an errand where its state asks for.
 func (q *queue) note(m *Machine, e *Errand) {
 	q.leave(e)
 	switch {
 	case e.State == Started:
-		q.where[e.Id] = "open"
 		q.open[e.Id] = true
+		return
 	case e.State.IsOver():
-		q.where[e.Id] = "over"
-		heap.Push(&q.over, timed{e.Over, e})
+		q.enter(e, q.over, e.Over)
+		return
+	}
+	q.enter(e, q.cutoff, e.expiry())
+	switch {
 	case !m.isFirst(e): // waits in its key's list
-		heap.Push(&q.cutoff, timed{e.Cutoff, e})
 	case e.Due > m.clock:
-		q.where[e.Id] = "pause"
-		heap.Push(&q.pauses, timed{e.Due, e})
-		heap.Push(&q.cutoff, timed{e.Cutoff, e})
+		q.enter(e, q.pauses, e.Due)
 	default:
-		q.enter(e)
-		heap.Push(&q.cutoff, timed{e.Cutoff, e})
+		q.makeReady(e)
 	}
 }
 
-func (q *queue) enter(e *Errand) {
+func (q *queue) makeReady(e *Errand) {
 	l := q.ready[e.Lane]
 	if l == nil {
-		l = &lane{}
+		l = newLane()
 		q.ready[e.Lane] = l
 	}
-	q.where[e.Id] = "ready"
 	if e.Attempt == 0 {
-		l.fresh = append(l.fresh, e)
+		q.enter(e, l.fresh, 0)
 	} else {
-		l.again = append(l.again, e)
+		q.enter(e, l.again, 0)
 	}
 }
 
-func (q *queue) leave(e *Errand) {
-	switch q.where[e.Id] {
-	case "open":
-		delete(q.open, e.Id)
-	case "ready":
-		if l := q.ready[e.Lane]; l != nil {
-			isIt := func(x *Errand) bool { return x == e }
-			l.fresh, l.again = slices.DeleteFunc(l.fresh, isIt), slices.DeleteFunc(l.again, isIt)
-		}
-	}
-	delete(q.where, e.Id)
-}
-
-func (q *queue) drop(e *Errand) { q.leave(e) }
-
 // wake moves errands whose pause is over to the ready ones.
-func (q *queue) wake(m *Machine, now int64) {
-	for len(q.pauses) > 0 && q.pauses[0].at <= now {
-		e := heap.Pop(&q.pauses).(timed).e
-		if q.where[e.Id] == "pause" && e.Due <= now && m.errands[e.Id] == e {
-			q.enter(e)
+func (q *queue) wake(now int64) {
+	for {
+		at, e := q.pauses.first()
+		if e == nil || at > now {
+			return
 		}
+		q.leaveSet(e, q.pauses)
+		q.makeReady(e)
 	}
 }
 
 // Ready counts the errands of each lane that may run at the given place time.
 func (m *Machine) Ready(now int64) map[string]int {
-	m.queue.wake(m, now)
+	m.queue.wake(now)
 	out := map[string]int{}
 	for name, l := range m.queue.ready {
-		if n := len(l.fresh) + len(l.again); n > 0 {
+		if n := l.size(); n > 0 {
 			out[name] = n
 		}
 	}
@@ -129,51 +163,61 @@
 // Pick gives the errand of the lane that is next to run, and takes it out of
 // the ready ones until its state changes; Unpick puts it back.
 func (m *Machine) Pick(name string, now int64) *Errand {
-	m.queue.wake(m, now)
-	l := m.queue.ready[name]
+	q := &m.queue
+	q.wake(now)
+	l := q.ready[name]
 	if l == nil {
 		return nil
 	}
 	l.turns++
-	from := &l.fresh
-	if len(l.fresh) == 0 || len(l.again) > 0 && l.turns%againShare == 0 {
-		from = &l.again
-	}
-	for len(*from) > 0 {
-		e := (*from)[0]
-		*from = (*from)[1:]
-		if e.State == Held && e.Cutoff > now {
-			m.queue.where[e.Id] = "picked"
+	from := l.fresh
+	if _, fresh := l.fresh.first(); fresh == nil || l.again.tree.Size() > 0 && l.turns%againShare == 0 {
+		from = l.again
+	}
+	for {
+		_, e := from.first()
+		if e == nil {
+			return nil
+		}
+		q.leaveSet(e, from)
+		if e.Cutoff > now { // else it is about to expire
+			q.picked[e.Id] = true
 			return e
 		}
 	}
-	return nil
 }
 
 // Unpick undoes Pick for an errand that was not started after all.
 func (m *Machine) Unpick(e *Errand) {
-	if m.queue.where[e.Id] == "picked" && e.State == Held {
-		m.queue.enter(e)
+	if m.queue.picked[e.Id] && e.State == Held {
+		delete(m.queue.picked, e.Id)
+		m.queue.makeReady(e)
 	}
 }
 
-// Late gives errands that are held beyond their cutoff.
+// Late gives errands that are held beyond their patience; each is told once.
 func (m *Machine) Late(now int64) []*Errand {
 	out := []*Errand{}
-	for len(m.queue.cutoff) > 0 && m.queue.cutoff[0].at <= now {
-		e := heap.Pop(&m.queue.cutoff).(timed).e
-		if e.State == Held && m.errands[e.Id] == e && e.Cutoff <= now {
-			out = append(out, e)
+	for {
+		at, e := m.queue.cutoff.first()
+		if e == nil || at > now {
+			return out
 		}
+		m.queue.leaveSet(e, m.queue.cutoff)
+		out = append(out, e)
 	}
-	return out
 }
 
 // Stale gives the ids of up to most errands that are over and may be forgotten.
 func (m *Machine) Stale(now int64, most int) []string {
 	out := []string{}
-	for len(m.queue.over) > 0 && m.queue.over[0].at <= now && len(out) < most {
-		out = append(out, heap.Pop(&m.queue.over).(timed).e.Id)
+	for len(out) < most {
+		at, e := m.queue.over.first()
+		if e == nil || at > now {
+			break
+		}
+		m.queue.leaveSet(e, m.queue.over)
+		out = append(out, e.Id)
 	}
 	return out
 }
@@ -184,6 +228,6 @@
 	for id := range m.queue.open {
 		out = append(out, m.errands[id])
 	}
-	slices.SortFunc(out, func(a, b *Errand) int { return int(a.Seq - b.Seq) })
+	slices.SortFunc(out, func(a, b *Errand) int { return cmp.Compare(a.Seq, b.Seq) })
 	return out
 }
--- /dev/null
+++ b/internal/place/queue_test.go
@@ -0,0 +1,82 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestQueueHoldsNothingBack: the queue once had one more entry for each change
+// of a message's state, and kept forgotten messages alive by them.
+func TestQueueHoldsNothingBack(t *testing.T) {
+	Convey("Given messages that were run again and again", t, func() {
+		m := New()
+		for i := range 50 {
+			id := fmt.Sprint(i)
+			m.Apply(take(id))
+			for attempt := range int64(5) {
+				m.Apply(start(id, attempt+1))
+				m.Apply(back(id, attempt+1))
+			}
+		}
+		Convey("each stands in the queue for as much as its state asks", func() {
+			So(m.queue.cutoff.tree.Size(), ShouldEqual, 50)
+			So(m.Ready(0), ShouldResemble, map[string]int{"l": 50})
+		})
+		Convey("and nowhere once it is forgotten", func() {
+			for i := range 50 {
+				m.Apply(shut(fmt.Sprint(i), 5, Failed))
+				m.Apply(Command{Kind: CmdTrim, Ids: []string{fmt.Sprint(i)}})
+			}
+			q := m.queue
+			So(len(q.stands)+len(q.open)+len(q.picked)+q.cutoff.tree.Size()+q.pauses.tree.Size()+q.over.tree.Size(), ShouldEqual, 0)
+			So(m.Ready(0), ShouldBeEmpty)
+		})
+	})
+}
+
+// TestWaitsForARunThatMayGoOn: an ordered message whose run may still be going
+// on neither expires nor lets the next one begin before that run must be over.
+func TestWaitsForARunThatMayGoOn(t *testing.T) {
+	Convey("Given two messages of a key, the first with a run that may go on until 1500", t, func() {
+		m := New()
+		m.Apply(ordered("0"))
+		m.Apply(ordered("1"))
+		m.Apply(start("0", 1))
+		open := back("0", 1)
+		open.Hold, open.Cutoff = true, 1500
+		m.Apply(open)
+		again, err := Restore(m.Image())
+		So(err, ShouldBeNil)
+		for _, m := range []*Machine{m, again} {
+			So(m.Ready(1499), ShouldBeEmpty)
+			late := []string{}
+			for _, e := range m.Late(1499) {
+				late = append(late, e.Id)
+			}
+			So(late, ShouldResemble, []string{"1"})
+			So(m.Late(1500)[0].Id, ShouldEqual, "0")
+			So(m.Ready(1500)["l"], ShouldEqual, 1)
+		}
+	})
+}
+
+// BenchmarkExpiry has 100,000 messages fail once and then expire one by one.
+func BenchmarkExpiry(b *testing.B) {
+	const count = 100_000
+	for range b.N {
+		m := New()
+		for i := range count {
+			m.Apply(take(fmt.Sprint(i)))
+		}
+		for range count / 10 {
+			e := m.Pick("l", 0)
+			m.Apply(start(e.Id, 1))
+			m.Apply(back(e.Id, 1))
+		}
+		for _, e := range m.Late(1000) {
+			m.Apply(shut(e.Id, e.Attempt, Expired))
+		}
+	}
+}
