Checker sees overlaps, charters, easing, recovery, call-backs, sights

It judged ordered runs only by messages told taken, excused any doubled run near any adapter's death, and knew nothing of charters, cold workers, recovery, call-backs and of what is answered while things fail. Each new rule has a history broken on purpose in TestCheckerIsNotBlind.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"time"
 )
 
 // Breach is one broken rule.
@@ -23,13 +22,16 @@
 	RulePool     = "wrong pool"
 	RuleBytes    = "altered bytes"
 	RuleMixed    = "answer of another message"
+	RuleShort    = "short answer that looks whole"
 	RuleRate     = "endpoint over its rate"
 	RuleLeaving  = "new work after leaving"
 	RuleUnended  = "ended without a run"
 	RuleOpen     = "undecided for good"
-	rateWindow   = 5 * time.Second
-	rateAllowed  = 1.15 // "not much more" than the agreed rate
-	rateHeadroom = 2
+	RuleBack     = "state went back"
+	RuleCharter  = "older charter in use"
+	RuleCold     = "cold worker flooded"
+	RuleRecovery = "not served again in time"
+	RuleCallback = "call-back"
 )
 
 type checker struct {
@@ -37,6 +39,7 @@
 	breaches []Breach
 	runs     map[string][]Run // by token, in order of start
 	bySent   map[string]Sent
+	byId     map[string][]Run
 }
 
 func (c *checker) breach(rule, form string, args ...any) {
@@ -47,21 +50,39 @@
 func Check(h *History) []Breach {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	c := &checker{h: h, runs: map[string][]Run{}, bySent: map[string]Sent{}}
+	h.Spared, h.Judged = 0, 0
+	c := &checker{h: h, runs: map[string][]Run{}, bySent: map[string]Sent{}, byId: map[string][]Run{}}
 	slices.SortStableFunc(h.Runs, func(a, b Run) int { return cmp.Compare(a.Start, b.Start) })
 	for _, r := range h.Runs {
 		c.runs[r.Token] = append(c.runs[r.Token], r)
+		c.byId[r.Id] = append(c.byId[r.Id], r)
 	}
+	ids := map[string]string{}
 	for _, s := range h.Sent {
 		c.bySent[s.Token] = s
 		c.sent(s)
+		c.told(s, ids)
+	}
+	for token, runs := range c.runs {
+		c.double(token, runs)
+	}
+	for id, end := range h.Ends {
+		if end.State == "ended" {
+			c.proof(id, end)
+		}
 	}
 	for _, r := range h.Runs {
 		c.run(r)
 	}
 	c.order()
+	c.overlaps()
 	c.rates()
 	c.marks()
+	c.sights()
+	c.charters()
+	c.colds()
+	c.recovery()
+	c.callbacks()
 	return c.breaches
 }
 
@@ -84,121 +105,50 @@
 	if s.Told == Taken && end.BodySum != "" && end.BodySum != s.Sum {
 		c.breach(RuleBytes, "%s: the bytes read back differ", s.Id)
 	}
+}
+
+// double: what was answered with a success and read is never run again.
+func (c *checker) double(token string, runs []Run) {
 	for i, r := range runs {
-		if r.Status >= 200 && r.Status < 300 && r.IsWhole && i+1 < len(runs) && !c.wasLost(r) {
-			c.breach(RuleDouble, "%s succeeded at %s in attempt %d, and attempt %d came %v later", s.Token, r.Worker,
-				r.Attempt, runs[i+1].Attempt, runs[i+1].Start-r.End)
-			break
+		if !r.isSuccess() || !r.IsWhole || i+1 == len(runs) {
+			continue
 		}
-	}
-	if end.State == "ended" {
-		c.proof(s, end, runs)
+		if c.wasLost(r) {
+			c.h.Spared++
+			continue
+		}
+		c.breach(RuleDouble, "%s succeeded at %s in attempt %d, and attempt %d came %v later", token, r.Worker,
+			r.Attempt, runs[i+1].Attempt, runs[i+1].Start-r.End)
+		return
 	}
 }
 
-// wasLost tells whether an adapter was killed about when the run's answer was
-// read, before anybody else had it: the window that docs/delivery.md describes.
+// wasLost tells whether the adapter that sent the run was killed about when
+// its answer was read, before anybody else had it: the window that
+// docs/delivery.md describes.
 func (c *checker) wasLost(r Run) bool {
 	for _, w := range c.h.Lost {
-		if r.End >= w.From && r.End <= w.Until {
+		if r.End >= w.From && r.End <= w.Until && (w.Adapter == "" || r.Adapter == "" || w.Adapter == r.Adapter) {
 			return true
 		}
 	}
 	return false
 }
 
-func (c *checker) proof(s Sent, end End, runs []Run) {
+// proof: an end carries the run that succeeded, and that run's answer.
+func (c *checker) proof(id string, end End) {
+	runs := c.byId[id]
 	if len(runs) == 0 {
-		c.breach(RuleUnended, "%s is ended and no back end saw it", s.Token)
+		c.breach(RuleUnended, "%s is ended and no back end saw it", id)
 		return
 	}
 	for _, r := range runs {
-		if r.Attempt == end.Attempt && r.Worker == end.Worker && r.Status >= 200 && r.Status < 300 {
+		if r.Attempt == end.Attempt && r.Worker == end.Worker && r.isSuccess() {
 			if r.Answer != end.Sum {
-				c.breach(RuleMixed, "%s: the proof holds another answer than attempt %d gave", s.Token, r.Attempt)
+				c.breach(RuleMixed, "%s: the proof holds another answer than attempt %d gave", id, r.Attempt)
 			}
 			return
 		}
 	}
-	c.breach(RuleProof, "%s: attempt %d at %s did not succeed there", s.Token, end.Attempt, end.Worker)
-}
-
-// run holds one run against what its message may do.
-func (c *checker) run(r Run) {
-	s, isKnown := c.bySent[r.Token]
-	if !isKnown {
-		return // a call-back: its bytes are an answer, not a caller's
-	}
-	if !slices.Contains(c.h.Pools[s.Lane], r.Pool) {
-		c.breach(RulePool, "%s of lane %s ran in pool %s", r.Token, s.Lane, r.Pool)
-	}
-	if r.Sum != s.Sum {
-		c.breach(RuleBytes, "%s arrived altered at %s", r.Token, r.Worker)
-	}
-}
-
-// order holds each key's runs against the order in which its messages were
-// taken, as far as the callers know it.
-func (c *checker) order() {
-	keys := map[string][]Sent{}
-	for _, s := range c.h.Sent {
-		if c.h.Order[s.Lane] && s.Told == Taken {
-			keys[s.Lane+"\x00"+s.Key] = append(keys[s.Lane+"\x00"+s.Key], s)
-		}
-	}
-	for _, list := range keys {
-		slices.SortFunc(list, func(a, b Sent) int { return cmp.Compare(a.ToldAt, b.ToldAt) })
-		busy, by := time.Duration(0), ""
-		for i, s := range list {
-			if i > 0 && s.At < list[i-1].ToldAt {
-				busy = 0 // sent before the other was told taken: their order is open
-			}
-			for _, r := range c.runs[s.Token] {
-				if r.Start < busy {
-					c.breach(RuleOrder, "key %s: %s started at %v, before %s ended at %v", s.Key, s.Token, r.Start, by, busy)
-				}
-			}
-			for _, r := range c.runs[s.Token] {
-				if r.End > busy {
-					busy, by = r.End, s.Token
-				}
-			}
-		}
-	}
-}
-
-// rates holds each capped pool against its rate over any window.
-func (c *checker) rates() {
-	starts := map[string][]time.Duration{}
-	for _, r := range c.h.Runs {
-		if c.h.Caps[r.Pool] > 0 {
-			starts[r.Pool] = append(starts[r.Pool], r.Start)
-		}
-	}
-	for pool, list := range starts {
-		most := int(c.h.Caps[pool]*rateWindow.Seconds()*rateAllowed) + rateHeadroom
-		first := 0
-		for i, at := range list {
-			for list[first] <= at-rateWindow {
-				first++
-			}
-			if i-first+1 > most {
-				c.breach(RuleRate, "%s got %d runs in the %v before %v, allowed are %d", pool, i-first+1, rateWindow, at, most)
-				break
-			}
-		}
-	}
-}
-
-// marks holds leaving workers and emptied cells against their bounds.
-func (c *checker) marks() {
-	for _, m := range c.h.Marks {
-		for _, r := range c.h.Runs {
-			isHit := m.Worker != "" && r.Pool == m.Pool && r.Worker == m.Worker ||
-				m.Worker == "" && c.h.Cells[r.Pool+"/"+r.Worker] == m.Cell
-			if isHit && r.Start > m.From+m.Bound && (m.Until == 0 || r.Start < m.Until) {
-				c.breach(RuleLeaving, "%s/%s got %s %v after it was to get no more", r.Pool, r.Worker, r.Token, r.Start-m.From)
-			}
-		}
-	}
+	c.breach(RuleProof, "%s: attempt %d at %s did not succeed there", id, end.Attempt, end.Worker)
 }
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -25,9 +25,36 @@
 	h.Ends["1"] = End{State: "ended", Attempt: 2, Worker: "w", Sum: "ra", BodySum: "sa"}
 	h.Ends["3"] = End{State: "ended", Attempt: 1, Worker: "w", Sum: "rx"}
 	h.Ends["4"] = End{State: "ended", Attempt: 1, Worker: "w", Sum: "ry"}
+	h.Pools["m"], h.Backs["m"], h.Pools["back"] = []string{"p"}, "back", []string{"p2"}
+	h.AddSent(Sent{Token: "q", Lane: "m", Sum: "sq", Told: Taken, Id: "5", ToldAt: 1 * s, GotSum: "sq", GotToken: "q/answer"})
+	h.AddRun(Run{Token: "q", Id: "5", Attempt: 1, Pool: "p", Worker: "w", Sum: "sq", Start: 9 * s, End: 10 * s, Status: 200, Answer: "rq", IsWhole: true})
+	h.AddRun(Run{Token: "q/answer", Id: "6", Attempt: 1, Pool: "p2", Worker: "w", Sum: "rq", Start: 11 * s, End: 12 * s, Status: 200, Answer: "rr", IsWhole: true})
+	h.Ends["5"] = End{State: "ended", Attempt: 1, Worker: "w", Sum: "rq", Child: "6"}
+	h.Ends["6"] = End{State: "ended", Attempt: 1, Worker: "w", Sum: "rr"}
+	h.AddSight(Sight{Id: "1", At: 2 * s, ToldAt: 2 * s, State: "started", Attempts: 1})
+	h.AddSight(Sight{Id: "1", At: 3 * s, ToldAt: 3 * s, State: "held", Attempts: 1, BodySum: "sa"})
+	h.AddSight(Sight{Id: "1", At: 5 * s, ToldAt: 5 * s, State: "ended", Attempts: 2})
 	return h
 }
 
+// edited adds two charters: the second was acknowledged at 1 s, moves lane o
+// to another pool and lowers a cap.
+func edited(h *History) {
+	pools := func(o string) map[string][]string {
+		return map[string][]string{"l": {"p"}, "o": {o}, "m": {"p"}, "back": {"p2"}}
+	}
+	h.Caps["p2"] = 10
+	h.AddEdit(Edit{At: 0, AckAt: s / 2, Stamp: 1, Pools: pools("p"), Caps: map[string]float64{"p": 9, "p2": 10}})
+	h.AddEdit(Edit{At: s / 2, AckAt: 3 * s, Stamp: 2, Pools: pools("q"), Caps: map[string]float64{"p": 9, "p2": 1}})
+}
+
+// sendTen has ten messages sent in the seconds in which traffic must be back.
+func sendTen(h *History) {
+	for i := range 10 {
+		h.AddSent(Sent{Token: string(rune('A' + i)), Lane: "l", Sum: "n", At: 39*s + time.Duration(i), Told: NotTaken})
+	}
+}
+
 // TestCheckerIsNotBlind breaks each rule on purpose.
 func TestCheckerIsNotBlind(t *testing.T) {
 	cases := []struct {
@@ -51,6 +78,49 @@
 		{RuleBytes, func(h *History) {
 			h.Ends["1"] = End{State: "ended", Attempt: 2, Worker: "w", Sum: "ra", BodySum: "other"}
 		}},
+		{RuleMixed, func(h *History) { h.Sent[4].GotSum = "sa" }},
+		{RuleMixed, func(h *History) { h.Sent[4].GotToken = "a/answer" }},
+		{RuleMixed, func(h *History) { h.Sent[4].Id = "1" }},
+		{RuleShort, func(h *History) { h.Sent[4].IsShort = true }},
+		{RuleOrder, func(h *History) { h.Sent[2].Told, h.Runs[2].End = Undecided, 0 }},
+		{RuleDouble, func(h *History) { // another adapter's death excuses nothing
+			h.Runs[0].Status, h.Runs[0].Adapter = 200, "a1"
+			h.AddLost(Window{Adapter: "a2", From: 0, Until: 3 * s})
+		}},
+		{RuleDouble, func(h *History) {
+			again := h.Runs[5]
+			again.Attempt, again.Start, again.End = 2, 13*s, 14*s
+			h.AddRun(again)
+		}},
+		{RuleLost, func(h *History) { h.AddSight(Sight{Id: "1", At: 2 * s, ToldAt: 3 * s, State: "unknown"}) }},
+		{RuleLost, func(h *History) { h.AddSight(Sight{Id: "1", At: 2 * s, ToldAt: 3 * s, State: "rejected"}) }},
+		{RuleBytes, func(h *History) { h.AddSight(Sight{Id: "1", At: 2 * s, ToldAt: 2 * s, State: "held", BodySum: "sb"}) }},
+		{RuleBack, func(h *History) { h.AddSight(Sight{Id: "1", At: 6 * s, ToldAt: 6 * s, State: "held", Attempts: 2}) }},
+		{RuleBack, func(h *History) { h.AddSight(Sight{Id: "1", At: 4 * s, ToldAt: 4 * s, State: "held"}) }},
+		{RuleCharter, func(h *History) { edited(h); h.Runs[3].Stamp = 1 }},
+		{RuleCharter, func(h *History) {
+			edited(h)
+			h.Sent[3].At, h.Sent[3].ToldAt, h.Sent[3].Stamp = 6500*time.Millisecond, 6600*time.Millisecond, 1
+		}},
+		{RulePool, edited},
+		{RuleRate, func(h *History) {
+			edited(h)
+			for i := range 12 { // no more than the first cap allows, and the second is in force
+				h.AddRun(Run{Token: "?", Pool: "p2", Worker: "w", Start: 30*s + time.Duration(i)})
+			}
+		}},
+		{RuleCold, func(h *History) {
+			h.AddCold(Cold{Pool: "p", Worker: "w", From: 20 * s, Ease: 10 * s})
+			for i := range 12 {
+				h.AddRun(Run{Token: "?", Pool: "p", Worker: "w", Start: 20*s + time.Duration(i)*s/12})
+			}
+		}},
+		{RuleRecovery, func(h *History) { sendTen(h); h.AddOutage(Outage{"an outage", 30 * s}) }},
+		{RuleCallback, func(h *History) { h.Runs[5].Pool = "p" }},
+		{RuleCallback, func(h *History) { h.Runs[5].Sum = "other" }},
+		{RuleCallback, func(h *History) { h.Ends["5"] = End{State: "failed"} }},
+		{RuleCallback, func(h *History) { h.Ends["6"] = End{State: "unknown"} }},
+		{RuleCallback, func(h *History) { h.Ends["5"] = End{State: "ended", Attempt: 1, Worker: "w", Sum: "rq"} }},
 		{RuleRate, func(h *History) {
 			for i := range 8 {
 				h.AddRun(Run{Token: "?", Pool: "p", Worker: "w", Start: 20*s + time.Duration(i)})
@@ -77,8 +147,31 @@
 		Convey("a run repeated because its adapter was killed", func() {
 			h := clean()
 			h.Runs[0].Status = 200
-			h.AddLost(Window{0, 3 * s})
+			h.AddLost(Window{From: 0, Until: 3 * s})
+			So(Check(h), ShouldBeEmpty)
+		})
+		Convey("work under an older charter within the bound, or under one sent and never acknowledged", func() {
+			h := clean()
+			edited(h)
+			h.Edits[1].AckAt = 6 * s
+			h.Runs[3].Stamp = 1
+			So(Check(h), ShouldBeEmpty)
+			h.Edits[1].AckAt = 0
+			So(Check(h), ShouldBeEmpty)
+		})
+		Convey("a cold worker's ramp, and a kind of traffic that is served again", func() {
+			h := clean()
+			h.AddCold(Cold{Pool: "p", Worker: "w", From: 20 * s, Ease: 10 * s})
+			sendTen(h)
+			h.AddOutage(Outage{"an outage", 30 * s})
+			for i := range 3 {
+				token := string(rune('A' + i))
+				h.Sent[5+i].Told = Undecided
+				h.AddRun(Run{Token: token, Id: token, Attempt: 1, Pool: "p", Worker: "w", Sum: "n", Start: 39*s + time.Duration(i)*s,
+					End: 40*s + time.Duration(i), Status: 200, IsWhole: true})
+			}
 			So(Check(h), ShouldBeEmpty)
+			So(h.Judged, ShouldEqual, 1)
 		})
 		Convey("work within the bound of a mark, or after its end", func() {
 			h := clean()
@@ -87,7 +180,7 @@
 		})
 		Convey("any order of messages sent at once", func() {
 			h := clean()
-			h.Sent[3].At, h.Runs[3].Start = 1*s, 5*s
+			h.Sent[3].At, h.Runs[3].Start, h.Runs[3].End = 1*s, 3*s, 4*s
 			So(Check(h), ShouldBeEmpty)
 		})
 	})
--- /dev/null
+++ b/internal/check/control.go
@@ -0,0 +1,78 @@
+package check
+
+import (
+	"slices"
+	"time"
+)
+
+// charterBound is how long after its acknowledgement a charter may not yet
+// hold everywhere.
+const charterBound = 3 * time.Second
+
+// inForce lists the charters that may have been acted on at some moment from
+// first to last: sent by then, and not behind one that was acknowledged more
+// than the bound before first.
+func (c *checker) inForce(first, last time.Duration) []Edit {
+	newest := int64(0)
+	for _, e := range c.h.Edits {
+		if e.AckAt > 0 && e.AckAt+charterBound < first {
+			newest = max(newest, e.Stamp)
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(c.h.Edits), func(e Edit) bool {
+		return e.At > last || e.AckAt > 0 && e.Stamp < newest
+	})
+}
+
+// mayUse: some charter that may be in force lets the lane use the run's pool.
+func (c *checker) mayUse(lane string, r Run) bool {
+	if len(c.h.Edits) == 0 {
+		return slices.Contains(c.h.Pools[lane], r.Pool)
+	}
+	return slices.ContainsFunc(c.inForce(r.Start, r.Start), func(e Edit) bool { return slices.Contains(e.Pools[lane], r.Pool) })
+}
+
+// capOf gives the largest cap of a pool in the window before a moment.
+func (c *checker) capOf(pool string, at time.Duration) float64 {
+	if len(c.h.Edits) == 0 {
+		return c.h.Caps[pool]
+	}
+	most := 0.0
+	for _, e := range c.inForce(at-rateWindow, at) {
+		most = max(most, e.Caps[pool])
+	}
+	return most
+}
+
+// charters: the bound after an acknowledgement, nothing is done under an older
+// charter, and no adapter slips back.
+func (c *checker) charters() {
+	acked := slices.DeleteFunc(slices.Clone(c.h.Edits), func(e Edit) bool { return e.AckAt == 0 })
+	hold := func(at time.Duration, stamp int64, form string, args ...any) {
+		for _, e := range acked {
+			if stamp > 0 && e.AckAt+charterBound < at && stamp < e.Stamp {
+				c.breach(RuleCharter, form+" at %v under charter %d, though %d was acknowledged at %v", append(args, at, stamp, e.Stamp, e.AckAt)...)
+				return
+			}
+		}
+	}
+	for _, r := range c.h.Runs {
+		hold(r.Start, r.Stamp, "%s ran %s", r.Adapter, r.Token)
+	}
+	for _, s := range c.h.Sent {
+		hold(s.At, s.Stamp, "%s was answered", s.Token)
+	}
+}
+
+// marks holds leaving workers and emptied cells against their bounds.
+func (c *checker) marks() {
+	for _, m := range c.h.Marks {
+		for _, r := range c.h.Runs {
+			isHit := m.Worker != "" && r.Pool == m.Pool && r.Worker == m.Worker ||
+				m.Worker == "" && c.h.Cells[r.Pool+"/"+r.Worker] == m.Cell
+			if isHit && r.Start > m.From+m.Bound && (m.Until == 0 || r.Start < m.Until) {
+				c.breach(RuleLeaving, "%s/%s got %s %v after it was to get no more", r.Pool, r.Worker, r.Token, r.Start-m.From)
+			}
+		}
+	}
+}
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -31,6 +31,13 @@
 	ToldAt time.Duration
 	Told   Told
 	Id     string
+	// What else the answer said, when it said it: the checksum of the message's
+	// bytes, the token within the proof's answer, and whether an answer that
+	// looked whole was not.
+	GotSum   string
+	GotToken string
+	IsShort  bool
+	Stamp    int64 // of the charter under which it was answered; 0 if not told
 }
 
 // Run is one run that a back end saw.
@@ -46,6 +53,8 @@
 	Status  int
 	Answer  string // checksum of the answer
 	IsWhole bool   // the answer was written whole, as far as the back end could tell
+	Adapter string // who sent it; empty if it did not say
+	Stamp   int64  // of the charter under which it was sent; 0 if it did not say
 }
 
 // End is what the system says of a message at last.
@@ -55,6 +64,7 @@
 	Worker  string
 	Sum     string // of the answer in the proof
 	BodySum string // of the bytes as asked for; empty if not asked
+	Child   string // id of the call-back, if there is one
 }
 
 // Mark is a moment from which a worker, or all of a cell, must get no new run.
@@ -65,6 +75,39 @@
 	Bound        time.Duration
 }
 
+// Sight is what somebody was told who asked for a message while things failed.
+// Answers that say no more than "cannot be reached" are not sights.
+type Sight struct {
+	Id       string
+	At       time.Duration // when it was asked
+	ToldAt   time.Duration
+	State    string
+	Attempts int64
+	BodySum  string // empty if the bytes were not asked for
+}
+
+// Edit is a charter as an operator sent it, and what it allows.
+type Edit struct {
+	At    time.Duration // when it was sent
+	AckAt time.Duration // when it was acknowledged; 0 for never
+	Stamp int64         // as acknowledged
+	Pools map[string][]string
+	Caps  map[string]float64
+}
+
+// Cold is a worker that came, or came back, cold at a moment.
+type Cold struct {
+	Pool, Worker string
+	From, Ease   time.Duration
+}
+
+// Outage is a moment from which a quarter of each kind of traffic must be
+// served again within the bound.
+type Outage struct {
+	Text string
+	At   time.Duration
+}
+
 // History is all that was recorded of one run.
 type History struct {
 	mu    sync.Mutex
@@ -77,15 +120,26 @@
 	Cells map[string]string   // pool/worker -> cell
 	Order map[string]bool     // lanes that are ordered
 	Lost  []Window            // times at which an adapter was killed: its open runs may be run again
+	Backs map[string]string   // lane -> lane of its call-backs
+
+	Sights  []Sight
+	Edits   []Edit
+	Colds   []Cold
+	Outages []Outage
+	Spared  int // doubled runs that a killed adapter excuses, as the last Check counted
+	Judged  int // lanes after outages that were judged
 }
 
-// Window is a span of time.
-type Window struct{ From, Until time.Duration }
+// Window is a span of time around the end of an adapter's life.
+type Window struct {
+	Adapter     string // empty: any
+	From, Until time.Duration
+}
 
 // NewHistory gives an empty one.
 func NewHistory() *History {
 	return &History{Ends: map[string]End{}, Pools: map[string][]string{}, Caps: map[string]float64{},
-		Cells: map[string]string{}, Order: map[string]bool{}}
+		Cells: map[string]string{}, Order: map[string]bool{}, Backs: map[string]string{}}
 }
 
 // AddSent records a message.
@@ -103,6 +157,18 @@
 // AddEnd records what the system says of a message.
 func (h *History) AddEnd(id string, e End) { h.mu.Lock(); h.Ends[id] = e; h.mu.Unlock() }
 
+// AddSight records what a question was answered.
+func (h *History) AddSight(s Sight) { h.mu.Lock(); h.Sights = append(h.Sights, s); h.mu.Unlock() }
+
+// AddEdit records a charter as sent.
+func (h *History) AddEdit(e Edit) { h.mu.Lock(); h.Edits = append(h.Edits, e); h.mu.Unlock() }
+
+// AddCold records a worker that came cold.
+func (h *History) AddCold(c Cold) { h.mu.Lock(); h.Colds = append(h.Colds, c); h.mu.Unlock() }
+
+// AddOutage records a moment to recover from.
+func (h *History) AddOutage(o Outage) { h.mu.Lock(); h.Outages = append(h.Outages, o); h.mu.Unlock() }
+
 // EndMarks ends the marks that are meant.
 func (h *History) EndMarks(isMeant func(Mark) bool, at time.Duration) {
 	h.mu.Lock()
