--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -23,7 +23,7 @@
 	out := deliver.New(ctx, d, scenes)
 	d.Link(map[string]transport.Handler{"run": out.Serve})
 	out.Link()
-	intake.New(d, scenes)
+	in := intake.New(d, scenes)
 	client := d.Client(func() wire.Poll {
 		poll := d.Poll()
 		out.Say(poll.Fact.Counts)
@@ -31,6 +31,7 @@
 	})
 	go client.Run(ctx)
 	go out.Run(ctx)
+	go in.Run(ctx)
 	d.Ready = func() (bool, string) {
 		switch {
 		case !d.IsFresh():
--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -42,6 +42,9 @@
 		poll.Fact.Counts["kept"] = int64(keeper.Count())
 		return poll
 	})
+	d.Measure(func(emit daemon.Emit) {
+		emit("repair_kept", "Results kept for the adapter beside.", float64(keeper.Count()))
+	})
 	go client.Run(context.Background())
 	home := &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink}
 	go keeper.HandOver(context.Background(), home, func(place int64) int64 { return store.PlaceGroup + place }, d.Now)
--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -36,6 +36,7 @@
 	Fence    Ratio = 1000 // a new duty holder waits this long before it acts
 	Permit   Ratio = 300  // a granted slot lapses unused after this
 	AskHold  Ratio = 30   // an ask for a slot waits at the holder this long
+	Look     Ratio = 300  // an owner keeps who waits for a message's end this long; less than Settle
 	Resend   Ratio = 60   // a result not yet acknowledged is sent again
 )
 
--- a/internal/charter/merge.go
+++ b/internal/charter/merge.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 
 	"caperwheel/internal/mishap"
@@ -67,7 +67,7 @@
 	x, isX := a.(map[string]any)
 	y, isY := b.(map[string]any)
 	if !isX || !isY {
-		if fmt.Sprint(a) != fmt.Sprint(b) {
+		if !reflect.DeepEqual(a, b) { // 5 is not "5"
 			out = append(out, Difference{path, a, b})
 		}
 		return out
--- a/internal/charter/rules.go
+++ b/internal/charter/rules.go
@@ -17,6 +17,7 @@
 	WorkersKey = "workers/" // + pool: the platform's live list, in the pool's part
 	DutyKey    = "duty/"    // + pool + "/" + worker: its holder, in the pool's part
 	WeightKey  = "weight/"  // + pool: published weights, in the pool's part
+	ShareKey   = "share/"   // + lane: published weights of its pools, in the part of the lane's name
 )
 
 // Duty says which adapter serves a worker or endpoint. Its term is the stamp
@@ -53,7 +54,28 @@
 	Duties  map[string]map[string]Held
 	Emptied map[string]bool
 	Retired map[string]bool
-	Weights map[string]weight.Weights // by pool, as published
+	Weights map[string]weight.Weights     // by pool, as published
+	Shares  map[string]map[string]float64 // by lane and pool, as published
+}
+
+// Share is how much of a lane's traffic a pool is asked for, against the pool
+// of the lane that has the most.
+func (s *Scene) Share(lane, pool string) float64 {
+	most, own := 0.0, 1.0
+	for _, name := range s.Rules.Lanes[lane].Pools {
+		w, isKnown := s.Shares[lane][name]
+		if !isKnown {
+			w = 1
+		}
+		if name == pool {
+			own = w
+		}
+		most = max(most, w)
+	}
+	if most == 0 {
+		return 1
+	}
+	return own / most
 }
 
 // Scenes keeps the scene of a view.
@@ -78,7 +100,7 @@
 
 func compose(view *feed.View, old *Scene) *Scene {
 	out := &Scene{Workers: map[string]map[string]Worker{}, Duties: map[string]map[string]Held{},
-		Emptied: map[string]bool{}, Retired: map[string]bool{}, Weights: map[string]weight.Weights{},
+		Emptied: map[string]bool{}, Retired: map[string]bool{}, Weights: map[string]weight.Weights{}, Shares: map[string]map[string]float64{},
 		Rules: &Rules{Lanes: map[string]Lane{}, Pools: map[string]Pool{}}}
 	if c, isKnown := view.Get(feed.CharterPart, Key); isKnown {
 		out.Stamp = c.Stamp
@@ -100,6 +122,12 @@
 			out.Weights[c.Key[len(WeightKey):]] = w
 		}
 	}
+	for _, c := range view.Keys(ShareKey) {
+		var shares map[string]float64
+		if json.Unmarshal(c.Value, &shares) == nil {
+			out.Shares[c.Key[len(ShareKey):]] = shares
+		}
+	}
 	for _, c := range view.Keys(WorkersKey) {
 		list, _ := ReadWorkers(c.Value)
 		pool := map[string]Worker{}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"k8s.io/klog/v2"
 
@@ -40,6 +41,7 @@
 	Mux      *http.ServeMux
 	Ready    func() (isReady bool, why string)
 
+	gauges   gauges
 	started  time.Time
 	listener net.Listener
 }
@@ -54,6 +56,8 @@
 	}
 	d := &Daemon{Kind: kind, Settings: s, Bounds: s.Bounds(), started: time.Now(), Mux: http.NewServeMux(),
 		View: feed.NewView(s.Parts), Roll: session.NewRoll()}
+	prometheus.MustRegister(&d.gauges)
+	d.Measure(d.measureView)
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	d.verbosity(flags, s.Verbosity)
@@ -70,6 +74,8 @@
 	}
 }
 
+func number(n int64) string { return strconv.FormatInt(n, 10) }
+
 // Random gives an identifier of so many bytes.
 func Random(size int) string {
 	raw := make([]byte, size)
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Emit hands one figure to whoever reads the metrics. Labels are pairs of name
+// and value.
+type Emit func(name, help string, value float64, labels ...string)
+
+// gauges are read when the metrics are, so nothing needs to be kept up to date
+// between two readings.
+type gauges struct {
+	mu   sync.Mutex
+	from []func(Emit)
+}
+
+// Measure adds figures that are read with each reading of the metrics.
+func (d *Daemon) Measure(from func(Emit)) {
+	d.gauges.mu.Lock()
+	defer d.gauges.mu.Unlock()
+	d.gauges.from = append(d.gauges.from, from)
+}
+
+// Describe tells nothing: which lanes and pools there are follows the charter.
+func (g *gauges) Describe(chan<- *prometheus.Desc) {}
+
+// Collect reads all figures.
+func (g *gauges) Collect(out chan<- prometheus.Metric) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, from := range g.from {
+		from(func(name, help string, value float64, labels ...string) {
+			names, values := []string{}, []string{}
+			for i := 0; i+1 < len(labels); i += 2 {
+				names, values = append(names, labels[i]), append(values, labels[i+1])
+			}
+			desc := prometheus.NewDesc("caperwheel_"+name, help, names, nil)
+			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, values...)
+		})
+	}
+}
+
+// measureView tells how a daemon stands to the control plane.
+func (d *Daemon) measureView(emit Emit) {
+	isFresh := 0.0
+	if d.IsFresh() {
+		isFresh = 1
+	}
+	emit("view_fresh", "1 while the daemon may act on its view.", isFresh)
+	if age, isSure := d.View.Age(d.Now()); isSure {
+		emit("view_age_seconds", "How long ago the oldest part of the view was confirmed.", age.Seconds())
+	}
+	for _, s := range d.View.Stamps() {
+		emit("view_stamp", "How far the view has come, by part; part 0 has the charter.", float64(s.Stamp), "part", number(s.Part))
+	}
+	for _, kind := range []string{"manager", "store", "agent", "adapter"} {
+		emit("members", "Daemons whose session stands, as this one knows.", float64(len(d.Roll.Kind(kind))), "kind", kind)
+	}
+}
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -42,6 +42,7 @@
 		book: NewBook(d.Settings.Most)}
 	a.slots = newSlots(a)
 	a.doers = a.steps()
+	d.Measure(a.measure)
 	return a
 }
 
--- /dev/null
+++ b/internal/deliver/deliver_test.go
@@ -0,0 +1,134 @@
+package deliver
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/path"
+	"caperwheel/internal/store"
+	"caperwheel/internal/wire"
+)
+
+// scenery is an adapter with a fresh view of one pool, one worker and one lane.
+func scenery(address string) *Adapter {
+	view := feed.NewView(0)
+	changes := []wire.Change{
+		{Key: charter.Key, Stamp: 1, Value: []byte(`{"pools":{"p":{"bound":"50ms"},"q":{}},"lanes":{"l":{"pools":["p"]}}}`)},
+		{Key: charter.WorkersKey + "p", Stamp: 2, Value: fmt.Appendf(nil, `{"workers":[{"name":"w","address":"%s","cell":"c"}]}`, address)},
+		{Key: charter.DutyKey + "p/w", Stamp: 3, Value: charter.Duty{Holder: "a", Boot: "1"}.Encode()}}
+	d := &daemon.Daemon{Bounds: beat.Default, View: view, Who: wire.Who{Name: "a", Boot: "1", Cell: "c"}}
+	view.Take([]wire.PartNews{{To: 3, Changes: changes}}, d.Now())
+	a := &Adapter{d: d,
+		scenes: &charter.Scenes{View: view}, ctx: context.Background(), client: newClient(), book: NewBook(9)}
+	a.slots, a.doers = newSlots(a), a.steps()
+	return a
+}
+
+func closedPort() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// raw answers with bytes as they are and hangs up.
+func raw(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = conn.Write([]byte(text))
+			conn.Close()
+		}
+	}
+}
+
+// TestDeliver is the table of what a worker may do with a run, and what is made
+// of it. A short answer never counts as a success, and a worker that cannot be
+// reached once counted as sound, and was flooded when it came back.
+func TestDeliver(t *testing.T) {
+	slow := make(chan struct{})
+	cases := []struct {
+		name    string
+		worker  http.HandlerFunc // nil: nobody listens
+		hurt    func(a *Adapter, r *run)
+		kind    string
+		isBegun bool
+		isFinal bool
+		isWait  bool // on an ordered lane: it may still go on
+		misses  int  // of the worker
+	}{
+		{"a whole answer", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "well") }, nil, "", true, false, false, 0},
+		{"a failure", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, nil, "unsound", true, false, false, 1},
+		{"an answer that blames the message", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(422) }, nil, "rejected", true, true, false, 0},
+		{"a body shorter than it says", raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), nil, "cut_short", true, false, true, 1},
+		{"chunks without an end", raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), nil, "cut_short", true, false, true, 1},
+		{"an answer that tells no length", raw("HTTP/1.1 200 OK\r\n\r\nall"), nil, "cut_short", true, false, true, 1},
+		{"half a head", raw("HTTP/1.1 200 OK\r\nContent-"), nil, "lost", true, false, true, 1},
+		{"no answer at all", raw(""), nil, "lost", true, false, true, 1},
+		{"no end within the bound", func(http.ResponseWriter, *http.Request) { <-slow }, nil, "late", true, false, false, 1},
+		{"nobody there", nil, nil, "lost", false, false, false, 1},
+		{"altered bytes", nil, func(_ *Adapter, r *run) { r.Sum = "other" }, "broken", false, false, false, 0},
+		{"a pool that the lane may not use", nil, func(_ *Adapter, r *run) { r.Pool = "q" }, "rejected", false, false, false, 0},
+		{"a duty that has moved on", nil, func(a *Adapter, _ *run) { a.d.Who.Boot = "2" }, "not_owner", false, false, false, 0},
+	}
+	Convey("A run that meets", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				address := closedPort()
+				var asked atomic.Int64
+				if c.worker != nil {
+					server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { asked.Add(1); c.worker(w, r) }))
+					defer server.Close()
+					address = server.Listener.Addr().String()
+				}
+				a := scenery(address)
+				body := []byte("body")
+				r := &run{Run: wire.Run{Id: "0-x", Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: store.SumOf(body), Bound: 50},
+					worker: NewWorker(charter.Pool{Concurrency: 8}, 0, 0)}
+				if c.isWait {
+					r.Key = "k"
+				}
+				if c.hurt != nil {
+					c.hurt(a, r)
+				}
+				o := a.deliver(r)
+				if c.kind == "late" {
+					close(slow)
+				}
+				So(o.Kind, ShouldEqual, c.kind)
+				So(o.Begun || o.Kind == "", ShouldEqual, c.isBegun)
+				So(o.Final, ShouldEqual, c.isFinal)
+				So(o.Proof.Sum == "", ShouldEqual, c.kind != "")
+				if c.isBegun {
+					So(o.Wait > 0, ShouldEqual, c.isWait)
+					So(asked.Load(), ShouldEqual, 1)
+				}
+				So(r.worker.failed, ShouldEqual, c.misses)
+			})
+		}
+	})
+}
+
+// TestThawed: steps compiled from an older charter do nothing once a newer one
+// is known, however lately the view was confirmed.
+func TestThawed(t *testing.T) {
+	Convey("A run whose steps were compiled before a freeze is not sent after it", t, func() {
+		a := scenery("127.0.0.1:1")
+		old := a.scenes.Now().Rules
+		a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.Key, Stamp: 4, Value: []byte(`{}`)}}}}, a.d.Now())
+		r := &run{Run: wire.Run{Lane: "l", Pool: "p", Worker: "w"}}
+		err := a.doers[path.Fresh](path.Step{}, &delivery{run: r, rules: old})
+		So(err, ShouldNotBeNil)
+	})
+}
--- /dev/null
+++ b/internal/deliver/metrics.go
@@ -0,0 +1,31 @@
+package deliver
+
+import "caperwheel/internal/daemon"
+
+// measure tells what the adapter holds and how its workers stand.
+func (a *Adapter) measure(emit daemon.Emit) {
+	emit("deliver_in_hand", "Runs whose result is not durable yet.", float64(a.InHand()))
+	scene := a.scenes.Now()
+	for pool, weights := range scene.Weights {
+		for worker, w := range weights.Workers {
+			emit("weight", "Published weight of a worker.", w, "pool", pool, "worker", worker)
+		}
+		for cell, w := range weights.Cells {
+			emit("weight_cell", "Published weight of a cell's workers.", w, "pool", pool, "cell", cell)
+		}
+	}
+	a.slots.mu.Lock()
+	defer a.slots.mu.Unlock()
+	emit("deliver_permits", "Granted slots not used yet.", float64(len(a.slots.permits)))
+	for key, h := range a.slots.workers {
+		emit("worker_in_use", "Slots given on a worker whose duty is held here.", float64(h.worker.InUse()), "worker", key)
+		emit("worker_asks", "Asks for a slot that wait.", float64(len(h.asks)), "worker", key)
+		for _, state := range []Soundness{Easing, Sound, Unsound} {
+			is := 0.0
+			if h.worker.State() == state {
+				is = 1
+			}
+			emit("worker_soundness", "1 for the state that a worker is in.", is, "worker", key, "state", string(state))
+		}
+	}
+}
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -8,6 +8,7 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
+	"caperwheel/internal/place"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
@@ -21,6 +22,7 @@
 	wire.Run
 	worker  *Worker
 	address string
+	isTried atomic.Bool // the worker was asked, or could not be
 	isSent  atomic.Bool // the worker may have seen it
 }
 
@@ -44,25 +46,36 @@
 
 // carry brings a run through delivery and its result home.
 func (a *Adapter) carry(r *run) {
-	o := wire.Outcome{Place: r.Place, Id: r.Id, Boot: a.d.Who.Boot, Proof: wire.Proof{Attempt: r.Attempt,
-		Worker: r.Worker, Adapter: a.d.Who.Name, Answer: []byte{}}}
 	if wait := a.slots.pace(r.worker); wait > 0 {
 		time.Sleep(wait)
 	}
+	a.bringHome(r, a.deliver(r))
+}
+
+// deliver runs it and tells what came of it, also to whoever watches the worker:
+// one that cannot be reached is as unsound as one that fails.
+func (a *Adapter) deliver(r *run) *wire.Outcome {
+	o := &wire.Outcome{Place: r.Place, Id: r.Id, Boot: a.d.Who.Boot, Proof: wire.Proof{Attempt: r.Attempt,
+		Worker: r.Worker, Adapter: a.d.Who.Name, Answer: []byte{}}}
 	rules, began := a.scenes.Now().Rules, a.d.Now()
-	err := path.Run(a.programs.Delivery(rules, r.Lane), a.doers, &delivery{r, &o})
-	if !r.isSent.Load() {
-		a.slots.unused(r.worker)
+	err := path.Run(a.programs.Delivery(rules, r.Lane), a.doers, &delivery{run: r, outcome: o, rules: rules})
+	took := a.d.Now() - began
+	if r.isTried.Load() {
+		a.slots.done(r.Pool+"/"+r.Worker, r.worker, isWorkerSound(err, o), took)
 	} else {
-		a.slots.done(r.Pool+"/"+r.Worker, r.worker, isWorkerSound(err, &o), a.d.Now()-began)
+		a.slots.unused(r.worker)
 	}
-	if err != nil {
-		o.Kind, o.Begun = string(mishap.KindOf(err)), r.isSent.Load()
-		if !r.isSent.Load() {
-			o.Wait = int64(a.d.Bounds.Of(beat.AskHold) / time.Millisecond)
-		}
+	if err == nil {
+		return o
+	}
+	o.Kind, o.Begun = string(mishap.KindOf(err)), r.isSent.Load()
+	if o.Begun {
+		busy := place.StillBusy(mishap.KindOf(err), r.Key != "", time.Duration(r.Bound)*time.Millisecond, took)
+		o.Wait = max(o.Wait, int64(busy/time.Millisecond))
+	} else {
+		o.Wait = int64(a.d.Bounds.Of(beat.AskHold) / time.Millisecond)
 	}
-	a.bringHome(r, &o)
+	return o
 }
 
 // isWorkerSound: an answer that blames the message says nothing bad of the
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -14,16 +14,23 @@
 	"github.com/go-resty/resty/v2"
 
 	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
+	"caperwheel/internal/place"
 	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
 )
 
 // delivery is one run on its way out, with its result.
+//
+// Invariant: rules are those that its steps were compiled from; once the first
+// step has passed, scene has the same ones and was fresh.
 type delivery struct {
 	run     *run
 	outcome *wire.Outcome
+	rules   *charter.Rules
+	scene   *charter.Scene
 }
 
 // mostAnswer bounds a worker's answer, which is kept as proof.
@@ -38,18 +45,24 @@
 	return o.RoundTripper.RoundTrip(r)
 }
 
+// lostMachine finds a worker's machine gone that can no longer say so itself.
+var lostMachine = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
 func newClient() *resty.Client {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: 2 * time.Second, KeepAliveConfig: lostMachine}).DialContext,
 		MaxIdleConns: 4096, MaxIdleConnsPerHost: 16, IdleConnTimeout: 5 * time.Second, DisableCompression: true}
 	return resty.New().SetTransport(once{transport}).SetRedirectPolicy(resty.NoRedirectPolicy())
 }
 
 func (a *Adapter) steps() path.Doers[*delivery] {
 	return path.Doers[*delivery]{
-		path.Fresh: func(_ path.Step, _ *delivery) error {
+		path.Fresh: func(_ path.Step, e *delivery) error {
 			if !a.d.IsFresh() { // also what a thawed daemon meets before its next act
 				return mishap.New(mishap.Stale, "the view is too old to act on")
 			}
+			if e.scene = a.scenes.Now(); e.scene.Rules != e.rules { // the steps are those of an older charter
+				return mishap.New(mishap.Stale, "the charter has changed since")
+			}
 			return nil
 		},
 		path.Allowed: func(s path.Step, e *delivery) error {
@@ -59,15 +72,15 @@
 			return nil
 		},
 		path.Live: func(_ path.Step, e *delivery) error {
-			w, isLive := a.scenes.Now().CanServe(e.run.Pool, e.run.Worker)
-			if !isLive || !a.scenes.Now().MayWork(a.d.Who.Cell) {
+			w, isLive := e.scene.CanServe(e.run.Pool, e.run.Worker)
+			if !isLive || !e.scene.MayWork(a.d.Who.Cell) {
 				return mishap.New(mishap.Rejected, "%s/%s is not live", e.run.Pool, e.run.Worker)
 			}
 			e.run.address = w.Address
 			return nil
 		},
 		path.Holder: func(_ path.Step, e *delivery) error {
-			if !a.scenes.Now().IsHolder(e.run.Pool, e.run.Worker, a.d.Who.Name, a.d.Who.Boot) {
+			if !e.scene.IsHolder(e.run.Pool, e.run.Worker, a.d.Who.Name, a.d.Who.Boot) {
 				return mishap.New(mishap.NotOwner, "the duty of %s/%s has moved on", e.run.Pool, e.run.Worker)
 			}
 			return nil
@@ -94,13 +107,15 @@
 // success is a success.
 func (a *Adapter) send(e *delivery) error {
 	r := e.run
-	pool := a.scenes.Now().Rules.Pools[r.Pool]
-	ctx, cancel := beat.Patience(a.ctx, time.Duration(r.Bound)*time.Millisecond)
+	r.isTried.Store(true)
+	pool := e.rules.Pools[r.Pool]
+	ctx, cancel := beat.Patience(a.ctx, place.Wait(r.Key != "", time.Duration(r.Bound)*time.Millisecond))
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { r.isSent.Store(true) }})
 	req := a.client.R().SetContext(ctx).SetDoNotParseResponse(true).SetBody(r.Body).
 		SetHeader("X-Message-Id", r.Id).SetHeader("X-Attempt", strconv.FormatInt(r.Attempt, 10)).
-		SetHeader("X-Lane", r.Lane).SetHeader("Idempotency-Key", r.Id).SetHeader("X-Content-SHA256", r.Sum)
+		SetHeader("X-Lane", r.Lane).SetHeader("Idempotency-Key", r.Id).SetHeader("X-Content-SHA256", r.Sum).
+		SetHeader("User-Agent", "caperwheel/"+a.d.Who.Name).SetHeader("X-Charter-Stamp", strconv.FormatInt(e.scene.Stamp, 10))
 	if r.Ctype != "" {
 		req.SetHeader("Content-Type", r.Ctype)
 	} else {
--- a/internal/host/upkeep.go
+++ b/internal/host/upkeep.go
@@ -1,12 +1,18 @@
 package host
 
 import (
+	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
 )
 
+var rosters = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "repair",
+	Name: "roster_changes_total", Help: "Steps towards the rosters that should be, taken as owner."})
+
+func init() { prometheus.MustRegister(rosters) }
+
 // beat does the host's periodic work.
 func (h *Host) beat() {
 	now := h.opts.Now()
@@ -51,5 +57,6 @@
 		return
 	}
 	klog.Infof("repair: Group %d changes its roster: %+v.", h.opts.Id, change)
+	rosters.Inc()
 	h.do(out)
 }
--- a/internal/intake/ask.go
+++ b/internal/intake/ask.go
@@ -58,14 +58,15 @@
 }
 
 // look asks the owner of the message's place.
-func (in *Intake) look(ctx context.Context, id string, isWithBody bool) (*wire.Sight, error) {
+func (in *Intake) look(ctx context.Context, id string, isWithBody bool, wait time.Duration) (*wire.Sight, error) {
 	number, err := in.placeOf(id)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, in.d.Bounds.Charter)
 	defer cancel()
-	reply, err := in.reach.Group(ctx, store.PlaceGroup+number, &wire.Look{Place: number, Id: id, Body: isWithBody}, isOwner)
+	reply, err := in.reach.Group(ctx, store.PlaceGroup+number, &wire.Look{Place: number, Id: id, Body: isWithBody,
+		Wait: int64(wait / time.Millisecond)}, isOwner)
 	if err != nil {
 		return nil, mishap.New(mishap.Lost, "the message's place cannot be reached")
 	}
@@ -80,11 +81,20 @@
 	return state == "ended" || state == "failed" || state == "expired" || state == "rejected"
 }
 
-// await looks until the message is over or the wait has passed.
+// mostHeld is how many waits of one adapter owners may hold at a time, so that
+// they leave room on the links for messages. Those beyond do not wait.
+const mostHeld = 1024
+
+// await asks the owner to answer when the message is over, and again until the
+// wait has passed; an owner of an older version answers at once.
 func (in *Intake) await(ctx context.Context, id string, wait time.Duration) (*wire.Sight, error) {
+	if in.held.Add(1) > mostHeld {
+		wait = 0
+	}
+	defer in.held.Add(-1)
 	until := time.Now().Add(wait)
 	for {
-		s, err := in.look(ctx, id, false)
+		s, err := in.look(ctx, id, false, min(in.d.Bounds.Of(beat.Look), max(0, time.Until(until))))
 		if err != nil || isOver(s.State) || time.Now().After(until) {
 			return s, err
 		}
@@ -156,10 +166,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, in.d.Bounds.Charter)
 	defer cancel()
-	if _, err := in.reach.Group(ctx, store.PlaceGroup+number, &wire.Settle{Place: number, Id: id}, isOwner); err != nil {
+	reply, err := in.reach.Group(ctx, store.PlaceGroup+number, &wire.Settle{Place: number, Id: id}, isOwner)
+	if err != nil {
 		return nil, mishap.New(mishap.Lost, "the message's place cannot be reached")
 	}
-	return in.look(ctx, id, false)
+	if kind := mishap.Kind(reply.(*wire.Taken).Kind); kind != "" && kind != mishap.Rejected {
+		return nil, mishap.New(kind, "the message cannot be settled now")
+	}
+	return in.look(ctx, id, false, 0)
 }
 
 // placeOf reads the place out of an id, which is place, dash, token.
@@ -173,7 +187,7 @@
 }
 
 func (in *Intake) getBody(w http.ResponseWriter, r *http.Request) {
-	s, err := in.look(r.Context(), r.PathValue("id"), true)
+	s, err := in.look(r.Context(), r.PathValue("id"), true, 0)
 	if err != nil {
 		web.Fail(w, err)
 		return
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,11 +5,10 @@
 import (
 	"context"
 	"hash/fnv"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
-	"time"
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
@@ -19,6 +18,7 @@
 	"caperwheel/internal/reach"
 	"caperwheel/internal/store"
 	"caperwheel/internal/web"
+	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
 )
 
@@ -26,32 +26,49 @@
 type Intake struct {
 	d        *daemon.Daemon
 	scenes   *charter.Scenes
-	reach    *reach.Reach
+	reach    owners
 	inHand   atomic.Int64
+	held     atomic.Int64 // waits for an end
+	peers    weight.Peers // stores, as this adapter sees them
 	doers    path.Doers[*errand]
 	programs path.Programs
 }
 
+// owners brings asks to the owners of places; internal/reach does.
+type owners interface {
+	Ask(ctx context.Context, id int64, ask any, owned func(any) (bool, string)) (reply any, isOpen bool, err error)
+	Group(ctx context.Context, id int64, ask any, owned func(any) (bool, string)) (any, error)
+}
+
 // errand is one request on its way in.
 type errand struct {
 	ctx    context.Context
-	rules  *charter.Rules
+	scene  *charter.Scene // the lane's rules are of its charter
 	lane   charter.Lane
 	take   wire.Take
 	taken  *wire.Taken
-	isSent bool // a store may have it
+	isOpen bool // a store may have it, or may have had it of an earlier send
 }
 
 const mostKey = 200
 
 // New readies the intake and its HTTP paths.
 func New(d *daemon.Daemon, scenes *charter.Scenes) *Intake {
-	in := &Intake{d: d, scenes: scenes, reach: &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink}}
+	in := &Intake{d: d, scenes: scenes}
+	in.reach = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink, Saw: in.peers.Saw}
+	d.Measure(func(emit daemon.Emit) {
+		for name, w := range in.peers.All() {
+			emit("weight_peer", "Weight of a store for messages that may go to any place.", w, "store", name)
+		}
+	})
 	in.doers = path.Doers[*errand]{
-		path.Fresh: func(path.Step, *errand) error {
+		path.Fresh: func(_ path.Step, e *errand) error {
 			if !d.IsFresh() {
 				return mishap.New(mishap.Stale, "this adapter has lost touch with the control plane")
 			}
+			if scenes.Now().Rules != e.scene.Rules {
+				return mishap.New(mishap.Stale, "the charter has changed meanwhile")
+			}
 			return nil
 		},
 		path.Size: func(s path.Step, e *errand) error {
@@ -72,16 +89,8 @@
 			}
 			return nil
 		},
-		path.ByKey: func(_ path.Step, e *errand) error { in.putPlace(e, "k"+e.take.Key); return nil },
-		path.ByIdem: func(_ path.Step, e *errand) error {
-			if e.take.Idem != "" {
-				in.putPlace(e, "i"+e.take.Idem)
-			} else {
-				in.putPlace(e, daemon.Random(8))
-			}
-			return nil
-		},
-		path.Hold: func(_ path.Step, e *errand) error { return in.hold(e) },
+		path.Place: func(_ path.Step, e *errand) error { in.putPlace(e); return nil },
+		path.Hold:  func(_ path.Step, e *errand) error { return in.hold(e) },
 	}
 	d.Mux.HandleFunc("/v1/lanes/{lane}/messages", web.Methods(map[string]http.HandlerFunc{"POST": in.post}))
 	d.Mux.HandleFunc("/v1/messages/{id}", web.Methods(map[string]http.HandlerFunc{"GET": in.get}))
@@ -90,40 +99,92 @@
 	return in
 }
 
-func (in *Intake) putPlace(e *errand, key string) {
+// putPlace gives the message its place and id. An ordering key names the place,
+// an idempotency key the id: whoever sends the message again, through any
+// adapter, asks for the same one.
+func (in *Intake) putPlace(e *errand) {
+	t := &e.take
+	switch {
+	case t.Key != "":
+		t.Place = in.placeFor(t.Lane, "k"+t.Key)
+	case t.Idem != "":
+		t.Place = in.placeFor(t.Lane, "i"+t.Idem)
+	default:
+		t.Place = in.drawPlace()
+	}
+	token := daemon.Random(12)
+	if t.Idem != "" {
+		token = "k" + store.SumOf([]byte(t.Lane + "\x00" + t.Key + "\x00" + t.Idem))[:24]
+	}
+	t.Id = strconv.FormatInt(t.Place, 10) + "-" + token
+}
+
+func (in *Intake) placeFor(lane, key string) int64 {
 	h := fnv.New64a()
-	h.Write([]byte(e.lane.Name + "\x00" + key))
-	e.take.Place = int64(h.Sum64() % uint64(in.d.Settings.Places))
-	e.take.Id = strconv.FormatInt(e.take.Place, 10) + "-" + daemon.Random(12)
+	h.Write([]byte(lane + "\x00" + key))
+	return int64(h.Sum64() % uint64(in.d.Settings.Places))
+}
+
+// placeDraws is how often a place is drawn again whose owner has a low weight.
+const placeDraws = 4
+
+// drawPlace draws one at random, as the paper draws targets, but passes places
+// over as their owners' weights say: those without an owner have the least.
+func (in *Intake) drawPlace() int64 {
+	place := int64(0)
+	for range placeDraws {
+		place = rand.Int64N(int64(in.d.Settings.Places))
+		share := weight.Least
+		if who, isKnown := in.d.Roll.Owner(store.PlaceGroup + place); isKnown {
+			share = in.peers.Of(who.Name)
+		}
+		if rand.Float64() < share {
+			break
+		}
+	}
+	return place
+}
+
+// Run moves the weights of the stores until ctx ends.
+func (in *Intake) Run(ctx context.Context) {
+	beat.Every(ctx, in.d.Bounds.Of(beat.Vote), func() {
+		in.peers.Turn(func(name string) bool { _, isHere := in.d.Roll.Find(name); return isHere })
+	})
 }
 
 // hold gives the message to its place's owner. What is not known to be held
-// after a while is settled: held, or never.
+// after a while is settled: held, or never. One that has an idempotency key is
+// not settled against its caller, who is going to send it again.
 func (in *Intake) hold(e *errand) error {
 	ctx, cancel := context.WithTimeout(e.ctx, in.d.Bounds.Of(beat.Settle)*2)
 	defer cancel()
-	reply, err := in.reach.Group(ctx, store.PlaceGroup+e.take.Place, &e.take, isOwner)
+	reply, isOpen, err := in.reach.Ask(ctx, store.PlaceGroup+e.take.Place, &e.take, isOwner)
+	cause := mishap.New(mishap.NotOwner, "the message's place cannot be reached")
 	if err == nil {
 		e.taken = reply.(*wire.Taken)
-		return nil
-	}
-	if !mishap.Is(err, mishap.Undecided) {
-		return mishap.New(mishap.NotOwner, "the message's place cannot be reached")
-	}
-	// The caller may have gone; the message's fate is settled all the same.
-	ctx, cancel = context.WithTimeout(context.WithoutCancel(e.ctx), in.d.Bounds.Of(beat.Settle)*2)
-	defer cancel()
-	ask := &wire.Settle{Place: e.take.Place, Id: e.take.Id, Lane: e.lane.Name}
-	reply, err = in.reach.Group(ctx, store.PlaceGroup+e.take.Place, ask, isOwner)
-	if err != nil {
-		e.isSent = true
-		return mishap.New(mishap.Undecided, "whether the message is held is not known yet; ask for it by id")
-	}
-	e.taken = reply.(*wire.Taken)
-	if e.taken.Kind == string(mishap.Rejected) {
-		return mishap.New(mishap.NotOwner, "the message's place changed hands; the message will never run")
+		if e.taken.Kind == "" || !isOpen || e.taken.Kind == string(mishap.Rejected) {
+			return nil
+		}
+		cause = mishap.New(mishap.Kind(e.taken.Kind), "%s", e.taken.Text) // but an earlier ask may be held yet
+	} else if !isOpen {
+		return cause
+	}
+	if e.take.Idem == "" {
+		// The caller may have gone; the message's fate is settled all the same.
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(e.ctx), in.d.Bounds.Of(beat.Settle)*2)
+		defer cancel()
+		ask := &wire.Settle{Place: e.take.Place, Id: e.take.Id, Lane: e.lane.Name}
+		if reply, err = in.reach.Group(ctx, store.PlaceGroup+e.take.Place, ask, isOwner); err == nil {
+			if e.taken = reply.(*wire.Taken); e.taken.Kind == string(mishap.Rejected) {
+				return cause
+			}
+			if e.taken.Kind == "" {
+				return nil
+			}
+		}
 	}
-	return nil
+	e.isOpen = true
+	return mishap.New(mishap.Undecided, "whether the message is held is not known yet; ask for it by id")
 }
 
 // isOwner tells owners' answers from those of stores that name another. An
@@ -138,84 +199,3 @@
 	}
 	return false, ""
 }
-
-func (in *Intake) post(w http.ResponseWriter, r *http.Request) {
-	if n := in.inHand.Add(1); n > int64(in.d.Settings.Most) {
-		in.inHand.Add(-1)
-		in.reject(w, mishap.New(mishap.Full, "the adapter has %d messages in hand", n-1), nil)
-		return
-	}
-	defer in.inHand.Add(-1)
-	e := &errand{ctx: r.Context()}
-	if err := in.read(r, e); err != nil {
-		in.reject(w, err, e)
-		return
-	}
-	if err := path.Run(in.programs.Intake(e.rules, e.lane.Name), in.doers, e); err != nil {
-		in.reject(w, err, e)
-		return
-	}
-	if e.taken.Kind != "" {
-		in.reject(w, mishap.New(mishap.Kind(e.taken.Kind), "%s", e.taken.Text), e)
-		return
-	}
-	in.answerTaken(w, r, e.taken.Id, e.taken.State)
-}
-
-func (in *Intake) read(r *http.Request, e *errand) error {
-	isFresh := in.d.IsFresh() // asked before the scene, so that a lane missing from it is missing
-	e.rules = in.scenes.Now().Rules
-	lane, isKnown := e.rules.Lanes[r.PathValue("lane")]
-	if !isKnown {
-		if !isFresh {
-			return mishap.New(mishap.Stale, "this adapter has lost touch with the control plane")
-		}
-		return mishap.New(mishap.Unknown, "no lane %s", r.PathValue("lane"))
-	}
-	e.lane = lane
-	body, err := web.Body(r, lane.Size)
-	if err != nil {
-		return err
-	}
-	key, idem := r.Header.Get("Ordering-Key"), r.Header.Get("Idempotency-Key")
-	if len(key) > mostKey || len(idem) > mostKey {
-		return mishap.New(mishap.Invalid, "keys may have %d bytes at most", mostKey)
-	}
-	ctype := r.Header.Get("Content-Type")
-	if len(ctype) > mostKey {
-		return mishap.New(mishap.Invalid, "the Content-Type is too long")
-	}
-	if strings.HasPrefix(ctype, "application/json") && !isJson(body) {
-		return mishap.New(mishap.Invalid, "the body says that it is JSON and is not")
-	}
-	for name := range r.URL.Query() {
-		if name != "wait" {
-			return mishap.New(mishap.Invalid, "unknown parameter %s", name)
-		}
-	}
-	if _, err := waitOf(r); err != nil {
-		return err
-	}
-	e.take = wire.Take{Lane: lane.Name, Key: key, Idem: idem, Ctype: ctype, Body: body, Sum: store.SumOf(body),
-		Cutoff: int64(lane.Patience / time.Millisecond)}
-	return nil
-}
-
-// reject answers a message that is not held, or not known to be.
-func (in *Intake) reject(w http.ResponseWriter, err error, e *errand) {
-	kind := mishap.KindOf(err)
-	p := web.Problem{Error: kind, Text: err.Error(), Taken: false}
-	retry := time.Duration(0)
-	switch web.CodeOf(kind) {
-	case 429, 503:
-		retry = time.Second
-	case 507:
-		retry = 30 * time.Second
-	case 504:
-		p.Taken, retry = "undecided", 2*time.Second
-	}
-	if e != nil && (e.isSent || e.taken != nil) {
-		p.Id = e.take.Id
-	}
-	web.Reject(w, web.CodeOf(kind), p, retry)
-}
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,148 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/path"
+	"caperwheel/internal/session"
+	"caperwheel/internal/settings"
+	"caperwheel/internal/wire"
+)
+
+// stand answers asks to owners as a test says.
+type stand struct {
+	take, settle       *wire.Taken // nil: no owner answers
+	isOpen             bool        // an earlier ask may have been held
+	takes              []*wire.Take
+	settles, takeCalls int
+}
+
+func (s *stand) Ask(_ context.Context, _ int64, ask any, _ func(any) (bool, string)) (any, bool, error) {
+	s.takeCalls++
+	s.takes = append(s.takes, ask.(*wire.Take))
+	switch {
+	case s.take != nil:
+		return s.take, s.isOpen, nil
+	case s.isOpen:
+		return nil, true, mishap.New(mishap.Undecided, "no answer")
+	}
+	return nil, false, mishap.New(mishap.NotOwner, "no owner")
+}
+
+func (s *stand) Group(context.Context, int64, any, func(any) (bool, string)) (any, error) {
+	s.settles++
+	if s.settle == nil {
+		return nil, mishap.New(mishap.Undecided, "no answer")
+	}
+	return s.settle, nil
+}
+
+func intakeOn(s *stand) *Intake {
+	view := feed.NewView(0)
+	d := &daemon.Daemon{Bounds: beat.Default, View: view, Roll: session.NewRoll(), Mux: http.NewServeMux(), Settings: settings.Settings{Places: 48, Most: 9}}
+	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: charter.Key, Stamp: 7,
+		Value: []byte(`{"pools":{"p":{}},"lanes":{"l":{"pools":["p"],"size":9},"o":{"pools":["p"],"ordering":"key"}}}`)}}}}, d.Now())
+	in := New(d, &charter.Scenes{View: view})
+	in.reach = s
+	return in
+}
+
+// TestRetold is the table of what a caller is told. "Not taken" must never be
+// said of a message that some send of it may have had held: once, a repeated
+// idempotency key met a stale adapter and was told so while its message ran.
+func TestRetold(t *testing.T) {
+	kind := func(k mishap.Kind) *wire.Taken { return &wire.Taken{Kind: string(k), Retry: 7000} }
+	held := &wire.Taken{State: "held", Id: "1-x"}
+	cases := []struct {
+		name    string
+		lane    string
+		idem    string
+		body    string
+		s       stand
+		code    int
+		taken   any
+		retry   string
+		settles int
+	}{
+		{"a message that is held", "l", "", "b", stand{take: held}, 202, true, "", 0},
+		{"one that the owner rejects", "l", "", "b", stand{take: kind(mishap.Full)}, 429, false, "7", 0},
+		{"one that the owner rejects after an ask that may have been held, settled as never", "l", "", "b",
+			stand{take: kind(mishap.Full), isOpen: true, settle: kind(mishap.Rejected)}, 429, false, "7", 1},
+		{"… settled as held", "l", "", "b", stand{take: kind(mishap.Full), isOpen: true, settle: held}, 202, true, "", 1},
+		{"… not settled", "l", "", "b", stand{take: kind(mishap.Full), isOpen: true}, 504, "undecided", "", 1},
+		{"one that met no owner", "l", "", "b", stand{}, 503, false, "2", 0},
+		{"one whose answer was lost, settled as never", "l", "", "b", stand{isOpen: true, settle: kind(mishap.Rejected)}, 503, false, "", 1},
+		{"too large a body", "l", "", "0123456789", stand{}, 413, false, "", 0},
+		{"no such lane", "x", "", "b", stand{}, 404, false, "", 0},
+		{"a key whose message is held", "l", "i", "b", stand{take: held}, 202, true, "", 0},
+		{"a key that the owner rejects", "l", "i", "b", stand{take: kind(mishap.Full)}, 429, "undecided", "7", 0},
+		{"a key that met no owner", "l", "i", "b", stand{}, 503, "undecided", "2", 0},
+		{"a key whose answer was lost", "l", "i", "b", stand{isOpen: true}, 504, "undecided", "2", 0},
+		{"a key settled as never", "l", "i", "b", stand{take: kind(mishap.Rejected)}, 409, false, "7", 0},
+		{"a key with other bytes", "l", "i", "b", stand{take: kind(mishap.Conflict)}, 409, false, "7", 0},
+		{"a key with too large a body", "l", "i", "0123456789", stand{}, 413, "undecided", "", 0},
+		{"a key on a lane that is gone", "x", "i", "b", stand{}, 404, "undecided", "", 0},
+	}
+	Convey("A caller is told of", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				in := intakeOn(&c.s)
+				r := httptest.NewRequest("POST", "/v1/lanes/"+c.lane+"/messages", strings.NewReader(c.body))
+				if c.idem != "" {
+					r.Header.Set("Idempotency-Key", c.idem)
+				}
+				w := httptest.NewRecorder()
+				in.d.Mux.ServeHTTP(w, r)
+				var told struct {
+					Taken any    `json:"taken"`
+					Id    string `json:"id"`
+				}
+				So(json.Unmarshal(w.Body.Bytes(), &told), ShouldBeNil)
+				So(w.Code, ShouldEqual, c.code)
+				So(told.Taken, ShouldEqual, c.taken)
+				So(told.Id == "", ShouldEqual, c.taken == false && c.s.take == nil && c.s.settle == nil)
+				if c.retry != "" {
+					So(w.Header().Get("Retry-After"), ShouldEqual, c.retry)
+				}
+				So(c.s.settles, ShouldEqual, c.settles)
+				if c.code != 404 {
+					So(w.Header().Get("X-Charter-Stamp"), ShouldEqual, "7")
+				}
+			})
+		}
+		Convey("the same id for the same key, whichever adapter it came to", func() {
+			a, b := &stand{}, &stand{}
+			for _, s := range []*stand{a, a, b} {
+				r := httptest.NewRequest("POST", "/v1/lanes/l/messages", strings.NewReader("b"))
+				r.Header.Set("Idempotency-Key", "i")
+				intakeOn(s).d.Mux.ServeHTTP(httptest.NewRecorder(), r)
+			}
+			So(a.takes[0].Id, ShouldEqual, b.takes[0].Id)
+			So(a.takes[0].Id, ShouldEqual, a.takes[1].Id)
+			So(a.takes[0].Place, ShouldEqual, b.takes[0].Place)
+		})
+	})
+}
+
+// TestSlowBody: a request whose lane's rules were read before a newer charter
+// came is not taken under the older one.
+func TestSlowBody(t *testing.T) {
+	Convey("A request read under an older charter is stale once a newer one is known", t, func() {
+		in := intakeOn(&stand{})
+		e := &errand{scene: in.scenes.Now()}
+		in.d.View.Take([]wire.PartNews{{From: 7, To: 8, Changes: []wire.Change{{Key: charter.Key, Stamp: 8, Value: []byte(`{}`)}}}}, in.d.Now())
+		So(mishap.Is(in.doers[path.Fresh](path.Step{}, e), mishap.Stale), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/internal/intake/take.go
@@ -0,0 +1,149 @@
+package intake
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/path"
+	"caperwheel/internal/store"
+	"caperwheel/internal/web"
+	"caperwheel/internal/wire"
+)
+
+var answered = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "intake",
+	Name: "answers_total", Help: "Messages that came in, by lane and by what was told of them: taken, or the kind of mishap."},
+	[]string{"lane", "told"})
+
+func init() { prometheus.MustRegister(answered) }
+
+// countIntake counts by lane; names that are no lane's would grow without bound.
+func countIntake(e *errand, told string) { answered.WithLabelValues(e.lane.Name, told).Inc() }
+
+// stampOf tells the caller under which charter the answer was given.
+func stampOf(w http.ResponseWriter, e *errand) {
+	if e.scene != nil {
+		w.Header().Set("X-Charter-Stamp", strconv.FormatInt(e.scene.Stamp, 10))
+	}
+}
+
+func (in *Intake) post(w http.ResponseWriter, r *http.Request) {
+	if n := in.inHand.Add(1); n > int64(in.d.Settings.Most) {
+		in.inHand.Add(-1)
+		in.reject(w, mishap.New(mishap.Full, "the adapter has %d messages in hand", n-1), &errand{isOpen: r.Header.Get("Idempotency-Key") != ""})
+		return
+	}
+	defer in.inHand.Add(-1)
+	e := &errand{ctx: r.Context()}
+	if err := in.read(r, e); err != nil {
+		in.reject(w, err, e)
+		return
+	}
+	if err := path.Run(in.programs.Intake(e.scene.Rules, e.lane.Name), in.doers, e); err != nil {
+		in.reject(w, err, e)
+		return
+	}
+	if e.taken.Kind != "" {
+		in.reject(w, mishap.New(mishap.Kind(e.taken.Kind), "%s", e.taken.Text), e)
+		return
+	}
+	countIntake(e, "taken")
+	stampOf(w, e)
+	in.answerTaken(w, r, e.taken.Id, e.taken.State)
+}
+
+func (in *Intake) read(r *http.Request, e *errand) error {
+	key, idem, ctype := r.Header.Get("Ordering-Key"), r.Header.Get("Idempotency-Key"), r.Header.Get("Content-Type")
+	if len(key) > mostKey || len(idem) > mostKey {
+		return mishap.New(mishap.Invalid, "keys may have %d bytes at most", mostKey)
+	}
+	if len(ctype) > mostKey {
+		return mishap.New(mishap.Invalid, "the Content-Type is too long")
+	}
+	for name := range r.URL.Query() {
+		if name != "wait" {
+			return mishap.New(mishap.Invalid, "unknown parameter %s", name)
+		}
+	}
+	if _, err := waitOf(r); err != nil {
+		return err
+	}
+	e.take = wire.Take{Lane: r.PathValue("lane"), Key: key, Idem: idem, Ctype: ctype}
+	if idem != "" { // an earlier send may be held, whatever becomes of this one
+		in.putPlace(e)
+		e.isOpen = true
+	}
+	if err := in.findLane(e); err != nil {
+		return err
+	}
+	body, err := web.Body(r, e.lane.Size)
+	if err != nil {
+		return err
+	}
+	if strings.HasPrefix(ctype, "application/json") && !isJson(body) {
+		return mishap.New(mishap.Invalid, "the body says that it is JSON and is not")
+	}
+	e.take.Body, e.take.Sum = body, store.SumOf(body)
+	return in.findLane(e) // a body may take long to come
+}
+
+// findLane takes the lane's rules of the charter as it is now.
+func (in *Intake) findLane(e *errand) error {
+	isFresh := in.d.IsFresh() // asked before the scene, so that a lane missing from it is missing
+	e.scene = in.scenes.Now()
+	lane, isKnown := e.scene.Rules.Lanes[e.take.Lane]
+	if !isKnown {
+		if !isFresh {
+			return mishap.New(mishap.Stale, "this adapter has lost touch with the control plane")
+		}
+		return mishap.New(mishap.Unknown, "no lane %s", e.take.Lane)
+	}
+	e.lane, e.take.Cutoff = lane, int64(lane.Patience/time.Millisecond)
+	return nil
+}
+
+// isSettled: of a message with an idempotency key, only these mishaps say that
+// no send of it was or will be held: what it is made of, and its place's word.
+func isSettled(kind mishap.Kind) bool {
+	return kind == mishap.Invalid || kind == mishap.Rejected || kind == mishap.Conflict
+}
+
+// reject answers a message that is not held, or not known to be.
+func (in *Intake) reject(w http.ResponseWriter, err error, e *errand) {
+	kind := mishap.KindOf(err)
+	p := web.Problem{Error: kind, Text: err.Error(), Taken: false}
+	if e.isOpen && !isSettled(kind) {
+		p.Taken = "undecided"
+	}
+	if e.isOpen || e.taken != nil {
+		p.Id = e.take.Id
+	}
+	countIntake(e, string(kind))
+	stampOf(w, e)
+	web.Reject(w, web.CodeOf(kind), p, in.retry(kind, e))
+}
+
+// retry tells when to come back, from what is known of the cause.
+func (in *Intake) retry(kind mishap.Kind, e *errand) time.Duration {
+	if e.taken != nil && e.taken.Retry > 0 {
+		return time.Duration(e.taken.Retry) * time.Millisecond
+	}
+	switch kind {
+	case mishap.NotOwner: // a place has a new owner after this long
+		return in.d.Bounds.Of(beat.Vote + beat.VoteSpan)
+	case mishap.Undecided:
+		return in.d.Bounds.Of(beat.Settle)
+	case mishap.Stale, mishap.Lost: // a session is found again within this
+		return in.d.Bounds.Of(beat.Vote)
+	case mishap.DiskFull:
+		return 10 * in.d.Bounds.Charter
+	case mishap.Full:
+		return in.d.Bounds.Of(beat.Permit)
+	}
+	return 0
+}
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
 	"caperwheel/internal/beat"
@@ -15,6 +16,11 @@
 	"caperwheel/internal/wire"
 )
 
+var dutyMoves = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "duty",
+	Name: "moves_total", Help: "Duties of workers and endpoints that this manager has given to an adapter, by pool."}, []string{"pool"})
+
+func init() { prometheus.MustRegister(dutyMoves) }
+
 // controlDuties keeps every worker's duty with a live adapter. Each pool is
 // looked after by one manager; should two think so, the stamps let one win.
 func (m *Manager) controlDuties(ctx context.Context) {
@@ -90,5 +96,6 @@
 		}
 		return
 	}
+	dutyMoves.WithLabelValues(change.Pool).Inc()
 	klog.V(1).Infof("duty: %s/%s goes to %q.", change.Pool, change.Worker, change.Next.Holder)
 }
--- a/internal/manager/status.go
+++ b/internal/manager/status.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/charter"
 	"caperwheel/internal/store"
 	"caperwheel/internal/web"
 	"caperwheel/internal/weight"
@@ -15,17 +14,18 @@
 
 // Status is what an operator sees at a glance.
 type Status struct {
-	Manager string           `json:"manager"`
-	Fresh   bool             `json:"fresh"`
-	Stamp   int64            `json:"charter_stamp"`
-	Members []StatusMember   `json:"members"`
-	Places  []StatusGroup    `json:"places"`
-	Parts   []StatusGroup    `json:"parts"`
-	Lanes   []string         `json:"lanes"`
-	Pools   []StatusPool     `json:"pools"`
-	Emptied []string         `json:"emptied_cells"`
-	Retired []string         `json:"retired_stores"`
-	Shape   map[string]int64 `json:"shape"`
+	Manager string                        `json:"manager"`
+	Fresh   bool                          `json:"fresh"`
+	Stamp   int64                         `json:"charter_stamp"`
+	Members []StatusMember                `json:"members"`
+	Places  []StatusGroup                 `json:"places"`
+	Parts   []StatusGroup                 `json:"parts"`
+	Lanes   []string                      `json:"lanes"`
+	Shares  map[string]map[string]float64 `json:"lane_weights,omitempty"` // of lanes with several pools
+	Pools   []StatusPool                  `json:"pools"`
+	Emptied []string                      `json:"emptied_cells"`
+	Retired []string                      `json:"retired_stores"`
+	Shape   map[string]int64              `json:"shape"`
 }
 
 // StatusMember is one daemon.
@@ -74,7 +74,7 @@
 	for number := range int64(m.d.Settings.Places) {
 		out.Places = append(out.Places, withNumber(groups[store.PlaceGroup+number], number))
 	}
-	out.Lanes = sorted(scene.Rules.Lanes)
+	out.Lanes, out.Shares = sorted(scene.Rules.Lanes), scene.Shares
 	for _, name := range sorted(scene.Rules.Pools) {
 		p := StatusPool{Name: name, Workers: len(scene.Workers[name]), Duties: map[string]string{}, Weights: scene.Weights[name]}
 		for worker, d := range scene.Duties[name] {
@@ -129,6 +129,5 @@
 	}
 	_, isHere := m.d.Roll.Find(name)
 	web.Answer(w, 200, map[string]any{"store": name, "here": isHere, "retired": m.scenes.Now().Retired[name],
-		"groups_left": left, "complete": asked == answered, "done": left == 0 && asked == answered && asked > 0,
-		"note": charter.StoreKey + name})
+		"groups_left": left, "complete": asked == answered, "done": left == 0 && asked == answered && asked > 0})
 }
--- a/internal/manager/weights.go
+++ b/internal/manager/weights.go
@@ -33,6 +33,7 @@
 				m.publishWeights(ctx, scene, pool, seen[pool])
 			}
 		}
+		m.publishShares(ctx, scene, seen)
 	})
 }
 
@@ -68,22 +69,48 @@
 	}
 	old := scene.Weights[pool]
 	next := weight.Next(old, seen)
-	if len(seen) == 0 || !weight.IsNews(old, next) {
-		return
+	if len(seen) > 0 && weight.IsNews(old, next) {
+		m.publish(ctx, charter.WeightKey, pool, next)
+	}
+}
+
+// publishShares weighs the pools of each lane that has several, by what is seen
+// of their workers. A lane is looked after as a pool of its name would be.
+func (m *Manager) publishShares(ctx context.Context, scene *charter.Scene, seen map[string]map[string]weight.Seen) {
+	lanes := map[string]bool{}
+	for name, lane := range scene.Rules.Lanes {
+		if len(lane.Pools) > 1 {
+			lanes[name] = true
+		}
 	}
-	raw, err := json.Marshal(next)
+	for _, lane := range m.ownPools(lanes) {
+		pools := map[string]weight.Seen{}
+		for _, pool := range scene.Rules.Lanes[lane].Pools {
+			if len(seen[pool]) > 0 {
+				pools[pool] = weight.Join(seen[pool])
+			}
+		}
+		next := weight.Turn(scene.Shares[lane], pools)
+		if len(pools) > 1 && weight.HasMoved(scene.Shares[lane], next) {
+			m.publish(ctx, charter.ShareKey, lane, next)
+		}
+	}
+}
+
+func (m *Manager) publish(ctx context.Context, prefix, name string, value any) {
+	raw, err := json.Marshal(value)
 	if err != nil {
 		return
 	}
-	part := feed.PartOf(pool, m.d.Settings.Parts)
+	part := feed.PartOf(name, m.d.Settings.Parts)
 	stamp := int64(0)
-	if c, isStanding := m.d.View.Get(part, charter.WeightKey+pool); isStanding {
+	if c, isStanding := m.d.View.Get(part, prefix+name); isStanding {
 		stamp = c.Stamp
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter)
 	defer cancel()
-	_, err = m.edit(ctx, wire.Edit{Part: part, Key: charter.WeightKey + pool, Value: raw, IfStamp: stamp, By: "weight controller at " + m.d.Who.Name})
+	_, err = m.edit(ctx, wire.Edit{Part: part, Key: prefix + name, Value: raw, IfStamp: stamp, By: "weight controller at " + m.d.Who.Name})
 	if err != nil && !mishap.Is(err, mishap.Conflict) {
-		klog.Warningf("weight: Weights of %s cannot be published: %v.", pool, err)
+		klog.Warningf("weight: Weights of %s cannot be published: %v.", name, err)
 	}
 }
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -18,8 +18,7 @@
 	Size    Op = "size"    // the body must fit
 	Keyed   Op = "keyed"   // an ordering key must be given
 	Keyless Op = "keyless" // none may be given
-	ByKey   Op = "by_key"  // the place follows from lane and ordering key
-	ByIdem  Op = "by_idem" // the place follows from lane and idempotency key, else from chance
+	Place   Op = "place"   // the place follows from lane and key, else from chance
 	Hold    Op = "hold"    // the place's owner holds it
 )
 
@@ -46,9 +45,9 @@
 func Intake(l charter.Lane) Program {
 	out := Program{{Op: Fresh}, {Op: Size, Number: l.Size}}
 	if l.IsOrdered {
-		return append(out, Step{Op: Keyed}, Step{Op: ByKey}, Step{Op: Hold})
+		return append(out, Step{Op: Keyed}, Step{Op: Place}, Step{Op: Hold})
 	}
-	return append(out, Step{Op: Keyless}, Step{Op: ByIdem}, Step{Op: Hold})
+	return append(out, Step{Op: Keyless}, Step{Op: Place}, Step{Op: Hold})
 }
 
 // Delivery compiles the way of a lane's messages out.
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -20,6 +20,7 @@
 	Roll   *session.Roll
 	Bounds beat.Bounds
 	Link   *wire.Link
+	Saw    func(peer string, micros float64, isAnswered bool) // told of each try of Ask, if given
 }
 
 // Group asks the owner of a group until it answers or ctx ends. owned tells
@@ -27,7 +28,19 @@
 // says whether the ask may have had an effect: NotOwner and Full mean no,
 // Undecided means that it may.
 func (r *Reach) Group(ctx context.Context, id int64, ask any, owned func(reply any) (isOwner bool, hint string)) (any, error) {
-	mayHold := false
+	reply, _, err := r.ask(ctx, id, ask, owned, nil)
+	return reply, err
+}
+
+// Ask is Group for asks that must not be said to have had no effect when they
+// may: isOpen tells, also with an owner's answer, that the same ask went out
+// before and nobody knows what became of it.
+func (r *Reach) Ask(ctx context.Context, id int64, ask any, owned func(reply any) (isOwner bool, hint string)) (reply any, isOpen bool, err error) {
+	return r.ask(ctx, id, ask, owned, r.Saw)
+}
+
+func (r *Reach) ask(ctx context.Context, id int64, ask any, owned func(reply any) (isOwner bool, hint string),
+	saw func(string, float64, bool)) (reply any, isOpen bool, err error) {
 	hint, turn := "", 0
 	if who, isKnown := r.Roll.Owner(id); isKnown {
 		hint = who.Name
@@ -43,19 +56,23 @@
 		}
 		hint = ""
 		if isKnown {
+			began := time.Now()
 			reply, err := r.one(ctx, who, ask)
+			if saw != nil {
+				saw(who.Name, float64(time.Since(began).Microseconds()), err == nil)
+			}
 			var unsent *transport.Unsent
 			switch {
 			case err == nil:
 				isOwner, named := owned(reply)
 				if isOwner {
-					return reply, nil
+					return reply, isOpen, nil
 				}
 				if named != who.Name {
 					hint = named
 				}
 			case !errors.As(err, &unsent):
-				mayHold = true
+				isOpen = true
 			}
 		}
 		if hint != "" && ctx.Err() == nil {
@@ -63,10 +80,10 @@
 		}
 		select {
 		case <-ctx.Done():
-			if mayHold {
-				return nil, mishap.New(mishap.Undecided, "group %d did not answer", id)
+			if isOpen {
+				return nil, true, mishap.New(mishap.Undecided, "group %d did not answer", id)
 			}
-			return nil, mishap.New(mishap.NotOwner, "no owner of group %d was found", id)
+			return nil, false, mishap.New(mishap.NotOwner, "no owner of group %d was found", id)
 		case <-time.After(r.Bounds.Of(beat.Poll) / 2):
 		}
 	}
--- a/internal/sim/adapter.go
+++ b/internal/sim/adapter.go
@@ -23,12 +23,14 @@
 	fresh  time.Duration
 	permit int64
 	agent  *repair.Keeper // the agent beside it, which lives on when it is killed
+	isGone bool           // it was lost for good
+	breaks []func()       // what its death means to runs under way
 }
 
 func (a *simAdapter) boot() string { return fmt.Sprint(a.name, ".", a.life) }
 
 func (a *simAdapter) start() {
-	if a.isUp {
+	if a.isUp || a.isGone {
 		return
 	}
 	a.isUp, a.life, a.book, a.fresh = true, a.life+1, deliver.NewBook(1000), a.w.now
@@ -80,8 +82,12 @@
 
 func (a *simAdapter) kill() {
 	if a.isUp {
-		a.w.H.AddLost(check.Window{From: a.w.now - time.Millisecond, Until: a.w.now})
+		a.w.H.AddLost(check.Window{Adapter: a.name, From: a.w.now - time.Millisecond, Until: a.w.now})
 		a.isUp, a.life = false, a.life+1
+		for _, hang := range a.breaks {
+			hang()
+		}
+		a.breaks = nil
 		a.w.Note("kill %s", a.name)
 	}
 }
@@ -145,49 +151,6 @@
 	return nil
 }
 
-// carry runs the message on the adapter's worker and brings the result home.
-func (a *simAdapter) carry(m *wire.Run) {
-	o := &wire.Outcome{Id: m.Id, Boot: a.boot(), Proof: wire.Proof{Attempt: m.Attempt, Worker: m.Worker, Answer: []byte{}}}
-	if !a.isFresh() {
-		o.Kind = string(mishap.Stale)
-		a.home(m, o)
-		return
-	}
-	token := string(m.Body)
-	run := check.Run{Token: token, Id: m.Id, Attempt: m.Attempt, Pool: m.Pool, Worker: m.Worker, Sum: m.Sum,
-		Start: a.w.now, Status: 200, Answer: fmt.Sprint(token, "/", m.Attempt), IsWhole: true}
-	took := time.Duration(10+a.w.Rand.IntN(200)) * time.Millisecond
-	dice := a.w.Rand.IntN(1000)
-	isFailed, isLost := dice < a.w.Unsound, dice >= a.w.Unsound && dice < a.w.Unsound+a.w.LoseAns
-	if isFailed {
-		run.Status = 500
-	}
-	run.IsWhole = false
-	life := a.life
-	a.w.Note("run %s/%d at %s, term %d", m.Id, m.Attempt, a.boot(), m.Term)
-	a.w.runs = append(a.w.runs, &run)
-	a.w.After(took, func() { // the worker goes on, whatever becomes of the adapter
-		run.End = a.w.now
-		a.w.Note("answered %s/%d at %s.%d: %d", m.Id, m.Attempt, a.name, life, run.Status)
-		if !a.isUp || a.life != life {
-			return
-		}
-		a.whenThawed(func() {
-			o.Begun, run.IsWhole = true, !isLost // only now has it been read
-			a.w.Note("read %s/%d at %s", m.Id, m.Attempt, a.boot())
-			switch {
-			case isFailed:
-				o.Kind = string(mishap.Unsound)
-			case isLost:
-				o.Kind = string(mishap.CutShort)
-			default:
-				o.Proof.Status, o.Proof.Sum = 200, run.Answer
-			}
-			a.home(m, o)
-		})
-	})
-}
-
 // home sends the result by beat, to one store after another, until an owner
 // has made it durable.
 func (a *simAdapter) home(m *wire.Run, o *wire.Outcome) {
--- /dev/null
+++ b/internal/sim/around.go
@@ -0,0 +1,69 @@
+package sim
+
+import (
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/store"
+	"caperwheel/internal/wire"
+)
+
+// The surroundings of a place.
+
+// Now is the simulated time.
+func (s *simStore) Now() time.Duration { return s.w.now }
+
+// Bounds are the usual ones.
+func (s *simStore) Bounds() beat.Bounds { return beat.Default }
+
+// IsFresh follows the simulated control plane.
+func (s *simStore) IsFresh() bool { return s.w.now-s.fresh < beat.Default.Of(beat.Fresh) }
+
+// IsFull tells of a simulated full disk.
+func (s *simStore) IsFull() bool { return s.w.now < s.full }
+
+// Scene has the rules.
+func (s *simStore) Scene() *charter.Scene { return &charter.Scene{Rules: s.w.rules} }
+
+// Find gives an adapter whose session stands, as this store knows.
+func (s *simStore) Find(name string) (wire.Who, bool) {
+	p, isKnown := s.roll[name]
+	return p.who, isKnown && s.w.now-p.heardAt < beat.Default.Of(beat.Gone)
+}
+
+// Post asks an adapter.
+func (s *simStore) Post(who wire.Who, ask any, answer func(any, error)) error {
+	for _, a := range s.w.adapters {
+		if a.name == who.Name {
+			life := s.life
+			s.w.ask(s.name, a, func() any { return a.serve(ask) }, func(reply any, err error) {
+				if s.isUp && s.life == life {
+					answer(reply, err)
+					s.host.Pump()
+				}
+			})
+			return nil
+		}
+	}
+	return mishap.New(mishap.Lost, "no adapter %s", who.Name)
+}
+
+// TakeElsewhere is not used: no lane here has a call-back.
+func (s *simStore) TakeElsewhere(_ *wire.Take, tell func(bool)) { tell(false) }
+
+// Release needs nothing: permits lapse.
+func (s *simStore) Release(store.SlotGrant) {}
+
+// Nudge needs nothing: dispatch goes by beat.
+func (s *simStore) Nudge() {}
+
+// PlaceOf is the one place.
+func (s *simStore) PlaceOf(string) int64 { return 0 }
+
+// ChildOf is not used.
+func (s *simStore) ChildOf(parent string) string { return parent + "c" }
+
+// Fail must not happen.
+func (s *simStore) Fail(err error) { panic(err) }
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -13,41 +13,91 @@
 // Call is one message of a caller, through an intake that does as
 // internal/intake does: find the owner, settle what is undecided, tell.
 func (p *Places) Call(lane, key string, told func()) {
-	p.serial++
-	token := fmt.Sprintf("%s-%d", lane, p.serial)
-	s := check.Sent{Token: token, Lane: lane, Key: key, Sum: "sum of " + token, At: p.now, Told: check.Undecided, Id: "0-" + token}
-	take := &wire.Take{Id: s.Id, Lane: lane, Key: key, Body: []byte(token), Sum: s.Sum, Cutoff: 120_000}
-	finish := func(t check.Told) {
-		s.Told, s.ToldAt = t, p.now
-		p.H.AddSent(s)
-		told()
-	}
+	s, take := p.message(lane, key)
 	window := beat.Default.Of(beat.Settle) * 2
-	p.reach(window, func(o placeOwner, answer func(any)) { o.Take(take, answer) }, func(got *wire.Taken, mayHold bool) {
+	p.reach(window, func(o placeOwner, answer func(any)) { o.Take(take, answer) }, func(got *wire.Taken, isOpen bool) {
 		switch {
 		case got != nil && got.Kind == "":
-			finish(check.Taken)
-		case got != nil || !mayHold:
-			finish(check.NotTaken)
+			p.finish(s, check.Taken, told)
+		case !isOpen || got != nil && got.Kind == string(mishap.Rejected):
+			p.finish(s, check.NotTaken, told)
 		default:
 			settle := &wire.Settle{Id: s.Id, Lane: lane}
 			p.reach(window, func(o placeOwner, answer func(any)) { o.Settle(settle, answer) }, func(got *wire.Taken, _ bool) {
 				switch {
-				case got == nil:
-					finish(check.Undecided)
-				case got.Kind == string(mishap.Rejected):
-					finish(check.NotTaken)
+				case got != nil && got.Kind == "":
+					p.finish(s, check.Taken, told)
+				case got != nil && got.Kind == string(mishap.Rejected):
+					p.finish(s, check.NotTaken, told)
 				default:
-					finish(check.Taken)
+					p.finish(s, check.Undecided, told)
 				}
 			})
 		}
 	})
 }
 
-// reach asks one store after another until the owner answers. mayHold tells
-// that an ask is out whose effect is not known.
-func (p *Places) reach(window time.Duration, ask func(placeOwner, func(any)), then func(got *wire.Taken, mayHold bool)) {
+// CallAgain is a message with an idempotency key: its caller sends it so many
+// times, whatever was told, through intakes that know nothing of each other.
+// The most definite answer counts.
+func (p *Places) CallAgain(lane string, times int) {
+	s, take := p.message(lane, "")
+	best := check.Undecided
+	var send func(left int)
+	send = func(left int) {
+		if left == 0 {
+			p.finish(s, best, func() {})
+			return
+		}
+		p.reach(beat.Default.Of(beat.Settle), func(o placeOwner, answer func(any)) { o.Take(take, answer) }, func(got *wire.Taken, _ bool) {
+			switch {
+			case got != nil && got.Kind == "":
+				best = check.Taken
+			case got != nil && got.Kind == string(mishap.Rejected):
+				best = check.NotTaken
+			}
+			p.After(time.Duration(p.Rand.IntN(1500))*time.Millisecond, func() { send(left - 1) })
+		})
+	}
+	send(times)
+}
+
+func (p *Places) message(lane, key string) (check.Sent, *wire.Take) {
+	p.serial++
+	token := fmt.Sprintf("%s-%d", lane, p.serial)
+	s := check.Sent{Token: token, Lane: lane, Key: key, Sum: "sum of " + token, At: p.now, Told: check.Undecided, Id: "0-" + token}
+	return s, &wire.Take{Id: s.Id, Lane: lane, Key: key, Body: []byte(token), Sum: s.Sum, Cutoff: 120_000}
+}
+
+func (p *Places) finish(s check.Sent, t check.Told, told func()) {
+	s.Told, s.ToldAt = t, p.now
+	p.H.AddSent(s)
+	if t == check.Taken {
+		p.taken = append(p.taken, s)
+	}
+	told()
+}
+
+// look asks some store for some message that was told taken.
+func (p *Places) look() {
+	if len(p.taken) == 0 {
+		return
+	}
+	id, at := p.taken[p.Rand.IntN(len(p.taken))].Id, p.now
+	p.askStore("caller", p.store(), func(o placeOwner, answer func(any)) { o.Look(&wire.Look{Id: id, Body: true}, answer) }, func(reply any) {
+		if got, isSight := reply.(*wire.Sight); isSight && got.Kind != string(mishap.NotOwner) {
+			sight := check.Sight{Id: id, At: at, ToldAt: p.now, State: got.State, Attempts: got.Attempts, BodySum: got.Sum}
+			if got.Kind != "" {
+				sight.State = "unknown"
+			}
+			p.H.AddSight(sight)
+		}
+	})
+}
+
+// reach asks one store after another until the owner answers. isOpen tells
+// that an ask is out besides whose effect is not known.
+func (p *Places) reach(window time.Duration, ask func(placeOwner, func(any)), then func(got *wire.Taken, isOpen bool)) {
 	until, turn, isDone, open := p.now+window, p.Rand.IntN(3), false, 0
 	var try func()
 	try = func() {
@@ -66,13 +116,12 @@
 			if !isTaken || isDone {
 				return
 			}
-			if got.Kind == string(mishap.NotOwner) {
+			if got.Kind != string(mishap.Undecided) {
 				open--
-				return
 			}
-			if got.Kind != string(mishap.Undecided) {
+			if got.Kind != string(mishap.Undecided) && got.Kind != string(mishap.NotOwner) {
 				isDone = true
-				then(got, false)
+				then(got, open > 0)
 			}
 		})
 		p.After(80*time.Millisecond, try)
@@ -84,7 +133,7 @@
 // from the owner, and checks the history.
 func (p *Places) Finish() []check.Breach {
 	p.Calm()
-	p.Unsound, p.LoseAns = 0, 0
+	p.Unsound, p.LoseAns, p.Stall, p.Break = 0, 0, 0, 0
 	for _, s := range p.stores {
 		s.start()
 	}
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -29,6 +29,9 @@
 	runs     []*check.Run // as the workers saw them
 	Unsound  int          // share of runs that fail, in thousandths
 	LoseAns  int          // share of runs whose answer is lost
+	Stall    int          // share of runs that take longer than their bound
+	Break    int          // share of runs whose connection breaks
+	taken    []check.Sent // to be asked for meanwhile
 }
 
 // simStore is one store; it is the place's surroundings too.
@@ -43,6 +46,7 @@
 	roll  map[string]presence
 	peers []*simStore
 	fresh time.Duration // newest confirmation; before it is too old, the store may act
+	full  time.Duration // its disk is full until then
 }
 
 type presence struct {
@@ -188,61 +192,3 @@
 		}
 	}
 }
-
-// The surroundings of a place.
-
-// Now is the simulated time.
-func (s *simStore) Now() time.Duration { return s.w.now }
-
-// Bounds are the usual ones.
-func (s *simStore) Bounds() beat.Bounds { return beat.Default }
-
-// IsFresh follows the simulated control plane.
-func (s *simStore) IsFresh() bool { return s.w.now-s.fresh < beat.Default.Of(beat.Fresh) }
-
-// IsFull is never.
-func (s *simStore) IsFull() bool { return false }
-
-// Scene has the rules.
-func (s *simStore) Scene() *charter.Scene { return &charter.Scene{Rules: s.w.rules} }
-
-// Find gives an adapter whose session stands, as this store knows.
-func (s *simStore) Find(name string) (wire.Who, bool) {
-	p, isKnown := s.roll[name]
-	return p.who, isKnown && s.w.now-p.heardAt < beat.Default.Of(beat.Gone)
-}
-
-// Post asks an adapter.
-func (s *simStore) Post(who wire.Who, ask any, answer func(any, error)) error {
-	for _, a := range s.w.adapters {
-		if a.name == who.Name {
-			life := s.life
-			s.w.ask(s.name, a, func() any { return a.serve(ask) }, func(reply any, err error) {
-				if s.isUp && s.life == life {
-					answer(reply, err)
-					s.host.Pump()
-				}
-			})
-			return nil
-		}
-	}
-	return mishap.New(mishap.Lost, "no adapter %s", who.Name)
-}
-
-// TakeElsewhere is not used: no lane here has a call-back.
-func (s *simStore) TakeElsewhere(_ *wire.Take, tell func(bool)) { tell(false) }
-
-// Release needs nothing: permits lapse.
-func (s *simStore) Release(store.SlotGrant) {}
-
-// Nudge needs nothing: dispatch goes by beat.
-func (s *simStore) Nudge() {}
-
-// PlaceOf is the one place.
-func (s *simStore) PlaceOf(string) int64 { return 0 }
-
-// ChildOf is not used.
-func (s *simStore) ChildOf(parent string) string { return parent + "c" }
-
-// Fail must not happen.
-func (s *simStore) Fail(err error) { panic(err) }
--- a/internal/sim/placefaults.go
+++ b/internal/sim/placefaults.go
@@ -20,7 +20,16 @@
 	"frozen adapters": func(p *Places) { p.adapter().frozen = p.now + time.Duration(p.Rand.IntN(6000))*time.Millisecond },
 	"failing workers": func(p *Places) { p.Unsound = 300; p.After(2*time.Second, func() { p.Unsound = 0 }) },
 	"lost answers":    func(p *Places) { p.LoseAns = 300; p.After(2*time.Second, func() { p.LoseAns = 0 }) },
-	"lost messages":   func(p *Places) { p.Loss = 150; p.After(3*time.Second, func() { p.Loss = 0 }) },
+	"stalled workers": func(p *Places) { p.Stall = 300; p.After(3*time.Second, func() { p.Stall = 0 }) },
+	"broken links":    func(p *Places) { p.Break = 300; p.After(3*time.Second, func() { p.Break = 0 }) },
+	"full disks":      func(p *Places) { p.store().full = p.now + time.Duration(p.Rand.IntN(4000))*time.Millisecond },
+	"lost for good": func(p *Places) {
+		if a := p.adapters[0]; !a.isGone { // one only: the others must serve
+			a.isGone = true
+			a.kill()
+		}
+	},
+	"lost messages": func(p *Places) { p.Loss = 150; p.After(3*time.Second, func() { p.Loss = 0 }) },
 	"slow links": func(p *Places) {
 		p.Slow = 300 * time.Millisecond
 		p.After(3*time.Second, func() { p.Slow = 5 * time.Millisecond })
@@ -60,6 +69,10 @@
 	for p.now < 40*time.Second {
 		p.Run(p.now + 100*time.Millisecond)
 		p.Call("free", "", func() {})
+		if p.Rand.IntN(3) == 0 {
+			p.CallAgain("free", 1+p.Rand.IntN(4))
+		}
+		p.look()
 		if p.Rand.IntN(20) == 0 {
 			p.soon(func() { chosen[p.Rand.IntN(len(chosen))](p) })
 		}
--- /dev/null
+++ b/internal/sim/run.go
@@ -0,0 +1,107 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"caperwheel/internal/check"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/place"
+	"caperwheel/internal/wire"
+)
+
+// workBound is the pool's bound in the simulation.
+const workBound = time.Second
+
+// work is one run at a worker. It ends by itself, or, once its connection has
+// broken, no later than a worker is bound to leave it.
+//
+// Invariant: run.End is set once, when the worker has really ended.
+type work struct {
+	a        *simAdapter
+	life     int
+	m        *wire.Run
+	run      *check.Run
+	isFailed bool
+	isCut    bool // the answer does not come whole
+	isOver   bool // at the worker
+	isTold   bool // the adapter has brought a result home, or begun to
+}
+
+func (x *work) end() {
+	if !x.isOver {
+		x.isOver, x.run.End = true, x.a.w.now
+		x.a.w.Note("worker ends %s/%d of %s.%d", x.m.Id, x.m.Attempt, x.a.name, x.life)
+	}
+}
+
+// hangUp: the connection has broken; the worker goes on, but not for ever.
+func (x *work) hangUp() {
+	x.a.w.After(max(0, x.run.Start+place.Busy(workBound)-x.a.w.now), x.end)
+}
+
+// carry runs the message on the adapter's worker and brings the result home.
+func (a *simAdapter) carry(m *wire.Run) {
+	w := a.w
+	if !a.isFresh() {
+		a.home(m, &wire.Outcome{Id: m.Id, Boot: a.boot(), Kind: string(mishap.Stale),
+			Proof: wire.Proof{Attempt: m.Attempt, Worker: m.Worker, Answer: []byte{}}})
+		return
+	}
+	token := string(m.Body)
+	run := &check.Run{Token: token, Id: m.Id, Attempt: m.Attempt, Pool: m.Pool, Worker: m.Worker, Sum: m.Sum, Adapter: a.name,
+		Start: w.now, Status: 200, Answer: fmt.Sprint(token, "/", m.Attempt)}
+	x := &work{a: a, life: a.life, m: m, run: run}
+	took := time.Duration(10+w.Rand.IntN(200)) * time.Millisecond
+	if w.Rand.IntN(1000) < w.Stall {
+		took = time.Duration(500+w.Rand.IntN(6000)) * time.Millisecond
+	}
+	dice := w.Rand.IntN(1000)
+	x.isFailed, x.isCut = dice < w.Unsound, dice >= w.Unsound && dice < w.Unsound+w.LoseAns
+	if x.isFailed {
+		run.Status = 500
+	}
+	w.Note("run %s/%d at %s, term %d, takes %v", m.Id, m.Attempt, a.boot(), m.Term, took)
+	w.runs = append(w.runs, run)
+	w.After(took, func() { x.end(); x.answer("") }) // whatever becomes of the adapter
+	w.After(place.Wait(m.Key != "", workBound), func() { x.answer(mishap.Late) })
+	if w.Rand.IntN(1000) < w.Break {
+		w.After(time.Duration(w.Rand.Int64N(int64(took))), func() { x.answer(mishap.Lost) })
+	}
+	a.breaks = append(a.breaks, x.hangUp)
+}
+
+// answer is what the adapter learns of its run: the worker's answer, if it was
+// whole, or why there is none.
+func (x *work) answer(kind mishap.Kind) {
+	a := x.a
+	if x.isTold || !a.isUp || a.life != x.life {
+		return
+	}
+	a.whenThawed(func() {
+		if x.isTold {
+			return
+		}
+		x.isTold = true
+		if kind == mishap.Late && x.isOver {
+			kind = "" // it came while the adapter stood still
+		}
+		o := &wire.Outcome{Id: x.m.Id, Boot: a.boot(), Begun: true,
+			Proof: wire.Proof{Attempt: x.m.Attempt, Worker: x.m.Worker, Answer: []byte{}}}
+		switch {
+		case kind != "":
+			x.hangUp()
+		case x.isFailed:
+			kind = mishap.Unsound
+		case x.isCut:
+			kind = mishap.CutShort
+		default:
+			x.run.IsWhole = true // only now has it been read
+			o.Proof.Status, o.Proof.Sum = 200, x.run.Answer
+		}
+		o.Kind = string(kind)
+		o.Wait = int64(place.StillBusy(kind, x.m.Key != "", workBound, a.w.now-x.run.Start) / time.Millisecond)
+		a.w.Note("read %s/%d at %s: %q", x.m.Id, x.m.Attempt, a.boot(), o.Kind)
+		a.home(x.m, o)
+	})
+}
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -79,7 +80,7 @@
 	need := map[string]int{}
 	for lane, n := range ready {
 		for _, pool := range scene.Rules.Lanes[lane].Pools {
-			need[pool] += n
+			need[pool] += int(math.Ceil(float64(n) * scene.Share(lane, pool)))
 		}
 	}
 	d.mu.Lock()
--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -35,6 +35,7 @@
 		}
 		delete(p.inHand, o.Id)
 		delete(p.lostAt, o.Id)
+		delete(p.missed, o.Id)
 		answer(&wire.OutcomeAck{})
 	})
 }
@@ -51,7 +52,8 @@
 		return c
 	}
 	back := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: o.Proof.Attempt, Cause: o.Kind, Costs: o.Begun, Retain: retain}
-	if o.Begun && (o.Final || lane.Attempts > 0 && e.Spent+1 >= lane.Attempts) {
+	back.Hold = o.Begun && e.Ordered && o.Wait > 0 && place.MayGoOn(mishap.Kind(o.Kind))
+	if o.Begun && !back.Hold && (o.Final || lane.Attempts > 0 && e.Spent+1 >= lane.Attempts) {
 		back.Kind, back.State, back.Hold = place.CmdClose, string(place.Failed), lane.HoldFailed
 		return back
 	}
--- /dev/null
+++ b/internal/store/metrics.go
@@ -0,0 +1,97 @@
+package store
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/group"
+	"caperwheel/internal/place"
+)
+
+var ownerships = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "place",
+	Name: "ownerships_total", Help: "Times that this store became the owner of a place."})
+
+func init() { prometheus.MustRegister(ownerships) }
+
+// measure tells of the places that this store owns, and of its disk.
+func (s *Store) measure(emit daemon.Emit) {
+	owned, lag := 0, int64(0)
+	for _, id := range s.groupIds() {
+		if v := s.hostOf(id).View(); v.Role == group.Owner {
+			owned++
+			lag = max(lag, v.Lag)
+		}
+	}
+	emit("groups_owned", "Places and parts that this store owns.", float64(owned))
+	emit("groups_lag", "Entries by which the farthest replica of an owned group is behind.", float64(lag))
+	emit("disk_full", "1 while intake is rejected for want of disk.", map[bool]float64{true: 1}[s.diskFull.Load()])
+	emit("disk_segments", "Segments of the log.", float64(s.disk.Segments()))
+	emit("repair_kept", "Results kept for adapters.", float64(s.keeper.Count()))
+	counts, nearest := map[string]map[place.State]int{}, map[string]time.Duration{}
+	for _, t := range s.tallies() {
+		for lane, states := range t.counts {
+			if counts[lane] == nil {
+				counts[lane] = map[place.State]int{}
+			}
+			for state, n := range states {
+				counts[lane][state] += n
+			}
+		}
+		for lane, left := range t.left {
+			if was, isKnown := nearest[lane]; !isKnown || left < was {
+				nearest[lane] = left
+			}
+		}
+	}
+	for lane, states := range counts {
+		for state, n := range states {
+			emit("place_messages", "Messages in the places owned here.", float64(n), "lane", lane, "state", string(state))
+		}
+	}
+	for lane, left := range nearest {
+		emit("place_patience_left_seconds", "Patience left of the message that expires next.", left.Seconds(), "lane", lane)
+	}
+}
+
+type tally struct {
+	counts map[string]map[place.State]int
+	left   map[string]time.Duration
+}
+
+// tallies asks each owned place on its own goroutine; one that does not answer
+// in time is left out.
+func (s *Store) tallies() []tally {
+	places := s.ownPlaces()
+	got := make(chan tally, len(places))
+	asked := 0
+	for _, p := range places {
+		err := p.Do(func() {
+			t := tally{left: map[string]time.Duration{}}
+			if p.host.IsOwner() {
+				counts, cutoffs := p.machine.Tally()
+				t.counts = counts
+				for lane, at := range cutoffs {
+					t.left[lane] = time.Duration(at-p.now()) * time.Millisecond
+				}
+			}
+			got <- t
+		})
+		if err == nil {
+			asked++
+		}
+	}
+	out := []tally{}
+	late := time.After(s.d.Bounds.Of(beat.Settle))
+	for range asked {
+		select {
+		case t := <-got:
+			out = append(out, t)
+		case <-late:
+			return out
+		}
+	}
+	return out
+}
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -136,7 +136,8 @@
 		isAsk  bool
 		state2 place.State
 	}{
-		{"an adapter that is away is waited for", "l", "", "", time.Hour, false, place.Started},
+		{"an adapter that is away is waited for", "l", "", "", 9 * time.Minute, false, place.Started},
+		{"… until the message's patience is over", "l", "", "", time.Hour, false, place.Expired},
 		{"a run still open is waited for", "l", "1", "open", time.Hour, true, place.Started},
 		{"a run that never began is held again", "l", "1", "never", 0, true, place.Held},
 		{"a run kept beside the next life is waited for", "l", "2", "open", time.Hour, true, place.Started},
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -29,9 +29,13 @@
 	inHand  map[string]inHand
 	asking  map[string]time.Duration
 	lostAt  map[string]time.Duration
+	missed  map[string]time.Duration // since when nobody has told of an open run
 	sending map[string]bool
 	trimmed time.Duration
-	ready   atomic.Pointer[map[string]int]
+	// Those who wait for a message's end, by its id, and how many: at most mostOnlookers.
+	onlookers map[string][]onlooker
+	waiting   int
+	ready     atomic.Pointer[map[string]int]
 }
 
 type inHand struct {
@@ -44,11 +48,12 @@
 	mostErrands = 20000
 	mostBytes   = 64 << 20
 	mostWaiting = 2000
+	mostTombs   = 2000 // settled messages that a full place takes besides
 	trimBatch   = 200
 )
 
 func NewPlaceHost(around Around, number int64) *PlaceHost {
-	p := &PlaceHost{around: around, number: number, machine: place.New()}
+	p := &PlaceHost{around: around, number: number, machine: place.New(), onlookers: map[string][]onlooker{}}
 	p.ready.Store(&map[string]int{})
 	return p
 }
@@ -65,6 +70,9 @@
 	if p.machine.Clock() != was {
 		p.clockAt = p.around.Now()
 	}
+	if len(p.onlookers[c.Id]) > 0 && v.State.IsOver() {
+		p.tellOnlookers(func(id string, _ onlooker) bool { return id == c.Id })
+	}
 	return v
 }
 
@@ -90,8 +98,12 @@
 // in hand: their adapters are asked before anything is run again.
 func (p *PlaceHost) Owned(isOwner bool) {
 	p.inHand, p.asking = map[string]inHand{}, map[string]time.Duration{}
-	p.lostAt, p.sending = map[string]time.Duration{}, map[string]bool{}
+	p.lostAt, p.sending, p.missed = map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
+	if !isOwner {
+		p.tellOnlookers(func(string, onlooker) bool { return true })
+	}
 	if isOwner {
+		ownerships.Inc()
 		p.machine.Requeue()
 		klog.V(1).Infof("place: Place %d is ours, term %d.", p.number, p.host.Term())
 	}
@@ -141,6 +153,12 @@
 	case !p.host.IsOwner():
 		reject(mishap.NotOwner, "", 0)
 		return
+	case p.isSame(t): // sent again: what is committed stays, full or not
+		answer(&wire.Taken{Id: t.Id, State: string(p.machine.Find(t.Id).State)})
+		return
+	case !p.around.IsFresh(): // the lane may be another by now
+		reject(mishap.Stale, "the store has lost touch with the control plane", p.around.Bounds().Of(beat.Vote))
+		return
 	case p.around.IsFull():
 		reject(mishap.DiskFull, "the store's disk is nearly full", 30*time.Second)
 		return
@@ -163,8 +181,18 @@
 	})
 }
 
+// isSame tells whether a message is held here already, or has been.
+func (p *PlaceHost) isSame(t *wire.Take) bool {
+	e := p.machine.Find(t.Id)
+	return e != nil && e.State != place.Tomb && e.Sum == t.Sum
+}
+
 // Settle makes an undecided message's fate definite: held, or never.
 func (p *PlaceHost) Settle(t *wire.Settle, answer func(any)) {
+	if count, _ := p.machine.Count(); p.machine.Find(t.Id) == nil && count >= mostErrands+mostTombs {
+		answer(&wire.Taken{Id: t.Id, Kind: string(mishap.Full), Text: "the place holds as much as it may"})
+		return
+	}
 	p.propose(place.Command{Kind: place.CmdTomb, Id: t.Id, Lane: t.Lane, Retain: int64(10 * time.Minute / time.Millisecond)},
 		func(v place.Verdict, err error) {
 			out := &wire.Taken{Id: t.Id, State: string(v.State), Kind: string(v.Kind)}
@@ -177,40 +205,6 @@
 		})
 }
 
-// Look answers from the owner's state. The owner must have been confirmed so
-// lately that nobody else can have become owner since.
-func (p *PlaceHost) Look(l *wire.Look, answer func(any)) {
-	if v := p.host.View(); !p.host.IsOwner() || p.around.Now()-v.Confirmed > p.around.Bounds().Of(beat.Term) {
-		answer(p.sight(nil, mishap.NotOwner))
-		return
-	}
-	e := p.machine.Find(l.Id)
-	if e == nil {
-		answer(p.sight(nil, mishap.Unknown))
-		return
-	}
-	out := p.sight(e, "")
-	if !l.Body {
-		out.Body = []byte{}
-	}
-	answer(out)
-}
-
-func (p *PlaceHost) sight(e *place.Errand, kind mishap.Kind) *wire.Sight {
-	if e == nil {
-		return &wire.Sight{Kind: string(kind), Owner: p.ownerName(), Body: []byte{}, Proof: wire.Proof{Answer: []byte{}}}
-	}
-	out := &wire.Sight{Id: e.Id, Lane: e.Lane, Key: e.Key, State: string(e.State), Attempts: e.Attempt, Cause: e.Cause,
-		Ctype: e.Ctype, Body: e.Body, Sum: e.Sum, Parent: e.Parent, Child: e.Child, Proof: e.Proof}
-	if out.Body == nil {
-		out.Body = []byte{}
-	}
-	if out.Proof.Answer == nil {
-		out.Proof.Answer = []byte{}
-	}
-	return out
-}
-
 func (p *PlaceHost) ownerName() string { return ownerOf(p.host) }
 
 // lane gives a lane's rules, or false when they are not known now: a store
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -31,6 +31,12 @@
 		p.around.Release(g)
 		return
 	}
+	if rules, isKnown := p.lane(lane); isKnown && rules.Attempts > 0 && e.Spent >= rules.Attempts {
+		p.around.Release(g) // its last run might have gone on; now it cannot
+		p.propose(place.Command{Kind: place.CmdClose, Id: e.Id, Attempt: e.Attempt, State: string(place.Failed), Cause: e.Cause,
+			Hold: rules.HoldFailed, Retain: int64(rules.Retention / time.Millisecond)}, nil)
+		return
+	}
 	attempt := e.Attempt + 1
 	p.propose(place.Command{Kind: place.CmdStart, Id: e.Id, Attempt: attempt, Adapter: g.Holder.Name, Boot: g.Holder.Boot,
 		Pool: g.Pool, Worker: g.Worker}, func(v place.Verdict, err error) {
@@ -72,6 +78,7 @@
 func (p *PlaceHost) noteInHand(id string, attempt int64) {
 	if p.inHand != nil {
 		p.inHand[id] = inHand{attempt, p.around.Now() + p.around.Bounds().Charter}
+		delete(p.missed, id)
 	}
 }
 
@@ -86,6 +93,7 @@
 	if !p.host.IsOwner() {
 		return
 	}
+	p.tellOnlookers(func(_ string, o onlooker) bool { return now >= o.until })
 	if !p.around.IsFresh() {
 		p.publish()
 		return
@@ -107,76 +115,6 @@
 	p.publish()
 }
 
-// askOpen asks adapters for runs that this owner does not know to be in hand.
-func (p *PlaceHost) askOpen(now time.Duration) {
-	for _, e := range p.machine.Open() {
-		if h := p.inHand[e.Id]; h.attempt == e.Attempt && now < h.until || now < p.asking[e.Id] {
-			continue
-		}
-		// An adapter that is away may still come back with a success: wait.
-		if who, isMember := p.around.Find(e.Adapter); isMember {
-			p.asking[e.Id] = now + p.around.Bounds().Of(beat.Vote)
-			p.ask(e, who)
-		}
-	}
-}
-
-// ask learns what became of a run from its adapter, or from the adapter's next
-// life, which looks whether the agent beside it keeps a result.
-func (p *PlaceHost) ask(e *place.Errand, who wire.Who) {
-	id, attempt := e.Id, e.Attempt
-	ask := &wire.Open{Place: p.number, Term: p.host.Term(), Id: id, Attempt: attempt, Boot: e.Boot}
-	_ = p.around.Post(who, ask, func(reply any, err error) {
-		ack, isAck := reply.(*wire.OpenAck)
-		if err != nil || !isAck || ack.Kind != "" {
-			return
-		}
-		_ = p.host.Do(func() {
-			if !p.host.IsOwner() || e.State != place.Started || e.Attempt != attempt {
-				return
-			}
-			delete(p.asking, id)
-			switch ack.State {
-			case "open":
-				p.noteInHand(id, attempt)
-			case "gone":
-				p.lost(e, p.around.Now())
-			default:
-				p.undo(id, attempt, "never_started")
-			}
-		})
-	})
-}
-
-// lost deals with a run whose adapter has begun a new life: whether the worker
-// did it is unknown. For an ordered lane the worker is given time to end it.
-func (p *PlaceHost) lost(e *place.Errand, now time.Duration) {
-	lane, isKnown := p.lane(e.Lane)
-	if !isKnown {
-		return
-	}
-	pool := p.around.Scene().Rules.Pools[e.Pool]
-	if p.lostAt[e.Id] == 0 {
-		p.lostAt[e.Id] = now
-	}
-	wait := p.around.Bounds().Of(beat.Gone) // whoever keeps its result hands it over by then
-	if e.Ordered {
-		wait = max(wait, pool.Bound)
-	}
-	if now-p.lostAt[e.Id] < wait {
-		p.asking[e.Id] = now + p.around.Bounds().Of(beat.Vote)
-		return
-	}
-	p.asking[e.Id] = now + p.around.Bounds().Charter
-	delete(p.lostAt, e.Id)
-	c := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: e.Attempt, Cause: "unknown_run", Costs: true,
-		Retain: int64(lane.Retention / time.Millisecond)}
-	if !lane.Rerun || lane.Attempts > 0 && e.Spent+1 >= lane.Attempts {
-		c.Kind, c.State, c.Hold = place.CmdClose, string(place.Failed), lane.HoldFailed
-	}
-	p.propose(c, nil)
-}
-
 // sendChildren gives call-backs to the places that they belong to.
 func (p *PlaceHost) sendChildren() {
 	for id, child := range p.machine.Outbox() {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -72,6 +72,7 @@
 	if s.founder.snapshot().Founded {
 		s.begin()
 	}
+	d.Measure(s.measure)
 	go s.upkeep(ctx)
 	go s.dispatch.run(ctx)
 	home := &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink}
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -111,10 +111,11 @@
 
 func (n *Node) newSession(link *wire.Link, conn net.Conn, peer wire.Who, version, window int64, isDialer bool) *session {
 	s := &session{node: n, link: link, peer: peer, version: version, conn: conn, early: map[uint32][]wire.Item{}}
-	out := link.Replies
-	s.in = link.Asks
+	asks, replies := link.Codecs(version)
+	s.in = asks
+	out := replies
 	if isDialer {
-		out, s.in = link.Asks, link.Replies
+		out, s.in = asks, replies
 	}
 	s.alive.Store(true)
 	counters.sessions.Inc()
--- a/internal/transport/shake.go
+++ b/internal/transport/shake.go
@@ -61,6 +61,9 @@
 	if err == nil && welcome.Reject != "" {
 		err = mishap.New(mishap.Rejected, "%s: %s", addr, welcome.Reject)
 	}
+	if err == nil && (welcome.Version < n.opts.Oldest || welcome.Version > n.opts.Newest) {
+		err = mishap.New(mishap.Rejected, "%s settled on wire version %d, which nobody offered", addr, welcome.Version)
+	}
 	if err != nil {
 		conn.Close()
 		return nil, err
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -158,14 +158,31 @@
 		server, client := pair(Options{Newest: 1, Oldest: 1}, func(wire.Who, any, func(any)) {})
 		defer server.Close()
 		defer client.Close()
-		Convey("a daemon that speaks 1 to 3 settles on 1", func() {
-			newer, err := NewNode(Options{Newest: 3, Oldest: 1})
+		Convey("a daemon that speaks 1 and 2 settles on 1", func() {
+			newer, err := NewNode(Options{Newest: 2, Oldest: 1})
 			So(err, ShouldBeNil)
 			s, err := newer.dial(wire.PlaceLink, server.Addr())
 			So(err, ShouldBeNil)
 			So(s.version, ShouldEqual, 1)
 			s.down(mishap.New(mishap.Lost, "the test is over"))
 		})
+		Convey("what only version 2 has is left out for it, and not for a newer one", func() {
+			for newest, want := range map[int64]int64{1: 0, 2: 5} {
+				got := make(chan int64, 1)
+				server, client := pair(Options{Newest: newest, Oldest: 1}, func(_ wire.Who, body any, answer func(any)) {
+					got <- body.(*wire.Look).Wait
+					answer(&wire.Sight{Id: "0-x", Body: []byte{}, Proof: wire.Proof{Answer: []byte{}}})
+				})
+				peer := client.Peer(wire.PlaceLink, server.Addr())
+				dialled(peer)
+				reply, err := peer.Call(context.Background(), &wire.Look{Id: "0-x", Wait: 5})
+				So(err, ShouldBeNil)
+				So(reply.(*wire.Sight).Id, ShouldEqual, "0-x")
+				So(<-got, ShouldEqual, want)
+				client.Close()
+				server.Close()
+			}
+		})
 		Convey("a daemon of another shape is refused", func() {
 			other, err := NewNode(Options{Shape: "places=7 parts=1"})
 			So(err, ShouldBeNil)
--- /dev/null
+++ b/internal/weight/shares_test.go
@@ -0,0 +1,73 @@
+package weight
+
+import (
+	"math"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// feed gives a lane's messages to two pools by weight for some turns, each pool
+// running at most its capacity a turn, and counts what was left waiting at the
+// end. isControlled has the weights follow what is seen, two turns late.
+func feed(turns int, isControlled bool, capacity func(turn int) (a, b float64)) (waiting float64, turned []float64) {
+	weights, queued := map[string]float64{}, map[string]float64{}
+	late := []map[string]Seen{}
+	for turn := range turns {
+		x, y := capacity(turn)
+		sum := get(weights, "a") + get(weights, "b")
+		seen := map[string]Seen{}
+		for name, most := range map[string]float64{"a": x, "b": y} {
+			queued[name] = math.Max(0, queued[name]+100*get(weights, name)/sum-most)
+			seen[name] = Seen{Micros: 1e6 / most}
+		}
+		late = append(late, seen)
+		if isControlled && len(late) > 2 {
+			weights = Turn(weights, late[len(late)-3])
+		}
+		turned = append(turned, get(weights, "a"))
+	}
+	return queued["a"] + queued["b"], turned
+}
+
+// TestShares: a lane's pools, of which one turns slow.
+func TestShares(t *testing.T) {
+	slows := func(turn int) (float64, float64) {
+		if turn >= 10 && turn < 40 {
+			return 10, 95
+		}
+		return 95, 95
+	}
+	Convey("When one of two pools turns slow for a while", t, func() {
+		fixed, _ := feed(40, false, slows)
+		led, turned := feed(40, true, slows)
+		Convey("much less is left waiting than under fixed weights", func() {
+			So(fixed, ShouldBeGreaterThan, 1000)
+			So(led, ShouldBeLessThan, fixed/4)
+		})
+		Convey("its weight goes down and comes back, and does not swing", func() {
+			_, turned = feed(120, true, slows)
+			So(turned[39], ShouldBeLessThan, 0.2)
+			So(turned[119], ShouldBeGreaterThan, 0.95)
+			turns := 0
+			for i := 2; i < len(turned); i++ {
+				if (turned[i]-turned[i-1])*(turned[i-1]-turned[i-2]) < 0 {
+					turns++
+				}
+			}
+			So(turns, ShouldBeLessThanOrEqualTo, 1)
+		})
+	})
+	Convey("A peer that does not answer loses weight, keeps the least, and is forgotten when it is gone", t, func() {
+		p := &Peers{}
+		for range 80 {
+			p.Saw("a", 1000, true)
+			p.Saw("b", 1000, false)
+			p.Turn(func(string) bool { return true })
+		}
+		So(p.Of("a"), ShouldEqual, 1)
+		So(p.Of("b"), ShouldEqual, Least)
+		p.Turn(func(name string) bool { return name == "a" })
+		So(p.All(), ShouldResemble, map[string]float64{"a": 1})
+	})
+}
--- a/internal/weight/weight.go
+++ b/internal/weight/weight.go
@@ -36,11 +36,9 @@
 
 // Next gives the weights after one turn.
 func Next(old Weights, seen map[string]Seen) Weights {
-	out := Weights{Cells: map[string]float64{}, Workers: map[string]float64{}}
-	usual := median(seen)
+	out := Weights{Cells: map[string]float64{}, Workers: Turn(old.Workers, seen)}
 	cells := map[string][]float64{}
-	for name, s := range seen {
-		out.Workers[name] = move(get(old.Workers, name), target(s, usual))
+	for _, s := range seen {
 		cells[s.Cell] = append(cells[s.Cell], 1-s.Failed)
 	}
 	for cell, sound := range cells {
@@ -53,6 +51,16 @@
 	return out
 }
 
+// Turn is one turn of the controller that the workers of a pool, the pools of
+// a lane and the stores that an adapter may choose among have alike.
+func Turn(old map[string]float64, seen map[string]Seen) map[string]float64 {
+	out, usual := map[string]float64{}, median(seen)
+	for name, s := range seen {
+		out[name] = move(get(old, name), target(s, usual))
+	}
+	return out
+}
+
 // target: a worker gets less the slower it is than usual and the more it fails.
 func target(s Seen, usual float64) float64 {
 	if s.IsProbe {
@@ -90,21 +98,40 @@
 		return 0
 	}
 	slices.Sort(times)
-	return times[len(times)/2]
+	return times[(len(times)-1)/2] // of two the quicker: the slower one is the odd one
 }
 
 // IsNews tells whether the change is worth publishing.
 func IsNews(old, next Weights) bool {
-	differs := func(a, b map[string]float64) bool {
-		if !slices.Equal(slices.Sorted(maps.Keys(a)), slices.Sorted(maps.Keys(b))) {
+	return HasMoved(old.Cells, next.Cells) || HasMoved(old.Workers, next.Workers)
+}
+
+// HasMoved tells whether any weight has changed enough to matter.
+func HasMoved(old, next map[string]float64) bool {
+	if !slices.Equal(slices.Sorted(maps.Keys(old)), slices.Sorted(maps.Keys(next))) {
+		return true
+	}
+	for name, w := range next {
+		if math.Abs(w-old[name]) > Notice*max(old[name], Least) {
 			return true
 		}
-		for name, w := range b {
-			if math.Abs(w-a[name]) > Notice*max(a[name], Least) {
-				return true
-			}
+	}
+	return false
+}
+
+// Join sums up what is seen of a pool's workers as one.
+func Join(seen map[string]Seen) Seen {
+	out, timed, probes := Seen{}, 0.0, 0
+	for _, s := range seen {
+		out.Failed += s.Failed / float64(len(seen))
+		if s.Micros > 0 {
+			out.Micros, timed = out.Micros+s.Micros, timed+1
+		}
+		if s.IsProbe {
+			probes++
 		}
-		return false
 	}
-	return differs(old.Cells, next.Cells) || differs(old.Workers, next.Workers)
+	out.Micros /= max(1, timed)
+	out.IsProbe = len(seen) > 0 && probes == len(seen)
+	return out
 }
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -1,9 +1,10 @@
 package wire
 
 // Version is the newest wire version this build speaks; Oldest the oldest.
-// Both ends of a session use the lower of their newest versions.
+// Both ends of a session use the lower of their newest versions. Version 2 has
+// Look.Wait.
 const (
-	Version int64 = 1
+	Version int64 = 2
 	Oldest  int64 = 1
 )
 
--- a/internal/wire/data.go
+++ b/internal/wire/data.go
@@ -38,6 +38,7 @@
 	Place int64  `avro:"place"`
 	Id    string `avro:"id"`
 	Body  bool   `avro:"body"`
+	Wait  int64  `avro:"wait" since:"2"` // milliseconds for which the answer may wait for the message's end
 }
 
 // Proof is the record of one run.
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -5,8 +5,8 @@
 // what arrives from the link that the session was opened for.
 type Link struct {
 	Name    string
-	Asks    *Codec
-	Replies *Codec
+	asks    map[int64]*Codec // by wire version
+	replies map[int64]*Codec
 	Ordered bool // batches are dispatched in the order in which they were cut
 }
 
@@ -33,15 +33,18 @@
 var Links = map[string]*Link{}
 
 func newLink(name string, ordered bool, asks, replies []any) *Link {
-	link := &Link{
-		Name:    name,
-		Asks:    newCodec("ask", asks...),
-		Replies: newCodec("reply", replies...),
-		Ordered: ordered,
+	link := &Link{Name: name, Ordered: ordered, asks: map[int64]*Codec{}, replies: map[int64]*Codec{}}
+	for version := Oldest; version <= Version; version++ {
+		link.asks[version], link.replies[version] = newCodec("ask", version, asks), newCodec("reply", version, replies)
 	}
 	return link
 }
 
+// Codecs gives how both directions are written in a wire version.
+func (l *Link) Codecs(version int64) (asks, replies *Codec) {
+	return l.asks[version], l.replies[version]
+}
+
 func init() {
 	for _, link := range []*Link{SessionLink, PeerLink, PartLink, PlaceLink, RunLink, GroupLink} {
 		Links[link.Name] = link
--- a/internal/wire/schema.go
+++ b/internal/wire/schema.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"reflect"
+	"strconv"
 
 	"github.com/hamba/avro/v2"
 
@@ -39,7 +40,10 @@
 // limitSlice bounds what one datum may make a receiver allocate.
 const limitSlice = 16 << 20
 
-func schemaOf(t reflect.Type, seen map[string]bool) any {
+// schemaOf gives the schema of a type as a wire version has it: a field tagged
+// since:"N" is not there before version N, so an older peer neither gets nor
+// sends it, and the newer one reads its zero value.
+func schemaOf(t reflect.Type, version int64, seen map[string]bool) any {
 	switch t.Kind() {
 	case reflect.String:
 		return "string"
@@ -55,9 +59,9 @@
 		if t.Elem().Kind() == reflect.Uint8 {
 			return "bytes"
 		}
-		return map[string]any{"type": "array", "items": schemaOf(t.Elem(), seen)}
+		return map[string]any{"type": "array", "items": schemaOf(t.Elem(), version, seen)}
 	case reflect.Map:
-		return map[string]any{"type": "map", "values": schemaOf(t.Elem(), seen)}
+		return map[string]any{"type": "map", "values": schemaOf(t.Elem(), version, seen)}
 	case reflect.Struct:
 		if seen[t.Name()] {
 			return t.Name()
@@ -66,7 +70,10 @@
 		out := record{Type: "record", Name: t.Name(), Fields: []field{}}
 		for i := range t.NumField() {
 			f := t.Field(i)
-			out.Fields = append(out.Fields, field{Name: f.Tag.Get("avro"), Type: schemaOf(f.Type, seen)})
+			if since, err := strconv.ParseInt(f.Tag.Get("since"), 10, 64); err == nil && since > version {
+				continue
+			}
+			out.Fields = append(out.Fields, field{Name: f.Tag.Get("avro"), Type: schemaOf(f.Type, version, seen)})
 		}
 		return out
 	}
@@ -82,14 +89,14 @@
 }
 
 // newCodec builds the schema of a direction from the types it may carry.
-func newCodec(name string, kinds ...any) *Codec {
+func newCodec(name string, version int64, kinds []any) *Codec {
 	api := avro.Config{MaxByteSliceSize: limitSlice, MaxSliceAllocSize: limitSlice}.Freeze()
 	seen := map[string]bool{}
 	union := []any{}
 	for _, kind := range kinds {
 		t := reflect.TypeOf(kind).Elem()
 		api.Register(t.Name(), kind)
-		union = append(union, schemaOf(t, seen))
+		union = append(union, schemaOf(t, version, seen))
 	}
 	text, err := json.Marshal(record{Type: "record", Name: name, Fields: []field{
 		{Name: "corr", Type: "long"}, {Name: "body", Type: union},
@@ -133,9 +140,10 @@
 	api    avro.API
 }
 
-// NewPlain builds a codec for the type of sample, a pointer to a struct.
+// NewPlain builds a codec for the type of sample, a pointer to a struct. What
+// lies on disk and in logs stays as it was in version 1.
 func NewPlain(sample any) *Plain {
-	text, err := json.Marshal(schemaOf(reflect.TypeOf(sample).Elem(), map[string]bool{}))
+	text, err := json.Marshal(schemaOf(reflect.TypeOf(sample).Elem(), 1, map[string]bool{}))
 	if err != nil {
 		panic(err)
 	}
