Fleet asks for messages meanwhile, judges recovery, stalls workers; apply DIR; proof.md

A run in which a step was not carried out, an operator's call failed, or no run met the odd back end now fails.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -112,6 +112,7 @@
 	defer cancel()
 	caused := make(chan struct{})
 	go func() { f.Cause(loadCtx, schedule); close(caused) }()
+	go f.Probe(loadCtx, callers)
 	callers.Run(loadCtx)
 	<-caused
 	settleCtx, cancel := context.WithTimeout(ctx, 2*time.Minute)
@@ -123,8 +124,8 @@
 		return mishap.Wrap(err, mishap.Internal, "report")
 	}
 	fmt.Println(string(raw))
-	if len(report.Breaches) > 0 || report.Unsettled != "" || len(report.Charter) > 0 {
-		return mishap.New(mishap.Unsound, "%d rules broken", len(report.Breaches))
+	if len(report.Breaches) > 0 || report.Unsettled != "" || len(report.Charter) > 0 || len(report.Failures) > 0 || report.Runs == 0 {
+		return mishap.New(mishap.Unsound, "%d rules broken, %d steps not carried out", len(report.Breaches)+len(report.Charter), len(report.Failures))
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/check/proof_test.go
@@ -0,0 +1,42 @@
+package check
+
+import (
+	"os"
+	"os/exec"
+	"regexp"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestProofNames: docs/proof.md names only tests, schedules and simulated
+// faults that exist.
+func TestProofNames(t *testing.T) {
+	Convey("Everything that the proof names exists", t, func() {
+		page, err := os.ReadFile("../../docs/proof.md")
+		So(err, ShouldBeNil)
+		tests, err := exec.Command("grep", "-rhoE", "--include=*_test.go", `^func Test[A-Za-z0-9]+`, "../..").Output()
+		So(err, ShouldBeNil)
+		faults, err := exec.Command("grep", "-rhoE", `^	"[a-z -]+":`, "../sim").Output()
+		So(err, ShouldBeNil)
+		named := 0
+		for _, found := range regexp.MustCompile("`(Test[A-Za-z0-9]+)`").FindAllSubmatch(page, -1) {
+			named++
+			So(string(tests), ShouldContainSubstring, "func "+string(found[1])+"\n")
+		}
+		for _, list := range regexp.MustCompile("schedules? ((?:`[a-z]+`(?:, )?)+)").FindAllSubmatch(page, -1) {
+			for _, found := range regexp.MustCompile("`([a-z]+)`").FindAllSubmatch(list[1], -1) {
+				named++
+				_, err := os.Stat("../../examples/faults/" + string(found[1]) + ".json")
+				So(err, ShouldBeNil)
+			}
+		}
+		for _, list := range regexp.MustCompile(`sim (?:place|control) ("[a-z -]+"(?:, )?)+`).FindAll(page, -1) {
+			for _, found := range regexp.MustCompile(`"[a-z -]+"`).FindAll(list, -1) {
+				named++
+				So(string(faults), ShouldContainSubstring, string(found)+":")
+			}
+		}
+		So(named, ShouldBeGreaterThan, 60)
+	})
+}
--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,162 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/mishap"
+)
+
+type applyCommand struct {
+	Folder string `arg:"positional,required" help:"folder with charter.json and workers/POOL.json, as kept in version control"`
+	DryRun bool   `arg:"--dry-run" help:"only show the plan"`
+}
+
+// declaration is one document as declared, and how the system has it.
+type declaration struct {
+	file, path string
+	body       []byte
+	stamp      string
+	changes    []string // empty: it is as declared
+}
+
+// apply makes the system what a folder declares. All files are checked before
+// anything is written; each document is then written whole, on the base that
+// the plan was made from, or not at all. What is as declared is left alone.
+func (t *tool) apply(c *applyCommand) error {
+	plan, err := readFolder(c.Folder)
+	if err != nil {
+		return err
+	}
+	for i := range plan {
+		if err := t.compare(&plan[i]); err != nil {
+			return err
+		}
+	}
+	changed := 0
+	for _, d := range plan {
+		if len(d.changes) == 0 {
+			fmt.Fprintf(t.out, "%s: as declared, stamp %s\n", d.file, d.stamp)
+			continue
+		}
+		changed++
+		fmt.Fprintf(t.out, "%s: on stamp %s\n", d.file, d.stamp)
+		for _, line := range d.changes {
+			fmt.Fprintf(t.out, "  %s\n", line)
+		}
+	}
+	if c.DryRun || changed == 0 {
+		fmt.Fprintf(t.out, "%d of %d documents differ\n", changed, len(plan))
+		return nil
+	}
+	for _, d := range plan {
+		if len(d.changes) == 0 {
+			continue
+		}
+		if err := t.write(d); err != nil {
+			return mishap.Wrap(err, mishap.KindOf(err), "%s is not applied, nor what comes behind it", d.file)
+		}
+	}
+	return nil
+}
+
+// readFolder finds and checks the declared documents: the charter first, since
+// it names the pools.
+func readFolder(folder string) ([]declaration, error) {
+	out := []declaration{}
+	doc, err := os.ReadFile(filepath.Join(folder, "charter.json"))
+	if err != nil && !os.IsNotExist(err) {
+		return nil, mishap.Wrap(err, mishap.Invalid, "charter.json")
+	}
+	faults := []string{}
+	rules := &charter.Rules{}
+	if err == nil {
+		var found []charter.Fault
+		if rules, found = charter.Compile(doc); len(found) > 0 {
+			faults = append(faults, faultLines("charter.json", found)...)
+		}
+		out = append(out, declaration{file: "charter.json", path: "/v1/charter", body: doc})
+	}
+	files, err := filepath.Glob(filepath.Join(folder, "workers", "*.json"))
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.Invalid, "workers")
+	}
+	slices.Sort(files)
+	for _, file := range files {
+		name := filepath.Join("workers", filepath.Base(file))
+		pool := strings.TrimSuffix(filepath.Base(file), ".json")
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return nil, mishap.Wrap(err, mishap.Invalid, "%s", name)
+		}
+		list, found := charter.ReadWorkers(raw)
+		faults = append(faults, faultLines(name, found)...)
+		if p, isKnown := rules.Pools[pool]; rules != nil && rules.Pools != nil && (!isKnown || p.IsEndpoint) {
+			faults = append(faults, name+": the charter beside it has no such pool of workers")
+		}
+		out = append(out, declaration{file: name, path: "/v1/pools/" + pool + "/workers", body: list.Encode()})
+	}
+	switch {
+	case len(faults) > 0:
+		return nil, mishap.New(mishap.Invalid, "nothing was applied:\n  %s", strings.Join(faults, "\n  "))
+	case len(out) == 0:
+		return nil, mishap.New(mishap.Invalid, "%s has neither charter.json nor workers/*.json", folder)
+	}
+	return out, nil
+}
+
+func faultLines(file string, faults []charter.Fault) []string {
+	out := []string{}
+	for _, f := range faults {
+		out = append(out, fmt.Sprintf("%s: %s %s", file, f.Path, f.Text))
+	}
+	return out
+}
+
+// compare reads how the system has a document. A pool that only the charter of
+// this plan brings has no list yet.
+func (t *tool) compare(d *declaration) error {
+	resp, err := t.get(d.path)
+	base := []byte(`{"workers":[]}`)
+	switch {
+	case err == nil:
+		d.stamp, base = strings.Trim(resp.Header().Get("ETag"), `"`), resp.Body()
+	case mishap.Is(err, mishap.Unknown) && d.path != "/v1/charter":
+		d.stamp = "0"
+	default:
+		return err
+	}
+	if d.path != "/v1/charter" {
+		was, _ := charter.ReadWorkers(base)
+		base = was.Encode()
+	}
+	differences, err := charter.Diff(base, d.body)
+	if err != nil {
+		return err
+	}
+	for _, x := range differences {
+		raw, err := json.Marshal(x)
+		if err != nil {
+			return mishap.Wrap(err, mishap.Internal, "difference")
+		}
+		d.changes = append(d.changes, string(raw))
+	}
+	return nil
+}
+
+func (t *tool) write(d declaration) error {
+	resp, err := t.client.R().SetHeader("If-Match", `"`+d.stamp+`"`).SetHeader("Content-Type", "application/json").SetBody(d.body).Put(d.path)
+	if err != nil {
+		return mishap.Wrap(err, mishap.Undecided, "manager %s; read the document back", t.args.Manager)
+	}
+	if resp.IsError() {
+		return problem(resp)
+	}
+	fmt.Fprintf(t.out, "%s: applied, stamp %s\n", d.file, strings.Trim(resp.Header().Get("ETag"), `"`))
+	return nil
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -80,6 +80,7 @@
 	Json     bool            `arg:"--json" help:"print JSON as the API gives it"`
 	Operator string          `arg:"--operator,env:CAPERWHEEL_OPERATOR" help:"your name, for the history"`
 	Doctor   *doctorCommand  `arg:"subcommand:doctor" help:"look for common faults"`
+	Apply    *applyCommand   `arg:"subcommand:apply" help:"make the system what a folder declares"`
 	Charter  *charterCommand `arg:"subcommand:charter" help:"the tree of settings"`
 	Workers  *workersCommand `arg:"subcommand:workers" help:"a pool's live list"`
 	Cell     *cellCommand    `arg:"subcommand:cell" help:"empty or restore a cell"`
@@ -141,6 +142,8 @@
 	switch {
 	case a.Doctor != nil:
 		return t.doctor(a.Doctor)
+	case a.Apply != nil:
+		return t.apply(a.Apply)
 	case a.Charter != nil && a.Charter.Get != nil:
 		return t.show("/v1/charter")
 	case a.Charter != nil && a.Charter.History != nil:
--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -76,7 +76,13 @@
 
 // PutCharter replaces the charter.
 func (a *Api) PutCharter(ctx context.Context, doc []byte) error {
-	return a.put(ctx, "/v1/charter", doc)
+	edit := allows(doc, a.f.Now())
+	err := a.put(ctx, "/v1/charter", doc)
+	if err == nil {
+		edit.AckAt, edit.Stamp = a.f.Now(), 1
+		a.f.History.AddEdit(edit)
+	}
+	return err
 }
 
 // PutWorkers replaces a pool's live list.
--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,15 +31,18 @@
 	Crawl      // takes twenty times as long
 	Cut        // cuts its answers short
 	Lose       // does the job and loses its answer
+	Stall      // answers only long after a run's bound
 )
 
+const stallFor = 4 * time.Second
+
 // Backend is a stand-in worker or endpoint.
 type Backend struct {
 	Pool, Name, Cell string
 	Addr             string
 	Work             time.Duration
 	mode             atomic.Int32
-	poison           atomic.Bool
+	met              atomic.Int64 // runs that met a mode other than Well
 	h                *check.History
 	now              func() time.Duration
 	mu               sync.Mutex
@@ -103,16 +107,24 @@
 	attempt, _ := strconv.ParseInt(r.Header.Get("X-Attempt"), 10, 64)
 	run := check.Run{Token: p.Token, Id: r.Header.Get("X-Message-Id"), Attempt: attempt, Pool: b.Pool, Worker: b.Name,
 		Sum: Sum(body), Start: start}
+	run.Adapter, _ = strings.CutPrefix(r.UserAgent(), "caperwheel/")
+	run.Stamp, _ = strconv.ParseInt(r.Header.Get("X-Charter-Stamp"), 10, 64)
 	b.mu.Lock()
 	b.inUse++
 	b.most = max(b.most, b.inUse)
 	b.mu.Unlock()
 	mode, work := Mode(b.mode.Load()), b.Work/2+time.Duration(rand.Int64N(int64(b.Work)+1))
-	if mode == Crawl {
+	switch mode {
+	case Crawl:
 		work *= 20
+	case Stall:
+		work += stallFor
+	}
+	if mode != Well {
+		b.met.Add(1)
 	}
 	time.Sleep(work) // the work itself
-	answer, _ := json.Marshal(map[string]any{"token": p.Token + "/answer", "by": b.Name, "attempt": attempt})
+	answer, _ := json.Marshal(map[string]any{"token": check.AnswerOf(p.Token), "by": b.Name, "attempt": attempt})
 	run.Status, run.Answer = 200, Sum(answer)
 	switch {
 	case p.Poison:
--- a/internal/fleet/callers.go
+++ b/internal/fleet/callers.go
@@ -5,27 +5,30 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"caperwheel/internal/check"
+	"caperwheel/internal/intake"
 )
 
 // Callers send the plan's load until their context ends.
 type Callers struct {
-	f       *Fleet
-	client  *http.Client
-	serial  atomic.Int64
-	mu      sync.Mutex
-	Times   []time.Duration // of requests that were answered taken
-	TakenAt []time.Duration
-	Codes   map[int]int
-	wg      sync.WaitGroup
+	f      *Fleet
+	client *http.Client
+	serial atomic.Int64
+	mu     sync.Mutex
+	Times  []time.Duration // of requests that were answered taken
+	taken  []string        // ids
+	Codes  map[int]int
+	wg     sync.WaitGroup
 }
 
 // NewCallers readies them.
@@ -99,46 +102,80 @@
 	token := fmt.Sprintf("%s-%d", lane, c.serial.Add(1))
 	body, _ := json.Marshal(map[string]any{"token": token, "poison": isPoison, "fill": strings.Repeat("x", rand.IntN(size+1))})
 	s := check.Sent{Token: token, Lane: lane, Key: key, Sum: Sum(body), At: c.f.Now(), Told: check.Undecided}
-	adapter := c.f.Adapters[rand.IntN(len(c.f.Adapters))]
 	began := time.Now()
-	code := 0
-	req, err := http.NewRequest("POST", "http://"+adapter.Http+"/v1/lanes/"+lane+"/messages", bytes.NewReader(body))
-	if err == nil {
-		req.Header.Set("Content-Type", "application/json")
-		if key != "" {
-			req.Header.Set("Ordering-Key", key)
-		}
-		var resp *http.Response
-		if resp, err = c.client.Do(req); err == nil {
-			code = resp.StatusCode
-			var told struct {
-				Id    string `json:"id"`
-				Taken any    `json:"taken"`
-			}
-			if json.NewDecoder(resp.Body).Decode(&told) == nil {
-				s.Id = told.Id
-				switch told.Taken {
-				case true:
-					s.Told = check.Taken
-				case false:
-					s.Told = check.NotTaken
-				}
-			}
-			resp.Body.Close()
-		}
-	}
+	code := c.ask(&s, body)
 	s.ToldAt = c.f.Now()
 	c.f.History.AddSent(s)
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.Codes[code]++
 	if s.Told == check.Taken {
 		c.Times = append(c.Times, time.Since(began))
-		c.TakenAt = append(c.TakenAt, s.ToldAt)
+		c.taken = append(c.taken, s.Id)
 	}
-	c.mu.Unlock()
 	return s
 }
 
+// ask sends the request and reads the answer. One in ten waits for the end, so
+// that whole proofs come back over connections that others use too.
+func (c *Callers) ask(s *check.Sent, body []byte) (code int) {
+	url := "http://" + c.f.Adapters[rand.IntN(len(c.f.Adapters))].Http + "/v1/lanes/" + s.Lane + "/messages"
+	if rand.IntN(10) == 0 {
+		url += "?wait=2s"
+	}
+	req, err := http.NewRequest("POST", url, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if s.Key != "" {
+		req.Header.Set("Ordering-Key", s.Key)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0 // it broke, and looks so
+	}
+	var told struct {
+		Id    string        `json:"id"`
+		Taken any           `json:"taken"`
+		Sum   string        `json:"sha256"`
+		Proof *intake.Proof `json:"proof"`
+	}
+	if json.Unmarshal(raw, &told) != nil {
+		s.IsShort = true
+		return resp.StatusCode
+	}
+	s.Id, s.GotSum = told.Id, told.Sum
+	s.Stamp, _ = strconv.ParseInt(resp.Header.Get("X-Charter-Stamp"), 10, 64)
+	if told.Proof != nil {
+		var answer payload
+		_ = json.Unmarshal(told.Proof.Answer, &answer)
+		s.GotToken = answer.Token
+	}
+	switch told.Taken {
+	case true:
+		s.Told = check.Taken
+	case false:
+		s.Told = check.NotTaken
+	}
+	return resp.StatusCode
+}
+
+// AnyTaken gives the id of some message that was told taken, or none.
+func (c *Callers) AnyTaken() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.taken) == 0 {
+		return ""
+	}
+	return c.taken[rand.IntN(len(c.taken))]
+}
+
 // Percentile of a list of times.
 func Percentile(times []time.Duration, p float64) time.Duration {
 	if len(times) == 0 {
--- a/internal/fleet/deploy.go
+++ b/internal/fleet/deploy.go
@@ -1,12 +1,12 @@
 package fleet
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"caperwheel/internal/charter"
@@ -57,6 +57,15 @@
 	callers  *Callers
 	edits    edits
 	relays   *relays
+	steps    sync.Mutex
+	Failures []string // steps of the schedule that were not carried out
+}
+
+// failed notes that a run proves less than its schedule says.
+func (f *Fleet) failed(form string, args ...any) {
+	f.steps.Lock()
+	defer f.steps.Unlock()
+	f.Failures = append(f.Failures, fmt.Sprintf(form, args...))
 }
 
 // Now is the fleet's clock, which every record uses.
@@ -121,6 +130,9 @@
 	for name, lane := range f.Rules.Lanes {
 		f.History.Pools[name] = lane.Pools
 		f.History.Order[name] = lane.IsOrdered
+		if lane.Callback != "" {
+			f.History.Backs[name] = lane.Callback
+		}
 	}
 	return nil
 }
@@ -189,43 +201,3 @@
 	out = append(out, f.Agents...)
 	return append(out, f.Adapters...)
 }
-
-// Up starts everything and waits until the charter is accepted, the workers
-// are listed and all adapters are ready.
-func (f *Fleet) Up(ctx context.Context) error {
-	for _, p := range f.All() {
-		if err := p.Start(); err != nil {
-			return err
-		}
-	}
-	if err := f.api.PutCharter(ctx, f.Charter); err != nil {
-		return err
-	}
-	pools := map[string][]charter.Worker{}
-	for _, b := range f.Backends {
-		if b.Name != charter.Endpoint {
-			pools[b.Pool] = append(pools[b.Pool], charter.Worker{Name: b.Name, Address: b.Addr, Cell: b.Cell, State: "live"})
-		}
-	}
-	for pool, workers := range pools {
-		if err := f.api.PutWorkers(ctx, pool, workers); err != nil {
-			return err
-		}
-	}
-	return f.api.Ready(ctx)
-}
-
-// Down stops everything, asking first.
-func (f *Fleet) Down() {
-	done := make(chan struct{})
-	all := f.All()
-	for _, p := range all {
-		go func() { p.Signal(18); p.end(9); done <- struct{}{} }()
-	}
-	for range all {
-		<-done
-	}
-	for _, b := range f.Backends {
-		b.Stop()
-	}
-}
--- a/internal/fleet/edits.go
+++ b/internal/fleet/edits.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"caperwheel/internal/charter"
+	"caperwheel/internal/check"
 	"caperwheel/internal/mishap"
 )
 
@@ -37,45 +38,107 @@
 	})
 }
 
-// editCharter does one kind of edit: good, race, invalid, or stale. Each is
-// held against what must come of it.
-func (f *Fleet) editCharter(ctx context.Context, kind string) {
-	e := &f.edits
-	m := func(i int) string { return "http://" + f.Managers[i%len(f.Managers)].Http + "/v1/charter" }
-	code, head, _, err := Do(ctx, "GET", m(int(time.Now().UnixNano()/1000)), "", nil)
-	if err != nil || code != 200 {
-		return // nobody could read it now: no edit was tried
+func (e *edits) breach(form string, args ...any) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Broken = append(e.Broken, fmt.Sprintf(form, args...))
+}
+
+func (f *Fleet) charterUrl(i int) string {
+	return "http://" + f.Managers[i%len(f.Managers)].Http + "/v1/charter"
+}
+
+// readCharter gives the charter and its stamp from whichever manager answers.
+func (f *Fleet) readCharter(ctx context.Context) (etag string, doc []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 12*time.Second)
+	defer cancel()
+	err = f.api.try(ctx, func(manager string) error {
+		code, head, raw, err := Do(ctx, "GET", manager+"/v1/charter", "", nil)
+		if err == nil && code != 200 {
+			err = mishap.New(mishap.Unsound, "GET charter: %d", code)
+		}
+		etag, doc = head.Get("ETag"), raw
+		return err
+	})
+	return etag, doc, err
+}
+
+// allows records what a charter lets lanes and pools do, from when it was sent.
+func allows(doc []byte, at time.Duration) check.Edit {
+	out := check.Edit{At: at, Pools: map[string][]string{}, Caps: map[string]float64{}}
+	rules, _ := charter.Compile(doc)
+	for name, lane := range rules.Lanes {
+		out.Pools[name] = lane.Pools
 	}
-	base := head.Get("ETag")
-	breach := func(form string, args ...any) {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.Broken = append(e.Broken, fmt.Sprintf(form, args...))
+	for name, pool := range rules.Pools {
+		out.Caps[name] = pool.Rate
 	}
-	patch := func(i int, ifMatch, note string) int {
-		body, _ := json.Marshal(map[string]string{"note": note})
-		code, head, _, err := Do(ctx, "PATCH", m(i), ifMatch, body)
-		if err == nil && code == 200 {
-			stamp, _ := strconv.ParseInt(strings.Trim(head.Get("ETag"), `"`), 10, 64)
-			e.mu.Lock()
-			if stamp > e.stamp {
-				e.stamp, e.note = stamp, note
-			}
-			e.mu.Unlock()
+	return out
+}
+
+// patchCharter sends one edit through one manager and records what came of it.
+func (f *Fleet) patchCharter(ctx context.Context, manager int, etag string, base []byte, patch map[string]any) int {
+	body, _ := json.Marshal(patch)
+	merged, err := charter.Merge(base, body)
+	if err != nil {
+		f.failed("edit %s: %v", body, err)
+		return 0
+	}
+	edit := allows(merged, f.Now())
+	code, head, _, err := Do(ctx, "PATCH", f.charterUrl(manager), etag, body)
+	if err == nil && code == 200 {
+		edit.AckAt = f.Now()
+		edit.Stamp, _ = strconv.ParseInt(strings.Trim(head.Get("ETag"), `"`), 10, 64)
+		f.edits.mu.Lock()
+		if note, _ := patch["note"].(string); edit.Stamp > f.edits.stamp {
+			f.edits.stamp, f.edits.note = edit.Stamp, note
+		}
+		f.edits.mu.Unlock()
+	}
+	f.History.AddEdit(edit)
+	return code
+}
+
+// inTree gives the patch that changes one lane or pool of a tree.
+func inTree(tree, name string, change map[string]any) map[string]any {
+	parts := strings.Split(name, ".")
+	for i := len(parts) - 1; i >= 0; i-- {
+		change = map[string]any{parts[i]: change}
+		if i > 0 {
+			change = map[string]any{"children": change}
 		}
-		return code
 	}
-	switch kind {
+	return map[string]any{tree: change}
+}
+
+// editCharter does one kind of edit: good, race, invalid, stale, "move LANE
+// POOL" or "cap POOL RATE". Each is held against what must come of it.
+func (f *Fleet) editCharter(ctx context.Context, what string) {
+	etag, base, err := f.readCharter(ctx)
+	if err != nil {
+		f.failed("edit %s: %v", what, err)
+		return
+	}
+	note := func(i int) map[string]any {
+		return map[string]any{"note": fmt.Sprintf("%s %d at %v", what, i, f.Now())}
+	}
+	words := strings.Fields(what)
+	switch words[0] {
 	case "good":
-		patch(0, base, "edit at "+f.Now().String())
+		f.patchCharter(ctx, 0, etag, base, note(0))
+	case "move":
+		f.patchSure(ctx, inTree("lanes", words[1], map[string]any{"pools": []string{words[2]}}))
+	case "cap":
+		rate, _ := strconv.ParseFloat(words[2], 64)
+		f.patchSure(ctx, inTree("pools", words[1], map[string]any{"rate": rate}))
 	case "invalid":
-		if code, _, _, err := Do(ctx, "PATCH", m(1), base, []byte(`{"lanes":{"bad lane":{}}}`)); err == nil && code == 200 {
-			breach("an invalid charter was accepted")
+		if code, _, _, err := Do(ctx, "PATCH", f.charterUrl(1), etag, []byte(`{"lanes":{"bad lane":{}}}`)); err == nil && code == 200 {
+			f.edits.breach("an invalid charter was accepted")
 		}
 	case "stale":
-		if stamp, _ := strconv.ParseInt(strings.Trim(base, `"`), 10, 64); stamp > 1 {
-			if patch(2, `"1"`, "stale") == 200 {
-				breach("an edit on a stale base was accepted")
+		if stamp, _ := strconv.ParseInt(strings.Trim(etag, `"`), 10, 64); stamp > 1 {
+			if f.patchCharter(ctx, 2, `"1"`, base, note(0)) == 200 {
+				f.edits.breach("an edit on a stale base was accepted")
 			}
 		}
 	case "race":
@@ -83,7 +146,7 @@
 		codes := make([]int, len(f.Managers))
 		for i := range f.Managers {
 			wg.Add(1)
-			go func() { defer wg.Done(); codes[i] = patch(i, base, fmt.Sprintf("race %d at %v", i, f.Now())) }()
+			go func() { defer wg.Done(); codes[i] = f.patchCharter(ctx, i, etag, base, note(i)) }()
 		}
 		wg.Wait()
 		won := 0
@@ -93,9 +156,25 @@
 			}
 		}
 		if won > 1 {
-			breach("%d edits on one base were accepted: %v", won, codes)
+			f.edits.breach("%d edits on one base were accepted: %v", won, codes)
+		}
+	default:
+		f.failed("no edit is called %q", what)
+	}
+}
+
+// patchSure repeats an edit until one is acknowledged.
+func (f *Fleet) patchSure(ctx context.Context, patch map[string]any) {
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	for turn := 0; ctx.Err() == nil; turn++ {
+		etag, base, err := f.readCharter(ctx)
+		if err == nil && f.patchCharter(ctx, turn, etag, base, patch) == 200 {
+			return
 		}
+		pause(ctx, 100*time.Millisecond)
 	}
+	f.failed("edit %v was never acknowledged", patch)
 }
 
 // CheckCharter reads the charter back from every manager: it must be the
@@ -115,7 +194,7 @@
 			_ = json.Unmarshal(raw, &got)
 			stamp, _ := strconv.ParseInt(strings.Trim(head.Get("ETag"), `"`), 10, 64)
 			e.mu.Lock()
-			if stamp < e.stamp || stamp == e.stamp && got.Note != e.note {
+			if stamp < e.stamp || stamp == e.stamp && e.note != "" && got.Note != e.note {
 				e.Broken = append(e.Broken, fmt.Sprintf("%s gives charter %d %q, acknowledged was %d %q", p.Name, stamp, got.Note, e.stamp, e.note))
 			}
 			e.mu.Unlock()
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
 
-	"caperwheel/internal/charter"
 	"caperwheel/internal/check"
 	"caperwheel/internal/mishap"
 )
@@ -71,7 +69,7 @@
 		for _, b := range f.Backends {
 			if b.Cell == who {
 				b.Stop()
-				undo = append(undo, func() { _ = b.Start(b.Addr) })
+				undo = append(undo, func() { f.back(b) })
 			}
 		}
 		return func() {
@@ -84,26 +82,17 @@
 		f.relays.set(who, true)
 		return func() { f.relays.set(who, false) }
 	},
-	"fail":  behave(Fail),
-	"crawl": behave(Crawl),
-	"cut":   behave(Cut),
-	"lose":  behave(Lose),
-	"vanish": func(_ context.Context, f *Fleet, who string) func() {
-		all := f.backends(who)
-		for _, b := range all {
-			b.Stop()
-		}
-		return func() {
-			for _, b := range all {
-				_ = b.Start(b.Addr)
-			}
-		}
-	},
-	"leave": leave,
-	"empty": empty,
+	"fail":   behave(Fail),
+	"crawl":  behave(Crawl),
+	"cut":    behave(Cut),
+	"lose":   behave(Lose),
+	"stall":  behave(Stall),
+	"vanish": vanish,
+	"leave":  leave,
+	"empty":  empty,
 	"retire": func(ctx context.Context, f *Fleet, who string) func() {
-		_ = f.api.Post(ctx, "/v1/stores/"+who+"/retire")
-		return func() { _ = f.api.Post(ctx, "/v1/stores/"+who+"/restore") }
+		f.post(ctx, "/v1/stores/"+who+"/retire")
+		return func() { f.post(ctx, "/v1/stores/"+who+"/restore") }
 	},
 	"edit":  func(ctx context.Context, f *Fleet, who string) func() { f.editCharter(ctx, who); return func() {} },
 	"flood": flood,
@@ -142,17 +131,50 @@
 
 func killAll(_ context.Context, f *Fleet, who string) func() {
 	from := f.Now()
-	hitsAdapter := false
-	for _, p := range f.match(who) {
-		hitsAdapter = hitsAdapter || p.Kind == "adapter"
-	}
 	undo := f.each(who, (*Process).Kill, restart)
-	if hitsAdapter {
-		f.History.AddLost(check.Window{From: from - 50*time.Millisecond, Until: f.Now() + 50*time.Millisecond})
+	for _, p := range f.match(who) {
+		if p.Kind == "adapter" {
+			f.History.AddLost(check.Window{Adapter: p.Name, From: from - lostWindow, Until: f.Now() + lostWindow})
+		}
 	}
 	return undo
 }
 
+// lostWindow: a run that ended so shortly before or after its adapter was
+// killed may be known to nobody; see docs/delivery.md.
+const lostWindow = 50 * time.Millisecond
+
+// post has an operator's call count as failed if no manager carries it out.
+func (f *Fleet) post(ctx context.Context, path string) {
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	if err := f.api.Post(ctx, path); err != nil {
+		f.failed("%s: %v", path, err)
+	}
+}
+
+func vanish(_ context.Context, f *Fleet, who string) func() {
+	all := f.backends(who)
+	for _, b := range all {
+		b.Stop()
+	}
+	return func() {
+		for _, b := range all {
+			f.back(b)
+		}
+	}
+}
+
+// back has a stand-in come back where it was, cold.
+func (f *Fleet) back(b *Backend) {
+	from := f.Now()
+	if err := b.Start(b.Addr); err != nil {
+		f.failed("%s does not come back: %v", b.Key(), err)
+		return
+	}
+	f.comesCold(b, from)
+}
+
 func (f *Fleet) backends(who string) []*Backend {
 	out := []*Backend{}
 	prefix, isPrefix := strings.CutSuffix(who, "*")
@@ -171,61 +193,14 @@
 			b.Behave(m)
 		}
 		return func() {
+			met := int64(0)
 			for _, b := range all {
 				b.Behave(Well)
+				met += b.met.Swap(0)
+			}
+			if met == 0 {
+				f.failed("no run met %s while it behaved oddly", who)
 			}
 		}
 	}
 }
-
-// leave marks a worker as leaving in the live list; undone, it is live again.
-func leave(ctx context.Context, f *Fleet, who string) func() {
-	set := func(state string) {
-		for _, b := range f.backends(who) {
-			patch := charter.Workers{Workers: []charter.Worker{{Name: b.Name, Address: b.Addr, Cell: b.Cell, State: state}}}
-			_ = f.api.patchWorkers(ctx, b.Pool, patch)
-		}
-	}
-	set("leaving")
-	at := f.Now()
-	all := f.backends(who)
-	undone := false
-	for _, b := range all {
-		f.History.AddMark(check.Mark{Pool: b.Pool, Worker: b.Name, From: at, Bound: 3 * time.Second})
-	}
-	return func() {
-		if undone {
-			return
-		}
-		undone = true
-		f.History.EndMarks(func(m check.Mark) bool { return m.From == at }, f.Now())
-		set("live")
-	}
-}
-
-func empty(ctx context.Context, f *Fleet, who string) func() {
-	if err := f.api.Post(ctx, "/v1/cells/"+who+"/empty"); err != nil {
-		fmt.Fprintln(os.Stderr, "fleet: Empty failed:", err)
-	}
-	at := f.Now()
-	f.History.AddMark(check.Mark{Cell: who, From: at, Bound: 5 * time.Second})
-	return func() {
-		f.History.EndMarks(func(m check.Mark) bool { return m.From == at }, f.Now())
-		_ = f.api.Post(ctx, "/v1/cells/"+who+"/restore")
-	}
-}
-
-// flood sends messages that can never succeed to a lane, until undone.
-func flood(ctx context.Context, f *Fleet, who string) func() {
-	ctx, cancel := context.WithCancel(ctx)
-	callers := f.callers
-	go func() {
-		ticker := time.NewTicker(5 * time.Millisecond)
-		defer ticker.Stop()
-		for ctx.Err() == nil {
-			<-ticker.C
-			go callers.Send(who, "", 100, true)
-		}
-	}()
-	return cancel
-}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -177,6 +177,35 @@
 		{"", []string{"message", "1-none"}, cli.ExitFailed, "unknown"},
 		{"", []string{"nonsense"}, cli.ExitUsage, "nonsense"},
 	}
+	folder := filepath.Join(f.Dir, "declared")
+	So(os.MkdirAll(filepath.Join(folder, "workers"), 0o755), ShouldBeNil)
+	declare := func(name, text string) func() {
+		return func() { So(os.WriteFile(filepath.Join(folder, name), []byte(text), 0o644), ShouldBeNil) }
+	}
+	_, listed := run("workers", "get", "work")
+	listed = listed[strings.Index(listed, "{") : strings.LastIndex(listed, "}")+1]
+	applies := []struct {
+		before func()
+		args   []string
+		code   int
+		says   string
+	}{
+		{func() {}, []string{"apply", folder}, cli.ExitUsage, "neither charter.json"},
+		{declare("charter.json", `{"lanes":{"l":{}}}`), []string{"apply", folder}, cli.ExitUsage, "nothing was applied"},
+		{declare("charter.json", strings.Replace(string(f.Charter), "{", `{"note":"declared",`, 1)), []string{"apply", folder, "--dry-run"}, cli.ExitWell, "1 of 1 documents differ"},
+		{declare("workers/nope.json", `{"workers":[]}`), []string{"apply", folder}, cli.ExitUsage, "no such pool"},
+		{func() { So(os.Remove(filepath.Join(folder, "workers/nope.json")), ShouldBeNil) }, []string{"apply", folder}, cli.ExitWell, "applied, stamp"},
+		{declare("workers/work.json", listed), []string{"apply", folder}, cli.ExitWell, "0 of 2 documents differ"},
+		{declare("workers/work.json", `{"workers":[{"name":"x"}]}`), []string{"apply", folder}, cli.ExitUsage, "workers.0.address"},
+		{declare("workers/work.json", strings.Replace(listed, `"live"`, `"leaving"`, 1)), []string{"apply", folder}, cli.ExitWell, "workers/work.json: applied"},
+		{func() {}, []string{"apply", folder}, cli.ExitWell, "0 of 2 documents differ"},
+	}
+	for _, c := range applies {
+		c.before()
+		code, says := run(c.args...)
+		So(says, ShouldContainSubstring, c.says)
+		So(fmt.Sprint(c.args, code), ShouldEqual, fmt.Sprint(c.args, c.code))
+	}
 	for _, c := range cases {
 		write(c.text)
 		code, says := run(c.args...)
--- a/internal/fleet/settle.go
+++ b/internal/fleet/settle.go
@@ -78,8 +78,12 @@
 			end.BodySum = Sum(raw)
 		}
 	}
+	end.Child = m.Callback
 	f.History.AddEnd(s.Id, end)
-	return end.State != "held" && end.State != "started"
+	if end.State == "held" || end.State == "started" {
+		return false
+	}
+	return m.Callback == "" || f.readEnd(ctx, check.Sent{Id: m.Callback, Told: check.Taken}, turn, false)
 }
 
 // Report is what a run of a fleet came to.
@@ -98,6 +102,10 @@
 	Breaches  []check.Breach `json:"breaches"`
 	Unsettled string         `json:"unsettled,omitempty"`
 	Charter   []string       `json:"charter,omitempty"`
+	Failures  []string       `json:"not_carried_out,omitempty"`
+	Spared    int            `json:"doubled_by_killed_adapters"`
+	Sights    int            `json:"asked_for_meanwhile"`
+	Judged    int            `json:"recoveries_judged"`
 	PerSecond []int          `json:"runs_ended_per_second"`
 }
 
@@ -105,7 +113,8 @@
 func (f *Fleet) Report(c *Callers, unsettled error) Report {
 	sent, runs, ends := f.History.Copies()
 	out := Report{Sent: len(sent), Runs: len(runs), Codes: map[string]int{}, Ends: map[string]int{},
-		Breaches: check.Check(f.History)}
+		Breaches: check.Check(f.History), Failures: f.Failures}
+	out.Spared, out.Judged, out.Sights = f.History.Spared, f.History.Judged, len(f.History.Sights)
 	for code, n := range c.Codes {
 		out.Codes[fmt.Sprint(code)] = n
 	}
--- /dev/null
+++ b/internal/fleet/up.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/check"
+)
+
+// Up starts everything and waits until the charter is accepted, the workers
+// are listed and all adapters are ready.
+func (f *Fleet) Up(ctx context.Context) error {
+	for _, p := range f.All() {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	if err := f.api.PutCharter(ctx, f.Charter); err != nil {
+		return err
+	}
+	pools := map[string][]charter.Worker{}
+	from := f.Now()
+	for _, b := range f.Backends {
+		if b.Name != charter.Endpoint {
+			pools[b.Pool] = append(pools[b.Pool], charter.Worker{Name: b.Name, Address: b.Addr, Cell: b.Cell, State: "live"})
+		}
+	}
+	for pool, workers := range pools {
+		if err := f.api.PutWorkers(ctx, pool, workers); err != nil {
+			return err
+		}
+	}
+	for _, b := range f.Backends {
+		f.comesCold(b, from)
+	}
+	return f.api.Ready(ctx)
+}
+
+// comesCold has a worker's starts held against the ramp from now on.
+func (f *Fleet) comesCold(b *Backend, from time.Duration) {
+	if ease := f.Rules.Pools[b.Pool].Ease; ease > 0 && b.Name != charter.Endpoint {
+		f.History.AddCold(check.Cold{Pool: b.Pool, Worker: b.Name, From: from, Ease: ease})
+	}
+}
+
+// Down stops everything, asking first.
+func (f *Fleet) Down() {
+	done := make(chan struct{})
+	all := f.All()
+	for _, p := range all {
+		go func() { p.Signal(18); p.end(9); done <- struct{}{} }()
+	}
+	for range all {
+		<-done
+	}
+	for _, b := range f.Backends {
+		b.Stop()
+	}
+}
