Large images travel in parts; settings, schedules by seed, doctor and mixed builds tried

Cause: a state larger than 16 MiB was refused by its receiver's decoder, and forty images in one batch passed the limit of a frame: either broke the session each time, so a replica so far behind was never rebuilt. Ruled out: raising the limits only (a frame would still be read by a told length; it now grows as bytes come). Besides: flags override a settings file also when it is read again (they were taken for a change); fleet runs daemons from settings files and scribbles on them, draws schedules by seed, upgrades daemons from an older build; the doctor's checks each have a case; frozen stores in the simulations.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -21,8 +21,10 @@
 	Root    string        `arg:"--root" default:"." help:"root of the sources, for building"`
 	Dir     string        `arg:"--dir" help:"where data and logs go; a temporary folder if not given"`
 	Bin     string        `arg:"--bin" help:"folder with built programs; built if not given"`
+	OldBin  string        `arg:"--old-bin" help:"folder with programs of an older build, to begin with; schedules upgrade them"`
 	Keep    bool          `arg:"--keep" help:"keep the folder"`
 	Faults  string        `arg:"--faults" help:"schedule of faults to cause"`
+	Seed    uint64        `arg:"--seed" help:"draw a schedule of mixed faults by this seed"`
 	Stores  int           `arg:"--stores" help:"so many stores instead of the plan's"`
 }
 
@@ -84,7 +86,7 @@
 			return err
 		}
 	}
-	f, err := fleet.New(plan, doc, a.Bin, a.Dir)
+	f, err := fleet.New(plan, doc, a.Bin, a.OldBin, a.Dir)
 	if err != nil {
 		return err
 	}
@@ -108,6 +110,9 @@
 			}
 		}
 	}
+	if a.Seed > 0 {
+		schedule = fleet.RandomSchedule(plan, f.Rules, a.Seed, a.For)
+	}
 	loadCtx, cancel := context.WithTimeout(ctx, a.For)
 	defer cancel()
 	caused := make(chan struct{})
--- /dev/null
+++ b/internal/cli/doctor_test.go
@@ -0,0 +1,94 @@
+package cli
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/manager"
+	"caperwheel/internal/wire"
+)
+
+// well is the status of a deployment in which nothing is wrong.
+func well() manager.Status {
+	s := manager.Status{Manager: "manager-1", Fresh: true, Stamp: 7}
+	add := func(kind, name, cell string) {
+		s.Members = append(s.Members, manager.StatusMember{Who: wire.Who{Name: name, Kind: kind, Cell: cell}, Fresh: true, Stamp: 7,
+			Counts: map[string]int64{}})
+	}
+	for _, cell := range []string{"a", "b", "c"} {
+		add("store", "store-"+cell, cell)
+		add("manager", "manager-"+cell, cell)
+	}
+	s.Places = []manager.StatusGroup{{Owner: "store-a", Voters: 3}}
+	s.Parts = []manager.StatusGroup{{Owner: "store-b", Voters: 3}}
+	s.Pools = []manager.StatusPool{{Name: "p", Workers: 1, Duties: map[string]string{"w": "adapter-1"}}}
+	return s
+}
+
+// TestDoctor provokes each of the doctor's checks by its fault.
+func TestDoctor(t *testing.T) {
+	cases := []struct {
+		says    string
+		isGrave bool
+		hurt    func(s *manager.Status)
+	}{
+		{"manager-1: its view is stale", true, func(s *manager.Status) { s.Fresh = false }},
+		{"store-a: its view is stale", true, func(s *manager.Status) { s.Members[0].Fresh = false }},
+		{"store-a: holds charter 6", false, func(s *manager.Status) { s.Members[0].Stamp = 6 }},
+		{"store-a: its disk is nearly full", true, func(s *manager.Status) { s.Members[0].Counts["full"] = 1 }},
+		{"store-a: its log has 9 segments", false, func(s *manager.Status) { s.Members[0].Counts["segments"] = 9 }},
+		{"stores: only 2 here", false, func(s *manager.Status) { s.Members = s.Members[1:] }},
+		{"stores: only 3 here, in 2 cells", false, func(s *manager.Status) { s.Members[0].Cell = "b" }},
+		{"managers: only 1 here", false, func(s *manager.Status) { s.Members = append(s.Members[:3], s.Members[4]) }},
+		{"places: 1 have no owner", true, func(s *manager.Status) { s.Places[0].Owner = "" }},
+		{"parts: 1 have fewer than three replicas", false, func(s *manager.Status) { s.Parts[0].Voters = 2 }},
+		{"places: 1 have a replica far behind", false, func(s *manager.Status) { s.Places[0].Lag = 2000 }},
+		{"pool p: no workers are listed", false, func(s *manager.Status) { s.Pools[0].Workers = 0 }},
+		{"pool p: 0 of 1 workers have a holder", false, func(s *manager.Status) { s.Pools[0].Duties = nil }},
+		{"cell a: is emptied", false, func(s *manager.Status) { s.Emptied = []string{"a"} }},
+	}
+	Convey("The doctor finds nothing wrong with a sound deployment", t, func() { So(examine(well()), ShouldBeEmpty) })
+	Convey("The doctor says", t, func() {
+		for _, c := range cases {
+			Convey(c.says, func() {
+				s := well()
+				c.hurt(&s)
+				found := ""
+				for _, f := range examine(s) {
+					if line := f.Where + ": " + f.Fault; strings.HasPrefix(line, c.says) {
+						found = line
+						So(f.Grave, ShouldEqual, c.isGrave)
+						So(f.Remedy, ShouldNotBeEmpty)
+					}
+				}
+				So(found, ShouldNotBeEmpty)
+			})
+		}
+	})
+	Convey("The doctor reads settings as the daemon would", t, func() {
+		free, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		seed := free.Addr().String()
+		write := func(text string) string {
+			file := filepath.Join(t.TempDir(), "agent.json")
+			So(os.WriteFile(file, []byte(text), 0o644), ShouldBeNil)
+			return "agent=" + file
+		}
+		good := write(`{"name":"agent-1","cell":"a","listen":"127.0.0.1:7301","http":"127.0.0.1:7302","seeds":["` + seed + `"]}`)
+		So(checkSettings(good), ShouldBeEmpty)
+		free.Close()
+		So(checkSettings(good)[0].Fault, ShouldContainSubstring, "does not answer")
+		So(checkSettings(write(`{"name":"agent-1","cel`))[0].Grave, ShouldBeTrue)
+	})
+	Convey("Without a manager the doctor fails and says so", t, func() {
+		var out, errOut bytes.Buffer
+		So(Main([]string{"--manager", "127.0.0.1:1", "doctor"}, &out, &errOut), ShouldEqual, ExitFailed)
+		So(out.String(), ShouldContainSubstring, "the manager does not answer")
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,7 +64,7 @@
 	d.listener, err = net.Listen("tcp", s.Http)
 	d.Must(mishap.Wrap(err, mishap.Invalid, "listen on %s", s.Http))
 	d.Who = wire.Who{Name: s.Name, Kind: kind, Boot: Random(8), Cell: s.Cell, Addr: s.Advertise, Http: d.listener.Addr().String()}
-	go settings.Watch(context.Background(), kind, s, func(next settings.Settings) { d.verbosity(flags, next.Verbosity) })
+	go settings.Watch(context.Background(), kind, s, func(next settings.Settings) { d.verbosity(flags, next.Verbosity) }, func() {})
 	return d
 }
 
--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -61,6 +61,12 @@
 
 // Start listens; also after a stop, at the same address.
 func (b *Backend) Start(addr string) error {
+	b.mu.Lock()
+	isUp := b.server != nil
+	b.mu.Unlock()
+	if isUp {
+		return nil // another fault's end has started it
+	}
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
@@ -78,7 +84,10 @@
 func (b *Backend) Stop() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_ = b.server.Close()
+	if b.server != nil {
+		_ = b.server.Close()
+	}
+	b.server = nil
 }
 
 // Behave changes the mode.
@@ -107,7 +116,9 @@
 	attempt, _ := strconv.ParseInt(r.Header.Get("X-Attempt"), 10, 64)
 	run := check.Run{Token: p.Token, Id: r.Header.Get("X-Message-Id"), Attempt: attempt, Pool: b.Pool, Worker: b.Name,
 		Sum: Sum(body), Start: start}
-	run.Adapter, _ = strings.CutPrefix(r.UserAgent(), "caperwheel/")
+	if name, isNamed := strings.CutPrefix(r.UserAgent(), "caperwheel/"); isNamed {
+		run.Adapter = name
+	}
 	run.Stamp, _ = strconv.ParseInt(r.Header.Get("X-Charter-Stamp"), 10, 64)
 	b.mu.Lock()
 	b.inUse++
--- a/internal/fleet/deploy.go
+++ b/internal/fleet/deploy.go
@@ -12,6 +12,7 @@
 	"caperwheel/internal/charter"
 	"caperwheel/internal/check"
 	"caperwheel/internal/mishap"
+	"caperwheel/internal/settings"
 )
 
 // Plan is a deployment to run: how many daemons, which back ends, what load.
@@ -57,6 +58,8 @@
 	callers  *Callers
 	edits    edits
 	relays   *relays
+	Bin      string // programs of this build
+	OldBin   string // programs of an older build, which the daemons start from if it is given
 	steps    sync.Mutex
 	Failures []string // steps of the schedule that were not carried out
 }
@@ -87,8 +90,11 @@
 
 // New lays a deployment out: processes and back ends, nothing started yet but
 // the back ends.
-func New(plan Plan, doc []byte, bin, dir string) (*Fleet, error) {
-	f := &Fleet{Plan: plan, Dir: dir, History: check.NewHistory(), Backends: Backends{}, started: time.Now(), relays: newRelays()}
+func New(plan Plan, doc []byte, bin, oldBin, dir string) (*Fleet, error) {
+	f := &Fleet{Plan: plan, Dir: dir, History: check.NewHistory(), Backends: Backends{}, started: time.Now(), relays: newRelays(), Bin: bin, OldBin: oldBin}
+	if oldBin != "" {
+		bin = oldBin
+	}
 	if err := f.layBackends(doc); err != nil {
 		return nil, err
 	}
@@ -178,16 +184,22 @@
 		}
 	}
 	for i, p := range f.All() {
-		p.args = flags("name", p.Name, "cell", p.Cell, "listen", p.Addr, "http", p.Http, "verbosity", "1", "advertise", advertised[p.Name])
+		set := settings.Default()
+		set.Name, set.Cell, set.Listen, set.Http, set.Advertise, set.Verbosity = p.Name, p.Cell, p.Addr, p.Http, advertised[p.Name], 1
+		set.Seeds = seeds
 		switch p.Kind {
 		case "adapter":
-			p.args = append(p.args, "--seeds", f.Agents[i-len(f.Managers)-len(f.Stores)-len(f.Agents)].Addr)
+			set.Seeds = []string{f.Agents[i-len(f.Managers)-len(f.Stores)-len(f.Agents)].Addr}
 		case "store":
-			p.args = append(p.args, "--data="+filepath.Join(f.Dir, p.Name), fmt.Sprintf("--founders=%d", min(3, f.Plan.Stores)),
-				"--reserve=1000000", "--seeds")
-			p.args = append(p.args, seeds...)
-		default:
-			p.args = append(append(p.args, "--seeds"), seeds...)
+			set.Data, set.Founders, set.Reserve = filepath.Join(f.Dir, p.Name), min(3, f.Plan.Stores), 1000000
+		}
+		p.file = filepath.Join(f.Dir, p.Name+".json")
+		raw, err := json.Marshal(set)
+		if err == nil {
+			err = os.WriteFile(p.file, raw, 0o644)
+		}
+		if err != nil {
+			return mishap.Wrap(err, mishap.Internal, "settings of %s", p.Name)
 		}
 	}
 	f.api = &Api{f: f}
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -94,8 +94,28 @@
 		f.post(ctx, "/v1/stores/"+who+"/retire")
 		return func() { f.post(ctx, "/v1/stores/"+who+"/restore") }
 	},
-	"edit":  func(ctx context.Context, f *Fleet, who string) func() { f.editCharter(ctx, who); return func() {} },
-	"flood": flood,
+	"upgrade":   func(_ context.Context, f *Fleet, who string) func() { return f.change(who, f.Bin) },
+	"downgrade": func(_ context.Context, f *Fleet, who string) func() { return f.change(who, f.OldBin) },
+	"scribble":  scribble,
+	"edit":      func(ctx context.Context, f *Fleet, who string) func() { f.editCharter(ctx, who); return func() {} },
+	"flood":     flood,
+}
+
+// change restarts daemons, one after another, as programs of another build.
+func (f *Fleet) change(who, bin string) func() {
+	if bin == "" {
+		f.failed("there is no older build to run %s from", who)
+		return func() {}
+	}
+	for _, p := range f.match(who) {
+		p.Stop()
+		p.bin = bin
+		if err := p.Start(); err != nil {
+			f.failed("%s: %v", p.Name, err)
+		}
+		pause(context.Background(), time.Second)
+	}
+	return func() {}
 }
 
 func restart(p *Process) { _ = p.Start() }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -36,7 +36,7 @@
 	dir := t.TempDir()
 	Convey("Given a small fleet of processes", t, func() {
 		So(Build(ctx, "../..", filepath.Join(dir, "bin"), true), ShouldBeNil)
-		f, err := New(smallPlan, []byte(smallCharter), filepath.Join(dir, "bin"), dir)
+		f, err := New(smallPlan, []byte(smallCharter), filepath.Join(dir, "bin"), "", dir)
 		So(err, ShouldBeNil)
 		defer f.Down()
 		So(f.Up(ctx), ShouldBeNil)
--- a/internal/fleet/operate.go
+++ b/internal/fleet/operate.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"strings"
 	"time"
 
 	"caperwheel/internal/charter"
@@ -59,3 +61,34 @@
 	}()
 	return cancel
 }
+
+// scribble breaks daemons' settings files under them, each in another way;
+// undone, they are as they were.
+func scribble(_ context.Context, f *Fleet, who string) func() {
+	undo := []func(){}
+	note := func(p *Process, err error) {
+		if err != nil {
+			f.failed("settings of %s: %v", p.Name, err)
+		}
+	}
+	for i, p := range f.match(who) {
+		raw, err := os.ReadFile(p.file)
+		note(p, err)
+		switch i % 3 {
+		case 0: // half written
+			note(p, os.WriteFile(p.file, raw[:len(raw)/2], 0o644))
+		case 1: // swapped for another daemon's
+			other := strings.Replace(string(raw), `"name":"`+p.Name+`"`, `"name":"other"`, 1)
+			note(p, os.WriteFile(p.file+".new", []byte(other), 0o644))
+			note(p, os.Rename(p.file+".new", p.file))
+		case 2:
+			note(p, os.Remove(p.file))
+		}
+		undo = append(undo, func() { note(p, os.WriteFile(p.file, raw, 0o644)) })
+	}
+	return func() {
+		for _, u := range undo {
+			u()
+		}
+	}
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -19,7 +19,7 @@
 type Process struct {
 	Kind, Name, Cell string
 	Addr, Http       string
-	args             []string
+	file             string // its settings
 	bin, log         string
 
 	mu   sync.Mutex
@@ -75,12 +75,19 @@
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cmd != nil {
+		select {
+		case <-p.done:
+		default:
+			return nil // it runs: another fault's end has started it
+		}
+	}
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return mishap.Wrap(err, mishap.Internal, "log of %s", p.Name)
 	}
 	defer log.Close()
-	cmd := exec.Command(filepath.Join(p.bin, p.Kind), p.args...)
+	cmd := exec.Command(filepath.Join(p.bin, p.Kind), "--settings", p.file)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -137,11 +144,3 @@
 		return true
 	}
 }
-
-func flags(kv ...string) []string {
-	out := []string{}
-	for i := 0; i+1 < len(kv); i += 2 {
-		out = append(out, fmt.Sprintf("--%s=%s", kv[i], kv[i+1]))
-	}
-	return out
-}
--- /dev/null
+++ b/internal/fleet/schedule_test.go
@@ -0,0 +1,68 @@
+package fleet
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func laid(t *testing.T, name string) *Fleet {
+	plan, doc, err := ReadPlan("../../examples/" + name + ".json")
+	So(err, ShouldBeNil)
+	dir := t.TempDir()
+	f, err := New(plan, doc, dir, "", dir)
+	So(err, ShouldBeNil)
+	return f
+}
+
+// TestSchedules: every schedule of the repo can be read and hits somebody, and
+// a drawn one is the same for the same seed.
+func TestSchedules(t *testing.T) {
+	files, _ := filepath.Glob("../../examples/faults/*.json")
+	Convey("Given the schedules of the repo", t, func() {
+		So(len(files), ShouldBeGreaterThan, 8)
+		f, other := laid(t, "nakhla"), laid(t, "esquadrias")
+		plan := f.Plan
+		defer f.Down()
+		defer other.Down()
+		check := func(f *Fleet, s Schedule) {
+			length, _ := time.ParseDuration(s.For)
+			for _, step := range s.Steps {
+				span := step.span()
+				So(span.until, ShouldBeLessThan, length)
+				switch step.Do {
+				case "kill", "freeze", "stop", "wipe", "upgrade", "downgrade":
+					So(len(f.match(step.Who)), ShouldBeGreaterThan, 0)
+				case "fail", "crawl", "cut", "lose", "stall", "vanish", "leave":
+					So(len(f.backends(step.Who)), ShouldBeGreaterThan, 0)
+				case "kill cell", "cut cell", "empty":
+					So(plan.Cells, ShouldContain, step.Who)
+				}
+			}
+		}
+		for _, file := range files {
+			s, err := ReadSchedule(file)
+			So(err, ShouldBeNil)
+			if filepath.Base(file) == "fitters.json" {
+				check(other, s)
+			} else {
+				check(f, s)
+			}
+		}
+		for seed := uint64(1); seed < 50; seed++ {
+			s := RandomSchedule(plan, f.Rules, seed, time.Minute)
+			So(len(s.Steps), ShouldBeGreaterThan, 3)
+			check(f, s)
+			So(RandomSchedule(plan, f.Rules, seed, time.Minute), ShouldResemble, s)
+		}
+	})
+	Convey("A schedule that names no fault is refused", t, func() {
+		file := filepath.Join(t.TempDir(), "s.json")
+		So(os.WriteFile(file, []byte(`{"steps":[{"at":"1s","do":"tickle","who":"store-1"}]}`), 0o644), ShouldBeNil)
+		_, err := ReadSchedule(file)
+		So(err, ShouldNotBeNil)
+	})
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -44,6 +44,7 @@
 	MsgImage // a whole state for a replica that is too far behind
 	MsgStand // the owner hands over: stand at once
 	MsgNotMe // the member addressed is gone; From is its new incarnation
+	MsgPart  // a part of a large image; hosts put it together
 )
 
 // Options found a replica.
--- a/internal/host/apply.go
+++ b/internal/host/apply.go
@@ -88,7 +88,10 @@
 		if h.image == nil || h.image.Index != m.Index {
 			return
 		}
-		m.State = h.image.State
+		for _, part := range cut(m, h.image.State, h.opts.Whole) {
+			h.opts.Send(part)
+		}
+		return
 	}
 	h.opts.Send(m)
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -48,6 +48,7 @@
 	Mend    func() (known map[string]string, wanted []string)
 	Ring    int // events that may wait
 	Compact int // applied entries after which the group is put into its slot
+	Whole   int // bytes of an image up to which it travels in one message
 	Failed  func(error)
 }
 
@@ -67,6 +68,7 @@
 	waiters map[int64]waiter
 	isOwner bool
 	mended  time.Duration
+	parts   parts
 
 	mu     sync.Mutex
 	view   group.View
@@ -84,6 +86,9 @@
 	if opts.Ring == 0 {
 		opts.Ring = 4096
 	}
+	if opts.Whole == 0 {
+		opts.Whole = wholeImage
+	}
 	if opts.Compact == 0 {
 		opts.Compact = 4000
 	}
@@ -140,7 +145,7 @@
 	h.beat()
 }
 
-// Pump does all that waits, without a goroutine: for the simulation.
+// Pump does all that waits, for the simulation.
 func (h *Host) Pump() {
 	for {
 		select {
@@ -167,7 +172,16 @@
 
 // Receive takes a message from another store; a full ring loses it.
 func (h *Host) Receive(m wire.GroupMsg) {
-	_ = h.Do(func() { h.do(h.machine.Receive(m, h.opts.Now())) })
+	_ = h.Do(func() {
+		if m.Kind == group.MsgPart {
+			image, isWhole := h.parts.take(m)
+			if !isWhole {
+				return
+			}
+			m = image
+		}
+		h.do(h.machine.Receive(m, h.opts.Now()))
+	})
 }
 
 // Propose must be called on the host's goroutine. tell gets the verdict once
@@ -190,11 +204,9 @@
 // Waiting tells how many proposals are under way. On the goroutine only.
 func (h *Host) Waiting() int { return len(h.waiters) }
 
-// IsOwner tells it on the host's goroutine.
+// IsOwner tells it, and Term the group's term, on the host's goroutine.
 func (h *Host) IsOwner() bool { return h.isOwner }
-
-// Term of the group, on the host's goroutine.
-func (h *Host) Term() int64 { return h.machine.View().Term }
+func (h *Host) Term() int64   { return h.machine.View().Term }
 
 // View of the replica, for any goroutine.
 func (h *Host) View() group.View {
--- /dev/null
+++ b/internal/host/image_test.go
@@ -0,0 +1,61 @@
+package host
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/group"
+	"caperwheel/internal/wire"
+)
+
+// TestImageInParts: an image larger than a message once could not travel at all,
+// so that a replica that had to be rebuilt never was.
+func TestImageInParts(t *testing.T) {
+	state := bytes.Repeat([]byte("abcdefg"), 50)
+	m := wire.GroupMsg{Kind: group.MsgImage, From: "a", Term: 3, Index: 9, Round: 4, Roster: []string{"a"}}
+	cases := []struct {
+		name    string
+		most    int
+		hurt    func([]wire.GroupMsg) []wire.GroupMsg
+		isWhole bool
+	}{
+		{"one that fits comes as it is", 350, func(l []wire.GroupMsg) []wire.GroupMsg { return l }, true},
+		{"parts in order are put together", 100, func(l []wire.GroupMsg) []wire.GroupMsg { return l }, true},
+		{"parts in any order are", 40, func(l []wire.GroupMsg) []wire.GroupMsg {
+			rand.New(rand.NewPCG(1, 2)).Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+			return l
+		}, true},
+		{"parts that came twice count once", 100, func(l []wire.GroupMsg) []wire.GroupMsg { return append(l[:2:2], l...) }, true},
+		{"a lost part leaves it unfinished", 100, func(l []wire.GroupMsg) []wire.GroupMsg { return l[1:] }, false},
+		{"the last part alone does", 100, func(l []wire.GroupMsg) []wire.GroupMsg { return l[3:] }, false},
+		{"parts of another term do not count", 100, func(l []wire.GroupMsg) []wire.GroupMsg { l[0].Term = 2; return l }, false},
+		{"… and the image comes again", 100, func(l []wire.GroupMsg) []wire.GroupMsg {
+			old := l[0]
+			old.Term = 2
+			return append([]wire.GroupMsg{old}, l...)
+		}, true},
+	}
+	Convey("Of an image", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				p, got := parts{}, []wire.GroupMsg{}
+				for _, part := range c.hurt(cut(m, state, c.most)) {
+					if part.Kind == group.MsgImage {
+						got = append(got, part)
+					} else if image, isWhole := p.take(part); isWhole {
+						got = append(got, image)
+					}
+				}
+				So(len(got), ShouldEqual, map[bool]int{true: 1}[c.isWhole])
+				if c.isWhole {
+					So(bytes.Equal(got[0].State, state), ShouldBeTrue)
+					got[0].State = nil
+					So(got[0], ShouldResemble, m)
+				}
+			})
+		}
+	})
+}
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -124,7 +124,9 @@
 		p.Id = e.take.Id
 	}
 	countIntake(e, string(kind))
-	stampOf(w, e)
+	if kind != mishap.Stale { // then no charter was in use
+		stampOf(w, e)
+	}
 	web.Reject(w, web.CodeOf(kind), p, in.retry(kind, e))
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,6 +53,8 @@
 	Most      int      `arg:"--most" json:"most" help:"messages in hand at once on an adapter"`
 	Reserve   int64    `arg:"--reserve" json:"reserve" help:"bytes of disk kept free; intake stops below (stores)"`
 	Verbosity int      `arg:"--verbosity" json:"verbosity" help:"log verbosity, 0 to 4; may change while running"`
+
+	args []string // as given: they override the file whenever it is read
 }
 
 // Default settings.
@@ -70,6 +72,7 @@
 // Load reads file and flags for a kind of daemon. All faults are told at once.
 func Load(kind string, args []string) (Settings, error) {
 	s := Default()
+	s.args = args
 	for i, a := range args { // the file comes first: flags override it
 		if name, isIt := strings.CutPrefix(a, "--settings="); isIt {
 			s.File = name
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -88,7 +88,7 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				file := write(t, good)
-				old, err := Load("store", []string{"--settings", file})
+				old, err := Load("store", []string{"--settings", file, "--most", "77"}) // a flag that overrides the file
 				So(err, ShouldBeNil)
 				So(os.WriteFile(file, []byte(c.text), 0o600), ShouldBeNil)
 				next, err := Reread("store", old)
--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -13,11 +13,8 @@
 // Reread reads the file again. Only Verbosity may change while a daemon runs;
 // anything else, or anything wrong, is refused and the old settings are kept.
 func Reread(kind string, old Settings) (Settings, error) {
-	next := old
-	if err := next.readFile(); err != nil {
-		return old, err
-	}
-	if err := next.Check(kind); err != nil {
+	next, err := Load(kind, old.args)
+	if err != nil {
 		return old, err
 	}
 	live := next
@@ -28,8 +25,8 @@
 	return next, nil
 }
 
-// Watch follows the settings file until ctx ends.
-func Watch(ctx context.Context, kind string, s Settings, use func(Settings)) {
+// Watch follows the settings file until ctx ends; began is called once it does.
+func Watch(ctx context.Context, kind string, s Settings, use func(Settings), began func()) {
 	if s.File == "" {
 		return
 	}
@@ -44,6 +41,7 @@
 		klog.Warningf("settings: The file cannot be watched: %v.", err)
 		return
 	}
+	began()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/sim/adapter.go
+++ b/internal/sim/adapter.go
@@ -48,7 +48,7 @@
 				who := wire.Who{Name: a.name, Kind: "adapter", Boot: a.boot()}
 				a.w.Send(a.name, "ctl", func() {
 					a.w.Send("ctl", s.name, func() {
-						if s.isUp {
+						if s.isUp && a.w.now >= s.frozen {
 							s.roll[a.name] = presence{who, a.w.now}
 							s.fresh = a.w.now
 						}
@@ -202,6 +202,6 @@
 				}
 			})
 		})
-		s.host.Pump()
+		s.pump()
 	})
 }
--- a/internal/sim/around.go
+++ b/internal/sim/around.go
@@ -41,7 +41,7 @@
 			s.w.ask(s.name, a, func() any { return a.serve(ask) }, func(reply any, err error) {
 				if s.isUp && s.life == life {
 					answer(reply, err)
-					s.host.Pump()
+					s.pump()
 				}
 			})
 			return nil
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -135,6 +135,7 @@
 	p.Calm()
 	p.Unsound, p.LoseAns, p.Stall, p.Break = 0, 0, 0, 0
 	for _, s := range p.stores {
+		s.frozen = 0
 		s.start()
 	}
 	for _, a := range p.adapters {
--- a/internal/sim/controlfaults.go
+++ b/internal/sim/controlfaults.go
@@ -133,6 +133,7 @@
 	},
 	"cut nodes":            func(c *Control) { c.cutOff(c.node().name) },
 	"killed stores":        func(c *Control) { c.stores[c.Rand.IntN(3)].kill() },
+	"frozen stores":        func(c *Control) { c.stores[c.Rand.IntN(3)].freeze() },
 	"cut stores":           func(c *Control) { c.cutOff(c.stores[c.Rand.IntN(3)].name) },
 	"emptied cells":        func(c *Control) { c.empty(fmt.Sprint(1 + c.Rand.IntN(3))) },
 	"emptied behind a cut": func(c *Control) { c.emptyHolder() },
@@ -168,6 +169,7 @@
 func (c *Control) finish() {
 	c.Calm()
 	for _, s := range c.stores {
+		s.frozen = 0
 		s.start()
 	}
 	for _, n := range append(append(append([]*node{}, c.managers...), c.agents...), c.adapters...) {
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -139,7 +139,7 @@
 				})
 			}
 		})
-		s.host.Pump()
+		s.pump()
 	})
 }
 
@@ -159,7 +159,7 @@
 					}
 				})
 			})
-			s.host.Pump()
+			s.pump()
 		})
 	}
 }
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -36,17 +36,18 @@
 
 // simStore is one store; it is the place's surroundings too.
 type simStore struct {
-	w     *Places
-	name  string
-	disk  *Disk
-	isUp  bool
-	life  int
-	host  *host.Host
-	place *store.PlaceHost
-	roll  map[string]presence
-	peers []*simStore
-	fresh time.Duration // newest confirmation; before it is too old, the store may act
-	full  time.Duration // its disk is full until then
+	w      *Places
+	name   string
+	disk   *Disk
+	isUp   bool
+	life   int
+	host   *host.Host
+	place  *store.PlaceHost
+	roll   map[string]presence
+	peers  []*simStore
+	fresh  time.Duration // newest confirmation; before it is too old, the store may act
+	full   time.Duration // its disk is full until then
+	frozen time.Duration // nothing is done before this; what comes meanwhile waits
 }
 
 type presence struct {
@@ -94,11 +95,12 @@
 	if s.isUp {
 		return
 	}
+	s.frozen = 0
 	s.isUp, s.life, s.roll, s.fresh = true, s.life+1, map[string]presence{}, s.w.now
 	s.place = store.NewPlaceHost(s, 0)
 	h, err := host.New(host.Options{Id: 1, Self: s.name + "/0", Roster: s.w.roster(), Bounds: beat.Default,
 		Seed: s.w.Seed + uint64(s.life), Disk: &pumped{s.disk, s}, Held: s.disk.Held(), Machine: s.place, Now: s.w.Now,
-		Send: s.post, Failed: s.Fail, Compact: 300})
+		Send: s.post, Failed: s.Fail, Compact: 300, Whole: 500})
 	if err != nil {
 		panic(err)
 	}
@@ -114,15 +116,29 @@
 	var tick func()
 	tick = func() {
 		if s.isUp && s.life == life {
-			s.host.Tick()
-			s.host.Pump()
-			more()
+			if s.w.now >= s.frozen {
+				s.host.Tick()
+				s.pump()
+				more()
+			}
 			s.w.After(20*time.Millisecond, tick)
 		}
 	}
 	tick()
 }
 
+// pump does all that waits at the store, unless it is frozen.
+func (s *simStore) pump() {
+	if s.w.now >= s.frozen {
+		s.host.Pump()
+	}
+}
+
+func (s *simStore) freeze() {
+	s.frozen = s.w.now + time.Duration(s.w.Rand.IntN(6000))*time.Millisecond
+	s.w.Note("freeze %s until %v", s.name, s.frozen)
+}
+
 func (s *simStore) kill() {
 	if s.isUp {
 		s.isUp, s.life = false, s.life+1
@@ -138,7 +154,7 @@
 }
 
 func (d *pumped) wrap(then func(error)) func(error) {
-	return func(err error) { then(err); d.s.host.Pump() }
+	return func(err error) { then(err); d.s.pump() }
 }
 func (d *pumped) Persist(id int64, p *group.Persist, then func(error)) {
 	d.Disk.Persist(id, p, d.wrap(then))
@@ -154,7 +170,7 @@
 			s.w.Send(s.name, to.name, func() {
 				if to.isUp {
 					to.host.Receive(m)
-					to.host.Pump()
+					to.pump()
 				}
 			})
 		}
@@ -186,7 +202,7 @@
 					g := store.SlotGrant{Pool: "work", Worker: "w-" + a.name, Holder: who, Permit: permit,
 						Until: asked + beat.Default.Of(beat.Permit)/2}
 					_ = s.host.Do(func() { s.place.Start(lane, g) })
-					s.host.Pump()
+					s.pump()
 				}
 			})
 		}
--- a/internal/sim/placefaults.go
+++ b/internal/sim/placefaults.go
@@ -11,6 +11,7 @@
 var PlaceFaults = map[string]func(p *Places){
 	"nothing":       func(*Places) {},
 	"killed stores": func(p *Places) { p.store().kill() },
+	"frozen stores": func(p *Places) { p.store().freeze() },
 	"power loss of all": func(p *Places) {
 		for _, s := range p.stores {
 			s.kill()
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -14,7 +14,7 @@
 const workBound = time.Second
 
 // work is one run at a worker. It ends by itself, or, once its connection has
-// broken, no later than a worker is bound to leave it.
+// broken under it, no later than a worker is bound to leave it.
 //
 // Invariant: run.End is set once, when the worker has really ended.
 type work struct {
@@ -89,6 +89,7 @@
 		o := &wire.Outcome{Id: x.m.Id, Boot: a.boot(), Begun: true,
 			Proof: wire.Proof{Attempt: x.m.Attempt, Worker: x.m.Worker, Answer: []byte{}}}
 		switch {
+		case kind == mishap.Late: // whoever is merely waited for no longer does not notice
 		case kind != "":
 			x.hangUp()
 		case x.isFailed:
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -198,7 +198,7 @@
 		}
 		h := s.hostOf(m.Group)
 		if h == nil {
-			if m.Kind != group.MsgAppend && m.Kind != group.MsgImage {
+			if m.Kind != group.MsgAppend && m.Kind != group.MsgImage && m.Kind != group.MsgPart {
 				return
 			}
 			h = s.open(m.Group)
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"hash/crc32"
 	"io"
+	"slices"
 
 	"caperwheel/internal/mishap"
 )
@@ -25,6 +26,8 @@
 	consumed uint64
 }
 
+const readStep = 64 << 10
+
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 func (h head) put(raw []byte) {
@@ -53,12 +56,14 @@
 	if int(h.length) > limit {
 		return h, buffer, mishap.New(mishap.TooLarge, "frame of %d bytes, limit %d", h.length, limit)
 	}
-	if cap(buffer) < int(h.length) {
-		buffer = make([]byte, h.length)
-	}
-	buffer = buffer[:h.length]
-	if _, err := io.ReadFull(r, buffer); err != nil {
-		return h, buffer, mishap.Wrap(err, mishap.Lost, "read array")
+	buffer = buffer[:0]
+	for len(buffer) < int(h.length) { // no more room is made than a told length has come true for
+		at := len(buffer)
+		buffer = slices.Grow(buffer, min(int(h.length)-at, max(at, readStep)))
+		buffer = buffer[:min(int(h.length), cap(buffer))]
+		if _, err := io.ReadFull(r, buffer[at:]); err != nil {
+			return h, buffer, mishap.Wrap(err, mishap.Lost, "read array")
+		}
 	}
 	if crc32.Checksum(buffer, castagnoli) != h.sum {
 		return h, buffer, mishap.New(mishap.Broken, "frame checksum")
--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -14,11 +14,16 @@
 	"caperwheel/internal/wire"
 )
 
+// batchBytes closes a batch before it is full: one of many large messages would
+// pass the limit of a frame, and break the session each time it is tried.
+const batchBytes = 1 << 20
+
 // outbox buffers the messages of one direction of one session, turns full
 // buffers into byte arrays on the pool, and writes them.
 //
 // Invariants: sent - credited never passes window, so neither side holds more
-// than window messages of the other; pending never passes batch.
+// than window messages of the other; pending never passes batch, nor by more
+// than one message batchBytes.
 type outbox struct {
 	opts   *Options
 	codec  *wire.Codec
@@ -28,6 +33,7 @@
 
 	mu       sync.Mutex
 	pending  []wire.Item
+	weight   int // bytes that they carry, about
 	seq      uint32
 	sent     int64
 	credited int64
@@ -72,7 +78,8 @@
 	}
 	o.sent++
 	o.pending = append(o.pending, item)
-	if len(o.pending) >= o.opts.Batch {
+	o.weight += wire.SizeOf(item.Body)
+	if len(o.pending) >= o.opts.Batch || o.weight >= batchBytes {
 		o.cut()
 	} else if !o.armed {
 		o.armed = true
@@ -94,6 +101,7 @@
 // cut hands the buffer to the pool. Called with mu held.
 func (o *outbox) cut() {
 	batch, seq := o.pending, o.seq
+	o.weight = 0
 	o.pending, o.seq = make([]wire.Item, 0, o.opts.Batch), o.seq+1
 	counters.batches.Inc()
 	counters.messages.Add(float64(len(batch)))
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -19,7 +19,7 @@
 	server, err := NewNode(opts)
 	So(err, ShouldBeNil)
 	go server.Serve()
-	client, err := NewNode(Options{Batch: opts.Batch, Window: opts.Window, Self: wire.Who{Name: "client"}})
+	client, err := NewNode(Options{Batch: opts.Batch, Window: opts.Window, FrameLimit: opts.FrameLimit, Self: wire.Who{Name: "client"}})
 	So(err, ShouldBeNil)
 	return server, client
 }
@@ -62,6 +62,27 @@
 	})
 }
 
+// TestLargeMessages: a batch of large messages once passed the frame's limit and
+// broke the session, each time it was tried.
+func TestLargeMessages(t *testing.T) {
+	Convey("Given a session whose frames may have 4 MiB", t, func() {
+		got := make(chan int, 99)
+		server, client := pair(Options{FrameLimit: 4 << 20}, func(_ wire.Who, body any, _ func(any)) { got <- len(body.(*wire.GroupMsg).State) })
+		defer server.Close()
+		defer client.Close()
+		peer := client.Peer(wire.GroupLink, server.Addr())
+		dialled(peer)
+		Convey("twenty messages of 1 MiB posted at once all arrive", func() {
+			for range 20 {
+				So(peer.Post(&wire.GroupMsg{State: make([]byte, 1<<20), Entries: []wire.Entry{}, Roster: []string{}}, nil), ShouldBeNil)
+			}
+			for range 20 {
+				So(<-got, ShouldEqual, 1<<20)
+			}
+		})
+	})
+}
+
 func TestFullWindowRejects(t *testing.T) {
 	Convey("Given a peer that consumes nothing", t, func() {
 		gate := make(chan struct{})
--- a/internal/wire/data.go
+++ b/internal/wire/data.go
@@ -41,6 +41,28 @@
 	Wait  int64  `avro:"wait" since:"2"` // milliseconds for which the answer may wait for the message's end
 }
 
+// SizeOf tells about how many bytes a message carries, so that large ones are
+// not put into one batch.
+func SizeOf(body any) int {
+	switch m := body.(type) {
+	case *GroupMsg:
+		size := len(m.State)
+		for _, e := range m.Entries {
+			size += len(e.Data)
+		}
+		return size
+	case *Take:
+		return len(m.Body)
+	case *Run:
+		return len(m.Body)
+	case *Sight:
+		return len(m.Body) + len(m.Proof.Answer)
+	case *Outcome:
+		return len(m.Proof.Answer)
+	}
+	return 0
+}
+
 // Proof is the record of one run.
 type Proof struct {
 	Attempt int64  `avro:"attempt"`
--- a/internal/wire/schema.go
+++ b/internal/wire/schema.go
@@ -37,8 +37,12 @@
 	Fields []field `json:"fields"`
 }
 
-// limitSlice bounds what one datum may make a receiver allocate.
-const limitSlice = 16 << 20
+// What one datum may make a receiver allocate: bytes of a text or body, and
+// items of a list.
+const (
+	limitSlice = 16 << 20
+	limitItems = 1 << 17
+)
 
 // schemaOf gives the schema of a type as a wire version has it: a field tagged
 // since:"N" is not there before version N, so an older peer neither gets nor
@@ -90,7 +94,7 @@
 
 // newCodec builds the schema of a direction from the types it may carry.
 func newCodec(name string, version int64, kinds []any) *Codec {
-	api := avro.Config{MaxByteSliceSize: limitSlice, MaxSliceAllocSize: limitSlice}.Freeze()
+	api := avro.Config{MaxByteSliceSize: limitSlice, MaxSliceAllocSize: limitItems}.Freeze()
 	seen := map[string]bool{}
 	union := []any{}
 	for _, kind := range kinds {
