A leaving adapter begins nothing more; its duties move at once

Ruled out: kills (there were none), the agent's keeping (its process stood). TestLeaving is the table; a leaving adapter also tells so in its session, and the duty controller moves its workers without taking their absence for a guess. Simulations: messages that come only after seconds, impatient messages, lanes whose attempts run out, permits as adapters keep them.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -34,6 +34,8 @@
 	go in.Run(ctx)
 	d.Ready = func() (bool, string) {
 		switch {
+		case out.IsLeaving():
+			return false, "leaving"
 		case !d.IsFresh():
 			return false, string(mishap.Stale)
 		case !scenes.Now().MayWork(d.Who.Cell):
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,7 +42,7 @@
 	Ready    func() (isReady bool, why string)
 
 	gauges   gauges
-	started  time.Time
+	Started  time.Time
 	listener net.Listener
 }
 
@@ -54,7 +54,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	d := &Daemon{Kind: kind, Settings: s, Bounds: s.Bounds(), started: time.Now(), Mux: http.NewServeMux(),
+	d := &Daemon{Kind: kind, Settings: s, Bounds: s.Bounds(), Started: time.Now(), Mux: http.NewServeMux(),
 		View: feed.NewView(s.Parts), Roll: session.NewRoll()}
 	prometheus.MustRegister(&d.gauges)
 	d.Measure(d.measureView)
@@ -86,7 +86,7 @@
 }
 
 // Now is the daemon's monotonic clock.
-func (d *Daemon) Now() time.Duration { return time.Since(d.started) }
+func (d *Daemon) Now() time.Duration { return time.Since(d.Started) }
 
 // IsFresh tells whether the daemon may act on its view.
 func (d *Daemon) IsFresh() bool { return d.View.IsFresh(d.Now(), d.Bounds.Of(beat.Fresh)) }
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -29,6 +30,8 @@
 	programs path.Programs
 	ctx      context.Context
 	book     *Book
+	// Once it is set no run is begun, and no slot granted.
+	isLeaving atomic.Bool
 }
 
 var ended = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "deliver",
@@ -97,15 +100,40 @@
 // Say adds to what the adapter tells of itself in its session.
 func (a *Adapter) Say(counts map[string]int64) {
 	counts["runs"] = int64(a.InHand())
+	if a.isLeaving.Load() {
+		counts[Leaving] = 1
+	}
 	a.slots.observed(counts)
 }
 
 // InHand tells how many runs are in hand.
 func (a *Adapter) InHand() int { return a.book.Count() }
 
-// Drain waits until no run is in hand, or ctx ends.
+// Leaving is the count by which an adapter tells that it is going: others take
+// its duties.
+const Leaving = "leaving"
+
+// IsLeaving tells whether it was asked to stop.
+func (a *Adapter) IsLeaving() bool { return a.isLeaving.Load() }
+
+// holdsDuty tells whether a duty still names this life of the adapter.
+func (a *Adapter) holdsDuty() bool {
+	for _, duties := range a.scenes.Now().Duties {
+		for _, held := range duties {
+			if held.Holder == a.d.Who.Name && held.Boot == a.d.Who.Boot {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Drain begins nothing more and waits until no run is in hand, and for a while
+// until its duties have been taken over, or ctx ends.
 func (a *Adapter) Drain(ctx context.Context) {
-	for a.InHand() > 0 && ctx.Err() == nil {
+	a.isLeaving.Store(true)
+	handOver := a.d.Now() + a.d.Bounds.Of(beat.Gone)
+	for ctx.Err() == nil && (a.InHand() > 0 || a.holdsDuty() && a.d.Now() < handOver) {
 		select {
 		case <-ctx.Done():
 		case <-time.After(a.d.Bounds.Of(beat.Poll) / 4):
--- a/internal/deliver/deliver_test.go
+++ b/internal/deliver/deliver_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -24,10 +25,10 @@
 func scenery(address string) *Adapter {
 	view := feed.NewView(0)
 	changes := []wire.Change{
-		{Key: charter.Key, Stamp: 1, Value: []byte(`{"pools":{"p":{"bound":"50ms"},"q":{}},"lanes":{"l":{"pools":["p"]}}}`)},
+		{Key: charter.Key, Stamp: 1, Value: []byte(`{"pools":{"p":{"bound":"50ms","ease":"0s"},"q":{}},"lanes":{"l":{"pools":["p"]}}}`)},
 		{Key: charter.WorkersKey + "p", Stamp: 2, Value: fmt.Appendf(nil, `{"workers":[{"name":"w","address":"%s","cell":"c"}]}`, address)},
 		{Key: charter.DutyKey + "p/w", Stamp: 3, Value: charter.Duty{Holder: "a", Boot: "1"}.Encode()}}
-	d := &daemon.Daemon{Bounds: beat.Default, View: view, Who: wire.Who{Name: "a", Boot: "1", Cell: "c"}}
+	d := &daemon.Daemon{Started: time.Now(), Bounds: beat.Default, View: view, Who: wire.Who{Name: "a", Boot: "1", Cell: "c"}}
 	view.Take([]wire.PartNews{{To: 3, Changes: changes}}, d.Now())
 	a := &Adapter{d: d,
 		scenes: &charter.Scenes{View: view}, ctx: context.Background(), client: newClient(), book: NewBook(9)}
@@ -120,6 +121,36 @@
 	})
 }
 
+// TestLeaving: an adapter that was asked to stop once went on beginning runs,
+// and took what it knew of them with it.
+func TestLeaving(t *testing.T) {
+	Convey("Given an adapter that was asked to stop", t, func() {
+		a := scenery("127.0.0.1:1")
+		granted := &wire.Grant{}
+		ask := func() {
+			a.slots.want(&wire.Want{Pool: "p", Worker: "w"}, func(reply any) { granted = reply.(*wire.Grant) })
+		}
+		ask()
+		So(granted.Kind, ShouldBeEmpty)
+		gone, cancel := context.WithCancel(context.Background())
+		cancel()
+		a.Drain(gone)
+		Convey("a run in a slot granted before is told never to start, and is not in hand", func() {
+			ack := &wire.RunAck{}
+			a.start(&wire.Run{Id: "0-x", Attempt: 1, Pool: "p", Worker: "w", Permit: granted.Permit}, func(reply any) { ack = reply.(*wire.RunAck) })
+			So(ack.Kind, ShouldEqual, "not_owner")
+			So(a.InHand(), ShouldEqual, 0)
+		})
+		Convey("no slot is granted, and it tells that it leaves", func() {
+			ask()
+			So(granted.Kind, ShouldNotBeEmpty)
+			counts := map[string]int64{}
+			a.Say(counts)
+			So(counts[Leaving], ShouldEqual, 1)
+		})
+	})
+}
+
 // TestThawed: steps compiled from an older charter do nothing once a newer one
 // is known, however lately the view was confirmed.
 func TestThawed(t *testing.T) {
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -36,6 +36,11 @@
 			a.book.Forget(m)
 		}
 	}
+	if err == nil && a.isLeaving.Load() { // looked at after the book has it: Drain counts it or we see that we leave
+		a.slots.unused(r.worker)
+		a.book.Forget(m)
+		err = mishap.New(mishap.NotOwner, "this adapter is leaving")
+	}
 	if err != nil {
 		answer(&wire.RunAck{Kind: string(mishap.KindOf(err))})
 		return
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -1,6 +1,7 @@
 package deliver
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,7 +20,7 @@
 	a *Adapter
 
 	mu      sync.Mutex
-	next    int64
+	next    int64 // drawn at random, so that no permit of an earlier life is taken for one of this
 	workers map[string]*held
 	permits map[int64]*permit
 }
@@ -45,7 +46,7 @@
 const mostAsks = 256
 
 func newSlots(a *Adapter) *slots {
-	return &slots{a: a, next: time.Now().UnixNano(), workers: map[string]*held{}, permits: map[int64]*permit{}}
+	return &slots{a: a, next: rand.Int64N(1 << 62), workers: map[string]*held{}, permits: map[int64]*permit{}}
 }
 
 // find gives the state of a worker that this adapter may serve now. Called
@@ -76,7 +77,7 @@
 
 // want answers an ask for a slot, at once or when one comes free in time.
 func (s *slots) want(m *wire.Want, answer func(any)) {
-	if !s.a.d.IsFresh() {
+	if !s.a.d.IsFresh() || s.a.isLeaving.Load() {
 		answer(&wire.Grant{Kind: string(mishap.Stale), Retry: 200})
 		return
 	}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -81,12 +81,12 @@
 }
 
 // Plan tells which duties of a pool must change hands. A duty stays where it
-// is while its holder lives and may serve; a lost one goes to the adapter of
+// is while its holder lives, stays and may serve; a lost one goes to the adapter of
 // the worker's cell, if there is one, that has the fewest duties.
-func Plan(pool string, scene *charter.Scene, adapters []wire.Who, stamp func(key string) (int64, bool)) []Change {
+func Plan(pool string, scene *charter.Scene, adapters []wire.Who, leaving map[string]bool, stamp func(key string) (int64, bool)) []Change {
 	usable, load := map[string]wire.Who{}, map[string]int{}
 	for _, a := range adapters {
-		if !scene.Emptied[a.Cell] {
+		if !scene.Emptied[a.Cell] && !leaving[a.Name] {
 			usable[a.Name] = a
 		}
 	}
@@ -115,7 +115,7 @@
 		if !isAssigned && wasKnown {
 			before = "an earlier holder"
 		}
-		out = append(out, Change{pool, name, charter.Duty{Holder: next.Name, Boot: next.Boot, Before: before}, ifStamp, false, isAssigned && !isHere && !isEmptied(scene, adapters, held.Holder)})
+		out = append(out, Change{pool, name, charter.Duty{Holder: next.Name, Boot: next.Boot, Before: before}, ifStamp, false, isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(scene, adapters, held.Holder)})
 	}
 	for _, name := range sortedKeys(scene.Duties[pool]) {
 		if _, isListed := scene.Workers[pool][name]; !isListed {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -26,7 +26,8 @@
 
 // TestPlan is the table of when a duty changes hands.
 func TestPlan(t *testing.T) {
-	adapters := []wire.Who{{Name: "a1", Boot: "1", Cell: "a"}, {Name: "a2", Boot: "1", Cell: "a"}, {Name: "b1", Boot: "1", Cell: "b"}}
+	adapters := []wire.Who{{Name: "a1", Boot: "1", Cell: "a"}, {Name: "a2", Boot: "1", Cell: "a"}, {Name: "b1", Boot: "1", Cell: "b"},
+		{Name: "l1", Boot: "1", Cell: "a"}}
 	inA := map[string]charter.Worker{"w": {Name: "w", Cell: "a"}}
 	known := func(string) (int64, bool) { return 7, true }
 	never := func(string) (int64, bool) { return 0, false }
@@ -46,12 +47,13 @@
 		{"an emptied cell's holder loses it", scene(inA, map[string]charter.Held{"w": held("a1", "1")}, "a"), known, "b", "1"},
 		{"a worker of a cell without adapters keeps any holder", scene(map[string]charter.Worker{"w": {Name: "w", Cell: "z"}},
 			map[string]charter.Held{"w": held("b1", "1")}), known, "", ""},
+		{"a holder that leaves gives way at once", scene(inA, map[string]charter.Held{"w": held("l1", "1")}), known, "a", "1"},
 		{"a worker that is no longer listed has its duty removed", scene(nil, map[string]charter.Held{"w": held("a1", "1")}), known, "gone", ""},
 	}
 	Convey("In the plan of duties", t, func() {
 		for _, c := range cases {
 			Convey(c.name, func() {
-				plan := Plan("p", c.scene, adapters, c.stamp)
+				plan := Plan("p", c.scene, adapters, map[string]bool{"l1": true}, c.stamp)
 				if c.holder == "" {
 					So(plan, ShouldBeEmpty)
 					return
@@ -72,7 +74,7 @@
 				workers[string(rune('A'+i))] = charter.Worker{Cell: "a"}
 			}
 			count := map[string]int{}
-			for _, change := range Plan("p", scene(workers, nil), adapters, never) {
+			for _, change := range Plan("p", scene(workers, nil), adapters[:3], nil, never) {
 				count[change.Next.Holder]++
 			}
 			So(count, ShouldResemble, map[string]int{"a1": 15, "a2": 15})
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -51,7 +52,7 @@
 
 func intakeOn(s *stand) *Intake {
 	view := feed.NewView(0)
-	d := &daemon.Daemon{Bounds: beat.Default, View: view, Roll: session.NewRoll(), Mux: http.NewServeMux(), Settings: settings.Settings{Places: 48, Most: 9}}
+	d := &daemon.Daemon{Started: time.Now(), Bounds: beat.Default, View: view, Roll: session.NewRoll(), Mux: http.NewServeMux(), Settings: settings.Settings{Places: 48, Most: 9}}
 	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: charter.Key, Stamp: 7,
 		Value: []byte(`{"pools":{"p":{}},"lanes":{"l":{"pools":["p"],"size":9},"o":{"pools":["p"],"ordering":"key"}}}`)}}}}, d.Now())
 	in := New(d, &charter.Scenes{View: view})
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -10,6 +10,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
+	"caperwheel/internal/deliver"
 	"caperwheel/internal/duty"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/mishap"
@@ -56,7 +57,13 @@
 
 func (m *Manager) planDuties(ctx context.Context, workers pond.Pool, steady *duty.Steady) {
 	scene := m.scenes.Now()
-	adapters := m.d.Roll.Kind("adapter")
+	adapters, leaving := m.d.Roll.Kind("adapter"), map[string]bool{}
+	_, members := m.registry.Members(m.d.Now())
+	for _, member := range members {
+		if member.Fact.Counts[deliver.Leaving] > 0 {
+			leaving[member.Who.Name] = true
+		}
+	}
 	group := workers.NewGroup()
 	pools := map[string]bool{}
 	for name := range scene.Rules.Pools {
@@ -74,7 +81,7 @@
 			}
 			return c.Stamp, true
 		}
-		for _, change := range steady.Filter(duty.Plan(name, scene, adapters, stamp), m.d.Now()) {
+		for _, change := range steady.Filter(duty.Plan(name, scene, adapters, leaving, stamp), m.d.Now()) {
 			group.Submit(func() { m.assign(ctx, part, change) })
 		}
 	}
--- a/internal/sim/adapter.go
+++ b/internal/sim/adapter.go
@@ -22,6 +22,7 @@
 	book   *deliver.Book
 	fresh  time.Duration
 	permit int64
+	grants map[int64]time.Duration // permits not used yet, and until when they may be
 	agent  *repair.Keeper // the agent beside it, which lives on when it is killed
 	isGone bool           // it was lost for good
 	breaks []func()       // what its death means to runs under way
@@ -34,6 +35,7 @@
 		return
 	}
 	a.isUp, a.life, a.book, a.fresh = true, a.life+1, deliver.NewBook(1000), a.w.now
+	a.grants = map[int64]time.Duration{}
 	a.w.Note("start %s", a.boot())
 	life := a.life
 	var tick func()
@@ -94,7 +96,19 @@
 
 func (a *simAdapter) isFresh() bool { return a.w.now-a.fresh < beat.Default.Of(beat.Fresh) }
 
-func (a *simAdapter) grant() any { a.permit++; return a.permit }
+// grant and use do as the real adapter's slots: a permit is used once, soon, and
+// in the life that gave it.
+func (a *simAdapter) grant() any {
+	a.permit++
+	a.grants[a.permit] = a.w.now + beat.Default.Of(beat.Permit)
+	return a.permit
+}
+
+func (a *simAdapter) use(permit int64) bool {
+	until, isGranted := a.grants[permit]
+	delete(a.grants, permit)
+	return isGranted && a.w.now <= until
+}
 
 // ask sends an ask and brings the reply back; a message lost on the way is
 // told as Lost, late, as a broken session would be.
@@ -145,6 +159,10 @@
 		if err := a.book.Admit(m); err != nil {
 			return &wire.RunAck{Kind: string(mishap.KindOf(err))}
 		}
+		if !a.use(m.Permit) {
+			a.book.Forget(m)
+			return &wire.RunAck{Kind: string(mishap.Late)}
+		}
 		a.carry(m)
 		return &wire.RunAck{}
 	}
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -66,7 +66,11 @@
 	p.serial++
 	token := fmt.Sprintf("%s-%d", lane, p.serial)
 	s := check.Sent{Token: token, Lane: lane, Key: key, Sum: "sum of " + token, At: p.now, Told: check.Undecided, Id: "0-" + token}
-	return s, &wire.Take{Id: s.Id, Lane: lane, Key: key, Body: []byte(token), Sum: s.Sum, Cutoff: 120_000}
+	patience := int64(120_000)
+	if p.Rand.IntN(4) == 0 { // some give up soon
+		patience = 500 + p.Rand.Int64N(5000)
+	}
+	return s, &wire.Take{Id: s.Id, Lane: lane, Key: key, Body: []byte(token), Sum: s.Sum, Cutoff: patience}
 }
 
 func (p *Places) finish(s check.Sent, t check.Told, told func()) {
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -164,7 +164,7 @@
 		c, isStanding := n.view.Get(feed.CharterPart, key)
 		return map[bool]int64{true: c.Stamp}[isStanding], c.Stamp > 0
 	}
-	for _, change := range n.steady.Filter(duty.Plan("p", scene, adapters, stamp), n.c.now) {
+	for _, change := range n.steady.Filter(duty.Plan("p", scene, adapters, nil, stamp), n.c.now) {
 		e := wire.Edit{Key: charter.DutyKey + change.Pool + "/" + change.Worker, Value: change.Next.Encode(), IfStamp: change.IfStamp}
 		n.c.Note("%s gives the endpoint to %s", n.name, change.Next.Boot)
 		n.edit(e, func(int64) {})
--- a/internal/sim/controlfaults.go
+++ b/internal/sim/controlfaults.go
@@ -137,6 +137,7 @@
 	"cut stores":           func(c *Control) { c.cutOff(c.stores[c.Rand.IntN(3)].name) },
 	"emptied cells":        func(c *Control) { c.empty(fmt.Sprint(1 + c.Rand.IntN(3))) },
 	"emptied behind a cut": func(c *Control) { c.emptyHolder() },
+	"stuck messages":       func(c *Control) { c.Stuck = 60; c.After(4*time.Second, func() { c.Stuck = 0 }) },
 	"lost messages":        func(c *Control) { c.Loss = 200; c.After(4*time.Second, func() { c.Loss = 0 }) },
 	"slow links": func(c *Control) {
 		c.Slow = 600 * time.Millisecond
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -60,7 +60,7 @@
 	p := &Places{World: w, H: check.NewHistory()}
 	rules, faults := charter.Compile([]byte(`{"pools":{"work":{"bound":"1s"}},"lanes":{
 		"free":{"pools":["work"],"attempts":0,"patience":"2m","retention":"1h"},
-		"seq":{"pools":["work"],"attempts":0,"ordering":"key","patience":"2m","retention":"1h"}}}`))
+		"seq":{"pools":["work"],"attempts":4,"ordering":"key","patience":"2m","retention":"1h"}}}`))
 	if len(faults) > 0 {
 		panic(mishap.New(mishap.Internal, "rules of the simulation: %v", faults))
 	}
--- a/internal/sim/placefaults.go
+++ b/internal/sim/placefaults.go
@@ -30,7 +30,8 @@
 			a.kill()
 		}
 	},
-	"lost messages": func(p *Places) { p.Loss = 150; p.After(3*time.Second, func() { p.Loss = 0 }) },
+	"stuck messages": func(p *Places) { p.Stuck = 60; p.After(3*time.Second, func() { p.Stuck = 0 }) },
+	"lost messages":  func(p *Places) { p.Loss = 150; p.After(3*time.Second, func() { p.Loss = 0 }) },
 	"slow links": func(p *Places) {
 		p.Slow = 300 * time.Millisecond
 		p.After(3*time.Second, func() { p.Slow = 5 * time.Millisecond })
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -42,9 +42,10 @@
 	// isCalm: no more faults are caused.
 	isCalm bool
 	// Loss is the share of messages lost, in thousandths. Slow is the longest
-	// delay of a message.
-	Loss int
-	Slow time.Duration
+	// delay of a message. Stuck is the share that comes only after seconds.
+	Loss  int
+	Slow  time.Duration
+	Stuck int
 }
 
 // NewWorld starts a run.
@@ -85,7 +86,7 @@
 
 // Calm ends all faults for good.
 func (w *World) Calm() {
-	w.isCalm, w.Loss, w.Slow = true, 0, 5*time.Millisecond
+	w.isCalm, w.Loss, w.Stuck, w.Slow = true, 0, 0, 5*time.Millisecond
 	w.Heal()
 }
 
@@ -98,7 +99,11 @@
 	if w.cuts[[2]string{from, to}] || w.Rand.IntN(1000) < w.Loss {
 		return
 	}
-	w.After(time.Duration(w.Rand.Int64N(int64(w.Slow)))+100*time.Microsecond, deliver)
+	delay := time.Duration(w.Rand.Int64N(int64(w.Slow))) + 100*time.Microsecond
+	if w.Stuck > 0 && w.Rand.IntN(1000) < w.Stuck {
+		delay += time.Duration(w.Rand.IntN(10000)) * time.Millisecond
+	}
+	w.After(delay, deliver)
 }
 
 // syncTime is how long a sync takes: mostly short, now and then long, so that a
@@ -113,7 +118,6 @@
 // soon does work at a random moment of the next tenth of a second, unless the
 // run has come to its calm end by then.
 func (w *World) soon(work func()) {
-
 	w.After(time.Duration(w.Rand.Int64N(int64(100*time.Millisecond))), func() {
 		if !w.isCalm {
 			work()
