An ask that a replaced owner had is open; results are left in another cell too

An owner that lost its place over a take answers undecided; the search for the next owner counted that as no effect, and its end as not taken. Ruled out: settling (never reached), old adapters (there were none). A copy now lies with a store of another cell, too. Besides: callers that hang up early, stores cut off from each other alone.

--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -1,11 +1,14 @@
 package deliver
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"caperwheel/internal/beat"
+	"caperwheel/internal/duty"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
 	"caperwheel/internal/place"
@@ -89,11 +92,14 @@
 
 // bringHome sends the result to the place's owner until one has made it
 // durable. Before that it leaves the result with the agent beside it, which
-// lives on should this process be killed; when no owner is found it leaves it
-// with every store too.
+// lives on should this process be killed, and with a store of another cell,
+// which lives on should this one be lost whole; when no owner is found it
+// leaves it with every store.
 func (a *Adapter) bringHome(r *run, o *wire.Outcome) {
+	keepers := a.d.Settings.Seeds
 	if o.Begun || o.Kind == "" {
-		a.leave(a.d.Settings.Seeds, o, repair.StepLeave)
+		a.leave(keepers, o, repair.StepLeave)
+		keepers = append(slices.Clone(keepers), a.leaveAfar(o)...)
 	}
 	for turn := 0; a.ctx.Err() == nil; turn++ {
 		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(beat.Settle))
@@ -110,16 +116,30 @@
 			a.leave(stores, o, repair.StepLeave)
 		}
 	}
-	a.leave(a.d.Settings.Seeds, o, repair.StepForget)
+	a.leave(keepers, o, repair.StepForget)
 	a.book.Forget(&r.Run)
 }
 
-// leave gives a result into keeping, or takes it out again. What is lost on
-// the way costs nothing but the safety net.
-func (a *Adapter) leave(addrs []string, o *wire.Outcome, step string) {
-	kept := *o
+// leaveAfar leaves the result with the first store of another cell that can be
+// told, in the order of their claims to its id, and gives that store's address.
+func (a *Adapter) leaveAfar(o *wire.Outcome) []string {
+	stores := slices.DeleteFunc(a.d.Roll.Kind("store"), func(who wire.Who) bool { return who.Cell == a.d.Who.Cell })
+	slices.SortFunc(stores, func(x, y wire.Who) int { return cmp.Compare(duty.Rank(o.Id, x.Name), duty.Rank(o.Id, y.Name)) })
+	for _, who := range stores {
+		if a.leave([]string{who.Addr}, o, repair.StepLeave) {
+			return []string{who.Addr}
+		}
+	}
+	return nil
+}
+
+// leave gives a result into keeping, or takes it out again, and tells whether
+// all could be told. What is lost on the way costs nothing but the safety net.
+func (a *Adapter) leave(addrs []string, o *wire.Outcome, step string) bool {
+	kept, isTold := *o, true
 	kept.Step = step
 	for _, addr := range addrs {
-		_ = a.d.Node.Peer(wire.PlaceLink, addr).Post(&kept, nil)
+		isTold = a.d.Node.Peer(wire.PlaceLink, addr).Post(&kept, nil) == nil && isTold
 	}
+	return isTold
 }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -20,7 +20,8 @@
 	Roll   *session.Roll
 	Bounds beat.Bounds
 	Link   *wire.Link
-	Saw    func(peer string, micros float64, isAnswered bool) // told of each try of Ask, if given
+	Call   func(ctx context.Context, addr string, ask any) (any, error) // the transport's, if not given
+	Saw    func(peer string, micros float64, isAnswered bool)           // told of each try of Ask, if given
 }
 
 // Group asks the owner of a group until it answers or ctx ends. owned tells
@@ -65,6 +66,9 @@
 			switch {
 			case err == nil:
 				isOwner, named := owned(reply)
+				// Whoever was owner when the ask came has lost its place over it: the
+				// next owner may have what it began.
+				isOpen = isOpen || wire.MishapOf(reply) == string(mishap.Undecided)
 				if isOwner {
 					return reply, isOpen, nil
 				}
@@ -92,5 +96,8 @@
 func (r *Reach) one(ctx context.Context, who wire.Who, ask any) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Bounds.Of(beat.Settle))
 	defer cancel()
+	if r.Call != nil {
+		return r.Call(ctx, who.Addr, ask)
+	}
 	return r.Node.Peer(r.Link, who.Addr).Call(ctx, ask)
 }
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,70 @@
+package reach
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/session"
+	"caperwheel/internal/transport"
+	"caperwheel/internal/wire"
+)
+
+// TestAsk is the table of what is known of an ask's effect. An owner that was
+// replaced over an ask once counted as one that had never had it, so that
+// callers were told "not taken" of messages that the next owner ran.
+func TestAsk(t *testing.T) {
+	taken := func(kind mishap.Kind) any { return &wire.Taken{Kind: string(kind)} }
+	lost, unsent := mishap.New(mishap.Lost, "session"), error(&transport.Unsent{})
+	cases := []struct {
+		name    string
+		answers []any // of one store after another; the last one again and again
+		kind    mishap.Kind
+		isOpen  bool
+		isReply bool
+	}{
+		{"an owner's answer", []any{taken("")}, "", false, true},
+		{"the answer of the second store", []any{taken(mishap.NotOwner), taken("")}, "", false, true},
+		{"a reject of an owner", []any{taken(mishap.Full)}, "", false, true},
+		{"a reject after a lost ask", []any{lost, taken(mishap.Full)}, "", true, true},
+		{"a reject after an owner that was replaced", []any{taken(mishap.Undecided), taken(mishap.Full)}, "", true, true},
+		{"a reject after an ask that was never sent", []any{unsent, taken(mishap.Full)}, "", false, true},
+		{"nobody owns it", []any{taken(mishap.NotOwner)}, mishap.NotOwner, false, false},
+		{"nobody owns it after a lost ask", []any{lost, taken(mishap.NotOwner)}, mishap.Undecided, true, false},
+		{"nobody owns it after an owner that was replaced", []any{taken(mishap.Undecided), taken(mishap.NotOwner)}, mishap.Undecided, true, false},
+		{"nothing could be sent", []any{unsent}, mishap.NotOwner, false, false},
+	}
+	Convey("An ask that meets", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				roll, turn := session.NewRoll(), 0
+				roll.Take("x", []wire.Member{{Who: wire.Who{Name: "s1", Kind: "store"}}, {Who: wire.Who{Name: "s2", Kind: "store"}}})
+				ctx, cancel := context.WithCancel(context.Background())
+				r := &Reach{Roll: roll, Bounds: beat.Bounds{Charter: time.Millisecond}, Call: func(context.Context, string, any) (any, error) {
+					answer := c.answers[min(turn, len(c.answers)-1)]
+					if turn++; turn > 5 {
+						cancel()
+					}
+					if err, isErr := answer.(error); isErr {
+						return nil, err
+					}
+					return answer, nil
+				}}
+				reply, isOpen, err := r.Ask(ctx, 1, &wire.Take{}, func(reply any) (bool, string) {
+					kind := reply.(*wire.Taken).Kind
+					return kind != string(mishap.NotOwner) && kind != string(mishap.Undecided), ""
+				})
+				So(reply != nil, ShouldEqual, c.isReply)
+				So(isOpen, ShouldEqual, c.isOpen)
+				So(err == nil, ShouldEqual, c.kind == "")
+				if err != nil {
+					So(mishap.KindOf(err), ShouldEqual, c.kind)
+				}
+			})
+		}
+	})
+}
--- a/internal/sim/adapter.go
+++ b/internal/sim/adapter.go
@@ -63,25 +63,6 @@
 	tick()
 }
 
-// runAgent hands over what the adapter did not bring home.
-func (a *simAdapter) runAgent() {
-	a.agent = repair.NewKeeper(1000, beat.Default.Of(beat.Vote), beat.Default.Of(beat.Settle))
-	var tick func()
-	tick = func() {
-		for _, o := range a.agent.Due(a.w.now) {
-			for _, s := range a.w.stores {
-				a.w.askStore(a.name, s, func(p placeOwner, answer func(any)) { p.Outcome(o, answer) }, func(reply any) {
-					if isHome, _ := repair.Home(reply); isHome {
-						a.agent.Forget(o.Id, o.Proof.Attempt)
-					}
-				})
-			}
-		}
-		a.w.After(beat.Default.Of(beat.Resend), tick)
-	}
-	tick()
-}
-
 func (a *simAdapter) kill() {
 	if a.isUp {
 		a.w.H.AddLost(check.Window{Adapter: a.name, From: a.w.now - time.Millisecond, Until: a.w.now})
@@ -169,35 +150,6 @@
 	return nil
 }
 
-// home sends the result by beat, to one store after another, until an owner
-// has made it durable.
-func (a *simAdapter) home(m *wire.Run, o *wire.Outcome) {
-	life, turn, isDone := a.life, a.w.Rand.IntN(3), false
-	if o.Begun {
-		a.w.After(200*time.Microsecond, func() { a.agent.Keep(o, a.w.now) })
-	}
-	var try func()
-	try = func() {
-		if isDone || !a.isUp || a.life != life {
-			return
-		}
-		if a.w.now >= a.frozen {
-			turn++
-			s := a.w.stores[turn%len(a.w.stores)]
-			a.w.askStore(a.name, s, func(p placeOwner, answer func(any)) { p.Outcome(o, answer) }, func(reply any) {
-				if ack, isAck := reply.(*wire.OutcomeAck); isAck && ack.Kind == "" && !isDone && a.life == life {
-					isDone = true
-					a.w.Note("home %s/%d from %s at %s", m.Id, m.Attempt, a.boot(), s.name)
-					a.book.Forget(m)
-					a.agent.Forget(m.Id, m.Attempt)
-				}
-			})
-		}
-		a.w.After(beat.Default.Of(beat.Resend), try)
-	}
-	try()
-}
-
 // placeOwner is what asks to a store need of its place.
 type placeOwner interface {
 	Take(*wire.Take, func(any))
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -15,7 +15,11 @@
 func (p *Places) Call(lane, key string, told func()) {
 	s, take := p.message(lane, key)
 	window := beat.Default.Of(beat.Settle) * 2
-	p.reach(window, func(o placeOwner, answer func(any)) { o.Take(take, answer) }, func(got *wire.Taken, isOpen bool) {
+	patience := window
+	if p.Rand.IntN(4) == 0 { // the caller hangs up soon; its message is settled all the same
+		patience = time.Duration(p.Rand.IntN(300)) * time.Millisecond
+	}
+	p.reach(patience, func(o placeOwner, answer func(any)) { o.Take(take, answer) }, func(got *wire.Taken, isOpen bool) {
 		switch {
 		case got != nil && got.Kind == "":
 			p.finish(s, check.Taken, told)
@@ -87,7 +91,11 @@
 	if len(p.taken) == 0 {
 		return
 	}
-	id, at := p.taken[p.Rand.IntN(len(p.taken))].Id, p.now
+	first := 0
+	if p.Rand.IntN(4) > 0 { // mostly those under way
+		first = max(0, len(p.taken)-20)
+	}
+	id, at := p.taken[first+p.Rand.IntN(len(p.taken)-first)].Id, p.now
 	p.askStore("caller", p.store(), func(o placeOwner, answer func(any)) { o.Look(&wire.Look{Id: id, Body: true}, answer) }, func(reply any) {
 		if got, isSight := reply.(*wire.Sight); isSight && got.Kind != string(mishap.NotOwner) {
 			sight := check.Sight{Id: id, At: at, ToldAt: p.now, State: got.State, Attempts: got.Attempts, BodySum: got.Sum}
--- /dev/null
+++ b/internal/sim/home.go
@@ -0,0 +1,89 @@
+package sim
+
+import (
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/check"
+	"caperwheel/internal/repair"
+	"caperwheel/internal/wire"
+)
+
+// handOver brings kept results home, from whoever keeps them as long as it is
+// there.
+func (p *Places) handOver(from string, keeper func() *repair.Keeper) {
+	var tick func()
+	tick = func() {
+		if k := keeper(); k != nil {
+			for _, o := range k.Due(p.now) {
+				for _, s := range p.stores {
+					p.askStore(from, s, func(p placeOwner, answer func(any)) { p.Outcome(o, answer) }, func(reply any) {
+						if isHome, _ := repair.Home(reply); isHome {
+							k.Forget(o.Id, o.Proof.Attempt)
+						}
+					})
+				}
+			}
+		}
+		p.After(beat.Default.Of(beat.Resend), tick)
+	}
+	tick()
+}
+
+// newAgent has a blank agent beside the adapter.
+func (a *simAdapter) newAgent() {
+	a.agent = repair.NewKeeper(1000, beat.Default.Of(beat.Vote), beat.Default.Of(beat.Settle))
+}
+
+// loseMachine takes the adapter and its agent at once.
+func (a *simAdapter) loseMachine() {
+	if a.isUp {
+		a.w.H.AddLost(check.Window{Adapter: a.name, From: a.w.now - 10*time.Millisecond, Until: a.w.now})
+		a.kill()
+		a.newAgent()
+	}
+}
+
+// home sends the result by beat, to one store after another, until an owner
+// has made it durable.
+func (a *simAdapter) home(m *wire.Run, o *wire.Outcome) {
+	life, turn, isDone := a.life, a.w.Rand.IntN(3), false
+	if o.Begun {
+		a.w.After(200*time.Microsecond, func() { a.agent.Keep(o, a.w.now) })
+	}
+	afar := a.w.store()
+	for afar.name[1:] == a.name[1:] { // of another cell
+		afar = a.w.store()
+	}
+	tell := func(work func(k *repair.Keeper)) {
+		a.w.Send(a.name, afar.name, func() {
+			if afar.isUp {
+				work(afar.keeper)
+			}
+		})
+	}
+	if o.Begun {
+		tell(func(k *repair.Keeper) { k.Keep(o, a.w.now) })
+	}
+	var try func()
+	try = func() {
+		if isDone || !a.isUp || a.life != life {
+			return
+		}
+		if a.w.now >= a.frozen {
+			turn++
+			s := a.w.stores[turn%len(a.w.stores)]
+			a.w.askStore(a.name, s, func(p placeOwner, answer func(any)) { p.Outcome(o, answer) }, func(reply any) {
+				if ack, isAck := reply.(*wire.OutcomeAck); isAck && ack.Kind == "" && !isDone && a.life == life {
+					isDone = true
+					a.w.Note("home %s/%d from %s at %s", m.Id, m.Attempt, a.boot(), s.name)
+					a.book.Forget(m)
+					a.agent.Forget(m.Id, m.Attempt)
+					tell(func(k *repair.Keeper) { k.Forget(m.Id, m.Attempt) })
+				}
+			})
+		}
+		a.w.After(beat.Default.Of(beat.Resend), try)
+	}
+	try()
+}
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -12,6 +12,7 @@
 	"caperwheel/internal/group"
 	"caperwheel/internal/host"
 	"caperwheel/internal/mishap"
+	"caperwheel/internal/repair"
 	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
 )
@@ -26,12 +27,13 @@
 	adapters []*simAdapter
 	rules    *charter.Rules
 	serial   int
-	runs     []*check.Run // as the workers saw them
-	Unsound  int          // share of runs that fail, in thousandths
-	LoseAns  int          // share of runs whose answer is lost
-	Stall    int          // share of runs that take longer than their bound
-	Break    int          // share of runs whose connection breaks
-	taken    []check.Sent // to be asked for meanwhile
+	runs     []*check.Run  // as the workers saw them
+	Unsound  int           // share of runs that fail, in thousandths
+	LoseAns  int           // share of runs whose answer is lost
+	Stall    int           // share of runs that take longer than their bound
+	Break    int           // share of runs whose connection breaks
+	taken    []check.Sent  // to be asked for meanwhile
+	hurtAt   time.Duration // when something was last missing
 }
 
 // simStore is one store; it is the place's surroundings too.
@@ -45,9 +47,10 @@
 	place  *store.PlaceHost
 	roll   map[string]presence
 	peers  []*simStore
-	fresh  time.Duration // newest confirmation; before it is too old, the store may act
-	full   time.Duration // its disk is full until then
-	frozen time.Duration // nothing is done before this; what comes meanwhile waits
+	keeper *repair.Keeper // of adapters' results; gone when the store is killed
+	fresh  time.Duration  // newest confirmation; before it is too old, the store may act
+	full   time.Duration  // its disk is full until then
+	frozen time.Duration  // nothing is done before this; what comes meanwhile waits
 }
 
 type presence struct {
@@ -73,12 +76,19 @@
 	for i := range adapters {
 		a := &simAdapter{w: p, name: fmt.Sprintf("a%d", i+1)}
 		p.adapters = append(p.adapters, a)
-		a.runAgent()
+		a.newAgent()
+		p.handOver(a.name, func() *repair.Keeper { return a.agent })
 		a.start()
 	}
 	for _, s := range p.stores {
 		s.peers = p.stores
 		s.start()
+		p.handOver(s.name, func() *repair.Keeper {
+			if !s.isUp || p.now < s.frozen {
+				return nil
+			}
+			return s.keeper
+		})
 	}
 	return p
 }
@@ -96,6 +106,7 @@
 		return
 	}
 	s.frozen = 0
+	s.keeper = repair.NewKeeper(1000, beat.Default.Of(beat.Resend), beat.Default.Of(beat.Settle))
 	s.isUp, s.life, s.roll, s.fresh = true, s.life+1, map[string]presence{}, s.w.now
 	s.place = store.NewPlaceHost(s, 0)
 	h, err := host.New(host.Options{Id: 1, Self: s.name + "/0", Roster: s.w.roster(), Bounds: beat.Default,
--- a/internal/sim/placefaults.go
+++ b/internal/sim/placefaults.go
@@ -24,6 +24,12 @@
 	"stalled workers": func(p *Places) { p.Stall = 300; p.After(3*time.Second, func() { p.Stall = 0 }) },
 	"broken links":    func(p *Places) { p.Break = 300; p.After(3*time.Second, func() { p.Break = 0 }) },
 	"full disks":      func(p *Places) { p.store().full = p.now + time.Duration(p.Rand.IntN(4000))*time.Millisecond },
+	"lost cells": func(p *Places) {
+		if i := p.Rand.IntN(3); p.now-p.hurtAt > 2*time.Second { // an adapter, its agent and its cell's store at once
+			p.adapters[i].loseMachine()
+			p.stores[i].kill()
+		}
+	},
 	"lost for good": func(p *Places) {
 		if a := p.adapters[0]; !a.isGone { // one only: the others must serve
 			a.isGone = true
@@ -39,11 +45,30 @@
 	"adapters cut off": func(p *Places) { p.cutOff(p.adapter().name, true) },
 	"one-way cuts":     func(p *Places) { p.cutOff(p.adapter().name, false) },
 	"stores cut off":   func(p *Places) { p.cutOff(p.store().name, true) },
+	"stores apart": func(p *Places) {
+		name := p.store().name
+		for _, other := range p.stores { // callers and adapters still reach it
+			p.Cut(name, other.name)
+			p.Cut(other.name, name)
+		}
+		p.After(time.Duration(500+p.Rand.IntN(6000))*time.Millisecond, p.Heal)
+	},
 }
 
 func (p *Places) store() *simStore     { return p.stores[p.Rand.IntN(len(p.stores))] }
 func (p *Places) adapter() *simAdapter { return p.adapters[p.Rand.IntN(len(p.adapters))] }
 
+// isWhole: one cell can be lost at a time, and only from a place that has had an
+// owner and sound links for a while; beyond that nobody may know of a result.
+func (p *Places) isWhole() bool {
+	isOwned, isUp := false, len(p.cuts)+p.Loss+p.Stuck == 0 && p.Slow < 10*time.Millisecond
+	for _, s := range p.stores {
+		isUp = isUp && s.isUp && p.now >= s.frozen
+		isOwned = isOwned || isUp && s.host.IsOwner()
+	}
+	return isUp && isOwned
+}
+
 func (p *Places) cutOff(name string, isBothWays bool) {
 	for _, other := range []string{"s1", "s2", "s3", "a1", "a2", "a3", "ctl", "caller"} {
 		if other != name {
@@ -74,7 +99,12 @@
 		if p.Rand.IntN(3) == 0 {
 			p.CallAgain("free", 1+p.Rand.IntN(4))
 		}
-		p.look()
+		for range 3 {
+			p.look()
+		}
+		if !p.isWhole() {
+			p.hurtAt = p.now
+		}
 		if p.Rand.IntN(20) == 0 {
 			p.soon(func() { chosen[p.Rand.IntN(len(chosen))](p) })
 		}
--- a/internal/wire/data.go
+++ b/internal/wire/data.go
@@ -41,6 +41,19 @@
 	Wait  int64  `avro:"wait" since:"2"` // milliseconds for which the answer may wait for the message's end
 }
 
+// MishapOf gives the kind of mishap that a reply tells; empty for none.
+func MishapOf(reply any) string {
+	switch m := reply.(type) {
+	case *Taken:
+		return m.Kind
+	case *OutcomeAck:
+		return m.Kind
+	case *Edited:
+		return m.Kind
+	}
+	return ""
+}
+
 // SizeOf tells about how many bytes a message carries, so that large ones are
 // not put into one batch.
 func SizeOf(body any) int {
