--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -125,7 +125,9 @@
 	settleCtx, cancel := context.WithTimeout(ctx, 2*time.Minute)
 	defer cancel()
 	report := f.Report(callers, f.Settle(settleCtx, true))
-	report.Charter = f.CheckCharter(settleCtx)
+	readCtx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	report.Charter, report.Counts = f.CheckCharter(readCtx), f.Counts(readCtx)
 	raw, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
 		return mishap.Wrap(err, mishap.Internal, "report")
--- a/internal/fleet/settle.go
+++ b/internal/fleet/settle.go
@@ -88,25 +88,26 @@
 
 // Report is what a run of a fleet came to.
 type Report struct {
-	Sent      int            `json:"sent"`
-	Taken     int            `json:"taken"`
-	NotTaken  int            `json:"not_taken"`
-	Undecided int            `json:"undecided"`
-	Runs      int            `json:"runs"`
-	Codes     map[string]int `json:"codes"`
-	Ends      map[string]int `json:"ends"`
-	IntakeP50 string         `json:"intake_p50"`
-	IntakeP99 string         `json:"intake_p99"`
-	EndP50    string         `json:"end_p50"`
-	EndP99    string         `json:"end_p99"`
-	Breaches  []check.Breach `json:"breaches"`
-	Unsettled string         `json:"unsettled,omitempty"`
-	Charter   []string       `json:"charter,omitempty"`
-	Failures  []string       `json:"not_carried_out,omitempty"`
-	Spared    int            `json:"doubled_by_killed_adapters"`
-	Sights    int            `json:"asked_for_meanwhile"`
-	Judged    int            `json:"recoveries_judged"`
-	PerSecond []int          `json:"runs_ended_per_second"`
+	Sent      int                `json:"sent"`
+	Taken     int                `json:"taken"`
+	NotTaken  int                `json:"not_taken"`
+	Undecided int                `json:"undecided"`
+	Runs      int                `json:"runs"`
+	Codes     map[string]int     `json:"codes"`
+	Ends      map[string]int     `json:"ends"`
+	IntakeP50 string             `json:"intake_p50"`
+	IntakeP99 string             `json:"intake_p99"`
+	EndP50    string             `json:"end_p50"`
+	EndP99    string             `json:"end_p99"`
+	Breaches  []check.Breach     `json:"breaches"`
+	Unsettled string             `json:"unsettled,omitempty"`
+	Charter   []string           `json:"charter,omitempty"`
+	Failures  []string           `json:"not_carried_out,omitempty"`
+	Spared    int                `json:"doubled_by_killed_adapters"`
+	Sights    int                `json:"asked_for_meanwhile"`
+	Judged    int                `json:"recoveries_judged"`
+	Counts    map[string]float64 `json:"counts,omitempty"`
+	PerSecond []int              `json:"runs_ended_per_second"`
 }
 
 // Report sums the run up and checks it.
--- a/internal/sim/placefaults.go
+++ b/internal/sim/placefaults.go
@@ -30,6 +30,11 @@
 			p.stores[i].kill()
 		}
 	},
+	"quick restarts": func(p *Places) {
+		a := p.adapter()
+		a.kill()
+		p.After(50*time.Millisecond, a.start)
+	},
 	"lost for good": func(p *Places) {
 		if a := p.adapters[0]; !a.isGone { // one only: the others must serve
 			a.isGone = true
