A daemon that cannot read the newest charter stops acting

Cause (read, not met): a build that does not know a key of a newer charter compiled it to nothing and took every lane for removed, so that stores would have failed messages after one attempt. TestUnreadCharter failed first (no lanes, and fresh).

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -20,6 +20,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	scenes := &charter.Scenes{View: d.View}
+	d.CanRead = scenes.CanRead
 	out := deliver.New(ctx, d, scenes)
 	d.Link(map[string]transport.Handler{"run": out.Serve})
 	out.Link()
--- a/internal/charter/charter_test.go
+++ b/internal/charter/charter_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/feed"
+	"caperwheel/internal/wire"
 )
 
 const good = `{"pools":{"p":{"concurrency":2,"children":{"a":{},"b":{"concurrency":9}}},
@@ -67,6 +70,34 @@
 	})
 }
 
+// TestUnreadCharter: a daemon of an older build must not take a charter that it
+// cannot read for one without lanes.
+func TestUnreadCharter(t *testing.T) {
+	cases := []struct {
+		name, doc string
+		canRead   bool
+	}{
+		{"one that this build knows", good, true},
+		{"one with a key that it does not know", strings.Replace(good, `"urgency"`, `"newer"`, 1), false},
+		{"one that is empty", `{}`, true},
+	}
+	Convey("A charter can be read here:", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				view := feed.NewView(0)
+				scenes := Scenes{View: view}
+				So(scenes.CanRead(), ShouldBeTrue) // none yet
+				view.Take([]wire.PartNews{{To: 1, Changes: []wire.Change{{Key: Key, Stamp: 1, Value: []byte(c.doc)}}}}, 0)
+				So(scenes.CanRead(), ShouldEqual, c.canRead)
+				view.Take([]wire.PartNews{{From: 1, To: 2, Changes: []wire.Change{{Key: CellKey + "a", Stamp: 2}}}}, 0)
+				So(scenes.CanRead(), ShouldEqual, c.canRead)
+				view.Take([]wire.PartNews{{From: 2, To: 3, Changes: []wire.Change{{Key: Key, Stamp: 3, Value: []byte(good)}}}}, 0)
+				So(scenes.CanRead(), ShouldBeTrue)
+			})
+		}
+	})
+}
+
 func TestMergeAndDiff(t *testing.T) {
 	cases := []struct{ name, base, patch, want string }{
 		{"a value", `{"a":1,"b":2}`, `{"a":3}`, `{"a":3,"b":2}`},
--- a/internal/charter/rules.go
+++ b/internal/charter/rules.go
@@ -48,14 +48,15 @@
 // duties, emptied cells. It is made anew when the view changes and never
 // written after that.
 type Scene struct {
-	Rules   *Rules
-	Stamp   int64
-	Workers map[string]map[string]Worker // by pool and name
-	Duties  map[string]map[string]Held
-	Emptied map[string]bool
-	Retired map[string]bool
-	Weights map[string]weight.Weights     // by pool, as published
-	Shares  map[string]map[string]float64 // by lane and pool, as published
+	Rules    *Rules
+	Stamp    int64
+	Workers  map[string]map[string]Worker // by pool and name
+	Duties   map[string]map[string]Held
+	Emptied  map[string]bool
+	IsUnread bool // the newest charter cannot be read here: a newer build wrote it
+	Retired  map[string]bool
+	Weights  map[string]weight.Weights     // by pool, as published
+	Shares   map[string]map[string]float64 // by lane and pool, as published
 }
 
 // Share is how much of a lane's traffic a pool is asked for, against the pool
@@ -98,6 +99,11 @@
 	return s.scene
 }
 
+// CanRead tells whether the newest charter says anything to this build. A daemon
+// that cannot read it must stop, as one that has not heard of it must, rather
+// than take every lane for one that was removed.
+func (s *Scenes) CanRead() bool { return !s.Now().IsUnread }
+
 func compose(view *feed.View, old *Scene) *Scene {
 	out := &Scene{Workers: map[string]map[string]Worker{}, Duties: map[string]map[string]Held{},
 		Emptied: map[string]bool{}, Retired: map[string]bool{}, Weights: map[string]weight.Weights{}, Shares: map[string]map[string]float64{},
@@ -105,9 +111,11 @@
 	if c, isKnown := view.Get(feed.CharterPart, Key); isKnown {
 		out.Stamp = c.Stamp
 		if old != nil && old.Stamp == c.Stamp {
-			out.Rules = old.Rules
+			out.Rules, out.IsUnread = old.Rules, old.IsUnread
 		} else if rules, faults := Compile(c.Value); len(faults) == 0 {
 			out.Rules = rules
+		} else {
+			out.IsUnread = true
 		}
 	}
 	for _, c := range view.Keys(CellKey) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,6 +40,7 @@
 	Node     *transport.Node
 	Mux      *http.ServeMux
 	Ready    func() (isReady bool, why string)
+	CanRead  func() bool // whether the newest charter can be read, if the daemon needs it
 
 	gauges   gauges
 	Started  time.Time
@@ -89,7 +90,9 @@
 func (d *Daemon) Now() time.Duration { return time.Since(d.Started) }
 
 // IsFresh tells whether the daemon may act on its view.
-func (d *Daemon) IsFresh() bool { return d.View.IsFresh(d.Now(), d.Bounds.Of(beat.Fresh)) }
+func (d *Daemon) IsFresh() bool {
+	return d.View.IsFresh(d.Now(), d.Bounds.Of(beat.Fresh)) && (d.CanRead == nil || d.CanRead())
+}
 
 // Must ends the process on a mishap.
 func (d *Daemon) Must(err error) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -53,6 +53,7 @@
 	s := &Store{d: d, scenes: &charter.Scenes{View: d.View}, hosts: map[int64]*host.Host{},
 		places: map[int64]*PlaceHost{}, parts: map[int64]*PartHost{}}
 	s.own.Store(&[]*PlaceHost{})
+	d.CanRead = s.scenes.CanRead
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.ctx = ctx
