--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -9,11 +9,12 @@
 	"strings"
 
 	"caperwheel/internal/charter"
+	"caperwheel/internal/manifest"
 	"caperwheel/internal/mishap"
 )
 
 type applyCommand struct {
-	Folder string `arg:"positional,required" help:"folder with charter.json and workers/POOL.json, as kept in version control"`
+	Folder string `arg:"positional,required" help:"folder with charter.json, workers/POOL.json and routes/*.yaml, as kept in version control"`
 	DryRun bool   `arg:"--dry-run" help:"only show the plan"`
 }
 
@@ -77,6 +78,12 @@
 	rules := &charter.Rules{}
 	if err == nil {
 		var found []charter.Fault
+		if doc, found, err = readRoutes(folder, doc); err != nil {
+			return nil, err
+		}
+		if len(found) > 0 {
+			return nil, mishap.New(mishap.Invalid, "nothing was applied:\n  %s", strings.Join(faultLines("routes", found), "\n  "))
+		}
 		if rules, found = charter.Compile(doc); len(found) > 0 {
 			faults = append(faults, faultLines("charter.json", found)...)
 		}
@@ -110,6 +117,31 @@
 	return out, nil
 }
 
+// readRoutes merges routes in the manner of the Gateway API into the charter
+// that is declared beside them.
+func readRoutes(folder string, doc []byte) ([]byte, []charter.Fault, error) {
+	files, err := filepath.Glob(filepath.Join(folder, "routes", "*.yaml"))
+	if err != nil {
+		return nil, nil, mishap.Wrap(err, mishap.Invalid, "routes")
+	}
+	slices.Sort(files)
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return nil, nil, mishap.Wrap(err, mishap.Invalid, "%s", file)
+		}
+		merged, faults := manifest.Translate(doc, raw)
+		if len(faults) > 0 {
+			for i := range faults {
+				faults[i].Path = filepath.Base(file) + ": " + faults[i].Path
+			}
+			return nil, faults, nil
+		}
+		doc = merged
+	}
+	return doc, nil, nil
+}
+
 func faultLines(file string, faults []charter.Fault) []string {
 	out := []string{}
 	for _, f := range faults {
--- /dev/null
+++ b/internal/manifest/manifest.go
@@ -0,0 +1,191 @@
+// Package manifest reads routes in the manner of the Gateway API and translates
+// them into edits of the charter. What has no like in a charter is refused, each
+// thing with its path: a route is taken whole or not at all.
+package manifest
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	gateway "sigs.k8s.io/gateway-api/apis/v1"
+	"sigs.k8s.io/yaml"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/mishap"
+)
+
+// Parent is the name that a route's parentRefs must give.
+const Parent = "caperwheel"
+
+const (
+	pathBefore, pathBehind = "/v1/lanes/", "/messages"
+	mostDocument           = 1 << 20
+)
+
+// Translate gives the charter with the routes of a manifest merged in.
+func Translate(doc, manifest []byte) ([]byte, []charter.Fault) {
+	faults := []charter.Fault{}
+	if len(manifest) > mostDocument {
+		return nil, []charter.Fault{{Path: "", Text: "is larger than a manifest may be"}}
+	}
+	for i, part := range bytes.Split(manifest, []byte("\n---")) {
+		if len(bytes.TrimSpace(bytes.TrimPrefix(part, []byte("---")))) == 0 {
+			continue
+		}
+		t := translator{at: fmt.Sprintf("documents.%d", i)}
+		patch, err := t.route(part)
+		if err == nil && len(t.faults) == 0 {
+			doc, err = charter.Merge(doc, patch)
+		}
+		if err != nil {
+			t.fault("", err.Error())
+		}
+		faults = append(faults, t.faults...)
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return doc, nil
+}
+
+type translator struct {
+	at     string
+	faults []charter.Fault
+}
+
+func (t *translator) fault(path, text string) {
+	t.faults = append(t.faults, charter.Fault{Path: strings.TrimSuffix(t.at+"."+path, "."), Text: text})
+}
+
+// route translates one HTTPRoute into a merge patch of the charter.
+func (t *translator) route(raw []byte) ([]byte, error) {
+	var r gateway.HTTPRoute
+	if err := yaml.UnmarshalStrict(raw, &r); err != nil {
+		return nil, mishap.Wrap(err, mishap.Invalid, "not a route")
+	}
+	if r.Kind != "HTTPRoute" || r.APIVersion != gateway.GroupVersion.String() {
+		t.fault("kind", "must be HTTPRoute of "+gateway.GroupVersion.String())
+		return nil, nil
+	}
+	for i, parent := range r.Spec.ParentRefs {
+		if parent.Name != Parent {
+			t.fault(fmt.Sprintf("spec.parentRefs.%d.name", i), "must be "+Parent)
+		}
+		r.Spec.ParentRefs[i].Name = ""
+	}
+	patch := map[string]any{}
+	for i := range r.Spec.Rules {
+		t.rule(fmt.Sprintf("spec.rules.%d", i), &r.Spec.Rules[i], patch)
+	}
+	r.Name, r.Namespace, r.Labels, r.Annotations = "", "", nil, nil
+	r.Kind, r.APIVersion = "", ""
+	t.left(r)
+	out, err := json.Marshal(map[string]any{"lanes": patch})
+	return out, mishap.Wrap(err, mishap.Internal, "patch")
+}
+
+// rule translates one rule: its paths name lanes, its back ends pools. What is
+// translated is taken out of it, so that what is left can be told.
+func (t *translator) rule(at string, r *gateway.HTTPRouteRule, patch map[string]any) {
+	set := map[string]any{}
+	pools := []string{}
+	for i := range r.BackendRefs {
+		pools = append(pools, string(r.BackendRefs[i].Name))
+		r.BackendRefs[i].Name = ""
+	}
+	if len(pools) == 0 {
+		t.fault(at+".backendRefs", "must name at least one pool")
+	}
+	set["pools"] = pools
+	if r.Timeouts != nil && r.Timeouts.Request != nil {
+		set["patience"] = string(*r.Timeouts.Request)
+		r.Timeouts.Request = nil
+	}
+	if r.Retry != nil && r.Retry.Attempts != nil {
+		set["attempts"] = *r.Retry.Attempts + 1 // a charter counts the first run too
+		r.Retry.Attempts = nil
+	}
+	if r.Retry != nil && r.Retry.Backoff != nil {
+		set["backoff"] = string(*r.Retry.Backoff)
+		r.Retry.Backoff = nil
+	}
+	if len(r.Matches) == 0 {
+		t.fault(at+".matches", "must name a lane by its path")
+	}
+	for i := range r.Matches {
+		m := &r.Matches[i]
+		lane, isLane := laneOf(m.Path)
+		if !isLane {
+			t.fault(fmt.Sprintf("%s.matches.%d.path", at, i), "must be Exact and "+pathBefore+"LANE"+pathBehind)
+			continue
+		}
+		m.Path = nil
+		put(patch, strings.Split(lane, "."), set)
+	}
+}
+
+func laneOf(m *gateway.HTTPPathMatch) (string, bool) {
+	if m == nil || m.Type == nil || *m.Type != gateway.PathMatchExact || m.Value == nil {
+		return "", false
+	}
+	lane, isBefore := strings.CutPrefix(*m.Value, pathBefore)
+	lane, isBehind := strings.CutSuffix(lane, pathBehind)
+	return lane, isBefore && isBehind && lane != "" && !strings.Contains(lane, "/")
+}
+
+// put sets a lane within the tree of lanes.
+func put(tree map[string]any, names []string, set map[string]any) {
+	node, isKnown := tree[names[0]].(map[string]any)
+	if !isKnown {
+		node = map[string]any{}
+		tree[names[0]] = node
+	}
+	if len(names) == 1 {
+		maps.Copy(node, set)
+		return
+	}
+	children, isKnown := node["children"].(map[string]any)
+	if !isKnown {
+		children = map[string]any{}
+		node["children"] = children
+	}
+	put(children, names[1:], set)
+}
+
+// left refuses whatever nobody has translated.
+func (t *translator) left(r gateway.HTTPRoute) {
+	raw, err := json.Marshal(r)
+	var rest any
+	if err == nil {
+		err = json.Unmarshal(raw, &rest)
+	}
+	if err != nil {
+		t.fault("", err.Error())
+		return
+	}
+	t.walk("", rest)
+}
+
+func (t *translator) walk(path string, value any) {
+	switch v := value.(type) {
+	case map[string]any:
+		for _, key := range slices.Sorted(maps.Keys(v)) {
+			t.walk(strings.TrimPrefix(path+"."+key, "."), v[key])
+		}
+	case []any:
+		for i, item := range v {
+			t.walk(fmt.Sprintf("%s.%d", path, i), item)
+		}
+	case nil:
+	case string:
+		if v != "" {
+			t.fault(path, "has no like in a charter")
+		}
+	default:
+		t.fault(path, "has no like in a charter")
+	}
+}
