An owner that moves its own seat no longer crashes its store

Cause: the commit of a roster without the owner makes it a follower, which has no peers; it went on to tell its peers of the commit and wrote to a nil map. It could as well have struck at a retirement whose owner had not handed over yet. Ruled out: the moves themselves (three steps each, two at a time), images.

--- a/internal/group/append.go
+++ b/internal/group/append.go
@@ -217,7 +217,9 @@
 	if t, _ := g.termAt(index); index > g.hard.Commit && t == g.hard.Term {
 		g.hard.Commit = index
 		g.onCommit(now, out)
-		g.spreadCommit(now, out)
+		if g.role == Owner { // else the commit has taken us out
+			g.spreadCommit(now, out)
+		}
 	}
 }
 
--- a/internal/sim/groupfaults.go
+++ b/internal/sim/groupfaults.go
@@ -38,9 +38,26 @@
 
 // RunGroup hurts a group of three for a while and checks it throughout.
 func RunGroup(seed uint64, hurts ...func(*Groups)) *Groups {
-	w := NewWorld(seed)
-	g := NewGroups(w, "s1", "s2", "s3")
-	count := 0
+	three := []string{"s1", "s2", "s3"}
+	return runGroup(NewGroups(NewWorld(seed), three...), func() []string { return three }, hurts)
+}
+
+// RunMoves does the same to a group whose seats go to other three of five
+// stores again and again, its owner's seat too.
+func RunMoves(seed uint64, hurts ...func(*Groups)) *Groups {
+	w, five := NewWorld(seed), []string{"s1", "s2", "s3", "s4", "s5"}
+	wanted, until := five[:3], time.Duration(0)
+	return runGroup(NewGroups(w, five...), func() []string {
+		if w.Now() >= until {
+			w.Rand.Shuffle(5, func(i, j int) { five[i], five[j] = five[j], five[i] })
+			wanted, until = slices.Clone(five[:3]), w.Now()+time.Duration(1+w.Rand.IntN(6))*time.Second
+		}
+		return wanted
+	}, hurts)
+}
+
+func runGroup(g *Groups, wanted func() []string, hurts []func(*Groups)) *Groups {
+	w, count := g.World, 0
 	for w.Now() < 40*time.Second {
 		w.Run(w.Now() + 100*time.Millisecond)
 		for range 3 {
@@ -53,7 +70,7 @@
 		if w.Rand.IntN(10) == 0 {
 			w.soon(func() { g.Start(g.pick()) })
 		}
-		g.Mend("s1", "s2", "s3")
+		g.Mend(wanted()...)
 		g.CheckReads()
 	}
 	g.Finish()
--- a/internal/sim/groups_test.go
+++ b/internal/sim/groups_test.go
@@ -20,6 +20,9 @@
 					So(g.Broken, ShouldBeEmpty)
 					So(len(g.Acked), ShouldBeGreaterThan, 100)
 				}
+				moved := RunMoves(1, hurt)
+				So(moved.Broken, ShouldBeEmpty)
+				So(len(moved.Acked), ShouldBeGreaterThan, 100)
 			})
 		}
 	})
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -6,7 +6,7 @@
 )
 
 // SweepKinds lists what can be swept.
-func SweepKinds() []string { return []string{"group", "place", "control"} }
+func SweepKinds() []string { return []string{"group", "moves", "place", "control"} }
 
 // SweepSeed runs one seed and tells what was broken. All faults are mixed,
 // or only those named.
@@ -15,6 +15,9 @@
 	case "group":
 		g := RunGroup(seed, mixed(GroupFaults, only...)...)
 		return g.Broken, g.Trace
+	case "moves":
+		g := RunMoves(seed, mixed(GroupFaults, only...)...)
+		return g.Broken, g.Trace
 	case "place":
 		p, breaches := RunPlaces(seed, mixed(PlaceFaults, only...)...)
 		for _, b := range breaches {
