--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -133,8 +133,9 @@
 		return mishap.Wrap(err, mishap.Internal, "report")
 	}
 	fmt.Println(string(raw))
-	if len(report.Breaches) > 0 || report.Unsettled != "" || len(report.Charter) > 0 || len(report.Failures) > 0 || report.Runs == 0 {
-		return mishap.New(mishap.Unsound, "%d rules broken, %d steps not carried out", len(report.Breaches)+len(report.Charter), len(report.Failures))
+	if len(report.Breaches) > 0 || report.Unsettled != "" || len(report.Charter) > 0 || len(report.Failures)+len(report.Crashes) > 0 || report.Runs == 0 {
+		return mishap.New(mishap.Unsound, "%d rules broken, %d steps not carried out, %d crashes", len(report.Breaches)+len(report.Charter),
+			len(report.Failures), len(report.Crashes))
 	}
 	return nil
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -58,7 +58,7 @@
 			_, _, ends := f.History.Copies()
 			So(report.Ends["ended"]+report.Ends["rejected"], ShouldEqual, len(ends))
 			So(f.CheckCharter(ctx), ShouldBeEmpty)
-			So(raced(dir), ShouldBeEmpty)
+			So(f.Crashes(), ShouldBeEmpty)
 			checkRejects(ctx, f)
 			checkCli(f)
 		})
@@ -83,20 +83,6 @@
 	wg.Wait()
 }
 
-// raced finds what the race detector or a panic has left in the logs.
-func raced(dir string) string {
-	logs, _ := filepath.Glob(filepath.Join(dir, "log", "*.log"))
-	for _, file := range logs {
-		raw, _ := os.ReadFile(file)
-		for _, bad := range []string{"DATA RACE", "panic:"} {
-			if at := bytes.Index(raw, []byte(bad)); at >= 0 {
-				return file + ": " + string(raw[at:min(len(raw), at+3000)])
-			}
-		}
-	}
-	return ""
-}
-
 // checkRejects is the table of what a caller or an operator may get wrong.
 func checkRejects(ctx context.Context, f *Fleet) {
 	adapter, manager := "http://"+f.Adapters[1].Http, "http://"+f.Managers[0].Http
--- a/internal/fleet/settle.go
+++ b/internal/fleet/settle.go
@@ -103,6 +103,7 @@
 	Unsettled string             `json:"unsettled,omitempty"`
 	Charter   []string           `json:"charter,omitempty"`
 	Failures  []string           `json:"not_carried_out,omitempty"`
+	Crashes   []string           `json:"crashes,omitempty"`
 	Spared    int                `json:"doubled_by_killed_adapters"`
 	Sights    int                `json:"asked_for_meanwhile"`
 	Judged    int                `json:"recoveries_judged"`
@@ -114,7 +115,7 @@
 func (f *Fleet) Report(c *Callers, unsettled error) Report {
 	sent, runs, ends := f.History.Copies()
 	out := Report{Sent: len(sent), Runs: len(runs), Codes: map[string]int{}, Ends: map[string]int{},
-		Breaches: check.Check(f.History), Failures: f.Failures}
+		Breaches: check.Check(f.History), Failures: f.Failures, Crashes: f.Crashes()}
 	out.Spared, out.Judged, out.Sights = f.History.Spared, f.History.Judged, len(f.History.Sights)
 	for code, n := range c.Codes {
 		out.Codes[fmt.Sprint(code)] = n
