--- a/internal/sim/home.go
+++ b/internal/sim/home.go
@@ -9,6 +9,9 @@
 	"caperwheel/internal/wire"
 )
 
+// reachBeat is how often internal/reach tries another store for an owner.
+const reachBeat = 60 * time.Millisecond
+
 // handOver brings kept results home, from whoever keeps them as long as it is
 // there.
 func (p *Places) handOver(from string, keeper func() *repair.Keeper) {
@@ -25,14 +28,14 @@
 				}
 			}
 		}
-		p.After(beat.Default.Of(beat.Resend), tick)
+		p.After(reachBeat, tick)
 	}
 	tick()
 }
 
 // newAgent has a blank agent beside the adapter.
 func (a *simAdapter) newAgent() {
-	a.agent = repair.NewKeeper(1000, beat.Default.Of(beat.Vote), beat.Default.Of(beat.Settle))
+	a.agent = repair.NewKeeper(1000, beat.Default.Of(beat.Vote), reachBeat)
 }
 
 // loseMachine takes the adapter and its agent at once.
@@ -83,7 +86,7 @@
 				}
 			})
 		}
-		a.w.After(beat.Default.Of(beat.Resend), try)
+		a.w.After(reachBeat, try)
 	}
 	try()
 }
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -106,7 +106,7 @@
 		return
 	}
 	s.frozen = 0
-	s.keeper = repair.NewKeeper(1000, beat.Default.Of(beat.Resend), beat.Default.Of(beat.Settle))
+	s.keeper = repair.NewKeeper(1000, beat.Default.Of(beat.Resend), reachBeat)
 	s.isUp, s.life, s.roll, s.fresh = true, s.life+1, map[string]presence{}, s.w.now
 	s.place = store.NewPlaceHost(s, 0)
 	h, err := host.New(host.Options{Id: 1, Self: s.name + "/0", Roster: s.w.roster(), Bounds: beat.Default,
