--- a/internal/sim/control_test.go
+++ b/internal/sim/control_test.go
@@ -1,21 +1,17 @@
 package sim
 
 import (
-	"fmt"
-	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
 
 func TestControlUnderFaults(t *testing.T) {
+	runs := atOnce(ControlFaults, func(hurt func(*Control)) *Control { return RunControl(1, hurt) })
 	Convey("A control plane", t, func() {
-		for name, hurt := range ControlFaults {
+		for name, c := range runs {
 			Convey("keeps its promises under "+name, func() {
-				c := RunControl(1, hurt)
-				if len(c.Broken) > 0 {
-					fmt.Println(strings.Join(c.Trace, "\n"))
-				}
+				show(name, c.Broken, c.Trace)
 				So(c.Broken, ShouldBeEmpty)
 				So(len(c.acked), ShouldBeGreaterThan, 10)
 			})
--- a/internal/sim/groups_test.go
+++ b/internal/sim/groups_test.go
@@ -1,28 +1,23 @@
 package sim
 
 import (
-	"fmt"
-	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
 
 func TestGroupUnderFaults(t *testing.T) {
-	Convey("A group of three", t, func() {
-		for name, hurt := range GroupFaults {
+	runs := atOnce(GroupFaults, func(hurt func(*Groups)) []*Groups {
+		return []*Groups{RunGroup(1, hurt), RunGroup(2, hurt), RunMoves(1, hurt)}
+	})
+	Convey("A group of three, and one whose seats move,", t, func() {
+		for name, list := range runs {
 			Convey("keeps its promises under "+name, func() {
-				for seed := uint64(1); seed <= 2; seed++ {
-					g := RunGroup(seed, hurt)
-					if len(g.Broken) > 0 {
-						fmt.Println("seed", seed, strings.Join(g.Trace, "\n"))
-					}
+				for _, g := range list {
+					show(name, g.Broken, g.Trace)
 					So(g.Broken, ShouldBeEmpty)
 					So(len(g.Acked), ShouldBeGreaterThan, 100)
 				}
-				moved := RunMoves(1, hurt)
-				So(moved.Broken, ShouldBeEmpty)
-				So(len(moved.Acked), ShouldBeGreaterThan, 100)
 			})
 		}
 	})
--- a/internal/sim/places_test.go
+++ b/internal/sim/places_test.go
@@ -3,23 +3,55 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/check"
 )
 
+// atOnce runs a simulation for each fault, as many at once as there are: each has
+// a world of its own. The assertions come one after another.
+func atOnce[F, T any](faults map[string]F, run func(hurt F) T) map[string]T {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	out := map[string]T{}
+	for name, hurt := range faults {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			got := run(hurt)
+			mu.Lock()
+			defer mu.Unlock()
+			out[name] = got
+		}()
+	}
+	group.Wait()
+	return out
+}
+
+func show[B any](name string, broken []B, trace []string) {
+	if len(broken) > 0 {
+		fmt.Println(name, strings.Join(trace, "\n"))
+	}
+}
+
 func TestPlaceUnderFaults(t *testing.T) {
+	type result struct {
+		p        *Places
+		breaches []check.Breach
+	}
+	runs := atOnce(PlaceFaults, func(hurt func(*Places)) result {
+		p, breaches := RunPlaces(1, hurt)
+		return result{p, breaches}
+	})
 	Convey("A place with its stores and adapters", t, func() {
-		for name, hurt := range PlaceFaults {
+		for name, r := range runs {
 			Convey("keeps the rules under "+name, func() {
-				for seed := uint64(1); seed <= 1; seed++ {
-					p, breaches := RunPlaces(seed, hurt)
-					if len(breaches) > 0 {
-						fmt.Println("seed", seed, strings.Join(p.Trace, "\n"))
-					}
-					So(breaches, ShouldBeEmpty)
-					So(len(p.H.Runs), ShouldBeGreaterThan, 100)
-				}
+				show(name, r.breaches, r.p.Trace)
+				So(r.breaches, ShouldBeEmpty)
+				So(len(r.p.H.Runs), ShouldBeGreaterThan, 100)
 			})
 		}
 	})
@@ -27,9 +59,11 @@
 
 func TestSeedsReplayExactly(t *testing.T) {
 	Convey("The same seed gives the same trace", t, func() {
-		a, _ := RunPlaces(7, mixed(PlaceFaults)...)
-		b, _ := RunPlaces(7, mixed(PlaceFaults)...)
-		So(len(a.Trace), ShouldBeGreaterThan, 500)
-		So(strings.Join(a.Trace, "\n"), ShouldEqual, strings.Join(b.Trace, "\n"))
+		traces := atOnce(map[string]bool{"once": true, "again": true}, func(bool) []string {
+			p, _ := RunPlaces(7, mixed(PlaceFaults)...)
+			return p.Trace
+		})
+		So(len(traces["once"]), ShouldBeGreaterThan, 500)
+		So(strings.Join(traces["once"], "\n"), ShouldEqual, strings.Join(traces["again"], "\n"))
 	})
 }
