--- a/internal/cli/doctor.go
+++ b/internal/cli/doctor.go
@@ -9,6 +9,7 @@
 	"caperwheel/internal/manager"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/settings"
+	"caperwheel/internal/store"
 )
 
 type doctorCommand struct {
@@ -92,7 +93,7 @@
 	if !s.Fresh {
 		add(true, s.Manager, "its view is stale", "are the stores up, and a majority of each part's replicas?")
 	}
-	stores, managers, cells := 0, 0, map[string]bool{}
+	stores, managers, cells, clusters := 0, 0, map[string]bool{}, map[int64]bool{}
 	for _, m := range s.Members {
 		if !m.Fresh {
 			add(true, m.Name, "its view is stale: it takes and starts nothing", "look at its way to the managers, and at its log")
@@ -103,6 +104,9 @@
 		case "store":
 			stores++
 			cells[m.Cell] = true
+			if cluster := m.Counts[store.ClusterCount]; cluster != 0 {
+				clusters[cluster] = true
+			}
 			if m.Counts["full"] > 0 {
 				add(true, m.Name, "its disk is nearly full: its places reject intake", "free room on the disk, or retire the store")
 			}
@@ -113,6 +117,10 @@
 			managers++
 		}
 	}
+	if len(clusters) > 1 {
+		add(true, "stores", fmt.Sprintf("they belong to %d deployments", len(clusters)),
+			"two halves were founded apart: stop the half that holds nothing yet, blank its data folders, and start it again")
+	}
 	if stores < 3 || len(cells) < 3 {
 		add(stores < 2, "stores", fmt.Sprintf("only %d here, in %d cells", stores, len(cells)),
 			"with fewer than three, in as many cells, the loss of one more stops places")
--- a/internal/cli/doctor_test.go
+++ b/internal/cli/doctor_test.go
@@ -43,6 +43,9 @@
 		{"store-a: holds charter 6", false, func(s *manager.Status) { s.Members[0].Stamp = 6 }},
 		{"store-a: its disk is nearly full", true, func(s *manager.Status) { s.Members[0].Counts["full"] = 1 }},
 		{"store-a: its log has 9 segments", false, func(s *manager.Status) { s.Members[0].Counts["segments"] = 9 }},
+		{"stores: they belong to 2 deployments", true, func(s *manager.Status) {
+			s.Members[0].Counts["cluster"], s.Members[2].Counts["cluster"] = 5, 6
+		}},
 		{"stores: only 2 here", false, func(s *manager.Status) { s.Members = s.Members[1:] }},
 		{"stores: only 3 here, in 2 cells", false, func(s *manager.Status) { s.Members[0].Cell = "b" }},
 		{"managers: only 1 here", false, func(s *manager.Status) { s.Members = append(s.Members[:3], s.Members[4]) }},
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -2,8 +2,10 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"sync"
 
@@ -73,6 +75,17 @@
 	return f.id
 }
 
+// clusterCount tells the deployment by a number; 0 before it is founded.
+func (f *founder) clusterCount() int64 {
+	id := f.snapshot()
+	if !id.Founded {
+		return 0
+	}
+	h := fnv.New32a()
+	h.Write([]byte(id.Cluster))
+	return int64(h.Sum32()) + 1
+}
+
 // member gives the id under which this store is a member of a group.
 func (f *founder) member(groupId int64) string {
 	f.mu.Lock()
@@ -151,7 +164,7 @@
 		return
 	}
 	stores := f.d.Roll.Kind("store")
-	slices.SortFunc(stores, func(a, b wire.Who) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(stores, func(a, b wire.Who) int { return cmp.Compare(a.Name, b.Name) })
 	ids, addrs := map[string]string{me.Name: me.Name + "/" + me.Inc}, map[string]string{me.Name: f.d.Who.Addr}
 	for _, who := range stores {
 		if who.Name == me.Name {
@@ -174,16 +187,6 @@
 	f.ballot(roster, addrs, me.Promised+1)
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // chooseRoster takes so many stores, from as many cells as there are.
 func chooseRoster(stores []wire.Who, ids map[string]string, count int) []string {
 	out, cells := []string{}, map[string]bool{}
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// ClusterCount is the count by which a store tells which deployment it belongs to.
+const ClusterCount = "cluster"
+
 // say is what the store tells of itself in its session.
 func (s *Store) say() wire.Poll {
 	poll := s.d.Poll()
@@ -102,7 +105,7 @@
 		isFull = 1
 	}
 	poll.Fact.Counts = map[string]int64{"ready": count, "under": under, "full": isFull,
-		"segments": int64(s.disk.Segments())}
+		"segments": int64(s.disk.Segments()), ClusterCount: s.founder.clusterCount()}
 	return poll
 }
 
