Twins of a second reading made one; nothing behaves otherwise

Read over as a whole: the freeze of simulated adapters and nodes is one function of the world; the dispatcher counts its asks instead of keeping a count beside them; apply and the edit commands send by the same call; a message with an idempotency key is given its place once; what slices and maps, the scene's IsHolder, the errand's IsOver and the process's own isUp already say is not said again; a parameter that no draw used is gone.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -113,7 +113,7 @@
 	}
 	if a.Seed > 0 {
 		f.IsDrawn = true
-		schedule = fleet.RandomSchedule(plan, f.Rules, a.Seed, a.For)
+		schedule = fleet.RandomSchedule(plan, a.Seed, a.For)
 	}
 	loadCtx, cancel := context.WithTimeout(ctx, a.For)
 	defer cancel()
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -182,12 +182,9 @@
 }
 
 func (t *tool) write(d declaration) error {
-	resp, err := t.client.R().SetHeader("If-Match", `"`+d.stamp+`"`).SetHeader("Content-Type", "application/json").SetBody(d.body).Put(d.path)
+	resp, err := t.send("PUT", d.path, d.stamp, d.body, false)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Undecided, "manager %s; read the document back", t.args.Manager)
-	}
-	if resp.IsError() {
-		return problem(resp)
+		return err
 	}
 	fmt.Fprintf(t.out, "%s: applied, stamp %s\n", d.file, strings.Trim(resp.Header().Get("ETag"), `"`))
 	return nil
--- a/internal/cli/calls.go
+++ b/internal/cli/calls.go
@@ -60,19 +60,29 @@
 		}
 		e.Stamp = strings.Trim(resp.Header().Get("ETag"), `"`)
 	}
-	req := t.client.R().SetHeader("If-Match", `"`+e.Stamp+`"`).SetHeader("Content-Type", "application/json").SetBody(body)
-	if e.DryRun {
+	resp, err := t.send(method, path, e.Stamp, body, e.DryRun)
+	if err != nil {
+		return err
+	}
+	fmt.Fprint(t.out, string(resp.Body()))
+	return nil
+}
+
+// send brings a change of a document on a base to the manager, or only has it
+// checked.
+func (t *tool) send(method, path, stamp string, body []byte, isDryRun bool) (*resty.Response, error) {
+	req := t.client.R().SetHeader("If-Match", `"`+stamp+`"`).SetHeader("Content-Type", "application/json").SetBody(body)
+	if isDryRun {
 		req.SetQueryParam("check", "true")
 	}
 	resp, err := req.Execute(method, path)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Undecided, "manager %s; read the document back", t.args.Manager)
+		return nil, mishap.Wrap(err, mishap.Undecided, "manager %s; read the document back", t.args.Manager)
 	}
 	if resp.IsError() {
-		return problem(resp)
+		return nil, problem(resp)
 	}
-	fmt.Fprint(t.out, string(resp.Body()))
-	return nil
+	return resp, nil
 }
 
 func (t *tool) checkCharter(file string) error {
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -118,9 +118,10 @@
 
 // holdsDuty tells whether a duty still names this life of the adapter.
 func (a *Adapter) holdsDuty() bool {
-	for _, duties := range a.scenes.Now().Duties {
-		for _, held := range duties {
-			if held.Holder == a.d.Who.Name && held.Boot == a.d.Who.Boot {
+	scene := a.scenes.Now()
+	for pool, duties := range scene.Duties {
+		for worker := range duties {
+			if scene.IsHolder(pool, worker, a.d.Who.Name, a.d.Who.Boot) {
 				return true
 			}
 		}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -5,6 +5,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -96,7 +97,7 @@
 		}
 	}
 	out := []Change{}
-	for _, name := range sortedKeys(scene.Workers[pool]) {
+	for _, name := range slices.Sorted(maps.Keys(scene.Workers[pool])) {
 		worker := scene.Workers[pool][name]
 		held, isAssigned := scene.Duties[pool][name]
 		holder, isHere := usable[held.Holder]
@@ -117,7 +118,7 @@
 		}
 		out = append(out, Change{pool, name, charter.Duty{Holder: next.Name, Boot: next.Boot, Before: before}, ifStamp, false, isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(scene, adapters, held.Holder)})
 	}
-	for _, name := range sortedKeys(scene.Duties[pool]) {
+	for _, name := range slices.Sorted(maps.Keys(scene.Duties[pool])) {
 		if _, isListed := scene.Workers[pool][name]; !isListed {
 			out = append(out, Change{Pool: pool, Worker: name, IfStamp: scene.Duties[pool][name].Term, IsGone: true})
 		}
@@ -146,7 +147,7 @@
 
 func choose(key, cell string, usable map[string]wire.Who, load map[string]int) wire.Who {
 	best := wire.Who{}
-	for _, name := range sortedKeys(usable) {
+	for _, name := range slices.Sorted(maps.Keys(usable)) {
 		a := usable[name]
 		if best.Name == "" {
 			best = a
@@ -168,12 +169,3 @@
 	}
 	return best
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	out := []string{}
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
--- a/internal/fleet/edits.go
+++ b/internal/fleet/edits.go
@@ -44,6 +44,12 @@
 	e.Broken = append(e.Broken, fmt.Sprintf(form, args...))
 }
 
+// stampOf reads the stamp out of an ETag; 0 for none.
+func stampOf(etag string) int64 {
+	stamp, _ := strconv.ParseInt(strings.Trim(etag, `"`), 10, 64)
+	return stamp
+}
+
 func (f *Fleet) charterUrl(i int) string {
 	return "http://" + f.Managers[i%len(f.Managers)].Http + "/v1/charter"
 }
@@ -88,7 +94,7 @@
 	code, head, _, err := Do(ctx, "PATCH", f.charterUrl(manager), etag, body)
 	if err == nil && code == 200 {
 		edit.AckAt = f.Now()
-		edit.Stamp, _ = strconv.ParseInt(strings.Trim(head.Get("ETag"), `"`), 10, 64)
+		edit.Stamp = stampOf(head.Get("ETag"))
 		f.edits.mu.Lock()
 		if note, _ := patch["note"].(string); edit.Stamp > f.edits.stamp {
 			f.edits.stamp, f.edits.note = edit.Stamp, note
@@ -136,7 +142,7 @@
 			f.edits.breach("an invalid charter was accepted")
 		}
 	case "stale":
-		if stamp, _ := strconv.ParseInt(strings.Trim(etag, `"`), 10, 64); stamp > 1 {
+		if stamp := stampOf(etag); stamp > 1 {
 			if f.patchCharter(ctx, 2, `"1"`, base, note(0)) == 200 {
 				f.edits.breach("an edit on a stale base was accepted")
 			}
@@ -192,7 +198,7 @@
 				continue
 			}
 			_ = json.Unmarshal(raw, &got)
-			stamp, _ := strconv.ParseInt(strings.Trim(head.Get("ETag"), `"`), 10, 64)
+			stamp := stampOf(head.Get("ETag"))
 			e.mu.Lock()
 			if stamp < e.stamp || stamp == e.stamp && e.note != "" && got.Note != e.note {
 				e.Broken = append(e.Broken, fmt.Sprintf("%s gives charter %d %q, acknowledged was %d %q", p.Name, stamp, got.Note, e.stamp, e.note))
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -75,12 +75,8 @@
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd != nil {
-		select {
-		case <-p.done:
-		default:
-			return nil // it runs: another fault's end has started it
-		}
+	if p.isUp() {
+		return nil // another fault's end has started it
 	}
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -134,6 +130,10 @@
 func (p *Process) IsUp() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.isUp()
+}
+
+func (p *Process) isUp() bool {
 	if p.cmd == nil {
 		return false
 	}
--- a/internal/fleet/random.go
+++ b/internal/fleet/random.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"caperwheel/internal/charter"
 )
 
 // draw is one kind of fault of a random schedule, with how often it is drawn
@@ -14,12 +12,12 @@
 type draw struct {
 	share int
 	do    string
-	who   func(r *rand.Rand, plan Plan, rules *charter.Rules) string
+	who   func(r *rand.Rand, plan Plan) string
 	most  time.Duration // 0: it is not undone
 }
 
-func daemonOf(kinds ...string) func(*rand.Rand, Plan, *charter.Rules) string {
-	return func(r *rand.Rand, plan Plan, _ *charter.Rules) string {
+func daemonOf(kinds ...string) func(*rand.Rand, Plan) string {
+	return func(r *rand.Rand, plan Plan) string {
 		kind := kinds[r.IntN(len(kinds))]
 		count := map[string]int{"store": plan.Stores, "manager": plan.Managers}[kind]
 		if count == 0 {
@@ -29,15 +27,15 @@
 	}
 }
 
-func oneOf(names ...string) func(*rand.Rand, Plan, *charter.Rules) string {
-	return func(r *rand.Rand, _ Plan, _ *charter.Rules) string { return names[r.IntN(len(names))] }
+func oneOf(names ...string) func(*rand.Rand, Plan) string {
+	return func(r *rand.Rand, _ Plan) string { return names[r.IntN(len(names))] }
 }
 
-func cellOf(r *rand.Rand, plan Plan, _ *charter.Rules) string {
+func cellOf(r *rand.Rand, plan Plan) string {
 	return plan.Cells[r.IntN(len(plan.Cells))]
 }
 
-func poolOf(r *rand.Rand, plan Plan, _ *charter.Rules) string {
+func poolOf(r *rand.Rand, plan Plan) string {
 	names := []string{}
 	for name, w := range plan.Workers {
 		if w.Count > 1 {
@@ -48,13 +46,13 @@
 	return names[r.IntN(len(names))]
 }
 
-func workerOf(r *rand.Rand, plan Plan, rules *charter.Rules) string {
-	pool := poolOf(r, plan, rules)
+func workerOf(r *rand.Rand, plan Plan) string {
+	pool := poolOf(r, plan)
 	return fmt.Sprintf("%s/%s-%02d", pool, pool, 1+r.IntN(plan.Workers[pool].Count))
 }
 
-func allOf(r *rand.Rand, plan Plan, rules *charter.Rules) string {
-	return poolOf(r, plan, rules) + "/*"
+func allOf(r *rand.Rand, plan Plan) string {
+	return poolOf(r, plan) + "/*"
 }
 
 var draws = []draw{
@@ -82,7 +80,7 @@
 // RandomSchedule draws a schedule for a deployment: the same seed draws the
 // same one. Faults overlap as they come, but no disk is lost while another
 // store is away or has not had time to catch up: that much nobody rides out.
-func RandomSchedule(plan Plan, rules *charter.Rules, seed uint64, length time.Duration) Schedule {
+func RandomSchedule(plan Plan, seed uint64, length time.Duration) Schedule {
 	r := rand.New(rand.NewPCG(seed, 29))
 	out := Schedule{Note: fmt.Sprintf("drawn by seed %d", seed), For: length.String()}
 	shares := 0
@@ -97,7 +95,7 @@
 				break
 			}
 		}
-		who, lasts := d.who(r, plan, rules), time.Duration(0)
+		who, lasts := d.who(r, plan), time.Duration(0)
 		if d.most > 0 {
 			lasts = time.Duration(1+r.Int64N(int64(d.most/time.Second))) * time.Second
 		}
@@ -105,18 +103,17 @@
 		if d.do == "wipe" && (isWiped || at < hurtStores+15*time.Second) {
 			continue
 		}
-		if d.do == "wipe" { // leave the others alone until it has been brought up to date
-			isWiped = true
-			out.Steps = append(out.Steps, Step{At: at.String(), Do: d.do, Who: who, For: lasts.String()})
-			at += lasts + 15*time.Second
-			continue
-		}
-		hurtStores = max(hurtStores, at+lasts)
 		step := Step{At: at.String(), Do: d.do, Who: who}
 		if lasts > 0 {
 			step.For = lasts.String()
 		}
 		out.Steps = append(out.Steps, step)
+		if d.do == "wipe" { // leave the others alone until it has been brought up to date
+			isWiped = true
+			at += lasts + 15*time.Second
+		} else {
+			hurtStores = max(hurtStores, at+lasts)
+		}
 	}
 	return out
 }
--- a/internal/fleet/schedule_test.go
+++ b/internal/fleet/schedule_test.go
@@ -53,10 +53,10 @@
 			}
 		}
 		for seed := uint64(1); seed < 50; seed++ {
-			s := RandomSchedule(plan, f.Rules, seed, time.Minute)
+			s := RandomSchedule(plan, seed, time.Minute)
 			So(len(s.Steps), ShouldBeGreaterThan, 3)
 			check(f, s)
-			So(RandomSchedule(plan, f.Rules, seed, time.Minute), ShouldResemble, s)
+			So(RandomSchedule(plan, seed, time.Minute), ShouldResemble, s)
 		}
 	})
 	Convey("A schedule that names no fault is refused", t, func() {
--- a/internal/intake/ask.go
+++ b/internal/intake/ask.go
@@ -10,6 +10,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/mishap"
+	"caperwheel/internal/place"
 	"caperwheel/internal/store"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
@@ -77,9 +78,7 @@
 	return s, nil
 }
 
-func isOver(state string) bool {
-	return state == "ended" || state == "failed" || state == "expired" || state == "rejected"
-}
+func isOver(state string) bool { return place.State(state).IsOver() }
 
 // mostHeld is how many waits of one adapter owners may hold at a time, so that
 // they leave room on the links for messages. Those beyond do not wait.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -89,8 +89,13 @@
 			}
 			return nil
 		},
-		path.Place: func(_ path.Step, e *errand) error { in.putPlace(e); return nil },
-		path.Hold:  func(_ path.Step, e *errand) error { return in.hold(e) },
+		path.Place: func(_ path.Step, e *errand) error {
+			if e.take.Id == "" { // one with an idempotency key has had its place since it was read
+				in.putPlace(e)
+			}
+			return nil
+		},
+		path.Hold: func(_ path.Step, e *errand) error { return in.hold(e) },
 	}
 	d.Mux.HandleFunc("/v1/lanes/{lane}/messages", web.Methods(map[string]http.HandlerFunc{"POST": in.post}))
 	d.Mux.HandleFunc("/v1/messages/{id}", web.Methods(map[string]http.HandlerFunc{"GET": in.get}))
--- a/internal/sim/adapter.go
+++ b/internal/sim/adapter.go
@@ -14,11 +14,9 @@
 
 // simAdapter is one adapter with its worker. The book is the real one.
 type simAdapter struct {
+	being
 	w      *Places
 	name   string
-	isUp   bool
-	life   int
-	frozen time.Duration // nothing is done before this
 	book   *deliver.Book
 	fresh  time.Duration
 	permit int64
@@ -102,7 +100,7 @@
 		}
 	}
 	p.Send(from, a.name, func() {
-		a.whenThawed(func() {
+		a.w.whenThawed(&a.being, func() {
 			reply := serve()
 			p.Send(a.name, from, func() { tell(reply, nil) })
 		})
@@ -110,20 +108,6 @@
 	p.After(beat.Default.Of(beat.Dead), func() { tell(nil, mishap.New(mishap.Lost, "no answer")) })
 }
 
-// whenThawed does work now, or when the freeze ends; never in another life.
-func (a *simAdapter) whenThawed(work func()) {
-	life := a.life
-	a.w.After(max(0, a.frozen-a.w.now), func() {
-		if a.isUp && a.life == life {
-			if a.w.now < a.frozen {
-				a.whenThawed(work)
-				return
-			}
-			work()
-		}
-	})
-}
-
 func (a *simAdapter) serve(ask any) any {
 	switch m := ask.(type) {
 	case *wire.Open:
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -41,12 +41,10 @@
 
 // node is a manager, an agent or an adapter.
 type node struct {
+	being
 	c        *Control
 	kind     string
 	name     string
-	isUp     bool
-	life     int
-	frozen   time.Duration
 	view     *feed.View
 	roll     *session.Roll
 	registry *session.Registry
--- a/internal/sim/home.go
+++ b/internal/sim/home.go
@@ -10,7 +10,7 @@
 )
 
 // reachBeat is how often internal/reach tries another store for an owner.
-const reachBeat = 60 * time.Millisecond
+var reachBeat = beat.Default.Of(beat.Poll) / 2
 
 // handOver brings kept results home, from whoever keeps them as long as it is
 // there.
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -51,19 +51,6 @@
 	}
 }
 
-func (n *node) whenThawed(work func()) {
-	life := n.life
-	n.c.After(max(0, n.frozen-n.c.now), func() {
-		if n.isUp && n.life == life {
-			if n.c.now < n.frozen {
-				n.whenThawed(work)
-				return
-			}
-			work()
-		}
-	})
-}
-
 func (n *node) who() wire.Who {
 	return wire.Who{Name: n.name, Kind: n.kind, Boot: n.boot(), Cell: n.cell()}
 }
@@ -91,7 +78,7 @@
 	}
 	life := n.life
 	n.c.Send(n.name, to.name, func() {
-		to.whenThawed(func() {
+		to.c.whenThawed(&to.being, func() {
 			to.registry.Hear(wire.Member{Who: ask.Who}, n.c.now, true)
 			for _, m := range ask.Beside {
 				to.registry.Hear(m, n.c.now, true)
@@ -99,7 +86,7 @@
 			news := session.NewsFor(ask, to.view, n.c.now, to.roll.All)
 			n.c.Send(to.name, n.name, func() {
 				if n.life == life {
-					n.whenThawed(func() { n.heard = n.c.now; n.view.Take(news.Parts, asked) })
+					n.c.whenThawed(&n.being, func() { n.heard = n.c.now; n.view.Take(news.Parts, asked) })
 				}
 			})
 		})
@@ -113,7 +100,7 @@
 	for _, to := range n.c.managers {
 		if to != n {
 			n.c.Send(n.name, to.name, func() {
-				to.whenThawed(func() {
+				to.c.whenThawed(&to.being, func() {
 					for _, m := range own {
 						to.registry.Hear(m, n.c.now, false)
 					}
@@ -134,7 +121,7 @@
 			if isOurs {
 				n.c.Send(s.name, n.name, func() {
 					if n.life == life {
-						n.whenThawed(func() { n.view.Take([]wire.PartNews{news}, asked) })
+						n.c.whenThawed(&n.being, func() { n.view.Take([]wire.PartNews{news}, asked) })
 					}
 				})
 			}
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -78,7 +78,7 @@
 	if x.isTold || !a.isUp || a.life != x.life {
 		return
 	}
-	a.whenThawed(func() {
+	a.w.whenThawed(&a.being, func() {
 		if x.isTold {
 			return
 		}
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -25,8 +26,7 @@
 	wake chan struct{}
 
 	mu     sync.Mutex
-	wants  map[string]int   // asks under way, by pool
-	asks   map[int64]wanted // the same, one by one
+	wants  map[string]asks // asks under way, by pool
 	serial int64
 	pauses map[string]time.Duration // worker -> not to be asked before
 	passed map[string]float64       // lane -> turns taken, divided by urgency
@@ -36,34 +36,21 @@
 
 const mostWants = 128
 
-// wanted is an ask under way. One that is not answered by its cutoff no longer
-// counts: an adapter may have lost it.
-type wanted struct {
-	pool   string
-	cutoff time.Duration
-}
-
-// closeAsk no longer counts an ask. Called with mu held.
-func (d *dispatcher) closeAsk(serial int64) {
-	if w, isOpen := d.asks[serial]; isOpen {
-		delete(d.asks, serial)
-		d.wants[w.pool]--
-	}
-}
+// asks are those under way, each with its cutoff. One that is not answered by
+// then no longer counts: an adapter may have lost it.
+type asks map[int64]time.Duration
 
 // closeLate closes the asks that nobody answered.
 func (d *dispatcher) closeLate(now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for serial, w := range d.asks {
-		if now > w.cutoff {
-			d.closeAsk(serial)
-		}
+	for _, open := range d.wants {
+		maps.DeleteFunc(open, func(_ int64, cutoff time.Duration) bool { return now > cutoff })
 	}
 }
 
 func newDispatcher(s *Store) *dispatcher {
-	return &dispatcher{s: s, wake: make(chan struct{}, 1), wants: map[string]int{}, asks: map[int64]wanted{}, pauses: map[string]time.Duration{},
+	return &dispatcher{s: s, wake: make(chan struct{}, 1), wants: map[string]asks{}, pauses: map[string]time.Duration{},
 		passed: map[string]float64{}, taken: map[string]int{}}
 }
 
@@ -117,7 +104,7 @@
 	d.mu.Unlock()
 	for pool, n := range need {
 		d.mu.Lock()
-		n = min(n, mostWants) - d.wants[pool]
+		n = min(n, mostWants) - len(d.wants[pool])
 		d.mu.Unlock()
 		for range n {
 			if !d.want(scene, pool) {
@@ -137,12 +124,14 @@
 	d.mu.Lock()
 	d.serial++
 	serial := d.serial
-	d.wants[pool]++
-	d.asks[serial] = wanted{pool, asked + hold + d.s.d.Bounds.Of(beat.Permit)}
+	if d.wants[pool] == nil {
+		d.wants[pool] = asks{}
+	}
+	d.wants[pool][serial] = asked + hold + d.s.d.Bounds.Of(beat.Permit)
 	d.mu.Unlock()
 	done := func(reply any, err error) {
 		d.mu.Lock()
-		d.closeAsk(serial)
+		delete(d.wants[pool], serial)
 		grant, isGrant := reply.(*wire.Grant)
 		if err != nil || !isGrant || grant.Kind != "" {
 			rest := d.s.d.Bounds.Of(beat.Redial)
--- a/internal/store/dispatch_test.go
+++ b/internal/store/dispatch_test.go
@@ -12,15 +12,15 @@
 func TestAsksAreNotMissedForEver(t *testing.T) {
 	Convey("Given two asks under way", t, func() {
 		d := newDispatcher(nil)
-		d.wants["p"], d.asks[1], d.asks[2] = 2, wanted{"p", time.Second}, wanted{"p", 3 * time.Second}
+		d.wants["p"] = asks{1: time.Second, 2: 3 * time.Second}
 		Convey("one that was not answered by its cutoff no longer counts", func() {
 			d.closeLate(2 * time.Second)
-			So(d.wants["p"], ShouldEqual, 1)
+			So(len(d.wants["p"]), ShouldEqual, 1)
 			Convey("nor twice, should its answer come after all", func() {
-				d.closeAsk(1)
-				So(d.wants["p"], ShouldEqual, 1)
-				d.closeAsk(2)
-				So(d.wants["p"], ShouldEqual, 0)
+				delete(d.wants["p"], 1)
+				So(len(d.wants["p"]), ShouldEqual, 1)
+				delete(d.wants["p"], 2)
+				So(len(d.wants["p"]), ShouldEqual, 0)
 			})
 		})
 	})
