Charter: ways by host and prefix, versions, and what the users' routes and services ask

Lanes may be found by host and longest prefix; a run's bound, what spends an attempt, when bytes go, whether results are witnessed are settings. Pools have a cold rate and say whether a run may be repeated at once; workers tell slots and coldness. A charter may carry its operators' own version, the document that it was made from and digests of the newest edits.

--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -25,6 +25,13 @@
 	Rerun       bool          // a run whose fate is unknown may be run again
 	Callback    string        // lane that gets the answer of a success
 	HoldFailed  bool          // after a failed ordered message the key waits
+	Host        string        // messages that come as they are: to this host,
+	Prefix      string        // under this path; empty for none
+	Bound       time.Duration // a run that takes longer is given up; 0: as the pool says
+	IsNotified  bool          // a message may name a URL that is told of its end
+	SpendsAll   bool          // each run that began spends an attempt; else only those that the worker says have failed
+	DropsBytes  bool          // the bytes go with a success; else they stay for the retention
+	Witness     bool          // results are left with others before the owner has them
 }
 
 // Pool is a set of workers, or one outside endpoint.
@@ -38,12 +45,18 @@
 	Ease        time.Duration // a cold worker reaches its full share after this
 	Bound       time.Duration // a run that takes longer is given up
 	Spill       bool          // may use workers of other cells
+	ColdRate    float64       // runs a second of a worker that the list calls cold; 0 for no cap
+	Repeats     bool          // a run may be given again at once, though the first may go on
 }
 
 // Rules are a charter ready for use.
+//
+// Invariant: ways has each lane with a prefix once, by host, longest first.
 type Rules struct {
-	Lanes map[string]Lane
-	Pools map[string]Pool
+	Lanes   map[string]Lane
+	Pools   map[string]Pool
+	Version int64 // the operators' own number; 0 for none
+	ways    map[string][]Lane
 }
 
 // Fault is one thing wrong with a charter, at a path of its tree.
@@ -114,6 +127,13 @@
 	"size":          {gjson.Number, whole(1, 4<<20), func(l *Lane, r gjson.Result) { l.Size = r.Int() }},
 	"rerun":         {gjson.True, nil, func(l *Lane, r gjson.Result) { l.Rerun = r.Bool() }},
 	"callback":      {gjson.String, nil, func(l *Lane, r gjson.Result) { l.Callback = r.Str }},
+	"host":          {gjson.String, nil, func(l *Lane, r gjson.Result) { l.Host = r.Str }},
+	"prefix":        {gjson.String, urlPath, func(l *Lane, r gjson.Result) { l.Prefix = r.Str }},
+	"bound":         {gjson.String, span(time.Millisecond, time.Hour), func(l *Lane, r gjson.Result) { l.Bound = duration(r) }},
+	"notify":        {gjson.True, nil, func(l *Lane, r gjson.Result) { l.IsNotified = r.Bool() }},
+	"spends":        {gjson.String, word("runs", "failures"), func(l *Lane, r gjson.Result) { l.SpendsAll = r.Str == "runs" }},
+	"bytes":         {gjson.String, word("retention", "success"), func(l *Lane, r gjson.Result) { l.DropsBytes = r.Str == "success" }},
+	"witness":       {gjson.True, nil, func(l *Lane, r gjson.Result) { l.Witness = r.Bool() }},
 	"after_failure": {gjson.String, word("skip", "hold"), func(l *Lane, r gjson.Result) { l.HoldFailed = r.Str == "hold" }},
 	"pools": {gjson.JSON, names, func(l *Lane, r gjson.Result) {
 		l.Pools = nil
@@ -132,6 +152,8 @@
 	"ease":        {gjson.String, span(0, time.Hour), func(p *Pool, r gjson.Result) { p.Ease = duration(r) }},
 	"bound":       {gjson.String, span(10*time.Millisecond, time.Hour), func(p *Pool, r gjson.Result) { p.Bound = duration(r) }},
 	"spill":       {gjson.True, nil, func(p *Pool, r gjson.Result) { p.Spill = r.Bool() }},
+	"cold_rate":   {gjson.Number, number(0, 100000), func(p *Pool, r gjson.Result) { p.ColdRate = r.Num }},
+	"repeats":     {gjson.True, nil, func(p *Pool, r gjson.Result) { p.Repeats = r.Bool() }},
 }
 
 func names(r gjson.Result) string {
@@ -157,6 +179,6 @@
 
 var (
 	rootLane = Lane{Urgency: 5, Patience: 2 * time.Minute, Attempts: 8, Backoff: 200 * time.Millisecond,
-		BackoffMost: 10 * time.Second, Retention: 10 * time.Minute, Size: 64 << 10, Rerun: true}
+		BackoffMost: 10 * time.Second, Retention: 10 * time.Minute, Size: 64 << 10, Rerun: true, SpendsAll: true, Witness: true}
 	rootPool = Pool{Path: "/", Concurrency: 4, Ease: 10 * time.Second, Bound: 5 * time.Second, Spill: true}
 )
--- a/internal/charter/compile.go
+++ b/internal/charter/compile.go
@@ -51,6 +51,19 @@
 			if value.Type != gjson.String {
 				c.fault(key, "must be a text")
 			}
+		case "origin":
+			if !value.IsObject() {
+				c.fault(key, "must be an object")
+			}
+		case "version":
+			if value.Type != gjson.Number || value.Num != float64(value.Int()) || value.Num < 1 {
+				c.fault(key, "must be a whole number above 0")
+			}
+			c.rules.Version = value.Int()
+		case "edits":
+			if text := names(value); text != "" {
+				c.fault(key, text)
+			}
 		default:
 			c.fault(key, "is not known")
 		}
@@ -62,6 +75,7 @@
 		walk(c, "lanes."+name, name, r, rootLane, laneFields, c.addLane, 0)
 	})
 	c.join()
+	c.lay()
 	if len(c.faults) > 0 {
 		return nil, c.faults
 	}
--- a/internal/charter/workers.go
+++ b/internal/charter/workers.go
@@ -13,6 +13,8 @@
 	Address string `json:"address"`
 	Cell    string `json:"cell"`
 	State   string `json:"state"` // live or leaving
+	Slots   int64  `json:"slots,omitempty"` // runs at once; 0: as the pool says
+	IsCold  bool   `json:"cold,omitempty"`  // it has just begun: no more than the pool's cold_rate
 }
 
 // Workers is a pool's live list.
@@ -36,6 +38,9 @@
 		if text := CheckAddress(w.Address); text != "" {
 			faults = append(faults, Fault{path + ".address", text})
 		}
+		if w.Slots < 0 || w.Slots > 1000 {
+			faults = append(faults, Fault{path + ".slots", "must be from 0 to 1000"})
+		}
 		if w.State == "" {
 			out.Workers[i].State = "live"
 		} else if w.State != "live" && w.State != "leaving" {
