--- a/internal/charter/ways.go
+++ b/internal/charter/ways.go
@@ -18,12 +18,12 @@
 			}
 			continue
 		}
-		for _, other := range c.rules.ways[l.Host] {
+		for _, other := range c.rules.ways[strings.ToLower(l.Host)] {
 			if other.Prefix == l.Prefix {
 				c.fault("lanes."+name+".prefix", "is also that of "+other.Name)
 			}
 		}
-		c.rules.ways[l.Host] = append(c.rules.ways[l.Host], l)
+		c.rules.ways[strings.ToLower(l.Host)] = append(c.rules.ways[strings.ToLower(l.Host)], l)
 	}
 	for _, list := range c.rules.ways {
 		slices.SortFunc(list, func(a, b Lane) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
