--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -21,7 +21,7 @@
 	defer cancel()
 	scenes := &charter.Scenes{View: d.View}
 	d.CanRead = scenes.CanRead
-	out := deliver.New(ctx, d, scenes)
+	out := deliver.New(ctx, d, scenes, deliver.Own)
 	d.Link(map[string]transport.Handler{"run": out.Serve})
 	out.Link()
 	in := intake.New(d, scenes)
--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -32,6 +32,8 @@
 	Idle     Ratio = 150  // an idle transport session sends an empty frame
 	Dead     Ratio = 600  // a transport session that hears nothing is closed
 	Redial   Ratio = 60   // pause before a new dial
+	Dial     Ratio = 170  // a worker that takes no connection within this cannot be asked
+	Tell     Ratio = 500  // whoever is told of an end answers within this
 	Settle   Ratio = 500  // an adapter tries this long to settle a batch's fate
 	Fence    Ratio = 1000 // a new duty holder waits this long before it acts
 	Permit   Ratio = 300  // a granted slot lapses unused after this
@@ -40,6 +42,10 @@
 	Resend   Ratio = 60   // a result not yet acknowledged is sent again
 )
 
+// AnswerPart: a worker's answer is waited for so much of a run's bound longer
+// than the worker has, since the answer has a way to come.
+const AnswerPart = 10
+
 // Of gives the ratio's share of the charter bound.
 func (b Bounds) Of(r Ratio) time.Duration { return b.Charter * time.Duration(r) / 1000 }
 
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -46,6 +46,7 @@
 	Bound       time.Duration // a run that takes longer is given up
 	Spill       bool          // may use workers of other cells
 	ColdRate    float64       // runs a second of a worker that the list calls cold; 0 for no cap
+	Rest        time.Duration // longest pause between two probes of an unsound worker
 	Repeats     bool          // a run may be given again at once, though the first may go on
 }
 
@@ -153,6 +154,7 @@
 	"bound":       {gjson.String, span(10*time.Millisecond, time.Hour), func(p *Pool, r gjson.Result) { p.Bound = duration(r) }},
 	"spill":       {gjson.True, nil, func(p *Pool, r gjson.Result) { p.Spill = r.Bool() }},
 	"cold_rate":   {gjson.Number, number(0, 100000), func(p *Pool, r gjson.Result) { p.ColdRate = r.Num }},
+	"rest":        {gjson.String, span(time.Millisecond, time.Hour), func(p *Pool, r gjson.Result) { p.Rest = duration(r) }},
 	"repeats":     {gjson.True, nil, func(p *Pool, r gjson.Result) { p.Repeats = r.Bool() }},
 }
 
@@ -180,5 +182,5 @@
 var (
 	rootLane = Lane{Urgency: 5, Patience: 2 * time.Minute, Attempts: 8, Backoff: 200 * time.Millisecond,
 		BackoffMost: 10 * time.Second, Retention: 10 * time.Minute, Size: 64 << 10, Rerun: true, SpendsAll: true, Witness: true}
-	rootPool = Pool{Path: "/", Concurrency: 4, Ease: 10 * time.Second, Bound: 5 * time.Second, Spill: true}
+	rootPool = Pool{Path: "/", Concurrency: 4, Ease: 10 * time.Second, Bound: 5 * time.Second, Spill: true, Rest: 4 * time.Second}
 )
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,9 @@
 	reach    *reach.Reach
 	slots    *slots
 	client   *resty.Client
+	bare     http.RoundTripper // for requests that are given on as they came
+	manner   Manner
+	tellers  tellers
 	pool     pond.Pool
 	doers    path.Doers[*delivery]
 	programs path.Programs
@@ -39,10 +43,12 @@
 
 func init() { prometheus.MustRegister(ended) }
 
-// New readies the delivering half.
-func New(ctx context.Context, d *daemon.Daemon, scenes *charter.Scenes) *Adapter {
-	a := &Adapter{d: d, scenes: scenes, ctx: ctx, client: newClient(), pool: pond.NewPool(d.Settings.Most),
-		book: NewBook(d.Settings.Most)}
+// New readies the delivering half; manner is how requests that came as they are
+// are put to workers.
+func New(ctx context.Context, d *daemon.Daemon, scenes *charter.Scenes, manner Manner) *Adapter {
+	a := &Adapter{d: d, scenes: scenes, ctx: ctx, pool: pond.NewPool(d.Settings.Most), book: NewBook(d.Settings.Most),
+		manner: manner}
+	a.client, a.bare = newClient(d.Bounds)
 	a.slots = newSlots(a)
 	a.doers = a.steps()
 	d.Measure(a.measure)
@@ -61,6 +67,8 @@
 		a.slots.want(m, answer)
 	case *wire.Run:
 		a.start(m, answer)
+	case *wire.Tell:
+		a.tell(m, answer)
 	case *wire.Release:
 		a.slots.release(m.Permit)
 	case *wire.Open:
--- a/internal/deliver/deliver_test.go
+++ b/internal/deliver/deliver_test.go
@@ -31,7 +31,8 @@
 	d := &daemon.Daemon{Started: time.Now(), Bounds: beat.Default, View: view, Who: wire.Who{Name: "a", Boot: "1", Cell: "c"}}
 	view.Take([]wire.PartNews{{To: 3, Changes: changes}}, d.Now())
 	a := &Adapter{d: d,
-		scenes: &charter.Scenes{View: view}, ctx: context.Background(), client: newClient(), book: NewBook(9)}
+		scenes: &charter.Scenes{View: view}, ctx: context.Background(), book: NewBook(9), manner: Own}
+	a.client, a.bare = newClient(d.Bounds)
 	a.slots, a.doers = newSlots(a), a.steps()
 	return a
 }
--- /dev/null
+++ b/internal/deliver/own.go
@@ -0,0 +1,46 @@
+package deliver
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"caperwheel/internal/head"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// Own is the product's own manner for requests that are given on as they came.
+var Own = Manner{
+	Ask: func(a Asking) (*http.Request, error) {
+		kept, err := head.Decode(a.Head)
+		if err != nil {
+			return nil, err
+		}
+		out := kept.To(a.Address, a.Body)
+		out.Header["X-Message-Id"], out.Header["Idempotency-Key"] = []string{a.Id}, []string{a.Id}
+		return out, nil
+	},
+	Judge: func(_ Asking, answer *http.Response, body []byte) Judgement {
+		if answer.StatusCode >= 200 && answer.StatusCode <= 299 {
+			return Judgement{Answer: body, IsBegun: true}
+		}
+		var o wire.Outcome
+		err := refused(&o, answer)
+		return Judgement{Kind: mishap.KindOf(err), Text: err.Error(), IsBegun: true, IsFinal: o.Final,
+			Wait: time.Duration(o.Wait) * time.Millisecond}
+	},
+	Tell: func(t *wire.Tell) (*http.Request, error) {
+		raw, err := json.Marshal(map[string]any{"id": t.Id, "state": t.State, "answer": t.Answer})
+		if err != nil {
+			return nil, mishap.Wrap(err, mishap.Internal, "word")
+		}
+		out, err := http.NewRequest(http.MethodPost, t.Url, bytes.NewReader(raw))
+		if err != nil {
+			return nil, mishap.Wrap(err, mishap.Invalid, "URL of %s", t.Id)
+		}
+		out.Header.Set("Content-Type", "application/json")
+		return out, nil
+	},
+}
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -27,6 +27,7 @@
 	address string
 	isTried atomic.Bool // the worker was asked, or could not be
 	isSent  atomic.Bool // the worker may have seen it
+	isSound atomic.Bool // the worker is well, whatever it answered
 }
 
 // start takes a run from a store into hand, or tells that it never starts.
@@ -69,7 +70,7 @@
 	err := path.Run(a.programs.Delivery(rules, r.Lane), a.doers, &delivery{run: r, outcome: o, rules: rules})
 	took := a.d.Now() - began
 	if r.isTried.Load() {
-		a.slots.done(r.Pool+"/"+r.Worker, r.worker, isWorkerSound(err, o), took)
+		a.slots.done(r.Pool+"/"+r.Worker, r.worker, isWorkerSound(err, r, o), took)
 	} else {
 		a.slots.unused(r.worker)
 	}
@@ -77,18 +78,20 @@
 		return o
 	}
 	o.Kind, o.Begun = string(mishap.KindOf(err)), r.isSent.Load()
-	if o.Begun {
+	if pool := rules.Pools[r.Pool]; o.Begun && !pool.Repeats {
 		busy := place.StillBusy(mishap.KindOf(err), r.Key != "", time.Duration(r.Bound)*time.Millisecond, took)
 		o.Wait = max(o.Wait, int64(busy/time.Millisecond))
-	} else {
-		o.Wait = int64(a.d.Bounds.Of(beat.AskHold) / time.Millisecond)
+	} else if !o.Begun {
+		o.Wait = max(o.Wait, int64(a.d.Bounds.Of(beat.AskHold)/time.Millisecond))
 	}
 	return o
 }
 
 // isWorkerSound: an answer that blames the message says nothing bad of the
 // worker.
-func isWorkerSound(err error, o *wire.Outcome) bool { return err == nil || o.Final }
+func isWorkerSound(err error, r *run, o *wire.Outcome) bool {
+	return err == nil || o.Final || r.isSound.Load()
+}
 
 // bringHome sends the result to the place's owner until one has made it
 // durable. Before that it leaves the result with the agent beside it, which
@@ -97,7 +100,9 @@
 // leaves it with every store.
 func (a *Adapter) bringHome(r *run, o *wire.Outcome) {
 	keepers := a.d.Settings.Seeds
-	if o.Begun || o.Kind == "" {
+	lane, isKnown := a.scenes.Now().Rules.Lanes[r.Lane]
+	isWitnessed := lane.Witness || !isKnown
+	if isWitnessed && (o.Begun || o.Kind == "") {
 		a.leave(keepers, o, repair.StepLeave)
 		keepers = append(slices.Clone(keepers), a.leaveAfar(o)...)
 	}
@@ -108,7 +113,7 @@
 		if err == nil {
 			break
 		}
-		if turn == 0 {
+		if turn == 0 && isWitnessed {
 			stores := []string{}
 			for _, who := range a.d.Roll.Kind("store") {
 				stores = append(stores, who.Addr)
@@ -116,7 +121,9 @@
 			a.leave(stores, o, repair.StepLeave)
 		}
 	}
-	a.leave(keepers, o, repair.StepForget)
+	if isWitnessed {
+		a.leave(keepers, o, repair.StepForget)
+	}
 	a.book.Forget(&r.Run)
 }
 
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -48,10 +48,11 @@
 // lostMachine finds a worker's machine gone that can no longer say so itself.
 var lostMachine = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
-func newClient() *resty.Client {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: 2 * time.Second, KeepAliveConfig: lostMachine}).DialContext,
-		MaxIdleConns: 4096, MaxIdleConnsPerHost: 16, IdleConnTimeout: 5 * time.Second, DisableCompression: true}
-	return resty.New().SetTransport(once{transport}).SetRedirectPolicy(resty.NoRedirectPolicy())
+func newClient(bounds beat.Bounds) (*resty.Client, http.RoundTripper) {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: bounds.Of(beat.Dial), KeepAliveConfig: lostMachine}).DialContext,
+		MaxIdleConns: 4096, MaxIdleConnsPerHost: 64, IdleConnTimeout: bounds.Charter, DisableCompression: true}
+	bare := once{transport}
+	return resty.New().SetTransport(bare).SetRedirectPolicy(resty.NoRedirectPolicy()), bare
 }
 
 func (a *Adapter) steps() path.Doers[*delivery] {
@@ -73,6 +74,7 @@
 		},
 		path.Live: func(_ path.Step, e *delivery) error {
 			w, isLive := e.scene.CanServe(e.run.Pool, e.run.Worker)
+			e.run.Bound = e.rules.BoundOf(e.run.Lane, e.run.Pool) // by the charter that is acted on
 			if !isLive || !e.scene.MayWork(a.d.Who.Cell) {
 				return mishap.New(mishap.Rejected, "%s/%s is not live", e.run.Pool, e.run.Worker)
 			}
@@ -108,6 +110,9 @@
 func (a *Adapter) send(e *delivery) error {
 	r := e.run
 	r.isTried.Store(true)
+	if len(r.Head) > 0 {
+		return a.sendAsItIs(e)
+	}
 	pool := e.rules.Pools[r.Pool]
 	ctx, cancel := beat.Patience(a.ctx, place.Wait(r.Key != "", time.Duration(r.Bound)*time.Millisecond))
 	defer cancel()
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -72,7 +72,7 @@
 		h = &held{worker: NewWorker(scene.Rules.Pools[pool], fence, now), term: duty.Term, address: w.Address}
 		s.workers[key] = h
 	}
-	h.worker.Change(scene.Rules.Pools[pool])
+	h.worker.Change(scene.Rules.Pools[pool], w)
 	return h, nil
 }
 
--- a/internal/deliver/worker.go
+++ b/internal/deliver/worker.go
@@ -4,6 +4,7 @@
 package deliver
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -41,15 +42,16 @@
 	ceiling float64       // runs at once, as the worker seems to bear
 	micros  float64       // smoothed time of a sound run
 	misses  float64       // smoothed share of failed runs
+	isCold  bool          // the list says that it has just begun
 }
 
 // Constants of a worker's soundness.
 const (
 	failsToUnsound = 3
 	firstRest      = 250 * time.Millisecond
-	mostRest       = 4 * time.Second
-	easeDoublings  = 8.0 // the start rate doubles so often while easing
-	easeRate       = 2.0 // starts a second of a worker that is stone cold
+	mostRest       = 4 * time.Second // where the pool does not say
+	easeDoublings  = 8.0             // the start rate doubles so often while easing
+	easeRate       = 2.0             // starts a second of a worker that is stone cold
 )
 
 // NewWorker takes a duty up. An endpoint's holder waits out the fence, during
@@ -70,13 +72,21 @@
 		w.tokens = min(w.tokens, 1)
 	}
 	if state == Unsound {
-		w.rest = min(max(firstRest, 2*w.rest), mostRest)
+		w.rest = min(max(firstRest, 2*w.rest), cmp.Or(w.pool.Rest, mostRest))
 		w.probeAt = now + w.rest
 	}
 }
 
-// Change takes a new charter's settings of the pool.
-func (w *Worker) Change(pool charter.Pool) { w.pool = pool }
+// Change takes the pool's settings and what the list says of the worker.
+func (w *Worker) Change(pool charter.Pool, listed charter.Worker) {
+	if listed.Slots > 0 && listed.Slots != pool.Concurrency {
+		pool.Concurrency = listed.Slots
+	}
+	if w.ceiling == float64(w.pool.Concurrency) { // nothing has lowered it
+		w.ceiling = float64(pool.Concurrency)
+	}
+	w.pool, w.isCold = pool, listed.IsCold
+}
 
 // State tells the worker's soundness.
 func (w *Worker) State() Soundness { return w.state }
@@ -133,6 +143,9 @@
 			rate = eased
 		}
 	}
+	if cap := w.pool.ColdRate; w.isCold && cap > 0 && (rate == 0 || cap < rate) {
+		rate = cap
+	}
 	return rate
 }
 
--- /dev/null
+++ b/internal/head/head.go
@@ -0,0 +1,90 @@
+// Package head keeps what must not change of a request that is a message as it
+// came: its method, target, host, and the header fields that matter.
+package head
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+
+	"caperwheel/internal/mishap"
+)
+
+// Head of a request. Fields stand in the order in which they are to be sent.
+//
+// Invariant: no part holds a line break, so none can smuggle another in.
+type Head struct {
+	Method, Target, Host string
+	Fields               [][2]string
+}
+
+// Of takes the head of a request that has arrived, with the named fields.
+func Of(r *http.Request, names ...string) Head {
+	out := Head{Method: r.Method, Target: r.RequestURI, Host: r.Host}
+	for _, name := range names {
+		if value := r.Header.Get(name); value != "" {
+			out.Fields = append(out.Fields, [2]string{name, value})
+		}
+	}
+	return out
+}
+
+// Path is the target's path, as it came.
+func (h Head) Path() string {
+	path, _, _ := strings.Cut(h.Target, "?")
+	return path
+}
+
+// Field gives a field's value; empty for none.
+func (h Head) Field(name string) string {
+	for _, f := range h.Fields {
+		if f[0] == name {
+			return f[1]
+		}
+	}
+	return ""
+}
+
+// Encode gives the head's bytes: a line for each part.
+func (h Head) Encode() []byte {
+	var out strings.Builder
+	out.WriteString(h.Method + " " + h.Target + "\n" + h.Host + "\n")
+	for _, f := range h.Fields {
+		out.WriteString(f[0] + ":" + f[1] + "\n")
+	}
+	return []byte(out.String())
+}
+
+// Decode reads a head back.
+func Decode(raw []byte) (Head, error) {
+	lines := strings.Split(strings.TrimSuffix(string(raw), "\n"), "\n")
+	method, target, isLine := strings.Cut(lines[0], " ")
+	if !isLine || len(lines) < 2 {
+		return Head{}, mishap.New(mishap.Broken, "a head of %d bytes cannot be read", len(raw))
+	}
+	out := Head{Method: method, Target: target, Host: lines[1]}
+	for _, line := range lines[2:] {
+		name, value, isField := strings.Cut(line, ":")
+		if !isField {
+			return Head{}, mishap.New(mishap.Broken, "a head's field cannot be read")
+		}
+		out.Fields = append(out.Fields, [2]string{name, value})
+	}
+	return out, nil
+}
+
+// To gives the request with these bytes to an address, its target unchanged.
+func (h Head) To(address string, body []byte) *http.Request {
+	r := &http.Request{Method: h.Method, Host: h.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL:    &url.URL{Scheme: "http", Host: address, Opaque: h.Target},
+		Header: http.Header{"User-Agent": {""}}} // none of the library's own
+	for _, f := range h.Fields {
+		r.Header[f[0]] = []string{f[1]}
+	}
+	r.ContentLength = int64(len(body))
+	r.Body = http.NoBody
+	if len(body) > 0 {
+		r.Body = readerOf(body)
+	}
+	return r
+}
--- a/internal/intake/ask.go
+++ b/internal/intake/ask.go
@@ -58,6 +58,26 @@
 	return wait, nil
 }
 
+// Look gives what is known of a message, with its bytes or without.
+func (in *Intake) Look(ctx context.Context, id string, isWithBody bool) (*wire.Sight, error) {
+	s, err := in.look(ctx, id, isWithBody, 0)
+	if err == nil && isWithBody && isDropped(s) {
+		return nil, mishap.New(mishap.Unknown, "the bytes went with the success")
+	}
+	if err == nil && isWithBody && s.State == string(place.Tomb) {
+		return nil, mishap.New(mishap.Unknown, "the message was not taken")
+	}
+	if err == nil && isWithBody && store.SumOf(s.Body) != s.Sum {
+		return nil, mishap.New(mishap.Broken, "the bytes do not match their checksum")
+	}
+	return s, err
+}
+
+// isDropped: the lane does not keep the bytes of what succeeded.
+func isDropped(s *wire.Sight) bool {
+	return s.State == string(place.Ended) && len(s.Body) == 0 && s.Sum != store.SumOf(nil)
+}
+
 // look asks the owner of the message's place.
 func (in *Intake) look(ctx context.Context, id string, isWithBody bool, wait time.Duration) (*wire.Sight, error) {
 	number, err := in.placeOf(id)
@@ -186,19 +206,11 @@
 }
 
 func (in *Intake) getBody(w http.ResponseWriter, r *http.Request) {
-	s, err := in.look(r.Context(), r.PathValue("id"), true, 0)
+	s, err := in.Look(r.Context(), r.PathValue("id"), true)
 	if err != nil {
 		web.Fail(w, err)
 		return
 	}
-	if s.State == "rejected" {
-		web.Fail(w, mishap.New(mishap.Unknown, "the message was not taken"))
-		return
-	}
-	if store.SumOf(s.Body) != s.Sum {
-		web.Fail(w, mishap.New(mishap.Broken, "the bytes do not match their checksum"))
-		return
-	}
 	if s.Ctype != "" {
 		w.Header().Set("Content-Type", s.Ctype)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
@@ -45,6 +46,7 @@
 	ctx    context.Context
 	scene  *charter.Scene // the lane's rules are of its charter
 	lane   charter.Lane
+	cutoff time.Duration // how long its caller waits; 0 if that is not known
 	take   wire.Take
 	taken  *wire.Taken
 	isOpen bool // a store may have it, or may have had it of an earlier send
@@ -100,7 +102,7 @@
 	d.Mux.HandleFunc("/v1/lanes/{lane}/messages", web.Methods(map[string]http.HandlerFunc{"POST": in.post}))
 	d.Mux.HandleFunc("/v1/messages/{id}", web.Methods(map[string]http.HandlerFunc{"GET": in.get}))
 	d.Mux.HandleFunc("/v1/messages/{id}/body", web.Methods(map[string]http.HandlerFunc{"GET": in.getBody}))
-	d.Mux.HandleFunc("/", web.NotFound)
+	d.Mux.HandleFunc("/", in.AsItIs(Own))
 	return in
 }
 
@@ -161,7 +163,11 @@
 // after a while is settled: held, or never. One that has an idempotency key is
 // not settled against its caller, who is going to send it again.
 func (in *Intake) hold(e *errand) error {
-	ctx, cancel := context.WithTimeout(e.ctx, in.d.Bounds.Of(beat.Settle)*2)
+	most := in.d.Bounds.Of(beat.Settle) * 2
+	if e.cutoff > 0 {
+		most = min(most, e.cutoff)
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, most)
 	defer cancel()
 	reply, isOpen, err := in.reach.Ask(ctx, store.PlaceGroup+e.take.Place, &e.take, isOwner)
 	cause := mishap.New(mishap.NotOwner, "the message's place cannot be reached")
@@ -174,7 +180,7 @@
 	} else if !isOpen {
 		return cause
 	}
-	if e.take.Idem == "" {
+	if e.take.Idem == "" && e.cutoff == 0 {
 		// The caller may have gone; the message's fate is settled all the same.
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(e.ctx), in.d.Bounds.Of(beat.Settle)*2)
 		defer cancel()
--- /dev/null
+++ b/internal/intake/manner.go
@@ -0,0 +1,144 @@
+package intake
+
+import (
+	"net/http"
+	"time"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/head"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/path"
+	"caperwheel/internal/store"
+	"caperwheel/internal/web"
+	"caperwheel/internal/wire"
+)
+
+// Arrival is what a request that comes as it is says besides its bytes.
+type Arrival struct {
+	Head   head.Head
+	Key    string        // ordering key
+	Notify string        // URL to be told of the end
+	Delay  time.Duration // it must not run before
+	Cutoff time.Duration // how long the caller waits; 0 if it does not say
+}
+
+// Word is what a caller is told of a message that came as it is. Kind is empty
+// when the message is held.
+//
+// Invariant: IsOpen is false only if the message is held or never will run.
+type Word struct {
+	Id     string
+	Kind   mishap.Kind
+	Text   string
+	IsOpen bool
+	Retry  time.Duration // when to come back; 0 for at once or never
+}
+
+// Manner is one way to speak with callers whose requests are taken as they are.
+type Manner struct {
+	Read func(r *http.Request) (Arrival, error)
+	Tell func(w http.ResponseWriter, word Word)
+}
+
+// AsItIs takes requests as they are: the lane follows from host and path.
+func (in *Intake) AsItIs(manner Manner) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e := &errand{ctx: r.Context()}
+		err := in.takeAsItIs(r, e, manner)
+		if err == nil && e.taken.Kind != "" {
+			err = mishap.New(mishap.Kind(e.taken.Kind), "%s", e.taken.Text)
+		}
+		if err == nil {
+			countIntake(e, "taken")
+			manner.Tell(w, Word{Id: e.taken.Id})
+			return
+		}
+		kind := mishap.KindOf(err)
+		countIntake(e, string(kind))
+		manner.Tell(w, Word{Id: e.take.Id, Kind: kind, Text: err.Error(), IsOpen: e.isOpen, Retry: in.retry(kind, e)})
+	}
+}
+
+func (in *Intake) takeAsItIs(r *http.Request, e *errand, manner Manner) error {
+	if n := in.inHand.Add(1); n > int64(in.d.Settings.Most) {
+		in.inHand.Add(-1)
+		return mishap.New(mishap.Full, "the adapter has %d messages in hand", n-1)
+	}
+	defer in.inHand.Add(-1)
+	if err := in.findWay(e, r); err != nil {
+		return err
+	}
+	arrival, err := manner.Read(r)
+	if err != nil {
+		return err
+	}
+	body, err := web.Body(r, e.lane.Size)
+	if err != nil {
+		return err
+	}
+	e.cutoff = arrival.Cutoff
+	e.take = wire.Take{Lane: e.lane.Name, Head: arrival.Head.Encode(), Body: body, Sum: store.SumOf(body),
+		Delay: arrival.Delay.Milliseconds()}
+	if err := in.findWay(e, r); err != nil { // a body may take long to come
+		return err
+	}
+	e.take.Cutoff = e.lane.Patience.Milliseconds()
+	if e.lane.IsNotified {
+		e.take.Notify = arrival.Notify
+	}
+	if e.lane.IsOrdered {
+		if e.take.Key = arrival.Key; e.take.Key == "" { // about nothing that others are about
+			e.take.Key = "-" + daemon.Random(8)
+		}
+	}
+	return path.Run(in.programs.Intake(e.scene.Rules, e.lane.Name), in.doers, e)
+}
+
+// findWay takes the lane that the request's host and path lead to, as the
+// charter is now.
+func (in *Intake) findWay(e *errand, r *http.Request) error {
+	isFresh := in.d.IsFresh() // asked before the scene, so that a way missing from it is missing
+	e.scene = in.scenes.Now()
+	lane, isFound := charter.Lane{}, false
+	if isFresh {
+		lane, isFound = e.scene.Rules.Way(r.Host, head.Of(r).Path())
+	}
+	switch {
+	case !isFresh:
+		return mishap.New(mishap.Stale, "this adapter has lost touch with the control plane")
+	case !isFound:
+		return mishap.New(mishap.Unknown, "no lane takes %s", r.URL.Path)
+	}
+	e.lane = lane
+	return nil
+}
+
+// Own is the product's own manner for requests that are taken as they are.
+var Own = Manner{
+	Read: func(r *http.Request) (Arrival, error) {
+		out := Arrival{Head: head.Of(r, "Content-Type", "Ordering-Key"), Key: r.Header.Get("Ordering-Key"), Notify: r.Header.Get("Notify-Url")}
+		if len(out.Key) > mostKey {
+			return out, mishap.New(mishap.Invalid, "keys may have %d bytes at most", mostKey)
+		}
+		if text := r.Header.Get("Not-Before"); text != "" {
+			delay, err := time.ParseDuration(text)
+			if err != nil || delay < 0 {
+				return out, mishap.New(mishap.Invalid, "Not-Before must be a duration")
+			}
+			out.Delay = delay
+		}
+		return out, nil
+	},
+	Tell: func(w http.ResponseWriter, word Word) {
+		switch {
+		case word.Kind == "":
+			w.Header().Set("Location", "/v1/messages/"+word.Id)
+			web.Answer(w, 202, Message{Id: word.Id, State: "held", Taken: true})
+		case word.IsOpen:
+			web.Reject(w, 504, web.Problem{Error: word.Kind, Text: word.Text, Taken: "undecided", Id: word.Id}, word.Retry)
+		default:
+			web.Reject(w, web.CodeOf(word.Kind), web.Problem{Error: word.Kind, Text: word.Text, Taken: false}, word.Retry)
+		}
+	},
+}
--- a/internal/place/command.go
+++ b/internal/place/command.go
@@ -17,6 +17,7 @@
 	CmdTomb                   // an undecided message will never run
 	CmdTrim                   // forget what has been over for long enough
 	CmdSent                   // an outbox entry has been taken elsewhere
+	CmdTold                   // whoever was to be told of an end has been
 )
 
 // Command is one entry of a place's log. All that depends on settings or time
@@ -47,6 +48,10 @@
 	Child   Child      `avro:"child"`
 	Ids     []string   `avro:"ids"`
 	Hold    bool       `avro:"hold"` // Close: later messages of the key wait; Back: the run may go on until the pause ends
+	Head    []byte     `avro:"head" since:"3"`
+	Delay   int64      `avro:"delay" since:"3"`  // Take: it must not run before
+	Notify  string     `avro:"notify" since:"3"` // Take: whom to tell of the end
+	Drop    bool       `avro:"drop" since:"3"`   // End: the bytes are not kept
 }
 
 // Child is a call-back that leaves with the end of its parent: same record, so
@@ -60,14 +65,15 @@
 	Parent string `avro:"parent"`
 }
 
-var commandCodec = wire.NewPlain(&Command{})
+// A command of version 1 begins with its kind, which is never 0.
+var commandCodec = wire.NewGrown(&Command{}, 0)
 
 // Encode gives the command's bytes for the log.
 func (c Command) Encode() []byte {
 	if c.Ids == nil {
 		c.Ids = []string{}
 	}
-	return commandCodec.Encode(&c)
+	return commandCodec.Encode(&c, len(c.Head) > 0 || c.Delay != 0 || c.Notify != "" || c.Drop)
 }
 
 // Decode reads a command back.
--- a/internal/place/errand.go
+++ b/internal/place/errand.go
@@ -59,7 +59,10 @@
 	Proof    wire.Proof `avro:"proof"`
 	Late     wire.Proof `avro:"late"` // success of an older run that came while a newer one is open
 	Cause    string     `avro:"cause"`
-	IsHolder bool       `avro:"is_holder"` // the key waits behind it: failed, or held while its last run may go on until Due
+	Head     []byte     `avro:"head" since:"3"`
+	Notify   string     `avro:"notify" since:"3"`
+	IsOwed   bool       `avro:"is_owed" since:"3"` // it is over and whoever is to be told has not been
+	IsHolder bool       `avro:"is_holder"`         // the key waits behind it: failed, or held while its last run may go on until Due
 }
 
 // move is the one place where an errand changes its state.
--- a/internal/place/image.go
+++ b/internal/place/image.go
@@ -14,19 +14,22 @@
 	Outbox  []Child  `avro:"outbox"`
 }
 
-var imageCodec = wire.NewPlain(&image{})
+// An image of version 1 begins with its clock, which is never negative: 1 is -1.
+var imageCodec = wire.NewGrown(&image{}, 1)
 
 // Image gives the whole state as bytes.
 func (m *Machine) Image() []byte {
+	isGrown := false
 	out := image{Clock: m.clock, Seq: m.seq, Errands: []Errand{}, Outbox: []Child{}}
 	for _, e := range m.errands {
 		out.Errands = append(out.Errands, *e)
+		isGrown = isGrown || len(e.Head) > 0 || e.Notify != ""
 	}
 	slices.SortFunc(out.Errands, func(a, b Errand) int { return int(a.Seq - b.Seq) })
 	for _, id := range slices.Sorted(maps.Keys(m.outbox)) {
 		out.Outbox = append(out.Outbox, m.outbox[id])
 	}
-	return imageCodec.Encode(&out)
+	return imageCodec.Encode(&out, isGrown)
 }
 
 // Restore reads a whole state back.
@@ -40,7 +43,10 @@
 	for i := range in.Errands {
 		e := &in.Errands[i]
 		m.errands[e.Id] = e
-		m.bytes += int64(len(e.Body))
+		m.bytes += e.size()
+		if e.IsOwed {
+			m.owed[e.Id] = true
+		}
 		if e.Idem != "" {
 			m.idems[e.idemOf()] = e.Id
 		}
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -20,6 +20,7 @@
 	idems   map[string]string
 	keys    map[string][]string
 	outbox  map[string]Child
+	owed    map[string]bool // errands that are over and of whose end somebody must be told
 	bytes   int64
 	queue   queue
 }
@@ -27,7 +28,7 @@
 // New gives an empty place.
 func New() *Machine {
 	return &Machine{errands: map[string]*Errand{}, idems: map[string]string{}, keys: map[string][]string{},
-		outbox: map[string]Child{}, queue: newQueue()}
+		outbox: map[string]Child{}, owed: map[string]bool{}, queue: newQueue()}
 }
 
 // Verdict is what a command came to. A Kind other than "" means that it
@@ -77,6 +78,11 @@
 	case CmdSent:
 		delete(m.outbox, c.Id)
 		return Verdict{Id: c.Id}
+	case CmdTold:
+		for _, id := range c.Ids {
+			m.told(id)
+		}
+		return Verdict{}
 	}
 	if e == nil {
 		return no(mishap.Unknown, c.Id, "no such message")
@@ -106,7 +112,7 @@
 	}
 	m.seq++
 	e = &Errand{Id: c.Id, Seq: m.seq, Lane: c.Lane, Key: c.Key, Ordered: c.Ordered, Idem: c.Idem, Ctype: c.Ctype,
-		Body: c.Body, Sum: c.Sum, Parent: c.Parent, Cutoff: m.clock + c.Cutoff, Due: m.clock}
+		Body: c.Body, Sum: c.Sum, Parent: c.Parent, Cutoff: m.clock + c.Cutoff, Due: m.clock + c.Delay, Head: c.Head, Notify: c.Notify}
 	if c.Idem != "" {
 		if was := m.errands[m.idems[e.idemOf()]]; was != nil {
 			if was.Sum != c.Sum {
@@ -117,7 +123,7 @@
 		m.idems[e.idemOf()] = c.Id
 	}
 	m.errands[c.Id] = e
-	m.bytes += int64(len(e.Body))
+	m.bytes += e.size()
 	if e.Ordered {
 		m.keys[e.keyOf()] = append(m.keys[e.keyOf()], e.Id)
 	}
@@ -183,6 +189,12 @@
 		return no(mishap.Conflict, e.Id, err.Error())
 	}
 	e.Proof, e.Late, e.Over = proof, wire.Proof{}, m.clock+c.Retain
+	if e.Notify != "" {
+		e.IsOwed, m.owed[e.Id] = true, true
+	}
+	if c.Drop && to == Ended {
+		m.drop(e)
+	}
 	if c.Child.Id != "" {
 		e.Child = c.Child.Id
 		m.outbox[c.Child.Id] = c.Child
@@ -227,7 +239,8 @@
 		e.IsHolder = false
 		m.release(e)
 	}
-	m.bytes -= int64(len(e.Body))
+	m.bytes -= e.size()
+	delete(m.owed, id)
 	delete(m.errands, id)
 	if e.Idem != "" && m.idems[e.idemOf()] == id {
 		delete(m.idems, e.idemOf())
--- /dev/null
+++ b/internal/place/owed.go
@@ -0,0 +1,46 @@
+package place
+
+import (
+	"maps"
+	"slices"
+)
+
+// size is how many bytes of callers an errand keeps.
+func (e *Errand) size() int64 { return int64(len(e.Body) + len(e.Head)) }
+
+// drop lets the bytes of a message go that succeeded. Its head stays until
+// whoever is to be told of the end has been.
+func (m *Machine) drop(e *Errand) {
+	m.bytes -= e.size()
+	e.Body = nil
+	if !e.IsOwed {
+		e.Head = nil
+	}
+	m.bytes += e.size()
+}
+
+// told notes that somebody has been told of an end.
+func (m *Machine) told(id string) {
+	delete(m.owed, id)
+	e := m.errands[id]
+	if e == nil || !e.IsOwed {
+		return
+	}
+	e.IsOwed = false
+	if e.State == Ended && e.Body == nil {
+		m.drop(e)
+	}
+}
+
+// Owed gives the errands of whose end somebody must still be told, in the order
+// of their ids.
+func (m *Machine) Owed() []*Errand {
+	out := []*Errand{}
+	for _, id := range slices.Sorted(maps.Keys(m.owed)) {
+		out = append(out, m.errands[id])
+	}
+	return out
+}
+
+// CountOwed tells how many there are.
+func (m *Machine) CountOwed() int { return len(m.owed) }
--- a/internal/sim/around.go
+++ b/internal/sim/around.go
@@ -51,6 +51,7 @@
 }
 
 // TakeElsewhere is not used: no lane here has a call-back.
+func (s *simStore) Teller(string) (wire.Who, bool)              { return wire.Who{}, false }
 func (s *simStore) TakeElsewhere(_ *wire.Take, tell func(bool)) { tell(false) }
 
 // Release needs nothing: permits lapse.
--- a/internal/store/around.go
+++ b/internal/store/around.go
@@ -21,6 +21,7 @@
 	Post(who wire.Who, ask any, answer func(any, error)) error // to an adapter
 	TakeElsewhere(t *wire.Take, tell func(isTaken bool))
 	Release(g SlotGrant)
+	Teller(address string) (wire.Who, bool) // the adapter that speaks to an address
 	Nudge()
 	PlaceOf(id string) int64
 	ChildOf(parent string) string
@@ -57,6 +58,7 @@
 }
 func (a *around) TakeElsewhere(t *wire.Take, tell func(bool)) { a.s.takeElsewhere(t, tell) }
 func (a *around) Release(g SlotGrant)                         { a.s.dispatch.release(g) }
+func (a *around) Teller(address string) (wire.Who, bool)      { return a.s.teller(address) }
 func (a *around) Nudge()                                      { a.s.dispatch.nudge() }
 func (a *around) PlaceOf(id string) int64                     { return a.s.placeOfId(id) }
 func (a *around) ChildOf(parent string) string                { return a.s.childId(parent) }
--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -44,21 +44,22 @@
 func (p *PlaceHost) judge(e *place.Errand, o *wire.Outcome, lane charter.Lane) place.Command {
 	retain := int64(lane.Retention / time.Millisecond)
 	if o.Kind == "" {
-		c := place.Command{Kind: place.CmdEnd, Id: e.Id, Proof: o.Proof, Retain: retain}
+		c := place.Command{Kind: place.CmdEnd, Id: e.Id, Proof: o.Proof, Retain: retain, Drop: lane.DropsBytes}
 		if lane.Callback != "" {
 			c.Child = place.Child{Id: p.around.ChildOf(e.Id), Lane: lane.Callback, Ctype: o.Proof.Ctype, Body: o.Proof.Answer,
 				Sum: SumOf(o.Proof.Answer), Parent: e.Id}
 		}
 		return c
 	}
-	back := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: o.Proof.Attempt, Cause: o.Kind, Costs: o.Begun, Retain: retain}
+	isSpent := o.Begun && (lane.SpendsAll || o.Kind == string(mishap.Unsound))
+	back := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: o.Proof.Attempt, Cause: o.Kind, Costs: isSpent, Retain: retain}
 	back.Hold = o.Begun && e.Ordered && o.Wait > 0 && place.MayGoOn(mishap.Kind(o.Kind))
-	if o.Begun && !back.Hold && (o.Final || lane.Attempts > 0 && e.Spent+1 >= lane.Attempts) {
+	if o.Begun && !back.Hold && (o.Final || isSpent && lane.Attempts > 0 && e.Spent+1 >= lane.Attempts) {
 		back.Kind, back.State, back.Hold = place.CmdClose, string(place.Failed), lane.HoldFailed
 		return back
 	}
 	spent := e.Spent
-	if o.Begun {
+	if isSpent {
 		spent++
 	}
 	back.Cutoff = max(pause(lane, e.Id, spent), o.Wait)
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -101,7 +101,7 @@
 		p.lostAt[e.Id] = now
 	}
 	wait := p.around.Bounds().Of(beat.Gone) // whoever keeps its result hands it over by then
-	if e.Ordered {
+	if e.Ordered && !pool.Repeats {
 		wait = max(wait, place.Busy(pool.Bound))
 	}
 	if now-p.lostAt[e.Id] < wait {
@@ -111,9 +111,9 @@
 	p.asking[e.Id] = now + p.around.Bounds().Charter
 	delete(p.lostAt, e.Id)
 	delete(p.missed, e.Id)
-	c := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: e.Attempt, Cause: "unknown_run", Costs: true,
+	c := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: e.Attempt, Cause: "unknown_run", Costs: lane.SpendsAll,
 		Retain: int64(lane.Retention / time.Millisecond)}
-	if !lane.Rerun || lane.Attempts > 0 && e.Spent+1 >= lane.Attempts {
+	if !lane.Rerun || lane.SpendsAll && lane.Attempts > 0 && e.Spent+1 >= lane.Attempts {
 		c.Kind, c.State, c.Hold = place.CmdClose, string(place.Failed), lane.HoldFailed
 	}
 	p.propose(c, nil)
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -44,6 +44,7 @@
 func (b *bench) Scene() *charter.Scene                    { return &charter.Scene{Rules: b.rules} }
 func (b *bench) Find(name string) (wire.Who, bool)        { w, isHere := b.members[name]; return w, isHere }
 func (b *bench) TakeElsewhere(_ *wire.Take, _ func(bool)) {}
+func (b *bench) Teller(string) (wire.Who, bool)           { w, isHere := b.members["t"]; return w, isHere }
 func (b *bench) Release(SlotGrant)                        {}
 func (b *bench) Nudge()                                   {}
 func (b *bench) PlaceOf(string) int64                     { return 0 }
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -28,6 +28,7 @@
 	inHand  map[string]inHand
 	asking  map[string]time.Duration
 	lostAt  map[string]time.Duration
+	telling telling
 	missed  map[string]time.Duration // since when nobody has told of an open run
 	sending map[string]bool
 	trimmed time.Duration
@@ -97,6 +98,7 @@
 // in hand: their adapters are asked before anything is run again.
 func (p *PlaceHost) Owned(isOwner bool) {
 	p.inHand, p.asking = map[string]inHand{}, map[string]time.Duration{}
+	p.telling = newTelling()
 	p.lostAt, p.sending, p.missed = map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
 	if !isOwner {
 		p.tellOnlookers(func(string, onlooker) bool { return true })
@@ -171,7 +173,8 @@
 		return
 	}
 	p.propose(place.Command{Kind: place.CmdTake, Id: t.Id, Lane: t.Lane, Key: t.Key, Idem: t.Idem, Ctype: t.Ctype,
-		Body: t.Body, Sum: t.Sum, Cutoff: t.Cutoff, Parent: t.Parent, Ordered: lane.IsOrdered}, func(v place.Verdict, err error) {
+		Body: t.Body, Sum: t.Sum, Cutoff: t.Cutoff, Parent: t.Parent, Ordered: lane.IsOrdered,
+		Head: t.Head, Delay: t.Delay, Notify: t.Notify}, func(v place.Verdict, err error) {
 		if err != nil {
 			reject(mishap.KindOf(err), "", 0)
 			return
@@ -221,7 +224,7 @@
 	if !isFresh {
 		return charter.Lane{}, false
 	}
-	return charter.Lane{Name: name, Attempts: 1, Retention: 10 * time.Minute, Backoff: time.Second, BackoffMost: time.Second}, true
+	return charter.Lane{Name: name, Attempts: 1, SpendsAll: true, Retention: 10 * time.Minute, Backoff: time.Second, BackoffMost: time.Second}, true
 }
 
 // SumOf is the checksum of bytes as callers and workers see it.
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -53,10 +53,10 @@
 
 // send hands a started run to the adapter that granted the slot.
 func (p *PlaceHost) send(e *place.Errand, attempt int64, g SlotGrant) {
-	pool := p.around.Scene().Rules.Pools[g.Pool]
+	rules := p.around.Scene().Rules
 	run := &wire.Run{Place: p.number, Term: p.host.Term(), Id: e.Id, Attempt: attempt, Lane: e.Lane, Key: e.Key,
 		Pool: g.Pool, Worker: g.Worker, Ctype: e.Ctype, Body: e.Body, Sum: e.Sum, Permit: g.Permit,
-		Bound: int64(pool.Bound / time.Millisecond)}
+		Bound: rules.BoundOf(e.Lane, g.Pool), Head: e.Head}
 	err := p.around.Post(g.Holder, run, func(reply any, err error) {
 		ack, isAck := reply.(*wire.RunAck)
 		if err != nil || !isAck {
@@ -112,6 +112,7 @@
 	}
 	p.askOpen(now)
 	p.sendChildren()
+	p.tell(now)
 	p.publish()
 }
 
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -2,9 +2,10 @@
 
 // Version is the newest wire version this build speaks; Oldest the oldest.
 // Both ends of a session use the lower of their newest versions. Version 2 has
-// Look.Wait.
+// Look.Wait; version 3 has messages that come as they are (Head), delays, and
+// whom to tell of an end.
 const (
-	Version int64 = 2
+	Version int64 = 3
 	Oldest  int64 = 1
 )
 
--- a/internal/wire/data.go
+++ b/internal/wire/data.go
@@ -13,6 +13,9 @@
 	Sum    string `avro:"sum"`
 	Cutoff int64  `avro:"cutoff"`
 	Parent string `avro:"parent"`
+	Head   []byte `avro:"head" since:"3"`   // of the request, where the message is the request as it came
+	Delay  int64  `avro:"delay" since:"3"`  // milliseconds before which it must not run
+	Notify string `avro:"notify" since:"3"` // URL that is told of its end
 }
 
 // Taken answers Take and Settle. Kind is empty when the message is held; Id is
@@ -67,7 +70,7 @@
 	case *Take:
 		return len(m.Body)
 	case *Run:
-		return len(m.Body)
+		return len(m.Body) + len(m.Head)
 	case *Sight:
 		return len(m.Body) + len(m.Proof.Answer)
 	case *Outcome:
@@ -154,6 +157,7 @@
 	Sum     string `avro:"sum"`
 	Permit  int64  `avro:"permit"`
 	Bound   int64  `avro:"bound"`
+	Head    []byte `avro:"head" since:"3"`
 }
 
 // RunAck tells that the run is in hand, or (Kind set) that it never starts.
@@ -183,6 +187,20 @@
 	Kind  string `avro:"kind"`
 }
 
+// Tell has an adapter tell a URL that a message is over.
+type Tell struct {
+	Id     string `avro:"id"`
+	Url    string `avro:"url"`
+	State  string `avro:"state"`
+	Head   []byte `avro:"head"`
+	Answer []byte `avro:"answer"` // of the run that succeeded
+}
+
+// Told answers Tell: Kind is empty when the URL has accepted the word.
+type Told struct {
+	Kind string `avro:"kind"`
+}
+
 // Entry is one record of a group's replicated log.
 type Entry struct {
 	Index int64  `avro:"index"`
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -23,8 +23,8 @@
 	PlaceLink = newLink("place", false, []any{&Take{}, &Settle{}, &Look{}, &Outcome{}},
 		[]any{&Taken{}, &Sight{}, &OutcomeAck{}})
 	// RunLink joins a store to an adapter.
-	RunLink = newLink("run", false, []any{&Want{}, &Run{}, &Release{}, &Open{}},
-		[]any{&Grant{}, &RunAck{}, &OpenAck{}})
+	RunLink = newLink("run", false, []any{&Want{}, &Run{}, &Release{}, &Open{}, &Tell{}},
+		[]any{&Grant{}, &RunAck{}, &OpenAck{}, &Told{}})
 	// GroupLink joins two stores.
 	GroupLink = newLink("group", true, []any{&GroupMsg{}, &Ballot{}}, []any{&BallotAck{}})
 )
--- a/internal/wire/schema.go
+++ b/internal/wire/schema.go
@@ -146,8 +146,10 @@
 
 // NewPlain builds a codec for the type of sample, a pointer to a struct. What
 // lies on disk and in logs stays as it was in version 1.
-func NewPlain(sample any) *Plain {
-	text, err := json.Marshal(schemaOf(reflect.TypeOf(sample).Elem(), 1, map[string]bool{}))
+func NewPlain(sample any) *Plain { return newPlain(sample, 1) }
+
+func newPlain(sample any, version int64) *Plain {
+	text, err := json.Marshal(schemaOf(reflect.TypeOf(sample).Elem(), version, map[string]bool{}))
 	if err != nil {
 		panic(err)
 	}
