--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -13,10 +13,11 @@
 	"caperwheel/internal/store"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
+	"caperwheel/platform"
 )
 
 func main() {
-	d := daemon.New("adapter")
+	d := daemon.New("adapter", platform.Settings("adapter"))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	scenes := &charter.Scenes{View: d.View}
--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -14,10 +14,11 @@
 	"caperwheel/internal/store"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
+	"caperwheel/platform"
 )
 
 func main() {
-	d := daemon.New("agent")
+	d := daemon.New("agent", platform.Settings("agent"))
 	beside := session.NewRegistry(d.Bounds.Of(beat.Gone))
 	keeper := repair.NewKeeper(d.Settings.Most, d.Bounds.Of(beat.Vote), d.Bounds.Of(beat.Settle))
 	d.Link(map[string]transport.Handler{"place": func(_ wire.Who, body any, answer func(any)) {
--- a/cmd/manager/main.go
+++ b/cmd/manager/main.go
@@ -2,6 +2,9 @@
 // and the controllers.
 package main
 
-import "caperwheel/internal/manager"
+import (
+	"caperwheel/internal/manager"
+	"caperwheel/platform"
+)
 
-func main() { manager.Run() }
+func main() { manager.Run(platform.Settings("manager")) }
--- a/cmd/store/main.go
+++ b/cmd/store/main.go
@@ -1,6 +1,9 @@
 // Command store keeps durable places and parts of the control state on disk.
 package main
 
-import "caperwheel/internal/store"
+import (
+	"caperwheel/internal/store"
+	"caperwheel/platform"
+)
 
-func main() { store.Run() }
+func main() { store.Run(platform.Settings("store")) }
--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 )
 
@@ -37,12 +38,33 @@
 	Permit   Ratio = 300  // a granted slot lapses unused after this
 	AskHold  Ratio = 30   // an ask for a slot waits at the holder this long
 	Look     Ratio = 300  // an owner keeps who waits for a message's end this long; less than Settle
+	Reread   Ratio = 500  // the settings file is looked at this often
+	Silent   Ratio = 330  // a connection that was idle this long is probed, and again after as long; at least 1 s
 	Resend   Ratio = 60   // a result not yet acknowledged is sent again
 )
 
 // Of gives the ratio's share of the charter bound.
 func (b Bounds) Of(r Ratio) time.Duration { return b.Charter * time.Duration(r) / 1000 }
 
+// Probes have the system probe a silent TCP connection, so that a dead peer is
+// noticed though nothing is written to it.
+func (b Bounds) Probes() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: b.Of(Silent), Interval: b.Of(Silent), Count: 2}
+}
+
+// Wait returns after a time, or when ctx ends.
+func Wait(ctx context.Context, span time.Duration) {
+	if span <= 0 {
+		return
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // Every calls work once per period until ctx ends.
 func Every(ctx context.Context, period time.Duration, work func()) {
 	ticker := time.NewTicker(period)
--- a/internal/cli/doctor.go
+++ b/internal/cli/doctor.go
@@ -68,7 +68,7 @@
 			break
 		}
 	}
-	s, err := settings.Load(kind, []string{"--settings", file})
+	s, err := settings.Load(kind, []string{"--settings", file}, nil)
 	if err != nil {
 		return []finding{{true, file, err.Error(), "mend the file; the daemon would not start with it"}}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,12 +12,13 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"k8s.io/klog/v2"
 
 	"caperwheel/internal/beat"
@@ -29,6 +30,10 @@
 	"caperwheel/internal/wire"
 )
 
+// memoryShare is how much of its memory, in hundredths, the process lets its
+// heap fill before it collects garbage all the time; the rest is for the system.
+const memoryShare = 70
+
 // Daemon is one running process.
 type Daemon struct {
 	Kind     string
@@ -39,36 +44,57 @@
 	Roll     *session.Roll
 	Node     *transport.Node
 	Mux      *http.ServeMux
-	Ready    func() (isReady bool, why string)
-	CanRead  func() bool // whether the newest charter can be read, if the daemon needs it
+	Ready    func() (isReady bool, why string) // asked through IsReady
+	CanRead  func() bool                       // whether the newest charter can be read, if the daemon needs it
+
+	// The further listeners, nil where the settings name none, and what they serve.
+	Front, Probe, Operators          net.Listener
+	FrontMux, ProbeMux, OperatorsMux *http.ServeMux
 
 	gauges   gauges
 	Started  time.Time
 	listener net.Listener
+	live     atomic.Pointer[settings.Settings] // the newest; Settings are those of the start
+	leaving  atomic.Bool                       // never false again
 }
 
-// New reads the settings and opens the HTTP port. A mishap ends the process
-// with exit code 2 (settings) or 1.
-func New(kind string) *Daemon {
-	s, err := settings.Load(kind, os.Args[1:])
+// New reads the settings, from the source if there is one, and opens the HTTP
+// ports. A mishap ends the process with exit code 2 (settings) or 1.
+func New(kind string, source *settings.Source) *Daemon {
+	s, err := settings.Load(kind, os.Args[1:], source)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
 	d := &Daemon{Kind: kind, Settings: s, Bounds: s.Bounds(), Started: time.Now(), Mux: http.NewServeMux(),
+		FrontMux: http.NewServeMux(), ProbeMux: http.NewServeMux(), OperatorsMux: http.NewServeMux(),
 		View: feed.NewView(s.Parts), Roll: session.NewRoll()}
 	prometheus.MustRegister(&d.gauges)
 	d.Measure(d.measureView)
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	d.verbosity(flags, s.Verbosity)
-	d.listener, err = net.Listen("tcp", s.Http)
-	d.Must(mishap.Wrap(err, mishap.Invalid, "listen on %s", s.Http))
+	d.live.Store(&s)
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(s.Memory * memoryShare / 100)
+	}
+	signal.Ignore(syscall.SIGPIPE) // a write to a closed socket is an error like others
+	d.listener, d.Front, d.Probe, d.Operators = d.listen(s.Http), d.listen(s.Front), d.listen(s.Probe), d.listen(s.Operators)
 	d.Who = wire.Who{Name: s.Name, Kind: kind, Boot: Random(8), Cell: s.Cell, Addr: s.Advertise, Http: d.listener.Addr().String()}
-	go settings.Watch(context.Background(), kind, s, func(next settings.Settings) { d.verbosity(flags, next.Verbosity) }, func() {})
+	began := make(chan struct{})
+	go settings.Watch(context.Background(), kind, s, func(next settings.Settings) {
+		d.verbosity(flags, next.Verbosity)
+		d.live.Store(&next)
+	}, func() { close(began) })
+	<-began
 	return d
 }
 
+// Live gives the settings with what has changed since the start.
+func (d *Daemon) Live() settings.Settings { return *d.live.Load() }
+
+func (d *Daemon) seeds() []string { return d.live.Load().Seeds }
+
 func (d *Daemon) verbosity(flags *flag.FlagSet, v int) {
 	if err := flags.Set("v", strconv.Itoa(v)); err != nil {
 		klog.Warningf("%s: The verbosity cannot be set: %v.", d.Kind, err)
@@ -115,7 +141,7 @@
 
 // Client makes the daemon's session; say tells what it says of itself.
 func (d *Daemon) Client(say func() wire.Poll) *session.Client {
-	return &session.Client{Node: d.Node, Bounds: d.Bounds, Seeds: d.Settings.Seeds, View: d.View, Roll: d.Roll,
+	return &session.Client{Node: d.Node, Bounds: d.Bounds, Seeds: d.seeds, View: d.View, Roll: d.Roll,
 		Now: d.Now, Self: say}
 }
 
@@ -124,38 +150,3 @@
 	return wire.Poll{Who: d.Who, Stamps: []wire.PartStamp{}, Owns: []wire.Owned{}, Beside: []wire.Member{},
 		Fact: wire.Fact{Stamp: d.View.Stamp(feed.CharterPart), Fresh: d.IsFresh(), Counts: map[string]int64{}}}
 }
-
-// Serve answers HTTP until a signal comes; then leave is given time to end
-// what is under way.
-func (d *Daemon) Serve(leave func(ctx context.Context)) {
-	d.Mux.Handle("GET /metrics", promhttp.Handler())
-	d.Mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
-	d.Mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if isReady, why := d.Ready(); !isReady {
-			w.Header().Set("Retry-After", "1")
-			http.Error(w, why, http.StatusServiceUnavailable)
-			return
-		}
-		fmt.Fprintln(w, "ready")
-	})
-	server := &http.Server{Handler: d.Mux, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute,
-		MaxHeaderBytes: 32 << 10}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		if err := server.Serve(d.listener); err != http.ErrServerClosed {
-			d.Must(mishap.Wrap(err, mishap.Internal, "serve HTTP"))
-		}
-	}()
-	klog.Infof("%s: %s of cell %s runs, daemons at %s, HTTP at %s.", d.Kind, d.Who.Name, d.Who.Cell, d.Who.Addr, d.Who.Http)
-	<-stop
-	klog.Infof("%s: Stopping on a signal.", d.Kind)
-	ctx, cancel := context.WithTimeout(context.Background(), 2*d.Bounds.Charter)
-	defer cancel()
-	if leave != nil {
-		leave(ctx)
-	}
-	_ = server.Shutdown(ctx)
-	d.Node.Close()
-	klog.Flush()
-}
--- a/internal/fleet/deploy.go
+++ b/internal/fleet/deploy.go
@@ -195,11 +195,7 @@
 			set.Data, set.Founders, set.Reserve = filepath.Join(f.Dir, p.Name), min(3, f.Plan.Stores), 1000000
 		}
 		p.file = filepath.Join(f.Dir, p.Name+".json")
-		raw, err := json.Marshal(set)
-		if err == nil {
-			err = os.WriteFile(p.file, raw, 0o644)
-		}
-		if err != nil {
+		if err := os.WriteFile(p.file, set.Sparse(), 0o644); err != nil {
 			return mishap.Wrap(err, mishap.Internal, "settings of %s", p.Name)
 		}
 	}
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -13,6 +13,7 @@
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/session"
+	"caperwheel/internal/settings"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 )
@@ -25,9 +26,9 @@
 	reach    *reach.Reach
 }
 
-// Run is the manager's main.
-func Run() {
-	d := daemon.New("manager")
+// Run is the manager's main; a source gives its settings another way.
+func Run(source *settings.Source) {
+	d := daemon.New("manager", source)
 	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: session.NewRegistry(d.Bounds.Of(beat.Gone))}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -21,7 +21,7 @@
 type Client struct {
 	Node   *transport.Node
 	Bounds beat.Bounds
-	Seeds  []string
+	Seeds  func() []string // as the settings name them now; never empty
 	View   *feed.View
 	Roll   *Roll
 	Now    func() time.Duration
@@ -37,7 +37,7 @@
 
 // Run polls until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	c.at = rand.IntN(len(c.Seeds))
+	c.at = rand.IntN(len(c.Seeds()))
 	beat.Every(ctx, c.Bounds.Of(beat.Poll), c.poll)
 }
 
@@ -91,7 +91,7 @@
 
 // targets are the seeds, and any managers learnt of besides.
 func (c *Client) targets() []string {
-	out := slices.Clone(c.Seeds)
+	out := slices.Clone(c.Seeds())
 	for _, who := range c.Roll.Kind("manager") {
 		if !slices.Contains(out, who.Addr) && c.Self().Who.Kind != "adapter" {
 			out = append(out, who.Addr)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,9 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
@@ -15,7 +13,6 @@
 	"github.com/tidwall/gjson"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/charter"
 	"caperwheel/internal/mishap"
 )
 
@@ -54,13 +51,33 @@
 	Reserve   int64    `arg:"--reserve" json:"reserve" help:"bytes of disk kept free; intake stops below (stores)"`
 	Verbosity int      `arg:"--verbosity" json:"verbosity" help:"log verbosity, 0 to 4; may change while running"`
 
-	args []string // as given: they override the file whenever it is read
+	Founds    bool     `arg:"--founds" json:"founds" help:"whether a blank store may found a new deployment, or only joins one (stores)"`
+	Copies    int      `arg:"--copies" json:"copies" help:"replicas that a group should have; 0: as many as founders (stores)"`
+	Memory    int64    `arg:"--memory" json:"memory" help:"bytes of memory that the process may take; 0: no bound is known"`
+	Grace     Duration `arg:"--grace" json:"grace" help:"time between being asked to stop and being killed; 0: twice the bound"`
+	Linger    Duration `arg:"--linger" json:"linger" help:"how long a daemon that was asked to stop still serves as before"`
+	Front     string   `arg:"--front" json:"front" help:"IP number and port for callers who send messages as they come"`
+	Probe     string   `arg:"--probe" json:"probe" help:"IP number and port that only tells readiness"`
+	Operators string   `arg:"--operators" json:"operators" help:"IP number and port for the operators' calls"`
+	List      string   `arg:"--list" json:"list" help:"IP number and port where a list of workers is kept; may change while running"`
+	ListRate  float64  `arg:"--list_rate" json:"list_rate" help:"calls a second that the list takes from all; may change while running"`
+	ListLag   Duration `arg:"--list_lag" json:"list_lag" help:"how far the list may run behind; may change while running"`
+	Keep      Duration `arg:"--keep" json:"keep" help:"how long the end of a message must be answered for"`
+
+	args   []string // as given: they override the file whenever it is read
+	source *Source  // where the file's text comes from, if not from a settings file
+}
+
+// Source gives settings from a file of another make.
+type Source struct {
+	File string                           // read in place of a settings file that no flag names
+	Read func(raw []byte) ([]byte, error) // turns the file's text into that of a settings file
 }
 
 // Default settings.
 func Default() Settings {
 	return Settings{Founders: 3, Places: 48, Parts: 4, Bound: Duration{beat.Default.Charter}, Batch: 40, Pool: 40,
-		Flush: Duration{500 * time.Microsecond}, Window: 4096, Most: 2048, Reserve: 256 << 20}
+		Flush: Duration{500 * time.Microsecond}, Window: 4096, Most: 2048, Reserve: 256 << 20, Founds: true}
 }
 
 // Bounds gives the bounds that constants are ratios of.
@@ -69,8 +86,17 @@
 // Shape must be the same on all daemons of a deployment.
 func (s Settings) Shape() string { return fmt.Sprintf("places=%d parts=%d", s.Places, s.Parts) }
 
+// Stay is the time between being asked to stop and being killed.
+func (s Settings) Stay() time.Duration {
+	if s.Grace.Duration > 0 {
+		return s.Grace.Duration
+	}
+	return 2 * s.Bound.Duration
+}
+
 // Load reads file and flags for a kind of daemon. All faults are told at once.
-func Load(kind string, args []string) (Settings, error) {
+// A source, if there is one, is used unless a flag names a settings file.
+func Load(kind string, args []string, source *Source) (Settings, error) {
 	s := Default()
 	s.args = args
 	for i, a := range args { // the file comes first: flags override it
@@ -80,6 +106,9 @@
 			s.File = args[i+1]
 		}
 	}
+	if s.File == "" && source != nil {
+		s.File, s.source = source.File, source
+	}
 	if s.File != "" {
 		if err := s.readFile(); err != nil {
 			return s, err
@@ -107,6 +136,11 @@
 	if err != nil {
 		return mishap.Wrap(err, mishap.Invalid, "settings file %s", s.File)
 	}
+	if s.source != nil {
+		if raw, err = s.source.Read(raw); err != nil {
+			return mishap.Wrap(err, mishap.Invalid, "settings file %s", s.File)
+		}
+	}
 	return s.merge(raw)
 }
 
@@ -121,7 +155,7 @@
 		is := known.Get(key.Str)
 		if !is.Exists() {
 			wrong = append(wrong, key.Str+": is not known")
-		} else if is.Type != value.Type {
+		} else if is.Type != value.Type && !(is.IsBool() && value.IsBool()) {
 			wrong = append(wrong, key.Str+": is of the wrong kind")
 		}
 		return true
@@ -132,6 +166,23 @@
 	return mishap.Wrap(json.Unmarshal(raw, s), mishap.Invalid, "settings file %s", s.File)
 }
 
+// Sparse is the text of a settings file with what differs from the defaults, so
+// that a daemon of another version can read it.
+func (s Settings) Sparse() []byte {
+	standard, out := gjson.ParseBytes(Default().text()), map[string]json.RawMessage{}
+	gjson.ParseBytes(s.text()).ForEach(func(key, value gjson.Result) bool {
+		if value.Raw != standard.Get(key.Str).Raw {
+			out[key.Str] = json.RawMessage(value.Raw)
+		}
+		return true
+	})
+	raw, err := json.Marshal(out)
+	if err != nil {
+		panic(mishap.Wrap(err, mishap.Internal, "settings"))
+	}
+	return raw
+}
+
 func (s Settings) text() []byte {
 	if s.Seeds == nil {
 		s.Seeds = []string{}
@@ -142,48 +193,3 @@
 	}
 	return raw
 }
-
-// Check tells all that is wrong, each with its key.
-func (s Settings) Check(kind string) error {
-	wrong := []string{}
-	must := func(isRight bool, key, text string) {
-		if !isRight {
-			wrong = append(wrong, key+": "+text)
-		}
-	}
-	addr := func(key, value string, isNeeded bool) {
-		if value == "" {
-			must(!isNeeded, key, "must be given")
-			return
-		}
-		if text := charter.CheckAddress(strings.TrimSuffix(value, ":0") + map[bool]string{true: ":1"}[strings.HasSuffix(value, ":0")]); text != "" {
-			wrong = append(wrong, key+": "+text)
-		}
-	}
-	must(s.Name != "" && !strings.ContainsAny(s.Name, "/~ "), "name", "must be given, without / ~ or blanks")
-	must(s.Cell != "", "cell", "must be given")
-	addr("listen", s.Listen, true)
-	addr("http", s.Http, true)
-	must(len(s.Seeds) > 0 || kind == "manager", "seeds", "must name at least one address")
-	for _, seed := range s.Seeds {
-		addr("seeds", seed, true)
-	}
-	must(kind != "store" || s.Data != "", "data", "must be given for a store")
-	must(slices.Contains([]int{1, 3, 5}, s.Founders), "founders", "must be 1, 3 or 5")
-	must(s.Places >= 1 && s.Places <= 1024, "places", "must be from 1 to 1024")
-	must(s.Parts >= 1 && s.Parts <= 64, "parts", "must be from 1 to 64")
-	must(s.Bound.Duration >= 500*time.Millisecond && s.Bound.Duration <= time.Minute, "bound", "must be from 500ms to 1m")
-	must(s.Batch >= 1 && s.Batch <= 4096, "batch", "must be from 1 to 4096")
-	must(s.Pool >= 1 && s.Pool <= 1024, "pool", "must be from 1 to 1024")
-	must(s.Window >= s.Batch, "window", "must be at least batch")
-	must(s.Most >= 1, "most", "must be at least 1")
-	must(s.Flush.Duration > 0 && s.Flush.Duration <= 100*time.Millisecond, "flush", "must be from above 0 to 100ms")
-	must(s.Verbosity >= 0 && s.Verbosity <= 4, "verbosity", "must be from 0 to 4")
-	if host, _, err := net.SplitHostPort(s.Advertise); err == nil {
-		must(!net.ParseIP(host).IsUnspecified(), "advertise", "must be an address that others can reach")
-	}
-	if len(wrong) > 0 {
-		return mishap.New(mishap.Invalid, "settings: %s", strings.Join(wrong, "; "))
-	}
-	return nil
-}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -48,7 +48,7 @@
 				if c.file != "" {
 					args = append([]string{"--settings", write(t, c.file)}, args...)
 				}
-				s, err := Load("store", args)
+				s, err := Load("store", args, nil)
 				if c.says == "" {
 					So(err, ShouldBeNil)
 					So(s.Advertise, ShouldEqual, "127.0.0.1:1000")
@@ -60,14 +60,14 @@
 		}
 		Convey("a manager needs no seeds and no folder, a store needs both", func() {
 			args := []string{"--name=m", "--cell=a", "--listen=127.0.0.1:1", "--http=127.0.0.1:2"}
-			_, err := Load("manager", args)
+			_, err := Load("manager", args, nil)
 			So(err, ShouldBeNil)
-			_, err = Load("store", args)
+			_, err = Load("store", args, nil)
 			So(err.Error(), ShouldContainSubstring, "data")
 			So(err.Error(), ShouldContainSubstring, "seeds")
 		})
 		Convey("several faults are told at once", func() {
-			_, err := Load("store", []string{"--settings", write(t, `{"places":0,"parts":0}`)})
+			_, err := Load("store", []string{"--settings", write(t, `{"places":0,"parts":0}`)}, nil)
 			So(err.Error(), ShouldContainSubstring, "places")
 			So(err.Error(), ShouldContainSubstring, "parts")
 		})
@@ -88,7 +88,7 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				file := write(t, good)
-				old, err := Load("store", []string{"--settings", file, "--most", "77"}) // a flag that overrides the file
+				old, err := Load("store", []string{"--settings", file, "--most", "77"}, nil) // a flag that overrides the file
 				So(err, ShouldBeNil)
 				So(os.WriteFile(file, []byte(c.text), 0o600), ShouldBeNil)
 				next, err := Reread("store", old)
--- a/internal/settings/watch_test.go
+++ b/internal/settings/watch_test.go
@@ -25,7 +25,7 @@
 		for name, hurt := range breaks {
 			Convey("one that is "+name+" is not used, the mended one is", func() {
 				file := write(t, good)
-				s, err := Load("store", []string{"--settings", file})
+				s, err := Load("store", []string{"--settings", file, "--bound=500ms"}, nil)
 				So(err, ShouldBeNil)
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
--- /dev/null
+++ b/internal/store/ballot.go
@@ -0,0 +1,155 @@
+package store
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"k8s.io/klog/v2"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/group"
+	"caperwheel/internal/wire"
+)
+
+// onBallot answers one step of another store's ballot.
+func (f *founder) onBallot(b *wire.Ballot) *wire.BallotAck {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := &f.id
+	ack := &wire.BallotAck{Founded: id.Founded, Number: id.Accepted, Cluster: id.Cluster, Roster: id.Roster}
+	was := *id
+	switch {
+	case b.Step == "look":
+		ack.Ok = true
+		if !id.Founded {
+			if id.Promised == joinsOnly {
+				ack.Number = joinsOnly
+			}
+			ack.Roster = []string{id.Name + "/" + id.Inc}
+		}
+		return ack
+	case id.Founded:
+		return ack
+	case b.Step == "promise" && b.Number > id.Promised:
+		id.Promised = b.Number
+	case b.Step == "accept" && b.Number >= id.Promised:
+		id.Promised, id.Accepted, id.Cluster, id.Roster = b.Number, b.Number, b.Cluster, b.Roster
+	case b.Step == "found" && b.Cluster == id.Cluster:
+		id.Founded = true
+	default:
+		return ack
+	}
+	if err := f.save(); err != nil {
+		*id = was
+		klog.Errorf("found: A vote cannot be kept: %v.", err)
+		return ack
+	}
+	ack.Ok = true
+	if id.Founded {
+		klog.Infof("found: Deployment %s is founded by %v.", id.Cluster, id.Roster)
+		go f.begin()
+	}
+	return ack
+}
+
+func (f *founder) ask(addr string, b *wire.Ballot) (*wire.BallotAck, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), f.d.Bounds.Of(beat.Vote))
+	defer cancel()
+	reply, err := f.d.Node.Peer(wire.GroupLink, addr).Call(ctx, b)
+	ack, isAck := reply.(*wire.BallotAck)
+	return ack, err == nil && isAck
+}
+
+// try joins a deployment that exists, or stands up a ballot for a new one when
+// this is the first store by name and enough blank ones are here.
+func (f *founder) try() {
+	me := f.snapshot()
+	if me.Founded {
+		return
+	}
+	stores := f.d.Roll.Kind("store")
+	slices.SortFunc(stores, func(a, b wire.Who) int { return cmp.Compare(a.Name, b.Name) })
+	ids, addrs := map[string]string{me.Name: me.Name + "/" + me.Inc}, map[string]string{me.Name: f.d.Who.Addr}
+	for _, who := range stores {
+		if who.Name == me.Name {
+			continue
+		}
+		ack, isHeard := f.ask(who.Addr, &wire.Ballot{Step: "look", Roster: []string{}})
+		if !isHeard {
+			continue
+		}
+		if ack.Founded {
+			f.join(ack)
+			return
+		}
+		if ack.Number == joinsOnly {
+			continue
+		}
+		ids[who.Name], addrs[who.Name] = ack.Roster[0], who.Addr
+	}
+	if me.Promised == joinsOnly {
+		return
+	}
+	roster := chooseRoster(stores, ids, f.d.Settings.Founders)
+	if len(roster) < f.d.Settings.Founders || group.Name(roster[0]) != me.Name {
+		return
+	}
+	f.ballot(roster, addrs, me.Promised+1)
+}
+
+// chooseRoster takes so many stores, from as many cells as there are.
+func chooseRoster(stores []wire.Who, ids map[string]string, count int) []string {
+	out, cells := []string{}, map[string]bool{}
+	for _, isSpread := range []bool{true, false} {
+		for _, who := range stores {
+			id := ids[who.Name]
+			if id == "" || len(out) == count || slices.Contains(out, id) || isSpread && cells[who.Cell] {
+				continue
+			}
+			cells[who.Cell] = true
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (f *founder) ballot(roster []string, addrs map[string]string, number int64) {
+	b := wire.Ballot{Number: number, Cluster: daemon.Random(6), Roster: roster}
+	best := int64(0)
+	for _, step := range []string{"promise", "accept", "found"} {
+		b.Step = step
+		for _, member := range b.Roster {
+			name, ack, isHeard := group.Name(member), (*wire.BallotAck)(nil), true
+			if name == f.d.Settings.Name {
+				ack = f.onBallot(&b)
+			} else {
+				ack, isHeard = f.ask(addrs[name], &b)
+			}
+			if !isHeard || !ack.Ok {
+				klog.Infof("found: The ballot waits for %s.", name)
+				return
+			}
+			if step == "promise" && ack.Number > best { // an older ballot may have been decided: carry it on
+				best, b.Cluster, b.Roster = ack.Number, ack.Cluster, ack.Roster
+			}
+		}
+	}
+}
+
+// join takes this blank store into a deployment that exists already. It holds
+// nothing and votes nowhere until the owners of groups bring it up to date.
+func (f *founder) join(ack *wire.BallotAck) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.id.Founded, f.id.Cluster, f.id.Roster = true, ack.Cluster, ack.Roster
+	if err := f.save(); err != nil {
+		f.id.Founded = false
+		klog.Errorf("found: The deployment cannot be noted: %v.", err)
+		return
+	}
+	klog.Infof("found: Joined deployment %s.", ack.Cluster)
+	go f.begin()
+}
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -109,7 +109,13 @@
 	return poll
 }
 
-func (s *Store) copies() int { return min(3, max(1, s.d.Settings.Founders)) }
+// copies is how many replicas a group should have.
+func (s *Store) copies() int {
+	if s.d.Settings.Copies > 0 {
+		return s.d.Settings.Copies
+	}
+	return s.d.Settings.Founders
+}
 
 // retired tells in how many groups held here a store still stands.
 func (s *Store) retired(name string) *wire.Retired {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,6 +18,7 @@
 	"caperwheel/internal/host"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/repair"
+	"caperwheel/internal/settings"
 	"caperwheel/internal/slot"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
@@ -47,9 +48,9 @@
 	isOpen atomic.Bool
 }
 
-// Run is the store's main.
-func Run() {
-	d := daemon.New("store")
+// Run is the store's main; a source gives its settings another way.
+func Run(source *settings.Source) {
+	d := daemon.New("store", source)
 	s := &Store{d: d, scenes: &charter.Scenes{View: d.View}, hosts: map[int64]*host.Host{},
 		places: map[int64]*PlaceHost{}, parts: map[int64]*PartHost{}}
 	s.own.Store(&[]*PlaceHost{})
--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"net"
 	"sync"
 
@@ -26,7 +27,8 @@
 	n := &Node{opts: opts.filled(), accepted: map[*session]bool{}, peers: map[string]*Peer{}}
 	n.pool = pond.NewPool(n.opts.Pool)
 	if n.opts.Listen != "" {
-		listener, err := net.Listen("tcp", n.opts.Listen)
+		config := net.ListenConfig{KeepAliveConfig: n.opts.Bounds.Probes()}
+		listener, err := config.Listen(context.Background(), "tcp", n.opts.Listen)
 		if err != nil {
 			return nil, mishap.Wrap(err, mishap.Invalid, "listen on %s", n.opts.Listen)
 		}
--- a/internal/transport/shake.go
+++ b/internal/transport/shake.go
@@ -43,7 +43,8 @@
 // dial opens a session and shakes hands. Both sides settle on the lower of
 // their newest wire versions; no overlap is a reject.
 func (n *Node) dial(link *wire.Link, addr string) (*session, error) {
-	conn, err := net.DialTimeout("tcp", addr, n.opts.Bounds.Of(deadRatio))
+	dialer := net.Dialer{Timeout: n.opts.Bounds.Of(deadRatio), KeepAliveConfig: n.opts.Bounds.Probes()}
+	conn, err := dialer.Dial("tcp", addr)
 	if err != nil {
 		return nil, mishap.Wrap(err, mishap.Lost, "dial %s", addr)
 	}
