--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -17,12 +17,17 @@
 )
 
 func main() {
-	d := daemon.New("adapter", platform.Settings("adapter"))
+	source := platform.Settings("adapter")
+	d := daemon.New("adapter", source)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	scenes := &charter.Scenes{View: d.View}
 	d.CanRead = scenes.CanRead
-	out := deliver.New(ctx, d, scenes, deliver.Own)
+	workers := deliver.Own
+	if source != nil {
+		workers = platform.Workers
+	}
+	out := deliver.New(ctx, d, scenes, workers)
 	d.Link(map[string]transport.Handler{"run": out.Serve})
 	out.Link()
 	in := intake.New(d, scenes)
@@ -47,5 +52,11 @@
 		}
 		return true, ""
 	}
+	if source != nil {
+		platform.ServeCallers(d.FrontMux, in)
+		platform.ServeReadiness(d.ProbeMux, d.IsReady)
+	} else {
+		d.FrontMux.HandleFunc("/", in.AsItIs(intake.Own))
+	}
 	d.Serve(out.Drain)
 }
