--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -37,6 +37,7 @@
 	Permit   Ratio = 300  // a granted slot lapses unused after this
 	AskHold  Ratio = 30   // an ask for a slot waits at the holder this long
 	Look     Ratio = 300  // an owner keeps who waits for a message's end this long; less than Settle
+	List     Ratio = 160  // the source of workers is read this often
 	Resend   Ratio = 60   // a result not yet acknowledged is sent again
 )
 
--- /dev/null
+++ b/internal/charter/mark.go
@@ -0,0 +1,35 @@
+package charter
+
+import (
+	"encoding/json"
+
+	"caperwheel/internal/mishap"
+)
+
+// Mark is what stands at a cell's key. One key holds all that can be said of a
+// cell, so that no daemon sees a cell restored before it sees its workers cold.
+type Mark struct {
+	Only string `json:"only,omitempty"` // empty: the whole cell is emptied
+}
+
+// What a mark may be restricted to.
+const (
+	OnlyWorkers = "workers" // only the workers of the cell get nothing
+	OnlyCold    = "cold"    // restored; the workers count as cold until the list can be trusted again
+)
+
+// ReadMark reads a mark. One that says nothing known empties the whole cell.
+func ReadMark(raw []byte) Mark {
+	var m Mark
+	_ = json.Unmarshal(raw, &m) // an unreadable mark empties the whole cell
+	return m
+}
+
+// Encode gives the mark's JSON.
+func (m Mark) Encode() []byte {
+	raw, err := json.Marshal(m)
+	if err != nil {
+		panic(mishap.Wrap(err, mishap.Internal, "mark"))
+	}
+	return raw
+}
--- a/internal/charter/rules.go
+++ b/internal/charter/rules.go
@@ -12,7 +12,7 @@
 // Keys of the control state.
 const (
 	Key        = "charter"  // the charter document, in the charter part
-	CellKey    = "cell/"    // + cell: emptied when it stands
+	CellKey    = "cell/"    // + cell: emptied when it stands, as its Mark says
 	StoreKey   = "store/"   // + store: retired when it stands
 	WorkersKey = "workers/" // + pool: the platform's live list, in the pool's part
 	DutyKey    = "duty/"    // + pool + "/" + worker: its holder, in the pool's part
@@ -52,8 +52,10 @@
 	Stamp    int64
 	Workers  map[string]map[string]Worker // by pool and name
 	Duties   map[string]map[string]Held
-	Emptied  map[string]bool
-	IsUnread bool // the newest charter cannot be read here: a newer build wrote it
+	Emptied  map[string]bool // whole cells
+	Resting  map[string]bool // cells of which only the workers get nothing
+	Easing   map[string]bool // restored cells whose workers still count as cold
+	IsUnread bool            // the newest charter cannot be read here: a newer build wrote it
 	Retired  map[string]bool
 	Weights  map[string]weight.Weights     // by pool, as published
 	Shares   map[string]map[string]float64 // by lane and pool, as published
@@ -106,7 +108,7 @@
 
 func compose(view *feed.View, old *Scene) *Scene {
 	out := &Scene{Workers: map[string]map[string]Worker{}, Duties: map[string]map[string]Held{},
-		Emptied: map[string]bool{}, Retired: map[string]bool{}, Weights: map[string]weight.Weights{}, Shares: map[string]map[string]float64{},
+		Emptied: map[string]bool{}, Resting: map[string]bool{}, Easing: map[string]bool{}, Retired: map[string]bool{}, Weights: map[string]weight.Weights{}, Shares: map[string]map[string]float64{},
 		Rules: &Rules{Lanes: map[string]Lane{}, Pools: map[string]Pool{}}}
 	if c, isKnown := view.Get(feed.CharterPart, Key); isKnown {
 		out.Stamp = c.Stamp
@@ -119,7 +121,15 @@
 		}
 	}
 	for _, c := range view.Keys(CellKey) {
-		out.Emptied[c.Key[len(CellKey):]] = true
+		cell := c.Key[len(CellKey):]
+		switch ReadMark(c.Value).Only {
+		case OnlyWorkers:
+			out.Resting[cell] = true
+		case OnlyCold:
+			out.Easing[cell] = true
+		default:
+			out.Emptied[cell] = true
+		}
 	}
 	for _, c := range view.Keys(StoreKey) {
 		out.Retired[c.Key[len(StoreKey):]] = true
@@ -140,6 +150,7 @@
 		list, _ := ReadWorkers(c.Value)
 		pool := map[string]Worker{}
 		for _, w := range list.Workers {
+			w.IsCold = w.IsCold || out.Easing[w.Cell]
 			pool[w.Name] = w
 		}
 		out.Workers[c.Key[len(WorkersKey):]] = pool
@@ -176,10 +187,10 @@
 }
 
 // CanServe says whether new work may go to a worker: it is in the live list,
-// live, and its cell is not being emptied.
+// live, and neither its cell nor the workers of its cell are being emptied.
 func (s *Scene) CanServe(pool, worker string) (Worker, bool) {
 	w, isListed := s.Workers[pool][worker]
-	return w, isListed && w.State == "live" && !s.Emptied[w.Cell]
+	return w, isListed && w.State == "live" && !s.Emptied[w.Cell] && !s.Resting[w.Cell]
 }
 
 // IsHolder says whether a life of an adapter holds a worker's duty.
--- a/internal/manager/api.go
+++ b/internal/manager/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,10 +21,10 @@
 		"/v1/charter":                {"GET": m.getCharter, "PUT": m.putCharter, "PATCH": m.patchCharter},
 		"/v1/charter/history":        {"GET": m.getHistory},
 		"/v1/pools/{pool}/workers":   {"GET": m.getWorkers, "PUT": m.putWorkers, "PATCH": m.patchWorkers},
-		"/v1/cells/{cell}/empty":     {"POST": m.mark(charter.CellKey, "cell", false)},
-		"/v1/cells/{cell}/restore":   {"POST": m.mark(charter.CellKey, "cell", true)},
-		"/v1/stores/{store}/retire":  {"POST": m.mark(charter.StoreKey, "store", false)},
-		"/v1/stores/{store}/restore": {"POST": m.mark(charter.StoreKey, "store", true)},
+		"/v1/cells/{cell}/empty":     {"POST": m.postMark("cell", m.empty)},
+		"/v1/cells/{cell}/restore":   {"POST": m.postMark("cell", m.restore)},
+		"/v1/stores/{store}/retire":  {"POST": m.postMark("store", m.retire)},
+		"/v1/stores/{store}/restore": {"POST": m.postMark("store", m.unretire)},
 		"/v1/stores/{store}":         {"GET": m.getStore},
 		"/v1/status":                 {"GET": m.getStatus},
 		"/v1/daemons":                {"GET": m.getDaemons},
@@ -73,16 +74,13 @@
 }
 
 func (m *Manager) getCharter(w http.ResponseWriter, r *http.Request) {
-	c, err := m.pull(r.Context(), feed.CharterPart, charter.Key)
-	if mishap.Is(err, mishap.Unknown) {
-		c, err = wire.Change{Value: []byte("{}")}, nil
-	}
+	doc, stamp, err := m.operators.Charter(r.Context())
 	if err != nil {
 		web.Fail(w, err)
 		return
 	}
-	w.Header().Set("ETag", etag(c.Stamp))
-	web.Answer(w, 200, json.RawMessage(c.Value))
+	w.Header().Set("ETag", etag(stamp))
+	web.Answer(w, 200, json.RawMessage(doc))
 }
 
 func (m *Manager) putCharter(w http.ResponseWriter, r *http.Request) {
@@ -103,50 +101,28 @@
 	m.proposeCharter(w, r, func(base []byte) ([]byte, error) { return charter.Merge(base, body) })
 }
 
-// proposeCharter checks a charter on its base and writes it on that base only.
 func (m *Manager) proposeCharter(w http.ResponseWriter, r *http.Request, make func(base []byte) ([]byte, error)) {
 	stamp, err := stampOf(r)
 	if err != nil {
 		web.Fail(w, err)
 		return
 	}
-	base, err := m.pull(r.Context(), feed.CharterPart, charter.Key)
-	if mishap.Is(err, mishap.Unknown) {
-		base, err = wire.Change{Value: []byte("{}")}, nil
-	}
-	if err != nil {
+	isCheck := r.URL.Query().Get("check") == "true"
+	got, err := m.operators.Propose(r.Context(), Proposal{By: operator(r), OnStamp: stamp, IsCheck: isCheck, Make: make})
+	var known *mishap.Mishap
+	switch {
+	case len(got.Faults) > 0:
+		web.Reject(w, 422, web.Problem{Error: mishap.Invalid, Text: "the charter has faults", More: got.Faults}, 0)
+	case mishap.Is(err, mishap.Conflict) && errors.As(err, &known):
+		web.Reject(w, 412, web.Problem{Error: mishap.Conflict, Text: known.Text}, 0)
+	case err != nil:
 		web.Fail(w, err)
-		return
-	}
-	if base.Stamp != stamp {
-		web.Reject(w, 412, web.Problem{Error: mishap.Conflict, Text: "the charter's stamp is " + strconv.FormatInt(base.Stamp, 10)}, 0)
-		return
-	}
-	doc, err := make(base.Value)
-	if err != nil {
-		web.Fail(w, err)
-		return
-	}
-	if _, faults := charter.Compile(doc); len(faults) > 0 {
-		web.Reject(w, 422, web.Problem{Error: mishap.Invalid, Text: "the charter has faults", More: faults}, 0)
-		return
-	}
-	differences, err := charter.Diff(base.Value, doc)
-	if err != nil {
-		web.Fail(w, err)
-		return
-	}
-	if r.URL.Query().Get("check") == "true" {
-		web.Answer(w, 200, map[string]any{"checked": true, "differences": differences})
-		return
-	}
-	held, err := m.edit(r.Context(), wire.Edit{Part: feed.CharterPart, Key: charter.Key, Value: doc, IfStamp: stamp, By: operator(r)})
-	if err != nil {
-		failEdit(w, err)
-		return
+	case isCheck:
+		web.Answer(w, 200, map[string]any{"checked": true, "differences": got.Differences})
+	default:
+		w.Header().Set("ETag", etag(got.Stamp))
+		web.Answer(w, 200, map[string]any{"stamp": got.Stamp, "differences": got.Differences})
 	}
-	w.Header().Set("ETag", etag(held))
-	web.Answer(w, 200, map[string]any{"stamp": held, "differences": differences})
 }
 
 func (m *Manager) getHistory(w http.ResponseWriter, r *http.Request) {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -19,26 +19,42 @@
 
 // Manager is the daemon.
 type Manager struct {
-	d        *daemon.Daemon
-	scenes   *charter.Scenes
-	registry *session.Registry
-	reach    *reach.Reach
+	d         *daemon.Daemon
+	scenes    *charter.Scenes
+	registry  *session.Registry
+	reach     *reach.Reach
+	operators *Operators
+	source    *Source // nil: operators write the lists
 }
 
-// Run is the manager's main.
-func Run() {
+// Options of a manager: what it meets beside its own interface.
+type Options struct {
+	Source *Source          // tells which workers there are, if given
+	Serve  func(*Operators) // serves another interface of the operators, if given
+}
+
+// Run is the manager's main. options makes the options for the daemon.
+func Run(options func(*daemon.Daemon) Options) {
 	d := daemon.New("manager")
-	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: session.NewRegistry(d.Bounds.Of(beat.Gone))}
+	o := options(d)
+	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: session.NewRegistry(d.Bounds.Of(beat.Gone)), source: o.Source}
+	m.operators = &Operators{m}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d.Link(map[string]transport.Handler{"session": m.onSession, "peer": m.onPeer})
 	m.reach = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PartLink}
 	d.Ready = func() (bool, string) { return d.IsFresh(), string(mishap.Stale) }
 	m.serveApi()
+	if o.Serve != nil {
+		o.Serve(m.operators)
+	}
 	go beat.Every(ctx, d.Bounds.Of(beat.Poll), m.follow)
 	go beat.Every(ctx, d.Bounds.Of(beat.Poll), m.share)
 	go m.controlDuties(ctx)
 	go m.controlWeights(ctx)
+	if m.source != nil {
+		go m.controlLists(ctx)
+	}
 	d.Serve(nil)
 }
 
--- a/internal/manager/status.go
+++ b/internal/manager/status.go
@@ -1,11 +1,9 @@
 package manager
 
 import (
-	"context"
 	"net/http"
 	"slices"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/store"
 	"caperwheel/internal/web"
 	"caperwheel/internal/weight"
@@ -24,6 +22,7 @@
 	Shares  map[string]map[string]float64 `json:"lane_weights,omitempty"` // of lanes with several pools
 	Pools   []StatusPool                  `json:"pools"`
 	Emptied []string                      `json:"emptied_cells"`
+	Resting []string                      `json:"resting_cells,omitempty"` // only their workers
 	Retired []string                      `json:"retired_stores"`
 	Shape   map[string]int64              `json:"shape"`
 }
@@ -82,6 +81,7 @@
 		}
 		out.Pools = append(out.Pools, p)
 	}
+	out.Resting = sorted(scene.Resting)
 	out.Emptied, out.Retired = sorted(scene.Emptied), sorted(scene.Retired)
 	web.Answer(w, 200, out)
 }
@@ -115,19 +115,10 @@
 
 // getStore tells how far a store's retirement has come.
 func (m *Manager) getStore(w http.ResponseWriter, r *http.Request) {
-	name := r.PathValue("store")
-	left, asked, answered := int64(0), 0, 0
-	ctx, cancel := context.WithTimeout(r.Context(), m.d.Bounds.Of(beat.Settle))
-	defer cancel()
-	for _, who := range m.d.Roll.Kind("store") {
-		asked++
-		reply, err := m.d.Node.Peer(wire.PartLink, who.Addr).Call(ctx, &wire.Retire{Store: name})
-		if got, isGot := reply.(*wire.Retired); err == nil && isGot {
-			left += got.Left
-			answered++
-		}
+	got, err := m.operators.Retirement(r.Context(), r.PathValue("store"))
+	if err != nil {
+		web.Fail(w, err)
+		return
 	}
-	_, isHere := m.d.Roll.Find(name)
-	web.Answer(w, 200, map[string]any{"store": name, "here": isHere, "retired": m.scenes.Now().Retired[name],
-		"groups_left": left, "complete": asked == answered, "done": left == 0 && asked == answered && asked > 0})
+	web.Answer(w, 200, got)
 }
--- a/internal/manager/workers.go
+++ b/internal/manager/workers.go
@@ -98,27 +98,42 @@
 	web.Answer(w, 200, map[string]any{"stamp": held, "workers": len(next.Workers)})
 }
 
-// mark sets or clears a mark of the charter part: an emptied cell, a retired
-// store. It needs no base, since doing it twice is doing it once.
-func (m *Manager) mark(prefix, name string, isClear bool) http.HandlerFunc {
+// postMark sets or clears a mark: an emptied cell, a retired store. It needs
+// no base, since doing it twice is doing it once.
+func (m *Manager) postMark(kind string, change func(r *http.Request, subject string) (held int64, isMarked bool, err error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		subject := r.PathValue(name)
-		if len(subject) > 64 {
-			web.Fail(w, mishap.New(mishap.Invalid, "the name is too long"))
-			return
-		}
-		if !isClear && !m.isKnown(name, subject) {
-			web.Fail(w, mishap.New(mishap.Unknown, "no %s %s is here", name, subject))
-			return
-		}
-		held, err := m.edit(r.Context(), wire.Edit{Part: feed.CharterPart, Key: prefix + subject, Value: []byte("{}"),
-			IfStamp: -1, Gone: isClear, By: operator(r)})
+		subject := r.PathValue(kind)
+		held, isMarked, err := change(r, subject)
 		if err != nil {
 			failEdit(w, err)
 			return
 		}
-		web.Answer(w, 200, map[string]any{name: subject, "stamp": held, "marked": !isClear})
+		web.Answer(w, 200, map[string]any{kind: subject, "stamp": held, "marked": isMarked})
+	}
+}
+
+func (m *Manager) empty(r *http.Request, cell string) (int64, bool, error) {
+	only := r.URL.Query().Get("only")
+	if only != "" && only != charter.OnlyWorkers {
+		return 0, false, mishap.New(mishap.Invalid, "only may be workers")
 	}
+	held, err := m.operators.Empty(r.Context(), operator(r), cell, only != "")
+	return held, true, err
+}
+
+func (m *Manager) restore(r *http.Request, cell string) (int64, bool, error) {
+	held, err := m.operators.Restore(r.Context(), operator(r), cell)
+	return held, false, err
+}
+
+func (m *Manager) retire(r *http.Request, store string) (int64, bool, error) {
+	held, err := m.operators.Retire(r.Context(), operator(r), store, 0)
+	return held, true, err
+}
+
+func (m *Manager) unretire(r *http.Request, store string) (int64, bool, error) {
+	held, err := m.operators.Unretire(r.Context(), operator(r), store)
+	return held, false, err
 }
 
 // isKnown keeps a slip of the pen from marking nothing.
