--- /dev/null
+++ b/internal/manager/marks_test.go
@@ -0,0 +1,96 @@
+package manager
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// TestMarks is the table of what stands at a cell's key after operators' calls.
+func TestMarks(t *testing.T) {
+	ctx := context.Background()
+	whole := func(m *Manager) (int64, error) { return m.operators.Empty(ctx, "x", "a", false) }
+	only := func(m *Manager) (int64, error) { return m.operators.Empty(ctx, "x", "a", true) }
+	back := func(m *Manager) (int64, error) { return m.operators.Restore(ctx, "x", "a") }
+	type calls = []func(*Manager) (int64, error)
+	cases := []struct {
+		name      string
+		hasSource bool
+		calls     calls
+		want      string // "" for none
+	}{
+		{"an emptied cell", false, calls{whole}, `{}`},
+		{"only its workers", false, calls{only}, `{"only":"workers"}`},
+		{"a whole cell stays whole", false, calls{whole, only}, `{}`},
+		{"workers, then the whole cell", false, calls{only, whole}, `{}`},
+		{"restored without a source", false, calls{only, back}, ""},
+		{"restored with a source: cold at first", true, calls{only, back}, `{"only":"cold"}`},
+		{"restored twice", true, calls{only, back, back}, `{"only":"cold"}`},
+		{"restored without a mark", true, calls{back}, ""},
+		{"emptied again while cold", true, calls{only, back, only}, `{"only":"workers"}`},
+	}
+	Convey("At a cell's key stands, for", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				m, f := newFake()
+				if c.hasSource {
+					m.source = &Source{}
+				}
+				for _, call := range c.calls {
+					_, err := call(m)
+					So(err, ShouldBeNil)
+				}
+				got, isStanding := f.part(0).Get(charter.CellKey + "a")
+				So(isStanding, ShouldEqual, c.want != "")
+				if isStanding {
+					So(string(got.Value), ShouldEqual, c.want)
+				}
+			})
+		}
+	})
+}
+
+// TestRetire is the table of which stores may be retired.
+func TestRetire(t *testing.T) {
+	cases := []struct {
+		name  string
+		calls []string
+		kind  mishap.Kind
+	}{
+		{"one of four", []string{"s1"}, ""},
+		{"the same again", []string{"s1", "s1"}, ""},
+		{"two of four, for three copies", []string{"s1", "s2"}, mishap.Rejected},
+		{"one that is not here", []string{"s9"}, mishap.Unknown},
+	}
+	Convey("Retiring", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				m, _ := newFake()
+				var err error
+				for _, name := range c.calls {
+					_, err = m.operators.Retire(context.Background(), "x", name, 0)
+				}
+				if c.kind == "" {
+					So(err, ShouldBeNil)
+					return
+				}
+				So(mishap.KindOf(err), ShouldEqual, c.kind)
+			})
+		}
+	})
+	Convey("A retirement is not done while a group has no owner with all copies", t, func() {
+		m, _ := newFake()
+		m.d.Settings.Places = 1
+		So(m.isAllOwned(), ShouldBeFalse)
+		owns := []wire.Owned{{Group: 0, Size: 3}, {Group: 1, Size: 3}}
+		m.registry.Hear(wire.Member{Who: wire.Who{Name: "s1", Kind: "store"}, Owns: owns}, m.d.Now(), true)
+		So(m.isAllOwned(), ShouldBeFalse)
+		m.d.Settings.Places = 0
+		So(m.isAllOwned(), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/internal/manager/operators_test.go
@@ -0,0 +1,190 @@
+package manager
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/reach"
+	"caperwheel/internal/session"
+	"caperwheel/internal/wire"
+)
+
+// fakeParts hold all parts of the control state. lose loses the answer of the
+// next edits; before comes before an edit is taken in.
+type fakeParts struct {
+	mu      sync.Mutex
+	parts   map[int64]*feed.Part
+	lose    int
+	before  func(e *wire.Edit)
+	edits   []wire.Edit
+	view    *feed.View
+	isBlind bool // the view hears nothing
+}
+
+func (f *fakeParts) call(_ context.Context, _ string, ask any) (any, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch a := ask.(type) {
+	case *wire.Pull:
+		c, isStanding := f.part(a.Part).Get(a.Key)
+		if !isStanding {
+			return &wire.Pulled{Kind: string(mishap.Unknown)}, nil
+		}
+		return &wire.Pulled{Change: c}, nil
+	case *wire.Edit:
+		if f.before != nil {
+			before := f.before
+			f.before = nil
+			before(a)
+		}
+		got := f.part(a.Part).Apply(*a)
+		f.edits = append(f.edits, *a)
+		f.show()
+		if f.lose > 0 {
+			f.lose--
+			return nil, mishap.New(mishap.Lost, "session")
+		}
+		return &got, nil
+	}
+	return nil, mishap.New(mishap.Lost, "session")
+}
+
+func (f *fakeParts) show() {
+	if f.isBlind {
+		return
+	}
+	for number, p := range f.parts {
+		news, _ := p.News(number, f.view.Stamp(number))
+		f.view.Take([]wire.PartNews{news}, 0)
+	}
+}
+
+func (f *fakeParts) part(number int64) *feed.Part {
+	if f.parts[number] == nil {
+		f.parts[number] = feed.NewPart()
+	}
+	return f.parts[number]
+}
+
+// newFake makes a manager that knows three stores and meets fake parts.
+func newFake() (*Manager, *fakeParts) {
+	view := feed.NewView(1)
+	f := &fakeParts{parts: map[int64]*feed.Part{}, view: view}
+	d := &daemon.Daemon{Bounds: beat.Bounds{Charter: 20 * time.Second}, Started: time.Now().Add(-time.Hour), View: view,
+		Roll: session.NewRoll(), Who: wire.Who{Name: "m1", Kind: "manager"}}
+	d.Settings.Parts, d.Settings.Founders = 1, 3
+	members := []wire.Member{{Who: d.Who}}
+	for i := range 4 {
+		members = append(members, wire.Member{Who: wire.Who{Name: "s" + strconv.Itoa(i+1), Kind: "store", Cell: "a"}})
+	}
+	d.Roll.Take("x", members)
+	m := &Manager{d: d, scenes: &charter.Scenes{View: view}, registry: session.NewRegistry(time.Hour)}
+	for _, member := range members {
+		m.registry.Hear(member, d.Now(), true)
+	}
+	// All was confirmed a moment ago.
+	for part := range int64(2) {
+		view.Take([]wire.PartNews{{Part: part}}, d.Now())
+	}
+	m.reach = &reach.Reach{Roll: d.Roll, Bounds: d.Bounds, Call: f.call}
+	m.operators = &Operators{m}
+	return m, f
+}
+
+func versioned(version int, note string) func([]byte) ([]byte, error) {
+	return func([]byte) ([]byte, error) {
+		return []byte(`{"note":"` + note + `","version":` + strconv.Itoa(version) + `}`), nil
+	}
+}
+
+// TestPropose is the table of what becomes of proposals, one after another.
+func TestPropose(t *testing.T) {
+	type step struct {
+		digest       string
+		on, version  int
+		kind         mishap.Kind
+		lose         int
+		isOvertaken  bool // another edit comes first
+		isBuiltUpon  bool // its answer is lost, and another edit comes on top of it
+		wantsVersion int64
+	}
+	cases := []struct {
+		name  string
+		steps []step
+	}{
+		{"the first one is taken", []step{{digest: "a", version: 3, wantsVersion: 3}}},
+		{"a repeat is taken once", []step{{digest: "a", version: 3, wantsVersion: 3}, {digest: "a", version: 3, wantsVersion: 3}}},
+		{"a repeat after a newer one answers as taken", []step{{digest: "a", version: 3, wantsVersion: 3},
+			{digest: "b", on: 3, version: 4, wantsVersion: 4}, {digest: "a", version: 3, wantsVersion: 4}}},
+		{"one on an older version is not", []step{{digest: "a", version: 3, wantsVersion: 3},
+			{digest: "c", version: 9, kind: mishap.Conflict, wantsVersion: 3}}},
+		{"one on a version that never was is not", []step{{digest: "a", on: 2, version: 3, kind: mishap.Conflict}}},
+		{"one whose version is not higher is not", []step{{digest: "a", version: 3, wantsVersion: 3},
+			{digest: "b", on: 3, version: 3, kind: mishap.Invalid, wantsVersion: 3}}},
+		{"one with faults is not", []step{{digest: "a", version: 0, kind: mishap.Invalid}}},
+		{"one whose answer is lost is found taken", []step{{digest: "a", version: 3, lose: 1, wantsVersion: 3}}},
+		{"one that another overtakes is not", []step{{digest: "a", version: 3, isOvertaken: true, kind: mishap.Conflict, wantsVersion: 8}}},
+		{"one whose answer is lost under a newer one is found taken", []step{{digest: "a", version: 3, isBuiltUpon: true, wantsVersion: 9}}},
+	}
+	Convey("Of proposals", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				m, f := newFake()
+				for _, s := range c.steps {
+					f.lose = s.lose
+					if s.isOvertaken {
+						f.before = func(e *wire.Edit) { f.part(0).Apply(wire.Edit{Key: charter.Key, Value: []byte(`{"version":8}`)}) }
+					}
+					if s.isBuiltUpon {
+						f.before = func(e *wire.Edit) {
+							held := f.part(0).Apply(*e)
+							next, _ := charter.WithEdit([]byte(`{"version":9}`), e.Value, "z")
+							f.part(0).Apply(wire.Edit{Key: charter.Key, Value: next, IfStamp: held.Stamp})
+						}
+					}
+					_, err := m.operators.Propose(context.Background(), Proposal{By: "x", Digest: s.digest, OnVersion: int64(s.on),
+						IsOnVersion: true, Make: versioned(s.version, "")})
+					if s.kind == "" {
+						So(err, ShouldBeNil)
+					} else {
+						So(mishap.KindOf(err), ShouldEqual, s.kind)
+					}
+					doc, _, err := m.operators.Charter(context.Background())
+					So(err, ShouldBeNil)
+					So(charter.VersionOf(doc), ShouldEqual, s.wantsVersion)
+				}
+			})
+		}
+		Convey("two at once on one base have one winner", func() {
+			m, _ := newFake()
+			var group sync.WaitGroup
+			kinds := make([]error, 8)
+			for i := range kinds {
+				group.Go(func() {
+					_, kinds[i] = m.operators.Propose(context.Background(), Proposal{By: "x", Digest: strconv.Itoa(i), IsOnVersion: true,
+						Make: versioned(i+1, "")})
+				})
+			}
+			group.Wait()
+			won := 0
+			for _, err := range kinds {
+				if err == nil {
+					won++
+				} else {
+					So(mishap.KindOf(err), ShouldEqual, mishap.Conflict)
+				}
+			}
+			So(won, ShouldEqual, 1)
+		})
+	})
+}
