--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -25,7 +25,7 @@
 	d.CanRead = scenes.CanRead
 	workers := deliver.Own
 	if source != nil {
-		workers = platform.Workers
+		workers = platform.Deliveries
 	}
 	out := deliver.New(ctx, d, scenes, workers)
 	d.Link(map[string]transport.Handler{"run": out.Serve})
--- a/cmd/manager/main.go
+++ b/cmd/manager/main.go
@@ -3,8 +3,23 @@
 package main
 
 import (
+	"caperwheel/internal/daemon"
 	"caperwheel/internal/manager"
 	"caperwheel/platform"
 )
 
-func main() { manager.Run(platform.Settings("manager")) }
+func main() {
+	source := platform.Settings("manager")
+	manager.Run(source, func(d *daemon.Daemon) manager.Options {
+		if source == nil {
+			return manager.Options{}
+		}
+		list := platform.ListOptions{Address: func() string { return d.Live().List }, Bound: d.Settings.ListLag.Duration}
+		return manager.Options{
+			Source: &manager.Source{Workers: platform.Workers(list), Lag: d.Settings.ListLag.Duration},
+			Serve: func(ops *manager.Operators) {
+				platform.ServeOperators(d.OperatorsMux, ops, d.Settings.Keep.Duration)
+			},
+		}
+	})
+}
--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -42,6 +42,7 @@
 	Look     Ratio = 300  // an owner keeps who waits for a message's end this long; less than Settle
 	Reread   Ratio = 500  // the settings file is looked at this often
 	Silent   Ratio = 330  // a connection that was idle this long is probed, and again after as long; at least 1 s
+	List     Ratio = 160  // the source of workers is read this often
 	Resend   Ratio = 60   // a result not yet acknowledged is sent again
 )
 
