Store: threads beside a sync, so that takes go on while the disk works

Cause: on one processor the goroutine in fsync held the only P until the runtime's monitor took it back, up to 10 ms; every take and run waited. Ruled out: processor time (0.1 of 0.8 cores), the flush beat. Change: GOMAXPROCS of at least 3 in the store.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -50,6 +50,7 @@
 
 // Run is the store's main; a source gives its settings another way.
 func Run(source *settings.Source) {
+	widen()
 	d := daemon.New("store", source)
 	s := &Store{d: d, scenes: &charter.Scenes{View: d.View}, hosts: map[int64]*host.Host{},
 		places: map[int64]*PlaceHost{}, parts: map[int64]*PartHost{}}
