--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -23,11 +23,14 @@
 // Ratios to the charter bound. Invariant: Fresh + Poll*3 stays below 1000, so
 // a daemon that hears nothing stops before the bound has passed.
 const (
-	Fresh    Ratio = 750  // a view older than this stops its daemon
-	Poll     Ratio = 40   // one hop of the feed asks this often
+	Fresh    Ratio = 700  // a view older than this stops its daemon
+	Poll     Ratio = 80   // one hop of the feed asks this often
 	Vote     Ratio = 250  // least silence before a replica stands for owner
 	VoteSpan Ratio = 250  // random spread added to Vote
 	Pulse    Ratio = 40   // an owner's heartbeat
+	Tick     Ratio = 10   // how finely a replica and its place look at the time
+	Draw     Ratio = 10   // a store looks this often for slots that it could not have at once
+	Serve    Ratio = 5    // a duty's holder looks this often for slots that have come free with time
 	Term     Ratio = 230  // an owner serves reads this long after a confirmed pulse
 	Gone     Ratio = 700  // a daemon silent this long has lost its session
 	Idle     Ratio = 150  // an idle transport session sends an empty frame
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -99,10 +99,7 @@
 
 // Run does the periodic work until ctx ends.
 func (a *Adapter) Run(ctx context.Context) {
-	beat.Every(ctx, a.d.Bounds.Of(beat.Pulse)/24, func() {
-		a.slots.serve()
-		a.book.Tidy(a.d.Now(), 20*a.d.Bounds.Charter)
-	})
+	beat.Every(ctx, a.d.Bounds.Of(beat.Vote), func() { a.book.Tidy(a.d.Now(), 20*a.d.Bounds.Charter) })
 }
 
 // Say adds to what the adapter tells of itself in its session.
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -23,6 +23,8 @@
 	next    int64 // drawn at random, so that no permit of an earlier life is taken for one of this
 	workers map[string]*held
 	permits map[int64]*permit
+	isSoon  bool // serve is going to be called soon, for asks
+	isOnce  bool // serve is going to be called in time, for permits that lapse
 }
 
 type held struct {
@@ -114,6 +116,7 @@
 		answer(busy(wait))
 	default:
 		h.asks = append(h.asks, ask{now + hold, answer})
+		s.arm(true)
 	}
 }
 
@@ -124,9 +127,22 @@
 func (s *slots) grant(key string, w *Worker, now time.Duration) *wire.Grant {
 	s.next++
 	s.permits[s.next] = &permit{key, w, now + s.a.d.Bounds.Of(beat.Permit)}
+	s.arm(false)
 	return &wire.Grant{Permit: s.next}
 }
 
+// arm has serve called for as long as something waits. Called with mu held.
+func (s *slots) arm(isAsk bool) {
+	switch {
+	case isAsk && !s.isSoon:
+		s.isSoon = true
+		time.AfterFunc(s.a.d.Bounds.Of(beat.Serve), s.serve)
+	case !isAsk && !s.isOnce:
+		s.isOnce = true
+		time.AfterFunc(s.a.d.Bounds.Of(beat.Permit)/2, s.serve)
+	}
+}
+
 // serve answers waiting asks as slots come free, and takes lapsed permits back.
 func (s *slots) serve() {
 	s.mu.Lock()
@@ -141,6 +157,15 @@
 	for key, h := range s.workers {
 		s.answerAsks(key, h, now)
 	}
+	s.isSoon, s.isOnce = false, false
+	for _, h := range s.workers {
+		if len(h.asks) > 0 {
+			s.arm(true)
+		}
+	}
+	if len(s.permits) > 0 {
+		s.arm(false)
+	}
 }
 
 func (s *slots) answerAsks(key string, h *held, now time.Duration) {
--- a/internal/group/append.go
+++ b/internal/group/append.go
@@ -25,7 +25,8 @@
 
 // pulse opens a new round: replies to it confirm that the owner still is one.
 func (g *Group) pulse(now time.Duration, out *Out) {
-	g.pulseAt = now + g.opts.Bounds.Of(beat.Pulse)
+	period := g.opts.Bounds.Of(beat.Pulse) // all groups of a store pulse together
+	g.pulseAt = now - now%period + period
 	g.round++
 	g.rounds = append(g.rounds, roundAt{g.round, now})
 	if len(g.rounds) > 64 {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -112,7 +112,11 @@
 
 // Run works until ctx ends.
 func (h *Host) Run(ctx context.Context) {
-	ticker := time.NewTicker(h.opts.Bounds.Of(beat.Pulse) / 6)
+	// All groups of a store tick at the same moments, so that one waking serves
+	// them and what they say to a store leaves in one batch.
+	period := h.opts.Bounds.Of(beat.Tick)
+	beat.Wait(ctx, period-h.opts.Now()%period)
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
@@ -145,21 +149,6 @@
 	h.beat()
 }
 
-// Pump does all that waits, for the simulation.
-func (h *Host) Pump() {
-	for {
-		select {
-		case work := <-h.ring:
-			work()
-			continue
-		default:
-		}
-		if !h.takeSynced() {
-			return
-		}
-	}
-}
-
 // Do has work done on the host's goroutine; a full ring is a definite reject.
 func (h *Host) Do(work func()) error {
 	select {
--- a/internal/host/upkeep.go
+++ b/internal/host/upkeep.go
@@ -60,3 +60,18 @@
 	rosters.Inc()
 	h.do(out)
 }
+
+// Pump does all that waits, for the simulation.
+func (h *Host) Pump() {
+	for {
+		select {
+		case work := <-h.ring:
+			work()
+			continue
+		default:
+		}
+		if !h.takeSynced() {
+			return
+		}
+	}
+}
--- a/internal/manager/marks.go
+++ b/internal/manager/marks.go
@@ -139,7 +139,7 @@
 }
 
 // copies is how many stores hold each group.
-func (m *Manager) copies() int { return min(3, max(1, m.d.Settings.Founders)) }
+func (m *Manager) copies() int { return m.d.Settings.Replicas() }
 
 // staying counts the stores that are here and not retired, without one.
 func (m *Manager) staying(without string) int {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,6 +83,14 @@
 // Bounds gives the bounds that constants are ratios of.
 func (s Settings) Bounds() beat.Bounds { return beat.Bounds{Charter: s.Bound.Duration} }
 
+// Replicas is how many a group should have.
+func (s Settings) Replicas() int {
+	if s.Copies > 0 {
+		return s.Copies
+	}
+	return s.Founders
+}
+
 // Shape must be the same on all daemons of a deployment.
 func (s Settings) Shape() string { return fmt.Sprintf("places=%d parts=%d", s.Places, s.Parts) }
 
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -62,7 +62,7 @@
 }
 
 func (d *dispatcher) run(ctx context.Context) {
-	ticker := time.NewTicker(d.s.d.Bounds.Of(beat.Pulse) / 12)
+	ticker := time.NewTicker(d.s.d.Bounds.Of(beat.Draw))
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -110,12 +110,7 @@
 }
 
 // copies is how many replicas a group should have.
-func (s *Store) copies() int {
-	if s.d.Settings.Copies > 0 {
-		return s.d.Settings.Copies
-	}
-	return s.d.Settings.Founders
-}
+func (s *Store) copies() int { return s.d.Settings.Replicas() }
 
 // retired tells in how many groups held here a store still stands.
 func (s *Store) retired(name string) *wire.Retired {
--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -142,10 +142,13 @@
 func (o *outbox) write() {
 	idle := time.NewTicker(o.opts.Bounds.Of(idleRatio))
 	defer idle.Stop()
+	isIdle := true
 	for {
+		isBeat := false
 		select {
 		case <-o.nudge:
 		case <-idle.C:
+			isBeat = true
 		case <-o.done:
 			return
 		}
@@ -153,6 +156,13 @@
 		frames := o.ready
 		o.ready = nil
 		o.mu.Unlock()
+		if wasIdle := isIdle; isBeat && len(frames) == 0 {
+			if isIdle = true; !wasIdle { // something was sent since the last beat
+				continue
+			}
+		} else {
+			isIdle = false
+		}
 		if len(frames) == 0 {
 			frames = []frame{{raw: make([]byte, headSize+4)}}
 		}
