--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,6 +61,7 @@
 // New reads the settings, from the source if there is one, and opens the HTTP
 // ports. A mishap ends the process with exit code 2 (settings) or 1.
 func New(kind string, source *settings.Source) *Daemon {
+	signal.Ignore(syscall.SIGPIPE, syscall.SIGHUP) // a closed socket is an error like others; SIGHUP waits for Watch
 	s, err := settings.Load(kind, os.Args[1:], source)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -78,7 +79,6 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(s.Memory * memoryShare / 100)
 	}
-	signal.Ignore(syscall.SIGPIPE) // a write to a closed socket is an error like others
 	d.listener, d.Front, d.Probe, d.Operators = d.listen(s.Http), d.listen(s.Front), d.listen(s.Probe), d.listen(s.Operators)
 	d.Who = wire.Who{Name: s.Name, Kind: kind, Boot: Random(8), Cell: s.Cell, Addr: s.Advertise, Http: d.listener.Addr().String()}
 	began := make(chan struct{})
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -39,6 +39,20 @@
 		{"a name that rosters could not hold", good, []string{"--name=a/b"}, "name: must be given, without"},
 		{"an address that nobody can reach", good, []string{"--advertise=0.0.0.0:1000"}, "advertise: must be an address"},
 		{"a window below the batch", good, []string{"--window=3"}, "window: must be at least batch"},
+		{"a bool", good[:len(good)-1] + `,"founds":false}`, nil, ""},
+		{"a bool as a flag", good, []string{"--founds=false"}, ""},
+		{"a bool in quotes", `{"founds":"false"}`, nil, "founds: is of the wrong kind"},
+		{"six copies", good, []string{"--copies=6"}, "copies: must be from 0 to 5"},
+		{"a host name to probe", good, []string{"--probe=here:1"}, "probe: must be an IP number and a port"},
+		{"no port for callers", good, []string{"--front=127.0.0.1"}, "front: must be"},
+		{"operators out of range", good, []string{"--operators=127.0.0.1:99999"}, "operators: must have a port"},
+		{"a list of no address", good, []string{"--list=/file"}, "list: must be"},
+		{"a rate below nothing", good, []string{"--list_rate=-1"}, "list_rate: must not be below 0"},
+		{"a lag below nothing", good, []string{"--list_lag=-1s"}, "list_lag: must not be below 0"},
+		{"a memory below nothing", good, []string{"--memory=-1"}, "memory: must not be below 0"},
+		{"an end answered for less than nothing", good, []string{"--keep=-1s"}, "keep: must not be below 0"},
+		{"lingering until killed", good, []string{"--grace=2s", "--linger=2s"}, "linger: must be below grace"},
+		{"lingering past twice the bound", good, []string{"--linger=7s"}, "linger: must be below grace"},
 		{"an unknown flag", good, []string{"--nmae=x"}, "nmae"},
 	}
 	Convey("Settings from", t, func() {
@@ -81,6 +95,9 @@
 	}{
 		{"another verbosity is used", good[:len(good)-1] + `,"verbosity":3}`, true},
 		{"another cell is refused", good[:len(good)-1] + `,"cell":"z"}`, false},
+		{"other seeds and another list are used", strings.Replace(good, ":1002", ":1003", 1)[:len(good)-1] + `,"verbosity":3,"list":"127.0.0.1:7"}`, true},
+		{"founding is of no use any more", good[:len(good)-1] + `,"verbosity":3,"founds":false}`, true},
+		{"another seed with another cell is refused", strings.Replace(good, ":1002", ":1003", 1)[:len(good)-1] + `,"verbosity":3,"cell":"z"}`, false},
 		{"half a file is refused", good[:30], false},
 		{"a value out of range is refused", good[:len(good)-1] + `,"verbosity":9}`, false},
 	}
@@ -95,7 +112,53 @@
 				So(err == nil, ShouldEqual, c.isUsed)
 				So(next.Verbosity == 3, ShouldEqual, c.isUsed)
 				So(next.Cell, ShouldEqual, "a")
+				So(next.Founds, ShouldBeTrue)
+				isOther := strings.Contains(c.text, ":1003")
+				So(next.Seeds[0] == "127.0.0.1:1003", ShouldEqual, c.isUsed && isOther)
 			})
 		}
 	})
 }
+
+// TestSource: a file of another make is read through its source, at the start
+// and again, unless a flag names a settings file.
+func TestSource(t *testing.T) {
+	Convey("Given a file of another make", t, func() {
+		file := write(t, "cell=a")
+		source := &Source{File: file, Read: func(raw []byte) ([]byte, error) {
+			cell, isOne := strings.CutPrefix(string(raw), "cell=")
+			if !isOne {
+				return nil, mishap.New(mishap.Invalid, "no cell")
+			}
+			return []byte(strings.Replace(good, `"cell":"a"`, `"cell":"`+cell+`"`, 1)), nil
+		}}
+		s, err := Load("store", []string{"--verbosity=2"}, source)
+		So(err, ShouldBeNil)
+		So(s.Cell+s.File, ShouldEqual, "a"+file)
+		So(s.Verbosity, ShouldEqual, 2)
+		Convey("it is read again in the same way", func() {
+			So(os.WriteFile(file, []byte("cell=b"), 0o600), ShouldBeNil)
+			_, err := Reread("store", s)
+			So(mishap.Is(err, mishap.Rejected), ShouldBeTrue)
+			So(os.WriteFile(file, []byte("nothing"), 0o600), ShouldBeNil)
+			_, err = Reread("store", s)
+			So(err.Error(), ShouldContainSubstring, "no cell")
+		})
+		Convey("a flag that names a file goes before it", func() {
+			s, err := Load("store", []string{"--settings", write(t, strings.Replace(good, `"a"`, `"c"`, 1))}, source)
+			So(err, ShouldBeNil)
+			So(s.Cell, ShouldEqual, "c")
+		})
+	})
+}
+
+func TestSparse(t *testing.T) {
+	Convey("A sparse text has what differs from the defaults, and reads the same", t, func() {
+		s, err := Load("store", []string{"--settings", write(t, good)}, nil)
+		So(err, ShouldBeNil)
+		So(string(s.Sparse()), ShouldNotContainSubstring, "founds")
+		again, err := Load("store", []string{"--settings", write(t, string(s.Sparse()))}, nil)
+		So(err, ShouldBeNil)
+		So(string(again.text()), ShouldEqual, string(s.text()))
+	})
+}
--- /dev/null
+++ b/internal/store/found_test.go
@@ -0,0 +1,49 @@
+package store
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/settings"
+	"caperwheel/internal/slot"
+	"caperwheel/internal/wire"
+)
+
+// TestBallotsOfJoiners: a blank store that may only join takes no part in
+// founding, also after a restart; one that may has its say.
+func TestBallotsOfJoiners(t *testing.T) {
+	cases := []struct {
+		name           string
+		first, second  bool // may it found, when its folder is begun and when it is opened again
+		isOk, isJoiner bool
+	}{
+		{"one of a first start votes", true, true, true, false},
+		{"one of a first start votes, though restarted", true, false, true, false},
+		{"one that only joins does not", false, false, false, true},
+		{"one that only joins does not, whatever it is told later", false, true, false, true},
+	}
+	Convey("Of blank stores,", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				folder, err := slot.OpenFolder(t.TempDir())
+				So(err, ShouldBeNil)
+				var f *founder
+				for _, mayFound := range []bool{c.first, c.second} {
+					d := &daemon.Daemon{Settings: settings.Settings{Name: "s", Founds: mayFound}}
+					f, err = newFounder(d, folder, func() {})
+					So(err, ShouldBeNil)
+				}
+				look := f.onBallot(&wire.Ballot{Step: "look"})
+				So(look.Ok, ShouldBeTrue)
+				So(look.Number == joinsOnly, ShouldEqual, c.isJoiner)
+				for _, step := range []string{"promise", "accept", "found"} {
+					ack := f.onBallot(&wire.Ballot{Step: step, Number: 1, Cluster: "c", Roster: []string{"s/1"}})
+					So(ack.Ok, ShouldEqual, c.isOk)
+				}
+				So(f.snapshot().Founded, ShouldEqual, c.isOk)
+			})
+		}
+	})
+}
