--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -36,6 +36,7 @@
 }
 
 type arguments struct {
+	Up      *upCommand      `arg:"subcommand:up" help:"start a small deployment and let it serve until Ctrl-C"`
 	Backend *backendCommand `arg:"subcommand:backend" help:"run one stand-in worker"`
 	Bench   *benchCommand   `arg:"subcommand:bench" help:"measure the transport alone"`
 	Sweep   *sweepCommand   `arg:"subcommand:sweep" help:"simulate many seeds with mixed faults"`
@@ -47,6 +48,8 @@
 	parser := arg.MustParse(&args)
 	var err error
 	switch {
+	case args.Up != nil:
+		err = up(args.Up)
 	case args.Run != nil:
 		err = run(args.Run)
 	case args.Backend != nil:
--- /dev/null
+++ b/cmd/fleet/up.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"caperwheel/internal/fleet"
+	"caperwheel/internal/mishap"
+)
+
+type upCommand struct {
+	Charter string `arg:"--charter,required" help:"charter file; the plan lies beside it as NAME.fleet.json"`
+	Root    string `arg:"--root" default:"." help:"root of the sources, for building"`
+	Bin     string `arg:"--bin" help:"folder with built programs; built if not given"`
+}
+
+// up starts a deployment and lets it serve until a signal comes.
+func up(a *upCommand) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	plan, doc, err := fleet.ReadPlan(a.Charter)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "fleet-")
+	if err != nil {
+		return mishap.Wrap(err, mishap.Internal, "temporary folder")
+	}
+	defer os.RemoveAll(dir)
+	if a.Bin == "" {
+		a.Bin = filepath.Join(dir, "bin")
+		if err := fleet.Build(ctx, a.Root, a.Bin, false); err != nil {
+			return err
+		}
+	}
+	f, err := fleet.New(plan, doc, a.Bin, "", dir)
+	if err != nil {
+		return err
+	}
+	defer f.Down()
+	upCtx, cancelUp := context.WithTimeout(ctx, time.Minute)
+	defer cancelUp()
+	if err := f.Up(upCtx); err != nil {
+		return err
+	}
+	fmt.Printf("%d daemons serve; logs and data are in %s until the end.\n", len(f.All()), dir)
+	for _, p := range f.Adapters {
+		fmt.Printf("messages: http://%s/v1/lanes/LANE/messages\n", p.Http)
+	}
+	for _, p := range f.Managers {
+		fmt.Printf("operators: http://%s (caperwheel --manager)\n", p.Http)
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/verdict/judge.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"caperwheel/internal/mishap"
+)
+
+const module = "caperwheel/"
+
+// red is a test that is known to fail.
+type red struct{ test, cause, issue string }
+
+// readKnown reads a line for each red test: test, cause, issue.
+func readKnown(text string, isThere bool) ([]red, error) {
+	known := []red{}
+	for line := range strings.Lines(text) {
+		first, rest, _ := strings.Cut(strings.TrimSpace(line), ",")
+		at := strings.LastIndex(rest, ",")
+		if at < 0 || first == "" || strings.TrimSpace(rest[:at]) == "" || strings.TrimSpace(rest[at+1:]) == "" {
+			return nil, mishap.New(mishap.Invalid, "%s: %q is not: test, cause, issue", knownFile, strings.TrimSpace(line))
+		}
+		known = append(known, red{first, strings.TrimSpace(rest[:at]), strings.TrimSpace(rest[at+1:])})
+	}
+	if isThere && len(known) == 0 {
+		return nil, mishap.New(mishap.Invalid, "%s lists nothing; remove it", knownFile)
+	}
+	return known, nil
+}
+
+// tested is what came of a package. A package whose tests all ran says FAIL or
+// PASS itself; one that panicked says neither.
+type tested struct {
+	result, said string
+	tests        map[string]string   // the result of each test, none while it runs
+	output       map[string][]string // of each test, its parts included
+}
+
+type event struct{ Action, Package, Test, Output string }
+
+// judge hears what go test -json tells.
+type judge struct {
+	known    []red
+	print    func(text string)
+	packages map[string]*tested
+}
+
+func (j *judge) hear(line string) {
+	var e event
+	if json.Unmarshal([]byte(line), &e) != nil || e.Package == "" {
+		if text := e.Output; text != "" { // of the build
+			j.print(text)
+		} else if line != "" && e.Action == "" {
+			j.print(line + "\n")
+		}
+		return
+	}
+	p := j.packages[e.Package]
+	if p == nil {
+		p = &tested{tests: map[string]string{}, output: map[string][]string{}}
+		j.packages[e.Package] = p
+	}
+	test, _, isPart := strings.Cut(e.Test, "/")
+	isEnd := slices.Contains([]string{"pass", "fail", "skip"}, e.Action)
+	switch {
+	case e.Action == "output" && test == "":
+		if text := strings.TrimSpace(e.Output); text == "PASS" || text == "FAIL" {
+			p.said = text
+		} else {
+			j.print(e.Output)
+		}
+	case e.Action == "output":
+		p.output[test] = append(p.output[test], e.Output)
+	case test == "" && isEnd:
+		p.result = e.Action
+	case e.Action == "run" && !isPart:
+		p.tests[test] = ""
+	case isEnd && !isPart:
+		p.tests[test] = e.Action
+		if e.Action == "fail" {
+			j.print(strings.Join(p.output[test], ""))
+		}
+		delete(p.output, test)
+	}
+}
+
+// end tells all that speaks against the whole.
+func (j *judge) end(isFine bool) (faults []string) {
+	excused := map[string]bool{}
+	for _, k := range j.known {
+		at := strings.LastIndex(k.test, "/")
+		p := j.packages[module+k.test[:max(at, 0)]]
+		result, isThere := "", false
+		if p != nil {
+			result, isThere = p.tests[k.test[at+1:]]
+		}
+		switch {
+		case !isThere:
+			faults = append(faults, "known to be red, but there is no such test: "+k.test)
+		case result != "fail":
+			faults = append(faults, "known to be red, but it does not fail: "+k.test)
+		default:
+			excused[module+k.test] = true
+			j.print(fmt.Sprintf("known to be red: %s: %s (%s)\n", k.test, k.cause, k.issue))
+		}
+	}
+	hasFailed := false
+	for _, name := range slices.Sorted(maps.Keys(j.packages)) {
+		p := j.packages[name]
+		hasFailed = hasFailed || p.result == "fail"
+		isExplained := p.result == "fail" && p.said == "FAIL" // by tests that are known
+		for _, test := range slices.Sorted(maps.Keys(p.tests)) {
+			switch result := p.tests[test]; {
+			case result == "fail" && !excused[name+"/"+test]:
+				faults = append(faults, "failed: "+name+"/"+test)
+			case result == "":
+				faults = append(faults, "never ended: "+name+"/"+test)
+				j.print(strings.Join(p.output[test], ""))
+			}
+		}
+		if p.result != "pass" && p.result != "skip" && !isExplained {
+			faults = append(faults, "failed as a whole: "+name)
+		}
+	}
+	if len(j.packages) == 0 || !isFine && !hasFailed {
+		faults = append(faults, "the tests could not be run")
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/verdict/main.go
@@ -0,0 +1,63 @@
+// Command verdict runs the tests and gives one verdict. A test that is listed
+// in KNOWN-RED.txt is passed over, but only while it fails.
+//
+//	verdict go test -json ./...
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+
+	"caperwheel/internal/mishap"
+)
+
+const knownFile = "KNOWN-RED.txt"
+
+func main() {
+	faults, err := run(os.Args[1:])
+	if err != nil {
+		faults = append(faults, err.Error())
+	}
+	for _, fault := range faults {
+		fmt.Println("verdict: " + fault)
+	}
+	if len(faults) > 0 {
+		os.Exit(1)
+	}
+}
+
+func run(command []string) ([]string, error) {
+	raw, err := os.ReadFile(knownFile)
+	if err != nil && !os.IsNotExist(err) {
+		return nil, mishap.Wrap(err, mishap.Invalid, "read %s", knownFile)
+	}
+	known, err := readKnown(string(raw), err == nil)
+	if err != nil {
+		return nil, err
+	}
+	if len(command) == 0 {
+		return nil, mishap.New(mishap.Missing, "no command to run")
+	}
+	tests := exec.Command(command[0], command[1:]...)
+	tests.Stderr = os.Stderr
+	out, err := tests.StdoutPipe()
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.Internal, "tests")
+	}
+	if err := tests.Start(); err != nil {
+		return nil, mishap.Wrap(err, mishap.Invalid, "tests")
+	}
+	j := &judge{known: known, print: func(text string) { fmt.Print(text) }, packages: map[string]*tested{}}
+	lines := bufio.NewReader(out)
+	for {
+		line, err := lines.ReadString('\n')
+		j.hear(strings.TrimSpace(line))
+		if err != nil {
+			break
+		}
+	}
+	return j.end(tests.Wait() == nil), nil
+}
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # The project's test command: format, vet, file length, tests with the race
-# detector. Fixed seeds; the same verdict every time.
+# detector. Fixed seeds; the same verdict every time. Arguments, if any, are the
+# packages to test.
 set -eu
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l cmd internal platform)
@@ -8,4 +9,4 @@
 long=$(find . -name '*.go' -not -path './.git/*' -exec awk 'END { if (NR > 250) print FILENAME ": " NR " lines" }' {} \;)
 if [ -n "$long" ]; then echo "over 250 lines: $long"; exit 1; fi
 go vet ./...
-exec go test -race -count=1 ./...
+exec go run ./internal/verdict go test -json -race -count=1 "${@:-./...}"
