Place time goes on while commands are committed; links are opened before they are needed

Ruled out: slots, body sizes, intake. The first ask on each link waited a poll beat for its connection. Tests: TestPlaceTime, seen to fail before.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -155,6 +155,9 @@
 // Run moves the weights of the stores until ctx ends.
 func (in *Intake) Run(ctx context.Context) {
 	beat.Every(ctx, in.d.Bounds.Of(beat.Vote), func() {
+		for _, who := range in.d.Roll.Kind("store") {
+			in.d.Node.Peer(wire.PlaceLink, who.Addr).Warm()
+		}
 		in.peers.Turn(func(name string) bool { _, isHere := in.d.Roll.Find(name); return isHere })
 	})
 }
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -214,3 +215,26 @@
 		})
 	})
 }
+
+// TestPlaceTime: a command takes time to be committed; place time once stood
+// still meanwhile, and delays ran late by a quarter on a busy place.
+func TestPlaceTime(t *testing.T) {
+	Convey("Place time goes on while commands are committed", t, func() {
+		b := newBench()
+		began := b.place.now()
+		for i := range 100 {
+			b.place.Take(&wire.Take{Id: fmt.Sprintf("0-%d", i), Lane: "l", Cutoff: 600_000}, func(any) {})
+			b.now += 10 * time.Millisecond
+			b.commit(true)
+		}
+		So(b.place.now()-began, ShouldEqual, 1000)
+	})
+	Convey("It never goes back, also when another replica's command is behind", t, func() {
+		b := newBench()
+		b.now += time.Second
+		b.place.Apply(place.Command{Kind: place.CmdTrim, At: 5}.Encode())
+		So(b.place.now(), ShouldBeGreaterThanOrEqualTo, 1000)
+		b.place.Apply(place.Command{Kind: place.CmdTrim, At: 90_000}.Encode())
+		So(b.place.now(), ShouldEqual, 90_000)
+	})
+}
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -24,7 +24,7 @@
 	number  int64
 	host    Hosting
 	machine *place.Machine
-	clockAt time.Duration // when the machine's clock last moved, by our own
+	clockAt time.Duration // when, by our own clock, it was the machine's clock
 	inHand  map[string]inHand
 	asking  map[string]time.Duration
 	lostAt  map[string]time.Duration
@@ -65,11 +65,9 @@
 		p.around.Fail(err) // a replica that cannot follow must stop, not guess
 		return nil
 	}
-	was := p.machine.Clock()
+	was := p.now()
 	v := p.machine.Apply(c)
-	if p.machine.Clock() != was {
-		p.clockAt = p.around.Now()
-	}
+	p.clockAt = p.around.Now() - max(0, time.Duration(was-p.machine.Clock())*time.Millisecond)
 	if len(p.onlookers[c.Id]) > 0 && v.State.IsOver() {
 		p.tellOnlookers(func(id string, _ onlooker) bool { return id == c.Id })
 	}
--- a/internal/store/upkeep.go
+++ b/internal/store/upkeep.go
@@ -13,12 +13,16 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
 	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
 )
 
 // upkeep founds, watches the disk, and keeps the log short.
 func (s *Store) upkeep(ctx context.Context) {
 	beat.Every(ctx, s.d.Bounds.Of(beat.Vote), func() {
 		s.founder.try()
+		for _, who := range s.d.Roll.Kind("adapter") {
+			s.d.Node.Peer(wire.RunLink, who.Addr).Warm()
+		}
 		isFull := s.disk.IsFull()
 		if s.diskFull.Swap(isFull) != isFull {
 			klog.Warningf("store: Disk nearly full is now %t; intake follows.", isFull)
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -42,6 +42,9 @@
 	return p
 }
 
+// Warm opens the link if it is not open, so that the first ask need not wait.
+func (p *Peer) Warm() { p.connect() }
+
 // Up tells whether the session stands.
 func (p *Peer) Up() bool {
 	p.mu.Lock()
