--- a/internal/deliver/deliver_test.go
+++ b/internal/deliver/deliver_test.go
@@ -159,6 +159,23 @@
 	})
 }
 
+// TestOneTimer: each look at the slots once had two more follow it, and a busy
+// adapter drowned in them.
+func TestOneTimer(t *testing.T) {
+	Convey("However often slots are looked at, one look more is due", t, func() {
+		a := scenery("127.0.0.1:1")
+		for range 9 {
+			a.slots.want(&wire.Want{Pool: "p", Worker: "w", Hold: 60_000}, func(any) {})
+		}
+		timer, at := a.slots.timer, a.slots.armedAt
+		for range 9 {
+			a.slots.serve()
+			So(a.slots.timer, ShouldEqual, timer)
+			So(a.slots.armedAt, ShouldBeGreaterThanOrEqualTo, at)
+		}
+	})
+}
+
 // TestLeaving: an adapter that was asked to stop once went on beginning runs,
 // and took what it knew of them with it.
 func TestLeaving(t *testing.T) {
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -23,8 +23,8 @@
 	next    int64 // drawn at random, so that no permit of an earlier life is taken for one of this
 	workers map[string]*held
 	permits map[int64]*permit
-	isSoon  bool // serve is going to be called soon, for asks
-	isOnce  bool // serve is going to be called in time, for permits that lapse
+	timer   *time.Timer   // calls serve
+	armedAt time.Duration // when it does; 0 for not at all
 }
 
 type held struct {
@@ -116,7 +116,7 @@
 		answer(busy(wait))
 	default:
 		h.asks = append(h.asks, ask{now + hold, answer})
-		s.arm(true)
+		s.arm(s.a.d.Bounds.Of(beat.Serve))
 	}
 }
 
@@ -127,19 +127,21 @@
 func (s *slots) grant(key string, w *Worker, now time.Duration) *wire.Grant {
 	s.next++
 	s.permits[s.next] = &permit{key, w, now + s.a.d.Bounds.Of(beat.Permit)}
-	s.arm(false)
+	s.arm(s.a.d.Bounds.Of(beat.Permit) / 2)
 	return &wire.Grant{Permit: s.next}
 }
 
 // arm has serve called for as long as something waits. Called with mu held.
-func (s *slots) arm(isAsk bool) {
-	switch {
-	case isAsk && !s.isSoon:
-		s.isSoon = true
-		time.AfterFunc(s.a.d.Bounds.Of(beat.Serve), s.serve)
-	case !isAsk && !s.isOnce:
-		s.isOnce = true
-		time.AfterFunc(s.a.d.Bounds.Of(beat.Permit)/2, s.serve)
+func (s *slots) arm(span time.Duration) {
+	at := s.a.d.Now() + span
+	if s.armedAt != 0 && s.armedAt <= at {
+		return
+	}
+	s.armedAt = at
+	if s.timer == nil {
+		s.timer = time.AfterFunc(span, s.serve)
+	} else {
+		s.timer.Reset(span)
 	}
 }
 
@@ -157,14 +159,14 @@
 	for key, h := range s.workers {
 		s.answerAsks(key, h, now)
 	}
-	s.isSoon, s.isOnce = false, false
+	s.armedAt = 0
 	for _, h := range s.workers {
 		if len(h.asks) > 0 {
-			s.arm(true)
+			s.arm(s.a.d.Bounds.Of(beat.Serve))
 		}
 	}
 	if len(s.permits) > 0 {
-		s.arm(false)
+		s.arm(s.a.d.Bounds.Of(beat.Permit) / 2)
 	}
 }
 
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -104,7 +104,7 @@
 	own := m.d.Poll()
 	m.registry.Hear(wire.Member{Who: m.d.Who, Owns: []wire.Owned{}, Fact: own.Fact}, m.d.Now(), true)
 	peers := []string{}
-	for _, seed := range m.d.Settings.Seeds {
+	for _, seed := range m.d.Live().Seeds {
 		if seed != m.d.Who.Addr {
 			peers = append(peers, seed)
 		}
