--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,11 @@
 // heap fill before it collects garbage all the time; the rest is for the system.
 const memoryShare = 70
 
+// growth is by how many hundredths the heap grows from one collection to the
+// next where a limit is known: heaps of a few megabytes are otherwise collected
+// many times a second.
+const growth = 400
+
 // Daemon is one running process.
 type Daemon struct {
 	Kind     string
@@ -78,6 +83,7 @@
 	d.live.Store(&s)
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(s.Memory * memoryShare / 100)
+		debug.SetGCPercent(growth) // the limit keeps the heap in bounds
 	}
 	d.listener, d.Front, d.Probe, d.Operators = d.listen(s.Http), d.listen(s.Front), d.listen(s.Probe), d.listen(s.Operators)
 	d.Who = wire.Who{Name: s.Name, Kind: kind, Boot: Random(8), Cell: s.Cell, Addr: s.Advertise, Http: d.listener.Addr().String()}
