--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -53,7 +53,10 @@
 	seq uint32
 }
 
-var rawPool = sync.Pool{New: func() any { raw := make([]byte, 0, 16<<10); return &raw }}
+var (
+	rawPool  = sync.Pool{New: func() any { raw := make([]byte, 0, 4<<10); return &raw }}
+	itemPool = sync.Pool{New: func() any { items := make([]wire.Item, 0, 8); return &items }}
+)
 
 func newOutbox(opts *Options, codec *wire.Codec, pool pond.Pool, conn net.Conn, window int64, fail func(error)) *outbox {
 	o := &outbox{opts: opts, codec: codec, pool: pool, conn: conn, window: window, fail: fail,
@@ -102,7 +105,7 @@
 func (o *outbox) cut() {
 	batch, seq := o.pending, o.seq
 	o.weight = 0
-	o.pending, o.seq = make([]wire.Item, 0, o.opts.Batch), o.seq+1
+	o.pending, o.seq = (*itemPool.Get().(*[]wire.Item))[:0], o.seq+1
 	counters.batches.Inc()
 	counters.messages.Add(float64(len(batch)))
 	o.pool.Submit(func() { o.convert(batch, seq) })
@@ -110,13 +113,16 @@
 
 func (o *outbox) convert(batch []wire.Item, seq uint32) {
 	raw := rawPool.Get().(*[]byte)
-	w := o.codec.Writer(512)
+	w := o.codec.Take()
+	defer o.codec.Give(w)
 	for _, item := range batch {
 		if err := o.codec.Append(w, item); err != nil {
 			o.fail(err)
 			return
 		}
 	}
+	clear(batch) // what was sent is not held on to
+	itemPool.Put(&batch)
 	out := append((*raw)[:0], make([]byte, headSize+4)...)
 	binary.BigEndian.PutUint32(out[headSize:], uint32(len(batch)))
 	out = append(out, w.Buffer()...)
--- a/internal/wire/schema.go
+++ b/internal/wire/schema.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"reflect"
 	"strconv"
+	"sync"
 
 	"github.com/hamba/avro/v2"
 
@@ -16,8 +17,9 @@
 // Invariant: fields are written in the order in which the Go type declares
 // them; no metadata travels but the branch index of the union.
 type Codec struct {
-	Schema avro.Schema
-	api    avro.API
+	Schema  avro.Schema
+	api     avro.API
+	writers sync.Pool
 }
 
 // Item is one message with the number that joins an ask and its reply.
@@ -116,6 +118,20 @@
 	return avro.NewWriter(nil, size, avro.WithWriterConfig(c.api))
 }
 
+// Take gives an empty writer that was used before, and Give takes it back.
+func (c *Codec) Take() *avro.Writer {
+	w, isKept := c.writers.Get().(*avro.Writer)
+	if !isKept {
+		return c.Writer(512)
+	}
+	w.Reset(nil)
+	w.Error = nil
+	return w
+}
+
+// Give takes a writer back; its bytes must have been copied.
+func (c *Codec) Give(w *avro.Writer) { c.writers.Put(w) }
+
 // Append writes one item behind what the writer holds.
 func (c *Codec) Append(w *avro.Writer, item Item) error {
 	w.WriteVal(c.Schema, item)
