Disk: what a dead process left unsynced is synced before it is acted on

Ruled out: torn slots (both are kept in turn), reappearing segments. Change: Open syncs the last segment, pairs their newest slot.

--- a/internal/slot/files.go
+++ b/internal/slot/files.go
@@ -19,6 +19,7 @@
 	Write(name string, raw []byte) error // whole, synced before it returns
 	Remove(name string) error
 	Cut(name string, size int64) error
+	Sync(name string) error // what was read of it lasts from now on
 	List() ([]string, error)
 	Free() (free, whole uint64, err error)
 }
@@ -111,6 +112,17 @@
 	return mishap.Wrap(os.Truncate(filepath.Join(f.dir, name), size), mishap.Disk, "cut %s", name)
 }
 
+// Sync makes a file as it is durable: a process that died may have left writes
+// in it that it never synced.
+func (f *Folder) Sync(name string) error {
+	file, err := os.OpenFile(filepath.Join(f.dir, name), os.O_RDWR, 0o644)
+	if err != nil {
+		return mishap.Wrap(err, mishap.Disk, "open %s", name)
+	}
+	defer file.Close()
+	return mishap.Wrap(file.Sync(), mishap.Disk, "sync %s", name)
+}
+
 // List gives the names in the folder, sorted.
 func (f *Folder) List() ([]string, error) {
 	dir, err := os.ReadDir(f.dir)
--- a/internal/slot/open.go
+++ b/internal/slot/open.go
@@ -28,6 +28,9 @@
 	if err := l.replay(held, from); err != nil {
 		return nil, nil, err
 	}
+	if err := l.settle(); err != nil {
+		return nil, nil, err
+	}
 	if err := l.rotate(); err != nil {
 		return nil, nil, err
 	}
@@ -36,6 +39,16 @@
 	return l, held, nil
 }
 
+// settle syncs the last segment, cut or not: a process that died may have left
+// records in it that it never synced. What is acted on from here on must not go
+// with the next loss of power. Pairs do the same for their newest slots.
+func (l *Log) settle() error {
+	if len(l.segments) == 0 {
+		return nil
+	}
+	return l.files.Sync(segmentName(l.segments[len(l.segments)-1]))
+}
+
 type position struct{ segment, offset int64 }
 
 func (p position) before(q position) bool {
--- a/internal/slot/pair.go
+++ b/internal/slot/pair.go
@@ -41,7 +41,10 @@
 			p.stamp, raw = stamp, body
 		}
 	}
-	return p, raw, isTorn, nil
+	if raw != nil { // a process that died may not have synced what is read now
+		err = files.Sync(p.file(p.stamp))
+	}
+	return p, raw, isTorn, err
 }
 
 func (p *Pair) file(turn uint64) string { return fmt.Sprintf("%s.%d", p.name, turn%2) }
--- a/internal/slot/slot_test.go
+++ b/internal/slot/slot_test.go
@@ -45,6 +45,12 @@
 	return nil
 }
 
+func (f *frail) Sync(name string) error {
+	raw, err := f.Folder.Read(name)
+	f.whole[name], f.synced[name] = int64(len(raw)), int64(len(raw))
+	return err
+}
+
 func newFrail(dir string) *frail {
 	folder, err := OpenFolder(dir)
 	So(err, ShouldBeNil)
