--- a/internal/host/apply.go
+++ b/internal/host/apply.go
@@ -17,6 +17,7 @@
 		}
 		h.applied = e.Index
 		h.since++
+		h.bytes += len(e.Data)
 		if w, isKnown := h.waiters[e.Index]; isKnown {
 			delete(h.waiters, e.Index)
 			if w.term == e.Term {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -48,6 +48,7 @@
 	Mend    func() (known map[string]string, wanted []string)
 	Ring    int // events that may wait
 	Compact int // applied entries after which the group is put into its slot
+	Bytes   int // or bytes of them, at least as many as the image has
 	Whole   int // bytes of an image up to which it travels in one message
 	Failed  func(error)
 }
@@ -65,6 +66,7 @@
 	pending int
 	applied int64
 	since   int // entries applied since the last slot
+	bytes   int // and their bytes
 	waiters map[int64]waiter
 	isOwner bool
 	mended  time.Duration
@@ -92,6 +94,9 @@
 	if opts.Compact == 0 {
 		opts.Compact = 4000
 	}
+	if opts.Bytes == 0 {
+		opts.Bytes = 1 << 20
+	}
 	h := &Host{opts: opts, ring: make(chan func(), opts.Ring), waiters: map[int64]waiter{}, wake: make(chan struct{}, 1)}
 	held := opts.Held
 	if held == nil {
--- a/internal/host/upkeep.go
+++ b/internal/host/upkeep.go
@@ -18,7 +18,7 @@
 	now := h.opts.Now()
 	h.settle()
 	h.opts.Machine.Beat(now)
-	if h.since >= h.opts.Compact {
+	if h.since >= h.opts.Compact || h.bytes >= max(h.opts.Bytes, h.imageBytes()) {
 		h.compact()
 	}
 	if h.isOwner && h.opts.Mend != nil && now-h.mended > h.opts.Bounds.Of(beat.Vote) {
@@ -28,6 +28,15 @@
 	h.publish()
 }
 
+// imageBytes is how large the newest image is: a group that holds much is
+// written whole only when as much has come since.
+func (h *Host) imageBytes() int {
+	if h.image == nil {
+		return 0
+	}
+	return len(h.image.State)
+}
+
 // Compact puts the group into its slot, so that old log segments can go.
 func (h *Host) Compact() { _ = h.Do(h.compact) }
 
@@ -35,7 +44,7 @@
 	if image := h.machine.Compact(h.applied, h.opts.Machine.Image()); image != nil {
 		h.image = image
 	} // else nothing is new, but the slot must pass the log's old segments
-	h.since = 0
+	h.since, h.bytes = 0, 0
 	hard, log := h.machine.Whole()
 	h.opts.Disk.SaveSlot(h.opts.Id, hard, h.image, &group.Persist{Entries: log}, func(err error) {
 		if err != nil {
