Daemons that have just begun ask at once; a holder's new life keeps its duties, unfenced

Change: Paced polls while the view is not fresh; new lives of holders are given their duties without waiting, unfenced, since one name has one process; a leaving holder's duty moves unfenced, since it begins nothing more.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -24,6 +24,7 @@
 // a daemon that hears nothing stops before the bound has passed.
 const (
 	Fresh    Ratio = 700  // a view older than this stops its daemon
+	Seek     Ratio = 10   // a daemon whose view is not fresh asks this often
 	Poll     Ratio = 80   // one hop of the feed asks this often
 	Vote     Ratio = 250  // least silence before a replica stands for owner
 	VoteSpan Ratio = 250  // random spread added to Vote
@@ -62,6 +63,15 @@
 	return net.KeepAliveConfig{Enable: true, Idle: b.Of(Silent), Interval: b.Of(Silent), Count: 2}
 }
 
+// Paced calls work at once and then after each pause that it asks for, until
+// ctx ends.
+func Paced(ctx context.Context, pause func() time.Duration, work func()) {
+	for ctx.Err() == nil {
+		work()
+		Wait(ctx, pause())
+	}
+}
+
 // Wait returns after a time, or when ctx ends.
 func Wait(ctx context.Context, span time.Duration) {
 	if span <= 0 {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -41,6 +41,7 @@
 	IfStamp      int64
 	IsGone       bool // the worker is no longer listed
 	IsGuess      bool // the holder is not here: it may only be out of our sight
+	IsReborn     bool // it stays with its holder's new life
 }
 
 // Steady keeps two planners that see different daemons from pulling a duty to
@@ -106,6 +107,10 @@
 			continue
 		}
 		next := choose(pool+"/"+name, worker.Cell, usable, load)
+		isReborn := isAssigned && isHere && holder.Boot != held.Boot
+		if isReborn && (worker.Cell == "" || holder.Cell == worker.Cell || !hasCell(usable, worker.Cell)) {
+			next = holder // its life before has ended: no other can act, so no fence
+		}
 		if next.Name == "" || isRight && next.Name == held.Holder {
 			continue
 		}
@@ -116,7 +121,10 @@
 		if !isAssigned && wasKnown {
 			before = "an earlier holder"
 		}
-		out = append(out, Change{pool, name, charter.Duty{Holder: next.Name, Boot: next.Boot, Before: before}, ifStamp, false, isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(scene, adapters, held.Holder)})
+		isKept := isReborn && next == holder
+		out = append(out, Change{Pool: pool, Worker: name, IfStamp: ifStamp, IsReborn: isKept,
+			Next:    charter.Duty{Holder: next.Name, Boot: next.Boot, Before: before, IsFree: isKept || leaving[held.Holder]},
+			IsGuess: isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(scene, adapters, held.Holder)})
 	}
 	for _, name := range slices.Sorted(maps.Keys(scene.Duties[pool])) {
 		if _, isListed := scene.Workers[pool][name]; !isListed {
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -28,16 +28,14 @@
 	pool := pond.NewPool(8)
 	steady := &duty.Steady{Least: 2 * m.d.Bounds.Charter}
 	steadySince := m.d.Now()
-	beat.Every(ctx, m.d.Bounds.Of(beat.Poll)*2, func() {
+	beat.Every(ctx, m.d.Bounds.Of(beat.Poll), func() {
 		if !m.d.IsFresh() {
 			steadySince = m.d.Now()
 			return
 		}
-		// A manager that has just come does not know all sessions yet.
-		if m.d.Now()-steadySince < m.d.Bounds.Of(beat.Gone) {
-			return
-		}
-		m.planDuties(ctx, pool, steady)
+		// A manager that has just come does not know all sessions yet: it only
+		// gives duties to new lives of those that hold them.
+		m.planDuties(ctx, pool, steady, m.d.Now()-steadySince < m.d.Bounds.Of(beat.Gone))
 	})
 }
 
@@ -55,7 +53,7 @@
 	return out
 }
 
-func (m *Manager) planDuties(ctx context.Context, workers pond.Pool, steady *duty.Steady) {
+func (m *Manager) planDuties(ctx context.Context, workers pond.Pool, steady *duty.Steady, isNew bool) {
 	scene := m.scenes.Now()
 	adapters, leaving := m.d.Roll.Kind("adapter"), map[string]bool{}
 	_, members := m.registry.Members(m.d.Now())
@@ -82,6 +80,9 @@
 			return c.Stamp, true
 		}
 		for _, change := range steady.Filter(duty.Plan(name, scene, adapters, leaving, stamp), m.d.Now()) {
+			if isNew && !change.IsReborn {
+				continue
+			}
 			group.Submit(func() { m.assign(ctx, part, change) })
 		}
 	}
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
@@ -50,8 +51,9 @@
 	if o.Serve != nil {
 		o.Serve(m.operators)
 	}
-	go beat.Every(ctx, d.Bounds.Of(beat.Poll), m.follow)
-	go beat.Every(ctx, d.Bounds.Of(beat.Poll), m.share)
+	pause := func() time.Duration { return session.Pause(d.View, d.Now(), d.Bounds) }
+	go beat.Paced(ctx, pause, m.follow)
+	go beat.Paced(ctx, pause, m.share)
 	go m.controlDuties(ctx)
 	go m.controlWeights(ctx)
 	if m.source != nil {
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -38,7 +38,16 @@
 // Run polls until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	c.at = rand.IntN(len(c.Seeds()))
-	beat.Every(ctx, c.Bounds.Of(beat.Poll), c.poll)
+	beat.Paced(ctx, func() time.Duration { return Pause(c.View, c.Now(), c.Bounds) }, c.poll)
+}
+
+// Pause is how long whoever follows the parts waits before it asks again: a
+// daemon that has just begun must not lose a beat on each hop of the feed.
+func Pause(view *feed.View, now time.Duration, bounds beat.Bounds) time.Duration {
+	if age, isSure := view.Age(now); !isSure || age > bounds.Of(beat.Fresh)/2 {
+		return bounds.Of(beat.Seek)
+	}
+	return bounds.Of(beat.Poll)
 }
 
 func (c *Client) poll() {
