--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -32,11 +32,13 @@
 	Tick     Ratio = 10   // how finely a replica and its place look at the time
 	Draw     Ratio = 10   // a store looks this often for slots that it could not have at once
 	Serve    Ratio = 5    // a duty's holder looks this often for slots that have come free with time
+	HandOver Ratio = 100  // an heir that has not taken over by then does not
 	Term     Ratio = 230  // an owner serves reads this long after a confirmed pulse
 	Gone     Ratio = 700  // a daemon silent this long has lost its session
 	Idle     Ratio = 150  // an idle transport session sends an empty frame
 	Dead     Ratio = 600  // a transport session that hears nothing is closed
 	Redial   Ratio = 60   // pause before a new dial
+	Try      Ratio = 50   // one try to have a message held waits this long for a store's word
 	Dial     Ratio = 170  // a worker that takes no connection within this cannot be asked
 	Tell     Ratio = 500  // whoever is told of an end answers within this
 	Settle   Ratio = 500  // an adapter tries this long to settle a batch's fate
--- a/internal/group/append.go
+++ b/internal/group/append.go
@@ -197,6 +197,9 @@
 		p.isProbing = false
 	}
 	g.commitUp(now, out)
+	if m.From == g.heir {
+		g.callHeir(out)
+	}
 	if p.next <= g.last() {
 		g.sendTo(m.From, false, now, out)
 	}
--- a/internal/group/elect.go
+++ b/internal/group/elect.go
@@ -17,7 +17,7 @@
 		out.Changed = true
 	}
 	g.role, g.owner = role, owner
-	g.votes, g.peers, g.rounds = nil, nil, nil
+	g.votes, g.peers, g.rounds, g.heir = nil, nil, nil, ""
 	g.isSure = false
 	switch role {
 	case Follower:
@@ -137,28 +137,3 @@
 		g.count(now, out)
 	}
 }
-
-// HandOver asks the member to stand at once; it does so only if it is up to
-// date. Used before a planned stop and to bring ownership home.
-func (g *Group) HandOver(to string) Out {
-	out := Out{}
-	if p := g.peers[to]; g.role == Owner && p != nil && p.match == g.last() {
-		out.Now = append(out.Now, g.msg(MsgStand, to, wire.GroupMsg{}))
-	}
-	return out
-}
-
-// Heir gives the voter that is best placed to take over, other than avoid.
-func (g *Group) Heir(isAvoided func(member string) bool) string {
-	best := ""
-	for _, m := range Voters(g.roster()) {
-		p := g.peers[m]
-		if m == g.opts.Self || p == nil || isAvoided(m) || p.match < g.last() {
-			continue
-		}
-		if best == "" || p.ackedAt > g.peers[best].ackedAt {
-			best = m
-		}
-	}
-	return best
-}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -131,6 +131,8 @@
 	toldCommit int64 // the newest commit that went out with entries or by a tick
 	heirSince  time.Duration
 	heirName   string
+	heir       string            // ownership is being handed to it: nothing is proposed meanwhile
+	heirUntil  time.Duration     // else this replica steps down
 	renamed    map[string]string // name -> new member id told by MsgNotMe
 }
 
--- /dev/null
+++ b/internal/group/handover.go
@@ -0,0 +1,68 @@
+package group
+
+import (
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/wire"
+)
+
+// HandOver gives ownership to a member: from now on nothing is proposed, and as
+// soon as the member has all entries it is asked to stand. One that does not
+// take over in time has this replica step down: what was refused meanwhile must
+// not be taken for still under way. Used before a planned stop and to bring
+// ownership home.
+func (g *Group) HandOver(to string, now time.Duration) Out {
+	out := Out{}
+	if g.role == Owner && g.heir == "" && g.peers[to] != nil {
+		g.heir, g.heirUntil = to, now+g.opts.Bounds.Of(beat.HandOver)
+		g.callHeir(&out)
+	}
+	return out
+}
+
+// callHeir asks the heir to stand once it has all entries.
+func (g *Group) callHeir(out *Out) {
+	if p := g.peers[g.heir]; g.heir != "" && p != nil && p.match == g.last() {
+		out.Now = append(out.Now, g.msg(MsgStand, g.heir, wire.GroupMsg{}))
+	}
+}
+
+// Heir gives the voter that is best placed to take over, other than avoid: of
+// those that answered lately the one that misses least.
+func (g *Group) Heir(isAvoided func(member string) bool, now time.Duration) string {
+	best := ""
+	for _, m := range Voters(g.roster()) {
+		p := g.peers[m]
+		if m == g.opts.Self || p == nil || p.isProbing || isAvoided(m) || now-p.ackedAt > g.opts.Bounds.Of(beat.Pulse)*3 {
+			continue
+		}
+		if best == "" || p.match > g.peers[best].match {
+			best = m
+		}
+	}
+	return best
+}
+
+// bringHome hands the group to its preferred owner once that one has kept up
+// for a whole bound.
+func (g *Group) bringHome(now time.Duration, out *Out) {
+	if g.opts.Prefer == nil || g.heir != "" {
+		return
+	}
+	heir := g.opts.Prefer(g.roster())
+	p := g.peers[heir]
+	isHere := heir != g.opts.Self && p != nil && !p.isProbing && now-p.ackedAt < g.opts.Bounds.Of(beat.Pulse)*3
+	if !isHere {
+		g.heirName = ""
+		return
+	}
+	if g.heirName != heir {
+		g.heirName, g.heirSince = heir, now
+	}
+	if now-g.heirSince > g.opts.Bounds.Charter && g.last()-p.match < appendCount {
+		g.heirSince = now
+		more := g.HandOver(heir, now)
+		out.Now = append(out.Now, more.Now...)
+	}
+}
--- a/internal/group/step.go
+++ b/internal/group/step.go
@@ -24,6 +24,11 @@
 		g.become(Follower, g.hard.Term, "", now, out) // cut off from the majority
 		return
 	}
+	if g.heir != "" && now > g.heirUntil {
+		g.become(Follower, g.hard.Term, "", now, out) // the heir did not take over
+		return
+	}
+	g.callHeir(out)
 	g.tellCommit(now, out)
 	if now >= g.pulseAt {
 		g.pulse(now, out)
@@ -31,31 +36,6 @@
 	}
 }
 
-// bringHome hands the group to its preferred owner once that one has kept up
-// for a whole bound.
-func (g *Group) bringHome(now time.Duration, out *Out) {
-	if g.opts.Prefer == nil {
-		return
-	}
-	heir := g.opts.Prefer(g.roster())
-	p := g.peers[heir]
-	isReady := heir != g.opts.Self && p != nil && p.match == g.last() &&
-		now-p.ackedAt < g.opts.Bounds.Of(beat.Pulse)*3
-	if !isReady {
-		if heir != g.heirName || p == nil || now-p.ackedAt >= g.opts.Bounds.Of(beat.Pulse)*3 {
-			g.heirName = ""
-		}
-		return
-	}
-	if g.heirName != heir {
-		g.heirName, g.heirSince = heir, now
-	}
-	if now-g.heirSince > g.opts.Bounds.Charter {
-		g.heirSince = now
-		out.Now = append(out.Now, g.msg(MsgStand, heir, wire.GroupMsg{}))
-	}
-}
-
 // Receive takes one message from another replica.
 func (g *Group) Receive(m wire.GroupMsg, now time.Duration) Out {
 	out := Out{}
@@ -143,7 +123,7 @@
 // Propose appends a command. The index and term name it; it is committed when
 // an entry with both is applied. False when this replica is not the owner.
 func (g *Group) Propose(data []byte, now time.Duration) (index, term int64, out Out, isOwner bool) {
-	if g.role != Owner {
+	if g.role != Owner || g.heir != "" {
 		return 0, 0, out, false
 	}
 	g.append(wire.Entry{Kind: EntryData, Data: data}, &out)
--- a/internal/group/view.go
+++ b/internal/group/view.go
@@ -23,6 +23,9 @@
 	v := View{Role: g.role, Term: g.hard.Term, Owner: g.owner, Commit: g.hard.Commit, Last: g.last(),
 		Roster: slices.Clone(g.roster()), Confirmed: g.confirmed,
 		IsSure: g.role == Owner && g.isSure && g.hard.Commit >= g.blankAt && g.applied >= g.blankAt}
+	if g.heir != "" {
+		v.Owner = g.heir // whoever asks is sent there
+	}
 	for _, m := range Voters(g.roster()) {
 		if p := g.peers[m]; g.role == Owner && m != g.opts.Self && p != nil {
 			v.Lag = max(v.Lag, g.last()-p.match)
--- a/internal/host/apply.go
+++ b/internal/host/apply.go
@@ -61,8 +61,9 @@
 // HandOver gives ownership to the best other voter that is not avoided.
 func (h *Host) HandOver(isAvoided func(member string) bool) {
 	_ = h.Do(func() {
-		if heir := h.machine.Heir(isAvoided); heir != "" {
-			h.do(h.machine.HandOver(heir))
+		now := h.opts.Now()
+		if heir := h.machine.Heir(isAvoided, now); heir != "" {
+			h.do(h.machine.HandOver(heir, now))
 		}
 	})
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"hash/fnv"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -28,6 +27,8 @@
 	d        *daemon.Daemon
 	scenes   *charter.Scenes
 	reach    owners
+	quick    owners // for callers that do not wait long
+	quiet    quiet
 	inHand   atomic.Int64
 	held     atomic.Int64 // waits for an end
 	peers    weight.Peers // stores, as this adapter sees them
@@ -57,7 +58,8 @@
 // New readies the intake and its HTTP paths.
 func New(d *daemon.Daemon, scenes *charter.Scenes) *Intake {
 	in := &Intake{d: d, scenes: scenes}
-	in.reach = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink, Saw: in.peers.Saw}
+	in.reach = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink}
+	in.quick = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink, Saw: in.saw, Try: beat.Try}
 	d.Measure(func(emit daemon.Emit) {
 		for name, w := range in.peers.All() {
 			emit("weight_peer", "Weight of a store for messages that may go to any place.", w, "store", name)
@@ -132,26 +134,6 @@
 	return int64(h.Sum64() % uint64(in.d.Settings.Places))
 }
 
-// placeDraws is how often a place is drawn again whose owner has a low weight.
-const placeDraws = 4
-
-// drawPlace draws one at random, as the paper draws targets, but passes places
-// over as their owners' weights say: those without an owner have the least.
-func (in *Intake) drawPlace() int64 {
-	place := int64(0)
-	for range placeDraws {
-		place = rand.Int64N(int64(in.d.Settings.Places))
-		share := weight.Least
-		if who, isKnown := in.d.Roll.Owner(store.PlaceGroup + place); isKnown {
-			share = in.peers.Of(who.Name)
-		}
-		if rand.Float64() < share {
-			break
-		}
-	}
-	return place
-}
-
 // Run moves the weights of the stores until ctx ends.
 func (in *Intake) Run(ctx context.Context) {
 	beat.Every(ctx, in.d.Bounds.Of(beat.Vote), func() {
@@ -162,45 +144,6 @@
 	})
 }
 
-// hold gives the message to its place's owner. What is not known to be held
-// after a while is settled: held, or never. One that has an idempotency key is
-// not settled against its caller, who is going to send it again.
-func (in *Intake) hold(e *errand) error {
-	most := in.d.Bounds.Of(beat.Settle) * 2
-	if e.cutoff > 0 {
-		most = min(most, e.cutoff)
-	}
-	ctx, cancel := context.WithTimeout(e.ctx, most)
-	defer cancel()
-	reply, isOpen, err := in.reach.Ask(ctx, store.PlaceGroup+e.take.Place, &e.take, isOwner)
-	cause := mishap.New(mishap.NotOwner, "the message's place cannot be reached")
-	if err == nil {
-		e.taken = reply.(*wire.Taken)
-		if e.taken.Kind == "" || !isOpen || e.taken.Kind == string(mishap.Rejected) {
-			return nil
-		}
-		cause = mishap.New(mishap.Kind(e.taken.Kind), "%s", e.taken.Text) // but an earlier ask may be held yet
-	} else if !isOpen {
-		return cause
-	}
-	if e.take.Idem == "" && e.cutoff == 0 {
-		// The caller may have gone; the message's fate is settled all the same.
-		ctx, cancel = context.WithTimeout(context.WithoutCancel(e.ctx), in.d.Bounds.Of(beat.Settle)*2)
-		defer cancel()
-		ask := &wire.Settle{Place: e.take.Place, Id: e.take.Id, Lane: e.lane.Name}
-		if reply, err = in.reach.Group(ctx, store.PlaceGroup+e.take.Place, ask, isOwner); err == nil {
-			if e.taken = reply.(*wire.Taken); e.taken.Kind == string(mishap.Rejected) {
-				return cause
-			}
-			if e.taken.Kind == "" {
-				return nil
-			}
-		}
-	}
-	e.isOpen = true
-	return mishap.New(mishap.Undecided, "whether the message is held is not known yet; ask for it by id")
-}
-
 // isOwner tells owners' answers from those of stores that name another. An
 // undecided answer is asked again: a take is known by its id.
 func isOwner(reply any) (bool, string) {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -3,6 +3,7 @@
 package reach
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -22,8 +23,12 @@
 	Link   *wire.Link
 	Call   func(ctx context.Context, addr string, ask any) (any, error) // the transport's, if not given
 	Saw    func(peer string, micros float64, isAnswered bool)           // told of each try of Ask, if given
+	Try    beat.Ratio                                                   // how long one try waits; 0 for Settle
 }
 
+// freeHops is how often an ask follows a named owner without a pause.
+const freeHops = 3
+
 // Group asks the owner of a group until it answers or ctx ends. owned tells
 // whether an answer came from the owner, and else whom it named. The mishap
 // says whether the ask may have had an effect: NotOwner and Full mean no,
@@ -42,7 +47,7 @@
 
 func (r *Reach) ask(ctx context.Context, id int64, ask any, owned func(reply any) (isOwner bool, hint string),
 	saw func(string, float64, bool)) (reply any, isOpen bool, err error) {
-	hint, turn := "", 0
+	hint, turn, hops := "", 0, 0
 	if who, isKnown := r.Roll.Owner(id); isKnown {
 		hint = who.Name
 	}
@@ -79,8 +84,12 @@
 				isOpen = true
 			}
 		}
+		wait := r.Bounds.Of(beat.Seek)
 		if hint != "" && ctx.Err() == nil {
-			continue // the owner was named: no need to wait
+			if hops++; hops < freeHops {
+				continue // the owner was named: no need to wait
+			}
+			wait /= freeHops // two name each other while ownership moves
 		}
 		select {
 		case <-ctx.Done():
@@ -88,13 +97,13 @@
 				return nil, true, mishap.New(mishap.Undecided, "group %d did not answer", id)
 			}
 			return nil, false, mishap.New(mishap.NotOwner, "no owner of group %d was found", id)
-		case <-time.After(r.Bounds.Of(beat.Poll) / 2):
+		case <-time.After(wait):
 		}
 	}
 }
 
 func (r *Reach) one(ctx context.Context, who wire.Who, ask any) (any, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.Bounds.Of(beat.Settle))
+	ctx, cancel := context.WithTimeout(ctx, r.Bounds.Of(cmp.Or(r.Try, beat.Settle)))
 	defer cancel()
 	if r.Call != nil {
 		return r.Call(ctx, who.Addr, ask)
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -42,9 +42,7 @@
 		Pool: g.Pool, Worker: g.Worker}, func(v place.Verdict, err error) {
 		if err != nil || v.Kind != "" {
 			p.around.Release(g)
-			if err == nil {
-				p.machine.Unpick(e)
-			}
+			p.machine.Unpick(e)
 			return
 		}
 		p.send(e, attempt, g)
--- a/internal/store/upkeep.go
+++ b/internal/store/upkeep.go
@@ -51,7 +51,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(s.d.Bounds.Of(beat.Pulse)):
+		case <-time.After(s.d.Bounds.Of(beat.Seek)):
 		}
 	}
 	s.disk.Close()
