--- a/internal/beat/beat_test.go
+++ b/internal/beat/beat_test.go
@@ -13,7 +13,7 @@
 		So(int(Fresh+3*Poll), ShouldBeLessThan, 1000)
 	})
 	Convey("An owner serves reads for less time than others wait before they stand", t, func() {
-		So(int(Term), ShouldBeLessThan, int(Vote))
+		So(int(Term), ShouldBeLessThan, int(Silence))
 	})
 	Convey("A duty's fence is no shorter than a stale holder may go on", t, func() {
 		So(int(Fence), ShouldBeGreaterThanOrEqualTo, int(Fresh))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,7 @@
 	Node     *transport.Node
 	Mux      *http.ServeMux
 	Ready    func() (isReady bool, why string) // asked through IsReady
+	Refused  func(addr string)                 // told when nobody listens where a peer was, if given before Link
 	CanRead  func() bool                       // whether the newest charter can be read, if the daemon needs it
 
 	// The further listeners, nil where the settings name none, and what they serve.
@@ -139,7 +140,7 @@
 func (d *Daemon) Link(handlers map[string]transport.Handler) {
 	s := d.Settings
 	node, err := transport.NewNode(transport.Options{Self: d.Who, Listen: s.Listen, Batch: s.Batch, Pool: s.Pool,
-		Flush: s.Flush.Duration, Window: s.Window, Bounds: d.Bounds, Handlers: handlers, Shape: s.Shape()})
+		Flush: s.Flush.Duration, Window: s.Window, Bounds: d.Bounds, Handlers: handlers, Shape: s.Shape(), Refused: d.Refused})
 	d.Must(err)
 	d.Node = node
 	go node.Serve()
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -225,8 +225,8 @@
 }
 
 func (g *Group) resetBeat(now time.Duration) {
-	spread := time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(beat.VoteSpan))))
-	g.standAt = now + g.opts.Bounds.Of(beat.Vote) + spread
+	spread := time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(beat.SilenceSpan))))
+	g.standAt = now + g.opts.Bounds.Of(beat.Silence) + spread
 }
 
 // majority tells whether the members for which test holds are enough.
--- a/internal/group/handover.go
+++ b/internal/group/handover.go
@@ -21,6 +21,16 @@
 	return out
 }
 
+// Missing tells that a store's process is known to have ended. Followers of an
+// owner there need not wait for its silence; each stands after a moment of its
+// own, so that they seldom stand together.
+func (g *Group) Missing(name string, now time.Duration) {
+	if g.role == Follower && g.owner != "" && Name(g.owner) == name {
+		g.owner = ""
+		g.standAt = min(g.standAt, now+time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(beat.Pulse)))))
+	}
+}
+
 // callHeir asks the heir to stand once it has all entries.
 func (g *Group) callHeir(out *Out) {
 	if p := g.peers[g.heir]; g.heir != "" && p != nil && p.match == g.last() {
--- a/internal/host/apply.go
+++ b/internal/host/apply.go
@@ -58,6 +58,11 @@
 	h.mu.Unlock()
 }
 
+// Missing tells that a store's process is known to have ended.
+func (h *Host) Missing(name string) {
+	_ = h.Do(func() { h.machine.Missing(name, h.opts.Now()) })
+}
+
 // HandOver gives ownership to the best other voter that is not avoided.
 func (h *Host) HandOver(isAvoided func(member string) bool) {
 	_ = h.Do(func() {
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -137,7 +137,7 @@
 	}
 	switch kind {
 	case mishap.NotOwner: // a place has a new owner after this long
-		return in.d.Bounds.Of(beat.Vote + beat.VoteSpan)
+		return in.d.Bounds.Of(beat.Silence + beat.SilenceSpan)
 	case mishap.Undecided:
 		return in.d.Bounds.Of(beat.Settle)
 	case mishap.Stale, mishap.Lost: // a session is found again within this
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -68,6 +68,7 @@
 	s.founder, err = newFounder(d, folder, s.begin)
 	d.Must(err)
 	d.Who.Boot = s.founder.snapshot().Inc + "." + d.Who.Boot
+	d.Refused = s.missing
 	d.Link(map[string]transport.Handler{"group": s.onGroup, "part": s.onPart, "place": s.onPlace})
 	d.Ready = s.ready
 	client := d.Client(s.say)
--- a/internal/store/upkeep.go
+++ b/internal/store/upkeep.go
@@ -35,6 +35,19 @@
 	})
 }
 
+// missing tells all groups that a store's process has ended: nobody listens
+// where it was.
+func (s *Store) missing(addr string) {
+	for _, who := range s.d.Roll.Kind("store") {
+		if who.Addr != addr || who.Name == s.d.Who.Name {
+			continue
+		}
+		for _, id := range s.groupIds() {
+			s.hostOf(id).Missing(who.Name)
+		}
+	}
+}
+
 // leave hands every owned group over before the store stops.
 func (s *Store) leave(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/transport/options.go
+++ b/internal/transport/options.go
@@ -28,6 +28,7 @@
 	Bounds     beat.Bounds
 	Handlers   map[string]Handler // by link name
 	Shape      string             // what both ends of a session must agree on
+	Refused    func(addr string)  // told when nobody listens where a peer was, if given
 }
 
 // Handler takes one message of a link. It must not block for long: what waits
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"caperwheel/internal/beat"
@@ -87,6 +89,9 @@
 		if err != nil || p.closed {
 			p.failed = time.Now()
 			p.mu.Unlock()
+			if errors.Is(err, syscall.ECONNREFUSED) && p.node.opts.Refused != nil {
+				p.node.opts.Refused(p.addr)
+			}
 			if s != nil {
 				s.down(mishap.New(mishap.Lost, "peer closed"))
 			}
@@ -118,6 +123,7 @@
 	for _, answer := range orphans {
 		answer(nil, mishap.Wrap(cause, mishap.Lost, "session with %s", p.addr))
 	}
+	p.connect() // at once: whether anybody listens there tells whether the process has ended
 }
 
 func (p *Peer) onReply(item wire.Item) {
