Requests whose paths have dots or double slashes are taken as they came

Cause: the library's mux sent such callers to another path, so that their messages were never taken, and its URL put a scheme before a target that begins with two slashes. Tests: TestAsCame, TestUnchanged, seen to fail before.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -15,6 +15,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/mishap"
+	"caperwheel/internal/web"
 )
 
 // Shares of the time between being asked to stop and being killed, in
@@ -64,8 +65,8 @@
 func (d *Daemon) open() (servers []*http.Server) {
 	for _, door := range []struct {
 		listener net.Listener
-		mux      *http.ServeMux
-	}{{d.listener, d.Mux}, {d.Front, d.FrontMux}, {d.Probe, d.ProbeMux}, {d.Operators, d.OperatorsMux}} {
+		mux      http.Handler
+	}{{d.listener, d.Mux}, {d.Front, web.AsCame(d.FrontMux)}, {d.Probe, d.ProbeMux}, {d.Operators, d.OperatorsMux}} {
 		if door.listener == nil {
 			continue
 		}
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -76,7 +76,7 @@
 // To gives the request with these bytes to an address, its target unchanged.
 func (h Head) To(address string, body []byte) *http.Request {
 	r := &http.Request{Method: h.Method, Host: h.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL:    &url.URL{Scheme: "http", Host: address, Opaque: h.Target},
+		URL:    urlOf(address, h.Target),
 		Header: http.Header{"User-Agent": {""}}} // none of the library's own
 	for _, f := range h.Fields {
 		r.Header[f[0]] = []string{f[1]}
@@ -88,3 +88,18 @@
 	}
 	return r
 }
+
+// urlOf gives the URL whose target is to the byte the one that came. The library
+// puts a scheme before an opaque one that begins with two slashes.
+func urlOf(address, target string) *url.URL {
+	if strings.HasPrefix(target, "//") {
+		raw, query, isQuery := strings.Cut(target, "?")
+		if path, err := url.PathUnescape(raw); err == nil {
+			out := &url.URL{Scheme: "http", Host: address, Path: path, RawPath: raw, RawQuery: query, ForceQuery: isQuery && query == ""}
+			if out.RequestURI() == target {
+				return out
+			}
+		}
+	}
+	return &url.URL{Scheme: "http", Host: address, Opaque: target}
+}
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -15,6 +15,8 @@
 		{"a plain path", "POST /a/b HTTP/1.1\r\nHost: x.example\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nhi"},
 		{"a query", "PUT /a?b=c&d=%20e HTTP/1.1\r\nHost: x.example:80\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nhi"},
 		{"escapes and dots", "POST /a%2Fb/../c//d;e=f HTTP/1.1\r\nHost: x.example\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nhi"},
+		{"two slashes first", "POST //a//b%2Fc?d HTTP/1.1\r\nHost: x.example\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nhi"},
+		{"two slashes first and no end of a query", "POST //a? HTTP/1.1\r\nHost: x.example\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nhi"},
 		{"no body", "POST /a HTTP/1.1\r\nHost: x.example\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n"},
 	}
 	Convey("A request is the same after it was kept that has", t, func() {
