--- /dev/null
+++ b/internal/intake/manners_test.go
@@ -0,0 +1,135 @@
+package intake_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/head"
+	"caperwheel/internal/intake"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/store"
+	"caperwheel/internal/wire"
+	"caperwheel/platform"
+)
+
+var manners = []struct {
+	name   string
+	manner intake.Manner
+}{{"our own manner", intake.Own}, {"the platform's manner", platform.Callers}}
+
+// chunks is a body that does not tell its length.
+type chunks struct{ io.Reader }
+
+// TestManners is the table of what every manner must have in common: only what
+// never runs is told with a promise (408, 421, 429, 503), and at once.
+func TestManners(t *testing.T) {
+	kind := func(k mishap.Kind) *wire.Taken { return &wire.Taken{Kind: string(k), Retry: 7000} }
+	held := &wire.Taken{State: "held", Id: "1-x"}
+	cases := []struct {
+		name   string
+		target string
+		body   string
+		s      intake.Scenery
+		codes  [2]int
+	}{
+		{"a message that is held", "/a/b?c=%2Fd", "body", intake.Scenery{Take: held, Most: 9}, [2]int{202, 202}},
+		{"one without a body", "/a/", "", intake.Scenery{Take: held, Most: 9}, [2]int{202, 202}},
+		{"a path that no lane takes", "/b/", "body", intake.Scenery{Take: held, Most: 9}, [2]int{404, 404}},
+		{"too large a body", "/a/b", "0123456789", intake.Scenery{Take: held, Most: 9}, [2]int{413, 413}},
+		{"a stale adapter", "/a/b", "body", intake.Scenery{Take: held, Most: 9, IsStale: true}, [2]int{503, 503}},
+		{"a stale adapter, on a path that it does not know", "/b/", "body", intake.Scenery{Take: held, Most: 9, IsStale: true}, [2]int{503, 503}},
+		{"a full adapter", "/a/b", "body", intake.Scenery{Take: held}, [2]int{429, 429}},
+		{"a full place", "/a/b", "body", intake.Scenery{Take: kind(mishap.Full), Most: 9}, [2]int{429, 429}},
+		{"a full disk", "/a/b", "body", intake.Scenery{Take: kind(mishap.DiskFull), Most: 9}, [2]int{507, 503}},
+		{"no owner", "/a/b", "body", intake.Scenery{Most: 9}, [2]int{503, 503}},
+		{"a full place after an ask that may be held, settled as never", "/a/b", "body",
+			intake.Scenery{Take: kind(mishap.Full), IsOpen: true, Settle: kind(mishap.Rejected), Most: 9}, [2]int{429, 429}},
+		{"… settled as held", "/a/b", "body", intake.Scenery{Take: kind(mishap.Full), IsOpen: true, Settle: held, Most: 9}, [2]int{202, 202}},
+		{"… not settled", "/a/b", "body", intake.Scenery{Take: kind(mishap.Full), IsOpen: true, Most: 9}, [2]int{504, 504}},
+		{"a lost answer, settled as never", "/a/b", "body", intake.Scenery{IsOpen: true, Settle: kind(mishap.Rejected), Most: 9}, [2]int{503, 503}},
+		{"a lost answer, not settled", "/a/b", "body", intake.Scenery{IsOpen: true, Most: 9}, [2]int{504, 504}},
+	}
+	for i, m := range manners {
+		Convey("In "+m.name+" a caller that meets", t, func() {
+			for _, c := range cases {
+				for _, isChunked := range []bool{false, true} {
+					in, takes := intake.On(c.s)
+					r := httptest.NewRequest("POST", c.target, strings.NewReader(c.body))
+					if isChunked {
+						r = httptest.NewRequest("POST", c.target, chunks{strings.NewReader(c.body)})
+						So(r.ContentLength, ShouldEqual, -1)
+					}
+					r.Host = "x.example"
+					w := httptest.NewRecorder()
+					in.AsItIs(m.manner)(w, r)
+					Convey(c.name+map[bool]string{true: ", in chunks"}[isChunked], func() {
+						So(w.Code, ShouldEqual, c.codes[i])
+						So(w.Header().Get("Content-Length"), ShouldNotBeEmpty)
+						if w.Code == 429 || w.Code == 503 {
+							So(w.Header().Get("Retry-After"), ShouldNotBeEmpty)
+						}
+						if w.Code == 202 {
+							kept, err := head.Decode(takes()[0].Head)
+							So(err, ShouldBeNil)
+							So([]string{kept.Method, kept.Target, kept.Host}, ShouldResemble, []string{"POST", c.target, "x.example"})
+							So(takes()[0].Sum, ShouldEqual, store.SumOf([]byte(c.body)))
+						}
+					})
+				}
+			}
+		})
+		Convey("In "+m.name+" a message of an ordered lane without a key is about nothing that others are about", t, func() {
+			in, takes := intake.On(intake.Scenery{Take: held, Most: 9})
+			for range 2 {
+				in.AsItIs(m.manner)(httptest.NewRecorder(), httptest.NewRequest("POST", "/o/x", nil))
+			}
+			So(len(takes()), ShouldEqual, 2)
+			So(takes()[0].Key, ShouldNotBeEmpty)
+			So(takes()[0].Key, ShouldNotEqual, takes()[1].Key)
+		})
+	}
+}
+
+// TestAskers is the table of what the platform's askers hear of a message.
+func TestAskers(t *testing.T) {
+	body, sum := []byte("body"), store.SumOf([]byte("body"))
+	cases := []struct {
+		name, path string
+		sight      wire.Sight
+		code       int
+		answer     string
+	}{
+		{"held", "/v1/message/1-x", wire.Sight{State: "held"}, 200, `{"state":"queued"}`},
+		{"started", "/v1/message/1-x", wire.Sight{State: "started"}, 200, `{"state":"queued"}`},
+		{"ended", "/v1/message/1-x", wire.Sight{State: "ended", Proof: wire.Proof{Answer: []byte("seal.7")}}, 200, `{"state":"completed","stamp":"seal.7"}`},
+		{"failed", "/v1/message/1-x", wire.Sight{State: "failed"}, 200, `{"state":"dead_letter"}`},
+		{"expired", "/v1/message/1-x", wire.Sight{State: "expired"}, 200, `{"state":"dead_letter"}`},
+		{"settled as never", "/v1/message/1-x", wire.Sight{State: "rejected"}, 404, ""},
+		{"not known", "/v1/message/1-x", wire.Sight{Kind: "unknown"}, 404, ""},
+		{"out of reach", "/v1/message/1-x", wire.Sight{Kind: "undecided"}, 503, ""},
+		{"no id of ours", "/v1/message/x", wire.Sight{State: "held"}, 404, ""},
+		{"held, for its bytes", "/v1/message-body/1-x", wire.Sight{State: "held", Body: body, Sum: sum}, 200, "body"},
+		{"held, without bytes", "/v1/message-body/1-x", wire.Sight{State: "held", Sum: store.SumOf(nil)}, 200, ""},
+		{"failed, for its bytes", "/v1/message-body/1-x", wire.Sight{State: "failed", Body: body, Sum: sum}, 200, "body"},
+		{"held, and its bytes are broken", "/v1/message-body/1-x", wire.Sight{State: "held", Body: []byte("bodY"), Sum: sum}, 503, ""},
+		{"ended, and its bytes have gone", "/v1/message-body/1-x", wire.Sight{State: "ended", Sum: sum}, 404, ""},
+	}
+	Convey("Whoever asks of a message that is", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				in, _ := intake.On(intake.Scenery{Sight: &c.sight, Most: 9})
+				mux := http.NewServeMux()
+				platform.ServeCallers(mux, in)
+				w := httptest.NewRecorder()
+				mux.ServeHTTP(w, httptest.NewRequest("GET", c.path, nil))
+				So(w.Code, ShouldEqual, c.code)
+				So(w.Body.String(), ShouldEqual, c.answer)
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/intake/stand_test.go
@@ -0,0 +1,57 @@
+package intake
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/session"
+	"caperwheel/internal/settings"
+	"caperwheel/internal/wire"
+)
+
+// Scenery is what tables from outside of the package say of an intake's
+// surroundings.
+type Scenery struct {
+	Take, Settle *wire.Taken // nil: no owner answers
+	IsOpen       bool        // an earlier ask may have been held
+	Sight        *wire.Sight // what an owner knows of a message
+	IsStale      bool
+	Most         int
+}
+
+// sighted also answers those who ask of a message.
+type sighted struct {
+	stand
+	sight *wire.Sight
+}
+
+func (s *sighted) Group(ctx context.Context, id int64, ask any, owned func(any) (bool, string)) (any, error) {
+	if _, isLook := ask.(*wire.Look); isLook && s.sight != nil {
+		return s.sight, nil
+	}
+	return s.stand.Group(ctx, id, ask, owned)
+}
+
+const asItIs = `{"pools":{"p":{}},"lanes":{"l":{"pools":["p"],"size":9,"host":"x.example","prefix":"/a/","notify":true},
+	"o":{"pools":["p"],"prefix":"/o/","ordering":"key"}}}`
+
+// On builds an intake in these surroundings; takes gives what was put to owners.
+func On(s Scenery) (in *Intake, takes func() []*wire.Take) {
+	owners := &sighted{stand: stand{take: s.Take, settle: s.Settle, isOpen: s.IsOpen}, sight: s.Sight}
+	view := feed.NewView(0)
+	d := &daemon.Daemon{Started: time.Now().Add(-time.Hour), Bounds: beat.Default, View: view, Roll: session.NewRoll(),
+		Mux: http.NewServeMux(), Settings: settings.Settings{Places: 48, Most: s.Most}}
+	at := d.Now()
+	if s.IsStale {
+		at = 0
+	}
+	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: charter.Key, Stamp: 7, Value: []byte(asItIs)}}}}, at)
+	in = New(d, &charter.Scenes{View: view})
+	in.reach = owners
+	return in, func() []*wire.Take { return owners.takes }
+}
--- /dev/null
+++ b/internal/store/tell_test.go
@@ -0,0 +1,128 @@
+package store
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/place"
+	"caperwheel/internal/wire"
+)
+
+// owing gives a bench with messages that are over and whose ends are to be told.
+func owing(count int) *bench {
+	b := newBench()
+	b.members["t"] = wire.Who{Name: "t", Boot: "1"}
+	for i := range count {
+		id := fmt.Sprintf("0-%03d", i)
+		b.place.Apply(place.Command{Kind: place.CmdTake, Id: id, Lane: "l", Cutoff: 600_000, Head: []byte("POST /a\nx\n"), Notify: "http://10.0.0.9:1/x"}.Encode())
+		b.place.Apply(place.Command{Kind: place.CmdClose, Id: id, State: "failed", Retain: 600_000}.Encode())
+	}
+	return b
+}
+
+// turn lets the owner look for those to be told, after a while, and answers.
+func (b *bench) turn(after time.Duration, reply any, err error) (asked int) {
+	b.now += after
+	b.place.tell(b.now)
+	answers := b.answers
+	b.answers = nil
+	for _, answer := range answers {
+		answer(reply, err)
+	}
+	return len(answers)
+}
+
+// TestTelling is the table of what an owner does about ends that are to be told.
+func TestTelling(t *testing.T) {
+	look, redial := beat.Default.Of(beat.AskHold), beat.Default.Of(beat.Redial)
+	refusals := []struct {
+		name  string
+		reply any
+		err   error
+	}{
+		{"a receiver that refuses", &wire.Told{Kind: string(mishap.Rejected)}, nil},
+		{"an adapter that has too many under way", &wire.Told{Kind: string(mishap.Full)}, nil},
+		{"an adapter that is lost", nil, mishap.New(mishap.Lost, "no answer")},
+		{"an answer of another kind", &wire.RunAck{}, nil},
+	}
+	Convey("An owner that must tell of an end and meets", t, func() {
+		for _, c := range refusals {
+			Convey(c.name+" tells again, after pauses that grow to a bound", func() {
+				b, pauses, last := owing(1), []time.Duration{}, time.Duration(0)
+				for range 4000 {
+					if b.turn(look, c.reply, c.err) > 0 {
+						if last > 0 {
+							pauses = append(pauses, b.now-last)
+						}
+						last = b.now
+					}
+				}
+				So(len(pauses), ShouldBeGreaterThan, 5)
+				for i, pause := range pauses {
+					want := min(redial<<min(i, 10), 8*redial)
+					So(pause, ShouldBeBetweenOrEqual, want, want+2*look)
+				}
+				So(b.proposed, ShouldBeEmpty)
+				So(b.place.machine.CountOwed(), ShouldEqual, 1)
+			})
+		}
+		Convey("one that accepts commits so, once, and tells no more", func() {
+			b := owing(1)
+			So(b.turn(look, &wire.Told{}, nil), ShouldEqual, 1)
+			So(b.turn(beat.Default.Of(beat.Vote)+look, nil, nil), ShouldEqual, 0)
+			So(len(b.proposed), ShouldEqual, 1)
+			b.commit(true)
+			So(b.place.machine.CountOwed(), ShouldEqual, 0)
+			So(b.turn(time.Minute, nil, nil), ShouldEqual, 0)
+			So(len(b.proposed), ShouldEqual, 0)
+		})
+		Convey("one that accepts, but cannot commit it, tells again: at least once", func() {
+			b := owing(1)
+			b.turn(look, &wire.Told{}, nil)
+			b.turn(beat.Default.Of(beat.Vote)+look, nil, nil)
+			b.commit(false)
+			So(b.turn(look, &wire.Told{}, nil), ShouldEqual, 1)
+		})
+		Convey("nobody who could speak for it waits for one", func() {
+			b := owing(1)
+			delete(b.members, "t")
+			So(b.turn(look, nil, nil), ShouldEqual, 0)
+			b.members["t"] = wire.Who{Name: "t", Boot: "2"}
+			So(b.turn(look, &wire.Told{}, nil), ShouldEqual, 1)
+		})
+		Convey("an adapter that never answers asks again after two bounds", func() {
+			b := owing(1)
+			b.now += look
+			b.place.tell(b.now)
+			b.answers = nil
+			So(b.turn(beat.Default.Charter, nil, nil), ShouldEqual, 0)
+			So(b.turn(beat.Default.Charter, &wire.Told{}, nil), ShouldEqual, 1)
+		})
+		Convey("many ends tells a bounded number at a time, and commits them together", func() {
+			b := owing(150)
+			So(b.turn(look, &wire.Told{}, nil), ShouldEqual, mostTelling)
+			So(b.turn(look, &wire.Told{}, nil), ShouldBeLessThanOrEqualTo, mostTelling)
+			for range 20 {
+				b.turn(beat.Default.Of(beat.Vote), &wire.Told{}, nil)
+				b.commit(true)
+			}
+			So(b.place.machine.CountOwed(), ShouldEqual, 0)
+		})
+		Convey("a new ownership begins afresh: answers to the one before count for nothing", func() {
+			b := owing(1)
+			b.now += look
+			b.place.tell(b.now)
+			late := b.answers[0]
+			b.place.Owned(true)
+			late(&wire.Told{}, nil)
+			So(b.place.telling.told, ShouldBeEmpty)
+			b.answers = nil
+			So(b.turn(look, &wire.Told{}, nil), ShouldEqual, 1)
+		})
+	})
+}
