--- a/internal/check/proof_test.go
+++ b/internal/check/proof_test.go
@@ -9,18 +9,21 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// TestProofNames: docs/proof.md names only tests, schedules and simulated
+// TestProofNames: docs/proof.md and docs/platform.md name only tests, schedules and simulated
 // faults that exist.
 func TestProofNames(t *testing.T) {
 	Convey("Everything that the proof names exists", t, func() {
 		page, err := os.ReadFile("../../docs/proof.md")
 		So(err, ShouldBeNil)
+		rules, err := os.ReadFile("../../docs/platform.md")
+		So(err, ShouldBeNil)
+		page = append(page, rules...)
 		tests, err := exec.Command("grep", "-rhoE", "--include=*_test.go", `^func Test[A-Za-z0-9]+`, "../..").Output()
 		So(err, ShouldBeNil)
 		faults, err := exec.Command("grep", "-rhoE", `^	"[a-z -]+":`, "../sim").Output()
 		So(err, ShouldBeNil)
 		named := 0
-		for _, found := range regexp.MustCompile("`(Test[A-Za-z0-9]+)`").FindAllSubmatch(page, -1) {
+		for _, found := range regexp.MustCompile("`(?:[a-z]+/)?(Test[A-Za-z0-9]+)`").FindAllSubmatch(page, -1) {
 			named++
 			So(string(tests), ShouldContainSubstring, "func "+string(found[1])+"\n")
 		}
