--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -66,7 +66,7 @@
 	for _, door := range []struct {
 		listener net.Listener
 		mux      http.Handler
-	}{{d.listener, d.Mux}, {d.Front, web.AsCame(d.FrontMux)}, {d.Probe, d.ProbeMux}, {d.Operators, d.OperatorsMux}} {
+	}{{d.listener, web.AsCame(d.Mux)}, {d.Front, web.AsCame(d.FrontMux)}, {d.Probe, d.ProbeMux}, {d.Operators, d.OperatorsMux}} {
 		if door.listener == nil {
 			continue
 		}
