--- a/internal/deliver/deliver_test.go
+++ b/internal/deliver/deliver_test.go
@@ -167,11 +167,17 @@
 		for range 9 {
 			a.slots.want(&wire.Want{Pool: "p", Worker: "w", Hold: 60_000}, func(any) {})
 		}
-		timer, at := a.slots.timer, a.slots.armedAt
+		due := func() (timer *time.Timer, at time.Duration) { // the timer looks too
+			a.slots.mu.Lock()
+			defer a.slots.mu.Unlock()
+			return a.slots.timer, a.slots.armedAt
+		}
+		first, at := due()
 		for range 9 {
 			a.slots.serve()
-			So(a.slots.timer, ShouldEqual, timer)
-			So(a.slots.armedAt, ShouldBeGreaterThanOrEqualTo, at)
+			timer, next := due()
+			So(timer, ShouldEqual, first)
+			So(next, ShouldBeGreaterThanOrEqualTo, at)
 		}
 	})
 }
--- a/internal/deliver/manners_test.go
+++ b/internal/deliver/manners_test.go
@@ -69,11 +69,11 @@
 		Convey("In "+m.name+" a run that meets", t, func() {
 			for _, c := range cases {
 				Convey(c.name, func() {
-					address, got := "", []string{}
+					address, got := "", make(chan []string, 1)
 					if c.worker != nil {
 						server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 							body, _ := io.ReadAll(r.Body)
-							got = []string{r.Method, r.RequestURI, r.Host, r.Header.Get(whose), string(body)}
+							got <- []string{r.Method, r.RequestURI, r.Host, r.Header.Get(whose), string(body)}
 							c.worker(w, r)
 						}))
 						Reset(server.CloseClientConnections)
@@ -91,7 +91,7 @@
 						So(o.Begun, ShouldEqual, c.isBegun[i])
 					}
 					if c.worker != nil {
-						So(got, ShouldResemble, []string{"PUT", "/a%2Fb/../c?d=%20", "x.example", "m-1", "body"})
+						So(<-got, ShouldResemble, []string{"PUT", "/a%2Fb/../c?d=%20", "x.example", "m-1", "body"})
 					}
 				})
 			}
