--- a/internal/deliver/meet_test.go
+++ b/internal/deliver/meet_test.go
@@ -1,6 +1,10 @@
 package deliver
 
 import (
+	"net/url"
+
+	"github.com/alitto/pond/v2"
+
 	"caperwheel/internal/charter"
 	"caperwheel/internal/head"
 	"caperwheel/internal/store"
@@ -17,5 +21,21 @@
 		Head: kept.Encode(), Bound: 50}, worker: NewWorker(charter.Pool{Concurrency: 8}, 0, 0)})
 }
 
+// Tell tells a URL of an end in a manner, while others are under way to it.
+func Tell(manner Manner, word *wire.Tell, others int) *wire.Told {
+	a, told := scenery("127.0.0.1:1"), make(chan *wire.Told, 1)
+	a.manner, a.pool = manner, pond.NewPool(4)
+	if u, err := url.Parse(word.Url); err == nil {
+		for range others {
+			a.tellers.enter(u.Host)
+		}
+	}
+	a.tell(word, func(reply any) { told <- reply.(*wire.Told) })
+	return <-told
+}
+
+// MostTellers is how many words may be under way to one address.
+const MostTellers = mostTellers
+
 // Raw answers with bytes as they are and hangs up.
 var Raw = raw
--- /dev/null
+++ b/internal/deliver/telling_test.go
@@ -0,0 +1,63 @@
+package deliver_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/deliver"
+	"caperwheel/internal/head"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// TestTell is the table of when a word of an end counts as accepted, in every
+// manner: by 200 alone, and whole.
+func TestTell(t *testing.T) {
+	cases := []struct {
+		name     string
+		receiver http.HandlerFunc
+		url      string // in place of the receiver's
+		others   int
+		kind     mishap.Kind
+	}{
+		{"accepts", answer(200), "", 0, ""},
+		{"accepts, the last that may come at a time", answer(200), "", deliver.MostTellers - 1, ""},
+		{"has as many as may come at a time", answer(200), "", deliver.MostTellers, mishap.Full},
+		{"answers with another success", answer(202), "", 0, mishap.Rejected},
+		{"does not know the message", answer(400), "", 0, mishap.Rejected},
+		{"fails", answer(500), "", 0, mishap.Rejected},
+		{"points elsewhere", answer(302, "Location", "http://127.0.0.1:1/"), "", 0, mishap.Rejected},
+		{"answers half", deliver.Raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), "", 0, mishap.CutShort},
+		{"hangs up", deliver.Raw(""), "", 0, mishap.Lost},
+		{"is not there", answer(200), "http://127.0.0.1:1/x", 0, mishap.Lost},
+		{"is no URL", answer(200), "http://a b/", 0, mishap.Invalid},
+	}
+	kept := head.Head{Method: "POST", Target: "/a", Host: "x.example", Fields: [][2]string{{"X-Attempt-Id", "m-1"}}}
+	for _, m := range manners {
+		Convey("In "+m.name+" a receiver that", t, func() {
+			for _, c := range cases {
+				Convey(c.name, func() {
+					got := make(chan string, 1)
+					server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						body, _ := io.ReadAll(r.Body)
+						got <- r.Method + " " + r.RequestURI + " " + string(body)
+						c.receiver(w, r)
+					}))
+					Reset(server.Close)
+					word := &wire.Tell{Id: "0-x", Url: server.URL + "/done?x", State: "ended", Head: kept.Encode(), Answer: []byte("s")}
+					if c.url != "" {
+						word.Url = c.url
+					}
+					So(mishap.Kind(deliver.Tell(m.manner, word, c.others).Kind), ShouldEqual, c.kind)
+					if c.kind == "" {
+						So(<-got, ShouldStartWith, "POST /done?x {")
+					}
+				})
+			}
+		})
+	}
+}
--- a/internal/store/tell.go
+++ b/internal/store/tell.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"maps"
 	"net/url"
 	"time"
 
@@ -54,6 +55,9 @@
 		return
 	}
 	t.lookAt = now + p.around.Bounds().Of(beat.AskHold)
+	if len(t.rests) > p.machine.CountOwed() { // some were forgotten before they were told
+		maps.DeleteFunc(t.rests, func(id string, _ rest) bool { return p.machine.Find(id) == nil })
+	}
 	for _, e := range p.machine.Owed() {
 		if len(t.underWay)-len(t.told) >= mostTelling {
 			return
--- a/internal/store/tell_test.go
+++ b/internal/store/tell_test.go
@@ -113,6 +113,16 @@
 			}
 			So(b.place.machine.CountOwed(), ShouldEqual, 0)
 		})
+		Convey("ends that are forgotten before they were told keeps nothing of them", func() {
+			b := owing(9)
+			So(b.turn(look, &wire.Told{Kind: string(mishap.Rejected)}, nil), ShouldEqual, 9)
+			for i := range 8 {
+				b.place.Apply(place.Command{Kind: place.CmdTrim, Ids: []string{fmt.Sprintf("0-%03d", i)}}.Encode())
+			}
+			b.turn(time.Minute, &wire.Told{Kind: string(mishap.Rejected)}, nil)
+			So(len(b.place.telling.rests), ShouldEqual, 1)
+			So(b.place.telling.underWay, ShouldBeEmpty)
+		})
 		Convey("a new ownership begins afresh: answers to the one before count for nothing", func() {
 			b := owing(1)
 			b.now += look
