--- /dev/null
+++ b/internal/deliver/meet_test.go
@@ -0,0 +1,41 @@
+package deliver
+
+import (
+	"net/url"
+
+	"github.com/alitto/pond/v2"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/head"
+	"caperwheel/internal/store"
+	"caperwheel/internal/wire"
+)
+
+// Meet puts a request that came as it is to a worker in a manner, for tables
+// from outside of the package.
+func Meet(manner Manner, address string, kept head.Head) *wire.Outcome {
+	a := scenery(address)
+	a.manner = manner
+	body := []byte("body")
+	return a.deliver(&run{Run: wire.Run{Id: "0-x", Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: store.SumOf(body),
+		Head: kept.Encode(), Bound: 50}, worker: NewWorker(charter.Pool{Concurrency: 8}, 0, 0)})
+}
+
+// Tell tells a URL of an end in a manner, while others are under way to it.
+func Tell(manner Manner, word *wire.Tell, others int) *wire.Told {
+	a, told := scenery("127.0.0.1:1"), make(chan *wire.Told, 1)
+	a.manner, a.pool = manner, pond.NewPool(4)
+	if u, err := url.Parse(word.Url); err == nil {
+		for range others {
+			a.tellers.enter(u.Host)
+		}
+	}
+	a.tell(word, func(reply any) { told <- reply.(*wire.Told) })
+	return <-told
+}
+
+// MostTellers is how many words may be under way to one address.
+const MostTellers = mostTellers
+
+// Raw answers with bytes as they are and hangs up.
+var Raw = raw
