--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -36,11 +36,12 @@
 }
 
 type arguments struct {
-	Up      *upCommand      `arg:"subcommand:up" help:"start a small deployment and let it serve until Ctrl-C"`
-	Backend *backendCommand `arg:"subcommand:backend" help:"run one stand-in worker"`
-	Bench   *benchCommand   `arg:"subcommand:bench" help:"measure the transport alone"`
-	Sweep   *sweepCommand   `arg:"subcommand:sweep" help:"simulate many seeds with mixed faults"`
-	Run     *runCommand     `arg:"subcommand:run" help:"run a deployment and check it"`
+	Up       *upCommand       `arg:"subcommand:up" help:"start a small deployment and let it serve until Ctrl-C"`
+	Backend  *backendCommand  `arg:"subcommand:backend" help:"run one stand-in worker"`
+	Bench    *benchCommand    `arg:"subcommand:bench" help:"measure the transport alone"`
+	Sweep    *sweepCommand    `arg:"subcommand:sweep" help:"simulate many seeds with mixed faults"`
+	Platform *platformCommand `arg:"subcommand:platform" help:"run a small deployment on a stand-in of its users' platform and judge it"`
+	Run      *runCommand      `arg:"subcommand:run" help:"run a deployment and check it"`
 }
 
 func main() {
@@ -52,6 +53,8 @@
 		err = up(args.Up)
 	case args.Run != nil:
 		err = run(args.Run)
+	case args.Platform != nil:
+		err = platform(args.Platform)
 	case args.Backend != nil:
 		err = backend(args.Backend)
 	case args.Bench != nil:
--- /dev/null
+++ b/cmd/fleet/platform.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"caperwheel/internal/fleet"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/standin"
+)
+
+type platformCommand struct {
+	For    time.Duration `arg:"--for" default:"20s" help:"how long clients send"`
+	Root   string        `arg:"--root" default:"." help:"root of the sources, for building"`
+	Dir    string        `arg:"--dir" help:"where data and logs go; a temporary folder if not given"`
+	Bin    string        `arg:"--bin" help:"folder with built programs; built if not given"`
+	Keep   bool          `arg:"--keep" help:"keep the folder"`
+	Faults string        `arg:"--faults" help:"schedule of faults to cause"`
+	Seed   uint64        `arg:"--seed" help:"draw a schedule of mixed faults by this seed"`
+}
+
+// platform runs a small deployment on the stand-in platform and judges it.
+func platform(a *platformCommand) error {
+	ctx := context.Background()
+	schedule, err := fleet.Schedule{}, error(nil)
+	if a.Faults != "" {
+		if schedule, err = fleet.ReadScheduleOf(a.Faults, standin.IsFault); err != nil {
+			return err
+		}
+		if schedule.For != "" {
+			if a.For, err = time.ParseDuration(schedule.For); err != nil {
+				return mishap.Wrap(err, mishap.Invalid, "schedule")
+			}
+		}
+	}
+	if a.Seed > 0 {
+		schedule = fleet.DrawSchedule(standin.Draws(), a.Seed, a.For)
+	}
+	if a.Dir == "" {
+		if a.Dir, err = os.MkdirTemp("", "fleet-"); err != nil {
+			return mishap.Wrap(err, mishap.Internal, "temporary folder")
+		}
+	}
+	if !a.Keep {
+		defer os.RemoveAll(a.Dir)
+	}
+	if a.Bin == "" {
+		a.Bin = a.Dir + "/bin"
+		if err := fleet.Build(ctx, a.Root, a.Bin, false); err != nil {
+			return err
+		}
+	}
+	return standin.Play(ctx, a.Bin, a.Dir, schedule, a.For, os.Stdout)
+}
--- a/internal/check/control.go
+++ b/internal/check/control.go
@@ -9,17 +9,19 @@
 // hold everywhere.
 const charterBound = 3 * time.Second
 
-// inForce lists the charters that may have been acted on at some moment from
+func (c *checker) inForce(first, last time.Duration) []Edit { return InForce(c.h.Edits, first, last) }
+
+// InForce lists the charters that may have been acted on at some moment from
 // first to last: sent by then, and not behind one that was acknowledged more
 // than the bound before first.
-func (c *checker) inForce(first, last time.Duration) []Edit {
+func InForce(edits []Edit, first, last time.Duration) []Edit {
 	newest := int64(0)
-	for _, e := range c.h.Edits {
+	for _, e := range edits {
 		if e.AckAt > 0 && e.AckAt+charterBound < first {
 			newest = max(newest, e.Stamp)
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(c.h.Edits), func(e Edit) bool {
+	return slices.DeleteFunc(slices.Clone(edits), func(e Edit) bool {
 		return e.At > last || e.AckAt > 0 && e.Stamp < newest
 	})
 }
--- a/internal/fleet/cause.go
+++ b/internal/fleet/cause.go
@@ -70,22 +70,28 @@
 // Cause carries a schedule out, from now on, until ctx ends. What is not undone
 // by then is undone at the end.
 func (f *Fleet) Cause(ctx context.Context, s Schedule) {
-	began, beganAt := time.Now(), f.Now()
+	beganAt := f.Now()
 	for _, o := range s.Outages() {
 		o.At += beganAt
 		f.History.AddOutage(o)
 	}
+	s.Carry(ctx, func(ctx context.Context, step Step) func() { return doers[step.Do](ctx, f, step.Who) }, f.failed)
+}
+
+// Carry has do cause each step at its time, and undoes it.
+func (s Schedule) Carry(ctx context.Context, do func(context.Context, Step) (undo func()), failed func(string, ...any)) {
+	began := time.Now()
 	done := make(chan struct{})
 	for _, step := range s.Steps {
 		go func() {
 			defer func() { done <- struct{}{} }()
 			pause(ctx, step.span().from-time.Since(began))
 			if ctx.Err() != nil {
-				f.failed("%s %s was not begun", step.Do, step.Who)
+				failed("%s %s was not begun", step.Do, step.Who)
 				return
 			}
 			fmt.Fprintf(os.Stderr, "fleet: %6.1fs %s %s.\n", time.Since(began).Seconds(), step.Do, step.Who)
-			undo := doers[step.Do](context.WithoutCancel(ctx), f, step.Who)
+			undo := do(context.WithoutCancel(ctx), step)
 			if step.For == "" {
 				return
 			}
--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -8,9 +8,12 @@
 
 // Crashes finds what a panic or the race detector has left in the daemons' logs:
 // a daemon that crashes and comes back may break no rule that anybody sees.
-func (f *Fleet) Crashes() []string {
+func (f *Fleet) Crashes() []string { return CrashesIn(filepath.Join(f.Dir, "log")) }
+
+// CrashesIn looks through a folder of logs.
+func CrashesIn(dir string) []string {
 	out := []string{}
-	logs, _ := filepath.Glob(filepath.Join(f.Dir, "log", "*.log"))
+	logs, _ := filepath.Glob(filepath.Join(dir, "*.log"))
 	for _, file := range logs {
 		raw, err := os.ReadFile(file)
 		if err != nil {
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -30,6 +30,11 @@
 
 // ReadSchedule reads and checks a schedule.
 func ReadSchedule(file string) (Schedule, error) {
+	return ReadScheduleOf(file, func(do string) bool { return doers[do] != nil })
+}
+
+// ReadScheduleOf reads a schedule of faults that somebody else causes.
+func ReadScheduleOf(file string, isKnown func(do string) bool) (Schedule, error) {
 	var out Schedule
 	raw, err := os.ReadFile(file)
 	if err != nil {
@@ -44,7 +49,7 @@
 				return out, mishap.Wrap(err, mishap.Invalid, "step %d", i)
 			}
 		}
-		if doers[s.Do] == nil {
+		if !isKnown(s.Do) {
 			return out, mishap.New(mishap.Invalid, "step %d: no fault is called %q", i, s.Do)
 		}
 	}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -19,7 +19,8 @@
 type Process struct {
 	Kind, Name, Cell string
 	Addr, Http       string
-	file             string // its settings
+	file             string   // its settings
+	env              []string // what it is told besides
 	bin, log         string
 
 	mu   sync.Mutex
@@ -27,6 +28,12 @@
 	done chan struct{}
 }
 
+// NewProcess lays out a daemon that takes its settings from file, or, without
+// one, from what env names.
+func NewProcess(kind, name, cell, bin, log, file string, env ...string) *Process {
+	return &Process{Kind: kind, Name: name, Cell: cell, bin: bin, log: log, file: file, env: env}
+}
+
 var ports struct {
 	sync.Mutex
 	given map[int]bool
@@ -83,7 +90,13 @@
 		return mishap.Wrap(err, mishap.Internal, "log of %s", p.Name)
 	}
 	defer log.Close()
-	cmd := exec.Command(filepath.Join(p.bin, p.Kind), "--settings", p.file)
+	cmd := exec.Command(filepath.Join(p.bin, p.Kind))
+	if p.file != "" {
+		cmd.Args = append(cmd.Args, "--settings", p.file)
+	}
+	if len(p.env) > 0 {
+		cmd.Env = append(os.Environ(), p.env...)
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -110,19 +123,27 @@
 // Stop asks the process to leave and waits, up to a bound.
 func (p *Process) Stop() { p.end(syscall.SIGTERM) }
 
-func (p *Process) end(sig syscall.Signal) {
+// StopWithin asks the process to leave and ends it after a time of grace; true
+// if it went by itself.
+func (p *Process) StopWithin(grace time.Duration) bool { return p.endWithin(syscall.SIGTERM, grace) }
+
+func (p *Process) end(sig syscall.Signal) { p.endWithin(sig, 20*time.Second) }
+
+func (p *Process) endWithin(sig syscall.Signal, grace time.Duration) bool {
 	p.mu.Lock()
 	cmd, done := p.cmd, p.done
 	p.mu.Unlock()
 	if cmd == nil {
-		return
+		return true
 	}
 	_ = cmd.Process.Signal(sig)
 	select {
 	case <-done:
-	case <-time.After(20 * time.Second):
+		return true
+	case <-time.After(grace):
 		_ = cmd.Process.Kill()
 		<-done
+		return false
 	}
 }
 
--- a/internal/fleet/random.go
+++ b/internal/fleet/random.go
@@ -81,34 +81,51 @@
 // same one. Faults overlap as they come, but no disk is lost while another
 // store is away or has not had time to catch up: that much nobody rides out.
 func RandomSchedule(plan Plan, seed uint64, length time.Duration) Schedule {
+	list := []Draw{}
+	for _, d := range draws {
+		list = append(list, Draw{d.share, d.do, func(r *rand.Rand) string { return d.who(r, plan) }, d.most})
+	}
+	return DrawSchedule(list, seed, length)
+}
+
+// Draw is one kind of fault that a schedule may be drawn from.
+type Draw struct {
+	Share int // how often it is drawn against others
+	Do    string
+	Who   func(r *rand.Rand) string
+	Most  time.Duration // longest; 0: it is not undone
+}
+
+// DrawSchedule draws by seed from any faults.
+func DrawSchedule(draws []Draw, seed uint64, length time.Duration) Schedule {
 	r := rand.New(rand.NewPCG(seed, 29))
 	out := Schedule{Note: fmt.Sprintf("drawn by seed %d", seed), For: length.String()}
 	shares := 0
 	for _, d := range draws {
-		shares += d.share
+		shares += d.Share
 	}
 	hurtStores, isWiped := time.Duration(0), false
 	for at := 5 * time.Second; at < length-8*time.Second; at += time.Duration(1500+r.IntN(4000)) * time.Millisecond {
-		left, d := r.IntN(shares), draw{}
+		left, d := r.IntN(shares), Draw{}
 		for _, d = range draws {
-			if left -= d.share; left < 0 {
+			if left -= d.Share; left < 0 {
 				break
 			}
 		}
-		who, lasts := d.who(r, plan), time.Duration(0)
-		if d.most > 0 {
-			lasts = time.Duration(1+r.Int64N(int64(d.most/time.Second))) * time.Second
+		who, lasts := d.Who(r), time.Duration(0)
+		if d.Most > 0 {
+			lasts = time.Duration(1+r.Int64N(int64(d.Most/time.Second))) * time.Second
 		}
 		lasts = min(lasts, length-at-2*time.Second)
-		if d.do == "wipe" && (isWiped || at < hurtStores+15*time.Second) {
+		if d.Do == "wipe" && (isWiped || at < hurtStores+15*time.Second) {
 			continue
 		}
-		step := Step{At: at.String(), Do: d.do, Who: who}
+		step := Step{At: at.String(), Do: d.Do, Who: who}
 		if lasts > 0 {
 			step.For = lasts.String()
 		}
 		out.Steps = append(out.Steps, step)
-		if d.do == "wipe" { // leave the others alone until it has been brought up to date
+		if d.Do == "wipe" { // leave the others alone until it has been brought up to date
 			isWiped = true
 			at += lasts + 15*time.Second
 		} else {
--- /dev/null
+++ b/internal/standin/client.go
@@ -0,0 +1,188 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"caperwheel/internal/check"
+	"caperwheel/internal/fleet"
+)
+
+// Load is what clients send on a route.
+type Load struct {
+	Route, Host, Prefix string
+	Rate                float64 // messages a second
+	Keys, Size          int
+	Delayed, Poisoned   float64 // shares
+	Failing             float64 // share that fails once
+	IsNotified          bool
+}
+
+const furtherTries = 2
+
+// Client is one client, with a session that it keeps and new ones for tries.
+type Client struct {
+	site   *Site
+	zone   string
+	cutoff time.Duration
+	first  *http.Transport
+	again  *http.Transport
+	try    atomic.Int32
+}
+
+func newClient(s *Site, zone, name string, cutoff time.Duration) *Client {
+	c := &Client{site: s, zone: zone, cutoff: cutoff}
+	c.first = &http.Transport{DialContext: s.entry.dialer(zone, name, func() int { return 0 }), MaxIdleConnsPerHost: 8, IdleConnTimeout: 5 * time.Second}
+	c.again = &http.Transport{DialContext: s.entry.dialer(zone, name, func() int { return int(c.try.Add(1)) }), DisableKeepAlives: true}
+	return c
+}
+
+// Message is one message, as tries have it in common.
+type Message struct {
+	Load
+	Key, Tail, Words string // Tail ends the path; Words stand in the body
+	Delay            time.Duration
+}
+
+var sends atomic.Int64
+
+// Send sends a message until it is accepted or given up, and gives the last try.
+func (c *Client) Send(ctx context.Context, m Message) Sent {
+	ctx, cancel := context.WithTimeout(ctx, c.cutoff)
+	defer cancel()
+	by, via := time.Now().Add(c.cutoff), c.first
+	for try := 0; ; try++ {
+		sent, wait := c.once(ctx, via, m, time.Until(by))
+		isPromised := sent.Told == check.NotTaken && sent.Code != 404
+		if !isPromised || try == furtherTries || !pause(ctx, max(wait, 30*time.Millisecond)) {
+			return sent
+		}
+		via = c.again
+	}
+}
+
+// once makes one try and records it.
+func (c *Client) once(ctx context.Context, via http.RoundTripper, m Message, left time.Duration) (Sent, time.Duration) {
+	site := c.site
+	id := fmt.Sprintf("t%d-%x", sends.Add(1), rand.Uint64())
+	body := []byte(m.Words + " of " + id + strings.Repeat(".", m.Size/2+rand.IntN(m.Size+1)))
+	isRead, isChunked := false, rand.IntN(3) == 0
+	reader := io.Reader(bytes.NewReader(body))
+	if isChunked {
+		reader = struct{ io.Reader }{reader} // of no length that is known
+	}
+	uri := m.Prefix + m.Tail
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.Host+uri, reader)
+	if err != nil {
+		return Sent{}, 0
+	}
+	req.Header.Set(attemptId, id)
+	req.Header.Set(remaining, millis(left))
+	if m.Key != "" {
+		req.Header.Set(orderKey, m.Key)
+	}
+	if m.Delay > 0 {
+		req.Header.Set(notBefore, millis(m.Delay))
+	}
+	if m.IsNotified {
+		req.Header.Set(callback, "http://"+site.at(receiverHost, 0)+"/told")
+	}
+	sent := Sent{Sent: check.Sent{Token: id, Lane: m.Route, Key: m.Key, Sum: fleet.Sum(body), Told: check.Undecided}, Line: lineOf(req),
+		Delay: m.Delay, IsNotified: m.IsNotified}
+	var mu sync.Mutex
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		mu.Lock()
+		defer mu.Unlock()
+		if at := site.machineAt(info.Conn.RemoteAddr()); at != nil {
+			sent.Daemon, sent.Life = at.Short, at.life.Load()
+		}
+	}, WroteHeaders: func() { mu.Lock(); isRead = true; mu.Unlock() }}
+	sent.At = site.Now()
+	answer, err := via.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	wait := time.Duration(0)
+	if err == nil {
+		_, err = io.Copy(io.Discard, answer.Body)
+		answer.Body.Close()
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	sent.ToldAt = site.Now()
+	switch {
+	case err != nil:
+		sent.IsBroken = isRead && ctx.Err() == nil && !errors.Is(err, context.DeadlineExceeded)
+		if !isRead {
+			sent.Told = check.NotTaken
+		}
+	default:
+		sent.Code = answer.StatusCode
+		sent.told(answer.Header)
+		seconds, _ := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+		wait = time.Duration(seconds * float64(time.Second))
+	}
+	site.History.Add(func() { site.History.Sent = append(site.History.Sent, sent) })
+	return sent, wait
+}
+
+func (s *Sent) told(h http.Header) {
+	switch s.Code {
+	case 202:
+		s.Told, s.Id = check.Taken, s.Token
+		if name := h.Get(givenName); name != "" {
+			s.Id = name
+		}
+	case 429, 503, 408, 421, 404:
+		s.Told = check.NotTaken
+	}
+}
+
+// message draws one of a load's.
+func (l Load) message() Message {
+	m := Message{Load: l, Words: "work", Tail: fmt.Sprintf("n/%d?part=%d", rand.IntN(1000), rand.IntN(9))}
+	if l.Keys > 0 {
+		m.Key = fmt.Sprintf("thing-%d", rand.IntN(l.Keys))
+	}
+	if rand.Float64() < l.Delayed {
+		m.Delay = time.Duration(500+rand.IntN(1500)) * time.Millisecond
+	}
+	switch {
+	case rand.Float64() < l.Poisoned:
+		m.Words = poisonWord
+	case rand.Float64() < l.Failing:
+		m.Words = failWord
+	}
+	return m
+}
+
+// Traffic has clients send loads until ctx ends.
+func (s *Site) Traffic(ctx context.Context, loads []Load, cutoff time.Duration) {
+	clients := []*Client{}
+	for i := range 4 * len(s.Zones) {
+		clients = append(clients, newClient(s, s.Zones[i%len(s.Zones)], fmt.Sprintf("client-%d", i), cutoff))
+	}
+	var wg sync.WaitGroup
+	for _, load := range loads {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for pause(ctx, time.Duration((0.5+rand.Float64())*float64(time.Second)/load.Rate)) {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					clients[rand.IntN(len(clients))].Send(context.WithoutCancel(ctx), load.message())
+				}()
+			}
+		}()
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/standin/config.go
@@ -0,0 +1,134 @@
+package standin
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/check"
+)
+
+// edits: nothing invalid is acknowledged, and of two on one base only one.
+func (j *judge) edits() {
+	byBase := map[int64]int64{}
+	for _, e := range j.h.Edits {
+		if e.Code/100 != 2 {
+			continue
+		}
+		if e.IsInvalid {
+			j.breach(RuleConfig, "the invalid version %d was acknowledged", e.Stamp)
+			continue
+		}
+		if other, isKnown := byBase[e.Base]; isKnown && other != e.Stamp {
+			j.breach(RuleConfig, "versions %d and %d, both on %d, were acknowledged", other, e.Stamp, e.Base)
+		}
+		byBase[e.Base] = e.Stamp
+	}
+}
+
+// readBack: at the end the newest acknowledged version comes back, or a newer
+// one that got no clear answer, each as it was sent.
+func (j *judge) readBack() {
+	newest := int64(0)
+	for _, e := range j.h.Edits {
+		if e.AckAt > 0 {
+			newest = max(newest, e.Stamp)
+		}
+	}
+	version := gjson.GetBytes(j.h.Read.Doc, "version").Int()
+	if j.h.Read.Code != 200 || version < newest {
+		j.breach(RuleConfig, "version %d was acknowledged, and %d with version %d came back", newest, j.h.Read.Code, version)
+		return
+	}
+	for _, e := range j.h.Edits {
+		if e.Stamp != version || e.IsInvalid || e.Code/100 == 4 {
+			continue
+		}
+		if differences, err := charter.Diff(e.Whole, j.h.Read.Doc); err == nil && len(differences) == 0 {
+			return
+		}
+	}
+	j.breach(RuleConfig, "version %d came back other than anything that was sent and not refused", version)
+}
+
+// answers holds what clients were told against the configurations in force.
+func (j *judge) answers() {
+	edits := j.proper()
+	for _, s := range j.h.Sent {
+		if !j.h.inTouch(s.At) || s.Code != 404 && s.Code != 202 {
+			continue
+		}
+		list := check.InForce(edits, s.At, s.ToldAt)
+		lacks := func(e check.Edit) bool { return len(e.Pools[s.Lane]) == 0 }
+		switch {
+		case len(list) == 0:
+		case s.Code == 404 && !slices.ContainsFunc(list, lacks):
+			j.breach(RuleConfig, "%s got 404 at %v from %s, though route %s is there", s.Token, s.At, s.Daemon, s.Lane)
+		case s.Code == 202 && !slices.ContainsFunc(list, func(e check.Edit) bool { return !lacks(e) }):
+			j.breach(RuleConfig, "%s was accepted at %v by %s, though route %s is not there", s.Token, s.At, s.Daemon, s.Lane)
+		}
+	}
+}
+
+// wentBack: a daemon that has taken messages of a route does not forget it
+// within its life, unless a newer configuration drops it.
+func (j *judge) wentBack() {
+	edits := j.proper()
+	isDropped := func(route string, by time.Duration) bool {
+		isSeen := false
+		for _, e := range edits { // in order of their versions
+			_, isThere := e.Pools[route]
+			isSeen = isSeen || isThere
+			if isSeen && !isThere && e.At <= by {
+				return true
+			}
+		}
+		return false
+	}
+	type life struct {
+		daemon string
+		life   int64
+		route  string
+	}
+	taken := map[life]time.Duration{}
+	for _, s := range j.h.Sent {
+		key := life{s.Daemon, s.Life, s.Lane}
+		if at, isKnown := taken[key]; s.Code == 202 && (!isKnown || s.ToldAt < at) {
+			taken[key] = s.ToldAt
+		}
+	}
+	for _, s := range j.h.Sent {
+		at, isKnown := taken[life{s.Daemon, s.Life, s.Lane}]
+		if s.Code == 404 && isKnown && s.At > at+rollback && !isDropped(s.Lane, s.ToldAt) {
+			j.breach(RuleConfig, "%s took messages of %s at %v and knew nothing of it at %v", s.Daemon, s.Lane, at, s.At)
+		}
+	}
+}
+
+// broken: while a daemon leaves as planned, no errand that it has read is cut.
+func (j *judge) broken() {
+	for _, s := range j.h.Sent {
+		if !s.IsBroken || s.ToldAt-s.At <= lossSlack || !j.h.isCalm(s.At-contact, s.ToldAt, unplanned) {
+			continue
+		}
+		for _, t := range j.h.Troubles {
+			if t.IsPlanned && t.Daemon == s.Daemon && s.ToldAt >= t.From && s.ToldAt <= t.From+grace+time.Second {
+				j.breach(RuleLost, "%s was cut off at %v by %s, which was asked to leave at %v", s.Token, s.ToldAt, s.Daemon, t.From)
+			}
+		}
+	}
+}
+
+// orders: the operator's proper orders are acknowledged in time.
+func (j *judge) orders() {
+	for _, o := range j.h.Orders {
+		if !j.h.isCalm(o.At-contact, o.At+acknowledge, anyTrouble) {
+			continue
+		}
+		if o.AckAt == 0 || o.AckAt > o.At+acknowledge {
+			j.breach(RuleAcks, "%s of %v was acknowledged at %v", o.Text, o.At, o.AckAt)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/configs.go
@@ -0,0 +1,176 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// route is one as a configuration has it.
+type route struct {
+	Name      string  `json:"name"`
+	Host      string  `json:"hostname"`
+	Prefix    string  `json:"path_prefix"`
+	Kind      string  `json:"route_kind"`
+	Timeout   int64   `json:"timeout_ms"`
+	Target    int64   `json:"target_latency_ms"`
+	Priority  int     `json:"priority"`
+	Service   string  `json:"service"`
+	Attempts  int     `json:"max_attempts"`
+	IsOrdered bool    `json:"ordered"`
+	Retention float64 `json:"retention_s"`
+	IsTold    bool    `json:"callback_url"`
+	RunTarget int64   `json:"run_target_ms"`
+}
+
+type service struct {
+	Name     string  `json:"name"`
+	Health   string  `json:"health_path"`
+	Conns    int     `json:"connection_limit"`
+	Protocol string  `json:"protocol"`
+	IsSecure bool    `json:"transport_security"`
+	ColdFor  float64 `json:"cold_start_s"`
+	ColdRate float64 `json:"cold_per_s"`
+	Rate     float64 `json:"rate_per_s"`
+	IsShared bool    `json:"deduplicates"`
+	IsPulled bool    `json:"pull_mode"`
+	Fixed    *string `json:"fixed_endpoint"`
+}
+
+type limits struct {
+	Header  int64 `json:"max_header_bytes"`
+	Body    int64 `json:"max_body_bytes"`
+	Reading int64 `json:"header_timeout_ms"`
+	Idle    int64 `json:"idle_timeout_ms"`
+}
+
+type config struct {
+	Version  int64     `json:"version"`
+	Routes   []route   `json:"routes"`
+	Services []service `json:"services"`
+	Limits   limits    `json:"limits"`
+}
+
+// SitePlan is a deployment with its services and load.
+type SitePlan struct {
+	Zones    []string
+	Services []Plan
+	Routes   []route
+	Loads    []Load
+	Cutoff   time.Duration // of clients
+}
+
+// Small is the small deployment that everything here is about: three zones with
+// a machine of each class, a service that anybody may call, one that is ordered
+// and shares a table of ids, and an endpoint with a rate.
+func Small() SitePlan {
+	salt := fmt.Sprintf("%x", rand.Uint32())
+	sort, press, buoy := "sort"+salt, "press."+salt, "buoy-"+salt // one is no product name
+	hosts := []string{"Lots" + salt + ".example", "orders" + salt + ".example"}
+	make := func(name, host, prefix, service string, timeout int64, priority, attempts int, isOrdered, isTold bool) route {
+		return route{Name: name, Host: host, Prefix: prefix, Kind: "asynchronous", Timeout: timeout, Target: 150, Priority: priority,
+			Service: service, Attempts: attempts, IsOrdered: isOrdered, Retention: 80, IsTold: isTold, RunTarget: 1000}
+	}
+	return SitePlan{Zones: []string{"north-bank", "south-bank", "mill-island"}, Cutoff: 2 * time.Second,
+		Services: []Plan{
+			{Name: sort, Slots: 4, Queue: 12, Conns: 60, Work: 60 * time.Millisecond, Count: 2, TellsLoad: true, ColdRate: 8, ColdFor: 3 * time.Second},
+			{Name: press, Slots: 2, Queue: 6, Conns: 60, Work: 20 * time.Millisecond, Count: 1, IsShared: true},
+			{Name: buoy, Slots: 12, Queue: 40, Conns: 40, Work: 40 * time.Millisecond, Rate: 24}},
+		Routes: []route{make("lots", hosts[0], "/lots/", sort, 2000, 2, 5, false, true),
+			make("orders", hosts[1], "/line/", press, 900, 0, 3, true, false),
+			make("buoys "+salt, hosts[0], "/lots/buoys/", buoy, 1500, 1, 4, false, false)},
+		Loads: []Load{{Route: "lots", Host: hosts[0], Prefix: "/lots/", Rate: 40, Size: 1200, Delayed: 0.1, Poisoned: 0.01, Failing: 0.05, IsNotified: true},
+			{Route: "orders", Host: hosts[1], Prefix: "/line/", Rate: 25, Keys: 20, Size: 300, Poisoned: 0.02, Failing: 0.04},
+			{Route: "buoys " + salt, Host: hosts[0], Prefix: "/lots/buoys/", Rate: 14, Size: 500, Failing: 0.05}}}
+}
+
+// config is a plan's first one.
+func (p SitePlan) config(s *Site) config {
+	c := config{Routes: p.Routes, Limits: limits{16384, 200000, 3000, 12000}}
+	for _, v := range p.Services {
+		out := service{Name: v.Name, Health: healthPath, Conns: v.Conns, Protocol: "h1", ColdFor: v.ColdFor.Seconds(), ColdRate: v.ColdRate,
+			Rate: v.Rate, IsShared: v.IsShared}
+		if v.Count == 0 {
+			addr := s.Pools[v.Name].all()[0].Addr
+			out.Fixed = &addr
+		}
+		c.Services = append(c.Services, out)
+	}
+	return c
+}
+
+// next is a copy of a higher version.
+func (c config) next() config {
+	c.Routes, c.Services = slices.Clone(c.Routes), slices.Clone(c.Services)
+	c.Version += 1 + rand.Int64N(4)
+	return c
+}
+
+func (c config) whole() []byte {
+	raw, err := json.Marshal(c)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// since is the update that makes this configuration of another.
+func (c config) since(was config) []byte {
+	set, gone := []route{}, []string{}
+	for _, r := range c.Routes {
+		if !slices.Contains(was.Routes, r) {
+			set = append(set, r)
+		}
+	}
+	for _, r := range was.Routes {
+		if !slices.ContainsFunc(c.Routes, func(o route) bool { return o.Name == r.Name }) {
+			gone = append(gone, r.Name)
+		}
+	}
+	raw, err := json.Marshal(map[string]any{"version": c.Version, "set_items": map[string]any{"routes": set},
+		"remove_names": map[string]any{"routes": gone}})
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+func (c config) pools() map[string][]string {
+	out := map[string][]string{}
+	for _, r := range c.Routes {
+		out[r.Name] = []string{r.Service}
+	}
+	return out
+}
+
+func (c config) judged() map[string]Route {
+	out := map[string]Route{}
+	for _, r := range c.Routes {
+		out[r.Name] = Route{r.Service, r.IsOrdered, time.Duration(r.Timeout) * time.Millisecond, r.Attempts,
+			time.Duration(r.Retention * float64(time.Second))}
+	}
+	return out
+}
+
+// spoilt are ways in which a configuration is invalid. c has a version of its own.
+var spoilt = []func(c config, was int64) (config, []byte){
+	func(c config, _ int64) (config, []byte) { raw := c.whole(); return c, raw[:len(raw)*2/3] },
+	func(c config, _ int64) (config, []byte) { c.Routes[0].Service = "nobody"; return c, c.whole() },
+	func(c config, _ int64) (config, []byte) {
+		r := c.Routes[0]
+		r.Name = "double"
+		c.Routes = append(c.Routes, r)
+		return c, c.whole()
+	},
+	func(c config, _ int64) (config, []byte) { c.Routes[0].Timeout = 0; return c, c.whole() },
+	func(c config, was int64) (config, []byte) {
+		c.Version, c.Routes[0].Timeout = was, c.Routes[0].Timeout+7
+		return c, c.whole()
+	},
+	func(c config, _ int64) (config, []byte) {
+		return c, []byte(strings.Replace(string(c.whole()), `"timeout_ms":`, `"timeout_ms":"`, 1))
+	},
+}
--- /dev/null
+++ b/internal/standin/edits.go
@@ -0,0 +1,128 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// edit changes the configuration in the way that who names.
+func edit(ctx context.Context, s *Site, who string) func() {
+	o := s.operator
+	switch who {
+	case "timeout", "update":
+		o.change(ctx, who == "update", func(c *config) { c.Routes[0].Timeout += 1 + rand.Int64N(9) })
+	case "add":
+		c, code := o.change(ctx, rand.IntN(2) == 0, func(c *config) { c.Routes = append(c.Routes, c.trial()) })
+		if code == 200 {
+			s.Direct(ctx, c.Routes[len(c.Routes)-1])
+		}
+	case "remove":
+		gone := route{}
+		_, code := o.change(ctx, rand.IntN(2) == 0, func(c *config) {
+			if i := slices.IndexFunc(c.Routes, func(r route) bool { return strings.HasPrefix(r.Name, "trial") }); i >= 0 {
+				gone = c.Routes[i]
+				c.Routes = slices.Delete(c.Routes, i, i+1)
+			}
+		})
+		if code == 200 && gone.Name != "" {
+			s.Direct(ctx, gone)
+		}
+	case "invalid":
+		o.invalid(ctx)
+	case "race":
+		o.race(ctx)
+	case "repeat":
+		o.repeat(ctx)
+	default:
+		s.failed("nobody knows the edit %s", who)
+	}
+	return func() {}
+}
+
+// trial is a route of a name and prefix that none had.
+func (c config) trial() route {
+	r := c.Routes[0]
+	salt := rand.Uint32()
+	r.Name, r.Prefix = fmt.Sprintf("trial-%x", salt), fmt.Sprintf("/trial%x/", salt)
+	return r
+}
+
+// Direct sends each front some messages on a route that was just added or
+// removed: now, and once every front must know.
+func (s *Site) Direct(ctx context.Context, r route) {
+	load := Load{Route: r.Name, Host: r.Host, Prefix: r.Prefix, Size: 100}
+	send := func() {
+		for _, m := range s.entry.in() {
+			c := newClient(s, m.Zone, "direct", time.Second)
+			bounded, cancel := context.WithTimeout(ctx, time.Second)
+			c.once(bounded, &http.Transport{DialContext: s.entry.straight(m), DisableKeepAlives: true}, load.message(), time.Second)
+			cancel()
+		}
+	}
+	for range 3 {
+		send()
+		pause(ctx, apply/2+apply/10)
+	}
+}
+
+// invalid sends configurations that must not be taken.
+func (o *operator) invalid(ctx context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i, spoil := range spoilt {
+		c, body := spoil(o.now.next(), o.now.Version)
+		if code := o.send(ctx, false, o.now.Version, c, body, true); code == 0 {
+			o.site.failed("invalid configuration %d got no clear answer", i)
+		}
+	}
+}
+
+// race has two operators build on one version.
+func (o *operator) race(ctx context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var wg sync.WaitGroup
+	codes, rivals := [2]int{}, [2]config{}
+	for i := range rivals {
+		rivals[i] = o.now.next()
+		rivals[i].Version += int64(10 * i)
+		rivals[i].Routes = append(rivals[i].Routes, rivals[i].trial())
+		o.built = append(o.built, rivals[i])
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			codes[i] = o.send(ctx, false, o.now.Version, rivals[i], rivals[i].whole(), false)
+		}()
+	}
+	wg.Wait()
+	for i, code := range codes {
+		if code == 200 {
+			o.now = rivals[i]
+			return
+		}
+	}
+	o.site.failed("nobody won a race: %v", codes)
+	o.sync(ctx)
+}
+
+// repeat sends a change and, once it was acknowledged, the same again.
+func (o *operator) repeat(ctx context.Context) {
+	was := o.now
+	c, code := o.change(ctx, false, func(c *config) { c.Routes[0].Timeout++ })
+	if code != 200 {
+		return
+	}
+	order := Order{Text: fmt.Sprintf("version %d again", c.Version), At: o.site.Now()}
+	ctx, cancel := context.WithTimeout(ctx, configBound)
+	defer cancel()
+	if code, _ := o.call(ctx, http.MethodPost, "/v1/configuration/replace", fmt.Sprint(was.Version), c.whole()); code == 200 {
+		order.AckAt = o.site.Now()
+	}
+	o.site.History.Add(func() { o.site.History.Orders = append(o.site.History.Orders, order) })
+}
--- /dev/null
+++ b/internal/standin/entry.go
@@ -0,0 +1,122 @@
+package standin
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"caperwheel/internal/mishap"
+)
+
+const missesOut = 2 // so many in a row take a daemon out
+
+// entry passes clients' sessions to fronts that say they are ready.
+type entry struct {
+	site   *Site
+	fronts []*Machine
+	client *http.Client
+	mu     sync.Mutex
+	missed map[*Machine]int
+}
+
+func newEntry(s *Site) *entry {
+	e := &entry{site: s, missed: map[*Machine]int{}, client: &http.Client{Timeout: time.Second}}
+	for _, m := range s.Machines {
+		if m.Class == classFront {
+			e.fronts = append(e.fronts, m)
+			e.missed[m] = missesOut
+		}
+	}
+	return e
+}
+
+// probe asks every front whether it is ready.
+func (e *entry) probe() {
+	var wg sync.WaitGroup
+	for _, m := range e.fronts {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			answer, err := e.client.Get("http://" + e.site.at(m.host, portReady) + "/v1/readiness")
+			isReady := err == nil && answer.StatusCode == 200
+			if err == nil {
+				answer.Body.Close()
+			}
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.missed[m]++; isReady {
+				e.missed[m] = 0
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+func (e *entry) in() []*Machine {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(e.fronts), func(m *Machine) bool { return e.missed[m] >= missesOut })
+}
+
+func (e *entry) isWhole() bool { return len(e.in()) == len(e.fronts) }
+
+func ofZone(list []*Machine, zone string) []*Machine {
+	return slices.DeleteFunc(slices.Clone(list), func(m *Machine) bool { return m.Zone != zone })
+}
+
+// choose gives a client's session a front: of its zone, or else of the next
+// zone that has any; by a hash, and another one for each further try.
+func choose(zones []string, fronts, in []*Machine, zone, client string, try int) *Machine {
+	from := max(0, slices.Index(zones, zone))
+	list := []*Machine{}
+	for i := range zones {
+		if list = ofZone(in, zones[(from+i)%len(zones)]); len(list) > 0 {
+			break
+		}
+	}
+	if own := ofZone(fronts, zone); len(list) == 0 || list[0].Zone == zone && 2*len(list) < len(own) {
+		list = own
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(client))
+	return list[(int(sum.Sum32()%1000)+try)%len(list)]
+}
+
+// dialer opens sessions of one client, which are passed on.
+func (e *entry) dialer(zone, client string, try func() int) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, _ string) (net.Conn, error) {
+		m := choose(e.site.Zones, e.fronts, e.in(), zone, client, try())
+		if m == nil {
+			return nil, mishap.New(mishap.Lost, "there is no front")
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, e.site.at(m.host, portFront))
+	}
+}
+
+// straight opens sessions with one front, past the choice.
+func (e *entry) straight(m *Machine) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, network, e.site.at(m.host, portFront))
+	}
+}
+
+// machineAt tells whose address it is.
+func (s *Site) machineAt(addr net.Addr) *Machine {
+	host, _, _ := net.SplitHostPort(addr.String())
+	for _, m := range s.Machines {
+		if own, _, _ := net.SplitHostPort(s.at(m.host, 0)); own == host {
+			return m
+		}
+	}
+	return nil
+}
+
+func millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- /dev/null
+++ b/internal/standin/history.go
@@ -0,0 +1,146 @@
+// Package standin stands in for the platform that the service runs on: its
+// entry, clients, workers, list, operator and receivers of call-backs, all on
+// loopback. What they saw is judged by the platform's rules. Besides platform/,
+// only this package knows the platform's names.
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"caperwheel/internal/check"
+)
+
+// Sent is one try of a client.
+type Sent struct {
+	check.Sent        // Token is the try's id, Lane the route's name
+	Line       string // method, path and key as they were sent
+	Code       int    // 0: no whole answer came
+	Delay      time.Duration
+	Daemon     string // that the entry gave the session to
+	Life       int64  // of the daemon
+	IsBroken   bool   // the daemon broke the session off, the errand read or not
+	IsNotified bool
+}
+
+// Run is one run that a worker began.
+type Run struct {
+	check.Run // Pool is the service, Worker the life's identifier
+	Line      string
+	Seal      string
+	Spare     time.Duration // what was left of its time when its answer was written
+}
+
+// Met is one arrival at a worker or endpoint, run or not.
+type Met struct {
+	Service, Worker, Zone string
+	At                    time.Duration
+	Code                  int
+	IsCold                bool
+}
+
+// Tell is a call-back as a receiver got it.
+type Tell struct {
+	Token, State, Stamp string
+	At                  time.Duration
+}
+
+// End is what the system says of a message at last.
+type End struct {
+	State, Stamp string // State empty: no answer came; "unknown": a 404
+	BodySum      string // empty: the bytes did not come
+	At           time.Duration
+}
+
+// Edit is a configuration that was sent.
+type Edit struct {
+	check.Edit // Stamp is the version, Pools are routes and their services
+	Base       int64
+	Whole      []byte // the configuration that it makes
+	Code       int    // the last clear answer; 0 for none
+	IsInvalid  bool
+}
+
+// Order is any call of the operator that must be acknowledged in time.
+type Order struct {
+	Text      string
+	At, AckAt time.Duration
+}
+
+// Trouble is a span in which daemons were hurt; planned ones were asked to go.
+type Trouble struct {
+	Daemon      string
+	From, Until time.Duration // Until 0: to the end
+	IsPlanned   bool
+}
+
+// Route is what judges must know of one.
+type Route struct {
+	Service   string
+	IsOrdered bool
+	Bound     time.Duration
+	Attempts  int
+	Retention time.Duration
+}
+
+// Service is what judges must know of one.
+type Service struct{ Rate, ColdRate float64 }
+
+// ReadBack is a configuration as the operator read it at the end.
+type ReadBack struct {
+	Code int
+	Doc  []byte
+}
+
+// History is all that was seen from outside.
+type History struct {
+	mu       sync.Mutex
+	Sent     []Sent
+	Runs     []Run
+	Met      []Met
+	Tells    []Tell
+	Ends     map[string]End // by token
+	Edits    []Edit
+	Orders   []Order
+	Marks    []check.Mark
+	Zones    map[string]string // service/worker -> zone
+	Troubles []Trouble
+	Outages  []check.Outage
+	Routes   map[string]Route // every one that was ever sent
+	Services map[string]Service
+	Read     ReadBack
+}
+
+// NewHistory gives an empty one.
+func NewHistory() *History {
+	return &History{Ends: map[string]End{}, Zones: map[string]string{}, Routes: map[string]Route{}, Services: map[string]Service{}}
+}
+
+// Add records something; record must do no more than append.
+func (h *History) Add(record func()) { h.mu.Lock(); defer h.mu.Unlock(); record() }
+
+// begin records a daemon's trouble and gives what ends it.
+func (h *History) begin(daemon string, at time.Duration, isPlanned bool) (end func(at time.Duration)) {
+	i := 0
+	h.Add(func() {
+		i = len(h.Troubles)
+		h.Troubles = append(h.Troubles, Trouble{Daemon: daemon, From: at, IsPlanned: isPlanned})
+	})
+	return func(at time.Duration) { h.Add(func() { h.Troubles[i].Until = at }) }
+}
+
+// isCalm tells whether nothing was hurt from first to last.
+func (h *History) isCalm(first, last time.Duration, isMeant func(Trouble) bool) bool {
+	for _, t := range h.Troubles {
+		if t.From <= last && (t.Until == 0 || t.Until >= first) && isMeant(t) {
+			return false
+		}
+	}
+	return true
+}
+
+func anyTrouble(Trouble) bool  { return true }
+func unplanned(t Trouble) bool { return !t.IsPlanned }
+
+// inTouch tells whether rules that are bound by time hold at a moment.
+func (h *History) inTouch(at time.Duration) bool { return h.isCalm(at-contact, at, anyTrouble) }
--- /dev/null
+++ b/internal/standin/list.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	listLag  = 300 * time.Millisecond
+	listRate = 20.0
+	listPage = 4
+)
+
+type instance struct {
+	Identifier string `json:"identifier"`
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	Zone       string `json:"zone"`
+	Version    string `json:"version"`
+	Slots      int    `json:"concurrency_slots"`
+	State      string `json:"state"`
+	ColdFor    int64  `json:"cold_remaining_ms"`
+}
+
+// list is the platform's list of workers. It shows what was, a lag ago.
+type list struct {
+	site *Site
+	mu   sync.Mutex
+	was  []scene
+	took []time.Duration // calls within the last second
+	// Calls and Over count those that came and those over the rate.
+	Calls, Over int
+}
+
+type scene struct {
+	at   time.Duration
+	rows []instance
+}
+
+func (l *list) now() []instance {
+	rows, now := []instance{}, l.site.Now()
+	for _, p := range l.site.Pools {
+		if p.Count == 0 {
+			continue
+		}
+		for _, w := range p.all() {
+			state := "ready"
+			if w.isLeaving.Load() {
+				state = "draining"
+			}
+			rows = append(rows, instance{w.Id, p.Name, w.Addr, w.Zone, "v1", p.Slots, state, max(0, (w.ColdUntil - now).Milliseconds())})
+		}
+	}
+	return rows
+}
+
+// look notes what is, so that it can be shown a lag later.
+func (l *list) look() {
+	rows := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.was = append(l.was, scene{l.site.Now(), rows})
+	for len(l.was) > 1 && l.was[1].at < l.site.Now()-listLag {
+		l.was = l.was[1:]
+	}
+}
+
+func (l *list) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	now := l.site.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Calls++
+	for len(l.took) > 0 && l.took[0] <= now-time.Second {
+		l.took = l.took[1:]
+	}
+	if r.URL.Path != "/instances" || r.Method != http.MethodGet {
+		out.WriteHeader(404)
+		return
+	}
+	if len(l.took) >= int(math.Ceil(listRate)) {
+		l.Over++
+		out.WriteHeader(429)
+		return
+	}
+	l.took = append(l.took, now)
+	rows := []instance{}
+	for _, row := range l.was[0].rows {
+		if zone := r.URL.Query().Get("zone"); zone == "" || zone == row.Zone {
+			rows = append(rows, row)
+		}
+	}
+	from, _ := strconv.Atoi(strings.TrimPrefix(r.URL.Query().Get("page_token"), "after-"))
+	from = min(max(from, 0), len(rows))
+	until := min(len(rows), from+listPage)
+	var next any
+	if until < len(rows) {
+		next = "after-" + strconv.Itoa(until)
+	}
+	raw, err := json.Marshal(map[string]any{"instances": rows[from:until], "next_page_token": next})
+	if err != nil {
+		out.WriteHeader(500)
+		return
+	}
+	out.Header().Set("Content-Type", "application/json")
+	_, _ = out.Write(raw)
+}
--- /dev/null
+++ b/internal/standin/machine.go
@@ -0,0 +1,215 @@
+package standin
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"caperwheel/internal/fleet"
+	"caperwheel/internal/mishap"
+)
+
+// The platform's classes of machines.
+const (
+	classCore  = "core"
+	classStore = "storage"
+	classFront = "front_end"
+)
+
+const (
+	fileVariable = "CAPERWHEEL_NODE_FILE"
+	watchPeriod  = 100 * time.Millisecond
+	restartPause = 500 * time.Millisecond
+)
+
+// Machine is one machine with the processes of its roles.
+type Machine struct {
+	Name, Short, Class, Zone string
+	Processes                []*fleet.Process
+	site                     *Site
+	host                     int
+
+	mu       sync.Mutex
+	isMeant  bool // that it runs
+	hasRun   bool
+	isMoved  bool // its list is at the other address
+	life     atomic.Int64
+	troubled func(time.Duration) // ends the trouble that it is in
+}
+
+func (m *Machine) lay() {
+	roles := map[string][]string{classCore: {"manager"}, classStore: {"store"}, classFront: {"agent", "adapter"}}
+	for _, kind := range roles[m.Class] {
+		log := filepath.Join(m.site.Dir, "log", m.Short+"-"+kind+".log")
+		m.Processes = append(m.Processes, fleet.NewProcess(kind, m.Short, m.Zone, m.site.Bin, log, "", fileVariable+"="+m.file(kind)))
+	}
+}
+
+func (m *Machine) file(kind string) string {
+	return filepath.Join(m.site.Dir, "etc", m.Short+"-"+kind+".json")
+}
+
+func (m *Machine) disk() string { return filepath.Join(m.site.Dir, "disk", m.Short) }
+
+// settings is what the platform tells the processes of a machine.
+func (m *Machine) settings(kind string) map[string]any {
+	s := m.site
+	seeds, zones := []string{}, map[string]string{}
+	for i, zone := range s.Zones {
+		seeds, zones[zone] = append(seeds, s.at(machineHost+i, portControl)), "shire"
+	}
+	ip, _, _ := strings.Cut(s.at(m.host, 0), ":")
+	listen, serves, list := map[string]string{}, []string{}, listHost
+	if m.isMoved {
+		seeds[0], seeds[1], list = seeds[1], seeds[0], listHost+1
+	}
+	var data any
+	switch kind {
+	case "adapter":
+		listen, serves = map[string]string{"front": s.at(m.host, portFront), "readiness": s.at(m.host, portReady)}, []string{classFront}
+	case "manager":
+		listen, serves = map[string]string{"control": s.at(m.host, portControl)}, []string{"control_plane"}
+	case "store":
+		serves = []string{classStore}
+	}
+	if m.Class != classFront {
+		data = m.disk()
+	}
+	return map[string]any{"node_name": m.Name, "role": kind, "machine_class": m.Class, "serves": serves, "ip_address": ip,
+		"zone": m.Zone, "region": "shire", "zones": zones, "listen_addresses": listen,
+		"internal_port_range": []int{s.port + portFirst, s.port + portLast}, "seed_nodes": seeds, "first_start": !m.hasRun,
+		"loss_counted": m.Class != classFront, "data_directory": data, "discovery_source": "cloud_api", "entry_kind": "virtual_address",
+		"limits": map[string]any{"cpu_fraction": 1.0, "core_count": 1, "memory_mb": 320, "file_descriptors": 4000,
+			"link_speed_mbps": 900.0, "disk_mb": 200},
+		"heartbeat_interval_ms": 1000, "active_contracts": []string{"base", "drain", "config", "ingest", "recover", "places"},
+		"tolerated_losses": map[string]int{"machines": 1, "zones": 1, "regions": 0},
+		"bounds": map[string]any{"seed_lag_s": 2, "address_reuse_s": 2, "contact_ms": contact.Milliseconds(),
+			"acknowledge_ms": acknowledge.Milliseconds(), "catch_up_s": 4, "drain_ms": drain.Milliseconds(),
+			"grace_period_s": grace.Seconds(), "loss_slack_ms": lossSlack.Milliseconds(), "config_apply_ms": apply.Milliseconds(),
+			"rollback_slack_ms": rollback.Milliseconds(), "outer_stretch_ms": 11000, "cold_overshoot": coldShare, "cold_slack": coldMore,
+			"evacuation_ms": evacuation.Milliseconds(), "recovery_s": 12, "finish_s": finish.Seconds(), "status_s": 100,
+			"callback_timeout_s": 5, "visibility_ms": 3000, "earliest_ms": 100, "ceiling_window_s": ceilingSpan.Seconds(),
+			"ceiling_overshoot": ceilingShare},
+		"cloud_api":      map[string]any{"address": s.at(list, 0), "rate_per_s": listRate, "duties": []string{}, "max_lag_ms": listLag.Milliseconds()},
+		"field_of_later": map[string]any{"to_be": "ignored"}}
+}
+
+func (m *Machine) write() error {
+	for _, p := range m.Processes {
+		raw, err := json.Marshal(m.settings(p.Kind))
+		if err == nil {
+			err = os.WriteFile(m.file(p.Kind)+".new", raw, 0o644)
+		}
+		if err == nil {
+			err = os.Rename(m.file(p.Kind)+".new", m.file(p.Kind))
+		}
+		if err != nil {
+			return mishap.Wrap(err, mishap.Internal, "settings of %s", m.Name)
+		}
+	}
+	return nil
+}
+
+// start begins all processes with the settings of this moment.
+func (m *Machine) start() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.isMeant {
+		return nil // another fault's end has started it
+	}
+	if err := os.MkdirAll(m.disk(), 0o755); err != nil {
+		return mishap.Wrap(err, mishap.Internal, "disk of %s", m.Name)
+	}
+	if err := m.write(); err != nil {
+		return err
+	}
+	for _, p := range m.Processes {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	m.isMeant, m.hasRun = true, true
+	m.life.Add(1)
+	if m.troubled != nil {
+		m.troubled(m.site.Now())
+		m.troubled = nil
+	}
+	return nil
+}
+
+func (m *Machine) restart() {
+	if err := m.start(); err != nil {
+		m.site.failed("%s does not start: %v", m.Short, err)
+	}
+}
+
+// stop ends all processes, asking first or not; the trouble lasts until they
+// are started again.
+func (m *Machine) stop(isAsked bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.isMeant {
+		return
+	}
+	m.isMeant = false
+	m.troubled = m.site.History.begin(m.Short, m.site.Now(), isAsked)
+	var wg sync.WaitGroup
+	for _, p := range m.Processes {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if !isAsked {
+				p.Kill()
+			} else if !p.StopWithin(grace) {
+				m.site.failed("%s %s did not go within its grace", m.Short, p.Kind)
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// wipe loses the disk while the machine is down.
+func (m *Machine) wipe() {
+	m.stop(false)
+	if err := os.RemoveAll(m.disk()); err != nil {
+		m.site.failed("disk of %s: %v", m.Short, err)
+	}
+}
+
+// hup changes the settings file and says so.
+func (m *Machine) hup() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.isMoved = !m.isMoved
+	if err := m.write(); err != nil {
+		m.site.failed("%v", err)
+	}
+	for _, p := range m.Processes {
+		if m.isMeant {
+			p.Signal(syscall.SIGHUP)
+		}
+	}
+}
+
+// watch starts what has ended by itself, and tells it.
+func (s *Site) watch() {
+	for _, m := range s.Machines {
+		if !m.mu.TryLock() {
+			continue
+		}
+		for _, p := range m.Processes {
+			if m.isMeant && !p.IsUp() {
+				s.failed("%s %s ended by itself", m.Short, p.Kind)
+				if err := p.Start(); err != nil {
+					s.failed("%s: %v", m.Short, err)
+				}
+			}
+		}
+		m.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/standin/messages.go
@@ -0,0 +1,134 @@
+package standin
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"caperwheel/internal/check"
+)
+
+// unasked: a worker runs only what a client sent, and as it was sent.
+func (j *judge) unasked() {
+	for _, r := range j.h.Runs {
+		s, isKnown := j.sent[r.Token]
+		switch {
+		case !isKnown:
+			j.breach(RuleUnasked, "%s ran %q, which no client sent", r.Worker, r.Token)
+		case r.Line != s.Line:
+			j.breach(RuleUnasked, "%s was sent as %q and came to %s as %q", r.Token, s.Line, r.Worker, r.Line)
+		}
+	}
+}
+
+// seals lists the stamps of a message's runs that succeeded.
+func (j *judge) seals(token string) []string {
+	out := []string{}
+	for _, r := range j.runs[token] {
+		if r.Status >= 200 && r.Status <= 299 {
+			out = append(out, r.Seal)
+		}
+	}
+	return out
+}
+
+// word holds one word about an end against what workers did.
+func (j *judge) word(s Sent, by, state, stamp string, at time.Duration) {
+	switch {
+	case state == "completed" && !slices.Contains(j.seals(s.Token), stamp):
+		j.breach(RuleMixed, "%s says that %s is completed with %q, which no run gave", by, s.Token, stamp)
+	case state == "dead_letter" && !j.hasEnded(s, at):
+		j.breach(RuleMixed, "%s says that %s is dead, and it has not ended", by, s.Token)
+	}
+}
+
+// ends: what is said of a message at the end.
+func (j *judge) ends() {
+	for token, end := range j.h.Ends {
+		j.word(j.sent[token], "the state", end.State, end.Stamp, end.At)
+	}
+}
+
+// tells: call-backs are about messages that were sent, and their words hold.
+func (j *judge) tells() {
+	for _, t := range j.h.Tells {
+		s, isKnown := j.sent[t.Token]
+		switch {
+		case !isKnown || !s.IsNotified:
+			j.breach(RuleMixed, "a call-back came for %q, for which none was asked", t.Token)
+		case t.State != "completed" && t.State != "dead_letter":
+			j.breach(RuleMixed, "a call-back for %s says %q", t.Token, t.State)
+		default:
+			j.word(s, "a call-back", t.State, t.Stamp, t.At)
+		}
+	}
+}
+
+// order: on an ordered route a message begins only when those with its key that
+// were accepted before it was sent have ended.
+func (j *judge) order() {
+	keys := map[string][]Sent{}
+	for _, s := range j.h.Sent {
+		if s.Key != "" && j.h.Routes[s.Lane].IsOrdered {
+			keys[s.Lane+"\x00"+s.Key] = append(keys[s.Lane+"\x00"+s.Key], s)
+		}
+	}
+	for _, list := range keys {
+		for _, s := range list {
+			runs := j.runs[s.Token]
+			if len(runs) == 0 {
+				continue
+			}
+			for _, before := range list {
+				isBefore := before.Token != s.Token && before.Told == check.Taken && before.ToldAt < s.At
+				if isBefore && !j.hasEnded(before, runs[0].Start) {
+					j.breach(RuleOrder, "key %s: %s began at %v, and %s, accepted at %v, had not ended", s.Key, s.Token,
+						runs[0].Start, before.Token, before.ToldAt)
+				}
+			}
+		}
+	}
+}
+
+// rates holds arrivals against ceilings and against what cold workers bear.
+func (j *judge) rates() {
+	met := map[string][]time.Duration{}
+	for _, m := range j.h.Met {
+		if j.h.Services[m.Service].Rate > 0 {
+			met[m.Service] = append(met[m.Service], m.At)
+		}
+	}
+	for service, list := range met {
+		most := j.h.Services[service].Rate*ceilingSpan.Seconds()*ceilingShare + ceilingMore
+		if got, at := densest(list, ceilingSpan); float64(got) > most {
+			j.breach(RuleCeiling, "%s met %d in the %v before %v, allowed are %v", service, got, ceilingSpan, at, most)
+		}
+	}
+	cold := map[[2]string][]time.Duration{}
+	for _, m := range j.h.Met {
+		if m.IsCold && j.h.Services[m.Service].ColdRate > 0 {
+			cold[[2]string{m.Service, m.Worker}] = append(cold[[2]string{m.Service, m.Worker}], m.At)
+		}
+	}
+	for who, list := range cold {
+		most := j.h.Services[who[0]].ColdRate*coldShare + coldMore
+		if got, at := densest(list, time.Second); float64(got) > most {
+			j.breach(RuleFailback, "%s, cold, met %d in the second before %v, allowed are %v", who[1], got, at, most)
+		}
+	}
+}
+
+// densest gives the most moments in any window, and its end.
+func densest(list []time.Duration, window time.Duration) (most int, until time.Duration) {
+	slices.SortFunc(list, func(a, b time.Duration) int { return cmp.Compare(a, b) })
+	first := 0
+	for i, at := range list {
+		for list[first] <= at-window {
+			first++
+		}
+		if i-first+1 > most {
+			most, until = i-first+1, at
+		}
+	}
+	return most, until
+}
--- /dev/null
+++ b/internal/standin/operator.go
@@ -0,0 +1,187 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"caperwheel/internal/check"
+)
+
+const (
+	callBound    = time.Second
+	mostPauses   = time.Second
+	configBound  = 20 * time.Second
+	otherRejects = 3 // so many other 4xx end a call
+)
+
+// operator gives the orders.
+type operator struct {
+	site   *Site
+	client *http.Client
+	mu     sync.Mutex
+	now    config   // as last acknowledged
+	built  []config // all that were sent whole or as an update, to know them by their version
+}
+
+func newOperator(s *Site, plan SitePlan) *operator {
+	return &operator{site: s, client: &http.Client{Timeout: callBound}, now: plan.config(s)}
+}
+
+// call repeats an order unchanged until there is a clear answer.
+func (o *operator) call(ctx context.Context, method, path, base string, body []byte) (int, []byte) {
+	cores := []*Machine{}
+	for _, m := range o.site.Machines {
+		if m.Class == classCore {
+			cores = append(cores, m)
+		}
+	}
+	turn, rejects, wait := rand.IntN(len(cores)), 0, 50*time.Millisecond
+	for ; ctx.Err() == nil; turn++ {
+		req, err := http.NewRequestWithContext(ctx, method, "http://"+o.site.at(cores[turn%len(cores)].host, portControl)+path, bytes.NewReader(body))
+		if err != nil {
+			return 0, nil
+		}
+		req.Header.Set("Content-Type", "application/json")
+		if base != "" {
+			req.Header.Set(basedOn, base)
+		}
+		code, raw := 0, []byte(nil)
+		if answer, err := o.client.Do(req); err == nil {
+			raw, err = io.ReadAll(answer.Body)
+			answer.Body.Close()
+			if err == nil {
+				code = answer.StatusCode
+			}
+		}
+		switch {
+		case code/100 == 2, code == 400, code == 409, code == 412, code == 413, code == 422:
+			return code, raw
+		case code/100 == 4 && code != 408 && code != 429:
+			if rejects++; rejects == otherRejects {
+				return code, raw
+			}
+		}
+		pause(ctx, wait)
+		wait = min(2*wait, mostPauses)
+	}
+	return 0, nil
+}
+
+// send sends a configuration, whole or as an update, and records it.
+func (o *operator) send(ctx context.Context, isUpdate bool, base int64, c config, body []byte, isInvalid bool) int {
+	h := o.site.History
+	i, order, path := 0, 0, "/v1/configuration/replace"
+	if isUpdate {
+		path = "/v1/configuration/update"
+	}
+	at := o.site.Now()
+	h.Add(func() {
+		i, order = len(h.Edits), len(h.Orders)
+		h.Edits = append(h.Edits, Edit{Edit: check.Edit{At: at, Stamp: c.Version, Pools: c.pools()}, Base: base, Whole: c.whole(), IsInvalid: isInvalid})
+		for name, r := range c.judged() {
+			h.Routes[name] = r
+		}
+		if !isInvalid {
+			h.Orders = append(h.Orders, Order{Text: fmt.Sprintf("version %d", c.Version), At: at})
+		}
+	})
+	ctx, cancel := context.WithTimeout(ctx, configBound)
+	defer cancel()
+	code, _ := o.call(ctx, http.MethodPost, path, fmt.Sprint(base), body)
+	h.Add(func() {
+		h.Edits[i].Code = code
+		if code/100 == 2 {
+			h.Edits[i].AckAt = o.site.Now()
+		}
+		if code != 0 && !isInvalid { // a race's loser has its answer too
+			h.Orders[order].AckAt = o.site.Now()
+		}
+	})
+	return code
+}
+
+// first gives the first configuration until it is taken.
+func (o *operator) first(ctx context.Context) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.now.Version = 1 + rand.Int64N(5)
+	o.built = append(o.built, o.now)
+	code := o.send(ctx, false, 0, o.now, o.now.whole(), false)
+	o.site.History.Add(func() { o.site.History.Orders = nil }) // nothing was settled yet
+	return code
+}
+
+// change builds on the newest configuration; after an answer that is not clear
+// it reads what is in force.
+func (o *operator) change(ctx context.Context, isUpdate bool, edit func(*config)) (config, int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	was := o.now
+	next := was.next()
+	edit(&next)
+	body := next.whole()
+	if isUpdate {
+		body = next.since(was)
+	}
+	o.built = append(o.built, next)
+	code := o.send(ctx, isUpdate, was.Version, next, body, false)
+	if code == 200 {
+		o.now = next
+	} else {
+		o.site.failed("version %d on %d was answered %d", next.Version, was.Version, code)
+		o.sync(ctx)
+	}
+	return next, code
+}
+
+func (o *operator) sync(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, configBound)
+	defer cancel()
+	_, raw := o.call(ctx, http.MethodGet, "/v1/configuration/read", "", nil)
+	for _, c := range o.built {
+		if c.Version == gjson.GetBytes(raw, "version").Int() {
+			o.now = c
+		}
+	}
+}
+
+// readBack reads the configuration at the end.
+func (o *operator) readBack(ctx context.Context) {
+	code, raw := o.call(ctx, http.MethodGet, "/v1/configuration/read", "", nil)
+	o.site.History.Add(func() { o.site.History.Read = ReadBack{code, raw} })
+}
+
+// evacuate starts or finishes an evacuation; true if it was acknowledged.
+func (o *operator) evacuate(ctx context.Context, zone, verb string) bool {
+	h := o.site.History
+	order := Order{Text: verb + " of " + zone, At: o.site.Now()}
+	ctx, cancel := context.WithTimeout(ctx, acknowledge)
+	defer cancel()
+	code, _ := o.call(ctx, http.MethodPost, "/v1/evacuation/"+zone+"/"+verb, "", nil)
+	if code/100 == 2 {
+		order.AckAt = o.site.Now()
+	}
+	h.Add(func() { h.Orders = append(h.Orders, order) })
+	return order.AckAt > 0
+}
+
+func (o *operator) hostOf(route string) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, c := range o.built {
+		for _, r := range c.Routes {
+			if r.Name == route {
+				return r.Host
+			}
+		}
+	}
+	return "nobody.example"
+}
--- /dev/null
+++ b/internal/standin/receiver.go
@@ -0,0 +1,38 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/tidwall/gjson"
+)
+
+const receiverConns = 16
+
+// Receiver gets call-backs. Those that it fails must come again.
+type Receiver struct {
+	site  *Site
+	mode  atomic.Int32
+	count atomic.Int64
+}
+
+const failEvery = 7 // so many call-backs, one is failed
+
+func (v *Receiver) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if Mode(v.mode.Load()) == Fail || v.count.Add(1)%failEvery == 0 {
+		out.WriteHeader(500)
+		return
+	}
+	t := Tell{Token: gjson.GetBytes(raw, "identifier").Str, State: gjson.GetBytes(raw, "state").Str,
+		Stamp: gjson.GetBytes(raw, "stamp").Str, At: v.site.Now()}
+	h := v.site.History
+	h.Add(func() { h.Tells = append(h.Tells, t) })
+	if t.State != "completed" && t.State != "dead_letter" {
+		out.WriteHeader(400)
+	}
+}
--- /dev/null
+++ b/internal/standin/report.go
@@ -0,0 +1,130 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"caperwheel/internal/check"
+	"caperwheel/internal/fleet"
+	"caperwheel/internal/mishap"
+)
+
+// Figures of a run.
+type Figures struct {
+	Tries    int            `json:"tries"`
+	Codes    map[int]int    `json:"codes"` // 0: no whole answer
+	Runs     int            `json:"runs"`
+	Repeats  int            `json:"repeated_successes"`
+	Early    int            `json:"begun_before_their_delay"`
+	Ends     map[string]int `json:"ends"`
+	Tells    int            `json:"call_backs"`
+	Untold   int            `json:"call_backs_owed"`
+	Edits    map[int]int    `json:"configurations"`
+	Calls    int            `json:"calls_to_the_list"`
+	Over     int            `json:"calls_over_its_rate"`
+	Failures []string       `json:"failures"`
+	Crashes  []string       `json:"crashes"`
+	Breaches []check.Breach `json:"breaches"`
+}
+
+const earliest = 100 * time.Millisecond
+
+// Report judges what was seen and counts it.
+func (s *Site) Report(isTimed bool) Figures {
+	out := Figures{Codes: map[int]int{}, Ends: map[string]int{}, Edits: map[int]int{}, Breaches: Judge(s.History, isTimed), Crashes: s.Crashes()}
+	s.List.mu.Lock()
+	out.Calls, out.Over = s.List.Calls, s.List.Over
+	s.List.mu.Unlock()
+	s.steps.Lock()
+	out.Failures = append(out.Failures, s.Failures...)
+	s.steps.Unlock()
+	h := s.History
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out.Tries, out.Runs, out.Tells = len(h.Sent), len(h.Runs), len(h.Tells)
+	sent, told, done := map[string]Sent{}, map[string]bool{}, map[string]bool{}
+	for _, x := range h.Sent {
+		sent[x.Token] = x
+		out.Codes[x.Code]++
+	}
+	for _, t := range h.Tells {
+		told[t.Token] = true
+	}
+	for _, r := range h.Runs {
+		if x := sent[r.Token]; r.Start < x.At+x.Delay-earliest {
+			out.Early++
+		}
+		if done[r.Token] {
+			out.Repeats++
+		}
+		done[r.Token] = done[r.Token] || r.Status == 200
+	}
+	for token, end := range h.Ends {
+		out.Ends[end.State]++
+		if x := sent[token]; x.IsNotified && !told[token] && end.State != "queued" {
+			out.Untold++
+		}
+	}
+	for _, e := range h.Edits {
+		out.Edits[e.Code]++
+	}
+	return out
+}
+
+// IsClean tells whether nothing is wrong.
+func (f Figures) IsClean() bool {
+	return len(f.Breaches)+len(f.Failures)+len(f.Crashes) == 0 && f.Runs > 0
+}
+
+const (
+	upBound   = time.Minute
+	quietSpan = 3 * time.Second // between the last steps and the last questions
+)
+
+// Play runs a small site for a time under a schedule, and writes the figures.
+func Play(ctx context.Context, bin, dir string, schedule fleet.Schedule, length time.Duration, out io.Writer) error {
+	plan := Small()
+	s, err := New(plan, bin, dir)
+	if s != nil {
+		defer s.Down()
+	}
+	if err != nil {
+		return err
+	}
+	upCtx, cancel := context.WithTimeout(ctx, upBound)
+	defer cancel()
+	if err := s.Up(upCtx); err != nil {
+		return err
+	}
+	fmt.Fprintf(os.Stderr, "fleet: the platform's entry is open after %v.\n", s.Now().Round(time.Millisecond))
+	loadCtx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	caused := make(chan struct{})
+	go func() { s.Cause(loadCtx, schedule); close(caused) }()
+	s.Traffic(loadCtx, plan.Loads, plan.Cutoff)
+	<-caused
+	for _, m := range s.Machines {
+		m.restart()
+	}
+	pause(ctx, quietSpan)
+	settleCtx, cancel := context.WithTimeout(ctx, finish)
+	defer cancel()
+	s.Settle(settleCtx)
+	readCtx, cancel := context.WithTimeout(ctx, configBound)
+	defer cancel()
+	s.operator.readBack(readCtx)
+	figures := s.Report(true)
+	raw, err := json.MarshalIndent(figures, "", "  ")
+	if err != nil {
+		return mishap.Wrap(err, mishap.Internal, "report")
+	}
+	fmt.Fprintln(out, string(raw))
+	if !figures.IsClean() {
+		return mishap.New(mishap.Unsound, "%d rules broken, %d failures, %d crashes", len(figures.Breaches), len(figures.Failures), len(figures.Crashes))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/site.go
@@ -0,0 +1,223 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"caperwheel/internal/fleet"
+	"caperwheel/internal/mishap"
+)
+
+// Addresses of a site: 127.0.net.*, where all machines have the same ports.
+const (
+	guardPort    = 11999 // held on host 1 while a site is laid out
+	listHost     = 2     // and the one after it: the list can move
+	receiverHost = 5
+	machineHost  = 20
+	workerHost   = 100
+	portFront    = 0
+	portReady    = 1
+	portControl  = 2
+	portFirst    = 10
+	portLast     = 19
+)
+
+// Site is a whole deployment on the stand-in platform.
+type Site struct {
+	Zones    []string
+	Dir, Bin string
+	History  *History
+	Pools    map[string]*Pool
+	Machines []*Machine
+	Receiver *Receiver
+	List     *list
+
+	plan     SitePlan
+	entry    *entry
+	operator *operator
+	began    time.Time
+	net      int
+	port     int
+	hosts    atomic.Int32
+	guard    net.Listener
+	servers  []*http.Server
+	end      context.CancelFunc
+	ctx      context.Context
+	loops    sync.WaitGroup
+
+	steps    sync.Mutex
+	Failures []string // steps not carried out, daemons that ended by themselves
+}
+
+// Now is the clock of all records.
+func (s *Site) Now() time.Duration { return time.Since(s.began) }
+
+func (s *Site) failed(form string, args ...any) {
+	s.steps.Lock()
+	defer s.steps.Unlock()
+	s.Failures = append(s.Failures, fmt.Sprintf(form, args...))
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	beat := time.NewTimer(d)
+	defer beat.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-beat.C:
+		return true
+	}
+}
+
+// New lays a site out in a folder: workers and the platform serve, daemons do
+// not run yet.
+func New(plan SitePlan, bin, dir string) (*Site, error) {
+	s := &Site{plan: plan, Zones: plan.Zones, Dir: dir, Bin: bin, History: NewHistory(), Pools: map[string]*Pool{}, began: time.Now()}
+	s.ctx, s.end = context.WithCancel(context.Background())
+	if err := s.takeNet(); err != nil {
+		return nil, err
+	}
+	s.hosts.Store(workerHost)
+	for _, p := range plan.Services {
+		pool := newPool(s, p)
+		s.Pools[p.Name] = pool
+		s.History.Services[p.Name] = Service{p.Rate, p.ColdRate}
+		if err := pool.lay(); err != nil {
+			return s, mishap.Wrap(err, mishap.Internal, "worker")
+		}
+	}
+	s.List, s.Receiver = &list{site: s}, &Receiver{site: s}
+	s.List.look()
+	for i, h := range []http.Handler{s.List, s.List, s.Receiver} {
+		most := 0
+		host := listHost + i
+		if h == http.Handler(s.Receiver) {
+			host, most = receiverHost, receiverConns
+		}
+		if err := s.serve(s.at(host, 0), h, most); err != nil {
+			return s, err
+		}
+	}
+	if err := s.layMachines(); err != nil {
+		return s, err
+	}
+	s.entry, s.operator = newEntry(s), newOperator(s, plan)
+	return s, nil
+}
+
+func (s *Site) at(host, port int) string {
+	return net.JoinHostPort(fmt.Sprintf("127.0.%d.%d", s.net, host), strconv.Itoa(s.port+port))
+}
+
+// takeNet takes a part of loopback that no other site has.
+func (s *Site) takeNet() error {
+	for range 200 {
+		s.net, s.port = 1+rand.IntN(250), 12000+20*rand.IntN(900)
+		guard, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.1:%d", s.net, guardPort))
+		if err == nil {
+			s.guard = guard
+			return nil
+		}
+	}
+	return mishap.New(mishap.Internal, "no part of loopback is free")
+}
+
+func (s *Site) serve(addr string, h http.Handler, most int) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return mishap.Wrap(err, mishap.Internal, "listen at %s", addr)
+	}
+	server := &http.Server{Handler: h}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(&fewConns{Listener: listener, most: int64(most)}) }()
+	return nil
+}
+
+// every does something again and again until the site goes down.
+func (s *Site) every(period time.Duration, do func()) {
+	s.loops.Add(1)
+	go func() {
+		defer s.loops.Done()
+		for pause(s.ctx, period) {
+			do()
+		}
+	}()
+}
+
+// Up starts all daemons and has the first configuration taken; it returns once
+// the entry finds every front ready.
+func (s *Site) Up(ctx context.Context) error {
+	for _, m := range s.Machines {
+		if err := m.start(); err != nil {
+			return err
+		}
+	}
+	s.every(listLag/4, s.List.look)
+	s.every(time.Second, s.entry.probe)
+	s.every(watchPeriod, s.watch)
+	if code := s.operator.first(ctx); code != 200 {
+		return mishap.New(mishap.Late, "the first configuration was answered %d", code)
+	}
+	for !s.entry.isWhole() {
+		if !pause(ctx, 50*time.Millisecond) {
+			return mishap.New(mishap.Late, "not every front says that it is ready")
+		}
+	}
+	return nil
+}
+
+// Down ends everything that the site started.
+func (s *Site) Down() {
+	s.end()
+	s.loops.Wait()
+	var wg sync.WaitGroup
+	for _, m := range s.Machines {
+		for _, p := range m.Processes {
+			wg.Add(1)
+			go func() { defer wg.Done(); p.Kill() }()
+		}
+	}
+	wg.Wait()
+	for _, p := range s.Pools {
+		for _, w := range p.all() {
+			w.end()
+		}
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	if s.guard != nil {
+		s.guard.Close()
+	}
+}
+
+// Crashes tells what panics have left in the logs.
+func (s *Site) Crashes() []string { return fleet.CrashesIn(filepath.Join(s.Dir, "log")) }
+
+func (s *Site) layMachines() error {
+	for _, folder := range []string{"log", "etc"} {
+		if err := os.MkdirAll(filepath.Join(s.Dir, folder), 0o755); err != nil {
+			return mishap.Wrap(err, mishap.Internal, "folder")
+		}
+	}
+	host := machineHost
+	for _, class := range []string{classCore, classStore, classFront} {
+		for i, zone := range s.Zones {
+			m := &Machine{site: s, Class: class, Zone: zone, host: host, Name: fmt.Sprintf("%s-%s-%d", class, zone, 1),
+				Short: fmt.Sprintf("%s-%d", map[string]string{classCore: "core", classStore: "store", classFront: "front"}[class], i+1)}
+			host++
+			m.lay()
+			s.Machines = append(s.Machines, m)
+		}
+	}
+	return nil
+}
