--- a/internal/standin/entry.go
+++ b/internal/standin/entry.go
@@ -101,11 +101,11 @@
 	}
 }
 
-// straight opens sessions with one front, past the choice.
-func (e *entry) straight(m *Machine) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, _ string) (net.Conn, error) {
+// via opens sessions with one front, past the choice.
+func (e *entry) via(m *Machine) http.RoundTripper {
+	return &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, network, e.site.at(m.host, portFront))
-	}
+	}}
 }
 
 // machineAt tells whose address it is.
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -75,11 +75,11 @@
 	j.ends()
 	j.tells()
 	j.order()
-	j.rates()
 	j.edits()
 	j.readBack()
 	if isTimed {
 		j.timed()
+		j.rates()
 		j.answers()
 		j.wentBack()
 		j.broken()
--- /dev/null
+++ b/internal/standin/judge_test.go
@@ -0,0 +1,240 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/check"
+)
+
+const (
+	s  = time.Second
+	ms = time.Millisecond
+)
+
+func run(token, service, worker string, start, end time.Duration, status int) Run {
+	seal := ""
+	if status == 200 {
+		seal = "seal of " + token
+	}
+	return Run{Run: check.Run{Token: token, Id: token, Pool: service, Worker: worker, Sum: "sum of " + token, Start: start, End: end,
+		Status: status, IsWhole: status != 0}, Line: "POST /" + token, Seal: seal, Spare: s}
+}
+
+func sent(token, route, key string, at time.Duration, told check.Told, code int) Sent {
+	out := Sent{Sent: check.Sent{Token: token, Lane: route, Key: key, Sum: "sum of " + token, At: at, ToldAt: at + 10*ms, Told: told},
+		Line: "POST /" + token, Code: code, Daemon: "front-1", Life: 1}
+	if told == check.Taken {
+		out.Id = "id of " + token
+	}
+	return out
+}
+
+// clean is a history in which nothing is wrong: an errand that failed once, an
+// ordered pair, one that was not taken, one that is dead and one that waits.
+func clean() *History {
+	h := NewHistory()
+	pools := map[string][]string{"r": {"p"}, "o": {"q"}}
+	h.Routes["r"] = Route{Service: "p", Bound: 2 * s, Attempts: 3, Retention: 90 * s}
+	h.Routes["o"] = Route{Service: "q", IsOrdered: true, Bound: 2 * s, Attempts: 2, Retention: 90 * s}
+	h.Services["p"], h.Services["q"] = Service{ColdRate: 2}, Service{Rate: 1}
+	h.Zones["p/w"], h.Zones["q/v"] = "north", "south"
+	h.Edits = []Edit{
+		{Edit: check.Edit{At: 1 * s, AckAt: 2 * s, Stamp: 3, Pools: pools}, Whole: []byte(`{"version":3}`), Code: 200},
+		{Edit: check.Edit{At: 30 * s, AckAt: 31 * s, Stamp: 5, Pools: pools}, Base: 3, Whole: []byte(`{"version":5,"x":1.0}`), Code: 200}}
+	h.Read = ReadBack{200, []byte(`{"x":1,"version":5}`)}
+	h.Sent = []Sent{sent("a", "r", "", 10*s, check.Taken, 202), sent("b", "r", "", 10*s, check.NotTaken, 503),
+		sent("x", "o", "k", 11*s, check.Taken, 202), sent("y", "o", "k", 12*s, check.Taken, 202),
+		sent("d", "r", "", 13*s, check.Taken, 202), sent("w", "r", "", 14*s, check.Taken, 202)}
+	h.Sent[0].IsNotified = true
+	h.Runs = []Run{run("a", "p", "w", 10*s, 11*s, 500), run("a", "p", "w", 12*s, 13*s, 200), run("x", "q", "v", 14*s, 15*s, 200),
+		run("y", "q", "v", 16*s, 17*s, 200), run("d", "p", "w", 18*s, 19*s, 422)}
+	at := 60 * s
+	h.Ends = map[string]End{"a": {"completed", "seal of a", "", at}, "x": {"completed", "seal of x", "", at},
+		"y": {"completed", "seal of y", "", at}, "d": {"dead_letter", "", "", at}, "w": {"queued", "", "sum of w", at}}
+	h.Tells = []Tell{{"a", "completed", "seal of a", 14 * s}}
+	return h
+}
+
+func meet(h *History, service string, isCold bool, count int) {
+	for i := range count {
+		h.Met = append(h.Met, Met{Service: service, Worker: "w", At: 20*s + time.Duration(i)*10*ms, IsCold: isCold})
+	}
+}
+
+// lacking gives a configuration without route r, acknowledged at a moment.
+func lacking(h *History, stamp int64, ack time.Duration) {
+	h.Edits = append(h.Edits, Edit{Edit: check.Edit{At: ack - s, AckAt: ack, Stamp: stamp, Pools: map[string][]string{"o": {"q"}}}, Base: 5,
+		Whole: []byte(fmt.Sprintf(`{"version":%d}`, stamp)), Code: 200})
+	h.Read.Doc = h.Edits[len(h.Edits)-1].Whole
+}
+
+func asked(h *History, at, ack time.Duration) {
+	h.Orders = append(h.Orders, Order{"an order", at, ack})
+}
+
+// outage has ten messages sent in the seconds in which traffic must be back.
+func outage(h *History, served int) {
+	h.Outages = []check.Outage{{Text: "an outage", At: 30 * s}}
+	for i := range 10 {
+		token := fmt.Sprint("n", i)
+		h.Sent = append(h.Sent, sent(token, "r", "", 39*s, check.Undecided, 0))
+		if i < served {
+			h.Runs = append(h.Runs, run(token, "p", "w", 39*s, 40*s, 200))
+		}
+	}
+}
+
+// cut has a session broken off by a daemon that was asked to leave.
+func cut(h *History, after time.Duration, isPlanned bool) {
+	x := sent("c", "r", "", 40*s, check.Undecided, 0)
+	x.IsBroken, x.ToldAt = true, x.At+after
+	h.Sent = append(h.Sent, x)
+	h.Troubles = append(h.Troubles, Trouble{Daemon: "front-1", From: 39 * s, Until: 45 * s, IsPlanned: isPlanned})
+}
+
+var broken = []struct {
+	rule, text string
+	hurt       func(h *History)
+}{
+	{RuleMixed, "a state with a stamp that no run gave", func(h *History) { h.Ends["a"] = End{"completed", "seal of x", "", 60 * s} }},
+	{RuleMixed, "a state without a stamp", func(h *History) { h.Ends["a"] = End{"completed", "", "", 60 * s} }},
+	{RuleMixed, "a dead letter that has not ended", func(h *History) { h.Ends["w"] = End{"dead_letter", "", "", 60 * s} }},
+	{RuleMixed, "a dead letter with an attempt to come", func(h *History) {
+		h.Runs = append(h.Runs, run("w", "p", "w", 20*s, 21*s, 500), run("w", "p", "w", 22*s, 23*s, 500))
+		h.Ends["w"] = End{"dead_letter", "", "", 60 * s}
+	}},
+	{RuleMixed, "a call-back with a stamp that no run gave", func(h *History) { h.Tells[0].Stamp = "x" }},
+	{RuleMixed, "a call-back of a dead letter that has not ended", func(h *History) { h.Tells[0] = Tell{"a", "dead_letter", "", 12 * s} }},
+	{RuleMixed, "a call-back with a state that is no end", func(h *History) { h.Tells[0].State = "queued" }},
+	{RuleMixed, "a call-back that nobody asked for", func(h *History) { h.Tells[0].Token = "x" }},
+	{RuleMixed, "two messages of one name", func(h *History) { h.Sent[2].Id = h.Sent[3].Id }},
+	{RuleUnasked, "other bytes read back", func(h *History) { h.Ends["w"] = End{"queued", "", "others", 60 * s} }},
+	{RuleUnasked, "a run of what was not sent", func(h *History) { h.Runs = append(h.Runs, run("z", "p", "w", 20*s, 21*s, 200)) }},
+	{RuleUnasked, "altered bytes", func(h *History) { h.Runs[1].Sum = "others" }},
+	{RuleUnasked, "an altered path", func(h *History) { h.Runs[1].Line = "POST /b" }},
+	{RuleRefused, "a run of what was not taken", func(h *History) { h.Runs = append(h.Runs, run("b", "p", "w", 20*s, 21*s, 200)) }},
+	{RuleRoute, "a run by a service that no configuration allows", func(h *History) { h.Runs[1].Pool = "q" }},
+	{RuleLost, "a message that nobody knows", func(h *History) { h.Ends["w"] = End{"unknown", "", "", 60 * s} }},
+	{RuleLost, "a message without its bytes", func(h *History) { h.Ends["w"] = End{"queued", "", "", 60 * s} }},
+	{RuleLost, "no word at all", func(h *History) { h.Ends["w"] = End{At: 60 * s} }},
+	{RuleLost, "an end that never was", func(h *History) { h.Ends["w"] = End{"completed", "", "", 60 * s} }},
+	{RuleLost, "an errand cut off by a daemon that leaves", func(h *History) { cut(h, s, true) }},
+	{RuleOrder, "a start before an end", func(h *History) { h.Runs[3].Start = 14*s + 500*ms }},
+	{RuleOrder, "a start between two attempts", func(h *History) { h.Runs[2].Status = 500 }},
+	{RuleTwice, "a run after a success that was told", func(h *History) { h.Runs = append(h.Runs, run("a", "p", "w", 20*s, 21*s, 200)) }},
+	{RuleCeiling, "too many arrivals", func(h *History) { meet(h, "q", false, 11) }},
+	{RuleFailback, "too many arrivals at a cold worker", func(h *History) { meet(h, "p", true, 9) }},
+	{RuleDrain, "an arrival after leaving", func(h *History) {
+		h.Marks = []check.Mark{{Pool: "p", Worker: "w", From: 14 * s, Bound: drain}}
+	}},
+	{RuleEvac, "an arrival in an evacuated zone", func(h *History) {
+		h.Marks = []check.Mark{{Cell: "north", From: 12 * s, Bound: evacuation}}
+	}},
+	{RuleConfig, "a run of a route that was dropped", func(h *History) { lacking(h, 9, 14*s) }},
+	{RuleConfig, "404 on a route that is there", func(h *History) { h.Sent[1].Code = 404 }},
+	{RuleConfig, "404 after the route was taken, on the way back", func(h *History) {
+		h.Sent[1].At, h.Sent[1].Code = 12*s, 404
+		h.Troubles = []Trouble{{Daemon: "core-1", From: 11 * s, Until: 12 * s}}
+	}},
+	{RuleConfig, "202 on a route that was dropped", func(h *History) {
+		lacking(h, 9, 35*s)
+		h.Sent = append(h.Sent, sent("late", "r", "", 45*s, check.Taken, 202))
+	}},
+	{RuleConfig, "an invalid one that was acknowledged", func(h *History) { h.Edits[1].IsInvalid = true }},
+	{RuleConfig, "a race with two winners", func(h *History) { lacking(h, 7, 50*s); h.Edits[2].Base = 3 }},
+	{RuleConfig, "an older one read back", func(h *History) { h.Read.Doc = []byte(`{"version":3}`) }},
+	{RuleConfig, "a changed one read back", func(h *History) { h.Read.Doc = []byte(`{"version":5,"x":2}`) }},
+	{RuleConfig, "none read back", func(h *History) { h.Read = ReadBack{} }},
+	{RuleConfig, "a refused one read back", func(h *History) {
+		h.Read.Doc, h.Edits = []byte(`{"version":8}`), append(h.Edits, Edit{Edit: check.Edit{At: 40 * s, Stamp: 8}, Base: 5, Code: 412, Whole: []byte(`{"version":8}`)})
+	}},
+	{RuleConfig, "a refused one in force", func(h *History) {
+		h.Edits = append(h.Edits, Edit{Edit: check.Edit{At: 11 * s, Stamp: 4, Pools: map[string][]string{"r": {"n"}}}, Base: 3, Code: 412})
+		h.Runs[1].Pool = "n"
+	}},
+	{RuleRecover, "traffic that does not come back", func(h *History) { outage(h, 2) }},
+	{RuleAcks, "an order that was never acknowledged", func(h *History) { asked(h, 20*s, 0) }},
+	{RuleAcks, "an order acknowledged late", func(h *History) { asked(h, 20*s, 26*s) }},
+}
+
+var allowed = []struct {
+	text string
+	ease func(h *History)
+}{
+	{"nothing odd", func(*History) {}},
+	{"a second run after unplanned trouble", func(h *History) {
+		h.Runs = append(h.Runs, run("a", "p", "w", 20*s, 21*s, 200))
+		h.Troubles = []Trouble{{Daemon: "store-1", From: 14 * s, Until: 15 * s}}
+	}},
+	{"a second run after a success that nobody heard", func(h *History) {
+		h.Runs[1].IsWhole = false
+		h.Runs = append(h.Runs, run("a", "p", "w", 20*s, 21*s, 200))
+	}},
+	{"a second run after a success told too late", func(h *History) {
+		h.Runs[1].Spare = 20 * ms
+		h.Runs = append(h.Runs, run("a", "p", "w", 20*s, 21*s, 200))
+	}},
+	{"a dead letter after all its attempts", func(h *History) {
+		for i := range 3 {
+			h.Runs = append(h.Runs, run("w", "p", "w", time.Duration(20+2*i)*s, time.Duration(21+2*i)*s, 500))
+		}
+		h.Ends["w"] = End{"dead_letter", "", "", 60 * s}
+	}},
+	{"a dead letter whose time has passed, and one whose route was dropped", func(h *History) {
+		h.Ends["w"] = End{"dead_letter", "", "", 105 * s}
+		lacking(h, 9, 50*s)
+	}},
+	{"an ended message that nobody knows any more", func(h *History) { h.Ends["d"] = End{"unknown", "", "", 60 * s} }},
+	{"any order of messages sent at once", func(h *History) { h.Sent[3].At, h.Runs[3].Start = 11*s, 14*s }},
+	{"arrivals up to the ceiling, and of warm workers", func(h *History) { meet(h, "q", false, 10); meet(h, "p", false, 60) }},
+	{"arrivals that a cold worker bears", func(h *History) { meet(h, "p", true, 8) }},
+	{"arrivals within the bounds of marks, or after their end", func(h *History) {
+		h.Marks = []check.Mark{{Pool: "p", Worker: "w", From: 16 * s, Bound: drain}, {Cell: "south", From: 5 * s, Until: 13 * s, Bound: evacuation}}
+	}},
+	{"late arrivals while something is hurt", func(h *History) {
+		h.Marks = []check.Mark{{Pool: "p", Worker: "w", From: 14 * s, Bound: drain}}
+		h.Troubles = []Trouble{{Daemon: "core-1", From: 15 * s, Until: 16 * s}}
+	}},
+	{"a session that a killed daemon breaks", func(h *History) { cut(h, s, false) }},
+	{"a session that a leaving daemon closes at once", func(h *History) { cut(h, 100*ms, true) }},
+	{"a newer configuration without a clear answer read back", func(h *History) {
+		lacking(h, 9, 50*s)
+		h.Edits[2].AckAt, h.Edits[2].Code = 0, 0
+	}},
+	{"traffic that comes back", func(h *History) { outage(h, 3) }},
+	{"an order acknowledged, and one that met trouble", func(h *History) {
+		asked(h, 20*s, 21*s)
+		asked(h, 40*s, 0)
+		h.Troubles = []Trouble{{Daemon: "core-1", From: 41 * s, Until: 42 * s, IsPlanned: true}}
+	}},
+}
+
+// TestJudgeIsNotBlind breaks each rule of the platform on purpose.
+func TestJudgeIsNotBlind(t *testing.T) {
+	Convey("A history is flagged that has", t, func() {
+		for _, c := range broken {
+			Convey(c.rule+": "+c.text, func() {
+				h := clean()
+				c.hurt(h)
+				rules := []string{}
+				for _, b := range Judge(h, true) {
+					rules = append(rules, b.Rule)
+				}
+				So(rules, ShouldContain, c.rule)
+			})
+		}
+	})
+	Convey("A history is not flagged that has", t, func() {
+		for _, c := range allowed {
+			Convey(c.text, func() {
+				h := clean()
+				c.ease(h)
+				So(Judge(h, true), ShouldBeEmpty)
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/site_test.go
@@ -0,0 +1,160 @@
+package standin
+
+import (
+	"context"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/check"
+	"caperwheel/internal/fleet"
+)
+
+// patient is the small site for machines that may be busy with other tests.
+func patient() SitePlan {
+	plan := Small()
+	plan.Cutoff = 10 * time.Second
+	for i := range plan.Routes {
+		plan.Routes[i].Timeout = 8000
+	}
+	return plan
+}
+
+// TestPlatform runs real daemons on the stand-in platform through the loss of a
+// store and a change of the configuration. Rules that no speed can break, and
+// counts, judge it.
+func TestPlatform(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	dir := t.TempDir()
+	Convey("Given a small site on the platform", t, func() {
+		So(fleet.Build(ctx, "../..", filepath.Join(dir, "bin"), false), ShouldBeNil)
+		plan := patient()
+		site, err := New(plan, filepath.Join(dir, "bin"), dir)
+		So(err, ShouldBeNil)
+		defer site.Down()
+		So(site.Up(ctx), ShouldBeNil)
+		loadCtx, stop := context.WithCancel(ctx)
+		defer stop()
+		done := make(chan struct{})
+		go func() { site.Traffic(loadCtx, plan.Loads, plan.Cutoff); close(done) }()
+		Convey("messages are kept and run while a store is lost and the configuration changes", func() {
+			So(site.accepts(ctx, 100), ShouldBeTrue)
+			store := site.match("store-1")[0]
+			store.stop(false)
+			So(site.accepts(ctx, 100), ShouldBeTrue)
+			store.restart()
+			c, code := site.operator.change(ctx, true, func(c *config) { c.Routes = append(c.Routes, c.trial()) })
+			So(code, ShouldEqual, 200)
+			So(site.knows(ctx, c.Routes[len(c.Routes)-1]), ShouldBeTrue)
+			So(site.accepts(ctx, 100), ShouldBeTrue)
+			stop()
+			<-done
+			site.Settle(ctx)
+			site.operator.readBack(ctx)
+			figures := site.Report(false)
+			So(figures.Breaches, ShouldBeEmpty)
+			So(figures.Failures, ShouldBeEmpty)
+			So(figures.Crashes, ShouldBeEmpty)
+			So(figures.Ends["completed"]+figures.Ends["dead_letter"], ShouldEqual, figures.Codes[202])
+			So(figures.Ends["completed"], ShouldBeGreaterThan, 250)
+			So(figures.Tells, ShouldBeGreaterThan, 0)
+			So(figures.Calls, ShouldBeGreaterThan, 0)
+		})
+	})
+}
+
+// accepts waits until so many more messages were accepted.
+func (s *Site) accepts(ctx context.Context, more int) bool {
+	count := func() (n int) {
+		s.History.Add(func() {
+			for _, x := range s.History.Sent {
+				if x.Told == check.Taken {
+					n++
+				}
+			}
+		})
+		return n
+	}
+	for until := count() + more; count() < until; {
+		if !pause(ctx, 20*time.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
+
+// knows waits until every front accepts messages of a route.
+func (s *Site) knows(ctx context.Context, r route) bool {
+	for _, m := range s.entry.fronts {
+		for {
+			c := newClient(s, m.Zone, "direct", s.plan.Cutoff)
+			bounded, cancel := context.WithTimeout(ctx, s.plan.Cutoff)
+			sent, _ := c.once(bounded, s.entry.via(m), Load{Route: r.Name, Host: r.Host, Prefix: r.Prefix}.message(), s.plan.Cutoff)
+			cancel()
+			if sent.Told == check.Taken {
+				break
+			}
+			if !pause(ctx, 50*time.Millisecond) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// TestChoose is the table of how the entry spreads sessions.
+func TestChoose(t *testing.T) {
+	zones := []string{"a", "b", "c"}
+	a1, a2, a3, b1, c1 := &Machine{Short: "a1", Zone: "a"}, &Machine{Short: "a2", Zone: "a"}, &Machine{Short: "a3", Zone: "a"},
+		&Machine{Short: "b1", Zone: "b"}, &Machine{Short: "c1", Zone: "c"}
+	fronts := []*Machine{a1, a2, a3, b1, c1}
+	cases := []struct {
+		text string
+		in   []*Machine
+		zone string
+		want []*Machine
+	}{
+		{"its own zone's, if they are in", fronts, "a", []*Machine{a1, a2, a3}},
+		{"those that are in, if they are half", []*Machine{a1, a3, b1}, "a", []*Machine{a1, a3}},
+		{"all of its zone, if fewer are in", []*Machine{a1, b1}, "a", []*Machine{a1, a2, a3}},
+		{"the next zone's, if none is in", []*Machine{b1, c1}, "a", []*Machine{b1}},
+		{"those of the zone after that", []*Machine{c1}, "a", []*Machine{c1}},
+		{"the first again, behind the last", []*Machine{a1, a2, a3, b1}, "c", []*Machine{a1, a2, a3}},
+		{"its own zone's, if none is in anywhere", nil, "b", []*Machine{b1}},
+	}
+	Convey("A session goes to", t, func() {
+		for _, c := range cases {
+			Convey(c.text, func() {
+				got := map[*Machine]bool{}
+				for client := range 100 {
+					m := choose(zones, fronts, c.in, c.zone, string(rune('A'+client)), 0)
+					So(c.want, ShouldContain, m)
+					got[m] = true
+				}
+				So(len(got), ShouldEqual, len(c.want))
+			})
+		}
+		Convey("another one at the next try, the same at the same try", func() {
+			first, again := choose(zones, fronts, fronts, "a", "x", 0), choose(zones, fronts, fronts, "a", "x", 0)
+			So(first, ShouldEqual, again)
+			So(choose(zones, fronts, fronts, "a", "x", 1), ShouldNotEqual, first)
+		})
+	})
+}
+
+// TestDraws: a schedule is the same for the same seed, and hits somebody.
+func TestDraws(t *testing.T) {
+	Convey("Drawn schedules name faults that there are", t, func() {
+		for seed := uint64(1); seed < 50; seed++ {
+			schedule := fleet.DrawSchedule(Draws(), seed, time.Minute)
+			So(len(schedule.Steps), ShouldBeGreaterThan, 3)
+			So(fleet.DrawSchedule(Draws(), seed, time.Minute), ShouldResemble, schedule)
+			for _, step := range schedule.Steps {
+				So(IsFault(step.Do), ShouldBeTrue)
+			}
+		}
+	})
+}
