--- a/internal/standin/site_test.go
+++ b/internal/standin/site_test.go
@@ -145,8 +145,18 @@
 	})
 }
 
-// TestDraws: a schedule is the same for the same seed, and hits somebody.
+// TestDraws: a schedule is the same for the same seed; all name faults that
+// there are, also those of the repo.
 func TestDraws(t *testing.T) {
+	Convey("The schedules of the repo can be read", t, func() {
+		files, err := filepath.Glob("../../examples/platform/*.json")
+		So(err, ShouldBeNil)
+		So(files, ShouldNotBeEmpty)
+		for _, file := range files {
+			_, err := fleet.ReadScheduleOf(file, IsFault)
+			So(err, ShouldBeNil)
+		}
+	})
 	Convey("Drawn schedules name faults that there are", t, func() {
 		for seed := uint64(1); seed < 50; seed++ {
 			schedule := fleet.DrawSchedule(Draws(), seed, time.Minute)
