--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"strings"
 	"syscall"
 	"time"
@@ -132,116 +130,6 @@
 	}
 }
 
-// workers finds those that who names.
-func (s *Site) workers(who string) []*Worker {
-	place, which, _ := strings.Cut(who, "/")
-	out := []*Worker{}
-	for i, p := range s.operator.now.Services {
-		if fmt.Sprintf("pool-%d", i+1) != place {
-			continue
-		}
-		for n, w := range s.Pools[p.Name].all() {
-			if which == "*" || which == fmt.Sprint(n+1) {
-				out = append(out, w)
-			}
-		}
-	}
-	if len(out) == 0 {
-		s.failed("no worker is called %s", who)
-	}
-	return out
-}
-
-func behave(_ context.Context, s *Site, who string) func() {
-	do, who, _ := strings.Cut(who, " ")
-	all := s.workers(who)
-	for _, w := range all {
-		w.mode.Store(int32(modes[do]))
-	}
-	return func() {
-		met := int64(0)
-		for _, w := range all {
-			w.mode.Store(int32(Well))
-			met += w.met.Load()
-		}
-		if met == 0 {
-			s.failed("no run met %s while it behaved oddly", who)
-		}
-	}
-}
-
-// deafen has receivers of call-backs fail.
-func deafen(_ context.Context, s *Site, _ string) func() {
-	s.Receiver.mode.Store(int32(Fail))
-	return func() { s.Receiver.mode.Store(int32(Well)) }
-}
-
-// renew begins a new life at an address.
-func (s *Site) renew(p *Pool, zone, addr string, isCold bool) {
-	if _, err := p.add(zone, addr, isCold); err != nil {
-		s.failed("%s does not come back: %v", p.Name, err)
-	}
-}
-
-// vanish breaks workers off; the list shows them for some seconds more. Undone,
-// new lives begin there, cold.
-func vanish(ctx context.Context, s *Site, who string) func() {
-	all := s.workers(who)
-	for _, w := range all {
-		w.end()
-		go func() { pause(s.ctx, 2*time.Second); w.Service.drop(w) }()
-	}
-	return func() {
-		for _, w := range all {
-			w.Service.drop(w)
-			s.renew(w.Service, w.Zone, w.Addr, true)
-		}
-	}
-}
-
-// drainOut has the list show a worker as leaving, and ends it when its time and
-// a little more have passed.
-func (s *Site) drainOut(ctx context.Context, w *Worker) {
-	w.isLeaving.Store(true)
-	shown := s.Now() + listLag + listLag/4
-	s.History.Add(func() {
-		s.History.Marks = append(s.History.Marks, check.Mark{Pool: w.Service.Name, Worker: w.Id, From: shown, Bound: drain})
-	})
-	pause(ctx, drain+listLag+2*time.Second)
-	w.Service.drop(w)
-	w.end()
-}
-
-func leave(ctx context.Context, s *Site, who string) func() {
-	all, done := s.workers(who), make(chan struct{})
-	for _, w := range all {
-		go func() { s.drainOut(ctx, w); done <- struct{}{} }()
-	}
-	return func() {
-		for _, w := range all {
-			<-done
-			s.renew(w.Service, w.Zone, w.Addr, true)
-		}
-	}
-}
-
-// swap has a worker crash, and one of another service come at its address.
-func swap(ctx context.Context, s *Site, who string) func() {
-	for _, w := range s.workers(who) {
-		w.end()
-		go func() { pause(s.ctx, 4*time.Second); w.Service.drop(w) }()
-		pause(ctx, 2*time.Second)
-		for _, p := range s.Pools {
-			if p != w.Service && p.Count > 0 {
-				s.renew(p, w.Zone, w.Addr, true)
-				break
-			}
-		}
-		s.renew(w.Service, w.Zone, s.nextAddr(), true)
-	}
-	return func() {}
-}
-
 // empty evacuates a zone; undone, it is taken back.
 func empty(ctx context.Context, s *Site, zone string) func() {
 	if s.operator.evacuate(ctx, zone, "start") {
@@ -273,34 +161,3 @@
 	}
 	return cancel
 }
-
-// Draws are the faults of which schedules are drawn by seed.
-func Draws() []fleet.Draw {
-	of := func(names ...string) func(*rand.Rand) string {
-		return func(r *rand.Rand) string { return names[r.IntN(len(names))] }
-	}
-	machines := of("store-1", "store-2", "store-3", "core-1", "core-2", "core-3", "front-1", "front-2", "front-3")
-	workers, zones := of("pool-1/1", "pool-1/2", "pool-1/3", "pool-1/4", "pool-2/1", "pool-2/2"), of("north-bank", "south-bank", "mill-island")
-	return []fleet.Draw{
-		{Share: 4, Do: "kill", Who: machines, Most: 6 * time.Second},
-		{Share: 2, Do: "stop", Who: machines, Most: 4 * time.Second},
-		{Share: 2, Do: "turn", Who: of("front-*", "store-*", "core-*")},
-		{Share: 1, Do: "freeze", Who: machines, Most: 6 * time.Second},
-		{Share: 1, Do: "kill", Who: of("zone north-bank", "zone south-bank", "store-*", "core-*", "front-*", "*"), Most: 3 * time.Second},
-		{Share: 1, Do: "wipe", Who: of("store-1", "store-2", "store-3"), Most: 3 * time.Second},
-		{Share: 2, Do: "hup", Who: of("front-*", "core-*", "*")},
-		{Share: 4, Do: "edit", Who: of("timeout", "add", "remove", "update", "invalid", "race", "repeat")},
-		{Share: 2, Do: "empty", Who: zones, Most: 10 * time.Second},
-		{Share: 1, Do: "fail", Who: workers, Most: 5 * time.Second},
-		{Share: 1, Do: "crawl", Who: workers, Most: 5 * time.Second},
-		{Share: 1, Do: "lose", Who: workers, Most: 5 * time.Second},
-		{Share: 1, Do: "cut", Who: workers, Most: 5 * time.Second},
-		{Share: 1, Do: "silent", Who: workers, Most: 5 * time.Second},
-		{Share: 1, Do: "full", Who: of("pool-2/*", "pool-1/*"), Most: 4 * time.Second},
-		{Share: 1, Do: "vanish", Who: of("pool-1/1", "pool-2/*", "pool-3/*"), Most: 5 * time.Second},
-		{Share: 2, Do: "leave", Who: workers, Most: 8 * time.Second},
-		{Share: 1, Do: "swap", Who: workers},
-		{Share: 1, Do: "flood", Who: of("lots", "buoys"), Most: 4 * time.Second},
-		{Share: 1, Do: "deafen", Who: of("receiver"), Most: 4 * time.Second},
-	}
-}
