fleet scale: hollow daemons beside real ones, one quantity swept at a time

Why: the size to design for has to be met by measured slopes. Hollow fronts (agent and adapter of the real session, feed, duty, deliver and freshness code) run in one process beside real managers, stores, agents and adapters; each role's state, messages, bytes, processor time and memory are read from /proc and from counters of the links, by link and way.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -39,6 +39,7 @@
 	Backend *backendCommand `arg:"subcommand:backend" help:"run one stand-in worker"`
 	Bench   *benchCommand   `arg:"subcommand:bench" help:"measure the transport alone"`
 	Sweep   *sweepCommand   `arg:"subcommand:sweep" help:"simulate many seeds with mixed faults"`
+	Scale   *scaleCommand   `arg:"subcommand:scale" help:"measure what control costs as a deployment grows"`
 	Run     *runCommand     `arg:"subcommand:run" help:"run a deployment and check it"`
 }
 
@@ -53,6 +54,8 @@
 		err = backend(args.Backend)
 	case args.Bench != nil:
 		err = bench(args.Bench)
+	case args.Scale != nil:
+		err = scaleRun(args.Scale)
 	case args.Sweep != nil:
 		err = sweep(args.Sweep)
 	default:
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -56,6 +56,9 @@
 	for _, s := range d.View.Stamps() {
 		emit("view_stamp", "How far the view has come, by part; part 0 has the charter.", float64(s.Stamp), "part", number(s.Part))
 	}
+	keys, bytes := d.View.Size()
+	emit("view_keys", "Keys of the view.", float64(keys))
+	emit("view_bytes", "Bytes of the view's keys and values.", float64(bytes))
 	for _, kind := range []string{"manager", "store", "agent", "adapter"} {
 		emit("members", "Daemons whose session stands, as this one knows.", float64(len(d.Roll.Kind(kind))), "kind", kind)
 	}
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -127,6 +127,20 @@
 	return c, isKnown && !c.Gone
 }
 
+// Size tells how many keys the view has and how many bytes they and their
+// values are.
+func (v *View) Size() (keys, bytes int) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	for _, p := range v.parts {
+		keys += len(p.keys)
+		for key, c := range p.keys {
+			bytes += len(key) + len(c.Value) + len(c.By)
+		}
+	}
+	return keys, bytes
+}
+
 // Turns grows with every change.
 func (v *View) Turns() int64 {
 	v.mu.RLock()
--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -17,6 +17,9 @@
 // Api drives the operators' API as an operator would.
 type Api struct{ f *Fleet }
 
+// Api drives this fleet's managers.
+func (f *Fleet) Api() *Api { return f.api }
+
 var apiClient = &http.Client{Timeout: 15 * time.Second}
 
 // Do sends one request to one daemon.
--- a/internal/fleet/deploy.go
+++ b/internal/fleet/deploy.go
@@ -24,6 +24,8 @@
 	Managers int                    `json:"managers"`
 	Workers  map[string]PlanWorkers `json:"workers"`
 	Load     []PlanLoad             `json:"load"`
+	Places   int                    `json:"places,omitempty"` // the settings' own, if not given
+	IsDirect bool                   `json:"direct,omitempty"` // no relays: no cell can be cut off
 }
 
 // PlanWorkers are the stand-ins of a pool.
@@ -175,7 +177,10 @@
 	seeds := []string{}
 	advertised := map[string]string{}
 	for _, p := range f.All() {
-		addr, err := f.relays.lay(p.Addr, p.Cell)
+		addr, err := p.Addr, error(nil)
+		if !f.Plan.IsDirect {
+			addr, err = f.relays.lay(p.Addr, p.Cell)
+		}
 		if err != nil {
 			return err
 		}
@@ -188,6 +193,9 @@
 		set := settings.Default()
 		set.Name, set.Cell, set.Listen, set.Http, set.Advertise, set.Verbosity = p.Name, p.Cell, p.Addr, p.Http, advertised[p.Name], 1
 		set.Seeds = seeds
+		if f.Plan.Places > 0 {
+			set.Places = f.Plan.Places
+		}
 		switch p.Kind {
 		case "adapter":
 			set.Seeds = []string{f.Agents[i-len(f.Managers)-len(f.Stores)-len(f.Agents)].Addr}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -19,7 +19,8 @@
 type Process struct {
 	Kind, Name, Cell string
 	Addr, Http       string
-	file             string // its settings
+	file             string   // its settings
+	args             []string // if it takes others than a settings file
 	bin, log         string
 
 	mu   sync.Mutex
@@ -83,7 +84,11 @@
 		return mishap.Wrap(err, mishap.Internal, "log of %s", p.Name)
 	}
 	defer log.Close()
-	cmd := exec.Command(filepath.Join(p.bin, p.Kind), "--settings", p.file)
+	args := p.args
+	if args == nil {
+		args = []string{"--settings", p.file}
+	}
+	cmd := exec.Command(filepath.Join(p.bin, p.Kind), args...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -95,6 +100,21 @@
 	return nil
 }
 
+// Pid is the number of the process while it runs.
+func (p *Process) Pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isUp() {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// Extra lays a process of the fleet tool's own beside the daemons.
+func (f *Fleet) Extra(bin, program, name string, args ...string) *Process {
+	return &Process{Kind: program, Name: name, bin: bin, args: args, log: filepath.Join(f.Dir, "log", name+".log")}
+}
+
 // Signal sends a signal to this process alone.
 func (p *Process) Signal(sig syscall.Signal) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/scale/change.go
@@ -0,0 +1,133 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/fleet"
+	"caperwheel/internal/mishap"
+)
+
+// made is one change that a manager acknowledged.
+type made struct {
+	key    partStamp
+	sentAt int64 // microseconds of the machine's clock
+}
+
+// changer edits the charter and one list by turns, at a rate.
+type changer struct {
+	f     *fleet.Fleet
+	lists map[string][]charter.Worker
+	mu    sync.Mutex
+	made  []made
+	base  map[string]string // stamp by path
+}
+
+// run edits until ctx ends. An edit that is refused is not counted.
+func (c *changer) run(ctx context.Context, rate float64) {
+	if rate <= 0 {
+		return
+	}
+	turn := 0
+	beat.Every(ctx, time.Duration(float64(time.Second)/rate), func() {
+		turn++
+		if list := c.lists[poolName(0)]; turn%2 == 0 && len(list) > 0 {
+			w := list[0]
+			w.State = []string{"live", "leaving"}[turn/2%2]
+			c.edit(ctx, "/v1/pools/"+poolName(0)+"/workers", charter.Workers{Workers: []charter.Worker{w}},
+				feed.PartOf(poolName(0), parts))
+			return
+		}
+		c.edit(ctx, "/v1/charter", map[string]string{"note": fmt.Sprint("scale ", turn)}, feed.CharterPart)
+	})
+}
+
+func (c *changer) edit(ctx context.Context, path string, patch any, part int64) {
+	url := "http://" + c.f.Managers[0].Http + path
+	raw, err := json.Marshal(patch)
+	if err != nil {
+		return
+	}
+	if c.base[path] == "" {
+		_, head, _, err := fleet.Do(ctx, "GET", url, "", nil)
+		if err != nil {
+			return
+		}
+		c.base[path] = head.Get("ETag")
+	}
+	sentAt := time.Now().UnixMicro()
+	code, head, _, err := fleet.Do(ctx, "PATCH", url, c.base[path], raw)
+	if err != nil || code != 200 {
+		c.base[path] = "" // another came first, or nobody knows: read it again
+		return
+	}
+	c.base[path] = head.Get("ETag")
+	stamp, err := strconv.ParseInt(strings.Trim(c.base[path], `"`), 10, 64)
+	if err != nil {
+		c.base[path] = ""
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.made = append(c.made, made{partStamp{part, stamp}, sentAt})
+}
+
+// judge tells when each change was in force at the last adapter. It waits for
+// those still under way, up to twice the bound.
+func (c *changer) judge(ctx context.Context, pack *fleet.Process, fronts int, out *Result) error {
+	c.mu.Lock()
+	all := c.made
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, 2*beat.Default.Charter)
+	defer cancel()
+	lags := []time.Duration{}
+	for {
+		var got Reached
+		if err := ask(ctx, pack, "/ledger", &got); err != nil {
+			return mishap.Wrap(err, mishap.Late, "ledger")
+		}
+		lags = lagsOf(all, got, fronts)
+		if len(lags) == len(all) || out.Point.Restarts > 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return mishap.New(mishap.Late, "%d of %d changes are not in force everywhere", len(all)-len(lags), len(all))
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	out.Changes, out.InForce = len(all), len(lags)
+	for _, lag := range lags {
+		if lag > beat.Default.Charter {
+			out.Late++
+		}
+	}
+	out.Median, out.Most99, out.Most = fleet.Percentile(lags, 0.5), fleet.Percentile(lags, 0.99), fleet.Percentile(lags, 1)
+	return nil
+}
+
+// lagsOf tells for each change that has reached so many adapters how long that
+// took.
+func lagsOf(all []made, got Reached, fronts int) []time.Duration {
+	out := []time.Duration{}
+	for _, m := range all {
+		moments := got[m.key.part][m.key.stamp]
+		if len(moments) < fronts {
+			continue
+		}
+		last := int64(0)
+		for _, at := range moments {
+			last = max(last, at)
+		}
+		out = append(out, time.Duration(last-m.sentAt)*time.Microsecond)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,186 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/deliver"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/fleet"
+	"caperwheel/internal/intake"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/repair"
+	"caperwheel/internal/session"
+	"caperwheel/internal/settings"
+	"caperwheel/internal/transport"
+	"caperwheel/internal/wire"
+)
+
+// front is one hollow agent and the hollow adapter beside it: the sessions,
+// feeds, duties and freshness of the real ones, joined as the real programs
+// join them, without callers.
+type front struct {
+	agent, adapter *daemon.Daemon
+	scenes         *charter.Scenes
+	ledger         *ledger
+	cancel         context.CancelFunc
+	met            []wire.PartStamp // noted in the ledger; of the poll's goroutine alone
+	turns          int64
+	isLive         atomic.Bool
+}
+
+// startFront begins one front's next life.
+func startFront(number int, p Pack, l *ledger) (*front, error) {
+	cell := fmt.Sprintf("hollow-%c", 'a'+number%hollowCells)
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &front{ledger: l, cancel: cancel}
+	var err error
+	if f.agent, err = hollow("agent", number, cell, p, p.Seeds); err == nil {
+		err = f.runAgent(ctx)
+	}
+	if err == nil {
+		f.adapter, err = hollow("adapter", number, cell, p, []string{f.agent.Who.Addr})
+	}
+	if err == nil {
+		err = f.runAdapter(ctx)
+	}
+	if err != nil {
+		f.stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+// hollowCells is over how many cells hollow fronts are spread.
+const hollowCells = 3
+
+// hollow gives a daemon without its process: no port for HTTP, no signals.
+func hollow(kind string, number int, cell string, p Pack, seeds []string) (*daemon.Daemon, error) {
+	s := settings.Default()
+	s.Name, s.Cell, s.Seeds, s.Places, s.Parts = fmt.Sprintf("hollow-%s-%04d", kind, number), cell, seeds, p.Places, p.Parts
+	addr, err := fleet.FreePort()
+	if err != nil {
+		return nil, err
+	}
+	s.Listen, s.Advertise = addr, addr
+	return &daemon.Daemon{Kind: kind, Settings: s, Bounds: s.Bounds(), Started: time.Now(), Mux: http.NewServeMux(),
+		View: feed.NewView(s.Parts), Roll: session.NewRoll(),
+		Who: wire.Who{Name: s.Name, Kind: kind, Boot: daemon.Random(8), Cell: cell, Addr: addr, Http: addr}}, nil
+}
+
+// link opens the node as a daemon does, but a mishap is told and not the end
+// of the process: another program may have taken the port meanwhile.
+func link(d *daemon.Daemon, handlers map[string]transport.Handler) error {
+	s := d.Settings
+	node, err := transport.NewNode(transport.Options{Self: d.Who, Listen: s.Listen, Batch: s.Batch, Pool: s.Pool,
+		Flush: s.Flush.Duration, Window: s.Window, Bounds: d.Bounds, Handlers: handlers, Shape: s.Shape()})
+	if err != nil {
+		return err
+	}
+	d.Node = node
+	go node.Serve()
+	return nil
+}
+
+// runAgent joins the parts as cmd/agent does; no results come, so none are kept.
+func (f *front) runAgent(ctx context.Context) error {
+	d := f.agent
+	beside := session.NewRegistry(d.Bounds.Of(beat.Gone))
+	keeper := repair.NewKeeper(d.Settings.Most, d.Bounds.Of(beat.Vote), d.Bounds.Of(beat.Settle))
+	err := link(d, map[string]transport.Handler{"place": func(_ wire.Who, body any, answer func(any)) {
+		if o, isOutcome := body.(*wire.Outcome); isOutcome {
+			if ack := keeper.Serve(o, d.Now()); ack != nil {
+				answer(ack)
+			}
+		}
+	}, "session": func(_ wire.Who, body any, answer func(any)) {
+		poll, isPoll := body.(*wire.Poll)
+		if !isPoll {
+			return
+		}
+		now := d.Now()
+		beside.Hear(wire.Member{Who: poll.Who, Owns: poll.Owns, Fact: poll.Fact}, now, true)
+		answer(session.NewsFor(poll, d.View, now, d.Roll.All))
+	}})
+	if err != nil {
+		return err
+	}
+	client := d.Client(func() wire.Poll {
+		poll := d.Poll()
+		_, poll.Beside = beside.Members(d.Now())
+		poll.Fact.Counts["kept"] = int64(keeper.Count())
+		return poll
+	})
+	go client.Run(ctx)
+	return nil
+}
+
+// runAdapter joins the parts as cmd/adapter does.
+func (f *front) runAdapter(ctx context.Context) error {
+	d := f.adapter
+	f.scenes = &charter.Scenes{View: d.View}
+	d.CanRead = f.scenes.CanRead
+	out := deliver.New(ctx, d, f.scenes)
+	if err := link(d, map[string]transport.Handler{"run": out.Serve}); err != nil {
+		return err
+	}
+	out.Link()
+	in := intake.New(d, f.scenes)
+	client := d.Client(func() wire.Poll {
+		poll := d.Poll()
+		out.Say(poll.Fact.Counts)
+		return poll
+	})
+	client.OnNews = f.onNews
+	go client.Run(ctx)
+	go out.Run(ctx)
+	go in.Run(ctx)
+	return nil
+}
+
+// onNews notes what is in force here: composed into a scene, by a fresh view.
+func (f *front) onNews() {
+	turns := f.adapter.View.Turns()
+	isFresh := f.adapter.IsFresh()
+	f.isLive.Store(isFresh)
+	if !isFresh || turns == f.turns && f.met != nil {
+		return
+	}
+	stamps := f.adapter.View.Stamps()
+	f.scenes.Now()
+	f.turns, f.met = turns, f.ledger.note(f.met, stamps)
+}
+
+// stop ends this life at once, as a kill would.
+func (f *front) stop() {
+	f.cancel()
+	for _, d := range []*daemon.Daemon{f.adapter, f.agent} {
+		if d != nil && d.Node != nil {
+			d.Node.Close()
+		}
+	}
+}
+
+// size tells what the front's two daemons hold of the control state.
+func (f *front) size() (keys, bytes, members int) {
+	for _, d := range []*daemon.Daemon{f.agent, f.adapter} {
+		k, b := d.View.Size()
+		_, roll := d.Roll.All()
+		keys, bytes, members = keys+k, bytes+b, members+len(roll)
+	}
+	return
+}
+
+// check refuses what a pack cannot be.
+func (p Pack) check() error {
+	if p.Daemons < 0 || p.Daemons%2 != 0 || len(p.Seeds) == 0 {
+		return mishap.New(mishap.Invalid, "a pack needs managers and an even number of daemons")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/point.go
@@ -0,0 +1,155 @@
+// Package scale measures what control costs as a deployment grows: it puts
+// hollow daemons, many in one process, beside real managers, stores, agents and
+// adapters, moves one quantity at a time, and reads what each role spends. It
+// is a proof tool: no product program uses it.
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/fleet"
+	"caperwheel/internal/mishap"
+)
+
+// Point is one deployment to measure.
+type Point struct {
+	Daemons      int     `json:"daemons"`      // hollow ones; half agents, half adapters
+	Destinations int     `json:"destinations"` // workers whose duties hollow adapters hold
+	Changes      float64 `json:"changes"`      // a second, of the charter and of a list by turns
+	Targets      int     `json:"targets"`      // destinations with traffic, served by the real adapters
+	Down         int     `json:"down"`         // of the targets
+	Backlog      int     `json:"backlog"`      // messages that nobody runs
+	Places       int     `json:"places"`
+	Restarts     float64 `json:"restarts"` // of hollow fronts, a minute
+	Managers     int     `json:"managers"`
+}
+
+// Base is where every sweep begins.
+var Base = Point{Daemons: 40, Destinations: 100, Changes: 1, Places: 48, Managers: 3}
+
+// perPool is how many destinations one list holds.
+const perPool = 100
+
+// parts is how many parts the control state has beside the charter's.
+const parts = 4
+
+// The real daemons beside the hollow ones.
+const (
+	realStores = 3
+	realFronts = 3
+)
+
+// bodySize is how many bytes a queued message carries.
+const bodySize = 256
+
+func poolName(i int) string   { return fmt.Sprintf("c.p%04d", i) }
+func targetName(i int) string { return fmt.Sprintf("d.t%04d", i) }
+
+func (p Point) pools() int { return (p.Destinations + perPool - 1) / perPool }
+
+// plan lays out the real daemons and the traffic.
+func (p Point) plan() fleet.Plan {
+	out := fleet.Plan{Name: "scale", Cells: []string{"a", "b", "c"}, Fronts: realFronts, Stores: realStores, Managers: p.Managers,
+		Places: p.Places, IsDirect: true, Workers: map[string]fleet.PlanWorkers{"served": {Count: 3, WorkMs: 4}},
+		Load: []fleet.PlanLoad{{Lane: "served", Rate: 20, Size: bodySize}}}
+	if p.Targets > 0 {
+		out.Load = append(out.Load, fleet.PlanLoad{Lane: "d", Rate: 64, Size: bodySize})
+	}
+	return out
+}
+
+// charter writes the point's charter.
+func (p Point) charter() ([]byte, error) {
+	type tree = map[string]any
+	pools := tree{"served": tree{"concurrency": 8, "ease": "0s"}, "parked": tree{}}
+	lanes := tree{"served": tree{"pools": []string{"served"}}, "parked": tree{"pools": []string{"parked"}, "patience": "24h"}}
+	if p.Destinations > 0 {
+		children := tree{}
+		for i := range p.pools() {
+			children[poolName(i)[2:]] = tree{}
+		}
+		pools["c"] = tree{"children": children}
+	}
+	if p.Targets > 0 {
+		to, from := tree{}, tree{}
+		for i := range p.Targets {
+			name := targetName(i)
+			to[name[2:]], from[name[2:]] = tree{}, tree{"pools": []string{name}}
+		}
+		pools["d"] = tree{"children": to, "ease": "0s"}
+		lanes["d"] = tree{"children": from, "patience": "10m"}
+	}
+	raw, err := json.Marshal(tree{"note": "scale", "pools": pools, "lanes": lanes})
+	return raw, mishap.Wrap(err, mishap.Internal, "charter")
+}
+
+// nobody is an address at which no one listens: port 1 refuses at once.
+const nobody = "127.0.0.1:1"
+
+// lists gives the workers of each pool. Those of the hollow adapters stand in
+// their cells; the targets stand in the real ones'.
+func (p Point) lists(live string) map[string][]charter.Worker {
+	out := map[string][]charter.Worker{}
+	for i := range p.Destinations {
+		pool := poolName(i / perPool)
+		out[pool] = append(out[pool], charter.Worker{Name: fmt.Sprintf("w%03d", i%perPool), Address: nobody,
+			Cell: fmt.Sprintf("hollow-%c", 'a'+i%hollowCells), State: "live"})
+	}
+	for i := range p.Targets {
+		w := charter.Worker{Name: "only", Address: live, Cell: string(rune('a' + i%realFronts)), State: "live"}
+		if i < p.Down {
+			w.Address = nobody
+		}
+		out[targetName(i)] = []charter.Worker{w}
+	}
+	return out
+}
+
+// Row is what one role spends: the mean of its daemons.
+type Row struct {
+	Role     string             `json:"role"`
+	Count    int                `json:"count"`
+	Keys     float64            `json:"view_keys"`
+	View     float64            `json:"view_bytes"`
+	Members  float64            `json:"members"`
+	Held     float64            `json:"held"` // messages in the places that a store owns
+	Disk     float64            `json:"disk_bytes"`
+	MsgIn    float64            `json:"messages_in"` // a second, like all below but the last
+	MsgOut   float64            `json:"messages_out"`
+	BytesIn  float64            `json:"bytes_in"`
+	BytesOut float64            `json:"bytes_out"`
+	Cpu      float64            `json:"cpu"` // share of one core
+	CpuMost  float64            `json:"cpu_most"`
+	Memory   float64            `json:"memory_bytes"`
+	Links    map[string]float64 `json:"links"` // bytes out by link
+}
+
+// Result is what was measured at a point.
+type Result struct {
+	Point    Point         `json:"point"`
+	For      time.Duration `json:"for"`
+	Rows     []Row         `json:"rows"`
+	Changes  int           `json:"changes_made"`
+	InForce  int           `json:"changes_in_force"` // at every hollow adapter that was there throughout
+	Late     int           `json:"changes_late"`     // at the last one only after the bound
+	Median   time.Duration `json:"in_force_median"`  // from sending the change to the last adapter
+	Most99   time.Duration `json:"in_force_99"`
+	Most     time.Duration `json:"in_force_most"`
+	Fresh    int           `json:"fresh"` // hollow adapters at the end
+	Restarts int           `json:"restarts"`
+	Ready    time.Duration `json:"ready_after"`   // until all duties had a holder
+	Recover  time.Duration `json:"recover_after"` // a killed store: from its start to ready; only with a backlog
+}
+
+// Row gives a role's row.
+func (r Result) Row(role string) Row {
+	for _, row := range r.Rows {
+		if row.Role == role {
+			return row
+		}
+	}
+	return Row{Role: role}
+}
--- /dev/null
+++ b/internal/scale/sweep.go
@@ -0,0 +1,75 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"caperwheel/internal/mishap"
+)
+
+// Sweep moves one quantity from Base on.
+type Sweep struct {
+	Name string
+	Unit string
+	At   []float64
+	set  func(p *Point, at float64)
+}
+
+// Sweeps are all that are known, in the order in which they run.
+var Sweeps = []Sweep{
+	{"daemons", "hollow daemons", []float64{24, 48, 96, 192, 384}, func(p *Point, at float64) { p.Daemons = int(at) }},
+	{"destinations", "destinations", []float64{100, 400, 1600, 4000}, func(p *Point, at float64) { p.Destinations = int(at) }},
+	{"changes", "changes a second", []float64{0.25, 1, 4, 16}, func(p *Point, at float64) { p.Changes = at }},
+	{"down", "destinations down, of 64 with traffic", []float64{0, 8, 24, 56}, func(p *Point, at float64) { p.Targets, p.Down = 64, int(at) }},
+	{"backlog", "queued messages", []float64{0, 4000, 16000, 48000}, func(p *Point, at float64) { p.Backlog = int(at) }},
+	{"places", "places", []float64{12, 48, 96, 192}, func(p *Point, at float64) { p.Places = int(at) }},
+	{"restarts", "restarts of fronts a minute", []float64{0, 30, 120, 300}, func(p *Point, at float64) { p.Restarts = at }},
+}
+
+// Run measures every point, prints each as it comes, and gives the results.
+func (s Sweep) Run(ctx context.Context, o Options, base Point, w io.Writer) ([]Result, error) {
+	out := []Result{}
+	fmt.Fprintf(w, "\nSweep of %s; else %s\n", s.Unit, base)
+	for _, at := range s.At {
+		p := base
+		s.set(&p, at)
+		here := o
+		here.Dir = filepath.Join(o.Dir, "point")
+		r, err := Measure(ctx, here, p)
+		if err != nil {
+			return out, mishap.Wrap(err, mishap.Unsound, "%s at %g", s.Name, at)
+		}
+		out = append(out, r)
+		r.print(w, fmt.Sprintf("%s = %g", s.Name, at))
+	}
+	s.printFits(w, out)
+	return out, nil
+}
+
+// X gives the quantity at a result.
+func (s Sweep) X(results []Result) []float64 { return s.At[:len(results)] }
+
+// Save writes the figures and their plot beside each other.
+func (s Sweep) Save(dir string, results []Result) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return mishap.Wrap(err, mishap.Internal, "folder")
+	}
+	raw, err := json.MarshalIndent(results, "", " ")
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, s.Name+".json"), append(raw, '\n'), 0o644)
+	}
+	if err != nil {
+		return mishap.Wrap(err, mishap.Internal, "figures")
+	}
+	return s.plot(filepath.Join(dir, s.Name+".svg"), results)
+}
+
+// String tells a point in a line.
+func (p Point) String() string {
+	return fmt.Sprintf("%d daemons, %d destinations, %g changes/s, %d places, %d managers, %d stores, %d real fronts",
+		p.Daemons, p.Destinations, p.Changes, p.Places, p.Managers, realStores, realFronts)
+}
--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -30,6 +30,7 @@
 	pool   pond.Pool
 	conn   net.Conn
 	window int64
+	flow   flow
 
 	mu       sync.Mutex
 	pending  []wire.Item
@@ -55,8 +56,8 @@
 
 var rawPool = sync.Pool{New: func() any { raw := make([]byte, 0, 16<<10); return &raw }}
 
-func newOutbox(opts *Options, codec *wire.Codec, pool pond.Pool, conn net.Conn, window int64, fail func(error)) *outbox {
-	o := &outbox{opts: opts, codec: codec, pool: pool, conn: conn, window: window, fail: fail,
+func newOutbox(opts *Options, codec *wire.Codec, pool pond.Pool, conn net.Conn, window int64, flow flow, fail func(error)) *outbox {
+	o := &outbox{opts: opts, codec: codec, pool: pool, conn: conn, window: window, flow: flow, fail: fail,
 		nudge: make(chan struct{}, 1), done: make(chan struct{})}
 	o.flush = time.AfterFunc(time.Hour, o.onBeat)
 	o.flush.Stop()
@@ -105,6 +106,7 @@
 	o.pending, o.seq = make([]wire.Item, 0, o.opts.Batch), o.seq+1
 	counters.batches.Inc()
 	counters.messages.Add(float64(len(batch)))
+	o.flow.messages.Add(float64(len(batch)))
 	o.pool.Submit(func() { o.convert(batch, seq) })
 }
 
@@ -174,6 +176,7 @@
 		return mishap.Wrap(err, mishap.Lost, "write frame")
 	}
 	counters.bytes.Add(float64(len(f.raw)))
+	o.flow.bytes.Add(float64(len(f.raw)))
 	rawPool.Put(&f.raw)
 	return nil
 }
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -32,6 +32,7 @@
 	early map[uint32][]wire.Item
 	next  uint32
 	alive atomic.Bool
+	flow  flow // what comes in
 }
 
 // read frames what arrives and leaves the rest to the pool.
@@ -45,6 +46,7 @@
 			s.down(err)
 			return
 		}
+		s.flow.bytes.Add(float64(headSize + len(raw)))
 		s.out.credit(h.consumed)
 		if len(raw) < 4 {
 			s.down(mishap.New(mishap.Broken, "array without a count"))
@@ -58,6 +60,7 @@
 			s.down(mishap.New(mishap.Broken, "batch of %d messages", count))
 			return
 		}
+		s.flow.messages.Add(float64(count))
 		s.node.pool.Submit(func() {
 			items, err := s.in.Parse(raw[4:], count)
 			rawPool.Put(&raw)
@@ -110,7 +113,7 @@
 }
 
 func (n *Node) newSession(link *wire.Link, conn net.Conn, peer wire.Who, version, window int64, isDialer bool) *session {
-	s := &session{node: n, link: link, peer: peer, version: version, conn: conn, early: map[uint32][]wire.Item{}}
+	s := &session{node: n, link: link, peer: peer, version: version, conn: conn, early: map[uint32][]wire.Item{}, flow: flowOf(link.Name, "in")}
 	asks, replies := link.Codecs(version)
 	s.in = asks
 	out := replies
@@ -119,6 +122,6 @@
 	}
 	s.alive.Store(true)
 	counters.sessions.Inc()
-	s.out = newOutbox(&n.opts, out, n.pool, conn, window, func(err error) { s.down(err) })
+	s.out = newOutbox(&n.opts, out, n.pool, conn, window, flowOf(link.Name, "out"), func(err error) { s.down(err) })
 	return s
 }
