Agents and adapters hear of managers and stores alone; the roll is not copied

Why: each poll copied the whole list of members, and whenever any daemon came or went every other one was sent the whole list anew: both grow with the square of the daemons. An agent or adapter needs to find managers and stores, so its roll is those (and the metric of members on it counts those). The lists of a kind and the hash are made once for each change, not for each poll; a daemon's own poll is not built again for each manager.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -33,7 +33,7 @@
 		}
 		now := d.Now()
 		beside.Hear(wire.Member{Who: poll.Who, Owns: poll.Owns, Fact: poll.Fact}, now, true)
-		answer(session.NewsFor(poll, d.View, now, d.Roll.All))
+		answer(session.NewsFor(poll, d.View, now, d.Roll))
 	}})
 	d.Ready = func() (bool, string) { return d.IsFresh(), string(mishap.Stale) }
 	client := d.Client(func() wire.Poll {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -53,7 +53,7 @@
 	for _, b := range poll.Beside {
 		m.registry.Hear(b, now, true)
 	}
-	answer(session.NewsFor(poll, m.d.View, now, m.d.Roll.All))
+	answer(session.NewsFor(poll, m.d.View, now, m.d.Roll))
 }
 
 // onPeer takes another manager's sessions in and tells ours.
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -106,7 +106,7 @@
 		}
 		now := d.Now()
 		beside.Hear(wire.Member{Who: poll.Who, Owns: poll.Owns, Fact: poll.Fact}, now, true)
-		answer(session.NewsFor(poll, d.View, now, d.Roll.All))
+		answer(session.NewsFor(poll, d.View, now, d.Roll))
 	}})
 	if err != nil {
 		return err
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -42,10 +42,10 @@
 }
 
 func (c *Client) poll() {
-	now := c.Now()
+	now, kind := c.Now(), c.Node.Self().Kind
 	c.mu.Lock()
 	if now-c.answered > c.Bounds.Of(beat.Vote) { // silent: turn to the next
-		targets := c.targets()
+		targets := c.targets(kind)
 		c.at = (c.at + 1) % len(targets)
 		c.answered, c.isAsking = now, false
 	}
@@ -53,7 +53,7 @@
 		c.mu.Unlock()
 		return
 	}
-	targets := c.targets()
+	targets := c.targets(kind)
 	addr := targets[c.at%len(targets)]
 	c.isAsking = true
 	c.mu.Unlock()
@@ -89,11 +89,15 @@
 	}
 }
 
-// targets are the seeds, and any managers learnt of besides.
-func (c *Client) targets() []string {
+// targets are the seeds, and any managers learnt of besides: an adapter turns
+// to its agent alone.
+func (c *Client) targets(kind string) []string {
 	out := slices.Clone(c.Seeds)
+	if kind == "adapter" {
+		return out
+	}
 	for _, who := range c.Roll.Kind("manager") {
-		if !slices.Contains(out, who.Addr) && c.Self().Who.Kind != "adapter" {
+		if !slices.Contains(out, who.Addr) {
 			out = append(out, who.Addr)
 		}
 	}
--- a/internal/session/news.go
+++ b/internal/session/news.go
@@ -7,13 +7,13 @@
 	"caperwheel/internal/wire"
 )
 
-// NewsFor answers a poll from a view and a list of members. Whoever passes
-// news on confirms no more than it was told itself.
-func NewsFor(poll *wire.Poll, view *feed.View, now time.Duration, members func() (string, []wire.Member)) *wire.News {
+// NewsFor answers a poll from a view and a roll. Whoever passes news on
+// confirms no more than it was told itself.
+func NewsFor(poll *wire.Poll, view *feed.View, now time.Duration, roll *Roll) *wire.News {
 	out := &wire.News{Parts: view.News(poll.Stamps, now), Members: []wire.Member{}}
-	roll, list := members()
-	out.Roll = roll
-	if roll != poll.Roll {
+	hash, list := roll.For(poll.Who.Kind)
+	out.Roll = hash
+	if hash != poll.Roll {
 		for _, m := range list {
 			m.Fact = wire.Fact{Counts: map[string]int64{}} // only managers need it
 			if m.Owns == nil {
--- a/internal/session/registry.go
+++ b/internal/session/registry.go
@@ -6,8 +6,8 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
-	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -22,8 +22,6 @@
 	mu    sync.Mutex
 	gone  time.Duration // silence after which a session is over
 	known map[string]entry
-	roll  string
-	list  []wire.Member
 }
 
 type entry struct {
@@ -83,12 +81,22 @@
 
 // RollOf hashes what matters of a list of members.
 func RollOf(members []wire.Member) string {
-	h := sha256.New()
+	h, line := sha256.New(), []byte{}
 	for _, m := range members {
-		fmt.Fprintf(h, "%v", m.Who)
+		w := m.Who
+		line = append(line[:0], '{')
+		for i, word := range []string{w.Name, w.Kind, w.Boot, w.Cell, w.Addr, w.Http} {
+			if i > 0 {
+				line = append(line, ' ')
+			}
+			line = append(line, word...)
+		}
+		line = append(line, '}')
 		for _, o := range m.Owns {
-			fmt.Fprintf(h, " %d/%d", o.Group, o.Term)
+			line = append(strconv.AppendInt(append(line, ' '), o.Group, 10), '/')
+			line = strconv.AppendInt(line, o.Term, 10)
 		}
+		h.Write(line)
 	}
 	return hex.EncodeToString(h.Sum(nil)[:8])
 }
--- a/internal/session/roll.go
+++ b/internal/session/roll.go
@@ -7,11 +7,20 @@
 )
 
 // Roll is a daemon's copy of the members, with hints of who owns what.
+//
+// Invariant: list and core are never written once they stand, so they are
+// handed out as they are.
 type Roll struct {
 	mu      sync.RWMutex
 	hash    string
+	list    []wire.Member
+	kinds   map[string][]wire.Who
 	members map[string]wire.Member
 	owners  map[int64]ownerHint
+	// Managers and stores alone: all that an adapter or agent needs to know of,
+	// however many of its own kind there are.
+	coreHash string
+	core     []wire.Member
 }
 
 type ownerHint struct {
@@ -20,7 +29,10 @@
 }
 
 // NewRoll gives an empty one.
-func NewRoll() *Roll { return &Roll{members: map[string]wire.Member{}, owners: map[int64]ownerHint{}} }
+func NewRoll() *Roll {
+	return &Roll{members: map[string]wire.Member{}, owners: map[int64]ownerHint{}, kinds: map[string][]wire.Who{},
+		core: []wire.Member{}, coreHash: RollOf(nil)}
+}
 
 // Hash names the list that we have, so that it is not sent again.
 func (r *Roll) Hash() string {
@@ -29,23 +41,34 @@
 	return r.hash
 }
 
-// Take brings a list in.
+// Take brings a list in. One of the same hash tells nothing new: whatever else
+// its members say is for managers, who keep it in their registry.
 func (r *Roll) Take(hash string, members []wire.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hash, r.members = hash, map[string]wire.Member{}
+	if hash == r.hash && hash != "" && len(members) == len(r.list) {
+		return
+	}
+	r.hash, r.list, r.members = hash, members, map[string]wire.Member{}
+	r.kinds, r.core = map[string][]wire.Who{}, []wire.Member{}
 	owners := map[int64]ownerHint{}
 	for _, m := range members {
 		r.members[m.Who.Name] = m
+		r.kinds[m.Who.Kind] = append(r.kinds[m.Who.Kind], m.Who)
+		if isCore(m.Who.Kind) {
+			r.core = append(r.core, m)
+		}
 		for _, o := range m.Owns {
 			if o.Term > owners[o.Group].term {
 				owners[o.Group] = ownerHint{m.Who.Name, o.Term}
 			}
 		}
 	}
-	r.owners = owners
+	r.owners, r.coreHash = owners, RollOf(r.core)
 }
 
+func isCore(kind string) bool { return kind == "manager" || kind == "store" }
+
 // Find gives a member by name.
 func (r *Roll) Find(name string) (wire.Who, bool) {
 	r.mu.RLock()
@@ -74,26 +97,26 @@
 	return false
 }
 
-// Kind lists the members of a kind.
+// Kind lists the members of a kind. The list is the caller's own.
 func (r *Roll) Kind(kind string) []wire.Who {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	out := []wire.Who{}
-	for _, m := range r.members {
-		if m.Who.Kind == kind {
-			out = append(out, m.Who)
-		}
-	}
-	return out
+	return append([]wire.Who{}, r.kinds[kind]...)
 }
 
-// All gives the list as it was taken, to pass on.
+// All gives the list as it was taken; it must not be written to.
 func (r *Roll) All() (string, []wire.Member) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	out := []wire.Member{}
-	for _, m := range r.members {
-		out = append(out, m)
+	return r.hash, r.list
+}
+
+// For gives what a daemon of a kind needs to know of the members.
+func (r *Roll) For(kind string) (string, []wire.Member) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if kind == "adapter" || kind == "agent" {
+		return r.coreHash, r.core
 	}
-	return r.hash, out
+	return r.hash, r.list
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -1,11 +1,15 @@
 package session
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"caperwheel/internal/feed"
 	"caperwheel/internal/wire"
 )
 
@@ -70,3 +74,53 @@
 		So([]bool{roll.HasOwner(1), roll.HasOwner(2)}, ShouldResemble, []bool{true, false})
 	})
 }
+
+// TestInterest: every agent and adapter once had the whole roll, and got it anew
+// whenever any one of them came or went.
+func TestInterest(t *testing.T) {
+	of := func(kind string, count int) (out []wire.Member) {
+		for i := range count {
+			m := member(kind+string(rune('a'+i)), "1", 0)
+			m.Who.Kind = kind
+			out = append(out, m)
+		}
+		return out
+	}
+	Convey("Given managers, stores, agents and adapters", t, func() {
+		roll, view := NewRoll(), feed.NewView(0)
+		all := append(append(of("manager", 3), of("store", 4)...), append(of("agent", 20), of("adapter", 20)...)...)
+		roll.Take(RollOf(all), all)
+		news := func(kind, hash string) *wire.News {
+			return NewsFor(&wire.Poll{Who: wire.Who{Kind: kind}, Stamps: view.Stamps(), Roll: hash}, view, 0, roll)
+		}
+		Convey("a store hears of all, an agent and an adapter of managers and stores", func() {
+			count := map[string]int{}
+			for _, kind := range []string{"store", "agent", "adapter"} {
+				count[kind] = len(news(kind, "").Members)
+			}
+			So(count, ShouldResemble, map[string]int{"store": 47, "agent": 7, "adapter": 7})
+		})
+		Convey("nothing is said again, and a front that comes is no news to another", func() {
+			hash := news("agent", "").Roll
+			So(news("agent", hash).Members, ShouldBeEmpty)
+			more := append(all, member("new", "1", 0))
+			roll.Take(RollOf(more), more)
+			So(news("agent", hash).Roll, ShouldEqual, hash)
+			So(len(news("store", RollOf(all)).Members), ShouldEqual, 48)
+		})
+		Convey("what an agent passes on to its adapter is what it was told", func() {
+			told := news("agent", "")
+			agent := NewRoll()
+			agent.Take(told.Roll, told.Members)
+			hash, list := agent.For("adapter")
+			So(hash, ShouldEqual, told.Roll)
+			So(len(list), ShouldEqual, 7)
+		})
+	})
+	Convey("The hash of a list is that of earlier builds", t, func() {
+		m := wire.Member{Who: wire.Who{Name: "x", Kind: "store", Boot: "1", Cell: "a", Addr: "127.0.0.1:1", Http: "127.0.0.1:2"},
+			Owns: []wire.Owned{{Group: 5, Term: 9}, {Group: 6, Term: 1}}}
+		sum := sha256.Sum256([]byte(fmt.Sprintf("%v %d/%d %d/%d", m.Who, 5, 9, 6, 1)))
+		So(RollOf([]wire.Member{m}), ShouldEqual, hex.EncodeToString(sum[:8]))
+	})
+}
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -83,7 +83,7 @@
 			for _, m := range ask.Beside {
 				to.registry.Hear(m, n.c.now, true)
 			}
-			news := session.NewsFor(ask, to.view, n.c.now, to.roll.All)
+			news := session.NewsFor(ask, to.view, n.c.now, to.roll)
 			n.c.Send(to.name, n.name, func() {
 				if n.life == life {
 					n.c.whenThawed(&n.being, func() { n.heard = n.c.now; n.view.Take(news.Parts, asked) })
--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -7,6 +7,7 @@
 	"github.com/alitto/pond/v2"
 
 	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
 )
 
 // Node is a daemon's end of all its links.
@@ -38,6 +39,9 @@
 // Addr is the address listened on.
 func (n *Node) Addr() string { return n.listener.Addr().String() }
 
+// Self is who the node tells others that it is.
+func (n *Node) Self() wire.Who { return n.opts.Self }
+
 // Serve accepts sessions until Close.
 func (n *Node) Serve() {
 	for {
