Feed finds what is behind a stamp without looking at every key

Why: each follower's poll after a change looked at all keys of the part; followers times keys times changes. The keys stand in the order of their stamps now.

--- a/internal/feed/part.go
+++ b/internal/feed/part.go
@@ -24,12 +24,12 @@
 
 // Part is the replicated state of one part. It is pure.
 //
-// Invariants: stamp grows by one with each change that holds; keys has the
+// Invariants: stamp grows by one with each change that holds; trail has the
 // newest change of each key, gone ones too, so the changes behind any stamp
 // can be told without a history.
 type Part struct {
 	stamp int64
-	keys  map[string]wire.Change
+	trail trail
 	past  []wire.Change // the newest changes of Remembered, without values
 }
 
@@ -42,14 +42,14 @@
 )
 
 // NewPart gives an empty part.
-func NewPart() *Part { return &Part{keys: map[string]wire.Change{}} }
+func NewPart() *Part { return &Part{trail: newTrail()} }
 
 // Stamp is the number of the newest change.
 func (p *Part) Stamp() int64 { return p.stamp }
 
 // Get gives a key's newest change.
 func (p *Part) Get(key string) (wire.Change, bool) {
-	c, isKnown := p.keys[key]
+	c, isKnown := p.trail.keys[key]
 	return c, isKnown && !c.Gone
 }
 
@@ -64,7 +64,7 @@
 		return wire.Edited{Kind: string(mishap.Conflict), Text: e.Key + " has changed since", Stamp: stamp}
 	}
 	p.stamp++
-	p.keys[e.Key] = wire.Change{Key: e.Key, Value: e.Value, Stamp: p.stamp, Gone: e.Gone, By: e.By}
+	p.trail.put(wire.Change{Key: e.Key, Value: e.Value, Stamp: p.stamp, Gone: e.Gone, By: e.By})
 	if e.Key == Remembered {
 		p.past = append(p.past, wire.Change{Key: e.Key, Value: []byte{}, Stamp: p.stamp, By: e.By})
 		p.past = p.past[max(0, len(p.past)-mostPast):]
@@ -81,22 +81,7 @@
 // News gives the changes behind a stamp. isNewest tells whether they reach the
 // newest.
 func (p *Part) News(part, from int64) (news wire.PartNews, isNewest bool) {
-	behind := []wire.Change{}
-	if from < p.stamp {
-		for _, c := range p.keys {
-			if c.Stamp > from {
-				behind = append(behind, c)
-			}
-		}
-	}
-	slices.SortFunc(behind, func(a, b wire.Change) int { return int(a.Stamp - b.Stamp) })
-	news = wire.PartNews{Part: part, From: from, To: p.stamp, Age: -1, Changes: behind}
-	if len(behind) > newsCount {
-		news.Changes = behind[:newsCount]
-		news.To = news.Changes[newsCount-1].Stamp
-		return news, false
-	}
-	return news, from <= p.stamp
+	return p.trail.newsOf(part, from, p.stamp)
 }
 
 type partImage struct {
@@ -113,8 +98,8 @@
 // Image gives the whole state as bytes.
 func (p *Part) Image() []byte {
 	out := partImage{Stamp: p.stamp, Changes: []wire.Change{}, Past: append([]wire.Change{}, p.past...)}
-	for _, key := range slices.Sorted(maps.Keys(p.keys)) {
-		out.Changes = append(out.Changes, p.keys[key])
+	for _, key := range slices.Sorted(maps.Keys(p.trail.keys)) {
+		out.Changes = append(out.Changes, p.trail.keys[key])
 	}
 	return partCodec.Encode(&out)
 }
@@ -127,9 +112,7 @@
 	}
 	p := NewPart()
 	p.stamp, p.past = in.Stamp, in.Past
-	for _, c := range in.Changes {
-		p.keys[c.Key] = c
-	}
+	p.trail.fill(in.Changes)
 	return p, nil
 }
 
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -26,14 +26,14 @@
 	stamp  int64
 	sureAt time.Duration
 	isSure bool
-	keys   map[string]wire.Change
+	trail  trail
 }
 
 // NewView gives an empty view that follows the charter part and count others.
 func NewView(count int) *View {
 	v := &View{parts: map[int64]*partView{}, count: count}
 	for part := range int64(count) + 1 {
-		v.parts[part] = &partView{keys: map[string]wire.Change{}}
+		v.parts[part] = &partView{trail: newTrail()}
 	}
 	return v
 }
@@ -61,7 +61,7 @@
 		}
 		for _, c := range n.Changes {
 			if c.Stamp > p.stamp {
-				p.keys[c.Key] = c
+				p.trail.put(c)
 				isChanged = true
 			}
 		}
@@ -109,8 +109,7 @@
 		if p == nil || s.Stamp > p.stamp {
 			continue
 		}
-		whole := Part{stamp: p.stamp, keys: p.keys}
-		news, isNewest := whole.News(s.Part, s.Stamp)
+		news, isNewest := p.trail.newsOf(s.Part, s.Stamp, p.stamp)
 		if p.isSure && isNewest {
 			news.Age = max(0, int64((now-p.sureAt)/time.Microsecond))
 		}
@@ -123,7 +122,7 @@
 func (v *View) Get(part int64, key string) (wire.Change, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	c, isKnown := v.parts[part].keys[key]
+	c, isKnown := v.parts[part].trail.keys[key]
 	return c, isKnown && !c.Gone
 }
 
@@ -133,8 +132,8 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	for _, p := range v.parts {
-		keys += len(p.keys)
-		for key, c := range p.keys {
+		keys += len(p.trail.keys)
+		for key, c := range p.trail.keys {
 			bytes += len(key) + len(c.Value) + len(c.By)
 		}
 	}
@@ -164,7 +163,7 @@
 	rows := []row{}
 	v.mu.RLock()
 	for part, p := range v.parts {
-		for key, c := range p.keys {
+		for key, c := range p.trail.keys {
 			if strings.HasPrefix(key, prefix) && !c.Gone {
 				rows = append(rows, row{part, c})
 			}
