Duties are counted only in a round that moves one

Why: every pool's plan counted the duties of all pools anew, eight times in two seconds: the square of the destinations. Most rounds move none. Outcome unchanged (TestPlan).

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -85,17 +85,12 @@
 // is while its holder lives, stays and may serve; a lost one goes to the adapter of
 // the worker's cell, if there is one, that has the fewest duties.
 func Plan(pool string, scene *charter.Scene, adapters []wire.Who, leaving map[string]bool, stamp func(key string) (int64, bool)) []Change {
-	usable, load := map[string]wire.Who{}, map[string]int{}
+	usable, load := map[string]wire.Who{}, map[string]int(nil)
 	for _, a := range adapters {
 		if !scene.Emptied[a.Cell] && !leaving[a.Name] {
 			usable[a.Name] = a
 		}
 	}
-	for _, duties := range scene.Duties {
-		for _, d := range duties {
-			load[d.Holder]++
-		}
-	}
 	out := []Change{}
 	for _, name := range slices.Sorted(maps.Keys(scene.Workers[pool])) {
 		worker := scene.Workers[pool][name]
@@ -105,6 +100,9 @@
 		if isRight && (worker.Cell == "" || holder.Cell == worker.Cell || !hasCell(usable, worker.Cell)) {
 			continue
 		}
+		if load == nil { // most rounds find nothing to move, and need no count of all duties
+			load = loadOf(scene)
+		}
 		next := choose(pool+"/"+name, worker.Cell, usable, load)
 		if next.Name == "" || isRight && next.Name == held.Holder {
 			continue
@@ -126,6 +124,17 @@
 	return out
 }
 
+// loadOf counts the duties of each adapter.
+func loadOf(scene *charter.Scene) map[string]int {
+	out := map[string]int{}
+	for _, duties := range scene.Duties {
+		for _, d := range duties {
+			out[d.Holder]++
+		}
+	}
+	return out
+}
+
 // isEmptied: a holder that is left out for its cell's sake is no guess.
 func isEmptied(scene *charter.Scene, adapters []wire.Who, name string) bool {
 	for _, a := range adapters {
