--- a/cmd/fleet/scale.go
+++ b/cmd/fleet/scale.go
@@ -56,7 +56,7 @@
 		base.Managers = a.Managers
 	}
 	opts := scale.Options{Bin: a.Bin, Program: exe, Dir: dir, For: a.For, Settle: a.Settle}
-	ran := 0
+	ran, last := 0, error(nil)
 	for _, s := range scale.Sweeps {
 		if len(a.Only) > 0 && !slices.Contains(a.Only, s.Name) {
 			continue
@@ -71,7 +71,7 @@
 			}
 		}
 		if err != nil {
-			return err
+			last = err
 		}
 		ran++
 	}
@@ -79,5 +79,5 @@
 		return mishap.New(mishap.Invalid, "no sweep is called %v", a.Only)
 	}
 	fmt.Printf("\n%d sweeps.\n", ran)
-	return nil
+	return last
 }
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -117,6 +117,7 @@
 	cpu := (is.cpu - was.cpu).Seconds() / span
 	r.Cpu += cpu / n
 	r.CpuMost = max(r.CpuMost, cpu)
+	r.Wait += max(0, (is.wait-was.wait).Seconds()/span/n)
 	r.Memory += is.rss / n
 	r.MsgIn += diff("link_messages_total", `way="in"`)
 	r.MsgOut += diff("link_messages_total", `way="out"`)
--- a/internal/scale/meter.go
+++ b/internal/scale/meter.go
@@ -16,11 +16,11 @@
 
 // reading is what one process has used and counted since it started.
 type reading struct {
-	at      time.Time
-	cpu     time.Duration
-	rss     float64 // bytes
-	threads int
-	counts  map[string]float64 // metrics by name and labels
+	at     time.Time
+	cpu    time.Duration
+	wait   time.Duration      // for a core, while ready to run
+	rss    float64            // bytes
+	counts map[string]float64 // metrics by name and labels
 }
 
 // clockTick is the unit of /proc/PID/stat: a hundredth of a second on Linux.
@@ -57,6 +57,21 @@
 	return time.Duration(user+system) * clockTick, mishap.Wrap(err, mishap.Broken, "stat of a process")
 }
 
+// waitOf sums for how long the threads of a process were ready and had no core.
+// Where it is much, the machine was busy, and times mean little.
+func waitOf(pid int) time.Duration {
+	total := int64(0)
+	files, _ := filepath.Glob(filepath.Join("/proc", strconv.Itoa(pid), "task", "*", "schedstat"))
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if fields := strings.Fields(string(raw)); err == nil && len(fields) > 1 {
+			n, _ := strconv.ParseInt(fields[1], 10, 64)
+			total += n
+		}
+	}
+	return time.Duration(total)
+}
+
 func rssOf(status []byte) float64 {
 	for line := range strings.Lines(string(status)) {
 		if rest, isIt := strings.CutPrefix(line, "VmRSS:"); isIt {
@@ -92,6 +107,7 @@
 	if out.cpu, out.rss, err = readProcess(p.Pid()); err != nil {
 		return out, err
 	}
+	out.wait = waitOf(p.Pid())
 	code, _, raw, err := fleet.Do(ctx, "GET", "http://"+p.Http+"/metrics", "", nil)
 	if err == nil && code != 200 {
 		err = mishap.New(mishap.Unsound, "metrics of %s: %d", p.Name, code)
--- a/internal/scale/point.go
+++ b/internal/scale/point.go
@@ -123,12 +123,14 @@
 	BytesOut float64            `json:"bytes_out"`
 	Cpu      float64            `json:"cpu"` // share of one core
 	CpuMost  float64            `json:"cpu_most"`
+	Wait     float64            `json:"cpu_wait"` // waiting for a core, as a share of the time
 	Memory   float64            `json:"memory_bytes"`
 	Links    map[string]float64 `json:"links"` // bytes out by link
 }
 
 // Result is what was measured at a point.
 type Result struct {
+	At       float64       `json:"at"` // the quantity that is swept
 	Point    Point         `json:"point"`
 	For      time.Duration `json:"for"`
 	Rows     []Row         `json:"rows"`
--- a/internal/scale/sweep.go
+++ b/internal/scale/sweep.go
@@ -30,9 +30,10 @@
 	{"restarts", "restarts of fronts a minute", []float64{0, 30, 120, 300}, func(p *Point, at float64) { p.Restarts = at }},
 }
 
-// Run measures every point, prints each as it comes, and gives the results.
+// Run measures every point, prints each as it comes, and gives the results; of
+// points that could not be measured, the last mishap.
 func (s Sweep) Run(ctx context.Context, o Options, base Point, w io.Writer) ([]Result, error) {
-	out := []Result{}
+	out, last := []Result{}, error(nil)
 	fmt.Fprintf(w, "\nSweep of %s; else %s\n", s.Unit, base)
 	for _, at := range s.At {
 		p := base
@@ -40,18 +41,27 @@
 		here := o
 		here.Dir = filepath.Join(o.Dir, "point")
 		r, err := Measure(ctx, here, p)
-		if err != nil {
-			return out, mishap.Wrap(err, mishap.Unsound, "%s at %g", s.Name, at)
+		if err != nil { // the others can still be measured
+			last = mishap.Wrap(err, mishap.Unsound, "%s at %g", s.Name, at)
+			fmt.Fprintf(w, "\n%s = %g: not measured: %v\n", s.Name, at, err)
+			continue
 		}
+		r.At = at
 		out = append(out, r)
 		r.print(w, fmt.Sprintf("%s = %g", s.Name, at))
 	}
 	s.printFits(w, out)
-	return out, nil
+	return out, last
 }
 
-// X gives the quantity at a result.
-func (s Sweep) X(results []Result) []float64 { return s.At[:len(results)] }
+// X gives the quantity at each result.
+func (s Sweep) X(results []Result) []float64 {
+	out := []float64{}
+	for _, r := range results {
+		out = append(out, r.At)
+	}
+	return out
+}
 
 // Save writes the figures and their plot beside each other.
 func (s Sweep) Save(dir string, results []Result) error {
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -38,11 +38,11 @@
 	}
 	fmt.Fprintln(w)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "role\tcount\tkeys\tview KB\tmembers\theld\tdisk MB\tmsg/s in\tout\tKB/s in\tout\tcore %\tmost\tMB\t")
+	fmt.Fprintln(t, "role\tcount\tkeys\tview KB\tmembers\theld\tdisk MB\tmsg/s in\tout\tKB/s in\tout\tcore %\tmost\twait %\tMB\t")
 	for _, row := range r.Rows {
-		fmt.Fprintf(t, "%s\t%d\t%.0f\t%.1f\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t\n", row.Role, row.Count, row.Keys,
+		fmt.Fprintf(t, "%s\t%d\t%.0f\t%.1f\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.1f\t\n", row.Role, row.Count, row.Keys,
 			row.View/1e3, row.Members, row.Held, row.Disk/1e6, row.MsgIn, row.MsgOut, row.BytesIn/1e3, row.BytesOut/1e3,
-			row.Cpu*100, row.CpuMost*100, row.Memory/1e6)
+			row.Cpu*100, row.CpuMost*100, row.Wait*100, row.Memory/1e6)
 	}
 	_ = t.Flush()
 }
