--- a/cmd/fleet/scale.go
+++ b/cmd/fleet/scale.go
@@ -24,6 +24,7 @@
 	Dir      string        `arg:"--dir" help:"where data and logs go; a temporary folder if not given"`
 	Daemons  int           `arg:"--daemons" help:"hollow daemons where they are not swept"`
 	Managers int           `arg:"--managers" help:"managers"`
+	Quiet    bool          `arg:"--quiet" help:"no messages at all, but what a sweep itself needs"`
 	At       []float64     `arg:"--at" help:"other points than the sweep's own"`
 	Pack     string        `arg:"--pack" help:"be a process of hollow daemons (internal)"`
 }
@@ -55,6 +56,9 @@
 	if a.Managers > 0 {
 		base.Managers = a.Managers
 	}
+	if a.Quiet {
+		base.Traffic = 0
+	}
 	opts := scale.Options{Bin: a.Bin, Program: exe, Dir: dir, For: a.For, Settle: a.Settle}
 	ran, last := 0, error(nil)
 	for _, s := range scale.Sweeps {
--- a/internal/scale/point.go
+++ b/internal/scale/point.go
@@ -25,10 +25,11 @@
 	Places       int     `json:"places"`
 	Restarts     float64 `json:"restarts"` // of hollow fronts, a minute
 	Managers     int     `json:"managers"`
+	Traffic      float64 `json:"traffic"` // messages a second that the real adapters take in besides
 }
 
 // Base is where every sweep begins.
-var Base = Point{Daemons: 40, Destinations: 100, Changes: 1, Places: 48, Managers: 3}
+var Base = Point{Daemons: 40, Destinations: 100, Changes: 1, Places: 48, Managers: 3, Traffic: 20}
 
 // perPool is how many destinations one list holds.
 const perPool = 100
@@ -54,7 +55,10 @@
 func (p Point) plan() fleet.Plan {
 	out := fleet.Plan{Name: "scale", Cells: []string{"a", "b", "c"}, Fronts: realFronts, Stores: realStores, Managers: p.Managers,
 		Places: p.Places, IsDirect: true, Workers: map[string]fleet.PlanWorkers{"served": {Count: 3, WorkMs: 4}},
-		Load: []fleet.PlanLoad{{Lane: "served", Rate: 20, Size: bodySize}}}
+		Load: []fleet.PlanLoad{}}
+	if p.Traffic > 0 {
+		out.Load = append(out.Load, fleet.PlanLoad{Lane: "served", Rate: p.Traffic, Size: bodySize})
+	}
 	if p.Targets > 0 {
 		out.Load = append(out.Load, fleet.PlanLoad{Lane: "d", Rate: 64, Size: bodySize})
 	}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -33,7 +33,7 @@
 		opts := Options{Bin: bin, Program: filepath.Join(bin, "fleet"), Dir: dir, For: time.Second, Settle: time.Millisecond}
 		Convey("a sweep over hollow daemons tells of every role", func() {
 			s := Sweep{"daemons", "hollow daemons", []float64{4, 12}, func(p *Point, at float64) { p.Daemons = int(at) }}
-			results, err := s.Run(ctx, opts, Point{Destinations: 20, Changes: 8, Places: 12, Managers: 2}, io.Discard)
+			results, err := s.Run(ctx, opts, Point{Destinations: 20, Changes: 8, Places: 12, Managers: 2, Traffic: 20}, io.Discard)
 			So(err, ShouldBeNil)
 			So(len(results), ShouldEqual, 2)
 			for _, r := range results {
