--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,12 +32,17 @@
 	windowCtx, close := context.WithTimeout(loadCtx, b.For)
 	defer close()
 	go func() { changes.run(windowCtx, b.point.Changes); done <- struct{}{} }()
+	go b.lose(windowCtx)
 	b.restart(windowCtx, out)
 	<-windowCtx.Done()
 	after, err := b.readings(ctx)
 	if err != nil {
 		return err
 	}
+	for p, is := range after {
+		out.Duties += is.sum("duty_moves_total") - before[p].sum("duty_moves_total")
+		out.Owners += is.sum("place_ownerships_total") - before[p].sum("place_ownerships_total")
+	}
 	<-done // the changes: the callers go on
 	if b.pack != nil {
 		var held Held
@@ -83,6 +89,9 @@
 		all = append(all, b.pack)
 	}
 	for _, p := range all {
+		if b.point.IsLost && p == b.f.Managers[len(b.f.Managers)-1] {
+			continue
+		}
 		r, err := read(ctx, p)
 		if err != nil {
 			return nil, err
@@ -94,6 +103,7 @@
 
 // row is the mean of a role's daemons.
 func (b *bench) row(role string, of []*fleet.Process, before, after map[*fleet.Process]reading) Row {
+	of = slices.DeleteFunc(slices.Clone(of), func(p *fleet.Process) bool { return after[p].counts == nil })
 	out := Row{Role: role, Count: len(of), Links: map[string]float64{}}
 	n := float64(len(of))
 	for _, p := range of {
--- a/internal/scale/point.go
+++ b/internal/scale/point.go
@@ -25,11 +25,13 @@
 	Places       int     `json:"places"`
 	Restarts     float64 `json:"restarts"` // of hollow fronts, a minute
 	Managers     int     `json:"managers"`
+	Stores       int     `json:"stores"`
+	IsLost       bool    `json:"lost"`    // one manager is killed half-way
 	Traffic      float64 `json:"traffic"` // messages a second that the real adapters take in besides
 }
 
 // Base is where every sweep begins.
-var Base = Point{Daemons: 40, Destinations: 100, Changes: 1, Places: 48, Managers: 3, Traffic: 20}
+var Base = Point{Daemons: 40, Destinations: 100, Changes: 1, Places: 48, Managers: 3, Stores: 3, Traffic: 20}
 
 // perPool is how many destinations one list holds.
 const perPool = 100
@@ -37,11 +39,8 @@
 // parts is how many parts the control state has beside the charter's.
 const parts = 4
 
-// The real daemons beside the hollow ones.
-const (
-	realStores = 3
-	realFronts = 3
-)
+// realFronts is how many real agents and adapters serve beside the hollow ones.
+const realFronts = 3
 
 // bodySize is how many bytes a queued message carries.
 const bodySize = 256
@@ -53,7 +52,7 @@
 
 // plan lays out the real daemons and the traffic.
 func (p Point) plan() fleet.Plan {
-	out := fleet.Plan{Name: "scale", Cells: []string{"a", "b", "c"}, Fronts: realFronts, Stores: realStores, Managers: p.Managers,
+	out := fleet.Plan{Name: "scale", Cells: []string{"a", "b", "c"}, Fronts: realFronts, Stores: p.Stores, Managers: p.Managers,
 		Places: p.Places, IsDirect: true, Workers: map[string]fleet.PlanWorkers{"served": {Count: 3, WorkMs: 4}},
 		Load: []fleet.PlanLoad{}}
 	if p.Traffic > 0 {
@@ -146,6 +145,8 @@
 	Most     time.Duration `json:"in_force_most"`
 	Fresh    int           `json:"fresh"` // hollow adapters at the end
 	Restarts int           `json:"restarts"`
+	Duties   float64       `json:"duty_moves"`    // in the window
+	Owners   float64       `json:"owner_changes"` // of places, in the window
 	Ready    time.Duration `json:"ready_after"`   // until all duties had a holder
 	Recover  time.Duration `json:"recover_after"` // a killed store: from its start to ready; only with a backlog
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -63,7 +63,7 @@
 
 // up has everything serve, all duties held and the backlog queued.
 func (b *bench) up(ctx context.Context, out *Result) error {
-	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Minute)
 	defer cancel()
 	if err := b.f.Up(ctx); err != nil {
 		return err
@@ -141,6 +141,9 @@
 	return ask(ctx, b.pack, "/held", &held) == nil && held.Fresh == b.point.Daemons/2
 }
 
+// copies is how many replicas a group has where there are stores enough.
+const copies = 3
+
 func (b *bench) isHeld(ctx context.Context, turn int) bool {
 	status, err := b.f.Api().Status(ctx, turn)
 	if err != nil {
@@ -154,7 +157,7 @@
 		workers += pool.Workers
 	}
 	for _, group := range append(append([]manager.StatusGroup{}, status.Places...), status.Parts...) {
-		if group.Owner == "" || group.Voters < realStores || group.Lag > 0 {
+		if group.Owner == "" || group.Voters < int64(min(copies, b.point.Stores)) || group.Lag > 0 {
 			return false
 		}
 	}
@@ -197,6 +200,14 @@
 	return nil
 }
 
+// lose kills one manager half-way; the changes go through another.
+func (b *bench) lose(ctx context.Context) {
+	if b.point.IsLost {
+		pause(ctx, b.For/2)
+		b.f.Managers[len(b.f.Managers)-1].Kill()
+	}
+}
+
 // restart ends hollow fronts and begins them anew, by turns, at a rate.
 func (b *bench) restart(ctx context.Context, out *Result) {
 	if b.point.Restarts <= 0 || b.pack == nil {
--- a/internal/scale/sweep.go
+++ b/internal/scale/sweep.go
@@ -28,6 +28,18 @@
 	{"backlog", "queued messages", []float64{0, 4000, 16000, 48000}, func(p *Point, at float64) { p.Backlog = int(at) }},
 	{"places", "places", []float64{12, 48, 96, 192}, func(p *Point, at float64) { p.Places = int(at) }},
 	{"restarts", "restarts of fronts a minute", []float64{0, 30, 120, 300}, func(p *Point, at float64) { p.Restarts = at }},
+	{"stores", "stores", []float64{3, 6, 12, 17}, func(p *Point, at float64) { p.Stores = int(at) }},
+	{"failover", "hollow daemons, one manager of three killed half-way", []float64{24, 96, 192, 384}, func(p *Point, at float64) { p.Daemons, p.IsLost = int(at), true }},
+	{"machines", "machines", []float64{15, 32, 50, 85}, whole},
+}
+
+// whole lays out a deployment of so many machines as the users' are: managers,
+// stores and fronts in the shares of one of 15 machines and of one of 85.
+func whole(p *Point, at float64) {
+	share := (at - 15) / (85 - 15)
+	p.Managers, p.Stores = 3+int(2*share), 3+int(14*share)
+	p.Daemons = 2 * (int(at) - p.Managers - p.Stores - realFronts)
+	p.Destinations = 31 + int(229*share)
 }
 
 // Run measures every point, prints each as it comes, and gives the results; of
@@ -81,5 +93,5 @@
 // String tells a point in a line.
 func (p Point) String() string {
 	return fmt.Sprintf("%d daemons, %d destinations, %g changes/s, %d places, %d managers, %d stores, %d real fronts",
-		p.Daemons, p.Destinations, p.Changes, p.Places, p.Managers, realStores, realFronts)
+		p.Daemons, p.Destinations, p.Changes, p.Places, p.Managers, p.Stores, realFronts)
 }
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -33,6 +33,9 @@
 	if r.Restarts > 0 {
 		fmt.Fprintf(w, "; %d restarts", r.Restarts)
 	}
+	if r.Duties+r.Owners > 0 {
+		fmt.Fprintf(w, "; %.0f duties moved, %.0f owner changes", r.Duties, r.Owners)
+	}
 	if r.Recover > 0 {
 		fmt.Fprintf(w, "; a killed store is ready after %v", r.Recover.Round(time.Millisecond))
 	}
