--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -41,6 +41,7 @@
 	Bench    *benchCommand    `arg:"subcommand:bench" help:"measure the transport alone"`
 	Sweep    *sweepCommand    `arg:"subcommand:sweep" help:"simulate many seeds with mixed faults"`
 	Platform *platformCommand `arg:"subcommand:platform" help:"run a small deployment on a stand-in of its users' platform and judge it"`
+	Scale    *scaleCommand    `arg:"subcommand:scale" help:"measure what control costs as a deployment grows"`
 	Run      *runCommand      `arg:"subcommand:run" help:"run a deployment and check it"`
 }
 
@@ -59,6 +60,8 @@
 		err = backend(args.Backend)
 	case args.Bench != nil:
 		err = bench(args.Bench)
+	case args.Scale != nil:
+		err = scaleRun(args.Scale)
 	case args.Sweep != nil:
 		err = sweep(args.Sweep)
 	default:
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -21,6 +21,7 @@
 	Addr, Http       string
 	file             string   // its settings
 	env              []string // what it is told besides
+	args             []string // if it takes others than a settings file
 	bin, log         string
 
 	mu   sync.Mutex
@@ -90,10 +91,11 @@
 		return mishap.Wrap(err, mishap.Internal, "log of %s", p.Name)
 	}
 	defer log.Close()
-	cmd := exec.Command(filepath.Join(p.bin, p.Kind))
-	if p.file != "" {
-		cmd.Args = append(cmd.Args, "--settings", p.file)
+	args := p.args
+	if args == nil && p.file != "" {
+		args = []string{"--settings", p.file}
 	}
+	cmd := exec.Command(filepath.Join(p.bin, p.Kind), args...)
 	if len(p.env) > 0 {
 		cmd.Env = append(os.Environ(), p.env...)
 	}
@@ -108,6 +110,21 @@
 	return nil
 }
 
+// Pid is the number of the process while it runs.
+func (p *Process) Pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isUp() {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// Extra lays a process of the fleet tool's own beside the daemons.
+func (f *Fleet) Extra(bin, program, name string, args ...string) *Process {
+	return &Process{Kind: program, Name: name, bin: bin, args: args, log: filepath.Join(f.Dir, "log", name+".log")}
+}
+
 // Signal sends a signal to this process alone.
 func (p *Process) Signal(sig syscall.Signal) {
 	p.mu.Lock()
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -1,11 +1,15 @@
 package session
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"caperwheel/internal/feed"
 	"caperwheel/internal/wire"
 )
 
@@ -70,3 +74,97 @@
 		So([]bool{roll.HasOwner(1), roll.HasOwner(2)}, ShouldResemble, []bool{true, false})
 	})
 }
+
+// TestInterest: every agent and adapter once had the whole roll, and got it anew
+// whenever any one of them came or went.
+func TestInterest(t *testing.T) {
+	of := func(kind string, count int) (out []wire.Member) {
+		for i := range count {
+			m := member(kind+string(rune('a'+i)), "1", 0)
+			m.Who.Kind = kind
+			out = append(out, m)
+		}
+		return out
+	}
+	Convey("Given managers, stores, agents and adapters", t, func() {
+		roll, view := NewRoll(), feed.NewView(0)
+		all := append(append(of("manager", 3), of("store", 4)...), append(of("agent", 20), of("adapter", 20)...)...)
+		roll.Take(RollOf(all), all)
+		news := func(kind, hash string) *wire.News {
+			return NewsFor(&wire.Poll{Who: wire.Who{Kind: kind}, Stamps: view.Stamps(), Roll: hash}, view, 0, roll)
+		}
+		Convey("a store hears of all, an agent and an adapter of managers and stores", func() {
+			count := map[string]int{}
+			for _, kind := range []string{"store", "agent", "adapter"} {
+				count[kind] = len(news(kind, "").Members)
+			}
+			So(count, ShouldResemble, map[string]int{"store": 47, "agent": 7, "adapter": 7})
+		})
+		Convey("nothing is said again, and a front that comes is no news to another", func() {
+			hash := news("agent", "").Roll
+			So(news("agent", hash).Members, ShouldBeEmpty)
+			more := append(all, member("new", "1", 0))
+			roll.Take(RollOf(more), more)
+			So(news("agent", hash).Roll, ShouldEqual, hash)
+			So(len(news("store", RollOf(all)).Members), ShouldEqual, 48)
+		})
+		Convey("what an agent passes on to its adapter is what it was told", func() {
+			told := news("agent", "")
+			agent := NewRoll()
+			agent.Take(told.Roll, told.Members)
+			hash, list := agent.For("adapter")
+			So(hash, ShouldEqual, told.Roll)
+			So(len(list), ShouldEqual, 7)
+		})
+	})
+	Convey("The hash of a list is that of earlier builds", t, func() {
+		m := wire.Member{Who: wire.Who{Name: "x", Kind: "store", Boot: "1", Cell: "a", Addr: "127.0.0.1:1", Http: "127.0.0.1:2"},
+			Owns: []wire.Owned{{Group: 5, Term: 9}, {Group: 6, Term: 1}}}
+		sum := sha256.Sum256([]byte(fmt.Sprintf("%v %d/%d %d/%d", m.Who, 5, 9, 6, 1)))
+		So(RollOf([]wire.Member{m}), ShouldEqual, hex.EncodeToString(sum[:8]))
+	})
+}
+
+// TestThin: an adapter once said all that it saw of its workers eight times a
+// second, to its agent, the agent to a manager, and the manager to its peers.
+func TestThin(t *testing.T) {
+	whole := func(micros int64) wire.Fact {
+		return wire.Fact{Counts: map[string]int64{"runs": 3, "run_micros p/w": micros, "run_misses p/w": 5}}
+	}
+	said := func(boot string, f wire.Fact) wire.Member { m := member("x", boot, 0); m.Fact = f; return m }
+	Convey("Given a registry that has heard all of a daemon", t, func() {
+		r := NewRegistry(2100 * time.Millisecond)
+		r.Hear(said("1", whole(7)), 0, true)
+		counts := func() map[string]int64 { _, list := r.Members(3); return list[0].Fact.Counts }
+		Convey("a thin fact keeps what was heard, and brings the rest", func() {
+			next := thin(whole(9))
+			next.Counts["runs"] = 4
+			r.Hear(said("1", next), 1, true)
+			So(counts(), ShouldResemble, map[string]int64{"runs": 4, "run_micros p/w": 7, "run_misses p/w": 5})
+			r.Hear(said("1", thin(next)), 2, true)
+			So(counts()["run_micros p/w"], ShouldEqual, 7)
+		})
+		Convey("a whole one replaces it, also by nothing", func() {
+			r.Hear(said("1", wire.Fact{Counts: map[string]int64{"runs": 1}}), 1, true)
+			So(counts(), ShouldResemble, map[string]int64{"runs": 1})
+		})
+		Convey("nothing is kept from an earlier life", func() {
+			r.Hear(said("2", thin(whole(9))), 1, true)
+			So(counts(), ShouldResemble, map[string]int64{"runs": 3})
+		})
+		Convey("of four beats' shares to peers one is whole", func() {
+			wholes := 0
+			for beat := range 16 {
+				r.Hear(said("1", whole(7)), time.Duration(beat)*120*time.Millisecond, true)
+				if _, isThick := r.Own(time.Duration(beat) * 120 * time.Millisecond)[0].Fact.Counts["run_micros p/w"]; isThick {
+					wholes++
+				}
+			}
+			So(wholes, ShouldEqual, 4)
+		})
+	})
+	Convey("A fact without bulk is never marked", t, func() {
+		f := wire.Fact{Counts: map[string]int64{"leaving": 1}}
+		So(thin(f), ShouldResemble, f)
+	})
+}
