Messages that can still begin in time go before a late backlog; workers of one's own cell first

Change: a lane's prompt, picked by the earliest moment at which a run is wanted that can still be met, with every fourth turn for the oldest; half as many runs again as slots wait at a listed worker; workers of other cells are asked 32 times more seldom. Test: TestPrompt.

--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -28,6 +28,7 @@
 	Host        string        // messages that come as they are: to this host,
 	Prefix      string        // under this path; empty for none
 	Bound       time.Duration // a run that takes longer is given up; 0: as the pool says
+	Prompt      time.Duration // within which a run is wanted to begin; 0 for none
 	IsNotified  bool          // a message may name a URL that is told of its end
 	SpendsAll   bool          // each run that began spends an attempt; else only those that the worker says have failed
 	DropsBytes  bool          // the bytes go with a success; else they stay for the retention
@@ -131,6 +132,7 @@
 	"host":          {gjson.String, nil, func(l *Lane, r gjson.Result) { l.Host = r.Str }},
 	"prefix":        {gjson.String, urlPath, func(l *Lane, r gjson.Result) { l.Prefix = r.Str }},
 	"bound":         {gjson.String, span(time.Millisecond, time.Hour), func(l *Lane, r gjson.Result) { l.Bound = duration(r) }},
+	"prompt":        {gjson.String, span(time.Millisecond, time.Hour), func(l *Lane, r gjson.Result) { l.Prompt = duration(r) }},
 	"notify":        {gjson.True, nil, func(l *Lane, r gjson.Result) { l.IsNotified = r.Bool() }},
 	"spends":        {gjson.String, word("runs", "failures"), func(l *Lane, r gjson.Result) { l.SpendsAll = r.Str == "runs" }},
 	"bytes":         {gjson.String, word("retention", "success"), func(l *Lane, r gjson.Result) { l.DropsBytes = r.Str == "success" }},
--- a/internal/deliver/worker.go
+++ b/internal/deliver/worker.go
@@ -80,7 +80,7 @@
 // Change takes the pool's settings and what the list says of the worker.
 func (w *Worker) Change(pool charter.Pool, listed charter.Worker) {
 	if listed.Slots > 0 && listed.Slots != pool.Concurrency {
-		pool.Concurrency = listed.Slots
+		pool.Concurrency = listed.Slots + (listed.Slots+1)/2 // some wait there, so that no slot stands idle between two runs
 	}
 	if w.ceiling == float64(w.pool.Concurrency) { // nothing has lowered it
 		w.ceiling = float64(pool.Concurrency)
--- a/internal/place/command.go
+++ b/internal/place/command.go
@@ -52,6 +52,7 @@
 	Delay   int64      `avro:"delay" since:"3"`  // Take: it must not run before
 	Notify  string     `avro:"notify" since:"3"` // Take: whom to tell of the end
 	Drop    bool       `avro:"drop" since:"3"`   // End: the bytes are not kept
+	Prompt  int64      `avro:"prompt" since:"3"` // Take: within which a run is wanted to begin, once it may
 }
 
 // Child is a call-back that leaves with the end of its parent: same record, so
@@ -73,7 +74,7 @@
 	if c.Ids == nil {
 		c.Ids = []string{}
 	}
-	return commandCodec.Encode(&c, len(c.Head) > 0 || c.Delay != 0 || c.Notify != "" || c.Drop)
+	return commandCodec.Encode(&c, len(c.Head) > 0 || c.Delay != 0 || c.Notify != "" || c.Drop || c.Prompt != 0)
 }
 
 // Decode reads a command back.
@@ -82,3 +83,11 @@
 	err := commandCodec.Decode(raw, &c)
 	return c, err
 }
+
+// wanted is by when a run of a message taken now should begin; 0 for any time.
+func (c Command) wanted(clock int64) int64 {
+	if c.Prompt == 0 {
+		return 0
+	}
+	return clock + c.Delay + c.Prompt
+}
--- a/internal/place/errand.go
+++ b/internal/place/errand.go
@@ -60,6 +60,7 @@
 	Late     wire.Proof `avro:"late"` // success of an older run that came while a newer one is open
 	Cause    string     `avro:"cause"`
 	Head     []byte     `avro:"head" since:"3"`
+	Wanted   int64      `avro:"wanted" since:"3"` // place time by which a run should begin; 0 for any
 	Notify   string     `avro:"notify" since:"3"`
 	IsOwed   bool       `avro:"is_owed" since:"3"` // it is over and whoever is to be told has not been
 	IsHolder bool       `avro:"is_holder"`         // the key waits behind it: failed, or held while its last run may go on until Due
--- a/internal/place/image.go
+++ b/internal/place/image.go
@@ -23,7 +23,7 @@
 	out := image{Clock: m.clock, Seq: m.seq, Errands: []Errand{}, Outbox: []Child{}}
 	for _, e := range m.errands {
 		out.Errands = append(out.Errands, *e)
-		isGrown = isGrown || len(e.Head) > 0 || e.Notify != ""
+		isGrown = isGrown || len(e.Head) > 0 || e.Notify != "" || e.Wanted != 0
 	}
 	slices.SortFunc(out.Errands, func(a, b Errand) int { return int(a.Seq - b.Seq) })
 	for _, id := range slices.Sorted(maps.Keys(m.outbox)) {
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -112,7 +112,8 @@
 	}
 	m.seq++
 	e = &Errand{Id: c.Id, Seq: m.seq, Lane: c.Lane, Key: c.Key, Ordered: c.Ordered, Idem: c.Idem, Ctype: c.Ctype,
-		Body: c.Body, Sum: c.Sum, Parent: c.Parent, Cutoff: m.clock + c.Cutoff, Due: m.clock + c.Delay, Head: c.Head, Notify: c.Notify}
+		Body: c.Body, Sum: c.Sum, Parent: c.Parent, Cutoff: m.clock + c.Cutoff, Due: m.clock + c.Delay, Head: c.Head, Notify: c.Notify,
+		Wanted: c.wanted(m.clock)}
 	if c.Idem != "" {
 		if was := m.errands[m.idems[e.idemOf()]]; was != nil {
 			if was.Sum != c.Sum {
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -34,6 +34,9 @@
 // againShare: of so many turns one goes to a repeated run while both wait.
 const againShare = 4
 
+// lateShare: of so many turns one goes to the oldest, however late.
+const lateShare = 4
+
 // rank orders errands by a moment, and those of one moment as they were taken.
 type rank struct {
 	at, seq int64
@@ -68,6 +71,20 @@
 	return key.(rank).at, value.(*Errand)
 }
 
+// next gives the errand that can still begin when it is wanted and is wanted
+// first; when there is none, or the turn is that of the late ones, the oldest.
+// After an outage those that come are thus served in time, while the backlog
+// goes on with what is left and a share of the turns.
+func (o *sortedSet) next(now int64, isLateTurn bool) *Errand {
+	if !isLateTurn {
+		if _, value := o.tree.Ceiling(rank{at: now}); value != nil {
+			return value.(*Errand)
+		}
+	}
+	_, e := o.first()
+	return e
+}
+
 func newQueue() queue {
 	return queue{stands: map[string][]standing{}, ready: map[string]*lane{}, open: map[string]bool{}, picked: map[string]bool{},
 		pauses: newSortedSet(), cutoff: newSortedSet(), over: newSortedSet()}
@@ -130,9 +147,9 @@
 		q.ready[e.Lane] = l
 	}
 	if e.Attempt == 0 {
-		q.enter(e, l.fresh, 0)
+		q.enter(e, l.fresh, e.Wanted)
 	} else {
-		q.enter(e, l.again, 0)
+		q.enter(e, l.again, e.Wanted)
 	}
 }
 
@@ -175,7 +192,7 @@
 		from = l.again
 	}
 	for {
-		_, e := from.first()
+		e := from.next(now, l.turns%lateShare == 0)
 		if e == nil {
 			return nil
 		}
--- a/internal/place/queue_test.go
+++ b/internal/place/queue_test.go
@@ -62,6 +62,43 @@
 	})
 }
 
+// TestPrompt: after an outage every message once waited behind the whole backlog,
+// and all that came were late too.
+func TestPrompt(t *testing.T) {
+	Convey("Given a backlog that is late and messages that can still begin in time", t, func() {
+		m := New()
+		for i := range 40 {
+			c := take(fmt.Sprint(i))
+			c.At, c.Prompt, c.Cutoff = int64(i), 100, 100_000
+			if i >= 30 {
+				c.At = 5000
+			}
+			m.Apply(c)
+		}
+		order := []string{}
+		for range 40 {
+			order = append(order, m.Pick("l", 5010).Id)
+		}
+		Convey("those in time go first, with every fourth turn for the oldest", func() {
+			So(order[:5], ShouldResemble, []string{"30", "31", "32", "0", "33"})
+		})
+		Convey("and then the backlog, oldest first; none is left out", func() {
+			So(order[39], ShouldEqual, "29")
+			So(m.Pick("l", 5010), ShouldBeNil)
+		})
+	})
+	Convey("A message is wanted so long after its delay", t, func() {
+		m := New()
+		c := take("1")
+		c.Delay, c.Prompt = 300, 100
+		m.Apply(c)
+		So(m.Find("1").Wanted, ShouldEqual, 400)
+		again, err := Restore(m.Image())
+		So(err, ShouldBeNil)
+		So(again.Find("1").Wanted, ShouldEqual, 400)
+	})
+}
+
 // BenchmarkExpiry has 100,000 messages fail once and then expire one by one.
 func BenchmarkExpiry(b *testing.B) {
 	const count = 100_000
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -195,6 +195,10 @@
 	return "", wire.Who{}, false
 }
 
+// farShare: a worker of another cell is asked so much more seldom than one of
+// our own. Bytes between cells are dear; one that cannot serve is not drawn at all.
+const farShare = 32
+
 // drawWeight is how likely a worker is asked, against others: as published by
 // its pool's controller, and less across cells.
 func drawWeight(published weight.Weights, worker, cell string, isOwnCell bool) float64 {
@@ -206,7 +210,7 @@
 		out *= w
 	}
 	if !isOwnCell {
-		out /= 4
+		out /= farShare
 	}
 	return max(out, weight.Least*weight.Least)
 }
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -172,7 +172,7 @@
 	}
 	p.propose(place.Command{Kind: place.CmdTake, Id: t.Id, Lane: t.Lane, Key: t.Key, Idem: t.Idem, Ctype: t.Ctype,
 		Body: t.Body, Sum: t.Sum, Cutoff: t.Cutoff, Parent: t.Parent, Ordered: lane.IsOrdered,
-		Head: t.Head, Delay: t.Delay, Notify: t.Notify}, func(v place.Verdict, err error) {
+		Head: t.Head, Delay: t.Delay, Notify: t.Notify, Prompt: lane.Prompt.Milliseconds()}, func(v place.Verdict, err error) {
 		if err != nil {
 			reject(mishap.KindOf(err), "", 0)
 			return
