--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -31,11 +31,9 @@
 	turns        int
 }
 
-// againShare: of so many turns one goes to a repeated run while both wait.
-const againShare = 4
-
-// lateShare: of so many turns one goes to the oldest, however late.
-const lateShare = 4
+// Of againShare turns one goes to a repeated run while both wait; of lateShare
+// turns one goes to the oldest, however late.
+const againShare, lateShare = 4, 4
 
 // rank orders errands by a moment, and those of one moment as they were taken.
 type rank struct {
@@ -72,14 +70,16 @@
 }
 
 // next gives the errand that can still begin when it is wanted and is wanted
-// first; when there is none, or the turn is that of the late ones, the oldest.
-// After an outage those that come are thus served in time, while the backlog
-// goes on with what is left and a share of the turns.
+// first; else the least late, which is of the key that is soonest in time again;
+// where the turn is that of the late ones, or nothing is wanted, the oldest.
 func (o *sortedSet) next(now int64, isLateTurn bool) *Errand {
 	if !isLateTurn {
 		if _, value := o.tree.Ceiling(rank{at: now}); value != nil {
 			return value.(*Errand)
 		}
+		if key, value := o.tree.Floor(rank{at: now}); key != nil && key.(rank).at > 0 {
+			return value.(*Errand)
+		}
 	}
 	_, e := o.first()
 	return e
