--- a/internal/standin/asker.go
+++ b/internal/standin/asker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -55,6 +56,44 @@
 	}
 }
 
+const probePeriod = 20 * time.Millisecond
+
+// productState are the product's words, which its own check knows.
+var productState = map[string]string{"queued": "held", "completed": "ended", "dead_letter": "failed"}
+
+// Probe asks any front for some message that was accepted, its state and its
+// bytes, until ctx ends.
+func (s *Site) Probe(ctx context.Context) {
+	for pause(ctx, probePeriod) {
+		sent := Sent{}
+		s.History.Add(func() {
+			if n := len(s.History.Sent); n > 0 {
+				sent = s.History.Sent[n-1-rand.IntN(min(n, 400))]
+			}
+		})
+		if sent.Told == check.Taken {
+			go s.sight(sent)
+		}
+	}
+}
+
+func (s *Site) sight(sent Sent) {
+	addr := s.at(s.entry.fronts[rand.IntN(len(s.entry.fronts))].host, portFront)
+	seen := check.Sight{Id: sent.Id, At: s.Now(), State: "unknown"}
+	code, raw := s.ask(addr, sent, "/v1/message/")
+	if code != 200 && code != 404 {
+		return // it cannot be reached now
+	}
+	if code == 200 {
+		seen.State = productState[gjson.GetBytes(raw, "state").Str]
+	}
+	if code, raw := s.ask(addr, sent, "/v1/message-body/"); code == 200 {
+		seen.BodySum = fleet.Sum(raw)
+	}
+	seen.ToldAt = s.Now()
+	s.History.Add(func() { s.History.Sights = append(s.History.Sights, seen) })
+}
+
 // lastWord is true once there is no more to ask.
 func (s *Site) lastWord(sent Sent, turn int, isLast bool) bool {
 	fronts := s.entry.fronts
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -100,6 +100,7 @@
 	Met      []Met
 	Tells    []Tell
 	Ends     map[string]End // by token
+	Sights   []check.Sight  // what was told of messages meanwhile
 	Edits    []Edit
 	Orders   []Order
 	Marks    []check.Mark
--- a/internal/standin/judge_test.go
+++ b/internal/standin/judge_test.go
@@ -72,6 +72,11 @@
 	h.Read.Doc = h.Edits[len(h.Edits)-1].Whole
 }
 
+func sight(h *History, state, sum string) {
+	at := 20*s + time.Duration(len(h.Sights))*s
+	h.Sights = append(h.Sights, check.Sight{Id: "id of w", At: at, ToldAt: at + 10*ms, State: state, BodySum: sum})
+}
+
 func asked(h *History, at, ack time.Duration) {
 	h.Orders = append(h.Orders, Order{"an order", at, ack})
 }
@@ -113,6 +118,9 @@
 	{RuleMixed, "a call-back that nobody asked for", func(h *History) { h.Tells[0].Token = "x" }},
 	{RuleMixed, "two messages of one name", func(h *History) { h.Sent[2].Id = h.Sent[3].Id }},
 	{RuleUnasked, "other bytes read back", func(h *History) { h.Ends["w"] = End{"queued", "", "others", 60 * s} }},
+	{RuleUnasked, "other bytes read on the way", func(h *History) { sight(h, "held", "others") }},
+	{RuleLost, "a message that nobody knew on the way", func(h *History) { sight(h, "unknown", "") }},
+	{RuleMixed, "a state that went back", func(h *History) { sight(h, "ended", ""); sight(h, "held", "") }},
 	{RuleUnasked, "a run of what was not sent", func(h *History) { h.Runs = append(h.Runs, run("z", "p", "w", 20*s, 21*s, 200)) }},
 	{RuleUnasked, "altered bytes", func(h *History) { h.Runs[1].Sum = "others" }},
 	{RuleUnasked, "an altered path", func(h *History) { h.Runs[1].Line = "POST /b" }},
@@ -166,6 +174,7 @@
 	ease func(h *History)
 }{
 	{"nothing odd", func(*History) {}},
+	{"404 before the first configuration must hold", func(h *History) { h.Sent[1].At, h.Sent[1].ToldAt, h.Sent[1].Code = 3*s, 3*s+10*ms, 404 }},
 	{"a second run after unplanned trouble", func(h *History) {
 		h.Runs = append(h.Runs, run("a", "p", "w", 20*s, 21*s, 200))
 		h.Troubles = []Trouble{{Daemon: "store-1", From: 14 * s, Until: 15 * s}}
--- a/internal/standin/report.go
+++ b/internal/standin/report.go
@@ -105,6 +105,7 @@
 	defer cancel()
 	caused := make(chan struct{})
 	go func() { s.Cause(loadCtx, schedule); close(caused) }()
+	go s.Probe(loadCtx)
 	s.Traffic(loadCtx, plan.Loads, plan.Cutoff)
 	<-caused
 	for _, m := range s.Machines {
--- a/internal/standin/site_test.go
+++ b/internal/standin/site_test.go
@@ -38,6 +38,7 @@
 		So(site.Up(ctx), ShouldBeNil)
 		loadCtx, stop := context.WithCancel(ctx)
 		defer stop()
+		go site.Probe(loadCtx)
 		done := make(chan struct{})
 		go func() { site.Traffic(loadCtx, plan.Loads, plan.Cutoff); close(done) }()
 		Convey("messages are kept and run while a store is lost and the configuration changes", func() {
