--- a/internal/standin/report.go
+++ b/internal/standin/report.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"caperwheel/internal/check"
@@ -17,6 +18,8 @@
 type Figures struct {
 	Tries    int            `json:"tries"`
 	Codes    map[int]int    `json:"codes"` // 0: no whole answer
+	Pause    string         `json:"longest_without_an_accept"`
+	PauseAt  string         `json:"longest_without_an_accept_from"`
 	Runs     int            `json:"runs"`
 	Repeats  int            `json:"repeated_successes"`
 	Early    int            `json:"begun_before_their_delay"`
@@ -51,6 +54,8 @@
 		sent[x.Token] = x
 		out.Codes[x.Code]++
 	}
+	pause, from := longestPause(h.Sent)
+	out.Pause, out.PauseAt = pause.Round(time.Millisecond).String(), from.Round(time.Millisecond).String()
 	for _, t := range h.Tells {
 		told[t.Token] = true
 	}
@@ -75,6 +80,24 @@
 	return out
 }
 
+// longestPause gives the longest time in which nothing was accepted, and its
+// beginning on the clock of all records.
+func longestPause(sent []Sent) (pause, from time.Duration) {
+	told := []time.Duration{}
+	for _, x := range sent {
+		if x.Code == 202 {
+			told = append(told, x.ToldAt)
+		}
+	}
+	slices.Sort(told)
+	for i := 1; i < len(told); i++ {
+		if told[i]-told[i-1] > pause {
+			pause, from = told[i]-told[i-1], told[i-1]
+		}
+	}
+	return pause, from
+}
+
 // IsClean tells whether nothing is wrong.
 func (f Figures) IsClean() bool {
 	return len(f.Breaches)+len(f.Failures)+len(f.Crashes) == 0 && f.Runs > 0
