--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,11 @@
 // heap fill before it collects garbage all the time; the rest is for the system.
 const memoryShare = 70
 
+// growth is by how many hundredths the heap grows from one collection to the
+// next where a limit is known: heaps of a few megabytes are otherwise collected
+// many times a second.
+const growth = 400
+
 // Daemon is one running process.
 type Daemon struct {
 	Kind     string
@@ -45,6 +50,7 @@
 	Node     *transport.Node
 	Mux      *http.ServeMux
 	Ready    func() (isReady bool, why string) // asked through IsReady
+	Refused  func(addr string)                 // told when nobody listens where a peer was, if given before Link
 	CanRead  func() bool                       // whether the newest charter can be read, if the daemon needs it
 
 	// The further listeners, nil where the settings name none, and what they serve.
@@ -78,6 +84,7 @@
 	d.live.Store(&s)
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(s.Memory * memoryShare / 100)
+		debug.SetGCPercent(growth) // the limit keeps the heap in bounds
 	}
 	d.listener, d.Front, d.Probe, d.Operators = d.listen(s.Http), d.listen(s.Front), d.listen(s.Probe), d.listen(s.Operators)
 	d.Who = wire.Who{Name: s.Name, Kind: kind, Boot: Random(8), Cell: s.Cell, Addr: s.Advertise, Http: d.listener.Addr().String()}
@@ -133,7 +140,7 @@
 func (d *Daemon) Link(handlers map[string]transport.Handler) {
 	s := d.Settings
 	node, err := transport.NewNode(transport.Options{Self: d.Who, Listen: s.Listen, Batch: s.Batch, Pool: s.Pool,
-		Flush: s.Flush.Duration, Window: s.Window, Bounds: d.Bounds, Handlers: handlers, Shape: s.Shape()})
+		Flush: s.Flush.Duration, Window: s.Window, Bounds: d.Bounds, Handlers: handlers, Shape: s.Shape(), Refused: d.Refused})
 	d.Must(err)
 	d.Node = node
 	go node.Serve()
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -41,6 +41,7 @@
 	IfStamp      int64
 	IsGone       bool // the worker is no longer listed
 	IsGuess      bool // the holder is not here: it may only be out of our sight
+	IsReborn     bool // it stays with its holder's new life
 }
 
 // Steady keeps two planners that see different daemons from pulling a duty to
@@ -85,17 +86,12 @@
 // is while its holder lives, stays and may serve; a lost one goes to the adapter of
 // the worker's cell, if there is one, that has the fewest duties.
 func Plan(pool string, scene *charter.Scene, adapters []wire.Who, leaving map[string]bool, stamp func(key string) (int64, bool)) []Change {
-	usable, load := map[string]wire.Who{}, map[string]int{}
+	usable, load := map[string]wire.Who{}, map[string]int(nil)
 	for _, a := range adapters {
 		if !scene.Emptied[a.Cell] && !leaving[a.Name] {
 			usable[a.Name] = a
 		}
 	}
-	for _, duties := range scene.Duties {
-		for _, d := range duties {
-			load[d.Holder]++
-		}
-	}
 	out := []Change{}
 	for _, name := range slices.Sorted(maps.Keys(scene.Workers[pool])) {
 		worker := scene.Workers[pool][name]
@@ -105,7 +101,14 @@
 		if isRight && (worker.Cell == "" || holder.Cell == worker.Cell || !hasCell(usable, worker.Cell)) {
 			continue
 		}
+		if load == nil { // most rounds find nothing to move, and need no count of all duties
+			load = loadOf(scene)
+		}
 		next := choose(pool+"/"+name, worker.Cell, usable, load)
+		isReborn := isAssigned && isHere && holder.Boot != held.Boot
+		if isReborn && (worker.Cell == "" || holder.Cell == worker.Cell || !hasCell(usable, worker.Cell)) {
+			next = holder // its life before has ended: no other can act, so no fence
+		}
 		if next.Name == "" || isRight && next.Name == held.Holder {
 			continue
 		}
@@ -116,7 +119,10 @@
 		if !isAssigned && wasKnown {
 			before = "an earlier holder"
 		}
-		out = append(out, Change{pool, name, charter.Duty{Holder: next.Name, Boot: next.Boot, Before: before}, ifStamp, false, isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(scene, adapters, held.Holder)})
+		isKept := isReborn && next == holder
+		out = append(out, Change{Pool: pool, Worker: name, IfStamp: ifStamp, IsReborn: isKept,
+			Next:    charter.Duty{Holder: next.Name, Boot: next.Boot, Before: before, IsFree: isKept || leaving[held.Holder]},
+			IsGuess: isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(scene, adapters, held.Holder)})
 	}
 	for _, name := range slices.Sorted(maps.Keys(scene.Duties[pool])) {
 		if _, isListed := scene.Workers[pool][name]; !isListed {
@@ -126,6 +132,17 @@
 	return out
 }
 
+// loadOf counts the duties of each adapter.
+func loadOf(scene *charter.Scene) map[string]int {
+	out := map[string]int{}
+	for _, duties := range scene.Duties {
+		for _, d := range duties {
+			out[d.Holder]++
+		}
+	}
+	return out
+}
+
 // isEmptied: a holder that is left out for its cell's sake is no guess.
 func isEmptied(scene *charter.Scene, adapters []wire.Who, name string) bool {
 	for _, a := range adapters {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -117,20 +117,23 @@
 	rosts  []rosterAt // newest last; the first is that of base
 	synced int64
 
-	applied   int64
-	heardAt   time.Duration // last word from the owner
-	standAt   time.Duration
-	pulseAt   time.Duration
-	votes     map[string]bool
-	peers     map[string]*peerState
-	round     int64
-	rounds    []roundAt // sent and not yet confirmed
-	confirmed time.Duration
-	isSure    bool // confirmed is valid in this term
-	blankAt   int64
-	heirSince time.Duration
-	heirName  string
-	renamed   map[string]string // name -> new member id told by MsgNotMe
+	applied    int64
+	heardAt    time.Duration // last word from the owner
+	standAt    time.Duration
+	pulseAt    time.Duration
+	votes      map[string]bool
+	peers      map[string]*peerState
+	round      int64
+	rounds     []roundAt // sent and not yet confirmed
+	confirmed  time.Duration
+	isSure     bool // confirmed is valid in this term
+	blankAt    int64
+	toldCommit int64 // the newest commit that went out with entries or by a tick
+	heirSince  time.Duration
+	heirName   string
+	heir       string            // ownership is being handed to it: nothing is proposed meanwhile
+	heirUntil  time.Duration     // else this replica steps down
+	renamed    map[string]string // name -> new member id told by MsgNotMe
 }
 
 type rosterAt struct {
@@ -222,8 +225,8 @@
 }
 
 func (g *Group) resetBeat(now time.Duration) {
-	spread := time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(beat.VoteSpan))))
-	g.standAt = now + g.opts.Bounds.Of(beat.Vote) + spread
+	spread := time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(beat.SilenceSpan))))
+	g.standAt = now + g.opts.Bounds.Of(beat.Silence) + spread
 }
 
 // majority tells whether the members for which test holds are enough.
--- a/internal/host/apply.go
+++ b/internal/host/apply.go
@@ -17,6 +17,7 @@
 		}
 		h.applied = e.Index
 		h.since++
+		h.bytes += len(e.Data)
 		if w, isKnown := h.waiters[e.Index]; isKnown {
 			delete(h.waiters, e.Index)
 			if w.term == e.Term {
@@ -57,11 +58,17 @@
 	h.mu.Unlock()
 }
 
+// Missing tells that a store's process is known to have ended.
+func (h *Host) Missing(name string) {
+	_ = h.Do(func() { h.machine.Missing(name, h.opts.Now()) })
+}
+
 // HandOver gives ownership to the best other voter that is not avoided.
 func (h *Host) HandOver(isAvoided func(member string) bool) {
 	_ = h.Do(func() {
-		if heir := h.machine.Heir(isAvoided); heir != "" {
-			h.do(h.machine.HandOver(heir))
+		now := h.opts.Now()
+		if heir := h.machine.Heir(isAvoided, now); heir != "" {
+			h.do(h.machine.HandOver(heir, now))
 		}
 	})
 }
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -33,31 +33,47 @@
 	answered time.Duration
 	isAsking bool
 	refused  string
+	turns    int // polls sent
 }
 
 // Run polls until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	c.at = rand.IntN(len(c.Seeds()))
-	beat.Every(ctx, c.Bounds.Of(beat.Poll), c.poll)
+	beat.Paced(ctx, func() time.Duration { return Pause(c.View, c.Now(), c.Bounds) }, c.poll)
+}
+
+// Pause is how long whoever follows the parts waits before it asks again: a
+// daemon that has just begun must not lose a beat on each hop of the feed.
+func Pause(view *feed.View, now time.Duration, bounds beat.Bounds) time.Duration {
+	if age, isSure := view.Age(now); !isSure || age > bounds.Of(beat.Fresh)/2 {
+		return bounds.Of(beat.Seek)
+	}
+	return bounds.Of(beat.Poll)
 }
 
 func (c *Client) poll() {
-	now := c.Now()
+	now, kind := c.Now(), c.Node.Self().Kind
 	c.mu.Lock()
 	if now-c.answered > c.Bounds.Of(beat.Vote) { // silent: turn to the next
-		targets := c.targets()
+		targets := c.targets(kind)
 		c.at = (c.at + 1) % len(targets)
-		c.answered, c.isAsking = now, false
+		c.answered, c.isAsking, c.turns = now, false, 0 // the next hears all at once
 	}
 	if c.isAsking {
 		c.mu.Unlock()
 		return
 	}
-	targets := c.targets()
+	targets := c.targets(kind)
 	addr := targets[c.at%len(targets)]
 	c.isAsking = true
 	c.mu.Unlock()
 	ask := c.Self()
+	if c.turns++; c.turns%wholeEvery != 1 {
+		ask.Fact = thin(ask.Fact)
+		for i := range ask.Beside {
+			ask.Beside[i].Fact = thin(ask.Beside[i].Fact)
+		}
+	}
 	ask.Stamps, ask.Roll = c.View.Stamps(), c.Roll.Hash()
 	err := c.Node.Peer(wire.SessionLink, addr).Post(&ask, func(reply any, err error) {
 		news, isNews := reply.(*wire.News)
@@ -89,11 +105,15 @@
 	}
 }
 
-// targets are the seeds, and any managers learnt of besides.
-func (c *Client) targets() []string {
+// targets are the seeds, and any managers learnt of besides: an adapter turns
+// to its agent alone.
+func (c *Client) targets(kind string) []string {
 	out := slices.Clone(c.Seeds())
+	if kind == "adapter" {
+		return out
+	}
 	for _, who := range c.Roll.Kind("manager") {
-		if !slices.Contains(out, who.Addr) && c.Self().Who.Kind != "adapter" {
+		if !slices.Contains(out, who.Addr) {
 			out = append(out, who.Addr)
 		}
 	}
--- a/internal/wire/schema.go
+++ b/internal/wire/schema.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"reflect"
 	"strconv"
+	"sync"
 
 	"github.com/hamba/avro/v2"
 
@@ -16,8 +17,9 @@
 // Invariant: fields are written in the order in which the Go type declares
 // them; no metadata travels but the branch index of the union.
 type Codec struct {
-	Schema avro.Schema
-	api    avro.API
+	Schema  avro.Schema
+	api     avro.API
+	writers sync.Pool
 }
 
 // Item is one message with the number that joins an ask and its reply.
@@ -116,6 +118,20 @@
 	return avro.NewWriter(nil, size, avro.WithWriterConfig(c.api))
 }
 
+// Take gives an empty writer that was used before, and Give takes it back.
+func (c *Codec) Take() *avro.Writer {
+	w, isKept := c.writers.Get().(*avro.Writer)
+	if !isKept {
+		return c.Writer(512)
+	}
+	w.Reset(nil)
+	w.Error = nil
+	return w
+}
+
+// Give takes a writer back; its bytes must have been copied.
+func (c *Codec) Give(w *avro.Writer) { c.writers.Put(w) }
+
 // Append writes one item behind what the writer holds.
 func (c *Codec) Append(w *avro.Writer, item Item) error {
 	w.WriteVal(c.Schema, item)
@@ -140,8 +156,9 @@
 
 // Plain is a codec for one record type, used on disk and inside log entries.
 type Plain struct {
-	schema avro.Schema
-	api    avro.API
+	schema  avro.Schema
+	api     avro.API
+	readers sync.Pool
 }
 
 // NewPlain builds a codec for the type of sample, a pointer to a struct. What
@@ -166,7 +183,18 @@
 	return out
 }
 
-// Decode reads the record back.
+// Decode reads the record back. The library's own Unmarshal takes a record that
+// ends early for a whole one.
 func (p *Plain) Decode(raw []byte, value any) error {
-	return mishap.Wrap(p.api.Unmarshal(p.schema, raw, value), mishap.Broken, "decode %T", value)
+	r, isReader := p.readers.Get().(*avro.Reader)
+	if !isReader {
+		r = avro.NewReader(nil, 0, avro.WithReaderConfig(p.api))
+	}
+	r.Reset(raw)
+	r.ReadVal(p.schema, value)
+	err := r.Error
+	r.Error = nil
+	r.Reset(nil)
+	p.readers.Put(r)
+	return mishap.Wrap(err, mishap.Broken, "decode %T", value)
 }
