--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -149,6 +149,7 @@
 		Keys: float64(held.Keys) / n, View: float64(held.Bytes) / n, Members: float64(held.Members) / n}
 	row.spend(was, is, n)
 	row.CpuMost = 0 // of one process, not of one daemon
+	out.IsStarved = row.MsgIn+row.MsgOut < enough*fullSpeech()
 	out.Rows = append(out.Rows, row)
 }
 
--- a/internal/scale/point.go
+++ b/internal/scale/point.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"time"
 
+	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/fleet"
 	"caperwheel/internal/mishap"
@@ -133,24 +134,33 @@
 
 // Result is what was measured at a point.
 type Result struct {
-	At       float64       `json:"at"` // the quantity that is swept
-	Point    Point         `json:"point"`
-	For      time.Duration `json:"for"`
-	Rows     []Row         `json:"rows"`
-	Changes  int           `json:"changes_made"`
-	InForce  int           `json:"changes_in_force"` // at every hollow adapter that was there throughout
-	Late     int           `json:"changes_late"`     // at the last one only after the bound
-	Median   time.Duration `json:"in_force_median"`  // from sending the change to the last adapter
-	Most99   time.Duration `json:"in_force_99"`
-	Most     time.Duration `json:"in_force_most"`
-	Fresh    int           `json:"fresh"` // hollow adapters at the end
-	Restarts int           `json:"restarts"`
-	Duties   float64       `json:"duty_moves"`    // in the window
-	Owners   float64       `json:"owner_changes"` // of places, in the window
-	Ready    time.Duration `json:"ready_after"`   // until all duties had a holder
-	Recover  time.Duration `json:"recover_after"` // a killed store: from its start to ready; only with a backlog
+	At        float64       `json:"at"` // the quantity that is swept
+	Point     Point         `json:"point"`
+	For       time.Duration `json:"for"`
+	Rows      []Row         `json:"rows"`
+	Changes   int           `json:"changes_made"`
+	InForce   int           `json:"changes_in_force"` // at every hollow adapter that was there throughout
+	Late      int           `json:"changes_late"`     // at the last one only after the bound
+	Median    time.Duration `json:"in_force_median"`  // from sending the change to the last adapter
+	Most99    time.Duration `json:"in_force_99"`
+	Most      time.Duration `json:"in_force_most"`
+	Fresh     int           `json:"fresh"`   // hollow adapters at the end
+	IsStarved bool          `json:"starved"` // the hollow daemons had no core to run on: they said less than they should
+	Restarts  int           `json:"restarts"`
+	Duties    float64       `json:"duty_moves"`    // in the window
+	Owners    float64       `json:"owner_changes"` // of places, in the window
+	Ready     time.Duration `json:"ready_after"`   // until all duties had a holder
+	Recover   time.Duration `json:"recover_after"` // a killed store: from its start to ready; only with a backlog
 }
 
+// fullSpeech is how many messages a second a hollow daemon says and hears, on the
+// mean of an agent and its adapter: three times a poll's two.
+func fullSpeech() float64 { return 3 / beat.Default.Of(beat.Poll).Seconds() }
+
+// enough is the share of it below which a point tells of the machine that it was
+// measured on and not of the deployment.
+const enough = 0.8
+
 // Row gives a role's row.
 func (r Result) Row(role string) Row {
 	for _, row := range r.Rows {
--- a/internal/scale/table.go
+++ b/internal/scale/table.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 	"text/tabwriter"
 	"time"
 )
@@ -39,6 +40,9 @@
 	if r.Recover > 0 {
 		fmt.Fprintf(w, "; a killed store is ready after %v", r.Recover.Round(time.Millisecond))
 	}
+	if r.IsStarved {
+		fmt.Fprint(w, "; starved")
+	}
 	fmt.Fprintln(w)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "role\tcount\tkeys\tview KB\tmembers\theld\tdisk MB\tmsg/s in\tout\tKB/s in\tout\tcore %\tmost\twait %\tMB\t")
@@ -50,10 +54,13 @@
 	_ = t.Flush()
 }
 
-// printFits prints a line for each role and figure; a bend well above 1 in what
+// printFits prints a line for each role and figure, over the points that were
+// not starved; a bend well above 1 in what
 // fits no line badly is growth that is worse than linear.
 func (s Sweep) printFits(w io.Writer, results []Result) {
+	results = slices.DeleteFunc(slices.Clone(results), func(r Result) bool { return r.IsStarved })
 	if len(results) < 2 {
+		fmt.Fprintf(w, "\nToo few points that were not starved to fit a line.\n")
 		return
 	}
 	fmt.Fprintf(w, "\nFitted over %s:\n", s.Unit)
