A partial buffer is converted where its beat found it, not by the pool

Why: an idle link sends one message at a time, and each woke a worker of the pool besides its beat's own goroutine. Full buffers go through the pool as before.

--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -90,24 +90,35 @@
 	return nil
 }
 
+// onBeat sends a partial buffer. It has a goroutine of its own, so the few
+// messages are converted here and need no worker of the pool to be woken.
 func (o *outbox) onBeat() {
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	o.armed = false
-	if len(o.pending) > 0 && o.broken == nil {
-		o.cut()
+	if len(o.pending) == 0 || o.broken != nil {
+		o.mu.Unlock()
+		return
 	}
+	batch, seq := o.take()
+	o.mu.Unlock()
+	o.convert(batch, seq)
 }
 
 // cut hands the buffer to the pool. Called with mu held.
 func (o *outbox) cut() {
-	batch, seq := o.pending, o.seq
+	batch, seq := o.take()
+	o.pool.Submit(func() { o.convert(batch, seq) })
+}
+
+// take gives the buffer and begins another. Called with mu held.
+func (o *outbox) take() (batch []wire.Item, seq uint32) {
+	batch, seq = o.pending, o.seq
 	o.weight = 0
 	o.pending, o.seq = make([]wire.Item, 0, o.opts.Batch), o.seq+1
 	counters.batches.Inc()
 	counters.messages.Add(float64(len(batch)))
 	o.flow.messages.Add(float64(len(batch)))
-	o.pool.Submit(func() { o.convert(batch, seq) })
+	return batch, seq
 }
 
 func (o *outbox) convert(batch []wire.Item, seq uint32) {
