--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -76,10 +76,12 @@
 	if err := b.await(ctx, "hollow daemons", b.isFresh); err != nil {
 		return err
 	}
+	group := pond.NewPool(8).NewGroup()
 	for pool, list := range b.lists {
-		if err := b.f.Api().PutWorkers(ctx, pool, list); err != nil {
-			return err
-		}
+		group.SubmitErr(func() error { return b.f.Api().PutWorkers(ctx, pool, list) })
+	}
+	if err := group.Wait(); err != nil {
+		return mishap.Wrap(err, mishap.Late, "lists")
 	}
 	if err := b.await(ctx, "duties", b.isHeld); err != nil {
 		return err
