Hollow daemons have seeds again; a pack that has ended is not waited for

Cause: since settings are watched, a session asks for the seeds of the newest settings, which daemon.New alone stores. A hollow daemon is made without New, so its session met a nil pointer and ended the whole process of hollow daemons at once; fleet scale then waited two minutes at each point for what could not come. TestSmallSweep has three minutes for two points.

Ruled out: redials at once, polls by Seek, freshness, duties and a Refused that is nil.

Change: Daemon.Live gives the settings of the start where nobody watches them, and the seeds are Live's. fleet scale stops waiting, and says so, once the process of hollow daemons has ended.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,10 +97,16 @@
 	return d
 }
 
-// Live gives the settings with what has changed since the start.
-func (d *Daemon) Live() settings.Settings { return *d.live.Load() }
+// Live gives the settings with what has changed since the start; where nobody
+// watches them, as in a daemon that New did not make, those of the start.
+func (d *Daemon) Live() settings.Settings {
+	if s := d.live.Load(); s != nil {
+		return *s
+	}
+	return d.Settings
+}
 
-func (d *Daemon) seeds() []string { return d.live.Load().Seeds }
+func (d *Daemon) seeds() []string { return d.Live().Seeds }
 
 func (d *Daemon) verbosity(flags *flag.FlagSet, v int) {
 	if err := flags.Set("v", strconv.Itoa(v)); err != nil {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -119,12 +119,16 @@
 	}
 }
 
-// await asks until something is so.
+// await asks until something is so; not on, once the hollow daemons' process
+// has ended.
 func (b *bench) await(ctx context.Context, what string, isSo func(ctx context.Context, turn int) bool) error {
 	for turn := 0; ; turn++ {
 		if isSo(ctx, turn) {
 			return nil
 		}
+		if b.pack != nil && !b.pack.IsUp() {
+			return mishap.New(mishap.Unsound, "%s are not ready: the hollow daemons' process has ended", what)
+		}
 		select {
 		case <-ctx.Done():
 			return mishap.New(mishap.Late, "%s are not ready", what)
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -12,6 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/fleet"
+	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -112,3 +113,19 @@
 		})
 	})
 }
+
+// TestEnded: a process of hollow daemons that had ended was once waited for
+// as long as one that was slow.
+func TestEnded(t *testing.T) {
+	Convey("A process of hollow daemons that has ended is not waited for", t, func() {
+		f := &fleet.Fleet{Dir: t.TempDir()}
+		So(os.Mkdir(filepath.Join(f.Dir, "log"), 0o755), ShouldBeNil)
+		b := &bench{pack: f.Extra("/bin", "false", "hollow")}
+		So(b.pack.Start(), ShouldBeNil)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		err := b.await(ctx, "hollow daemons", func(context.Context, int) bool { return false })
+		So(mishap.Is(err, mishap.Unsound), ShouldBeTrue)
+		So(ctx.Err(), ShouldBeNil)
+	})
+}
