--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,7 +37,7 @@
 // growth is by how many hundredths the heap grows from one collection to the
 // next where a limit is known: heaps of a few megabytes are otherwise collected
 // many times a second.
-const growth = 400
+const growth = 150
 
 // Daemon is one running process.
 type Daemon struct {
