--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -27,6 +27,7 @@
 	reach     *reach.Reach
 	operators *Operators
 	source    *Source // nil: operators write the lists
+	ages      ages
 }
 
 // Options of a manager: what it meets beside its own interface.
@@ -42,6 +43,7 @@
 	o := options(d)
 	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: session.NewRegistry(d.Bounds.Of(beat.Gone)), source: o.Source}
 	m.operators = &Operators{m}
+	m.ages.bounds = d.Bounds
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d.Link(map[string]transport.Handler{"session": m.onSession, "peer": m.onPeer})
@@ -54,6 +56,7 @@
 	pause := func() time.Duration { return session.Pause(d.View, d.Now(), d.Bounds) }
 	go beat.Paced(ctx, pause, m.follow)
 	go beat.Paced(ctx, pause, m.share)
+	go beat.Every(ctx, d.Bounds.Of(beat.Poll), func() { m.ages.look(d.View, d.Now()) })
 	go m.controlDuties(ctx)
 	go m.controlWeights(ctx)
 	if m.source != nil {
--- a/internal/manager/marks.go
+++ b/internal/manager/marks.go
@@ -24,8 +24,10 @@
 	IsDone    bool   `json:"done"`
 }
 
-// Empty asks that a cell, or only its workers, get nothing new. Asking twice
-// is asking once; a whole cell stays emptied when only its workers are asked for.
+// Empty asks that a cell, or only its workers, get nothing new. Asking again
+// soon is asking once; a whole cell stays emptied when only its workers are asked
+// for. Where workers were asked for before, not just now, both stand, and each is
+// to be taken back.
 func (o *Operators) Empty(ctx context.Context, by, cell string, isOnlyWorkers bool) (int64, error) {
 	if err := checkSubject(cell); err != nil {
 		return 0, err
@@ -44,8 +46,13 @@
 	if err != nil {
 		return 0, err
 	}
-	if standing.Stamp > 0 && charter.ReadMark(standing.Value).Only != charter.OnlyCold {
+	mark := charter.ReadMark(standing.Value)
+	switch {
+	case standing.Stamp == 0 || mark.Only == charter.OnlyCold:
+	case mark.Only != charter.OnlyWorkers, !mark.IsBack && o.m.ages.isYoung(standing, o.m.d.Now()):
 		return standing.Stamp, nil
+	default:
+		return o.mark(ctx, by, charter.CellKey+cell, charter.Mark{Only: charter.OnlyWorkers, Others: mark.Others + 1}, standing.Stamp)
 	}
 	return o.mark(ctx, by, charter.CellKey+cell, charter.Mark{Only: charter.OnlyWorkers}, standing.Stamp)
 }
@@ -66,8 +73,12 @@
 		return 0, nil
 	case err != nil:
 		return 0, err
-	case charter.ReadMark(standing.Value).Only == charter.OnlyCold:
+	}
+	switch mark := charter.ReadMark(standing.Value); {
+	case mark.Only == charter.OnlyCold, mark.IsBack && o.m.ages.isYoung(standing, o.m.d.Now()):
 		return standing.Stamp, nil
+	case mark.Others > 0:
+		return o.mark(ctx, by, charter.CellKey+cell, charter.Mark{Only: charter.OnlyWorkers, Others: mark.Others - 1, IsBack: true}, standing.Stamp)
 	}
 	return o.mark(ctx, by, charter.CellKey+cell, charter.Mark{Only: charter.OnlyCold}, standing.Stamp)
 }
--- a/internal/manager/marks_test.go
+++ b/internal/manager/marks_test.go
@@ -17,6 +17,11 @@
 	whole := func(m *Manager) (int64, error) { return m.operators.Empty(ctx, "x", "a", false) }
 	only := func(m *Manager) (int64, error) { return m.operators.Empty(ctx, "x", "a", true) }
 	back := func(m *Manager) (int64, error) { return m.operators.Restore(ctx, "x", "a") }
+	later := func(m *Manager) (int64, error) { // the mark that stands has been seen for long
+		c, err := m.pull(ctx, 0, charter.CellKey+"a")
+		m.ages.seen = map[string]seenMark{c.Key: {c.Stamp, m.d.Now() - 2*m.d.Bounds.Charter}}
+		return 0, err
+	}
 	type calls = []func(*Manager) (int64, error)
 	cases := []struct {
 		name      string
@@ -32,6 +37,11 @@
 		{"restored with a source: cold at first", true, calls{only, back}, `{"only":"cold"}`},
 		{"restored twice", true, calls{only, back, back}, `{"only":"cold"}`},
 		{"restored without a mark", true, calls{back}, ""},
+		{"asked for again at once: the same order", true, calls{only, only, back}, `{"only":"cold"}`},
+		{"two emptyings, one taken back", true, calls{only, later, only, back}, `{"only":"workers","back":true}`},
+		{"two emptyings, one taken back in two words", true, calls{only, later, only, back, back}, `{"only":"workers","back":true}`},
+		{"two emptyings, both taken back", true, calls{only, later, only, back, later, back}, `{"only":"cold"}`},
+		{"a third while the first is taken back", true, calls{only, later, only, back, only, later, back}, `{"only":"workers","back":true}`},
 		{"emptied again while cold", true, calls{only, back, only}, `{"only":"workers"}`},
 	}
 	Convey("At a cell's key stands, for", t, func() {
