--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -93,6 +93,35 @@
 	})
 }
 
+// TestReborn: after a loss of power every duty once waited for all sessions, and
+// endpoints for a fence besides, though one name has but one process.
+func TestReborn(t *testing.T) {
+	adapters := []wire.Who{{Name: "a1", Boot: "2", Cell: "a"}, {Name: "a2", Boot: "1", Cell: "a"}}
+	workers := map[string]charter.Worker{"w": {Name: "w", Cell: "a"}}
+	known := func(string) (int64, bool) { return 7, true }
+	cases := []struct {
+		name, holder, boot string
+		isLeaving          bool
+		next               string
+		isReborn, isFree   bool
+	}{
+		{"a holder's new life keeps its duty, unfenced", "a1", "1", false, "a1", true, true},
+		{"a holder that is gone loses it under a fence", "x", "1", false, "a", false, false},
+		{"a holder that leaves loses it unfenced: it begins nothing more", "a2", "1", true, "a1", false, true},
+	}
+	Convey("In the plan,", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				leaving := map[string]bool{"a2": c.isLeaving}
+				plan := Plan("p", scene(workers, map[string]charter.Held{"w": held(c.holder, c.boot)}), adapters, leaving, known)
+				So(len(plan), ShouldEqual, 1)
+				So(plan[0].Next.Holder, ShouldStartWith, c.next)
+				So([]bool{plan[0].IsReborn, plan[0].Next.IsFree}, ShouldResemble, []bool{c.isReborn, c.isFree})
+			})
+		}
+	})
+}
+
 // TestSteady: two managers that saw different adapters once pulled a duty to
 // and fro, and its fence kept the endpoint from being served at all.
 func TestSteady(t *testing.T) {
--- /dev/null
+++ b/internal/intake/hold_test.go
@@ -0,0 +1,87 @@
+package intake
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// turns answers each ask in turn: a kind of mishap, "held", "" for no owner, or
+// "open" for an ask of which nobody knows what became.
+type turns struct {
+	say    []string
+	places []int64
+}
+
+func (s *turns) Ask(_ context.Context, _ int64, ask any, _ func(any) (bool, string)) (any, bool, error) {
+	t := ask.(*wire.Take)
+	s.places = append(s.places, t.Place)
+	say := "" // no owner from here on
+	if len(s.say) > 0 {
+		say, s.say = s.say[0], s.say[1:]
+	}
+	switch say {
+	case "":
+		return nil, false, mishap.New(mishap.NotOwner, "no owner")
+	case "open":
+		return nil, true, mishap.New(mishap.Undecided, "no answer")
+	case "held":
+		return &wire.Taken{Id: t.Id, State: "held"}, false, nil
+	}
+	return &wire.Taken{Id: t.Id, Kind: say}, false, nil
+}
+
+func (s *turns) Group(context.Context, int64, any, func(any) (bool, string)) (any, error) {
+	return nil, mishap.New(mishap.Undecided, "not asked in these cases")
+}
+
+// TestHoldQuickly: callers were once held to the end of their time for a place
+// without an owner, while others would have taken their message.
+func TestHoldQuickly(t *testing.T) {
+	cases := []struct {
+		name   string
+		key    string
+		say    []string
+		kind   mishap.Kind // of the word; empty: held
+		isOpen bool
+		asks   int
+	}{
+		{"the first place holds it", "", []string{"held"}, "", false, 1},
+		{"a place without an owner is passed over", "", []string{"", "held"}, "", false, 2},
+		{"a full place is passed over", "", []string{"full", "held"}, "", false, 2},
+		{"no place has an owner: it never will run", "", nil, mishap.NotOwner, false, mostPlaces},
+		{"a keyed message has one place", "k", []string{"", "held"}, mishap.NotOwner, false, 1},
+		{"an ask in the dark is asked again at its own place, and no other", "", []string{"open", "held"}, "", false, 2},
+		{"one that stays in the dark is no promise", "", []string{"open", "open"}, mishap.Undecided, true, 2},
+		{"a lane that is gone is the last word", "", []string{"unknown"}, mishap.Unknown, false, 1},
+	}
+	Convey("Of a caller that does not wait long,", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				s := &turns{say: c.say}
+				in := intakeOn(&stand{})
+				in.quick = s
+				e := &errand{ctx: context.Background(), cutoff: time.Minute, take: wire.Take{Lane: "l", Key: c.key}}
+				in.putPlace(e)
+				err := in.hold(e)
+				kind := mishap.Kind("")
+				if err != nil {
+					kind = mishap.KindOf(err)
+				} else {
+					kind = mishap.Kind(e.taken.Kind)
+				}
+				So(kind, ShouldEqual, c.kind)
+				So(e.isOpen, ShouldEqual, c.isOpen)
+				So(len(s.places), ShouldEqual, c.asks)
+				if c.isOpen || len(c.say) > 0 && c.say[0] == "open" {
+					So(s.places[1], ShouldEqual, s.places[0])
+				}
+			})
+		}
+	})
+}
