Blank stores join within 0.15 s, and found only once what they see has settled

Cause: a blank store looked for its deployment every 0.75 s, so that a successor joined 1.5 s after its start (7.558 s for a start at 6.048 s) and was brought up to date that much later. Looking more often alone would have made founding more hasty as well: stores that start together see each other one after another. Change: the look is every 50/1000 of the bound; a ballot is begun only after the same stores were seen for 250/1000 of it. Test: TestSettled (there was no such condition before).

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -36,6 +36,9 @@
 	SilenceSpan Ratio = 130  // random spread added to Silence
 	Term        Ratio = 120  // an owner serves reads this long after a confirmed pulse
 	Gone        Ratio = 700  // a daemon silent this long has lost its session
+	Replace     Ratio = 300  // a store that has had no session this long gives its seats to its successor
+	Abandon     Ratio = 4000 // and after this to any other store
+	Join        Ratio = 50   // a store that belongs to no deployment looks for one this often
 	Idle        Ratio = 150  // an idle transport session sends an empty frame
 	Dead        Ratio = 600  // a transport session that hears nothing is closed
 	Redial      Ratio = 60   // pause before a new dial
--- a/internal/store/ballot.go
+++ b/internal/store/ballot.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -63,14 +64,17 @@
 }
 
 // try joins a deployment that exists, or stands up a ballot for a new one when
-// this is the first store by name and enough blank ones are here.
-func (f *founder) try() {
+// this is the first store by name, enough blank ones are here, and no store has
+// come or gone since the last time: machines that start together do not see each
+// other all at once, and two of them that see different ones could both found.
+func (f *founder) try(now time.Duration) {
 	me := f.snapshot()
 	if me.Founded {
 		return
 	}
 	stores := f.d.Roll.Kind("store")
 	slices.SortFunc(stores, func(a, b wire.Who) int { return cmp.Compare(a.Name, b.Name) })
+	mayFound := f.isSettled(stores, now)
 	ids, addrs := map[string]string{me.Name: me.Name + "/" + me.Inc}, map[string]string{me.Name: f.d.Who.Addr}
 	for _, who := range stores {
 		if who.Name == me.Name {
@@ -89,7 +93,7 @@
 		}
 		ids[who.Name], addrs[who.Name] = ack.Roster[0], who.Addr
 	}
-	if me.Promised == joinsOnly {
+	if me.Promised == joinsOnly || !mayFound {
 		return
 	}
 	roster := chooseRoster(stores, ids, f.d.Settings.Founders)
@@ -99,6 +103,15 @@
 	f.ballot(roster, addrs, me.Promised+1)
 }
 
+// isSettled tells whether the same stores have been seen for a while.
+func (f *founder) isSettled(stores []wire.Who, now time.Duration) bool {
+	isSame := slices.EqualFunc(stores, f.seen, func(a, b wire.Who) bool { return a.Name == b.Name && a.Boot == b.Boot })
+	if !isSame {
+		f.seen, f.seenAt = stores, now
+	}
+	return now-f.seenAt >= f.d.Bounds.Of(beat.Vote)
+}
+
 // chooseRoster takes so many stores, from as many cells as there are.
 func chooseRoster(stores []wire.Who, ids map[string]string, count int) []string {
 	out, cells := []string{}, map[string]bool{}
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math"
 	"sync"
+	"time"
 
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/mishap"
@@ -42,6 +43,10 @@
 	pair  *slot.Pair
 	begin func() // called once, when this store belongs to a deployment
 
+	// What the last try saw, and since when; touched by try alone.
+	seen   []wire.Who
+	seenAt time.Duration
+
 	mu sync.Mutex
 	id identity
 }
--- a/internal/store/found_test.go
+++ b/internal/store/found_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"caperwheel/internal/beat"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/settings"
 	"caperwheel/internal/slot"
@@ -47,3 +48,29 @@
 		}
 	})
 }
+
+// TestSettled: a store founds only once it has seen the same stores for a while.
+// Stores that start together see each other one after another, and two that each
+// saw only some could both found.
+func TestSettled(t *testing.T) {
+	wait := beat.Default.Of(beat.Vote)
+	who := func(names ...string) (out []wire.Who) {
+		for _, name := range names {
+			out = append(out, wire.Who{Name: name, Boot: "1"})
+		}
+		return
+	}
+	Convey("Given a store that sees two others", t, func() {
+		f := &founder{d: &daemon.Daemon{Bounds: beat.Default}}
+		So(f.isSettled(who("a", "b"), 0), ShouldBeFalse)
+		Convey("it may found once that has lasted", func() {
+			So(f.isSettled(who("a", "b"), wait-1), ShouldBeFalse)
+			So(f.isSettled(who("a", "b"), wait), ShouldBeTrue)
+		})
+		Convey("a third one that comes has it wait anew", func() {
+			So(f.isSettled(who("a", "b", "c"), wait), ShouldBeFalse)
+			So(f.isSettled(who("a", "b", "c"), 2*wait-1), ShouldBeFalse)
+			So(f.isSettled(who("a", "b", "c"), 2*wait), ShouldBeTrue)
+		})
+	})
+}
--- a/internal/store/upkeep.go
+++ b/internal/store/upkeep.go
@@ -18,8 +18,8 @@
 
 // upkeep founds, watches the disk, and keeps the log short.
 func (s *Store) upkeep(ctx context.Context) {
+	go beat.Every(ctx, s.d.Bounds.Of(beat.Join), func() { s.founder.try(s.d.Now()) })
 	beat.Every(ctx, s.d.Bounds.Of(beat.Vote), func() {
-		s.founder.try()
 		for _, who := range s.d.Roll.Kind("adapter") {
 			s.d.Node.Peer(wire.RunLink, who.Addr).Warm()
 		}
