A store that is gone for good gives its seats to its successor

Cause: a store that was away kept its seat for ever, whatever came in its place. Found beside it: an extra member could not go while any wanted store was away, an over-full roster could lose the wrong member, a learner of a busy group waited for a lull, a stale word of an older life took a live member's vote, and each step of a repair waited 0.75 s for the next beat. Ruled out: joining (the successor joined 1.5 s after its start), images (the one group that was moved had its copy in 0.8 s). Change: repair.Planner, pure, says who should hold a group from the members, the time since when each has been away, and the silence that the group's own owner has seen; a successor (same zone, or newer) gets the seat 0.9 s after the session is gone, any other store after 12 s; eight groups at a time. A cut alone moves nothing: the owner must miss the store as well. Tests that failed first: TestMend, TestMendKeepsWhoAnswers, TestCaughtUp.

--- a/internal/group/append.go
+++ b/internal/group/append.go
@@ -28,6 +28,7 @@
 	period := g.opts.Bounds.Of(beat.Pulse) // all groups of a store pulse together
 	g.pulseAt = now - now%period + period
 	g.round++
+	g.pulseCommit = g.hard.Commit
 	g.rounds = append(g.rounds, roundAt{g.round, now})
 	if len(g.rounds) > 64 {
 		g.rounds = g.rounds[1:]
--- a/internal/group/elect.go
+++ b/internal/group/elect.go
@@ -27,7 +27,7 @@
 		g.resetBeat(now)
 	case Owner:
 		g.peers, g.heirName, g.pulseAt = map[string]*peerState{}, "", now
-		g.confirmed = now
+		g.confirmed, g.ownedAt = now, now
 		g.append(wire.Entry{Kind: EntryBlank}, out)
 		g.blankAt = g.last()
 		g.pulse(now, out)
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -117,23 +117,25 @@
 	rosts  []rosterAt // newest last; the first is that of base
 	synced int64
 
-	applied    int64
-	heardAt    time.Duration // last word from the owner
-	standAt    time.Duration
-	pulseAt    time.Duration
-	votes      map[string]bool
-	peers      map[string]*peerState
-	round      int64
-	rounds     []roundAt // sent and not yet confirmed
-	confirmed  time.Duration
-	isSure     bool // confirmed is valid in this term
-	blankAt    int64
-	toldCommit int64 // the newest commit that went out with entries or by a tick
-	heirSince  time.Duration
-	heirName   string
-	heir       string            // ownership is being handed to it: nothing is proposed meanwhile
-	heirUntil  time.Duration     // else this replica steps down
-	renamed    map[string]string // name -> new member id told by MsgNotMe
+	applied     int64
+	heardAt     time.Duration // last word from the owner
+	standAt     time.Duration
+	pulseAt     time.Duration
+	pulseCommit int64 // commit when the last round began
+	votes       map[string]bool
+	peers       map[string]*peerState
+	round       int64
+	rounds      []roundAt // sent and not yet confirmed
+	confirmed   time.Duration
+	ownedAt     time.Duration // when this replica became the owner
+	isSure      bool          // confirmed is valid in this term
+	blankAt     int64
+	toldCommit  int64 // the newest commit that went out with entries or by a tick
+	heirSince   time.Duration
+	heirName    string
+	heir        string            // ownership is being handed to it: nothing is proposed meanwhile
+	heirUntil   time.Duration     // else this replica steps down
+	renamed     map[string]string // name -> new member id told by MsgNotMe
 }
 
 type rosterAt struct {
--- /dev/null
+++ b/internal/group/mend_test.go
@@ -0,0 +1,97 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/wire"
+)
+
+// ownerOf gives "b/0" as the owner of a roster, with all that its peers of
+// answering have acknowledged.
+func ownerOf(roster []string, answering ...string) *Group {
+	g := follower(roster, Hard{}, nil)
+	var out Out
+	g.become(Standing, 1, "", 0, &out)
+	g.become(Owner, 1, "b/0", 0, &out)
+	g.Synced(g.last(), 1, 0)
+	for _, m := range answering {
+		g.Receive(wire.GroupMsg{Kind: MsgAppendReply, From: m, To: "b/0", Term: 1, Round: 1, Index: g.last()}, time.Millisecond)
+	}
+	return g
+}
+
+// TestMend is the table of the next step towards a wanted roster.
+func TestMend(t *testing.T) {
+	here := map[string]string{"a": "a/0", "b": "b/0", "c": "c/0", "d": "d/0"}
+	without := func(name string) map[string]string {
+		out := map[string]string{}
+		for k, v := range here {
+			if k != name {
+				out[k] = v
+			}
+		}
+		return out
+	}
+	abcd := []string{"a/0", "b/0", "c/0", "d/0"}
+	cases := []struct {
+		name   string
+		roster []string
+		known  map[string]string
+		wanted []string
+		want   Change
+	}{
+		{"nothing is due where all is as wanted", trio, here, []string{"a", "b", "c"}, Change{}},
+		{"a lost store's successor is learnt first", trio, without("a"), []string{"b", "c", "d"}, Change{Learn: "d/0"}},
+		{"it gets its vote once it has caught up", []string{"a/0", "b/0", "c/0", "~d/0"}, without("a"), []string{"b", "c", "d"}, Change{Promote: "d/0"}},
+		{"and then the lost store goes", abcd, without("a"), []string{"b", "c", "d"}, Change{Drop: "a/0"}},
+		{"one that is wanted but away still counts by its old vote", abcd, without("c"), []string{"b", "c", "d"}, Change{Drop: "a/0"}},
+		{"a learner that is no longer wanted goes", []string{"a/0", "b/0", "c/0", "~d/0"}, here, []string{"a", "b", "c"}, Change{Drop: "d/0"}},
+		{"a disk that came back blank loses its vote", trio, map[string]string{"a": "a/1", "b": "b/0", "c": "c/0"}, []string{"a", "b", "c"}, Change{Drop: "a/0"}},
+	}
+	Convey("The next step is", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				answering := []string{"c/0", "d/0"}
+				if c.known["a"] == "a/0" {
+					answering = append(answering, "a/0")
+				}
+				got, isDue := ownerOf(c.roster, answering...).Mend(c.known, c.wanted)
+				So(got, ShouldResemble, c.want)
+				So(isDue, ShouldEqual, c.want != Change{})
+			})
+		}
+	})
+}
+
+// TestMendKeepsWhoAnswers: an owner that had heard of an older life of a store
+// once took the vote of the newer one, which had voted under another owner.
+func TestMendKeepsWhoAnswers(t *testing.T) {
+	Convey("Given an owner that was told of an older life of a member", t, func() {
+		g := ownerOf([]string{"a/2", "b/0", "c/0"}, "a/2", "c/0")
+		g.Receive(wire.GroupMsg{Kind: MsgNotMe, From: "a/1", To: "b/0"}, 0)
+		_, isDue := g.Mend(map[string]string{"a": "a/1", "b": "b/0", "c": "c/0"}, []string{"a", "b", "c"})
+		So(isDue, ShouldBeFalse)
+	})
+}
+
+// TestCaughtUp: a busy group's learner never has what was committed this very
+// moment, and must not wait for a lull.
+func TestCaughtUp(t *testing.T) {
+	Convey("Given a learner that has all that was committed when the last round began", t, func() {
+		g := ownerOf([]string{"b/0", "c/0", "~d/0"}, "c/0", "d/0")
+		g.Tick(beat.Default.Of(beat.Pulse))
+		g.Propose([]byte("x"), 0)
+		g.Synced(g.last(), 1, 0)
+		g.Receive(wire.GroupMsg{Kind: MsgAppendReply, From: "c/0", To: "b/0", Term: 1, Round: 2, Index: g.last()}, time.Millisecond)
+		So(g.View().Commit, ShouldEqual, g.last())
+		So(g.isCaughtUp("d/0"), ShouldBeTrue)
+		Convey("it must have that of the next round to be so later", func() {
+			g.Tick(2 * beat.Default.Of(beat.Pulse))
+			So(g.isCaughtUp("d/0"), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/group/roster.go
+++ b/internal/group/roster.go
@@ -74,10 +74,12 @@
 	return out, nil
 }
 
-// isCaughtUp tells whether a learner misses little enough to become a voter.
+// isCaughtUp tells whether a learner misses little enough to become a voter: it
+// has all that was committed when the owner's last round began. What was committed
+// since is on its way, and a busy group's learner never has all of it.
 func (g *Group) isCaughtUp(m string) bool {
 	p := g.peers[m]
-	return p != nil && p.match >= g.hard.Commit && p.match > 0
+	return p != nil && p.match >= g.pulseCommit && p.match > 0
 }
 
 // onCommit acts on what a commit brings: an owner that has left steps down.
@@ -93,63 +95,3 @@
 		g.become(Follower, g.hard.Term, "", now, out)
 	}
 }
-
-// Mend says which roster step repairs the group, if any: known gives the
-// member ids of live stores by name, wanted the names that should hold it.
-// Owners call it by beat; one step at a time.
-func (g *Group) Mend(known map[string]string, wanted []string) (Change, bool) {
-	if g.role != Owner {
-		return Change{}, false
-	}
-	roster := g.roster()
-	fresh := func(name string) string {
-		if id := g.renamed[name]; id != "" {
-			return id
-		}
-		for _, m := range roster { // a replica rebuilt on a disk that lost only this group
-			if m = strings.TrimPrefix(m, learner); known[name] != "" && strings.HasPrefix(m, known[name]+".") {
-				return m
-			}
-		}
-		return known[name]
-	}
-	for _, m := range Voters(roster) { // an incarnation that never returns only costs votes
-		if now := fresh(Name(m)); now != "" && now != m && len(Voters(roster)) > 1 {
-			return Change{Drop: m}, true
-		}
-	}
-	for _, m := range roster { // finish what was begun
-		if id := strings.TrimPrefix(m, learner); IsLearner(m) {
-			if now := fresh(Name(id)); now != "" && now != id {
-				return Change{Drop: id}, true
-			}
-			if g.isCaughtUp(id) {
-				return Change{Promote: id}, true
-			}
-		}
-	}
-	for _, name := range wanted {
-		id := fresh(name)
-		if id != "" && !slices.Contains(roster, id) && !slices.Contains(roster, learner+id) {
-			return Change{Learn: id}, true
-		}
-	}
-	voters := Voters(roster)
-	for _, m := range voters {
-		if !slices.Contains(wanted, Name(m)) && g.covers(wanted, fresh) {
-			return Change{Drop: m}, true
-		}
-	}
-	return Change{}, false
-}
-
-// covers tells whether every wanted store votes already, so that an extra
-// member can go.
-func (g *Group) covers(wanted []string, fresh func(string) string) bool {
-	for _, name := range wanted {
-		if !slices.ContainsFunc(Voters(g.roster()), func(m string) bool { return Name(m) == name && m == fresh(name) }) {
-			return false
-		}
-	}
-	return len(wanted) > 0
-}
--- a/internal/group/view.go
+++ b/internal/group/view.go
@@ -34,6 +34,21 @@
 	return v
 }
 
+// Silence tells for how long an owner has not heard of a store that holds the
+// group: since it owns it where the store never answered.
+func (g *Group) Silence(name string, now time.Duration) time.Duration {
+	if name == Name(g.opts.Self) {
+		return 0
+	}
+	heardAt := g.ownedAt
+	for member, p := range g.peers {
+		if Name(member) == name {
+			heardAt = max(heardAt, p.ackedAt)
+		}
+	}
+	return now - heardAt
+}
+
 // confirm finds the newest round that a majority has answered.
 func (g *Group) confirm(now time.Duration) {
 	for i := len(g.rounds) - 1; i >= 0; i-- {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -45,7 +45,7 @@
 	Now     func() time.Duration
 	Send    func(wire.GroupMsg)
 	Prefer  func(roster []string) string
-	Mend    func() (known map[string]string, wanted []string)
+	Mend    Plan
 	Ring    int // events that may wait
 	Compact int // applied entries after which the group is put into its slot
 	Bytes   int // or bytes of them, at least as many as the image has
@@ -53,24 +53,30 @@
 	Failed  func(error)
 }
 
+// Plan tells the member ids of the stores that are here, by name, and the names of
+// those that should hold the group. silence tells for how long the owner has not
+// heard of a store.
+type Plan func(silence func(name string, now time.Duration) time.Duration) (known map[string]string, wanted []string)
+
 // Host is one running replica.
 //
 // Invariants: all but view, synced and the ring is touched by the goroutine
 // alone; pending counts persists that are not synced yet, and an After message
 // leaves only behind all persists before it; each waiter is told exactly once.
 type Host struct {
-	opts    Options
-	machine *group.Group
-	ring    chan func()
-	image   *group.Image
-	pending int
-	applied int64
-	since   int // entries applied since the last slot
-	bytes   int // and their bytes
-	waiters map[int64]waiter
-	isOwner bool
-	mended  time.Duration
-	parts   parts
+	opts       Options
+	machine    *group.Group
+	ring       chan func()
+	image      *group.Image
+	pending    int
+	applied    int64
+	since      int // entries applied since the last slot
+	bytes      int // and their bytes
+	waiters    map[int64]waiter
+	isOwner    bool
+	mended     time.Duration
+	isChanging bool // the roster is not yet what it should be
+	parts      parts
 
 	mu     sync.Mutex
 	view   group.View
--- a/internal/host/upkeep.go
+++ b/internal/host/upkeep.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"slices"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
@@ -21,7 +23,7 @@
 	if h.since >= h.opts.Compact || h.bytes >= max(h.opts.Bytes, h.imageBytes()) {
 		h.compact()
 	}
-	if h.isOwner && h.opts.Mend != nil && now-h.mended > h.opts.Bounds.Of(beat.Vote) {
+	if h.isOwner && h.opts.Mend != nil && (h.isChanging || now-h.mended > h.opts.Bounds.Of(beat.Vote)) {
 		h.mended = now
 		h.mend()
 	}
@@ -53,10 +55,13 @@
 	})
 }
 
-// mend takes one step towards the roster that should be.
+// mend takes one step towards the roster that should be. While steps are left it
+// is called with every tick: a group whose roster is between two states bears the
+// loss of one member less.
 func (h *Host) mend() {
-	known, wanted := h.opts.Mend()
+	known, wanted := h.opts.Mend(h.machine.Silence)
 	change, isDue := h.machine.Mend(known, wanted)
+	h.isChanging = isDue || slices.ContainsFunc(h.machine.View().Roster, group.IsLearner)
 	if !isDue {
 		return
 	}
--- /dev/null
+++ b/internal/repair/plan.go
@@ -0,0 +1,86 @@
+package repair
+
+import (
+	"slices"
+	"time"
+
+	"caperwheel/internal/beat"
+)
+
+// How many of its groups one owner's store changes at a time: few for the sake
+// of an even spread, so that traffic does not feel it, more where copies are
+// missing.
+const (
+	mostMoves   = 2
+	mostRepairs = 8
+)
+
+// Planner says which stores should hold the groups that one daemon owns.
+type Planner struct {
+	bounds   beat.Bounds
+	copies   int
+	presence *Presence
+	members  []Store
+}
+
+// NewPlanner makes one for groups of so many copies.
+func NewPlanner(bounds beat.Bounds, copies int) *Planner {
+	return &Planner{bounds: bounds, copies: copies, presence: NewPresence()}
+}
+
+// Note takes in which stores are members now; the owner calls it only while what
+// it knows of them is fresh.
+func (p *Planner) Note(members []Store, now time.Duration) {
+	p.members = members
+	p.presence.Note(members, now)
+}
+
+// Group is one group as its owner sees it.
+type Group struct {
+	Id         int64
+	Holders    []string                                         // names of the stores in its roster
+	IsChanging bool                                             // a change of its roster is not finished
+	Silence    func(name string, _ time.Duration) time.Duration // how long a holder has not answered the owner
+}
+
+// Seats names the stores that should hold a group: an even spread where nothing
+// is missing, else as little change as repairs it. under is how many groups of the
+// owner are changing now.
+//
+// A holder that is away is replaced only when both the managers and the group's
+// owner have not heard of it for long: for Replace where its successor may be
+// here, for Abandon where any other store would have to do.
+func (p *Planner) Seats(g Group, retired map[string]bool, under int, now time.Duration) []string {
+	stores, isWhole := slices.Clone(p.members), len(g.Holders) >= p.copies
+	isMember := func(name string) bool {
+		return slices.ContainsFunc(p.members, func(s Store) bool { return s.Name == name })
+	}
+	candidates := slices.DeleteFunc(slices.Clone(p.members), func(s Store) bool {
+		return s.IsRetired || slices.Contains(g.Holders, s.Name)
+	})
+	for _, name := range g.Holders {
+		isWhole = isWhole && isMember(name) && !retired[name]
+		if isMember(name) {
+			continue
+		}
+		absent, span := p.presence.Away(name, now)
+		absent.IsRetired = retired[name]
+		absent.IsLost = p.isLost(absent, min(span, g.Silence(name, now)), candidates)
+		stores = append(stores, absent)
+	}
+	switch {
+	case isWhole && (g.IsChanging || under < mostMoves):
+		return Spread(g.Id, stores, p.copies)
+	case !isWhole && !g.IsChanging && under >= mostRepairs:
+		return g.Holders
+	}
+	return Wanted(g.Id, g.Holders, stores, p.copies)
+}
+
+func (p *Planner) isLost(absent Store, span time.Duration, candidates []Store) bool {
+	patience := p.bounds.Of(beat.Abandon)
+	if p.presence.HasSuccessor(absent, candidates) {
+		patience = p.bounds.Of(beat.Replace)
+	}
+	return span >= patience
+}
--- /dev/null
+++ b/internal/repair/presence.go
@@ -0,0 +1,61 @@
+package repair
+
+import "time"
+
+// Presence notes since when each store has been a member, or away, as seen by
+// one daemon. It does no I/O; all times are of that daemon's monotonic clock.
+//
+// Invariant: a store that is here has no awaySince, and one that is away keeps
+// the zone that it was last seen in.
+type Presence struct {
+	zones     map[string]string
+	hereSince map[string]time.Duration
+	awaySince map[string]time.Duration
+}
+
+// NewPresence gives one that has seen nobody.
+func NewPresence() *Presence {
+	return &Presence{zones: map[string]string{}, hereSince: map[string]time.Duration{}, awaySince: map[string]time.Duration{}}
+}
+
+// Note takes in which stores are members now.
+func (p *Presence) Note(present []Store, now time.Duration) {
+	isHere := map[string]bool{}
+	for _, s := range present {
+		isHere[s.Name] = true
+		p.zones[s.Name] = s.Zone
+		delete(p.awaySince, s.Name)
+		if _, isKnown := p.hereSince[s.Name]; !isKnown {
+			p.hereSince[s.Name] = now
+		}
+	}
+	for name := range p.hereSince {
+		if !isHere[name] {
+			delete(p.hereSince, name)
+			p.awaySince[name] = now
+		}
+	}
+}
+
+// Away gives a store of a roster that is not a member now, with how long it has
+// been away. One that was never seen counts from when it was first asked for.
+func (p *Presence) Away(name string, now time.Duration) (store Store, span time.Duration) {
+	if _, isKnown := p.awaySince[name]; !isKnown {
+		p.awaySince[name] = now
+	}
+	return Store{Name: name, Zone: p.zones[name], IsAway: true}, now - p.awaySince[name]
+}
+
+// HasSuccessor tells whether one of the candidates may be the machine that was
+// put in an absent store's place: it is in the same zone, or came no earlier than
+// the other one went. Nothing is known of an absent store that was never seen here,
+// so any candidate may be its successor.
+func (p *Presence) HasSuccessor(absent Store, candidates []Store) bool {
+	zone, isKnown := p.zones[absent.Name]
+	for _, c := range candidates {
+		if !isKnown || c.Zone == zone || p.hereSince[c.Name] >= p.awaySince[absent.Name] {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/repair/wanted.go
+++ b/internal/repair/wanted.go
@@ -12,8 +12,10 @@
 
 // Store is one store as repair sees it.
 type Store struct {
-	Name, Cell string
-	IsRetired  bool
+	Name, Zone string
+	IsRetired  bool // it is to be emptied
+	IsAway     bool // it has a seat, but is not a member now
+	IsLost     bool // it has been away for so long that another may have its seat
 }
 
 // Incarnation reads a store's incarnation out of its boot id.
@@ -23,50 +25,67 @@
 }
 
 // Spread gives the stores that should hold a group by name alone: one of each
-// cell first, drawn by hash, so that a store that comes or goes changes only
+// zone first, drawn by hash, so that a store that comes or goes changes only
 // the groups that it takes or leaves.
 func Spread(groupId int64, stores []Store, copies int) []string {
-	return Wanted(groupId, nil, stores, nil, copies)
+	return Wanted(groupId, nil, stores, copies)
 }
 
-// Wanted gives the stores that should hold a group: those that hold it now and
-// are not retired, and as many more as copies asks for, from cells that have
-// none yet, drawn by hash. A store that is merely away keeps its seat: it will
-// be back with its disk. When nothing can take a retired store's seat, it
-// keeps the seat too.
-func Wanted(groupId int64, roster []string, stores []Store, retired map[string]bool, copies int) []string {
-	cells, out := map[string]int{}, []string{}
-	cellOf := map[string]string{}
-	for _, s := range stores {
-		cellOf[s.Name] = s.Cell
-	}
-	for _, name := range roster {
-		if !retired[name] && len(out) < copies {
-			out = append(out, name)
-			cells[cellOf[name]]++
-		}
-	}
-	for len(out) < copies {
-		best, top := "", uint64(0)
+// Wanted gives the stores that should hold a group whose seats are taken by the
+// stores of roster. stores lists the members and, marked as away, the absent ones
+// of the roster. Seats go, as far as copies reaches, first to those that hold one
+// and are members, then to those that are merely away, since they will be back
+// with their disks, then to members that hold none, and only then to stores that
+// are lost. Within each of these the zones with the fewest seats come first, and
+// then the draw by hash. A retired store keeps its seat only where fewer than two
+// others are left to hold the group.
+func Wanted(groupId int64, roster []string, stores []Store, copies int) []string {
+	d := draw{groupId: groupId, copies: copies, zones: map[string]int{}}
+	holds := func(s Store) bool { return slices.Contains(roster, s.Name) }
+	d.seat(stores, func(s Store) bool { return holds(s) && !s.IsRetired && !s.IsAway })
+	d.seat(stores, func(s Store) bool { return holds(s) && !s.IsRetired && s.IsAway && !s.IsLost })
+	d.seat(stores, func(s Store) bool { return !holds(s) && !s.IsRetired && !s.IsAway })
+	d.seat(stores, func(s Store) bool { return holds(s) && !s.IsRetired && s.IsLost })
+	d.copies = min(copies, leastHolders)
+	d.seat(stores, func(s Store) bool { return holds(s) && s.IsRetired })
+	return d.names
+}
+
+// leastHolders is how many stores a group stands on at least, even if one of
+// them is to be emptied.
+const leastHolders = 2
+
+// draw fills the seats of one group.
+type draw struct {
+	groupId int64
+	copies  int
+	zones   map[string]int // seats given, by zone
+	names   []string
+}
+
+// seat gives seats to those that are eligible, until none is left of either.
+func (d *draw) seat(stores []Store, isEligible func(Store) bool) {
+	for len(d.names) < d.copies {
+		best, top := Store{}, uint64(0)
 		for _, s := range stores {
-			if s.IsRetired || slices.Contains(out, s.Name) {
+			if !isEligible(s) || slices.Contains(d.names, s.Name) {
 				continue
 			}
-			rank := duty.Rank(strconv.FormatInt(groupId, 10), s.Name)>>8 | uint64(255-min(cells[s.Cell], 255))<<56 // fewest in the cell first
-			if best == "" || rank > top {
-				best, top = s.Name, rank
+			if rank := d.rank(s); best.Name == "" || rank > top {
+				best, top = s, rank
 			}
 		}
-		if best == "" {
-			break
-		}
-		out = append(out, best)
-		cells[cellOf[best]]++
-	}
-	for _, name := range roster {
-		if retired[name] && len(out) < copies && len(out) < 2 {
-			out = append(out, name)
+		if best.Name == "" {
+			return
 		}
+		d.names = append(d.names, best.Name)
+		d.zones[best.Zone]++
 	}
-	return out
+}
+
+// rank is higher the fewer seats a store's zone has; among equals the hash of
+// group and store decides.
+func (d *draw) rank(s Store) uint64 {
+	fewest := uint64(255 - min(d.zones[s.Zone], 255))
+	return duty.Rank(strconv.FormatInt(d.groupId, 10), s.Name)>>8 | fewest<<56
 }
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -84,6 +84,7 @@
 
 // say is what the store tells of itself in its session.
 func (s *Store) say() wire.Poll {
+	s.noteMembers()
 	poll := s.d.Poll()
 	count, under := int64(0), int64(0)
 	for _, id := range s.groupIds() {
--- a/internal/store/spread.go
+++ b/internal/store/spread.go
@@ -2,52 +2,67 @@
 
 import (
 	"slices"
+	"time"
 
 	"caperwheel/internal/group"
 	"caperwheel/internal/repair"
 )
 
-// mostMoves is how many of its groups an owner's store moves at a time for the
-// sake of an even spread, so that traffic does not feel it.
-const mostMoves = 2
+// noteMembers tells the planner of repairs which stores are members, while that
+// is known well enough.
+func (s *Store) noteMembers() {
+	if !s.d.IsFresh() {
+		return
+	}
+	members, scene := []repair.Store{}, s.scenes.Now()
+	for _, who := range s.d.Roll.Kind("store") {
+		members = append(members, repair.Store{Name: who.Name, Zone: who.Cell, IsRetired: scene.Retired[who.Name]})
+	}
+	s.planning.Lock()
+	defer s.planning.Unlock()
+	s.planner.Note(members, s.d.Now())
+}
 
-// mendPlan gives the member ids of the stores that are here and the names that
-// should hold the group: as things are, or, when nothing is missing and not too
-// much is on the move, as an even spread has it.
-func (s *Store) mendPlan(groupId int64) (map[string]string, []string) {
-	known, stores, scene := map[string]string{}, []repair.Store{}, s.scenes.Now()
+// repairPlan gives the member ids of the stores that are here and the names of
+// those that should hold the group; neither while this store's view is not fresh.
+func (s *Store) repairPlan(groupId int64, silence func(name string, now time.Duration) time.Duration) (map[string]string, []string) {
+	known := map[string]string{}
 	if !s.d.IsFresh() { // who is here, and who is retired, is not known well enough
 		return known, nil
 	}
+	s.noteMembers()
 	for _, who := range s.d.Roll.Kind("store") {
 		known[who.Name] = who.Name + "/" + repair.Incarnation(who.Boot)
-		stores = append(stores, repair.Store{Name: who.Name, Cell: who.Cell, IsRetired: scene.Retired[who.Name]})
 	}
-	roster, isWhole := []string{}, true
 	members := s.hostOf(groupId).View().Roster
+	g := repair.Group{Id: groupId, Holders: names(members), IsChanging: s.isChanging(members), Silence: silence}
+	under := s.changing()
+	s.planning.Lock()
+	defer s.planning.Unlock()
+	return known, s.planner.Seats(g, s.scenes.Now().Retired, under, s.d.Now())
+}
+
+// names gives the stores of a roster, each once.
+func names(members []string) []string {
+	out := []string{}
 	for _, m := range members {
-		name := group.Name(m)
-		isWhole = isWhole && known[name] != "" && !scene.Retired[name]
-		if !slices.Contains(roster, name) {
-			roster = append(roster, name)
+		if name := group.Name(m); !slices.Contains(out, name) {
+			out = append(out, name)
 		}
 	}
-	if isWhole && len(roster) >= s.copies() && (s.isMoving(members) || s.moving() < mostMoves) {
-		return known, repair.Spread(groupId, stores, s.copies())
-	}
-	return known, repair.Wanted(groupId, roster, stores, scene.Retired, s.copies())
+	return out
 }
 
-// isMoving tells a roster that is being changed.
-func (s *Store) isMoving(members []string) bool {
+// isChanging tells a roster whose change is not finished.
+func (s *Store) isChanging(members []string) bool {
 	return len(members) > s.copies() || slices.ContainsFunc(members, group.IsLearner)
 }
 
-// moving counts the groups owned here whose roster is being changed.
-func (s *Store) moving() int {
+// changing counts the groups owned here whose roster is being changed.
+func (s *Store) changing() int {
 	out := 0
 	for _, id := range s.groupIds() {
-		if v := s.hostOf(id).View(); v.Role == group.Owner && s.isMoving(v.Roster) {
+		if v := s.hostOf(id).View(); v.Role == group.Owner && s.isChanging(v.Roster) {
 			out++
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -38,6 +39,9 @@
 	diskFull atomic.Bool
 	ctx      context.Context
 
+	planning sync.Mutex
+	planner  *repair.Planner
+
 	mu     sync.RWMutex
 	held   map[int64]*slot.Held
 	hosts  map[int64]*host.Host
@@ -65,6 +69,7 @@
 	d.Must(err)
 	s.disk, s.held, err = slot.Open(folder, slot.Options{FreeBytes: uint64(d.Settings.Reserve)})
 	d.Must(err)
+	s.planner = repair.NewPlanner(d.Bounds, s.copies())
 	s.founder, err = newFounder(d, folder, s.begin)
 	d.Must(err)
 	d.Who.Boot = s.founder.snapshot().Inc + "." + d.Who.Boot
@@ -131,7 +136,9 @@
 	opts := host.Options{Id: groupId, Self: member, Roster: roster, Bounds: s.d.Bounds, Seed: seed.Sum64(),
 		Disk: s.disk, Held: held, Now: s.d.Now, Send: s.sendGroup, Failed: s.fail,
 		Prefer: func(roster []string) string { return s.prefer(groupId, roster) },
-		Mend:   func() (map[string]string, []string) { return s.mendPlan(groupId) }}
+		Mend: func(silence func(string, time.Duration) time.Duration) (map[string]string, []string) {
+			return s.repairPlan(groupId, silence)
+		}}
 	var h *host.Host
 	var err error
 	if groupId >= PlaceGroup {
