Operators' code takes its clock from the context

Cause: the operators' code and reach waited on the machine's clock, so that the simulation could run neither. Change: beat.Within and beat.Wait take the clock from the context if it has one; a daemon's clock can be given; NewOperators gives the operators' code on a daemon, a reach and a registry that somebody else runs. Without a clock in the context nothing changes.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -75,11 +75,15 @@
 	}
 }
 
-// Wait returns after a time, or when ctx ends.
+// Wait returns after a time by the clock of ctx, or when ctx ends.
 func Wait(ctx context.Context, span time.Duration) {
 	if span <= 0 {
 		return
 	}
+	if clock, isGiven := ctx.Value(clockKey{}).(Clock); isGiven {
+		clock.Wait(ctx, span)
+		return
+	}
 	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
--- /dev/null
+++ b/internal/beat/clock.go
@@ -0,0 +1,28 @@
+package beat
+
+import (
+	"context"
+	"time"
+)
+
+// Clock measures deadlines and pauses. Code that waits takes the clock from its
+// context, so that the simulation runs the same code on simulated time.
+type Clock interface {
+	Within(ctx context.Context, span time.Duration) (context.Context, context.CancelFunc)
+	Wait(ctx context.Context, span time.Duration)
+}
+
+type clockKey struct{}
+
+// WithClock gives a context a clock of its own.
+func WithClock(ctx context.Context, clock Clock) context.Context {
+	return context.WithValue(ctx, clockKey{}, clock)
+}
+
+// Within gives a context that ends after a time by its clock, or with ctx.
+func Within(ctx context.Context, span time.Duration) (context.Context, context.CancelFunc) {
+	if clock, isGiven := ctx.Value(clockKey{}).(Clock); isGiven {
+		return clock.Within(ctx, span)
+	}
+	return context.WithTimeout(ctx, span)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,7 @@
 	Node     *transport.Node
 	Mux      *http.ServeMux
 	Ready    func() (isReady bool, why string) // asked through IsReady
+	Clock    func() time.Duration              // in place of the monotonic clock, if given
 	Refused  func(addr string)                 // told when nobody listens where a peer was, if given before Link
 	CanRead  func() bool                       // whether the newest charter can be read, if the daemon needs it
 
@@ -126,7 +127,12 @@
 }
 
 // Now is the daemon's monotonic clock.
-func (d *Daemon) Now() time.Duration { return time.Since(d.Started) }
+func (d *Daemon) Now() time.Duration {
+	if d.Clock != nil {
+		return d.Clock()
+	}
+	return time.Since(d.Started)
+}
 
 // IsFresh tells whether the daemon may act on its view.
 func (d *Daemon) IsFresh() bool {
--- a/internal/manager/edit.go
+++ b/internal/manager/edit.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 
+	"caperwheel/internal/beat"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
@@ -17,7 +18,7 @@
 		e.Value = []byte{}
 	}
 	e.By += " #" + daemon.Random(6)
-	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter*2)
+	ctx, cancel := beat.Within(ctx, m.d.Bounds.Charter*2)
 	defer cancel()
 	for {
 		reply, err := m.reach.Group(ctx, e.Part, &e, func(reply any) (bool, string) {
@@ -52,7 +53,7 @@
 
 // pull reads a key through a majority.
 func (m *Manager) pull(ctx context.Context, part int64, key string) (wire.Change, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter)
+	ctx, cancel := beat.Within(ctx, m.d.Bounds.Charter)
 	defer cancel()
 	reply, err := m.reach.Group(ctx, part, &wire.Pull{Part: part, Key: key}, func(reply any) (bool, string) {
 		got, isPulled := reply.(*wire.Pulled)
--- a/internal/manager/marks.go
+++ b/internal/manager/marks.go
@@ -118,7 +118,7 @@
 	} else if !mishap.Is(err, mishap.Unknown) {
 		return out, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Of(beat.Settle))
+	ctx, cancel := beat.Within(ctx, m.d.Bounds.Of(beat.Settle))
 	defer cancel()
 	for _, who := range m.d.Roll.Kind("store") {
 		asked++
--- a/internal/manager/operators.go
+++ b/internal/manager/operators.go
@@ -4,8 +4,11 @@
 	"context"
 
 	"caperwheel/internal/charter"
+	"caperwheel/internal/daemon"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/mishap"
+	"caperwheel/internal/reach"
+	"caperwheel/internal/session"
 	"caperwheel/internal/wire"
 )
 
@@ -13,6 +16,15 @@
 // ask through.
 type Operators struct{ m *Manager }
 
+// NewOperators gives the operators' code on a daemon, a reach and a registry
+// that somebody else runs: the simulation does.
+func NewOperators(d *daemon.Daemon, r *reach.Reach, registry *session.Registry) *Operators {
+	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: registry, reach: r}
+	m.ages.bounds = d.Bounds
+	m.operators = &Operators{m}
+	return m.operators
+}
+
 // Proposal is a change of the charter. It names what it builds on: a stamp or,
 // if IsOnVersion, the operators' own version.
 type Proposal struct {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -91,19 +91,18 @@
 			}
 			wait /= freeHops // two name each other while ownership moves
 		}
-		select {
-		case <-ctx.Done():
+		beat.Wait(ctx, wait)
+		if ctx.Err() != nil {
 			if isOpen {
 				return nil, true, mishap.New(mishap.Undecided, "group %d did not answer", id)
 			}
 			return nil, false, mishap.New(mishap.NotOwner, "no owner of group %d was found", id)
-		case <-time.After(wait):
 		}
 	}
 }
 
 func (r *Reach) one(ctx context.Context, who wire.Who, ask any) (any, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.Bounds.Of(cmp.Or(r.Try, beat.Settle)))
+	ctx, cancel := beat.Within(ctx, r.Bounds.Of(cmp.Or(r.Try, beat.Settle)))
 	defer cancel()
 	if r.Call != nil {
 		return r.Call(ctx, who.Addr, ask)
