A part's reads wait by the clock of their surroundings

Cause: a read that waits for a majority was tried again by the machine's clock. Change: Around.After; Pull is public, as Edit and News are.

--- a/internal/sim/around.go
+++ b/internal/sim/around.go
@@ -15,6 +15,17 @@
 // Now is the simulated time.
 func (s *simStore) Now() time.Duration { return s.w.now }
 
+// After does work later, unless the store has ended by then.
+func (s *simStore) After(span time.Duration, work func()) {
+	life := s.life
+	s.w.After(span, func() {
+		if s.isUp && s.life == life {
+			work()
+			s.pump()
+		}
+	})
+}
+
 // Bounds are the usual ones.
 func (s *simStore) Bounds() beat.Bounds { return beat.Default }
 
--- a/internal/store/around.go
+++ b/internal/store/around.go
@@ -13,6 +13,7 @@
 // simulation gives another one.
 type Around interface {
 	Now() time.Duration
+	After(span time.Duration, work func())
 	Bounds() beat.Bounds
 	IsFresh() bool
 	IsFull() bool
@@ -47,12 +48,13 @@
 // around is the store daemon as its places see it.
 type around struct{ s *Store }
 
-func (a *around) Now() time.Duration                { return a.s.d.Now() }
-func (a *around) Bounds() beat.Bounds               { return a.s.d.Bounds }
-func (a *around) IsFresh() bool                     { return a.s.d.IsFresh() }
-func (a *around) IsFull() bool                      { return a.s.diskFull.Load() }
-func (a *around) Scene() *charter.Scene             { return a.s.scenes.Now() }
-func (a *around) Find(name string) (wire.Who, bool) { return a.s.d.Roll.Find(name) }
+func (a *around) Now() time.Duration                    { return a.s.d.Now() }
+func (a *around) After(span time.Duration, work func()) { time.AfterFunc(span, work) }
+func (a *around) Bounds() beat.Bounds                   { return a.s.d.Bounds }
+func (a *around) IsFresh() bool                         { return a.s.d.IsFresh() }
+func (a *around) IsFull() bool                          { return a.s.diskFull.Load() }
+func (a *around) Scene() *charter.Scene                 { return a.s.scenes.Now() }
+func (a *around) Find(name string) (wire.Who, bool)     { return a.s.d.Roll.Find(name) }
 func (a *around) Post(who wire.Who, ask any, answer func(any, error)) error {
 	return a.s.d.Node.Peer(wire.RunLink, who.Addr).Post(ask, answer)
 }
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -39,6 +39,7 @@
 }
 
 func (b *bench) Now() time.Duration                       { return b.now }
+func (b *bench) After(time.Duration, func())              {}
 func (b *bench) Bounds() beat.Bounds                      { return beat.Default }
 func (b *bench) IsFresh() bool                            { return true }
 func (b *bench) IsFull() bool                             { return b.isFull }
--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -69,9 +69,9 @@
 	})
 }
 
-// pull reads a key. Only an owner that a majority has confirmed after the ask
+// Pull reads a key. Only an owner that a majority has confirmed after the ask
 // came may answer, so what was acknowledged before is always seen.
-func (p *PartHost) pull(key string, askedAt time.Duration, answer func(any)) {
+func (p *PartHost) Pull(key string, askedAt time.Duration, answer func(any)) {
 	v := p.host.View()
 	switch {
 	case !p.host.IsOwner():
@@ -81,8 +81,8 @@
 			answer(&wire.Pulled{Kind: string(mishap.Late), Change: wire.Change{Value: []byte{}}})
 			return
 		}
-		time.AfterFunc(p.around.Bounds().Of(beat.Pulse)/4, func() {
-			if err := p.host.Do(func() { p.pull(key, askedAt, answer) }); err != nil {
+		p.around.After(p.around.Bounds().Of(beat.Pulse)/4, func() {
+			if err := p.host.Do(func() { p.Pull(key, askedAt, answer) }); err != nil {
 				answer(&wire.Pulled{Kind: string(mishap.Full), Change: wire.Change{Value: []byte{}}})
 			}
 		})
@@ -126,7 +126,7 @@
 		s.withPart(m.Part, func(p *PartHost) { p.Edit(*m, answer) },
 			func(kind mishap.Kind) { answer(&wire.Edited{Kind: string(kind)}) })
 	case *wire.Pull:
-		s.withPart(m.Part, func(p *PartHost) { p.pull(m.Key, now, answer) },
+		s.withPart(m.Part, func(p *PartHost) { p.Pull(m.Key, now, answer) },
 			func(kind mishap.Kind) { answer(&wire.Pulled{Kind: string(kind), Change: wire.Change{Value: []byte{}}}) })
 	case *wire.Retire:
 		answer(s.retired(m.Store))
