--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -11,6 +11,7 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
 	"caperwheel/internal/mishap"
+	"caperwheel/internal/repair"
 	"caperwheel/internal/slot"
 	"caperwheel/internal/wire"
 )
@@ -54,9 +55,8 @@
 }
 
 // Plan tells the member ids of the stores that are here, by name, and the names of
-// those that should hold the group. silence tells for how long the owner has not
-// heard of a store.
-type Plan func(silence func(name string, now time.Duration) time.Duration) (known map[string]string, wanted []string)
+// those that should hold the group, given what the owner has heard of its holders.
+type Plan func(silence repair.Silence) (known map[string]string, wanted []string)
 
 // Host is one running replica.
 //
--- a/internal/repair/plan.go
+++ b/internal/repair/plan.go
@@ -15,6 +15,10 @@
 	mostRepairs = 8
 )
 
+// Silence tells for how long a group's owner has not heard of a store that holds
+// the group.
+type Silence func(name string, now time.Duration) time.Duration
+
 // Planner says which stores should hold the groups that one daemon owns.
 type Planner struct {
 	bounds   beat.Bounds
@@ -38,9 +42,9 @@
 // Group is one group as its owner sees it.
 type Group struct {
 	Id         int64
-	Holders    []string                                         // names of the stores in its roster
-	IsChanging bool                                             // a change of its roster is not finished
-	Silence    func(name string, _ time.Duration) time.Duration // how long a holder has not answered the owner
+	Holders    []string // names of the stores in its roster
+	IsChanging bool     // a change of its roster is not finished
+	Silence    Silence
 }
 
 // Seats names the stores that should hold a group: an even spread where nothing
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -8,7 +8,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"k8s.io/klog/v2"
 
@@ -37,11 +36,9 @@
 	dispatch *dispatcher
 	keeper   *repair.Keeper // results that adapters could not bring home
 	diskFull atomic.Bool
+	rosters  *Rosters
 	ctx      context.Context
 
-	planning sync.Mutex
-	planner  *repair.Planner
-
 	mu     sync.RWMutex
 	held   map[int64]*slot.Held
 	hosts  map[int64]*host.Host
@@ -69,7 +66,7 @@
 	d.Must(err)
 	s.disk, s.held, err = slot.Open(folder, slot.Options{FreeBytes: uint64(d.Settings.Reserve)})
 	d.Must(err)
-	s.planner = repair.NewPlanner(d.Bounds, s.copies())
+	s.rosters = NewRosters(d.Bounds, s.copies())
 	s.founder, err = newFounder(d, folder, s.begin)
 	d.Must(err)
 	d.Who.Boot = s.founder.snapshot().Inc + "." + d.Who.Boot
@@ -136,9 +133,7 @@
 	opts := host.Options{Id: groupId, Self: member, Roster: roster, Bounds: s.d.Bounds, Seed: seed.Sum64(),
 		Disk: s.disk, Held: held, Now: s.d.Now, Send: s.sendGroup, Failed: s.fail,
 		Prefer: func(roster []string) string { return s.prefer(groupId, roster) },
-		Mend: func(silence func(string, time.Duration) time.Duration) (map[string]string, []string) {
-			return s.repairPlan(groupId, silence)
-		}}
+		Mend:   func(silence repair.Silence) (map[string]string, []string) { return s.rosterPlan(groupId, silence) }}
 	var h *host.Host
 	var err error
 	if groupId >= PlaceGroup {
