Retirements are admitted in one agreed step and completed by confirmed owners

Cause: a retirement was weighed on one manager's own list of stores: a manager that was cut off or had just begun answered 409 or 404 to a proper order, and two retirements accepted at two managers at once left fewer stores than copies. `completed` was put together from the stores that happened to be here and from the largest roster that any member had last spoken of, so a store could be taken away, with its disk, while it had the only whole copy of a group. Change: all admitted retirements stand at one key of the charter's part, changed by compare and set; the key of each store follows and is what daemons read. An order is rejected only where too few stores would be left even with all that are away, by a manager whose view is fresh and that has seen the same stores for a bound; else it is put off. A retirement is done when the owner of every group, confirmed by a majority since the question came and knowing of the retirement, has as many whole copies as there should be on other stores, and the mark has stood for a bound, so that no later owner gives the store a seat again. Wire version 4: the answer of a store tells how each group stands. Tests: TestRetire (two managers at once, a store that is away, a manager that has just seen stores come: each accepted or rejected wrongly before), TestRetirement. The check of isAllOwned is replaced by TestRetirement's cases, which also ask for a confirmed owner, its knowledge and the copies that answered.

--- /dev/null
+++ b/internal/charter/retirements.go
@@ -0,0 +1,46 @@
+package charter
+
+import (
+	"encoding/json"
+	"slices"
+
+	"caperwheel/internal/mishap"
+)
+
+// Retirements are the stores whose retirement was admitted. They stand at one key,
+// so that two admitted at once by two managers cannot both hold.
+type Retirements struct {
+	Stores []string `json:"stores"`
+}
+
+// ReadRetirements reads them; nothing is there before the first one.
+func ReadRetirements(raw []byte) (Retirements, error) {
+	var r Retirements
+	if len(raw) == 0 {
+		return r, nil
+	}
+	err := json.Unmarshal(raw, &r)
+	return r, mishap.Wrap(err, mishap.Broken, "retirements")
+}
+
+// Has tells whether a store's retirement was admitted.
+func (r Retirements) Has(store string) bool { return slices.Contains(r.Stores, store) }
+
+// With gives them with one more.
+func (r Retirements) With(store string) Retirements {
+	return Retirements{append(slices.Clone(r.Stores), store)}
+}
+
+// Without gives them with one less.
+func (r Retirements) Without(store string) Retirements {
+	return Retirements{slices.DeleteFunc(slices.Clone(r.Stores), func(s string) bool { return s == store })}
+}
+
+// Encode gives their JSON.
+func (r Retirements) Encode() []byte {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		panic(mishap.Wrap(err, mishap.Internal, "retirements"))
+	}
+	return raw
+}
--- a/internal/charter/rules.go
+++ b/internal/charter/rules.go
@@ -11,13 +11,16 @@
 
 // Keys of the control state.
 const (
-	Key        = "charter"  // the charter document, in the charter part
-	CellKey    = "cell/"    // + cell: emptied when it stands, as its Mark says
-	StoreKey   = "store/"   // + store: retired when it stands
-	WorkersKey = "workers/" // + pool: the platform's live list, in the pool's part
-	DutyKey    = "duty/"    // + pool + "/" + worker: its holder, in the pool's part
-	WeightKey  = "weight/"  // + pool: published weights, in the pool's part
-	ShareKey   = "share/"   // + lane: published weights of its pools, in the part of the lane's name
+	Key      = "charter" // the charter document, in the charter part
+	CellKey  = "cell/"   // + cell: emptied when it stands, as its Mark says
+	StoreKey = "store/"  // + store: retired when it stands
+	// RetirementsKey has all retirements that were admitted, so that each is
+	// weighed against all others in one compare and set.
+	RetirementsKey = "retirements"
+	WorkersKey     = "workers/" // + pool: the platform's live list, in the pool's part
+	DutyKey        = "duty/"    // + pool + "/" + worker: its holder, in the pool's part
+	WeightKey      = "weight/"  // + pool: published weights, in the pool's part
+	ShareKey       = "share/"   // + lane: published weights of its pools, in the part of the lane's name
 )
 
 // Duty says which adapter serves a worker or endpoint. Its term is the stamp
--- a/internal/group/view.go
+++ b/internal/group/view.go
@@ -13,7 +13,8 @@
 	Commit    int64
 	Last      int64
 	Roster    []string
-	Lag       int64 // entries that the slowest voter misses; owners only
+	Lag       int64    // entries that the slowest voter misses; owners only
+	Whole     []string // voters with all that was committed when the last round began; owners only
 	Confirmed time.Duration
 	IsSure    bool // Confirmed holds: reads as of then are safe
 }
@@ -31,9 +32,24 @@
 			v.Lag = max(v.Lag, g.last()-p.match)
 		}
 	}
+	if g.role == Owner {
+		v.Whole = g.whole()
+	}
 	return v
 }
 
+// whole gives the voters whose synced log has all that was committed when the
+// owner's last round began, and that answered one of the last rounds.
+func (g *Group) whole() []string {
+	out := []string{}
+	for _, m := range Voters(g.roster()) {
+		if g.answers(m) && g.matchOf(m) >= g.pulseCommit {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Silence tells for how long an owner has not heard of a store that holds the
 // group: since it owns it where the store never answered.
 func (g *Group) Silence(name string, now time.Duration) time.Duration {
--- a/internal/manager/ages.go
+++ b/internal/manager/ages.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -10,13 +11,16 @@
 	"caperwheel/internal/wire"
 )
 
-// ages tell for how long this manager has seen each cell's mark, by its own
-// clock: an order that comes again soon is the same order, sent again.
+// ages tell for how long this manager has seen each mark of a cell or store, by
+// its own clock, and for how long the same stores. An order about a cell that comes
+// again soon is the same order, sent again.
 type ages struct {
 	bounds beat.Bounds
 
-	mu   sync.Mutex
-	seen map[string]seenMark
+	mu       sync.Mutex
+	seen     map[string]seenMark
+	stores   []string
+	storesAt time.Duration // since when these
 }
 
 type seenMark struct {
@@ -25,16 +29,19 @@
 }
 
 // look notes the marks of the view; done with each beat of the feed.
-func (a *ages) look(view *feed.View, now time.Duration) {
+func (a *ages) look(view *feed.View, stores []wire.Who, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.noteStores(stores, now)
 	next := map[string]seenMark{}
-	for _, c := range view.Keys(charter.CellKey) {
-		was, isKnown := a.seen[c.Key]
-		if !isKnown || was.stamp != c.Stamp {
-			was = seenMark{c.Stamp, now}
+	for _, prefix := range []string{charter.CellKey, charter.StoreKey} {
+		for _, c := range view.Keys(prefix) {
+			was, isKnown := a.seen[c.Key]
+			if !isKnown || was.stamp != c.Stamp {
+				was = seenMark{c.Stamp, now}
+			}
+			next[c.Key] = was
 		}
-		next[c.Key] = was
 	}
 	a.seen = next
 }
@@ -46,3 +53,23 @@
 	was, isKnown := a.seen[c.Key]
 	return !isKnown || was.stamp != c.Stamp || now-was.at < a.bounds.Charter
 }
+
+// noteStores notes since when the same stores have been members.
+func (a *ages) noteStores(stores []wire.Who, now time.Duration) {
+	names := []string{}
+	for _, who := range stores {
+		names = append(names, who.Name)
+	}
+	slices.Sort(names)
+	if a.stores == nil || !slices.Equal(names, a.stores) {
+		a.stores, a.storesAt = names, now
+	}
+}
+
+// storesSettled: the same stores have been members for a bound.
+func (a *ages) storesSettled(stores []wire.Who, now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.noteStores(stores, now)
+	return now-a.storesAt >= a.bounds.Charter
+}
--- a/internal/manager/marks_test.go
+++ b/internal/manager/marks_test.go
@@ -7,8 +7,6 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
-	"caperwheel/internal/wire"
 )
 
 // TestMarks is the table of what stands at a cell's key after operators' calls.
@@ -64,43 +62,3 @@
 		}
 	})
 }
-
-// TestRetire is the table of which stores may be retired.
-func TestRetire(t *testing.T) {
-	cases := []struct {
-		name  string
-		calls []string
-		kind  mishap.Kind
-	}{
-		{"one of four", []string{"s1"}, ""},
-		{"the same again", []string{"s1", "s1"}, ""},
-		{"two of four, for three copies", []string{"s1", "s2"}, mishap.Rejected},
-		{"one that is not here", []string{"s9"}, mishap.Unknown},
-	}
-	Convey("Retiring", t, func() {
-		for _, c := range cases {
-			Convey(c.name, func() {
-				m, _ := newFake()
-				var err error
-				for _, name := range c.calls {
-					_, err = m.operators.Retire(context.Background(), "x", name, 0)
-				}
-				if c.kind == "" {
-					So(err, ShouldBeNil)
-					return
-				}
-				So(mishap.KindOf(err), ShouldEqual, c.kind)
-			})
-		}
-	})
-	Convey("A retirement is not done while a group has no owner with all copies", t, func() {
-		m, _ := newFake()
-		m.d.Settings.Places = 1
-		So(m.isAllOwned(), ShouldBeFalse)
-		owns := []wire.Owned{{Group: 0, Size: 3}, {Group: 1, Size: 3}}
-		m.registry.Hear(wire.Member{Who: wire.Who{Name: "s1", Kind: "store"}, Owns: owns}, m.d.Now(), true)
-		So(m.isAllOwned(), ShouldBeFalse)
-		m.d.Settings.Places = 0
-		So(m.isAllOwned(), ShouldBeTrue)
-	})
-}
--- a/internal/manager/operators_test.go
+++ b/internal/manager/operators_test.go
@@ -28,10 +28,26 @@
 	before  func(e *wire.Edit)
 	edits   []wire.Edit
 	view    *feed.View
-	isBlind bool // the view hears nothing
+	isBlind bool         // the view hears nothing
+	retired wire.Retired // what each store tells of its groups, but their number
+	holders []string     // of every group; all told of by the first store
+	groups  int64
 }
 
-func (f *fakeParts) call(_ context.Context, _ string, ask any) (any, error) {
+// tellGroups answers a question about a retirement: the first store owns all
+// groups, the others own none.
+func (f *fakeParts) tellGroups(addr string) *wire.Retired {
+	out := &wire.Retired{IsKnown: f.retired.IsKnown}
+	for group := range f.groups {
+		if addr == "s1" {
+			g := wire.Standing{Group: group, Term: 1, Stores: f.holders, Whole: int64(len(f.holders))}
+			out.Groups = append(out.Groups, g)
+		}
+	}
+	return out
+}
+
+func (f *fakeParts) call(_ context.Context, addr string, ask any) (any, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch a := ask.(type) {
@@ -56,6 +72,9 @@
 		}
 		return &got, nil
 	}
+	if _, isRetire := ask.(*wire.Retire); isRetire {
+		return f.tellGroups(addr), nil
+	}
 	return nil, mishap.New(mishap.Lost, "session")
 }
 
@@ -85,7 +104,7 @@
 	d.Settings.Parts, d.Settings.Founders = 1, 3
 	members := []wire.Member{{Who: d.Who}}
 	for i := range 4 {
-		members = append(members, wire.Member{Who: wire.Who{Name: "s" + strconv.Itoa(i+1), Kind: "store", Cell: "a"}})
+		members = append(members, wire.Member{Who: wire.Who{Name: "s" + strconv.Itoa(i+1), Kind: "store", Cell: "a", Addr: "s" + strconv.Itoa(i+1)}})
 	}
 	d.Roll.Take("x", members)
 	m := &Manager{d: d, scenes: &charter.Scenes{View: view}, registry: session.NewRegistry(time.Hour)}
--- /dev/null
+++ b/internal/manager/retire.go
@@ -0,0 +1,162 @@
+package manager
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/charter"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// Retire asks that all be moved off a store. span is for the log alone: the
+// move takes what it takes.
+//
+// The retirement is admitted by a compare and set on the list of all retirements,
+// so that of two asked for at once the second is weighed with the first. It is
+// rejected only where too few stores would be left even once all that are away have
+// come back; while they are away it is put off.
+func (o *Operators) Retire(ctx context.Context, by, name string, span time.Duration) (int64, error) {
+	if err := checkSubject(name); err != nil {
+		return 0, err
+	}
+	for ctx.Err() == nil {
+		admitted, stamp, err := o.retirements(ctx)
+		if err != nil {
+			return 0, err
+		}
+		if !admitted.Has(name) && !o.m.scenes.Now().Retired[name] {
+			if err := o.weigh(ctx, name, admitted); err != nil {
+				return 0, err
+			}
+			_, err := o.writeRetirements(ctx, by, admitted.With(name), stamp)
+			if mishap.Is(err, mishap.Conflict) {
+				continue // another one was admitted or taken back: weigh it with this one
+			}
+			if err != nil {
+				return 0, err
+			}
+			klog.Infof("retire: Store %s is to be emptied within %v.", name, span)
+		}
+		return o.markRetired(ctx, by, name)
+	}
+	return 0, mishap.New(mishap.Undecided, "the change may or may not hold; read it back")
+}
+
+// markRetired tells all daemons of a retirement that was admitted. One that stands
+// is left as it is, so that an order sent again does not make it look new.
+func (o *Operators) markRetired(ctx context.Context, by, name string) (int64, error) {
+	standing, err := o.m.pull(ctx, feed.CharterPart, charter.StoreKey+name)
+	switch {
+	case err == nil:
+		return standing.Stamp, nil
+	case !mishap.Is(err, mishap.Unknown):
+		return 0, err
+	}
+	return o.mark(ctx, by, charter.StoreKey+name, charter.Mark{}, -1)
+}
+
+// Unretire takes a retirement back.
+func (o *Operators) Unretire(ctx context.Context, by, name string) (int64, error) {
+	if err := checkSubject(name); err != nil {
+		return 0, err
+	}
+	for ctx.Err() == nil {
+		admitted, stamp, err := o.retirements(ctx)
+		if err != nil {
+			return 0, err
+		}
+		if admitted.Has(name) {
+			_, err := o.writeRetirements(ctx, by, admitted.Without(name), stamp)
+			if mishap.Is(err, mishap.Conflict) {
+				continue
+			}
+			if err != nil {
+				return 0, err
+			}
+		}
+		return o.unmark(ctx, by, charter.StoreKey+name)
+	}
+	return 0, mishap.New(mishap.Undecided, "the change may or may not hold; read it back")
+}
+
+// retirements reads which were admitted, through a majority, and the stamp to
+// build on.
+func (o *Operators) retirements(ctx context.Context) (charter.Retirements, int64, error) {
+	c, err := o.m.pull(ctx, feed.CharterPart, charter.RetirementsKey)
+	if mishap.Is(err, mishap.Unknown) {
+		c, err = wire.Change{}, nil
+	}
+	if err != nil {
+		return charter.Retirements{}, 0, err
+	}
+	admitted, err := charter.ReadRetirements(c.Value)
+	return admitted, c.Stamp, err
+}
+
+func (o *Operators) writeRetirements(ctx context.Context, by string, r charter.Retirements, onStamp int64) (int64, error) {
+	return o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: charter.RetirementsKey, Value: r.Encode(), IfStamp: onStamp, By: by})
+}
+
+// weigh tells whether a store may be retired besides those that are.
+func (o *Operators) weigh(ctx context.Context, name string, admitted charter.Retirements) error {
+	m := o.m
+	for marked := range m.scenes.Now().Retired { // also those that an older build admitted
+		admitted = admitted.With(marked)
+	}
+	here, holding := []string{}, []string{}
+	for _, who := range m.d.Roll.Kind("store") {
+		here = append(here, who.Name)
+	}
+	for _, g := range o.standings(ctx, name).groups {
+		holding = append(holding, g.Stores...)
+	}
+	if !slices.Contains(here, name) && !slices.Contains(holding, name) {
+		return m.unknown("store", name)
+	}
+	present, known := remaining(here, name, admitted), remaining(append(here, holding...), name, admitted)
+	switch {
+	case present >= m.copies():
+		return nil
+	case known >= m.copies():
+		return mishap.New(mishap.Stale, "%d stores would be left, and %d copies are needed; %d are away", known, m.copies(), known-present)
+	case !m.knowsStores():
+		return mishap.New(mishap.Stale, "this manager does not know all daemons yet")
+	}
+	return mishap.New(mishap.Rejected, "%d stores would be left for %d copies", known, m.copies())
+}
+
+// remaining counts the stores that are left without one and without those that are
+// retired.
+func remaining(stores []string, without string, admitted charter.Retirements) int {
+	counted := map[string]bool{}
+	for _, name := range stores {
+		if name != without && !admitted.Has(name) {
+			counted[name] = true
+		}
+	}
+	return len(counted)
+}
+
+// copies is how many stores hold each group.
+func (m *Manager) copies() int { return m.d.Settings.Replicas() }
+
+// knowsStores tells whether this manager can say who is not here: its view is
+// fresh, and no store has come or gone for so long that one which has just begun
+// would have been seen.
+func (m *Manager) knowsStores() bool {
+	return m.d.IsFresh() && m.ages.storesSettled(m.d.Roll.Kind("store"), m.d.Now())
+}
+
+// unknown says that there is no such thing, if this manager can know.
+func (m *Manager) unknown(kind, subject string) error {
+	if !m.d.IsFresh() || m.d.Now() < m.d.Bounds.Of(beat.Gone) {
+		return mishap.New(mishap.Stale, "this manager does not know all daemons yet")
+	}
+	return mishap.New(mishap.Unknown, "no %s %s is here", kind, subject)
+}
--- /dev/null
+++ b/internal/manager/retire_test.go
@@ -0,0 +1,132 @@
+package manager
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// settleStores has a manager see the same stores for a bound.
+func settleStores(m *Manager) {
+	m.ages.bounds = m.d.Bounds
+	m.ages.noteStores(m.d.Roll.Kind("store"), m.d.Now()-m.d.Bounds.Charter)
+}
+
+// TestRetire is the table of which stores may be retired. newFake has s1 to s4.
+func TestRetire(t *testing.T) {
+	another := func(name string) func(*fakeParts) { // another manager admits one at the same time
+		return func(f *fakeParts) {
+			f.before = func(*wire.Edit) {
+				f.part(0).Apply(wire.Edit{Key: charter.RetirementsKey, Value: charter.Retirements{Stores: []string{name}}.Encode(), IfStamp: -1})
+			}
+		}
+	}
+	cases := []struct {
+		name      string
+		given     func(*fakeParts)
+		isSettled bool
+		calls     []string
+		kind      mishap.Kind
+	}{
+		{"one of four", nil, true, []string{"s1"}, ""},
+		{"the same again", nil, true, []string{"s1", "s1"}, ""},
+		{"two of four, for three copies", nil, true, []string{"s1", "s2"}, mishap.Rejected},
+		{"two of four at two managers at once", another("s2"), true, []string{"s1"}, mishap.Rejected},
+		{"the same at two managers at once", another("s1"), true, []string{"s1"}, ""},
+		{"one that is not here", nil, true, []string{"s9"}, mishap.Unknown},
+		{"one that is away, but holds groups", func(f *fakeParts) { f.groups, f.holders = 1, []string{"s1", "s2", "s9"} }, true, []string{"s9"}, ""},
+		{"two, while a fifth store is away", func(f *fakeParts) { f.groups, f.holders = 1, []string{"s1", "s2", "s9"} }, true, []string{"s3", "s4"}, mishap.Stale},
+		{"too many, by a manager that has just seen stores come or go", nil, false, []string{"s1", "s2"}, mishap.Stale},
+	}
+	Convey("Retiring", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				m, f := newFake()
+				m.ages.bounds = m.d.Bounds
+				if c.isSettled {
+					settleStores(m)
+				}
+				if c.given != nil {
+					c.given(f)
+				}
+				var err error
+				for _, name := range c.calls {
+					_, err = m.operators.Retire(context.Background(), "x", name, 0)
+				}
+				if c.kind == "" {
+					So(err, ShouldBeNil)
+					_, isMarked := f.part(0).Get(charter.StoreKey + c.calls[0])
+					So(isMarked, ShouldBeTrue)
+					return
+				}
+				So(mishap.KindOf(err), ShouldEqual, c.kind)
+			})
+		}
+		Convey("and taking it back leaves room for another", func() {
+			m, f := newFake()
+			settleStores(m)
+			for _, call := range []func(context.Context, string, string) (int64, error){
+				func(ctx context.Context, by, name string) (int64, error) { return m.operators.Retire(ctx, by, name, 0) }, m.operators.Unretire} {
+				_, err := call(context.Background(), "x", "s1")
+				So(err, ShouldBeNil)
+			}
+			_, isMarked := f.part(0).Get(charter.StoreKey + "s1")
+			So(isMarked, ShouldBeFalse)
+			_, err := m.operators.Retire(context.Background(), "x", "s2", 0)
+			So(err, ShouldBeNil)
+		})
+	})
+}
+
+// TestRetirement is the table of when a store may be taken away. It was once told
+// from hints: from the stores that happened to be here, and from the largest roster
+// that any of them had last spoken of.
+func TestRetirement(t *testing.T) {
+	whole := func(f *fakeParts) {
+		f.groups, f.holders, f.retired.IsKnown = 3, []string{"s1", "s2", "s3"}, true
+	}
+	cases := []struct {
+		name   string
+		change func(*fakeParts)
+		isLate bool // the retirement has stood for a bound
+		isDone bool
+	}{
+		{"every group stands whole on others", func(*fakeParts) {}, true, true},
+		{"the retirement may not be known everywhere yet", func(*fakeParts) {}, false, false},
+		{"a group has no confirmed owner", func(f *fakeParts) { f.groups-- }, true, false},
+		{"a group still stands on it", func(f *fakeParts) { f.holders = []string{"s1", "s2", "s3", "s4"} }, true, false},
+		{"a group lacks a whole copy", func(f *fakeParts) { f.holders = []string{"s1", "s2"} }, true, false},
+		{"an owner does not know of the retirement", func(f *fakeParts) { f.retired.IsKnown = false }, true, false},
+	}
+	Convey("A store's retirement, where", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				m, f := newFake()
+				settleStores(m)
+				whole(f)
+				m.d.Settings.Places = 1
+				stamp, err := m.operators.Retire(context.Background(), "x", "s4", 0)
+				So(err, ShouldBeNil)
+				c.change(f)
+				if c.isLate {
+					m.ages.seen = map[string]seenMark{charter.StoreKey + "s4": {stamp, m.d.Now() - m.d.Bounds.Charter}}
+				}
+				got, err := m.operators.Retirement(context.Background(), "s4")
+				So(err, ShouldBeNil)
+				So(got.IsRetired, ShouldBeTrue)
+				So(got.IsDone, ShouldEqual, c.isDone)
+			})
+		}
+	})
+	Convey("Of two words about one group that of the newer term counts", t, func() {
+		s := standings{map[int64]wire.Standing{}, true}
+		s.take(&wire.Retired{IsKnown: true, Groups: []wire.Standing{{Group: 1, Term: 5, Whole: 2}}})
+		s.take(&wire.Retired{IsKnown: true, Groups: []wire.Standing{{Group: 1, Term: 4, Whole: 3}}})
+		So(s.least(), ShouldEqual, 2)
+	})
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -109,3 +109,30 @@
 	}
 	return r.Node.Peer(r.Link, who.Addr).Call(ctx, ask)
 }
+
+// All asks several daemons at once and gives the answers of those that answered.
+// Where Call is given they are asked one after another, on the caller's goroutine.
+func (r *Reach) All(ctx context.Context, whom []wire.Who, ask any) []any {
+	answers := make(chan any, len(whom))
+	for _, who := range whom {
+		one := func() {
+			reply, err := r.one(ctx, who, ask)
+			if err != nil {
+				reply = nil
+			}
+			answers <- reply
+		}
+		if r.Call != nil {
+			one()
+		} else {
+			go one()
+		}
+	}
+	out := []any{}
+	for range whom {
+		if reply := <-answers; reply != nil {
+			out = append(out, reply)
+		}
+	}
+	return out
+}
--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -129,7 +129,7 @@
 		s.withPart(m.Part, func(p *PartHost) { p.Pull(m.Key, now, answer) },
 			func(kind mishap.Kind) { answer(&wire.Pulled{Kind: string(kind), Change: wire.Change{Value: []byte{}}}) })
 	case *wire.Retire:
-		answer(s.retired(m.Store))
+		go func() { answer(s.standings(m.Store, now)) }() // it waits for a majority
 	}
 }
 
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -1,8 +1,6 @@
 package store
 
 import (
-	"slices"
-
 	"caperwheel/internal/group"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
@@ -112,15 +110,3 @@
 
 // copies is how many replicas a group should have.
 func (s *Store) copies() int { return s.d.Settings.Replicas() }
-
-// retired tells in how many groups held here a store still stands.
-func (s *Store) retired(name string) *wire.Retired {
-	out := &wire.Retired{}
-	for _, id := range s.groupIds() {
-		v := s.hostOf(id).View()
-		if v.Role == group.Owner && slices.ContainsFunc(v.Roster, func(m string) bool { return group.Name(m) == name }) {
-			out.Left++
-		}
-	}
-	return out
-}
--- /dev/null
+++ b/internal/store/standings.go
@@ -0,0 +1,54 @@
+package store
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/group"
+	"caperwheel/internal/wire"
+)
+
+// standings tells how the groups owned here stand without a store. Only groups
+// whose ownership a majority has confirmed since the ask came are told of: an
+// owner that was replaced meanwhile knows an old roster.
+func (s *Store) standings(without string, askedAt time.Duration) *wire.Retired {
+	out := &wire.Retired{Groups: []wire.Standing{}, IsKnown: s.d.IsFresh() && s.scenes.Now().Retired[without]}
+	until := askedAt + s.d.Bounds.Of(beat.Vote)
+	waiting := s.groupIds()
+	for {
+		left := []int64{}
+		for _, id := range waiting {
+			v := s.hostOf(id).View()
+			switch {
+			case v.Role != group.Owner:
+			case !v.IsSure || v.Confirmed < askedAt:
+				left = append(left, id)
+			default:
+				out.Groups = append(out.Groups, standing(id, v, without))
+			}
+		}
+		if waiting = left; len(waiting) == 0 || s.d.Now() > until {
+			break
+		}
+		beat.Wait(context.Background(), s.d.Bounds.Of(beat.Pulse)/4)
+	}
+	for _, g := range out.Groups {
+		if slices.Contains(g.Stores, without) {
+			out.Left++
+		}
+	}
+	return out
+}
+
+// standing tells how a group stands without a store.
+func standing(id int64, v group.View, without string) wire.Standing {
+	out := wire.Standing{Group: id, Term: v.Term, Stores: names(v.Roster)}
+	for _, member := range v.Whole {
+		if group.Name(member) != without {
+			out.Whole++
+		}
+	}
+	return out
+}
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -3,9 +3,10 @@
 // Version is the newest wire version this build speaks; Oldest the oldest.
 // Both ends of a session use the lower of their newest versions. Version 2 has
 // Look.Wait; version 3 has messages that come as they are (Head), delays, and
-// whom to tell of an end.
+// whom to tell of an end; version 4 has the groups that an answer about a
+// retirement was confirmed for.
 const (
-	Version int64 = 3
+	Version int64 = 4
 	Oldest  int64 = 1
 )
 
@@ -150,13 +151,28 @@
 	Change Change `avro:"change"`
 }
 
-// Retire asks a store's groups to take a store out of their rosters.
+// Retire asks a store which of the groups that it owns stand on a store that is to
+// be emptied.
 type Retire struct {
 	Store string `avro:"store"`
 }
 
-// Retired tells in how many of the asked store's groups it still stands.
+// Retired tells in how many of the asked store's groups it still stands, and of
+// each group whose ownership a majority has confirmed since the ask came how it
+// stands. IsKnown says that the asked store knows of the retirement.
 type Retired struct {
-	Left int64  `avro:"left"`
-	Text string `avro:"text"`
+	Left    int64      `avro:"left"`
+	Text    string     `avro:"text"`
+	IsKnown bool       `avro:"known" since:"4"`
+	Groups  []Standing `avro:"groups" since:"4"`
+}
+
+// Standing is how one group stands, as its owner sees it: the stores in its
+// roster, and how many of them, without the one that was asked about, have all
+// that was committed when the owner's last round began.
+type Standing struct {
+	Group  int64    `avro:"group"`
+	Term   int64    `avro:"term"`
+	Stores []string `avro:"stores"`
+	Whole  int64    `avro:"whole"`
 }
