--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -97,7 +97,7 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, 10*beat.Default.Charter)
 	defer cancel()
-	lags := []lag{}
+	var lags []lag
 	for {
 		var got Reached
 		if err := ask(ctx, pack, "/ledger", &got); err != nil {
--- a/internal/scale/size_test.go
+++ b/internal/scale/size_test.go
@@ -169,9 +169,9 @@
 			}
 			held := heap() - before
 			var image []byte
-			made, read, began := time.Duration(0), time.Duration(0), time.Now()
+			made, read := time.Duration(0), time.Duration(0)
 			for b.Loop() {
-				began = time.Now()
+				began := time.Now()
 				image = m.Image()
 				made += time.Since(began)
 				began = time.Now()
