Group number of places and checksum of bodies: from store down to wire

intake and deliver imported the whole store for PlaceGroup and SumOf, and cmd and manager for PlaceGroup. Both now stand in wire, which all of them import already. No behaviour changes. Neither intake nor deliver depends on store now.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,7 +10,6 @@
 	"caperwheel/internal/deliver"
 	"caperwheel/internal/intake"
 	"caperwheel/internal/mishap"
-	"caperwheel/internal/store"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 	"caperwheel/platform"
@@ -47,7 +46,7 @@
 			return false, string(mishap.Stale)
 		case !scenes.Now().MayWork(d.Who.Cell):
 			return false, "the cell is being emptied"
-		case !d.Roll.HasOwner(store.PlaceGroup):
+		case !d.Roll.HasOwner(wire.PlaceGroup):
 			return false, "no place can be reached"
 		}
 		return true, ""
--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -11,7 +11,6 @@
 	"caperwheel/internal/reach"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/session"
-	"caperwheel/internal/store"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 	"caperwheel/platform"
@@ -48,6 +47,6 @@
 	})
 	go client.Run(context.Background())
 	home := &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink}
-	go keeper.HandOver(context.Background(), home, func(place int64) int64 { return store.PlaceGroup + place }, d.Now)
+	go keeper.HandOver(context.Background(), home, func(place int64) int64 { return wire.PlaceGroup + place }, d.Now)
 	d.Serve(nil)
 }
--- a/internal/deliver/deliver_test.go
+++ b/internal/deliver/deliver_test.go
@@ -17,7 +17,6 @@
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/path"
-	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
 )
 
@@ -96,7 +95,7 @@
 				}
 				a := scenery(address)
 				body := []byte("body")
-				r := &run{Run: wire.Run{Id: "0-x", Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: store.SumOf(body), Bound: 50},
+				r := &run{Run: wire.Run{Id: "0-x", Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: wire.SumOf(body), Bound: 50},
 					worker: NewWorker(charter.Pool{Concurrency: 8}, 0, 0)}
 				if c.isWait {
 					r.Key = "k"
--- a/internal/deliver/meet_test.go
+++ b/internal/deliver/meet_test.go
@@ -7,7 +7,6 @@
 
 	"caperwheel/internal/charter"
 	"caperwheel/internal/head"
-	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
 )
 
@@ -17,7 +16,7 @@
 	a := scenery(address)
 	a.manner = manner
 	body := []byte("body")
-	return a.deliver(&run{Run: wire.Run{Id: "0-x", Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: store.SumOf(body),
+	return a.deliver(&run{Run: wire.Run{Id: "0-x", Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: wire.SumOf(body),
 		Head: kept.Encode(), Bound: 50}, worker: NewWorker(charter.Pool{Concurrency: 8}, 0, 0)})
 }
 
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -13,7 +13,6 @@
 	"caperwheel/internal/path"
 	"caperwheel/internal/place"
 	"caperwheel/internal/repair"
-	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
 )
 
@@ -108,7 +107,7 @@
 	}
 	for turn := 0; a.ctx.Err() == nil; turn++ {
 		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(beat.Settle))
-		_, err := a.reach.Group(ctx, store.PlaceGroup+r.Place, o, repair.Home)
+		_, err := a.reach.Group(ctx, wire.PlaceGroup+r.Place, o, repair.Home)
 		cancel()
 		if err == nil {
 			break
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -18,7 +18,6 @@
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
 	"caperwheel/internal/place"
-	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
 )
 
@@ -88,7 +87,7 @@
 			return nil
 		},
 		path.Whole: func(_ path.Step, e *delivery) error {
-			if store.SumOf(e.run.Body) != e.run.Sum {
+			if wire.SumOf(e.run.Body) != e.run.Sum {
 				return mishap.New(mishap.Broken, "the bytes do not match their checksum")
 			}
 			return nil
@@ -152,7 +151,7 @@
 		return refused(e.outcome, raw)
 	}
 	p := &e.outcome.Proof
-	p.Status, p.Ctype, p.Answer, p.Sum = int64(raw.StatusCode), raw.Header.Get("Content-Type"), answer, store.SumOf(answer)
+	p.Status, p.Ctype, p.Answer, p.Sum = int64(raw.StatusCode), raw.Header.Get("Content-Type"), answer, wire.SumOf(answer)
 	return nil
 }
 
--- a/internal/intake/ask.go
+++ b/internal/intake/ask.go
@@ -11,7 +11,6 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/place"
-	"caperwheel/internal/store"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
@@ -67,7 +66,7 @@
 	if err == nil && isWithBody && s.State == string(place.Tomb) {
 		return nil, mishap.New(mishap.Unknown, "the message was not taken")
 	}
-	if err == nil && isWithBody && store.SumOf(s.Body) != s.Sum {
+	if err == nil && isWithBody && wire.SumOf(s.Body) != s.Sum {
 		return nil, mishap.New(mishap.Broken, "the bytes do not match their checksum")
 	}
 	return s, err
@@ -75,7 +74,7 @@
 
 // isDropped: the lane does not keep the bytes of what succeeded.
 func isDropped(s *wire.Sight) bool {
-	return s.State == string(place.Ended) && len(s.Body) == 0 && s.Sum != store.SumOf(nil)
+	return s.State == string(place.Ended) && len(s.Body) == 0 && s.Sum != wire.SumOf(nil)
 }
 
 // look asks the owner of the message's place.
@@ -86,7 +85,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, in.d.Bounds.Charter)
 	defer cancel()
-	reply, err := in.reach.Group(ctx, store.PlaceGroup+number, &wire.Look{Place: number, Id: id, Body: isWithBody,
+	reply, err := in.reach.Group(ctx, wire.PlaceGroup+number, &wire.Look{Place: number, Id: id, Body: isWithBody,
 		Wait: int64(wait / time.Millisecond)}, isOwner)
 	if err != nil {
 		return nil, mishap.New(mishap.Lost, "the message's place cannot be reached")
@@ -185,7 +184,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, in.d.Bounds.Charter)
 	defer cancel()
-	reply, err := in.reach.Group(ctx, store.PlaceGroup+number, &wire.Settle{Place: number, Id: id}, isOwner)
+	reply, err := in.reach.Group(ctx, wire.PlaceGroup+number, &wire.Settle{Place: number, Id: id}, isOwner)
 	if err != nil {
 		return nil, mishap.New(mishap.Lost, "the message's place cannot be reached")
 	}
--- a/internal/intake/hold.go
+++ b/internal/intake/hold.go
@@ -5,7 +5,6 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/mishap"
-	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
 )
 
@@ -35,7 +34,7 @@
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(e.ctx), in.d.Bounds.Of(beat.Settle)*2)
 		defer cancel()
 		ask := &wire.Settle{Place: e.take.Place, Id: e.take.Id, Lane: e.lane.Name}
-		if reply, err := in.reach.Group(ctx, store.PlaceGroup+e.take.Place, ask, isOwner); err == nil {
+		if reply, err := in.reach.Group(ctx, wire.PlaceGroup+e.take.Place, ask, isOwner); err == nil {
 			if e.taken = reply.(*wire.Taken); e.taken.Kind == string(mishap.Rejected) {
 				return cause
 			}
@@ -79,7 +78,7 @@
 // taken has its word.
 func (in *Intake) ask(ctx context.Context, owners owners, e *errand) (isHeld, isOpen bool, cause error) {
 	e.taken = nil
-	reply, isOpen, err := owners.Ask(ctx, store.PlaceGroup+e.take.Place, &e.take, isOwner)
+	reply, isOpen, err := owners.Ask(ctx, wire.PlaceGroup+e.take.Place, &e.take, isOwner)
 	if err != nil {
 		return false, isOpen, mishap.New(mishap.NotOwner, "the message's place cannot be reached")
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -16,7 +16,6 @@
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
 	"caperwheel/internal/reach"
-	"caperwheel/internal/store"
 	"caperwheel/internal/web"
 	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
@@ -123,7 +122,7 @@
 	}
 	token := daemon.Random(12)
 	if t.Idem != "" {
-		token = "k" + store.SumOf([]byte(t.Lane + "\x00" + t.Key + "\x00" + t.Idem))[:24]
+		token = "k" + wire.SumOf([]byte(t.Lane + "\x00" + t.Key + "\x00" + t.Idem))[:24]
 	}
 	t.Id = strconv.FormatInt(t.Place, 10) + "-" + token
 }
--- a/internal/intake/manner.go
+++ b/internal/intake/manner.go
@@ -9,7 +9,6 @@
 	"caperwheel/internal/head"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
-	"caperwheel/internal/store"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
@@ -78,7 +77,7 @@
 		return err
 	}
 	e.cutoff = arrival.Cutoff
-	e.take = wire.Take{Lane: e.lane.Name, Head: arrival.Head.Encode(), Body: body, Sum: store.SumOf(body),
+	e.take = wire.Take{Lane: e.lane.Name, Head: arrival.Head.Encode(), Body: body, Sum: wire.SumOf(body),
 		Delay: arrival.Delay.Milliseconds()}
 	if err := in.findWay(e, r); err != nil { // a body may take long to come
 		return err
--- a/internal/intake/manners_test.go
+++ b/internal/intake/manners_test.go
@@ -12,7 +12,6 @@
 	"caperwheel/internal/head"
 	"caperwheel/internal/intake"
 	"caperwheel/internal/mishap"
-	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
 	"caperwheel/platform"
 )
@@ -77,7 +76,7 @@
 							kept, err := head.Decode(takes()[0].Head)
 							So(err, ShouldBeNil)
 							So([]string{kept.Method, kept.Target, kept.Host}, ShouldResemble, []string{"POST", c.target, "x.example"})
-							So(takes()[0].Sum, ShouldEqual, store.SumOf([]byte(c.body)))
+							So(takes()[0].Sum, ShouldEqual, wire.SumOf([]byte(c.body)))
 						}
 					})
 				}
@@ -97,7 +96,7 @@
 
 // TestAskers is the table of what the platform's askers hear of a message.
 func TestAskers(t *testing.T) {
-	body, sum := []byte("body"), store.SumOf([]byte("body"))
+	body, sum := []byte("body"), wire.SumOf([]byte("body"))
 	cases := []struct {
 		name, path string
 		sight      wire.Sight
@@ -114,7 +113,7 @@
 		{"out of reach", "/v1/message/1-x", wire.Sight{Kind: "undecided"}, 503, ""},
 		{"no id of ours", "/v1/message/x", wire.Sight{State: "held"}, 404, ""},
 		{"held, for its bytes", "/v1/message-body/1-x", wire.Sight{State: "held", Body: body, Sum: sum}, 200, "body"},
-		{"held, without bytes", "/v1/message-body/1-x", wire.Sight{State: "held", Sum: store.SumOf(nil)}, 200, ""},
+		{"held, without bytes", "/v1/message-body/1-x", wire.Sight{State: "held", Sum: wire.SumOf(nil)}, 200, ""},
 		{"failed, for its bytes", "/v1/message-body/1-x", wire.Sight{State: "failed", Body: body, Sum: sum}, 200, "body"},
 		{"held, and its bytes are broken", "/v1/message-body/1-x", wire.Sight{State: "held", Body: []byte("bodY"), Sum: sum}, 503, ""},
 		{"ended, and its bytes have gone", "/v1/message-body/1-x", wire.Sight{State: "ended", Sum: sum}, 404, ""},
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -11,7 +11,6 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
-	"caperwheel/internal/store"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
@@ -88,7 +87,7 @@
 	if strings.HasPrefix(ctype, "application/json") && !isJson(body) {
 		return mishap.New(mishap.Invalid, "the body says that it is JSON and is not")
 	}
-	e.take.Body, e.take.Sum = body, store.SumOf(body)
+	e.take.Body, e.take.Sum = body, wire.SumOf(body)
 	return in.findLane(e) // a body may take long to come
 }
 
--- a/internal/manager/marks.go
+++ b/internal/manager/marks.go
@@ -10,7 +10,6 @@
 	"caperwheel/internal/charter"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/mishap"
-	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
 )
 
@@ -179,7 +178,7 @@
 		}
 	}
 	for number := range int64(m.d.Settings.Places) {
-		if voters[store.PlaceGroup+number] < least {
+		if voters[wire.PlaceGroup+number] < least {
 			return false
 		}
 	}
--- a/internal/manager/status.go
+++ b/internal/manager/status.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"slices"
 
-	"caperwheel/internal/store"
 	"caperwheel/internal/web"
 	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
@@ -71,7 +70,7 @@
 		out.Parts = append(out.Parts, withNumber(groups[number], number))
 	}
 	for number := range int64(m.d.Settings.Places) {
-		out.Places = append(out.Places, withNumber(groups[store.PlaceGroup+number], number))
+		out.Places = append(out.Places, withNumber(groups[wire.PlaceGroup+number], number))
 	}
 	out.Lanes, out.Shares = sorted(scene.Rules.Lanes), scene.Shares
 	for _, name := range sorted(scene.Rules.Pools) {
--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -47,7 +47,7 @@
 		c := place.Command{Kind: place.CmdEnd, Id: e.Id, Proof: o.Proof, Retain: retain, Drop: lane.DropsBytes}
 		if lane.Callback != "" {
 			c.Child = place.Child{Id: p.around.ChildOf(e.Id), Lane: lane.Callback, Ctype: o.Proof.Ctype, Body: o.Proof.Answer,
-				Sum: SumOf(o.Proof.Answer), Parent: e.Id}
+				Sum: wire.SumOf(o.Proof.Answer), Parent: e.Id}
 		}
 		return c
 	}
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -1,8 +1,6 @@
 package store
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"sync/atomic"
 	"time"
 
@@ -224,9 +222,3 @@
 	}
 	return charter.Lane{Name: name, Attempts: 1, SpendsAll: true, Retention: 10 * time.Minute, Backoff: time.Second, BackoffMost: time.Second}, true
 }
-
-// SumOf is the checksum of bytes as callers and workers see it.
-func SumOf(raw []byte) string {
-	sum := sha256.Sum256(raw)
-	return hex.EncodeToString(sum[:])
-}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -24,9 +24,6 @@
 	"caperwheel/internal/wire"
 )
 
-// PlaceGroup is the group id of place 0; parts have the ids from 0 on.
-const PlaceGroup = 1000
-
 // Store is the daemon.
 type Store struct {
 	d        *daemon.Daemon
@@ -80,7 +77,7 @@
 	go s.upkeep(ctx)
 	go s.dispatch.run(ctx)
 	home := &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink}
-	go s.keeper.HandOver(ctx, home, func(place int64) int64 { return PlaceGroup + place }, d.Now)
+	go s.keeper.HandOver(ctx, home, func(place int64) int64 { return wire.PlaceGroup + place }, d.Now)
 	d.Serve(s.leave)
 }
 
@@ -97,7 +94,7 @@
 				s.open(part)
 			}
 			for number := range int64(s.d.Settings.Places) {
-				s.open(PlaceGroup + number)
+				s.open(wire.PlaceGroup + number)
 			}
 		}
 		s.isOpen.Store(true)
@@ -134,12 +131,12 @@
 		Mend:   func() (map[string]string, []string) { return s.mendPlan(groupId) }}
 	var h *host.Host
 	var err error
-	if groupId >= PlaceGroup {
-		p := NewPlaceHost(&around{s}, groupId-PlaceGroup)
+	if groupId >= wire.PlaceGroup {
+		p := NewPlaceHost(&around{s}, groupId-wire.PlaceGroup)
 		opts.Machine = p
 		h, err = host.New(opts)
 		p.host = h
-		s.places[groupId-PlaceGroup] = p
+		s.places[groupId-wire.PlaceGroup] = p
 	} else {
 		p := NewPartHost(&around{s}, groupId)
 		opts.Machine = p
