Every order taken is remembered by the part that took it, not the last 16 in the charter

Cause: the digests of orders stood in the charter itself, the last 16 of them. The 17th later change made the re-send of a taken order a 412. An edit told "conflict" was settled by who wrote the key last, which another change on top of it hides.

Ruled out: a longer list in the charter, which every daemon is fed; a bound by time, since a configuration may be sent again at any time.

Change: an edit carries its order and what it builds on. The part's apply compares, sets and remembers in one committed step, and answers a known order with the stamp that it made. What is forgotten has a floor: an order on a version at or below it gets no clear answer (503) in place of 412. Orders that an older build left in a charter are read, and taken over with the next order; a charter with 16 of them may have forgotten more, and is treated so. Wire version 4; log entries and images with something new are marked, so older builds refuse them. Stores go first in a roll-out.

Tests, seen to fail before: TestPropose, "a repeat after hundreds of newer ones" (conflict: the charter's version is 300) and "lost under a newer one" whose newer one does not carry the digest along (conflict: charter has changed since); that case used to copy the digest by hand. New: TestOrders, TestCalls, TestAges, TestOlderRecords, TestForgottenOrders, TestOneOrderAtOnce. TestEdits of the charter was about writing the list, which is gone; it holds the reading of it.

Conclusion: an order taken is acknowledged again, or left without a clear answer.

--- a/internal/charter/edits.go
+++ b/internal/charter/edits.go
@@ -1,26 +1,26 @@
 package charter
 
 import (
-	"encoding/json"
 	"slices"
 
 	"github.com/tidwall/gjson"
-
-	"caperwheel/internal/mishap"
 )
 
-// mostEdits is how many edits a charter remembers by their digests.
+// mostEdits is how many edits an older build remembered by their digests, in the
+// charter itself. Now the part that holds the charter remembers them.
 const mostEdits = 16
 
 // VersionOf gives the operators' own number of a charter; 0 for none.
 func VersionOf(doc []byte) int64 { return gjson.GetBytes(doc, "version").Int() }
 
-// HasEdit tells whether a charter holds an edit, or was made from one that does.
+// HasEdit tells whether a charter of an older build holds an edit, or was made
+// from one that does.
 func HasEdit(doc []byte, digest string) bool {
-	return digest != "" && slices.Contains(editsOf(doc), digest)
+	return digest != "" && slices.Contains(EditsOf(doc), digest)
 }
 
-func editsOf(doc []byte) []string {
+// EditsOf gives the edits that a charter of an older build remembers.
+func EditsOf(doc []byte) []string {
 	out := []string{}
 	for _, edit := range gjson.GetBytes(doc, "edits").Array() {
 		out = append(out, edit.Str)
@@ -28,18 +28,6 @@
 	return out
 }
 
-// WithEdit gives a document the newest digests of its base and its own.
-func WithEdit(doc, base []byte, digest string) ([]byte, error) {
-	fields := map[string]json.RawMessage{}
-	if err := json.Unmarshal(doc, &fields); err != nil {
-		return nil, mishap.Wrap(err, mishap.Invalid, "charter")
-	}
-	edits := append(editsOf(base), digest)
-	raw, err := json.Marshal(edits[max(0, len(edits)-mostEdits):])
-	if err != nil {
-		return nil, mishap.Wrap(err, mishap.Internal, "edits")
-	}
-	fields["edits"] = raw
-	out, err := json.Marshal(fields)
-	return out, mishap.Wrap(err, mishap.Invalid, "charter")
-}
+// HasForgotten tells whether a charter of an older build may come from edits that
+// it no longer remembers.
+func HasForgotten(doc []byte) bool { return len(EditsOf(doc)) >= mostEdits }
--- a/internal/charter/mark_test.go
+++ b/internal/charter/mark_test.go
@@ -1,7 +1,6 @@
 package charter
 
 import (
-	"strconv"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -40,17 +39,16 @@
 	})
 }
 
-// TestEdits: a charter remembers the last edits, and nothing else of it changes.
+// TestEdits: what an older build remembered of edits, in the charter, is read
+// still, and it is known when it may not have been all.
 func TestEdits(t *testing.T) {
-	Convey("Of twenty edits the last sixteen are remembered", t, func() {
-		doc := []byte(`{"origin":{"x":[1.50,2.0]}}`)
-		for i := range 20 {
-			next, err := WithEdit([]byte(`{"origin":{"x":[1.50,2.0]}}`), doc, strconv.Itoa(i))
-			So(err, ShouldBeNil)
-			doc = next
-		}
+	Convey("Of a charter that an older build made", t, func() {
+		doc := []byte(`{"origin":{"x":[1.50,2.0]},"edits":["4","5","19"]}`)
 		So([]bool{HasEdit(doc, "3"), HasEdit(doc, "4"), HasEdit(doc, "19"), HasEdit(doc, "")}, ShouldResemble, []bool{false, true, true, false})
-		So(string(doc), ShouldContainSubstring, `"origin":{"x":[1.50,2.0]}`)
+		So(EditsOf(doc), ShouldResemble, []string{"4", "5", "19"})
+		So(HasForgotten(doc), ShouldBeFalse)
+		So(HasForgotten([]byte(`{"edits":["1","2","3","4","5","6","7","8","9","10","11","12","13","14","15","16"]}`)), ShouldBeTrue)
+		So(EditsOf([]byte(`{}`)), ShouldBeEmpty)
 		_, faults := Compile(doc)
 		So(faults, ShouldBeEmpty)
 	})
--- /dev/null
+++ b/internal/feed/orders_test.go
@@ -0,0 +1,173 @@
+package feed
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// order is an operators' order on a version, and on the stamp that the last one made.
+func order(p *Part, name string, base int64) wire.Edit {
+	was, _ := p.Get(Remembered)
+	return wire.Edit{Key: Remembered, Value: []byte(name), IfStamp: was.Stamp, Order: name, Base: base}
+}
+
+// chain takes so many orders, one on another: "1" on 0, "2" on 1, …
+func chain(p *Part, from, to int) {
+	for i := from; i < to; i++ {
+		p.Apply(order(p, fmt.Sprint(i+1), int64(i)))
+	}
+}
+
+// TestOrders: an order that was taken is never told that another came first.
+func TestOrders(t *testing.T) {
+	again := func(p *Part, name string, base int64) wire.Edited {
+		return p.Apply(wire.Edit{Key: Remembered, Value: []byte(name), IfStamp: base, Order: name, Base: base})
+	}
+	restored := func(p *Part) *Part {
+		next, err := RestorePart(p.Image())
+		So(err, ShouldBeNil)
+		So(next.Image(), ShouldResemble, p.Image())
+		return next
+	}
+	Convey("Of orders taken one on another,", t, func() {
+		p := NewPart()
+		chain(p, 0, mostOrders)
+		for _, how := range []string{"as they were taken", "out of an image"} {
+			Convey("each is told that it was taken, "+how, func() {
+				if how == "out of an image" {
+					p = restored(p)
+				}
+				for _, i := range []int{1, 2, 17, 500, mostOrders} {
+					So(again(p, fmt.Sprint(i), int64(i-1)), ShouldResemble, wire.Edited{Stamp: int64(i), IsAgain: true})
+				}
+				So(p.Stamp(), ShouldEqual, mostOrders)
+				So(mishap.Kind(again(p, "rival", 3).Kind), ShouldEqual, mishap.Conflict)
+			})
+			Convey("those that are forgotten get no clear answer, "+how, func() {
+				chain(p, mostOrders, mostOrders+10)
+				if how == "out of an image" {
+					p = restored(p)
+				}
+				for i := 1; i <= 10; i++ {
+					So(mishap.Kind(again(p, fmt.Sprint(i), int64(i-1)).Kind), ShouldEqual, mishap.Stale)
+				}
+				So(again(p, "11", 10), ShouldResemble, wire.Edited{Stamp: 11, IsAgain: true})
+				So(mishap.Kind(again(p, "rival", 9).Kind), ShouldEqual, mishap.Stale)
+				So(mishap.Kind(again(p, "rival", 10).Kind), ShouldEqual, mishap.Conflict)
+				So(len(p.orders.byId), ShouldEqual, mostOrders)
+			})
+		}
+		Convey("what became of each can be read", func() {
+			chain(p, mostOrders, mostOrders+1)
+			read := func(name string, base int64) []any {
+				got := p.Read(OrderKey(name, base), 0)
+				return []any{mishap.Kind(got.Kind), got.Change.Stamp}
+			}
+			So(read("7", 6), ShouldResemble, []any{mishap.Kind(""), int64(7)})
+			So(read("1", 0), ShouldResemble, []any{mishap.Stale, int64(0)})
+			So(read("rival", 6), ShouldResemble, []any{mishap.Unknown, int64(0)})
+			So(read("a/b", 6), ShouldResemble, []any{mishap.Unknown, int64(0)})
+		})
+	})
+	Convey("What an older build remembered is taken over, and what it forgot gets no clear answer", t, func() {
+		p := NewPart()
+		p.Apply(wire.Edit{Key: Remembered, Value: []byte(`{"edits":["a","b"]}`)})
+		p.Apply(wire.Edit{Key: Remembered, Value: []byte("c"), IfStamp: 1, Order: "c", Base: 7, Earlier: []string{"a", "b"}})
+		for _, name := range []string{"a", "b", "c"} {
+			So(again(p, name, 5), ShouldResemble, wire.Edited{Stamp: 2, IsAgain: true})
+		}
+		So(mishap.Kind(again(p, "older", 5).Kind), ShouldEqual, mishap.Stale)
+		So(mishap.Kind(again(p, "rival", 7).Kind), ShouldEqual, mishap.Conflict)
+	})
+}
+
+// TestCalls: an edit that a manager sends again holds once.
+func TestCalls(t *testing.T) {
+	call := func(name string, ifStamp int64) wire.Edit {
+		return wire.Edit{Key: "a", Value: []byte(name), IfStamp: ifStamp, Order: name, Base: wire.OneCall}
+	}
+	Convey("An edit of a single call", t, func() {
+		p := NewPart()
+		first, gone := call("first", -1), wire.Edit{Key: "a", Gone: true, IfStamp: -1}
+		So(p.Apply(first).Stamp, ShouldEqual, 1)
+		Convey("does not hold again on any stamp", func() {
+			p.Apply(gone)
+			So(p.Apply(first), ShouldResemble, wire.Edited{Stamp: 1, IsAgain: true})
+			_, isStanding := p.Get("a")
+			So(isStanding, ShouldBeFalse)
+		})
+		Convey("does not hold again on a key that is absent once more", func() {
+			p.Apply(gone)
+			again := call("again", 0)
+			So(p.Apply(again).Stamp, ShouldEqual, 3)
+			p.Apply(gone)
+			So(p.Apply(again), ShouldResemble, wire.Edited{Stamp: 3, IsAgain: true})
+		})
+		Convey("that is forgotten gets no clear answer, and a rival does where nothing is", func() {
+			So(p.Apply(call("second", 1)).Stamp, ShouldEqual, 2)
+			for i := range mostCalls + 1 {
+				p.Apply(call(fmt.Sprint("later ", i), -1))
+			}
+			So(mishap.Kind(p.Apply(call("second", 1)).Kind), ShouldEqual, mishap.Stale)
+			So(mishap.Kind(p.Apply(call("rival", 5)).Kind), ShouldEqual, mishap.Conflict)
+			So(p.Apply(call("newest", int64(mostCalls)+3)).Kind, ShouldBeEmpty)
+		})
+	})
+}
+
+// TestAges: how long ago a change was made is told by the part's own time.
+func TestAges(t *testing.T) {
+	Convey("A change is as old as the part's time says", t, func() {
+		p := NewPart()
+		p.Apply(wire.Edit{Key: "a", Value: []byte{}, Order: "1", Base: wire.OneCall, At: 1000})
+		p.Apply(wire.Edit{Key: "b", Value: []byte{}, Order: "2", Base: wire.OneCall, At: 700}) // part time never goes back
+		p.Apply(wire.Edit{Key: "c", Value: []byte{}})                                          // an older build's
+		for range 2 {
+			So(p.Read("a", 1500).Age, ShouldEqual, 500)
+			So(p.Read("b", 1500).Age, ShouldEqual, 500)
+			So(p.Read("c", 1500).Age, ShouldEqual, int64(math.MaxInt64))
+			So(p.Read("a", 900).Age, ShouldEqual, 0)
+			next, err := RestorePart(p.Image())
+			So(err, ShouldBeNil)
+			So([]int64{p.Clock(), next.Clock()}, ShouldResemble, []int64{1000, 1000})
+			p = next
+		}
+	})
+}
+
+// TestOlderRecords: a record that uses nothing new is as it always was; an older
+// build refuses the others, and what it wrote is read.
+func TestOlderRecords(t *testing.T) {
+	oldEdit, oldImage := wire.NewPlain(&wire.Edit{}), wire.NewPlain(&partImage{})
+	Convey("Between builds,", t, func() {
+		old := edit("a", 3)
+		remembered := wire.Edit{Key: "a", Value: []byte("v"), IfStamp: 3, By: "x", Order: "o", Base: 4, Earlier: []string{"n"}, At: 5}
+		Convey("an edit in the log", func() {
+			So(EncodeEdit(old), ShouldResemble, oldEdit.Encode(&old))
+			got, err := DecodeEdit(oldEdit.Encode(&old))
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, old)
+			got, err = DecodeEdit(EncodeEdit(remembered))
+			So(err, ShouldBeNil)
+			So(got, ShouldResemble, remembered)
+			So(oldEdit.Decode(EncodeEdit(remembered), &wire.Edit{}), ShouldNotBeNil)
+		})
+		Convey("an image", func() {
+			p := NewPart()
+			p.Apply(edit("a", 0))
+			state := partImage{Stamp: 1, Changes: []wire.Change{{Key: "a", Value: []byte("a"), Stamp: 1}}, Past: []wire.Change{}}
+			So(p.Image(), ShouldResemble, oldImage.Encode(&state))
+			read, err := RestorePart(oldImage.Encode(&state))
+			So(err, ShouldBeNil)
+			So(read.Image(), ShouldResemble, p.Image())
+			read.Apply(order(read, "o", 0))
+			So(oldImage.Decode(read.Image(), &partImage{}), ShouldNotBeNil)
+		})
+	})
+}
--- a/internal/feed/part.go
+++ b/internal/feed/part.go
@@ -26,11 +26,14 @@
 //
 // Invariants: stamp grows by one with each change that holds; trail has the
 // newest change of each key, gone ones too, so the changes behind any stamp
-// can be told without a history.
+// can be told without a history; clock never goes back.
 type Part struct {
-	stamp int64
-	trail trail
-	past  []wire.Change // the newest changes of Remembered, without values
+	stamp  int64
+	clock  int64 // part time of the newest edit that tells it, in milliseconds
+	trail  trail
+	past   []wire.Change // the newest changes of Remembered, without values
+	orders *memory       // operators' orders that were taken
+	calls  *memory       // edits of single calls that were taken
 }
 
 // Remembered is the key whose recent changes are kept by author, and History
@@ -42,7 +45,12 @@
 )
 
 // NewPart gives an empty part.
-func NewPart() *Part { return &Part{trail: newTrail()} }
+func NewPart() *Part {
+	return &Part{trail: newTrail(), orders: newMemory(mostOrders), calls: newMemory(mostCalls)}
+}
+
+// Clock is the part time of the newest edit.
+func (p *Part) Clock() int64 { return p.clock }
 
 // Stamp is the number of the newest change.
 func (p *Part) Stamp() int64 { return p.stamp }
@@ -54,12 +62,20 @@
 }
 
 // Apply takes one committed edit in. Of two edits on one base exactly one
-// holds, since the first moves the key's stamp.
+// holds, since the first moves the key's stamp; of two with one order the second
+// is told that the first holds. What is compared, set and remembered is one step.
 func (p *Part) Apply(e wire.Edit) wire.Edited {
+	p.clock = max(p.clock, e.At)
+	if one, isTaken := p.known(e.Order); isTaken {
+		return wire.Edited{Stamp: one.Stamp, IsAgain: true}
+	}
 	stamp := int64(0)
 	if was, isKnown := p.Get(e.Key); isKnown {
 		stamp = was.Stamp
 	}
+	if e.IfStamp >= 0 && stamp != e.IfStamp && p.mayBeForgotten(e) {
+		return wire.Edited{Kind: string(mishap.Stale), Text: "whether " + e.Key + " was changed so before is forgotten", Stamp: stamp}
+	}
 	if e.IfStamp >= 0 && stamp != e.IfStamp {
 		return wire.Edited{Kind: string(mishap.Conflict), Text: e.Key + " has changed since", Stamp: stamp}
 	}
@@ -69,12 +85,10 @@
 		p.past = append(p.past, wire.Change{Key: e.Key, Value: []byte{}, Stamp: p.stamp, By: e.By})
 		p.past = p.past[max(0, len(p.past)-mostPast):]
 	}
+	p.remember(e)
 	return wire.Edited{Stamp: p.stamp}
 }
 
-// Past gives the recent changes of the remembered key, oldest first.
-func (p *Part) Past() []wire.Change { return slices.Clone(p.past) }
-
 // newsCount bounds the changes of one answer; the follower asks again.
 const newsCount = 512
 
@@ -85,39 +99,54 @@
 }
 
 type partImage struct {
-	Stamp   int64         `avro:"stamp"`
-	Changes []wire.Change `avro:"changes"`
-	Past    []wire.Change `avro:"past"`
+	Stamp       int64         `avro:"stamp"`
+	Changes     []wire.Change `avro:"changes"`
+	Past        []wire.Change `avro:"past"`
+	Clock       int64         `avro:"clock" since:"4"`
+	Orders      []taken       `avro:"orders" since:"4"`
+	OrdersFloor int64         `avro:"orders_floor" since:"4"`
+	Calls       []taken       `avro:"calls" since:"4"`
+	CallsFloor  int64         `avro:"calls_floor" since:"4"`
 }
 
+// An image's stamp is never negative, and an edit's key never shorter than nothing.
 var (
-	partCodec = wire.NewPlain(&partImage{})
-	editCodec = wire.NewPlain(&wire.Edit{})
+	partCodec = wire.NewGrown(&partImage{}, wire.MarkNumberList)
+	editCodec = wire.NewGrown(&wire.Edit{}, wire.MarkNumberText)
 )
 
 // Image gives the whole state as bytes.
 func (p *Part) Image() []byte {
-	out := partImage{Stamp: p.stamp, Changes: []wire.Change{}, Past: append([]wire.Change{}, p.past...)}
+	out := partImage{Stamp: p.stamp, Changes: []wire.Change{}, Past: append([]wire.Change{}, p.past...), Clock: p.clock,
+		Orders: append([]taken{}, p.orders.queue...), OrdersFloor: p.orders.floor,
+		Calls: append([]taken{}, p.calls.queue...), CallsFloor: p.calls.floor}
 	for _, key := range slices.Sorted(maps.Keys(p.trail.keys)) {
 		out.Changes = append(out.Changes, p.trail.keys[key])
 	}
-	return partCodec.Encode(&out)
+	return partCodec.Encode(&out, p.clock > 0 || len(p.orders.queue)+len(p.calls.queue) > 0)
 }
 
 // RestorePart reads a whole state back.
 func RestorePart(raw []byte) (*Part, error) {
-	var in partImage
+	in := partImage{OrdersFloor: -1, CallsFloor: -1} // as it is where an older build wrote it
 	if err := partCodec.Decode(raw, &in); err != nil {
 		return nil, err
 	}
 	p := NewPart()
-	p.stamp, p.past = in.Stamp, in.Past
+	p.stamp, p.past, p.clock = in.Stamp, in.Past, in.Clock
 	p.trail.fill(in.Changes)
+	p.orders.fill(in.Orders, in.OrdersFloor)
+	p.calls.fill(in.Calls, in.CallsFloor)
 	return p, nil
 }
 
 // EncodeEdit and DecodeEdit carry an edit through a group's log.
-func EncodeEdit(e wire.Edit) []byte { return editCodec.Encode(&e) }
+func EncodeEdit(e wire.Edit) []byte {
+	if e.Earlier == nil {
+		e.Earlier = []string{}
+	}
+	return editCodec.Encode(&e, e.Order != "" || e.At != 0)
+}
 
 // DecodeEdit reads an edit back.
 func DecodeEdit(raw []byte) (wire.Edit, error) {
--- a/internal/manager/edit.go
+++ b/internal/manager/edit.go
@@ -4,19 +4,27 @@
 	"context"
 	"strings"
 
+	"caperwheel/internal/beat"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
-// edit changes one key and learns the outcome for sure, if it can be learnt:
-// after a lost answer it reads back who wrote the key last. Stamp 0 means the
-// edit did not hold.
+// edit changes one key and learns the outcome for sure, if it can be learnt. The
+// part remembers the edit by its order, so it may be sent any number of times:
+// it holds once, and is told so each time. Stamp 0 means that it did not hold.
 func (m *Manager) edit(ctx context.Context, e wire.Edit) (int64, error) {
 	if e.Value == nil {
 		e.Value = []byte{}
 	}
-	e.By += " #" + daemon.Random(6)
+	if e.Earlier == nil {
+		e.Earlier = []string{}
+	}
+	call := daemon.Random(6)
+	e.By += " #" + call
+	if e.Order == "" {
+		e.Order, e.Base = m.d.Who.Boot+"/"+call, wire.OneCall
+	}
 	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter*2)
 	defer cancel()
 	for {
@@ -28,28 +36,41 @@
 			return 0, mishap.New(mishap.NotOwner, "part %d has no owner now; nothing was changed", e.Part)
 		}
 		if err != nil {
-			return 0, mishap.New(mishap.Undecided, "the change may or may not hold; read it back")
+			return 0, undecided()
 		}
 		got := reply.(*wire.Edited)
-		if got.Kind == "" {
+		switch mishap.Kind(got.Kind) {
+		case "":
 			return got.Stamp, nil
+		case mishap.Stale:
+			return 0, undecided()
+		case mishap.Conflict:
+			return m.lost(ctx, e, got)
 		}
-		// A lost race, or our own edit met twice: who wrote last tells.
-		now, err := m.pull(ctx, e.Part, e.Key)
-		switch {
-		case err == nil && now.By == e.By:
-			return now.Stamp, nil
-		case err != nil && !mishap.Is(err, mishap.Unknown):
-			return 0, mishap.New(mishap.Undecided, "the change may or may not hold; read it back")
-		case got.Kind == string(mishap.Conflict):
-			return 0, mishap.New(mishap.Conflict, "%s", got.Text)
-		}
-		if ctx.Err() != nil {
-			return 0, mishap.New(mishap.Undecided, "the change may or may not hold; read it back")
+		if beat.Wait(ctx, m.d.Bounds.Of(beat.Seek)); ctx.Err() != nil {
+			return 0, undecided()
 		}
 	}
 }
 
+// lost settles an edit that did not hold: a lost race, or, with a store of an
+// older build that remembers nothing, our own edit met twice. Who wrote last
+// tells as much as can be known then.
+func (m *Manager) lost(ctx context.Context, e wire.Edit, got *wire.Edited) (int64, error) {
+	now, err := m.pull(ctx, e.Part, e.Key)
+	switch {
+	case err == nil && now.By == e.By:
+		return now.Stamp, nil
+	case err != nil && !mishap.Is(err, mishap.Unknown):
+		return 0, undecided()
+	}
+	return 0, mishap.New(mishap.Conflict, "%s", got.Text)
+}
+
+func undecided() error {
+	return mishap.New(mishap.Undecided, "the change may or may not hold; read it back")
+}
+
 // pull reads a key through a majority.
 func (m *Manager) pull(ctx context.Context, part int64, key string) (wire.Change, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter)
--- a/internal/manager/operators.go
+++ b/internal/manager/operators.go
@@ -42,7 +42,9 @@
 }
 
 // Propose checks a charter on its base and writes it on that base only. Of two
-// proposals on one base one wins; the other has mishap.Conflict.
+// proposals on one base one wins; the other has mishap.Conflict. One with a
+// digest that was taken before holds, also when others were made on top of it;
+// where that cannot be known it has mishap.Undecided.
 func (o *Operators) Propose(ctx context.Context, p Proposal) (Verdict, error) {
 	base, stamp, err := o.Charter(ctx)
 	if err != nil {
@@ -53,14 +55,11 @@
 	case charter.HasEdit(base, p.Digest):
 		return Verdict{Stamp: stamp}, nil
 	case p.IsOnVersion && version != p.OnVersion:
-		return Verdict{}, mishap.New(mishap.Conflict, "the charter's version is %d", version)
+		return o.settle(ctx, p, Verdict{}, mishap.New(mishap.Conflict, "the charter's version is %d", version))
 	case !p.IsOnVersion && stamp != p.OnStamp:
-		return Verdict{}, mishap.New(mishap.Conflict, "the charter's stamp is %d", stamp)
+		return o.settle(ctx, p, Verdict{}, mishap.New(mishap.Conflict, "the charter's stamp is %d", stamp))
 	}
 	doc, err := p.Make(base)
-	if err == nil && p.Digest != "" {
-		doc, err = charter.WithEdit(doc, base, p.Digest)
-	}
 	if err != nil {
 		return Verdict{}, err
 	}
@@ -80,28 +79,39 @@
 	if p.IsCheck {
 		return out, nil
 	}
-	out.Stamp, err = o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: charter.Key, Value: doc, IfStamp: stamp, By: p.By})
+	out.Stamp, err = o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: charter.Key, Value: doc, IfStamp: stamp, By: p.By,
+		Order: p.Digest, Base: p.OnVersion, Earlier: charter.EditsOf(base)})
 	return o.settle(ctx, p, out, err)
 }
 
-// settle looks whether an edit that seems lost was taken all the same: another
-// may have been made on top of it before its outcome was read back.
+// settle looks whether an edit that seems lost was taken all the same. The part
+// that holds the charter remembers each order that was taken, so only its word
+// makes a clear no.
 func (o *Operators) settle(ctx context.Context, p Proposal, out Verdict, err error) (Verdict, error) {
-	if !mishap.Is(err, mishap.Conflict) && !mishap.Is(err, mishap.Undecided) {
+	if p.Digest == "" || !mishap.Is(err, mishap.Conflict) && !mishap.Is(err, mishap.Undecided) {
 		return out, err
 	}
-	if p.Digest != "" {
-		doc, stamp, pullErr := o.Charter(ctx)
-		switch {
-		case pullErr != nil:
-			return out, mishap.New(mishap.Undecided, "the change may or may not hold; read it back")
-		case charter.HasEdit(doc, p.Digest):
-			out.Stamp = stamp
-			return out, nil
-		}
+	taken, pullErr := o.m.pull(ctx, feed.CharterPart, feed.OrderKey(p.Digest, p.OnVersion))
+	switch {
+	case pullErr == nil:
+		return Verdict{Stamp: taken.Stamp}, nil
+	case !mishap.Is(pullErr, mishap.Unknown):
+		return out, undecided()
+	case mishap.Is(err, mishap.Undecided):
+		return out, err
 	}
-	if mishap.Is(err, mishap.Conflict) {
-		return out, mishap.New(mishap.Conflict, "another change came first: %v", err)
+	return o.settleOlder(ctx, p, out, err)
+}
+
+// settleOlder is settle for a charter that an older build made: it remembers the
+// newest orders itself.
+func (o *Operators) settleOlder(ctx context.Context, p Proposal, out Verdict, conflict error) (Verdict, error) {
+	doc, stamp, err := o.Charter(ctx)
+	switch {
+	case err != nil, !charter.HasEdit(doc, p.Digest) && charter.HasForgotten(doc):
+		return out, undecided()
+	case charter.HasEdit(doc, p.Digest):
+		return Verdict{Stamp: stamp}, nil
 	}
-	return out, err
+	return out, conflict
 }
--- a/internal/manager/operators_test.go
+++ b/internal/manager/operators_test.go
@@ -28,7 +28,8 @@
 	before  func(e *wire.Edit)
 	edits   []wire.Edit
 	view    *feed.View
-	isBlind bool // the view hears nothing
+	isBlind bool  // the view hears nothing
+	now     int64 // part time of all parts
 }
 
 func (f *fakeParts) call(_ context.Context, _ string, ask any) (any, error) {
@@ -36,17 +37,15 @@
 	defer f.mu.Unlock()
 	switch a := ask.(type) {
 	case *wire.Pull:
-		c, isStanding := f.part(a.Part).Get(a.Key)
-		if !isStanding {
-			return &wire.Pulled{Kind: string(mishap.Unknown)}, nil
-		}
-		return &wire.Pulled{Change: c}, nil
+		got := f.part(a.Part).Read(a.Key, f.now)
+		return &got, nil
 	case *wire.Edit:
 		if f.before != nil {
 			before := f.before
 			f.before = nil
 			before(a)
 		}
+		a.At = f.now
 		got := f.part(a.Part).Apply(*a)
 		f.edits = append(f.edits, *a)
 		f.show()
@@ -118,6 +117,12 @@
 		isBuiltUpon  bool // its answer is lost, and another edit comes on top of it
 		wantsVersion int64
 	}
+	newer := func(count int) (out []step) { // one after another
+		for i := range count {
+			out = append(out, step{digest: strconv.Itoa(i + 1), on: i, version: i + 1, wantsVersion: int64(i) + 1})
+		}
+		return out
+	}
 	cases := []struct {
 		name  string
 		steps []step
@@ -135,6 +140,9 @@
 		{"one whose answer is lost is found taken", []step{{digest: "a", version: 3, lose: 1, wantsVersion: 3}}},
 		{"one that another overtakes is not", []step{{digest: "a", version: 3, isOvertaken: true, kind: mishap.Conflict, wantsVersion: 8}}},
 		{"one whose answer is lost under a newer one is found taken", []step{{digest: "a", version: 3, isBuiltUpon: true, wantsVersion: 9}}},
+		{"a repeat after hundreds of newer ones answers as taken", append(newer(300), step{digest: "2", on: 1, version: 2, wantsVersion: 300})},
+		{"one that lost is not taken after hundreds of newer ones", append(newer(300),
+			step{digest: "lost", on: 1, version: 2, kind: mishap.Conflict, wantsVersion: 300})},
 	}
 	Convey("Of proposals", t, func() {
 		for _, c := range cases {
@@ -148,8 +156,7 @@
 					if s.isBuiltUpon {
 						f.before = func(e *wire.Edit) {
 							held := f.part(0).Apply(*e)
-							next, _ := charter.WithEdit([]byte(`{"version":9}`), e.Value, "z")
-							f.part(0).Apply(wire.Edit{Key: charter.Key, Value: next, IfStamp: held.Stamp})
+							f.part(0).Apply(wire.Edit{Key: charter.Key, Value: []byte(`{"version":9}`), IfStamp: held.Stamp})
 						}
 					}
 					_, err := m.operators.Propose(context.Background(), Proposal{By: "x", Digest: s.digest, OnVersion: int64(s.on),
--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"encoding/json"
 	"time"
 
 	"caperwheel/internal/beat"
@@ -12,10 +11,11 @@
 
 // PartHost is a part of the control state on this store.
 type PartHost struct {
-	around Around
-	number int64
-	host   Hosting
-	part   *feed.Part
+	around  Around
+	number  int64
+	host    Hosting
+	part    *feed.Part
+	clockAt time.Duration // when, by our own clock, it was the part's clock
 }
 
 // NewPartHost gives an empty part.
@@ -30,7 +30,16 @@
 		p.around.Fail(err)
 		return nil
 	}
-	return p.part.Apply(e)
+	was := p.now()
+	out := p.part.Apply(e)
+	p.clockAt = p.around.Now() - max(0, time.Duration(was-p.part.Clock())*time.Millisecond)
+	return out
+}
+
+// now is the part time: the newest edit's, and what has passed since by our own
+// clock. No two clocks are ever compared.
+func (p *PartHost) now() int64 {
+	return p.part.Clock() + int64((p.around.Now()-p.clockAt)/time.Millisecond)
 }
 
 // Image gives the state for a slot.
@@ -40,7 +49,7 @@
 func (p *PartHost) Restore(image []byte) error {
 	part, err := feed.RestorePart(image)
 	if err == nil {
-		p.part = part
+		p.part, p.clockAt = part, p.around.Now()
 	}
 	return err
 }
@@ -59,6 +68,9 @@
 
 // Edit changes a key.
 func (p *PartHost) Edit(e wire.Edit, answer func(any)) {
+	if e.Order != "" {
+		e.At = p.now()
+	}
 	p.host.Propose(feed.EncodeEdit(e), func(verdict any, err error) {
 		if err != nil {
 			answer(&wire.Edited{Kind: string(mishap.KindOf(err))})
@@ -86,19 +98,9 @@
 				answer(&wire.Pulled{Kind: string(mishap.Full), Change: wire.Change{Value: []byte{}}})
 			}
 		})
-	case key == feed.History:
-		raw, err := json.Marshal(p.part.Past())
-		if err != nil {
-			raw = []byte("[]")
-		}
-		answer(&wire.Pulled{Change: wire.Change{Key: key, Value: raw}})
 	default:
-		c, isKnown := p.part.Get(key)
-		if !isKnown {
-			answer(&wire.Pulled{Kind: string(mishap.Unknown), Change: wire.Change{Value: []byte{}}})
-			return
-		}
-		answer(&wire.Pulled{Change: c})
+		out := p.part.Read(key, p.now())
+		answer(&out)
 	}
 }
 
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -3,9 +3,9 @@
 // Version is the newest wire version this build speaks; Oldest the oldest.
 // Both ends of a session use the lower of their newest versions. Version 2 has
 // Look.Wait; version 3 has messages that come as they are (Head), delays, and
-// whom to tell of an end.
+// whom to tell of an end; version 4 has edits that are remembered by their order.
 const (
-	Version int64 = 3
+	Version int64 = 4
 	Oldest  int64 = 1
 )
 
@@ -121,21 +121,30 @@
 }
 
 // Edit changes one key of a part if the key's stamp is still IfStamp: 0 for
-// absent, -1 for any.
+// absent, -1 for any. One whose Order has been taken before changes nothing.
 type Edit struct {
-	Part    int64  `avro:"part"`
-	Key     string `avro:"key"`
-	Value   []byte `avro:"value"`
-	IfStamp int64  `avro:"if_stamp"`
-	Gone    bool   `avro:"gone"`
-	By      string `avro:"by"`
-}
-
-// Edited answers an edit. Kind is a mishap kind, empty when it holds.
+	Part    int64    `avro:"part"`
+	Key     string   `avro:"key"`
+	Value   []byte   `avro:"value"`
+	IfStamp int64    `avro:"if_stamp"`
+	Gone    bool     `avro:"gone"`
+	By      string   `avro:"by"`
+	Order   string   `avro:"order" since:"4"`   // names the order that is remembered; empty: none is
+	Base    int64    `avro:"base" since:"4"`    // the version that an operator's order builds on; OneCall for the edit of a single call
+	Earlier []string `avro:"earlier" since:"4"` // orders taken before that the part may not know
+	At      int64    `avro:"at" since:"4"`      // part time when the owner took it in, in milliseconds
+}
+
+// OneCall is the Base of an edit that nobody but the manager that made it sends again.
+const OneCall = -1
+
+// Edited answers an edit. Kind is a mishap kind, empty when it holds. Stamp is
+// the one that the order made, if it was taken, also when that was before.
 type Edited struct {
-	Kind  string `avro:"kind"`
-	Text  string `avro:"text"`
-	Stamp int64  `avro:"stamp"`
+	Kind    string `avro:"kind"`
+	Text    string `avro:"text"`
+	Stamp   int64  `avro:"stamp"`
+	IsAgain bool   `avro:"again" since:"4"` // the order had been taken before
 }
 
 // Pull reads one key through a majority.
@@ -144,10 +153,12 @@
 	Key  string `avro:"key"`
 }
 
-// Pulled answers a read.
+// Pulled answers a read. Age is how long ago, in milliseconds of the part's own
+// time, the change was made: 0 also where the store does not know it.
 type Pulled struct {
 	Kind   string `avro:"kind"`
 	Change Change `avro:"change"`
+	Age    int64  `avro:"age" since:"4"`
 }
 
 // Retire asks a store's groups to take a store out of their rosters.
--- a/internal/wire/grown.go
+++ b/internal/wire/grown.go
@@ -20,6 +20,8 @@
 // Marks, which no record can begin with: what stands where an older build looks
 // for a text's length, or for how many items a list has, can be neither.
 const (
+	MarkNumberText       = "\x00\x01"                         // 0, a text of -1 bytes
+	MarkNumberList       = "\x01\x80\x80\x80\x80\x80\x40"     // -1, a list of 2^40 items
 	MarkNumberNumberText = "\x00\x00\x01"                     // 0, 0, a text of -1 bytes
 	MarkNumberNumberList = "\x01\x00\x80\x80\x80\x80\x80\x40" // -1, 0, a list of 2^40 items
 )
--- a/internal/wire/versions_test.go
+++ b/internal/wire/versions_test.go
@@ -32,6 +32,11 @@
 			So(err, ShouldBeNil)
 			m, r := got.(*Take), started.(*Run)
 			So([]string{m.Id, string(m.Body), r.Id}, ShouldResemble, []string{"1-x", "b", "1-x"})
+			edit, err := trip(PartLink, version, version, &Edit{Key: "k", Value: []byte{}, By: "x", Order: "o", Base: 2, Earlier: []string{"n"}, At: 5})
+			So(err, ShouldBeNil)
+			e := edit.(*Edit)
+			So([]string{e.Key, e.By}, ShouldResemble, []string{"k", "x"})
+			So([]bool{e.Order == "o", e.Base == 2, len(e.Earlier) == 1, e.At == 5}, ShouldResemble, []bool{version >= 4, version >= 4, version >= 4, version >= 4})
 			isWhole := version >= 3
 			So([]bool{len(m.Head) > 0, m.Delay == 7, m.Notify == "u", len(r.Head) > 0}, ShouldResemble, []bool{isWhole, isWhole, isWhole, isWhole})
 		}
