Group: appends are sent once, in a bounded flight; only an answer tells of a loss

Cause: an owner sent again, at each pulse, all that had no answer yet when no answer had come since the last one, and once more for each rejected append. A link that is slower than what waits on it, or a disk whose sync passes a pulse, so got the same entries again and again, up to 1 MB a group and pulse, until pulses themselves came too late. Images went again each 0.75 s.

Ruled out: the pulse's own bytes (76 a group and pulse); reordered batches (the link is ordered).

Change: a member is probing, imaging or replicating. Probes carry next to nothing; entries under way are bounded by count and bytes; a rejected append names what it was put behind, so that answers from before a probe are told apart; an image goes again only when a later pulse was answered without it. A new owner's first probe brings its blank entry along. A log keeps a tail behind its image, so that a member that misses little needs none.

--- a/internal/group/append.go
+++ b/internal/group/append.go
@@ -8,12 +8,6 @@
 	"caperwheel/internal/wire"
 )
 
-// Limits of one append message.
-const (
-	appendCount = 256
-	appendBytes = 1 << 20
-)
-
 // append puts one entry of the owner's own into its log.
 func (g *Group) append(e wire.Entry, out *Out) {
 	e.Index, e.Term = g.last()+1, g.hard.Term
@@ -34,66 +28,10 @@
 	}
 	g.confirm(now)
 	for _, m := range g.others() {
-		p := g.peer(m)
-		if p.match < g.last() && p.match == p.matchAtPulse {
-			p.next = p.match + 1 // nothing came through since the last pulse
-		}
-		p.matchAtPulse = p.match
 		g.sendTo(m, true, now, out)
 	}
 }
 
-func (g *Group) peer(m string) *peerState {
-	p := g.peers[m]
-	if p == nil {
-		p = &peerState{next: g.last() + 1, isProbing: true}
-		g.peers[m] = p
-	}
-	return p
-}
-
-// spread sends new entries to every member that is not being probed.
-func (g *Group) spread(now time.Duration, out *Out) {
-	g.toldCommit = g.hard.Commit
-	for _, m := range g.others() {
-		if p := g.peer(m); !p.isProbing {
-			g.sendTo(m, false, now, out)
-		}
-	}
-}
-
-// sendTo sends what the member misses, or an empty append if always is set.
-func (g *Group) sendTo(m string, always bool, now time.Duration, out *Out) {
-	p := g.peer(m)
-	prev := p.next - 1
-	term, isHeld := g.termAt(prev)
-	if !isHeld { // compacted away: the member needs an image
-		if p.sentAt == 0 || now-p.sentAt > g.opts.Bounds.Of(beat.Vote) {
-			p.sentAt = now
-			out.Now = append(out.Now, g.msg(MsgImage, m, wire.GroupMsg{Index: g.base, LogTerm: g.baseT,
-				Round: g.round, Roster: g.rosterAt(g.base)}))
-		} else if always {
-			out.Now = append(out.Now, g.msg(MsgAppend, m, wire.GroupMsg{Round: g.round, Index: g.last() + 1, LogTerm: -1}))
-		}
-		return
-	}
-	entries, size := g.log[prev-g.base:], 0
-	for i, e := range entries {
-		if size += len(e.Data); i >= appendCount || i > 0 && size > appendBytes {
-			entries = entries[:i]
-			break
-		}
-	}
-	if len(entries) == 0 && !always {
-		return
-	}
-	out.Now = append(out.Now, g.msg(MsgAppend, m, wire.GroupMsg{Index: prev, LogTerm: term,
-		Commit: g.hard.Commit, Round: g.round, Entries: append([]wire.Entry{}, entries...)}))
-	if !p.isProbing {
-		p.next += int64(len(entries))
-	}
-}
-
 func (g *Group) hear(m wire.GroupMsg, now time.Duration, out *Out) {
 	if g.role != Follower || g.owner != m.From {
 		g.become(Follower, m.Term, m.From, now, out)
@@ -104,7 +42,7 @@
 
 func (g *Group) onAppend(m wire.GroupMsg, now time.Duration, out *Out) {
 	g.hear(m, now, out)
-	reply := wire.GroupMsg{Round: m.Round, Index: g.last()}
+	reply := wire.GroupMsg{Round: m.Round, Index: g.last(), Commit: m.Index}
 	term, isHeld := g.termAt(m.Index)
 	if m.Index < g.base { // the image covers it: skip what is below
 		skip := min(int64(len(m.Entries)), g.base-m.Index)
@@ -125,7 +63,7 @@
 	if commit := min(m.Commit, tail); commit > g.hard.Commit {
 		g.hard.Commit = commit
 	}
-	reply.Index = tail
+	reply.Index, reply.Commit = tail, 0
 	out.After = append(out.After, g.msg(MsgAppendReply, m.From, reply))
 }
 
@@ -162,6 +100,7 @@
 	} else if m.Index > g.hard.Commit {
 		image := &Image{Index: m.Index, Term: m.LogTerm, Roster: m.Roster, State: m.State}
 		g.log, g.base, g.baseT = nil, m.Index, m.LogTerm
+		g.image, g.imageT = m.Index, m.LogTerm
 		g.rosts = []rosterAt{{m.Index, m.Roster}}
 		g.hard.Commit, g.applied, g.synced = m.Index, m.Index, m.Index
 		p := g.persist(out)
@@ -173,38 +112,6 @@
 	out.After = append(out.After, g.msg(MsgAppendReply, m.From, wire.GroupMsg{Round: m.Round, Index: g.hard.Commit}))
 }
 
-func (g *Group) onAppendReply(m wire.GroupMsg, now time.Duration, out *Out) {
-	if g.role != Owner {
-		return
-	}
-	p := g.peer(m.From)
-	p.acked, p.ackedAt = max(p.acked, m.Round), now
-	g.confirm(now)
-	if m.Reject {
-		p.next = max(p.match+1, min(p.next-1, m.Index+1))
-		p.isProbing = true
-		g.sendTo(m.From, false, now, out)
-		return
-	}
-	if m.Index > p.match {
-		p.match = m.Index
-	}
-	if p.isProbing || p.next <= p.match {
-		p.next = max(p.next, p.match+1)
-		if p.isProbing {
-			p.next = p.match + 1
-		}
-		p.isProbing = false
-	}
-	g.commitUp(now, out)
-	if m.From == g.heir {
-		g.callHeir(out)
-	}
-	if p.next <= g.last() {
-		g.sendTo(m.From, false, now, out)
-	}
-}
-
 // commitUp moves the commit to what a majority has synced in this term.
 func (g *Group) commitUp(now time.Duration, out *Out) {
 	if g.role != Owner {
@@ -234,17 +141,3 @@
 	}
 	return 0
 }
-
-// tellCommit lets members that have all entries know what is committed, when a
-// tick has passed in which no entry has told them.
-func (g *Group) tellCommit(now time.Duration, out *Out) {
-	if g.toldCommit == g.hard.Commit {
-		return
-	}
-	g.toldCommit = g.hard.Commit
-	for _, m := range g.others() {
-		if p := g.peer(m); !p.isProbing && p.next > g.last() {
-			g.sendTo(m, true, now, out)
-		}
-	}
-}
--- a/internal/group/elect.go
+++ b/internal/group/elect.go
@@ -30,6 +30,9 @@
 		g.confirmed = now
 		g.append(wire.Entry{Kind: EntryBlank}, out)
 		g.blankAt = g.last()
+		for _, m := range g.others() { // the first probe brings the blank entry along
+			g.peers[m] = &peerState{next: g.blankAt, isProbing: true}
+		}
 		g.pulse(now, out)
 	}
 }
--- /dev/null
+++ b/internal/group/flow_test.go
@@ -0,0 +1,142 @@
+package group
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/wire"
+)
+
+// TestBytesByDelay: an owner once sent again, at each pulse, all that had no
+// answer yet, so that the bytes of a message grew with the delay of its links.
+func TestBytesByDelay(t *testing.T) {
+	Convey("Each entry goes to each follower once, with", t, func() {
+		for _, c := range []struct{ delay, sync time.Duration }{{time.Millisecond, 2 * time.Millisecond}, {6 * time.Millisecond, 8 * time.Millisecond},
+			{60 * time.Millisecond, 8 * time.Millisecond}, {100 * time.Millisecond, 60 * time.Millisecond}, {3 * time.Millisecond, 200 * time.Millisecond}} {
+			Convey(fmt.Sprintf("links of %v and disks of %v", c.delay, c.sync), func() {
+				p := newPair(c.delay, c.sync)
+				p.found()
+				p.run(2*time.Second, 0, 0)
+				p.run(6*time.Second, 10*time.Millisecond, 4000)
+				p.run(7*time.Second, 0, 0)
+				So(p.accepted, ShouldBeGreaterThan, 300*4000)
+				So(p.applied, ShouldEqual, p.accepted)
+				for _, to := range trio[1:] {
+					So(p.sent[trio[0]+">"+to], ShouldEqual, p.accepted)
+				}
+			})
+		}
+	})
+}
+
+// TestBytesAfterAbsence: a member that comes back over a slow link gets what it
+// misses about once, and pulses never wait long behind it.
+func TestBytesAfterAbsence(t *testing.T) {
+	Convey("Given a link of 3 MB a second to a member that was away for two seconds", t, func() {
+		p := newPair(6*time.Millisecond, 2*time.Millisecond)
+		p.rate, p.room = 3<<20, 256<<10
+		isAway := func(now time.Duration) bool { return now > 3*time.Second && now < 5*time.Second }
+		p.lose = func(now time.Duration, m wire.GroupMsg) bool {
+			return isAway(now) && (m.To == trio[1] || m.From == trio[1])
+		}
+		p.found()
+		p.run(2*time.Second, 0, 0)
+		Convey("what it gets again is little", func() {
+			p.run(9*time.Second, 5*time.Millisecond, 8000)
+			p.run(10*time.Second, 0, 0)
+			So(p.applied, ShouldEqual, p.accepted)
+			So(p.members[trio[1]].View().Last, ShouldEqual, p.members[trio[0]].View().Last)
+			So(float64(p.sent[trio[0]+">"+trio[1]]), ShouldBeLessThan, 1.1*float64(p.accepted))
+			So(p.waits, ShouldBeLessThan, beat.Default.Of(beat.Silence))
+		})
+		Convey("nothing goes to it blindly meanwhile", func() {
+			before := 0
+			p.run(3200*time.Millisecond, 5*time.Millisecond, 8000)
+			before = p.sent[trio[0]+">"+trio[1]]
+			p.run(4900*time.Millisecond, 5*time.Millisecond, 8000)
+			So(p.sent[trio[0]+">"+trio[1]]-before, ShouldBeLessThan, 2*FlightBytes)
+		})
+		Convey("an image that takes long goes once", func() {
+			p.rate, p.room = 500<<10, 64<<10
+			p.run(4900*time.Millisecond, 20*time.Millisecond, 4000)
+			p.compact()
+			p.run(11*time.Second, 20*time.Millisecond, 4000)
+			So(p.members[trio[1]].View().Commit, ShouldBeGreaterThan, p.members[trio[0]].View().Commit-20)
+			So(p.sent[trio[0]+">"+trio[1]], ShouldBeBetween, 700<<10, 700<<10+FlightBytes+p.accepted)
+		})
+		Convey("an image that is lost goes again", func() {
+			lost := 0
+			away := p.lose
+			p.lose = func(now time.Duration, m wire.GroupMsg) bool {
+				if m.Kind == MsgImage && lost == 0 {
+					lost++
+					return true
+				}
+				return away(now, m)
+			}
+			p.run(4900*time.Millisecond, 20*time.Millisecond, 4000)
+			p.compact()
+			p.run(8*time.Second, 20*time.Millisecond, 4000)
+			So(lost, ShouldEqual, 1)
+			So(p.members[trio[1]].View().Commit, ShouldBeGreaterThan, p.members[trio[0]].View().Commit-20)
+		})
+	})
+}
+
+// TestLostAppends: one append lost out of many under way has what follows it
+// sent again once, not once for each that was refused.
+func TestLostAppends(t *testing.T) {
+	Convey("Given twenty entries under way of which the third is lost", t, func() {
+		p := newPair(60*time.Millisecond, 2*time.Millisecond)
+		index := int64(0)
+		p.lose = func(_ time.Duration, m wire.GroupMsg) bool {
+			isIt := m.To == trio[1] && slices.ContainsFunc(m.Entries, func(e wire.Entry) bool { return e.Index == 40 }) && index == 0
+			if isIt {
+				index = 40
+			}
+			return isIt
+		}
+		p.found()
+		p.run(2*time.Second, 0, 0)
+		p.run(4*time.Second, 5*time.Millisecond, 4000)
+		p.run(5*time.Second, 0, 0)
+		So(index, ShouldEqual, 40)
+		So(p.applied, ShouldEqual, p.accepted)
+		So(p.members[trio[1]].View().Last, ShouldEqual, p.members[trio[0]].View().Last)
+		So(p.sent[trio[0]+">"+trio[1]]-p.accepted, ShouldBeLessThan, 2*FlightBytes)
+	})
+}
+
+// TestTail: a member that misses a little of what an image holds gets just that.
+func TestTail(t *testing.T) {
+	Convey("Given an owner that makes an image while a member misses a little", t, func() {
+		p := newPair(6*time.Millisecond, 2*time.Millisecond)
+		p.lose = func(now time.Duration, m wire.GroupMsg) bool {
+			return now > 3*time.Second && now < 4*time.Second && (m.To == trio[1] || m.From == trio[1])
+		}
+		p.found()
+		p.run(2*time.Second, 0, 0)
+		p.run(3900*time.Millisecond, 20*time.Millisecond, 1000)
+		p.compact()
+		Convey("it gets entries and no image", func() {
+			p.run(6*time.Second, 20*time.Millisecond, 1000)
+			p.run(7*time.Second, 0, 0)
+			So(p.members[trio[1]].View().Commit, ShouldEqual, p.members[trio[0]].View().Commit)
+			So(p.sent[trio[0]+">"+trio[1]], ShouldBeLessThan, p.accepted+FlightBytes)
+		})
+		Convey("the slot holds the image and what is behind it", func() {
+			owner := p.members[trio[0]]
+			owner.Propose([]byte("behind it"), p.now)
+			hard, log := owner.Whole()
+			So(log[0].Index, ShouldEqual, p.images[trio[0]].Index+1)
+			again := New(Options{Id: 1, Self: trio[0], Bounds: beat.Default}, hard, p.images[trio[0]], log, 0)
+			So(again.View().Last, ShouldEqual, owner.View().Last)
+			So(again.View().Roster, ShouldResemble, trio)
+		})
+	})
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -55,6 +55,7 @@
 	Bounds beat.Bounds
 	Seed   uint64
 	Prefer func(roster []string) string // who should own the group
+	Room   func(member string) bool     // whether the link to a member takes more; none given: always
 }
 
 // Hard is what must be durable before a replica answers. Kept says that the
@@ -89,19 +90,10 @@
 	Changed bool            // role, owner or term changed
 }
 
-// peerState is what an owner knows of another member.
-type peerState struct {
-	match, next  int64
-	acked        int64 // newest pulse round answered
-	ackedAt      time.Duration
-	sentAt       time.Duration // last image
-	isProbing    bool
-	matchAtPulse int64 // match when the last pulse left
-}
-
 // Group is one replica.
 //
-// Invariants: term and commit never go back; log[i].Index == base+1+i; an entry
+// Invariants: term and commit never go back; log[i].Index == base+1+i; the image
+// lies between base and what is applied; an entry
 // at or below commit is never replaced; at most one roster change is under way;
 // synced is how far this replica's own log is on disk, and only that counts
 // towards a majority.
@@ -111,8 +103,10 @@
 	role   Role
 	hard   Hard
 	owner  string
-	base   int64
+	base   int64 // what the log begins behind
 	baseT  int64
+	image  int64 // the newest image's index: base, or a little later
+	imageT int64
 	log    []wire.Entry
 	rosts  []rosterAt // newest last; the first is that of base
 	synced int64
@@ -155,6 +149,7 @@
 	if image != nil {
 		g.base, g.baseT, roster = image.Index, image.Term, image.Roster
 	}
+	g.image, g.imageT = g.base, g.baseT
 	g.rosts = []rosterAt{{g.base, roster}}
 	for _, e := range log {
 		g.noteRoster(e)
--- /dev/null
+++ b/internal/group/progress.go
@@ -0,0 +1,232 @@
+package group
+
+import (
+	"time"
+
+	"caperwheel/internal/wire"
+)
+
+// Limits of what an owner sends to one member. A member's answer is never
+// waited for longer than its link and disk take, so nothing is sent again for
+// being late: only an answer tells that something was lost.
+const (
+	appendCount = 256
+	appendBytes = 64 << 10 // of one append; a single entry may be larger
+	probeBytes  = 1 << 10  // of an append to a member whose log is not known
+	FlightBytes = 256 << 10
+	flightCount = 256       // appends with entries
+	tailBytes   = 128 << 10 // of the log that is kept behind an image
+)
+
+// peerState is what an owner knows of another member: its progress. It is
+//
+//   - probing, while it is not known where its log ends: an append that carries
+//     next to nothing goes with each pulse until one is accepted;
+//   - imaging, a kind of probing, while an image is on its way;
+//   - replicating: entries follow one another without waiting, as far as the
+//     flight allows.
+//
+// Links are ordered, so the answer to an append that was sent later tells what
+// became of those before: a rejected one that some were lost, and of an image
+// the answer to a later pulse.
+type peerState struct {
+	match, next int64
+	acked       int64 // newest pulse round answered
+	ackedAt     time.Duration
+	isProbing   bool
+	imageIndex  int64 // of the image on its way; 0 for none
+	imageRound  int64 // the newest pulse before it
+	flight      []inFlight
+	flightBytes int
+}
+
+// inFlight is an append that carried entries and has not been answered.
+type inFlight struct {
+	last  int64
+	bytes int
+}
+
+func (g *Group) peer(m string) *peerState {
+	p := g.peers[m]
+	if p == nil {
+		p = &peerState{next: g.last() + 1, isProbing: true}
+		g.peers[m] = p
+	}
+	return p
+}
+
+// probe begins anew at an index.
+func (p *peerState) probe(next int64) {
+	p.next, p.isProbing, p.imageIndex = next, true, 0
+	p.flight, p.flightBytes = nil, 0
+}
+
+// accept takes in that the member's log is ours up to an index.
+func (p *peerState) accept(index int64) {
+	p.match = max(p.match, index)
+	if p.imageIndex > 0 && p.match < p.imageIndex {
+		return // the answer to an append before the image
+	}
+	if p.isProbing {
+		p.probe(p.match + 1)
+		p.isProbing = false
+	}
+	p.next = max(p.next, p.match+1)
+	landed := 0
+	for landed < len(p.flight) && p.flight[landed].last <= p.match {
+		p.flightBytes -= p.flight[landed].bytes
+		landed++
+	}
+	p.flight = p.flight[landed:]
+}
+
+// isFull tells whether the flight takes no more entries. One is always taken,
+// however large.
+func (p *peerState) isFull() bool {
+	return p.flightBytes >= FlightBytes || len(p.flight) >= flightCount
+}
+
+// reject takes in that the member could not append behind an index, where its
+// hint is the newest that it may have in common with us. It is false for an
+// answer to what was sent before the probe that is under way.
+func (p *peerState) reject(behind, hint int64) bool {
+	if behind == 0 { // a member of an older build does not tell it
+		behind = p.next - 1
+	}
+	if p.isProbing && behind != p.next-1 || behind <= p.match {
+		return false
+	}
+	p.probe(max(p.match+1, min(behind, hint+1)))
+	return true
+}
+
+// spread sends new entries to every member that is not being probed.
+func (g *Group) spread(now time.Duration, out *Out) {
+	g.toldCommit = g.hard.Commit
+	for _, m := range g.others() {
+		if p := g.peer(m); !p.isProbing {
+			g.sendTo(m, false, now, out)
+		}
+	}
+}
+
+// refill sends what had no room before.
+func (g *Group) refill(now time.Duration, out *Out) {
+	for _, m := range g.others() {
+		if p := g.peer(m); !p.isProbing && p.next <= g.last() {
+			g.sendTo(m, false, now, out)
+		}
+	}
+}
+
+// hasRoom tells whether the link to a member takes more than what is small.
+func (g *Group) hasRoom(m string) bool { return g.opts.Room == nil || g.opts.Room(m) }
+
+// sendTo sends what the member misses as far as there is room, or an empty
+// append if always is set.
+func (g *Group) sendTo(m string, always bool, now time.Duration, out *Out) {
+	p := g.peer(m)
+	prev := p.next - 1
+	term, isHeld := g.termAt(prev)
+	if !isHeld { // compacted away: the member needs an image
+		g.sendImage(m, always, out)
+		return
+	}
+	for {
+		entries, size := g.entriesFor(m, p)
+		if len(entries) == 0 && !always {
+			return
+		}
+		out.Now = append(out.Now, g.msg(MsgAppend, m, wire.GroupMsg{Index: prev, LogTerm: term,
+			Commit: g.hard.Commit, Round: g.round, Entries: append([]wire.Entry{}, entries...)}))
+		if p.isProbing || len(entries) == 0 {
+			return
+		}
+		p.next += int64(len(entries))
+		p.flight, p.flightBytes = append(p.flight, inFlight{p.next - 1, size}), p.flightBytes+size
+		always, prev = false, p.next-1
+		term, _ = g.termAt(prev)
+	}
+}
+
+// entriesFor gives the entries that may go to a member now.
+func (g *Group) entriesFor(m string, p *peerState) (entries []wire.Entry, size int) {
+	entries = g.log[p.next-1-g.base:]
+	most, least := appendBytes, 1
+	if p.isProbing {
+		most, least = probeBytes, 0
+	} else if len(entries) > 0 && (p.isFull() || !g.hasRoom(m)) {
+		return nil, 0
+	}
+	for i, e := range entries {
+		if i >= appendCount || i >= least && size+len(e.Data) > most {
+			return entries[:i], size
+		}
+		size += len(e.Data)
+	}
+	return entries, size
+}
+
+// sendImage sends the image if none is on its way, and else, if always is set,
+// a pulse that no member accepts.
+func (g *Group) sendImage(m string, always bool, out *Out) {
+	p := g.peer(m)
+	if p.imageIndex == 0 && g.hasRoom(m) {
+		p.probe(p.next)
+		p.imageIndex, p.imageRound = g.image, g.round
+		out.Now = append(out.Now, g.msg(MsgImage, m, wire.GroupMsg{Index: g.image, LogTerm: g.imageT,
+			Round: g.round, Roster: g.rosterAt(g.image)}))
+	} else if always {
+		out.Now = append(out.Now, g.msg(MsgAppend, m, wire.GroupMsg{Round: g.round, Index: g.last() + 1, LogTerm: -1}))
+	}
+}
+
+func (g *Group) onAppendReply(m wire.GroupMsg, now time.Duration, out *Out) {
+	if g.role != Owner {
+		return
+	}
+	p := g.peer(m.From)
+	p.acked, p.ackedAt = max(p.acked, m.Round), now
+	g.confirm(now)
+	if m.Reject {
+		g.onReject(m, p, now, out)
+		return
+	}
+	p.accept(m.Index)
+	g.commitUp(now, out)
+	if m.From == g.heir {
+		g.callHeir(out)
+	}
+	if g.role == Owner && p.next <= g.last() {
+		g.sendTo(m.From, false, now, out)
+	}
+}
+
+// onReject probes where the member's log ends, or sends the image again: it was
+// lost if the member has answered a later pulse without having it.
+func (g *Group) onReject(m wire.GroupMsg, p *peerState, now time.Duration, out *Out) {
+	if p.imageIndex > 0 {
+		if m.Round > p.imageRound {
+			p.imageIndex = 0
+			g.sendTo(m.From, false, now, out)
+		}
+		return
+	}
+	if p.reject(m.Commit, m.Index) {
+		g.sendTo(m.From, true, now, out)
+	}
+}
+
+// tellCommit lets members that have all entries know what is committed, when a
+// tick has passed in which no entry has told them.
+func (g *Group) tellCommit(now time.Duration, out *Out) {
+	if g.toldCommit == g.hard.Commit {
+		return
+	}
+	g.toldCommit = g.hard.Commit
+	for _, m := range g.others() {
+		if p := g.peer(m); !p.isProbing && p.next > g.last() {
+			g.sendTo(m, true, now, out)
+		}
+	}
+}
--- a/internal/group/step.go
+++ b/internal/group/step.go
@@ -30,6 +30,7 @@
 	}
 	g.callHeir(out)
 	g.tellCommit(now, out)
+	g.refill(now, out)
 	if now >= g.pulseAt {
 		g.pulse(now, out)
 		g.bringHome(now, out)
@@ -131,24 +132,32 @@
 	return g.last(), g.hard.Term, out, true
 }
 
-// Compact forgets the log up to an applied index; state is the image there.
+// Compact makes state the image at an applied index and forgets the log up to
+// there, but for a tail: members that miss little need no image.
 func (g *Group) Compact(index int64, state []byte) *Image {
-	if index <= g.base || index > g.applied {
+	if index <= g.image || index > g.applied {
 		return nil
 	}
 	term, _ := g.termAt(index)
-	roster := g.rosterAt(index)
-	g.log = append([]wire.Entry{}, g.log[index-g.base:]...)
-	g.base, g.baseT = index, term
-	kept := []rosterAt{{index, roster}}
+	g.image, g.imageT = index, term
+	base, size := index, 0
+	for base > g.base && size+len(g.log[base-g.base-1].Data) <= tailBytes && index-base < appendCount {
+		size += len(g.log[base-g.base-1].Data)
+		base--
+	}
+	term, _ = g.termAt(base)
+	kept := []rosterAt{{base, g.rosterAt(base)}}
 	for _, r := range g.rosts {
-		if r.index > index {
+		if r.index > base {
 			kept = append(kept, r)
 		}
 	}
-	g.rosts = kept
-	return &Image{Index: index, Term: term, Roster: roster, State: state}
+	g.log = append([]wire.Entry{}, g.log[base-g.base:]...)
+	g.base, g.baseT, g.rosts = base, term, kept
+	return &Image{Index: g.image, Term: g.imageT, Roster: g.rosterAt(g.image), State: state}
 }
 
-// Whole gives all that must be durable, for a slot on disk.
-func (g *Group) Whole() (Hard, []wire.Entry) { return g.hard, append([]wire.Entry{}, g.log...) }
+// Whole gives all that must be durable besides the image, for a slot on disk.
+func (g *Group) Whole() (Hard, []wire.Entry) {
+	return g.hard, append([]wire.Entry{}, g.log[g.image-g.base:]...)
+}
