Transport: bytes that wait are bounded; groups send no more than their link takes

Cause: what waits to be written to another daemon was bounded by a count of 4,096 messages and by no bytes. All groups of two stores share one link, so megabytes of one group's entries stood before the pulses of all others.

Change: a peer tells whether fewer bytes than so many wait; groups ask before they send entries or an image, and send what is left by tick or answer. Asks are rejected, definitely and at once, while 4 MB wait.

Test: TestRoom (did not compile before: there was no bound to ask for).

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -45,6 +45,7 @@
 	Now     func() time.Duration
 	Send    func(wire.GroupMsg)
 	Prefer  func(roster []string) string
+	Room    func(member string) bool // whether the link to a member takes more; none given: always
 	Mend    func() (known map[string]string, wanted []string)
 	Ring    int // events that may wait
 	Compact int // applied entries after which the group is put into its slot
@@ -109,7 +110,7 @@
 		h.image = held.Image
 	}
 	h.machine = group.New(group.Options{Id: opts.Id, Self: opts.Self, Roster: opts.Roster, Bounds: opts.Bounds,
-		Seed: opts.Seed, Prefer: opts.Prefer}, held.Hard, held.Image, held.Log, opts.Now())
+		Seed: opts.Seed, Prefer: opts.Prefer, Room: opts.Room}, held.Hard, held.Image, held.Log, opts.Now())
 	h.apply(h.machine.Committed())
 	h.publish()
 	return h, nil
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -129,7 +129,7 @@
 	seed := fnv.New64a()
 	seed.Write([]byte(s.d.Who.Boot))
 	opts := host.Options{Id: groupId, Self: member, Roster: roster, Bounds: s.d.Bounds, Seed: seed.Sum64(),
-		Disk: s.disk, Held: held, Now: s.d.Now, Send: s.sendGroup, Failed: s.fail,
+		Disk: s.disk, Held: held, Now: s.d.Now, Send: s.sendGroup, Failed: s.fail, Room: s.hasRoom,
 		Prefer: func(roster []string) string { return s.prefer(groupId, roster) },
 		Mend:   func() (map[string]string, []string) { return s.mendPlan(groupId) }}
 	var h *host.Host
@@ -180,6 +180,16 @@
 	}
 }
 
+// linkBytes is what may wait for the link to another store before its groups
+// send it no more entries: their pulses share the link, and must not come late.
+const linkBytes = 256 << 10
+
+// hasRoom tells whether the link to a member's store takes more entries.
+func (s *Store) hasRoom(member string) bool {
+	who, isMember := s.d.Roll.Find(group.Name(member))
+	return isMember && s.d.Node.Peer(wire.GroupLink, who.Addr).HasRoom(linkBytes)
+}
+
 func fill(m *wire.GroupMsg) {
 	if m.Entries == nil {
 		m.Entries = []wire.Entry{}
--- /dev/null
+++ b/internal/transport/batch.go
@@ -0,0 +1,56 @@
+package transport
+
+import (
+	"encoding/binary"
+	"sync"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+type frame struct {
+	raw    []byte // head and array; reused
+	seq    uint32
+	weight int // of its messages
+}
+
+// batch is a full buffer on its way to become a frame.
+type batch struct {
+	items  []wire.Item
+	seq    uint32
+	weight int
+}
+
+var (
+	rawPool  = sync.Pool{New: func() any { raw := make([]byte, 0, 4<<10); return &raw }}
+	itemPool = sync.Pool{New: func() any { items := make([]wire.Item, 0, 8); return &items }}
+)
+
+// convert turns a batch into a frame for the writing goroutine.
+func (o *outbox) convert(b batch) {
+	raw := rawPool.Get().(*[]byte)
+	w := o.codec.Take()
+	defer o.codec.Give(w)
+	for _, item := range b.items {
+		before := w.Buffered()
+		if err := o.codec.Append(w, item); err != nil {
+			o.fail(err)
+			return
+		}
+		o.flow.count(item.Body, w.Buffered()-before)
+	}
+	count := len(b.items)
+	clear(b.items) // what was sent is not held on to
+	itemPool.Put(&b.items)
+	out := append((*raw)[:0], make([]byte, headSize+4)...)
+	binary.BigEndian.PutUint32(out[headSize:], uint32(count))
+	out = append(out, w.Buffer()...)
+	if len(out)-headSize > o.opts.FrameLimit {
+		o.fail(mishap.New(mishap.TooLarge, "batch of %d bytes", len(out)))
+		return
+	}
+	o.mu.Lock()
+	o.ready = append(o.ready, frame{raw: out, seq: b.seq, weight: b.weight})
+	o.mu.Unlock()
+	o.wake()
+}
--- a/internal/transport/options.go
+++ b/internal/transport/options.go
@@ -68,27 +68,6 @@
 	lost:     counter("sessions_lost_total", "Transport sessions that broke."),
 }
 
-// linkMessages and linkBytes count both ways of each link, so that what a link
-// costs can be told from what the others cost.
-var (
-	linkMessages = linkCounter("link_messages_total", "Messages by link and way.")
-	linkBytes    = linkCounter("link_bytes_total", "Bytes of frames by link and way.")
-)
-
-// flow counts one way of one link.
-type flow struct{ messages, bytes prometheus.Counter }
-
-func flowOf(link, way string) flow {
-	return flow{linkMessages.WithLabelValues(link, way), linkBytes.WithLabelValues(link, way)}
-}
-
-func linkCounter(name, help string) *prometheus.CounterVec {
-	c := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Namespace: "caperwheel", Subsystem: "transport", Name: name, Help: help}, []string{"link", "way"})
-	prometheus.MustRegister(c)
-	return c
-}
-
 func counter(name, help string) prometheus.Counter {
 	c := prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: "caperwheel", Subsystem: "transport", Name: name, Help: help})
--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"encoding/binary"
 	"hash/crc32"
 	"net"
 	"sync"
@@ -35,6 +34,7 @@
 	mu       sync.Mutex
 	pending  []wire.Item
 	weight   int // bytes that they carry, about
+	queued   int // the same, of all that is not written yet
 	seq      uint32
 	sent     int64
 	credited int64
@@ -49,16 +49,6 @@
 	fail     func(error)
 }
 
-type frame struct {
-	raw []byte // head and array; reused
-	seq uint32
-}
-
-var (
-	rawPool  = sync.Pool{New: func() any { raw := make([]byte, 0, 4<<10); return &raw }}
-	itemPool = sync.Pool{New: func() any { items := make([]wire.Item, 0, 8); return &items }}
-)
-
 func newOutbox(opts *Options, codec *wire.Codec, pool pond.Pool, conn net.Conn, window int64, flow flow, fail func(error)) *outbox {
 	o := &outbox{opts: opts, codec: codec, pool: pool, conn: conn, window: window, flow: flow, fail: fail,
 		nudge: make(chan struct{}, 1), done: make(chan struct{})}
@@ -82,7 +72,8 @@
 	}
 	o.sent++
 	o.pending = append(o.pending, item)
-	o.weight += wire.SizeOf(item.Body)
+	size := wire.SizeOf(item.Body)
+	o.weight, o.queued = o.weight+size, o.queued+size
 	if len(o.pending) >= o.opts.Batch || o.weight >= batchBytes {
 		o.cut()
 	} else if !o.armed {
@@ -102,51 +93,26 @@
 		o.mu.Unlock()
 		return
 	}
-	batch, seq := o.take()
+	b := o.take()
 	o.mu.Unlock()
-	o.convert(batch, seq)
+	o.convert(b)
 }
 
 // cut hands the buffer to the pool. Called with mu held.
 func (o *outbox) cut() {
-	batch, seq := o.take()
-	o.pool.Submit(func() { o.convert(batch, seq) })
+	b := o.take()
+	o.pool.Submit(func() { o.convert(b) })
 }
 
 // take gives the buffer and begins another. Called with mu held.
-func (o *outbox) take() (batch []wire.Item, seq uint32) {
-	batch, seq = o.pending, o.seq
+func (o *outbox) take() batch {
+	b := batch{o.pending, o.seq, o.weight}
 	o.weight = 0
 	o.pending, o.seq = (*itemPool.Get().(*[]wire.Item))[:0], o.seq+1
 	counters.batches.Inc()
-	counters.messages.Add(float64(len(batch)))
-	o.flow.messages.Add(float64(len(batch)))
-	return batch, seq
-}
-
-func (o *outbox) convert(batch []wire.Item, seq uint32) {
-	raw := rawPool.Get().(*[]byte)
-	w := o.codec.Take()
-	defer o.codec.Give(w)
-	for _, item := range batch {
-		if err := o.codec.Append(w, item); err != nil {
-			o.fail(err)
-			return
-		}
-	}
-	clear(batch) // what was sent is not held on to
-	itemPool.Put(&batch)
-	out := append((*raw)[:0], make([]byte, headSize+4)...)
-	binary.BigEndian.PutUint32(out[headSize:], uint32(len(batch)))
-	out = append(out, w.Buffer()...)
-	if len(out)-headSize > o.opts.FrameLimit {
-		o.fail(mishap.New(mishap.TooLarge, "batch of %d bytes", len(out)))
-		return
-	}
-	o.mu.Lock()
-	o.ready = append(o.ready, frame{raw: out, seq: seq})
-	o.mu.Unlock()
-	o.wake()
+	counters.messages.Add(float64(len(b.items)))
+	o.flow.messages.Add(float64(len(b.items)))
+	return b
 }
 
 func (o *outbox) wake() {
@@ -205,9 +171,19 @@
 	counters.bytes.Add(float64(len(f.raw)))
 	o.flow.bytes.Add(float64(len(f.raw)))
 	rawPool.Put(&f.raw)
+	o.mu.Lock()
+	o.queued -= f.weight
+	o.mu.Unlock()
 	return nil
 }
 
+// waiting is how many bytes have not been written yet, about.
+func (o *outbox) waiting() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.queued
+}
+
 // credit notes how many of our messages the peer has consumed.
 func (o *outbox) credit(consumed uint64) {
 	o.mu.Lock()
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -12,6 +12,10 @@
 	"caperwheel/internal/wire"
 )
 
+// askBytes: while so many bytes wait to be written, no further ask is taken.
+// Whoever would wait for its answer is told at once and can go elsewhere.
+const askBytes = 4 << 20
+
 // Peer is one long-lived link to one other daemon. It redials when it breaks.
 //
 // Invariant: every registered answer is called exactly once, with a reply or
@@ -54,6 +58,16 @@
 	return p.session != nil
 }
 
+// HasRoom tells whether the session stands and fewer bytes than so many wait to
+// be written to it. A sender that has much to send asks before it does: what
+// is small, such as a pulse, then never waits long behind it.
+func (p *Peer) HasRoom(most int) bool {
+	p.mu.Lock()
+	s := p.session
+	p.mu.Unlock()
+	return s != nil && s.out.waiting() < most
+}
+
 // onUp calls tell once the session stands, at once if it does already.
 func (p *Peer) onUp(tell func()) {
 	p.mu.Lock()
@@ -152,6 +166,11 @@
 			p.mu.Unlock()
 			return mishap.New(mishap.Full, "%d asks wait for %s", p.node.opts.Window, p.addr)
 		}
+		if s.out.waiting() >= askBytes {
+			p.mu.Unlock()
+			counters.full.Inc()
+			return mishap.New(mishap.Full, "%d bytes wait to be written to %s", askBytes, p.addr)
+		}
 		p.corr++
 		corr = p.corr
 		p.waiting[corr] = answer
--- /dev/null
+++ b/internal/transport/room_test.go
@@ -0,0 +1,59 @@
+package transport
+
+import (
+	"net"
+	"runtime"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// TestRoom: what waited for a slow link was bounded by a count alone, so that
+// thousands of large messages could fill a daemon's memory.
+func TestRoom(t *testing.T) {
+	Convey("Given a session whose other end reads nothing", t, func() {
+		node, err := NewNode(Options{})
+		So(err, ShouldBeNil)
+		near, far := net.Pipe()
+		defer far.Close()
+		s := node.newSession(wire.PlaceLink, near, wire.Who{}, wire.Version, 4096, true)
+		defer s.down(mishap.New(mishap.Lost, "the test ends"))
+		peer := &Peer{node: node, link: wire.PlaceLink, session: s, waiting: map[int64]func(any, error){}}
+		So(peer.HasRoom(1), ShouldBeTrue)
+		ask := func() error {
+			return peer.Post(&wire.Take{Body: make([]byte, 64<<10)}, func(any, error) {})
+		}
+		Convey("asks are rejected once so many bytes wait", func() {
+			taken := 0
+			for ask() == nil {
+				taken++
+			}
+			So(taken, ShouldEqual, askBytes/(64<<10))
+			So(mishap.Is(ask(), mishap.Full), ShouldBeTrue)
+			So(peer.HasRoom(askBytes), ShouldBeFalse)
+			So(peer.HasRoom(askBytes+1), ShouldBeTrue)
+		})
+		Convey("there is room again once they are written", func() {
+			for ask() == nil {
+			}
+			go func() {
+				raw := make([]byte, 1<<20)
+				for {
+					if _, err := far.Read(raw); err != nil {
+						return
+					}
+				}
+			}()
+			for !peer.HasRoom(1) {
+				runtime.Gosched()
+			}
+			So(ask(), ShouldBeNil)
+		})
+	})
+	Convey("Without a session there is no room", t, func() {
+		So((&Peer{}).HasRoom(1), ShouldBeFalse)
+	})
+}
