Store: a stalled disk holds one slot a group, and intake is refused in time

Change: one slot of a group is written at a time, and encoded when its turn has come. The log tells how many bytes wait.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -40,6 +40,7 @@
 	Dead        Ratio = 600  // a transport session that hears nothing is closed
 	Redial      Ratio = 60   // pause before a new dial
 	Try         Ratio = 50   // one try to have a message held waits this long for a store's word
+	Stall       Ratio = 100  // a place whose proposals wait longer for their commit takes no message on; over Try
 	Dial        Ratio = 170  // a worker that takes no connection within this cannot be asked
 	Tell        Ratio = 500  // whoever is told of an end answers within this
 	Settle      Ratio = 500  // an adapter tries this long to settle a batch's fate
--- a/internal/host/apply.go
+++ b/internal/host/apply.go
@@ -16,6 +16,9 @@
 			verdict = h.opts.Machine.Apply(e.Data)
 		}
 		h.applied = e.Index
+		for len(h.begun) > 0 && h.begun[0].index <= e.Index {
+			h.begun = h.begun[1:]
+		}
 		h.since++
 		h.bytes += len(e.Data)
 		if w, isKnown := h.waiters[e.Index]; isKnown {
@@ -43,7 +46,7 @@
 	h.isOwner = isOwner
 	if !isOwner {
 		orphans := h.waiters
-		h.waiters = map[int64]waiter{}
+		h.waiters, h.begun = map[int64]waiter{}, nil
 		for _, index := range slices.Sorted(maps.Keys(orphans)) {
 			orphans[index].tell(nil, mishap.New(mishap.Undecided, "group %d changes hands", h.opts.Id))
 		}
@@ -73,15 +76,20 @@
 	})
 }
 
-// onSynced brings the disk's word back to the host's goroutine.
+// onSynced brings the disk's word on what was persisted back to the host's
+// goroutine, and bringBack its word on anything.
 func (h *Host) onSynced(work func()) func(error) {
+	return h.bringBack(func() { h.pending--; work() })
+}
+
+func (h *Host) bringBack(work func()) func(error) {
 	return func(err error) {
 		if err != nil {
 			h.opts.Failed(err)
 			return
 		}
 		h.mu.Lock()
-		h.synced = append(h.synced, func() { h.pending--; work() })
+		h.synced = append(h.synced, work)
 		h.mu.Unlock()
 		select {
 		case h.wake <- struct{}{}:
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -66,9 +66,11 @@
 	image   *group.Image
 	pending int
 	applied int64
-	since   int // entries applied since the last slot
-	bytes   int // and their bytes
+	since   int  // entries applied since the last slot
+	bytes   int  // and their bytes
+	saving  bool // a slot is being written
 	waiters map[int64]waiter
+	begun   []begun // when the waiters' proposals were made, oldest first
 	isOwner bool
 	mended  time.Duration
 	parts   parts
@@ -79,11 +81,6 @@
 	wake   chan struct{}
 }
 
-type waiter struct {
-	term int64
-	tell func(verdict any, err error)
-}
-
 // New readies a replica from what its disk held.
 func New(opts Options) (*Host, error) {
 	if opts.Ring == 0 {
@@ -179,26 +176,6 @@
 	})
 }
 
-// Propose must be called on the host's goroutine. tell gets the verdict once
-// the command is committed and applied. NotOwner means that it never will be;
-// Undecided that a new owner decides.
-func (h *Host) Propose(data []byte, tell func(verdict any, err error)) {
-	if !h.isOwner {
-		tell(nil, mishap.New(mishap.NotOwner, "group %d", h.opts.Id))
-		return
-	}
-	index, term, out, isOwner := h.machine.Propose(data, h.opts.Now())
-	if !isOwner {
-		tell(nil, mishap.New(mishap.NotOwner, "group %d", h.opts.Id))
-		return
-	}
-	h.waiters[index] = waiter{term, tell}
-	h.do(out)
-}
-
-// Waiting tells how many proposals are under way. On the goroutine only.
-func (h *Host) Waiting() int { return len(h.waiters) }
-
 // IsOwner tells it, and Term the group's term, on the host's goroutine.
 func (h *Host) IsOwner() bool { return h.isOwner }
 func (h *Host) Term() int64   { return h.machine.View().Term }
--- a/internal/host/upkeep.go
+++ b/internal/host/upkeep.go
@@ -40,17 +40,19 @@
 // Compact puts the group into its slot, so that old log segments can go.
 func (h *Host) Compact() { _ = h.Do(h.compact) }
 
+// compact does nothing while the slot before is still being written: a disk
+// that stalls must not have the whole state waiting for it again and again.
 func (h *Host) compact() {
+	if h.saving {
+		return
+	}
+	h.saving = true
 	if image := h.machine.Compact(h.applied, h.opts.Machine.Image()); image != nil {
 		h.image = image
 	} // else nothing is new, but the slot must pass the log's old segments
 	h.since, h.bytes = 0, 0
 	hard, log := h.machine.Whole()
-	h.opts.Disk.SaveSlot(h.opts.Id, hard, h.image, &group.Persist{Entries: log}, func(err error) {
-		if err != nil {
-			h.opts.Failed(err)
-		}
-	})
+	h.opts.Disk.SaveSlot(h.opts.Id, hard, h.image, &group.Persist{Entries: log}, h.bringBack(func() { h.saving = false }))
 }
 
 // mend takes one step towards the roster that should be.
--- a/internal/sim/around.go
+++ b/internal/sim/around.go
@@ -24,6 +24,9 @@
 // IsFull tells of a simulated full disk.
 func (s *simStore) IsFull() bool { return s.w.now < s.full }
 
+// IsBusy tells of a disk with too much to write, which the simulation has none of.
+func (s *simStore) IsBusy() bool { return false }
+
 // Scene has the rules.
 func (s *simStore) Scene() *charter.Scene { return &charter.Scene{Rules: s.w.rules} }
 
--- a/internal/slot/log.go
+++ b/internal/slot/log.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -51,11 +52,12 @@
 	offset   int64
 	syncedAt int64
 	slotDone sync.WaitGroup
+	waiting  atomic.Int64 // bytes given to the log and not synced yet
 }
 
 type slotWrite struct {
 	group int64
-	body  []byte
+	all   whole
 	at    int64
 	then  func(error)
 }
@@ -92,6 +94,7 @@
 }
 
 func (l *Log) put(w write) {
+	l.waiting.Add(int64(len(w.body)))
 	l.ring <- w // the syncing goroutine takes writes even when it has stopped
 }
 
@@ -139,11 +142,12 @@
 			if w.slot != nil {
 				all := whole{Segment: l.segment, Offset: l.offset + int64(len(buffer)), All: *w.slot}
 				l.slotDone.Add(1)
-				l.slots <- slotWrite{w.group, wholeCodec.Encode(&all), l.segment, w.then}
+				l.slots <- slotWrite{w.group, all, l.segment, w.then}
 			}
 		}
 		err := l.flush(buffer)
 		for _, w := range batch {
+			l.waiting.Add(-int64(len(w.body)))
 			if w.slot == nil {
 				w.then(err)
 			}
--- a/internal/slot/open.go
+++ b/internal/slot/open.go
@@ -185,7 +185,7 @@
 		l.pairs[s.group] = pair
 	}
 	l.mu.Unlock()
-	if err := pair.Save(s.body); err != nil {
+	if err := pair.Save(wholeCodec.Encode(&s.all)); err != nil {
 		l.fail(err)
 		return err
 	}
--- a/internal/slot/room.go
+++ b/internal/slot/room.go
@@ -27,6 +27,9 @@
 	return err != nil || free < max(l.opts.FreeBytes, all/1000*l.opts.FreePermille)
 }
 
+// Waiting tells how many bytes were given to the log and are not synced yet.
+func (l *Log) Waiting() int64 { return l.waiting.Load() }
+
 // HasLost tells whether something promised was found gone at the start. A
 // group that the disk then knows nothing of is damaged too.
 func (l *Log) HasLost() bool { return l.lost }
--- a/internal/store/around.go
+++ b/internal/store/around.go
@@ -16,6 +16,7 @@
 	Bounds() beat.Bounds
 	IsFresh() bool
 	IsFull() bool
+	IsBusy() bool // the disk has as much to write as may wait for it
 	Scene() *charter.Scene
 	Find(name string) (wire.Who, bool)
 	Post(who wire.Who, ask any, answer func(any, error)) error // to an adapter
@@ -33,6 +34,7 @@
 	IsOwner() bool
 	Term() int64
 	Waiting() int
+	Oldest() time.Duration // how long the oldest proposal has waited
 	View() group.View
 	Propose(data []byte, tell func(verdict any, err error))
 	Do(work func()) error
@@ -51,6 +53,7 @@
 func (a *around) Bounds() beat.Bounds               { return a.s.d.Bounds }
 func (a *around) IsFresh() bool                     { return a.s.d.IsFresh() }
 func (a *around) IsFull() bool                      { return a.s.diskFull.Load() }
+func (a *around) IsBusy() bool                      { return a.s.disk.Waiting() > mostUnsynced }
 func (a *around) Scene() *charter.Scene             { return a.s.scenes.Now() }
 func (a *around) Find(name string) (wire.Who, bool) { return a.s.d.Roll.Find(name) }
 func (a *around) Post(who wire.Who, ask any, answer func(any, error)) error {
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -21,6 +21,8 @@
 	rules    *charter.Rules
 	members  map[string]wire.Who
 	isFull   bool
+	isBusy   bool
+	oldest   time.Duration
 	proposed []func(commits bool)
 	posted   []any
 	answers  []func(any, error)
@@ -42,6 +44,8 @@
 func (b *bench) Bounds() beat.Bounds                      { return beat.Default }
 func (b *bench) IsFresh() bool                            { return true }
 func (b *bench) IsFull() bool                             { return b.isFull }
+func (b *bench) IsBusy() bool                             { return b.isBusy }
+func (b *bench) Oldest() time.Duration                    { return b.oldest }
 func (b *bench) Scene() *charter.Scene                    { return &charter.Scene{Rules: b.rules} }
 func (b *bench) Find(name string) (wire.Who, bool)        { w, isHere := b.members[name]; return w, isHere }
 func (b *bench) TakeElsewhere(_ *wire.Take, _ func(bool)) {}
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/place"
@@ -50,6 +51,8 @@
 	mostWaiting = 2000
 	mostTombs   = 2000 // settled messages that a full place takes besides
 	trimBatch   = 200
+
+	mostUnsynced = 16 << 20 // bytes of all groups that may wait for the store's disk
 )
 
 func NewPlaceHost(around Around, number int64) *PlaceHost {
@@ -161,6 +164,9 @@
 	case p.around.IsFull():
 		reject(mishap.DiskFull, "the store's disk is nearly full", 30*time.Second)
 		return
+	case p.around.IsBusy() || p.host.Oldest() > p.around.Bounds().Of(beat.Stall):
+		reject(mishap.Full, "the place's disks cannot keep up", p.around.Bounds().Of(beat.Vote))
+		return
 	case count >= mostErrands || bytes >= mostBytes || p.host.Waiting() >= mostWaiting:
 		reject(mishap.Full, "the place holds as much as it may", 2*time.Second)
 		return
--- /dev/null
+++ b/internal/store/stall_test.go
@@ -0,0 +1,49 @@
+package store
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/place"
+	"caperwheel/internal/wire"
+)
+
+// TestStalledIntake: a place whose disks had stalled once took messages on until
+// their callers gave up, and told none of them that it was not held.
+func TestStalledIntake(t *testing.T) {
+	cases := []struct {
+		name   string
+		stall  func(b *bench)
+		isHeld bool
+	}{
+		{"whose disk has too much to write", func(b *bench) { b.isBusy = true }, false},
+		{"whose proposals are not committed", func(b *bench) { b.oldest = time.Second }, false},
+		{"whose proposals take a moment", func(b *bench) { b.oldest = 100 * time.Millisecond }, true},
+	}
+	Convey("A place", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				b, e := started("l")
+				c.stall(b)
+				var taken *wire.Taken
+				b.place.Take(&wire.Take{Id: "0-y", Lane: "l"}, func(reply any) { taken = reply.(*wire.Taken) })
+				if c.isHeld {
+					b.commit(true)
+					So(taken.Kind, ShouldEqual, "")
+				} else { // at once, and nothing of it can run later
+					So(taken.Kind, ShouldEqual, string(mishap.Full))
+					So(taken.Retry, ShouldBeGreaterThan, 0)
+					So(len(b.proposed), ShouldEqual, 0)
+				}
+				b.place.Take(&wire.Take{Id: "0-x", Lane: "l"}, func(reply any) { taken = reply.(*wire.Taken) })
+				So(taken.Kind, ShouldEqual, "") // held before
+				b.place.Outcome(&wire.Outcome{Id: "0-x", Proof: wire.Proof{Attempt: 1}}, func(any) {})
+				b.commit(true)
+				So(e.State, ShouldEqual, place.Ended)
+			})
+		}
+	})
+}
