Store: an ask that is sent again while it is under way is not proposed again

Cause: a message or result sent again before its first send was committed went into the log once more with all its bytes, to every replica and disk.

Change: the same ask waits with the first and gets its answer. Other bytes under the same id, and another result of the same run, are judged by themselves.

Test that failed before: TestSentAgain (3 proposals for 1 message, 2 for 1 result).

--- /dev/null
+++ b/internal/store/again_test.go
@@ -0,0 +1,77 @@
+package store
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/place"
+	"caperwheel/internal/wire"
+)
+
+// TestSentAgain: a message that was sent again before its first send was
+// committed once went into the log again, with its bytes: the slower the disks,
+// the more they had to write.
+func TestSentAgain(t *testing.T) {
+	Convey("Given a place with a message whose taking is under way", t, func() {
+		b, answers := newBench(), []*wire.Taken{}
+		take := func(sum string) {
+			b.place.Take(&wire.Take{Id: "0-y", Lane: "l", Sum: sum, Cutoff: 600_000},
+				func(reply any) { answers = append(answers, reply.(*wire.Taken)) })
+		}
+		take("s")
+		Convey("it is not proposed again, and each send gets the answer", func() {
+			take("s")
+			take("s")
+			So(len(b.proposed), ShouldEqual, 1)
+			b.commit(true)
+			So(len(answers), ShouldEqual, 3)
+			for _, a := range answers {
+				So(*a, ShouldResemble, wire.Taken{Id: "0-y", State: string(place.Held)})
+			}
+			take("s")
+			So(len(answers), ShouldEqual, 4)
+		})
+		Convey("each is told when the owner is replaced over it", func() {
+			take("s")
+			b.commit(false)
+			So(len(answers), ShouldEqual, 2)
+			So(answers[1].Kind, ShouldEqual, string(mishap.Undecided))
+			take("s")
+			So(len(b.proposed), ShouldEqual, 1)
+		})
+		Convey("other bytes under the same id are judged by themselves", func() {
+			take("other")
+			So(len(b.proposed), ShouldEqual, 2)
+		})
+		Convey("a stalled place answers each send alike", func() {
+			b.isBusy = true
+			take("s")
+			So(len(answers), ShouldEqual, 0) // as the first: it may be held yet
+			b.commit(true)
+			So(len(answers), ShouldEqual, 2)
+		})
+	})
+	Convey("Given a run whose result is under way", t, func() {
+		b, e := started("l")
+		acks := []*wire.OutcomeAck{}
+		outcome := func(kind mishap.Kind) {
+			b.place.Outcome(&wire.Outcome{Id: "0-x", Kind: string(kind), Begun: true, Proof: wire.Proof{Attempt: 1}},
+				func(reply any) { acks = append(acks, reply.(*wire.OutcomeAck)) })
+		}
+		outcome("")
+		Convey("it is not proposed again, and each send is acknowledged once it is durable", func() {
+			outcome("")
+			So(len(b.proposed), ShouldEqual, 1)
+			So(len(acks), ShouldEqual, 0)
+			b.commit(true)
+			So(len(acks), ShouldEqual, 2)
+			So(e.State, ShouldEqual, place.Ended)
+		})
+		Convey("another result of it is", func() {
+			outcome(mishap.Unsound)
+			So(len(b.proposed), ShouldEqual, 2)
+		})
+	})
+}
--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -17,6 +17,10 @@
 		answer(&wire.OutcomeAck{Kind: string(mishap.NotOwner), Owner: p.ownerName()})
 		return
 	}
+	key := outcomeKey(o)
+	if p.underWay.join(key, answer) {
+		return
+	}
 	e := p.machine.Find(o.Id)
 	if e == nil {
 		// Ended and forgotten long ago, or else this owner has been replaced and
@@ -28,6 +32,7 @@
 		answer(&wire.OutcomeAck{Kind: string(mishap.Stale)}) // its adapter keeps it and comes again
 		return
 	}
+	answer = p.underWay.begin(key, answer)
 	p.propose(p.judge(e, o, lane), func(_ place.Verdict, err error) {
 		if err != nil {
 			answer(&wire.OutcomeAck{Kind: string(mishap.KindOf(err)), Owner: p.ownerName()})
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -21,18 +21,19 @@
 // Invariants: all but ready is touched by the host's goroutine alone; inHand
 // has a run only after its adapter said so in this ownership.
 type PlaceHost struct {
-	around  Around
-	number  int64
-	host    Hosting
-	machine *place.Machine
-	clockAt time.Duration // when, by our own clock, it was the machine's clock
-	inHand  map[string]inHand
-	asking  map[string]time.Duration
-	lostAt  map[string]time.Duration
-	telling telling
-	missed  map[string]time.Duration // since when nobody has told of an open run
-	sending map[string]bool
-	trimmed time.Duration
+	around   Around
+	number   int64
+	host     Hosting
+	machine  *place.Machine
+	clockAt  time.Duration // when, by our own clock, it was the machine's clock
+	inHand   map[string]inHand
+	asking   map[string]time.Duration
+	lostAt   map[string]time.Duration
+	telling  telling
+	missed   map[string]time.Duration // since when nobody has told of an open run
+	sending  map[string]bool
+	trimmed  time.Duration
+	underWay underWay
 	// Those who wait for a message's end, by its id, and how many: at most mostOnlookers.
 	onlookers map[string][]onlooker
 	waiting   int
@@ -56,7 +57,7 @@
 )
 
 func NewPlaceHost(around Around, number int64) *PlaceHost {
-	p := &PlaceHost{around: around, number: number, machine: place.New(), onlookers: map[string][]onlooker{}}
+	p := &PlaceHost{around: around, number: number, machine: place.New(), onlookers: map[string][]onlooker{}, underWay: underWay{}}
 	p.ready.Store(&map[string]int{})
 	return p
 }
@@ -158,6 +159,8 @@
 	case p.isSame(t): // sent again: what is committed stays, full or not
 		answer(&wire.Taken{Id: t.Id, State: string(p.machine.Find(t.Id).State)})
 		return
+	case p.underWay.join(takeKey(t), answer): // sent again: it may be held yet
+		return
 	case !p.around.IsFresh(): // the lane may be another by now
 		reject(mishap.NotOwner, "", 0) // no more definite than that: an older adapter would believe it
 		return
@@ -176,6 +179,7 @@
 		reject(mishap.Unknown, "no such lane", 0)
 		return
 	}
+	answer = p.underWay.begin(takeKey(t), answer)
 	p.propose(place.Command{Kind: place.CmdTake, Id: t.Id, Lane: t.Lane, Key: t.Key, Idem: t.Idem, Ctype: t.Ctype,
 		Body: t.Body, Sum: t.Sum, Cutoff: t.Cutoff, Parent: t.Parent, Ordered: lane.IsOrdered,
 		Head: t.Head, Delay: t.Delay, Notify: t.Notify, Prompt: lane.Prompt.Milliseconds()}, func(v place.Verdict, err error) {
