Requests go out through one client that sends each at most once

Cause: the HTTP library's pool sends a request without a body again when its kept connection closes over it, if the method is GET, HEAD, OPTIONS or TRACE or the request has an Idempotency-Key, as each run of our own interface has. Clearing GetBody does not keep it from that. TestSentOnce, over 8 methods, 3 bodies, 3 sets of header fields and 7 moments, failed first: "GET with no body" arrived twice after a close and after a reset, and a 408 that came unasked on a kept connection was read as the next request's answer.

Ruled out: a body without GetBody in place of none makes a POST go out in chunks; a trace that refuses the second connection costs a dial and leaves the decision to the library's internals; a connection for each request costs one a run.

Change: web.Client gives each exchange a ClientConn of the library to itself, from a pool of our own. There is nothing below that could send again. It looks at what was written before it passes on to another connection, and keeps a connection only while its reader waits with nothing left over. No daemon may have another way out (TestOneWayOut). A HEAD whose answer names no length counts as answered.

--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
-	"github.com/go-resty/resty/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"caperwheel/internal/beat"
@@ -16,6 +14,7 @@
 	"caperwheel/internal/path"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/repair"
+	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
 
@@ -25,8 +24,7 @@
 	scenes   *charter.Scenes
 	reach    *reach.Reach
 	slots    *slots
-	client   *resty.Client
-	bare     http.RoundTripper // for requests that are given on as they came
+	client   *web.Client
 	manner   Manner
 	tellers  tellers
 	pool     pond.Pool
@@ -48,7 +46,7 @@
 func New(ctx context.Context, d *daemon.Daemon, scenes *charter.Scenes, manner Manner) *Adapter {
 	a := &Adapter{d: d, scenes: scenes, ctx: ctx, pool: pond.NewPool(d.Settings.Most), book: NewBook(d.Settings.Most),
 		manner: manner}
-	a.client, a.bare = newClient(d.Bounds)
+	a.client = newClient(d.Bounds)
 	a.slots = newSlots(a)
 	a.doers = a.steps()
 	d.Measure(a.measure)
--- a/internal/deliver/deliver_test.go
+++ b/internal/deliver/deliver_test.go
@@ -32,7 +32,7 @@
 	view.Take([]wire.PartNews{{To: 3, Changes: changes}}, d.Now())
 	a := &Adapter{d: d,
 		scenes: &charter.Scenes{View: view}, ctx: context.Background(), book: NewBook(9), manner: Own}
-	a.client, a.bare = newClient(d.Bounds)
+	a.client = newClient(d.Bounds)
 	a.slots, a.doers = newSlots(a), a.steps()
 	return a
 }
--- a/internal/deliver/manner.go
+++ b/internal/deliver/manner.go
@@ -1,11 +1,9 @@
 package deliver
 
 import (
-	"context"
-	"errors"
+	"bytes"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"time"
 
 	"caperwheel/internal/beat"
@@ -60,15 +58,11 @@
 	}
 	ctx, cancel := beat.Patience(a.ctx, bound+bound/beat.AnswerPart)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { r.isSent.Store(true) }})
-	answer, body, err := a.trip(req.WithContext(ctx), mostAnswer)
-	switch {
-	case err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return mishap.Wrap(err, mishap.Late, "the worker did not answer in time")
-	case err != nil:
+	answer, err := a.ask(ctx, r, withBody(req, r.Body))
+	if err != nil {
 		return err
 	}
-	j := a.manner.Judge(asking, answer, body)
+	j := a.manner.Judge(asking, answer.Response, answer.Bytes)
 	r.isSent.Store(j.IsBegun)
 	r.isSound.Store(j.IsSound)
 	e.outcome.Final, e.outcome.Wait = j.IsFinal, j.Wait.Milliseconds()
@@ -80,23 +74,11 @@
 	return nil
 }
 
-// trip sends a request once and reads its whole answer. An answer whose end
-// cannot be known is a mishap.
-func (a *Adapter) trip(req *http.Request, most int64) (*http.Response, []byte, error) {
-	answer, err := a.bare.RoundTrip(req)
-	if err != nil {
-		return nil, nil, mishap.Wrap(err, mishap.Lost, "no answer")
-	}
-	defer answer.Body.Close()
-	if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 {
-		return nil, nil, mishap.New(mishap.CutShort, "an answer that tells no length cannot be known to be whole")
-	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, most+1))
-	switch {
-	case err != nil:
-		return nil, nil, mishap.Wrap(err, mishap.CutShort, "the answer was cut short")
-	case int64(len(body)) > most:
-		return nil, nil, mishap.New(mishap.TooLarge, "the answer has over %d bytes", most)
+// withBody lets the client take the bytes again from the start, should a kept
+// connection have gone before it wrote any.
+func withBody(req *http.Request, body []byte) *http.Request {
+	if req.GetBody == nil && len(body) > 0 {
+		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
 	}
-	return answer, body, nil
+	return req
 }
--- /dev/null
+++ b/internal/deliver/once_test.go
@@ -0,0 +1,198 @@
+package deliver
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/web"
+)
+
+// rawWorker is a bare TCP listener. It answers the first request, and does with
+// later ones what moment says; got has the bytes of these as they came.
+type rawWorker struct {
+	listener net.Listener
+	moment   func(conn net.Conn)
+	unasked  func(conn net.Conn) // done to a connection once its first answer is out, if given
+
+	mu       sync.Mutex
+	isWarm   bool
+	got      []string
+	settled  chan struct{} // closed once unasked was done
+	finished chan struct{} // closed at the end of the case
+}
+
+func newRawWorker(moment, unasked func(net.Conn)) *rawWorker {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	w := &rawWorker{listener: listener, moment: moment, unasked: unasked, settled: make(chan struct{}), finished: make(chan struct{})}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go w.serve(conn)
+		}
+	}()
+	return w
+}
+
+func (w *rawWorker) serve(conn net.Conn) {
+	defer conn.Close()
+	seen := &bytes.Buffer{}
+	reader := bufio.NewReaderSize(io.TeeReader(conn, seen), 64<<10)
+	for {
+		seen.Reset()
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		w.mu.Lock()
+		isFirst := !w.isWarm
+		w.isWarm = true
+		if !isFirst {
+			w.got = append(w.got, seen.String())
+		}
+		w.mu.Unlock()
+		if !isFirst && w.moment != nil {
+			w.moment(conn)
+			return
+		}
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		if isFirst && w.unasked != nil {
+			w.unasked(conn)
+			close(w.settled)
+			return
+		}
+	}
+}
+
+func (w *rawWorker) requests() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.got
+}
+
+func (w *rawWorker) close() {
+	close(w.finished)
+	_ = w.listener.Close()
+}
+
+// withReset makes a close of the connection a reset.
+func withReset(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
+
+// TestSentOnce is the table of what may be sent again by the library below us:
+// nothing. A request without a body, or with an Idempotency-Key, was once sent a
+// second time when its kept connection closed over it.
+func TestSentOnce(t *testing.T) {
+	bodies := []struct {
+		name string
+		body func() io.ReadCloser
+		size int64
+	}{
+		{"no body", func() io.ReadCloser { return nil }, 0},
+		{"an empty body", func() io.ReadCloser { return http.NoBody }, 0},
+		{"a body", func() io.ReadCloser { return io.NopCloser(strings.NewReader("body")) }, 4},
+	}
+	fields := []http.Header{{}, {"Idempotency-Key": {"k"}}, {"X-Idempotency-Key": {"k"}}}
+	hang := make(chan struct{})
+	defer close(hang)
+	moments := []struct {
+		name            string
+		moment, unasked func(net.Conn)
+		isAnswered      bool
+	}{
+		{"closes over it", func(net.Conn) {}, nil, false},
+		{"resets it", withReset, nil, false},
+		{"is silent", func(net.Conn) { <-hang }, nil, false},
+		{"answers 408 and closes", func(conn net.Conn) {
+			_, _ = conn.Write([]byte("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"))
+		}, nil, true},
+		{"closed after the answer before", nil, func(net.Conn) {}, true},
+		{"reset after the answer before", nil, withReset, true},
+		{"sent 408 after the answer before", nil, func(conn net.Conn) {
+			_, _ = conn.Write([]byte("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"))
+		}, true},
+	}
+	for _, m := range moments {
+		Convey("To a worker that "+m.name, t, func() {
+			for _, method := range []string{"GET", "HEAD", "OPTIONS", "TRACE", "POST", "PUT", "PATCH", "DELETE"} {
+				for _, b := range bodies {
+					for _, header := range fields {
+						w := newRawWorker(m.moment, m.unasked)
+						send, client := newSender()
+						request := func() *http.Request {
+							r, err := http.NewRequest(method, "http://"+w.listener.Addr().String()+"/a?b", nil)
+							So(err, ShouldBeNil)
+							r.Header = header.Clone()
+							r.Header["User-Agent"] = []string{""}
+							r.Body, r.ContentLength = b.body(), b.size
+							return r
+						}
+						ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+						_, err := send(request().WithContext(ctx))
+						cancel()
+						So(err, ShouldBeNil)
+						if m.unasked != nil {
+							<-w.settled
+							settle(client)
+						}
+						span := time.Minute
+						if m.name == "is silent" {
+							span = 20 * time.Millisecond
+						}
+						ctx, cancel = context.WithTimeout(context.Background(), span)
+						code, err := send(request().WithContext(ctx))
+						cancel()
+						if got := w.requests(); len(got) != 1 {
+							So(method+" with "+b.name, ShouldEqual, "sent once, not as "+strings.Join(got, " and "))
+						}
+						if m.isAnswered && m.unasked == nil {
+							So(code, ShouldEqual, 408)
+						}
+						if m.unasked != nil {
+							So(code, ShouldEqual, 200)
+						}
+						So(err == nil, ShouldEqual, m.isAnswered)
+						w.close()
+					}
+				}
+			}
+		})
+	}
+}
+
+// newSender gives what sends one request after another as runs are sent.
+func newSender() (send func(r *http.Request) (code int, err error), client *web.Client) {
+	client = newClient(beat.Default)
+	return func(r *http.Request) (int, error) {
+		reply, err := client.Send(r, mostAnswer, web.Always)
+		if err != nil {
+			return 0, err
+		}
+		return reply.StatusCode, nil
+	}, client
+}
+
+// settle waits until the client has noticed what came on the connections that
+// it keeps.
+func settle(client *web.Client) {
+	for until := time.Now().Add(time.Minute); client.Kept() > 0 && time.Now().Before(until); {
+		runtime.Gosched()
+	}
+}
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -1,24 +1,23 @@
 package deliver
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"time"
 
-	"github.com/go-resty/resty/v2"
-
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
 	"caperwheel/internal/place"
 	"caperwheel/internal/store"
+	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
 
@@ -36,23 +35,14 @@
 // mostAnswer bounds a worker's answer, which is kept as proof.
 const mostAnswer = 256 << 10
 
-// once keeps the HTTP library from sending a request again by itself: a run is
-// sent once, and whether it is run again is for the place's owner to say.
-type once struct{ http.RoundTripper }
-
-func (o once) RoundTrip(r *http.Request) (*http.Response, error) {
-	r.GetBody = nil
-	return o.RoundTripper.RoundTrip(r)
-}
-
 // lostMachine finds a worker's machine gone that can no longer say so itself.
 var lostMachine = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
-func newClient(bounds beat.Bounds) (*resty.Client, http.RoundTripper) {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: bounds.Of(beat.Dial), KeepAliveConfig: lostMachine}).DialContext,
-		MaxIdleConns: 4096, MaxIdleConnsPerHost: 64, IdleConnTimeout: bounds.Charter, DisableCompression: true}
-	bare := once{transport}
-	return resty.New().SetTransport(bare).SetRedirectPolicy(resty.NoRedirectPolicy()), bare
+// newClient gives the adapter's way out to workers and to whoever is told of
+// ends. What it sends is sent once: whether it is run again is for the place's
+// owner to say.
+func newClient(bounds beat.Bounds) *web.Client {
+	return web.NewClient(web.ClientOptions{Dial: bounds.Of(beat.Dial), Idle: bounds.Charter, MostIdle: 64, KeepAlive: lostMachine})
 }
 
 func (a *Adapter) steps() path.Doers[*delivery] {
@@ -116,51 +106,51 @@
 	pool := e.rules.Pools[r.Pool]
 	ctx, cancel := beat.Patience(a.ctx, place.Wait(r.Key != "", time.Duration(r.Bound)*time.Millisecond))
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { r.isSent.Store(true) }})
-	req := a.client.R().SetContext(ctx).SetDoNotParseResponse(true).SetBody(r.Body).
-		SetHeader("X-Message-Id", r.Id).SetHeader("X-Attempt", strconv.FormatInt(r.Attempt, 10)).
-		SetHeader("X-Lane", r.Lane).SetHeader("Idempotency-Key", r.Id).SetHeader("X-Content-SHA256", r.Sum).
-		SetHeader("User-Agent", "caperwheel/"+a.d.Who.Name).SetHeader("X-Charter-Stamp", strconv.FormatInt(e.scene.Stamp, 10))
-	if r.Ctype != "" {
-		req.SetHeader("Content-Type", r.Ctype)
-	} else {
-		req.SetHeader("Content-Type", "application/octet-stream")
+	req, err := a.requestOf(e, pool.Path)
+	if err != nil {
+		e.outcome.Final = true
+		return err
 	}
-	if r.Key != "" {
-		req.SetHeader("Ordering-Key", r.Key)
+	reply, err := a.ask(ctx, r, req)
+	if err != nil {
+		e.outcome.Final = mishap.Is(err, mishap.TooLarge)
+		return err
 	}
-	resp, err := req.Post("http://" + r.address + pool.Path)
-	if err != nil && (resp == nil || resp.RawResponse == nil) {
-		return a.nameFailure(ctx, err)
+	if reply.StatusCode < 200 || reply.StatusCode > 299 {
+		return refused(e.outcome, reply.Response)
 	}
-	raw := resp.RawResponse
-	defer raw.Body.Close()
-	if raw.ContentLength < 0 && !slices.Contains(raw.TransferEncoding, "chunked") {
-		return mishap.New(mishap.CutShort, "an answer that tells no length cannot be known to be whole")
+	p := &e.outcome.Proof
+	p.Status, p.Ctype, p.Answer, p.Sum = int64(reply.StatusCode), reply.Header.Get("Content-Type"), reply.Bytes, store.SumOf(reply.Bytes)
+	return nil
+}
+
+// requestOf gives the request that a run is to its worker.
+func (a *Adapter) requestOf(e *delivery, path string) (*http.Request, error) {
+	r := e.run
+	req, err := http.NewRequest(http.MethodPost, "http://"+r.address+path, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.Invalid, "request to %s", r.address)
 	}
-	answer, err := io.ReadAll(io.LimitReader(raw.Body, mostAnswer+1))
-	switch {
-	case err != nil && ctx.Err() != nil:
-		return mishap.Wrap(err, mishap.Late, "the answer did not end in time")
-	case err != nil:
-		return mishap.Wrap(err, mishap.CutShort, "the answer was cut short")
-	case len(answer) > mostAnswer:
-		e.outcome.Final = true
-		return mishap.New(mishap.TooLarge, "the answer has over %d bytes", mostAnswer)
+	fields := map[string]string{"X-Message-Id": r.Id, "X-Attempt": strconv.FormatInt(r.Attempt, 10), "X-Lane": r.Lane,
+		"Idempotency-Key": r.Id, "X-Content-SHA256": r.Sum, "User-Agent": "caperwheel/" + a.d.Who.Name,
+		"X-Charter-Stamp": strconv.FormatInt(e.scene.Stamp, 10), "Content-Type": cmp.Or(r.Ctype, "application/octet-stream")}
+	if r.Key != "" {
+		fields["Ordering-Key"] = r.Key
 	}
-	if raw.StatusCode < 200 || raw.StatusCode > 299 {
-		return refused(e.outcome, raw)
+	for name, value := range fields {
+		req.Header.Set(name, value)
 	}
-	p := &e.outcome.Proof
-	p.Status, p.Ctype, p.Answer, p.Sum = int64(raw.StatusCode), raw.Header.Get("Content-Type"), answer, store.SumOf(answer)
-	return nil
+	return req, nil
 }
 
-func (a *Adapter) nameFailure(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return mishap.Wrap(err, mishap.Late, "the worker did not answer in time")
+// ask puts a request to a worker, once, and names what came of it.
+func (a *Adapter) ask(ctx context.Context, r *run, req *http.Request) (*web.Reply, error) {
+	reply, err := a.client.Send(req.WithContext(ctx), mostAnswer, web.Always)
+	r.isSent.Store(!web.IsUnsent(err))
+	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return nil, mishap.Wrap(err, mishap.Late, "the worker did not answer in time")
 	}
-	return mishap.Wrap(err, mishap.Lost, "the worker could not be asked")
+	return reply, err
 }
 
 // refused names an answer that is no success. Most 4xx blame the message: it
--- a/internal/deliver/tell.go
+++ b/internal/deliver/tell.go
@@ -6,6 +6,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/mishap"
+	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
 
@@ -55,7 +56,7 @@
 		defer a.tellers.leave(address)
 		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(beat.Tell))
 		defer cancel()
-		got, _, err := a.trip(req.WithContext(ctx), mostAnswer)
+		got, err := a.client.Send(req.WithContext(ctx), mostAnswer, web.Always)
 		out := &wire.Told{}
 		if err != nil {
 			out.Kind = string(mishap.KindOf(err))
--- /dev/null
+++ b/internal/web/client.go
@@ -0,0 +1,236 @@
+package web
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"caperwheel/internal/mishap"
+)
+
+// ClientOptions set up a client.
+type ClientOptions struct {
+	Dial      time.Duration // a connection that is not made within this is given up
+	Idle      time.Duration // a connection that nobody has used for this long is closed
+	MostIdle  int           // connections kept for one address
+	KeepAlive net.KeepAliveConfig
+}
+
+// mostIdle bounds the connections that a client keeps for all addresses.
+const mostIdle = 4096
+
+// Client is the one way out of a daemon for HTTP requests. Each exchange has a
+// connection to itself, on which the library sends a request once or fails:
+// there is no pool of the library's that could send it again.
+//
+// Invariants: once a byte of a request was written, no other connection gets
+// it, whatever its method, body and header fields; a connection is used again
+// only if its last answer was read whole, whoever asked lets it, and nothing
+// has come on it since.
+type Client struct {
+	options   ClientOptions
+	transport *http.Transport
+
+	mu    sync.Mutex
+	idle  map[string][]*connection // by address; the one used last is the last one
+	total int
+}
+
+// Reply is a whole answer that came in.
+type Reply struct {
+	*http.Response
+	Bytes   []byte // the body
+	IsFirst bool   // no other request went over its connection before
+}
+
+// Unsent marks a failure before a byte of the request was written.
+type Unsent struct{ cause error }
+
+func (u *Unsent) Error() string { return "unsent: " + u.cause.Error() }
+
+// Unwrap gives the cause.
+func (u *Unsent) Unwrap() error { return u.cause }
+
+// IsUnsent tells whether a request that failed was certainly not sent.
+func IsUnsent(err error) bool {
+	var unsent *Unsent
+	return errors.As(err, &unsent)
+}
+
+// NewClient gives a client without connections.
+func NewClient(o ClientOptions) *Client {
+	c := &Client{options: o, idle: map[string][]*connection{}}
+	dialer := &net.Dialer{Timeout: o.Dial, KeepAliveConfig: o.KeepAlive}
+	c.transport = &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		conn := ctx.Value(dialed{}).(*connection)
+		conn.Conn = raw
+		return conn, nil
+	}}
+	return c
+}
+
+// dialed is the context's key of the connection that is being made.
+type dialed struct{}
+
+// Always lets every connection be used again whose answer was whole.
+func Always(*Reply) bool { return true }
+
+// Send sends a request at most once and reads its whole answer, of most bytes.
+// An answer whose end cannot be known is a mishap. mayKeep tells whether the
+// connection may carry another request after this answer; nil means no.
+func (c *Client) Send(r *http.Request, most int64, mayKeep func(*Reply) bool) (*Reply, error) {
+	answer, _, err := c.send(r, most, mayKeep)
+	return answer, err
+}
+
+// SendRepeatable is Send for a call that does no harm when it arrives twice: if
+// a kept connection breaks over it, it is sent once more.
+func (c *Client) SendRepeatable(r *http.Request, most int64, mayKeep func(*Reply) bool) (*Reply, error) {
+	answer, isFirst, err := c.send(r, most, mayKeep)
+	if err == nil || isFirst || r.Context().Err() != nil || !mishap.Is(err, mishap.Lost) {
+		return answer, err
+	}
+	again, isWhole := renewed(r)
+	if !isWhole {
+		return nil, err
+	}
+	return c.Send(again, most, mayKeep)
+}
+
+func (c *Client) send(r *http.Request, most int64, mayKeep func(*Reply) bool) (answer *Reply, isFirst bool, err error) {
+	for {
+		conn, err := c.take(r)
+		if err != nil {
+			return nil, true, &Unsent{mishap.Wrap(err, mishap.Lost, "no connection to %s", r.URL.Host)}
+		}
+		answer, err := conn.exchange(r, most)
+		if err == nil {
+			if mayKeep != nil && mayKeep(answer) {
+				conn.keep()
+			} else {
+				conn.drop()
+			}
+			return answer, answer.IsFirst, nil
+		}
+		isFirst, isUnsent := conn.requests == 1, conn.withdraw()
+		conn.drop()
+		if !isUnsent {
+			return nil, isFirst, err
+		}
+		again, isWhole := renewed(r)
+		if isFirst || !isWhole || r.Context().Err() != nil {
+			return nil, isFirst, &Unsent{err}
+		}
+		r = again // the kept connection had gone before anything was written
+	}
+}
+
+// renewed gives the request with its body from the start, if it can be had.
+func renewed(r *http.Request) (again *http.Request, isWhole bool) {
+	out := *r
+	if r.Body == nil || r.Body == http.NoBody {
+		return &out, true
+	}
+	if r.GetBody == nil {
+		return nil, false
+	}
+	body, err := r.GetBody()
+	out.Body = body
+	return &out, err == nil
+}
+
+// take gives a kept connection that is fit for use, or makes one.
+func (c *Client) take(r *http.Request) (*connection, error) {
+	address := addressOf(r)
+	for {
+		conn := c.pop(address)
+		if conn == nil {
+			return c.dial(r, address)
+		}
+		if conn.begin() {
+			return conn, nil
+		}
+	}
+}
+
+func (c *Client) dial(r *http.Request, address string) (*connection, error) {
+	conn := &connection{client: c, address: address, isPlain: r.URL.Scheme == "http", requests: 1}
+	made, err := c.transport.NewClientConn(context.WithValue(r.Context(), dialed{}, conn), r.URL.Scheme, address)
+	if err != nil {
+		return nil, err
+	}
+	conn.clear()
+	conn.tripper = made
+	return conn, nil
+}
+
+func addressOf(r *http.Request) string {
+	port := r.URL.Port()
+	switch {
+	case port != "":
+	case r.URL.Scheme == "https":
+		port = "443"
+	default:
+		port = "80"
+	}
+	return net.JoinHostPort(r.URL.Hostname(), port)
+}
+
+func (c *Client) pop(address string) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	conn := list[len(list)-1]
+	c.without(conn, list, len(list)-1)
+	return conn
+}
+
+// put keeps a connection, if there is room.
+func (c *Client) put(conn *connection) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[conn.address]) >= c.options.MostIdle || c.total >= mostIdle {
+		return false
+	}
+	c.idle[conn.address] = append(c.idle[conn.address], conn)
+	c.total++
+	return true
+}
+
+// remove takes a connection out that is not fit any more.
+func (c *Client) remove(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[conn.address]
+	if at := slices.Index(list, conn); at >= 0 {
+		c.without(conn, list, at)
+	}
+}
+
+// without is called with mu held.
+func (c *Client) without(conn *connection, list []*connection, at int) {
+	c.total--
+	if list = slices.Delete(list, at, at+1); len(list) == 0 {
+		delete(c.idle, conn.address)
+		return
+	}
+	c.idle[conn.address] = list
+}
+
+// Kept tells how many connections are kept.
+func (c *Client) Kept() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.total
+}
--- /dev/null
+++ b/internal/web/connection.go
@@ -0,0 +1,218 @@
+package web
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"caperwheel/internal/mishap"
+)
+
+// phase is the state of a connection.
+type phase int
+
+// The states. A connection goes from busy to answered or idle, from answered to
+// idle, from idle to busy, and from each to spent.
+const (
+	busy     phase = iota // a request is on it
+	answered              // its answer was whole, and its reader is on its way back
+	idle                  // its reader waits, and nothing has come since the answer
+	spent                 // never used again
+)
+
+// connection is a net.Conn that knows what came on it, and when. The library's
+// reader reads again after an answer only if nothing is left over of it: what is
+// left over, or comes unasked, never leads to the state idle.
+//
+// Invariant: it is in its client's list only while it is idle.
+type connection struct {
+	net.Conn
+	client   *Client
+	address  string
+	tripper  *http.ClientConn
+	requests int  // by the goroutine that has it
+	isPlain  bool // no TLS, whose own bytes come and go at any time
+
+	mu        sync.Mutex
+	phase     phase
+	isReading bool
+	isWriting bool
+	isSealed  bool  // nothing more is written
+	written   int64 // bytes of the request that is on it
+	isEarly   bool  // bytes came before any of that request was written
+	expiry    *time.Timer
+}
+
+// Read notes whether its caller waits, and what it gets.
+func (c *connection) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	c.isReading = true
+	if c.phase == answered {
+		c.rest()
+	}
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.isReading = false
+	if c.phase == busy && n > 0 && c.written == 0 && !c.isWriting && c.isPlain {
+		c.isEarly = true
+	}
+	wasIdle := c.phase == idle
+	if wasIdle {
+		c.phase = spent
+	}
+	c.mu.Unlock()
+	if wasIdle {
+		c.client.remove(c)
+		c.drop()
+	}
+	return n, err
+}
+
+// Write counts what is written.
+func (c *connection) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.isSealed {
+		c.mu.Unlock()
+		return 0, mishap.New(mishap.Lost, "the request was withdrawn")
+	}
+	c.isWriting = true
+	c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.isWriting = false
+	c.written += int64(n)
+	c.mu.Unlock()
+	return n, err
+}
+
+// exchange sends a request and reads its answer whole.
+func (c *connection) exchange(r *http.Request, most int64) (*Reply, error) {
+	raw, err := c.tripper.RoundTrip(r)
+	if err != nil {
+		return nil, mishap.Wrap(err, mishap.Lost, "no answer")
+	}
+	if c.cameEarly() {
+		_ = raw.Body.Close()
+		return nil, mishap.New(mishap.CutShort, "an answer came before its request was sent")
+	}
+	body, err := readWhole(raw, most)
+	if err != nil {
+		return nil, err
+	}
+	return &Reply{Response: raw, Bytes: body, IsFirst: c.requests == 1}, nil
+}
+
+func (c *connection) cameEarly() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isEarly
+}
+
+// begin takes an idle connection into use.
+func (c *connection) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != idle {
+		return false
+	}
+	c.expiry.Stop()
+	c.phase, c.written = busy, 0
+	c.requests++
+	return true
+}
+
+// clear forgets what was written to make the connection.
+func (c *connection) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written = 0
+}
+
+// withdraw tells whether nothing of the request was written, and sees to it
+// that nothing will be.
+func (c *connection) withdraw() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isSealed = true
+	return c.written == 0 && !c.isWriting
+}
+
+// keep lets the connection be used again once its reader waits.
+func (c *connection) keep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isPlain {
+		c.phase = spent
+		c.release()
+		return
+	}
+	c.phase = answered
+	if c.isReading {
+		c.rest()
+	}
+}
+
+// rest is called with mu held, when the reader waits after an answer.
+func (c *connection) rest() {
+	c.phase = idle
+	if c.expiry == nil {
+		c.expiry = time.AfterFunc(c.client.options.Idle, c.expire)
+	} else {
+		c.expiry.Reset(c.client.options.Idle)
+	}
+	if !c.client.put(c) {
+		c.phase = spent
+		c.release()
+	}
+}
+
+// expire ends a connection that nobody has used for long.
+func (c *connection) expire() {
+	c.mu.Lock()
+	isIdle := c.phase == idle
+	if isIdle {
+		c.phase = spent
+	}
+	c.mu.Unlock()
+	if isIdle {
+		c.client.remove(c)
+		c.drop()
+	}
+}
+
+// drop ends the connection for good.
+func (c *connection) drop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = spent
+	c.release()
+}
+
+// release closes the socket, which ends the library's goroutines of it. Called
+// with mu held.
+func (c *connection) release() {
+	if c.expiry != nil {
+		c.expiry.Stop()
+	}
+	_ = c.Conn.Close()
+}
+
+// readWhole reads an answer's body to its end.
+func readWhole(answer *http.Response, most int64) ([]byte, error) {
+	defer func() { _ = answer.Body.Close() }()
+	hasNoLength := answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && answer.Request.Method != http.MethodHead
+	if answer.StatusCode < 200 || hasNoLength {
+		return nil, mishap.New(mishap.CutShort, "an answer that tells no length cannot be known to be whole")
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, most+1))
+	switch {
+	case err != nil:
+		return nil, mishap.Wrap(err, mishap.CutShort, "the answer was cut short")
+	case int64(len(body)) > most:
+		return nil, mishap.New(mishap.TooLarge, "the answer has over %d bytes", most)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/web/repeat_test.go
@@ -0,0 +1,109 @@
+package web
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/mishap"
+)
+
+// TestRepeatable: what is sent again is what says that it may be.
+func TestRepeatable(t *testing.T) {
+	Convey("When a kept connection closes over a call", t, func() {
+		calls := &atomic.Int64{}
+		address, _ := rawServer(func(number int64, conn net.Conn, reader *bufio.Reader) {
+			for turn := 1; ; turn++ {
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				if calls.Add(1); turn > 1 {
+					return
+				}
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			}
+		})
+		client := testClient()
+		call := func(send func(*http.Request, int64, func(*Reply) bool) (*Reply, error)) error {
+			r, err := http.NewRequest("POST", "http://"+address+"/", strings.NewReader("body"))
+			So(err, ShouldBeNil)
+			_, err = send(r, 100, Always)
+			return err
+		}
+		So(call(client.Send), ShouldBeNil)
+		settle(client, 1)
+		Convey("it fails, if it does not say that it may be sent again", func() {
+			err := call(client.Send)
+			So(mishap.Is(err, mishap.Lost), ShouldBeTrue)
+			So(IsUnsent(err), ShouldBeFalse)
+			So(calls.Load(), ShouldEqual, 2)
+		})
+		Convey("it is sent once more, if it does", func() {
+			So(call(client.SendRepeatable), ShouldBeNil)
+			So(calls.Load(), ShouldEqual, 3)
+		})
+	})
+	Convey("A call that nobody hears was not sent", t, func() {
+		r, err := http.NewRequest("POST", "http://127.0.0.1:1/", nil)
+		So(err, ShouldBeNil)
+		_, err = testClient().Send(r, 100, nil)
+		So(IsUnsent(err), ShouldBeTrue)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err = testClient().Send(r.WithContext(ctx), 100, nil)
+		So(IsUnsent(err), ShouldBeTrue)
+	})
+}
+
+// TestOneWayOut: a daemon that made a client of its own once had the library
+// send its runs twice. The proof tools and the operators' command line may.
+func TestOneWayOut(t *testing.T) {
+	others := regexp.MustCompile(`http\.(Transport\{|Client\{|DefaultClient|DefaultTransport|Get\(|Post\(|PostForm\(|Head\()|resty\.New|httputil\.(NewSingleHost)?ReverseProxy`)
+	tools := regexp.MustCompile(`^(internal/(fleet|standin|scale|sim|check|cli)/|internal/web/client\.go$)`)
+	Convey("No daemon has another way out than Client", t, func() {
+		root := filepath.Join("..", "..")
+		seen := 0
+		for _, folder := range []string{"internal", "platform", "cmd"} {
+			So(filepath.WalkDir(filepath.Join(root, folder), func(path string, entry os.DirEntry, err error) error {
+				name, _ := filepath.Rel(root, path)
+				if err != nil || entry.IsDir() || !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, "_test.go") || tools.MatchString(name) {
+					return err
+				}
+				seen++
+				text, err := os.ReadFile(path)
+				So(name+": "+string(others.Find(text)), ShouldEqual, name+": ")
+				return err
+			}), ShouldBeNil)
+		}
+		So(seen, ShouldBeGreaterThan, 100)
+	})
+}
+
+// TestOverTls: a connection over TLS carries one request.
+func TestOverTls(t *testing.T) {
+	Convey("Over TLS a call is answered, and its connection not kept", t, func() {
+		server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { Answer(w, 200, "x") }))
+		Reset(server.Close)
+		client := testClient()
+		client.transport.TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig
+		r, err := http.NewRequest("GET", server.URL+"/", nil)
+		So(err, ShouldBeNil)
+		reply, err := client.Send(r, 100, Always)
+		So(err, ShouldBeNil)
+		So(reply.StatusCode, ShouldEqual, 200)
+		So(client.Kept(), ShouldEqual, 0)
+	})
+}
