Group: a replica can be copied, and its state written so that equal ones look alike

A search over all states that a group can reach goes on from one state in several ways and must know a state that it has seen. Clone copies a replica; Canonical writes its state with times reduced to what they decide and member ids renamed by the caller.

--- /dev/null
+++ b/internal/group/canonical.go
@@ -0,0 +1,156 @@
+package group
+
+import (
+	"encoding/binary"
+	"reflect"
+	"slices"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/wire"
+)
+
+// Canonical appends a replica's state to raw, so that two replicas that can
+// only behave alike have the same bytes. Every field counts, a later one too,
+// but for those in leftOut. Times count only by what they decide at now: how
+// many pulses ago something was, whether an owner was heard lately, and
+// whether a round or a confirmation is no older than asked. Rosters count as
+// sets. Rename is given every member id, so that a caller can fold members
+// that stand alike.
+func (g *Group) Canonical(raw []byte, now, asked time.Duration, rename func(member string) string) []byte {
+	w := canonical{raw, now, g.opts.Bounds.Of(beat.Pulse), rename}
+	w.member(g.opts.Self)
+	w.flag(g.hasOwner(now))
+	w.flag(g.confirmed >= asked)
+	for _, r := range g.rounds {
+		w.number(r.round)
+		w.flag(r.at >= asked)
+	}
+	for _, r := range g.rosts {
+		w.number(r.index)
+		w.set(r.members)
+	}
+	w.raw = AppendEntries(w.raw, g.log)
+	w.value(reflect.ValueOf(g).Elem())
+	return w.raw
+}
+
+// leftOut are the fields that Canonical writes in another way, or not at all:
+// what decides only when a replica stands or pulses, which a search chooses
+// itself, and which member is told first that it may stand.
+var leftOut = map[string]bool{"opts": true, "rand": true, "rounds": true, "rosts": true, "log": true,
+	"heardAt": true, "standAt": true, "pulseAt": true, "ackedAt": true, "heirSince": true}
+
+// clipped: what is longer ago than this many pulses is as long ago as for ever.
+const clipped = 16
+
+// AppendEntries appends log entries; a roster's members are left to the caller.
+func AppendEntries(raw []byte, entries []wire.Entry) []byte {
+	raw = binary.AppendVarint(raw, int64(len(entries)))
+	for _, e := range entries {
+		raw = binary.AppendVarint(raw, e.Term)
+		raw = append(raw, byte(e.Kind))
+		if e.Kind == EntryData {
+			raw = binary.AppendVarint(raw, int64(len(e.Data)))
+			raw = append(raw, e.Data[:min(len(e.Data), wordBytes)]...)
+		}
+	}
+	return raw
+}
+
+// wordBytes of a command tell it from all others.
+const wordBytes = 16
+
+// canonical writes values one after the other, each with its end marked.
+type canonical struct {
+	raw    []byte
+	now    time.Duration
+	pulse  time.Duration
+	rename func(member string) string
+}
+
+func (w *canonical) number(n int64) { w.raw = binary.AppendVarint(w.raw, n) }
+
+func (w *canonical) flag(is bool) {
+	if is {
+		w.raw = append(w.raw, 1)
+	} else {
+		w.raw = append(w.raw, 0)
+	}
+}
+
+func (w *canonical) member(m string) {
+	if m != "" {
+		m = w.rename(m)
+	}
+	w.raw = append(append(w.raw, m...), 0)
+}
+
+func (w *canonical) ago(at time.Duration) {
+	if at == 0 {
+		w.number(-1)
+	} else {
+		w.number(min(clipped, int64((w.now-at)/w.pulse)))
+	}
+}
+
+// value writes any field of a replica: its numbers, flags, times and members,
+// and what is known by member.
+func (w *canonical) value(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Bool:
+		w.flag(v.Bool())
+	case reflect.Int, reflect.Int32, reflect.Int64:
+		if v.Type() == reflect.TypeFor[time.Duration]() {
+			w.ago(time.Duration(v.Int()))
+		} else {
+			w.number(v.Int())
+		}
+	case reflect.String:
+		w.member(v.String())
+	case reflect.Pointer:
+		w.flag(!v.IsNil())
+		if !v.IsNil() {
+			w.value(v.Elem())
+		}
+	case reflect.Slice:
+		w.number(int64(v.Len()))
+		for i := range v.Len() {
+			w.value(v.Index(i))
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if !leftOut[v.Type().Field(i).Name] {
+				w.value(v.Field(i))
+			}
+		}
+	case reflect.Map:
+		w.byMember(v)
+	}
+}
+
+func (w *canonical) byMember(v reflect.Value) {
+	members, held := []string{}, map[string]reflect.Value{}
+	for i := v.MapRange(); i.Next(); {
+		members = append(members, i.Key().String())
+		held[i.Key().String()] = i.Value()
+	}
+	w.ordered(members, func(m string) { w.value(held[m]) })
+}
+
+func (w *canonical) set(list []string) { w.ordered(list, func(string) {}) }
+
+// ordered writes members in the order of their new names, each with what more
+// there is to say of it.
+func (w *canonical) ordered(list []string, more func(member string)) {
+	sorted := make([][2]string, 0, len(list)) // new name, old name
+	for _, m := range list {
+		sorted = append(sorted, [2]string{w.rename(m), m})
+	}
+	slices.SortFunc(sorted, func(a, b [2]string) int { return slices.Compare(a[:], b[:]) })
+	w.number(int64(len(sorted)))
+	for _, m := range sorted {
+		w.member(m[1])
+		more(m[1])
+	}
+}
--- /dev/null
+++ b/internal/group/clone.go
@@ -0,0 +1,28 @@
+package group
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+)
+
+// Clone gives an independent copy of a replica, for a search that goes on from
+// one state in several ways. The copy draws its random numbers anew from the
+// seed; nothing else tells the two apart.
+func (g *Group) Clone() *Group {
+	c := *g
+	c.rand = rand.New(rand.NewPCG(g.opts.Seed, uint64(g.opts.Id)))
+	c.log = slices.Clone(g.log)
+	c.rosts = slices.Clone(g.rosts)
+	c.votes = maps.Clone(g.votes)
+	c.rounds = slices.Clone(g.rounds)
+	c.renamed = maps.Clone(g.renamed)
+	if g.peers != nil {
+		c.peers = make(map[string]*peerState, len(g.peers))
+		for m, p := range g.peers {
+			own := *p
+			c.peers[m] = &own
+		}
+	}
+	return &c
+}
