Group of one: nothing of a new term is told before the owner's disk knows it

Cause: a sole voter elects itself and speaks as the owner in one step, before its vote is synced. After a loss of power it owned the same term again; learners could hold other entries under the same index and term, and their word would count as soon as they vote. Found by exploring every state of a group of one: stand, restart without the unsynced write, stand. Ruled out: groups of more voters, where the request for votes waits for the disk, so no vote can come back earlier. Change: such an owner speaks to nobody until its first entry, which is written with its vote, is synced.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -210,8 +210,15 @@
 
 func (g *Group) isVoter() bool { return slices.Contains(g.roster(), g.opts.Self) }
 
+// others are the members that this replica speaks to as an owner. There are
+// none while its own disk lacks its first entry, and so may lack the term: one
+// that was elected by its own vote alone could lose both, own the term a second
+// time, and be found to have told its learners of another first entry.
 func (g *Group) others() []string {
 	out := []string{}
+	if g.role == Owner && g.synced < g.blankAt && len(Voters(g.roster())) == 1 {
+		return out
+	}
 	for _, m := range g.roster() {
 		if m = strings.TrimPrefix(m, learner); m != g.opts.Self {
 			out = append(out, m)
