--- a/internal/group/clone.go
+++ b/internal/group/clone.go
@@ -21,6 +21,7 @@
 		c.peers = make(map[string]*peerState, len(g.peers))
 		for m, p := range g.peers {
 			own := *p
+			own.flight = slices.Clone(p.flight)
 			c.peers[m] = &own
 		}
 	}
