A view takes no news for younger than they are in its daemon's first moments

Cause: the moment of a view's confirmation began at the daemon's start. Ruled out: the manager's own age, which it tells truly. Change: the first confirmation is taken as it is, also where it lies before the daemon's start. The test failed first: age 10 s in place of 30 s.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -78,6 +78,15 @@
 			news := v.News([]wire.PartStamp{{Part: 0, Stamp: 1200}}, 11*time.Second)
 			So(news[0].Age, ShouldEqual, 1_500_000)
 		})
+		Convey("news older than its own life are as old as they say", func() {
+			// A daemon that had just started once took them for confirmed at its start.
+			for range 3 {
+				ask(30_000_000)
+			}
+			age, isSure := v.Age(10 * time.Second)
+			So(isSure, ShouldBeTrue)
+			So(age, ShouldEqual, 30*time.Second)
+		})
 		Convey("it never goes back to an older history", func() {
 			for range 3 {
 				ask(0)
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -67,8 +67,7 @@
 		}
 		p.stamp = n.To
 		if n.Age >= 0 {
-			p.sureAt = max(p.sureAt, askedAt-time.Duration(n.Age)*time.Microsecond)
-			p.isSure = true
+			p.confirm(askedAt - time.Duration(n.Age)*time.Microsecond)
 		}
 	}
 	if isChanged {
@@ -77,6 +76,14 @@
 	return isChanged
 }
 
+// confirm notes a moment as of which the part was the newest. The first one may
+// lie before the daemon's own start, where its clock is below 0.
+func (p *partView) confirm(at time.Duration) {
+	if !p.isSure || at > p.sureAt {
+		p.sureAt, p.isSure = at, true
+	}
+}
+
 // Age tells how old the oldest part's confirmation is; false before the first.
 func (v *View) Age(now time.Duration) (time.Duration, bool) {
 	v.mu.RLock()
