Managers that are no seeds hear of each other

Cause: a share had the sender's own sessions only, so a manager heard of another only when one of them asked the other: two that were started in place of lost ones knew the seeds, and the seeds knew both, but neither the other, nor any daemon whose session stood with it. Its roll lacked stores, its view was not fresh for want of their parts, and an owner that followed it saw no successor for a lost store. Change: a share names the other managers too; what is heard of somebody by a third renews no session (Registry.Meet).

--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -100,7 +100,11 @@
 		m.registry.Hear(wire.Member{Who: share.Who, Owns: []wire.Owned{}, Fact: wire.Fact{Counts: map[string]int64{}}}, now, false)
 	}
 	for _, member := range share.Members {
-		m.registry.Hear(member, now, false)
+		if member.Who.Kind == "manager" && !tellsOfItself(member) {
+			m.registry.Meet(member, now)
+		} else {
+			m.registry.Hear(member, now, false)
+		}
 	}
 }
 
--- a/internal/session/registry.go
+++ b/internal/session/registry.go
@@ -53,6 +53,17 @@
 	r.known[m.Who.Name] = entry{m, heardAt, isOwn}
 }
 
+// Meet takes in what a peer has heard of somebody else. It makes nobody's session
+// younger: whoever is known already is heard by itself.
+func (r *Registry) Meet(m wire.Member, now time.Duration) {
+	r.mu.Lock()
+	was, isKnown := r.known[m.Who.Name]
+	r.mu.Unlock()
+	if !isKnown || now-was.heardAt > r.gone {
+		r.Hear(m, now, false)
+	}
+}
+
 // Members lists who is a member now, with ages, by name, and the roll: a hash
 // of what other daemons need to know of them.
 func (r *Registry) Members(now time.Duration) (string, []wire.Member) {
@@ -71,7 +82,8 @@
 	return RollOf(out), out
 }
 
-// Own lists the sessions that stand with this manager, for its peers. Every
+// Own lists the sessions that stand with this manager, for its peers, and the
+// other managers that it knows of, so that those who are no seeds meet. Every
 // share of one beat in wholeEvery is whole.
 func (r *Registry) Own(now time.Duration) []wire.Member {
 	r.mu.Lock()
@@ -79,7 +91,7 @@
 	isWhole := now/r.shareBeat()%wholeEvery == 0
 	out := []wire.Member{}
 	for _, e := range r.known {
-		if e.isOwn && now-e.heardAt <= r.gone {
+		if (e.isOwn || e.member.Who.Kind == "manager") && now-e.heardAt <= r.gone {
 			e.member.Age = int64((now - e.heardAt) / time.Millisecond)
 			if !isWhole {
 				e.member.Fact = thin(e.member.Fact)
