A manager asks stores through reach

Change: Reach.One is public, and the question how far a retirement has come goes through it, so that the simulation can carry it. Same link, same time.

--- a/internal/manager/marks.go
+++ b/internal/manager/marks.go
@@ -122,7 +122,7 @@
 	defer cancel()
 	for _, who := range m.d.Roll.Kind("store") {
 		asked++
-		reply, err := m.d.Node.Peer(wire.PartLink, who.Addr).Call(ctx, &wire.Retire{Store: name})
+		reply, err := m.reach.One(ctx, who, &wire.Retire{Store: name})
 		if got, isGot := reply.(*wire.Retired); err == nil && isGot {
 			out.Left += got.Left
 			answered++
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -63,7 +63,7 @@
 		hint = ""
 		if isKnown {
 			began := time.Now()
-			reply, err := r.one(ctx, who, ask)
+			reply, err := r.One(ctx, who, ask)
 			if saw != nil {
 				saw(who.Name, float64(time.Since(began).Microseconds()), err == nil)
 			}
@@ -101,7 +101,8 @@
 	}
 }
 
-func (r *Reach) one(ctx context.Context, who wire.Who, ask any) (any, error) {
+// One asks one daemon, once.
+func (r *Reach) One(ctx context.Context, who wire.Who, ask any) (any, error) {
 	ctx, cancel := beat.Within(ctx, r.Bounds.Of(cmp.Or(r.Try, beat.Settle)))
 	defer cancel()
 	if r.Call != nil {
