A failure told again no longer fails a message with an attempt left

Cause: an adapter whose acknowledgement was lost tells a run's result again, to the next owner. Ruled out: patience (8 of 90 s), a charter without the route, lost bytes. Change: a failure closes a message only while that very run is open; else it is brought back, which changes nothing and is acknowledged. Beside it: a place's time started with the process and not with the place, so that on a store which held the place late it leapt by as long as the store had run. Tests that failed first: TestToldAgain, TestPlaceTime (a store that ran for long).

--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -59,7 +59,10 @@
 	isSpent := o.Begun && (lane.SpendsAll || o.Kind == string(mishap.Unsound))
 	back := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: o.Proof.Attempt, Cause: o.Kind, Costs: isSpent, Retain: retain}
 	back.Hold = o.Begun && e.Ordered && o.Wait > 0 && place.MayGoOn(mishap.Kind(o.Kind))
-	if o.Begun && !back.Hold && (o.Final || isSpent && lane.Attempts > 0 && e.Spent+1 >= lane.Attempts) {
+	// A failure told again, of a run that was already brought back, counts no more.
+	isOpen := e.State == place.Started && e.Attempt == o.Proof.Attempt
+	isLast := isSpent && isOpen && lane.Attempts > 0 && e.Spent+1 >= lane.Attempts
+	if o.Begun && !back.Hold && (o.Final || isLast) {
 		back.Kind, back.State, back.Hold = place.CmdClose, string(place.Failed), lane.HoldFailed
 		return back
 	}
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -205,6 +205,27 @@
 	})
 }
 
+// TestToldAgain: an adapter that had no acknowledgement tells a result again, to
+// the next owner. The failure of a message's last but one attempt, told twice, once
+// failed the message with an attempt left, and the next of its key began.
+func TestToldAgain(t *testing.T) {
+	Convey("Given a message whose last but one attempt was told to have failed", t, func() {
+		b, e := started("l") // its lane has two attempts
+		told := wire.Outcome{Id: "0-x", Kind: "unsound", Begun: true, Proof: wire.Proof{Attempt: 1}}
+		b.place.Outcome(&told, func(any) {})
+		b.commit(true)
+		So(e.Spent, ShouldEqual, 1)
+		Convey("the same word again changes nothing, and is acknowledged", func() {
+			var ack any
+			b.place.Outcome(&told, func(reply any) { ack = reply })
+			b.commit(true)
+			So(e.State, ShouldEqual, place.Held)
+			So(e.Spent, ShouldEqual, 1)
+			So(ack, ShouldResemble, &wire.OutcomeAck{})
+		})
+	})
+}
+
 func TestFullDiskRejectsIntakeOnly(t *testing.T) {
 	Convey("Given a disk that is nearly full", t, func() {
 		b, e := started("l")
@@ -234,6 +255,13 @@
 		}
 		So(b.place.now()-began, ShouldEqual, 1000)
 	})
+	Convey("It does not leap on a store that ran for long before it held the place", t, func() {
+		b := newBench()
+		b.now = time.Minute
+		p := NewPlaceHost(b, 0)
+		p.Apply(place.Command{Kind: place.CmdTrim, At: 100}.Encode())
+		So(p.now(), ShouldEqual, 100)
+	})
 	Convey("It never goes back, also when another replica's command is behind", t, func() {
 		b := newBench()
 		b.now += time.Second
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -55,7 +55,7 @@
 )
 
 func NewPlaceHost(around Around, number int64) *PlaceHost {
-	p := &PlaceHost{around: around, number: number, machine: place.New(), onlookers: map[string][]onlooker{}, underWay: underWay{}}
+	p := &PlaceHost{around: around, number: number, machine: place.New(), clockAt: around.Now(), onlookers: map[string][]onlooker{}, underWay: underWay{}}
 	p.ready.Store(&map[string]int{})
 	return p
 }
