Seats move soon only to a successor; a zone that is away is waited for

Cause: any member in the zone of a store that was away counted as its successor after 0.9 s, so in a deployment with several stores a zone each outage of some seconds would have moved its groups and back again; and a zone cut off for a quarter of a minute would have had all its seats given away. Ruled out: moving nothing without an order: then a machine that is gone leaves a dead seat for ever. Change: a successor is a store that came after the other one went, or at most 12 s before (a planned replacement); any other store takes the seat after 12 s, and after 2 minutes where every store of the zone is away.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -23,38 +23,39 @@
 // Ratios to the charter bound. Invariant: Fresh + Poll*3 stays below 1000, so
 // a daemon that hears nothing stops before the bound has passed.
 const (
-	Fresh       Ratio = 700  // a view older than this stops its daemon
-	Seek        Ratio = 10   // a daemon whose view is not fresh asks this often
-	Poll        Ratio = 80   // one hop of the feed asks this often
-	Vote        Ratio = 250  // most waits for one daemon's word end by then
-	Pulse       Ratio = 40   // an owner's heartbeat
-	Tick        Ratio = 10   // how finely a replica and its place look at the time
-	Draw        Ratio = 10   // a store looks this often for slots that it could not have at once
-	Serve       Ratio = 5    // a duty's holder looks this often for slots that have come free with time
-	HandOver    Ratio = 100  // an heir that has not taken over by then does not
-	Silence     Ratio = 130  // least silence of an owner before a replica stands
-	SilenceSpan Ratio = 130  // random spread added to Silence
-	Term        Ratio = 120  // an owner serves reads this long after a confirmed pulse
-	Gone        Ratio = 700  // a daemon silent this long has lost its session
-	Replace     Ratio = 300  // a store that has had no session this long gives its seats to its successor
-	Abandon     Ratio = 4000 // and after this to any other store
-	Join        Ratio = 50   // a store that belongs to no deployment looks for one this often
-	Idle        Ratio = 150  // an idle transport session sends an empty frame
-	Dead        Ratio = 600  // a transport session that hears nothing is closed
-	Redial      Ratio = 60   // pause before a new dial
-	Try         Ratio = 50   // one try to have a message held waits this long for a store's word
-	Stall       Ratio = 100  // a place whose proposals wait longer for their commit takes no message on; over Try
-	Dial        Ratio = 170  // a worker that takes no connection within this cannot be asked
-	Tell        Ratio = 500  // whoever is told of an end answers within this
-	Settle      Ratio = 500  // an adapter tries this long to settle a batch's fate
-	Fence       Ratio = 1000 // a new duty holder waits this long before it acts
-	Permit      Ratio = 300  // a granted slot lapses unused after this
-	AskHold     Ratio = 30   // an ask for a slot waits at the holder this long
-	Look        Ratio = 300  // an owner keeps who waits for a message's end this long; less than Settle
-	Reread      Ratio = 500  // the settings file is looked at this often
-	Silent      Ratio = 330  // a connection that was idle this long is probed, and again after as long; at least 1 s
-	List        Ratio = 160  // the source of workers is read this often
-	Resend      Ratio = 60   // a result not yet acknowledged is sent again
+	Fresh       Ratio = 700   // a view older than this stops its daemon
+	Seek        Ratio = 10    // a daemon whose view is not fresh asks this often
+	Poll        Ratio = 80    // one hop of the feed asks this often
+	Vote        Ratio = 250   // most waits for one daemon's word end by then
+	Pulse       Ratio = 40    // an owner's heartbeat
+	Tick        Ratio = 10    // how finely a replica and its place look at the time
+	Draw        Ratio = 10    // a store looks this often for slots that it could not have at once
+	Serve       Ratio = 5     // a duty's holder looks this often for slots that have come free with time
+	HandOver    Ratio = 100   // an heir that has not taken over by then does not
+	Silence     Ratio = 130   // least silence of an owner before a replica stands
+	SilenceSpan Ratio = 130   // random spread added to Silence
+	Term        Ratio = 120   // an owner serves reads this long after a confirmed pulse
+	Gone        Ratio = 700   // a daemon silent this long has lost its session
+	Replace     Ratio = 300   // a store that has had no session this long gives its seats to its successor
+	Abandon     Ratio = 4000  // and after this to any other store, if its zone has not gone with it
+	Outage      Ratio = 40000 // a zone without any store is waited for so long
+	Join        Ratio = 50    // a store that belongs to no deployment looks for one this often
+	Idle        Ratio = 150   // an idle transport session sends an empty frame
+	Dead        Ratio = 600   // a transport session that hears nothing is closed
+	Redial      Ratio = 60    // pause before a new dial
+	Try         Ratio = 50    // one try to have a message held waits this long for a store's word
+	Stall       Ratio = 100   // a place whose proposals wait longer for their commit takes no message on; over Try
+	Dial        Ratio = 170   // a worker that takes no connection within this cannot be asked
+	Tell        Ratio = 500   // whoever is told of an end answers within this
+	Settle      Ratio = 500   // an adapter tries this long to settle a batch's fate
+	Fence       Ratio = 1000  // a new duty holder waits this long before it acts
+	Permit      Ratio = 300   // a granted slot lapses unused after this
+	AskHold     Ratio = 30    // an ask for a slot waits at the holder this long
+	Look        Ratio = 300   // an owner keeps who waits for a message's end this long; less than Settle
+	Reread      Ratio = 500   // the settings file is looked at this often
+	Silent      Ratio = 330   // a connection that was idle this long is probed, and again after as long; at least 1 s
+	List        Ratio = 160   // the source of workers is read this often
+	Resend      Ratio = 60    // a result not yet acknowledged is sent again
 )
 
 // AnswerPart: a worker's answer is waited for so much of a run's bound longer
--- a/internal/repair/plan.go
+++ b/internal/repair/plan.go
@@ -53,7 +53,9 @@
 //
 // A holder that is away is replaced only when both the managers and the group's
 // owner have not heard of it for long: for Replace where its successor may be
-// here, for Abandon where any other store would have to do.
+// here, for Abandon where any other store would have to do, and for Outage where
+// all of its zone is away: a zone that is cut off comes back with its disks, and
+// until then each group bears its loss.
 func (p *Planner) Seats(g Group, retired map[string]bool, under int, now time.Duration) []string {
 	stores, isWhole := slices.Clone(p.members), len(g.Holders) >= p.copies
 	isMember := func(name string) bool {
@@ -82,9 +84,13 @@
 }
 
 func (p *Planner) isLost(absent Store, span time.Duration, candidates []Store) bool {
-	patience := p.bounds.Of(beat.Abandon)
-	if p.presence.HasSuccessor(absent, candidates) {
-		patience = p.bounds.Of(beat.Replace)
+	isOfZone := func(s Store) bool { return s.Zone == absent.Zone }
+	patience := beat.Abandon
+	switch {
+	case p.presence.HasSuccessor(absent, candidates, p.bounds.Of(beat.Abandon)):
+		patience = beat.Replace
+	case !slices.ContainsFunc(p.members, isOfZone):
+		patience = beat.Outage
 	}
-	return span >= patience
+	return span >= p.bounds.Of(patience)
 }
--- a/internal/repair/presence.go
+++ b/internal/repair/presence.go
@@ -47,13 +47,13 @@
 }
 
 // HasSuccessor tells whether one of the candidates may be the machine that was
-// put in an absent store's place: it is in the same zone, or came no earlier than
-// the other one went. Nothing is known of an absent store that was never seen here,
+// put in an absent store's place: it came after the other one went, or not longer
+// than before that. Nothing is known of an absent store that was never seen here,
 // so any candidate may be its successor.
-func (p *Presence) HasSuccessor(absent Store, candidates []Store) bool {
-	zone, isKnown := p.zones[absent.Name]
+func (p *Presence) HasSuccessor(absent Store, candidates []Store, before time.Duration) bool {
+	_, isKnown := p.zones[absent.Name]
 	for _, c := range candidates {
-		if !isKnown || c.Zone == zone || p.hereSince[c.Name] >= p.awaySince[absent.Name] {
+		if !isKnown || p.hereSince[c.Name] >= p.awaySince[absent.Name]-before {
 			return true
 		}
 	}
