An edit that a replaced owner may have had is never said to have changed nothing

Cause: the manager's edit called reach once for each answer. An owner that was replaced over the edit answered "undecided"; when no owner was found in the next round, that round alone was judged, and the caller was told that nothing was changed.

Change: whether a try is open is kept over all rounds, and an owner that was replaced is no answer. An owner that is full gives that as its reason.

Test, seen to fail before: TestEdit, "nobody owns the part after an owner that was replaced" (not_owner, wanted undecided) and "an owner that is full" (undecided, wanted full).

--- a/internal/manager/edit.go
+++ b/internal/manager/edit.go
@@ -27,16 +27,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter*2)
 	defer cancel()
-	for {
-		reply, err := m.reach.Group(ctx, e.Part, &e, func(reply any) (bool, string) {
+	for isOpen := false; ; { // whether a try may have had an effect that nobody told of
+		reply, wasOpen, err := m.reach.Ask(ctx, e.Part, &e, func(reply any) (bool, string) {
 			got, isEdited := reply.(*wire.Edited)
-			return isEdited && got.Kind != string(mishap.NotOwner), ""
+			return isEdited && got.Kind != string(mishap.NotOwner) && got.Kind != string(mishap.Undecided), ""
 		})
-		if err != nil && !mishap.Is(err, mishap.Undecided) {
-			return 0, mishap.New(mishap.NotOwner, "part %d has no owner now; nothing was changed", e.Part)
-		}
-		if err != nil {
+		isOpen = isOpen || wasOpen
+		switch {
+		case err != nil && isOpen:
 			return 0, undecided()
+		case err != nil:
+			return 0, mishap.New(mishap.NotOwner, "part %d has no owner now; nothing was changed", e.Part)
 		}
 		got := reply.(*wire.Edited)
 		switch mishap.Kind(got.Kind) {
@@ -48,7 +49,10 @@
 			return m.lost(ctx, e, got)
 		}
 		if beat.Wait(ctx, m.d.Bounds.Of(beat.Seek)); ctx.Err() != nil {
-			return 0, undecided()
+			if isOpen {
+				return 0, undecided()
+			}
+			return 0, mishap.New(mishap.Kind(got.Kind), "part %d takes no change now", e.Part)
 		}
 	}
 }
@@ -73,6 +77,12 @@
 
 // pull reads a key through a majority.
 func (m *Manager) pull(ctx context.Context, part int64, key string) (wire.Change, error) {
+	got, err := m.read(ctx, part, key)
+	return got.Change, err
+}
+
+// read is pull with all that the part's owner tells.
+func (m *Manager) read(ctx context.Context, part int64, key string) (wire.Pulled, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter)
 	defer cancel()
 	reply, err := m.reach.Group(ctx, part, &wire.Pull{Part: part, Key: key}, func(reply any) (bool, string) {
@@ -80,13 +90,13 @@
 		return isPulled && got.Kind != string(mishap.NotOwner) && got.Kind != string(mishap.Late), ""
 	})
 	if err != nil {
-		return wire.Change{}, mishap.New(mishap.Lost, "part %d cannot be read now", part)
+		return wire.Pulled{}, mishap.New(mishap.Lost, "part %d cannot be read now", part)
 	}
 	got := reply.(*wire.Pulled)
 	if got.Kind != "" {
-		return wire.Change{}, mishap.New(mishap.Kind(got.Kind), "%s", key)
+		return wire.Pulled{}, mishap.New(mishap.Kind(got.Kind), "%s", key)
 	}
-	return got.Change, nil
+	return *got, nil
 }
 
 // author gives the operator's word for itself without our request number.
