Orders without a number are told apart by the part's time, not by a manager's view

Cause: whether an evacuation's start or finish was the one before, sent again, was judged by how long the manager that got it had seen the mark. One that was cut off or had just started took a new start for the old one, and the first finish ended both. A finish sent again over a start in between, or later than the bound though within the time in which it may be sent again, took another evacuation back.

Ruled out: counting every start (each lost answer would leave a zone empty for good); ending what may be over after a while (breaks the promise to an evacuation that lasts longer).

A restored cell keeps its cold mark at least that long. A mark that another change overtook is tried again.

TestOrdersWithoutNumberInTrouble. TestMarks moves the part's time where it set the manager's view, and one mark has one field more.

Conclusion: what remains is that two evacuations of one zone begun within the bound are one.

--- a/cmd/manager/main.go
+++ b/cmd/manager/main.go
@@ -17,6 +17,7 @@
 		list := platform.ListOptions{Address: func() string { return d.Live().List }, Bound: d.Settings.ListLag.Duration}
 		return manager.Options{
 			Source: &manager.Source{Workers: platform.Workers(list), Lag: d.Settings.ListLag.Duration},
+			Resend: d.Settings.Resend.Duration,
 			Serve: func(ops *manager.Operators) {
 				platform.ServeOperators(d.OperatorsMux, ops, d.Settings.Keep.Duration)
 			},
--- a/internal/charter/mark.go
+++ b/internal/charter/mark.go
@@ -9,11 +9,12 @@
 // Mark is what stands at a cell's key. One key holds all that can be said of a
 // cell, so that no daemon sees a cell restored before it sees its workers cold.
 //
-// Invariant: Others and IsBack are set only where Only is OnlyWorkers.
+// Invariant: Others, IsBack and BackAgo are set only where Only is OnlyWorkers.
 type Mark struct {
-	Only   string `json:"only,omitempty"`   // empty: the whole cell is emptied
-	Others int64  `json:"others,omitempty"` // emptyings that stand besides, each to be taken back by itself
-	IsBack bool   `json:"back,omitempty"`   // the last word was that one of them is taken back
+	Only    string `json:"only,omitempty"`     // empty: the whole cell is emptied
+	Others  int64  `json:"others,omitempty"`   // emptyings that stand besides, each to be taken back by itself
+	IsBack  bool   `json:"back,omitempty"`     // the last word was that one of them is taken back
+	BackAgo int64  `json:"back_ago,omitempty"` // milliseconds before the last word in which one was; 0 for long
 }
 
 // What a mark may be restricted to.
--- /dev/null
+++ b/internal/manager/evacuations.go
@@ -0,0 +1,138 @@
+package manager
+
+import (
+	"context"
+	"time"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// Orders to empty a cell's workers, and to take that back, come without a number
+// and are sent again where no clear answer came. Several emptyings may stand at
+// once, and none may end while its own taking back has not come. So where an
+// order may be a new one or an old one sent again, it is taken for whichever
+// leaves the cell emptied:
+//
+//   - A taking back is the last one again for as long as that may be sent again,
+//     also where an emptying came in between.
+//   - An emptying is the one before it again only if that was the last order, and
+//     within the bound, in which nearly all that are sent again come. One that is
+//     sent again later counts twice, and the cell stays emptied.
+//
+// How long ago an order was taken is told by the part's own time, which is the
+// same whichever manager asks, and however little that has heard.
+
+// mostRaces is how often an order about a cell is tried again when another change
+// of the cell's mark came first.
+const mostRaces = 3
+
+// Empty asks that a cell, or only its workers, get nothing new. A whole cell
+// stays emptied when only its workers are asked for. Where workers were asked for
+// before, both stand, and each is to be taken back.
+func (o *Operators) Empty(ctx context.Context, by, cell string, isOnlyWorkers bool) (int64, error) {
+	if err := checkSubject(cell); err != nil {
+		return 0, err
+	}
+	if !isOnlyWorkers {
+		if !o.m.isKnown("cell", cell) {
+			return 0, o.m.unknown("cell", cell)
+		}
+		return o.mark(ctx, by, charter.CellKey+cell, charter.Mark{}, -1)
+	}
+	// Any name will do: workers that are not listed yet may come.
+	return o.change(ctx, by, cell, o.m.emptied)
+}
+
+// Restore takes an emptying back. Where a source tells of the workers they
+// count as cold at first, since the source runs behind: the mark says so until
+// the list controller takes it away.
+func (o *Operators) Restore(ctx context.Context, by, cell string) (int64, error) {
+	if err := checkSubject(cell); err != nil {
+		return 0, err
+	}
+	if o.m.source == nil {
+		return o.unmark(ctx, by, charter.CellKey+cell)
+	}
+	return o.change(ctx, by, cell, o.m.restored)
+}
+
+// standing is what stands at a cell's key.
+type standing struct {
+	stamp int64 // 0 for nothing
+	mark  charter.Mark
+	age   time.Duration // since the last order
+}
+
+// change brings an order to a cell's mark: next says what it makes of it, or that
+// it is there already.
+func (o *Operators) change(ctx context.Context, by, cell string, next func(was standing) (charter.Mark, bool)) (stamp int64, err error) {
+	for range mostRaces {
+		var got wire.Pulled
+		got, err = o.m.read(ctx, feed.CharterPart, charter.CellKey+cell)
+		if err != nil && !mishap.Is(err, mishap.Unknown) {
+			return 0, err
+		}
+		was := standing{got.Change.Stamp, charter.ReadMark(got.Change.Value), ageOf(got)}
+		mark, isThere := next(was)
+		if isThere {
+			return was.stamp, nil
+		}
+		stamp, err = o.mark(ctx, by, charter.CellKey+cell, mark, was.stamp)
+		if !mishap.Is(err, mishap.Conflict) {
+			return stamp, err
+		}
+	}
+	return stamp, err
+}
+
+// ageOf gives the age of what was read; one that is not known is bounded, so that
+// it can be reckoned with.
+func ageOf(got wire.Pulled) time.Duration {
+	return time.Duration(min(got.Age, int64(time.Hour/time.Millisecond))) * time.Millisecond
+}
+
+// emptied is what an order to empty a cell's workers makes of its mark.
+func (m *Manager) emptied(was standing) (next charter.Mark, isThere bool) {
+	next = charter.Mark{Only: charter.OnlyWorkers, BackAgo: m.backAgo(was)}
+	switch {
+	case was.stamp == 0 || was.mark.Only == charter.OnlyCold:
+		return next, false
+	case was.mark.Only != charter.OnlyWorkers, !was.mark.IsBack && was.age < m.d.Bounds.Charter:
+		return next, true
+	}
+	next.Others = was.mark.Others + 1
+	return next, false
+}
+
+// restored is what an order to take an emptying back makes of a cell's mark.
+func (m *Manager) restored(was standing) (next charter.Mark, isThere bool) {
+	switch {
+	case was.stamp == 0, was.mark.Only == charter.OnlyCold, m.backAgo(was) > 0:
+		return next, true
+	case was.mark.Others > 0:
+		return charter.Mark{Only: charter.OnlyWorkers, Others: was.mark.Others - 1, IsBack: true}, false
+	}
+	return charter.Mark{Only: charter.OnlyCold}, false
+}
+
+// backAgo gives the milliseconds since an emptying of the cell was last taken
+// back; 0 if that was so long ago that it cannot be sent again.
+func (m *Manager) backAgo(was standing) int64 {
+	ago := was.age
+	switch {
+	case was.stamp == 0:
+		return 0
+	case was.mark.Only == charter.OnlyCold || was.mark.IsBack:
+	case was.mark.BackAgo > 0:
+		ago += time.Duration(was.mark.BackAgo) * time.Millisecond
+	default:
+		return 0
+	}
+	if ago >= m.resend {
+		return 0
+	}
+	return max(1, ago.Milliseconds())
+}
--- /dev/null
+++ b/internal/manager/evacuations_test.go
@@ -0,0 +1,128 @@
+package manager
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/wire"
+)
+
+// TestOrdersWithoutNumber is the table of what stands at a cell after orders
+// that come without a number, some of them sent again, to any manager.
+func TestOrdersWithoutNumber(t *testing.T) {
+	const resend = 5 * time.Second
+	const s = time.Second
+	type order struct {
+		verb   string        // start or finish
+		after  time.Duration // the order before
+		isLate bool          // at a manager that has heard nothing of the cell yet
+	}
+	cases := []struct {
+		name   string
+		orders []order
+		stands int // evacuations that stand at the end
+	}{
+		{"one", []order{{"start", 0, false}}, 1},
+		{"one, and back", []order{{"start", 0, false}, {"finish", 9 * s, false}}, 0},
+		{"one, sent again at once", []order{{"start", 0, false}, {"start", 0, false}, {"finish", 9 * s, false}}, 0},
+		{"one, sent again to a manager that has heard nothing", []order{{"start", 0, false}, {"start", s, true}, {"finish", 9 * s, false}}, 0},
+		{"one, sent again until the bound", []order{{"start", 0, false}, {"start", s, false}, {"start", s, false}, {"finish", 9 * s, false}}, 0},
+		{"one, and one later than the bound, which may be another", []order{{"start", 0, false}, {"start", 4 * s, false}, {"finish", 9 * s, false}}, 1},
+		{"two, one back", []order{{"start", 0, false}, {"start", 8 * s, false}, {"finish", s, false}}, 1},
+		{"two, the second at a manager that has heard nothing", []order{{"start", 0, false}, {"start", 20 * s, true}, {"finish", s, false}}, 1},
+		{"two, both back", []order{{"start", 0, false}, {"start", 8 * s, false}, {"finish", s, false}, {"finish", 8 * s, false}}, 0},
+		{"two, one back, sent again as late as may be", []order{{"start", 0, false}, {"start", 8 * s, false}, {"finish", s, false},
+			{"finish", 4 * s, false}}, 1},
+		{"two, one back, sent again to a manager that has heard nothing", []order{{"start", 0, false}, {"start", 8 * s, false},
+			{"finish", s, false}, {"finish", 4 * s, true}}, 1},
+		{"two, one back, a third, the taking back sent again", []order{{"start", 0, false}, {"start", 8 * s, false}, {"finish", s, false},
+			{"start", s, false}, {"finish", s, false}}, 2},
+		{"one, back, another, the taking back sent again", []order{{"start", 0, false}, {"finish", 9 * s, false}, {"start", s, false},
+			{"finish", s, false}}, 1},
+		{"one, back, another, the taking back sent again twice", []order{{"start", 0, false}, {"finish", 9 * s, false}, {"start", s, false},
+			{"finish", s, false}, {"finish", 2 * s, false}}, 1},
+		{"one, back, another, and its own taking back", []order{{"start", 0, false}, {"finish", 9 * s, false}, {"start", s, false},
+			{"finish", 8 * s, false}}, 0},
+		{"one, back, another, sent again", []order{{"start", 0, false}, {"finish", 9 * s, false}, {"start", s, false},
+			{"start", s, false}, {"finish", 8 * s, false}}, 0},
+	}
+	Convey("Of evacuations", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				m, f := newFake()
+				m.source, m.d.Bounds.Charter, m.resend = &Source{}, 3*s, resend
+				for _, o := range c.orders {
+					f.now += o.after.Milliseconds()
+					f.isBlind = o.isLate
+					ask := map[string]func() (int64, error){
+						"start":  func() (int64, error) { return m.operators.Empty(context.Background(), "x", "a", true) },
+						"finish": func() (int64, error) { return m.operators.Restore(context.Background(), "x", "a") }}[o.verb]
+					_, err := ask()
+					So(err, ShouldBeNil)
+				}
+				last, isStanding := f.part(0).Get(charter.CellKey + "a")
+				So(isStanding, ShouldBeTrue)
+				got := 0
+				if mark := charter.ReadMark(last.Value); mark.Only == charter.OnlyWorkers {
+					got = int(mark.Others) + 1
+				}
+				So(got, ShouldEqual, c.stands)
+			})
+		}
+	})
+}
+
+// TestOrdersWithoutNumberInTrouble: an order whose answers from the part are
+// lost, or that another one overtakes, counts once.
+func TestOrdersWithoutNumberInTrouble(t *testing.T) {
+	ctx, key := context.Background(), charter.CellKey+"a"
+	standing := func(f *fakeParts) charter.Mark {
+		c, isStanding := f.part(0).Get(key)
+		So(isStanding, ShouldBeTrue)
+		return charter.ReadMark(c.Value)
+	}
+	empty := func(m *Manager) error {
+		_, err := m.operators.Empty(ctx, "x", "a", true)
+		return err
+	}
+	Convey("An evacuation", t, func() {
+		m, f := newFake()
+		m.source, m.d.Bounds.Charter, m.resend = &Source{}, 3*time.Second, 5*time.Second
+		So(empty(m), ShouldBeNil)
+		f.now += 20_000
+		Convey("whose answers are lost counts once", func() {
+			f.lose = 3
+			So(empty(m), ShouldBeNil)
+			So(standing(f).Others, ShouldEqual, 1)
+		})
+		Convey("whose answer is lost under another one counts once", func() {
+			f.before = func(e *wire.Edit) {
+				held := f.part(0).Apply(*e)
+				f.part(0).Apply(wire.Edit{Key: key, Value: charter.Mark{Only: charter.OnlyWorkers, Others: 2}.Encode(), IfStamp: held.Stamp})
+			}
+			So(empty(m), ShouldBeNil)
+			So(standing(f).Others, ShouldEqual, 2)
+		})
+		Convey("that another one overtakes counts beside it", func() {
+			f.before = func(e *wire.Edit) {
+				f.part(0).Apply(wire.Edit{Key: key, Value: charter.Mark{Only: charter.OnlyWorkers, Others: 1}.Encode(), IfStamp: e.IfStamp})
+			}
+			So(empty(m), ShouldBeNil)
+			So(standing(f).Others, ShouldEqual, 2)
+		})
+		Convey("that was restored whole is not taken back by an old try that comes late", func() {
+			m.source = nil
+			late := wire.Edit{}
+			f.before = func(e *wire.Edit) { late = *e }
+			_, err := m.operators.Restore(ctx, "x", "a")
+			So(err, ShouldBeNil)
+			So(empty(m), ShouldBeNil)
+			So(f.part(0).Apply(late).IsAgain, ShouldBeTrue)
+			So(standing(f).Only, ShouldEqual, charter.OnlyWorkers)
+		})
+	})
+}
--- a/internal/manager/list.go
+++ b/internal/manager/list.go
@@ -222,15 +222,15 @@
 }
 
 // settle takes the marks of restored cells away: after a read that began later
-// than the lag behind the restoring was written, and every daemon that still
-// acts has seen what was written.
+// than the lag behind the restoring was written, every daemon that still acts
+// has seen what was written, and the restoring is not sent again any more.
 func (l *lister) settle(ctx context.Context, began time.Duration) {
 	for key, e := range l.easing {
 		switch now := l.m.d.Now(); {
 		case !e.isSettled && began-e.seenAt > l.m.source.Lag:
 			e.isSettled, e.settledAt = true, now
 			l.easing[key] = e
-		case e.isSettled && now-e.settledAt > l.m.d.Bounds.Of(beat.Fresh):
+		case e.isSettled && now-e.settledAt > l.m.d.Bounds.Of(beat.Fresh) && now-e.seenAt > l.m.resend:
 			_, err := l.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: key, IfStamp: e.stamp, Gone: true,
 				By: "list controller at " + l.m.d.Who.Name})
 			if err != nil && !mishap.Is(err, mishap.Conflict) {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -4,6 +4,7 @@
 package manager
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -27,13 +28,14 @@
 	reach     *reach.Reach
 	operators *Operators
 	source    *Source // nil: operators write the lists
-	ages      ages
+	resend    time.Duration
 }
 
 // Options of a manager: what it meets beside its own interface.
 type Options struct {
 	Source *Source          // tells which workers there are, if given
 	Serve  func(*Operators) // serves another interface of the operators, if given
+	Resend time.Duration    // so long an order without a number may be sent again; 0 for twice the bound
 }
 
 // Run is the manager's main; a source gives its settings another way. options
@@ -41,9 +43,9 @@
 func Run(source *settings.Source, options func(*daemon.Daemon) Options) {
 	d := daemon.New("manager", source)
 	o := options(d)
-	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: session.NewRegistry(d.Bounds.Of(beat.Gone)), source: o.Source}
+	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: session.NewRegistry(d.Bounds.Of(beat.Gone)), source: o.Source,
+		resend: cmp.Or(o.Resend, 2*d.Bounds.Charter)}
 	m.operators = &Operators{m}
-	m.ages.bounds = d.Bounds
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d.Link(map[string]transport.Handler{"session": m.onSession, "peer": m.onPeer})
@@ -56,7 +58,6 @@
 	pause := func() time.Duration { return session.Pause(d.View, d.Now(), d.Bounds) }
 	go beat.Paced(ctx, pause, m.follow)
 	go beat.Paced(ctx, pause, m.share)
-	go beat.Every(ctx, d.Bounds.Of(beat.Poll), func() { m.ages.look(d.View, d.Now()) })
 	go m.controlDuties(ctx)
 	go m.controlWeights(ctx)
 	if m.source != nil {
--- a/internal/manager/marks_test.go
+++ b/internal/manager/marks_test.go
@@ -17,10 +17,10 @@
 	whole := func(m *Manager) (int64, error) { return m.operators.Empty(ctx, "x", "a", false) }
 	only := func(m *Manager) (int64, error) { return m.operators.Empty(ctx, "x", "a", true) }
 	back := func(m *Manager) (int64, error) { return m.operators.Restore(ctx, "x", "a") }
-	later := func(m *Manager) (int64, error) { // the mark that stands has been seen for long
-		c, err := m.pull(ctx, 0, charter.CellKey+"a")
-		m.ages.seen = map[string]seenMark{c.Key: {c.Stamp, m.d.Now() - 2*m.d.Bounds.Charter}}
-		return 0, err
+	var parts *fakeParts
+	later := func(m *Manager) (int64, error) { // no order that was given can come again
+		parts.now += (m.resend + m.d.Bounds.Charter).Milliseconds()
+		return 0, nil
 	}
 	type calls = []func(*Manager) (int64, error)
 	cases := []struct {
@@ -42,12 +42,13 @@
 		{"two emptyings, one taken back in two words", true, calls{only, later, only, back, back}, `{"only":"workers","back":true}`},
 		{"two emptyings, both taken back", true, calls{only, later, only, back, later, back}, `{"only":"cold"}`},
 		{"a third while the first is taken back", true, calls{only, later, only, back, only, later, back}, `{"only":"workers","back":true}`},
-		{"emptied again while cold", true, calls{only, back, only}, `{"only":"workers"}`},
+		{"emptied again while cold", true, calls{only, back, only}, `{"only":"workers","back_ago":1}`},
 	}
 	Convey("At a cell's key stands, for", t, func() {
 		for _, c := range cases {
 			Convey(c.name, func() {
 				m, f := newFake()
+				parts, m.resend = f, 2*m.d.Bounds.Charter
 				if c.hasSource {
 					m.source = &Source{}
 				}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -52,7 +52,7 @@
 	for _, span := range []struct {
 		key   string
 		value Duration
-	}{{"grace", s.Grace}, {"linger", s.Linger}, {"list_lag", s.ListLag}, {"keep", s.Keep}} {
+	}{{"grace", s.Grace}, {"linger", s.Linger}, {"list_lag", s.ListLag}, {"keep", s.Keep}, {"resend", s.Resend}} {
 		must(span.value.Duration >= 0, span.key, "must not be below 0")
 	}
 	must(s.Linger.Duration < s.Stay(), "linger", "must be below grace")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,7 @@
 	List      string   `arg:"--list" json:"list" help:"IP number and port where a list of workers is kept; may change while running"`
 	ListRate  float64  `arg:"--list_rate" json:"list_rate" help:"calls a second that the list takes from all; may change while running"`
 	ListLag   Duration `arg:"--list_lag" json:"list_lag" help:"how far the list may run behind; may change while running"`
+	Resend    Duration `arg:"--resend" json:"resend" help:"so long an operator's order that has no number may be sent again; 0: twice the bound"`
 	Keep      Duration `arg:"--keep" json:"keep" help:"how long the end of a message must be answered for"`
 
 	args   []string // as given: they override the file whenever it is read
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -48,6 +48,7 @@
 		{"operators out of range", good, []string{"--operators=127.0.0.1:99999"}, "operators: must have a port"},
 		{"a list of no address", good, []string{"--list=/file"}, "list: must be"},
 		{"a rate below nothing", good, []string{"--list_rate=-1"}, "list_rate: must not be below 0"},
+		{"sent again for less than nothing", good, []string{"--resend=-1s"}, "resend: must not be below 0"},
 		{"a lag below nothing", good, []string{"--list_lag=-1s"}, "list_lag: must not be below 0"},
 		{"a memory below nothing", good, []string{"--memory=-1"}, "memory: must not be below 0"},
 		{"an end answered for less than nothing", good, []string{"--keep=-1s"}, "keep: must not be below 0"},
