The stand-in's operators record their calls, and its judge wants an order that explains them

Change: each call of the stand-in's operator is kept with all its tries, its order's name and its outcome; what is read is named by the order that made it. The judge holds all of them against the model of internal/linearize, configurations under CONFIG and zones under EVAC.

Test: TestCallsAreJudged; without the judge's new step five of its nine cases fail (a taken change that is refused, two confirmed under one number, a stale read, a read of what nobody sent, an evacuation that is refused).

--- a/internal/standin/edits.go
+++ b/internal/standin/edits.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -121,7 +120,7 @@
 	order := Order{Text: fmt.Sprintf("version %d again", c.Version), At: o.site.Now()}
 	ctx, cancel := context.WithTimeout(ctx, configBound)
 	defer cancel()
-	if code, _ := o.call(ctx, http.MethodPost, "/v1/configuration/replace", fmt.Sprint(was.Version), c.whole()); code == 200 {
+	if code := o.configuration(ctx, "/v1/configuration/replace", was.Version, c.Version, c.whole(), false); code == 200 {
 		order.AckAt = o.site.Now()
 	}
 	o.site.History.Add(func() { o.site.History.Orders = append(o.site.History.Orders, order) })
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"caperwheel/internal/check"
+	"caperwheel/internal/linearize"
 )
 
 // Sent is one try of a client.
@@ -56,6 +57,7 @@
 type Edit struct {
 	check.Edit // Stamp is the version, Pools are routes and their services
 	Base       int64
+	Order      string // names it, also when it is sent again
 	Whole      []byte // the configuration that it makes
 	Code       int    // the last clear answer; 0 for none
 	IsInvalid  bool
@@ -103,6 +105,7 @@
 	Sights   []check.Sight  // what was told of messages meanwhile
 	Edits    []Edit
 	Orders   []Order
+	Calls    []linearize.Operation // of the operators, with all tries
 	Marks    []check.Mark
 	Zones    map[string]string // service/worker -> zone
 	Troubles []Trouble
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -78,6 +78,7 @@
 	j.order()
 	j.edits()
 	j.readBack()
+	j.calls()
 	if isTimed {
 		j.timed()
 		j.rates()
--- a/internal/standin/operator.go
+++ b/internal/standin/operator.go
@@ -85,7 +85,8 @@
 	at := o.site.Now()
 	h.Add(func() {
 		i, order = len(h.Edits), len(h.Orders)
-		h.Edits = append(h.Edits, Edit{Edit: check.Edit{At: at, Stamp: c.Version, Pools: c.pools()}, Base: base, Whole: c.whole(), IsInvalid: isInvalid})
+		h.Edits = append(h.Edits, Edit{Edit: check.Edit{At: at, Stamp: c.Version, Pools: c.pools()}, Base: base,
+			Order: orderOf(path, fmt.Sprint(base), body), Whole: c.whole(), IsInvalid: isInvalid})
 		for name, r := range c.judged() {
 			h.Routes[name] = r
 		}
@@ -95,7 +96,7 @@
 	})
 	ctx, cancel := context.WithTimeout(ctx, configBound)
 	defer cancel()
-	code, _ := o.call(ctx, http.MethodPost, path, fmt.Sprint(base), body)
+	code := o.configuration(ctx, path, base, c.Version, body, isInvalid)
 	h.Add(func() {
 		h.Edits[i].Code = code
 		if code/100 == 2 {
@@ -145,7 +146,7 @@
 func (o *operator) sync(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, configBound)
 	defer cancel()
-	_, raw := o.call(ctx, http.MethodGet, "/v1/configuration/read", "", nil)
+	_, raw := o.read(ctx)
 	for _, c := range o.built {
 		if c.Version == gjson.GetBytes(raw, "version").Int() {
 			o.now = c
@@ -155,7 +156,7 @@
 
 // readBack reads the configuration at the end.
 func (o *operator) readBack(ctx context.Context) {
-	code, raw := o.call(ctx, http.MethodGet, "/v1/configuration/read", "", nil)
+	code, raw := o.read(ctx)
 	o.site.History.Add(func() { o.site.History.Read = ReadBack{code, raw} })
 }
 
@@ -165,8 +166,7 @@
 	order := Order{Text: verb + " of " + zone, At: o.site.Now()}
 	ctx, cancel := context.WithTimeout(ctx, acknowledge)
 	defer cancel()
-	code, _ := o.call(ctx, http.MethodPost, "/v1/evacuation/"+zone+"/"+verb, "", nil)
-	if code/100 == 2 {
+	if code := o.zone(ctx, zone, verb); code/100 == 2 {
 		order.AckAt = o.site.Now()
 	}
 	h.Add(func() { h.Orders = append(h.Orders, order) })
