A part's time does not leap on a store that ran before it held the part

Cause: a part's clock counted from the start of the process, not from when the part was made, so that the first edits put it ahead by as long as the store had run. As owner it would have told that every order was old, and a finish sent again after a change of owner would have been another.

Change: it counts from the making of the part.

Test, seen to fail before in five of its six cases: TestPartTime.

--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -20,7 +20,7 @@
 
 // NewPartHost gives an empty part.
 func NewPartHost(around Around, number int64) *PartHost {
-	return &PartHost{around: around, number: number, part: feed.NewPart()}
+	return &PartHost{around: around, number: number, part: feed.NewPart(), clockAt: around.Now()}
 }
 
 // Apply takes one committed edit in.
--- /dev/null
+++ b/internal/store/part_test.go
@@ -0,0 +1,66 @@
+package store
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/wire"
+)
+
+// TestPartTime: part time is told by the newest edit and what has passed since
+// here. It neither goes back nor leaps where this store was idle before.
+func TestPartTime(t *testing.T) {
+	Convey("On a store that has run for a minute before it held a part,", t, func() {
+		b := newBench()
+		p := NewPartHost(b, 0)
+		taken := func(order string, at int64) {
+			p.Apply(feed.EncodeEdit(wire.Edit{Key: charter.CellKey + order, Value: []byte{}, Order: order, Base: wire.OneCall, At: at}))
+		}
+		taken("1", 5000)
+		Convey("part time is the newest edit's", func() { So(p.now(), ShouldEqual, 5000) })
+		Convey("part time goes on", func() {
+			b.now += 2 * time.Second
+			So(p.now(), ShouldEqual, 7000)
+		})
+		Convey("part time does not go back with an edit of an owner that was behind", func() {
+			b.now += 2 * time.Second
+			taken("2", 6000)
+			So(p.now(), ShouldEqual, 7000)
+		})
+		Convey("part time goes forward with an edit of an owner that was ahead", func() {
+			taken("2", 9000)
+			So(p.now(), ShouldEqual, 9000)
+		})
+		Convey("part time comes with an image", func() {
+			other := NewPartHost(newBench(), 0)
+			So(other.Restore(p.Image()), ShouldBeNil)
+			So(other.now(), ShouldEqual, 5000)
+		})
+		Convey("an edit that is remembered tells when the owner took it in, and another is as it always was", func() {
+			h := &proposals{bench: b}
+			p.Use(h)
+			b.now += time.Second
+			p.Edit(wire.Edit{Order: "3"}, func(any) {})
+			p.Edit(wire.Edit{}, func(any) {})
+			So([]int64{h.edits[0].At, h.edits[1].At}, ShouldResemble, []int64{6000, 0})
+		})
+	})
+}
+
+// proposals keeps the edits that were proposed.
+type proposals struct {
+	*bench
+	edits []wire.Edit
+}
+
+func (p *proposals) Propose(data []byte, _ func(any, error)) {
+	e, err := feed.DecodeEdit(data)
+	if err != nil {
+		panic(err)
+	}
+	p.edits = append(p.edits, e)
+}
