--- a/internal/manager/operators.go
+++ b/internal/manager/operators.go
@@ -19,8 +19,7 @@
 // NewOperators gives the operators' code on a daemon, a reach and a registry
 // that somebody else runs: the simulation does.
 func NewOperators(d *daemon.Daemon, r *reach.Reach, registry *session.Registry) *Operators {
-	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: registry, reach: r}
-	m.ages.bounds = d.Bounds
+	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: registry, reach: r, resend: 2 * d.Bounds.Charter}
 	m.operators = &Operators{m}
 	return m.operators
 }
--- a/internal/manager/retire.go
+++ b/internal/manager/retire.go
@@ -150,7 +150,7 @@
 // fresh, and no store has come or gone for so long that one which has just begun
 // would have been seen.
 func (m *Manager) knowsStores() bool {
-	return m.d.IsFresh() && m.ages.storesSettled(m.d.Roll.Kind("store"), m.d.Now())
+	return m.d.IsFresh() && m.stores.note(m.d.Roll.Kind("store"), m.d.Now()) >= m.d.Bounds.Charter
 }
 
 // unknown says that there is no such thing, if this manager can know.
--- a/internal/manager/retire_test.go
+++ b/internal/manager/retire_test.go
@@ -13,8 +13,7 @@
 
 // settleStores has a manager see the same stores for a bound.
 func settleStores(m *Manager) {
-	m.ages.bounds = m.d.Bounds
-	m.ages.noteStores(m.d.Roll.Kind("store"), m.d.Now()-m.d.Bounds.Charter)
+	m.stores.note(m.d.Roll.Kind("store"), m.d.Now()-m.d.Bounds.Charter)
 }
 
 // TestRetire is the table of which stores may be retired. newFake has s1 to s4.
@@ -47,7 +46,6 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				m, f := newFake()
-				m.ages.bounds = m.d.Bounds
 				if c.isSettled {
 					settleStores(m)
 				}
@@ -110,11 +108,11 @@
 				settleStores(m)
 				whole(f)
 				m.d.Settings.Places = 1
-				stamp, err := m.operators.Retire(context.Background(), "x", "s4", 0)
+				_, err := m.operators.Retire(context.Background(), "x", "s4", 0)
 				So(err, ShouldBeNil)
 				c.change(f)
 				if c.isLate {
-					m.ages.seen = map[string]seenMark{charter.StoreKey + "s4": {stamp, m.d.Now() - m.d.Bounds.Charter}}
+					f.now += m.d.Bounds.Charter.Milliseconds()
 				}
 				got, err := m.operators.Retirement(context.Background(), "s4")
 				So(err, ShouldBeNil)
--- a/internal/manager/retirement.go
+++ b/internal/manager/retirement.go
@@ -27,7 +27,7 @@
 // or has stopped, so that none gives the store a seat again.
 func (o *Operators) Retirement(ctx context.Context, name string) (Retirement, error) {
 	m, out := o.m, Retirement{Store: name}
-	mark, err := m.pull(ctx, feed.CharterPart, charter.StoreKey+name)
+	mark, err := m.read(ctx, feed.CharterPart, charter.StoreKey+name)
 	switch {
 	case err == nil:
 		out.IsRetired = true
@@ -37,7 +37,7 @@
 	found := o.standings(ctx, name)
 	_, out.IsHere = m.d.Roll.Find(name)
 	out.Left, out.IsWhole = found.left(name), found.count() == m.groups()
-	isSettled := !out.IsRetired || found.isKnown && !m.ages.isYoung(mark, m.d.Now())
+	isSettled := !out.IsRetired || found.isKnown && mark.Age >= m.d.Bounds.Charter.Milliseconds()
 	out.IsDone = out.IsWhole && out.Left == 0 && isSettled && found.least() >= int64(m.copies())
 	return out, nil
 }
