An answer counts for the run that it names, or on a connection of its own

Cause: a worker may send a second answer late, when the next run has been written on the kept connection. On our own interface the first whole 2xx was that run's proof; on the platform an answer without an id was.

Ruled out: a setting of the pool for workers that repeat no id: it can be set wrongly, and the answers themselves show it. The attempt as a second required field: two runs of one message differ by it alone, and a message that came as it is does not carry it.

Change: the product asks each manner what an answer names. Another run's is none; one that names nothing counts only if no other request went over its connection, which then ends. Our own interface asks workers to repeat X-Message-Id; workers that do not are served over a connection for each run. A connection is back in the pool before its answer is given on, so the next run finds it.

--- a/internal/deliver/manner.go
+++ b/internal/deliver/manner.go
@@ -36,11 +36,17 @@
 }
 
 // Manner is one way to put requests to workers that came as they are, and to
-// tell callers of ends.
+// tell callers of ends. Names tells whose an answer of a worker says that it is;
+// one that is another run's is not judged.
 type Manner struct {
 	Ask   func(a Asking) (*http.Request, error)
+	Names func(a Asking, answer *http.Response) Naming
 	Judge func(a Asking, answer *http.Response, body []byte) Judgement
-	Tell  func(t *wire.Tell) (*http.Request, error)
+
+	Tell func(t *wire.Tell) (*http.Request, error)
+	// ToldNames is Names for the answer to a word. Where it is not given, whoever
+	// is told of ends answers each word once.
+	ToldNames func(t *wire.Tell, answer *http.Response) Naming
 }
 
 // sendAsItIs puts a request to its worker as it came.
@@ -58,7 +64,7 @@
 	}
 	ctx, cancel := beat.Patience(a.ctx, bound+bound/beat.AnswerPart)
 	defer cancel()
-	answer, err := a.ask(ctx, r, withBody(req, r.Body))
+	answer, err := a.ask(ctx, r, withBody(req, r.Body), func(answer *http.Response) Naming { return a.manner.Names(asking, answer) })
 	if err != nil {
 		return err
 	}
--- a/internal/deliver/meet_test.go
+++ b/internal/deliver/meet_test.go
@@ -23,15 +23,28 @@
 
 // Tell tells a URL of an end in a manner, while others are under way to it.
 func Tell(manner Manner, word *wire.Tell, others int) *wire.Told {
-	a, told := scenery("127.0.0.1:1"), make(chan *wire.Told, 1)
-	a.manner, a.pool = manner, pond.NewPool(4)
+	a, tell := telling(manner)
 	if u, err := url.Parse(word.Url); err == nil {
 		for range others {
 			a.tellers.enter(u.Host)
 		}
 	}
-	a.tell(word, func(reply any) { told <- reply.(*wire.Told) })
-	return <-told
+	return tell(word)
+}
+
+// Telling gives what tells one end after another in a manner.
+func Telling(manner Manner) func(word *wire.Tell) *wire.Told {
+	_, tell := telling(manner)
+	return tell
+}
+
+func telling(manner Manner) (*Adapter, func(word *wire.Tell) *wire.Told) {
+	a, told := scenery("127.0.0.1:1"), make(chan *wire.Told, 1)
+	a.manner, a.pool = manner, pond.NewPool(4)
+	return a, func(word *wire.Tell) *wire.Told {
+		a.tell(word, func(reply any) { told <- reply.(*wire.Told) })
+		return <-told
+	}
 }
 
 // MostTellers is how many words may be under way to one address.
@@ -39,3 +52,21 @@
 
 // Raw answers with bytes as they are and hangs up.
 var Raw = raw
+
+// Meeting gives what puts one run after another to a worker, as a lane's own
+// request or as one that came with a head.
+func Meeting(manner Manner, address string) func(id string, kept head.Head, isLane bool) *wire.Outcome {
+	a := scenery(address)
+	a.manner = manner
+	patient := []byte(`{"pools":{"p":{"bound":"1m","ease":"0s"}},"lanes":{"l":{"pools":["p"]}}}`)
+	a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.Key, Stamp: 4, Value: patient}}}}, a.d.Now())
+	body := []byte("body")
+	return func(id string, kept head.Head, isLane bool) *wire.Outcome {
+		r := &run{Run: wire.Run{Id: id, Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: store.SumOf(body)},
+			worker: NewWorker(charter.Pool{Concurrency: 8}, 0, 0)}
+		if !isLane {
+			r.Head = kept.Encode()
+		}
+		return a.deliver(r)
+	}
+}
--- a/internal/deliver/own.go
+++ b/internal/deliver/own.go
@@ -19,9 +19,10 @@
 			return nil, err
 		}
 		out := kept.To(a.Address, a.Body)
-		out.Header["X-Message-Id"], out.Header["Idempotency-Key"] = []string{a.Id}, []string{a.Id}
+		out.Header[messageId], out.Header["Idempotency-Key"] = []string{a.Id}, []string{a.Id}
 		return out, nil
 	},
+	Names: func(a Asking, answer *http.Response) Naming { return NamingIn(answer, messageId, a.Id) },
 	Judge: func(_ Asking, answer *http.Response, body []byte) Judgement {
 		if answer.StatusCode >= 200 && answer.StatusCode <= 299 {
 			return Judgement{Answer: body, IsBegun: true}
@@ -41,6 +42,8 @@
 			return nil, mishap.Wrap(err, mishap.Invalid, "URL of %s", t.Id)
 		}
 		out.Header.Set("Content-Type", "application/json")
+		out.Header.Set(messageId, t.Id)
 		return out, nil
 	},
+	ToldNames: func(t *wire.Tell, answer *http.Response) Naming { return NamingIn(answer, messageId, t.Id) },
 }
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -111,7 +111,8 @@
 		e.outcome.Final = true
 		return err
 	}
-	reply, err := a.ask(ctx, r, req)
+	naming := func(answer *http.Response) Naming { return ownNaming(answer, r.Id, r.Attempt) }
+	reply, err := a.ask(ctx, r, req, naming)
 	if err != nil {
 		e.outcome.Final = mishap.Is(err, mishap.TooLarge)
 		return err
@@ -131,7 +132,7 @@
 	if err != nil {
 		return nil, mishap.Wrap(err, mishap.Invalid, "request to %s", r.address)
 	}
-	fields := map[string]string{"X-Message-Id": r.Id, "X-Attempt": strconv.FormatInt(r.Attempt, 10), "X-Lane": r.Lane,
+	fields := map[string]string{messageId: r.Id, attemptNumber: strconv.FormatInt(r.Attempt, 10), "X-Lane": r.Lane,
 		"Idempotency-Key": r.Id, "X-Content-SHA256": r.Sum, "User-Agent": "caperwheel/" + a.d.Who.Name,
 		"X-Charter-Stamp": strconv.FormatInt(e.scene.Stamp, 10), "Content-Type": cmp.Or(r.Ctype, "application/octet-stream")}
 	if r.Key != "" {
@@ -143,14 +144,19 @@
 	return req, nil
 }
 
-// ask puts a request to a worker, once, and names what came of it.
-func (a *Adapter) ask(ctx context.Context, r *run, req *http.Request) (*web.Reply, error) {
-	reply, err := a.client.Send(req.WithContext(ctx), mostAnswer, web.Always)
+// ask puts a request to a worker, once, and names what came of it. An answer
+// that may be another run's is none.
+func (a *Adapter) ask(ctx context.Context, r *run, req *http.Request, naming func(*http.Response) Naming) (*web.Reply, error) {
+	mayKeep, check := sole(naming)
+	reply, err := a.client.Send(req.WithContext(ctx), mostAnswer, mayKeep)
 	r.isSent.Store(!web.IsUnsent(err))
-	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch {
+	case err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return nil, mishap.Wrap(err, mishap.Late, "the worker did not answer in time")
+	case err != nil:
+		return nil, err
 	}
-	return reply, err
+	return reply, check(reply)
 }
 
 // refused names an answer that is no success. Most 4xx blame the message: it
--- a/internal/deliver/tell.go
+++ b/internal/deliver/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 
 	"caperwheel/internal/beat"
@@ -56,7 +57,11 @@
 		defer a.tellers.leave(address)
 		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(beat.Tell))
 		defer cancel()
-		got, err := a.client.Send(req.WithContext(ctx), mostAnswer, web.Always)
+		mayKeep, check := a.judgeTold(m)
+		got, err := a.client.Send(req.WithContext(ctx), mostAnswer, mayKeep)
+		if err == nil {
+			err = check(got)
+		}
 		out := &wire.Told{}
 		if err != nil {
 			out.Kind = string(mishap.KindOf(err))
@@ -66,3 +71,11 @@
 		answer(out)
 	})
 }
+
+// judgeTold gives what judges whose the answer to a word is.
+func (a *Adapter) judgeTold(m *wire.Tell) (mayKeep func(*web.Reply) bool, check func(*web.Reply) error) {
+	if a.manner.ToldNames == nil {
+		return web.Always, func(*web.Reply) error { return nil }
+	}
+	return sole(func(answer *http.Response) Naming { return a.manner.ToldNames(m, answer) })
+}
--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -124,6 +124,11 @@
 	b.inUse++
 	b.most = max(b.most, b.inUse)
 	b.mu.Unlock()
+	for _, field := range []string{"X-Message-Id", "X-Attempt"} { // so that the answer tells whose it is
+		if value := r.Header.Get(field); value != "" {
+			w.Header().Set(field, value)
+		}
+	}
 	mode, work := Mode(b.mode.Load()), b.Work/2+time.Duration(rand.Int64N(int64(b.Work)+1))
 	switch mode {
 	case Crawl:
--- a/internal/web/client.go
+++ b/internal/web/client.go
@@ -116,12 +116,12 @@
 			if mayKeep != nil && mayKeep(answer) {
 				conn.keep()
 			} else {
-				conn.drop()
+				_ = conn.Close()
 			}
 			return answer, answer.IsFirst, nil
 		}
 		isFirst, isUnsent := conn.requests == 1, conn.withdraw()
-		conn.drop()
+		_ = conn.Close()
 		if !isUnsent {
 			return nil, isFirst, err
 		}
--- a/internal/web/connection.go
+++ b/internal/web/connection.go
@@ -39,9 +39,10 @@
 	phase     phase
 	isReading bool
 	isWriting bool
-	isSealed  bool  // nothing more is written
-	written   int64 // bytes of the request that is on it
-	isEarly   bool  // bytes came before any of that request was written
+	isSealed  bool          // nothing more is written
+	written   int64         // bytes of the request that is on it
+	isEarly   bool          // bytes came before any of that request was written
+	back      chan struct{} // closed once the reader of an answered connection is back, or has ended
 	expiry    *time.Timer
 }
 
@@ -52,6 +53,7 @@
 	if c.phase == answered {
 		c.rest()
 	}
+	c.tellBack()
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -61,12 +63,12 @@
 	}
 	wasIdle := c.phase == idle
 	if wasIdle {
-		c.phase = spent
+		c.phase = spent // from now on nobody takes it into use
 	}
 	c.mu.Unlock()
 	if wasIdle {
 		c.client.remove(c)
-		c.drop()
+		_ = c.Close()
 	}
 	return n, err
 }
@@ -140,21 +142,47 @@
 	return c.written == 0 && !c.isWriting
 }
 
-// keep lets the connection be used again once its reader waits.
+// keep lets the connection be used again if its reader comes back to wait, which
+// it does, or ends, as soon as it is scheduled.
 func (c *connection) keep() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.isPlain {
+	switch {
+	case !c.isPlain || c.phase == spent:
 		c.phase = spent
 		c.release()
-		return
-	}
-	c.phase = answered
-	if c.isReading {
+	case c.isReading:
 		c.rest()
+	default:
+		c.phase, c.back = answered, make(chan struct{})
+	}
+	back := c.back
+	c.mu.Unlock()
+	if back != nil {
+		<-back
 	}
 }
 
+// tellBack is called with mu held.
+func (c *connection) tellBack() {
+	if c.back != nil {
+		close(c.back)
+		c.back = nil
+	}
+}
+
+// Close is called by the library when its reader ends.
+func (c *connection) Close() error {
+	c.mu.Lock()
+	wasIdle := c.phase == idle
+	c.phase = spent
+	c.release()
+	c.mu.Unlock()
+	if wasIdle {
+		c.client.remove(c)
+	}
+	return nil
+}
+
 // rest is called with mu held, when the reader waits after an answer.
 func (c *connection) rest() {
 	c.phase = idle
@@ -179,24 +207,17 @@
 	c.mu.Unlock()
 	if isIdle {
 		c.client.remove(c)
-		c.drop()
+		_ = c.Close()
 	}
 }
 
-// drop ends the connection for good.
-func (c *connection) drop() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.phase = spent
-	c.release()
-}
-
 // release closes the socket, which ends the library's goroutines of it. Called
 // with mu held.
 func (c *connection) release() {
 	if c.expiry != nil {
 		c.expiry.Stop()
 	}
+	c.tellBack()
 	_ = c.Conn.Close()
 }
 
