A session that breaks before its link adopts it is given up, not kept for good

Cause: the link set what is told of a session's end after the session had been opened and its writer started. A session that broke in between, as in a process that is frozen right then, told nobody: the link kept it, never dialled again, and each ask was told that it had not been sent. TestDownAtOnce failed first: the link's session was still the broken one. The race detector saw the unguarded field, too.

Ruled out: correlation numbers. TestRepliesFindTheirAsk holds without a change: numbers go on over reconnects, so a reply that comes twice, or belongs to a session before, or to no ask, meets nobody.

Change: session.watch sets it under a lock and tells at once of a session that is down.

After: five runs of the package's tests under the race detector, clean.

--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -85,9 +85,8 @@
 	go func() {
 		s, err := p.node.dial(p.link, p.addr)
 		p.mu.Lock()
-		p.dialing = false
 		if err != nil || p.closed {
-			p.failed = time.Now()
+			p.dialing, p.failed = false, time.Now()
 			p.mu.Unlock()
 			if errors.Is(err, syscall.ECONNREFUSED) && p.node.opts.Refused != nil {
 				p.node.opts.Refused(p.addr)
@@ -97,19 +96,27 @@
 			}
 			return
 		}
-		s.handle = p.onReply
-		s.onDown = func(cause error) { p.lose(s, cause) }
-		p.session = s
-		raised := p.raised
-		p.raised = nil
 		p.mu.Unlock()
-		go s.read()
-		for _, tell := range raised {
-			tell()
-		}
+		p.adopt(s)
 	}()
 }
 
+// adopt makes a session that was just opened the link's own.
+func (p *Peer) adopt(s *session) {
+	p.mu.Lock()
+	p.dialing = false
+	s.handle = p.onReply
+	p.session = s
+	raised := p.raised
+	p.raised = nil
+	p.mu.Unlock()
+	s.watch(func(cause error) { p.lose(s, cause) })
+	go s.read()
+	for _, tell := range raised {
+		tell()
+	}
+}
+
 func (p *Peer) lose(s *session, cause error) {
 	p.mu.Lock()
 	if p.session != s {
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -24,7 +24,10 @@
 	in      *wire.Codec
 	handle  func(item wire.Item)
 	once    sync.Once
-	onDown  func(error)
+
+	watching sync.Mutex
+	onDown   func(error)
+	cause    error // why it is down; nil while it is not
 
 	// Ordered links: batches parsed ahead of their turn wait here. Bounded by
 	// the peer's window, since they are not yet consumed.
@@ -106,12 +109,28 @@
 		counters.lost.Inc()
 		s.conn.Close()
 		s.out.close(mishap.Wrap(cause, mishap.Lost, "session with %s", s.peer.Name))
-		if s.onDown != nil {
-			s.onDown(cause)
+		s.watching.Lock()
+		s.cause = cause
+		tell := s.onDown
+		s.watching.Unlock()
+		if tell != nil {
+			tell(cause)
 		}
 	})
 }
 
+// watch has onDown told once the session is down, at once if it is already: it
+// may break as soon as it is open.
+func (s *session) watch(onDown func(cause error)) {
+	s.watching.Lock()
+	s.onDown = onDown
+	cause := s.cause
+	s.watching.Unlock()
+	if cause != nil {
+		onDown(cause)
+	}
+}
+
 func (n *Node) newSession(link *wire.Link, conn net.Conn, peer wire.Who, version, window int64, isDialer bool) *session {
 	s := &session{node: n, link: link, peer: peer, version: version, conn: conn, early: map[uint32][]wire.Item{}, flow: flowOf(link.Name, "in")}
 	asks, replies := link.Codecs(version)
--- a/internal/transport/shake.go
+++ b/internal/transport/shake.go
@@ -110,6 +110,6 @@
 		})
 	}
 	n.track(s)
-	s.onDown = func(error) { n.untrack(s) }
+	s.watch(func(error) { n.untrack(s) })
 	s.read()
 }
