A run of an earlier life counts as lost only by the agent's own word

Cause: an adapter that is asked about a run of its earlier life asks the agent beside it. Any word of the agent but "kept" was told as "gone", after which the message is run again, also a word that says nothing about the run. While the agent was away nothing was told at all: the owner asks anew on each beat, each ask waits for the session's life, and a link takes no ask of any kind beyond its window. TestAskAgent failed first in three of its five cells: "gone" for an agent that could not tell, and no answer for one that answers something else or is away.

Change: "gone" follows from "unknown" alone; all else is told as not known, which owners, older ones too, take as a reason to ask again.

--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -11,6 +11,7 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
+	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/repair"
@@ -79,20 +80,27 @@
 }
 
 // askAgent looks whether the agent keeps the result of a run that an earlier
-// life of this adapter had. No answer means that the owner asks again.
+// life of this adapter had. Only the agent's own word that it keeps none makes
+// the run a lost one; while it cannot tell, the owner asks again.
 func (a *Adapter) askAgent(m *wire.Open, answer func(any)) {
+	unknown := &wire.OpenAck{Kind: string(mishap.Lost)}
 	ask := &wire.Outcome{Place: m.Place, Id: m.Id, Step: repair.StepHas, Proof: wire.Proof{Attempt: m.Attempt, Answer: []byte{}}}
-	_ = a.d.Node.Peer(wire.PlaceLink, a.d.Settings.Seeds[0]).Post(ask, func(reply any, err error) {
+	err := a.d.Node.Peer(wire.PlaceLink, a.d.Settings.Seeds[0]).Post(ask, func(reply any, err error) {
 		ack, isAck := reply.(*wire.OutcomeAck)
-		if err != nil || !isAck {
-			return
-		}
-		state := "open"
-		if ack.Kind != "" {
-			state = "gone"
+		switch {
+		case err != nil || !isAck:
+			answer(unknown)
+		case ack.Kind == "":
+			answer(&wire.OpenAck{State: "open"})
+		case ack.Kind == string(mishap.Unknown):
+			answer(&wire.OpenAck{State: "gone"})
+		default:
+			answer(unknown)
 		}
-		answer(&wire.OpenAck{State: state})
 	})
+	if err != nil {
+		answer(unknown)
+	}
 }
 
 // Run does the periodic work until ctx ends.
--- /dev/null
+++ b/internal/deliver/askagent_test.go
@@ -0,0 +1,62 @@
+package deliver
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/settings"
+	"caperwheel/internal/transport"
+	"caperwheel/internal/wire"
+)
+
+// TestAskAgent is the table of what an owner is told of a run of an earlier life
+// of the adapter. While the agent was away it was told nothing: the asks waited
+// for ever, one more each time, until the link took no other ask either.
+func TestAskAgent(t *testing.T) {
+	cases := []struct {
+		name  string
+		agent func(answer func(any)) // nil: it is away
+		want  wire.OpenAck
+	}{
+		{"keeps its result", func(answer func(any)) { answer(&wire.OutcomeAck{}) }, wire.OpenAck{State: "open"}},
+		{"keeps none", func(answer func(any)) { answer(&wire.OutcomeAck{Kind: string(mishap.Unknown)}) }, wire.OpenAck{State: "gone"}},
+		{"cannot tell", func(answer func(any)) { answer(&wire.OutcomeAck{Kind: string(mishap.Full)}) }, wire.OpenAck{Kind: "lost"}},
+		{"answers something else", func(answer func(any)) { answer(&wire.Taken{}) }, wire.OpenAck{Kind: "lost"}},
+		{"is away", nil, wire.OpenAck{Kind: "lost"}},
+	}
+	Convey("Of a run of an earlier life, when the agent", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				a, seed := scenery("127.0.0.1:1"), closedPort()
+				if c.agent != nil {
+					agent, err := transport.NewNode(transport.Options{Listen: "127.0.0.1:0", Handlers: map[string]transport.Handler{
+						"place": func(_ wire.Who, _ any, answer func(any)) { c.agent(answer) }}})
+					So(err, ShouldBeNil)
+					Reset(agent.Close)
+					go agent.Serve()
+					seed = agent.Addr()
+				}
+				node, err := transport.NewNode(transport.Options{})
+				So(err, ShouldBeNil)
+				Reset(node.Close)
+				a.d.Node, a.d.Settings = node, settings.Settings{Seeds: []string{seed}}
+				if c.agent != nil {
+					up := node.Peer(wire.PlaceLink, seed)
+					for up.Warm(); !up.Up(); {
+					}
+				}
+				told := make(chan wire.OpenAck, 1)
+				a.Serve(wire.Who{}, &wire.Open{Id: "0-x", Attempt: 1, Boot: "an earlier life"}, func(reply any) { told <- *reply.(*wire.OpenAck) })
+				got := wire.OpenAck{State: "no answer"}
+				select {
+				case got = <-told:
+				case <-time.After(5 * time.Second): // only for a case that fails
+				}
+				So(got, ShouldResemble, c.want)
+			})
+		}
+	})
+}
