A run is looked at again once its connection stands, before it is written

Cause: whether a run may go out (fresh view, charter, live worker, duty) was looked at before its connection was made. A process that stands still over that, or a worker that is slow to accept, had a run written that its owner may have given up since, to a worker or address that is another's by now.

Change: web.Terms.Before is asked when a connection was made for a request. A run that may not go out any more counts as never begun and says nothing of its worker. A kept connection asks nothing more: between the steps and its write nothing waits.

--- a/internal/deliver/manner.go
+++ b/internal/deliver/manner.go
@@ -64,7 +64,7 @@
 	}
 	ctx, cancel := beat.Patience(a.ctx, bound+bound/beat.AnswerPart)
 	defer cancel()
-	answer, err := a.ask(ctx, r, withBody(req, r.Body), func(answer *http.Response) Naming { return a.manner.Names(asking, answer) })
+	answer, err := a.ask(ctx, e, withBody(req, r.Body), func(answer *http.Response) Naming { return a.manner.Names(asking, answer) })
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/deliver/moved_test.go
@@ -0,0 +1,51 @@
+package deliver
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/path"
+	"caperwheel/internal/wire"
+)
+
+// TestMovedMeanwhile is the table of what may come to be known while a run's
+// connection is made, over which a process may freeze: then the run is not sent.
+func TestMovedMeanwhile(t *testing.T) {
+	cases := []struct{ name, key, value, kind string }{
+		{"nothing", charter.DutyKey + "p/v", string(charter.Duty{Holder: "a", Boot: "1"}.Encode()), ""},
+		{"another holder of the duty", charter.DutyKey + "p/w", string(charter.Duty{Holder: "b", Boot: "1"}.Encode()), "not_owner"},
+		{"another charter", charter.Key, `{}`, "stale"},
+		{"another address of the worker", charter.WorkersKey + "p", `{"workers":[{"name":"w","address":"127.0.0.1:2","cell":"c"}]}`, "rejected"},
+		{"a worker that is gone", charter.WorkersKey + "p", `{"workers":[]}`, "rejected"},
+	}
+	Convey("A run that has passed its checks, and then meets", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				asked := &atomic.Int64{}
+				server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked.Add(1) }))
+				Reset(server.Close)
+				a := scenery(server.Listener.Addr().String())
+				r := &run{Run: wire.Run{Id: "0-x", Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Bound: 50}}
+				e := &delivery{run: r, outcome: &wire.Outcome{}, rules: a.scenes.Now().Rules}
+				So(a.doers[path.Fresh](path.Step{}, e), ShouldBeNil)
+				So(a.doers[path.Live](path.Step{}, e), ShouldBeNil)
+				a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: c.key, Stamp: 4, Value: []byte(c.value)}}}}, a.d.Now())
+				err := a.doers[path.Send](path.Step{}, e)
+				kind := ""
+				if err != nil {
+					kind = string(mishap.KindOf(err))
+				}
+				So(kind, ShouldEqual, c.kind)
+				So(asked.Load() == 1, ShouldEqual, c.kind == "")
+				So(r.isSent.Load(), ShouldEqual, c.kind == "")
+				So(r.isTried.Load(), ShouldEqual, c.kind == "") // it says nothing of the worker
+			})
+		}
+	})
+}
--- a/internal/deliver/once_test.go
+++ b/internal/deliver/once_test.go
@@ -181,7 +181,7 @@
 func newSender() (send func(r *http.Request) (code int, err error), client *web.Client) {
 	client = newClient(beat.Default)
 	return func(r *http.Request) (int, error) {
-		reply, err := client.Send(r, mostAnswer, web.Always)
+		reply, err := client.Send(r, web.Terms{Most: mostAnswer, MayKeep: web.Always})
 		if err != nil {
 			return 0, err
 		}
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -112,7 +112,7 @@
 		return err
 	}
 	naming := func(answer *http.Response) Naming { return ownNaming(answer, r.Id, r.Attempt) }
-	reply, err := a.ask(ctx, r, req, naming)
+	reply, err := a.ask(ctx, e, req, naming)
 	if err != nil {
 		e.outcome.Final = mishap.Is(err, mishap.TooLarge)
 		return err
@@ -146,10 +146,15 @@
 
 // ask puts a request to a worker, once, and names what came of it. An answer
 // that may be another run's is none.
-func (a *Adapter) ask(ctx context.Context, r *run, req *http.Request, naming func(*http.Response) Naming) (*web.Reply, error) {
+func (a *Adapter) ask(ctx context.Context, e *delivery, req *http.Request, naming func(*http.Response) Naming) (*web.Reply, error) {
 	mayKeep, check := sole(naming)
-	reply, err := a.client.Send(req.WithContext(ctx), mostAnswer, mayKeep)
-	r.isSent.Store(!web.IsUnsent(err))
+	terms := web.Terms{Most: mostAnswer, MayKeep: mayKeep, Before: func() error {
+		err := a.mayStillSend(e)
+		e.run.isTried.Store(err == nil)
+		return err
+	}}
+	reply, err := a.client.Send(req.WithContext(ctx), terms)
+	e.run.isSent.Store(!web.IsUnsent(err))
 	switch {
 	case err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return nil, mishap.Wrap(err, mishap.Late, "the worker did not answer in time")
@@ -159,6 +164,25 @@
 	return reply, check(reply)
 }
 
+// mayStillSend looks at what may have changed while the run's connection was
+// made, over which the process may have stood still.
+func (a *Adapter) mayStillSend(e *delivery) error {
+	isFresh := a.d.IsFresh() // asked before the scene, so that what is missing from it is missing
+	scene, r := a.scenes.Now(), e.run
+	w, isLive := scene.CanServe(r.Pool, r.Worker)
+	switch {
+	case !isFresh:
+		return mishap.New(mishap.Stale, "the view is too old to act on")
+	case scene.Rules != e.rules:
+		return mishap.New(mishap.Stale, "the charter has changed since")
+	case !isLive || w.Address != r.address || !scene.MayWork(a.d.Who.Cell):
+		return mishap.New(mishap.Rejected, "%s/%s is not live", r.Pool, r.Worker)
+	case !scene.IsHolder(r.Pool, r.Worker, a.d.Who.Name, a.d.Who.Boot):
+		return mishap.New(mishap.NotOwner, "the duty of %s/%s has moved on", r.Pool, r.Worker)
+	}
+	return nil
+}
+
 // refused names an answer that is no success. Most 4xx blame the message: it
 // can never succeed, so it is not run again.
 func refused(o *wire.Outcome, raw *http.Response) error {
--- a/internal/deliver/tell.go
+++ b/internal/deliver/tell.go
@@ -58,7 +58,7 @@
 		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(beat.Tell))
 		defer cancel()
 		mayKeep, check := a.judgeTold(m)
-		got, err := a.client.Send(req.WithContext(ctx), mostAnswer, mayKeep)
+		got, err := a.client.Send(req.WithContext(ctx), web.Terms{Most: mostAnswer, MayKeep: mayKeep})
 		if err == nil {
 			err = check(got)
 		}
--- a/internal/web/client.go
+++ b/internal/web/client.go
@@ -80,21 +80,29 @@
 // dialed is the context's key of the connection that is being made.
 type dialed struct{}
 
+// Terms are what a request is sent on.
+type Terms struct {
+	Most    int64             // bytes of the answer's body
+	MayKeep func(*Reply) bool // whether the connection may carry another request after this answer; nil means no
+	// Before is asked once a connection had to be made for the request, right
+	// before the request is written: making it may have taken long. Nil asks nothing.
+	Before func() error
+}
+
 // Always lets every connection be used again whose answer was whole.
 func Always(*Reply) bool { return true }
 
-// Send sends a request at most once and reads its whole answer, of most bytes.
-// An answer whose end cannot be known is a mishap. mayKeep tells whether the
-// connection may carry another request after this answer; nil means no.
-func (c *Client) Send(r *http.Request, most int64, mayKeep func(*Reply) bool) (*Reply, error) {
-	answer, _, err := c.send(r, most, mayKeep)
+// Send sends a request at most once and reads its whole answer. An answer whose
+// end cannot be known is a mishap.
+func (c *Client) Send(r *http.Request, t Terms) (*Reply, error) {
+	answer, _, err := c.send(r, t)
 	return answer, err
 }
 
 // SendRepeatable is Send for a call that does no harm when it arrives twice: if
 // a kept connection breaks over it, it is sent once more.
-func (c *Client) SendRepeatable(r *http.Request, most int64, mayKeep func(*Reply) bool) (*Reply, error) {
-	answer, isFirst, err := c.send(r, most, mayKeep)
+func (c *Client) SendRepeatable(r *http.Request, t Terms) (*Reply, error) {
+	answer, isFirst, err := c.send(r, t)
 	if err == nil || isFirst || r.Context().Err() != nil || !mishap.Is(err, mishap.Lost) {
 		return answer, err
 	}
@@ -102,18 +110,24 @@
 	if !isWhole {
 		return nil, err
 	}
-	return c.Send(again, most, mayKeep)
+	return c.Send(again, t)
 }
 
-func (c *Client) send(r *http.Request, most int64, mayKeep func(*Reply) bool) (answer *Reply, isFirst bool, err error) {
+func (c *Client) send(r *http.Request, t Terms) (answer *Reply, isFirst bool, err error) {
 	for {
 		conn, err := c.take(r)
 		if err != nil {
 			return nil, true, &Unsent{mishap.Wrap(err, mishap.Lost, "no connection to %s", r.URL.Host)}
 		}
-		answer, err := conn.exchange(r, most)
+		if conn.requests == 1 && t.Before != nil {
+			if err := t.Before(); err != nil {
+				_ = conn.Close()
+				return nil, true, &Unsent{err}
+			}
+		}
+		answer, err := conn.exchange(r, t.Most)
 		if err == nil {
-			if mayKeep != nil && mayKeep(answer) {
+			if t.MayKeep != nil && t.MayKeep(answer) {
 				conn.keep()
 			} else {
 				_ = conn.Close()
--- a/internal/web/client_test.go
+++ b/internal/web/client_test.go
@@ -92,7 +92,7 @@
 				if c.isNoBody {
 					r.Body = http.NoBody
 				}
-				_, err = testClient().Send(r, 100, nil)
+				_, err = testClient().Send(r, Terms{Most: 100, MayKeep: nil})
 				So(err, ShouldBeNil)
 				So(<-got, ShouldEqual, c.want)
 			})
@@ -154,7 +154,7 @@
 				send := func() string {
 					r, err := http.NewRequest("POST", "http://"+address+"/", strings.NewReader("body"))
 					So(err, ShouldBeNil)
-					reply, err := client.Send(r, 100, c.mayKeep)
+					reply, err := client.Send(r, Terms{Most: 100, MayKeep: c.mayKeep})
 					So(err, ShouldBeNil)
 					return string(reply.Bytes)
 				}
@@ -184,7 +184,7 @@
 		}}
 		r, err := http.NewRequest("POST", "http://x.example/", strings.NewReader("body"))
 		So(err, ShouldBeNil)
-		_, err = client.Send(r.WithContext(httptrace.WithClientTrace(context.Background(), trace)), 100, Always)
+		_, err = client.Send(r.WithContext(httptrace.WithClientTrace(context.Background(), trace)), Terms{Most: 100, MayKeep: Always})
 		So(err, ShouldNotBeNil)
 	})
 }
--- a/internal/web/repeat_test.go
+++ b/internal/web/repeat_test.go
@@ -37,10 +37,10 @@
 			}
 		})
 		client := testClient()
-		call := func(send func(*http.Request, int64, func(*Reply) bool) (*Reply, error)) error {
+		call := func(send func(*http.Request, Terms) (*Reply, error)) error {
 			r, err := http.NewRequest("POST", "http://"+address+"/", strings.NewReader("body"))
 			So(err, ShouldBeNil)
-			_, err = send(r, 100, Always)
+			_, err = send(r, Terms{Most: 100, MayKeep: Always})
 			return err
 		}
 		So(call(client.Send), ShouldBeNil)
@@ -59,15 +59,52 @@
 	Convey("A call that nobody hears was not sent", t, func() {
 		r, err := http.NewRequest("POST", "http://127.0.0.1:1/", nil)
 		So(err, ShouldBeNil)
-		_, err = testClient().Send(r, 100, nil)
+		_, err = testClient().Send(r, Terms{Most: 100, MayKeep: nil})
 		So(IsUnsent(err), ShouldBeTrue)
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		_, err = testClient().Send(r.WithContext(ctx), 100, nil)
+		_, err = testClient().Send(r.WithContext(ctx), Terms{Most: 100, MayKeep: nil})
 		So(IsUnsent(err), ShouldBeTrue)
 	})
 }
 
+// TestBefore: what may no longer go out once its connection stands is not sent.
+func TestBefore(t *testing.T) {
+	Convey("When a connection was made for a call", t, func() {
+		arrived := &atomic.Int64{}
+		address, accepted := rawServer(func(_ int64, conn net.Conn, reader *bufio.Reader) {
+			for {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				arrived.Add(1)
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+			}
+		})
+		client, asked := testClient(), 0
+		send := func(cause error) error {
+			r, err := http.NewRequest("GET", "http://"+address+"/", nil)
+			So(err, ShouldBeNil)
+			_, err = client.Send(r, Terms{MayKeep: Always, Before: func() error { asked++; return cause }})
+			return err
+		}
+		Convey("and it may not go out any more, nothing of it does", func() {
+			err := send(mishap.New(mishap.Stale, "the view is too old"))
+			So(IsUnsent(err), ShouldBeTrue)
+			So(mishap.Is(err, mishap.Stale), ShouldBeTrue)
+			So(send(nil), ShouldBeNil)
+			So(arrived.Load(), ShouldEqual, 1)
+			So(accepted.Load(), ShouldEqual, 2)
+		})
+		Convey("and it may, it goes out, and the next one over the same connection unasked", func() {
+			So(send(nil), ShouldBeNil)
+			So(send(nil), ShouldBeNil)
+			So(arrived.Load(), ShouldEqual, 2)
+			So(asked, ShouldEqual, 1)
+		})
+	})
+}
+
 // TestOneWayOut: a daemon that made a client of its own once had the library
 // send its runs twice. The proof tools and the operators' command line may.
 func TestOneWayOut(t *testing.T) {
@@ -101,7 +138,7 @@
 		client.transport.TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig
 		r, err := http.NewRequest("GET", server.URL+"/", nil)
 		So(err, ShouldBeNil)
-		reply, err := client.Send(r, 100, Always)
+		reply, err := client.Send(r, Terms{Most: 100, MayKeep: Always})
 		So(err, ShouldBeNil)
 		So(reply.StatusCode, ShouldEqual, 200)
 		So(client.Kept(), ShouldEqual, 0)
