--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -110,7 +110,8 @@
 		e.outcome.Final = true
 		return err
 	}
-	reply, err := a.ask(ctx, r, req)
+	naming := func(answer *http.Response) Naming { return ownNaming(answer, r.Id, r.Attempt) }
+	reply, err := a.ask(ctx, e, req, naming)
 	if err != nil {
 		e.outcome.Final = mishap.Is(err, mishap.TooLarge)
 		return err
@@ -130,7 +131,7 @@
 	if err != nil {
 		return nil, mishap.Wrap(err, mishap.Invalid, "request to %s", r.address)
 	}
-	fields := map[string]string{"X-Message-Id": r.Id, "X-Attempt": strconv.FormatInt(r.Attempt, 10), "X-Lane": r.Lane,
+	fields := map[string]string{messageId: r.Id, attemptNumber: strconv.FormatInt(r.Attempt, 10), "X-Lane": r.Lane,
 		"Idempotency-Key": r.Id, "X-Content-SHA256": r.Sum, "User-Agent": "caperwheel/" + a.d.Who.Name,
 		"X-Charter-Stamp": strconv.FormatInt(e.scene.Stamp, 10), "Content-Type": cmp.Or(r.Ctype, "application/octet-stream")}
 	if r.Key != "" {
@@ -142,14 +143,43 @@
 	return req, nil
 }
 
-// ask puts a request to a worker, once, and names what came of it.
-func (a *Adapter) ask(ctx context.Context, r *run, req *http.Request) (*web.Reply, error) {
-	reply, err := a.client.Send(req.WithContext(ctx), mostAnswer, web.Always)
-	r.isSent.Store(!web.IsUnsent(err))
-	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+// ask puts a request to a worker, once, and names what came of it. An answer
+// that may be another run's is none.
+func (a *Adapter) ask(ctx context.Context, e *delivery, req *http.Request, naming func(*http.Response) Naming) (*web.Reply, error) {
+	mayKeep, check := sole(naming)
+	terms := web.Terms{Most: mostAnswer, MayKeep: mayKeep, Before: func() error {
+		err := a.mayStillSend(e)
+		e.run.isTried.Store(err == nil)
+		return err
+	}}
+	reply, err := a.client.Send(req.WithContext(ctx), terms)
+	e.run.isSent.Store(!web.IsUnsent(err))
+	switch {
+	case err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return nil, mishap.Wrap(err, mishap.Late, "the worker did not answer in time")
+	case err != nil:
+		return nil, err
 	}
-	return reply, err
+	return reply, check(reply)
+}
+
+// mayStillSend looks at what may have changed while the run's connection was
+// made, over which the process may have stood still.
+func (a *Adapter) mayStillSend(e *delivery) error {
+	isFresh := a.d.IsFresh() // asked before the scene, so that what is missing from it is missing
+	scene, r := a.scenes.Now(), e.run
+	w, isLive := scene.CanServe(r.Pool, r.Worker)
+	switch {
+	case !isFresh:
+		return mishap.New(mishap.Stale, "the view is too old to act on")
+	case scene.Rules != e.rules:
+		return mishap.New(mishap.Stale, "the charter has changed since")
+	case !isLive || w.Address != r.address || !scene.MayWork(a.d.Who.Cell):
+		return mishap.New(mishap.Rejected, "%s/%s is not live", r.Pool, r.Worker)
+	case !scene.IsHolder(r.Pool, r.Worker, a.d.Who.Name, a.d.Who.Boot):
+		return mishap.New(mishap.NotOwner, "the duty of %s/%s has moved on", r.Pool, r.Worker)
+	}
+	return nil
 }
 
 // refused names an answer that is no success. Most 4xx blame the message: it
