--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -168,7 +168,7 @@
 		reject(mishap.DiskFull, "the store's disk is nearly full", 30*time.Second)
 		return
 	case p.around.IsBusy() || p.host.Oldest() > p.around.Bounds().Of(beat.Stall):
-		reject(mishap.Full, "the place's disks cannot keep up", p.around.Bounds().Of(beat.Vote))
+		reject(mishap.Full, "the place's disks cannot keep up", p.around.Bounds().Of(beat.Stall))
 		return
 	case count >= mostErrands || bytes >= mostBytes || p.host.Waiting() >= mostWaiting:
 		reject(mishap.Full, "the place holds as much as it may", 2*time.Second)
