--- a/internal/group/flow_test.go
+++ b/internal/group/flow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +13,8 @@
 	"caperwheel/internal/wire"
 )
 
+const flowSeeds = 30
+
 // TestBytesByDelay: an owner once sent again, at each pulse, all that had no
 // answer yet, so that the bytes of a message grew with the delay of its links.
 func TestBytesByDelay(t *testing.T) {
@@ -64,7 +67,7 @@
 		Convey("an image that takes long goes once", func() {
 			p.rate, p.room = 500<<10, 64<<10
 			p.run(4900*time.Millisecond, 20*time.Millisecond, 4000)
-			p.compact()
+			p.compact(trio[0])
 			p.run(11*time.Second, 20*time.Millisecond, 4000)
 			So(p.members[trio[1]].View().Commit, ShouldBeGreaterThan, p.members[trio[0]].View().Commit-20)
 			So(p.sent[trio[0]+">"+trio[1]], ShouldBeBetween, 700<<10, 700<<10+FlightBytes+p.accepted)
@@ -80,7 +83,7 @@
 				return away(now, m)
 			}
 			p.run(4900*time.Millisecond, 20*time.Millisecond, 4000)
-			p.compact()
+			p.compact(trio[0])
 			p.run(8*time.Second, 20*time.Millisecond, 4000)
 			So(lost, ShouldEqual, 1)
 			So(p.members[trio[1]].View().Commit, ShouldBeGreaterThan, p.members[trio[0]].View().Commit-20)
@@ -122,7 +125,7 @@
 		p.found()
 		p.run(2*time.Second, 0, 0)
 		p.run(3900*time.Millisecond, 20*time.Millisecond, 1000)
-		p.compact()
+		p.compact(trio[0])
 		Convey("it gets entries and no image", func() {
 			p.run(6*time.Second, 20*time.Millisecond, 1000)
 			p.run(7*time.Second, 0, 0)
@@ -140,3 +143,42 @@
 		})
 	})
 }
+
+// TestFlowUnderFaults: whatever is lost, repeated or overtaken, and whenever an
+// image is made, all members have the same log in the end.
+func TestFlowUnderFaults(t *testing.T) {
+	Convey("Over links that lose, repeat and swap messages", t, func() {
+		for seed := range uint64(flowSeeds) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			p := newPair(6*time.Millisecond, 8*time.Millisecond)
+			share, cut := random.Float64()*0.3, ""
+			p.lose = func(_ time.Duration, m wire.GroupMsg) bool {
+				isCut := cut != "" && (m.From == cut || m.To == cut)
+				if !isCut && random.Float64() < share/4 {
+					p.after(time.Duration(random.IntN(200))*time.Millisecond, func() { p.do(m.To, p.members[m.To].Receive(m, p.now)) })
+				}
+				return isCut || random.Float64() < share
+			}
+			p.jitter = func() time.Duration {
+				if random.IntN(10) > 0 {
+					return 0
+				}
+				return time.Duration(random.IntN(100)) * time.Millisecond
+			}
+			p.found()
+			for range 12 {
+				cut = append(slices.Clone(trio), "", "")[random.IntN(5)]
+				p.run(p.now+time.Duration(200+random.IntN(1500))*time.Millisecond, 5*time.Millisecond, 1+random.IntN(12000))
+				p.compact(trio[random.IntN(3)])
+			}
+			cut, share, p.jitter = "", 0, nil
+			p.run(p.now+5*time.Second, 0, 0)
+			for _, name := range trio[1:] {
+				So(p.members[name].View().Last, ShouldEqual, p.members[trio[0]].View().Last)
+				So(p.members[name].View().Commit, ShouldEqual, p.members[trio[0]].View().Last)
+				So(p.members[name].lastTerm(), ShouldEqual, p.members[trio[0]].lastTerm())
+			}
+			So(p.members[trio[0]].View().Commit, ShouldBeGreaterThan, 100)
+		}
+	})
+}
--- a/internal/group/pair_test.go
+++ b/internal/group/pair_test.go
@@ -14,6 +14,7 @@
 	delay, sync time.Duration
 	rate        int                                           // bytes a second of each link; 0 for no bound
 	lose        func(now time.Duration, m wire.GroupMsg) bool // which messages are lost
+	jitter      func() time.Duration                          // added to a delay, so that messages pass each other
 	room        int                                           // bytes that may wait on a link; 0 for no bound
 
 	now      time.Duration
@@ -59,6 +60,9 @@
 
 func (p *pair) send(m wire.GroupMsg) {
 	if m.Kind == MsgImage {
+		if p.images[m.From].Index != m.Index {
+			return // as a host does: the next one has been made meanwhile
+		}
 		m.State = p.images[m.From].State
 	}
 	link, size := m.From+">"+m.To, sizeOf(m)
@@ -72,7 +76,11 @@
 	if p.lose != nil && p.lose(p.now, m) {
 		return
 	}
-	p.after(begin-p.now+p.delay, func() { p.do(m.To, p.members[m.To].Receive(m, p.now)) })
+	wait := begin - p.now + p.delay
+	if p.jitter != nil {
+		wait += p.jitter()
+	}
+	p.after(wait, func() { p.do(m.To, p.members[m.To].Receive(m, p.now)) })
 }
 
 func (p *pair) do(name string, out Out) {
@@ -92,6 +100,9 @@
 			}
 		})
 	}
+	if out.Install != nil {
+		p.images[name] = out.Install
+	}
 	if name == trio[0] {
 		for _, e := range out.Apply {
 			p.applied += len(e.Data)
@@ -112,16 +123,21 @@
 				p.do(name, p.members[name].Tick(p.now))
 			}
 		}
-		if owner := p.members[trio[0]]; pause > 0 && p.now%pause == 0 && owner.View().Role == Owner {
-			if _, _, out, isOwner := owner.Propose(make([]byte, size), p.now); isOwner {
+		for _, name := range trio {
+			if pause == 0 || p.now%pause != 0 || p.members[name].View().Role != Owner {
+				continue
+			}
+			if _, _, out, isOwner := p.members[name].Propose(make([]byte, size), p.now); isOwner {
 				p.accepted += size
-				p.do(trio[0], out)
+				p.do(name, out)
 			}
 		}
 	}
 }
 
-func (p *pair) compact() {
-	owner := p.members[trio[0]]
-	p.images[trio[0]] = owner.Compact(owner.View().Commit, make([]byte, 700<<10))
+func (p *pair) compact(name string) {
+	m := p.members[name]
+	if image := m.Compact(m.View().Commit, make([]byte, 700<<10)); image != nil {
+		p.images[name] = image
+	}
 }
--- /dev/null
+++ b/internal/group/progress_test.go
@@ -0,0 +1,123 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/wire"
+)
+
+// TestReject is the table of what a rejected append says of a member.
+func TestReject(t *testing.T) {
+	cases := []struct {
+		name         string
+		is           peerState
+		behind, hint int64
+		isTaken      bool
+		next         int64
+	}{
+		{"one of many under way", peerState{match: 5, next: 20}, 9, 7, true, 8},
+		{"the next of them, once it is probed", peerState{match: 5, next: 8, isProbing: true}, 10, 7, false, 8},
+		{"the probe itself", peerState{match: 5, next: 20, isProbing: true}, 19, 12, true, 13},
+		{"a probe behind which the member's log differs", peerState{match: 5, next: 20, isProbing: true}, 19, 30, true, 19},
+		{"an old one of what is known to be held", peerState{match: 9, next: 20}, 7, 6, false, 20},
+		{"the probe behind what is known to be held", peerState{match: 9, next: 10, isProbing: true}, 9, 9, false, 10},
+		{"a hint below what is known to be held", peerState{match: 9, next: 20}, 15, 3, true, 10},
+		{"one of an older build, which names nothing", peerState{match: 5, next: 20}, 0, 7, true, 8},
+	}
+	Convey("Of a rejected append,", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				p := c.is
+				p.flight, p.flightBytes = []inFlight{{19, 7}}, 7
+				So(p.reject(c.behind, c.hint), ShouldEqual, c.isTaken)
+				So(p.next, ShouldEqual, c.next)
+				if c.isTaken {
+					So(p.isProbing, ShouldBeTrue)
+					So(p.flight, ShouldBeEmpty)
+					So(p.flightBytes, ShouldEqual, 0)
+				}
+			})
+		}
+	})
+}
+
+// TestAccept is the table of what an accepted append says.
+func TestAccept(t *testing.T) {
+	flight := []inFlight{{10, 100}, {12, 200}, {15, 300}}
+	cases := []struct {
+		name                   string
+		is                     peerState
+		index                  int64
+		match, next            int64
+		isProbing, isImaging   bool
+		flightCount, flightSum int
+	}{
+		{"part of what is under way", peerState{match: 9, next: 16, flight: flight, flightBytes: 600}, 12, 12, 16, false, false, 1, 300},
+		{"a part of one", peerState{match: 9, next: 16, flight: flight, flightBytes: 600}, 11, 11, 16, false, false, 2, 500},
+		{"an old answer", peerState{match: 12, next: 16, flight: flight[2:], flightBytes: 300}, 9, 12, 16, false, false, 1, 300},
+		{"more than was sent", peerState{match: 9, next: 16}, 20, 20, 21, false, false, 0, 0},
+		{"a probe", peerState{match: 0, next: 9, isProbing: true}, 8, 8, 9, false, false, 0, 0},
+		{"an append before the image on its way", peerState{match: 3, next: 5, isProbing: true, imageIndex: 40}, 4, 4, 5, true, true, 0, 0},
+		{"the image", peerState{match: 3, next: 5, isProbing: true, imageIndex: 40}, 40, 40, 41, false, false, 0, 0},
+	}
+	Convey("An owner takes in that a member holds", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				p := c.is
+				p.accept(c.index)
+				So(p.match, ShouldEqual, c.match)
+				So(p.next, ShouldEqual, c.next)
+				So(p.isProbing, ShouldEqual, c.isProbing)
+				So(p.imageIndex > 0, ShouldEqual, c.isImaging)
+				So(len(p.flight), ShouldEqual, c.flightCount)
+				So(p.flightBytes, ShouldEqual, c.flightSum)
+			})
+		}
+	})
+}
+
+// TestEntriesFor: what may go to a member at once.
+func TestEntriesFor(t *testing.T) {
+	Convey("Given an owner with a small entry and large ones", t, func() {
+		hasRoom := true
+		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0", "b/0", "c/0"}, Bounds: beat.Default,
+			Room: func(string) bool { return hasRoom }}, Hard{}, nil, nil, 0)
+		var out Out
+		g.become(Owner, 1, "a/0", time.Millisecond, &out)
+		g.log = nil
+		for i, size := range []int{100, appendBytes - 200, 200, FlightBytes} {
+			g.log = append(g.log, wire.Entry{Index: int64(i + 1), Term: 1, Data: make([]byte, size)})
+		}
+		cases := []struct {
+			name   string
+			is     peerState
+			isFree bool
+			count  int
+		}{
+			{"a probe carries what is small", peerState{next: 1, isProbing: true}, true, 1},
+			{"a probe carries nothing large", peerState{next: 2, isProbing: true}, true, 0},
+			{"an append carries up to its limit", peerState{next: 1}, true, 2},
+			{"an append carries at least one, however large", peerState{next: 4}, true, 1},
+			{"a link without room takes none", peerState{next: 1}, false, 0},
+			{"… but a probe's little", peerState{next: 1, isProbing: true}, false, 1},
+			{"a flight full of bytes takes none", peerState{next: 1, flightBytes: FlightBytes}, true, 0},
+			{"a flight full of appends takes none", peerState{next: 1, flight: make([]inFlight, flightCount)}, true, 0},
+		}
+		for _, c := range cases {
+			Convey(c.name, func() {
+				hasRoom = c.isFree
+				entries, size := g.entriesFor("b/0", &c.is)
+				So(len(entries), ShouldEqual, c.count)
+				sum := 0
+				for _, e := range entries {
+					sum += len(e.Data)
+				}
+				So(size, ShouldEqual, sum)
+			})
+		}
+	})
+}
