Store: a told failure that comes twice counts as one attempt

Cause: an adapter brings a result home again when its acknowledgement was lost with the owner. The next owner judged the repeat of attempt 2 of 3 by what the message was after the first copy (two spent, one more makes three) and closed it; the closing asks that the run is the newest, not that it is open.

Change: only the result of an open run can be the last attempt's. A repeat becomes the command that changes nothing. The owner decides it before it writes, so replicas of all versions agree.

Before: TestRepeatedResults fails ("failed" in place of "held").

Conclusion: counted once.

--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -40,7 +40,8 @@
 	})
 }
 
-// judge decides what a result means for its errand.
+// judge decides what a result means for its errand. A failure is the last attempt's
+// only while its run is open: a result may come again, and counts once.
 func (p *PlaceHost) judge(e *place.Errand, o *wire.Outcome, lane charter.Lane) place.Command {
 	retain := int64(lane.Retention / time.Millisecond)
 	if o.Kind == "" {
@@ -54,7 +55,9 @@
 	isSpent := o.Begun && (lane.SpendsAll || o.Kind == string(mishap.Unsound))
 	back := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: o.Proof.Attempt, Cause: o.Kind, Costs: isSpent, Retain: retain}
 	back.Hold = o.Begun && e.Ordered && o.Wait > 0 && place.MayGoOn(mishap.Kind(o.Kind))
-	if o.Begun && !back.Hold && (o.Final || isSpent && lane.Attempts > 0 && e.Spent+1 >= lane.Attempts) {
+	isOpen := e.State == place.Started && e.Attempt == o.Proof.Attempt
+	isLast := isOpen && isSpent && lane.Attempts > 0 && e.Spent+1 >= lane.Attempts
+	if o.Begun && !back.Hold && (o.Final || isLast) {
 		back.Kind, back.State, back.Hold = place.CmdClose, string(place.Failed), lane.HoldFailed
 		return back
 	}
--- /dev/null
+++ b/internal/store/repeated_test.go
@@ -0,0 +1,52 @@
+package store
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/place"
+	"caperwheel/internal/wire"
+)
+
+// TestRepeatedResults: an adapter brings a result home again when its
+// acknowledgement was lost. The repeat of a failure once counted as another
+// attempt, and a message was dead before its last one.
+func TestRepeatedResults(t *testing.T) {
+	cases := []struct {
+		name    string
+		outcome wire.Outcome
+		state   place.State
+		spent   int64
+	}{
+		{"a failed attempt counts once", wire.Outcome{Kind: "unsound", Begun: true}, place.Held, 1},
+		{"a run that never began costs nothing", wire.Outcome{Kind: "lost"}, place.Held, 0},
+		{"a refusal for good ends it", wire.Outcome{Kind: "rejected", Begun: true, Final: true}, place.Failed, 0},
+		{"a success ends it", wire.Outcome{}, place.Ended, 0},
+	}
+	Convey("Given a message of two attempts whose first run's result comes three times,", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				b, e := started("l")
+				c.outcome.Id, c.outcome.Proof.Attempt = "0-x", 1
+				for range 3 {
+					answers := 0
+					b.place.Outcome(&c.outcome, func(any) { answers++ })
+					b.commit(true)
+					So(answers, ShouldEqual, 1)
+				}
+				So(e.State, ShouldEqual, c.state)
+				So(e.Spent, ShouldEqual, c.spent)
+			})
+		}
+		Convey("the second run's failure is the last", func() {
+			b, e := started("l")
+			for attempt := int64(1); attempt <= 2; attempt++ {
+				e.Attempt, e.State = attempt, place.Started
+				b.place.Outcome(&wire.Outcome{Id: "0-x", Kind: "unsound", Begun: true, Proof: wire.Proof{Attempt: attempt}}, func(any) {})
+				b.commit(true)
+			}
+			So(e.State, ShouldEqual, place.Failed)
+		})
+	})
+}
