Store: nothing new is taken once the live heap passes 40 % of the memory

Cause: messages held are bounded for each place (20,000 and 64 MB), and a store has a replica of every place; nothing bounded their sum.

Ruled out: the bounds of a single place (none was reached), bytes waiting on links alone (the copy with bounded links ended by memory as well).

Change: the store looks at its live heap each 0.25 of the bound; past 40 % of its memory, places reject what is new as full, to come again after 2 s. What is held already is told as held, and comes to its end.

--- a/internal/sim/around.go
+++ b/internal/sim/around.go
@@ -66,5 +66,8 @@
 // ChildOf is not used.
 func (s *simStore) ChildOf(parent string) string { return parent + "c" }
 
+// IsTight tells of too little memory, which the simulation never has.
+func (s *simStore) IsTight() bool { return false }
+
 // Fail must not happen.
 func (s *simStore) Fail(err error) { panic(err) }
--- a/internal/store/around.go
+++ b/internal/store/around.go
@@ -26,6 +26,7 @@
 	PlaceOf(id string) int64
 	ChildOf(parent string) string
 	Fail(err error)
+	IsTight() bool // the store has too little memory left to hold more
 }
 
 // Hosting is the replicated group below a place.
@@ -63,3 +64,4 @@
 func (a *around) PlaceOf(id string) int64                     { return a.s.placeOfId(id) }
 func (a *around) ChildOf(parent string) string                { return a.s.childId(parent) }
 func (a *around) Fail(err error)                              { a.s.fail(err) }
+func (a *around) IsTight() bool                               { return a.s.isTight.Load() }
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -26,6 +26,7 @@
 	answers  []func(any, error)
 	place    *PlaceHost
 	now      time.Duration
+	isTight  bool
 }
 
 func newBench() *bench {
@@ -51,6 +52,7 @@
 func (b *bench) PlaceOf(string) int64                     { return 0 }
 func (b *bench) ChildOf(parent string) string             { return parent }
 func (b *bench) Fail(err error)                           { panic(err) }
+func (b *bench) IsTight() bool                            { return b.isTight }
 func (b *bench) IsOwner() bool                            { return true }
 func (b *bench) Term() int64                              { return 1 }
 func (b *bench) Waiting() int                             { return 0 }
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -158,6 +158,9 @@
 	case !p.around.IsFresh(): // the lane may be another by now
 		reject(mishap.NotOwner, "", 0) // no more definite than that: an older adapter would believe it
 		return
+	case p.around.IsTight():
+		reject(mishap.Full, "the store's memory is nearly used up", 2*time.Second)
+		return
 	case p.around.IsFull():
 		reject(mishap.DiskFull, "the store's disk is nearly full", 30*time.Second)
 		return
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -46,6 +46,8 @@
 	own    atomic.Pointer[[]*PlaceHost]
 	begun  sync.Once
 	isOpen atomic.Bool
+	// Intake is rejected for want of memory.
+	isTight atomic.Bool
 }
 
 // Run is the store's main; a source gives its settings another way.
--- a/internal/store/upkeep.go
+++ b/internal/store/upkeep.go
@@ -27,6 +27,10 @@
 		if s.diskFull.Swap(isFull) != isFull {
 			klog.Warningf("store: Disk nearly full is now %t; intake follows.", isFull)
 		}
+		tight := isTight(liveBytes(), s.d.Settings.Memory)
+		if s.isTight.Swap(tight) != tight {
+			klog.Warningf("store: Memory nearly used up is now %t; intake follows.", tight)
+		}
 		if s.disk.Segments() > 4 {
 			for _, id := range s.disk.Behind(s.groupIds()) {
 				s.hostOf(id).Compact()
