--- a/internal/deliver/meet_test.go
+++ b/internal/deliver/meet_test.go
@@ -61,7 +61,7 @@
 	a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.Key, Stamp: 4, Value: patient}}}}, a.d.Now())
 	body := []byte("body")
 	return func(id string, kept head.Head, isLane bool) *wire.Outcome {
-		r := &run{Run: wire.Run{Id: id, Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: store.SumOf(body)},
+		r := &run{Run: wire.Run{Id: id, Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: wire.SumOf(body)},
 			worker: NewWorker(charter.Pool{Concurrency: 8}, 0, 0)}
 		if !isLane {
 			r.Head = kept.Encode()
--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -45,7 +45,8 @@
 	})
 }
 
-// judge decides what a result means for its errand.
+// judge decides what a result means for its errand. A failure is the last attempt's
+// only while its run is open: a result may come again, and counts once.
 func (p *PlaceHost) judge(e *place.Errand, o *wire.Outcome, lane charter.Lane) place.Command {
 	retain := int64(lane.Retention / time.Millisecond)
 	if o.Kind == "" {
