--- /dev/null
+++ b/internal/store/rosters.go
@@ -0,0 +1,68 @@
+package store
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/group"
+	"caperwheel/internal/repair"
+	"caperwheel/internal/wire"
+)
+
+// Rosters plans which stores should hold the groups that one store owns. It does
+// no I/O; the simulation uses it as it is. Safe for use by several goroutines.
+type Rosters struct {
+	copies int
+
+	mu      sync.Mutex
+	planner *repair.Planner
+	known   map[string]string // member ids of the stores that are here, by name
+	retired map[string]bool
+}
+
+// NewRosters makes one for groups of so many copies.
+func NewRosters(bounds beat.Bounds, copies int) *Rosters {
+	return &Rosters{copies: copies, planner: repair.NewPlanner(bounds, copies), known: map[string]string{}, retired: map[string]bool{}}
+}
+
+// Note takes in which stores are members now, and which are retired; only while
+// both are known well enough.
+func (r *Rosters) Note(here []wire.Who, retired map[string]bool, now time.Duration) {
+	known, members := map[string]string{}, []repair.Store{}
+	for _, who := range here {
+		known[who.Name] = who.Name + "/" + repair.Incarnation(who.Boot)
+		members = append(members, repair.Store{Name: who.Name, Zone: who.Cell, IsRetired: retired[who.Name]})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known, r.retired = known, retired
+	r.planner.Note(members, now)
+}
+
+// Plan gives the member ids of the stores that are here and the names of those
+// that should hold a group of these members. changing is how many of the owner's
+// groups are being changed; silence is the group owner's, of each holder.
+func (r *Rosters) Plan(groupId int64, members []string, changing int, silence repair.Silence, now time.Duration) (known map[string]string, wanted []string) {
+	g := repair.Group{Id: groupId, Holders: names(members), IsChanging: IsChanging(members, r.copies), Silence: silence}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known, r.planner.Seats(g, r.retired, changing, now)
+}
+
+// IsChanging tells a roster whose change is not finished.
+func IsChanging(members []string, copies int) bool {
+	return len(members) > copies || slices.ContainsFunc(members, group.IsLearner)
+}
+
+// names gives the stores of a roster, each once.
+func names(members []string) []string {
+	out := []string{}
+	for _, m := range members {
+		if name := group.Name(m); !slices.Contains(out, name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -36,6 +36,7 @@
 	dispatch *dispatcher
 	keeper   *repair.Keeper // results that adapters could not bring home
 	diskFull atomic.Bool
+	rosters  *Rosters
 	ctx      context.Context
 
 	mu     sync.RWMutex
@@ -65,6 +66,7 @@
 	d.Must(err)
 	s.disk, s.held, err = slot.Open(folder, slot.Options{FreeBytes: uint64(d.Settings.Reserve)})
 	d.Must(err)
+	s.rosters = NewRosters(d.Bounds, s.copies())
 	s.founder, err = newFounder(d, folder, s.begin)
 	d.Must(err)
 	d.Who.Boot = s.founder.snapshot().Inc + "." + d.Who.Boot
@@ -131,7 +133,7 @@
 	opts := host.Options{Id: groupId, Self: member, Roster: roster, Bounds: s.d.Bounds, Seed: seed.Sum64(),
 		Disk: s.disk, Held: held, Now: s.d.Now, Send: s.sendGroup, Failed: s.fail,
 		Prefer: func(roster []string) string { return s.prefer(groupId, roster) },
-		Mend:   func() (map[string]string, []string) { return s.mendPlan(groupId) }}
+		Mend:   func(silence repair.Silence) (map[string]string, []string) { return s.rosterPlan(groupId, silence) }}
 	var h *host.Host
 	var err error
 	if groupId >= PlaceGroup {
