Test: a group founded on a few of many stores stands where it belongs within a bound

In the grown deployment the five founders still held all 27 groups of 17 stores when the traffic came, and carried 19 MB/s on five links of 7.5 MB/s.

--- /dev/null
+++ b/internal/host/spread_test.go
@@ -0,0 +1,120 @@
+package host
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/group"
+	"caperwheel/internal/repair"
+	"caperwheel/internal/wire"
+)
+
+// idleMachine is a state machine without state.
+type idleMachine struct{}
+
+func (idleMachine) Apply([]byte) any     { return nil }
+func (idleMachine) Image() []byte        { return []byte{} }
+func (idleMachine) Restore([]byte) error { return nil }
+func (idleMachine) Owned(bool)           {}
+func (idleMachine) Beat(time.Duration)   {}
+
+// quickDisk has everything synced at once.
+type quickDisk struct{}
+
+func (quickDisk) Persist(_ int64, _ *group.Persist, then func(error)) { then(nil) }
+func (quickDisk) After(then func(error))                              { then(nil) }
+func (quickDisk) SaveSlot(_ int64, _ group.Hard, _ *group.Image, _ *group.Persist, then func(error)) {
+	then(nil)
+}
+
+// hosts are the replicas of one group on several stores, on one clock.
+type hosts struct {
+	now    time.Duration
+	byName map[string]*Host
+	mail   []wire.GroupMsg
+}
+
+func newHosts(founders, all, wanted []string) *hosts {
+	out, known, roster := &hosts{byName: map[string]*Host{}}, map[string]string{}, []string{}
+	for _, name := range all {
+		known[name] = name + "/0"
+	}
+	for _, name := range founders {
+		roster = append(roster, known[name])
+	}
+	for i, name := range all {
+		opts := Options{Id: 1, Self: known[name], Bounds: beat.Default, Seed: uint64(i), Disk: quickDisk{}, Machine: idleMachine{},
+			Now: func() time.Duration { return out.now }, Send: func(m wire.GroupMsg) { out.mail = append(out.mail, m) },
+			Mend: func(repair.Silence) (map[string]string, []string) { return known, wanted }}
+		if slices.Contains(founders, name) {
+			opts.Roster = roster
+		}
+		h, err := New(opts)
+		So(err, ShouldBeNil)
+		out.byName[name] = h
+	}
+	return out
+}
+
+// tick lets one tick pass: what is said meets its receiver before the next.
+func (c *hosts) tick() {
+	c.now += beat.Default.Of(beat.Tick)
+	for _, h := range c.byName {
+		h.Tick()
+	}
+	for len(c.mail) > 0 {
+		mail := c.mail
+		c.mail = nil
+		for _, m := range mail {
+			c.byName[group.Name(m.To)].Receive(m)
+		}
+		for _, h := range c.byName {
+			h.Pump()
+		}
+	}
+}
+
+// holders gives the voters as the owner has them; none while there is no owner
+// or a learner is left.
+func (c *hosts) holders() []string {
+	out := []string{}
+	for _, h := range c.byName {
+		if v := h.View(); v.Role == group.Owner && !slices.ContainsFunc(v.Roster, group.IsLearner) {
+			for _, m := range v.Roster {
+				out = append(out, group.Name(m))
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// TestPaceOfSpread: a deployment of many stores is founded on a few. Its groups
+// once took a step of their rosters each quarter of a bound, so that the few still
+// held everything, and carried everybody's messages, when the traffic came.
+func TestPaceOfSpread(t *testing.T) {
+	names := func(from, to int) []string {
+		out := []string{}
+		for i := from; i < to; i++ {
+			out = append(out, fmt.Sprintf("s%02d", i))
+		}
+		return out
+	}
+	Convey("A group that is founded on five stores and belongs on five others is there within a bound of its first owner", t, func() {
+		c, wanted := newHosts(names(0, 5), names(0, 10), names(5, 10)), names(5, 10)
+		for len(c.holders()) == 0 && c.now < beat.Default.Charter {
+			c.tick()
+		}
+		owned := c.now
+		for !slices.Equal(c.holders(), wanted) && c.now < owned+10*beat.Default.Charter {
+			c.tick()
+		}
+		So(c.holders(), ShouldResemble, wanted)
+		So(c.now-owned, ShouldBeLessThan, beat.Default.Charter)
+	})
+}
