--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -71,12 +71,12 @@
 	image      *group.Image
 	pending    int
 	applied    int64
-	since      int // entries applied since the last slot
-	bytes      int // and their bytes
+	since      int  // entries applied since the last slot
+	bytes      int  // and their bytes
+	saving     bool // a slot is being written
 	waiters    map[int64]waiter
-	isOwner    bool
-	saving     bool    // a slot is being written
 	begun      []begun // when the waiters' proposals were made, oldest first
+	isOwner    bool
 	mended     time.Duration
 	isChanging bool // the roster is not yet what it should be
 	parts      parts
