A simulated deployment: the control side whole, in one seeded world

Groups, hosts, parts, feeds and their freshness, sessions, the operators' code, reach and the stores' plans of rosters are the real ones; blocking code runs as coroutines on simulated time. A power cut keeps or loses each unsynced slot by itself.

--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -9,7 +9,8 @@
 )
 
 // Disk is a store's disk under simulation, for one group. A power cut loses
-// what was not synced, from a random point on.
+// what was not synced: the log from a random point on, and each slot, a file of
+// its own, by itself.
 type Disk struct {
 	w        *World
 	life     int
@@ -17,24 +18,26 @@
 	image    *group.Image
 	log      []wire.Entry
 	unsynced []pending
+	isHasty  bool // a mutant: tells of syncs that were never done
 }
 
 type pending struct {
-	write func()
-	then  func(error)
+	write  func()
+	then   func(error)
+	isSlot bool
 }
 
 // Persist queues one step's writes.
 func (d *Disk) Persist(_ int64, p *group.Persist, then func(error)) {
-	d.put(func() { d.apply(p) }, then)
+	d.put(pending{func() { d.apply(p) }, then, false})
 }
 
 // After calls then behind all that is queued.
-func (d *Disk) After(then func(error)) { d.put(func() {}, then) }
+func (d *Disk) After(then func(error)) { d.put(pending{func() {}, then, false}) }
 
 // SaveSlot writes the whole state.
 func (d *Disk) SaveSlot(_ int64, hard group.Hard, image *group.Image, entries *group.Persist, then func(error)) {
-	d.put(func() { d.hard, d.image, d.log = hard, image, slices.Clone(entries.Entries) }, then)
+	d.put(pending{func() { d.hard, d.image, d.log = hard, image, slices.Clone(entries.Entries) }, then, true})
 }
 
 func (d *Disk) apply(p *group.Persist) {
@@ -53,9 +56,17 @@
 	}
 }
 
-func (d *Disk) put(write func(), then func(error)) {
+func (d *Disk) put(p pending) {
 	life := d.life
-	d.unsynced = append(d.unsynced, pending{write, then})
+	d.unsynced = append(d.unsynced, p)
+	if d.isHasty {
+		d.w.After(0, func() {
+			if d.life == life {
+				p.then(nil)
+			}
+		})
+		return
+	}
 	d.w.After(d.w.syncTime(), func() {
 		if d.life == life && len(d.unsynced) > 0 {
 			p := d.unsynced[0]
@@ -69,7 +80,19 @@
 // Cut is a power cut.
 func (d *Disk) Cut() {
 	d.life++
-	for _, p := range d.unsynced[:d.w.Rand.IntN(len(d.unsynced)+1)] {
+	whole := d.w.Rand.IntN(len(d.unsynced) + 1)
+	for i, p := range d.unsynced {
+		if !p.isSlot && i < whole || p.isSlot && d.w.Rand.IntN(2) == 0 {
+			p.write()
+		}
+	}
+	d.unsynced = nil
+}
+
+// Flush is the end of a process alone: the system still writes what it had.
+func (d *Disk) Flush() {
+	d.life++
+	for _, p := range d.unsynced {
 		p.write()
 	}
 	d.unsynced = nil
--- a/internal/sim/groups.go
+++ b/internal/sim/groups.go
@@ -210,7 +210,7 @@
 // write queues one write; it is synced a little later, in order.
 func (g *Groups) write(r *Replica, write, then func()) {
 	life := r.life
-	r.disk.unsynced = append(r.disk.unsynced, pending{write, func(error) {
+	r.disk.unsynced = append(r.disk.unsynced, pending{write: write, then: func(error) {
 		if then != nil {
 			then()
 		}
--- /dev/null
+++ b/internal/sim/manager.go
@@ -0,0 +1,116 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/manager"
+	"caperwheel/internal/reach"
+	"caperwheel/internal/session"
+	"caperwheel/internal/settings"
+	"caperwheel/internal/wire"
+)
+
+// managerProcess is a manager: sessions, feed, and the operators' own code.
+type managerProcess struct {
+	process
+	registry  *session.Registry
+	operators *manager.Operators
+	reach     *reach.Reach
+}
+
+func newManager(d *Deployment, m *machine) *managerProcess {
+	p := &managerProcess{}
+	p.process = process{d: d, kind: "manager", name: m.name + "-manager", addr: m.addr + ":manager", cell: m.cell, machine: m}
+	p.serve = p.onCall
+	return p
+}
+
+func (p *managerProcess) start() {
+	if p.isUp {
+		return
+	}
+	p.seeds = p.d.seeds()
+	p.begin(fmt.Sprint(p.name, ".", p.life+1))
+	p.registry = session.NewRegistry(p.d.bound(beat.Gone))
+	about := &daemon.Daemon{Kind: "manager", Bounds: beat.Default, Who: p.who(), View: p.view, Roll: p.roll,
+		Settings: settings.Settings{Parts: parts, Places: places, Founders: copies, Copies: copies},
+		Clock:    p.now}
+	p.reach = &reach.Reach{Roll: p.roll, Bounds: beat.Default, Call: p.callIn}
+	p.operators = manager.NewOperators(about, p.reach, p.registry)
+	p.every(p.pause, func() { p.followParts(); p.share() })
+}
+
+// onCall serves sessions and peers.
+func (p *managerProcess) onCall(ask any, answer func(any)) {
+	now := p.now()
+	switch m := ask.(type) {
+	case *wire.Poll:
+		p.registry.Hear(wire.Member{Who: m.Who, Owns: m.Owns}, now, true)
+		answer(session.NewsFor(m, p.view, now, p.roll))
+	case *wire.Share:
+		p.takeShare(m)
+		answer(p.ownShare())
+	}
+}
+
+func (p *managerProcess) ownShare() *wire.Share {
+	return &wire.Share{Who: p.who(), Members: p.registry.Own(p.now())}
+}
+
+func (p *managerProcess) takeShare(share *wire.Share) {
+	for _, member := range share.Members {
+		if member.Who.Kind == "manager" && member.Who.Name != share.Who.Name {
+			p.registry.Meet(member, p.now())
+		} else {
+			p.registry.Hear(member, p.now(), false)
+		}
+	}
+}
+
+// share exchanges sessions with the other managers, and renews our own roll.
+func (p *managerProcess) share() {
+	p.registry.Hear(wire.Member{Who: p.who()}, p.now(), true)
+	for _, addr := range p.managers() {
+		to, isKnown := p.d.at(addr)
+		if !isKnown || addr == p.addr {
+			continue
+		}
+		own, life := p.ownShare(), p.life
+		p.d.net.call(p.machineOf(), to, func(answer func(any)) { to.serve(own, answer) }, func(reply any, err error) {
+			if share, isShare := reply.(*wire.Share); err == nil && isShare && p.life == life {
+				p.d.whenThawed(&p.being, func() { p.takeShare(share) })
+			}
+		})
+	}
+	p.roll.Take(p.registry.Members(p.now()))
+}
+
+// followParts asks every store for news of the parts that it owns.
+func (p *managerProcess) followParts() {
+	asked, life := p.now(), p.life
+	for _, who := range p.roll.Kind("store") {
+		to, isKnown := p.d.at(who.Addr)
+		if !isKnown {
+			continue
+		}
+		ask := &wire.Follow{Stamps: p.view.Stamps()}
+		p.d.net.call(p.machineOf(), to, func(answer func(any)) { to.serve(ask, answer) }, func(reply any, err error) {
+			if got, isNews := reply.(*wire.Followed); err == nil && isNews && p.life == life {
+				p.d.whenThawed(&p.being, func() { p.view.Take(got.Parts, asked); p.d.book.seen(&p.process) })
+			}
+		})
+	}
+}
+
+// handle does an operator's work at this manager, in a task of its own.
+func (p *managerProcess) handle(work func(ctx context.Context, o *manager.Operators)) {
+	p.d.Go(&p.being, func(ctx context.Context, _ *task) { work(ctx, p.operators) })
+}
+
+func voters(roster []string) []string {
+	return slices.DeleteFunc(slices.Clone(roster), func(m string) bool { return m[0] == '~' })
+}
--- /dev/null
+++ b/internal/sim/storedisk.go
@@ -0,0 +1,112 @@
+package sim
+
+import (
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/group"
+	"caperwheel/internal/store"
+	"caperwheel/internal/wire"
+)
+
+// waking lets a host go on whenever its disk has answered.
+type waking struct {
+	*Disk
+	s  *storeProcess
+	id int64
+}
+
+func (d *waking) wrap(then func(error)) func(error) {
+	h, life := d.s.hosts[d.id], d.s.life
+	return func(err error) {
+		if !d.s.isUp || d.s.life != life {
+			return
+		}
+		then(err)
+		if h = d.s.hosts[d.id]; h != nil && d.s.d.now >= d.s.frozen {
+			h.Pump()
+		}
+	}
+}
+
+// Persist, After and SaveSlot are host.Disk.
+func (d *waking) Persist(id int64, p *group.Persist, then func(error)) {
+	d.Disk.Persist(id, p, d.wrap(then))
+}
+func (d *waking) After(then func(error)) { d.Disk.After(d.wrap(then)) }
+func (d *waking) SaveSlot(id int64, hard group.Hard, image *group.Image, e *group.Persist, then func(error)) {
+	d.Disk.SaveSlot(id, hard, image, e, d.wrap(then))
+}
+
+// storeAround is what a part needs of its store; a part needs no more.
+type storeAround struct {
+	store.Around
+	s *storeProcess
+}
+
+// Now, After, Bounds and Fail are store.Around.
+func (a *storeAround) Now() time.Duration  { return a.s.now() }
+func (a *storeAround) Bounds() beat.Bounds { return beat.Default }
+func (a *storeAround) Fail(err error)      { panic(err) }
+func (a *storeAround) After(span time.Duration, work func()) {
+	life := a.s.life
+	a.s.d.After(span, func() {
+		if a.s.isUp && a.s.life == life {
+			work()
+			if a.s.d.now >= a.s.frozen {
+				for _, id := range groupIds() {
+					if h := a.s.hosts[id]; h != nil {
+						h.Pump()
+					}
+				}
+			}
+		}
+	})
+}
+
+// witness tells the book of every edit that a replica applies.
+type witness struct {
+	*store.PartHost
+	s     *storeProcess
+	id    int64
+	image []byte
+}
+
+// Apply notes what an edit came to.
+func (x *witness) Apply(data []byte) any {
+	verdict := x.PartHost.Apply(data)
+	e, err := feed.DecodeEdit(data)
+	if got, isEdited := verdict.(wire.Edited); err == nil && isEdited && got.Kind == "" && !got.IsAgain {
+		x.s.d.book.applied(x.s, x.id, got.Stamp, e)
+	}
+	return verdict
+}
+
+// Image gives the state; the mutant's is the one before.
+func (x *witness) Image() []byte {
+	was := x.image
+	x.image = x.PartHost.Image()
+	if x.s.d.mutant == OldSnapshot && was != nil {
+		return was
+	}
+	return x.image
+}
+
+// hosting is the group below a part; the mutant takes an owner's word for its
+// ownership without a majority.
+func hosting(m Mutant, h store.Hosting) store.Hosting {
+	if m == UnconfirmedReads {
+		return unconfirmed{h}
+	}
+	return h
+}
+
+type unconfirmed struct{ store.Hosting }
+
+// View is sure of itself, always.
+func (u unconfirmed) View() group.View {
+	v := u.Hosting.View()
+	v.IsSure, v.Confirmed = v.Role == group.Owner, forever
+	return v
+}
--- /dev/null
+++ b/internal/sim/stores.go
@@ -0,0 +1,234 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/duty"
+	"caperwheel/internal/group"
+	"caperwheel/internal/host"
+	"caperwheel/internal/repair"
+	"caperwheel/internal/store"
+	"caperwheel/internal/wire"
+)
+
+// storeProcess is a store: a replica of each group that it holds, each with a
+// real part above it. Places stand as parts too: what matters here is that
+// nothing taken is lost.
+type storeProcess struct {
+	process
+	incarnation int
+	founders    []string // nil for a store that joined
+	disks       map[int64]*Disk
+	hosts       map[int64]*host.Host
+	parts       map[int64]*store.PartHost
+	rosters     *store.Rosters
+	isOpen      bool // it belongs to the deployment, as it knows
+}
+
+func newStore(d *Deployment, m *machine) *storeProcess {
+	s := &storeProcess{disks: map[int64]*Disk{}}
+	s.process = process{d: d, kind: "store", name: m.name, addr: m.addr + ":store", cell: m.cell, machine: m}
+	s.serve = s.onCall
+	d.serial++
+	s.incarnation = d.serial
+	return s
+}
+
+// member is the id under which the store is a member of groups.
+func (s *storeProcess) member() string { return fmt.Sprintf("%s/%d", s.name, s.incarnation) }
+
+func (s *storeProcess) start() {
+	if s.isUp {
+		return
+	}
+	s.seeds = s.d.seeds()
+	s.begin(fmt.Sprintf("%d.%d", s.incarnation, s.life+1))
+	s.rosters, s.isOpen = store.NewRosters(beat.Default, copies), s.founders != nil || len(s.disks) > 0
+	s.hosts, s.parts = map[int64]*host.Host{}, map[int64]*store.PartHost{}
+	for _, id := range groupIds() {
+		if s.founders != nil || s.disks[id] != nil {
+			s.open(id)
+		}
+	}
+	s.every(func() time.Duration { return s.d.bound(beat.Tick) }, s.tick)
+	s.every(func() time.Duration { return s.d.bound(beat.Join) }, s.join)
+	s.every(s.pause, func() { s.noteMembers(); s.poll(s.managers(), s.owned()) })
+}
+
+// wipe puts a blank disk in: the store is another incarnation, as Store's
+// identity has it. The mutant keeps its identity.
+func (s *storeProcess) wipe() {
+	s.disks = map[int64]*Disk{}
+	if s.d.mutant == KeptIdentity {
+		return
+	}
+	s.d.serial++
+	s.incarnation, s.founders = s.d.serial, nil
+	s.d.Note("the disk of %s is blank: it is %s now", s.name, s.member())
+}
+
+func (s *storeProcess) diskList() []*Disk {
+	out := []*Disk{}
+	for _, id := range groupIds() {
+		if s.disks[id] != nil {
+			out = append(out, s.disks[id])
+		}
+	}
+	return out
+}
+
+// open starts the replica of a group, as Store does.
+func (s *storeProcess) open(id int64) *host.Host {
+	disk := s.disks[id]
+	if disk == nil {
+		disk = &Disk{w: s.d.World, isHasty: s.d.mutant == HastyDisk}
+		s.disks[id] = disk
+	}
+	part := store.NewPartHost(&storeAround{s: s}, id)
+	h, err := host.New(host.Options{Id: id, Self: s.member(), Roster: s.founders, Bounds: beat.Default,
+		Seed: s.d.Seed + uint64(s.life)*31 + uint64(s.incarnation)*1009, Disk: &waking{disk, s, id}, Held: disk.Held(),
+		Machine: &witness{PartHost: part, s: s, id: id}, Now: s.now, Send: s.send, Failed: func(err error) { panic(err) },
+		Prefer: func(roster []string) string { return s.prefer(id, roster) },
+		Mend: func(silence repair.Silence) (map[string]string, []string) {
+			return s.rosterPlan(id, silence)
+		}, Compact: 40, Whole: 2000})
+	if err != nil {
+		panic(err)
+	}
+	s.hosts[id], s.parts[id] = h, part
+	part.Use(hosting(s.d.mutant, h))
+	return h
+}
+
+func (s *storeProcess) tick() {
+	for _, id := range groupIds() {
+		if h := s.hosts[id]; h != nil {
+			h.Tick()
+			h.Pump()
+		}
+	}
+}
+
+// do has work done on a group's host, unless the store is frozen.
+func (s *storeProcess) do(id int64, work func()) bool {
+	h := s.hosts[id]
+	if h == nil {
+		return false
+	}
+	if h.Do(work) != nil {
+		return false
+	}
+	if s.d.now >= s.frozen {
+		h.Pump()
+	}
+	return true
+}
+
+// prefer spreads ownership over the members that are here and stay.
+func (s *storeProcess) prefer(id int64, roster []string) string {
+	scene, names, members := s.scenes.Now(), []string{}, map[string]string{}
+	for _, m := range group.Voters(roster) {
+		name := group.Name(m)
+		if _, isHere := s.roll.Find(name); isHere && !scene.Retired[name] {
+			names, members[name] = append(names, name), m
+		}
+	}
+	return members[duty.First(fmt.Sprint(id), names)]
+}
+
+// send brings a group's message to whatever store lives under the name.
+func (s *storeProcess) send(m wire.GroupMsg) {
+	who, isMember := s.roll.Find(group.Name(m.To))
+	to, isKnown := s.d.at(who.Addr)
+	if !isMember || !isKnown {
+		return
+	}
+	if s.d.net.refusing[to.machineOf()] || !to.isUp {
+		s.missing(group.Name(m.To))
+		return
+	}
+	s.d.Send(s.machineOf(), to.machineOf(), func() {
+		if to.isUp {
+			to.machine.store.receive(m)
+		}
+	})
+}
+
+// missing tells all groups, later, that nobody listens where a store was.
+func (s *storeProcess) missing(name string) {
+	life := s.life
+	s.d.After(time.Millisecond, func() {
+		if s.isUp && s.life == life && s.d.now >= s.frozen {
+			for _, id := range groupIds() {
+				if h := s.hosts[id]; h != nil {
+					h.Missing(name)
+					h.Pump()
+				}
+			}
+		}
+	})
+}
+
+func (s *storeProcess) receive(m wire.GroupMsg) {
+	h := s.hosts[m.Group]
+	if !s.isOpen {
+		return
+	}
+	if h == nil {
+		if m.Kind != group.MsgAppend && m.Kind != group.MsgImage && m.Kind != group.MsgPart {
+			return
+		}
+		h = s.open(m.Group)
+	}
+	h.Receive(m)
+	if s.d.now >= s.frozen {
+		h.Pump()
+	}
+}
+
+// onCall serves managers, as Store.onPart does.
+func (s *storeProcess) onCall(ask any, answer func(any)) {
+	now := s.now()
+	switch m := ask.(type) {
+	case *wire.Follow:
+		out := &wire.Followed{Parts: []wire.PartNews{}}
+		for _, stamp := range m.Stamps {
+			s.do(stamp.Part, func() {
+				if news, isOurs := s.parts[stamp.Part].News(stamp.Stamp); isOurs {
+					out.Parts = append(out.Parts, news)
+				}
+			})
+		}
+		answer(out)
+	case *wire.Edit:
+		edit := *m
+		if s.d.mutant == BlindEdits {
+			edit.IfStamp = -1
+		}
+		if !s.do(m.Part, func() { s.parts[m.Part].Edit(edit, answer) }) {
+			answer(&wire.Edited{Kind: "not_owner"})
+		}
+	case *wire.Pull:
+		if !s.do(m.Part, func() { s.parts[m.Part].Pull(m.Key, now, answer) }) {
+			answer(&wire.Pulled{Kind: "not_owner", Change: wire.Change{Value: []byte{}}})
+		}
+	case *wire.Retire:
+		answer(s.retired(m.Store))
+	}
+}
+
+// retired tells in how many of the groups owned here a store still stands.
+func (s *storeProcess) retired(name string) *wire.Retired {
+	out := &wire.Retired{}
+	for _, id := range groupIds() {
+		if h := s.hosts[id]; h != nil && h.View().Role == group.Owner {
+			if slices.ContainsFunc(h.View().Roster, func(m string) bool { return group.Name(m) == name }) {
+				out.Left++
+			}
+		}
+	}
+	return out
+}
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -25,12 +25,25 @@
 		}
 		return broken, p.Trace
 	case "control":
-		c := RunControl(seed, mixed(ControlFaults, only...)...)
-		return c.Broken, c.Trace
+		return sweepControl(seed, only)
 	}
 	return []string{"no such kind"}, nil
 }
 
+// sweepControl runs a seed of both worlds of the control side, where they have
+// the troubles that are asked for.
+func sweepControl(seed uint64, only []string) (broken, trace []string) {
+	if faults := mixed(ControlFaults, only...); len(faults) > 0 {
+		c := RunControl(seed, faults...)
+		broken, trace = c.Broken, c.Trace
+	}
+	if troubles := len(namesOf(Losses, only)) + len(namesOf(Herds, only)); troubles > 0 || slices.Contains(only, Retirements) {
+		d := RunDeployment(DeploymentOptions{Seed: seed, Only: only})
+		broken, trace = append(broken, d.Broken()...), append(append(trace, "the deployment:"), d.Trace...)
+	}
+	return broken, trace
+}
+
 func mixed[F any](faults map[string]F, only ...string) []F {
 	out := []F{}
 	for _, name := range slices.Sorted(maps.Keys(faults)) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -38,6 +38,7 @@
 	now   time.Duration
 	rank  int64
 	queue queue
+	tasks []*task
 	cuts  map[[2]string]bool
 	// isCalm: no more faults are caused.
 	isCalm bool
