--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -47,10 +47,11 @@
 	Send    func(wire.GroupMsg)
 	Prefer  func(roster []string) string
 	Mend    Plan
-	Ring    int // events that may wait
-	Compact int // applied entries after which the group is put into its slot
-	Bytes   int // or bytes of them, at least as many as the image has
-	Whole   int // bytes of an image up to which it travels in one message
+	Room    func(member string) bool // whether the link to a member takes more; none given: always
+	Ring    int                      // events that may wait
+	Compact int                      // applied entries after which the group is put into its slot
+	Bytes   int                      // or bytes of them, at least as many as the image has
+	Whole   int                      // bytes of an image up to which it travels in one message
 	Failed  func(error)
 }
 
@@ -74,6 +75,8 @@
 	bytes      int // and their bytes
 	waiters    map[int64]waiter
 	isOwner    bool
+	saving     bool    // a slot is being written
+	begun      []begun // when the waiters' proposals were made, oldest first
 	mended     time.Duration
 	isChanging bool // the roster is not yet what it should be
 	parts      parts
@@ -84,11 +87,6 @@
 	wake   chan struct{}
 }
 
-type waiter struct {
-	term int64
-	tell func(verdict any, err error)
-}
-
 // New readies a replica from what its disk held.
 func New(opts Options) (*Host, error) {
 	if opts.Ring == 0 {
@@ -115,7 +113,7 @@
 		h.image = held.Image
 	}
 	h.machine = group.New(group.Options{Id: opts.Id, Self: opts.Self, Roster: opts.Roster, Bounds: opts.Bounds,
-		Seed: opts.Seed, Prefer: opts.Prefer}, held.Hard, held.Image, held.Log, opts.Now())
+		Seed: opts.Seed, Prefer: opts.Prefer, Room: opts.Room}, held.Hard, held.Image, held.Log, opts.Now())
 	h.apply(h.machine.Committed())
 	h.publish()
 	return h, nil
@@ -184,26 +182,6 @@
 	})
 }
 
-// Propose must be called on the host's goroutine. tell gets the verdict once
-// the command is committed and applied. NotOwner means that it never will be;
-// Undecided that a new owner decides.
-func (h *Host) Propose(data []byte, tell func(verdict any, err error)) {
-	if !h.isOwner {
-		tell(nil, mishap.New(mishap.NotOwner, "group %d", h.opts.Id))
-		return
-	}
-	index, term, out, isOwner := h.machine.Propose(data, h.opts.Now())
-	if !isOwner {
-		tell(nil, mishap.New(mishap.NotOwner, "group %d", h.opts.Id))
-		return
-	}
-	h.waiters[index] = waiter{term, tell}
-	h.do(out)
-}
-
-// Waiting tells how many proposals are under way. On the goroutine only.
-func (h *Host) Waiting() int { return len(h.waiters) }
-
 // IsOwner tells it, and Term the group's term, on the host's goroutine.
 func (h *Host) IsOwner() bool { return h.isOwner }
 func (h *Host) Term() int64   { return h.machine.View().Term }
--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -17,6 +17,10 @@
 		answer(&wire.OutcomeAck{Kind: string(mishap.NotOwner), Owner: p.ownerName()})
 		return
 	}
+	key := outcomeKey(o)
+	if p.underWay.join(key, answer) {
+		return
+	}
 	e := p.machine.Find(o.Id)
 	if e == nil {
 		// Ended and forgotten long ago, or else this owner has been replaced and
@@ -28,6 +32,7 @@
 		answer(&wire.OutcomeAck{Kind: string(mishap.Stale)}) // its adapter keeps it and comes again
 		return
 	}
+	answer = p.underWay.begin(key, answer)
 	p.propose(p.judge(e, o, lane), func(_ place.Verdict, err error) {
 		if err != nil {
 			answer(&wire.OutcomeAck{Kind: string(mishap.KindOf(err)), Owner: p.ownerName()})
@@ -47,7 +52,7 @@
 		c := place.Command{Kind: place.CmdEnd, Id: e.Id, Proof: o.Proof, Retain: retain, Drop: lane.DropsBytes}
 		if lane.Callback != "" {
 			c.Child = place.Child{Id: p.around.ChildOf(e.Id), Lane: lane.Callback, Ctype: o.Proof.Ctype, Body: o.Proof.Answer,
-				Sum: SumOf(o.Proof.Answer), Parent: e.Id}
+				Sum: wire.SumOf(o.Proof.Answer), Parent: e.Id}
 		}
 		return c
 	}
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -1,13 +1,12 @@
 package store
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/place"
@@ -20,18 +19,19 @@
 // Invariants: all but ready is touched by the host's goroutine alone; inHand
 // has a run only after its adapter said so in this ownership.
 type PlaceHost struct {
-	around  Around
-	number  int64
-	host    Hosting
-	machine *place.Machine
-	clockAt time.Duration // when, by our own clock, it was the machine's clock
-	inHand  map[string]inHand
-	asking  map[string]time.Duration
-	lostAt  map[string]time.Duration
-	telling telling
-	missed  map[string]time.Duration // since when nobody has told of an open run
-	sending map[string]bool
-	trimmed time.Duration
+	around   Around
+	number   int64
+	host     Hosting
+	machine  *place.Machine
+	clockAt  time.Duration // when, by our own clock, it was the machine's clock
+	inHand   map[string]inHand
+	asking   map[string]time.Duration
+	lostAt   map[string]time.Duration
+	telling  telling
+	missed   map[string]time.Duration // since when nobody has told of an open run
+	sending  map[string]bool
+	trimmed  time.Duration
+	underWay underWay
 	// Those who wait for a message's end, by its id, and how many: at most mostOnlookers.
 	onlookers map[string][]onlooker
 	waiting   int
@@ -50,10 +50,12 @@
 	mostWaiting = 2000
 	mostTombs   = 2000 // settled messages that a full place takes besides
 	trimBatch   = 200
+
+	mostUnsynced = 16 << 20 // bytes of all groups that may wait for the store's disk
 )
 
 func NewPlaceHost(around Around, number int64) *PlaceHost {
-	p := &PlaceHost{around: around, number: number, machine: place.New(), onlookers: map[string][]onlooker{}}
+	p := &PlaceHost{around: around, number: number, machine: place.New(), onlookers: map[string][]onlooker{}, underWay: underWay{}}
 	p.ready.Store(&map[string]int{})
 	return p
 }
@@ -155,12 +157,17 @@
 	case p.isSame(t): // sent again: what is committed stays, full or not
 		answer(&wire.Taken{Id: t.Id, State: string(p.machine.Find(t.Id).State)})
 		return
+	case p.underWay.join(takeKey(t), answer): // sent again: it may be held yet
+		return
 	case !p.around.IsFresh(): // the lane may be another by now
 		reject(mishap.NotOwner, "", 0) // no more definite than that: an older adapter would believe it
 		return
 	case p.around.IsFull():
 		reject(mishap.DiskFull, "the store's disk is nearly full", 30*time.Second)
 		return
+	case p.around.IsBusy() || p.host.Oldest() > p.around.Bounds().Of(beat.Stall):
+		reject(mishap.Full, "the place's disks cannot keep up", p.around.Bounds().Of(beat.Vote))
+		return
 	case count >= mostErrands || bytes >= mostBytes || p.host.Waiting() >= mostWaiting:
 		reject(mishap.Full, "the place holds as much as it may", 2*time.Second)
 		return
@@ -170,6 +177,7 @@
 		reject(mishap.Unknown, "no such lane", 0)
 		return
 	}
+	answer = p.underWay.begin(takeKey(t), answer)
 	p.propose(place.Command{Kind: place.CmdTake, Id: t.Id, Lane: t.Lane, Key: t.Key, Idem: t.Idem, Ctype: t.Ctype,
 		Body: t.Body, Sum: t.Sum, Cutoff: t.Cutoff, Parent: t.Parent, Ordered: lane.IsOrdered,
 		Head: t.Head, Delay: t.Delay, Notify: t.Notify, Prompt: lane.Prompt.Milliseconds()}, func(v place.Verdict, err error) {
@@ -224,9 +232,3 @@
 	}
 	return charter.Lane{Name: name, Attempts: 1, SpendsAll: true, Retention: 10 * time.Minute, Backoff: time.Second, BackoffMost: time.Second}, true
 }
-
-// SumOf is the checksum of bytes as callers and workers see it.
-func SumOf(raw []byte) string {
-	sum := sha256.Sum256(raw)
-	return hex.EncodeToString(sum[:])
-}
