--- a/internal/store/repeated_test.go
+++ b/internal/store/repeated_test.go
@@ -50,3 +50,24 @@
 		})
 	})
 }
+
+// TestToldAgain: an adapter that had no acknowledgement tells a result again, to
+// the next owner. The failure of a message's last but one attempt, told twice, once
+// failed the message with an attempt left, and the next of its key began.
+func TestToldAgain(t *testing.T) {
+	Convey("Given a message whose last but one attempt was told to have failed", t, func() {
+		b, e := started("l") // its lane has two attempts
+		told := wire.Outcome{Id: "0-x", Kind: "unsound", Begun: true, Proof: wire.Proof{Attempt: 1}}
+		b.place.Outcome(&told, func(any) {})
+		b.commit(true)
+		So(e.Spent, ShouldEqual, 1)
+		Convey("the same word again changes nothing, and is acknowledged", func() {
+			var ack any
+			b.place.Outcome(&told, func(reply any) { ack = reply })
+			b.commit(true)
+			So(e.State, ShouldEqual, place.Held)
+			So(e.Spent, ShouldEqual, 1)
+			So(ack, ShouldResemble, &wire.OutcomeAck{})
+		})
+	})
+}
