Operators' calls over lost, repeated and late edits are judged as linearizable

Test alone: eight operators at three managers with the real code of proposals and edits, over a part that loses answers, is replaced over edits, grows dark, takes old tries in late and passes its state through images. What they were told is held against the model of internal/linearize. TestOperatorsAreLinearizable also takes the memory of orders, and compare and set, out: in each case a history without an order is found.

--- /dev/null
+++ b/internal/manager/histories_test.go
@@ -0,0 +1,181 @@
+package manager
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/tidwall/gjson"
+
+	"caperwheel/internal/charter"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/linearize"
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/reach"
+	"caperwheel/internal/wire"
+)
+
+// rough is a part whose owner loses answers, is replaced over edits, and takes
+// old tries in late, long after they were answered. Its state passes through
+// images.
+type rough struct {
+	mu    sync.Mutex
+	draw  *rand.Rand
+	part  *feed.Part
+	tries []wire.Edit // that may come once more
+	turns int         // in one of so many calls it grows dark
+	dark  int         // calls that get no answer, so that managers give up
+	hurt  func(e *wire.Edit)
+}
+
+func (r *rough) call(_ context.Context, _ string, ask any) (any, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lost := mishap.New(mishap.Lost, "session")
+	if r.turns > 0 && r.draw.IntN(r.turns) == 0 {
+		r.dark = 900
+	}
+	if r.dark > 0 {
+		r.dark--
+		if e, isEdit := ask.(*wire.Edit); isEdit && r.dark%100 == 0 {
+			r.part.Apply(*e)
+		}
+		return nil, lost
+	}
+	switch a := ask.(type) {
+	case *wire.Pull:
+		if r.draw.IntN(20) == 0 {
+			return nil, lost
+		}
+		got := r.part.Read(a.Key, 0)
+		return &got, nil
+	case *wire.Edit:
+		if len(r.tries) > 0 && r.draw.IntN(2) == 0 {
+			r.part.Apply(r.tries[r.draw.IntN(len(r.tries))])
+		}
+		e := *a
+		r.hurt(&e)
+		r.tries = append(r.tries, e)
+		if r.draw.IntN(10) == 0 {
+			return nil, lost // it may come later
+		}
+		got := r.part.Apply(e)
+		if r.draw.IntN(8) == 0 {
+			if next, err := feed.RestorePart(r.part.Image()); err == nil {
+				r.part = next
+			}
+		}
+		switch r.draw.IntN(3) {
+		case 0:
+			return nil, lost
+		case 1:
+			return &wire.Edited{Kind: string(mishap.Undecided)}, nil
+		}
+		return &got, nil
+	}
+	return nil, lost
+}
+
+// operate has an operator send orders to any of the managers, some of them sent
+// again, and gives what was told. The clock counts what was begun and ended.
+func operate(client int, seed uint64, managers []*Manager, clock *atomic.Int64) (out []linearize.Operation) {
+	draw := rand.New(rand.NewPCG(seed, uint64(client)))
+	now := func() time.Duration { return time.Duration(clock.Add(1)) }
+	version, sent := int64(0), []linearize.Operation{}
+	for i := range 40 {
+		m := managers[draw.IntN(len(managers))]
+		o := linearize.Operation{Client: client, Kind: linearize.Replace, Base: version, Version: version + 1 + draw.Int64N(2), Outcome: linearize.Unclear,
+			Digest: fmt.Sprint(client, ".", i)}
+		if len(sent) > 0 && draw.IntN(3) == 0 {
+			o = sent[draw.IntN(len(sent))]
+		}
+		o.Call = now()
+		_, err := m.operators.Propose(context.Background(), Proposal{By: "x", Digest: o.Digest, OnVersion: o.Base, IsOnVersion: true,
+			Make: versioned(int(o.Version), o.Digest)})
+		o.Return, o.Outcome = now(), linearize.Unclear
+		switch {
+		case err == nil:
+			o.Outcome = linearize.Confirmed
+		case mishap.Is(err, mishap.Conflict), mishap.Is(err, mishap.Invalid):
+			o.Outcome = linearize.Refused
+		}
+		out = append(out, o)
+		if o.Outcome != linearize.Refused { // one that was refused is not sent again
+			sent = append(sent, o)
+		}
+		read := linearize.Operation{Client: client, Kind: linearize.Read, Call: now(), Outcome: linearize.Confirmed}
+		doc, _, err := m.operators.Charter(context.Background())
+		if read.Return = now(); err == nil {
+			read.ReadVersion, read.ReadDigest = charter.VersionOf(doc), gjson.GetBytes(doc, "note").Str
+			version = read.ReadVersion
+			out = append(out, read)
+		}
+	}
+	return out
+}
+
+// history plays eight operators at three managers over one rough part.
+// In one of turns calls it grows dark; 0 for never.
+func history(seed uint64, turns int, hurt func(e *wire.Edit)) (out []linearize.Operation) {
+	r := &rough{draw: rand.New(rand.NewPCG(seed, 99)), part: feed.NewPart(), hurt: hurt, turns: turns}
+	patience := 400 * time.Millisecond
+	if turns > 0 {
+		patience = 20 * time.Millisecond // managers give up in the dark
+	}
+	managers := []*Manager{}
+	for i := range 3 {
+		m, _ := newFake()
+		m.d.Who.Boot, m.d.Bounds.Charter = strconv.Itoa(i), patience
+		m.reach = &reach.Reach{Roll: m.d.Roll, Bounds: m.d.Bounds, Call: r.call}
+		managers = append(managers, m)
+	}
+	var group sync.WaitGroup
+	var clock atomic.Int64
+	told := make([][]linearize.Operation, 8)
+	for client := range told {
+		group.Go(func() { told[client] = operate(client, seed, managers, &clock) })
+	}
+	group.Wait()
+	for _, part := range told {
+		out = append(out, part...)
+	}
+	return out
+}
+
+// TestOperatorsAreLinearizable: whatever is lost, sent again or comes late, one
+// order of the operators' calls explains all answers; and it does not where a
+// guard is taken out.
+func TestOperatorsAreLinearizable(t *testing.T) {
+	Convey("Of operators' calls over rough parts", t, func() {
+		for seed := range uint64(6) {
+			ok, text := linearize.Check(history(seed, int(seed%2)*300, func(*wire.Edit) {}))
+			So(text, ShouldBeBlank)
+			So(ok, ShouldBeTrue)
+		}
+	})
+	guards := []struct {
+		name string
+		out  func(e *wire.Edit)
+	}{
+		{"the memory of orders", func(e *wire.Edit) { e.Order = "" }},
+		{"compare and set", func(e *wire.Edit) { e.IfStamp = -1 }},
+	}
+	Convey("Without", t, func() {
+		for _, g := range guards {
+			Convey(g.name+" a history without an order is found", func() {
+				isFound := false
+				for seed := uint64(0); seed < 10 && !isFound; seed++ {
+					ok, _ := linearize.Check(history(seed, 0, g.out))
+					isFound = !ok
+				}
+				So(isFound, ShouldBeTrue)
+			})
+		}
+	})
+}
