Store: what was read from the disk at the start is let go

Cause: a store kept the map of all that its disk held, and each replica its part of it in its options, for as long as the process ran: after a restart the images and logs of that moment stood in memory beside the state that had been read from them. A backlog that fitted before a loss of power did not fit after it.

Ruled out: the groups' logs (cut at each image) and the image that a replica keeps to send.

Test: TestHeldIsLetGo, seen to fail before. The race detector passes for host and store.

--- /dev/null
+++ b/internal/host/held_test.go
@@ -0,0 +1,40 @@
+package host
+
+import (
+	"runtime"
+	"testing"
+	"time"
+	"weak"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/group"
+	"caperwheel/internal/slot"
+	"caperwheel/internal/wire"
+)
+
+// TestHeldIsLetGo: a replica once kept all that its disk held at the start for as long
+// as it ran, beside its state.
+func TestHeldIsLetGo(t *testing.T) {
+	Convey("A replica that has read what its disk held keeps none of it besides", t, func() {
+		held := &slot.Held{Hard: group.Hard{Term: 1}, Log: []wire.Entry{{Index: 1, Term: 1}}}
+		kept := weak.Make(held)
+		h, err := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: beat.Default, Held: held,
+			Machine: &idleMachine{}, Now: func() time.Duration { return 0 }})
+		So(err, ShouldBeNil)
+		held = nil
+		runtime.GC()
+		So(kept.Value(), ShouldBeNil)
+		runtime.KeepAlive(h)
+	})
+}
+
+// idleMachine has no state.
+type idleMachine struct{}
+
+func (*idleMachine) Apply([]byte) any     { return nil }
+func (*idleMachine) Image() []byte        { return nil }
+func (*idleMachine) Restore([]byte) error { return nil }
+func (*idleMachine) Owned(bool)           {}
+func (*idleMachine) Beat(time.Duration)   {}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -91,7 +91,10 @@
 	s.begun.Do(func() {
 		id := s.founder.snapshot()
 		if !slices.Contains(id.Roster, id.Name+"/"+id.Inc) {
-			for groupId := range s.held { // a joiner opens what it holds; the rest comes by message
+			s.mu.Lock()
+			ids := slices.Collect(maps.Keys(s.held))
+			s.mu.Unlock()
+			for _, groupId := range ids { // a joiner opens what it holds; the rest comes by message
 				s.open(groupId)
 			}
 		} else {
@@ -151,6 +154,7 @@
 	}
 	s.d.Must(err)
 	s.hosts[groupId] = h
+	delete(s.held, groupId) // the host has it now
 	go h.Run(s.ctx)
 	all := slices.Collect(maps.Values(s.places))
 	s.own.Store(&all)
