--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -110,9 +110,9 @@
 	}
 	h.machine = group.New(group.Options{Id: opts.Id, Self: opts.Self, Roster: opts.Roster, Bounds: opts.Bounds,
 		Seed: opts.Seed, Prefer: opts.Prefer}, held.Hard, held.Image, held.Log, opts.Now())
-	h.opts.Held = nil // the machine has its own state now
 	h.apply(h.machine.Committed())
 	h.publish()
+	h.opts.Held = nil // the machine has its own state now
 	return h, nil
 }
 
--- a/internal/store/metrics.go
+++ b/internal/store/metrics.go
@@ -28,9 +28,9 @@
 	emit("groups_owned", "Places and parts that this store owns.", float64(owned))
 	emit("groups_lag", "Entries by which the farthest replica of an owned group is behind.", float64(lag))
 	emit("disk_full", "1 while intake is rejected for want of disk.", map[bool]float64{true: 1}[s.diskFull.Load()])
-	emit("memory_tight", "1 while intake is rejected for want of memory.", map[bool]float64{true: 1}[s.isTight.Load()])
 	emit("disk_segments", "Segments of the log.", float64(s.disk.Segments()))
 	emit("repair_kept", "Results kept for adapters.", float64(s.keeper.Count()))
+	emit("memory_tight", "1 while intake is rejected for want of memory.", map[bool]float64{true: 1}[s.isTight.Load()])
 	counts, nearest := map[string]map[place.State]int{}, map[string]time.Duration{}
 	for _, t := range s.tallies() {
 		for lane, states := range t.counts {
