--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -116,6 +116,7 @@
 		Seed: opts.Seed, Prefer: opts.Prefer, Room: opts.Room}, held.Hard, held.Image, held.Log, opts.Now())
 	h.apply(h.machine.Committed())
 	h.publish()
+	h.opts.Held = nil // the machine has its own state now
 	return h, nil
 }
 
