Managers answer a peer that takes their shares with themselves alone

Cause: each manager tells each other one its sessions with every beat, and answered each share with the same again, so what grows with the daemons was said twice.

Change: a manager that has lately taken a share of ours is answered with our own entry; a stranger, its next life, and one that took none for four beats still get all. Test first: the answer to such a peer held 5 and 401 members with 4 and 400 daemons, and holds 1.

--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -28,6 +28,7 @@
 	operators *Operators
 	source    *Source // nil: operators write the lists
 	ages      ages
+	peers     peers
 }
 
 // Options of a manager: what it meets beside its own interface.
@@ -86,7 +87,7 @@
 		return
 	}
 	m.takeShare(share)
-	answer(m.ownShare())
+	answer(m.answerTo(share.Who))
 }
 
 func (m *Manager) ownShare() *wire.Share {
@@ -123,6 +124,7 @@
 		_ = m.d.Node.Peer(wire.PeerLink, addr).Post(m.ownShare(), func(reply any, err error) {
 			if share, isShare := reply.(*wire.Share); err == nil && isShare {
 				m.takeShare(share)
+				m.peers.answered(share.Who.Boot, m.d.Now())
 			}
 		})
 	}
--- /dev/null
+++ b/internal/manager/peers_test.go
@@ -0,0 +1,62 @@
+package manager
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/beat"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/session"
+	"caperwheel/internal/wire"
+)
+
+// TestAnswersToPeers: managers once told each other all their sessions twice a
+// beat, in a share and in the answer to the peer's own.
+func TestAnswersToPeers(t *testing.T) {
+	peer := wire.Who{Name: "manager-2", Kind: "manager", Boot: "1"}
+	beatOf := beat.Default.Of(beat.Poll)
+	cases := []struct {
+		name    string
+		prepare func(m *Manager, now time.Duration)
+		isWhole bool
+	}{
+		{"one that takes our shares is told of us alone", func(m *Manager, now time.Duration) { m.peers.answered("1", now-2*beatOf) }, false},
+		{"a stranger is told of all our sessions", func(*Manager, time.Duration) {}, true},
+		{"so is the next life of one that took them", func(m *Manager, now time.Duration) { m.peers.answered("0", now) }, true},
+		{"so is one that took none for a while", func(m *Manager, now time.Duration) { m.peers.answered("1", now-5*beatOf) }, true},
+	}
+	Convey("Of the managers that share their sessions with us,", t, func() {
+		for _, c := range cases {
+			for _, daemons := range []int{4, 400} {
+				Convey(fmt.Sprintf("%s, with %d daemons", c.name, daemons), func() {
+					m := &Manager{d: &daemon.Daemon{Started: time.Now().Add(-time.Minute), Bounds: beat.Default, Who: wire.Who{Name: "manager-1", Boot: "9"}},
+						registry: session.NewRegistry(beat.Default.Of(beat.Gone))}
+					now := m.d.Now()
+					m.registry.Hear(wire.Member{Who: m.d.Who, Fact: wire.Fact{Fresh: true}}, now, true)
+					for i := range daemons {
+						m.registry.Hear(wire.Member{Who: wire.Who{Name: fmt.Sprint("agent-", i), Boot: "a"}}, now, true)
+					}
+					c.prepare(m, now)
+					var told *wire.Share
+					m.onPeer(peer, &wire.Share{Who: peer}, func(reply any) { told = reply.(*wire.Share) })
+					want := 1
+					if c.isWhole {
+						want += daemons
+					}
+					So(len(told.Members), ShouldEqual, want)
+					So(told.Who, ShouldResemble, m.d.Who)
+					Convey("and takes nothing of us for stale", func() {
+						other := &Manager{d: &daemon.Daemon{Started: time.Now().Add(-time.Minute)}, registry: session.NewRegistry(time.Hour)}
+						other.takeShare(told)
+						_, members := other.registry.Members(other.d.Now())
+						So(members[len(members)-1].Who.Name, ShouldEqual, "manager-1")
+						So(members[len(members)-1].Fact.Fresh, ShouldBeTrue)
+					})
+				})
+			}
+		}
+	})
+}
