--- a/internal/host/held_test.go
+++ b/internal/host/held_test.go
@@ -29,12 +29,3 @@
 		runtime.KeepAlive(h)
 	})
 }
-
-// idleMachine has no state.
-type idleMachine struct{}
-
-func (*idleMachine) Apply([]byte) any     { return nil }
-func (*idleMachine) Image() []byte        { return nil }
-func (*idleMachine) Restore([]byte) error { return nil }
-func (*idleMachine) Owned(bool)           {}
-func (*idleMachine) Beat(time.Duration)   {}
