--- a/internal/sim/troubles.go
+++ b/internal/sim/troubles.go
@@ -13,7 +13,6 @@
 // goes exactly CatchUp after the last is back, or after its successor's start.
 // Herd troubles come beside.
 type troubles struct {
-	only      []string
 	herdUntil time.Duration // links and herds are well again from then on
 	leaving   *machine      // it is being retired
 	lost      *machine
