Retiring a store that is away, or beside one, is put off and not refused

Cause: a store that was cut off for so long that its seats were given away stood in no roll and no roster; its own retirement was answered unknown (404), and another one could be rejected (409) for want of it. Ruled out: a manager's old view. Change: a manager remembers for ten bounds which stores were here; one of them that is away makes the answer stale, as one that holds groups does. Two of the four cases of the test failed first (unknown, rejected).

--- a/internal/manager/ages.go
+++ b/internal/manager/ages.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -20,9 +21,14 @@
 	mu       sync.Mutex
 	seen     map[string]seenMark
 	stores   []string
-	storesAt time.Duration // since when these
+	storesAt time.Duration            // since when these
+	hereAt   map[string]time.Duration // when each store was last here
 }
 
+// storesKept is for how many bounds a store that is away is remembered: it may come
+// back, though its seats were given away meanwhile.
+const storesKept = 10
+
 type seenMark struct {
 	stamp int64
 	at    time.Duration
@@ -61,11 +67,25 @@
 		names = append(names, who.Name)
 	}
 	slices.Sort(names)
+	if a.hereAt == nil {
+		a.hereAt = map[string]time.Duration{}
+	}
+	for _, name := range names {
+		a.hereAt[name] = now
+	}
+	maps.DeleteFunc(a.hereAt, func(_ string, at time.Duration) bool { return now-at > storesKept*a.bounds.Charter })
 	if a.stores == nil || !slices.Equal(names, a.stores) {
 		a.stores, a.storesAt = names, now
 	}
 }
 
+// lately names the stores that are here or were not long ago.
+func (a *ages) lately() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Sorted(maps.Keys(a.hereAt))
+}
+
 // storesSettled: the same stores have been members for a bound.
 func (a *ages) storesSettled(stores []wire.Who, now time.Duration) bool {
 	a.mu.Lock()
--- /dev/null
+++ b/internal/manager/lately_test.go
@@ -0,0 +1,45 @@
+package manager
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/mishap"
+	"caperwheel/internal/wire"
+)
+
+// TestRetireKnowsWhoWasHere: a store that was cut off for so long that its seats
+// were given away once counted for nothing: its own retirement was unknown, and
+// another one was rejected for want of it.
+func TestRetireKnowsWhoWasHere(t *testing.T) {
+	cases := []struct {
+		name  string
+		ago   time.Duration // since a fifth store was last here, in bounds
+		calls []string
+		kind  mishap.Kind
+	}{
+		{"its own, soon", 4, []string{"s9"}, mishap.Stale},
+		{"its own, when it is forgotten", storesKept + 1, []string{"s9"}, mishap.Unknown},
+		{"a second one, while it may come back", 4, []string{"s1", "s2"}, mishap.Stale},
+		{"a second one, when it is forgotten", storesKept + 1, []string{"s1", "s2"}, mishap.Rejected},
+	}
+	Convey("Where a fifth store is away, retiring", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				m, _ := newFake()
+				m.ages.bounds = m.d.Bounds
+				four := m.d.Roll.Kind("store")
+				m.ages.noteStores(append(four, wire.Who{Name: "s9", Kind: "store"}), m.d.Now()-c.ago*m.d.Bounds.Charter)
+				settleStores(m)
+				var err error
+				for _, name := range c.calls {
+					_, err = m.operators.Retire(context.Background(), "x", name, 0)
+				}
+				So(mishap.KindOf(err), ShouldEqual, c.kind)
+			})
+		}
+	})
+}
--- a/internal/manager/retire.go
+++ b/internal/manager/retire.go
@@ -116,8 +116,14 @@
 	for _, g := range o.standings(ctx, name).groups {
 		holding = append(holding, g.Stores...)
 	}
-	if !slices.Contains(here, name) && !slices.Contains(holding, name) {
+	isHolding := slices.Contains(holding, name)
+	holding = append(holding, m.ages.lately()...)
+	switch {
+	case slices.Contains(here, name):
+	case !slices.Contains(holding, name):
 		return m.unknown("store", name)
+	case !isHolding:
+		return mishap.New(mishap.Stale, "store %s is away and holds nothing now", name)
 	}
 	present, known := remaining(here, name, admitted), remaining(append(here, holding...), name, admitted)
 	switch {
