--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -46,7 +46,7 @@
 	d := daemon.New("manager", source)
 	o := options(d)
 	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: session.NewRegistry(d.Bounds.Of(beat.Gone)), source: o.Source,
-		resend: cmp.Or(o.Resend, 2*d.Bounds.Charter)}
+		resend: cmp.Or(o.Resend, 2*d.Bounds.Charter), stores: settledStores{bound: d.Bounds.Charter}}
 	m.operators = &Operators{m}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -60,7 +60,7 @@
 	pause := func() time.Duration { return session.Pause(d.View, d.Now(), d.Bounds) }
 	go beat.Paced(ctx, pause, m.follow)
 	go beat.Paced(ctx, pause, m.share)
-	go beat.Every(ctx, d.Bounds.Of(beat.Poll), func() { m.stores.note(d.Roll.Kind("store"), d.Now()) })
+	go beat.Every(ctx, d.Bounds.Of(beat.Poll), m.operators.Look)
 	go m.controlDuties(ctx)
 	go m.controlWeights(ctx)
 	if m.source != nil {
--- a/internal/manager/operators.go
+++ b/internal/manager/operators.go
@@ -19,11 +19,18 @@
 // NewOperators gives the operators' code on a daemon, a reach and a registry
 // that somebody else runs: the simulation does.
 func NewOperators(d *daemon.Daemon, r *reach.Reach, registry *session.Registry) *Operators {
-	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: registry, reach: r, resend: 2 * d.Bounds.Charter}
+	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: registry, reach: r, resend: 2 * d.Bounds.Charter,
+		stores: settledStores{bound: d.Bounds.Charter}}
 	m.operators = &Operators{m}
 	return m.operators
 }
 
+// Look notes what is young among the marks and stores; to be called with each
+// beat of the feed.
+func (o *Operators) Look() {
+	o.m.stores.note(o.m.d.Roll.Kind("store"), o.m.d.Now())
+}
+
 // Proposal is a change of the charter. It names what it builds on: a stamp or,
 // if IsOnVersion, the operators' own version.
 type Proposal struct {
--- a/internal/sim/stores.go
+++ b/internal/sim/stores.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"caperwheel/internal/beat"
@@ -90,11 +89,11 @@
 	part := store.NewPartHost(&storeAround{s: s}, id)
 	h, err := host.New(host.Options{Id: id, Self: s.member(), Roster: s.founders, Bounds: beat.Default,
 		Seed: s.d.Seed + uint64(s.life)*31 + uint64(s.incarnation)*1009, Disk: &waking{disk, s, id}, Held: disk.Held(),
-		Machine: &witness{PartHost: part, s: s, id: id}, Now: s.now, Send: s.send, Failed: func(err error) { panic(err) },
+		Machine: &witness{PartHost: part, s: s, id: id, image: part.Image()}, Now: s.now, Send: s.send, Failed: func(err error) { panic(err) },
 		Prefer: func(roster []string) string { return s.prefer(id, roster) },
 		Mend: func(silence repair.Silence) (map[string]string, []string) {
 			return s.rosterPlan(id, silence)
-		}, Compact: 40, Whole: 2000})
+		}, Compact: 20, Whole: 2000})
 	if err != nil {
 		panic(err)
 	}
@@ -216,19 +215,6 @@
 			answer(&wire.Pulled{Kind: "not_owner", Change: wire.Change{Value: []byte{}}})
 		}
 	case *wire.Retire:
-		answer(s.retired(m.Store))
+		s.tellStandings(m.Store, now, answer)
 	}
 }
-
-// retired tells in how many of the groups owned here a store still stands.
-func (s *storeProcess) retired(name string) *wire.Retired {
-	out := &wire.Retired{}
-	for _, id := range groupIds() {
-		if h := s.hosts[id]; h != nil && h.View().Role == group.Owner {
-			if slices.ContainsFunc(h.View().Roster, func(m string) bool { return group.Name(m) == name }) {
-				out.Left++
-			}
-		}
-	}
-	return out
-}
