--- a/cmd/fleet/sweep.go
+++ b/cmd/fleet/sweep.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 
 	"github.com/alitto/pond/v2"
+	"k8s.io/klog/v2"
 
 	"caperwheel/internal/mishap"
 	"caperwheel/internal/sim"
@@ -16,6 +18,8 @@
 // sweep simulates many seeds, each with all faults mixed. A failing seed
 // prints its number, its trace and what was broken; the same seed fails alike.
 func sweep(a *sweepCommand) error {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard) // what the real code logs in the simulation
 	pool := pond.NewPool(runtime.NumCPU())
 	var failed atomic.Int64
 	var printing sync.Mutex
