A live copy stays while another holder is away, whoever wants it gone

Cause: a retired store, with a whole copy, was let go as soon as all wanted stores had votes, also while one of these was gone for good and kept its seat (its successor held the group already, in the retired store's place, so it counted as no successor for this seat): two whole copies of three were left when the next loss could come. Change: a member that answers is dropped only while all wanted voters answer; a lost store's seat is free for any candidate once some newer store is a member.

--- a/internal/group/mend.go
+++ b/internal/group/mend.go
@@ -116,13 +116,24 @@
 		return Change{}, false
 	}
 	for _, id := range Voters(m.g.roster()) {
-		if !m.isWanted(id) {
+		if !m.isWanted(id) && (!m.g.answers(id) || m.allAnswer()) {
 			return Change{Drop: id}, true
 		}
 	}
 	return Change{}, false
 }
 
+// allAnswer tells whether every wanted voter is alive. While one is not, a member
+// that is alive has a copy which may be needed, whoever wants it gone.
+func (m mending) allAnswer() bool {
+	for _, id := range Voters(m.g.roster()) {
+		if m.isWanted(id) && !m.g.answers(id) {
+			return false
+		}
+	}
+	return true
+}
+
 // covers tells whether every wanted store votes already, so that an extra
 // member can go. One that is away votes under the id that it had.
 func (m mending) covers() bool {
--- a/internal/group/mend_test.go
+++ b/internal/group/mend_test.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,17 +28,16 @@
 
 // TestMend is the table of the next step towards a wanted roster.
 func TestMend(t *testing.T) {
-	here := map[string]string{"a": "a/0", "b": "b/0", "c": "c/0", "d": "d/0"}
-	without := func(name string) map[string]string {
-		out := map[string]string{}
-		for k, v := range here {
-			if k != name {
-				out[k] = v
-			}
+	here := map[string]string{"a": "a/0", "b": "b/0", "c": "c/0", "d": "d/0", "e": "e/0"}
+	without := func(names ...string) map[string]string {
+		out := maps.Clone(here)
+		for _, name := range names {
+			delete(out, name)
 		}
 		return out
 	}
 	abcd := []string{"a/0", "b/0", "c/0", "d/0"}
+	abcde := append(slices.Clone(abcd), "e/0")
 	cases := []struct {
 		name   string
 		roster []string
@@ -48,17 +49,15 @@
 		{"a lost store's successor is learnt first", trio, without("a"), []string{"b", "c", "d"}, Change{Learn: "d/0"}},
 		{"it gets its vote once it has caught up", []string{"a/0", "b/0", "c/0", "~d/0"}, without("a"), []string{"b", "c", "d"}, Change{Promote: "d/0"}},
 		{"and then the lost store goes", abcd, without("a"), []string{"b", "c", "d"}, Change{Drop: "a/0"}},
-		{"one that is wanted but away still counts by its old vote", abcd, without("c"), []string{"b", "c", "d"}, Change{Drop: "a/0"}},
+		{"one that is wanted but away counts by its old vote, so a dead one can go", abcde, without("a", "c"), []string{"b", "c", "d", "e"}, Change{Drop: "a/0"}},
+		{"but not one that is alive: its copy may be needed", abcd, without("c"), []string{"b", "c", "d"}, Change{}},
 		{"a learner that is no longer wanted goes", []string{"a/0", "b/0", "c/0", "~d/0"}, here, []string{"a", "b", "c"}, Change{Drop: "d/0"}},
 		{"a disk that came back blank loses its vote", trio, map[string]string{"a": "a/1", "b": "b/0", "c": "c/0"}, []string{"a", "b", "c"}, Change{Drop: "a/0"}},
 	}
 	Convey("The next step is", t, func() {
 		for _, c := range cases {
 			Convey(c.name, func() {
-				answering := []string{"c/0", "d/0"}
-				if c.known["a"] == "a/0" {
-					answering = append(answering, "a/0")
-				}
+				answering := slices.DeleteFunc(slices.Collect(maps.Values(c.known)), func(id string) bool { return id == "b/0" })
 				got, isDue := ownerOf(c.roster, answering...).Mend(c.known, c.wanted)
 				So(got, ShouldResemble, c.want)
 				So(isDue, ShouldEqual, c.want != Change{})
--- a/internal/repair/plan.go
+++ b/internal/repair/plan.go
@@ -61,9 +61,6 @@
 	isMember := func(name string) bool {
 		return slices.ContainsFunc(p.members, func(s Store) bool { return s.Name == name })
 	}
-	candidates := slices.DeleteFunc(slices.Clone(p.members), func(s Store) bool {
-		return s.IsRetired || slices.Contains(g.Holders, s.Name)
-	})
 	for _, name := range g.Holders {
 		isWhole = isWhole && isMember(name) && !retired[name]
 		if isMember(name) {
@@ -71,7 +68,7 @@
 		}
 		absent, span := p.presence.Away(name, now)
 		absent.IsRetired = retired[name]
-		absent.IsLost = p.isLost(absent, min(span, g.Silence(name, now)), candidates)
+		absent.IsLost = p.isLost(absent, min(span, g.Silence(name, now)))
 		stores = append(stores, absent)
 	}
 	switch {
@@ -83,11 +80,11 @@
 	return Wanted(g.Id, g.Holders, stores, p.copies)
 }
 
-func (p *Planner) isLost(absent Store, span time.Duration, candidates []Store) bool {
+func (p *Planner) isLost(absent Store, span time.Duration) bool {
 	isOfZone := func(s Store) bool { return s.Zone == absent.Zone }
 	patience := beat.Abandon
 	switch {
-	case p.presence.HasSuccessor(absent, candidates, p.bounds.Of(beat.Abandon)):
+	case p.presence.HasSuccessor(absent, p.members, p.bounds.Of(beat.Abandon)):
 		patience = beat.Replace
 	case !slices.ContainsFunc(p.members, isOfZone):
 		patience = beat.Outage
--- a/internal/repair/plan_test.go
+++ b/internal/repair/plan_test.go
@@ -41,6 +41,7 @@
 		{"without a spare a lost store keeps its seat", trio, []Store{a, b, c}, []Store{b, c}, abandon, abandon, 0, trio},
 		{"of two lost ones one gets a successor", []string{"a", "b", "c"}, []Store{a, b, c}, []Store{c, store("a2", "x")}, replace, replace, 0, []string{"a2", "b", "c"}},
 		{"a lost store that was never seen here has any successor", trio, []Store{b, c, store("d", "y")}, []Store{b, c, store("d", "y")}, replace, replace, 0, []string{"b", "c", "d"}},
+		{"a successor that holds the group already frees the seat for another", []string{"a", "b", "a2"}, []Store{a, b, store("d", "y")}, []Store{b, store("a2", "x"), store("d", "y")}, replace, replace, 0, []string{"a2", "b", "d"}},
 		{"while many groups change, none begins to", trio, []Store{a, b, c}, []Store{b, c, store("a2", "x")}, replace, replace, mostRepairs, trio},
 		{"an over-full roster loses the store that is away", []string{"a", "b", "c", "d"}, []Store{a, b, c, store("d", "x")}, []Store{b, c, store("d", "x")}, 0, 0, 0, []string{"b", "c", "d"}},
 	}
--- a/internal/repair/presence.go
+++ b/internal/repair/presence.go
@@ -46,13 +46,14 @@
 	return Store{Name: name, Zone: p.zones[name], IsAway: true}, now - p.awaySince[name]
 }
 
-// HasSuccessor tells whether one of the candidates may be the machine that was
-// put in an absent store's place: it came after the other one went, or not longer
-// than before that. Nothing is known of an absent store that was never seen here,
-// so any candidate may be its successor.
-func (p *Presence) HasSuccessor(absent Store, candidates []Store, before time.Duration) bool {
+// HasSuccessor tells whether one of the members may be the machine that was put
+// in an absent store's place: it came after the other one went, or not longer than
+// before that. It need not be a candidate for the very seat: it may hold the group
+// already, in place of a third store. Nothing is known of an absent store that was
+// never seen here, so any member may be its successor.
+func (p *Presence) HasSuccessor(absent Store, members []Store, before time.Duration) bool {
 	_, isKnown := p.zones[absent.Name]
-	for _, c := range candidates {
+	for _, c := range members {
 		if !isKnown || p.hereSince[c.Name] >= p.awaySince[absent.Name]-before {
 			return true
 		}
--- a/internal/sim/deployment_test.go
+++ b/internal/sim/deployment_test.go
@@ -37,6 +37,21 @@
 	})
 }
 
+// TestDeploymentRetiresBesideALoss: a retired store, a whole copy, was let go while a
+// store that was gone for good still had its seat (224); a proper retirement was
+// rejected (592).
+func TestDeploymentRetiresBesideALoss(t *testing.T) {
+	runs := atOnce(map[string]DeploymentOptions{"224": {Seed: 224}, "592": {Seed: 592}}, RunDeployment)
+	Convey("A retirement beside a loss is harmless in seed", t, func() {
+		for name, d := range runs {
+			Convey(name, func() {
+				show(name, d.Broken(), d.Trace)
+				So(d.Broken(), ShouldBeEmpty)
+			})
+		}
+	})
+}
+
 // TestDeploymentReplays: a seed that breaks must break again.
 func TestDeploymentReplays(t *testing.T) {
 	Convey("The same seed gives the same trace", t, func() {
