--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,4 +1,5 @@
-// Package cli is the operators' command line.
+// Package cli implements caperwheel, the operators' command line: reading and
+// changing the configuration, the workers and the members, and the doctor.
 package cli
 
 import (
@@ -15,7 +16,7 @@
 	"caperwheel/internal/mishap"
 )
 
-// Exit codes.
+// Exit codes of the command line, stable for scripts.
 const (
 	ExitWell     = 0 // done
 	ExitFailed   = 1 // the request failed, or the doctor found a fault
@@ -89,7 +90,7 @@
 	Message  *messageCommand `arg:"subcommand:message" help:"a message's state, proof or bytes"`
 }
 
-// Version is printed by --version.
+// Version returns the text that --version prints.
 func (arguments) Version() string { return "caperwheel (unreleased)" }
 
 type tool struct {
@@ -98,7 +99,8 @@
 	client   *resty.Client
 }
 
-// Main runs one command and gives the exit code.
+// Main runs the command that args name and returns the exit code. Results go to
+// out, messages to errOut.
 func Main(args []string, out, errOut io.Writer) int {
 	t := &tool{out: out, err: errOut, client: resty.New()}
 	parser, err := arg.NewParser(arg.Config{Program: "caperwheel"}, &t.args)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -6,7 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Emit hands one figure to whoever reads the metrics. Labels are pairs of name
+// Emit passes one figure to whoever reads the metrics. Labels are pairs of name
 // and value.
 type Emit func(name, help string, value float64, labels ...string)
 
@@ -27,7 +27,7 @@
 // Describe tells nothing: which lanes and pools there are follows the charter.
 func (g *gauges) Describe(chan<- *prometheus.Desc) {}
 
-// Collect reads all figures.
+// Collect implements prometheus.Collector.
 func (g *gauges) Collect(out chan<- prometheus.Metric) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -18,7 +18,7 @@
 	Fields               [][2]string
 }
 
-// Of takes the head of a request that has arrived, with the named fields.
+// Of returns the head of a request that has arrived, with the named fields.
 func Of(r *http.Request, names ...string) Head {
 	out := Head{Method: r.Method, Target: r.RequestURI, Host: r.Host}
 	for _, name := range names {
@@ -29,13 +29,13 @@
 	return out
 }
 
-// Path is the target's path, as it came.
+// Path returns the path of the target, as it came.
 func (h Head) Path() string {
 	path, _, _ := strings.Cut(h.Target, "?")
 	return path
 }
 
-// Field gives a field's value; empty for none.
+// Field returns the value of a header field, or an empty string without it.
 func (h Head) Field(name string) string {
 	for _, f := range h.Fields {
 		if f[0] == name {
@@ -45,7 +45,7 @@
 	return ""
 }
 
-// Encode gives the head's bytes: a line for each part.
+// Encode returns the head as bytes, one line for each part.
 func (h Head) Encode() []byte {
 	var out strings.Builder
 	out.WriteString(h.Method + " " + h.Target + "\n" + h.Host + "\n")
@@ -55,7 +55,7 @@
 	return []byte(out.String())
 }
 
-// Decode reads a head back.
+// Decode parses what Encode wrote.
 func Decode(raw []byte) (Head, error) {
 	lines := strings.Split(strings.TrimSuffix(string(raw), "\n"), "\n")
 	method, target, isLine := strings.Cut(lines[0], " ")
@@ -73,7 +73,7 @@
 	return out, nil
 }
 
-// To gives the request with these bytes to an address, its target unchanged.
+// To returns the request with body for an address, its target unchanged.
 func (h Head) To(address string, body []byte) *http.Request {
 	r := &http.Request{Method: h.Method, Host: h.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL:    urlOf(address, h.Target),
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -26,7 +26,7 @@
 	mostDocument           = 1 << 20
 )
 
-// Translate gives the charter with the routes of a manifest merged in.
+// Translate returns the charter with the routes of a manifest merged in.
 func Translate(doc, manifest []byte) ([]byte, []charter.Fault) {
 	faults := []charter.Fault{}
 	if len(manifest) > mostDocument {
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -1,4 +1,4 @@
-// Package path is a message's way through a process: a small interpreter over
+// Package path runs a message's way through a process: a small interpreter over
 // rules that are compiled from the charter, once for each charter.
 package path
 
@@ -9,7 +9,7 @@
 	"caperwheel/internal/mishap"
 )
 
-// Op is one kind of step.
+// Op is the kind of a step.
 type Op string
 
 // The steps of intake, in the order in which they are compiled.
@@ -31,17 +31,17 @@
 	Send    Op = "send"    // run it
 )
 
-// Step is one instruction.
+// Step is one instruction of a program.
 type Step struct {
 	Op     Op
 	Number int64
 	Names  []string
 }
 
-// Program is a compiled way.
+// Program is a list of steps, compiled from the rules of a lane.
 type Program []Step
 
-// Intake compiles the way of a lane's messages in.
+// Intake compiles the steps by which messages of a lane are taken in.
 func Intake(l charter.Lane) Program {
 	out := Program{{Op: Fresh}, {Op: Size, Number: l.Size}}
 	if l.IsOrdered {
@@ -50,12 +50,12 @@
 	return append(out, Step{Op: Keyless}, Step{Op: Place}, Step{Op: Hold})
 }
 
-// Delivery compiles the way of a lane's messages out.
+// Delivery compiles the steps by which messages of a lane are delivered.
 func Delivery(l charter.Lane) Program {
 	return Program{{Op: Fresh}, {Op: Allowed, Names: l.Pools}, {Op: Live}, {Op: Holder}, {Op: Whole}, {Op: Send}}
 }
 
-// Programs keeps the compiled ways of one charter's lanes, until another
+// Programs caches the compiled programs of one charter's lanes, until another
 // charter's rules are asked for.
 type Programs struct {
 	mu    sync.Mutex
@@ -63,12 +63,12 @@
 	known map[string]Program
 }
 
-// Intake gives the way in of a lane's messages.
+// Intake returns the program that takes messages of a lane in.
 func (p *Programs) Intake(rules *charter.Rules, lane string) Program {
 	return p.get(rules, "in "+lane, func() Program { return Intake(rules.Lanes[lane]) })
 }
 
-// Delivery gives the way out of a lane's messages.
+// Delivery returns the program that delivers messages of a lane.
 func (p *Programs) Delivery(rules *charter.Rules, lane string) Program {
 	return p.get(rules, "out "+lane, func() Program { return Delivery(rules.Lanes[lane]) })
 }
--- a/internal/session/news.go
+++ b/internal/session/news.go
@@ -7,7 +7,7 @@
 	"caperwheel/internal/wire"
 )
 
-// NewsFor answers a poll from a view and a roll. Whoever passes news on
+// NewsFor builds the answer to a poll from a view and a roll. Whoever passes news on
 // confirms no more than it was told itself.
 func NewsFor(poll *wire.Poll, view *feed.View, now time.Duration, roll *Roll) *wire.News {
 	out := &wire.News{Parts: view.News(poll.Stamps, now), Members: []wire.Member{}}
--- a/internal/session/registry.go
+++ b/internal/session/registry.go
@@ -31,12 +31,12 @@
 	isOwn   bool
 }
 
-// NewRegistry gives an empty one.
+// NewRegistry returns an empty registry whose sessions end after gone of silence.
 func NewRegistry(gone time.Duration) *Registry {
 	return &Registry{gone: gone, known: map[string]entry{}}
 }
 
-// Hear renews a session.
+// Hear renews a member's session.
 func (r *Registry) Hear(m wire.Member, now time.Duration, isOwn bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/session/roll.go
+++ b/internal/session/roll.go
@@ -28,13 +28,13 @@
 	term int64
 }
 
-// NewRoll gives an empty one.
+// NewRoll returns a roll without members.
 func NewRoll() *Roll {
 	return &Roll{members: map[string]wire.Member{}, owners: map[int64]ownerHint{}, kinds: map[string][]wire.Who{},
 		core: []wire.Member{}, coreHash: RollOf(nil)}
 }
 
-// Hash names the list that we have, so that it is not sent again.
+// Hash returns the hash of the list held here, so that it is not sent again.
 func (r *Roll) Hash() string {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -69,7 +69,7 @@
 
 func isCore(kind string) bool { return kind == "manager" || kind == "store" }
 
-// Find gives a member by name.
+// Find returns a member by name.
 func (r *Roll) Find(name string) (wire.Who, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -77,7 +77,7 @@
 	return m.Who, isKnown
 }
 
-// Owner gives the store that was last said to own a group.
+// Owner returns the store that was last said to own a group.
 func (r *Roll) Owner(id int64) (wire.Who, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -97,21 +97,21 @@
 	return false
 }
 
-// Kind lists the members of a kind. The list is the caller's own.
+// Kind returns the members of a kind. The list is the caller's own.
 func (r *Roll) Kind(kind string) []wire.Who {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return append([]wire.Who{}, r.kinds[kind]...)
 }
 
-// All gives the list as it was taken; it must not be written to.
+// All returns the list as it was taken; it must not be written to.
 func (r *Roll) All() (string, []wire.Member) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.hash, r.list
 }
 
-// For gives what a daemon of a kind needs to know of the members.
+// For returns what a daemon of a kind needs to know of the members.
 func (r *Roll) For(kind string) (string, []wire.Member) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -10,7 +10,7 @@
 	"caperwheel/internal/mishap"
 )
 
-// Check tells all that is wrong, each with its key.
+// Check returns all that is wrong with the settings, each with its key.
 func (s Settings) Check(kind string) error {
 	wrong := []string{}
 	must := func(isRight bool, key, text string) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,4 @@
-// Package settings reads what a daemon must know of its place: from a file,
+// Package settings reads what a daemon must know to start: from a file,
 // from flags that override it, checked as a whole before anything starts.
 package settings
 
@@ -16,17 +16,17 @@
 	"caperwheel/internal/mishap"
 )
 
-// Duration reads as text such as 500ms in files and flags.
+// Duration is a time.Duration written as text such as 500ms in files and flags.
 type Duration struct{ time.Duration }
 
-// UnmarshalText reads a duration.
+// UnmarshalText implements encoding.TextUnmarshaler.
 func (d *Duration) UnmarshalText(raw []byte) error {
 	got, err := time.ParseDuration(string(raw))
 	d.Duration = got
 	return mishap.Wrap(err, mishap.Invalid, "duration %q", raw)
 }
 
-// MarshalText writes it.
+// MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(d.Duration.String()), nil }
 
 // Settings of a daemon. Tags name the file's keys; flags are the same words.
@@ -68,22 +68,22 @@
 	source *Source  // where the file's text comes from, if not from a settings file
 }
 
-// Source gives settings from a file of another make.
+// Source reads settings from a file in another format.
 type Source struct {
 	File string                           // read in place of a settings file that no flag names
 	Read func(raw []byte) ([]byte, error) // turns the file's text into that of a settings file
 }
 
-// Default settings.
+// Default returns the settings that hold where nothing is given.
 func Default() Settings {
 	return Settings{Founders: 3, Places: 48, Parts: 4, Bound: Duration{beat.Default.Charter}, Batch: 40, Pool: 40,
 		Flush: Duration{500 * time.Microsecond}, Window: 4096, Most: 2048, Reserve: 256 << 20, Founds: true}
 }
 
-// Bounds gives the bounds that constants are ratios of.
+// Bounds returns the bounds that all time constants are ratios of.
 func (s Settings) Bounds() beat.Bounds { return beat.Bounds{Charter: s.Bound.Duration} }
 
-// Replicas is how many a group should have.
+// Replicas returns how many replicas a group should have.
 func (s Settings) Replicas() int {
 	if s.Copies > 0 {
 		return s.Copies
@@ -91,10 +91,10 @@
 	return s.Founders
 }
 
-// Shape must be the same on all daemons of a deployment.
+// Shape returns what must be the same on all daemons of a deployment.
 func (s Settings) Shape() string { return fmt.Sprintf("places=%d parts=%d", s.Places, s.Parts) }
 
-// Stay is the time between being asked to stop and being killed.
+// Stay returns the time between being asked to stop and being killed.
 func (s Settings) Stay() time.Duration {
 	if s.Grace.Duration > 0 {
 		return s.Grace.Duration
--- a/internal/web/ascame.go
+++ b/internal/web/ascame.go
@@ -7,7 +7,7 @@
 	"strings"
 )
 
-// AsCame serves a mux whose "/" takes requests as they came. The library's mux
+// AsCame returns a handler for a mux whose "/" takes requests as they came. The library's mux
 // by itself sends a caller elsewhere whose path has dots or double slashes.
 func AsCame(mux *http.ServeMux) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -1,4 +1,4 @@
-// Package web is what all HTTP answers have in common: JSON, typed errors,
+// Package web holds what all HTTP answers have in common: JSON, typed errors,
 // Retry-After, whole bodies.
 package web
 
@@ -35,7 +35,7 @@
 	return 500
 }
 
-// Answer writes a JSON body with its length.
+// Answer writes body as JSON with a Content-Length.
 func Answer(w http.ResponseWriter, code int, body any) {
 	raw, err := json.MarshalIndent(body, "", "  ")
 	if err != nil {
@@ -48,7 +48,8 @@
 	_, _ = w.Write(raw) // the client has gone, if this fails
 }
 
-// Reject writes a problem; a retry above 0 tells when to come back.
+// Reject writes a problem. A retry above 0 is sent as Retry-After, in whole
+// seconds.
 func Reject(w http.ResponseWriter, code int, p Problem, retry time.Duration) {
 	if retry > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int((retry+time.Second-1)/time.Second)))
@@ -56,7 +57,7 @@
 	Answer(w, code, p)
 }
 
-// Fail writes a problem for an error.
+// Fail writes the problem and status that belong to an error's kind.
 func Fail(w http.ResponseWriter, err error) {
 	kind, retry := mishap.KindOf(err), time.Duration(0)
 	if code := CodeOf(kind); code == 503 || code == 429 || code == 504 {
@@ -65,7 +66,7 @@
 	Reject(w, CodeOf(kind), Problem{Error: kind, Text: err.Error()}, retry)
 }
 
-// Body reads a whole request body up to a limit.
+// Body reads a request body whole, and fails if it is longer than limit.
 func Body(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
 		return nil, mishap.New(mishap.TooLarge, "body of %d bytes, limit %d", r.ContentLength, limit)
@@ -80,7 +81,7 @@
 	return raw, nil
 }
 
-// Methods serves a path by method; others get a typed 405.
+// Methods returns a handler that chooses by method; others get a typed 405.
 func Methods(by map[string]http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if serve := by[r.Method]; serve != nil {
@@ -94,7 +95,7 @@
 	}
 }
 
-// NotFound is the typed answer for paths that are not served.
+// NotFound answers paths that are not served with a typed 404.
 func NotFound(w http.ResponseWriter, r *http.Request) {
 	Reject(w, 404, Problem{Error: mishap.Unknown, Text: r.URL.Path + " is not served here"}, 0)
 }
--- a/internal/weight/peers.go
+++ b/internal/weight/peers.go
@@ -18,7 +18,7 @@
 
 const smooth = 0.1 // share of the newest observation
 
-// Saw takes one answered ask in, or one that was not answered.
+// Saw records one request to a peer, whether it was answered, and how fast.
 func (p *Peers) Saw(name string, micros float64, isAnswered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -38,7 +38,7 @@
 	p.seen[name] = s
 }
 
-// Turn moves the weights one step; peers that are gone are forgotten.
+// Turn moves the weights one step and forgets peers that are gone.
 func (p *Peers) Turn(isHere func(name string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -46,14 +46,14 @@
 	p.weights = Turn(p.weights, p.seen)
 }
 
-// Of gives a peer's weight, from Least to 1.
+// Of returns a peer's weight, from Least to 1.
 func (p *Peers) Of(name string) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return get(p.weights, name)
 }
 
-// All gives a copy, to be shown.
+// All returns a copy of all weights, by peer.
 func (p *Peers) All() map[string]float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/weight/weight.go
+++ b/internal/weight/weight.go
@@ -1,4 +1,4 @@
-// Package weight is the small controllers that decide how much of a pool's
+// Package weight holds the small controllers that decide how much of a pool's
 // traffic each cell and each worker gets, from what adapters observe. It is
 // pure.
 package weight
@@ -34,7 +34,7 @@
 	Notice = 0.05 // smaller changes are not worth publishing
 )
 
-// Next gives the weights after one turn.
+// Next returns the weights after one turn of the controller.
 func Next(old Weights, seen map[string]Seen) Weights {
 	out := Weights{Cells: map[string]float64{}, Workers: Turn(old.Workers, seen)}
 	cells := map[string][]float64{}
@@ -101,12 +101,12 @@
 	return times[(len(times)-1)/2] // of two the quicker: the slower one is the odd one
 }
 
-// IsNews tells whether the change is worth publishing.
+// IsNews reports whether the change is worth publishing.
 func IsNews(old, next Weights) bool {
 	return HasMoved(old.Cells, next.Cells) || HasMoved(old.Workers, next.Workers)
 }
 
-// HasMoved tells whether any weight has changed enough to matter.
+// HasMoved reports whether any weight has changed enough to matter.
 func HasMoved(old, next map[string]float64) bool {
 	if !slices.Equal(slices.Sorted(maps.Keys(old)), slices.Sorted(maps.Keys(next))) {
 		return true
@@ -119,7 +119,7 @@
 	return false
 }
 
-// Join sums up what is seen of a pool's workers as one.
+// Join sums up what was observed of a pool's workers as if they were one.
 func Join(seen map[string]Seen) Seen {
 	out, timed, probes := Seen{}, 0.0, 0
 	for _, s := range seen {
