--- a/internal/cli/calls.go
+++ b/internal/cli/calls.go
@@ -47,20 +47,24 @@
 	return nil
 }
 
-// edit changes a document on a base: the stamp given, or the newest.
+// edit changes a document on a base: the revision given, or the newest.
 func (t *tool) edit(method, path string, e editCommand) error {
 	body, err := readFile(e.File)
 	if err != nil {
 		return err
 	}
-	if e.Stamp == "" {
+	base, err := e.base()
+	if err != nil {
+		return err
+	}
+	if base == "" {
 		resp, err := t.get(path)
 		if err != nil {
 			return err
 		}
-		e.Stamp = strings.Trim(resp.Header().Get("ETag"), `"`)
+		base = strings.Trim(resp.Header().Get("ETag"), `"`)
 	}
-	resp, err := t.send(method, path, e.Stamp, body, e.DryRun)
+	resp, err := t.send(method, path, base, body, e.DryRun)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -3,6 +3,7 @@
 package cli
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -26,12 +27,12 @@
 )
 
 type charterCommand struct {
-	Get     *struct{}    `arg:"subcommand:get" help:"print the charter; its stamp goes to standard error"`
-	Set     *editCommand `arg:"subcommand:set" help:"replace the charter"`
+	Get     *struct{}    `arg:"subcommand:get" help:"print the configuration; its revision goes to standard error"`
+	Set     *editCommand `arg:"subcommand:set" help:"replace the configuration"`
 	Patch   *editCommand `arg:"subcommand:patch" help:"apply a JSON merge patch"`
-	Check   *fileCommand `arg:"subcommand:check" help:"check a charter file here, without a manager"`
-	Diff    *fileCommand `arg:"subcommand:diff" help:"show what a charter file would change"`
-	History *struct{}    `arg:"subcommand:history" help:"list recent stamps with who and when"`
+	Check   *fileCommand `arg:"subcommand:check" help:"check a configuration file here, without a manager"`
+	Diff    *fileCommand `arg:"subcommand:diff" help:"show what a configuration file would change"`
+	History *struct{}    `arg:"subcommand:history" help:"list recent revisions with who and when"`
 }
 
 type fileCommand struct {
@@ -39,9 +40,18 @@
 }
 
 type editCommand struct {
-	File   string `arg:"positional,required" help:"file with the document; - for standard input"`
-	Stamp  string `arg:"--stamp" help:"stamp that the change is based on; the newest if not given"`
-	DryRun bool   `arg:"--dry-run" help:"only check, and show the differences"`
+	File     string `arg:"positional,required" help:"file with the document; - for standard input"`
+	Revision string `arg:"--revision" help:"revision that the change is based on; the newest if not given"`
+	Stamp    string `arg:"--stamp" help:"the former name of --revision, accepted for one more release"`
+	DryRun   bool   `arg:"--dry-run" help:"only check, and show the differences"`
+}
+
+// base returns the revision that the change is based on; empty for the newest.
+func (e editCommand) base() (string, error) {
+	if e.Revision != "" && e.Stamp != "" && e.Revision != e.Stamp {
+		return "", mishap.New(mishap.Invalid, "--revision and --stamp name two revisions")
+	}
+	return cmp.Or(e.Revision, e.Stamp), nil
 }
 
 type poolEditCommand struct {
@@ -60,8 +70,8 @@
 }
 
 type cellCommand struct {
-	Empty   *nameCommand `arg:"subcommand:empty" help:"give a cell no new work"`
-	Restore *nameCommand `arg:"subcommand:restore" help:"use a cell again"`
+	Empty   *nameCommand `arg:"subcommand:empty" help:"give a zone no new work"`
+	Restore *nameCommand `arg:"subcommand:restore" help:"use a zone again"`
 }
 
 type storeCommand struct {
@@ -82,9 +92,9 @@
 	Operator string          `arg:"--operator,env:CAPERWHEEL_OPERATOR" help:"your name, for the history"`
 	Doctor   *doctorCommand  `arg:"subcommand:doctor" help:"look for common faults"`
 	Apply    *applyCommand   `arg:"subcommand:apply" help:"make the system what a folder declares"`
-	Charter  *charterCommand `arg:"subcommand:charter" help:"the tree of settings"`
+	Charter  *charterCommand `arg:"subcommand:config|charter" help:"the configuration, a tree of settings"`
 	Workers  *workersCommand `arg:"subcommand:workers" help:"a pool's live list"`
-	Cell     *cellCommand    `arg:"subcommand:cell" help:"empty or restore a cell"`
+	Cell     *cellCommand    `arg:"subcommand:zone|cell" help:"empty or restore a zone"`
 	Store    *storeCommand   `arg:"subcommand:store" help:"retire a store"`
 	Status   *struct{}       `arg:"subcommand:status" help:"members, places, pools"`
 	Message  *messageCommand `arg:"subcommand:message" help:"a message's state, proof or bytes"`
--- a/internal/cli/doctor.go
+++ b/internal/cli/doctor.go
@@ -160,7 +160,7 @@
 		}
 	}
 	for _, cell := range s.Emptied {
-		add(false, "cell "+cell, "is emptied", "restore it when its work is done: caperwheel cell restore "+cell)
+		add(false, "cell "+cell, "is emptied", "restore it when its work is done: caperwheel zone restore "+cell)
 	}
 	return out
 }
