--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -8,8 +8,8 @@
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/deliver"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/intake"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 	"caperwheel/platform"
@@ -43,7 +43,7 @@
 		case out.IsLeaving():
 			return false, "leaving"
 		case !d.IsFresh():
-			return false, string(mishap.Stale)
+			return false, string(errs.Stale)
 		case !scenes.Now().MayWork(d.Who.Cell):
 			return false, "the cell is being emptied"
 		case !d.Roll.HasOwner(wire.PlaceGroup):
--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -7,7 +7,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/daemon"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/session"
@@ -35,7 +35,7 @@
 		beside.Hear(wire.Member{Who: poll.Who, Owns: poll.Owns, Fact: poll.Fact}, now, true)
 		answer(session.NewsFor(poll, d.View, now, d.Roll))
 	}})
-	d.Ready = func() (bool, string) { return d.IsFresh(), string(mishap.Stale) }
+	d.Ready = func() (bool, string) { return d.IsFresh(), string(errs.Stale) }
 	client := d.Client(func() wire.Poll {
 		poll := d.Poll()
 		_, poll.Beside = beside.Members(d.Now())
--- a/cmd/fleet/bench.go
+++ b/cmd/fleet/bench.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 )
@@ -80,19 +80,19 @@
 func benchCell(batch, pool int, length time.Duration) (float64, error) {
 	exe, err := os.Executable()
 	if err != nil {
-		return 0, mishap.Wrap(err, mishap.Internal, "executable")
+		return 0, errs.Wrap(err, errs.Internal, "executable")
 	}
 	cmd := exec.Command(exe, "bench", "--serve", "--pool", strconv.Itoa(pool))
 	in, _ := cmd.StdinPipe()
 	out, _ := cmd.StdoutPipe()
 	if err := cmd.Start(); err != nil {
-		return 0, mishap.Wrap(err, mishap.Internal, "receiver")
+		return 0, errs.Wrap(err, errs.Internal, "receiver")
 	}
 	defer func() { in.Close(); _ = cmd.Wait() }()
 	raw := make([]byte, 64)
 	n, err := out.Read(raw)
 	if err != nil {
-		return 0, mishap.Wrap(err, mishap.Internal, "receiver's address")
+		return 0, errs.Wrap(err, errs.Internal, "receiver's address")
 	}
 	node, err := transport.NewNode(transport.Options{Batch: batch, Pool: pool, Window: 1 << 16})
 	if err != nil {
--- a/cmd/fleet/check.go
+++ b/cmd/fleet/check.go
@@ -7,8 +7,8 @@
 
 	"github.com/alitto/pond/v2"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/explore"
-	"caperwheel/internal/mishap"
 )
 
 type checkCommand struct {
@@ -26,7 +26,7 @@
 // broken is printed with the events that lead to it.
 func checkGroup(a *checkCommand) error {
 	if a.Members < 1 || a.Members > explore.MostMembers {
-		return mishap.New(mishap.Invalid, "members must be from 1 to %d", explore.MostMembers)
+		return errs.New(errs.Invalid, "members must be from 1 to %d", explore.MostMembers)
 	}
 	if a.Jobs < 1 {
 		a.Jobs = runtime.NumCPU()
@@ -52,7 +52,7 @@
 		searches.Submit(func() { tell(s.Name, explore.Search(&s.Options, s.Depth, a.States)) })
 	}
 	if !isKnown {
-		return mishap.New(mishap.Unknown, "search %q", a.Scenario)
+		return errs.New(errs.Unknown, "search %q", a.Scenario)
 	}
 	walks := pool.NewGroup()
 	var events atomic.Int64
@@ -66,12 +66,12 @@
 	}
 	for _, group := range []pond.TaskGroup{searches, walks} {
 		if err := group.Wait(); err != nil {
-			return mishap.Wrap(err, mishap.Internal, "check")
+			return errs.Wrap(err, errs.Internal, "check")
 		}
 	}
 	fmt.Printf("%d walks: %d events\n", a.Walks, events.Load())
 	if n := broken.Load(); n > 0 {
-		return mishap.New(mishap.Unsound, "%d searches or walks broke an invariant", n)
+		return errs.New(errs.Unhealthy, "%d searches or walks broke an invariant", n)
 	}
 	return nil
 }
--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -11,8 +11,8 @@
 
 	"github.com/alexflint/go-arg"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
-	"caperwheel/internal/mishap"
 )
 
 type runCommand struct {
@@ -87,7 +87,7 @@
 	}
 	if a.Dir == "" {
 		if a.Dir, err = os.MkdirTemp("", "fleet-"); err != nil {
-			return mishap.Wrap(err, mishap.Internal, "temporary folder")
+			return errs.Wrap(err, errs.Internal, "temporary folder")
 		}
 	}
 	if !a.Keep {
@@ -119,7 +119,7 @@
 		}
 		if schedule.For != "" {
 			if a.For, err = time.ParseDuration(schedule.For); err != nil {
-				return mishap.Wrap(err, mishap.Invalid, "schedule")
+				return errs.Wrap(err, errs.Invalid, "schedule")
 			}
 		}
 	}
@@ -142,11 +142,11 @@
 	report.Charter, report.Counts = f.CheckCharter(readCtx), f.Counts(readCtx)
 	raw, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
-		return mishap.Wrap(err, mishap.Internal, "report")
+		return errs.Wrap(err, errs.Internal, "report")
 	}
 	fmt.Println(string(raw))
 	if len(report.Breaches) > 0 || report.Unsettled != "" || len(report.Charter) > 0 || len(report.Failures)+len(report.Crashes) > 0 || report.Runs == 0 {
-		return mishap.New(mishap.Unsound, "%d rules broken, %d steps not carried out, %d crashes", len(report.Breaches)+len(report.Charter),
+		return errs.New(errs.Unhealthy, "%d rules broken, %d steps not carried out, %d crashes", len(report.Breaches)+len(report.Charter),
 			len(report.Failures), len(report.Crashes))
 	}
 	return nil
--- a/cmd/fleet/platform.go
+++ b/cmd/fleet/platform.go
@@ -5,8 +5,8 @@
 	"os"
 	"time"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/standin"
 )
 
@@ -30,7 +30,7 @@
 		}
 		if schedule.For != "" {
 			if a.For, err = time.ParseDuration(schedule.For); err != nil {
-				return mishap.Wrap(err, mishap.Invalid, "schedule")
+				return errs.Wrap(err, errs.Invalid, "schedule")
 			}
 		}
 	}
@@ -39,7 +39,7 @@
 	}
 	if a.Dir == "" {
 		if a.Dir, err = os.MkdirTemp("", "fleet-"); err != nil {
-			return mishap.Wrap(err, mishap.Internal, "temporary folder")
+			return errs.Wrap(err, errs.Internal, "temporary folder")
 		}
 	}
 	if !a.Keep {
--- a/cmd/fleet/scale.go
+++ b/cmd/fleet/scale.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/scale"
 )
 
@@ -36,7 +36,7 @@
 	ctx := context.Background()
 	dir, err := os.MkdirTemp(a.Dir, "scale-")
 	if err != nil {
-		return mishap.Wrap(err, mishap.Internal, "temporary folder")
+		return errs.Wrap(err, errs.Internal, "temporary folder")
 	}
 	defer os.RemoveAll(dir)
 	if a.Bin == "" {
@@ -47,7 +47,7 @@
 	}
 	exe, err := os.Executable()
 	if err != nil {
-		return mishap.Wrap(err, mishap.Internal, "executable")
+		return errs.Wrap(err, errs.Internal, "executable")
 	}
 	base := scale.Base
 	if a.Daemons > 0 {
@@ -80,7 +80,7 @@
 		ran++
 	}
 	if ran == 0 {
-		return mishap.New(mishap.Invalid, "no sweep is called %v", a.Only)
+		return errs.New(errs.Invalid, "no sweep is called %v", a.Only)
 	}
 	fmt.Printf("\n%d sweeps.\n", ran)
 	return last
--- a/cmd/fleet/sweep.go
+++ b/cmd/fleet/sweep.go
@@ -11,7 +11,7 @@
 	"github.com/alitto/pond/v2"
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/sim"
 )
 
@@ -41,12 +41,12 @@
 			})
 		}
 		if err := group.Wait(); err != nil {
-			return mishap.Wrap(err, mishap.Internal, "sweep")
+			return errs.Wrap(err, errs.Internal, "sweep")
 		}
 		fmt.Printf("%s: %d seeds done, %d broken so far\n", kind, a.Seeds, failed.Load())
 	}
 	if n := failed.Load(); n > 0 {
-		return mishap.New(mishap.Unsound, "%d seeds broke a rule", n)
+		return errs.New(errs.Unhealthy, "%d seeds broke a rule", n)
 	}
 	return nil
 }
--- a/cmd/fleet/up.go
+++ b/cmd/fleet/up.go
@@ -9,8 +9,8 @@
 	"syscall"
 	"time"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
-	"caperwheel/internal/mishap"
 )
 
 type upCommand struct {
@@ -29,7 +29,7 @@
 	}
 	dir, err := os.MkdirTemp("", "fleet-")
 	if err != nil {
-		return mishap.Wrap(err, mishap.Internal, "temporary folder")
+		return errs.Wrap(err, errs.Internal, "temporary folder")
 	}
 	defer os.RemoveAll(dir)
 	if a.Bin == "" {
--- a/internal/charter/mark.go
+++ b/internal/charter/mark.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Mark is what stands at a cell's key. One key holds all that can be said of a
@@ -34,7 +34,7 @@
 func (m Mark) Encode() []byte {
 	raw, err := json.Marshal(m)
 	if err != nil {
-		panic(mishap.Wrap(err, mishap.Internal, "mark"))
+		panic(errs.Wrap(err, errs.Internal, "mark"))
 	}
 	return raw
 }
--- a/internal/charter/merge.go
+++ b/internal/charter/merge.go
@@ -6,23 +6,23 @@
 	"reflect"
 	"slices"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Merge applies a JSON merge patch (RFC 7396) to a document.
 func Merge(doc, patch []byte) ([]byte, error) {
 	var base, change any
 	if err := json.Unmarshal(doc, &base); err != nil {
-		return nil, mishap.Wrap(err, mishap.Broken, "charter")
+		return nil, errs.Wrap(err, errs.Corrupt, "charter")
 	}
 	if err := json.Unmarshal(patch, &change); err != nil {
-		return nil, mishap.Wrap(err, mishap.Invalid, "patch")
+		return nil, errs.Wrap(err, errs.Invalid, "patch")
 	}
 	if _, isObject := change.(map[string]any); !isObject {
-		return nil, mishap.New(mishap.Invalid, "a patch must be an object")
+		return nil, errs.New(errs.Invalid, "a patch must be an object")
 	}
 	out, err := json.Marshal(merge(base, change))
-	return out, mishap.Wrap(err, mishap.Internal, "merged charter")
+	return out, errs.Wrap(err, errs.Internal, "merged charter")
 }
 
 func merge(base, change any) any {
@@ -55,10 +55,10 @@
 func Diff(from, to []byte) ([]Difference, error) {
 	var a, b any
 	if err := json.Unmarshal(from, &a); err != nil {
-		return nil, mishap.Wrap(err, mishap.Invalid, "first document")
+		return nil, errs.Wrap(err, errs.Invalid, "first document")
 	}
 	if err := json.Unmarshal(to, &b); err != nil {
-		return nil, mishap.Wrap(err, mishap.Invalid, "second document")
+		return nil, errs.Wrap(err, errs.Invalid, "second document")
 	}
 	return differ("", a, b, nil), nil
 }
--- a/internal/charter/retirements.go
+++ b/internal/charter/retirements.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"slices"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Retirements are the stores whose retirement was admitted. They stand at one key,
@@ -20,7 +20,7 @@
 		return r, nil
 	}
 	err := json.Unmarshal(raw, &r)
-	return r, mishap.Wrap(err, mishap.Broken, "retirements")
+	return r, errs.Wrap(err, errs.Corrupt, "retirements")
 }
 
 // Has tells whether a store's retirement was admitted.
@@ -40,7 +40,7 @@
 func (r Retirements) Encode() []byte {
 	raw, err := json.Marshal(r)
 	if err != nil {
-		panic(mishap.Wrap(err, mishap.Internal, "retirements"))
+		panic(errs.Wrap(err, errs.Internal, "retirements"))
 	}
 	return raw
 }
--- a/internal/charter/rules.go
+++ b/internal/charter/rules.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"sync"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/weight"
 )
 
@@ -36,7 +36,7 @@
 func (d Duty) Encode() []byte {
 	raw, err := json.Marshal(d)
 	if err != nil {
-		panic(mishap.Wrap(err, mishap.Internal, "duty"))
+		panic(errs.Wrap(err, errs.Internal, "duty"))
 	}
 	return raw
 }
--- a/internal/charter/strict.go
+++ b/internal/charter/strict.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"io"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // strict reads one JSON value and refuses unknown fields and trailing text.
@@ -13,10 +13,10 @@
 	d := json.NewDecoder(bytes.NewReader(doc))
 	d.DisallowUnknownFields()
 	if err := d.Decode(into); err != nil {
-		return mishap.Wrap(err, mishap.Invalid, "JSON")
+		return errs.Wrap(err, errs.Invalid, "JSON")
 	}
 	if _, err := d.Token(); err != io.EOF {
-		return mishap.New(mishap.Invalid, "text behind the JSON value")
+		return errs.New(errs.Invalid, "text behind the JSON value")
 	}
 	return nil
 }
--- a/internal/charter/workers.go
+++ b/internal/charter/workers.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"strconv"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Worker is one entry of the platform's live list of a pool.
@@ -54,7 +54,7 @@
 func (w Workers) Encode() []byte {
 	out, err := json.Marshal(w)
 	if err != nil {
-		panic(mishap.Wrap(err, mishap.Internal, "workers"))
+		panic(errs.Wrap(err, errs.Internal, "workers"))
 	}
 	return out
 }
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -9,8 +9,8 @@
 	"strings"
 
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/manifest"
-	"caperwheel/internal/mishap"
 )
 
 type applyCommand struct {
@@ -60,7 +60,7 @@
 			continue
 		}
 		if err := t.write(d); err != nil {
-			return mishap.Wrap(err, mishap.KindOf(err), "%s is not applied, nor what comes behind it", d.file)
+			return errs.Wrap(err, errs.KindOf(err), "%s is not applied, nor what comes behind it", d.file)
 		}
 	}
 	return nil
@@ -72,7 +72,7 @@
 	out := []declaration{}
 	doc, err := os.ReadFile(filepath.Join(folder, "charter.json"))
 	if err != nil && !os.IsNotExist(err) {
-		return nil, mishap.Wrap(err, mishap.Invalid, "charter.json")
+		return nil, errs.Wrap(err, errs.Invalid, "charter.json")
 	}
 	faults := []string{}
 	rules := &charter.Rules{}
@@ -82,7 +82,7 @@
 			return nil, err
 		}
 		if len(found) > 0 {
-			return nil, mishap.New(mishap.Invalid, "nothing was applied:\n  %s", strings.Join(faultLines("routes", found), "\n  "))
+			return nil, errs.New(errs.Invalid, "nothing was applied:\n  %s", strings.Join(faultLines("routes", found), "\n  "))
 		}
 		if rules, found = charter.Compile(doc); len(found) > 0 {
 			faults = append(faults, faultLines("charter.json", found)...)
@@ -91,7 +91,7 @@
 	}
 	files, err := filepath.Glob(filepath.Join(folder, "workers", "*.json"))
 	if err != nil {
-		return nil, mishap.Wrap(err, mishap.Invalid, "workers")
+		return nil, errs.Wrap(err, errs.Invalid, "workers")
 	}
 	slices.Sort(files)
 	for _, file := range files {
@@ -99,7 +99,7 @@
 		pool := strings.TrimSuffix(filepath.Base(file), ".json")
 		raw, err := os.ReadFile(file)
 		if err != nil {
-			return nil, mishap.Wrap(err, mishap.Invalid, "%s", name)
+			return nil, errs.Wrap(err, errs.Invalid, "%s", name)
 		}
 		list, found := charter.ReadWorkers(raw)
 		faults = append(faults, faultLines(name, found)...)
@@ -110,9 +110,9 @@
 	}
 	switch {
 	case len(faults) > 0:
-		return nil, mishap.New(mishap.Invalid, "nothing was applied:\n  %s", strings.Join(faults, "\n  "))
+		return nil, errs.New(errs.Invalid, "nothing was applied:\n  %s", strings.Join(faults, "\n  "))
 	case len(out) == 0:
-		return nil, mishap.New(mishap.Invalid, "%s has neither charter.json nor workers/*.json", folder)
+		return nil, errs.New(errs.Invalid, "%s has neither charter.json nor workers/*.json", folder)
 	}
 	return out, nil
 }
@@ -122,13 +122,13 @@
 func readRoutes(folder string, doc []byte) ([]byte, []charter.Fault, error) {
 	files, err := filepath.Glob(filepath.Join(folder, "routes", "*.yaml"))
 	if err != nil {
-		return nil, nil, mishap.Wrap(err, mishap.Invalid, "routes")
+		return nil, nil, errs.Wrap(err, errs.Invalid, "routes")
 	}
 	slices.Sort(files)
 	for _, file := range files {
 		raw, err := os.ReadFile(file)
 		if err != nil {
-			return nil, nil, mishap.Wrap(err, mishap.Invalid, "%s", file)
+			return nil, nil, errs.Wrap(err, errs.Invalid, "%s", file)
 		}
 		merged, faults := manifest.Translate(doc, raw)
 		if len(faults) > 0 {
@@ -158,7 +158,7 @@
 	switch {
 	case err == nil:
 		d.stamp, base = strings.Trim(resp.Header().Get("ETag"), `"`), resp.Body()
-	case mishap.Is(err, mishap.Unknown) && d.path != "/v1/charter":
+	case errs.Is(err, errs.Unknown) && d.path != "/v1/charter":
 		d.stamp = "0"
 	default:
 		return err
@@ -174,7 +174,7 @@
 	for _, x := range differences {
 		raw, err := json.Marshal(x)
 		if err != nil {
-			return mishap.Wrap(err, mishap.Internal, "difference")
+			return errs.Wrap(err, errs.Internal, "difference")
 		}
 		d.changes = append(d.changes, string(raw))
 	}
--- a/internal/cli/calls.go
+++ b/internal/cli/calls.go
@@ -8,14 +8,14 @@
 	"github.com/go-resty/resty/v2"
 
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/manager"
-	"caperwheel/internal/mishap"
 )
 
 func (t *tool) get(path string) (*resty.Response, error) {
 	resp, err := t.client.R().Get(path)
 	if err != nil {
-		return nil, mishap.Wrap(err, mishap.Lost, "manager %s", t.args.Manager)
+		return nil, errs.Wrap(err, errs.Lost, "manager %s", t.args.Manager)
 	}
 	if resp.IsError() {
 		return nil, problem(resp)
@@ -38,7 +38,7 @@
 func (t *tool) post(path string) error {
 	resp, err := t.client.R().Post(path)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Lost, "manager %s", t.args.Manager)
+		return errs.Wrap(err, errs.Lost, "manager %s", t.args.Manager)
 	}
 	if resp.IsError() {
 		return problem(resp)
@@ -81,7 +81,7 @@
 	}
 	resp, err := req.Execute(method, path)
 	if err != nil {
-		return nil, mishap.Wrap(err, mishap.Undecided, "manager %s; read the document back", t.args.Manager)
+		return nil, errs.Wrap(err, errs.Undecided, "manager %s; read the document back", t.args.Manager)
 	}
 	if resp.IsError() {
 		return nil, problem(resp)
@@ -99,7 +99,7 @@
 		for _, f := range faults {
 			fmt.Fprintf(t.out, "%s: %s\n", f.Path, f.Text)
 		}
-		return mishap.New(mishap.Invalid, "%d faults", len(faults))
+		return errs.New(errs.Invalid, "%d faults", len(faults))
 	}
 	fmt.Fprintf(t.out, "good: %d lanes, %d pools\n", len(rules.Lanes), len(rules.Pools))
 	return nil
@@ -111,7 +111,7 @@
 	if err != nil {
 		return status, err
 	}
-	return status, mishap.Wrap(json.Unmarshal(resp.Body(), &status), mishap.Broken, "status")
+	return status, errs.Wrap(json.Unmarshal(resp.Body(), &status), errs.Corrupt, "status")
 }
 
 func (t *tool) status() error {
@@ -149,7 +149,7 @@
 		}
 		var list []manager.StatusMember
 		if err := json.Unmarshal(resp.Body(), &list); err != nil || len(list) == 0 {
-			return mishap.New(mishap.Unknown, "no adapter is ready")
+			return errs.New(errs.Unknown, "no adapter is ready")
 		}
 		c.Adapter = list[0].Http
 	}
@@ -159,7 +159,7 @@
 	}
 	resp, err := t.client.R().Get(path)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Lost, "adapter %s", c.Adapter)
+		return errs.Wrap(err, errs.Lost, "adapter %s", c.Adapter)
 	}
 	if resp.IsError() {
 		return problem(resp)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -14,7 +14,7 @@
 	"github.com/alexflint/go-arg"
 	"github.com/go-resty/resty/v2"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Exit codes of the command line, stable for scripts.
@@ -49,7 +49,7 @@
 // base returns the revision that the change is based on; empty for the newest.
 func (e editCommand) base() (string, error) {
 	if e.Revision != "" && e.Stamp != "" && e.Revision != e.Stamp {
-		return "", mishap.New(mishap.Invalid, "--revision and --stamp name two revisions")
+		return "", errs.New(errs.Invalid, "--revision and --stamp name two revisions")
 	}
 	return cmp.Or(e.Revision, e.Stamp), nil
 }
@@ -138,12 +138,12 @@
 		return ExitWell
 	}
 	fmt.Fprintln(t.err, err)
-	switch mishap.KindOf(err) {
-	case mishap.Conflict:
+	switch errs.KindOf(err) {
+	case errs.Conflict:
 		return ExitConflict
-	case mishap.Undecided:
+	case errs.Undecided:
 		return ExitOpen
-	case mishap.Invalid, mishap.Missing:
+	case errs.Invalid, errs.Missing:
 		return ExitUsage
 	}
 	return ExitFailed
@@ -190,16 +190,16 @@
 		return t.message(a.Message)
 	}
 	_ = parser.WriteHelpForSubcommand(t.out, parser.SubcommandNames()...)
-	return mishap.New(mishap.Invalid, "a command is missing")
+	return errs.New(errs.Invalid, "a command is missing")
 }
 
 func readFile(name string) ([]byte, error) {
 	if name == "-" {
 		raw, err := io.ReadAll(os.Stdin)
-		return raw, mishap.Wrap(err, mishap.Invalid, "standard input")
+		return raw, errs.Wrap(err, errs.Invalid, "standard input")
 	}
 	raw, err := os.ReadFile(name)
-	return raw, mishap.Wrap(err, mishap.Invalid, "file %s", name)
+	return raw, errs.Wrap(err, errs.Invalid, "file %s", name)
 }
 
 // problem makes an error of an answer that is no success.
@@ -210,7 +210,7 @@
 		More  any    `json:"more"`
 	}
 	if json.Unmarshal(resp.Body(), &p) != nil || p.Error == "" {
-		return mishap.New(mishap.Unsound, "%s %s: %s", resp.Request.Method, resp.Request.URL, resp.Status())
+		return errs.New(errs.Unhealthy, "%s %s: %s", resp.Request.Method, resp.Request.URL, resp.Status())
 	}
 	more := ""
 	if p.More != nil {
@@ -220,5 +220,5 @@
 	if after := resp.Header().Get("Retry-After"); after != "" {
 		more += "\ncome back after " + after + " s"
 	}
-	return mishap.New(mishap.Kind(p.Error), "%s%s", strings.TrimPrefix(p.Text, p.Error+": "), more)
+	return errs.New(errs.Kind(p.Error), "%s%s", strings.TrimPrefix(p.Text, p.Error+": "), more)
 }
--- a/internal/cli/doctor.go
+++ b/internal/cli/doctor.go
@@ -6,8 +6,8 @@
 	"net"
 	"time"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/manager"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/settings"
 	"caperwheel/internal/store"
 )
@@ -40,7 +40,7 @@
 	if t.args.Json {
 		raw, err := json.MarshalIndent(found, "", "  ")
 		if err != nil {
-			return mishap.Wrap(err, mishap.Internal, "findings")
+			return errs.Wrap(err, errs.Internal, "findings")
 		}
 		fmt.Fprintln(t.out, string(raw))
 	}
@@ -51,7 +51,7 @@
 		}
 	}
 	if isGrave {
-		return mishap.New(mishap.Unsound, "the doctor found faults")
+		return errs.New(errs.Unhealthy, "the doctor found faults")
 	}
 	if len(found) == 0 && !t.args.Json {
 		fmt.Fprintln(t.out, "No fault was found.")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,8 +22,8 @@
 	"k8s.io/klog/v2"
 
 	"caperwheel/internal/beat"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/session"
 	"caperwheel/internal/settings"
 	"caperwheel/internal/transport"
@@ -66,7 +66,7 @@
 }
 
 // New reads the settings, from the source if there is one, and opens the HTTP
-// ports. A mishap ends the process with exit code 2 (settings) or 1.
+// ports. An error ends the process with exit code 2 (settings) or 1.
 func New(kind string, source *settings.Source) *Daemon {
 	signal.Ignore(syscall.SIGPIPE, syscall.SIGHUP) // a closed socket is an error like others; SIGHUP waits for Watch
 	s, err := settings.Load(kind, os.Args[1:], source)
@@ -121,7 +121,7 @@
 func Random(size int) string {
 	raw := make([]byte, size)
 	if _, err := rand.Read(raw); err != nil {
-		panic(mishap.Wrap(err, mishap.Internal, "random"))
+		panic(errs.Wrap(err, errs.Internal, "random"))
 	}
 	return hex.EncodeToString(raw)
 }
@@ -139,7 +139,7 @@
 	return d.View.IsFresh(d.Now(), d.Bounds.Of(beat.Fresh)) && (d.CanRead == nil || d.CanRead())
 }
 
-// Must ends the process on a mishap.
+// Must ends the process on an error.
 func (d *Daemon) Must(err error) {
 	if err != nil {
 		klog.Errorf("%s: Stopping: %v.", d.Kind, err)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -14,7 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/web"
 )
 
@@ -32,7 +32,7 @@
 	}
 	config := net.ListenConfig{KeepAliveConfig: d.Bounds.Probes()}
 	listener, err := config.Listen(context.Background(), "tcp", addr)
-	d.Must(mishap.Wrap(err, mishap.Invalid, "listen on %s", addr))
+	d.Must(errs.Wrap(err, errs.Invalid, "listen on %s", addr))
 	return listener
 }
 
@@ -75,7 +75,7 @@
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(door.listener); err != http.ErrServerClosed {
-				d.Must(mishap.Wrap(err, mishap.Internal, "serve HTTP"))
+				d.Must(errs.Wrap(err, errs.Internal, "serve HTTP"))
 			}
 		}()
 	}
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -11,7 +11,7 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/repair"
@@ -83,7 +83,7 @@
 // life of this adapter had. Only the agent's own word that it keeps none makes
 // the run a lost one; while it cannot tell, the owner asks again.
 func (a *Adapter) askAgent(m *wire.Open, answer func(any)) {
-	unknown := &wire.OpenAck{Kind: string(mishap.Lost)}
+	unknown := &wire.OpenAck{Kind: string(errs.Lost)}
 	ask := &wire.Outcome{Place: m.Place, Id: m.Id, Step: repair.StepHas, Proof: wire.Proof{Attempt: m.Attempt, Answer: []byte{}}}
 	err := a.d.Node.Peer(wire.PlaceLink, a.d.Settings.Seeds[0]).Post(ask, func(reply any, err error) {
 		ack, isAck := reply.(*wire.OutcomeAck)
@@ -92,7 +92,7 @@
 			answer(unknown)
 		case ack.Kind == "":
 			answer(&wire.OpenAck{State: "open"})
-		case ack.Kind == string(mishap.Unknown):
+		case ack.Kind == string(errs.Unknown):
 			answer(&wire.OpenAck{State: "gone"})
 		default:
 			answer(unknown)
--- a/internal/deliver/askagent_test.go
+++ b/internal/deliver/askagent_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/settings"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
@@ -22,8 +22,8 @@
 		want  wire.OpenAck
 	}{
 		{"keeps its result", func(answer func(any)) { answer(&wire.OutcomeAck{}) }, wire.OpenAck{State: "open"}},
-		{"keeps none", func(answer func(any)) { answer(&wire.OutcomeAck{Kind: string(mishap.Unknown)}) }, wire.OpenAck{State: "gone"}},
-		{"cannot tell", func(answer func(any)) { answer(&wire.OutcomeAck{Kind: string(mishap.Full)}) }, wire.OpenAck{Kind: "lost"}},
+		{"keeps none", func(answer func(any)) { answer(&wire.OutcomeAck{Kind: string(errs.Unknown)}) }, wire.OpenAck{State: "gone"}},
+		{"cannot tell", func(answer func(any)) { answer(&wire.OutcomeAck{Kind: string(errs.Full)}) }, wire.OpenAck{Kind: "lost"}},
 		{"answers something else", func(answer func(any)) { answer(&wire.Taken{}) }, wire.OpenAck{Kind: "lost"}},
 		{"is away", nil, wire.OpenAck{Kind: "lost"}},
 	}
--- a/internal/deliver/book.go
+++ b/internal/deliver/book.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -42,13 +42,13 @@
 	key := runKey{r.Id, r.Attempt}
 	switch {
 	case r.Term < b.terms[r.Place]:
-		return mishap.New(mishap.Stale, "term %d of place %d is over", r.Term, r.Place)
+		return errs.New(errs.Stale, "term %d of place %d is over", r.Term, r.Place)
 	case b.runs[key]:
-		return mishap.New(mishap.Conflict, "the run is in hand already")
+		return errs.New(errs.Conflict, "the run is in hand already")
 	case b.never[key] != 0:
-		return mishap.New(mishap.Rejected, "the run was given up")
+		return errs.New(errs.Rejected, "the run was given up")
 	case len(b.runs) >= b.most:
-		return mishap.New(mishap.Full, "%d runs are in hand", len(b.runs))
+		return errs.New(errs.Full, "%d runs are in hand", len(b.runs))
 	}
 	b.terms[r.Place] = r.Term
 	b.runs[key] = true
@@ -68,7 +68,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if m.Term < b.terms[m.Place] {
-		return &wire.OpenAck{Kind: string(mishap.Stale)}
+		return &wire.OpenAck{Kind: string(errs.Stale)}
 	}
 	b.terms[m.Place] = m.Term
 	key := runKey{m.Id, m.Attempt}
--- a/internal/deliver/manner.go
+++ b/internal/deliver/manner.go
@@ -8,7 +8,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -26,7 +26,7 @@
 //
 // Invariant: IsBegun is false only if the worker has not run the message.
 type Judgement struct {
-	Kind    mishap.Kind
+	Kind    errs.Kind
 	Text    string
 	Answer  []byte // what proves a success
 	IsBegun bool
@@ -73,7 +73,7 @@
 	r.isSound.Store(j.IsSound)
 	e.outcome.Final, e.outcome.Wait = j.IsFinal, j.Wait.Milliseconds()
 	if j.Kind != "" {
-		return mishap.New(j.Kind, "%s", j.Text)
+		return errs.New(j.Kind, "%s", j.Text)
 	}
 	p := &e.outcome.Proof
 	p.Status, p.Answer = int64(answer.StatusCode), j.Answer
--- a/internal/deliver/manners_test.go
+++ b/internal/deliver/manners_test.go
@@ -10,8 +10,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/deliver"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/head"
-	"caperwheel/internal/mishap"
 	"caperwheel/platform"
 )
 
@@ -41,28 +41,28 @@
 	cases := []struct {
 		name    string
 		worker  http.HandlerFunc // nil: nobody listens
-		kinds   [2]mishap.Kind   // ours, the platform's
+		kinds   [2]errs.Kind     // ours, the platform's
 		isBegun [2]bool
 		isFinal bool
 	}{
-		{"a whole answer", answer(200, seal, "s.1", whose, "m-1"), [2]mishap.Kind{}, [2]bool{true, true}, false},
-		{"a whole answer without its seal", answer(200), [2]mishap.Kind{"", "late"}, [2]bool{true, true}, false},
-		{"an answer of another message", answer(200, seal, "s.1", whose, "m-2"), [2]mishap.Kind{"", "cut_short"}, [2]bool{true, true}, false},
-		{"a failure", answer(500), [2]mishap.Kind{"unsound", "unsound"}, [2]bool{true, true}, false},
-		{"a refusal for good", answer(422), [2]mishap.Kind{"rejected", "rejected"}, [2]bool{true, true}, true},
-		{"a full worker", answer(503, not, "1"), [2]mishap.Kind{"unsound", "full"}, [2]bool{true, false}, false},
-		{"a rate that is passed", answer(429, not, "1"), [2]mishap.Kind{"unsound", "full"}, [2]bool{true, false}, false},
-		{"a first run that goes on", answer(409, not, "1"), [2]mishap.Kind{"unsound", "conflict"}, [2]bool{true, false}, false},
-		{"another worker's address", answer(421), [2]mishap.Kind{"unsound", "unknown"}, [2]bool{true, false}, false},
+		{"a whole answer", answer(200, seal, "s.1", whose, "m-1"), [2]errs.Kind{}, [2]bool{true, true}, false},
+		{"a whole answer without its seal", answer(200), [2]errs.Kind{"", "late"}, [2]bool{true, true}, false},
+		{"an answer of another message", answer(200, seal, "s.1", whose, "m-2"), [2]errs.Kind{"", "cut_short"}, [2]bool{true, true}, false},
+		{"a failure", answer(500), [2]errs.Kind{"unsound", "unsound"}, [2]bool{true, true}, false},
+		{"a refusal for good", answer(422), [2]errs.Kind{"rejected", "rejected"}, [2]bool{true, true}, true},
+		{"a full worker", answer(503, not, "1"), [2]errs.Kind{"unsound", "full"}, [2]bool{true, false}, false},
+		{"a rate that is passed", answer(429, not, "1"), [2]errs.Kind{"unsound", "full"}, [2]bool{true, false}, false},
+		{"a first run that goes on", answer(409, not, "1"), [2]errs.Kind{"unsound", "conflict"}, [2]bool{true, false}, false},
+		{"another worker's address", answer(421), [2]errs.Kind{"unsound", "unknown"}, [2]bool{true, false}, false},
 		{"a body shorter than it says", deliver.Raw("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Length: 9\r\n\r\nhalf"),
-			[2]mishap.Kind{"cut_short", "cut_short"}, [2]bool{true, true}, false},
+			[2]errs.Kind{"cut_short", "cut_short"}, [2]bool{true, true}, false},
 		{"chunks without an end", deliver.Raw("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
-			[2]mishap.Kind{"cut_short", "cut_short"}, [2]bool{true, true}, false},
+			[2]errs.Kind{"cut_short", "cut_short"}, [2]bool{true, true}, false},
 		{"an answer that tells no length", deliver.Raw("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\nall"),
-			[2]mishap.Kind{"cut_short", "cut_short"}, [2]bool{true, true}, false},
-		{"half a head", deliver.Raw("HTTP/1.1 200 OK\r\nX-Ser"), [2]mishap.Kind{"lost", "lost"}, [2]bool{true, true}, false},
-		{"no answer within the bound", func(http.ResponseWriter, *http.Request) { <-hang }, [2]mishap.Kind{"late", "late"}, [2]bool{true, true}, false},
-		{"nobody there", nil, [2]mishap.Kind{"lost", "lost"}, [2]bool{false, false}, false},
+			[2]errs.Kind{"cut_short", "cut_short"}, [2]bool{true, true}, false},
+		{"half a head", deliver.Raw("HTTP/1.1 200 OK\r\nX-Ser"), [2]errs.Kind{"lost", "lost"}, [2]bool{true, true}, false},
+		{"no answer within the bound", func(http.ResponseWriter, *http.Request) { <-hang }, [2]errs.Kind{"late", "late"}, [2]bool{true, true}, false},
+		{"nobody there", nil, [2]errs.Kind{"lost", "lost"}, [2]bool{false, false}, false},
 	}
 	kept := head.Head{Method: "PUT", Target: "/a%2Fb/../c?d=%20", Host: "x.example", Fields: [][2]string{{whose, "m-1"}}}
 	for i, m := range manners {
@@ -85,7 +85,7 @@
 						So(listener.Close(), ShouldBeNil)
 					}
 					o := deliver.Meet(m.manner, address, kept)
-					So(mishap.Kind(o.Kind), ShouldEqual, c.kinds[i])
+					So(errs.Kind(o.Kind), ShouldEqual, c.kinds[i])
 					So(o.Final, ShouldEqual, c.isFinal)
 					if o.Kind != "" {
 						So(o.Begun, ShouldEqual, c.isBegun[i])
--- a/internal/deliver/moved_test.go
+++ b/internal/deliver/moved_test.go
@@ -9,7 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
 	"caperwheel/internal/wire"
 )
@@ -39,7 +39,7 @@
 				err := a.doers[path.Send](path.Step{}, e)
 				kind := ""
 				if err != nil {
-					kind = string(mishap.KindOf(err))
+					kind = string(errs.KindOf(err))
 				}
 				So(kind, ShouldEqual, c.kind)
 				So(asked.Load() == 1, ShouldEqual, c.kind == "")
--- a/internal/deliver/naming.go
+++ b/internal/deliver/naming.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"strconv"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/web"
 )
 
@@ -57,9 +57,9 @@
 	check = func(reply *web.Reply) error {
 		switch found := naming(reply.Response); {
 		case found == NamesAnother:
-			return mishap.New(mishap.CutShort, "the answer belongs to another message")
+			return errs.New(errs.Truncated, "the answer belongs to another message")
 		case found == NamesNothing && !reply.IsFirst:
-			return mishap.New(mishap.CutShort, "an answer that names no message, on a connection that had another")
+			return errs.New(errs.Truncated, "an answer that names no message, on a connection that had another")
 		}
 		return nil
 	}
--- a/internal/deliver/own.go
+++ b/internal/deliver/own.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/head"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -29,17 +29,17 @@
 		}
 		var o wire.Outcome
 		err := refused(&o, answer)
-		return Judgement{Kind: mishap.KindOf(err), Text: err.Error(), IsBegun: true, IsFinal: o.Final,
+		return Judgement{Kind: errs.KindOf(err), Text: err.Error(), IsBegun: true, IsFinal: o.Final,
 			Wait: time.Duration(o.Wait) * time.Millisecond}
 	},
 	Tell: func(t *wire.Tell) (*http.Request, error) {
 		raw, err := json.Marshal(map[string]any{"id": t.Id, "state": t.State, "answer": t.Answer})
 		if err != nil {
-			return nil, mishap.Wrap(err, mishap.Internal, "word")
+			return nil, errs.Wrap(err, errs.Internal, "word")
 		}
 		out, err := http.NewRequest(http.MethodPost, t.Url, bytes.NewReader(raw))
 		if err != nil {
-			return nil, mishap.Wrap(err, mishap.Invalid, "URL of %s", t.Id)
+			return nil, errs.Wrap(err, errs.Invalid, "URL of %s", t.Id)
 		}
 		out.Header.Set("Content-Type", "application/json")
 		out.Header.Set(messageId, t.Id)
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -9,7 +9,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/duty"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
 	"caperwheel/internal/place"
 	"caperwheel/internal/repair"
@@ -42,10 +42,10 @@
 	if err == nil && a.isLeaving.Load() { // looked at after the book has it: Drain counts it or we see that we leave
 		a.slots.unused(r.worker)
 		a.book.Forget(m)
-		err = mishap.New(mishap.NotOwner, "this adapter is leaving")
+		err = errs.New(errs.NotOwner, "this adapter is leaving")
 	}
 	if err != nil {
-		answer(&wire.RunAck{Kind: string(mishap.KindOf(err))})
+		answer(&wire.RunAck{Kind: string(errs.KindOf(err))})
 		return
 	}
 	answer(&wire.RunAck{})
@@ -76,9 +76,9 @@
 	if err == nil {
 		return o
 	}
-	o.Kind, o.Begun = string(mishap.KindOf(err)), r.isSent.Load()
+	o.Kind, o.Begun = string(errs.KindOf(err)), r.isSent.Load()
 	if pool := rules.Pools[r.Pool]; o.Begun && !pool.Repeats {
-		busy := place.StillBusy(mishap.KindOf(err), r.Key != "", time.Duration(r.Bound)*time.Millisecond, took)
+		busy := place.StillBusy(errs.KindOf(err), r.Key != "", time.Duration(r.Bound)*time.Millisecond, took)
 		o.Wait = max(o.Wait, int64(busy/time.Millisecond))
 	} else if !o.Begun {
 		o.Wait = max(o.Wait, int64(a.d.Bounds.Of(beat.AskHold)/time.Millisecond))
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -13,7 +13,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
 	"caperwheel/internal/place"
 	"caperwheel/internal/web"
@@ -48,16 +48,16 @@
 	return path.Doers[*delivery]{
 		path.Fresh: func(_ path.Step, e *delivery) error {
 			if !a.d.IsFresh() { // also what a thawed daemon meets before its next act
-				return mishap.New(mishap.Stale, "the view is too old to act on")
+				return errs.New(errs.Stale, "the view is too old to act on")
 			}
 			if e.scene = a.scenes.Now(); e.scene.Rules != e.rules { // the steps are those of an older charter
-				return mishap.New(mishap.Stale, "the charter has changed since")
+				return errs.New(errs.Stale, "the charter has changed since")
 			}
 			return nil
 		},
 		path.Allowed: func(s path.Step, e *delivery) error {
 			if !slices.Contains(s.Names, e.run.Pool) {
-				return mishap.New(mishap.Rejected, "lane %s may not use pool %s", e.run.Lane, e.run.Pool)
+				return errs.New(errs.Rejected, "lane %s may not use pool %s", e.run.Lane, e.run.Pool)
 			}
 			return nil
 		},
@@ -65,20 +65,20 @@
 			w, isLive := e.scene.CanServe(e.run.Pool, e.run.Worker)
 			e.run.Bound = e.rules.BoundOf(e.run.Lane, e.run.Pool) // by the charter that is acted on
 			if !isLive || !e.scene.MayWork(a.d.Who.Cell) {
-				return mishap.New(mishap.Rejected, "%s/%s is not live", e.run.Pool, e.run.Worker)
+				return errs.New(errs.Rejected, "%s/%s is not live", e.run.Pool, e.run.Worker)
 			}
 			e.run.address = w.Address
 			return nil
 		},
 		path.Holder: func(_ path.Step, e *delivery) error {
 			if !e.scene.IsHolder(e.run.Pool, e.run.Worker, a.d.Who.Name, a.d.Who.Boot) {
-				return mishap.New(mishap.NotOwner, "the duty of %s/%s has moved on", e.run.Pool, e.run.Worker)
+				return errs.New(errs.NotOwner, "the duty of %s/%s has moved on", e.run.Pool, e.run.Worker)
 			}
 			return nil
 		},
 		path.Whole: func(_ path.Step, e *delivery) error {
 			if wire.SumOf(e.run.Body) != e.run.Sum {
-				return mishap.New(mishap.Broken, "the bytes do not match their checksum")
+				return errs.New(errs.Corrupt, "the bytes do not match their checksum")
 			}
 			return nil
 		},
@@ -86,7 +86,7 @@
 			err := a.send(e)
 			end := "success"
 			if err != nil {
-				end = string(mishap.KindOf(err))
+				end = string(errs.KindOf(err))
 			}
 			ended.WithLabelValues(e.run.Pool, end).Inc()
 			return err
@@ -113,7 +113,7 @@
 	naming := func(answer *http.Response) Naming { return ownNaming(answer, r.Id, r.Attempt) }
 	reply, err := a.ask(ctx, e, req, naming)
 	if err != nil {
-		e.outcome.Final = mishap.Is(err, mishap.TooLarge)
+		e.outcome.Final = errs.Is(err, errs.TooLarge)
 		return err
 	}
 	if reply.StatusCode < 200 || reply.StatusCode > 299 {
@@ -129,7 +129,7 @@
 	r := e.run
 	req, err := http.NewRequest(http.MethodPost, "http://"+r.address+path, bytes.NewReader(r.Body))
 	if err != nil {
-		return nil, mishap.Wrap(err, mishap.Invalid, "request to %s", r.address)
+		return nil, errs.Wrap(err, errs.Invalid, "request to %s", r.address)
 	}
 	fields := map[string]string{messageId: r.Id, attemptNumber: strconv.FormatInt(r.Attempt, 10), "X-Lane": r.Lane,
 		"Idempotency-Key": r.Id, "X-Content-SHA256": r.Sum, "User-Agent": "caperwheel/" + a.d.Who.Name,
@@ -156,7 +156,7 @@
 	e.run.isSent.Store(!web.IsUnsent(err))
 	switch {
 	case err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return nil, mishap.Wrap(err, mishap.Late, "the worker did not answer in time")
+		return nil, errs.Wrap(err, errs.DeadlineExceeded, "the worker did not answer in time")
 	case err != nil:
 		return nil, err
 	}
@@ -171,13 +171,13 @@
 	w, isLive := scene.CanServe(r.Pool, r.Worker)
 	switch {
 	case !isFresh:
-		return mishap.New(mishap.Stale, "the view is too old to act on")
+		return errs.New(errs.Stale, "the view is too old to act on")
 	case scene.Rules != e.rules:
-		return mishap.New(mishap.Stale, "the charter has changed since")
+		return errs.New(errs.Stale, "the charter has changed since")
 	case !isLive || w.Address != r.address || !scene.MayWork(a.d.Who.Cell):
-		return mishap.New(mishap.Rejected, "%s/%s is not live", r.Pool, r.Worker)
+		return errs.New(errs.Rejected, "%s/%s is not live", r.Pool, r.Worker)
 	case !scene.IsHolder(r.Pool, r.Worker, a.d.Who.Name, a.d.Who.Boot):
-		return mishap.New(mishap.NotOwner, "the duty of %s/%s has moved on", r.Pool, r.Worker)
+		return errs.New(errs.NotOwner, "the duty of %s/%s has moved on", r.Pool, r.Worker)
 	}
 	return nil
 }
@@ -191,7 +191,7 @@
 	}
 	if code >= 400 && code < 500 && !slices.Contains([]int{408, 409, 421, 425, 429}, code) {
 		o.Final = true
-		return mishap.New(mishap.Rejected, "the worker answered %d", code)
+		return errs.New(errs.Rejected, "the worker answered %d", code)
 	}
-	return mishap.New(mishap.Unsound, "the worker answered %d", code)
+	return errs.New(errs.Unhealthy, "the worker answered %d", code)
 }
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -7,7 +7,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -58,11 +58,11 @@
 	duty := scene.Duties[pool][worker]
 	if !scene.IsHolder(pool, worker, s.a.d.Who.Name, s.a.d.Who.Boot) {
 		s.drop(key)
-		return nil, mishap.New(mishap.NotOwner, "the duty of %s is not held here", key)
+		return nil, errs.New(errs.NotOwner, "the duty of %s is not held here", key)
 	}
 	w, isLive := scene.CanServe(pool, worker)
 	if !isLive || !scene.MayWork(s.a.d.Who.Cell) {
-		return nil, mishap.New(mishap.Rejected, "%s is not live", key)
+		return nil, errs.New(errs.Rejected, "%s is not live", key)
 	}
 	h, now := s.workers[key], s.a.d.Now()
 	if h == nil || h.address != w.Address || h.term != duty.Term {
@@ -92,7 +92,7 @@
 // want answers an ask for a slot, at once or when one comes free in time.
 func (s *slots) want(m *wire.Want, answer func(any)) {
 	if !s.a.d.IsFresh() || s.a.isLeaving.Load() {
-		answer(&wire.Grant{Kind: string(mishap.Stale), Retry: 200})
+		answer(&wire.Grant{Kind: string(errs.Stale), Retry: 200})
 		return
 	}
 	scene := s.a.scenes.Now()
@@ -100,7 +100,7 @@
 	defer s.mu.Unlock()
 	h, err := s.find(scene, m.Pool, m.Worker)
 	if err != nil {
-		answer(&wire.Grant{Kind: string(mishap.KindOf(err)), Retry: 200})
+		answer(&wire.Grant{Kind: string(errs.KindOf(err)), Retry: 200})
 		return
 	}
 	now := s.a.d.Now()
@@ -121,7 +121,7 @@
 }
 
 func busy(wait time.Duration) *wire.Grant {
-	return &wire.Grant{Kind: string(mishap.Full), Retry: int64(max(wait, 2*time.Millisecond) / time.Millisecond)}
+	return &wire.Grant{Kind: string(errs.Full), Retry: int64(max(wait, 2*time.Millisecond) / time.Millisecond)}
 }
 
 func (s *slots) grant(key string, w *Worker, now time.Duration) *wire.Grant {
@@ -192,7 +192,7 @@
 	defer s.mu.Unlock()
 	p := s.permits[id]
 	if p == nil || p.key != key || s.a.d.Now() > p.until {
-		return nil, mishap.New(mishap.Late, "the permit has lapsed")
+		return nil, errs.New(errs.DeadlineExceeded, "the permit has lapsed")
 	}
 	delete(s.permits, id)
 	return p.worker, nil
--- a/internal/deliver/tell.go
+++ b/internal/deliver/tell.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
@@ -45,12 +45,12 @@
 func (a *Adapter) tell(m *wire.Tell, answer func(any)) {
 	req, err := a.manner.Tell(m)
 	if err != nil {
-		answer(&wire.Told{Kind: string(mishap.KindOf(err))})
+		answer(&wire.Told{Kind: string(errs.KindOf(err))})
 		return
 	}
 	address := req.URL.Host
 	if !a.tellers.enter(address) {
-		answer(&wire.Told{Kind: string(mishap.Full)})
+		answer(&wire.Told{Kind: string(errs.Full)})
 		return
 	}
 	a.pool.Submit(func() {
@@ -64,9 +64,9 @@
 		}
 		out := &wire.Told{}
 		if err != nil {
-			out.Kind = string(mishap.KindOf(err))
+			out.Kind = string(errs.KindOf(err))
 		} else if got.StatusCode != 200 {
-			out.Kind = string(mishap.Rejected)
+			out.Kind = string(errs.Rejected)
 		}
 		answer(out)
 	})
--- a/internal/deliver/telling_test.go
+++ b/internal/deliver/telling_test.go
@@ -9,8 +9,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/deliver"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/head"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -22,19 +22,19 @@
 		receiver http.HandlerFunc
 		url      string // in place of the receiver's
 		others   int
-		kind     mishap.Kind
+		kind     errs.Kind
 	}{
 		{"accepts", answer(200), "", 0, ""},
 		{"accepts, the last that may come at a time", answer(200), "", deliver.MostTellers - 1, ""},
-		{"has as many as may come at a time", answer(200), "", deliver.MostTellers, mishap.Full},
-		{"answers with another success", answer(202), "", 0, mishap.Rejected},
-		{"does not know the message", answer(400), "", 0, mishap.Rejected},
-		{"fails", answer(500), "", 0, mishap.Rejected},
-		{"points elsewhere", answer(302, "Location", "http://127.0.0.1:1/"), "", 0, mishap.Rejected},
-		{"answers half", deliver.Raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), "", 0, mishap.CutShort},
-		{"hangs up", deliver.Raw(""), "", 0, mishap.Lost},
-		{"is not there", answer(200), "http://127.0.0.1:1/x", 0, mishap.Lost},
-		{"is no URL", answer(200), "http://a b/", 0, mishap.Invalid},
+		{"has as many as may come at a time", answer(200), "", deliver.MostTellers, errs.Full},
+		{"answers with another success", answer(202), "", 0, errs.Rejected},
+		{"does not know the message", answer(400), "", 0, errs.Rejected},
+		{"fails", answer(500), "", 0, errs.Rejected},
+		{"points elsewhere", answer(302, "Location", "http://127.0.0.1:1/"), "", 0, errs.Rejected},
+		{"answers half", deliver.Raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), "", 0, errs.Truncated},
+		{"hangs up", deliver.Raw(""), "", 0, errs.Lost},
+		{"is not there", answer(200), "http://127.0.0.1:1/x", 0, errs.Lost},
+		{"is no URL", answer(200), "http://a b/", 0, errs.Invalid},
 	}
 	kept := head.Head{Method: "POST", Target: "/a", Host: "x.example", Fields: [][2]string{{"X-Attempt-Id", "m-1"}}}
 	for _, m := range manners {
@@ -52,7 +52,7 @@
 					if c.url != "" {
 						word.Url = c.url
 					}
-					So(mishap.Kind(deliver.Tell(m.manner, word, c.others).Kind), ShouldEqual, c.kind)
+					So(errs.Kind(deliver.Tell(m.manner, word, c.others).Kind), ShouldEqual, c.kind)
 					if c.kind == "" {
 						So(<-got, ShouldStartWith, "POST /done?x {")
 					}
--- a/internal/deliver/worker_test.go
+++ b/internal/deliver/worker_test.go
@@ -7,7 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -112,11 +112,11 @@
 	open := func(term int64) *wire.Open { return &wire.Open{Place: 1, Term: term, Id: "x", Attempt: 1} }
 	Convey("Given an adapter's book", t, func() {
 		b := NewBook(2)
-		kind := func(err error) mishap.Kind {
+		kind := func(err error) errs.Kind {
 			if err == nil {
 				return ""
 			}
-			return mishap.KindOf(err)
+			return errs.KindOf(err)
 		}
 		Convey("a run in hand is told to be open, also in a later term", func() {
 			So(b.Admit(run(3)), ShouldBeNil)
@@ -124,18 +124,18 @@
 		})
 		Convey("a run told never to start never starts, whatever arrives later", func() {
 			So(b.Open(open(4), 0).State, ShouldEqual, "never")
-			So(kind(b.Admit(run(4))), ShouldEqual, mishap.Rejected)
+			So(kind(b.Admit(run(4))), ShouldEqual, errs.Rejected)
 		})
 		Convey("an older term is refused", func() {
 			So(b.Open(&wire.Open{Place: 1, Term: 5, Id: "y"}, 0).State, ShouldEqual, "never")
-			So(kind(b.Admit(run(4))), ShouldEqual, mishap.Stale)
+			So(kind(b.Admit(run(4))), ShouldEqual, errs.Stale)
 			So(b.Open(open(4), 0).Kind, ShouldEqual, "stale")
 		})
 		Convey("the same run is not taken twice, nor more than it can carry", func() {
 			So(b.Admit(run(3)), ShouldBeNil)
-			So(kind(b.Admit(run(3))), ShouldEqual, mishap.Conflict)
+			So(kind(b.Admit(run(3))), ShouldEqual, errs.Conflict)
 			So(b.Admit(&wire.Run{Id: "y"}), ShouldBeNil)
-			So(kind(b.Admit(&wire.Run{Id: "z"})), ShouldEqual, mishap.Full)
+			So(kind(b.Admit(&wire.Run{Id: "z"})), ShouldEqual, errs.Full)
 			b.Forget(run(3))
 			So(b.Admit(&wire.Run{Id: "z"}), ShouldBeNil)
 		})
--- a/internal/deliver/wrongrun_test.go
+++ b/internal/deliver/wrongrun_test.go
@@ -13,8 +13,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/deliver"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/head"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 	"caperwheel/platform"
 )
@@ -49,23 +49,23 @@
 	cases := []struct {
 		name string
 		exchange
-		kinds [2]mishap.Kind // of the runs
-		proof string         // of the second run, if it is a success
-		conns int64          // used by three runs
+		kinds [2]errs.Kind // of the runs
+		proof string       // of the second run, if it is a success
+		conns int64        // used by three runs
 	}{
-		{"each repeats its run's id", exchange{answerOf(200, "one", "ID1"), answerOf(200, "two", "ID2")}, [2]mishap.Kind{}, "two", 1},
-		{"the first one's comes again", exchange{answerOf(200, "one", "ID1"), answerOf(200, "one", "ID1")}, [2]mishap.Kind{"", "cut_short"}, "", 2},
+		{"each repeats its run's id", exchange{answerOf(200, "one", "ID1"), answerOf(200, "two", "ID2")}, [2]errs.Kind{}, "two", 1},
+		{"the first one's comes again", exchange{answerOf(200, "one", "ID1"), answerOf(200, "one", "ID1")}, [2]errs.Kind{"", "cut_short"}, "", 2},
 		{"the first one's comes again, and then its own", exchange{answerOf(200, "one", "ID1"),
-			answerOf(200, "one", "ID1") + answerOf(200, "two", "ID2")}, [2]mishap.Kind{"", "cut_short"}, "", 2},
+			answerOf(200, "one", "ID1") + answerOf(200, "two", "ID2")}, [2]errs.Kind{"", "cut_short"}, "", 2},
 		{"its own comes with a second one", exchange{answerOf(200, "one", "ID1"),
-			answerOf(200, "two", "ID2") + answerOf(200, "one", "ID1")}, [2]mishap.Kind{}, "two", 2},
-		{"a refusal of the first one comes", exchange{answerOf(200, "one", "ID1"), answerOf(422, "no", "ID1")}, [2]mishap.Kind{"", "cut_short"}, "", 2},
+			answerOf(200, "two", "ID2") + answerOf(200, "one", "ID1")}, [2]errs.Kind{}, "two", 2},
+		{"a refusal of the first one comes", exchange{answerOf(200, "one", "ID1"), answerOf(422, "no", "ID1")}, [2]errs.Kind{"", "cut_short"}, "", 2},
 		{"one comes that repeats no id, after one that did", exchange{answerOf(200, "one", "ID1"), answerOf(200, "old")},
-			[2]mishap.Kind{"", "cut_short"}, "", 2},
+			[2]errs.Kind{"", "cut_short"}, "", 2},
 		{"one comes that repeats two", exchange{answerOf(200, "one", "ID1"), answerOf(200, "old", "ID2", "ID1")},
-			[2]mishap.Kind{"", "cut_short"}, "", 2},
-		{"none repeats an id", exchange{answerOf(200, "one"), answerOf(200, "two")}, [2]mishap.Kind{}, "two", 3},
-		{"the first is another run's", exchange{answerOf(200, "one", "ID2"), answerOf(200, "two", "ID2")}, [2]mishap.Kind{"cut_short", ""}, "two", 2},
+			[2]errs.Kind{"", "cut_short"}, "", 2},
+		{"none repeats an id", exchange{answerOf(200, "one"), answerOf(200, "two")}, [2]errs.Kind{}, "two", 3},
+		{"the first is another run's", exchange{answerOf(200, "one", "ID2"), answerOf(200, "two", "ID2")}, [2]errs.Kind{"cut_short", ""}, "two", 2},
 	}
 	for _, way := range ways {
 		Convey("Of the answers to "+way.name, t, func() {
@@ -79,8 +79,8 @@
 						return meet(id, kept, way.isLane)
 					}
 					one, two := run("0-1"), run("0-2")
-					So(mishap.Kind(one.Kind), ShouldEqual, c.kinds[0])
-					So(mishap.Kind(two.Kind), ShouldEqual, c.kinds[1])
+					So(errs.Kind(one.Kind), ShouldEqual, c.kinds[0])
+					So(errs.Kind(two.Kind), ShouldEqual, c.kinds[1])
 					So(two.Kind == "" || two.Begun, ShouldBeTrue)
 					So(two.Final, ShouldBeFalse)
 					So(string(two.Proof.Answer), ShouldEqual, c.proof)
@@ -97,12 +97,12 @@
 func TestWrongWord(t *testing.T) {
 	cases := []struct {
 		name, first, second string
-		kind                mishap.Kind // of the second word
-		conns               int64       // used by three words
+		kind                errs.Kind // of the second word
+		conns               int64     // used by three words
 	}{
 		{"each repeats its word's id", answerOf(200, "", "X-Message-Id: 0-1"), answerOf(200, "", "X-Message-Id: 0-2"), "", 1},
-		{"the first one's comes again", answerOf(200, "", "X-Message-Id: 0-1"), answerOf(200, "", "X-Message-Id: 0-1"), mishap.CutShort, 2},
-		{"one comes that repeats no id, after one that did", answerOf(200, "", "X-Message-Id: 0-1"), answerOf(200, ""), mishap.CutShort, 2},
+		{"the first one's comes again", answerOf(200, "", "X-Message-Id: 0-1"), answerOf(200, "", "X-Message-Id: 0-1"), errs.Truncated, 2},
+		{"one comes that repeats no id, after one that did", answerOf(200, "", "X-Message-Id: 0-1"), answerOf(200, ""), errs.Truncated, 2},
 		{"none repeats an id", answerOf(200, ""), answerOf(200, ""), "", 3},
 	}
 	Convey("Of the answers to words of ends", t, func() {
@@ -110,8 +110,8 @@
 			Convey(c.name, func() {
 				address, accepted := scripted(c.first, c.second, answerOf(200, "", "X-Message-Id: 0-2"))
 				tell := deliver.Telling(deliver.Own)
-				word := func(id string) mishap.Kind {
-					return mishap.Kind(tell(&wire.Tell{Id: id, Url: "http://" + address + "/", State: "ended"}).Kind)
+				word := func(id string) errs.Kind {
+					return errs.Kind(tell(&wire.Tell{Id: id, Url: "http://" + address + "/", State: "ended"}).Kind)
 				}
 				So(word("0-1"), ShouldBeEmpty)
 				So(word("0-2"), ShouldEqual, c.kind)
--- a/internal/feed/orders.go
+++ b/internal/feed/orders.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -90,14 +90,14 @@
 
 // fate tells what became of an order: the stamp that it made, or Unknown if it
 // was never taken, or Stale if it may have been so long ago that it is forgotten.
-func (p *Part) fate(order string, base int64) (stamp int64, kind mishap.Kind) {
+func (p *Part) fate(order string, base int64) (stamp int64, kind errs.Kind) {
 	if one, isTaken := p.known(order); isTaken {
 		return one.Stamp, ""
 	}
 	if base <= p.orders.floor {
-		return 0, mishap.Stale
+		return 0, errs.Stale
 	}
-	return 0, mishap.Unknown
+	return 0, errs.Unknown
 }
 
 func (p *Part) known(order string) (taken, bool) {
@@ -119,7 +119,7 @@
 		return e.IfStamp < p.calls.floor
 	}
 	_, kind := p.fate(e.Order, e.Base)
-	return kind == mishap.Stale
+	return kind == errs.Stale
 }
 
 // age tells how long before a moment of part time a change was made, in
@@ -150,7 +150,7 @@
 	}
 	c, isKnown := p.Get(key)
 	if !isKnown {
-		return wire.Pulled{Kind: string(mishap.Unknown), Change: wire.Change{Value: []byte{}}}
+		return wire.Pulled{Kind: string(errs.Unknown), Change: wire.Change{Value: []byte{}}}
 	}
 	return wire.Pulled{Change: c, Age: p.age(c, now)}
 }
--- a/internal/feed/orders_test.go
+++ b/internal/feed/orders_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -47,7 +47,7 @@
 					So(again(p, fmt.Sprint(i), int64(i-1)), ShouldResemble, wire.Edited{Stamp: int64(i), IsAgain: true})
 				}
 				So(p.Stamp(), ShouldEqual, mostOrders)
-				So(mishap.Kind(again(p, "rival", 3).Kind), ShouldEqual, mishap.Conflict)
+				So(errs.Kind(again(p, "rival", 3).Kind), ShouldEqual, errs.Conflict)
 			})
 			Convey("those that are forgotten get no clear answer, "+how, func() {
 				chain(p, mostOrders, mostOrders+10)
@@ -55,11 +55,11 @@
 					p = restored(p)
 				}
 				for i := 1; i <= 10; i++ {
-					So(mishap.Kind(again(p, fmt.Sprint(i), int64(i-1)).Kind), ShouldEqual, mishap.Stale)
+					So(errs.Kind(again(p, fmt.Sprint(i), int64(i-1)).Kind), ShouldEqual, errs.Stale)
 				}
 				So(again(p, "11", 10), ShouldResemble, wire.Edited{Stamp: 11, IsAgain: true})
-				So(mishap.Kind(again(p, "rival", 9).Kind), ShouldEqual, mishap.Stale)
-				So(mishap.Kind(again(p, "rival", 10).Kind), ShouldEqual, mishap.Conflict)
+				So(errs.Kind(again(p, "rival", 9).Kind), ShouldEqual, errs.Stale)
+				So(errs.Kind(again(p, "rival", 10).Kind), ShouldEqual, errs.Conflict)
 				So(len(p.orders.byId), ShouldEqual, mostOrders)
 			})
 		}
@@ -67,12 +67,12 @@
 			chain(p, mostOrders, mostOrders+1)
 			read := func(name string, base int64) []any {
 				got := p.Read(OrderKey(name, base), 0)
-				return []any{mishap.Kind(got.Kind), got.Change.Stamp}
+				return []any{errs.Kind(got.Kind), got.Change.Stamp}
 			}
-			So(read("7", 6), ShouldResemble, []any{mishap.Kind(""), int64(7)})
-			So(read("1", 0), ShouldResemble, []any{mishap.Stale, int64(0)})
-			So(read("rival", 6), ShouldResemble, []any{mishap.Unknown, int64(0)})
-			So(read("a/b", 6), ShouldResemble, []any{mishap.Unknown, int64(0)})
+			So(read("7", 6), ShouldResemble, []any{errs.Kind(""), int64(7)})
+			So(read("1", 0), ShouldResemble, []any{errs.Stale, int64(0)})
+			So(read("rival", 6), ShouldResemble, []any{errs.Unknown, int64(0)})
+			So(read("a/b", 6), ShouldResemble, []any{errs.Unknown, int64(0)})
 		})
 	})
 	Convey("What an older build remembered is taken over, and what it forgot gets no clear answer", t, func() {
@@ -82,8 +82,8 @@
 		for _, name := range []string{"a", "b", "c"} {
 			So(again(p, name, 5), ShouldResemble, wire.Edited{Stamp: 2, IsAgain: true})
 		}
-		So(mishap.Kind(again(p, "older", 5).Kind), ShouldEqual, mishap.Stale)
-		So(mishap.Kind(again(p, "rival", 7).Kind), ShouldEqual, mishap.Conflict)
+		So(errs.Kind(again(p, "older", 5).Kind), ShouldEqual, errs.Stale)
+		So(errs.Kind(again(p, "rival", 7).Kind), ShouldEqual, errs.Conflict)
 	})
 }
 
@@ -114,8 +114,8 @@
 			for i := range mostCalls + 1 {
 				p.Apply(call(fmt.Sprint("later ", i), -1))
 			}
-			So(mishap.Kind(p.Apply(call("second", 1)).Kind), ShouldEqual, mishap.Stale)
-			So(mishap.Kind(p.Apply(call("rival", 5)).Kind), ShouldEqual, mishap.Conflict)
+			So(errs.Kind(p.Apply(call("second", 1)).Kind), ShouldEqual, errs.Stale)
+			So(errs.Kind(p.Apply(call("rival", 5)).Kind), ShouldEqual, errs.Conflict)
 			So(p.Apply(call("newest", int64(mostCalls)+3)).Kind, ShouldBeEmpty)
 		})
 	})
--- a/internal/feed/part.go
+++ b/internal/feed/part.go
@@ -7,7 +7,7 @@
 	"maps"
 	"slices"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -74,10 +74,10 @@
 		stamp = was.Stamp
 	}
 	if e.IfStamp >= 0 && stamp != e.IfStamp && p.mayBeForgotten(e) {
-		return wire.Edited{Kind: string(mishap.Stale), Text: "whether " + e.Key + " was changed so before is forgotten", Stamp: stamp}
+		return wire.Edited{Kind: string(errs.Stale), Text: "whether " + e.Key + " was changed so before is forgotten", Stamp: stamp}
 	}
 	if e.IfStamp >= 0 && stamp != e.IfStamp {
-		return wire.Edited{Kind: string(mishap.Conflict), Text: e.Key + " has changed since", Stamp: stamp}
+		return wire.Edited{Kind: string(errs.Conflict), Text: e.Key + " has changed since", Stamp: stamp}
 	}
 	p.stamp++
 	p.trail.put(wire.Change{Key: e.Key, Value: e.Value, Stamp: p.stamp, Gone: e.Gone, By: e.By})
--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/manager"
-	"caperwheel/internal/mishap"
 )
 
 // Api drives the operators' API as an operator would.
@@ -26,18 +26,18 @@
 func Do(ctx context.Context, method, url, ifMatch string, body []byte) (int, http.Header, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, nil, mishap.Wrap(err, mishap.Internal, "request")
+		return 0, nil, nil, errs.Wrap(err, errs.Internal, "request")
 	}
 	if ifMatch != "" {
 		req.Header.Set("If-Match", ifMatch)
 	}
 	resp, err := apiClient.Do(req)
 	if err != nil {
-		return 0, nil, nil, mishap.Wrap(err, mishap.Lost, "%s %s", method, url)
+		return 0, nil, nil, errs.Wrap(err, errs.Lost, "%s %s", method, url)
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, resp.Header, raw, mishap.Wrap(err, mishap.CutShort, "%s %s", method, url)
+	return resp.StatusCode, resp.Header, raw, errs.Wrap(err, errs.Truncated, "%s %s", method, url)
 }
 
 // try repeats work by turns over the managers until it holds or ctx ends.
@@ -67,11 +67,11 @@
 			return err
 		}
 		if code != 200 {
-			return mishap.New(mishap.Unsound, "GET %s: %d", path, code)
+			return errs.New(errs.Unhealthy, "GET %s: %d", path, code)
 		}
 		code, _, raw, err := Do(ctx, "PUT", manager+path, head.Get("ETag"), body)
 		if err == nil && code != 200 {
-			err = mishap.New(mishap.Unsound, "PUT %s: %d %s", path, code, raw)
+			err = errs.New(errs.Unhealthy, "PUT %s: %d %s", path, code, raw)
 		}
 		return err
 	})
@@ -98,7 +98,7 @@
 	return a.try(ctx, func(manager string) error {
 		code, _, raw, err := Do(ctx, "POST", manager+path, "", nil)
 		if err == nil && code != 200 {
-			err = mishap.New(mishap.Unsound, "POST %s: %d %s", path, code, raw)
+			err = errs.New(errs.Unhealthy, "POST %s: %d %s", path, code, raw)
 		}
 		return err
 	})
@@ -110,9 +110,9 @@
 	m := a.f.Managers[turn%len(a.f.Managers)]
 	code, _, raw, err := Do(ctx, "GET", "http://"+m.Http+"/v1/status", "", nil)
 	if err != nil || code != 200 {
-		return out, mishap.New(mishap.Unsound, "status of %s: %d", m.Name, code)
+		return out, errs.New(errs.Unhealthy, "status of %s: %d", m.Name, code)
 	}
-	return out, mishap.Wrap(json.Unmarshal(raw, &out), mishap.Broken, "status")
+	return out, errs.Wrap(json.Unmarshal(raw, &out), errs.Corrupt, "status")
 }
 
 // Ready waits until all adapters are ready, and every worker has a holder.
@@ -124,7 +124,7 @@
 		}
 		pause(ctx, 100*time.Millisecond)
 	}
-	return mishap.New(mishap.Late, "the fleet does not get ready: %s", why)
+	return errs.New(errs.DeadlineExceeded, "the fleet does not get ready: %s", why)
 }
 
 func (a *Api) unready(ctx context.Context, turn int) string {
--- a/internal/fleet/deploy.go
+++ b/internal/fleet/deploy.go
@@ -11,7 +11,7 @@
 
 	"caperwheel/internal/charter"
 	"caperwheel/internal/check"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/settings"
 )
 
@@ -82,13 +82,13 @@
 	var plan Plan
 	doc, err := os.ReadFile(charterFile)
 	if err != nil {
-		return plan, nil, mishap.Wrap(err, mishap.Invalid, "charter file")
+		return plan, nil, errs.Wrap(err, errs.Invalid, "charter file")
 	}
 	raw, err := os.ReadFile(strings.TrimSuffix(charterFile, ".json") + ".fleet.json")
 	if err != nil {
-		return plan, nil, mishap.Wrap(err, mishap.Invalid, "plan beside the charter")
+		return plan, nil, errs.Wrap(err, errs.Invalid, "plan beside the charter")
 	}
-	return plan, doc, mishap.Wrap(json.Unmarshal(raw, &plan), mishap.Invalid, "plan")
+	return plan, doc, errs.Wrap(json.Unmarshal(raw, &plan), errs.Invalid, "plan")
 }
 
 // New lays a deployment out: processes and back ends, nothing started yet but
@@ -107,7 +107,7 @@
 func (f *Fleet) layBackends(doc []byte) error {
 	rules, faults := charter.Compile(doc)
 	if len(faults) > 0 {
-		return mishap.New(mishap.Invalid, "charter: %v", faults)
+		return errs.New(errs.Invalid, "charter: %v", faults)
 	}
 	for pool, p := range rules.Pools {
 		spec := f.Plan.Workers[pool]
@@ -125,7 +125,7 @@
 			}
 			b, err := NewBackend(pool, name, cell, time.Duration(spec.WorkMs)*time.Millisecond, f.History, f.Now)
 			if err != nil {
-				return mishap.Wrap(err, mishap.Internal, "back end")
+				return errs.Wrap(err, errs.Internal, "back end")
 			}
 			f.Backends[b.Key()] = b
 			f.History.Cells[b.Key()] = cell
@@ -148,7 +148,7 @@
 
 func (f *Fleet) layDaemons(bin string) error {
 	if err := os.MkdirAll(filepath.Join(f.Dir, "log"), 0o755); err != nil {
-		return mishap.Wrap(err, mishap.Internal, "log folder")
+		return errs.Wrap(err, errs.Internal, "log folder")
 	}
 	lay := func(kind, name, cell string) (*Process, error) {
 		addr, err := FreePort()
@@ -204,7 +204,7 @@
 		}
 		p.file = filepath.Join(f.Dir, p.Name+".json")
 		if err := os.WriteFile(p.file, set.Sparse(), 0o644); err != nil {
-			return mishap.Wrap(err, mishap.Internal, "settings of %s", p.Name)
+			return errs.Wrap(err, errs.Internal, "settings of %s", p.Name)
 		}
 	}
 	f.api = &Api{f: f}
--- a/internal/fleet/edits.go
+++ b/internal/fleet/edits.go
@@ -12,7 +12,7 @@
 
 	"caperwheel/internal/charter"
 	"caperwheel/internal/check"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // edits remembers the newest charter that was acknowledged.
@@ -28,11 +28,11 @@
 	return a.try(ctx, func(manager string) error {
 		code, head, _, err := Do(ctx, "GET", manager+path, "", nil)
 		if err != nil || code != 200 {
-			return mishap.New(mishap.Unsound, "GET %s: %d %v", path, code, err)
+			return errs.New(errs.Unhealthy, "GET %s: %d %v", path, code, err)
 		}
 		code, _, raw, err := Do(ctx, "PATCH", manager+path, head.Get("ETag"), patch.Encode())
 		if err == nil && code != 200 {
-			err = mishap.New(mishap.Unsound, "PATCH %s: %d %s", path, code, raw)
+			err = errs.New(errs.Unhealthy, "PATCH %s: %d %s", path, code, raw)
 		}
 		return err
 	})
@@ -61,7 +61,7 @@
 	err = f.api.try(ctx, func(manager string) error {
 		code, head, raw, err := Do(ctx, "GET", manager+"/v1/charter", "", nil)
 		if err == nil && code != 200 {
-			err = mishap.New(mishap.Unsound, "GET charter: %d", code)
+			err = errs.New(errs.Unhealthy, "GET charter: %d", code)
 		}
 		etag, doc = head.Get("ETag"), raw
 		return err
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"caperwheel/internal/check"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Step is one fault of a schedule, or its end.
@@ -38,19 +38,19 @@
 	var out Schedule
 	raw, err := os.ReadFile(file)
 	if err != nil {
-		return out, mishap.Wrap(err, mishap.Invalid, "schedule")
+		return out, errs.Wrap(err, errs.Invalid, "schedule")
 	}
 	if err := json.Unmarshal(raw, &out); err != nil {
-		return out, mishap.Wrap(err, mishap.Invalid, "schedule")
+		return out, errs.Wrap(err, errs.Invalid, "schedule")
 	}
 	for i, s := range out.Steps {
 		for _, text := range []string{s.At, s.For} {
 			if _, err := time.ParseDuration(text); text != "" && err != nil {
-				return out, mishap.Wrap(err, mishap.Invalid, "step %d", i)
+				return out, errs.Wrap(err, errs.Invalid, "step %d", i)
 			}
 		}
 		if !isKnown(s.Do) {
-			return out, mishap.New(mishap.Invalid, "step %d: no fault is called %q", i, s.Do)
+			return out, errs.New(errs.Invalid, "step %d: no fault is called %q", i, s.Do)
 		}
 	}
 	return out, nil
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Process is one daemon of the fleet.
@@ -61,7 +61,7 @@
 			return addr, nil
 		}
 	}
-	return "", mishap.New(mishap.Internal, "no free port")
+	return "", errs.New(errs.Internal, "no free port")
 }
 
 // Build compiles the product's programs into a folder, from their sources.
@@ -76,7 +76,7 @@
 	cmd := exec.CommandContext(ctx, "go", args...)
 	cmd.Dir = root
 	out, err := cmd.CombinedOutput()
-	return mishap.Wrap(err, mishap.Internal, "go build: %s", out)
+	return errs.Wrap(err, errs.Internal, "go build: %s", out)
 }
 
 // Start begins the process, again if it has ended.
@@ -88,7 +88,7 @@
 	}
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Internal, "log of %s", p.Name)
+		return errs.Wrap(err, errs.Internal, "log of %s", p.Name)
 	}
 	defer log.Close()
 	args := p.args
@@ -102,7 +102,7 @@
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
-		return mishap.Wrap(err, mishap.Internal, "start %s", p.Name)
+		return errs.Wrap(err, errs.Internal, "start %s", p.Name)
 	}
 	done := make(chan struct{})
 	p.cmd, p.done = cmd, done
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -56,7 +56,7 @@
 	}
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
-		return "", mishap.Wrap(err, mishap.Internal, "relay")
+		return "", errs.Wrap(err, errs.Internal, "relay")
 	}
 	go func() {
 		for {
--- a/internal/fleet/settle.go
+++ b/internal/fleet/settle.go
@@ -9,8 +9,8 @@
 	"github.com/alitto/pond/v2"
 
 	"caperwheel/internal/check"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/intake"
-	"caperwheel/internal/mishap"
 )
 
 // Settle asks for every message that was told taken, or whose fate is open,
@@ -46,7 +46,7 @@
 		}
 	}
 	if len(open) > 0 {
-		return mishap.New(mishap.Late, "%d messages are not over, such as %s", len(open), open[0].Id)
+		return errs.New(errs.DeadlineExceeded, "%d messages are not over, such as %s", len(open), open[0].Id)
 	}
 	return nil
 }
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -7,7 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -102,18 +102,18 @@
 		g.Tick(beat.Default.Charter)
 		So(g.View().Role, ShouldEqual, Owner)
 		_, err := g.ChangeRoster(Change{Learn: "b/0"}, 0)
-		So(mishap.Is(err, mishap.Conflict), ShouldBeTrue) // its own term has no commit yet
+		So(errs.Is(err, errs.Conflict), ShouldBeTrue) // its own term has no commit yet
 		g.Synced(1, 1, 0)
 		_, err = g.ChangeRoster(Change{Learn: "b/0"}, 0)
 		So(err, ShouldBeNil)
 		cases := []struct {
 			name   string
 			change Change
-			kind   mishap.Kind
+			kind   errs.Kind
 		}{
-			{"a second change under way", Change{Learn: "c/0"}, mishap.Conflict},
-			{"a learner that is behind", Change{Promote: "b/0"}, mishap.Conflict},
-			{"the last voter", Change{Drop: "a/0"}, mishap.Rejected},
+			{"a second change under way", Change{Learn: "c/0"}, errs.Conflict},
+			{"a learner that is behind", Change{Promote: "b/0"}, errs.Conflict},
+			{"the last voter", Change{Drop: "a/0"}, errs.Rejected},
 		}
 		for i, c := range cases {
 			Convey("it refuses "+c.name, func() {
@@ -121,7 +121,7 @@
 					g.Synced(2, 1, 0)
 				}
 				_, err := g.ChangeRoster(c.change, 0)
-				So(mishap.KindOf(err), ShouldEqual, c.kind)
+				So(errs.KindOf(err), ShouldEqual, c.kind)
 			})
 		}
 	})
--- a/internal/group/roster.go
+++ b/internal/group/roster.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -41,10 +41,10 @@
 func (g *Group) ChangeRoster(c Change, now time.Duration) (Out, error) {
 	out := Out{}
 	if g.role != Owner {
-		return out, mishap.New(mishap.NotOwner, "group %d", g.opts.Id)
+		return out, errs.New(errs.NotOwner, "group %d", g.opts.Id)
 	}
 	if g.rosts[len(g.rosts)-1].index > g.hard.Commit || g.hard.Commit < g.blankAt {
-		return out, mishap.New(mishap.Conflict, "a roster change of group %d is under way", g.opts.Id)
+		return out, errs.New(errs.Conflict, "a roster change of group %d is under way", g.opts.Id)
 	}
 	next := slices.Clone(g.roster())
 	switch {
@@ -55,14 +55,14 @@
 	case c.Drop != "" && (slices.Contains(next, c.Drop) || slices.Contains(next, learner+c.Drop)):
 		next = slices.DeleteFunc(next, func(m string) bool { return strings.TrimPrefix(m, learner) == c.Drop })
 		if len(Voters(next)) == 0 {
-			return out, mishap.New(mishap.Rejected, "group %d would have no voter left", g.opts.Id)
+			return out, errs.New(errs.Rejected, "group %d would have no voter left", g.opts.Id)
 		}
 	default:
-		return out, mishap.New(mishap.Conflict, "change %+v does not fit roster %v", c, next)
+		return out, errs.New(errs.Conflict, "change %+v does not fit roster %v", c, next)
 	}
 	data, err := json.Marshal(next)
 	if err != nil {
-		return out, mishap.Wrap(err, mishap.Internal, "roster")
+		return out, errs.Wrap(err, errs.Internal, "roster")
 	}
 	g.append(wire.Entry{Kind: EntryRoster, Data: data}, &out)
 	g.spread(now, &out)
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -7,7 +7,7 @@
 	"net/url"
 	"strings"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Head of a request. Fields stand in the order in which they are to be sent.
@@ -60,13 +60,13 @@
 	lines := strings.Split(strings.TrimSuffix(string(raw), "\n"), "\n")
 	method, target, isLine := strings.Cut(lines[0], " ")
 	if !isLine || len(lines) < 2 {
-		return Head{}, mishap.New(mishap.Broken, "a head of %d bytes cannot be read", len(raw))
+		return Head{}, errs.New(errs.Corrupt, "a head of %d bytes cannot be read", len(raw))
 	}
 	out := Head{Method: method, Target: target, Host: lines[1]}
 	for _, line := range lines[2:] {
 		name, value, isField := strings.Cut(line, ":")
 		if !isField {
-			return Head{}, mishap.New(mishap.Broken, "a head's field cannot be read")
+			return Head{}, errs.New(errs.Corrupt, "a head's field cannot be read")
 		}
 		out.Fields = append(out.Fields, [2]string{name, value})
 	}
--- a/internal/host/apply.go
+++ b/internal/host/apply.go
@@ -4,8 +4,8 @@
 	"maps"
 	"slices"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -26,7 +26,7 @@
 			if w.term == e.Term {
 				w.tell(verdict, nil)
 			} else { // another entry took its place: it can never be committed
-				w.tell(nil, mishap.New(mishap.NotOwner, "group %d", h.opts.Id))
+				w.tell(nil, errs.New(errs.NotOwner, "group %d", h.opts.Id))
 			}
 		}
 	}
@@ -48,7 +48,7 @@
 		orphans := h.waiters
 		h.waiters, h.begun = map[int64]waiter{}, nil
 		for _, index := range slices.Sorted(maps.Keys(orphans)) {
-			orphans[index].tell(nil, mishap.New(mishap.Undecided, "group %d changes hands", h.opts.Id))
+			orphans[index].tell(nil, errs.New(errs.Undecided, "group %d changes hands", h.opts.Id))
 		}
 	}
 	h.opts.Machine.Owned(isOwner)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"caperwheel/internal/beat"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/slot"
 	"caperwheel/internal/wire"
@@ -165,7 +165,7 @@
 	case h.ring <- work:
 		return nil
 	default:
-		return mishap.New(mishap.Full, "group %d has %d events waiting", h.opts.Id, cap(h.ring))
+		return errs.New(errs.Full, "group %d has %d events waiting", h.opts.Id, cap(h.ring))
 	}
 }
 
--- a/internal/host/propose.go
+++ b/internal/host/propose.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 type waiter struct {
@@ -21,12 +21,12 @@
 // Undecided that a new owner decides.
 func (h *Host) Propose(data []byte, tell func(verdict any, err error)) {
 	if !h.isOwner {
-		tell(nil, mishap.New(mishap.NotOwner, "group %d", h.opts.Id))
+		tell(nil, errs.New(errs.NotOwner, "group %d", h.opts.Id))
 		return
 	}
 	index, term, out, isOwner := h.machine.Propose(data, h.opts.Now())
 	if !isOwner {
-		tell(nil, mishap.New(mishap.NotOwner, "group %d", h.opts.Id))
+		tell(nil, errs.New(errs.NotOwner, "group %d", h.opts.Id))
 		return
 	}
 	h.waiters[index] = waiter{term, tell}
--- a/internal/intake/ask.go
+++ b/internal/intake/ask.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
@@ -22,7 +22,7 @@
 	Key      string `json:"ordering_key,omitempty"`
 	State    string `json:"state"`
 	Attempts int64  `json:"attempts"`
-	Cause    string `json:"cause,omitempty"` // of the newest mishap
+	Cause    string `json:"cause,omitempty"` // of the newest error
 	Sum      string `json:"sha256,omitempty"`
 	Parent   string `json:"parent,omitempty"`
 	Callback string `json:"callback,omitempty"`
@@ -52,7 +52,7 @@
 	}
 	wait, err := time.ParseDuration(text)
 	if err != nil || wait < 0 || wait > mostWait {
-		return 0, mishap.New(mishap.Invalid, "wait must be a duration up to %v", mostWait)
+		return 0, errs.New(errs.Invalid, "wait must be a duration up to %v", mostWait)
 	}
 	return wait, nil
 }
@@ -61,13 +61,13 @@
 func (in *Intake) Look(ctx context.Context, id string, isWithBody bool) (*wire.Sight, error) {
 	s, err := in.look(ctx, id, isWithBody, 0)
 	if err == nil && isWithBody && isDropped(s) {
-		return nil, mishap.New(mishap.Unknown, "the bytes went with the success")
+		return nil, errs.New(errs.Unknown, "the bytes went with the success")
 	}
 	if err == nil && isWithBody && s.State == string(place.Tomb) {
-		return nil, mishap.New(mishap.Unknown, "the message was not taken")
+		return nil, errs.New(errs.Unknown, "the message was not taken")
 	}
 	if err == nil && isWithBody && wire.SumOf(s.Body) != s.Sum {
-		return nil, mishap.New(mishap.Broken, "the bytes do not match their checksum")
+		return nil, errs.New(errs.Corrupt, "the bytes do not match their checksum")
 	}
 	return s, err
 }
@@ -88,11 +88,11 @@
 	reply, err := in.reach.Group(ctx, wire.PlaceGroup+number, &wire.Look{Place: number, Id: id, Body: isWithBody,
 		Wait: int64(wait / time.Millisecond)}, isOwner)
 	if err != nil {
-		return nil, mishap.New(mishap.Lost, "the message's place cannot be reached")
+		return nil, errs.New(errs.Lost, "the message's place cannot be reached")
 	}
 	s := reply.(*wire.Sight)
 	if s.Kind != "" {
-		return nil, mishap.New(mishap.Kind(s.Kind), "message %s", id)
+		return nil, errs.New(errs.Kind(s.Kind), "message %s", id)
 	}
 	return s, nil
 }
@@ -161,11 +161,11 @@
 		return
 	}
 	s, err := in.await(r.Context(), r.PathValue("id"), wait)
-	if mishap.Is(err, mishap.Unknown) && r.URL.Query().Get("settle") == "true" {
+	if errs.Is(err, errs.Unknown) && r.URL.Query().Get("settle") == "true" {
 		s, err = in.settleById(r.Context(), r.PathValue("id"))
 	}
-	if mishap.Is(err, mishap.Unknown) {
-		web.Reject(w, 404, web.Problem{Error: mishap.Unknown, Text: err.Error(), More: map[string]string{"state": "unknown"}}, 0)
+	if errs.Is(err, errs.Unknown) {
+		web.Reject(w, 404, web.Problem{Error: errs.Unknown, Text: err.Error(), More: map[string]string{"state": "unknown"}}, 0)
 		return
 	}
 	if err != nil {
@@ -186,10 +186,10 @@
 	defer cancel()
 	reply, err := in.reach.Group(ctx, wire.PlaceGroup+number, &wire.Settle{Place: number, Id: id}, isOwner)
 	if err != nil {
-		return nil, mishap.New(mishap.Lost, "the message's place cannot be reached")
+		return nil, errs.New(errs.Lost, "the message's place cannot be reached")
 	}
-	if kind := mishap.Kind(reply.(*wire.Taken).Kind); kind != "" && kind != mishap.Rejected {
-		return nil, mishap.New(kind, "the message cannot be settled now")
+	if kind := errs.Kind(reply.(*wire.Taken).Kind); kind != "" && kind != errs.Rejected {
+		return nil, errs.New(kind, "the message cannot be settled now")
 	}
 	return in.look(ctx, id, false, 0)
 }
@@ -199,7 +199,7 @@
 	text, rest, isWhole := strings.Cut(id, "-")
 	number, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || !isWhole || rest == "" || len(id) > mostKey || number < 0 || number >= int64(in.d.Settings.Places) {
-		return 0, mishap.New(mishap.Unknown, "no message has such an id")
+		return 0, errs.New(errs.Unknown, "no message has such an id")
 	}
 	return number, nil
 }
--- a/internal/intake/hold.go
+++ b/internal/intake/hold.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -35,7 +35,7 @@
 		defer cancel()
 		ask := &wire.Settle{Place: e.take.Place, Id: e.take.Id, Lane: e.lane.Name}
 		if reply, err := in.reach.Group(ctx, wire.PlaceGroup+e.take.Place, ask, isOwner); err == nil {
-			if e.taken = reply.(*wire.Taken); e.taken.Kind == string(mishap.Rejected) {
+			if e.taken = reply.(*wire.Taken); e.taken.Kind == string(errs.Rejected) {
 				return cause
 			}
 			if e.taken.Kind == "" {
@@ -67,7 +67,7 @@
 			return nil
 		case isOpen:
 			return in.undecided(e)
-		case isLast || ctx.Err() != nil || e.taken != nil && e.taken.Kind != string(mishap.Full):
+		case isLast || ctx.Err() != nil || e.taken != nil && e.taken.Kind != string(errs.Full):
 			return cause
 		}
 		in.putPlace(e)
@@ -80,16 +80,16 @@
 	e.taken = nil
 	reply, isOpen, err := owners.Ask(ctx, wire.PlaceGroup+e.take.Place, &e.take, isOwner)
 	if err != nil {
-		return false, isOpen, mishap.New(mishap.NotOwner, "the message's place cannot be reached")
+		return false, isOpen, errs.New(errs.NotOwner, "the message's place cannot be reached")
 	}
 	e.taken = reply.(*wire.Taken)
-	if e.taken.Kind == "" || !isOpen || e.taken.Kind == string(mishap.Rejected) {
+	if e.taken.Kind == "" || !isOpen || e.taken.Kind == string(errs.Rejected) {
 		return e.taken.Kind == "", false, nil
 	}
-	return false, true, mishap.New(mishap.Kind(e.taken.Kind), "%s", e.taken.Text) // but an earlier ask may be held yet
+	return false, true, errs.New(errs.Kind(e.taken.Kind), "%s", e.taken.Text) // but an earlier ask may be held yet
 }
 
 func (in *Intake) undecided(e *errand) error {
 	e.isOpen = true
-	return mishap.New(mishap.Undecided, "whether the message is held is not known yet; ask for it by id")
+	return errs.New(errs.Undecided, "whether the message is held is not known yet; ask for it by id")
 }
--- a/internal/intake/hold_test.go
+++ b/internal/intake/hold_test.go
@@ -7,11 +7,11 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
-// turns answers each ask in turn: a kind of mishap, "held", "" for no owner, or
+// turns answers each ask in turn: a kind of error, "held", "" for no owner, or
 // "open" for an ask of which nobody knows what became.
 type turns struct {
 	say    []string
@@ -27,9 +27,9 @@
 	}
 	switch say {
 	case "":
-		return nil, false, mishap.New(mishap.NotOwner, "no owner")
+		return nil, false, errs.New(errs.NotOwner, "no owner")
 	case "open":
-		return nil, true, mishap.New(mishap.Undecided, "no answer")
+		return nil, true, errs.New(errs.Undecided, "no answer")
 	case "held":
 		return &wire.Taken{Id: t.Id, State: "held"}, false, nil
 	}
@@ -37,7 +37,7 @@
 }
 
 func (s *turns) Group(context.Context, int64, any, func(any) (bool, string)) (any, error) {
-	return nil, mishap.New(mishap.Undecided, "not asked in these cases")
+	return nil, errs.New(errs.Undecided, "not asked in these cases")
 }
 
 // TestHoldQuickly: callers were once held to the end of their time for a place
@@ -47,18 +47,18 @@
 		name   string
 		key    string
 		say    []string
-		kind   mishap.Kind // of the word; empty: held
+		kind   errs.Kind // of the word; empty: held
 		isOpen bool
 		asks   int
 	}{
 		{"the first place holds it", "", []string{"held"}, "", false, 1},
 		{"a place without an owner is passed over", "", []string{"", "held"}, "", false, 2},
 		{"a full place is passed over", "", []string{"full", "held"}, "", false, 2},
-		{"no place has an owner: it never will run", "", nil, mishap.NotOwner, false, mostPlaces},
-		{"a keyed message has one place", "k", []string{"", "held"}, mishap.NotOwner, false, 1},
+		{"no place has an owner: it never will run", "", nil, errs.NotOwner, false, mostPlaces},
+		{"a keyed message has one place", "k", []string{"", "held"}, errs.NotOwner, false, 1},
 		{"an ask in the dark is asked again at its own place, and no other", "", []string{"open", "held"}, "", false, 2},
-		{"one that stays in the dark is no promise", "", []string{"open", "open"}, mishap.Undecided, true, 2},
-		{"a lane that is gone is the last word", "", []string{"unknown"}, mishap.Unknown, false, 1},
+		{"one that stays in the dark is no promise", "", []string{"open", "open"}, errs.Undecided, true, 2},
+		{"a lane that is gone is the last word", "", []string{"unknown"}, errs.Unknown, false, 1},
 	}
 	Convey("Of a caller that does not wait long,", t, func() {
 		for _, c := range cases {
@@ -69,11 +69,11 @@
 				e := &errand{ctx: context.Background(), cutoff: time.Minute, take: wire.Take{Lane: "l", Key: c.key}}
 				in.putPlace(e)
 				err := in.hold(e)
-				kind := mishap.Kind("")
+				kind := errs.Kind("")
 				if err != nil {
-					kind = mishap.KindOf(err)
+					kind = errs.KindOf(err)
 				} else {
-					kind = mishap.Kind(e.taken.Kind)
+					kind = errs.Kind(e.taken.Kind)
 				}
 				So(kind, ShouldEqual, c.kind)
 				So(e.isOpen, ShouldEqual, c.isOpen)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -13,7 +13,7 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/web"
@@ -67,28 +67,28 @@
 	in.doers = path.Doers[*errand]{
 		path.Fresh: func(_ path.Step, e *errand) error {
 			if !d.IsFresh() {
-				return mishap.New(mishap.Stale, "this adapter has lost touch with the control plane")
+				return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
 			}
 			if scenes.Now().Rules != e.scene.Rules {
-				return mishap.New(mishap.Stale, "the charter has changed meanwhile")
+				return errs.New(errs.Stale, "the charter has changed meanwhile")
 			}
 			return nil
 		},
 		path.Size: func(s path.Step, e *errand) error {
 			if int64(len(e.take.Body)) > s.Number {
-				return mishap.New(mishap.TooLarge, "body of %d bytes, limit %d", len(e.take.Body), s.Number)
+				return errs.New(errs.TooLarge, "body of %d bytes, limit %d", len(e.take.Body), s.Number)
 			}
 			return nil
 		},
 		path.Keyed: func(_ path.Step, e *errand) error {
 			if e.take.Key == "" {
-				return mishap.New(mishap.Invalid, "lane %s is ordered and needs an Ordering-Key", e.lane.Name)
+				return errs.New(errs.Invalid, "lane %s is ordered and needs an Ordering-Key", e.lane.Name)
 			}
 			return nil
 		},
 		path.Keyless: func(_ path.Step, e *errand) error {
 			if e.take.Key != "" {
-				return mishap.New(mishap.Invalid, "lane %s is not ordered and takes no Ordering-Key", e.lane.Name)
+				return errs.New(errs.Invalid, "lane %s is not ordered and takes no Ordering-Key", e.lane.Name)
 			}
 			return nil
 		},
@@ -148,10 +148,10 @@
 func isOwner(reply any) (bool, string) {
 	switch m := reply.(type) {
 	case *wire.Taken:
-		isIt := m.Kind != string(mishap.NotOwner) && m.Kind != string(mishap.Undecided)
+		isIt := m.Kind != string(errs.NotOwner) && m.Kind != string(errs.Undecided)
 		return isIt, m.Owner
 	case *wire.Sight:
-		return m.Kind != string(mishap.NotOwner), m.Owner
+		return m.Kind != string(errs.NotOwner), m.Owner
 	}
 	return false, ""
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -14,8 +14,8 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
 	"caperwheel/internal/session"
 	"caperwheel/internal/settings"
@@ -37,15 +37,15 @@
 	case s.take != nil:
 		return s.take, s.isOpen, nil
 	case s.isOpen:
-		return nil, true, mishap.New(mishap.Undecided, "no answer")
+		return nil, true, errs.New(errs.Undecided, "no answer")
 	}
-	return nil, false, mishap.New(mishap.NotOwner, "no owner")
+	return nil, false, errs.New(errs.NotOwner, "no owner")
 }
 
 func (s *stand) Group(context.Context, int64, any, func(any) (bool, string)) (any, error) {
 	s.settles++
 	if s.settle == nil {
-		return nil, mishap.New(mishap.Undecided, "no answer")
+		return nil, errs.New(errs.Undecided, "no answer")
 	}
 	return s.settle, nil
 }
@@ -64,7 +64,7 @@
 // said of a message that some send of it may have had held: once, a repeated
 // idempotency key met a stale adapter and was told so while its message ran.
 func TestRetold(t *testing.T) {
-	kind := func(k mishap.Kind) *wire.Taken { return &wire.Taken{Kind: string(k), Retry: 7000} }
+	kind := func(k errs.Kind) *wire.Taken { return &wire.Taken{Kind: string(k), Retry: 7000} }
 	held := &wire.Taken{State: "held", Id: "1-x"}
 	cases := []struct {
 		name    string
@@ -78,21 +78,21 @@
 		settles int
 	}{
 		{"a message that is held", "l", "", "b", stand{take: held}, 202, true, "", 0},
-		{"one that the owner rejects", "l", "", "b", stand{take: kind(mishap.Full)}, 429, false, "7", 0},
+		{"one that the owner rejects", "l", "", "b", stand{take: kind(errs.Full)}, 429, false, "7", 0},
 		{"one that the owner rejects after an ask that may have been held, settled as never", "l", "", "b",
-			stand{take: kind(mishap.Full), isOpen: true, settle: kind(mishap.Rejected)}, 429, false, "7", 1},
-		{"… settled as held", "l", "", "b", stand{take: kind(mishap.Full), isOpen: true, settle: held}, 202, true, "", 1},
-		{"… not settled", "l", "", "b", stand{take: kind(mishap.Full), isOpen: true}, 504, "undecided", "", 1},
+			stand{take: kind(errs.Full), isOpen: true, settle: kind(errs.Rejected)}, 429, false, "7", 1},
+		{"… settled as held", "l", "", "b", stand{take: kind(errs.Full), isOpen: true, settle: held}, 202, true, "", 1},
+		{"… not settled", "l", "", "b", stand{take: kind(errs.Full), isOpen: true}, 504, "undecided", "", 1},
 		{"one that met no owner", "l", "", "b", stand{}, 503, false, "1", 0},
-		{"one whose answer was lost, settled as never", "l", "", "b", stand{isOpen: true, settle: kind(mishap.Rejected)}, 503, false, "", 1},
+		{"one whose answer was lost, settled as never", "l", "", "b", stand{isOpen: true, settle: kind(errs.Rejected)}, 503, false, "", 1},
 		{"too large a body", "l", "", "0123456789", stand{}, 413, false, "", 0},
 		{"no such lane", "x", "", "b", stand{}, 404, false, "", 0},
 		{"a key whose message is held", "l", "i", "b", stand{take: held}, 202, true, "", 0},
-		{"a key that the owner rejects", "l", "i", "b", stand{take: kind(mishap.Full)}, 429, "undecided", "7", 0},
+		{"a key that the owner rejects", "l", "i", "b", stand{take: kind(errs.Full)}, 429, "undecided", "7", 0},
 		{"a key that met no owner", "l", "i", "b", stand{}, 503, "undecided", "1", 0},
 		{"a key whose answer was lost", "l", "i", "b", stand{isOpen: true}, 504, "undecided", "2", 0},
-		{"a key settled as never", "l", "i", "b", stand{take: kind(mishap.Rejected)}, 409, false, "7", 0},
-		{"a key with other bytes", "l", "i", "b", stand{take: kind(mishap.Conflict)}, 409, false, "7", 0},
+		{"a key settled as never", "l", "i", "b", stand{take: kind(errs.Rejected)}, 409, false, "7", 0},
+		{"a key with other bytes", "l", "i", "b", stand{take: kind(errs.Conflict)}, 409, false, "7", 0},
 		{"a key with too large a body", "l", "i", "0123456789", stand{}, 413, "undecided", "", 0},
 		{"a key on a lane that is gone", "x", "i", "b", stand{}, 404, "undecided", "", 0},
 	}
@@ -144,6 +144,6 @@
 		in := intakeOn(&stand{})
 		e := &errand{scene: in.scenes.Now()}
 		in.d.View.Take([]wire.PartNews{{From: 7, To: 8, Changes: []wire.Change{{Key: charter.Key, Stamp: 8, Value: []byte(`{}`)}}}}, in.d.Now())
-		So(mishap.Is(in.doers[path.Fresh](path.Step{}, e), mishap.Stale), ShouldBeTrue)
+		So(errs.Is(in.doers[path.Fresh](path.Step{}, e), errs.Stale), ShouldBeTrue)
 	})
 }
--- a/internal/intake/manner.go
+++ b/internal/intake/manner.go
@@ -6,8 +6,8 @@
 
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/head"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/path"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
@@ -28,7 +28,7 @@
 // Invariant: IsOpen is false only if the message is held or never will run.
 type Word struct {
 	Id     string
-	Kind   mishap.Kind
+	Kind   errs.Kind
 	Text   string
 	IsOpen bool
 	Retry  time.Duration // when to come back; 0 for at once or never
@@ -46,14 +46,14 @@
 		e := &errand{ctx: r.Context()}
 		err := in.takeAsItIs(r, e, manner)
 		if err == nil && e.taken.Kind != "" {
-			err = mishap.New(mishap.Kind(e.taken.Kind), "%s", e.taken.Text)
+			err = errs.New(errs.Kind(e.taken.Kind), "%s", e.taken.Text)
 		}
 		if err == nil {
 			countIntake(e, "taken")
 			manner.Tell(w, Word{Id: e.taken.Id})
 			return
 		}
-		kind := mishap.KindOf(err)
+		kind := errs.KindOf(err)
 		countIntake(e, string(kind))
 		manner.Tell(w, Word{Id: e.take.Id, Kind: kind, Text: err.Error(), IsOpen: e.isOpen, Retry: in.retry(kind, e)})
 	}
@@ -62,7 +62,7 @@
 func (in *Intake) takeAsItIs(r *http.Request, e *errand, manner Manner) error {
 	if n := in.inHand.Add(1); n > int64(in.d.Settings.Most) {
 		in.inHand.Add(-1)
-		return mishap.New(mishap.Full, "the adapter has %d messages in hand", n-1)
+		return errs.New(errs.Full, "the adapter has %d messages in hand", n-1)
 	}
 	defer in.inHand.Add(-1)
 	if err := in.findWay(e, r); err != nil {
@@ -105,9 +105,9 @@
 	}
 	switch {
 	case !isFresh:
-		return mishap.New(mishap.Stale, "this adapter has lost touch with the control plane")
+		return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
 	case !isFound:
-		return mishap.New(mishap.Unknown, "no lane takes %s", r.URL.Path)
+		return errs.New(errs.Unknown, "no lane takes %s", r.URL.Path)
 	}
 	e.lane = lane
 	return nil
@@ -118,12 +118,12 @@
 	Read: func(r *http.Request) (Arrival, error) {
 		out := Arrival{Head: head.Of(r, "Content-Type", "Ordering-Key"), Key: r.Header.Get("Ordering-Key"), Notify: r.Header.Get("Notify-Url")}
 		if len(out.Key) > mostKey {
-			return out, mishap.New(mishap.Invalid, "keys may have %d bytes at most", mostKey)
+			return out, errs.New(errs.Invalid, "keys may have %d bytes at most", mostKey)
 		}
 		if text := r.Header.Get("Not-Before"); text != "" {
 			delay, err := time.ParseDuration(text)
 			if err != nil || delay < 0 {
-				return out, mishap.New(mishap.Invalid, "Not-Before must be a duration")
+				return out, errs.New(errs.Invalid, "Not-Before must be a duration")
 			}
 			out.Delay = delay
 		}
--- a/internal/intake/manners_test.go
+++ b/internal/intake/manners_test.go
@@ -9,9 +9,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/head"
 	"caperwheel/internal/intake"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 	"caperwheel/platform"
 )
@@ -27,7 +27,7 @@
 // TestManners is the table of what every manner must have in common: only what
 // never runs is told with a promise (408, 421, 429, 503), and at once.
 func TestManners(t *testing.T) {
-	kind := func(k mishap.Kind) *wire.Taken { return &wire.Taken{Kind: string(k), Retry: 7000} }
+	kind := func(k errs.Kind) *wire.Taken { return &wire.Taken{Kind: string(k), Retry: 7000} }
 	held := &wire.Taken{State: "held", Id: "1-x"}
 	cases := []struct {
 		name   string
@@ -43,14 +43,14 @@
 		{"a stale adapter", "/a/b", "body", intake.Scenery{Take: held, Most: 9, IsStale: true}, [2]int{503, 503}},
 		{"a stale adapter, on a path that it does not know", "/b/", "body", intake.Scenery{Take: held, Most: 9, IsStale: true}, [2]int{503, 503}},
 		{"a full adapter", "/a/b", "body", intake.Scenery{Take: held}, [2]int{429, 429}},
-		{"a full place", "/a/b", "body", intake.Scenery{Take: kind(mishap.Full), Most: 9}, [2]int{429, 429}},
-		{"a full disk", "/a/b", "body", intake.Scenery{Take: kind(mishap.DiskFull), Most: 9}, [2]int{507, 503}},
+		{"a full place", "/a/b", "body", intake.Scenery{Take: kind(errs.Full), Most: 9}, [2]int{429, 429}},
+		{"a full disk", "/a/b", "body", intake.Scenery{Take: kind(errs.DiskFull), Most: 9}, [2]int{507, 503}},
 		{"no owner", "/a/b", "body", intake.Scenery{Most: 9}, [2]int{503, 503}},
 		{"a full place after an ask that may be held, settled as never", "/a/b", "body",
-			intake.Scenery{Take: kind(mishap.Full), IsOpen: true, Settle: kind(mishap.Rejected), Most: 9}, [2]int{429, 429}},
-		{"… settled as held", "/a/b", "body", intake.Scenery{Take: kind(mishap.Full), IsOpen: true, Settle: held, Most: 9}, [2]int{202, 202}},
-		{"… not settled", "/a/b", "body", intake.Scenery{Take: kind(mishap.Full), IsOpen: true, Most: 9}, [2]int{504, 504}},
-		{"a lost answer, settled as never", "/a/b", "body", intake.Scenery{IsOpen: true, Settle: kind(mishap.Rejected), Most: 9}, [2]int{503, 503}},
+			intake.Scenery{Take: kind(errs.Full), IsOpen: true, Settle: kind(errs.Rejected), Most: 9}, [2]int{429, 429}},
+		{"… settled as held", "/a/b", "body", intake.Scenery{Take: kind(errs.Full), IsOpen: true, Settle: held, Most: 9}, [2]int{202, 202}},
+		{"… not settled", "/a/b", "body", intake.Scenery{Take: kind(errs.Full), IsOpen: true, Most: 9}, [2]int{504, 504}},
+		{"a lost answer, settled as never", "/a/b", "body", intake.Scenery{IsOpen: true, Settle: kind(errs.Rejected), Most: 9}, [2]int{503, 503}},
 		{"a lost answer, not settled", "/a/b", "body", intake.Scenery{IsOpen: true, Most: 9}, [2]int{504, 504}},
 	}
 	for i, m := range manners {
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -9,7 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
@@ -34,7 +34,7 @@
 func (in *Intake) post(w http.ResponseWriter, r *http.Request) {
 	if n := in.inHand.Add(1); n > int64(in.d.Settings.Most) {
 		in.inHand.Add(-1)
-		in.reject(w, mishap.New(mishap.Full, "the adapter has %d messages in hand", n-1), &errand{isOpen: r.Header.Get("Idempotency-Key") != ""})
+		in.reject(w, errs.New(errs.Full, "the adapter has %d messages in hand", n-1), &errand{isOpen: r.Header.Get("Idempotency-Key") != ""})
 		return
 	}
 	defer in.inHand.Add(-1)
@@ -48,7 +48,7 @@
 		return
 	}
 	if e.taken.Kind != "" {
-		in.reject(w, mishap.New(mishap.Kind(e.taken.Kind), "%s", e.taken.Text), e)
+		in.reject(w, errs.New(errs.Kind(e.taken.Kind), "%s", e.taken.Text), e)
 		return
 	}
 	countIntake(e, "taken")
@@ -59,14 +59,14 @@
 func (in *Intake) read(r *http.Request, e *errand) error {
 	key, idem, ctype := r.Header.Get("Ordering-Key"), r.Header.Get("Idempotency-Key"), r.Header.Get("Content-Type")
 	if len(key) > mostKey || len(idem) > mostKey {
-		return mishap.New(mishap.Invalid, "keys may have %d bytes at most", mostKey)
+		return errs.New(errs.Invalid, "keys may have %d bytes at most", mostKey)
 	}
 	if len(ctype) > mostKey {
-		return mishap.New(mishap.Invalid, "the Content-Type is too long")
+		return errs.New(errs.Invalid, "the Content-Type is too long")
 	}
 	for name := range r.URL.Query() {
 		if name != "wait" {
-			return mishap.New(mishap.Invalid, "unknown parameter %s", name)
+			return errs.New(errs.Invalid, "unknown parameter %s", name)
 		}
 	}
 	if _, err := waitOf(r); err != nil {
@@ -85,7 +85,7 @@
 		return err
 	}
 	if strings.HasPrefix(ctype, "application/json") && !isJson(body) {
-		return mishap.New(mishap.Invalid, "the body says that it is JSON and is not")
+		return errs.New(errs.Invalid, "the body says that it is JSON and is not")
 	}
 	e.take.Body, e.take.Sum = body, wire.SumOf(body)
 	return in.findLane(e) // a body may take long to come
@@ -98,23 +98,23 @@
 	lane, isKnown := e.scene.Rules.Lanes[e.take.Lane]
 	if !isKnown {
 		if !isFresh {
-			return mishap.New(mishap.Stale, "this adapter has lost touch with the control plane")
+			return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
 		}
-		return mishap.New(mishap.Unknown, "no lane %s", e.take.Lane)
+		return errs.New(errs.Unknown, "no lane %s", e.take.Lane)
 	}
 	e.lane, e.take.Cutoff = lane, int64(lane.Patience/time.Millisecond)
 	return nil
 }
 
-// isSettled: of a message with an idempotency key, only these mishaps say that
+// isSettled: of a message with an idempotency key, only these errors say that
 // no send of it was or will be held: what it is made of, and its place's word.
-func isSettled(kind mishap.Kind) bool {
-	return kind == mishap.Invalid || kind == mishap.Rejected || kind == mishap.Conflict
+func isSettled(kind errs.Kind) bool {
+	return kind == errs.Invalid || kind == errs.Rejected || kind == errs.Conflict
 }
 
 // reject answers a message that is not held, or not known to be.
 func (in *Intake) reject(w http.ResponseWriter, err error, e *errand) {
-	kind := mishap.KindOf(err)
+	kind := errs.KindOf(err)
 	p := web.Problem{Error: kind, Text: err.Error(), Taken: false}
 	if e.isOpen && !isSettled(kind) {
 		p.Taken = "undecided"
@@ -123,27 +123,27 @@
 		p.Id = e.take.Id
 	}
 	countIntake(e, string(kind))
-	if kind != mishap.Stale { // then no charter was in use
+	if kind != errs.Stale { // then no charter was in use
 		stampOf(w, e)
 	}
 	web.Reject(w, web.CodeOf(kind), p, in.retry(kind, e))
 }
 
 // retry tells when to come back, from what is known of the cause.
-func (in *Intake) retry(kind mishap.Kind, e *errand) time.Duration {
+func (in *Intake) retry(kind errs.Kind, e *errand) time.Duration {
 	if e.taken != nil && e.taken.Retry > 0 {
 		return time.Duration(e.taken.Retry) * time.Millisecond
 	}
 	switch kind {
-	case mishap.NotOwner: // a place has a new owner after this long
+	case errs.NotOwner: // a place has a new owner after this long
 		return in.d.Bounds.Of(beat.Silence + beat.SilenceSpan)
-	case mishap.Undecided:
+	case errs.Undecided:
 		return in.d.Bounds.Of(beat.Settle)
-	case mishap.Stale, mishap.Lost: // a session is found again within this
+	case errs.Stale, errs.Lost: // a session is found again within this
 		return in.d.Bounds.Of(beat.Vote)
-	case mishap.DiskFull:
+	case errs.DiskFull:
 		return 10 * in.d.Bounds.Charter
-	case mishap.Full:
+	case errs.Full:
 		return in.d.Bounds.Of(beat.Permit)
 	}
 	return 0
--- a/internal/manager/api.go
+++ b/internal/manager/api.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
@@ -43,11 +43,11 @@
 		return 0, nil
 	}
 	if text == "" {
-		return 0, mishap.New(mishap.Missing, "give the stamp that the change is based on, in If-Match")
+		return 0, errs.New(errs.Missing, "give the stamp that the change is based on, in If-Match")
 	}
 	stamp, err := strconv.ParseInt(strings.Trim(text, `"`), 10, 64)
 	if err != nil || stamp < 0 {
-		return 0, mishap.New(mishap.Invalid, "If-Match must be a stamp")
+		return 0, errs.New(errs.Invalid, "If-Match must be a stamp")
 	}
 	return stamp, nil
 }
@@ -66,8 +66,8 @@
 
 // failEdit answers for an edit that does not hold, or may not.
 func failEdit(w http.ResponseWriter, err error) {
-	if mishap.Is(err, mishap.Conflict) {
-		web.Reject(w, 412, web.Problem{Error: mishap.Conflict, Text: "another change came first: " + err.Error()}, 0)
+	if errs.Is(err, errs.Conflict) {
+		web.Reject(w, 412, web.Problem{Error: errs.Conflict, Text: "another change came first: " + err.Error()}, 0)
 		return
 	}
 	web.Fail(w, err)
@@ -109,12 +109,12 @@
 	}
 	isCheck := r.URL.Query().Get("check") == "true"
 	got, err := m.operators.Propose(r.Context(), Proposal{By: operator(r), OnStamp: stamp, IsCheck: isCheck, Make: make})
-	var known *mishap.Mishap
+	var known *errs.Error
 	switch {
 	case len(got.Faults) > 0:
-		web.Reject(w, 422, web.Problem{Error: mishap.Invalid, Text: "the charter has faults", More: got.Faults}, 0)
-	case mishap.Is(err, mishap.Conflict) && errors.As(err, &known):
-		web.Reject(w, 412, web.Problem{Error: mishap.Conflict, Text: known.Text}, 0)
+		web.Reject(w, 422, web.Problem{Error: errs.Invalid, Text: "the charter has faults", More: got.Faults}, 0)
+	case errs.Is(err, errs.Conflict) && errors.As(err, &known):
+		web.Reject(w, 412, web.Problem{Error: errs.Conflict, Text: known.Text}, 0)
 	case err != nil:
 		web.Fail(w, err)
 	case isCheck:
@@ -133,7 +133,7 @@
 	}
 	var past []wire.Change
 	if err := json.Unmarshal(c.Value, &past); err != nil {
-		web.Fail(w, mishap.Wrap(err, mishap.Broken, "history"))
+		web.Fail(w, errs.Wrap(err, errs.Corrupt, "history"))
 		return
 	}
 	out := []map[string]any{}
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -12,8 +12,8 @@
 	"caperwheel/internal/charter"
 	"caperwheel/internal/deliver"
 	"caperwheel/internal/duty"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -99,7 +99,7 @@
 	}
 	started := time.Now()
 	if _, err := m.edit(ctx, e); err != nil {
-		if !mishap.Is(err, mishap.Conflict) {
+		if !errs.Is(err, errs.Conflict) {
 			klog.Warningf("duty: %s/%s cannot be assigned after %v: %v.", change.Pool, change.Worker, time.Since(started), err)
 		}
 		return
--- a/internal/manager/edit.go
+++ b/internal/manager/edit.go
@@ -6,7 +6,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/daemon"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -30,29 +30,29 @@
 	for isOpen := false; ; { // whether a try may have had an effect that nobody told of
 		reply, wasOpen, err := m.reach.Ask(ctx, e.Part, &e, func(reply any) (bool, string) {
 			got, isEdited := reply.(*wire.Edited)
-			return isEdited && got.Kind != string(mishap.NotOwner) && got.Kind != string(mishap.Undecided), ""
+			return isEdited && got.Kind != string(errs.NotOwner) && got.Kind != string(errs.Undecided), ""
 		})
 		isOpen = isOpen || wasOpen
 		switch {
 		case err != nil && isOpen:
 			return 0, undecided()
 		case err != nil:
-			return 0, mishap.New(mishap.NotOwner, "part %d has no owner now; nothing was changed", e.Part)
+			return 0, errs.New(errs.NotOwner, "part %d has no owner now; nothing was changed", e.Part)
 		}
 		got := reply.(*wire.Edited)
-		switch mishap.Kind(got.Kind) {
+		switch errs.Kind(got.Kind) {
 		case "":
 			return got.Stamp, nil
-		case mishap.Stale:
+		case errs.Stale:
 			return 0, undecided()
-		case mishap.Conflict:
+		case errs.Conflict:
 			return m.lost(ctx, e, got)
 		}
 		if beat.Wait(ctx, m.d.Bounds.Of(beat.Seek)); ctx.Err() != nil {
 			if isOpen {
 				return 0, undecided()
 			}
-			return 0, mishap.New(mishap.Kind(got.Kind), "part %d takes no change now", e.Part)
+			return 0, errs.New(errs.Kind(got.Kind), "part %d takes no change now", e.Part)
 		}
 	}
 }
@@ -65,14 +65,14 @@
 	switch {
 	case err == nil && now.By == e.By:
 		return now.Stamp, nil
-	case err != nil && !mishap.Is(err, mishap.Unknown):
+	case err != nil && !errs.Is(err, errs.Unknown):
 		return 0, undecided()
 	}
-	return 0, mishap.New(mishap.Conflict, "%s", got.Text)
+	return 0, errs.New(errs.Conflict, "%s", got.Text)
 }
 
 func undecided() error {
-	return mishap.New(mishap.Undecided, "the change may or may not hold; read it back")
+	return errs.New(errs.Undecided, "the change may or may not hold; read it back")
 }
 
 // pull reads a key through a majority.
@@ -87,14 +87,14 @@
 	defer cancel()
 	reply, err := m.reach.Group(ctx, part, &wire.Pull{Part: part, Key: key}, func(reply any) (bool, string) {
 		got, isPulled := reply.(*wire.Pulled)
-		return isPulled && got.Kind != string(mishap.NotOwner) && got.Kind != string(mishap.Late), ""
+		return isPulled && got.Kind != string(errs.NotOwner) && got.Kind != string(errs.DeadlineExceeded), ""
 	})
 	if err != nil {
-		return wire.Pulled{}, mishap.New(mishap.Lost, "part %d cannot be read now", part)
+		return wire.Pulled{}, errs.New(errs.Lost, "part %d cannot be read now", part)
 	}
 	got := reply.(*wire.Pulled)
 	if got.Kind != "" {
-		return wire.Pulled{}, mishap.New(mishap.Kind(got.Kind), "%s", key)
+		return wire.Pulled{}, errs.New(errs.Kind(got.Kind), "%s", key)
 	}
 	return *got, nil
 }
--- a/internal/manager/evacuations.go
+++ b/internal/manager/evacuations.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -72,7 +72,7 @@
 	for range mostRaces {
 		var got wire.Pulled
 		got, err = o.m.read(ctx, feed.CharterPart, charter.CellKey+cell)
-		if err != nil && !mishap.Is(err, mishap.Unknown) {
+		if err != nil && !errs.Is(err, errs.Unknown) {
 			return 0, err
 		}
 		was := standing{got.Change.Stamp, charter.ReadMark(got.Change.Value), ageOf(got)}
@@ -81,7 +81,7 @@
 			return was.stamp, nil
 		}
 		stamp, err = o.mark(ctx, by, charter.CellKey+cell, mark, was.stamp)
-		if !mishap.Is(err, mishap.Conflict) {
+		if !errs.Is(err, errs.Conflict) {
 			return stamp, err
 		}
 	}
--- a/internal/manager/histories_test.go
+++ b/internal/manager/histories_test.go
@@ -14,9 +14,9 @@
 	"github.com/tidwall/gjson"
 
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/linearize"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/wire"
 )
@@ -37,7 +37,7 @@
 func (r *rough) call(_ context.Context, _ string, ask any) (any, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lost := mishap.New(mishap.Lost, "session")
+	lost := errs.New(errs.Lost, "session")
 	if r.turns > 0 && r.draw.IntN(r.turns) == 0 {
 		r.dark = 900
 	}
@@ -75,7 +75,7 @@
 		case 0:
 			return nil, lost
 		case 1:
-			return &wire.Edited{Kind: string(mishap.Undecided)}, nil
+			return &wire.Edited{Kind: string(errs.Undecided)}, nil
 		}
 		return &got, nil
 	}
@@ -102,7 +102,7 @@
 		switch {
 		case err == nil:
 			o.Outcome = linearize.Confirmed
-		case mishap.Is(err, mishap.Conflict), mishap.Is(err, mishap.Invalid):
+		case errs.Is(err, errs.Conflict), errs.Is(err, errs.Invalid):
 			o.Outcome = linearize.Refused
 		}
 		out = append(out, o)
--- a/internal/manager/lately_test.go
+++ b/internal/manager/lately_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -19,12 +19,12 @@
 		name  string
 		ago   time.Duration // since a fifth store was last here, in bounds
 		calls []string
-		kind  mishap.Kind
+		kind  errs.Kind
 	}{
-		{"its own, soon", 4, []string{"s9"}, mishap.Stale},
-		{"its own, when it is forgotten", storesKept + 1, []string{"s9"}, mishap.Unknown},
-		{"a second one, while it may come back", 4, []string{"s1", "s2"}, mishap.Stale},
-		{"a second one, when it is forgotten", storesKept + 1, []string{"s1", "s2"}, mishap.Rejected},
+		{"its own, soon", 4, []string{"s9"}, errs.Stale},
+		{"its own, when it is forgotten", storesKept + 1, []string{"s9"}, errs.Unknown},
+		{"a second one, while it may come back", 4, []string{"s1", "s2"}, errs.Stale},
+		{"a second one, when it is forgotten", storesKept + 1, []string{"s1", "s2"}, errs.Rejected},
 	}
 	Convey("Where a fifth store is away, retiring", t, func() {
 		for _, c := range cases {
@@ -38,7 +38,7 @@
 				for _, name := range c.calls {
 					_, err = m.operators.Retire(context.Background(), "x", name, 0)
 				}
-				So(mishap.KindOf(err), ShouldEqual, c.kind)
+				So(errs.KindOf(err), ShouldEqual, c.kind)
 			})
 		}
 	})
--- a/internal/manager/list.go
+++ b/internal/manager/list.go
@@ -13,13 +13,13 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/duty"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
 // Source tells which workers there are, by pool. Workers tells of all or fails:
-// mishap.Full means that it has been asked too often.
+// errs.Full means that it has been asked too often.
 type Source struct {
 	Workers func(ctx context.Context) (map[string][]charter.Worker, error)
 	Lag     time.Duration // what it tells may be so old
@@ -97,7 +97,7 @@
 
 // hasRead tells whether a read counts, and says once when that changes.
 func (l *lister) hasRead(err error) bool {
-	if mishap.Is(err, mishap.Full) {
+	if errs.Is(err, errs.Full) {
 		l.pause = min(2*l.pause+1, mostPause)
 		l.resting = l.pause
 		return false
@@ -196,7 +196,7 @@
 	defer l.mu.Unlock()
 	if err != nil {
 		delete(l.written, pool)
-		if !mishap.Is(err, mishap.Conflict) {
+		if !errs.Is(err, errs.Conflict) {
 			klog.Warningf("list: The list of %s cannot be written: %v.", pool, err)
 		}
 		return false
@@ -233,7 +233,7 @@
 		case e.isSettled && now-e.settledAt > l.m.d.Bounds.Of(beat.Fresh) && now-e.seenAt > l.m.resend:
 			_, err := l.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: key, IfStamp: e.stamp, Gone: true,
 				By: "list controller at " + l.m.d.Who.Name})
-			if err != nil && !mishap.Is(err, mishap.Conflict) {
+			if err != nil && !errs.Is(err, errs.Conflict) {
 				klog.Warningf("list: The mark %s cannot be taken away: %v.", key, err)
 			}
 		}
--- a/internal/manager/list_test.go
+++ b/internal/manager/list_test.go
@@ -8,7 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -25,7 +25,7 @@
 		edits int // so far, without the charter's
 		want  []charter.Worker
 	}
-	full, lost := mishap.New(mishap.Full, "rate"), mishap.New(mishap.Lost, "down")
+	full, lost := errs.New(errs.Full, "rate"), errs.New(errs.Lost, "down")
 	both := []charter.Worker{w1, w2}
 	cases := []struct {
 		name  string
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -12,7 +12,7 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/session"
 	"caperwheel/internal/settings"
@@ -52,7 +52,7 @@
 	defer cancel()
 	d.Link(map[string]transport.Handler{"session": m.onSession, "peer": m.onPeer})
 	m.reach = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PartLink}
-	d.Ready = func() (bool, string) { return d.IsFresh(), string(mishap.Stale) }
+	d.Ready = func() (bool, string) { return d.IsFresh(), string(errs.Stale) }
 	m.serveApi()
 	if o.Serve != nil {
 		o.Serve(m.operators)
--- a/internal/manager/marks.go
+++ b/internal/manager/marks.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -19,7 +19,7 @@
 
 func checkSubject(name string) error {
 	if name == "" || len(name) > 64 {
-		return mishap.New(mishap.Invalid, "the name is too long")
+		return errs.New(errs.Invalid, "the name is too long")
 	}
 	return nil
 }
--- a/internal/manager/operators.go
+++ b/internal/manager/operators.go
@@ -5,8 +5,8 @@
 
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/session"
 	"caperwheel/internal/wire"
@@ -47,22 +47,22 @@
 type Verdict struct {
 	Stamp       int64
 	Differences []charter.Difference
-	Faults      []charter.Fault // with mishap.Invalid, if the new charter has any
+	Faults      []charter.Fault // with errs.Invalid, if the new charter has any
 }
 
 // Charter reads the charter through a majority. Stamp 0 means that there is none.
 func (o *Operators) Charter(ctx context.Context) (doc []byte, stamp int64, err error) {
 	c, err := o.m.pull(ctx, feed.CharterPart, charter.Key)
-	if mishap.Is(err, mishap.Unknown) {
+	if errs.Is(err, errs.Unknown) {
 		return []byte("{}"), 0, nil
 	}
 	return c.Value, c.Stamp, err
 }
 
 // Propose checks a charter on its base and writes it on that base only. Of two
-// proposals on one base one wins; the other has mishap.Conflict. One with a
+// proposals on one base one wins; the other has errs.Conflict. One with a
 // digest that was taken before holds, also when others were made on top of it;
-// where that cannot be known it has mishap.Undecided.
+// where that cannot be known it has errs.Undecided.
 func (o *Operators) Propose(ctx context.Context, p Proposal) (Verdict, error) {
 	base, stamp, err := o.Charter(ctx)
 	if err != nil {
@@ -73,9 +73,9 @@
 	case charter.HasEdit(base, p.Digest):
 		return Verdict{Stamp: stamp}, nil
 	case p.IsOnVersion && version != p.OnVersion:
-		return o.settle(ctx, p, Verdict{}, mishap.New(mishap.Conflict, "the charter's version is %d", version))
+		return o.settle(ctx, p, Verdict{}, errs.New(errs.Conflict, "the charter's version is %d", version))
 	case !p.IsOnVersion && stamp != p.OnStamp:
-		return o.settle(ctx, p, Verdict{}, mishap.New(mishap.Conflict, "the charter's stamp is %d", stamp))
+		return o.settle(ctx, p, Verdict{}, errs.New(errs.Conflict, "the charter's stamp is %d", stamp))
 	}
 	doc, err := p.Make(base)
 	if err != nil {
@@ -83,10 +83,10 @@
 	}
 	rules, faults := charter.Compile(doc)
 	if len(faults) > 0 {
-		return Verdict{Faults: faults}, mishap.New(mishap.Invalid, "the charter has faults")
+		return Verdict{Faults: faults}, errs.New(errs.Invalid, "the charter has faults")
 	}
 	if p.IsOnVersion && rules.Version <= version {
-		return Verdict{}, mishap.New(mishap.Invalid, "version %d is not above %d", rules.Version, version)
+		return Verdict{}, errs.New(errs.Invalid, "version %d is not above %d", rules.Version, version)
 	}
 	out := Verdict{Stamp: stamp}
 	if !p.IsOnVersion {
@@ -106,16 +106,16 @@
 // that holds the charter remembers each order that was taken, so only its word
 // makes a clear no.
 func (o *Operators) settle(ctx context.Context, p Proposal, out Verdict, err error) (Verdict, error) {
-	if p.Digest == "" || !mishap.Is(err, mishap.Conflict) && !mishap.Is(err, mishap.Undecided) {
+	if p.Digest == "" || !errs.Is(err, errs.Conflict) && !errs.Is(err, errs.Undecided) {
 		return out, err
 	}
 	taken, pullErr := o.m.pull(ctx, feed.CharterPart, feed.OrderKey(p.Digest, p.OnVersion))
 	switch {
 	case pullErr == nil:
 		return Verdict{Stamp: taken.Stamp}, nil
-	case !mishap.Is(pullErr, mishap.Unknown):
+	case !errs.Is(pullErr, errs.Unknown):
 		return out, undecided()
-	case mishap.Is(err, mishap.Undecided):
+	case errs.Is(err, errs.Undecided):
 		return out, err
 	}
 	return o.settleOlder(ctx, p, out, err)
--- a/internal/manager/operators_test.go
+++ b/internal/manager/operators_test.go
@@ -12,8 +12,8 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/session"
 	"caperwheel/internal/wire"
@@ -67,14 +67,14 @@
 		f.show()
 		if f.lose > 0 {
 			f.lose--
-			return nil, mishap.New(mishap.Lost, "session")
+			return nil, errs.New(errs.Lost, "session")
 		}
 		return &got, nil
 	}
 	if _, isRetire := ask.(*wire.Retire); isRetire {
 		return f.tellGroups(addr), nil
 	}
-	return nil, mishap.New(mishap.Lost, "session")
+	return nil, errs.New(errs.Lost, "session")
 }
 
 func (f *fakeParts) show() {
@@ -130,7 +130,7 @@
 	type step struct {
 		digest       string
 		on, version  int
-		kind         mishap.Kind
+		kind         errs.Kind
 		lose         int
 		isOvertaken  bool // another edit comes first
 		isBuiltUpon  bool // its answer is lost, and another edit comes on top of it
@@ -151,17 +151,17 @@
 		{"a repeat after a newer one answers as taken", []step{{digest: "a", version: 3, wantsVersion: 3},
 			{digest: "b", on: 3, version: 4, wantsVersion: 4}, {digest: "a", version: 3, wantsVersion: 4}}},
 		{"one on an older version is not", []step{{digest: "a", version: 3, wantsVersion: 3},
-			{digest: "c", version: 9, kind: mishap.Conflict, wantsVersion: 3}}},
-		{"one on a version that never was is not", []step{{digest: "a", on: 2, version: 3, kind: mishap.Conflict}}},
+			{digest: "c", version: 9, kind: errs.Conflict, wantsVersion: 3}}},
+		{"one on a version that never was is not", []step{{digest: "a", on: 2, version: 3, kind: errs.Conflict}}},
 		{"one whose version is not higher is not", []step{{digest: "a", version: 3, wantsVersion: 3},
-			{digest: "b", on: 3, version: 3, kind: mishap.Invalid, wantsVersion: 3}}},
-		{"one with faults is not", []step{{digest: "a", version: 0, kind: mishap.Invalid}}},
+			{digest: "b", on: 3, version: 3, kind: errs.Invalid, wantsVersion: 3}}},
+		{"one with faults is not", []step{{digest: "a", version: 0, kind: errs.Invalid}}},
 		{"one whose answer is lost is found taken", []step{{digest: "a", version: 3, lose: 1, wantsVersion: 3}}},
-		{"one that another overtakes is not", []step{{digest: "a", version: 3, isOvertaken: true, kind: mishap.Conflict, wantsVersion: 8}}},
+		{"one that another overtakes is not", []step{{digest: "a", version: 3, isOvertaken: true, kind: errs.Conflict, wantsVersion: 8}}},
 		{"one whose answer is lost under a newer one is found taken", []step{{digest: "a", version: 3, isBuiltUpon: true, wantsVersion: 9}}},
 		{"a repeat after hundreds of newer ones answers as taken", append(newer(300), step{digest: "2", on: 1, version: 2, wantsVersion: 300})},
 		{"one that lost is not taken after hundreds of newer ones", append(newer(300),
-			step{digest: "lost", on: 1, version: 2, kind: mishap.Conflict, wantsVersion: 300})},
+			step{digest: "lost", on: 1, version: 2, kind: errs.Conflict, wantsVersion: 300})},
 	}
 	Convey("Of proposals", t, func() {
 		for _, c := range cases {
@@ -183,7 +183,7 @@
 					if s.kind == "" {
 						So(err, ShouldBeNil)
 					} else {
-						So(mishap.KindOf(err), ShouldEqual, s.kind)
+						So(errs.KindOf(err), ShouldEqual, s.kind)
 					}
 					doc, _, err := m.operators.Charter(context.Background())
 					So(err, ShouldBeNil)
@@ -207,7 +207,7 @@
 				if err == nil {
 					won++
 				} else {
-					So(mishap.KindOf(err), ShouldEqual, mishap.Conflict)
+					So(errs.KindOf(err), ShouldEqual, errs.Conflict)
 				}
 			}
 			So(won, ShouldEqual, 1)
--- a/internal/manager/orders_test.go
+++ b/internal/manager/orders_test.go
@@ -11,7 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -38,17 +38,17 @@
 		digest  string
 		on      int
 		isTaken bool
-		kind    mishap.Kind
+		kind    errs.Kind
 	}{
 		{"taken by an older build", older(3), 0, "old1", 2, true, ""},
 		{"taken by an older build, under a newer one", older(3), 1, "old1", 2, true, ""},
 		{"taken by an older build, under hundreds of newer ones", older(16), 300, "old1", 2, true, ""},
-		{"never taken by an older build that remembers all", older(3), 0, "lost", 2, false, mishap.Conflict},
-		{"maybe forgotten by an older build", older(16), 0, "lost", 2, false, mishap.Undecided},
-		{"maybe forgotten by an older build, under a newer one", older(16), 1, "lost", 2, false, mishap.Undecided},
+		{"never taken by an older build that remembers all", older(3), 0, "lost", 2, false, errs.Conflict},
+		{"maybe forgotten by an older build", older(16), 0, "lost", 2, false, errs.Undecided},
+		{"maybe forgotten by an older build, under a newer one", older(16), 1, "lost", 2, false, errs.Undecided},
 		{"the oldest that is remembered", "", 4096, "1", 0, true, ""},
-		{"maybe forgotten", "", 4097, "1", 0, false, mishap.Undecided},
-		{"one that lost, on what is remembered", "", 4097, "lost", 1, false, mishap.Conflict},
+		{"maybe forgotten", "", 4097, "1", 0, false, errs.Undecided},
+		{"one that lost, on what is remembered", "", 4097, "lost", 1, false, errs.Conflict},
 	}
 	Convey("An order that is", t, func() {
 		for _, c := range cases {
@@ -67,7 +67,7 @@
 				if c.isTaken {
 					So(err, ShouldBeNil)
 				} else {
-					So(mishap.KindOf(err), ShouldEqual, c.kind)
+					So(errs.KindOf(err), ShouldEqual, c.kind)
 				}
 				doc, _, err := m.operators.Charter(context.Background())
 				So(err, ShouldBeNil)
--- a/internal/manager/retire.go
+++ b/internal/manager/retire.go
@@ -9,8 +9,8 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -35,7 +35,7 @@
 				return 0, err
 			}
 			_, err := o.writeRetirements(ctx, by, admitted.With(name), stamp)
-			if mishap.Is(err, mishap.Conflict) {
+			if errs.Is(err, errs.Conflict) {
 				continue // another one was admitted or taken back: weigh it with this one
 			}
 			if err != nil {
@@ -45,7 +45,7 @@
 		}
 		return o.markRetired(ctx, by, name)
 	}
-	return 0, mishap.New(mishap.Undecided, "the change may or may not hold; read it back")
+	return 0, errs.New(errs.Undecided, "the change may or may not hold; read it back")
 }
 
 // markRetired tells all daemons of a retirement that was admitted. One that stands
@@ -55,7 +55,7 @@
 	switch {
 	case err == nil:
 		return standing.Stamp, nil
-	case !mishap.Is(err, mishap.Unknown):
+	case !errs.Is(err, errs.Unknown):
 		return 0, err
 	}
 	return o.mark(ctx, by, charter.StoreKey+name, charter.Mark{}, -1)
@@ -73,7 +73,7 @@
 		}
 		if admitted.Has(name) {
 			_, err := o.writeRetirements(ctx, by, admitted.Without(name), stamp)
-			if mishap.Is(err, mishap.Conflict) {
+			if errs.Is(err, errs.Conflict) {
 				continue
 			}
 			if err != nil {
@@ -82,14 +82,14 @@
 		}
 		return o.unmark(ctx, by, charter.StoreKey+name)
 	}
-	return 0, mishap.New(mishap.Undecided, "the change may or may not hold; read it back")
+	return 0, errs.New(errs.Undecided, "the change may or may not hold; read it back")
 }
 
 // retirements reads which were admitted, through a majority, and the stamp to
 // build on.
 func (o *Operators) retirements(ctx context.Context) (charter.Retirements, int64, error) {
 	c, err := o.m.pull(ctx, feed.CharterPart, charter.RetirementsKey)
-	if mishap.Is(err, mishap.Unknown) {
+	if errs.Is(err, errs.Unknown) {
 		c, err = wire.Change{}, nil
 	}
 	if err != nil {
@@ -123,18 +123,18 @@
 	case !slices.Contains(holding, name):
 		return m.unknown("store", name)
 	case !isHolding:
-		return mishap.New(mishap.Stale, "store %s is away and holds nothing now", name)
+		return errs.New(errs.Stale, "store %s is away and holds nothing now", name)
 	}
 	present, known := remaining(here, name, admitted), remaining(append(here, holding...), name, admitted)
 	switch {
 	case present >= m.copies():
 		return nil
 	case known >= m.copies():
-		return mishap.New(mishap.Stale, "%d stores would be left, and %d copies are needed; %d are away", known, m.copies(), known-present)
+		return errs.New(errs.Stale, "%d stores would be left, and %d copies are needed; %d are away", known, m.copies(), known-present)
 	case !m.knowsStores():
-		return mishap.New(mishap.Stale, "this manager does not know all daemons yet")
+		return errs.New(errs.Stale, "this manager does not know all daemons yet")
 	}
-	return mishap.New(mishap.Rejected, "%d stores would be left for %d copies", known, m.copies())
+	return errs.New(errs.Rejected, "%d stores would be left for %d copies", known, m.copies())
 }
 
 // remaining counts the stores that are left without one and without those that are
@@ -162,7 +162,7 @@
 // unknown says that there is no such thing, if this manager can know.
 func (m *Manager) unknown(kind, subject string) error {
 	if !m.d.IsFresh() || m.d.Now() < m.d.Bounds.Of(beat.Gone) {
-		return mishap.New(mishap.Stale, "this manager does not know all daemons yet")
+		return errs.New(errs.Stale, "this manager does not know all daemons yet")
 	}
-	return mishap.New(mishap.Unknown, "no %s %s is here", kind, subject)
+	return errs.New(errs.Unknown, "no %s %s is here", kind, subject)
 }
--- a/internal/manager/retire_test.go
+++ b/internal/manager/retire_test.go
@@ -7,7 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -30,17 +30,17 @@
 		given     func(*fakeParts)
 		isSettled bool
 		calls     []string
-		kind      mishap.Kind
+		kind      errs.Kind
 	}{
 		{"one of four", nil, true, []string{"s1"}, ""},
 		{"the same again", nil, true, []string{"s1", "s1"}, ""},
-		{"two of four, for three copies", nil, true, []string{"s1", "s2"}, mishap.Rejected},
-		{"two of four at two managers at once", another("s2"), true, []string{"s1"}, mishap.Rejected},
+		{"two of four, for three copies", nil, true, []string{"s1", "s2"}, errs.Rejected},
+		{"two of four at two managers at once", another("s2"), true, []string{"s1"}, errs.Rejected},
 		{"the same at two managers at once", another("s1"), true, []string{"s1"}, ""},
-		{"one that is not here", nil, true, []string{"s9"}, mishap.Unknown},
+		{"one that is not here", nil, true, []string{"s9"}, errs.Unknown},
 		{"one that is away, but holds groups", func(f *fakeParts) { f.groups, f.holders = 1, []string{"s1", "s2", "s9"} }, true, []string{"s9"}, ""},
-		{"two, while a fifth store is away", func(f *fakeParts) { f.groups, f.holders = 1, []string{"s1", "s2", "s9"} }, true, []string{"s3", "s4"}, mishap.Stale},
-		{"too many, by a manager that has just seen stores come or go", nil, false, []string{"s1", "s2"}, mishap.Stale},
+		{"two, while a fifth store is away", func(f *fakeParts) { f.groups, f.holders = 1, []string{"s1", "s2", "s9"} }, true, []string{"s3", "s4"}, errs.Stale},
+		{"too many, by a manager that has just seen stores come or go", nil, false, []string{"s1", "s2"}, errs.Stale},
 	}
 	Convey("Retiring", t, func() {
 		for _, c := range cases {
@@ -62,7 +62,7 @@
 					So(isMarked, ShouldBeTrue)
 					return
 				}
-				So(mishap.KindOf(err), ShouldEqual, c.kind)
+				So(errs.KindOf(err), ShouldEqual, c.kind)
 			})
 		}
 		Convey("and taking it back leaves room for another", func() {
--- a/internal/manager/retirement.go
+++ b/internal/manager/retirement.go
@@ -5,8 +5,8 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -31,7 +31,7 @@
 	switch {
 	case err == nil:
 		out.IsRetired = true
-	case !mishap.Is(err, mishap.Unknown):
+	case !errs.Is(err, errs.Unknown):
 		return out, err
 	}
 	found := o.standings(ctx, name)
--- a/internal/manager/weights.go
+++ b/internal/manager/weights.go
@@ -7,8 +7,8 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
 
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter)
 	defer cancel()
 	_, err = m.edit(ctx, wire.Edit{Part: part, Key: prefix + name, Value: raw, IfStamp: stamp, By: "weight controller at " + m.d.Who.Name})
-	if err != nil && !mishap.Is(err, mishap.Conflict) {
+	if err != nil && !errs.Is(err, errs.Conflict) {
 		klog.Warningf("weight: Weights of %s cannot be published: %v.", name, err)
 	}
 }
--- a/internal/manager/workers.go
+++ b/internal/manager/workers.go
@@ -4,8 +4,8 @@
 	"net/http"
 
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
@@ -23,11 +23,11 @@
 	}
 	switch {
 	case !isFresh:
-		return 0, "", mishap.New(mishap.Stale, "this manager has lost touch with the stores")
+		return 0, "", errs.New(errs.Stale, "this manager has lost touch with the stores")
 	case !isKnown:
-		return 0, "", mishap.New(mishap.Unknown, "no pool %s", name)
+		return 0, "", errs.New(errs.Unknown, "no pool %s", name)
 	case pool.IsEndpoint:
-		return 0, "", mishap.New(mishap.Rejected, "pool %s is an outside endpoint; its address is in the charter", name)
+		return 0, "", errs.New(errs.Rejected, "pool %s is an outside endpoint; its address is in the charter", name)
 	}
 	return feed.PartOf(name, m.d.Settings.Parts), charter.WorkersKey + name, nil
 }
@@ -37,7 +37,7 @@
 		return
 	}
 	c, err = m.pull(r.Context(), part, key)
-	if mishap.Is(err, mishap.Unknown) {
+	if errs.Is(err, errs.Unknown) {
 		c, err = wire.Change{Value: charter.Workers{Workers: []charter.Worker{}}.Encode()}, nil
 	}
 	return
@@ -75,7 +75,7 @@
 	}
 	given, faults := charter.ReadWorkers(body)
 	if len(faults) > 0 {
-		web.Reject(w, 422, web.Problem{Error: mishap.Invalid, Text: "the list has faults", More: faults}, 0)
+		web.Reject(w, 422, web.Problem{Error: errs.Invalid, Text: "the list has faults", More: faults}, 0)
 		return
 	}
 	part, key, c, err := m.readWorkers(r)
@@ -84,7 +84,7 @@
 		return
 	}
 	if c.Stamp != stamp {
-		failEdit(w, mishap.New(mishap.Conflict, "the list's stamp is %d", c.Stamp))
+		failEdit(w, errs.New(errs.Conflict, "the list's stamp is %d", c.Stamp))
 		return
 	}
 	base, _ := charter.ReadWorkers(c.Value)
@@ -115,7 +115,7 @@
 func (m *Manager) empty(r *http.Request, cell string) (int64, bool, error) {
 	only := r.URL.Query().Get("only")
 	if only != "" && only != charter.OnlyWorkers {
-		return 0, false, mishap.New(mishap.Invalid, "only may be workers")
+		return 0, false, errs.New(errs.Invalid, "only may be workers")
 	}
 	held, err := m.operators.Empty(r.Context(), operator(r), cell, only != "")
 	return held, true, err
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -15,7 +15,7 @@
 	"sigs.k8s.io/yaml"
 
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Parent is the name that a route's parentRefs must give.
@@ -65,7 +65,7 @@
 func (t *translator) route(raw []byte) ([]byte, error) {
 	var r gateway.HTTPRoute
 	if err := yaml.UnmarshalStrict(raw, &r); err != nil {
-		return nil, mishap.Wrap(err, mishap.Invalid, "not a route")
+		return nil, errs.Wrap(err, errs.Invalid, "not a route")
 	}
 	if r.Kind != "HTTPRoute" || r.APIVersion != gateway.GroupVersion.String() {
 		t.fault("kind", "must be HTTPRoute of "+gateway.GroupVersion.String())
@@ -85,7 +85,7 @@
 	r.Kind, r.APIVersion = "", ""
 	t.left(r)
 	out, err := json.Marshal(map[string]any{"lanes": patch})
-	return out, mishap.Wrap(err, mishap.Internal, "patch")
+	return out, errs.Wrap(err, errs.Internal, "patch")
 }
 
 // rule translates one rule: its paths name lanes, its back ends pools. What is
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Op is the kind of a step.
@@ -90,12 +90,12 @@
 // Doers carry out steps on an errand of some type.
 type Doers[E any] map[Op]func(step Step, errand E) error
 
-// Run interprets a program. The first mishap ends it.
+// Run interprets a program. The first error ends it.
 func Run[E any](program Program, doers Doers[E], errand E) error {
 	for _, step := range program {
 		do, isKnown := doers[step.Op]
 		if !isKnown {
-			return mishap.New(mishap.Internal, "no doer for step %s", step.Op)
+			return errs.New(errs.Internal, "no doer for step %s", step.Op)
 		}
 		if err := do(step, errand); err != nil {
 			return err
--- a/internal/place/busy.go
+++ b/internal/place/busy.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // What can be known of a run whose answer did not come whole: while its
@@ -27,16 +27,16 @@
 // or its connection is lost, counted from its start.
 func Busy(bound time.Duration) time.Duration { return brokenBounds * bound }
 
-// StillBusy is how long a run that ended with a mishap may yet go on at its
+// StillBusy is how long a run that ended with an error may yet go on at its
 // worker, took after it was sent.
-func StillBusy(kind mishap.Kind, isOrdered bool, bound, took time.Duration) time.Duration {
+func StillBusy(kind errs.Kind, isOrdered bool, bound, took time.Duration) time.Duration {
 	if !isOrdered || !MayGoOn(kind) {
 		return 0
 	}
 	return max(0, Busy(bound)-took)
 }
 
-// MayGoOn: after these mishaps the worker may still be at the run.
-func MayGoOn(kind mishap.Kind) bool {
-	return kind == mishap.Lost || kind == mishap.Late || kind == mishap.CutShort
+// MayGoOn: after these errors the worker may still be at the run.
+func MayGoOn(kind errs.Kind) bool {
+	return kind == errs.Lost || kind == errs.DeadlineExceeded || kind == errs.Truncated
 }
--- a/internal/place/errand.go
+++ b/internal/place/errand.go
@@ -1,7 +1,7 @@
 package place
 
 import (
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -74,7 +74,7 @@
 			return nil
 		}
 	}
-	return mishap.New(mishap.Conflict, "errand %s cannot go from %q to %q", e.Id, e.State, to)
+	return errs.New(errs.Conflict, "errand %s cannot go from %q to %q", e.Id, e.State, to)
 }
 
 // expiry is when an errand that is held has had its patience, in place time. A
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -36,13 +36,13 @@
 type Verdict struct {
 	Id    string
 	State State
-	Kind  mishap.Kind
+	Kind  errs.Kind
 	Text  string
 }
 
 const otherBytes = "the same Idempotency-Key came with other bytes"
 
-func no(kind mishap.Kind, id, text string) Verdict { return Verdict{Id: id, Kind: kind, Text: text} }
+func no(kind errs.Kind, id, text string) Verdict { return Verdict{Id: id, Kind: kind, Text: text} }
 
 // Clock is the place time of the newest command.
 func (m *Machine) Clock() int64 { return m.clock }
@@ -85,7 +85,7 @@
 		return Verdict{}
 	}
 	if e == nil {
-		return no(mishap.Unknown, c.Id, "no such message")
+		return no(errs.Unknown, c.Id, "no such message")
 	}
 	switch c.Kind {
 	case CmdStart:
@@ -97,16 +97,16 @@
 	case CmdClose:
 		return m.shut(c, e)
 	}
-	return no(mishap.Internal, c.Id, "unknown command")
+	return no(errs.Internal, c.Id, "unknown command")
 }
 
 func (m *Machine) take(c Command, e *Errand) Verdict {
 	if e != nil { // the same take again, or a tombstone came first
 		if e.State == Tomb {
-			return no(mishap.Rejected, c.Id, "settled as not taken")
+			return no(errs.Rejected, c.Id, "settled as not taken")
 		}
 		if e.Sum != c.Sum {
-			return no(mishap.Conflict, c.Id, otherBytes)
+			return no(errs.Conflict, c.Id, otherBytes)
 		}
 		return Verdict{Id: c.Id, State: e.State}
 	}
@@ -117,7 +117,7 @@
 	if c.Idem != "" {
 		if was := m.errands[m.idems[e.idemOf()]]; was != nil {
 			if was.Sum != c.Sum {
-				return no(mishap.Conflict, was.Id, otherBytes)
+				return no(errs.Conflict, was.Id, otherBytes)
 			}
 			return Verdict{Id: was.Id, State: was.State}
 		}
@@ -133,7 +133,7 @@
 
 func (m *Machine) start(c Command, e *Errand) Verdict {
 	if e.State != Held || c.Attempt != e.Attempt+1 || !m.isFirst(e) {
-		return no(mishap.Conflict, e.Id, "not to be started")
+		return no(errs.Conflict, e.Id, "not to be started")
 	}
 	e.IsHolder = false
 	e.Attempt, e.Adapter, e.Boot, e.Pool, e.Worker = c.Attempt, c.Adapter, c.Boot, c.Pool, c.Worker
@@ -147,7 +147,7 @@
 	case e.State.IsOver():
 		return Verdict{Id: e.Id, State: e.State}
 	case c.Proof.Attempt < 1 || c.Proof.Attempt > e.Attempt:
-		return no(mishap.Conflict, e.Id, "no such run")
+		return no(errs.Conflict, e.Id, "no such run")
 	case e.State == Started && c.Proof.Attempt != e.Attempt:
 		e.Late = c.Proof
 		return Verdict{Id: e.Id, State: e.State}
@@ -187,7 +187,7 @@
 
 func (m *Machine) close(e *Errand, to State, c Command, proof wire.Proof) Verdict {
 	if err := e.move(to); err != nil {
-		return no(mishap.Conflict, e.Id, err.Error())
+		return no(errs.Conflict, e.Id, err.Error())
 	}
 	e.Proof, e.Late, e.Over = proof, wire.Proof{}, m.clock+c.Retain
 	if e.Notify != "" {
@@ -225,7 +225,7 @@
 
 func (m *Machine) finish(e *Errand, err error) Verdict {
 	if err != nil {
-		return no(mishap.Conflict, e.Id, err.Error())
+		return no(errs.Conflict, e.Id, err.Error())
 	}
 	m.queue.note(m, e)
 	return Verdict{Id: e.Id, State: e.State}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -5,7 +5,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -42,18 +42,18 @@
 		before []Command
 		last   Command
 		state  State
-		kind   mishap.Kind
+		kind   errs.Kind
 	}{
 		{"a message is held", nil, take("1"), Held, ""},
 		{"the same take again changes nothing", []Command{take("1"), start("1", 1)}, take("1"), Started, ""},
-		{"a settled message is never taken", []Command{tomb("1")}, take("1"), Tomb, mishap.Rejected},
+		{"a settled message is never taken", []Command{tomb("1")}, take("1"), Tomb, errs.Rejected},
 		{"a held message is not settled away", []Command{take("1")}, tomb("1"), Held, ""},
 		{"a held message starts", []Command{take("1")}, start("1", 1), Started, ""},
-		{"a started message does not start again", []Command{take("1"), start("1", 1)}, start("1", 2), Started, mishap.Conflict},
-		{"an attempt number is not skipped", []Command{take("1")}, start("1", 2), Held, mishap.Conflict},
+		{"a started message does not start again", []Command{take("1"), start("1", 1)}, start("1", 2), Started, errs.Conflict},
+		{"an attempt number is not skipped", []Command{take("1")}, start("1", 2), Held, errs.Conflict},
 		{"a run's success ends it", []Command{take("1"), start("1", 1)}, end("1", 1), Ended, ""},
-		{"a run that never began ends nothing", []Command{take("1"), start("1", 1)}, end("1", 2), Started, mishap.Conflict},
-		{"an ended message does not start again", []Command{take("1"), start("1", 1), end("1", 1)}, start("1", 2), Ended, mishap.Conflict},
+		{"a run that never began ends nothing", []Command{take("1"), start("1", 1)}, end("1", 2), Started, errs.Conflict},
+		{"an ended message does not start again", []Command{take("1"), start("1", 1), end("1", 1)}, start("1", 2), Ended, errs.Conflict},
 		{"a mishap brings it back", []Command{take("1"), start("1", 1)}, back("1", 1), Held, ""},
 		{"an older run's mishap is passed over", []Command{take("1"), start("1", 1), back("1", 1), start("1", 2)}, back("1", 1), Started, ""},
 		{"an older run's success ends a held message", []Command{take("1"), start("1", 1), back("1", 1)}, end("1", 1), Ended, ""},
@@ -62,12 +62,12 @@
 		{"a held message expires", []Command{take("1")}, shut("1", 0, Expired), Expired, ""},
 		{"a message that has started since does not expire", []Command{take("1"), start("1", 1)}, shut("1", 0, Expired), Started, ""},
 		{"an end is not undone by a failure", []Command{take("1"), start("1", 1), end("1", 1)}, shut("1", 1, Failed), Ended, ""},
-		{"a command for a stranger does nothing", nil, end("1", 1), "", mishap.Unknown},
-		{"an ordered message does not pass an earlier one", []Command{ordered("0"), ordered("1")}, start("1", 1), Held, mishap.Conflict},
-		{"… nor while that one is started", []Command{ordered("0"), ordered("1"), start("0", 1)}, start("1", 1), Held, mishap.Conflict},
+		{"a command for a stranger does nothing", nil, end("1", 1), "", errs.Unknown},
+		{"an ordered message does not pass an earlier one", []Command{ordered("0"), ordered("1")}, start("1", 1), Held, errs.Conflict},
+		{"… nor while that one is started", []Command{ordered("0"), ordered("1"), start("0", 1)}, start("1", 1), Held, errs.Conflict},
 		{"… but starts once it has ended", []Command{ordered("0"), ordered("1"), start("0", 1), end("0", 1)}, start("1", 1), Started, ""},
 		{"the same idempotency key and bytes are one message", []Command{idem("0", "i", "s"), start("0", 1)}, idem("1", "i", "s"), "", ""},
-		{"the same idempotency key and other bytes conflict", []Command{idem("0", "i", "s")}, idem("1", "i", "t"), "", mishap.Conflict},
+		{"the same idempotency key and other bytes conflict", []Command{idem("0", "i", "s")}, idem("1", "i", "t"), "", errs.Conflict},
 	}
 	Convey("In a place", t, func() {
 		for _, c := range cases {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/session"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
@@ -30,7 +30,7 @@
 const freeHops = 3
 
 // Group asks the owner of a group until it answers or ctx ends. owned tells
-// whether an answer came from the owner, and else whom it named. The mishap
+// whether an answer came from the owner, and else whom it named. The error
 // says whether the ask may have had an effect: NotOwner and Full mean no,
 // Undecided means that it may.
 func (r *Reach) Group(ctx context.Context, id int64, ask any, owned func(reply any) (isOwner bool, hint string)) (any, error) {
@@ -73,7 +73,7 @@
 				isOwner, named := owned(reply)
 				// Whoever was owner when the ask came has lost its place over it: the
 				// next owner may have what it began.
-				isOpen = isOpen || wire.MishapOf(reply) == string(mishap.Undecided)
+				isOpen = isOpen || wire.ErrorOf(reply) == string(errs.Undecided)
 				if isOwner {
 					return reply, isOpen, nil
 				}
@@ -94,9 +94,9 @@
 		beat.Wait(ctx, wait)
 		if ctx.Err() != nil {
 			if isOpen {
-				return nil, true, mishap.New(mishap.Undecided, "group %d did not answer", id)
+				return nil, true, errs.New(errs.Undecided, "group %d did not answer", id)
 			}
-			return nil, false, mishap.New(mishap.NotOwner, "no owner of group %d was found", id)
+			return nil, false, errs.New(errs.NotOwner, "no owner of group %d was found", id)
 		}
 	}
 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -8,7 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/session"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
@@ -18,25 +18,25 @@
 // replaced over an ask once counted as one that had never had it, so that
 // callers were told "not taken" of messages that the next owner ran.
 func TestAsk(t *testing.T) {
-	taken := func(kind mishap.Kind) any { return &wire.Taken{Kind: string(kind)} }
-	lost, unsent := mishap.New(mishap.Lost, "session"), error(&transport.Unsent{})
+	taken := func(kind errs.Kind) any { return &wire.Taken{Kind: string(kind)} }
+	lost, unsent := errs.New(errs.Lost, "session"), error(&transport.Unsent{})
 	cases := []struct {
 		name    string
 		answers []any // of one store after another; the last one again and again
-		kind    mishap.Kind
+		kind    errs.Kind
 		isOpen  bool
 		isReply bool
 	}{
 		{"an owner's answer", []any{taken("")}, "", false, true},
-		{"the answer of the second store", []any{taken(mishap.NotOwner), taken("")}, "", false, true},
-		{"a reject of an owner", []any{taken(mishap.Full)}, "", false, true},
-		{"a reject after a lost ask", []any{lost, taken(mishap.Full)}, "", true, true},
-		{"a reject after an owner that was replaced", []any{taken(mishap.Undecided), taken(mishap.Full)}, "", true, true},
-		{"a reject after an ask that was never sent", []any{unsent, taken(mishap.Full)}, "", false, true},
-		{"nobody owns it", []any{taken(mishap.NotOwner)}, mishap.NotOwner, false, false},
-		{"nobody owns it after a lost ask", []any{lost, taken(mishap.NotOwner)}, mishap.Undecided, true, false},
-		{"nobody owns it after an owner that was replaced", []any{taken(mishap.Undecided), taken(mishap.NotOwner)}, mishap.Undecided, true, false},
-		{"nothing could be sent", []any{unsent}, mishap.NotOwner, false, false},
+		{"the answer of the second store", []any{taken(errs.NotOwner), taken("")}, "", false, true},
+		{"a reject of an owner", []any{taken(errs.Full)}, "", false, true},
+		{"a reject after a lost ask", []any{lost, taken(errs.Full)}, "", true, true},
+		{"a reject after an owner that was replaced", []any{taken(errs.Undecided), taken(errs.Full)}, "", true, true},
+		{"a reject after an ask that was never sent", []any{unsent, taken(errs.Full)}, "", false, true},
+		{"nobody owns it", []any{taken(errs.NotOwner)}, errs.NotOwner, false, false},
+		{"nobody owns it after a lost ask", []any{lost, taken(errs.NotOwner)}, errs.Undecided, true, false},
+		{"nobody owns it after an owner that was replaced", []any{taken(errs.Undecided), taken(errs.NotOwner)}, errs.Undecided, true, false},
+		{"nothing could be sent", []any{unsent}, errs.NotOwner, false, false},
 	}
 	Convey("An ask that meets", t, func() {
 		for _, c := range cases {
@@ -56,13 +56,13 @@
 				}}
 				reply, isOpen, err := r.Ask(ctx, 1, &wire.Take{}, func(reply any) (bool, string) {
 					kind := reply.(*wire.Taken).Kind
-					return kind != string(mishap.NotOwner) && kind != string(mishap.Undecided), ""
+					return kind != string(errs.NotOwner) && kind != string(errs.Undecided), ""
 				})
 				So(reply != nil, ShouldEqual, c.isReply)
 				So(isOpen, ShouldEqual, c.isOpen)
 				So(err == nil, ShouldEqual, c.kind == "")
 				if err != nil {
-					So(mishap.KindOf(err), ShouldEqual, c.kind)
+					So(errs.KindOf(err), ShouldEqual, c.kind)
 				}
 			})
 		}
--- a/internal/repair/handover.go
+++ b/internal/repair/handover.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/wire"
 )
@@ -24,7 +24,7 @@
 	switch o.Step {
 	case StepHas:
 		if !k.Has(o.Id, o.Proof.Attempt) {
-			ack.Kind = string(mishap.Unknown)
+			ack.Kind = string(errs.Unknown)
 		}
 	case StepLeave:
 		k.Keep(o, now)
--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -11,9 +11,9 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/fleet"
-	"caperwheel/internal/mishap"
 )
 
 // made is one change that a manager acknowledged.
@@ -101,7 +101,7 @@
 	for {
 		var got Reached
 		if err := ask(ctx, pack, "/ledger", &got); err != nil {
-			return mishap.Wrap(err, mishap.Late, "ledger")
+			return errs.Wrap(err, errs.DeadlineExceeded, "ledger")
 		}
 		lags = lagsOf(all, got, fronts)
 		if len(lags) == len(all) || out.Point.Restarts > 0 {
@@ -109,7 +109,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return mishap.New(mishap.Late, "%d of %d changes are not in force everywhere", len(all)-len(lags), len(all))
+			return errs.New(errs.DeadlineExceeded, "%d of %d changes are not in force everywhere", len(all)-len(lags), len(all))
 		case <-time.After(100 * time.Millisecond):
 		}
 	}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -11,10 +11,10 @@
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/deliver"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/fleet"
 	"caperwheel/internal/intake"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/session"
 	"caperwheel/internal/settings"
@@ -74,7 +74,7 @@
 		Who: wire.Who{Name: s.Name, Kind: kind, Boot: daemon.Random(8), Cell: cell, Addr: addr, Http: addr}}, nil
 }
 
-// link opens the node as a daemon does, but a mishap is told and not the end
+// link opens the node as a daemon does, but an error is told and not the end
 // of the process: another program may have taken the port meanwhile.
 func link(d *daemon.Daemon, handlers map[string]transport.Handler) error {
 	s := d.Settings
@@ -180,7 +180,7 @@
 // check refuses what a pack cannot be.
 func (p Pack) check() error {
 	if p.Daemons < 0 || p.Daemons%2 != 0 || len(p.Seeds) == 0 {
-		return mishap.New(mishap.Invalid, "a pack needs managers and an even number of daemons")
+		return errs.New(errs.Invalid, "a pack needs managers and an even number of daemons")
 	}
 	return nil
 }
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
-	"caperwheel/internal/mishap"
 )
 
 // measure reads everything at both ends of the window.
@@ -22,7 +22,7 @@
 	pause(ctx, b.Settle)
 	if b.pack != nil {
 		if code, _, _, err := fleet.Do(ctx, "POST", "http://"+b.pack.Http+"/begin", "", nil); err != nil || code != 200 {
-			return mishap.New(mishap.Unsound, "the pack does not begin: %d", code)
+			return errs.New(errs.Unhealthy, "the pack does not begin: %d", code)
 		}
 	}
 	before, err := b.readings(ctx)
--- a/internal/scale/meter.go
+++ b/internal/scale/meter.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
-	"caperwheel/internal/mishap"
 )
 
 // reading is what one process has used and counted since it started.
@@ -31,11 +31,11 @@
 	dir := filepath.Join("/proc", strconv.Itoa(pid))
 	stat, err := os.ReadFile(filepath.Join(dir, "stat"))
 	if err != nil {
-		return 0, 0, mishap.Wrap(err, mishap.Lost, "process %d", pid)
+		return 0, 0, errs.Wrap(err, errs.Lost, "process %d", pid)
 	}
 	status, err := os.ReadFile(filepath.Join(dir, "status"))
 	if err != nil {
-		return 0, 0, mishap.Wrap(err, mishap.Lost, "process %d", pid)
+		return 0, 0, errs.Wrap(err, errs.Lost, "process %d", pid)
 	}
 	cpu, err = cpuOf(stat)
 	return cpu, rssOf(status), err
@@ -47,14 +47,14 @@
 	at := bytes.LastIndexByte(stat, ')')
 	fields := strings.Fields(string(stat[at+1:]))
 	if at < 0 || len(fields) < 13 {
-		return 0, mishap.New(mishap.Broken, "stat of a process")
+		return 0, errs.New(errs.Corrupt, "stat of a process")
 	}
 	user, err := strconv.ParseInt(fields[11], 10, 64)
 	if err != nil {
-		return 0, mishap.Wrap(err, mishap.Broken, "stat of a process")
+		return 0, errs.Wrap(err, errs.Corrupt, "stat of a process")
 	}
 	system, err := strconv.ParseInt(fields[12], 10, 64)
-	return time.Duration(user+system) * clockTick, mishap.Wrap(err, mishap.Broken, "stat of a process")
+	return time.Duration(user+system) * clockTick, errs.Wrap(err, errs.Corrupt, "stat of a process")
 }
 
 // waitOf sums for how long the threads of a process were ready and had no core.
@@ -110,7 +110,7 @@
 	out.wait = waitOf(p.Pid())
 	code, _, raw, err := fleet.Do(ctx, "GET", "http://"+p.Http+"/metrics", "", nil)
 	if err == nil && code != 200 {
-		err = mishap.New(mishap.Unsound, "metrics of %s: %d", p.Name, code)
+		err = errs.New(errs.Unhealthy, "metrics of %s: %d", p.Name, code)
 	}
 	out.counts = countsOf(raw)
 	return out, err
@@ -135,9 +135,9 @@
 func ask(ctx context.Context, p *fleet.Process, path string, into any) error {
 	code, _, raw, err := fleet.Do(ctx, "GET", "http://"+p.Http+path, "", nil)
 	if err != nil || code != 200 {
-		return mishap.New(mishap.Unsound, "%s of the pack: %d", path, code)
+		return errs.New(errs.Unhealthy, "%s of the pack: %d", path, code)
 	}
-	return mishap.Wrap(json.Unmarshal(raw, into), mishap.Broken, "%s of the pack", path)
+	return errs.Wrap(json.Unmarshal(raw, into), errs.Corrupt, "%s of the pack", path)
 }
 
 // diskOf sums the files of a folder.
--- a/internal/scale/pack.go
+++ b/internal/scale/pack.go
@@ -12,7 +12,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Pack is a process full of hollow daemons.
@@ -44,11 +44,11 @@
 func RunPack(file string) error {
 	raw, err := os.ReadFile(file)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Invalid, "pack")
+		return errs.Wrap(err, errs.Invalid, "pack")
 	}
 	p := &pack{ledger: newLedger()}
 	if err := json.Unmarshal(raw, &p.Pack); err != nil {
-		return mishap.Wrap(err, mishap.Invalid, "pack")
+		return errs.Wrap(err, errs.Invalid, "pack")
 	}
 	if err := p.check(); err != nil {
 		return err
@@ -59,7 +59,7 @@
 		group.SubmitErr(func() error { return p.start(i) })
 	}
 	if err := group.Wait(); err != nil {
-		return mishap.Wrap(err, mishap.Internal, "hollow daemons")
+		return errs.Wrap(err, errs.Internal, "hollow daemons")
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.Handler())
@@ -75,7 +75,7 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 		}
 	})
-	return mishap.Wrap(http.ListenAndServe(p.Http, mux), mishap.Internal, "serve HTTP")
+	return errs.Wrap(http.ListenAndServe(p.Http, mux), errs.Internal, "serve HTTP")
 }
 
 func tell(w http.ResponseWriter, what any) {
--- a/internal/scale/plot.go
+++ b/internal/scale/plot.go
@@ -10,7 +10,7 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // plot draws the sweep: processor time, bytes, memory by role, and the time
@@ -48,11 +48,11 @@
 	}
 	out, err := os.Create(file)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Internal, "plot")
+		return errs.Wrap(err, errs.Internal, "plot")
 	}
 	defer out.Close()
 	_, err = canvas.WriteTo(out)
-	return mishap.Wrap(err, mishap.Internal, "plot")
+	return errs.Wrap(err, errs.Internal, "plot")
 }
 
 func (s Sweep) panel(title, unit string) *plot.Plot {
@@ -70,7 +70,7 @@
 	}
 	line, marks, err := plotter.NewLinePoints(points)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Internal, "plot")
+		return errs.Wrap(err, errs.Internal, "plot")
 	}
 	line.Color, marks.Color, marks.Shape = plotutil.Color(number), plotutil.Color(number), plotutil.Shape(number)
 	p.Add(line, marks)
--- a/internal/scale/point.go
+++ b/internal/scale/point.go
@@ -11,8 +11,8 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
-	"caperwheel/internal/mishap"
 )
 
 // Point is one deployment to measure.
@@ -87,7 +87,7 @@
 		lanes["d"] = tree{"children": from, "patience": "10m"}
 	}
 	raw, err := json.Marshal(tree{"note": "scale", "pools": pools, "lanes": lanes})
-	return raw, mishap.Wrap(err, mishap.Internal, "charter")
+	return raw, errs.Wrap(err, errs.Internal, "charter")
 }
 
 // nobody is an address at which no one listens: port 1 refuses at once.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -15,9 +15,9 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
 	"caperwheel/internal/manager"
-	"caperwheel/internal/mishap"
 )
 
 // Options say with what to measure, and for how long.
@@ -41,7 +41,7 @@
 // Measure starts a deployment, measures it and stops it.
 func Measure(ctx context.Context, o Options, p Point) (Result, error) {
 	out := Result{Point: p, For: o.For}
-	if err := mishap.Wrap(os.RemoveAll(o.Dir), mishap.Internal, "folder"); err != nil {
+	if err := errs.Wrap(os.RemoveAll(o.Dir), errs.Internal, "folder"); err != nil {
 		return out, err
 	}
 	doc, err := p.charter()
@@ -81,7 +81,7 @@
 		group.SubmitErr(func() error { return b.f.Api().PutWorkers(ctx, pool, list) })
 	}
 	if err := group.Wait(); err != nil {
-		return mishap.Wrap(err, mishap.Late, "lists")
+		return errs.Wrap(err, errs.DeadlineExceeded, "lists")
 	}
 	if err := b.await(ctx, "duties", b.isHeld); err != nil {
 		return err
@@ -108,7 +108,7 @@
 		err = os.WriteFile(file, raw, 0o644)
 	}
 	if err != nil {
-		return mishap.Wrap(err, mishap.Internal, "pack")
+		return errs.Wrap(err, errs.Internal, "pack")
 	}
 	b.pack = b.f.Extra(filepath.Dir(b.Program), filepath.Base(b.Program), "hollow", "scale", "--pack", file)
 	b.pack.Http = addr
@@ -129,11 +129,11 @@
 			return nil
 		}
 		if b.pack != nil && !b.pack.IsUp() {
-			return mishap.New(mishap.Unsound, "%s are not ready: the hollow daemons' process has ended", what)
+			return errs.New(errs.Unhealthy, "%s are not ready: the hollow daemons' process has ended", what)
 		}
 		select {
 		case <-ctx.Done():
-			return mishap.New(mishap.Late, "%s are not ready", what)
+			return errs.New(errs.DeadlineExceeded, "%s are not ready", what)
 		case <-time.After(100 * time.Millisecond):
 		}
 	}
@@ -201,7 +201,7 @@
 	}
 	_ = group.Wait()
 	if int(taken.Load()) < b.point.Backlog {
-		return mishap.New(mishap.Late, "only %d of %d messages were taken", taken.Load(), b.point.Backlog)
+		return errs.New(errs.DeadlineExceeded, "only %d of %d messages were taken", taken.Load(), b.point.Backlog)
 	}
 	return nil
 }
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -11,8 +11,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -124,7 +124,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
 		err := b.await(ctx, "hollow daemons", func(context.Context, int) bool { return false })
-		So(mishap.Is(err, mishap.Unsound), ShouldBeTrue)
+		So(errs.Is(err, errs.Unhealthy), ShouldBeTrue)
 		So(ctx.Err(), ShouldBeNil)
 	})
 }
--- a/internal/scale/sweep.go
+++ b/internal/scale/sweep.go
@@ -8,7 +8,7 @@
 	"os"
 	"path/filepath"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Sweep moves one quantity from Base on.
@@ -43,7 +43,7 @@
 }
 
 // Run measures every point, prints each as it comes, and gives the results; of
-// points that could not be measured, the last mishap.
+// points that could not be measured, the last error.
 func (s Sweep) Run(ctx context.Context, o Options, base Point, w io.Writer) ([]Result, error) {
 	out, last := []Result{}, error(nil)
 	fmt.Fprintf(w, "\nSweep of %s; else %s\n", s.Unit, base)
@@ -54,7 +54,7 @@
 		here.Dir = filepath.Join(o.Dir, "point")
 		r, err := Measure(ctx, here, p)
 		if err != nil { // the others can still be measured
-			last = mishap.Wrap(err, mishap.Unsound, "%s at %g", s.Name, at)
+			last = errs.Wrap(err, errs.Unhealthy, "%s at %g", s.Name, at)
 			fmt.Fprintf(w, "\n%s = %g: not measured: %v\n", s.Name, at, err)
 			continue
 		}
@@ -78,14 +78,14 @@
 // Save writes the figures and their plot beside each other.
 func (s Sweep) Save(dir string, results []Result) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return mishap.Wrap(err, mishap.Internal, "folder")
+		return errs.Wrap(err, errs.Internal, "folder")
 	}
 	raw, err := json.MarshalIndent(results, "", " ")
 	if err == nil {
 		err = os.WriteFile(filepath.Join(dir, s.Name+".json"), append(raw, '\n'), 0o644)
 	}
 	if err != nil {
-		return mishap.Wrap(err, mishap.Internal, "figures")
+		return errs.Wrap(err, errs.Internal, "figures")
 	}
 	return s.plot(filepath.Join(dir, s.Name+".svg"), results)
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Check returns all that is wrong with the settings, each with its key.
@@ -64,7 +64,7 @@
 		must(!net.ParseIP(host).IsUnspecified(), "advertise", "must be an address that others can reach")
 	}
 	if len(wrong) > 0 {
-		return mishap.New(mishap.Invalid, "settings: %s", strings.Join(wrong, "; "))
+		return errs.New(errs.Invalid, "settings: %s", strings.Join(wrong, "; "))
 	}
 	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,7 +13,7 @@
 	"github.com/tidwall/gjson"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Duration is a time.Duration written as text such as 500ms in files and flags.
@@ -23,7 +23,7 @@
 func (d *Duration) UnmarshalText(raw []byte) error {
 	got, err := time.ParseDuration(string(raw))
 	d.Duration = got
-	return mishap.Wrap(err, mishap.Invalid, "duration %q", raw)
+	return errs.Wrap(err, errs.Invalid, "duration %q", raw)
 }
 
 // MarshalText implements encoding.TextMarshaler.
@@ -125,14 +125,14 @@
 	}
 	parser, err := arg.NewParser(arg.Config{Program: kind}, &s)
 	if err != nil {
-		return s, mishap.Wrap(err, mishap.Internal, "flags")
+		return s, errs.Wrap(err, errs.Internal, "flags")
 	}
 	if err := parser.Parse(args); err != nil {
 		if err == arg.ErrHelp {
 			parser.WriteHelp(os.Stdout)
 			os.Exit(0)
 		}
-		return s, mishap.Wrap(err, mishap.Invalid, "flags")
+		return s, errs.Wrap(err, errs.Invalid, "flags")
 	}
 	if s.Advertise == "" {
 		s.Advertise = s.Listen
@@ -143,11 +143,11 @@
 func (s *Settings) readFile() error {
 	raw, err := os.ReadFile(s.File)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Invalid, "settings file %s", s.File)
+		return errs.Wrap(err, errs.Invalid, "settings file %s", s.File)
 	}
 	if s.source != nil {
 		if raw, err = s.source.Read(raw); err != nil {
-			return mishap.Wrap(err, mishap.Invalid, "settings file %s", s.File)
+			return errs.Wrap(err, errs.Invalid, "settings file %s", s.File)
 		}
 	}
 	return s.merge(raw)
@@ -156,7 +156,7 @@
 // merge reads a file's text over the settings, naming every key that is wrong.
 func (s *Settings) merge(raw []byte) error {
 	if !gjson.ValidBytes(raw) || !gjson.ParseBytes(raw).IsObject() {
-		return mishap.New(mishap.Invalid, "settings file %s: not a JSON object", s.File)
+		return errs.New(errs.Invalid, "settings file %s: not a JSON object", s.File)
 	}
 	known := gjson.Parse(string(s.text()))
 	wrong := []string{}
@@ -170,9 +170,9 @@
 		return true
 	})
 	if len(wrong) > 0 {
-		return mishap.New(mishap.Invalid, "settings file %s: %s", s.File, strings.Join(wrong, "; "))
+		return errs.New(errs.Invalid, "settings file %s: %s", s.File, strings.Join(wrong, "; "))
 	}
-	return mishap.Wrap(json.Unmarshal(raw, s), mishap.Invalid, "settings file %s", s.File)
+	return errs.Wrap(json.Unmarshal(raw, s), errs.Invalid, "settings file %s", s.File)
 }
 
 // Sparse is the text of a settings file with what differs from the defaults, so
@@ -187,7 +187,7 @@
 	})
 	raw, err := json.Marshal(out)
 	if err != nil {
-		panic(mishap.Wrap(err, mishap.Internal, "settings"))
+		panic(errs.Wrap(err, errs.Internal, "settings"))
 	}
 	return raw
 }
@@ -198,7 +198,7 @@
 	}
 	raw, err := json.Marshal(s)
 	if err != nil {
-		panic(mishap.Wrap(err, mishap.Internal, "settings"))
+		panic(errs.Wrap(err, errs.Internal, "settings"))
 	}
 	return raw
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 const good = `{"name":"s","cell":"a","listen":"127.0.0.1:1000","http":"127.0.0.1:1001","seeds":["127.0.0.1:1002"],"data":"/d"}`
@@ -69,7 +69,7 @@
 					So(s.Advertise, ShouldEqual, "127.0.0.1:1000")
 					return
 				}
-				So(mishap.Is(err, mishap.Invalid), ShouldBeTrue)
+				So(errs.Is(err, errs.Invalid), ShouldBeTrue)
 				So(err.Error(), ShouldContainSubstring, c.says)
 			})
 		}
@@ -129,7 +129,7 @@
 		source := &Source{File: file, Read: func(raw []byte) ([]byte, error) {
 			cell, isOne := strings.CutPrefix(string(raw), "cell=")
 			if !isOne {
-				return nil, mishap.New(mishap.Invalid, "no cell")
+				return nil, errs.New(errs.Invalid, "no cell")
 			}
 			return []byte(strings.Replace(good, `"cell":"a"`, `"cell":"`+cell+`"`, 1)), nil
 		}}
@@ -140,7 +140,7 @@
 		Convey("it is read again in the same way", func() {
 			So(os.WriteFile(file, []byte("cell=b"), 0o600), ShouldBeNil)
 			_, err := Reread("store", s)
-			So(mishap.Is(err, mishap.Rejected), ShouldBeTrue)
+			So(errs.Is(err, errs.Rejected), ShouldBeTrue)
 			So(os.WriteFile(file, []byte("nothing"), 0o600), ShouldBeNil)
 			_, err = Reread("store", s)
 			So(err.Error(), ShouldContainSubstring, "no cell")
--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -10,7 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // withLive gives s with what may change while a daemon runs as it is in next.
@@ -29,7 +29,7 @@
 	}
 	next.Founds = old.Founds
 	if string(old.withLive(next).text()) != string(next.text()) {
-		return old, mishap.New(mishap.Rejected, "the file changes what only a restart can change")
+		return old, errs.New(errs.Rejected, "the file changes what only a restart can change")
 	}
 	return next, nil
 }
--- a/internal/sim/adapter.go
+++ b/internal/sim/adapter.go
@@ -7,7 +7,7 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/check"
 	"caperwheel/internal/deliver"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/wire"
 )
@@ -105,7 +105,7 @@
 			p.Send(a.name, from, func() { tell(reply, nil) })
 		})
 	})
-	p.After(beat.Default.Of(beat.Dead), func() { tell(nil, mishap.New(mishap.Lost, "no answer")) })
+	p.After(beat.Default.Of(beat.Dead), func() { tell(nil, errs.New(errs.Lost, "no answer")) })
 }
 
 func (a *simAdapter) serve(ask any) any {
@@ -122,11 +122,11 @@
 		return ack
 	case *wire.Run:
 		if err := a.book.Admit(m); err != nil {
-			return &wire.RunAck{Kind: string(mishap.KindOf(err))}
+			return &wire.RunAck{Kind: string(errs.KindOf(err))}
 		}
 		if !a.use(m.Permit) {
 			a.book.Forget(m)
-			return &wire.RunAck{Kind: string(mishap.Late)}
+			return &wire.RunAck{Kind: string(errs.DeadlineExceeded)}
 		}
 		a.carry(m)
 		return &wire.RunAck{}
--- a/internal/sim/around.go
+++ b/internal/sim/around.go
@@ -5,7 +5,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
 )
@@ -61,7 +61,7 @@
 			return nil
 		}
 	}
-	return mishap.New(mishap.Lost, "no adapter %s", who.Name)
+	return errs.New(errs.Lost, "no adapter %s", who.Name)
 }
 
 // TakeElsewhere is not used: no lane here has a call-back.
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -6,7 +6,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/check"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -23,7 +23,7 @@
 		switch {
 		case got != nil && got.Kind == "":
 			p.finish(s, check.Taken, told)
-		case !isOpen || got != nil && got.Kind == string(mishap.Rejected):
+		case !isOpen || got != nil && got.Kind == string(errs.Rejected):
 			p.finish(s, check.NotTaken, told)
 		default:
 			settle := &wire.Settle{Id: s.Id, Lane: lane}
@@ -31,7 +31,7 @@
 				switch {
 				case got != nil && got.Kind == "":
 					p.finish(s, check.Taken, told)
-				case got != nil && got.Kind == string(mishap.Rejected):
+				case got != nil && got.Kind == string(errs.Rejected):
 					p.finish(s, check.NotTaken, told)
 				default:
 					p.finish(s, check.Undecided, told)
@@ -57,7 +57,7 @@
 			switch {
 			case got != nil && got.Kind == "":
 				best = check.Taken
-			case got != nil && got.Kind == string(mishap.Rejected):
+			case got != nil && got.Kind == string(errs.Rejected):
 				best = check.NotTaken
 			}
 			p.After(time.Duration(p.Rand.IntN(1500))*time.Millisecond, func() { send(left - 1) })
@@ -97,7 +97,7 @@
 	}
 	id, at := p.taken[first+p.Rand.IntN(len(p.taken)-first)].Id, p.now
 	p.askStore("caller", p.store(), func(o placeOwner, answer func(any)) { o.Look(&wire.Look{Id: id, Body: true}, answer) }, func(reply any) {
-		if got, isSight := reply.(*wire.Sight); isSight && got.Kind != string(mishap.NotOwner) {
+		if got, isSight := reply.(*wire.Sight); isSight && got.Kind != string(errs.NotOwner) {
 			sight := check.Sight{Id: id, At: at, ToldAt: p.now, State: got.State, Attempts: got.Attempts, BodySum: got.Sum}
 			if got.Kind != "" {
 				sight.State = "unknown"
@@ -128,10 +128,10 @@
 			if !isTaken || isDone {
 				return
 			}
-			if got.Kind != string(mishap.Undecided) {
+			if got.Kind != string(errs.Undecided) {
 				open--
 			}
-			if got.Kind != string(mishap.Undecided) && got.Kind != string(mishap.NotOwner) {
+			if got.Kind != string(errs.Undecided) && got.Kind != string(errs.NotOwner) {
 				isDone = true
 				then(got, open > 0)
 			}
@@ -164,7 +164,7 @@
 		for range 20 {
 			for _, st := range p.stores {
 				p.askStore("caller", st, func(o placeOwner, answer func(any)) { o.Look(&wire.Look{Id: s.Id, Body: true}, answer) }, func(reply any) {
-					if got, isSight := reply.(*wire.Sight); isSight && got.Kind != string(mishap.NotOwner) {
+					if got, isSight := reply.(*wire.Sight); isSight && got.Kind != string(errs.NotOwner) {
 						end := check.End{State: got.State, Attempt: got.Proof.Attempt, Worker: got.Proof.Worker, Sum: got.Proof.Sum, BodySum: got.Sum}
 						if got.Kind != "" {
 							end.State = "unknown"
--- a/internal/sim/herds.go
+++ b/internal/sim/herds.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/manager"
-	"caperwheel/internal/mishap"
 )
 
 // Herds are troubles of many daemons, of the links or of the operators' answers.
@@ -116,7 +116,7 @@
 			_, err := o.Retire(ctx, "operator", m.name, time.Minute)
 			return &told{err}
 		}).(*told)
-		if isTold && mishap.Is(err.err, mishap.Rejected) || isTold && mishap.Is(err.err, mishap.Unknown) {
+		if isTold && errs.Is(err.err, errs.Rejected) || isTold && errs.Is(err.err, errs.Unknown) {
 			d.breach("the retirement of %s is refused: %v", m.name, err.err)
 			return false
 		}
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/transport"
 )
 
@@ -89,7 +89,7 @@
 	n.d.Note("all connections of %s are reset", addr)
 	for _, c := range slices.Clone(n.open) {
 		if c.from == addr || c.to == addr {
-			n.finish(c, nil, mishap.New(mishap.Lost, "reset"))
+			n.finish(c, nil, errs.New(errs.Lost, "reset"))
 		}
 	}
 }
@@ -115,7 +115,7 @@
 			}
 		}
 		d.net.call(from, to, work, end)
-		d.After(max(0, c.until-d.now), func() { end(nil, mishap.New(mishap.Late, "no answer")) })
+		d.After(max(0, c.until-d.now), func() { end(nil, errs.New(errs.DeadlineExceeded, "no answer")) })
 	})
 	return reply, err
 }
--- a/internal/sim/orders.go
+++ b/internal/sim/orders.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/linearize"
 	"caperwheel/internal/manager"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -129,7 +129,7 @@
 	case err == nil:
 		d.book.confirm(o)
 		return &verdict{isYes: true}
-	case mishap.Is(err, mishap.Conflict), mishap.Is(err, mishap.Invalid):
+	case errs.Is(err, errs.Conflict), errs.Is(err, errs.Invalid):
 		d.book.refuse(o, err)
 		return &verdict{isNo: true}
 	}
@@ -155,7 +155,7 @@
 				defer cancel()
 				reply, err := via.reach.Group(within, e.Part, &e, func(reply any) (bool, string) {
 					got, isEdited := reply.(*wire.Edited)
-					return isEdited && got.Kind != string(mishap.NotOwner), ""
+					return isEdited && got.Kind != string(errs.NotOwner), ""
 				})
 				if got, isEdited := reply.(*wire.Edited); err == nil && isEdited && got.Kind == "" {
 					d.book.keep(e.Part, e.Key)
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -9,9 +9,9 @@
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/check"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
 	"caperwheel/internal/host"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/store"
 	"caperwheel/internal/wire"
@@ -65,7 +65,7 @@
 		"free":{"pools":["work"],"attempts":0,"patience":"2m","retention":"1h"},
 		"seq":{"pools":["work"],"attempts":4,"ordering":"key","patience":"2m","retention":"1h"}}}`))
 	if len(faults) > 0 {
-		panic(mishap.New(mishap.Internal, "rules of the simulation: %v", faults))
+		panic(errs.New(errs.Internal, "rules of the simulation: %v", faults))
 	}
 	p.rules = rules
 	p.H.Pools["free"], p.H.Pools["seq"], p.H.Order["seq"] = []string{"work"}, []string{"work"}, true
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"caperwheel/internal/check"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
 	"caperwheel/internal/wire"
 )
@@ -44,7 +44,7 @@
 func (a *simAdapter) carry(m *wire.Run) {
 	w := a.w
 	if !a.isFresh() {
-		a.home(m, &wire.Outcome{Id: m.Id, Boot: a.boot(), Kind: string(mishap.Stale),
+		a.home(m, &wire.Outcome{Id: m.Id, Boot: a.boot(), Kind: string(errs.Stale),
 			Proof: wire.Proof{Attempt: m.Attempt, Worker: m.Worker, Answer: []byte{}}})
 		return
 	}
@@ -64,16 +64,16 @@
 	w.Note("run %s/%d at %s, term %d, takes %v", m.Id, m.Attempt, a.boot(), m.Term, took)
 	w.runs = append(w.runs, run)
 	w.After(took, func() { x.end(); x.answer("") }) // whatever becomes of the adapter
-	w.After(place.Wait(m.Key != "", workBound), func() { x.answer(mishap.Late) })
+	w.After(place.Wait(m.Key != "", workBound), func() { x.answer(errs.DeadlineExceeded) })
 	if w.Rand.IntN(1000) < w.Break {
-		w.After(time.Duration(w.Rand.Int64N(int64(took))), func() { x.answer(mishap.Lost) })
+		w.After(time.Duration(w.Rand.Int64N(int64(took))), func() { x.answer(errs.Lost) })
 	}
 	a.breaks = append(a.breaks, x.hangUp)
 }
 
 // answer is what the adapter learns of its run: the worker's answer, if it was
 // whole, or why there is none.
-func (x *work) answer(kind mishap.Kind) {
+func (x *work) answer(kind errs.Kind) {
 	a := x.a
 	if x.isTold || !a.isUp || a.life != x.life {
 		return
@@ -83,19 +83,19 @@
 			return
 		}
 		x.isTold = true
-		if kind == mishap.Late && x.isOver {
+		if kind == errs.DeadlineExceeded && x.isOver {
 			kind = "" // it came while the adapter stood still
 		}
 		o := &wire.Outcome{Id: x.m.Id, Boot: a.boot(), Begun: true,
 			Proof: wire.Proof{Attempt: x.m.Attempt, Worker: x.m.Worker, Answer: []byte{}}}
 		switch {
-		case kind == mishap.Late: // whoever is merely waited for no longer does not notice
+		case kind == errs.DeadlineExceeded: // whoever is merely waited for no longer does not notice
 		case kind != "":
 			x.hangUp()
 		case x.isFailed:
-			kind = mishap.Unsound
+			kind = errs.Unhealthy
 		case x.isCut:
-			kind = mishap.CutShort
+			kind = errs.Truncated
 		default:
 			x.run.IsWhole = true // only now has it been read
 			o.Proof.Status, o.Proof.Sum = 200, x.run.Answer
--- a/internal/slot/files.go
+++ b/internal/slot/files.go
@@ -9,7 +9,7 @@
 	"slices"
 	"syscall"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Files is the file system below a data folder. Tests put faults in it.
@@ -40,15 +40,15 @@
 // OpenFolder makes and locks a data folder.
 func OpenFolder(dir string) (*Folder, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, mishap.Wrap(err, mishap.Disk, "make %s", dir)
+		return nil, errs.Wrap(err, errs.Disk, "make %s", dir)
 	}
 	lock, err := os.OpenFile(filepath.Join(dir, "lock"), os.O_CREATE|os.O_RDWR, 0o644)
 	if err != nil {
-		return nil, mishap.Wrap(err, mishap.Disk, "open lock")
+		return nil, errs.Wrap(err, errs.Disk, "open lock")
 	}
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		lock.Close()
-		return nil, mishap.Wrap(err, mishap.Conflict, "%s is in use by another process", dir)
+		return nil, errs.Wrap(err, errs.Conflict, "%s is in use by another process", dir)
 	}
 	return &Folder{dir: dir, lock: lock}, nil
 }
@@ -60,7 +60,7 @@
 func (f *Folder) Open(name string) (File, error) {
 	file, err := os.OpenFile(filepath.Join(f.dir, name), os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o644)
 	if err != nil {
-		return nil, mishap.Wrap(err, mishap.Disk, "open %s", name)
+		return nil, errs.Wrap(err, errs.Disk, "open %s", name)
 	}
 	return file, f.syncDir()
 }
@@ -68,19 +68,19 @@
 func (f *Folder) syncDir() error {
 	dir, err := os.Open(f.dir)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Disk, "open folder")
+		return errs.Wrap(err, errs.Disk, "open folder")
 	}
 	defer dir.Close()
-	return mishap.Wrap(dir.Sync(), mishap.Disk, "sync folder")
+	return errs.Wrap(dir.Sync(), errs.Disk, "sync folder")
 }
 
 // Read gives a whole file.
 func (f *Folder) Read(name string) ([]byte, error) {
 	raw, err := os.ReadFile(filepath.Join(f.dir, name))
 	if os.IsNotExist(err) {
-		return nil, mishap.Wrap(err, mishap.Unknown, "read %s", name)
+		return nil, errs.Wrap(err, errs.Unknown, "read %s", name)
 	}
-	return raw, mishap.Wrap(err, mishap.Disk, "read %s", name)
+	return raw, errs.Wrap(err, errs.Disk, "read %s", name)
 }
 
 // Write replaces a file's content in place and syncs it: slots come in pairs,
@@ -88,7 +88,7 @@
 func (f *Folder) Write(name string, raw []byte) error {
 	file, err := os.OpenFile(filepath.Join(f.dir, name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Disk, "open %s", name)
+		return errs.Wrap(err, errs.Disk, "open %s", name)
 	}
 	if _, err = file.Write(raw); err == nil {
 		err = file.Sync()
@@ -97,19 +97,19 @@
 		err = closing
 	}
 	if err != nil {
-		return mishap.Wrap(err, mishap.Disk, "write %s", name)
+		return errs.Wrap(err, errs.Disk, "write %s", name)
 	}
 	return f.syncDir()
 }
 
 // Remove deletes a file.
 func (f *Folder) Remove(name string) error {
-	return mishap.Wrap(os.Remove(filepath.Join(f.dir, name)), mishap.Disk, "remove %s", name)
+	return errs.Wrap(os.Remove(filepath.Join(f.dir, name)), errs.Disk, "remove %s", name)
 }
 
 // Cut shortens a file.
 func (f *Folder) Cut(name string, size int64) error {
-	return mishap.Wrap(os.Truncate(filepath.Join(f.dir, name), size), mishap.Disk, "cut %s", name)
+	return errs.Wrap(os.Truncate(filepath.Join(f.dir, name), size), errs.Disk, "cut %s", name)
 }
 
 // Sync makes a file as it is durable: a process that died may have left writes
@@ -117,10 +117,10 @@
 func (f *Folder) Sync(name string) error {
 	file, err := os.OpenFile(filepath.Join(f.dir, name), os.O_RDWR, 0o644)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Disk, "open %s", name)
+		return errs.Wrap(err, errs.Disk, "open %s", name)
 	}
 	defer file.Close()
-	return mishap.Wrap(file.Sync(), mishap.Disk, "sync %s", name)
+	return errs.Wrap(file.Sync(), errs.Disk, "sync %s", name)
 }
 
 // List gives the names in the folder, sorted.
@@ -131,12 +131,12 @@
 		names = append(names, e.Name())
 	}
 	slices.Sort(names)
-	return names, mishap.Wrap(err, mishap.Disk, "list folder")
+	return names, errs.Wrap(err, errs.Disk, "list folder")
 }
 
 // Free tells how much room the disk has.
 func (f *Folder) Free() (uint64, uint64, error) {
 	var stat syscall.Statfs_t
 	err := syscall.Statfs(f.dir, &stat)
-	return stat.Bavail * uint64(stat.Bsize), stat.Blocks * uint64(stat.Bsize), mishap.Wrap(err, mishap.Disk, "statfs")
+	return stat.Bavail * uint64(stat.Bsize), stat.Blocks * uint64(stat.Bsize), errs.Wrap(err, errs.Disk, "statfs")
 }
--- a/internal/slot/log.go
+++ b/internal/slot/log.go
@@ -7,8 +7,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
-	"caperwheel/internal/mishap"
 )
 
 // Options of the disk. Zero values mean defaults.
@@ -101,7 +101,7 @@
 // refuse answers all writes once the disk has stopped.
 func (l *Log) refuse() {
 	for w := range l.ring {
-		w.then(mishap.New(mishap.Disk, "the disk is closed"))
+		w.then(errs.New(errs.Disk, "the disk is closed"))
 	}
 }
 
@@ -165,10 +165,10 @@
 		return nil
 	}
 	if _, err := l.file.Write(buffer); err != nil {
-		return mishap.Wrap(err, mishap.Disk, "write log")
+		return errs.Wrap(err, errs.Disk, "write log")
 	}
 	if err := l.file.Sync(); err != nil {
-		return mishap.Wrap(err, mishap.Disk, "sync log")
+		return errs.Wrap(err, errs.Disk, "sync log")
 	}
 	counters.syncs.Inc()
 	counters.bytes.Add(float64(len(buffer)))
@@ -183,7 +183,7 @@
 func (l *Log) rotate() error {
 	if l.file != nil {
 		if err := l.file.Close(); err != nil {
-			return mishap.Wrap(err, mishap.Disk, "close log")
+			return errs.Wrap(err, errs.Disk, "close log")
 		}
 	}
 	l.mu.Lock()
--- a/internal/slot/open.go
+++ b/internal/slot/open.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Open reads all that the disk holds and readies it for writing.
@@ -132,7 +132,7 @@
 			}
 			var r record
 			if err := recordCodec.Decode(body, &r); err != nil {
-				return mishap.Wrap(err, mishap.Broken, "record in %s at %d", segmentName(n), at)
+				return errs.Wrap(err, errs.Corrupt, "record in %s at %d", segmentName(n), at)
 			}
 			if held[r.Group] == nil {
 				held[r.Group] = &Held{}
--- a/internal/slot/pair.go
+++ b/internal/slot/pair.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"hash/crc32"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -26,7 +26,7 @@
 	p = &Pair{files: files, name: name}
 	for turn := range uint64(2) {
 		got, err := files.Read(p.file(turn))
-		if mishap.Is(err, mishap.Unknown) {
+		if errs.Is(err, errs.Unknown) {
 			continue
 		}
 		if err != nil {
--- a/internal/slot/room.go
+++ b/internal/slot/room.go
@@ -34,8 +34,8 @@
 // group that the disk then knows nothing of is damaged too.
 func (l *Log) HasLost() bool { return l.lost }
 
-// Mishap tells why the disk stopped, if it did.
-func (l *Log) Mishap() error {
+// Err tells why the disk stopped, if it did.
+func (l *Log) Err() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.broken
--- a/internal/slot/slot_test.go
+++ b/internal/slot/slot_test.go
@@ -7,8 +7,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -34,7 +34,7 @@
 
 func (w *frailFile) Write(raw []byte) (int, error) {
 	if w.f.failAt--; w.f.failAt == 0 {
-		return 0, mishap.New(mishap.Disk, "caused by the test")
+		return 0, errs.New(errs.Disk, "caused by the test")
 	}
 	w.f.whole[w.name] += int64(len(raw))
 	return w.File.Write(raw)
@@ -126,16 +126,16 @@
 		})
 		Convey("a second process is kept out", func() {
 			_, err := OpenFolder(dir)
-			So(mishap.Is(err, mishap.Conflict), ShouldBeTrue)
+			So(errs.Is(err, errs.Conflict), ShouldBeTrue)
 		})
 		Convey("a failed write is told and stops the disk", func() {
 			files.failAt = 1
 			got := make(chan error, 2)
 			l.Persist(1, &group.Persist{}, func(err error) { got <- err })
-			So(mishap.Is(<-got, mishap.Disk), ShouldBeTrue)
+			So(errs.Is(<-got, errs.Disk), ShouldBeTrue)
 			<-l.done
 			l.Persist(1, &group.Persist{}, func(err error) { got <- err })
-			So(mishap.Is(<-got, mishap.Disk), ShouldBeTrue)
+			So(errs.Is(<-got, errs.Disk), ShouldBeTrue)
 		})
 	})
 }
--- a/internal/standin/entry.go
+++ b/internal/standin/entry.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 const missesOut = 2 // so many in a row take a daemon out
@@ -95,7 +95,7 @@
 	return func(ctx context.Context, network, _ string) (net.Conn, error) {
 		m := choose(e.site.Zones, e.fronts, e.in(), zone, client, try())
 		if m == nil {
-			return nil, mishap.New(mishap.Lost, "there is no front")
+			return nil, errs.New(errs.Lost, "there is no front")
 		}
 		return (&net.Dialer{}).DialContext(ctx, network, e.site.at(m.host, portFront))
 	}
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -10,8 +10,8 @@
 	"syscall"
 	"time"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
-	"caperwheel/internal/mishap"
 )
 
 // The platform's classes of machines.
@@ -109,7 +109,7 @@
 			err = os.Rename(m.file(p.Kind)+".new", m.file(p.Kind))
 		}
 		if err != nil {
-			return mishap.Wrap(err, mishap.Internal, "settings of %s", m.Name)
+			return errs.Wrap(err, errs.Internal, "settings of %s", m.Name)
 		}
 	}
 	return nil
@@ -123,7 +123,7 @@
 		return nil // another fault's end has started it
 	}
 	if err := os.MkdirAll(m.disk(), 0o755); err != nil {
-		return mishap.Wrap(err, mishap.Internal, "disk of %s", m.Name)
+		return errs.Wrap(err, errs.Internal, "disk of %s", m.Name)
 	}
 	if err := m.write(); err != nil {
 		return err
--- a/internal/standin/report.go
+++ b/internal/standin/report.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"caperwheel/internal/check"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
-	"caperwheel/internal/mishap"
 )
 
 // Figures of a run.
@@ -144,11 +144,11 @@
 	figures := s.Report(true)
 	raw, err := json.MarshalIndent(figures, "", "  ")
 	if err != nil {
-		return mishap.Wrap(err, mishap.Internal, "report")
+		return errs.Wrap(err, errs.Internal, "report")
 	}
 	fmt.Fprintln(out, string(raw))
 	if !figures.IsClean() {
-		return mishap.New(mishap.Unsound, "%d rules broken, %d failures, %d crashes", len(figures.Breaches), len(figures.Failures), len(figures.Crashes))
+		return errs.New(errs.Unhealthy, "%d rules broken, %d failures, %d crashes", len(figures.Breaches), len(figures.Failures), len(figures.Crashes))
 	}
 	return nil
 }
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
-	"caperwheel/internal/mishap"
 )
 
 // Addresses of a site: 127.0.net.*, where all machines have the same ports.
@@ -92,7 +92,7 @@
 		s.Pools[p.Name] = pool
 		s.History.Services[p.Name] = Service{p.Rate, p.ColdRate}
 		if err := pool.lay(); err != nil {
-			return s, mishap.Wrap(err, mishap.Internal, "worker")
+			return s, errs.Wrap(err, errs.Internal, "worker")
 		}
 	}
 	s.List, s.Receiver = &list{site: s}, &Receiver{site: s}
@@ -128,13 +128,13 @@
 			return nil
 		}
 	}
-	return mishap.New(mishap.Internal, "no part of loopback is free")
+	return errs.New(errs.Internal, "no part of loopback is free")
 }
 
 func (s *Site) serve(addr string, h http.Handler, most int) error {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
-		return mishap.Wrap(err, mishap.Internal, "listen at %s", addr)
+		return errs.Wrap(err, errs.Internal, "listen at %s", addr)
 	}
 	server := &http.Server{Handler: h}
 	s.servers = append(s.servers, server)
@@ -165,11 +165,11 @@
 	s.every(time.Second, s.entry.probe)
 	s.every(watchPeriod, s.watch)
 	if code := s.operator.first(ctx); code != 200 {
-		return mishap.New(mishap.Late, "the first configuration was answered %d", code)
+		return errs.New(errs.DeadlineExceeded, "the first configuration was answered %d", code)
 	}
 	for !s.entry.isWhole() {
 		if !pause(ctx, 50*time.Millisecond) {
-			return mishap.New(mishap.Late, "not every front says that it is ready")
+			return errs.New(errs.DeadlineExceeded, "not every front says that it is ready")
 		}
 	}
 	return nil
@@ -206,7 +206,7 @@
 func (s *Site) layMachines() error {
 	for _, folder := range []string{"log", "etc"} {
 		if err := os.MkdirAll(filepath.Join(s.Dir, folder), 0o755); err != nil {
-			return mishap.Wrap(err, mishap.Internal, "folder")
+			return errs.Wrap(err, errs.Internal, "folder")
 		}
 	}
 	host := machineHost
--- a/internal/store/again_test.go
+++ b/internal/store/again_test.go
@@ -5,7 +5,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
 	"caperwheel/internal/wire"
 )
@@ -37,7 +37,7 @@
 			take("s")
 			b.commit(false)
 			So(len(answers), ShouldEqual, 2)
-			So(answers[1].Kind, ShouldEqual, string(mishap.Undecided))
+			So(answers[1].Kind, ShouldEqual, string(errs.Undecided))
 			take("s")
 			So(len(b.proposed), ShouldEqual, 1)
 		})
@@ -56,7 +56,7 @@
 	Convey("Given a run whose result is under way", t, func() {
 		b, e := started("l")
 		acks := []*wire.OutcomeAck{}
-		outcome := func(kind mishap.Kind) {
+		outcome := func(kind errs.Kind) {
 			b.place.Outcome(&wire.Outcome{Id: "0-x", Kind: string(kind), Begun: true, Proof: wire.Proof{Attempt: 1}},
 				func(reply any) { acks = append(acks, reply.(*wire.OutcomeAck)) })
 		}
@@ -70,7 +70,7 @@
 			So(e.State, ShouldEqual, place.Ended)
 		})
 		Convey("another result of it is", func() {
-			outcome(mishap.Unsound)
+			outcome(errs.Unhealthy)
 			So(len(b.proposed), ShouldEqual, 2)
 		})
 	})
--- a/internal/store/found.go
+++ b/internal/store/found.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"caperwheel/internal/daemon"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/slot"
 	"caperwheel/internal/wire"
 )
@@ -68,7 +68,7 @@
 		return nil, err
 	}
 	if f.id.Name != d.Settings.Name {
-		return nil, mishap.New(mishap.Invalid, "the data folder belongs to %s", f.id.Name)
+		return nil, errs.New(errs.Invalid, "the data folder belongs to %s", f.id.Name)
 	}
 	return f, nil
 }
--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
 	"caperwheel/internal/wire"
 )
@@ -14,7 +14,7 @@
 // Outcome makes a run's result durable and acknowledges it.
 func (p *PlaceHost) Outcome(o *wire.Outcome, answer func(any)) {
 	if !p.host.IsOwner() {
-		answer(&wire.OutcomeAck{Kind: string(mishap.NotOwner), Owner: p.ownerName()})
+		answer(&wire.OutcomeAck{Kind: string(errs.NotOwner), Owner: p.ownerName()})
 		return
 	}
 	key := outcomeKey(o)
@@ -29,13 +29,13 @@
 	}
 	lane, isKnown := p.lane(e.Lane)
 	if !isKnown {
-		answer(&wire.OutcomeAck{Kind: string(mishap.Stale)}) // its adapter keeps it and comes again
+		answer(&wire.OutcomeAck{Kind: string(errs.Stale)}) // its adapter keeps it and comes again
 		return
 	}
 	answer = p.underWay.begin(key, answer)
 	p.propose(p.judge(e, o, lane), func(_ place.Verdict, err error) {
 		if err != nil {
-			answer(&wire.OutcomeAck{Kind: string(mishap.KindOf(err)), Owner: p.ownerName()})
+			answer(&wire.OutcomeAck{Kind: string(errs.KindOf(err)), Owner: p.ownerName()})
 			return
 		}
 		delete(p.inHand, o.Id)
@@ -57,9 +57,9 @@
 		}
 		return c
 	}
-	isSpent := o.Begun && (lane.SpendsAll || o.Kind == string(mishap.Unsound))
+	isSpent := o.Begun && (lane.SpendsAll || o.Kind == string(errs.Unhealthy))
 	back := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: o.Proof.Attempt, Cause: o.Kind, Costs: isSpent, Retain: retain}
-	back.Hold = o.Begun && e.Ordered && o.Wait > 0 && place.MayGoOn(mishap.Kind(o.Kind))
+	back.Hold = o.Begun && e.Ordered && o.Wait > 0 && place.MayGoOn(errs.Kind(o.Kind))
 	// A failure told again, of a run that was already brought back, counts no more.
 	isOpen := e.State == place.Started && e.Attempt == o.Proof.Attempt
 	isLast := isSpent && isOpen && lane.Attempts > 0 && e.Spent+1 >= lane.Attempts
--- a/internal/store/look.go
+++ b/internal/store/look.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
 	"caperwheel/internal/wire"
 )
@@ -37,12 +37,12 @@
 // become owner since.
 func (p *PlaceHost) see(l *wire.Look, answer func(any)) {
 	if v := p.host.View(); !p.host.IsOwner() || p.around.Now()-v.Confirmed > p.around.Bounds().Of(beat.Term) {
-		answer(p.sight(nil, mishap.NotOwner))
+		answer(p.sight(nil, errs.NotOwner))
 		return
 	}
 	e := p.machine.Find(l.Id)
 	if e == nil {
-		answer(p.sight(nil, mishap.Unknown))
+		answer(p.sight(nil, errs.Unknown))
 		return
 	}
 	out := p.sight(e, "")
@@ -69,7 +69,7 @@
 	}
 }
 
-func (p *PlaceHost) sight(e *place.Errand, kind mishap.Kind) *wire.Sight {
+func (p *PlaceHost) sight(e *place.Errand, kind errs.Kind) *wire.Sight {
 	if e == nil {
 		return &wire.Sight{Kind: string(kind), Owner: p.ownerName(), Body: []byte{}, Proof: wire.Proof{Answer: []byte{}}}
 	}
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -8,8 +8,8 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/place"
 	"caperwheel/internal/wire"
 )
@@ -71,7 +71,7 @@
 		if commits {
 			tell(b.place.Apply(data), nil)
 		} else {
-			tell(nil, mishap.New(mishap.Undecided, "the owner has been replaced"))
+			tell(nil, errs.New(errs.Undecided, "the owner has been replaced"))
 		}
 	})
 }
--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"caperwheel/internal/beat"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -73,7 +73,7 @@
 	}
 	p.host.Propose(feed.EncodeEdit(e), func(verdict any, err error) {
 		if err != nil {
-			answer(&wire.Edited{Kind: string(mishap.KindOf(err))})
+			answer(&wire.Edited{Kind: string(errs.KindOf(err))})
 			return
 		}
 		out := verdict.(wire.Edited)
@@ -87,15 +87,15 @@
 	v := p.host.View()
 	switch {
 	case !p.host.IsOwner():
-		answer(&wire.Pulled{Kind: string(mishap.NotOwner), Change: wire.Change{Value: []byte{}}})
+		answer(&wire.Pulled{Kind: string(errs.NotOwner), Change: wire.Change{Value: []byte{}}})
 	case !v.IsSure || v.Confirmed < askedAt:
 		if p.around.Now()-askedAt > p.around.Bounds().Of(beat.Vote) {
-			answer(&wire.Pulled{Kind: string(mishap.Late), Change: wire.Change{Value: []byte{}}})
+			answer(&wire.Pulled{Kind: string(errs.DeadlineExceeded), Change: wire.Change{Value: []byte{}}})
 			return
 		}
 		p.around.After(p.around.Bounds().Of(beat.Pulse)/4, func() {
 			if err := p.host.Do(func() { p.Pull(key, askedAt, answer) }); err != nil {
-				answer(&wire.Pulled{Kind: string(mishap.Full), Change: wire.Change{Value: []byte{}}})
+				answer(&wire.Pulled{Kind: string(errs.Full), Change: wire.Change{Value: []byte{}}})
 			}
 		})
 	default:
@@ -126,16 +126,16 @@
 		go s.follow(m, answer)
 	case *wire.Edit:
 		s.withPart(m.Part, func(p *PartHost) { p.Edit(*m, answer) },
-			func(kind mishap.Kind) { answer(&wire.Edited{Kind: string(kind)}) })
+			func(kind errs.Kind) { answer(&wire.Edited{Kind: string(kind)}) })
 	case *wire.Pull:
 		s.withPart(m.Part, func(p *PartHost) { p.Pull(m.Key, now, answer) },
-			func(kind mishap.Kind) { answer(&wire.Pulled{Kind: string(kind), Change: wire.Change{Value: []byte{}}}) })
+			func(kind errs.Kind) { answer(&wire.Pulled{Kind: string(kind), Change: wire.Change{Value: []byte{}}}) })
 	case *wire.Retire:
 		go func() { answer(s.standings(m.Store, now)) }() // it waits for a majority
 	}
 }
 
-func (s *Store) withPart(number int64, work func(*PartHost), reject func(mishap.Kind)) {
+func (s *Store) withPart(number int64, work func(*PartHost), reject func(errs.Kind)) {
 	withHeld(s, s.parts, number, work, reject)
 }
 
@@ -152,7 +152,7 @@
 				news.Part = -1
 			}
 			got <- news
-		}, func(mishap.Kind) { got <- wire.PartNews{Part: -1} })
+		}, func(errs.Kind) { got <- wire.PartNews{Part: -1} })
 	}
 	for range asked {
 		if news := <-got; news.Part >= 0 {
