--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -8,7 +8,7 @@
 
 	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
 	"caperwheel/internal/wire"
 )
@@ -146,13 +146,13 @@
 
 // Take holds a message, or says definitely that it does not.
 func (p *PlaceHost) Take(t *wire.Take, answer func(any)) {
-	reject := func(kind mishap.Kind, text string, retry time.Duration) {
+	reject := func(kind errs.Kind, text string, retry time.Duration) {
 		answer(&wire.Taken{Id: t.Id, Kind: string(kind), Text: text, Owner: p.ownerName(), Retry: int64(retry / time.Millisecond)})
 	}
 	count, bytes := p.machine.Count()
 	switch {
 	case !p.host.IsOwner():
-		reject(mishap.NotOwner, "", 0)
+		reject(errs.NotOwner, "", 0)
 		return
 	case p.isSame(t): // sent again: what is committed stays, full or not
 		answer(&wire.Taken{Id: t.Id, State: string(p.machine.Find(t.Id).State)})
@@ -160,24 +160,24 @@
 	case p.underWay.join(takeKey(t), answer): // sent again: it may be held yet
 		return
 	case !p.around.IsFresh(): // the lane may be another by now
-		reject(mishap.NotOwner, "", 0) // no more definite than that: an older adapter would believe it
+		reject(errs.NotOwner, "", 0) // no more definite than that: an older adapter would believe it
 		return
 	case p.around.IsTight():
-		reject(mishap.Full, "the store's memory is nearly used up", 2*time.Second)
+		reject(errs.Full, "the store's memory is nearly used up", 2*time.Second)
 		return
 	case p.around.IsFull():
-		reject(mishap.DiskFull, "the store's disk is nearly full", 30*time.Second)
+		reject(errs.DiskFull, "the store's disk is nearly full", 30*time.Second)
 		return
 	case p.around.IsBusy() || p.host.Oldest() > p.around.Bounds().Of(beat.Stall):
-		reject(mishap.Full, "the place's disks cannot keep up", p.around.Bounds().Of(beat.Stall))
+		reject(errs.Full, "the place's disks cannot keep up", p.around.Bounds().Of(beat.Stall))
 		return
 	case count >= mostErrands || bytes >= mostBytes || p.host.Waiting() >= mostWaiting:
-		reject(mishap.Full, "the place holds as much as it may", 2*time.Second)
+		reject(errs.Full, "the place holds as much as it may", 2*time.Second)
 		return
 	}
 	lane, isKnown := p.around.Scene().Rules.Lanes[t.Lane]
 	if !isKnown {
-		reject(mishap.Unknown, "no such lane", 0)
+		reject(errs.Unknown, "no such lane", 0)
 		return
 	}
 	answer = p.underWay.begin(takeKey(t), answer)
@@ -185,7 +185,7 @@
 		Body: t.Body, Sum: t.Sum, Cutoff: t.Cutoff, Parent: t.Parent, Ordered: lane.IsOrdered,
 		Head: t.Head, Delay: t.Delay, Notify: t.Notify, Prompt: lane.Prompt.Milliseconds()}, func(v place.Verdict, err error) {
 		if err != nil {
-			reject(mishap.KindOf(err), "", 0)
+			reject(errs.KindOf(err), "", 0)
 			return
 		}
 		answer(&wire.Taken{Id: v.Id, State: string(v.State), Kind: string(v.Kind), Text: v.Text})
@@ -201,16 +201,16 @@
 // Settle makes an undecided message's fate definite: held, or never.
 func (p *PlaceHost) Settle(t *wire.Settle, answer func(any)) {
 	if count, _ := p.machine.Count(); p.machine.Find(t.Id) == nil && count >= mostErrands+mostTombs {
-		answer(&wire.Taken{Id: t.Id, Kind: string(mishap.Full), Text: "the place holds as much as it may"})
+		answer(&wire.Taken{Id: t.Id, Kind: string(errs.Full), Text: "the place holds as much as it may"})
 		return
 	}
 	p.propose(place.Command{Kind: place.CmdTomb, Id: t.Id, Lane: t.Lane, Retain: int64(10 * time.Minute / time.Millisecond)},
 		func(v place.Verdict, err error) {
 			out := &wire.Taken{Id: t.Id, State: string(v.State), Kind: string(v.Kind)}
 			if err != nil {
-				out.Kind, out.Owner = string(mishap.KindOf(err)), p.ownerName()
+				out.Kind, out.Owner = string(errs.KindOf(err)), p.ownerName()
 			} else if v.State == place.Tomb {
-				out.Kind = string(mishap.Rejected)
+				out.Kind = string(errs.Rejected)
 			}
 			answer(out)
 		})
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
 	"caperwheel/internal/wire"
 )
@@ -69,7 +69,7 @@
 		})
 	})
 	if err != nil { // definitely not sent
-		p.undo(e.Id, attempt, string(mishap.KindOf(err)))
+		p.undo(e.Id, attempt, string(errs.KindOf(err)))
 	}
 }
 
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -1,8 +1,8 @@
 package store
 
 import (
+	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -15,33 +15,33 @@
 
 // withHeld does work on a place or part held here, on its own goroutine, or
 // rejects.
-func withHeld[P interface{ Do(work func()) error }](s *Store, held map[int64]P, number int64, work func(P), reject func(mishap.Kind)) {
+func withHeld[P interface{ Do(work func()) error }](s *Store, held map[int64]P, number int64, work func(P), reject func(errs.Kind)) {
 	s.mu.RLock()
 	p, isHeld := held[number]
 	s.mu.RUnlock()
 	if !isHeld {
-		reject(mishap.NotOwner)
+		reject(errs.NotOwner)
 		return
 	}
 	if err := p.Do(func() { work(p) }); err != nil {
-		reject(mishap.KindOf(err))
+		reject(errs.KindOf(err))
 	}
 }
 
 // onPlace serves adapters, and stores that send call-backs.
 func (s *Store) onPlace(_ wire.Who, body any, answer func(any)) {
-	with := func(number int64, work func(*PlaceHost), reject func(mishap.Kind)) {
+	with := func(number int64, work func(*PlaceHost), reject func(errs.Kind)) {
 		withHeld(s, s.places, number, work, reject)
 	}
 	switch m := body.(type) {
 	case *wire.Take:
 		with(m.Place, func(p *PlaceHost) { p.Take(m, answer) },
-			func(kind mishap.Kind) { answer(&wire.Taken{Id: m.Id, Kind: string(kind)}) })
+			func(kind errs.Kind) { answer(&wire.Taken{Id: m.Id, Kind: string(kind)}) })
 	case *wire.Settle:
 		with(m.Place, func(p *PlaceHost) { p.Settle(m, answer) },
-			func(kind mishap.Kind) { answer(&wire.Taken{Id: m.Id, Kind: string(kind)}) })
+			func(kind errs.Kind) { answer(&wire.Taken{Id: m.Id, Kind: string(kind)}) })
 	case *wire.Look:
-		with(m.Place, func(p *PlaceHost) { p.Look(m, answer) }, func(kind mishap.Kind) {
+		with(m.Place, func(p *PlaceHost) { p.Look(m, answer) }, func(kind errs.Kind) {
 			answer(&wire.Sight{Kind: string(kind), Body: []byte{}, Proof: wire.Proof{Answer: []byte{}}})
 		})
 	case *wire.Outcome:
@@ -50,7 +50,7 @@
 			return
 		}
 		with(m.Place, func(p *PlaceHost) { p.Outcome(m, answer) },
-			func(kind mishap.Kind) { answer(&wire.OutcomeAck{Kind: string(kind)}) })
+			func(kind errs.Kind) { answer(&wire.OutcomeAck{Kind: string(kind)}) })
 	}
 }
 
--- a/internal/store/stall_test.go
+++ b/internal/store/stall_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
 	"caperwheel/internal/wire"
 )
@@ -34,7 +34,7 @@
 					b.commit(true)
 					So(taken.Kind, ShouldEqual, "")
 				} else { // at once, and nothing of it can run later
-					So(taken.Kind, ShouldEqual, string(mishap.Full))
+					So(taken.Kind, ShouldEqual, string(errs.Full))
 					So(taken.Retry, ShouldBeGreaterThan, 0)
 					So(len(b.proposed), ShouldEqual, 0)
 				}
--- a/internal/store/tell_test.go
+++ b/internal/store/tell_test.go
@@ -8,7 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
 	"caperwheel/internal/wire"
 )
@@ -45,9 +45,9 @@
 		reply any
 		err   error
 	}{
-		{"a receiver that refuses", &wire.Told{Kind: string(mishap.Rejected)}, nil},
-		{"an adapter that has too many under way", &wire.Told{Kind: string(mishap.Full)}, nil},
-		{"an adapter that is lost", nil, mishap.New(mishap.Lost, "no answer")},
+		{"a receiver that refuses", &wire.Told{Kind: string(errs.Rejected)}, nil},
+		{"an adapter that has too many under way", &wire.Told{Kind: string(errs.Full)}, nil},
+		{"an adapter that is lost", nil, errs.New(errs.Lost, "no answer")},
 		{"an answer of another kind", &wire.RunAck{}, nil},
 	}
 	Convey("An owner that must tell of an end and meets", t, func() {
@@ -115,11 +115,11 @@
 		})
 		Convey("ends that are forgotten before they were told keeps nothing of them", func() {
 			b := owing(9)
-			So(b.turn(look, &wire.Told{Kind: string(mishap.Rejected)}, nil), ShouldEqual, 9)
+			So(b.turn(look, &wire.Told{Kind: string(errs.Rejected)}, nil), ShouldEqual, 9)
 			for i := range 8 {
 				b.place.Apply(place.Command{Kind: place.CmdTrim, Ids: []string{fmt.Sprintf("0-%03d", i)}}.Encode())
 			}
-			b.turn(time.Minute, &wire.Told{Kind: string(mishap.Rejected)}, nil)
+			b.turn(time.Minute, &wire.Told{Kind: string(errs.Rejected)}, nil)
 			So(len(b.place.telling.rests), ShouldEqual, 1)
 			So(b.place.telling.underWay, ShouldBeEmpty)
 		})
--- a/internal/store/upkeep.go
+++ b/internal/store/upkeep.go
@@ -11,8 +11,8 @@
 	"k8s.io/klog/v2"
 
 	"caperwheel/internal/beat"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
-	"caperwheel/internal/mishap"
 	"caperwheel/internal/wire"
 )
 
@@ -77,9 +77,9 @@
 func (s *Store) ready() (bool, string) {
 	switch {
 	case !s.isOpen.Load():
-		return false, string(mishap.Unfounded)
+		return false, string(errs.Unfounded)
 	case !s.d.IsFresh():
-		return false, string(mishap.Stale)
+		return false, string(errs.Stale)
 	}
 	return true, ""
 }
--- a/internal/store/use.go
+++ b/internal/store/use.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -60,7 +60,7 @@
 // release gives a slot back unused.
 func (d *dispatcher) release(g SlotGrant) {
 	err := d.s.d.Node.Peer(wire.RunLink, g.Holder.Addr).Post(&wire.Release{Permit: g.Permit}, nil)
-	if err != nil && !mishap.Is(err, mishap.Lost) {
+	if err != nil && !errs.Is(err, errs.Lost) {
 		d.nudge() // the holder takes it back when it lapses
 	}
 }
--- a/internal/transport/batch.go
+++ b/internal/transport/batch.go
@@ -4,7 +4,7 @@
 	"encoding/binary"
 	"sync"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -46,7 +46,7 @@
 	binary.BigEndian.PutUint32(out[headSize:], uint32(count))
 	out = append(out, w.Buffer()...)
 	if len(out)-headSize > o.opts.FrameLimit {
-		o.fail(mishap.New(mishap.TooLarge, "batch of %d bytes", len(out)))
+		o.fail(errs.New(errs.TooLarge, "batch of %d bytes", len(out)))
 		return
 	}
 	o.mu.Lock()
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -11,7 +11,7 @@
 	"io"
 	"slices"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // A frame is a fixed head and one byte array. The head holds the array's
@@ -50,11 +50,11 @@
 func readFrame(r io.Reader, buffer []byte, limit int) (head, []byte, error) {
 	var raw [headSize]byte
 	if _, err := io.ReadFull(r, raw[:]); err != nil {
-		return head{}, buffer, mishap.Wrap(err, mishap.Lost, "read head")
+		return head{}, buffer, errs.Wrap(err, errs.Lost, "read head")
 	}
 	h := readHead(raw[:])
 	if int(h.length) > limit {
-		return h, buffer, mishap.New(mishap.TooLarge, "frame of %d bytes, limit %d", h.length, limit)
+		return h, buffer, errs.New(errs.TooLarge, "frame of %d bytes, limit %d", h.length, limit)
 	}
 	buffer = buffer[:0]
 	for len(buffer) < int(h.length) { // no more room is made than a told length has come true for
@@ -62,11 +62,11 @@
 		buffer = slices.Grow(buffer, min(int(h.length)-at, max(at, readStep)))
 		buffer = buffer[:min(int(h.length), cap(buffer))]
 		if _, err := io.ReadFull(r, buffer[at:]); err != nil {
-			return h, buffer, mishap.Wrap(err, mishap.Lost, "read array")
+			return h, buffer, errs.Wrap(err, errs.Lost, "read array")
 		}
 	}
 	if crc32.Checksum(buffer, castagnoli) != h.sum {
-		return h, buffer, mishap.New(mishap.Broken, "frame checksum")
+		return h, buffer, errs.New(errs.Corrupt, "frame checksum")
 	}
 	return h, buffer, nil
 }
--- a/internal/transport/fuzz_test.go
+++ b/internal/transport/fuzz_test.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"testing"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // FuzzFrame: a frame is read whole or refused; its buffer never grows far
@@ -25,7 +25,7 @@
 		if err == nil && len(body) != int(h.length) {
 			t.Fatal("a frame accepted by halves")
 		}
-		if err != nil && mishap.KindOf(err) == mishap.Internal {
+		if err != nil && errs.KindOf(err) == errs.Internal {
 			t.Fatal(err)
 		}
 	})
--- a/internal/transport/idle_test.go
+++ b/internal/transport/idle_test.go
@@ -9,7 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -23,7 +23,7 @@
 		near, far := net.Pipe()
 		defer far.Close()
 		s := node.newSession(wire.PlaceLink, near, wire.Who{}, wire.Version, 4096, true)
-		defer s.down(mishap.New(mishap.Lost, "the test ends"))
+		defer s.down(errs.New(errs.Lost, "the test ends"))
 		raw := make([]byte, headSize+4)
 		_, err = io.ReadFull(far, raw)
 		So(err, ShouldBeNil)
--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -7,7 +7,7 @@
 
 	"github.com/alitto/pond/v2"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -31,7 +31,7 @@
 		config := net.ListenConfig{KeepAliveConfig: n.opts.Bounds.Probes()}
 		listener, err := config.Listen(context.Background(), "tcp", n.opts.Listen)
 		if err != nil {
-			return nil, mishap.Wrap(err, mishap.Invalid, "listen on %s", n.opts.Listen)
+			return nil, errs.Wrap(err, errs.Invalid, "listen on %s", n.opts.Listen)
 		}
 		n.listener = listener
 	}
@@ -84,7 +84,7 @@
 	}
 	n.mu.Unlock()
 	for _, s := range sessions {
-		s.down(mishap.New(mishap.Lost, "node closed"))
+		s.down(errs.New(errs.Lost, "node closed"))
 	}
 	for _, p := range peers {
 		p.Close()
--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -9,7 +9,7 @@
 
 	"github.com/alitto/pond/v2"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -68,7 +68,7 @@
 	if o.sent-o.credited >= o.window {
 		o.mu.Unlock()
 		counters.full.Inc()
-		return mishap.New(mishap.Full, "session window of %d", o.window)
+		return errs.New(errs.Full, "session window of %d", o.window)
 	}
 	o.sent++
 	o.pending = append(o.pending, item)
@@ -162,7 +162,7 @@
 		consumed: o.consumed.Load()}.put(f.raw)
 	o.conn.SetWriteDeadline(time.Now().Add(o.opts.Bounds.Of(deadRatio)))
 	if _, err := o.conn.Write(f.raw); err != nil {
-		return mishap.Wrap(err, mishap.Lost, "write frame")
+		return errs.Wrap(err, errs.Lost, "write frame")
 	}
 	counters.bytes.Add(float64(len(f.raw)))
 	o.flow.bytes.Add(float64(len(f.raw)))
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"caperwheel/internal/beat"
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -19,7 +19,7 @@
 // Peer is one long-lived link to one other daemon. It redials when it breaks.
 //
 // Invariant: every registered answer is called exactly once, with a reply or
-// with a mishap; the map holds at most Window of them.
+// with an error; the map holds at most Window of them.
 type Peer struct {
 	node *Node
 	link *wire.Link
@@ -106,7 +106,7 @@
 				p.node.opts.Refused(p.addr)
 			}
 			if s != nil {
-				s.down(mishap.New(mishap.Lost, "peer closed"))
+				s.down(errs.New(errs.Lost, "peer closed"))
 			}
 			return
 		}
@@ -142,7 +142,7 @@
 	p.waiting = map[int64]func(any, error){}
 	p.mu.Unlock()
 	for _, answer := range orphans {
-		answer(nil, mishap.Wrap(cause, mishap.Lost, "session with %s", p.addr))
+		answer(nil, errs.Wrap(cause, errs.Lost, "session with %s", p.addr))
 	}
 	p.connect() // at once: whether anybody listens there tells whether the process has ended
 }
@@ -165,18 +165,18 @@
 	if s == nil {
 		p.mu.Unlock()
 		p.connect()
-		return mishap.New(mishap.Lost, "no session with %s", p.addr)
+		return errs.New(errs.Lost, "no session with %s", p.addr)
 	}
 	corr := int64(0)
 	if answer != nil {
 		if len(p.waiting) >= p.node.opts.Window {
 			p.mu.Unlock()
-			return mishap.New(mishap.Full, "%d asks wait for %s", p.node.opts.Window, p.addr)
+			return errs.New(errs.Full, "%d asks wait for %s", p.node.opts.Window, p.addr)
 		}
 		if s.out.waiting() >= askBytes {
 			p.mu.Unlock()
 			counters.full.Inc()
-			return mishap.New(mishap.Full, "%d bytes wait to be written to %s", askBytes, p.addr)
+			return errs.New(errs.Full, "%d bytes wait to be written to %s", askBytes, p.addr)
 		}
 		p.corr++
 		corr = p.corr
@@ -211,7 +211,7 @@
 	case r := <-got:
 		return r.body, r.err
 	case <-ctx.Done():
-		return nil, mishap.Wrap(ctx.Err(), mishap.Late, "call to %s", p.addr)
+		return nil, errs.Wrap(ctx.Err(), errs.DeadlineExceeded, "call to %s", p.addr)
 	}
 }
 
@@ -230,6 +230,6 @@
 	s := p.session
 	p.mu.Unlock()
 	if s != nil {
-		s.down(mishap.New(mishap.Lost, "peer closed"))
+		s.down(errs.New(errs.Lost, "peer closed"))
 	}
 }
--- a/internal/transport/reply_test.go
+++ b/internal/transport/reply_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -23,7 +23,7 @@
 		peer := client.Peer(wire.PlaceLink, server.Addr())
 		s, err := client.dial(wire.PlaceLink, server.Addr())
 		So(err, ShouldBeNil)
-		s.down(mishap.New(mishap.Lost, "the test says so"))
+		s.down(errs.New(errs.Lost, "the test says so"))
 		peer.adopt(s)
 		Convey("the link dials again, and asks are answered", func() {
 			peer.mu.Lock()
@@ -63,8 +63,8 @@
 				peer.mu.Lock()
 				old := peer.session
 				peer.mu.Unlock()
-				old.down(mishap.New(mishap.Lost, "the test says so"))
-				So(mishap.Is(<-lost, mishap.Lost), ShouldBeTrue)
+				old.down(errs.New(errs.Lost, "the test says so"))
+				So(errs.Is(<-lost, errs.Lost), ShouldBeTrue)
 				dialled(peer)
 
 				got := []any{}
--- a/internal/transport/room_test.go
+++ b/internal/transport/room_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -20,7 +20,7 @@
 		near, far := net.Pipe()
 		defer far.Close()
 		s := node.newSession(wire.PlaceLink, near, wire.Who{}, wire.Version, 4096, true)
-		defer s.down(mishap.New(mishap.Lost, "the test ends"))
+		defer s.down(errs.New(errs.Lost, "the test ends"))
 		peer := &Peer{node: node, link: wire.PlaceLink, session: s, waiting: map[int64]func(any, error){}}
 		So(peer.HasRoom(1), ShouldBeTrue)
 		ask := func() error {
@@ -32,7 +32,7 @@
 				taken++
 			}
 			So(taken, ShouldEqual, askBytes/(64<<10))
-			So(mishap.Is(ask(), mishap.Full), ShouldBeTrue)
+			So(errs.Is(ask(), errs.Full), ShouldBeTrue)
 			So(peer.HasRoom(askBytes), ShouldBeFalse)
 			So(peer.HasRoom(askBytes+1), ShouldBeTrue)
 		})
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -52,7 +52,7 @@
 		s.flow.bytes.Add(float64(headSize + len(raw)))
 		s.out.credit(h.consumed)
 		if len(raw) < 4 {
-			s.down(mishap.New(mishap.Broken, "array without a count"))
+			s.down(errs.New(errs.Corrupt, "array without a count"))
 			return
 		}
 		count := int(binary.BigEndian.Uint32(raw))
@@ -60,7 +60,7 @@
 			continue
 		}
 		if count > s.node.opts.Window {
-			s.down(mishap.New(mishap.Broken, "batch of %d messages", count))
+			s.down(errs.New(errs.Corrupt, "batch of %d messages", count))
 			return
 		}
 		s.flow.messages.Add(float64(count))
@@ -108,7 +108,7 @@
 		s.alive.Store(false)
 		counters.lost.Inc()
 		s.conn.Close()
-		s.out.close(mishap.Wrap(cause, mishap.Lost, "session with %s", s.peer.Name))
+		s.out.close(errs.Wrap(cause, errs.Lost, "session with %s", s.peer.Name))
 		s.watching.Lock()
 		s.cause = cause
 		tell := s.onDown
--- a/internal/transport/shake.go
+++ b/internal/transport/shake.go
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -23,21 +23,21 @@
 func writeShake(conn net.Conn, body []byte) error {
 	raw := append(append([]byte{}, magic[:]...), binary.BigEndian.AppendUint32(nil, uint32(len(body)))...)
 	_, err := conn.Write(append(raw, body...))
-	return mishap.Wrap(err, mishap.Lost, "write handshake")
+	return errs.Wrap(err, errs.Lost, "write handshake")
 }
 
 func readShake(conn net.Conn) ([]byte, error) {
 	var raw [8]byte
 	if _, err := io.ReadFull(conn, raw[:]); err != nil {
-		return nil, mishap.Wrap(err, mishap.Lost, "read handshake")
+		return nil, errs.Wrap(err, errs.Lost, "read handshake")
 	}
 	size := binary.BigEndian.Uint32(raw[4:])
 	if [4]byte(raw[:4]) != magic || size > shakeLimit {
-		return nil, mishap.New(mishap.Broken, "not a caperwheel peer")
+		return nil, errs.New(errs.Corrupt, "not a caperwheel peer")
 	}
 	body := make([]byte, size)
 	_, err := io.ReadFull(conn, body)
-	return body, mishap.Wrap(err, mishap.Lost, "read handshake")
+	return body, errs.Wrap(err, errs.Lost, "read handshake")
 }
 
 // dial opens a session and shakes hands. Both sides settle on the lower of
@@ -46,7 +46,7 @@
 	dialer := net.Dialer{Timeout: n.opts.Bounds.Of(deadRatio), KeepAliveConfig: n.opts.Bounds.Probes()}
 	conn, err := dialer.Dial("tcp", addr)
 	if err != nil {
-		return nil, mishap.Wrap(err, mishap.Lost, "dial %s", addr)
+		return nil, errs.Wrap(err, errs.Lost, "dial %s", addr)
 	}
 	conn.SetDeadline(time.Now().Add(n.opts.Bounds.Of(deadRatio)))
 	hello := wire.Hello{Who: n.opts.Self, Link: link.Name, Newest: n.opts.Newest,
@@ -60,10 +60,10 @@
 		}
 	}
 	if err == nil && welcome.Reject != "" {
-		err = mishap.New(mishap.Rejected, "%s: %s", addr, welcome.Reject)
+		err = errs.New(errs.Rejected, "%s: %s", addr, welcome.Reject)
 	}
 	if err == nil && (welcome.Version < n.opts.Oldest || welcome.Version > n.opts.Newest) {
-		err = mishap.New(mishap.Rejected, "%s settled on wire version %d, which nobody offered", addr, welcome.Version)
+		err = errs.New(errs.Rejected, "%s settled on wire version %d, which nobody offered", addr, welcome.Version)
 	}
 	if err != nil {
 		conn.Close()
@@ -104,7 +104,7 @@
 	s.handle = func(item wire.Item) {
 		handler(s.peer, item.Body, func(reply any) {
 			// A full or broken session loses the reply; the asker's cutoff tells it.
-			if err := s.out.put(wire.Item{Corr: item.Corr, Body: reply}); mishap.Is(err, mishap.Full) {
+			if err := s.out.put(wire.Item{Corr: item.Corr, Body: reply}); errs.Is(err, errs.Full) {
 				s.down(err)
 			}
 		})
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
@@ -96,7 +96,7 @@
 			for range 8 {
 				So(peer.Post(&wire.Look{}, nil), ShouldBeNil)
 			}
-			So(mishap.Is(peer.Post(&wire.Look{}, nil), mishap.Full), ShouldBeTrue)
+			So(errs.Is(peer.Post(&wire.Look{}, nil), errs.Full), ShouldBeTrue)
 		})
 	})
 }
@@ -116,7 +116,7 @@
 		Convey("a broken connection answers each of them with Lost", func() {
 			server.Close()
 			for range 10 {
-				So(mishap.Is(<-got, mishap.Lost), ShouldBeTrue)
+				So(errs.Is(<-got, errs.Lost), ShouldBeTrue)
 			}
 		})
 	})
@@ -140,7 +140,7 @@
 				stranger, err := NewNode(c.opts)
 				So(err, ShouldBeNil)
 				_, err = stranger.dial(c.link, server.Addr())
-				So(mishap.Is(err, mishap.Rejected), ShouldBeTrue)
+				So(errs.Is(err, errs.Rejected), ShouldBeTrue)
 			})
 		}
 		Convey("it hangs up on a stranger", func() {
@@ -185,7 +185,7 @@
 			s, err := newer.dial(wire.PlaceLink, server.Addr())
 			So(err, ShouldBeNil)
 			So(s.version, ShouldEqual, 1)
-			s.down(mishap.New(mishap.Lost, "the test is over"))
+			s.down(errs.New(errs.Lost, "the test is over"))
 		})
 		Convey("what only version 2 has is left out for it, and not for a newer one", func() {
 			for newest, want := range map[int64]int64{1: 0, 2: 5} {
@@ -208,7 +208,7 @@
 			other, err := NewNode(Options{Shape: "places=7 parts=1"})
 			So(err, ShouldBeNil)
 			_, err = other.dial(wire.PlaceLink, server.Addr())
-			So(mishap.Is(err, mishap.Rejected), ShouldBeTrue)
+			So(errs.Is(err, errs.Rejected), ShouldBeTrue)
 		})
 	})
 }
--- a/internal/verdict/judge.go
+++ b/internal/verdict/judge.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 const module = "caperwheel/"
@@ -22,12 +22,12 @@
 		first, rest, _ := strings.Cut(strings.TrimSpace(line), ",")
 		at := strings.LastIndex(rest, ",")
 		if at < 0 || first == "" || strings.TrimSpace(rest[:at]) == "" || strings.TrimSpace(rest[at+1:]) == "" {
-			return nil, mishap.New(mishap.Invalid, "%s: %q is not: test, cause, issue", knownFile, strings.TrimSpace(line))
+			return nil, errs.New(errs.Invalid, "%s: %q is not: test, cause, issue", knownFile, strings.TrimSpace(line))
 		}
 		known = append(known, red{first, strings.TrimSpace(rest[:at]), strings.TrimSpace(rest[at+1:])})
 	}
 	if isThere && len(known) == 0 {
-		return nil, mishap.New(mishap.Invalid, "%s lists nothing; remove it", knownFile)
+		return nil, errs.New(errs.Invalid, "%s lists nothing; remove it", knownFile)
 	}
 	return known, nil
 }
--- a/internal/verdict/main.go
+++ b/internal/verdict/main.go
@@ -11,7 +11,7 @@
 	"os/exec"
 	"strings"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 const knownFile = "KNOWN-RED.txt"
@@ -32,23 +32,23 @@
 func run(command []string) ([]string, error) {
 	raw, err := os.ReadFile(knownFile)
 	if err != nil && !os.IsNotExist(err) {
-		return nil, mishap.Wrap(err, mishap.Invalid, "read %s", knownFile)
+		return nil, errs.Wrap(err, errs.Invalid, "read %s", knownFile)
 	}
 	known, err := readKnown(string(raw), err == nil)
 	if err != nil {
 		return nil, err
 	}
 	if len(command) == 0 {
-		return nil, mishap.New(mishap.Missing, "no command to run")
+		return nil, errs.New(errs.Missing, "no command to run")
 	}
 	tests := exec.Command(command[0], command[1:]...)
 	tests.Stderr = os.Stderr
 	out, err := tests.StdoutPipe()
 	if err != nil {
-		return nil, mishap.Wrap(err, mishap.Internal, "tests")
+		return nil, errs.Wrap(err, errs.Internal, "tests")
 	}
 	if err := tests.Start(); err != nil {
-		return nil, mishap.Wrap(err, mishap.Invalid, "tests")
+		return nil, errs.Wrap(err, errs.Invalid, "tests")
 	}
 	j := &judge{known: known, print: func(text string) { fmt.Print(text) }, packages: map[string]*tested{}}
 	lines := bufio.NewReader(out)
--- a/internal/web/client.go
+++ b/internal/web/client.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // ClientOptions set up a client.
@@ -93,7 +93,7 @@
 func Always(*Reply) bool { return true }
 
 // Send sends a request at most once and reads its whole answer. An answer whose
-// end cannot be known is a mishap.
+// end cannot be known is an error.
 func (c *Client) Send(r *http.Request, t Terms) (*Reply, error) {
 	answer, _, err := c.send(r, t)
 	return answer, err
@@ -103,7 +103,7 @@
 // a kept connection breaks over it, it is sent once more.
 func (c *Client) SendRepeatable(r *http.Request, t Terms) (*Reply, error) {
 	answer, isFirst, err := c.send(r, t)
-	if err == nil || isFirst || r.Context().Err() != nil || !mishap.Is(err, mishap.Lost) {
+	if err == nil || isFirst || r.Context().Err() != nil || !errs.Is(err, errs.Lost) {
 		return answer, err
 	}
 	again, isWhole := renewed(r)
@@ -117,7 +117,7 @@
 	for {
 		conn, err := c.take(r)
 		if err != nil {
-			return nil, true, &Unsent{mishap.Wrap(err, mishap.Lost, "no connection to %s", r.URL.Host)}
+			return nil, true, &Unsent{errs.Wrap(err, errs.Lost, "no connection to %s", r.URL.Host)}
 		}
 		if conn.requests == 1 && t.Before != nil {
 			if err := t.Before(); err != nil {
--- a/internal/web/connection.go
+++ b/internal/web/connection.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // phase is the state of a connection.
@@ -78,7 +78,7 @@
 	c.mu.Lock()
 	if c.isSealed {
 		c.mu.Unlock()
-		return 0, mishap.New(mishap.Lost, "the request was withdrawn")
+		return 0, errs.New(errs.Lost, "the request was withdrawn")
 	}
 	c.isWriting = true
 	c.mu.Unlock()
@@ -94,11 +94,11 @@
 func (c *connection) exchange(r *http.Request, most int64) (*Reply, error) {
 	raw, err := c.tripper.RoundTrip(r)
 	if err != nil {
-		return nil, mishap.Wrap(err, mishap.Lost, "no answer")
+		return nil, errs.Wrap(err, errs.Lost, "no answer")
 	}
 	if c.cameEarly() {
 		_ = raw.Body.Close()
-		return nil, mishap.New(mishap.CutShort, "an answer came before its request was sent")
+		return nil, errs.New(errs.Truncated, "an answer came before its request was sent")
 	}
 	body, err := readWhole(raw, most)
 	if err != nil {
@@ -226,14 +226,14 @@
 	defer func() { _ = answer.Body.Close() }()
 	hasNoLength := answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && answer.Request.Method != http.MethodHead
 	if answer.StatusCode < 200 || hasNoLength {
-		return nil, mishap.New(mishap.CutShort, "an answer that tells no length cannot be known to be whole")
+		return nil, errs.New(errs.Truncated, "an answer that tells no length cannot be known to be whole")
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, most+1))
 	switch {
 	case err != nil:
-		return nil, mishap.Wrap(err, mishap.CutShort, "the answer was cut short")
+		return nil, errs.Wrap(err, errs.Truncated, "the answer was cut short")
 	case int64(len(body)) > most:
-		return nil, mishap.New(mishap.TooLarge, "the answer has over %d bytes", most)
+		return nil, errs.New(errs.TooLarge, "the answer has over %d bytes", most)
 	}
 	return body, nil
 }
--- a/internal/web/repeat_test.go
+++ b/internal/web/repeat_test.go
@@ -16,7 +16,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // TestRepeatable: what is sent again is what says that it may be.
@@ -47,7 +47,7 @@
 		settle(client, 1)
 		Convey("it fails, if it does not say that it may be sent again", func() {
 			err := call(client.Send)
-			So(mishap.Is(err, mishap.Lost), ShouldBeTrue)
+			So(errs.Is(err, errs.Lost), ShouldBeTrue)
 			So(IsUnsent(err), ShouldBeFalse)
 			So(calls.Load(), ShouldEqual, 2)
 		})
@@ -89,9 +89,9 @@
 			return err
 		}
 		Convey("and it may not go out any more, nothing of it does", func() {
-			err := send(mishap.New(mishap.Stale, "the view is too old"))
+			err := send(errs.New(errs.Stale, "the view is too old"))
 			So(IsUnsent(err), ShouldBeTrue)
-			So(mishap.Is(err, mishap.Stale), ShouldBeTrue)
+			So(errs.Is(err, errs.Stale), ShouldBeTrue)
 			So(send(nil), ShouldBeNil)
 			So(arrived.Load(), ShouldEqual, 1)
 			So(accepted.Load(), ShouldEqual, 2)
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -9,26 +9,26 @@
 	"strconv"
 	"time"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Problem is the body of every answer that is not a success.
 type Problem struct {
-	Error mishap.Kind `json:"error"`
-	Text  string      `json:"text"`
-	Taken any         `json:"taken,omitempty"` // false or "undecided", for messages
-	Id    string      `json:"id,omitempty"`
-	More  any         `json:"more,omitempty"`
+	Error errs.Kind `json:"error"`
+	Text  string    `json:"text"`
+	Taken any       `json:"taken,omitempty"` // false or "undecided", for messages
+	Id    string    `json:"id,omitempty"`
+	More  any       `json:"more,omitempty"`
 }
 
-var codes = map[mishap.Kind]int{
-	mishap.Full: 429, mishap.Lost: 503, mishap.Late: 504, mishap.NotOwner: 503, mishap.Stale: 503, mishap.Rejected: 409,
-	mishap.Unknown: 404, mishap.Invalid: 400, mishap.Conflict: 409, mishap.Missing: 428, mishap.TooLarge: 413,
-	mishap.DiskFull: 507, mishap.Unfounded: 503, mishap.Undecided: 504, mishap.BadMethod: 405, mishap.Disk: 503,
+var codes = map[errs.Kind]int{
+	errs.Full: 429, errs.Lost: 503, errs.DeadlineExceeded: 504, errs.NotOwner: 503, errs.Stale: 503, errs.Rejected: 409,
+	errs.Unknown: 404, errs.Invalid: 400, errs.Conflict: 409, errs.Missing: 428, errs.TooLarge: 413,
+	errs.DiskFull: 507, errs.Unfounded: 503, errs.Undecided: 504, errs.BadMethod: 405, errs.Disk: 503,
 }
 
-// CodeOf gives the HTTP status of a kind of mishap.
-func CodeOf(kind mishap.Kind) int {
+// CodeOf gives the HTTP status of a kind of error.
+func CodeOf(kind errs.Kind) int {
 	if code := codes[kind]; code != 0 {
 		return code
 	}
@@ -59,7 +59,7 @@
 
 // Fail writes the problem and status that belong to an error's kind.
 func Fail(w http.ResponseWriter, err error) {
-	kind, retry := mishap.KindOf(err), time.Duration(0)
+	kind, retry := errs.KindOf(err), time.Duration(0)
 	if code := CodeOf(kind); code == 503 || code == 429 || code == 504 {
 		retry = time.Second
 	}
@@ -69,14 +69,14 @@
 // Body reads a request body whole, and fails if it is longer than limit.
 func Body(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
-		return nil, mishap.New(mishap.TooLarge, "body of %d bytes, limit %d", r.ContentLength, limit)
+		return nil, errs.New(errs.TooLarge, "body of %d bytes, limit %d", r.ContentLength, limit)
 	}
 	raw, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
-		return nil, mishap.Wrap(err, mishap.Invalid, "read body")
+		return nil, errs.Wrap(err, errs.Invalid, "read body")
 	}
 	if int64(len(raw)) > limit {
-		return nil, mishap.New(mishap.TooLarge, "body over %d bytes", limit)
+		return nil, errs.New(errs.TooLarge, "body over %d bytes", limit)
 	}
 	return raw, nil
 }
@@ -91,11 +91,11 @@
 		for method := range by {
 			w.Header().Add("Allow", method)
 		}
-		Reject(w, 405, Problem{Error: mishap.BadMethod, Text: r.Method + " is not served here"}, 0)
+		Reject(w, 405, Problem{Error: errs.BadMethod, Text: r.Method + " is not served here"}, 0)
 	}
 }
 
 // NotFound answers paths that are not served with a typed 404.
 func NotFound(w http.ResponseWriter, r *http.Request) {
-	Reject(w, 404, Problem{Error: mishap.Unknown, Text: r.URL.Path + " is not served here"}, 0)
+	Reject(w, 404, Problem{Error: errs.Unknown, Text: r.URL.Path + " is not served here"}, 0)
 }
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -139,7 +139,7 @@
 // OneCall is the Base of an edit that nobody but the manager that made it sends again.
 const OneCall = -1
 
-// Edited answers an edit. Kind is a mishap kind, empty when it holds. Stamp is
+// Edited answers an edit. Kind is an error kind, empty when it holds. Stamp is
 // the one that the order made, if it was taken, also when that was before.
 type Edited struct {
 	Kind    string `avro:"kind"`
--- a/internal/wire/data.go
+++ b/internal/wire/data.go
@@ -44,8 +44,8 @@
 	Wait  int64  `avro:"wait" since:"2"` // milliseconds for which the answer may wait for the message's end
 }
 
-// MishapOf gives the kind of mishap that a reply tells; empty for none.
-func MishapOf(reply any) string {
+// ErrorOf gives the kind of error that a reply tells; empty for none.
+func ErrorOf(reply any) string {
 	switch m := reply.(type) {
 	case *Taken:
 		return m.Kind
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -3,11 +3,11 @@
 import (
 	"testing"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // FuzzParse: whatever arrives on a link is parsed whole or refused with a typed
-// mishap; what is parsed can be written again.
+// error; what is parsed can be written again.
 func FuzzParse(f *testing.F) {
 	names := []string{"session", "peer", "part", "place", "run", "group"}
 	asks, _ := Links["place"].Codecs(Version)
@@ -25,7 +25,7 @@
 			for _, codec := range []*Codec{asks, replies} {
 				items, err := codec.Parse(raw, int(count))
 				if err != nil {
-					if !mishap.Is(err, mishap.Broken) {
+					if !errs.Is(err, errs.Corrupt) {
 						t.Fatal(err)
 					}
 					continue
--- a/internal/wire/grown.go
+++ b/internal/wire/grown.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Grown is a codec for a record on disk and in logs that has gained fields
@@ -43,7 +43,7 @@
 // Decode reads a record of either kind back.
 func (g *Grown) Decode(raw []byte, value any) error {
 	if len(raw) == 0 {
-		return mishap.New(mishap.Broken, "an empty record")
+		return errs.New(errs.Corrupt, "an empty record")
 	}
 	if rest, isGrown := bytes.CutPrefix(raw, g.mark); isGrown {
 		return g.grown.Decode(rest, value)
--- a/internal/wire/schema.go
+++ b/internal/wire/schema.go
@@ -10,7 +10,7 @@
 
 	"github.com/hamba/avro/v2"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // Codec turns items of one direction of one link kind into bytes and back.
@@ -83,13 +83,13 @@
 		}
 		return out
 	}
-	panic(mishap.New(mishap.Internal, "no schema for %s", t))
+	panic(errs.New(errs.Internal, "no schema for %s", t))
 }
 
 func mustParse(text []byte) avro.Schema {
 	schema, err := avro.ParseBytesWithCache(text, "", &avro.SchemaCache{})
 	if err != nil {
-		panic(mishap.Wrap(err, mishap.Internal, "schema %s", text))
+		panic(errs.Wrap(err, errs.Internal, "schema %s", text))
 	}
 	return schema
 }
@@ -135,7 +135,7 @@
 // Append writes one item behind what the writer holds.
 func (c *Codec) Append(w *avro.Writer, item Item) error {
 	w.WriteVal(c.Schema, item)
-	return mishap.Wrap(w.Error, mishap.Internal, "encode %T", item.Body)
+	return errs.Wrap(w.Error, errs.Internal, "encode %T", item.Body)
 }
 
 // Parse reads count items from one received byte array.
@@ -147,7 +147,7 @@
 		var item Item
 		r.ReadVal(c.Schema, &item)
 		if r.Error != nil {
-			return nil, mishap.Wrap(r.Error, mishap.Broken, "parse item %d of %d", len(out), count)
+			return nil, errs.Wrap(r.Error, errs.Corrupt, "parse item %d of %d", len(out), count)
 		}
 		out = append(out, item)
 	}
@@ -178,7 +178,7 @@
 func (p *Plain) Encode(value any) []byte {
 	out, err := p.api.Marshal(p.schema, value)
 	if err != nil {
-		panic(mishap.Wrap(err, mishap.Internal, "encode %T", value))
+		panic(errs.Wrap(err, errs.Internal, "encode %T", value))
 	}
 	return out
 }
@@ -196,5 +196,5 @@
 	r.Error = nil
 	r.Reset(nil)
 	p.readers.Put(r)
-	return mishap.Wrap(err, mishap.Broken, "decode %T", value)
+	return errs.Wrap(err, errs.Corrupt, "decode %T", value)
 }
--- a/internal/wire/versions_test.go
+++ b/internal/wire/versions_test.go
@@ -5,7 +5,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/mishap"
+	"caperwheel/internal/errs"
 )
 
 // TestOlderPeers: a peer of version 2 neither gets nor sends what is new in
@@ -53,7 +53,7 @@
 		So(codec.Decode(raw, &whole), ShouldBeNil)
 		So([]any{whole.Id, whole.Cutoff}, ShouldResemble, []any{"1-x", int64(9)})
 		for length := range raw {
-			So(mishap.Is(codec.Decode(raw[:length], &Take{}), mishap.Broken), ShouldBeTrue)
+			So(errs.Is(codec.Decode(raw[:length], &Take{}), errs.Corrupt), ShouldBeTrue)
 		}
 	})
 }
