--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -5,12 +5,12 @@
 import (
 	"context"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/session"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 	"caperwheel/platform"
@@ -18,8 +18,8 @@
 
 func main() {
 	d := daemon.New("agent", platform.Settings("agent"))
-	beside := session.NewRegistry(d.Bounds.Of(beat.Gone))
-	keeper := repair.NewKeeper(d.Settings.Most, d.Bounds.Of(beat.Vote), d.Bounds.Of(beat.Settle))
+	beside := session.NewRegistry(d.Bounds.Of(timing.SessionTimeout))
+	keeper := repair.NewKeeper(d.Settings.Most, d.Bounds.Of(timing.AnswerTimeout), d.Bounds.Of(timing.SettleTimeout))
 	d.Link(map[string]transport.Handler{"place": func(_ wire.Who, body any, answer func(any)) {
 		if o, isOutcome := body.(*wire.Outcome); isOutcome {
 			if ack := keeper.Serve(o, d.Now()); ack != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,11 +21,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/session"
 	"caperwheel/internal/settings"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 )
@@ -43,7 +43,7 @@
 type Daemon struct {
 	Kind     string
 	Settings settings.Settings
-	Bounds   beat.Bounds
+	Bounds   timing.Bounds
 	Who      wire.Who
 	View     *feed.View
 	Roll     *session.Roll
@@ -136,7 +136,7 @@
 
 // IsFresh tells whether the daemon may act on its view.
 func (d *Daemon) IsFresh() bool {
-	return d.View.IsFresh(d.Now(), d.Bounds.Of(beat.Fresh)) && (d.CanRead == nil || d.CanRead())
+	return d.View.IsFresh(d.Now(), d.Bounds.Of(timing.Fresh)) && (d.CanRead == nil || d.CanRead())
 }
 
 // Must ends the process on an error.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -13,8 +13,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
 )
 
@@ -108,7 +108,7 @@
 	for _, server := range servers { // callers come anew, and so to others
 		server.SetKeepAlivesEnabled(false)
 	}
-	beat.Wait(ctx, d.Settings.Linger.Duration)
+	timing.Wait(ctx, d.Settings.Linger.Duration)
 	if leave != nil {
 		leave(ctx)
 	}
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -9,8 +9,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/settings"
+	"caperwheel/internal/timing"
 )
 
 // TestStop: whoever hands callers out sees at once that a stopping daemon is
@@ -19,7 +19,7 @@
 	Convey("Given a daemon with all its listeners", t, func() {
 		s := settings.Default()
 		s.Grace, s.Linger = settings.Duration{Duration: time.Minute}, settings.Duration{Duration: time.Millisecond}
-		d := &Daemon{Kind: "adapter", Settings: s, Bounds: beat.Default, Mux: http.NewServeMux(), FrontMux: http.NewServeMux(),
+		d := &Daemon{Kind: "adapter", Settings: s, Bounds: timing.Default, Mux: http.NewServeMux(), FrontMux: http.NewServeMux(),
 			ProbeMux: http.NewServeMux(), OperatorsMux: http.NewServeMux(), Ready: func() (bool, string) { return true, "" }}
 		d.listener, d.Front, d.Probe, d.Operators = d.listen("127.0.0.1:0"), d.listen("127.0.0.1:0"), d.listen("127.0.0.1:0"), d.listen("")
 		So(d.Operators, ShouldBeNil)
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -8,13 +8,13 @@
 	"github.com/alitto/pond/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/repair"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
@@ -105,7 +105,7 @@
 
 // Run does the periodic work until ctx ends.
 func (a *Adapter) Run(ctx context.Context) {
-	beat.Every(ctx, a.d.Bounds.Of(beat.Vote), func() { a.book.Tidy(a.d.Now(), 20*a.d.Bounds.Charter) })
+	timing.Every(ctx, a.d.Bounds.Of(timing.AnswerTimeout), func() { a.book.Tidy(a.d.Now(), 20*a.d.Bounds.Charter) })
 }
 
 // Say adds to what the adapter tells of itself in its session.
@@ -144,11 +144,11 @@
 // until its duties have been taken over, or ctx ends.
 func (a *Adapter) Drain(ctx context.Context) {
 	a.isLeaving.Store(true)
-	handOver := a.d.Now() + a.d.Bounds.Of(beat.Gone)
+	handOver := a.d.Now() + a.d.Bounds.Of(timing.SessionTimeout)
 	for ctx.Err() == nil && (a.InHand() > 0 || a.holdsDuty() && a.d.Now() < handOver) {
 		select {
 		case <-ctx.Done():
-		case <-time.After(a.d.Bounds.Of(beat.Poll) / 4):
+		case <-time.After(a.d.Bounds.Of(timing.Poll) / 4):
 		}
 	}
 }
--- a/internal/deliver/manner.go
+++ b/internal/deliver/manner.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -62,7 +62,7 @@
 		e.outcome.Final = true
 		return err
 	}
-	ctx, cancel := beat.Patience(a.ctx, bound+bound/beat.AnswerPart)
+	ctx, cancel := timing.WithRunningTimeout(a.ctx, bound+bound/timing.AnswerMargin)
 	defer cancel()
 	answer, err := a.ask(ctx, e, withBody(req, r.Body), func(answer *http.Response) Naming { return a.manner.Names(asking, answer) })
 	if err != nil {
--- a/internal/deliver/once_test.go
+++ b/internal/deliver/once_test.go
@@ -15,7 +15,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
 )
 
@@ -177,7 +177,7 @@
 
 // newSender gives what sends one request after another as runs are sent.
 func newSender() (send func(r *http.Request) (code int, err error), client *web.Client) {
-	client = newClient(beat.Default)
+	client = newClient(timing.Default)
 	return func(r *http.Request) (int, error) {
 		reply, err := client.Send(r, web.Terms{Most: mostAnswer, MayKeep: web.Always})
 		if err != nil {
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -7,12 +7,12 @@
 	"sync/atomic"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/duty"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
 	"caperwheel/internal/place"
 	"caperwheel/internal/repair"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -81,7 +81,7 @@
 		busy := place.StillBusy(errs.KindOf(err), r.Key != "", time.Duration(r.Bound)*time.Millisecond, took)
 		o.Wait = max(o.Wait, int64(busy/time.Millisecond))
 	} else if !o.Begun {
-		o.Wait = max(o.Wait, int64(a.d.Bounds.Of(beat.AskHold)/time.Millisecond))
+		o.Wait = max(o.Wait, int64(a.d.Bounds.Of(timing.AskHold)/time.Millisecond))
 	}
 	return o
 }
@@ -106,7 +106,7 @@
 		keepers = append(slices.Clone(keepers), a.leaveAfar(o)...)
 	}
 	for turn := 0; a.ctx.Err() == nil; turn++ {
-		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(beat.Settle))
+		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(timing.SettleTimeout))
 		_, err := a.reach.Group(ctx, wire.PlaceGroup+r.Place, o, repair.Home)
 		cancel()
 		if err == nil {
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -11,11 +11,11 @@
 	"strconv"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
 	"caperwheel/internal/place"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
@@ -40,8 +40,8 @@
 // newClient gives the adapter's way out to workers and to whoever is told of
 // ends. What it sends is sent once: whether it is run again is for the place's
 // owner to say.
-func newClient(bounds beat.Bounds) *web.Client {
-	return web.NewClient(web.ClientOptions{Dial: bounds.Of(beat.Dial), Idle: bounds.Charter, MostIdle: 64, KeepAlive: lostMachine})
+func newClient(bounds timing.Bounds) *web.Client {
+	return web.NewClient(web.ClientOptions{Dial: bounds.Of(timing.DialTimeout), Idle: bounds.Charter, MostIdle: 64, KeepAlive: lostMachine})
 }
 
 func (a *Adapter) steps() path.Doers[*delivery] {
@@ -103,7 +103,7 @@
 		return a.sendAsItIs(e)
 	}
 	pool := e.rules.Pools[r.Pool]
-	ctx, cancel := beat.Patience(a.ctx, place.Wait(r.Key != "", time.Duration(r.Bound)*time.Millisecond))
+	ctx, cancel := timing.WithRunningTimeout(a.ctx, place.Wait(r.Key != "", time.Duration(r.Bound)*time.Millisecond))
 	defer cancel()
 	req, err := a.requestOf(e, pool.Path)
 	if err != nil {
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -68,7 +68,7 @@
 	if h == nil || h.address != w.Address || h.term != duty.Term {
 		fence := time.Duration(0)
 		if scene.Rules.Pools[pool].Rate > 0 && duty.Before != "" && !duty.IsFree {
-			fence = s.a.d.Bounds.Of(beat.Fence)
+			fence = s.a.d.Bounds.Of(timing.Fence)
 		}
 		s.drop(key)
 		h = &held{worker: NewWorker(scene.Rules.Pools[pool], fence, now), term: duty.Term, address: w.Address}
@@ -116,7 +116,7 @@
 		answer(busy(wait))
 	default:
 		h.asks = append(h.asks, ask{now + hold, answer})
-		s.arm(s.a.d.Bounds.Of(beat.Serve))
+		s.arm(s.a.d.Bounds.Of(timing.Serve))
 	}
 }
 
@@ -126,8 +126,8 @@
 
 func (s *slots) grant(key string, w *Worker, now time.Duration) *wire.Grant {
 	s.next++
-	s.permits[s.next] = &permit{key, w, now + s.a.d.Bounds.Of(beat.Permit)}
-	s.arm(s.a.d.Bounds.Of(beat.Permit) / 2)
+	s.permits[s.next] = &permit{key, w, now + s.a.d.Bounds.Of(timing.Permit)}
+	s.arm(s.a.d.Bounds.Of(timing.Permit) / 2)
 	return &wire.Grant{Permit: s.next}
 }
 
@@ -162,11 +162,11 @@
 	s.armedAt = 0
 	for _, h := range s.workers {
 		if len(h.asks) > 0 {
-			s.arm(s.a.d.Bounds.Of(beat.Serve))
+			s.arm(s.a.d.Bounds.Of(timing.Serve))
 		}
 	}
 	if len(s.permits) > 0 {
-		s.arm(s.a.d.Bounds.Of(beat.Permit) / 2)
+		s.arm(s.a.d.Bounds.Of(timing.Permit) / 2)
 	}
 }
 
--- a/internal/deliver/tell.go
+++ b/internal/deliver/tell.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"sync"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
@@ -55,7 +55,7 @@
 	}
 	a.pool.Submit(func() {
 		defer a.tellers.leave(address)
-		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(beat.Tell))
+		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(timing.CallbackTimeout))
 		defer cancel()
 		mayKeep, check := a.judgeTold(m)
 		got, err := a.client.Send(req.WithContext(ctx), web.Terms{Most: mostAnswer, MayKeep: mayKeep})
--- a/internal/explore/event.go
+++ b/internal/explore/event.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -77,9 +77,9 @@
 
 // Spans by which a clock moves: time is only ever passed in these few steps.
 var (
-	pulseSpan   = beat.Default.Of(beat.Pulse)
-	silenceSpan = beat.Default.Of(beat.Silence) + beat.Default.Of(beat.SilenceSpan) + time.Millisecond
-	lapseSpan   = beat.Default.Of(beat.Vote)*2 + time.Millisecond
+	pulseSpan   = timing.Default.Of(timing.Heartbeat)
+	silenceSpan = timing.Default.Of(timing.ElectionTimeout) + timing.Default.Of(timing.ElectionSpread) + time.Millisecond
+	lapseSpan   = timing.Default.Of(timing.AnswerTimeout)*2 + time.Millisecond
 )
 
 // Next gives the world after one event. A panic breaks it, too.
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -11,8 +11,8 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -103,7 +103,7 @@
 		roster = w.founders()
 	}
 	r.life++
-	r.machine = group.New(group.Options{Id: 1, Self: r.id, Roster: roster, Bounds: beat.Default, Seed: 1},
+	r.machine = group.New(group.Options{Id: 1, Self: r.id, Roster: roster, Bounds: timing.Default, Seed: 1},
 		r.disk.hard, r.disk.image, slices.Clone(r.disk.log), r.now)
 	r.image, r.applied, r.isOwner, r.marks = r.disk.image, 0, false, nil
 	if r.image != nil {
--- a/internal/group/alone_test.go
+++ b/internal/group/alone_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 )
 
 // TestAloneOwnerSaysNothingUnsynced: the owner of a group of one once told its
@@ -15,8 +15,8 @@
 // first ones under the same index and term.
 func TestAloneOwnerSaysNothingUnsynced(t *testing.T) {
 	Convey("Given a group of one with a learner", t, func() {
-		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0", "~b/0"}, Bounds: beat.Default, Seed: 1}, Hard{}, nil, nil, 0)
-		now := beat.Default.Charter
+		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0", "~b/0"}, Bounds: timing.Default, Seed: 1}, Hard{}, nil, nil, 0)
+		now := timing.Default.Charter
 		isTold := func(out Out) bool {
 			for _, m := range out.Now {
 				if m.Kind == MsgAppend {
@@ -29,13 +29,13 @@
 		So(g.View().Role, ShouldEqual, Owner)
 		Convey("nothing of the new term leaves before its first entry is synced", func() {
 			So(isTold(out), ShouldBeFalse)
-			So(isTold(g.Tick(now+beat.Default.Of(beat.Pulse))), ShouldBeFalse)
-			_, _, out, _ = g.Propose([]byte("x"), now+beat.Default.Of(beat.Pulse))
+			So(isTold(g.Tick(now+timing.Default.Of(timing.Heartbeat))), ShouldBeFalse)
+			_, _, out, _ = g.Propose([]byte("x"), now+timing.Default.Of(timing.Heartbeat))
 			So(isTold(out), ShouldBeFalse)
 		})
 		Convey("and it does from then on", func() {
 			g.Synced(1, 1, now+time.Millisecond)
-			So(isTold(g.Tick(now+beat.Default.Of(beat.Pulse)+time.Millisecond)), ShouldBeTrue)
+			So(isTold(g.Tick(now+timing.Default.Of(timing.Heartbeat)+time.Millisecond)), ShouldBeTrue)
 		})
 	})
 }
--- a/internal/group/append.go
+++ b/internal/group/append.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -19,7 +19,7 @@
 
 // pulse opens a new round: replies to it confirm that the owner still is one.
 func (g *Group) pulse(now time.Duration, out *Out) {
-	period := g.opts.Bounds.Of(beat.Pulse) // all groups of a store pulse together
+	period := g.opts.Bounds.Of(timing.Heartbeat) // all groups of a store pulse together
 	g.pulseAt = now - now%period + period
 	g.round++
 	g.pulseCommit = g.hard.Commit
--- a/internal/group/canonical.go
+++ b/internal/group/canonical.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -17,7 +17,7 @@
 // count as sets. Rename is given every member id, so that a caller can fold
 // members that stand alike.
 func (g *Group) Canonical(raw []byte, now time.Duration, rename func(member string) string) []byte {
-	w := canonical{raw, now, g.opts.Bounds.Of(beat.Pulse), rename}
+	w := canonical{raw, now, g.opts.Bounds.Of(timing.Heartbeat), rename}
 	w.member(g.opts.Self)
 	w.flag(g.hasOwner(now))
 	for _, r := range g.rounds {
--- a/internal/group/elect.go
+++ b/internal/group/elect.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -105,7 +105,7 @@
 
 // hasOwner tells whether an owner was heard so lately that no election is due.
 func (g *Group) hasOwner(now time.Duration) bool {
-	return g.role == Owner || g.owner != "" && now-g.heardAt < g.opts.Bounds.Of(beat.Silence)
+	return g.role == Owner || g.owner != "" && now-g.heardAt < g.opts.Bounds.Of(timing.ElectionTimeout)
 }
 
 func (g *Group) onAsk(m wire.GroupMsg, now time.Duration, out *Out) {
--- a/internal/group/flow_test.go
+++ b/internal/group/flow_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -55,7 +55,7 @@
 			So(p.applied, ShouldEqual, p.accepted)
 			So(p.members[trio[1]].View().Last, ShouldEqual, p.members[trio[0]].View().Last)
 			So(float64(p.sent[trio[0]+">"+trio[1]]), ShouldBeLessThan, 1.1*float64(p.accepted))
-			So(p.waits, ShouldBeLessThan, beat.Default.Of(beat.Silence))
+			So(p.waits, ShouldBeLessThan, timing.Default.Of(timing.ElectionTimeout))
 		})
 		Convey("nothing goes to it blindly meanwhile", func() {
 			before := 0
@@ -137,7 +137,7 @@
 			owner.Propose([]byte("behind it"), p.now)
 			hard, log := owner.Whole()
 			So(log[0].Index, ShouldEqual, p.images[trio[0]].Index+1)
-			again := New(Options{Id: 1, Self: trio[0], Bounds: beat.Default}, hard, p.images[trio[0]], log, 0)
+			again := New(Options{Id: 1, Self: trio[0], Bounds: timing.Default}, hard, p.images[trio[0]], log, 0)
 			So(again.View().Last, ShouldEqual, owner.View().Last)
 			So(again.View().Roster, ShouldResemble, trio)
 		})
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -52,7 +52,7 @@
 	Id     int64
 	Self   string // member id: name/incarnation
 	Roster []string
-	Bounds beat.Bounds
+	Bounds timing.Bounds
 	Seed   uint64
 	Prefer func(roster []string) string // who should own the group
 	Room   func(member string) bool     // whether the link to a member takes more; none given: always
@@ -161,7 +161,7 @@
 	g.applied, g.synced = g.base, g.last()
 	g.resetBeat(now)
 	if g.isHeir() { // the preferred owner of a fresh start stands first
-		g.standAt = now + g.opts.Bounds.Of(beat.Pulse)
+		g.standAt = now + g.opts.Bounds.Of(timing.Heartbeat)
 	}
 	return g
 }
@@ -229,8 +229,8 @@
 }
 
 func (g *Group) resetBeat(now time.Duration) {
-	spread := time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(beat.SilenceSpan))))
-	g.standAt = now + g.opts.Bounds.Of(beat.Silence) + spread
+	spread := time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(timing.ElectionSpread))))
+	g.standAt = now + g.opts.Bounds.Of(timing.ElectionTimeout) + spread
 }
 
 // majority tells whether the members for which test holds are enough.
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -6,15 +6,15 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
 var trio = []string{"a/0", "b/0", "c/0"}
 
 func follower(roster []string, hard Hard, log []wire.Entry) *Group {
-	return New(Options{Id: 1, Self: "b/0", Roster: roster, Bounds: beat.Default, Seed: 1}, hard, nil, log, 0)
+	return New(Options{Id: 1, Self: "b/0", Roster: roster, Bounds: timing.Default, Seed: 1}, hard, nil, log, 0)
 }
 
 func entries(terms ...int64) []wire.Entry {
@@ -90,7 +90,7 @@
 			So(g.View().Term, ShouldEqual, 4)
 		})
 		Convey("it grants one once the owner has been silent", func() {
-			out := g.Receive(wire.GroupMsg{Kind: MsgAsk, From: "c/0", To: "b/0", Term: 5, Index: 99, LogTerm: 4}, beat.Default.Charter)
+			out := g.Receive(wire.GroupMsg{Kind: MsgAsk, From: "c/0", To: "b/0", Term: 5, Index: 99, LogTerm: 4}, timing.Default.Charter)
 			So(out.Now[0].Reject, ShouldBeFalse)
 		})
 	})
@@ -98,8 +98,8 @@
 
 func TestRosterChangesOneAtATime(t *testing.T) {
 	Convey("Given the owner of a group of one", t, func() {
-		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: beat.Default}, Hard{}, nil, nil, 0)
-		g.Tick(beat.Default.Charter)
+		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: timing.Default}, Hard{}, nil, nil, 0)
+		g.Tick(timing.Default.Charter)
 		So(g.View().Role, ShouldEqual, Owner)
 		_, err := g.ChangeRoster(Change{Learn: "b/0"}, 0)
 		So(errs.Is(err, errs.Conflict), ShouldBeTrue) // its own term has no commit yet
@@ -131,7 +131,7 @@
 func TestNewOwner(t *testing.T) {
 	Convey("Given a new owner with an entry of an older term that is not committed", t, func() {
 		g := follower(trio, Hard{Term: 1}, entries(1))
-		now := beat.Default.Charter
+		now := timing.Default.Charter
 		g.Tick(now)
 		g.Receive(wire.GroupMsg{Kind: MsgAskReply, From: "a/0", To: "b/0", Term: 2}, now)
 		g.Receive(wire.GroupMsg{Kind: MsgVoteReply, From: "a/0", To: "b/0", Term: 2}, now)
--- a/internal/group/handover.go
+++ b/internal/group/handover.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -15,7 +15,7 @@
 func (g *Group) HandOver(to string, now time.Duration) Out {
 	out := Out{}
 	if g.role == Owner && g.heir == "" && g.peers[to] != nil {
-		g.heir, g.heirUntil = to, now+g.opts.Bounds.Of(beat.HandOver)
+		g.heir, g.heirUntil = to, now+g.opts.Bounds.Of(timing.TransferTimeout)
 		g.callHeir(&out)
 	}
 	return out
@@ -27,7 +27,7 @@
 func (g *Group) Missing(name string, now time.Duration) {
 	if g.role == Follower && g.owner != "" && Name(g.owner) == name {
 		g.owner = ""
-		g.standAt = min(g.standAt, now+time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(beat.Pulse)))))
+		g.standAt = min(g.standAt, now+time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(timing.Heartbeat)))))
 	}
 }
 
@@ -44,7 +44,7 @@
 	best := ""
 	for _, m := range Voters(g.roster()) {
 		p := g.peers[m]
-		if m == g.opts.Self || p == nil || p.isProbing || isAvoided(m) || now-p.ackedAt > g.opts.Bounds.Of(beat.Pulse)*3 {
+		if m == g.opts.Self || p == nil || p.isProbing || isAvoided(m) || now-p.ackedAt > g.opts.Bounds.Of(timing.Heartbeat)*3 {
 			continue
 		}
 		if best == "" || p.match > g.peers[best].match {
@@ -62,7 +62,7 @@
 	}
 	heir := g.opts.Prefer(g.roster())
 	p := g.peers[heir]
-	isHere := heir != g.opts.Self && p != nil && !p.isProbing && now-p.ackedAt < g.opts.Bounds.Of(beat.Pulse)*3
+	isHere := heir != g.opts.Self && p != nil && !p.isProbing && now-p.ackedAt < g.opts.Bounds.Of(timing.Heartbeat)*3
 	if !isHere {
 		g.heirName = ""
 		return
--- a/internal/group/handover_test.go
+++ b/internal/group/handover_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -51,7 +51,7 @@
 			So(isCalled(out), ShouldBeTrue)
 		})
 		Convey("one that does not take over in time has the owner step down", func() {
-			g.Tick(beat.Default.Of(beat.HandOver) + 10*time.Millisecond)
+			g.Tick(timing.Default.Of(timing.TransferTimeout) + 10*time.Millisecond)
 			So(g.View().Role, ShouldNotEqual, Owner)
 		})
 	})
@@ -74,7 +74,7 @@
 				g.Receive(wire.GroupMsg{Kind: MsgAppend, From: "a/0", To: "b/0", Term: 1}, 0)
 				g.Missing(c.missing, time.Millisecond)
 				So(g.hasOwner(2*time.Millisecond), ShouldEqual, !c.isSoon)
-				out := g.Tick(beat.Default.Of(beat.Pulse) + 2*time.Millisecond)
+				out := g.Tick(timing.Default.Of(timing.Heartbeat) + 2*time.Millisecond)
 				isAsking := false
 				for _, m := range out.Now {
 					isAsking = isAsking || m.Kind == MsgAsk
--- a/internal/group/mend.go
+++ b/internal/group/mend.go
@@ -7,7 +7,7 @@
 
 // Mend says which roster step repairs the group, if any: known gives the
 // member ids of live stores by name, wanted the names that should hold it.
-// Owners call it by beat; one step at a time.
+// Owners call it at intervals; one step at a time.
 //
 // The order of the steps keeps every member that may still be needed: a dead
 // incarnation goes first, since it only costs votes; a store that is not wanted
--- a/internal/group/mend_test.go
+++ b/internal/group/mend_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -82,14 +82,14 @@
 func TestCaughtUp(t *testing.T) {
 	Convey("Given a learner that has all that was committed when the last round began", t, func() {
 		g := ownerOf([]string{"b/0", "c/0", "~d/0"}, "c/0", "d/0")
-		g.Tick(beat.Default.Of(beat.Pulse))
+		g.Tick(timing.Default.Of(timing.Heartbeat))
 		g.Propose([]byte("x"), 0)
 		g.Synced(g.last(), 1, 0)
 		g.Receive(wire.GroupMsg{Kind: MsgAppendReply, From: "c/0", To: "b/0", Term: 1, Round: 2, Index: g.last()}, time.Millisecond)
 		So(g.View().Commit, ShouldEqual, g.last())
 		So(g.isCaughtUp("d/0"), ShouldBeTrue)
 		Convey("it must have that of the next round to be so later", func() {
-			g.Tick(2 * beat.Default.Of(beat.Pulse))
+			g.Tick(2 * timing.Default.Of(timing.Heartbeat))
 			So(g.isCaughtUp("d/0"), ShouldBeFalse)
 		})
 	})
--- a/internal/group/pair_test.go
+++ b/internal/group/pair_test.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -36,7 +36,7 @@
 
 func (p *pair) found() {
 	for _, name := range trio {
-		opts := Options{Id: 1, Self: name, Roster: trio, Bounds: beat.Default, Seed: 7,
+		opts := Options{Id: 1, Self: name, Roster: trio, Bounds: timing.Default, Seed: 7,
 			Prefer: func([]string) string { return trio[0] }}
 		opts.Room = func(to string) bool {
 			return p.room == 0 || int((p.busy[name+">"+to]-p.now)*time.Duration(p.rate)/time.Second) < p.room
--- a/internal/group/step.go
+++ b/internal/group/step.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -20,7 +20,7 @@
 }
 
 func (g *Group) tickOwner(now time.Duration, out *Out) {
-	if now-g.confirmed > g.opts.Bounds.Of(beat.Vote)*2 {
+	if now-g.confirmed > g.opts.Bounds.Of(timing.AnswerTimeout)*2 {
 		g.become(Follower, g.hard.Term, "", now, out) // cut off from the majority
 		return
 	}
--- a/internal/host/held_test.go
+++ b/internal/host/held_test.go
@@ -8,9 +8,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
 	"caperwheel/internal/slot"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -20,7 +20,7 @@
 	Convey("A replica that has read what its disk held keeps none of it besides", t, func() {
 		held := &slot.Held{Hard: group.Hard{Term: 1}, Log: []wire.Entry{{Index: 1, Term: 1}}}
 		kept := weak.Make(held)
-		h, err := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: beat.Default, Held: held,
+		h, err := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: timing.Default, Held: held,
 			Machine: &idleMachine{}, Now: func() time.Duration { return 0 }})
 		So(err, ShouldBeNil)
 		held = nil
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,11 +8,11 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/slot"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -23,7 +23,7 @@
 	Image() []byte
 	Restore(image []byte) error
 	Owned(isOwner bool) // ownership has begun (all that was committed is applied) or ended
-	Beat(now time.Duration)
+	Tick(now time.Duration)
 }
 
 // Disk is what a host needs of the store's disk.
@@ -38,7 +38,7 @@
 	Id      int64
 	Self    string
 	Roster  []string
-	Bounds  beat.Bounds
+	Bounds  timing.Bounds
 	Seed    uint64
 	Disk    Disk
 	Held    *slot.Held
@@ -124,8 +124,8 @@
 func (h *Host) Run(ctx context.Context) {
 	// All groups of a store tick at the same moments, so that one waking serves
 	// them and what they say to a store leaves in one batch.
-	period := h.opts.Bounds.Of(beat.Tick)
-	beat.Wait(ctx, period-h.opts.Now()%period)
+	period := h.opts.Bounds.Of(timing.Tick)
+	timing.Wait(ctx, period-h.opts.Now()%period)
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
@@ -156,7 +156,7 @@
 // Tick lets time pass. Run calls it; the simulation does, in Run's place.
 func (h *Host) Tick() {
 	h.do(h.machine.Tick(h.opts.Now()))
-	h.beat()
+	h.tick()
 }
 
 // Do has work done on the host's goroutine; a full ring is a definite reject.
--- a/internal/host/spread_test.go
+++ b/internal/host/spread_test.go
@@ -8,9 +8,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
 	"caperwheel/internal/repair"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -21,7 +21,7 @@
 func (idleMachine) Image() []byte        { return []byte{} }
 func (idleMachine) Restore([]byte) error { return nil }
 func (idleMachine) Owned(bool)           {}
-func (idleMachine) Beat(time.Duration)   {}
+func (idleMachine) Tick(time.Duration)   {}
 
 // quickDisk has everything synced at once.
 type quickDisk struct{}
@@ -48,7 +48,7 @@
 		roster = append(roster, known[name])
 	}
 	for i, name := range all {
-		opts := Options{Id: 1, Self: known[name], Bounds: beat.Default, Seed: uint64(i), Disk: quickDisk{}, Machine: idleMachine{},
+		opts := Options{Id: 1, Self: known[name], Bounds: timing.Default, Seed: uint64(i), Disk: quickDisk{}, Machine: idleMachine{},
 			Now: func() time.Duration { return out.now }, Send: func(m wire.GroupMsg) { out.mail = append(out.mail, m) },
 			Mend: func(repair.Silence) (map[string]string, []string) { return known, wanted }}
 		if slices.Contains(founders, name) {
@@ -63,7 +63,7 @@
 
 // tick lets one tick pass: what is said meets its receiver before the next.
 func (c *hosts) tick() {
-	c.now += beat.Default.Of(beat.Tick)
+	c.now += timing.Default.Of(timing.Tick)
 	for _, h := range c.byName {
 		h.Tick()
 	}
@@ -107,14 +107,14 @@
 	}
 	Convey("A group that is founded on five stores and belongs on five others is there within a bound of its first owner", t, func() {
 		c, wanted := newHosts(names(0, 5), names(0, 10), names(5, 10)), names(5, 10)
-		for len(c.holders()) == 0 && c.now < beat.Default.Charter {
+		for len(c.holders()) == 0 && c.now < timing.Default.Charter {
 			c.tick()
 		}
 		owned := c.now
-		for !slices.Equal(c.holders(), wanted) && c.now < owned+10*beat.Default.Charter {
+		for !slices.Equal(c.holders(), wanted) && c.now < owned+10*timing.Default.Charter {
 			c.tick()
 		}
 		So(c.holders(), ShouldResemble, wanted)
-		So(c.now-owned, ShouldBeLessThan, beat.Default.Charter)
+		So(c.now-owned, ShouldBeLessThan, timing.Default.Charter)
 	})
 }
--- a/internal/host/stall_test.go
+++ b/internal/host/stall_test.go
@@ -6,8 +6,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -45,17 +45,17 @@
 func (blank) Image() []byte        { return []byte("state") }
 func (blank) Restore([]byte) error { return nil }
 func (blank) Owned(bool)           {}
-func (blank) Beat(time.Duration)   {}
+func (blank) Tick(time.Duration)   {}
 
 // TestStalledDisk: a group whose slot could not be written once queued its whole
 // state again and again.
 func TestStalledDisk(t *testing.T) {
 	Convey("Given the owner of a group of one", t, func() {
 		now, disk := time.Duration(0), &stalled{}
-		h, err := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: beat.Default, Disk: disk, Machine: blank{},
+		h, err := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: timing.Default, Disk: disk, Machine: blank{},
 			Now: func() time.Duration { return now }, Send: func(wire.GroupMsg) {}, Failed: func(err error) { panic(err) }})
 		So(err, ShouldBeNil)
-		now = beat.Default.Charter
+		now = timing.Default.Charter
 		h.Tick()
 		disk.answer(h)
 		now += time.Millisecond
--- a/internal/host/upkeep.go
+++ b/internal/host/upkeep.go
@@ -6,8 +6,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
+	"caperwheel/internal/timing"
 )
 
 var rosters = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "repair",
@@ -15,15 +15,15 @@
 
 func init() { prometheus.MustRegister(rosters) }
 
-// beat does the host's periodic work.
-func (h *Host) beat() {
+// tick does the host's periodic work.
+func (h *Host) tick() {
 	now := h.opts.Now()
 	h.settle()
-	h.opts.Machine.Beat(now)
+	h.opts.Machine.Tick(now)
 	if h.since >= h.opts.Compact || h.bytes >= max(h.opts.Bytes, h.imageBytes()) {
 		h.compact()
 	}
-	if h.isOwner && h.opts.Mend != nil && (h.isChanging || now-h.mended > h.opts.Bounds.Of(beat.Vote)) {
+	if h.isOwner && h.opts.Mend != nil && (h.isChanging || now-h.mended > h.opts.Bounds.Of(timing.AnswerTimeout)) {
 		h.mended = now
 		h.mend()
 	}
--- a/internal/intake/ask.go
+++ b/internal/intake/ask.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
@@ -112,14 +112,14 @@
 	defer in.held.Add(-1)
 	until := time.Now().Add(wait)
 	for {
-		s, err := in.look(ctx, id, false, min(in.d.Bounds.Of(beat.Look), max(0, time.Until(until))))
+		s, err := in.look(ctx, id, false, min(in.d.Bounds.Of(timing.Look), max(0, time.Until(until))))
 		if err != nil || isOver(s.State) || time.Now().After(until) {
 			return s, err
 		}
 		select {
 		case <-ctx.Done():
 			return s, nil
-		case <-time.After(min(in.d.Bounds.Of(beat.Poll)/4, time.Until(until)+time.Millisecond)):
+		case <-time.After(min(in.d.Bounds.Of(timing.Poll)/4, time.Until(until)+time.Millisecond)):
 		}
 	}
 }
--- a/internal/intake/draw.go
+++ b/internal/intake/draw.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
 )
@@ -41,7 +41,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	at, isKnown := q.since[name]
-	return isKnown && in.d.Now()-at < in.d.Bounds.Of(beat.Permit)
+	return isKnown && in.d.Now()-at < in.d.Bounds.Of(timing.Permit)
 }
 
 // drawPlace draws a place for a message that may go to any, as the paper draws
--- a/internal/intake/hold.go
+++ b/internal/intake/hold.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -23,7 +23,7 @@
 	if e.cutoff > 0 {
 		return in.holdQuickly(e)
 	}
-	ctx, cancel := context.WithTimeout(e.ctx, in.d.Bounds.Of(beat.Settle)*2)
+	ctx, cancel := context.WithTimeout(e.ctx, in.d.Bounds.Of(timing.SettleTimeout)*2)
 	defer cancel()
 	isHeld, isOpen, cause := in.ask(ctx, in.reach, e)
 	if isHeld || !isOpen {
@@ -31,7 +31,7 @@
 	}
 	if e.take.Idem == "" {
 		// The caller may have gone; the message's fate is settled all the same.
-		ctx, cancel = context.WithTimeout(context.WithoutCancel(e.ctx), in.d.Bounds.Of(beat.Settle)*2)
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(e.ctx), in.d.Bounds.Of(timing.SettleTimeout)*2)
 		defer cancel()
 		ask := &wire.Settle{Place: e.take.Place, Id: e.take.Id, Lane: e.lane.Name}
 		if reply, err := in.reach.Group(ctx, wire.PlaceGroup+e.take.Place, ask, isOwner); err == nil {
@@ -55,7 +55,7 @@
 		isLast := e.take.Key != "" || turn == mostPlaces
 		asking, stop := ctx, context.CancelFunc(func() {})
 		if !isLast {
-			asking, stop = context.WithTimeout(ctx, in.d.Bounds.Of(beat.Try))
+			asking, stop = context.WithTimeout(ctx, in.d.Bounds.Of(timing.AttemptTimeout))
 		}
 		isHeld, isOpen, cause := in.ask(asking, in.quick, e)
 		stop()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -10,12 +10,12 @@
 	"sync/atomic"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
 	"caperwheel/internal/reach"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
 	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
@@ -58,7 +58,7 @@
 func New(d *daemon.Daemon, scenes *charter.Scenes) *Intake {
 	in := &Intake{d: d, scenes: scenes}
 	in.reach = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink}
-	in.quick = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink, Saw: in.saw, Try: beat.Try}
+	in.quick = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink, Saw: in.saw, Try: timing.AttemptTimeout}
 	d.Measure(func(emit daemon.Emit) {
 		for name, w := range in.peers.All() {
 			emit("weight_peer", "Weight of a store for messages that may go to any place.", w, "store", name)
@@ -135,7 +135,7 @@
 
 // Run moves the weights of the stores until ctx ends.
 func (in *Intake) Run(ctx context.Context) {
-	beat.Every(ctx, in.d.Bounds.Of(beat.Vote), func() {
+	timing.Every(ctx, in.d.Bounds.Of(timing.AnswerTimeout), func() {
 		for _, who := range in.d.Roll.Kind("store") {
 			in.d.Node.Peer(wire.PlaceLink, who.Addr).Warm()
 		}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -11,7 +11,6 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
@@ -19,6 +18,7 @@
 	"caperwheel/internal/path"
 	"caperwheel/internal/session"
 	"caperwheel/internal/settings"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -52,7 +52,7 @@
 
 func intakeOn(s *stand) *Intake {
 	view := feed.NewView(0)
-	d := &daemon.Daemon{Started: time.Now(), Bounds: beat.Default, View: view, Roll: session.NewRoll(), Mux: http.NewServeMux(), Settings: settings.Settings{Places: 48, Most: 9}}
+	d := &daemon.Daemon{Started: time.Now(), Bounds: timing.Default, View: view, Roll: session.NewRoll(), Mux: http.NewServeMux(), Settings: settings.Settings{Places: 48, Most: 9}}
 	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: charter.Key, Stamp: 7,
 		Value: []byte(`{"pools":{"p":{}},"lanes":{"l":{"pools":["p"],"size":9},"o":{"pools":["p"],"ordering":"key"}}}`)}}}}, d.Now())
 	in := New(d, &charter.Scenes{View: view})
--- a/internal/intake/stand_test.go
+++ b/internal/intake/stand_test.go
@@ -5,12 +5,12 @@
 	"net/http"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/session"
 	"caperwheel/internal/settings"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -44,7 +44,7 @@
 func On(s Scenery) (in *Intake, takes func() []*wire.Take) {
 	owners := &sighted{stand: stand{take: s.Take, settle: s.Settle, isOpen: s.IsOpen}, sight: s.Sight}
 	view := feed.NewView(0)
-	d := &daemon.Daemon{Started: time.Now().Add(-time.Hour), Bounds: beat.Default, View: view, Roll: session.NewRoll(),
+	d := &daemon.Daemon{Started: time.Now().Add(-time.Hour), Bounds: timing.Default, View: view, Roll: session.NewRoll(),
 		Mux: http.NewServeMux(), Settings: settings.Settings{Places: 48, Most: s.Most}}
 	at := d.Now()
 	if s.IsStale {
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -8,9 +8,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
@@ -136,15 +136,15 @@
 	}
 	switch kind {
 	case errs.NotOwner: // a place has a new owner after this long
-		return in.d.Bounds.Of(beat.Silence + beat.SilenceSpan)
+		return in.d.Bounds.Of(timing.ElectionTimeout + timing.ElectionSpread)
 	case errs.Undecided:
-		return in.d.Bounds.Of(beat.Settle)
+		return in.d.Bounds.Of(timing.SettleTimeout)
 	case errs.Stale, errs.Lost: // a session is found again within this
-		return in.d.Bounds.Of(beat.Vote)
+		return in.d.Bounds.Of(timing.AnswerTimeout)
 	case errs.DiskFull:
 		return 10 * in.d.Bounds.Charter
 	case errs.Full:
-		return in.d.Bounds.Of(beat.Permit)
+		return in.d.Bounds.Of(timing.Permit)
 	}
 	return 0
 }
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -8,12 +8,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/deliver"
 	"caperwheel/internal/duty"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -28,14 +28,14 @@
 	pool := pond.NewPool(8)
 	steady := &duty.Steady{Least: 2 * m.d.Bounds.Charter}
 	steadySince := m.d.Now()
-	beat.Every(ctx, m.d.Bounds.Of(beat.Poll), func() {
+	timing.Every(ctx, m.d.Bounds.Of(timing.Poll), func() {
 		if !m.d.IsFresh() {
 			steadySince = m.d.Now()
 			return
 		}
 		// A manager that has just come does not know all sessions yet: it only
 		// gives duties to new lives of those that hold them.
-		m.planDuties(ctx, pool, steady, m.d.Now()-steadySince < m.d.Bounds.Of(beat.Gone))
+		m.planDuties(ctx, pool, steady, m.d.Now()-steadySince < m.d.Bounds.Of(timing.SessionTimeout))
 	})
 }
 
--- a/internal/manager/list.go
+++ b/internal/manager/list.go
@@ -10,11 +10,11 @@
 	"github.com/alitto/pond/v2"
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/duty"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -63,7 +63,7 @@
 
 func (m *Manager) controlLists(ctx context.Context) {
 	l := newLister(m)
-	beat.Every(ctx, m.d.Bounds.Of(beat.List), func() { l.turn(ctx) })
+	timing.Every(ctx, m.d.Bounds.Of(timing.ListInterval), func() { l.turn(ctx) })
 }
 
 // turn reads the source once, if this manager is the one that does. Should two
@@ -230,7 +230,7 @@
 		case !e.isSettled && began-e.seenAt > l.m.source.Lag:
 			e.isSettled, e.settledAt = true, now
 			l.easing[key] = e
-		case e.isSettled && now-e.settledAt > l.m.d.Bounds.Of(beat.Fresh) && now-e.seenAt > l.m.resend:
+		case e.isSettled && now-e.settledAt > l.m.d.Bounds.Of(timing.Fresh) && now-e.seenAt > l.m.resend:
 			_, err := l.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: key, IfStamp: e.stamp, Gone: true,
 				By: "list controller at " + l.m.d.Who.Name})
 			if err != nil && !errs.Is(err, errs.Conflict) {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -9,13 +9,13 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/session"
 	"caperwheel/internal/settings"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 )
@@ -45,7 +45,7 @@
 func Run(source *settings.Source, options func(*daemon.Daemon) Options) {
 	d := daemon.New("manager", source)
 	o := options(d)
-	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: session.NewRegistry(d.Bounds.Of(beat.Gone)), source: o.Source,
+	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: session.NewRegistry(d.Bounds.Of(timing.SessionTimeout)), source: o.Source,
 		resend: cmp.Or(o.Resend, 2*d.Bounds.Charter), stores: settledStores{bound: d.Bounds.Charter}}
 	m.operators = &Operators{m}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -58,9 +58,9 @@
 		o.Serve(m.operators)
 	}
 	pause := func() time.Duration { return session.Pause(d.View, d.Now(), d.Bounds) }
-	go beat.Paced(ctx, pause, m.follow)
-	go beat.Paced(ctx, pause, m.share)
-	go beat.Every(ctx, d.Bounds.Of(beat.Poll), m.operators.Look)
+	go timing.Paced(ctx, pause, m.follow)
+	go timing.Paced(ctx, pause, m.share)
+	go timing.Every(ctx, d.Bounds.Of(timing.Poll), m.operators.Look)
 	go m.controlDuties(ctx)
 	go m.controlWeights(ctx)
 	if m.source != nil {
--- a/internal/manager/operators_test.go
+++ b/internal/manager/operators_test.go
@@ -9,13 +9,13 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/session"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -98,7 +98,7 @@
 func newFake() (*Manager, *fakeParts) {
 	view := feed.NewView(1)
 	f := &fakeParts{parts: map[int64]*feed.Part{}, view: view}
-	d := &daemon.Daemon{Bounds: beat.Bounds{Charter: 20 * time.Second}, Started: time.Now().Add(-time.Hour), View: view,
+	d := &daemon.Daemon{Bounds: timing.Bounds{Charter: 20 * time.Second}, Started: time.Now().Add(-time.Hour), View: view,
 		Roll: session.NewRoll(), Who: wire.Who{Name: "m1", Kind: "manager"}}
 	d.Settings.Parts, d.Settings.Founders = 1, 3
 	members := []wire.Member{{Who: d.Who}}
--- a/internal/manager/peers.go
+++ b/internal/manager/peers.go
@@ -5,12 +5,12 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
 // peers notes which other managers have taken our shares, and when. Managers
-// tell each other their sessions once a beat, each way in a share of its own; an
+// tell each other their sessions once a turn, each way in a share of its own; an
 // answer that tells them again doubles what grows with the daemons.
 //
 // Invariant: heard holds lives, so that a manager that has begun anew, and knows
@@ -46,7 +46,7 @@
 // unless it has them by our own shares; then ours with ourselves alone.
 func (m *Manager) answerTo(peer wire.Who) *wire.Share {
 	out := m.ownShare()
-	if !m.peers.hears(peer.Boot, m.d.Now(), m.d.Bounds.Of(beat.Poll)) {
+	if !m.peers.hears(peer.Boot, m.d.Now(), m.d.Bounds.Of(timing.Poll)) {
 		return out
 	}
 	self := []wire.Member{}
--- a/internal/manager/peers_test.go
+++ b/internal/manager/peers_test.go
@@ -8,9 +8,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/session"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -18,7 +18,7 @@
 // beat, in a share and in the answer to the peer's own.
 func TestAnswersToPeers(t *testing.T) {
 	peer := wire.Who{Name: "manager-2", Kind: "manager", Boot: "1"}
-	beatOf := beat.Default.Of(beat.Poll)
+	beatOf := timing.Default.Of(timing.Poll)
 	cases := []struct {
 		name    string
 		prepare func(m *Manager, now time.Duration)
@@ -33,8 +33,8 @@
 		for _, c := range cases {
 			for _, daemons := range []int{4, 400} {
 				Convey(fmt.Sprintf("%s, with %d daemons", c.name, daemons), func() {
-					m := &Manager{d: &daemon.Daemon{Started: time.Now().Add(-time.Minute), Bounds: beat.Default, Who: wire.Who{Name: "manager-1", Boot: "9"}},
-						registry: session.NewRegistry(beat.Default.Of(beat.Gone))}
+					m := &Manager{d: &daemon.Daemon{Started: time.Now().Add(-time.Minute), Bounds: timing.Default, Who: wire.Who{Name: "manager-1", Boot: "9"}},
+						registry: session.NewRegistry(timing.Default.Of(timing.SessionTimeout))}
 					now := m.d.Now()
 					m.registry.Hear(wire.Member{Who: m.d.Who, Fact: wire.Fact{Fresh: true}}, now, true)
 					for i := range daemons {
--- a/internal/manager/retire.go
+++ b/internal/manager/retire.go
@@ -7,10 +7,10 @@
 
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -161,7 +161,7 @@
 
 // unknown says that there is no such thing, if this manager can know.
 func (m *Manager) unknown(kind, subject string) error {
-	if !m.d.IsFresh() || m.d.Now() < m.d.Bounds.Of(beat.Gone) {
+	if !m.d.IsFresh() || m.d.Now() < m.d.Bounds.Of(timing.SessionTimeout) {
 		return errs.New(errs.Stale, "this manager does not know all daemons yet")
 	}
 	return errs.New(errs.Unknown, "no %s %s is here", kind, subject)
--- a/internal/manager/retirement.go
+++ b/internal/manager/retirement.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -53,7 +53,7 @@
 
 // standings asks all stores how the groups that they own stand without one.
 func (o *Operators) standings(ctx context.Context, without string) standings {
-	ctx, cancel := beat.Within(ctx, o.m.d.Bounds.Of(beat.Settle))
+	ctx, cancel := timing.Within(ctx, o.m.d.Bounds.Of(timing.SettleTimeout))
 	defer cancel()
 	out := standings{map[int64]wire.Standing{}, true}
 	for _, reply := range o.m.reach.All(ctx, o.m.d.Roll.Kind("store"), &wire.Retire{Store: without}) {
--- a/internal/manager/weights.go
+++ b/internal/manager/weights.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"strings"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
 
@@ -19,7 +19,7 @@
 // after: what adapters see goes in, weights come out, and are published when
 // they have changed enough to matter.
 func (m *Manager) controlWeights(ctx context.Context) {
-	beat.Every(ctx, m.d.Bounds.Of(beat.Gone), func() {
+	timing.Every(ctx, m.d.Bounds.Of(timing.SessionTimeout), func() {
 		if !m.d.IsFresh() {
 			return
 		}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -8,9 +8,9 @@
 	"errors"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/session"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 )
@@ -19,11 +19,11 @@
 type Reach struct {
 	Node   *transport.Node
 	Roll   *session.Roll
-	Bounds beat.Bounds
+	Bounds timing.Bounds
 	Link   *wire.Link
 	Call   func(ctx context.Context, addr string, ask any) (any, error) // the transport's, if not given
 	Saw    func(peer string, micros float64, isAnswered bool)           // told of each try of Ask, if given
-	Try    beat.Ratio                                                   // how long one try waits; 0 for Settle
+	Try    timing.Ratio                                                 // how long one try waits; 0 for Settle
 }
 
 // freeHops is how often an ask follows a named owner without a pause.
@@ -84,14 +84,14 @@
 				isOpen = true
 			}
 		}
-		wait := r.Bounds.Of(beat.Seek)
+		wait := r.Bounds.Of(timing.StalePoll)
 		if hint != "" && ctx.Err() == nil {
 			if hops++; hops < freeHops {
 				continue // the owner was named: no need to wait
 			}
 			wait /= freeHops // two name each other while ownership moves
 		}
-		beat.Wait(ctx, wait)
+		timing.Wait(ctx, wait)
 		if ctx.Err() != nil {
 			if isOpen {
 				return nil, true, errs.New(errs.Undecided, "group %d did not answer", id)
@@ -103,7 +103,7 @@
 
 // One asks one daemon, once.
 func (r *Reach) One(ctx context.Context, who wire.Who, ask any) (any, error) {
-	ctx, cancel := beat.Within(ctx, r.Bounds.Of(cmp.Or(r.Try, beat.Settle)))
+	ctx, cancel := timing.Within(ctx, r.Bounds.Of(cmp.Or(r.Try, timing.SettleTimeout)))
 	defer cancel()
 	if r.Call != nil {
 		return r.Call(ctx, who.Addr, ask)
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -7,9 +7,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/session"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 )
@@ -44,7 +44,7 @@
 				roll, turn := session.NewRoll(), 0
 				roll.Take("x", []wire.Member{{Who: wire.Who{Name: "s1", Kind: "store"}}, {Who: wire.Who{Name: "s2", Kind: "store"}}})
 				ctx, cancel := context.WithCancel(context.Background())
-				r := &Reach{Roll: roll, Bounds: beat.Bounds{Charter: time.Millisecond}, Call: func(context.Context, string, any) (any, error) {
+				r := &Reach{Roll: roll, Bounds: timing.Bounds{Charter: time.Millisecond}, Call: func(context.Context, string, any) (any, error) {
 					answer := c.answers[min(turn, len(c.answers)-1)]
 					if turn++; turn > 5 {
 						cancel()
--- a/internal/repair/handover.go
+++ b/internal/repair/handover.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/reach"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -38,7 +38,7 @@
 
 // HandOver brings kept results home until ctx ends.
 func (k *Keeper) HandOver(ctx context.Context, r *reach.Reach, group func(place int64) int64, now func() time.Duration) {
-	beat.Every(ctx, r.Bounds.Of(beat.Resend), func() {
+	timing.Every(ctx, r.Bounds.Of(timing.Resend), func() {
 		for _, o := range k.Due(now()) {
 			go func() {
 				ctx, cancel := context.WithTimeout(ctx, r.Bounds.Charter)
--- a/internal/repair/plan.go
+++ b/internal/repair/plan.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 )
 
 // How many of its groups one owner's store changes at a time: few for the sake
@@ -21,14 +21,14 @@
 
 // Planner says which stores should hold the groups that one daemon owns.
 type Planner struct {
-	bounds   beat.Bounds
+	bounds   timing.Bounds
 	copies   int
 	presence *Presence
 	members  []Store
 }
 
 // NewPlanner makes one for groups of so many copies.
-func NewPlanner(bounds beat.Bounds, copies int) *Planner {
+func NewPlanner(bounds timing.Bounds, copies int) *Planner {
 	return &Planner{bounds: bounds, copies: copies, presence: NewPresence()}
 }
 
@@ -82,12 +82,12 @@
 
 func (p *Planner) isLost(absent Store, span time.Duration) bool {
 	isOfZone := func(s Store) bool { return s.Zone == absent.Zone }
-	patience := beat.Abandon
+	patience := timing.Abandon
 	switch {
-	case p.presence.HasSuccessor(absent, p.members, p.bounds.Of(beat.Abandon)):
-		patience = beat.Replace
+	case p.presence.HasSuccessor(absent, p.members, p.bounds.Of(timing.Abandon)):
+		patience = timing.Replace
 	case !slices.ContainsFunc(p.members, isOfZone):
-		patience = beat.Outage
+		patience = timing.Outage
 	}
 	return span >= p.bounds.Of(patience)
 }
--- a/internal/repair/plan_test.go
+++ b/internal/repair/plan_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 )
 
 // TestSeats is the table of who should hold a group once some of its holders
@@ -16,7 +16,7 @@
 func TestSeats(t *testing.T) {
 	store := func(name, zone string) Store { return Store{Name: name, Zone: zone} }
 	a, b, c := store("a", "x"), store("b", "y"), store("c", "z")
-	replace, abandon, outage := beat.Default.Of(beat.Replace), beat.Default.Of(beat.Abandon), beat.Default.Of(beat.Outage)
+	replace, abandon, outage := timing.Default.Of(timing.Replace), timing.Default.Of(timing.Abandon), timing.Default.Of(timing.Outage)
 	trio := []string{"a", "b", "c"}
 	cases := []struct {
 		name    string
@@ -49,7 +49,7 @@
 		for _, k := range cases {
 			Convey(k.name, func() {
 				const gone = time.Hour // when the later members are first seen
-				p := NewPlanner(beat.Default, 3)
+				p := NewPlanner(timing.Default, 3)
 				p.Note(k.first, 0)
 				p.Note(k.later, gone)
 				g := Group{Id: 1, Holders: k.holders, Silence: func(string, time.Duration) time.Duration { return k.silence }}
--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -9,11 +9,11 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/fleet"
+	"caperwheel/internal/timing"
 )
 
 // made is one change that a manager acknowledged.
@@ -38,7 +38,7 @@
 		return
 	}
 	turn := 0
-	beat.Every(ctx, time.Duration(float64(time.Second)/rate), func() {
+	timing.Every(ctx, time.Duration(float64(time.Second)/rate), func() {
 		turn++
 		if list := c.lists[poolName(0)]; turn%2 == 0 && len(list) > 0 {
 			w := list[0]
@@ -95,7 +95,7 @@
 	c.mu.Lock()
 	all := c.made
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, 10*beat.Default.Charter)
+	ctx, cancel := context.WithTimeout(ctx, 10*timing.Default.Charter)
 	defer cancel()
 	var lags []lag
 	for {
@@ -115,7 +115,7 @@
 	}
 	out.Changes, out.InForce = len(all), len(lags)
 	for _, lag := range lags {
-		if lag.sinceHeld > beat.Default.Charter {
+		if lag.sinceHeld > timing.Default.Charter {
 			out.Late++
 		}
 	}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/deliver"
@@ -18,6 +17,7 @@
 	"caperwheel/internal/repair"
 	"caperwheel/internal/session"
 	"caperwheel/internal/settings"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 )
@@ -91,8 +91,8 @@
 // runAgent joins the parts as cmd/agent does; no results come, so none are kept.
 func (f *front) runAgent(ctx context.Context) error {
 	d := f.agent
-	beside := session.NewRegistry(d.Bounds.Of(beat.Gone))
-	keeper := repair.NewKeeper(d.Settings.Most, d.Bounds.Of(beat.Vote), d.Bounds.Of(beat.Settle))
+	beside := session.NewRegistry(d.Bounds.Of(timing.SessionTimeout))
+	keeper := repair.NewKeeper(d.Settings.Most, d.Bounds.Of(timing.AnswerTimeout), d.Bounds.Of(timing.SettleTimeout))
 	err := link(d, map[string]transport.Handler{"place": func(_ wire.Who, body any, answer func(any)) {
 		if o, isOutcome := body.(*wire.Outcome); isOutcome {
 			if ack := keeper.Serve(o, d.Now()); ack != nil {
--- a/internal/scale/point.go
+++ b/internal/scale/point.go
@@ -9,10 +9,10 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
+	"caperwheel/internal/timing"
 )
 
 // Point is one deployment to measure.
@@ -155,7 +155,7 @@
 
 // fullSpeech is how many messages a second a hollow daemon says and hears, on the
 // mean of an agent and its adapter: three times a poll's two.
-func fullSpeech() float64 { return 3 / beat.Default.Of(beat.Poll).Seconds() }
+func fullSpeech() float64 { return 3 / timing.Default.Of(timing.Poll).Seconds() }
 
 // enough is the share of it below which a point tells of the machine that it was
 // measured on and not of the deployment.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -13,11 +13,11 @@
 
 	"github.com/alitto/pond/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
 	"caperwheel/internal/manager"
+	"caperwheel/internal/timing"
 )
 
 // Options say with what to measure, and for how long.
@@ -220,7 +220,7 @@
 		return
 	}
 	turn := 0
-	beat.Every(ctx, time.Duration(float64(time.Minute)/b.point.Restarts), func() {
+	timing.Every(ctx, time.Duration(float64(time.Minute)/b.point.Restarts), func() {
 		turn++
 		code, _, _, err := fleet.Do(ctx, "POST", fmt.Sprintf("http://%s/restart/%d", b.pack.Http, turn), "", nil)
 		if err == nil && code == 200 {
--- a/internal/scale/size_test.go
+++ b/internal/scale/size_test.go
@@ -42,7 +42,7 @@
 	return out
 }
 
-// BenchmarkRegistry is what a manager does each beat with the sessions: take
+// BenchmarkRegistry is what a manager does each tick with the sessions: take
 // its peers' in, list them, name the list.
 func BenchmarkRegistry(b *testing.B) {
 	for _, count := range []int{60, 590, 5900, 59000} {
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -9,18 +9,18 @@
 
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/feed"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 )
 
 // Client keeps a daemon's session: it polls one manager (or an adapter's
-// agent) by beat, renews the session with each poll, and brings news into the
+// agent) at intervals, renews the session with each poll, and brings news into the
 // view and the roll. When the manager does not answer it turns to the next.
 type Client struct {
 	Node   *transport.Node
-	Bounds beat.Bounds
+	Bounds timing.Bounds
 	Seeds  func() []string // as the settings name them now; never empty
 	View   *feed.View
 	Roll   *Roll
@@ -39,22 +39,22 @@
 // Run polls until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	c.at = rand.IntN(len(c.Seeds()))
-	beat.Paced(ctx, func() time.Duration { return Pause(c.View, c.Now(), c.Bounds) }, c.poll)
+	timing.Paced(ctx, func() time.Duration { return Pause(c.View, c.Now(), c.Bounds) }, c.poll)
 }
 
 // Pause is how long whoever follows the parts waits before it asks again: a
-// daemon that has just begun must not lose a beat on each hop of the feed.
-func Pause(view *feed.View, now time.Duration, bounds beat.Bounds) time.Duration {
-	if age, isSure := view.Age(now); !isSure || age > bounds.Of(beat.Fresh)/2 {
-		return bounds.Of(beat.Seek)
+// daemon that has just begun must not lose a turn on each hop of the feed.
+func Pause(view *feed.View, now time.Duration, bounds timing.Bounds) time.Duration {
+	if age, isSure := view.Age(now); !isSure || age > bounds.Of(timing.Fresh)/2 {
+		return bounds.Of(timing.StalePoll)
 	}
-	return bounds.Of(beat.Poll)
+	return bounds.Of(timing.Poll)
 }
 
 func (c *Client) poll() {
 	now, kind := c.Now(), c.Node.Self().Kind
 	c.mu.Lock()
-	if now-c.answered > c.Bounds.Of(beat.Vote) { // silent: turn to the next
+	if now-c.answered > c.Bounds.Of(timing.AnswerTimeout) { // silent: turn to the next
 		targets := c.targets(kind)
 		c.at = (c.at + 1) % len(targets)
 		c.answered, c.isAsking, c.turns = now, false, 0 // the next hears all at once
--- a/internal/session/registry.go
+++ b/internal/session/registry.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -84,11 +84,11 @@
 
 // Own lists the sessions that stand with this manager, for its peers, and the
 // other managers that it knows of, so that those who are no seeds meet. Every
-// share of one beat in wholeEvery is whole.
+// share of one turn in wholeEvery is whole.
 func (r *Registry) Own(now time.Duration) []wire.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	isWhole := now/r.shareBeat()%wholeEvery == 0
+	isWhole := now/r.shareInterval()%wholeEvery == 0
 	out := []wire.Member{}
 	for _, e := range r.known {
 		if (e.isOwn || e.member.Who.Kind == "manager") && now-e.heardAt <= r.gone {
@@ -102,9 +102,9 @@
 	return out
 }
 
-// shareBeat is how often peers are told; gone is a ratio of the same bound.
-func (r *Registry) shareBeat() time.Duration {
-	return max(1, r.gone*time.Duration(beat.Poll)/time.Duration(beat.Gone))
+// shareInterval is how often peers are told; gone is a ratio of the same bound.
+func (r *Registry) shareInterval() time.Duration {
+	return max(1, r.gone*time.Duration(timing.Poll)/time.Duration(timing.SessionTimeout))
 }
 
 // RollOf hashes what matters of a list of members.
--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -9,8 +9,8 @@
 
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/timing"
 )
 
 // withLive gives s with what may change while a daemon runs as it is in next.
@@ -82,7 +82,7 @@
 		return
 	}
 	w := &watcher{kind: kind, now: s, use: use}
-	ticker := time.NewTicker(s.Bounds().Of(beat.Reread))
+	ticker := time.NewTicker(s.Bounds().Of(timing.SettingsReload))
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/sim/adapter.go
+++ b/internal/sim/adapter.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/check"
 	"caperwheel/internal/deliver"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/repair"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -56,7 +56,7 @@
 				})
 			}
 		}
-		a.w.After(beat.Default.Of(beat.Poll), tick)
+		a.w.After(timing.Default.Of(timing.Poll), tick)
 	}
 	tick()
 }
@@ -73,13 +73,13 @@
 	}
 }
 
-func (a *simAdapter) isFresh() bool { return a.w.now-a.fresh < beat.Default.Of(beat.Fresh) }
+func (a *simAdapter) isFresh() bool { return a.w.now-a.fresh < timing.Default.Of(timing.Fresh) }
 
 // grant and use do as the real adapter's slots: a permit is used once, soon, and
 // in the life that gave it.
 func (a *simAdapter) grant() any {
 	a.permit++
-	a.grants[a.permit] = a.w.now + beat.Default.Of(beat.Permit)
+	a.grants[a.permit] = a.w.now + timing.Default.Of(timing.Permit)
 	return a.permit
 }
 
@@ -105,7 +105,7 @@
 			p.Send(a.name, from, func() { tell(reply, nil) })
 		})
 	})
-	p.After(beat.Default.Of(beat.Dead), func() { tell(nil, errs.New(errs.Lost, "no answer")) })
+	p.After(timing.Default.Of(timing.ConnectionTimeout), func() { tell(nil, errs.New(errs.Lost, "no answer")) })
 }
 
 func (a *simAdapter) serve(ask any) any {
--- a/internal/sim/around.go
+++ b/internal/sim/around.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/store"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -27,10 +27,10 @@
 }
 
 // Bounds are the usual ones.
-func (s *simStore) Bounds() beat.Bounds { return beat.Default }
+func (s *simStore) Bounds() timing.Bounds { return timing.Default }
 
 // IsFresh follows the simulated control plane.
-func (s *simStore) IsFresh() bool { return s.w.now-s.fresh < beat.Default.Of(beat.Fresh) }
+func (s *simStore) IsFresh() bool { return s.w.now-s.fresh < timing.Default.Of(timing.Fresh) }
 
 // IsFull tells of a simulated full disk.
 func (s *simStore) IsFull() bool { return s.w.now < s.full }
@@ -44,7 +44,7 @@
 // Find gives an adapter whose session stands, as this store knows.
 func (s *simStore) Find(name string) (wire.Who, bool) {
 	p, isKnown := s.roll[name]
-	return p.who, isKnown && s.w.now-p.heardAt < beat.Default.Of(beat.Gone)
+	return p.who, isKnown && s.w.now-p.heardAt < timing.Default.Of(timing.SessionTimeout)
 }
 
 // Post asks an adapter.
@@ -71,7 +71,7 @@
 // Release needs nothing: permits lapse.
 func (s *simStore) Release(store.SlotGrant) {}
 
-// Nudge needs nothing: dispatch goes by beat.
+// Nudge needs nothing: dispatch goes at intervals.
 func (s *simStore) Nudge() {}
 
 // PlaceOf is the one place.
--- a/internal/sim/book.go
+++ b/internal/sim/book.go
@@ -5,10 +5,10 @@
 
 	"github.com/tidwall/gjson"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/linearize"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -118,8 +118,8 @@
 // the bound must be known to it.
 func (b *book) acts(p *process) {
 	stamp := p.view.Stamp(feed.CharterPart)
-	for i := len(b.acks) - 1; i >= 0 && b.w.now-b.acks[i].at < 3*beat.Default.Charter; i-- {
-		if e := b.acks[i]; b.w.now-e.at > beat.Default.Charter && stamp < e.stamp {
+	for i := len(b.acks) - 1; i >= 0 && b.w.now-b.acks[i].at < 3*timing.Default.Charter; i-- {
+		if e := b.acks[i]; b.w.now-e.at > timing.Default.Charter && stamp < e.stamp {
 			b.breach("%s acts on stamp %d, though %d was acknowledged %v ago", p.name, stamp, e.stamp, b.w.now-e.at)
 			return
 		}
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/check"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -14,7 +14,7 @@
 // internal/intake does: find the owner, settle what is undecided, tell.
 func (p *Places) Call(lane, key string, told func()) {
 	s, take := p.message(lane, key)
-	window := beat.Default.Of(beat.Settle) * 2
+	window := timing.Default.Of(timing.SettleTimeout) * 2
 	patience := window
 	if p.Rand.IntN(4) == 0 { // the caller hangs up soon; its message is settled all the same
 		patience = time.Duration(p.Rand.IntN(300)) * time.Millisecond
@@ -53,7 +53,7 @@
 			p.finish(s, best, func() {})
 			return
 		}
-		p.reach(beat.Default.Of(beat.Settle), func(o placeOwner, answer func(any)) { o.Take(take, answer) }, func(got *wire.Taken, _ bool) {
+		p.reach(timing.Default.Of(timing.SettleTimeout), func(o placeOwner, answer func(any)) { o.Take(take, answer) }, func(got *wire.Taken, _ bool) {
 			switch {
 			case got != nil && got.Kind == "":
 				best = check.Taken
@@ -157,7 +157,7 @@
 	p.Run(p.now + 130*time.Second)
 	for _, s := range p.H.Sent {
 		if s.Told == check.Undecided { // ask for a definite fate, as a caller would
-			p.reach(beat.Default.Charter, func(o placeOwner, answer func(any)) { o.Settle(&wire.Settle{Id: s.Id, Lane: s.Lane}, answer) },
+			p.reach(timing.Default.Charter, func(o placeOwner, answer func(any)) { o.Settle(&wire.Settle{Id: s.Id, Lane: s.Lane}, answer) },
 				func(*wire.Taken, bool) {})
 			p.Run(p.now + time.Second)
 		}
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/deliver"
 	"caperwheel/internal/duty"
@@ -12,6 +11,7 @@
 	"caperwheel/internal/host"
 	"caperwheel/internal/session"
 	"caperwheel/internal/store"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -100,7 +100,7 @@
 	}
 	s.isUp, s.life = true, s.life+1
 	s.part = store.NewPartHost(s, feed.CharterPart)
-	h, err := host.New(host.Options{Id: 0, Self: s.name + "/0", Roster: []string{"s1/0", "s2/0", "s3/0"}, Bounds: beat.Default,
+	h, err := host.New(host.Options{Id: 0, Self: s.name + "/0", Roster: []string{"s1/0", "s2/0", "s3/0"}, Bounds: timing.Default,
 		Seed: s.c.Seed + uint64(s.life), Disk: &pumped{s.disk, &s.simStore}, Held: s.disk.Held(), Machine: s.part,
 		Now: s.c.Now, Send: s.post, Failed: s.Fail, Compact: 60, Whole: 500})
 	if err != nil {
@@ -109,12 +109,12 @@
 	s.host = h
 	s.part.Use(h)
 	s.c.Note("start %s", s.name)
-	s.beat(func() {})
+	s.tick(func() {})
 }
 
 // act is what a manager or adapter does on its own.
 func (n *node) act() {
-	if !n.view.IsFresh(n.c.now, beat.Default.Of(beat.Fresh)) {
+	if !n.view.IsFresh(n.c.now, timing.Default.Of(timing.Fresh)) {
 		n.since = n.c.now
 		return
 	}
@@ -133,7 +133,7 @@
 	if n.worker == nil || n.term != held.Term {
 		fence := time.Duration(0)
 		if held.Before != "" {
-			fence = beat.Default.Of(beat.Fence)
+			fence = timing.Default.Of(timing.Fence)
 		}
 		n.worker, n.term = deliver.NewWorker(scene.Rules.Pools["p"], fence, n.c.now), held.Term
 	}
@@ -155,7 +155,7 @@
 			managers = append(managers, m.Who.Name)
 		}
 	}
-	if duty.First("pool/p", managers) != n.name || n.c.now-n.since < beat.Default.Of(beat.Gone) {
+	if duty.First("pool/p", managers) != n.name || n.c.now-n.since < timing.Default.Of(timing.SessionTimeout) {
 		return
 	}
 	stamp := func(key string) (int64, bool) {
--- a/internal/sim/controlfaults.go
+++ b/internal/sim/controlfaults.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/feed"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -17,7 +17,7 @@
 func (c *Control) checkAct(n *node) {
 	stamp := n.view.Stamp(feed.CharterPart)
 	for _, e := range c.acked {
-		if c.now-e.at > beat.Default.Charter && stamp < e.stamp {
+		if c.now-e.at > timing.Default.Charter && stamp < e.stamp {
 			text := fmt.Sprintf("%s acts on stamp %d, though %d was acknowledged %v ago", n.boot(), stamp, e.stamp, c.now-e.at)
 			c.Note("BROKEN %s", text)
 			c.Broken = append(c.Broken, text)
--- a/internal/sim/deployment.go
+++ b/internal/sim/deployment.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -144,7 +144,7 @@
 	return nil, false
 }
 
-func (d *Deployment) bound(r beat.Ratio) time.Duration { return beat.Default.Of(r) }
+func (d *Deployment) bound(r timing.Ratio) time.Duration { return timing.Default.Of(r) }
 
 // breach notes a broken rule.
 func (d *Deployment) breach(form string, args ...any) { d.book.breach(form, args...) }
--- a/internal/sim/groupcheck.go
+++ b/internal/sim/groupcheck.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// Mend does what the store's repair beat does.
+// Mend does what the store's repair tick does.
 func (g *Groups) Mend(wanted ...string) {
 	known := map[string]string{}
 	for _, id := range g.Names {
--- a/internal/sim/groups.go
+++ b/internal/sim/groups.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -83,7 +83,7 @@
 	if slices.Contains(g.founders, id) {
 		roster = g.founders
 	}
-	r.machine = group.New(group.Options{Id: 1, Self: id, Roster: roster, Bounds: beat.Default,
+	r.machine = group.New(group.Options{Id: 1, Self: id, Roster: roster, Bounds: timing.Default,
 		Seed: g.Seed + uint64(r.life)}, r.disk.hard, r.disk.image, slices.Clone(r.disk.log), g.now)
 	r.Applied, r.image = nil, r.disk.image
 	if r.image != nil {
--- a/internal/sim/home.go
+++ b/internal/sim/home.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/check"
 	"caperwheel/internal/repair"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
-// reachBeat is how often internal/reach tries another store for an owner.
-var reachBeat = beat.Default.Of(beat.Poll) / 2
+// retryPause is how often internal/reach tries another store for an owner.
+var retryPause = timing.Default.Of(timing.Poll) / 2
 
 // handOver brings kept results home, from whoever keeps them as long as it is
 // there.
@@ -28,14 +28,14 @@
 				}
 			}
 		}
-		p.After(reachBeat, tick)
+		p.After(retryPause, tick)
 	}
 	tick()
 }
 
 // newAgent has a blank agent beside the adapter.
 func (a *simAdapter) newAgent() {
-	a.agent = repair.NewKeeper(1000, beat.Default.Of(beat.Vote), reachBeat)
+	a.agent = repair.NewKeeper(1000, timing.Default.Of(timing.AnswerTimeout), retryPause)
 }
 
 // loseMachine takes the adapter and its agent at once.
@@ -47,7 +47,7 @@
 	}
 }
 
-// home sends the result by beat, to one store after another, until an owner
+// home sends the result at intervals, to one store after another, until an owner
 // has made it durable.
 func (a *simAdapter) home(m *wire.Run, o *wire.Outcome) {
 	life, turn, isDone := a.life, a.w.Rand.IntN(3), false
@@ -86,7 +86,7 @@
 				}
 			})
 		}
-		a.w.After(reachBeat, try)
+		a.w.After(retryPause, try)
 	}
 	try()
 }
--- a/internal/sim/manager.go
+++ b/internal/sim/manager.go
@@ -6,12 +6,12 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/manager"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/session"
 	"caperwheel/internal/settings"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -36,14 +36,14 @@
 	}
 	p.seeds = p.d.seeds()
 	p.begin(fmt.Sprint(p.name, ".", p.life+1))
-	p.registry = session.NewRegistry(p.d.bound(beat.Gone))
-	about := &daemon.Daemon{Kind: "manager", Bounds: beat.Default, Who: p.who(), View: p.view, Roll: p.roll,
+	p.registry = session.NewRegistry(p.d.bound(timing.SessionTimeout))
+	about := &daemon.Daemon{Kind: "manager", Bounds: timing.Default, Who: p.who(), View: p.view, Roll: p.roll,
 		Settings: settings.Settings{Parts: parts, Places: places, Founders: copies, Copies: copies},
 		Clock:    p.now}
-	p.reach = &reach.Reach{Roll: p.roll, Bounds: beat.Default, Call: p.callIn}
+	p.reach = &reach.Reach{Roll: p.roll, Bounds: timing.Default, Call: p.callIn}
 	p.operators = manager.NewOperators(about, p.reach, p.registry)
 	p.every(p.pause, func() { p.followParts(); p.share() })
-	p.every(func() time.Duration { return p.d.bound(beat.Poll) }, p.operators.Look)
+	p.every(func() time.Duration { return p.d.bound(timing.Poll) }, p.operators.Look)
 }
 
 // onCall serves sessions and peers.
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/duty"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/session"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -17,8 +17,8 @@
 	if n.isUp {
 		return
 	}
-	n.isUp, n.life, n.worker, n.term, n.steady = true, n.life+1, nil, 0, duty.Steady{Least: 2 * beat.Default.Charter}
-	n.view, n.roll, n.registry = feed.NewView(0), session.NewRoll(), session.NewRegistry(beat.Default.Of(beat.Gone))
+	n.isUp, n.life, n.worker, n.term, n.steady = true, n.life+1, nil, 0, duty.Steady{Least: 2 * timing.Default.Charter}
+	n.view, n.roll, n.registry = feed.NewView(0), session.NewRoll(), session.NewRegistry(timing.Default.Of(timing.SessionTimeout))
 	n.c.Note("start %s", n.boot())
 	life := n.life
 	var tick, act func()
@@ -27,7 +27,7 @@
 			if n.c.now >= n.frozen {
 				n.poll()
 			}
-			n.c.After(beat.Default.Of(beat.Poll), tick)
+			n.c.After(timing.Default.Of(timing.Poll), tick)
 		}
 	}
 	act = func() {
@@ -68,7 +68,7 @@
 		n.share()
 		return
 	}
-	if asked-n.heard > beat.Default.Of(beat.Vote) {
+	if asked-n.heard > timing.Default.Of(timing.AnswerTimeout) {
 		n.at, n.heard = n.at+1, asked
 	}
 	to := n.targets[n.at%len(n.targets)]
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/check"
 	"caperwheel/internal/errs"
@@ -14,6 +13,7 @@
 	"caperwheel/internal/host"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/store"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -106,10 +106,10 @@
 		return
 	}
 	s.frozen = 0
-	s.keeper = repair.NewKeeper(1000, beat.Default.Of(beat.Resend), reachBeat)
+	s.keeper = repair.NewKeeper(1000, timing.Default.Of(timing.Resend), retryPause)
 	s.isUp, s.life, s.roll, s.fresh = true, s.life+1, map[string]presence{}, s.w.now
 	s.place = store.NewPlaceHost(s, 0)
-	h, err := host.New(host.Options{Id: 1, Self: s.name + "/0", Roster: s.w.roster(), Bounds: beat.Default,
+	h, err := host.New(host.Options{Id: 1, Self: s.name + "/0", Roster: s.w.roster(), Bounds: timing.Default,
 		Seed: s.w.Seed + uint64(s.life), Disk: &pumped{s.disk, s}, Held: s.disk.Held(), Machine: s.place, Now: s.w.Now,
 		Send: s.post, Failed: s.Fail, Compact: 300, Whole: 500})
 	if err != nil {
@@ -118,11 +118,11 @@
 	s.host = h
 	s.place.Use(h)
 	s.w.Note("start %s", s.name)
-	s.beat(s.dispatch)
+	s.tick(s.dispatch)
 }
 
-// beat lets the host live by the simulated clock, and does more with each beat.
-func (s *simStore) beat(more func()) {
+// tick lets the host live by the simulated clock, and does more with each tick.
+func (s *simStore) tick(more func()) {
 	life := s.life
 	var tick func()
 	tick = func() {
@@ -211,7 +211,7 @@
 			}, func(reply any, err error) {
 				if permit, isGranted := reply.(int64); err == nil && isGranted && s.isUp && s.life == life {
 					g := store.SlotGrant{Pool: "work", Worker: "w-" + a.name, Holder: who, Permit: permit,
-						Until: asked + beat.Default.Of(beat.Permit)/2}
+						Until: asked + timing.Default.Of(timing.Permit)/2}
 					_ = s.host.Do(func() { s.place.Start(lane, g) })
 					s.pump()
 				}
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/session"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -69,14 +69,14 @@
 	p.d.After(time.Duration(p.d.Rand.IntN(30))*time.Millisecond, tick)
 }
 
-func (p *process) pause() time.Duration { return session.Pause(p.view, p.now(), beat.Default) }
+func (p *process) pause() time.Duration { return session.Pause(p.view, p.now(), timing.Default) }
 
 func (p *process) who() wire.Who {
 	return wire.Who{Name: p.name, Kind: p.kind, Boot: p.boot, Cell: p.cell, Addr: p.addr}
 }
 
 func (p *process) isFresh() bool {
-	return p.view.IsFresh(p.now(), beat.Default.Of(beat.Fresh))
+	return p.view.IsFresh(p.now(), timing.Default.Of(timing.Fresh))
 }
 
 // managers are the seeds, and those that the roll names besides.
@@ -96,7 +96,7 @@
 
 // poll renews the session and takes news in, as session.Client does.
 func (p *process) poll(targets []string, owns []wire.Owned) {
-	if p.d.now-p.heard > p.d.bound(beat.Vote) { // silent: turn to the next
+	if p.d.now-p.heard > p.d.bound(timing.AnswerTimeout) { // silent: turn to the next
 		p.at, p.heard, p.isAsking = p.at+1, p.d.now, false
 	}
 	if p.isAsking {
--- a/internal/sim/storedisk.go
+++ b/internal/sim/storedisk.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/group"
 	"caperwheel/internal/store"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -46,9 +46,9 @@
 }
 
 // Now, After, Bounds and Fail are store.Around.
-func (a *storeAround) Now() time.Duration  { return a.s.now() }
-func (a *storeAround) Bounds() beat.Bounds { return beat.Default }
-func (a *storeAround) Fail(err error)      { panic(err) }
+func (a *storeAround) Now() time.Duration    { return a.s.now() }
+func (a *storeAround) Bounds() timing.Bounds { return timing.Default }
+func (a *storeAround) Fail(err error)        { panic(err) }
 func (a *storeAround) After(span time.Duration, work func()) {
 	life := a.s.life
 	a.s.d.After(span, func() {
--- a/internal/sim/storerepair.go
+++ b/internal/sim/storerepair.go
@@ -4,10 +4,10 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/store"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -49,7 +49,7 @@
 // tellStandings is Store's answer to how groups stand without a store: it waits
 // for a majority's word on each group that it owns.
 func (s *storeProcess) tellStandings(without string, askedAt time.Duration, answer func(any)) {
-	life, until := s.life, askedAt+s.d.bound(beat.Vote)
+	life, until := s.life, askedAt+s.d.bound(timing.AnswerTimeout)
 	var look func()
 	look = func() {
 		if !s.isUp || s.life != life {
@@ -69,7 +69,7 @@
 			}
 		}
 		if isWaiting && s.now() <= until {
-			s.d.After(s.d.bound(beat.Pulse)/4, look)
+			s.d.After(s.d.bound(timing.Heartbeat)/4, look)
 			return
 		}
 		answer(out)
--- a/internal/sim/stores.go
+++ b/internal/sim/stores.go
@@ -4,12 +4,12 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/duty"
 	"caperwheel/internal/group"
 	"caperwheel/internal/host"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/store"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -45,15 +45,15 @@
 	}
 	s.seeds = s.d.seeds()
 	s.begin(fmt.Sprintf("%d.%d", s.incarnation, s.life+1))
-	s.rosters, s.isOpen = store.NewRosters(beat.Default, copies), s.founders != nil || len(s.disks) > 0
+	s.rosters, s.isOpen = store.NewRosters(timing.Default, copies), s.founders != nil || len(s.disks) > 0
 	s.hosts, s.parts = map[int64]*host.Host{}, map[int64]*store.PartHost{}
 	for _, id := range groupIds() {
 		if s.founders != nil || s.disks[id] != nil {
 			s.open(id)
 		}
 	}
-	s.every(func() time.Duration { return s.d.bound(beat.Tick) }, s.tick)
-	s.every(func() time.Duration { return s.d.bound(beat.Join) }, s.join)
+	s.every(func() time.Duration { return s.d.bound(timing.Tick) }, s.tick)
+	s.every(func() time.Duration { return s.d.bound(timing.Join) }, s.join)
 	s.every(s.pause, func() { s.noteMembers(); s.poll(s.managers(), s.owned()) })
 }
 
@@ -87,7 +87,7 @@
 		s.disks[id] = disk
 	}
 	part := store.NewPartHost(&storeAround{s: s}, id)
-	h, err := host.New(host.Options{Id: id, Self: s.member(), Roster: s.founders, Bounds: beat.Default,
+	h, err := host.New(host.Options{Id: id, Self: s.member(), Roster: s.founders, Bounds: timing.Default,
 		Seed: s.d.Seed + uint64(s.life)*31 + uint64(s.incarnation)*1009, Disk: &waking{disk, s, id}, Held: disk.Held(),
 		Machine: &witness{PartHost: part, s: s, id: id, image: part.Image()}, Now: s.now, Send: s.send, Failed: func(err error) { panic(err) },
 		Prefer: func(roster []string) string { return s.prefer(id, roster) },
--- a/internal/sim/task.go
+++ b/internal/sim/task.go
@@ -5,7 +5,7 @@
 	"iter"
 	"time"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 )
 
 // task runs blocking code, such as the operators' own, in the simulation: a
@@ -41,7 +41,7 @@
 			}
 		}()
 		t.turn = yield
-		work(beat.WithClock(&taskContext{Context: context.Background(), t: t, until: forever}, &taskClock{t}), t)
+		work(timing.WithClock(&taskContext{Context: context.Background(), t: t, until: forever}, &taskClock{t}), t)
 	})
 	w.tasks = append(w.tasks, t)
 	w.After(0, t.step)
@@ -130,7 +130,7 @@
 	return c.Context.Value(key)
 }
 
-// taskClock is a task's beat.Clock.
+// taskClock is a task's timing.Clock.
 type taskClock struct{ t *task }
 
 // Within gives a context that ends by simulated time.
--- a/internal/store/around.go
+++ b/internal/store/around.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/group"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -14,7 +14,7 @@
 type Around interface {
 	Now() time.Duration
 	After(span time.Duration, work func())
-	Bounds() beat.Bounds
+	Bounds() timing.Bounds
 	IsFresh() bool
 	IsFull() bool
 	IsBusy() bool // the disk has as much to write as may wait for it
@@ -53,7 +53,7 @@
 
 func (a *around) Now() time.Duration                    { return a.s.d.Now() }
 func (a *around) After(span time.Duration, work func()) { time.AfterFunc(span, work) }
-func (a *around) Bounds() beat.Bounds                   { return a.s.d.Bounds }
+func (a *around) Bounds() timing.Bounds                 { return a.s.d.Bounds }
 func (a *around) IsFresh() bool                         { return a.s.d.IsFresh() }
 func (a *around) IsFull() bool                          { return a.s.diskFull.Load() }
 func (a *around) IsBusy() bool                          { return a.s.disk.Waiting() > mostUnsynced }
--- a/internal/store/ballot.go
+++ b/internal/store/ballot.go
@@ -8,9 +8,9 @@
 
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/group"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -56,7 +56,7 @@
 }
 
 func (f *founder) ask(addr string, b *wire.Ballot) (*wire.BallotAck, bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), f.d.Bounds.Of(beat.Vote))
+	ctx, cancel := context.WithTimeout(context.Background(), f.d.Bounds.Of(timing.AnswerTimeout))
 	defer cancel()
 	reply, err := f.d.Node.Peer(wire.GroupLink, addr).Call(ctx, b)
 	ack, isAck := reply.(*wire.BallotAck)
@@ -109,7 +109,7 @@
 	if !isSame {
 		f.seen, f.seenAt = stores, now
 	}
-	return now-f.seenAt >= f.d.Bounds.Of(beat.Vote)
+	return now-f.seenAt >= f.d.Bounds.Of(timing.AnswerTimeout)
 }
 
 // chooseRoster takes so many stores, from as many cells as there are.
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
 )
@@ -62,7 +62,7 @@
 }
 
 func (d *dispatcher) run(ctx context.Context) {
-	ticker := time.NewTicker(d.s.d.Bounds.Of(beat.Draw))
+	ticker := time.NewTicker(d.s.d.Bounds.Of(timing.Draw))
 	defer ticker.Stop()
 	for {
 		select {
@@ -120,21 +120,21 @@
 	if !isFound {
 		return false
 	}
-	hold, asked := d.s.d.Bounds.Of(beat.AskHold), d.s.d.Now()
+	hold, asked := d.s.d.Bounds.Of(timing.AskHold), d.s.d.Now()
 	d.mu.Lock()
 	d.serial++
 	serial := d.serial
 	if d.wants[pool] == nil {
 		d.wants[pool] = asks{}
 	}
-	d.wants[pool][serial] = asked + hold + d.s.d.Bounds.Of(beat.Permit)
+	d.wants[pool][serial] = asked + hold + d.s.d.Bounds.Of(timing.Permit)
 	d.mu.Unlock()
 	done := func(reply any, err error) {
 		d.mu.Lock()
 		delete(d.wants[pool], serial)
 		grant, isGrant := reply.(*wire.Grant)
 		if err != nil || !isGrant || grant.Kind != "" {
-			rest := d.s.d.Bounds.Of(beat.Redial)
+			rest := d.s.d.Bounds.Of(timing.Redial)
 			if isGrant && grant.Kind != "" {
 				rest = time.Duration(grant.Retry) * time.Millisecond
 			}
@@ -144,7 +144,7 @@
 		}
 		d.mu.Unlock()
 		d.use(SlotGrant{Pool: pool, Worker: worker, Holder: holder, Permit: grant.Permit,
-			Until: asked + d.s.d.Bounds.Of(beat.Permit)/2})
+			Until: asked + d.s.d.Bounds.Of(timing.Permit)/2})
 	}
 	err := d.s.d.Node.Peer(wire.RunLink, holder.Addr).Post(&wire.Want{Pool: pool, Worker: worker,
 		Hold: int64(hold / time.Millisecond)}, done)
--- a/internal/store/found_test.go
+++ b/internal/store/found_test.go
@@ -5,10 +5,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/settings"
 	"caperwheel/internal/slot"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -53,7 +53,7 @@
 // Stores that start together see each other one after another, and two that each
 // saw only some could both found.
 func TestSettled(t *testing.T) {
-	wait := beat.Default.Of(beat.Vote)
+	wait := timing.Default.Of(timing.AnswerTimeout)
 	who := func(names ...string) (out []wire.Who) {
 		for _, name := range names {
 			out = append(out, wire.Who{Name: name, Boot: "1"})
@@ -61,7 +61,7 @@
 		return
 	}
 	Convey("Given a store that sees two others", t, func() {
-		f := &founder{d: &daemon.Daemon{Bounds: beat.Default}}
+		f := &founder{d: &daemon.Daemon{Bounds: timing.Default}}
 		So(f.isSettled(who("a", "b"), 0), ShouldBeFalse)
 		Convey("it may found once that has lasted", func() {
 			So(f.isSettled(who("a", "b"), wait-1), ShouldBeFalse)
--- a/internal/store/metrics.go
+++ b/internal/store/metrics.go
@@ -5,10 +5,10 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/group"
 	"caperwheel/internal/place"
+	"caperwheel/internal/timing"
 )
 
 var ownerships = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "place",
@@ -86,7 +86,7 @@
 		}
 	}
 	out := []tally{}
-	late := time.After(s.d.Bounds.Of(beat.Settle))
+	late := time.After(s.d.Bounds.Of(timing.SettleTimeout))
 	for range asked {
 		select {
 		case t := <-got:
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -4,8 +4,8 @@
 	"maps"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/place"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -19,7 +19,7 @@
 		}
 		// An adapter that is away may still come back with a success: wait.
 		if who, isMember := p.around.Find(e.Adapter); isMember {
-			p.asking[e.Id] = now + p.around.Bounds().Of(beat.Vote)
+			p.asking[e.Id] = now + p.around.Bounds().Of(timing.AnswerTimeout)
 			p.ask(e, who)
 		}
 		p.giveUp(e, now)
@@ -100,12 +100,12 @@
 	if p.lostAt[e.Id] == 0 {
 		p.lostAt[e.Id] = now
 	}
-	wait := p.around.Bounds().Of(beat.Gone) // whoever keeps its result hands it over by then
+	wait := p.around.Bounds().Of(timing.SessionTimeout) // whoever keeps its result hands it over by then
 	if e.Ordered && !pool.Repeats {
 		wait = max(wait, place.Busy(pool.Bound))
 	}
 	if now-p.lostAt[e.Id] < wait {
-		p.asking[e.Id] = now + p.around.Bounds().Of(beat.Vote)
+		p.asking[e.Id] = now + p.around.Bounds().Of(timing.AnswerTimeout)
 		return
 	}
 	p.asking[e.Id] = now + p.around.Bounds().Charter
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -6,11 +6,11 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
 	"caperwheel/internal/place"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -42,7 +42,7 @@
 
 func (b *bench) Now() time.Duration                       { return b.now }
 func (b *bench) After(time.Duration, func())              {}
-func (b *bench) Bounds() beat.Bounds                      { return beat.Default }
+func (b *bench) Bounds() timing.Bounds                    { return timing.Default }
 func (b *bench) IsFresh() bool                            { return true }
 func (b *bench) IsFull() bool                             { return b.isFull }
 func (b *bench) IsBusy() bool                             { return b.isBusy }
--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -57,8 +57,8 @@
 // Owned has nothing to do: a part has no work of its own.
 func (p *PartHost) Owned(bool) {}
 
-// Beat has nothing to do either.
-func (p *PartHost) Beat(time.Duration) {}
+// Tick has nothing to do either.
+func (p *PartHost) Tick(time.Duration) {}
 
 // Use joins a part to its group; called once, before anything else.
 func (p *PartHost) Use(h Hosting) { p.host = h }
@@ -89,11 +89,11 @@
 	case !p.host.IsOwner():
 		answer(&wire.Pulled{Kind: string(errs.NotOwner), Change: wire.Change{Value: []byte{}}})
 	case !v.IsSure || v.Confirmed < askedAt:
-		if p.around.Now()-askedAt > p.around.Bounds().Of(beat.Vote) {
+		if p.around.Now()-askedAt > p.around.Bounds().Of(timing.AnswerTimeout) {
 			answer(&wire.Pulled{Kind: string(errs.DeadlineExceeded), Change: wire.Change{Value: []byte{}}})
 			return
 		}
-		p.around.After(p.around.Bounds().Of(beat.Pulse)/4, func() {
+		p.around.After(p.around.Bounds().Of(timing.Heartbeat)/4, func() {
 			if err := p.host.Do(func() { p.Pull(key, askedAt, answer) }); err != nil {
 				answer(&wire.Pulled{Kind: string(errs.Full), Change: wire.Change{Value: []byte{}}})
 			}
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -6,10 +6,10 @@
 
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -168,8 +168,8 @@
 	case p.around.IsFull():
 		reject(errs.DiskFull, "the store's disk is nearly full", 30*time.Second)
 		return
-	case p.around.IsBusy() || p.host.Oldest() > p.around.Bounds().Of(beat.Stall):
-		reject(errs.Full, "the place's disks cannot keep up", p.around.Bounds().Of(beat.Stall))
+	case p.around.IsBusy() || p.host.Oldest() > p.around.Bounds().Of(timing.Stall):
+		reject(errs.Full, "the place's disks cannot keep up", p.around.Bounds().Of(timing.Stall))
 		return
 	case count >= mostErrands || bytes >= mostBytes || p.host.Waiting() >= mostWaiting:
 		reject(errs.Full, "the place holds as much as it may", 2*time.Second)
--- a/internal/store/rosters.go
+++ b/internal/store/rosters.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
 	"caperwheel/internal/repair"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -23,7 +23,7 @@
 }
 
 // NewRosters makes one for groups of so many copies.
-func NewRosters(bounds beat.Bounds, copies int) *Rosters {
+func NewRosters(bounds timing.Bounds, copies int) *Rosters {
 	return &Rosters{copies: copies, planner: repair.NewPlanner(bounds, copies), known: map[string]string{}, retired: map[string]bool{}}
 }
 
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -58,7 +58,7 @@
 	err := p.around.Post(g.Holder, run, func(reply any, err error) {
 		ack, isAck := reply.(*wire.RunAck)
 		if err != nil || !isAck {
-			return // its fate is unknown: the beat asks the adapter
+			return // its fate is unknown: the tick asks the adapter
 		}
 		_ = p.host.Do(func() {
 			if ack.Kind == "" {
@@ -83,11 +83,11 @@
 // undo brings a run back that never started. It costs no attempt.
 func (p *PlaceHost) undo(id string, attempt int64, cause string) {
 	p.propose(place.Command{Kind: place.CmdBack, Id: id, Attempt: attempt, Cause: cause,
-		Cutoff: int64(p.around.Bounds().Of(beat.AskHold) / time.Millisecond)}, nil)
+		Cutoff: int64(p.around.Bounds().Of(timing.AskHold) / time.Millisecond)}, nil)
 }
 
-// Beat does the owner's periodic work.
-func (p *PlaceHost) Beat(now time.Duration) {
+// Tick does the owner's periodic work.
+func (p *PlaceHost) Tick(now time.Duration) {
 	if !p.host.IsOwner() {
 		return
 	}
@@ -102,7 +102,7 @@
 		p.propose(place.Command{Kind: place.CmdClose, Id: e.Id, Attempt: e.Attempt, State: string(place.Expired), Cause: "patience",
 			Retain: int64(lane.Retention / time.Millisecond)}, nil)
 	}
-	if now-p.trimmed > p.around.Bounds().Of(beat.Vote) {
+	if now-p.trimmed > p.around.Bounds().Of(timing.AnswerTimeout) {
 		p.trimmed = now
 		if ids := p.machine.Stale(at, trimBatch); len(ids) > 0 {
 			p.propose(place.Command{Kind: place.CmdTrim, Ids: ids}, nil)
--- a/internal/store/standings.go
+++ b/internal/store/standings.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/group"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -15,7 +15,7 @@
 // owner that was replaced meanwhile knows an old roster.
 func (s *Store) standings(without string, askedAt time.Duration) *wire.Retired {
 	out := &wire.Retired{Groups: []wire.Standing{}, IsKnown: s.d.IsFresh() && s.scenes.Now().Retired[without]}
-	until := askedAt + s.d.Bounds.Of(beat.Vote)
+	until := askedAt + s.d.Bounds.Of(timing.AnswerTimeout)
 	waiting := s.groupIds()
 	for {
 		left := []int64{}
@@ -32,7 +32,7 @@
 		if waiting = left; len(waiting) == 0 || s.d.Now() > until {
 			break
 		}
-		beat.Wait(context.Background(), s.d.Bounds.Of(beat.Pulse)/4)
+		timing.Wait(context.Background(), s.d.Bounds.Of(timing.Heartbeat)/4)
 	}
 	for _, g := range out.Groups {
 		if slices.Contains(g.Stores, without) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -11,7 +11,6 @@
 
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/charter"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/group"
@@ -20,6 +19,7 @@
 	"caperwheel/internal/repair"
 	"caperwheel/internal/settings"
 	"caperwheel/internal/slot"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 )
@@ -60,7 +60,7 @@
 	defer cancel()
 	s.ctx = ctx
 	s.dispatch = newDispatcher(s)
-	s.keeper = repair.NewKeeper(4*d.Settings.Most, d.Bounds.Of(beat.Resend), d.Bounds.Of(beat.Settle))
+	s.keeper = repair.NewKeeper(4*d.Settings.Most, d.Bounds.Of(timing.Resend), d.Bounds.Of(timing.SettleTimeout))
 	folder, err := slot.OpenFolder(d.Settings.Data)
 	d.Must(err)
 	s.disk, s.held, err = slot.Open(folder, slot.Options{FreeBytes: uint64(d.Settings.Reserve)})
@@ -181,7 +181,7 @@
 func (s *Store) sendGroup(m wire.GroupMsg) {
 	if who, isMember := s.d.Roll.Find(group.Name(m.To)); isMember {
 		fill(&m)
-		_ = s.d.Node.Peer(wire.GroupLink, who.Addr).Post(&m, nil) // lost messages are sent again by beat
+		_ = s.d.Node.Peer(wire.GroupLink, who.Addr).Post(&m, nil) // lost messages are sent again at intervals
 	}
 }
 
--- a/internal/store/tell.go
+++ b/internal/store/tell.go
@@ -5,9 +5,9 @@
 	"net/url"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/duty"
 	"caperwheel/internal/place"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -42,7 +42,7 @@
 // batches who has been told.
 func (p *PlaceHost) tell(now time.Duration) {
 	t := &p.telling
-	if len(t.told) >= tellBatch || len(t.told) > 0 && now-t.toldAt > p.around.Bounds().Of(beat.Vote) {
+	if len(t.told) >= tellBatch || len(t.told) > 0 && now-t.toldAt > p.around.Bounds().Of(timing.AnswerTimeout) {
 		ids := t.told
 		t.told, t.toldAt = nil, now
 		p.propose(place.Command{Kind: place.CmdTold, Ids: ids}, func(_ place.Verdict, _ error) {
@@ -54,7 +54,7 @@
 	if p.machine.CountOwed() == 0 || now < t.lookAt {
 		return
 	}
-	t.lookAt = now + p.around.Bounds().Of(beat.AskHold)
+	t.lookAt = now + p.around.Bounds().Of(timing.AskHold)
 	if len(t.rests) > p.machine.CountOwed() { // some were forgotten before they were told
 		maps.DeleteFunc(t.rests, func(id string, _ rest) bool { return p.machine.Find(id) == nil })
 	}
@@ -108,7 +108,7 @@
 		return
 	}
 	delete(t.underWay, id)
-	least := p.around.Bounds().Of(beat.Redial)
+	least := p.around.Bounds().Of(timing.Redial)
 	length := min(max(least, 2*t.rests[id].length), 8*least)
 	t.rests[id] = rest{p.around.Now() + length, length}
 }
--- a/internal/store/tell_test.go
+++ b/internal/store/tell_test.go
@@ -7,9 +7,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -39,7 +39,7 @@
 
 // TestTelling is the table of what an owner does about ends that are to be told.
 func TestTelling(t *testing.T) {
-	look, redial := beat.Default.Of(beat.AskHold), beat.Default.Of(beat.Redial)
+	look, redial := timing.Default.Of(timing.AskHold), timing.Default.Of(timing.Redial)
 	refusals := []struct {
 		name  string
 		reply any
@@ -74,7 +74,7 @@
 		Convey("one that accepts commits so, once, and tells no more", func() {
 			b := owing(1)
 			So(b.turn(look, &wire.Told{}, nil), ShouldEqual, 1)
-			So(b.turn(beat.Default.Of(beat.Vote)+look, nil, nil), ShouldEqual, 0)
+			So(b.turn(timing.Default.Of(timing.AnswerTimeout)+look, nil, nil), ShouldEqual, 0)
 			So(len(b.proposed), ShouldEqual, 1)
 			b.commit(true)
 			So(b.place.machine.CountOwed(), ShouldEqual, 0)
@@ -84,7 +84,7 @@
 		Convey("one that accepts, but cannot commit it, tells again: at least once", func() {
 			b := owing(1)
 			b.turn(look, &wire.Told{}, nil)
-			b.turn(beat.Default.Of(beat.Vote)+look, nil, nil)
+			b.turn(timing.Default.Of(timing.AnswerTimeout)+look, nil, nil)
 			b.commit(false)
 			So(b.turn(look, &wire.Told{}, nil), ShouldEqual, 1)
 		})
@@ -100,15 +100,15 @@
 			b.now += look
 			b.place.tell(b.now)
 			b.answers = nil
-			So(b.turn(beat.Default.Charter, nil, nil), ShouldEqual, 0)
-			So(b.turn(beat.Default.Charter, &wire.Told{}, nil), ShouldEqual, 1)
+			So(b.turn(timing.Default.Charter, nil, nil), ShouldEqual, 0)
+			So(b.turn(timing.Default.Charter, &wire.Told{}, nil), ShouldEqual, 1)
 		})
 		Convey("many ends tells a bounded number at a time, and commits them together", func() {
 			b := owing(150)
 			So(b.turn(look, &wire.Told{}, nil), ShouldEqual, mostTelling)
 			So(b.turn(look, &wire.Told{}, nil), ShouldBeLessThanOrEqualTo, mostTelling)
 			for range 20 {
-				b.turn(beat.Default.Of(beat.Vote), &wire.Told{}, nil)
+				b.turn(timing.Default.Of(timing.AnswerTimeout), &wire.Told{}, nil)
 				b.commit(true)
 			}
 			So(b.place.machine.CountOwed(), ShouldEqual, 0)
--- a/internal/store/upkeep.go
+++ b/internal/store/upkeep.go
@@ -10,16 +10,16 @@
 
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
 // upkeep founds, watches the disk, and keeps the log short.
 func (s *Store) upkeep(ctx context.Context) {
-	go beat.Every(ctx, s.d.Bounds.Of(beat.Join), func() { s.founder.try(s.d.Now()) })
-	beat.Every(ctx, s.d.Bounds.Of(beat.Vote), func() {
+	go timing.Every(ctx, s.d.Bounds.Of(timing.Join), func() { s.founder.try(s.d.Now()) })
+	timing.Every(ctx, s.d.Bounds.Of(timing.AnswerTimeout), func() {
 		for _, who := range s.d.Roll.Kind("adapter") {
 			s.d.Node.Peer(wire.RunLink, who.Addr).Warm()
 		}
@@ -68,7 +68,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(s.d.Bounds.Of(beat.Seek)):
+		case <-time.After(s.d.Bounds.Of(timing.StalePoll)):
 		}
 	}
 	s.disk.Close()
--- a/internal/beat/clock.go
+++ b/internal/timing/clock.go
@@ -1,4 +1,4 @@
-package beat
+package timing
 
 import (
 	"context"
--- a/internal/beat/patience.go
+++ b/internal/timing/timeout.go
@@ -1,4 +1,4 @@
-package beat
+package timing
 
 import (
 	"context"
@@ -9,14 +9,14 @@
 // patienceTurns is into how many turns a bound is cut.
 const patienceTurns = 20
 
-// Patience gives a context that ends once the process has been running for so
+// WithRunningTimeout gives a context that ends once the process has been running for so
 // long. Time for which the whole process stood still counts as one turn at
 // most: an answer that came in meanwhile is read and not given up.
-func Patience(parent context.Context, bound time.Duration) (context.Context, context.CancelFunc) {
-	return patience(parent, bound, func(d time.Duration, work func()) { time.AfterFunc(d, work) })
+func WithRunningTimeout(parent context.Context, bound time.Duration) (context.Context, context.CancelFunc) {
+	return withRunningTimeout(parent, bound, func(d time.Duration, work func()) { time.AfterFunc(d, work) })
 }
 
-func patience(parent context.Context, bound time.Duration, after func(time.Duration, func())) (context.Context, context.CancelFunc) {
+func withRunningTimeout(parent context.Context, bound time.Duration, after func(time.Duration, func())) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
 	var turns atomic.Int64
 	var turn func()
--- /dev/null
+++ b/internal/timing/timing.go
@@ -0,0 +1,112 @@
+// Package timing derives every time constant of the system from the few bounds
+// in the settings, as ratios, and runs periodic work.
+package timing
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Bounds are the times an operator promises to users. All else is a ratio.
+type Bounds struct {
+	// Charter is the time within which an acknowledged charter holds everywhere.
+	Charter time.Duration
+}
+
+// Default is the bound of the brief.
+var Default = Bounds{Charter: 3 * time.Second}
+
+// Ratio is a part of a bound, in thousandths.
+type Ratio int64
+
+// Ratios to the charter bound. Invariant: Fresh + Poll*3 stays below 1000, so
+// a daemon that hears nothing stops before the bound has passed.
+const (
+	Fresh             Ratio = 700   // a view older than this stops its daemon
+	StalePoll         Ratio = 10    // a daemon whose view is not fresh asks this often
+	Poll              Ratio = 80    // one hop of the feed asks this often
+	AnswerTimeout     Ratio = 250   // most waits for one daemon's word end by then
+	Heartbeat         Ratio = 40    // an owner's heartbeat
+	Tick              Ratio = 10    // how finely a replica and its place look at the time
+	Draw              Ratio = 10    // a store looks this often for slots that it could not have at once
+	Serve             Ratio = 5     // a duty's holder looks this often for slots that have come free with time
+	TransferTimeout   Ratio = 100   // an heir that has not taken over by then does not
+	ElectionTimeout   Ratio = 130   // least silence of an owner before a replica stands
+	ElectionSpread    Ratio = 130   // random spread added to Silence
+	Lease             Ratio = 120   // an owner serves reads this long after a confirmed pulse
+	SessionTimeout    Ratio = 700   // a daemon silent this long has lost its session
+	Replace           Ratio = 300   // a store that has had no session this long gives its seats to its successor
+	Abandon           Ratio = 4000  // and after this to any other store, if its zone has not gone with it
+	Outage            Ratio = 40000 // a zone without any store is waited for so long
+	Join              Ratio = 50    // a store that belongs to no deployment looks for one this often
+	KeepAlive         Ratio = 150   // an idle transport session sends an empty frame
+	ConnectionTimeout Ratio = 600   // a transport session that hears nothing is closed
+	Redial            Ratio = 60    // pause before a new dial
+	AttemptTimeout    Ratio = 50    // one try to have a message held waits this long for a store's word
+	Stall             Ratio = 100   // a place whose proposals wait longer for their commit takes no message on; over Try
+	DialTimeout       Ratio = 170   // a worker that takes no connection within this cannot be asked
+	CallbackTimeout   Ratio = 500   // whoever is told of an end answers within this
+	SettleTimeout     Ratio = 500   // an adapter tries this long to settle a batch's fate
+	Fence             Ratio = 1000  // a new duty holder waits this long before it acts
+	Permit            Ratio = 300   // a granted slot lapses unused after this
+	AskHold           Ratio = 30    // an ask for a slot waits at the holder this long
+	Look              Ratio = 300   // an owner keeps who waits for a message's end this long; less than Settle
+	SettingsReload    Ratio = 500   // the settings file is looked at this often
+	ProbeIdle         Ratio = 330   // a connection that was idle this long is probed, and again after as long; at least 1 s
+	ListInterval      Ratio = 160   // the source of workers is read this often
+	Resend            Ratio = 60    // a result not yet acknowledged is sent again
+)
+
+// AnswerMargin: a worker's answer is waited for so much of a run's bound longer
+// than the worker has, since the answer has a way to come.
+const AnswerMargin = 10
+
+// Of gives the ratio's share of the charter bound.
+func (b Bounds) Of(r Ratio) time.Duration { return b.Charter * time.Duration(r) / 1000 }
+
+// Probes have the system probe a silent TCP connection, so that a dead peer is
+// noticed though nothing is written to it.
+func (b Bounds) Probes() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: b.Of(ProbeIdle), Interval: b.Of(ProbeIdle), Count: 2}
+}
+
+// Paced calls work at once and then after each pause that it asks for, until
+// ctx ends.
+func Paced(ctx context.Context, pause func() time.Duration, work func()) {
+	for ctx.Err() == nil {
+		work()
+		Wait(ctx, pause())
+	}
+}
+
+// Wait returns after a time by the clock of ctx, or when ctx ends.
+func Wait(ctx context.Context, span time.Duration) {
+	if span <= 0 {
+		return
+	}
+	if clock, isGiven := ctx.Value(clockKey{}).(Clock); isGiven {
+		clock.Wait(ctx, span)
+		return
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Every calls work once per period until ctx ends.
+func Every(ctx context.Context, period time.Duration, work func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			work()
+		}
+	}
+}
--- a/internal/beat/beat_test.go
+++ b/internal/timing/timing_test.go
@@ -1,4 +1,4 @@
-package beat
+package timing
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 		So(int(Fresh+3*Poll), ShouldBeLessThan, 1000)
 	})
 	Convey("An owner serves reads for less time than others wait before they stand", t, func() {
-		So(int(Term), ShouldBeLessThan, int(Silence))
+		So(int(Lease), ShouldBeLessThan, int(ElectionTimeout))
 	})
 	Convey("A duty's fence is no shorter than a stale holder may go on", t, func() {
 		So(int(Fence), ShouldBeGreaterThanOrEqualTo, int(Fresh))
@@ -27,7 +27,7 @@
 		var next func()
 		spans := time.Duration(0)
 		after := func(d time.Duration, work func()) { next, spans = work, spans+d }
-		ctx, cancel := patience(context.Background(), time.Second, after)
+		ctx, cancel := withRunningTimeout(context.Background(), time.Second, after)
 		defer cancel()
 		Convey("it ends when the process has run for that long", func() {
 			for range patienceTurns - 1 {
--- a/internal/transport/idle_test.go
+++ b/internal/transport/idle_test.go
@@ -8,16 +8,16 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
-// TestIdleSession: an idle session once said something with each beat. A grown
+// TestIdleSession: an idle session once said something with each tick. A grown
 // deployment has two thousand sessions, most of them idle.
 func TestIdleSession(t *testing.T) {
 	Convey("A session that is idle says one frame in two beats", t, func() {
-		bounds := beat.Bounds{Charter: 200 * time.Millisecond}
+		bounds := timing.Bounds{Charter: 200 * time.Millisecond}
 		node, err := NewNode(Options{Bounds: bounds})
 		So(err, ShouldBeNil)
 		near, far := net.Pipe()
--- a/internal/transport/options.go
+++ b/internal/transport/options.go
@@ -5,13 +5,13 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"caperwheel/internal/beat"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
 const (
-	idleRatio = beat.Idle
-	deadRatio = beat.Dead
+	idleRatio = timing.KeepAlive
+	deadRatio = timing.ConnectionTimeout
 )
 
 // Options set up a node. The zero value of each number means its default.
@@ -25,7 +25,7 @@
 	FrameLimit int           // bytes of one frame
 	Oldest     int64         // oldest and newest wire version to speak
 	Newest     int64
-	Bounds     beat.Bounds
+	Bounds     timing.Bounds
 	Handlers   map[string]Handler // by link name
 	Shape      string             // what both ends of a session must agree on
 	Refused    func(addr string)  // told when nobody listens where a peer was, if given
@@ -49,7 +49,7 @@
 		o.Flush = 500 * time.Microsecond
 	}
 	if o.Bounds.Charter == 0 {
-		o.Bounds = beat.Default
+		o.Bounds = timing.Default
 	}
 	if o.Newest == 0 {
 		o.Newest, o.Oldest = wire.Version, wire.Oldest
--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -52,7 +52,7 @@
 func newOutbox(opts *Options, codec *wire.Codec, pool pond.Pool, conn net.Conn, window int64, flow flow, fail func(error)) *outbox {
 	o := &outbox{opts: opts, codec: codec, pool: pool, conn: conn, window: window, flow: flow, fail: fail,
 		nudge: make(chan struct{}, 1), done: make(chan struct{})}
-	o.flush = time.AfterFunc(time.Hour, o.onBeat)
+	o.flush = time.AfterFunc(time.Hour, o.onTick)
 	o.flush.Stop()
 	go o.write()
 	return o
@@ -84,9 +84,9 @@
 	return nil
 }
 
-// onBeat sends a partial buffer. It has a goroutine of its own, so the few
+// onTick sends a partial buffer. It has a goroutine of its own, so the few
 // messages are converted here and need no worker of the pool to be woken.
-func (o *outbox) onBeat() {
+func (o *outbox) onTick() {
 	o.mu.Lock()
 	o.armed = false
 	if len(o.pending) == 0 || o.broken != nil {
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -7,8 +7,8 @@
 	"syscall"
 	"time"
 
-	"caperwheel/internal/beat"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
@@ -86,10 +86,10 @@
 // Addr is the peer's address.
 func (p *Peer) Addr() string { return p.addr }
 
-// connect dials in the background, at most once per Redial beat.
+// connect dials in the background, at most once per Redial interval.
 func (p *Peer) connect() {
 	p.mu.Lock()
-	pause := p.node.opts.Bounds.Of(beat.Redial)
+	pause := p.node.opts.Bounds.Of(timing.Redial)
 	if p.closed || p.dialing || p.session != nil || time.Since(p.failed) < pause {
 		p.mu.Unlock()
 		return
