--- a/internal/intake/hold.go
+++ b/internal/intake/hold.go
@@ -19,7 +19,7 @@
 // after a while is settled: held, or never. One that has an idempotency key is
 // not settled against its caller, who is going to send it again; nor one whose
 // caller does not wait.
-func (in *Intake) hold(e *errand) error {
+func (in *Intake) hold(e *request) error {
 	if e.cutoff > 0 {
 		return in.holdQuickly(e)
 	}
@@ -48,7 +48,7 @@
 
 // holdQuickly does it within a part of the caller's time. As long as no store
 // can have a message that may go to any place, other places are tried.
-func (in *Intake) holdQuickly(e *errand) error {
+func (in *Intake) holdQuickly(e *request) error {
 	ctx, cancel := context.WithTimeout(e.ctx, e.cutoff*holdShare/100)
 	defer cancel()
 	for turn := 1; ; turn++ {
@@ -76,7 +76,7 @@
 
 // ask brings the take to its owner. Without a cause the owner has answered, and
 // taken has its word.
-func (in *Intake) ask(ctx context.Context, owners owners, e *errand) (isHeld, isOpen bool, cause error) {
+func (in *Intake) ask(ctx context.Context, owners owners, e *request) (isHeld, isOpen bool, cause error) {
 	e.taken = nil
 	reply, isOpen, err := owners.Ask(ctx, wire.PlaceGroup+e.take.Place, &e.take, isOwner)
 	if err != nil {
@@ -89,7 +89,7 @@
 	return false, true, errs.New(errs.Kind(e.taken.Kind), "%s", e.taken.Text) // but an earlier ask may be held yet
 }
 
-func (in *Intake) undecided(e *errand) error {
+func (in *Intake) undecided(e *request) error {
 	e.isOpen = true
 	return errs.New(errs.Undecided, "whether the message is held is not known yet; ask for it by id")
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -31,7 +31,7 @@
 	inHand   atomic.Int64
 	held     atomic.Int64 // waits for an end
 	peers    weight.Peers // stores, as this adapter sees them
-	doers    path.Doers[*errand]
+	doers    path.Doers[*request]
 	programs path.Programs
 }
 
@@ -41,8 +41,8 @@
 	Group(ctx context.Context, id int64, ask any, owned func(any) (bool, string)) (any, error)
 }
 
-// errand is one request on its way in.
-type errand struct {
+// request is one request on its way in.
+type request struct {
 	ctx    context.Context
 	scene  *charter.Scene // the lane's rules are of its charter
 	lane   charter.Lane
@@ -64,8 +64,8 @@
 			emit("weight_peer", "Weight of a store for messages that may go to any place.", w, "store", name)
 		}
 	})
-	in.doers = path.Doers[*errand]{
-		path.Fresh: func(_ path.Step, e *errand) error {
+	in.doers = path.Doers[*request]{
+		path.Fresh: func(_ path.Step, e *request) error {
 			if !d.IsFresh() {
 				return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
 			}
@@ -74,31 +74,31 @@
 			}
 			return nil
 		},
-		path.Size: func(s path.Step, e *errand) error {
+		path.Size: func(s path.Step, e *request) error {
 			if int64(len(e.take.Body)) > s.Number {
 				return errs.New(errs.TooLarge, "body of %d bytes, limit %d", len(e.take.Body), s.Number)
 			}
 			return nil
 		},
-		path.Keyed: func(_ path.Step, e *errand) error {
+		path.Keyed: func(_ path.Step, e *request) error {
 			if e.take.Key == "" {
 				return errs.New(errs.Invalid, "lane %s is ordered and needs an Ordering-Key", e.lane.Name)
 			}
 			return nil
 		},
-		path.Keyless: func(_ path.Step, e *errand) error {
+		path.Keyless: func(_ path.Step, e *request) error {
 			if e.take.Key != "" {
 				return errs.New(errs.Invalid, "lane %s is not ordered and takes no Ordering-Key", e.lane.Name)
 			}
 			return nil
 		},
-		path.Place: func(_ path.Step, e *errand) error {
+		path.Place: func(_ path.Step, e *request) error {
 			if e.take.Id == "" { // one with an idempotency key has had its place since it was read
 				in.putPlace(e)
 			}
 			return nil
 		},
-		path.Hold: func(_ path.Step, e *errand) error { return in.hold(e) },
+		path.Hold: func(_ path.Step, e *request) error { return in.hold(e) },
 	}
 	d.Mux.HandleFunc("/v1/lanes/{lane}/messages", web.Methods(map[string]http.HandlerFunc{"POST": in.post}))
 	d.Mux.HandleFunc("/v1/messages/{id}", web.Methods(map[string]http.HandlerFunc{"GET": in.get}))
@@ -110,7 +110,7 @@
 // putPlace gives the message its place and id. An ordering key names the place,
 // an idempotency key the id: whoever sends the message again, through any
 // adapter, asks for the same one.
-func (in *Intake) putPlace(e *errand) {
+func (in *Intake) putPlace(e *request) {
 	t := &e.take
 	switch {
 	case t.Key != "":
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -142,7 +142,7 @@
 func TestSlowBody(t *testing.T) {
 	Convey("A request read under an older charter is stale once a newer one is known", t, func() {
 		in := intakeOn(&stand{})
-		e := &errand{scene: in.scenes.Now()}
+		e := &request{scene: in.scenes.Now()}
 		in.d.View.Take([]wire.PartNews{{From: 7, To: 8, Changes: []wire.Change{{Key: charter.Key, Stamp: 8, Value: []byte(`{}`)}}}}, in.d.Now())
 		So(errs.Is(in.doers[path.Fresh](path.Step{}, e), errs.Stale), ShouldBeTrue)
 	})
--- a/internal/intake/manner.go
+++ b/internal/intake/manner.go
@@ -43,7 +43,7 @@
 // AsItIs takes requests as they are: the lane follows from host and path.
 func (in *Intake) AsItIs(manner Manner) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		e := &errand{ctx: r.Context()}
+		e := &request{ctx: r.Context()}
 		err := in.takeAsItIs(r, e, manner)
 		if err == nil && e.taken.Kind != "" {
 			err = errs.New(errs.Kind(e.taken.Kind), "%s", e.taken.Text)
@@ -59,7 +59,7 @@
 	}
 }
 
-func (in *Intake) takeAsItIs(r *http.Request, e *errand, manner Manner) error {
+func (in *Intake) takeAsItIs(r *http.Request, e *request, manner Manner) error {
 	if n := in.inHand.Add(1); n > int64(in.d.Settings.Most) {
 		in.inHand.Add(-1)
 		return errs.New(errs.Full, "the adapter has %d messages in hand", n-1)
@@ -96,7 +96,7 @@
 
 // findWay takes the lane that the request's host and path lead to, as the
 // charter is now.
-func (in *Intake) findWay(e *errand, r *http.Request) error {
+func (in *Intake) findWay(e *request, r *http.Request) error {
 	isFresh := in.d.IsFresh() // asked before the scene, so that a way missing from it is missing
 	e.scene = in.scenes.Now()
 	lane, isFound := charter.Lane{}, false
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -22,10 +22,10 @@
 func init() { prometheus.MustRegister(answered) }
 
 // countIntake counts by lane; names that are no lane's would grow without bound.
-func countIntake(e *errand, told string) { answered.WithLabelValues(e.lane.Name, told).Inc() }
+func countIntake(e *request, told string) { answered.WithLabelValues(e.lane.Name, told).Inc() }
 
 // stampOf tells the caller under which charter the answer was given.
-func stampOf(w http.ResponseWriter, e *errand) {
+func stampOf(w http.ResponseWriter, e *request) {
 	if e.scene != nil {
 		w.Header().Set("X-Charter-Stamp", strconv.FormatInt(e.scene.Stamp, 10))
 	}
@@ -34,11 +34,11 @@
 func (in *Intake) post(w http.ResponseWriter, r *http.Request) {
 	if n := in.inHand.Add(1); n > int64(in.d.Settings.Most) {
 		in.inHand.Add(-1)
-		in.reject(w, errs.New(errs.Full, "the adapter has %d messages in hand", n-1), &errand{isOpen: r.Header.Get("Idempotency-Key") != ""})
+		in.reject(w, errs.New(errs.Full, "the adapter has %d messages in hand", n-1), &request{isOpen: r.Header.Get("Idempotency-Key") != ""})
 		return
 	}
 	defer in.inHand.Add(-1)
-	e := &errand{ctx: r.Context()}
+	e := &request{ctx: r.Context()}
 	if err := in.read(r, e); err != nil {
 		in.reject(w, err, e)
 		return
@@ -56,7 +56,7 @@
 	in.answerTaken(w, r, e.taken.Id, e.taken.State)
 }
 
-func (in *Intake) read(r *http.Request, e *errand) error {
+func (in *Intake) read(r *http.Request, e *request) error {
 	key, idem, ctype := r.Header.Get("Ordering-Key"), r.Header.Get("Idempotency-Key"), r.Header.Get("Content-Type")
 	if len(key) > mostKey || len(idem) > mostKey {
 		return errs.New(errs.Invalid, "keys may have %d bytes at most", mostKey)
@@ -92,7 +92,7 @@
 }
 
 // findLane takes the lane's rules of the charter as it is now.
-func (in *Intake) findLane(e *errand) error {
+func (in *Intake) findLane(e *request) error {
 	isFresh := in.d.IsFresh() // asked before the scene, so that a lane missing from it is missing
 	e.scene = in.scenes.Now()
 	lane, isKnown := e.scene.Rules.Lanes[e.take.Lane]
@@ -113,7 +113,7 @@
 }
 
 // reject answers a message that is not held, or not known to be.
-func (in *Intake) reject(w http.ResponseWriter, err error, e *errand) {
+func (in *Intake) reject(w http.ResponseWriter, err error, e *request) {
 	kind := errs.KindOf(err)
 	p := web.Problem{Error: kind, Text: err.Error(), Taken: false}
 	if e.isOpen && !isSettled(kind) {
@@ -130,7 +130,7 @@
 }
 
 // retry tells when to come back, from what is known of the cause.
-func (in *Intake) retry(kind errs.Kind, e *errand) time.Duration {
+func (in *Intake) retry(kind errs.Kind, e *request) time.Duration {
 	if e.taken != nil && e.taken.Retry > 0 {
 		return time.Duration(e.taken.Retry) * time.Millisecond
 	}
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -87,17 +87,17 @@
 	return out
 }
 
-// Doers carry out steps on an errand of some type.
-type Doers[E any] map[Op]func(step Step, errand E) error
+// Doers carry out steps on a message of some type.
+type Doers[E any] map[Op]func(step Step, message E) error
 
 // Run interprets a program. The first error ends it.
-func Run[E any](program Program, doers Doers[E], errand E) error {
+func Run[E any](program Program, doers Doers[E], message E) error {
 	for _, step := range program {
 		do, isKnown := doers[step.Op]
 		if !isKnown {
 			return errs.New(errs.Internal, "no doer for step %s", step.Op)
 		}
-		if err := do(step, errand); err != nil {
+		if err := do(step, message); err != nil {
 			return err
 		}
 	}
--- a/internal/place/command.go
+++ b/internal/place/command.go
@@ -1,4 +1,4 @@
-// Package place is the state machine of one durable place: the errands taken
+// Package place is the state machine of one durable place: the messages taken
 // in, their runs and their ends. It is pure; a replicated group carries its
 // commands, and every replica applies them alike.
 package place
@@ -13,7 +13,7 @@
 	CmdStart                  // a run begins
 	CmdEnd                    // a run succeeded
 	CmdBack                   // a run ended without success
-	CmdClose                  // held or started errand fails or expires
+	CmdClose                  // held or started message fails or expires
 	CmdTomb                   // an undecided message will never run
 	CmdTrim                   // forget what has been over for long enough
 	CmdSent                   // an outbox entry has been taken elsewhere
--- a/internal/place/image.go
+++ b/internal/place/image.go
@@ -8,10 +8,10 @@
 )
 
 type image struct {
-	Clock   int64    `avro:"clock"`
-	Seq     int64    `avro:"seq"`
-	Errands []Errand `avro:"errands"`
-	Outbox  []Child  `avro:"outbox"`
+	Clock    int64     `avro:"clock"`
+	Seq      int64     `avro:"seq"`
+	Messages []Message `avro:"errands"`
+	Outbox   []Child   `avro:"outbox"`
 }
 
 // The clock of an image is never negative.
@@ -20,12 +20,12 @@
 // Image gives the whole state as bytes.
 func (m *Machine) Image() []byte {
 	isGrown := false
-	out := image{Clock: m.clock, Seq: m.seq, Errands: []Errand{}, Outbox: []Child{}}
-	for _, e := range m.errands {
-		out.Errands = append(out.Errands, *e)
+	out := image{Clock: m.clock, Seq: m.seq, Messages: []Message{}, Outbox: []Child{}}
+	for _, e := range m.messages {
+		out.Messages = append(out.Messages, *e)
 		isGrown = isGrown || len(e.Head) > 0 || e.Notify != "" || e.Wanted != 0
 	}
-	slices.SortFunc(out.Errands, func(a, b Errand) int { return int(a.Seq - b.Seq) })
+	slices.SortFunc(out.Messages, func(a, b Message) int { return int(a.Seq - b.Seq) })
 	for _, id := range slices.Sorted(maps.Keys(m.outbox)) {
 		out.Outbox = append(out.Outbox, m.outbox[id])
 	}
@@ -40,9 +40,9 @@
 	}
 	m := New()
 	m.clock, m.seq = in.Clock, in.Seq
-	for i := range in.Errands {
-		e := &in.Errands[i]
-		m.errands[e.Id] = e
+	for i := range in.Messages {
+		e := &in.Messages[i]
+		m.messages[e.Id] = e
 		m.bytes += e.size()
 		if e.IsOwed {
 			m.owed[e.Id] = true
@@ -64,7 +64,7 @@
 // Requeue derives the queue anew: a new owner picks afresh.
 func (m *Machine) Requeue() {
 	m.queue = newQueue()
-	all := slices.SortedFunc(maps.Values(m.errands), func(a, b *Errand) int { return int(a.Seq - b.Seq) })
+	all := slices.SortedFunc(maps.Values(m.messages), func(a, b *Message) int { return int(a.Seq - b.Seq) })
 	for _, e := range all {
 		m.queue.note(m, e)
 	}
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -9,25 +9,25 @@
 
 // Machine is the replicated state of a place.
 //
-// Invariants: clock never goes back; errands holds every id ever taken until
-// it is trimmed; keys lists, in the order taken, the ordered errands that are
+// Invariants: clock never goes back; messages holds every id ever taken until
+// it is trimmed; keys lists, in the order taken, the ordered messages that are
 // not over, so only the first of a list may run; outbox holds each call-back
 // until another place has taken it.
 type Machine struct {
-	clock   int64
-	seq     int64
-	errands map[string]*Errand
-	idems   map[string]string
-	keys    map[string][]string
-	outbox  map[string]Child
-	owed    map[string]bool // errands that are over and of whose end somebody must be told
-	bytes   int64
-	queue   queue
+	clock    int64
+	seq      int64
+	messages map[string]*Message
+	idems    map[string]string
+	keys     map[string][]string
+	outbox   map[string]Child
+	owed     map[string]bool // messages that are over and of whose end somebody must be told
+	bytes    int64
+	queue    queue
 }
 
 // New gives an empty place.
 func New() *Machine {
-	return &Machine{errands: map[string]*Errand{}, idems: map[string]string{}, keys: map[string][]string{},
+	return &Machine{messages: map[string]*Message{}, idems: map[string]string{}, keys: map[string][]string{},
 		outbox: map[string]Child{}, owed: map[string]bool{}, queue: newQueue()}
 }
 
@@ -47,11 +47,11 @@
 // Clock is the place time of the newest command.
 func (m *Machine) Clock() int64 { return m.clock }
 
-// Find gives an errand by id.
-func (m *Machine) Find(id string) *Errand { return m.errands[id] }
+// Find gives a message by id.
+func (m *Machine) Find(id string) *Message { return m.messages[id] }
 
-// Count tells how many errands and body bytes the place holds.
-func (m *Machine) Count() (int, int64) { return len(m.errands), m.bytes }
+// Count tells how many messages and body bytes the place holds.
+func (m *Machine) Count() (int, int64) { return len(m.messages), m.bytes }
 
 // Outbox gives the call-backs that must still be taken elsewhere.
 func (m *Machine) Outbox() map[string]Child { return m.outbox }
@@ -59,7 +59,7 @@
 // Apply takes one committed command in.
 func (m *Machine) Apply(c Command) Verdict {
 	m.clock = max(m.clock, c.At)
-	e := m.errands[c.Id]
+	e := m.messages[c.Id]
 	switch c.Kind {
 	case CmdTake:
 		return m.take(c, e)
@@ -67,8 +67,8 @@
 		if e != nil {
 			return Verdict{Id: c.Id, State: e.State}
 		}
-		e = &Errand{Id: c.Id, Lane: c.Lane, Over: m.clock + c.Retain}
-		m.errands[c.Id] = e
+		e = &Message{Id: c.Id, Lane: c.Lane, Over: m.clock + c.Retain}
+		m.messages[c.Id] = e
 		return m.finish(e, e.move(Tomb))
 	case CmdTrim:
 		for _, id := range c.Ids {
@@ -100,7 +100,7 @@
 	return no(errs.Internal, c.Id, "unknown command")
 }
 
-func (m *Machine) take(c Command, e *Errand) Verdict {
+func (m *Machine) take(c Command, e *Message) Verdict {
 	if e != nil { // the same take again, or a tombstone came first
 		if e.State == Tomb {
 			return no(errs.Rejected, c.Id, "settled as not taken")
@@ -111,11 +111,11 @@
 		return Verdict{Id: c.Id, State: e.State}
 	}
 	m.seq++
-	e = &Errand{Id: c.Id, Seq: m.seq, Lane: c.Lane, Key: c.Key, Ordered: c.Ordered, Idem: c.Idem, Ctype: c.Ctype,
+	e = &Message{Id: c.Id, Seq: m.seq, Lane: c.Lane, Key: c.Key, Ordered: c.Ordered, Idem: c.Idem, Ctype: c.Ctype,
 		Body: c.Body, Sum: c.Sum, Parent: c.Parent, Cutoff: m.clock + c.Cutoff, Due: m.clock + c.Delay, Head: c.Head, Notify: c.Notify,
 		Wanted: c.wanted(m.clock)}
 	if c.Idem != "" {
-		if was := m.errands[m.idems[e.idemOf()]]; was != nil {
+		if was := m.messages[m.idems[e.idemOf()]]; was != nil {
 			if was.Sum != c.Sum {
 				return no(errs.Conflict, was.Id, otherBytes)
 			}
@@ -123,7 +123,7 @@
 		}
 		m.idems[e.idemOf()] = c.Id
 	}
-	m.errands[c.Id] = e
+	m.messages[c.Id] = e
 	m.bytes += e.size()
 	if e.Ordered {
 		m.keys[e.keyOf()] = append(m.keys[e.keyOf()], e.Id)
@@ -131,7 +131,7 @@
 	return m.finish(e, e.move(Held))
 }
 
-func (m *Machine) start(c Command, e *Errand) Verdict {
+func (m *Machine) start(c Command, e *Message) Verdict {
 	if e.State != Held || c.Attempt != e.Attempt+1 || !m.isFirst(e) {
 		return no(errs.Conflict, e.Id, "not to be started")
 	}
@@ -140,9 +140,9 @@
 	return m.finish(e, e.move(Started))
 }
 
-// end records a success. An answer of an older run does not end an errand
+// end records a success. An answer of an older run does not end a message
 // while a newer run is open: it waits for that run's outcome.
-func (m *Machine) end(c Command, e *Errand) Verdict {
+func (m *Machine) end(c Command, e *Message) Verdict {
 	switch {
 	case e.State.IsOver():
 		return Verdict{Id: e.Id, State: e.State}
@@ -155,7 +155,7 @@
 	return m.close(e, Ended, c, c.Proof)
 }
 
-func (m *Machine) back(c Command, e *Errand) Verdict {
+func (m *Machine) back(c Command, e *Message) Verdict {
 	if e.State != Started || c.Attempt != e.Attempt {
 		return Verdict{Id: e.Id, State: e.State} // a repeat, or an older run
 	}
@@ -170,7 +170,7 @@
 	return m.finish(e, e.move(Held))
 }
 
-func (m *Machine) shut(c Command, e *Errand) Verdict {
+func (m *Machine) shut(c Command, e *Message) Verdict {
 	if e.State.IsOver() || c.Attempt != e.Attempt {
 		return Verdict{Id: e.Id, State: e.State}
 	}
@@ -185,7 +185,7 @@
 	return m.close(e, State(c.State), c, wire.Proof{})
 }
 
-func (m *Machine) close(e *Errand, to State, c Command, proof wire.Proof) Verdict {
+func (m *Machine) close(e *Message, to State, c Command, proof wire.Proof) Verdict {
 	if err := e.move(to); err != nil {
 		return no(errs.Conflict, e.Id, err.Error())
 	}
@@ -206,8 +206,8 @@
 	return m.finish(e, nil)
 }
 
-// release lets the next errand of the key go.
-func (m *Machine) release(e *Errand) {
+// release lets the next message of the key go.
+func (m *Machine) release(e *Message) {
 	key := e.keyOf()
 	list := slices.DeleteFunc(m.keys[key], func(id string) bool { return id == e.Id })
 	if len(list) == 0 {
@@ -215,15 +215,15 @@
 		return
 	}
 	m.keys[key] = list
-	m.queue.note(m, m.errands[list[0]])
+	m.queue.note(m, m.messages[list[0]])
 }
 
-// isFirst: an ordered errand runs only when all before it are over.
-func (m *Machine) isFirst(e *Errand) bool {
+// isFirst: an ordered message runs only when all before it are over.
+func (m *Machine) isFirst(e *Message) bool {
 	return !e.Ordered || len(m.keys[e.keyOf()]) > 0 && m.keys[e.keyOf()][0] == e.Id
 }
 
-func (m *Machine) finish(e *Errand, err error) Verdict {
+func (m *Machine) finish(e *Message, err error) Verdict {
 	if err != nil {
 		return no(errs.Conflict, e.Id, err.Error())
 	}
@@ -232,7 +232,7 @@
 }
 
 func (m *Machine) forget(id string) {
-	e := m.errands[id]
+	e := m.messages[id]
 	if e == nil || !e.State.IsOver() || m.outbox[e.Child].Id != "" {
 		return
 	}
@@ -242,7 +242,7 @@
 	}
 	m.bytes -= e.size()
 	delete(m.owed, id)
-	delete(m.errands, id)
+	delete(m.messages, id)
 	if e.Idem != "" && m.idems[e.idemOf()] == id {
 		delete(m.idems, e.idemOf())
 	}
--- a/internal/place/errand.go
+++ b/internal/place/message.go
@@ -5,10 +5,10 @@
 	"caperwheel/internal/wire"
 )
 
-// State of an errand. Callers see these words.
+// State of a message. Callers see these words.
 type State string
 
-// The states. Tomb is an errand that was never taken and never will be.
+// The states. Tomb is a message that was never taken and never will be.
 const (
 	Held    State = "held"
 	Started State = "started"
@@ -19,7 +19,7 @@
 	Unknown State = "unknown"
 )
 
-// IsOver tells whether nothing more can happen to the errand.
+// IsOver tells whether nothing more can happen to the message.
 func (s State) IsOver() bool { return s == Ended || s == Failed || s == Expired || s == Tomb }
 
 // moves lists every change of state that may happen.
@@ -29,12 +29,12 @@
 	"":      {Held, Tomb},
 }
 
-// Errand is one message on its way through the system.
+// Message is one message on its way through the system.
 //
 // Invariants: State changes only through move; Attempt counts the runs begun
 // and never goes back; Proof is set exactly when State is Ended, and Proof
-// .Attempt names a run that this errand began; Body is what the caller sent.
-type Errand struct {
+// .Attempt names a run that this message began; Body is what the caller sent.
+type Message struct {
 	Id       string     `avro:"id"`
 	Seq      int64      `avro:"seq"`
 	Lane     string     `avro:"lane"`
@@ -66,8 +66,8 @@
 	IsHolder bool       `avro:"is_holder"`         // the key waits behind it: failed, or held while its last run may go on until Due
 }
 
-// move is the one place where an errand changes its state.
-func (e *Errand) move(to State) error {
+// move is the one place where a message changes its state.
+func (e *Message) move(to State) error {
 	for _, allowed := range moves[e.State] {
 		if allowed == to {
 			e.State = to
@@ -77,16 +77,16 @@
 	return errs.New(errs.Conflict, "errand %s cannot go from %q to %q", e.Id, e.State, to)
 }
 
-// expiry is when an errand that is held has had its patience, in place time. A
+// expiry is when a message that is held has had its patience, in place time. A
 // run that may still go on is waited for: the next of the key must not begin.
-func (e *Errand) expiry() int64 {
+func (e *Message) expiry() int64 {
 	if e.IsHolder {
 		return max(e.Cutoff, e.Due)
 	}
 	return e.Cutoff
 }
 
-// keyOf joins errands that must run one after another.
-func (e *Errand) keyOf() string { return e.Lane + "\x00" + e.Key }
+// keyOf joins messages that must run one after another.
+func (e *Message) keyOf() string { return e.Lane + "\x00" + e.Key }
 
-func (e *Errand) idemOf() string { return e.Lane + "\x00" + e.Key + "\x00" + e.Idem }
+func (e *Message) idemOf() string { return e.Lane + "\x00" + e.Key + "\x00" + e.Idem }
--- a/internal/place/owed.go
+++ b/internal/place/owed.go
@@ -5,12 +5,12 @@
 	"slices"
 )
 
-// size is how many bytes of callers an errand keeps.
-func (e *Errand) size() int64 { return int64(len(e.Body) + len(e.Head)) }
+// size is how many bytes of callers a message keeps.
+func (e *Message) size() int64 { return int64(len(e.Body) + len(e.Head)) }
 
 // drop lets the bytes of a message go that succeeded. Its head stays until
 // whoever is to be told of the end has been.
-func (m *Machine) drop(e *Errand) {
+func (m *Machine) drop(e *Message) {
 	m.bytes -= e.size()
 	e.Body = nil
 	if !e.IsOwed {
@@ -22,7 +22,7 @@
 // told notes that somebody has been told of an end.
 func (m *Machine) told(id string) {
 	delete(m.owed, id)
-	e := m.errands[id]
+	e := m.messages[id]
 	if e == nil || !e.IsOwed {
 		return
 	}
@@ -32,12 +32,12 @@
 	}
 }
 
-// Owed gives the errands of whose end somebody must still be told, in the order
+// Owed gives the messages of whose end somebody must still be told, in the order
 // of their ids.
-func (m *Machine) Owed() []*Errand {
-	out := []*Errand{}
+func (m *Machine) Owed() []*Message {
+	out := []*Message{}
 	for _, id := range slices.Sorted(maps.Keys(m.owed)) {
-		out = append(out, m.errands[id])
+		out = append(out, m.messages[id])
 	}
 	return out
 }
--- a/internal/place/owed_test.go
+++ b/internal/place/owed_test.go
@@ -28,7 +28,7 @@
 	return m
 }
 
-func ids(list []*Errand) []string {
+func ids(list []*Message) []string {
 	out := []string{}
 	for _, e := range list {
 		out = append(out, e.Id)
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -10,9 +10,9 @@
 // queue orders what the owner may do next. It is derived from the machine's
 // state, so it needs no place in the image.
 //
-// Invariants: an errand that is over stands in over alone; one that is started
+// Invariants: a message that is over stands in over alone; one that is started
 // in open; one that is held in cutoff, until it has been told late, and in at
-// most one of ready and pauses. Nothing else keeps an errand alive: what is
+// most one of ready and pauses. Nothing else keeps a message alive: what is
 // forgotten stands nowhere.
 type queue struct {
 	stands map[string][]standing // id -> where it stands
@@ -24,7 +24,7 @@
 	picked map[string]bool
 }
 
-// lane holds the ready errands of one lane. Fresh ones were never run; those
+// lane holds the ready messages of one lane. Fresh ones were never run; those
 // to be run again stand apart, so that they cannot crowd the fresh ones out.
 type lane struct {
 	fresh, again *sortedSet
@@ -35,13 +35,13 @@
 // turns one goes to the oldest, however late.
 const againShare, lateShare = 4, 4
 
-// rank orders errands by a moment, and those of one moment as they were taken.
+// rank orders messages by a moment, and those of one moment as they were taken.
 type rank struct {
 	at, seq int64
 	id      string
 }
 
-// sortedSet is a sorted set of errands; entering and leaving take logarithmic time.
+// sortedSet is a sorted set of messages; entering and leaving take logarithmic time.
 type sortedSet struct{ tree *treemap.Map }
 
 type standing struct {
@@ -60,25 +60,25 @@
 
 func (l *lane) size() int { return l.fresh.tree.Size() + l.again.tree.Size() }
 
-// first gives the errand of the least rank.
-func (o *sortedSet) first() (at int64, e *Errand) {
+// first gives the message of the least rank.
+func (o *sortedSet) first() (at int64, e *Message) {
 	key, value := o.tree.Min()
 	if key == nil {
 		return 0, nil
 	}
-	return key.(rank).at, value.(*Errand)
+	return key.(rank).at, value.(*Message)
 }
 
-// next gives the errand that can still begin when it is wanted and is wanted
+// next gives the message that can still begin when it is wanted and is wanted
 // first; else the least late, which is of the key that is soonest in time again;
 // where the turn is that of the late ones, or nothing is wanted, the oldest.
-func (o *sortedSet) next(now int64, isLateTurn bool) *Errand {
+func (o *sortedSet) next(now int64, isLateTurn bool) *Message {
 	if !isLateTurn {
 		if _, value := o.tree.Ceiling(rank{at: now}); value != nil {
-			return value.(*Errand)
+			return value.(*Message)
 		}
 		if key, value := o.tree.Floor(rank{at: now}); key != nil && key.(rank).at > 0 {
-			return value.(*Errand)
+			return value.(*Message)
 		}
 	}
 	_, e := o.first()
@@ -90,15 +90,15 @@
 		pauses: newSortedSet(), cutoff: newSortedSet(), over: newSortedSet()}
 }
 
-// enter has an errand stand in a set; leave has it stand nowhere, leaveSet not
+// enter has a message stand in a set; leave has it stand nowhere, leaveSet not
 // in one set.
-func (q *queue) enter(e *Errand, set *sortedSet, at int64) {
+func (q *queue) enter(e *Message, set *sortedSet, at int64) {
 	r := rank{at, e.Seq, e.Id}
 	set.tree.Put(r, e)
 	q.stands[e.Id] = append(q.stands[e.Id], standing{set, r})
 }
 
-func (q *queue) leave(e *Errand) {
+func (q *queue) leave(e *Message) {
 	for _, s := range q.stands[e.Id] {
 		s.set.tree.Remove(s.rank)
 	}
@@ -107,7 +107,7 @@
 	delete(q.picked, e.Id)
 }
 
-func (q *queue) leaveSet(e *Errand, set *sortedSet) {
+func (q *queue) leaveSet(e *Message, set *sortedSet) {
 	q.stands[e.Id] = slices.DeleteFunc(q.stands[e.Id], func(s standing) bool {
 		if s.set == set {
 			set.tree.Remove(s.rank)
@@ -119,8 +119,8 @@
 	}
 }
 
-// note puts an errand where its state asks for.
-func (q *queue) note(m *Machine, e *Errand) {
+// note puts a message where its state asks for.
+func (q *queue) note(m *Machine, e *Message) {
 	q.leave(e)
 	switch {
 	case e.State == Started:
@@ -140,7 +140,7 @@
 	}
 }
 
-func (q *queue) makeReady(e *Errand) {
+func (q *queue) makeReady(e *Message) {
 	l := q.ready[e.Lane]
 	if l == nil {
 		l = newLane()
@@ -153,7 +153,7 @@
 	}
 }
 
-// wake moves errands whose pause is over to the ready ones.
+// wake moves messages whose pause is over to the ready ones.
 func (q *queue) wake(now int64) {
 	for {
 		at, e := q.pauses.first()
@@ -165,7 +165,7 @@
 	}
 }
 
-// Ready counts the errands of each lane that may run at the given place time.
+// Ready counts the messages of each lane that may run at the given place time.
 func (m *Machine) Ready(now int64) map[string]int {
 	m.queue.wake(now)
 	out := map[string]int{}
@@ -177,9 +177,9 @@
 	return out
 }
 
-// Pick gives the errand of the lane that is next to run, and takes it out of
+// Pick gives the message of the lane that is next to run, and takes it out of
 // the ready ones until its state changes; Unpick puts it back.
-func (m *Machine) Pick(name string, now int64) *Errand {
+func (m *Machine) Pick(name string, now int64) *Message {
 	q := &m.queue
 	q.wake(now)
 	l := q.ready[name]
@@ -204,17 +204,17 @@
 	}
 }
 
-// Unpick undoes Pick for an errand that was not started after all.
-func (m *Machine) Unpick(e *Errand) {
+// Unpick undoes Pick for a message that was not started after all.
+func (m *Machine) Unpick(e *Message) {
 	if m.queue.picked[e.Id] && e.State == Held {
 		delete(m.queue.picked, e.Id)
 		m.queue.makeReady(e)
 	}
 }
 
-// Late gives errands that are held beyond their patience; each is told once.
-func (m *Machine) Late(now int64) []*Errand {
-	out := []*Errand{}
+// Late gives messages that are held beyond their patience; each is told once.
+func (m *Machine) Late(now int64) []*Message {
+	out := []*Message{}
 	for {
 		at, e := m.queue.cutoff.first()
 		if e == nil || at > now {
@@ -225,7 +225,7 @@
 	}
 }
 
-// Stale gives the ids of up to most errands that are over and may be forgotten.
+// Stale gives the ids of up to most messages that are over and may be forgotten.
 func (m *Machine) Stale(now int64, most int) []string {
 	out := []string{}
 	for len(out) < most {
@@ -239,12 +239,12 @@
 	return out
 }
 
-// Open gives the errands whose run is under way.
-func (m *Machine) Open() []*Errand {
-	out := []*Errand{}
+// Open gives the messages whose run is under way.
+func (m *Machine) Open() []*Message {
+	out := []*Message{}
 	for id := range m.queue.open {
-		out = append(out, m.errands[id])
+		out = append(out, m.messages[id])
 	}
-	slices.SortFunc(out, func(a, b *Errand) int { return cmp.Compare(a.Seq, b.Seq) })
+	slices.SortFunc(out, func(a, b *Message) int { return cmp.Compare(a.Seq, b.Seq) })
 	return out
 }
--- a/internal/place/tally.go
+++ b/internal/place/tally.go
@@ -4,7 +4,7 @@
 // nearest cutoff, in place time, of those that are not over.
 func (m *Machine) Tally() (counts map[string]map[State]int, cutoffs map[string]int64) {
 	counts, cutoffs = map[string]map[State]int{}, map[string]int64{}
-	for _, e := range m.errands {
+	for _, e := range m.messages {
 		if counts[e.Lane] == nil {
 			counts[e.Lane] = map[State]int{}
 		}
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// broken: while a daemon leaves as planned, no errand that it has read is cut.
+// broken: while a daemon leaves as planned, no message that it has read is cut.
 func (j *judge) broken() {
 	for _, s := range j.h.Sent {
 		if !s.IsBroken || s.ToldAt-s.At <= lossSlack || !j.h.isCalm(s.At-contact, s.ToldAt, unplanned) {
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -20,7 +20,7 @@
 	Delay      time.Duration
 	Daemon     string // that the entry gave the session to
 	Life       int64  // of the daemon
-	IsBroken   bool   // the daemon broke the session off, the errand read or not
+	IsBroken   bool   // the daemon broke the session off, the message read or not
 	IsNotified bool
 }
 
--- a/internal/standin/judge_test.go
+++ b/internal/standin/judge_test.go
@@ -33,7 +33,7 @@
 	return out
 }
 
-// clean is a history in which nothing is wrong: an errand that failed once, an
+// clean is a history in which nothing is wrong: a message that failed once, an
 // ordered pair, one that was not taken, one that is dead and one that waits.
 func clean() *History {
 	h := NewHistory()
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -15,9 +15,9 @@
 )
 
 // dispatcher matches what this store's places have ready with slots on
-// workers. It asks the holders of workers for slots and binds an errand only
+// workers. It asks the holders of workers for slots and binds a message only
 // when a slot is granted, so urgency counts at the last moment and a busy or
-// downed pool holds no errand.
+// downed pool holds no message.
 //
 // Invariants: wants of a pool never pass what is ready for it, nor mostWants;
 // a granted slot is used or released.
@@ -86,7 +86,7 @@
 	return out
 }
 
-// turn asks for as many slots as there are errands ready.
+// turn asks for as many slots as there are messages ready.
 func (d *dispatcher) turn() {
 	d.closeLate(d.s.d.Now())
 	if !d.s.d.IsFresh() {
--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -25,7 +25,7 @@
 	if e == nil {
 		// Ended and forgotten long ago, or else this owner has been replaced and
 		// never heard of it: only a commit can tell.
-		e = &place.Errand{Id: o.Id}
+		e = &place.Message{Id: o.Id}
 	}
 	lane, isKnown := p.lane(e.Lane)
 	if !isKnown {
@@ -45,9 +45,9 @@
 	})
 }
 
-// judge decides what a result means for its errand. A failure is the last attempt's
+// judge decides what a result means for its message. A failure is the last attempt's
 // only while its run is open: a result may come again, and counts once.
-func (p *PlaceHost) judge(e *place.Errand, o *wire.Outcome, lane charter.Lane) place.Command {
+func (p *PlaceHost) judge(e *place.Message, o *wire.Outcome, lane charter.Lane) place.Command {
 	retain := int64(lane.Retention / time.Millisecond)
 	if o.Kind == "" {
 		c := place.Command{Kind: place.CmdEnd, Id: e.Id, Proof: o.Proof, Retain: retain, Drop: lane.DropsBytes}
--- a/internal/store/look.go
+++ b/internal/store/look.go
@@ -69,7 +69,7 @@
 	}
 }
 
-func (p *PlaceHost) sight(e *place.Errand, kind errs.Kind) *wire.Sight {
+func (p *PlaceHost) sight(e *place.Message, kind errs.Kind) *wire.Sight {
 	if e == nil {
 		return &wire.Sight{Kind: string(kind), Owner: p.ownerName(), Body: []byte{}, Proof: wire.Proof{Answer: []byte{}}}
 	}
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -27,7 +27,7 @@
 }
 
 // forgetClosed keeps what is noted of runs bounded by the runs that are open.
-func (p *PlaceHost) forgetClosed(open []*place.Errand) {
+func (p *PlaceHost) forgetClosed(open []*place.Message) {
 	if len(p.inHand)+len(p.asking)+len(p.lostAt)+len(p.missed) <= 4*len(open) {
 		return
 	}
@@ -45,7 +45,7 @@
 // patience is over, and so long after this owner first missed the run that it
 // cannot be going on: its adapter has been stale since, and a worker leaves a
 // run within its bound.
-func (p *PlaceHost) giveUp(e *place.Errand, now time.Duration) {
+func (p *PlaceHost) giveUp(e *place.Message, now time.Duration) {
 	if _, isMissed := p.missed[e.Id]; !isMissed {
 		p.missed[e.Id] = now
 	}
@@ -64,7 +64,7 @@
 
 // ask learns what became of a run from its adapter, or from the adapter's next
 // life, which looks whether the agent beside it keeps a result.
-func (p *PlaceHost) ask(e *place.Errand, who wire.Who) {
+func (p *PlaceHost) ask(e *place.Message, who wire.Who) {
 	id, attempt := e.Id, e.Attempt
 	ask := &wire.Open{Place: p.number, Term: p.host.Term(), Id: id, Attempt: attempt, Boot: e.Boot}
 	_ = p.around.Post(who, ask, func(reply any, err error) {
@@ -91,7 +91,7 @@
 
 // lost deals with a run whose adapter has begun a new life: whether the worker
 // did it is unknown. For an ordered lane the worker is given time to end it.
-func (p *PlaceHost) lost(e *place.Errand, now time.Duration) {
+func (p *PlaceHost) lost(e *place.Message, now time.Duration) {
 	lane, isKnown := p.lane(e.Lane)
 	if !isKnown {
 		return
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -45,11 +45,11 @@
 
 // Limits of one place.
 const (
-	mostErrands = 20000
-	mostBytes   = 64 << 20
-	mostWaiting = 2000
-	mostTombs   = 2000 // settled messages that a full place takes besides
-	trimBatch   = 200
+	mostMessages = 20000
+	mostBytes    = 64 << 20
+	mostWaiting  = 2000
+	mostTombs    = 2000 // settled messages that a full place takes besides
+	trimBatch    = 200
 
 	mostUnsynced = 16 << 20 // bytes of all groups that may wait for the store's disk
 )
@@ -171,7 +171,7 @@
 	case p.around.IsBusy() || p.host.Oldest() > p.around.Bounds().Of(timing.Stall):
 		reject(errs.Full, "the place's disks cannot keep up", p.around.Bounds().Of(timing.Stall))
 		return
-	case count >= mostErrands || bytes >= mostBytes || p.host.Waiting() >= mostWaiting:
+	case count >= mostMessages || bytes >= mostBytes || p.host.Waiting() >= mostWaiting:
 		reject(errs.Full, "the place holds as much as it may", 2*time.Second)
 		return
 	}
@@ -200,7 +200,7 @@
 
 // Settle makes an undecided message's fate definite: held, or never.
 func (p *PlaceHost) Settle(t *wire.Settle, answer func(any)) {
-	if count, _ := p.machine.Count(); p.machine.Find(t.Id) == nil && count >= mostErrands+mostTombs {
+	if count, _ := p.machine.Count(); p.machine.Find(t.Id) == nil && count >= mostMessages+mostTombs {
 		answer(&wire.Taken{Id: t.Id, Kind: string(errs.Full), Text: "the place holds as much as it may"})
 		return
 	}
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -17,7 +17,7 @@
 	Until        time.Duration
 }
 
-// Start runs the lane's next errand in a granted slot. The run is durable
+// Start runs the lane's next message in a granted slot. The run is durable
 // before its adapter hears of it.
 func (p *PlaceHost) Start(lane string, g SlotGrant) {
 	now := p.around.Now()
@@ -50,7 +50,7 @@
 }
 
 // send hands a started run to the adapter that granted the slot.
-func (p *PlaceHost) send(e *place.Errand, attempt int64, g SlotGrant) {
+func (p *PlaceHost) send(e *place.Message, attempt int64, g SlotGrant) {
 	rules := p.around.Scene().Rules
 	run := &wire.Run{Place: p.number, Term: p.host.Term(), Id: e.Id, Attempt: attempt, Lane: e.Lane, Key: e.Key,
 		Pool: g.Pool, Worker: g.Worker, Ctype: e.Ctype, Body: e.Body, Sum: e.Sum, Permit: g.Permit,
--- a/internal/store/tell.go
+++ b/internal/store/tell.go
@@ -68,7 +68,7 @@
 	}
 }
 
-func (p *PlaceHost) tellOf(e *place.Errand, now time.Duration) {
+func (p *PlaceHost) tellOf(e *place.Message, now time.Duration) {
 	id, address := e.Id, ""
 	if u, err := url.Parse(e.Notify); err == nil {
 		address = u.Host
