--- a/internal/charter/mark_test.go
+++ b/internal/charter/mark_test.go
@@ -27,9 +27,9 @@
 			Convey(c.mark+" at its cell", func() {
 				view := feed.NewView(1)
 				list := Workers{Workers: []Worker{{Name: "w", Address: "127.0.0.1:1", Cell: "a", State: "live"}}}
-				view.Take([]wire.PartNews{{Part: 1, To: 1, Changes: []wire.Change{{Key: WorkersKey + "p", Stamp: 1, Value: list.Encode()}}}}, 0)
+				view.Take([]wire.PartNews{{Part: 1, To: 1, Changes: []wire.Change{{Key: WorkersKey + "p", Revision: 1, Value: list.Encode()}}}}, 0)
 				if c.mark != "" {
-					view.Take([]wire.PartNews{{To: 1, Changes: []wire.Change{{Key: CellKey + "a", Stamp: 1, Value: []byte(c.mark)}}}}, 0)
+					view.Take([]wire.PartNews{{To: 1, Changes: []wire.Change{{Key: CellKey + "a", Revision: 1, Value: []byte(c.mark)}}}}, 0)
 				}
 				scene := (&Scenes{View: view}).Now()
 				w, canServe := scene.CanServe("p", "w")
--- a/internal/charter/rules.go
+++ b/internal/charter/rules.go
@@ -23,7 +23,7 @@
 	ShareKey       = "share/"   // + lane: published weights of its pools, in the part of the lane's name
 )
 
-// Duty says which adapter serves a worker or endpoint. Its term is the stamp
+// Duty says which adapter serves a worker or endpoint. Its term is the revision
 // of the change that wrote it.
 type Duty struct {
 	Holder string `json:"holder"`
@@ -52,7 +52,7 @@
 // written after that.
 type Scene struct {
 	Rules    *Rules
-	Stamp    int64
+	Revision int64
 	Workers  map[string]map[string]Worker // by pool and name
 	Duties   map[string]map[string]Held
 	Emptied  map[string]bool // whole cells
@@ -114,8 +114,8 @@
 		Emptied: map[string]bool{}, Resting: map[string]bool{}, Easing: map[string]bool{}, Retired: map[string]bool{}, Weights: map[string]weight.Weights{}, Shares: map[string]map[string]float64{},
 		Rules: &Rules{Lanes: map[string]Lane{}, Pools: map[string]Pool{}}}
 	if c, isKnown := view.Get(feed.CharterPart, Key); isKnown {
-		out.Stamp = c.Stamp
-		if old != nil && old.Stamp == c.Stamp {
+		out.Revision = c.Revision
+		if old != nil && old.Revision == c.Revision {
 			out.Rules, out.IsUnread = old.Rules, old.IsUnread
 		} else if rules, faults := Compile(c.Value); len(faults) == 0 {
 			out.Rules = rules
@@ -172,7 +172,7 @@
 		if out.Duties[pool] == nil {
 			out.Duties[pool] = map[string]Held{}
 		}
-		out.Duties[pool][worker] = Held{d, c.Stamp}
+		out.Duties[pool][worker] = Held{d, c.Revision}
 	}
 	return out
 }
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -44,8 +44,8 @@
 		return map[string][]string{"l": {"p"}, "o": {o}, "m": {"p"}, "back": {"p2"}}
 	}
 	h.Caps["p2"] = 10
-	h.AddEdit(Edit{At: 0, AckAt: s / 2, Stamp: 1, Pools: pools("p"), Caps: map[string]float64{"p": 9, "p2": 10}})
-	h.AddEdit(Edit{At: s / 2, AckAt: 3 * s, Stamp: 2, Pools: pools("q"), Caps: map[string]float64{"p": 9, "p2": 1}})
+	h.AddEdit(Edit{At: 0, AckAt: s / 2, Revision: 1, Pools: pools("p"), Caps: map[string]float64{"p": 9, "p2": 10}})
+	h.AddEdit(Edit{At: s / 2, AckAt: 3 * s, Revision: 2, Pools: pools("q"), Caps: map[string]float64{"p": 9, "p2": 1}})
 }
 
 // sendTen has ten messages sent in the seconds in which traffic must be back.
@@ -97,10 +97,10 @@
 		{RuleBytes, func(h *History) { h.AddSight(Sight{Id: "1", At: 2 * s, ToldAt: 2 * s, State: "held", BodySum: "sb"}) }},
 		{RuleBack, func(h *History) { h.AddSight(Sight{Id: "1", At: 6 * s, ToldAt: 6 * s, State: "held", Attempts: 2}) }},
 		{RuleBack, func(h *History) { h.AddSight(Sight{Id: "1", At: 4 * s, ToldAt: 4 * s, State: "held"}) }},
-		{RuleCharter, func(h *History) { edited(h); h.Runs[3].Stamp = 1 }},
+		{RuleCharter, func(h *History) { edited(h); h.Runs[3].Revision = 1 }},
 		{RuleCharter, func(h *History) {
 			edited(h)
-			h.Sent[3].At, h.Sent[3].ToldAt, h.Sent[3].Stamp = 6500*time.Millisecond, 6600*time.Millisecond, 1
+			h.Sent[3].At, h.Sent[3].ToldAt, h.Sent[3].Revision = 6500*time.Millisecond, 6600*time.Millisecond, 1
 		}},
 		{RulePool, edited},
 		{RuleRate, func(h *History) {
@@ -154,7 +154,7 @@
 			h := clean()
 			edited(h)
 			h.Edits[1].AckAt = 6 * s
-			h.Runs[3].Stamp = 1
+			h.Runs[3].Revision = 1
 			So(Check(h), ShouldBeEmpty)
 			h.Edits[1].AckAt = 0
 			So(Check(h), ShouldBeEmpty)
--- a/internal/check/control.go
+++ b/internal/check/control.go
@@ -18,11 +18,11 @@
 	newest := int64(0)
 	for _, e := range edits {
 		if e.AckAt > 0 && e.AckAt+charterBound < first {
-			newest = max(newest, e.Stamp)
+			newest = max(newest, e.Revision)
 		}
 	}
 	return slices.DeleteFunc(slices.Clone(edits), func(e Edit) bool {
-		return e.At > last || e.AckAt > 0 && e.Stamp < newest
+		return e.At > last || e.AckAt > 0 && e.Revision < newest
 	})
 }
 
@@ -50,19 +50,19 @@
 // charter, and no adapter slips back.
 func (c *checker) charters() {
 	acked := slices.DeleteFunc(slices.Clone(c.h.Edits), func(e Edit) bool { return e.AckAt == 0 })
-	hold := func(at time.Duration, stamp int64, form string, args ...any) {
+	hold := func(at time.Duration, revision int64, form string, args ...any) {
 		for _, e := range acked {
-			if stamp > 0 && e.AckAt+charterBound < at && stamp < e.Stamp {
-				c.breach(RuleCharter, form+" at %v under charter %d, though %d was acknowledged at %v", append(args, at, stamp, e.Stamp, e.AckAt)...)
+			if revision > 0 && e.AckAt+charterBound < at && revision < e.Revision {
+				c.breach(RuleCharter, form+" at %v under charter %d, though %d was acknowledged at %v", append(args, at, revision, e.Revision, e.AckAt)...)
 				return
 			}
 		}
 	}
 	for _, r := range c.h.Runs {
-		hold(r.Start, r.Stamp, "%s ran %s", r.Adapter, r.Token)
+		hold(r.Start, r.Revision, "%s ran %s", r.Adapter, r.Token)
 	}
 	for _, s := range c.h.Sent {
-		hold(s.At, s.Stamp, "%s was answered", s.Token)
+		hold(s.At, s.Revision, "%s was answered", s.Token)
 	}
 }
 
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -37,24 +37,24 @@
 	GotSum   string
 	GotToken string
 	IsShort  bool
-	Stamp    int64 // of the charter under which it was answered; 0 if not told
+	Revision int64 // of the charter under which it was answered; 0 if not told
 }
 
 // Run is one run that a back end saw.
 type Run struct {
-	Token   string
-	Id      string
-	Attempt int64
-	Pool    string
-	Worker  string
-	Sum     string
-	Start   time.Duration
-	End     time.Duration
-	Status  int
-	Answer  string // checksum of the answer
-	IsWhole bool   // the answer was written whole, as far as the back end could tell
-	Adapter string // who sent it; empty if it did not say
-	Stamp   int64  // of the charter under which it was sent; 0 if it did not say
+	Token    string
+	Id       string
+	Attempt  int64
+	Pool     string
+	Worker   string
+	Sum      string
+	Start    time.Duration
+	End      time.Duration
+	Status   int
+	Answer   string // checksum of the answer
+	IsWhole  bool   // the answer was written whole, as far as the back end could tell
+	Adapter  string // who sent it; empty if it did not say
+	Revision int64  // of the charter under which it was sent; 0 if it did not say
 }
 
 // End is what the system says of a message at last.
@@ -88,11 +88,11 @@
 
 // Edit is a charter as an operator sent it, and what it allows.
 type Edit struct {
-	At    time.Duration // when it was sent
-	AckAt time.Duration // when it was acknowledged; 0 for never
-	Stamp int64         // as acknowledged
-	Pools map[string][]string
-	Caps  map[string]float64
+	At       time.Duration // when it was sent
+	AckAt    time.Duration // when it was acknowledged; 0 for never
+	Revision int64         // as acknowledged
+	Pools    map[string][]string
+	Caps     map[string]float64
 }
 
 // Cold is a worker that came, or came back, cold at a moment.
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -22,7 +22,7 @@
 type declaration struct {
 	file, path string
 	body       []byte
-	stamp      string
+	revision   string
 	changes    []string // empty: it is as declared
 }
 
@@ -42,11 +42,11 @@
 	changed := 0
 	for _, d := range plan {
 		if len(d.changes) == 0 {
-			fmt.Fprintf(t.out, "%s: as declared, stamp %s\n", d.file, d.stamp)
+			fmt.Fprintf(t.out, "%s: as declared, stamp %s\n", d.file, d.revision)
 			continue
 		}
 		changed++
-		fmt.Fprintf(t.out, "%s: on stamp %s\n", d.file, d.stamp)
+		fmt.Fprintf(t.out, "%s: on stamp %s\n", d.file, d.revision)
 		for _, line := range d.changes {
 			fmt.Fprintf(t.out, "  %s\n", line)
 		}
@@ -157,9 +157,9 @@
 	base := []byte(`{"workers":[]}`)
 	switch {
 	case err == nil:
-		d.stamp, base = strings.Trim(resp.Header().Get("ETag"), `"`), resp.Body()
+		d.revision, base = strings.Trim(resp.Header().Get("ETag"), `"`), resp.Body()
 	case errs.Is(err, errs.Unknown) && d.path != "/v1/charter":
-		d.stamp = "0"
+		d.revision = "0"
 	default:
 		return err
 	}
@@ -182,7 +182,7 @@
 }
 
 func (t *tool) write(d declaration) error {
-	resp, err := t.send("PUT", d.path, d.stamp, d.body, false)
+	resp, err := t.send("PUT", d.path, d.revision, d.body, false)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/calls.go
+++ b/internal/cli/calls.go
@@ -74,8 +74,8 @@
 
 // send brings a change of a document on a base to the manager, or only has it
 // checked.
-func (t *tool) send(method, path, stamp string, body []byte, isDryRun bool) (*resty.Response, error) {
-	req := t.client.R().SetHeader("If-Match", `"`+stamp+`"`).SetHeader("Content-Type", "application/json").SetBody(body)
+func (t *tool) send(method, path, revision string, body []byte, isDryRun bool) (*resty.Response, error) {
+	req := t.client.R().SetHeader("If-Match", `"`+revision+`"`).SetHeader("Content-Type", "application/json").SetBody(body)
 	if isDryRun {
 		req.SetQueryParam("check", "true")
 	}
@@ -122,10 +122,10 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(t.out, "%s, charter stamp %d, fresh: %t\n\n", s.Manager, s.Stamp, s.Fresh)
+	fmt.Fprintf(t.out, "%s, charter stamp %d, fresh: %t\n\n", s.Manager, s.Revision, s.Fresh)
 	fmt.Fprintf(t.out, "%-14s %-8s %-6s %-6s %-6s %s\n", "daemon", "kind", "cell", "fresh", "stamp", "heard")
 	for _, m := range s.Members {
-		fmt.Fprintf(t.out, "%-14s %-8s %-6s %-6t %-6d %d ms ago\n", m.Name, m.Kind, m.Cell, m.Fresh, m.Stamp, m.AgeMs)
+		fmt.Fprintf(t.out, "%-14s %-8s %-6s %-6t %-6d %d ms ago\n", m.Name, m.Kind, m.Cell, m.Fresh, m.Revision, m.AgeMs)
 	}
 	owners := map[string]int{}
 	for _, g := range append(s.Places, s.Parts...) {
--- a/internal/cli/doctor.go
+++ b/internal/cli/doctor.go
@@ -97,8 +97,8 @@
 	for _, m := range s.Members {
 		if !m.Fresh {
 			add(true, m.Name, "its view is stale: it takes and starts nothing", "look at its way to the managers, and at its log")
-		} else if m.Stamp < s.Stamp {
-			add(false, m.Name, fmt.Sprintf("holds charter %d, the newest is %d", m.Stamp, s.Stamp), "it should follow within the bound; ask again")
+		} else if m.Revision < s.Revision {
+			add(false, m.Name, fmt.Sprintf("holds charter %d, the newest is %d", m.Revision, s.Revision), "it should follow within the bound; ask again")
 		}
 		switch m.Kind {
 		case "store":
--- a/internal/cli/doctor_test.go
+++ b/internal/cli/doctor_test.go
@@ -16,9 +16,9 @@
 
 // well is the status of a deployment in which nothing is wrong.
 func well() manager.Status {
-	s := manager.Status{Manager: "manager-1", Fresh: true, Stamp: 7}
+	s := manager.Status{Manager: "manager-1", Fresh: true, Revision: 7}
 	add := func(kind, name, cell string) {
-		s.Members = append(s.Members, manager.StatusMember{Who: wire.Who{Name: name, Kind: kind, Cell: cell}, Fresh: true, Stamp: 7,
+		s.Members = append(s.Members, manager.StatusMember{Who: wire.Who{Name: name, Kind: kind, Cell: cell}, Fresh: true, Revision: 7,
 			Counts: map[string]int64{}})
 	}
 	for _, cell := range []string{"a", "b", "c"} {
@@ -40,7 +40,7 @@
 	}{
 		{"manager-1: its view is stale", true, func(s *manager.Status) { s.Fresh = false }},
 		{"store-a: its view is stale", true, func(s *manager.Status) { s.Members[0].Fresh = false }},
-		{"store-a: holds charter 6", false, func(s *manager.Status) { s.Members[0].Stamp = 6 }},
+		{"store-a: holds charter 6", false, func(s *manager.Status) { s.Members[0].Revision = 6 }},
 		{"store-a: its disk is nearly full", true, func(s *manager.Status) { s.Members[0].Counts["full"] = 1 }},
 		{"store-a: its log has 9 segments", false, func(s *manager.Status) { s.Members[0].Counts["segments"] = 9 }},
 		{"stores: they belong to 2 deployments", true, func(s *manager.Status) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -166,6 +166,6 @@
 
 // Poll is what every daemon says of itself.
 func (d *Daemon) Poll() wire.Poll {
-	return wire.Poll{Who: d.Who, Stamps: []wire.PartStamp{}, Owns: []wire.Owned{}, Beside: []wire.Member{},
-		Fact: wire.Fact{Stamp: d.View.Stamp(feed.CharterPart), Fresh: d.IsFresh(), Counts: map[string]int64{}}}
+	return wire.Poll{Who: d.Who, Revisions: []wire.PartRevision{}, Owns: []wire.Owned{}, Beside: []wire.Member{},
+		Fact: wire.Fact{Revision: d.View.Revision(feed.CharterPart), Fresh: d.IsFresh(), Counts: map[string]int64{}}}
 }
--- a/internal/deliver/deliver_test.go
+++ b/internal/deliver/deliver_test.go
@@ -24,9 +24,9 @@
 func scenery(address string) *Adapter {
 	view := feed.NewView(0)
 	changes := []wire.Change{
-		{Key: charter.Key, Stamp: 1, Value: []byte(`{"pools":{"p":{"bound":"50ms","ease":"0s"},"q":{}},"lanes":{"l":{"pools":["p"]}}}`)},
-		{Key: charter.WorkersKey + "p", Stamp: 2, Value: fmt.Appendf(nil, `{"workers":[{"name":"w","address":"%s","cell":"c"}]}`, address)},
-		{Key: charter.DutyKey + "p/w", Stamp: 3, Value: charter.Duty{Holder: "a", Boot: "1"}.Encode()}}
+		{Key: charter.Key, Revision: 1, Value: []byte(`{"pools":{"p":{"bound":"50ms","ease":"0s"},"q":{}},"lanes":{"l":{"pools":["p"]}}}`)},
+		{Key: charter.WorkersKey + "p", Revision: 2, Value: fmt.Appendf(nil, `{"workers":[{"name":"w","address":"%s","cell":"c"}]}`, address)},
+		{Key: charter.DutyKey + "p/w", Revision: 3, Value: charter.Duty{Holder: "a", Boot: "1"}.Encode()}}
 	d := &daemon.Daemon{Started: time.Now(), Bounds: timing.Default, View: view, Who: wire.Who{Name: "a", Boot: "1", Cell: "c"}}
 	view.Take([]wire.PartNews{{To: 3, Changes: changes}}, d.Now())
 	a := &Adapter{d: d,
@@ -142,14 +142,14 @@
 		So(granted, ShouldEqual, 4)
 		So(waiting, ShouldEqual, 3)
 		Convey("all are answered when the duty has moved on", func() {
-			a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.DutyKey + "p/w", Stamp: 4,
+			a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.DutyKey + "p/w", Revision: 4,
 				Value: charter.Duty{Holder: "b", Boot: "1"}.Encode()}}}}, a.d.Now())
 			ask()
 			So(waiting, ShouldEqual, 0)
 			So(granted, ShouldEqual, 4)
 		})
 		Convey("and when the worker has another address", func() {
-			a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.WorkersKey + "p", Stamp: 4,
+			a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.WorkersKey + "p", Revision: 4,
 				Value: []byte(`{"workers":[{"name":"w","address":"127.0.0.1:2","cell":"c"}]}`)}}}}, a.d.Now())
 			ask()
 			So(waiting, ShouldEqual, 0)
@@ -217,7 +217,7 @@
 	Convey("A run whose steps were compiled before a freeze is not sent after it", t, func() {
 		a := scenery("127.0.0.1:1")
 		old := a.scenes.Now().Rules
-		a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.Key, Stamp: 4, Value: []byte(`{}`)}}}}, a.d.Now())
+		a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.Key, Revision: 4, Value: []byte(`{}`)}}}}, a.d.Now())
 		r := &run{Run: wire.Run{Lane: "l", Pool: "p", Worker: "w"}}
 		err := a.doers[path.Fresh](path.Step{}, &delivery{run: r, rules: old})
 		So(err, ShouldNotBeNil)
--- a/internal/deliver/meet_test.go
+++ b/internal/deliver/meet_test.go
@@ -58,7 +58,7 @@
 	a := scenery(address)
 	a.manner = manner
 	patient := []byte(`{"pools":{"p":{"bound":"1m","ease":"0s"}},"lanes":{"l":{"pools":["p"]}}}`)
-	a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.Key, Stamp: 4, Value: patient}}}}, a.d.Now())
+	a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.Key, Revision: 4, Value: patient}}}}, a.d.Now())
 	body := []byte("body")
 	return func(id string, kept head.Head, isLane bool) *wire.Outcome {
 		r := &run{Run: wire.Run{Id: id, Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: wire.SumOf(body)},
--- a/internal/deliver/moved_test.go
+++ b/internal/deliver/moved_test.go
@@ -35,7 +35,7 @@
 				e := &delivery{run: r, outcome: &wire.Outcome{}, rules: a.scenes.Now().Rules}
 				So(a.doers[path.Fresh](path.Step{}, e), ShouldBeNil)
 				So(a.doers[path.Live](path.Step{}, e), ShouldBeNil)
-				a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: c.key, Stamp: 4, Value: []byte(c.value)}}}}, a.d.Now())
+				a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: c.key, Revision: 4, Value: []byte(c.value)}}}}, a.d.Now())
 				err := a.doers[path.Send](path.Step{}, e)
 				kind := ""
 				if err != nil {
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -133,7 +133,7 @@
 	}
 	fields := map[string]string{messageId: r.Id, attemptNumber: strconv.FormatInt(r.Attempt, 10), "X-Lane": r.Lane,
 		"Idempotency-Key": r.Id, "X-Content-SHA256": r.Sum, "User-Agent": "caperwheel/" + a.d.Who.Name,
-		"X-Charter-Stamp": strconv.FormatInt(e.scene.Stamp, 10), "Content-Type": cmp.Or(r.Ctype, "application/octet-stream")}
+		"X-Charter-Stamp": strconv.FormatInt(e.scene.Revision, 10), "Content-Type": cmp.Or(r.Ctype, "application/octet-stream")}
 	if r.Key != "" {
 		fields["Ordering-Key"] = r.Key
 	}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -38,7 +38,7 @@
 type Change struct {
 	Pool, Worker string
 	Next         charter.Duty
-	IfStamp      int64
+	IfRevision   int64
 	IsGone       bool // the worker is no longer listed
 	IsGuess      bool // the holder is not here: it may only be out of our sight
 	IsReborn     bool // it stays with its holder's new life
@@ -67,8 +67,8 @@
 	for _, c := range plan {
 		key := c.Pool + "/" + c.Worker
 		was, isKnown := s.seen[key]
-		if !isKnown || was.term != c.IfStamp {
-			was = seenTerm{c.IfStamp, now}
+		if !isKnown || was.term != c.IfRevision {
+			was = seenTerm{c.IfRevision, now}
 			s.seen[key] = was
 			if !isKnown { // we have just come: what we know of it may be old
 				was.at = now - s.Least
@@ -85,7 +85,7 @@
 // Plan tells which duties of a pool must change hands. A duty stays where it
 // is while its holder lives, stays and may serve; a lost one goes to the adapter of
 // the worker's cell, if there is one, that has the fewest duties.
-func Plan(pool string, scene *charter.Scene, adapters []wire.Who, leaving map[string]bool, stamp func(key string) (int64, bool)) []Change {
+func Plan(pool string, scene *charter.Scene, adapters []wire.Who, leaving map[string]bool, revision func(key string) (int64, bool)) []Change {
 	usable, load := map[string]wire.Who{}, map[string]int(nil)
 	for _, a := range adapters {
 		if !scene.Emptied[a.Cell] && !leaving[a.Name] {
@@ -114,19 +114,19 @@
 		}
 		load[held.Holder]--
 		load[next.Name]++
-		ifStamp, wasKnown := stamp(charter.DutyKey + pool + "/" + name)
+		ifRevision, wasKnown := revision(charter.DutyKey + pool + "/" + name)
 		before := held.Boot
 		if !isAssigned && wasKnown {
 			before = "an earlier holder"
 		}
 		isKept := isReborn && next == holder
-		out = append(out, Change{Pool: pool, Worker: name, IfStamp: ifStamp, IsReborn: isKept,
+		out = append(out, Change{Pool: pool, Worker: name, IfRevision: ifRevision, IsReborn: isKept,
 			Next:    charter.Duty{Holder: next.Name, Boot: next.Boot, Before: before, IsFree: isKept || leaving[held.Holder]},
 			IsGuess: isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(scene, adapters, held.Holder)})
 	}
 	for _, name := range slices.Sorted(maps.Keys(scene.Duties[pool])) {
 		if _, isListed := scene.Workers[pool][name]; !isListed {
-			out = append(out, Change{Pool: pool, Worker: name, IfStamp: scene.Duties[pool][name].Term, IsGone: true})
+			out = append(out, Change{Pool: pool, Worker: name, IfRevision: scene.Duties[pool][name].Term, IsGone: true})
 		}
 	}
 	return out
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -32,11 +32,11 @@
 	known := func(string) (int64, bool) { return 7, true }
 	never := func(string) (int64, bool) { return 0, false }
 	cases := []struct {
-		name   string
-		scene  *charter.Scene
-		stamp  func(string) (int64, bool)
-		holder string // "" for no change, "gone" for removal
-		before string
+		name     string
+		scene    *charter.Scene
+		revision func(string) (int64, bool)
+		holder   string // "" for no change, "gone" for removal
+		before   string
 	}{
 		{"a worker that nobody ever held goes to its cell, without a fence", scene(inA, nil), never, "a", ""},
 		{"a worker that somebody held once goes with a fence", scene(inA, nil), func(string) (int64, bool) { return 0, true }, "a", "an earlier holder"},
@@ -53,7 +53,7 @@
 	Convey("In the plan of duties", t, func() {
 		for _, c := range cases {
 			Convey(c.name, func() {
-				plan := Plan("p", c.scene, adapters, map[string]bool{"l1": true}, c.stamp)
+				plan := Plan("p", c.scene, adapters, map[string]bool{"l1": true}, c.revision)
 				if c.holder == "" {
 					So(plan, ShouldBeEmpty)
 					return
@@ -61,7 +61,7 @@
 				So(len(plan), ShouldEqual, 1)
 				if c.holder == "gone" {
 					So(plan[0].IsGone, ShouldBeTrue)
-					So(plan[0].IfStamp, ShouldEqual, 7)
+					So(plan[0].IfRevision, ShouldEqual, 7)
 					return
 				}
 				So(plan[0].Next.Holder[:1], ShouldEqual, c.holder)
@@ -141,7 +141,7 @@
 	Convey("A plan keeps", t, func() {
 		s := Steady{Least: 6 * time.Second}
 		for _, c := range cases {
-			kept := s.Filter([]Change{{Pool: "p", Worker: "w", IfStamp: c.term, IsGuess: c.isGuess}}, c.at)
+			kept := s.Filter([]Change{{Pool: "p", Worker: "w", IfRevision: c.term, IsGuess: c.isGuess}}, c.at)
 			So(c.name+": "+fmt.Sprint(len(kept) == 1), ShouldEqual, c.name+": "+fmt.Sprint(c.isKept))
 		}
 	})
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -18,7 +18,7 @@
 	Lost             Kind = "lost"       // a session broke; the fate of what was under way is unknown
 	DeadlineExceeded Kind = "late"       // a cutoff passed
 	NotOwner         Kind = "not_owner"  // the daemon asked does not own the place or part
-	Stale            Kind = "stale"      // the view is older than its bound, or the term or stamp is old
+	Stale            Kind = "stale"      // the view is older than its bound, or the term or revision is old
 	Rejected         Kind = "rejected"   // refused for good; it never runs
 	Unknown          Kind = "unknown"    // no such lane, message, pool, …
 	Invalid          Kind = "invalid"    // the input breaks a check
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -10,8 +10,8 @@
 	"caperwheel/internal/wire"
 )
 
-func edit(key string, ifStamp int64) wire.Edit {
-	return wire.Edit{Key: key, Value: []byte(key), IfStamp: ifStamp}
+func edit(key string, ifRevision int64) wire.Edit {
+	return wire.Edit{Key: key, Value: []byte(key), IfRevision: ifRevision}
 }
 
 func TestEdits(t *testing.T) {
@@ -35,7 +35,7 @@
 				p := NewPart()
 				p.Apply(edit("a", 0))
 				p.Apply(edit("a", 1))
-				p.Apply(wire.Edit{Key: "gone", Gone: true, IfStamp: -1})
+				p.Apply(wire.Edit{Key: "gone", Gone: true, IfRevision: -1})
 				So(p.Apply(c.last).Kind, ShouldEqual, c.kind)
 				again, err := RestorePart(p.Image())
 				So(err, ShouldBeNil)
@@ -53,7 +53,7 @@
 		}
 		v := NewView(0)
 		ask := func(age int64) {
-			news, isNewest := p.News(0, v.Stamp(0))
+			news, isNewest := p.News(0, v.Revision(0))
 			if isNewest {
 				news.Age = age
 			}
@@ -65,7 +65,7 @@
 			So(isSure, ShouldBeFalse)
 			ask(0)
 			ask(0)
-			So(v.Stamp(0), ShouldEqual, 1200)
+			So(v.Revision(0), ShouldEqual, 1200)
 			So(v.IsFresh(12*time.Second, 2*time.Second), ShouldBeTrue)
 			So(v.IsFresh(12*time.Second+1, 2*time.Second), ShouldBeFalse)
 		})
@@ -75,7 +75,7 @@
 			}
 			age, _ := v.Age(11 * time.Second)
 			So(age, ShouldEqual, 1500*time.Millisecond)
-			news := v.News([]wire.PartStamp{{Part: 0, Stamp: 1200}}, 11*time.Second)
+			news := v.News([]wire.PartRevision{{Part: 0, Revision: 1200}}, 11*time.Second)
 			So(news[0].Age, ShouldEqual, 1_500_000)
 		})
 		Convey("news older than its own life are as old as they say", func() {
@@ -91,7 +91,7 @@
 			for range 3 {
 				ask(0)
 			}
-			old := wire.PartNews{From: 0, To: 5, Age: 0, Changes: []wire.Change{{Key: "k1", Value: []byte("old"), Stamp: 5}}}
+			old := wire.PartNews{From: 0, To: 5, Age: 0, Changes: []wire.Change{{Key: "k1", Value: []byte("old"), Revision: 5}}}
 			v.Take([]wire.PartNews{old}, 99*time.Second)
 			c, _ := v.Get(0, "k1")
 			So(string(c.Value), ShouldEqual, "k1")
@@ -99,7 +99,7 @@
 		})
 		Convey("news that leave a gap are passed over", func() {
 			v.Take([]wire.PartNews{{From: 100, To: 101}}, 0)
-			So(v.Stamp(0), ShouldEqual, 0)
+			So(v.Revision(0), ShouldEqual, 0)
 		})
 	})
 }
--- a/internal/feed/orders.go
+++ b/internal/feed/orders.go
@@ -21,14 +21,14 @@
 	mostCalls  = 256
 )
 
-// taken is an order that was taken: the stamp that it made, and when. Rank
-// grows with each: what it builds on for an operators' order, its stamp for the
+// taken is an order that was taken: the revision that it made, and when. Rank
+// grows with each: what it builds on for an operators' order, its revision for the
 // edit of a single call.
 type taken struct {
-	Id    string `avro:"id"`
-	Stamp int64  `avro:"stamp"`
-	Rank  int64  `avro:"rank"`
-	At    int64  `avro:"at"`
+	Id       string `avro:"id"`
+	Revision int64  `avro:"stamp"`
+	Rank     int64  `avro:"rank"`
+	At       int64  `avro:"at"`
 }
 
 // memory has the newest orders that were taken.
@@ -69,30 +69,30 @@
 	}
 }
 
-// remember notes the order of an edit that holds as of the part's newest stamp.
+// remember notes the order of an edit that holds as of the part's newest revision.
 // What an older build kept in the charter itself is taken over, and what it
 // forgot before is below the floor.
 func (p *Part) remember(e wire.Edit) {
 	switch {
 	case e.Order == "":
 	case e.Base == wire.OneCall:
-		p.calls.put(taken{e.Order, p.stamp, p.stamp, p.clock})
+		p.calls.put(taken{e.Order, p.revision, p.revision, p.clock})
 	default:
 		if len(p.orders.queue) == 0 {
 			p.orders.floor = e.Base - 1
 		}
 		for _, order := range e.Earlier {
-			p.orders.put(taken{order, p.stamp, e.Base - 1, p.clock})
+			p.orders.put(taken{order, p.revision, e.Base - 1, p.clock})
 		}
-		p.orders.put(taken{e.Order, p.stamp, e.Base, p.clock})
+		p.orders.put(taken{e.Order, p.revision, e.Base, p.clock})
 	}
 }
 
-// fate tells what became of an order: the stamp that it made, or Unknown if it
+// fate tells what became of an order: the revision that it made, or Unknown if it
 // was never taken, or Stale if it may have been so long ago that it is forgotten.
-func (p *Part) fate(order string, base int64) (stamp int64, kind errs.Kind) {
+func (p *Part) fate(order string, base int64) (revision int64, kind errs.Kind) {
 	if one, isTaken := p.known(order); isTaken {
-		return one.Stamp, ""
+		return one.Revision, ""
 	}
 	if base <= p.orders.floor {
 		return 0, errs.Stale
@@ -109,14 +109,14 @@
 }
 
 // mayBeForgotten tells of an edit that does not hold now and is not remembered
-// whether it may have held before. It held on a higher stamp, or a higher
+// whether it may have held before. It held on a higher revision, or a higher
 // version, than what it builds on.
 func (p *Part) mayBeForgotten(e wire.Edit) bool {
 	if e.Order == "" {
 		return false
 	}
 	if e.Base == wire.OneCall {
-		return e.IfStamp < p.calls.floor
+		return e.IfRevision < p.calls.floor
 	}
 	_, kind := p.fate(e.Order, e.Base)
 	return kind == errs.Stale
@@ -126,7 +126,7 @@
 // milliseconds; one that nothing is remembered of is as old as can be.
 func (p *Part) age(c wire.Change, now int64) int64 {
 	for _, m := range []*memory{p.calls, p.orders} {
-		i, isKnown := slices.BinarySearchFunc(m.queue, c.Stamp, func(one taken, stamp int64) int { return cmp.Compare(one.Stamp, stamp) })
+		i, isKnown := slices.BinarySearchFunc(m.queue, c.Revision, func(one taken, revision int64) int { return cmp.Compare(one.Revision, revision) })
 		if isKnown {
 			return max(0, now-m.queue[i].At)
 		}
@@ -145,8 +145,8 @@
 		return wire.Pulled{Change: wire.Change{Key: key, Value: raw}}
 	}
 	if order, base, isOrder := orderOf(key); isOrder {
-		stamp, kind := p.fate(order, base)
-		return wire.Pulled{Kind: string(kind), Change: wire.Change{Key: key, Value: []byte{}, Stamp: stamp}}
+		revision, kind := p.fate(order, base)
+		return wire.Pulled{Kind: string(kind), Change: wire.Change{Key: key, Value: []byte{}, Revision: revision}}
 	}
 	c, isKnown := p.Get(key)
 	if !isKnown {
--- a/internal/feed/orders_test.go
+++ b/internal/feed/orders_test.go
@@ -11,10 +11,10 @@
 	"caperwheel/internal/wire"
 )
 
-// order is an operators' order on a version, and on the stamp that the last one made.
+// order is an operators' order on a version, and on the revision that the last one made.
 func order(p *Part, name string, base int64) wire.Edit {
 	was, _ := p.Get(Remembered)
-	return wire.Edit{Key: Remembered, Value: []byte(name), IfStamp: was.Stamp, Order: name, Base: base}
+	return wire.Edit{Key: Remembered, Value: []byte(name), IfRevision: was.Revision, Order: name, Base: base}
 }
 
 // chain takes so many orders, one on another: "1" on 0, "2" on 1, …
@@ -27,7 +27,7 @@
 // TestOrders: an order that was taken is never told that another came first.
 func TestOrders(t *testing.T) {
 	again := func(p *Part, name string, base int64) wire.Edited {
-		return p.Apply(wire.Edit{Key: Remembered, Value: []byte(name), IfStamp: base, Order: name, Base: base})
+		return p.Apply(wire.Edit{Key: Remembered, Value: []byte(name), IfRevision: base, Order: name, Base: base})
 	}
 	restored := func(p *Part) *Part {
 		next, err := RestorePart(p.Image())
@@ -44,9 +44,9 @@
 					p = restored(p)
 				}
 				for _, i := range []int{1, 2, 17, 500, mostOrders} {
-					So(again(p, fmt.Sprint(i), int64(i-1)), ShouldResemble, wire.Edited{Stamp: int64(i), IsAgain: true})
+					So(again(p, fmt.Sprint(i), int64(i-1)), ShouldResemble, wire.Edited{Revision: int64(i), IsAgain: true})
 				}
-				So(p.Stamp(), ShouldEqual, mostOrders)
+				So(p.Revision(), ShouldEqual, mostOrders)
 				So(errs.Kind(again(p, "rival", 3).Kind), ShouldEqual, errs.Conflict)
 			})
 			Convey("those that are forgotten get no clear answer, "+how, func() {
@@ -57,7 +57,7 @@
 				for i := 1; i <= 10; i++ {
 					So(errs.Kind(again(p, fmt.Sprint(i), int64(i-1)).Kind), ShouldEqual, errs.Stale)
 				}
-				So(again(p, "11", 10), ShouldResemble, wire.Edited{Stamp: 11, IsAgain: true})
+				So(again(p, "11", 10), ShouldResemble, wire.Edited{Revision: 11, IsAgain: true})
 				So(errs.Kind(again(p, "rival", 9).Kind), ShouldEqual, errs.Stale)
 				So(errs.Kind(again(p, "rival", 10).Kind), ShouldEqual, errs.Conflict)
 				So(len(p.orders.byId), ShouldEqual, mostOrders)
@@ -67,7 +67,7 @@
 			chain(p, mostOrders, mostOrders+1)
 			read := func(name string, base int64) []any {
 				got := p.Read(OrderKey(name, base), 0)
-				return []any{errs.Kind(got.Kind), got.Change.Stamp}
+				return []any{errs.Kind(got.Kind), got.Change.Revision}
 			}
 			So(read("7", 6), ShouldResemble, []any{errs.Kind(""), int64(7)})
 			So(read("1", 0), ShouldResemble, []any{errs.Stale, int64(0)})
@@ -78,9 +78,9 @@
 	Convey("What an older build remembered is taken over, and what it forgot gets no clear answer", t, func() {
 		p := NewPart()
 		p.Apply(wire.Edit{Key: Remembered, Value: []byte(`{"edits":["a","b"]}`)})
-		p.Apply(wire.Edit{Key: Remembered, Value: []byte("c"), IfStamp: 1, Order: "c", Base: 7, Earlier: []string{"a", "b"}})
+		p.Apply(wire.Edit{Key: Remembered, Value: []byte("c"), IfRevision: 1, Order: "c", Base: 7, Earlier: []string{"a", "b"}})
 		for _, name := range []string{"a", "b", "c"} {
-			So(again(p, name, 5), ShouldResemble, wire.Edited{Stamp: 2, IsAgain: true})
+			So(again(p, name, 5), ShouldResemble, wire.Edited{Revision: 2, IsAgain: true})
 		}
 		So(errs.Kind(again(p, "older", 5).Kind), ShouldEqual, errs.Stale)
 		So(errs.Kind(again(p, "rival", 7).Kind), ShouldEqual, errs.Conflict)
@@ -89,28 +89,28 @@
 
 // TestCalls: an edit that a manager sends again holds once.
 func TestCalls(t *testing.T) {
-	call := func(name string, ifStamp int64) wire.Edit {
-		return wire.Edit{Key: "a", Value: []byte(name), IfStamp: ifStamp, Order: name, Base: wire.OneCall}
+	call := func(name string, ifRevision int64) wire.Edit {
+		return wire.Edit{Key: "a", Value: []byte(name), IfRevision: ifRevision, Order: name, Base: wire.OneCall}
 	}
 	Convey("An edit of a single call", t, func() {
 		p := NewPart()
-		first, gone := call("first", -1), wire.Edit{Key: "a", Gone: true, IfStamp: -1}
-		So(p.Apply(first).Stamp, ShouldEqual, 1)
+		first, gone := call("first", -1), wire.Edit{Key: "a", Gone: true, IfRevision: -1}
+		So(p.Apply(first).Revision, ShouldEqual, 1)
 		Convey("does not hold again on any stamp", func() {
 			p.Apply(gone)
-			So(p.Apply(first), ShouldResemble, wire.Edited{Stamp: 1, IsAgain: true})
+			So(p.Apply(first), ShouldResemble, wire.Edited{Revision: 1, IsAgain: true})
 			_, isStanding := p.Get("a")
 			So(isStanding, ShouldBeFalse)
 		})
 		Convey("does not hold again on a key that is absent once more", func() {
 			p.Apply(gone)
 			again := call("again", 0)
-			So(p.Apply(again).Stamp, ShouldEqual, 3)
+			So(p.Apply(again).Revision, ShouldEqual, 3)
 			p.Apply(gone)
-			So(p.Apply(again), ShouldResemble, wire.Edited{Stamp: 3, IsAgain: true})
+			So(p.Apply(again), ShouldResemble, wire.Edited{Revision: 3, IsAgain: true})
 		})
 		Convey("that is forgotten gets no clear answer, and a rival does where nothing is", func() {
-			So(p.Apply(call("second", 1)).Stamp, ShouldEqual, 2)
+			So(p.Apply(call("second", 1)).Revision, ShouldEqual, 2)
 			for i := range mostCalls + 1 {
 				p.Apply(call(fmt.Sprint("later ", i), -1))
 			}
@@ -147,7 +147,7 @@
 	oldEdit, oldImage := wire.NewPlain(&wire.Edit{}), wire.NewPlain(&partImage{})
 	Convey("Between builds,", t, func() {
 		old := edit("a", 3)
-		remembered := wire.Edit{Key: "a", Value: []byte("v"), IfStamp: 3, By: "x", Order: "o", Base: 4, Earlier: []string{"n"}, At: 5}
+		remembered := wire.Edit{Key: "a", Value: []byte("v"), IfRevision: 3, By: "x", Order: "o", Base: 4, Earlier: []string{"n"}, At: 5}
 		Convey("an edit in the log", func() {
 			So(EncodeEdit(old), ShouldResemble, oldEdit.Encode(&old))
 			got, err := DecodeEdit(oldEdit.Encode(&old))
@@ -161,7 +161,7 @@
 		Convey("an image", func() {
 			p := NewPart()
 			p.Apply(edit("a", 0))
-			state := partImage{Stamp: 1, Changes: []wire.Change{{Key: "a", Value: []byte("a"), Stamp: 1}}, Past: []wire.Change{}}
+			state := partImage{Revision: 1, Changes: []wire.Change{{Key: "a", Value: []byte("a"), Revision: 1}}, Past: []wire.Change{}}
 			So(p.Image(), ShouldResemble, oldImage.Encode(&state))
 			read, err := RestorePart(oldImage.Encode(&state))
 			So(err, ShouldBeNil)
--- a/internal/feed/part.go
+++ b/internal/feed/part.go
@@ -24,16 +24,16 @@
 
 // Part is the replicated state of one part. It is pure.
 //
-// Invariants: stamp grows by one with each change that holds; trail has the
-// newest change of each key, gone ones too, so the changes behind any stamp
+// Invariants: revision grows by one with each change that holds; trail has the
+// newest change of each key, gone ones too, so the changes behind any revision
 // can be told without a history; clock never goes back.
 type Part struct {
-	stamp  int64
-	clock  int64 // part time of the newest edit that tells it, in milliseconds
-	trail  trail
-	past   []wire.Change // the newest changes of Remembered, without values
-	orders *memory       // operators' orders that were taken
-	calls  *memory       // edits of single calls that were taken
+	revision int64
+	clock    int64 // part time of the newest edit that tells it, in milliseconds
+	trail    trail
+	past     []wire.Change // the newest changes of Remembered, without values
+	orders   *memory       // operators' orders that were taken
+	calls    *memory       // edits of single calls that were taken
 }
 
 // Remembered is the key whose recent changes are kept by author, and History
@@ -52,8 +52,8 @@
 // Clock is the part time of the newest edit.
 func (p *Part) Clock() int64 { return p.clock }
 
-// Stamp is the number of the newest change.
-func (p *Part) Stamp() int64 { return p.stamp }
+// Revision is the number of the newest change.
+func (p *Part) Revision() int64 { return p.revision }
 
 // Get gives a key's newest change.
 func (p *Part) Get(key string) (wire.Change, bool) {
@@ -62,44 +62,44 @@
 }
 
 // Apply takes one committed edit in. Of two edits on one base exactly one
-// holds, since the first moves the key's stamp; of two with one order the second
+// holds, since the first moves the key's revision; of two with one order the second
 // is told that the first holds. What is compared, set and remembered is one step.
 func (p *Part) Apply(e wire.Edit) wire.Edited {
 	p.clock = max(p.clock, e.At)
 	if one, isTaken := p.known(e.Order); isTaken {
-		return wire.Edited{Stamp: one.Stamp, IsAgain: true}
+		return wire.Edited{Revision: one.Revision, IsAgain: true}
 	}
-	stamp := int64(0)
+	revision := int64(0)
 	if was, isKnown := p.Get(e.Key); isKnown {
-		stamp = was.Stamp
+		revision = was.Revision
 	}
-	if e.IfStamp >= 0 && stamp != e.IfStamp && p.mayBeForgotten(e) {
-		return wire.Edited{Kind: string(errs.Stale), Text: "whether " + e.Key + " was changed so before is forgotten", Stamp: stamp}
+	if e.IfRevision >= 0 && revision != e.IfRevision && p.mayBeForgotten(e) {
+		return wire.Edited{Kind: string(errs.Stale), Text: "whether " + e.Key + " was changed so before is forgotten", Revision: revision}
 	}
-	if e.IfStamp >= 0 && stamp != e.IfStamp {
-		return wire.Edited{Kind: string(errs.Conflict), Text: e.Key + " has changed since", Stamp: stamp}
+	if e.IfRevision >= 0 && revision != e.IfRevision {
+		return wire.Edited{Kind: string(errs.Conflict), Text: e.Key + " has changed since", Revision: revision}
 	}
-	p.stamp++
-	p.trail.put(wire.Change{Key: e.Key, Value: e.Value, Stamp: p.stamp, Gone: e.Gone, By: e.By})
+	p.revision++
+	p.trail.put(wire.Change{Key: e.Key, Value: e.Value, Revision: p.revision, Gone: e.Gone, By: e.By})
 	if e.Key == Remembered {
-		p.past = append(p.past, wire.Change{Key: e.Key, Value: []byte{}, Stamp: p.stamp, By: e.By})
+		p.past = append(p.past, wire.Change{Key: e.Key, Value: []byte{}, Revision: p.revision, By: e.By})
 		p.past = p.past[max(0, len(p.past)-mostPast):]
 	}
 	p.remember(e)
-	return wire.Edited{Stamp: p.stamp}
+	return wire.Edited{Revision: p.revision}
 }
 
 // newsCount bounds the changes of one answer; the follower asks again.
 const newsCount = 512
 
-// News gives the changes behind a stamp. isNewest tells whether they reach the
+// News gives the changes behind a revision. isNewest tells whether they reach the
 // newest.
 func (p *Part) News(part, from int64) (news wire.PartNews, isNewest bool) {
-	return p.trail.newsOf(part, from, p.stamp)
+	return p.trail.newsOf(part, from, p.revision)
 }
 
 type partImage struct {
-	Stamp       int64         `avro:"stamp"`
+	Revision    int64         `avro:"stamp"`
 	Changes     []wire.Change `avro:"changes"`
 	Past        []wire.Change `avro:"past"`
 	Clock       int64         `avro:"clock" since:"4"`
@@ -109,7 +109,7 @@
 	CallsFloor  int64         `avro:"calls_floor" since:"4"`
 }
 
-// An image's stamp is never negative, and an edit's key never shorter than nothing.
+// An image's revision is never negative, and an edit's key never shorter than nothing.
 var (
 	partCodec = wire.NewGrown(&partImage{}, wire.MarkNumberList)
 	editCodec = wire.NewGrown(&wire.Edit{}, wire.MarkNumberText)
@@ -117,7 +117,7 @@
 
 // Image gives the whole state as bytes.
 func (p *Part) Image() []byte {
-	out := partImage{Stamp: p.stamp, Changes: []wire.Change{}, Past: append([]wire.Change{}, p.past...), Clock: p.clock,
+	out := partImage{Revision: p.revision, Changes: []wire.Change{}, Past: append([]wire.Change{}, p.past...), Clock: p.clock,
 		Orders: append([]taken{}, p.orders.queue...), OrdersFloor: p.orders.floor,
 		Calls: append([]taken{}, p.calls.queue...), CallsFloor: p.calls.floor}
 	for _, key := range slices.Sorted(maps.Keys(p.trail.keys)) {
@@ -133,7 +133,7 @@
 		return nil, err
 	}
 	p := NewPart()
-	p.stamp, p.past, p.clock = in.Stamp, in.Past, in.Clock
+	p.revision, p.past, p.clock = in.Revision, in.Past, in.Clock
 	p.trail.fill(in.Changes)
 	p.orders.fill(in.Orders, in.OrdersFloor)
 	p.calls.fill(in.Calls, in.CallsFloor)
--- a/internal/feed/trail_test.go
+++ b/internal/feed/trail_test.go
@@ -9,19 +9,19 @@
 	"caperwheel/internal/wire"
 )
 
-// TestTrail: what lies behind a stamp was once looked for among all keys, by
+// TestTrail: what lies behind a revision was once looked for among all keys, by
 // every follower and for every change.
 func TestTrail(t *testing.T) {
 	Convey("Given keys that change again and again", t, func() {
 		one := newTrail()
-		for stamp := int64(1); stamp <= 5000; stamp++ {
-			one.put(wire.Change{Key: fmt.Sprint(stamp * stamp % 97), Stamp: stamp})
+		for revision := int64(1); revision <= 5000; revision++ {
+			one.put(wire.Change{Key: fmt.Sprint(revision * revision % 97), Revision: revision})
 		}
 		Convey("behind any stamp lie the keys that changed since, in order", func() {
 			for _, from := range []int64{0, 1, 4900, 4990, 4999, 5000, 5001} {
 				standing := 0
 				for _, c := range one.keys {
-					if c.Stamp > from {
+					if c.Revision > from {
 						standing++
 					}
 				}
@@ -30,7 +30,7 @@
 				So(len(got), ShouldEqual, standing)
 				for i, c := range got {
 					So(c, ShouldResemble, one.keys[c.Key])
-					So(i == 0 || got[i-1].Stamp < c.Stamp, ShouldBeTrue)
+					So(i == 0 || got[i-1].Revision < c.Revision, ShouldBeTrue)
 				}
 			}
 		})
@@ -50,7 +50,7 @@
 		Convey("an answer is cut at its bound, and goes on from there", func() {
 			first, isAll := one.behind(0, 10)
 			So(isAll, ShouldBeFalse)
-			rest, isAll := one.behind(first[9].Stamp, newsCount)
+			rest, isAll := one.behind(first[9].Revision, newsCount)
 			So(isAll, ShouldBeTrue)
 			So(len(first)+len(rest), ShouldEqual, len(one.keys))
 		})
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -12,7 +12,7 @@
 // View is what a daemon knows of the control state. It is safe for many
 // goroutines.
 //
-// Invariants: a part's stamp never goes back; sureAt only moves forward, and
+// Invariants: a part's revision never goes back; sureAt only moves forward, and
 // is a moment by this daemon's own clock at or after which the part's owner
 // confirmed, through a majority, that nothing newer had been acknowledged.
 type View struct {
@@ -23,10 +23,10 @@
 }
 
 type partView struct {
-	stamp  int64
-	sureAt time.Duration
-	isSure bool
-	trail  trail
+	revision int64
+	sureAt   time.Duration
+	isSure   bool
+	trail    trail
 }
 
 // NewView gives an empty view that follows the charter part and count others.
@@ -38,13 +38,13 @@
 	return v
 }
 
-// Stamps tells how far the view has come, for the next poll.
-func (v *View) Stamps() []wire.PartStamp {
+// Revisions tells how far the view has come, for the next poll.
+func (v *View) Revisions() []wire.PartRevision {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	out := []wire.PartStamp{}
+	out := []wire.PartRevision{}
 	for part := range int64(v.count) + 1 {
-		out = append(out, wire.PartStamp{Part: part, Stamp: v.parts[part].stamp})
+		out = append(out, wire.PartRevision{Part: part, Revision: v.parts[part].revision})
 	}
 	return out
 }
@@ -56,16 +56,16 @@
 	defer v.mu.Unlock()
 	for _, n := range news {
 		p := v.parts[n.Part]
-		if p == nil || n.From > p.stamp || n.To < p.stamp {
+		if p == nil || n.From > p.revision || n.To < p.revision {
 			continue // another history, or a gap: never go back, never guess
 		}
 		for _, c := range n.Changes {
-			if c.Stamp > p.stamp {
+			if c.Revision > p.revision {
 				p.trail.put(c)
 				isChanged = true
 			}
 		}
-		p.stamp = n.To
+		p.revision = n.To
 		if n.Age >= 0 {
 			p.confirm(askedAt - time.Duration(n.Age)*time.Microsecond)
 		}
@@ -107,16 +107,16 @@
 
 // News passes on what this view has, with its own age: no hop ever confirms
 // more than it was told itself.
-func (v *View) News(stamps []wire.PartStamp, now time.Duration) []wire.PartNews {
+func (v *View) News(revisions []wire.PartRevision, now time.Duration) []wire.PartNews {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	out := []wire.PartNews{}
-	for _, s := range stamps {
+	for _, s := range revisions {
 		p := v.parts[s.Part]
-		if p == nil || s.Stamp > p.stamp {
+		if p == nil || s.Revision > p.revision {
 			continue
 		}
-		news, isNewest := p.trail.newsOf(s.Part, s.Stamp, p.stamp)
+		news, isNewest := p.trail.newsOf(s.Part, s.Revision, p.revision)
 		if p.isSure && isNewest {
 			news.Age = max(0, int64((now-p.sureAt)/time.Microsecond))
 		}
@@ -154,11 +154,11 @@
 	return v.turns
 }
 
-// Stamp is the sum of all parts' stamps, a measure of how far the view is.
-func (v *View) Stamp(part int64) int64 {
+// Revision is the sum of all parts' revisions, a measure of how far the view is.
+func (v *View) Revision(part int64) int64 {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return v.parts[part].stamp
+	return v.parts[part].revision
 }
 
 // Keys iterates over a snapshot of the standing keys with a prefix, of all parts.
--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// put reads a document's stamp and replaces the document.
+// put reads a document's revision and replaces the document.
 func (a *Api) put(ctx context.Context, path string, body []byte) error {
 	return a.try(ctx, func(manager string) error {
 		code, head, _, err := Do(ctx, "GET", manager+path, "", nil)
@@ -82,7 +82,7 @@
 	edit := allows(doc, a.f.Now())
 	err := a.put(ctx, "/v1/charter", doc)
 	if err == nil {
-		edit.AckAt, edit.Stamp = a.f.Now(), 1
+		edit.AckAt, edit.Revision = a.f.Now(), 1
 		a.f.History.AddEdit(edit)
 	}
 	return err
--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -119,7 +119,7 @@
 	if name, isNamed := strings.CutPrefix(r.UserAgent(), "caperwheel/"); isNamed {
 		run.Adapter = name
 	}
-	run.Stamp, _ = strconv.ParseInt(r.Header.Get("X-Charter-Stamp"), 10, 64)
+	run.Revision, _ = strconv.ParseInt(r.Header.Get("X-Charter-Stamp"), 10, 64)
 	b.mu.Lock()
 	b.inUse++
 	b.most = max(b.most, b.inUse)
--- a/internal/fleet/callers.go
+++ b/internal/fleet/callers.go
@@ -151,7 +151,7 @@
 		return resp.StatusCode
 	}
 	s.Id, s.GotSum = told.Id, told.Sum
-	s.Stamp, _ = strconv.ParseInt(resp.Header.Get("X-Charter-Stamp"), 10, 64)
+	s.Revision, _ = strconv.ParseInt(resp.Header.Get("X-Charter-Stamp"), 10, 64)
 	if told.Proof != nil {
 		var answer payload
 		_ = json.Unmarshal(told.Proof.Answer, &answer)
--- a/internal/fleet/edits.go
+++ b/internal/fleet/edits.go
@@ -17,10 +17,10 @@
 
 // edits remembers the newest charter that was acknowledged.
 type edits struct {
-	mu     sync.Mutex
-	stamp  int64
-	note   string
-	Broken []string
+	mu       sync.Mutex
+	revision int64
+	note     string
+	Broken   []string
 }
 
 func (a *Api) patchWorkers(ctx context.Context, pool string, patch charter.Workers) error {
@@ -44,17 +44,17 @@
 	e.Broken = append(e.Broken, fmt.Sprintf(form, args...))
 }
 
-// stampOf reads the stamp out of an ETag; 0 for none.
-func stampOf(etag string) int64 {
-	stamp, _ := strconv.ParseInt(strings.Trim(etag, `"`), 10, 64)
-	return stamp
+// revisionOf reads the revision out of an ETag; 0 for none.
+func revisionOf(etag string) int64 {
+	revision, _ := strconv.ParseInt(strings.Trim(etag, `"`), 10, 64)
+	return revision
 }
 
 func (f *Fleet) charterUrl(i int) string {
 	return "http://" + f.Managers[i%len(f.Managers)].Http + "/v1/charter"
 }
 
-// readCharter gives the charter and its stamp from whichever manager answers.
+// readCharter gives the charter and its revision from whichever manager answers.
 func (f *Fleet) readCharter(ctx context.Context) (etag string, doc []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 12*time.Second)
 	defer cancel()
@@ -94,10 +94,10 @@
 	code, head, _, err := Do(ctx, "PATCH", f.charterUrl(manager), etag, body)
 	if err == nil && code == 200 {
 		edit.AckAt = f.Now()
-		edit.Stamp = stampOf(head.Get("ETag"))
+		edit.Revision = revisionOf(head.Get("ETag"))
 		f.edits.mu.Lock()
-		if note, _ := patch["note"].(string); edit.Stamp > f.edits.stamp {
-			f.edits.stamp, f.edits.note = edit.Stamp, note
+		if note, _ := patch["note"].(string); edit.Revision > f.edits.revision {
+			f.edits.revision, f.edits.note = edit.Revision, note
 		}
 		f.edits.mu.Unlock()
 	}
@@ -142,7 +142,7 @@
 			f.edits.breach("an invalid charter was accepted")
 		}
 	case "stale":
-		if stamp := stampOf(etag); stamp > 1 {
+		if revision := revisionOf(etag); revision > 1 {
 			if f.patchCharter(ctx, 2, `"1"`, base, note(0)) == 200 {
 				f.edits.breach("an edit on a stale base was accepted")
 			}
@@ -198,10 +198,10 @@
 				continue
 			}
 			_ = json.Unmarshal(raw, &got)
-			stamp := stampOf(head.Get("ETag"))
+			revision := revisionOf(head.Get("ETag"))
 			e.mu.Lock()
-			if stamp < e.stamp || stamp == e.stamp && e.note != "" && got.Note != e.note {
-				e.Broken = append(e.Broken, fmt.Sprintf("%s gives charter %d %q, acknowledged was %d %q", p.Name, stamp, got.Note, e.stamp, e.note))
+			if revision < e.revision || revision == e.revision && e.note != "" && got.Note != e.note {
+				e.Broken = append(e.Broken, fmt.Sprintf("%s gives charter %d %q, acknowledged was %d %q", p.Name, revision, got.Note, e.revision, e.note))
 			}
 			e.mu.Unlock()
 			break
--- a/internal/intake/stand_test.go
+++ b/internal/intake/stand_test.go
@@ -50,7 +50,7 @@
 	if s.IsStale {
 		at = 0
 	}
-	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: charter.Key, Stamp: 7, Value: []byte(asItIs)}}}}, at)
+	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: charter.Key, Revision: 7, Value: []byte(asItIs)}}}}, at)
 	in = New(d, &charter.Scenes{View: view})
 	in.reach = owners
 	return in, func() []*wire.Take { return owners.takes }
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -24,10 +24,10 @@
 // countIntake counts by lane; names that are no lane's would grow without bound.
 func countIntake(e *request, told string) { answered.WithLabelValues(e.lane.Name, told).Inc() }
 
-// stampOf tells the caller under which charter the answer was given.
-func stampOf(w http.ResponseWriter, e *request) {
+// revisionOf tells the caller under which charter the answer was given.
+func revisionOf(w http.ResponseWriter, e *request) {
 	if e.scene != nil {
-		w.Header().Set("X-Charter-Stamp", strconv.FormatInt(e.scene.Stamp, 10))
+		w.Header().Set("X-Charter-Stamp", strconv.FormatInt(e.scene.Revision, 10))
 	}
 }
 
@@ -52,7 +52,7 @@
 		return
 	}
 	countIntake(e, "taken")
-	stampOf(w, e)
+	revisionOf(w, e)
 	in.answerTaken(w, r, e.taken.Id, e.taken.State)
 }
 
@@ -124,7 +124,7 @@
 	}
 	countIntake(e, string(kind))
 	if kind != errs.Stale { // then no charter was in use
-		stampOf(w, e)
+		revisionOf(w, e)
 	}
 	web.Reject(w, web.CodeOf(kind), p, in.retry(kind, e))
 }
--- a/internal/manager/api.go
+++ b/internal/manager/api.go
@@ -35,9 +35,9 @@
 	m.d.Mux.HandleFunc("/", web.NotFound)
 }
 
-// stampOf reads the stamp that an edit is based on. A missing one is a reject:
+// revisionOf reads the revision that an edit is based on. A missing one is a reject:
 // an edit without a base could undo another unseen.
-func stampOf(r *http.Request) (int64, error) {
+func revisionOf(r *http.Request) (int64, error) {
 	text := r.Header.Get("If-Match")
 	if r.Header.Get("If-None-Match") == "*" && text == "" {
 		return 0, nil
@@ -45,14 +45,14 @@
 	if text == "" {
 		return 0, errs.New(errs.Missing, "give the stamp that the change is based on, in If-Match")
 	}
-	stamp, err := strconv.ParseInt(strings.Trim(text, `"`), 10, 64)
-	if err != nil || stamp < 0 {
+	revision, err := strconv.ParseInt(strings.Trim(text, `"`), 10, 64)
+	if err != nil || revision < 0 {
 		return 0, errs.New(errs.Invalid, "If-Match must be a stamp")
 	}
-	return stamp, nil
+	return revision, nil
 }
 
-func etag(stamp int64) string { return `"` + strconv.FormatInt(stamp, 10) + `"` }
+func etag(revision int64) string { return `"` + strconv.FormatInt(revision, 10) + `"` }
 
 // operator names who made a change and when, for the history. The time is for
 // people alone: nothing compares it.
@@ -74,12 +74,12 @@
 }
 
 func (m *Manager) getCharter(w http.ResponseWriter, r *http.Request) {
-	doc, stamp, err := m.operators.Charter(r.Context())
+	doc, revision, err := m.operators.Charter(r.Context())
 	if err != nil {
 		web.Fail(w, err)
 		return
 	}
-	w.Header().Set("ETag", etag(stamp))
+	w.Header().Set("ETag", etag(revision))
 	web.Answer(w, 200, json.RawMessage(doc))
 }
 
@@ -102,13 +102,13 @@
 }
 
 func (m *Manager) proposeCharter(w http.ResponseWriter, r *http.Request, make func(base []byte) ([]byte, error)) {
-	stamp, err := stampOf(r)
+	revision, err := revisionOf(r)
 	if err != nil {
 		web.Fail(w, err)
 		return
 	}
 	isCheck := r.URL.Query().Get("check") == "true"
-	got, err := m.operators.Propose(r.Context(), Proposal{By: operator(r), OnStamp: stamp, IsCheck: isCheck, Make: make})
+	got, err := m.operators.Propose(r.Context(), Proposal{By: operator(r), OnRevision: revision, IsCheck: isCheck, Make: make})
 	var known *errs.Error
 	switch {
 	case len(got.Faults) > 0:
@@ -120,8 +120,8 @@
 	case isCheck:
 		web.Answer(w, 200, map[string]any{"checked": true, "differences": got.Differences})
 	default:
-		w.Header().Set("ETag", etag(got.Stamp))
-		web.Answer(w, 200, map[string]any{"stamp": got.Stamp, "differences": got.Differences})
+		w.Header().Set("ETag", etag(got.Revision))
+		web.Answer(w, 200, map[string]any{"stamp": got.Revision, "differences": got.Differences})
 	}
 }
 
@@ -138,7 +138,7 @@
 	}
 	out := []map[string]any{}
 	for _, p := range past {
-		out = append(out, map[string]any{"stamp": p.Stamp, "by": author(p.By)})
+		out = append(out, map[string]any{"stamp": p.Revision, "by": author(p.By)})
 	}
 	web.Answer(w, 200, out)
 }
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -23,7 +23,7 @@
 func init() { prometheus.MustRegister(dutyMoves) }
 
 // controlDuties keeps every worker's duty with a live adapter. Each pool is
-// looked after by one manager; should two think so, the stamps let one win.
+// looked after by one manager; should two think so, the revisions let one win.
 func (m *Manager) controlDuties(ctx context.Context) {
 	pool := pond.NewPool(8)
 	steady := &duty.Steady{Least: 2 * m.d.Bounds.Charter}
@@ -72,14 +72,14 @@
 	}
 	for _, name := range m.ownPools(pools) {
 		part := feed.PartOf(name, m.d.Settings.Parts)
-		stamp := func(key string) (int64, bool) {
+		revision := func(key string) (int64, bool) {
 			c, isStanding := m.d.View.Get(part, key)
 			if !isStanding {
-				return 0, c.Stamp > 0
+				return 0, c.Revision > 0
 			}
-			return c.Stamp, true
+			return c.Revision, true
 		}
-		for _, change := range steady.Filter(duty.Plan(name, scene, adapters, leaving, stamp), m.d.Now()) {
+		for _, change := range steady.Filter(duty.Plan(name, scene, adapters, leaving, revision), m.d.Now()) {
 			if isNew && !change.IsReborn {
 				continue
 			}
@@ -92,7 +92,7 @@
 func (m *Manager) assign(ctx context.Context, part int64, change duty.Change) {
 	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter)
 	defer cancel()
-	e := wire.Edit{Part: part, Key: charter.DutyKey + change.Pool + "/" + change.Worker, IfStamp: change.IfStamp,
+	e := wire.Edit{Part: part, Key: charter.DutyKey + change.Pool + "/" + change.Worker, IfRevision: change.IfRevision,
 		Gone: change.IsGone, By: "duty controller at " + m.d.Who.Name}
 	if !change.IsGone {
 		e.Value = change.Next.Encode()
--- a/internal/manager/edit.go
+++ b/internal/manager/edit.go
@@ -12,7 +12,7 @@
 
 // edit changes one key and learns the outcome for sure, if it can be learnt. The
 // part remembers the edit by its order, so it may be sent any number of times:
-// it holds once, and is told so each time. Stamp 0 means that it did not hold.
+// it holds once, and is told so each time. Revision 0 means that it did not hold.
 func (m *Manager) edit(ctx context.Context, e wire.Edit) (int64, error) {
 	if e.Value == nil {
 		e.Value = []byte{}
@@ -42,7 +42,7 @@
 		got := reply.(*wire.Edited)
 		switch errs.Kind(got.Kind) {
 		case "":
-			return got.Stamp, nil
+			return got.Revision, nil
 		case errs.Stale:
 			return 0, undecided()
 		case errs.Conflict:
@@ -64,7 +64,7 @@
 	now, err := m.pull(ctx, e.Part, e.Key)
 	switch {
 	case err == nil && now.By == e.By:
-		return now.Stamp, nil
+		return now.Revision, nil
 	case err != nil && !errs.Is(err, errs.Unknown):
 		return 0, undecided()
 	}
--- a/internal/manager/edit_test.go
+++ b/internal/manager/edit_test.go
@@ -15,7 +15,7 @@
 // TestEdit is the table of what is known of an edit's effect after what stores
 // answered, one after another, the last answer again and again.
 func TestEdit(t *testing.T) {
-	edited := func(kind errs.Kind) any { return &wire.Edited{Kind: string(kind), Stamp: 7} }
+	edited := func(kind errs.Kind) any { return &wire.Edited{Kind: string(kind), Revision: 7} }
 	lost, unsent := errs.New(errs.Lost, "session"), error(&transport.Unsent{})
 	cases := []struct {
 		name    string
@@ -58,12 +58,12 @@
 					}
 					return answer, nil
 				}
-				stamp, err := m.edit(context.Background(), wire.Edit{Key: "a", IfStamp: 6})
+				revision, err := m.edit(context.Background(), wire.Edit{Key: "a", IfRevision: 6})
 				So(err == nil, ShouldEqual, c.kind == "")
 				if err != nil {
 					So(errs.KindOf(err), ShouldEqual, c.kind)
 				}
-				So(stamp, ShouldEqual, map[bool]int64{true: 7}[c.kind == ""])
+				So(revision, ShouldEqual, map[bool]int64{true: 7}[c.kind == ""])
 				So(len(orders), ShouldEqual, 1) // it is one and the same, however often it is sent
 			})
 		}
--- a/internal/manager/evacuations.go
+++ b/internal/manager/evacuations.go
@@ -61,31 +61,31 @@
 
 // standing is what stands at a cell's key.
 type standing struct {
-	stamp int64 // 0 for nothing
-	mark  charter.Mark
-	age   time.Duration // since the last order
+	revision int64 // 0 for nothing
+	mark     charter.Mark
+	age      time.Duration // since the last order
 }
 
 // change brings an order to a cell's mark: next says what it makes of it, or that
 // it is there already.
-func (o *Operators) change(ctx context.Context, by, cell string, next func(was standing) (charter.Mark, bool)) (stamp int64, err error) {
+func (o *Operators) change(ctx context.Context, by, cell string, next func(was standing) (charter.Mark, bool)) (revision int64, err error) {
 	for range mostRaces {
 		var got wire.Pulled
 		got, err = o.m.read(ctx, feed.CharterPart, charter.CellKey+cell)
 		if err != nil && !errs.Is(err, errs.Unknown) {
 			return 0, err
 		}
-		was := standing{got.Change.Stamp, charter.ReadMark(got.Change.Value), ageOf(got)}
+		was := standing{got.Change.Revision, charter.ReadMark(got.Change.Value), ageOf(got)}
 		mark, isThere := next(was)
 		if isThere {
-			return was.stamp, nil
+			return was.revision, nil
 		}
-		stamp, err = o.mark(ctx, by, charter.CellKey+cell, mark, was.stamp)
+		revision, err = o.mark(ctx, by, charter.CellKey+cell, mark, was.revision)
 		if !errs.Is(err, errs.Conflict) {
-			return stamp, err
+			return revision, err
 		}
 	}
-	return stamp, err
+	return revision, err
 }
 
 // ageOf gives the age of what was read; one that is not known is bounded, so that
@@ -98,7 +98,7 @@
 func (m *Manager) emptied(was standing) (next charter.Mark, isThere bool) {
 	next = charter.Mark{Only: charter.OnlyWorkers, BackAgo: m.backAgo(was)}
 	switch {
-	case was.stamp == 0 || was.mark.Only == charter.OnlyCold:
+	case was.revision == 0 || was.mark.Only == charter.OnlyCold:
 		return next, false
 	case was.mark.Only != charter.OnlyWorkers, !was.mark.IsBack && was.age < m.d.Bounds.Charter:
 		return next, true
@@ -110,7 +110,7 @@
 // restored is what an order to take an emptying back makes of a cell's mark.
 func (m *Manager) restored(was standing) (next charter.Mark, isThere bool) {
 	switch {
-	case was.stamp == 0, was.mark.Only == charter.OnlyCold, m.backAgo(was) > 0:
+	case was.revision == 0, was.mark.Only == charter.OnlyCold, m.backAgo(was) > 0:
 		return next, true
 	case was.mark.Others > 0:
 		return charter.Mark{Only: charter.OnlyWorkers, Others: was.mark.Others - 1, IsBack: true}, false
@@ -123,7 +123,7 @@
 func (m *Manager) backAgo(was standing) int64 {
 	ago := was.age
 	switch {
-	case was.stamp == 0:
+	case was.revision == 0:
 		return 0
 	case was.mark.Only == charter.OnlyCold || was.mark.IsBack:
 	case was.mark.BackAgo > 0:
--- a/internal/manager/evacuations_test.go
+++ b/internal/manager/evacuations_test.go
@@ -102,14 +102,14 @@
 		Convey("whose answer is lost under another one counts once", func() {
 			f.before = func(e *wire.Edit) {
 				held := f.part(0).Apply(*e)
-				f.part(0).Apply(wire.Edit{Key: key, Value: charter.Mark{Only: charter.OnlyWorkers, Others: 2}.Encode(), IfStamp: held.Stamp})
+				f.part(0).Apply(wire.Edit{Key: key, Value: charter.Mark{Only: charter.OnlyWorkers, Others: 2}.Encode(), IfRevision: held.Revision})
 			}
 			So(empty(m), ShouldBeNil)
 			So(standing(f).Others, ShouldEqual, 2)
 		})
 		Convey("that another one overtakes counts beside it", func() {
 			f.before = func(e *wire.Edit) {
-				f.part(0).Apply(wire.Edit{Key: key, Value: charter.Mark{Only: charter.OnlyWorkers, Others: 1}.Encode(), IfStamp: e.IfStamp})
+				f.part(0).Apply(wire.Edit{Key: key, Value: charter.Mark{Only: charter.OnlyWorkers, Others: 1}.Encode(), IfRevision: e.IfRevision})
 			}
 			So(empty(m), ShouldBeNil)
 			So(standing(f).Others, ShouldEqual, 2)
--- a/internal/manager/histories_test.go
+++ b/internal/manager/histories_test.go
@@ -164,7 +164,7 @@
 		out  func(e *wire.Edit)
 	}{
 		{"the memory of orders", func(e *wire.Edit) { e.Order = "" }},
-		{"compare and set", func(e *wire.Edit) { e.IfStamp = -1 }},
+		{"compare and set", func(e *wire.Edit) { e.IfRevision = -1 }},
 	}
 	Convey("Without", t, func() {
 		for _, g := range guards {
--- a/internal/manager/list.go
+++ b/internal/manager/list.go
@@ -43,14 +43,14 @@
 }
 
 type writtenList struct {
-	stamp int64
-	list  []charter.Worker
+	revision int64
+	list     []charter.Worker
 }
 
 // ease is what is known of a restored cell. Invariant: settledAt is a moment
 // after a read that began later than the source's lag behind seenAt was written.
 type ease struct {
-	stamp     int64
+	revision  int64
 	seenAt    time.Duration
 	isSettled bool
 	settledAt time.Duration
@@ -67,7 +67,7 @@
 }
 
 // turn reads the source once, if this manager is the one that does. Should two
-// think so, the stamps let one win.
+// think so, the revisions let one win.
 func (l *lister) turn(ctx context.Context) {
 	managers := []string{}
 	for _, who := range l.m.d.Roll.Kind("manager") {
@@ -131,7 +131,7 @@
 			continue
 		}
 		group.Submit(func() {
-			isWritten := l.put(ctx, name, base.stamp, next)
+			isWritten := l.put(ctx, name, base.revision, next)
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			isWhole = isWhole && isWritten
@@ -178,20 +178,20 @@
 	c, isStanding := l.m.d.View.Get(feed.PartOf(pool, l.m.d.Settings.Parts), charter.WorkersKey+pool)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if was, isWritten := l.written[pool]; isWritten && was.stamp >= c.Stamp {
+	if was, isWritten := l.written[pool]; isWritten && was.revision >= c.Revision {
 		return was
 	}
 	out := writtenList{list: []charter.Worker{}}
 	if isStanding {
 		list, _ := charter.ReadWorkers(c.Value)
-		out = writtenList{c.Stamp, list.Workers}
+		out = writtenList{c.Revision, list.Workers}
 	}
 	return out
 }
 
-func (l *lister) put(ctx context.Context, pool string, stamp int64, list []charter.Worker) bool {
+func (l *lister) put(ctx context.Context, pool string, revision int64, list []charter.Worker) bool {
 	held, err := l.m.edit(ctx, wire.Edit{Part: feed.PartOf(pool, l.m.d.Settings.Parts), Key: charter.WorkersKey + pool,
-		Value: charter.Workers{Workers: list}.Encode(), IfStamp: stamp, By: "list controller at " + l.m.d.Who.Name})
+		Value: charter.Workers{Workers: list}.Encode(), IfRevision: revision, By: "list controller at " + l.m.d.Who.Name})
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
@@ -213,8 +213,8 @@
 			continue
 		}
 		was, isKnown := l.easing[c.Key]
-		if !isKnown || was.stamp != c.Stamp {
-			was = ease{stamp: c.Stamp, seenAt: now}
+		if !isKnown || was.revision != c.Revision {
+			was = ease{revision: c.Revision, seenAt: now}
 		}
 		next[c.Key] = was
 	}
@@ -231,7 +231,7 @@
 			e.isSettled, e.settledAt = true, now
 			l.easing[key] = e
 		case e.isSettled && now-e.settledAt > l.m.d.Bounds.Of(timing.Fresh) && now-e.seenAt > l.m.resend:
-			_, err := l.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: key, IfStamp: e.stamp, Gone: true,
+			_, err := l.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: key, IfRevision: e.revision, Gone: true,
 				By: "list controller at " + l.m.d.Who.Name})
 			if err != nil && !errs.Is(err, errs.Conflict) {
 				klog.Warningf("list: The mark %s cannot be taken away: %v.", key, err)
--- a/internal/manager/list_test.go
+++ b/internal/manager/list_test.go
@@ -107,7 +107,7 @@
 		for _, s := range steps {
 			m.d.Started = m.d.Started.Add(-s.passed)
 			for part := range int64(2) {
-				m.d.View.Take([]wire.PartNews{{Part: part, From: m.d.View.Stamp(part), To: m.d.View.Stamp(part)}}, m.d.Now())
+				m.d.View.Take([]wire.PartNews{{Part: part, From: m.d.View.Revision(part), To: m.d.View.Revision(part)}}, m.d.Now())
 			}
 			l.turn(context.Background())
 			isServed, isCold := look()
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -142,7 +142,7 @@
 func (m *Manager) follow() {
 	now := m.d.Now()
 	for _, who := range m.d.Roll.Kind("store") {
-		ask := &wire.Follow{Stamps: m.d.View.Stamps()}
+		ask := &wire.Follow{Revisions: m.d.View.Revisions()}
 		_ = m.d.Node.Peer(wire.PartLink, who.Addr).Post(ask, func(reply any, err error) {
 			if got, isNews := reply.(*wire.Followed); err == nil && isNews {
 				m.d.View.Take(got.Parts, now)
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -56,7 +56,7 @@
 		members []wire.Member
 		isFresh bool
 	}{
-		{"what it tells of itself counts", []wire.Member{{Who: who, Age: 40, Fact: wire.Fact{Fresh: true, Stamp: 7}}}, true},
+		{"what it tells of itself counts", []wire.Member{{Who: who, Age: 40, Fact: wire.Fact{Fresh: true, Revision: 7}}}, true},
 		{"it is a member also before it has anything to tell", nil, false},
 	}
 	Convey("Of a peer's share,", t, func() {
--- a/internal/manager/marks.go
+++ b/internal/manager/marks.go
@@ -9,12 +9,12 @@
 	"caperwheel/internal/wire"
 )
 
-func (o *Operators) mark(ctx context.Context, by, key string, mark charter.Mark, ifStamp int64) (int64, error) {
-	return o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: key, Value: mark.Encode(), IfStamp: ifStamp, By: by})
+func (o *Operators) mark(ctx context.Context, by, key string, mark charter.Mark, ifRevision int64) (int64, error) {
+	return o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: key, Value: mark.Encode(), IfRevision: ifRevision, By: by})
 }
 
 func (o *Operators) unmark(ctx context.Context, by, key string) (int64, error) {
-	return o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: key, IfStamp: -1, Gone: true, By: by})
+	return o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: key, IfRevision: -1, Gone: true, By: by})
 }
 
 func checkSubject(name string) error {
--- a/internal/manager/operators.go
+++ b/internal/manager/operators.go
@@ -31,12 +31,12 @@
 	o.m.stores.note(o.m.d.Roll.Kind("store"), o.m.d.Now())
 }
 
-// Proposal is a change of the charter. It names what it builds on: a stamp or,
+// Proposal is a change of the charter. It names what it builds on: a revision or,
 // if IsOnVersion, the operators' own version.
 type Proposal struct {
 	By          string
 	Digest      string // names this very edit: one already taken is not made again; empty for none
-	OnStamp     int64  // 0 for the first charter
+	OnRevision  int64  // 0 for the first charter
 	OnVersion   int64  // 0 for a charter without a version
 	IsOnVersion bool
 	IsCheck     bool // it is only checked
@@ -45,18 +45,18 @@
 
 // Verdict is what became of a proposal.
 type Verdict struct {
-	Stamp       int64
+	Revision    int64
 	Differences []charter.Difference
 	Faults      []charter.Fault // with errs.Invalid, if the new charter has any
 }
 
-// Charter reads the charter through a majority. Stamp 0 means that there is none.
-func (o *Operators) Charter(ctx context.Context) (doc []byte, stamp int64, err error) {
+// Charter reads the charter through a majority. Revision 0 means that there is none.
+func (o *Operators) Charter(ctx context.Context) (doc []byte, revision int64, err error) {
 	c, err := o.m.pull(ctx, feed.CharterPart, charter.Key)
 	if errs.Is(err, errs.Unknown) {
 		return []byte("{}"), 0, nil
 	}
-	return c.Value, c.Stamp, err
+	return c.Value, c.Revision, err
 }
 
 // Propose checks a charter on its base and writes it on that base only. Of two
@@ -64,18 +64,18 @@
 // digest that was taken before holds, also when others were made on top of it;
 // where that cannot be known it has errs.Undecided.
 func (o *Operators) Propose(ctx context.Context, p Proposal) (Verdict, error) {
-	base, stamp, err := o.Charter(ctx)
+	base, revision, err := o.Charter(ctx)
 	if err != nil {
 		return Verdict{}, err
 	}
 	version := charter.VersionOf(base)
 	switch {
 	case charter.HasEdit(base, p.Digest):
-		return Verdict{Stamp: stamp}, nil
+		return Verdict{Revision: revision}, nil
 	case p.IsOnVersion && version != p.OnVersion:
 		return o.settle(ctx, p, Verdict{}, errs.New(errs.Conflict, "the charter's version is %d", version))
-	case !p.IsOnVersion && stamp != p.OnStamp:
-		return o.settle(ctx, p, Verdict{}, errs.New(errs.Conflict, "the charter's stamp is %d", stamp))
+	case !p.IsOnVersion && revision != p.OnRevision:
+		return o.settle(ctx, p, Verdict{}, errs.New(errs.Conflict, "the charter's stamp is %d", revision))
 	}
 	doc, err := p.Make(base)
 	if err != nil {
@@ -88,7 +88,7 @@
 	if p.IsOnVersion && rules.Version <= version {
 		return Verdict{}, errs.New(errs.Invalid, "version %d is not above %d", rules.Version, version)
 	}
-	out := Verdict{Stamp: stamp}
+	out := Verdict{Revision: revision}
 	if !p.IsOnVersion {
 		if out.Differences, err = charter.Diff(base, doc); err != nil {
 			return Verdict{}, err
@@ -97,7 +97,7 @@
 	if p.IsCheck {
 		return out, nil
 	}
-	out.Stamp, err = o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: charter.Key, Value: doc, IfStamp: stamp, By: p.By,
+	out.Revision, err = o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: charter.Key, Value: doc, IfRevision: revision, By: p.By,
 		Order: p.Digest, Base: p.OnVersion, Earlier: charter.EditsOf(base)})
 	return o.settle(ctx, p, out, err)
 }
@@ -112,7 +112,7 @@
 	taken, pullErr := o.m.pull(ctx, feed.CharterPart, feed.OrderKey(p.Digest, p.OnVersion))
 	switch {
 	case pullErr == nil:
-		return Verdict{Stamp: taken.Stamp}, nil
+		return Verdict{Revision: taken.Revision}, nil
 	case !errs.Is(pullErr, errs.Unknown):
 		return out, undecided()
 	case errs.Is(err, errs.Undecided):
@@ -124,12 +124,12 @@
 // settleOlder is settle for a charter that an older build made: it remembers the
 // newest orders itself.
 func (o *Operators) settleOlder(ctx context.Context, p Proposal, out Verdict, conflict error) (Verdict, error) {
-	doc, stamp, err := o.Charter(ctx)
+	doc, revision, err := o.Charter(ctx)
 	switch {
 	case err != nil, !charter.HasEdit(doc, p.Digest) && charter.HasForgotten(doc):
 		return out, undecided()
 	case charter.HasEdit(doc, p.Digest):
-		return Verdict{Stamp: stamp}, nil
+		return Verdict{Revision: revision}, nil
 	}
 	return out, conflict
 }
--- a/internal/manager/operators_test.go
+++ b/internal/manager/operators_test.go
@@ -82,7 +82,7 @@
 		return
 	}
 	for number, p := range f.parts {
-		news, _ := p.News(number, f.view.Stamp(number))
+		news, _ := p.News(number, f.view.Revision(number))
 		f.view.Take([]wire.PartNews{news}, 0)
 	}
 }
@@ -175,7 +175,7 @@
 					if s.isBuiltUpon {
 						f.before = func(e *wire.Edit) {
 							held := f.part(0).Apply(*e)
-							f.part(0).Apply(wire.Edit{Key: charter.Key, Value: []byte(`{"version":9}`), IfStamp: held.Stamp})
+							f.part(0).Apply(wire.Edit{Key: charter.Key, Value: []byte(`{"version":9}`), IfRevision: held.Revision})
 						}
 					}
 					_, err := m.operators.Propose(context.Background(), Proposal{By: "x", Digest: s.digest, OnVersion: int64(s.on),
--- a/internal/manager/orders_test.go
+++ b/internal/manager/orders_test.go
@@ -92,8 +92,8 @@
 		group.Wait()
 		for i := range got {
 			So(failed[i], ShouldBeNil)
-			So(got[i].Stamp, ShouldEqual, 1)
+			So(got[i].Revision, ShouldEqual, 1)
 		}
-		So(f.part(0).Stamp(), ShouldEqual, 1)
+		So(f.part(0).Revision(), ShouldEqual, 1)
 	})
 }
--- a/internal/manager/retire.go
+++ b/internal/manager/retire.go
@@ -26,7 +26,7 @@
 		return 0, err
 	}
 	for ctx.Err() == nil {
-		admitted, stamp, err := o.retirements(ctx)
+		admitted, revision, err := o.retirements(ctx)
 		if err != nil {
 			return 0, err
 		}
@@ -34,7 +34,7 @@
 			if err := o.weigh(ctx, name, admitted); err != nil {
 				return 0, err
 			}
-			_, err := o.writeRetirements(ctx, by, admitted.With(name), stamp)
+			_, err := o.writeRetirements(ctx, by, admitted.With(name), revision)
 			if errs.Is(err, errs.Conflict) {
 				continue // another one was admitted or taken back: weigh it with this one
 			}
@@ -54,7 +54,7 @@
 	standing, err := o.m.pull(ctx, feed.CharterPart, charter.StoreKey+name)
 	switch {
 	case err == nil:
-		return standing.Stamp, nil
+		return standing.Revision, nil
 	case !errs.Is(err, errs.Unknown):
 		return 0, err
 	}
@@ -67,12 +67,12 @@
 		return 0, err
 	}
 	for ctx.Err() == nil {
-		admitted, stamp, err := o.retirements(ctx)
+		admitted, revision, err := o.retirements(ctx)
 		if err != nil {
 			return 0, err
 		}
 		if admitted.Has(name) {
-			_, err := o.writeRetirements(ctx, by, admitted.Without(name), stamp)
+			_, err := o.writeRetirements(ctx, by, admitted.Without(name), revision)
 			if errs.Is(err, errs.Conflict) {
 				continue
 			}
@@ -85,7 +85,7 @@
 	return 0, errs.New(errs.Undecided, "the change may or may not hold; read it back")
 }
 
-// retirements reads which were admitted, through a majority, and the stamp to
+// retirements reads which were admitted, through a majority, and the revision to
 // build on.
 func (o *Operators) retirements(ctx context.Context) (charter.Retirements, int64, error) {
 	c, err := o.m.pull(ctx, feed.CharterPart, charter.RetirementsKey)
@@ -96,11 +96,11 @@
 		return charter.Retirements{}, 0, err
 	}
 	admitted, err := charter.ReadRetirements(c.Value)
-	return admitted, c.Stamp, err
+	return admitted, c.Revision, err
 }
 
-func (o *Operators) writeRetirements(ctx context.Context, by string, r charter.Retirements, onStamp int64) (int64, error) {
-	return o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: charter.RetirementsKey, Value: r.Encode(), IfStamp: onStamp, By: by})
+func (o *Operators) writeRetirements(ctx context.Context, by string, r charter.Retirements, onRevision int64) (int64, error) {
+	return o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: charter.RetirementsKey, Value: r.Encode(), IfRevision: onRevision, By: by})
 }
 
 // weigh tells whether a store may be retired besides those that are.
--- a/internal/manager/retire_test.go
+++ b/internal/manager/retire_test.go
@@ -21,7 +21,7 @@
 	another := func(name string) func(*fakeParts) { // another manager admits one at the same time
 		return func(f *fakeParts) {
 			f.before = func(*wire.Edit) {
-				f.part(0).Apply(wire.Edit{Key: charter.RetirementsKey, Value: charter.Retirements{Stores: []string{name}}.Encode(), IfStamp: -1})
+				f.part(0).Apply(wire.Edit{Key: charter.RetirementsKey, Value: charter.Retirements{Stores: []string{name}}.Encode(), IfRevision: -1})
 			}
 		}
 	}
--- a/internal/manager/status.go
+++ b/internal/manager/status.go
@@ -11,28 +11,28 @@
 
 // Status is what an operator sees at a glance.
 type Status struct {
-	Manager string                        `json:"manager"`
-	Fresh   bool                          `json:"fresh"`
-	Stamp   int64                         `json:"charter_stamp"`
-	Members []StatusMember                `json:"members"`
-	Places  []StatusGroup                 `json:"places"`
-	Parts   []StatusGroup                 `json:"parts"`
-	Lanes   []string                      `json:"lanes"`
-	Shares  map[string]map[string]float64 `json:"lane_weights,omitempty"` // of lanes with several pools
-	Pools   []StatusPool                  `json:"pools"`
-	Emptied []string                      `json:"emptied_cells"`
-	Resting []string                      `json:"resting_cells,omitempty"` // only their workers
-	Retired []string                      `json:"retired_stores"`
-	Shape   map[string]int64              `json:"shape"`
+	Manager  string                        `json:"manager"`
+	Fresh    bool                          `json:"fresh"`
+	Revision int64                         `json:"charter_stamp"`
+	Members  []StatusMember                `json:"members"`
+	Places   []StatusGroup                 `json:"places"`
+	Parts    []StatusGroup                 `json:"parts"`
+	Lanes    []string                      `json:"lanes"`
+	Shares   map[string]map[string]float64 `json:"lane_weights,omitempty"` // of lanes with several pools
+	Pools    []StatusPool                  `json:"pools"`
+	Emptied  []string                      `json:"emptied_cells"`
+	Resting  []string                      `json:"resting_cells,omitempty"` // only their workers
+	Retired  []string                      `json:"retired_stores"`
+	Shape    map[string]int64              `json:"shape"`
 }
 
 // StatusMember is one daemon.
 type StatusMember struct {
 	wire.Who
-	AgeMs  int64            `json:"age_ms"`
-	Fresh  bool             `json:"fresh"`
-	Stamp  int64            `json:"charter_stamp"`
-	Counts map[string]int64 `json:"counts,omitempty"`
+	AgeMs    int64            `json:"age_ms"`
+	Fresh    bool             `json:"fresh"`
+	Revision int64            `json:"charter_stamp"`
+	Counts   map[string]int64 `json:"counts,omitempty"`
 }
 
 // StatusGroup is one place or part and who owns it.
@@ -54,12 +54,12 @@
 
 func (m *Manager) getStatus(w http.ResponseWriter, _ *http.Request) {
 	scene := m.scenes.Now()
-	out := Status{Manager: m.d.Who.Name, Fresh: m.d.IsFresh(), Stamp: scene.Stamp, Members: []StatusMember{}, Pools: []StatusPool{},
+	out := Status{Manager: m.d.Who.Name, Fresh: m.d.IsFresh(), Revision: scene.Revision, Members: []StatusMember{}, Pools: []StatusPool{},
 		Shape: map[string]int64{"places": int64(m.d.Settings.Places), "parts": int64(m.d.Settings.Parts)}}
 	_, members := m.registry.Members(m.d.Now())
 	groups := map[int64]StatusGroup{}
 	for _, member := range members {
-		out.Members = append(out.Members, StatusMember{member.Who, member.Age, member.Fact.Fresh, member.Fact.Stamp, member.Fact.Counts})
+		out.Members = append(out.Members, StatusMember{member.Who, member.Age, member.Fact.Fresh, member.Fact.Revision, member.Fact.Counts})
 		for _, o := range member.Owns {
 			if o.Term >= groups[o.Group].Term {
 				groups[o.Group] = StatusGroup{o.Group, member.Who.Name, o.Term, o.Size, o.Lag}
@@ -107,7 +107,7 @@
 		if isReadyOnly && !isReady || kind != "" && member.Who.Kind != kind {
 			continue
 		}
-		out = append(out, StatusMember{member.Who, member.Age, member.Fact.Fresh, member.Fact.Stamp, nil})
+		out = append(out, StatusMember{member.Who, member.Age, member.Fact.Fresh, member.Fact.Revision, nil})
 	}
 	web.Answer(w, 200, out)
 }
--- a/internal/manager/weights.go
+++ b/internal/manager/weights.go
@@ -103,13 +103,13 @@
 		return
 	}
 	part := feed.PartOf(name, m.d.Settings.Parts)
-	stamp := int64(0)
+	revision := int64(0)
 	if c, isStanding := m.d.View.Get(part, prefix+name); isStanding {
-		stamp = c.Stamp
+		revision = c.Revision
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter)
 	defer cancel()
-	_, err = m.edit(ctx, wire.Edit{Part: part, Key: prefix + name, Value: raw, IfStamp: stamp, By: "weight controller at " + m.d.Who.Name})
+	_, err = m.edit(ctx, wire.Edit{Part: part, Key: prefix + name, Value: raw, IfRevision: revision, By: "weight controller at " + m.d.Who.Name})
 	if err != nil && !errs.Is(err, errs.Conflict) {
 		klog.Warningf("weight: Weights of %s cannot be published: %v.", name, err)
 	}
--- a/internal/manager/workers.go
+++ b/internal/manager/workers.go
@@ -50,7 +50,7 @@
 		return
 	}
 	list, _ := charter.ReadWorkers(c.Value)
-	w.Header().Set("ETag", etag(c.Stamp))
+	w.Header().Set("ETag", etag(c.Revision))
 	web.Answer(w, 200, list)
 }
 
@@ -63,7 +63,7 @@
 }
 
 func (m *Manager) proposeWorkers(w http.ResponseWriter, r *http.Request, make func(base, given charter.Workers) charter.Workers) {
-	stamp, err := stampOf(r)
+	revision, err := revisionOf(r)
 	if err != nil {
 		web.Fail(w, err)
 		return
@@ -83,13 +83,13 @@
 		web.Fail(w, err)
 		return
 	}
-	if c.Stamp != stamp {
-		failEdit(w, errs.New(errs.Conflict, "the list's stamp is %d", c.Stamp))
+	if c.Revision != revision {
+		failEdit(w, errs.New(errs.Conflict, "the list's stamp is %d", c.Revision))
 		return
 	}
 	base, _ := charter.ReadWorkers(c.Value)
 	next := make(base, given)
-	held, err := m.edit(r.Context(), wire.Edit{Part: part, Key: key, Value: next.Encode(), IfStamp: stamp, By: operator(r)})
+	held, err := m.edit(r.Context(), wire.Edit{Part: part, Key: key, Value: next.Encode(), IfRevision: revision, By: operator(r)})
 	if err != nil {
 		failEdit(w, err)
 		return
--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -18,7 +18,7 @@
 
 // made is one change that a manager acknowledged.
 type made struct {
-	key    partStamp
+	key    partRevision
 	sentAt int64 // microseconds of the machine's clock
 	heldAt int64 // when it was acknowledged
 }
@@ -29,7 +29,7 @@
 	lists map[string][]charter.Worker
 	mu    sync.Mutex
 	made  []made
-	base  map[string]string // stamp by path
+	base  map[string]string // revision by path
 }
 
 // run edits until ctx ends. An edit that is refused is not counted.
@@ -79,14 +79,14 @@
 		return
 	}
 	c.base[path] = head.Get("ETag")
-	stamp, err := strconv.ParseInt(strings.Trim(c.base[path], `"`), 10, 64)
+	revision, err := strconv.ParseInt(strings.Trim(c.base[path], `"`), 10, 64)
 	if err != nil {
 		c.base[path] = ""
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.made = append(c.made, made{partStamp{part, stamp}, sentAt, time.Now().UnixMicro()})
+	c.made = append(c.made, made{partRevision{part, revision}, sentAt, time.Now().UnixMicro()})
 }
 
 // judge tells when each change was in force at the last adapter. It waits for
@@ -135,7 +135,7 @@
 func lagsOf(all []made, got Reached, fronts int) []lag {
 	out := []lag{}
 	for _, m := range all {
-		moments := got[m.key.part][m.key.stamp]
+		moments := got[m.key.part][m.key.revision]
 		if len(moments) < fronts {
 			continue
 		}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -30,7 +30,7 @@
 	scenes         *charter.Scenes
 	ledger         *ledger
 	cancel         context.CancelFunc
-	met            []wire.PartStamp // noted in the ledger; of the poll's goroutine alone
+	met            []wire.PartRevision // noted in the ledger; of the poll's goroutine alone
 	turns          int64
 	isLive         atomic.Bool
 }
@@ -152,9 +152,9 @@
 	if !isFresh || turns == f.turns && f.met != nil {
 		return
 	}
-	stamps := f.adapter.View.Stamps()
+	revisions := f.adapter.View.Revisions()
 	f.scenes.Now()
-	f.turns, f.met = turns, f.ledger.note(f.met, stamps)
+	f.turns, f.met = turns, f.ledger.note(f.met, revisions)
 }
 
 // stop ends this life at once, as a kill would.
--- a/internal/scale/ledger.go
+++ b/internal/scale/ledger.go
@@ -14,25 +14,25 @@
 type ledger struct {
 	mu      sync.Mutex
 	isOn    bool
-	reached map[partStamp][]int64 // moments, in microseconds of the machine's clock
+	reached map[partRevision][]int64 // moments, in microseconds of the machine's clock
 }
 
-type partStamp struct{ part, stamp int64 }
+type partRevision struct{ part, revision int64 }
 
-// Reached is the ledger as it is handed over: moments by part and stamp.
+// Reached is the ledger as it is handed over: moments by part and revision.
 type Reached map[int64]map[int64][]int64
 
-func newLedger() *ledger { return &ledger{reached: map[partStamp][]int64{}} }
+func newLedger() *ledger { return &ledger{reached: map[partRevision][]int64{}} }
 
 // begin forgets what was noted and notes from now on.
 func (l *ledger) begin() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.isOn, l.reached = true, map[partStamp][]int64{}
+	l.isOn, l.reached = true, map[partRevision][]int64{}
 }
 
 // note takes in how far a daemon has come, and gives it back for the next time.
-func (l *ledger) note(was, is []wire.PartStamp) []wire.PartStamp {
+func (l *ledger) note(was, is []wire.PartRevision) []wire.PartRevision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.isOn || was == nil {
@@ -40,8 +40,8 @@
 	}
 	at := time.Now().UnixMicro()
 	for i, s := range is {
-		for stamp := was[i].Stamp + 1; stamp <= s.Stamp; stamp++ {
-			key := partStamp{s.Part, stamp}
+		for revision := was[i].Revision + 1; revision <= s.Revision; revision++ {
+			key := partRevision{s.Part, revision}
 			l.reached[key] = append(l.reached[key], at)
 		}
 	}
@@ -56,7 +56,7 @@
 		if out[key.part] == nil {
 			out[key.part] = map[int64][]int64{}
 		}
-		out[key.part][key.stamp] = moments
+		out[key.part][key.revision] = moments
 	}
 	return out
 }
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -94,20 +94,20 @@
 // TestLedger: a change counts from when it was sent until the last adapter has
 // it, and only for those that were there before it.
 func TestLedger(t *testing.T) {
-	stamps := func(s int64) []wire.PartStamp { return []wire.PartStamp{{Part: 0, Stamp: s}} }
+	revisions := func(s int64) []wire.PartRevision { return []wire.PartRevision{{Part: 0, Revision: s}} }
 	Convey("Given a ledger and two adapters", t, func() {
 		l := newLedger()
-		So(l.note(stamps(1), stamps(2)), ShouldResemble, stamps(2))
+		So(l.note(revisions(1), revisions(2)), ShouldResemble, revisions(2))
 		So(l.all(), ShouldBeEmpty) // it has not begun
 		l.begin()
-		l.note(stamps(2), stamps(4))
-		l.note(stamps(3), stamps(4))
-		l.note(nil, stamps(4)) // one that has just come
+		l.note(revisions(2), revisions(4))
+		l.note(revisions(3), revisions(4))
+		l.note(nil, revisions(4)) // one that has just come
 		got := l.all()
 		So([]int{len(got[0][3]), len(got[0][4])}, ShouldResemble, []int{1, 2})
 		Convey("only what has reached both is in force", func() {
 			last := max(got[0][4][0], got[0][4][1])
-			lags := lagsOf([]made{{partStamp{0, 3}, 0, 0}, {partStamp{0, 4}, last - 5, last - 2}}, got, 2)
+			lags := lagsOf([]made{{partRevision{0, 3}, 0, 0}, {partRevision{0, 4}, last - 5, last - 2}}, got, 2)
 			So(lags, ShouldResemble, []lag{{5 * time.Microsecond, 2 * time.Microsecond}})
 		})
 	})
--- a/internal/scale/size_test.go
+++ b/internal/scale/size_test.go
@@ -70,10 +70,10 @@
 func stateOf(count int) []wire.PartNews {
 	p := Point{Destinations: count}
 	doc, _ := p.charter()
-	byPart, stamps := map[int64][]wire.Change{}, map[int64]int64{}
+	byPart, revisions := map[int64][]wire.Change{}, map[int64]int64{}
 	put := func(part int64, key string, value []byte) {
-		stamps[part]++
-		byPart[part] = append(byPart[part], wire.Change{Key: key, Value: value, Stamp: stamps[part], By: "duty controller at manager-1 #0123456789ab"})
+		revisions[part]++
+		byPart[part] = append(byPart[part], wire.Change{Key: key, Value: value, Revision: revisions[part], By: "duty controller at manager-1 #0123456789ab"})
 	}
 	put(0, charter.Key, doc)
 	for pool, list := range p.lists(nobody) {
@@ -85,7 +85,7 @@
 	}
 	out := []wire.PartNews{}
 	for part, changes := range byPart {
-		out = append(out, wire.PartNews{Part: part, To: stamps[part], Changes: changes})
+		out = append(out, wire.PartNews{Part: part, To: revisions[part], Changes: changes})
 	}
 	return out
 }
@@ -108,10 +108,10 @@
 			scenes := charter.Scenes{View: view}
 			scenes.Now()
 			held := heap() - before
-			stamp := view.Stamp(1)
+			revision := view.Revision(1)
 			for b.Loop() {
-				view.Take([]wire.PartNews{{Part: 1, From: stamp, To: stamp + 1, Changes: []wire.Change{{Key: charter.CellKey + "x", Stamp: stamp + 1, Value: []byte("{}")}}}}, 0)
-				stamp++
+				view.Take([]wire.PartNews{{Part: 1, From: revision, To: revision + 1, Changes: []wire.Change{{Key: charter.CellKey + "x", Revision: revision + 1, Value: []byte("{}")}}}}, 0)
+				revision++
 				scenes.Now()
 			}
 			b.ReportMetric(held/float64(count), "B-held/destination")
@@ -127,10 +127,10 @@
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			p := feed.NewPart()
 			for i := range count {
-				p.Apply(wire.Edit{Key: fmt.Sprint(i), Value: []byte("x"), IfStamp: -1})
+				p.Apply(wire.Edit{Key: fmt.Sprint(i), Value: []byte("x"), IfRevision: -1})
 			}
 			for b.Loop() {
-				p.News(0, p.Stamp()-1)
+				p.News(0, p.Revision()-1)
 			}
 		})
 	}
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -25,7 +25,7 @@
 	View   *feed.View
 	Roll   *Roll
 	Now    func() time.Duration
-	Self   func() wire.Poll // what to say of ourselves; Stamps and Roll are filled in
+	Self   func() wire.Poll // what to say of ourselves; Revisions and Roll are filled in
 	OnNews func()           // called after each answer
 
 	mu       sync.Mutex
@@ -74,7 +74,7 @@
 			ask.Beside[i].Fact = thin(ask.Beside[i].Fact)
 		}
 	}
-	ask.Stamps, ask.Roll = c.View.Stamps(), c.Roll.Hash()
+	ask.Revisions, ask.Roll = c.View.Revisions(), c.Roll.Hash()
 	err := c.Node.Peer(wire.SessionLink, addr).Post(&ask, func(reply any, err error) {
 		news, isNews := reply.(*wire.News)
 		c.mu.Lock()
--- a/internal/session/news.go
+++ b/internal/session/news.go
@@ -10,7 +10,7 @@
 // NewsFor builds the answer to a poll from a view and a roll. Whoever passes news on
 // confirms no more than it was told itself.
 func NewsFor(poll *wire.Poll, view *feed.View, now time.Duration, roll *Roll) *wire.News {
-	out := &wire.News{Parts: view.News(poll.Stamps, now), Members: []wire.Member{}}
+	out := &wire.News{Parts: view.News(poll.Revisions, now), Members: []wire.Member{}}
 	hash, list := roll.For(poll.Who.Kind)
 	out.Roll = hash
 	if hash != poll.Roll {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -91,7 +91,7 @@
 		all := append(append(of("manager", 3), of("store", 4)...), append(of("agent", 20), of("adapter", 20)...)...)
 		roll.Take(RollOf(all), all)
 		news := func(kind, hash string) *wire.News {
-			return NewsFor(&wire.Poll{Who: wire.Who{Kind: kind}, Stamps: view.Stamps(), Roll: hash}, view, 0, roll)
+			return NewsFor(&wire.Poll{Who: wire.Who{Kind: kind}, Revisions: view.Revisions(), Roll: hash}, view, 0, roll)
 		}
 		Convey("a store hears of all, an agent and an adapter of managers and stores", func() {
 			count := map[string]int{}
--- a/internal/sim/book.go
+++ b/internal/sim/book.go
@@ -15,13 +15,13 @@
 // book records what really happened in a deployment and judges what daemons
 // and operators were told by it.
 //
-// Invariants: history has for each group and stamp the one edit that any
-// replica has applied there; acks grow in their stamps' moments.
+// Invariants: history has for each group and revision the one edit that any
+// replica has applied there; acks grow in their revisions' moments.
 type book struct {
 	w         *World
 	history   map[int64]map[int64]string
-	taken     map[string]int64 // digest of an order -> its stamp
-	newest    int64            // highest stamp of the charter that was acknowledged
+	taken     map[string]int64 // digest of an order -> its revision
+	newest    int64            // highest revision of the charter that was acknowledged
 	acks      []ackedEdit
 	confirmed map[int64]string // version -> digest of the order confirmed under it
 	refused   map[string]bool
@@ -49,21 +49,21 @@
 func digestOf(doc []byte) string { return gjson.GetBytes(doc, "note").Str }
 
 // applied notes what a replica applied: all must apply the same.
-func (b *book) applied(s *storeProcess, id, stamp int64, e wire.Edit) {
+func (b *book) applied(s *storeProcess, id, revision int64, e wire.Edit) {
 	edit := e.Key + " by " + e.By
 	if b.history[id] == nil {
 		b.history[id] = map[int64]string{}
 	}
-	if was, isKnown := b.history[id][stamp]; isKnown && was != edit {
-		b.breach("group %d has two histories: %s applied %q at %d, another %q", id, s.name, edit, stamp, was)
+	if was, isKnown := b.history[id][revision]; isKnown && was != edit {
+		b.breach("group %d has two histories: %s applied %q at %d, another %q", id, s.name, edit, revision, was)
 	}
-	b.history[id][stamp] = edit
+	b.history[id][revision] = edit
 	if id == feed.CharterPart && e.Key == charter.Key {
 		digest := digestOf(e.Value)
-		if was, isKnown := b.taken[digest]; isKnown && was != stamp {
-			b.breach("order %s was taken twice, at %d and at %d", digest, was, stamp)
+		if was, isKnown := b.taken[digest]; isKnown && was != revision {
+			b.breach("order %s was taken twice, at %d and at %d", digest, was, revision)
 		}
-		b.taken[digest] = stamp
+		b.taken[digest] = revision
 		if b.refused[digest] {
 			b.breach("order %s is taken, though it was refused", digest)
 		}
@@ -72,7 +72,7 @@
 
 // confirm notes that a manager has said yes to an order.
 func (b *book) confirm(o *order) {
-	stamp, isTaken := b.taken[o.digest]
+	revision, isTaken := b.taken[o.digest]
 	if !isTaken {
 		b.breach("order %s of version %d is confirmed and was never taken", o.digest, o.version)
 		return
@@ -82,45 +82,45 @@
 	}
 	b.confirmed[o.version] = o.digest
 	b.w.Note("order %s of version %d is confirmed", o.digest, o.version)
-	b.newest = max(b.newest, stamp)
-	b.acks = append(b.acks, ackedEdit{stamp: stamp, at: b.w.now, base: o.base})
+	b.newest = max(b.newest, revision)
+	b.acks = append(b.acks, ackedEdit{revision: revision, at: b.w.now, base: o.base})
 }
 
 // refuse notes that a manager has said no.
 func (b *book) refuse(o *order, err error) {
 	b.refused[o.digest] = true
-	if stamp, isTaken := b.taken[o.digest]; isTaken {
-		b.breach("order %s (version %d on %d) was taken at %d and is refused on a re-send: %v", o.digest, o.version, o.base, stamp, err)
+	if revision, isTaken := b.taken[o.digest]; isTaken {
+		b.breach("order %s (version %d on %d) was taken at %d and is refused on a re-send: %v", o.digest, o.version, o.base, revision, err)
 	}
 }
 
-// read judges a read that began when the newest acknowledged stamp was since.
-func (b *book) read(by string, stamp, since int64) {
-	if stamp < since {
-		b.breach("%s reads the charter of %d, though %d was acknowledged before", by, stamp, since)
+// read judges a read that began when the newest acknowledged revision was since.
+func (b *book) read(by string, revision, since int64) {
+	if revision < since {
+		b.breach("%s reads the charter of %d, though %d was acknowledged before", by, revision, since)
 	}
 }
 
 // seen judges a daemon's view after news.
 func (b *book) seen(p *process) {
-	stamp := p.view.Stamp(feed.CharterPart)
-	if stamp < p.newest {
-		b.breach("the view of %s goes back from %d to %d", p.name, p.newest, stamp)
+	revision := p.view.Revision(feed.CharterPart)
+	if revision < p.newest {
+		b.breach("the view of %s goes back from %d to %d", p.name, p.newest, revision)
 	}
-	p.newest = stamp
+	p.newest = revision
 	c, isKnown := p.view.Get(feed.CharterPart, charter.Key)
-	if edit := b.history[feed.CharterPart][c.Stamp]; isKnown && edit != c.Key+" by "+c.By {
-		b.breach("the view of %s has %q at %d, the history %q", p.name, c.By, c.Stamp, edit)
+	if edit := b.history[feed.CharterPart][c.Revision]; isKnown && edit != c.Key+" by "+c.By {
+		b.breach("the view of %s has %q at %d, the history %q", p.name, c.By, c.Revision, edit)
 	}
 }
 
 // acts judges a daemon that acts now: all that was acknowledged longer ago than
 // the bound must be known to it.
 func (b *book) acts(p *process) {
-	stamp := p.view.Stamp(feed.CharterPart)
+	revision := p.view.Revision(feed.CharterPart)
 	for i := len(b.acks) - 1; i >= 0 && b.w.now-b.acks[i].at < 3*timing.Default.Charter; i-- {
-		if e := b.acks[i]; b.w.now-e.at > timing.Default.Charter && stamp < e.stamp {
-			b.breach("%s acts on stamp %d, though %d was acknowledged %v ago", p.name, stamp, e.stamp, b.w.now-e.at)
+		if e := b.acks[i]; b.w.now-e.at > timing.Default.Charter && revision < e.revision {
+			b.breach("%s acts on stamp %d, though %d was acknowledged %v ago", p.name, revision, e.revision, b.w.now-e.at)
 			return
 		}
 	}
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -34,9 +34,9 @@
 }
 
 type ackedEdit struct {
-	stamp int64
-	at    time.Duration
-	base  int64
+	revision int64
+	at       time.Duration
+	base     int64
 }
 
 // node is a manager, an agent or an adapter.
@@ -158,12 +158,12 @@
 	if duty.First("pool/p", managers) != n.name || n.c.now-n.since < timing.Default.Of(timing.SessionTimeout) {
 		return
 	}
-	stamp := func(key string) (int64, bool) {
+	revision := func(key string) (int64, bool) {
 		c, isStanding := n.view.Get(feed.CharterPart, key)
-		return map[bool]int64{true: c.Stamp}[isStanding], c.Stamp > 0
+		return map[bool]int64{true: c.Revision}[isStanding], c.Revision > 0
 	}
-	for _, change := range n.steady.Filter(duty.Plan("p", scene, adapters, nil, stamp), n.c.now) {
-		e := wire.Edit{Key: charter.DutyKey + change.Pool + "/" + change.Worker, Value: change.Next.Encode(), IfStamp: change.IfStamp}
+	for _, change := range n.steady.Filter(duty.Plan("p", scene, adapters, nil, revision), n.c.now) {
+		e := wire.Edit{Key: charter.DutyKey + change.Pool + "/" + change.Worker, Value: change.Next.Encode(), IfRevision: change.IfRevision}
 		n.c.Note("%s gives the endpoint to %s", n.name, change.Next.Boot)
 		n.edit(e, func(int64) {})
 	}
--- a/internal/sim/controlfaults.go
+++ b/internal/sim/controlfaults.go
@@ -15,10 +15,10 @@
 // checkAct holds the act of a fresh adapter against the charters that were
 // acknowledged: one older than the bound must be known to it.
 func (c *Control) checkAct(n *node) {
-	stamp := n.view.Stamp(feed.CharterPart)
+	revision := n.view.Revision(feed.CharterPart)
 	for _, e := range c.acked {
-		if c.now-e.at > timing.Default.Charter && stamp < e.stamp {
-			text := fmt.Sprintf("%s acts on stamp %d, though %d was acknowledged %v ago", n.boot(), stamp, e.stamp, c.now-e.at)
+		if c.now-e.at > timing.Default.Charter && revision < e.revision {
+			text := fmt.Sprintf("%s acts on stamp %d, though %d was acknowledged %v ago", n.boot(), revision, e.revision, c.now-e.at)
 			c.Note("BROKEN %s", text)
 			c.Broken = append(c.Broken, text)
 			return
@@ -36,18 +36,18 @@
 		was, isKnown := m.view.Get(feed.CharterPart, charter.Key)
 		base := int64(0)
 		if isKnown {
-			base = was.Stamp
+			base = was.Revision
 		}
 		c.edits++
-		e := wire.Edit{Key: charter.Key, IfStamp: base, Value: fmt.Appendf(nil, controlCharter, c.edits)}
-		m.edit(e, func(stamp int64) {
+		e := wire.Edit{Key: charter.Key, IfRevision: base, Value: fmt.Appendf(nil, controlCharter, c.edits)}
+		m.edit(e, func(revision int64) {
 			for _, other := range c.acked {
-				if other.base == base && other.stamp != stamp {
-					c.Broken = append(c.Broken, fmt.Sprintf("edits %d and %d on one base %d were both acknowledged", other.stamp, stamp, base))
+				if other.base == base && other.revision != revision {
+					c.Broken = append(c.Broken, fmt.Sprintf("edits %d and %d on one base %d were both acknowledged", other.revision, revision, base))
 				}
 			}
-			c.acked = append(c.acked, ackedEdit{stamp, c.now, base})
-			c.Note("edit %d on %d is acknowledged", stamp, base)
+			c.acked = append(c.acked, ackedEdit{revision, c.now, base})
+			c.Note("edit %d on %d is acknowledged", revision, base)
 		})
 	}
 }
@@ -57,7 +57,7 @@
 	if len(c.emptied) > 0 || !c.managers[0].isUp {
 		return // one room at a time
 	}
-	mark := wire.Edit{Key: charter.CellKey + cell, Value: []byte("{}"), IfStamp: -1}
+	mark := wire.Edit{Key: charter.CellKey + cell, Value: []byte("{}"), IfRevision: -1}
 	c.managers[0].edit(mark, func(int64) {
 		c.Note("cell %s is emptied", cell)
 		c.emptied[cell] = c.now
@@ -201,11 +201,11 @@
 	}
 	newest := int64(0)
 	for _, e := range c.acked {
-		newest = max(newest, e.stamp)
+		newest = max(newest, e.revision)
 	}
 	for _, n := range c.adapters {
-		if was, _ := n.view.Get(feed.CharterPart, charter.Key); was.Stamp < newest {
-			c.Broken = append(c.Broken, fmt.Sprintf("%s ends with charter %d, acknowledged was %d", n.name, was.Stamp, newest))
+		if was, _ := n.view.Get(feed.CharterPart, charter.Key); was.Revision < newest {
+			c.Broken = append(c.Broken, fmt.Sprintf("%s ends with charter %d, acknowledged was %d", n.name, was.Revision, newest))
 		}
 	}
 }
--- a/internal/sim/manager.go
+++ b/internal/sim/manager.go
@@ -99,7 +99,7 @@
 		if !isKnown {
 			continue
 		}
-		ask := &wire.Follow{Stamps: p.view.Stamps()}
+		ask := &wire.Follow{Revisions: p.view.Revisions()}
 		p.d.net.call(p.machineOf(), to, func(answer func(any)) { to.serve(ask, answer) }, func(reply any, err error) {
 			if got, isNews := reply.(*wire.Followed); err == nil && isNews && p.life == life {
 				p.d.whenThawed(&p.being, func() { p.view.Take(got.Parts, asked); p.d.book.seen(&p.process) })
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -72,7 +72,7 @@
 		n.at, n.heard = n.at+1, asked
 	}
 	to := n.targets[n.at%len(n.targets)]
-	ask := &wire.Poll{Who: n.who(), Stamps: n.view.Stamps()}
+	ask := &wire.Poll{Who: n.who(), Revisions: n.view.Revisions()}
 	if n.kind == "agent" {
 		_, ask.Beside = n.registry.Members(asked)
 	}
@@ -111,13 +111,13 @@
 }
 
 func (n *node) follow(s *partStore, asked time.Duration) {
-	stamp, life := n.view.Stamp(feed.CharterPart), n.life
+	revision, life := n.view.Revision(feed.CharterPart), n.life
 	n.c.Send(n.name, s.name, func() {
 		if !s.isUp {
 			return
 		}
 		_ = s.host.Do(func() {
-			news, isOurs := s.part.News(stamp)
+			news, isOurs := s.part.News(revision)
 			if isOurs {
 				n.c.Send(s.name, n.name, func() {
 					if n.life == life {
@@ -131,7 +131,7 @@
 }
 
 // edit brings an edit to whichever store owns the part, and tells if it held.
-func (n *node) edit(e wire.Edit, tell func(stamp int64)) {
+func (n *node) edit(e wire.Edit, tell func(revision int64)) {
 	for _, s := range n.c.stores {
 		n.c.Send(n.name, s.name, func() {
 			if !s.isUp {
@@ -142,7 +142,7 @@
 				s.part.Edit(e, func(reply any) {
 					got, isEdited := reply.(*wire.Edited)
 					if isEdited && got.Kind == "" && s.isUp && s.life == life {
-						tell(got.Stamp)
+						tell(got.Revision)
 					}
 				})
 			})
--- a/internal/sim/orders.go
+++ b/internal/sim/orders.go
@@ -69,21 +69,21 @@
 }
 
 type readReply struct {
-	doc   []byte
-	stamp int64
-	err   error
+	doc      []byte
+	revision int64
+	err      error
 }
 
 func (d *Deployment) readVersion(ctx context.Context, number int) (int64, bool) {
 	since, began := d.book.newest, d.now
 	got, isRead := d.ask(ctx, func(ctx context.Context, o *manager.Operators) any {
-		doc, stamp, err := o.Charter(ctx)
-		return &readReply{doc, stamp, err}
+		doc, revision, err := o.Charter(ctx)
+		return &readReply{doc, revision, err}
 	}).(*readReply)
 	if !isRead || got.err != nil {
 		return 0, false
 	}
-	d.book.read(fmt.Sprint("operator ", number), got.stamp, since)
+	d.book.read(fmt.Sprint("operator ", number), got.revision, since)
 	version := charter.VersionOf(got.doc)
 	d.book.calls = append(d.book.calls, linearize.Operation{Client: number, Call: began, Return: d.now, Kind: linearize.Read,
 		Outcome: linearize.Confirmed, ReadVersion: version, ReadDigest: digestOf(got.doc)})
@@ -145,7 +145,7 @@
 			d.serial++
 			here := d.here()
 			via := here[d.Rand.IntN(len(here))].manager
-			e := wire.Edit{Part: placeGroup + d.Rand.Int64N(places), Key: fmt.Sprint("k", d.serial%200), Value: []byte{}, IfStamp: -1,
+			e := wire.Edit{Part: placeGroup + d.Rand.Int64N(places), Key: fmt.Sprint("k", d.serial%200), Value: []byte{}, IfRevision: -1,
 				By: fmt.Sprint(d.serial)}
 			if !via.isUp {
 				continue
@@ -166,7 +166,7 @@
 }
 
 // standing tells whether a key stands at the owner of a group.
-func (d *Deployment) standing(id int64, key string) (stamp int64, isStanding bool) {
+func (d *Deployment) standing(id int64, key string) (revision int64, isStanding bool) {
 	owner, _ := d.seats(id)
 	if owner == nil {
 		return 0, false
@@ -175,15 +175,15 @@
 		news, _ := owner.parts[id].News(0)
 		for _, c := range news.Changes {
 			if c.Key == key {
-				stamp, isStanding = c.Stamp, true
+				revision, isStanding = c.Revision, true
 			}
 		}
 	})
-	return stamp, isStanding
+	return revision, isStanding
 }
 
-// charterAtOwner is the stamp of the charter that its owner holds.
+// charterAtOwner is the revision of the charter that its owner holds.
 func (d *Deployment) charterAtOwner() int64 {
-	stamp, _ := d.standing(feed.CharterPart, charter.Key)
-	return stamp
+	revision, _ := d.standing(feed.CharterPart, charter.Key)
+	return revision
 }
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -31,7 +31,7 @@
 	heard    time.Duration
 	isAsking bool
 	born     time.Duration
-	newest   int64 // the highest stamp its view has had in this life
+	newest   int64 // the highest revision its view has had in this life
 }
 
 // begin starts a new life.
@@ -107,7 +107,7 @@
 		return
 	}
 	p.isAsking = true
-	ask := &wire.Poll{Who: p.who(), Stamps: p.view.Stamps(), Roll: p.roll.Hash(), Owns: owns}
+	ask := &wire.Poll{Who: p.who(), Revisions: p.view.Revisions(), Roll: p.roll.Hash(), Owns: owns}
 	life, asked := p.life, p.now()
 	p.d.net.call(p.machineOf(), to, func(answer func(any)) { to.serve(ask, answer) }, func(reply any, err error) {
 		news, isNews := reply.(*wire.News)
--- a/internal/sim/rundeployment.go
+++ b/internal/sim/rundeployment.go
@@ -82,8 +82,8 @@
 	for _, id := range groupIds() {
 		d.checkWhole(id)
 	}
-	if stamp := d.charterAtOwner(); stamp < d.book.newest {
-		d.breach("the charter ends at %d, %d was acknowledged", stamp, d.book.newest)
+	if revision := d.charterAtOwner(); revision < d.book.newest {
+		d.breach("the charter ends at %d, %d was acknowledged", revision, d.book.newest)
 	}
 	for _, p := range d.processes() {
 		if c := p.charter(); p.isUp && c < d.book.newest {
@@ -93,13 +93,13 @@
 	d.book.judge()
 }
 
-// charter is the stamp of the charter that a daemon knows.
+// charter is the revision of the charter that a daemon knows.
 func (p *process) charter() int64 {
 	if p.view == nil {
 		return 0
 	}
 	c, _ := p.view.Get(feed.CharterPart, charter.Key)
-	return c.Stamp
+	return c.Revision
 }
 
 func (d *Deployment) checkWhole(id int64) {
--- a/internal/sim/storedisk.go
+++ b/internal/sim/storedisk.go
@@ -78,7 +78,7 @@
 	verdict := x.PartHost.Apply(data)
 	e, err := feed.DecodeEdit(data)
 	if got, isEdited := verdict.(wire.Edited); err == nil && isEdited && got.Kind == "" && !got.IsAgain {
-		x.s.d.book.applied(x.s, x.id, got.Stamp, e)
+		x.s.d.book.applied(x.s, x.id, got.Revision, e)
 	}
 	return verdict
 }
--- a/internal/sim/stores.go
+++ b/internal/sim/stores.go
@@ -194,9 +194,9 @@
 	switch m := ask.(type) {
 	case *wire.Follow:
 		out := &wire.Followed{Parts: []wire.PartNews{}}
-		for _, stamp := range m.Stamps {
-			s.do(stamp.Part, func() {
-				if news, isOurs := s.parts[stamp.Part].News(stamp.Stamp); isOurs {
+		for _, revision := range m.Revisions {
+			s.do(revision.Part, func() {
+				if news, isOurs := s.parts[revision.Part].News(revision.Revision); isOurs {
 					out.Parts = append(out.Parts, news)
 				}
 			})
@@ -205,7 +205,7 @@
 	case *wire.Edit:
 		edit := *m
 		if s.d.mutant == BlindEdits {
-			edit.IfStamp = -1
+			edit.IfRevision = -1
 		}
 		if !s.do(m.Part, func() { s.parts[m.Part].Edit(edit, answer) }) {
 			answer(&wire.Edited{Kind: "not_owner"})
--- a/internal/slot/open.go
+++ b/internal/slot/open.go
@@ -88,7 +88,7 @@
 	l.pairs[id] = pair
 	h := &Held{}
 	if raw == nil {
-		h.IsDamaged = isTorn && pair.stamp > 1
+		h.IsDamaged = isTorn && pair.sequence > 1
 		return h, position{}, nil
 	}
 	var all whole
--- a/internal/slot/pair.go
+++ b/internal/slot/pair.go
@@ -13,9 +13,9 @@
 // Pair is two slots written in turn. Invariant: the newest whole slot counts;
 // a write never touches the slot that holds the newest.
 type Pair struct {
-	files Files
-	name  string
-	stamp uint64
+	files    Files
+	name     string
+	sequence uint64
 }
 
 const pairHead = 8 + 4 + 4
@@ -32,45 +32,45 @@
 		if err != nil {
 			return p, nil, false, err
 		}
-		stamp, body, isWhole := readSlot(got)
+		sequence, body, isWhole := readSlot(got)
 		if !isWhole {
 			isTorn = true
 			continue
 		}
-		if raw == nil || stamp > p.stamp {
-			p.stamp, raw = stamp, body
+		if raw == nil || sequence > p.sequence {
+			p.sequence, raw = sequence, body
 		}
 	}
 	if raw != nil { // a process that died may not have synced what is read now
-		err = files.Sync(p.file(p.stamp))
+		err = files.Sync(p.file(p.sequence))
 	}
 	return p, raw, isTorn, err
 }
 
 func (p *Pair) file(turn uint64) string { return fmt.Sprintf("%s.%d", p.name, turn%2) }
 
-func readSlot(got []byte) (stamp uint64, body []byte, isWhole bool) {
+func readSlot(got []byte) (sequence uint64, body []byte, isWhole bool) {
 	if len(got) < pairHead {
 		return 0, nil, false
 	}
-	stamp = binary.BigEndian.Uint64(got)
+	sequence = binary.BigEndian.Uint64(got)
 	size, sum := binary.BigEndian.Uint32(got[8:]), binary.BigEndian.Uint32(got[12:])
 	body = got[pairHead:]
 	if uint32(len(body)) != size || crc32.Update(crc32.Checksum(got[:12], castagnoli), castagnoli, body) != sum {
 		return 0, nil, false
 	}
-	return stamp, body, true
+	return sequence, body, true
 }
 
 // Save writes the slot whose turn it is and syncs it.
 func (p *Pair) Save(body []byte) error {
-	stamp := p.stamp + 1
-	raw := binary.BigEndian.AppendUint64(nil, stamp)
+	sequence := p.sequence + 1
+	raw := binary.BigEndian.AppendUint64(nil, sequence)
 	raw = binary.BigEndian.AppendUint32(raw, uint32(len(body)))
 	raw = binary.BigEndian.AppendUint32(raw, crc32.Update(crc32.Checksum(raw[:12], castagnoli), castagnoli, body))
-	if err := p.files.Write(p.file(stamp), append(raw, body...)); err != nil {
+	if err := p.files.Write(p.file(sequence), append(raw, body...)); err != nil {
 		return err
 	}
-	p.stamp = stamp
+	p.sequence = sequence
 	return nil
 }
--- a/internal/standin/asker.go
+++ b/internal/standin/asker.go
@@ -104,7 +104,7 @@
 			pause(s.ctx, askPause)
 			continue
 		}
-		end := End{State: gjson.GetBytes(raw, "state").Str, Stamp: gjson.GetBytes(raw, "stamp").Str}
+		end := End{State: gjson.GetBytes(raw, "state").Str, Seal: gjson.GetBytes(raw, "stamp").Str}
 		if code == 404 {
 			end.State = "unknown"
 		}
--- a/internal/standin/calls.go
+++ b/internal/standin/calls.go
@@ -50,7 +50,7 @@
 func (h *History) orderOf(doc []byte) string {
 	version := gjson.GetBytes(doc, "version").Int()
 	for _, e := range h.Edits {
-		if e.Stamp != version || e.IsInvalid {
+		if e.Revision != version || e.IsInvalid {
 			continue
 		}
 		if differences, err := charter.Diff(e.Whole, doc); err == nil && len(differences) == 0 {
--- a/internal/standin/calls_test.go
+++ b/internal/standin/calls_test.go
@@ -60,7 +60,7 @@
 			h.Edits[1].Order = "b"
 			So(h.orderOf([]byte(`{"x":1,"version":5}`)), ShouldEqual, "b")
 			So(h.orderOf([]byte(`{"x":2,"version":5}`)), ShouldEqual, "nobody's")
-			h.Edits = append(h.Edits, Edit{Edit: check.Edit{Stamp: 9}, IsInvalid: true, Whole: []byte(`{"version":9}`)})
+			h.Edits = append(h.Edits, Edit{Edit: check.Edit{Revision: 9}, IsInvalid: true, Whole: []byte(`{"version":9}`)})
 			So(h.orderOf([]byte(`{"version":9}`)), ShouldEqual, "nobody's")
 		})
 	})
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -18,13 +18,13 @@
 			continue
 		}
 		if e.IsInvalid {
-			j.breach(RuleConfig, "the invalid version %d was acknowledged", e.Stamp)
+			j.breach(RuleConfig, "the invalid version %d was acknowledged", e.Revision)
 			continue
 		}
-		if other, isKnown := byBase[e.Base]; isKnown && other != e.Stamp {
-			j.breach(RuleConfig, "versions %d and %d, both on %d, were acknowledged", other, e.Stamp, e.Base)
+		if other, isKnown := byBase[e.Base]; isKnown && other != e.Revision {
+			j.breach(RuleConfig, "versions %d and %d, both on %d, were acknowledged", other, e.Revision, e.Base)
 		}
-		byBase[e.Base] = e.Stamp
+		byBase[e.Base] = e.Revision
 	}
 }
 
@@ -34,7 +34,7 @@
 	newest := int64(0)
 	for _, e := range j.h.Edits {
 		if e.AckAt > 0 {
-			newest = max(newest, e.Stamp)
+			newest = max(newest, e.Revision)
 		}
 	}
 	version := gjson.GetBytes(j.h.Read.Doc, "version").Int()
@@ -43,7 +43,7 @@
 		return
 	}
 	for _, e := range j.h.Edits {
-		if e.Stamp != version || e.IsInvalid || e.Code/100 == 4 {
+		if e.Revision != version || e.IsInvalid || e.Code/100 == 4 {
 			continue
 		}
 		if differences, err := charter.Diff(e.Whole, j.h.Read.Doc); err == nil && len(differences) == 0 {
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -42,20 +42,20 @@
 
 // Tell is a call-back as a receiver got it.
 type Tell struct {
-	Token, State, Stamp string
-	At                  time.Duration
+	Token, State, Seal string
+	At                 time.Duration
 }
 
 // End is what the system says of a message at last.
 type End struct {
-	State, Stamp string // State empty: no answer came; "unknown": a 404
-	BodySum      string // empty: the bytes did not come
-	At           time.Duration
+	State, Seal string // State empty: no answer came; "unknown": a 404
+	BodySum     string // empty: the bytes did not come
+	At          time.Duration
 }
 
 // Edit is a configuration that was sent.
 type Edit struct {
-	check.Edit // Stamp is the version, Pools are routes and their services
+	check.Edit // Revision is the version, Pools are routes and their services
 	Base       int64
 	Order      string // names it, also when it is sent again
 	Whole      []byte // the configuration that it makes
--- a/internal/standin/judge_test.go
+++ b/internal/standin/judge_test.go
@@ -43,8 +43,8 @@
 	h.Services["p"], h.Services["q"] = Service{ColdRate: 2}, Service{Rate: 1}
 	h.Zones["p/w"], h.Zones["q/v"] = "north", "south"
 	h.Edits = []Edit{
-		{Edit: check.Edit{At: 1 * s, AckAt: 2 * s, Stamp: 3, Pools: pools}, Whole: []byte(`{"version":3}`), Code: 200},
-		{Edit: check.Edit{At: 30 * s, AckAt: 31 * s, Stamp: 5, Pools: pools}, Base: 3, Whole: []byte(`{"version":5,"x":1.0}`), Code: 200}}
+		{Edit: check.Edit{At: 1 * s, AckAt: 2 * s, Revision: 3, Pools: pools}, Whole: []byte(`{"version":3}`), Code: 200},
+		{Edit: check.Edit{At: 30 * s, AckAt: 31 * s, Revision: 5, Pools: pools}, Base: 3, Whole: []byte(`{"version":5,"x":1.0}`), Code: 200}}
 	h.Read = ReadBack{200, []byte(`{"x":1,"version":5}`)}
 	h.Sent = []Sent{sent("a", "r", "", 10*s, check.Taken, 202), sent("b", "r", "", 10*s, check.NotTaken, 503),
 		sent("x", "o", "k", 11*s, check.Taken, 202), sent("y", "o", "k", 12*s, check.Taken, 202),
@@ -66,9 +66,9 @@
 }
 
 // lacking gives a configuration without route r, acknowledged at a moment.
-func lacking(h *History, stamp int64, ack time.Duration) {
-	h.Edits = append(h.Edits, Edit{Edit: check.Edit{At: ack - s, AckAt: ack, Stamp: stamp, Pools: map[string][]string{"o": {"q"}}}, Base: 5,
-		Whole: []byte(fmt.Sprintf(`{"version":%d}`, stamp)), Code: 200})
+func lacking(h *History, seal int64, ack time.Duration) {
+	h.Edits = append(h.Edits, Edit{Edit: check.Edit{At: ack - s, AckAt: ack, Revision: seal, Pools: map[string][]string{"o": {"q"}}}, Base: 5,
+		Whole: []byte(fmt.Sprintf(`{"version":%d}`, seal)), Code: 200})
 	h.Read.Doc = h.Edits[len(h.Edits)-1].Whole
 }
 
@@ -112,7 +112,7 @@
 		h.Runs = append(h.Runs, run("w", "p", "w", 20*s, 21*s, 500), run("w", "p", "w", 22*s, 23*s, 500))
 		h.Ends["w"] = End{"dead_letter", "", "", 60 * s}
 	}},
-	{RuleMixed, "a call-back with a stamp that no run gave", func(h *History) { h.Tells[0].Stamp = "x" }},
+	{RuleMixed, "a call-back with a stamp that no run gave", func(h *History) { h.Tells[0].Seal = "x" }},
 	{RuleMixed, "a call-back of a dead letter that has not ended", func(h *History) { h.Tells[0] = Tell{"a", "dead_letter", "", 12 * s} }},
 	{RuleMixed, "a call-back with a state that is no end", func(h *History) { h.Tells[0].State = "queued" }},
 	{RuleMixed, "a call-back that nobody asked for", func(h *History) { h.Tells[0].Token = "x" }},
@@ -158,10 +158,10 @@
 	{RuleConfig, "a changed one read back", func(h *History) { h.Read.Doc = []byte(`{"version":5,"x":2}`) }},
 	{RuleConfig, "none read back", func(h *History) { h.Read = ReadBack{} }},
 	{RuleConfig, "a refused one read back", func(h *History) {
-		h.Read.Doc, h.Edits = []byte(`{"version":8}`), append(h.Edits, Edit{Edit: check.Edit{At: 40 * s, Stamp: 8}, Base: 5, Code: 412, Whole: []byte(`{"version":8}`)})
+		h.Read.Doc, h.Edits = []byte(`{"version":8}`), append(h.Edits, Edit{Edit: check.Edit{At: 40 * s, Revision: 8}, Base: 5, Code: 412, Whole: []byte(`{"version":8}`)})
 	}},
 	{RuleConfig, "a refused one in force", func(h *History) {
-		h.Edits = append(h.Edits, Edit{Edit: check.Edit{At: 11 * s, Stamp: 4, Pools: map[string][]string{"r": {"n"}}}, Base: 3, Code: 412})
+		h.Edits = append(h.Edits, Edit{Edit: check.Edit{At: 11 * s, Revision: 4, Pools: map[string][]string{"r": {"n"}}}, Base: 3, Code: 412})
 		h.Runs[1].Pool = "n"
 	}},
 	{RuleRecover, "traffic that does not come back", func(h *History) { outage(h, 2) }},
--- a/internal/standin/messages.go
+++ b/internal/standin/messages.go
@@ -21,7 +21,7 @@
 	}
 }
 
-// seals lists the stamps of a message's runs that succeeded.
+// seals lists the revisions of a message's runs that succeeded.
 func (j *judge) seals(token string) []string {
 	out := []string{}
 	for _, r := range j.runs[token] {
@@ -33,10 +33,10 @@
 }
 
 // word holds one word about an end against what workers did.
-func (j *judge) word(s Sent, by, state, stamp string, at time.Duration) {
+func (j *judge) word(s Sent, by, state, seal string, at time.Duration) {
 	switch {
-	case state == "completed" && !slices.Contains(j.seals(s.Token), stamp):
-		j.breach(RuleMixed, "%s says that %s is completed with %q, which no run gave", by, s.Token, stamp)
+	case state == "completed" && !slices.Contains(j.seals(s.Token), seal):
+		j.breach(RuleMixed, "%s says that %s is completed with %q, which no run gave", by, s.Token, seal)
 	case state == "dead_letter" && !j.hasEnded(s, at):
 		j.breach(RuleMixed, "%s says that %s is dead, and it has not ended", by, s.Token)
 	}
@@ -45,7 +45,7 @@
 // ends: what is said of a message at the end.
 func (j *judge) ends() {
 	for token, end := range j.h.Ends {
-		j.word(j.sent[token], "the state", end.State, end.Stamp, end.At)
+		j.word(j.sent[token], "the state", end.State, end.Seal, end.At)
 	}
 }
 
@@ -59,7 +59,7 @@
 		case t.State != "completed" && t.State != "dead_letter":
 			j.breach(RuleMixed, "a call-back for %s says %q", t.Token, t.State)
 		default:
-			j.word(s, "a call-back", t.State, t.Stamp, t.At)
+			j.word(s, "a call-back", t.State, t.Seal, t.At)
 		}
 	}
 }
--- a/internal/standin/operator.go
+++ b/internal/standin/operator.go
@@ -85,7 +85,7 @@
 	at := o.site.Now()
 	h.Add(func() {
 		i, order = len(h.Edits), len(h.Orders)
-		h.Edits = append(h.Edits, Edit{Edit: check.Edit{At: at, Stamp: c.Version, Pools: c.pools()}, Base: base,
+		h.Edits = append(h.Edits, Edit{Edit: check.Edit{At: at, Revision: c.Version, Pools: c.pools()}, Base: base,
 			Order: orderOf(path, fmt.Sprint(base), body), Whole: c.whole(), IsInvalid: isInvalid})
 		for name, r := range c.judged() {
 			h.Routes[name] = r
--- a/internal/standin/receiver.go
+++ b/internal/standin/receiver.go
@@ -29,7 +29,7 @@
 		return
 	}
 	t := Tell{Token: gjson.GetBytes(raw, "identifier").Str, State: gjson.GetBytes(raw, "state").Str,
-		Stamp: gjson.GetBytes(raw, "stamp").Str, At: v.site.Now()}
+		Seal: gjson.GetBytes(raw, "stamp").Str, At: v.site.Now()}
 	h := v.site.History
 	h.Add(func() { h.Tells = append(h.Tells, t) })
 	if t.State != "completed" && t.State != "dead_letter" {
--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -142,12 +142,12 @@
 // follow gathers the news of all parts owned here.
 func (s *Store) follow(f *wire.Follow, answer func(any)) {
 	out := &wire.Followed{Parts: []wire.PartNews{}}
-	got := make(chan wire.PartNews, len(f.Stamps))
+	got := make(chan wire.PartNews, len(f.Revisions))
 	asked := 0
-	for _, stamp := range f.Stamps {
+	for _, revision := range f.Revisions {
 		asked++
-		s.withPart(stamp.Part, func(p *PartHost) {
-			news, isOurs := p.News(stamp.Stamp)
+		s.withPart(revision.Part, func(p *PartHost) {
+			news, isOurs := p.News(revision.Revision)
 			if !isOurs {
 				news.Part = -1
 			}
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -39,22 +39,22 @@
 	Reject  string `avro:"reject"`
 }
 
-// PartStamp is how far a follower has read one part.
-type PartStamp struct {
-	Part  int64 `avro:"part"`
-	Stamp int64 `avro:"stamp"`
+// PartRevision is how far a follower has read one part.
+type PartRevision struct {
+	Part     int64 `avro:"part"`
+	Revision int64 `avro:"stamp"`
 }
 
-// Change is one key's newest value. Stamp is its number in the part's feed.
+// Change is one key's newest value. Revision is its number in the part's feed.
 type Change struct {
-	Key   string `avro:"key"`
-	Value []byte `avro:"value"`
-	Stamp int64  `avro:"stamp"`
-	Gone  bool   `avro:"gone"`
-	By    string `avro:"by"`
+	Key      string `avro:"key"`
+	Value    []byte `avro:"value"`
+	Revision int64  `avro:"stamp" json:"Stamp"`
+	Gone     bool   `avro:"gone"`
+	By       string `avro:"by"`
 }
 
-// PartNews brings a follower from one stamp to another. Age is how long ago, in
+// PartNews brings a follower from one revision to another. Age is how long ago, in
 // microseconds, the part's owner confirmed that nothing newer was acknowledged.
 type PartNews struct {
 	Part    int64    `avro:"part"`
@@ -74,9 +74,9 @@
 
 // Fact is what a daemon says of itself in its session, for status and doctor.
 type Fact struct {
-	Stamp  int64            `avro:"stamp"`
-	Fresh  bool             `avro:"fresh"`
-	Counts map[string]int64 `avro:"counts"`
+	Revision int64            `avro:"stamp"`
+	Fresh    bool             `avro:"fresh"`
+	Counts   map[string]int64 `avro:"counts"`
 }
 
 // Owned says that a daemon owns a group in a term. A hint, never a proof.
@@ -87,14 +87,14 @@
 	Size  int64 `avro:"size"`
 }
 
-// Poll renews a daemon's session and asks for news behind the given stamps.
+// Poll renews a daemon's session and asks for news behind the given revisions.
 type Poll struct {
-	Who    Who         `avro:"who"`
-	Stamps []PartStamp `avro:"stamps"`
-	Roll   string      `avro:"roll"`
-	Owns   []Owned     `avro:"owns"`
-	Fact   Fact        `avro:"fact"`
-	Beside []Member    `avro:"beside"`
+	Who       Who            `avro:"who"`
+	Revisions []PartRevision `avro:"stamps"`
+	Roll      string         `avro:"roll"`
+	Owns      []Owned        `avro:"owns"`
+	Fact      Fact           `avro:"fact"`
+	Beside    []Member       `avro:"beside"`
 }
 
 // News answers a poll. Members is empty when Roll matches the asker's.
@@ -113,7 +113,7 @@
 
 // Follow asks a store for news of all parts that it owns.
 type Follow struct {
-	Stamps []PartStamp `avro:"stamps"`
+	Revisions []PartRevision `avro:"stamps"`
 }
 
 // Followed answers with news of the owned parts only.
@@ -121,31 +121,31 @@
 	Parts []PartNews `avro:"parts"`
 }
 
-// Edit changes one key of a part if the key's stamp is still IfStamp: 0 for
+// Edit changes one key of a part if the key's revision is still IfRevision: 0 for
 // absent, -1 for any. One whose Order has been taken before changes nothing.
 type Edit struct {
-	Part    int64    `avro:"part"`
-	Key     string   `avro:"key"`
-	Value   []byte   `avro:"value"`
-	IfStamp int64    `avro:"if_stamp"`
-	Gone    bool     `avro:"gone"`
-	By      string   `avro:"by"`
-	Order   string   `avro:"order" since:"4"`   // names the order that is remembered; empty: none is
-	Base    int64    `avro:"base" since:"4"`    // the version that an operator's order builds on; OneCall for the edit of a single call
-	Earlier []string `avro:"earlier" since:"4"` // orders taken before that the part may not know
-	At      int64    `avro:"at" since:"4"`      // part time when the owner took it in, in milliseconds
+	Part       int64    `avro:"part"`
+	Key        string   `avro:"key"`
+	Value      []byte   `avro:"value"`
+	IfRevision int64    `avro:"if_stamp"`
+	Gone       bool     `avro:"gone"`
+	By         string   `avro:"by"`
+	Order      string   `avro:"order" since:"4"`   // names the order that is remembered; empty: none is
+	Base       int64    `avro:"base" since:"4"`    // the version that an operator's order builds on; OneCall for the edit of a single call
+	Earlier    []string `avro:"earlier" since:"4"` // orders taken before that the part may not know
+	At         int64    `avro:"at" since:"4"`      // part time when the owner took it in, in milliseconds
 }
 
 // OneCall is the Base of an edit that nobody but the manager that made it sends again.
 const OneCall = -1
 
-// Edited answers an edit. Kind is an error kind, empty when it holds. Stamp is
+// Edited answers an edit. Kind is an error kind, empty when it holds. Revision is
 // the one that the order made, if it was taken, also when that was before.
 type Edited struct {
-	Kind    string `avro:"kind"`
-	Text    string `avro:"text"`
-	Stamp   int64  `avro:"stamp"`
-	IsAgain bool   `avro:"again" since:"4"` // the order had been taken before
+	Kind     string `avro:"kind"`
+	Text     string `avro:"text"`
+	Revision int64  `avro:"stamp"`
+	IsAgain  bool   `avro:"again" since:"4"` // the order had been taken before
 }
 
 // Pull reads one key through a majority.
