--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -46,7 +46,7 @@
 			return false, string(errs.Stale)
 		case !scenes.Now().MayWork(d.Who.Cell):
 			return false, "the cell is being emptied"
-		case !d.Roll.HasOwner(wire.PlaceGroup):
+		case !d.Membership.HasOwner(wire.PlaceGroup):
 			return false, "no place can be reached"
 		}
 		return true, ""
--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -33,7 +33,7 @@
 		}
 		now := d.Now()
 		beside.Hear(wire.Member{Who: poll.Who, Owns: poll.Owns, Fact: poll.Fact}, now, true)
-		answer(session.NewsFor(poll, d.View, now, d.Roll))
+		answer(session.NewsFor(poll, d.View, now, d.Membership))
 	}})
 	d.Ready = func() (bool, string) { return d.IsFresh(), string(errs.Stale) }
 	client := d.Client(func() wire.Poll {
@@ -46,7 +46,7 @@
 		emit("repair_kept", "Results kept for the adapter beside.", float64(keeper.Count()))
 	})
 	go client.Run(context.Background())
-	home := &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink}
+	home := &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink}
 	go keeper.HandOver(context.Background(), home, func(place int64) int64 { return wire.PlaceGroup + place }, d.Now)
 	d.Serve(nil)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,18 +41,18 @@
 
 // Daemon is one running process.
 type Daemon struct {
-	Kind     string
-	Settings settings.Settings
-	Bounds   timing.Bounds
-	Who      wire.Who
-	View     *feed.View
-	Roll     *session.Roll
-	Node     *transport.Node
-	Mux      *http.ServeMux
-	Ready    func() (isReady bool, why string) // asked through IsReady
-	Clock    func() time.Duration              // in place of the monotonic clock, if given
-	Refused  func(addr string)                 // told when nobody listens where a peer was, if given before Link
-	CanRead  func() bool                       // whether the newest charter can be read, if the daemon needs it
+	Kind       string
+	Settings   settings.Settings
+	Bounds     timing.Bounds
+	Who        wire.Who
+	View       *feed.View
+	Membership *session.Membership
+	Node       *transport.Node
+	Mux        *http.ServeMux
+	Ready      func() (isReady bool, why string) // asked through IsReady
+	Clock      func() time.Duration              // in place of the monotonic clock, if given
+	Refused    func(addr string)                 // told when nobody listens where a peer was, if given before Link
+	CanRead    func() bool                       // whether the newest charter can be read, if the daemon needs it
 
 	// The further listeners, nil where the settings name none, and what they serve.
 	Front, Probe, Operators          net.Listener
@@ -76,7 +76,7 @@
 	}
 	d := &Daemon{Kind: kind, Settings: s, Bounds: s.Bounds(), Started: time.Now(), Mux: http.NewServeMux(),
 		FrontMux: http.NewServeMux(), ProbeMux: http.NewServeMux(), OperatorsMux: http.NewServeMux(),
-		View: feed.NewView(s.Parts), Roll: session.NewRoll()}
+		View: feed.NewView(s.Parts), Membership: session.NewMembership()}
 	prometheus.MustRegister(&d.gauges)
 	d.Measure(d.measureView)
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
@@ -160,7 +160,7 @@
 
 // Client makes the daemon's session; say tells what it says of itself.
 func (d *Daemon) Client(say func() wire.Poll) *session.Client {
-	return &session.Client{Node: d.Node, Bounds: d.Bounds, Seeds: d.seeds, View: d.View, Roll: d.Roll,
+	return &session.Client{Node: d.Node, Bounds: d.Bounds, Seeds: d.seeds, View: d.View, Membership: d.Membership,
 		Now: d.Now, Self: say}
 }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -60,6 +60,6 @@
 	emit("view_keys", "Keys of the view.", float64(keys))
 	emit("view_bytes", "Bytes of the view's keys and values.", float64(bytes))
 	for _, kind := range []string{"manager", "store", "agent", "adapter"} {
-		emit("members", "Daemons whose session stands, as this one knows.", float64(len(d.Roll.Kind(kind))), "kind", kind)
+		emit("members", "Daemons whose session stands, as this one knows.", float64(len(d.Membership.Kind(kind))), "kind", kind)
 	}
 }
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -56,7 +56,7 @@
 
 // Link gives the node, once it is open, to send results with.
 func (a *Adapter) Link() {
-	a.reach = &reach.Reach{Node: a.d.Node, Roll: a.d.Roll, Bounds: a.d.Bounds, Link: wire.PlaceLink}
+	a.reach = &reach.Reach{Node: a.d.Node, Membership: a.d.Membership, Bounds: a.d.Bounds, Link: wire.PlaceLink}
 }
 
 // Serve answers stores.
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -114,7 +114,7 @@
 		}
 		if turn == 0 && isWitnessed {
 			stores := []string{}
-			for _, who := range a.d.Roll.Kind("store") {
+			for _, who := range a.d.Membership.Kind("store") {
 				stores = append(stores, who.Addr)
 			}
 			a.leave(stores, o, repair.StepLeave)
@@ -129,7 +129,7 @@
 // leaveAfar leaves the result with the first store of another cell that can be
 // told, in the order of their claims to its id, and gives that store's address.
 func (a *Adapter) leaveAfar(o *wire.Outcome) []string {
-	stores := slices.DeleteFunc(a.d.Roll.Kind("store"), func(who wire.Who) bool { return who.Cell == a.d.Who.Cell })
+	stores := slices.DeleteFunc(a.d.Membership.Kind("store"), func(who wire.Who) bool { return who.Cell == a.d.Who.Cell })
 	slices.SortFunc(stores, func(x, y wire.Who) int { return cmp.Compare(duty.Rank(o.Id, x.Name), duty.Rank(o.Id, y.Name)) })
 	for _, who := range stores {
 		if a.leave([]string{who.Addr}, o, repair.StepLeave) {
--- a/internal/intake/draw.go
+++ b/internal/intake/draw.go
@@ -51,7 +51,7 @@
 	all := int64(in.d.Settings.Places)
 	own, others := []int64{}, []int64{}
 	for place := range all {
-		who, isKnown := in.d.Roll.Owner(wire.PlaceGroup + place)
+		who, isKnown := in.d.Membership.Owner(wire.PlaceGroup + place)
 		switch {
 		case !isKnown || in.isQuiet(who.Name):
 		case who.Cell == in.d.Who.Cell:
@@ -70,7 +70,7 @@
 	place := int64(0)
 	for range placeDraws {
 		place = from[rand.IntN(len(from))]
-		if who, _ := in.d.Roll.Owner(wire.PlaceGroup + place); rand.Float64() < max(weight.Least, in.peers.Of(who.Name)) {
+		if who, _ := in.d.Membership.Owner(wire.PlaceGroup + place); rand.Float64() < max(weight.Least, in.peers.Of(who.Name)) {
 			break
 		}
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -57,8 +57,8 @@
 // New readies the intake and its HTTP paths.
 func New(d *daemon.Daemon, scenes *charter.Scenes) *Intake {
 	in := &Intake{d: d, scenes: scenes}
-	in.reach = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink}
-	in.quick = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink, Saw: in.saw, Try: timing.AttemptTimeout}
+	in.reach = &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink}
+	in.quick = &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink, Saw: in.saw, Try: timing.AttemptTimeout}
 	d.Measure(func(emit daemon.Emit) {
 		for name, w := range in.peers.All() {
 			emit("weight_peer", "Weight of a store for messages that may go to any place.", w, "store", name)
@@ -136,10 +136,10 @@
 // Run moves the weights of the stores until ctx ends.
 func (in *Intake) Run(ctx context.Context) {
 	timing.Every(ctx, in.d.Bounds.Of(timing.AnswerTimeout), func() {
-		for _, who := range in.d.Roll.Kind("store") {
+		for _, who := range in.d.Membership.Kind("store") {
 			in.d.Node.Peer(wire.PlaceLink, who.Addr).Warm()
 		}
-		in.peers.Turn(func(name string) bool { _, isHere := in.d.Roll.Find(name); return isHere })
+		in.peers.Turn(func(name string) bool { _, isHere := in.d.Membership.Find(name); return isHere })
 	})
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -52,7 +52,7 @@
 
 func intakeOn(s *stand) *Intake {
 	view := feed.NewView(0)
-	d := &daemon.Daemon{Started: time.Now(), Bounds: timing.Default, View: view, Roll: session.NewRoll(), Mux: http.NewServeMux(), Settings: settings.Settings{Places: 48, Most: 9}}
+	d := &daemon.Daemon{Started: time.Now(), Bounds: timing.Default, View: view, Membership: session.NewMembership(), Mux: http.NewServeMux(), Settings: settings.Settings{Places: 48, Most: 9}}
 	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: charter.Key, Revision: 7,
 		Value: []byte(`{"pools":{"p":{}},"lanes":{"l":{"pools":["p"],"size":9},"o":{"pools":["p"],"ordering":"key"}}}`)}}}}, d.Now())
 	in := New(d, &charter.Scenes{View: view})
--- a/internal/intake/stand_test.go
+++ b/internal/intake/stand_test.go
@@ -44,7 +44,7 @@
 func On(s Scenery) (in *Intake, takes func() []*wire.Take) {
 	owners := &sighted{stand: stand{take: s.Take, settle: s.Settle, isOpen: s.IsOpen}, sight: s.Sight}
 	view := feed.NewView(0)
-	d := &daemon.Daemon{Started: time.Now().Add(-time.Hour), Bounds: timing.Default, View: view, Roll: session.NewRoll(),
+	d := &daemon.Daemon{Started: time.Now().Add(-time.Hour), Bounds: timing.Default, View: view, Membership: session.NewMembership(),
 		Mux: http.NewServeMux(), Settings: settings.Settings{Places: 48, Most: s.Most}}
 	at := d.Now()
 	if s.IsStale {
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -42,7 +42,7 @@
 // ownPools lists the pools that this manager looks after.
 func (m *Manager) ownPools(names map[string]bool) []string {
 	managers, out := []string{}, []string{}
-	for _, who := range m.d.Roll.Kind("manager") {
+	for _, who := range m.d.Membership.Kind("manager") {
 		managers = append(managers, who.Name)
 	}
 	for name := range names {
@@ -55,7 +55,7 @@
 
 func (m *Manager) planDuties(ctx context.Context, workers pond.Pool, steady *duty.Steady, isNew bool) {
 	scene := m.scenes.Now()
-	adapters, leaving := m.d.Roll.Kind("adapter"), map[string]bool{}
+	adapters, leaving := m.d.Membership.Kind("adapter"), map[string]bool{}
 	_, members := m.registry.Members(m.d.Now())
 	for _, member := range members {
 		if member.Fact.Counts[deliver.Leaving] > 0 {
--- a/internal/manager/histories_test.go
+++ b/internal/manager/histories_test.go
@@ -132,7 +132,7 @@
 	for i := range 3 {
 		m, _ := newFake()
 		m.d.Who.Boot, m.d.Bounds.Charter = strconv.Itoa(i), patience
-		m.reach = &reach.Reach{Roll: m.d.Roll, Bounds: m.d.Bounds, Call: r.call}
+		m.reach = &reach.Reach{Membership: m.d.Membership, Bounds: m.d.Bounds, Call: r.call}
 		managers = append(managers, m)
 	}
 	var group sync.WaitGroup
--- a/internal/manager/lately_test.go
+++ b/internal/manager/lately_test.go
@@ -31,7 +31,7 @@
 			Convey(c.name, func() {
 				m, _ := newFake()
 				m.stores.bound = m.d.Bounds.Charter
-				four := m.d.Roll.Kind("store")
+				four := m.d.Membership.Kind("store")
 				m.stores.note(append(four, wire.Who{Name: "s9", Kind: "store"}), m.d.Now()-c.ago*m.d.Bounds.Charter)
 				settleStores(m)
 				var err error
--- a/internal/manager/list.go
+++ b/internal/manager/list.go
@@ -70,7 +70,7 @@
 // think so, the revisions let one win.
 func (l *lister) turn(ctx context.Context) {
 	managers := []string{}
-	for _, who := range l.m.d.Roll.Kind("manager") {
+	for _, who := range l.m.d.Membership.Kind("manager") {
 		managers = append(managers, who.Name)
 	}
 	if !l.m.d.IsFresh() || duty.First("list", managers) != l.m.d.Who.Name {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d.Link(map[string]transport.Handler{"session": m.onSession, "peer": m.onPeer})
-	m.reach = &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PartLink}
+	m.reach = &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PartLink}
 	d.Ready = func() (bool, string) { return d.IsFresh(), string(errs.Stale) }
 	m.serveApi()
 	if o.Serve != nil {
@@ -80,7 +80,7 @@
 	for _, b := range poll.Beside {
 		m.registry.Hear(b, now, true)
 	}
-	answer(session.NewsFor(poll, m.d.View, now, m.d.Roll))
+	answer(session.NewsFor(poll, m.d.View, now, m.d.Membership))
 }
 
 // onPeer takes another manager's sessions in and tells ours.
@@ -112,7 +112,7 @@
 	}
 }
 
-// share exchanges sessions with the other managers, and renews our own roll.
+// share exchanges sessions with the other managers, and renews our own membership.
 func (m *Manager) share() {
 	own := m.d.Poll()
 	m.registry.Hear(wire.Member{Who: m.d.Who, Owns: []wire.Owned{}, Fact: own.Fact}, m.d.Now(), true)
@@ -122,7 +122,7 @@
 			peers = append(peers, seed)
 		}
 	}
-	for _, who := range m.d.Roll.Kind("manager") {
+	for _, who := range m.d.Membership.Kind("manager") {
 		if who.Name != m.d.Who.Name && !slices.Contains(peers, who.Addr) {
 			peers = append(peers, who.Addr)
 		}
@@ -135,13 +135,13 @@
 			}
 		})
 	}
-	m.d.Roll.Take(m.registry.Members(m.d.Now()))
+	m.d.Membership.Take(m.registry.Members(m.d.Now()))
 }
 
 // follow asks every store for news of the parts that it owns.
 func (m *Manager) follow() {
 	now := m.d.Now()
-	for _, who := range m.d.Roll.Kind("store") {
+	for _, who := range m.d.Membership.Kind("store") {
 		ask := &wire.Follow{Revisions: m.d.View.Revisions()}
 		_ = m.d.Node.Peer(wire.PartLink, who.Addr).Post(ask, func(reply any, err error) {
 			if got, isNews := reply.(*wire.Followed); err == nil && isNews {
--- a/internal/manager/operators.go
+++ b/internal/manager/operators.go
@@ -28,7 +28,7 @@
 // Look notes what is young among the marks and stores; to be called with each
 // beat of the feed.
 func (o *Operators) Look() {
-	o.m.stores.note(o.m.d.Roll.Kind("store"), o.m.d.Now())
+	o.m.stores.note(o.m.d.Membership.Kind("store"), o.m.d.Now())
 }
 
 // Proposal is a change of the charter. It names what it builds on: a revision or,
--- a/internal/manager/operators_test.go
+++ b/internal/manager/operators_test.go
@@ -99,13 +99,13 @@
 	view := feed.NewView(1)
 	f := &fakeParts{parts: map[int64]*feed.Part{}, view: view}
 	d := &daemon.Daemon{Bounds: timing.Bounds{Charter: 20 * time.Second}, Started: time.Now().Add(-time.Hour), View: view,
-		Roll: session.NewRoll(), Who: wire.Who{Name: "m1", Kind: "manager"}}
+		Membership: session.NewMembership(), Who: wire.Who{Name: "m1", Kind: "manager"}}
 	d.Settings.Parts, d.Settings.Founders = 1, 3
 	members := []wire.Member{{Who: d.Who}}
 	for i := range 4 {
 		members = append(members, wire.Member{Who: wire.Who{Name: "s" + strconv.Itoa(i+1), Kind: "store", Cell: "a", Addr: "s" + strconv.Itoa(i+1)}})
 	}
-	d.Roll.Take("x", members)
+	d.Membership.Take("x", members)
 	m := &Manager{d: d, scenes: &charter.Scenes{View: view}, registry: session.NewRegistry(time.Hour)}
 	for _, member := range members {
 		m.registry.Hear(member, d.Now(), true)
@@ -114,7 +114,7 @@
 	for part := range int64(2) {
 		view.Take([]wire.PartNews{{Part: part}}, d.Now())
 	}
-	m.reach = &reach.Reach{Roll: d.Roll, Bounds: d.Bounds, Call: f.call}
+	m.reach = &reach.Reach{Membership: d.Membership, Bounds: d.Bounds, Call: f.call}
 	m.operators = &Operators{m}
 	return m, f
 }
--- a/internal/manager/retire.go
+++ b/internal/manager/retire.go
@@ -110,7 +110,7 @@
 		admitted = admitted.With(marked)
 	}
 	here, holding := []string{}, []string{}
-	for _, who := range m.d.Roll.Kind("store") {
+	for _, who := range m.d.Membership.Kind("store") {
 		here = append(here, who.Name)
 	}
 	for _, g := range o.standings(ctx, name).groups {
@@ -156,7 +156,7 @@
 // fresh, and no store has come or gone for so long that one which has just begun
 // would have been seen.
 func (m *Manager) knowsStores() bool {
-	return m.d.IsFresh() && m.stores.note(m.d.Roll.Kind("store"), m.d.Now()) >= m.d.Bounds.Charter
+	return m.d.IsFresh() && m.stores.note(m.d.Membership.Kind("store"), m.d.Now()) >= m.d.Bounds.Charter
 }
 
 // unknown says that there is no such thing, if this manager can know.
--- a/internal/manager/retire_test.go
+++ b/internal/manager/retire_test.go
@@ -13,7 +13,7 @@
 
 // settleStores has a manager see the same stores for a bound.
 func settleStores(m *Manager) {
-	m.stores.note(m.d.Roll.Kind("store"), m.d.Now()-m.d.Bounds.Charter)
+	m.stores.note(m.d.Membership.Kind("store"), m.d.Now()-m.d.Bounds.Charter)
 }
 
 // TestRetire is the table of which stores may be retired. newFake has s1 to s4.
--- a/internal/manager/retirement.go
+++ b/internal/manager/retirement.go
@@ -35,7 +35,7 @@
 		return out, err
 	}
 	found := o.standings(ctx, name)
-	_, out.IsHere = m.d.Roll.Find(name)
+	_, out.IsHere = m.d.Membership.Find(name)
 	out.Left, out.IsWhole = found.left(name), found.count() == m.groups()
 	isSettled := !out.IsRetired || found.isKnown && mark.Age >= m.d.Bounds.Charter.Milliseconds()
 	out.IsDone = out.IsWhole && out.Left == 0 && isSettled && found.least() >= int64(m.copies())
@@ -56,7 +56,7 @@
 	ctx, cancel := timing.Within(ctx, o.m.d.Bounds.Of(timing.SettleTimeout))
 	defer cancel()
 	out := standings{map[int64]wire.Standing{}, true}
-	for _, reply := range o.m.reach.All(ctx, o.m.d.Roll.Kind("store"), &wire.Retire{Store: without}) {
+	for _, reply := range o.m.reach.All(ctx, o.m.d.Membership.Kind("store"), &wire.Retire{Store: without}) {
 		if told, isTold := reply.(*wire.Retired); isTold {
 			out.take(told)
 		}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -17,13 +17,13 @@
 
 // Reach of a daemon.
 type Reach struct {
-	Node   *transport.Node
-	Roll   *session.Roll
-	Bounds timing.Bounds
-	Link   *wire.Link
-	Call   func(ctx context.Context, addr string, ask any) (any, error) // the transport's, if not given
-	Saw    func(peer string, micros float64, isAnswered bool)           // told of each try of Ask, if given
-	Try    timing.Ratio                                                 // how long one try waits; 0 for Settle
+	Node       *transport.Node
+	Membership *session.Membership
+	Bounds     timing.Bounds
+	Link       *wire.Link
+	Call       func(ctx context.Context, addr string, ask any) (any, error) // the transport's, if not given
+	Saw        func(peer string, micros float64, isAnswered bool)           // told of each try of Ask, if given
+	Try        timing.Ratio                                                 // how long one try waits; 0 for Settle
 }
 
 // freeHops is how often an ask follows a named owner without a pause.
@@ -48,13 +48,13 @@
 func (r *Reach) ask(ctx context.Context, id int64, ask any, owned func(reply any) (isOwner bool, hint string),
 	saw func(string, float64, bool)) (reply any, isOpen bool, err error) {
 	hint, turn, hops := "", 0, 0
-	if who, isKnown := r.Roll.Owner(id); isKnown {
+	if who, isKnown := r.Membership.Owner(id); isKnown {
 		hint = who.Name
 	}
 	for {
-		who, isKnown := r.Roll.Find(hint)
+		who, isKnown := r.Membership.Find(hint)
 		if !isKnown {
-			stores := r.Roll.Kind("store")
+			stores := r.Membership.Kind("store")
 			if len(stores) > 0 {
 				who, isKnown = stores[turn%len(stores)], true
 				turn++
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -41,10 +41,10 @@
 	Convey("An ask that meets", t, func() {
 		for _, c := range cases {
 			Convey(c.name, func() {
-				roll, turn := session.NewRoll(), 0
-				roll.Take("x", []wire.Member{{Who: wire.Who{Name: "s1", Kind: "store"}}, {Who: wire.Who{Name: "s2", Kind: "store"}}})
+				membership, turn := session.NewMembership(), 0
+				membership.Take("x", []wire.Member{{Who: wire.Who{Name: "s1", Kind: "store"}}, {Who: wire.Who{Name: "s2", Kind: "store"}}})
 				ctx, cancel := context.WithCancel(context.Background())
-				r := &Reach{Roll: roll, Bounds: timing.Bounds{Charter: time.Millisecond}, Call: func(context.Context, string, any) (any, error) {
+				r := &Reach{Membership: membership, Bounds: timing.Bounds{Charter: time.Millisecond}, Call: func(context.Context, string, any) (any, error) {
 					answer := c.answers[min(turn, len(c.answers)-1)]
 					if turn++; turn > 5 {
 						cancel()
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -70,7 +70,7 @@
 	}
 	s.Listen, s.Advertise = addr, addr
 	return &daemon.Daemon{Kind: kind, Settings: s, Bounds: s.Bounds(), Started: time.Now(), Mux: http.NewServeMux(),
-		View: feed.NewView(s.Parts), Roll: session.NewRoll(),
+		View: feed.NewView(s.Parts), Membership: session.NewMembership(),
 		Who: wire.Who{Name: s.Name, Kind: kind, Boot: daemon.Random(8), Cell: cell, Addr: addr, Http: addr}}, nil
 }
 
@@ -106,7 +106,7 @@
 		}
 		now := d.Now()
 		beside.Hear(wire.Member{Who: poll.Who, Owns: poll.Owns, Fact: poll.Fact}, now, true)
-		answer(session.NewsFor(poll, d.View, now, d.Roll))
+		answer(session.NewsFor(poll, d.View, now, d.Membership))
 	}})
 	if err != nil {
 		return err
@@ -171,8 +171,8 @@
 func (f *front) size() (keys, bytes, members int) {
 	for _, d := range []*daemon.Daemon{f.agent, f.adapter} {
 		k, b := d.View.Size()
-		_, roll := d.Roll.All()
-		keys, bytes, members = keys+k, bytes+b, members+len(roll)
+		_, membership := d.Membership.All()
+		keys, bytes, members = keys+k, bytes+b, members+len(membership)
 	}
 	return
 }
--- a/internal/scale/size_test.go
+++ b/internal/scale/size_test.go
@@ -48,18 +48,18 @@
 	for _, count := range []int{60, 590, 5900, 59000} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			r, members, now := session.NewRegistry(time.Hour), membersOf(count), time.Duration(0)
-			roll := session.NewRoll()
+			membership := session.NewMembership()
 			for b.Loop() {
 				now += time.Millisecond
 				for _, m := range members {
 					r.Hear(m, now, true)
 				}
-				roll.Take(r.Members(now))
+				membership.Take(r.Members(now))
 			}
 			share := wire.NewPlain(&wire.Share{}).Encode(&wire.Share{Members: r.Own(now)})
 			b.ReportMetric(float64(len(share))/float64(count), "B/session-in-a-share")
 			for _, kind := range []string{"store", "agent"} {
-				news := session.NewsFor(&wire.Poll{Who: wire.Who{Kind: kind}}, feed.NewView(parts), 0, roll)
+				news := session.NewsFor(&wire.Poll{Who: wire.Who{Kind: kind}}, feed.NewView(parts), 0, membership)
 				b.ReportMetric(float64(len(wire.NewPlain(&wire.News{}).Encode(news))), "B/roll-to-"+kind)
 			}
 		})
--- a/internal/session/client.go
+++ b/internal/session/client.go
@@ -17,16 +17,16 @@
 
 // Client keeps a daemon's session: it polls one manager (or an adapter's
 // agent) at intervals, renews the session with each poll, and brings news into the
-// view and the roll. When the manager does not answer it turns to the next.
+// view and the membership. When the manager does not answer it turns to the next.
 type Client struct {
-	Node   *transport.Node
-	Bounds timing.Bounds
-	Seeds  func() []string // as the settings name them now; never empty
-	View   *feed.View
-	Roll   *Roll
-	Now    func() time.Duration
-	Self   func() wire.Poll // what to say of ourselves; Revisions and Roll are filled in
-	OnNews func()           // called after each answer
+	Node       *transport.Node
+	Bounds     timing.Bounds
+	Seeds      func() []string // as the settings name them now; never empty
+	View       *feed.View
+	Membership *Membership
+	Now        func() time.Duration
+	Self       func() wire.Poll // what to say of ourselves; Revisions and Membership are filled in
+	OnNews     func()           // called after each answer
 
 	mu       sync.Mutex
 	at       int
@@ -69,12 +69,12 @@
 	c.mu.Unlock()
 	ask := c.Self()
 	if c.turns++; c.turns%wholeEvery != 1 {
-		ask.Fact = thin(ask.Fact)
+		ask.Fact = compact(ask.Fact)
 		for i := range ask.Beside {
-			ask.Beside[i].Fact = thin(ask.Beside[i].Fact)
+			ask.Beside[i].Fact = compact(ask.Beside[i].Fact)
 		}
 	}
-	ask.Revisions, ask.Roll = c.View.Revisions(), c.Roll.Hash()
+	ask.Revisions, ask.MembershipHash = c.View.Revisions(), c.Membership.Hash()
 	err := c.Node.Peer(wire.SessionLink, addr).Post(&ask, func(reply any, err error) {
 		news, isNews := reply.(*wire.News)
 		c.mu.Lock()
@@ -90,8 +90,8 @@
 			klog.Warningf("session: %s refuses us: %s.", addr, news.Reject)
 			return
 		}
-		if news.Roll != ask.Roll {
-			c.Roll.Take(news.Roll, news.Members)
+		if news.MembershipHash != ask.MembershipHash {
+			c.Membership.Take(news.MembershipHash, news.Members)
 		}
 		c.View.Take(news.Parts, now)
 		if c.OnNews != nil {
@@ -112,7 +112,7 @@
 	if kind == "adapter" {
 		return out
 	}
-	for _, who := range c.Roll.Kind("manager") {
+	for _, who := range c.Membership.Kind("manager") {
 		if !slices.Contains(out, who.Addr) {
 			out = append(out, who.Addr)
 		}
--- a/internal/session/thin.go
+++ b/internal/session/compact.go
@@ -15,13 +15,13 @@
 //
 // Invariant: a marked fact lacks nothing but the counts that begin with bulk.
 const (
-	bulk       = "run_"
-	mark       = "#thin"
-	wholeEvery = 4
+	bulk        = "run_"
+	compactMark = "#thin"
+	wholeEvery  = 4
 )
 
-// thin gives a fact without its bulk; one that has none is left as it is.
-func thin(f wire.Fact) wire.Fact {
+// compact gives a fact without its bulk; one that has none is left as it is.
+func compact(f wire.Fact) wire.Fact {
 	isThick := false
 	for key := range f.Counts {
 		isThick = isThick || strings.HasPrefix(key, bulk)
@@ -29,7 +29,7 @@
 	if !isThick {
 		return f
 	}
-	out := map[string]int64{mark: 1}
+	out := map[string]int64{compactMark: 1}
 	for key, n := range f.Counts {
 		if !strings.HasPrefix(key, bulk) {
 			out[key] = n
@@ -39,13 +39,13 @@
 	return f
 }
 
-// thicken puts the bulk that was heard before into a marked fact.
-func thicken(f, before wire.Fact) wire.Fact {
-	if f.Counts[mark] == 0 {
+// expand puts the bulk that was heard before into a marked fact.
+func expand(f, before wire.Fact) wire.Fact {
+	if f.Counts[compactMark] == 0 {
 		return f
 	}
 	out := maps.Clone(f.Counts)
-	delete(out, mark)
+	delete(out, compactMark)
 	for key, n := range before.Counts {
 		if strings.HasPrefix(key, bulk) {
 			out[key] = n
--- a/internal/session/roll.go
+++ b/internal/session/membership.go
@@ -6,11 +6,11 @@
 	"caperwheel/internal/wire"
 )
 
-// Roll is a daemon's copy of the members, with hints of who owns what.
+// Membership is a daemon's copy of the members, with hints of who owns what.
 //
 // Invariant: list and core are never written once they stand, so they are
 // handed out as they are.
-type Roll struct {
+type Membership struct {
 	mu      sync.RWMutex
 	hash    string
 	list    []wire.Member
@@ -28,14 +28,14 @@
 	term int64
 }
 
-// NewRoll returns a roll without members.
-func NewRoll() *Roll {
-	return &Roll{members: map[string]wire.Member{}, owners: map[int64]ownerHint{}, kinds: map[string][]wire.Who{},
-		core: []wire.Member{}, coreHash: RollOf(nil)}
+// NewMembership returns a membership without members.
+func NewMembership() *Membership {
+	return &Membership{members: map[string]wire.Member{}, owners: map[int64]ownerHint{}, kinds: map[string][]wire.Who{},
+		core: []wire.Member{}, coreHash: MembershipHash(nil)}
 }
 
 // Hash returns the hash of the list held here, so that it is not sent again.
-func (r *Roll) Hash() string {
+func (r *Membership) Hash() string {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.hash
@@ -43,7 +43,7 @@
 
 // Take brings a list in. One of the same hash tells nothing new: whatever else
 // its members say is for managers, who keep it in their registry.
-func (r *Roll) Take(hash string, members []wire.Member) {
+func (r *Membership) Take(hash string, members []wire.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if hash == r.hash && hash != "" && len(members) == len(r.list) {
@@ -64,13 +64,13 @@
 			}
 		}
 	}
-	r.owners, r.coreHash = owners, RollOf(r.core)
+	r.owners, r.coreHash = owners, MembershipHash(r.core)
 }
 
 func isCore(kind string) bool { return kind == "manager" || kind == "store" }
 
 // Find returns a member by name.
-func (r *Roll) Find(name string) (wire.Who, bool) {
+func (r *Membership) Find(name string) (wire.Who, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	m, isKnown := r.members[name]
@@ -78,7 +78,7 @@
 }
 
 // Owner returns the store that was last said to own a group.
-func (r *Roll) Owner(id int64) (wire.Who, bool) {
+func (r *Membership) Owner(id int64) (wire.Who, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	m, isKnown := r.members[r.owners[id].name]
@@ -86,7 +86,7 @@
 }
 
 // HasOwner tells whether any group from first on has an owner that is here.
-func (r *Roll) HasOwner(first int64) bool {
+func (r *Membership) HasOwner(first int64) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for id := range r.owners {
@@ -98,21 +98,21 @@
 }
 
 // Kind returns the members of a kind. The list is the caller's own.
-func (r *Roll) Kind(kind string) []wire.Who {
+func (r *Membership) Kind(kind string) []wire.Who {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return append([]wire.Who{}, r.kinds[kind]...)
 }
 
 // All returns the list as it was taken; it must not be written to.
-func (r *Roll) All() (string, []wire.Member) {
+func (r *Membership) All() (string, []wire.Member) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.hash, r.list
 }
 
 // For returns what a daemon of a kind needs to know of the members.
-func (r *Roll) For(kind string) (string, []wire.Member) {
+func (r *Membership) For(kind string) (string, []wire.Member) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	if kind == "adapter" || kind == "agent" {
--- a/internal/session/news.go
+++ b/internal/session/news.go
@@ -7,13 +7,13 @@
 	"caperwheel/internal/wire"
 )
 
-// NewsFor builds the answer to a poll from a view and a roll. Whoever passes news on
+// NewsFor builds the answer to a poll from a view and a membership. Whoever passes news on
 // confirms no more than it was told itself.
-func NewsFor(poll *wire.Poll, view *feed.View, now time.Duration, roll *Roll) *wire.News {
+func NewsFor(poll *wire.Poll, view *feed.View, now time.Duration, membership *Membership) *wire.News {
 	out := &wire.News{Parts: view.News(poll.Revisions, now), Members: []wire.Member{}}
-	hash, list := roll.For(poll.Who.Kind)
-	out.Roll = hash
-	if hash != poll.Roll {
+	hash, list := membership.For(poll.Who.Kind)
+	out.MembershipHash = hash
+	if hash != poll.MembershipHash {
 		for _, m := range list {
 			m.Fact = wire.Fact{Counts: map[string]int64{}} // only managers need it
 			if m.Owns == nil {
--- a/internal/session/registry.go
+++ b/internal/session/registry.go
@@ -49,7 +49,7 @@
 	if was.member.Who.Boot == m.Who.Boot {
 		before = was.member.Fact
 	}
-	m.Fact = thicken(m.Fact, before)
+	m.Fact = expand(m.Fact, before)
 	r.known[m.Who.Name] = entry{m, heardAt, isOwn}
 }
 
@@ -64,7 +64,7 @@
 	}
 }
 
-// Members lists who is a member now, with ages, by name, and the roll: a hash
+// Members lists who is a member now, with ages, by name, and the membership: a hash
 // of what other daemons need to know of them.
 func (r *Registry) Members(now time.Duration) (string, []wire.Member) {
 	r.mu.Lock()
@@ -79,7 +79,7 @@
 		out = append(out, e.member)
 	}
 	slices.SortFunc(out, func(a, b wire.Member) int { return cmp.Compare(a.Who.Name, b.Who.Name) })
-	return RollOf(out), out
+	return MembershipHash(out), out
 }
 
 // Own lists the sessions that stand with this manager, for its peers, and the
@@ -94,7 +94,7 @@
 		if (e.isOwn || e.member.Who.Kind == "manager") && now-e.heardAt <= r.gone {
 			e.member.Age = int64((now - e.heardAt) / time.Millisecond)
 			if !isWhole {
-				e.member.Fact = thin(e.member.Fact)
+				e.member.Fact = compact(e.member.Fact)
 			}
 			out = append(out, e.member)
 		}
@@ -107,8 +107,8 @@
 	return max(1, r.gone*time.Duration(timing.Poll)/time.Duration(timing.SessionTimeout))
 }
 
-// RollOf hashes what matters of a list of members.
-func RollOf(members []wire.Member) string {
+// MembershipHash hashes what matters of a list of members.
+func MembershipHash(members []wire.Member) string {
 	h, line := sha256.New(), []byte{}
 	for _, m := range members {
 		w := m.Who
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -63,19 +63,19 @@
 		})
 	})
 	Convey("The owner of a group is the one of the newest term", t, func() {
-		roll := NewRoll()
+		membership := NewMembership()
 		a, b := member("a", "1", 0), member("b", "1", 0)
 		a.Owns, b.Owns = []wire.Owned{{Group: 1, Term: 3}}, []wire.Owned{{Group: 1, Term: 4}}
-		roll.Take("h", []wire.Member{a, b})
-		who, _ := roll.Owner(1)
+		membership.Take("h", []wire.Member{a, b})
+		who, _ := membership.Owner(1)
 		So(who.Name, ShouldEqual, "b")
-		_, isKnown := roll.Owner(2)
+		_, isKnown := membership.Owner(2)
 		So(isKnown, ShouldBeFalse)
-		So([]bool{roll.HasOwner(1), roll.HasOwner(2)}, ShouldResemble, []bool{true, false})
+		So([]bool{membership.HasOwner(1), membership.HasOwner(2)}, ShouldResemble, []bool{true, false})
 	})
 }
 
-// TestInterest: every agent and adapter once had the whole roll, and got it anew
+// TestInterest: every agent and adapter once had the whole membership, and got it anew
 // whenever any one of them came or went.
 func TestInterest(t *testing.T) {
 	of := func(kind string, count int) (out []wire.Member) {
@@ -87,11 +87,11 @@
 		return out
 	}
 	Convey("Given managers, stores, agents and adapters", t, func() {
-		roll, view := NewRoll(), feed.NewView(0)
+		membership, view := NewMembership(), feed.NewView(0)
 		all := append(append(of("manager", 3), of("store", 4)...), append(of("agent", 20), of("adapter", 20)...)...)
-		roll.Take(RollOf(all), all)
+		membership.Take(MembershipHash(all), all)
 		news := func(kind, hash string) *wire.News {
-			return NewsFor(&wire.Poll{Who: wire.Who{Kind: kind}, Revisions: view.Revisions(), Roll: hash}, view, 0, roll)
+			return NewsFor(&wire.Poll{Who: wire.Who{Kind: kind}, Revisions: view.Revisions(), MembershipHash: hash}, view, 0, membership)
 		}
 		Convey("a store hears of all, an agent and an adapter of managers and stores", func() {
 			count := map[string]int{}
@@ -101,19 +101,19 @@
 			So(count, ShouldResemble, map[string]int{"store": 47, "agent": 7, "adapter": 7})
 		})
 		Convey("nothing is said again, and a front that comes is no news to another", func() {
-			hash := news("agent", "").Roll
+			hash := news("agent", "").MembershipHash
 			So(news("agent", hash).Members, ShouldBeEmpty)
 			more := append(all, member("new", "1", 0))
-			roll.Take(RollOf(more), more)
-			So(news("agent", hash).Roll, ShouldEqual, hash)
-			So(len(news("store", RollOf(all)).Members), ShouldEqual, 48)
+			membership.Take(MembershipHash(more), more)
+			So(news("agent", hash).MembershipHash, ShouldEqual, hash)
+			So(len(news("store", MembershipHash(all)).Members), ShouldEqual, 48)
 		})
 		Convey("what an agent passes on to its adapter is what it was told", func() {
 			told := news("agent", "")
-			agent := NewRoll()
-			agent.Take(told.Roll, told.Members)
+			agent := NewMembership()
+			agent.Take(told.MembershipHash, told.Members)
 			hash, list := agent.For("adapter")
-			So(hash, ShouldEqual, told.Roll)
+			So(hash, ShouldEqual, told.MembershipHash)
 			So(len(list), ShouldEqual, 7)
 		})
 	})
@@ -121,7 +121,7 @@
 		m := wire.Member{Who: wire.Who{Name: "x", Kind: "store", Boot: "1", Cell: "a", Addr: "127.0.0.1:1", Http: "127.0.0.1:2"},
 			Owns: []wire.Owned{{Group: 5, Term: 9}, {Group: 6, Term: 1}}}
 		sum := sha256.Sum256([]byte(fmt.Sprintf("%v %d/%d %d/%d", m.Who, 5, 9, 6, 1)))
-		So(RollOf([]wire.Member{m}), ShouldEqual, hex.EncodeToString(sum[:8]))
+		So(MembershipHash([]wire.Member{m}), ShouldEqual, hex.EncodeToString(sum[:8]))
 	})
 }
 
@@ -137,11 +137,11 @@
 		r.Hear(said("1", whole(7)), 0, true)
 		counts := func() map[string]int64 { _, list := r.Members(3); return list[0].Fact.Counts }
 		Convey("a thin fact keeps what was heard, and brings the rest", func() {
-			next := thin(whole(9))
+			next := compact(whole(9))
 			next.Counts["runs"] = 4
 			r.Hear(said("1", next), 1, true)
 			So(counts(), ShouldResemble, map[string]int64{"runs": 4, "run_micros p/w": 7, "run_misses p/w": 5})
-			r.Hear(said("1", thin(next)), 2, true)
+			r.Hear(said("1", compact(next)), 2, true)
 			So(counts()["run_micros p/w"], ShouldEqual, 7)
 		})
 		Convey("a whole one replaces it, also by nothing", func() {
@@ -149,7 +149,7 @@
 			So(counts(), ShouldResemble, map[string]int64{"runs": 1})
 		})
 		Convey("nothing is kept from an earlier life", func() {
-			r.Hear(said("2", thin(whole(9))), 1, true)
+			r.Hear(said("2", compact(whole(9))), 1, true)
 			So(counts(), ShouldResemble, map[string]int64{"runs": 3})
 		})
 		Convey("of four beats' shares to peers one is whole", func() {
@@ -165,6 +165,6 @@
 	})
 	Convey("A fact without bulk is never marked", t, func() {
 		f := wire.Fact{Counts: map[string]int64{"leaving": 1}}
-		So(thin(f), ShouldResemble, f)
+		So(compact(f), ShouldResemble, f)
 	})
 }
--- a/internal/sim/adapter.go
+++ b/internal/sim/adapter.go
@@ -49,7 +49,7 @@
 				a.w.Send(a.name, "ctl", func() {
 					a.w.Send("ctl", s.name, func() {
 						if s.isUp && a.w.now >= s.frozen {
-							s.roll[a.name] = presence{who, a.w.now}
+							s.membership[a.name] = presence{who, a.w.now}
 							s.fresh = a.w.now
 						}
 					})
--- a/internal/sim/around.go
+++ b/internal/sim/around.go
@@ -43,7 +43,7 @@
 
 // Find gives an adapter whose session stands, as this store knows.
 func (s *simStore) Find(name string) (wire.Who, bool) {
-	p, isKnown := s.roll[name]
+	p, isKnown := s.membership[name]
 	return p.who, isKnown && s.w.now-p.heardAt < timing.Default.Of(timing.SessionTimeout)
 }
 
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -42,19 +42,19 @@
 // node is a manager, an agent or an adapter.
 type node struct {
 	being
-	c        *Control
-	kind     string
-	name     string
-	view     *feed.View
-	roll     *session.Roll
-	registry *session.Registry
-	targets  []*node
-	at       int
-	heard    time.Duration
-	worker   *deliver.Worker
-	term     int64
-	steady   duty.Steady
-	since    time.Duration // its view has been fresh since then
+	c          *Control
+	kind       string
+	name       string
+	view       *feed.View
+	membership *session.Membership
+	registry   *session.Registry
+	targets    []*node
+	at         int
+	heard      time.Duration
+	worker     *deliver.Worker
+	term       int64
+	steady     duty.Steady
+	since      time.Duration // its view has been fresh since then
 }
 
 // partStore is a store with one part.
--- a/internal/sim/manager.go
+++ b/internal/sim/manager.go
@@ -37,10 +37,10 @@
 	p.seeds = p.d.seeds()
 	p.begin(fmt.Sprint(p.name, ".", p.life+1))
 	p.registry = session.NewRegistry(p.d.bound(timing.SessionTimeout))
-	about := &daemon.Daemon{Kind: "manager", Bounds: timing.Default, Who: p.who(), View: p.view, Roll: p.roll,
+	about := &daemon.Daemon{Kind: "manager", Bounds: timing.Default, Who: p.who(), View: p.view, Membership: p.membership,
 		Settings: settings.Settings{Parts: parts, Places: places, Founders: copies, Copies: copies},
 		Clock:    p.now}
-	p.reach = &reach.Reach{Roll: p.roll, Bounds: timing.Default, Call: p.callIn}
+	p.reach = &reach.Reach{Membership: p.membership, Bounds: timing.Default, Call: p.callIn}
 	p.operators = manager.NewOperators(about, p.reach, p.registry)
 	p.every(p.pause, func() { p.followParts(); p.share() })
 	p.every(func() time.Duration { return p.d.bound(timing.Poll) }, p.operators.Look)
@@ -52,7 +52,7 @@
 	switch m := ask.(type) {
 	case *wire.Poll:
 		p.registry.Hear(wire.Member{Who: m.Who, Owns: m.Owns}, now, true)
-		answer(session.NewsFor(m, p.view, now, p.roll))
+		answer(session.NewsFor(m, p.view, now, p.membership))
 	case *wire.Share:
 		p.takeShare(m)
 		answer(p.ownShare())
@@ -73,7 +73,7 @@
 	}
 }
 
-// share exchanges sessions with the other managers, and renews our own roll.
+// share exchanges sessions with the other managers, and renews our own membership.
 func (p *managerProcess) share() {
 	p.registry.Hear(wire.Member{Who: p.who()}, p.now(), true)
 	for _, addr := range p.managers() {
@@ -88,13 +88,13 @@
 			}
 		})
 	}
-	p.roll.Take(p.registry.Members(p.now()))
+	p.membership.Take(p.registry.Members(p.now()))
 }
 
 // followParts asks every store for news of the parts that it owns.
 func (p *managerProcess) followParts() {
 	asked, life := p.now(), p.life
-	for _, who := range p.roll.Kind("store") {
+	for _, who := range p.membership.Kind("store") {
 		to, isKnown := p.d.at(who.Addr)
 		if !isKnown {
 			continue
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -18,7 +18,7 @@
 		return
 	}
 	n.isUp, n.life, n.worker, n.term, n.steady = true, n.life+1, nil, 0, duty.Steady{Least: 2 * timing.Default.Charter}
-	n.view, n.roll, n.registry = feed.NewView(0), session.NewRoll(), session.NewRegistry(timing.Default.Of(timing.SessionTimeout))
+	n.view, n.membership, n.registry = feed.NewView(0), session.NewMembership(), session.NewRegistry(timing.Default.Of(timing.SessionTimeout))
 	n.c.Note("start %s", n.boot())
 	life := n.life
 	var tick, act func()
@@ -83,7 +83,7 @@
 			for _, m := range ask.Beside {
 				to.registry.Hear(m, n.c.now, true)
 			}
-			news := session.NewsFor(ask, to.view, n.c.now, to.roll)
+			news := session.NewsFor(ask, to.view, n.c.now, to.membership)
 			n.c.Send(to.name, n.name, func() {
 				if n.life == life {
 					n.c.whenThawed(&n.being, func() { n.heard = n.c.now; n.view.Take(news.Parts, asked) })
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -38,19 +38,19 @@
 
 // simStore is one store; it is the place's surroundings too.
 type simStore struct {
-	w      *Places
-	name   string
-	disk   *Disk
-	isUp   bool
-	life   int
-	host   *host.Host
-	place  *store.PlaceHost
-	roll   map[string]presence
-	peers  []*simStore
-	keeper *repair.Keeper // of adapters' results; gone when the store is killed
-	fresh  time.Duration  // newest confirmation; before it is too old, the store may act
-	full   time.Duration  // its disk is full until then
-	frozen time.Duration  // nothing is done before this; what comes meanwhile waits
+	w          *Places
+	name       string
+	disk       *Disk
+	isUp       bool
+	life       int
+	host       *host.Host
+	place      *store.PlaceHost
+	membership map[string]presence
+	peers      []*simStore
+	keeper     *repair.Keeper // of adapters' results; gone when the store is killed
+	fresh      time.Duration  // newest confirmation; before it is too old, the store may act
+	full       time.Duration  // its disk is full until then
+	frozen     time.Duration  // nothing is done before this; what comes meanwhile waits
 }
 
 type presence struct {
@@ -107,7 +107,7 @@
 	}
 	s.frozen = 0
 	s.keeper = repair.NewKeeper(1000, timing.Default.Of(timing.Resend), retryPause)
-	s.isUp, s.life, s.roll, s.fresh = true, s.life+1, map[string]presence{}, s.w.now
+	s.isUp, s.life, s.membership, s.fresh = true, s.life+1, map[string]presence{}, s.w.now
 	s.place = store.NewPlaceHost(s, 0)
 	h, err := host.New(host.Options{Id: 1, Self: s.name + "/0", Roster: s.w.roster(), Bounds: timing.Default,
 		Seed: s.w.Seed + uint64(s.life), Disk: &pumped{s.disk, s}, Held: s.disk.Held(), Machine: s.place, Now: s.w.Now,
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -11,34 +11,34 @@
 	"caperwheel/internal/wire"
 )
 
-// process is what every daemon of a deployment has: a view, a roll and a
+// process is what every daemon of a deployment has: a view, a membership and a
 // session with whoever tells it the news.
 type process struct {
 	being
-	d        *Deployment
-	kind     string
-	name     string
-	addr     string
-	cell     string
-	boot     string
-	machine  *machine // nil for a follower
-	view     *feed.View
-	roll     *session.Roll
-	scenes   *charter.Scenes
-	serve    func(ask any, answer func(any))
-	seeds    []string
-	at       int
-	heard    time.Duration
-	isAsking bool
-	born     time.Duration
-	newest   int64 // the highest revision its view has had in this life
+	d          *Deployment
+	kind       string
+	name       string
+	addr       string
+	cell       string
+	boot       string
+	machine    *machine // nil for a follower
+	view       *feed.View
+	membership *session.Membership
+	scenes     *charter.Scenes
+	serve      func(ask any, answer func(any))
+	seeds      []string
+	at         int
+	heard      time.Duration
+	isAsking   bool
+	born       time.Duration
+	newest     int64 // the highest revision its view has had in this life
 }
 
 // begin starts a new life.
 func (p *process) begin(boot string) {
 	p.isUp, p.life, p.frozen = true, p.life+1, 0
 	p.boot, p.born = boot, p.d.now
-	p.view, p.roll, p.newest = feed.NewView(parts), session.NewRoll(), 0
+	p.view, p.membership, p.newest = feed.NewView(parts), session.NewMembership(), 0
 	p.scenes = &charter.Scenes{View: p.view}
 	p.at, p.heard, p.isAsking = p.d.Rand.IntN(10), p.d.now, false
 	p.d.Note("start %s as %s", p.name, boot)
@@ -79,10 +79,10 @@
 	return p.view.IsFresh(p.now(), timing.Default.Of(timing.Fresh))
 }
 
-// managers are the seeds, and those that the roll names besides.
+// managers are the seeds, and those that the membership names besides.
 func (p *process) managers() []string {
 	out := append([]string{}, p.seeds...)
-	for _, who := range p.roll.Kind("manager") {
+	for _, who := range p.membership.Kind("manager") {
 		isKnown := false
 		for _, addr := range out {
 			isKnown = isKnown || addr == who.Addr
@@ -107,7 +107,7 @@
 		return
 	}
 	p.isAsking = true
-	ask := &wire.Poll{Who: p.who(), Revisions: p.view.Revisions(), Roll: p.roll.Hash(), Owns: owns}
+	ask := &wire.Poll{Who: p.who(), Revisions: p.view.Revisions(), MembershipHash: p.membership.Hash(), Owns: owns}
 	life, asked := p.life, p.now()
 	p.d.net.call(p.machineOf(), to, func(answer func(any)) { to.serve(ask, answer) }, func(reply any, err error) {
 		news, isNews := reply.(*wire.News)
@@ -118,8 +118,8 @@
 		if err == nil && isNews {
 			p.d.whenThawed(&p.being, func() {
 				p.heard = p.d.now
-				if news.Roll != ask.Roll {
-					p.roll.Take(news.Roll, news.Members)
+				if news.MembershipHash != ask.MembershipHash {
+					p.membership.Take(news.MembershipHash, news.Members)
 				}
 				p.view.Take(news.Parts, asked)
 				p.d.book.seen(p)
@@ -136,7 +136,7 @@
 	f.seeds = d.seeds()
 	f.serve = func(ask any, answer func(any)) {
 		if poll, isPoll := ask.(*wire.Poll); isPoll {
-			answer(session.NewsFor(poll, f.view, f.now(), f.roll))
+			answer(session.NewsFor(poll, f.view, f.now(), f.membership))
 		}
 	}
 	f.begin(fmt.Sprint(kind, ".1"))
--- a/internal/sim/storerepair.go
+++ b/internal/sim/storerepair.go
@@ -14,7 +14,7 @@
 // join takes a blank store into the deployment once it sees another store.
 func (s *storeProcess) join() {
 	isOther := func(who wire.Who) bool { return who.Name != s.name }
-	if !s.isOpen && slices.ContainsFunc(s.roll.Kind("store"), isOther) {
+	if !s.isOpen && slices.ContainsFunc(s.membership.Kind("store"), isOther) {
 		s.isOpen = true
 	}
 }
@@ -22,7 +22,7 @@
 // noteMembers tells the planner of rosters which stores are members, as Store does.
 func (s *storeProcess) noteMembers() {
 	if s.isFresh() {
-		s.rosters.Note(s.roll.Kind("store"), s.scenes.Now().Retired, s.now())
+		s.rosters.Note(s.membership.Kind("store"), s.scenes.Now().Retired, s.now())
 	}
 }
 
--- a/internal/sim/stores.go
+++ b/internal/sim/stores.go
@@ -131,7 +131,7 @@
 	scene, names, members := s.scenes.Now(), []string{}, map[string]string{}
 	for _, m := range group.Voters(roster) {
 		name := group.Name(m)
-		if _, isHere := s.roll.Find(name); isHere && !scene.Retired[name] {
+		if _, isHere := s.membership.Find(name); isHere && !scene.Retired[name] {
 			names, members[name] = append(names, name), m
 		}
 	}
@@ -140,7 +140,7 @@
 
 // send brings a group's message to whatever store lives under the name.
 func (s *storeProcess) send(m wire.GroupMsg) {
-	who, isMember := s.roll.Find(group.Name(m.To))
+	who, isMember := s.membership.Find(group.Name(m.To))
 	to, isKnown := s.d.at(who.Addr)
 	if !isMember || !isKnown {
 		return
--- a/internal/store/around.go
+++ b/internal/store/around.go
@@ -58,7 +58,7 @@
 func (a *around) IsFull() bool                          { return a.s.diskFull.Load() }
 func (a *around) IsBusy() bool                          { return a.s.disk.Waiting() > mostUnsynced }
 func (a *around) Scene() *charter.Scene                 { return a.s.scenes.Now() }
-func (a *around) Find(name string) (wire.Who, bool)     { return a.s.d.Roll.Find(name) }
+func (a *around) Find(name string) (wire.Who, bool)     { return a.s.d.Membership.Find(name) }
 func (a *around) Post(who wire.Who, ask any, answer func(any, error)) error {
 	return a.s.d.Node.Peer(wire.RunLink, who.Addr).Post(ask, answer)
 }
--- a/internal/store/ballot.go
+++ b/internal/store/ballot.go
@@ -72,7 +72,7 @@
 	if me.Founded {
 		return
 	}
-	stores := f.d.Roll.Kind("store")
+	stores := f.d.Membership.Kind("store")
 	slices.SortFunc(stores, func(a, b wire.Who) int { return cmp.Compare(a.Name, b.Name) })
 	mayFound := f.isSettled(stores, now)
 	ids, addrs := map[string]string{me.Name: me.Name + "/" + me.Inc}, map[string]string{me.Name: f.d.Who.Addr}
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -175,7 +175,7 @@
 			if (worker.Cell == "" || worker.Cell == d.s.d.Who.Cell) != isOwnCell {
 				continue
 			}
-			holder, isMember := d.s.d.Roll.Find(duty.Holder)
+			holder, isMember := d.s.d.Membership.Find(duty.Holder)
 			if !isMember || holder.Boot != duty.Boot {
 				continue
 			}
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -56,7 +56,7 @@
 
 // takeElsewhere gives a message to the owner of its place, which may be here.
 func (s *Store) takeElsewhere(t *wire.Take, tell func(isTaken bool)) {
-	who, isKnown := s.d.Roll.Owner(wire.PlaceGroup + t.Place)
+	who, isKnown := s.d.Membership.Owner(wire.PlaceGroup + t.Place)
 	if !isKnown {
 		tell(false)
 		return
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -80,7 +80,7 @@
 	d.Measure(s.measure)
 	go s.upkeep(ctx)
 	go s.dispatch.run(ctx)
-	home := &reach.Reach{Node: d.Node, Roll: d.Roll, Bounds: d.Bounds, Link: wire.PlaceLink}
+	home := &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink}
 	go s.keeper.HandOver(ctx, home, func(place int64) int64 { return wire.PlaceGroup + place }, d.Now)
 	d.Serve(s.leave)
 }
@@ -179,7 +179,7 @@
 func (s *Store) ownPlaces() []*PlaceHost { return *s.own.Load() }
 
 func (s *Store) sendGroup(m wire.GroupMsg) {
-	if who, isMember := s.d.Roll.Find(group.Name(m.To)); isMember {
+	if who, isMember := s.d.Membership.Find(group.Name(m.To)); isMember {
 		fill(&m)
 		_ = s.d.Node.Peer(wire.GroupLink, who.Addr).Post(&m, nil) // lost messages are sent again at intervals
 	}
@@ -191,7 +191,7 @@
 
 // hasRoom tells whether the link to a member's store takes more entries.
 func (s *Store) hasRoom(member string) bool {
-	who, isMember := s.d.Roll.Find(group.Name(member))
+	who, isMember := s.d.Membership.Find(group.Name(member))
 	return isMember && s.d.Node.Peer(wire.GroupLink, who.Addr).HasRoom(linkBytes)
 }
 
@@ -232,7 +232,7 @@
 	scene, best, top := s.scenes.Now(), "", uint64(0)
 	for _, m := range group.Voters(roster) {
 		name := group.Name(m)
-		who, isMember := s.d.Roll.Find(name)
+		who, isMember := s.d.Membership.Find(name)
 		if !isMember && name != s.d.Who.Name || scene.Retired[name] || scene.Emptied[who.Cell] {
 			continue
 		}
--- a/internal/store/tell.go
+++ b/internal/store/tell.go
@@ -118,10 +118,10 @@
 func (s *Store) teller(address string) (wire.Who, bool) {
 	names := []string{}
 	scene := s.scenes.Now()
-	for _, who := range s.d.Roll.Kind("adapter") {
+	for _, who := range s.d.Membership.Kind("adapter") {
 		if scene.MayWork(who.Cell) {
 			names = append(names, who.Name)
 		}
 	}
-	return s.d.Roll.Find(duty.First("tell/"+address, names))
+	return s.d.Membership.Find(duty.First("tell/"+address, names))
 }
--- a/internal/store/upkeep.go
+++ b/internal/store/upkeep.go
@@ -20,7 +20,7 @@
 func (s *Store) upkeep(ctx context.Context) {
 	go timing.Every(ctx, s.d.Bounds.Of(timing.Join), func() { s.founder.try(s.d.Now()) })
 	timing.Every(ctx, s.d.Bounds.Of(timing.AnswerTimeout), func() {
-		for _, who := range s.d.Roll.Kind("adapter") {
+		for _, who := range s.d.Membership.Kind("adapter") {
 			s.d.Node.Peer(wire.RunLink, who.Addr).Warm()
 		}
 		isFull := s.disk.IsFull()
@@ -42,7 +42,7 @@
 // missing tells all groups that a store's process has ended: nobody listens
 // where it was.
 func (s *Store) missing(addr string) {
-	for _, who := range s.d.Roll.Kind("store") {
+	for _, who := range s.d.Membership.Kind("store") {
 		if who.Addr != addr || who.Name == s.d.Who.Name {
 			continue
 		}
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -89,20 +89,20 @@
 
 // Poll renews a daemon's session and asks for news behind the given revisions.
 type Poll struct {
-	Who       Who            `avro:"who"`
-	Revisions []PartRevision `avro:"stamps"`
-	Roll      string         `avro:"roll"`
-	Owns      []Owned        `avro:"owns"`
-	Fact      Fact           `avro:"fact"`
-	Beside    []Member       `avro:"beside"`
+	Who            Who            `avro:"who"`
+	Revisions      []PartRevision `avro:"stamps"`
+	MembershipHash string         `avro:"roll"`
+	Owns           []Owned        `avro:"owns"`
+	Fact           Fact           `avro:"fact"`
+	Beside         []Member       `avro:"beside"`
 }
 
-// News answers a poll. Members is empty when Roll matches the asker's.
+// News answers a poll. Members is empty when Membership matches the asker's.
 type News struct {
-	Parts   []PartNews `avro:"parts"`
-	Roll    string     `avro:"roll"`
-	Members []Member   `avro:"members"`
-	Reject  string     `avro:"reject"`
+	Parts          []PartNews `avro:"parts"`
+	MembershipHash string     `avro:"roll"`
+	Members        []Member   `avro:"members"`
+	Reject         string     `avro:"reject"`
 }
 
 // Share tells another manager the sessions that stand here.
