--- a/internal/explore/event.go
+++ b/internal/explore/event.go
@@ -20,7 +20,7 @@
 	Repeat               // a message arrives and stays under way to come again
 	Sync                 // the oldest unsynced write of a replica becomes durable
 	Timeout              // a replica has heard no owner for the longest silence
-	Pulse                // an owner's clock reaches its next pulse
+	Pulse                // an owner's clock reaches its next heartbeat
 	Lapse                // an owner's clock passes all bounds at once, as after a freeze
 	Restart              // the process ends; some of the unsynced writes are kept
 	Wipe                 // the disk is replaced; the replica comes back blank as another member
@@ -71,9 +71,9 @@
 	return text
 }
 
-var messageNames = map[int32]string{group.MsgAsk: "ask", group.MsgAskReply: "ask reply", group.MsgVote: "vote",
+var messageNames = map[int32]string{group.MsgPreVote: "ask", group.MsgPreVoteReply: "ask reply", group.MsgVote: "vote",
 	group.MsgVoteReply: "vote reply", group.MsgAppend: "append", group.MsgAppendReply: "append reply",
-	group.MsgImage: "image", group.MsgStand: "stand", group.MsgNotMe: "not me"}
+	group.MsgImage: "image", group.MsgCampaign: "stand", group.MsgNotMe: "not me"}
 
 // Spans by which a clock moves: time is only ever passed in these few steps.
 var (
--- a/internal/explore/mutants_test.go
+++ b/internal/explore/mutants_test.go
@@ -21,8 +21,8 @@
 	{"a term that is not saved", "group/elect.go",
 		"term, \"\"\n\t\tg.saveHard(out)", "term, \"\"\n\t\tif !IsMutant(NAME) {\n\t\t\tg.saveHard(out)\n\t\t}", "deposed"},
 	{"a pre-vote counts as a vote", "group/elect.go",
-		"g.role == Standing && m.Kind == MsgVoteReply && m.Term == g.hard.Term",
-		"g.role == Standing && (m.Kind == MsgVoteReply && m.Term == g.hard.Term || IsMutant(NAME) && m.Kind == MsgAskReply)", "founding"},
+		"g.role == Candidate && m.Kind == MsgVoteReply && m.Term == g.hard.Term",
+		"g.role == Candidate && (m.Kind == MsgVoteReply && m.Term == g.hard.Term || IsMutant(NAME) && m.Kind == MsgPreVoteReply)", "founding"},
 	{"a blank replica votes", "group/elect.go",
 		"return len(g.roster()) > 0", "return IsMutant(NAME) || len(g.roster()) > 0", "old name"},
 	{"a round counts before it is answered", "group/view.go",
@@ -52,7 +52,7 @@
 	{"a learner is promoted at once", "group/roster.go",
 		"g.isCaughtUp(c.Promote)", "(IsMutant(NAME) || g.isCaughtUp(c.Promote))", ""},
 	{"two roster changes at once", "group/roster.go",
-		"if g.rosts[len(g.rosts)-1].index > g.hard.Commit ||", "if g.rosts[len(g.rosts)-1].index > g.hard.Commit && !IsMutant(NAME) ||", ""},
+		"if g.rosters[len(g.rosters)-1].index > g.hard.Commit ||", "if g.rosters[len(g.rosters)-1].index > g.hard.Commit && !IsMutant(NAME) ||", ""},
 	{"a roster change before the own term has a commit", "group/roster.go",
 		"|| g.hard.Commit < g.blankAt {", "|| g.hard.Commit < g.blankAt && !IsMutant(NAME) {", "rosters"},
 	{"an owner that has left sends on", "group/progress.go",
@@ -65,7 +65,7 @@
 		"r.id, r.disk, r.unsynced = idOf", "if group.IsMutant(NAME) {\n\t\tr.disk, r.unsynced = disk{}, nil\n\t\tw.start(r)\n\t\treturn\n\t}\n\tr.id, r.disk, r.unsynced = idOf", ""},
 }
 
-// harmless are guards that others cover: nothing is found without them. An heir
+// harmless are guards that others cover: nothing is found without them. A successor
 // that lacks entries is refused by those who have them. A majority that has
 // synced an owner's first entry has answered its first round, too. Writes are
 // synced in order, so that none of before an election is left after it.
--- a/internal/explore/scene.go
+++ b/internal/explore/scene.go
@@ -79,7 +79,7 @@
 func split(w *World) *World {
 	for at := range 2 {
 		w = w.step(Timeout, at)
-		for w.replicas[at].machine.View().Role == group.Asking {
+		for w.replicas[at].machine.View().Role == group.PreCandidate {
 			next, _ := w.waiting([]string{names[1-at]})
 			w = w.Next(next)
 		}
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -18,7 +18,7 @@
 
 // disk is what a replica would find after a loss of power.
 type disk struct {
-	hard  group.Hard
+	hard  group.HardState
 	image *group.Image
 	log   []wire.Entry
 }
--- a/internal/group/alone_test.go
+++ b/internal/group/alone_test.go
@@ -15,7 +15,7 @@
 // first ones under the same index and term.
 func TestAloneOwnerSaysNothingUnsynced(t *testing.T) {
 	Convey("Given a group of one with a learner", t, func() {
-		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0", "~b/0"}, Bounds: timing.Default, Seed: 1}, Hard{}, nil, nil, 0)
+		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0", "~b/0"}, Bounds: timing.Default, Seed: 1}, HardState{}, nil, nil, 0)
 		now := timing.Default.Charter
 		isTold := func(out Out) bool {
 			for _, m := range out.Now {
--- a/internal/group/append.go
+++ b/internal/group/append.go
@@ -17,12 +17,12 @@
 	p.Entries = append(p.Entries, e)
 }
 
-// pulse opens a new round: replies to it confirm that the owner still is one.
-func (g *Group) pulse(now time.Duration, out *Out) {
-	period := g.opts.Bounds.Of(timing.Heartbeat) // all groups of a store pulse together
-	g.pulseAt = now - now%period + period
+// heartbeat opens a new round: replies to it confirm that the owner still is one.
+func (g *Group) heartbeat(now time.Duration, out *Out) {
+	period := g.opts.Bounds.Of(timing.Heartbeat) // all groups of a store heartbeat together
+	g.heartbeatAt = now - now%period + period
 	g.round++
-	g.pulseCommit = g.hard.Commit
+	g.heartbeatCommit = g.hard.Commit
 	g.rounds = append(g.rounds, roundAt{g.round, now})
 	if len(g.rounds) > 64 {
 		g.rounds = g.rounds[1:]
@@ -38,7 +38,7 @@
 		g.become(Follower, m.Term, m.From, now, out)
 	}
 	g.heardAt = now
-	g.resetBeat(now)
+	g.resetElectionTimer(now)
 }
 
 func (g *Group) onAppend(m wire.GroupMsg, now time.Duration, out *Out) {
@@ -48,7 +48,7 @@
 	if m.Index < g.base { // the image covers it: skip what is below
 		skip := min(int64(len(m.Entries)), g.base-m.Index)
 		m.Entries, m.Index = m.Entries[skip:], m.Index+skip
-		term, isHeld = g.baseT, m.Index == g.base
+		term, isHeld = g.baseTerm, m.Index == g.base
 		m.LogTerm = term
 	}
 	if !isHeld || term != m.LogTerm {
@@ -79,8 +79,8 @@
 		}
 		g.log = g.log[:e.Index-g.base-1]
 		g.synced = min(g.synced, e.Index-1)
-		for len(g.rosts) > 1 && g.rosts[len(g.rosts)-1].index >= e.Index {
-			g.rosts = g.rosts[:len(g.rosts)-1]
+		for len(g.rosters) > 1 && g.rosters[len(g.rosters)-1].index >= e.Index {
+			g.rosters = g.rosters[:len(g.rosters)-1]
 		}
 		for _, e := range entries[i:] {
 			g.log = append(g.log, e)
@@ -100,9 +100,9 @@
 		g.hard.Commit = max(g.hard.Commit, m.Index)
 	} else if m.Index > g.hard.Commit {
 		image := &Image{Index: m.Index, Term: m.LogTerm, Roster: m.Roster, State: m.State}
-		g.log, g.base, g.baseT = nil, m.Index, m.LogTerm
+		g.log, g.base, g.baseTerm = nil, m.Index, m.LogTerm
 		g.image, g.imageT = m.Index, m.LogTerm
-		g.rosts = []rosterAt{{m.Index, m.Roster}}
+		g.rosters = []rosterAt{{m.Index, m.Roster}}
 		g.hard.Commit, g.applied, g.synced = m.Index, m.Index, m.Index
 		p := g.persist(out)
 		p.Image = image
@@ -113,8 +113,8 @@
 	out.After = append(out.After, g.msg(MsgAppendReply, m.From, wire.GroupMsg{Round: m.Round, Index: g.hard.Commit}))
 }
 
-// commitUp moves the commit to what a majority has synced in this term.
-func (g *Group) commitUp(now time.Duration, out *Out) {
+// advanceCommit moves the commit to what a majority has synced in this term.
+func (g *Group) advanceCommit(now time.Duration, out *Out) {
 	if g.role != Owner {
 		return
 	}
--- a/internal/group/canonical.go
+++ b/internal/group/canonical.go
@@ -23,7 +23,7 @@
 	for _, r := range g.rounds {
 		w.number(r.round)
 	}
-	for _, r := range g.rosts {
+	for _, r := range g.rosters {
 		w.number(r.index)
 		w.set(r.members)
 	}
@@ -33,10 +33,10 @@
 }
 
 // leftOut are the fields that Canonical writes in another way, or not at all:
-// what decides only when a replica stands or pulses, which a search chooses
+// what decides only when a replica campaigns or sends a heartbeat, which a search chooses
 // itself, and which member is told first that it may stand.
-var leftOut = map[string]bool{"opts": true, "rand": true, "rounds": true, "rosts": true, "log": true,
-	"heardAt": true, "standAt": true, "pulseAt": true, "ackedAt": true, "heirSince": true}
+var leftOut = map[string]bool{"opts": true, "rand": true, "rounds": true, "rosters": true, "log": true,
+	"heardAt": true, "electionAt": true, "heartbeatAt": true, "ackedAt": true, "preferredSince": true}
 
 // clipped: what is longer ago than this many pulses is as long ago as for ever.
 const clipped = 16
@@ -60,10 +60,10 @@
 
 // canonical writes values one after the other, each with its end marked.
 type canonical struct {
-	raw    []byte
-	now    time.Duration
-	pulse  time.Duration
-	rename func(member string) string
+	raw       []byte
+	now       time.Duration
+	heartbeat time.Duration
+	rename    func(member string) string
 }
 
 func (w *canonical) number(n int64) { w.raw = binary.AppendVarint(w.raw, n) }
@@ -87,7 +87,7 @@
 	if at == 0 {
 		w.number(-1)
 	} else {
-		w.number(min(clipped, int64((w.now-at)/w.pulse)))
+		w.number(min(clipped, int64((w.now-at)/w.heartbeat)))
 	}
 }
 
--- a/internal/group/clone.go
+++ b/internal/group/clone.go
@@ -13,7 +13,7 @@
 	c := *g
 	c.rand = rand.New(rand.NewPCG(g.opts.Seed, uint64(g.opts.Id)))
 	c.log = slices.Clone(g.log)
-	c.rosts = slices.Clone(g.rosts)
+	c.rosters = slices.Clone(g.rosters)
 	c.votes = maps.Clone(g.votes)
 	c.rounds = slices.Clone(g.rounds)
 	c.renamed = maps.Clone(g.renamed)
--- a/internal/group/elect.go
+++ b/internal/group/elect.go
@@ -17,23 +17,23 @@
 		out.Changed = true
 	}
 	g.role, g.owner = role, owner
-	g.votes, g.peers, g.rounds, g.heir = nil, nil, nil, ""
+	g.votes, g.peers, g.rounds, g.successor = nil, nil, nil, ""
 	g.isSure = false
 	switch role {
 	case Follower:
-		g.resetBeat(now)
-	case Asking, Standing:
+		g.resetElectionTimer(now)
+	case PreCandidate, Candidate:
 		g.votes = map[string]bool{g.opts.Self: true}
-		g.resetBeat(now)
+		g.resetElectionTimer(now)
 	case Owner:
-		g.peers, g.heirName, g.pulseAt = map[string]*peerState{}, "", now
+		g.peers, g.preferredName, g.heartbeatAt = map[string]*peerState{}, "", now
 		g.confirmed, g.ownedAt = now, now
 		g.append(wire.Entry{Kind: EntryBlank}, out)
 		g.blankAt = g.last()
 		for _, m := range g.others() { // the first probe brings the blank entry along
 			g.peers[m] = &peerState{next: g.blankAt, isProbing: true}
 		}
-		g.pulse(now, out)
+		g.heartbeat(now, out)
 	}
 }
 
@@ -49,27 +49,27 @@
 	return out.Persist
 }
 
-// ask starts a pre-vote: it changes no term, so a returning replica that
+// startPreVote starts a pre-vote: it changes no term, so a returning replica that
 // cannot win disturbs nobody.
-func (g *Group) ask(now time.Duration, out *Out) {
+func (g *Group) startPreVote(now time.Duration, out *Out) {
 	if !g.isVoter() {
-		g.resetBeat(now)
+		g.resetElectionTimer(now)
 		return
 	}
-	g.become(Asking, g.hard.Term, "", now, out)
-	g.canvass(MsgAsk, g.hard.Term+1, &out.Now)
-	g.count(now, out)
+	g.become(PreCandidate, g.hard.Term, "", now, out)
+	g.requestVotes(MsgPreVote, g.hard.Term+1, &out.Now)
+	g.countVotes(now, out)
 }
 
-func (g *Group) stand(now time.Duration, out *Out) {
-	g.become(Standing, g.hard.Term+1, "", now, out)
+func (g *Group) campaign(now time.Duration, out *Out) {
+	g.become(Candidate, g.hard.Term+1, "", now, out)
 	g.hard.Vote = g.opts.Self
 	g.saveHard(out)
-	g.canvass(MsgVote, g.hard.Term, &out.After)
-	g.count(now, out)
+	g.requestVotes(MsgVote, g.hard.Term, &out.After)
+	g.countVotes(now, out)
 }
 
-func (g *Group) canvass(kind int32, term int64, into *[]wire.GroupMsg) {
+func (g *Group) requestVotes(kind int32, term int64, into *[]wire.GroupMsg) {
 	for _, m := range Voters(g.roster()) {
 		if m != g.opts.Self {
 			*into = append(*into, g.msg(kind, m, wire.GroupMsg{Term: term, Index: g.last(), LogTerm: g.lastTerm()}))
@@ -85,14 +85,14 @@
 	return m
 }
 
-// count looks whether the votes so far are a majority.
-func (g *Group) count(now time.Duration, out *Out) {
+// countVotes looks whether the votes so far are a majority.
+func (g *Group) countVotes(now time.Duration, out *Out) {
 	if !g.majority(func(m string) bool { return g.votes[m] }) {
 		return
 	}
-	if g.role == Asking {
-		g.stand(now, out)
-	} else if g.role == Standing {
+	if g.role == PreCandidate {
+		g.campaign(now, out)
+	} else if g.role == Candidate {
 		g.become(Owner, g.hard.Term, g.opts.Self, now, out)
 	}
 }
@@ -108,13 +108,13 @@
 	return g.role == Owner || g.owner != "" && now-g.heardAt < g.opts.Bounds.Of(timing.ElectionTimeout)
 }
 
-func (g *Group) onAsk(m wire.GroupMsg, now time.Duration, out *Out) {
+func (g *Group) onPreVote(m wire.GroupMsg, now time.Duration, out *Out) {
 	isGranted := m.Term > g.hard.Term && g.upToDate(m) && !g.hasOwner(now) && g.holdsState()
 	term := m.Term
-	if term <= g.hard.Term { // the asker is behind: let it catch up with our term
+	if term <= g.hard.Term { // the candidate is behind: let it catch up with our term
 		term = g.hard.Term + 1
 	}
-	out.Now = append(out.Now, g.msg(MsgAskReply, m.From, wire.GroupMsg{Term: term, Reject: !isGranted}))
+	out.Now = append(out.Now, g.msg(MsgPreVoteReply, m.From, wire.GroupMsg{Term: term, Reject: !isGranted}))
 }
 
 func (g *Group) onVote(m wire.GroupMsg, now time.Duration, out *Out) {
@@ -123,7 +123,7 @@
 	if isGranted {
 		g.hard.Vote = m.From
 		g.saveHard(out)
-		g.resetBeat(now)
+		g.resetElectionTimer(now)
 	}
 	out.After = append(out.After, g.msg(MsgVoteReply, m.From, wire.GroupMsg{Reject: !isGranted}))
 }
@@ -133,10 +133,10 @@
 func (g *Group) holdsState() bool { return len(g.roster()) > 0 }
 
 func (g *Group) onVoteReply(m wire.GroupMsg, now time.Duration, out *Out) {
-	isOurs := g.role == Asking && m.Kind == MsgAskReply && m.Term == g.hard.Term+1 ||
-		g.role == Standing && m.Kind == MsgVoteReply && m.Term == g.hard.Term
+	isOurs := g.role == PreCandidate && m.Kind == MsgPreVoteReply && m.Term == g.hard.Term+1 ||
+		g.role == Candidate && m.Kind == MsgVoteReply && m.Term == g.hard.Term
 	if isOurs && !m.Reject {
 		g.votes[m.From] = true
-		g.count(now, out)
+		g.countVotes(now, out)
 	}
 }
--- a/internal/group/flow_test.go
+++ b/internal/group/flow_test.go
@@ -15,7 +15,7 @@
 
 const flowSeeds = 30
 
-// TestBytesByDelay: an owner once sent again, at each pulse, all that had no
+// TestBytesByDelay: an owner once sent again, at each heartbeat, all that had no
 // answer yet, so that the bytes of a message grew with the delay of its links.
 func TestBytesByDelay(t *testing.T) {
 	Convey("Each entry goes to each follower once, with", t, func() {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -18,9 +18,9 @@
 
 // Roles. A Listener never votes: it is a learner or not in the roster at all.
 const (
-	Follower Role = iota
-	Asking        // asks whether an election could be won, without a new term
-	Standing      // stands for owner in a new term
+	Follower     Role = iota
+	PreCandidate      // asks whether an election could be won, without a new term
+	Candidate         // campaigns for owner in a new term
 	Owner
 )
 
@@ -35,16 +35,16 @@
 
 // Kinds of message.
 const (
-	MsgAsk int32 = iota // pre-vote
-	MsgAskReply
+	MsgPreVote int32 = iota // pre-vote
+	MsgPreVoteReply
 	MsgVote
 	MsgVoteReply
 	MsgAppend
 	MsgAppendReply
-	MsgImage // a whole state for a replica that is too far behind
-	MsgStand // the owner hands over: stand at once
-	MsgNotMe // the member addressed is gone; From is its new incarnation
-	MsgPart  // a part of a large image; hosts put it together
+	MsgImage    // a whole state for a replica that is too far behind
+	MsgCampaign // the owner hands over: campaign at once
+	MsgNotMe    // the member addressed is gone; From is its new incarnation
+	MsgPart     // a part of a large image; hosts put it together
 )
 
 // Options found a replica.
@@ -58,9 +58,9 @@
 	Room   func(member string) bool     // whether the link to a member takes more; none given: always
 }
 
-// Hard is what must be durable before a replica answers. Kept says that the
+// HardState is what must be durable before a replica answers. Kept says that the
 // replica holds state; a replica that has none never votes.
-type Hard struct {
+type HardState struct {
 	Term   int64
 	Vote   string
 	Commit int64
@@ -75,7 +75,7 @@
 
 // Persist is what one step must sync before its After messages may leave.
 type Persist struct {
-	Hard    *Hard
+	Hard    *HardState
 	Entries []wire.Entry // replaces everything from Entries[0].Index on
 	Image   *Image       // replaces the whole log
 }
@@ -98,38 +98,38 @@
 // synced is how far this replica's own log is on disk, and only that counts
 // towards a majority.
 type Group struct {
-	opts   Options
-	rand   *rand.Rand
-	role   Role
-	hard   Hard
-	owner  string
-	base   int64 // what the log begins behind
-	baseT  int64
-	image  int64 // the newest image's index: base, or a little later
-	imageT int64
-	log    []wire.Entry
-	rosts  []rosterAt // newest last; the first is that of base
-	synced int64
-
-	applied     int64
-	heardAt     time.Duration // last word from the owner
-	standAt     time.Duration
-	pulseAt     time.Duration
-	pulseCommit int64 // commit when the last round began
-	votes       map[string]bool
-	peers       map[string]*peerState
-	round       int64
-	rounds      []roundAt // sent and not yet confirmed
-	confirmed   time.Duration
-	ownedAt     time.Duration // when this replica became the owner
-	isSure      bool          // confirmed is valid in this term
-	blankAt     int64
-	toldCommit  int64 // the newest commit that went out with entries or by a tick
-	heirSince   time.Duration
-	heirName    string
-	heir        string            // ownership is being handed to it: nothing is proposed meanwhile
-	heirUntil   time.Duration     // else this replica steps down
-	renamed     map[string]string // name -> new member id told by MsgNotMe
+	opts     Options
+	rand     *rand.Rand
+	role     Role
+	hard     HardState
+	owner    string
+	base     int64 // what the log begins behind
+	baseTerm int64
+	image    int64 // the newest image's index: base, or a little later
+	imageT   int64
+	log      []wire.Entry
+	rosters  []rosterAt // newest last; the first is that of base
+	synced   int64
+
+	applied         int64
+	heardAt         time.Duration // last word from the owner
+	electionAt      time.Duration
+	heartbeatAt     time.Duration
+	heartbeatCommit int64 // commit when the last round began
+	votes           map[string]bool
+	peers           map[string]*peerState
+	round           int64
+	rounds          []roundAt // sent and not yet confirmed
+	confirmed       time.Duration
+	ownedAt         time.Duration // when this replica became the owner
+	isSure          bool          // confirmed is valid in this term
+	blankAt         int64
+	announcedCommit int64 // the newest commit that went out with entries or by a tick
+	preferredSince  time.Duration
+	preferredName   string
+	successor       string            // ownership is being handed to it: nothing is proposed meanwhile
+	successorUntil  time.Duration     // else this replica steps down
+	renamed         map[string]string // name -> new member id told by MsgNotMe
 }
 
 type rosterAt struct {
@@ -144,24 +144,24 @@
 
 // New makes a replica from what its disk held. With no image and no roster it
 // is a listener that waits for an owner to bring it up to date.
-func New(opts Options, hard Hard, image *Image, log []wire.Entry, now time.Duration) *Group {
+func New(opts Options, hard HardState, image *Image, log []wire.Entry, now time.Duration) *Group {
 	g := &Group{opts: opts, hard: hard, log: log, renamed: map[string]string{},
 		rand: rand.New(rand.NewPCG(opts.Seed, uint64(opts.Id)))}
 	roster := opts.Roster
 	if image != nil {
-		g.base, g.baseT, roster = image.Index, image.Term, image.Roster
+		g.base, g.baseTerm, roster = image.Index, image.Term, image.Roster
 	}
-	g.image, g.imageT = g.base, g.baseT
-	g.rosts = []rosterAt{{g.base, roster}}
+	g.image, g.imageT = g.base, g.baseTerm
+	g.rosters = []rosterAt{{g.base, roster}}
 	for _, e := range log {
 		g.noteRoster(e)
 	}
 	g.hard.Commit = max(g.hard.Commit, g.base)
 	g.hard.Commit = min(g.hard.Commit, g.last())
 	g.applied, g.synced = g.base, g.last()
-	g.resetBeat(now)
-	if g.isHeir() { // the preferred owner of a fresh start stands first
-		g.standAt = now + g.opts.Bounds.Of(timing.Heartbeat)
+	g.resetElectionTimer(now)
+	if g.isPreferred() { // the preferred owner of a fresh start campaigns first
+		g.electionAt = now + g.opts.Bounds.Of(timing.Heartbeat)
 	}
 	return g
 }
@@ -178,7 +178,7 @@
 func (g *Group) termAt(index int64) (int64, bool) {
 	switch {
 	case index == g.base:
-		return g.baseT, true
+		return g.baseTerm, true
 	case index < g.base || index > g.last():
 		return 0, false
 	}
@@ -203,7 +203,7 @@
 	return slices.DeleteFunc(slices.Clone(roster), IsLearner)
 }
 
-func (g *Group) roster() []string { return g.rosts[len(g.rosts)-1].members }
+func (g *Group) roster() []string { return g.rosters[len(g.rosters)-1].members }
 
 func (g *Group) isVoter() bool { return slices.Contains(g.roster(), g.opts.Self) }
 
@@ -224,13 +224,13 @@
 	return out
 }
 
-func (g *Group) isHeir() bool {
+func (g *Group) isPreferred() bool {
 	return g.opts.Prefer != nil && g.isVoter() && g.opts.Prefer(g.roster()) == g.opts.Self
 }
 
-func (g *Group) resetBeat(now time.Duration) {
+func (g *Group) resetElectionTimer(now time.Duration) {
 	spread := time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(timing.ElectionSpread))))
-	g.standAt = now + g.opts.Bounds.Of(timing.ElectionTimeout) + spread
+	g.electionAt = now + g.opts.Bounds.Of(timing.ElectionTimeout) + spread
 }
 
 // majority tells whether the members for which test holds are enough.
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -13,7 +13,7 @@
 
 var trio = []string{"a/0", "b/0", "c/0"}
 
-func follower(roster []string, hard Hard, log []wire.Entry) *Group {
+func follower(roster []string, hard HardState, log []wire.Entry) *Group {
 	return New(Options{Id: 1, Self: "b/0", Roster: roster, Bounds: timing.Default, Seed: 1}, hard, nil, log, 0)
 }
 
@@ -30,18 +30,18 @@
 	cases := []struct {
 		name   string
 		roster []string
-		hard   Hard
+		hard   HardState
 		log    []wire.Entry
 		ask    wire.GroupMsg
 		isYes  bool
 	}{
-		{"a new term and an equal log", trio, Hard{Term: 1}, entries(1, 1), wire.GroupMsg{Term: 2, Index: 2, LogTerm: 1}, true},
-		{"a shorter log", trio, Hard{Term: 1}, entries(1, 1), wire.GroupMsg{Term: 2, Index: 1, LogTerm: 1}, false},
-		{"a shorter log of a later term", trio, Hard{Term: 2}, entries(1, 1), wire.GroupMsg{Term: 3, Index: 1, LogTerm: 2}, true},
-		{"an older term", trio, Hard{Term: 5}, nil, wire.GroupMsg{Term: 4, Index: 9, LogTerm: 4}, false},
-		{"a vote already given to another", trio, Hard{Term: 2, Vote: "c/0"}, nil, wire.GroupMsg{Term: 2}, false},
-		{"a vote already given to the same", trio, Hard{Term: 2, Vote: "a/0"}, nil, wire.GroupMsg{Term: 2}, true},
-		{"a blank replica, which may have forgotten promises", nil, Hard{}, nil, wire.GroupMsg{Term: 2, Index: 9, LogTerm: 1}, false},
+		{"a new term and an equal log", trio, HardState{Term: 1}, entries(1, 1), wire.GroupMsg{Term: 2, Index: 2, LogTerm: 1}, true},
+		{"a shorter log", trio, HardState{Term: 1}, entries(1, 1), wire.GroupMsg{Term: 2, Index: 1, LogTerm: 1}, false},
+		{"a shorter log of a later term", trio, HardState{Term: 2}, entries(1, 1), wire.GroupMsg{Term: 3, Index: 1, LogTerm: 2}, true},
+		{"an older term", trio, HardState{Term: 5}, nil, wire.GroupMsg{Term: 4, Index: 9, LogTerm: 4}, false},
+		{"a vote already given to another", trio, HardState{Term: 2, Vote: "c/0"}, nil, wire.GroupMsg{Term: 2}, false},
+		{"a vote already given to the same", trio, HardState{Term: 2, Vote: "a/0"}, nil, wire.GroupMsg{Term: 2}, true},
+		{"a blank replica, which may have forgotten promises", nil, HardState{}, nil, wire.GroupMsg{Term: 2, Index: 9, LogTerm: 1}, false},
 	}
 	Convey("A replica asked for its vote", t, func() {
 		for _, c := range cases {
@@ -64,7 +64,7 @@
 
 func TestImageKeepsWhatWasAcknowledged(t *testing.T) {
 	Convey("Given a replica that has acknowledged entry 3", t, func() {
-		g := follower(trio, Hard{Term: 1}, nil)
+		g := follower(trio, HardState{Term: 1}, nil)
 		g.Receive(wire.GroupMsg{Kind: MsgAppend, From: "a/0", To: "b/0", Term: 1, Entries: entries(1, 1, 1)}, 0)
 		Convey("an image that ends at entry 2 takes nothing back", func() {
 			out := g.Receive(wire.GroupMsg{Kind: MsgImage, From: "a/0", To: "b/0", Term: 1, Index: 2, LogTerm: 1, Roster: trio}, 0)
@@ -82,15 +82,15 @@
 
 func TestReturningReplicaDisturbsNobody(t *testing.T) {
 	Convey("Given a replica that hears its owner", t, func() {
-		g := follower(trio, Hard{Term: 4}, nil)
+		g := follower(trio, HardState{Term: 4}, nil)
 		g.Receive(wire.GroupMsg{Kind: MsgAppend, From: "a/0", To: "b/0", Term: 4}, 0)
 		Convey("it denies a pre-vote and stays in its term", func() {
-			out := g.Receive(wire.GroupMsg{Kind: MsgAsk, From: "c/0", To: "b/0", Term: 5, Index: 99, LogTerm: 4}, time.Millisecond)
+			out := g.Receive(wire.GroupMsg{Kind: MsgPreVote, From: "c/0", To: "b/0", Term: 5, Index: 99, LogTerm: 4}, time.Millisecond)
 			So(out.Now[0].Reject, ShouldBeTrue)
 			So(g.View().Term, ShouldEqual, 4)
 		})
 		Convey("it grants one once the owner has been silent", func() {
-			out := g.Receive(wire.GroupMsg{Kind: MsgAsk, From: "c/0", To: "b/0", Term: 5, Index: 99, LogTerm: 4}, timing.Default.Charter)
+			out := g.Receive(wire.GroupMsg{Kind: MsgPreVote, From: "c/0", To: "b/0", Term: 5, Index: 99, LogTerm: 4}, timing.Default.Charter)
 			So(out.Now[0].Reject, ShouldBeFalse)
 		})
 	})
@@ -98,7 +98,7 @@
 
 func TestRosterChangesOneAtATime(t *testing.T) {
 	Convey("Given the owner of a group of one", t, func() {
-		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: timing.Default}, Hard{}, nil, nil, 0)
+		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: timing.Default}, HardState{}, nil, nil, 0)
 		g.Tick(timing.Default.Charter)
 		So(g.View().Role, ShouldEqual, Owner)
 		_, err := g.ChangeRoster(Change{Learn: "b/0"}, 0)
@@ -130,10 +130,10 @@
 // TestNewOwner: what an owner may count and say before its own term is sure.
 func TestNewOwner(t *testing.T) {
 	Convey("Given a new owner with an entry of an older term that is not committed", t, func() {
-		g := follower(trio, Hard{Term: 1}, entries(1))
+		g := follower(trio, HardState{Term: 1}, entries(1))
 		now := timing.Default.Charter
 		g.Tick(now)
-		g.Receive(wire.GroupMsg{Kind: MsgAskReply, From: "a/0", To: "b/0", Term: 2}, now)
+		g.Receive(wire.GroupMsg{Kind: MsgPreVoteReply, From: "a/0", To: "b/0", Term: 2}, now)
 		g.Receive(wire.GroupMsg{Kind: MsgVoteReply, From: "a/0", To: "b/0", Term: 2}, now)
 		So(g.View().Role, ShouldEqual, Owner)
 		reply := func(index int64) {
--- a/internal/group/handover.go
+++ b/internal/group/handover.go
@@ -8,39 +8,39 @@
 )
 
 // HandOver gives ownership to a member: from now on nothing is proposed, and as
-// soon as the member has all entries it is asked to stand. One that does not
+// soon as the member has all entries it is asked to campaign. One that does not
 // take over in time has this replica step down: what was refused meanwhile must
 // not be taken for still under way. Used before a planned stop and to bring
 // ownership home.
 func (g *Group) HandOver(to string, now time.Duration) Out {
 	out := Out{}
-	if g.role == Owner && g.heir == "" && g.peers[to] != nil {
-		g.heir, g.heirUntil = to, now+g.opts.Bounds.Of(timing.TransferTimeout)
-		g.callHeir(&out)
+	if g.role == Owner && g.successor == "" && g.peers[to] != nil {
+		g.successor, g.successorUntil = to, now+g.opts.Bounds.Of(timing.TransferTimeout)
+		g.callSuccessor(&out)
 	}
 	return out
 }
 
 // Missing tells that a store's process is known to have ended. Followers of an
-// owner there need not wait for its silence; each stands after a moment of its
-// own, so that they seldom stand together.
+// owner there need not wait for its silence; each campaigns after a moment of its
+// own, so that they seldom campaign together.
 func (g *Group) Missing(name string, now time.Duration) {
 	if g.role == Follower && g.owner != "" && Name(g.owner) == name {
 		g.owner = ""
-		g.standAt = min(g.standAt, now+time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(timing.Heartbeat)))))
+		g.electionAt = min(g.electionAt, now+time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(timing.Heartbeat)))))
 	}
 }
 
-// callHeir asks the heir to stand once it has all entries.
-func (g *Group) callHeir(out *Out) {
-	if p := g.peers[g.heir]; g.heir != "" && p != nil && p.match == g.last() {
-		out.Now = append(out.Now, g.msg(MsgStand, g.heir, wire.GroupMsg{}))
+// callSuccessor asks the successor to campaign once it has all entries.
+func (g *Group) callSuccessor(out *Out) {
+	if p := g.peers[g.successor]; g.successor != "" && p != nil && p.match == g.last() {
+		out.Now = append(out.Now, g.msg(MsgCampaign, g.successor, wire.GroupMsg{}))
 	}
 }
 
-// Heir gives the voter that is best placed to take over, other than avoid: of
+// Successor gives the voter that is best placed to take over, other than avoid: of
 // those that answered lately the one that misses least.
-func (g *Group) Heir(isAvoided func(member string) bool, now time.Duration) string {
+func (g *Group) Successor(isAvoided func(member string) bool, now time.Duration) string {
 	best := ""
 	for _, m := range Voters(g.roster()) {
 		p := g.peers[m]
@@ -54,25 +54,25 @@
 	return best
 }
 
-// bringHome hands the group to its preferred owner once that one has kept up
+// transferToPreferred hands the group to its preferred owner once that one has kept up
 // for a whole bound.
-func (g *Group) bringHome(now time.Duration, out *Out) {
-	if g.opts.Prefer == nil || g.heir != "" {
+func (g *Group) transferToPreferred(now time.Duration, out *Out) {
+	if g.opts.Prefer == nil || g.successor != "" {
 		return
 	}
-	heir := g.opts.Prefer(g.roster())
-	p := g.peers[heir]
-	isHere := heir != g.opts.Self && p != nil && !p.isProbing && now-p.ackedAt < g.opts.Bounds.Of(timing.Heartbeat)*3
+	successor := g.opts.Prefer(g.roster())
+	p := g.peers[successor]
+	isHere := successor != g.opts.Self && p != nil && !p.isProbing && now-p.ackedAt < g.opts.Bounds.Of(timing.Heartbeat)*3
 	if !isHere {
-		g.heirName = ""
+		g.preferredName = ""
 		return
 	}
-	if g.heirName != heir {
-		g.heirName, g.heirSince = heir, now
+	if g.preferredName != successor {
+		g.preferredName, g.preferredSince = successor, now
 	}
-	if now-g.heirSince > g.opts.Bounds.Charter && g.last()-p.match < appendCount {
-		g.heirSince = now
-		more := g.HandOver(heir, now)
+	if now-g.preferredSince > g.opts.Bounds.Charter && g.last()-p.match < appendCount {
+		g.preferredSince = now
+		more := g.HandOver(successor, now)
 		out.Now = append(out.Now, more.Now...)
 	}
 }
--- a/internal/group/handover_test.go
+++ b/internal/group/handover_test.go
@@ -13,9 +13,9 @@
 // owned gives an owner of three whose own log is synced and whose peer "a/0"
 // has answered up to an index.
 func owned(upTo int64) *Group {
-	g := follower(trio, Hard{}, nil)
+	g := follower(trio, HardState{}, nil)
 	var out Out
-	g.become(Standing, 1, "", 0, &out)
+	g.become(Candidate, 1, "", 0, &out)
 	g.become(Owner, 1, "b/0", 0, &out)
 	g.Propose([]byte("x"), 0)
 	g.Synced(g.last(), 1, 0)
@@ -25,21 +25,21 @@
 
 func isCalled(out Out) bool {
 	for _, m := range out.Now {
-		if m.Kind == MsgStand && m.To == "a/0" {
+		if m.Kind == MsgCampaign && m.To == "a/0" {
 			return true
 		}
 	}
 	return false
 }
 
-// TestHandOver: an owner once handed over only if its heir happened to have
-// every entry, which a busy group's heir never has; it was dropped instead.
+// TestHandOver: an owner once handed over only if its successor happened to have
+// every entry, which a busy group's successor never has; it was dropped instead.
 func TestHandOver(t *testing.T) {
 	Convey("Given an owner whose heir misses an entry", t, func() {
 		g := owned(1)
-		heir := g.Heir(func(string) bool { return false }, 2*time.Millisecond)
-		So(heir, ShouldEqual, "a/0")
-		out := g.HandOver(heir, 2*time.Millisecond)
+		successor := g.Successor(func(string) bool { return false }, 2*time.Millisecond)
+		So(successor, ShouldEqual, "a/0")
+		out := g.HandOver(successor, 2*time.Millisecond)
 		Convey("nothing is proposed any more, and whoever asks is sent to the heir", func() {
 			_, _, _, isOwner := g.Propose([]byte("y"), 3*time.Millisecond)
 			So(isOwner, ShouldBeFalse)
@@ -70,14 +70,14 @@
 	Convey("A follower that hears of the end of", t, func() {
 		for _, c := range cases {
 			Convey(c.name, func() {
-				g := follower(trio, Hard{Term: 1}, nil)
+				g := follower(trio, HardState{Term: 1}, nil)
 				g.Receive(wire.GroupMsg{Kind: MsgAppend, From: "a/0", To: "b/0", Term: 1}, 0)
 				g.Missing(c.missing, time.Millisecond)
 				So(g.hasOwner(2*time.Millisecond), ShouldEqual, !c.isSoon)
 				out := g.Tick(timing.Default.Of(timing.Heartbeat) + 2*time.Millisecond)
 				isAsking := false
 				for _, m := range out.Now {
-					isAsking = isAsking || m.Kind == MsgAsk
+					isAsking = isAsking || m.Kind == MsgPreVote
 				}
 				So(isAsking, ShouldEqual, c.isSoon)
 			})
--- a/internal/group/mend.go
+++ b/internal/group/mend.go
@@ -5,14 +5,14 @@
 	"strings"
 )
 
-// Mend says which roster step repairs the group, if any: known gives the
+// Repair says which roster step repairs the group, if any: known gives the
 // member ids of live stores by name, wanted the names that should hold it.
 // Owners call it at intervals; one step at a time.
 //
 // The order of the steps keeps every member that may still be needed: a dead
 // incarnation goes first, since it only costs votes; a store that is not wanted
 // keeps its vote until all that are wanted vote in its place.
-func (g *Group) Mend(known map[string]string, wanted []string) (Change, bool) {
+func (g *Group) Repair(known map[string]string, wanted []string) (Change, bool) {
 	if g.role != Owner {
 		return Change{}, false
 	}
--- a/internal/group/mend_test.go
+++ b/internal/group/mend_test.go
@@ -15,9 +15,9 @@
 // ownerOf gives "b/0" as the owner of a roster, with all that its peers of
 // answering have acknowledged.
 func ownerOf(roster []string, answering ...string) *Group {
-	g := follower(roster, Hard{}, nil)
+	g := follower(roster, HardState{}, nil)
 	var out Out
-	g.become(Standing, 1, "", 0, &out)
+	g.become(Candidate, 1, "", 0, &out)
 	g.become(Owner, 1, "b/0", 0, &out)
 	g.Synced(g.last(), 1, 0)
 	for _, m := range answering {
@@ -58,7 +58,7 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				answering := slices.DeleteFunc(slices.Collect(maps.Values(c.known)), func(id string) bool { return id == "b/0" })
-				got, isDue := ownerOf(c.roster, answering...).Mend(c.known, c.wanted)
+				got, isDue := ownerOf(c.roster, answering...).Repair(c.known, c.wanted)
 				So(got, ShouldResemble, c.want)
 				So(isDue, ShouldEqual, c.want != Change{})
 			})
@@ -72,7 +72,7 @@
 	Convey("Given an owner that was told of an older life of a member", t, func() {
 		g := ownerOf([]string{"a/2", "b/0", "c/0"}, "a/2", "c/0")
 		g.Receive(wire.GroupMsg{Kind: MsgNotMe, From: "a/1", To: "b/0"}, 0)
-		_, isDue := g.Mend(map[string]string{"a": "a/1", "b": "b/0", "c": "c/0"}, []string{"a", "b", "c"})
+		_, isDue := g.Repair(map[string]string{"a": "a/1", "b": "b/0", "c": "c/0"}, []string{"a", "b", "c"})
 		So(isDue, ShouldBeFalse)
 	})
 }
--- a/internal/group/pair_test.go
+++ b/internal/group/pair_test.go
@@ -41,7 +41,7 @@
 		opts.Room = func(to string) bool {
 			return p.room == 0 || int((p.busy[name+">"+to]-p.now)*time.Duration(p.rate)/time.Second) < p.room
 		}
-		p.members[name] = New(opts, Hard{}, nil, nil, 0)
+		p.members[name] = New(opts, HardState{}, nil, nil, 0)
 	}
 }
 
--- a/internal/group/progress.go
+++ b/internal/group/progress.go
@@ -21,21 +21,21 @@
 // peerState is what an owner knows of another member: its progress. It is
 //
 //   - probing, while it is not known where its log ends: an append that carries
-//     next to nothing goes with each pulse until one is accepted;
+//     next to nothing goes with each heartbeat until one is accepted;
 //   - imaging, a kind of probing, while an image is on its way;
 //   - replicating: entries follow one another without waiting, as far as the
 //     flight allows.
 //
 // Links are ordered, so the answer to an append that was sent later tells what
 // became of those before: a rejected one that some were lost, and of an image
-// the answer to a later pulse.
+// the answer to a later heartbeat.
 type peerState struct {
 	match, next int64
-	acked       int64 // newest pulse round answered
+	acked       int64 // newest heartbeat round answered
 	ackedAt     time.Duration
 	isProbing   bool
 	imageIndex  int64 // of the image on its way; 0 for none
-	imageRound  int64 // the newest pulse before it
+	imageRound  int64 // the newest heartbeat before it
 	flight      []inFlight
 	flightBytes int
 }
@@ -100,9 +100,9 @@
 	return true
 }
 
-// spread sends new entries to every member that is not being probed.
-func (g *Group) spread(now time.Duration, out *Out) {
-	g.toldCommit = g.hard.Commit
+// replicate sends new entries to every member that is not being probed.
+func (g *Group) replicate(now time.Duration, out *Out) {
+	g.announcedCommit = g.hard.Commit
 	for _, m := range g.others() {
 		if p := g.peer(m); !p.isProbing {
 			g.sendTo(m, false, now, out)
@@ -168,7 +168,7 @@
 }
 
 // sendImage sends the image if none is on its way, and else, if always is set,
-// a pulse that no member accepts.
+// a heartbeat that no member accepts.
 func (g *Group) sendImage(m string, always bool, out *Out) {
 	p := g.peer(m)
 	if p.imageIndex == 0 && g.hasRoom(m) {
@@ -193,9 +193,9 @@
 		return
 	}
 	p.accept(m.Index)
-	g.commitUp(now, out)
-	if m.From == g.heir {
-		g.callHeir(out)
+	g.advanceCommit(now, out)
+	if m.From == g.successor {
+		g.callSuccessor(out)
 	}
 	if g.role == Owner && p.next <= g.last() {
 		g.sendTo(m.From, false, now, out)
@@ -203,7 +203,7 @@
 }
 
 // onReject probes where the member's log ends, or sends the image again: it was
-// lost if the member has answered a later pulse without having it.
+// lost if the member has answered a later heartbeat without having it.
 func (g *Group) onReject(m wire.GroupMsg, p *peerState, now time.Duration, out *Out) {
 	if p.imageIndex > 0 {
 		if m.Round > p.imageRound {
@@ -217,13 +217,13 @@
 	}
 }
 
-// tellCommit lets members that have all entries know what is committed, when a
+// announceCommit lets members that have all entries know what is committed, when a
 // tick has passed in which no entry has told them.
-func (g *Group) tellCommit(now time.Duration, out *Out) {
-	if g.toldCommit == g.hard.Commit {
+func (g *Group) announceCommit(now time.Duration, out *Out) {
+	if g.announcedCommit == g.hard.Commit {
 		return
 	}
-	g.toldCommit = g.hard.Commit
+	g.announcedCommit = g.hard.Commit
 	for _, m := range g.others() {
 		if p := g.peer(m); !p.isProbing && p.next > g.last() {
 			g.sendTo(m, true, now, out)
--- a/internal/group/progress_test.go
+++ b/internal/group/progress_test.go
@@ -85,7 +85,7 @@
 	Convey("Given an owner with a small entry and large ones", t, func() {
 		hasRoom := true
 		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0", "b/0", "c/0"}, Bounds: timing.Default,
-			Room: func(string) bool { return hasRoom }}, Hard{}, nil, nil, 0)
+			Room: func(string) bool { return hasRoom }}, HardState{}, nil, nil, 0)
 		var out Out
 		g.become(Owner, 1, "a/0", time.Millisecond, &out)
 		g.log = nil
--- a/internal/group/roster.go
+++ b/internal/group/roster.go
@@ -16,13 +16,13 @@
 	}
 	members := []string{}
 	if err := json.Unmarshal(e.Data, &members); err == nil {
-		g.rosts = append(g.rosts, rosterAt{e.Index, members})
+		g.rosters = append(g.rosters, rosterAt{e.Index, members})
 	}
 }
 
 func (g *Group) rosterAt(index int64) []string {
-	out := g.rosts[0].members
-	for _, r := range g.rosts {
+	out := g.rosters[0].members
+	for _, r := range g.rosters {
 		if r.index <= index {
 			out = r.members
 		}
@@ -43,7 +43,7 @@
 	if g.role != Owner {
 		return out, errs.New(errs.NotOwner, "group %d", g.opts.Id)
 	}
-	if g.rosts[len(g.rosts)-1].index > g.hard.Commit || g.hard.Commit < g.blankAt {
+	if g.rosters[len(g.rosters)-1].index > g.hard.Commit || g.hard.Commit < g.blankAt {
 		return out, errs.New(errs.Conflict, "a roster change of group %d is under way", g.opts.Id)
 	}
 	next := slices.Clone(g.roster())
@@ -65,7 +65,7 @@
 		return out, errs.Wrap(err, errs.Internal, "roster")
 	}
 	g.append(wire.Entry{Kind: EntryRoster, Data: data}, &out)
-	g.spread(now, &out)
+	g.replicate(now, &out)
 	for _, m := range g.others() { // a new member is told at once
 		if p := g.peer(m); p.isProbing {
 			g.sendTo(m, true, now, &out)
@@ -79,15 +79,15 @@
 // since is on its way, and a busy group's learner never has all of it.
 func (g *Group) isCaughtUp(m string) bool {
 	p := g.peers[m]
-	return p != nil && p.match >= g.pulseCommit && p.match > 0
+	return p != nil && p.match >= g.heartbeatCommit && p.match > 0
 }
 
 // onCommit acts on what a commit brings: an owner that has left steps down.
 func (g *Group) onCommit(now time.Duration, out *Out) {
-	if r := g.rosts[len(g.rosts)-1]; r.index <= g.hard.Commit && !slices.Contains(r.members, g.opts.Self) {
+	if r := g.rosters[len(g.rosters)-1]; r.index <= g.hard.Commit && !slices.Contains(r.members, g.opts.Self) {
 		for _, m := range Voters(r.members) { // the best one left takes over
 			if p := g.peers[m]; p != nil && p.match == g.last() {
-				out.Now = append(out.Now, g.msg(MsgStand, m, wire.GroupMsg{}))
+				out.Now = append(out.Now, g.msg(MsgCampaign, m, wire.GroupMsg{}))
 				break
 			}
 		}
--- a/internal/group/step.go
+++ b/internal/group/step.go
@@ -12,8 +12,8 @@
 	out := Out{}
 	if g.role == Owner {
 		g.tickOwner(now, &out)
-	} else if now >= g.standAt {
-		g.ask(now, &out)
+	} else if now >= g.electionAt {
+		g.startPreVote(now, &out)
 	}
 	g.advance(&out)
 	return out
@@ -24,16 +24,16 @@
 		g.become(Follower, g.hard.Term, "", now, out) // cut off from the majority
 		return
 	}
-	if g.heir != "" && now > g.heirUntil {
-		g.become(Follower, g.hard.Term, "", now, out) // the heir did not take over
+	if g.successor != "" && now > g.successorUntil {
+		g.become(Follower, g.hard.Term, "", now, out) // the successor did not take over
 		return
 	}
-	g.callHeir(out)
-	g.tellCommit(now, out)
+	g.callSuccessor(out)
+	g.announceCommit(now, out)
 	g.refill(now, out)
-	if now >= g.pulseAt {
-		g.pulse(now, out)
-		g.bringHome(now, out)
+	if now >= g.heartbeatAt {
+		g.heartbeat(now, out)
+		g.transferToPreferred(now, out)
 	}
 }
 
@@ -52,11 +52,11 @@
 		return out
 	}
 	switch m.Kind {
-	case MsgAsk:
-		g.onAsk(m, now, &out)
+	case MsgPreVote:
+		g.onPreVote(m, now, &out)
 	case MsgVote:
 		g.onVote(m, now, &out)
-	case MsgAskReply, MsgVoteReply:
+	case MsgPreVoteReply, MsgVoteReply:
 		g.onVoteReply(m, now, &out)
 	case MsgAppend:
 		g.onAppend(m, now, &out)
@@ -64,9 +64,9 @@
 		g.onImage(m, now, &out)
 	case MsgAppendReply:
 		g.onAppendReply(m, now, &out)
-	case MsgStand:
+	case MsgCampaign:
 		if g.role == Follower && m.From == g.owner && g.isVoter() {
-			g.stand(now, &out)
+			g.campaign(now, &out)
 		}
 	}
 	g.advance(&out)
@@ -77,9 +77,9 @@
 // has been dealt with.
 func (g *Group) admit(m wire.GroupMsg, now time.Duration, out *Out) bool {
 	switch m.Kind {
-	case MsgAsk:
+	case MsgPreVote:
 		return true
-	case MsgAskReply: // carries a term that nobody has entered yet
+	case MsgPreVoteReply: // carries a term that nobody has entered yet
 		if m.Reject && m.Term > g.hard.Term+1 {
 			g.become(Follower, m.Term-1, "", now, out)
 		}
@@ -105,7 +105,7 @@
 	if t, isHeld := g.termAt(index); isHeld && t == term {
 		g.synced = max(g.synced, index)
 	}
-	g.commitUp(now, &out)
+	g.advanceCommit(now, &out)
 	g.advance(&out)
 	return out
 }
@@ -124,11 +124,11 @@
 // Propose appends a command. The index and term name it; it is committed when
 // an entry with both is applied. False when this replica is not the owner.
 func (g *Group) Propose(data []byte, now time.Duration) (index, term int64, out Out, isOwner bool) {
-	if g.role != Owner || g.heir != "" {
+	if g.role != Owner || g.successor != "" {
 		return 0, 0, out, false
 	}
 	g.append(wire.Entry{Kind: EntryData, Data: data}, &out)
-	g.spread(now, &out)
+	g.replicate(now, &out)
 	return g.last(), g.hard.Term, out, true
 }
 
@@ -147,17 +147,17 @@
 	}
 	term, _ = g.termAt(base)
 	kept := []rosterAt{{base, g.rosterAt(base)}}
-	for _, r := range g.rosts {
+	for _, r := range g.rosters {
 		if r.index > base {
 			kept = append(kept, r)
 		}
 	}
 	g.log = append([]wire.Entry{}, g.log[base-g.base:]...)
-	g.base, g.baseT, g.rosts = base, term, kept
+	g.base, g.baseTerm, g.rosters = base, term, kept
 	return &Image{Index: g.image, Term: g.imageT, Roster: g.rosterAt(g.image), State: state}
 }
 
 // Whole gives all that must be durable besides the image, for a slot on disk.
-func (g *Group) Whole() (Hard, []wire.Entry) {
+func (g *Group) Whole() (HardState, []wire.Entry) {
 	return g.hard, append([]wire.Entry{}, g.log[g.image-g.base:]...)
 }
--- a/internal/group/view.go
+++ b/internal/group/view.go
@@ -24,8 +24,8 @@
 	v := View{Role: g.role, Term: g.hard.Term, Owner: g.owner, Commit: g.hard.Commit, Last: g.last(),
 		Roster: slices.Clone(g.roster()), Confirmed: g.confirmed,
 		IsSure: g.role == Owner && g.isSure && g.hard.Commit >= g.blankAt && g.applied >= g.blankAt}
-	if g.heir != "" {
-		v.Owner = g.heir // whoever asks is sent there
+	if g.successor != "" {
+		v.Owner = g.successor // whoever asks is sent there
 	}
 	for _, m := range Voters(g.roster()) {
 		if p := g.peers[m]; g.role == Owner && m != g.opts.Self && p != nil {
@@ -43,7 +43,7 @@
 func (g *Group) whole() []string {
 	out := []string{}
 	for _, m := range Voters(g.roster()) {
-		if g.answers(m) && g.matchOf(m) >= g.pulseCommit {
+		if g.answers(m) && g.matchOf(m) >= g.heartbeatCommit {
 			out = append(out, m)
 		}
 	}
--- a/internal/host/apply.go
+++ b/internal/host/apply.go
@@ -70,8 +70,8 @@
 func (h *Host) HandOver(isAvoided func(member string) bool) {
 	_ = h.Do(func() {
 		now := h.opts.Now()
-		if heir := h.machine.Heir(isAvoided, now); heir != "" {
-			h.do(h.machine.HandOver(heir, now))
+		if successor := h.machine.Successor(isAvoided, now); successor != "" {
+			h.do(h.machine.HandOver(successor, now))
 		}
 	})
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -30,7 +30,7 @@
 type Disk interface {
 	Persist(id int64, p *group.Persist, then func(error))
 	After(then func(error))
-	SaveSlot(id int64, hard group.Hard, image *group.Image, entries *group.Persist, then func(error))
+	SaveSlot(id int64, hard group.HardState, image *group.Image, entries *group.Persist, then func(error))
 }
 
 // Options of a host.
@@ -46,7 +46,7 @@
 	Now     func() time.Duration
 	Send    func(wire.GroupMsg)
 	Prefer  func(roster []string) string
-	Mend    Plan
+	Repair  Plan
 	Room    func(member string) bool // whether the link to a member takes more; none given: always
 	Ring    int                      // events that may wait
 	Compact int                      // applied entries after which the group is put into its slot
@@ -77,7 +77,7 @@
 	waiters    map[int64]waiter
 	begun      []begun // when the waiters' proposals were made, oldest first
 	isOwner    bool
-	mended     time.Duration
+	repaired   time.Duration
 	isChanging bool // the roster is not yet what it should be
 	parts      parts
 
--- a/internal/host/spread_test.go
+++ b/internal/host/spread_test.go
@@ -28,7 +28,7 @@
 
 func (quickDisk) Persist(_ int64, _ *group.Persist, then func(error)) { then(nil) }
 func (quickDisk) After(then func(error))                              { then(nil) }
-func (quickDisk) SaveSlot(_ int64, _ group.Hard, _ *group.Image, _ *group.Persist, then func(error)) {
+func (quickDisk) SaveSlot(_ int64, _ group.HardState, _ *group.Image, _ *group.Persist, then func(error)) {
 	then(nil)
 }
 
@@ -50,7 +50,7 @@
 	for i, name := range all {
 		opts := Options{Id: 1, Self: known[name], Bounds: timing.Default, Seed: uint64(i), Disk: quickDisk{}, Machine: idleMachine{},
 			Now: func() time.Duration { return out.now }, Send: func(m wire.GroupMsg) { out.mail = append(out.mail, m) },
-			Mend: func(repair.Silence) (map[string]string, []string) { return known, wanted }}
+			Repair: func(repair.Silence) (map[string]string, []string) { return known, wanted }}
 		if slices.Contains(founders, name) {
 			opts.Roster = roster
 		}
--- a/internal/host/stall_test.go
+++ b/internal/host/stall_test.go
@@ -21,7 +21,7 @@
 	d.waiting = append(d.waiting, then)
 }
 func (d *stalled) After(then func(error)) { d.waiting = append(d.waiting, then) }
-func (d *stalled) SaveSlot(_ int64, _ group.Hard, _ *group.Image, _ *group.Persist, then func(error)) {
+func (d *stalled) SaveSlot(_ int64, _ group.HardState, _ *group.Image, _ *group.Persist, then func(error)) {
 	d.slots++
 	d.waiting = append(d.waiting, then)
 }
--- a/internal/host/upkeep.go
+++ b/internal/host/upkeep.go
@@ -23,9 +23,9 @@
 	if h.since >= h.opts.Compact || h.bytes >= max(h.opts.Bytes, h.imageBytes()) {
 		h.compact()
 	}
-	if h.isOwner && h.opts.Mend != nil && (h.isChanging || now-h.mended > h.opts.Bounds.Of(timing.AnswerTimeout)) {
-		h.mended = now
-		h.mend()
+	if h.isOwner && h.opts.Repair != nil && (h.isChanging || now-h.repaired > h.opts.Bounds.Of(timing.AnswerTimeout)) {
+		h.repaired = now
+		h.repair()
 	}
 	h.publish()
 }
@@ -57,12 +57,12 @@
 	h.opts.Disk.SaveSlot(h.opts.Id, hard, h.image, &group.Persist{Entries: log}, h.bringBack(func() { h.saving = false }))
 }
 
-// mend takes one step towards the roster that should be. While steps are left it
+// repair takes one step towards the roster that should be. While steps are left it
 // is called with every tick: a group whose roster is between two states bears the
 // loss of one member less.
-func (h *Host) mend() {
-	known, wanted := h.opts.Mend(h.machine.Silence)
-	change, isDue := h.machine.Mend(known, wanted)
+func (h *Host) repair() {
+	known, wanted := h.opts.Repair(h.machine.Silence)
+	change, isDue := h.machine.Repair(known, wanted)
 	h.isChanging = isDue || slices.ContainsFunc(h.machine.View().Roster, group.IsLearner)
 	if !isDue {
 		return
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -14,7 +14,7 @@
 type Disk struct {
 	w        *World
 	life     int
-	hard     group.Hard
+	hard     group.HardState
 	image    *group.Image
 	log      []wire.Entry
 	unsynced []pending
@@ -36,7 +36,7 @@
 func (d *Disk) After(then func(error)) { d.put(pending{func() {}, then, false}) }
 
 // SaveSlot writes the whole state.
-func (d *Disk) SaveSlot(_ int64, hard group.Hard, image *group.Image, entries *group.Persist, then func(error)) {
+func (d *Disk) SaveSlot(_ int64, hard group.HardState, image *group.Image, entries *group.Persist, then func(error)) {
 	d.put(pending{func() { d.hard, d.image, d.log = hard, image, slices.Clone(entries.Entries) }, then, true})
 }
 
--- a/internal/sim/groupcheck.go
+++ b/internal/sim/groupcheck.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// Mend does what the store's repair tick does.
-func (g *Groups) Mend(wanted ...string) {
+// Repair does what the store's repair tick does.
+func (g *Groups) Repair(wanted ...string) {
 	known := map[string]string{}
 	for _, id := range g.Names {
 		if g.Replicas[id].isUp {
@@ -85,7 +85,7 @@
 		if !r.isUp {
 			continue
 		}
-		if change, isDue := r.machine.Mend(known, wanted); isDue {
+		if change, isDue := r.machine.Repair(known, wanted); isDue {
 			if out, err := r.machine.ChangeRoster(change, g.now); err == nil {
 				g.Note("%s mends %+v", id, change)
 				g.do(r, out)
@@ -107,7 +107,7 @@
 		for _, id := range g.Names {
 			names = append(names, group.Name(id))
 		}
-		g.Mend(names...)
+		g.Repair(names...)
 	}
 	isTaken := false
 	for try := range 20 {
--- a/internal/sim/groupfaults.go
+++ b/internal/sim/groupfaults.go
@@ -70,7 +70,7 @@
 		if w.Rand.IntN(10) == 0 {
 			w.soon(func() { g.Start(g.pick()) })
 		}
-		g.Mend(wanted()...)
+		g.Repair(wanted()...)
 		g.CheckReads()
 	}
 	g.Finish()
--- a/internal/sim/groups.go
+++ b/internal/sim/groups.go
@@ -13,7 +13,7 @@
 // disk is a replica's durable record; what waits in unsynced is lost in a
 // power cut, from a random point on.
 type disk struct {
-	hard     group.Hard
+	hard     group.HardState
 	image    *group.Image
 	log      []wire.Entry
 	unsynced []pending
--- a/internal/sim/storedisk.go
+++ b/internal/sim/storedisk.go
@@ -35,7 +35,7 @@
 	d.Disk.Persist(id, p, d.wrap(then))
 }
 func (d *waking) After(then func(error)) { d.Disk.After(d.wrap(then)) }
-func (d *waking) SaveSlot(id int64, hard group.Hard, image *group.Image, e *group.Persist, then func(error)) {
+func (d *waking) SaveSlot(id int64, hard group.HardState, image *group.Image, e *group.Persist, then func(error)) {
 	d.Disk.SaveSlot(id, hard, image, e, d.wrap(then))
 }
 
--- a/internal/sim/stores.go
+++ b/internal/sim/stores.go
@@ -91,7 +91,7 @@
 		Seed: s.d.Seed + uint64(s.life)*31 + uint64(s.incarnation)*1009, Disk: &waking{disk, s, id}, Held: disk.Held(),
 		Machine: &witness{PartHost: part, s: s, id: id, image: part.Image()}, Now: s.now, Send: s.send, Failed: func(err error) { panic(err) },
 		Prefer: func(roster []string) string { return s.prefer(id, roster) },
-		Mend: func(silence repair.Silence) (map[string]string, []string) {
+		Repair: func(silence repair.Silence) (map[string]string, []string) {
 			return s.rosterPlan(id, silence)
 		}, Compact: 20, Whole: 2000})
 	if err != nil {
--- a/internal/slot/log.go
+++ b/internal/slot/log.go
@@ -88,7 +88,7 @@
 
 // SaveSlot writes the group's whole state into its next slot, in the
 // background; what is persisted later stays in the log behind it.
-func (l *Log) SaveSlot(id int64, hard group.Hard, image *group.Image, entries *group.Persist, then func(error)) {
+func (l *Log) SaveSlot(id int64, hard group.HardState, image *group.Image, entries *group.Persist, then func(error)) {
 	r := toRecord(id, &group.Persist{Hard: &hard, Image: image, Entries: entries.Entries})
 	l.put(write{group: id, slot: &r, then: then})
 }
--- a/internal/slot/record.go
+++ b/internal/slot/record.go
@@ -53,7 +53,7 @@
 
 // Held is a group as the disk has it.
 type Held struct {
-	Hard      group.Hard
+	Hard      group.HardState
 	Image     *group.Image
 	Log       []wire.Entry
 	IsDamaged bool // something synced was lost: rebuild from peers
@@ -73,7 +73,7 @@
 		h.Log = nil
 	}
 	if r.HasHard {
-		h.Hard = group.Hard{Term: r.Term, Vote: r.Vote, Commit: r.Commit}
+		h.Hard = group.HardState{Term: r.Term, Vote: r.Vote, Commit: r.Commit}
 	}
 	if len(r.Entries) == 0 {
 		return
--- a/internal/slot/slot_test.go
+++ b/internal/slot/slot_test.go
@@ -63,7 +63,7 @@
 	for i := from; i <= to; i++ {
 		entries = append(entries, wire.Entry{Index: i, Term: term, Data: []byte(fmt.Sprint(i))})
 	}
-	l.Persist(id, &group.Persist{Hard: &group.Hard{Term: term, Vote: "a"}, Entries: entries}, func(err error) { got <- err })
+	l.Persist(id, &group.Persist{Hard: &group.HardState{Term: term, Vote: "a"}, Entries: entries}, func(err error) { got <- err })
 	So(<-got, ShouldBeNil)
 }
 
@@ -73,7 +73,7 @@
 	for i := index + 1; i <= last; i++ {
 		entries = append(entries, wire.Entry{Index: i, Term: 1})
 	}
-	l.SaveSlot(id, group.Hard{Term: 1}, &group.Image{Index: index, Term: 1, Roster: []string{"a"}, State: []byte("state")},
+	l.SaveSlot(id, group.HardState{Term: 1}, &group.Image{Index: index, Term: 1, Roster: []string{"a"}, State: []byte("state")},
 		&group.Persist{Entries: entries}, func(err error) { got <- err })
 	So(<-got, ShouldBeNil)
 }
@@ -97,7 +97,7 @@
 			files.Close()
 			_, held := reopen(dir, Options{})
 			So(len(held[1].Log), ShouldEqual, 3)
-			So(held[2].Hard, ShouldResemble, group.Hard{Term: 1, Vote: "a"})
+			So(held[2].Hard, ShouldResemble, group.HardState{Term: 1, Vote: "a"})
 		})
 		Convey("a replaced tail stays replaced", func() {
 			put(l, 1, 2, 2, 2)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -122,7 +122,7 @@
 		klog.Errorf("store: Group %d has lost what was on disk; it is rebuilt from its peers.", groupId)
 		s.d.Must(s.founder.rebuild(groupId))
 		done := make(chan error, 1)
-		s.disk.SaveSlot(groupId, group.Hard{}, nil, &group.Persist{}, func(err error) { done <- err })
+		s.disk.SaveSlot(groupId, group.HardState{}, nil, &group.Persist{}, func(err error) { done <- err })
 		s.d.Must(<-done)
 		held = nil
 	}
@@ -135,7 +135,7 @@
 	opts := host.Options{Id: groupId, Self: member, Roster: roster, Bounds: s.d.Bounds, Seed: seed.Sum64(),
 		Disk: s.disk, Held: held, Now: s.d.Now, Send: s.sendGroup, Failed: s.fail, Room: s.hasRoom,
 		Prefer: func(roster []string) string { return s.prefer(groupId, roster) },
-		Mend:   func(silence repair.Silence) (map[string]string, []string) { return s.rosterPlan(groupId, silence) }}
+		Repair: func(silence repair.Silence) (map[string]string, []string) { return s.rosterPlan(groupId, silence) }}
 	var h *host.Host
 	var err error
 	if groupId >= wire.PlaceGroup {
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -31,10 +31,10 @@
 	Tick              Ratio = 10    // how finely a replica and its place look at the time
 	Draw              Ratio = 10    // a store looks this often for slots that it could not have at once
 	Serve             Ratio = 5     // a duty's holder looks this often for slots that have come free with time
-	TransferTimeout   Ratio = 100   // an heir that has not taken over by then does not
-	ElectionTimeout   Ratio = 130   // least silence of an owner before a replica stands
+	TransferTimeout   Ratio = 100   // a successor that has not taken over by then does not
+	ElectionTimeout   Ratio = 130   // least silence of an owner before a replica campaigns
 	ElectionSpread    Ratio = 130   // random spread added to Silence
-	Lease             Ratio = 120   // an owner serves reads this long after a confirmed pulse
+	Lease             Ratio = 120   // an owner serves reads this long after a confirmed heartbeat
 	SessionTimeout    Ratio = 700   // a daemon silent this long has lost its session
 	Replace           Ratio = 300   // a store that has had no session this long gives its seats to its successor
 	Abandon           Ratio = 4000  // and after this to any other store, if its zone has not gone with it
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -60,7 +60,7 @@
 
 // HasRoom tells whether the session stands and fewer bytes than so many wait to
 // be written to it. A sender that has much to send asks before it does: what
-// is small, such as a pulse, then never waits long behind it.
+// is small, such as a heartbeat, then never waits long behind it.
 func (p *Peer) HasRoom(most int) bool {
 	p.mu.Lock()
 	s := p.session
