--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -44,7 +44,7 @@
 			return false, "leaving"
 		case !d.IsFresh():
 			return false, string(errs.Stale)
-		case !scenes.Now().MayWork(d.Who.Cell):
+		case !scenes.Now().MayWork(d.Who.Zone):
 			return false, "the cell is being emptied"
 		case !d.Membership.HasOwner(wire.PlaceGroup):
 			return false, "no place can be reached"
--- a/internal/charter/charter_test.go
+++ b/internal/charter/charter_test.go
@@ -89,7 +89,7 @@
 				So(scenes.CanRead(), ShouldBeTrue) // none yet
 				view.Take([]wire.PartNews{{To: 1, Changes: []wire.Change{{Key: Key, Revision: 1, Value: []byte(c.doc)}}}}, 0)
 				So(scenes.CanRead(), ShouldEqual, c.canRead)
-				view.Take([]wire.PartNews{{From: 1, To: 2, Changes: []wire.Change{{Key: CellKey + "a", Revision: 2}}}}, 0)
+				view.Take([]wire.PartNews{{From: 1, To: 2, Changes: []wire.Change{{Key: ZoneKey + "a", Revision: 2}}}}, 0)
 				So(scenes.CanRead(), ShouldEqual, c.canRead)
 				view.Take([]wire.PartNews{{From: 2, To: 3, Changes: []wire.Change{{Key: Key, Revision: 3, Value: []byte(good)}}}}, 0)
 				So(scenes.CanRead(), ShouldBeTrue)
--- a/internal/charter/mark.go
+++ b/internal/charter/mark.go
@@ -6,12 +6,12 @@
 	"caperwheel/internal/errs"
 )
 
-// Mark is what stands at a cell's key. One key holds all that can be said of a
-// cell, so that no daemon sees a cell restored before it sees its workers cold.
+// Mark is what stands at a zone's key. One key holds all that can be said of a
+// zone, so that no daemon sees a zone restored before it sees its workers cold.
 //
 // Invariant: Others, IsBack and BackAgo are set only where Only is OnlyWorkers.
 type Mark struct {
-	Only    string `json:"only,omitempty"`     // empty: the whole cell is emptied
+	Only    string `json:"only,omitempty"`     // empty: the whole zone is emptied
 	Others  int64  `json:"others,omitempty"`   // emptyings that stand besides, each to be taken back by itself
 	IsBack  bool   `json:"back,omitempty"`     // the last word was that one of them is taken back
 	BackAgo int64  `json:"back_ago,omitempty"` // milliseconds before the last word in which one was; 0 for long
@@ -19,14 +19,14 @@
 
 // What a mark may be restricted to.
 const (
-	OnlyWorkers = "workers" // only the workers of the cell get nothing
+	OnlyWorkers = "workers" // only the workers of the zone get nothing
 	OnlyCold    = "cold"    // restored; the workers count as cold until the list can be trusted again
 )
 
-// ReadMark reads a mark. One that says nothing known empties the whole cell.
+// ReadMark reads a mark. One that says nothing known empties the whole zone.
 func ReadMark(raw []byte) Mark {
 	var m Mark
-	_ = json.Unmarshal(raw, &m) // an unreadable mark empties the whole cell
+	_ = json.Unmarshal(raw, &m) // an unreadable mark empties the whole zone
 	return m
 }
 
--- a/internal/charter/mark_test.go
+++ b/internal/charter/mark_test.go
@@ -9,7 +9,7 @@
 	"caperwheel/internal/wire"
 )
 
-// TestMark is the table of what a cell's mark says of its workers and daemons.
+// TestMark is the table of what a zone's mark says of its workers and daemons.
 func TestMark(t *testing.T) {
 	cases := []struct {
 		mark                      string // empty for none
@@ -26,10 +26,10 @@
 		for _, c := range cases {
 			Convey(c.mark+" at its cell", func() {
 				view := feed.NewView(1)
-				list := Workers{Workers: []Worker{{Name: "w", Address: "127.0.0.1:1", Cell: "a", State: "live"}}}
+				list := Workers{Workers: []Worker{{Name: "w", Address: "127.0.0.1:1", Zone: "a", State: "live"}}}
 				view.Take([]wire.PartNews{{Part: 1, To: 1, Changes: []wire.Change{{Key: WorkersKey + "p", Revision: 1, Value: list.Encode()}}}}, 0)
 				if c.mark != "" {
-					view.Take([]wire.PartNews{{To: 1, Changes: []wire.Change{{Key: CellKey + "a", Revision: 1, Value: []byte(c.mark)}}}}, 0)
+					view.Take([]wire.PartNews{{To: 1, Changes: []wire.Change{{Key: ZoneKey + "a", Revision: 1, Value: []byte(c.mark)}}}}, 0)
 				}
 				scene := (&Scenes{View: view}).Now()
 				w, canServe := scene.CanServe("p", "w")
--- a/internal/charter/rules.go
+++ b/internal/charter/rules.go
@@ -12,7 +12,7 @@
 // Keys of the control state.
 const (
 	Key      = "charter" // the charter document, in the charter part
-	CellKey  = "cell/"   // + cell: emptied when it stands, as its Mark says
+	ZoneKey  = "cell/"   // + zone: emptied when it stands, as its Mark says
 	StoreKey = "store/"  // + store: retired when it stands
 	// RetirementsKey has all retirements that were admitted, so that each is
 	// weighed against all others in one compare and set.
@@ -48,16 +48,16 @@
 }
 
 // Scene is all that a daemon needs of its view, compiled: rules, live workers,
-// duties, emptied cells. It is made anew when the view changes and never
+// duties, emptied zones. It is made anew when the view changes and never
 // written after that.
 type Scene struct {
 	Rules    *Rules
 	Revision int64
 	Workers  map[string]map[string]Worker // by pool and name
 	Duties   map[string]map[string]Held
-	Emptied  map[string]bool // whole cells
-	Resting  map[string]bool // cells of which only the workers get nothing
-	Easing   map[string]bool // restored cells whose workers still count as cold
+	Emptied  map[string]bool // whole zones
+	Resting  map[string]bool // zones of which only the workers get nothing
+	Easing   map[string]bool // restored zones whose workers still count as cold
 	IsUnread bool            // the newest charter cannot be read here: a newer build wrote it
 	Retired  map[string]bool
 	Weights  map[string]weight.Weights     // by pool, as published
@@ -123,15 +123,15 @@
 			out.IsUnread = true
 		}
 	}
-	for _, c := range view.Keys(CellKey) {
-		cell := c.Key[len(CellKey):]
+	for _, c := range view.Keys(ZoneKey) {
+		zone := c.Key[len(ZoneKey):]
 		switch ReadMark(c.Value).Only {
 		case OnlyWorkers:
-			out.Resting[cell] = true
+			out.Resting[zone] = true
 		case OnlyCold:
-			out.Easing[cell] = true
+			out.Easing[zone] = true
 		default:
-			out.Emptied[cell] = true
+			out.Emptied[zone] = true
 		}
 	}
 	for _, c := range view.Keys(StoreKey) {
@@ -153,7 +153,7 @@
 		list, _ := ReadWorkers(c.Value)
 		pool := map[string]Worker{}
 		for _, w := range list.Workers {
-			w.IsCold = w.IsCold || out.Easing[w.Cell]
+			w.IsCold = w.IsCold || out.Easing[w.Zone]
 			pool[w.Name] = w
 		}
 		out.Workers[c.Key[len(WorkersKey):]] = pool
@@ -190,10 +190,10 @@
 }
 
 // CanServe says whether new work may go to a worker: it is in the live list,
-// live, and neither its cell nor the workers of its cell are being emptied.
+// live, and neither its zone nor the workers of its zone are being emptied.
 func (s *Scene) CanServe(pool, worker string) (Worker, bool) {
 	w, isListed := s.Workers[pool][worker]
-	return w, isListed && w.State == "live" && !s.Emptied[w.Cell] && !s.Resting[w.Cell]
+	return w, isListed && w.State == "live" && !s.Emptied[w.Zone] && !s.Resting[w.Zone]
 }
 
 // IsHolder says whether a life of an adapter holds a worker's duty.
@@ -202,6 +202,6 @@
 	return isAssigned && held.Holder == name && held.Boot == boot
 }
 
-// MayWork says whether a daemon of the cell may begin new work: not while the
-// cell is being emptied, whoever still thinks that it holds a duty there.
-func (s *Scene) MayWork(cell string) bool { return !s.Emptied[cell] }
+// MayWork says whether a daemon of the zone may begin new work: not while the
+// zone is being emptied, whoever still thinks that it holds a duty there.
+func (s *Scene) MayWork(zone string) bool { return !s.Emptied[zone] }
--- a/internal/charter/workers.go
+++ b/internal/charter/workers.go
@@ -11,7 +11,7 @@
 type Worker struct {
 	Name    string `json:"name"`
 	Address string `json:"address"`
-	Cell    string `json:"cell"`
+	Zone    string `json:"cell"`
 	State   string `json:"state"`           // live or leaving
 	Slots   int64  `json:"slots,omitempty"` // runs at once; 0: as the pool says
 	IsCold  bool   `json:"cold,omitempty"`  // it has just begun: no more than the pool's cold_rate
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -13,7 +13,7 @@
 func clean() *History {
 	h := NewHistory()
 	h.Pools["l"], h.Pools["o"], h.Caps["p"], h.Order["o"] = []string{"p"}, []string{"p"}, 1, true
-	h.Cells["p/w"] = "c"
+	h.Zones["p/w"] = "c"
 	h.AddSent(Sent{Token: "a", Lane: "l", Sum: "sa", Told: Taken, Id: "1", At: 0, ToldAt: 1 * s})
 	h.AddSent(Sent{Token: "b", Lane: "l", Sum: "sb", Told: NotTaken, Id: "2"})
 	h.AddSent(Sent{Token: "x", Lane: "o", Key: "k", Sum: "sx", Told: Taken, Id: "3", At: 1 * s, ToldAt: 2 * s})
@@ -127,7 +127,7 @@
 			}
 		}},
 		{RuleLeaving, func(h *History) { h.AddMark(Mark{Pool: "p", Worker: "w", From: 1 * s, Bound: 3 * s}) }},
-		{RuleLeaving, func(h *History) { h.AddMark(Mark{Cell: "c", From: 1 * s, Until: 8 * s, Bound: 5 * s}) }},
+		{RuleLeaving, func(h *History) { h.AddMark(Mark{Zone: "c", From: 1 * s, Until: 8 * s, Bound: 5 * s}) }},
 	}
 	Convey("A clean history has no breach", t, func() { So(Check(clean()), ShouldBeEmpty) })
 	Convey("A history is flagged that breaks", t, func() {
@@ -175,7 +175,7 @@
 		})
 		Convey("work within the bound of a mark, or after its end", func() {
 			h := clean()
-			h.AddMark(Mark{Cell: "c", From: 3 * s, Until: 7 * s, Bound: 3 * s})
+			h.AddMark(Mark{Zone: "c", From: 3 * s, Until: 7 * s, Bound: 3 * s})
 			So(Check(h), ShouldBeEmpty)
 		})
 		Convey("any order of messages sent at once", func() {
--- a/internal/check/control.go
+++ b/internal/check/control.go
@@ -66,12 +66,12 @@
 	}
 }
 
-// marks holds leaving workers and emptied cells against their bounds.
+// marks holds leaving workers and emptied zones against their bounds.
 func (c *checker) marks() {
 	for _, m := range c.h.Marks {
 		for _, r := range c.h.Runs {
 			isHit := m.Worker != "" && r.Pool == m.Pool && r.Worker == m.Worker ||
-				m.Worker == "" && c.h.Cells[r.Pool+"/"+r.Worker] == m.Cell
+				m.Worker == "" && c.h.Zones[r.Pool+"/"+r.Worker] == m.Zone
 			if isHit && r.Start > m.From+m.Bound && (m.Until == 0 || r.Start < m.Until) {
 				c.breach(RuleLeaving, "%s/%s got %s %v after it was to get no more", r.Pool, r.Worker, r.Token, r.Start-m.From)
 			}
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -67,10 +67,10 @@
 	Child   string // id of the call-back, if there is one
 }
 
-// Mark is a moment from which a worker, or all of a cell, must get no new run.
+// Mark is a moment from which a worker, or all of a zone, must get no new run.
 type Mark struct {
-	Pool, Worker string // empty Worker: all of the cell
-	Cell         string
+	Pool, Worker string // empty Worker: all of the zone
+	Zone         string
 	From, Until  time.Duration // Until 0: to the end
 	Bound        time.Duration
 }
@@ -117,7 +117,7 @@
 	Marks []Mark
 	Pools map[string][]string // lane -> allowed pools
 	Caps  map[string]float64  // pool -> runs a second
-	Cells map[string]string   // pool/worker -> cell
+	Zones map[string]string   // pool/worker -> zone
 	Order map[string]bool     // lanes that are ordered
 	Lost  []Window            // times at which an adapter was killed: its open runs may be run again
 	Backs map[string]string   // lane -> lane of its call-backs
@@ -139,7 +139,7 @@
 // NewHistory gives an empty one.
 func NewHistory() *History {
 	return &History{Ends: map[string]End{}, Pools: map[string][]string{}, Caps: map[string]float64{},
-		Cells: map[string]string{}, Order: map[string]bool{}, Backs: map[string]string{}}
+		Zones: map[string]string{}, Order: map[string]bool{}, Backs: map[string]string{}}
 }
 
 // AddSent records a message.
--- a/internal/cli/calls.go
+++ b/internal/cli/calls.go
@@ -125,7 +125,7 @@
 	fmt.Fprintf(t.out, "%s, charter stamp %d, fresh: %t\n\n", s.Manager, s.Revision, s.Fresh)
 	fmt.Fprintf(t.out, "%-14s %-8s %-6s %-6s %-6s %s\n", "daemon", "kind", "cell", "fresh", "stamp", "heard")
 	for _, m := range s.Members {
-		fmt.Fprintf(t.out, "%-14s %-8s %-6s %-6t %-6d %d ms ago\n", m.Name, m.Kind, m.Cell, m.Fresh, m.Revision, m.AgeMs)
+		fmt.Fprintf(t.out, "%-14s %-8s %-6s %-6t %-6d %d ms ago\n", m.Name, m.Kind, m.Zone, m.Fresh, m.Revision, m.AgeMs)
 	}
 	owners := map[string]int{}
 	for _, g := range append(s.Places, s.Parts...) {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -69,7 +69,7 @@
 	Name string `arg:"positional,required"`
 }
 
-type cellCommand struct {
+type zoneCommand struct {
 	Empty   *nameCommand `arg:"subcommand:empty" help:"give a zone no new work"`
 	Restore *nameCommand `arg:"subcommand:restore" help:"use a zone again"`
 }
@@ -94,7 +94,7 @@
 	Apply    *applyCommand   `arg:"subcommand:apply" help:"make the system what a folder declares"`
 	Charter  *charterCommand `arg:"subcommand:config|charter" help:"the configuration, a tree of settings"`
 	Workers  *workersCommand `arg:"subcommand:workers" help:"a pool's live list"`
-	Cell     *cellCommand    `arg:"subcommand:zone|cell" help:"empty or restore a zone"`
+	Zone     *zoneCommand    `arg:"subcommand:zone|cell" help:"empty or restore a zone"`
 	Store    *storeCommand   `arg:"subcommand:store" help:"retire a store"`
 	Status   *struct{}       `arg:"subcommand:status" help:"members, places, pools"`
 	Message  *messageCommand `arg:"subcommand:message" help:"a message's state, proof or bytes"`
@@ -174,10 +174,10 @@
 		return t.edit("PATCH", "/v1/pools/"+a.Workers.Patch.Pool+"/workers", a.Workers.Patch.editCommand)
 	case a.Workers != nil && a.Workers.Get != nil:
 		return t.show("/v1/pools/" + a.Workers.Get.Name + "/workers")
-	case a.Cell != nil && a.Cell.Empty != nil:
-		return t.post("/v1/cells/" + a.Cell.Empty.Name + "/empty")
-	case a.Cell != nil && a.Cell.Restore != nil:
-		return t.post("/v1/cells/" + a.Cell.Restore.Name + "/restore")
+	case a.Zone != nil && a.Zone.Empty != nil:
+		return t.post("/v1/cells/" + a.Zone.Empty.Name + "/empty")
+	case a.Zone != nil && a.Zone.Restore != nil:
+		return t.post("/v1/cells/" + a.Zone.Restore.Name + "/restore")
 	case a.Store != nil && a.Store.Retire != nil:
 		return t.post("/v1/stores/" + a.Store.Retire.Name + "/retire")
 	case a.Store != nil && a.Store.Restore != nil:
--- a/internal/cli/doctor.go
+++ b/internal/cli/doctor.go
@@ -93,7 +93,7 @@
 	if !s.Fresh {
 		add(true, s.Manager, "its view is stale", "are the stores up, and a majority of each part's replicas?")
 	}
-	stores, managers, cells, clusters := 0, 0, map[string]bool{}, map[int64]bool{}
+	stores, managers, zones, clusters := 0, 0, map[string]bool{}, map[int64]bool{}
 	for _, m := range s.Members {
 		if !m.Fresh {
 			add(true, m.Name, "its view is stale: it takes and starts nothing", "look at its way to the managers, and at its log")
@@ -103,7 +103,7 @@
 		switch m.Kind {
 		case "store":
 			stores++
-			cells[m.Cell] = true
+			zones[m.Zone] = true
 			if cluster := m.Counts[store.ClusterCount]; cluster != 0 {
 				clusters[cluster] = true
 			}
@@ -121,8 +121,8 @@
 		add(true, "stores", fmt.Sprintf("they belong to %d deployments", len(clusters)),
 			"two halves were founded apart: stop the half that holds nothing yet, blank its data folders, and start it again")
 	}
-	if stores < 3 || len(cells) < 3 {
-		add(stores < 2, "stores", fmt.Sprintf("only %d here, in %d cells", stores, len(cells)),
+	if stores < 3 || len(zones) < 3 {
+		add(stores < 2, "stores", fmt.Sprintf("only %d here, in %d cells", stores, len(zones)),
 			"with fewer than three, in as many cells, the loss of one more stops places")
 	}
 	if managers < 2 {
@@ -159,8 +159,8 @@
 			add(false, "pool "+p.Name, fmt.Sprintf("%d of %d workers have a holder", len(p.Duties), p.Workers), "are adapters up, in cells that are not emptied?")
 		}
 	}
-	for _, cell := range s.Emptied {
-		add(false, "cell "+cell, "is emptied", "restore it when its work is done: caperwheel zone restore "+cell)
+	for _, zone := range s.Emptied {
+		add(false, "cell "+zone, "is emptied", "restore it when its work is done: caperwheel zone restore "+zone)
 	}
 	return out
 }
--- a/internal/cli/doctor_test.go
+++ b/internal/cli/doctor_test.go
@@ -17,13 +17,13 @@
 // well is the status of a deployment in which nothing is wrong.
 func well() manager.Status {
 	s := manager.Status{Manager: "manager-1", Fresh: true, Revision: 7}
-	add := func(kind, name, cell string) {
-		s.Members = append(s.Members, manager.StatusMember{Who: wire.Who{Name: name, Kind: kind, Cell: cell}, Fresh: true, Revision: 7,
+	add := func(kind, name, zone string) {
+		s.Members = append(s.Members, manager.StatusMember{Who: wire.Who{Name: name, Kind: kind, Zone: zone}, Fresh: true, Revision: 7,
 			Counts: map[string]int64{}})
 	}
-	for _, cell := range []string{"a", "b", "c"} {
-		add("store", "store-"+cell, cell)
-		add("manager", "manager-"+cell, cell)
+	for _, zone := range []string{"a", "b", "c"} {
+		add("store", "store-"+zone, zone)
+		add("manager", "manager-"+zone, zone)
 	}
 	s.Places = []manager.StatusGroup{{Owner: "store-a", Voters: 3}}
 	s.Parts = []manager.StatusGroup{{Owner: "store-b", Voters: 3}}
@@ -47,7 +47,7 @@
 			s.Members[0].Counts["cluster"], s.Members[2].Counts["cluster"] = 5, 6
 		}},
 		{"stores: only 2 here", false, func(s *manager.Status) { s.Members = s.Members[1:] }},
-		{"stores: only 3 here, in 2 cells", false, func(s *manager.Status) { s.Members[0].Cell = "b" }},
+		{"stores: only 3 here, in 2 cells", false, func(s *manager.Status) { s.Members[0].Zone = "b" }},
 		{"managers: only 1 here", false, func(s *manager.Status) { s.Members = append(s.Members[:3], s.Members[4]) }},
 		{"places: 1 have no owner", true, func(s *manager.Status) { s.Places[0].Owner = "" }},
 		{"parts: 1 have fewer than three replicas", false, func(s *manager.Status) { s.Parts[0].Voters = 2 }},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -88,7 +88,7 @@
 		debug.SetGCPercent(growth) // the limit keeps the heap in bounds
 	}
 	d.listener, d.Front, d.Probe, d.Operators = d.listen(s.Http), d.listen(s.Front), d.listen(s.Probe), d.listen(s.Operators)
-	d.Who = wire.Who{Name: s.Name, Kind: kind, Boot: Random(8), Cell: s.Cell, Addr: s.Advertise, Http: d.listener.Addr().String()}
+	d.Who = wire.Who{Name: s.Name, Kind: kind, Boot: Random(8), Zone: s.Zone, Addr: s.Advertise, Http: d.listener.Addr().String()}
 	began := make(chan struct{})
 	go settings.Watch(context.Background(), kind, s, func(next settings.Settings) {
 		d.verbosity(flags, next.Verbosity)
--- a/internal/deliver/deliver_test.go
+++ b/internal/deliver/deliver_test.go
@@ -27,7 +27,7 @@
 		{Key: charter.Key, Revision: 1, Value: []byte(`{"pools":{"p":{"bound":"50ms","ease":"0s"},"q":{}},"lanes":{"l":{"pools":["p"]}}}`)},
 		{Key: charter.WorkersKey + "p", Revision: 2, Value: fmt.Appendf(nil, `{"workers":[{"name":"w","address":"%s","cell":"c"}]}`, address)},
 		{Key: charter.DutyKey + "p/w", Revision: 3, Value: charter.Duty{Holder: "a", Boot: "1"}.Encode()}}
-	d := &daemon.Daemon{Started: time.Now(), Bounds: timing.Default, View: view, Who: wire.Who{Name: "a", Boot: "1", Cell: "c"}}
+	d := &daemon.Daemon{Started: time.Now(), Bounds: timing.Default, View: view, Who: wire.Who{Name: "a", Boot: "1", Zone: "c"}}
 	view.Take([]wire.PartNews{{To: 3, Changes: changes}}, d.Now())
 	a := &Adapter{d: d,
 		scenes: &charter.Scenes{View: view}, ctx: context.Background(), book: NewBook(9), manner: Own}
--- a/internal/deliver/metrics.go
+++ b/internal/deliver/metrics.go
@@ -10,8 +10,8 @@
 		for worker, w := range weights.Workers {
 			emit("weight", "Published weight of a worker.", w, "pool", pool, "worker", worker)
 		}
-		for cell, w := range weights.Cells {
-			emit("weight_cell", "Published weight of a cell's workers.", w, "pool", pool, "cell", cell)
+		for zone, w := range weights.Zones {
+			emit("weight_cell", "Published weight of a cell's workers.", w, "pool", pool, "cell", zone)
 		}
 	}
 	a.slots.mu.Lock()
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -94,7 +94,7 @@
 
 // bringHome sends the result to the place's owner until one has made it
 // durable. Before that it leaves the result with the agent beside it, which
-// lives on should this process be killed, and with a store of another cell,
+// lives on should this process be killed, and with a store of another zone,
 // which lives on should this one be lost whole; when no owner is found it
 // leaves it with every store.
 func (a *Adapter) bringHome(r *run, o *wire.Outcome) {
@@ -126,10 +126,10 @@
 	a.book.Forget(&r.Run)
 }
 
-// leaveAfar leaves the result with the first store of another cell that can be
+// leaveAfar leaves the result with the first store of another zone that can be
 // told, in the order of their claims to its id, and gives that store's address.
 func (a *Adapter) leaveAfar(o *wire.Outcome) []string {
-	stores := slices.DeleteFunc(a.d.Membership.Kind("store"), func(who wire.Who) bool { return who.Cell == a.d.Who.Cell })
+	stores := slices.DeleteFunc(a.d.Membership.Kind("store"), func(who wire.Who) bool { return who.Zone == a.d.Who.Zone })
 	slices.SortFunc(stores, func(x, y wire.Who) int { return cmp.Compare(duty.Rank(o.Id, x.Name), duty.Rank(o.Id, y.Name)) })
 	for _, who := range stores {
 		if a.leave([]string{who.Addr}, o, repair.StepLeave) {
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -64,7 +64,7 @@
 		path.Live: func(_ path.Step, e *delivery) error {
 			w, isLive := e.scene.CanServe(e.run.Pool, e.run.Worker)
 			e.run.Bound = e.rules.BoundOf(e.run.Lane, e.run.Pool) // by the charter that is acted on
-			if !isLive || !e.scene.MayWork(a.d.Who.Cell) {
+			if !isLive || !e.scene.MayWork(a.d.Who.Zone) {
 				return errs.New(errs.Rejected, "%s/%s is not live", e.run.Pool, e.run.Worker)
 			}
 			e.run.address = w.Address
@@ -174,7 +174,7 @@
 		return errs.New(errs.Stale, "the view is too old to act on")
 	case scene.Rules != e.rules:
 		return errs.New(errs.Stale, "the charter has changed since")
-	case !isLive || w.Address != r.address || !scene.MayWork(a.d.Who.Cell):
+	case !isLive || w.Address != r.address || !scene.MayWork(a.d.Who.Zone):
 		return errs.New(errs.Rejected, "%s/%s is not live", r.Pool, r.Worker)
 	case !scene.IsHolder(r.Pool, r.Worker, a.d.Who.Name, a.d.Who.Boot):
 		return errs.New(errs.NotOwner, "the duty of %s/%s has moved on", r.Pool, r.Worker)
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -61,7 +61,7 @@
 		return nil, errs.New(errs.NotOwner, "the duty of %s is not held here", key)
 	}
 	w, isLive := scene.CanServe(pool, worker)
-	if !isLive || !scene.MayWork(s.a.d.Who.Cell) {
+	if !isLive || !scene.MayWork(s.a.d.Who.Zone) {
 		return nil, errs.New(errs.Rejected, "%s is not live", key)
 	}
 	h, now := s.workers[key], s.a.d.Now()
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -84,11 +84,11 @@
 
 // Plan tells which duties of a pool must change hands. A duty stays where it
 // is while its holder lives, stays and may serve; a lost one goes to the adapter of
-// the worker's cell, if there is one, that has the fewest duties.
+// the worker's zone, if there is one, that has the fewest duties.
 func Plan(pool string, scene *charter.Scene, adapters []wire.Who, leaving map[string]bool, revision func(key string) (int64, bool)) []Change {
 	usable, load := map[string]wire.Who{}, map[string]int(nil)
 	for _, a := range adapters {
-		if !scene.Emptied[a.Cell] && !leaving[a.Name] {
+		if !scene.Emptied[a.Zone] && !leaving[a.Name] {
 			usable[a.Name] = a
 		}
 	}
@@ -98,15 +98,15 @@
 		held, isAssigned := scene.Duties[pool][name]
 		holder, isHere := usable[held.Holder]
 		isRight := isAssigned && isHere && holder.Boot == held.Boot
-		if isRight && (worker.Cell == "" || holder.Cell == worker.Cell || !hasCell(usable, worker.Cell)) {
+		if isRight && (worker.Zone == "" || holder.Zone == worker.Zone || !hasZone(usable, worker.Zone)) {
 			continue
 		}
 		if load == nil { // most rounds find nothing to move, and need no count of all duties
 			load = loadOf(scene)
 		}
-		next := choose(pool+"/"+name, worker.Cell, usable, load)
+		next := choose(pool+"/"+name, worker.Zone, usable, load)
 		isReborn := isAssigned && isHere && holder.Boot != held.Boot
-		if isReborn && (worker.Cell == "" || holder.Cell == worker.Cell || !hasCell(usable, worker.Cell)) {
+		if isReborn && (worker.Zone == "" || holder.Zone == worker.Zone || !hasZone(usable, worker.Zone)) {
 			next = holder // its life before has ended: no other can act, so no fence
 		}
 		if next.Name == "" || isRight && next.Name == held.Holder {
@@ -143,26 +143,26 @@
 	return out
 }
 
-// isEmptied: a holder that is left out for its cell's sake is no guess.
+// isEmptied: a holder that is left out for its zone's sake is no guess.
 func isEmptied(scene *charter.Scene, adapters []wire.Who, name string) bool {
 	for _, a := range adapters {
 		if a.Name == name {
-			return scene.Emptied[a.Cell]
+			return scene.Emptied[a.Zone]
 		}
 	}
 	return false
 }
 
-func hasCell(usable map[string]wire.Who, cell string) bool {
+func hasZone(usable map[string]wire.Who, zone string) bool {
 	for _, a := range usable {
-		if a.Cell == cell {
+		if a.Zone == zone {
 			return true
 		}
 	}
 	return false
 }
 
-func choose(key, cell string, usable map[string]wire.Who, load map[string]int) wire.Who {
+func choose(key, zone string, usable map[string]wire.Who, load map[string]int) wire.Who {
 	best := wire.Who{}
 	for _, name := range slices.Sorted(maps.Keys(usable)) {
 		a := usable[name]
@@ -170,7 +170,7 @@
 			best = a
 			continue
 		}
-		isHome, bestIsHome := a.Cell == cell, best.Cell == cell
+		isHome, bestIsHome := a.Zone == zone, best.Zone == zone
 		switch {
 		case isHome != bestIsHome:
 			if isHome {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -14,8 +14,8 @@
 func scene(workers map[string]charter.Worker, duties map[string]charter.Held, emptied ...string) *charter.Scene {
 	out := &charter.Scene{Workers: map[string]map[string]charter.Worker{"p": workers},
 		Duties: map[string]map[string]charter.Held{"p": duties}, Emptied: map[string]bool{}}
-	for _, cell := range emptied {
-		out.Emptied[cell] = true
+	for _, zone := range emptied {
+		out.Emptied[zone] = true
 	}
 	return out
 }
@@ -26,9 +26,9 @@
 
 // TestPlan is the table of when a duty changes hands.
 func TestPlan(t *testing.T) {
-	adapters := []wire.Who{{Name: "a1", Boot: "1", Cell: "a"}, {Name: "a2", Boot: "1", Cell: "a"}, {Name: "b1", Boot: "1", Cell: "b"},
-		{Name: "l1", Boot: "1", Cell: "a"}}
-	inA := map[string]charter.Worker{"w": {Name: "w", Cell: "a"}}
+	adapters := []wire.Who{{Name: "a1", Boot: "1", Zone: "a"}, {Name: "a2", Boot: "1", Zone: "a"}, {Name: "b1", Boot: "1", Zone: "b"},
+		{Name: "l1", Boot: "1", Zone: "a"}}
+	inA := map[string]charter.Worker{"w": {Name: "w", Zone: "a"}}
 	known := func(string) (int64, bool) { return 7, true }
 	never := func(string) (int64, bool) { return 0, false }
 	cases := []struct {
@@ -45,7 +45,7 @@
 		{"a holder that is gone loses it", scene(inA, map[string]charter.Held{"w": held("x", "1")}), known, "a", "1"},
 		{"a holder of another cell gives way to the worker's own", scene(inA, map[string]charter.Held{"w": held("b1", "1")}), known, "a", "1"},
 		{"an emptied cell's holder loses it", scene(inA, map[string]charter.Held{"w": held("a1", "1")}, "a"), known, "b", "1"},
-		{"a worker of a cell without adapters keeps any holder", scene(map[string]charter.Worker{"w": {Name: "w", Cell: "z"}},
+		{"a worker of a cell without adapters keeps any holder", scene(map[string]charter.Worker{"w": {Name: "w", Zone: "z"}},
 			map[string]charter.Held{"w": held("b1", "1")}), known, "", ""},
 		{"a holder that leaves gives way at once", scene(inA, map[string]charter.Held{"w": held("l1", "1")}), known, "a", "1"},
 		{"a worker that is no longer listed has its duty removed", scene(nil, map[string]charter.Held{"w": held("a1", "1")}), known, "gone", ""},
@@ -71,7 +71,7 @@
 		Convey("many workers are spread evenly", func() {
 			workers := map[string]charter.Worker{}
 			for i := range 30 {
-				workers[string(rune('A'+i))] = charter.Worker{Cell: "a"}
+				workers[string(rune('A'+i))] = charter.Worker{Zone: "a"}
 			}
 			count := map[string]int{}
 			for _, change := range Plan("p", scene(workers, nil), adapters[:3], nil, never) {
@@ -96,8 +96,8 @@
 // TestReborn: after a loss of power every duty once waited for all sessions, and
 // endpoints for a fence besides, though one name has but one process.
 func TestReborn(t *testing.T) {
-	adapters := []wire.Who{{Name: "a1", Boot: "2", Cell: "a"}, {Name: "a2", Boot: "1", Cell: "a"}}
-	workers := map[string]charter.Worker{"w": {Name: "w", Cell: "a"}}
+	adapters := []wire.Who{{Name: "a1", Boot: "2", Zone: "a"}, {Name: "a2", Boot: "1", Zone: "a"}}
+	workers := map[string]charter.Worker{"w": {Name: "w", Zone: "a"}}
 	known := func(string) (int64, bool) { return 7, true }
 	cases := []struct {
 		name, holder, boot string
--- a/internal/feed/part.go
+++ b/internal/feed/part.go
@@ -11,7 +11,7 @@
 	"caperwheel/internal/wire"
 )
 
-// CharterPart holds the charter, the cells and the stores; the pools' lists
+// CharterPart holds the charter, the zones and the stores; the pools' lists
 // and duties are spread over the parts behind it.
 const CharterPart = 0
 
--- a/internal/fleet/backend.go
+++ b/internal/fleet/backend.go
@@ -38,7 +38,7 @@
 
 // Backend is a stand-in worker or endpoint.
 type Backend struct {
-	Pool, Name, Cell string
+	Pool, Name, Zone string
 	Addr             string
 	Work             time.Duration
 	mode             atomic.Int32
@@ -51,8 +51,8 @@
 }
 
 // NewBackend starts a stand-in at a free port.
-func NewBackend(pool, name, cell string, work time.Duration, h *check.History, now func() time.Duration) (*Backend, error) {
-	b := &Backend{Pool: pool, Name: name, Cell: cell, Work: work, h: h, now: now}
+func NewBackend(pool, name, zone string, work time.Duration, h *check.History, now func() time.Duration) (*Backend, error) {
+	b := &Backend{Pool: pool, Name: name, Zone: zone, Work: work, h: h, now: now}
 	return b, b.Start("127.0.0.1:0")
 }
 
--- a/internal/fleet/deploy.go
+++ b/internal/fleet/deploy.go
@@ -18,14 +18,14 @@
 // Plan is a deployment to run: how many daemons, which back ends, what load.
 type Plan struct {
 	Name     string                 `json:"name"`
-	Cells    []string               `json:"cells"`
+	Zones    []string               `json:"cells"`
 	Fronts   int                    `json:"fronts"`
 	Stores   int                    `json:"stores"`
 	Managers int                    `json:"managers"`
 	Workers  map[string]PlanWorkers `json:"workers"`
 	Load     []PlanLoad             `json:"load"`
 	Places   int                    `json:"places,omitempty"` // the settings' own, if not given
-	IsDirect bool                   `json:"direct,omitempty"` // no relays: no cell can be cut off
+	IsDirect bool                   `json:"direct,omitempty"` // no relays: no zone can be cut off
 }
 
 // PlanWorkers are the stand-ins of a pool.
@@ -119,16 +119,16 @@
 			}
 		}
 		for i := range spec.Count {
-			name, cell := fmt.Sprintf("%s-%02d", pool[strings.LastIndex(pool, ".")+1:], i+1), f.Plan.Cells[i%len(f.Plan.Cells)]
+			name, zone := fmt.Sprintf("%s-%02d", pool[strings.LastIndex(pool, ".")+1:], i+1), f.Plan.Zones[i%len(f.Plan.Zones)]
 			if p.IsEndpoint {
-				name, cell = charter.Endpoint, ""
+				name, zone = charter.Endpoint, ""
 			}
-			b, err := NewBackend(pool, name, cell, time.Duration(spec.WorkMs)*time.Millisecond, f.History, f.Now)
+			b, err := NewBackend(pool, name, zone, time.Duration(spec.WorkMs)*time.Millisecond, f.History, f.Now)
 			if err != nil {
 				return errs.Wrap(err, errs.Internal, "back end")
 			}
 			f.Backends[b.Key()] = b
-			f.History.Cells[b.Key()] = cell
+			f.History.Zones[b.Key()] = zone
 			if p.IsEndpoint { // the stand-in's address takes the place of the example's
 				doc = []byte(strings.ReplaceAll(string(doc), `"`+p.Address+`"`, `"`+b.Addr+`"`))
 			}
@@ -150,13 +150,13 @@
 	if err := os.MkdirAll(filepath.Join(f.Dir, "log"), 0o755); err != nil {
 		return errs.Wrap(err, errs.Internal, "log folder")
 	}
-	lay := func(kind, name, cell string) (*Process, error) {
+	lay := func(kind, name, zone string) (*Process, error) {
 		addr, err := FreePort()
 		if err != nil {
 			return nil, err
 		}
 		http, err := FreePort()
-		return &Process{Kind: kind, Name: name, Cell: cell, Addr: addr, Http: http, bin: bin,
+		return &Process{Kind: kind, Name: name, Zone: zone, Addr: addr, Http: http, bin: bin,
 			log: filepath.Join(f.Dir, "log", name+".log")}, err
 	}
 	all := []struct {
@@ -167,7 +167,7 @@
 		{"agent", f.Plan.Fronts, &f.Agents}, {"adapter", f.Plan.Fronts, &f.Adapters}}
 	for _, a := range all {
 		for i := range a.count {
-			p, err := lay(a.kind, fmt.Sprintf("%s-%d", a.kind, i+1), f.Plan.Cells[i%len(f.Plan.Cells)])
+			p, err := lay(a.kind, fmt.Sprintf("%s-%d", a.kind, i+1), f.Plan.Zones[i%len(f.Plan.Zones)])
 			if err != nil {
 				return err
 			}
@@ -179,7 +179,7 @@
 	for _, p := range f.All() {
 		addr, err := p.Addr, error(nil)
 		if !f.Plan.IsDirect {
-			addr, err = f.relays.lay(p.Addr, p.Cell)
+			addr, err = f.relays.lay(p.Addr, p.Zone)
 		}
 		if err != nil {
 			return err
@@ -191,7 +191,7 @@
 	}
 	for i, p := range f.All() {
 		set := settings.Default()
-		set.Name, set.Cell, set.Listen, set.Http, set.Advertise, set.Verbosity = p.Name, p.Cell, p.Addr, p.Http, advertised[p.Name], 1
+		set.Name, set.Zone, set.Listen, set.Http, set.Advertise, set.Verbosity = p.Name, p.Zone, p.Addr, p.Http, advertised[p.Name], 1
 		set.Seeds = seeds
 		if f.Plan.Places > 0 {
 			set.Places = f.Plan.Places
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -17,7 +17,7 @@
 type Step struct {
 	At  string `json:"at"`  // since the load began
 	Do  string `json:"do"`  // see doers
-	Who string `json:"who"` // a daemon, a cell, or pool/worker; a trailing * takes all that start so
+	Who string `json:"who"` // a daemon, a zone, or pool/worker; a trailing * takes all that start so
 	For string `json:"for"` // how long until it is undone; empty for not at all
 }
 
@@ -72,7 +72,7 @@
 	"kill cell": func(ctx context.Context, f *Fleet, who string) func() {
 		undo := []func(){killAll(ctx, f, "cell "+who)}
 		for _, b := range f.Backends {
-			if b.Cell == who {
+			if b.Zone == who {
 				b.Stop()
 				undo = append(undo, func() { f.back(b) })
 			}
@@ -125,13 +125,13 @@
 
 func restart(p *Process) { _ = p.Start() }
 
-// match lists the daemons that who names: one, all of a prefix, all of a cell.
+// match lists the daemons that who names: one, all of a prefix, all of a zone.
 func (f *Fleet) match(who string) []*Process {
 	out := []*Process{}
 	for _, p := range f.All() {
-		cell, isCell := strings.CutPrefix(who, "cell ")
+		zone, isZone := strings.CutPrefix(who, "cell ")
 		prefix, isPrefix := strings.CutSuffix(who, "*")
-		if p.Name == who || isPrefix && strings.HasPrefix(p.Name, prefix) || isCell && p.Cell == cell {
+		if p.Name == who || isPrefix && strings.HasPrefix(p.Name, prefix) || isZone && p.Zone == zone {
 			out = append(out, p)
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -22,7 +22,7 @@
  "lanes":{"free":{"pools":["work"],"size":5000},"seq":{"pools":["work"],"ordering":"key","attempts":0},"capped":{"pools":["out"]},
  "quote":{"pools":["work"],"callback":"capped"}}}`
 
-var smallPlan = Plan{Name: "small", Cells: []string{"a", "b", "c"}, Fronts: 2, Stores: 3, Managers: 2,
+var smallPlan = Plan{Name: "small", Zones: []string{"a", "b", "c"}, Fronts: 2, Stores: 3, Managers: 2,
 	Workers: map[string]PlanWorkers{"work": {Count: 4, WorkMs: 2}, "out": {Count: 1, WorkMs: 2}}}
 
 // TestWholePath runs a small fleet of real processes, built with the race
--- a/internal/fleet/operate.go
+++ b/internal/fleet/operate.go
@@ -14,7 +14,7 @@
 func leave(ctx context.Context, f *Fleet, who string) func() {
 	set := func(state string) {
 		for _, b := range f.backends(who) {
-			patch := charter.Workers{Workers: []charter.Worker{{Name: b.Name, Address: b.Addr, Cell: b.Cell, State: state}}}
+			patch := charter.Workers{Workers: []charter.Worker{{Name: b.Name, Address: b.Addr, Zone: b.Zone, State: state}}}
 			if err := f.api.patchWorkers(ctx, b.Pool, patch); err != nil {
 				f.failed("%s is not set to %s: %v", b.Key(), state, err)
 			}
@@ -40,7 +40,7 @@
 func empty(ctx context.Context, f *Fleet, who string) func() {
 	f.post(ctx, "/v1/cells/"+who+"/empty")
 	at := f.Now()
-	f.History.AddMark(check.Mark{Cell: who, From: at, Bound: 5 * time.Second})
+	f.History.AddMark(check.Mark{Zone: who, From: at, Bound: 5 * time.Second})
 	return func() {
 		f.History.EndMarks(func(m check.Mark) bool { return m.From == at }, f.Now())
 		f.post(ctx, "/v1/cells/"+who+"/restore")
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -17,7 +17,7 @@
 
 // Process is one daemon of the fleet.
 type Process struct {
-	Kind, Name, Cell string
+	Kind, Name, Zone string
 	Addr, Http       string
 	file             string   // its settings
 	env              []string // what it is told besides
@@ -31,8 +31,8 @@
 
 // NewProcess lays out a daemon that takes its settings from file, or, without
 // one, from what env names.
-func NewProcess(kind, name, cell, bin, log, file string, env ...string) *Process {
-	return &Process{Kind: kind, Name: name, Cell: cell, bin: bin, log: log, file: file, env: env}
+func NewProcess(kind, name, zone, bin, log, file string, env ...string) *Process {
+	return &Process{Kind: kind, Name: name, Zone: zone, bin: bin, log: log, file: file, env: env}
 }
 
 var ports struct {
--- a/internal/fleet/random.go
+++ b/internal/fleet/random.go
@@ -31,8 +31,8 @@
 	return func(r *rand.Rand, _ Plan) string { return names[r.IntN(len(names))] }
 }
 
-func cellOf(r *rand.Rand, plan Plan) string {
-	return plan.Cells[r.IntN(len(plan.Cells))]
+func zoneOf(r *rand.Rand, plan Plan) string {
+	return plan.Zones[r.IntN(len(plan.Zones))]
 }
 
 func poolOf(r *rand.Rand, plan Plan) string {
@@ -61,10 +61,10 @@
 	{2, "stop", daemonOf("store", "manager", "agent", "adapter"), 3 * time.Second},
 	{1, "kill", oneOf("store-*", "manager-*", "adapter-*", "agent-*", "*"), 3 * time.Second},
 	{1, "freeze", oneOf("store-*", "manager-*"), 5 * time.Second},
-	{2, "kill cell", cellOf, 12 * time.Second},
-	{2, "cut cell", cellOf, 8 * time.Second},
+	{2, "kill cell", zoneOf, 12 * time.Second},
+	{2, "cut cell", zoneOf, 8 * time.Second},
 	{1, "wipe", daemonOf("store"), 3 * time.Second},
-	{1, "empty", cellOf, 10 * time.Second},
+	{1, "empty", zoneOf, 10 * time.Second},
 	{3, "edit", oneOf("good", "race", "invalid", "stale"), 0},
 	{1, "fail", workerOf, 8 * time.Second},
 	{1, "crawl", workerOf, 8 * time.Second},
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -11,11 +11,11 @@
 	"caperwheel/internal/wire"
 )
 
-// relays carry all daemon-to-daemon connections of the fleet, so that a cell
+// relays carry all daemon-to-daemon connections of the fleet, so that a zone
 // can be cut off without touching the machine. A cut connection stands still,
 // as one would whose packets are lost; it is not closed.
 //
-// Invariant: a connection moves only while neither of its two cells is cut off
+// Invariant: a connection moves only while neither of its two zones is cut off
 // from the other.
 type relays struct {
 	mu     sync.Mutex
@@ -25,15 +25,15 @@
 
 func newRelays() *relays { return &relays{cut: map[string]bool{}, healed: make(chan struct{})} }
 
-func (r *relays) set(cell string, isCut bool) {
+func (r *relays) set(zone string, isCut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut[cell] = isCut
+	r.cut[zone] = isCut
 	close(r.healed)
 	r.healed = make(chan struct{})
 }
 
-// wait returns once the two cells can hear each other.
+// wait returns once the two zones can hear each other.
 func (r *relays) wait(from, to string) {
 	for {
 		r.mu.Lock()
@@ -49,7 +49,7 @@
 var helloCodec = wire.NewPlain(&wire.Hello{})
 
 // lay opens a relay before a daemon and gives the address to advertise.
-func (r *relays) lay(target, cell string) (string, error) {
+func (r *relays) lay(target, zone string) (string, error) {
 	addr, err := FreePort()
 	if err != nil {
 		return "", err
@@ -64,14 +64,14 @@
 			if err != nil {
 				return
 			}
-			go r.carry(conn, target, cell)
+			go r.carry(conn, target, zone)
 		}
 	}()
 	return addr, nil
 }
 
 // carry reads who is calling out of the handshake and passes all on.
-func (r *relays) carry(from net.Conn, target, cell string) {
+func (r *relays) carry(from net.Conn, target, zone string) {
 	defer from.Close()
 	var head [8]byte
 	if _, err := io.ReadFull(from, head[:]); err != nil {
@@ -85,7 +85,7 @@
 	if err := helloCodec.Decode(body, &hello); err != nil {
 		return
 	}
-	r.wait(hello.Who.Cell, cell)
+	r.wait(hello.Who.Zone, zone)
 	to, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
 		return
@@ -95,8 +95,8 @@
 		return
 	}
 	done := make(chan struct{}, 2)
-	go func() { r.pass(to, from, hello.Who.Cell, cell); done <- struct{}{} }()
-	go func() { r.pass(from, to, hello.Who.Cell, cell); done <- struct{}{} }()
+	go func() { r.pass(to, from, hello.Who.Zone, zone); done <- struct{}{} }()
+	go func() { r.pass(from, to, hello.Who.Zone, zone); done <- struct{}{} }()
 	<-done // one side is gone: close both
 }
 
--- a/internal/fleet/schedule_test.go
+++ b/internal/fleet/schedule_test.go
@@ -39,7 +39,7 @@
 				case "fail", "crawl", "cut", "lose", "stall", "vanish", "leave":
 					So(len(f.backends(step.Who)), ShouldBeGreaterThan, 0)
 				case "kill cell", "cut cell", "empty":
-					So(plan.Cells, ShouldContain, step.Who)
+					So(plan.Zones, ShouldContain, step.Who)
 				}
 			}
 		}
--- a/internal/fleet/up.go
+++ b/internal/fleet/up.go
@@ -23,7 +23,7 @@
 	from := f.Now()
 	for _, b := range f.Backends {
 		if b.Name != charter.Endpoint {
-			pools[b.Pool] = append(pools[b.Pool], charter.Worker{Name: b.Name, Address: b.Addr, Cell: b.Cell, State: "live"})
+			pools[b.Pool] = append(pools[b.Pool], charter.Worker{Name: b.Name, Address: b.Addr, Zone: b.Zone, State: "live"})
 		}
 	}
 	for pool, workers := range pools {
--- a/internal/intake/draw.go
+++ b/internal/intake/draw.go
@@ -45,8 +45,8 @@
 }
 
 // drawPlace draws a place for a message that may go to any, as the paper draws
-// targets: of those whose owner is known and answers, one in our own cell if
-// there is one, since each byte between cells costs; by the owners' weights.
+// targets: of those whose owner is known and answers, one in our own zone if
+// there is one, since each byte between zones costs; by the owners' weights.
 func (in *Intake) drawPlace() int64 {
 	all := int64(in.d.Settings.Places)
 	own, others := []int64{}, []int64{}
@@ -54,7 +54,7 @@
 		who, isKnown := in.d.Membership.Owner(wire.PlaceGroup + place)
 		switch {
 		case !isKnown || in.isQuiet(who.Name):
-		case who.Cell == in.d.Who.Cell:
+		case who.Zone == in.d.Who.Zone:
 			own = append(own, place)
 		default:
 			others = append(others, place)
--- a/internal/manager/evacuations.go
+++ b/internal/manager/evacuations.go
@@ -10,68 +10,68 @@
 	"caperwheel/internal/wire"
 )
 
-// Orders to empty a cell's workers, and to take that back, come without a number
+// Orders to empty a zone's workers, and to take that back, come without a number
 // and are sent again where no clear answer came. Several emptyings may stand at
 // once, and none may end while its own taking back has not come. So where an
 // order may be a new one or an old one sent again, it is taken for whichever
-// leaves the cell emptied:
+// leaves the zone emptied:
 //
 //   - A taking back is the last one again for as long as that may be sent again,
 //     also where an emptying came in between.
 //   - An emptying is the one before it again only if that was the last order, and
 //     within the bound, in which nearly all that are sent again come. One that is
-//     sent again later counts twice, and the cell stays emptied.
+//     sent again later counts twice, and the zone stays emptied.
 //
 // How long ago an order was taken is told by the part's own time, which is the
 // same whichever manager asks, and however little that has heard.
 
-// mostRaces is how often an order about a cell is tried again when another change
-// of the cell's mark came first.
+// mostRaces is how often an order about a zone is tried again when another change
+// of the zone's mark came first.
 const mostRaces = 3
 
-// Empty asks that a cell, or only its workers, get nothing new. A whole cell
+// Empty asks that a zone, or only its workers, get nothing new. A whole zone
 // stays emptied when only its workers are asked for. Where workers were asked for
 // before, both stand, and each is to be taken back.
-func (o *Operators) Empty(ctx context.Context, by, cell string, isOnlyWorkers bool) (int64, error) {
-	if err := checkSubject(cell); err != nil {
+func (o *Operators) Empty(ctx context.Context, by, zone string, isOnlyWorkers bool) (int64, error) {
+	if err := checkSubject(zone); err != nil {
 		return 0, err
 	}
 	if !isOnlyWorkers {
-		if !o.m.isKnown("cell", cell) {
-			return 0, o.m.unknown("cell", cell)
+		if !o.m.isKnown("cell", zone) {
+			return 0, o.m.unknown("cell", zone)
 		}
-		return o.mark(ctx, by, charter.CellKey+cell, charter.Mark{}, -1)
+		return o.mark(ctx, by, charter.ZoneKey+zone, charter.Mark{}, -1)
 	}
 	// Any name will do: workers that are not listed yet may come.
-	return o.change(ctx, by, cell, o.m.emptied)
+	return o.change(ctx, by, zone, o.m.emptied)
 }
 
 // Restore takes an emptying back. Where a source tells of the workers they
 // count as cold at first, since the source runs behind: the mark says so until
 // the list controller takes it away.
-func (o *Operators) Restore(ctx context.Context, by, cell string) (int64, error) {
-	if err := checkSubject(cell); err != nil {
+func (o *Operators) Restore(ctx context.Context, by, zone string) (int64, error) {
+	if err := checkSubject(zone); err != nil {
 		return 0, err
 	}
 	if o.m.source == nil {
-		return o.unmark(ctx, by, charter.CellKey+cell)
+		return o.unmark(ctx, by, charter.ZoneKey+zone)
 	}
-	return o.change(ctx, by, cell, o.m.restored)
+	return o.change(ctx, by, zone, o.m.restored)
 }
 
-// standing is what stands at a cell's key.
+// standing is what stands at a zone's key.
 type standing struct {
 	revision int64 // 0 for nothing
 	mark     charter.Mark
 	age      time.Duration // since the last order
 }
 
-// change brings an order to a cell's mark: next says what it makes of it, or that
+// change brings an order to a zone's mark: next says what it makes of it, or that
 // it is there already.
-func (o *Operators) change(ctx context.Context, by, cell string, next func(was standing) (charter.Mark, bool)) (revision int64, err error) {
+func (o *Operators) change(ctx context.Context, by, zone string, next func(was standing) (charter.Mark, bool)) (revision int64, err error) {
 	for range mostRaces {
 		var got wire.Pulled
-		got, err = o.m.read(ctx, feed.CharterPart, charter.CellKey+cell)
+		got, err = o.m.read(ctx, feed.CharterPart, charter.ZoneKey+zone)
 		if err != nil && !errs.Is(err, errs.Unknown) {
 			return 0, err
 		}
@@ -80,7 +80,7 @@
 		if isThere {
 			return was.revision, nil
 		}
-		revision, err = o.mark(ctx, by, charter.CellKey+cell, mark, was.revision)
+		revision, err = o.mark(ctx, by, charter.ZoneKey+zone, mark, was.revision)
 		if !errs.Is(err, errs.Conflict) {
 			return revision, err
 		}
@@ -94,7 +94,7 @@
 	return time.Duration(min(got.Age, int64(time.Hour/time.Millisecond))) * time.Millisecond
 }
 
-// emptied is what an order to empty a cell's workers makes of its mark.
+// emptied is what an order to empty a zone's workers makes of its mark.
 func (m *Manager) emptied(was standing) (next charter.Mark, isThere bool) {
 	next = charter.Mark{Only: charter.OnlyWorkers, BackAgo: m.backAgo(was)}
 	switch {
@@ -107,7 +107,7 @@
 	return next, false
 }
 
-// restored is what an order to take an emptying back makes of a cell's mark.
+// restored is what an order to take an emptying back makes of a zone's mark.
 func (m *Manager) restored(was standing) (next charter.Mark, isThere bool) {
 	switch {
 	case was.revision == 0, was.mark.Only == charter.OnlyCold, m.backAgo(was) > 0:
@@ -118,7 +118,7 @@
 	return charter.Mark{Only: charter.OnlyCold}, false
 }
 
-// backAgo gives the milliseconds since an emptying of the cell was last taken
+// backAgo gives the milliseconds since an emptying of the zone was last taken
 // back; 0 if that was so long ago that it cannot be sent again.
 func (m *Manager) backAgo(was standing) int64 {
 	ago := was.age
--- a/internal/manager/evacuations_test.go
+++ b/internal/manager/evacuations_test.go
@@ -11,7 +11,7 @@
 	"caperwheel/internal/wire"
 )
 
-// TestOrdersWithoutNumber is the table of what stands at a cell after orders
+// TestOrdersWithoutNumber is the table of what stands at a zone after orders
 // that come without a number, some of them sent again, to any manager.
 func TestOrdersWithoutNumber(t *testing.T) {
 	const resend = 5 * time.Second
@@ -19,7 +19,7 @@
 	type order struct {
 		verb   string        // start or finish
 		after  time.Duration // the order before
-		isLate bool          // at a manager that has heard nothing of the cell yet
+		isLate bool          // at a manager that has heard nothing of the zone yet
 	}
 	cases := []struct {
 		name   string
@@ -64,7 +64,7 @@
 					_, err := ask()
 					So(err, ShouldBeNil)
 				}
-				last, isStanding := f.part(0).Get(charter.CellKey + "a")
+				last, isStanding := f.part(0).Get(charter.ZoneKey + "a")
 				So(isStanding, ShouldBeTrue)
 				got := 0
 				if mark := charter.ReadMark(last.Value); mark.Only == charter.OnlyWorkers {
@@ -79,7 +79,7 @@
 // TestOrdersWithoutNumberInTrouble: an order whose answers from the part are
 // lost, or that another one overtakes, counts once.
 func TestOrdersWithoutNumberInTrouble(t *testing.T) {
-	ctx, key := context.Background(), charter.CellKey+"a"
+	ctx, key := context.Background(), charter.ZoneKey+"a"
 	standing := func(f *fakeParts) charter.Mark {
 		c, isStanding := f.part(0).Get(key)
 		So(isStanding, ShouldBeTrue)
--- a/internal/manager/list.go
+++ b/internal/manager/list.go
@@ -47,7 +47,7 @@
 	list     []charter.Worker
 }
 
-// ease is what is known of a restored cell. Invariant: settledAt is a moment
+// ease is what is known of a restored zone. Invariant: settledAt is a moment
 // after a read that began later than the source's lag behind seenAt was written.
 type ease struct {
 	revision  int64
@@ -205,10 +205,10 @@
 	return true
 }
 
-// seeEasing notes which restored cells' workers still count as cold.
+// seeEasing notes which restored zones' workers still count as cold.
 func (l *lister) seeEasing() {
 	now, next := l.m.d.Now(), map[string]ease{}
-	for _, c := range l.m.d.View.Keys(charter.CellKey) {
+	for _, c := range l.m.d.View.Keys(charter.ZoneKey) {
 		if charter.ReadMark(c.Value).Only != charter.OnlyCold {
 			continue
 		}
@@ -221,7 +221,7 @@
 	l.easing = next
 }
 
-// settle takes the marks of restored cells away: after a read that began later
+// settle takes the marks of restored zones away: after a read that began later
 // than the lag behind the restoring was written, every daemon that still acts
 // has seen what was written, and the restoring is not sent again any more.
 func (l *lister) settle(ctx context.Context, began time.Duration) {
--- a/internal/manager/list_test.go
+++ b/internal/manager/list_test.go
@@ -15,7 +15,7 @@
 // TestList is the table of what the list controller writes, turn by turn.
 func TestList(t *testing.T) {
 	worker := func(name, state string, isCold bool) charter.Worker {
-		return charter.Worker{Name: name, Address: "127.0.0.1:80", Cell: "a", State: state, IsCold: isCold}
+		return charter.Worker{Name: name, Address: "127.0.0.1:80", Zone: "a", State: state, IsCold: isCold}
 	}
 	w1, w2, left := worker("w1", "live", false), worker("w2", "live", true), worker("w1", "leaving", false)
 	bad := worker("no name", "live", false)
@@ -71,14 +71,14 @@
 	}
 }
 
-// TestEasing: the workers of a restored cell count as cold until a read that
+// TestEasing: the workers of a restored zone count as cold until a read that
 // began later than the source's lag has reached every daemon.
 func TestEasing(t *testing.T) {
 	Convey("A restored cell's workers", t, func() {
 		m, _ := newFake()
 		m.source = &Source{Lag: time.Second, Workers: func(context.Context) (map[string][]charter.Worker, error) { return nil, nil }}
 		edit := wire.Edit{Part: 1, Key: charter.WorkersKey + "p", Value: charter.Workers{Workers: []charter.Worker{
-			{Name: "w", Address: "127.0.0.1:80", Cell: "a", State: "live"}}}.Encode()}
+			{Name: "w", Address: "127.0.0.1:80", Zone: "a", State: "live"}}}.Encode()}
 		_, err := m.edit(context.Background(), edit)
 		So(err, ShouldBeNil)
 		look := func() (isServed, isCold bool) {
--- a/internal/manager/marks_test.go
+++ b/internal/manager/marks_test.go
@@ -9,7 +9,7 @@
 	"caperwheel/internal/charter"
 )
 
-// TestMarks is the table of what stands at a cell's key after operators' calls.
+// TestMarks is the table of what stands at a zone's key after operators' calls.
 func TestMarks(t *testing.T) {
 	ctx := context.Background()
 	whole := func(m *Manager) (int64, error) { return m.operators.Empty(ctx, "x", "a", false) }
@@ -54,7 +54,7 @@
 					_, err := call(m)
 					So(err, ShouldBeNil)
 				}
-				got, isStanding := f.part(0).Get(charter.CellKey + "a")
+				got, isStanding := f.part(0).Get(charter.ZoneKey + "a")
 				So(isStanding, ShouldEqual, c.want != "")
 				if isStanding {
 					So(string(got.Value), ShouldEqual, c.want)
--- a/internal/manager/operators_test.go
+++ b/internal/manager/operators_test.go
@@ -103,7 +103,7 @@
 	d.Settings.Parts, d.Settings.Founders = 1, 3
 	members := []wire.Member{{Who: d.Who}}
 	for i := range 4 {
-		members = append(members, wire.Member{Who: wire.Who{Name: "s" + strconv.Itoa(i+1), Kind: "store", Cell: "a", Addr: "s" + strconv.Itoa(i+1)}})
+		members = append(members, wire.Member{Who: wire.Who{Name: "s" + strconv.Itoa(i+1), Kind: "store", Zone: "a", Addr: "s" + strconv.Itoa(i+1)}})
 	}
 	d.Membership.Take("x", members)
 	m := &Manager{d: d, scenes: &charter.Scenes{View: view}, registry: session.NewRegistry(time.Hour)}
--- a/internal/manager/status.go
+++ b/internal/manager/status.go
@@ -103,7 +103,7 @@
 	out := []StatusMember{}
 	_, members := m.registry.Members(m.d.Now())
 	for _, member := range members {
-		isReady := member.Fact.Fresh && !emptied[member.Who.Cell]
+		isReady := member.Fact.Fresh && !emptied[member.Who.Zone]
 		if isReadyOnly && !isReady || kind != "" && member.Who.Kind != kind {
 			continue
 		}
--- a/internal/manager/weights.go
+++ b/internal/manager/weights.go
@@ -53,7 +53,7 @@
 			if out[pool] == nil {
 				out[pool] = map[string]weight.Seen{}
 			}
-			out[pool][worker] = weight.Seen{Cell: scene.Workers[pool][worker].Cell, Micros: float64(micros),
+			out[pool][worker] = weight.Seen{Zone: scene.Workers[pool][worker].Zone, Micros: float64(micros),
 				Failed:  float64(member.Fact.Counts["run_misses "+name]) / 1000,
 				IsProbe: member.Fact.Counts["run_probes "+name] > 0}
 		}
--- a/internal/manager/workers.go
+++ b/internal/manager/workers.go
@@ -98,7 +98,7 @@
 	web.Answer(w, 200, map[string]any{"stamp": held, "workers": len(next.Workers)})
 }
 
-// postMark sets or clears a mark: an emptied cell, a retired store. It needs
+// postMark sets or clears a mark: an emptied zone, a retired store. It needs
 // no base, since doing it twice is doing it once.
 func (m *Manager) postMark(kind string, change func(r *http.Request, subject string) (held int64, isMarked bool, err error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -112,17 +112,17 @@
 	}
 }
 
-func (m *Manager) empty(r *http.Request, cell string) (int64, bool, error) {
+func (m *Manager) empty(r *http.Request, zone string) (int64, bool, error) {
 	only := r.URL.Query().Get("only")
 	if only != "" && only != charter.OnlyWorkers {
 		return 0, false, errs.New(errs.Invalid, "only may be workers")
 	}
-	held, err := m.operators.Empty(r.Context(), operator(r), cell, only != "")
+	held, err := m.operators.Empty(r.Context(), operator(r), zone, only != "")
 	return held, true, err
 }
 
-func (m *Manager) restore(r *http.Request, cell string) (int64, bool, error) {
-	held, err := m.operators.Restore(r.Context(), operator(r), cell)
+func (m *Manager) restore(r *http.Request, zone string) (int64, bool, error) {
+	held, err := m.operators.Restore(r.Context(), operator(r), zone)
 	return held, false, err
 }
 
@@ -140,13 +140,13 @@
 func (m *Manager) isKnown(kind, subject string) bool {
 	_, members := m.registry.Members(m.d.Now())
 	for _, member := range members {
-		if kind == "cell" && member.Who.Cell == subject || kind == "store" && member.Who.Kind == "store" && member.Who.Name == subject {
+		if kind == "cell" && member.Who.Zone == subject || kind == "store" && member.Who.Kind == "store" && member.Who.Name == subject {
 			return true
 		}
 	}
 	for _, pool := range m.scenes.Now().Workers {
 		for _, w := range pool {
-			if kind == "cell" && w.Cell == subject {
+			if kind == "cell" && w.Zone == subject {
 				return true
 			}
 		}
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -25,7 +25,7 @@
 // The steps of delivery.
 const (
 	Allowed Op = "allowed" // the lane may use the pool
-	Live    Op = "live"    // the worker is live and its cell not emptied
+	Live    Op = "live"    // the worker is live and its zone not emptied
 	Holder  Op = "holder"  // this daemon holds the worker's duty
 	Whole   Op = "whole"   // the bytes are those that were taken
 	Send    Op = "send"    // run it
--- a/internal/repair/repair_test.go
+++ b/internal/repair/repair_test.go
@@ -49,10 +49,10 @@
 // comes moves no more than it takes.
 func TestSpread(t *testing.T) {
 	const groups = 480
-	cells := []string{"a", "b", "c"}
+	zones := []string{"a", "b", "c"}
 	laid := func(count int) (stores []Store) {
 		for i := range count {
-			stores = append(stores, Store{Name: fmt.Sprint("s", i), Zone: cells[i%3]})
+			stores = append(stores, Store{Name: fmt.Sprint("s", i), Zone: zones[i%3]})
 		}
 		return
 	}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -37,15 +37,15 @@
 
 // startFront begins one front's next life.
 func startFront(number int, p Pack, l *ledger) (*front, error) {
-	cell := fmt.Sprintf("hollow-%c", 'a'+number%hollowCells)
+	zone := fmt.Sprintf("hollow-%c", 'a'+number%hollowZones)
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &front{ledger: l, cancel: cancel}
 	var err error
-	if f.agent, err = hollow("agent", number, cell, p, p.Seeds); err == nil {
+	if f.agent, err = hollow("agent", number, zone, p, p.Seeds); err == nil {
 		err = f.runAgent(ctx)
 	}
 	if err == nil {
-		f.adapter, err = hollow("adapter", number, cell, p, []string{f.agent.Who.Addr})
+		f.adapter, err = hollow("adapter", number, zone, p, []string{f.agent.Who.Addr})
 	}
 	if err == nil {
 		err = f.runAdapter(ctx)
@@ -57,13 +57,13 @@
 	return f, nil
 }
 
-// hollowCells is over how many cells hollow fronts are spread.
-const hollowCells = 3
+// hollowZones is over how many zones hollow fronts are spread.
+const hollowZones = 3
 
 // hollow gives a daemon without its process: no port for HTTP, no signals.
-func hollow(kind string, number int, cell string, p Pack, seeds []string) (*daemon.Daemon, error) {
+func hollow(kind string, number int, zone string, p Pack, seeds []string) (*daemon.Daemon, error) {
 	s := settings.Default()
-	s.Name, s.Cell, s.Seeds, s.Places, s.Parts = fmt.Sprintf("hollow-%s-%04d", kind, number), cell, seeds, p.Places, p.Parts
+	s.Name, s.Zone, s.Seeds, s.Places, s.Parts = fmt.Sprintf("hollow-%s-%04d", kind, number), zone, seeds, p.Places, p.Parts
 	addr, err := fleet.FreePort()
 	if err != nil {
 		return nil, err
@@ -71,7 +71,7 @@
 	s.Listen, s.Advertise = addr, addr
 	return &daemon.Daemon{Kind: kind, Settings: s, Bounds: s.Bounds(), Started: time.Now(), Mux: http.NewServeMux(),
 		View: feed.NewView(s.Parts), Membership: session.NewMembership(),
-		Who: wire.Who{Name: s.Name, Kind: kind, Boot: daemon.Random(8), Cell: cell, Addr: addr, Http: addr}}, nil
+		Who: wire.Who{Name: s.Name, Kind: kind, Boot: daemon.Random(8), Zone: zone, Addr: addr, Http: addr}}, nil
 }
 
 // link opens the node as a daemon does, but an error is told and not the end
--- a/internal/scale/point.go
+++ b/internal/scale/point.go
@@ -53,7 +53,7 @@
 
 // plan lays out the real daemons and the traffic.
 func (p Point) plan() fleet.Plan {
-	out := fleet.Plan{Name: "scale", Cells: []string{"a", "b", "c"}, Fronts: realFronts, Stores: p.Stores, Managers: p.Managers,
+	out := fleet.Plan{Name: "scale", Zones: []string{"a", "b", "c"}, Fronts: realFronts, Stores: p.Stores, Managers: p.Managers,
 		Places: p.Places, IsDirect: true, Workers: map[string]fleet.PlanWorkers{"served": {Count: 3, WorkMs: 4}},
 		Load: []fleet.PlanLoad{}}
 	if p.Traffic > 0 {
@@ -94,16 +94,16 @@
 const nobody = "127.0.0.1:1"
 
 // lists gives the workers of each pool. Those of the hollow adapters stand in
-// their cells; the targets stand in the real ones'.
+// their zones; the targets stand in the real ones'.
 func (p Point) lists(live string) map[string][]charter.Worker {
 	out := map[string][]charter.Worker{}
 	for i := range p.Destinations {
 		pool := poolName(i / perPool)
 		out[pool] = append(out[pool], charter.Worker{Name: fmt.Sprintf("w%03d", i%perPool), Address: nobody,
-			Cell: fmt.Sprintf("hollow-%c", 'a'+i%hollowCells), State: "live"})
+			Zone: fmt.Sprintf("hollow-%c", 'a'+i%hollowZones), State: "live"})
 	}
 	for i := range p.Targets {
-		w := charter.Worker{Name: "only", Address: live, Cell: string(rune('a' + i%realFronts)), State: "live"}
+		w := charter.Worker{Name: "only", Address: live, Zone: string(rune('a' + i%realFronts)), State: "live"}
 		if i < p.Down {
 			w.Address = nobody
 		}
--- a/internal/scale/size_test.go
+++ b/internal/scale/size_test.go
@@ -26,7 +26,7 @@
 }
 
 func whoOf(kind string, i int) wire.Who {
-	return wire.Who{Name: fmt.Sprintf("%s-%04d", kind, i), Kind: kind, Boot: "0123456789abcdef", Cell: fmt.Sprintf("z%d", i%9),
+	return wire.Who{Name: fmt.Sprintf("%s-%04d", kind, i), Kind: kind, Boot: "0123456789abcdef", Zone: fmt.Sprintf("z%d", i%9),
 		Addr: fmt.Sprintf("10.1.%d.%d:7001", i/256, i%256), Http: fmt.Sprintf("10.1.%d.%d:8080", i/256, i%256)}
 }
 
@@ -110,7 +110,7 @@
 			held := heap() - before
 			revision := view.Revision(1)
 			for b.Loop() {
-				view.Take([]wire.PartNews{{Part: 1, From: revision, To: revision + 1, Changes: []wire.Change{{Key: charter.CellKey + "x", Revision: revision + 1, Value: []byte("{}")}}}}, 0)
+				view.Take([]wire.PartNews{{Part: 1, From: revision, To: revision + 1, Changes: []wire.Change{{Key: charter.ZoneKey + "x", Revision: revision + 1, Value: []byte("{}")}}}}, 0)
 				revision++
 				scenes.Now()
 			}
@@ -144,7 +144,7 @@
 			view.Take(stateOf(count), 0)
 			scenes := charter.Scenes{View: view}
 			scene := scenes.Now()
-			adapters := []wire.Who{{Name: "adapter-0001", Kind: "adapter", Boot: "0123456789abcdef", Cell: "hollow-a"}}
+			adapters := []wire.Who{{Name: "adapter-0001", Kind: "adapter", Boot: "0123456789abcdef", Zone: "hollow-a"}}
 			for b.Loop() {
 				for pool := range scene.Rules.Pools {
 					if len(duty.Plan(pool, scene, adapters, nil, func(string) (int64, bool) { return 1, true })) > 0 {
--- a/internal/session/registry.go
+++ b/internal/session/registry.go
@@ -113,7 +113,7 @@
 	for _, m := range members {
 		w := m.Who
 		line = append(line[:0], '{')
-		for i, word := range []string{w.Name, w.Kind, w.Boot, w.Cell, w.Addr, w.Http} {
+		for i, word := range []string{w.Name, w.Kind, w.Boot, w.Zone, w.Addr, w.Http} {
 			if i > 0 {
 				line = append(line, ' ')
 			}
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -118,7 +118,7 @@
 		})
 	})
 	Convey("The hash of a list is that of earlier builds", t, func() {
-		m := wire.Member{Who: wire.Who{Name: "x", Kind: "store", Boot: "1", Cell: "a", Addr: "127.0.0.1:1", Http: "127.0.0.1:2"},
+		m := wire.Member{Who: wire.Who{Name: "x", Kind: "store", Boot: "1", Zone: "a", Addr: "127.0.0.1:1", Http: "127.0.0.1:2"},
 			Owns: []wire.Owned{{Group: 5, Term: 9}, {Group: 6, Term: 1}}}
 		sum := sha256.Sum256([]byte(fmt.Sprintf("%v %d/%d %d/%d", m.Who, 5, 9, 6, 1)))
 		So(MembershipHash([]wire.Member{m}), ShouldEqual, hex.EncodeToString(sum[:8]))
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -28,7 +28,7 @@
 		}
 	}
 	must(s.Name != "" && !strings.ContainsAny(s.Name, "/~ "), "name", "must be given, without / ~ or blanks")
-	must(s.Cell != "", "cell", "must be given")
+	must(s.Zone != "", "cell", "must be given")
 	addr("listen", s.Listen, true)
 	addr("http", s.Http, true)
 	must(len(s.Seeds) > 0 || kind == "manager", "seeds", "must name at least one address")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,7 +33,7 @@
 type Settings struct {
 	File      string   `arg:"--settings" json:"-" help:"settings file (JSON); flags override it"`
 	Name      string   `arg:"--name" json:"name" help:"name of this daemon, one of its kind in the deployment"`
-	Cell      string   `arg:"--cell" json:"cell" help:"cell (zone) that this machine stands in"`
+	Zone      string   `arg:"--cell" json:"cell" help:"cell (zone) that this machine stands in"`
 	Listen    string   `arg:"--listen" json:"listen" help:"IP number and port for other daemons"`
 	Advertise string   `arg:"--advertise" json:"advertise" help:"address told to other daemons, if not the one listened on"`
 	Http      string   `arg:"--http" json:"http" help:"IP number and port for HTTP"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -112,7 +112,7 @@
 				next, err := Reread("store", old)
 				So(err == nil, ShouldEqual, c.isUsed)
 				So(next.Verbosity == 3, ShouldEqual, c.isUsed)
-				So(next.Cell, ShouldEqual, "a")
+				So(next.Zone, ShouldEqual, "a")
 				So(next.Founds, ShouldBeTrue)
 				isOther := strings.Contains(c.text, ":1003")
 				So(next.Seeds[0] == "127.0.0.1:1003", ShouldEqual, c.isUsed && isOther)
@@ -127,15 +127,15 @@
 	Convey("Given a file of another make", t, func() {
 		file := write(t, "cell=a")
 		source := &Source{File: file, Read: func(raw []byte) ([]byte, error) {
-			cell, isOne := strings.CutPrefix(string(raw), "cell=")
+			zone, isOne := strings.CutPrefix(string(raw), "cell=")
 			if !isOne {
 				return nil, errs.New(errs.Invalid, "no cell")
 			}
-			return []byte(strings.Replace(good, `"cell":"a"`, `"cell":"`+cell+`"`, 1)), nil
+			return []byte(strings.Replace(good, `"cell":"a"`, `"cell":"`+zone+`"`, 1)), nil
 		}}
 		s, err := Load("store", []string{"--verbosity=2"}, source)
 		So(err, ShouldBeNil)
-		So(s.Cell+s.File, ShouldEqual, "a"+file)
+		So(s.Zone+s.File, ShouldEqual, "a"+file)
 		So(s.Verbosity, ShouldEqual, 2)
 		Convey("it is read again in the same way", func() {
 			So(os.WriteFile(file, []byte("cell=b"), 0o600), ShouldBeNil)
@@ -148,7 +148,7 @@
 		Convey("a flag that names a file goes before it", func() {
 			s, err := Load("store", []string{"--settings", write(t, strings.Replace(good, `"a"`, `"c"`, 1))}, source)
 			So(err, ShouldBeNil)
-			So(s.Cell, ShouldEqual, "c")
+			So(s.Zone, ShouldEqual, "c")
 		})
 	})
 }
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -26,7 +26,7 @@
 	agents   []*node
 	adapters []*node
 	acked    []ackedEdit
-	emptied  map[string]time.Duration // cell -> since when it is acknowledged to be emptied
+	emptied  map[string]time.Duration // zone -> since when it is acknowledged to be emptied
 	Acts     []time.Duration          // starts at the endpoint
 	Broken   []string
 	rate     float64
@@ -87,7 +87,7 @@
 		c.managers = append(c.managers, add("manager", fmt.Sprintf("m%d", i+1), nil))
 	}
 	for i := range 3 {
-		agent := add("agent", fmt.Sprintf("g%d", i+1), c.managers) // each adapter stands in a cell of its own
+		agent := add("agent", fmt.Sprintf("g%d", i+1), c.managers) // each adapter stands in a zone of its own
 		c.agents = append(c.agents, agent)
 		c.adapters = append(c.adapters, add("adapter", fmt.Sprintf("a%d", i+1), []*node{agent}))
 	}
@@ -126,7 +126,7 @@
 	}
 	n.c.checkAct(n)
 	held := scene.Duties["p"][charter.Endpoint]
-	if held.Holder != n.name || held.Boot != n.boot() || !scene.MayWork(n.cell()) {
+	if held.Holder != n.name || held.Boot != n.boot() || !scene.MayWork(n.zone()) {
 		n.worker = nil
 		return
 	}
--- a/internal/sim/controlfaults.go
+++ b/internal/sim/controlfaults.go
@@ -52,25 +52,25 @@
 	}
 }
 
-// empty gives a cell no new work, for a while, as an operator would.
-func (c *Control) empty(cell string) {
+// empty gives a zone no new work, for a while, as an operator would.
+func (c *Control) empty(zone string) {
 	if len(c.emptied) > 0 || !c.managers[0].isUp {
 		return // one room at a time
 	}
-	mark := wire.Edit{Key: charter.CellKey + cell, Value: []byte("{}"), IfRevision: -1}
+	mark := wire.Edit{Key: charter.ZoneKey + zone, Value: []byte("{}"), IfRevision: -1}
 	c.managers[0].edit(mark, func(int64) {
-		c.Note("cell %s is emptied", cell)
-		c.emptied[cell] = c.now
+		c.Note("cell %s is emptied", zone)
+		c.emptied[zone] = c.now
 		c.After(12*time.Second, func() {
-			delete(c.emptied, cell)
+			delete(c.emptied, zone)
 			mark.Gone = true
-			c.Note("cell %s is restored", cell)
+			c.Note("cell %s is restored", zone)
 			c.restore(mark)
 		})
 	})
 }
 
-// emptyHolder empties the cell of whoever serves the endpoint, while that one
+// emptyHolder empties the zone of whoever serves the endpoint, while that one
 // hears nothing: it goes on until its view is too old, and only the fence keeps
 // the next holder from serving besides.
 func (c *Control) emptyHolder() {
@@ -80,7 +80,7 @@
 			c.Cut(agent, a.name)
 			c.Note("%s holds the endpoint and hears nothing", a.name)
 			c.After(6*time.Second, c.Heal)
-			c.empty(a.cell())
+			c.empty(a.zone())
 			return
 		}
 	}
@@ -97,9 +97,9 @@
 	})
 }
 
-// checkEmptied: an emptied cell's adapter starts nothing after 5 s.
+// checkEmptied: an emptied zone's adapter starts nothing after 5 s.
 func (c *Control) checkEmptied(n *node) {
-	if at, isEmptied := c.emptied[n.cell()]; isEmptied && c.now-at > 5*time.Second {
+	if at, isEmptied := c.emptied[n.zone()]; isEmptied && c.now-at > 5*time.Second {
 		c.Broken = append(c.Broken, fmt.Sprintf("%s starts a run %v after its cell was emptied", n.name, c.now-at))
 	}
 }
--- a/internal/sim/deployment.go
+++ b/internal/sim/deployment.go
@@ -52,18 +52,18 @@
 
 // machine holds one store and one manager, which share its address and fate.
 type machine struct {
-	name, addr, cell string
+	name, addr, zone string
 	store            *storeProcess
 	manager          *managerProcess
 	isGone           bool // it never comes back
 }
 
-// NewDeployment founds a deployment of four machines in three cells.
+// NewDeployment founds a deployment of four machines in three zones.
 func NewDeployment(w *World, mutant Mutant) *Deployment {
 	d := &Deployment{World: w, book: newBook(w), mutant: mutant}
 	d.net.d = d
-	for i, cell := range []string{"c1", "c2", "c3", "c1"} {
-		d.add(fmt.Sprintf("m%d", i+1), fmt.Sprintf("m%d", i+1), cell)
+	for i, zone := range []string{"c1", "c2", "c3", "c1"} {
+		d.add(fmt.Sprintf("m%d", i+1), fmt.Sprintf("m%d", i+1), zone)
 	}
 	for _, m := range d.machines[:copies] {
 		m.store.founders = []string{}
@@ -80,8 +80,8 @@
 }
 
 // add brings a machine with a blank disk; it is not started yet.
-func (d *Deployment) add(name, addr, cell string) *machine {
-	m := &machine{name: name, addr: addr, cell: cell}
+func (d *Deployment) add(name, addr, zone string) *machine {
+	m := &machine{name: name, addr: addr, zone: zone}
 	m.store = newStore(d, m)
 	m.manager = newManager(d, m)
 	d.machines = append(d.machines, m)
--- a/internal/sim/herds.go
+++ b/internal/sim/herds.go
@@ -89,7 +89,7 @@
 			}
 			d.troubles.leaving = m
 			name := nextName(d)
-			d.add(name, name, m.cell).start()
+			d.add(name, name, m.zone).start()
 			t.pause(time.Duration(d.Rand.Int64N(int64(CatchUp))))
 			isDone := d.retireOne(ctx, t, m)
 			d.troubles.leaving = nil
--- a/internal/sim/home.go
+++ b/internal/sim/home.go
@@ -55,7 +55,7 @@
 		a.w.After(200*time.Microsecond, func() { a.agent.Keep(o, a.w.now) })
 	}
 	afar := a.w.store()
-	for afar.name[1:] == a.name[1:] { // of another cell
+	for afar.name[1:] == a.name[1:] { // of another zone
 		afar = a.w.store()
 	}
 	tell := func(work func(k *repair.Keeper)) {
--- a/internal/sim/manager.go
+++ b/internal/sim/manager.go
@@ -25,7 +25,7 @@
 
 func newManager(d *Deployment, m *machine) *managerProcess {
 	p := &managerProcess{}
-	p.process = process{d: d, kind: "manager", name: m.name + "-manager", addr: m.addr + ":manager", cell: m.cell, machine: m}
+	p.process = process{d: d, kind: "manager", name: m.name + "-manager", addr: m.addr + ":manager", zone: m.zone, machine: m}
 	p.serve = p.onCall
 	return p
 }
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -52,11 +52,11 @@
 }
 
 func (n *node) who() wire.Who {
-	return wire.Who{Name: n.name, Kind: n.kind, Boot: n.boot(), Cell: n.cell()}
+	return wire.Who{Name: n.name, Kind: n.kind, Boot: n.boot(), Zone: n.zone()}
 }
 
-// cell: adapters stand each in one of their own, named by their number.
-func (n *node) cell() string { return n.name[1:] }
+// zone: adapters stand each in one of their own, named by their number.
+func (n *node) zone() string { return n.name[1:] }
 
 // poll asks for news, as session.Client and the manager's follow do.
 func (n *node) poll() {
--- a/internal/sim/placefaults.go
+++ b/internal/sim/placefaults.go
@@ -25,7 +25,7 @@
 	"broken links":    func(p *Places) { p.Break = 300; p.After(3*time.Second, func() { p.Break = 0 }) },
 	"full disks":      func(p *Places) { p.store().full = p.now + time.Duration(p.Rand.IntN(4000))*time.Millisecond },
 	"lost cells": func(p *Places) {
-		if i := p.Rand.IntN(3); p.now-p.hurtAt > 2*time.Second { // an adapter, its agent and its cell's store at once
+		if i := p.Rand.IntN(3); p.now-p.hurtAt > 2*time.Second { // an adapter, its agent and its zone's store at once
 			p.adapters[i].loseMachine()
 			p.stores[i].kill()
 		}
@@ -63,7 +63,7 @@
 func (p *Places) store() *simStore     { return p.stores[p.Rand.IntN(len(p.stores))] }
 func (p *Places) adapter() *simAdapter { return p.adapters[p.Rand.IntN(len(p.adapters))] }
 
-// isWhole: one cell can be lost at a time, and only from a place that has had an
+// isWhole: one zone can be lost at a time, and only from a place that has had an
 // owner and sound links for a while; beyond that nobody may know of a result.
 func (p *Places) isWhole() bool {
 	isOwned, isUp := false, len(p.cuts)+p.Loss+p.Stuck == 0 && p.Slow < 10*time.Millisecond
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -19,7 +19,7 @@
 	kind       string
 	name       string
 	addr       string
-	cell       string
+	zone       string
 	boot       string
 	machine    *machine // nil for a follower
 	view       *feed.View
@@ -72,7 +72,7 @@
 func (p *process) pause() time.Duration { return session.Pause(p.view, p.now(), timing.Default) }
 
 func (p *process) who() wire.Who {
-	return wire.Who{Name: p.name, Kind: p.kind, Boot: p.boot, Cell: p.cell, Addr: p.addr}
+	return wire.Who{Name: p.name, Kind: p.kind, Boot: p.boot, Zone: p.zone, Addr: p.addr}
 }
 
 func (p *process) isFresh() bool {
@@ -132,7 +132,7 @@
 type follower struct{ process }
 
 func (d *Deployment) follow(kind string, targets func(*process) []string) *follower {
-	f := &follower{process{d: d, kind: kind, name: kind, addr: kind, cell: "c1"}}
+	f := &follower{process{d: d, kind: kind, name: kind, addr: kind, zone: "c1"}}
 	f.seeds = d.seeds()
 	f.serve = func(ask any, answer func(any)) {
 		if poll, isPoll := ask.(*wire.Poll); isPoll {
--- a/internal/sim/stores.go
+++ b/internal/sim/stores.go
@@ -29,7 +29,7 @@
 
 func newStore(d *Deployment, m *machine) *storeProcess {
 	s := &storeProcess{disks: map[int64]*Disk{}}
-	s.process = process{d: d, kind: "store", name: m.name, addr: m.addr + ":store", cell: m.cell, machine: m}
+	s.process = process{d: d, kind: "store", name: m.name, addr: m.addr + ":store", zone: m.zone, machine: m}
 	s.serve = s.onCall
 	d.serial++
 	s.incarnation = d.serial
--- a/internal/sim/troubles.go
+++ b/internal/sim/troubles.go
@@ -102,7 +102,7 @@
 func (d *Deployment) replace(t *task, m *machine, name string) {
 	d.remove(m)
 	t.pause(time.Duration(d.Rand.IntN(3000)) * time.Millisecond)
-	d.add(name, fmt.Sprintf("m%d", len(d.machines)+1), m.cell).start()
+	d.add(name, fmt.Sprintf("m%d", len(d.machines)+1), m.zone).start()
 }
 
 // mayGo: somebody must stay whom new daemons find by the old seeds.
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -134,14 +134,14 @@
 func empty(ctx context.Context, s *Site, zone string) func() {
 	if s.operator.evacuate(ctx, zone, "start") {
 		s.History.Add(func() {
-			s.History.Marks = append(s.History.Marks, check.Mark{Cell: zone, From: s.Now(), Bound: evacuation})
+			s.History.Marks = append(s.History.Marks, check.Mark{Zone: zone, From: s.Now(), Bound: evacuation})
 		})
 	}
 	return func() {
 		at := s.Now()
 		s.History.Add(func() {
 			for i, m := range s.History.Marks {
-				if m.Cell == zone && m.Until == 0 {
+				if m.Zone == zone && m.Until == 0 {
 					s.History.Marks[i].Until = at
 				}
 			}
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -201,9 +201,9 @@
 	for i := range h.Runs {
 		h.Runs[i].IsWhole = false
 	}
-	h.Edits, h.Cells, h.Outages = j.proper(), j.h.Zones, j.h.Outages
+	h.Edits, h.Zones, h.Outages = j.proper(), j.h.Zones, j.h.Outages
 	for _, isOfZone := range []bool{true, false} {
-		h.Marks = slices.DeleteFunc(slices.Clone(j.h.Marks), func(m check.Mark) bool { return (m.Cell != "") != isOfZone })
+		h.Marks = slices.DeleteFunc(slices.Clone(j.h.Marks), func(m check.Mark) bool { return (m.Zone != "") != isOfZone })
 		rule := map[bool]string{true: RuleEvac, false: RuleDrain}[isOfZone]
 		j.take(check.Check(h), map[string]string{check.RuleLeaving: rule, check.RulePool: RuleConfig})
 		h.Edits, h.Outages, h.Sent = nil, nil, nil // judged once
--- a/internal/standin/judge_test.go
+++ b/internal/standin/judge_test.go
@@ -140,7 +140,7 @@
 		h.Marks = []check.Mark{{Pool: "p", Worker: "w", From: 14 * s, Bound: drain}}
 	}},
 	{RuleEvac, "an arrival in an evacuated zone", func(h *History) {
-		h.Marks = []check.Mark{{Cell: "north", From: 12 * s, Bound: evacuation}}
+		h.Marks = []check.Mark{{Zone: "north", From: 12 * s, Bound: evacuation}}
 	}},
 	{RuleConfig, "a run of a route that was dropped", func(h *History) { lacking(h, 9, 14*s) }},
 	{RuleConfig, "404 on a route that is there", func(h *History) { h.Sent[1].Code = 404 }},
@@ -202,7 +202,7 @@
 	{"arrivals up to the ceiling, and of warm workers", func(h *History) { meet(h, "q", false, 10); meet(h, "p", false, 60) }},
 	{"arrivals that a cold worker bears", func(h *History) { meet(h, "p", true, 8) }},
 	{"arrivals within the bounds of marks, or after their end", func(h *History) {
-		h.Marks = []check.Mark{{Pool: "p", Worker: "w", From: 16 * s, Bound: drain}, {Cell: "south", From: 5 * s, Until: 13 * s, Bound: evacuation}}
+		h.Marks = []check.Mark{{Pool: "p", Worker: "w", From: 16 * s, Bound: drain}, {Zone: "south", From: 5 * s, Until: 13 * s, Bound: evacuation}}
 	}},
 	{"late arrivals while something is hurt", func(h *History) {
 		h.Marks = []check.Mark{{Pool: "p", Worker: "w", From: 14 * s, Bound: drain}}
--- a/internal/store/ballot.go
+++ b/internal/store/ballot.go
@@ -112,16 +112,16 @@
 	return now-f.seenAt >= f.d.Bounds.Of(timing.AnswerTimeout)
 }
 
-// chooseRoster takes so many stores, from as many cells as there are.
+// chooseRoster takes so many stores, from as many zones as there are.
 func chooseRoster(stores []wire.Who, ids map[string]string, count int) []string {
-	out, cells := []string{}, map[string]bool{}
+	out, zones := []string{}, map[string]bool{}
 	for _, isSpread := range []bool{true, false} {
 		for _, who := range stores {
 			id := ids[who.Name]
-			if id == "" || len(out) == count || slices.Contains(out, id) || isSpread && cells[who.Cell] {
+			if id == "" || len(out) == count || slices.Contains(out, id) || isSpread && zones[who.Zone] {
 				continue
 			}
-			cells[who.Cell] = true
+			zones[who.Zone] = true
 			out = append(out, id)
 		}
 	}
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -155,7 +155,7 @@
 }
 
 // draw picks a worker that may serve, whose holder is here, by weight: own
-// cell first, others as far as the pool spills.
+// zone first, others as far as the pool spills.
 func (d *dispatcher) draw(scene *charter.Scene, pool string) (string, wire.Who, bool) {
 	type choice struct {
 		worker string
@@ -166,23 +166,23 @@
 	now, spill := d.s.d.Now(), scene.Rules.Pools[pool].Spill
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, isOwnCell := range []bool{true, false} {
+	for _, isOwnZone := range []bool{true, false} {
 		for name, duty := range scene.Duties[pool] {
 			worker, isLive := scene.CanServe(pool, name)
 			if !isLive || now < d.pauses[pool+"/"+name] {
 				continue
 			}
-			if (worker.Cell == "" || worker.Cell == d.s.d.Who.Cell) != isOwnCell {
+			if (worker.Zone == "" || worker.Zone == d.s.d.Who.Zone) != isOwnZone {
 				continue
 			}
 			holder, isMember := d.s.d.Membership.Find(duty.Holder)
 			if !isMember || holder.Boot != duty.Boot {
 				continue
 			}
-			share := drawWeight(scene.Weights[pool], name, worker.Cell, isOwnCell)
+			share := drawWeight(scene.Weights[pool], name, worker.Zone, isOwnZone)
 			choices, sum = append(choices, choice{name, holder, share}), sum+share
 		}
-		if isOwnCell && len(choices) > 0 && !spill {
+		if isOwnZone && len(choices) > 0 && !spill {
 			break
 		}
 	}
@@ -195,21 +195,21 @@
 	return "", wire.Who{}, false
 }
 
-// farShare: a worker of another cell is asked so much more seldom than one of
-// our own. Bytes between cells are dear; one that cannot serve is not drawn at all.
+// farShare: a worker of another zone is asked so much more seldom than one of
+// our own. Bytes between zones are dear; one that cannot serve is not drawn at all.
 const farShare = 32
 
 // drawWeight is how likely a worker is asked, against others: as published by
-// its pool's controller, and less across cells.
-func drawWeight(published weight.Weights, worker, cell string, isOwnCell bool) float64 {
+// its pool's controller, and less across zones.
+func drawWeight(published weight.Weights, worker, zone string, isOwnZone bool) float64 {
 	out := 1.0
 	if w, isKnown := published.Workers[worker]; isKnown {
 		out = w
 	}
-	if w, isKnown := published.Cells[cell]; isKnown {
+	if w, isKnown := published.Zones[zone]; isKnown {
 		out *= w
 	}
-	if !isOwnCell {
+	if !isOwnZone {
 		out /= farShare
 	}
 	return max(out, weight.Least*weight.Least)
--- a/internal/store/rosters.go
+++ b/internal/store/rosters.go
@@ -33,7 +33,7 @@
 	known, members := map[string]string{}, []repair.Store{}
 	for _, who := range here {
 		known[who.Name] = who.Name + "/" + repair.Incarnation(who.Boot)
-		members = append(members, repair.Store{Name: who.Name, Zone: who.Cell, IsRetired: retired[who.Name]})
+		members = append(members, repair.Store{Name: who.Name, Zone: who.Zone, IsRetired: retired[who.Name]})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -227,13 +227,13 @@
 }
 
 // prefer spreads ownership evenly: by hash of group and member, over the
-// members that are here, not retired, and not in an emptied cell.
+// members that are here, not retired, and not in an emptied zone.
 func (s *Store) prefer(groupId int64, roster []string) string {
 	scene, best, top := s.scenes.Now(), "", uint64(0)
 	for _, m := range group.Voters(roster) {
 		name := group.Name(m)
 		who, isMember := s.d.Membership.Find(name)
-		if !isMember && name != s.d.Who.Name || scene.Retired[name] || scene.Emptied[who.Cell] {
+		if !isMember && name != s.d.Who.Name || scene.Retired[name] || scene.Emptied[who.Zone] {
 			continue
 		}
 		h := fnv.New64a()
--- a/internal/store/tell.go
+++ b/internal/store/tell.go
@@ -119,7 +119,7 @@
 	names := []string{}
 	scene := s.scenes.Now()
 	for _, who := range s.d.Membership.Kind("adapter") {
-		if scene.MayWork(who.Cell) {
+		if scene.MayWork(who.Zone) {
 			names = append(names, who.Name)
 		}
 	}
--- a/internal/weight/weight.go
+++ b/internal/weight/weight.go
@@ -1,5 +1,5 @@
 // Package weight holds the small controllers that decide how much of a pool's
-// traffic each cell and each worker gets, from what adapters observe. It is
+// traffic each zone and each worker gets, from what adapters observe. It is
 // pure.
 package weight
 
@@ -11,16 +11,16 @@
 
 // Seen is what the holder of a worker's duty has observed lately.
 type Seen struct {
-	Cell    string
+	Zone    string
 	Micros  float64 // smoothed time of a run
 	Failed  float64 // smoothed share of runs that failed, 0 to 1
 	IsProbe bool    // unsound: only probes go there
 }
 
 // Weights of a pool, as published. A worker's draw is its own weight times its
-// cell's.
+// zone's.
 type Weights struct {
-	Cells   map[string]float64 `json:"cells"`
+	Zones   map[string]float64 `json:"cells"`
 	Workers map[string]float64 `json:"workers"`
 }
 
@@ -36,17 +36,17 @@
 
 // Next returns the weights after one turn of the controller.
 func Next(old Weights, seen map[string]Seen) Weights {
-	out := Weights{Cells: map[string]float64{}, Workers: Turn(old.Workers, seen)}
-	cells := map[string][]float64{}
+	out := Weights{Zones: map[string]float64{}, Workers: Turn(old.Workers, seen)}
+	zones := map[string][]float64{}
 	for _, s := range seen {
-		cells[s.Cell] = append(cells[s.Cell], 1-s.Failed)
+		zones[s.Zone] = append(zones[s.Zone], 1-s.Failed)
 	}
-	for cell, sound := range cells {
+	for zone, sound := range zones {
 		sum := 0.0
 		for _, x := range sound {
 			sum += x
 		}
-		out.Cells[cell] = move(get(old.Cells, cell), max(Least, sum/float64(len(sound))))
+		out.Zones[zone] = move(get(old.Zones, zone), max(Least, sum/float64(len(sound))))
 	}
 	return out
 }
@@ -103,7 +103,7 @@
 
 // IsNews reports whether the change is worth publishing.
 func IsNews(old, next Weights) bool {
-	return HasMoved(old.Cells, next.Cells) || HasMoved(old.Workers, next.Workers)
+	return HasMoved(old.Zones, next.Zones) || HasMoved(old.Workers, next.Workers)
 }
 
 // HasMoved reports whether any weight has changed enough to matter.
--- a/internal/weight/weight_test.go
+++ b/internal/weight/weight_test.go
@@ -9,7 +9,7 @@
 func even(count int) map[string]Seen {
 	out := map[string]Seen{}
 	for i := range count {
-		out[string(rune('a'+i))] = Seen{Cell: "x", Micros: 1000}
+		out[string(rune('a'+i))] = Seen{Zone: "x", Micros: 1000}
 	}
 	return out
 }
@@ -41,7 +41,7 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				seen := even(4)
-				c.odd.Cell = "x"
+				c.odd.Zone = "x"
 				seen["odd"] = c.odd
 				w := settle(seen, 60)
 				So(w.Workers["odd"], ShouldBeBetween, c.low-1e-6, c.high+1e-6)
@@ -50,14 +50,14 @@
 		}
 		Convey("never moves by more than a step in one turn, and comes back", func() {
 			seen := even(4)
-			seen["odd"] = Seen{Cell: "x", Failed: 1}
+			seen["odd"] = Seen{Zone: "x", Failed: 1}
 			w, last := Weights{}, 1.0
 			for range 20 {
 				w = Next(w, seen)
 				So(last-w.Workers["odd"], ShouldBeLessThan, max(last*Step, Least)+1e-9)
 				last = w.Workers["odd"]
 			}
-			seen["odd"] = Seen{Cell: "x", Micros: 1000}
+			seen["odd"] = Seen{Zone: "x", Micros: 1000}
 			for range 60 {
 				w = Next(w, seen)
 			}
@@ -66,11 +66,11 @@
 		Convey("does not drag down its cell alone, but a failing cell goes down", func() {
 			seen := even(4)
 			for _, name := range []string{"p", "q", "r"} {
-				seen[name] = Seen{Cell: "y", Failed: 1}
+				seen[name] = Seen{Zone: "y", Failed: 1}
 			}
 			w := settle(seen, 60)
-			So(w.Cells["x"], ShouldEqual, 1)
-			So(w.Cells["y"], ShouldAlmostEqual, Least, 1e-6)
+			So(w.Zones["x"], ShouldEqual, 1)
+			So(w.Zones["y"], ShouldAlmostEqual, Least, 1e-6)
 		})
 		Convey("publishes only what matters", func() {
 			w := settle(even(3), 1)
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -16,7 +16,7 @@
 	Name string `avro:"name"`
 	Kind string `avro:"kind"`
 	Boot string `avro:"boot"`
-	Cell string `avro:"cell"`
+	Zone string `avro:"cell" json:"Cell"`
 	Addr string `avro:"addr"`
 	Http string `avro:"http"`
 }
