--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -14,7 +14,7 @@
 // slots grants slots on the workers whose duty this adapter holds.
 //
 // Invariants: a permit is used or lapses once; asks are bounded by mostAsks a
-// worker and answered by their cutoff; a worker's state lives as long as its
+// worker and answered by their deadline; a worker's state lives as long as its
 // duty stays with this boot and its address is the same.
 type slots struct {
 	a *Adapter
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -16,7 +16,7 @@
 const (
 	Full             Kind = "full"       // a bounded buffer has no room; nothing was taken
 	Lost             Kind = "lost"       // a session broke; the fate of what was under way is unknown
-	DeadlineExceeded Kind = "late"       // a cutoff passed
+	DeadlineExceeded Kind = "late"       // a deadline passed
 	NotOwner         Kind = "not_owner"  // the daemon asked does not own the place or part
 	Stale            Kind = "stale"      // the view is older than its bound, or the term or revision is old
 	Rejected         Kind = "rejected"   // refused for good; it never runs
--- a/internal/intake/hold.go
+++ b/internal/intake/hold.go
@@ -20,7 +20,7 @@
 // not settled against its caller, who is going to send it again; nor one whose
 // caller does not wait.
 func (in *Intake) hold(e *request) error {
-	if e.cutoff > 0 {
+	if e.deadline > 0 {
 		return in.holdQuickly(e)
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, in.d.Bounds.Of(timing.SettleTimeout)*2)
@@ -49,7 +49,7 @@
 // holdQuickly does it within a part of the caller's time. As long as no store
 // can have a message that may go to any place, other places are tried.
 func (in *Intake) holdQuickly(e *request) error {
-	ctx, cancel := context.WithTimeout(e.ctx, e.cutoff*holdShare/100)
+	ctx, cancel := context.WithTimeout(e.ctx, e.deadline*holdShare/100)
 	defer cancel()
 	for turn := 1; ; turn++ {
 		isLast := e.take.Key != "" || turn == mostPlaces
--- a/internal/intake/hold_test.go
+++ b/internal/intake/hold_test.go
@@ -66,7 +66,7 @@
 				s := &turns{say: c.say}
 				in := intakeOn(&stand{})
 				in.quick = s
-				e := &request{ctx: context.Background(), cutoff: time.Minute, take: wire.Take{Lane: "l", Key: c.key}}
+				e := &request{ctx: context.Background(), deadline: time.Minute, take: wire.Take{Lane: "l", Key: c.key}}
 				in.putPlace(e)
 				err := in.hold(e)
 				kind := errs.Kind("")
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -43,13 +43,13 @@
 
 // request is one request on its way in.
 type request struct {
-	ctx    context.Context
-	scene  *charter.Scene // the lane's rules are of its charter
-	lane   charter.Lane
-	cutoff time.Duration // how long its caller waits; 0 if that is not known
-	take   wire.Take
-	taken  *wire.Taken
-	isOpen bool // a store may have it, or may have had it of an earlier send
+	ctx      context.Context
+	scene    *charter.Scene // the lane's rules are of its charter
+	lane     charter.Lane
+	deadline time.Duration // how long its caller waits; 0 if that is not known
+	take     wire.Take
+	taken    *wire.Taken
+	isOpen   bool // a store may have it, or may have had it of an earlier send
 }
 
 const mostKey = 200
--- a/internal/intake/manner.go
+++ b/internal/intake/manner.go
@@ -15,11 +15,11 @@
 
 // Arrival is what a request that comes as it is says besides its bytes.
 type Arrival struct {
-	Head   head.Head
-	Key    string        // ordering key
-	Notify string        // URL to be told of the end
-	Delay  time.Duration // it must not run before
-	Cutoff time.Duration // how long the caller waits; 0 if it does not say
+	Head     head.Head
+	Key      string        // ordering key
+	Notify   string        // URL to be told of the end
+	Delay    time.Duration // it must not run before
+	Deadline time.Duration // how long the caller waits; 0 if it does not say
 }
 
 // Word is what a caller is told of a message that came as it is. Kind is empty
@@ -76,13 +76,13 @@
 	if err != nil {
 		return err
 	}
-	e.cutoff = arrival.Cutoff
+	e.deadline = arrival.Deadline
 	e.take = wire.Take{Lane: e.lane.Name, Head: arrival.Head.Encode(), Body: body, Sum: wire.SumOf(body),
 		Delay: arrival.Delay.Milliseconds()}
 	if err := in.findWay(e, r); err != nil { // a body may take long to come
 		return err
 	}
-	e.take.Cutoff = e.lane.Patience.Milliseconds()
+	e.take.Deadline = e.lane.Patience.Milliseconds()
 	if e.lane.IsNotified {
 		e.take.Notify = arrival.Notify
 	}
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -102,7 +102,7 @@
 		}
 		return errs.New(errs.Unknown, "no lane %s", e.take.Lane)
 	}
-	e.lane, e.take.Cutoff = lane, int64(lane.Patience/time.Millisecond)
+	e.lane, e.take.Deadline = lane, int64(lane.Patience/time.Millisecond)
 	return nil
 }
 
--- a/internal/place/command.go
+++ b/internal/place/command.go
@@ -23,36 +23,36 @@
 // Command is one entry of a place's log. All that depends on settings or time
 // is decided by the owner and written in, so that replicas need neither.
 type Command struct {
-	Kind    int32      `avro:"kind"`
-	At      int64      `avro:"at"` // place time in milliseconds: durations, no wall clock
-	Id      string     `avro:"id"`
-	Lane    string     `avro:"lane"`
-	Key     string     `avro:"key"`
-	Idem    string     `avro:"idem"`
-	Ctype   string     `avro:"ctype"`
-	Body    []byte     `avro:"body"`
-	Sum     string     `avro:"sum"`
-	Parent  string     `avro:"parent"`
-	Ordered bool       `avro:"ordered"`
-	Cutoff  int64      `avro:"cutoff"` // Take: patience left; Back: pause before the next run
-	Attempt int64      `avro:"attempt"`
-	Adapter string     `avro:"adapter"`
-	Boot    string     `avro:"boot"`
-	Pool    string     `avro:"pool"`
-	Worker  string     `avro:"worker"`
-	Proof   wire.Proof `avro:"proof"`
-	Cause   string     `avro:"cause"`
-	Costs   bool       `avro:"costs"`  // Back: the run counts as an attempt
-	State   string     `avro:"state"`  // Close: failed or expired
-	Retain  int64      `avro:"retain"` // how long an end is kept
-	Child   Child      `avro:"child"`
-	Ids     []string   `avro:"ids"`
-	Hold    bool       `avro:"hold"` // Close: later messages of the key wait; Back: the run may go on until the pause ends
-	Head    []byte     `avro:"head" since:"3"`
-	Delay   int64      `avro:"delay" since:"3"`  // Take: it must not run before
-	Notify  string     `avro:"notify" since:"3"` // Take: whom to tell of the end
-	Drop    bool       `avro:"drop" since:"3"`   // End: the bytes are not kept
-	Prompt  int64      `avro:"prompt" since:"3"` // Take: within which a run is wanted to begin, once it may
+	Kind     int32      `avro:"kind"`
+	At       int64      `avro:"at"` // place time in milliseconds: durations, no wall clock
+	Id       string     `avro:"id"`
+	Lane     string     `avro:"lane"`
+	Key      string     `avro:"key"`
+	Idem     string     `avro:"idem"`
+	Ctype    string     `avro:"ctype"`
+	Body     []byte     `avro:"body"`
+	Sum      string     `avro:"sum"`
+	Parent   string     `avro:"parent"`
+	Ordered  bool       `avro:"ordered"`
+	Deadline int64      `avro:"cutoff"` // Take: patience left; Back: pause before the next run
+	Attempt  int64      `avro:"attempt"`
+	Adapter  string     `avro:"adapter"`
+	Boot     string     `avro:"boot"`
+	Pool     string     `avro:"pool"`
+	Worker   string     `avro:"worker"`
+	Proof    wire.Proof `avro:"proof"`
+	Cause    string     `avro:"cause"`
+	Costs    bool       `avro:"costs"`  // Back: the run counts as an attempt
+	State    string     `avro:"state"`  // Close: failed or expired
+	Retain   int64      `avro:"retain"` // how long an end is kept
+	Child    Child      `avro:"child"`
+	Ids      []string   `avro:"ids"`
+	Hold     bool       `avro:"hold"` // Close: later messages of the key wait; Back: the run may go on until the pause ends
+	Head     []byte     `avro:"head" since:"3"`
+	Delay    int64      `avro:"delay" since:"3"`  // Take: it must not run before
+	Notify   string     `avro:"notify" since:"3"` // Take: whom to tell of the end
+	Drop     bool       `avro:"drop" since:"3"`   // End: the bytes are not kept
+	Prompt   int64      `avro:"prompt" since:"3"` // Take: within which a run is wanted to begin, once it may
 }
 
 // Child is a call-back that leaves with the end of its parent: same record, so
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -112,7 +112,7 @@
 	}
 	m.seq++
 	e = &Message{Id: c.Id, Seq: m.seq, Lane: c.Lane, Key: c.Key, Ordered: c.Ordered, Idem: c.Idem, Ctype: c.Ctype,
-		Body: c.Body, Sum: c.Sum, Parent: c.Parent, Cutoff: m.clock + c.Cutoff, Due: m.clock + c.Delay, Head: c.Head, Notify: c.Notify,
+		Body: c.Body, Sum: c.Sum, Parent: c.Parent, Deadline: m.clock + c.Deadline, Due: m.clock + c.Delay, Head: c.Head, Notify: c.Notify,
 		Wanted: c.wanted(m.clock)}
 	if c.Idem != "" {
 		if was := m.messages[m.idems[e.idemOf()]]; was != nil {
@@ -166,7 +166,7 @@
 	if c.Costs {
 		e.Spent++
 	}
-	e.Due, e.IsHolder = m.clock+c.Cutoff, c.Hold && e.Ordered
+	e.Due, e.IsHolder = m.clock+c.Deadline, c.Hold && e.Ordered
 	return m.finish(e, e.move(Held))
 }
 
--- a/internal/place/message.go
+++ b/internal/place/message.go
@@ -47,7 +47,7 @@
 	Parent   string     `avro:"parent"`
 	Child    string     `avro:"child"`
 	State    State      `avro:"state"`
-	Cutoff   int64      `avro:"cutoff"` // place time
+	Deadline int64      `avro:"cutoff"` // place time
 	Due      int64      `avro:"due"`    // place time
 	Over     int64      `avro:"over"`   // place time at which an end is forgotten
 	Attempt  int64      `avro:"attempt"`
@@ -81,9 +81,9 @@
 // run that may still go on is waited for: the next of the key must not begin.
 func (e *Message) expiry() int64 {
 	if e.IsHolder {
-		return max(e.Cutoff, e.Due)
+		return max(e.Deadline, e.Due)
 	}
-	return e.Cutoff
+	return e.Deadline
 }
 
 // keyOf joins messages that must run one after another.
--- a/internal/place/owed_test.go
+++ b/internal/place/owed_test.go
@@ -59,7 +59,7 @@
 		{"a success whose bytes went, with its head", []Command{notified("1"), start("1", 1), dropping("1", 1)}, []string{"1"}, 10},
 		{"… and the head goes once told", []Command{notified("1"), start("1", 1), dropping("1", 1), told("1")}, []string{}, 0},
 		{"a failure keeps its bytes, also where successes do not", []Command{notified("1"), start("1", 1), {Kind: CmdClose, Id: "1", Attempt: 1, State: "failed", Drop: true}, told("1")}, []string{}, 12},
-		{"nobody; bytes that went without an asker leave no head", []Command{{Kind: CmdTake, Id: "1", Head: []byte("h"), Body: []byte("b"), Cutoff: 9}, start("1", 1), dropping("1", 1)}, []string{}, 0},
+		{"nobody; bytes that went without an asker leave no head", []Command{{Kind: CmdTake, Id: "1", Head: []byte("h"), Body: []byte("b"), Deadline: 9}, start("1", 1), dropping("1", 1)}, []string{}, 0},
 	}
 	Convey("Of whose end somebody must be told:", t, func() {
 		for _, c := range cases {
@@ -84,7 +84,7 @@
 func TestDelays(t *testing.T) {
 	Convey("A message that may not run yet is due when its delay is over, also for a new owner", t, func() {
 		late := take("1")
-		late.At, late.Delay, late.Cutoff = 500, 2000, 9000
+		late.At, late.Delay, late.Deadline = 500, 2000, 9000
 		m := on(New(), late)
 		So(m.Find("1").Due, ShouldEqual, 2500)
 		again, err := Restore(m.Image())
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -10,7 +10,7 @@
 )
 
 func take(id string) Command {
-	return Command{Kind: CmdTake, Id: id, Lane: "l", Key: "k", Body: []byte("b" + id), Sum: "s" + id, Cutoff: 1000}
+	return Command{Kind: CmdTake, Id: id, Lane: "l", Key: "k", Body: []byte("b" + id), Sum: "s" + id, Deadline: 1000}
 }
 
 func ordered(id string) Command { c := take(id); c.Ordered = true; return c }
@@ -132,7 +132,7 @@
 		Convey("a pause is kept, and a new owner keeps it too", func() {
 			m.Apply(start("4", 1))
 			pause := back("4", 1)
-			pause.Cutoff = 50
+			pause.Deadline = 50
 			m.Apply(pause)
 			again, err := Restore(m.Image())
 			So(err, ShouldBeNil)
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -11,17 +11,17 @@
 // state, so it needs no place in the image.
 //
 // Invariants: a message that is over stands in over alone; one that is started
-// in open; one that is held in cutoff, until it has been told late, and in at
+// in open; one that is held in deadline, until it has been told late, and in at
 // most one of ready and pauses. Nothing else keeps a message alive: what is
 // forgotten stands nowhere.
 type queue struct {
-	stands map[string][]standing // id -> where it stands
-	ready  map[string]*lane
-	pauses *sortedSet // held, by when due
-	cutoff *sortedSet // held, by expiry
-	over   *sortedSet // over, by when to forget
-	open   map[string]bool
-	picked map[string]bool
+	stands   map[string][]standing // id -> where it stands
+	ready    map[string]*lane
+	pauses   *sortedSet // held, by when due
+	deadline *sortedSet // held, by expiry
+	over     *sortedSet // over, by when to forget
+	open     map[string]bool
+	picked   map[string]bool
 }
 
 // lane holds the ready messages of one lane. Fresh ones were never run; those
@@ -87,7 +87,7 @@
 
 func newQueue() queue {
 	return queue{stands: map[string][]standing{}, ready: map[string]*lane{}, open: map[string]bool{}, picked: map[string]bool{},
-		pauses: newSortedSet(), cutoff: newSortedSet(), over: newSortedSet()}
+		pauses: newSortedSet(), deadline: newSortedSet(), over: newSortedSet()}
 }
 
 // enter has a message stand in a set; leave has it stand nowhere, leaveSet not
@@ -130,7 +130,7 @@
 		q.enter(e, q.over, e.Over)
 		return
 	}
-	q.enter(e, q.cutoff, e.expiry())
+	q.enter(e, q.deadline, e.expiry())
 	switch {
 	case !m.isFirst(e): // waits in its key's list
 	case e.Due > m.clock:
@@ -197,7 +197,7 @@
 			return nil
 		}
 		q.leaveSet(e, from)
-		if e.Cutoff > now { // else it is about to expire
+		if e.Deadline > now { // else it is about to expire
 			q.picked[e.Id] = true
 			return e
 		}
@@ -216,11 +216,11 @@
 func (m *Machine) Late(now int64) []*Message {
 	out := []*Message{}
 	for {
-		at, e := m.queue.cutoff.first()
+		at, e := m.queue.deadline.first()
 		if e == nil || at > now {
 			return out
 		}
-		m.queue.leaveSet(e, m.queue.cutoff)
+		m.queue.leaveSet(e, m.queue.deadline)
 		out = append(out, e)
 	}
 }
--- a/internal/place/queue_test.go
+++ b/internal/place/queue_test.go
@@ -22,7 +22,7 @@
 			}
 		}
 		Convey("each stands in the queue for as much as its state asks", func() {
-			So(m.queue.cutoff.tree.Size(), ShouldEqual, 50)
+			So(m.queue.deadline.tree.Size(), ShouldEqual, 50)
 			So(m.Ready(0), ShouldResemble, map[string]int{"l": 50})
 		})
 		Convey("and nowhere once it is forgotten", func() {
@@ -31,7 +31,7 @@
 				m.Apply(Command{Kind: CmdTrim, Ids: []string{fmt.Sprint(i)}})
 			}
 			q := m.queue
-			So(len(q.stands)+len(q.open)+len(q.picked)+q.cutoff.tree.Size()+q.pauses.tree.Size()+q.over.tree.Size(), ShouldEqual, 0)
+			So(len(q.stands)+len(q.open)+len(q.picked)+q.deadline.tree.Size()+q.pauses.tree.Size()+q.over.tree.Size(), ShouldEqual, 0)
 			So(m.Ready(0), ShouldBeEmpty)
 		})
 	})
@@ -46,7 +46,7 @@
 		m.Apply(ordered("1"))
 		m.Apply(start("0", 1))
 		open := back("0", 1)
-		open.Hold, open.Cutoff = true, 1500
+		open.Hold, open.Deadline = true, 1500
 		m.Apply(open)
 		again, err := Restore(m.Image())
 		So(err, ShouldBeNil)
@@ -70,7 +70,7 @@
 		m := New()
 		for i := range 40 {
 			c := take(fmt.Sprint(i))
-			c.At, c.Prompt, c.Cutoff = int64(i), 100, 100_000
+			c.At, c.Prompt, c.Deadline = int64(i), 100, 100_000
 			if i >= 30 {
 				c.At = 5000
 			}
--- a/internal/scale/size_test.go
+++ b/internal/scale/size_test.go
@@ -164,7 +164,7 @@
 			before := heap()
 			m := place.New()
 			for i := range count {
-				m.Apply(place.Command{Kind: place.CmdTake, At: int64(i), Id: fmt.Sprintf("17-%024d", i), Lane: "parked", Cutoff: 86_400_000,
+				m.Apply(place.Command{Kind: place.CmdTake, At: int64(i), Id: fmt.Sprintf("17-%024d", i), Lane: "parked", Deadline: 86_400_000,
 					Body: make([]byte, bodySize), Sum: fmt.Sprintf("%064d", i), Ctype: "application/octet-stream"})
 			}
 			held := heap() - before
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -74,7 +74,7 @@
 	if p.Rand.IntN(4) == 0 { // some give up soon
 		patience = 500 + p.Rand.Int64N(5000)
 	}
-	return s, &wire.Take{Id: s.Id, Lane: lane, Key: key, Body: []byte(token), Sum: s.Sum, Cutoff: patience}
+	return s, &wire.Take{Id: s.Id, Lane: lane, Key: key, Body: []byte(token), Sum: s.Sum, Deadline: patience}
 }
 
 func (p *Places) finish(s check.Sent, t check.Told, told func()) {
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -33,16 +33,16 @@
 
 // Client is one client, with a session that it keeps and new ones for tries.
 type Client struct {
-	site   *Site
-	zone   string
-	cutoff time.Duration
-	first  *http.Transport
-	again  *http.Transport
-	try    atomic.Int32
+	site     *Site
+	zone     string
+	deadline time.Duration
+	first    *http.Transport
+	again    *http.Transport
+	try      atomic.Int32
 }
 
-func newClient(s *Site, zone, name string, cutoff time.Duration) *Client {
-	c := &Client{site: s, zone: zone, cutoff: cutoff}
+func newClient(s *Site, zone, name string, deadline time.Duration) *Client {
+	c := &Client{site: s, zone: zone, deadline: deadline}
 	c.first = &http.Transport{DialContext: s.entry.dialer(zone, name, func() int { return 0 }), MaxIdleConnsPerHost: 8, IdleConnTimeout: 5 * time.Second}
 	c.again = &http.Transport{DialContext: s.entry.dialer(zone, name, func() int { return int(c.try.Add(1)) }), DisableKeepAlives: true}
 	return c
@@ -59,9 +59,9 @@
 
 // Send sends a message until it is accepted or given up, and gives the last try.
 func (c *Client) Send(ctx context.Context, m Message) Sent {
-	ctx, cancel := context.WithTimeout(ctx, c.cutoff)
+	ctx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
-	by, via := time.Now().Add(c.cutoff), c.first
+	by, via := time.Now().Add(c.deadline), c.first
 	for try := 0; ; try++ {
 		sent, wait := c.once(ctx, via, m, time.Until(by))
 		isPromised := sent.Told == check.NotTaken && sent.Code != 404
@@ -165,10 +165,10 @@
 }
 
 // Traffic has clients send loads until ctx ends.
-func (s *Site) Traffic(ctx context.Context, loads []Load, cutoff time.Duration) {
+func (s *Site) Traffic(ctx context.Context, loads []Load, deadline time.Duration) {
 	clients := []*Client{}
 	for i := range 4 * len(s.Zones) {
-		clients = append(clients, newClient(s, s.Zones[i%len(s.Zones)], fmt.Sprintf("client-%d", i), cutoff))
+		clients = append(clients, newClient(s, s.Zones[i%len(s.Zones)], fmt.Sprintf("client-%d", i), deadline))
 	}
 	var wg sync.WaitGroup
 	for _, load := range loads {
--- a/internal/standin/configs.go
+++ b/internal/standin/configs.go
@@ -60,7 +60,7 @@
 	Services []Plan
 	Routes   []route
 	Loads    []Load
-	Cutoff   time.Duration // of clients
+	Deadline time.Duration // of clients
 }
 
 // Small is the small deployment that everything here is about: three zones with
@@ -74,7 +74,7 @@
 		return route{Name: name, Host: host, Prefix: prefix, Kind: "asynchronous", Timeout: timeout, Target: 150, Priority: priority,
 			Service: service, Attempts: attempts, IsOrdered: isOrdered, Retention: 80, IsTold: isTold, RunTarget: 1000}
 	}
-	return SitePlan{Zones: []string{"north-bank", "south-bank", "mill-island"}, Cutoff: 2 * time.Second,
+	return SitePlan{Zones: []string{"north-bank", "south-bank", "mill-island"}, Deadline: 2 * time.Second,
 		Services: []Plan{
 			{Name: sort, Slots: 4, Queue: 12, Conns: 60, Work: 60 * time.Millisecond, Count: 2, TellsLoad: true, ColdRate: 1, ColdFor: 3 * time.Second},
 			{Name: press, Slots: 2, Queue: 6, Conns: 60, Work: 20 * time.Millisecond, Count: 1, IsShared: true},
--- a/internal/standin/report.go
+++ b/internal/standin/report.go
@@ -129,7 +129,7 @@
 	caused := make(chan struct{})
 	go func() { s.Cause(loadCtx, schedule); close(caused) }()
 	go s.Probe(loadCtx)
-	s.Traffic(loadCtx, plan.Loads, plan.Cutoff)
+	s.Traffic(loadCtx, plan.Loads, plan.Deadline)
 	<-caused
 	for _, m := range s.Machines {
 		m.restart()
--- a/internal/standin/site_test.go
+++ b/internal/standin/site_test.go
@@ -15,7 +15,7 @@
 // patient is the small site for machines that may be busy with other tests.
 func patient() SitePlan {
 	plan := Small()
-	plan.Cutoff = 10 * time.Second
+	plan.Deadline = 10 * time.Second
 	for i := range plan.Routes {
 		plan.Routes[i].Timeout = 8000
 	}
@@ -40,7 +40,7 @@
 		defer stop()
 		go site.Probe(loadCtx)
 		done := make(chan struct{})
-		go func() { site.Traffic(loadCtx, plan.Loads, plan.Cutoff); close(done) }()
+		go func() { site.Traffic(loadCtx, plan.Loads, plan.Deadline); close(done) }()
 		Convey("messages are kept and run while a store is lost and the configuration changes", func() {
 			So(site.accepts(ctx, 60), ShouldBeTrue)
 			store := site.match("store-1")[0]
@@ -91,9 +91,9 @@
 func (s *Site) knows(ctx context.Context, r route) bool {
 	for _, m := range s.entry.fronts {
 		for {
-			c := newClient(s, m.Zone, "direct", s.plan.Cutoff)
-			bounded, cancel := context.WithTimeout(ctx, s.plan.Cutoff)
-			sent, _ := c.once(bounded, s.entry.via(m), Load{Route: r.Name, Host: r.Host, Prefix: r.Prefix}.message(), s.plan.Cutoff)
+			c := newClient(s, m.Zone, "direct", s.plan.Deadline)
+			bounded, cancel := context.WithTimeout(ctx, s.plan.Deadline)
+			sent, _ := c.once(bounded, s.entry.via(m), Load{Route: r.Name, Host: r.Host, Prefix: r.Prefix}.message(), s.plan.Deadline)
 			cancel()
 			if sent.Told == check.Taken {
 				break
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -167,8 +167,8 @@
 	p, id := w.Service, r.Header.Get(attemptId)
 	start := p.site.Now()
 	spare, _ := strconv.ParseFloat(r.Header.Get(remaining), 64)
-	cutoff := time.Duration(spare * float64(time.Millisecond))
-	ctx, cancel := context.WithTimeout(r.Context(), cutoff)
+	deadline := time.Duration(spare * float64(time.Millisecond))
+	ctx, cancel := context.WithTimeout(r.Context(), deadline)
 	defer cancel()
 	run := Run{Run: check.Run{Token: id, Id: id, Pool: p.Name, Worker: w.Id, Sum: fleet.Sum(body), Start: start}, Line: lineOf(r)}
 	defer func() {
@@ -208,7 +208,7 @@
 		return 0
 	}
 	code := w.tell(out, run.Status, run.Seal)
-	run.IsWhole, run.Spare = code != 0 && r.Context().Err() == nil, cutoff-(p.site.Now()-start)
+	run.IsWhole, run.Spare = code != 0 && r.Context().Err() == nil, deadline-(p.site.Now()-start)
 	return run.Status
 }
 
--- a/internal/store/again_test.go
+++ b/internal/store/again_test.go
@@ -17,7 +17,7 @@
 	Convey("Given a place with a message whose taking is under way", t, func() {
 		b, answers := newBench(), []*wire.Taken{}
 		take := func(sum string) {
-			b.place.Take(&wire.Take{Id: "0-y", Lane: "l", Sum: sum, Cutoff: 600_000},
+			b.place.Take(&wire.Take{Id: "0-y", Lane: "l", Sum: sum, Deadline: 600_000},
 				func(reply any) { answers = append(answers, reply.(*wire.Taken)) })
 		}
 		take("s")
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -36,7 +36,7 @@
 
 const mostWants = 128
 
-// asks are those under way, each with its cutoff. One that is not answered by
+// asks are those under way, each with its deadline. One that is not answered by
 // then no longer counts: an adapter may have lost it.
 type asks map[int64]time.Duration
 
@@ -45,7 +45,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, open := range d.wants {
-		maps.DeleteFunc(open, func(_ int64, cutoff time.Duration) bool { return now > cutoff })
+		maps.DeleteFunc(open, func(_ int64, deadline time.Duration) bool { return now > deadline })
 	}
 }
 
--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -71,7 +71,7 @@
 	if isSpent {
 		spent++
 	}
-	back.Cutoff = max(pause(lane, e.Id, spent), o.Wait)
+	back.Deadline = max(pause(lane, e.Id, spent), o.Wait)
 	return back
 }
 
--- a/internal/store/metrics.go
+++ b/internal/store/metrics.go
@@ -73,9 +73,9 @@
 		err := p.Do(func() {
 			t := tally{left: map[string]time.Duration{}}
 			if p.host.IsOwner() {
-				counts, cutoffs := p.machine.Tally()
+				counts, deadlines := p.machine.Tally()
 				t.counts = counts
-				for lane, at := range cutoffs {
+				for lane, at := range deadlines {
 					t.left[lane] = time.Duration(at-p.now()) * time.Millisecond
 				}
 			}
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -54,7 +54,7 @@
 	if e.Ordered {
 		wait += place.Busy(p.around.Scene().Rules.Pools[e.Pool].Bound)
 	}
-	if !isKnown || p.now() < e.Cutoff || now-p.missed[e.Id] < wait {
+	if !isKnown || p.now() < e.Deadline || now-p.missed[e.Id] < wait {
 		return
 	}
 	p.missed[e.Id] = now // not again at once, should this not be committed
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -88,7 +88,7 @@
 // started gives a bench with one message whose first run is open.
 func started(lane string) (*bench, *place.Message) {
 	b := newBench()
-	b.place.Take(&wire.Take{Id: "0-x", Lane: lane, Cutoff: 600_000}, func(any) {})
+	b.place.Take(&wire.Take{Id: "0-x", Lane: lane, Deadline: 600_000}, func(any) {})
 	b.commit(true)
 	b.place.Start(lane, SlotGrant{Pool: "p", Worker: "w", Holder: wire.Who{Name: "a", Boot: "1"}, Until: 2 * time.Minute})
 	b.commit(true)
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -182,7 +182,7 @@
 	}
 	answer = p.underWay.begin(takeKey(t), answer)
 	p.propose(place.Command{Kind: place.CmdTake, Id: t.Id, Lane: t.Lane, Key: t.Key, Idem: t.Idem, Ctype: t.Ctype,
-		Body: t.Body, Sum: t.Sum, Cutoff: t.Cutoff, Parent: t.Parent, Ordered: lane.IsOrdered,
+		Body: t.Body, Sum: t.Sum, Deadline: t.Deadline, Parent: t.Parent, Ordered: lane.IsOrdered,
 		Head: t.Head, Delay: t.Delay, Notify: t.Notify, Prompt: lane.Prompt.Milliseconds()}, func(v place.Verdict, err error) {
 		if err != nil {
 			reject(errs.KindOf(err), "", 0)
--- a/internal/store/placetime_test.go
+++ b/internal/store/placetime_test.go
@@ -18,7 +18,7 @@
 		b := newBench()
 		began := b.place.now()
 		for i := range 100 {
-			b.place.Take(&wire.Take{Id: fmt.Sprintf("0-%d", i), Lane: "l", Cutoff: 600_000}, func(any) {})
+			b.place.Take(&wire.Take{Id: fmt.Sprintf("0-%d", i), Lane: "l", Deadline: 600_000}, func(any) {})
 			b.now += 10 * time.Millisecond
 			b.commit(true)
 		}
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -83,7 +83,7 @@
 // undo brings a run back that never started. It costs no attempt.
 func (p *PlaceHost) undo(id string, attempt int64, cause string) {
 	p.propose(place.Command{Kind: place.CmdBack, Id: id, Attempt: attempt, Cause: cause,
-		Cutoff: int64(p.around.Bounds().Of(timing.AskHold) / time.Millisecond)}, nil)
+		Deadline: int64(p.around.Bounds().Of(timing.AskHold) / time.Millisecond)}, nil)
 }
 
 // Tick does the owner's periodic work.
@@ -126,7 +126,7 @@
 		}
 		p.sending[id] = true
 		take := &wire.Take{Place: p.around.PlaceOf(id), Id: id, Lane: child.Lane, Ctype: child.Ctype, Body: child.Body,
-			Sum: child.Sum, Cutoff: int64(lane.Patience / time.Millisecond), Parent: child.Parent}
+			Sum: child.Sum, Deadline: int64(lane.Patience / time.Millisecond), Parent: child.Parent}
 		p.around.TakeElsewhere(take, func(isTaken bool) {
 			_ = p.host.Do(func() {
 				delete(p.sending, id)
--- a/internal/store/tell_test.go
+++ b/internal/store/tell_test.go
@@ -19,7 +19,7 @@
 	b.members["t"] = wire.Who{Name: "t", Boot: "1"}
 	for i := range count {
 		id := fmt.Sprintf("0-%03d", i)
-		b.place.Apply(place.Command{Kind: place.CmdTake, Id: id, Lane: "l", Cutoff: 600_000, Head: []byte("POST /a\nx\n"), Notify: "http://10.0.0.9:1/x"}.Encode())
+		b.place.Apply(place.Command{Kind: place.CmdTake, Id: id, Lane: "l", Deadline: 600_000, Head: []byte("POST /a\nx\n"), Notify: "http://10.0.0.9:1/x"}.Encode())
 		b.place.Apply(place.Command{Kind: place.CmdClose, Id: id, State: "failed", Retain: 600_000}.Encode())
 	}
 	return b
--- a/internal/transport/shake.go
+++ b/internal/transport/shake.go
@@ -103,7 +103,7 @@
 	s := n.newSession(link, conn, hello.Who, welcome.Version, hello.Window, false)
 	s.handle = func(item wire.Item) {
 		handler(s.peer, item.Body, func(reply any) {
-			// A full or broken session loses the reply; the asker's cutoff tells it.
+			// A full or broken session loses the reply; the asker's deadline tells it.
 			if err := s.out.put(wire.Item{Corr: item.Corr, Body: reply}); errs.Is(err, errs.Full) {
 				s.down(err)
 			}
--- a/internal/wire/data.go
+++ b/internal/wire/data.go
@@ -1,21 +1,21 @@
 package wire
 
-// Take asks a place's owner to hold a message durably. Cutoff is what remains
+// Take asks a place's owner to hold a message durably. Deadline is what remains
 // of the message's patience, in milliseconds.
 type Take struct {
-	Place  int64  `avro:"place"`
-	Id     string `avro:"id"`
-	Lane   string `avro:"lane"`
-	Key    string `avro:"key"`
-	Idem   string `avro:"idem"`
-	Ctype  string `avro:"ctype"`
-	Body   []byte `avro:"body"`
-	Sum    string `avro:"sum"`
-	Cutoff int64  `avro:"cutoff"`
-	Parent string `avro:"parent"`
-	Head   []byte `avro:"head" since:"3"`   // of the request, where the message is the request as it came
-	Delay  int64  `avro:"delay" since:"3"`  // milliseconds before which it must not run
-	Notify string `avro:"notify" since:"3"` // URL that is told of its end
+	Place    int64  `avro:"place"`
+	Id       string `avro:"id"`
+	Lane     string `avro:"lane"`
+	Key      string `avro:"key"`
+	Idem     string `avro:"idem"`
+	Ctype    string `avro:"ctype"`
+	Body     []byte `avro:"body"`
+	Sum      string `avro:"sum"`
+	Deadline int64  `avro:"cutoff"`
+	Parent   string `avro:"parent"`
+	Head     []byte `avro:"head" since:"3"`   // of the request, where the message is the request as it came
+	Delay    int64  `avro:"delay" since:"3"`  // milliseconds before which it must not run
+	Notify   string `avro:"notify" since:"3"` // URL that is told of its end
 }
 
 // Taken answers Take and Settle. Kind is empty when the message is held; Id is
--- a/internal/wire/versions_test.go
+++ b/internal/wire/versions_test.go
@@ -48,10 +48,10 @@
 func TestCutRecords(t *testing.T) {
 	Convey("A record on disk is read whole or refused, wherever it is cut", t, func() {
 		codec := NewPlain(&Take{})
-		raw := codec.Encode(&Take{Id: "1-x", Lane: "l", Body: []byte("b"), Sum: "s", Cutoff: 9})
+		raw := codec.Encode(&Take{Id: "1-x", Lane: "l", Body: []byte("b"), Sum: "s", Deadline: 9})
 		var whole Take
 		So(codec.Decode(raw, &whole), ShouldBeNil)
-		So([]any{whole.Id, whole.Cutoff}, ShouldResemble, []any{"1-x", int64(9)})
+		So([]any{whole.Id, whole.Deadline}, ShouldResemble, []any{"1-x", int64(9)})
 		for length := range raw {
 			So(errs.Is(codec.Decode(raw[:length], &Take{}), errs.Corrupt), ShouldBeTrue)
 		}
