--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/deliver"
 	"caperwheel/internal/errs"
@@ -20,16 +20,16 @@
 	d := daemon.New("adapter", source)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	scenes := &charter.Scenes{View: d.View}
-	d.CanRead = scenes.CanRead
+	configs := &config.Cache{View: d.View}
+	d.CanRead = configs.CanRead
 	workers := deliver.Own
 	if source != nil {
 		workers = platform.Deliveries
 	}
-	out := deliver.New(ctx, d, scenes, workers)
+	out := deliver.New(ctx, d, configs, workers)
 	d.Link(map[string]transport.Handler{"run": out.Serve})
 	out.Link()
-	in := intake.New(d, scenes)
+	in := intake.New(d, configs)
 	client := d.Client(func() wire.Poll {
 		poll := d.Poll()
 		out.Say(poll.Fact.Counts)
@@ -44,7 +44,7 @@
 			return false, "leaving"
 		case !d.IsFresh():
 			return false, string(errs.Stale)
-		case !scenes.Now().MayWork(d.Who.Zone):
+		case !configs.Current().MayWork(d.Who.Zone):
 			return false, "the cell is being emptied"
 		case !d.Membership.HasOwner(wire.PlaceGroup):
 			return false, "no place can be reached"
--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -16,16 +16,16 @@
 )
 
 type runCommand struct {
-	Charter string        `arg:"--charter,required" help:"charter file; the plan lies beside it as NAME.fleet.json"`
-	For     time.Duration `arg:"--for" default:"30s" help:"how long callers send"`
-	Root    string        `arg:"--root" default:"." help:"root of the sources, for building"`
-	Dir     string        `arg:"--dir" help:"where data and logs go; a temporary folder if not given"`
-	Bin     string        `arg:"--bin" help:"folder with built programs; built if not given"`
-	OldBin  string        `arg:"--old-bin" help:"folder with programs of an older build, to begin with; schedules upgrade them"`
-	Keep    bool          `arg:"--keep" help:"keep the folder"`
-	Faults  string        `arg:"--faults" help:"schedule of faults to cause"`
-	Seed    uint64        `arg:"--seed" help:"draw a schedule of mixed faults by this seed"`
-	Stores  int           `arg:"--stores" help:"so many stores instead of the plan's"`
+	Config string        `arg:"--charter,required" help:"charter file; the plan lies beside it as NAME.fleet.json"`
+	For    time.Duration `arg:"--for" default:"30s" help:"how long callers send"`
+	Root   string        `arg:"--root" default:"." help:"root of the sources, for building"`
+	Dir    string        `arg:"--dir" help:"where data and logs go; a temporary folder if not given"`
+	Bin    string        `arg:"--bin" help:"folder with built programs; built if not given"`
+	OldBin string        `arg:"--old-bin" help:"folder with programs of an older build, to begin with; schedules upgrade them"`
+	Keep   bool          `arg:"--keep" help:"keep the folder"`
+	Faults string        `arg:"--faults" help:"schedule of faults to cause"`
+	Seed   uint64        `arg:"--seed" help:"draw a schedule of mixed faults by this seed"`
+	Stores int           `arg:"--stores" help:"so many stores instead of the plan's"`
 }
 
 type sweepCommand struct {
@@ -78,7 +78,7 @@
 
 func run(a *runCommand) error {
 	ctx := context.Background()
-	plan, doc, err := fleet.ReadPlan(a.Charter)
+	plan, doc, err := fleet.ReadPlan(a.Config)
 	if err != nil {
 		return err
 	}
@@ -139,14 +139,14 @@
 	report := f.Report(callers, f.Settle(settleCtx, true))
 	readCtx, cancel := context.WithTimeout(ctx, time.Minute)
 	defer cancel()
-	report.Charter, report.Counts = f.CheckCharter(readCtx), f.Counts(readCtx)
+	report.Config, report.Counts = f.CheckConfig(readCtx), f.Counts(readCtx)
 	raw, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
 		return errs.Wrap(err, errs.Internal, "report")
 	}
 	fmt.Println(string(raw))
-	if len(report.Breaches) > 0 || report.Unsettled != "" || len(report.Charter) > 0 || len(report.Failures)+len(report.Crashes) > 0 || report.Runs == 0 {
-		return errs.New(errs.Unhealthy, "%d rules broken, %d steps not carried out, %d crashes", len(report.Breaches)+len(report.Charter),
+	if len(report.Breaches) > 0 || report.Unsettled != "" || len(report.Config) > 0 || len(report.Failures)+len(report.Crashes) > 0 || report.Runs == 0 {
+		return errs.New(errs.Unhealthy, "%d rules broken, %d steps not carried out, %d crashes", len(report.Breaches)+len(report.Config),
 			len(report.Failures), len(report.Crashes))
 	}
 	return nil
--- a/cmd/fleet/up.go
+++ b/cmd/fleet/up.go
@@ -14,16 +14,16 @@
 )
 
 type upCommand struct {
-	Charter string `arg:"--charter,required" help:"charter file; the plan lies beside it as NAME.fleet.json"`
-	Root    string `arg:"--root" default:"." help:"root of the sources, for building"`
-	Bin     string `arg:"--bin" help:"folder with built programs; built if not given"`
+	Config string `arg:"--charter,required" help:"charter file; the plan lies beside it as NAME.fleet.json"`
+	Root   string `arg:"--root" default:"." help:"root of the sources, for building"`
+	Bin    string `arg:"--bin" help:"folder with built programs; built if not given"`
 }
 
 // up starts a deployment and lets it serve until a signal comes.
 func up(a *upCommand) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
-	plan, doc, err := fleet.ReadPlan(a.Charter)
+	plan, doc, err := fleet.ReadPlan(a.Config)
 	if err != nil {
 		return err
 	}
--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -28,7 +28,7 @@
 	RuleUnended  = "ended without a run"
 	RuleOpen     = "undecided for good"
 	RuleBack     = "state went back"
-	RuleCharter  = "older charter in use"
+	RuleConfig   = "older charter in use"
 	RuleCold     = "cold worker flooded"
 	RuleRecovery = "not served again in time"
 	RuleCallback = "call-back"
@@ -79,7 +79,7 @@
 	c.rates()
 	c.marks()
 	c.sights()
-	c.charters()
+	c.configs()
 	c.colds()
 	c.recovery()
 	c.callbacks()
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -37,7 +37,7 @@
 	return h
 }
 
-// edited adds two charters: the second was acknowledged at 1 s, moves lane o
+// edited adds two configurations: the second was acknowledged at 1 s, moves lane o
 // to another pool and lowers a cap.
 func edited(h *History) {
 	pools := func(o string) map[string][]string {
@@ -97,8 +97,8 @@
 		{RuleBytes, func(h *History) { h.AddSight(Sight{Id: "1", At: 2 * s, ToldAt: 2 * s, State: "held", BodySum: "sb"}) }},
 		{RuleBack, func(h *History) { h.AddSight(Sight{Id: "1", At: 6 * s, ToldAt: 6 * s, State: "held", Attempts: 2}) }},
 		{RuleBack, func(h *History) { h.AddSight(Sight{Id: "1", At: 4 * s, ToldAt: 4 * s, State: "held"}) }},
-		{RuleCharter, func(h *History) { edited(h); h.Runs[3].Revision = 1 }},
-		{RuleCharter, func(h *History) {
+		{RuleConfig, func(h *History) { edited(h); h.Runs[3].Revision = 1 }},
+		{RuleConfig, func(h *History) {
 			edited(h)
 			h.Sent[3].At, h.Sent[3].ToldAt, h.Sent[3].Revision = 6500*time.Millisecond, 6600*time.Millisecond, 1
 		}},
--- a/internal/check/control.go
+++ b/internal/check/control.go
@@ -5,19 +5,19 @@
 	"time"
 )
 
-// charterBound is how long after its acknowledgement a charter may not yet
+// configBound is how long after its acknowledgement a configuration may not yet
 // hold everywhere.
-const charterBound = 3 * time.Second
+const configBound = 3 * time.Second
 
 func (c *checker) inForce(first, last time.Duration) []Edit { return InForce(c.h.Edits, first, last) }
 
-// InForce lists the charters that may have been acted on at some moment from
+// InForce lists the configurations that may have been acted on at some moment from
 // first to last: sent by then, and not behind one that was acknowledged more
 // than the bound before first.
 func InForce(edits []Edit, first, last time.Duration) []Edit {
 	newest := int64(0)
 	for _, e := range edits {
-		if e.AckAt > 0 && e.AckAt+charterBound < first {
+		if e.AckAt > 0 && e.AckAt+configBound < first {
 			newest = max(newest, e.Revision)
 		}
 	}
@@ -26,7 +26,7 @@
 	})
 }
 
-// mayUse: some charter that may be in force lets the lane use the run's pool.
+// mayUse: some configuration that may be in force lets the lane use the run's pool.
 func (c *checker) mayUse(lane string, r Run) bool {
 	if len(c.h.Edits) == 0 {
 		return slices.Contains(c.h.Pools[lane], r.Pool)
@@ -46,14 +46,14 @@
 	return most
 }
 
-// charters: the bound after an acknowledgement, nothing is done under an older
-// charter, and no adapter slips back.
-func (c *checker) charters() {
+// configs: the bound after an acknowledgement, nothing is done under an older
+// configuration, and no adapter slips back.
+func (c *checker) configs() {
 	acked := slices.DeleteFunc(slices.Clone(c.h.Edits), func(e Edit) bool { return e.AckAt == 0 })
 	hold := func(at time.Duration, revision int64, form string, args ...any) {
 		for _, e := range acked {
-			if revision > 0 && e.AckAt+charterBound < at && revision < e.Revision {
-				c.breach(RuleCharter, form+" at %v under charter %d, though %d was acknowledged at %v", append(args, at, revision, e.Revision, e.AckAt)...)
+			if revision > 0 && e.AckAt+configBound < at && revision < e.Revision {
+				c.breach(RuleConfig, form+" at %v under charter %d, though %d was acknowledged at %v", append(args, at, revision, e.Revision, e.AckAt)...)
 				return
 			}
 		}
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -37,7 +37,7 @@
 	GotSum   string
 	GotToken string
 	IsShort  bool
-	Revision int64 // of the charter under which it was answered; 0 if not told
+	Revision int64 // of the configuration under which it was answered; 0 if not told
 }
 
 // Run is one run that a back end saw.
@@ -54,7 +54,7 @@
 	Answer   string // checksum of the answer
 	IsWhole  bool   // the answer was written whole, as far as the back end could tell
 	Adapter  string // who sent it; empty if it did not say
-	Revision int64  // of the charter under which it was sent; 0 if it did not say
+	Revision int64  // of the configuration under which it was sent; 0 if it did not say
 }
 
 // End is what the system says of a message at last.
@@ -86,7 +86,7 @@
 	BodySum  string // empty if the bytes were not asked for
 }
 
-// Edit is a charter as an operator sent it, and what it allows.
+// Edit is a configuration as an operator sent it, and what it allows.
 type Edit struct {
 	At       time.Duration // when it was sent
 	AckAt    time.Duration // when it was acknowledged; 0 for never
@@ -160,7 +160,7 @@
 // AddSight records what a question was answered.
 func (h *History) AddSight(s Sight) { h.mu.Lock(); h.Sights = append(h.Sights, s); h.mu.Unlock() }
 
-// AddEdit records a charter as sent.
+// AddEdit records a configuration as sent.
 func (h *History) AddEdit(e Edit) { h.mu.Lock(); h.Edits = append(h.Edits, e); h.mu.Unlock() }
 
 // AddCold records a worker that came cold.
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -8,7 +8,7 @@
 	"slices"
 	"strings"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/manifest"
 )
@@ -66,7 +66,7 @@
 	return nil
 }
 
-// readFolder finds and checks the declared documents: the charter first, since
+// readFolder finds and checks the declared documents: the configuration first, since
 // it names the pools.
 func readFolder(folder string) ([]declaration, error) {
 	out := []declaration{}
@@ -75,16 +75,16 @@
 		return nil, errs.Wrap(err, errs.Invalid, "charter.json")
 	}
 	faults := []string{}
-	rules := &charter.Rules{}
+	rules := &config.Rules{}
 	if err == nil {
-		var found []charter.Fault
+		var found []config.Fault
 		if doc, found, err = readRoutes(folder, doc); err != nil {
 			return nil, err
 		}
 		if len(found) > 0 {
 			return nil, errs.New(errs.Invalid, "nothing was applied:\n  %s", strings.Join(faultLines("routes", found), "\n  "))
 		}
-		if rules, found = charter.Compile(doc); len(found) > 0 {
+		if rules, found = config.Compile(doc); len(found) > 0 {
 			faults = append(faults, faultLines("charter.json", found)...)
 		}
 		out = append(out, declaration{file: "charter.json", path: "/v1/charter", body: doc})
@@ -101,7 +101,7 @@
 		if err != nil {
 			return nil, errs.Wrap(err, errs.Invalid, "%s", name)
 		}
-		list, found := charter.ReadWorkers(raw)
+		list, found := config.ReadWorkers(raw)
 		faults = append(faults, faultLines(name, found)...)
 		if p, isKnown := rules.Pools[pool]; rules != nil && rules.Pools != nil && (!isKnown || p.IsEndpoint) {
 			faults = append(faults, name+": the charter beside it has no such pool of workers")
@@ -117,9 +117,9 @@
 	return out, nil
 }
 
-// readRoutes merges routes in the manner of the Gateway API into the charter
+// readRoutes merges routes in the manner of the Gateway API into the configuration
 // that is declared beside them.
-func readRoutes(folder string, doc []byte) ([]byte, []charter.Fault, error) {
+func readRoutes(folder string, doc []byte) ([]byte, []config.Fault, error) {
 	files, err := filepath.Glob(filepath.Join(folder, "routes", "*.yaml"))
 	if err != nil {
 		return nil, nil, errs.Wrap(err, errs.Invalid, "routes")
@@ -142,7 +142,7 @@
 	return doc, nil, nil
 }
 
-func faultLines(file string, faults []charter.Fault) []string {
+func faultLines(file string, faults []config.Fault) []string {
 	out := []string{}
 	for _, f := range faults {
 		out = append(out, fmt.Sprintf("%s: %s %s", file, f.Path, f.Text))
@@ -150,7 +150,7 @@
 	return out
 }
 
-// compare reads how the system has a document. A pool that only the charter of
+// compare reads how the system has a document. A pool that only the configuration of
 // this plan brings has no list yet.
 func (t *tool) compare(d *declaration) error {
 	resp, err := t.get(d.path)
@@ -164,10 +164,10 @@
 		return err
 	}
 	if d.path != "/v1/charter" {
-		was, _ := charter.ReadWorkers(base)
+		was, _ := config.ReadWorkers(base)
 		base = was.Encode()
 	}
-	differences, err := charter.Diff(base, d.body)
+	differences, err := config.Diff(base, d.body)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/calls.go
+++ b/internal/cli/calls.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-resty/resty/v2"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/manager"
 )
@@ -89,12 +89,12 @@
 	return resp, nil
 }
 
-func (t *tool) checkCharter(file string) error {
+func (t *tool) checkConfig(file string) error {
 	doc, err := readFile(file)
 	if err != nil {
 		return err
 	}
-	rules, faults := charter.Compile(doc)
+	rules, faults := config.Compile(doc)
 	if len(faults) > 0 {
 		for _, f := range faults {
 			fmt.Fprintf(t.out, "%s: %s\n", f.Path, f.Text)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,7 +26,7 @@
 	ExitOpen     = 4 // undecided: the change may or may not hold
 )
 
-type charterCommand struct {
+type configCommand struct {
 	Get     *struct{}    `arg:"subcommand:get" help:"print the configuration; its revision goes to standard error"`
 	Set     *editCommand `arg:"subcommand:set" help:"replace the configuration"`
 	Patch   *editCommand `arg:"subcommand:patch" help:"apply a JSON merge patch"`
@@ -92,7 +92,7 @@
 	Operator string          `arg:"--operator,env:CAPERWHEEL_OPERATOR" help:"your name, for the history"`
 	Doctor   *doctorCommand  `arg:"subcommand:doctor" help:"look for common faults"`
 	Apply    *applyCommand   `arg:"subcommand:apply" help:"make the system what a folder declares"`
-	Charter  *charterCommand `arg:"subcommand:config|charter" help:"the configuration, a tree of settings"`
+	Config   *configCommand  `arg:"subcommand:config|charter" help:"the configuration, a tree of settings"`
 	Workers  *workersCommand `arg:"subcommand:workers" help:"a pool's live list"`
 	Zone     *zoneCommand    `arg:"subcommand:zone|cell" help:"empty or restore a zone"`
 	Store    *storeCommand   `arg:"subcommand:store" help:"retire a store"`
@@ -156,18 +156,18 @@
 		return t.doctor(a.Doctor)
 	case a.Apply != nil:
 		return t.apply(a.Apply)
-	case a.Charter != nil && a.Charter.Get != nil:
+	case a.Config != nil && a.Config.Get != nil:
 		return t.show("/v1/charter")
-	case a.Charter != nil && a.Charter.History != nil:
+	case a.Config != nil && a.Config.History != nil:
 		return t.show("/v1/charter/history")
-	case a.Charter != nil && a.Charter.Check != nil:
-		return t.checkCharter(a.Charter.Check.File)
-	case a.Charter != nil && a.Charter.Diff != nil:
-		return t.edit("PUT", "/v1/charter", editCommand{File: a.Charter.Diff.File, DryRun: true})
-	case a.Charter != nil && a.Charter.Set != nil:
-		return t.edit("PUT", "/v1/charter", *a.Charter.Set)
-	case a.Charter != nil && a.Charter.Patch != nil:
-		return t.edit("PATCH", "/v1/charter", *a.Charter.Patch)
+	case a.Config != nil && a.Config.Check != nil:
+		return t.checkConfig(a.Config.Check.File)
+	case a.Config != nil && a.Config.Diff != nil:
+		return t.edit("PUT", "/v1/charter", editCommand{File: a.Config.Diff.File, DryRun: true})
+	case a.Config != nil && a.Config.Set != nil:
+		return t.edit("PUT", "/v1/charter", *a.Config.Set)
+	case a.Config != nil && a.Config.Patch != nil:
+		return t.edit("PATCH", "/v1/charter", *a.Config.Patch)
 	case a.Workers != nil && a.Workers.Set != nil:
 		return t.edit("PUT", "/v1/pools/"+a.Workers.Set.Pool+"/workers", a.Workers.Set.editCommand)
 	case a.Workers != nil && a.Workers.Patch != nil:
--- a/internal/charter/compile.go
+++ b/internal/config/compile.go
@@ -1,4 +1,4 @@
-package charter
+package config
 
 import (
 	"net"
@@ -8,7 +8,7 @@
 	"github.com/tidwall/gjson"
 )
 
-// Most bounds what a charter may hold.
+// Most bounds what a configuration may hold.
 const (
 	MostBytes = 1 << 20
 	MostNames = 10000
@@ -26,7 +26,7 @@
 	}
 }
 
-// Compile checks a whole charter and makes rules of it. Any fault means that
+// Compile checks a whole configuration and makes rules of it. Any fault means that
 // there are no rules.
 func Compile(doc []byte) (*Rules, []Fault) {
 	c := &compiler{rules: Rules{Lanes: map[string]Lane{}, Pools: map[string]Pool{}}}
--- a/internal/charter/rules.go
+++ b/internal/config/compiled.go
@@ -1,4 +1,4 @@
-package charter
+package config
 
 import (
 	"encoding/json"
@@ -11,8 +11,8 @@
 
 // Keys of the control state.
 const (
-	Key      = "charter" // the charter document, in the charter part
-	ZoneKey  = "cell/"   // + zone: emptied when it stands, as its Mark says
+	Key      = "charter" // the configuration document, in the configuration part
+	ZoneKey  = "cell/"   // + zone: emptied when it stands, as its Order says
 	StoreKey = "store/"  // + store: retired when it stands
 	// RetirementsKey has all retirements that were admitted, so that each is
 	// weighed against all others in one compare and set.
@@ -47,10 +47,10 @@
 	Term int64
 }
 
-// Scene is all that a daemon needs of its view, compiled: rules, live workers,
+// Compiled is all that a daemon needs of its view, compiled: rules, live workers,
 // duties, emptied zones. It is made anew when the view changes and never
 // written after that.
-type Scene struct {
+type Compiled struct {
 	Rules    *Rules
 	Revision int64
 	Workers  map[string]map[string]Worker // by pool and name
@@ -58,7 +58,7 @@
 	Emptied  map[string]bool // whole zones
 	Resting  map[string]bool // zones of which only the workers get nothing
 	Easing   map[string]bool // restored zones whose workers still count as cold
-	IsUnread bool            // the newest charter cannot be read here: a newer build wrote it
+	IsUnread bool            // the newest configuration cannot be read here: a newer build wrote it
 	Retired  map[string]bool
 	Weights  map[string]weight.Weights     // by pool, as published
 	Shares   map[string]map[string]float64 // by lane and pool, as published
@@ -66,7 +66,7 @@
 
 // Share is how much of a lane's traffic a pool is asked for, against the pool
 // of the lane that has the most.
-func (s *Scene) Share(lane, pool string) float64 {
+func (s *Compiled) Share(lane, pool string) float64 {
 	most, own := 0.0, 1.0
 	for _, name := range s.Rules.Lanes[lane].Pools {
 		w, isKnown := s.Shares[lane][name]
@@ -84,36 +84,36 @@
 	return own / most
 }
 
-// Scenes keeps the scene of a view.
-type Scenes struct {
+// Cache keeps the configuration of a view.
+type Cache struct {
 	View *feed.View
 
-	mu    sync.Mutex
-	turn  int64
-	scene *Scene
+	mu       sync.Mutex
+	turn     int64
+	compiled *Compiled
 }
 
-// Now gives the scene of the view as it is.
-func (s *Scenes) Now() *Scene {
+// Current gives the configuration of the view as it is.
+func (s *Cache) Current() *Compiled {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	turn := s.View.Turns()
-	if s.scene == nil || turn != s.turn {
-		s.scene, s.turn = compose(s.View, s.scene), turn
+	if s.compiled == nil || turn != s.turn {
+		s.compiled, s.turn = compileView(s.View, s.compiled), turn
 	}
-	return s.scene
+	return s.compiled
 }
 
-// CanRead tells whether the newest charter says anything to this build. A daemon
+// CanRead tells whether the newest configuration says anything to this build. A daemon
 // that cannot read it must stop, as one that has not heard of it must, rather
 // than take every lane for one that was removed.
-func (s *Scenes) CanRead() bool { return !s.Now().IsUnread }
+func (s *Cache) CanRead() bool { return !s.Current().IsUnread }
 
-func compose(view *feed.View, old *Scene) *Scene {
-	out := &Scene{Workers: map[string]map[string]Worker{}, Duties: map[string]map[string]Held{},
+func compileView(view *feed.View, old *Compiled) *Compiled {
+	out := &Compiled{Workers: map[string]map[string]Worker{}, Duties: map[string]map[string]Held{},
 		Emptied: map[string]bool{}, Resting: map[string]bool{}, Easing: map[string]bool{}, Retired: map[string]bool{}, Weights: map[string]weight.Weights{}, Shares: map[string]map[string]float64{},
 		Rules: &Rules{Lanes: map[string]Lane{}, Pools: map[string]Pool{}}}
-	if c, isKnown := view.Get(feed.CharterPart, Key); isKnown {
+	if c, isKnown := view.Get(feed.ConfigPart, Key); isKnown {
 		out.Revision = c.Revision
 		if old != nil && old.Revision == c.Revision {
 			out.Rules, out.IsUnread = old.Rules, old.IsUnread
@@ -125,7 +125,7 @@
 	}
 	for _, c := range view.Keys(ZoneKey) {
 		zone := c.Key[len(ZoneKey):]
-		switch ReadMark(c.Value).Only {
+		switch ReadOrder(c.Value).Only {
 		case OnlyWorkers:
 			out.Resting[zone] = true
 		case OnlyCold:
@@ -191,17 +191,17 @@
 
 // CanServe says whether new work may go to a worker: it is in the live list,
 // live, and neither its zone nor the workers of its zone are being emptied.
-func (s *Scene) CanServe(pool, worker string) (Worker, bool) {
+func (s *Compiled) CanServe(pool, worker string) (Worker, bool) {
 	w, isListed := s.Workers[pool][worker]
 	return w, isListed && w.State == "live" && !s.Emptied[w.Zone] && !s.Resting[w.Zone]
 }
 
 // IsHolder says whether a life of an adapter holds a worker's duty.
-func (s *Scene) IsHolder(pool, worker, name, boot string) bool {
+func (s *Compiled) IsHolder(pool, worker, name, boot string) bool {
 	held, isAssigned := s.Duties[pool][worker]
 	return isAssigned && held.Holder == name && held.Boot == boot
 }
 
 // MayWork says whether a daemon of the zone may begin new work: not while the
 // zone is being emptied, whoever still thinks that it holds a duty there.
-func (s *Scene) MayWork(zone string) bool { return !s.Emptied[zone] }
+func (s *Compiled) MayWork(zone string) bool { return !s.Emptied[zone] }
--- a/internal/charter/charter.go
+++ b/internal/config/config.go
@@ -1,6 +1,6 @@
-// Package charter reads, checks and merges the operators' tree of settings. A
+// Package config reads, checks and merges the operators' tree of settings. A
 // lane or pool inherits everything from its parent and overrides what differs.
-package charter
+package config
 
 import (
 	"fmt"
@@ -51,7 +51,7 @@
 	Repeats     bool          // a run may be given again at once, though the first may go on
 }
 
-// Rules are a charter ready for use.
+// Rules are a configuration ready for use.
 //
 // Invariant: ways has each lane with a prefix once, by host, longest first.
 type Rules struct {
@@ -61,7 +61,7 @@
 	ways    map[string][]Lane
 }
 
-// Fault is one thing wrong with a charter, at a path of its tree.
+// Fault is one thing wrong with a configuration, at a path of its tree.
 type Fault struct {
 	Path string `json:"path"`
 	Text string `json:"text"`
--- a/internal/charter/charter_test.go
+++ b/internal/config/config_test.go
@@ -1,4 +1,4 @@
-package charter
+package config
 
 import (
 	"strings"
@@ -31,7 +31,7 @@
 	})
 }
 
-// TestFaults is the table of charters that must never take effect.
+// TestFaults is the table of configurations that must never take effect.
 func TestFaults(t *testing.T) {
 	cases := []struct{ name, from, to, path string }{
 		{"an unknown key at the top", `"pools"`, `"polls"`, "polls"},
@@ -70,7 +70,7 @@
 	})
 }
 
-// TestUnreadCharter: a daemon of an older build must not take a charter that it
+// TestUnreadCharter: a daemon of an older build must not take a configuration that it
 // cannot read for one without lanes.
 func TestUnreadCharter(t *testing.T) {
 	cases := []struct {
@@ -85,14 +85,14 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				view := feed.NewView(0)
-				scenes := Scenes{View: view}
-				So(scenes.CanRead(), ShouldBeTrue) // none yet
+				configs := Cache{View: view}
+				So(configs.CanRead(), ShouldBeTrue) // none yet
 				view.Take([]wire.PartNews{{To: 1, Changes: []wire.Change{{Key: Key, Revision: 1, Value: []byte(c.doc)}}}}, 0)
-				So(scenes.CanRead(), ShouldEqual, c.canRead)
+				So(configs.CanRead(), ShouldEqual, c.canRead)
 				view.Take([]wire.PartNews{{From: 1, To: 2, Changes: []wire.Change{{Key: ZoneKey + "a", Revision: 2}}}}, 0)
-				So(scenes.CanRead(), ShouldEqual, c.canRead)
+				So(configs.CanRead(), ShouldEqual, c.canRead)
 				view.Take([]wire.PartNews{{From: 2, To: 3, Changes: []wire.Change{{Key: Key, Revision: 3, Value: []byte(good)}}}}, 0)
-				So(scenes.CanRead(), ShouldBeTrue)
+				So(configs.CanRead(), ShouldBeTrue)
 			})
 		}
 	})
--- a/internal/charter/edits.go
+++ b/internal/config/edits.go
@@ -1,4 +1,4 @@
-package charter
+package config
 
 import (
 	"slices"
@@ -7,19 +7,19 @@
 )
 
 // mostEdits is how many edits an older build remembered by their digests, in the
-// charter itself. Now the part that holds the charter remembers them.
+// configuration itself. Now the part that holds the configuration remembers them.
 const mostEdits = 16
 
-// VersionOf gives the operators' own number of a charter; 0 for none.
+// VersionOf gives the operators' own number of a configuration; 0 for none.
 func VersionOf(doc []byte) int64 { return gjson.GetBytes(doc, "version").Int() }
 
-// HasEdit tells whether a charter of an older build holds an edit, or was made
+// HasEdit tells whether a configuration of an older build holds an edit, or was made
 // from one that does.
 func HasEdit(doc []byte, digest string) bool {
 	return digest != "" && slices.Contains(EditsOf(doc), digest)
 }
 
-// EditsOf gives the edits that a charter of an older build remembers.
+// EditsOf gives the edits that a configuration of an older build remembers.
 func EditsOf(doc []byte) []string {
 	out := []string{}
 	for _, edit := range gjson.GetBytes(doc, "edits").Array() {
@@ -28,6 +28,6 @@
 	return out
 }
 
-// HasForgotten tells whether a charter of an older build may come from edits that
+// HasForgotten tells whether a configuration of an older build may come from edits that
 // it no longer remembers.
 func HasForgotten(doc []byte) bool { return len(EditsOf(doc)) >= mostEdits }
--- a/internal/charter/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -1,9 +1,9 @@
-package charter
+package config
 
 import "testing"
 
-// FuzzDocuments: charters, patches and live lists are read whole or refused; a
-// charter that is accepted says the same when it is read again.
+// FuzzDocuments: configurations, patches and live lists are read whole or refused; a
+// configuration that is accepted says the same when it is read again.
 func FuzzDocuments(f *testing.F) {
 	f.Add([]byte(good), []byte(`{"note":"n"}`))
 	f.Add([]byte(`{"lanes":{"a":{"children":{}}}}`), []byte(`{"lanes":null}`))
--- a/internal/charter/mark.go
+++ b/internal/config/order.go
@@ -1,4 +1,4 @@
-package charter
+package config
 
 import (
 	"encoding/json"
@@ -6,32 +6,32 @@
 	"caperwheel/internal/errs"
 )
 
-// Mark is what stands at a zone's key. One key holds all that can be said of a
+// Order is what stands at a zone's key. One key holds all that can be said of a
 // zone, so that no daemon sees a zone restored before it sees its workers cold.
 //
 // Invariant: Others, IsBack and BackAgo are set only where Only is OnlyWorkers.
-type Mark struct {
+type Order struct {
 	Only    string `json:"only,omitempty"`     // empty: the whole zone is emptied
 	Others  int64  `json:"others,omitempty"`   // emptyings that stand besides, each to be taken back by itself
 	IsBack  bool   `json:"back,omitempty"`     // the last word was that one of them is taken back
 	BackAgo int64  `json:"back_ago,omitempty"` // milliseconds before the last word in which one was; 0 for long
 }
 
-// What a mark may be restricted to.
+// What an order may be restricted to.
 const (
 	OnlyWorkers = "workers" // only the workers of the zone get nothing
 	OnlyCold    = "cold"    // restored; the workers count as cold until the list can be trusted again
 )
 
-// ReadMark reads a mark. One that says nothing known empties the whole zone.
-func ReadMark(raw []byte) Mark {
-	var m Mark
-	_ = json.Unmarshal(raw, &m) // an unreadable mark empties the whole zone
+// ReadOrder reads a mark. One that says nothing known empties the whole zone.
+func ReadOrder(raw []byte) Order {
+	var m Order
+	_ = json.Unmarshal(raw, &m) // an unreadable order empties the whole zone
 	return m
 }
 
-// Encode gives the mark's JSON.
-func (m Mark) Encode() []byte {
+// Encode gives the order's JSON.
+func (m Order) Encode() []byte {
 	raw, err := json.Marshal(m)
 	if err != nil {
 		panic(errs.Wrap(err, errs.Internal, "mark"))
--- a/internal/charter/mark_test.go
+++ b/internal/config/order_test.go
@@ -1,4 +1,4 @@
-package charter
+package config
 
 import (
 	"testing"
@@ -9,10 +9,10 @@
 	"caperwheel/internal/wire"
 )
 
-// TestMark is the table of what a zone's mark says of its workers and daemons.
+// TestMark is the table of what a zone's order says of its workers and daemons.
 func TestMark(t *testing.T) {
 	cases := []struct {
-		mark                      string // empty for none
+		order                     string // empty for none
 		canServe, mayWork, isCold bool
 	}{
 		{``, true, true, false},
@@ -24,22 +24,22 @@
 	}
 	Convey("With the mark", t, func() {
 		for _, c := range cases {
-			Convey(c.mark+" at its cell", func() {
+			Convey(c.order+" at its cell", func() {
 				view := feed.NewView(1)
 				list := Workers{Workers: []Worker{{Name: "w", Address: "127.0.0.1:1", Zone: "a", State: "live"}}}
 				view.Take([]wire.PartNews{{Part: 1, To: 1, Changes: []wire.Change{{Key: WorkersKey + "p", Revision: 1, Value: list.Encode()}}}}, 0)
-				if c.mark != "" {
-					view.Take([]wire.PartNews{{To: 1, Changes: []wire.Change{{Key: ZoneKey + "a", Revision: 1, Value: []byte(c.mark)}}}}, 0)
+				if c.order != "" {
+					view.Take([]wire.PartNews{{To: 1, Changes: []wire.Change{{Key: ZoneKey + "a", Revision: 1, Value: []byte(c.order)}}}}, 0)
 				}
-				scene := (&Scenes{View: view}).Now()
-				w, canServe := scene.CanServe("p", "w")
-				So([]bool{canServe, scene.MayWork("a"), w.IsCold}, ShouldResemble, []bool{c.canServe, c.mayWork, c.isCold})
+				compiled := (&Cache{View: view}).Current()
+				w, canServe := compiled.CanServe("p", "w")
+				So([]bool{canServe, compiled.MayWork("a"), w.IsCold}, ShouldResemble, []bool{c.canServe, c.mayWork, c.isCold})
 			})
 		}
 	})
 }
 
-// TestEdits: what an older build remembered of edits, in the charter, is read
+// TestEdits: what an older build remembered of edits, in the configuration, is read
 // still, and it is known when it may not have been all.
 func TestEdits(t *testing.T) {
 	Convey("Of a charter that an older build made", t, func() {
--- a/internal/charter/strict.go
+++ b/internal/config/strict.go
@@ -1,4 +1,4 @@
-package charter
+package config
 
 import (
 	"bytes"
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,7 +52,7 @@
 	Ready      func() (isReady bool, why string) // asked through IsReady
 	Clock      func() time.Duration              // in place of the monotonic clock, if given
 	Refused    func(addr string)                 // told when nobody listens where a peer was, if given before Link
-	CanRead    func() bool                       // whether the newest charter can be read, if the daemon needs it
+	CanRead    func() bool                       // whether the newest configuration can be read, if the daemon needs it
 
 	// The further listeners, nil where the settings name none, and what they serve.
 	Front, Probe, Operators          net.Listener
@@ -167,5 +167,5 @@
 // Poll is what every daemon says of itself.
 func (d *Daemon) Poll() wire.Poll {
 	return wire.Poll{Who: d.Who, Revisions: []wire.PartRevision{}, Owns: []wire.Owned{}, Beside: []wire.Member{},
-		Fact: wire.Fact{Revision: d.View.Revision(feed.CharterPart), Fresh: d.IsFresh(), Counts: map[string]int64{}}}
+		Fact: wire.Fact{Revision: d.View.Revision(feed.ConfigPart), Fresh: d.IsFresh(), Counts: map[string]int64{}}}
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -24,7 +24,7 @@
 	d.gauges.from = append(d.gauges.from, from)
 }
 
-// Describe tells nothing: which lanes and pools there are follows the charter.
+// Describe tells nothing: which lanes and pools there are follows the configuration.
 func (g *gauges) Describe(chan<- *prometheus.Desc) {}
 
 // Collect implements prometheus.Collector.
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -8,7 +8,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
@@ -22,7 +22,7 @@
 // Adapter is the delivering half of the adapter daemon.
 type Adapter struct {
 	d        *daemon.Daemon
-	scenes   *charter.Scenes
+	configs  *config.Cache
 	reach    *reach.Reach
 	slots    *slots
 	client   *web.Client
@@ -44,8 +44,8 @@
 
 // New readies the delivering half; manner is how requests that came as they are
 // are put to workers.
-func New(ctx context.Context, d *daemon.Daemon, scenes *charter.Scenes, manner Manner) *Adapter {
-	a := &Adapter{d: d, scenes: scenes, ctx: ctx, pool: pond.NewPool(d.Settings.Most), book: NewBook(d.Settings.Most),
+func New(ctx context.Context, d *daemon.Daemon, configs *config.Cache, manner Manner) *Adapter {
+	a := &Adapter{d: d, configs: configs, ctx: ctx, pool: pond.NewPool(d.Settings.Most), book: NewBook(d.Settings.Most),
 		manner: manner}
 	a.client = newClient(d.Bounds)
 	a.slots = newSlots(a)
@@ -105,7 +105,7 @@
 
 // Run does the periodic work until ctx ends.
 func (a *Adapter) Run(ctx context.Context) {
-	timing.Every(ctx, a.d.Bounds.Of(timing.AnswerTimeout), func() { a.book.Tidy(a.d.Now(), 20*a.d.Bounds.Charter) })
+	timing.Every(ctx, a.d.Bounds.Of(timing.AnswerTimeout), func() { a.book.Tidy(a.d.Now(), 20*a.d.Bounds.Config) })
 }
 
 // Say adds to what the adapter tells of itself in its session.
@@ -129,10 +129,10 @@
 
 // holdsDuty tells whether a duty still names this life of the adapter.
 func (a *Adapter) holdsDuty() bool {
-	scene := a.scenes.Now()
-	for pool, duties := range scene.Duties {
+	compiled := a.configs.Current()
+	for pool, duties := range compiled.Duties {
 		for worker := range duties {
-			if scene.IsHolder(pool, worker, a.d.Who.Name, a.d.Who.Boot) {
+			if compiled.IsHolder(pool, worker, a.d.Who.Name, a.d.Who.Boot) {
 				return true
 			}
 		}
--- a/internal/deliver/deliver_test.go
+++ b/internal/deliver/deliver_test.go
@@ -12,7 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/path"
@@ -24,13 +24,13 @@
 func scenery(address string) *Adapter {
 	view := feed.NewView(0)
 	changes := []wire.Change{
-		{Key: charter.Key, Revision: 1, Value: []byte(`{"pools":{"p":{"bound":"50ms","ease":"0s"},"q":{}},"lanes":{"l":{"pools":["p"]}}}`)},
-		{Key: charter.WorkersKey + "p", Revision: 2, Value: fmt.Appendf(nil, `{"workers":[{"name":"w","address":"%s","cell":"c"}]}`, address)},
-		{Key: charter.DutyKey + "p/w", Revision: 3, Value: charter.Duty{Holder: "a", Boot: "1"}.Encode()}}
+		{Key: config.Key, Revision: 1, Value: []byte(`{"pools":{"p":{"bound":"50ms","ease":"0s"},"q":{}},"lanes":{"l":{"pools":["p"]}}}`)},
+		{Key: config.WorkersKey + "p", Revision: 2, Value: fmt.Appendf(nil, `{"workers":[{"name":"w","address":"%s","cell":"c"}]}`, address)},
+		{Key: config.DutyKey + "p/w", Revision: 3, Value: config.Duty{Holder: "a", Boot: "1"}.Encode()}}
 	d := &daemon.Daemon{Started: time.Now(), Bounds: timing.Default, View: view, Who: wire.Who{Name: "a", Boot: "1", Zone: "c"}}
 	view.Take([]wire.PartNews{{To: 3, Changes: changes}}, d.Now())
 	a := &Adapter{d: d,
-		scenes: &charter.Scenes{View: view}, ctx: context.Background(), book: NewBook(9), manner: Own}
+		configs: &config.Cache{View: view}, ctx: context.Background(), book: NewBook(9), manner: Own}
 	a.client = newClient(d.Bounds)
 	a.slots, a.doers = newSlots(a), a.steps()
 	return a
@@ -96,7 +96,7 @@
 				a := scenery(address)
 				body := []byte("body")
 				r := &run{Run: wire.Run{Id: "0-x", Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: wire.SumOf(body), Bound: 50},
-					worker: NewWorker(charter.Pool{Concurrency: 8}, 0, 0)}
+					worker: NewWorker(config.Pool{Concurrency: 8}, 0, 0)}
 				if c.isWait {
 					r.Key = "k"
 				}
@@ -142,14 +142,14 @@
 		So(granted, ShouldEqual, 4)
 		So(waiting, ShouldEqual, 3)
 		Convey("all are answered when the duty has moved on", func() {
-			a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.DutyKey + "p/w", Revision: 4,
-				Value: charter.Duty{Holder: "b", Boot: "1"}.Encode()}}}}, a.d.Now())
+			a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: config.DutyKey + "p/w", Revision: 4,
+				Value: config.Duty{Holder: "b", Boot: "1"}.Encode()}}}}, a.d.Now())
 			ask()
 			So(waiting, ShouldEqual, 0)
 			So(granted, ShouldEqual, 4)
 		})
 		Convey("and when the worker has another address", func() {
-			a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.WorkersKey + "p", Revision: 4,
+			a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: config.WorkersKey + "p", Revision: 4,
 				Value: []byte(`{"workers":[{"name":"w","address":"127.0.0.1:2","cell":"c"}]}`)}}}}, a.d.Now())
 			ask()
 			So(waiting, ShouldEqual, 0)
@@ -211,13 +211,13 @@
 	})
 }
 
-// TestThawed: steps compiled from an older charter do nothing once a newer one
+// TestThawed: steps compiled from an older configuration do nothing once a newer one
 // is known, however lately the view was confirmed.
 func TestThawed(t *testing.T) {
 	Convey("A run whose steps were compiled before a freeze is not sent after it", t, func() {
 		a := scenery("127.0.0.1:1")
-		old := a.scenes.Now().Rules
-		a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.Key, Revision: 4, Value: []byte(`{}`)}}}}, a.d.Now())
+		old := a.configs.Current().Rules
+		a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: config.Key, Revision: 4, Value: []byte(`{}`)}}}}, a.d.Now())
 		r := &run{Run: wire.Run{Lane: "l", Pool: "p", Worker: "w"}}
 		err := a.doers[path.Fresh](path.Step{}, &delivery{run: r, rules: old})
 		So(err, ShouldNotBeNil)
--- a/internal/deliver/manner.go
+++ b/internal/deliver/manner.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
@@ -54,7 +54,7 @@
 	r := e.run
 	bound := time.Duration(r.Bound) * time.Millisecond
 	asking := Asking{Id: r.Id, Head: r.Head, Body: r.Body, Address: r.address, Worker: r.Worker, Bound: bound}
-	if r.Worker == charter.Endpoint {
+	if r.Worker == config.Endpoint {
 		asking.Worker = ""
 	}
 	req, err := a.manner.Ask(asking)
--- a/internal/deliver/meet_test.go
+++ b/internal/deliver/meet_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/alitto/pond/v2"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/head"
 	"caperwheel/internal/wire"
 )
@@ -17,7 +17,7 @@
 	a.manner = manner
 	body := []byte("body")
 	return a.deliver(&run{Run: wire.Run{Id: "0-x", Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: wire.SumOf(body),
-		Head: kept.Encode(), Bound: 50}, worker: NewWorker(charter.Pool{Concurrency: 8}, 0, 0)})
+		Head: kept.Encode(), Bound: 50}, worker: NewWorker(config.Pool{Concurrency: 8}, 0, 0)})
 }
 
 // Tell tells a URL of an end in a manner, while others are under way to it.
@@ -58,11 +58,11 @@
 	a := scenery(address)
 	a.manner = manner
 	patient := []byte(`{"pools":{"p":{"bound":"1m","ease":"0s"}},"lanes":{"l":{"pools":["p"]}}}`)
-	a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: charter.Key, Revision: 4, Value: patient}}}}, a.d.Now())
+	a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: config.Key, Revision: 4, Value: patient}}}}, a.d.Now())
 	body := []byte("body")
 	return func(id string, kept head.Head, isLane bool) *wire.Outcome {
 		r := &run{Run: wire.Run{Id: id, Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Body: body, Sum: wire.SumOf(body)},
-			worker: NewWorker(charter.Pool{Concurrency: 8}, 0, 0)}
+			worker: NewWorker(config.Pool{Concurrency: 8}, 0, 0)}
 		if !isLane {
 			r.Head = kept.Encode()
 		}
--- a/internal/deliver/metrics.go
+++ b/internal/deliver/metrics.go
@@ -5,8 +5,8 @@
 // measure tells what the adapter holds and how its workers stand.
 func (a *Adapter) measure(emit daemon.Emit) {
 	emit("deliver_in_hand", "Runs whose result is not durable yet.", float64(a.InHand()))
-	scene := a.scenes.Now()
-	for pool, weights := range scene.Weights {
+	compiled := a.configs.Current()
+	for pool, weights := range compiled.Weights {
 		for worker, w := range weights.Workers {
 			emit("weight", "Published weight of a worker.", w, "pool", pool, "worker", worker)
 		}
--- a/internal/deliver/moved_test.go
+++ b/internal/deliver/moved_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
 	"caperwheel/internal/wire"
@@ -18,11 +18,11 @@
 // connection is made, over which a process may freeze: then the run is not sent.
 func TestMovedMeanwhile(t *testing.T) {
 	cases := []struct{ name, key, value, kind string }{
-		{"nothing", charter.DutyKey + "p/v", string(charter.Duty{Holder: "a", Boot: "1"}.Encode()), ""},
-		{"another holder of the duty", charter.DutyKey + "p/w", string(charter.Duty{Holder: "b", Boot: "1"}.Encode()), "not_owner"},
-		{"another charter", charter.Key, `{}`, "stale"},
-		{"another address of the worker", charter.WorkersKey + "p", `{"workers":[{"name":"w","address":"127.0.0.1:2","cell":"c"}]}`, "rejected"},
-		{"a worker that is gone", charter.WorkersKey + "p", `{"workers":[]}`, "rejected"},
+		{"nothing", config.DutyKey + "p/v", string(config.Duty{Holder: "a", Boot: "1"}.Encode()), ""},
+		{"another holder of the duty", config.DutyKey + "p/w", string(config.Duty{Holder: "b", Boot: "1"}.Encode()), "not_owner"},
+		{"another charter", config.Key, `{}`, "stale"},
+		{"another address of the worker", config.WorkersKey + "p", `{"workers":[{"name":"w","address":"127.0.0.1:2","cell":"c"}]}`, "rejected"},
+		{"a worker that is gone", config.WorkersKey + "p", `{"workers":[]}`, "rejected"},
 	}
 	Convey("A run that has passed its checks, and then meets", t, func() {
 		for _, c := range cases {
@@ -32,7 +32,7 @@
 				Reset(server.Close)
 				a := scenery(server.Listener.Addr().String())
 				r := &run{Run: wire.Run{Id: "0-x", Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Bound: 50}}
-				e := &delivery{run: r, outcome: &wire.Outcome{}, rules: a.scenes.Now().Rules}
+				e := &delivery{run: r, outcome: &wire.Outcome{}, rules: a.configs.Current().Rules}
 				So(a.doers[path.Fresh](path.Step{}, e), ShouldBeNil)
 				So(a.doers[path.Live](path.Step{}, e), ShouldBeNil)
 				a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: c.key, Revision: 4, Value: []byte(c.value)}}}}, a.d.Now())
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -65,7 +65,7 @@
 func (a *Adapter) deliver(r *run) *wire.Outcome {
 	o := &wire.Outcome{Place: r.Place, Id: r.Id, Boot: a.d.Who.Boot, Proof: wire.Proof{Attempt: r.Attempt,
 		Worker: r.Worker, Adapter: a.d.Who.Name, Answer: []byte{}}}
-	rules, began := a.scenes.Now().Rules, a.d.Now()
+	rules, began := a.configs.Current().Rules, a.d.Now()
 	err := path.Run(a.programs.Delivery(rules, r.Lane), a.doers, &delivery{run: r, outcome: o, rules: rules})
 	took := a.d.Now() - began
 	if r.isTried.Load() {
@@ -99,7 +99,7 @@
 // leaves it with every store.
 func (a *Adapter) bringHome(r *run, o *wire.Outcome) {
 	keepers := a.d.Settings.Seeds
-	lane, isKnown := a.scenes.Now().Rules.Lanes[r.Lane]
+	lane, isKnown := a.configs.Current().Rules.Lanes[r.Lane]
 	isWitnessed := lane.Witness || !isKnown
 	if isWitnessed && (o.Begun || o.Kind == "") {
 		a.leave(keepers, o, repair.StepLeave)
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
 	"caperwheel/internal/place"
@@ -23,12 +23,12 @@
 // delivery is one run on its way out, with its result.
 //
 // Invariant: rules are those that its steps were compiled from; once the first
-// step has passed, scene has the same ones and was fresh.
+// step has passed, configuration has the same ones and was fresh.
 type delivery struct {
-	run     *run
-	outcome *wire.Outcome
-	rules   *charter.Rules
-	scene   *charter.Scene
+	run      *run
+	outcome  *wire.Outcome
+	rules    *config.Rules
+	compiled *config.Compiled
 }
 
 // mostAnswer bounds a worker's answer, which is kept as proof.
@@ -41,7 +41,7 @@
 // ends. What it sends is sent once: whether it is run again is for the place's
 // owner to say.
 func newClient(bounds timing.Bounds) *web.Client {
-	return web.NewClient(web.ClientOptions{Dial: bounds.Of(timing.DialTimeout), Idle: bounds.Charter, MostIdle: 64, KeepAlive: lostMachine})
+	return web.NewClient(web.ClientOptions{Dial: bounds.Of(timing.DialTimeout), Idle: bounds.Config, MostIdle: 64, KeepAlive: lostMachine})
 }
 
 func (a *Adapter) steps() path.Doers[*delivery] {
@@ -50,7 +50,7 @@
 			if !a.d.IsFresh() { // also what a thawed daemon meets before its next act
 				return errs.New(errs.Stale, "the view is too old to act on")
 			}
-			if e.scene = a.scenes.Now(); e.scene.Rules != e.rules { // the steps are those of an older charter
+			if e.compiled = a.configs.Current(); e.compiled.Rules != e.rules { // the steps are those of an older configuration
 				return errs.New(errs.Stale, "the charter has changed since")
 			}
 			return nil
@@ -62,16 +62,16 @@
 			return nil
 		},
 		path.Live: func(_ path.Step, e *delivery) error {
-			w, isLive := e.scene.CanServe(e.run.Pool, e.run.Worker)
-			e.run.Bound = e.rules.BoundOf(e.run.Lane, e.run.Pool) // by the charter that is acted on
-			if !isLive || !e.scene.MayWork(a.d.Who.Zone) {
+			w, isLive := e.compiled.CanServe(e.run.Pool, e.run.Worker)
+			e.run.Bound = e.rules.BoundOf(e.run.Lane, e.run.Pool) // by the configuration that is acted on
+			if !isLive || !e.compiled.MayWork(a.d.Who.Zone) {
 				return errs.New(errs.Rejected, "%s/%s is not live", e.run.Pool, e.run.Worker)
 			}
 			e.run.address = w.Address
 			return nil
 		},
 		path.Holder: func(_ path.Step, e *delivery) error {
-			if !e.scene.IsHolder(e.run.Pool, e.run.Worker, a.d.Who.Name, a.d.Who.Boot) {
+			if !e.compiled.IsHolder(e.run.Pool, e.run.Worker, a.d.Who.Name, a.d.Who.Boot) {
 				return errs.New(errs.NotOwner, "the duty of %s/%s has moved on", e.run.Pool, e.run.Worker)
 			}
 			return nil
@@ -133,7 +133,7 @@
 	}
 	fields := map[string]string{messageId: r.Id, attemptNumber: strconv.FormatInt(r.Attempt, 10), "X-Lane": r.Lane,
 		"Idempotency-Key": r.Id, "X-Content-SHA256": r.Sum, "User-Agent": "caperwheel/" + a.d.Who.Name,
-		"X-Charter-Stamp": strconv.FormatInt(e.scene.Revision, 10), "Content-Type": cmp.Or(r.Ctype, "application/octet-stream")}
+		"X-Charter-Stamp": strconv.FormatInt(e.compiled.Revision, 10), "Content-Type": cmp.Or(r.Ctype, "application/octet-stream")}
 	if r.Key != "" {
 		fields["Ordering-Key"] = r.Key
 	}
@@ -166,17 +166,17 @@
 // mayStillSend looks at what may have changed while the run's connection was
 // made, over which the process may have stood still.
 func (a *Adapter) mayStillSend(e *delivery) error {
-	isFresh := a.d.IsFresh() // asked before the scene, so that what is missing from it is missing
-	scene, r := a.scenes.Now(), e.run
-	w, isLive := scene.CanServe(r.Pool, r.Worker)
+	isFresh := a.d.IsFresh() // asked before the configuration, so that what is missing from it is missing
+	compiled, r := a.configs.Current(), e.run
+	w, isLive := compiled.CanServe(r.Pool, r.Worker)
 	switch {
 	case !isFresh:
 		return errs.New(errs.Stale, "the view is too old to act on")
-	case scene.Rules != e.rules:
+	case compiled.Rules != e.rules:
 		return errs.New(errs.Stale, "the charter has changed since")
-	case !isLive || w.Address != r.address || !scene.MayWork(a.d.Who.Zone):
+	case !isLive || w.Address != r.address || !compiled.MayWork(a.d.Who.Zone):
 		return errs.New(errs.Rejected, "%s/%s is not live", r.Pool, r.Worker)
-	case !scene.IsHolder(r.Pool, r.Worker, a.d.Who.Name, a.d.Who.Boot):
+	case !compiled.IsHolder(r.Pool, r.Worker, a.d.Who.Name, a.d.Who.Boot):
 		return errs.New(errs.NotOwner, "the duty of %s/%s has moved on", r.Pool, r.Worker)
 	}
 	return nil
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
@@ -53,28 +53,28 @@
 
 // find gives the state of a worker that this adapter may serve now. Called
 // with mu held.
-func (s *slots) find(scene *charter.Scene, pool, worker string) (*held, error) {
+func (s *slots) find(compiled *config.Compiled, pool, worker string) (*held, error) {
 	key := pool + "/" + worker
-	duty := scene.Duties[pool][worker]
-	if !scene.IsHolder(pool, worker, s.a.d.Who.Name, s.a.d.Who.Boot) {
+	duty := compiled.Duties[pool][worker]
+	if !compiled.IsHolder(pool, worker, s.a.d.Who.Name, s.a.d.Who.Boot) {
 		s.drop(key)
 		return nil, errs.New(errs.NotOwner, "the duty of %s is not held here", key)
 	}
-	w, isLive := scene.CanServe(pool, worker)
-	if !isLive || !scene.MayWork(s.a.d.Who.Zone) {
+	w, isLive := compiled.CanServe(pool, worker)
+	if !isLive || !compiled.MayWork(s.a.d.Who.Zone) {
 		return nil, errs.New(errs.Rejected, "%s is not live", key)
 	}
 	h, now := s.workers[key], s.a.d.Now()
 	if h == nil || h.address != w.Address || h.term != duty.Term {
 		fence := time.Duration(0)
-		if scene.Rules.Pools[pool].Rate > 0 && duty.Before != "" && !duty.IsFree {
+		if compiled.Rules.Pools[pool].Rate > 0 && duty.Before != "" && !duty.IsFree {
 			fence = s.a.d.Bounds.Of(timing.Fence)
 		}
 		s.drop(key)
-		h = &held{worker: NewWorker(scene.Rules.Pools[pool], fence, now), term: duty.Term, address: w.Address}
+		h = &held{worker: NewWorker(compiled.Rules.Pools[pool], fence, now), term: duty.Term, address: w.Address}
 		s.workers[key] = h
 	}
-	h.worker.Change(scene.Rules.Pools[pool], w)
+	h.worker.Change(compiled.Rules.Pools[pool], w)
 	return h, nil
 }
 
@@ -95,10 +95,10 @@
 		answer(&wire.Grant{Kind: string(errs.Stale), Retry: 200})
 		return
 	}
-	scene := s.a.scenes.Now()
+	compiled := s.a.configs.Current()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h, err := s.find(scene, m.Pool, m.Worker)
+	h, err := s.find(compiled, m.Pool, m.Worker)
 	if err != nil {
 		answer(&wire.Grant{Kind: string(errs.KindOf(err)), Retry: 200})
 		return
--- a/internal/deliver/worker.go
+++ b/internal/deliver/worker.go
@@ -8,7 +8,7 @@
 	"math"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 )
 
 // Soundness is the explicit state of a worker.
@@ -28,7 +28,7 @@
 // burst, so an endpoint gets at most 5·rate+burst starts in any 5 s; since is
 // when the state was entered.
 type Worker struct {
-	pool    charter.Pool
+	pool    config.Pool
 	state   Soundness
 	since   time.Duration
 	heldAt  time.Duration // no slot before: the fence of a duty that changed hands
@@ -56,7 +56,7 @@
 
 // NewWorker takes a duty up. An endpoint's holder waits out the fence, during
 // which the holder before may still act, and starts with an empty bucket.
-func NewWorker(pool charter.Pool, fence, now time.Duration) *Worker {
+func NewWorker(pool config.Pool, fence, now time.Duration) *Worker {
 	w := &Worker{pool: pool, heldAt: now + fence, filled: now + fence, ceiling: float64(pool.Concurrency)}
 	w.enter(Easing, now+fence)
 	return w
@@ -78,7 +78,7 @@
 }
 
 // Change takes the pool's settings and what the list says of the worker.
-func (w *Worker) Change(pool charter.Pool, listed charter.Worker) {
+func (w *Worker) Change(pool config.Pool, listed config.Worker) {
 	if listed.Slots > 0 && listed.Slots != pool.Concurrency {
 		pool.Concurrency = listed.Slots + (listed.Slots+1)/2 // some wait there, so that no slot stands idle between two runs
 	}
--- a/internal/deliver/worker_test.go
+++ b/internal/deliver/worker_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
@@ -61,7 +61,7 @@
 	Convey("Over any five seconds", t, func() {
 		for _, c := range cases {
 			Convey(c.name+" gets no more than its rate and a little, and not much less", func() {
-				w := NewWorker(charter.Pool{Rate: c.rate, Concurrency: 50, Ease: c.ease}, c.fence, 0)
+				w := NewWorker(config.Pool{Rate: c.rate, Concurrency: 50, Ease: c.ease}, c.fence, 0)
 				list := starts(w, 0, 40*time.Second, 20*time.Millisecond, always)
 				So(within(list, 0, c.fence), ShouldEqual, 0)
 				for from := time.Duration(0); from < 35*time.Second; from += 50 * time.Millisecond {
@@ -74,7 +74,7 @@
 }
 
 func TestSoundness(t *testing.T) {
-	pool := charter.Pool{Concurrency: 8, Ease: 10 * time.Second}
+	pool := config.Pool{Concurrency: 8, Ease: 10 * time.Second}
 	Convey("A cold worker is eased in", t, func() {
 		list := starts(NewWorker(pool, 0, 0), 0, 20*time.Second, 50*time.Millisecond, always)
 		So(within(list, 0, time.Second), ShouldBeLessThan, 8)
@@ -89,7 +89,7 @@
 		So(within(list, 41*time.Second, 42*time.Second), ShouldBeLessThan, 8)
 	})
 	Convey("Given a warm worker", t, func() {
-		w := NewWorker(charter.Pool{Concurrency: 2}, 0, 0)
+		w := NewWorker(config.Pool{Concurrency: 2}, 0, 0)
 		grant := func() bool { isGranted, _ := w.Grant(0); return isGranted }
 		Convey("its slots are bounded, and come back when they lapse", func() {
 			So([]bool{grant(), grant(), grant()}, ShouldResemble, []bool{true, true, false})
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/wire"
 )
 
@@ -37,7 +37,7 @@
 // Change is one duty that must be written anew.
 type Change struct {
 	Pool, Worker string
-	Next         charter.Duty
+	Next         config.Duty
 	IfRevision   int64
 	IsGone       bool // the worker is no longer listed
 	IsGuess      bool // the holder is not here: it may only be out of our sight
@@ -85,24 +85,24 @@
 // Plan tells which duties of a pool must change hands. A duty stays where it
 // is while its holder lives, stays and may serve; a lost one goes to the adapter of
 // the worker's zone, if there is one, that has the fewest duties.
-func Plan(pool string, scene *charter.Scene, adapters []wire.Who, leaving map[string]bool, revision func(key string) (int64, bool)) []Change {
+func Plan(pool string, compiled *config.Compiled, adapters []wire.Who, leaving map[string]bool, revision func(key string) (int64, bool)) []Change {
 	usable, load := map[string]wire.Who{}, map[string]int(nil)
 	for _, a := range adapters {
-		if !scene.Emptied[a.Zone] && !leaving[a.Name] {
+		if !compiled.Emptied[a.Zone] && !leaving[a.Name] {
 			usable[a.Name] = a
 		}
 	}
 	out := []Change{}
-	for _, name := range slices.Sorted(maps.Keys(scene.Workers[pool])) {
-		worker := scene.Workers[pool][name]
-		held, isAssigned := scene.Duties[pool][name]
+	for _, name := range slices.Sorted(maps.Keys(compiled.Workers[pool])) {
+		worker := compiled.Workers[pool][name]
+		held, isAssigned := compiled.Duties[pool][name]
 		holder, isHere := usable[held.Holder]
 		isRight := isAssigned && isHere && holder.Boot == held.Boot
 		if isRight && (worker.Zone == "" || holder.Zone == worker.Zone || !hasZone(usable, worker.Zone)) {
 			continue
 		}
 		if load == nil { // most rounds find nothing to move, and need no count of all duties
-			load = loadOf(scene)
+			load = loadOf(compiled)
 		}
 		next := choose(pool+"/"+name, worker.Zone, usable, load)
 		isReborn := isAssigned && isHere && holder.Boot != held.Boot
@@ -114,28 +114,28 @@
 		}
 		load[held.Holder]--
 		load[next.Name]++
-		ifRevision, wasKnown := revision(charter.DutyKey + pool + "/" + name)
+		ifRevision, wasKnown := revision(config.DutyKey + pool + "/" + name)
 		before := held.Boot
 		if !isAssigned && wasKnown {
 			before = "an earlier holder"
 		}
 		isKept := isReborn && next == holder
 		out = append(out, Change{Pool: pool, Worker: name, IfRevision: ifRevision, IsReborn: isKept,
-			Next:    charter.Duty{Holder: next.Name, Boot: next.Boot, Before: before, IsFree: isKept || leaving[held.Holder]},
-			IsGuess: isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(scene, adapters, held.Holder)})
+			Next:    config.Duty{Holder: next.Name, Boot: next.Boot, Before: before, IsFree: isKept || leaving[held.Holder]},
+			IsGuess: isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(compiled, adapters, held.Holder)})
 	}
-	for _, name := range slices.Sorted(maps.Keys(scene.Duties[pool])) {
-		if _, isListed := scene.Workers[pool][name]; !isListed {
-			out = append(out, Change{Pool: pool, Worker: name, IfRevision: scene.Duties[pool][name].Term, IsGone: true})
+	for _, name := range slices.Sorted(maps.Keys(compiled.Duties[pool])) {
+		if _, isListed := compiled.Workers[pool][name]; !isListed {
+			out = append(out, Change{Pool: pool, Worker: name, IfRevision: compiled.Duties[pool][name].Term, IsGone: true})
 		}
 	}
 	return out
 }
 
 // loadOf counts the duties of each adapter.
-func loadOf(scene *charter.Scene) map[string]int {
+func loadOf(compiled *config.Compiled) map[string]int {
 	out := map[string]int{}
-	for _, duties := range scene.Duties {
+	for _, duties := range compiled.Duties {
 		for _, d := range duties {
 			out[d.Holder]++
 		}
@@ -144,10 +144,10 @@
 }
 
 // isEmptied: a holder that is left out for its zone's sake is no guess.
-func isEmptied(scene *charter.Scene, adapters []wire.Who, name string) bool {
+func isEmptied(compiled *config.Compiled, adapters []wire.Who, name string) bool {
 	for _, a := range adapters {
 		if a.Name == name {
-			return scene.Emptied[a.Zone]
+			return compiled.Emptied[a.Zone]
 		}
 	}
 	return false
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -7,53 +7,53 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/wire"
 )
 
-func scene(workers map[string]charter.Worker, duties map[string]charter.Held, emptied ...string) *charter.Scene {
-	out := &charter.Scene{Workers: map[string]map[string]charter.Worker{"p": workers},
-		Duties: map[string]map[string]charter.Held{"p": duties}, Emptied: map[string]bool{}}
+func compiled(workers map[string]config.Worker, duties map[string]config.Held, emptied ...string) *config.Compiled {
+	out := &config.Compiled{Workers: map[string]map[string]config.Worker{"p": workers},
+		Duties: map[string]map[string]config.Held{"p": duties}, Emptied: map[string]bool{}}
 	for _, zone := range emptied {
 		out.Emptied[zone] = true
 	}
 	return out
 }
 
-func held(holder, boot string) charter.Held {
-	return charter.Held{Duty: charter.Duty{Holder: holder, Boot: boot}, Term: 7}
+func held(holder, boot string) config.Held {
+	return config.Held{Duty: config.Duty{Holder: holder, Boot: boot}, Term: 7}
 }
 
 // TestPlan is the table of when a duty changes hands.
 func TestPlan(t *testing.T) {
 	adapters := []wire.Who{{Name: "a1", Boot: "1", Zone: "a"}, {Name: "a2", Boot: "1", Zone: "a"}, {Name: "b1", Boot: "1", Zone: "b"},
 		{Name: "l1", Boot: "1", Zone: "a"}}
-	inA := map[string]charter.Worker{"w": {Name: "w", Zone: "a"}}
+	inA := map[string]config.Worker{"w": {Name: "w", Zone: "a"}}
 	known := func(string) (int64, bool) { return 7, true }
 	never := func(string) (int64, bool) { return 0, false }
 	cases := []struct {
 		name     string
-		scene    *charter.Scene
+		compiled *config.Compiled
 		revision func(string) (int64, bool)
 		holder   string // "" for no change, "gone" for removal
 		before   string
 	}{
-		{"a worker that nobody ever held goes to its cell, without a fence", scene(inA, nil), never, "a", ""},
-		{"a worker that somebody held once goes with a fence", scene(inA, nil), func(string) (int64, bool) { return 0, true }, "a", "an earlier holder"},
-		{"a holder that lives keeps its duty", scene(inA, map[string]charter.Held{"w": held("a1", "1")}), known, "", ""},
-		{"a holder's next life is not the holder", scene(inA, map[string]charter.Held{"w": held("a1", "0")}), known, "a", "0"},
-		{"a holder that is gone loses it", scene(inA, map[string]charter.Held{"w": held("x", "1")}), known, "a", "1"},
-		{"a holder of another cell gives way to the worker's own", scene(inA, map[string]charter.Held{"w": held("b1", "1")}), known, "a", "1"},
-		{"an emptied cell's holder loses it", scene(inA, map[string]charter.Held{"w": held("a1", "1")}, "a"), known, "b", "1"},
-		{"a worker of a cell without adapters keeps any holder", scene(map[string]charter.Worker{"w": {Name: "w", Zone: "z"}},
-			map[string]charter.Held{"w": held("b1", "1")}), known, "", ""},
-		{"a holder that leaves gives way at once", scene(inA, map[string]charter.Held{"w": held("l1", "1")}), known, "a", "1"},
-		{"a worker that is no longer listed has its duty removed", scene(nil, map[string]charter.Held{"w": held("a1", "1")}), known, "gone", ""},
+		{"a worker that nobody ever held goes to its cell, without a fence", compiled(inA, nil), never, "a", ""},
+		{"a worker that somebody held once goes with a fence", compiled(inA, nil), func(string) (int64, bool) { return 0, true }, "a", "an earlier holder"},
+		{"a holder that lives keeps its duty", compiled(inA, map[string]config.Held{"w": held("a1", "1")}), known, "", ""},
+		{"a holder's next life is not the holder", compiled(inA, map[string]config.Held{"w": held("a1", "0")}), known, "a", "0"},
+		{"a holder that is gone loses it", compiled(inA, map[string]config.Held{"w": held("x", "1")}), known, "a", "1"},
+		{"a holder of another cell gives way to the worker's own", compiled(inA, map[string]config.Held{"w": held("b1", "1")}), known, "a", "1"},
+		{"an emptied cell's holder loses it", compiled(inA, map[string]config.Held{"w": held("a1", "1")}, "a"), known, "b", "1"},
+		{"a worker of a cell without adapters keeps any holder", compiled(map[string]config.Worker{"w": {Name: "w", Zone: "z"}},
+			map[string]config.Held{"w": held("b1", "1")}), known, "", ""},
+		{"a holder that leaves gives way at once", compiled(inA, map[string]config.Held{"w": held("l1", "1")}), known, "a", "1"},
+		{"a worker that is no longer listed has its duty removed", compiled(nil, map[string]config.Held{"w": held("a1", "1")}), known, "gone", ""},
 	}
 	Convey("In the plan of duties", t, func() {
 		for _, c := range cases {
 			Convey(c.name, func() {
-				plan := Plan("p", c.scene, adapters, map[string]bool{"l1": true}, c.revision)
+				plan := Plan("p", c.compiled, adapters, map[string]bool{"l1": true}, c.revision)
 				if c.holder == "" {
 					So(plan, ShouldBeEmpty)
 					return
@@ -69,12 +69,12 @@
 			})
 		}
 		Convey("many workers are spread evenly", func() {
-			workers := map[string]charter.Worker{}
+			workers := map[string]config.Worker{}
 			for i := range 30 {
-				workers[string(rune('A'+i))] = charter.Worker{Zone: "a"}
+				workers[string(rune('A'+i))] = config.Worker{Zone: "a"}
 			}
 			count := map[string]int{}
-			for _, change := range Plan("p", scene(workers, nil), adapters[:3], nil, never) {
+			for _, change := range Plan("p", compiled(workers, nil), adapters[:3], nil, never) {
 				count[change.Next.Holder]++
 			}
 			So(count, ShouldResemble, map[string]int{"a1": 15, "a2": 15})
@@ -97,7 +97,7 @@
 // endpoints for a fence besides, though one name has but one process.
 func TestReborn(t *testing.T) {
 	adapters := []wire.Who{{Name: "a1", Boot: "2", Zone: "a"}, {Name: "a2", Boot: "1", Zone: "a"}}
-	workers := map[string]charter.Worker{"w": {Name: "w", Zone: "a"}}
+	workers := map[string]config.Worker{"w": {Name: "w", Zone: "a"}}
 	known := func(string) (int64, bool) { return 7, true }
 	cases := []struct {
 		name, holder, boot string
@@ -113,7 +113,7 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				leaving := map[string]bool{"a2": c.isLeaving}
-				plan := Plan("p", scene(workers, map[string]charter.Held{"w": held(c.holder, c.boot)}), adapters, leaving, known)
+				plan := Plan("p", compiled(workers, map[string]config.Held{"w": held(c.holder, c.boot)}), adapters, leaving, known)
 				So(len(plan), ShouldEqual, 1)
 				So(plan[0].Next.Holder, ShouldStartWith, c.next)
 				So([]bool{plan[0].IsReborn, plan[0].Next.IsFree}, ShouldResemble, []bool{c.isReborn, c.isFree})
--- a/internal/feed/orders.go
+++ b/internal/feed/orders.go
@@ -70,7 +70,7 @@
 }
 
 // remember notes the order of an edit that holds as of the part's newest revision.
-// What an older build kept in the charter itself is taken over, and what it
+// What an older build kept in the configuration itself is taken over, and what it
 // forgot before is below the floor.
 func (p *Part) remember(e wire.Edit) {
 	switch {
--- a/internal/feed/part.go
+++ b/internal/feed/part.go
@@ -11,15 +11,15 @@
 	"caperwheel/internal/wire"
 )
 
-// CharterPart holds the charter, the zones and the stores; the pools' lists
+// ConfigPart holds the configuration, the zones and the stores; the pools' lists
 // and duties are spread over the parts behind it.
-const CharterPart = 0
+const ConfigPart = 0
 
 // PartOf gives the part that holds a pool, by hash of its name.
 func PartOf(pool string, parts int) int64 {
 	h := fnv.New32a()
 	h.Write([]byte(pool))
-	return CharterPart + 1 + int64(h.Sum32()%uint32(parts))
+	return ConfigPart + 1 + int64(h.Sum32()%uint32(parts))
 }
 
 // Part is the replicated state of one part. It is pure.
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -29,7 +29,7 @@
 	trail    trail
 }
 
-// NewView gives an empty view that follows the charter part and count others.
+// NewView gives an empty view that follows the configuration part and count others.
 func NewView(count int) *View {
 	v := &View{parts: map[int64]*partView{}, count: count}
 	for part := range int64(count) + 1 {
--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/manager"
 )
@@ -77,8 +77,8 @@
 	})
 }
 
-// PutCharter replaces the charter.
-func (a *Api) PutCharter(ctx context.Context, doc []byte) error {
+// PutConfig replaces the configuration.
+func (a *Api) PutConfig(ctx context.Context, doc []byte) error {
 	edit := allows(doc, a.f.Now())
 	err := a.put(ctx, "/v1/charter", doc)
 	if err == nil {
@@ -89,8 +89,8 @@
 }
 
 // PutWorkers replaces a pool's live list.
-func (a *Api) PutWorkers(ctx context.Context, pool string, workers []charter.Worker) error {
-	return a.put(ctx, "/v1/pools/"+pool+"/workers", charter.Workers{Workers: workers}.Encode())
+func (a *Api) PutWorkers(ctx context.Context, pool string, workers []config.Worker) error {
+	return a.put(ctx, "/v1/pools/"+pool+"/workers", config.Workers{Workers: workers}.Encode())
 }
 
 // Post does what needs no body.
--- a/internal/fleet/deploy.go
+++ b/internal/fleet/deploy.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/charter"
 	"caperwheel/internal/check"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/settings"
 )
@@ -47,8 +47,8 @@
 type Fleet struct {
 	Plan     Plan
 	Dir      string
-	Charter  []byte
-	Rules    *charter.Rules
+	Config   []byte
+	Rules    *config.Rules
 	History  *check.History
 	Managers []*Process
 	Stores   []*Process
@@ -77,14 +77,14 @@
 // Now is the fleet's clock, which every record uses.
 func (f *Fleet) Now() time.Duration { return time.Since(f.started) }
 
-// ReadPlan reads a charter and the plan beside it.
-func ReadPlan(charterFile string) (Plan, []byte, error) {
+// ReadPlan reads a configuration and the plan beside it.
+func ReadPlan(configFile string) (Plan, []byte, error) {
 	var plan Plan
-	doc, err := os.ReadFile(charterFile)
+	doc, err := os.ReadFile(configFile)
 	if err != nil {
 		return plan, nil, errs.Wrap(err, errs.Invalid, "charter file")
 	}
-	raw, err := os.ReadFile(strings.TrimSuffix(charterFile, ".json") + ".fleet.json")
+	raw, err := os.ReadFile(strings.TrimSuffix(configFile, ".json") + ".fleet.json")
 	if err != nil {
 		return plan, nil, errs.Wrap(err, errs.Invalid, "plan beside the charter")
 	}
@@ -105,7 +105,7 @@
 }
 
 func (f *Fleet) layBackends(doc []byte) error {
-	rules, faults := charter.Compile(doc)
+	rules, faults := config.Compile(doc)
 	if len(faults) > 0 {
 		return errs.New(errs.Invalid, "charter: %v", faults)
 	}
@@ -121,7 +121,7 @@
 		for i := range spec.Count {
 			name, zone := fmt.Sprintf("%s-%02d", pool[strings.LastIndex(pool, ".")+1:], i+1), f.Plan.Zones[i%len(f.Plan.Zones)]
 			if p.IsEndpoint {
-				name, zone = charter.Endpoint, ""
+				name, zone = config.Endpoint, ""
 			}
 			b, err := NewBackend(pool, name, zone, time.Duration(spec.WorkMs)*time.Millisecond, f.History, f.Now)
 			if err != nil {
@@ -134,8 +134,8 @@
 			}
 		}
 	}
-	f.Charter = doc
-	f.Rules, _ = charter.Compile(doc)
+	f.Config = doc
+	f.Rules, _ = config.Compile(doc)
 	for name, lane := range f.Rules.Lanes {
 		f.History.Pools[name] = lane.Pools
 		f.History.Order[name] = lane.IsOrdered
--- a/internal/fleet/edits.go
+++ b/internal/fleet/edits.go
@@ -10,12 +10,12 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/charter"
 	"caperwheel/internal/check"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 )
 
-// edits remembers the newest charter that was acknowledged.
+// edits remembers the newest configuration that was acknowledged.
 type edits struct {
 	mu       sync.Mutex
 	revision int64
@@ -23,7 +23,7 @@
 	Broken   []string
 }
 
-func (a *Api) patchWorkers(ctx context.Context, pool string, patch charter.Workers) error {
+func (a *Api) patchWorkers(ctx context.Context, pool string, patch config.Workers) error {
 	path := "/v1/pools/" + pool + "/workers"
 	return a.try(ctx, func(manager string) error {
 		code, head, _, err := Do(ctx, "GET", manager+path, "", nil)
@@ -50,12 +50,12 @@
 	return revision
 }
 
-func (f *Fleet) charterUrl(i int) string {
+func (f *Fleet) configUrl(i int) string {
 	return "http://" + f.Managers[i%len(f.Managers)].Http + "/v1/charter"
 }
 
-// readCharter gives the charter and its revision from whichever manager answers.
-func (f *Fleet) readCharter(ctx context.Context) (etag string, doc []byte, err error) {
+// readConfig gives the configuration and its revision from whichever manager answers.
+func (f *Fleet) readConfig(ctx context.Context) (etag string, doc []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 12*time.Second)
 	defer cancel()
 	err = f.api.try(ctx, func(manager string) error {
@@ -69,10 +69,10 @@
 	return etag, doc, err
 }
 
-// allows records what a charter lets lanes and pools do, from when it was sent.
+// allows records what a configuration lets lanes and pools do, from when it was sent.
 func allows(doc []byte, at time.Duration) check.Edit {
 	out := check.Edit{At: at, Pools: map[string][]string{}, Caps: map[string]float64{}}
-	rules, _ := charter.Compile(doc)
+	rules, _ := config.Compile(doc)
 	for name, lane := range rules.Lanes {
 		out.Pools[name] = lane.Pools
 	}
@@ -82,16 +82,16 @@
 	return out
 }
 
-// patchCharter sends one edit through one manager and records what came of it.
-func (f *Fleet) patchCharter(ctx context.Context, manager int, etag string, base []byte, patch map[string]any) int {
+// patchConfig sends one edit through one manager and records what came of it.
+func (f *Fleet) patchConfig(ctx context.Context, manager int, etag string, base []byte, patch map[string]any) int {
 	body, _ := json.Marshal(patch)
-	merged, err := charter.Merge(base, body)
+	merged, err := config.Merge(base, body)
 	if err != nil {
 		f.failed("edit %s: %v", body, err)
 		return 0
 	}
 	edit := allows(merged, f.Now())
-	code, head, _, err := Do(ctx, "PATCH", f.charterUrl(manager), etag, body)
+	code, head, _, err := Do(ctx, "PATCH", f.configUrl(manager), etag, body)
 	if err == nil && code == 200 {
 		edit.AckAt = f.Now()
 		edit.Revision = revisionOf(head.Get("ETag"))
@@ -117,10 +117,10 @@
 	return map[string]any{tree: change}
 }
 
-// editCharter does one kind of edit: good, race, invalid, stale, "move LANE
+// editConfig does one kind of edit: good, race, invalid, stale, "move LANE
 // POOL" or "cap POOL RATE". Each is held against what must come of it.
-func (f *Fleet) editCharter(ctx context.Context, what string) {
-	etag, base, err := f.readCharter(ctx)
+func (f *Fleet) editConfig(ctx context.Context, what string) {
+	etag, base, err := f.readConfig(ctx)
 	if err != nil {
 		f.failed("edit %s: %v", what, err)
 		return
@@ -131,19 +131,19 @@
 	words := strings.Fields(what)
 	switch words[0] {
 	case "good":
-		f.patchCharter(ctx, 0, etag, base, note(0))
+		f.patchConfig(ctx, 0, etag, base, note(0))
 	case "move":
 		f.patchSure(ctx, inTree("lanes", words[1], map[string]any{"pools": []string{words[2]}}))
 	case "cap":
 		rate, _ := strconv.ParseFloat(words[2], 64)
 		f.patchSure(ctx, inTree("pools", words[1], map[string]any{"rate": rate}))
 	case "invalid":
-		if code, _, _, err := Do(ctx, "PATCH", f.charterUrl(1), etag, []byte(`{"lanes":{"bad lane":{}}}`)); err == nil && code == 200 {
+		if code, _, _, err := Do(ctx, "PATCH", f.configUrl(1), etag, []byte(`{"lanes":{"bad lane":{}}}`)); err == nil && code == 200 {
 			f.edits.breach("an invalid charter was accepted")
 		}
 	case "stale":
 		if revision := revisionOf(etag); revision > 1 {
-			if f.patchCharter(ctx, 2, `"1"`, base, note(0)) == 200 {
+			if f.patchConfig(ctx, 2, `"1"`, base, note(0)) == 200 {
 				f.edits.breach("an edit on a stale base was accepted")
 			}
 		}
@@ -152,7 +152,7 @@
 		codes := make([]int, len(f.Managers))
 		for i := range f.Managers {
 			wg.Add(1)
-			go func() { defer wg.Done(); codes[i] = f.patchCharter(ctx, i, etag, base, note(i)) }()
+			go func() { defer wg.Done(); codes[i] = f.patchConfig(ctx, i, etag, base, note(i)) }()
 		}
 		wg.Wait()
 		won := 0
@@ -174,8 +174,8 @@
 	ctx, cancel := context.WithTimeout(ctx, 20*time.Second)
 	defer cancel()
 	for turn := 0; ctx.Err() == nil; turn++ {
-		etag, base, err := f.readCharter(ctx)
-		if err == nil && f.patchCharter(ctx, turn, etag, base, patch) == 200 {
+		etag, base, err := f.readConfig(ctx)
+		if err == nil && f.patchConfig(ctx, turn, etag, base, patch) == 200 {
 			return
 		}
 		pause(ctx, 100*time.Millisecond)
@@ -183,9 +183,9 @@
 	f.failed("edit %v was never acknowledged", patch)
 }
 
-// CheckCharter reads the charter back from every manager: it must be the
+// CheckConfig reads the configuration back from every manager: it must be the
 // newest that was acknowledged, or one that came after it without an answer.
-func (f *Fleet) CheckCharter(ctx context.Context) []string {
+func (f *Fleet) CheckConfig(ctx context.Context) []string {
 	e := &f.edits
 	for _, p := range f.Managers {
 		var got struct {
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -102,7 +102,7 @@
 	"upgrade":   func(_ context.Context, f *Fleet, who string) func() { return f.change(who, f.Bin) },
 	"downgrade": func(_ context.Context, f *Fleet, who string) func() { return f.change(who, f.OldBin) },
 	"scribble":  scribble,
-	"edit":      func(ctx context.Context, f *Fleet, who string) func() { f.editCharter(ctx, who); return func() {} },
+	"edit":      func(ctx context.Context, f *Fleet, who string) func() { f.editConfig(ctx, who); return func() {} },
 	"flood":     flood,
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -18,7 +18,7 @@
 	"caperwheel/internal/cli"
 )
 
-const smallCharter = `{"pools":{"work":{"concurrency":4,"ease":"1s"},"out":{"kind":"endpoint","address":"127.0.0.1:9","rate":50,"ease":"0s"}},
+const smallConfig = `{"pools":{"work":{"concurrency":4,"ease":"1s"},"out":{"kind":"endpoint","address":"127.0.0.1:9","rate":50,"ease":"0s"}},
  "lanes":{"free":{"pools":["work"],"size":5000},"seq":{"pools":["work"],"ordering":"key","attempts":0},"capped":{"pools":["out"]},
  "quote":{"pools":["work"],"callback":"capped"}}}`
 
@@ -36,7 +36,7 @@
 	dir := t.TempDir()
 	Convey("Given a small fleet of processes", t, func() {
 		So(Build(ctx, "../..", filepath.Join(dir, "bin"), true), ShouldBeNil)
-		f, err := New(smallPlan, []byte(smallCharter), filepath.Join(dir, "bin"), "", dir)
+		f, err := New(smallPlan, []byte(smallConfig), filepath.Join(dir, "bin"), "", dir)
 		So(err, ShouldBeNil)
 		defer f.Down()
 		So(f.Up(ctx), ShouldBeNil)
@@ -57,7 +57,7 @@
 			So(report.Taken, ShouldEqual, 4*120)
 			_, _, ends := f.History.Copies()
 			So(report.Ends["ended"]+report.Ends["rejected"], ShouldEqual, len(ends))
-			So(f.CheckCharter(ctx), ShouldBeEmpty)
+			So(f.CheckConfig(ctx), ShouldBeEmpty)
 			So(f.Crashes(), ShouldBeEmpty)
 			So(f.api.Ready(ctx), ShouldBeNil) // a busy machine may have left a daemon stale
 			checkRejects(ctx, f)
@@ -111,9 +111,9 @@
 		{"GET", adapter + "/v1/messages/99999-x", "", nil, 404, "unknown"},
 		{"GET", adapter + "/v1/messages/1-nobody", "", nil, 404, "unknown"},
 		{"GET", adapter + "/elsewhere", "", nil, 404, "unknown"},
-		{"PUT", manager + "/v1/charter", smallCharter, nil, 428, "missing"},
-		{"PUT", manager + "/v1/charter", smallCharter, map[string]string{"If-Match": `"99999"`}, 412, "conflict"},
-		{"PUT", manager + "/v1/charter", smallCharter, map[string]string{"If-Match": "x"}, 400, "invalid"},
+		{"PUT", manager + "/v1/charter", smallConfig, nil, 428, "missing"},
+		{"PUT", manager + "/v1/charter", smallConfig, map[string]string{"If-Match": `"99999"`}, 412, "conflict"},
+		{"PUT", manager + "/v1/charter", smallConfig, map[string]string{"If-Match": "x"}, 400, "invalid"},
 		{"PUT", manager + "/v1/pools/out/workers", `{"workers":[]}`, map[string]string{"If-Match": "0"}, 409, "rejected"},
 		{"PUT", manager + "/v1/pools/none/workers", `{"workers":[]}`, map[string]string{"If-Match": "0"}, 404, "unknown"},
 		{"PUT", manager + "/v1/pools/work/workers", `{"wrokers":[]}`, map[string]string{"If-Match": "0"}, 422, "invalid"},
@@ -183,7 +183,7 @@
 	}{
 		{func() {}, []string{"apply", folder}, cli.ExitUsage, "neither charter.json"},
 		{declare("charter.json", `{"lanes":{"l":{}}}`), []string{"apply", folder}, cli.ExitUsage, "nothing was applied"},
-		{declare("charter.json", strings.Replace(string(f.Charter), "{", `{"note":"declared",`, 1)), []string{"apply", folder, "--dry-run"}, cli.ExitWell, "1 of 1 documents differ"},
+		{declare("charter.json", strings.Replace(string(f.Config), "{", `{"note":"declared",`, 1)), []string{"apply", folder, "--dry-run"}, cli.ExitWell, "1 of 1 documents differ"},
 		{declare("workers/nope.json", `{"workers":[]}`), []string{"apply", folder}, cli.ExitUsage, "no such pool"},
 		{func() { So(os.Remove(filepath.Join(folder, "workers/nope.json")), ShouldBeNil) }, []string{"apply", folder}, cli.ExitWell, "applied, stamp"},
 		{declare("workers/work.json", listed), []string{"apply", folder}, cli.ExitWell, "0 of 2 documents differ"},
--- a/internal/fleet/operate.go
+++ b/internal/fleet/operate.go
@@ -6,15 +6,15 @@
 	"strings"
 	"time"
 
-	"caperwheel/internal/charter"
 	"caperwheel/internal/check"
+	"caperwheel/internal/config"
 )
 
 // leave marks a worker as leaving in the live list; undone, it is live again.
 func leave(ctx context.Context, f *Fleet, who string) func() {
 	set := func(state string) {
 		for _, b := range f.backends(who) {
-			patch := charter.Workers{Workers: []charter.Worker{{Name: b.Name, Address: b.Addr, Zone: b.Zone, State: state}}}
+			patch := config.Workers{Workers: []config.Worker{{Name: b.Name, Address: b.Addr, Zone: b.Zone, State: state}}}
 			if err := f.api.patchWorkers(ctx, b.Pool, patch); err != nil {
 				f.failed("%s is not set to %s: %v", b.Key(), state, err)
 			}
--- a/internal/fleet/settle.go
+++ b/internal/fleet/settle.go
@@ -101,7 +101,7 @@
 	EndP99    string             `json:"end_p99"`
 	Breaches  []check.Breach     `json:"breaches"`
 	Unsettled string             `json:"unsettled,omitempty"`
-	Charter   []string           `json:"charter,omitempty"`
+	Config    []string           `json:"charter,omitempty"`
 	Failures  []string           `json:"not_carried_out,omitempty"`
 	Crashes   []string           `json:"crashes,omitempty"`
 	Spared    int                `json:"doubled_by_killed_adapters"`
--- a/internal/fleet/up.go
+++ b/internal/fleet/up.go
@@ -4,11 +4,11 @@
 	"context"
 	"time"
 
-	"caperwheel/internal/charter"
 	"caperwheel/internal/check"
+	"caperwheel/internal/config"
 )
 
-// Up starts everything and waits until the charter is accepted, the workers
+// Up starts everything and waits until the configuration is accepted, the workers
 // are listed and all adapters are ready.
 func (f *Fleet) Up(ctx context.Context) error {
 	for _, p := range f.All() {
@@ -16,14 +16,14 @@
 			return err
 		}
 	}
-	if err := f.api.PutCharter(ctx, f.Charter); err != nil {
+	if err := f.api.PutConfig(ctx, f.Config); err != nil {
 		return err
 	}
-	pools := map[string][]charter.Worker{}
+	pools := map[string][]config.Worker{}
 	from := f.Now()
 	for _, b := range f.Backends {
-		if b.Name != charter.Endpoint {
-			pools[b.Pool] = append(pools[b.Pool], charter.Worker{Name: b.Name, Address: b.Addr, Zone: b.Zone, State: "live"})
+		if b.Name != config.Endpoint {
+			pools[b.Pool] = append(pools[b.Pool], config.Worker{Name: b.Name, Address: b.Addr, Zone: b.Zone, State: "live"})
 		}
 	}
 	for pool, workers := range pools {
@@ -39,7 +39,7 @@
 
 // comesCold has a worker's starts held against the ramp from now on.
 func (f *Fleet) comesCold(b *Backend, from time.Duration) {
-	if ease := f.Rules.Pools[b.Pool].Ease; ease > 0 && b.Name != charter.Endpoint {
+	if ease := f.Rules.Pools[b.Pool].Ease; ease > 0 && b.Name != config.Endpoint {
 		f.History.AddCold(check.Cold{Pool: b.Pool, Worker: b.Name, From: from, Ease: ease})
 	}
 }
--- a/internal/group/alone_test.go
+++ b/internal/group/alone_test.go
@@ -16,7 +16,7 @@
 func TestAloneOwnerSaysNothingUnsynced(t *testing.T) {
 	Convey("Given a group of one with a learner", t, func() {
 		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0", "~b/0"}, Bounds: timing.Default, Seed: 1}, HardState{}, nil, nil, 0)
-		now := timing.Default.Charter
+		now := timing.Default.Config
 		isTold := func(out Out) bool {
 			for _, m := range out.Now {
 				if m.Kind == MsgAppend {
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -90,7 +90,7 @@
 			So(g.View().Term, ShouldEqual, 4)
 		})
 		Convey("it grants one once the owner has been silent", func() {
-			out := g.Receive(wire.GroupMsg{Kind: MsgPreVote, From: "c/0", To: "b/0", Term: 5, Index: 99, LogTerm: 4}, timing.Default.Charter)
+			out := g.Receive(wire.GroupMsg{Kind: MsgPreVote, From: "c/0", To: "b/0", Term: 5, Index: 99, LogTerm: 4}, timing.Default.Config)
 			So(out.Now[0].Reject, ShouldBeFalse)
 		})
 	})
@@ -99,7 +99,7 @@
 func TestRosterChangesOneAtATime(t *testing.T) {
 	Convey("Given the owner of a group of one", t, func() {
 		g := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: timing.Default}, HardState{}, nil, nil, 0)
-		g.Tick(timing.Default.Charter)
+		g.Tick(timing.Default.Config)
 		So(g.View().Role, ShouldEqual, Owner)
 		_, err := g.ChangeRoster(Change{Learn: "b/0"}, 0)
 		So(errs.Is(err, errs.Conflict), ShouldBeTrue) // its own term has no commit yet
@@ -131,7 +131,7 @@
 func TestNewOwner(t *testing.T) {
 	Convey("Given a new owner with an entry of an older term that is not committed", t, func() {
 		g := follower(trio, HardState{Term: 1}, entries(1))
-		now := timing.Default.Charter
+		now := timing.Default.Config
 		g.Tick(now)
 		g.Receive(wire.GroupMsg{Kind: MsgPreVoteReply, From: "a/0", To: "b/0", Term: 2}, now)
 		g.Receive(wire.GroupMsg{Kind: MsgVoteReply, From: "a/0", To: "b/0", Term: 2}, now)
--- a/internal/group/handover.go
+++ b/internal/group/handover.go
@@ -70,7 +70,7 @@
 	if g.preferredName != successor {
 		g.preferredName, g.preferredSince = successor, now
 	}
-	if now-g.preferredSince > g.opts.Bounds.Charter && g.last()-p.match < appendCount {
+	if now-g.preferredSince > g.opts.Bounds.Config && g.last()-p.match < appendCount {
 		g.preferredSince = now
 		more := g.HandOver(successor, now)
 		out.Now = append(out.Now, more.Now...)
--- a/internal/host/spread_test.go
+++ b/internal/host/spread_test.go
@@ -107,14 +107,14 @@
 	}
 	Convey("A group that is founded on five stores and belongs on five others is there within a bound of its first owner", t, func() {
 		c, wanted := newHosts(names(0, 5), names(0, 10), names(5, 10)), names(5, 10)
-		for len(c.holders()) == 0 && c.now < timing.Default.Charter {
+		for len(c.holders()) == 0 && c.now < timing.Default.Config {
 			c.tick()
 		}
 		owned := c.now
-		for !slices.Equal(c.holders(), wanted) && c.now < owned+10*timing.Default.Charter {
+		for !slices.Equal(c.holders(), wanted) && c.now < owned+10*timing.Default.Config {
 			c.tick()
 		}
 		So(c.holders(), ShouldResemble, wanted)
-		So(c.now-owned, ShouldBeLessThan, timing.Default.Charter)
+		So(c.now-owned, ShouldBeLessThan, timing.Default.Config)
 	})
 }
--- a/internal/host/stall_test.go
+++ b/internal/host/stall_test.go
@@ -55,7 +55,7 @@
 		h, err := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: timing.Default, Disk: disk, Machine: blank{},
 			Now: func() time.Duration { return now }, Send: func(wire.GroupMsg) {}, Failed: func(err error) { panic(err) }})
 		So(err, ShouldBeNil)
-		now = timing.Default.Charter
+		now = timing.Default.Config
 		h.Tick()
 		disk.answer(h)
 		now += time.Millisecond
--- a/internal/intake/ask.go
+++ b/internal/intake/ask.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, in.d.Bounds.Charter)
+	ctx, cancel := context.WithTimeout(ctx, in.d.Bounds.Config)
 	defer cancel()
 	reply, err := in.reach.Group(ctx, wire.PlaceGroup+number, &wire.Look{Place: number, Id: id, Body: isWithBody,
 		Wait: int64(wait / time.Millisecond)}, isOwner)
@@ -182,7 +182,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, in.d.Bounds.Charter)
+	ctx, cancel := context.WithTimeout(ctx, in.d.Bounds.Config)
 	defer cancel()
 	reply, err := in.reach.Group(ctx, wire.PlaceGroup+number, &wire.Settle{Place: number, Id: id}, isOwner)
 	if err != nil {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/path"
@@ -24,7 +24,7 @@
 // Intake of one adapter. Invariant: at most Most requests are in hand.
 type Intake struct {
 	d        *daemon.Daemon
-	scenes   *charter.Scenes
+	configs  *config.Cache
 	reach    owners
 	quick    owners // for callers that do not wait long
 	quiet    quiet
@@ -44,8 +44,8 @@
 // request is one request on its way in.
 type request struct {
 	ctx      context.Context
-	scene    *charter.Scene // the lane's rules are of its charter
-	lane     charter.Lane
+	compiled *config.Compiled // the lane's rules are of its configuration
+	lane     config.Lane
 	deadline time.Duration // how long its caller waits; 0 if that is not known
 	take     wire.Take
 	taken    *wire.Taken
@@ -55,8 +55,8 @@
 const mostKey = 200
 
 // New readies the intake and its HTTP paths.
-func New(d *daemon.Daemon, scenes *charter.Scenes) *Intake {
-	in := &Intake{d: d, scenes: scenes}
+func New(d *daemon.Daemon, configs *config.Cache) *Intake {
+	in := &Intake{d: d, configs: configs}
 	in.reach = &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink}
 	in.quick = &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink, Saw: in.saw, Try: timing.AttemptTimeout}
 	d.Measure(func(emit daemon.Emit) {
@@ -69,7 +69,7 @@
 			if !d.IsFresh() {
 				return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
 			}
-			if scenes.Now().Rules != e.scene.Rules {
+			if configs.Current().Rules != e.compiled.Rules {
 				return errs.New(errs.Stale, "the charter has changed meanwhile")
 			}
 			return nil
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -11,7 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
@@ -53,9 +53,9 @@
 func intakeOn(s *stand) *Intake {
 	view := feed.NewView(0)
 	d := &daemon.Daemon{Started: time.Now(), Bounds: timing.Default, View: view, Membership: session.NewMembership(), Mux: http.NewServeMux(), Settings: settings.Settings{Places: 48, Most: 9}}
-	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: charter.Key, Revision: 7,
+	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: config.Key, Revision: 7,
 		Value: []byte(`{"pools":{"p":{}},"lanes":{"l":{"pools":["p"],"size":9},"o":{"pools":["p"],"ordering":"key"}}}`)}}}}, d.Now())
-	in := New(d, &charter.Scenes{View: view})
+	in := New(d, &config.Cache{View: view})
 	in.reach = s
 	return in
 }
@@ -137,13 +137,13 @@
 	})
 }
 
-// TestSlowBody: a request whose lane's rules were read before a newer charter
+// TestSlowBody: a request whose lane's rules were read before a newer configuration
 // came is not taken under the older one.
 func TestSlowBody(t *testing.T) {
 	Convey("A request read under an older charter is stale once a newer one is known", t, func() {
 		in := intakeOn(&stand{})
-		e := &request{scene: in.scenes.Now()}
-		in.d.View.Take([]wire.PartNews{{From: 7, To: 8, Changes: []wire.Change{{Key: charter.Key, Revision: 8, Value: []byte(`{}`)}}}}, in.d.Now())
+		e := &request{compiled: in.configs.Current()}
+		in.d.View.Take([]wire.PartNews{{From: 7, To: 8, Changes: []wire.Change{{Key: config.Key, Revision: 8, Value: []byte(`{}`)}}}}, in.d.Now())
 		So(errs.Is(in.doers[path.Fresh](path.Step{}, e), errs.Stale), ShouldBeTrue)
 	})
 }
--- a/internal/intake/manner.go
+++ b/internal/intake/manner.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/head"
@@ -91,17 +91,17 @@
 			e.take.Key = "-" + daemon.Random(8)
 		}
 	}
-	return path.Run(in.programs.Intake(e.scene.Rules, e.lane.Name), in.doers, e)
+	return path.Run(in.programs.Intake(e.compiled.Rules, e.lane.Name), in.doers, e)
 }
 
 // findWay takes the lane that the request's host and path lead to, as the
-// charter is now.
+// configuration is now.
 func (in *Intake) findWay(e *request, r *http.Request) error {
-	isFresh := in.d.IsFresh() // asked before the scene, so that a way missing from it is missing
-	e.scene = in.scenes.Now()
-	lane, isFound := charter.Lane{}, false
+	isFresh := in.d.IsFresh() // asked before the configuration, so that a way missing from it is missing
+	e.compiled = in.configs.Current()
+	lane, isFound := config.Lane{}, false
 	if isFresh {
-		lane, isFound = e.scene.Rules.Way(r.Host, head.Of(r).Path())
+		lane, isFound = e.compiled.Rules.Way(r.Host, head.Of(r).Path())
 	}
 	switch {
 	case !isFresh:
--- a/internal/intake/stand_test.go
+++ b/internal/intake/stand_test.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/session"
@@ -50,8 +50,8 @@
 	if s.IsStale {
 		at = 0
 	}
-	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: charter.Key, Revision: 7, Value: []byte(asItIs)}}}}, at)
-	in = New(d, &charter.Scenes{View: view})
+	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: config.Key, Revision: 7, Value: []byte(asItIs)}}}}, at)
+	in = New(d, &config.Cache{View: view})
 	in.reach = owners
 	return in, func() []*wire.Take { return owners.takes }
 }
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -24,10 +24,10 @@
 // countIntake counts by lane; names that are no lane's would grow without bound.
 func countIntake(e *request, told string) { answered.WithLabelValues(e.lane.Name, told).Inc() }
 
-// revisionOf tells the caller under which charter the answer was given.
+// revisionOf tells the caller under which configuration the answer was given.
 func revisionOf(w http.ResponseWriter, e *request) {
-	if e.scene != nil {
-		w.Header().Set("X-Charter-Stamp", strconv.FormatInt(e.scene.Revision, 10))
+	if e.compiled != nil {
+		w.Header().Set("X-Charter-Stamp", strconv.FormatInt(e.compiled.Revision, 10))
 	}
 }
 
@@ -43,7 +43,7 @@
 		in.reject(w, err, e)
 		return
 	}
-	if err := path.Run(in.programs.Intake(e.scene.Rules, e.lane.Name), in.doers, e); err != nil {
+	if err := path.Run(in.programs.Intake(e.compiled.Rules, e.lane.Name), in.doers, e); err != nil {
 		in.reject(w, err, e)
 		return
 	}
@@ -91,11 +91,11 @@
 	return in.findLane(e) // a body may take long to come
 }
 
-// findLane takes the lane's rules of the charter as it is now.
+// findLane takes the lane's rules of the configuration as it is now.
 func (in *Intake) findLane(e *request) error {
-	isFresh := in.d.IsFresh() // asked before the scene, so that a lane missing from it is missing
-	e.scene = in.scenes.Now()
-	lane, isKnown := e.scene.Rules.Lanes[e.take.Lane]
+	isFresh := in.d.IsFresh() // asked before the configuration, so that a lane missing from it is missing
+	e.compiled = in.configs.Current()
+	lane, isKnown := e.compiled.Rules.Lanes[e.take.Lane]
 	if !isKnown {
 		if !isFresh {
 			return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
@@ -123,7 +123,7 @@
 		p.Id = e.take.Id
 	}
 	countIntake(e, string(kind))
-	if kind != errs.Stale { // then no charter was in use
+	if kind != errs.Stale { // then no configuration was in use
 		revisionOf(w, e)
 	}
 	web.Reject(w, web.CodeOf(kind), p, in.retry(kind, e))
@@ -142,7 +142,7 @@
 	case errs.Stale, errs.Lost: // a session is found again within this
 		return in.d.Bounds.Of(timing.AnswerTimeout)
 	case errs.DiskFull:
-		return 10 * in.d.Bounds.Charter
+		return 10 * in.d.Bounds.Config
 	case errs.Full:
 		return in.d.Bounds.Of(timing.Permit)
 	}
--- a/internal/manager/api.go
+++ b/internal/manager/api.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/web"
@@ -18,13 +18,13 @@
 func (m *Manager) serveApi() {
 	type by = map[string]http.HandlerFunc
 	paths := map[string]by{
-		"/v1/charter":                {"GET": m.getCharter, "PUT": m.putCharter, "PATCH": m.patchCharter},
+		"/v1/charter":                {"GET": m.getConfig, "PUT": m.putConfig, "PATCH": m.patchConfig},
 		"/v1/charter/history":        {"GET": m.getHistory},
 		"/v1/pools/{pool}/workers":   {"GET": m.getWorkers, "PUT": m.putWorkers, "PATCH": m.patchWorkers},
-		"/v1/cells/{cell}/empty":     {"POST": m.postMark("cell", m.empty)},
-		"/v1/cells/{cell}/restore":   {"POST": m.postMark("cell", m.restore)},
-		"/v1/stores/{store}/retire":  {"POST": m.postMark("store", m.retire)},
-		"/v1/stores/{store}/restore": {"POST": m.postMark("store", m.unretire)},
+		"/v1/cells/{cell}/empty":     {"POST": m.postOrder("cell", m.empty)},
+		"/v1/cells/{cell}/restore":   {"POST": m.postOrder("cell", m.restore)},
+		"/v1/stores/{store}/retire":  {"POST": m.postOrder("store", m.retire)},
+		"/v1/stores/{store}/restore": {"POST": m.postOrder("store", m.unretire)},
 		"/v1/stores/{store}":         {"GET": m.getStore},
 		"/v1/status":                 {"GET": m.getStatus},
 		"/v1/daemons":                {"GET": m.getDaemons},
@@ -73,8 +73,8 @@
 	web.Fail(w, err)
 }
 
-func (m *Manager) getCharter(w http.ResponseWriter, r *http.Request) {
-	doc, revision, err := m.operators.Charter(r.Context())
+func (m *Manager) getConfig(w http.ResponseWriter, r *http.Request) {
+	doc, revision, err := m.operators.Config(r.Context())
 	if err != nil {
 		web.Fail(w, err)
 		return
@@ -83,25 +83,25 @@
 	web.Answer(w, 200, json.RawMessage(doc))
 }
 
-func (m *Manager) putCharter(w http.ResponseWriter, r *http.Request) {
-	body, err := web.Body(r, charter.MostBytes)
+func (m *Manager) putConfig(w http.ResponseWriter, r *http.Request) {
+	body, err := web.Body(r, config.MostBytes)
 	if err != nil {
 		web.Fail(w, err)
 		return
 	}
-	m.proposeCharter(w, r, func([]byte) ([]byte, error) { return body, nil })
+	m.proposeConfig(w, r, func([]byte) ([]byte, error) { return body, nil })
 }
 
-func (m *Manager) patchCharter(w http.ResponseWriter, r *http.Request) {
-	body, err := web.Body(r, charter.MostBytes)
+func (m *Manager) patchConfig(w http.ResponseWriter, r *http.Request) {
+	body, err := web.Body(r, config.MostBytes)
 	if err != nil {
 		web.Fail(w, err)
 		return
 	}
-	m.proposeCharter(w, r, func(base []byte) ([]byte, error) { return charter.Merge(base, body) })
+	m.proposeConfig(w, r, func(base []byte) ([]byte, error) { return config.Merge(base, body) })
 }
 
-func (m *Manager) proposeCharter(w http.ResponseWriter, r *http.Request, make func(base []byte) ([]byte, error)) {
+func (m *Manager) proposeConfig(w http.ResponseWriter, r *http.Request, make func(base []byte) ([]byte, error)) {
 	revision, err := revisionOf(r)
 	if err != nil {
 		web.Fail(w, err)
@@ -126,7 +126,7 @@
 }
 
 func (m *Manager) getHistory(w http.ResponseWriter, r *http.Request) {
-	c, err := m.pull(r.Context(), feed.CharterPart, feed.History)
+	c, err := m.pull(r.Context(), feed.ConfigPart, feed.History)
 	if err != nil {
 		web.Fail(w, err)
 		return
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -8,7 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/deliver"
 	"caperwheel/internal/duty"
 	"caperwheel/internal/errs"
@@ -26,7 +26,7 @@
 // looked after by one manager; should two think so, the revisions let one win.
 func (m *Manager) controlDuties(ctx context.Context) {
 	pool := pond.NewPool(8)
-	steady := &duty.Steady{Least: 2 * m.d.Bounds.Charter}
+	steady := &duty.Steady{Least: 2 * m.d.Bounds.Config}
 	steadySince := m.d.Now()
 	timing.Every(ctx, m.d.Bounds.Of(timing.Poll), func() {
 		if !m.d.IsFresh() {
@@ -54,7 +54,7 @@
 }
 
 func (m *Manager) planDuties(ctx context.Context, workers pond.Pool, steady *duty.Steady, isNew bool) {
-	scene := m.scenes.Now()
+	compiled := m.configs.Current()
 	adapters, leaving := m.d.Membership.Kind("adapter"), map[string]bool{}
 	_, members := m.registry.Members(m.d.Now())
 	for _, member := range members {
@@ -64,10 +64,10 @@
 	}
 	group := workers.NewGroup()
 	pools := map[string]bool{}
-	for name := range scene.Rules.Pools {
+	for name := range compiled.Rules.Pools {
 		pools[name] = true
 	}
-	for name := range scene.Duties {
+	for name := range compiled.Duties {
 		pools[name] = true
 	}
 	for _, name := range m.ownPools(pools) {
@@ -79,7 +79,7 @@
 			}
 			return c.Revision, true
 		}
-		for _, change := range steady.Filter(duty.Plan(name, scene, adapters, leaving, revision), m.d.Now()) {
+		for _, change := range steady.Filter(duty.Plan(name, compiled, adapters, leaving, revision), m.d.Now()) {
 			if isNew && !change.IsReborn {
 				continue
 			}
@@ -90,9 +90,9 @@
 }
 
 func (m *Manager) assign(ctx context.Context, part int64, change duty.Change) {
-	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter)
+	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Config)
 	defer cancel()
-	e := wire.Edit{Part: part, Key: charter.DutyKey + change.Pool + "/" + change.Worker, IfRevision: change.IfRevision,
+	e := wire.Edit{Part: part, Key: config.DutyKey + change.Pool + "/" + change.Worker, IfRevision: change.IfRevision,
 		Gone: change.IsGone, By: "duty controller at " + m.d.Who.Name}
 	if !change.IsGone {
 		e.Value = change.Next.Encode()
--- a/internal/manager/edit.go
+++ b/internal/manager/edit.go
@@ -25,7 +25,7 @@
 	if e.Order == "" {
 		e.Order, e.Base = m.d.Who.Boot+"/"+call, wire.OneCall
 	}
-	ctx, cancel := timing.Within(ctx, m.d.Bounds.Charter*2)
+	ctx, cancel := timing.Within(ctx, m.d.Bounds.Config*2)
 	defer cancel()
 	for isOpen := false; ; { // whether a try may have had an effect that nobody told of
 		reply, wasOpen, err := m.reach.Ask(ctx, e.Part, &e, func(reply any) (bool, string) {
@@ -83,7 +83,7 @@
 
 // read is pull with all that the part's owner tells.
 func (m *Manager) read(ctx context.Context, part int64, key string) (wire.Pulled, error) {
-	ctx, cancel := timing.Within(ctx, m.d.Bounds.Charter)
+	ctx, cancel := timing.Within(ctx, m.d.Bounds.Config)
 	defer cancel()
 	reply, err := m.reach.Group(ctx, part, &wire.Pull{Part: part, Key: key}, func(reply any) (bool, string) {
 		got, isPulled := reply.(*wire.Pulled)
--- a/internal/manager/edit_test.go
+++ b/internal/manager/edit_test.go
@@ -42,7 +42,7 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				m, _ := newFake()
-				m.d.Bounds.Charter = 50 * time.Millisecond
+				m.d.Bounds.Config = 50 * time.Millisecond
 				m.reach.Bounds = m.d.Bounds
 				turn, orders := 0, map[string]bool{}
 				m.reach.Call = func(_ context.Context, _ string, ask any) (any, error) {
--- a/internal/manager/marks_test.go
+++ b/internal/manager/evacuation_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 )
 
 // TestMarks is the table of what stands at a zone's key after operators' calls.
@@ -17,7 +17,7 @@
 	back := func(m *Manager) (int64, error) { return m.operators.Restore(ctx, "x", "a") }
 	var parts *fakeParts
 	later := func(m *Manager) (int64, error) { // no order that was given can come again
-		parts.now += (m.resend + m.d.Bounds.Charter).Milliseconds()
+		parts.now += (m.resend + m.d.Bounds.Config).Milliseconds()
 		return 0, nil
 	}
 	type calls = []func(*Manager) (int64, error)
@@ -46,7 +46,7 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				m, f := newFake()
-				parts, m.resend = f, 2*m.d.Bounds.Charter
+				parts, m.resend = f, 2*m.d.Bounds.Config
 				if c.hasSource {
 					m.source = &Source{}
 				}
@@ -54,7 +54,7 @@
 					_, err := call(m)
 					So(err, ShouldBeNil)
 				}
-				got, isStanding := f.part(0).Get(charter.ZoneKey + "a")
+				got, isStanding := f.part(0).Get(config.ZoneKey + "a")
 				So(isStanding, ShouldEqual, c.want != "")
 				if isStanding {
 					So(string(got.Value), ShouldEqual, c.want)
--- a/internal/manager/evacuations.go
+++ b/internal/manager/evacuations.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/wire"
@@ -26,7 +26,7 @@
 // same whichever manager asks, and however little that has heard.
 
 // mostRaces is how often an order about a zone is tried again when another change
-// of the zone's mark came first.
+// of the zone's order came first.
 const mostRaces = 3
 
 // Empty asks that a zone, or only its workers, get nothing new. A whole zone
@@ -40,7 +40,7 @@
 		if !o.m.isKnown("cell", zone) {
 			return 0, o.m.unknown("cell", zone)
 		}
-		return o.mark(ctx, by, charter.ZoneKey+zone, charter.Mark{}, -1)
+		return o.setOrder(ctx, by, config.ZoneKey+zone, config.Order{}, -1)
 	}
 	// Any name will do: workers that are not listed yet may come.
 	return o.change(ctx, by, zone, o.m.emptied)
@@ -54,7 +54,7 @@
 		return 0, err
 	}
 	if o.m.source == nil {
-		return o.unmark(ctx, by, charter.ZoneKey+zone)
+		return o.clearOrder(ctx, by, config.ZoneKey+zone)
 	}
 	return o.change(ctx, by, zone, o.m.restored)
 }
@@ -62,25 +62,25 @@
 // standing is what stands at a zone's key.
 type standing struct {
 	revision int64 // 0 for nothing
-	mark     charter.Mark
+	order    config.Order
 	age      time.Duration // since the last order
 }
 
-// change brings an order to a zone's mark: next says what it makes of it, or that
+// change brings an order to a zone's order: next says what it makes of it, or that
 // it is there already.
-func (o *Operators) change(ctx context.Context, by, zone string, next func(was standing) (charter.Mark, bool)) (revision int64, err error) {
+func (o *Operators) change(ctx context.Context, by, zone string, next func(was standing) (config.Order, bool)) (revision int64, err error) {
 	for range mostRaces {
 		var got wire.Pulled
-		got, err = o.m.read(ctx, feed.CharterPart, charter.ZoneKey+zone)
+		got, err = o.m.read(ctx, feed.ConfigPart, config.ZoneKey+zone)
 		if err != nil && !errs.Is(err, errs.Unknown) {
 			return 0, err
 		}
-		was := standing{got.Change.Revision, charter.ReadMark(got.Change.Value), ageOf(got)}
-		mark, isThere := next(was)
+		was := standing{got.Change.Revision, config.ReadOrder(got.Change.Value), ageOf(got)}
+		order, isThere := next(was)
 		if isThere {
 			return was.revision, nil
 		}
-		revision, err = o.mark(ctx, by, charter.ZoneKey+zone, mark, was.revision)
+		revision, err = o.setOrder(ctx, by, config.ZoneKey+zone, order, was.revision)
 		if !errs.Is(err, errs.Conflict) {
 			return revision, err
 		}
@@ -95,27 +95,27 @@
 }
 
 // emptied is what an order to empty a zone's workers makes of its mark.
-func (m *Manager) emptied(was standing) (next charter.Mark, isThere bool) {
-	next = charter.Mark{Only: charter.OnlyWorkers, BackAgo: m.backAgo(was)}
+func (m *Manager) emptied(was standing) (next config.Order, isThere bool) {
+	next = config.Order{Only: config.OnlyWorkers, BackAgo: m.backAgo(was)}
 	switch {
-	case was.revision == 0 || was.mark.Only == charter.OnlyCold:
+	case was.revision == 0 || was.order.Only == config.OnlyCold:
 		return next, false
-	case was.mark.Only != charter.OnlyWorkers, !was.mark.IsBack && was.age < m.d.Bounds.Charter:
+	case was.order.Only != config.OnlyWorkers, !was.order.IsBack && was.age < m.d.Bounds.Config:
 		return next, true
 	}
-	next.Others = was.mark.Others + 1
+	next.Others = was.order.Others + 1
 	return next, false
 }
 
-// restored is what an order to take an emptying back makes of a zone's mark.
-func (m *Manager) restored(was standing) (next charter.Mark, isThere bool) {
+// restored is what an order to take an emptying back makes of a zone's order.
+func (m *Manager) restored(was standing) (next config.Order, isThere bool) {
 	switch {
-	case was.revision == 0, was.mark.Only == charter.OnlyCold, m.backAgo(was) > 0:
+	case was.revision == 0, was.order.Only == config.OnlyCold, m.backAgo(was) > 0:
 		return next, true
-	case was.mark.Others > 0:
-		return charter.Mark{Only: charter.OnlyWorkers, Others: was.mark.Others - 1, IsBack: true}, false
+	case was.order.Others > 0:
+		return config.Order{Only: config.OnlyWorkers, Others: was.order.Others - 1, IsBack: true}, false
 	}
-	return charter.Mark{Only: charter.OnlyCold}, false
+	return config.Order{Only: config.OnlyCold}, false
 }
 
 // backAgo gives the milliseconds since an emptying of the zone was last taken
@@ -125,9 +125,9 @@
 	switch {
 	case was.revision == 0:
 		return 0
-	case was.mark.Only == charter.OnlyCold || was.mark.IsBack:
-	case was.mark.BackAgo > 0:
-		ago += time.Duration(was.mark.BackAgo) * time.Millisecond
+	case was.order.Only == config.OnlyCold || was.order.IsBack:
+	case was.order.BackAgo > 0:
+		ago += time.Duration(was.order.BackAgo) * time.Millisecond
 	default:
 		return 0
 	}
--- a/internal/manager/evacuations_test.go
+++ b/internal/manager/evacuations_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/wire"
 )
 
@@ -54,7 +54,7 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				m, f := newFake()
-				m.source, m.d.Bounds.Charter, m.resend = &Source{}, 3*s, resend
+				m.source, m.d.Bounds.Config, m.resend = &Source{}, 3*s, resend
 				for _, o := range c.orders {
 					f.now += o.after.Milliseconds()
 					f.isBlind = o.isLate
@@ -64,11 +64,11 @@
 					_, err := ask()
 					So(err, ShouldBeNil)
 				}
-				last, isStanding := f.part(0).Get(charter.ZoneKey + "a")
+				last, isStanding := f.part(0).Get(config.ZoneKey + "a")
 				So(isStanding, ShouldBeTrue)
 				got := 0
-				if mark := charter.ReadMark(last.Value); mark.Only == charter.OnlyWorkers {
-					got = int(mark.Others) + 1
+				if order := config.ReadOrder(last.Value); order.Only == config.OnlyWorkers {
+					got = int(order.Others) + 1
 				}
 				So(got, ShouldEqual, c.stands)
 			})
@@ -79,11 +79,11 @@
 // TestOrdersWithoutNumberInTrouble: an order whose answers from the part are
 // lost, or that another one overtakes, counts once.
 func TestOrdersWithoutNumberInTrouble(t *testing.T) {
-	ctx, key := context.Background(), charter.ZoneKey+"a"
-	standing := func(f *fakeParts) charter.Mark {
+	ctx, key := context.Background(), config.ZoneKey+"a"
+	standing := func(f *fakeParts) config.Order {
 		c, isStanding := f.part(0).Get(key)
 		So(isStanding, ShouldBeTrue)
-		return charter.ReadMark(c.Value)
+		return config.ReadOrder(c.Value)
 	}
 	empty := func(m *Manager) error {
 		_, err := m.operators.Empty(ctx, "x", "a", true)
@@ -91,7 +91,7 @@
 	}
 	Convey("An evacuation", t, func() {
 		m, f := newFake()
-		m.source, m.d.Bounds.Charter, m.resend = &Source{}, 3*time.Second, 5*time.Second
+		m.source, m.d.Bounds.Config, m.resend = &Source{}, 3*time.Second, 5*time.Second
 		So(empty(m), ShouldBeNil)
 		f.now += 20_000
 		Convey("whose answers are lost counts once", func() {
@@ -102,14 +102,14 @@
 		Convey("whose answer is lost under another one counts once", func() {
 			f.before = func(e *wire.Edit) {
 				held := f.part(0).Apply(*e)
-				f.part(0).Apply(wire.Edit{Key: key, Value: charter.Mark{Only: charter.OnlyWorkers, Others: 2}.Encode(), IfRevision: held.Revision})
+				f.part(0).Apply(wire.Edit{Key: key, Value: config.Order{Only: config.OnlyWorkers, Others: 2}.Encode(), IfRevision: held.Revision})
 			}
 			So(empty(m), ShouldBeNil)
 			So(standing(f).Others, ShouldEqual, 2)
 		})
 		Convey("that another one overtakes counts beside it", func() {
 			f.before = func(e *wire.Edit) {
-				f.part(0).Apply(wire.Edit{Key: key, Value: charter.Mark{Only: charter.OnlyWorkers, Others: 1}.Encode(), IfRevision: e.IfRevision})
+				f.part(0).Apply(wire.Edit{Key: key, Value: config.Order{Only: config.OnlyWorkers, Others: 1}.Encode(), IfRevision: e.IfRevision})
 			}
 			So(empty(m), ShouldBeNil)
 			So(standing(f).Others, ShouldEqual, 2)
@@ -122,7 +122,7 @@
 			So(err, ShouldBeNil)
 			So(empty(m), ShouldBeNil)
 			So(f.part(0).Apply(late).IsAgain, ShouldBeTrue)
-			So(standing(f).Only, ShouldEqual, charter.OnlyWorkers)
+			So(standing(f).Only, ShouldEqual, config.OnlyWorkers)
 		})
 	})
 }
--- a/internal/manager/histories_test.go
+++ b/internal/manager/histories_test.go
@@ -13,7 +13,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/tidwall/gjson"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/linearize"
@@ -110,9 +110,9 @@
 			sent = append(sent, o)
 		}
 		read := linearize.Operation{Client: client, Kind: linearize.Read, Call: now(), Outcome: linearize.Confirmed}
-		doc, _, err := m.operators.Charter(context.Background())
+		doc, _, err := m.operators.Config(context.Background())
 		if read.Return = now(); err == nil {
-			read.ReadVersion, read.ReadDigest = charter.VersionOf(doc), gjson.GetBytes(doc, "note").Str
+			read.ReadVersion, read.ReadDigest = config.VersionOf(doc), gjson.GetBytes(doc, "note").Str
 			version = read.ReadVersion
 			out = append(out, read)
 		}
@@ -131,7 +131,7 @@
 	managers := []*Manager{}
 	for i := range 3 {
 		m, _ := newFake()
-		m.d.Who.Boot, m.d.Bounds.Charter = strconv.Itoa(i), patience
+		m.d.Who.Boot, m.d.Bounds.Config = strconv.Itoa(i), patience
 		m.reach = &reach.Reach{Membership: m.d.Membership, Bounds: m.d.Bounds, Call: r.call}
 		managers = append(managers, m)
 	}
--- a/internal/manager/lately_test.go
+++ b/internal/manager/lately_test.go
@@ -30,9 +30,9 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				m, _ := newFake()
-				m.stores.bound = m.d.Bounds.Charter
+				m.stores.bound = m.d.Bounds.Config
 				four := m.d.Membership.Kind("store")
-				m.stores.note(append(four, wire.Who{Name: "s9", Kind: "store"}), m.d.Now()-c.ago*m.d.Bounds.Charter)
+				m.stores.note(append(four, wire.Who{Name: "s9", Kind: "store"}), m.d.Now()-c.ago*m.d.Bounds.Config)
 				settleStores(m)
 				var err error
 				for _, name := range c.calls {
--- a/internal/manager/list.go
+++ b/internal/manager/list.go
@@ -10,7 +10,7 @@
 	"github.com/alitto/pond/v2"
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/duty"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
@@ -21,7 +21,7 @@
 // Source tells which workers there are, by pool. Workers tells of all or fails:
 // errs.Full means that it has been asked too often.
 type Source struct {
-	Workers func(ctx context.Context) (map[string][]charter.Worker, error)
+	Workers func(ctx context.Context) (map[string][]config.Worker, error)
 	Lag     time.Duration // what it tells may be so old
 }
 
@@ -44,7 +44,7 @@
 
 type writtenList struct {
 	revision int64
-	list     []charter.Worker
+	list     []config.Worker
 }
 
 // ease is what is known of a restored zone. Invariant: settledAt is a moment
@@ -81,16 +81,16 @@
 		l.resting--
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, l.m.d.Bounds.Charter)
+	ctx, cancel := context.WithTimeout(ctx, l.m.d.Bounds.Config)
 	defer cancel()
 	began := l.m.d.Now()
-	scene := l.m.scenes.Now()
+	compiled := l.m.configs.Current()
 	l.seeEasing()
 	got, err := l.m.source.Workers(ctx)
 	if !l.hasRead(err) {
 		return
 	}
-	if l.write(ctx, scene, got) {
+	if l.write(ctx, compiled, got) {
 		l.settle(ctx, began)
 	}
 }
@@ -116,12 +116,12 @@
 
 // write brings the pools' lists to what was read; false if one is not known to
 // be there yet.
-func (l *lister) write(ctx context.Context, scene *charter.Scene, got map[string][]charter.Worker) bool {
+func (l *lister) write(ctx context.Context, compiled *config.Compiled, got map[string][]config.Worker) bool {
 	group, missed, isWhole := l.edits.NewGroup(), map[string]bool{}, true
 	if l.written == nil {
 		l.written = map[string]writtenList{}
 	}
-	for name, pool := range scene.Rules.Pools {
+	for name, pool := range compiled.Rules.Pools {
 		if pool.IsEndpoint {
 			continue
 		}
@@ -144,9 +144,9 @@
 
 // join keeps a worker that only one read has left out: a page may have moved
 // under it.
-func (l *lister) join(pool string, base, read []charter.Worker, missed map[string]bool) []charter.Worker {
+func (l *lister) join(pool string, base, read []config.Worker, missed map[string]bool) []config.Worker {
 	for _, w := range base {
-		if slices.ContainsFunc(read, func(x charter.Worker) bool { return x.Name == w.Name }) {
+		if slices.ContainsFunc(read, func(x config.Worker) bool { return x.Name == w.Name }) {
 			continue
 		}
 		missed[pool+"/"+w.Name] = true
@@ -154,15 +154,15 @@
 			read = append(read, w)
 		}
 	}
-	slices.SortFunc(read, func(a, b charter.Worker) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(read, func(a, b config.Worker) int { return strings.Compare(a.Name, b.Name) })
 	return read
 }
 
 // sound drops what a list may not hold.
-func sound(list []charter.Worker) []charter.Worker {
-	out, seen := []charter.Worker{}, map[string]bool{}
+func sound(list []config.Worker) []config.Worker {
+	out, seen := []config.Worker{}, map[string]bool{}
 	for _, w := range list {
-		one, faults := charter.ReadWorkers(charter.Workers{Workers: []charter.Worker{w}}.Encode())
+		one, faults := config.ReadWorkers(config.Workers{Workers: []config.Worker{w}}.Encode())
 		if len(faults) > 0 || seen[w.Name] {
 			klog.V(2).Infof("list: Worker %q is left out: %v.", w.Name, faults)
 			continue
@@ -175,23 +175,23 @@
 
 // base gives a pool's list as the view has it, or as last written here.
 func (l *lister) base(pool string) writtenList {
-	c, isStanding := l.m.d.View.Get(feed.PartOf(pool, l.m.d.Settings.Parts), charter.WorkersKey+pool)
+	c, isStanding := l.m.d.View.Get(feed.PartOf(pool, l.m.d.Settings.Parts), config.WorkersKey+pool)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if was, isWritten := l.written[pool]; isWritten && was.revision >= c.Revision {
 		return was
 	}
-	out := writtenList{list: []charter.Worker{}}
+	out := writtenList{list: []config.Worker{}}
 	if isStanding {
-		list, _ := charter.ReadWorkers(c.Value)
+		list, _ := config.ReadWorkers(c.Value)
 		out = writtenList{c.Revision, list.Workers}
 	}
 	return out
 }
 
-func (l *lister) put(ctx context.Context, pool string, revision int64, list []charter.Worker) bool {
-	held, err := l.m.edit(ctx, wire.Edit{Part: feed.PartOf(pool, l.m.d.Settings.Parts), Key: charter.WorkersKey + pool,
-		Value: charter.Workers{Workers: list}.Encode(), IfRevision: revision, By: "list controller at " + l.m.d.Who.Name})
+func (l *lister) put(ctx context.Context, pool string, revision int64, list []config.Worker) bool {
+	held, err := l.m.edit(ctx, wire.Edit{Part: feed.PartOf(pool, l.m.d.Settings.Parts), Key: config.WorkersKey + pool,
+		Value: config.Workers{Workers: list}.Encode(), IfRevision: revision, By: "list controller at " + l.m.d.Who.Name})
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
@@ -208,8 +208,8 @@
 // seeEasing notes which restored zones' workers still count as cold.
 func (l *lister) seeEasing() {
 	now, next := l.m.d.Now(), map[string]ease{}
-	for _, c := range l.m.d.View.Keys(charter.ZoneKey) {
-		if charter.ReadMark(c.Value).Only != charter.OnlyCold {
+	for _, c := range l.m.d.View.Keys(config.ZoneKey) {
+		if config.ReadOrder(c.Value).Only != config.OnlyCold {
 			continue
 		}
 		was, isKnown := l.easing[c.Key]
@@ -221,7 +221,7 @@
 	l.easing = next
 }
 
-// settle takes the marks of restored zones away: after a read that began later
+// settle takes the orders of restored zones away: after a read that began later
 // than the lag behind the restoring was written, every daemon that still acts
 // has seen what was written, and the restoring is not sent again any more.
 func (l *lister) settle(ctx context.Context, began time.Duration) {
@@ -231,7 +231,7 @@
 			e.isSettled, e.settledAt = true, now
 			l.easing[key] = e
 		case e.isSettled && now-e.settledAt > l.m.d.Bounds.Of(timing.Fresh) && now-e.seenAt > l.m.resend:
-			_, err := l.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: key, IfRevision: e.revision, Gone: true,
+			_, err := l.m.edit(ctx, wire.Edit{Part: feed.ConfigPart, Key: key, IfRevision: e.revision, Gone: true,
 				By: "list controller at " + l.m.d.Who.Name})
 			if err != nil && !errs.Is(err, errs.Conflict) {
 				klog.Warningf("list: The mark %s cannot be taken away: %v.", key, err)
--- a/internal/manager/list_test.go
+++ b/internal/manager/list_test.go
@@ -7,39 +7,39 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
 // TestList is the table of what the list controller writes, turn by turn.
 func TestList(t *testing.T) {
-	worker := func(name, state string, isCold bool) charter.Worker {
-		return charter.Worker{Name: name, Address: "127.0.0.1:80", Zone: "a", State: state, IsCold: isCold}
+	worker := func(name, state string, isCold bool) config.Worker {
+		return config.Worker{Name: name, Address: "127.0.0.1:80", Zone: "a", State: state, IsCold: isCold}
 	}
 	w1, w2, left := worker("w1", "live", false), worker("w2", "live", true), worker("w1", "leaving", false)
 	bad := worker("no name", "live", false)
 	type turn struct {
-		read  []charter.Worker
+		read  []config.Worker
 		err   error
-		edits int // so far, without the charter's
-		want  []charter.Worker
+		edits int // so far, without the configuration's
+		want  []config.Worker
 	}
 	full, lost := errs.New(errs.Full, "rate"), errs.New(errs.Lost, "down")
-	both := []charter.Worker{w1, w2}
+	both := []config.Worker{w1, w2}
 	cases := []struct {
 		name  string
 		turns []turn
 	}{
-		{"a new list, once", []turn{{both, nil, 1, both}, {[]charter.Worker{w2, w1}, nil, 1, both}}},
-		{"a worker that leaves", []turn{{both, nil, 1, both}, {[]charter.Worker{left, w2}, nil, 2, []charter.Worker{left, w2}}}},
+		{"a new list, once", []turn{{both, nil, 1, both}, {[]config.Worker{w2, w1}, nil, 1, both}}},
+		{"a worker that leaves", []turn{{both, nil, 1, both}, {[]config.Worker{left, w2}, nil, 2, []config.Worker{left, w2}}}},
 		{"nothing when the read fails", []turn{{both, nil, 1, both}, {nil, lost, 1, both}, {both, nil, 1, both}}},
-		{"nothing in a turn that is left out", []turn{{both, nil, 1, both}, {nil, full, 1, both}, {[]charter.Worker{left, w2}, nil, 1, both},
-			{[]charter.Worker{left, w2}, nil, 2, []charter.Worker{left, w2}}}},
-		{"a worker gone once it was missed twice", []turn{{both, nil, 1, both}, {[]charter.Worker{w1}, nil, 1, both},
-			{[]charter.Worker{w1}, nil, 2, []charter.Worker{w1}}}},
-		{"a worker missed once", []turn{{both, nil, 1, both}, {[]charter.Worker{w1}, nil, 1, both}, {both, nil, 1, both}}},
-		{"no worker that a list may not hold", []turn{{[]charter.Worker{w1, bad}, nil, 1, []charter.Worker{w1}}}},
+		{"nothing in a turn that is left out", []turn{{both, nil, 1, both}, {nil, full, 1, both}, {[]config.Worker{left, w2}, nil, 1, both},
+			{[]config.Worker{left, w2}, nil, 2, []config.Worker{left, w2}}}},
+		{"a worker gone once it was missed twice", []turn{{both, nil, 1, both}, {[]config.Worker{w1}, nil, 1, both},
+			{[]config.Worker{w1}, nil, 2, []config.Worker{w1}}}},
+		{"a worker missed once", []turn{{both, nil, 1, both}, {[]config.Worker{w1}, nil, 1, both}, {both, nil, 1, both}}},
+		{"no worker that a list may not hold", []turn{{[]config.Worker{w1, bad}, nil, 1, []config.Worker{w1}}}},
 	}
 	for _, isBlind := range []bool{false, true} {
 		name := map[bool]string{false: "The list controller writes", true: "The list controller writes, with its view behind,"}[isBlind]
@@ -48,8 +48,8 @@
 				Convey(c.name, func() {
 					m, f := newFake()
 					var now turn
-					m.source = &Source{Workers: func(context.Context) (map[string][]charter.Worker, error) {
-						return map[string][]charter.Worker{"p": now.read, "other": {w1}}, now.err
+					m.source = &Source{Workers: func(context.Context) (map[string][]config.Worker, error) {
+						return map[string][]config.Worker{"p": now.read, "other": {w1}}, now.err
 					}}
 					_, err := m.operators.Propose(context.Background(), Proposal{Make: func([]byte) ([]byte, error) {
 						return []byte(`{"pools":{"p":{},"e":{"kind":"endpoint","address":"127.0.0.1:9"}}}`), nil
@@ -60,8 +60,8 @@
 					for _, now = range c.turns {
 						l.turn(context.Background())
 						So(len(f.edits)-1, ShouldEqual, now.edits)
-						c, _ := f.part(1).Get(charter.WorkersKey + "p")
-						got, faults := charter.ReadWorkers(c.Value)
+						c, _ := f.part(1).Get(config.WorkersKey + "p")
+						got, faults := config.ReadWorkers(c.Value)
 						So(faults, ShouldBeEmpty)
 						So(got.Workers, ShouldResemble, now.want)
 					}
@@ -76,20 +76,20 @@
 func TestEasing(t *testing.T) {
 	Convey("A restored cell's workers", t, func() {
 		m, _ := newFake()
-		m.source = &Source{Lag: time.Second, Workers: func(context.Context) (map[string][]charter.Worker, error) { return nil, nil }}
-		edit := wire.Edit{Part: 1, Key: charter.WorkersKey + "p", Value: charter.Workers{Workers: []charter.Worker{
+		m.source = &Source{Lag: time.Second, Workers: func(context.Context) (map[string][]config.Worker, error) { return nil, nil }}
+		edit := wire.Edit{Part: 1, Key: config.WorkersKey + "p", Value: config.Workers{Workers: []config.Worker{
 			{Name: "w", Address: "127.0.0.1:80", Zone: "a", State: "live"}}}.Encode()}
 		_, err := m.edit(context.Background(), edit)
 		So(err, ShouldBeNil)
 		look := func() (isServed, isCold bool) {
-			w, isServed := m.scenes.Now().CanServe("p", "w")
+			w, isServed := m.configs.Current().CanServe("p", "w")
 			return isServed, w.IsCold
 		}
 		_, err = m.operators.Empty(context.Background(), "x", "a", true)
 		So(err, ShouldBeNil)
 		isServed, _ := look()
 		So(isServed, ShouldBeFalse)
-		So(m.scenes.Now().MayWork("a"), ShouldBeTrue)
+		So(m.configs.Current().MayWork("a"), ShouldBeTrue)
 		_, err = m.operators.Restore(context.Background(), "x", "a")
 		So(err, ShouldBeNil)
 		l := newLister(m)
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/reach"
@@ -23,7 +23,7 @@
 // Manager is the daemon.
 type Manager struct {
 	d         *daemon.Daemon
-	scenes    *charter.Scenes
+	configs   *config.Cache
 	registry  *session.Registry
 	reach     *reach.Reach
 	operators *Operators
@@ -45,8 +45,8 @@
 func Run(source *settings.Source, options func(*daemon.Daemon) Options) {
 	d := daemon.New("manager", source)
 	o := options(d)
-	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: session.NewRegistry(d.Bounds.Of(timing.SessionTimeout)), source: o.Source,
-		resend: cmp.Or(o.Resend, 2*d.Bounds.Charter), stores: settledStores{bound: d.Bounds.Charter}}
+	m := &Manager{d: d, configs: &config.Cache{View: d.View}, registry: session.NewRegistry(d.Bounds.Of(timing.SessionTimeout)), source: o.Source,
+		resend: cmp.Or(o.Resend, 2*d.Bounds.Config), stores: settledStores{bound: d.Bounds.Config}}
 	m.operators = &Operators{m}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/manager/operators.go
+++ b/internal/manager/operators.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
@@ -19,8 +19,8 @@
 // NewOperators gives the operators' code on a daemon, a reach and a registry
 // that somebody else runs: the simulation does.
 func NewOperators(d *daemon.Daemon, r *reach.Reach, registry *session.Registry) *Operators {
-	m := &Manager{d: d, scenes: &charter.Scenes{View: d.View}, registry: registry, reach: r, resend: 2 * d.Bounds.Charter,
-		stores: settledStores{bound: d.Bounds.Charter}}
+	m := &Manager{d: d, configs: &config.Cache{View: d.View}, registry: registry, reach: r, resend: 2 * d.Bounds.Config,
+		stores: settledStores{bound: d.Bounds.Config}}
 	m.operators = &Operators{m}
 	return m.operators
 }
@@ -31,13 +31,13 @@
 	o.m.stores.note(o.m.d.Membership.Kind("store"), o.m.d.Now())
 }
 
-// Proposal is a change of the charter. It names what it builds on: a revision or,
+// Proposal is a change of the configuration. It names what it builds on: a revision or,
 // if IsOnVersion, the operators' own version.
 type Proposal struct {
 	By          string
 	Digest      string // names this very edit: one already taken is not made again; empty for none
-	OnRevision  int64  // 0 for the first charter
-	OnVersion   int64  // 0 for a charter without a version
+	OnRevision  int64  // 0 for the first configuration
+	OnVersion   int64  // 0 for a configuration without a version
 	IsOnVersion bool
 	IsCheck     bool // it is only checked
 	Make        func(base []byte) ([]byte, error)
@@ -46,31 +46,31 @@
 // Verdict is what became of a proposal.
 type Verdict struct {
 	Revision    int64
-	Differences []charter.Difference
-	Faults      []charter.Fault // with errs.Invalid, if the new charter has any
+	Differences []config.Difference
+	Faults      []config.Fault // with errs.Invalid, if the new configuration has any
 }
 
-// Charter reads the charter through a majority. Revision 0 means that there is none.
-func (o *Operators) Charter(ctx context.Context) (doc []byte, revision int64, err error) {
-	c, err := o.m.pull(ctx, feed.CharterPart, charter.Key)
+// Config reads the configuration through a majority. Revision 0 means that there is none.
+func (o *Operators) Config(ctx context.Context) (doc []byte, revision int64, err error) {
+	c, err := o.m.pull(ctx, feed.ConfigPart, config.Key)
 	if errs.Is(err, errs.Unknown) {
 		return []byte("{}"), 0, nil
 	}
 	return c.Value, c.Revision, err
 }
 
-// Propose checks a charter on its base and writes it on that base only. Of two
+// Propose checks a configuration on its base and writes it on that base only. Of two
 // proposals on one base one wins; the other has errs.Conflict. One with a
 // digest that was taken before holds, also when others were made on top of it;
 // where that cannot be known it has errs.Undecided.
 func (o *Operators) Propose(ctx context.Context, p Proposal) (Verdict, error) {
-	base, revision, err := o.Charter(ctx)
+	base, revision, err := o.Config(ctx)
 	if err != nil {
 		return Verdict{}, err
 	}
-	version := charter.VersionOf(base)
+	version := config.VersionOf(base)
 	switch {
-	case charter.HasEdit(base, p.Digest):
+	case config.HasEdit(base, p.Digest):
 		return Verdict{Revision: revision}, nil
 	case p.IsOnVersion && version != p.OnVersion:
 		return o.settle(ctx, p, Verdict{}, errs.New(errs.Conflict, "the charter's version is %d", version))
@@ -81,7 +81,7 @@
 	if err != nil {
 		return Verdict{}, err
 	}
-	rules, faults := charter.Compile(doc)
+	rules, faults := config.Compile(doc)
 	if len(faults) > 0 {
 		return Verdict{Faults: faults}, errs.New(errs.Invalid, "the charter has faults")
 	}
@@ -90,26 +90,26 @@
 	}
 	out := Verdict{Revision: revision}
 	if !p.IsOnVersion {
-		if out.Differences, err = charter.Diff(base, doc); err != nil {
+		if out.Differences, err = config.Diff(base, doc); err != nil {
 			return Verdict{}, err
 		}
 	}
 	if p.IsCheck {
 		return out, nil
 	}
-	out.Revision, err = o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: charter.Key, Value: doc, IfRevision: revision, By: p.By,
-		Order: p.Digest, Base: p.OnVersion, Earlier: charter.EditsOf(base)})
+	out.Revision, err = o.m.edit(ctx, wire.Edit{Part: feed.ConfigPart, Key: config.Key, Value: doc, IfRevision: revision, By: p.By,
+		Order: p.Digest, Base: p.OnVersion, Earlier: config.EditsOf(base)})
 	return o.settle(ctx, p, out, err)
 }
 
 // settle looks whether an edit that seems lost was taken all the same. The part
-// that holds the charter remembers each order that was taken, so only its word
+// that holds the configuration remembers each order that was taken, so only its word
 // makes a clear no.
 func (o *Operators) settle(ctx context.Context, p Proposal, out Verdict, err error) (Verdict, error) {
 	if p.Digest == "" || !errs.Is(err, errs.Conflict) && !errs.Is(err, errs.Undecided) {
 		return out, err
 	}
-	taken, pullErr := o.m.pull(ctx, feed.CharterPart, feed.OrderKey(p.Digest, p.OnVersion))
+	taken, pullErr := o.m.pull(ctx, feed.ConfigPart, feed.OrderKey(p.Digest, p.OnVersion))
 	switch {
 	case pullErr == nil:
 		return Verdict{Revision: taken.Revision}, nil
@@ -121,14 +121,14 @@
 	return o.settleOlder(ctx, p, out, err)
 }
 
-// settleOlder is settle for a charter that an older build made: it remembers the
+// settleOlder is settle for a configuration that an older build made: it remembers the
 // newest orders itself.
 func (o *Operators) settleOlder(ctx context.Context, p Proposal, out Verdict, conflict error) (Verdict, error) {
-	doc, revision, err := o.Charter(ctx)
+	doc, revision, err := o.Config(ctx)
 	switch {
-	case err != nil, !charter.HasEdit(doc, p.Digest) && charter.HasForgotten(doc):
+	case err != nil, !config.HasEdit(doc, p.Digest) && config.HasForgotten(doc):
 		return out, undecided()
-	case charter.HasEdit(doc, p.Digest):
+	case config.HasEdit(doc, p.Digest):
 		return Verdict{Revision: revision}, nil
 	}
 	return out, conflict
--- a/internal/manager/operators_test.go
+++ b/internal/manager/operators_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
@@ -98,7 +98,7 @@
 func newFake() (*Manager, *fakeParts) {
 	view := feed.NewView(1)
 	f := &fakeParts{parts: map[int64]*feed.Part{}, view: view}
-	d := &daemon.Daemon{Bounds: timing.Bounds{Charter: 20 * time.Second}, Started: time.Now().Add(-time.Hour), View: view,
+	d := &daemon.Daemon{Bounds: timing.Bounds{Config: 20 * time.Second}, Started: time.Now().Add(-time.Hour), View: view,
 		Membership: session.NewMembership(), Who: wire.Who{Name: "m1", Kind: "manager"}}
 	d.Settings.Parts, d.Settings.Founders = 1, 3
 	members := []wire.Member{{Who: d.Who}}
@@ -106,7 +106,7 @@
 		members = append(members, wire.Member{Who: wire.Who{Name: "s" + strconv.Itoa(i+1), Kind: "store", Zone: "a", Addr: "s" + strconv.Itoa(i+1)}})
 	}
 	d.Membership.Take("x", members)
-	m := &Manager{d: d, scenes: &charter.Scenes{View: view}, registry: session.NewRegistry(time.Hour)}
+	m := &Manager{d: d, configs: &config.Cache{View: view}, registry: session.NewRegistry(time.Hour)}
 	for _, member := range members {
 		m.registry.Hear(member, d.Now(), true)
 	}
@@ -170,12 +170,12 @@
 				for _, s := range c.steps {
 					f.lose = s.lose
 					if s.isOvertaken {
-						f.before = func(e *wire.Edit) { f.part(0).Apply(wire.Edit{Key: charter.Key, Value: []byte(`{"version":8}`)}) }
+						f.before = func(e *wire.Edit) { f.part(0).Apply(wire.Edit{Key: config.Key, Value: []byte(`{"version":8}`)}) }
 					}
 					if s.isBuiltUpon {
 						f.before = func(e *wire.Edit) {
 							held := f.part(0).Apply(*e)
-							f.part(0).Apply(wire.Edit{Key: charter.Key, Value: []byte(`{"version":9}`), IfRevision: held.Revision})
+							f.part(0).Apply(wire.Edit{Key: config.Key, Value: []byte(`{"version":9}`), IfRevision: held.Revision})
 						}
 					}
 					_, err := m.operators.Propose(context.Background(), Proposal{By: "x", Digest: s.digest, OnVersion: int64(s.on),
@@ -185,9 +185,9 @@
 					} else {
 						So(errs.KindOf(err), ShouldEqual, s.kind)
 					}
-					doc, _, err := m.operators.Charter(context.Background())
+					doc, _, err := m.operators.Config(context.Background())
 					So(err, ShouldBeNil)
-					So(charter.VersionOf(doc), ShouldEqual, s.wantsVersion)
+					So(config.VersionOf(doc), ShouldEqual, s.wantsVersion)
 				}
 			})
 		}
--- a/internal/manager/orders_test.go
+++ b/internal/manager/orders_test.go
@@ -10,7 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
@@ -24,7 +24,7 @@
 // TestForgottenOrders: an order that may have been taken before all that is
 // remembered is never refused.
 func TestForgottenOrders(t *testing.T) {
-	older := func(edits int) string { // a charter as an older build wrote it
+	older := func(edits int) string { // a configuration as an older build wrote it
 		names := []string{}
 		for i := range edits {
 			names = append(names, strconv.Quote(fmt.Sprint("old", i)))
@@ -33,7 +33,7 @@
 	}
 	cases := []struct {
 		name    string
-		older   string // charter that stands at first
+		older   string // configuration that stands at first
 		steps   int    // orders taken after that
 		digest  string
 		on      int
@@ -57,7 +57,7 @@
 				base := 0
 				if c.older != "" {
 					base = 9
-					f.part(0).Apply(wire.Edit{Key: charter.Key, Value: []byte(c.older)})
+					f.part(0).Apply(wire.Edit{Key: config.Key, Value: []byte(c.older)})
 				}
 				for i := range c.steps {
 					_, err := propose(m, strconv.Itoa(i+1), base+i, base+i+1)
@@ -69,10 +69,10 @@
 				} else {
 					So(errs.KindOf(err), ShouldEqual, c.kind)
 				}
-				doc, _, err := m.operators.Charter(context.Background())
+				doc, _, err := m.operators.Config(context.Background())
 				So(err, ShouldBeNil)
-				So(charter.VersionOf(doc), ShouldEqual, base+c.steps)
-				So(len(charter.EditsOf(doc)) > 0, ShouldEqual, c.older != "" && c.steps == 0)
+				So(config.VersionOf(doc), ShouldEqual, base+c.steps)
+				So(len(config.EditsOf(doc)) > 0, ShouldEqual, c.older != "" && c.steps == 0)
 			})
 		}
 	})
--- a/internal/manager/retire.go
+++ b/internal/manager/retire.go
@@ -7,7 +7,7 @@
 
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/timing"
@@ -30,7 +30,7 @@
 		if err != nil {
 			return 0, err
 		}
-		if !admitted.Has(name) && !o.m.scenes.Now().Retired[name] {
+		if !admitted.Has(name) && !o.m.configs.Current().Retired[name] {
 			if err := o.weigh(ctx, name, admitted); err != nil {
 				return 0, err
 			}
@@ -43,22 +43,22 @@
 			}
 			klog.Infof("retire: Store %s is to be emptied within %v.", name, span)
 		}
-		return o.markRetired(ctx, by, name)
+		return o.orderRetired(ctx, by, name)
 	}
 	return 0, errs.New(errs.Undecided, "the change may or may not hold; read it back")
 }
 
-// markRetired tells all daemons of a retirement that was admitted. One that stands
+// orderRetired tells all daemons of a retirement that was admitted. One that stands
 // is left as it is, so that an order sent again does not make it look new.
-func (o *Operators) markRetired(ctx context.Context, by, name string) (int64, error) {
-	standing, err := o.m.pull(ctx, feed.CharterPart, charter.StoreKey+name)
+func (o *Operators) orderRetired(ctx context.Context, by, name string) (int64, error) {
+	standing, err := o.m.pull(ctx, feed.ConfigPart, config.StoreKey+name)
 	switch {
 	case err == nil:
 		return standing.Revision, nil
 	case !errs.Is(err, errs.Unknown):
 		return 0, err
 	}
-	return o.mark(ctx, by, charter.StoreKey+name, charter.Mark{}, -1)
+	return o.setOrder(ctx, by, config.StoreKey+name, config.Order{}, -1)
 }
 
 // Unretire takes a retirement back.
@@ -80,33 +80,33 @@
 				return 0, err
 			}
 		}
-		return o.unmark(ctx, by, charter.StoreKey+name)
+		return o.clearOrder(ctx, by, config.StoreKey+name)
 	}
 	return 0, errs.New(errs.Undecided, "the change may or may not hold; read it back")
 }
 
 // retirements reads which were admitted, through a majority, and the revision to
 // build on.
-func (o *Operators) retirements(ctx context.Context) (charter.Retirements, int64, error) {
-	c, err := o.m.pull(ctx, feed.CharterPart, charter.RetirementsKey)
+func (o *Operators) retirements(ctx context.Context) (config.Retirements, int64, error) {
+	c, err := o.m.pull(ctx, feed.ConfigPart, config.RetirementsKey)
 	if errs.Is(err, errs.Unknown) {
 		c, err = wire.Change{}, nil
 	}
 	if err != nil {
-		return charter.Retirements{}, 0, err
+		return config.Retirements{}, 0, err
 	}
-	admitted, err := charter.ReadRetirements(c.Value)
+	admitted, err := config.ReadRetirements(c.Value)
 	return admitted, c.Revision, err
 }
 
-func (o *Operators) writeRetirements(ctx context.Context, by string, r charter.Retirements, onRevision int64) (int64, error) {
-	return o.m.edit(ctx, wire.Edit{Part: feed.CharterPart, Key: charter.RetirementsKey, Value: r.Encode(), IfRevision: onRevision, By: by})
+func (o *Operators) writeRetirements(ctx context.Context, by string, r config.Retirements, onRevision int64) (int64, error) {
+	return o.m.edit(ctx, wire.Edit{Part: feed.ConfigPart, Key: config.RetirementsKey, Value: r.Encode(), IfRevision: onRevision, By: by})
 }
 
 // weigh tells whether a store may be retired besides those that are.
-func (o *Operators) weigh(ctx context.Context, name string, admitted charter.Retirements) error {
+func (o *Operators) weigh(ctx context.Context, name string, admitted config.Retirements) error {
 	m := o.m
-	for marked := range m.scenes.Now().Retired { // also those that an older build admitted
+	for marked := range m.configs.Current().Retired { // also those that an older build admitted
 		admitted = admitted.With(marked)
 	}
 	here, holding := []string{}, []string{}
@@ -139,7 +139,7 @@
 
 // remaining counts the stores that are left without one and without those that are
 // retired.
-func remaining(stores []string, without string, admitted charter.Retirements) int {
+func remaining(stores []string, without string, admitted config.Retirements) int {
 	counted := map[string]bool{}
 	for _, name := range stores {
 		if name != without && !admitted.Has(name) {
@@ -156,7 +156,7 @@
 // fresh, and no store has come or gone for so long that one which has just begun
 // would have been seen.
 func (m *Manager) knowsStores() bool {
-	return m.d.IsFresh() && m.stores.note(m.d.Membership.Kind("store"), m.d.Now()) >= m.d.Bounds.Charter
+	return m.d.IsFresh() && m.stores.note(m.d.Membership.Kind("store"), m.d.Now()) >= m.d.Bounds.Config
 }
 
 // unknown says that there is no such thing, if this manager can know.
--- a/internal/manager/retire_test.go
+++ b/internal/manager/retire_test.go
@@ -6,14 +6,14 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
 )
 
 // settleStores has a manager see the same stores for a bound.
 func settleStores(m *Manager) {
-	m.stores.note(m.d.Membership.Kind("store"), m.d.Now()-m.d.Bounds.Charter)
+	m.stores.note(m.d.Membership.Kind("store"), m.d.Now()-m.d.Bounds.Config)
 }
 
 // TestRetire is the table of which stores may be retired. newFake has s1 to s4.
@@ -21,7 +21,7 @@
 	another := func(name string) func(*fakeParts) { // another manager admits one at the same time
 		return func(f *fakeParts) {
 			f.before = func(*wire.Edit) {
-				f.part(0).Apply(wire.Edit{Key: charter.RetirementsKey, Value: charter.Retirements{Stores: []string{name}}.Encode(), IfRevision: -1})
+				f.part(0).Apply(wire.Edit{Key: config.RetirementsKey, Value: config.Retirements{Stores: []string{name}}.Encode(), IfRevision: -1})
 			}
 		}
 	}
@@ -58,7 +58,7 @@
 				}
 				if c.kind == "" {
 					So(err, ShouldBeNil)
-					_, isMarked := f.part(0).Get(charter.StoreKey + c.calls[0])
+					_, isMarked := f.part(0).Get(config.StoreKey + c.calls[0])
 					So(isMarked, ShouldBeTrue)
 					return
 				}
@@ -73,7 +73,7 @@
 				_, err := call(context.Background(), "x", "s1")
 				So(err, ShouldBeNil)
 			}
-			_, isMarked := f.part(0).Get(charter.StoreKey + "s1")
+			_, isMarked := f.part(0).Get(config.StoreKey + "s1")
 			So(isMarked, ShouldBeFalse)
 			_, err := m.operators.Retire(context.Background(), "x", "s2", 0)
 			So(err, ShouldBeNil)
@@ -112,7 +112,7 @@
 				So(err, ShouldBeNil)
 				c.change(f)
 				if c.isLate {
-					f.now += m.d.Bounds.Charter.Milliseconds()
+					f.now += m.d.Bounds.Config.Milliseconds()
 				}
 				got, err := m.operators.Retirement(context.Background(), "s4")
 				So(err, ShouldBeNil)
--- a/internal/manager/retirement.go
+++ b/internal/manager/retirement.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/timing"
@@ -27,7 +27,7 @@
 // or has stopped, so that none gives the store a seat again.
 func (o *Operators) Retirement(ctx context.Context, name string) (Retirement, error) {
 	m, out := o.m, Retirement{Store: name}
-	mark, err := m.read(ctx, feed.CharterPart, charter.StoreKey+name)
+	order, err := m.read(ctx, feed.ConfigPart, config.StoreKey+name)
 	switch {
 	case err == nil:
 		out.IsRetired = true
@@ -37,7 +37,7 @@
 	found := o.standings(ctx, name)
 	_, out.IsHere = m.d.Membership.Find(name)
 	out.Left, out.IsWhole = found.left(name), found.count() == m.groups()
-	isSettled := !out.IsRetired || found.isKnown && mark.Age >= m.d.Bounds.Charter.Milliseconds()
+	isSettled := !out.IsRetired || found.isKnown && order.Age >= m.d.Bounds.Config.Milliseconds()
 	out.IsDone = out.IsWhole && out.Left == 0 && isSettled && found.least() >= int64(m.copies())
 	return out, nil
 }
--- a/internal/manager/status.go
+++ b/internal/manager/status.go
@@ -53,8 +53,8 @@
 }
 
 func (m *Manager) getStatus(w http.ResponseWriter, _ *http.Request) {
-	scene := m.scenes.Now()
-	out := Status{Manager: m.d.Who.Name, Fresh: m.d.IsFresh(), Revision: scene.Revision, Members: []StatusMember{}, Pools: []StatusPool{},
+	compiled := m.configs.Current()
+	out := Status{Manager: m.d.Who.Name, Fresh: m.d.IsFresh(), Revision: compiled.Revision, Members: []StatusMember{}, Pools: []StatusPool{},
 		Shape: map[string]int64{"places": int64(m.d.Settings.Places), "parts": int64(m.d.Settings.Parts)}}
 	_, members := m.registry.Members(m.d.Now())
 	groups := map[int64]StatusGroup{}
@@ -72,16 +72,16 @@
 	for number := range int64(m.d.Settings.Places) {
 		out.Places = append(out.Places, withNumber(groups[wire.PlaceGroup+number], number))
 	}
-	out.Lanes, out.Shares = sorted(scene.Rules.Lanes), scene.Shares
-	for _, name := range sorted(scene.Rules.Pools) {
-		p := StatusPool{Name: name, Workers: len(scene.Workers[name]), Duties: map[string]string{}, Weights: scene.Weights[name]}
-		for worker, d := range scene.Duties[name] {
+	out.Lanes, out.Shares = sorted(compiled.Rules.Lanes), compiled.Shares
+	for _, name := range sorted(compiled.Rules.Pools) {
+		p := StatusPool{Name: name, Workers: len(compiled.Workers[name]), Duties: map[string]string{}, Weights: compiled.Weights[name]}
+		for worker, d := range compiled.Duties[name] {
 			p.Duties[worker] = d.Holder
 		}
 		out.Pools = append(out.Pools, p)
 	}
-	out.Resting = sorted(scene.Resting)
-	out.Emptied, out.Retired = sorted(scene.Emptied), sorted(scene.Retired)
+	out.Resting = sorted(compiled.Resting)
+	out.Emptied, out.Retired = sorted(compiled.Emptied), sorted(compiled.Retired)
 	web.Answer(w, 200, out)
 }
 
@@ -99,7 +99,7 @@
 // getDaemons lists daemons, for handing clients to adapters that are ready.
 func (m *Manager) getDaemons(w http.ResponseWriter, r *http.Request) {
 	isReadyOnly, kind := r.URL.Query().Get("ready") == "true", r.URL.Query().Get("kind")
-	emptied := m.scenes.Now().Emptied
+	emptied := m.configs.Current().Emptied
 	out := []StatusMember{}
 	_, members := m.registry.Members(m.d.Now())
 	for _, member := range members {
--- a/internal/manager/weights.go
+++ b/internal/manager/weights.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"strings"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/timing"
@@ -23,24 +23,24 @@
 		if !m.d.IsFresh() {
 			return
 		}
-		scene, seen := m.scenes.Now(), m.seen()
+		compiled, seen := m.configs.Current(), m.seen()
 		pools := map[string]bool{}
-		for name, p := range scene.Rules.Pools {
-			pools[name] = !p.IsEndpoint && len(scene.Workers[name]) > 1
+		for name, p := range compiled.Rules.Pools {
+			pools[name] = !p.IsEndpoint && len(compiled.Workers[name]) > 1
 		}
 		for _, pool := range m.ownPools(pools) {
 			if pools[pool] {
-				m.publishWeights(ctx, scene, pool, seen[pool])
+				m.publishWeights(ctx, compiled, pool, seen[pool])
 			}
 		}
-		m.publishShares(ctx, scene, seen)
+		m.publishShares(ctx, compiled, seen)
 	})
 }
 
 // seen gathers what adapters tell of their workers, by pool and worker.
 func (m *Manager) seen() map[string]map[string]weight.Seen {
 	out := map[string]map[string]weight.Seen{}
-	scene := m.scenes.Now()
+	compiled := m.configs.Current()
 	_, members := m.registry.Members(m.d.Now())
 	for _, member := range members {
 		for key, micros := range member.Fact.Counts {
@@ -53,7 +53,7 @@
 			if out[pool] == nil {
 				out[pool] = map[string]weight.Seen{}
 			}
-			out[pool][worker] = weight.Seen{Zone: scene.Workers[pool][worker].Zone, Micros: float64(micros),
+			out[pool][worker] = weight.Seen{Zone: compiled.Workers[pool][worker].Zone, Micros: float64(micros),
 				Failed:  float64(member.Fact.Counts["run_misses "+name]) / 1000,
 				IsProbe: member.Fact.Counts["run_probes "+name] > 0}
 		}
@@ -61,38 +61,38 @@
 	return out
 }
 
-func (m *Manager) publishWeights(ctx context.Context, scene *charter.Scene, pool string, seen map[string]weight.Seen) {
+func (m *Manager) publishWeights(ctx context.Context, compiled *config.Compiled, pool string, seen map[string]weight.Seen) {
 	for worker := range seen {
-		if _, isListed := scene.Workers[pool][worker]; !isListed {
+		if _, isListed := compiled.Workers[pool][worker]; !isListed {
 			delete(seen, worker)
 		}
 	}
-	old := scene.Weights[pool]
+	old := compiled.Weights[pool]
 	next := weight.Next(old, seen)
 	if len(seen) > 0 && weight.IsNews(old, next) {
-		m.publish(ctx, charter.WeightKey, pool, next)
+		m.publish(ctx, config.WeightKey, pool, next)
 	}
 }
 
 // publishShares weighs the pools of each lane that has several, by what is seen
 // of their workers. A lane is looked after as a pool of its name would be.
-func (m *Manager) publishShares(ctx context.Context, scene *charter.Scene, seen map[string]map[string]weight.Seen) {
+func (m *Manager) publishShares(ctx context.Context, compiled *config.Compiled, seen map[string]map[string]weight.Seen) {
 	lanes := map[string]bool{}
-	for name, lane := range scene.Rules.Lanes {
+	for name, lane := range compiled.Rules.Lanes {
 		if len(lane.Pools) > 1 {
 			lanes[name] = true
 		}
 	}
 	for _, lane := range m.ownPools(lanes) {
 		pools := map[string]weight.Seen{}
-		for _, pool := range scene.Rules.Lanes[lane].Pools {
+		for _, pool := range compiled.Rules.Lanes[lane].Pools {
 			if len(seen[pool]) > 0 {
 				pools[pool] = weight.Join(seen[pool])
 			}
 		}
-		next := weight.Turn(scene.Shares[lane], pools)
-		if len(pools) > 1 && weight.HasMoved(scene.Shares[lane], next) {
-			m.publish(ctx, charter.ShareKey, lane, next)
+		next := weight.Turn(compiled.Shares[lane], pools)
+		if len(pools) > 1 && weight.HasMoved(compiled.Shares[lane], next) {
+			m.publish(ctx, config.ShareKey, lane, next)
 		}
 	}
 }
@@ -107,7 +107,7 @@
 	if c, isStanding := m.d.View.Get(part, prefix+name); isStanding {
 		revision = c.Revision
 	}
-	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Charter)
+	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Config)
 	defer cancel()
 	_, err = m.edit(ctx, wire.Edit{Part: part, Key: prefix + name, Value: raw, IfRevision: revision, By: "weight controller at " + m.d.Who.Name})
 	if err != nil && !errs.Is(err, errs.Conflict) {
--- a/internal/manager/workers.go
+++ b/internal/manager/workers.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/web"
@@ -13,10 +13,10 @@
 // pool finds the pool named in the path and its workers' key.
 func (m *Manager) pool(r *http.Request) (part int64, key string, err error) {
 	name, isFresh := r.PathValue("pool"), m.d.IsFresh()
-	pool, isKnown := m.scenes.Now().Rules.Pools[name]
-	if !isKnown { // a charter accepted a moment ago may not be in the view yet
-		if c, err := m.pull(r.Context(), feed.CharterPart, charter.Key); err == nil {
-			if rules, faults := charter.Compile(c.Value); len(faults) == 0 {
+	pool, isKnown := m.configs.Current().Rules.Pools[name]
+	if !isKnown { // a configuration accepted a moment ago may not be in the view yet
+		if c, err := m.pull(r.Context(), feed.ConfigPart, config.Key); err == nil {
+			if rules, faults := config.Compile(c.Value); len(faults) == 0 {
 				pool, isKnown = rules.Pools[name]
 			}
 		}
@@ -29,7 +29,7 @@
 	case pool.IsEndpoint:
 		return 0, "", errs.New(errs.Rejected, "pool %s is an outside endpoint; its address is in the charter", name)
 	}
-	return feed.PartOf(name, m.d.Settings.Parts), charter.WorkersKey + name, nil
+	return feed.PartOf(name, m.d.Settings.Parts), config.WorkersKey + name, nil
 }
 
 func (m *Manager) readWorkers(r *http.Request) (part int64, key string, c wire.Change, err error) {
@@ -38,7 +38,7 @@
 	}
 	c, err = m.pull(r.Context(), part, key)
 	if errs.Is(err, errs.Unknown) {
-		c, err = wire.Change{Value: charter.Workers{Workers: []charter.Worker{}}.Encode()}, nil
+		c, err = wire.Change{Value: config.Workers{Workers: []config.Worker{}}.Encode()}, nil
 	}
 	return
 }
@@ -49,31 +49,31 @@
 		web.Fail(w, err)
 		return
 	}
-	list, _ := charter.ReadWorkers(c.Value)
+	list, _ := config.ReadWorkers(c.Value)
 	w.Header().Set("ETag", etag(c.Revision))
 	web.Answer(w, 200, list)
 }
 
 func (m *Manager) putWorkers(w http.ResponseWriter, r *http.Request) {
-	m.proposeWorkers(w, r, func(_, given charter.Workers) charter.Workers { return given })
+	m.proposeWorkers(w, r, func(_, given config.Workers) config.Workers { return given })
 }
 
 func (m *Manager) patchWorkers(w http.ResponseWriter, r *http.Request) {
-	m.proposeWorkers(w, r, func(base, given charter.Workers) charter.Workers { return base.Patch(given) })
+	m.proposeWorkers(w, r, func(base, given config.Workers) config.Workers { return base.Patch(given) })
 }
 
-func (m *Manager) proposeWorkers(w http.ResponseWriter, r *http.Request, make func(base, given charter.Workers) charter.Workers) {
+func (m *Manager) proposeWorkers(w http.ResponseWriter, r *http.Request, make func(base, given config.Workers) config.Workers) {
 	revision, err := revisionOf(r)
 	if err != nil {
 		web.Fail(w, err)
 		return
 	}
-	body, err := web.Body(r, charter.MostBytes)
+	body, err := web.Body(r, config.MostBytes)
 	if err != nil {
 		web.Fail(w, err)
 		return
 	}
-	given, faults := charter.ReadWorkers(body)
+	given, faults := config.ReadWorkers(body)
 	if len(faults) > 0 {
 		web.Reject(w, 422, web.Problem{Error: errs.Invalid, Text: "the list has faults", More: faults}, 0)
 		return
@@ -87,7 +87,7 @@
 		failEdit(w, errs.New(errs.Conflict, "the list's stamp is %d", c.Revision))
 		return
 	}
-	base, _ := charter.ReadWorkers(c.Value)
+	base, _ := config.ReadWorkers(c.Value)
 	next := make(base, given)
 	held, err := m.edit(r.Context(), wire.Edit{Part: part, Key: key, Value: next.Encode(), IfRevision: revision, By: operator(r)})
 	if err != nil {
@@ -98,9 +98,9 @@
 	web.Answer(w, 200, map[string]any{"stamp": held, "workers": len(next.Workers)})
 }
 
-// postMark sets or clears a mark: an emptied zone, a retired store. It needs
+// postOrder sets or clears an order: an emptied zone, a retired store. It needs
 // no base, since doing it twice is doing it once.
-func (m *Manager) postMark(kind string, change func(r *http.Request, subject string) (held int64, isMarked bool, err error)) http.HandlerFunc {
+func (m *Manager) postOrder(kind string, change func(r *http.Request, subject string) (held int64, isMarked bool, err error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		subject := r.PathValue(kind)
 		held, isMarked, err := change(r, subject)
@@ -114,7 +114,7 @@
 
 func (m *Manager) empty(r *http.Request, zone string) (int64, bool, error) {
 	only := r.URL.Query().Get("only")
-	if only != "" && only != charter.OnlyWorkers {
+	if only != "" && only != config.OnlyWorkers {
 		return 0, false, errs.New(errs.Invalid, "only may be workers")
 	}
 	held, err := m.operators.Empty(r.Context(), operator(r), zone, only != "")
@@ -144,7 +144,7 @@
 			return true
 		}
 	}
-	for _, pool := range m.scenes.Now().Workers {
+	for _, pool := range m.configs.Current().Workers {
 		for _, w := range pool {
 			if kind == "cell" && w.Zone == subject {
 				return true
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -1,5 +1,5 @@
 // Package manifest reads routes in the manner of the Gateway API and translates
-// them into edits of the charter. What has no like in a charter is refused, each
+// them into edits of the configuration. What has no like in a configuration is refused, each
 // thing with its path: a route is taken whole or not at all.
 package manifest
 
@@ -14,7 +14,7 @@
 	gateway "sigs.k8s.io/gateway-api/apis/v1"
 	"sigs.k8s.io/yaml"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 )
 
@@ -26,11 +26,11 @@
 	mostDocument           = 1 << 20
 )
 
-// Translate returns the charter with the routes of a manifest merged in.
-func Translate(doc, manifest []byte) ([]byte, []charter.Fault) {
-	faults := []charter.Fault{}
+// Translate returns the configuration with the routes of a manifest merged in.
+func Translate(doc, manifest []byte) ([]byte, []config.Fault) {
+	faults := []config.Fault{}
 	if len(manifest) > mostDocument {
-		return nil, []charter.Fault{{Path: "", Text: "is larger than a manifest may be"}}
+		return nil, []config.Fault{{Path: "", Text: "is larger than a manifest may be"}}
 	}
 	for i, part := range bytes.Split(manifest, []byte("\n---")) {
 		if len(bytes.TrimSpace(bytes.TrimPrefix(part, []byte("---")))) == 0 {
@@ -39,7 +39,7 @@
 		t := translator{at: fmt.Sprintf("documents.%d", i)}
 		patch, err := t.route(part)
 		if err == nil && len(t.faults) == 0 {
-			doc, err = charter.Merge(doc, patch)
+			doc, err = config.Merge(doc, patch)
 		}
 		if err != nil {
 			t.fault("", err.Error())
@@ -54,14 +54,14 @@
 
 type translator struct {
 	at     string
-	faults []charter.Fault
+	faults []config.Fault
 }
 
 func (t *translator) fault(path, text string) {
-	t.faults = append(t.faults, charter.Fault{Path: strings.TrimSuffix(t.at+"."+path, "."), Text: text})
+	t.faults = append(t.faults, config.Fault{Path: strings.TrimSuffix(t.at+"."+path, "."), Text: text})
 }
 
-// route translates one HTTPRoute into a merge patch of the charter.
+// route translates one HTTPRoute into a merge patch of the configuration.
 func (t *translator) route(raw []byte) ([]byte, error) {
 	var r gateway.HTTPRoute
 	if err := yaml.UnmarshalStrict(raw, &r); err != nil {
@@ -106,7 +106,7 @@
 		r.Timeouts.Request = nil
 	}
 	if r.Retry != nil && r.Retry.Attempts != nil {
-		set["attempts"] = *r.Retry.Attempts + 1 // a charter counts the first run too
+		set["attempts"] = *r.Retry.Attempts + 1 // a configuration counts the first run too
 		r.Retry.Attempts = nil
 	}
 	if r.Retry != nil && r.Retry.Backoff != nil {
--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 )
 
 const base = `{"pools":{"p":{},"q":{}},"lanes":{"a":{"pools":["p"],"urgency":7},"t":{"pools":["p"],"children":{"x":{}}}}}`
@@ -32,7 +32,7 @@
 	Convey("A route becomes lanes, beside what the charter has", t, func() {
 		doc, faults := Translate([]byte(base), []byte("---\n"+route+"---\n"))
 		So(faults, ShouldBeEmpty)
-		rules, found := charter.Compile(doc)
+		rules, found := config.Compile(doc)
 		So(found, ShouldBeEmpty)
 		for _, name := range []string{"t.x", "n"} {
 			lane := rules.Lanes[name]
@@ -44,7 +44,7 @@
 		So(rules.Lanes["a"].Urgency, ShouldEqual, 7)
 		again, faults := Translate(doc, []byte(route))
 		So(faults, ShouldBeEmpty)
-		same, err := charter.Diff(doc, again)
+		same, err := config.Diff(doc, again)
 		So(err, ShouldBeNil)
 		So(same, ShouldBeEmpty)
 	})
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -1,11 +1,11 @@
 // Package path runs a message's way through a process: a small interpreter over
-// rules that are compiled from the charter, once for each charter.
+// rules that are compiled from the configuration, once for each configuration.
 package path
 
 import (
 	"sync"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 )
 
@@ -42,7 +42,7 @@
 type Program []Step
 
 // Intake compiles the steps by which messages of a lane are taken in.
-func Intake(l charter.Lane) Program {
+func Intake(l config.Lane) Program {
 	out := Program{{Op: Fresh}, {Op: Size, Number: l.Size}}
 	if l.IsOrdered {
 		return append(out, Step{Op: Keyed}, Step{Op: Place}, Step{Op: Hold})
@@ -51,29 +51,29 @@
 }
 
 // Delivery compiles the steps by which messages of a lane are delivered.
-func Delivery(l charter.Lane) Program {
+func Delivery(l config.Lane) Program {
 	return Program{{Op: Fresh}, {Op: Allowed, Names: l.Pools}, {Op: Live}, {Op: Holder}, {Op: Whole}, {Op: Send}}
 }
 
-// Programs caches the compiled programs of one charter's lanes, until another
-// charter's rules are asked for.
+// Programs caches the compiled programs of one configuration's lanes, until another
+// configuration's rules are asked for.
 type Programs struct {
 	mu    sync.Mutex
-	rules *charter.Rules
+	rules *config.Rules
 	known map[string]Program
 }
 
 // Intake returns the program that takes messages of a lane in.
-func (p *Programs) Intake(rules *charter.Rules, lane string) Program {
+func (p *Programs) Intake(rules *config.Rules, lane string) Program {
 	return p.get(rules, "in "+lane, func() Program { return Intake(rules.Lanes[lane]) })
 }
 
 // Delivery returns the program that delivers messages of a lane.
-func (p *Programs) Delivery(rules *charter.Rules, lane string) Program {
+func (p *Programs) Delivery(rules *config.Rules, lane string) Program {
 	return p.get(rules, "out "+lane, func() Program { return Delivery(rules.Lanes[lane]) })
 }
 
-func (p *Programs) get(rules *charter.Rules, key string, compile func() Program) Program {
+func (p *Programs) get(rules *config.Rules, key string, compile func() Program) Program {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.rules != rules {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -44,7 +44,7 @@
 				membership, turn := session.NewMembership(), 0
 				membership.Take("x", []wire.Member{{Who: wire.Who{Name: "s1", Kind: "store"}}, {Who: wire.Who{Name: "s2", Kind: "store"}}})
 				ctx, cancel := context.WithCancel(context.Background())
-				r := &Reach{Membership: membership, Bounds: timing.Bounds{Charter: time.Millisecond}, Call: func(context.Context, string, any) (any, error) {
+				r := &Reach{Membership: membership, Bounds: timing.Bounds{Config: time.Millisecond}, Call: func(context.Context, string, any) (any, error) {
 					answer := c.answers[min(turn, len(c.answers)-1)]
 					if turn++; turn > 5 {
 						cancel()
--- a/internal/repair/handover.go
+++ b/internal/repair/handover.go
@@ -41,7 +41,7 @@
 	timing.Every(ctx, r.Bounds.Of(timing.Resend), func() {
 		for _, o := range k.Due(now()) {
 			go func() {
-				ctx, cancel := context.WithTimeout(ctx, r.Bounds.Charter)
+				ctx, cancel := context.WithTimeout(ctx, r.Bounds.Config)
 				defer cancel()
 				_, err := r.Group(ctx, group(o.Place), o, Home)
 				if err == nil {
--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/fleet"
@@ -23,10 +23,10 @@
 	heldAt int64 // when it was acknowledged
 }
 
-// changer edits the charter and one list by turns, at a rate.
+// changer edits the configuration and one list by turns, at a rate.
 type changer struct {
 	f     *fleet.Fleet
-	lists map[string][]charter.Worker
+	lists map[string][]config.Worker
 	mu    sync.Mutex
 	made  []made
 	base  map[string]string // revision by path
@@ -43,18 +43,18 @@
 		if list := c.lists[poolName(0)]; turn%2 == 0 && len(list) > 0 {
 			w := list[0]
 			w.State = []string{"live", "leaving"}[turn/2%2]
-			c.edit(ctx, "/v1/pools/"+poolName(0)+"/workers", charter.Workers{Workers: []charter.Worker{w}},
+			c.edit(ctx, "/v1/pools/"+poolName(0)+"/workers", config.Workers{Workers: []config.Worker{w}},
 				feed.PartOf(poolName(0), parts))
 			return
 		}
-		c.edit(ctx, "/v1/charter", map[string]string{"note": fmt.Sprint("scale ", turn)}, feed.CharterPart)
+		c.edit(ctx, "/v1/charter", map[string]string{"note": fmt.Sprint("scale ", turn)}, feed.ConfigPart)
 	})
 }
 
 // atLeastOne makes up for a window in which a busy machine let none through.
 func (c *changer) atLeastOne(ctx context.Context) {
 	for turn := 0; turn < 20 && len(c.made) == 0 && ctx.Err() == nil; turn++ {
-		c.edit(ctx, "/v1/charter", map[string]string{"note": fmt.Sprint("again ", turn)}, feed.CharterPart)
+		c.edit(ctx, "/v1/charter", map[string]string{"note": fmt.Sprint("again ", turn)}, feed.ConfigPart)
 		pause(ctx, 100*time.Millisecond)
 	}
 }
@@ -95,7 +95,7 @@
 	c.mu.Lock()
 	all := c.made
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, 10*timing.Default.Charter)
+	ctx, cancel := context.WithTimeout(ctx, 10*timing.Default.Config)
 	defer cancel()
 	var lags []lag
 	for {
@@ -115,7 +115,7 @@
 	}
 	out.Changes, out.InForce = len(all), len(lags)
 	for _, lag := range lags {
-		if lag.sinceHeld > timing.Default.Charter {
+		if lag.sinceHeld > timing.Default.Config {
 			out.Late++
 		}
 	}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/deliver"
 	"caperwheel/internal/errs"
@@ -27,7 +27,7 @@
 // join them, without callers.
 type front struct {
 	agent, adapter *daemon.Daemon
-	scenes         *charter.Scenes
+	configs        *config.Cache
 	ledger         *ledger
 	cancel         context.CancelFunc
 	met            []wire.PartRevision // noted in the ledger; of the poll's goroutine alone
@@ -124,14 +124,14 @@
 // runAdapter joins the parts as cmd/adapter does.
 func (f *front) runAdapter(ctx context.Context) error {
 	d := f.adapter
-	f.scenes = &charter.Scenes{View: d.View}
-	d.CanRead = f.scenes.CanRead
-	out := deliver.New(ctx, d, f.scenes, deliver.Own)
+	f.configs = &config.Cache{View: d.View}
+	d.CanRead = f.configs.CanRead
+	out := deliver.New(ctx, d, f.configs, deliver.Own)
 	if err := link(d, map[string]transport.Handler{"run": out.Serve}); err != nil {
 		return err
 	}
 	out.Link()
-	in := intake.New(d, f.scenes)
+	in := intake.New(d, f.configs)
 	client := d.Client(func() wire.Poll {
 		poll := d.Poll()
 		out.Say(poll.Fact.Counts)
@@ -144,7 +144,7 @@
 	return nil
 }
 
-// onNews notes what is in force here: composed into a scene, by a fresh view.
+// onNews notes what is in force here: composed into a configuration, by a fresh view.
 func (f *front) onNews() {
 	turns := f.adapter.View.Turns()
 	isFresh := f.adapter.IsFresh()
@@ -153,7 +153,7 @@
 		return
 	}
 	revisions := f.adapter.View.Revisions()
-	f.scenes.Now()
+	f.configs.Current()
 	f.turns, f.met = turns, f.ledger.note(f.met, revisions)
 }
 
--- a/internal/scale/point.go
+++ b/internal/scale/point.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
 	"caperwheel/internal/timing"
@@ -19,7 +19,7 @@
 type Point struct {
 	Daemons      int     `json:"daemons"`      // hollow ones; half agents, half adapters
 	Destinations int     `json:"destinations"` // workers whose duties hollow adapters hold
-	Changes      float64 `json:"changes"`      // a second, of the charter and of a list by turns
+	Changes      float64 `json:"changes"`      // a second, of the configuration and of a list by turns
 	Targets      int     `json:"targets"`      // destinations with traffic, served by the real adapters
 	Down         int     `json:"down"`         // of the targets
 	Backlog      int     `json:"backlog"`      // messages that nobody runs
@@ -37,7 +37,7 @@
 // perPool is how many destinations one list holds.
 const perPool = 100
 
-// parts is how many parts the control state has beside the charter's.
+// parts is how many parts the control state has beside the configuration's.
 const parts = 4
 
 // realFronts is how many real agents and adapters serve beside the hollow ones.
@@ -65,8 +65,8 @@
 	return out
 }
 
-// charter writes the point's charter.
-func (p Point) charter() ([]byte, error) {
+// config writes the point's configuration.
+func (p Point) config() ([]byte, error) {
 	type tree = map[string]any
 	pools := tree{"served": tree{"concurrency": 8, "ease": "0s"}, "parked": tree{}}
 	lanes := tree{"served": tree{"pools": []string{"served"}}, "parked": tree{"pools": []string{"parked"}, "patience": "24h"}}
@@ -95,19 +95,19 @@
 
 // lists gives the workers of each pool. Those of the hollow adapters stand in
 // their zones; the targets stand in the real ones'.
-func (p Point) lists(live string) map[string][]charter.Worker {
-	out := map[string][]charter.Worker{}
+func (p Point) lists(live string) map[string][]config.Worker {
+	out := map[string][]config.Worker{}
 	for i := range p.Destinations {
 		pool := poolName(i / perPool)
-		out[pool] = append(out[pool], charter.Worker{Name: fmt.Sprintf("w%03d", i%perPool), Address: nobody,
+		out[pool] = append(out[pool], config.Worker{Name: fmt.Sprintf("w%03d", i%perPool), Address: nobody,
 			Zone: fmt.Sprintf("hollow-%c", 'a'+i%hollowZones), State: "live"})
 	}
 	for i := range p.Targets {
-		w := charter.Worker{Name: "only", Address: live, Zone: string(rune('a' + i%realFronts)), State: "live"}
+		w := config.Worker{Name: "only", Address: live, Zone: string(rune('a' + i%realFronts)), State: "live"}
 		if i < p.Down {
 			w.Address = nobody
 		}
-		out[targetName(i)] = []charter.Worker{w}
+		out[targetName(i)] = []config.Worker{w}
 	}
 	return out
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -13,7 +13,7 @@
 
 	"github.com/alitto/pond/v2"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/fleet"
 	"caperwheel/internal/manager"
@@ -35,7 +35,7 @@
 	point Point
 	f     *fleet.Fleet
 	pack  *fleet.Process
-	lists map[string][]charter.Worker
+	lists map[string][]config.Worker
 }
 
 // Measure starts a deployment, measures it and stops it.
@@ -44,7 +44,7 @@
 	if err := errs.Wrap(os.RemoveAll(o.Dir), errs.Internal, "folder"); err != nil {
 		return out, err
 	}
-	doc, err := p.charter()
+	doc, err := p.config()
 	if err != nil {
 		return out, err
 	}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -45,7 +45,7 @@
 				So(r.Row("manager").Members, ShouldBeBetweenOrEqual, 1, 2+3+2*realFronts+r.Point.Daemons)
 				So(r.Row("adapter").Members, ShouldBeLessThanOrEqualTo, 2+3)
 				So(r.Row("hollow").Members, ShouldBeLessThanOrEqualTo, 2+3)
-				// The charter, two lists, and a duty for each worker of them.
+				// The configuration, two lists, and a duty for each worker of them.
 				So(r.Row("hollow").Keys, ShouldBeGreaterThanOrEqualTo, 3+20+3)
 				for _, role := range roles {
 					So(r.Row(role).MsgIn, ShouldBeGreaterThan, 0)
--- a/internal/scale/size_test.go
+++ b/internal/scale/size_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/duty"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/place"
@@ -69,18 +69,18 @@
 // stateOf gives the changes of so many destinations: lists and duties.
 func stateOf(count int) []wire.PartNews {
 	p := Point{Destinations: count}
-	doc, _ := p.charter()
+	doc, _ := p.config()
 	byPart, revisions := map[int64][]wire.Change{}, map[int64]int64{}
 	put := func(part int64, key string, value []byte) {
 		revisions[part]++
 		byPart[part] = append(byPart[part], wire.Change{Key: key, Value: value, Revision: revisions[part], By: "duty controller at manager-1 #0123456789ab"})
 	}
-	put(0, charter.Key, doc)
+	put(0, config.Key, doc)
 	for pool, list := range p.lists(nobody) {
 		part := feed.PartOf(pool, parts)
-		put(part, charter.WorkersKey+pool, charter.Workers{Workers: list}.Encode())
+		put(part, config.WorkersKey+pool, config.Workers{Workers: list}.Encode())
 		for _, w := range list {
-			put(part, charter.DutyKey+pool+"/"+w.Name, charter.Duty{Holder: "adapter-0001", Boot: "0123456789abcdef"}.Encode())
+			put(part, config.DutyKey+pool+"/"+w.Name, config.Duty{Holder: "adapter-0001", Boot: "0123456789abcdef"}.Encode())
 		}
 	}
 	out := []wire.PartNews{}
@@ -91,7 +91,7 @@
 }
 
 // BenchmarkScene is what one change costs each daemon that follows: the view
-// takes it and the scene is composed anew; and what the daemon then holds.
+// takes it and the configuration is composed anew; and what the daemon then holds.
 func BenchmarkScene(b *testing.B) {
 	for _, count := range []int{100, 1000, 10_000, 100_000} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
@@ -105,14 +105,14 @@
 			before := heap()
 			view := feed.NewView(parts)
 			view.Take(state, 0)
-			scenes := charter.Scenes{View: view}
-			scenes.Now()
+			configs := config.Cache{View: view}
+			configs.Current()
 			held := heap() - before
 			revision := view.Revision(1)
 			for b.Loop() {
-				view.Take([]wire.PartNews{{Part: 1, From: revision, To: revision + 1, Changes: []wire.Change{{Key: charter.ZoneKey + "x", Revision: revision + 1, Value: []byte("{}")}}}}, 0)
+				view.Take([]wire.PartNews{{Part: 1, From: revision, To: revision + 1, Changes: []wire.Change{{Key: config.ZoneKey + "x", Revision: revision + 1, Value: []byte("{}")}}}}, 0)
 				revision++
-				scenes.Now()
+				configs.Current()
 			}
 			b.ReportMetric(held/float64(count), "B-held/destination")
 			b.ReportMetric(float64(bytes)/float64(count), "B-sent/destination")
@@ -142,12 +142,12 @@
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			view := feed.NewView(parts)
 			view.Take(stateOf(count), 0)
-			scenes := charter.Scenes{View: view}
-			scene := scenes.Now()
+			configs := config.Cache{View: view}
+			compiled := configs.Current()
 			adapters := []wire.Who{{Name: "adapter-0001", Kind: "adapter", Boot: "0123456789abcdef", Zone: "hollow-a"}}
 			for b.Loop() {
-				for pool := range scene.Rules.Pools {
-					if len(duty.Plan(pool, scene, adapters, nil, func(string) (int64, bool) { return 1, true })) > 0 {
+				for pool := range compiled.Rules.Pools {
+					if len(duty.Plan(pool, compiled, adapters, nil, func(string) (int64, bool) { return 1, true })) > 0 {
 						b.Fatal("nothing was to move")
 					}
 				}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 )
 
@@ -23,7 +23,7 @@
 			must(!isNeeded, key, "must be given")
 			return
 		}
-		if text := charter.CheckAddress(strings.TrimSuffix(value, ":0") + map[bool]string{true: ":1"}[strings.HasSuffix(value, ":0")]); text != "" {
+		if text := config.CheckAddress(strings.TrimSuffix(value, ":0") + map[bool]string{true: ":1"}[strings.HasSuffix(value, ":0")]); text != "" {
 			wrong = append(wrong, key+": "+text)
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,12 +77,12 @@
 
 // Default returns the settings that hold where nothing is given.
 func Default() Settings {
-	return Settings{Founders: 3, Places: 48, Parts: 4, Bound: Duration{timing.Default.Charter}, Batch: 40, Pool: 40,
+	return Settings{Founders: 3, Places: 48, Parts: 4, Bound: Duration{timing.Default.Config}, Batch: 40, Pool: 40,
 		Flush: Duration{500 * time.Microsecond}, Window: 4096, Most: 2048, Reserve: 256 << 20, Founds: true}
 }
 
 // Bounds returns the bounds that all time constants are ratios of.
-func (s Settings) Bounds() timing.Bounds { return timing.Bounds{Charter: s.Bound.Duration} }
+func (s Settings) Bounds() timing.Bounds { return timing.Bounds{Config: s.Bound.Duration} }
 
 // Replicas returns how many replicas a group should have.
 func (s Settings) Replicas() int {
--- a/internal/sim/around.go
+++ b/internal/sim/around.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/store"
 	"caperwheel/internal/timing"
@@ -38,8 +38,8 @@
 // IsBusy tells of a disk with too much to write, which the simulation has none of.
 func (s *simStore) IsBusy() bool { return false }
 
-// Scene has the rules.
-func (s *simStore) Scene() *charter.Scene { return &charter.Scene{Rules: s.w.rules} }
+// Compiled has the rules.
+func (s *simStore) Compiled() *config.Compiled { return &config.Compiled{Rules: s.w.rules} }
 
 // Find gives an adapter whose session stands, as this store knows.
 func (s *simStore) Find(name string) (wire.Who, bool) {
--- a/internal/sim/book.go
+++ b/internal/sim/book.go
@@ -5,7 +5,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/linearize"
 	"caperwheel/internal/timing"
@@ -21,7 +21,7 @@
 	w         *World
 	history   map[int64]map[int64]string
 	taken     map[string]int64 // digest of an order -> its revision
-	newest    int64            // highest revision of the charter that was acknowledged
+	newest    int64            // highest revision of the configuration that was acknowledged
 	acks      []ackedEdit
 	confirmed map[int64]string // version -> digest of the order confirmed under it
 	refused   map[string]bool
@@ -45,7 +45,7 @@
 	}
 }
 
-// digestOf reads the order out of a charter that the simulation made.
+// digestOf reads the order out of a configuration that the simulation made.
 func digestOf(doc []byte) string { return gjson.GetBytes(doc, "note").Str }
 
 // applied notes what a replica applied: all must apply the same.
@@ -58,7 +58,7 @@
 		b.breach("group %d has two histories: %s applied %q at %d, another %q", id, s.name, edit, revision, was)
 	}
 	b.history[id][revision] = edit
-	if id == feed.CharterPart && e.Key == charter.Key {
+	if id == feed.ConfigPart && e.Key == config.Key {
 		digest := digestOf(e.Value)
 		if was, isKnown := b.taken[digest]; isKnown && was != revision {
 			b.breach("order %s was taken twice, at %d and at %d", digest, was, revision)
@@ -103,13 +103,13 @@
 
 // seen judges a daemon's view after news.
 func (b *book) seen(p *process) {
-	revision := p.view.Revision(feed.CharterPart)
+	revision := p.view.Revision(feed.ConfigPart)
 	if revision < p.newest {
 		b.breach("the view of %s goes back from %d to %d", p.name, p.newest, revision)
 	}
 	p.newest = revision
-	c, isKnown := p.view.Get(feed.CharterPart, charter.Key)
-	if edit := b.history[feed.CharterPart][c.Revision]; isKnown && edit != c.Key+" by "+c.By {
+	c, isKnown := p.view.Get(feed.ConfigPart, config.Key)
+	if edit := b.history[feed.ConfigPart][c.Revision]; isKnown && edit != c.Key+" by "+c.By {
 		b.breach("the view of %s has %q at %d, the history %q", p.name, c.By, c.Revision, edit)
 	}
 }
@@ -117,9 +117,9 @@
 // acts judges a daemon that acts now: all that was acknowledged longer ago than
 // the bound must be known to it.
 func (b *book) acts(p *process) {
-	revision := p.view.Revision(feed.CharterPart)
-	for i := len(b.acks) - 1; i >= 0 && b.w.now-b.acks[i].at < 3*timing.Default.Charter; i-- {
-		if e := b.acks[i]; b.w.now-e.at > timing.Default.Charter && revision < e.revision {
+	revision := p.view.Revision(feed.ConfigPart)
+	for i := len(b.acks) - 1; i >= 0 && b.w.now-b.acks[i].at < 3*timing.Default.Config; i-- {
+		if e := b.acks[i]; b.w.now-e.at > timing.Default.Config && revision < e.revision {
 			b.breach("%s acts on stamp %d, though %d was acknowledged %v ago", p.name, revision, e.revision, b.w.now-e.at)
 			return
 		}
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -157,7 +157,7 @@
 	p.Run(p.now + 130*time.Second)
 	for _, s := range p.H.Sent {
 		if s.Told == check.Undecided { // ask for a definite fate, as a caller would
-			p.reach(timing.Default.Charter, func(o placeOwner, answer func(any)) { o.Settle(&wire.Settle{Id: s.Id, Lane: s.Lane}, answer) },
+			p.reach(timing.Default.Config, func(o placeOwner, answer func(any)) { o.Settle(&wire.Settle{Id: s.Id, Lane: s.Lane}, answer) },
 				func(*wire.Taken, bool) {})
 			p.Run(p.now + time.Second)
 		}
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/deliver"
 	"caperwheel/internal/duty"
 	"caperwheel/internal/feed"
@@ -99,7 +99,7 @@
 		return
 	}
 	s.isUp, s.life = true, s.life+1
-	s.part = store.NewPartHost(s, feed.CharterPart)
+	s.part = store.NewPartHost(s, feed.ConfigPart)
 	h, err := host.New(host.Options{Id: 0, Self: s.name + "/0", Roster: []string{"s1/0", "s2/0", "s3/0"}, Bounds: timing.Default,
 		Seed: s.c.Seed + uint64(s.life), Disk: &pumped{s.disk, &s.simStore}, Held: s.disk.Held(), Machine: s.part,
 		Now: s.c.Now, Send: s.post, Failed: s.Fail, Compact: 60, Whole: 500})
@@ -118,15 +118,15 @@
 		n.since = n.c.now
 		return
 	}
-	scenes := charter.Scenes{View: n.view}
-	scene := scenes.Now()
+	configs := config.Cache{View: n.view}
+	compiled := configs.Current()
 	if n.kind == "manager" {
-		n.plan(scene)
+		n.plan(compiled)
 		return
 	}
 	n.c.checkAct(n)
-	held := scene.Duties["p"][charter.Endpoint]
-	if held.Holder != n.name || held.Boot != n.boot() || !scene.MayWork(n.zone()) {
+	held := compiled.Duties["p"][config.Endpoint]
+	if held.Holder != n.name || held.Boot != n.boot() || !compiled.MayWork(n.zone()) {
 		n.worker = nil
 		return
 	}
@@ -135,7 +135,7 @@
 		if held.Before != "" {
 			fence = timing.Default.Of(timing.Fence)
 		}
-		n.worker, n.term = deliver.NewWorker(scene.Rules.Pools["p"], fence, n.c.now), held.Term
+		n.worker, n.term = deliver.NewWorker(compiled.Rules.Pools["p"], fence, n.c.now), held.Term
 	}
 	if isGranted, _ := n.worker.Grant(n.c.now); isGranted {
 		n.c.checkEmptied(n)
@@ -144,7 +144,7 @@
 	}
 }
 
-func (n *node) plan(scene *charter.Scene) {
+func (n *node) plan(compiled *config.Compiled) {
 	_, members := n.registry.Members(n.c.now)
 	adapters, managers := []wire.Who{}, []string{}
 	for _, m := range members {
@@ -159,11 +159,11 @@
 		return
 	}
 	revision := func(key string) (int64, bool) {
-		c, isStanding := n.view.Get(feed.CharterPart, key)
+		c, isStanding := n.view.Get(feed.ConfigPart, key)
 		return map[bool]int64{true: c.Revision}[isStanding], c.Revision > 0
 	}
-	for _, change := range n.steady.Filter(duty.Plan("p", scene, adapters, nil, revision), n.c.now) {
-		e := wire.Edit{Key: charter.DutyKey + change.Pool + "/" + change.Worker, Value: change.Next.Encode(), IfRevision: change.IfRevision}
+	for _, change := range n.steady.Filter(duty.Plan("p", compiled, adapters, nil, revision), n.c.now) {
+		e := wire.Edit{Key: config.DutyKey + change.Pool + "/" + change.Worker, Value: change.Next.Encode(), IfRevision: change.IfRevision}
 		n.c.Note("%s gives the endpoint to %s", n.name, change.Next.Boot)
 		n.edit(e, func(int64) {})
 	}
--- a/internal/sim/controlfaults.go
+++ b/internal/sim/controlfaults.go
@@ -4,20 +4,20 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
 
-const controlCharter = `{"note":"%d","pools":{"p":{"kind":"endpoint","address":"127.0.0.1:9","rate":10,"concurrency":9,"ease":"0s"}},"lanes":{"l":{"pools":["p"]}}}`
+const controlConfig = `{"note":"%d","pools":{"p":{"kind":"endpoint","address":"127.0.0.1:9","rate":10,"concurrency":9,"ease":"0s"}},"lanes":{"l":{"pools":["p"]}}}`
 
-// checkAct holds the act of a fresh adapter against the charters that were
+// checkAct holds the act of a fresh adapter against the configurations that were
 // acknowledged: one older than the bound must be known to it.
 func (c *Control) checkAct(n *node) {
-	revision := n.view.Revision(feed.CharterPart)
+	revision := n.view.Revision(feed.ConfigPart)
 	for _, e := range c.acked {
-		if c.now-e.at > timing.Default.Charter && revision < e.revision {
+		if c.now-e.at > timing.Default.Config && revision < e.revision {
 			text := fmt.Sprintf("%s acts on stamp %d, though %d was acknowledged %v ago", n.boot(), revision, e.revision, c.now-e.at)
 			c.Note("BROKEN %s", text)
 			c.Broken = append(c.Broken, text)
@@ -26,20 +26,20 @@
 	}
 }
 
-// change edits the charter through each manager at once, on the base that the
+// change edits the configuration through each manager at once, on the base that the
 // manager knows.
 func (c *Control) change() {
 	for _, m := range c.managers {
 		if !m.isUp || c.now < m.frozen {
 			continue
 		}
-		was, isKnown := m.view.Get(feed.CharterPart, charter.Key)
+		was, isKnown := m.view.Get(feed.ConfigPart, config.Key)
 		base := int64(0)
 		if isKnown {
 			base = was.Revision
 		}
 		c.edits++
-		e := wire.Edit{Key: charter.Key, IfRevision: base, Value: fmt.Appendf(nil, controlCharter, c.edits)}
+		e := wire.Edit{Key: config.Key, IfRevision: base, Value: fmt.Appendf(nil, controlConfig, c.edits)}
 		m.edit(e, func(revision int64) {
 			for _, other := range c.acked {
 				if other.base == base && other.revision != revision {
@@ -57,7 +57,7 @@
 	if len(c.emptied) > 0 || !c.managers[0].isUp {
 		return // one room at a time
 	}
-	mark := wire.Edit{Key: charter.ZoneKey + zone, Value: []byte("{}"), IfRevision: -1}
+	mark := wire.Edit{Key: config.ZoneKey + zone, Value: []byte("{}"), IfRevision: -1}
 	c.managers[0].edit(mark, func(int64) {
 		c.Note("cell %s is emptied", zone)
 		c.emptied[zone] = c.now
@@ -166,7 +166,7 @@
 }
 
 // finish heals everything: the endpoint must be served again, at its rate, and
-// the newest acknowledged charter must stand everywhere.
+// the newest acknowledged configuration must stand everywhere.
 func (c *Control) finish() {
 	c.Calm()
 	for _, s := range c.stores {
@@ -204,7 +204,7 @@
 		newest = max(newest, e.revision)
 	}
 	for _, n := range c.adapters {
-		if was, _ := n.view.Get(feed.CharterPart, charter.Key); was.Revision < newest {
+		if was, _ := n.view.Get(feed.ConfigPart, config.Key); was.Revision < newest {
 			c.Broken = append(c.Broken, fmt.Sprintf("%s ends with charter %d, acknowledged was %d", n.name, was.Revision, newest))
 		}
 	}
--- a/internal/sim/deployment.go
+++ b/internal/sim/deployment.go
@@ -9,7 +9,7 @@
 )
 
 // Deployment simulates the control side whole: machines with a store and a
-// manager each, followers behind them, and operators who change the charter
+// manager each, followers behind them, and operators who change the configuration
 // through the managers. Groups, hosts, parts, feeds, sessions, the operators'
 // code, reach and the stores' plans of repair are the real ones.
 type Deployment struct {
@@ -30,7 +30,7 @@
 // Layout of a simulated deployment.
 const (
 	copies     = 3
-	parts      = 1    // beside the charter's
+	parts      = 1    // beside the configuration's
 	placeGroup = 1000 // as in the store
 	places     = 4
 )
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -17,7 +17,7 @@
 	if n.isUp {
 		return
 	}
-	n.isUp, n.life, n.worker, n.term, n.steady = true, n.life+1, nil, 0, duty.Steady{Least: 2 * timing.Default.Charter}
+	n.isUp, n.life, n.worker, n.term, n.steady = true, n.life+1, nil, 0, duty.Steady{Least: 2 * timing.Default.Config}
 	n.view, n.membership, n.registry = feed.NewView(0), session.NewMembership(), session.NewRegistry(timing.Default.Of(timing.SessionTimeout))
 	n.c.Note("start %s", n.boot())
 	life := n.life
@@ -111,7 +111,7 @@
 }
 
 func (n *node) follow(s *partStore, asked time.Duration) {
-	revision, life := n.view.Revision(feed.CharterPart), n.life
+	revision, life := n.view.Revision(feed.ConfigPart), n.life
 	n.c.Send(n.name, s.name, func() {
 		if !s.isUp {
 			return
--- a/internal/sim/orders.go
+++ b/internal/sim/orders.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/linearize"
@@ -16,7 +16,7 @@
 // mostOrders is how many orders are under way at once.
 const mostOrders = 8
 
-// order is one change of the charter, sent unchanged until it is answered
+// order is one change of the configuration, sent unchanged until it is answered
 // clearly.
 type order struct {
 	digest        string
@@ -77,14 +77,14 @@
 func (d *Deployment) readVersion(ctx context.Context, number int) (int64, bool) {
 	since, began := d.book.newest, d.now
 	got, isRead := d.ask(ctx, func(ctx context.Context, o *manager.Operators) any {
-		doc, revision, err := o.Charter(ctx)
+		doc, revision, err := o.Config(ctx)
 		return &readReply{doc, revision, err}
 	}).(*readReply)
 	if !isRead || got.err != nil {
 		return 0, false
 	}
 	d.book.read(fmt.Sprint("operator ", number), got.revision, since)
-	version := charter.VersionOf(got.doc)
+	version := config.VersionOf(got.doc)
 	d.book.calls = append(d.book.calls, linearize.Operation{Client: number, Call: began, Return: d.now, Kind: linearize.Read,
 		Outcome: linearize.Confirmed, ReadVersion: version, ReadDigest: digestOf(got.doc)})
 	return version, true
@@ -182,8 +182,8 @@
 	return revision, isStanding
 }
 
-// charterAtOwner is the revision of the charter that its owner holds.
-func (d *Deployment) charterAtOwner() int64 {
-	revision, _ := d.standing(feed.CharterPart, charter.Key)
+// configAtOwner is the revision of the configuration that its owner holds.
+func (d *Deployment) configAtOwner() int64 {
+	revision, _ := d.standing(feed.ConfigPart, config.Key)
 	return revision
 }
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/charter"
 	"caperwheel/internal/check"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
 	"caperwheel/internal/host"
@@ -25,7 +25,7 @@
 	H        *check.History
 	stores   []*simStore
 	adapters []*simAdapter
-	rules    *charter.Rules
+	rules    *config.Rules
 	serial   int
 	runs     []*check.Run  // as the workers saw them
 	Unsound  int           // share of runs that fail, in thousandths
@@ -61,7 +61,7 @@
 // NewPlaces lays everything out and starts it.
 func NewPlaces(w *World, adapters int) *Places {
 	p := &Places{World: w, H: check.NewHistory()}
-	rules, faults := charter.Compile([]byte(`{"pools":{"work":{"bound":"2s"}},"lanes":{
+	rules, faults := config.Compile([]byte(`{"pools":{"work":{"bound":"2s"}},"lanes":{
 		"free":{"pools":["work"],"attempts":0,"patience":"2m","retention":"1h"},
 		"seq":{"pools":["work"],"attempts":4,"ordering":"key","patience":"2m","retention":"1h"}}}`))
 	if len(faults) > 0 {
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/session"
 	"caperwheel/internal/timing"
@@ -24,7 +24,7 @@
 	machine    *machine // nil for a follower
 	view       *feed.View
 	membership *session.Membership
-	scenes     *charter.Scenes
+	configs    *config.Cache
 	serve      func(ask any, answer func(any))
 	seeds      []string
 	at         int
@@ -39,7 +39,7 @@
 	p.isUp, p.life, p.frozen = true, p.life+1, 0
 	p.boot, p.born = boot, p.d.now
 	p.view, p.membership, p.newest = feed.NewView(parts), session.NewMembership(), 0
-	p.scenes = &charter.Scenes{View: p.view}
+	p.configs = &config.Cache{View: p.view}
 	p.at, p.heard, p.isAsking = p.d.Rand.IntN(10), p.d.now, false
 	p.d.Note("start %s as %s", p.name, boot)
 }
--- a/internal/sim/rundeployment.go
+++ b/internal/sim/rundeployment.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/group"
 )
@@ -82,23 +82,23 @@
 	for _, id := range groupIds() {
 		d.checkWhole(id)
 	}
-	if revision := d.charterAtOwner(); revision < d.book.newest {
+	if revision := d.configAtOwner(); revision < d.book.newest {
 		d.breach("the charter ends at %d, %d was acknowledged", revision, d.book.newest)
 	}
 	for _, p := range d.processes() {
-		if c := p.charter(); p.isUp && c < d.book.newest {
+		if c := p.config(); p.isUp && c < d.book.newest {
 			d.breach("%s ends with the charter of %d, %d was acknowledged", p.name, c, d.book.newest)
 		}
 	}
 	d.book.judge()
 }
 
-// charter is the revision of the charter that a daemon knows.
-func (p *process) charter() int64 {
+// config is the revision of the configuration that a daemon knows.
+func (p *process) config() int64 {
 	if p.view == nil {
 		return 0
 	}
-	c, _ := p.view.Get(feed.CharterPart, charter.Key)
+	c, _ := p.view.Get(feed.ConfigPart, config.Key)
 	return c.Revision
 }
 
--- a/internal/sim/storerepair.go
+++ b/internal/sim/storerepair.go
@@ -22,7 +22,7 @@
 // noteMembers tells the planner of rosters which stores are members, as Store does.
 func (s *storeProcess) noteMembers() {
 	if s.isFresh() {
-		s.rosters.Note(s.membership.Kind("store"), s.scenes.Now().Retired, s.now())
+		s.rosters.Note(s.membership.Kind("store"), s.configs.Current().Retired, s.now())
 	}
 }
 
@@ -55,7 +55,7 @@
 		if !s.isUp || s.life != life {
 			return
 		}
-		out := &wire.Retired{Groups: []wire.Standing{}, IsKnown: s.isFresh() && s.scenes.Now().Retired[without]}
+		out := &wire.Retired{Groups: []wire.Standing{}, IsKnown: s.isFresh() && s.configs.Current().Retired[without]}
 		isWaiting := false
 		for _, id := range groupIds() {
 			h := s.hosts[id]
--- a/internal/sim/stores.go
+++ b/internal/sim/stores.go
@@ -128,10 +128,10 @@
 
 // prefer spreads ownership over the members that are here and stay.
 func (s *storeProcess) prefer(id int64, roster []string) string {
-	scene, names, members := s.scenes.Now(), []string{}, map[string]string{}
+	compiled, names, members := s.configs.Current(), []string{}, map[string]string{}
 	for _, m := range group.Voters(roster) {
 		name := group.Name(m)
-		if _, isHere := s.membership.Find(name); isHere && !scene.Retired[name] {
+		if _, isHere := s.membership.Find(name); isHere && !compiled.Retired[name] {
 			names, members[name] = append(names, name), m
 		}
 	}
--- a/internal/standin/calls.go
+++ b/internal/standin/calls.go
@@ -8,7 +8,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/fleet"
 	"caperwheel/internal/linearize"
 )
@@ -53,7 +53,7 @@
 		if e.Revision != version || e.IsInvalid {
 			continue
 		}
-		if differences, err := charter.Diff(e.Whole, doc); err == nil && len(differences) == 0 {
+		if differences, err := config.Diff(e.Whole, doc); err == nil && len(differences) == 0 {
 			return e.Order
 		}
 	}
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -6,8 +6,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"caperwheel/internal/charter"
 	"caperwheel/internal/check"
+	"caperwheel/internal/config"
 )
 
 // edits: nothing invalid is acknowledged, and of two on one base only one.
@@ -46,7 +46,7 @@
 		if e.Revision != version || e.IsInvalid || e.Code/100 == 4 {
 			continue
 		}
-		if differences, err := charter.Diff(e.Whole, j.h.Read.Doc); err == nil && len(differences) == 0 {
+		if differences, err := config.Diff(e.Whole, j.h.Read.Doc); err == nil && len(differences) == 0 {
 			return
 		}
 	}
