--- a/internal/standin/configs.go
+++ b/internal/standin/configs.go
@@ -47,7 +47,7 @@
 	Idle    int64 `json:"idle_timeout_ms"`
 }
 
-type config struct {
+type siteConfig struct {
 	Version  int64     `json:"version"`
 	Routes   []route   `json:"routes"`
 	Services []service `json:"services"`
@@ -88,8 +88,8 @@
 }
 
 // config is a plan's first one.
-func (p SitePlan) config(s *Site) config {
-	c := config{Routes: p.Routes, Limits: limits{16384, 200000, 3000, 12000}}
+func (p SitePlan) config(s *Site) siteConfig {
+	c := siteConfig{Routes: p.Routes, Limits: limits{16384, 200000, 3000, 12000}}
 	for _, v := range p.Services {
 		out := service{Name: v.Name, Health: healthPath, Conns: v.Conns, Protocol: "h1", ColdFor: v.ColdFor.Seconds(), ColdRate: v.ColdRate,
 			Rate: v.Rate, IsShared: v.IsShared}
@@ -103,13 +103,13 @@
 }
 
 // next is a copy of a higher version.
-func (c config) next() config {
+func (c siteConfig) next() siteConfig {
 	c.Routes, c.Services = slices.Clone(c.Routes), slices.Clone(c.Services)
 	c.Version += 1 + rand.Int64N(4)
 	return c
 }
 
-func (c config) whole() []byte {
+func (c siteConfig) whole() []byte {
 	raw, err := json.Marshal(c)
 	if err != nil {
 		return nil
@@ -118,7 +118,7 @@
 }
 
 // since is the update that makes this configuration of another.
-func (c config) since(was config) []byte {
+func (c siteConfig) since(was siteConfig) []byte {
 	set, gone := []route{}, []string{}
 	for _, r := range c.Routes {
 		if !slices.Contains(was.Routes, r) {
@@ -138,7 +138,7 @@
 	return raw
 }
 
-func (c config) pools() map[string][]string {
+func (c siteConfig) pools() map[string][]string {
 	out := map[string][]string{}
 	for _, r := range c.Routes {
 		out[r.Name] = []string{r.Service}
@@ -146,7 +146,7 @@
 	return out
 }
 
-func (c config) judged() map[string]Route {
+func (c siteConfig) judged() map[string]Route {
 	out := map[string]Route{}
 	for _, r := range c.Routes {
 		out[r.Name] = Route{r.Service, r.IsOrdered, time.Duration(r.Timeout) * time.Millisecond, r.Attempts,
@@ -156,21 +156,21 @@
 }
 
 // spoilt are ways in which a configuration is invalid. c has a version of its own.
-var spoilt = []func(c config, was int64) (config, []byte){
-	func(c config, _ int64) (config, []byte) { raw := c.whole(); return c, raw[:len(raw)*2/3] },
-	func(c config, _ int64) (config, []byte) { c.Routes[0].Service = "nobody"; return c, c.whole() },
-	func(c config, _ int64) (config, []byte) {
+var spoilt = []func(c siteConfig, was int64) (siteConfig, []byte){
+	func(c siteConfig, _ int64) (siteConfig, []byte) { raw := c.whole(); return c, raw[:len(raw)*2/3] },
+	func(c siteConfig, _ int64) (siteConfig, []byte) { c.Routes[0].Service = "nobody"; return c, c.whole() },
+	func(c siteConfig, _ int64) (siteConfig, []byte) {
 		r := c.Routes[0]
 		r.Name = "double"
 		c.Routes = append(c.Routes, r)
 		return c, c.whole()
 	},
-	func(c config, _ int64) (config, []byte) { c.Routes[0].Timeout = 0; return c, c.whole() },
-	func(c config, was int64) (config, []byte) {
+	func(c siteConfig, _ int64) (siteConfig, []byte) { c.Routes[0].Timeout = 0; return c, c.whole() },
+	func(c siteConfig, was int64) (siteConfig, []byte) {
 		c.Version, c.Routes[0].Timeout = was, c.Routes[0].Timeout+7
 		return c, c.whole()
 	},
-	func(c config, _ int64) (config, []byte) {
+	func(c siteConfig, _ int64) (siteConfig, []byte) {
 		return c, []byte(strings.Replace(string(c.whole()), `"timeout_ms":`, `"timeout_ms":"`, 1))
 	},
 }
--- a/internal/standin/edits.go
+++ b/internal/standin/edits.go
@@ -15,15 +15,15 @@
 	o := s.operator
 	switch who {
 	case "timeout", "update":
-		o.change(ctx, who == "update", func(c *config) { c.Routes[0].Timeout += 1 + rand.Int64N(9) })
+		o.change(ctx, who == "update", func(c *siteConfig) { c.Routes[0].Timeout += 1 + rand.Int64N(9) })
 	case "add":
-		c, code := o.change(ctx, rand.IntN(2) == 0, func(c *config) { c.Routes = append(c.Routes, c.trial()) })
+		c, code := o.change(ctx, rand.IntN(2) == 0, func(c *siteConfig) { c.Routes = append(c.Routes, c.trial()) })
 		if code == 200 {
 			s.Direct(ctx, c.Routes[len(c.Routes)-1])
 		}
 	case "remove":
 		gone := route{}
-		_, code := o.change(ctx, rand.IntN(2) == 0, func(c *config) {
+		_, code := o.change(ctx, rand.IntN(2) == 0, func(c *siteConfig) {
 			if i := slices.IndexFunc(c.Routes, func(r route) bool { return strings.HasPrefix(r.Name, "trial") }); i >= 0 {
 				gone = c.Routes[i]
 				c.Routes = slices.Delete(c.Routes, i, i+1)
@@ -45,7 +45,7 @@
 }
 
 // trial is a route of a name and prefix that none had.
-func (c config) trial() route {
+func (c siteConfig) trial() route {
 	r := c.Routes[0]
 	salt := rand.Uint32()
 	r.Name, r.Prefix = fmt.Sprintf("trial-%x", salt), fmt.Sprintf("/trial%x/", salt)
@@ -87,7 +87,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var wg sync.WaitGroup
-	codes, rivals := [2]int{}, [2]config{}
+	codes, rivals := [2]int{}, [2]siteConfig{}
 	for i := range rivals {
 		rivals[i] = o.now.next()
 		rivals[i].Version += int64(10 * i)
@@ -113,7 +113,7 @@
 // repeat sends a change and, once it was acknowledged, the same again.
 func (o *operator) repeat(ctx context.Context) {
 	was := o.now
-	c, code := o.change(ctx, false, func(c *config) { c.Routes[0].Timeout++ })
+	c, code := o.change(ctx, false, func(c *siteConfig) { c.Routes[0].Timeout++ })
 	if code != 200 {
 		return
 	}
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -31,13 +31,13 @@
 type list struct {
 	site *Site
 	mu   sync.Mutex
-	was  []scene
+	was  []listState
 	took []time.Duration // calls within the last second
 	// Calls and Over count those that came and those over the rate.
 	Calls, Over int
 }
 
-type scene struct {
+type listState struct {
 	at   time.Duration
 	rows []instance
 }
@@ -64,7 +64,7 @@
 	rows := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.was = append(l.was, scene{l.site.Now(), rows})
+	l.was = append(l.was, listState{l.site.Now(), rows})
 	for len(l.was) > 1 && l.was[1].at < l.site.Now()-listLag {
 		l.was = l.was[1:]
 	}
--- a/internal/standin/operator.go
+++ b/internal/standin/operator.go
@@ -27,8 +27,8 @@
 	site   *Site
 	client *http.Client
 	mu     sync.Mutex
-	now    config   // as last acknowledged
-	built  []config // all that were sent whole or as an update, to know them by their version
+	now    siteConfig   // as last acknowledged
+	built  []siteConfig // all that were sent whole or as an update, to know them by their version
 }
 
 func newOperator(s *Site, plan SitePlan) *operator {
@@ -76,7 +76,7 @@
 }
 
 // send sends a configuration, whole or as an update, and records it.
-func (o *operator) send(ctx context.Context, isUpdate bool, base int64, c config, body []byte, isInvalid bool) int {
+func (o *operator) send(ctx context.Context, isUpdate bool, base int64, c siteConfig, body []byte, isInvalid bool) int {
 	h := o.site.History
 	i, order, path := 0, 0, "/v1/configuration/replace"
 	if isUpdate {
@@ -122,7 +122,7 @@
 
 // change builds on the newest configuration; after an answer that is not clear
 // it reads what is in force.
-func (o *operator) change(ctx context.Context, isUpdate bool, edit func(*config)) (config, int) {
+func (o *operator) change(ctx context.Context, isUpdate bool, edit func(*siteConfig)) (siteConfig, int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	was := o.now
--- a/internal/standin/site_test.go
+++ b/internal/standin/site_test.go
@@ -47,7 +47,7 @@
 			store.stop(false)
 			So(site.accepts(ctx, 60), ShouldBeTrue)
 			store.restart()
-			c, code := site.operator.change(ctx, true, func(c *config) { c.Routes = append(c.Routes, c.trial()) })
+			c, code := site.operator.change(ctx, true, func(c *siteConfig) { c.Routes = append(c.Routes, c.trial()) })
 			So(code, ShouldEqual, 200)
 			So(site.knows(ctx, c.Routes[len(c.Routes)-1]), ShouldBeTrue)
 			So(site.accepts(ctx, 60), ShouldBeTrue)
--- a/internal/store/around.go
+++ b/internal/store/around.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/group"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
@@ -18,7 +18,7 @@
 	IsFresh() bool
 	IsFull() bool
 	IsBusy() bool // the disk has as much to write as may wait for it
-	Scene() *charter.Scene
+	Compiled() *config.Compiled
 	Find(name string) (wire.Who, bool)
 	Post(who wire.Who, ask any, answer func(any, error)) error // to an adapter
 	TakeElsewhere(t *wire.Take, tell func(isTaken bool))
@@ -57,7 +57,7 @@
 func (a *around) IsFresh() bool                         { return a.s.d.IsFresh() }
 func (a *around) IsFull() bool                          { return a.s.diskFull.Load() }
 func (a *around) IsBusy() bool                          { return a.s.disk.Waiting() > mostUnsynced }
-func (a *around) Scene() *charter.Scene                 { return a.s.scenes.Now() }
+func (a *around) Compiled() *config.Compiled            { return a.s.configs.Current() }
 func (a *around) Find(name string) (wire.Who, bool)     { return a.s.d.Membership.Find(name) }
 func (a *around) Post(who wire.Who, ask any, answer func(any, error)) error {
 	return a.s.d.Node.Peer(wire.RunLink, who.Addr).Post(ask, answer)
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
@@ -92,11 +92,11 @@
 	if !d.s.d.IsFresh() {
 		return
 	}
-	ready, scene := d.ready(), d.s.scenes.Now()
+	ready, compiled := d.ready(), d.s.configs.Current()
 	need := map[string]int{}
 	for lane, n := range ready {
-		for _, pool := range scene.Rules.Lanes[lane].Pools {
-			need[pool] += int(math.Ceil(float64(n) * scene.Share(lane, pool)))
+		for _, pool := range compiled.Rules.Lanes[lane].Pools {
+			need[pool] += int(math.Ceil(float64(n) * compiled.Share(lane, pool)))
 		}
 	}
 	d.mu.Lock()
@@ -107,7 +107,7 @@
 		n = min(n, mostWants) - len(d.wants[pool])
 		d.mu.Unlock()
 		for range n {
-			if !d.want(scene, pool) {
+			if !d.want(compiled, pool) {
 				break
 			}
 		}
@@ -115,8 +115,8 @@
 }
 
 // want asks for one slot of the pool, at a worker drawn by weight.
-func (d *dispatcher) want(scene *charter.Scene, pool string) bool {
-	worker, holder, isFound := d.draw(scene, pool)
+func (d *dispatcher) want(compiled *config.Compiled, pool string) bool {
+	worker, holder, isFound := d.draw(compiled, pool)
 	if !isFound {
 		return false
 	}
@@ -156,19 +156,19 @@
 
 // draw picks a worker that may serve, whose holder is here, by weight: own
 // zone first, others as far as the pool spills.
-func (d *dispatcher) draw(scene *charter.Scene, pool string) (string, wire.Who, bool) {
+func (d *dispatcher) draw(compiled *config.Compiled, pool string) (string, wire.Who, bool) {
 	type choice struct {
 		worker string
 		holder wire.Who
 		share  float64
 	}
 	choices, sum := []choice{}, 0.0
-	now, spill := d.s.d.Now(), scene.Rules.Pools[pool].Spill
+	now, spill := d.s.d.Now(), compiled.Rules.Pools[pool].Spill
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, isOwnZone := range []bool{true, false} {
-		for name, duty := range scene.Duties[pool] {
-			worker, isLive := scene.CanServe(pool, name)
+		for name, duty := range compiled.Duties[pool] {
+			worker, isLive := compiled.CanServe(pool, name)
 			if !isLive || now < d.pauses[pool+"/"+name] {
 				continue
 			}
@@ -179,7 +179,7 @@
 			if !isMember || holder.Boot != duty.Boot {
 				continue
 			}
-			share := drawWeight(scene.Weights[pool], name, worker.Zone, isOwnZone)
+			share := drawWeight(compiled.Weights[pool], name, worker.Zone, isOwnZone)
 			choices, sum = append(choices, choice{name, holder, share}), sum+share
 		}
 		if isOwnZone && len(choices) > 0 && !spill {
--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -5,7 +5,7 @@
 	"hash/fnv"
 	"time"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
 	"caperwheel/internal/wire"
@@ -47,7 +47,7 @@
 
 // judge decides what a result means for its message. A failure is the last attempt's
 // only while its run is open: a result may come again, and counts once.
-func (p *PlaceHost) judge(e *place.Message, o *wire.Outcome, lane charter.Lane) place.Command {
+func (p *PlaceHost) judge(e *place.Message, o *wire.Outcome, lane config.Lane) place.Command {
 	retain := int64(lane.Retention / time.Millisecond)
 	if o.Kind == "" {
 		c := place.Command{Kind: place.CmdEnd, Id: e.Id, Proof: o.Proof, Retain: retain, Drop: lane.DropsBytes}
@@ -77,7 +77,7 @@
 
 // pause is the time before the next run: it doubles, with jitter drawn from
 // the message's id, so that a recovering pool does not meet all at once.
-func pause(l charter.Lane, id string, spent int64) int64 {
+func pause(l config.Lane, id string, spent int64) int64 {
 	d := l.Backoff << min(max(spent-1, 0), 20)
 	d = min(max(d, l.Backoff), l.BackoffMost)
 	h := fnv.New64a()
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -50,9 +50,9 @@
 		p.missed[e.Id] = now
 	}
 	lane, isKnown := p.lane(e.Lane)
-	wait := p.around.Bounds().Charter
+	wait := p.around.Bounds().Config
 	if e.Ordered {
-		wait += place.Busy(p.around.Scene().Rules.Pools[e.Pool].Bound)
+		wait += place.Busy(p.around.Compiled().Rules.Pools[e.Pool].Bound)
 	}
 	if !isKnown || p.now() < e.Deadline || now-p.missed[e.Id] < wait {
 		return
@@ -96,7 +96,7 @@
 	if !isKnown {
 		return
 	}
-	pool := p.around.Scene().Rules.Pools[e.Pool]
+	pool := p.around.Compiled().Rules.Pools[e.Pool]
 	if p.lostAt[e.Id] == 0 {
 		p.lostAt[e.Id] = now
 	}
@@ -108,7 +108,7 @@
 		p.asking[e.Id] = now + p.around.Bounds().Of(timing.AnswerTimeout)
 		return
 	}
-	p.asking[e.Id] = now + p.around.Bounds().Charter
+	p.asking[e.Id] = now + p.around.Bounds().Config
 	delete(p.lostAt, e.Id)
 	delete(p.missed, e.Id)
 	c := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: e.Attempt, Cause: "unknown_run", Costs: lane.SpendsAll,
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
 	"caperwheel/internal/place"
@@ -17,7 +17,7 @@
 // bench is a place's surroundings and group in a test's hands: proposals wait
 // until the test decides them.
 type bench struct {
-	rules    *charter.Rules
+	rules    *config.Rules
 	members  map[string]wire.Who
 	isFull   bool
 	isBusy   bool
@@ -31,8 +31,8 @@
 }
 
 func newBench() *bench {
-	b := &bench{members: map[string]wire.Who{}, now: time.Minute, rules: &charter.Rules{Pools: map[string]charter.Pool{"p": {Bound: time.Second}},
-		Lanes: map[string]charter.Lane{"l": {Name: "l", Attempts: 2, Rerun: true, Pools: []string{"p"}, Backoff: time.Second, BackoffMost: time.Second},
+	b := &bench{members: map[string]wire.Who{}, now: time.Minute, rules: &config.Rules{Pools: map[string]config.Pool{"p": {Bound: time.Second}},
+		Lanes: map[string]config.Lane{"l": {Name: "l", Attempts: 2, Rerun: true, Pools: []string{"p"}, Backoff: time.Second, BackoffMost: time.Second},
 			"once": {Name: "once", Attempts: 2, Pools: []string{"p"}}}}}
 	b.place = NewPlaceHost(b, 0)
 	b.place.Use(b)
@@ -47,7 +47,7 @@
 func (b *bench) IsFull() bool                             { return b.isFull }
 func (b *bench) IsBusy() bool                             { return b.isBusy }
 func (b *bench) Oldest() time.Duration                    { return b.oldest }
-func (b *bench) Scene() *charter.Scene                    { return &charter.Scene{Rules: b.rules} }
+func (b *bench) Compiled() *config.Compiled               { return &config.Compiled{Rules: b.rules} }
 func (b *bench) Find(name string) (wire.Who, bool)        { w, isHere := b.members[name]; return w, isHere }
 func (b *bench) TakeElsewhere(_ *wire.Take, _ func(bool)) {}
 func (b *bench) Teller(string) (wire.Who, bool)           { w, isHere := b.members["t"]; return w, isHere }
--- a/internal/store/part_test.go
+++ b/internal/store/part_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/wire"
 )
@@ -18,7 +18,7 @@
 		b := newBench()
 		p := NewPartHost(b, 0)
 		taken := func(order string, at int64) {
-			p.Apply(feed.EncodeEdit(wire.Edit{Key: charter.ZoneKey + order, Value: []byte{}, Order: order, Base: wire.OneCall, At: at}))
+			p.Apply(feed.EncodeEdit(wire.Edit{Key: config.ZoneKey + order, Value: []byte{}, Order: order, Base: wire.OneCall, At: at}))
 		}
 		taken("1", 5000)
 		Convey("part time is the newest edit's", func() { So(p.now(), ShouldEqual, 5000) })
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -6,7 +6,7 @@
 
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
 	"caperwheel/internal/timing"
@@ -175,7 +175,7 @@
 		reject(errs.Full, "the place holds as much as it may", 2*time.Second)
 		return
 	}
-	lane, isKnown := p.around.Scene().Rules.Lanes[t.Lane]
+	lane, isKnown := p.around.Compiled().Rules.Lanes[t.Lane]
 	if !isKnown {
 		reject(errs.Unknown, "no such lane", 0)
 		return
@@ -221,17 +221,17 @@
 // lane gives a lane's rules, or false when they are not known now: a store
 // that has just started must wait for its view rather than take every lane for
 // one that was removed.
-func (p *PlaceHost) lane(name string) (charter.Lane, bool) {
-	isFresh := p.around.IsFresh() // before the scene: what is fresh now is in it
-	return laneOf(p.around.Scene().Rules, name, isFresh)
+func (p *PlaceHost) lane(name string) (config.Lane, bool) {
+	isFresh := p.around.IsFresh() // before the configuration: what is fresh now is in it
+	return laneOf(p.around.Compiled().Rules, name, isFresh)
 }
 
-func laneOf(rules *charter.Rules, name string, isFresh bool) (charter.Lane, bool) {
+func laneOf(rules *config.Rules, name string, isFresh bool) (config.Lane, bool) {
 	if l, isKnown := rules.Lanes[name]; isKnown {
 		return l, true
 	}
 	if !isFresh {
-		return charter.Lane{}, false
+		return config.Lane{}, false
 	}
-	return charter.Lane{Name: name, Attempts: 1, SpendsAll: true, Retention: 10 * time.Minute, Backoff: time.Second, BackoffMost: time.Second}, true
+	return config.Lane{Name: name, Attempts: 1, SpendsAll: true, Retention: 10 * time.Minute, Backoff: time.Second, BackoffMost: time.Second}, true
 }
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -51,7 +51,7 @@
 
 // send hands a started run to the adapter that granted the slot.
 func (p *PlaceHost) send(e *place.Message, attempt int64, g SlotGrant) {
-	rules := p.around.Scene().Rules
+	rules := p.around.Compiled().Rules
 	run := &wire.Run{Place: p.number, Term: p.host.Term(), Id: e.Id, Attempt: attempt, Lane: e.Lane, Key: e.Key,
 		Pool: g.Pool, Worker: g.Worker, Ctype: e.Ctype, Body: e.Body, Sum: e.Sum, Permit: g.Permit,
 		Bound: rules.BoundOf(e.Lane, g.Pool), Head: e.Head}
@@ -75,7 +75,7 @@
 
 func (p *PlaceHost) noteInHand(id string, attempt int64) {
 	if p.inHand != nil {
-		p.inHand[id] = inHand{attempt, p.around.Now() + p.around.Bounds().Charter}
+		p.inHand[id] = inHand{attempt, p.around.Now() + p.around.Bounds().Config}
 		delete(p.missed, id)
 	}
 }
--- a/internal/store/spread.go
+++ b/internal/store/spread.go
@@ -9,7 +9,7 @@
 // is known well enough.
 func (s *Store) noteMembers() {
 	if s.d.IsFresh() {
-		s.rosters.Note(s.d.Membership.Kind("store"), s.scenes.Now().Retired, s.d.Now())
+		s.rosters.Note(s.d.Membership.Kind("store"), s.configs.Current().Retired, s.d.Now())
 	}
 }
 
--- a/internal/store/standings.go
+++ b/internal/store/standings.go
@@ -14,7 +14,7 @@
 // whose ownership a majority has confirmed since the ask came are told of: an
 // owner that was replaced meanwhile knows an old roster.
 func (s *Store) standings(without string, askedAt time.Duration) *wire.Retired {
-	out := &wire.Retired{Groups: []wire.Standing{}, IsKnown: s.d.IsFresh() && s.scenes.Now().Retired[without]}
+	out := &wire.Retired{Groups: []wire.Standing{}, IsKnown: s.d.IsFresh() && s.configs.Current().Retired[without]}
 	until := askedAt + s.d.Bounds.Of(timing.AnswerTimeout)
 	waiting := s.groupIds()
 	for {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -11,7 +11,7 @@
 
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/group"
 	"caperwheel/internal/host"
@@ -29,7 +29,7 @@
 	d        *daemon.Daemon
 	disk     *slot.Log
 	founder  *founder
-	scenes   *charter.Scenes
+	configs  *config.Cache
 	dispatch *dispatcher
 	keeper   *repair.Keeper // results that adapters could not bring home
 	diskFull atomic.Bool
@@ -52,10 +52,10 @@
 func Run(source *settings.Source) {
 	widen()
 	d := daemon.New("store", source)
-	s := &Store{d: d, scenes: &charter.Scenes{View: d.View}, hosts: map[int64]*host.Host{},
+	s := &Store{d: d, configs: &config.Cache{View: d.View}, hosts: map[int64]*host.Host{},
 		places: map[int64]*PlaceHost{}, parts: map[int64]*PartHost{}}
 	s.own.Store(&[]*PlaceHost{})
-	d.CanRead = s.scenes.CanRead
+	d.CanRead = s.configs.CanRead
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.ctx = ctx
@@ -229,11 +229,11 @@
 // prefer spreads ownership evenly: by hash of group and member, over the
 // members that are here, not retired, and not in an emptied zone.
 func (s *Store) prefer(groupId int64, roster []string) string {
-	scene, best, top := s.scenes.Now(), "", uint64(0)
+	compiled, best, top := s.configs.Current(), "", uint64(0)
 	for _, m := range group.Voters(roster) {
 		name := group.Name(m)
 		who, isMember := s.d.Membership.Find(name)
-		if !isMember && name != s.d.Who.Name || scene.Retired[name] || scene.Emptied[who.Zone] {
+		if !isMember && name != s.d.Who.Name || compiled.Retired[name] || compiled.Emptied[who.Zone] {
 			continue
 		}
 		h := fnv.New64a()
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -5,23 +5,23 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"caperwheel/internal/charter"
+	"caperwheel/internal/config"
 )
 
 // TestLaneOf: a store that took a lane it did not know yet for a removed one
 // once failed messages whose adapters had restarted with it.
 func TestLaneOf(t *testing.T) {
-	rules := &charter.Rules{Lanes: map[string]charter.Lane{"l": {Name: "l", Rerun: true}}}
+	rules := &config.Rules{Lanes: map[string]config.Lane{"l": {Name: "l", Rerun: true}}}
 	cases := []struct {
 		name             string
-		rules            *charter.Rules
+		rules            *config.Rules
 		isFresh, isKnown bool
 		isRerun          bool
 	}{
 		{"a lane of a stale view still counts", rules, false, true, true},
 		{"a lane of a fresh view counts", rules, true, true, true},
-		{"no lane is known before the view is", &charter.Rules{}, false, false, false},
-		{"a lane missing from a fresh view was removed", &charter.Rules{}, true, true, false},
+		{"no lane is known before the view is", &config.Rules{}, false, false, false},
+		{"a lane missing from a fresh view was removed", &config.Rules{}, true, true, false},
 	}
 	Convey("When a place asks for a lane,", t, func() {
 		for _, c := range cases {
--- a/internal/store/tell.go
+++ b/internal/store/tell.go
@@ -85,7 +85,7 @@
 		return raw
 	}
 	ask.Head, ask.Answer = fill(ask.Head), fill(ask.Answer)
-	p.telling.underWay[id] = now + 2*p.around.Bounds().Charter
+	p.telling.underWay[id] = now + 2*p.around.Bounds().Config
 	done := func(reply any, err error) {
 		told, isTold := reply.(*wire.Told)
 		_ = p.host.Do(func() { p.heard(id, err == nil && isTold && told.Kind == "") })
@@ -102,7 +102,7 @@
 		return
 	}
 	if isAccepted {
-		t.underWay[id] = p.around.Now() + 2*p.around.Bounds().Charter // until it is committed
+		t.underWay[id] = p.around.Now() + 2*p.around.Bounds().Config // until it is committed
 		t.told = append(t.told, id)
 		delete(t.rests, id)
 		return
@@ -117,9 +117,9 @@
 // so that its connections are few.
 func (s *Store) teller(address string) (wire.Who, bool) {
 	names := []string{}
-	scene := s.scenes.Now()
+	compiled := s.configs.Current()
 	for _, who := range s.d.Membership.Kind("adapter") {
-		if scene.MayWork(who.Zone) {
+		if compiled.MayWork(who.Zone) {
 			names = append(names, who.Name)
 		}
 	}
--- a/internal/store/tell_test.go
+++ b/internal/store/tell_test.go
@@ -100,8 +100,8 @@
 			b.now += look
 			b.place.tell(b.now)
 			b.answers = nil
-			So(b.turn(timing.Default.Charter, nil, nil), ShouldEqual, 0)
-			So(b.turn(timing.Default.Charter, &wire.Told{}, nil), ShouldEqual, 1)
+			So(b.turn(timing.Default.Config, nil, nil), ShouldEqual, 0)
+			So(b.turn(timing.Default.Config, &wire.Told{}, nil), ShouldEqual, 1)
 		})
 		Convey("many ends tells a bounded number at a time, and commits them together", func() {
 			b := owing(150)
--- a/internal/store/use.go
+++ b/internal/store/use.go
@@ -33,12 +33,12 @@
 }
 
 func (d *dispatcher) pickLane(pool string) string {
-	ready, scene := d.ready(), d.s.scenes.Now()
+	ready, compiled := d.ready(), d.s.configs.Current()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	best, least := "", 0.0
 	for name, n := range ready {
-		lane := scene.Rules.Lanes[name]
+		lane := compiled.Rules.Lanes[name]
 		if n <= d.taken[name] || !slices.Contains(lane.Pools, pool) {
 			continue
 		}
@@ -50,7 +50,7 @@
 		return ""
 	}
 	d.taken[best]++
-	d.passed[best] += 1 / float64(max(1, scene.Rules.Lanes[best].Urgency))
+	d.passed[best] += 1 / float64(max(1, compiled.Rules.Lanes[best].Urgency))
 	for name := range d.passed { // a lane that was idle does not catch up on turns
 		d.passed[name] = max(d.passed[name], least)
 	}
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -10,17 +10,17 @@
 
 // Bounds are the times an operator promises to users. All else is a ratio.
 type Bounds struct {
-	// Charter is the time within which an acknowledged charter holds everywhere.
-	Charter time.Duration
+	// Config is the time within which an acknowledged configuration holds everywhere.
+	Config time.Duration
 }
 
 // Default is the bound of the brief.
-var Default = Bounds{Charter: 3 * time.Second}
+var Default = Bounds{Config: 3 * time.Second}
 
 // Ratio is a part of a bound, in thousandths.
 type Ratio int64
 
-// Ratios to the charter bound. Invariant: Fresh + Poll*3 stays below 1000, so
+// Ratios to the configuration bound. Invariant: Fresh + Poll*3 stays below 1000, so
 // a daemon that hears nothing stops before the bound has passed.
 const (
 	Fresh             Ratio = 700   // a view older than this stops its daemon
@@ -62,8 +62,8 @@
 // than the worker has, since the answer has a way to come.
 const AnswerMargin = 10
 
-// Of gives the ratio's share of the charter bound.
-func (b Bounds) Of(r Ratio) time.Duration { return b.Charter * time.Duration(r) / 1000 }
+// Of gives the ratio's share of the configuration bound.
+func (b Bounds) Of(r Ratio) time.Duration { return b.Config * time.Duration(r) / 1000 }
 
 // Probes have the system probe a silent TCP connection, so that a dead peer is
 // noticed though nothing is written to it.
--- a/internal/transport/idle_test.go
+++ b/internal/transport/idle_test.go
@@ -17,7 +17,7 @@
 // deployment has two thousand sessions, most of them idle.
 func TestIdleSession(t *testing.T) {
 	Convey("A session that is idle says one frame in two beats", t, func() {
-		bounds := timing.Bounds{Charter: 200 * time.Millisecond}
+		bounds := timing.Bounds{Config: 200 * time.Millisecond}
 		node, err := NewNode(Options{Bounds: bounds})
 		So(err, ShouldBeNil)
 		near, far := net.Pipe()
--- a/internal/transport/options.go
+++ b/internal/transport/options.go
@@ -48,7 +48,7 @@
 	if o.Flush == 0 {
 		o.Flush = 500 * time.Microsecond
 	}
-	if o.Bounds.Charter == 0 {
+	if o.Bounds.Config == 0 {
 		o.Bounds = timing.Default
 	}
 	if o.Newest == 0 {
