--- a/internal/sim/adapter.go
+++ b/internal/sim/adapter.go
@@ -14,7 +14,7 @@
 
 // simAdapter is one adapter with its worker. The book is the real one.
 type simAdapter struct {
-	being
+	lifecycle
 	w      *Places
 	name   string
 	book   *deliver.Book
@@ -100,7 +100,7 @@
 		}
 	}
 	p.Send(from, a.name, func() {
-		a.w.whenThawed(&a.being, func() {
+		a.w.whenThawed(&a.lifecycle, func() {
 			reply := serve()
 			p.Send(a.name, from, func() { tell(reply, nil) })
 		})
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -41,7 +41,7 @@
 
 // node is a manager, an agent or an adapter.
 type node struct {
-	being
+	lifecycle
 	c          *Control
 	kind       string
 	name       string
--- a/internal/sim/around.go
+++ b/internal/sim/environment.go
@@ -10,7 +10,7 @@
 	"caperwheel/internal/wire"
 )
 
-// The surroundings of a place.
+// The environment of a place.
 
 // Now is the simulated time.
 func (s *simStore) Now() time.Duration { return s.w.now }
--- a/internal/sim/manager.go
+++ b/internal/sim/manager.go
@@ -84,7 +84,7 @@
 		own, life := p.ownShare(), p.life
 		p.d.net.call(p.machineOf(), to, func(answer func(any)) { to.serve(own, answer) }, func(reply any, err error) {
 			if share, isShare := reply.(*wire.Share); err == nil && isShare && p.life == life {
-				p.d.whenThawed(&p.being, func() { p.takeShare(share) })
+				p.d.whenThawed(&p.lifecycle, func() { p.takeShare(share) })
 			}
 		})
 	}
@@ -102,7 +102,7 @@
 		ask := &wire.Follow{Revisions: p.view.Revisions()}
 		p.d.net.call(p.machineOf(), to, func(answer func(any)) { to.serve(ask, answer) }, func(reply any, err error) {
 			if got, isNews := reply.(*wire.Followed); err == nil && isNews && p.life == life {
-				p.d.whenThawed(&p.being, func() { p.view.Take(got.Parts, asked); p.d.book.seen(&p.process) })
+				p.d.whenThawed(&p.lifecycle, func() { p.view.Take(got.Parts, asked); p.d.book.seen(&p.process) })
 			}
 		})
 	}
@@ -110,7 +110,7 @@
 
 // handle does an operator's work at this manager, in a task of its own.
 func (p *managerProcess) handle(work func(ctx context.Context, o *manager.Operators)) {
-	p.d.Go(&p.being, func(ctx context.Context, _ *task) { work(ctx, p.operators) })
+	p.d.Go(&p.lifecycle, func(ctx context.Context, _ *task) { work(ctx, p.operators) })
 }
 
 func voters(roster []string) []string {
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -55,7 +55,7 @@
 			}
 			return
 		}
-		n.d.whenThawed(&to.being, func() {
+		n.d.whenThawed(&to.lifecycle, func() {
 			work(func(reply any) { n.d.Send(c.to, from, func() { n.answer(c, reply) }) })
 		})
 	})
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -78,7 +78,7 @@
 	}
 	life := n.life
 	n.c.Send(n.name, to.name, func() {
-		to.c.whenThawed(&to.being, func() {
+		to.c.whenThawed(&to.lifecycle, func() {
 			to.registry.Hear(wire.Member{Who: ask.Who}, n.c.now, true)
 			for _, m := range ask.Beside {
 				to.registry.Hear(m, n.c.now, true)
@@ -86,7 +86,7 @@
 			news := session.NewsFor(ask, to.view, n.c.now, to.membership)
 			n.c.Send(to.name, n.name, func() {
 				if n.life == life {
-					n.c.whenThawed(&n.being, func() { n.heard = n.c.now; n.view.Take(news.Parts, asked) })
+					n.c.whenThawed(&n.lifecycle, func() { n.heard = n.c.now; n.view.Take(news.Parts, asked) })
 				}
 			})
 		})
@@ -100,7 +100,7 @@
 	for _, to := range n.c.managers {
 		if to != n {
 			n.c.Send(n.name, to.name, func() {
-				to.c.whenThawed(&to.being, func() {
+				to.c.whenThawed(&to.lifecycle, func() {
 					for _, m := range own {
 						to.registry.Hear(m, n.c.now, false)
 					}
@@ -121,7 +121,7 @@
 			if isOurs {
 				n.c.Send(s.name, n.name, func() {
 					if n.life == life {
-						n.c.whenThawed(&n.being, func() { n.view.Take([]wire.PartNews{news}, asked) })
+						n.c.whenThawed(&n.lifecycle, func() { n.view.Take([]wire.PartNews{news}, asked) })
 					}
 				})
 			}
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -14,7 +14,7 @@
 // process is what every daemon of a deployment has: a view, a membership and a
 // session with whoever tells it the news.
 type process struct {
-	being
+	lifecycle
 	d          *Deployment
 	kind       string
 	name       string
@@ -116,7 +116,7 @@
 		}
 		p.isAsking = false
 		if err == nil && isNews {
-			p.d.whenThawed(&p.being, func() {
+			p.d.whenThawed(&p.lifecycle, func() {
 				p.heard = p.d.now
 				if news.MembershipHash != ask.MembershipHash {
 					p.membership.Take(news.MembershipHash, news.Members)
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -78,7 +78,7 @@
 	if x.isTold || !a.isUp || a.life != x.life {
 		return
 	}
-	a.w.whenThawed(&a.being, func() {
+	a.w.whenThawed(&a.lifecycle, func() {
 		if x.isTold {
 			return
 		}
--- a/internal/sim/storedisk.go
+++ b/internal/sim/storedisk.go
@@ -41,7 +41,7 @@
 
 // storeAround is what a part needs of its store; a part needs no more.
 type storeAround struct {
-	store.Around
+	store.Environment
 	s *storeProcess
 }
 
--- a/internal/sim/task.go
+++ b/internal/sim/task.go
@@ -15,7 +15,7 @@
 // Invariant: a step is taken only by the world's queue, never inside another.
 type task struct {
 	w    *World
-	of   *being // whose work it is: it never goes on in another life; nil for a client's
+	of   *lifecycle // whose work it is: it never goes on in another life; nil for a client's
 	life int
 	next func() (wait, bool)
 	stop func()
@@ -29,7 +29,7 @@
 type ended struct{}
 
 // Go starts a task. A frozen daemon's task goes on when it thaws.
-func (w *World) Go(of *being, work func(ctx context.Context, t *task)) {
+func (w *World) Go(of *lifecycle, work func(ctx context.Context, t *task)) {
 	t := &task{w: w, of: of}
 	if of != nil {
 		t.life = of.life
--- a/internal/store/judge.go
+++ b/internal/store/judge.go
@@ -52,7 +52,7 @@
 	if o.Kind == "" {
 		c := place.Command{Kind: place.CmdEnd, Id: e.Id, Proof: o.Proof, Retain: retain, Drop: lane.DropsBytes}
 		if lane.Callback != "" {
-			c.Child = place.Child{Id: p.around.ChildOf(e.Id), Lane: lane.Callback, Ctype: o.Proof.Ctype, Body: o.Proof.Answer,
+			c.Child = place.Child{Id: p.environment.ChildOf(e.Id), Lane: lane.Callback, Ctype: o.Proof.Ctype, Body: o.Proof.Answer,
 				Sum: wire.SumOf(o.Proof.Answer), Parent: e.Id}
 		}
 		return c
--- a/internal/store/look.go
+++ b/internal/store/look.go
@@ -25,8 +25,8 @@
 func (p *PlaceHost) Look(l *wire.Look, answer func(any)) {
 	e := p.machine.Find(l.Id)
 	if l.Wait > 0 && e != nil && !e.State.IsOver() && p.host.IsOwner() && p.waiting < mostOnlookers {
-		wait := min(time.Duration(l.Wait)*time.Millisecond, p.around.Bounds().Of(timing.Look))
-		p.onlookers[l.Id] = append(p.onlookers[l.Id], onlooker{l, p.around.Now() + wait, answer})
+		wait := min(time.Duration(l.Wait)*time.Millisecond, p.environment.Bounds().Of(timing.Look))
+		p.onlookers[l.Id] = append(p.onlookers[l.Id], onlooker{l, p.environment.Now() + wait, answer})
 		p.waiting++
 		return
 	}
@@ -36,7 +36,7 @@
 // see: the owner must have been confirmed so lately that nobody else can have
 // become owner since.
 func (p *PlaceHost) see(l *wire.Look, answer func(any)) {
-	if v := p.host.View(); !p.host.IsOwner() || p.around.Now()-v.Confirmed > p.around.Bounds().Of(timing.Lease) {
+	if v := p.host.View(); !p.host.IsOwner() || p.environment.Now()-v.Confirmed > p.environment.Bounds().Of(timing.Lease) {
 		answer(p.sight(nil, errs.NotOwner))
 		return
 	}
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -18,8 +18,8 @@
 			continue
 		}
 		// An adapter that is away may still come back with a success: wait.
-		if who, isMember := p.around.Find(e.Adapter); isMember {
-			p.asking[e.Id] = now + p.around.Bounds().Of(timing.AnswerTimeout)
+		if who, isMember := p.environment.Find(e.Adapter); isMember {
+			p.asking[e.Id] = now + p.environment.Bounds().Of(timing.AnswerTimeout)
 			p.ask(e, who)
 		}
 		p.giveUp(e, now)
@@ -50,9 +50,9 @@
 		p.missed[e.Id] = now
 	}
 	lane, isKnown := p.lane(e.Lane)
-	wait := p.around.Bounds().Config
+	wait := p.environment.Bounds().Config
 	if e.Ordered {
-		wait += place.Busy(p.around.Compiled().Rules.Pools[e.Pool].Bound)
+		wait += place.Busy(p.environment.Compiled().Rules.Pools[e.Pool].Bound)
 	}
 	if !isKnown || p.now() < e.Deadline || now-p.missed[e.Id] < wait {
 		return
@@ -67,7 +67,7 @@
 func (p *PlaceHost) ask(e *place.Message, who wire.Who) {
 	id, attempt := e.Id, e.Attempt
 	ask := &wire.Open{Place: p.number, Term: p.host.Term(), Id: id, Attempt: attempt, Boot: e.Boot}
-	_ = p.around.Post(who, ask, func(reply any, err error) {
+	_ = p.environment.Post(who, ask, func(reply any, err error) {
 		ack, isAck := reply.(*wire.OpenAck)
 		if err != nil || !isAck || ack.Kind != "" {
 			return
@@ -81,7 +81,7 @@
 			case "open":
 				p.noteInHand(id, attempt)
 			case "gone":
-				p.lost(e, p.around.Now())
+				p.lost(e, p.environment.Now())
 			default:
 				p.undo(id, attempt, "never_started")
 			}
@@ -96,19 +96,19 @@
 	if !isKnown {
 		return
 	}
-	pool := p.around.Compiled().Rules.Pools[e.Pool]
+	pool := p.environment.Compiled().Rules.Pools[e.Pool]
 	if p.lostAt[e.Id] == 0 {
 		p.lostAt[e.Id] = now
 	}
-	wait := p.around.Bounds().Of(timing.SessionTimeout) // whoever keeps its result hands it over by then
+	wait := p.environment.Bounds().Of(timing.SessionTimeout) // whoever keeps its result hands it over by then
 	if e.Ordered && !pool.Repeats {
 		wait = max(wait, place.Busy(pool.Bound))
 	}
 	if now-p.lostAt[e.Id] < wait {
-		p.asking[e.Id] = now + p.around.Bounds().Of(timing.AnswerTimeout)
+		p.asking[e.Id] = now + p.environment.Bounds().Of(timing.AnswerTimeout)
 		return
 	}
-	p.asking[e.Id] = now + p.around.Bounds().Config
+	p.asking[e.Id] = now + p.environment.Bounds().Config
 	delete(p.lostAt, e.Id)
 	delete(p.missed, e.Id)
 	c := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: e.Attempt, Cause: "unknown_run", Costs: lane.SpendsAll,
--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -11,35 +11,35 @@
 
 // PartHost is a part of the control state on this store.
 type PartHost struct {
-	around  Around
-	number  int64
-	host    Hosting
-	part    *feed.Part
-	clockAt time.Duration // when, by our own clock, it was the part's clock
+	environment Environment
+	number      int64
+	host        Hosting
+	part        *feed.Part
+	clockAt     time.Duration // when, by our own clock, it was the part's clock
 }
 
 // NewPartHost gives an empty part.
-func NewPartHost(around Around, number int64) *PartHost {
-	return &PartHost{around: around, number: number, part: feed.NewPart(), clockAt: around.Now()}
+func NewPartHost(environment Environment, number int64) *PartHost {
+	return &PartHost{environment: environment, number: number, part: feed.NewPart(), clockAt: environment.Now()}
 }
 
 // Apply takes one committed edit in.
 func (p *PartHost) Apply(data []byte) any {
 	e, err := feed.DecodeEdit(data)
 	if err != nil {
-		p.around.Fail(err)
+		p.environment.Fail(err)
 		return nil
 	}
 	was := p.now()
 	out := p.part.Apply(e)
-	p.clockAt = p.around.Now() - max(0, time.Duration(was-p.part.Clock())*time.Millisecond)
+	p.clockAt = p.environment.Now() - max(0, time.Duration(was-p.part.Clock())*time.Millisecond)
 	return out
 }
 
 // now is the part time: the newest edit's, and what has passed since by our own
 // clock. No two clocks are ever compared.
 func (p *PartHost) now() int64 {
-	return p.part.Clock() + int64((p.around.Now()-p.clockAt)/time.Millisecond)
+	return p.part.Clock() + int64((p.environment.Now()-p.clockAt)/time.Millisecond)
 }
 
 // Image gives the state for a slot.
@@ -49,7 +49,7 @@
 func (p *PartHost) Restore(image []byte) error {
 	part, err := feed.RestorePart(image)
 	if err == nil {
-		p.part, p.clockAt = part, p.around.Now()
+		p.part, p.clockAt = part, p.environment.Now()
 	}
 	return err
 }
@@ -89,11 +89,11 @@
 	case !p.host.IsOwner():
 		answer(&wire.Pulled{Kind: string(errs.NotOwner), Change: wire.Change{Value: []byte{}}})
 	case !v.IsSure || v.Confirmed < askedAt:
-		if p.around.Now()-askedAt > p.around.Bounds().Of(timing.AnswerTimeout) {
+		if p.environment.Now()-askedAt > p.environment.Bounds().Of(timing.AnswerTimeout) {
 			answer(&wire.Pulled{Kind: string(errs.DeadlineExceeded), Change: wire.Change{Value: []byte{}}})
 			return
 		}
-		p.around.After(p.around.Bounds().Of(timing.Heartbeat)/4, func() {
+		p.environment.After(p.environment.Bounds().Of(timing.Heartbeat)/4, func() {
 			if err := p.host.Do(func() { p.Pull(key, askedAt, answer) }); err != nil {
 				answer(&wire.Pulled{Kind: string(errs.Full), Change: wire.Change{Value: []byte{}}})
 			}
@@ -113,7 +113,7 @@
 	}
 	n, isNewest := p.part.News(p.number, from)
 	if isNewest {
-		n.Age = int64((p.around.Now() - v.Confirmed) / time.Microsecond)
+		n.Age = int64((p.environment.Now() - v.Confirmed) / time.Microsecond)
 	}
 	return n, true
 }
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -19,19 +19,19 @@
 // Invariants: all but ready is touched by the host's goroutine alone; inHand
 // has a run only after its adapter said so in this ownership.
 type PlaceHost struct {
-	around   Around
-	number   int64
-	host     Hosting
-	machine  *place.Machine
-	clockAt  time.Duration // when, by our own clock, it was the machine's clock
-	inHand   map[string]inHand
-	asking   map[string]time.Duration
-	lostAt   map[string]time.Duration
-	telling  telling
-	missed   map[string]time.Duration // since when nobody has told of an open run
-	sending  map[string]bool
-	trimmed  time.Duration
-	underWay underWay
+	environment Environment
+	number      int64
+	host        Hosting
+	machine     *place.Machine
+	clockAt     time.Duration // when, by our own clock, it was the machine's clock
+	inHand      map[string]inHand
+	asking      map[string]time.Duration
+	lostAt      map[string]time.Duration
+	telling     telling
+	missed      map[string]time.Duration // since when nobody has told of an open run
+	sending     map[string]bool
+	trimmed     time.Duration
+	underWay    underWay
 	// Those who wait for a message's end, by its id, and how many: at most mostOnlookers.
 	onlookers map[string][]onlooker
 	waiting   int
@@ -54,8 +54,8 @@
 	mostUnsynced = 16 << 20 // bytes of all groups that may wait for the store's disk
 )
 
-func NewPlaceHost(around Around, number int64) *PlaceHost {
-	p := &PlaceHost{around: around, number: number, machine: place.New(), clockAt: around.Now(), onlookers: map[string][]onlooker{}, underWay: underWay{}}
+func NewPlaceHost(environment Environment, number int64) *PlaceHost {
+	p := &PlaceHost{environment: environment, number: number, machine: place.New(), clockAt: environment.Now(), onlookers: map[string][]onlooker{}, underWay: underWay{}}
 	p.ready.Store(&map[string]int{})
 	return p
 }
@@ -64,12 +64,12 @@
 func (p *PlaceHost) Apply(data []byte) any {
 	c, err := place.Decode(data)
 	if err != nil {
-		p.around.Fail(err) // a replica that cannot follow must stop, not guess
+		p.environment.Fail(err) // a replica that cannot follow must stop, not guess
 		return nil
 	}
 	was := p.now()
 	v := p.machine.Apply(c)
-	p.clockAt = p.around.Now() - max(0, time.Duration(was-p.machine.Clock())*time.Millisecond)
+	p.clockAt = p.environment.Now() - max(0, time.Duration(was-p.machine.Clock())*time.Millisecond)
 	if len(p.onlookers[c.Id]) > 0 && v.State.IsOver() {
 		p.tellOnlookers(func(id string, _ onlooker) bool { return id == c.Id })
 	}
@@ -83,7 +83,7 @@
 func (p *PlaceHost) Restore(image []byte) error {
 	m, err := place.Restore(image)
 	if err == nil {
-		p.machine, p.clockAt = m, p.around.Now()
+		p.machine, p.clockAt = m, p.environment.Now()
 	}
 	return err
 }
@@ -91,7 +91,7 @@
 // now is the place time: the newest command's, and what has passed since by
 // our own clock. No two clocks are ever compared.
 func (p *PlaceHost) now() int64 {
-	return p.machine.Clock() + int64((p.around.Now()-p.clockAt)/time.Millisecond)
+	return p.machine.Clock() + int64((p.environment.Now()-p.clockAt)/time.Millisecond)
 }
 
 // Owned starts or ends an ownership. Runs that an earlier owner began are not
@@ -127,7 +127,7 @@
 	}
 	if !isSame {
 		p.ready.Store(&counts)
-		p.around.Nudge()
+		p.environment.Nudge()
 	}
 }
 
@@ -159,23 +159,23 @@
 		return
 	case p.underWay.join(takeKey(t), answer): // sent again: it may be held yet
 		return
-	case !p.around.IsFresh(): // the lane may be another by now
+	case !p.environment.IsFresh(): // the lane may be another by now
 		reject(errs.NotOwner, "", 0) // no more definite than that: an older adapter would believe it
 		return
-	case p.around.IsTight():
+	case p.environment.IsTight():
 		reject(errs.Full, "the store's memory is nearly used up", 2*time.Second)
 		return
-	case p.around.IsFull():
+	case p.environment.IsFull():
 		reject(errs.DiskFull, "the store's disk is nearly full", 30*time.Second)
 		return
-	case p.around.IsBusy() || p.host.Oldest() > p.around.Bounds().Of(timing.Stall):
-		reject(errs.Full, "the place's disks cannot keep up", p.around.Bounds().Of(timing.Stall))
+	case p.environment.IsBusy() || p.host.Oldest() > p.environment.Bounds().Of(timing.Stall):
+		reject(errs.Full, "the place's disks cannot keep up", p.environment.Bounds().Of(timing.Stall))
 		return
 	case count >= mostMessages || bytes >= mostBytes || p.host.Waiting() >= mostWaiting:
 		reject(errs.Full, "the place holds as much as it may", 2*time.Second)
 		return
 	}
-	lane, isKnown := p.around.Compiled().Rules.Lanes[t.Lane]
+	lane, isKnown := p.environment.Compiled().Rules.Lanes[t.Lane]
 	if !isKnown {
 		reject(errs.Unknown, "no such lane", 0)
 		return
@@ -222,8 +222,8 @@
 // that has just started must wait for its view rather than take every lane for
 // one that was removed.
 func (p *PlaceHost) lane(name string) (config.Lane, bool) {
-	isFresh := p.around.IsFresh() // before the configuration: what is fresh now is in it
-	return laneOf(p.around.Compiled().Rules, name, isFresh)
+	isFresh := p.environment.IsFresh() // before the configuration: what is fresh now is in it
+	return laneOf(p.environment.Compiled().Rules, name, isFresh)
 }
 
 func laneOf(rules *config.Rules, name string, isFresh bool) (config.Lane, bool) {
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -20,19 +20,19 @@
 // Start runs the lane's next message in a granted slot. The run is durable
 // before its adapter hears of it.
 func (p *PlaceHost) Start(lane string, g SlotGrant) {
-	now := p.around.Now()
-	if !p.host.IsOwner() || now > g.Until || !p.around.IsFresh() {
-		p.around.Release(g)
+	now := p.environment.Now()
+	if !p.host.IsOwner() || now > g.Until || !p.environment.IsFresh() {
+		p.environment.Release(g)
 		return
 	}
 	e := p.machine.Pick(lane, p.now())
 	if e == nil {
 		p.publish()
-		p.around.Release(g)
+		p.environment.Release(g)
 		return
 	}
 	if rules, isKnown := p.lane(lane); isKnown && rules.Attempts > 0 && e.Spent >= rules.Attempts {
-		p.around.Release(g) // its last run might have gone on; now it cannot
+		p.environment.Release(g) // its last run might have gone on; now it cannot
 		p.propose(place.Command{Kind: place.CmdClose, Id: e.Id, Attempt: e.Attempt, State: string(place.Failed), Cause: e.Cause,
 			Hold: rules.HoldFailed, Retain: int64(rules.Retention / time.Millisecond)}, nil)
 		return
@@ -41,7 +41,7 @@
 	p.propose(place.Command{Kind: place.CmdStart, Id: e.Id, Attempt: attempt, Adapter: g.Holder.Name, Boot: g.Holder.Boot,
 		Pool: g.Pool, Worker: g.Worker}, func(v place.Verdict, err error) {
 		if err != nil || v.Kind != "" {
-			p.around.Release(g)
+			p.environment.Release(g)
 			p.machine.Unpick(e)
 			return
 		}
@@ -51,11 +51,11 @@
 
 // send hands a started run to the adapter that granted the slot.
 func (p *PlaceHost) send(e *place.Message, attempt int64, g SlotGrant) {
-	rules := p.around.Compiled().Rules
+	rules := p.environment.Compiled().Rules
 	run := &wire.Run{Place: p.number, Term: p.host.Term(), Id: e.Id, Attempt: attempt, Lane: e.Lane, Key: e.Key,
 		Pool: g.Pool, Worker: g.Worker, Ctype: e.Ctype, Body: e.Body, Sum: e.Sum, Permit: g.Permit,
 		Bound: rules.BoundOf(e.Lane, g.Pool), Head: e.Head}
-	err := p.around.Post(g.Holder, run, func(reply any, err error) {
+	err := p.environment.Post(g.Holder, run, func(reply any, err error) {
 		ack, isAck := reply.(*wire.RunAck)
 		if err != nil || !isAck {
 			return // its fate is unknown: the tick asks the adapter
@@ -75,7 +75,7 @@
 
 func (p *PlaceHost) noteInHand(id string, attempt int64) {
 	if p.inHand != nil {
-		p.inHand[id] = inHand{attempt, p.around.Now() + p.around.Bounds().Config}
+		p.inHand[id] = inHand{attempt, p.environment.Now() + p.environment.Bounds().Config}
 		delete(p.missed, id)
 	}
 }
@@ -83,7 +83,7 @@
 // undo brings a run back that never started. It costs no attempt.
 func (p *PlaceHost) undo(id string, attempt int64, cause string) {
 	p.propose(place.Command{Kind: place.CmdBack, Id: id, Attempt: attempt, Cause: cause,
-		Deadline: int64(p.around.Bounds().Of(timing.AskHold) / time.Millisecond)}, nil)
+		Deadline: int64(p.environment.Bounds().Of(timing.AskHold) / time.Millisecond)}, nil)
 }
 
 // Tick does the owner's periodic work.
@@ -92,7 +92,7 @@
 		return
 	}
 	p.tellOnlookers(func(_ string, o onlooker) bool { return now >= o.until })
-	if !p.around.IsFresh() {
+	if !p.environment.IsFresh() {
 		p.publish()
 		return
 	}
@@ -102,7 +102,7 @@
 		p.propose(place.Command{Kind: place.CmdClose, Id: e.Id, Attempt: e.Attempt, State: string(place.Expired), Cause: "patience",
 			Retain: int64(lane.Retention / time.Millisecond)}, nil)
 	}
-	if now-p.trimmed > p.around.Bounds().Of(timing.AnswerTimeout) {
+	if now-p.trimmed > p.environment.Bounds().Of(timing.AnswerTimeout) {
 		p.trimmed = now
 		if ids := p.machine.Stale(at, trimBatch); len(ids) > 0 {
 			p.propose(place.Command{Kind: place.CmdTrim, Ids: ids}, nil)
@@ -125,9 +125,9 @@
 			return
 		}
 		p.sending[id] = true
-		take := &wire.Take{Place: p.around.PlaceOf(id), Id: id, Lane: child.Lane, Ctype: child.Ctype, Body: child.Body,
+		take := &wire.Take{Place: p.environment.PlaceOf(id), Id: id, Lane: child.Lane, Ctype: child.Ctype, Body: child.Body,
 			Sum: child.Sum, Deadline: int64(lane.Patience / time.Millisecond), Parent: child.Parent}
-		p.around.TakeElsewhere(take, func(isTaken bool) {
+		p.environment.TakeElsewhere(take, func(isTaken bool) {
 			_ = p.host.Do(func() {
 				delete(p.sending, id)
 				if isTaken && p.host.IsOwner() {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -139,13 +139,13 @@
 	var h *host.Host
 	var err error
 	if groupId >= wire.PlaceGroup {
-		p := NewPlaceHost(&around{s}, groupId-wire.PlaceGroup)
+		p := NewPlaceHost(&environment{s}, groupId-wire.PlaceGroup)
 		opts.Machine = p
 		h, err = host.New(opts)
 		p.host = h
 		s.places[groupId-wire.PlaceGroup] = p
 	} else {
-		p := NewPartHost(&around{s}, groupId)
+		p := NewPartHost(&environment{s}, groupId)
 		opts.Machine = p
 		h, err = host.New(opts)
 		p.host = h
--- a/internal/store/tell.go
+++ b/internal/store/tell.go
@@ -42,7 +42,7 @@
 // batches who has been told.
 func (p *PlaceHost) tell(now time.Duration) {
 	t := &p.telling
-	if len(t.told) >= tellBatch || len(t.told) > 0 && now-t.toldAt > p.around.Bounds().Of(timing.AnswerTimeout) {
+	if len(t.told) >= tellBatch || len(t.told) > 0 && now-t.toldAt > p.environment.Bounds().Of(timing.AnswerTimeout) {
 		ids := t.told
 		t.told, t.toldAt = nil, now
 		p.propose(place.Command{Kind: place.CmdTold, Ids: ids}, func(_ place.Verdict, _ error) {
@@ -54,7 +54,7 @@
 	if p.machine.CountOwed() == 0 || now < t.lookAt {
 		return
 	}
-	t.lookAt = now + p.around.Bounds().Of(timing.AskHold)
+	t.lookAt = now + p.environment.Bounds().Of(timing.AskHold)
 	if len(t.rests) > p.machine.CountOwed() { // some were forgotten before they were told
 		maps.DeleteFunc(t.rests, func(id string, _ rest) bool { return p.machine.Find(id) == nil })
 	}
@@ -73,7 +73,7 @@
 	if u, err := url.Parse(e.Notify); err == nil {
 		address = u.Host
 	}
-	who, isHere := p.around.Teller(address)
+	who, isHere := p.environment.Teller(address)
 	if !isHere {
 		return
 	}
@@ -85,12 +85,12 @@
 		return raw
 	}
 	ask.Head, ask.Answer = fill(ask.Head), fill(ask.Answer)
-	p.telling.underWay[id] = now + 2*p.around.Bounds().Config
+	p.telling.underWay[id] = now + 2*p.environment.Bounds().Config
 	done := func(reply any, err error) {
 		told, isTold := reply.(*wire.Told)
 		_ = p.host.Do(func() { p.heard(id, err == nil && isTold && told.Kind == "") })
 	}
-	if err := p.around.Post(who, ask, done); err != nil {
+	if err := p.environment.Post(who, ask, done); err != nil {
 		p.heard(id, false)
 	}
 }
@@ -102,15 +102,15 @@
 		return
 	}
 	if isAccepted {
-		t.underWay[id] = p.around.Now() + 2*p.around.Bounds().Config // until it is committed
+		t.underWay[id] = p.environment.Now() + 2*p.environment.Bounds().Config // until it is committed
 		t.told = append(t.told, id)
 		delete(t.rests, id)
 		return
 	}
 	delete(t.underWay, id)
-	least := p.around.Bounds().Of(timing.Redial)
+	least := p.environment.Bounds().Of(timing.Redial)
 	length := min(max(least, 2*t.rests[id].length), 8*least)
-	t.rests[id] = rest{p.around.Now() + length, length}
+	t.rests[id] = rest{p.environment.Now() + length, length}
 }
 
 // teller gives the adapter that speaks to an address: the same for all stores,
