--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -46,7 +46,7 @@
 		emit("repair_kept", "Results kept for the adapter beside.", float64(keeper.Count()))
 	})
 	go client.Run(context.Background())
-	home := &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink}
-	go keeper.HandOver(context.Background(), home, func(place int64) int64 { return wire.PlaceGroup + place }, d.Now)
+	owners := &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink}
+	go keeper.HandOver(context.Background(), owners, func(place int64) int64 { return wire.PlaceGroup + place }, d.Now)
 	d.Serve(nil)
 }
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -29,7 +29,7 @@
 	manner   Manner
 	tellers  tellers
 	pool     pond.Pool
-	doers    path.Doers[*delivery]
+	actions  path.Actions[*delivery]
 	programs path.Programs
 	ctx      context.Context
 	book     *Book
@@ -49,7 +49,7 @@
 		manner: manner}
 	a.client = newClient(d.Bounds)
 	a.slots = newSlots(a)
-	a.doers = a.steps()
+	a.actions = a.steps()
 	d.Measure(a.measure)
 	return a
 }
--- a/internal/deliver/deliver_test.go
+++ b/internal/deliver/deliver_test.go
@@ -32,7 +32,7 @@
 	a := &Adapter{d: d,
 		configs: &config.Cache{View: view}, ctx: context.Background(), book: NewBook(9), manner: Own}
 	a.client = newClient(d.Bounds)
-	a.slots, a.doers = newSlots(a), a.steps()
+	a.slots, a.actions = newSlots(a), a.steps()
 	return a
 }
 
@@ -219,7 +219,7 @@
 		old := a.configs.Current().Rules
 		a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: config.Key, Revision: 4, Value: []byte(`{}`)}}}}, a.d.Now())
 		r := &run{Run: wire.Run{Lane: "l", Pool: "p", Worker: "w"}}
-		err := a.doers[path.Fresh](path.Step{}, &delivery{run: r, rules: old})
+		err := a.actions[path.Fresh](path.Step{}, &delivery{run: r, rules: old})
 		So(err, ShouldNotBeNil)
 	})
 }
--- a/internal/deliver/moved_test.go
+++ b/internal/deliver/moved_test.go
@@ -33,10 +33,10 @@
 				a := scenery(server.Listener.Addr().String())
 				r := &run{Run: wire.Run{Id: "0-x", Attempt: 1, Lane: "l", Pool: "p", Worker: "w", Bound: 50}}
 				e := &delivery{run: r, outcome: &wire.Outcome{}, rules: a.configs.Current().Rules}
-				So(a.doers[path.Fresh](path.Step{}, e), ShouldBeNil)
-				So(a.doers[path.Live](path.Step{}, e), ShouldBeNil)
+				So(a.actions[path.Fresh](path.Step{}, e), ShouldBeNil)
+				So(a.actions[path.Live](path.Step{}, e), ShouldBeNil)
 				a.d.View.Take([]wire.PartNews{{From: 3, To: 4, Changes: []wire.Change{{Key: c.key, Revision: 4, Value: []byte(c.value)}}}}, a.d.Now())
-				err := a.doers[path.Send](path.Step{}, e)
+				err := a.actions[path.Send](path.Step{}, e)
 				kind := ""
 				if err != nil {
 					kind = string(errs.KindOf(err))
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -52,12 +52,12 @@
 	a.pool.Submit(func() { a.carry(r) })
 }
 
-// carry brings a run through delivery and its result home.
+// carry brings a run through delivery and its result to the owner.
 func (a *Adapter) carry(r *run) {
 	if wait := a.slots.pace(r.worker); wait > 0 {
 		time.Sleep(wait)
 	}
-	a.bringHome(r, a.deliver(r))
+	a.deliverToOwner(r, a.deliver(r))
 }
 
 // deliver runs it and tells what came of it, also to whoever watches the worker:
@@ -66,7 +66,7 @@
 	o := &wire.Outcome{Place: r.Place, Id: r.Id, Boot: a.d.Who.Boot, Proof: wire.Proof{Attempt: r.Attempt,
 		Worker: r.Worker, Adapter: a.d.Who.Name, Answer: []byte{}}}
 	rules, began := a.configs.Current().Rules, a.d.Now()
-	err := path.Run(a.programs.Delivery(rules, r.Lane), a.doers, &delivery{run: r, outcome: o, rules: rules})
+	err := path.Run(a.programs.Delivery(rules, r.Lane), a.actions, &delivery{run: r, outcome: o, rules: rules})
 	took := a.d.Now() - began
 	if r.isTried.Load() {
 		a.slots.done(r.Pool+"/"+r.Worker, r.worker, isWorkerSound(err, r, o), took)
@@ -92,22 +92,22 @@
 	return err == nil || o.Final || r.isSound.Load()
 }
 
-// bringHome sends the result to the place's owner until one has made it
+// deliverToOwner sends the result to the place's owner until one has made it
 // durable. Before that it leaves the result with the agent beside it, which
 // lives on should this process be killed, and with a store of another zone,
 // which lives on should this one be lost whole; when no owner is found it
 // leaves it with every store.
-func (a *Adapter) bringHome(r *run, o *wire.Outcome) {
+func (a *Adapter) deliverToOwner(r *run, o *wire.Outcome) {
 	keepers := a.d.Settings.Seeds
 	lane, isKnown := a.configs.Current().Rules.Lanes[r.Lane]
 	isWitnessed := lane.Witness || !isKnown
 	if isWitnessed && (o.Begun || o.Kind == "") {
 		a.leave(keepers, o, repair.StepLeave)
-		keepers = append(slices.Clone(keepers), a.leaveAfar(o)...)
+		keepers = append(slices.Clone(keepers), a.leaveInOtherZone(o)...)
 	}
 	for turn := 0; a.ctx.Err() == nil; turn++ {
 		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(timing.SettleTimeout))
-		_, err := a.reach.Group(ctx, wire.PlaceGroup+r.Place, o, repair.Home)
+		_, err := a.reach.Group(ctx, wire.PlaceGroup+r.Place, o, repair.Acknowledged)
 		cancel()
 		if err == nil {
 			break
@@ -126,9 +126,9 @@
 	a.book.Forget(&r.Run)
 }
 
-// leaveAfar leaves the result with the first store of another zone that can be
+// leaveInOtherZone leaves the result with the first store of another zone that can be
 // told, in the order of their claims to its id, and gives that store's address.
-func (a *Adapter) leaveAfar(o *wire.Outcome) []string {
+func (a *Adapter) leaveInOtherZone(o *wire.Outcome) []string {
 	stores := slices.DeleteFunc(a.d.Membership.Kind("store"), func(who wire.Who) bool { return who.Zone == a.d.Who.Zone })
 	slices.SortFunc(stores, func(x, y wire.Who) int { return cmp.Compare(duty.Rank(o.Id, x.Name), duty.Rank(o.Id, y.Name)) })
 	for _, who := range stores {
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -44,8 +44,8 @@
 	return web.NewClient(web.ClientOptions{Dial: bounds.Of(timing.DialTimeout), Idle: bounds.Config, MostIdle: 64, KeepAlive: lostMachine})
 }
 
-func (a *Adapter) steps() path.Doers[*delivery] {
-	return path.Doers[*delivery]{
+func (a *Adapter) steps() path.Actions[*delivery] {
+	return path.Actions[*delivery]{
 		path.Fresh: func(_ path.Step, e *delivery) error {
 			if !a.d.IsFresh() { // also what a thawed daemon meets before its next act
 				return errs.New(errs.Stale, "the view is too old to act on")
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -170,10 +170,10 @@
 			best = a
 			continue
 		}
-		isHome, bestIsHome := a.Zone == zone, best.Zone == zone
+		isOwnZone, bestIsOwnZone := a.Zone == zone, best.Zone == zone
 		switch {
-		case isHome != bestIsHome:
-			if isHome {
+		case isOwnZone != bestIsOwnZone:
+			if isOwnZone {
 				best = a
 			}
 		case load[name] != load[best.Name]:
--- a/internal/fleet/cause.go
+++ b/internal/fleet/cause.go
@@ -75,7 +75,7 @@
 		o.At += beganAt
 		f.History.AddOutage(o)
 	}
-	s.Carry(ctx, func(ctx context.Context, step Step) func() { return doers[step.Do](ctx, f, step.Who) }, f.failed)
+	s.Carry(ctx, func(ctx context.Context, step Step) func() { return actions[step.Do](ctx, f, step.Who) }, f.failed)
 }
 
 // Carry has do cause each step at its time, and undoes it.
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -16,7 +16,7 @@
 // Step is one fault of a schedule, or its end.
 type Step struct {
 	At  string `json:"at"`  // since the load began
-	Do  string `json:"do"`  // see doers
+	Do  string `json:"do"`  // see actions
 	Who string `json:"who"` // a daemon, a zone, or pool/worker; a trailing * takes all that start so
 	For string `json:"for"` // how long until it is undone; empty for not at all
 }
@@ -30,7 +30,7 @@
 
 // ReadSchedule reads and checks a schedule.
 func ReadSchedule(file string) (Schedule, error) {
-	return ReadScheduleOf(file, func(do string) bool { return doers[do] != nil })
+	return ReadScheduleOf(file, func(do string) bool { return actions[do] != nil })
 }
 
 // ReadScheduleOf reads a schedule of faults that somebody else causes.
@@ -56,8 +56,8 @@
 	return out, nil
 }
 
-// doers cause a fault and give back what undoes it.
-var doers = map[string]func(ctx context.Context, f *Fleet, who string) (undo func()){
+// actions cause a fault and give back what undoes it.
+var actions = map[string]func(ctx context.Context, f *Fleet, who string) (undo func()){
 	"kill": killAll,
 	"stop": func(_ context.Context, f *Fleet, who string) func() { return f.each(who, (*Process).Stop, restart) },
 	"freeze": func(_ context.Context, f *Fleet, who string) func() {
--- a/internal/group/handover.go
+++ b/internal/group/handover.go
@@ -11,7 +11,7 @@
 // soon as the member has all entries it is asked to campaign. One that does not
 // take over in time has this replica step down: what was refused meanwhile must
 // not be taken for still under way. Used before a planned stop and to bring
-// ownership home.
+// ownership back.
 func (g *Group) HandOver(to string, now time.Duration) Out {
 	out := Out{}
 	if g.role == Owner && g.successor == "" && g.peers[to] != nil {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -31,7 +31,7 @@
 	inHand   atomic.Int64
 	held     atomic.Int64 // waits for an end
 	peers    weight.Peers // stores, as this adapter sees them
-	doers    path.Doers[*request]
+	actions  path.Actions[*request]
 	programs path.Programs
 }
 
@@ -64,7 +64,7 @@
 			emit("weight_peer", "Weight of a store for messages that may go to any place.", w, "store", name)
 		}
 	})
-	in.doers = path.Doers[*request]{
+	in.actions = path.Actions[*request]{
 		path.Fresh: func(_ path.Step, e *request) error {
 			if !d.IsFresh() {
 				return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -144,6 +144,6 @@
 		in := intakeOn(&stand{})
 		e := &request{compiled: in.configs.Current()}
 		in.d.View.Take([]wire.PartNews{{From: 7, To: 8, Changes: []wire.Change{{Key: config.Key, Revision: 8, Value: []byte(`{}`)}}}}, in.d.Now())
-		So(errs.Is(in.doers[path.Fresh](path.Step{}, e), errs.Stale), ShouldBeTrue)
+		So(errs.Is(in.actions[path.Fresh](path.Step{}, e), errs.Stale), ShouldBeTrue)
 	})
 }
--- a/internal/intake/manner.go
+++ b/internal/intake/manner.go
@@ -91,7 +91,7 @@
 			e.take.Key = "-" + daemon.Random(8)
 		}
 	}
-	return path.Run(in.programs.Intake(e.compiled.Rules, e.lane.Name), in.doers, e)
+	return path.Run(in.programs.Intake(e.compiled.Rules, e.lane.Name), in.actions, e)
 }
 
 // findWay takes the lane that the request's host and path lead to, as the
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -43,7 +43,7 @@
 		in.reject(w, err, e)
 		return
 	}
-	if err := path.Run(in.programs.Intake(e.compiled.Rules, e.lane.Name), in.doers, e); err != nil {
+	if err := path.Run(in.programs.Intake(e.compiled.Rules, e.lane.Name), in.actions, e); err != nil {
 		in.reject(w, err, e)
 		return
 	}
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -87,13 +87,13 @@
 	return out
 }
 
-// Doers carry out steps on a message of some type.
-type Doers[E any] map[Op]func(step Step, message E) error
+// Actions carry out steps on a message of some type.
+type Actions[E any] map[Op]func(step Step, message E) error
 
 // Run interprets a program. The first error ends it.
-func Run[E any](program Program, doers Doers[E], message E) error {
+func Run[E any](program Program, actions Actions[E], message E) error {
 	for _, step := range program {
-		do, isKnown := doers[step.Op]
+		do, isKnown := actions[step.Op]
 		if !isKnown {
 			return errs.New(errs.Internal, "no doer for step %s", step.Op)
 		}
--- a/internal/repair/handover.go
+++ b/internal/repair/handover.go
@@ -36,14 +36,14 @@
 	return ack
 }
 
-// HandOver brings kept results home until ctx ends.
+// HandOver delivers kept results to their owners until ctx ends.
 func (k *Keeper) HandOver(ctx context.Context, r *reach.Reach, group func(place int64) int64, now func() time.Duration) {
 	timing.Every(ctx, r.Bounds.Of(timing.Resend), func() {
 		for _, o := range k.Due(now()) {
 			go func() {
 				ctx, cancel := context.WithTimeout(ctx, r.Bounds.Config)
 				defer cancel()
-				_, err := r.Group(ctx, group(o.Place), o, Home)
+				_, err := r.Group(ctx, group(o.Place), o, Acknowledged)
 				if err == nil {
 					k.Forget(o.Id, o.Proof.Attempt)
 				}
@@ -52,8 +52,8 @@
 	})
 }
 
-// Home tells an owner's acknowledgement from the word of a store that is not.
-func Home(reply any) (isOwner bool, hint string) {
+// Acknowledged tells an owner's acknowledgement from the word of a store that is not.
+func Acknowledged(reply any) (isOwner bool, hint string) {
 	ack, isAck := reply.(*wire.OutcomeAck)
 	if !isAck {
 		return false, ""
--- a/internal/sim/home.go
+++ b/internal/sim/results.go
@@ -12,7 +12,7 @@
 // retryPause is how often internal/reach tries another store for an owner.
 var retryPause = timing.Default.Of(timing.Poll) / 2
 
-// handOver brings kept results home, from whoever keeps them as long as it is
+// handOver delivers kept results to their owners, from whoever keeps them as long as it is
 // there.
 func (p *Places) handOver(from string, keeper func() *repair.Keeper) {
 	var tick func()
@@ -21,7 +21,7 @@
 			for _, o := range k.Due(p.now) {
 				for _, s := range p.stores {
 					p.askStore(from, s, func(p placeOwner, answer func(any)) { p.Outcome(o, answer) }, func(reply any) {
-						if isHome, _ := repair.Home(reply); isHome {
+						if isAcknowledged, _ := repair.Acknowledged(reply); isAcknowledged {
 							k.Forget(o.Id, o.Proof.Attempt)
 						}
 					})
@@ -47,9 +47,9 @@
 	}
 }
 
-// home sends the result at intervals, to one store after another, until an owner
+// deliverToOwner sends the result at intervals, to one store after another, until an owner
 // has made it durable.
-func (a *simAdapter) home(m *wire.Run, o *wire.Outcome) {
+func (a *simAdapter) deliverToOwner(m *wire.Run, o *wire.Outcome) {
 	life, turn, isDone := a.life, a.w.Rand.IntN(3), false
 	if o.Begun {
 		a.w.After(200*time.Microsecond, func() { a.agent.Keep(o, a.w.now) })
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -25,7 +25,7 @@
 	isFailed bool
 	isCut    bool // the answer does not come whole
 	isOver   bool // at the worker
-	isTold   bool // the adapter has brought a result home, or begun to
+	isTold   bool // the adapter has delivered a result to its owner, or begun to
 }
 
 func (x *work) end() {
@@ -40,11 +40,11 @@
 	x.a.w.After(max(0, x.run.Start+place.Busy(workBound)-x.a.w.now), x.end)
 }
 
-// carry runs the message on the adapter's worker and brings the result home.
+// carry runs the message on the adapter's worker and delivers the result to its owner.
 func (a *simAdapter) carry(m *wire.Run) {
 	w := a.w
 	if !a.isFresh() {
-		a.home(m, &wire.Outcome{Id: m.Id, Boot: a.boot(), Kind: string(errs.Stale),
+		a.deliverToOwner(m, &wire.Outcome{Id: m.Id, Boot: a.boot(), Kind: string(errs.Stale),
 			Proof: wire.Proof{Attempt: m.Attempt, Worker: m.Worker, Answer: []byte{}}})
 		return
 	}
@@ -103,6 +103,6 @@
 		o.Kind = string(kind)
 		o.Wait = int64(place.StillBusy(kind, x.m.Key != "", workBound, a.w.now-x.run.Start) / time.Millisecond)
 		a.w.Note("read %s/%d at %s: %q", x.m.Id, x.m.Attempt, a.boot(), o.Kind)
-		a.home(x.m, o)
+		a.deliverToOwner(x.m, o)
 	})
 }
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -10,10 +10,10 @@
 	"caperwheel/internal/fleet"
 )
 
-// doers cause a fault and give back what undoes it. Who names machines
+// actions cause a fault and give back what undoes it. Who names machines
 // (store-1, core-*, "zone north-bank", *), or workers by their service's place
 // in the plan (pool-1/1, pool-1/*, pool-3/*).
-var doers = map[string]func(ctx context.Context, s *Site, who string) (undo func()){
+var actions = map[string]func(ctx context.Context, s *Site, who string) (undo func()){
 	"kill": func(_ context.Context, s *Site, who string) func() {
 		return s.each(who, func(m *Machine) { m.stop(false) })
 	},
@@ -35,7 +35,7 @@
 }
 
 // IsFault tells whether there is a fault of that name.
-func IsFault(do string) bool { return doers[do] != nil }
+func IsFault(do string) bool { return actions[do] != nil }
 
 // Cause carries out a schedule. Recovery is judged from when a step was really
 // begun or undone: a busy machine takes its time.
@@ -55,7 +55,7 @@
 		if modes[step.Do] != Well {
 			who = step.Do + " " + who
 		}
-		undo := doers[step.Do](ctx, s, who)
+		undo := actions[step.Do](ctx, s, who)
 		return func() { undo(); note("end of " + step.Do + " " + step.Who) }
 	}, s.failed)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -31,7 +31,7 @@
 	founder  *founder
 	configs  *config.Cache
 	dispatch *dispatcher
-	keeper   *repair.Keeper // results that adapters could not bring home
+	keeper   *repair.Keeper // results that adapters could not deliver to their owner
 	diskFull atomic.Bool
 	rosters  *Rosters
 	ctx      context.Context
@@ -80,8 +80,8 @@
 	d.Measure(s.measure)
 	go s.upkeep(ctx)
 	go s.dispatch.run(ctx)
-	home := &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink}
-	go s.keeper.HandOver(ctx, home, func(place int64) int64 { return wire.PlaceGroup + place }, d.Now)
+	owners := &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink}
+	go s.keeper.HandOver(ctx, owners, func(place int64) int64 { return wire.PlaceGroup + place }, d.Now)
 	d.Serve(s.leave)
 }
 
