--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,7 +47,7 @@
 	Bound       time.Duration // a run that takes longer is given up
 	Spill       bool          // may use workers of other zones
 	ColdRate    float64       // runs a second of a worker that the list calls cold; 0 for no cap
-	Rest        time.Duration // longest pause between two probes of an unsound worker
+	Rest        time.Duration // longest pause between two probes of an unhealthy worker
 	Repeats     bool          // a run may be given again at once, though the first may go on
 }
 
--- a/internal/deliver/manner.go
+++ b/internal/deliver/manner.go
@@ -26,13 +26,13 @@
 //
 // Invariant: IsBegun is false only if the worker has not run the message.
 type Judgement struct {
-	Kind    errs.Kind
-	Text    string
-	Answer  []byte // what proves a success
-	IsBegun bool
-	IsFinal bool // it can never succeed
-	IsSound bool // the worker is well, whatever it answered
-	Wait    time.Duration
+	Kind      errs.Kind
+	Text      string
+	Answer    []byte // what proves a success
+	IsBegun   bool
+	IsFinal   bool // it can never succeed
+	IsHealthy bool // the worker is well, whatever it answered
+	Wait      time.Duration
 }
 
 // Manner is one way to put requests to workers that came as they are, and to
@@ -70,7 +70,7 @@
 	}
 	j := a.manner.Judge(asking, answer.Response, answer.Bytes)
 	r.isSent.Store(j.IsBegun)
-	r.isSound.Store(j.IsSound)
+	r.isHealthy.Store(j.IsHealthy)
 	e.outcome.Final, e.outcome.Wait = j.IsFinal, j.Wait.Milliseconds()
 	if j.Kind != "" {
 		return errs.New(j.Kind, "%s", j.Text)
--- a/internal/deliver/metrics.go
+++ b/internal/deliver/metrics.go
@@ -20,7 +20,7 @@
 	for key, h := range a.slots.workers {
 		emit("worker_in_use", "Slots given on a worker whose duty is held here.", float64(h.worker.InUse()), "worker", key)
 		emit("worker_asks", "Asks for a slot that wait.", float64(len(h.asks)), "worker", key)
-		for _, state := range []Soundness{Easing, Sound, Unsound} {
+		for _, state := range []Health{Easing, Healthy, Unhealthy} {
 			is := 0.0
 			if h.worker.State() == state {
 				is = 1
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -22,11 +22,11 @@
 // durable at the place's owner, whoever that becomes.
 type run struct {
 	wire.Run
-	worker  *Worker
-	address string
-	isTried atomic.Bool // the worker was asked, or could not be
-	isSent  atomic.Bool // the worker may have seen it
-	isSound atomic.Bool // the worker is well, whatever it answered
+	worker    *Worker
+	address   string
+	isTried   atomic.Bool // the worker was asked, or could not be
+	isSent    atomic.Bool // the worker may have seen it
+	isHealthy atomic.Bool // the worker is well, whatever it answered
 }
 
 // start takes a run from a store into hand, or tells that it never starts.
@@ -61,7 +61,7 @@
 }
 
 // deliver runs it and tells what came of it, also to whoever watches the worker:
-// one that cannot be reached is as unsound as one that fails.
+// one that cannot be reached is as unhealthy as one that fails.
 func (a *Adapter) deliver(r *run) *wire.Outcome {
 	o := &wire.Outcome{Place: r.Place, Id: r.Id, Boot: a.d.Who.Boot, Proof: wire.Proof{Attempt: r.Attempt,
 		Worker: r.Worker, Adapter: a.d.Who.Name, Answer: []byte{}}}
@@ -69,7 +69,7 @@
 	err := path.Run(a.programs.Delivery(rules, r.Lane), a.actions, &delivery{run: r, outcome: o, rules: rules})
 	took := a.d.Now() - began
 	if r.isTried.Load() {
-		a.slots.done(r.Pool+"/"+r.Worker, r.worker, isWorkerSound(err, r, o), took)
+		a.slots.done(r.Pool+"/"+r.Worker, r.worker, isWorkerHealthy(err, r, o), took)
 	} else {
 		a.slots.unused(r.worker)
 	}
@@ -86,10 +86,10 @@
 	return o
 }
 
-// isWorkerSound: an answer that blames the message says nothing bad of the
+// isWorkerHealthy: an answer that blames the message says nothing bad of the
 // worker.
-func isWorkerSound(err error, r *run, o *wire.Outcome) bool {
-	return err == nil || o.Final || r.isSound.Load()
+func isWorkerHealthy(err error, r *run, o *wire.Outcome) bool {
+	return err == nil || o.Final || r.isHealthy.Load()
 }
 
 // deliverToOwner sends the result to the place's owner until one has made it
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -237,11 +237,11 @@
 	}
 }
 
-func (s *slots) done(key string, w *Worker, isSound bool, took time.Duration) {
+func (s *slots) done(key string, w *Worker, isHealthy bool, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.a.d.Now()
-	w.Done(isSound, took, now)
+	w.Done(isHealthy, took, now)
 	if h := s.workers[key]; h != nil {
 		s.answerAsks(key, h, now)
 	}
--- a/internal/deliver/worker.go
+++ b/internal/deliver/worker.go
@@ -11,14 +11,14 @@
 	"caperwheel/internal/config"
 )
 
-// Soundness is the explicit state of a worker.
-type Soundness string
+// Health is the explicit state of a worker.
+type Health string
 
-// The states. A worker is easing while cold, and probed while unsound.
+// The states. A worker is easing while cold, and probed while unhealthy.
 const (
-	Easing  Soundness = "easing"
-	Sound   Soundness = "sound"
-	Unsound Soundness = "unsound"
+	Easing    Health = "easing"
+	Healthy   Health = "sound"
+	Unhealthy Health = "unsound"
 )
 
 // Worker is what the holder of a worker's duty knows of it. It is pure: the
@@ -29,7 +29,7 @@
 // when the state was entered.
 type Worker struct {
 	pool    config.Pool
-	state   Soundness
+	state   Health
 	since   time.Duration
 	heldAt  time.Duration // no slot before: the fence of a duty that changed hands
 	inUse   int64
@@ -45,13 +45,13 @@
 	isCold  bool          // the list says that it has just begun
 }
 
-// Constants of a worker's soundness.
+// Constants of a worker's health.
 const (
-	failsToUnsound = 3
-	firstRest      = 250 * time.Millisecond
-	mostRest       = 4 * time.Second // where the pool does not say
-	easeDoublings  = 8.0             // the start rate doubles so often while easing
-	easeRate       = 2.0             // starts a second of a worker that is stone cold
+	failsToUnhealthy = 3
+	firstRest        = 250 * time.Millisecond
+	mostRest         = 4 * time.Second // where the pool does not say
+	easeDoublings    = 8.0             // the start rate doubles so often while easing
+	easeRate         = 2.0             // starts a second of a worker that is stone cold
 )
 
 // NewWorker takes a duty up. An endpoint's holder waits out the fence, during
@@ -63,15 +63,15 @@
 }
 
 // enter is the one place where a worker changes its state.
-func (w *Worker) enter(state Soundness, now time.Duration) {
-	if w.state == Unsound && state != Unsound {
+func (w *Worker) enter(state Health, now time.Duration) {
+	if w.state == Unhealthy && state != Unhealthy {
 		w.rest = 0
 	}
 	w.state, w.since = state, now
 	if state == Easing {
 		w.tokens = min(w.tokens, 1)
 	}
-	if state == Unsound {
+	if state == Unhealthy {
 		w.rest = min(max(firstRest, 2*w.rest), cmp.Or(w.pool.Rest, mostRest))
 		w.probeAt = now + w.rest
 	}
@@ -88,15 +88,15 @@
 	w.pool, w.isCold = pool, listed.IsCold
 }
 
-// State tells the worker's soundness.
-func (w *Worker) State() Soundness { return w.state }
+// State tells the worker's health.
+func (w *Worker) State() Health { return w.state }
 
 // InUse tells how many slots are given.
 func (w *Worker) InUse() int64 { return w.inUse }
 
 // warmth goes from 0 for a cold worker to 1 once it has been eased in.
 func (w *Worker) warmth(now time.Duration) float64 {
-	if w.state == Sound || w.pool.Ease <= 0 {
+	if w.state == Healthy || w.pool.Ease <= 0 {
 		return 1
 	}
 	return min(1, max(0, float64(now-w.since)/float64(w.pool.Ease)))
@@ -104,7 +104,7 @@
 
 // limit is how many runs at once the worker gets now.
 func (w *Worker) limit(now time.Duration) int64 {
-	if w.state == Unsound {
+	if w.state == Unhealthy {
 		return 1
 	}
 	warm := 1 + math.Floor(float64(w.pool.Concurrency-1)*w.warmth(now))
@@ -113,9 +113,9 @@
 
 // observe moves the ceiling: down by half when the worker fails, up by one for
 // each ceiling's worth of sound runs. It also smooths what is reported.
-func (w *Worker) observe(isSound bool, took time.Duration) {
+func (w *Worker) observe(isHealthy bool, took time.Duration) {
 	const smooth = 0.1
-	if isSound {
+	if isHealthy {
 		w.ceiling = min(float64(w.pool.Concurrency), w.ceiling+1/max(1, w.ceiling))
 		w.misses -= w.misses * smooth
 		if w.micros == 0 {
@@ -131,7 +131,7 @@
 // Observed tells the smoothed time of a run, the share that failed, and
 // whether the worker is only probed.
 func (w *Worker) Observed() (micros, misses float64, isProbe bool) {
-	return w.micros, w.misses, w.state == Unsound
+	return w.micros, w.misses, w.state == Unhealthy
 }
 
 // rate is how many starts a second it gets now; 0 means no cap.
@@ -165,9 +165,9 @@
 		return false, w.heldAt - now
 	}
 	if w.state == Easing && w.warmth(now) >= 1 {
-		w.enter(Sound, now)
+		w.enter(Healthy, now)
 	}
-	if w.state == Unsound && now < w.probeAt {
+	if w.state == Unhealthy && now < w.probeAt {
 		return false, w.probeAt - now
 	}
 	if w.inUse >= w.limit(now) {
@@ -203,20 +203,20 @@
 	return at - now
 }
 
-// Done takes a run's end in. isSound is false when the worker failed, not when
+// Done takes a run's end in. isHealthy is false when the worker failed, not when
 // it answered that the message is at fault.
-func (w *Worker) Done(isSound bool, took, now time.Duration) {
+func (w *Worker) Done(isHealthy bool, took, now time.Duration) {
 	w.inUse = max(0, w.inUse-1)
-	w.observe(isSound, took)
-	if isSound {
+	w.observe(isHealthy, took)
+	if isHealthy {
 		w.failed = 0
-		if w.state == Unsound {
+		if w.state == Unhealthy {
 			w.enter(Easing, now) // back, but cold
 		}
 		return
 	}
 	w.failed++
-	if w.state == Unsound || w.failed >= failsToUnsound {
-		w.enter(Unsound, now)
+	if w.state == Unhealthy || w.failed >= failsToUnhealthy {
+		w.enter(Unhealthy, now)
 	}
 }
--- a/internal/deliver/worker_test.go
+++ b/internal/deliver/worker_test.go
@@ -13,12 +13,12 @@
 
 // starts grants slots every 10 ms for a while, each run taking work, and gives
 // the times of the starts.
-func starts(w *Worker, from, length, work time.Duration, isSound func(now time.Duration) bool) []time.Duration {
+func starts(w *Worker, from, length, work time.Duration, isHealthy func(now time.Duration) bool) []time.Duration {
 	out, ends := []time.Duration{}, []time.Duration{}
 	for now := from; now < from+length; now += 10 * time.Millisecond {
 		for len(ends) > 0 && ends[0] <= now {
 			ends = ends[1:]
-			w.Done(isSound(now), work, now)
+			w.Done(isHealthy(now), work, now)
 		}
 		for {
 			isGranted, _ := w.Grant(now)
@@ -83,8 +83,8 @@
 	})
 	Convey("A worker that fails is only probed, and comes back cold", t, func() {
 		w := NewWorker(pool, 0, 0)
-		isSound := func(now time.Duration) bool { return now < 20*time.Second || now > 40*time.Second }
-		list := starts(w, 0, 42*time.Second, 50*time.Millisecond, isSound)
+		isHealthy := func(now time.Duration) bool { return now < 20*time.Second || now > 40*time.Second }
+		list := starts(w, 0, 42*time.Second, 50*time.Millisecond, isHealthy)
 		So(within(list, 30*time.Second, 40*time.Second), ShouldBeBetween, 1, 6)
 		So(within(list, 41*time.Second, 42*time.Second), ShouldBeLessThan, 8)
 	})
--- a/internal/manager/list.go
+++ b/internal/manager/list.go
@@ -126,7 +126,7 @@
 			continue
 		}
 		base := l.base(name)
-		next := l.join(name, base.list, sound(got[name]), missed)
+		next := l.join(name, base.list, healthy(got[name]), missed)
 		if slices.Equal(base.list, next) {
 			continue
 		}
@@ -158,8 +158,8 @@
 	return read
 }
 
-// sound drops what a list may not hold.
-func sound(list []config.Worker) []config.Worker {
+// healthy drops what a list may not hold.
+func healthy(list []config.Worker) []config.Worker {
 	out, seen := []config.Worker{}, map[string]bool{}
 	for _, w := range list {
 		one, faults := config.ReadWorkers(config.Workers{Workers: []config.Worker{w}}.Encode())
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -145,7 +145,7 @@
 // from the owner, and checks the history.
 func (p *Places) Finish() []check.Breach {
 	p.Calm()
-	p.Unsound, p.LoseAns, p.Stall, p.Break = 0, 0, 0, 0
+	p.Unhealthy, p.LoseAns, p.Stall, p.Break = 0, 0, 0, 0
 	for _, s := range p.stores {
 		s.frozen = 0
 		s.start()
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -22,18 +22,18 @@
 // network and disk.
 type Places struct {
 	*World
-	H        *check.History
-	stores   []*simStore
-	adapters []*simAdapter
-	rules    *config.Rules
-	serial   int
-	runs     []*check.Run  // as the workers saw them
-	Unsound  int           // share of runs that fail, in thousandths
-	LoseAns  int           // share of runs whose answer is lost
-	Stall    int           // share of runs that take longer than their bound
-	Break    int           // share of runs whose connection breaks
-	taken    []check.Sent  // to be asked for meanwhile
-	hurtAt   time.Duration // when something was last missing
+	H         *check.History
+	stores    []*simStore
+	adapters  []*simAdapter
+	rules     *config.Rules
+	serial    int
+	runs      []*check.Run  // as the workers saw them
+	Unhealthy int           // share of runs that fail, in thousandths
+	LoseAns   int           // share of runs whose answer is lost
+	Stall     int           // share of runs that take longer than their bound
+	Break     int           // share of runs whose connection breaks
+	taken     []check.Sent  // to be asked for meanwhile
+	hurtAt    time.Duration // when something was last missing
 }
 
 // simStore is one store; it is the place's surroundings too.
--- a/internal/sim/placefaults.go
+++ b/internal/sim/placefaults.go
@@ -19,7 +19,7 @@
 	},
 	"killed adapters": func(p *Places) { p.adapter().kill() },
 	"frozen adapters": func(p *Places) { p.adapter().frozen = p.now + time.Duration(p.Rand.IntN(6000))*time.Millisecond },
-	"failing workers": func(p *Places) { p.Unsound = 300; p.After(2*time.Second, func() { p.Unsound = 0 }) },
+	"failing workers": func(p *Places) { p.Unhealthy = 300; p.After(2*time.Second, func() { p.Unhealthy = 0 }) },
 	"lost answers":    func(p *Places) { p.LoseAns = 300; p.After(2*time.Second, func() { p.LoseAns = 0 }) },
 	"stalled workers": func(p *Places) { p.Stall = 300; p.After(3*time.Second, func() { p.Stall = 0 }) },
 	"broken links":    func(p *Places) { p.Break = 300; p.After(3*time.Second, func() { p.Break = 0 }) },
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -57,7 +57,7 @@
 		took = time.Duration(500+w.Rand.IntN(6000)) * time.Millisecond
 	}
 	dice := w.Rand.IntN(1000)
-	x.isFailed, x.isCut = dice < w.Unsound, dice >= w.Unsound && dice < w.Unsound+w.LoseAns
+	x.isFailed, x.isCut = dice < w.Unhealthy, dice >= w.Unhealthy && dice < w.Unhealthy+w.LoseAns
 	if x.isFailed {
 		run.Status = 500
 	}
--- a/internal/weight/weight.go
+++ b/internal/weight/weight.go
@@ -14,7 +14,7 @@
 	Zone    string
 	Micros  float64 // smoothed time of a run
 	Failed  float64 // smoothed share of runs that failed, 0 to 1
-	IsProbe bool    // unsound: only probes go there
+	IsProbe bool    // unhealthy: only probes go there
 }
 
 // Weights of a pool, as published. A worker's draw is its own weight times its
@@ -41,12 +41,12 @@
 	for _, s := range seen {
 		zones[s.Zone] = append(zones[s.Zone], 1-s.Failed)
 	}
-	for zone, sound := range zones {
+	for zone, healthy := range zones {
 		sum := 0.0
-		for _, x := range sound {
+		for _, x := range healthy {
 			sum += x
 		}
-		out.Zones[zone] = move(get(old.Zones, zone), max(Least, sum/float64(len(sound))))
+		out.Zones[zone] = move(get(old.Zones, zone), max(Least, sum/float64(len(healthy))))
 	}
 	return out
 }
