--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// wasLost tells whether the adapter that sent the run was killed about when
+// wasLost reports whether the adapter that sent the run was killed about when
 // its answer was read, before anybody else had it: the window that
 // docs/delivery.md describes.
 func (c *checker) wasLost(r Run) bool {
--- a/internal/config/compiled.go
+++ b/internal/config/compiled.go
@@ -104,7 +104,7 @@
 	return s.compiled
 }
 
-// CanRead tells whether the newest configuration says anything to this build. A daemon
+// CanRead reports whether the newest configuration says anything to this build. A daemon
 // that cannot read it must stop, as one that has not heard of it must, rather
 // than take every lane for one that was removed.
 func (s *Cache) CanRead() bool { return !s.Current().IsUnread }
--- a/internal/config/edits.go
+++ b/internal/config/edits.go
@@ -13,7 +13,7 @@
 // VersionOf gives the operators' own number of a configuration; 0 for none.
 func VersionOf(doc []byte) int64 { return gjson.GetBytes(doc, "version").Int() }
 
-// HasEdit tells whether a configuration of an older build holds an edit, or was made
+// HasEdit reports whether a configuration of an older build holds an edit, or was made
 // from one that does.
 func HasEdit(doc []byte, digest string) bool {
 	return digest != "" && slices.Contains(EditsOf(doc), digest)
@@ -28,6 +28,6 @@
 	return out
 }
 
-// HasForgotten tells whether a configuration of an older build may come from edits that
+// HasForgotten reports whether a configuration of an older build may come from edits that
 // it no longer remembers.
 func HasForgotten(doc []byte) bool { return len(EditsOf(doc)) >= mostEdits }
--- a/internal/config/retirements.go
+++ b/internal/config/retirements.go
@@ -23,7 +23,7 @@
 	return r, errs.Wrap(err, errs.Corrupt, "retirements")
 }
 
-// Has tells whether a store's retirement was admitted.
+// Has reports whether a store's retirement was admitted.
 func (r Retirements) Has(store string) bool { return slices.Contains(r.Stores, store) }
 
 // With gives them with one more.
--- a/internal/config/ways.go
+++ b/internal/config/ways.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// Way gives the lane of a request that comes as it is: of its host's lanes the
+// Way returns the lane of a request that comes as it is: of its host's lanes the
 // one with the longest prefix of its path. A lane without a host serves all.
 func (r *Rules) Way(host, path string) (Lane, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -134,7 +134,7 @@
 	return time.Since(d.Started)
 }
 
-// IsFresh tells whether the daemon may act on its view.
+// IsFresh reports whether the daemon may act on its view.
 func (d *Daemon) IsFresh() bool {
 	return d.View.IsFresh(d.Now(), d.Bounds.Of(timing.Fresh)) && (d.CanRead == nil || d.CanRead())
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// measureView tells how a daemon stands to the control plane.
+// measureView reports how a daemon stands to the control plane.
 func (d *Daemon) measureView(emit Emit) {
 	isFresh := 0.0
 	if d.IsFresh() {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -36,7 +36,7 @@
 	return listener
 }
 
-// IsReady tells whether the daemon should be sent work, and if not, why. One
+// IsReady reports whether the daemon should be sent work, and if not, why. One
 // that was asked to stop is not, though it still serves.
 func (d *Daemon) IsReady() (bool, string) {
 	if d.leaving.Load() {
@@ -45,7 +45,7 @@
 	return d.Ready()
 }
 
-// IsLeaving tells whether the daemon was asked to stop.
+// IsLeaving reports whether the daemon was asked to stop.
 func (d *Daemon) IsLeaving() bool { return d.leaving.Load() }
 
 func (d *Daemon) route() {
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -117,17 +117,17 @@
 	a.slots.observed(counts)
 }
 
-// InHand tells how many runs are in hand.
+// InHand reports how many runs are in hand.
 func (a *Adapter) InHand() int { return a.book.Count() }
 
 // Leaving is the count by which an adapter tells that it is going: others take
 // its duties.
 const Leaving = "leaving"
 
-// IsLeaving tells whether it was asked to stop.
+// IsLeaving reports whether it was asked to stop.
 func (a *Adapter) IsLeaving() bool { return a.isLeaving.Load() }
 
-// holdsDuty tells whether a duty still names this life of the adapter.
+// holdsDuty reports whether a duty still names this life of the adapter.
 func (a *Adapter) holdsDuty() bool {
 	compiled := a.configs.Current()
 	for pool, duties := range compiled.Duties {
--- a/internal/deliver/book.go
+++ b/internal/deliver/book.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// Count tells how many runs are open.
+// Count reports how many runs are open.
 func (b *Book) Count() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/deliver/metrics.go
+++ b/internal/deliver/metrics.go
@@ -2,7 +2,7 @@
 
 import "caperwheel/internal/daemon"
 
-// measure tells what the adapter holds and how its workers stand.
+// measure reports what the adapter holds and how its workers stand.
 func (a *Adapter) measure(emit daemon.Emit) {
 	emit("deliver_in_hand", "Runs whose result is not durable yet.", float64(a.InHand()))
 	compiled := a.configs.Current()
--- a/internal/deliver/naming.go
+++ b/internal/deliver/naming.go
@@ -49,7 +49,7 @@
 	attemptNumber = "X-Attempt"
 )
 
-// sole gives a judge of answers by what they name. An answer that names nothing
+// sole returns a judge of answers by what they name. An answer that names nothing
 // can be told to be this request's only if no other went over the connection
 // before, so that connection carries no other after it.
 func sole(naming func(*http.Response) Naming) (mayKeep func(*web.Reply) bool, check func(*web.Reply) error) {
--- a/internal/deliver/once_test.go
+++ b/internal/deliver/once_test.go
@@ -175,7 +175,7 @@
 	}
 }
 
-// newSender gives what sends one request after another as runs are sent.
+// newSender returns what sends one request after another as runs are sent.
 func newSender() (send func(r *http.Request) (code int, err error), client *web.Client) {
 	client = newClient(timing.Default)
 	return func(r *http.Request) (int, error) {
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -51,7 +51,7 @@
 	return &slots{a: a, next: rand.Int64N(1 << 62), workers: map[string]*held{}, permits: map[int64]*permit{}}
 }
 
-// find gives the state of a worker that this adapter may serve now. Called
+// find returns the state of a worker that this adapter may serve now. Called
 // with mu held.
 func (s *slots) find(compiled *config.Compiled, pool, worker string) (*held, error) {
 	key := pool + "/" + worker
--- a/internal/deliver/worker.go
+++ b/internal/deliver/worker.go
@@ -91,7 +91,7 @@
 // State tells the worker's health.
 func (w *Worker) State() Health { return w.state }
 
-// InUse tells how many slots are given.
+// InUse reports how many slots are given.
 func (w *Worker) InUse() int64 { return w.inUse }
 
 // warmth goes from 0 for a cold worker to 1 once it has been eased in.
@@ -191,7 +191,7 @@
 	w.tokens = min(w.tokens+1, w.burst(w.pool.Rate))
 }
 
-// Pace tells how long a run with a granted slot must still wait, so that slots
+// Pace reports how long a run with a granted slot must still wait, so that slots
 // granted earlier and used late do not bunch up at a capped endpoint.
 func (w *Worker) Pace(now time.Duration) time.Duration {
 	if w.pool.Rate == 0 {
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -76,5 +76,5 @@
 	return Internal
 }
 
-// Is tells whether err is an error of the kind.
+// Is reports whether err is an error of the kind.
 func Is(err error, kind Kind) bool { return err != nil && KindOf(err) == kind }
--- a/internal/explore/digest.go
+++ b/internal/explore/digest.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// sign tells how a replica stands without a name. A spare is never taken for a
+// sign reports how a replica stands without a name. A spare is never taken for a
 // founder.
 func (r *replica) sign(isSpare bool) []byte {
 	if r.stands == nil {
--- a/internal/explore/enabled.go
+++ b/internal/explore/enabled.go
@@ -17,7 +17,7 @@
 	Set      func(*World) *World // brings the first state about; nil starts as founded
 }
 
-// isAllowed tells whether the budget has room for another event.
+// isAllowed reports whether the budget has room for another event.
 func (w *World) isAllowed(k Kind) bool {
 	return k == Deliver || k == Sync || w.spent[k] < w.options.Limits[k]
 }
@@ -77,7 +77,7 @@
 	return len(log)
 }
 
-// isRepaired tells whether every disk of the committed roster is there and has
+// isRepaired reports whether every disk of the committed roster is there and has
 // all that was committed: only then may another be lost.
 func (w *World) isRepaired() bool {
 	for _, m := range group.Voters(w.ghost.roster) {
--- a/internal/explore/event.go
+++ b/internal/explore/event.go
@@ -82,7 +82,7 @@
 	lapseSpan   = timing.Default.Of(timing.AnswerTimeout)*2 + time.Millisecond
 )
 
-// Next gives the world after one event. A panic breaks it, too.
+// Next returns the world after one event. A panic breaks it, too.
 func (w *World) Next(e Event) (next *World) {
 	w = w.clone()
 	defer func() {
--- a/internal/explore/ghost.go
+++ b/internal/explore/ghost.go
@@ -103,7 +103,7 @@
 	w.checkRoster(r)
 }
 
-// hasSpoken tells whether a replica has sent anything as the owner of a term.
+// hasSpoken reports whether a replica has sent anything as the owner of a term.
 func (w *World) hasSpoken(r *replica, term int64) bool {
 	return slices.ContainsFunc(w.sent, func(m *wire.GroupMsg) bool {
 		return m.From == r.id && m.Term == term && (m.Kind == group.MsgAppend || m.Kind == group.MsgImage)
@@ -118,7 +118,7 @@
 	}
 }
 
-// holdsChosen tells whether a log above an image has all that was committed.
+// holdsChosen reports whether a log above an image has all that was committed.
 func (w *World) holdsChosen(base int64, log []wire.Entry) bool {
 	if base+int64(len(log)) < int64(len(w.ghost.chosen)) {
 		return false
--- a/internal/explore/overlay_test.go
+++ b/internal/explore/overlay_test.go
@@ -24,7 +24,7 @@
 
 var isMutant = os.Getenv("` + mutantEnv + `")
 
-// IsMutant tells whether a guard is taken out.
+// IsMutant reports whether a guard is taken out.
 func IsMutant(name string) bool { return isMutant == name }
 
 func countedIn(name string, roster []string) []string {
--- a/internal/feed/orders.go
+++ b/internal/feed/orders.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// fate tells what became of an order: the revision that it made, or Unknown if it
+// fate reports what became of an order: the revision that it made, or Unknown if it
 // was never taken, or Stale if it may have been so long ago that it is forgotten.
 func (p *Part) fate(order string, base int64) (revision int64, kind errs.Kind) {
 	if one, isTaken := p.known(order); isTaken {
@@ -122,7 +122,7 @@
 	return kind == errs.Stale
 }
 
-// age tells how long before a moment of part time a change was made, in
+// age reports how long before a moment of part time a change was made, in
 // milliseconds; one that nothing is remembered of is as old as can be.
 func (p *Part) age(c wire.Change, now int64) int64 {
 	for _, m := range []*memory{p.calls, p.orders} {
--- a/internal/feed/part.go
+++ b/internal/feed/part.go
@@ -55,7 +55,7 @@
 // Revision is the number of the newest change.
 func (p *Part) Revision() int64 { return p.revision }
 
-// Get gives a key's newest change.
+// Get returns a key's newest change.
 func (p *Part) Get(key string) (wire.Change, bool) {
 	c, isKnown := p.trail.keys[key]
 	return c, isKnown && !c.Gone
@@ -92,7 +92,7 @@
 // newsCount bounds the changes of one answer; the follower asks again.
 const newsCount = 512
 
-// News gives the changes behind a revision. isNewest tells whether they reach the
+// News returns the changes behind a revision. isNewest tells whether they reach the
 // newest.
 func (p *Part) News(part, from int64) (news wire.PartNews, isNewest bool) {
 	return p.trail.newsOf(part, from, p.revision)
--- a/internal/feed/trail.go
+++ b/internal/feed/trail.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// behind gives the changes behind a revision in order, at most so many; isAll
+// behind returns the changes behind a revision in order, at most so many; isAll
 // tells whether there are no more.
 func (t *trail) behind(from int64, most int) (out []wire.Change, isAll bool) {
 	out = []wire.Change{}
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -38,7 +38,7 @@
 	return v
 }
 
-// Revisions tells how far the view has come, for the next poll.
+// Revisions reports how far the view has come, for the next poll.
 func (v *View) Revisions() []wire.PartRevision {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
@@ -84,7 +84,7 @@
 	}
 }
 
-// Age tells how old the oldest part's confirmation is; false before the first.
+// Age reports how old the oldest part's confirmation is; false before the first.
 func (v *View) Age(now time.Duration) (time.Duration, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
@@ -98,7 +98,7 @@
 	return oldest, true
 }
 
-// IsFresh tells whether the daemon may act: every part was confirmed within
+// IsFresh reports whether the daemon may act: every part was confirmed within
 // the bound.
 func (v *View) IsFresh(now, bound time.Duration) bool {
 	age, isSure := v.Age(now)
@@ -125,7 +125,7 @@
 	return out
 }
 
-// Get gives a key of a part.
+// Get returns a key of a part.
 func (v *View) Get(part int64, key string) (wire.Change, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
@@ -133,7 +133,7 @@
 	return c, isKnown && !c.Gone
 }
 
-// Size tells how many keys the view has and how many bytes they and their
+// Size reports how many keys the view has and how many bytes they and their
 // values are.
 func (v *View) Size() (keys, bytes int) {
 	v.mu.RLock()
--- a/internal/fleet/edits.go
+++ b/internal/fleet/edits.go
@@ -54,7 +54,7 @@
 	return "http://" + f.Managers[i%len(f.Managers)].Http + "/v1/charter"
 }
 
-// readConfig gives the configuration and its revision from whichever manager answers.
+// readConfig returns the configuration and its revision from whichever manager answers.
 func (f *Fleet) readConfig(ctx context.Context) (etag string, doc []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 12*time.Second)
 	defer cancel()
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -40,7 +40,7 @@
 	given map[int]bool
 }
 
-// FreePort gives an address that is free and was not given before. It lies
+// FreePort returns an address that is free and was not given before. It lies
 // below the range that the system draws outgoing ports from, so that no
 // connection takes it before its daemon listens.
 func FreePort() (string, error) {
@@ -164,7 +164,7 @@
 	}
 }
 
-// IsUp tells whether the process runs.
+// IsUp reports whether the process runs.
 func (p *Process) IsUp() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/group/elect.go
+++ b/internal/group/elect.go
@@ -97,13 +97,13 @@
 	}
 }
 
-// upToDate tells whether a candidate's log holds all that ours may have
+// upToDate reports whether a candidate's log holds all that ours may have
 // helped to commit.
 func (g *Group) upToDate(m wire.GroupMsg) bool {
 	return m.LogTerm > g.lastTerm() || m.LogTerm == g.lastTerm() && m.Index >= g.last()
 }
 
-// hasOwner tells whether an owner was heard so lately that no election is due.
+// hasOwner reports whether an owner was heard so lately that no election is due.
 func (g *Group) hasOwner(now time.Duration) bool {
 	return g.role == Owner || g.owner != "" && now-g.heardAt < g.opts.Bounds.Of(timing.ElectionTimeout)
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -195,7 +195,7 @@
 
 const learner = "~"
 
-// IsLearner tells whether a roster entry has no vote.
+// IsLearner reports whether a roster entry has no vote.
 func IsLearner(member string) bool { return strings.HasPrefix(member, learner) }
 
 // Voters gives the members that count.
@@ -233,7 +233,7 @@
 	g.electionAt = now + g.opts.Bounds.Of(timing.ElectionTimeout) + spread
 }
 
-// majority tells whether the members for which test holds are enough.
+// majority reports whether the members for which test holds are enough.
 func (g *Group) majority(test func(member string) bool) bool {
 	voters, count := Voters(g.roster()), 0
 	for _, m := range voters {
--- a/internal/group/mend.go
+++ b/internal/group/mend.go
@@ -55,7 +55,7 @@
 // answered is how many rounds back an answer still shows that a member is alive.
 const answered = 3
 
-// answers tells whether a member answered one of the owner's last rounds.
+// answers reports whether a member answered one of the owner's last rounds.
 func (g *Group) answers(id string) bool {
 	p := g.peers[id]
 	return id == g.opts.Self || p != nil && p.acked > 0 && p.acked >= g.round-answered
@@ -123,7 +123,7 @@
 	return Change{}, false
 }
 
-// allAnswer tells whether every wanted voter is alive. While one is not, a member
+// allAnswer reports whether every wanted voter is alive. While one is not, a member
 // that is alive has a copy which may be needed, whoever wants it gone.
 func (m mending) allAnswer() bool {
 	for _, id := range Voters(m.g.roster()) {
@@ -134,7 +134,7 @@
 	return true
 }
 
-// covers tells whether every wanted store votes already, so that an extra
+// covers reports whether every wanted store votes already, so that an extra
 // member can go. One that is away votes under the id that it had.
 func (m mending) covers() bool {
 	voters := Voters(m.g.roster())
--- a/internal/group/progress.go
+++ b/internal/group/progress.go
@@ -80,7 +80,7 @@
 	p.flight = p.flight[landed:]
 }
 
-// isFull tells whether the flight takes no more entries. One is always taken,
+// isFull reports whether the flight takes no more entries. One is always taken,
 // however large.
 func (p *peerState) isFull() bool {
 	return p.flightBytes >= FlightBytes || len(p.flight) >= flightCount
@@ -119,7 +119,7 @@
 	}
 }
 
-// hasRoom tells whether the link to a member takes more than what is small.
+// hasRoom reports whether the link to a member takes more than what is small.
 func (g *Group) hasRoom(m string) bool { return g.opts.Room == nil || g.opts.Room(m) }
 
 // sendTo sends what the member misses as far as there is room, or an empty
--- a/internal/group/roster.go
+++ b/internal/group/roster.go
@@ -74,7 +74,7 @@
 	return out, nil
 }
 
-// isCaughtUp tells whether a learner misses little enough to become a voter: it
+// isCaughtUp reports whether a learner misses little enough to become a voter: it
 // has all that was committed when the owner's last round began. What was committed
 // since is on its way, and a busy group's learner never has all of it.
 func (g *Group) isCaughtUp(m string) bool {
--- a/internal/group/step.go
+++ b/internal/group/step.go
@@ -157,7 +157,7 @@
 	return &Image{Index: g.image, Term: g.imageT, Roster: g.rosterAt(g.image), State: state}
 }
 
-// Whole gives all that must be durable besides the image, for a slot on disk.
+// Whole returns all that must be durable besides the image, for a slot on disk.
 func (g *Group) Whole() (HardState, []wire.Entry) {
 	return g.hard, append([]wire.Entry{}, g.log[g.image-g.base:]...)
 }
--- a/internal/host/propose.go
+++ b/internal/host/propose.go
@@ -34,10 +34,10 @@
 	h.do(out)
 }
 
-// Waiting tells how many proposals are under way. On the goroutine only.
+// Waiting reports how many proposals are under way. On the goroutine only.
 func (h *Host) Waiting() int { return len(h.waiters) }
 
-// Oldest tells how long the oldest proposal under way has waited for its commit.
+// Oldest reports how long the oldest proposal under way has waited for its commit.
 func (h *Host) Oldest() time.Duration {
 	if len(h.begun) == 0 {
 		return 0
--- a/internal/intake/ask.go
+++ b/internal/intake/ask.go
@@ -57,7 +57,7 @@
 	return wait, nil
 }
 
-// Look gives what is known of a message, with its bytes or without.
+// Look returns what is known of a message, with its bytes or without.
 func (in *Intake) Look(ctx context.Context, id string, isWithBody bool) (*wire.Sight, error) {
 	s, err := in.look(ctx, id, isWithBody, 0)
 	if err == nil && isWithBody && isDropped(s) {
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -129,7 +129,7 @@
 	web.Reject(w, web.CodeOf(kind), p, in.retry(kind, e))
 }
 
-// retry tells when to come back, from what is known of the cause.
+// retry reports when to come back, from what is known of the cause.
 func (in *Intake) retry(kind errs.Kind, e *request) time.Duration {
 	if e.taken != nil && e.taken.Retry > 0 {
 		return time.Duration(e.taken.Retry) * time.Millisecond
--- a/internal/linearize/explain.go
+++ b/internal/linearize/explain.go
@@ -48,7 +48,7 @@
 	return fmt.Sprintf("no order of %d calls explains their answers", len(part))
 }
 
-// clash tells how a contradicts b, where two calls are enough for it.
+// clash reports how a contradicts b, where two calls are enough for it.
 func clash(a, b Operation) string {
 	isOther := a.Digest != b.Digest
 	switch {
--- a/internal/linearize/linearize.go
+++ b/internal/linearize/linearize.go
@@ -61,7 +61,7 @@
 // mostSteps bounds the search of Check, in steps of the model.
 const mostSteps = 2_000_000
 
-// Check tells whether a history is linearizable and, if not, what speaks against
+// Check reports whether a history is linearizable and, if not, what speaks against
 // it, in one line. A search that does not end within its steps is not ok.
 func Check(history []Operation) (ok bool, explanation string) {
 	return CheckWithin(history, mostSteps)
--- a/internal/linearize/model.go
+++ b/internal/linearize/model.go
@@ -37,7 +37,7 @@
 
 func (s state) hash() uint64 { return maphash.String(seed, string(s.turns)) }
 
-// isLike tells whether the two differ in nothing but whose turn it was.
+// isLike reports whether the two differ in nothing but whose turn it was.
 func (s state) isLike(t state) bool {
 	return s.version == t.version && s.starts == t.starts && s.backs == t.backs
 }
@@ -101,7 +101,7 @@
 	return true, next
 }
 
-// turn tells what a call would make of a state.
+// turn reports what a call would make of a state.
 func (m *model) turn(s state, i int) (next state, isFit bool) {
 	o := m.calls[i]
 	switch {
--- a/internal/manager/list.go
+++ b/internal/manager/list.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// hasRead tells whether a read counts, and says once when that changes.
+// hasRead reports whether a read counts, and says once when that changes.
 func (l *lister) hasRead(err error) bool {
 	if errs.Is(err, errs.Full) {
 		l.pause = min(2*l.pause+1, mostPause)
--- a/internal/manager/peers.go
+++ b/internal/manager/peers.go
@@ -33,7 +33,7 @@
 	p.heard[boot] = now
 }
 
-// hears tells whether a life of a manager has lately taken a share of ours.
+// hears reports whether a life of a manager has lately taken a share of ours.
 func (p *peers) hears(boot string, now, period time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/manager/retire.go
+++ b/internal/manager/retire.go
@@ -103,7 +103,7 @@
 	return o.m.edit(ctx, wire.Edit{Part: feed.ConfigPart, Key: config.RetirementsKey, Value: r.Encode(), IfRevision: onRevision, By: by})
 }
 
-// weigh tells whether a store may be retired besides those that are.
+// weigh reports whether a store may be retired besides those that are.
 func (o *Operators) weigh(ctx context.Context, name string, admitted config.Retirements) error {
 	m := o.m
 	for marked := range m.configs.Current().Retired { // also those that an older build admitted
@@ -152,7 +152,7 @@
 // copies is how many stores hold each group.
 func (m *Manager) copies() int { return m.d.Settings.Replicas() }
 
-// knowsStores tells whether this manager can say who is not here: its view is
+// knowsStores reports whether this manager can say who is not here: its view is
 // fresh, and no store has come or gone for so long that one which has just begun
 // would have been seen.
 func (m *Manager) knowsStores() bool {
--- a/internal/manager/retirement.go
+++ b/internal/manager/retirement.go
@@ -20,7 +20,7 @@
 	IsDone    bool   `json:"done"`
 }
 
-// Retirement tells how far a store's retirement has come. It is done when the
+// Retirement reports how far a store's retirement has come. It is done when the
 // owner of every group, confirmed by a majority since this question came, has the
 // group whole on enough other disks and knows of the retirement, and when the
 // retirement has stood for a bound: whoever may own a group next knows of it too,
--- a/internal/manager/status.go
+++ b/internal/manager/status.go
@@ -112,7 +112,7 @@
 	web.Answer(w, 200, out)
 }
 
-// getStore tells how far a store's retirement has come.
+// getStore reports how far a store's retirement has come.
 func (m *Manager) getStore(w http.ResponseWriter, r *http.Request) {
 	got, err := m.operators.Retirement(r.Context(), r.PathValue("store"))
 	if err != nil {
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -50,7 +50,7 @@
 // Find gives a message by id.
 func (m *Machine) Find(id string) *Message { return m.messages[id] }
 
-// Count tells how many messages and body bytes the place holds.
+// Count reports how many messages and body bytes the place holds.
 func (m *Machine) Count() (int, int64) { return len(m.messages), m.bytes }
 
 // Outbox gives the call-backs that must still be taken elsewhere.
--- a/internal/place/message.go
+++ b/internal/place/message.go
@@ -19,7 +19,7 @@
 	Unknown State = "unknown"
 )
 
-// IsOver tells whether nothing more can happen to the message.
+// IsOver reports whether nothing more can happen to the message.
 func (s State) IsOver() bool { return s == Ended || s == Failed || s == Expired || s == Tomb }
 
 // moves lists every change of state that may happen.
--- a/internal/place/owed.go
+++ b/internal/place/owed.go
@@ -42,5 +42,5 @@
 	return out
 }
 
-// CountOwed tells how many there are.
+// CountOwed reports how many there are.
 func (m *Machine) CountOwed() int { return len(m.owed) }
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -60,7 +60,7 @@
 
 func (l *lane) size() int { return l.fresh.tree.Size() + l.again.tree.Size() }
 
-// first gives the message of the least rank.
+// first returns the message of the least rank.
 func (o *sortedSet) first() (at int64, e *Message) {
 	key, value := o.tree.Min()
 	if key == nil {
--- a/internal/repair/keeper.go
+++ b/internal/repair/keeper.go
@@ -62,7 +62,7 @@
 	delete(k.kept, keptKey{id, attempt})
 }
 
-// Has tells whether a run's result is kept.
+// Has reports whether a run's result is kept.
 func (k *Keeper) Has(id string, attempt int64) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -90,7 +90,7 @@
 	return out
 }
 
-// Count tells how many results are kept.
+// Count reports how many results are kept.
 func (k *Keeper) Count() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/repair/presence.go
+++ b/internal/repair/presence.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// Away gives a store of a roster that is not a member now, with how long it has
+// Away returns a store of a roster that is not a member now, with how long it has
 // been away. One that was never seen counts from when it was first asked for.
 func (p *Presence) Away(name string, now time.Duration) (store Store, span time.Duration) {
 	if _, isKnown := p.awaySince[name]; !isKnown {
@@ -46,7 +46,7 @@
 	return Store{Name: name, Zone: p.zones[name], IsAway: true}, now - p.awaySince[name]
 }
 
-// HasSuccessor tells whether one of the members may be the machine that was put
+// HasSuccessor reports whether one of the members may be the machine that was put
 // in an absent store's place: it came after the other one went, or not longer than
 // before that. It need not be a candidate for the very seat: it may hold the group
 // already, in place of a third store. Nothing is known of an absent store that was
--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -89,7 +89,7 @@
 	c.made = append(c.made, made{partRevision{part, revision}, sentAt, time.Now().UnixMicro()})
 }
 
-// judge tells when each change was in force at the last adapter. It waits for
+// judge reports when each change was in force at the last adapter. It waits for
 // those still under way, up to ten times the bound.
 func (c *changer) judge(ctx context.Context, pack *fleet.Process, fronts int, out *Result) error {
 	c.mu.Lock()
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -60,7 +60,7 @@
 // hollowZones is over how many zones hollow fronts are spread.
 const hollowZones = 3
 
-// hollow gives a daemon without its process: no port for HTTP, no signals.
+// hollow returns a daemon without its process: no port for HTTP, no signals.
 func hollow(kind string, number int, zone string, p Pack, seeds []string) (*daemon.Daemon, error) {
 	s := settings.Default()
 	s.Name, s.Zone, s.Seeds, s.Places, s.Parts = fmt.Sprintf("hollow-%s-%04d", kind, number), zone, seeds, p.Places, p.Parts
@@ -167,7 +167,7 @@
 	}
 }
 
-// size tells what the front's two daemons hold of the control state.
+// size reports what the front's two daemons hold of the control state.
 func (f *front) size() (keys, bytes, members int) {
 	for _, d := range []*daemon.Daemon{f.agent, f.adapter} {
 		k, b := d.View.Size()
--- a/internal/session/membership.go
+++ b/internal/session/membership.go
@@ -85,7 +85,7 @@
 	return m.Who, isKnown
 }
 
-// HasOwner tells whether any group from first on has an owner that is here.
+// HasOwner reports whether any group from first on has an owner that is here.
 func (r *Membership) HasOwner(first int64) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/internal/sim/deployment_test.go
+++ b/internal/sim/deployment_test.go
@@ -73,7 +73,7 @@
 	seed   uint64 // the first that is tried
 }
 
-// find gives the rules that a mutant broke, of the first seed that broke the one
+// find returns the rules that a mutant broke, of the first seed that broke the one
 // that is wanted.
 func (c mutantCase) find() (broken string) {
 	for seed := c.seed; seed < c.seed+mostSeeds && !strings.Contains(broken, c.wants); seed++ {
--- a/internal/sim/orders.go
+++ b/internal/sim/orders.go
@@ -165,7 +165,7 @@
 	})
 }
 
-// standing tells whether a key stands at the owner of a group.
+// standing reports whether a key stands at the owner of a group.
 func (d *Deployment) standing(id int64, key string) (revision int64, isStanding bool) {
 	owner, _ := d.seats(id)
 	if owner == nil {
--- a/internal/sim/rundeployment.go
+++ b/internal/sim/rundeployment.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// Figures tells what a run had, in a line.
+// Figures reports what a run had, in a line.
 func (d *Deployment) Figures() string {
 	return fmt.Sprintf("%d orders confirmed, %d refused, %d losses, %d retirements, %d machines", d.Took, d.Refused, d.troubles.count,
 		d.Retired, len(d.machines))
--- a/internal/sim/task.go
+++ b/internal/sim/task.go
@@ -70,7 +70,7 @@
 	})
 }
 
-// wait gives the world its turn.
+// wait returns the world its turn.
 func (t *task) wait(register wait) {
 	if !t.turn(register) {
 		panic(ended{})
@@ -100,7 +100,7 @@
 	isCanceled bool
 }
 
-// Err tells whether the context has ended.
+// Err reports whether the context has ended.
 func (c *taskContext) Err() error {
 	switch {
 	case c.isCanceled:
@@ -133,7 +133,7 @@
 // taskClock is a task's timing.Clock.
 type taskClock struct{ t *task }
 
-// Within gives a context that ends by simulated time.
+// Within returns a context that ends by simulated time.
 func (c *taskClock) Within(ctx context.Context, span time.Duration) (context.Context, context.CancelFunc) {
 	out := &taskContext{Context: ctx, t: c.t, until: min(simulated(ctx).until, c.t.w.now+span)}
 	return out, func() { out.isCanceled = true }
--- a/internal/sim/troubles.go
+++ b/internal/sim/troubles.go
@@ -156,7 +156,7 @@
 	}
 }
 
-// missing tells why a group would not outlive one more loss; empty if it would.
+// missing reports why a group would not outlive one more loss; empty if it would.
 // An election under way is no loss: the copies count.
 func (d *Deployment) missing(id int64) string {
 	members, commit := d.newestSeats(id)
--- a/internal/slot/files.go
+++ b/internal/slot/files.go
@@ -74,7 +74,7 @@
 	return errs.Wrap(dir.Sync(), errs.Disk, "sync folder")
 }
 
-// Read gives a whole file.
+// Read returns a whole file.
 func (f *Folder) Read(name string) ([]byte, error) {
 	raw, err := os.ReadFile(filepath.Join(f.dir, name))
 	if os.IsNotExist(err) {
@@ -123,7 +123,7 @@
 	return errs.Wrap(file.Sync(), errs.Disk, "sync %s", name)
 }
 
-// List gives the names in the folder, sorted.
+// List returns the names in the folder, sorted.
 func (f *Folder) List() ([]string, error) {
 	dir, err := os.ReadDir(f.dir)
 	names := []string{}
@@ -134,7 +134,7 @@
 	return names, errs.Wrap(err, errs.Disk, "list folder")
 }
 
-// Free tells how much room the disk has.
+// Free reports how much room the disk has.
 func (f *Folder) Free() (uint64, uint64, error) {
 	var stat syscall.Statfs_t
 	err := syscall.Statfs(f.dir, &stat)
--- a/internal/slot/room.go
+++ b/internal/slot/room.go
@@ -13,28 +13,28 @@
 	return out
 }
 
-// Segments tells how many log segments there are.
+// Segments reports how many log segments there are.
 func (l *Log) Segments() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.segments)
 }
 
-// IsFull tells whether the disk is too full for more intake. It leaves room
+// IsFull reports whether the disk is too full for more intake. It leaves room
 // for what is held to come to its end.
 func (l *Log) IsFull() bool {
 	free, all, err := l.files.Free()
 	return err != nil || free < max(l.opts.FreeBytes, all/1000*l.opts.FreePermille)
 }
 
-// Waiting tells how many bytes were given to the log and are not synced yet.
+// Waiting reports how many bytes were given to the log and are not synced yet.
 func (l *Log) Waiting() int64 { return l.waiting.Load() }
 
-// HasLost tells whether something promised was found gone at the start. A
+// HasLost reports whether something promised was found gone at the start. A
 // group that the disk then knows nothing of is damaged too.
 func (l *Log) HasLost() bool { return l.lost }
 
-// Err tells why the disk stopped, if it did.
+// Err reports why the disk stopped, if it did.
 func (l *Log) Err() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/entry.go
+++ b/internal/standin/entry.go
@@ -108,7 +108,7 @@
 	}}
 }
 
-// machineAt tells whose address it is.
+// machineAt reports whose address it is.
 func (s *Site) machineAt(addr net.Addr) *Machine {
 	host, _, _ := net.SplitHostPort(addr.String())
 	for _, m := range s.Machines {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -34,7 +34,7 @@
 	"fail":   behave, "crawl": behave, "lose": behave, "cut": behave, "silent": behave, "full": behave,
 }
 
-// IsFault tells whether there is a fault of that name.
+// IsFault reports whether there is a fault of that name.
 func IsFault(do string) bool { return actions[do] != nil }
 
 // Cause carries out a schedule. Recovery is judged from when a step was really
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -133,7 +133,7 @@
 	return func(at time.Duration) { h.Add(func() { h.Troubles[i].Until = at }) }
 }
 
-// isCalm tells whether nothing was hurt from first to last.
+// isCalm reports whether nothing was hurt from first to last.
 func (h *History) isCalm(first, last time.Duration, isMeant func(Trouble) bool) bool {
 	for _, t := range h.Troubles {
 		if t.From <= last && (t.Until == 0 || t.Until >= first) && isMeant(t) {
@@ -146,5 +146,5 @@
 func anyTrouble(Trouble) bool  { return true }
 func unplanned(t Trouble) bool { return !t.IsPlanned }
 
-// inTouch tells whether rules that are bound by time hold at a moment.
+// inTouch reports whether rules that are bound by time hold at a moment.
 func (h *History) inTouch(at time.Duration) bool { return h.isCalm(at-contact, at, anyTrouble) }
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -158,13 +158,13 @@
 	return "unknown"
 }
 
-// hasEnded tells whether a message may have ended by a moment.
+// hasEnded reports whether a message may have ended by a moment.
 func (j *judge) hasEnded(s Sent, at time.Duration) bool {
 	_, isOver := j.endOf(s, at)
 	return isOver
 }
 
-// endOf gives when a message ended at the earliest, as the platform means it.
+// endOf returns when a message ended at the earliest, as the platform means it.
 func (j *judge) endOf(s Sent, by time.Duration) (time.Duration, bool) {
 	route, failed := j.h.Routes[s.Lane], 0
 	best, isOver := by, false
--- a/internal/standin/messages.go
+++ b/internal/standin/messages.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// densest gives the most moments in any window, and its end.
+// densest returns the most moments in any window, and its end.
 func densest(list []time.Duration, window time.Duration) (most int, until time.Duration) {
 	slices.SortFunc(list, func(a, b time.Duration) int { return cmp.Compare(a, b) })
 	first := 0
--- a/internal/standin/report.go
+++ b/internal/standin/report.go
@@ -80,7 +80,7 @@
 	return out
 }
 
-// longestPause gives the longest time in which nothing was accepted, and its
+// longestPause returns the longest time in which nothing was accepted, and its
 // beginning on the clock of all records.
 func longestPause(sent []Sent) (pause, from time.Duration) {
 	told := []time.Duration{}
@@ -98,7 +98,7 @@
 	return pause, from
 }
 
-// IsClean tells whether nothing is wrong.
+// IsClean reports whether nothing is wrong.
 func (f Figures) IsClean() bool {
 	return len(f.Breaches)+len(f.Failures)+len(f.Crashes) == 0 && f.Runs > 0
 }
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -200,7 +200,7 @@
 	}
 }
 
-// Crashes tells what panics have left in the logs.
+// Crashes reports what panics have left in the logs.
 func (s *Site) Crashes() []string { return fleet.CrashesIn(filepath.Join(s.Dir, "log")) }
 
 func (s *Site) layMachines() error {
--- a/internal/store/ballot.go
+++ b/internal/store/ballot.go
@@ -103,7 +103,7 @@
 	f.ballot(roster, addrs, me.Promised+1)
 }
 
-// isSettled tells whether the same stores have been seen for a while.
+// isSettled reports whether the same stores have been seen for a while.
 func (f *founder) isSettled(stores []wire.Who, now time.Duration) bool {
 	isSame := slices.EqualFunc(stores, f.seen, func(a, b wire.Who) bool { return a.Name == b.Name && a.Boot == b.Boot })
 	if !isSame {
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -20,7 +20,7 @@
 	return int64(sample[0].Value.Uint64())
 }
 
-// isTight tells whether what is held leaves too little memory to take more; never
+// isTight reports whether what is held leaves too little memory to take more; never
 // where no bound is known.
 func isTight(live, memory int64) bool {
 	return memory > 0 && live > memory/100*liveShare
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// started gives a bench with one message whose first run is open.
+// started returns a bench with one message whose first run is open.
 func started(lane string) (*bench, *place.Message) {
 	b := newBench()
 	b.place.Take(&wire.Take{Id: "0-x", Lane: lane, Deadline: 600_000}, func(any) {})
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -111,7 +111,7 @@
 	p.publish()
 }
 
-// Ready tells what may run now, by lane.
+// Ready reports what may run now, by lane.
 func (p *PlaceHost) Ready() map[string]int { return *p.ready.Load() }
 
 // publish tells the dispatcher what may run.
@@ -192,7 +192,7 @@
 	})
 }
 
-// isSame tells whether a message is held here already, or has been.
+// isSame reports whether a message is held here already, or has been.
 func (p *PlaceHost) isSame(t *wire.Take) bool {
 	e := p.machine.Find(t.Id)
 	return e != nil && e.State != place.Tomb && e.Sum == t.Sum
@@ -218,7 +218,7 @@
 
 func (p *PlaceHost) ownerName() string { return ownerOf(p.host) }
 
-// lane gives a lane's rules, or false when they are not known now: a store
+// lane returns a lane's rules, or false when they are not known now: a store
 // that has just started must wait for its view rather than take every lane for
 // one that was removed.
 func (p *PlaceHost) lane(name string) (config.Lane, bool) {
--- a/internal/store/rosters.go
+++ b/internal/store/rosters.go
@@ -41,7 +41,7 @@
 	r.planner.Note(members, now)
 }
 
-// Plan gives the member ids of the stores that are here and the names of those
+// Plan returns the member ids of the stores that are here and the names of those
 // that should hold a group of these members. changing is how many of the owner's
 // groups are being changed; silence is the group owner's, of each holder.
 func (r *Rosters) Plan(groupId int64, members []string, changing int, silence repair.Silence, now time.Duration) (known map[string]string, wanted []string) {
--- a/internal/store/spread.go
+++ b/internal/store/spread.go
@@ -13,7 +13,7 @@
 	}
 }
 
-// rosterPlan gives the member ids of the stores that are here and the names of
+// rosterPlan returns the member ids of the stores that are here and the names of
 // those that should hold the group; neither while this store's view is not fresh.
 func (s *Store) rosterPlan(groupId int64, silence repair.Silence) (map[string]string, []string) {
 	if !s.d.IsFresh() { // who is here, and who is retired, is not known well enough
--- a/internal/store/standings.go
+++ b/internal/store/standings.go
@@ -10,7 +10,7 @@
 	"caperwheel/internal/wire"
 )
 
-// standings tells how the groups owned here stand without a store. Only groups
+// standings reports how the groups owned here stand without a store. Only groups
 // whose ownership a majority has confirmed since the ask came are told of: an
 // owner that was replaced meanwhile knows an old roster.
 func (s *Store) standings(without string, askedAt time.Duration) *wire.Retired {
@@ -42,7 +42,7 @@
 	return out
 }
 
-// Standing tells how a group stands without a store.
+// Standing reports how a group stands without a store.
 func Standing(id int64, v group.View, without string) wire.Standing {
 	out := wire.Standing{Group: id, Term: v.Term, Stores: names(v.Roster)}
 	for _, member := range v.Whole {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -189,7 +189,7 @@
 // send it no more entries: their pulses share the link, and must not come late.
 const linkBytes = 256 << 10
 
-// hasRoom tells whether the link to a member's store takes more entries.
+// hasRoom reports whether the link to a member's store takes more entries.
 func (s *Store) hasRoom(member string) bool {
 	who, isMember := s.d.Membership.Find(group.Name(member))
 	return isMember && s.d.Node.Peer(wire.GroupLink, who.Addr).HasRoom(linkBytes)
--- a/internal/timing/clock.go
+++ b/internal/timing/clock.go
@@ -19,7 +19,7 @@
 	return context.WithValue(ctx, clockKey{}, clock)
 }
 
-// Within gives a context that ends after a time by its clock, or with ctx.
+// Within returns a context that ends after a time by its clock, or with ctx.
 func Within(ctx context.Context, span time.Duration) (context.Context, context.CancelFunc) {
 	if clock, isGiven := ctx.Value(clockKey{}).(Clock); isGiven {
 		return clock.Within(ctx, span)
--- a/internal/timing/timeout.go
+++ b/internal/timing/timeout.go
@@ -9,7 +9,7 @@
 // patienceTurns is into how many turns a bound is cut.
 const patienceTurns = 20
 
-// WithRunningTimeout gives a context that ends once the process has been running for so
+// WithRunningTimeout returns a context that ends once the process has been running for so
 // long. Time for which the whole process stood still counts as one turn at
 // most: an answer that came in meanwhile is read and not given up.
 func WithRunningTimeout(parent context.Context, bound time.Duration) (context.Context, context.CancelFunc) {
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -51,14 +51,14 @@
 // Warm opens the link if it is not open, so that the first ask need not wait.
 func (p *Peer) Warm() { p.connect() }
 
-// Up tells whether the session stands.
+// Up reports whether the session stands.
 func (p *Peer) Up() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.session != nil
 }
 
-// HasRoom tells whether the session stands and fewer bytes than so many wait to
+// HasRoom reports whether the session stands and fewer bytes than so many wait to
 // be written to it. A sender that has much to send asks before it does: what
 // is small, such as a heartbeat, then never waits long behind it.
 func (p *Peer) HasRoom(most int) bool {
--- a/internal/web/client.go
+++ b/internal/web/client.go
@@ -55,7 +55,7 @@
 // Unwrap gives the cause.
 func (u *Unsent) Unwrap() error { return u.cause }
 
-// IsUnsent tells whether a request that failed was certainly not sent.
+// IsUnsent reports whether a request that failed was certainly not sent.
 func IsUnsent(err error) bool {
 	var unsent *Unsent
 	return errors.As(err, &unsent)
@@ -147,7 +147,7 @@
 	}
 }
 
-// renewed gives the request with its body from the start, if it can be had.
+// renewed returns the request with its body from the start, if it can be had.
 func renewed(r *http.Request) (again *http.Request, isWhole bool) {
 	out := *r
 	if r.Body == nil || r.Body == http.NoBody {
@@ -161,7 +161,7 @@
 	return &out, err == nil
 }
 
-// take gives a kept connection that is fit for use, or makes one.
+// take returns a kept connection that is fit for use, or makes one.
 func (c *Client) take(r *http.Request) (*connection, error) {
 	address := addressOf(r)
 	for {
@@ -242,7 +242,7 @@
 	c.idle[conn.address] = list
 }
 
-// Kept tells how many connections are kept.
+// Kept reports how many connections are kept.
 func (c *Client) Kept() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/web/connection.go
+++ b/internal/web/connection.go
@@ -133,7 +133,7 @@
 	c.written = 0
 }
 
-// withdraw tells whether nothing of the request was written, and sees to it
+// withdraw reports whether nothing of the request was written, and sees to it
 // that nothing will be.
 func (c *connection) withdraw() bool {
 	c.mu.Lock()
--- a/internal/wire/data.go
+++ b/internal/wire/data.go
@@ -57,7 +57,7 @@
 	return ""
 }
 
-// SizeOf tells about how many bytes a message carries, so that large ones are
+// SizeOf reports about how many bytes a message carries, so that large ones are
 // not put into one batch.
 func SizeOf(body any) int {
 	switch m := body.(type) {
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -40,7 +40,7 @@
 	return link
 }
 
-// Codecs gives how both directions are written in a wire version.
+// Codecs returns how both directions are written in a wire version.
 func (l *Link) Codecs(version int64) (asks, replies *Codec) {
 	return l.asks[version], l.replies[version]
 }
