The connection of a failed run carries no other run

Cause: a message that failed runs again under the same id, and a worker may send its answer a second time, late. On a kept connection the second copy of a failure was the next attempt's answer: it names the same message, and was counted as one more failure without a run. Ruled out: asking workers to repeat the attempt's number: a message that is delivered as it came has no field for it. Change: a connection on which an attempt failed is not kept; a worker that is full has begun none, and keeps it.

--- a/internal/deliver/naming.go
+++ b/internal/deliver/naming.go
@@ -51,9 +51,13 @@
 
 // sole returns a judge of answers by what they name. An answer that names nothing
 // can be told to be this request's only if no other went over the connection
-// before, so that connection carries no other after it.
+// before, so that connection carries no other after it. Nor does that of a failure:
+// its message runs again under the same id, and a second copy of the failure, come
+// late, would be taken for the next attempt's.
 func sole(naming func(*http.Response) Naming) (mayKeep func(*web.Reply) bool, check func(*web.Reply) error) {
-	mayKeep = func(reply *web.Reply) bool { return naming(reply.Response) == NamesThis }
+	mayKeep = func(reply *web.Reply) bool {
+		return naming(reply.Response) == NamesThis && !isFailure(reply.StatusCode)
+	}
 	check = func(reply *web.Reply) error {
 		switch found := naming(reply.Response); {
 		case found == NamesAnother:
@@ -65,3 +69,9 @@
 	}
 	return mayKeep, check
 }
+
+// isFailure reports whether a status says that an attempt failed. A worker that is
+// full has not begun one.
+func isFailure(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable
+}
--- a/internal/deliver/wrongrun_test.go
+++ b/internal/deliver/wrongrun_test.go
@@ -92,6 +92,36 @@
 	}
 }
 
+// TestFailureComesAgain: a message that failed runs again under its id, so a second
+// copy of the failure could be taken for the next attempt's.
+func TestFailureComesAgain(t *testing.T) {
+	cases := []struct {
+		name  string
+		code  int
+		conns int64
+	}{
+		{"a failure, which counts: its connection carries nothing else", 500, 2},
+		{"a run that was not done in time", 504, 2},
+		{"a worker that is full, which counts for nothing", 503, 1},
+		{"a success: the message does not run again", 200, 1},
+	}
+	for _, way := range ways {
+		Convey("Of "+way.name+", two runs of one message, the first answered by", t, func() {
+			for _, c := range cases {
+				Convey(c.name, func() {
+					field := way.field + ": 0-1"
+					address, accepted := scripted(answerOf(c.code, "one", field), answerOf(200, "two", field))
+					meet := deliver.Meeting(way.manner, address)
+					kept := head.Head{Method: "POST", Target: "/a", Host: "x.example", Fields: [][2]string{{"X-Attempt-Id", "0-1"}}}
+					meet("0-1", kept, way.isLane)
+					So(meet("0-1", kept, way.isLane).Kind, ShouldBeEmpty)
+					So(accepted.Load(), ShouldEqual, c.conns)
+				})
+			}
+		})
+	}
+}
+
 // TestWrongWord is the same table for whoever is told of ends: the acceptance of
 // one word, sent a second time, was once that of the next.
 func TestWrongWord(t *testing.T) {
