--- a/internal/check/proof_test.go
+++ b/internal/check/proof_test.go
@@ -9,15 +9,17 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// TestProofNames: docs/proof.md and docs/platform.md name only tests, schedules and simulated
-// faults that exist.
+// TestProofNames: docs/proof.md, docs/control.md and docs/platform.md name only tests, schedules
+// and simulated faults that exist.
 func TestProofNames(t *testing.T) {
 	Convey("Everything that the proof names exists", t, func() {
 		page, err := os.ReadFile("../../docs/proof.md")
 		So(err, ShouldBeNil)
-		rules, err := os.ReadFile("../../docs/platform.md")
-		So(err, ShouldBeNil)
-		page = append(page, rules...)
+		for _, other := range []string{"control", "control-check", "platform"} {
+			more, err := os.ReadFile("../../docs/" + other + ".md")
+			So(err, ShouldBeNil)
+			page = append(page, more...)
+		}
 		tests, err := exec.Command("grep", "-rhoE", "--include=*_test.go", `^func Test[A-Za-z0-9]+`, "../..").Output()
 		So(err, ShouldBeNil)
 		faults, err := exec.Command("grep", "-rhoE", `^	"[a-z -]+":`, "../sim").Output()
