Group time follows the owner's commands: delays ended early after a change of owner

An owner that came back from its disk began at the newest command; the time of a store that had gone on meanwhile was ahead of it, and stayed so. When that store became the owner, every span under way ended early by the difference: delays (X-Not-Before), retention (the next of the key begins: ORDER), pauses after a run that may go on, how long ends are kept; in parts the age of orders about zones. It needs a loss of most stores or staggered restarts, then a change of owner within the span.

Ruled out: the adapter (it hands the delay on as it came), the queue (Due is compared with place time only), images (they carry the clock and begin at it), attempts.

Change: internal/groupclock, one type for places and parts. The host says which is which, by term.

The checker learns two rules (a run before its delay, an expiry before its time), the simulated replicas a third: between two commands group time advances by no more than real time.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -32,6 +32,8 @@
 	RuleCold     = "cold worker flooded"
 	RuleRecovery = "not served again in time"
 	RuleCallback = "call-back"
+	RuleEarly    = "before its delay"
+	RuleExpired  = "expired before its time"
 )
 
 type checker struct {
@@ -79,6 +81,7 @@
 	c.rates()
 	c.marks()
 	c.sights()
+	c.expiries()
 	c.configs()
 	c.colds()
 	c.recovery()
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -75,6 +75,11 @@
 		{RuleUnended, func(h *History) { h.Runs = h.Runs[2:] }},
 		{RulePool, func(h *History) { h.Runs[1].Pool = "q" }},
 		{RuleBytes, func(h *History) { h.Runs[1].Sum = "other" }},
+		{RuleEarly, func(h *History) { h.Sent[0].Delay = s + 3*time.Millisecond }},
+		{RuleExpired, func(h *History) {
+			h.Sent[0].Patience = 9 * s
+			h.AddSight(Sight{Id: "1", At: 8 * s, ToldAt: 8 * s, State: "expired", Attempts: 2})
+		}},
 		{RuleBytes, func(h *History) {
 			h.Ends["1"] = End{State: "ended", Attempt: 2, Worker: "w", Sum: "ra", BodySum: "other"}
 		}},
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -23,14 +23,18 @@
 // Sent is one message of a caller. Token is unique and within the body, so
 // that back ends can tell messages apart whatever the system says.
 type Sent struct {
-	Token  string
-	Lane   string
-	Key    string
-	Sum    string
-	At     time.Duration // when it was sent
-	ToldAt time.Duration
-	Told   Told
-	Id     string
+	Token string
+	Lane  string
+	Key   string
+	Sum   string
+	At    time.Duration // when it was sent
+	// It must not run before Delay, nor be expired before Patience has passed since it
+	// was sent; 0: it may.
+	Delay    time.Duration
+	Patience time.Duration
+	ToldAt   time.Duration
+	Told     Told
+	Id       string
 	// What else the answer said, when it said it: the checksum of the message's
 	// bytes, the token within the proof's answer, and whether an answer that
 	// looked whole was not.
--- a/internal/check/runs.go
+++ b/internal/check/runs.go
@@ -26,6 +26,26 @@
 	if r.Sum != s.Sum {
 		c.breach(RuleBytes, "%s arrived altered at %s", r.Token, r.Worker)
 	}
+	if s.Delay > 0 && r.Start < s.At+s.Delay-rounding {
+		c.breach(RuleEarly, "%s began %v before its delay of %v was over", r.Token, s.At+s.Delay-r.Start, s.Delay)
+	}
+}
+
+// rounding is by how much a span that is told in milliseconds may end early.
+const rounding = 2 * time.Millisecond
+
+// expiries: nobody may say that a message has expired before it may have.
+func (c *checker) expiries() {
+	byId := map[string]Sent{}
+	for _, s := range c.h.Sent {
+		byId[s.Id] = s
+	}
+	for _, x := range c.h.Sights {
+		s, isKnown := byId[x.Id]
+		if isKnown && s.Patience > 0 && x.State == "expired" && x.ToldAt < s.At+s.Patience-rounding {
+			c.breach(RuleExpired, "%s was expired %v before its patience of %v was over", s.Token, s.At+s.Patience-x.ToldAt, s.Patience)
+		}
+	}
 }
 
 // order holds each key's runs against the order in which its messages were
--- a/internal/feed/orders.go
+++ b/internal/feed/orders.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"caperwheel/internal/errs"
 	"caperwheel/internal/wire"
@@ -122,6 +123,19 @@
 	return kind == errs.Stale
 }
 
+// TimeMark returns an edit that changes nothing and tells the part time: it builds on a
+// revision that no key ever has.
+func TimeMark(at int64) wire.Edit {
+	return wire.Edit{Value: []byte{}, IfRevision: math.MaxInt64, At: at}
+}
+
+// IsTiming reports whether an order of a single call was taken within a span before a
+// moment of part time: its age decides what the next one means.
+func (p *Part) IsTiming(now int64, span time.Duration) bool {
+	n := len(p.calls.queue)
+	return n > 0 && now-p.calls.queue[n-1].At < span.Milliseconds()
+}
+
 // age reports how long before a moment of part time a change was made, in
 // milliseconds; one that nothing is remembered of is as old as can be.
 func (p *Part) age(c wire.Change, now int64) int64 {
--- a/internal/host/apply.go
+++ b/internal/host/apply.go
@@ -13,7 +13,7 @@
 	for _, e := range entries {
 		var verdict any
 		if e.Kind == group.EntryData {
-			verdict = h.opts.Machine.Apply(e.Data)
+			verdict = h.opts.Machine.Apply(e.Data, h.isOwner && e.Term == h.ownedTerm)
 		}
 		h.applied = e.Index
 		for len(h.begun) > 0 && h.begun[0].index <= e.Index {
@@ -40,6 +40,9 @@
 	if h.isOwner && v.Role == group.Owner {
 		isOwner = true
 	}
+	if isOwner {
+		h.ownedTerm = v.Term
+	}
 	if isOwner == h.isOwner {
 		return
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -19,7 +19,9 @@
 // Machine is the replicated state above a group. It is used by the host's
 // goroutine alone.
 type Machine interface {
-	Apply(data []byte) any // the verdict for whoever proposed it
+	// Apply takes a committed command in and returns the verdict for whoever proposed it.
+	// isOwn tells that it was proposed here, in the ownership that still stands.
+	Apply(data []byte, isOwn bool) any
 	Image() []byte
 	Restore(image []byte) error
 	Owned(isOwner bool) // ownership has begun (all that was committed is applied) or ended
@@ -80,6 +82,7 @@
 	waiters    map[int64]waiter
 	begun      []begun // when the waiters' proposals were made, oldest first
 	isOwner    bool
+	ownedTerm  int64 // the term of the ownership, while isOwner
 	repaired   time.Duration
 	isChanging bool // the roster is not yet what it should be
 	parts      parts
--- a/internal/place/command.go
+++ b/internal/place/command.go
@@ -55,6 +55,9 @@
 	Prompt   int64      `avro:"prompt" since:"3"` // Take: within which a run is wanted to begin, once it may
 }
 
+// TimeMark returns a command that does nothing but tell the place time: it forgets none.
+func TimeMark() Command { return Command{Kind: CmdTrim} }
+
 // Child is a call-back that leaves with the end of its parent: same record, so
 // neither is without the other. An empty Id means none.
 type Child struct {
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -49,6 +49,10 @@
 // Clock is the place time of the newest command.
 func (m *Machine) Clock() int64 { return m.clock }
 
+// IsIdle reports whether nothing is under way: no message waits for time to pass, but
+// for those whose end is kept for a while.
+func (m *Machine) IsIdle() bool { return len(m.messages) == 0 }
+
 // Count reports how many messages and body bytes the place holds.
 func (m *Machine) Count() (int, int64) { return len(m.messages) + len(m.archive), m.bytes }
 
--- /dev/null
+++ b/internal/sim/grouptime.go
@@ -0,0 +1,105 @@
+package sim
+
+import (
+	"math"
+	"time"
+
+	"caperwheel/internal/feed"
+	"caperwheel/internal/place"
+	"caperwheel/internal/store"
+)
+
+// stamps notes when each command of the groups was stamped with its group's time, so
+// that replicas can hold what package groupclock promises: between any two committed
+// commands group time advances by no more than real time has.
+type stamps struct {
+	w  *World
+	at map[string]time.Duration // by the command's bytes; negative for one that was proposed twice
+}
+
+func newStamps(w *World) *stamps { return &stamps{w: w, at: map[string]time.Duration{}} }
+
+// note records that a command is proposed now.
+func (s *stamps) note(data []byte) {
+	if _, isKnown := s.at[string(data)]; isKnown {
+		s.at[string(data)] = -1 // which of the two was committed is not told by its bytes
+		return
+	}
+	s.at[string(data)] = s.w.now
+}
+
+// stamped is a group that notes what is proposed to it.
+type stamped struct {
+	store.Hosting
+	stamps *stamps
+}
+
+// Propose notes the command and passes it on.
+func (p *stamped) Propose(data []byte, tell func(verdict any, err error)) {
+	p.stamps.note(data)
+	p.Hosting.Propose(data, tell)
+}
+
+// lead is how far group time is ahead of real time at one replica.
+//
+// Invariant: it is that of the newest command which told the time, and never grows.
+type lead struct {
+	stamps *stamps
+	least  int64 // milliseconds; math.MaxInt64 before the first command
+}
+
+func (s *stamps) newLead() *lead { return &lead{s, math.MaxInt64} }
+
+// leadSlack is by how many milliseconds a lead may grow through rounding.
+const leadSlack = 2
+
+// grows takes in a committed command that tells the given group time, and returns by
+// how many milliseconds more than real time group time has advanced since an earlier
+// command; 0 if by none.
+func (l *lead) grows(data []byte, told int64) int64 {
+	at, isKnown := l.stamps.at[string(data)]
+	if !isKnown || at < 0 {
+		return 0
+	}
+	is := told - at.Milliseconds()
+	if l.least != math.MaxInt64 && is > l.least+leadSlack {
+		return is - l.least
+	}
+	l.least = min(l.least, is)
+	return 0
+}
+
+// timeOfCommand and timeOfEdit return the group time that a command tells; 0 for none.
+func timeOfCommand(data []byte) int64 {
+	c, err := place.Decode(data)
+	if err != nil {
+		return 0
+	}
+	return c.At
+}
+
+func timeOfEdit(data []byte) int64 {
+	e, err := feed.DecodeEdit(data)
+	if err != nil {
+		return 0
+	}
+	return e.At
+}
+
+// timedPlace is a place's machine whose commands' times are held against real time.
+type timedPlace struct {
+	*store.PlaceHost
+	w    *Places
+	lead *lead
+}
+
+// Apply looks at the command's time and passes it on. The mutant has a replica take
+// every command for its own, so that it keeps its own count where that is ahead.
+func (x *timedPlace) Apply(data []byte, isOwn bool) any {
+	if told := timeOfCommand(data); told > 0 {
+		if more := x.lead.grows(data, told); more > 0 {
+			x.w.early("place time has advanced by %d ms more than real time", more)
+		}
+	}
+	return x.PlaceHost.Apply(data, isOwn || x.w.mutant == OwnCount)
+}
--- a/internal/sim/mutants.go
+++ b/internal/sim/mutants.go
@@ -15,5 +15,6 @@
 	EarlyLeave        Mutant = "a retired machine goes before its groups stand elsewhere"
 	OldSnapshot       Mutant = "a snapshot has the state of the one before"
 	AnyAge            Mutant = "a daemon never looks how old its view is"
+	OwnCount          Mutant = "a replica keeps its own count of the group's time where that is ahead"
 	AnswersByPosition Mutant = "an answer goes to the call that has waited longest"
 )
--- a/internal/sim/places_test.go
+++ b/internal/sim/places_test.go
@@ -57,6 +57,32 @@
 	})
 }
 
+// TestPlaceTimeAcrossOwners: a replica once kept its own count of the place's time where
+// that was ahead of the owner's. Delays, and the patience of messages, ended early once it
+// became the owner: by 3.7 s in seed 13.
+func TestPlaceTimeAcrossOwners(t *testing.T) {
+	hurt := []string{"no majority", "handed over", "power loss of all"}
+	seeds := map[string]uint64{"13": 13, "31": 31, "36": 36}
+	runs := atOnce(seeds, func(seed uint64) []check.Breach {
+		_, breaches := RunPlaces(seed, mixed(PlaceFaults, hurt...)...)
+		return breaches
+	})
+	mutants := atOnce(map[string]uint64{"13": 13}, func(seed uint64) []check.Breach {
+		_, breaches := RunPlacesMutant(OwnCount, seed, mixed(PlaceFaults, hurt[:2]...)...)
+		return breaches
+	})
+	Convey("No span in place time ends early in seed", t, func() {
+		for name, breaches := range runs {
+			Convey(name, func() { So(breaches, ShouldBeEmpty) })
+		}
+	})
+	Convey("With the old rule a run begins before its delay, and the places' time is seen to be ahead", t, func() {
+		text := fmt.Sprint(mutants["13"])
+		So(text, ShouldContainSubstring, "more than real time")
+		So(text, ShouldContainSubstring, "before its delay of")
+	})
+}
+
 func TestSeedsReplayExactly(t *testing.T) {
 	Convey("The same seed gives the same trace", t, func() {
 		traces := atOnce(map[string]bool{"once": true, "again": true}, func(bool) []string {
--- a/internal/sim/stores.go
+++ b/internal/sim/stores.go
@@ -89,7 +89,7 @@
 	part := store.NewPartHost(&storeAround{s: s}, id)
 	h, err := host.New(host.Options{Id: id, Self: s.member(), Roster: s.founders, Bounds: timing.Default,
 		Seed: s.d.Seed + uint64(s.life)*31 + uint64(s.incarnation)*1009, Disk: &waking{disk, s, id}, Held: disk.Held(),
-		Machine: &witness{PartHost: part, s: s, id: id, image: part.Image()}, Now: s.now, Send: s.send, Failed: func(err error) { panic(err) },
+		Machine: &witness{PartHost: part, s: s, id: id, image: part.Image(), lead: s.d.stamps.newLead()}, Now: s.now, Send: s.send, Failed: func(err error) { panic(err) },
 		Prefer: func(roster []string) string { return s.prefer(id, roster) },
 		Repair: func(silence repair.Silence) (map[string]string, []string) {
 			return s.rosterPlan(id, silence)
@@ -98,7 +98,7 @@
 		panic(err)
 	}
 	s.hosts[id], s.parts[id] = h, part
-	part.Use(hosting(s.d.mutant, h))
+	part.Use(&stamped{hosting(s.d.mutant, h), s.d.stamps})
 	return h
 }
 
--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -5,6 +5,7 @@
 
 	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
+	"caperwheel/internal/groupclock"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
@@ -15,32 +16,29 @@
 	number      int64
 	host        Hosting
 	part        *feed.Part
-	clockAt     time.Duration // when, by our own clock, it was the part's clock
+	clock       groupclock.Clock
+	markedAt    time.Duration // when the part's time was last proposed by itself
 }
 
 // NewPartHost gives an empty part.
 func NewPartHost(environment Environment, number int64) *PartHost {
-	return &PartHost{environment: environment, number: number, part: feed.NewPart(), clockAt: environment.Now()}
+	return &PartHost{environment: environment, number: number, part: feed.NewPart(), clock: groupclock.New(environment.Now())}
 }
 
 // Apply takes one committed edit in.
-func (p *PartHost) Apply(data []byte) any {
+func (p *PartHost) Apply(data []byte, isOwn bool) any {
 	e, err := feed.DecodeEdit(data)
 	if err != nil {
 		p.environment.Fail(err)
 		return nil
 	}
-	was := p.now()
 	out := p.part.Apply(e)
-	p.clockAt = p.environment.Now() - max(0, time.Duration(was-p.part.Clock())*time.Millisecond)
+	p.clock.Apply(p.part.Clock(), isOwn, p.environment.Now())
 	return out
 }
 
-// now is the part time: the newest edit's, and what has passed since by our own
-// clock. No two clocks are ever compared.
-func (p *PartHost) now() int64 {
-	return p.part.Clock() + int64((p.environment.Now()-p.clockAt)/time.Millisecond)
-}
+// now is the part time, as package groupclock has it.
+func (p *PartHost) now() int64 { return p.clock.At(p.environment.Now()) }
 
 // Image gives the state for a slot.
 func (p *PartHost) Image() []byte { return p.part.Image() }
@@ -49,7 +47,8 @@
 func (p *PartHost) Restore(image []byte) error {
 	part, err := feed.RestorePart(image)
 	if err == nil {
-		p.part, p.clockAt = part, p.environment.Now()
+		p.part = part
+		p.clock.Follow(part.Clock(), p.environment.Now())
 	}
 	return err
 }
@@ -57,8 +56,20 @@
 // Owned has nothing to do: a part has no work of its own.
 func (p *PartHost) Owned(bool) {}
 
-// Tick has nothing to do either.
-func (p *PartHost) Tick(time.Duration) {}
+// Tick commits the part time while the age of an order still matters and no edit has
+// told it for a while: an owner that has only its log would begin there again.
+func (p *PartHost) Tick(now time.Duration) {
+	bounds := p.environment.Bounds()
+	if !p.host.IsOwner() || !p.part.IsTiming(p.now(), bounds.Of(timing.OrderAge)) {
+		return
+	}
+	span := bounds.Of(timing.TimeMark)
+	if p.clock.Lag(p.part.Clock(), now) < span || now-p.markedAt < span {
+		return
+	}
+	p.markedAt = now
+	p.host.Propose(feed.EncodeEdit(feed.TimeMark(p.now())), func(any, error) {})
+}
 
 // Use joins a part to its group; called once, before anything else.
 func (p *PartHost) Use(h Hosting) { p.host = h }
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -8,6 +8,7 @@
 
 	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/groupclock"
 	"caperwheel/internal/place"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
@@ -23,7 +24,8 @@
 	number      int64
 	host        Hosting
 	machine     *place.Machine
-	clockAt     time.Duration // when, by our own clock, it was the machine's clock
+	clock       groupclock.Clock
+	markedAt    time.Duration // when the place's time was last proposed by itself
 	inHand      map[string]inHand
 	asking      map[string]time.Duration
 	lostAt      map[string]time.Duration
@@ -55,21 +57,20 @@
 )
 
 func NewPlaceHost(environment Environment, number int64) *PlaceHost {
-	p := &PlaceHost{environment: environment, number: number, machine: place.New(), clockAt: environment.Now(), onlookers: map[string][]onlooker{}, underWay: underWay{}}
+	p := &PlaceHost{environment: environment, number: number, machine: place.New(), clock: groupclock.New(environment.Now()), onlookers: map[string][]onlooker{}, underWay: underWay{}}
 	p.ready.Store(&map[string]int{})
 	return p
 }
 
 // Apply takes one committed command in.
-func (p *PlaceHost) Apply(data []byte) any {
+func (p *PlaceHost) Apply(data []byte, isOwn bool) any {
 	c, err := place.Decode(data)
 	if err != nil {
 		p.environment.Fail(err) // a replica that cannot follow must stop, not guess
 		return nil
 	}
-	was := p.now()
 	v := p.machine.Apply(c)
-	p.clockAt = p.environment.Now() - max(0, time.Duration(was-p.machine.Clock())*time.Millisecond)
+	p.clock.Apply(p.machine.Clock(), isOwn, p.environment.Now())
 	if len(p.onlookers[c.Id]) > 0 && v.State.IsOver() {
 		p.tellOnlookers(func(id string, _ onlooker) bool { return id == c.Id })
 	}
@@ -83,15 +84,24 @@
 func (p *PlaceHost) Restore(image []byte) error {
 	m, err := place.Restore(image)
 	if err == nil {
-		p.machine, p.clockAt = m, p.environment.Now()
+		p.machine = m
+		p.clock.Follow(m.Clock(), p.environment.Now())
 	}
 	return err
 }
 
-// now is the place time: the newest command's, and what has passed since by
-// our own clock. No two clocks are ever compared.
-func (p *PlaceHost) now() int64 {
-	return p.machine.Clock() + int64((p.environment.Now()-p.clockAt)/time.Millisecond)
+// now is the place time, as package groupclock has it.
+func (p *PlaceHost) now() int64 { return p.clock.At(p.environment.Now()) }
+
+// markTime commits the place time where messages are under way and no command has
+// told it for a while: an owner that has only its log would begin there again.
+func (p *PlaceHost) markTime(now time.Duration) {
+	span := p.environment.Bounds().Of(timing.TimeMark)
+	if p.machine.IsIdle() || p.clock.Lag(p.machine.Clock(), now) < span || now-p.markedAt < span {
+		return
+	}
+	p.markedAt = now
+	p.propose(place.TimeMark(), nil)
 }
 
 // Owned starts or ends an ownership. Runs that an earlier owner began are not
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -96,6 +96,7 @@
 		p.publish()
 		return
 	}
+	p.markTime(now)
 	at := p.now()
 	for _, e := range p.machine.Late(at) {
 		lane, _ := p.lane(e.Lane)
