A run is waited for by the bound that it was begun with, whatever the configuration says now

After a bound was lowered, or its pool dropped, or where the lane has a longer bound of its own, the wait was shorter than the run, and the next of the key could begin beside it. Where the pool lets runs be repeated, a message that was closed did not wait at all.

Change: the start is committed with the span for which its run may go on (bound of lane or pool, twice, and a bound on configurations for its beginning); the message keeps it in place time, so every later owner has it. Nothing of the key begins before. The run is sent with the bound of its start, and an adapter that knows of a longer one sends an ordered run back unbegun. The record is as before: Deadline of a start was unused, and older replicas pass it over.

Left: with pools that repeat, lanes that spend every run, and attempts lowered between, a message can be closed while its last run goes on (docs/control.md).

--- a/internal/deliver/deliver_test.go
+++ b/internal/deliver/deliver_test.go
@@ -81,6 +81,11 @@
 		{"nobody there", nil, nil, "lost", false, false, false, 1},
 		{"altered bytes", nil, func(_ *Adapter, r *run) { r.Sum = "other" }, "broken", false, false, false, 0},
 		{"a pool that the lane may not use", nil, func(_ *Adapter, r *run) { r.Pool = "q" }, "rejected", false, false, false, 0},
+		{"a bound that has grown since an ordered run was begun", nil, func(_ *Adapter, r *run) { r.Key, r.Bound = "k", 49 }, "stale", false, false, false, 0},
+		{"a bound that has grown, without an order", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "well") },
+			func(_ *Adapter, r *run) { r.Bound = 49 }, "", true, false, false, 0},
+		{"a bound that has been lowered", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "well") },
+			func(_ *Adapter, r *run) { r.Key, r.Bound = "k", 51 }, "", true, false, false, 0},
 		{"a duty that has moved on", nil, func(a *Adapter, _ *run) { a.d.Who.Boot = "2" }, "not_owner", false, false, false, 0},
 	}
 	Convey("A run that meets", t, func() {
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -63,7 +63,12 @@
 		},
 		path.Live: func(_ path.Step, e *delivery) error {
 			w, isLive := e.compiled.CanServe(e.run.Pool, e.run.Worker)
-			e.run.Bound = e.rules.BoundOf(e.run.Lane, e.run.Pool) // by the configuration that is acted on
+			bound := e.rules.BoundOf(e.run.Lane, e.run.Pool) // by the configuration that is acted on
+			if e.run.Key != "" && bound > e.run.Bound {
+				// The place's owner waits for a lost run by the bound that it was begun with.
+				return errs.New(errs.Stale, "the bound has grown from %d ms to %d ms since the run was begun", e.run.Bound, bound)
+			}
+			e.run.Bound = bound
 			if !isLive || !e.compiled.MayWork(a.d.Who.Zone) {
 				return errs.New(errs.Rejected, "%s/%s is not live", e.run.Pool, e.run.Worker)
 			}
--- a/internal/place/command.go
+++ b/internal/place/command.go
@@ -34,7 +34,7 @@
 	Sum      string     `avro:"sum"`
 	Parent   string     `avro:"parent"`
 	Ordered  bool       `avro:"ordered"`
-	Deadline int64      `avro:"cutoff"` // Take: patience left; Back: pause before the next run
+	Deadline int64      `avro:"cutoff"` // Take: patience left; Start: for how long the run may go on; Back: pause before the next run
 	Attempt  int64      `avro:"attempt"`
 	Adapter  string     `avro:"adapter"`
 	Boot     string     `avro:"boot"`
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -149,6 +149,7 @@
 	}
 	e.IsHolder = false
 	e.Attempt, e.Adapter, e.Boot, e.Pool, e.Worker = c.Attempt, c.Adapter, c.Boot, c.Pool, c.Worker
+	e.Due = m.clock + c.Deadline
 	return m.finish(e, e.move(Started))
 }
 
--- a/internal/place/message.go
+++ b/internal/place/message.go
@@ -48,7 +48,7 @@
 	Child    string     `avro:"child"`
 	State    State      `avro:"state"`
 	Deadline int64      `avro:"cutoff"` // place time
-	Due      int64      `avro:"due"`    // place time
+	Due      int64      `avro:"due"`    // place time: held, when it may run; started and ordered, until when its run may go on though nobody tells of it
 	Over     int64      `avro:"over"`   // place time at which an end is forgotten
 	Attempt  int64      `avro:"attempt"`
 	Spent    int64      `avro:"spent"` // attempts that count
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -65,13 +65,7 @@
 // NewPlaces lays everything out and starts it.
 func NewPlaces(w *World, adapters int, mutant Mutant) *Places {
 	p := &Places{World: w, H: check.NewHistory(), stamps: newStamps(w), mutant: mutant}
-	rules, faults := config.Compile([]byte(`{"pools":{"work":{"bound":"2s"}},"lanes":{
-		"free":{"pools":["work"],"attempts":0,"patience":"2m","retention":"1h"},
-		"seq":{"pools":["work"],"attempts":4,"ordering":"key","patience":"2m","retention":"1h"}}}`))
-	if len(faults) > 0 {
-		panic(errs.New(errs.Internal, "rules of the simulation: %v", faults))
-	}
-	p.rules = rules
+	p.rules = rulesWith(workBound)
 	p.H.Pools["free"], p.H.Pools["seq"], p.H.Order["seq"] = []string{"work"}, []string{"work"}, true
 	for i := range 3 {
 		s := &simStore{w: p, name: fmt.Sprintf("s%d", i+1), disk: &Disk{w: w}}
@@ -97,6 +91,17 @@
 	return p
 }
 
+// rulesWith are the rules of the simulation, with the pool's bound.
+func rulesWith(bound time.Duration) *config.Rules {
+	rules, faults := config.Compile(fmt.Appendf(nil, `{"pools":{"work":{"bound":"%v"}},"lanes":{
+		"free":{"pools":["work"],"attempts":0,"patience":"2m","retention":"1h"},
+		"seq":{"pools":["work"],"attempts":4,"ordering":"key","patience":"2m","retention":"1h"}}}`, bound))
+	if len(faults) > 0 {
+		panic(errs.New(errs.Internal, "rules of the simulation: %v", faults))
+	}
+	return rules
+}
+
 func (p *Places) roster() []string {
 	out := []string{}
 	for _, s := range p.stores {
--- a/internal/sim/places_test.go
+++ b/internal/sim/places_test.go
@@ -83,6 +83,21 @@
 	})
 }
 
+// TestRunsOutliveTheConfiguration: an owner once waited for a lost run by the newest
+// configuration's bound, and the next of its key began beside it.
+func TestRunsOutliveTheConfiguration(t *testing.T) {
+	hurt := mixed(PlaceFaults, "changed bounds", "stalled workers", "quick restarts")
+	runs := atOnce(map[string]uint64{"2": 2, "44": 44, "80": 80, "298": 298}, func(seed uint64) []check.Breach {
+		_, breaches := RunPlaces(seed, hurt...)
+		return breaches
+	})
+	Convey("No two messages of a key are at workers at once while bounds change, in seed", t, func() {
+		for name, breaches := range runs {
+			Convey(name, func() { So(breaches, ShouldBeEmpty) })
+		}
+	})
+}
+
 func TestSeedsReplayExactly(t *testing.T) {
 	Convey("The same seed gives the same trace", t, func() {
 		traces := atOnce(map[string]bool{"once": true, "again": true}, func(bool) []string {
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -10,7 +10,7 @@
 	"caperwheel/internal/wire"
 )
 
-// workBound is the pool's bound in the simulation.
+// workBound is the pool's bound in the simulation, until that is changed.
 const workBound = 2 * time.Second
 
 // work is one run at a worker. It ends by itself, or, once its connection has
@@ -22,6 +22,7 @@
 	life     int
 	m        *wire.Run
 	run      *check.Run
+	bound    time.Duration
 	isFailed bool
 	isCut    bool // the answer does not come whole
 	isOver   bool // at the worker
@@ -37,13 +38,14 @@
 
 // hangUp: the connection has broken; the worker goes on, but not for ever.
 func (x *work) hangUp() {
-	x.a.w.After(max(0, x.run.Start+place.Busy(workBound)-x.a.w.now), x.end)
+	x.a.w.After(max(0, x.run.Start+place.Busy(x.bound)-x.a.w.now), x.end)
 }
 
 // carry runs the message on the adapter's worker and delivers the result to its owner.
 func (a *simAdapter) carry(m *wire.Run) {
 	w := a.w
-	if !a.isFresh() {
+	bound := time.Duration(w.rules.BoundOf(m.Lane, m.Pool)) * time.Millisecond
+	if !a.isFresh() || m.Key != "" && bound.Milliseconds() > m.Bound {
 		a.deliverToOwner(m, &wire.Outcome{Id: m.Id, Boot: a.boot(), Kind: string(errs.Stale),
 			Proof: wire.Proof{Attempt: m.Attempt, Worker: m.Worker, Answer: []byte{}}})
 		return
@@ -51,7 +53,7 @@
 	token := string(m.Body)
 	run := &check.Run{Token: token, Id: m.Id, Attempt: m.Attempt, Pool: m.Pool, Worker: m.Worker, Sum: m.Sum, Adapter: a.name,
 		Start: w.now, Status: 200, Answer: fmt.Sprint(token, "/", m.Attempt)}
-	x := &work{a: a, life: a.life, m: m, run: run}
+	x := &work{a: a, life: a.life, m: m, run: run, bound: bound}
 	took := time.Duration(10+w.Rand.IntN(200)) * time.Millisecond
 	if w.Rand.IntN(1000) < w.Stall {
 		took = time.Duration(500+w.Rand.IntN(6000)) * time.Millisecond
@@ -64,7 +66,7 @@
 	w.Note("run %s/%d at %s, term %d, takes %v", m.Id, m.Attempt, a.boot(), m.Term, took)
 	w.runs = append(w.runs, run)
 	w.After(took, func() { x.end(); x.answer("") }) // whatever becomes of the adapter
-	w.After(place.Wait(m.Key != "", workBound), func() { x.answer(errs.DeadlineExceeded) })
+	w.After(place.Wait(m.Key != "", bound), func() { x.answer(errs.DeadlineExceeded) })
 	if w.Rand.IntN(1000) < w.Break {
 		w.After(time.Duration(w.Rand.Int64N(int64(took))), func() { x.answer(errs.Lost) })
 	}
@@ -101,7 +103,7 @@
 			o.Proof.Status, o.Proof.Sum = 200, x.run.Answer
 		}
 		o.Kind = string(kind)
-		o.Wait = int64(place.StillBusy(kind, x.m.Key != "", workBound, a.w.now-x.run.Start) / time.Millisecond)
+		o.Wait = int64(place.StillBusy(kind, x.m.Key != "", x.bound, a.w.now-x.run.Start) / time.Millisecond)
 		a.w.Note("read %s/%d at %s: %q", x.m.Id, x.m.Attempt, a.boot(), o.Kind)
 		a.deliverToOwner(x.m, o)
 	})
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -50,11 +50,7 @@
 		p.missed[e.Id] = now
 	}
 	lane, isKnown := p.lane(e.Lane)
-	wait := p.environment.Bounds().Config
-	if e.Ordered {
-		wait += place.Busy(p.environment.Compiled().Rules.Pools[e.Pool].Bound)
-	}
-	if !isKnown || p.now() < e.Deadline || now-p.missed[e.Id] < wait {
+	if !isKnown || p.now() < e.Deadline || p.mayStand(e) || now-p.missed[e.Id] < p.environment.Bounds().Config {
 		return
 	}
 	p.missed[e.Id] = now // not again at once, should this not be committed
@@ -62,6 +58,19 @@
 		Hold: lane.HoldFailed, Retain: int64(lane.Retention / time.Millisecond)}, nil)
 }
 
+// mayGoOn reports whether an ordered run whose adapter is lost may still be going on at
+// its worker. That follows from the bound that it was begun with, whatever the
+// configuration says now.
+func (p *PlaceHost) mayGoOn(e *place.Message) bool { return e.Ordered && p.now() < e.Due }
+
+// mayStand reports whether an ordered run may still be going on of whose adapter nothing
+// is known. One that stands still keeps the connection, and with it the worker, for longer.
+func (p *PlaceHost) mayStand(e *place.Message) bool {
+	bound := time.Duration(p.environment.Compiled().Rules.BoundOf(e.Lane, e.Pool)) * time.Millisecond
+	more := place.Wait(true, bound) - place.Busy(bound)
+	return e.Ordered && p.now() < e.Due+more.Milliseconds()
+}
+
 // ask learns what became of a run from its adapter, or from the adapter's next
 // life, which looks whether the agent beside it keeps a result.
 func (p *PlaceHost) ask(e *place.Message, who wire.Who) {
@@ -96,15 +105,13 @@
 	if !isKnown {
 		return
 	}
-	pool := p.environment.Compiled().Rules.Pools[e.Pool]
+	isLast := !lane.Rerun || lane.SpendsAll && lane.Attempts > 0 && e.Spent+1 >= lane.Attempts
+	mayRepeat := p.environment.Compiled().Rules.Pools[e.Pool].Repeats && !isLast // else the next of the key would begin
 	if p.lostAt[e.Id] == 0 {
 		p.lostAt[e.Id] = now
 	}
 	wait := p.environment.Bounds().Of(timing.SessionTimeout) // whoever keeps its result hands it over by then
-	if e.Ordered && !pool.Repeats {
-		wait = max(wait, place.Busy(pool.Bound))
-	}
-	if now-p.lostAt[e.Id] < wait {
+	if now-p.lostAt[e.Id] < wait || p.mayGoOn(e) && !mayRepeat {
 		p.asking[e.Id] = now + p.environment.Bounds().Of(timing.AnswerTimeout)
 		return
 	}
@@ -113,7 +120,7 @@
 	delete(p.missed, e.Id)
 	c := place.Command{Kind: place.CmdBack, Id: e.Id, Attempt: e.Attempt, Cause: "unknown_run", Costs: lane.SpendsAll,
 		Retain: int64(lane.Retention / time.Millisecond)}
-	if !lane.Rerun || lane.SpendsAll && lane.Attempts > 0 && e.Spent+1 >= lane.Attempts {
+	if isLast {
 		c.Kind, c.State, c.Hold = place.CmdClose, string(place.Failed), lane.HoldFailed
 	}
 	p.propose(c, nil)
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -37,24 +37,36 @@
 			Hold: rules.HoldFailed, Retain: int64(rules.Retention / time.Millisecond)}, nil)
 		return
 	}
-	attempt := e.Attempt + 1
+	attempt, bound := e.Attempt+1, p.environment.Compiled().Rules.BoundOf(lane, g.Pool)
 	p.propose(place.Command{Kind: place.CmdStart, Id: e.Id, Attempt: attempt, Adapter: g.Holder.Name, Boot: g.Holder.Boot,
-		Pool: g.Pool, Worker: g.Worker}, func(v place.Verdict, err error) {
+		Pool: g.Pool, Worker: g.Worker, Deadline: p.longest(e, bound)}, func(v place.Verdict, err error) {
 		if err != nil || v.Kind != "" {
 			p.environment.Release(g)
 			p.machine.Unpick(e)
 			return
 		}
-		p.send(e, attempt, g)
+		p.send(e, attempt, bound, g)
 	})
 }
 
-// send hands a started run to the adapter that granted the slot.
-func (p *PlaceHost) send(e *place.Message, attempt int64, g SlotGrant) {
-	rules := p.environment.Compiled().Rules
+// longest returns for how many milliseconds an ordered run may go on at its worker
+// though its adapter or its connection is lost: it begins within the bound on configurations,
+// since its permit lapses and its adapter grows stale, and its adapter allows it no more
+// than the bound (in milliseconds) that it is sent with.
+func (p *PlaceHost) longest(e *place.Message, bound int64) int64 {
+	if !e.Ordered {
+		return 0
+	}
+	busy := place.Busy(time.Duration(bound) * time.Millisecond)
+	return (p.environment.Bounds().Config + busy).Milliseconds()
+}
+
+// send hands a started run to the adapter that granted the slot, with the bound that its
+// start was committed with.
+func (p *PlaceHost) send(e *place.Message, attempt, bound int64, g SlotGrant) {
 	run := &wire.Run{Place: p.number, Term: p.host.Term(), Id: e.Id, Attempt: attempt, Lane: e.Lane, Key: e.Key,
 		Pool: g.Pool, Worker: g.Worker, Ctype: e.Ctype, Body: e.Body, Sum: e.Sum, Permit: g.Permit,
-		Bound: rules.BoundOf(e.Lane, g.Pool), Head: e.Head}
+		Bound: bound, Head: e.Head}
 	err := p.environment.Post(g.Holder, run, func(reply any, err error) {
 		ack, isAck := reply.(*wire.RunAck)
 		if err != nil || !isAck {
--- /dev/null
+++ b/internal/store/waits_test.go
@@ -0,0 +1,85 @@
+package store
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/config"
+	"caperwheel/internal/place"
+	"caperwheel/internal/wire"
+)
+
+// TestWaitsOutliveTheConfiguration: how long an ordered run whose fate is unknown may
+// go on was once read from the newest configuration's pool. After a change, or where
+// the lane has a bound of its own, the next of the key could begin beside it.
+func TestWaitsOutliveTheConfiguration(t *testing.T) {
+	const bound = 10 * time.Second
+	cases := []struct {
+		name   string
+		pool   config.Pool
+		lane   config.Lane
+		change func(r *config.Rules)
+		isGone bool // the adapter has begun a new life; else it is away
+	}{
+		{"a pool's bound is lowered, its adapter begins anew", config.Pool{Bound: bound}, config.Lane{Rerun: true},
+			func(r *config.Rules) { r.Pools["p"] = config.Pool{Bound: time.Second} }, true},
+		{"the pool is gone, its adapter begins anew", config.Pool{Bound: bound}, config.Lane{Rerun: true},
+			func(r *config.Rules) { delete(r.Pools, "p") }, true},
+		{"the lane has a longer bound than the pool", config.Pool{Bound: time.Second}, config.Lane{Rerun: true, Bound: bound},
+			func(*config.Rules) {}, true},
+		{"the lane's bound is lowered", config.Pool{Bound: time.Second}, config.Lane{Rerun: true, Bound: bound},
+			func(r *config.Rules) { l := r.Lanes["o"]; l.Bound = time.Second; r.Lanes["o"] = l }, true},
+		{"the pool lets runs be repeated, but the message is closed", config.Pool{Bound: bound, Repeats: true}, config.Lane{},
+			func(*config.Rules) {}, true},
+		{"a pool's bound is lowered, its adapter stays away", config.Pool{Bound: bound}, config.Lane{Rerun: true},
+			func(r *config.Rules) { r.Pools["p"] = config.Pool{Bound: time.Second} }, false},
+		{"the pool is gone, its adapter stays away", config.Pool{Bound: bound}, config.Lane{Rerun: true},
+			func(r *config.Rules) { delete(r.Pools, "p") }, false},
+		{"the lane has a longer bound than the pool, its adapter stays away", config.Pool{Bound: time.Second},
+			config.Lane{Rerun: true, Bound: bound}, func(*config.Rules) {}, false},
+	}
+	Convey("Nothing of a key begins while an earlier run may go on where", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				b := newBench()
+				c.lane.Name, c.lane.IsOrdered, c.lane.Pools, c.lane.BackoffMost = "o", true, []string{"p"}, time.Second
+				b.rules.Pools["p"], b.rules.Lanes["o"] = c.pool, c.lane
+				for _, id := range []string{"0-x", "0-y"} {
+					b.place.Take(&wire.Take{Id: id, Lane: "o", Key: "k", Deadline: 600_000}, func(any) {})
+				}
+				b.commit(true)
+				b.place.machine.Find("0-x").Deadline = b.place.now() + 1000
+				began := b.now
+				b.place.Start("o", SlotGrant{Pool: "p", Worker: "w", Holder: wire.Who{Name: "a", Boot: "1"}, Until: time.Hour})
+				b.commit(true)
+				So(b.place.machine.Find("0-x").State, ShouldEqual, place.Started)
+				c.change(b.rules)
+				if c.isGone {
+					b.members["a"] = wire.Who{Name: "a", Boot: "2"}
+				}
+				for b.now < began+place.Busy(bound) {
+					b.now += 100 * time.Millisecond
+					b.answers = nil
+					b.place.Tick(b.now)
+					for _, answer := range b.answers {
+						answer(&wire.OpenAck{State: "gone"}, nil)
+					}
+					b.commit(true)
+					So(b.place.machine.Ready(b.place.now()), ShouldBeEmpty)
+				}
+				for b.now < began+12*bound && len(b.place.machine.Ready(b.place.now())) == 0 {
+					b.now += 100 * time.Millisecond
+					b.answers = nil
+					b.place.Tick(b.now)
+					for _, answer := range b.answers {
+						answer(&wire.OpenAck{State: "gone"}, nil)
+					}
+					b.commit(true)
+				}
+				So(b.place.machine.Ready(b.place.now()), ShouldNotBeEmpty) // and it does in the end
+			})
+		}
+	})
+}
