--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -129,22 +129,32 @@
 }
 
 // follower is an agent or an adapter: it acts on what it is told.
-type follower struct{ process }
+type follower struct {
+	process
+	targets func(*process) []string // whom it may ask
+}
 
 func (d *Deployment) follow(kind string, targets func(*process) []string) *follower {
-	f := &follower{process{d: d, kind: kind, name: kind, addr: kind, zone: "c1"}}
+	f := &follower{process{d: d, kind: kind, name: kind, addr: kind, zone: "c1"}, targets}
 	f.seeds = d.seeds()
 	f.serve = func(ask any, answer func(any)) {
 		if poll, isPoll := ask.(*wire.Poll); isPoll {
 			answer(session.NewsFor(poll, f.view, f.now(), f.membership))
 		}
 	}
-	f.begin(fmt.Sprint(kind, ".1"))
-	f.every(f.pause, func() { f.poll(targets(&f.process), nil) })
+	f.start()
 	d.followers = append(d.followers, f)
 	return f
 }
 
+func (f *follower) start() {
+	if f.isUp {
+		return
+	}
+	f.begin(fmt.Sprintf("%s.%d", f.kind, f.life+1))
+	f.every(f.pause, func() { f.poll(f.targets(&f.process), nil) })
+}
+
 // seeds are the addresses that all daemons are told of at their start: those
 // of the first managers, wherever those have gone since.
 func (d *Deployment) seeds() []string {
--- a/internal/sim/troubles.go
+++ b/internal/sim/troubles.go
@@ -45,8 +45,9 @@
 		t.pause(time.Duration(d.Rand.IntN(2000)) * time.Millisecond)
 		m.start()
 	},
-	"replaced": func(d *Deployment, t *task, m *machine) { d.replace(t, m, fmt.Sprintf("m%d", len(d.machines)+1)) },
-	"moved":    func(d *Deployment, t *task, m *machine) { d.replace(t, m, m.name) },
+	"wiped beside a power loss": func(d *Deployment, t *task, m *machine) { d.wipeBesidePowerLoss(t, m) },
+	"replaced":                  func(d *Deployment, t *task, m *machine) { d.replace(t, m, fmt.Sprintf("m%d", len(d.machines)+1)) },
+	"moved":                     func(d *Deployment, t *task, m *machine) { d.replace(t, m, m.name) },
 }
 
 // lossSpan is how long a machine is away: 20 s and more in one case of three.
@@ -90,6 +91,24 @@
 	m.start()
 }
 
+// wipeBesidePowerLoss has a machine lose its disk while all others lose power at the
+// same moment, those too that hold no state. The wiped one comes back last.
+func (d *Deployment) wipeBesidePowerLoss(t *task, m *machine) {
+	others := slices.DeleteFunc(d.here(), func(other *machine) bool { return other == m })
+	m.stop(true)
+	m.store.wipe()
+	for _, other := range others {
+		other.stop(true)
+		d.After(time.Duration(d.Rand.IntN(1000))*time.Millisecond, other.start)
+	}
+	for _, f := range d.followers {
+		f.end()
+		d.After(time.Duration(d.Rand.IntN(1000))*time.Millisecond, f.start)
+	}
+	t.pause(time.Duration(1000+d.Rand.IntN(1000)) * time.Millisecond)
+	m.start()
+}
+
 // remove takes a machine away for good, with its disk.
 func (d *Deployment) remove(m *machine) {
 	m.stop(true)
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -98,8 +98,8 @@
 	if m.IsNotified {
 		req.Header.Set(callback, "http://"+site.at(receiverHost, 0)+"/told")
 	}
-	sent := Sent{Sent: check.Sent{Token: id, Lane: m.Route, Key: m.Key, Sum: fleet.Sum(body), Told: check.Undecided}, Line: lineOf(req),
-		Delay: m.Delay, IsNotified: m.IsNotified}
+	sent := Sent{Sent: check.Sent{Token: id, Lane: m.Route, Key: m.Key, Sum: fleet.Sum(body), Told: check.Undecided, Delay: m.Delay}, Line: lineOf(req),
+		IsNotified: m.IsNotified}
 	var mu sync.Mutex
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		mu.Lock()
--- a/internal/standin/draws.go
+++ b/internal/standin/draws.go
@@ -21,6 +21,7 @@
 		{Share: 1, Do: "freeze", Who: machines, Most: 6 * time.Second},
 		{Share: 1, Do: "kill", Who: of("zone north-bank", "zone south-bank", "store-*", "core-*", "front-*", "*"), Most: 3 * time.Second},
 		{Share: 1, Do: "wipe", Who: of("store-1", "store-2", "store-3"), Most: 3 * time.Second},
+		{Share: 1, Do: "wipe and kill", Who: of("store-1", "store-2", "store-3"), Most: 3 * time.Second},
 		{Share: 2, Do: "hup", Who: of("front-*", "core-*", "*")},
 		{Share: 4, Do: "edit", Who: of("timeout", "add", "remove", "update", "invalid", "race", "repeat")},
 		{Share: 2, Do: "empty", Who: zones, Most: 10 * time.Second},
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -20,7 +20,10 @@
 	"stop": func(_ context.Context, s *Site, who string) func() {
 		return s.each(who, func(m *Machine) { m.stop(true) })
 	},
-	"wipe":   func(_ context.Context, s *Site, who string) func() { return s.each(who, (*Machine).wipe) },
+	"wipe": func(_ context.Context, s *Site, who string) func() { return s.each(who, (*Machine).wipe) },
+	"wipe and kill": func(_ context.Context, s *Site, who string) func() {
+		return s.wipeAndKill(who)
+	},
 	"turn":   turn,
 	"hup":    hup,
 	"freeze": freeze,
@@ -91,6 +94,22 @@
 	}
 }
 
+// wipeAndKill has machines lose their disks while all others are killed at the same
+// moment, those too whose loss does not count. Undone, all start again.
+func (s *Site) wipeAndKill(who string) func() {
+	isWiped := map[*Machine]bool{}
+	for _, m := range s.match(who) {
+		isWiped[m] = true
+	}
+	return s.each("*", func(m *Machine) {
+		if isWiped[m] {
+			m.wipe()
+		} else {
+			m.stop(false)
+		}
+	})
+}
+
 // turn stops machines and starts them again one after another.
 func turn(ctx context.Context, s *Site, who string) func() {
 	for _, m := range s.match(who) {
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -17,7 +17,6 @@
 	check.Sent        // Token is the try's id, Lane the route's name
 	Line       string // method, path and key as they were sent
 	Code       int    // 0: no whole answer came
-	Delay      time.Duration
 	Daemon     string // that the entry gave the session to
 	Life       int64  // of the daemon
 	IsBroken   bool   // the daemon broke the session off, the message read or not
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -20,7 +20,9 @@
 	rollback     = 250 * time.Millisecond
 	evacuation   = 5000 * time.Millisecond
 	finish       = 10 * time.Second
-	readSpare    = 50 * time.Millisecond // a success that is told later may run again
+	earliest     = 100 * time.Millisecond // a run may begin so long before its delay is over
+	earlySlack   = 200 * time.Millisecond // and by so much more no rule is broken
+	readSpare    = 50 * time.Millisecond  // a success that is told later may run again
 	ceilingSpan  = 5 * time.Second
 	ceilingShare = 1.1
 	ceilingMore  = 5
@@ -76,6 +78,7 @@
 	j.ends()
 	j.tells()
 	j.order()
+	j.early()
 	j.edits()
 	j.readBack()
 	j.calls()
--- a/internal/standin/judge_test.go
+++ b/internal/standin/judge_test.go
@@ -132,6 +132,7 @@
 	{RuleLost, "an end that never was", func(h *History) { h.Ends["w"] = End{"completed", "", "", 60 * s} }},
 	{RuleLost, "an errand cut off by a daemon that leaves", func(h *History) { cut(h, s, true) }},
 	{RuleOrder, "a start before an end", func(h *History) { h.Runs[3].Start = 14*s + 500*ms }},
+	{RuleOrder, "a start before the delay is over", func(h *History) { h.Sent[0].Delay = 310 * ms }},
 	{RuleOrder, "a start between two attempts", func(h *History) { h.Runs[2].Status = 500 }},
 	{RuleTwice, "a run after a success that was told", func(h *History) { h.Runs = append(h.Runs, run("a", "p", "w", 20*s, 21*s, 200)) }},
 	{RuleCeiling, "too many arrivals", func(h *History) { meet(h, "q", false, 11) }},
--- a/internal/standin/messages.go
+++ b/internal/standin/messages.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// early: a message begins only when its delay is over, counted from when it was sent.
+func (j *judge) early() {
+	for _, r := range j.h.Runs {
+		s := j.sent[r.Token]
+		if s.Delay > 0 && r.Start < s.At+s.Delay-earliest-earlySlack {
+			j.breach(RuleOrder, "%s began %v before its delay of %v was over", r.Token, s.At+s.Delay-r.Start, s.Delay)
+		}
+	}
+}
+
 // rates holds arrivals against ceilings and against what cold workers bear.
 func (j *judge) rates() {
 	met := map[string][]time.Duration{}
--- a/internal/standin/report.go
+++ b/internal/standin/report.go
@@ -34,8 +34,6 @@
 	Breaches []check.Breach `json:"breaches"`
 }
 
-const earliest = 100 * time.Millisecond
-
 // Report judges what was seen and counts it.
 func (s *Site) Report(isTimed bool) Figures {
 	out := Figures{Codes: map[int]int{}, Ends: map[string]int{}, Edits: map[int]int{}, Breaches: Judge(s.History, isTimed), Crashes: s.Crashes()}
