--- a/internal/sim/grouptime.go
+++ b/internal/sim/grouptime.go
@@ -1,9 +1,11 @@
 package sim
 
 import (
+	"fmt"
 	"math"
 	"time"
 
+	"caperwheel/internal/check"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/place"
 	"caperwheel/internal/store"
@@ -103,3 +105,12 @@
 	}
 	return x.PlaceHost.Apply(data, isOwn || x.w.mutant == OwnCount)
 }
+
+// early notes that group time was ahead of real time.
+func (p *Places) early(form string, args ...any) {
+	text := fmt.Sprintf(form, args...)
+	p.Note("BROKEN %s", text)
+	if len(p.broken) < mostBroken {
+		p.broken = append(p.broken, check.Breach{Rule: check.RuleEarly, Text: text})
+	}
+}
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -174,15 +174,6 @@
 	s.w.Note("freeze %s until %v", s.name, s.frozen)
 }
 
-// early notes that group time was ahead of real time.
-func (p *Places) early(form string, args ...any) {
-	text := fmt.Sprintf(form, args...)
-	p.Note("BROKEN %s", text)
-	if len(p.broken) < mostBroken {
-		p.broken = append(p.broken, check.Breach{Rule: check.RuleEarly, Text: text})
-	}
-}
-
 func (s *simStore) kill() {
 	if s.isUp {
 		s.isUp, s.life = false, s.life+1
