A message's state is told only by an owner confirmed since the question

Cause: an owner answered questions for 0.12 of the bound after its last confirmed heartbeat, since others wait longer than that before they campaign. Two ways to become owner wait for nobody's silence: a successor that the owner calls itself (planned stops, preferred owners), and replicas that take a store's process for ended because its port refuses, as links that refuse do. The old owner then knew nothing of messages just taken, or told an older state, until it heard of the new one. docs/control.md claimed what was not so.

Ruled out: parts (their reads wait for a round begun after the question), takes and results (answered behind a commit).

Change: an end is final and told at once; anything else once a majority has confirmed the ownership in a round begun after the question, as parts have it. Price: an answer about a message under way waits for the next heartbeat, at most 0.04 of the bound.

--- a/internal/sim/placefaults.go
+++ b/internal/sim/placefaults.go
@@ -26,6 +26,34 @@
 			s.pump()
 		}
 	},
+	"handed over unheard": func(p *Places) { // the old owner hears nothing of its successor
+		for _, s := range p.stores {
+			if s.isUp && p.now >= s.frozen && s.host.IsOwner() {
+				for _, other := range p.stores {
+					p.Cut(other.name, s.name)
+				}
+				s.host.HandOver(func(string) bool { return false })
+				s.pump()
+				p.After(time.Duration(500+p.Rand.IntN(1000))*time.Millisecond, p.Heal)
+				return
+			}
+		}
+	},
+	"taken for gone": func(p *Places) { // its links refuse, so the others take its process for ended
+		gone := p.store()
+		if !gone.isUp {
+			return
+		}
+		for _, s := range p.stores {
+			if s != gone && s.isUp {
+				p.Cut(gone.name, s.name)
+				p.Cut(s.name, gone.name)
+				s.host.Missing(gone.name)
+				s.pump()
+			}
+		}
+		p.After(time.Duration(500+p.Rand.IntN(3000))*time.Millisecond, p.Heal)
+	},
 	"power loss of all": func(p *Places) {
 		for _, s := range p.stores {
 			s.kill()
--- a/internal/store/look.go
+++ b/internal/store/look.go
@@ -30,26 +30,41 @@
 		p.waiting++
 		return
 	}
-	p.see(l, answer)
+	p.see(l, p.environment.Now(), answer)
 }
 
-// see: the owner must have been confirmed so lately that nobody else can have
-// become owner since.
-func (p *PlaceHost) see(l *wire.Look, answer func(any)) {
-	if v := p.host.View(); !p.host.IsOwner() || p.environment.Now()-v.Confirmed > p.environment.Bounds().Of(timing.Lease) {
+// see answers from the owner's state. An end is final, so whoever has it may tell it. All
+// else is told only once a majority has confirmed the ownership since the question
+// came: a successor that was called, or that takes this store for gone, waits for no
+// silence, and may have taken and ended messages that this store has not heard of.
+func (p *PlaceHost) see(l *wire.Look, askedAt time.Duration, answer func(any)) {
+	v, e := p.host.View(), p.machine.Find(l.Id)
+	switch {
+	case !p.host.IsOwner():
 		answer(p.sight(nil, errs.NotOwner))
-		return
+	case e != nil && e.State.IsOver(), v.IsSure && v.Confirmed >= askedAt:
+		answer(p.seen(l, e))
+	case p.environment.Now()-askedAt > p.environment.Bounds().Of(timing.AnswerTimeout):
+		answer(p.sight(nil, errs.NotOwner))
+	default:
+		p.environment.After(p.environment.Bounds().Of(timing.Heartbeat)/4, func() {
+			if err := p.host.Do(func() { p.see(l, askedAt, answer) }); err != nil {
+				answer(&wire.Sight{Kind: string(errs.Full), Body: []byte{}, Proof: wire.Proof{Answer: []byte{}}})
+			}
+		})
 	}
-	e := p.machine.Find(l.Id)
+}
+
+// seen is what is told of a message, nil for one that is not known.
+func (p *PlaceHost) seen(l *wire.Look, e *place.Message) *wire.Sight {
 	if e == nil {
-		answer(p.sight(nil, errs.Unknown))
-		return
+		return p.sight(nil, errs.Unknown)
 	}
 	out := p.sight(e, "")
 	if !l.Body {
 		out.Body = []byte{}
 	}
-	answer(out)
+	return out
 }
 
 // tellOnlookers answers those whose message is over, or whose wait is.
@@ -60,7 +75,7 @@
 				return false
 			}
 			p.waiting--
-			p.see(o.look, o.answer)
+			p.see(o.look, p.environment.Now(), o.answer)
 			return true
 		})
 		if len(p.onlookers[id]) == 0 {
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -35,7 +35,6 @@
 	TransferTimeout   Ratio = 100   // a successor that has not taken over by then does not
 	ElectionTimeout   Ratio = 130   // least silence of an owner before a replica campaigns
 	ElectionSpread    Ratio = 130   // random spread added to Silence
-	Lease             Ratio = 120   // an owner serves reads this long after a confirmed heartbeat
 	SessionTimeout    Ratio = 700   // a daemon silent this long has lost its session
 	Replace           Ratio = 300   // a store that has had no session this long gives its seats to its successor
 	Abandon           Ratio = 4000  // and after this to any other store, if its zone has not gone with it
