--- /dev/null
+++ b/internal/store/lanechanges_test.go
@@ -0,0 +1,112 @@
+package store
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/config"
+	"caperwheel/internal/place"
+	"caperwheel/internal/wire"
+)
+
+// keyed returns a bench with a lane o, ordered or not.
+func keyed(isOrdered bool) *bench {
+	b := newBench()
+	b.setLane(config.Lane{Name: "o", IsOrdered: isOrdered, Attempts: 3, Rerun: true, Pools: []string{"p"}, BackoffMost: time.Second})
+	return b
+}
+
+func (b *bench) setLane(lane config.Lane) { b.rules.Lanes[lane.Name] = lane }
+
+// takeKeyed has a message of lane o and key k taken.
+func (b *bench) takeKeyed(id string) {
+	b.place.Take(&wire.Take{Id: id, Lane: "o", Key: "k", Deadline: 600_000}, func(any) {})
+	b.commit(true)
+}
+
+// runNext has the next message of lane o run, and tells what came of it.
+func (b *bench) runNext(kind string) {
+	b.place.Start("o", SlotGrant{Pool: "p", Worker: "w", Holder: wire.Who{Name: "a", Boot: "1"}, Until: time.Hour})
+	b.commit(true)
+	for _, e := range b.place.machine.Open() {
+		b.place.Outcome(&wire.Outcome{Id: e.Id, Kind: kind, Begun: true, Proof: wire.Proof{Attempt: e.Attempt, Answer: []byte{}}}, func(any) {})
+	}
+	b.commit(true)
+	b.now += 5 * time.Second // behind any pause
+}
+
+func (b *bench) state(id string) place.State { return b.place.machine.Find(id).State }
+
+func (b *bench) ready() int { return b.place.machine.Ready(b.place.now())["o"] }
+
+// TestLaneChanges: what a newer configuration means for messages that were taken under
+// an older one.
+func TestLaneChanges(t *testing.T) {
+	Convey("A lane that gains its ordering orders what comes from then on", t, func() {
+		b := keyed(false)
+		b.takeKeyed("0-1")
+		b.takeKeyed("0-2")
+		lane := b.rules.Lanes["o"]
+		lane.IsOrdered = true
+		b.setLane(lane)
+		b.takeKeyed("0-3")
+		b.takeKeyed("0-4")
+		So(b.ready(), ShouldEqual, 3)
+		b.runNext("")
+		b.runNext("")
+		b.runNext("")
+		So([]place.State{b.state("0-1"), b.state("0-2"), b.state("0-3"), b.state("0-4")}, ShouldResemble,
+			[]place.State{place.Ended, place.Ended, place.Ended, place.Held})
+		So(b.ready(), ShouldEqual, 1)
+	})
+	Convey("A lane that loses its ordering keeps the order of what it had", t, func() {
+		b := keyed(true)
+		b.takeKeyed("0-1")
+		b.takeKeyed("0-2")
+		lane := b.rules.Lanes["o"]
+		lane.IsOrdered = false
+		b.setLane(lane)
+		b.takeKeyed("0-3")
+		So(b.ready(), ShouldEqual, 2)
+		b.runNext("")
+		So(b.state("0-1"), ShouldEqual, place.Ended)
+		So(b.state("0-2"), ShouldEqual, place.Held)
+	})
+	Convey("A lane that was dropped and is back goes on in order, before what comes later", t, func() {
+		b := keyed(true)
+		b.takeKeyed("0-1")
+		b.takeKeyed("0-2")
+		lane := b.rules.Lanes["o"]
+		delete(b.rules.Lanes, "o")
+		b.now += time.Second
+		b.place.Tick(b.now)
+		b.commit(true)
+		So(b.state("0-1"), ShouldEqual, place.Held)
+		b.setLane(lane)
+		b.takeKeyed("0-3")
+		for _, id := range []string{"0-1", "0-2", "0-3"} {
+			So(b.ready(), ShouldEqual, 1)
+			So(b.state(id), ShouldEqual, place.Held)
+			b.runNext("")
+			So(b.state(id), ShouldEqual, place.Ended)
+		}
+	})
+	Convey("A message that has spent more attempts than it now may is closed, and the next of its key goes on", t, func() {
+		b := keyed(true)
+		b.takeKeyed("0-1")
+		b.takeKeyed("0-2")
+		b.runNext("unsound")
+		b.runNext("unsound")
+		So(b.place.machine.Find("0-1").Spent, ShouldEqual, 2)
+		lane := b.rules.Lanes["o"]
+		lane.Attempts = 1
+		b.setLane(lane)
+		b.runNext("")
+		So(b.state("0-1"), ShouldEqual, place.Failed)
+		So(b.state("0-2"), ShouldEqual, place.Held)
+		b.runNext("")
+		So(b.state("0-2"), ShouldEqual, place.Ended)
+	})
+}
