--- a/internal/store/waits_test.go
+++ b/internal/store/waits_test.go
@@ -11,6 +11,18 @@
 	"caperwheel/internal/wire"
 )
 
+// passTime lets a tenth of a second pass, in which every adapter that is asked has begun
+// a new life.
+func (b *bench) passTime() {
+	b.now += 100 * time.Millisecond
+	b.answers = nil
+	b.place.Tick(b.now)
+	for _, answer := range b.answers {
+		answer(&wire.OpenAck{State: "gone"}, nil)
+	}
+	b.commit(true)
+}
+
 // TestWaitsOutliveTheConfiguration: how long an ordered run whose fate is unknown may
 // go on was once read from the newest configuration's pool. After a change, or where
 // the lane has a bound of its own, the next of the key could begin beside it.
@@ -60,23 +72,11 @@
 					b.members["a"] = wire.Who{Name: "a", Boot: "2"}
 				}
 				for b.now < began+place.Busy(bound) {
-					b.now += 100 * time.Millisecond
-					b.answers = nil
-					b.place.Tick(b.now)
-					for _, answer := range b.answers {
-						answer(&wire.OpenAck{State: "gone"}, nil)
-					}
-					b.commit(true)
+					b.passTime()
 					So(b.place.machine.Ready(b.place.now()), ShouldBeEmpty)
 				}
 				for b.now < began+12*bound && len(b.place.machine.Ready(b.place.now())) == 0 {
-					b.now += 100 * time.Millisecond
-					b.answers = nil
-					b.place.Tick(b.now)
-					for _, answer := range b.answers {
-						answer(&wire.OpenAck{State: "gone"}, nil)
-					}
-					b.commit(true)
+					b.passTime()
 				}
 				So(b.place.machine.Ready(b.place.now()), ShouldNotBeEmpty) // and it does in the end
 			})
