--- a/internal/manager/interleavings_play_test.go
+++ b/internal/manager/interleavings_play_test.go
@@ -233,18 +233,6 @@
 	return nil
 }
 
-// key tells states apart.
-func (p *play) key() string {
-	out := string(p.part.Image()) + fmt.Sprint(p.faults, p.waiting)
-	for _, s := range p.scripts {
-		out += "#" + s.told
-	}
-	for _, o := range p.history { // what was told before what was asked counts too
-		out += fmt.Sprint("@", o.Call, o.Return)
-	}
-	return out
-}
-
 func (p *play) end() {
 	for _, s := range p.scripts {
 		s.stop()
--- a/internal/manager/interleavings_test.go
+++ b/internal/manager/interleavings_test.go
@@ -11,6 +11,18 @@
 	"caperwheel/internal/wire"
 )
 
+// key tells states apart.
+func (p *play) key() string {
+	out := string(p.part.Image()) + fmt.Sprint(p.faults, p.waiting)
+	for _, s := range p.scripts {
+		out += "#" + s.told
+	}
+	for _, o := range p.history { // what was told before what was asked counts too
+		out += fmt.Sprint("@", o.Call, o.Return)
+	}
+	return out
+}
+
 // interleavings walks through all runs, and returns how many states there are, how many
 // ends were judged, and why the first history that no order of the calls explains has none.
 func interleavings(hurt func(e *wire.Edit)) (states, ends int, broken string) {
