Arrays are compressed on links between zones, each against those before it

The writing goroutine does it, the conversion stays in the pools; the reading goroutine undoes it. Arrays within a zone, and those that it makes no shorter, travel as they are. Older peers get none.

--- /dev/null
+++ b/internal/transport/compress_test.go
@@ -0,0 +1,124 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/errs"
+	"caperwheel/internal/wire"
+)
+
+// randomBytes are such as no compression makes shorter.
+func randomBytes(random *rand.Rand, size int) []byte {
+	out := make([]byte, size)
+	for i := range out {
+		out[i] = byte(random.Uint32())
+	}
+	return out
+}
+
+// travel sends an array from one end's history to the other's, and returns what arrives and
+// how many bytes went between.
+func travel(from, to *history, array []byte, limit int) ([]byte, int, error) {
+	out, isCompressed := from.compress(nil, array)
+	from.add(array)
+	if !isCompressed {
+		to.add(array)
+		return array, len(array), nil
+	}
+	got, err := to.expand(nil, out, limit)
+	if err == nil {
+		to.add(got)
+	}
+	return got, len(out), err
+}
+
+// TestCompressedArrays: four fifths of the bytes of a record are like those of the records
+// before it. Between zones they were once all sent.
+func TestCompressedArrays(t *testing.T) {
+	const limit = 4 << 20
+	Convey("Given the two ends of a direction, in which arrays of all sizes travel,", t, func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		from, to := &history{}, &history{}
+		for _, size := range []int{0, 4, 63, 64, 1000, historySize - 1, historySize, historySize + 1, 100_000, 2 << 20} {
+			for _, array := range [][]byte{randomBytes(random, size), bytes.Repeat([]byte("record"), size/6)} {
+				got, sent, err := travel(from, to, array, limit)
+				So(err, ShouldBeNil)
+				So(bytes.Equal(got, array), ShouldBeTrue)
+				So(sent, ShouldBeLessThanOrEqualTo, len(array))
+				So(bytes.Equal(from.bytes, to.bytes), ShouldBeTrue)
+				So(len(from.bytes), ShouldBeLessThanOrEqualTo, historySize)
+			}
+		}
+		Convey("a record like those before it takes a third of its bytes", func() {
+			record := strings.Repeat("lane=readings pool=workers adapter=front-7 boot=", 4)
+			_, _, err := travel(from, to, []byte(record+"one"), limit)
+			So(err, ShouldBeNil)
+			_, sent, err := travel(from, to, []byte(record+"two"), limit)
+			So(err, ShouldBeNil)
+			So(sent, ShouldBeLessThan, len(record)/3)
+		})
+		Convey("one that is longer than the limit of frames is refused", func() {
+			_, _, err := travel(from, to, make([]byte, limit+1), limit)
+			So(errs.Is(err, errs.TooLarge), ShouldBeTrue)
+		})
+		Convey("bytes that were not compressed so are refused", func() {
+			_, err := to.expand(nil, randomBytes(random, 100), limit)
+			So(errs.Is(err, errs.Corrupt), ShouldBeTrue)
+		})
+	})
+	Convey("Only sessions between zones are compressed, and only where both ends know how", t, func() {
+		a, b := wire.Who{Zone: "a"}, wire.Who{Zone: "b"}
+		So(isCompressed(a, b, wire.Version), ShouldBeTrue)
+		So(isCompressed(a, a, wire.Version), ShouldBeFalse)
+		So(isCompressed(a, b, compressedSince-1), ShouldBeFalse)
+	})
+}
+
+// TestCompressedSessions: the same over connections, with batches cut on many goroutines.
+func TestCompressedSessions(t *testing.T) {
+	const asks = 500
+	for _, newest := range []int64{compressedSince - 1, wire.Version} {
+		Convey("Two nodes in two zones, one of them of some version, understand each other", t, func() {
+			server, err := NewNode(Options{Self: wire.Who{Name: "server", Zone: "a"}, Listen: "127.0.0.1:0", Batch: 3,
+				Handlers: map[string]Handler{"place": func(_ wire.Who, body any, answer func(any)) {
+					take := body.(*wire.Take)
+					answer(&wire.Taken{Id: take.Id, Text: string(take.Body)})
+				}}})
+			So(err, ShouldBeNil)
+			go server.Serve()
+			client, err := NewNode(Options{Self: wire.Who{Name: "client", Zone: "b"}, Batch: 3, Newest: newest, Oldest: wire.Oldest})
+			So(err, ShouldBeNil)
+			Reset(server.Close)
+			Reset(client.Close)
+			peer := client.Peer(wire.PlaceLink, server.Addr())
+			dialled(peer)
+			So(peer.session.past != nil, ShouldEqual, newest >= compressedSince)
+			wrong := make(chan string, asks)
+			for i := range asks {
+				go func() {
+					body := strings.Repeat("body of a message ", i)
+					reply, err := peer.Call(context.Background(), &wire.Take{Id: "x", Body: []byte(body)})
+					if err != nil || reply.(*wire.Taken).Text != body {
+						wrong <- "wrong"
+						return
+					}
+					wrong <- ""
+				}()
+			}
+			for range asks {
+				So(<-wrong, ShouldEqual, "")
+			}
+		})
+	}
+	Convey("A compressed array in a session that has none ends it", t, func() {
+		s := &session{}
+		_, err := s.expand(head{isCompressed: true}, []byte("x"))
+		So(errs.Is(err, errs.Corrupt), ShouldBeTrue)
+	})
+}
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -19,11 +19,15 @@
 // direction the sender of the frame has consumed since the session opened.
 const headSize = 20
 
+// compressedFlag is set in the length of an array that is compressed.
+const compressedFlag = 1 << 31
+
 type head struct {
-	length   uint32
-	sum      uint32
-	seq      uint32
-	consumed uint64
+	length       uint32 // of the array as it travels
+	isCompressed bool
+	sum          uint32 // of the array as it travels
+	seq          uint32
+	consumed     uint64
 }
 
 const readStep = 64 << 10
@@ -31,18 +35,24 @@
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 func (h head) put(raw []byte) {
-	binary.BigEndian.PutUint32(raw[0:], h.length)
+	length := h.length
+	if h.isCompressed {
+		length |= compressedFlag
+	}
+	binary.BigEndian.PutUint32(raw[0:], length)
 	binary.BigEndian.PutUint32(raw[4:], h.sum)
 	binary.BigEndian.PutUint32(raw[8:], h.seq)
 	binary.BigEndian.PutUint64(raw[12:], h.consumed)
 }
 
 func readHead(raw []byte) head {
+	length := binary.BigEndian.Uint32(raw[0:])
 	return head{
-		length:   binary.BigEndian.Uint32(raw[0:]),
-		sum:      binary.BigEndian.Uint32(raw[4:]),
-		seq:      binary.BigEndian.Uint32(raw[8:]),
-		consumed: binary.BigEndian.Uint64(raw[12:]),
+		length:       length &^ compressedFlag,
+		isCompressed: length&compressedFlag != 0,
+		sum:          binary.BigEndian.Uint32(raw[4:]),
+		seq:          binary.BigEndian.Uint32(raw[8:]),
+		consumed:     binary.BigEndian.Uint64(raw[12:]),
 	}
 }
 
--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -30,6 +30,7 @@
 	conn   net.Conn
 	window int64
 	flow   flow
+	past   *history // of what was written; the writing goroutine's alone
 
 	mu       sync.Mutex
 	pending  []wire.Item
@@ -49,8 +50,8 @@
 	fail     func(error)
 }
 
-func newOutbox(opts *Options, codec *wire.Codec, pool pond.Pool, conn net.Conn, window int64, flow flow, fail func(error)) *outbox {
-	o := &outbox{opts: opts, codec: codec, pool: pool, conn: conn, window: window, flow: flow, fail: fail,
+func newOutbox(opts *Options, codec *wire.Codec, pool pond.Pool, conn net.Conn, window int64, flow flow, past *history, fail func(error)) *outbox {
+	o := &outbox{opts: opts, codec: codec, pool: pool, conn: conn, window: window, flow: flow, past: past, fail: fail,
 		nudge: make(chan struct{}, 1), done: make(chan struct{})}
 	o.flush = time.AfterFunc(time.Hour, o.onTick)
 	o.flush.Stop()
@@ -157,22 +158,41 @@
 }
 
 func (o *outbox) send(f frame) error {
-	body := f.raw[headSize:]
-	head{length: uint32(len(body)), sum: crc32.Checksum(body, castagnoli), seq: f.seq,
-		consumed: o.consumed.Load()}.put(f.raw)
+	raw, isCompressed := o.compress(f.raw)
+	body := raw[headSize:]
+	head{length: uint32(len(body)), isCompressed: isCompressed, sum: crc32.Checksum(body, castagnoli), seq: f.seq,
+		consumed: o.consumed.Load()}.put(raw)
 	o.conn.SetWriteDeadline(time.Now().Add(o.opts.Bounds.Of(deadRatio)))
-	if _, err := o.conn.Write(f.raw); err != nil {
+	if _, err := o.conn.Write(raw); err != nil {
 		return errs.Wrap(err, errs.Lost, "write frame")
 	}
-	counters.bytes.Add(float64(len(f.raw)))
-	o.flow.bytes.Add(float64(len(f.raw)))
-	rawPool.Put(&f.raw)
+	counters.bytes.Add(float64(len(raw)))
+	o.flow.bytes.Add(float64(len(raw)))
+	rawPool.Put(&raw)
 	o.mu.Lock()
 	o.queued -= f.weight
 	o.mu.Unlock()
 	return nil
 }
 
+// compress returns a frame whose array is compressed, where the session's are and that is
+// shorter.
+func (o *outbox) compress(raw []byte) (frame []byte, isCompressed bool) {
+	if o.past == nil {
+		return raw, false
+	}
+	array := raw[headSize:]
+	buffer := rawPool.Get().(*[]byte)
+	out, isCompressed := o.past.compress(append((*buffer)[:0], make([]byte, headSize)...), array)
+	o.past.add(array)
+	if !isCompressed {
+		rawPool.Put(&out)
+		return raw, false
+	}
+	rawPool.Put(&raw)
+	return out, true
+}
+
 // waiting is how many bytes have not been written yet, about.
 func (o *outbox) waiting() int {
 	o.mu.Lock()
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -35,7 +35,8 @@
 	early map[uint32][]wire.Item
 	next  uint32
 	alive atomic.Bool
-	flow  flow // what comes in
+	flow  flow     // what comes in
+	past  *history // of what came in; the reading goroutine's alone
 }
 
 // read frames what arrives and leaves the rest to the pool.
@@ -51,6 +52,10 @@
 		}
 		s.flow.bytes.Add(float64(headSize + len(raw)))
 		s.out.credit(h.consumed)
+		if raw, err = s.expand(h, raw); err != nil {
+			s.down(err)
+			return
+		}
 		if len(raw) < 4 {
 			s.down(errs.New(errs.Corrupt, "array without a count"))
 			return
@@ -76,6 +81,28 @@
 	}
 }
 
+// expand returns the array of a frame as it was before compression.
+func (s *session) expand(h head, raw []byte) ([]byte, error) {
+	if s.past == nil {
+		if h.isCompressed {
+			return raw, errs.New(errs.Corrupt, "a compressed array in a session without compression")
+		}
+		return raw, nil
+	}
+	array := raw
+	if h.isCompressed {
+		buffer := rawPool.Get().(*[]byte)
+		expanded, err := s.past.expand((*buffer)[:0], raw, s.node.opts.FrameLimit)
+		if err != nil {
+			return nil, err
+		}
+		rawPool.Put(&raw)
+		array = expanded
+	}
+	s.past.add(array)
+	return array, nil
+}
+
 func (s *session) dispatch(seq uint32, items []wire.Item) {
 	if !s.link.Ordered {
 		s.consume(items)
@@ -132,7 +159,9 @@
 }
 
 func (n *Node) newSession(link *wire.Link, conn net.Conn, peer wire.Who, version, window int64, isDialer bool) *session {
-	s := &session{node: n, link: link, peer: peer, version: version, conn: conn, early: map[uint32][]wire.Item{}, flow: flowOf(link.Name, "in")}
+	isCompressed := isCompressed(n.opts.Self, peer, version)
+	s := &session{node: n, link: link, peer: peer, version: version, conn: conn, early: map[uint32][]wire.Item{}, flow: flowOf(link.Name, "in"),
+		past: newHistory(isCompressed)}
 	asks, replies := link.Codecs(version)
 	s.in = asks
 	out := replies
@@ -141,6 +170,6 @@
 	}
 	s.alive.Store(true)
 	counters.sessions.Inc()
-	s.out = newOutbox(&n.opts, out, n.pool, conn, window, flowOf(link.Name, "out"), func(err error) { s.down(err) })
+	s.out = newOutbox(&n.opts, out, n.pool, conn, window, flowOf(link.Name, "out"), newHistory(isCompressed), func(err error) { s.down(err) })
 	return s
 }
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -4,9 +4,10 @@
 // Both ends of a session use the lower of their newest versions. Version 2 has
 // Look.Wait; version 3 has messages that come as they are (Head), delays, and
 // whom to tell of an end; version 4 has edits that are remembered by their order,
-// and the groups that an answer about a retirement was confirmed for.
+// and the groups that an answer about a retirement was confirmed for; version 5 has arrays
+// that are compressed between zones.
 const (
-	Version int64 = 4
+	Version int64 = 5
 	Oldest  int64 = 1
 )
 
