Codecs are built when they are first used, not as a process begins

Every process built the Avro codecs of all six links in all five wire versions before it could listen: 32 ms of 45 that a store or an adapter spends before its first line (GODEBUG inittrace=1; the machine was busy). A front has 0.192 of a core for two processes, so it waited a third of a second for them.

Change: a link's codecs of a version are built at its first session, a record's at its first use.

TestCodecsAreBuiltWhenUsed fails before.

--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -1,13 +1,19 @@
 package wire
 
+import "sync"
+
 // Link is one kind of daemon-to-daemon link: what may be asked over it and
 // what may be answered, each with one schema. The receiver knows the type of
 // what arrives from the link that the session was opened for.
 type Link struct {
 	Name    string
-	asks    map[int64]*Codec // by wire version
-	replies map[int64]*Codec
 	Ordered bool // batches are dispatched in the order in which they were cut
+
+	askKinds, replyKinds []any
+
+	mu      sync.Mutex
+	asks    map[int64]*Codec // by wire version; built when first used
+	replies map[int64]*Codec
 }
 
 // The links of caperwheel.
@@ -33,15 +39,20 @@
 var Links = map[string]*Link{}
 
 func newLink(name string, ordered bool, asks, replies []any) *Link {
-	link := &Link{Name: name, Ordered: ordered, asks: map[int64]*Codec{}, replies: map[int64]*Codec{}}
-	for version := Oldest; version <= Version; version++ {
-		link.asks[version], link.replies[version] = newCodec("ask", version, asks), newCodec("reply", version, replies)
-	}
-	return link
+	return &Link{Name: name, Ordered: ordered, askKinds: asks, replyKinds: replies, asks: map[int64]*Codec{},
+		replies: map[int64]*Codec{}}
 }
 
-// Codecs returns how both directions are written in a wire version.
+// Codecs returns how both directions are written in a wire version, from Oldest to
+// Version. They are built when first used: a daemon speaks few links, mostly in one
+// version, and its start waits for what is built before.
 func (l *Link) Codecs(version int64) (asks, replies *Codec) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.asks[version] == nil {
+		l.asks[version] = newCodec("ask", version, l.askKinds)
+		l.replies[version] = newCodec("reply", version, l.replyKinds)
+	}
 	return l.asks[version], l.replies[version]
 }
 
--- a/internal/wire/schema.go
+++ b/internal/wire/schema.go
@@ -79,9 +79,10 @@
 	return schema
 }
 
-// Plain is a codec for one record type, used on disk and inside log entries.
+// Plain is a codec for one record type, used on disk and inside log entries. It is
+// built when first used.
 type Plain struct {
-	schema  avro.Schema
+	schema  func() avro.Schema
 	api     avro.API
 	readers sync.Pool
 }
@@ -94,17 +95,20 @@
 func NewInner(sample any) *Plain { return newPlain(sample, Version) }
 
 func newPlain(sample any, version int64) *Plain {
-	text, err := json.Marshal(schemaOf(reflect.TypeOf(sample).Elem(), version, map[string]bool{}))
-	if err != nil {
-		panic(err)
-	}
 	api := avro.Config{MaxByteSliceSize: 1 << 30, MaxSliceAllocSize: 1 << 22}.Freeze()
-	return &Plain{schema: mustParse(text), api: api}
+	schema := sync.OnceValue(func() avro.Schema {
+		text, err := json.Marshal(schemaOf(reflect.TypeOf(sample).Elem(), version, map[string]bool{}))
+		if err != nil {
+			panic(err)
+		}
+		return mustParse(text)
+	})
+	return &Plain{schema: schema, api: api}
 }
 
 // Encode gives the record's bytes. A type that fits its schema cannot fail.
 func (p *Plain) Encode(value any) []byte {
-	out, err := p.api.Marshal(p.schema, value)
+	out, err := p.api.Marshal(p.schema(), value)
 	if err != nil {
 		panic(errs.Wrap(err, errs.Internal, "encode %T", value))
 	}
@@ -119,7 +123,7 @@
 		r = avro.NewReader(nil, 0, avro.WithReaderConfig(p.api))
 	}
 	r.Reset(raw)
-	r.ReadVal(p.schema, value)
+	r.ReadVal(p.schema(), value)
 	err := r.Error
 	r.Error = nil
 	r.Reset(nil)
--- a/internal/wire/versions_test.go
+++ b/internal/wire/versions_test.go
@@ -57,3 +57,17 @@
 		}
 	})
 }
+
+// TestCodecsAreBuiltWhenUsed: the codecs of all links in all versions were once built as a
+// process began, 32 ms of its processor, before it could listen.
+func TestCodecsAreBuiltWhenUsed(t *testing.T) {
+	Convey("A link builds the codecs of the versions that it is used in, once", t, func() {
+		link := newLink("unused", false, []any{&Look{}}, []any{&Sight{}})
+		So(len(link.asks)+len(link.replies), ShouldEqual, 0)
+		asks, replies := link.Codecs(Version)
+		again, _ := link.Codecs(Version)
+		So(asks, ShouldEqual, again)
+		So(asks, ShouldNotEqual, replies)
+		So(len(link.asks)+len(link.replies), ShouldEqual, 2)
+	})
+}
