A store reads its log back in linear time

Cause: as a log is read back, each record's entries were appended to a slice cut to its own capacity, so the group's log was copied whole for every record.

Change: the slice grows in place: nothing else holds it while a log is read. Besides, a record that the group's slot stands behind is passed over by its first field and not decoded.

--- a/internal/slot/open.go
+++ b/internal/slot/open.go
@@ -130,16 +130,8 @@
 				l.damage(held, from, position{n, int64(len(raw))})
 				break
 			}
-			var r record
-			if err := recordCodec.Decode(body, &r); err != nil {
-				return errs.Wrap(err, errs.Corrupt, "record in %s at %d", segmentName(n), at)
-			}
-			if held[r.Group] == nil {
-				held[r.Group] = &Held{}
-			}
-			l.note(r.Group, n)
-			if !(position{n, int64(at)}).before(from[r.Group]) {
-				held[r.Group].apply(&r)
+			if err := l.replayRecord(held, from, body, position{n, int64(at)}); err != nil {
+				return err
 			}
 			at += size
 		}
@@ -147,6 +139,27 @@
 	return nil
 }
 
+// replayRecord takes one record in, unless the group's slot stands behind it.
+func (l *Log) replayRecord(held map[int64]*Held, from map[int64]position, body []byte, at position) error {
+	id, isWhole := groupOf(body)
+	if !isWhole {
+		return errs.New(errs.Corrupt, "record in %s at %d", segmentName(at.segment), at.offset)
+	}
+	if held[id] == nil {
+		held[id] = &Held{}
+	}
+	l.note(id, at.segment)
+	if at.before(from[id]) {
+		return nil
+	}
+	var r record
+	if err := recordCodec.Decode(body, &r); err != nil {
+		return errs.Wrap(err, errs.Corrupt, "record in %s at %d", segmentName(at.segment), at.offset)
+	}
+	held[id].apply(&r)
+	return nil
+}
+
 // note remembers the first segment that a group without a slot needs.
 func (l *Log) note(id, segment int64) {
 	if _, isKnown := l.passed[id]; !isKnown {
--- a/internal/slot/record.go
+++ b/internal/slot/record.go
@@ -51,6 +51,13 @@
 	return r
 }
 
+// groupOf returns the group of an encoded record without decoding the rest: it is the
+// record's first field. It reports false where there is none.
+func groupOf(body []byte) (id int64, isWhole bool) {
+	id, size := binary.Varint(body)
+	return id, size > 0
+}
+
 // Held is a group as the disk has it.
 type Held struct {
 	Hard      group.HardState
@@ -83,7 +90,7 @@
 		h.IsDamaged = true // a gap: a record between is missing
 		return
 	}
-	h.Log = append(h.Log[:keep:keep], r.Entries...)
+	h.Log = append(h.Log[:keep], r.Entries...)
 }
 
 // A log record is a head and an Avro body. synced is how much of the segment
