A campaign in vain is repeated soon, and then more and more seldom

Cause: after a loss of power of everything, stores open their groups within 0.3 s of each other. A replica campaigned one heartbeat after its own, missed those not yet open, and then waited for a whole election's timeout.

Ruled out: sessions and the ways to peers (members known within 0.1 s), the views (fresh 0.03 s after the last part's owner), the readiness of fronts.

A vain pre-vote changes no term.

--- a/internal/group/append.go
+++ b/internal/group/append.go
@@ -37,7 +37,7 @@
 	if g.role != Follower || g.owner != m.From {
 		g.become(Follower, m.Term, m.From, now, out)
 	}
-	g.heardAt = now
+	g.heardAt, g.campaignPause = now, 0
 	g.resetElectionTimer(now)
 }
 
--- a/internal/group/canonical.go
+++ b/internal/group/canonical.go
@@ -36,7 +36,7 @@
 // what decides only when a replica campaigns or sends a heartbeat, which a search chooses
 // itself, and which member is told first that it may stand.
 var leftOut = map[string]bool{"opts": true, "rand": true, "rounds": true, "rosters": true, "log": true,
-	"heardAt": true, "electionAt": true, "heartbeatAt": true, "ackedAt": true, "preferredSince": true}
+	"heardAt": true, "electionAt": true, "campaignPause": true, "heartbeatAt": true, "ackedAt": true, "preferredSince": true}
 
 // clipped: what is longer ago than this many pulses is as long ago as for ever.
 const clipped = 16
--- a/internal/group/elect.go
+++ b/internal/group/elect.go
@@ -24,8 +24,9 @@
 		g.resetElectionTimer(now)
 	case PreCandidate, Candidate:
 		g.votes = map[string]bool{g.opts.Self: true}
-		g.resetElectionTimer(now)
+		g.resetCampaignTimer(now)
 	case Owner:
+		g.campaignPause = 0
 		g.peers, g.preferredName, g.heartbeatAt = map[string]*peerState{}, "", now
 		g.confirmed, g.ownedAt = now, now
 		g.append(wire.Entry{Kind: EntryBlank}, out)
@@ -37,6 +38,20 @@
 	}
 }
 
+func (g *Group) resetElectionTimer(now time.Duration) {
+	spread := time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(timing.ElectionSpread))))
+	g.electionAt = now + g.opts.Bounds.Of(timing.ElectionTimeout) + spread
+}
+
+// resetCampaignTimer sets when to campaign again if this campaign is in vain: soon at
+// first, since members that start together after a loss of power may be missed by moments,
+// and then after twice as long each time, up to an election's timeout.
+func (g *Group) resetCampaignTimer(now time.Duration) {
+	bounds := g.opts.Bounds
+	g.campaignPause = min(max(2*g.campaignPause, bounds.Of(timing.Heartbeat)), bounds.Of(timing.ElectionTimeout))
+	g.electionAt = now + g.campaignPause + time.Duration(g.rand.Int64N(int64(g.campaignPause)))
+}
+
 func (g *Group) saveHard(out *Out) {
 	hard := g.hard
 	g.persist(out).Hard = &hard
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -114,6 +114,7 @@
 	applied         int64
 	heardAt         time.Duration // last word from the owner
 	electionAt      time.Duration
+	campaignPause   time.Duration // after the newest vain campaign; 0 once an owner was heard
 	heartbeatAt     time.Duration
 	heartbeatCommit int64 // commit when the last round began
 	votes           map[string]bool
@@ -229,11 +230,6 @@
 	return g.opts.Prefer != nil && g.isVoter() && g.opts.Prefer(g.roster()) == g.opts.Self
 }
 
-func (g *Group) resetElectionTimer(now time.Duration) {
-	spread := time.Duration(g.rand.Int64N(int64(g.opts.Bounds.Of(timing.ElectionSpread))))
-	g.electionAt = now + g.opts.Bounds.Of(timing.ElectionTimeout) + spread
-}
-
 // majority reports whether the members for which test holds are enough.
 func (g *Group) majority(test func(member string) bool) bool {
 	voters, count := Voters(g.roster()), 0
