--- a/internal/deliver/metrics.go
+++ b/internal/deliver/metrics.go
@@ -19,6 +19,9 @@
 	emit("deliver_permits", "Granted slots not used yet.", float64(len(a.slots.permits)))
 	for key, h := range a.slots.workers {
 		emit("worker_in_use", "Slots given on a worker whose duty is held here.", float64(h.worker.InUse()), "worker", key)
+		emit("worker_at_work", "Runs that have begun on a worker.", float64(h.worker.atWork), "worker", key)
+		emit("worker_line", "Runs that have arrived and wait for the worker to end others.", float64(len(h.line)), "worker", key)
+		emit("worker_lead_seconds", "Smoothed time from a slot's grant to its run's arrival.", h.worker.lead/1e6, "worker", key)
 		emit("worker_asks", "Asks for a slot that wait.", float64(len(h.asks)), "worker", key)
 		for _, state := range []Health{Easing, Healthy, Unhealthy} {
 			is := 0.0
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -124,6 +124,17 @@
 	return w
 }
 
+// windowSizes returns how many asks may be under way, by pool.
+func (d *dispatcher) windowSizes() map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string]float64{}
+	for pool, w := range d.windows {
+		out[pool] = w.size
+	}
+	return out
+}
+
 // want asks for one slot of the pool, at a worker drawn by weight.
 func (d *dispatcher) want(compiled *config.Compiled, pool string) bool {
 	worker, holder, isFound := d.draw(compiled, pool)
--- a/internal/store/metrics.go
+++ b/internal/store/metrics.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,7 +15,18 @@
 var ownerships = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "place",
 	Name: "ownerships_total", Help: "Times that this store became the owner of a place."})
 
-func init() { prometheus.MustRegister(ownerships) }
+// starts counts runs by whether they began when they were wanted.
+var starts = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "place", Name: "starts_total",
+	Help: "Runs given to adapters, by lane, whether the message had run before, and whether it was wanted earlier."},
+	[]string{"lane", "repeated", "late"})
+
+func init() { prometheus.MustRegister(ownerships, starts) }
+
+// countStart notes a run of a message that is about to begin at a place time.
+func countStart(e *place.Message, now int64) {
+	isLate := e.Wanted > 0 && e.Wanted < now
+	starts.WithLabelValues(e.Lane, strconv.FormatBool(e.Attempt > 0), strconv.FormatBool(isLate)).Inc()
+}
 
 // measure tells of the places that this store owns, and of its disk.
 func (s *Store) measure(emit daemon.Emit) {
@@ -32,6 +44,9 @@
 	emit("disk_segments", "Segments of the log.", float64(s.disk.Segments()))
 	emit("repair_kept", "Results kept for adapters.", float64(s.keeper.Count()))
 	emit("memory_tight", "1 while intake is rejected for want of memory.", map[bool]float64{true: 1}[s.isTight.Load()])
+	for pool, window := range s.dispatch.windowSizes() {
+		emit("dispatch_window", "Asks for slots of a pool that may be under way.", window, "pool", pool)
+	}
 	counts, nearest := map[string]map[place.State]int{}, map[string]time.Duration{}
 	for _, t := range s.tallies() {
 		for lane, states := range t.counts {
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -37,6 +37,7 @@
 			Hold: rules.HoldFailed, Retain: int64(rules.Retention / time.Millisecond)}, nil)
 		return
 	}
+	countStart(e, p.now())
 	attempt, bound := e.Attempt+1, p.environment.Compiled().Rules.BoundOf(lane, g.Pool)
 	p.propose(place.Command{Kind: place.CmdStart, Id: e.Id, Attempt: attempt, Adapter: g.Holder.Name, Boot: g.Holder.Boot,
 		Pool: g.Pool, Worker: g.Worker, Deadline: p.longest(e, bound)}, func(v place.Verdict, err error) {
