Taken back: windows of asks for slots

A window for each pool and store was to keep stores from asking thousands of times a second under a backlog.

Why: an ask lapses where one worker of the pool is full, though others have free slots, and then the store asks less of all. A window for each worker might do better; not tried.

What was worst of the flood, asks during an outage told to come again at once, was mended with the slots granted ahead and stays. Metrics of the windows go with them.

--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"caperwheel/internal/config"
-	"caperwheel/internal/errs"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
@@ -20,22 +19,23 @@
 // when a slot is granted, so urgency counts at the last moment and a busy or
 // downed pool holds no message.
 //
-// Invariants: wants of a pool never pass what is ready for it, nor its window;
+// Invariants: wants of a pool never pass what is ready for it, nor mostWants;
 // a granted slot is used or released.
 type dispatcher struct {
 	s    *Store
 	wake chan struct{}
 
-	mu      sync.Mutex
-	wants   map[string]asks // asks under way, by pool
-	windows map[string]*askWindow
-	serial  int64
-	pauses  map[string]time.Duration // worker -> not to be asked before
-	passed  map[string]float64       // lane -> turns taken, divided by urgency
-	taken   map[string]int           // lane -> grants given since the last count
-	next    int
+	mu     sync.Mutex
+	wants  map[string]asks // asks under way, by pool
+	serial int64
+	pauses map[string]time.Duration // worker -> not to be asked before
+	passed map[string]float64       // lane -> turns taken, divided by urgency
+	taken  map[string]int           // lane -> grants given since the last count
+	next   int
 }
 
+const mostWants = 128
+
 // asks are those under way, each with its deadline. One that is not answered by
 // then no longer counts: an adapter may have lost it.
 type asks map[int64]time.Duration
@@ -50,7 +50,7 @@
 }
 
 func newDispatcher(s *Store) *dispatcher {
-	return &dispatcher{s: s, wake: make(chan struct{}, 1), wants: map[string]asks{}, windows: map[string]*askWindow{}, pauses: map[string]time.Duration{},
+	return &dispatcher{s: s, wake: make(chan struct{}, 1), wants: map[string]asks{}, pauses: map[string]time.Duration{},
 		passed: map[string]float64{}, taken: map[string]int{}}
 }
 
@@ -104,7 +104,7 @@
 	d.mu.Unlock()
 	for pool, n := range need {
 		d.mu.Lock()
-		n = min(n, d.window(pool).limit()) - len(d.wants[pool])
+		n = min(n, mostWants) - len(d.wants[pool])
 		d.mu.Unlock()
 		for range n {
 			if !d.want(compiled, pool) {
@@ -114,27 +114,6 @@
 	}
 }
 
-// window returns that of a pool. Called with mu held.
-func (d *dispatcher) window(pool string) *askWindow {
-	w := d.windows[pool]
-	if w == nil {
-		w = newAskWindow()
-		d.windows[pool] = w
-	}
-	return w
-}
-
-// windowSizes returns how many asks may be under way, by pool.
-func (d *dispatcher) windowSizes() map[string]float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	out := map[string]float64{}
-	for pool, w := range d.windows {
-		out[pool] = w.size
-	}
-	return out
-}
-
 // want asks for one slot of the pool, at a worker drawn by weight.
 func (d *dispatcher) want(compiled *config.Compiled, pool string) bool {
 	worker, holder, isFound := d.draw(compiled, pool)
@@ -159,14 +138,10 @@
 			if isGrant && grant.Kind != "" {
 				rest = time.Duration(grant.Retry) * time.Millisecond
 			}
-			if isGrant && grant.Kind == string(errs.Full) && rest < hold {
-				d.window(pool).lapsed(d.s.d.Now(), hold)
-			}
 			d.pauses[pool+"/"+worker] = d.s.d.Now() + rest
 			d.mu.Unlock()
 			return
 		}
-		d.window(pool).granted()
 		d.mu.Unlock()
 		d.use(SlotGrant{Pool: pool, Worker: worker, Holder: holder, Permit: grant.Permit,
 			Until: asked + d.s.d.Bounds.Of(timing.Permit)/2})
--- a/internal/store/metrics.go
+++ b/internal/store/metrics.go
@@ -44,9 +44,6 @@
 	emit("disk_segments", "Segments of the log.", float64(s.disk.Segments()))
 	emit("repair_kept", "Results kept for adapters.", float64(s.keeper.Count()))
 	emit("memory_tight", "1 while intake is rejected for want of memory.", map[bool]float64{true: 1}[s.isTight.Load()])
-	for pool, window := range s.dispatch.windowSizes() {
-		emit("dispatch_window", "Asks for slots of a pool that may be under way.", window, "pool", pool)
-	}
 	counts, nearest := map[string]map[place.State]int{}, map[string]time.Duration{}
 	for _, t := range s.tallies() {
 		for lane, states := range t.counts {
