--- a/internal/deliver/atwork_test.go
+++ b/internal/deliver/atwork_test.go
@@ -144,6 +144,15 @@
 	})
 }
 
+// TestArrivedTooLate: a run whose duty has moved on since its slot was granted does not wait.
+func TestArrivedTooLate(t *testing.T) {
+	Convey("Given a run for a slot on a worker that is served elsewhere now", t, func() {
+		h := newDutyHolder("a")
+		late := &permit{key: "p/w", held: &held{worker: NewWorker(config.Pool{Concurrency: 1}, 0, 0)}, until: time.Second}
+		So(errs.Is(h.slots.begin(late), errs.NotOwner), ShouldBeTrue)
+	})
+}
+
 // TestAskedDuringAnOutage: asks behind others that waited were once told to come again at
 // once, thousands a second, however long the worker was to be left alone.
 func TestAskedDuringAnOutage(t *testing.T) {
--- a/internal/deliver/line.go
+++ b/internal/deliver/line.go
@@ -20,6 +20,10 @@
 func (s *slots) begin(p *permit) error {
 	s.mu.Lock()
 	now := s.a.d.Now()
+	if s.workers[p.key] != p.held { // nobody would tell it its turn
+		s.mu.Unlock()
+		return errs.New(errs.NotOwner, "the duty of %s has moved on", p.key)
+	}
 	if len(p.held.line) == 0 && p.held.worker.Begin(now) {
 		s.mu.Unlock()
 		return nil
