Call-backs to one address wait for their turn in place of being refused

Cause: at most twelve call-backs go to an address at a time, and one more was refused. All places of a store look for ends on the same grid, every 0.12 s, so words come in bursts.

Ruled out: the receivers (4.5 ms, no failures), the holders' processors.

Change: up to 256 words wait at the holder for one of the twelve, in turn. One whose turn comes later than a receiver's time to answer is told to come again, since whoever asked may have given up.

--- a/internal/deliver/tell.go
+++ b/internal/deliver/tell.go
@@ -11,34 +11,68 @@
 	"caperwheel/internal/wire"
 )
 
-// tellers bound how many words are under way to one address: receivers accept
-// few connections.
+// tellers bound how many words are under way to one address: receivers accept few
+// connections. Words beyond that wait here for a while, since all places of a store look for
+// ends at the same moments.
+//
+// Invariant: only addresses with words under way have an entry, and words wait only where
+// mostTellers are under way.
 type tellers struct {
-	mu    sync.Mutex
-	count map[string]int
+	mu        sync.Mutex
+	addresses map[string]*tellQueue
 }
 
-const mostTellers = 12
+// tellQueue is what one address is told.
+type tellQueue struct {
+	count   int // under way
+	waiting []func()
+}
+
+const (
+	mostTellers     = 12
+	mostWaitingTell = 256
+)
 
-func (t *tellers) enter(address string) bool {
+// enter has work done now, or once a word before it has left, or reports that too many wait.
+func (t *tellers) enter(address string, work func()) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.count == nil {
-		t.count = map[string]int{}
+	if t.addresses == nil {
+		t.addresses = map[string]*tellQueue{}
+	}
+	q := t.addresses[address]
+	if q == nil {
+		q = &tellQueue{}
+		t.addresses[address] = q
 	}
-	if t.count[address] >= mostTellers {
-		return false
+	if q.count >= mostTellers {
+		mayWait := len(q.waiting) < mostWaitingTell
+		if mayWait {
+			q.waiting = append(q.waiting, work)
+		}
+		t.mu.Unlock()
+		return mayWait
 	}
-	t.count[address]++
+	q.count++
+	t.mu.Unlock()
+	work()
 	return true
 }
 
+// leave notes that a word is no longer under way; the one that has waited longest goes out.
 func (t *tellers) leave(address string) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.count[address]--; t.count[address] == 0 {
-		delete(t.count, address)
+	q := t.addresses[address]
+	if len(q.waiting) > 0 {
+		next := q.waiting[0]
+		q.waiting = q.waiting[1:]
+		t.mu.Unlock()
+		next()
+		return
 	}
+	if q.count--; q.count == 0 {
+		delete(t.addresses, address)
+	}
+	t.mu.Unlock()
 }
 
 // tell tells a URL of an end, once; whether again is for the place's owner.
@@ -48,28 +82,39 @@
 		answer(&wire.Told{Kind: string(errs.KindOf(err))})
 		return
 	}
-	address := req.URL.Host
-	if !a.tellers.enter(address) {
-		answer(&wire.Told{Kind: string(errs.Full)})
-		return
+	address, arrived := req.URL.Host, a.d.Now()
+	full := &wire.Told{Kind: string(errs.Full)}
+	work := func() {
+		a.pool.Submit(func() {
+			defer a.tellers.leave(address)
+			if a.d.Now()-arrived > a.d.Bounds.Of(timing.CallbackTimeout) {
+				answer(full) // its turn has come too late: whoever waits for the answer may have given it up
+				return
+			}
+			answer(a.tellNow(m, req))
+		})
 	}
-	a.pool.Submit(func() {
-		defer a.tellers.leave(address)
-		ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(timing.CallbackTimeout))
-		defer cancel()
-		mayKeep, check := a.judgeTold(m)
-		got, err := a.client.Send(req.WithContext(ctx), web.Terms{Most: mostAnswer, MayKeep: mayKeep})
-		if err == nil {
-			err = check(got)
-		}
-		out := &wire.Told{}
-		if err != nil {
-			out.Kind = string(errs.KindOf(err))
-		} else if got.StatusCode != 200 {
-			out.Kind = string(errs.Rejected)
-		}
-		answer(out)
-	})
+	if !a.tellers.enter(address, work) {
+		answer(full)
+	}
+}
+
+// tellNow puts a word to its receiver.
+func (a *Adapter) tellNow(m *wire.Tell, req *http.Request) *wire.Told {
+	ctx, cancel := context.WithTimeout(a.ctx, a.d.Bounds.Of(timing.CallbackTimeout))
+	defer cancel()
+	mayKeep, check := a.judgeTold(m)
+	got, err := a.client.Send(req.WithContext(ctx), web.Terms{Most: mostAnswer, MayKeep: mayKeep})
+	if err == nil {
+		err = check(got)
+	}
+	switch {
+	case err != nil:
+		return &wire.Told{Kind: string(errs.KindOf(err))}
+	case got.StatusCode != http.StatusOK:
+		return &wire.Told{Kind: string(errs.Rejected)}
+	}
+	return &wire.Told{}
 }
 
 // judgeTold gives what judges whose the answer to a word is.
