--- a/internal/deliver/tellqueue_test.go
+++ b/internal/deliver/tellqueue_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,7 +24,11 @@
 	Convey("Given a receiver to which five times as many words come at once as may be under way", t, func() {
 		a, arrived, gate := scenery("127.0.0.1:1"), make(chan string, burst), make(chan bool)
 		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived <- ""; <-gate }))
-		Reset(server.Close)
+		open := sync.OnceFunc(func() { close(gate) })
+		Reset(func() {
+			open() // else the server would wait for its requests
+			server.Close()
+		})
 		a.manner, a.pool = Own, pond.NewPool(burst)
 		told := make(chan *wire.Told, burst)
 		for i := range burst {
@@ -35,7 +40,7 @@
 		}
 		Convey("no more are under way than may be, and all are accepted in turn", func() {
 			So(len(told)+len(arrived), ShouldEqual, 0)
-			close(gate)
+			open()
 			for range burst {
 				So((<-told).Kind, ShouldEqual, "")
 			}
@@ -43,7 +48,7 @@
 		})
 		Convey("those whose turn comes too late for whoever asked are not told", func() {
 			a.d.Clock = func() time.Duration { return time.Hour }
-			close(gate)
+			open()
 			kinds := map[string]int{}
 			for range burst {
 				kinds[(<-told).Kind]++
