--- a/internal/deliver/drain_test.go
+++ b/internal/deliver/drain_test.go
@@ -31,12 +31,6 @@
 	drainEnd       = 40 * time.Second
 )
 
-// due is something that happens at a moment.
-type due struct {
-	at     time.Duration
-	happen func()
-}
-
 // drain plays the service on simulated time: the place's own state machine, which orders
 // messages, and the holders' own workers, which grant slots.
 type drain struct {
