Mend: a list of workers of any length is read within its rate, and changes alone are written

Cause: a read that met a 429 threw away its pages and began with the first one; a list of more pages than one second's calls was never read, and nothing was logged. Ruled out: duties and slots (nobody_to_ask alone was counted). Change: internal/listing paces a cursor for each list, at three quarters of list_rate; a refused or failed page is asked for again where the read stands; long lists are read by zone. Lists over 128 workers are cut into buckets by name, so that a change is one bucket; the cache of the configuration compiles what has changed; duties are planned when something has changed, and 64 at once. Doctor, log and metrics tell the age of each list.

--- a/cmd/manager/main.go
+++ b/cmd/manager/main.go
@@ -16,7 +16,8 @@
 		}
 		list := platform.ListOptions{Address: func() string { return d.Live().List }, Bound: d.Settings.ListLag.Duration}
 		return manager.Options{
-			Source: &manager.Source{Workers: platform.Workers(list), Lag: d.Settings.ListLag.Duration},
+			Source: &manager.Source{Page: platform.Pages(list), Rate: func() float64 { return d.Live().ListRate },
+				Lag: d.Settings.ListLag.Duration},
 			Resend: d.Settings.Resend.Duration,
 			Serve: func(ops *manager.Operators) {
 				platform.ServeOperators(d.OperatorsMux, ops, d.Settings.Keep.Duration)
--- a/internal/cli/doctor.go
+++ b/internal/cli/doctor.go
@@ -3,7 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
+	"strings"
 	"time"
 
 	"caperwheel/internal/errs"
@@ -115,6 +118,7 @@
 			}
 		case "manager":
 			managers++
+			out = append(out, listFindings(m)...)
 		}
 	}
 	if len(clusters) > 1 {
@@ -164,3 +168,30 @@
 	}
 	return out
 }
+
+// mostListAge is the age of a list of workers beyond which something is wrong, in milliseconds.
+const mostListAge = 60_000
+
+// listFindings looks at the lists of workers that a manager reads.
+func listFindings(m manager.StatusMember) []finding {
+	out := []finding{}
+	for _, count := range slices.Sorted(maps.Keys(m.Counts)) {
+		zone, isList := strings.CutPrefix(count, manager.ListAge)
+		if !isList {
+			continue
+		}
+		where := "list of workers"
+		if zone != "" {
+			where += " of zone " + zone
+		}
+		switch age := m.Counts[count]; {
+		case age < 0:
+			out = append(out, finding{false, where, fmt.Sprintf("%s has not read it whole yet; %d calls were refused", m.Name, m.Counts[manager.ListRefused]),
+				"a long list takes its time: see list_calls_total and the log of " + m.Name})
+		case age > mostListAge:
+			out = append(out, finding{true, where, fmt.Sprintf("what is known of it is %d s old; %d calls were refused", age/1000, m.Counts[manager.ListRefused]),
+				"can " + m.Name + " reach the list, and does list_rate leave it enough calls?"})
+		}
+	}
+	return out
+}
--- a/internal/cli/doctor_test.go
+++ b/internal/cli/doctor_test.go
@@ -54,6 +54,10 @@
 		{"places: 1 have a replica far behind", false, func(s *manager.Status) { s.Places[0].Lag = 2000 }},
 		{"pool p: no workers are listed", false, func(s *manager.Status) { s.Pools[0].Workers = 0 }},
 		{"pool p: 0 of 1 workers have a holder", false, func(s *manager.Status) { s.Pools[0].Duties = nil }},
+		{"list of workers: manager-a has not read it whole yet; 7 calls were refused", false, func(s *manager.Status) {
+			s.Members[1].Counts[manager.ListAge], s.Members[1].Counts[manager.ListRefused] = -1, 7
+		}},
+		{"list of workers of zone b: what is known of it is 61 s old", true, func(s *manager.Status) { s.Members[1].Counts[manager.ListAge+"b"] = 61_000 }},
 		{"zone a: is emptied", false, func(s *manager.Status) { s.Emptied = []string{"a"} }},
 	}
 	Convey("The doctor finds nothing wrong with a sound deployment", t, func() { So(examine(well()), ShouldBeEmpty) })
--- /dev/null
+++ b/internal/config/cache_test.go
@@ -0,0 +1,110 @@
+package config
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/feed"
+	"caperwheel/internal/wire"
+)
+
+// drawnChange draws an edit of any kind that is compiled.
+func drawnChange(r *rand.Rand) wire.Edit {
+	pool, zone := fmt.Sprint("p", r.IntN(3)), fmt.Sprint("z", r.IntN(3))
+	workers := Workers{Workers: []Worker{}}
+	for i := range 1 + r.IntN(4) {
+		workers.Workers = append(workers.Workers, Worker{Name: fmt.Sprint("w", r.IntN(3), i), Address: "127.0.0.1:80", Zone: zone,
+			State: []string{"live", "leaving"}[r.IntN(2)], IsCold: r.IntN(4) == 0})
+	}
+	e := wire.Edit{IfRevision: -1, Gone: r.IntN(4) == 0}
+	switch r.IntN(8) {
+	case 0:
+		e.Key, e.Value, e.Gone = Key, []byte(`{"pools":{"p0":{},"p1":{"kind":"endpoint","address":"127.0.0.1:9"}}}`), false
+	case 1:
+		e.Key, e.Value, e.Gone = Key, []byte([]string{`{"pools":{"p1":{},"p2":{}}}`, `{"a later build":1}`}[r.IntN(2)]), false
+	case 2:
+		e.Key, e.Value = ZoneKey+zone, Order{Only: []string{"", OnlyWorkers, OnlyCold}[r.IntN(3)]}.Encode()
+	case 3:
+		e.Key, e.Value = StoreKey+zone, []byte("{}")
+	case 4:
+		e.Key, e.Value = []string{WeightKey, ShareKey}[r.IntN(2)]+pool, []byte([]string{`{}`, `{"p1":2}`, `no`}[r.IntN(3)])
+	case 5, 6:
+		count := 1 << r.IntN(3)
+		e.Key, e.Value = BucketKey(pool, r.IntN(count), count), workers.Encode()
+	default:
+		e.Key, e.Value = DutyKey+pool+"/w"+fmt.Sprint(r.IntN(4)), Duty{Holder: zone, Boot: "b"}.Encode()
+	}
+	return e
+}
+
+// TestCacheIsAsWhole: a cache compiles what has changed and shares the rest with the Compiled
+// before, which must stay as it was.
+func TestCacheIsAsWhole(t *testing.T) {
+	Convey("Change by change, a cache has what one made anew has, and nothing it returned changes", t, func() {
+		for seed := uint64(1); seed <= 20; seed++ {
+			r, part, view := rand.New(rand.NewPCG(seed, 3)), feed.NewPart(), feed.NewView(0)
+			cache := &Cache{View: view}
+			type kept struct{ was, whole *Compiled }
+			all := []kept{}
+			for range 150 {
+				for range 1 + r.IntN(3) {
+					part.Apply(drawnChange(r))
+				}
+				news, _ := part.News(0, view.Revision(0))
+				view.Take([]wire.PartNews{news}, time.Second)
+				whole := (&Cache{View: view}).Current()
+				got := cache.Current()
+				So(got, ShouldResemble, whole)
+				So(cache.Current(), ShouldEqual, got)
+				all = append(all, kept{got, whole})
+			}
+			for _, k := range all {
+				So(k.was, ShouldResemble, k.whole)
+			}
+		}
+	})
+}
+
+// TestBuckets is the table of into how many buckets a list is cut.
+func TestBuckets(t *testing.T) {
+	cases := []struct {
+		text               string
+		workers, now, want int
+	}{
+		{"an empty list is one key", 0, 0, 1},
+		{"a short list is one key", bucketWorkers, 1, 1},
+		{"a longer one is cut", bucketWorkers + 1, 1, 2},
+		{"it stays cut as it is while that is about right", 3 * bucketWorkers, 8, 8},
+		{"… and while the list grows a little", 30 * bucketWorkers, 8, 8},
+		{"it is cut anew when it has grown much", 33 * bucketWorkers, 8, 64},
+		{"… and when it has become short", bucketWorkers, 8, 1},
+		{"there are bounds", 1 << 30, 1, mostBuckets},
+	}
+	Convey("Of a pool's list", t, func() {
+		for _, c := range cases {
+			Convey(c.text, func() { So(Buckets(c.workers, c.now), ShouldEqual, c.want) })
+		}
+		Convey("each key tells its pool and count", func() {
+			for _, count := range []int{1, 2, 64} {
+				pool, got := PoolOfList(BucketKey("a.b", count-1, count))
+				So(pool, ShouldEqual, "a.b")
+				So(got, ShouldEqual, count)
+			}
+		})
+		Convey("every worker has one bucket", func() {
+			seen := map[int]int{}
+			for i := range 6400 {
+				seen[BucketOf(fmt.Sprint("i-", i), 64)]++
+			}
+			So(len(seen), ShouldEqual, 64)
+			for bucket, n := range seen {
+				So(bucket, ShouldBeBetween, -1, 64)
+				So(n, ShouldBeBetween, 40, 200)
+			}
+		})
+	})
+}
--- a/internal/config/compiled.go
+++ b/internal/config/compiled.go
@@ -2,10 +2,8 @@
 
 import (
 	"encoding/json"
-	"sync"
 
 	"caperwheel/internal/errs"
-	"caperwheel/internal/feed"
 	"caperwheel/internal/weight"
 )
 
@@ -53,7 +51,7 @@
 type Compiled struct {
 	Rules    *Rules
 	Revision int64
-	Workers  map[string]map[string]Worker // by pool and name
+	Workers  map[string]map[string]Worker // by pool and name, as listed: CanServe tells which are cold
 	Duties   map[string]map[string]Held
 	Emptied  map[string]bool // whole zones
 	Resting  map[string]bool // zones of which only the workers get nothing
@@ -84,99 +82,6 @@
 	return own / most
 }
 
-// Cache keeps the configuration of a view.
-type Cache struct {
-	View *feed.View
-
-	mu       sync.Mutex
-	turn     int64
-	compiled *Compiled
-}
-
-// Current gives the configuration of the view as it is.
-func (s *Cache) Current() *Compiled {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	turn := s.View.Turns()
-	if s.compiled == nil || turn != s.turn {
-		s.compiled, s.turn = compileView(s.View, s.compiled), turn
-	}
-	return s.compiled
-}
-
-// CanRead reports whether the newest configuration says anything to this build. A daemon
-// that cannot read it must stop, as one that has not heard of it must, rather
-// than take every lane for one that was removed.
-func (s *Cache) CanRead() bool { return !s.Current().IsUnread }
-
-func compileView(view *feed.View, old *Compiled) *Compiled {
-	out := &Compiled{Workers: map[string]map[string]Worker{}, Duties: map[string]map[string]Held{},
-		Emptied: map[string]bool{}, Resting: map[string]bool{}, Easing: map[string]bool{}, Retired: map[string]bool{}, Weights: map[string]weight.Weights{}, Shares: map[string]map[string]float64{},
-		Rules: &Rules{Lanes: map[string]Lane{}, Pools: map[string]Pool{}}}
-	if c, isKnown := view.Get(feed.ConfigPart, Key); isKnown {
-		out.Revision = c.Revision
-		if old != nil && old.Revision == c.Revision {
-			out.Rules, out.IsUnread = old.Rules, old.IsUnread
-		} else if rules, faults := Compile(c.Value); len(faults) == 0 {
-			out.Rules = rules
-		} else {
-			out.IsUnread = true
-		}
-	}
-	for _, c := range view.Keys(ZoneKey) {
-		zone := c.Key[len(ZoneKey):]
-		switch ReadOrder(c.Value).Only {
-		case OnlyWorkers:
-			out.Resting[zone] = true
-		case OnlyCold:
-			out.Easing[zone] = true
-		default:
-			out.Emptied[zone] = true
-		}
-	}
-	for _, c := range view.Keys(StoreKey) {
-		out.Retired[c.Key[len(StoreKey):]] = true
-	}
-	for _, c := range view.Keys(WeightKey) {
-		var w weight.Weights
-		if json.Unmarshal(c.Value, &w) == nil {
-			out.Weights[c.Key[len(WeightKey):]] = w
-		}
-	}
-	for _, c := range view.Keys(ShareKey) {
-		var shares map[string]float64
-		if json.Unmarshal(c.Value, &shares) == nil {
-			out.Shares[c.Key[len(ShareKey):]] = shares
-		}
-	}
-	for _, c := range view.Keys(WorkersKey) {
-		list, _ := ReadWorkers(c.Value)
-		pool := map[string]Worker{}
-		for _, w := range list.Workers {
-			w.IsCold = w.IsCold || out.Easing[w.Zone]
-			pool[w.Name] = w
-		}
-		out.Workers[c.Key[len(WorkersKey):]] = pool
-	}
-	for name, p := range out.Rules.Pools {
-		if p.IsEndpoint {
-			out.Workers[name] = map[string]Worker{Endpoint: {Name: Endpoint, Address: p.Address, State: "live"}}
-		}
-	}
-	for _, c := range view.Keys(DutyKey) {
-		pool, worker := splitDuty(c.Key[len(DutyKey):])
-		var d Duty
-		if err := json.Unmarshal(c.Value, &d); err != nil {
-			continue
-		}
-		if out.Duties[pool] == nil {
-			out.Duties[pool] = map[string]Held{}
-		}
-		out.Duties[pool][worker] = Held{d, c.Revision}
-	}
-	return out
-}
-
 // Endpoint is the name under which an endpoint pool's one address is served.
 const Endpoint = "endpoint"
 
@@ -193,6 +98,7 @@
 // live, and neither its zone nor the workers of its zone are being emptied.
 func (s *Compiled) CanServe(pool, worker string) (Worker, bool) {
 	w, isListed := s.Workers[pool][worker]
+	w.IsCold = w.IsCold || s.Easing[w.Zone]
 	return w, isListed && w.State == "live" && !s.Emptied[w.Zone] && !s.Resting[w.Zone]
 }
 
--- a/internal/config/workers.go
+++ b/internal/config/workers.go
@@ -31,25 +31,41 @@
 	faults, seen := []Fault{}, map[string]bool{}
 	for i, w := range out.Workers {
 		path := "workers." + strconv.Itoa(i)
-		if !isName(w.Name) || seen[w.Name] {
-			faults = append(faults, Fault{path + ".name", "must be a name of its own"})
-		}
-		seen[w.Name] = true
-		if text := CheckAddress(w.Address); text != "" {
-			faults = append(faults, Fault{path + ".address", text})
+		if w.State == "" {
+			w.State = "live"
+			out.Workers[i].State = w.State
 		}
-		if w.Slots < 0 || w.Slots > 1000 {
-			faults = append(faults, Fault{path + ".slots", "must be from 0 to 1000"})
+		for _, fault := range w.Check() {
+			faults = append(faults, Fault{path + "." + fault.Path, fault.Text})
 		}
-		if w.State == "" {
-			out.Workers[i].State = "live"
-		} else if w.State != "live" && w.State != "leaving" {
-			faults = append(faults, Fault{path + ".state", "must be live or leaving"})
+		if seen[w.Name] {
+			faults = append(faults, Fault{path + ".name", ownName})
 		}
+		seen[w.Name] = true
 	}
 	return out, faults
 }
 
+const ownName = "must be a name of its own"
+
+// Check returns what of a worker no list may hold.
+func (w Worker) Check() []Fault {
+	faults := []Fault{}
+	if !isName(w.Name) {
+		faults = append(faults, Fault{"name", ownName})
+	}
+	if text := CheckAddress(w.Address); text != "" {
+		faults = append(faults, Fault{"address", text})
+	}
+	if w.Slots < 0 || w.Slots > 1000 {
+		faults = append(faults, Fault{"slots", "must be from 0 to 1000"})
+	}
+	if w.State != "live" && w.State != "leaving" {
+		faults = append(faults, Fault{"state", "must be live or leaving"})
+	}
+	return faults
+}
+
 // Encode gives the list's JSON.
 func (w Workers) Encode() []byte {
 	out, err := json.Marshal(w)
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"math"
 	"strings"
 	"sync"
 	"time"
@@ -161,6 +162,22 @@
 	return v.parts[part].revision
 }
 
+// Since returns all changes behind the given revisions of parts, gone keys too, in the order of
+// their revisions within a part, and the revisions that they reach. A part that is not given is
+// returned whole.
+func (v *View) Since(revisions map[int64]int64) (changes []wire.Change, reached map[int64]int64) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	reached = map[int64]int64{}
+	for part := range int64(v.count) + 1 {
+		p := v.parts[part]
+		more, _ := p.trail.behind(revisions[part], math.MaxInt)
+		changes = append(changes, more...)
+		reached[part] = p.revision
+	}
+	return changes, reached
+}
+
 // Keys iterates over a snapshot of the standing keys with a prefix, of all parts.
 func (v *View) Keys(prefix string) iter.Seq2[int64, wire.Change] {
 	type row struct {
--- /dev/null
+++ b/internal/listing/listing_test.go
@@ -0,0 +1,119 @@
+package listing
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/config"
+	"caperwheel/internal/errs"
+)
+
+const (
+	period   = 50 * time.Millisecond
+	interval = 480 * time.Millisecond
+	most     = time.Second
+)
+
+// TestCursor is the table of what a cursor asks for after what has come.
+func TestCursor(t *testing.T) {
+	type answer struct {
+		next string
+		kind errs.Kind
+	}
+	lost, full := answer{"", errs.Lost}, answer{"", errs.Full}
+	cases := []struct {
+		text       string
+		answers    []answer
+		ask        string        // what is asked for then
+		due        time.Duration // and after how long
+		isComplete bool          // the newest answer completed a read
+	}{
+		{"the first page, at once", nil, "", 0, false},
+		{"the page that follows, a period later", []answer{{"2", ""}}, "2", period, false},
+		{"the first page again an interval after it", []answer{{"2", ""}, {"", ""}}, "", interval, true},
+		{"the same page after a failure", []answer{{"2", ""}, lost}, "2", period, false},
+		{"… after twice as long the next time", []answer{{"2", ""}, lost, lost}, "2", 2 * period, false},
+		{"… and so up to a bound", []answer{{"2", ""}, full, full, full, full, full, full, full}, "2", most, false},
+		{"the first page where one keeps failing: its token may have expired", []answer{{"2", ""}, lost, lost, lost, lost, lost}, "", 16 * period, false},
+		{"the same page however often it is refused for the rate", []answer{{"2", ""}, full, full, full, full, full}, "2", 16 * period, false},
+		{"the first page after one that names itself as the next", []answer{{"2", ""}, {"2", ""}}, "", interval, false},
+	}
+	Convey("A cursor asks for", t, func() {
+		for _, c := range cases {
+			Convey(c.text, func() {
+				cursor, now, isComplete := Cursor{}, 10*time.Second, false
+				for _, a := range c.answers {
+					now += cursor.Due(now)
+					cursor.Ask(now)
+					isComplete = false
+					if a.kind != "" {
+						cursor.Failed(a.kind, now, period, most)
+					} else {
+						isComplete = cursor.Took(a.next, now, period, interval)
+					}
+				}
+				due := cursor.Due(now)
+				if len(c.answers) > 1 && due != 0 && c.due == interval {
+					due = now + due - 10*time.Second // since the read began
+				}
+				So(due, ShouldEqual, c.due)
+				So(isComplete, ShouldEqual, c.isComplete)
+				So(cursor.Ask(now+due), ShouldEqual, c.ask)
+				_, isRead := cursor.Age(now)
+				So(isRead, ShouldEqual, c.isComplete)
+			})
+		}
+	})
+}
+
+// TestRoster is the table of when a worker is taken for gone.
+func TestRoster(t *testing.T) {
+	see := func(at time.Duration) func(*Roster) {
+		return func(r *Roster) { r.See("p", config.Worker{Name: "w", Zone: "a"}, at) }
+	}
+	passed := func(zone string, began time.Duration) func(*Roster) {
+		return func(r *Roster) { r.Passed(zone, began) }
+	}
+	cases := []struct {
+		text   string
+		steps  []func(*Roster)
+		isHere bool
+	}{
+		{"is here once it was seen", []func(*Roster){see(5)}, true},
+		{"is here after one read that left it out", []func(*Roster){see(5), passed("", 6)}, true},
+		{"is gone after two", []func(*Roster){see(5), passed("", 6), passed("", 7)}, false},
+		{"is here where it was seen in between", []func(*Roster){see(5), passed("", 6), see(7), passed("", 8)}, true},
+		{"is here after reads that began before it was seen", []func(*Roster){see(5), passed("", 4), passed("", 5)}, true},
+		{"is here after reads of other zones", []func(*Roster){see(5), passed("b", 6), passed("b", 7)}, true},
+		{"is gone after reads of its zone", []func(*Roster){see(5), passed("a", 6), passed("a", 7)}, false},
+		{"is gone after a read of its zone and one of all", []func(*Roster){see(5), passed("a", 6), passed("", 7)}, false},
+	}
+	Convey("A worker", t, func() {
+		for _, c := range cases {
+			Convey(c.text, func() {
+				r := NewRoster()
+				for _, step := range c.steps {
+					step(r)
+				}
+				So(len(r.Pool("p")) == 1, ShouldEqual, c.isHere)
+			})
+		}
+		Convey("is as the newest call told, whichever answer comes last", func() {
+			r := NewRoster()
+			r.See("p", config.Worker{Name: "w", State: "leaving"}, 7)
+			r.See("p", config.Worker{Name: "w", State: "live"}, 6)
+			So(r.Pool("p")[0].State, ShouldEqual, "leaving")
+		})
+		Convey("is told as changed once", func() {
+			r := NewRoster()
+			see(5)(r)
+			So(r.Changed(), ShouldResemble, map[string]map[string]bool{"p": {"w": true}})
+			see(6)(r)
+			So(r.Changed(), ShouldBeEmpty)
+			r.Keep("p", map[string]bool{"w": true})
+			So(r.Changed(), ShouldHaveLength, 1)
+		})
+	})
+}
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -25,8 +26,7 @@
 // controlDuties keeps every worker's duty with a live adapter. Each pool is
 // looked after by one manager; should two think so, the revisions let one win.
 func (m *Manager) controlDuties(ctx context.Context) {
-	pool := pond.NewPool(8)
-	steady := &duty.Steady{Least: 2 * m.d.Bounds.Config}
+	planner := &dutyPlanner{m: m, edits: pond.NewPool(mostDutyEdits), steady: &duty.Steady{Least: 2 * m.d.Bounds.Config}}
 	steadySince := m.d.Now()
 	timing.Every(ctx, m.d.Bounds.Of(timing.Poll), func() {
 		if !m.d.IsFresh() {
@@ -35,7 +35,7 @@
 		}
 		// A manager that has just come does not know all sessions yet: it only
 		// gives duties to new lives of those that hold them.
-		m.planDuties(ctx, pool, steady, m.d.Now()-steadySince < m.d.Bounds.Of(timing.SessionTimeout))
+		planner.turn(ctx, m.d.Now()-steadySince < m.d.Bounds.Of(timing.SessionTimeout))
 	})
 }
 
@@ -53,8 +53,30 @@
 	return out
 }
 
-func (m *Manager) planDuties(ctx context.Context, workers pond.Pool, steady *duty.Steady, isNew bool) {
-	compiled := m.configs.Current()
+// Bounds of a turn: a pool of very many workers must not hold up the duties of others.
+const (
+	mostDutyEdits   = 64 // at once
+	mostAssignments = 1024
+)
+
+// dutyPlanner gives out the duties of the pools that this manager looks after.
+type dutyPlanner struct {
+	m      *Manager
+	edits  pond.Pool
+	steady *duty.Steady
+	idle   planInput // of the newest turn, if it found nothing to do
+}
+
+// planInput is all that a plan depends on.
+type planInput struct {
+	compiled *config.Compiled
+	members  string // hash of the membership
+	leaving  string
+}
+
+// turn plans and assigns. isNew has it give duties to new lives of those that hold them alone.
+func (p *dutyPlanner) turn(ctx context.Context, isNew bool) {
+	m := p.m
 	adapters, leaving := m.d.Membership.Kind("adapter"), map[string]bool{}
 	_, members := m.registry.Members(m.d.Now())
 	for _, member := range members {
@@ -62,8 +84,29 @@
 			leaving[member.Who.Name] = true
 		}
 	}
-	group := workers.NewGroup()
-	pools := map[string]bool{}
+	input := planInput{m.configs.Current(), m.d.Membership.Hash(), strings.Join(sorted(leaving), " ")}
+	if input == p.idle {
+		return
+	}
+	wanted := p.plan(input.compiled, adapters, leaving)
+	p.idle = planInput{}
+	if len(wanted) == 0 {
+		p.idle = input
+		return
+	}
+	plan := p.steady.Filter(wanted, m.d.Now())
+	group := p.edits.NewGroup()
+	for _, change := range plan[:min(len(plan), mostAssignments)] {
+		if !isNew || change.IsReborn {
+			group.Submit(func() { m.assign(ctx, feed.PartOf(change.Pool, m.d.Settings.Parts), change) })
+		}
+	}
+	_ = group.Wait()
+}
+
+// plan returns the duties that are to be written anew, guesses among them.
+func (p *dutyPlanner) plan(compiled *config.Compiled, adapters []wire.Who, leaving map[string]bool) []duty.Change {
+	m, pools, out := p.m, map[string]bool{}, []duty.Change{}
 	for name := range compiled.Rules.Pools {
 		pools[name] = true
 	}
@@ -79,14 +122,9 @@
 			}
 			return c.Revision, true
 		}
-		for _, change := range steady.Filter(duty.Plan(name, compiled, adapters, leaving, revision), m.d.Now()) {
-			if isNew && !change.IsReborn {
-				continue
-			}
-			group.Submit(func() { m.assign(ctx, part, change) })
-		}
+		out = append(out, duty.Plan(name, compiled, adapters, leaving, revision)...)
 	}
-	_ = group.Wait()
+	return out
 }
 
 func (m *Manager) assign(ctx context.Context, part int64, change duty.Change) {
--- /dev/null
+++ b/internal/manager/listread.go
@@ -0,0 +1,162 @@
+package manager
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"caperwheel/internal/config"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/errs"
+	"caperwheel/internal/listing"
+	"caperwheel/internal/timing"
+)
+
+var listCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "list",
+	Name: "calls_total", Help: "Pages of the list of workers asked for, by what came of them: page, refused or failed."}, []string{"end"})
+
+func init() { prometheus.MustRegister(listCalls) }
+
+// startReaders has one reader run for each list of the plan.
+func (l *lister) startReaders(ctx context.Context) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wanted := map[*listing.Cursor]bool{}
+	for _, c := range l.plan.Cursors() {
+		wanted[c] = true
+		if l.readers[c] == nil {
+			readCtx, cancel := context.WithCancel(ctx)
+			l.readers[c] = cancel
+			go l.read(readCtx, c)
+		}
+	}
+	for c, cancel := range l.readers {
+		if !wanted[c] {
+			cancel()
+			delete(l.readers, c)
+			delete(l.isLost, c)
+		}
+	}
+}
+
+// read reads one list again and again until ctx ends.
+func (l *lister) read(ctx context.Context, c *listing.Cursor) {
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		wait := c.Due(l.m.d.Now())
+		l.mu.Unlock()
+		timing.Wait(ctx, wait)
+		if ctx.Err() == nil {
+			l.step(ctx, c)
+		}
+	}
+}
+
+// step asks for one page and takes it in.
+func (l *lister) step(ctx context.Context, c *listing.Cursor) {
+	asked := l.m.d.Now()
+	l.mu.Lock()
+	token := c.Ask(asked)
+	l.mu.Unlock()
+	page, err := l.m.source.Page(ctx, c.Zone, token)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ctx.Err() != nil || l.plan == nil {
+		return
+	}
+	l.noteCall(c, err)
+	period, now := l.plan.Period(c, l.rate()), l.m.d.Now()
+	if err != nil {
+		c.Failed(errs.KindOf(err), now, period, l.m.d.Bounds.Of(timing.SettleTimeout))
+		return
+	}
+	for pool, list := range page.Workers {
+		for _, w := range healthy(list) {
+			l.roster.See(pool, w, asked)
+		}
+	}
+	if c.Took(page.Next, now, period, l.plan.Interval()) {
+		l.roster.Passed(c.Zone, c.WholeAt)
+		l.passed = append(l.passed, passed{c.Zone, c.WholeAt})
+		l.plan.Divide(l.roster.Zones(), l.rate())
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (l *lister) rate() float64 {
+	if l.m.source.Rate == nil {
+		return 0
+	}
+	return l.m.source.Rate()
+}
+
+// fullLogged is for how many bounds nothing more is logged of refused calls.
+const fullLogged = 10
+
+// noteCall counts a call, and logs when a list can no longer be read, or again.
+func (l *lister) noteCall(c *listing.Cursor, err error) {
+	name, now := nameOf(c), l.m.d.Now()
+	switch {
+	case err == nil:
+		listCalls.WithLabelValues("page").Inc()
+	case errs.Is(err, errs.Full):
+		listCalls.WithLabelValues("refused").Inc()
+		l.refused++
+		if l.toldFull == 0 || now-l.toldFull > fullLogged*l.m.d.Bounds.Config {
+			l.toldFull = now
+			klog.Infof("list: %s refuses calls over its rate, %d so far; the read goes on where it stands.", name, l.refused)
+		}
+		return
+	default:
+		listCalls.WithLabelValues("failed").Inc()
+	}
+	if isLost := err != nil; isLost != l.isLost[c] {
+		l.isLost[c] = isLost
+		if isLost {
+			klog.Warningf("list: %s cannot be read: %v.", name, err)
+		} else {
+			klog.Infof("list: %s can be read again.", name)
+		}
+	}
+}
+
+func nameOf(c *listing.Cursor) string {
+	if c.Zone == "" {
+		return "The list of workers"
+	}
+	return "The list of zone " + c.Zone
+}
+
+// measure tells the age of each list that is read here, in seconds.
+func (l *lister) measure(emit daemon.Emit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.plan == nil {
+		return
+	}
+	for _, c := range l.plan.Cursors() {
+		if age, isRead := c.Age(l.m.d.Now()); isRead {
+			emit("list_age_seconds", "Age of the newest complete read of the list of workers, by zone; no zone is all.", age.Seconds(), "zone", c.Zone)
+			emit("list_read_seconds", "How long the newest complete read of the list of workers took, by zone.", c.WholeTook.Seconds(), "zone", c.Zone)
+		}
+	}
+}
+
+// healthy drops what a list may not hold.
+func healthy(list []config.Worker) []config.Worker {
+	out, seen := []config.Worker{}, map[string]bool{}
+	for _, w := range list {
+		faults := w.Check()
+		if len(faults) > 0 || seen[w.Name] {
+			klog.V(2).Infof("list: Worker %q is left out: %v.", w.Name, faults)
+			continue
+		}
+		seen[w.Name] = true
+		out = append(out, w)
+	}
+	return out
+}
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -28,6 +28,7 @@
 	reach     *reach.Reach
 	operators *Operators
 	source    *Source // nil: operators write the lists
+	lister    *lister // nil without a source
 	resend    time.Duration
 	stores    settledStores
 	peers     peers
@@ -64,7 +65,9 @@
 	go m.controlDuties(ctx)
 	go m.controlWeights(ctx)
 	if m.source != nil {
-		go m.controlLists(ctx)
+		m.lister = newLister(m)
+		d.Measure(m.lister.measure)
+		go m.lister.controlLists(ctx)
 	}
 	d.Serve(nil)
 }
@@ -115,6 +118,9 @@
 // share exchanges sessions with the other managers, and renews our own membership.
 func (m *Manager) share() {
 	own := m.d.Poll()
+	if m.lister != nil {
+		m.lister.say(own.Fact.Counts)
+	}
 	m.registry.Hear(wire.Member{Who: m.d.Who, Owns: []wire.Owned{}, Fact: own.Fact}, m.d.Now(), true)
 	peers := []string{}
 	for _, seed := range m.d.Live().Seeds {
