Mend: feature levels of groups; a key goes on behind an older run's success

Cause: a message that succeeds by an older run while its newest may go on kept its key until its end was forgotten; a mend changes what commands mean, and older replicas would have gone apart. Ruled out: a command of its own, which older stores pass over in silence. Change: a level in the group's log, raised once each member of the roster has told that it can apply it (wire version 6), kept in images, never lowered; a learner that cannot apply it gets no vote; builds that cannot stop. From level 1 on keys are freed by group time. Beside it: a key went on too early where the newest run was brought back while it may go on.

--- a/internal/group/append.go
+++ b/internal/group/append.go
@@ -43,7 +43,7 @@
 
 func (g *Group) onAppend(m wire.GroupMsg, now time.Duration, out *Out) {
 	g.hear(m, now, out)
-	reply := wire.GroupMsg{Round: m.Round, Index: g.last(), Commit: m.Index}
+	reply := wire.GroupMsg{Round: m.Round, Index: g.last(), Commit: m.Index, Level: g.opts.Level}
 	term, isHeld := g.termAt(m.Index)
 	if m.Index < g.base { // the image covers it: skip what is below
 		skip := min(int64(len(m.Entries)), g.base-m.Index)
@@ -110,7 +110,7 @@
 		p.Hard = &hard
 		out.Install = image
 	}
-	out.After = append(out.After, g.msg(MsgAppendReply, m.From, wire.GroupMsg{Round: m.Round, Index: g.hard.Commit}))
+	out.After = append(out.After, g.msg(MsgAppendReply, m.From, wire.GroupMsg{Round: m.Round, Index: g.hard.Commit, Level: g.opts.Level}))
 }
 
 // advanceCommit moves the commit to what a majority has synced in this term.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -56,6 +56,8 @@
 	Seed   uint64
 	Prefer func(roster []string) string // who should own the group
 	Room   func(member string) bool     // whether the link to a member takes more; none given: always
+	Level  int64                        // the newest feature level that this replica can apply
+	Needed func() int64                 // the level that the group has agreed on, or is about to; none given: 0
 }
 
 // HardState is what must be durable before a replica answers. Kept says that the
--- a/internal/group/progress.go
+++ b/internal/group/progress.go
@@ -39,6 +39,7 @@
 	imageRound  int64 // the newest heartbeat before it
 	flight      []inFlight
 	flightBytes int
+	level       int64 // the newest feature level that it can apply, as it told; 0 for not told
 }
 
 // inFlight is an append that carried entries and has not been answered.
@@ -187,7 +188,7 @@
 		return
 	}
 	p := g.peer(m.From)
-	p.acked, p.ackedAt = max(p.acked, m.Round), now
+	p.acked, p.ackedAt, p.level = max(p.acked, m.Round), now, m.Level
 	g.confirm(now)
 	if m.Reject {
 		g.onReject(m, p, now, out)
--- a/internal/group/roster.go
+++ b/internal/group/roster.go
@@ -75,11 +75,32 @@
 }
 
 // isCaughtUp reports whether a learner misses little enough to become a voter: it
-// has all that was committed when the owner's last round began. What was committed
-// since is on its way, and a busy group's learner never has all of it.
+// has all that was committed when the owner's last round began, and can apply what the group has
+// agreed on. What was committed since is on its way, and a busy group's learner never has all of it.
 func (g *Group) isCaughtUp(m string) bool {
 	p := g.peers[m]
-	return p != nil && p.match >= g.heartbeatCommit && p.match > 0
+	return p != nil && p.match >= g.heartbeatCommit && p.match > 0 && p.level >= g.needed()
+}
+
+func (g *Group) needed() int64 {
+	if g.opts.Needed == nil {
+		return 0
+	}
+	return g.opts.Needed()
+}
+
+// level is the newest feature level that every member of the roster can apply, learners too, as
+// they told this owner.
+func (g *Group) level() int64 {
+	least := g.opts.Level
+	for _, m := range g.others() {
+		p := g.peers[m]
+		if p == nil {
+			return 0
+		}
+		least = min(least, p.level)
+	}
+	return least
 }
 
 // onCommit acts on what a commit brings: an owner that has left steps down.
--- a/internal/group/view.go
+++ b/internal/group/view.go
@@ -19,7 +19,8 @@
 	Lag       int64    // entries that the slowest voter misses; owners only
 	Whole     []string // voters with all that was committed when the last round began; owners only
 	Confirmed time.Duration
-	IsSure    bool // Confirmed holds: reads as of then are safe
+	IsSure    bool  // Confirmed holds: reads as of then are safe
+	Level     int64 // the newest feature level that all members can apply; owners only
 }
 
 // View of this replica now.
@@ -36,7 +37,7 @@
 		}
 	}
 	if g.role == Owner {
-		v.Whole = g.whole()
+		v.Whole, v.Level = g.whole(), g.level()
 	}
 	return v
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -58,6 +58,14 @@
 	// Later does work, on any goroutine, once a time has passed; none given: proposals
 	// are not gathered.
 	Later func(span time.Duration, work func())
+	Level int64 // the newest feature level that the machine can apply
+}
+
+// Leveled is a machine whose commands depend on a feature level that its group has agreed on.
+type Leveled interface {
+	// Level returns the level that is agreed on or proposed. A replica that cannot apply it
+	// never gets a vote.
+	Level() int64
 }
 
 // Plan tells the member ids of the stores that are here, by name, and the names of
@@ -122,13 +130,22 @@
 		h.image = held.Image
 	}
 	h.machine = group.New(group.Options{Id: opts.Id, Self: opts.Self, Roster: opts.Roster, Bounds: opts.Bounds,
-		Seed: opts.Seed, Prefer: opts.Prefer, Room: opts.Room}, held.Hard, held.Image, held.Log, opts.Now())
+		Seed: opts.Seed, Prefer: opts.Prefer, Room: opts.Room, Level: opts.Level, Needed: neededBy(opts.Machine)}, held.Hard, held.Image, held.Log, opts.Now())
 	h.apply(h.machine.Committed())
 	h.publish()
 	h.opts.Held = nil // the machine has its own state now
 	return h, nil
 }
 
+// neededBy returns what tells the feature level that a machine's group needs.
+func neededBy(machine Machine) func() int64 {
+	leveled, isLeveled := machine.(Leveled)
+	if !isLeveled {
+		return nil
+	}
+	return leveled.Level
+}
+
 // Run works until ctx ends.
 func (h *Host) Run(ctx context.Context) {
 	// All groups of a store tick at the same moments, so that one waking serves
--- a/internal/place/archive.go
+++ b/internal/place/archive.go
@@ -104,6 +104,7 @@
 		e.IsHolder = false
 		m.release(e)
 	}
+	delete(m.holders, id)
 	m.bytes -= e.size()
 	delete(m.owed, id)
 	delete(m.messages, id)
--- a/internal/place/command.go
+++ b/internal/place/command.go
@@ -18,6 +18,7 @@
 	CmdTrim                   // forget what has been over for long enough
 	CmdSent                   // an outbox entry has been taken elsewhere
 	CmdTold                   // whoever was to be told of an end has been
+	CmdLevel                  // from now on replicas apply commands as a newer feature level says
 )
 
 // Command is one entry of a place's log. All that depends on settings or time
@@ -53,6 +54,7 @@
 	Notify   string     `avro:"notify" since:"3"` // Take: whom to tell of the end
 	Drop     bool       `avro:"drop" since:"3"`   // End: the bytes are not kept
 	Prompt   int64      `avro:"prompt" since:"3"` // Take: within which a run is wanted to begin, once it may
+	Level    int64      `avro:"level" since:"6"`  // Level
 }
 
 // TimeMark returns a command that does nothing but tell the place time: it forgets none.
@@ -77,14 +79,19 @@
 	if c.Ids == nil {
 		c.Ids = []string{}
 	}
+	if c.Kind >= CmdLevel {
+		return commandCodec.EncodeNewest(&c)
+	}
 	return commandCodec.Encode(&c, len(c.Head) > 0 || c.Delay != 0 || c.Notify != "" || c.Drop || c.Prompt != 0)
 }
 
 // Decode reads a command back.
 func Decode(raw []byte) (Command, error) {
 	var c Command
-	err := commandCodec.Decode(raw, &c)
-	return c, err
+	if err := commandCodec.Decode(raw, &c); err != nil {
+		return c, err
+	}
+	return c, checkLevel(c.Level)
 }
 
 // wanted is by when a run of a message taken now should begin; 0 for any time.
--- a/internal/place/image.go
+++ b/internal/place/image.go
@@ -12,6 +12,7 @@
 	Seq      int64     `avro:"seq"`
 	Messages []Message `avro:"errands"`
 	Outbox   []Child   `avro:"outbox"`
+	Level    int64     `avro:"level" since:"6"`
 }
 
 // The clock of an image is never negative.
@@ -20,7 +21,7 @@
 // Image gives the whole state as bytes.
 func (m *Machine) Image() []byte {
 	isGrown := false
-	out := image{Clock: m.clock, Seq: m.seq, Messages: make([]Message, 0, len(m.messages)+len(m.archive)), Outbox: []Child{}}
+	out := image{Level: m.level, Clock: m.clock, Seq: m.seq, Messages: make([]Message, 0, len(m.messages)+len(m.archive)), Outbox: []Child{}}
 	for _, e := range m.messages {
 		out.Messages = append(out.Messages, *e)
 	}
@@ -35,6 +36,9 @@
 	for _, id := range slices.Sorted(maps.Keys(m.outbox)) {
 		out.Outbox = append(out.Outbox, m.outbox[id])
 	}
+	if m.level > 0 {
+		return imageCodec.EncodeNewest(&out)
+	}
 	return imageCodec.Encode(&out, isGrown)
 }
 
@@ -44,8 +48,11 @@
 	if err := imageCodec.Decode(raw, &in); err != nil {
 		return nil, err
 	}
+	if err := checkLevel(in.Level); err != nil {
+		return nil, err
+	}
 	m := New()
-	m.clock, m.seq = in.Clock, in.Seq
+	m.clock, m.seq, m.level = in.Clock, in.Seq, in.Level
 	for _, read := range in.Messages {
 		e := &read // by itself, so that no message keeps all others in memory
 		m.messages[e.Id] = e
@@ -59,6 +66,7 @@
 		if e.Ordered && (!e.State.IsOver() || e.IsHolder) {
 			m.keys[e.keyOf()] = append(m.keys[e.keyOf()], e.Id)
 		}
+		m.noteHolder(e)
 	}
 	for _, c := range in.Outbox {
 		m.outbox[c.Id] = c
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -24,13 +24,15 @@
 	outbox   map[string]Child
 	owed     map[string]bool // messages that are over and of whose end somebody must be told
 	bytes    int64
+	level    int64           // the feature level that the group has agreed on
+	holders  map[string]bool // messages that have succeeded while a later run of theirs may go on
 	queue    queue
 }
 
 // New gives an empty place.
 func New() *Machine {
 	return &Machine{messages: map[string]*Message{}, archive: map[string]archived{}, names: map[string]string{},
-		idems: map[string]string{}, keys: map[string][]string{}, outbox: map[string]Child{}, owed: map[string]bool{}, queue: newQueue()}
+		idems: map[string]string{}, keys: map[string][]string{}, outbox: map[string]Child{}, owed: map[string]bool{}, holders: map[string]bool{}, queue: newQueue()}
 }
 
 // Verdict is what a command came to. A Kind other than "" means that it
@@ -64,6 +66,7 @@
 	m.clock = max(m.clock, c.At)
 	verdict := m.change(c, m.Find(c.Id))
 	m.settle(c.Id)
+	m.freeKeys()
 	return verdict
 }
 
@@ -95,6 +98,9 @@
 			m.told(id)
 		}
 		return Verdict{}
+	case CmdLevel:
+		m.level = max(m.level, c.Level)
+		return Verdict{}
 	}
 	if e == nil {
 		return no(errs.Unknown, c.Id, "no such message")
@@ -173,6 +179,9 @@
 		return Verdict{Id: e.Id, State: e.State} // a repeat, or an older run
 	}
 	if e.Late.Attempt > 0 {
+		if m.level >= LevelFreesKeys && c.Hold && e.Ordered {
+			e.Due, e.IsHolder = m.clock+c.Deadline, true // the run that is brought back may go on until then
+		}
 		return m.close(e, Ended, c, e.Late)
 	}
 	e.Cause = c.Cause
@@ -216,6 +225,7 @@
 	if e.Ordered && !e.IsHolder {
 		m.release(e)
 	}
+	m.noteHolder(e)
 	return m.finish(e, nil)
 }
 
--- a/internal/sim/mutants.go
+++ b/internal/sim/mutants.go
@@ -16,5 +16,6 @@
 	OldSnapshot       Mutant = "a snapshot has the state of the one before"
 	AnyAge            Mutant = "a daemon never looks how old its view is"
 	OwnCount          Mutant = "a replica keeps its own count of the group's time where that is ahead"
+	BlindToLevels     Mutant = "an owner raises the feature level without asking"
 	AnswersByPosition Mutant = "an answer goes to the call that has waited longest"
 )
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -11,6 +11,7 @@
 	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
 	"caperwheel/internal/host"
+	"caperwheel/internal/place"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/store"
 	"caperwheel/internal/timing"
@@ -55,6 +56,7 @@
 	fresh      time.Duration  // newest confirmation; before it is too old, the store may act
 	full       time.Duration  // its disk is full until then
 	frozen     time.Duration  // nothing is done before this; what comes meanwhile waits
+	level      int64          // the newest feature level that its build can apply
 }
 
 type presence struct {
@@ -64,11 +66,18 @@
 
 // NewPlaces lays everything out and starts it.
 func NewPlaces(w *World, adapters int, mutant Mutant) *Places {
+	return newPlacesOf(w, adapters, mutant, func(string) int64 { return place.NewestLevel })
+}
+
+// newPlacesOf is NewPlaces with stores of several builds: level tells which feature level each
+// can apply.
+func newPlacesOf(w *World, adapters int, mutant Mutant, level func(store string) int64) *Places {
 	p := &Places{World: w, H: check.NewHistory(), stamps: newStamps(w), mutant: mutant}
 	p.rules = rulesWith(workBound)
 	p.H.Pools["free"], p.H.Pools["seq"], p.H.Order["seq"] = []string{"work"}, []string{"work"}, true
 	for i := range 3 {
 		s := &simStore{w: p, name: fmt.Sprintf("s%d", i+1), disk: &Disk{w: w}}
+		s.level = level(s.name)
 		p.stores = append(p.stores, s)
 	}
 	for i := range adapters {
@@ -120,12 +129,12 @@
 	s.place = store.NewPlaceHost(s, 0)
 	h, err := host.New(host.Options{Id: 1, Self: s.name + "/0", Roster: s.w.roster(), Bounds: timing.Default,
 		Seed: s.w.Seed + uint64(s.life), Disk: &pumped{s.disk, s}, Held: s.disk.Held(), Now: s.w.Now,
-		Machine: &timedPlace{s.place, s.w, s.w.stamps.newLead()}, Send: s.post, Failed: s.Fail, Compact: 300, Whole: 500, Later: s.later})
+		Machine: &timedPlace{s.place, s, s.w.stamps.newLead()}, Send: s.post, Failed: s.Fail, Compact: 300, Whole: 500, Later: s.later, Level: s.level})
 	if err != nil {
 		panic(err)
 	}
 	s.host = h
-	s.place.Use(&stamped{h, s.w.stamps})
+	s.place.Use(&stamped{h, s.w.stamps, s.w.mutant == BlindToLevels})
 	s.w.Note("start %s", s.name)
 	s.tick(s.dispatch)
 }
--- a/internal/sim/placefaults.go
+++ b/internal/sim/placefaults.go
@@ -141,6 +141,12 @@
 // RunPlacesMutant does the same with a guard taken out.
 func RunPlacesMutant(mutant Mutant, seed uint64, chosen ...func(*Places)) (*Places, []check.Breach) {
 	p := NewPlaces(NewWorld(seed), 3, mutant)
+	p.play(chosen)
+	return p, p.Finish()
+}
+
+// play has callers call for a while under the chosen faults.
+func (p *Places) play(chosen []func(*Places)) {
 	for k := range 4 { // one caller a key: the next message follows the answer
 		var next func()
 		next = func() {
@@ -172,5 +178,4 @@
 			p.adapter().start()
 		}
 	}
-	return p, p.Finish()
 }
--- a/internal/sim/stores.go
+++ b/internal/sim/stores.go
@@ -98,7 +98,7 @@
 		panic(err)
 	}
 	s.hosts[id], s.parts[id] = h, part
-	part.Use(&stamped{hosting(s.d.mutant, h), s.d.stamps})
+	part.Use(&stamped{Hosting: hosting(s.d.mutant, h), stamps: s.d.stamps})
 	return h
 }
 
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -26,6 +26,8 @@
 	machine     *place.Machine
 	clock       groupclock.Clock
 	markedAt    time.Duration // when the place's time was last proposed by itself
+	raising     int64         // the feature level that this owner has proposed
+	raisedAt    time.Duration
 	inHand      map[string]inHand
 	asking      map[string]time.Duration
 	lostAt      map[string]time.Duration
@@ -109,7 +111,7 @@
 // in hand: their adapters are asked before anything is run again.
 func (p *PlaceHost) Owned(isOwner bool) {
 	p.inHand, p.asking = map[string]inHand{}, map[string]time.Duration{}
-	p.telling, p.away = newTelling(), nil
+	p.telling, p.away, p.raising = newTelling(), nil, 0
 	p.lostAt, p.sending, p.missed = map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
 	if !isOwner {
 		p.tellOnlookers(func(string, onlooker) bool { return true })
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -110,6 +110,7 @@
 		return
 	}
 	p.markTime(now)
+	p.raiseLevel(now)
 	at := p.now()
 	for _, e := range p.machine.Late(at) { // each is told once, so its lane must be known now: the view was fresh above
 		lane, _ := laneOf(p.environment.Compiled().Rules, e.Lane, true)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,6 +16,7 @@
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/group"
 	"caperwheel/internal/host"
+	"caperwheel/internal/place"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/settings"
@@ -142,7 +143,7 @@
 	var err error
 	if groupId >= wire.PlaceGroup {
 		p := NewPlaceHost(&environment{s}, groupId-wire.PlaceGroup)
-		opts.Machine = p
+		opts.Machine, opts.Level = p, place.NewestLevel
 		h, err = host.New(opts)
 		p.host = h
 		s.places[groupId-wire.PlaceGroup] = p
--- a/internal/wire/data.go
+++ b/internal/wire/data.go
@@ -224,6 +224,7 @@
 	Entries []Entry  `avro:"entries"`
 	State   []byte   `avro:"state"`
 	Roster  []string `avro:"roster"`
+	Level   int64    `avro:"level" since:"6"` // of an answer: the newest feature level that the sender can apply
 }
 
 // Ballot asks a blank store to help found a deployment with this roster.
--- a/internal/wire/schema.go
+++ b/internal/wire/schema.go
@@ -94,6 +94,9 @@
 // NewInner builds a codec, with all fields, for records that never leave the process.
 func NewInner(sample any) *Plain { return newPlain(sample, Version) }
 
+// NewOf builds a codec for records as a build of a wire version has them.
+func NewOf(sample any, version int64) *Plain { return newPlain(sample, version) }
+
 func newPlain(sample any, version int64) *Plain {
 	api := avro.Config{MaxByteSliceSize: 1 << 30, MaxSliceAllocSize: 1 << 22}.Freeze()
 	schema := sync.OnceValue(func() avro.Schema {
