Mend: the duty of a lost adapter moves on at once where the planner saw it go

Cause: a planner that found a holder gone took that for a guess whenever the duty had changed hands since it last planned it, and left it for two bounds; with the session's end and the fence an endpoint was served by nobody for 11.4 s after each loss of its holder, and messages lay with room for them. Change: a planner knows for sure that a holder is gone which it saw here since it moved the duty itself; of two that see different adapters only one can have. An adapter not heard of for half a session gets no duty that another can have.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -31,7 +31,7 @@
 type sweepCommand struct {
 	From  uint64        `arg:"--from" default:"1" help:"first seed"`
 	Seeds uint64        `arg:"--seeds" default:"1000" help:"how many seeds of each kind"`
-	Kind  string        `arg:"--kind" help:"group, moves, place or control; all if not given"`
+	Kind  string        `arg:"--kind" help:"group, moves, place, control or delivery; all if not given"`
 	Only  []string      `arg:"--only" help:"faults to mix, by name; all of the kind if not given"`
 	Span  time.Duration `arg:"--span" help:"simulated time for which a whole deployment is troubled (control); 60s if not given"`
 }
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -45,12 +45,39 @@
 }
 
 // Steady keeps two planners that see different daemons from pulling a duty to
-// and fro: one that has just changed hands is not moved on a guess.
+// and fro: one that has just changed hands is not moved on a guess. That a holder is gone is
+// no guess for a planner that has seen it here since it moved the duty itself: one planner alone can
+// have seen that of each holder.
 //
-// Invariant: seen has the newest term of each duty and when it was first seen.
+// Invariants: seen has the newest term of each duty and when it was first planned; here has when
+// each life of a daemon was last a member, and moved when each duty was last moved, as this
+// planner saw it.
 type Steady struct {
 	Least time.Duration // a duty stays so long before a guess may move it
 	seen  map[string]seenTerm
+	here  map[string]time.Duration // by boot
+	moved map[string]time.Duration // by duty
+}
+
+// Note takes in which daemons are members now. It is called before each plan.
+func (s *Steady) Note(members []wire.Who, now time.Duration) {
+	if s.here == nil {
+		s.here = map[string]time.Duration{}
+	}
+	for _, who := range members {
+		s.here[who.Boot] = now
+	}
+	maps.DeleteFunc(s.here, func(_ string, at time.Duration) bool { return now-at > hereKept*s.Least })
+}
+
+// hereKept is for how many times Least a daemon that has gone is remembered.
+const hereKept = 10
+
+// isSeenGone reports whether this planner itself has seen a duty's holder come or stay, and go,
+// since it last moved the duty.
+func (s *Steady) isSeenGone(key, boot string) bool {
+	at, isKnown := s.here[boot]
+	return isKnown && at >= s.moved[key]
 }
 
 type seenTerm struct {
@@ -61,7 +88,7 @@
 // Filter drops the guesses that come too early.
 func (s *Steady) Filter(plan []Change, now time.Duration) []Change {
 	if s.seen == nil {
-		s.seen = map[string]seenTerm{}
+		s.seen, s.moved = map[string]seenTerm{}, map[string]time.Duration{}
 	}
 	out := []Change{}
 	for _, c := range plan {
@@ -75,23 +102,36 @@
 				s.seen[key] = was
 			}
 		}
-		if !c.IsGuess || now-was.at >= s.Least {
+		if !c.IsGuess || now-was.at >= s.Least || s.isSeenGone(key, c.Next.Before) {
 			out = append(out, c)
+			s.moved[key] = now
 		}
 	}
 	return out
 }
 
+// Adapters are those that may hold duties, as a planner sees them.
+type Adapters struct {
+	Here    []wire.Who      // members
+	Leaving map[string]bool // by name: asked to stop
+	Silent  map[string]bool // by name: not heard of for a while, so perhaps gone; none gets a duty that another can have
+}
+
 // Plan tells which duties of a pool must change hands. A duty stays where it
 // is while its holder lives, stays and may serve; a lost one goes to the adapter of
 // the worker's zone, if there is one, that has the fewest duties.
-func Plan(pool string, compiled *config.Compiled, adapters []wire.Who, leaving map[string]bool, revision func(key string) (int64, bool)) []Change {
-	usable, load := map[string]wire.Who{}, map[string]int(nil)
-	for _, a := range adapters {
+func Plan(pool string, compiled *config.Compiled, adapters Adapters, revision func(key string) (int64, bool)) []Change {
+	usable, load, leaving := map[string]wire.Who{}, map[string]int(nil), adapters.Leaving
+	for _, a := range adapters.Here {
 		if !compiled.Emptied[a.Zone] && !leaving[a.Name] {
 			usable[a.Name] = a
 		}
 	}
+	heard := maps.Clone(usable)
+	maps.DeleteFunc(heard, func(name string, _ wire.Who) bool { return adapters.Silent[name] })
+	if len(heard) == 0 {
+		heard = usable
+	}
 	out := []Change{}
 	for _, name := range slices.Sorted(maps.Keys(compiled.Workers[pool])) {
 		worker := compiled.Workers[pool][name]
@@ -104,7 +144,7 @@
 		if load == nil { // most rounds find nothing to move, and need no count of all duties
 			load = loadOf(compiled)
 		}
-		next := choose(pool+"/"+name, worker.Zone, usable, load)
+		next := choose(pool+"/"+name, worker.Zone, heard, load)
 		isReborn := isAssigned && isHere && holder.Boot != held.Boot
 		if isReborn && (worker.Zone == "" || holder.Zone == worker.Zone || !hasZone(usable, worker.Zone)) {
 			next = holder // its life before has ended: no other can act, so no fence
@@ -122,7 +162,7 @@
 		isKept := isReborn && next == holder
 		out = append(out, Change{Pool: pool, Worker: name, IfRevision: ifRevision, IsReborn: isKept,
 			Next:    config.Duty{Holder: next.Name, Boot: next.Boot, Before: before, IsFree: isKept || leaving[held.Holder]},
-			IsGuess: isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(compiled, adapters, held.Holder)})
+			IsGuess: isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(compiled, adapters.Here, held.Holder)})
 	}
 	for _, name := range slices.Sorted(maps.Keys(compiled.Duties[pool])) {
 		if _, isListed := compiled.Workers[pool][name]; !isListed {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -53,7 +53,7 @@
 	Convey("In the plan of duties", t, func() {
 		for _, c := range cases {
 			Convey(c.name, func() {
-				plan := Plan("p", c.compiled, adapters, map[string]bool{"l1": true}, c.revision)
+				plan := Plan("p", c.compiled, Adapters{Here: adapters, Leaving: map[string]bool{"l1": true}}, c.revision)
 				if c.holder == "" {
 					So(plan, ShouldBeEmpty)
 					return
@@ -74,7 +74,7 @@
 				workers[string(rune('A'+i))] = config.Worker{Zone: "a"}
 			}
 			count := map[string]int{}
-			for _, change := range Plan("p", compiled(workers, nil), adapters[:3], nil, never) {
+			for _, change := range Plan("p", compiled(workers, nil), Adapters{Here: adapters[:3]}, never) {
 				count[change.Next.Holder]++
 			}
 			So(count, ShouldResemble, map[string]int{"a1": 15, "a2": 15})
@@ -113,7 +113,7 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				leaving := map[string]bool{"a2": c.isLeaving}
-				plan := Plan("p", compiled(workers, map[string]config.Held{"w": held(c.holder, c.boot)}), adapters, leaving, known)
+				plan := Plan("p", compiled(workers, map[string]config.Held{"w": held(c.holder, c.boot)}), Adapters{Here: adapters, Leaving: leaving}, known)
 				So(len(plan), ShouldEqual, 1)
 				So(plan[0].Next.Holder, ShouldStartWith, c.next)
 				So([]bool{plan[0].IsReborn, plan[0].Next.IsFree}, ShouldResemble, []bool{c.isReborn, c.isFree})
@@ -138,6 +138,27 @@
 		{"a guess once it has been steady again", true, 2, 27 * time.Second, true},
 		{"what is known for sure, at any time", false, 3, 27 * time.Second, true},
 	}
+	Convey("That a holder is gone is known for sure by a planner that saw it here since it moved the duty itself", t, func() {
+		const second = time.Second
+		guess := func(s *Steady, term int64, boot string, at time.Duration) bool {
+			return len(s.Filter([]Change{{Pool: "p", Worker: "w", IfRevision: term, IsGuess: true, Next: config.Duty{Before: boot}}}, at)) == 1
+		}
+		a, b := wire.Who{Name: "a", Boot: "a.1"}, wire.Who{Name: "b", Boot: "b.1"}
+		s := &Steady{Least: 6 * second}
+		s.Note([]wire.Who{a, b}, 10*second)
+		So(guess(s, 1, a.Boot, 13*second), ShouldBeTrue) // to b, which it holds for a member
+		s.Note([]wire.Who{b}, 13*second)
+		Convey("so the next holder's duty moves at once", func() { So(guess(s, 2, b.Boot, 15*second), ShouldBeTrue) })
+		Convey("but not that of one which another planner chose, and which was here only before", func() {
+			So(guess(s, 2, a.Boot, 15*second), ShouldBeFalse)
+			So(guess(s, 2, a.Boot, 21*second), ShouldBeTrue)
+		})
+		Convey("nor that of a life which it never saw", func() { So(guess(s, 2, "b.2", 15*second), ShouldBeFalse) })
+		Convey("and lives are forgotten", func() {
+			s.Note(nil, 100*second)
+			So(s.here, ShouldBeEmpty)
+		})
+	})
 	Convey("A plan keeps", t, func() {
 		s := Steady{Least: 6 * time.Second}
 		for _, c := range cases {
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -77,18 +77,22 @@
 // turn plans and assigns. isNew has it give duties to new lives of those that hold them alone.
 func (p *dutyPlanner) turn(ctx context.Context, isNew bool) {
 	m := p.m
-	adapters, leaving := m.d.Membership.Kind("adapter"), map[string]bool{}
+	adapters := duty.Adapters{Here: m.d.Membership.Kind("adapter"), Leaving: map[string]bool{}, Silent: map[string]bool{}}
 	_, members := m.registry.Members(m.d.Now())
 	for _, member := range members {
 		if member.Fact.Counts[deliver.Leaving] > 0 {
-			leaving[member.Who.Name] = true
+			adapters.Leaving[member.Who.Name] = true
+		}
+		if time.Duration(member.Age)*time.Millisecond > m.d.Bounds.Of(timing.SessionTimeout)/2 {
+			adapters.Silent[member.Who.Name] = true
 		}
 	}
-	input := planInput{m.configs.Current(), m.d.Membership.Hash(), strings.Join(sorted(leaving), " ")}
+	p.steady.Note(adapters.Here, m.d.Now())
+	input := planInput{m.configs.Current(), m.d.Membership.Hash(), strings.Join(sorted(adapters.Leaving), " ")}
 	if input == p.idle {
 		return
 	}
-	wanted := p.plan(input.compiled, adapters, leaving)
+	wanted := p.plan(input.compiled, adapters)
 	p.idle = planInput{}
 	if len(wanted) == 0 {
 		p.idle = input
@@ -105,7 +109,7 @@
 }
 
 // plan returns the duties that are to be written anew, guesses among them.
-func (p *dutyPlanner) plan(compiled *config.Compiled, adapters []wire.Who, leaving map[string]bool) []duty.Change {
+func (p *dutyPlanner) plan(compiled *config.Compiled, adapters duty.Adapters) []duty.Change {
 	m, pools, out := p.m, map[string]bool{}, []duty.Change{}
 	for name := range compiled.Rules.Pools {
 		pools[name] = true
@@ -122,7 +126,7 @@
 			}
 			return c.Revision, true
 		}
-		out = append(out, duty.Plan(name, compiled, adapters, leaving, revision)...)
+		out = append(out, duty.Plan(name, compiled, adapters, revision)...)
 	}
 	return out
 }
--- a/internal/scale/size_test.go
+++ b/internal/scale/size_test.go
@@ -147,7 +147,7 @@
 			adapters := []wire.Who{{Name: "adapter-0001", Kind: "adapter", Boot: "0123456789abcdef", Zone: "hollow-a"}}
 			for b.Loop() {
 				for pool := range compiled.Rules.Pools {
-					if len(duty.Plan(pool, compiled, adapters, nil, func(string) (int64, bool) { return 1, true })) > 0 {
+					if len(duty.Plan(pool, compiled, duty.Adapters{Here: adapters}, func(string) (int64, bool) { return 1, true })) > 0 {
 						b.Fatal("nothing was to move")
 					}
 				}
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -155,6 +155,7 @@
 			managers = append(managers, m.Who.Name)
 		}
 	}
+	n.steady.Note(adapters, n.c.now)
 	if duty.First("pool/p", managers) != n.name || n.c.now-n.since < timing.Default.Of(timing.SessionTimeout) {
 		return
 	}
@@ -162,7 +163,7 @@
 		c, isStanding := n.view.Get(feed.ConfigPart, key)
 		return map[bool]int64{true: c.Revision}[isStanding], c.Revision > 0
 	}
-	for _, change := range n.steady.Filter(duty.Plan("p", compiled, adapters, nil, revision), n.c.now) {
+	for _, change := range n.steady.Filter(duty.Plan("p", compiled, duty.Adapters{Here: adapters}, revision), n.c.now) {
 		e := wire.Edit{Key: config.DutyKey + change.Pool + "/" + change.Worker, Value: change.Next.Encode(), IfRevision: change.IfRevision}
 		n.c.Note("%s gives the endpoint to %s", n.name, change.Next.Boot)
 		n.edit(e, func(int64) {})
--- a/internal/sim/deliverycontrol.go
+++ b/internal/sim/deliverycontrol.go
@@ -90,13 +90,13 @@
 func (c *deliveryControl) plan() {
 	c.follow()
 	c.membership.Take(c.registry.Members(c.d.now))
-	leaving := map[string]bool{}
+	adapters := duty.Adapters{Here: c.membership.Kind("adapter"), Leaving: map[string]bool{}, Silent: map[string]bool{}}
 	_, members := c.registry.Members(c.d.now)
 	for _, m := range members {
-		if m.Fact.Counts[deliver.Leaving] > 0 {
-			leaving[m.Who.Name] = true
-		}
+		adapters.Leaving[m.Who.Name] = m.Fact.Counts[deliver.Leaving] > 0
+		adapters.Silent[m.Who.Name] = time.Duration(m.Age)*time.Millisecond > c.d.bound(timing.SessionTimeout)/2
 	}
+	c.steady.Note(adapters.Here, c.d.now)
 	compiled := c.configs.Current()
 	revision := func(key string) (int64, bool) {
 		standing, isStanding := c.parts[1].Get(key)
@@ -106,7 +106,7 @@
 		return standing.Revision, true
 	}
 	for _, pool := range namesIn(compiled.Rules.Pools) {
-		changes := duty.Plan(pool, compiled, c.membership.Kind("adapter"), leaving, revision)
+		changes := duty.Plan(pool, compiled, adapters, revision)
 		for _, change := range c.steady.Filter(changes, c.d.now) {
 			e := wire.Edit{Key: config.DutyKey + pool + "/" + change.Worker, IfRevision: change.IfRevision, Gone: change.IsGone}
 			if !change.IsGone {
