Test: a thousand worlds of deliveries, and eleven mutants of the product that they find

Each mutant is a source with one guard taken out, built in its place: what takes up again runs of an adapter that is gone, runs nobody asks after, permits, slots, lines and asks, books, delays, keys, words, duties, and what is ready. All are found in forty seeds.

--- /dev/null
+++ b/internal/sim/deliveryseeds_test.go
@@ -0,0 +1,142 @@
+package sim
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Seeds of the deliveries in continuous integration: all of them on the code as it is, and as many
+// as a mutant may need to be found. Programs are built without the race detector, which would take
+// ten times as long.
+const (
+	deliverySeeds = "1000"
+	mutantSeeds   = "40"
+)
+
+// sweepWith builds the sweep, with one text of a source in place of another, and runs it.
+func sweepWith(t *testing.T, dir, name string, m sourceMutant, seeds string) (out string, err error) {
+	root, bin := "../..", filepath.Join(dir, name)
+	args := []string{"build", "-o", bin}
+	if m.file != "" {
+		overlay, err := m.overlay(root, dir, name)
+		if err != nil {
+			return "", err
+		}
+		args = append(args, "-overlay", overlay)
+	}
+	build := exec.Command("go", append(args, "./cmd/fleet")...)
+	build.Dir = root
+	if raw, err := build.CombinedOutput(); err != nil {
+		t.Errorf("%s: %s", name, raw)
+		return "", err
+	}
+	run := []string{"sweep", "--kind", "delivery", "--seeds", seeds}
+	if m.from != "" {
+		run = append(run, "--from", m.from)
+	}
+	raw, err := exec.Command(bin, run...).CombinedOutput()
+	return string(raw), err
+}
+
+// sourceMutant is the product with a guard taken out; from is the first
+// seed that it is tried on, if not 1.
+type sourceMutant struct{ file, was, is, from string }
+
+// overlay writes the mutant beside the sources, and what puts it in their place.
+func (m sourceMutant) overlay(root, dir, name string) (string, error) {
+	file, err := filepath.Abs(filepath.Join(root, m.file))
+	if err != nil {
+		return "", err
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return "", err
+	}
+	mutated, overlay := filepath.Join(dir, name+".go"), filepath.Join(dir, name+".json")
+	if strings.Count(string(raw), m.was) != 1 {
+		return "", os.ErrNotExist // the source has changed: the mutant is to be written anew
+	}
+	if err := os.WriteFile(mutated, []byte(strings.Replace(string(raw), m.was, m.is, 1)), 0o644); err != nil {
+		return "", err
+	}
+	text, err := json.Marshal(map[string]any{"Replace": map[string]string{file: mutated}})
+	if err != nil {
+		return "", err
+	}
+	return overlay, os.WriteFile(overlay, text, 0o644)
+}
+
+// deliveryMutants take out one guard for each kind of thing that may be forgotten.
+var deliveryMutants = map[string]struct {
+	sourceMutant
+	says string // what is found
+}{
+	"runs of an adapter that is gone": {sourceMutant{"internal/store/open.go",
+		"return isAway && now-since >= p.environment.Bounds().Of(timing.AdapterGone)", "return false && isAway && since > 0", ""}, "is started"},
+	"runs nobody asks after": {sourceMutant{"internal/store/runs.go", "	p.askOpen(now)\n", "", ""}, "is started"},
+	"permits that lapse": {sourceMutant{"internal/deliver/slots.go",
+		"if p := s.permits[id]; now > p.until {", "if p := s.permits[id]; false && now > p.until {", ""}, "Permits"},
+	"slots given back unused": {sourceMutant{"internal/deliver/permit.go", "	p.held.worker.Release()\n", "", ""}, "Slots"},
+	"asks and lines of a duty that moves, and their lapse": {sourceMutant{"internal/deliver/slots.go",
+		"		h.advance(now)\n		s.answerAsks(key, h, now)\n", "		_ = h\n", ""}, "left lying"},
+	"runs in an adapter's book": {sourceMutant{"internal/deliver/runs.go",
+		"	a.book.Forget(&r.Run)\n}\n\n// leaveInOtherZone", "}\n\n// leaveInOtherZone", ""}, "Runs"},
+	"messages whose delay is over": {sourceMutant{"internal/place/queue.go",
+		"		q.leaveSet(e, q.pauses)\n		q.makeReady(e)", "		q.leaveSet(e, q.pauses)", ""}, "is held"},
+	"the next message of a key": {sourceMutant{"internal/place/machine.go",
+		"	m.keys[key] = list\n	m.queue.note(m, m.messages[list[0]])", "	m.keys[key] = list", ""}, "is held"},
+	"words behind others to an address": {sourceMutant{"internal/deliver/tell.go", "			defer a.tellers.leave(address)\n", "", ""}, "Words"},
+	"the duty of an adapter that is gone": {sourceMutant{"internal/duty/duty.go",
+		"|| s.isSeenGone(key, c.Next.Before) {", "|| s == nil {", "54"}, "is held"},
+	"places that are ready": {sourceMutant{"internal/store/place.go",
+		"		p.ready.Store(&counts)\n", "		if len(counts) > 0 || len(old) == 0 {\n			p.ready.Store(&old)\n		}\n", ""}, "is held"},
+}
+
+// TestDeliveryMutants: each guard that is taken out is found.
+func TestDeliveryMutants(t *testing.T) {
+	type result struct {
+		out string
+		err error
+	}
+	dir, results, mu, most := t.TempDir(), map[string]result{}, sync.Mutex{}, make(chan bool, 2)
+	var group sync.WaitGroup
+	for name, m := range deliveryMutants {
+		group.Go(func() {
+			most <- true
+			defer func() { <-most }()
+			out, err := sweepWith(t, dir, strings.ReplaceAll(name, " ", "-"), m.sourceMutant, mutantSeeds)
+			mu.Lock()
+			defer mu.Unlock()
+			results[name] = result{out, err}
+		})
+	}
+	group.Wait()
+	Convey("Without what takes up again", t, func() {
+		for name, m := range deliveryMutants {
+			Convey(name+", something is found lying", func() {
+				SoMsg(name, results[name].err, ShouldNotBeNil)
+				So(results[name].out, ShouldContainSubstring, "left lying")
+				So(results[name].out, ShouldContainSubstring, m.says)
+			})
+		}
+	})
+}
+
+// TestDeliverySweep plays many drawn worlds.
+func TestDeliverySweep(t *testing.T) {
+	out, err := sweepWith(t, t.TempDir(), "sweep", sourceMutant{}, deliverySeeds)
+	Convey("Nothing is left lying, and no rule is broken, in "+deliverySeeds+" worlds", t, func() {
+		if err != nil {
+			t.Log(out)
+		}
+		So(err, ShouldBeNil)
+		So(out, ShouldContainSubstring, "delivery: "+deliverySeeds+" seeds done, 0 broken so far")
+	})
+}
--- a/internal/sim/deliverysend.go
+++ b/internal/sim/deliverysend.go
@@ -36,12 +36,12 @@
 			return nil, web.NewUnsent(err)
 		}
 	}
-	most := time.Duration(0)
+	until := time.Duration(0)
 	if req.URL.Path != "/" && req.Header.Get("X-Lane") == "" { // it came as it is: such requests carry their time
-		most = d.control.doc.bound
+		until = d.now + a.configs.Current().Rules.Pools[w.pool].Bound
 	}
 	attempt, _ := strconv.ParseInt(req.Header.Get("X-Attempt"), 10, 64)
-	return a.await(c, w, &deliveryRun{by: a, life: a.life, id: req.Header.Get("X-Message-Id"), attempt: attempt, most: most}, body)
+	return a.await(c, w, &deliveryRun{by: a, life: a.life, id: req.Header.Get("X-Message-Id"), attempt: attempt, until: until}, body)
 }
 
 // await puts a request to a worker and waits for its answer, until the context ends.
@@ -62,7 +62,9 @@
 		w.take(r, body)
 		a.d.After(max(0, c.until-a.d.now), resume)
 	})
-	r.told = nil
+	if r.told = nil; reply == nil {
+		r.hangUp()
+	}
 	if reply != nil && r.run != nil && r.run.Status == http.StatusOK {
 		r.run.IsWhole = true // only now has it been read
 	}
--- a/internal/sim/deliveryworker.go
+++ b/internal/sim/deliveryworker.go
@@ -51,7 +51,7 @@
 	id       string
 	attempt  int64
 	run      *check.Run
-	most     time.Duration // the worker stops then; 0: it does not know
+	until    time.Duration // the worker stops then; 0: it does not know
 	isOver   bool
 	isBroken bool
 	told     func(status int, header http.Header, body []byte)
@@ -134,7 +134,7 @@
 	for len(w.running) < workerSlots && len(w.waiting) > 0 {
 		r := w.waiting[0]
 		w.waiting = w.waiting[1:]
-		if r.isBroken {
+		if r.isBroken || r.until > 0 && w.d.now >= r.until {
 			continue
 		}
 		w.running = append(w.running, r)
@@ -144,8 +144,8 @@
 		if w.isSlow {
 			took = time.Duration(w.d.Rand.IntN(2500)) * time.Millisecond
 		}
-		if r.most > 0 && took > r.most {
-			took = r.most
+		if r.until > 0 && w.d.now+took >= r.until {
+			took = r.until - w.d.now
 			w.d.After(took, r.stop)
 		}
 		w.d.Note("run %s/%d at %s of %s, takes %v", r.id, r.attempt, w.name, r.by.name, took)
@@ -185,7 +185,7 @@
 
 // over notes that the worker has left the run.
 func (r *deliveryRun) over() {
-	if r.isOver {
+	if r.isOver || r.run == nil || r.run.Start == 0 {
 		return
 	}
 	r.isOver, r.run.End = true, r.w.d.now
@@ -213,18 +213,25 @@
 // lose breaks the connection under whoever asked.
 func (r *deliveryRun) lose() { r.tell(0, nil, nil) }
 
-// brokenBy: the connections of a life of an adapter have broken. Runs go on for a while.
+// brokenBy: the connections of a life of an adapter have broken.
 func (w *deliveryWorker) brokenBy(a *deliveryAdapter, life int) {
 	for _, list := range [][]*deliveryRun{w.running, w.waiting} {
 		for _, r := range list {
-			if r.by == a && r.life == life && !r.isBroken {
-				r.isBroken = true
-				w.d.After(2*w.d.control.doc.bound, r.over)
+			if r.by == a && r.life == life {
+				r.hangUp()
 			}
 		}
 	}
 }
 
+// hangUp: the connection is gone. What waits is dropped, and what runs goes on for a while.
+func (r *deliveryRun) hangUp() {
+	if !r.isBroken {
+		r.isBroken = true
+		r.w.d.After(2*r.w.d.control.doc.bound, r.over)
+	}
+}
+
 // crash ends the worker's life: what ran did not end.
 func (w *deliveryWorker) crash() {
 	w.isUp = false
