Soak: ends when it is asked to, asks in bounds, and fails where nothing ran or healed

A large soak asked after each of 36,360 messages at up to 144 fronts each and could not be broken off; one in which the messages of two routes never ran counted as clean.

--- a/cmd/fleet/soak.go
+++ b/cmd/fleet/soak.go
@@ -94,6 +94,10 @@
 	}
 	o, out := a.options(seed), &bytes.Buffer{}
 	o.Bin, o.Dir = a.Bin, dir
+	began := time.Now()
+	o.Tell = func(form string, args ...any) {
+		fmt.Fprintf(os.Stderr, "seed %d, %v: %s\n", seed, time.Since(began).Round(time.Second), fmt.Sprintf(form, args...))
+	}
 	figures, err := standin.Soak(ctx, o, out)
 	if err != nil {
 		return out.String(), false, errs.Wrap(err, errs.KindOf(err), "seed %d", seed)
--- a/internal/standin/held.go
+++ b/internal/standin/held.go
@@ -71,6 +71,7 @@
 		return false
 	}
 	defer raw.Close()
+	defer context.AfterFunc(c.site.ctx, func() { _ = raw.Close() })()
 	conn, answers := raw.(*net.TCPConn), bufio.NewReader(raw)
 	for c.wait(ctx, t.machine) {
 		if !c.exchange(conn, answers, t) {
--- /dev/null
+++ b/internal/standin/net.go
@@ -0,0 +1,34 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+
+	"caperwheel/internal/errs"
+)
+
+// takeNet takes a part of loopback that no other site has.
+func (s *Site) takeNet() error {
+	for range 200 {
+		s.net, s.port = 1+rand.IntN(250), 12000+20*rand.IntN(900)
+		guard, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.1:%d", s.net, guardPort))
+		if err == nil {
+			s.guard = guard
+			return nil
+		}
+	}
+	return errs.New(errs.Internal, "no part of loopback is free")
+}
+
+func (s *Site) serve(addr string, h http.Handler, most int) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "listen at %s", addr)
+	}
+	server := &http.Server{Handler: h}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(&fewConns{Listener: listener, most: int64(most)}) }()
+	return nil
+}
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -56,6 +55,7 @@
 	end      context.CancelFunc
 	ctx      context.Context
 	loops    sync.WaitGroup
+	asking   *http.Client // for the state of messages
 
 	isDrawn  bool // faults are drawn: one may hurt what another keeps idle
 	steps    sync.Mutex
@@ -87,6 +87,7 @@
 func New(plan SitePlan, bin, dir string) (*Site, error) {
 	s := &Site{plan: plan, Zones: plan.Zones, Dir: dir, Bin: bin, History: NewHistory(), Pools: map[string]*Pool{}, began: time.Now()}
 	s.ctx, s.end = context.WithCancel(context.Background())
+	s.asking = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: askers}}
 	if err := s.takeNet(); err != nil {
 		return nil, err
 	}
@@ -137,30 +138,6 @@
 	return s.grace()
 }
 
-// takeNet takes a part of loopback that no other site has.
-func (s *Site) takeNet() error {
-	for range 200 {
-		s.net, s.port = 1+rand.IntN(250), 12000+20*rand.IntN(900)
-		guard, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.1:%d", s.net, guardPort))
-		if err == nil {
-			s.guard = guard
-			return nil
-		}
-	}
-	return errs.New(errs.Internal, "no part of loopback is free")
-}
-
-func (s *Site) serve(addr string, h http.Handler, most int) error {
-	listener, err := net.Listen("tcp", addr)
-	if err != nil {
-		return errs.Wrap(err, errs.Internal, "listen at %s", addr)
-	}
-	server := &http.Server{Handler: h}
-	s.servers = append(s.servers, server)
-	go func() { _ = server.Serve(&fewConns{Listener: listener, most: int64(most)}) }()
-	return nil
-}
-
 // every does something again and again until the site goes down.
 func (s *Site) every(period time.Duration, do func()) {
 	s.loops.Add(1)
@@ -198,14 +175,13 @@
 func (s *Site) Down() {
 	s.end()
 	s.loops.Wait()
-	var wg sync.WaitGroup
+	s.killAll() // whoever waits for the end of one lets its machine go
 	for _, m := range s.Machines {
-		for _, p := range m.Processes {
-			wg.Add(1)
-			go func() { defer wg.Done(); p.Kill() }()
-		}
+		m.mu.Lock()
+		m.isGone = true // a fault that ends late starts it no more
+		m.mu.Unlock()
 	}
-	wg.Wait()
+	s.killAll()
 	for _, p := range s.Pools {
 		for _, w := range p.all() {
 			w.end()
@@ -219,6 +195,16 @@
 	}
 }
 
+func (s *Site) killAll() {
+	var wg sync.WaitGroup
+	for _, m := range s.Machines {
+		for _, p := range m.Processes {
+			wg.Go(p.Kill)
+		}
+	}
+	wg.Wait()
+}
+
 // Crashes reports what panics have left in the logs.
 func (s *Site) Crashes() []string { return fleet.CrashesIn(filepath.Join(s.Dir, "log")) }
 
--- a/internal/standin/soak.go
+++ b/internal/standin/soak.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"caperwheel/internal/errs"
@@ -36,7 +37,8 @@
 	Seed      uint64
 	For       time.Duration // how long callers call
 	Processes int
-	Bin, Dir  string // built programs; a folder for data and logs
+	Bin, Dir  string                         // built programs; a folder for data and logs
+	Tell      func(form string, args ...any) // how far it is, if given
 }
 
 // Check returns a typed error that names what is wrong.
@@ -84,21 +86,42 @@
 		return Figures{}, err
 	}
 	s.isDrawn = true
-	upCtx, cancel := context.WithTimeout(ctx, upBound)
-	defer cancel()
-	if err := s.Up(upCtx); err != nil {
-		return Figures{}, err
+	if o.Tell == nil {
+		o.Tell = func(string, ...any) {}
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.upAndSoak(ctx, o, plan) }()
+	select {
+	case err = <-ended:
+	case <-ctx.Done(): // whatever it is doing; what it has started goes with the site
+		err = ctx.Err()
 	}
-	s.soak(ctx, o, plan)
 	if ctx.Err() != nil {
 		return Figures{}, errs.Wrap(ctx.Err(), errs.DeadlineExceeded, "soak")
 	}
+	if err != nil {
+		return Figures{}, err
+	}
+	o.Tell("judging")
+	s.needRuns()
+	s.needHealed()
 	figures := s.Report(false)
 	figures.Breaches = append(figures.Breaches, JudgeWaits(s.History)...)
 	s.tellBreaches(out, o, figures)
 	return figures, nil
 }
 
+// upAndSoak starts the deployment and soaks it.
+func (s *Site) upAndSoak(ctx context.Context, o SoakOptions, plan SitePlan) error {
+	upCtx, cancel := context.WithTimeout(ctx, upBound)
+	defer cancel()
+	if err := s.Up(upCtx); err != nil {
+		return err
+	}
+	s.soak(ctx, o, plan)
+	return nil
+}
+
 // soak calls and causes faults, heals all, and asks what became of everything.
 func (s *Site) soak(ctx context.Context, o SoakOptions, plan SitePlan) {
 	fronts := plan.Fronts * len(s.Zones)
@@ -108,13 +131,17 @@
 	go func() { s.Cause(loadCtx, Series(o.Seed, o.For, fronts, len(s.Zones))); close(caused) }()
 	go s.Probe(loadCtx)
 	s.HoldCalls(loadCtx, o.Seed, max(3*callersOfFront, min(mostCallers, callersOfFront*fronts)))
+	o.Tell("called for %v; faults end", o.For)
 	<-caused
+	var restarts sync.WaitGroup
 	for _, m := range s.Machines {
-		m.restart()
+		restarts.Go(m.restart)
 	}
+	restarts.Wait()
+	o.Tell("all is well again")
 	settleCtx, cancel := context.WithTimeout(ctx, soakSettle+plan.Loads[0].MostDelay)
 	defer cancel()
-	s.Settle(settleCtx)
+	s.SettleOpen(settleCtx, o.Tell)
 	readCtx, cancel := context.WithTimeout(ctx, configBound)
 	defer cancel()
 	s.operator.readBack(readCtx)
