Sight: the story of a message, over all daemons; the soak prints it for what lies

Where a message stands at its place's owner, since when and what it waits for; how the store's dispatcher stands to its pools; the stage of each run that adapters have in hand. Metric deliver_oldest_seconds.

--- a/internal/cli/calls.go
+++ b/internal/cli/calls.go
@@ -142,6 +142,9 @@
 }
 
 func (t *tool) message(c *messageCommand) error {
+	if c.Story {
+		return t.story(c.Id)
+	}
 	if c.Adapter == "" {
 		resp, err := t.get("/v1/daemons?ready=true&kind=adapter")
 		if err != nil {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -84,6 +84,7 @@
 	Adapter string `arg:"--adapter,env:CAPERWHEEL_ADAPTER" help:"HTTP address of an adapter; one is looked up if not given"`
 	Id      string `arg:"positional,required"`
 	Body    bool   `arg:"--body" help:"print the message's bytes"`
+	Story   bool   `arg:"--story" help:"print where it stands on every daemon, and what it waits for"`
 }
 
 type arguments struct {
--- a/internal/deliver/book.go
+++ b/internal/deliver/book.go
@@ -1,6 +1,8 @@
 package deliver
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +18,35 @@
 
 // Book is what an adapter has promised the owners of places. It does no I/O.
 //
+// Stage is how far a run in hand has come.
+type Stage string
+
+// The stages of a run.
+const (
+	StageLine  Stage = "line"  // it waits for its worker to end others
+	StagePace  Stage = "pace"  // it waits for its turn under the pool's rate
+	StageWork  Stage = "work"  // it is put to its worker
+	StageOwner Stage = "owner" // its result is on its way to its place's owner
+)
+
+// standing is a run in hand: how far it has come, and since when.
+type standing struct {
+	run   *wire.Run
+	stage Stage
+	since time.Duration
+}
+
+// RunStory is a run of a message that an adapter has in hand.
+type RunStory struct {
+	Attempt int64  `json:"attempt"`
+	Place   int64  `json:"place"`
+	Term    int64  `json:"term"` // of the owner that sent it
+	Pool    string `json:"pool"`
+	Worker  string `json:"worker"`
+	Stage   Stage  `json:"stage"`
+	SinceMs int64  `json:"since_ms"`
+}
+
 // Invariants: a run is open from its admission until its result is durable;
 // terms has the newest term heard of each place, and nothing older is obeyed;
 // never keeps each run that was told never to start, for as long as a stray
@@ -24,26 +55,27 @@
 	most int
 
 	mu    sync.Mutex
-	runs  map[runKey]bool
+	runs  map[runKey]standing
 	never map[runKey]time.Duration
 	terms map[int64]int64
 }
 
 // NewBook gives an empty book for at most so many open runs.
 func NewBook(most int) *Book {
-	return &Book{most: most, runs: map[runKey]bool{}, never: map[runKey]time.Duration{}, terms: map[int64]int64{}}
+	return &Book{most: most, runs: map[runKey]standing{}, never: map[runKey]time.Duration{}, terms: map[int64]int64{}}
 }
 
 // Admit refuses what an older term sends, and what a newer owner was told
 // would never run.
-func (b *Book) Admit(r *wire.Run) error {
+func (b *Book) Admit(r *wire.Run, now time.Duration) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key := runKey{r.Id, r.Attempt}
+	_, isOpen := b.runs[key]
 	switch {
 	case r.Term < b.terms[r.Place]:
 		return errs.New(errs.Stale, "term %d of place %d is over", r.Term, r.Place)
-	case b.runs[key]:
+	case isOpen:
 		return errs.New(errs.Conflict, "the run is in hand already")
 	case b.never[key] != 0:
 		return errs.New(errs.Rejected, "the run was given up")
@@ -51,10 +83,45 @@
 		return errs.New(errs.Full, "%d runs are in hand", len(b.runs))
 	}
 	b.terms[r.Place] = r.Term
-	b.runs[key] = true
+	b.runs[key] = standing{r, StageLine, now}
 	return nil
 }
 
+// Enter notes that a run has come to a stage.
+func (b *Book) Enter(r *wire.Run, stage Stage, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := runKey{r.Id, r.Attempt}
+	if was, isOpen := b.runs[key]; isOpen {
+		b.runs[key] = standing{was.run, stage, now}
+	}
+}
+
+// Story lists the runs of a message that are in hand.
+func (b *Book) Story(id string, now time.Duration) []RunStory {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := []RunStory{}
+	for key, s := range b.runs {
+		if key.id == id {
+			out = append(out, RunStory{key.attempt, s.run.Place, s.run.Term, s.run.Pool, s.run.Worker, s.stage, (now - s.since).Milliseconds()})
+		}
+	}
+	slices.SortFunc(out, func(a, b RunStory) int { return cmp.Compare(a.Attempt, b.Attempt) })
+	return out
+}
+
+// Oldest tells for how long the run has been in each stage that has been there longest.
+func (b *Book) Oldest(now time.Duration) map[Stage]time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[Stage]time.Duration{}
+	for _, s := range b.runs {
+		out[s.stage] = max(out[s.stage], now-s.since)
+	}
+	return out
+}
+
 // Forget closes a run: its result is durable, or it will never start.
 func (b *Book) Forget(r *wire.Run) {
 	b.mu.Lock()
@@ -72,7 +139,7 @@
 	}
 	b.terms[m.Place] = m.Term
 	key := runKey{m.Id, m.Attempt}
-	if b.runs[key] {
+	if _, isOpen := b.runs[key]; isOpen {
 		return &wire.OpenAck{State: "open"}
 	}
 	b.never[key] = now + 1 // never 0, which would mean unknown
--- a/internal/deliver/holdings.go
+++ b/internal/deliver/holdings.go
@@ -1,5 +1,22 @@
 package deliver
 
+import (
+	"net/http"
+
+	"caperwheel/internal/errs"
+	"caperwheel/internal/web"
+)
+
+// ServeStory serves the runs of a message that this adapter has in hand.
+func (a *Adapter) ServeStory(w http.ResponseWriter, r *http.Request) {
+	runs := a.book.Story(r.PathValue("id"), a.d.Now())
+	if len(runs) == 0 {
+		web.Fail(w, errs.New(errs.Unknown, "no run of %s is in hand", r.PathValue("id")))
+		return
+	}
+	web.Answer(w, http.StatusOK, map[string]any{"adapter": a.d.Who.Name, "boot": a.d.Who.Boot, "runs": runs})
+}
+
 // Holdings count what an adapter holds for others: each of it is given back, told or ended in time.
 type Holdings struct {
 	Runs    int // admitted, whose result is not durable yet
--- a/internal/deliver/metrics.go
+++ b/internal/deliver/metrics.go
@@ -5,6 +5,9 @@
 // measure reports what the adapter holds and how its workers stand.
 func (a *Adapter) measure(emit daemon.Emit) {
 	emit("deliver_in_hand", "Runs whose result is not durable yet.", float64(a.InHand()))
+	for stage, span := range a.book.Oldest(a.d.Now()) {
+		emit("deliver_oldest_seconds", "For how long the run has been in a stage that has been there longest.", span.Seconds(), "stage", string(stage))
+	}
 	compiled := a.configs.Current()
 	for pool, weights := range compiled.Weights {
 		for worker, w := range weights.Workers {
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -32,7 +32,7 @@
 // start takes a run from a store into hand, or tells that it never starts.
 func (a *Adapter) start(m *wire.Run, answer func(any)) {
 	r := &run{Run: *m}
-	err := a.book.Admit(m)
+	err := a.book.Admit(m, a.d.Now())
 	if err == nil {
 		if r.permit, err = a.slots.use(m.Permit, m.Pool+"/"+m.Worker); err != nil {
 			a.book.Forget(m)
@@ -61,7 +61,9 @@
 		a.deliverToOwner(ctx, r, a.notBegun(r, err))
 		return
 	}
+	a.book.Enter(&r.Run, StagePace, a.d.Now())
 	timing.Wait(ctx, a.slots.pace(r.permit))
+	a.book.Enter(&r.Run, StageWork, a.d.Now())
 	a.deliverToOwner(ctx, r, a.deliver(ctx, r))
 }
 
@@ -115,6 +117,7 @@
 // which lives on should this one be lost whole; when no owner is found it
 // leaves it with every store.
 func (a *Adapter) deliverToOwner(ctx context.Context, r *run, o *wire.Outcome) {
+	a.book.Enter(&r.Run, StageOwner, a.d.Now())
 	keepers := a.d.Settings.Seeds
 	lane, isKnown := a.configs.Current().Rules.Lanes[r.Lane]
 	isWitnessed := lane.Witness || !isKnown
--- a/internal/deliver/worker_test.go
+++ b/internal/deliver/worker_test.go
@@ -119,25 +119,25 @@
 			return errs.KindOf(err)
 		}
 		Convey("a run in hand is told to be open, also in a later term", func() {
-			So(b.Admit(run(3)), ShouldBeNil)
+			So(b.Admit(run(3), 0), ShouldBeNil)
 			So(b.Open(open(4), 0).State, ShouldEqual, "open")
 		})
 		Convey("a run told never to start never starts, whatever arrives later", func() {
 			So(b.Open(open(4), 0).State, ShouldEqual, "never")
-			So(kind(b.Admit(run(4))), ShouldEqual, errs.Rejected)
+			So(kind(b.Admit(run(4), 0)), ShouldEqual, errs.Rejected)
 		})
 		Convey("an older term is refused", func() {
 			So(b.Open(&wire.Open{Place: 1, Term: 5, Id: "y"}, 0).State, ShouldEqual, "never")
-			So(kind(b.Admit(run(4))), ShouldEqual, errs.Stale)
+			So(kind(b.Admit(run(4), 0)), ShouldEqual, errs.Stale)
 			So(b.Open(open(4), 0).Kind, ShouldEqual, "stale")
 		})
 		Convey("the same run is not taken twice, nor more than it can carry", func() {
-			So(b.Admit(run(3)), ShouldBeNil)
-			So(kind(b.Admit(run(3))), ShouldEqual, errs.Conflict)
-			So(b.Admit(&wire.Run{Id: "y"}), ShouldBeNil)
-			So(kind(b.Admit(&wire.Run{Id: "z"})), ShouldEqual, errs.Full)
+			So(b.Admit(run(3), 0), ShouldBeNil)
+			So(kind(b.Admit(run(3), 0)), ShouldEqual, errs.Conflict)
+			So(b.Admit(&wire.Run{Id: "y"}, 0), ShouldBeNil)
+			So(kind(b.Admit(&wire.Run{Id: "z"}, 0)), ShouldEqual, errs.Full)
 			b.Forget(run(3))
-			So(b.Admit(&wire.Run{Id: "z"}), ShouldBeNil)
+			So(b.Admit(&wire.Run{Id: "z"}, 0), ShouldBeNil)
 		})
 	})
 }
--- /dev/null
+++ b/internal/place/where_test.go
@@ -0,0 +1,49 @@
+package place
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestWhere is the table of what a message waits for.
+func TestWhere(t *testing.T) {
+	delayed := take("0")
+	delayed.Delay = 500
+	paused := back("0", 1)
+	paused.Deadline = 80
+	short := take("0")
+	short.Deadline = 50
+	pick := func(m *Machine) { m.Pick("l", 100) }
+	cases := []struct {
+		text     string
+		commands []Command
+		then     func(m *Machine)
+		id       string
+		want     Where
+		isKnown  bool
+	}{
+		{"a slot, since it may run", []Command{take("0")}, nil, "0", Where{WaitSlot, "", 100, -1}, true},
+		{"its delay", []Command{delayed}, nil, "0", Where{WaitTime, "", -1, 400}, true},
+		{"a pause between two runs", []Command{take("0"), start("0", 1), paused, markedAt(20)}, nil, "0", Where{WaitSlot, "", 20, -1}, true},
+		{"another message of its key", []Command{ordered("0"), ordered("1")}, nil, "1", Where{WaitKey, "0", -1, -1}, true},
+		{"its start, once it was picked", []Command{take("0")}, pick, "0", Where{WaitStart, "", 100, -1}, true},
+		{"its run", []Command{take("0"), start("0", 1)}, nil, "0", Where{WaitRun, "", -1, -1}, true},
+		{"its end, once its patience is over", []Command{short}, nil, "0", Where{WaitEnd, "", 50, -1}, true},
+		{"nothing, once it is over", []Command{take("0"), start("0", 1), end("0", 1)}, nil, "0", Where{WaitNothing, "", -1, -1}, true},
+		{"nothing, where it is not known", nil, nil, "0", Where{WaitNothing, "", -1, -1}, false},
+	}
+	Convey("At place time 100 a message waits for", t, func() {
+		for _, c := range cases {
+			Convey(c.text, func() {
+				m := on(New(), c.commands...)
+				if c.then != nil {
+					c.then(m)
+				}
+				got, isKnown := m.Where(c.id, 100)
+				So(got, ShouldResemble, c.want)
+				So(isKnown, ShouldEqual, c.isKnown)
+			})
+		}
+	})
+}
--- a/internal/sim/adapter.go
+++ b/internal/sim/adapter.go
@@ -121,7 +121,7 @@
 		a.w.Note("open %s/%d at %s, term %d: %s%s", m.Id, m.Attempt, a.boot(), m.Term, ack.State, ack.Kind)
 		return ack
 	case *wire.Run:
-		if err := a.book.Admit(m); err != nil {
+		if err := a.book.Admit(m, a.w.now); err != nil {
 			return &wire.RunAck{Kind: string(errs.KindOf(err))}
 		}
 		if !a.use(m.Permit) {
--- a/internal/standin/soak.go
+++ b/internal/standin/soak.go
@@ -158,6 +158,7 @@
 		}
 		for _, token := range slices.Compact(tokens.FindAllString(b.Text, -1)) {
 			s.tellStory(out, token)
+			s.tellWhere(out, token)
 		}
 	}
 	for _, text := range append(slices.Clone(f.Failures), f.Crashes...) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -83,6 +83,7 @@
 		s.begin()
 	}
 	d.Measure(s.measure)
+	d.Mux.HandleFunc("GET /v1/messages/{id}/story", s.getStory)
 	go s.upkeep(ctx)
 	go s.dispatch.run(ctx)
 	owners := &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink}
