Stand-in: very long lists of workers served by one process, and their measurement; files split

fleet lists measures a small deployment of real daemons with lists of 100 to 100,000 workers: time to the first run, until all are known and held, until a change is known, idle processor time and memory by kind. The operators' read of a list that is cut gives it whole, an edit of one is rejected by name.

--- /dev/null
+++ b/cmd/fleet/lists.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"caperwheel/internal/errs"
+	"caperwheel/internal/fleet"
+	"caperwheel/internal/standin"
+)
+
+type listsCommand struct {
+	Workers []int         `arg:"--workers" help:"lengths of the list to measure; 100, 1000, 10000 and 100000 if not given"`
+	Page    int           `arg:"--page" default:"50" help:"entries of a page"`
+	Rate    float64       `arg:"--rate" default:"50" help:"calls a second that the list takes from all"`
+	Most    time.Duration `arg:"--most" default:"10m" help:"longest time for one length"`
+	Root    string        `arg:"--root" default:"." help:"root of the sources, for building"`
+}
+
+// lists measures a small deployment with lists of workers of several lengths.
+func lists(a *listsCommand) error {
+	if len(a.Workers) == 0 {
+		a.Workers = []int{100, 1000, 10000, 100000}
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "lists-")
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "temporary folder")
+	}
+	defer os.RemoveAll(dir)
+	bin := filepath.Join(dir, "bin")
+	if err := fleet.Build(ctx, a.Root, bin, false); err != nil {
+		return err
+	}
+	for _, workers := range a.Workers {
+		bounded, done := context.WithTimeout(ctx, a.Most)
+		got, err := standin.MeasureList(bounded, standin.ListsOptions{Workers: workers, Page: a.Page, Rate: a.Rate, Bin: bin, Dir: filepath.Join(dir, fmt.Sprint(workers))})
+		done()
+		fmt.Printf("%d workers: first run %v, all known %v, all held %v, a change known %v, %d calls, %d refused\n  idle cores %v\n  memory %v\n", workers,
+			got.FirstRun.Round(time.Millisecond), got.Listed.Round(time.Millisecond), got.Held.Round(time.Millisecond), got.Changed.Round(time.Millisecond),
+			got.Calls, got.Refused, got.Idle, got.Memory)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -42,6 +42,7 @@
 	Bench    *benchCommand    `arg:"subcommand:bench" help:"measure the transport alone"`
 	Sweep    *sweepCommand    `arg:"subcommand:sweep" help:"simulate many seeds with mixed faults"`
 	Platform *platformCommand `arg:"subcommand:platform" help:"run a small deployment on a stand-in of its users' platform and judge it"`
+	Lists    *listsCommand    `arg:"subcommand:lists" help:"measure a small deployment with long lists of workers"`
 	Soak     *soakCommand     `arg:"subcommand:soak" help:"stop, restart and change a deployment in series under callers that never let go"`
 	Scale    *scaleCommand    `arg:"subcommand:scale" help:"measure what control costs as a deployment grows"`
 	Check    *checkCommand    `arg:"subcommand:check" help:"explore all that a replicated group can come to"`
@@ -59,6 +60,8 @@
 		err = run(args.Run)
 	case args.Platform != nil:
 		err = platform(args.Platform)
+	case args.Lists != nil:
+		err = lists(args.Lists)
 	case args.Soak != nil:
 		err = soak(args.Soak)
 	case args.Backend != nil:
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -61,13 +61,6 @@
 	Level int64 // the newest feature level that the machine can apply
 }
 
-// Leveled is a machine whose commands depend on a feature level that its group has agreed on.
-type Leveled interface {
-	// Level returns the level that is agreed on or proposed. A replica that cannot apply it
-	// never gets a vote.
-	Level() int64
-}
-
 // Plan tells the member ids of the stores that are here, by name, and the names of
 // those that should hold the group, given what the owner has heard of its holders.
 type Plan func(silence repair.Silence) (known map[string]string, wanted []string)
@@ -137,15 +130,6 @@
 	return h, nil
 }
 
-// neededBy returns what tells the feature level that a machine's group needs.
-func neededBy(machine Machine) func() int64 {
-	leveled, isLeveled := machine.(Leveled)
-	if !isLeveled {
-		return nil
-	}
-	return leveled.Level
-}
-
 // Run works until ctx ends.
 func (h *Host) Run(ctx context.Context) {
 	// All groups of a store tick at the same moments, so that one waking serves
--- /dev/null
+++ b/internal/manager/longlist_test.go
@@ -0,0 +1,169 @@
+package manager
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/config"
+	"caperwheel/internal/errs"
+)
+
+// TestLongList: a list of more pages than it takes calls in a second was never read.
+func TestLongList(t *testing.T) {
+	Convey("Of a list of 300 pages that takes 20 calls a second", t, func() {
+		s := newListed(4, 20)
+		s.workers = many(1200)
+		Convey("the first pages are written while the rest is read", func() {
+			s.pass(5 * time.Second)
+			So(len(s.written()), ShouldBeBetween, 100, 400)
+		})
+		Convey("all is read at three quarters of the rate, the rest is left to others", func() {
+			s.pass(22 * time.Second)
+			So(s.written(), ShouldHaveLength, 1200)
+			So(s.over, ShouldEqual, 0)
+			So(float64(s.calls)/22, ShouldBeBetween, 0.7*s.rate, 0.8*s.rate)
+			Convey("then each zone by itself, and a change is written without the rest", func() {
+				zones := []string{}
+				for _, c := range s.l.plan.Cursors() {
+					zones = append(zones, c.Zone)
+				}
+				So(zones, ShouldResemble, []string{"", "a", "b", "c"})
+				edits, bytes := len(s.f.edits), 0
+				s.workers[700].State = "leaving"
+				s.pass(40 * time.Second)
+				So(s.written()["w-000700"].State, ShouldEqual, "leaving")
+				for _, e := range s.f.edits[edits:] {
+					bytes += len(e.Value)
+				}
+				So(len(s.f.edits)-edits, ShouldEqual, 1)
+				So(bytes, ShouldBeLessThan, 20_000)
+			})
+		})
+		Convey("a 429 costs time and no page: the read goes on where it stands", func() {
+			s.rate = 7 // others call as well
+			s.m.source.Rate = func() float64 { return 20 }
+			s.pass(70 * time.Second)
+			So(s.over, ShouldBeGreaterThan, 10)
+			So(s.written(), ShouldHaveLength, 1200)
+		})
+		Convey("a zone whose pages fail holds up no other", func() {
+			s.pass(22 * time.Second)
+			s.fail = func(zone, _ string) error {
+				if zone == "b" {
+					return errs.New(errs.Lost, "down")
+				}
+				return nil
+			}
+			for i := range s.workers {
+				s.workers[i].State = "leaving"
+			}
+			s.pass(45 * time.Second)
+			left := map[string]int{}
+			for _, w := range s.written() {
+				if w.State == "leaving" {
+					left[w.Zone]++
+				}
+			}
+			So(left["a"], ShouldEqual, 400)
+			So(left["c"], ShouldEqual, 400)
+			counts := map[string]int64{}
+			s.l.say(counts)
+			So(counts[ListAge+"b"], ShouldEqual, -1)
+			So(counts[ListAge+"a"], ShouldBeBetween, 0, 45_000)
+		})
+		Convey("tokens that expire begin the read anew, and nothing is taken for gone", func() {
+			s.pass(22 * time.Second)
+			s.fail = func(_, token string) error {
+				if token != "" {
+					return errs.New(errs.Lost, "the token has expired")
+				}
+				return nil
+			}
+			s.pass(60 * time.Second)
+			So(s.written(), ShouldHaveLength, 1200)
+		})
+		Convey("workers that are gone are taken out", func() {
+			s.pass(22 * time.Second)
+			s.workers = s.workers[:600]
+			s.pass(120 * time.Second)
+			So(s.written(), ShouldHaveLength, 600)
+		})
+	})
+}
+
+// TestListThatMoves: entries come, go and move between pages while they are read. A worker that
+// is on the list all the time is never taken out, and in the end what is written is the list.
+func TestListThatMoves(t *testing.T) {
+	Convey("Under a list that moves while it is read, with pages that fail or are broken, in seed", t, func() {
+		for seed := uint64(1); seed <= 4; seed++ {
+			Convey(fmt.Sprint(seed), func() {
+				r := rand.New(rand.NewPCG(seed, 5))
+				s := newListed(4, 20)
+				s.workers = many(160)
+				stays := map[string]bool{}
+				for i, w := range s.workers {
+					stays[w.Name] = i%2 == 0
+				}
+				s.pass(8 * time.Second)
+				So(s.written(), ShouldHaveLength, 160)
+				lost := map[string]bool{}
+				s.shown = func() {
+					now := s.written()
+					for name, isThere := range stays {
+						if _, isWritten := now[name]; isThere && !isWritten {
+							lost[name] = true
+						}
+					}
+				}
+				s.fail = func(_, token string) error {
+					kinds := []errs.Kind{errs.Lost, errs.Corrupt, errs.Full}
+					if r.IntN(8) == 0 {
+						return errs.New(kinds[r.IntN(len(kinds))], "drawn")
+					}
+					return nil
+				}
+				s.mess = func(page *ListPage) {
+					if r.IntN(20) == 0 { // an entry that no list may hold, and one that comes twice
+						page.Workers["p"] = append(slices.Clone(page.Workers["p"]), config.Worker{Name: "no name"}, s.workers[0])
+					}
+				}
+				for range 30 {
+					s.pass(time.Second)
+					for range 1 + r.IntN(2) {
+						s.change(r, stays)
+					}
+				}
+				So(lost, ShouldBeEmpty)
+				s.fail, s.mess = nil, nil
+				s.pass(60 * time.Second)
+				want := map[string]config.Worker{}
+				for _, w := range s.workers {
+					want[w.Name] = w
+				}
+				So(s.written(), ShouldResemble, want)
+			})
+		}
+	})
+}
+
+// change takes a worker off the list, puts one on anywhere, or changes one.
+func (s *listed) change(r *rand.Rand, stays map[string]bool) {
+	at := r.IntN(len(s.workers))
+	switch r.IntN(3) {
+	case 0:
+		if !stays[s.workers[at].Name] {
+			s.workers = slices.Delete(slices.Clone(s.workers), at, at+1)
+		}
+	case 1:
+		w := config.Worker{Name: fmt.Sprint("new-", r.Uint32()), Address: "127.0.0.1:80", Zone: "b", State: "live"}
+		s.workers = slices.Insert(slices.Clone(s.workers), at, w)
+	default:
+		s.workers = slices.Clone(s.workers)
+		s.workers[at].State = []string{"live", "leaving"}[r.IntN(2)]
+	}
+}
--- a/internal/manager/workers.go
+++ b/internal/manager/workers.go
@@ -43,12 +43,36 @@
 	return
 }
 
+// isCut reports whether a pool's list is cut into buckets, as a source's long lists are.
+func (m *Manager) isCut(pool string) bool {
+	for _, c := range m.d.View.Keys(config.WorkersKey + pool + "/") {
+		if of, count := config.PoolOfList(c.Key); of == pool && count > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// wholeList returns a pool's list as the view has it, in the order of the names.
+func (m *Manager) wholeList(pool string) config.Workers {
+	workers := m.configs.Current().Workers[pool]
+	out := config.Workers{Workers: make([]config.Worker, 0, len(workers))}
+	for _, name := range sorted(workers) {
+		out.Workers = append(out.Workers, workers[name])
+	}
+	return out
+}
+
 func (m *Manager) getWorkers(w http.ResponseWriter, r *http.Request) {
 	_, _, c, err := m.readWorkers(r)
 	if err != nil {
 		web.Fail(w, err)
 		return
 	}
+	if pool := r.PathValue("pool"); m.isCut(pool) {
+		web.Answer(w, 200, m.wholeList(pool))
+		return
+	}
 	list, _ := config.ReadWorkers(c.Value)
 	w.Header().Set("ETag", etag(c.Revision))
 	web.Answer(w, 200, list)
@@ -79,6 +103,9 @@
 		return
 	}
 	part, key, c, err := m.readWorkers(r)
+	if err == nil && m.isCut(r.PathValue("pool")) {
+		err = errs.New(errs.Rejected, "the list of %s is cut into buckets: its source keeps it", r.PathValue("pool"))
+	}
 	if err != nil {
 		web.Fail(w, err)
 		return
--- a/internal/standin/configs.go
+++ b/internal/standin/configs.go
@@ -64,6 +64,8 @@
 	Fronts   int           // machines of that class in each zone; 1 if not given
 	Grace    time.Duration // that processes are told of; the rules' own if not given
 	IsSlow   bool          // the real machine may be: processes get several times their grace
+	ListPage int           // entries of a page of the list; a few if not given
+	ListRate float64       // calls a second that the list takes; a few if not given
 }
 
 // Small is the small deployment that everything here is about: three zones with
--- /dev/null
+++ b/internal/standin/lists.go
@@ -0,0 +1,192 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"caperwheel/internal/errs"
+)
+
+// ListsOptions are what a measurement of long lists is made of.
+type ListsOptions struct {
+	Workers  int // on the list
+	Page     int // entries of a page
+	Rate     float64
+	Bin, Dir string
+}
+
+// ListFigures are what was measured with a list. Spans count from when the deployment was up.
+type ListFigures struct {
+	Workers  int
+	FirstRun time.Duration      // until a worker of the list has run a message
+	Listed   time.Duration      // until a manager knows each worker
+	Held     time.Duration      // until each has a holder
+	Changed  time.Duration      // from a worker's leaving on the list until a manager knows it
+	Idle     map[string]float64 // cores that a daemon of each kind takes while nothing changes
+	Memory   map[string]int64   // bytes that a daemon of each kind has
+	Calls    int
+	Refused  int
+}
+
+// measuredSpan is for how long the cost of an idle deployment is measured.
+const measuredSpan = 10 * time.Second
+
+// MeasureList runs a small deployment with a list of so many workers.
+func MeasureList(ctx context.Context, o ListsOptions) (ListFigures, error) {
+	plan := Small()
+	plan.ListPage, plan.ListRate, plan.Services[0].Listed, plan.Services[0].Count = o.Page, o.Rate, o.Workers, 1
+	out := ListFigures{Workers: o.Workers, Idle: map[string]float64{}, Memory: map[string]int64{}}
+	s, err := New(plan, o.Bin, o.Dir)
+	if s != nil {
+		defer s.Down()
+	}
+	if err != nil {
+		return out, err
+	}
+	if err := s.Up(ctx); err != nil {
+		return out, err
+	}
+	began, pool, all := s.Now(), plan.Services[0].Name, o.Workers+len(plan.Zones)
+	loadCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	go s.Traffic(loadCtx, plan.Loads[:1], plan.Deadline)
+	crowd := s.List.crowds[0]
+	select {
+	case <-crowd.began:
+		out.FirstRun = s.Now() - began
+	case <-ctx.Done():
+		return out, errs.New(errs.DeadlineExceeded, "no worker of the list has run anything")
+	}
+	status := func(is func(p gjson.Result) bool) bool {
+		return s.untilStatus(ctx, func(status gjson.Result) bool {
+			for _, p := range status.Get("pools").Array() {
+				if p.Get("workers").Int() >= int64(min(o.Workers, 10)) && is(p) {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	if !status(func(p gjson.Result) bool { return p.Get("workers").Int() >= int64(all) }) {
+		return out, errs.New(errs.DeadlineExceeded, "not every worker of %s is known", pool)
+	}
+	out.Listed = s.Now() - began
+	if !status(func(p gjson.Result) bool { return len(p.Get("duties").Map()) >= all }) {
+		return out, errs.New(errs.DeadlineExceeded, "not every worker of %s has a holder", pool)
+	}
+	out.Held = s.Now() - began
+	stop()
+	s.measureIdle(ctx, &out)
+	changedAt := s.Now()
+	crowd.leave(o.Workers / 2)
+	if !s.untilLeaving(ctx, crowd.id(o.Workers/2)) {
+		return out, errs.New(errs.DeadlineExceeded, "that a worker leaves is not known")
+	}
+	out.Changed = s.Now() - changedAt
+	s.List.mu.Lock()
+	out.Calls, out.Refused = s.List.Calls, s.List.Over
+	s.List.mu.Unlock()
+	return out, nil
+}
+
+// untilStatus asks the first manager for its status until it is as wanted.
+func (s *Site) untilStatus(ctx context.Context, is func(gjson.Result) bool) bool {
+	for ctx.Err() == nil {
+		raw := s.fetch(ctx, s.match("core-1")[0], "/v1/status")
+		if len(raw) > 0 && is(gjson.ParseBytes(raw)) {
+			return true
+		}
+		pause(ctx, 200*time.Millisecond)
+	}
+	return false
+}
+
+// untilLeaving asks for the lists of pools until one has a worker as leaving.
+func (s *Site) untilLeaving(ctx context.Context, text string) bool {
+	for ctx.Err() == nil {
+		for _, pool := range gjson.GetBytes(s.fetch(ctx, s.match("core-1")[0], "/v1/status"), "pools.#.name").Array() {
+			raw := s.fetch(ctx, s.match("core-1")[0], "/v1/pools/"+pool.Str+"/workers")
+			for _, w := range gjson.GetBytes(raw, "workers").Array() {
+				if strings.Contains(w.Get("name").Str, text) && w.Get("state").Str == "leaving" {
+					return true
+				}
+			}
+		}
+		pause(ctx, 200*time.Millisecond)
+	}
+	return false
+}
+
+// fetch reads from a machine's own door; nothing where it does not answer.
+func (s *Site) fetch(ctx context.Context, m *Machine, path string) []byte {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.at(m.host, portHttp)+path, nil)
+	if err != nil {
+		return nil
+	}
+	answer, err := s.asking.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer answer.Body.Close()
+	raw, err := readAll(answer)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// measureIdle measures what daemons take while nothing changes.
+func (s *Site) measureIdle(ctx context.Context, out *ListFigures) {
+	before := s.cpu()
+	pause(ctx, measuredSpan)
+	after := s.cpu()
+	for name, ticks := range after {
+		kind, _, _ := strings.Cut(name, " ")
+		out.Idle[kind] = max(out.Idle[kind], (ticks-before[name])/measuredSpan.Seconds())
+	}
+	for _, m := range s.Machines {
+		for _, p := range m.Processes {
+			out.Memory[p.Kind] = max(out.Memory[p.Kind], residentOf(p.Pid()))
+		}
+	}
+}
+
+// clockTicks is how many a second the system counts a process's time in.
+const clockTicks = 100
+
+// cpu returns the processor time that each process has taken, in seconds.
+func (s *Site) cpu() map[string]float64 {
+	out := map[string]float64{}
+	for _, m := range s.Machines {
+		for _, p := range m.Processes {
+			raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
+			_, rest, isWhole := strings.Cut(string(raw), ") ")
+			fields := strings.Fields(rest)
+			if err != nil || !isWhole || len(fields) < 13 {
+				continue
+			}
+			user, _ := strconv.ParseFloat(fields[11], 64)
+			system, _ := strconv.ParseFloat(fields[12], 64)
+			out[p.Kind+" "+m.Short] = (user + system) / clockTicks
+		}
+	}
+	return out
+}
+
+// residentOf returns the bytes of memory that a process has.
+func residentOf(pid int) int64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	fields := strings.Fields(string(raw))
+	if err != nil || len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
--- a/internal/standin/lying.go
+++ b/internal/standin/lying.go
@@ -9,6 +9,9 @@
 // lyingSlack is how long a message may wait at the end with nothing in its way.
 const lyingSlack = 15 * time.Second
 
+// busySlack: so long before the end no message has succeeded, where one is left lying.
+const busySlack = 3 * time.Second
+
 // killedSlack: an answer that a process wrote so shortly before it was killed may be lost.
 const killedSlack = 100 * time.Millisecond
 
@@ -56,7 +59,16 @@
 		}
 		healed = max(healed, t.From, t.Until)
 	}
+	newest := time.Duration(0) // when a run last succeeded
+	for _, r := range j.h.Runs {
+		if r.Status >= 200 && r.Status <= 299 {
+			newest = max(newest, r.End)
+		}
+	}
 	for token, end := range j.h.Ends {
+		if end.At-newest < busySlack {
+			continue // messages are being worked off still, however slow the machine is
+		}
 		s := j.sent[token]
 		waits := end.At - max(healed, s.At+s.Delay)
 		if end.State == "queued" && waits > lyingSlack && !j.hasEnded(s, end.At) {
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -99,7 +99,7 @@
 			"evacuation_ms": evacuation.Milliseconds(), "recovery_s": 12, "finish_s": finish.Seconds(), "status_s": 100,
 			"callback_timeout_s": 5, "visibility_ms": 3000, "earliest_ms": 100, "ceiling_window_s": ceilingSpan.Seconds(),
 			"ceiling_overshoot": ceilingShare},
-		"cloud_api":      map[string]any{"address": s.at(list, 0), "rate_per_s": listRate, "duties": []string{}, "max_lag_ms": listLag.Milliseconds()},
+		"cloud_api":      map[string]any{"address": s.at(list, 0), "rate_per_s": s.List.rate, "duties": []string{}, "max_lag_ms": listLag.Milliseconds()},
 		"field_of_later": map[string]any{"to_be": "ignored"}}
 }
 
--- a/internal/standin/pool.go
+++ b/internal/standin/pool.go
@@ -35,6 +35,7 @@
 	TellsLoad           bool
 	Rate, ColdRate      float64
 	ColdFor             time.Duration
+	Listed              int // further workers on the list, which one process serves at addresses of their own
 }
 
 // Pool is a service with its workers, or its one endpoint.
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -100,7 +100,14 @@
 			return s, errs.Wrap(err, errs.Internal, "worker")
 		}
 	}
-	s.List, s.Receiver = &list{site: s}, &Receiver{site: s}
+	s.List, s.Receiver = &list{site: s, page: cmp.Or(plan.ListPage, listPage), rate: cmp.Or(plan.ListRate, listRate)}, &Receiver{site: s}
+	for _, p := range plan.Services {
+		if p.Listed > 0 {
+			if err := s.gather(p); err != nil {
+				return s, err
+			}
+		}
+	}
 	s.List.look()
 	for i, h := range []http.Handler{s.List, s.List, s.Receiver} {
 		most := 0
--- /dev/null
+++ b/internal/standin/soakends_test.go
@@ -0,0 +1,82 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/check"
+	"caperwheel/internal/errs"
+	"caperwheel/internal/fleet"
+)
+
+// TestSoakEndsWhenAsked: a large soak that was broken off once went on asking for minutes, and its
+// processes had to be killed.
+func TestSoakEndsWhenAsked(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	dir := t.TempDir()
+	Convey("A soak that is broken off ends, and all that it has started", t, func() {
+		bin := filepath.Join(dir, "bin")
+		So(fleet.Build(ctx, "../..", bin, false), ShouldBeNil)
+		for _, when := range []string{"called", "well again"} { // while callers call, and while their messages are asked after
+			asked, breakOff := context.WithCancel(ctx)
+			span := LeastSoak
+			if when == "called" {
+				span = time.Hour
+				time.AfterFunc(8*time.Second, breakOff)
+			}
+			_, err := Soak(asked, SoakOptions{Seed: 4, For: span, Processes: LeastProcesses, Bin: bin, Dir: filepath.Join(dir, when),
+				Tell: func(form string, _ ...any) {
+					if strings.Contains(form, when) {
+						breakOff()
+					}
+				}}, io.Discard)
+			So(errs.Is(err, errs.DeadlineExceeded), ShouldBeTrue)
+			So(ctx.Err(), ShouldBeNil)
+			So(runningIn(bin), ShouldEqual, 0)
+			breakOff()
+		}
+	})
+}
+
+// runningIn counts the processes whose program lies in a folder.
+func runningIn(bin string) (count int) {
+	links, _ := filepath.Glob("/proc/[0-9]*/exe")
+	for _, link := range links {
+		if program, err := os.Readlink(link); err == nil && strings.HasPrefix(program, bin+"/") {
+			count++
+		}
+	}
+	return count
+}
+
+// TestNothingRan: a large soak once counted as clean in which no message of two routes ran at all.
+func TestNothingRan(t *testing.T) {
+	Convey("A soak in which no message of a route ran says so", t, func() {
+		s := &Site{History: NewHistory()}
+		for i := range leastSample {
+			for _, lane := range []string{"served", "idle"} {
+				s.History.Sent = append(s.History.Sent, sent(fmt.Sprint(lane, i), lane, "", 0, check.Taken, 0))
+			}
+		}
+		s.History.Runs = append(s.History.Runs, run("served3", "p", "w", 1*time.Second, 2*time.Second, 200))
+		s.needRuns()
+		So(s.Failures, ShouldHaveLength, 1)
+		So(s.Failures[0], ShouldContainSubstring, "of idle were accepted and none ran")
+	})
+	Convey("Where a trouble was never healed, what lies cannot be told, and it says so", t, func() {
+		s := &Site{History: NewHistory()}
+		s.History.Troubles = []Trouble{{Daemon: "front-1", From: 3 * time.Second}, {Daemon: "front-2", From: 3 * time.Second, IsForGood: true}}
+		s.needHealed()
+		So(s.Failures, ShouldHaveLength, 1)
+		So(s.Failures[0], ShouldContainSubstring, "front-1 since 3s")
+	})
+}
