--- a/internal/sim/deliveryseeds_test.go
+++ b/internal/sim/deliveryseeds_test.go
@@ -90,7 +90,7 @@
 		"	a.book.Forget(&r.Run)\n}\n\n// leaveInOtherZone", "}\n\n// leaveInOtherZone", ""}, "Runs"},
 	"messages whose delay is over": {sourceMutant{"internal/place/queue.go",
 		"		q.leaveSet(e, q.pauses)\n		q.makeReady(e)", "		q.leaveSet(e, q.pauses)", ""}, "is held"},
-	"the next message of a key": {sourceMutant{"internal/place/machine.go",
+	"the next message of a key": {sourceMutant{"internal/place/keys.go",
 		"	m.keys[key] = list\n	m.queue.note(m, m.messages[list[0]])", "	m.keys[key] = list", ""}, "is held"},
 	"words behind others to an address": {sourceMutant{"internal/deliver/tell.go", "			defer a.tellers.leave(address)\n", "", ""}, "Words"},
 	"the duty of an adapter that is gone": {sourceMutant{"internal/duty/duty.go",
