--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -32,7 +32,7 @@
 	site   *Site
 	page   int     // entries of a page
 	rate   float64 // calls a second that are taken from all
-	crowds []*crowd
+	shared []*manyWorkers
 	mu     sync.Mutex
 	was    []listState
 	took   []time.Duration // calls within the last second
@@ -59,7 +59,7 @@
 			rows = append(rows, instance{w.Id, p.Name, w.Addr, w.Zone, "v1", p.Slots, state, max(0, (w.ColdUntil - now).Milliseconds())})
 		}
 	}
-	for _, c := range l.crowds {
+	for _, c := range l.shared {
 		rows = append(rows, c.rows()...)
 	}
 	return rows
--- a/internal/standin/lists.go
+++ b/internal/standin/lists.go
@@ -57,9 +57,9 @@
 	loadCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	go s.Traffic(loadCtx, plan.Loads[:1], plan.Deadline)
-	crowd := s.List.crowds[0]
+	shared := s.List.shared[0]
 	select {
-	case <-crowd.began:
+	case <-shared.began:
 		out.FirstRun = s.Now() - began
 	case <-ctx.Done():
 		return out, errs.New(errs.DeadlineExceeded, "no worker of the list has run anything")
@@ -85,8 +85,8 @@
 	stop()
 	s.measureIdle(ctx, &out)
 	changedAt := s.Now()
-	crowd.leave(o.Workers / 2)
-	if !s.untilLeaving(ctx, crowd.id(o.Workers/2)) {
+	shared.leave(o.Workers / 2)
+	if !s.untilLeaving(ctx, shared.id(o.Workers/2)) {
 		return out, errs.New(errs.DeadlineExceeded, "that a worker leaves is not known")
 	}
 	out.Changed = s.Now() - changedAt
--- a/internal/standin/crowd.go
+++ b/internal/standin/manyworkers.go
@@ -10,9 +10,9 @@
 	"caperwheel/internal/errs"
 )
 
-// crowd is very many workers of a service in one process: each has an address and an identifier of
+// manyWorkers is very many workers of a service in one process: each has an address and an identifier of
 // its own, and one server behind all addresses runs what comes.
-type crowd struct {
+type manyWorkers struct {
 	service Plan
 	site    *Site
 	port    int
@@ -23,33 +23,33 @@
 	began   chan struct{}
 }
 
-// Addresses of crowds: 127.crowdNet+.*.*, one after another.
+// Their addresses: 127.sharedNet+.*.*, one after another.
 const (
-	crowdNet   = 64
-	crowdHosts = 250
+	sharedNet   = 64
+	sharedHosts = 250
 )
 
-// gather begins a service's crowd.
-func (s *Site) gather(plan Plan) error {
+// addShared begins the workers of a service that one process serves.
+func (s *Site) addShared(plan Plan) error {
 	listener, err := net.Listen("tcp", "0.0.0.0:0")
 	if err != nil {
-		return errs.Wrap(err, errs.Internal, "crowd of %s", plan.Name)
+		return errs.Wrap(err, errs.Internal, "workers of %s", plan.Name)
 	}
 	_, port, _ := net.SplitHostPort(listener.Addr().String())
 	number, err := strconv.Atoi(port)
 	if err != nil {
-		return errs.Wrap(err, errs.Internal, "port of the crowd of %s", plan.Name)
+		return errs.Wrap(err, errs.Internal, "port of the workers of %s", plan.Name)
 	}
-	c := &crowd{service: plan, site: s, port: number, leaving: map[int]bool{}, first: &sync.Once{}, began: make(chan struct{})}
-	s.List.crowds = append(s.List.crowds, c)
+	c := &manyWorkers{service: plan, site: s, port: number, leaving: map[int]bool{}, first: &sync.Once{}, began: make(chan struct{})}
+	s.List.shared = append(s.List.shared, c)
 	server := &http.Server{Handler: c}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(listener) }()
 	return nil
 }
 
-// rows are the crowd's entries of the list.
-func (c *crowd) rows() []instance {
+// rows are the entries of the list.
+func (c *manyWorkers) rows() []instance {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := make([]instance, 0, c.service.Listed)
@@ -58,29 +58,29 @@
 		if c.leaving[i] {
 			state = "draining"
 		}
-		host := fmt.Sprintf("127.%d.%d.%d", crowdNet+i/crowdHosts/crowdHosts, i/crowdHosts%crowdHosts, 1+i%crowdHosts)
+		host := fmt.Sprintf("127.%d.%d.%d", sharedNet+i/sharedHosts/sharedHosts, i/sharedHosts%sharedHosts, 1+i%sharedHosts)
 		out = append(out, instance{Identifier: c.id(i), Service: c.service.Name, Address: net.JoinHostPort(host, strconv.Itoa(c.port)),
 			Zone: c.site.Zones[i%len(c.site.Zones)], Version: "v1", Slots: c.service.Slots, State: state})
 	}
 	return out
 }
 
-func (c *crowd) id(i int) string { return fmt.Sprintf("crowd-%d", i) }
+func (c *manyWorkers) id(i int) string { return fmt.Sprintf("shared-%d", i) }
 
 // leave has one worker leave.
-func (c *crowd) leave(i int) {
+func (c *manyWorkers) leave(i int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaving[i] = true
 }
 
 // ServeHTTP runs a message, whichever worker it is for.
-func (c *crowd) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (c *manyWorkers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != healthPath {
 		c.first.Do(func() { close(c.began) })
 	}
 	w.Header().Set(attemptId, r.Header.Get(attemptId))
 	w.Header().Set(instanceId, r.Header.Get(expect))
-	w.Header().Set(serverSeal, "crowd."+r.Header.Get(attemptId))
+	w.Header().Set(serverSeal, "shared."+r.Header.Get(attemptId))
 	w.WriteHeader(http.StatusOK)
 }
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -103,7 +103,7 @@
 	s.List, s.Receiver = &list{site: s, page: cmp.Or(plan.ListPage, listPage), rate: cmp.Or(plan.ListRate, listRate)}, &Receiver{site: s}
 	for _, p := range plan.Services {
 		if p.Listed > 0 {
-			if err := s.gather(p); err != nil {
+			if err := s.addShared(p); err != nil {
 				return s, err
 			}
 		}
