Stand-in: all that was accepted is asked after where that is asked for

Settle left out what workers had ended once the asking took over a second, as the soak's asking should and this one should not. Traced by reading the count that was missed; no check is changed.

--- a/internal/standin/asker.go
+++ b/internal/standin/asker.go
@@ -35,6 +35,8 @@
 	round int
 	quiet time.Duration                  // after so long in which none has ended, the last word is asked for
 	tell  func(form string, args ...any) // how far it is
+	// What workers have ended meanwhile is not asked after.
+	isOpenOnly bool
 }
 
 // Settle asks for all that was accepted until it has ended or ctx ends, and
@@ -47,7 +49,7 @@
 // SettleOpen does the same for what is not known to have ended, as workers saw it, and for a
 // sample of the rest, for as long as any ends.
 func (s *Site) SettleOpen(ctx context.Context, quiet time.Duration, tell func(form string, args ...any)) {
-	a := &settling{site: s, open: s.accepted(), quiet: quiet, tell: tell}
+	a := &settling{site: s, open: s.accepted(), quiet: quiet, tell: tell, isOpenOnly: true}
 	a.dropEnded(sampledEnds)
 	a.run(ctx)
 }
@@ -81,7 +83,9 @@
 		pause(ctx, askPause)
 		if time.Since(lookedAt) > lookPause {
 			lookedAt = time.Now()
-			a.dropEnded(0)
+			if a.isOpenOnly {
+				a.dropEnded(0)
+			}
 			if len(a.open) < left {
 				left, endedAt = len(a.open), time.Now()
 			}
