--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -46,8 +46,8 @@
 
 // Steady keeps two planners that see different daemons from pulling a duty to
 // and fro: one that has just changed hands is not moved on a guess. That a holder is gone is
-// no guess for a planner that has seen it here since it moved the duty itself: one planner alone can
-// have seen that of each holder.
+// no guess for a planner that has seen it here since it moved the duty itself. Of two that see
+// different adapters each may so move a duty once; after that, neither has seen the other's holder.
 //
 // Invariants: seen has the newest term of each duty and when it was first planned; here has when
 // each life of a daemon was last a member, and moved when each duty was last moved, as this
