--- /dev/null
+++ b/internal/crash/daemons_test.go
@@ -0,0 +1,142 @@
+package crash_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/fleet"
+)
+
+// fatal are the signals by which the runtime ends a process with a word of why.
+var fatal = map[string]syscall.Signal{"SIGQUIT": syscall.SIGQUIT, "SIGILL": syscall.SIGILL, "SIGTRAP": syscall.SIGTRAP,
+	"SIGABRT": syscall.SIGABRT, "SIGBUS": syscall.SIGBUS, "SIGFPE": syscall.SIGFPE, "SIGSEGV": syscall.SIGSEGV,
+	"SIGSYS": syscall.SIGSYS, "SIGSTKFLT": syscall.SIGSTKFLT}
+
+// process is a real daemon, whose log is read line by line.
+type process struct {
+	http string
+	cmd  *exec.Cmd
+	log  *bufio.Scanner
+}
+
+// launch starts a program and returns once it serves.
+func launch(ctx context.Context, bin, kind string, args ...string) *process {
+	listen, err := fleet.FreePort()
+	So(err, ShouldBeNil)
+	web, err := fleet.FreePort()
+	So(err, ShouldBeNil)
+	args = append([]string{"--name=" + kind, "--cell=a", "--bound=1s", "--listen=" + listen, "--http=" + web}, args...)
+	cmd := exec.CommandContext(ctx, filepath.Join(bin, kind), args...)
+	stderr, err := cmd.StderrPipe()
+	So(err, ShouldBeNil)
+	So(cmd.Start(), ShouldBeNil)
+	p := &process{http: web, cmd: cmd, log: bufio.NewScanner(stderr)}
+	p.reads("runs, daemons at")
+	return p
+}
+
+// reads returns the lines of the log up to one that says so.
+func (p *process) reads(text string) string {
+	read := ""
+	for p.log.Scan() {
+		read += p.log.Text() + "\n"
+		if strings.Contains(p.log.Text(), text) {
+			return read
+		}
+	}
+	So(read, ShouldContainSubstring, text)
+	return read
+}
+
+// ends sends a signal and returns the exit code; -1 for a process that the signal itself ended.
+func (p *process) ends(sig syscall.Signal) int {
+	So(p.cmd.Process.Signal(sig), ShouldBeNil)
+	for p.log.Scan() { // to its end, which is that of the process
+	}
+	_ = p.cmd.Wait()
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (p *process) metrics() string {
+	answer, err := http.Get("http://" + p.http + "/metrics")
+	So(err, ShouldBeNil)
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	So(err, ShouldBeNil)
+	return string(text)
+}
+
+// TestDaemonsThatCrash: processes ended by themselves on the users' days, and why stood only in the
+// first lines of what the runtime printed, which nobody had kept.
+func TestDaemonsThatCrash(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	dir := t.TempDir()
+	bin := filepath.Join(dir, "bin")
+	Convey("Of real daemons that crash it is known why", t, func() {
+		So(fleet.Build(ctx, "../..", bin, false), ShouldBeNil)
+		Convey("by the next process, for each fatal signal", func() {
+			file := filepath.Join(dir, "core", "crash.txt")
+			p := launch(ctx, bin, "manager", "--crash_file="+file)
+			So(p.metrics(), ShouldNotContainSubstring, "previous_end")
+			for name, sig := range fatal {
+				So(fmt.Sprint(name, " ", p.ends(sig)), ShouldEqual, name+" 2")
+				p = launch(ctx, bin, "manager", "--crash_file="+file)
+				So(p.metrics(), ShouldContainSubstring, `caperwheel_previous_end{cause="`+name+`"} 1`)
+				kept, err := os.ReadFile(file + ".1")
+				So(err, ShouldBeNil)
+				So(string(kept), ShouldStartWith, name+": ")
+			}
+			So(p.ends(syscall.SIGKILL), ShouldEqual, -1)
+			p = launch(ctx, bin, "manager", "--crash_file="+file)
+			So(p.metrics(), ShouldContainSubstring, `caperwheel_previous_end{cause="silent"} 1`)
+			So(p.ends(syscall.SIGTERM), ShouldEqual, 0)
+			p = launch(ctx, bin, "manager", "--crash_file="+file)
+			So(p.metrics(), ShouldNotContainSubstring, "previous_end")
+			So(p.ends(syscall.SIGTERM), ShouldEqual, 0)
+		})
+		Convey("by a store's next process, in its data folder", func() {
+			args := []string{"--seeds=127.0.0.1:9", "--data=" + filepath.Join(dir, "store"), "--reserve=1"}
+			So(launch(ctx, bin, "store", args...).ends(syscall.SIGILL), ShouldEqual, 2)
+			p := launch(ctx, bin, "store", args...)
+			So(p.metrics(), ShouldContainSubstring, `caperwheel_previous_end{cause="SIGILL"} 1`)
+			So(p.ends(syscall.SIGTERM), ShouldEqual, 0)
+		})
+		Convey("by the other process of a machine without a disk", func() {
+			ofAgent, err := fleet.FreePort()
+			So(err, ShouldBeNil)
+			ofAdapter, err := fleet.FreePort()
+			So(err, ShouldBeNil)
+			agentArgs := []string{"--seeds=127.0.0.1:9", "--crash_listen=" + ofAgent, "--crash_peer=" + ofAdapter, "--verbosity=1"}
+			adapterArgs := []string{"--seeds=127.0.0.1:9", "--crash_listen=" + ofAdapter, "--crash_peer=" + ofAgent, "--verbosity=1"}
+			agent := launch(ctx, bin, "agent", agentArgs...)
+			adapter := launch(ctx, bin, "adapter", adapterArgs...)
+			agent.reads("adapter on this machine is heard if")
+			So(adapter.ends(syscall.SIGSEGV), ShouldEqual, 2)
+			So(agent.reads("adapter on this machine ended"), ShouldContainSubstring, "by SIGSEGV: SIGSEGV: segmentation violation")
+			So(agent.metrics(), ShouldContainSubstring, `caperwheel_neighbour_ends_total{cause="SIGSEGV",name="adapter"} 1`)
+			adapter = launch(ctx, bin, "adapter", adapterArgs...)
+			agent.reads("adapter on this machine is heard if")
+			adapter.reads("agent on this machine is heard if")
+			So(agent.ends(syscall.SIGBUS), ShouldEqual, 2)
+			So(adapter.reads("agent on this machine ended"), ShouldContainSubstring, "by SIGBUS")
+			agent = launch(ctx, bin, "agent", agentArgs...)
+			agent.reads("adapter on this machine is heard if")
+			So(adapter.ends(syscall.SIGTERM), ShouldEqual, 0)
+			So(agent.metrics(), ShouldNotContainSubstring, "neighbour_ends_total{")
+			So(agent.ends(syscall.SIGTERM), ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,6 +59,7 @@
 	Front, Probe, Operators          net.Listener
 	FrontMux, ProbeMux, OperatorsMux *http.ServeMux
 
+	crashes  crashes
 	gauges   gauges
 	Started  time.Time
 	listener net.Listener
@@ -90,6 +91,7 @@
 	}
 	d.listener, d.Front, d.Probe, d.Operators = d.listen(s.Http), d.listen(s.Front), d.listen(s.Probe), d.listen(s.Operators)
 	d.Who = wire.Who{Name: s.Name, Kind: kind, Boot: Random(8), Zone: s.Zone, Addr: s.Advertise, Http: d.listener.Addr().String()}
+	d.crashes.keep(d)
 	began := make(chan struct{})
 	go settings.Watch(context.Background(), kind, s, func(next settings.Settings) {
 		d.verbosity(flags, next.Verbosity)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -93,6 +93,7 @@
 	klog.Infof("%s: Stopping on a signal.", d.Kind)
 	d.stop(servers, leave)
 	d.Node.Close()
+	d.crashes.end(d)
 	klog.Flush()
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -60,6 +60,9 @@
 	addr("probe", s.Probe, false)
 	addr("operators", s.Operators, false)
 	addr("list", s.List, false)
+	addr("crash_listen", s.CrashListen, false)
+	addr("crash_peer", s.CrashPeer, false)
+	must(s.CrashListen == "" || s.CrashListen != s.CrashPeer, "crash_peer", "must be another's, not crash_listen")
 	if host, _, err := net.SplitHostPort(s.Advertise); err == nil {
 		must(!net.ParseIP(host).IsUnspecified(), "advertise", "must be an address that others can reach")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -66,6 +67,10 @@
 	Resend    Duration `arg:"--resend" json:"resend" help:"so long an operator's order that has no number may be sent again; 0: twice the bound"`
 	Keep      Duration `arg:"--keep" json:"keep" help:"how long the end of a message must be answered for"`
 
+	CrashFile   string `arg:"--crash_file" json:"crash_file" help:"file for what is printed as the process crashes; empty: crash.txt in the data folder, if there is one"`
+	CrashListen string `arg:"--crash_listen" json:"crash_listen" help:"IP number and port where the crashes of others on this machine are heard"`
+	CrashPeer   string `arg:"--crash_peer" json:"crash_peer" help:"IP number and port where a crash of this process is heard"`
+
 	args   []string // as given: they override the file whenever it is read
 	source *Source  // where the file's text comes from, if not from a settings file
 }
@@ -76,6 +81,9 @@
 	Read func(raw []byte) ([]byte, error) // turns the file's text into that of a settings file
 }
 
+// crashName is the name of the file for crashes in a data folder.
+const crashName = "crash.txt"
+
 // Default returns the settings that hold where nothing is given.
 func Default() Settings {
 	return Settings{Founders: 3, Places: 48, Parts: 4, Bound: Duration{timing.Default.Config}, Batch: 40, Pool: 40,
@@ -93,6 +101,14 @@
 	return s.Founders
 }
 
+// Crashes returns the file for what is printed as the process crashes; empty for none.
+func (s Settings) Crashes() string {
+	if s.CrashFile == "" && s.Data != "" {
+		return filepath.Join(s.Data, crashName)
+	}
+	return s.CrashFile
+}
+
 // Shape returns what must be the same on all daemons of a deployment.
 func (s Settings) Shape() string { return fmt.Sprintf("places=%d parts=%d", s.Places, s.Parts) }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -54,6 +54,9 @@
 		{"an end answered for less than nothing", good, []string{"--keep=-1s"}, "keep: must not be below 0"},
 		{"lingering until killed", good, []string{"--grace=2s", "--linger=2s"}, "linger: must be below grace"},
 		{"lingering past twice the bound", good, []string{"--linger=7s"}, "linger: must be below grace"},
+		{"a crash heard by a name", good, []string{"--crash_peer=agent"}, "crash_peer: must be an IP number and a port"},
+		{"crashes heard at no port", good, []string{"--crash_listen=127.0.0.1"}, "crash_listen: must be"},
+		{"a process that hears itself", good, []string{"--crash_listen=127.0.0.1:7", "--crash_peer=127.0.0.1:7"}, "crash_peer: must be another's"},
 		{"an unknown flag", good, []string{"--nmae=x"}, "nmae"},
 	}
 	Convey("Settings from", t, func() {
