--- a/internal/config/cache.go
+++ b/internal/config/cache.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"maps"
-	"slices"
 	"strings"
 	"sync"
 
@@ -27,12 +26,6 @@
 	lists    map[string]map[string]list // by pool and key
 }
 
-// list is what one key has of a pool's list.
-type list struct {
-	revision int64
-	workers  []Worker
-}
-
 // Current returns the configuration of the view as it is.
 func (s *Cache) Current() *Compiled {
 	s.mu.Lock()
@@ -51,7 +44,7 @@
 func (s *Cache) CanRead() bool { return !s.Current().IsUnread }
 
 func newCompiled() *Compiled {
-	return &Compiled{Workers: map[string]map[string]Worker{}, Duties: map[string]map[string]Held{},
+	return &Compiled{Workers: map[string]Table[Worker]{}, Duties: map[string]Table[Held]{},
 		Emptied: map[string]bool{}, Resting: map[string]bool{}, Easing: map[string]bool{}, Retired: map[string]bool{},
 		Weights: map[string]weight.Weights{}, Shares: map[string]map[string]float64{},
 		Rules: &Rules{Lanes: map[string]Lane{}, Pools: map[string]Pool{}}}
@@ -64,7 +57,7 @@
 	}
 	changes, reached := s.View.Since(s.reached)
 	next := *s.compiled
-	u := update{next: &next, lists: s.lists, isOwn: map[string]bool{}, listed: map[string]bool{}}
+	u := update{next: &next, lists: s.lists, isOwn: map[string]bool{}, listed: map[string]*listChange{}, duties: map[string]*tableChange[Held]{}}
 	for _, c := range changes {
 		u.take(c)
 	}
@@ -76,8 +69,9 @@
 type update struct {
 	next   *Compiled
 	lists  map[string]map[string]list
-	isOwn  map[string]bool // what has been copied
-	listed map[string]bool // pools whose list is to be put together again
+	isOwn  map[string]bool               // what has been copied
+	listed map[string]*listChange        // by pool whose list has changed
+	duties map[string]*tableChange[Held] // by pool
 }
 
 // own copies a map of the Compiled before, once.
@@ -118,7 +112,7 @@
 
 func (u *update) takeRules(c wire.Change) {
 	for name := range u.next.Rules.Pools {
-		u.listed[name] = true
+		u.list(name).isWhole = true
 	}
 	u.next.Revision, u.next.IsUnread = c.Revision, false
 	rules, faults := Compile(c.Value)
@@ -131,7 +125,7 @@
 	}
 	u.next.Rules = rules
 	for name := range rules.Pools {
-		u.listed[name] = true
+		u.list(name).isWhole = true
 	}
 }
 
@@ -177,70 +171,26 @@
 	}
 }
 
-func (u *update) takeList(_ string, c wire.Change) {
-	pool, _ := PoolOfList(c.Key)
-	u.listed[pool] = true
-	if u.lists[pool] == nil {
-		u.lists[pool] = map[string]list{}
-	}
-	if c.Gone {
-		delete(u.lists[pool], c.Key)
-		return
-	}
-	read, _ := ReadWorkers(c.Value)
-	u.lists[pool][c.Key] = list{c.Revision, read.Workers}
-}
-
 func (u *update) takeDuty(name string, c wire.Change) {
 	pool, worker := splitDuty(name)
-	own(u, DutyKey, &u.next.Duties)
-	duties := u.next.Duties[pool]
-	if duties == nil {
-		duties = map[string]Held{}
+	if u.duties[pool] == nil {
+		u.duties[pool] = u.next.Duties[pool].change()
 	}
-	duties = own(u, DutyKey+pool, &duties)
-	delete(duties, worker)
 	var d Duty
 	if !c.Gone && json.Unmarshal(c.Value, &d) == nil {
-		duties[worker] = Held{d, c.Revision}
-	}
-	u.next.Duties[pool] = duties
-	if len(duties) == 0 {
-		delete(u.next.Duties, pool)
-		delete(u.isOwn, DutyKey+pool)
-	}
-}
-
-// finish puts the lists of pools together that have changed.
-func (u *update) finish() {
-	if len(u.listed) == 0 {
+		u.duties[pool].set(worker, Held{d, c.Revision})
 		return
 	}
-	workers := own(u, WorkersKey, &u.next.Workers)
-	for name := range u.listed {
-		delete(workers, name)
-		if p := u.next.Rules.Pools[name]; p.IsEndpoint {
-			workers[name] = map[string]Worker{Endpoint: {Name: Endpoint, Address: p.Address, State: "live"}}
-		} else if len(u.lists[name]) > 0 {
-			workers[name] = joined(u.lists[name])
-		} else {
-			delete(u.lists, name)
-		}
-	}
+	u.duties[pool].remove(worker)
 }
 
-// joined returns the workers of a pool's keys. One that stands in two is as in the newer.
-func joined(keys map[string]list) map[string]Worker {
-	lists, size := slices.Collect(maps.Values(keys)), 0
-	slices.SortFunc(lists, func(a, b list) int { return int(a.revision - b.revision) })
-	for _, l := range lists {
-		size += len(l.workers)
-	}
-	out := make(map[string]Worker, size)
-	for _, l := range lists {
-		for _, w := range l.workers {
-			out[w.Name] = w
+// finish puts together what has changed.
+func (u *update) finish() {
+	u.finishLists()
+	for pool, change := range u.duties {
+		duties := own(u, DutyKey, &u.next.Duties)
+		if duties[pool] = change.done(); duties[pool].Len() == 0 {
+			delete(duties, pool)
 		}
 	}
-	return out
 }
--- a/internal/config/cache_test.go
+++ b/internal/config/cache_test.go
@@ -69,6 +69,45 @@
 	})
 }
 
+// TestListsInPlace: a list of many keys was once put together anew with each change of one of them.
+func TestListsInPlace(t *testing.T) {
+	Convey("However the keys of a list change, its workers are those of a list put together anew", t, func() {
+		for seed := uint64(1); seed <= 20; seed++ {
+			r, part, view := rand.New(rand.NewPCG(seed, 7)), feed.NewPart(), feed.NewView(0)
+			cache, count := &Cache{View: view}, 4
+			part.Apply(wire.Edit{Key: Key, Value: []byte(`{"pools":{"p":{}}}`), IfRevision: -1})
+			for range 200 {
+				if r.IntN(25) == 0 {
+					count = []int{1, 4, 8}[r.IntN(3)]
+				}
+				for range 1 + r.IntN(3) {
+					part.Apply(drawnBucket(r, count))
+				}
+				news, _ := part.News(0, view.Revision(0))
+				view.Take([]wire.PartNews{news}, time.Second)
+				So(cache.Current().Workers, ShouldResemble, (&Cache{View: view}).Current().Workers)
+			}
+		}
+	})
+}
+
+// drawnBucket draws a change of one key of a list: now and then of another count of keys, gone, or with a
+// worker that belongs to another key.
+func drawnBucket(r *rand.Rand, count int) wire.Edit {
+	if r.IntN(12) == 0 {
+		count = []int{1, 4, 8}[r.IntN(3)]
+	}
+	bucket, isStray := r.IntN(count), r.IntN(15) == 0
+	list := Workers{Workers: []Worker{}}
+	for i := range 60 {
+		name := fmt.Sprint("w", i)
+		if BucketOf(name, count) == bucket && r.IntN(4) > 0 || isStray && r.IntN(20) == 0 {
+			list.Workers = append(list.Workers, Worker{Name: name, Address: "127.0.0.1:80", Zone: fmt.Sprint(r.IntN(9)), State: "live"})
+		}
+	}
+	return wire.Edit{Key: BucketKey("p", bucket, count), Value: list.Encode(), IfRevision: -1, Gone: r.IntN(8) == 0}
+}
+
 // TestBuckets is the table of into how many buckets a list is cut.
 func TestBuckets(t *testing.T) {
 	cases := []struct {
--- a/internal/config/compiled.go
+++ b/internal/config/compiled.go
@@ -51,8 +51,8 @@
 type Compiled struct {
 	Rules    *Rules
 	Revision int64
-	Workers  map[string]map[string]Worker // by pool and name, as listed: CanServe tells which are cold
-	Duties   map[string]map[string]Held
+	Workers  map[string]Table[Worker] // by pool and name, as listed: CanServe tells which are cold
+	Duties   map[string]Table[Held]
 	Emptied  map[string]bool // whole zones
 	Resting  map[string]bool // zones of which only the workers get nothing
 	Easing   map[string]bool // restored zones whose workers still count as cold
@@ -97,14 +97,14 @@
 // CanServe says whether new work may go to a worker: it is in the live list,
 // live, and neither its zone nor the workers of its zone are being emptied.
 func (s *Compiled) CanServe(pool, worker string) (Worker, bool) {
-	w, isListed := s.Workers[pool][worker]
+	w, isListed := s.Workers[pool].Get(worker)
 	w.IsCold = w.IsCold || s.Easing[w.Zone]
 	return w, isListed && w.State == "live" && !s.Emptied[w.Zone] && !s.Resting[w.Zone]
 }
 
 // IsHolder says whether a life of an adapter holds a worker's duty.
 func (s *Compiled) IsHolder(pool, worker, name, boot string) bool {
-	held, isAssigned := s.Duties[pool][worker]
+	held, isAssigned := s.Duties[pool].Get(worker)
 	return isAssigned && held.Holder == name && held.Boot == boot
 }
 
--- /dev/null
+++ b/internal/config/table.go
@@ -0,0 +1,176 @@
+package config
+
+import (
+	"cmp"
+	"hash/fnv"
+	"iter"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Table maps names to values. It is never written: a change makes the next Table, which shares
+// with this one all shards that nothing was changed in. The zero Table is empty.
+//
+// Invariants: the number of shards follows from the number of rows alone; a row stands in the shard
+// that its name's hash tells, and the rows of a shard are sorted by name. So two Tables of the same
+// rows are alike, however they came about, and are walked in the same order.
+type Table[V any] struct {
+	shards [][]row[V]
+	size   int
+}
+
+type row[V any] struct {
+	name  string
+	value V
+}
+
+// shardRows is how many rows a shard has when a table is just full enough.
+const shardRows = 64
+
+// TableOf returns a table of what a map has.
+func TableOf[V any](rows map[string]V) Table[V] {
+	c := Table[V]{}.change()
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		c.set(name, rows[name])
+	}
+	return c.done()
+}
+
+// Len returns the number of names.
+func (t Table[V]) Len() int { return t.size }
+
+// Get returns the value of a name, and whether there is one.
+func (t Table[V]) Get(name string) (V, bool) {
+	if t.size > 0 {
+		shard := t.shards[shardOf(name, len(t.shards))]
+		if at, isThere := find(shard, name); isThere {
+			return shard[at].value, true
+		}
+	}
+	var none V
+	return none, false
+}
+
+// All yields each name with its value, always in the same order.
+func (t Table[V]) All() iter.Seq2[string, V] {
+	return func(yield func(string, V) bool) {
+		for _, shard := range t.shards {
+			for _, r := range shard {
+				if !yield(r.name, r.value) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Names returns all names, sorted.
+func (t Table[V]) Names() []string {
+	out := make([]string, 0, t.size)
+	for name := range t.All() {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func find[V any](shard []row[V], name string) (int, bool) {
+	return slices.BinarySearchFunc(shard, name, func(r row[V], name string) int { return cmp.Compare(r.name, name) })
+}
+
+func shardOf(name string, count int) int {
+	if count == 1 {
+		return 0
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return int(h.Sum32() % uint32(count))
+}
+
+// shardCount returns into how many shards so many rows are cut: a power of two, 0 for none.
+func shardCount(size int) int {
+	if size == 0 {
+		return 0
+	}
+	count := 1
+	for size > count*shardRows*2 {
+		count *= 2
+	}
+	return count
+}
+
+// tableChange makes the next Table of one. A shard is copied before it is first written.
+type tableChange[V any] struct {
+	shards [][]row[V]
+	isOwn  []bool // by shard
+	size   int
+}
+
+func (t Table[V]) change() *tableChange[V] {
+	return &tableChange[V]{shards: slices.Clone(t.shards), isOwn: make([]bool, len(t.shards)), size: t.size}
+}
+
+func (c *tableChange[V]) set(name string, value V) {
+	if shardCount(c.size+1) > len(c.shards) {
+		c.cut(shardCount(c.size + 1))
+	}
+	number := shardOf(name, len(c.shards))
+	at, isThere := find(c.own(number), name)
+	if isThere {
+		c.shards[number][at].value = value
+		return
+	}
+	c.shards[number] = slices.Insert(c.shards[number], at, row[V]{name, value})
+	c.size++
+}
+
+func (c *tableChange[V]) remove(name string) {
+	if c.size == 0 {
+		return
+	}
+	number := shardOf(name, len(c.shards))
+	if at, isThere := find(c.shards[number], name); isThere {
+		c.shards[number] = slices.Delete(c.own(number), at, at+1)
+		c.size--
+	}
+}
+
+// own returns a shard that may be written.
+func (c *tableChange[V]) own(number int) []row[V] {
+	if !c.isOwn[number] {
+		c.shards[number] = slices.Clone(c.shards[number])
+		c.isOwn[number] = true
+	}
+	return c.shards[number]
+}
+
+// cut spreads the rows over so many shards.
+func (c *tableChange[V]) cut(count int) {
+	next := make([][]row[V], count)
+	for _, shard := range c.shards {
+		for _, r := range shard {
+			number := shardOf(r.name, count)
+			next[number] = append(next[number], r)
+		}
+	}
+	for _, shard := range next {
+		slices.SortFunc(shard, func(a, b row[V]) int { return strings.Compare(a.name, b.name) })
+	}
+	c.shards, c.isOwn = next, slices.Repeat([]bool{true}, count)
+}
+
+func (c *tableChange[V]) done() Table[V] {
+	if count := shardCount(c.size); count != len(c.shards) {
+		c.cut(count)
+	}
+	for number, shard := range c.shards {
+		if len(shard) == 0 {
+			c.shards[number] = nil
+		}
+	}
+	if c.size == 0 {
+		return Table[V]{}
+	}
+	return Table[V]{shards: c.shards, size: c.size}
+}
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -137,7 +137,7 @@
 func (a *Adapter) holdsDuty() bool {
 	compiled := a.configs.Current()
 	for pool, duties := range compiled.Duties {
-		for worker := range duties {
+		for worker := range duties.All() {
 			if compiled.IsHolder(pool, worker, a.d.Who.Name, a.d.Who.Boot) {
 				return true
 			}
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -59,7 +59,7 @@
 // with mu held.
 func (s *slots) find(compiled *config.Compiled, pool, worker string) (*held, error) {
 	key := pool + "/" + worker
-	duty := compiled.Duties[pool][worker]
+	duty, _ := compiled.Duties[pool].Get(worker)
 	if !compiled.IsHolder(pool, worker, s.a.d.Who.Name, s.a.d.Who.Boot) {
 		s.drop(key)
 		return nil, errs.New(errs.NotOwner, "the duty of %s is not held here", key)
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -133,9 +133,8 @@
 		heard = usable
 	}
 	out := []Change{}
-	for _, name := range slices.Sorted(maps.Keys(compiled.Workers[pool])) {
-		worker := compiled.Workers[pool][name]
-		held, isAssigned := compiled.Duties[pool][name]
+	for name, worker := range compiled.Workers[pool].All() {
+		held, isAssigned := compiled.Duties[pool].Get(name)
 		holder, isHere := usable[held.Holder]
 		isRight := isAssigned && isHere && holder.Boot == held.Boot
 		if isRight && (worker.Zone == "" || holder.Zone == worker.Zone || !hasZone(usable, worker.Zone)) {
@@ -164,9 +163,9 @@
 			Next:    config.Duty{Holder: next.Name, Boot: next.Boot, Before: before, IsFree: isKept || leaving[held.Holder]},
 			IsGuess: isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(compiled, adapters.Here, held.Holder)})
 	}
-	for _, name := range slices.Sorted(maps.Keys(compiled.Duties[pool])) {
-		if _, isListed := compiled.Workers[pool][name]; !isListed {
-			out = append(out, Change{Pool: pool, Worker: name, IfRevision: compiled.Duties[pool][name].Term, IsGone: true})
+	for name, held := range compiled.Duties[pool].All() {
+		if _, isListed := compiled.Workers[pool].Get(name); !isListed {
+			out = append(out, Change{Pool: pool, Worker: name, IfRevision: held.Term, IsGone: true})
 		}
 	}
 	return out
@@ -176,7 +175,7 @@
 func loadOf(compiled *config.Compiled) map[string]int {
 	out := map[string]int{}
 	for _, duties := range compiled.Duties {
-		for _, d := range duties {
+		for _, d := range duties.All() {
 			out[d.Holder]++
 		}
 	}
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -12,8 +12,8 @@
 )
 
 func compiled(workers map[string]config.Worker, duties map[string]config.Held, emptied ...string) *config.Compiled {
-	out := &config.Compiled{Workers: map[string]map[string]config.Worker{"p": workers},
-		Duties: map[string]map[string]config.Held{"p": duties}, Emptied: map[string]bool{}}
+	out := &config.Compiled{Workers: map[string]config.Table[config.Worker]{"p": config.TableOf(workers)},
+		Duties: map[string]config.Table[config.Held]{"p": config.TableOf(duties)}, Emptied: map[string]bool{}}
 	for _, zone := range emptied {
 		out.Emptied[zone] = true
 	}
--- a/internal/manager/list.go
+++ b/internal/manager/list.go
@@ -151,7 +151,7 @@
 		if pool.IsEndpoint {
 			continue
 		}
-		for _, w := range compiled.Workers[name] {
+		for _, w := range compiled.Workers[name].All() {
 			l.roster.See(name, w, now)
 		}
 	}
--- a/internal/manager/status.go
+++ b/internal/manager/status.go
@@ -74,8 +74,8 @@
 	}
 	out.Lanes, out.Shares = sorted(compiled.Rules.Lanes), compiled.Shares
 	for _, name := range sorted(compiled.Rules.Pools) {
-		p := StatusPool{Name: name, Workers: len(compiled.Workers[name]), Duties: map[string]string{}, Weights: compiled.Weights[name]}
-		for worker, d := range compiled.Duties[name] {
+		p := StatusPool{Name: name, Workers: compiled.Workers[name].Len(), Duties: map[string]string{}, Weights: compiled.Weights[name]}
+		for worker, d := range compiled.Duties[name].All() {
 			p.Duties[worker] = d.Holder
 		}
 		out.Pools = append(out.Pools, p)
--- a/internal/manager/weights.go
+++ b/internal/manager/weights.go
@@ -26,7 +26,7 @@
 		compiled, seen := m.configs.Current(), m.seen()
 		pools := map[string]bool{}
 		for name, p := range compiled.Rules.Pools {
-			pools[name] = !p.IsEndpoint && len(compiled.Workers[name]) > 1
+			pools[name] = !p.IsEndpoint && compiled.Workers[name].Len() > 1
 		}
 		for _, pool := range m.ownPools(pools) {
 			if pools[pool] {
@@ -53,7 +53,8 @@
 			if out[pool] == nil {
 				out[pool] = map[string]weight.Seen{}
 			}
-			out[pool][worker] = weight.Seen{Zone: compiled.Workers[pool][worker].Zone, Micros: float64(micros),
+			listed, _ := compiled.Workers[pool].Get(worker)
+			out[pool][worker] = weight.Seen{Zone: listed.Zone, Micros: float64(micros),
 				Failed:  float64(member.Fact.Counts["run_misses "+name]) / 1000,
 				IsProbe: member.Fact.Counts["run_probes "+name] > 0}
 		}
@@ -63,7 +64,7 @@
 
 func (m *Manager) publishWeights(ctx context.Context, compiled *config.Compiled, pool string, seen map[string]weight.Seen) {
 	for worker := range seen {
-		if _, isListed := compiled.Workers[pool][worker]; !isListed {
+		if _, isListed := compiled.Workers[pool].Get(worker); !isListed {
 			delete(seen, worker)
 		}
 	}
--- a/internal/manager/workers.go
+++ b/internal/manager/workers.go
@@ -56,9 +56,10 @@
 // wholeList returns a pool's list as the view has it, in the order of the names.
 func (m *Manager) wholeList(pool string) config.Workers {
 	workers := m.configs.Current().Workers[pool]
-	out := config.Workers{Workers: make([]config.Worker, 0, len(workers))}
-	for _, name := range sorted(workers) {
-		out.Workers = append(out.Workers, workers[name])
+	out := config.Workers{Workers: make([]config.Worker, 0, workers.Len())}
+	for _, name := range workers.Names() {
+		worker, _ := workers.Get(name)
+		out.Workers = append(out.Workers, worker)
 	}
 	return out
 }
@@ -172,7 +173,7 @@
 		}
 	}
 	for _, pool := range m.configs.Current().Workers {
-		for _, w := range pool {
+		for _, w := range pool.All() {
 			if kind == "cell" && w.Zone == subject {
 				return true
 			}
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -125,7 +125,7 @@
 		return
 	}
 	n.c.checkAct(n)
-	held := compiled.Duties["p"][config.Endpoint]
+	held, _ := compiled.Duties["p"].Get(config.Endpoint)
 	if held.Holder != n.name || held.Boot != n.boot() || !compiled.MayWork(n.zone()) {
 		n.worker = nil
 		return
--- a/internal/sim/deliverylying_test.go
+++ b/internal/sim/deliverylying_test.go
@@ -13,7 +13,7 @@
 
 // holderOf returns the adapter that holds the endpoint's duty, as the control daemon has it.
 func (d *Deliveries) holderOf() *deliveryAdapter {
-	held := d.control.configs.Current().Duties["far"][config.Endpoint]
+	held, _ := d.control.configs.Current().Duties["far"].Get(config.Endpoint)
 	for _, a := range d.adapters {
 		if a.isUp && a.name == held.Holder && a.daemon.Who.Boot == held.Boot {
 			return a
--- a/internal/store/draw.go
+++ b/internal/store/draw.go
@@ -83,8 +83,7 @@
 // newTable lists the workers of a pool that may be asked.
 func (d *Dispatcher) newTable(compiled *config.Compiled, pool, members string) *drawTable {
 	t := &drawTable{compiled: compiled, members: members}
-	for _, name := range sortedNames(compiled.Duties[pool]) {
-		duty := compiled.Duties[pool][name]
+	for name, duty := range compiled.Duties[pool].All() {
 		worker, isLive := compiled.CanServe(pool, name)
 		holder, isMember := d.o.Daemon.Membership.Find(duty.Holder)
 		if !isLive || !isMember || holder.Boot != duty.Boot {
