--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -7,7 +7,7 @@
 	"hash/fnv"
 	"maps"
 	"slices"
-	"time"
+	"strings"
 
 	"caperwheel/internal/config"
 	"caperwheel/internal/wire"
@@ -44,77 +44,15 @@
 	IsReborn     bool // it stays with its holder's new life
 }
 
-// Steady keeps two planners that see different daemons from pulling a duty to
-// and fro: one that has just changed hands is not moved on a guess. That a holder is gone is
-// no guess for a planner that has seen it here since it moved the duty itself. Of two that see
-// different adapters each may so move a duty once; after that, neither has seen the other's holder.
-//
-// Invariants: seen has the newest term of each duty and when it was first planned; here has when
-// each life of a daemon was last a member, and moved when each duty was last moved, as this
-// planner saw it.
-type Steady struct {
-	Least time.Duration // a duty stays so long before a guess may move it
-	seen  map[string]seenTerm
-	here  map[string]time.Duration // by boot
-	moved map[string]time.Duration // by duty
-}
-
-// Note takes in which daemons are members now. It is called before each plan.
-func (s *Steady) Note(members []wire.Who, now time.Duration) {
-	if s.here == nil {
-		s.here = map[string]time.Duration{}
-	}
-	for _, who := range members {
-		s.here[who.Boot] = now
-	}
-	maps.DeleteFunc(s.here, func(_ string, at time.Duration) bool { return now-at > hereKept*s.Least })
-}
-
-// hereKept is for how many times Least a daemon that has gone is remembered.
-const hereKept = 10
-
-// isSeenGone reports whether this planner itself has seen a duty's holder come or stay, and go,
-// since it last moved the duty.
-func (s *Steady) isSeenGone(key, boot string) bool {
-	at, isKnown := s.here[boot]
-	return isKnown && at >= s.moved[key]
-}
-
-type seenTerm struct {
-	term int64
-	at   time.Duration
-}
-
-// Filter drops the guesses that come too early.
-func (s *Steady) Filter(plan []Change, now time.Duration) []Change {
-	if s.seen == nil {
-		s.seen, s.moved = map[string]seenTerm{}, map[string]time.Duration{}
-	}
-	out := []Change{}
-	for _, c := range plan {
-		key := c.Pool + "/" + c.Worker
-		was, isKnown := s.seen[key]
-		if !isKnown || was.term != c.IfRevision {
-			was = seenTerm{c.IfRevision, now}
-			s.seen[key] = was
-			if !isKnown { // we have just come: what we know of it may be old
-				was.at = now - s.Least
-				s.seen[key] = was
-			}
-		}
-		if !c.IsGuess || now-was.at >= s.Least || s.isSeenGone(key, c.Next.Before) {
-			out = append(out, c)
-			s.moved[key] = now
-		}
-	}
-	return out
-}
+func (c Change) key() string { return c.Pool + "/" + c.Worker }
 
 // Adapters are those that may hold duties, as a planner sees them.
 type Adapters struct {
 	Here    []wire.Who      // members
 	Leaving map[string]bool // by name: asked to stop
 	Silent  map[string]bool // by name: not heard of for a while, so perhaps gone; none gets a duty that another can have
+
+	Proposed *Proposals // nil: none are open
 }
 
 // Plan tells which duties of a pool must change hands. A duty stays where it
@@ -132,6 +70,7 @@
 	if len(heard) == 0 {
 		heard = usable
 	}
+	candidates := slices.SortedFunc(maps.Values(heard), func(a, b wire.Who) int { return strings.Compare(a.Name, b.Name) })
 	out := []Change{}
 	for name, worker := range compiled.Workers[pool].All() {
 		held, isAssigned := compiled.Duties[pool].Get(name)
@@ -143,7 +82,13 @@
 		if load == nil { // most rounds find nothing to move, and need no count of all duties
 			load = loadOf(compiled)
 		}
-		next := choose(pool+"/"+name, worker.Zone, heard, load)
+		ifRevision, wasKnown := revision(config.DutyKey + pool + "/" + name)
+		if open, isOpen := adapters.Proposed.of(pool+"/"+name, ifRevision); isOpen {
+			load[held.Holder]--
+			load[open.holder]++
+			continue
+		}
+		next := choose(pool+"/"+name, worker.Zone, candidates, load)
 		isReborn := isAssigned && isHere && holder.Boot != held.Boot
 		if isReborn && (worker.Zone == "" || holder.Zone == worker.Zone || !hasZone(usable, worker.Zone)) {
 			next = holder // its life before has ended: no other can act, so no fence
@@ -153,7 +98,6 @@
 		}
 		load[held.Holder]--
 		load[next.Name]++
-		ifRevision, wasKnown := revision(config.DutyKey + pool + "/" + name)
 		before := held.Boot
 		if !isAssigned && wasKnown {
 			before = "an earlier holder"
@@ -164,7 +108,8 @@
 			IsGuess: isAssigned && !isHere && !leaving[held.Holder] && !isEmptied(compiled, adapters.Here, held.Holder)})
 	}
 	for name, held := range compiled.Duties[pool].All() {
-		if _, isListed := compiled.Workers[pool].Get(name); !isListed {
+		_, isListed := compiled.Workers[pool].Get(name)
+		if _, isOpen := adapters.Proposed.of(pool+"/"+name, held.Term); !isListed && !isOpen {
 			out = append(out, Change{Pool: pool, Worker: name, IfRevision: held.Term, IsGone: true})
 		}
 	}
@@ -201,10 +146,11 @@
 	return false
 }
 
-func choose(key, zone string, usable map[string]wire.Who, load map[string]int) wire.Who {
+// choose returns which of some adapters, sorted by name, a duty goes to.
+func choose(key, zone string, candidates []wire.Who, load map[string]int) wire.Who {
 	best := wire.Who{}
-	for _, name := range slices.Sorted(maps.Keys(usable)) {
-		a := usable[name]
+	for _, a := range candidates {
+		name := a.Name
 		if best.Name == "" {
 			best = a
 			continue
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -167,3 +167,61 @@
 		}
 	})
 }
+
+// TestProposals: what was proposed and is not seen yet counts in a plan.
+func TestProposals(t *testing.T) {
+	const second = time.Second
+	workers := map[string]config.Worker{}
+	for i := range 20 {
+		workers[fmt.Sprint("w", i)] = config.Worker{Zone: "a"}
+	}
+	a, b := wire.Who{Name: "a1", Boot: "1", Zone: "a"}, wire.Who{Name: "a2", Boot: "1", Zone: "a"}
+	never := func(string) (int64, bool) { return 0, false }
+	plan := func(p *Proposals, here ...wire.Who) []Change {
+		return Plan("p", compiled(workers, nil), Adapters{Here: here, Proposed: p}, never)
+	}
+	Convey("Given ten of twenty duties proposed for one adapter", t, func() {
+		p := &Proposals{Kept: 2 * second}
+		first := plan(p, a)[:10]
+		for _, change := range first {
+			p.Propose(change, second)
+		}
+		Convey("the others go to the one that will have fewer", func() {
+			rest := plan(p, a, b)
+			So(rest, ShouldHaveLength, 10)
+			for _, change := range rest {
+				So(change.Next.Holder, ShouldEqual, "a2")
+			}
+		})
+		Convey("one that failed is planned again", func() {
+			p.Fail(first[3])
+			So(plan(p, a, b), ShouldHaveLength, 11)
+		})
+		Convey("a failure of an older proposal is none of the newer", func() {
+			newer := first[3]
+			newer.IfRevision = 7
+			p.Propose(newer, second)
+			p.Fail(first[3])
+			_, isOpen := p.of("p/"+newer.Worker, 7)
+			So(isOpen, ShouldBeTrue)
+		})
+		Convey("what is seen at another revision is planned whatever was proposed", func() {
+			seen := func(string) (int64, bool) { return 9, true }
+			So(Plan("p", compiled(workers, nil), Adapters{Here: []wire.Who{a, b}, Proposed: p}, seen), ShouldHaveLength, 20)
+		})
+		Convey("they are forgotten in time", func() {
+			p.Forget(3*second - 1)
+			So(p.IsEmpty(), ShouldBeFalse)
+			p.Forget(3 * second)
+			So(p.IsEmpty(), ShouldBeTrue)
+			So(plan(p, a, b), ShouldHaveLength, 20)
+		})
+	})
+	Convey("A duty that is being removed is not removed twice", t, func() {
+		p, gone := &Proposals{Kept: second}, compiled(nil, map[string]config.Held{"w": held("a1", "1")})
+		removed := Plan("p", gone, Adapters{Here: []wire.Who{a}, Proposed: p}, never)
+		So(removed, ShouldHaveLength, 1)
+		p.Propose(removed[0], 0)
+		So(Plan("p", gone, Adapters{Here: []wire.Who{a}, Proposed: p}, never), ShouldBeEmpty)
+	})
+}
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -26,7 +26,7 @@
 // controlDuties keeps every worker's duty with a live adapter. Each pool is
 // looked after by one manager; should two think so, the revisions let one win.
 func (m *Manager) controlDuties(ctx context.Context) {
-	planner := &dutyPlanner{m: m, edits: pond.NewPool(mostDutyEdits), steady: &duty.Steady{Least: 2 * m.d.Bounds.Config}}
+	planner := newDutyPlanner(m)
 	steadySince := m.d.Now()
 	timing.Every(ctx, m.d.Bounds.Of(timing.Poll), func() {
 		if !m.d.IsFresh() {
@@ -64,7 +64,14 @@
 	m      *Manager
 	edits  pond.Pool
 	steady *duty.Steady
-	idle   planInput // of the newest turn, if it found nothing to do
+	// A proposal of unknown outcome counts until a view that is fresh must show it.
+	proposed *duty.Proposals
+	idle     planInput // of the newest turn, if it found nothing to do
+}
+
+func newDutyPlanner(m *Manager) *dutyPlanner {
+	return &dutyPlanner{m: m, edits: pond.NewPool(mostDutyEdits), steady: &duty.Steady{Least: 2 * m.d.Bounds.Config},
+		proposed: &duty.Proposals{Kept: m.d.Bounds.Of(timing.Fresh)}}
 }
 
 // planInput is all that a plan depends on.
@@ -77,7 +84,8 @@
 // turn plans and assigns. isNew has it give duties to new lives of those that hold them alone.
 func (p *dutyPlanner) turn(ctx context.Context, isNew bool) {
 	m := p.m
-	adapters := duty.Adapters{Here: m.d.Membership.Kind("adapter"), Leaving: map[string]bool{}, Silent: map[string]bool{}}
+	adapters := duty.Adapters{Here: m.d.Membership.Kind("adapter"), Leaving: map[string]bool{}, Silent: map[string]bool{},
+		Proposed: p.proposed}
 	_, members := m.registry.Members(m.d.Now())
 	for _, member := range members {
 		if member.Fact.Counts[deliver.Leaving] > 0 {
@@ -88,6 +96,7 @@
 		}
 	}
 	p.steady.Note(adapters.Here, m.d.Now())
+	p.proposed.Forget(m.d.Now())
 	input := planInput{m.configs.Current(), m.d.Membership.Hash(), strings.Join(sorted(adapters.Leaving), " ")}
 	if input == p.idle {
 		return
@@ -95,14 +104,16 @@
 	wanted := p.plan(input.compiled, adapters)
 	p.idle = planInput{}
 	if len(wanted) == 0 {
-		p.idle = input
+		if p.proposed.IsEmpty() { // else a proposal may yet fail, and is then to be made again
+			p.idle = input
+		}
 		return
 	}
 	plan := p.steady.Filter(wanted, m.d.Now())
 	group := p.edits.NewGroup()
 	for _, change := range plan[:min(len(plan), mostAssignments)] {
 		if !isNew || change.IsReborn {
-			group.Submit(func() { m.assign(ctx, feed.PartOf(change.Pool, m.d.Settings.Parts), change) })
+			group.Submit(func() { p.assign(ctx, feed.PartOf(change.Pool, m.d.Settings.Parts), change) })
 		}
 	}
 	_ = group.Wait()
@@ -131,7 +142,9 @@
 	return out
 }
 
-func (m *Manager) assign(ctx context.Context, part int64, change duty.Change) {
+// assign writes one duty.
+func (p *dutyPlanner) assign(ctx context.Context, part int64, change duty.Change) {
+	m := p.m
 	ctx, cancel := context.WithTimeout(ctx, m.d.Bounds.Config)
 	defer cancel()
 	e := wire.Edit{Part: part, Key: config.DutyKey + change.Pool + "/" + change.Worker, IfRevision: change.IfRevision,
@@ -140,7 +153,11 @@
 		e.Value = change.Next.Encode()
 	}
 	started := time.Now()
+	p.proposed.Propose(change, m.d.Now())
 	if _, err := m.edit(ctx, e); err != nil {
+		if !errs.Is(err, errs.Undecided) { // else it may hold, and the view will show it
+			p.proposed.Fail(change)
+		}
 		if !errs.Is(err, errs.Conflict) {
 			klog.Warningf("duty: %s/%s cannot be assigned after %v: %v.", change.Pool, change.Worker, time.Since(started), err)
 		}
--- a/internal/manager/operators_test.go
+++ b/internal/manager/operators_test.go
@@ -25,6 +25,7 @@
 	mu      sync.Mutex
 	parts   map[int64]*feed.Part
 	lose    int
+	refuse  errs.Kind // edits that come are refused so, and change nothing
 	before  func(e *wire.Edit)
 	edits   []wire.Edit
 	view    *feed.View
@@ -61,6 +62,9 @@
 		got := f.part(a.Part).Read(a.Key, f.now)
 		return &got, nil
 	case *wire.Edit:
+		if f.refuse != "" {
+			return &wire.Edited{Kind: string(f.refuse)}, nil
+		}
 		if f.before != nil {
 			before := f.before
 			f.before = nil
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -54,6 +54,7 @@
 	worker     *deliver.Worker
 	term       int64
 	steady     duty.Steady
+	proposed   *duty.Proposals
 	since      time.Duration // its view has been fresh since then
 }
 
@@ -163,7 +164,9 @@
 		c, isStanding := n.view.Get(feed.ConfigPart, key)
 		return map[bool]int64{true: c.Revision}[isStanding], c.Revision > 0
 	}
-	for _, change := range n.steady.Filter(duty.Plan("p", compiled, duty.Adapters{Here: adapters}, revision), n.c.now) {
+	n.proposed.Forget(n.c.now)
+	for _, change := range n.steady.Filter(duty.Plan("p", compiled, duty.Adapters{Here: adapters, Proposed: n.proposed}, revision), n.c.now) {
+		n.proposed.Propose(change, n.c.now)
 		e := wire.Edit{Key: config.DutyKey + change.Pool + "/" + change.Worker, Value: change.Next.Encode(), IfRevision: change.IfRevision}
 		n.c.Note("%s gives the endpoint to %s", n.name, change.Next.Boot)
 		n.edit(e, func(int64) {})
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -18,6 +18,7 @@
 		return
 	}
 	n.isUp, n.life, n.worker, n.term, n.steady = true, n.life+1, nil, 0, duty.Steady{Least: 2 * timing.Default.Config}
+	n.proposed = &duty.Proposals{Kept: timing.Default.Of(timing.Fresh)}
 	n.view, n.membership, n.registry = feed.NewView(0), session.NewMembership(), session.NewRegistry(timing.Default.Of(timing.SessionTimeout))
 	n.c.Note("start %s", n.boot())
 	life := n.life
