--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -37,6 +37,7 @@
 	"nag":    nag,
 	"storm":  storm,
 	"gone":   gone,
+	"reload": reload, "lone": lone, "together": together,
 	"churn":  churn,
 	"forget": forget,
 	"fail":   behave, "crawl": behave, "lose": behave, "cut": behave, "silent": behave, "full": behave,
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -152,47 +151,6 @@
 	}
 }
 
-// cleanEnds are how a process ends that was asked to stop; by the signal itself where that
-// came before the program had asked for it.
-var cleanEnds = []string{"exit status 0", "signal: terminated"}
-
-// stop ends all processes, asking first or not; the trouble lasts until they
-// are started again.
-func (m *Machine) stop(isAsked bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.isMeant {
-		return
-	}
-	m.isMeant = false
-	m.troubled = m.site.History.begin(m.Short, m.site.Now(), isAsked)
-	m.noteSignal()
-	var wg sync.WaitGroup
-	for _, p := range m.Processes {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			switch {
-			case !isAsked:
-				p.Kill()
-			case !p.StopWithin(m.site.patience()):
-				m.site.failed("%s %s did not go within its grace", m.Short, p.Kind)
-			case !slices.Contains(cleanEnds, p.Ended()):
-				m.site.failed("%s %s was asked to stop and ended: %s", m.Short, p.Kind, p.Ended())
-			}
-		}()
-	}
-	wg.Wait()
-}
-
-// wipe loses the disk while the machine is down.
-func (m *Machine) wipe() {
-	m.stop(false)
-	if err := os.RemoveAll(m.disk()); err != nil {
-		m.site.failed("disk of %s: %v", m.Short, err)
-	}
-}
-
 // hup changes the settings file and says so.
 func (m *Machine) hup() {
 	m.mu.Lock()
--- a/internal/standin/series.go
+++ b/internal/standin/series.go
@@ -90,6 +90,9 @@
 	front := func(r *rand.Rand) string { return fmt.Sprintf("front-%d", 1+r.IntN(fronts)) }
 	other := of("store-1", "store-2", "store-3", "core-1", "core-2", "core-3")
 	all := of("front-*", "store-*", "core-*")
+	pairs := func(r *rand.Rand) string { // a front and the stores that it may need
+		return front(r) + "+" + of("store-1", "store-2", "store-3", "store-*")(r)
+	}
 	workers := of("pool-1/1", "pool-1/2", "pool-1/3", "pool-1/4", "pool-2/1", "pool-2/2")
 	return []fleet.Draw{
 		{Share: 10, Do: "stop", Who: front, Most: 2 * time.Second},
@@ -105,6 +108,10 @@
 		{Share: 1, Do: "freeze", Who: other, Most: 4 * time.Second},
 		{Share: 2, Do: "hup", Who: of("front-*", "core-*", "store-*", "*")},
 		{Share: 1, Do: "storm", Who: of("front-*", "*")},
+		{Share: 2, Do: "reload", Who: of("front-*", "*")},
+		{Share: 2, Do: "lone", Who: front},
+		{Share: 1, Do: "lone", Who: of("front-*")},
+		{Share: 3, Do: "together", Who: pairs, Most: 2 * time.Second},
 		{Share: 2, Do: "churn", Who: of("timeout", "update")},
 		{Share: 4, Do: "edit", Who: of("timeout", "add", "remove", "update", "race", "repeat")},
 		{Share: 1, Do: "fail", Who: workers, Most: 4 * time.Second},
