--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -44,7 +44,6 @@
 	Platform *platformCommand `arg:"subcommand:platform" help:"run a small deployment on a stand-in of its users' platform and judge it"`
 	Lists    *listsCommand    `arg:"subcommand:lists" help:"measure a small deployment with long lists of workers"`
 	Soak     *soakCommand     `arg:"subcommand:soak" help:"stop, restart and change a deployment in series under callers that never let go"`
-	Scale    *scaleCommand    `arg:"subcommand:scale" help:"measure what control costs as a deployment grows"`
 	Check    *checkCommand    `arg:"subcommand:check" help:"explore all that a replicated group can come to"`
 	Run      *runCommand      `arg:"subcommand:run" help:"run a deployment and check it"`
 }
@@ -68,8 +67,6 @@
 		err = backend(args.Backend)
 	case args.Bench != nil:
 		err = bench(args.Bench)
-	case args.Scale != nil:
-		err = scaleRun(args.Scale)
 	case args.Check != nil:
 		err = checkGroup(args.Check)
 	case args.Sweep != nil:
--- /dev/null
+++ b/internal/place/size_test.go
@@ -0,0 +1,50 @@
+package place
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// BenchmarkBacklog measures a place that holds messages of 256 bytes: what each takes in memory and in
+// the image, and how long the image is made and read.
+func BenchmarkBacklog(b *testing.B) {
+	for _, count := range []int{1000, 100_000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			before := liveBytes()
+			m := New()
+			for i := range count {
+				m.Apply(Command{Kind: CmdTake, At: int64(i), Id: fmt.Sprintf("17-%024d", i), Lane: "parked", Deadline: 86_400_000,
+					Body: make([]byte, 256), Sum: fmt.Sprintf("%064d", i), Ctype: "application/octet-stream"})
+			}
+			held := liveBytes() - before
+			var image []byte
+			made, read := time.Duration(0), time.Duration(0)
+			for b.Loop() {
+				began := time.Now()
+				image = m.Image()
+				made += time.Since(began)
+				began = time.Now()
+				if _, err := Restore(image); err != nil {
+					b.Fatal(err)
+				}
+				read += time.Since(began)
+			}
+			n := float64(count)
+			b.ReportMetric(held/n, "B-held/message")
+			b.ReportMetric(float64(len(image))/n, "B-image/message")
+			b.ReportMetric(float64(made.Nanoseconds())/float64(b.N)/n, "ns-image/message")
+			b.ReportMetric(float64(read.Nanoseconds())/float64(b.N)/n, "ns-restore/message")
+			runtime.KeepAlive(m)
+		})
+	}
+}
+
+// liveBytes returns the bytes that are live now.
+func liveBytes() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
