--- a/internal/listing/roster.go
+++ b/internal/listing/roster.go
@@ -19,7 +19,7 @@
 // that cover its zone; changed has the pools of which something has changed since Changed.
 type Roster struct {
 	pools   map[string]map[string]*entry
-	changed map[string]map[string]bool // pool -> names
+	changed map[string]map[string]bool // pool -> names, and whether the worker was told of before
 }
 
 type entry struct {
@@ -38,8 +38,8 @@
 	if r.pools[pool] == nil {
 		r.pools[pool] = map[string]*entry{}
 	}
-	e := r.pools[pool][w.Name]
-	if e == nil {
+	e, isKnown := r.pools[pool][w.Name]
+	if !isKnown {
 		e = &entry{}
 		r.pools[pool][w.Name] = e
 	}
@@ -47,16 +47,16 @@
 		return
 	}
 	if e.worker != w {
-		r.note(pool, w.Name)
+		r.note(pool, w.Name, isKnown)
 	}
 	e.worker, e.seenAt, e.misses = w, asked, 0
 }
 
-func (r *Roster) note(pool, name string) {
+func (r *Roster) note(pool, name string, isKnown bool) {
 	if r.changed[pool] == nil {
 		r.changed[pool] = map[string]bool{}
 	}
-	r.changed[pool][name] = true
+	r.changed[pool][name] = r.changed[pool][name] || isKnown
 }
 
 // Passed takes in that a read of a zone's workers, or of all where the zone is empty, is
@@ -69,13 +69,14 @@
 			}
 			if e.misses++; e.misses >= missesToGone {
 				delete(entries, name)
-				r.note(pool, name)
+				r.note(pool, name, true)
 			}
 		}
 	}
 }
 
-// Changed returns the names of the workers that have changed since the last call, by pool.
+// Changed returns the names of the workers that have changed since the last call, by pool, and
+// whether each was told of before: false for one that is new.
 func (r *Roster) Changed() map[string]map[string]bool {
 	out := r.changed
 	r.changed = map[string]map[string]bool{}
@@ -84,8 +85,8 @@
 
 // Keep has workers change again that could not be written.
 func (r *Roster) Keep(pool string, names map[string]bool) {
-	for name := range names {
-		r.note(pool, name)
+	for name, isKnown := range names {
+		r.note(pool, name, isKnown)
 	}
 }
 
--- a/internal/manager/listwrite.go
+++ b/internal/manager/listwrite.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -21,8 +22,31 @@
 
 // listedPool is how a pool's list is written.
 type listedPool struct {
-	buckets int  // into how many it is cut
-	isWhole bool // each bucket has been compared with what stands, since the newest failure
+	buckets int           // into how many it is cut
+	isWhole bool          // each bucket has been compared with what stands, since the newest failure
+	newAt   time.Duration // new workers wait until then, unless a read is complete
+}
+
+// newWorkersRest is for how many times as long as the newest write took new workers wait for the next
+// one. Workers of a list are spread over all its keys, so while a long list is first read each write is one
+// of all keys: without a rest, their bytes grow with the square of the list.
+const newWorkersRest = 4
+
+// due parts what has changed into what is written now and what waits. A change of a worker that was told
+// of before never waits.
+func (p *listedPool) due(changed map[string]bool, isAll bool, now time.Duration) (due, waiting map[string]bool) {
+	if isAll || now >= p.newAt {
+		return changed, nil
+	}
+	due, waiting = map[string]bool{}, map[string]bool{}
+	for name, isKnown := range changed {
+		if isKnown {
+			due[name] = true
+		} else {
+			waiting[name] = false
+		}
+	}
+	return due, waiting
 }
 
 // write brings the pools' lists to what was read; with isAll everything is compared with what
@@ -36,25 +60,36 @@
 		if pool.IsEndpoint {
 			continue
 		}
-		if !l.writePool(ctx, name, changed[name], isAll) {
+		due, waiting := l.pool(name).due(changed[name], isAll, l.m.d.Now())
+		isWritten := l.writePool(ctx, name, due, isAll)
+		l.mu.Lock()
+		l.roster.Keep(name, waiting)
+		if !isWritten {
 			isWhole = false
-			l.mu.Lock()
-			l.roster.Keep(name, changed[name])
-			l.mu.Unlock()
+			l.roster.Keep(name, due)
 		}
+		l.mu.Unlock()
 	}
 	return isWhole
 }
 
-// writePool writes the buckets of a pool's list that have changed, and then takes away what
-// stands of another number of buckets.
-func (l *lister) writePool(ctx context.Context, pool string, changed map[string]bool, isAll bool) bool {
+// pool returns how a pool's list is written. Only the goroutine that writes changes it.
+func (l *lister) pool(name string) *listedPool {
 	l.mu.Lock()
-	p := l.pools[pool]
+	defer l.mu.Unlock()
+	p := l.pools[name]
 	if p == nil {
 		p = &listedPool{}
-		l.pools[pool] = p
+		l.pools[name] = p
 	}
+	return p
+}
+
+// writePool writes the buckets of a pool's list that have changed, and then takes away what
+// stands of another number of buckets.
+func (l *lister) writePool(ctx context.Context, pool string, changed map[string]bool, isAll bool) bool {
+	p, began := l.pool(pool), l.m.d.Now()
+	l.mu.Lock()
 	if len(changed) == 0 && !isAll && p.isWhole {
 		l.mu.Unlock()
 		return true
@@ -68,6 +103,7 @@
 	}
 	p.buckets = count
 	p.isWhole = l.writeBuckets(ctx, pool, count, workers, changed, isAll) && l.takeAway(ctx, pool, count, standing)
+	p.newAt = l.m.d.Now() + newWorkersRest*(l.m.d.Now()-began)
 	return p.isWhole
 }
 
--- a/internal/manager/longlist_test.go
+++ b/internal/manager/longlist_test.go
@@ -1,9 +1,11 @@
 package manager
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -96,6 +98,43 @@
 	})
 }
 
+// TestNewWorkersRest: while a long list was first read each write was one of all its keys, so what was
+// written grew with the square of the list.
+func TestNewWorkersRest(t *testing.T) {
+	const workers = 6000
+	Convey("Where writes take time,", t, func() {
+		s := newListed(5, 20)
+		s.workers = many(workers)
+		s.f.taken = func() { s.now += 50 * time.Millisecond }
+		bytes := func() (sum int) {
+			for _, e := range s.f.edits {
+				if strings.HasPrefix(e.Key, config.WorkersKey) {
+					sum += len(e.Value)
+				}
+			}
+			return sum
+		}
+		Convey("a long list is written few times as it is first read", func() {
+			s.pass(200 * time.Second)
+			So(s.written(), ShouldHaveLength, workers)
+			So(bytes(), ShouldBeLessThan, 12*len(config.Workers{Workers: s.workers}.Encode()))
+			Convey("a change of a worker that is known waits for none of it", func() {
+				s.f.taken = nil
+				s.l.pool("p").newAt = s.now + time.Hour
+				s.l.roster.See("p", config.Worker{Name: "new", Address: "127.0.0.1:80", Zone: "a", State: "live"}, s.now)
+				s.l.roster.See("p", config.Worker{Name: "w-000007", Address: "127.0.0.1:80", Zone: "b", State: "leaving"}, s.now)
+				s.l.flush(context.Background())
+				So(s.written()["w-000007"].State, ShouldEqual, "leaving")
+				waits := func() bool { _, isWritten := s.written()["new"]; return !isWritten }
+				So(waits(), ShouldBeTrue)
+				s.l.pool("p").newAt = s.now
+				s.l.flush(context.Background())
+				So(waits(), ShouldBeFalse)
+			})
+		})
+	})
+}
+
 // TestListThatMoves: entries come, go and move between pages while they are read. A worker that
 // is on the list all the time is never taken out, and in the end what is written is the list.
 func TestListThatMoves(t *testing.T) {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -64,6 +64,7 @@
 	go timing.Every(ctx, d.Bounds.Of(timing.Poll), m.operators.Look)
 	go m.controlDuties(ctx)
 	go m.controlWeights(ctx)
+	d.Measure(m.measurePools)
 	if m.source != nil {
 		m.lister = newLister(m)
 		d.Measure(m.lister.measure)
--- a/internal/manager/operators_test.go
+++ b/internal/manager/operators_test.go
@@ -25,6 +25,7 @@
 	mu      sync.Mutex
 	parts   map[int64]*feed.Part
 	lose    int
+	taken   func()    // called with each edit that is taken in, if given
 	refuse  errs.Kind // edits that come are refused so, and change nothing
 	before  func(e *wire.Edit)
 	edits   []wire.Edit
@@ -73,6 +74,9 @@
 		a.At = f.now
 		got := f.part(a.Part).Apply(*a)
 		f.edits = append(f.edits, *a)
+		if f.taken != nil {
+			f.taken()
+		}
 		f.show()
 		if f.lose > 0 {
 			f.lose--
--- a/internal/manager/status.go
+++ b/internal/manager/status.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 
+	"caperwheel/internal/daemon"
 	"caperwheel/internal/web"
 	"caperwheel/internal/weight"
 	"caperwheel/internal/wire"
@@ -85,6 +86,15 @@
 	web.Answer(w, 200, out)
 }
 
+// measurePools reports how many workers each pool has, and how many have a holder.
+func (m *Manager) measurePools(emit daemon.Emit) {
+	compiled := m.configs.Current()
+	for name := range compiled.Rules.Pools {
+		emit("pool_workers", "Workers on a pool's list.", float64(compiled.Workers[name].Len()), "pool", name)
+		emit("pool_duties", "Workers of a pool that have a holder.", float64(compiled.Duties[name].Len()), "pool", name)
+	}
+}
+
 func withNumber(g StatusGroup, number int64) StatusGroup { g.Number = number; return g }
 
 func sorted[V any](m map[string]V) []string {
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -42,11 +42,46 @@
 
 type listState struct {
 	at   time.Duration
-	rows []instance
+	rows []*rows // one after the other
 }
 
-func (l *list) now() []instance {
-	rows, now := []instance{}, l.site.Now()
+// rows are entries of the list, which are never written.
+type rows struct {
+	all    []instance
+	byZone map[string][]instance
+}
+
+func newRows(all []instance) *rows {
+	r := &rows{all: all, byZone: map[string][]instance{}}
+	for _, row := range all {
+		r.byZone[row.Zone] = append(r.byZone[row.Zone], row)
+	}
+	return r
+}
+
+// of returns the entries of a zone, or of all where the zone is empty.
+func (r *rows) of(zone string) []instance {
+	if zone == "" {
+		return r.all
+	}
+	return r.byZone[zone]
+}
+
+// cut returns the entries of a zone from one up to another, and whether there are more.
+func (s listState) cut(zone string, from, until int) (out []instance, isMore bool) {
+	out = []instance{}
+	for _, r := range s.rows {
+		part := r.of(zone)
+		if from < len(part) && until > 0 {
+			out = append(out, part[max(0, from):min(len(part), until)]...)
+		}
+		from, until = from-len(part), until-len(part)
+	}
+	return out, until < 0
+}
+
+func (l *list) now() []*rows {
+	own, now := []instance{}, l.site.Now()
 	for _, p := range l.site.Pools {
 		if p.Count == 0 {
 			continue
@@ -56,13 +91,14 @@
 			if w.isLeaving.Load() {
 				state = "draining"
 			}
-			rows = append(rows, instance{w.Id, p.Name, w.Addr, w.Zone, "v1", p.Slots, state, max(0, (w.ColdUntil - now).Milliseconds())})
+			own = append(own, instance{w.Id, p.Name, w.Addr, w.Zone, "v1", p.Slots, state, max(0, (w.ColdUntil - now).Milliseconds())})
 		}
 	}
+	out := []*rows{newRows(own)}
 	for _, c := range l.shared {
-		rows = append(rows, c.rows()...)
+		out = append(out, c.rows())
 	}
-	return rows
+	return out
 }
 
 // look notes what is, so that it can be shown a lag later.
@@ -94,20 +130,14 @@
 		return
 	}
 	l.took = append(l.took, now)
-	rows := []instance{}
-	for _, row := range l.was[0].rows {
-		if zone := r.URL.Query().Get("zone"); zone == "" || zone == row.Zone {
-			rows = append(rows, row)
-		}
-	}
 	from, _ := strconv.Atoi(strings.TrimPrefix(r.URL.Query().Get("page_token"), "after-"))
-	from = min(max(from, 0), len(rows))
-	until := min(len(rows), from+l.page)
+	from = max(from, 0)
+	page, isMore := l.was[0].cut(r.URL.Query().Get("zone"), from, from+l.page)
 	var next any
-	if until < len(rows) {
-		next = "after-" + strconv.Itoa(until)
+	if isMore {
+		next = "after-" + strconv.Itoa(from+l.page)
 	}
-	raw, err := json.Marshal(map[string]any{"instances": rows[from:until], "next_page_token": next})
+	raw, err := json.Marshal(map[string]any{"instances": page, "next_page_token": next})
 	if err != nil {
 		out.WriteHeader(500)
 		return
--- a/internal/standin/lists.go
+++ b/internal/standin/lists.go
@@ -64,21 +64,11 @@
 	case <-ctx.Done():
 		return out, errs.New(errs.DeadlineExceeded, "no worker of the list has run anything")
 	}
-	status := func(is func(p gjson.Result) bool) bool {
-		return s.untilStatus(ctx, func(status gjson.Result) bool {
-			for _, p := range status.Get("pools").Array() {
-				if p.Get("workers").Int() >= int64(min(o.Workers, 10)) && is(p) {
-					return true
-				}
-			}
-			return false
-		})
-	}
-	if !status(func(p gjson.Result) bool { return p.Get("workers").Int() >= int64(all) }) {
+	if !s.untilMetric(ctx, "caperwheel_pool_workers", all) {
 		return out, errs.New(errs.DeadlineExceeded, "not every worker of %s is known", pool)
 	}
 	out.Listed = s.Now() - began
-	if !status(func(p gjson.Result) bool { return len(p.Get("duties").Map()) >= all }) {
+	if !s.untilMetric(ctx, "caperwheel_pool_duties", all) {
 		return out, errs.New(errs.DeadlineExceeded, "not every worker of %s has a holder", pool)
 	}
 	out.Held = s.Now() - began
@@ -96,12 +86,17 @@
 	return out, nil
 }
 
-// untilStatus asks the first manager for its status until it is as wanted.
-func (s *Site) untilStatus(ctx context.Context, is func(gjson.Result) bool) bool {
+// untilMetric reads the first manager's metrics until one of some pool has come to a value.
+func (s *Site) untilMetric(ctx context.Context, name string, value int) bool {
 	for ctx.Err() == nil {
-		raw := s.fetch(ctx, s.match("core-1")[0], "/v1/status")
-		if len(raw) > 0 && is(gjson.ParseBytes(raw)) {
-			return true
+		for line := range strings.Lines(string(s.fetch(ctx, s.match("core-1")[0], "/metrics"))) {
+			words := strings.Fields(line)
+			if len(words) != 2 || !strings.HasPrefix(line, name+"{") {
+				continue
+			}
+			if got, err := strconv.ParseFloat(words[1], 64); err == nil && got >= float64(value) {
+				return true
+			}
 		}
 		pause(ctx, 200*time.Millisecond)
 	}
--- a/internal/standin/manyworkers.go
+++ b/internal/standin/manyworkers.go
@@ -19,6 +19,7 @@
 
 	mu      sync.Mutex
 	leaving map[int]bool
+	told    *rows      // the entries of the list; nil where they have changed
 	first   *sync.Once // of the first run
 	began   chan struct{}
 }
@@ -49,9 +50,12 @@
 }
 
 // rows are the entries of the list.
-func (c *manyWorkers) rows() []instance {
+func (c *manyWorkers) rows() *rows {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.told != nil {
+		return c.told
+	}
 	out := make([]instance, 0, c.service.Listed)
 	for i := range c.service.Listed {
 		state := "ready"
@@ -62,7 +66,8 @@
 		out = append(out, instance{Identifier: c.id(i), Service: c.service.Name, Address: net.JoinHostPort(host, strconv.Itoa(c.port)),
 			Zone: c.site.Zones[i%len(c.site.Zones)], Version: "v1", Slots: c.service.Slots, State: state})
 	}
-	return out
+	c.told = newRows(out)
+	return c.told
 }
 
 func (c *manyWorkers) id(i int) string { return fmt.Sprintf("shared-%d", i) }
@@ -71,7 +76,7 @@
 func (c *manyWorkers) leave(i int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leaving[i] = true
+	c.leaving[i], c.told = true, nil
 }
 
 // ServeHTTP runs a message, whichever worker it is for.
