--- /dev/null
+++ b/internal/deliver/result_test.go
@@ -0,0 +1,59 @@
+package deliver
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/config"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/feed"
+	"caperwheel/internal/reach"
+	"caperwheel/internal/session"
+	"caperwheel/internal/timing"
+	"caperwheel/internal/wire"
+)
+
+// TestResultIsToldUntilAcknowledged: an owner brings a run back that its adapter has forgotten, which makes
+// up for an adapter that tells once, at the price of a second run. So the adapter goes on.
+func TestResultIsToldUntilAcknowledged(t *testing.T) {
+	const silent = 4 // asks that nobody answers within the time to settle
+	Convey("A result whose owner is out of reach for longer than the time to settle", t, func() {
+		view := feed.NewView(0)
+		d := &daemon.Daemon{Bounds: timing.Bounds{Config: 40 * time.Millisecond}, View: view, Who: wire.Who{Name: "a", Boot: "1"},
+			Membership: session.NewMembership(), Started: time.Now()}
+		d.Settings.Most = 9
+		store := wire.Member{Who: wire.Who{Name: "s", Kind: "store", Addr: "s"}}
+		d.Membership.Take("x", []wire.Member{store})
+		ports := realPorts(context.Background(), d)
+		ports.Post = func(_ *wire.Link, _ string, _ any, done func(any, error)) error {
+			if done != nil {
+				done(nil, context.Canceled)
+			}
+			return nil
+		}
+		a := NewOn(d, &config.Cache{View: view}, Own, ports)
+		told := []*wire.Outcome{}
+		a.Reach(&reach.Reach{Membership: d.Membership, Bounds: d.Bounds, Call: func(ctx context.Context, _ string, ask any) (any, error) {
+			outcome, isOutcome := ask.(*wire.Outcome)
+			if !isOutcome {
+				return nil, context.Canceled
+			}
+			if told = append(told, outcome); len(told) <= silent {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return &wire.OutcomeAck{}, nil
+		}})
+		r := &run{Run: wire.Run{Place: 3, Id: "3-x", Lane: "l", Attempt: 1}}
+		So(a.book.Admit(&r.Run, 0), ShouldBeNil)
+		a.deliverToOwner(context.Background(), r, a.outcomeOf(r))
+		Convey("is told until an owner has acknowledged it, and in hand until then", func() {
+			So(told, ShouldHaveLength, silent+1)
+			So(told[silent].Id, ShouldEqual, "3-x")
+			So(a.InHand(), ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -32,6 +32,9 @@
 	// For how long nobody has confirmed the ownership.
 	unconfirmed time.Duration
 	later       []func() // work for later
+	released    int      // slots given back
+	offered     []string // call-backs, by their ids, and how each offer is answered
+	tells       []func(isTaken bool)
 }
 
 func newBench() *bench {
@@ -56,24 +59,26 @@
 	b.fresh = b.fresh[1:]
 	return is
 }
-func (b *bench) IsFull() bool                             { return b.isFull }
-func (b *bench) IsBusy() bool                             { return b.isBusy }
-func (b *bench) Oldest() time.Duration                    { return b.oldest }
-func (b *bench) Compiled() *config.Compiled               { return &config.Compiled{Rules: b.rules} }
-func (b *bench) Find(name string) (wire.Who, bool)        { w, isHere := b.members[name]; return w, isHere }
-func (b *bench) TakeElsewhere(_ *wire.Take, _ func(bool)) {}
-func (b *bench) Teller(string) (wire.Who, bool)           { w, isHere := b.members["t"]; return w, isHere }
-func (b *bench) Release(SlotGrant)                        {}
-func (b *bench) Nudge()                                   {}
-func (b *bench) PlaceOf(string) int64                     { return 0 }
-func (b *bench) ChildOf(parent string) string             { return parent }
-func (b *bench) Fail(err error)                           { panic(err) }
-func (b *bench) IsTight() bool                            { return b.isTight }
-func (b *bench) IsOwner() bool                            { return true }
-func (b *bench) Term() int64                              { return 1 }
-func (b *bench) Waiting() int                             { return 0 }
-func (b *bench) View() group.View                         { return group.View{Confirmed: b.now - b.unconfirmed, IsSure: true} }
-func (b *bench) Do(work func()) error                     { work(); return nil }
+func (b *bench) IsFull() bool                      { return b.isFull }
+func (b *bench) IsBusy() bool                      { return b.isBusy }
+func (b *bench) Oldest() time.Duration             { return b.oldest }
+func (b *bench) Compiled() *config.Compiled        { return &config.Compiled{Rules: b.rules} }
+func (b *bench) Find(name string) (wire.Who, bool) { w, isHere := b.members[name]; return w, isHere }
+func (b *bench) TakeElsewhere(t *wire.Take, tell func(bool)) {
+	b.offered, b.tells = append(b.offered, t.Id), append(b.tells, tell)
+}
+func (b *bench) Teller(string) (wire.Who, bool) { w, isHere := b.members["t"]; return w, isHere }
+func (b *bench) Release(SlotGrant)              { b.released++ }
+func (b *bench) Nudge()                         {}
+func (b *bench) PlaceOf(string) int64           { return 0 }
+func (b *bench) ChildOf(parent string) string   { return parent }
+func (b *bench) Fail(err error)                 { panic(err) }
+func (b *bench) IsTight() bool                  { return b.isTight }
+func (b *bench) IsOwner() bool                  { return true }
+func (b *bench) Term() int64                    { return 1 }
+func (b *bench) Waiting() int                   { return 0 }
+func (b *bench) View() group.View               { return group.View{Confirmed: b.now - b.unconfirmed, IsSure: true} }
+func (b *bench) Do(work func()) error           { work(); return nil }
 func (b *bench) Post(_ wire.Who, ask any, answer func(any, error)) error {
 	b.posted, b.answers = append(b.posted, ask), append(b.answers, answer)
 	return nil
