--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -141,7 +141,11 @@
 	Convey("That a holder is gone is known for sure by a planner that saw it here since it moved the duty itself", t, func() {
 		const second = time.Second
 		guess := func(s *Steady, term int64, boot string, at time.Duration) bool {
-			return len(s.Filter([]Change{{Pool: "p", Worker: "w", IfRevision: term, IsGuess: true, Next: config.Duty{Before: boot}}}, at)) == 1
+			kept := s.Filter([]Change{{Pool: "p", Worker: "w", IfRevision: term, IsGuess: true, Next: config.Duty{Before: boot}}}, at)
+			for _, change := range kept {
+				s.Move(change, at)
+			}
+			return len(kept) == 1
 		}
 		a, b := wire.Who{Name: "a", Boot: "a.1"}, wire.Who{Name: "b", Boot: "b.1"}
 		s := &Steady{Least: 6 * second}
@@ -153,6 +157,13 @@
 			So(guess(s, 2, a.Boot, 15*second), ShouldBeFalse)
 			So(guess(s, 2, a.Boot, 21*second), ShouldBeTrue)
 		})
+		Convey("and one that was planned and left for a later turn moves in that turn", func() {
+			left := []Change{{Pool: "p", Worker: "w", IfRevision: 2, IsGuess: true, Next: config.Duty{Before: b.Boot}}}
+			So(s.Filter(left, 15*second), ShouldHaveLength, 1)
+			So(s.Filter(left, 16*second), ShouldHaveLength, 1)
+			s.Move(left[0], 16*second)
+			So(s.Filter(left, 17*second), ShouldBeEmpty)
+		})
 		Convey("nor that of a life which it never saw", func() { So(guess(s, 2, "b.2", 15*second), ShouldBeFalse) })
 		Convey("and lives are forgotten", func() {
 			s.Note(nil, 100*second)
--- a/internal/duty/steady.go
+++ b/internal/duty/steady.go
@@ -48,7 +48,7 @@
 	at   time.Duration
 }
 
-// Filter drops the guesses that come too early.
+// Filter drops the guesses that come too early. What is then carried out is noted with Move.
 func (s *Steady) Filter(plan []Change, now time.Duration) []Change {
 	if s.seen == nil {
 		s.seen, s.moved = map[string]seenTerm{}, map[string]time.Duration{}
@@ -67,8 +67,11 @@
 		}
 		if !c.IsGuess || now-was.at >= s.Least || s.isSeenGone(key, c.Next.Before) {
 			out = append(out, c)
-			s.moved[key] = now
 		}
 	}
 	return out
 }
+
+// Move notes that a change is carried out now. A change that was planned and left for a later turn has
+// moved nothing: that its holder was seen to go stays known.
+func (s *Steady) Move(c Change, now time.Duration) { s.moved[c.key()] = now }
--- a/internal/manager/duties.go
+++ b/internal/manager/duties.go
@@ -113,6 +113,7 @@
 	group := p.edits.NewGroup()
 	for _, change := range plan[:min(len(plan), mostAssignments)] {
 		if !isNew || change.IsReborn {
+			p.steady.Move(change, m.d.Now())
 			group.Submit(func() { p.assign(ctx, feed.PartOf(change.Pool, m.d.Settings.Parts), change) })
 		}
 	}
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -166,6 +166,7 @@
 	}
 	n.proposed.Forget(n.c.now)
 	for _, change := range n.steady.Filter(duty.Plan("p", compiled, duty.Adapters{Here: adapters, Proposed: n.proposed}, revision), n.c.now) {
+		n.steady.Move(change, n.c.now)
 		n.proposed.Propose(change, n.c.now)
 		e := wire.Edit{Key: config.DutyKey + change.Pool + "/" + change.Worker, Value: change.Next.Encode(), IfRevision: change.IfRevision}
 		n.c.Note("%s gives the endpoint to %s", n.name, change.Next.Boot)
--- a/internal/sim/delivery.go
+++ b/internal/sim/delivery.go
@@ -15,12 +15,13 @@
 
 // Deliveries simulates the whole way of a message: callers, places with their groups, the
 // dispatchers of stores, the slots, lines, runs and words of adapters, workers and receivers. All of
-// the system's own code on that way is the real one. Parts, sessions and duties are held by one control
-// daemon here; kind "control" plays how they are replicated.
+// the system's own code on that way is the real one. Sessions and duties are a manager's, which
+// follows the parts over links; kind "control" plays how parts and managers are replicated.
 type Deliveries struct {
 	*World
 	H        *check.History
 	control  *deliveryControl
+	parts    *deliveryParts
 	stores   []*deliveryStore
 	adapters []*deliveryAdapter
 	workers  []*deliveryWorker
@@ -38,6 +39,7 @@
 	deliveryAdapters = 4
 	deliveryWorkers  = 5
 	ctlName          = "ctl"
+	partsName        = "parts"
 	callerName       = "caller"
 )
 
@@ -68,6 +70,7 @@
 func NewDeliveries(w *World) *Deliveries {
 	d := &Deliveries{World: w, H: check.NewHistory(), links: map[string]*link{}}
 	d.receiver = &deliveryReceiver{d: d, heard: map[string]int{}}
+	d.parts = newDeliveryParts(d)
 	d.control = newDeliveryControl(d)
 	for i := range deliveryStores {
 		d.stores = append(d.stores, newDeliveryStore(d, fmt.Sprintf("s%d", i+1), zoneOf(i)))
@@ -96,6 +99,9 @@
 	if addr == d.control.address() {
 		return d.control, true
 	}
+	if addr == d.parts.address() {
+		return d.parts, true
+	}
 	for _, s := range d.stores {
 		if s.address() == addr {
 			return s, true
--- a/internal/sim/deliverycontrol.go
+++ b/internal/sim/deliverycontrol.go
@@ -14,26 +14,29 @@
 	"caperwheel/internal/wire"
 )
 
-// deliveryControl is the one control daemon: parts, sessions and duties are the real ones.
+// deliveryControl is the one manager: its view, sessions and duties are the real ones. It follows the
+// parts as it would follow stores, and acts on a fresh view alone.
 type deliveryControl struct {
 	lifecycle
 	d          *Deliveries
-	parts      []*feed.Part
 	view       *feed.View
 	configs    *config.Cache
 	registry   *session.Registry
 	membership *session.Membership
 	steady     *duty.Steady
+	proposed   *duty.Proposals
+	freshSince time.Duration
+	asking     bool // for news of the parts
 	doc        deliveryDoc
-	serial     int
 }
 
 const controlParts = 1 // beside the configuration's
 
 func newDeliveryControl(d *Deliveries) *deliveryControl {
-	c := &deliveryControl{d: d, parts: []*feed.Part{feed.NewPart(), feed.NewPart()}, view: feed.NewView(controlParts),
+	c := &deliveryControl{d: d, view: feed.NewView(controlParts),
 		registry: session.NewRegistry(d.bound(timing.SessionTimeout)), membership: session.NewMembership(),
-		steady: &duty.Steady{Least: 2 * timing.Default.Config}, doc: usualDoc()}
+		steady:   &duty.Steady{Least: 2 * timing.Default.Config},
+		proposed: &duty.Proposals{Kept: d.bound(timing.Fresh)}, doc: usualDoc()}
 	c.configs = &config.Cache{View: c.view}
 	return c
 }
@@ -45,31 +48,30 @@
 	c.isUp = true
 	c.configure()
 	c.list()
+	c.view.Take(c.d.parts.news(c.view.Revisions()), c.d.now)
+	c.d.every(&c.lifecycle, c.d.bound(timing.Poll), c.follow)
 	c.d.every(&c.lifecycle, c.d.bound(timing.Poll), c.plan)
 	c.d.every(&c.lifecycle, c.d.bound(timing.ListInterval), c.list)
 }
 
-// write applies an edit and has the view follow.
-func (c *deliveryControl) write(part int64, e wire.Edit) {
-	c.serial++
-	e.Order, e.Base = fmt.Sprint("order-", c.serial), wire.OneCall
-	c.parts[part].Apply(e)
-	c.follow()
-}
-
+// follow asks for news of the parts.
 func (c *deliveryControl) follow() {
-	for number, part := range c.parts {
-		news, isNewest := part.News(int64(number), c.view.Revision(int64(number)))
-		if isNewest {
-			news.Age = 0
-		}
-		c.view.Take([]wire.PartNews{news}, c.d.now)
+	if c.asking {
+		return
 	}
+	c.asking = true
+	asked := c.d.now
+	c.d.post(ctlName, &c.lifecycle, partsName, &wire.Follow{Revisions: c.view.Revisions()}, func(reply any, err error) {
+		c.asking = false
+		if got, isNews := reply.(*wire.Followed); err == nil && isNews {
+			c.view.Take(got.Parts, asked)
+		}
+	})
 }
 
 // configure writes the configuration as it is to be now.
 func (c *deliveryControl) configure() {
-	c.write(feed.ConfigPart, wire.Edit{Key: config.Key, Value: c.doc.encode(), IfRevision: -1})
+	c.d.parts.write(feed.ConfigPart, wire.Edit{Key: config.Key, Value: c.doc.encode(), IfRevision: -1})
 }
 
 // list writes the lists of workers as the platform has them now.
@@ -80,17 +82,22 @@
 			list.Workers = append(list.Workers, config.Worker{Name: w.name, Address: w.address, Zone: w.zone, State: w.state(), Slots: 2})
 		}
 	}
-	was, isKnown := c.parts[1].Get(config.WorkersKey + "work")
+	was, isKnown := c.d.parts.parts[1].Get(config.WorkersKey + "work")
 	if raw := list.Encode(); !isKnown || string(raw) != string(was.Value) {
-		c.write(1, wire.Edit{Key: config.WorkersKey + "work", Value: raw, IfRevision: -1})
+		c.d.parts.write(1, wire.Edit{Key: config.WorkersKey + "work", Value: raw, IfRevision: -1})
 	}
 }
 
 // plan gives out duties, as a manager does.
 func (c *deliveryControl) plan() {
-	c.follow()
 	c.membership.Take(c.registry.Members(c.d.now))
-	adapters := duty.Adapters{Here: c.membership.Kind("adapter"), Leaving: map[string]bool{}, Silent: map[string]bool{}}
+	if !c.view.IsFresh(c.d.now, c.d.bound(timing.Fresh)) {
+		c.freshSince = c.d.now
+		return
+	}
+	isNew := c.freshSince > 0 && c.d.now-c.freshSince < c.d.bound(timing.SessionTimeout)
+	c.proposed.Forget(c.d.now)
+	adapters := duty.Adapters{Here: c.membership.Kind("adapter"), Leaving: map[string]bool{}, Silent: map[string]bool{}, Proposed: c.proposed}
 	_, members := c.registry.Members(c.d.now)
 	for _, m := range members {
 		adapters.Leaving[m.Who.Name] = m.Fact.Counts[deliver.Leaving] > 0
@@ -99,7 +106,7 @@
 	c.steady.Note(adapters.Here, c.d.now)
 	compiled := c.configs.Current()
 	revision := func(key string) (int64, bool) {
-		standing, isStanding := c.parts[1].Get(key)
+		standing, isStanding := c.view.Get(1, key)
 		if !isStanding {
 			return 0, standing.Revision > 0
 		}
@@ -108,22 +115,35 @@
 	for _, pool := range namesIn(compiled.Rules.Pools) {
 		changes := duty.Plan(pool, compiled, adapters, revision)
 		for _, change := range c.steady.Filter(changes, c.d.now) {
-			e := wire.Edit{Key: config.DutyKey + pool + "/" + change.Worker, IfRevision: change.IfRevision, Gone: change.IsGone}
+			if isNew && !change.IsReborn {
+				continue
+			}
+			e := wire.Edit{Part: 1, Key: config.DutyKey + pool + "/" + change.Worker, IfRevision: change.IfRevision, Gone: change.IsGone}
 			if !change.IsGone {
 				e.Value = change.Next.Encode()
 			}
-			c.write(1, e)
+			c.propose(change, e)
 		}
 	}
 }
 
+// propose has the parts take a change of a duty.
+func (c *deliveryControl) propose(change duty.Change, e wire.Edit) {
+	c.steady.Move(change, c.d.now)
+	c.proposed.Propose(change, c.d.now)
+	c.d.post(ctlName, &c.lifecycle, partsName, &e, func(reply any, err error) {
+		if got, isEdited := reply.(*wire.Edited); err == nil && isEdited && got.Kind != "" {
+			c.proposed.Fail(change)
+		}
+	})
+}
+
 // onAsk renews a session and tells the news.
 func (c *deliveryControl) onAsk(ask any, answer func(any)) {
 	poll, isPoll := ask.(*wire.Poll)
 	if !isPoll {
 		return
 	}
-	c.follow()
 	c.registry.Hear(wire.Member{Who: poll.Who, Owns: poll.Owns, Fact: poll.Fact}, c.d.now, true)
 	c.membership.Take(c.registry.Members(c.d.now))
 	answer(session.NewsFor(poll, c.view, c.d.now, c.membership))
--- a/internal/sim/deliveryfaults.go
+++ b/internal/sim/deliveryfaults.go
@@ -41,6 +41,14 @@
 	"agents gone":    func(d *Deliveries) { d.adapter().agent.end() },
 	"frozen agents":  func(d *Deliveries) { d.adapter().agent.freeze() },
 	"frozen control": func(d *Deliveries) { d.control.frozen = d.now + d.seconds(4) },
+	"frozen parts":   func(d *Deliveries) { d.parts.frozen = d.now + d.seconds(4) },
+	"manager cut from the parts": func(d *Deliveries) { // for longer than a view stays fresh, now and then
+		d.Cut(ctlName, partsName)
+		if d.Rand.IntN(2) == 0 {
+			d.Cut(partsName, ctlName)
+		}
+		d.After(d.seconds(5), d.Heal)
+	},
 	"crashed workers": func(d *Deliveries) {
 		if w := d.worker(); w.isUp {
 			w.crash()
@@ -96,7 +104,7 @@
 	},
 	"emptied zones": func(d *Deliveries) {
 		key := config.ZoneKey + zoneOf(d.Rand.IntN(3))
-		d.control.write(feed.ConfigPart, wire.Edit{Key: key, Value: config.Order{Only: config.OnlyWorkers}.Encode(), IfRevision: -1})
+		d.parts.write(feed.ConfigPart, wire.Edit{Key: key, Value: config.Order{Only: config.OnlyWorkers}.Encode(), IfRevision: -1})
 		d.After(d.seconds(6), func() { d.restore(key) })
 	},
 	"stuck messages": func(d *Deliveries) { d.Stuck = 40; d.After(2*time.Second, func() { d.Stuck = 0 }) },
@@ -162,8 +170,8 @@
 
 // restore takes an order about a zone back.
 func (d *Deliveries) restore(key string) {
-	if _, isStanding := d.control.parts[feed.ConfigPart].Get(key); isStanding {
-		d.control.write(feed.ConfigPart, wire.Edit{Key: key, Gone: true, IfRevision: -1})
+	if _, isStanding := d.parts.parts[feed.ConfigPart].Get(key); isStanding {
+		d.parts.write(feed.ConfigPart, wire.Edit{Key: key, Gone: true, IfRevision: -1})
 	}
 }
 
@@ -185,7 +193,7 @@
 // heal ends all faults, and has everything be up and well.
 func (d *Deliveries) heal() {
 	d.Calm()
-	d.control.frozen, d.receiver.isDeaf = 0, false
+	d.control.frozen, d.parts.frozen, d.receiver.isDeaf = 0, 0, false
 	for i := range 3 {
 		d.restore(config.ZoneKey + zoneOf(i))
 	}
--- a/internal/sim/deliverylying_test.go
+++ b/internal/sim/deliverylying_test.go
@@ -68,7 +68,7 @@
 // TestDeliverySeeds are seeds that were broken once.
 func TestDeliverySeeds(t *testing.T) {
 	seeds := map[string]uint64{}
-	for _, seed := range []uint64{54, 59, 189} {
+	for _, seed := range []uint64{54, 59, 189, 348} {
 		seeds[fmt.Sprint(seed)] = seed
 	}
 	type result struct{ breaches, trace []string }
