--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -93,10 +93,16 @@
 	}
 }
 
-// undo brings a run back that never started. It costs no attempt.
+// undo brings a run back that never started. It costs no attempt. Where an older run has succeeded
+// meanwhile it ends the message, so it tells how long the end is kept, as each Back does.
 func (p *PlaceHost) undo(id string, attempt int64, cause string) {
-	p.propose(place.Command{Kind: place.CmdBack, Id: id, Attempt: attempt, Cause: cause,
-		Deadline: int64(p.environment.Bounds().Of(timing.AskHold) / time.Millisecond)}, nil)
+	back := place.Command{Kind: place.CmdBack, Id: id, Attempt: attempt, Cause: cause,
+		Deadline: int64(p.environment.Bounds().Of(timing.AskHold) / time.Millisecond)}
+	if e := p.machine.Find(id); e != nil {
+		lane, _ := laneOf(p.environment.Compiled().Rules, e.Lane, true)
+		back.Retain = int64(lane.Retention / time.Millisecond)
+	}
+	p.propose(back, nil)
 }
 
 // Tick does the owner's periodic work.
