--- a/internal/standin/operator.go
+++ b/internal/standin/operator.go
@@ -19,7 +19,8 @@
 	callBound    = time.Second
 	mostPauses   = time.Second
 	configBound  = 20 * time.Second
-	otherRejects = 3 // so many other 4xx end a call
+	drawnBound   = 2 * time.Minute // of changes beside faults that are drawn
+	otherRejects = 3               // so many other 4xx end a call
 )
 
 // operator gives the orders.
@@ -94,7 +95,7 @@
 			h.Orders = append(h.Orders, Order{Text: fmt.Sprintf("version %d", c.Version), At: at})
 		}
 	})
-	ctx, cancel := context.WithTimeout(ctx, configBound)
+	ctx, cancel := context.WithTimeout(ctx, o.bound())
 	defer cancel()
 	code := o.configuration(ctx, path, base, c.Version, body, isInvalid)
 	h.Add(func() {
@@ -109,6 +110,15 @@
 	return code
 }
 
+// bound is for how long a change is sent. Faults that are drawn may keep all stores away for longer than
+// those of a schedule; a change that has no answer once all is well is a failure all the same.
+func (o *operator) bound() time.Duration {
+	if o.site.isDrawn {
+		return drawnBound
+	}
+	return configBound
+}
+
 // first gives the first configuration until it is taken.
 func (o *operator) first(ctx context.Context) int {
 	o.mu.Lock()
@@ -123,24 +133,30 @@
 // change builds on the newest configuration; after an answer that is not clear
 // it reads what is in force.
 func (o *operator) change(ctx context.Context, isUpdate bool, edit func(*siteConfig)) (siteConfig, int) {
+	_, next, code := o.changeFrom(ctx, isUpdate, edit)
+	return next, code
+}
+
+// changeFrom is change that tells what it built on as well.
+func (o *operator) changeFrom(ctx context.Context, isUpdate bool, edit func(*siteConfig)) (was, next siteConfig, code int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	was := o.now
-	next := was.next()
+	was = o.now
+	next = was.next()
 	edit(&next)
 	body := next.whole()
 	if isUpdate {
 		body = next.since(was)
 	}
 	o.built = append(o.built, next)
-	code := o.send(ctx, isUpdate, was.Version, next, body, false)
+	code = o.send(ctx, isUpdate, was.Version, next, body, false)
 	if code == 200 {
 		o.now = next
 	} else {
 		o.site.failed("version %d on %d was answered %d", next.Version, was.Version, code)
 		o.sync(ctx)
 	}
-	return next, code
+	return was, next, code
 }
 
 func (o *operator) sync(ctx context.Context) {
