Sight: at what time of its own a place goes on, and what waits for it

A store that becomes a place's owner now logs the place's time and how long the first delayed message still waits by it; place_time_seconds tells the time by place.

--- a/internal/place/where.go
+++ b/internal/place/where.go
@@ -44,3 +44,13 @@
 	}
 	return Where{Wait: WaitSlot, Since: now - e.Due, Left: -1}, true
 }
+
+// Delayed returns how many messages wait for their time, and how much longer the first of them
+// does at a place time, in milliseconds; 0 where none waits.
+func (m *Machine) Delayed(now int64) (count int, first int64) {
+	count = m.queue.pauses.tree.Size()
+	if at, e := m.queue.pauses.first(); e != nil {
+		first = max(0, at-now)
+	}
+	return count, first
+}
--- a/internal/place/where_test.go
+++ b/internal/place/where_test.go
@@ -47,3 +47,22 @@
 		}
 	})
 }
+
+// TestDelayed: how many messages wait for their time, and the first of them for how long.
+func TestDelayed(t *testing.T) {
+	delayed := func(id string, delay int64) Command {
+		c := take(id)
+		c.Delay = delay
+		return c
+	}
+	Convey("Of messages with delays of 500 and 300 and one without, two wait at place time 100", t, func() {
+		m := on(New(), delayed("0", 500), delayed("1", 300), take("2"))
+		count, first := m.Delayed(100)
+		So([]int64{int64(count), first}, ShouldResemble, []int64{2, 200})
+		Convey("and none once they are over", func() {
+			m.Ready(500)
+			count, first := m.Delayed(500)
+			So([]int64{int64(count), first}, ShouldResemble, []int64{0, 0})
+		})
+	})
+}
--- a/internal/store/metrics.go
+++ b/internal/store/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
 
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/group"
@@ -59,6 +60,10 @@
 	counts, nearest, waits, away := map[string]map[place.State]int{}, map[string]time.Duration{}, map[string]time.Duration{}, 0
 	for _, t := range s.tallies() {
 		away += t.away
+		if t.number >= 0 {
+			emit("place_time_seconds", "The time that a place owned here counts; it grows by a second a second, unless time was lost.", t.time.Seconds(),
+				"place", strconv.FormatInt(t.number, 10))
+		}
 		for lane, wait := range t.waits {
 			waits[lane] = max(waits[lane], wait)
 		}
@@ -90,20 +95,31 @@
 	}
 }
 
+// logOwnership tells at what time of its own a place goes on, and for what its messages wait: against
+// the log's clock that shows by how much the place's time has fallen behind.
+func (p *PlaceHost) logOwnership() {
+	count, first := p.machine.Delayed(p.now())
+	klog.Infof("place: Place %d is ours in term %d at %d ms of its time; %d messages wait for theirs, the first for %d ms.",
+		p.number, p.host.Term(), p.now(), count, first)
+}
+
 type tally struct {
 	counts map[string]map[place.State]int
 	left   map[string]time.Duration
 	waits  map[string]time.Duration
 	away   int // open runs whose adapter has no session
+	number int64
+	time   time.Duration // of the place
 }
 
 // tally must be called on the place's goroutine.
 func (p *PlaceHost) tally() tally {
-	t := tally{left: map[string]time.Duration{}, waits: map[string]time.Duration{}}
+	t := tally{number: -1, left: map[string]time.Duration{}, waits: map[string]time.Duration{}}
 	if !p.host.IsOwner() {
 		return t
 	}
 	now := p.now()
+	t.number, t.time = p.number, time.Duration(now)*time.Millisecond
 	held := p.machine.Tally(now)
 	t.counts = held.Counts
 	for lane, at := range held.Deadlines {
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -4,7 +4,6 @@
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
 
 	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
@@ -119,7 +118,7 @@
 	if isOwner {
 		ownerships.Inc()
 		p.machine.Requeue()
-		klog.V(1).Infof("place: Place %d is ours, term %d.", p.number, p.host.Term())
+		p.logOwnership()
 	}
 	p.publish()
 }
