--- a/internal/sim/deliverycallers.go
+++ b/internal/sim/deliverycallers.go
@@ -30,14 +30,29 @@
 		s.Delay = time.Duration(d.Rand.IntN(5000)) * time.Millisecond
 		take.Delay = s.Delay.Milliseconds()
 	}
+	d.send(s, take)
+}
+
+// callLater is call with a given delay; the message is never one that fails.
+func (d *Deliveries) callLater(lane string, delay time.Duration) (id string) {
+	d.serial++
+	token := fmt.Sprintf("%s-%d", lane, d.serial)
+	number := int64(d.serial % deliveryPlaces)
+	s := check.Sent{Token: token, Lane: lane, Sum: wire.SumOf([]byte(token)), At: d.now, Told: check.Undecided, Id: fmt.Sprintf("%d-%s", number, token), Delay: delay}
+	d.send(s, &wire.Take{Place: number, Id: s.Id, Lane: lane, Body: []byte(token), Sum: s.Sum, Deadline: 900_000, Delay: delay.Milliseconds()})
+	return s.Id
+}
+
+// send has a caller send a message, as it is or as a request that came, and notes what it is told.
+func (d *Deliveries) send(s check.Sent, take *wire.Take) {
 	if d.Rand.IntN(2) == 0 { // a request as it came
-		take.Head = head.Head{Method: "POST", Target: "/" + lane, Host: "sim.example"}.Encode()
+		take.Head = head.Head{Method: "POST", Target: "/" + s.Lane, Host: "sim.example"}.Encode()
 	}
 	if d.Rand.IntN(3) == 0 {
 		take.Notify = "http://" + receiverAddr + "/ended"
 	}
 	d.Go(nil, func(ctx context.Context, _ *task) {
-		s.Told = d.decide(ctx, take, lane)
+		s.Told = d.decide(ctx, take, s.Lane)
 		s.ToldAt = d.now
 		d.H.AddSent(s)
 	})
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -4,7 +4,6 @@
 	"sync/atomic"
 	"time"
 
-
 	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/groupclock"
