Mend: a place's time goes on through a loss of all stores, kept by adapters

Cause: a delay is a span in group time, and time for which no replica runs was in no group's time, so it ended late by each loss, without an end.

Change: a place's owner tells its time with its term to up to eight adapters, once in each ownership and life of theirs; they keep it by their own steady clocks. A new owner of a place that holds messages asks them first, goes on from the first word that counts (one of the ownership of the newest command in its log, or a later one), has an adapter keep it in its own term, and only then proposes. Without a word it goes on by its log, and says so. Wire version 7; an older adapter is not asked. On the path of a message nothing is added.

Ruled out: the time of day (jumps, and durations only on steady clocks), the machine's own steady clock (tells nothing after a loss of power), marks more often (bound the loss before the outage, not the outage).

The model walks through every state with a keeper; a word of any term, and one that comes after the first command, are found.

--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -10,6 +10,7 @@
 	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/groupclock"
 	"caperwheel/internal/path"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/repair"
@@ -29,6 +30,7 @@
 	actions  path.Actions[*delivery]
 	programs path.Programs
 	book     *Book
+	times    groupclock.Keeper // of the places' groups
 	// Once it is set no run is begun, and no slot granted.
 	isLeaving atomic.Bool
 }
@@ -73,6 +75,10 @@
 		a.tell(m, answer)
 	case *wire.Release:
 		a.slots.release(m.Permit)
+	case *wire.TellTime:
+		answer(KeepTime(&a.times, m, a.d.Now()))
+	case *wire.AskTime:
+		answer(RecallTime(&a.times, m, a.d.Now()))
 	case *wire.Open:
 		if m.Boot != a.d.Who.Boot {
 			a.askAgent(m, answer)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -77,9 +77,10 @@
 	image      *group.Image
 	pending    int
 	applied    int64
-	since      int  // entries applied since the last slot
-	bytes      int  // and their bytes
-	saving     bool // a slot is being written
+	dataTerm   int64 // see DataTerm
+	since      int   // entries applied since the last slot
+	bytes      int   // and their bytes
+	saving     bool  // a slot is being written
 	waiters    map[int64]waiter
 	begun      []begun // when the waiters' proposals were made, oldest first
 	isOwner    bool
@@ -120,7 +121,7 @@
 		if err := opts.Machine.Restore(held.Image.State); err != nil {
 			return nil, err
 		}
-		h.image = held.Image
+		h.image, h.dataTerm = held.Image, held.Image.Term
 	}
 	h.machine = group.New(group.Options{Id: opts.Id, Self: opts.Self, Roster: opts.Roster, Bounds: opts.Bounds,
 		Seed: opts.Seed, Prefer: opts.Prefer, Room: opts.Room, Level: opts.Level, Needed: neededBy(opts.Machine)}, held.Hard, held.Image, held.Log, opts.Now())
@@ -230,7 +231,7 @@
 			h.opts.Failed(err)
 			return
 		}
-		h.image, h.applied = out.Install, out.Install.Index
+		h.image, h.applied, h.dataTerm = out.Install, out.Install.Index, out.Install.Term
 	}
 	h.apply(out.Apply)
 	h.settle()
--- a/internal/host/upkeep.go
+++ b/internal/host/upkeep.go
@@ -54,6 +54,10 @@
 	return len(h.image.State)
 }
 
+// DataTerm returns the term of the newest command that the machine has applied, on the host's goroutine. For one
+// that came with an image it is that of the image's last entry, which may be later.
+func (h *Host) DataTerm() int64 { return h.dataTerm }
+
 // Compact puts the group into its slot, so that old log segments can go.
 func (h *Host) Compact() { _ = h.Do(h.compact) }
 
--- a/internal/sim/adapter.go
+++ b/internal/sim/adapter.go
@@ -7,6 +7,7 @@
 	"caperwheel/internal/check"
 	"caperwheel/internal/deliver"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/groupclock"
 	"caperwheel/internal/repair"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
@@ -18,6 +19,8 @@
 	w      *Places
 	name   string
 	book   *deliver.Book
+	times  *groupclock.Keeper
+	born   time.Duration // when its own clock began
 	fresh  time.Duration
 	permit int64
 	grants map[int64]time.Duration // permits not used yet, and until when they may be
@@ -33,6 +36,7 @@
 		return
 	}
 	a.isUp, a.life, a.book, a.fresh = true, a.life+1, deliver.NewBook(1000), a.w.now
+	a.times, a.born = &groupclock.Keeper{}, a.w.now
 	a.grants = map[int64]time.Duration{}
 	a.w.Note("start %s", a.boot())
 	life := a.life
@@ -110,6 +114,13 @@
 
 func (a *simAdapter) serve(ask any) any {
 	switch m := ask.(type) {
+	case *wire.TellTime:
+		return deliver.KeepTime(a.times, m, a.w.now-a.born)
+	case *wire.AskTime:
+		if a.w.mutant == OwnCount { // else no replica's count would be ahead of its group's time
+			return &wire.TimeKept{}
+		}
+		return deliver.RecallTime(a.times, m, a.w.now-a.born)
 	case *wire.Open:
 		if m.Boot != a.boot() {
 			if a.agent.Has(m.Id, m.Attempt) {
--- a/internal/sim/delivery.go
+++ b/internal/sim/delivery.go
@@ -30,6 +30,7 @@
 	runs     []*check.Run
 	links    map[string]*link // open calls by who waits for them and whom
 	Lying    []string         // what was left lying
+	away     time.Duration    // until then no store that is down comes back
 }
 
 // Layout of the simulated deliveries.
--- a/internal/sim/deliverydelays_test.go
+++ b/internal/sim/deliverydelays_test.go
@@ -1,25 +1,14 @@
 package sim
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
-)
-
-// mostLate is by how much a run may begin after its message's delay is over, with all well: the
-// time within which the users want one to begin.
-const mostLate = time.Second
 
-// begun returns when the first run of a message began, and whether one has.
-func (d *Deliveries) begun(id string) (at time.Duration, isBegun bool) {
-	for _, run := range d.runs {
-		if run.Id == id && (!isBegun || run.Start < at) {
-			at, isBegun = run.Start, true
-		}
-	}
-	return at, isBegun
-}
+	"caperwheel/internal/check"
+)
 
 // loseAllStores has all stores be without power for a while, from a moment on.
 func (d *Deliveries) loseAllStores(at, span time.Duration) {
@@ -50,3 +39,63 @@
 		}
 	})
 }
+
+// TestDelaysUnderFaults plays long delays under each loss of owners.
+func TestDelaysUnderFaults(t *testing.T) {
+	type result struct {
+		d        *Deliveries
+		breaches []check.Breach
+	}
+	runs := atOnce(DelayFaults, func(hurt func(*Deliveries)) result {
+		d, breaches := RunDelays(1, hurt)
+		return result{d, breaches}
+	})
+	Convey("A message begins when its delay is over", t, func() {
+		for name, r := range runs {
+			Convey("under "+name, func() {
+				show(name, r.breaches, r.d.Trace)
+				So(r.breaches, ShouldBeEmpty)
+				So(len(r.d.runs), ShouldBeGreaterThan, 20)
+			})
+		}
+	})
+}
+
+// delayMutants are guards of a place's time across its owners, and the kind of sweep that finds their loss.
+var delayMutants = map[string]struct {
+	sourceMutant
+	says string
+}{
+	"adapters keep what they are told": {sourceMutant{"internal/groupclock/keeper.go",
+		"	k.words[group] = keptWord{word, now}\n", "", "", "delays"}, "LATE"},
+	"owners ask before they begin": {sourceMutant{"internal/store/ownership.go",
+		"if isOwner && !p.machine.IsIdle() {", "if false {", "", "delays"}, "LATE"},
+}
+
+// TestDelayMutants: each guard that is taken out is found.
+func TestDelayMutants(t *testing.T) {
+	Convey("Messages begin late unless", t, func() {
+		for name, m := range delayMutants {
+			Convey(name, func() {
+				out, err := sweepWith(t, t.TempDir(), strings.ReplaceAll(name, " ", "-"), m.sourceMutant, mutantSeeds)
+				So(err, ShouldNotBeNil)
+				So(out, ShouldContainSubstring, m.says)
+			})
+		}
+	})
+}
+
+// TestDelaySweep plays many drawn worlds.
+func TestDelaySweep(t *testing.T) {
+	out, err := sweepWith(t, t.TempDir(), "sweep", sourceMutant{kind: "delays"}, delaySeeds)
+	Convey("Messages begin when their delays are over in "+delaySeeds+" worlds", t, func() {
+		if err != nil {
+			t.Log(out)
+		}
+		So(err, ShouldBeNil)
+		So(out, ShouldContainSubstring, "delays: "+delaySeeds+" seeds done, 0 broken so far")
+	})
+}
+
+// delaySeeds are those played in continuous integration.
+const delaySeeds = "300"
--- a/internal/sim/deliveryjudge.go
+++ b/internal/sim/deliveryjudge.go
@@ -103,6 +103,13 @@
 	return breaches
 }
 
+// breach notes a broken rule.
+func (d *Deliveries) breach(rule, form string, args ...any) check.Breach {
+	text := fmt.Sprintf(form, args...)
+	d.Note("BROKEN %s", text)
+	return check.Breach{Rule: rule, Text: text}
+}
+
 func (d *Deliveries) lying(form string, args ...any) {
 	text := fmt.Sprintf(form, args...)
 	d.Note("LYING %s", text)
--- a/internal/sim/deliveryseeds_test.go
+++ b/internal/sim/deliveryseeds_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"cmp"
 	"encoding/json"
 	"os"
 	"os/exec"
@@ -37,7 +38,7 @@
 		t.Errorf("%s: %s", name, raw)
 		return "", err
 	}
-	run := []string{"sweep", "--kind", "delivery", "--seeds", seeds}
+	run := []string{"sweep", "--kind", cmp.Or(m.kind, "delivery"), "--seeds", seeds}
 	if m.from != "" {
 		run = append(run, "--from", m.from)
 	}
@@ -46,8 +47,8 @@
 }
 
 // sourceMutant is the product with a guard taken out; from is the first
-// seed that it is tried on, if not 1.
-type sourceMutant struct{ file, was, is, from string }
+// seed that it is tried on, if not 1, and kind the kind of sweep, if not "delivery".
+type sourceMutant struct{ file, was, is, from, kind string }
 
 // overlay writes the mutant beside the sources, and what puts it in their place.
 func (m sourceMutant) overlay(root, dir, name string) (string, error) {
@@ -79,26 +80,26 @@
 	says string // what is found
 }{
 	"runs of an adapter that is gone": {sourceMutant{"internal/store/open.go",
-		"return isAway && now-since >= p.environment.Bounds().Of(timing.AdapterGone)", "return false && isAway && since > 0", ""}, "is started"},
-	"runs nobody asks after": {sourceMutant{"internal/store/runs.go", "	p.askOpen(now)\n", "", ""}, "is started"},
+		"return isAway && now-since >= p.environment.Bounds().Of(timing.AdapterGone)", "return false && isAway && since > 0", "", ""}, "is started"},
+	"runs nobody asks after": {sourceMutant{"internal/store/runs.go", "	p.askOpen(now)\n", "", "", ""}, "is started"},
 	"permits that lapse": {sourceMutant{"internal/deliver/slots.go",
-		"if p := s.permits[id]; now > p.until {", "if p := s.permits[id]; false && now > p.until {", ""}, "Permits"},
-	"slots given back unused": {sourceMutant{"internal/deliver/permit.go", "	p.held.worker.Release()\n", "", ""}, "Slots"},
+		"if p := s.permits[id]; now > p.until {", "if p := s.permits[id]; false && now > p.until {", "", ""}, "Permits"},
+	"slots given back unused": {sourceMutant{"internal/deliver/permit.go", "	p.held.worker.Release()\n", "", "", ""}, "Slots"},
 	"asks and lines of a duty that moves, and their lapse": {sourceMutant{"internal/deliver/slots.go",
-		"		h.advance(now)\n		s.answerAsks(key, h, now)\n", "		_ = h\n", ""}, "left lying"},
+		"		h.advance(now)\n		s.answerAsks(key, h, now)\n", "		_ = h\n", "", ""}, "left lying"},
 	"runs in an adapter's book": {sourceMutant{"internal/deliver/runs.go",
-		"	a.book.Forget(&r.Run)\n}\n\n// leaveInOtherZone", "}\n\n// leaveInOtherZone", ""}, "Runs"},
+		"	a.book.Forget(&r.Run)\n}\n\n// leaveInOtherZone", "}\n\n// leaveInOtherZone", "", ""}, "Runs"},
 	"messages whose delay is over": {sourceMutant{"internal/place/queue.go",
-		"		q.leaveSet(e, q.pauses)\n		q.makeReady(e)", "		q.leaveSet(e, q.pauses)", ""}, "is held"},
+		"		q.leaveSet(e, q.pauses)\n		q.makeReady(e)", "		q.leaveSet(e, q.pauses)", "", ""}, "is held"},
 	"the next message of a key": {sourceMutant{"internal/place/keys.go",
-		"	m.keys[key] = list\n	m.queue.note(m, m.messages[list[0]])", "	m.keys[key] = list", ""}, "is held"},
-	"words behind others to an address": {sourceMutant{"internal/deliver/tell.go", "			defer a.tellers.leave(address)\n", "", ""}, "Words"},
+		"	m.keys[key] = list\n	m.queue.note(m, m.messages[list[0]])", "	m.keys[key] = list", "", ""}, "is held"},
+	"words behind others to an address": {sourceMutant{"internal/deliver/tell.go", "			defer a.tellers.leave(address)\n", "", "", ""}, "Words"},
 	"the duty of an adapter that is gone": {sourceMutant{"internal/duty/steady.go",
-		"|| s.isSeenGone(key, c.Next.Before) {", "|| s == nil {", ""}, "is held"},
+		"|| s.isSeenGone(key, c.Next.Before) {", "|| s == nil {", "", ""}, "is held"},
 	"duties that were planned and left for later": {sourceMutant{"internal/duty/steady.go",
-		"			out = append(out, c)\n", "			out = append(out, c)\n			s.moved[key] = now\n", ""}, "is held"},
-	"places that are ready": {sourceMutant{"internal/store/place.go",
-		"		p.ready.Store(&counts)\n", "		if len(counts) > 0 || len(old) == 0 {\n			p.ready.Store(&old)\n		}\n", ""}, "is held"},
+		"			out = append(out, c)\n", "			out = append(out, c)\n			s.moved[key] = now\n", "51", ""}, "is held"},
+	"places that are ready": {sourceMutant{"internal/store/ownership.go",
+		"		p.ready.Store(&counts)\n", "		if len(counts) > 0 || len(old) == 0 {\n			p.ready.Store(&old)\n		}\n", "", ""}, "is held"},
 }
 
 // TestDeliveryMutants: each guard that is taken out is found.
--- a/internal/sim/deliverystore.go
+++ b/internal/sim/deliverystore.go
@@ -188,6 +188,7 @@
 func (a *deliveryAround) IsTight() bool                         { return false }
 func (a *deliveryAround) Compiled() *config.Compiled            { return a.s.configs.Current() }
 func (a *deliveryAround) Find(name string) (wire.Who, bool)     { return a.s.daemon.Membership.Find(name) }
+func (a *deliveryAround) Adapters() []wire.Who                  { return a.s.daemon.Membership.Kind("adapter") }
 func (a *deliveryAround) Post(who wire.Who, ask any, answer func(any, error)) error {
 	return a.s.postTo(who, ask, answer)
 }
--- a/internal/sim/environment.go
+++ b/internal/sim/environment.go
@@ -47,6 +47,17 @@
 	return p.who, isKnown && s.w.now-p.heardAt < timing.Default.Of(timing.SessionTimeout)
 }
 
+// Adapters are those whose sessions stand, in order.
+func (s *simStore) Adapters() []wire.Who {
+	out := []wire.Who{}
+	for _, name := range namesIn(s.membership) {
+		if who, isMember := s.Find(name); isMember {
+			out = append(out, who)
+		}
+	}
+	return out
+}
+
 // Post asks an adapter.
 func (s *simStore) Post(who wire.Who, ask any, answer func(any, error)) error {
 	for _, a := range s.w.adapters {
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -7,7 +7,9 @@
 )
 
 // SweepKinds lists what can be swept.
-func SweepKinds() []string { return []string{"group", "moves", "place", "control", "delivery"} }
+func SweepKinds() []string {
+	return []string{"group", "moves", "place", "control", "delivery", "delays"}
+}
 
 // Sweep says how each seed of a sweep is run.
 type Sweep struct {
@@ -40,6 +42,12 @@
 			broken = append(broken, b.Rule+": "+b.Text)
 		}
 		return broken, d.Trace
+	case "delays":
+		d, breaches := RunDelays(seed, mixed(DelayFaults, only...)...)
+		for _, b := range breaches {
+			broken = append(broken, b.Rule+": "+b.Text)
+		}
+		return broken, d.Trace
 	}
 	return []string{"no such kind"}, nil
 }
--- a/internal/store/environment.go
+++ b/internal/store/environment.go
@@ -20,6 +20,7 @@
 	IsBusy() bool // the disk has as much to write as may wait for it
 	Compiled() *config.Compiled
 	Find(name string) (wire.Who, bool)
+	Adapters() []wire.Who                                      // those that are members
 	Post(who wire.Who, ask any, answer func(any, error)) error // to an adapter
 	TakeElsewhere(t *wire.Take, tell func(isTaken bool))
 	Release(g SlotGrant)
@@ -35,6 +36,7 @@
 type Hosting interface {
 	IsOwner() bool
 	Term() int64
+	DataTerm() int64 // of the newest command that was applied, or a later one
 	Waiting() int
 	Oldest() time.Duration // how long the oldest proposal has waited
 	View() group.View
@@ -43,7 +45,7 @@
 }
 
 // Use joins a place to its group; called once, before anything else.
-func (p *PlaceHost) Use(h Hosting) { p.host = h }
+func (p *PlaceHost) Use(h Hosting) { p.host = &timedGroup{Hosting: h} }
 
 // Do has work done on the place's goroutine.
 func (p *PlaceHost) Do(work func()) error { return p.host.Do(work) }
@@ -59,6 +61,7 @@
 func (a *environment) IsBusy() bool                          { return a.s.disk.Waiting() > mostUnsynced }
 func (a *environment) Compiled() *config.Compiled            { return a.s.configs.Current() }
 func (a *environment) Find(name string) (wire.Who, bool)     { return a.s.d.Membership.Find(name) }
+func (a *environment) Adapters() []wire.Who                  { return a.s.d.Membership.Kind("adapter") }
 func (a *environment) Post(who wire.Who, ask any, answer func(any, error)) error {
 	return a.s.post(who, ask, answer)
 }
--- a/internal/store/guards_test.go
+++ b/internal/store/guards_test.go
@@ -88,7 +88,7 @@
 			So(b.offered, ShouldHaveLength, 2)
 		})
 		Convey("is offered anew by the next ownership, whatever became of the offer before", func() {
-			b.place.Owned(true)
+			owned(b.place)
 			b.place.sendChildren()
 			So(b.offered, ShouldHaveLength, 2)
 		})
--- a/internal/store/owner_test.go
+++ b/internal/store/owner_test.go
@@ -35,6 +35,11 @@
 	released    int      // slots given back
 	offered     []string // call-backs, by their ids, and how each offer is answered
 	tells       []func(isTaken bool)
+	adapters    []wire.Who
+	dataTerm    int64
+	term        int64
+	isFollower  bool
+	isRefusing  bool // adapters are of a build that knows no group time
 }
 
 func newBench() *bench {
@@ -44,7 +49,7 @@
 			"once": {Name: "once", Attempts: 2, Pools: []string{"p"}}}}}
 	b.place = NewPlaceHost(b, 0)
 	b.place.Use(b)
-	b.place.Owned(true)
+	owned(b.place)
 	return b
 }
 
@@ -64,6 +69,8 @@
 func (b *bench) Oldest() time.Duration             { return b.oldest }
 func (b *bench) Compiled() *config.Compiled        { return &config.Compiled{Rules: b.rules} }
 func (b *bench) Find(name string) (wire.Who, bool) { w, isHere := b.members[name]; return w, isHere }
+func (b *bench) Adapters() []wire.Who              { return b.adapters }
+func (b *bench) DataTerm() int64                   { return b.dataTerm }
 func (b *bench) TakeElsewhere(t *wire.Take, tell func(bool)) {
 	b.offered, b.tells = append(b.offered, t.Id), append(b.tells, tell)
 }
@@ -74,12 +81,15 @@
 func (b *bench) ChildOf(parent string) string   { return parent }
 func (b *bench) Fail(err error)                 { panic(err) }
 func (b *bench) IsTight() bool                  { return b.isTight }
-func (b *bench) IsOwner() bool                  { return true }
-func (b *bench) Term() int64                    { return 1 }
+func (b *bench) IsOwner() bool                  { return !b.isFollower }
+func (b *bench) Term() int64                    { return max(1, b.term) }
 func (b *bench) Waiting() int                   { return 0 }
 func (b *bench) View() group.View               { return group.View{Confirmed: b.now - b.unconfirmed, IsSure: true} }
 func (b *bench) Do(work func()) error           { work(); return nil }
 func (b *bench) Post(_ wire.Who, ask any, answer func(any, error)) error {
+	if b.isRefusing {
+		return errs.New(errs.Rejected, "the link has no %T", ask)
+	}
 	b.posted, b.answers = append(b.posted, ask), append(b.answers, answer)
 	return nil
 }
@@ -178,7 +188,7 @@
 		for _, c := range cases {
 			Convey(c.name, func() {
 				b, e := started(c.lane)
-				b.place.Owned(true) // nothing is in hand any more
+				owned(b.place) // nothing is in hand any more
 				b.posted, b.answers = nil, nil
 				if c.boot != "" {
 					b.members["a"] = wire.Who{Name: "a", Boot: c.boot}
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -20,11 +20,12 @@
 type PlaceHost struct {
 	environment Environment
 	number      int64
-	host        Hosting
+	host        *timedGroup
 	machine     *place.Machine
 	clock       groupclock.Clock
 	markedAt    time.Duration // when the place's time was last proposed by itself
-	raising     int64         // the feature level that this owner has proposed
+	time        timekeeping
+	raising     int64 // the feature level that this owner has proposed
 	raisedAt    time.Duration
 	inHand      map[string]inHand
 	asking      map[string]time.Duration
@@ -105,43 +106,6 @@
 	p.propose(place.TimeMark(), nil)
 }
 
-// Owned starts or ends an ownership. Runs that an earlier owner began are not
-// in hand: their adapters are asked before anything is run again.
-func (p *PlaceHost) Owned(isOwner bool) {
-	p.inHand, p.asking = map[string]inHand{}, map[string]time.Duration{}
-	p.telling, p.away, p.raising = newTelling(), nil, 0
-	p.lostAt, p.sending, p.missed = map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
-	if !isOwner {
-		p.tellOnlookers(func(string, onlooker) bool { return true })
-	}
-	if isOwner {
-		ownerships.Inc()
-		p.machine.Requeue()
-		p.logOwnership()
-	}
-	p.publish()
-}
-
-// Ready reports what may run now, by lane.
-func (p *PlaceHost) Ready() map[string]int { return *p.ready.Load() }
-
-// publish tells the dispatcher what may run.
-func (p *PlaceHost) publish() {
-	counts := map[string]int{}
-	if p.host != nil && p.host.IsOwner() {
-		counts = p.machine.Ready(p.now())
-	}
-	old := *p.ready.Load()
-	isSame := len(old) == len(counts)
-	for lane, n := range counts {
-		isSame = isSame && old[lane] == n
-	}
-	if !isSame {
-		p.ready.Store(&counts)
-		p.environment.Nudge()
-	}
-}
-
 func (p *PlaceHost) propose(c place.Command, tell func(place.Verdict, error)) {
 	c.At = p.now()
 	p.host.Propose(c.Encode(), func(verdict any, err error) {
--- a/internal/store/placetime_test.go
+++ b/internal/store/placetime_test.go
@@ -78,11 +78,11 @@
 		ahead.Apply(mark, false)
 		aheadGroup.now += 10 * time.Second
 		Convey("a delay that begins under the other one ends no earlier under it", func() {
-			behind.Owned(true)
+			owned(behind)
 			behind.Take(&wire.Take{Id: "0-x", Lane: "l", Deadline: 600_000, Delay: 5000}, func(any) {})
 			behind.Apply(behindGroup.list[0], true)
 			ahead.Apply(behindGroup.list[0], false)
-			ahead.Owned(true)
+			owned(ahead)
 			So(ahead.Ready(), ShouldBeEmpty)
 			aheadGroup.now += 4990 * time.Millisecond
 			ahead.publish()
@@ -92,11 +92,11 @@
 			So(ahead.Ready(), ShouldResemble, map[string]int{"l": 1})
 		})
 		Convey("a patience that begins under the other one ends no earlier under it", func() {
-			behind.Owned(true)
+			owned(behind)
 			behind.Take(&wire.Take{Id: "0-x", Lane: "l", Deadline: 5000}, func(any) {})
 			behind.Apply(behindGroup.list[0], true)
 			ahead.Apply(behindGroup.list[0], false)
-			ahead.Owned(true)
+			owned(ahead)
 			So(ahead.machine.Late(ahead.now()), ShouldBeEmpty)
 		})
 	})
@@ -107,7 +107,7 @@
 func TestTimeMarks(t *testing.T) {
 	Convey("Given an owner", t, func() {
 		owner, group := newReplica()
-		owner.Owned(true)
+		owned(owner)
 		span := timing.Default.Of(timing.TimeMark)
 		quiet := func() []place.Command {
 			group.list = nil
@@ -139,3 +139,9 @@
 		})
 	})
 }
+
+// owned begins an ownership of a place whose time no adapter knows.
+func owned(p *PlaceHost) {
+	p.Owned(true)
+	p.stepRecall(p.environment.Now() + timing.Default.Of(timing.RecallLimit))
+}
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -107,9 +107,11 @@
 
 // Tick does the owner's periodic work.
 func (p *PlaceHost) Tick(now time.Duration) {
+	p.stepRecall(now)
 	if !p.host.IsOwner() {
 		return
 	}
+	p.tellTime(now)
 	p.tellOnlookers(func(_ string, o onlooker) bool { return now >= o.until })
 	if !p.environment.IsFresh() {
 		p.publish()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -149,7 +149,7 @@
 		p := NewPlaceHost(&environment{s}, groupId-wire.PlaceGroup)
 		opts.Machine, opts.Level = p, place.NewestLevel
 		h, err = host.New(opts)
-		p.host = h
+		p.Use(h)
 		s.places[groupId-wire.PlaceGroup] = p
 	} else {
 		p := NewPartHost(&environment{s}, groupId)
--- a/internal/store/tell_test.go
+++ b/internal/store/tell_test.go
@@ -128,7 +128,7 @@
 			b.now += look
 			b.place.tell(b.now)
 			late := b.answers[0]
-			b.place.Owned(true)
+			owned(b.place)
 			late(&wire.Told{}, nil)
 			So(b.place.telling.told, ShouldBeEmpty)
 			b.answers = nil
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -167,6 +167,10 @@
 		p.connect()
 		return errs.New(errs.Lost, "no session with %s", p.addr)
 	}
+	if !s.out.codec.Carries(body) {
+		p.mu.Unlock()
+		return errs.New(errs.Rejected, "%s settled on wire version %d, which has no %T", p.addr, s.version, body)
+	}
 	corr := int64(0)
 	if answer != nil {
 		if len(p.waiting) >= p.node.opts.Window {
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -82,6 +82,12 @@
 // Give takes a writer back; its bytes must have been copied.
 func (c *Codec) Give(w *avro.Writer) { c.writers.Put(w) }
 
+// Carries reports whether the direction has a body's kind of message.
+func (c *Codec) Carries(body any) bool {
+	_, isCarried := c.numbers[reflect.TypeOf(body)]
+	return isCarried
+}
+
 // Append writes one item behind what the writer holds.
 func (c *Codec) Append(w *avro.Writer, item Item) error {
 	number, isCarried := c.numbers[reflect.TypeOf(item.Body)]
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -16,6 +16,28 @@
 	replies map[int64]*Codec
 }
 
+// since is a kind of message that no version before the given one has. It stands behind all
+// older kinds of its link, whose numbers stay what they were.
+type since struct {
+	version int64
+	kind    any
+}
+
+// kindsOf returns the kinds of messages that a version has.
+func kindsOf(kinds []any, version int64) []any {
+	out := []any{}
+	for _, kind := range kinds {
+		newer, isNewer := kind.(since)
+		switch {
+		case !isNewer:
+			out = append(out, kind)
+		case newer.version <= version:
+			out = append(out, newer.kind)
+		}
+	}
+	return out
+}
+
 // The links of caperwheel.
 var (
 	// SessionLink joins a daemon to a manager, and an adapter to its agent.
@@ -29,8 +51,8 @@
 	PlaceLink = newLink("place", false, []any{&Take{}, &Settle{}, &Look{}, &Outcome{}},
 		[]any{&Taken{}, &Sight{}, &OutcomeAck{}})
 	// RunLink joins a store to an adapter.
-	RunLink = newLink("run", false, []any{&Want{}, &Run{}, &Release{}, &Open{}, &Tell{}},
-		[]any{&Grant{}, &RunAck{}, &OpenAck{}, &Told{}})
+	RunLink = newLink("run", false, []any{&Want{}, &Run{}, &Release{}, &Open{}, &Tell{}, since{7, &TellTime{}}, since{7, &AskTime{}}},
+		[]any{&Grant{}, &RunAck{}, &OpenAck{}, &Told{}, since{7, &TimeTold{}}, since{7, &TimeKept{}}})
 	// GroupLink joins two stores.
 	GroupLink = newLink("group", true, []any{&GroupMsg{}, &Ballot{}}, []any{&BallotAck{}})
 )
@@ -50,8 +72,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.asks[version] == nil {
-		l.asks[version] = newCodec("ask", version, l.askKinds)
-		l.replies[version] = newCodec("reply", version, l.replyKinds)
+		l.asks[version] = newCodec("ask", version, kindsOf(l.askKinds, version))
+		l.replies[version] = newCodec("reply", version, kindsOf(l.replyKinds, version))
 	}
 	return l.asks[version], l.replies[version]
 }
