Mend: wire version 7 is spoken; a test that each kind of message is carried

TestKindsByVersion fails without the change: no version carried the new kinds. A kind that the other end does not know is refused before it is sent.

--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -204,6 +204,19 @@
 				server.Close()
 			}
 		})
+		Convey("a kind of message that the other end does not know is refused here, and the link stands", func() {
+			grant := func(_ wire.Who, _ any, answer func(any)) { answer(&wire.Grant{}) }
+			server, err := NewNode(Options{Newest: 6, Oldest: 1, Listen: "127.0.0.1:0", Handlers: map[string]Handler{"run": grant}})
+			So(err, ShouldBeNil)
+			defer server.Close()
+			go server.Serve()
+			peer := client.Peer(wire.RunLink, server.Addr())
+			dialled(peer)
+			So(errs.Is(peer.Post(&wire.AskTime{Group: 1}, func(any, error) {}), errs.Rejected), ShouldBeTrue)
+			_, err = peer.Call(context.Background(), &wire.Want{Pool: "p"})
+			So(err, ShouldBeNil)
+			So(len(peer.waiting), ShouldEqual, 0)
+		})
 		Convey("a daemon of another shape is refused", func() {
 			other, err := NewNode(Options{Shape: "places=7 parts=1"})
 			So(err, ShouldBeNil)
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -5,9 +5,10 @@
 // Look.Wait; version 3 has messages that come as they are (Head), delays, and
 // whom to tell of an end; version 4 has edits that are remembered by their order,
 // and the groups that an answer about a retirement was confirmed for; version 5 has arrays
-// that are compressed between zones; version 6 has the feature level of replicas.
+// that are compressed between zones; version 6 has the feature level of replicas; version 7 has
+// adapters that keep the time of groups.
 const (
-	Version int64 = 6
+	Version int64 = 7
 	Oldest  int64 = 1
 )
 
--- a/internal/wire/versions_test.go
+++ b/internal/wire/versions_test.go
@@ -71,3 +71,45 @@
 		So(len(link.asks)+len(link.replies), ShouldEqual, 2)
 	})
 }
+
+// TestKindsByVersion: kinds of messages once stood in links that no version carried, since the newest version had
+// not been raised for them. No version knows fewer kinds than the one before, nor under other numbers.
+func TestKindsByVersion(t *testing.T) {
+	all := func(kinds []any) []any {
+		out := []any{}
+		for _, kind := range kinds {
+			if newer, isNewer := kind.(since); isNewer {
+				kind = newer.kind
+			}
+			out = append(out, kind)
+		}
+		return out
+	}
+	Convey("The newest version of each link carries all of its kinds, older ones the first of them", t, func() {
+		for _, link := range Links {
+			for _, direction := range []struct {
+				kinds []any
+				codec func(version int64) *Codec
+			}{
+				{link.askKinds, func(v int64) *Codec { asks, _ := link.Codecs(v); return asks }},
+				{link.replyKinds, func(v int64) *Codec { _, replies := link.Codecs(v); return replies }},
+			} {
+				kinds, known := all(direction.kinds), 0
+				for version := Oldest; version <= Version; version++ {
+					codec := direction.codec(version)
+					for i, kind := range kinds {
+						SoMsg(link.Name, codec.Carries(kind), ShouldEqual, i < len(codec.branches))
+					}
+					So(len(codec.branches), ShouldBeGreaterThanOrEqualTo, known)
+					known = len(codec.branches)
+				}
+				So(known, ShouldEqual, len(kinds))
+			}
+		}
+	})
+	Convey("Adapters keep the time of groups from version 7 on", t, func() {
+		six, _ := RunLink.Codecs(6)
+		seven, _ := RunLink.Codecs(7)
+		So([]bool{six.Carries(&AskTime{}), seven.Carries(&AskTime{})}, ShouldResemble, []bool{false, true})
+	})
+}
