Sight: whether anybody knew a place's time; in the story, the metrics and the doctor

A message's story tells its place's time and whether this ownership began without a word of it; the doctor names stores with such places.

--- a/internal/cli/doctor.go
+++ b/internal/cli/doctor.go
@@ -113,6 +113,10 @@
 			if m.Counts["full"] > 0 {
 				add(true, m.Name, "its disk is nearly full: its places reject intake", "free room on the disk, or retire the store")
 			}
+			if n := m.Counts[store.UntimedCount]; n > 0 {
+				add(false, m.Name, fmt.Sprintf("nobody knew the time of %d of its places when it became their owner", n),
+					"delays and patience there end late by as long as all of their stores were away; metric place_time_seconds")
+			}
 			if m.Counts["segments"] > 8 {
 				add(false, m.Name, fmt.Sprintf("its log has %d segments", m.Counts["segments"]), "slots are not keeping up; is the disk slow?")
 			}
--- a/internal/store/ownership.go
+++ b/internal/store/ownership.go
@@ -6,6 +6,7 @@
 // time is known.
 func (p *PlaceHost) Owned(isOwner bool) {
 	p.host.recall, p.time = nil, timekeeping{told: map[string]bool{}}
+	p.isUntimed.Store(false)
 	if isOwner && !p.machine.IsIdle() {
 		p.beginRecall()
 		return
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -15,7 +15,7 @@
 // PlaceHost is a place on this store: the state machine, and while this store
 // owns it, the runs under way.
 //
-// Invariants: all but ready is touched by the host's goroutine alone; inHand
+// Invariants: all but ready and isUntimed is touched by the host's goroutine alone; inHand
 // has a run only after its adapter said so in this ownership.
 type PlaceHost struct {
 	environment Environment
@@ -25,7 +25,8 @@
 	clock       groupclock.Clock
 	markedAt    time.Duration // when the place's time was last proposed by itself
 	time        timekeeping
-	raising     int64 // the feature level that this owner has proposed
+	isUntimed   atomic.Bool // nobody knew the place's time as this ownership began
+	raising     int64       // the feature level that this owner has proposed
 	raisedAt    time.Duration
 	inHand      map[string]inHand
 	asking      map[string]time.Duration
--- a/internal/store/recall.go
+++ b/internal/store/recall.go
@@ -139,6 +139,7 @@
 	}
 	if r.isOver(len(keepers), p.environment.IsFresh(), now, p.environment.Bounds()) {
 		recalls.WithLabelValues("false").Inc()
+		p.isUntimed.Store(true)
 		klog.Infof("place: Nobody knows the time of place %d; what has passed since its newest command is lost, or was none.", p.number)
 		p.tellFirst(now)
 	}
--- a/internal/store/recall_test.go
+++ b/internal/store/recall_test.go
@@ -72,6 +72,7 @@
 			b.keep()
 			So(b.place.host.IsOwner(), ShouldBeTrue)
 			So(b.place.now(), ShouldEqual, 9000)
+			So(b.place.isUntimed.Load(), ShouldBeFalse)
 			Convey("and from none that comes later", func() {
 				asks[0](&wire.TimeKept{Term: 6, Reading: 20_000}, nil)
 				So(b.place.now(), ShouldEqual, 9000)
@@ -91,6 +92,8 @@
 			b.keep()
 			So(b.place.host.IsOwner(), ShouldBeTrue)
 			So(b.place.now(), ShouldEqual, 1000+listen.Milliseconds())
+			told, _ := b.place.Story("0-x")
+			So([]any{told.Untimed, told.TimeMs}, ShouldResemble, []any{true, 1000 + listen.Milliseconds()})
 		})
 		Convey("waits for an answer no longer than an adapter takes, nor for one that keeps the time", func() {
 			asks[0](&wire.TimeKept{}, nil)
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -77,6 +77,10 @@
 	}
 }
 
+// UntimedCount is the count by which a store tells how many of its places began their ownership with
+// nobody who knew their time.
+const UntimedCount = "untimed"
+
 // ClusterCount is the count by which a store tells which deployment it belongs to.
 const ClusterCount = "cluster"
 
@@ -84,7 +88,7 @@
 func (s *Store) say() wire.Poll {
 	s.noteMembers()
 	poll := s.d.Poll()
-	count, under := int64(0), int64(0)
+	count, under, untimed := int64(0), int64(0), int64(0)
 	for _, id := range s.groupIds() {
 		v := s.hostOf(id).View()
 		if v.Role == group.Owner {
@@ -98,6 +102,9 @@
 		for _, n := range p.Ready() {
 			count += int64(n)
 		}
+		if p.isUntimed.Load() {
+			untimed++
+		}
 	}
 	isFull := int64(0)
 	if s.diskFull.Load() {
@@ -105,6 +112,9 @@
 	}
 	poll.Fact.Counts = map[string]int64{"ready": count, "under": under, "full": isFull,
 		"segments": int64(s.disk.Segments()), ClusterCount: s.founder.clusterCount()}
+	if untimed > 0 { // seldom: what is always told costs each poll its bytes
+		poll.Fact.Counts[UntimedCount] = untimed
+	}
 	return poll
 }
 
--- a/internal/store/story.go
+++ b/internal/store/story.go
@@ -26,6 +26,8 @@
 	Behind  string         `json:"behind,omitempty"` // of its key
 	SinceMs int64          `json:"since_ms"`         // -1 where that is not known
 	LeftMs  int64          `json:"left_ms"`          // -1 where that is not known
+	TimeMs  int64          `json:"time_ms"`          // the place's time; delays and patience pass by it
+	Untimed bool           `json:"untimed"`          // nobody knew the place's time as this ownership began
 	Run     *RunStory      `json:"run,omitempty"`
 	Pools   []PoolStory    `json:"pools,omitempty"`
 	Ready   map[string]int `json:"ready,omitempty"` // messages of the place that may run, by lane
@@ -60,7 +62,7 @@
 		return Story{}, false
 	}
 	out := Story{Place: p.number, Term: p.host.Term(), Id: id, Lane: e.Lane, Key: e.Key, State: e.State, Attempt: e.Attempt, Spent: e.Spent,
-		Cause: e.Cause, Waits: where.Wait, Behind: where.Behind, SinceMs: where.Since, LeftMs: where.Left, Ready: p.Ready()}
+		Cause: e.Cause, Waits: where.Wait, Behind: where.Behind, SinceMs: where.Since, LeftMs: where.Left, TimeMs: p.now(), Untimed: p.isUntimed.Load(), Ready: p.Ready()}
 	if e.State == place.Started {
 		out.Run = p.runStory(e)
 	}
