Stand-in: orders are judged by calm stretches; drawn changes fail after 20 s of one

The judge now holds each order against every calm stretch in which it waited, not only where nothing was hurt from its sending on; an operator beside drawn faults gives up, a failure, after 20 s in one stretch in which no store and no manager is hurt. The first configuration is sent for two minutes, since it is sent until it is taken.

--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -121,13 +121,14 @@
 	}
 }
 
-// orders: the operator's proper orders are acknowledged in time.
+// orders: the operator's proper orders are acknowledged within one stretch in which nothing was hurt.
 func (j *judge) orders() {
 	for _, o := range j.h.Orders {
-		if !j.h.isCalm(o.At-contact, o.At+acknowledge, anyTrouble) {
-			continue
+		end := o.AckAt
+		if end == 0 {
+			end = max(o.Until, o.At+acknowledge+1)
 		}
-		if o.AckAt == 0 || o.AckAt > o.At+acknowledge {
+		if j.h.calmStretch(o.At, end, anyTrouble) > acknowledge {
 			j.breach(RuleAcks, "%s of %v was acknowledged at %v", o.Text, o.At, o.AckAt)
 		}
 	}
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -67,6 +67,7 @@
 type Order struct {
 	Text      string
 	At, AckAt time.Duration
+	Until     time.Duration // when the operator stopped sending one that was not acknowledged
 }
 
 // Trouble is a span in which daemons were hurt; planned ones were asked to go.
@@ -145,6 +146,29 @@
 	return true
 }
 
+// calmStretch returns the longest stretch from first to last in which nothing was hurt, nor in the contact before.
+func (h *History) calmStretch(first, last time.Duration, isMeant func(Trouble) bool) (longest time.Duration) {
+	starts := []time.Duration{first}
+	for _, t := range h.Troubles {
+		if isMeant(t) && t.Until > 0 {
+			starts = append(starts, t.Until+contact)
+		}
+	}
+	for _, start := range starts {
+		end := last
+		for _, t := range h.Troubles {
+			if !isMeant(t) || t.Until > 0 && t.Until+contact <= start {
+				continue
+			}
+			end = min(end, max(start, t.From))
+		}
+		if start >= first {
+			longest = max(longest, end-start)
+		}
+	}
+	return longest
+}
+
 func anyTrouble(Trouble) bool  { return true }
 func unplanned(t Trouble) bool { return !t.IsPlanned }
 
--- a/internal/standin/judge_test.go
+++ b/internal/standin/judge_test.go
@@ -78,7 +78,7 @@
 }
 
 func asked(h *History, at, ack time.Duration) {
-	h.Orders = append(h.Orders, Order{"an order", at, ack})
+	h.Orders = append(h.Orders, Order{Text: "an order", At: at, AckAt: ack})
 }
 
 // outage has ten messages sent in the seconds in which traffic must be back.
--- a/internal/standin/operator.go
+++ b/internal/standin/operator.go
@@ -18,9 +18,11 @@
 const (
 	callBound    = time.Second
 	mostPauses   = time.Second
-	configBound  = 20 * time.Second
-	drawnBound   = 2 * time.Minute // of the first one, and of changes beside faults that are drawn
-	otherRejects = 3               // so many other 4xx end a call
+	configBound  = 20 * time.Second // for a change, and beside drawn faults for one stretch in which the core is whole
+	firstBound   = 2 * time.Minute  // for the first one, which is sent until it is taken
+	drawnBound   = 2 * time.Minute  // for a change beside drawn faults in all
+	lookInterval = 250 * time.Millisecond
+	otherRejects = 3 // so many other 4xx end a call
 )
 
 // operator gives the orders.
@@ -95,7 +97,7 @@
 			h.Orders = append(h.Orders, Order{Text: fmt.Sprintf("version %d", c.Version), At: at})
 		}
 	})
-	ctx, cancel := context.WithTimeout(ctx, o.bound())
+	ctx, cancel := o.within(ctx)
 	defer cancel()
 	code := o.configuration(ctx, path, base, c.Version, body, isInvalid)
 	h.Add(func() {
@@ -103,21 +105,50 @@
 		if code/100 == 2 {
 			h.Edits[i].AckAt = o.site.Now()
 		}
-		if code != 0 && !isInvalid { // a race's loser has its answer too
+		switch {
+		case isInvalid:
+		case code != 0: // a race's loser has its answer too
 			h.Orders[order].AckAt = o.site.Now()
+		default:
+			h.Orders[order].Until = o.site.Now()
 		}
 	})
 	return code
 }
 
-// bound is for how long a change is sent. The first one waits for a deployment to come up, and faults that
-// are drawn may keep all stores away for longer than those of a schedule; a change that has no answer once
-// all is well is a failure all the same.
-func (o *operator) bound() time.Duration {
-	if o.site.isDrawn || len(o.built) <= 1 {
-		return drawnBound
+// within bounds for how long a change is sent. The first one waits for a deployment to come up. Drawn faults
+// may keep all stores away for longer than those of a schedule: beside them only a stretch counts in which no
+// store and no manager is hurt.
+func (o *operator) within(ctx context.Context) (context.Context, context.CancelFunc) {
+	switch {
+	case len(o.built) <= 1:
+		return context.WithTimeout(ctx, firstBound)
+	case !o.site.isDrawn:
+		return context.WithTimeout(ctx, configBound)
+	}
+	ctx, cancel := context.WithTimeout(ctx, drawnBound)
+	began := o.site.Now()
+	go func() {
+		for ctx.Err() == nil {
+			pause(ctx, lookInterval)
+			h, now, stretch := o.site.History, o.site.Now(), time.Duration(0)
+			h.Add(func() { stretch = h.calmStretch(began, now, o.site.isOfCore) })
+			if stretch >= configBound {
+				cancel()
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
+// isOfCore reports whether a trouble was one of a store or a manager.
+func (s *Site) isOfCore(t Trouble) bool {
+	for _, m := range s.Machines {
+		if m.Short == t.Daemon {
+			return m.Class != classFront
+		}
 	}
-	return configBound
+	return true
 }
 
 // first gives the first configuration until it is taken.
