--- a/test.sh
+++ b/test.sh
@@ -10,4 +10,6 @@
 if [ -n "$long" ]; then echo "over 250 lines: $long"; exit 1; fi
 go vet ./...
 go tool staticcheck ./...
-exec go run ./internal/verdict go test -json -race -count=1 "${@:-./...}"
+# A package may take twice as long as go test allows by itself: that of the simulations takes over six minutes
+# beside other work.
+exec go run ./internal/verdict go test -json -race -count=1 -timeout=20m "${@:-./...}"
