--- a/internal/intake/stand_test.go
+++ b/internal/intake/stand_test.go
@@ -1,12 +1,14 @@
 package intake
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
 
 	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/feed"
 	"caperwheel/internal/session"
 	"caperwheel/internal/settings"
@@ -22,6 +24,7 @@
 	Sight        *wire.Sight // what an owner knows of a message
 	IsStale      bool
 	Most         int
+	Rules        string // the configuration; empty for a plain one
 }
 
 // sighted also answers those who ask of a message.
@@ -40,6 +43,14 @@
 const asItIs = `{"pools":{"p":{}},"lanes":{"l":{"pools":["p"],"size":9,"host":"x.example","prefix":"/a/","notify":true},
 	"o":{"pools":["p"],"prefix":"/o/","ordering":"key"}}}`
 
+// Refused returns what is wrong with a configuration, if anything is.
+func Refused(doc []byte) error {
+	if _, faults := config.Compile(doc); len(faults) > 0 {
+		return errs.New(errs.Invalid, "%v", faults)
+	}
+	return nil
+}
+
 // On builds an intake in these surroundings; takes gives what was put to owners.
 func On(s Scenery) (in *Intake, takes func() []*wire.Take) {
 	owners := &sighted{stand: stand{take: s.Take, settle: s.Settle, isOpen: s.IsOpen}, sight: s.Sight}
@@ -50,7 +61,8 @@
 	if s.IsStale {
 		at = 0
 	}
-	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: config.Key, Revision: 7, Value: []byte(asItIs)}}}}, at)
+	rules := cmp.Or(s.Rules, asItIs)
+	view.Take([]wire.PartNews{{To: 7, Changes: []wire.Change{{Key: config.Key, Revision: 7, Value: []byte(rules)}}}}, at)
 	in = New(d, &config.Cache{View: view})
 	in.reach = owners
 	return in, func() []*wire.Take { return owners.takes }
