Mend: tenants, API keys and operation keys of one fleet

Callers saw: workers told no tenant (UNASKED), messages run though no configuration held their key (ROUTE), two sends with one operation key both run (TWICE), configurations taken in which two tenants share a key (CONFIG).

Cause: the part was never built. A configuration has tenants with hashes of API keys; a fresh view leads from host, path and key to the tenant, before the body and again after it; the tenant's name goes to workers with the head that is kept at the 202. An operation key names the id, and the place where no ordering key does, by hashes of tenant and key alone, so that each send through any front asks for the same message at the same place; an undecided send is settled by the next. Ordering keys are a tenant's. Who asks for a message needs a key of its tenant, which a tag in the id tells. Nothing that replicas apply has changed.

Ruled out: the drawn ids of unnamed messages as a second cause (a named message draws none). Before: four tests fail, after: none.

--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -43,7 +43,7 @@
 	c.uniqueKeys("", root, 0)
 	for key, value := range root.Map() {
 		switch key {
-		case "lanes", "pools":
+		case "lanes", "pools", "tenants":
 			if !value.IsObject() {
 				c.fault(key, "must be an object")
 			}
@@ -74,6 +74,7 @@
 	each(root.Get("lanes"), func(name string, r gjson.Result) {
 		walk(c, "lanes."+name, name, r, rootLane, laneFields, c.addLane, 0)
 	})
+	c.readTenants(root)
 	c.join()
 	c.lay()
 	if len(c.faults) > 0 {
@@ -132,11 +133,25 @@
 		c.fault(path, "must be an object, not nested too deeply")
 		return
 	}
+	children := r.Get("children")
+	if children.Exists() && (!children.IsObject() || len(children.Map()) == 0) {
+		c.fault(path+".children", "must be an object that is not empty")
+	}
+	node, _ = readFields(c, path, r, node, fields)
+	if !children.Exists() {
+		add(path, name, node)
+		return
+	}
+	each(children, func(child string, r gjson.Result) {
+		walk(c, path+".children."+child, name+"."+child, r, node, fields, add, depth+1)
+	})
+}
+
+// readFields reads what a node names itself over what it was, and reports whether all of it is right.
+func readFields[T any](c *compiler, path string, r gjson.Result, node T, fields map[string]field[T]) (T, bool) {
+	before := len(c.faults)
 	each(r, func(key string, value gjson.Result) {
 		if key == "children" {
-			if !value.IsObject() || len(value.Map()) == 0 {
-				c.fault(path+".children", "must be an object that is not empty")
-			}
 			return
 		}
 		f, isKnown := fields[key]
@@ -157,14 +172,7 @@
 		}
 		f.read(&node, value)
 	})
-	children := r.Get("children")
-	if !children.Exists() {
-		add(path, name, node)
-		return
-	}
-	each(children, func(child string, r gjson.Result) {
-		walk(c, path+".children."+child, name+"."+child, r, node, fields, add, depth+1)
-	})
+	return node, len(c.faults) == before
 }
 
 func (c *compiler) addLane(path, name string, l Lane) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,6 +33,7 @@
 	SpendsAll   bool          // each run that began spends an attempt; else only those that the worker says have failed
 	DropsBytes  bool          // the bytes go with a success; else they stay for the retention
 	Witness     bool          // results are left with others before the owner has them
+	IsPublic    bool          // messages need no API key of a tenant
 }
 
 // Pool is a set of workers, or one outside endpoint.
@@ -53,12 +54,15 @@
 
 // Rules are a configuration ready for use.
 //
-// Invariant: ways has each lane with a prefix once, by host, longest first.
+// Invariants: ways has each lane with a prefix once, by host, longest first; keys has each API key
+// of Tenants, and none of any other.
 type Rules struct {
 	Lanes   map[string]Lane
 	Pools   map[string]Pool
-	Version int64 // the operators' own number; 0 for none
+	Version int64             // the operators' own number; 0 for none
+	Tenants map[string]Tenant // nil where messages need no API key
 	ways    map[string][]Lane
+	keys    map[KeyHash]holder
 }
 
 // Fault is one thing wrong with a configuration, at a path of its tree.
@@ -137,6 +141,7 @@
 	"spends":        {gjson.String, word("runs", "failures"), func(l *Lane, r gjson.Result) { l.SpendsAll = r.Str == "runs" }},
 	"bytes":         {gjson.String, word("retention", "success"), func(l *Lane, r gjson.Result) { l.DropsBytes = r.Str == "success" }},
 	"witness":       {gjson.True, nil, func(l *Lane, r gjson.Result) { l.Witness = r.Bool() }},
+	"public":        {gjson.True, nil, func(l *Lane, r gjson.Result) { l.IsPublic = r.Bool() }},
 	"after_failure": {gjson.String, word("skip", "hold"), func(l *Lane, r gjson.Result) { l.HoldFailed = r.Str == "hold" }},
 	"pools": {gjson.JSON, names, func(l *Lane, r gjson.Result) {
 		l.Pools = nil
--- /dev/null
+++ b/internal/config/tenants.go
@@ -0,0 +1,151 @@
+package config
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strings"
+
+	"github.com/tidwall/gjson"
+)
+
+// Tenant is a customer whose messages are told apart from those of others.
+type Tenant struct {
+	Name string
+	// Rate and Burst limit the messages that are accepted of the tenant by the whole fleet: in any
+	// span no more than Rate times the span in seconds, and Burst. A Rate of 0 means no limit.
+	Rate  float64
+	Burst float64
+}
+
+// KeyHash is the SHA-256 of an API key. The key itself is kept nowhere in rules or views.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash under which an API key stands in a configuration.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// String returns the hash in hexadecimal digits, as configurations have it.
+func (h KeyHash) String() string { return hex.EncodeToString(h[:]) }
+
+// Most of what one tenant may have.
+const (
+	MostTenants    = 5000
+	MostTenantKeys = 100
+	MostTenantName = 128
+	mostTenantRate = 10_000_000
+)
+
+// holder is the tenant that an API key belongs to.
+type holder struct {
+	hash   KeyHash
+	tenant string
+}
+
+// HasTenants reports whether lanes that are not public need an API key.
+func (r *Rules) HasTenants() bool { return r.Tenants != nil }
+
+// TenantOf returns the tenant that holds an API key, and false where none does.
+func (r *Rules) TenantOf(key string) (Tenant, bool) {
+	hash := HashKey(key)
+	known, isKnown := r.keys[hash]
+	if !isKnown || subtle.ConstantTimeCompare(known.hash[:], hash[:]) != 1 {
+		return Tenant{}, false
+	}
+	return r.Tenants[known.tenant], true
+}
+
+// IsTenantName reports whether a text can be a tenant's name: it goes into header fields.
+func IsTenantName(name string) bool {
+	return len(name) > 0 && len(name) <= MostTenantName && strings.TrimSpace(name) == name && isPrintable(name)
+}
+
+// IsApiKey reports whether a text can be an API key: callers send it in a header field, behind a word.
+func IsApiKey(key string) bool {
+	return len(key) > 0 && len(key) <= MostTenantName && !strings.ContainsAny(key, " ") && isPrintable(key)
+}
+
+func isPrintable(text string) bool {
+	for i := range len(text) {
+		if text[i] < ' ' || text[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+var tenantFields = map[string]field[Tenant]{
+	"rate":  {gjson.Number, number(0, mostTenantRate), func(t *Tenant, r gjson.Result) { t.Rate = r.Num }},
+	"burst": {gjson.Number, number(0, mostTenantRate), func(t *Tenant, r gjson.Result) { t.Burst = r.Num }},
+	"keys":  {gjson.JSON, keyHashes, func(*Tenant, gjson.Result) {}}, // joined by addKeys
+}
+
+// keyHashes checks a list of hashes of API keys, which may be empty.
+func keyHashes(r gjson.Result) string {
+	if !r.IsArray() || len(r.Array()) > MostTenantKeys {
+		return "must be a list of hashes of keys, not too long"
+	}
+	for _, item := range r.Array() {
+		if _, isHash := readHash(item); !isHash {
+			return "must hold SHA-256 hashes of keys, in 64 hexadecimal digits"
+		}
+	}
+	return ""
+}
+
+func readHash(r gjson.Result) (out KeyHash, isHash bool) {
+	raw, err := hex.DecodeString(r.Str)
+	if r.Type != gjson.String || err != nil || len(raw) != len(out) {
+		return out, false
+	}
+	copy(out[:], raw)
+	return out, true
+}
+
+// readTenants reads the tenants of a configuration.
+func (c *compiler) readTenants(root gjson.Result) {
+	tenants := root.Get("tenants")
+	if !tenants.Exists() {
+		return
+	}
+	if !tenants.IsObject() {
+		c.fault("tenants", "must be an object")
+		return
+	}
+	c.rules.Tenants, c.rules.keys = map[string]Tenant{}, map[KeyHash]holder{}
+	each(tenants, c.readTenant)
+	if len(c.rules.Tenants) > MostTenants {
+		c.fault("tenants", "are too many")
+	}
+}
+
+func (c *compiler) readTenant(name string, r gjson.Result) {
+	path := "tenants." + name
+	switch {
+	case !IsTenantName(name):
+		c.fault(path, "has a name that no header field can hold")
+		return
+	case !r.IsObject() || r.Get("children").Exists():
+		c.fault(path, "must be an object without children")
+		return
+	}
+	tenant, isRight := readFields(c, path, r, Tenant{Name: name}, tenantFields)
+	if !isRight {
+		return
+	}
+	if tenant.Rate > 0 && tenant.Burst < 1 {
+		c.fault(path+".burst", "must be at least 1 where there is a rate")
+	}
+	c.rules.Tenants[name] = tenant
+	c.addKeys(path, name, r.Get("keys"))
+}
+
+// addKeys joins a tenant's keys to it. A key belongs to one tenant.
+func (c *compiler) addKeys(path, name string, keys gjson.Result) {
+	for _, item := range keys.Array() {
+		hash, _ := readHash(item)
+		if other, isHeld := c.rules.keys[hash]; isHeld && other.tenant != name {
+			c.fault(path+".keys", "holds a key that is also one of "+other.tenant)
+		}
+		c.rules.keys[hash] = holder{hash, name}
+	}
+}
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -141,7 +141,7 @@
 		"Idempotency-Key": r.Id, "X-Content-SHA256": r.Sum, "User-Agent": "caperwheel/" + a.d.Who.Name,
 		"X-Charter-Stamp": strconv.FormatInt(e.compiled.Revision, 10), "Content-Type": cmp.Or(r.Ctype, "application/octet-stream")}
 	if r.Key != "" {
-		fields["Ordering-Key"] = r.Key
+		fields["Ordering-Key"] = wire.CallerKey(r.Key)
 	}
 	for name, value := range fields {
 		req.Header.Set(name, value)
--- a/internal/intake/ask.go
+++ b/internal/intake/ask.go
@@ -126,7 +126,7 @@
 }
 
 func messageOf(s *wire.Sight) Message {
-	m := Message{Id: s.Id, Lane: s.Lane, Key: s.Key, State: s.State, Attempts: s.Attempts, Cause: s.Cause, Sum: s.Sum,
+	m := Message{Id: s.Id, Lane: s.Lane, Key: wire.CallerKey(s.Key), State: s.State, Attempts: s.Attempts, Cause: s.Cause, Sum: s.Sum,
 		Parent: s.Parent, Callback: s.Child}
 	if s.State == "ended" {
 		p := s.Proof
@@ -157,6 +157,9 @@
 
 func (in *Intake) get(w http.ResponseWriter, r *http.Request) {
 	wait, err := waitOf(r)
+	if err == nil {
+		err = in.CheckAsker(r, r.PathValue("id"))
+	}
 	if err != nil {
 		web.Fail(w, err)
 		return
@@ -206,6 +209,10 @@
 }
 
 func (in *Intake) getBody(w http.ResponseWriter, r *http.Request) {
+	if err := in.CheckAsker(r, r.PathValue("id")); err != nil {
+		web.Fail(w, err)
+		return
+	}
 	s, err := in.Look(r.Context(), r.PathValue("id"), true)
 	if err != nil {
 		web.Fail(w, err)
--- a/internal/intake/codec.go
+++ b/internal/intake/codec.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"caperwheel/internal/config"
-	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/head"
 	"caperwheel/internal/path"
@@ -17,6 +16,8 @@
 type Arrival struct {
 	Head     head.Head
 	Key      string        // ordering key
+	ApiKey   string        // of the caller's tenant
+	Name     string        // operation key: all sends of a tenant's with one name are one message
 	Notify   string        // URL to be told of the end
 	Delay    time.Duration // it must not run before
 	Deadline time.Duration // how long the caller waits; 0 if it does not say
@@ -34,10 +35,12 @@
 	Retry  time.Duration // when to come back; 0 for at once or never
 }
 
-// Codec is one way to speak with callers whose requests are taken as they are.
+// Codec is one way to speak with callers whose requests are taken as they are. Tenant is the header field
+// that tells workers whose message it is.
 type Codec struct {
-	Read func(r *http.Request) (Arrival, error)
-	Tell func(w http.ResponseWriter, word Word)
+	Read   func(r *http.Request) (Arrival, error)
+	Tell   func(w http.ResponseWriter, word Word)
+	Tenant string
 }
 
 // AsItIs takes requests as they are: the lane follows from host and path.
@@ -72,26 +75,41 @@
 	if err != nil {
 		return err
 	}
+	if err := in.findTenant(e, arrival.ApiKey); err != nil {
+		return err
+	}
 	body, err := web.Body(r, e.lane.Size)
 	if err != nil {
 		return err
 	}
-	e.deadline = arrival.Deadline
-	e.take = wire.Take{Lane: e.lane.Name, Head: arrival.Head.Encode(), Body: body, Sum: wire.SumOf(body),
-		Delay: arrival.Delay.Milliseconds()}
 	if err := in.findWay(e, r); err != nil { // a body may take long to come
 		return err
 	}
-	e.take.Deadline = e.lane.Patience.Milliseconds()
+	if err := in.findTenant(e, arrival.ApiKey); err != nil {
+		return err
+	}
+	if e.tenant.Name != "" {
+		arrival.Head.Fields = append(arrival.Head.Fields, [2]string{codec.Tenant, e.tenant.Name})
+	}
+	e.deadline = arrival.Deadline
+	e.take = wire.Take{Lane: e.lane.Name, Head: arrival.Head.Encode(), Body: body, Sum: wire.SumOf(body),
+		Delay: arrival.Delay.Milliseconds(), Deadline: e.lane.Patience.Milliseconds()}
 	if e.lane.IsNotified {
 		e.take.Notify = arrival.Notify
 	}
-	if e.lane.IsOrdered {
-		if e.take.Key = arrival.Key; e.take.Key == "" { // about nothing that others are about
-			e.take.Key = "-" + daemon.Random(8)
-		}
+	e.putName(arrival.Name, arrival.Key)
+	return in.admit(e)
+}
+
+// admit has a message held that counts against its tenant's limit.
+func (in *Intake) admit(e *request) error {
+	permit, err := in.limits.Admit(e.ctx, e.tenant)
+	if err != nil {
+		return err
 	}
-	return path.Run(in.programs.Intake(e.compiled.Rules, e.lane.Name), in.actions, e)
+	err = path.Run(in.programs.Intake(e.compiled.Rules, e.lane.Name), in.actions, e)
+	permit.End(e.counts(err))
+	return err
 }
 
 // findWay takes the lane that the request's host and path lead to, as the
@@ -115,9 +133,11 @@
 
 // Own is the product's own codec for requests that are taken as they are.
 var Own = Codec{
+	Tenant: "Tenant",
 	Read: func(r *http.Request) (Arrival, error) {
-		out := Arrival{Head: head.Of(r, "Content-Type", "Ordering-Key"), Key: r.Header.Get("Ordering-Key"), Notify: r.Header.Get("Notify-Url")}
-		if len(out.Key) > mostKey {
+		out := Arrival{Head: head.Of(r, "Content-Type", "Ordering-Key"), Key: r.Header.Get("Ordering-Key"), Notify: r.Header.Get("Notify-Url"),
+			ApiKey: BearerOf(r), Name: r.Header.Get("Idempotency-Key")}
+		if len(out.Key) > mostKey || len(out.Name) > mostKey {
 			return out, errs.New(errs.Invalid, "keys may have %d bytes at most", mostKey)
 		}
 		if text := r.Header.Get("Not-Before"); text != "" {
--- a/internal/intake/hold.go
+++ b/internal/intake/hold.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"caperwheel/internal/errs"
+	"caperwheel/internal/place"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
@@ -31,7 +32,7 @@
 	if isHeld || !isOpen {
 		return cause
 	}
-	if e.take.Idem == "" && !errors.Is(context.Cause(e.ctx), web.ErrStopping) {
+	if e.take.Idem == "" && e.name == "" && !errors.Is(context.Cause(e.ctx), web.ErrStopping) {
 		// The caller may have gone; the message's fate is settled all the same.
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(e.ctx), in.d.Bounds.Of(timing.SettleTimeout)*2)
 		defer cancel()
@@ -54,7 +55,7 @@
 	ctx, cancel := context.WithTimeout(e.ctx, e.deadline*holdShare/100)
 	defer cancel()
 	for turn := 1; ; turn++ {
-		isLast := e.take.Key != "" || turn == mostPlaces
+		isLast := e.take.Key != "" || e.name != "" || turn == mostPlaces
 		asking, stop := ctx, context.CancelFunc(func() {})
 		if !isLast {
 			asking, stop = context.WithTimeout(ctx, in.d.Bounds.Of(timing.AttemptTimeout))
@@ -85,6 +86,9 @@
 		return false, isOpen, errs.New(errs.NotOwner, "the message's place cannot be reached")
 	}
 	e.taken = reply.(*wire.Taken)
+	if e.name != "" && e.taken.Kind == string(errs.Conflict) { // held since an earlier send, which had other bytes
+		e.taken = &wire.Taken{Id: e.take.Id, State: string(place.Held)}
+	}
 	if e.taken.Kind == "" || !isOpen || e.taken.Kind == string(errs.Rejected) {
 		return e.taken.Kind == "", false, nil
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -31,6 +31,7 @@
 	inHand   atomic.Int64
 	held     atomic.Int64 // waits for an end
 	peers    weight.Peers // stores, as this adapter sees them
+	limits   Limits
 	actions  path.Actions[*request]
 	programs path.Programs
 }
@@ -46,6 +47,8 @@
 	ctx      context.Context
 	compiled *config.Compiled // the lane's rules are of its configuration
 	lane     config.Lane
+	tenant   config.Tenant // whose message it is; none where the lane is public and no key was given
+	name     string        // operation key: the tenant's sends with one name are one message
 	deadline time.Duration // how long its caller waits; 0 if that is not known
 	take     wire.Take
 	taken    *wire.Taken
@@ -56,7 +59,7 @@
 
 // New readies the intake and its HTTP paths.
 func New(d *daemon.Daemon, configs *config.Cache) *Intake {
-	in := &Intake{d: d, configs: configs}
+	in := &Intake{d: d, configs: configs, limits: NoLimits{}}
 	in.reach = &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink}
 	in.quick = &reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink, Saw: in.saw, Try: timing.AttemptTimeout}
 	d.Measure(func(emit daemon.Emit) {
@@ -108,23 +111,23 @@
 }
 
 // putPlace gives the message its place and id. An ordering key names the place,
-// an idempotency key the id: whoever sends the message again, through any
+// an idempotency or operation key the id: whoever sends the message again, through any
 // adapter, asks for the same one.
 func (in *Intake) putPlace(e *request) {
 	t := &e.take
 	switch {
+	case t.Key != "" && e.tenant.Name != "": // wherever the lanes' ways lead meanwhile
+		t.Place = in.placeFor("", "k"+t.Key)
 	case t.Key != "":
 		t.Place = in.placeFor(t.Lane, "k"+t.Key)
+	case e.name != "":
+		t.Place = in.placeFor(e.tenant.Name, "n"+e.name)
 	case t.Idem != "":
 		t.Place = in.placeFor(t.Lane, "i"+t.Idem)
 	default:
 		t.Place = in.drawPlace()
 	}
-	token := daemon.Random(12)
-	if t.Idem != "" {
-		token = "k" + wire.SumOf([]byte(t.Lane + "\x00" + t.Key + "\x00" + t.Idem))[:24]
-	}
-	t.Id = strconv.FormatInt(t.Place, 10) + "-" + token
+	t.Id = strconv.FormatInt(t.Place, 10) + "-" + tokenOf(e)
 }
 
 func (in *Intake) placeFor(lane, key string) int64 {
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -9,7 +9,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"caperwheel/internal/errs"
-	"caperwheel/internal/path"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
@@ -43,7 +42,7 @@
 		in.reject(w, err, e)
 		return
 	}
-	if err := path.Run(in.programs.Intake(e.compiled.Rules, e.lane.Name), in.actions, e); err != nil {
+	if err := in.admit(e); err != nil {
 		in.reject(w, err, e)
 		return
 	}
@@ -73,13 +72,18 @@
 		return err
 	}
 	e.take = wire.Take{Lane: r.PathValue("lane"), Key: key, Idem: idem, Ctype: ctype}
-	if idem != "" { // an earlier send may be held, whatever becomes of this one
+	e.isOpen = idem != "" // an earlier send may be held, whatever becomes of this one
+	in.findSender(e, r)
+	e.scope()
+	if idem != "" {
 		in.putPlace(e)
-		e.isOpen = true
 	}
 	if err := in.findLane(e); err != nil {
 		return err
 	}
+	if err := in.findTenant(e, BearerOf(r)); err != nil {
+		return err
+	}
 	body, err := web.Body(r, e.lane.Size)
 	if err != nil {
 		return err
@@ -88,7 +92,18 @@
 		return errs.New(errs.Invalid, "the body says that it is JSON and is not")
 	}
 	e.take.Body, e.take.Sum = body, wire.SumOf(body)
-	return in.findLane(e) // a body may take long to come
+	if err := in.findLane(e); err != nil { // a body may take long to come
+		return err
+	}
+	return in.findTenant(e, BearerOf(r))
+}
+
+// findSender finds out whose keys those are that the request carries, before anything else: they
+// name another message for each tenant.
+func (in *Intake) findSender(e *request, r *http.Request) {
+	if rules := in.configs.Current().Rules; rules.HasTenants() {
+		e.tenant, _ = rules.TenantOf(BearerOf(r))
+	}
 }
 
 // findLane takes the lane's rules of the configuration as it is now.
@@ -143,6 +158,8 @@
 		return in.d.Bounds.Of(timing.AnswerTimeout)
 	case errs.DiskFull:
 		return 10 * in.d.Bounds.Config
+	case errs.OverQuota: // a tenant's limit lets more in within this
+		return in.d.Bounds.Of(timing.Permit)
 	case errs.Full:
 		return in.d.Bounds.Of(timing.Permit)
 	}
--- /dev/null
+++ b/internal/intake/tenant.go
@@ -0,0 +1,160 @@
+package intake
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"caperwheel/internal/config"
+	"caperwheel/internal/daemon"
+	"caperwheel/internal/errs"
+	"caperwheel/internal/wire"
+)
+
+// Limits admits messages of tenants, so that the whole fleet accepts no more of one than its limit allows.
+type Limits interface {
+	// Admit returns a permit for one message, or an error of kind errs.OverQuota, or errs.Lost if whether
+	// the tenant is within its limit cannot be found out now. A tenant without a limit is always admitted.
+	Admit(ctx context.Context, tenant config.Tenant) (Permit, error)
+}
+
+// Permit is the right to have one message of a tenant accepted. End is called once.
+type Permit interface {
+	End(isCounted bool)
+}
+
+// NoLimits admits everything.
+type NoLimits struct{}
+
+type freePermit struct{}
+
+// Admit implements Limits.
+func (NoLimits) Admit(context.Context, config.Tenant) (Permit, error) { return freePermit{}, nil }
+
+func (freePermit) End(bool) {}
+
+// SetLimits has messages admitted by limits; called once, before anything is served.
+func (in *Intake) SetLimits(limits Limits) { in.limits = limits }
+
+// bearer is how a header field begins that holds an API key.
+const bearer = "Bearer "
+
+// BearerOf returns the API key that a request carries, or an empty string without one.
+func BearerOf(r *http.Request) string {
+	text := r.Header.Get("Authorization")
+	if len(text) < len(bearer) || !strings.EqualFold(text[:len(bearer)], bearer) {
+		return ""
+	}
+	return strings.TrimSpace(text[len(bearer):])
+}
+
+// findTenant takes the tenant that holds the caller's key, by the rules that the request's lane is of.
+func (in *Intake) findTenant(e *request, key string) error {
+	tenant, err := tenantFor(e.compiled.Rules, e.lane, key)
+	e.tenant = tenant
+	return err
+}
+
+// tenantFor returns the tenant that a key's caller may send as on a lane. A public lane takes callers
+// without a key, or with one that nobody holds, as nobody's.
+func tenantFor(rules *config.Rules, lane config.Lane, key string) (config.Tenant, error) {
+	if !rules.HasTenants() {
+		return config.Tenant{}, nil
+	}
+	tenant, isHeld := rules.TenantOf(key)
+	if !isHeld && !lane.IsPublic {
+		return tenant, errs.New(errs.Unauthorized, "no tenant holds the API key")
+	}
+	return tenant, nil
+}
+
+// putName gives the message what it is known by: the name that its tenant gave it, and the ordering key
+// of the tenant's. One without a key is about nothing that others are about.
+func (e *request) putName(name, key string) {
+	e.name = name
+	if !e.lane.IsOrdered {
+		return
+	}
+	switch {
+	case key == "" && name != "":
+		key = "-" + name
+	case key == "":
+		key = "-" + daemon.Random(8)
+	}
+	e.take.Key = wire.ScopedKey(e.tenant.Name, key)
+}
+
+// scope makes the keys of a message those of its tenant.
+func (e *request) scope() {
+	e.take.Key = wire.ScopedKey(e.tenant.Name, e.take.Key)
+	e.take.Idem = wire.ScopedKey(e.tenant.Name, e.take.Idem)
+}
+
+// Parts of a message's token.
+const (
+	tenantMark  = "t" // begins the token of a message that is a tenant's; no other token begins so
+	tenantTag   = 16  // hexadecimal digits of the tenant's name that follow
+	nameDigits  = 32  // hexadecimal digits that a name is known by: 128 bits
+	idemDigits  = 24
+	randomBytes = 12
+)
+
+// tokenOf returns what follows the place in a message's id.
+func tokenOf(e *request) string {
+	t := &e.take
+	switch {
+	case e.name != "":
+		return tagOf(e.tenant.Name) + "n" + wire.SumOf([]byte(e.tenant.Name + "\x00" + e.name))[:nameDigits]
+	case t.Idem != "":
+		return tagOf(e.tenant.Name) + "k" + wire.SumOf([]byte(t.Lane + "\x00" + t.Key + "\x00" + t.Idem))[:idemDigits]
+	}
+	return tagOf(e.tenant.Name) + daemon.Random(randomBytes)
+}
+
+// tagOf returns what marks the messages of a tenant, nothing for none.
+func tagOf(tenant string) string {
+	if tenant == "" {
+		return ""
+	}
+	return tenantMark + wire.SumOf([]byte(tenant))[:tenantTag]
+}
+
+// mayAsk reports whether a tenant may ask for a message: for its own, and anybody for one that is nobody's.
+func mayAsk(tenant, id string) bool {
+	_, token, _ := strings.Cut(id, "-")
+	if !strings.HasPrefix(token, tenantMark) {
+		return true
+	}
+	tag := tagOf(tenant)
+	return tag != "" && len(token) >= len(tag) && subtle.ConstantTimeCompare([]byte(token[:len(tag)]), []byte(tag)) == 1
+}
+
+// CheckAsker returns an error of kind errs.Unauthorized, errs.Unknown or errs.Stale if the caller of a
+// request may not ask for a message, which is its tenant's alone.
+func (in *Intake) CheckAsker(r *http.Request, id string) error {
+	isFresh := in.d.IsFresh() // before the configuration, so that a key missing from it is missing
+	rules := in.configs.Current().Rules
+	if !rules.HasTenants() {
+		return nil
+	}
+	tenant, isHeld := rules.TenantOf(BearerOf(r))
+	switch {
+	case mayAsk(tenant.Name, id):
+		return nil
+	case !isFresh:
+		return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
+	case !isHeld:
+		return errs.New(errs.Unauthorized, "no tenant holds the API key")
+	}
+	return errs.New(errs.Unknown, "no message has such an id")
+}
+
+// counts reports whether a message that was admitted counts against its tenant's limit: not one that is
+// known not to be held, nor a repeat of one that was counted.
+func (e *request) counts(err error) bool {
+	if e.isOpen {
+		return true
+	}
+	return err == nil && e.taken != nil && e.taken.Kind == ""
+}
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -24,7 +24,7 @@
 var codes = map[errs.Kind]int{
 	errs.Full: 429, errs.Lost: 503, errs.DeadlineExceeded: 504, errs.NotOwner: 503, errs.Stale: 503, errs.Rejected: 409,
 	errs.Unknown: 404, errs.Invalid: 400, errs.Conflict: 409, errs.Missing: 428, errs.TooLarge: 413,
-	errs.DiskFull: 507, errs.Unfounded: 503, errs.Undecided: 504, errs.BadMethod: 405, errs.Disk: 503,
+	errs.DiskFull: 507, errs.Unauthorized: 401, errs.OverQuota: 429, errs.Unfounded: 503, errs.Undecided: 504, errs.BadMethod: 405, errs.Disk: 503,
 }
 
 // CodeOf gives the HTTP status of a kind of error.
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -6,9 +6,9 @@
 // whom to tell of an end; version 4 has edits that are remembered by their order,
 // and the groups that an answer about a retirement was confirmed for; version 5 has arrays
 // that are compressed between zones; version 6 has the feature level of replicas; version 7 has
-// adapters that keep the time of groups.
+// adapters that keep the time of groups; version 8 has limits of tenants.
 const (
-	Version int64 = 7
+	Version int64 = 8
 	Oldest  int64 = 1
 )
 
