A caller whose key an older view doesn't know is told to come back, not that nobody holds it

A front that has lost touch answered 401 on lanes named in the path; a key that passed to another tenant while a body came named the message for the one before. Both are told as stale now.

--- a/internal/intake/codec.go
+++ b/internal/intake/codec.go
@@ -115,15 +115,15 @@
 // findWay takes the lane that the request's host and path lead to, as the
 // configuration is now.
 func (in *Intake) findWay(e *request, r *http.Request) error {
-	isFresh := in.d.IsFresh() // asked before the configuration, so that a way missing from it is missing
+	e.isFresh = in.d.IsFresh() // asked before the configuration, so that a way missing from it is missing
 	e.compiled = in.configs.Current()
 	lane, isFound := config.Lane{}, false
-	if isFresh {
+	if e.isFresh {
 		lane, isFound = e.compiled.Rules.Way(r.Host, head.Of(r).Path())
 	}
 	switch {
-	case !isFresh:
-		return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
+	case !e.isFresh:
+		return errStale()
 	case !isFound:
 		return errs.New(errs.Unknown, "no lane takes %s", r.URL.Path)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -46,6 +46,7 @@
 type request struct {
 	ctx      context.Context
 	compiled *config.Compiled // the lane's rules are of its configuration
+	isFresh  bool             // the view was, just before its configuration was taken
 	lane     config.Lane
 	tenant   config.Tenant // whose message it is; none where the lane is public and no key was given
 	name     string        // operation key: the tenant's sends with one name are one message
@@ -70,7 +71,7 @@
 	in.actions = path.Actions[*request]{
 		path.Fresh: func(_ path.Step, e *request) error {
 			if !d.IsFresh() {
-				return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
+				return errStale()
 			}
 			if configs.Current().Rules != e.compiled.Rules {
 				return errs.New(errs.Stale, "the configuration has changed meanwhile")
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -75,6 +75,7 @@
 	e.isOpen = idem != "" // an earlier send may be held, whatever becomes of this one
 	in.findSender(e, r)
 	e.scope()
+	scopedTo := e.tenant.Name
 	if idem != "" {
 		in.putPlace(e)
 	}
@@ -95,7 +96,18 @@
 	if err := in.findLane(e); err != nil { // a body may take long to come
 		return err
 	}
-	return in.findTenant(e, BearerOf(r))
+	if err := in.findTenant(e, BearerOf(r)); err != nil {
+		return err
+	}
+	if e.tenant.Name != scopedTo { // its id is of the tenant before
+		return errs.New(errs.Stale, "the API key has passed to another tenant meanwhile")
+	}
+	return nil
+}
+
+// errStale is what callers are told while the configuration may be an older one.
+func errStale() error {
+	return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
 }
 
 // findSender finds out whose keys those are that the request carries, before anything else: they
@@ -108,12 +120,12 @@
 
 // findLane takes the lane's rules of the configuration as it is now.
 func (in *Intake) findLane(e *request) error {
-	isFresh := in.d.IsFresh() // asked before the configuration, so that a lane missing from it is missing
+	e.isFresh = in.d.IsFresh() // asked before the configuration, so that a lane missing from it is missing
 	e.compiled = in.configs.Current()
 	lane, isKnown := e.compiled.Rules.Lanes[e.take.Lane]
 	if !isKnown {
-		if !isFresh {
-			return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
+		if !e.isFresh {
+			return errStale()
 		}
 		return errs.New(errs.Unknown, "no lane %s", e.take.Lane)
 	}
--- a/internal/intake/tenant.go
+++ b/internal/intake/tenant.go
@@ -52,6 +52,9 @@
 // findTenant takes the tenant that holds the caller's key, by the rules that the request's lane is of.
 func (in *Intake) findTenant(e *request, key string) error {
 	tenant, err := tenantFor(e.compiled.Rules, e.lane, key)
+	if err != nil && !e.isFresh { // a newer configuration may hold the key
+		return errStale()
+	}
 	e.tenant = tenant
 	return err
 }
@@ -143,7 +146,7 @@
 	case mayAsk(tenant.Name, id):
 		return nil
 	case !isFresh:
-		return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
+		return errStale()
 	case !isHeld:
 		return errs.New(errs.Unauthorized, "no tenant holds the API key")
 	}
