Stand-in: tenants, API keys, operation keys and quotas, and a judge for them

- Deployments have two large tenants and eight small ones with keys and limits, and a public route.
Clients and held callers send a key (now and then an old one, an unknown one or none) and an operation key; messages are sent again by clients of another zone, at once, after a failure, a refusal or a 202.
- Faults of tenants: rotate, revoke, raise, lower, hot; a configuration in which two tenants share a key is among the invalid ones.
Figures tell the share refused below the limit.

Changes to tests and checks that were there: the order rule goes by tenant and key and by a message's first send; timed rules judge no names (those without time do); TestSoak wants some 401 and some repeats besides.

--- a/internal/standin/asker.go
+++ b/internal/standin/asker.go
@@ -157,6 +157,7 @@
 		})
 		if sent.Told == check.Taken {
 			go s.sight(sent)
+			s.pry(sent)
 		}
 	}
 }
@@ -211,6 +212,10 @@
 }
 
 func (s *Site) ask(addr string, sent Sent, path string) (int, []byte) {
+	return s.askWith(s.keys.valid(sent.Tenant), addr, sent, path)
+}
+
+func (s *Site) askWith(key, addr string, sent Sent, path string) (int, []byte) {
 	ctx, cancel := context.WithTimeout(s.ctx, askBound)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path+sent.Id, nil)
@@ -218,6 +223,9 @@
 		return 0, nil
 	}
 	req.Host = s.operator.hostOf(sent.Lane)
+	if key != "" {
+		req.Header.Set(authorization, bearer+key)
+	}
 	answer, err := s.asking.Do(req)
 	if err != nil {
 		return 0, nil
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +29,8 @@
 	MostDelay           time.Duration // the longest delay; 2 s if not given
 	Failing             float64       // share that fails once
 	IsNotified          bool
+	IsPublic            bool   // no key is needed
+	Tenant              string // whose messages they are; drawn if not given
 }
 
 const furtherTries = 2
@@ -56,6 +57,11 @@
 	Load
 	Key, Tail, Words string // Tail ends the path; Words stand in the body
 	Delay            time.Duration
+	Operation        string // key that all tries carry; none if empty
+
+	isOwned bool          // its tenant and operation key are drawn
+	first   time.Duration // when it was first sent
+	body    []byte        // of all tries with one operation key
 }
 
 var sends atomic.Int64
@@ -63,8 +69,16 @@
 // Send sends a message until it is accepted or given up, and gives the last try.
 func (c *Client) Send(ctx context.Context, m Message) Sent {
 	draws := newDraws()
+	c.site.own(&m, draws)
 	ctx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
+	sent := c.tries(ctx, m, draws)
+	c.site.repeats.note(m, c.zone, sent.Told, c.site.Now(), draws)
+	return sent
+}
+
+// tries sends a message until it is accepted or given up.
+func (c *Client) tries(ctx context.Context, m Message, draws *rand.Rand) Sent {
 	by, via := time.Now().Add(c.deadline), c.first
 	for try := 0; ; try++ {
 		sent, wait := c.once(ctx, via, m, time.Until(by), draws)
@@ -79,7 +93,11 @@
 // request builds a try of a message, and the record of it.
 func (s *Site) request(ctx context.Context, m Message, left time.Duration, draws *rand.Rand) (*http.Request, Sent, error) {
 	id := fmt.Sprintf("t%d-%x", sends.Add(1), draws.Uint64())
-	body := []byte(m.Words + " of " + id + strings.Repeat(".", m.Size/2+draws.IntN(m.Size+1)))
+	s.own(&m, draws)
+	body := m.body
+	if m.Operation == "" {
+		body = m.draw(id, draws)
+	}
 	reader := io.Reader(bytes.NewReader(body))
 	if draws.IntN(3) == 0 {
 		reader = struct{ io.Reader }{reader} // of no length that is known
@@ -99,8 +117,18 @@
 	if m.IsNotified {
 		req.Header.Set(callback, "http://"+s.at(receiverHost, 0)+"/told")
 	}
+	apiKey := ""
+	if m.Operation != "" {
+		req.Header.Set(operationKey, m.Operation)
+	}
+	if m.Tenant != "" {
+		apiKey = s.keys.draw(m.Tenant, draws)
+	}
+	if apiKey != "" {
+		req.Header.Set(authorization, bearer+apiKey)
+	}
 	return req, Sent{Sent: check.Sent{Token: id, Lane: m.Route, Key: m.Key, Sum: fleet.Sum(body), Told: check.Undecided, Delay: m.Delay}, Line: lineOf(req),
-		IsNotified: m.IsNotified}, nil
+		IsNotified: m.IsNotified, Tenant: m.Tenant, ApiKey: apiKey, Operation: m.Operation}, nil
 }
 
 // newDraws gives a source of chance of its own to a goroutine.
@@ -141,7 +169,7 @@
 	default:
 		sent.Code = answer.StatusCode
 		sent.told(answer.Header)
-		seconds, _ := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+		seconds, _ := strconv.ParseFloat(answer.Header.Get(retryAfter), 64)
 		wait = time.Duration(seconds * float64(time.Second))
 	}
 	site.History.Add(func() { site.History.Sent = append(site.History.Sent, sent) })
@@ -149,13 +177,14 @@
 }
 
 func (s *Sent) told(h http.Header) {
+	s.RetryAfter = h.Get(retryAfter)
 	switch s.Code {
 	case 202:
 		s.Told, s.Id = check.Taken, s.Token
 		if name := h.Get(givenName); name != "" {
 			s.Id = name
 		}
-	case 429, 503, 408, 421, 404:
+	case 429, 503, 408, 421, 404, 401:
 		s.Told = check.NotTaken
 	}
 }
@@ -183,8 +212,13 @@
 
 // delayOf draws a delay: each span is as likely as the next one of twice its length.
 func delayOf(most time.Duration, draws *rand.Rand) time.Duration {
-	ratio := float64(cmp.Or(most, 2*time.Second)) / float64(leastDelay)
-	return time.Duration(float64(leastDelay) * math.Pow(max(1, ratio), draws.Float64()))
+	return spread(leastDelay, cmp.Or(most, 2*time.Second), draws)
+}
+
+// spread draws a span: each one is as likely as the next of twice its length.
+func spread(least, most time.Duration, draws *rand.Rand) time.Duration {
+	ratio := float64(most) / float64(least)
+	return time.Duration(float64(least) * math.Pow(max(1, ratio), draws.Float64()))
 }
 
 // Traffic has clients send loads until ctx ends.
@@ -202,7 +236,9 @@
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
-					clients[rand.IntN(len(clients))].Send(context.WithoutCancel(ctx), load.message(newDraws()))
+					draws := newDraws()
+					m := s.nextMessage(load, s.Zones[draws.IntN(len(s.Zones))], draws)
+					s.senderOf(m, clients, draws).Send(context.WithoutCancel(ctx), m)
 				}()
 			}
 		}()
--- a/internal/standin/configs.go
+++ b/internal/standin/configs.go
@@ -24,6 +24,7 @@
 	Retention float64 `json:"retention_s"`
 	IsTold    bool    `json:"callback_url"`
 	RunTarget int64   `json:"run_target_ms"`
+	IsPublic  bool    `json:"public_access"`
 }
 
 type service struct {
@@ -52,6 +53,7 @@
 	Routes   []route   `json:"routes"`
 	Services []service `json:"services"`
 	Limits   limits    `json:"limits"`
+	Tenants  []tenant  `json:"tenants,omitempty"`
 }
 
 // SitePlan is a deployment with its services and load.
@@ -66,6 +68,8 @@
 	IsSlow   bool          // the real machine may be: processes get several times their grace
 	ListPage int           // entries of a page of the list; a few if not given
 	ListRate float64       // calls a second that the list takes; a few if not given
+
+	Customers []Customer // nobody needs a key if there are none
 }
 
 // Small is the small deployment that everything here is about: three zones with
@@ -79,17 +83,32 @@
 		return route{Name: name, Host: host, Prefix: prefix, Kind: "asynchronous", Timeout: timeout, Target: 150, Priority: priority,
 			Service: service, Attempts: attempts, IsOrdered: isOrdered, Retention: 80, IsTold: isTold, RunTarget: 1000}
 	}
-	return SitePlan{Zones: []string{"north-bank", "south-bank", "mill-island"}, Deadline: 2 * time.Second,
+	plan := SitePlan{Zones: []string{"north-bank", "south-bank", "mill-island"}, Deadline: 2 * time.Second,
 		Services: []Plan{
 			{Name: sort, Slots: 4, Queue: 12, Conns: 60, Work: 60 * time.Millisecond, Count: 2, TellsLoad: true, ColdRate: 1, ColdFor: 3 * time.Second},
 			{Name: press, Slots: 2, Queue: 6, Conns: 60, Work: 20 * time.Millisecond, Count: 1, IsShared: true},
 			{Name: buoy, Slots: 12, Queue: 40, Conns: 40, Work: 40 * time.Millisecond, Rate: 24}},
 		Routes: []route{make("lots", hosts[0], "/lots/", sort, 2000, 2, 5, false, true),
 			make("orders", hosts[1], "/line/", press, 900, 0, 3, true, false),
-			make("buoys "+salt, hosts[0], "/lots/buoys/", buoy, 1500, 1, 4, false, false)},
+			make("buoys "+salt, hosts[0], "/lots/buoys/", buoy, 1500, 1, 4, false, false),
+			make("notices", hosts[1], "/notices/", sort, 2000, 3, 4, false, false)},
 		Loads: []Load{{Route: "lots", Host: hosts[0], Prefix: "/lots/", Rate: 40, Size: 1200, Delayed: 0.1, Poisoned: 0.01, Failing: 0.05, IsNotified: true},
 			{Route: "orders", Host: hosts[1], Prefix: "/line/", Rate: 25, Keys: 20, Size: 300, Poisoned: 0.02, Failing: 0.04},
-			{Route: "buoys " + salt, Host: hosts[0], Prefix: "/lots/buoys/", Rate: 14, Size: 500, Failing: 0.05}}}
+			{Route: "buoys " + salt, Host: hosts[0], Prefix: "/lots/buoys/", Rate: 14, Size: 500, Failing: 0.05},
+			{Route: "notices", Host: hosts[1], Prefix: "/notices/", Rate: 4, Size: 300, IsPublic: true}}}
+	plan.Routes[len(plan.Routes)-1].IsPublic = true
+	plan.Customers = customers(newDraws(), plan.keyedRate())
+	return plan
+}
+
+// keyedRate is how many messages a second need a key.
+func (p SitePlan) keyedRate() (sum float64) {
+	for _, load := range p.Loads {
+		if !load.IsPublic {
+			sum += load.Rate
+		}
+	}
+	return sum
 }
 
 // config is a plan's first one.
@@ -104,12 +123,15 @@
 		}
 		c.Services = append(c.Services, out)
 	}
+	for _, customer := range p.Customers {
+		c.Tenants = append(c.Tenants, customer.tenant)
+	}
 	return c
 }
 
 // next is a copy of a higher version.
 func (c siteConfig) next() siteConfig {
-	c.Routes, c.Services = slices.Clone(c.Routes), slices.Clone(c.Services)
+	c.Routes, c.Services, c.Tenants = slices.Clone(c.Routes), slices.Clone(c.Services), cloneTenants(c.Tenants)
 	c.Version += 1 + rand.Int64N(4)
 	return c
 }
@@ -135,8 +157,11 @@
 			gone = append(gone, r.Name)
 		}
 	}
-	raw, err := json.Marshal(map[string]any{"version": c.Version, "set_items": map[string]any{"routes": set},
-		"remove_names": map[string]any{"routes": gone}})
+	items, names := map[string]any{"routes": set}, map[string]any{"routes": gone}
+	if tenants, lost := c.tenantsSince(was); len(tenants)+len(lost) > 0 {
+		items["tenants"], names["tenants"] = tenants, lost
+	}
+	raw, err := json.Marshal(map[string]any{"version": c.Version, "set_items": items, "remove_names": names})
 	if err != nil {
 		return nil
 	}
@@ -151,11 +176,22 @@
 	return out
 }
 
+// public lists the routes that need no key.
+func (c siteConfig) public() (out []string) {
+	for _, r := range c.Routes {
+		if r.IsPublic {
+			out = append(out, r.Name)
+		}
+	}
+	return out
+}
+
 func (c siteConfig) judged() map[string]Route {
 	out := map[string]Route{}
 	for _, r := range c.Routes {
+		isShared := slices.ContainsFunc(c.Services, func(v service) bool { return v.Name == r.Service && v.IsShared })
 		out[r.Name] = Route{r.Service, r.IsOrdered, time.Duration(r.Timeout) * time.Millisecond, r.Attempts,
-			time.Duration(r.Retention * float64(time.Second))}
+			time.Duration(r.Retention * float64(time.Second)), r.IsPublic, isShared}
 	}
 	return out
 }
@@ -171,6 +207,7 @@
 		return c, c.whole()
 	},
 	func(c siteConfig, _ int64) (siteConfig, []byte) { c.Routes[0].Timeout = 0; return c, c.whole() },
+	func(c siteConfig, _ int64) (siteConfig, []byte) { c = c.shareKey(); return c, c.whole() },
 	func(c siteConfig, was int64) (siteConfig, []byte) {
 		c.Version, c.Routes[0].Timeout = was, c.Routes[0].Timeout+7
 		return c, c.whole()
--- a/internal/standin/doors.go
+++ b/internal/standin/doors.go
@@ -57,12 +57,16 @@
 	if len(fronts) == 0 {
 		return target{}, false
 	}
-	m := fronts[draws.IntN(len(fronts))]
+	m, message := fronts[draws.IntN(len(fronts))], Message{}
 	return target{machine: m, addr: s.at(m.host, portFront),
 		request: func(draws *rand.Rand) (*http.Request, Sent, error) {
-			return s.request(context.Background(), s.drawLoad(draws).message(draws), s.plan.Deadline, draws)
+			message = s.nextMessage(s.drawLoad(draws), m.Zone, draws)
+			return s.request(context.Background(), message, s.plan.Deadline, draws)
 		},
-		record: func(sent Sent) { s.History.Add(func() { s.History.Sent = append(s.History.Sent, sent) }) }}, true
+		record: func(sent Sent) {
+			s.History.Add(func() { s.History.Sent = append(s.History.Sent, sent) })
+			s.repeats.note(message, m.Zone, sent.Told, s.Now(), newDraws())
+		}}, true
 }
 
 // drawLoad draws one of the plan's loads by its rate, at times on a route that has
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -40,7 +40,8 @@
 	"reload": reload, "lone": lone, "together": together,
 	"churn":  churn,
 	"forget": forget,
-	"fail":   behave, "crawl": behave, "lose": behave, "cut": behave, "silent": behave, "full": behave,
+	"rotate": rotate, "revoke": revoke, "raise": raise, "lower": lower, "hot": hot,
+	"fail": behave, "crawl": behave, "lose": behave, "cut": behave, "silent": behave, "full": behave,
 }
 
 // IsFault reports whether there is a fault of that name.
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -22,6 +22,10 @@
 	IsBroken   bool   // the daemon broke the session off, the message read or not
 	IsRead     bool   // the process had read all that was sent when it ended the session without a whole answer
 	IsNotified bool
+	Tenant     string // whose client it is; empty on a public route
+	ApiKey     string // that it sent; empty for none
+	Operation  string // key of the operation, which all tries of a message have in common
+	RetryAfter string // as it was answered
 }
 
 // Run is one run that a worker began.
@@ -30,6 +34,8 @@
 	Line      string
 	Seal      string
 	Spare     time.Duration // what was left of its time when its answer was written
+	Tenant    string        // that the worker was told
+	KeyIn     string        // the field in which it got an API key; empty for none
 }
 
 // Met is one arrival at a worker or endpoint, run or not.
@@ -53,6 +59,13 @@
 	At          time.Duration
 }
 
+// Pry is a question for a message of one tenant with a key of another, or with none.
+type Pry struct {
+	Token, Tenant string // of the message
+	With          string // the key
+	Code          int
+}
+
 // Edit is a configuration that was sent.
 type Edit struct {
 	check.Edit // Revision is the version, Pools are routes and their services
@@ -61,6 +74,8 @@
 	Whole      []byte // the configuration that it makes
 	Code       int    // the last clear answer; 0 for none
 	IsInvalid  bool
+	Tenants    []tenant
+	Public     []string // routes that need no key
 }
 
 // Order is any call of the operator that must be acknowledged in time.
@@ -85,6 +100,8 @@
 	Bound     time.Duration
 	Attempts  int
 	Retention time.Duration
+	IsPublic  bool
+	IsShared  bool // its service keeps a record of the ids that it has run
 }
 
 // Service is what judges must know of one.
@@ -112,7 +129,8 @@
 	Zones    map[string]string // service/worker -> zone
 	Troubles []Trouble
 	Outages  []check.Outage
-	Doors    []Sent           // what was asked of daemons that takes no message in
+	Doors    []Sent // what was asked of daemons that takes no message in
+	Pries    []Pry
 	Routes   map[string]Route // every one that was ever sent
 	Services map[string]Service
 	Read     ReadBack
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -47,6 +47,8 @@
 	RuleRecover  = "RECOVER"
 	RuleAcks     = "ACKS"
 	RuleLying    = "LYING"
+	RuleQuota    = "QUOTA"
+	RuleShape    = "SHAPE"
 )
 
 type judge struct {
@@ -55,6 +57,12 @@
 	sent     map[string]Sent
 	byId     map[string]Sent
 	runs     map[string][]Run // by token, in order of start
+
+	operations map[string]*operation // by token
+	list       []*operation
+	keys       []map[string]string // the tenants by their API keys, for each configuration
+	tenants    map[string]string   // the same for all of them
+	hasTenants bool
 }
 
 func (j *judge) breach(rule, form string, args ...any) {
@@ -71,6 +79,8 @@
 	for _, r := range h.Runs {
 		j.runs[r.Token] = append(j.runs[r.Token], r)
 	}
+	j.learnKeys()
+	j.gather()
 	return j
 }
 
@@ -82,6 +92,11 @@
 	j := newJudge(h)
 	j.same()
 	j.unasked()
+	j.tenancy()
+	j.twice()
+	j.shapes()
+	j.pries()
+	j.quotas()
 	j.ends()
 	j.tells()
 	j.order()
@@ -95,6 +110,9 @@
 		j.rates()
 		j.answers()
 		j.wentBack()
+		j.keyAnswers()
+		j.keysWentBack()
+		j.shares()
 		j.broken()
 		j.orders()
 	}
@@ -139,11 +157,7 @@
 			h.Runs[i].IsWhole = false // it may run again
 		}
 	}
-	for _, s := range j.h.Sent {
-		if s.Told == check.Taken {
-			h.Ends[s.Id] = check.End{State: j.lastWord(s), BodySum: j.h.Ends[s.Token].BodySum}
-		}
-	}
+	j.join(h)
 	for _, x := range j.h.Sights {
 		if s := j.byId[x.Id]; x.State != "unknown" || !j.hasEnded(s, x.ToldAt) {
 			h.Sights = append(h.Sights, x)
@@ -177,14 +191,14 @@
 
 // endOf returns when a message ended at the earliest, as the platform means it.
 func (j *judge) endOf(s Sent, by time.Duration) (time.Duration, bool) {
-	route, failed := j.h.Routes[s.Lane], 0
+	route, failed, o := j.h.Routes[s.Lane], 0, j.operationOf(s)
 	best, isOver := by, false
 	note := func(at time.Duration) {
 		if at <= by {
 			best, isOver = min(best, at), true
 		}
 	}
-	for _, r := range j.runs[s.Token] {
+	for _, r := range o.runs {
 		if r.Status == 500 {
 			failed++
 		}
@@ -192,7 +206,7 @@
 			note(r.End)
 		}
 	}
-	note(s.At + route.Retention)
+	note(o.sends[0].At + route.Retention)
 	for _, e := range j.h.Edits {
 		_, isKept := e.Pools[s.Lane]
 		mayFollow := s.ToldAt < max(e.At, e.AckAt)+apply // it may be accepted until the change must hold
@@ -207,8 +221,7 @@
 func (j *judge) timed() {
 	h := j.like()
 	for i := range h.Sent {
-		h.Sent[i].Told = ""
-		h.Ends[h.Sent[i].Id] = check.End{State: "held"}
+		h.Sent[i].Told, h.Sent[i].Id = "", "" // names are judged by same
 	}
 	h.Runs = slices.DeleteFunc(h.Runs, func(r check.Run) bool { return !j.h.inTouch(r.Start) })
 	for i := range h.Runs {
--- a/internal/standin/lying.go
+++ b/internal/standin/lying.go
@@ -72,7 +72,7 @@
 		s := j.sent[token]
 		waits := end.At - max(healed, s.At+s.Delay)
 		if end.State == "queued" && waits > lyingSlack && !j.hasEnded(s, end.At) {
-			j.breach(RuleLying, "%s (%s) has waited %v with nothing in its way, and %d runs", token, s.Lane, waits.Round(time.Millisecond), len(j.runs[token]))
+			j.breach(RuleLying, "%s (%s) has waited %v with nothing in its way, and %d runs", token, s.Lane, waits.Round(time.Millisecond), len(j.operationOf(s).runs))
 		}
 	}
 }
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -97,7 +97,8 @@
 			"rollback_slack_ms": rollback.Milliseconds(), "outer_stretch_ms": 11000, "cold_overshoot": coldShare, "cold_slack": coldMore,
 			"evacuation_ms": evacuation.Milliseconds(), "recovery_s": 12, "finish_s": finish.Seconds(), "status_s": 100,
 			"callback_timeout_s": 5, "visibility_ms": 3000, "earliest_ms": 100, "ceiling_window_s": ceilingSpan.Seconds(),
-			"ceiling_overshoot": ceilingShare},
+			"ceiling_overshoot": ceilingShare, "key_window_s": keyWindow.Seconds(), "quota_window_s": quotaSpan.Seconds(),
+			"quota_overshoot": quotaOvershoot, "quota_slack": quotaSlack, "revoke_ms": 5000, "revoked_everywhere": false},
 		"cloud_api":      map[string]any{"address": s.at(list, 0), "rate_per_s": s.List.rate, "duties": []string{}, "max_lag_ms": listLag.Milliseconds()},
 		"field_of_later": map[string]any{"to_be": "ignored"}}
 }
--- a/internal/standin/messages.go
+++ b/internal/standin/messages.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"caperwheel/internal/check"
 )
 
 // unasked: a worker runs only what a client sent, and as it was sent.
@@ -21,10 +19,10 @@
 	}
 }
 
-// seals lists the revisions of a message's runs that succeeded.
-func (j *judge) seals(token string) []string {
+// seals lists the seals of a message's runs that succeeded.
+func (j *judge) seals(s Sent) []string {
 	out := []string{}
-	for _, r := range j.runs[token] {
+	for _, r := range j.operationOf(s).runs {
 		if r.Status >= 200 && r.Status <= 299 {
 			out = append(out, r.Seal)
 		}
@@ -35,7 +33,7 @@
 // word holds one word about an end against what workers did.
 func (j *judge) word(s Sent, by, state, seal string, at time.Duration) {
 	switch {
-	case state == "completed" && !slices.Contains(j.seals(s.Token), seal):
+	case state == "completed" && !slices.Contains(j.seals(s), seal):
 		j.breach(RuleMixed, "%s says that %s is completed with %q, which no run gave", by, s.Token, seal)
 	case state == "dead_letter" && !j.hasEnded(s, at):
 		j.breach(RuleMixed, "%s says that %s is dead, and it has not ended", by, s.Token)
@@ -64,32 +62,6 @@
 	}
 }
 
-// order: on an ordered route a message begins only when those with its key that
-// were accepted before it was sent have ended.
-func (j *judge) order() {
-	keys := map[string][]Sent{}
-	for _, s := range j.h.Sent {
-		if s.Key != "" && j.h.Routes[s.Lane].IsOrdered {
-			keys[s.Lane+"\x00"+s.Key] = append(keys[s.Lane+"\x00"+s.Key], s)
-		}
-	}
-	for _, list := range keys {
-		for _, s := range list {
-			runs := j.runs[s.Token]
-			if len(runs) == 0 {
-				continue
-			}
-			for _, before := range list {
-				isBefore := before.Token != s.Token && before.Told == check.Taken && before.ToldAt < s.At
-				if isBefore && !j.hasEnded(before, runs[0].Start) {
-					j.breach(RuleOrder, "key %s: %s began at %v, and %s, accepted at %v, had not ended", s.Key, s.Token,
-						runs[0].Start, before.Token, before.ToldAt)
-				}
-			}
-		}
-	}
-}
-
 // early: a message begins only when its delay is over, counted from when it was sent.
 func (j *judge) early() {
 	for _, r := range j.h.Runs {
--- a/internal/standin/operator.go
+++ b/internal/standin/operator.go
@@ -89,7 +89,7 @@
 	h.Add(func() {
 		i, order = len(h.Edits), len(h.Orders)
 		h.Edits = append(h.Edits, Edit{Edit: check.Edit{At: at, Revision: c.Version, Pools: c.pools()}, Base: base,
-			Order: orderOf(path, fmt.Sprint(base), body), Whole: c.whole(), IsInvalid: isInvalid})
+			Order: orderOf(path, fmt.Sprint(base), body), Whole: c.whole(), IsInvalid: isInvalid, Tenants: c.Tenants, Public: c.public()})
 		for name, r := range c.judged() {
 			h.Routes[name] = r
 		}
@@ -184,6 +184,7 @@
 	code = o.send(ctx, isUpdate, was.Version, next, body, false)
 	if code == 200 {
 		o.now = next
+		o.site.keys.learn(next.Tenants)
 	} else {
 		o.site.failed("version %d on %d was answered %d", next.Version, was.Version, code)
 		o.sync(ctx)
@@ -200,6 +201,7 @@
 			o.now = c
 		}
 	}
+	o.site.keys.learn(o.now.Tenants)
 }
 
 // readBack reads the configuration at the end.
--- a/internal/standin/pool.go
+++ b/internal/standin/pool.go
@@ -22,6 +22,13 @@
 	serverLoad = "X-Server-Load"
 	notRun     = "X-Not-Run"
 	basedOn    = "X-Based-On-Version"
+	retryAfter = "Retry-After"
+	tenantName = "X-Tenant"
+	bearer     = "Bearer "
+
+	operationKey  = "X-Operation-Key"
+	authorization = "Authorization"
+
 	healthPath = "/soundness"
 )
 
--- a/internal/standin/report.go
+++ b/internal/standin/report.go
@@ -17,6 +17,7 @@
 // Figures of a run.
 type Figures struct {
 	Tries     int            `json:"tries"`
+	Again     int            `json:"accepted_again"` // sends of what was accepted already
 	Doors     int            `json:"asked_at_other_doors"`
 	Changes   int            `json:"changes"`
 	Processes int            `json:"processes"`
@@ -33,8 +34,11 @@
 	Calls     int            `json:"calls_to_the_list"`
 	Over      int            `json:"calls_over_its_rate"`
 	Failures  []string       `json:"failures"`
-	Crashes   []string       `json:"crashes"`
-	Breaches  []check.Breach `json:"breaches"`
+
+	Tenants []TenantFigures `json:"tenants"`
+
+	Crashes  []string       `json:"crashes"`
+	Breaches []check.Breach `json:"breaches"`
 }
 
 // Report judges what was seen and counts it.
@@ -54,15 +58,20 @@
 		out.Processes += len(m.Processes)
 	}
 	out.Tries, out.Runs, out.Tells = len(h.Sent), len(h.Runs), len(h.Tells)
-	sent, told, done := map[string]Sent{}, map[string]bool{}, map[string]bool{}
+	j := newJudge(h)
+	out.Tenants = j.tenantFigures()
+	sent, told, done := map[string]Sent{}, map[*operation]bool{}, map[string]bool{}
 	for _, x := range h.Sent {
 		sent[x.Token] = x
 		out.Codes[x.Code]++
+		if x.Told == check.Taken && !j.isFirstAccept(x) {
+			out.Again++
+		}
 	}
 	pause, from := longestPause(h.Sent)
 	out.Pause, out.PauseAt = pause.Round(time.Millisecond).String(), from.Round(time.Millisecond).String()
 	for _, t := range h.Tells {
-		told[t.Token] = true
+		told[j.operations[t.Token]] = true
 	}
 	for _, r := range h.Runs {
 		if x := sent[r.Token]; r.Start < x.At+x.Delay-earliest {
@@ -75,7 +84,7 @@
 	}
 	for token, end := range h.Ends {
 		out.Ends[end.State]++
-		if x := sent[token]; x.IsNotified && !told[token] && end.State != "queued" {
+		if x := sent[token]; x.IsNotified && !told[j.operations[token]] && end.State != "queued" {
 			out.Untold++
 		}
 	}
@@ -139,6 +148,7 @@
 	for _, m := range s.Machines {
 		m.restart()
 	}
+	s.operator.giveMissingKeys(ctx)
 	pause(ctx, quietSpan)
 	settleCtx, cancel := context.WithTimeout(ctx, finish)
 	defer cancel()
--- /dev/null
+++ b/internal/standin/shares.go
@@ -0,0 +1,115 @@
+package standin
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"caperwheel/internal/check"
+)
+
+// TenantFigures are what became of the sends of one tenant.
+type TenantFigures struct {
+	Name     string `json:"name"`
+	Sent     int    `json:"sent"`
+	Accepted int    `json:"accepted"`
+	Over     int    `json:"refused_over_the_limit"`
+	Below    int    `json:"refused_below_the_limit"`
+	// Share is of what the limit would have let pass.
+	Share float64 `json:"share_refused_below_the_limit"`
+}
+
+// bucket is a limit as one exact counter would hold it: it fills by the rate and holds the burst.
+//
+// Invariant: 0 <= level <= the burst of the limit that it was last asked with.
+type bucket struct {
+	level float64
+	at    time.Duration
+}
+
+// fill takes the time that has passed, under a limit.
+func (b *bucket) fill(now time.Duration, rate, burst float64) {
+	b.level = min(burst, b.level+rate*max(0, now-b.at).Seconds())
+	b.at = max(b.at, now)
+}
+
+// tenantFigures counts for each tenant what was accepted and refused, each refusal held against an exact counter
+// of what was accepted.
+func (j *judge) tenantFigures() []TenantFigures {
+	byTenant := map[string]*TenantFigures{}
+	buckets := map[string]*bucket{}
+	sends := slices.Clone(j.h.Sent)
+	slices.SortStableFunc(sends, func(a, b Sent) int { return cmp.Compare(a.At, b.At) })
+	for _, s := range sends {
+		name, isHeld := j.tenants[s.ApiKey]
+		if !isHeld {
+			continue
+		}
+		if byTenant[name] == nil {
+			byTenant[name], buckets[name] = &TenantFigures{Name: name}, &bucket{level: math.Inf(1)}
+		}
+		j.count(byTenant[name], buckets[name], s)
+	}
+	out := []TenantFigures{}
+	for _, f := range byTenant {
+		f.Share = float64(f.Below) / float64(max(1, f.Below+f.Accepted))
+		out = append(out, *f)
+	}
+	slices.SortFunc(out, func(a, b TenantFigures) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// count adds one send to a tenant's figures. Repeats of what was accepted take nothing of the limit.
+func (j *judge) count(f *TenantFigures, b *bucket, s Sent) {
+	f.Sent++
+	rate, burst := j.leastLimit(f.Name, s.At, s.ToldAt)
+	b.fill(s.At, rate, burst)
+	switch {
+	case s.Told == check.Taken && j.isFirstAccept(s):
+		f.Accepted++
+		b.level = max(0, b.level-1)
+	case s.Code != 429:
+	case b.level >= 1:
+		f.Below++
+	default:
+		f.Over++
+	}
+}
+
+func (j *judge) isFirstAccept(s Sent) bool {
+	first, _ := j.operationOf(s).accepted()
+	return first.Token == s.Token
+}
+
+// leastLimit returns the lowest limit of a tenant that may be in force from first to last.
+func (j *judge) leastLimit(name string, first, last time.Duration) (rate, burst float64) {
+	rate, burst = math.Inf(1), math.Inf(1)
+	for _, i := range j.inForce(first, last) {
+		for _, t := range j.h.Edits[i].Tenants {
+			if t.Name == name && t.Rate > 0 {
+				rate, burst = min(rate, t.Rate), min(burst, t.Burst)
+			}
+		}
+	}
+	return rate, burst
+}
+
+// What a tenant may lose below its limit before the judge calls it a fault of the product. The design wants under
+// a hundredth for a tenant whose clients keep to their fronts, and under three for one whose clients do not; the
+// shares are reported. A front that dies takes its part of a limit with it until that expires, and schedules kill
+// one front of three at a time: what is lost so stays below the part of a front.
+const (
+	mostLostBelow = 1.0 / 3
+	leastLosses   = 100 // sends that the limit lets pass, from which on a share tells anything
+)
+
+// shares: a tenant gets what its limit lets it send.
+func (j *judge) shares() {
+	for _, f := range j.tenantFigures() {
+		if f.Accepted+f.Below >= leastLosses && f.Share > mostLostBelow {
+			j.breach(RuleQuota, "%d of %d messages of %s were refused below its limit", f.Below, f.Accepted+f.Below, f.Name)
+		}
+	}
+}
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -56,6 +56,8 @@
 	ctx      context.Context
 	loops    sync.WaitGroup
 	asking   *http.Client // for the state of messages
+	keys     *keyring
+	repeats  repeats
 
 	isDrawn  bool // faults are drawn: one may hurt what another keeps idle
 	steps    sync.Mutex
@@ -123,6 +125,7 @@
 		return s, err
 	}
 	s.entry, s.operator = newEntry(s), newOperator(s, plan)
+	s.keys = newKeyring(s.operator.now.Tenants)
 	return s, nil
 }
 
--- a/internal/standin/soak.go
+++ b/internal/standin/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -29,6 +30,8 @@
 	soakQuiet      = 20 * time.Second  // while none does
 	soakRetention  = 600               // seconds for which a message is kept
 	mostDelay      = 90 * time.Second
+	heldRate       = 50 // messages a second that tenants are meant to send to a front
+	customerStream = 33 // the stream of chance of tenants, apart from others of the same seed
 	mostStories    = 3
 	storyLines     = 6 // of each daemon's log
 )
@@ -70,6 +73,7 @@
 	plan.Loads[0].Rate, plan.Loads[1].Rate, plan.Loads[2].Rate = 50, 45, 1
 	plan.Loads[1].Keys *= plan.Fronts // the messages of a key run one after another
 	plan.Loads[0].MostDelay = min(mostDelay, o.For/2)
+	plan.Customers = customers(rand.New(rand.NewPCG(o.Seed, customerStream)), float64(heldRate*plan.Fronts*len(plan.Zones)))
 	return plan
 }
 
@@ -130,7 +134,9 @@
 	loadCtx, cancel := context.WithTimeout(ctx, o.For)
 	defer cancel()
 	caused := make(chan struct{})
-	go func() { s.Cause(loadCtx, Series(o.Seed, o.For, fronts, len(s.Zones))); close(caused) }()
+	series := Series(o.Seed, o.For, fronts, len(s.Zones))
+	series.Steps = append(series.Steps, TenantSteps(o.Seed, o.For)...)
+	go func() { s.Cause(loadCtx, series); close(caused) }()
 	go s.Probe(loadCtx)
 	s.HoldCalls(loadCtx, o.Seed, max(3*callersOfFront, min(mostCallers, callersOfFront*fronts)))
 	o.Tell("called for %v; faults end", o.For)
@@ -140,6 +146,7 @@
 		restarts.Go(m.restart)
 	}
 	restarts.Wait()
+	s.operator.giveMissingKeys(ctx)
 	o.Tell("all is well again")
 	settleCtx, cancel := context.WithTimeout(ctx, soakSettle)
 	defer cancel()
@@ -180,7 +187,8 @@
 			return
 		}
 		x := s.History.Sent[i]
-		fmt.Fprintf(out, "  %9v  %s sent to %s on %s, key %q, delay %v\n", x.At.Round(time.Millisecond), token, x.Daemon, x.Lane, x.Key, x.Delay)
+		fmt.Fprintf(out, "  %9v  %s sent to %s on %s, key %q, delay %v, tenant %q, operation %q\n", x.At.Round(time.Millisecond), token, x.Daemon, x.Lane,
+			x.Key, x.Delay, x.Tenant, x.Operation)
 		fmt.Fprintf(out, "  %9v  answer %d %s, session broken %t, read %t\n", x.ToldAt.Round(time.Millisecond), x.Code, x.Told, x.IsBroken, x.IsRead)
 		for _, r := range s.History.Runs {
 			if r.Token == token {
--- a/internal/standin/soak_test.go
+++ b/internal/standin/soak_test.go
@@ -37,6 +37,8 @@
 		So(out.String(), ShouldBeEmpty)
 		So(figures.IsClean(), ShouldBeTrue)
 		So(figures.Codes[202], ShouldBeGreaterThan, 100)
+		So(figures.Codes[401], ShouldBeGreaterThan, 10)
+		So(figures.Again, ShouldBeGreaterThan, 10)
 		So(figures.Doors, ShouldBeGreaterThan, 10)
 		So(figures.Processes, ShouldEqual, LeastProcesses)
 	})
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -170,7 +170,8 @@
 	deadline := time.Duration(spare * float64(time.Millisecond))
 	ctx, cancel := context.WithTimeout(r.Context(), deadline)
 	defer cancel()
-	run := Run{Run: check.Run{Token: id, Id: id, Pool: p.Name, Worker: w.Id, Sum: fleet.Sum(body), Start: start}, Line: lineOf(r)}
+	run := Run{Run: check.Run{Token: id, Id: id, Pool: p.Name, Worker: w.Id, Sum: fleet.Sum(body), Start: start}, Line: lineOf(r),
+		Tenant: r.Header.Get(tenantName), KeyIn: keyIn(r)}
 	defer func() {
 		if run.End == 0 { // else it ended before its answer was sent: whoever has that may begin the next
 			run.End = p.site.Now()
