--- /dev/null
+++ b/internal/intake/meanwhile_test.go
@@ -0,0 +1,72 @@
+package intake_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/head"
+	"caperwheel/internal/intake"
+	"caperwheel/platform"
+)
+
+// slowBody is a body before the end of which something happens.
+type slowBody struct {
+	io.Reader
+	once      sync.Once
+	meanwhile func()
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	b.once.Do(b.meanwhile)
+	return b.Reader.Read(p)
+}
+
+// sendMeanwhile sends a message with key-3, and has the configuration change while its body comes.
+func sendMeanwhile(from, to string) (code int, tenant string, count int) {
+	doc, err := platform.ConfigOf([]byte(tenanted), time.Minute)
+	So(err, ShouldBeNil)
+	So(strings.Contains(tenanted, from), ShouldBeTrue)
+	next, err := platform.ConfigOf([]byte(strings.Replace(tenanted, from, to, 1)), time.Minute)
+	So(err, ShouldBeNil)
+	in, takes := intake.On(intake.Scenery{Take: held, Most: 9, Rules: string(doc)})
+	body := &slowBody{Reader: strings.NewReader("body"), meanwhile: func() { intake.Change(in, string(next)) }}
+	r := httptest.NewRequest(http.MethodPost, "/a/b", body)
+	r.Host = "x.example"
+	r.Header.Set("Authorization", "Bearer key-3")
+	w := httptest.NewRecorder()
+	in.AsItIs(platform.Callers)(w, r)
+	for _, take := range takes() {
+		kept, err := head.Decode(take.Head)
+		So(err, ShouldBeNil)
+		tenant = kept.Field("X-Tenant")
+	}
+	return w.Code, tenant, len(takes())
+}
+
+// TestKeysThatChangeMeanwhile guards against CONFIG and UNASKED: a key was taken away, or passed to another tenant,
+// while a body came, and the message was taken by what held before.
+func TestKeysThatChangeMeanwhile(t *testing.T) {
+	Convey("While a body comes", t, func() {
+		Convey("its key is taken away: 401", func() {
+			code, _, count := sendMeanwhile(`"api_keys":["key-3"]`, `"api_keys":[]`)
+			So([]int{code, count}, ShouldResemble, []int{401, 0})
+		})
+		Convey("its key passes to another tenant: it is that one's", func() {
+			code, tenant, count := sendMeanwhile(`"growers","api_keys":["key-3"]`, `"others","api_keys":["key-3"]`)
+			So([]int{code, count}, ShouldResemble, []int{202, 1})
+			So(tenant, ShouldEqual, "others")
+		})
+		Convey("the tenant gets a further key: nothing is lost", func() {
+			code, tenant, _ := sendMeanwhile(`["key-3"]`, `["key-4","key-3"]`)
+			So(code, ShouldEqual, 202)
+			So(tenant, ShouldEqual, "growers")
+		})
+	})
+}
--- /dev/null
+++ b/internal/intake/mutants_test.go
@@ -0,0 +1,117 @@
+package intake_test
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// mutantVariable names the guard that a child goes without.
+const mutantVariable = "CAPERWHEEL_INTAKE_MUTANT"
+
+// tenancyMutant is the product with one guard of tenants and keys taken out. In is, MUTANT stands for whether the
+// child goes without it.
+type tenancyMutant struct{ name, file, was, is, test string }
+
+var tenancyMutants = []tenancyMutant{
+	{"the id of an operation key has its tenant", "internal/intake/tenant.go",
+		`		return tagOf(e.tenant.Name) + "n"`, "		if MUTANT {\n			return \"n\" + wire.SumOf([]byte(e.name))[:nameDigits]\n		}\n" +
+			`		return tagOf(e.tenant.Name) + "n"`, "TestOperationKeysNameTheirPlaces"},
+	{"the place of an operation key is drawn by it", "internal/intake/intake.go",
+		`	case e.name != "":`, `	case e.name != "" && !MUTANT:`, "TestOperationKeysNameTheirPlaces"},
+	{"the place of an ordered message is drawn by its order key alone", "internal/intake/intake.go",
+		`	case t.Key != "" && e.tenant.Name != "":`, "	case MUTANT && e.name != \"\":\n		t.Place = in.drawPlace()\n" +
+			`	case t.Key != "" && e.tenant.Name != "":`, "TestSendsWithOneOperationKeyAreOneMessage"},
+	{"order keys are their tenant's", "internal/intake/tenant.go",
+		"	e.take.Key = wire.ScopedKey(e.tenant.Name, key)\n", "	if e.take.Key = wire.ScopedKey(e.tenant.Name, key); MUTANT {\n		e.take.Key = key\n	}\n",
+		"TestSendsWithOneOperationKeyAreOneMessage"},
+	{"a repeat of other bytes is told the first one's name", "internal/intake/hold.go",
+		`	if e.name != "" && e.taken.Kind`, `	if !MUTANT && e.name != "" && e.taken.Kind`, "TestSendsWithOneOperationKeyAreOneMessage"},
+	{"a key is looked up again after the body", "internal/intake/codec.go",
+		"	if err := in.findTenant(e, arrival.ApiKey); err != nil {\n		return err\n	}\n	if e.tenant.Name",
+		"	if err := in.findTenant(e, arrival.ApiKey); err != nil && !MUTANT {\n		return err\n	}\n	if e.tenant.Name", "TestKeysThatChangeMeanwhile"},
+	{"a message without a key that somebody holds is refused", "internal/intake/tenant.go",
+		"	if !isHeld && !lane.IsPublic {", "	if !isHeld && !lane.IsPublic && !MUTANT {", "TestMessagesWithoutAKeyAreRefused"},
+	{"the tenant is the one that holds the key", "platform/message.go",
+		"	var err error\n	if out.Delay", "	if MUTANT {\n		out.Head = head.Of(r, contentOf, attemptId, orderKey, tenant)\n	}\n	var err error\n	if out.Delay",
+		"TestWorkersAreToldTheTenant"},
+	{"the key stays with the front", "platform/message.go",
+		"	out.Deadline, err = millis", "	if MUTANT {\n		out.Head = head.Of(r, contentOf, attemptId, orderKey, \"Authorization\")\n	}\n	out.Deadline, err = millis",
+		"TestWorkersAreToldTheTenant"},
+	{"two tenants do not share a key", "internal/config/tenants.go",
+		"isHeld && other.tenant != name {", "isHeld && other.tenant != name && !MUTANT {", "TestTenantsWithOneKeyAreInvalid"},
+}
+
+// buildTenancyMutants builds these tests with all guards made optional.
+func buildTenancyMutants(t *testing.T) string {
+	dir, texts, replace := t.TempDir(), map[string]string{}, map[string]string{}
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range tenancyMutants {
+		if texts[m.file] == "" {
+			raw, err := os.ReadFile(filepath.Join(root, m.file))
+			if err != nil {
+				t.Fatal(err)
+			}
+			texts[m.file] = string(raw)
+		}
+		if n := strings.Count(texts[m.file], m.was); n != 1 {
+			t.Fatalf("%s: the guard's text is %d times in %s; the table must follow the sources", m.name, n, m.file)
+		}
+		gone := "(os.Getenv(" + strconv.Quote(mutantVariable) + ") == " + strconv.Quote(m.name) + ")"
+		texts[m.file] = strings.Replace(texts[m.file], m.was, strings.ReplaceAll(m.is, "MUTANT", gone), 1)
+	}
+	for file, text := range texts {
+		at := filepath.Join(dir, strings.ReplaceAll(file, "/", "_"))
+		if !strings.Contains(text, "\t\"os\"\n") {
+			text = strings.Replace(text, "import (\n", "import (\n\t\"os\"\n", 1)
+		}
+		if err := os.WriteFile(at, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		replace[filepath.Join(root, file)] = at
+	}
+	raw, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		t.Fatal(err)
+	}
+	overlay, bin := filepath.Join(dir, "overlay.json"), filepath.Join(dir, "intake.test")
+	if err := os.WriteFile(overlay, raw, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	build := exec.Command("go", "test", "-c", "-overlay", overlay, "-o", bin, ".")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return bin
+}
+
+// TestTenancyMutants: each guard of tenants and keys that is taken out is found by the test of its rule.
+func TestTenancyMutants(t *testing.T) {
+	bin := buildTenancyMutants(t)
+	run := func(mutant, test string) error {
+		child := exec.Command(bin, "-test.run", "^"+test+"$")
+		child.Env = append(os.Environ(), mutantVariable+"="+mutant)
+		return child.Run()
+	}
+	whole, without := map[string]error{}, map[string]error{}
+	for _, m := range tenancyMutants {
+		whole[m.name], without[m.name] = run("", m.test), run(m.name, m.test)
+	}
+	Convey("With all guards the tests pass, and one fails without one of them:", t, func() {
+		for _, m := range tenancyMutants {
+			Convey(m.name, func() {
+				So(whole[m.name], ShouldBeNil)
+				So(without[m.name], ShouldNotBeNil)
+			})
+		}
+	})
+}
