A stale view refuses no key and tells nobody of a tenant's message

Callers saw: 401 from an adapter that had lost touch, on /v1/lanes, for a key that it had not heard of yet (of kind CONFIG); a tenant's message told to whoever knew its id by an adapter that knew no configuration yet, or had lost touch; on 401 with an idempotency key, the id of a message that is nobody's; runs in hand of any message at /v1/messages/ID/story on adapters.

Cause: only lanes taken as they are asked for a fresh view before the key; whether the message is a tenant's followed from the configuration that is known, not from its id. Now a key is refused on a fresh view alone, and a message whose id names a tenant needs a fresh view and a key of the tenant wherever it is asked for. A key that passes to another tenant while a body comes ends in 503 on /v1/lanes, where the id was made before. The story at the place's owner tells the caller's ordering key without the tenant. 401 carries WWW-Authenticate.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -27,10 +27,10 @@
 		workers = platform.Deliveries
 	}
 	out := deliver.New(ctx, d, configs, workers)
-	d.Mux.HandleFunc("GET /v1/messages/{id}/story", out.ServeStory)
 	d.Link(map[string]transport.Handler{"run": out.Serve})
 	out.Link()
 	in := intake.New(d, configs)
+	d.Mux.HandleFunc("GET /v1/messages/{id}/story", in.ForAskers(out.ServeStory))
 	client := d.Client(func() wire.Poll {
 		poll := d.Poll()
 		out.Say(poll.Fact.Counts)
--- a/internal/intake/ask.go
+++ b/internal/intake/ask.go
@@ -157,9 +157,6 @@
 
 func (in *Intake) get(w http.ResponseWriter, r *http.Request) {
 	wait, err := waitOf(r)
-	if err == nil {
-		err = in.CheckAsker(r, r.PathValue("id"))
-	}
 	if err != nil {
 		web.Fail(w, err)
 		return
@@ -209,10 +206,6 @@
 }
 
 func (in *Intake) getBody(w http.ResponseWriter, r *http.Request) {
-	if err := in.CheckAsker(r, r.PathValue("id")); err != nil {
-		web.Fail(w, err)
-		return
-	}
 	s, err := in.Look(r.Context(), r.PathValue("id"), true)
 	if err != nil {
 		web.Fail(w, err)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -105,8 +105,8 @@
 		path.Hold: func(_ path.Step, e *request) error { return in.hold(e) },
 	}
 	d.Mux.HandleFunc("/v1/lanes/{lane}/messages", web.Methods(map[string]http.HandlerFunc{"POST": in.post}))
-	d.Mux.HandleFunc("/v1/messages/{id}", web.Methods(map[string]http.HandlerFunc{"GET": in.get}))
-	d.Mux.HandleFunc("/v1/messages/{id}/body", web.Methods(map[string]http.HandlerFunc{"GET": in.getBody}))
+	d.Mux.HandleFunc("/v1/messages/{id}", web.Methods(map[string]http.HandlerFunc{"GET": in.ForAskers(in.get)}))
+	d.Mux.HandleFunc("/v1/messages/{id}/body", web.Methods(map[string]http.HandlerFunc{"GET": in.ForAskers(in.getBody)}))
 	d.Mux.HandleFunc("/", in.AsItIs(Own))
 	return in
 }
--- a/internal/intake/stand_test.go
+++ b/internal/intake/stand_test.go
@@ -67,3 +67,13 @@
 	in.reach = owners
 	return in, func() []*wire.Take { return owners.takes }
 }
+
+// Served returns all that the intake serves on the adapter's own address.
+func Served(in *Intake) http.Handler { return in.d.Mux }
+
+// Change has the intake's view hear of a newer configuration.
+func Change(in *Intake, rules string) {
+	at := in.d.View.Revision(feed.ConfigPart)
+	change := wire.Change{Key: config.Key, Revision: at + 1, Value: []byte(rules)}
+	in.d.View.Take([]wire.PartNews{{From: at, To: at + 1, Changes: []wire.Change{change}}}, in.d.Now())
+}
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -56,33 +56,19 @@
 }
 
 func (in *Intake) read(r *http.Request, e *request) error {
-	key, idem, ctype := r.Header.Get("Ordering-Key"), r.Header.Get("Idempotency-Key"), r.Header.Get("Content-Type")
-	if len(key) > mostKey || len(idem) > mostKey {
-		return errs.New(errs.Invalid, "keys may have %d bytes at most", mostKey)
-	}
-	if len(ctype) > mostKey {
-		return errs.New(errs.Invalid, "the Content-Type is too long")
-	}
-	for name := range r.URL.Query() {
-		if name != "wait" {
-			return errs.New(errs.Invalid, "unknown parameter %s", name)
-		}
-	}
-	if _, err := waitOf(r); err != nil {
+	if err := checkFields(r); err != nil {
 		return err
 	}
-	e.take = wire.Take{Lane: r.PathValue("lane"), Key: key, Idem: idem, Ctype: ctype}
+	idem, ctype := r.Header.Get("Idempotency-Key"), r.Header.Get("Content-Type")
+	e.take = wire.Take{Lane: r.PathValue("lane"), Key: r.Header.Get("Ordering-Key"), Idem: idem, Ctype: ctype}
 	e.isOpen = idem != "" // an earlier send may be held, whatever becomes of this one
 	in.findSender(e, r)
 	e.scope()
-	scopedTo := e.tenant.Name
 	if idem != "" {
 		in.putPlace(e)
 	}
-	if err := in.findLane(e); err != nil {
-		return err
-	}
-	if err := in.findTenant(e, BearerOf(r)); err != nil {
+	scopedTo := e.tenant.Name
+	if err := in.findRules(e, r); err != nil {
 		return err
 	}
 	body, err := web.Body(r, e.lane.Size)
@@ -93,10 +79,7 @@
 		return errs.New(errs.Invalid, "the body says that it is JSON and is not")
 	}
 	e.take.Body, e.take.Sum = body, wire.SumOf(body)
-	if err := in.findLane(e); err != nil { // a body may take long to come
-		return err
-	}
-	if err := in.findTenant(e, BearerOf(r)); err != nil {
+	if err := in.findRules(e, r); err != nil { // a body may take long to come
 		return err
 	}
 	if e.tenant.Name != scopedTo { // its id is of the tenant before
@@ -105,6 +88,31 @@
 	return nil
 }
 
+// checkFields checks what a request says besides its body.
+func checkFields(r *http.Request) error {
+	switch {
+	case len(r.Header.Get("Ordering-Key")) > mostKey, len(r.Header.Get("Idempotency-Key")) > mostKey:
+		return errs.New(errs.Invalid, "keys may have %d bytes at most", mostKey)
+	case len(r.Header.Get("Content-Type")) > mostKey:
+		return errs.New(errs.Invalid, "the Content-Type is too long")
+	}
+	for name := range r.URL.Query() {
+		if name != "wait" {
+			return errs.New(errs.Invalid, "unknown parameter %s", name)
+		}
+	}
+	_, err := waitOf(r)
+	return err
+}
+
+// findRules takes the lane's rules and the sender's tenant of the configuration as it is now.
+func (in *Intake) findRules(e *request, r *http.Request) error {
+	if err := in.findLane(e); err != nil {
+		return err
+	}
+	return in.findTenant(e, BearerOf(r))
+}
+
 // errStale is what callers are told while the configuration may be an older one.
 func errStale() error {
 	return errs.New(errs.Stale, "this adapter has lost touch with the control plane")
@@ -146,7 +154,7 @@
 	if e.isOpen && !isSettled(kind) {
 		p.Taken = "undecided"
 	}
-	if e.isOpen || e.taken != nil {
+	if (e.isOpen || e.taken != nil) && kind != errs.Unauthorized { // then it is not known whose message it would be
 		p.Id = e.take.Id
 	}
 	countIntake(e, string(kind))
--- a/internal/intake/tenant.go
+++ b/internal/intake/tenant.go
@@ -9,6 +9,7 @@
 	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/errs"
+	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
 
@@ -38,7 +39,7 @@
 func (in *Intake) SetLimits(limits Limits) { in.limits = limits }
 
 // bearer is how a header field begins that holds an API key.
-const bearer = "Bearer "
+const bearer = web.Scheme + " "
 
 // BearerOf returns the API key that a request carries, or an empty string without one.
 func BearerOf(r *http.Request) string {
@@ -123,34 +124,48 @@
 	return tenantMark + wire.SumOf([]byte(tenant))[:tenantTag]
 }
 
-// mayAsk reports whether a tenant may ask for a message: for its own, and anybody for one that is nobody's.
-func mayAsk(tenant, id string) bool {
+// isTenants reports whether a message is a tenant's, by its id.
+func isTenants(id string) bool {
+	_, token, _ := strings.Cut(id, "-")
+	return strings.HasPrefix(token, tenantMark)
+}
+
+// isOf reports whether a message is one of a tenant.
+func isOf(id, tenant string) bool {
 	_, token, _ := strings.Cut(id, "-")
-	if !strings.HasPrefix(token, tenantMark) {
-		return true
-	}
 	tag := tagOf(tenant)
 	return tag != "" && len(token) >= len(tag) && subtle.ConstantTimeCompare([]byte(token[:len(tag)]), []byte(tag)) == 1
 }
 
 // CheckAsker returns an error of kind errs.Unauthorized, errs.Unknown or errs.Stale if the caller of a
-// request may not ask for a message, which is its tenant's alone.
+// request may not ask for a message. A tenant's is the tenant's alone, whatever became of the
+// configuration; anybody may ask for one that is nobody's.
 func (in *Intake) CheckAsker(r *http.Request, id string) error {
-	isFresh := in.d.IsFresh() // before the configuration, so that a key missing from it is missing
-	rules := in.configs.Current().Rules
-	if !rules.HasTenants() {
+	if !isTenants(id) {
 		return nil
 	}
-	tenant, isHeld := rules.TenantOf(BearerOf(r))
+	isFresh := in.d.IsFresh() // before the configuration, so that a key missing from it is missing
+	tenant, isHeld := in.configs.Current().Rules.TenantOf(BearerOf(r))
 	switch {
-	case mayAsk(tenant.Name, id):
-		return nil
 	case !isFresh:
 		return errStale()
 	case !isHeld:
 		return errs.New(errs.Unauthorized, "no tenant holds the API key")
+	case !isOf(id, tenant.Name):
+		return errs.New(errs.Unknown, "no message has such an id")
+	}
+	return nil
+}
+
+// ForAskers serves callers who may ask for the message that the path's id names, and refuses others.
+func (in *Intake) ForAskers(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := in.CheckAsker(r, r.PathValue("id")); err != nil {
+			web.Fail(w, err)
+			return
+		}
+		serve(w, r)
 	}
-	return errs.New(errs.Unknown, "no message has such an id")
 }
 
 // counts reports whether a message that was admitted counts against its tenant's limit: not one that is
--- a/internal/store/story.go
+++ b/internal/store/story.go
@@ -8,6 +8,7 @@
 	"caperwheel/internal/place"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
+	"caperwheel/internal/wire"
 )
 
 // Story is where a message stands at the owner of its place, and what it waits for.
@@ -61,7 +62,7 @@
 	if !p.host.IsOwner() || !isKnown || e == nil {
 		return Story{}, false
 	}
-	out := Story{Place: p.number, Term: p.host.Term(), Id: id, Lane: e.Lane, Key: e.Key, State: e.State, Attempt: e.Attempt, Spent: e.Spent,
+	out := Story{Place: p.number, Term: p.host.Term(), Id: id, Lane: e.Lane, Key: wire.CallerKey(e.Key), State: e.State, Attempt: e.Attempt, Spent: e.Spent,
 		Cause: e.Cause, Waits: where.Wait, Behind: where.Behind, SinceMs: where.Since, LeftMs: where.Left, TimeMs: p.now(), Untimed: p.isUntimed.Load(), Ready: p.Ready()}
 	if e.State == place.Started {
 		out.Run = p.runStory(e)
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -48,9 +48,15 @@
 	_, _ = w.Write(raw) // the client has gone, if this fails
 }
 
+// Scheme is how callers are to show their API keys, as answers of 401 must tell.
+const Scheme = "Bearer"
+
 // Reject writes a problem. A retry above 0 is sent as Retry-After, in whole
 // seconds.
 func Reject(w http.ResponseWriter, code int, p Problem, retry time.Duration) {
+	if code == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", Scheme)
+	}
 	if retry > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int((retry+time.Second-1)/time.Second)))
 	}
