--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -94,9 +94,12 @@
 		return
 	}
 	if r.IsArray() {
-		for _, item := range r.Array() {
-			c.uniqueKeys(path, item, depth+1)
-		}
+		r.ForEach(func(_, item gjson.Result) bool {
+			if item.Type == gjson.JSON {
+				c.uniqueKeys(path, item, depth+1)
+			}
+			return true
+		})
 		return
 	}
 	if !r.IsObject() {
@@ -109,7 +112,9 @@
 			c.fault(at, "is given twice")
 		}
 		seen[name] = true
-		c.uniqueKeys(at, value, depth+1)
+		if value.Type == gjson.JSON {
+			c.uniqueKeys(at, value, depth+1)
+		}
 	})
 }
 
--- a/internal/config/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -1,6 +1,9 @@
 package config
 
-import "testing"
+import (
+	"reflect"
+	"testing"
+)
 
 // FuzzDocuments: configurations, patches and live lists are read whole or refused; a
 // configuration that is accepted says the same when it is read again.
@@ -10,11 +13,19 @@
 	f.Add([]byte(`{"lanes":{"a":{"patience":"9999999h"}}}`), []byte(`[[[[[[`))
 	f.Add([]byte(`{"pools":{"p":{"rate":1e400}}}`), []byte(`{"":{"":{"":1}}}`))
 	f.Add([]byte(`{"workers":[{"name":"w","address":"1.2.3.4:5"},{"name":"w"}]}`), []byte(`null`))
+	f.Add([]byte(`{"tenants":{"a b":{"rate":1,"burst":1,"keys":["`+HashKey("k").String()+`"]},"c":{"keys":[]}}}`), []byte(`{"tenants":{"c":null}}`))
+	f.Add([]byte(`{"tenants":{"":{"keys":7}},"lanes":{"l":{"public":true,"pools":["p"]}},"pools":{"p":{}}}`), []byte(`{"tenants":[]}`))
 	f.Fuzz(func(t *testing.T, doc, patch []byte) {
 		rules, faults := Compile(doc)
 		if (rules == nil) != (len(faults) > 0) {
 			t.Fatal("neither rules nor faults, or both")
 		}
+		if again, _ := Compile(doc); !reflect.DeepEqual(again, rules) {
+			t.Fatal("compiled again, other rules come of it")
+		}
+		if rules != nil {
+			checkTenants(t, rules)
+		}
 		if list, faults := ReadWorkers(doc); len(faults) == 0 {
 			if again, faults := ReadWorkers(list.Encode()); len(faults) > 0 || len(again.Workers) != len(list.Workers) {
 				t.Fatal("a list that is accepted is not when read again")
@@ -33,3 +44,17 @@
 		}
 	})
 }
+
+// checkTenants: every name can go into a header field, and every key leads to a tenant that is there.
+func checkTenants(t *testing.T, rules *Rules) {
+	for name, tenant := range rules.Tenants {
+		if name != tenant.Name || !IsTenantName(name) || tenant.Rate < 0 || tenant.Rate > 0 && tenant.Burst < 1 {
+			t.Fatalf("%q is a tenant: %+v", name, tenant)
+		}
+	}
+	for hash, held := range rules.keys {
+		if _, isThere := rules.Tenants[held.tenant]; !isThere || held.hash != hash {
+			t.Fatalf("a key is %q's", held.tenant)
+		}
+	}
+}
--- a/internal/config/tenants.go
+++ b/internal/config/tenants.go
@@ -81,24 +81,27 @@
 
 // keyHashes checks a list of hashes of API keys, which may be empty.
 func keyHashes(r gjson.Result) string {
-	if !r.IsArray() || len(r.Array()) > MostTenantKeys {
+	count, isRight := 0, true
+	r.ForEach(func(_, item gjson.Result) bool {
+		count++
+		_, isRight = readHash(item)
+		return isRight && count <= MostTenantKeys
+	})
+	switch {
+	case !r.IsArray() || count > MostTenantKeys:
 		return "must be a list of hashes of keys, not too long"
-	}
-	for _, item := range r.Array() {
-		if _, isHash := readHash(item); !isHash {
-			return "must hold SHA-256 hashes of keys, in 64 hexadecimal digits"
-		}
+	case !isRight:
+		return "must hold SHA-256 hashes of keys, in 64 hexadecimal digits"
 	}
 	return ""
 }
 
 func readHash(r gjson.Result) (out KeyHash, isHash bool) {
-	raw, err := hex.DecodeString(r.Str)
-	if r.Type != gjson.String || err != nil || len(raw) != len(out) {
+	if r.Type != gjson.String || len(r.Str) != hex.EncodedLen(len(out)) {
 		return out, false
 	}
-	copy(out[:], raw)
-	return out, true
+	_, err := hex.Decode(out[:], []byte(r.Str))
+	return out, err == nil
 }
 
 // readTenants reads the tenants of a configuration.
@@ -141,11 +144,12 @@
 
 // addKeys joins a tenant's keys to it. A key belongs to one tenant.
 func (c *compiler) addKeys(path, name string, keys gjson.Result) {
-	for _, item := range keys.Array() {
+	keys.ForEach(func(_, item gjson.Result) bool {
 		hash, _ := readHash(item)
 		if other, isHeld := c.rules.keys[hash]; isHeld && other.tenant != name {
 			c.fault(path+".keys", "holds a key that is also one of "+other.tenant)
 		}
 		c.rules.keys[hash] = holder{hash, name}
-	}
+		return true
+	})
 }
