Command line: tenants, their keys by hash, rotation; what was made from another document is not shown

Where it is made from a document of another interface, the tenants are changed there.

That document stays in the configuration as it came, with plain keys, since it must be read back whole. GET /v1/charter and the platform's read give it; differences (in answers of edits, config diff, apply) tell only that it differs, and config get leaves it out (--whole gives it): what is printed then is refused as a configuration, so it cannot be put back by mistake. Askers of a tenant's message give the key in CAPERWHEEL_API_KEY, which goes to adapters alone, never to managers.

--- a/internal/cli/calls.go
+++ b/internal/cli/calls.go
@@ -10,6 +10,7 @@
 	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/manager"
+	"caperwheel/internal/web"
 )
 
 func (t *tool) get(path string) (*resty.Response, error) {
@@ -35,6 +36,26 @@
 	return nil
 }
 
+// getConfig prints the configuration, without its origin unless it is asked for whole.
+func (t *tool) getConfig(isWhole bool) error {
+	if isWhole {
+		return t.show("/v1/charter")
+	}
+	resp, err := t.get("/v1/charter")
+	if err != nil {
+		return err
+	}
+	doc, err := config.Conceal(resp.Body())
+	if err != nil {
+		return err
+	}
+	if tag := resp.Header().Get("ETag"); tag != "" {
+		fmt.Fprintf(t.err, "stamp %s\n", strings.Trim(tag, `"`))
+	}
+	fmt.Fprint(t.out, string(doc))
+	return nil
+}
+
 func (t *tool) post(path string) error {
 	resp, err := t.client.R().Post(path)
 	if err != nil {
@@ -101,7 +122,7 @@
 		}
 		return errs.New(errs.Invalid, "%d faults", len(faults))
 	}
-	fmt.Fprintf(t.out, "good: %d lanes, %d pools\n", len(rules.Lanes), len(rules.Pools))
+	fmt.Fprintf(t.out, "good: %d lanes, %d pools, %d tenants\n", len(rules.Lanes), len(rules.Pools), len(rules.Tenants))
 	return nil
 }
 
@@ -143,7 +164,7 @@
 
 func (t *tool) message(c *messageCommand) error {
 	if c.Story {
-		return t.story(c.Id)
+		return t.story(c)
 	}
 	if c.Adapter == "" {
 		resp, err := t.get("/v1/daemons?ready=true&kind=adapter")
@@ -160,7 +181,7 @@
 	if c.Body {
 		path += "/body"
 	}
-	resp, err := t.client.R().Get(path)
+	resp, err := asTenant(t.client.R(), c.ApiKey).Get(path)
 	if err != nil {
 		return errs.Wrap(err, errs.Lost, "adapter %s", c.Adapter)
 	}
@@ -170,3 +191,11 @@
 	fmt.Fprint(t.out, string(resp.Body()))
 	return nil
 }
+
+// asTenant has a request to an adapter carry an API key, if there is one.
+func asTenant(r *resty.Request, key string) *resty.Request {
+	if key == "" {
+		return r
+	}
+	return r.SetHeader("Authorization", web.Scheme+" "+key)
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -27,7 +27,7 @@
 )
 
 type configCommand struct {
-	Get     *struct{}    `arg:"subcommand:get" help:"print the configuration; its revision goes to standard error"`
+	Get     *getCommand  `arg:"subcommand:get" help:"print the configuration; its revision goes to standard error"`
 	Set     *editCommand `arg:"subcommand:set" help:"replace the configuration"`
 	Patch   *editCommand `arg:"subcommand:patch" help:"apply a JSON merge patch"`
 	Check   *fileCommand `arg:"subcommand:check" help:"check a configuration file here, without a manager"`
@@ -35,6 +35,10 @@
 	History *struct{}    `arg:"subcommand:history" help:"list recent revisions with who and when"`
 }
 
+type getCommand struct {
+	Whole bool `arg:"--whole" help:"also the document that it was made from, which may hold keys of tenants"`
+}
+
 type fileCommand struct {
 	File string `arg:"positional,required"`
 }
@@ -82,6 +86,7 @@
 
 type messageCommand struct {
 	Adapter string `arg:"--adapter,env:CAPERWHEEL_ADAPTER" help:"HTTP address of an adapter; one is looked up if not given"`
+	ApiKey  string `arg:"--,env:CAPERWHEEL_API_KEY" help:"API key of the message's tenant, if it is one's"`
 	Id      string `arg:"positional,required"`
 	Body    bool   `arg:"--body" help:"print the message's bytes"`
 	Story   bool   `arg:"--story" help:"print where it stands on every daemon, and what it waits for"`
@@ -94,6 +99,7 @@
 	Doctor   *doctorCommand  `arg:"subcommand:doctor" help:"look for common faults"`
 	Apply    *applyCommand   `arg:"subcommand:apply" help:"make the system what a folder declares"`
 	Config   *configCommand  `arg:"subcommand:config|charter" help:"the configuration, a tree of settings"`
+	Tenants  *tenantsCommand `arg:"subcommand:tenants" help:"customers, their API keys and limits"`
 	Workers  *workersCommand `arg:"subcommand:workers" help:"a pool's live list"`
 	Zone     *zoneCommand    `arg:"subcommand:zone|cell" help:"empty or restore a zone"`
 	Store    *storeCommand   `arg:"subcommand:store" help:"retire a store"`
@@ -106,14 +112,17 @@
 
 type tool struct {
 	args     arguments
+	in       io.Reader
 	out, err io.Writer
 	client   *resty.Client
 }
 
 // Main runs the command that args name and returns the exit code. Results go to
 // out, messages to errOut.
-func Main(args []string, out, errOut io.Writer) int {
-	t := &tool{out: out, err: errOut, client: resty.New()}
+func Main(args []string, out, errOut io.Writer) int { return run(args, os.Stdin, out, errOut) }
+
+func run(args []string, in io.Reader, out, errOut io.Writer) int {
+	t := &tool{in: in, out: out, err: errOut, client: resty.New()}
 	parser, err := arg.NewParser(arg.Config{Program: "caperwheel"}, &t.args)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
@@ -158,7 +167,7 @@
 	case a.Apply != nil:
 		return t.apply(a.Apply)
 	case a.Config != nil && a.Config.Get != nil:
-		return t.show("/v1/charter")
+		return t.getConfig(a.Config.Get.Whole)
 	case a.Config != nil && a.Config.History != nil:
 		return t.show("/v1/charter/history")
 	case a.Config != nil && a.Config.Check != nil:
@@ -169,6 +178,8 @@
 		return t.edit("PUT", "/v1/charter", *a.Config.Set)
 	case a.Config != nil && a.Config.Patch != nil:
 		return t.edit("PATCH", "/v1/charter", *a.Config.Patch)
+	case a.Tenants != nil:
+		return t.tenants(a.Tenants)
 	case a.Workers != nil && a.Workers.Set != nil:
 		return t.edit("PUT", "/v1/pools/"+a.Workers.Set.Pool+"/workers", a.Workers.Set.editCommand)
 	case a.Workers != nil && a.Workers.Patch != nil:
--- a/internal/cli/story.go
+++ b/internal/cli/story.go
@@ -28,7 +28,7 @@
 }
 
 // story asks every store and adapter where a message stands there, and prints what is known.
-func (t *tool) story(id string) error {
+func (t *tool) story(c *messageCommand) error {
 	status, err := t.readStatus()
 	if err != nil {
 		return err
@@ -37,7 +37,8 @@
 	group := pool.NewGroup()
 	for i, m := range status.Members {
 		if m.Kind == "store" || m.Kind == "adapter" {
-			group.Submit(func() { parts[i] = partOf(client, m.Name, m.Http, id) })
+			key := map[bool]string{true: c.ApiKey}[m.Kind == "adapter"] // a store asks for none
+			group.Submit(func() { parts[i] = partOf(asTenant(client.R(), key), m.Name, m.Http, c.Id) })
 		}
 	}
 	_ = group.Wait()
@@ -53,7 +54,7 @@
 		return errs.Wrap(err, errs.Internal, "story")
 	}
 	if len(told) == 0 {
-		return errs.New(errs.Unknown, "no daemon knows %s: it is over and forgotten, or its place has no owner", id)
+		return errs.New(errs.Unknown, "no daemon knows %s: it is over and forgotten, or its place has no owner", c.Id)
 	}
 	for _, p := range told {
 		fmt.Fprintln(t.out, p.text())
@@ -62,8 +63,8 @@
 }
 
 // partOf asks one daemon; nil where it has nothing of the message.
-func partOf(client *resty.Client, name, address, id string) *part {
-	reply, err := client.R().Get("http://" + address + "/v1/messages/" + id + "/story")
+func partOf(ask *resty.Request, name, address, id string) *part {
+	reply, err := ask.Get("http://" + address + "/v1/messages/" + id + "/story")
 	switch {
 	case err != nil:
 		return &part{Daemon: name, Error: err.Error()}
--- /dev/null
+++ b/internal/cli/tenants.go
@@ -0,0 +1,161 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/tidwall/gjson"
+
+	"caperwheel/internal/errs"
+)
+
+type tenantsCommand struct {
+	List      *struct{}         `arg:"subcommand:list" help:"list the tenants, with how many keys each has"`
+	Show      *nameCommand      `arg:"subcommand:show" help:"print a tenant's limit and how the hashes of its keys begin"`
+	Set       *tenantCommand    `arg:"subcommand:set" help:"set a tenant's limit; a tenant that is not there is added, without a key"`
+	AddKey    *addKeyCommand    `arg:"subcommand:add-key" help:"give a tenant one more key; those that it has still hold"`
+	RemoveKey *removeKeyCommand `arg:"subcommand:remove-key" help:"take a key away: NAME PREFIX"`
+	Remove    *nameCommand      `arg:"subcommand:remove" help:"take a tenant away, with all of its keys"`
+}
+
+type tenantCommand struct {
+	Name  string   `arg:"positional,required"`
+	Rate  *float64 `arg:"--rate" help:"messages a second over the whole fleet; 0 for no limit"`
+	Burst *float64 `arg:"--burst" help:"messages beyond the rate at any time; at least 1"`
+}
+
+type addKeyCommand struct {
+	Name  string `arg:"positional,required"`
+	Stdin bool   `arg:"--stdin" help:"take the key from standard input; else one is drawn, and printed this once"`
+}
+
+type removeKeyCommand struct {
+	Name   string `arg:"positional,required"`
+	Prefix string `arg:"positional,required" help:"how the key's hash begins, as 'tenants show' prints it"`
+}
+
+// tenant is a tenant as the configuration has it.
+type tenant struct {
+	Keys  []string `json:"keys"` // hashes
+	Rate  float64  `json:"rate"`
+	Burst float64  `json:"burst"`
+}
+
+// shown is what is printed of a tenant.
+type shown struct {
+	Name  string   `json:"name"`
+	Keys  []string `json:"keys"` // how the hashes begin
+	Rate  float64  `json:"rate"`
+	Burst float64  `json:"burst"`
+}
+
+// Digits of a key's hash.
+const (
+	shownDigits = 12
+	leastDigits = 8 // that name a key
+)
+
+// tenantBook is the tenants of a revision of the configuration.
+type tenantBook struct {
+	revision   string
+	isMade     bool // from a document that another interface changes
+	hasTenants bool // else lanes need no API key
+	tenants    map[string]tenant
+}
+
+func (t *tool) tenants(c *tenantsCommand) error {
+	book, err := t.readTenants()
+	if err != nil {
+		return err
+	}
+	switch {
+	case c.List != nil:
+		return t.listTenants(book)
+	case c.Show != nil:
+		return t.showTenant(book, c.Show.Name)
+	case c.Set != nil:
+		return t.setTenant(book, c.Set)
+	case c.AddKey != nil:
+		return t.addKey(book, c.AddKey)
+	case c.RemoveKey != nil:
+		return t.removeKey(book, c.RemoveKey)
+	case c.Remove != nil:
+		return t.removeTenant(book, c.Remove.Name)
+	}
+	return errs.New(errs.Invalid, "one of list, show, set, add-key, remove-key, remove is missing")
+}
+
+func (t *tool) readTenants() (tenantBook, error) {
+	resp, err := t.get("/v1/charter")
+	if err != nil {
+		return tenantBook{}, err
+	}
+	book := tenantBook{revision: strings.Trim(resp.Header().Get("ETag"), `"`), tenants: map[string]tenant{}}
+	root := gjson.ParseBytes(resp.Body())
+	book.isMade = root.Get("origin").Exists()
+	tenants := root.Get("tenants")
+	if book.hasTenants = tenants.Exists(); book.hasTenants {
+		err = json.Unmarshal([]byte(tenants.Raw), &book.tenants)
+	}
+	return book, errs.Wrap(err, errs.Corrupt, "tenants")
+}
+
+// find returns a tenant that must be there.
+func (b tenantBook) find(name string) (tenant, error) {
+	found, isThere := b.tenants[name]
+	if !isThere {
+		return tenant{}, errs.New(errs.Unknown, "no tenant %s; 'tenants set %s' adds it", name, name)
+	}
+	return found, nil
+}
+
+func show(name string, of tenant) shown {
+	out := shown{Name: name, Keys: []string{}, Rate: of.Rate, Burst: of.Burst}
+	for _, hash := range of.Keys {
+		out.Keys = append(out.Keys, hash[:min(len(hash), shownDigits)])
+	}
+	return out
+}
+
+func (t *tool) listTenants(book tenantBook) error {
+	all := []shown{}
+	for _, name := range slices.Sorted(maps.Keys(book.tenants)) {
+		all = append(all, show(name, book.tenants[name]))
+	}
+	if t.args.Json {
+		return t.printJson(all)
+	}
+	fmt.Fprintf(t.out, "%-24s %4s %12s %12s\n", "tenant", "keys", "rate", "burst")
+	for _, s := range all {
+		fmt.Fprintf(t.out, "%-24s %4d %12g %12g\n", s.Name, len(s.Keys), s.Rate, s.Burst)
+	}
+	return nil
+}
+
+func (t *tool) showTenant(book tenantBook, name string) error {
+	found, err := book.find(name)
+	if err != nil {
+		return err
+	}
+	s := show(name, found)
+	if t.args.Json {
+		return t.printJson(s)
+	}
+	fmt.Fprintf(t.out, "%s: rate %g, burst %g\n", s.Name, s.Rate, s.Burst)
+	for _, key := range s.Keys {
+		fmt.Fprintf(t.out, "key %s\n", key)
+	}
+	return nil
+}
+
+func (t *tool) printJson(what any) error {
+	raw, err := json.MarshalIndent(what, "", "  ")
+	if err != nil {
+		return errs.Wrap(err, errs.Internal, "tenants")
+	}
+	fmt.Fprintln(t.out, string(raw))
+	return nil
+}
--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -51,7 +51,7 @@
 			if value.Type != gjson.String {
 				c.fault(key, "must be a text")
 			}
-		case "origin":
+		case origin:
 			if !value.IsObject() {
 				c.fault(key, "must be an object")
 			}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -122,3 +122,36 @@
 		})
 	})
 }
+
+// TestOriginIsConcealed: the document that a configuration was made from may hold keys, and is not shown.
+func TestOriginIsConcealed(t *testing.T) {
+	Convey("Of documents with origins", t, func() {
+		one, two := `{"origin":{"api_keys":["secret-1"]},"note":"a"}`, `{"origin":{"api_keys":["secret-2"]},"note":"a"}`
+		Convey("the difference is told without values", func() {
+			d, err := Diff([]byte(one), []byte(two))
+			So(err, ShouldBeNil)
+			So(d, ShouldResemble, []Difference{{Path: "origin"}})
+			d, err = Diff([]byte(`{"note":"a"}`), []byte(two))
+			So(err, ShouldBeNil)
+			So(d, ShouldResemble, []Difference{{Path: "origin"}})
+		})
+		Convey("alike ones differ in nothing", func() {
+			d, err := Diff([]byte(one), []byte(one))
+			So(err, ShouldBeNil)
+			So(d, ShouldBeEmpty)
+		})
+		Convey("what is shown has none, and is no configuration", func() {
+			shown, err := Conceal([]byte(one))
+			So(err, ShouldBeNil)
+			So(string(shown), ShouldNotContainSubstring, "secret")
+			rules, faults := Compile(shown)
+			So(rules, ShouldBeNil)
+			So(faults[0].Path, ShouldEqual, "origin")
+		})
+		Convey("one without is shown as it is", func() {
+			shown, err := Conceal([]byte(good))
+			So(err, ShouldBeNil)
+			So(string(shown), ShouldEqual, good)
+		})
+	})
+}
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -44,7 +44,26 @@
 	return out
 }
 
-// Difference is one path whose value differs between two documents.
+// origin is the root's key for the document that a configuration was made from. What it holds is
+// another interface's, and may be secret: it is given whole to whoever reads the configuration, and never shown.
+const origin = "origin"
+
+// Conceal returns a configuration to be shown: without its origin. It cannot be taken for the whole
+// one, since Compile refuses it.
+func Conceal(doc []byte) ([]byte, error) {
+	var root map[string]json.RawMessage
+	if err := json.Unmarshal(doc, &root); err != nil {
+		return nil, errs.Wrap(err, errs.Corrupt, "configuration")
+	}
+	if root[origin] == nil {
+		return doc, nil
+	}
+	root[origin] = json.RawMessage(`"left out: it may hold keys"`)
+	out, err := json.MarshalIndent(root, "", "  ")
+	return append(out, '\n'), errs.Wrap(err, errs.Internal, "configuration")
+}
+
+// Difference is one path whose value differs between two documents. The values of an origin are not given.
 type Difference struct {
 	Path string `json:"path"`
 	From any    `json:"from,omitempty"`
@@ -83,8 +102,19 @@
 		at := k
 		if path != "" {
 			at = path + "." + k
+		} else if k == origin {
+			out = concealed(x[k], y[k], out)
+			continue
 		}
 		out = differ(at, x[k], y[k], out)
 	}
 	return out
 }
+
+// concealed tells that origins differ, and no more.
+func concealed(a, b any, out []Difference) []Difference {
+	if reflect.DeepEqual(a, b) {
+		return out
+	}
+	return append(out, Difference{Path: origin})
+}
