Count what tenants are told, by tenant and kind, as long as the configuration has the tenant

intake_tenant_answers_total{tenant,told}: taken, over_quota, ... ; a caller whose key nobody holds is no tenant's and counts by lane alone, as unauthorized, in intake_answers_total. Tenants that are gone are forgotten with the next reading, so the series are bounded by the configuration. No label ever holds a key. Figures that are read with the metrics are counters where their names end so.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -1,15 +1,19 @@
 package daemon
 
 import (
+	"strings"
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
 
 // Emit passes one figure to whoever reads the metrics. Labels are pairs of name
-// and value.
+// and value. A name that ends in counterMark is a count that only grows.
 type Emit func(name, help string, value float64, labels ...string)
 
+// counterMark ends the names of counters, by convention.
+const counterMark = "_total"
+
 // gauges are read when the metrics are, so nothing needs to be kept up to date
 // between two readings.
 type gauges struct {
@@ -38,7 +42,11 @@
 				names, values = append(names, labels[i]), append(values, labels[i+1])
 			}
 			desc := prometheus.NewDesc("caperwheel_"+name, help, names, nil)
-			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, values...)
+			kind := prometheus.GaugeValue
+			if strings.HasSuffix(name, counterMark) {
+				kind = prometheus.CounterValue
+			}
+			out <- prometheus.MustNewConstMetric(desc, kind, value, values...)
 		})
 	}
 }
--- a/internal/intake/codec.go
+++ b/internal/intake/codec.go
@@ -52,12 +52,12 @@
 			err = errs.New(errs.Kind(e.taken.Kind), "%s", e.taken.Text)
 		}
 		if err == nil {
-			countIntake(e, "taken")
+			in.count(e, taken)
 			codec.Tell(w, Word{Id: e.taken.Id})
 			return
 		}
 		kind := errs.KindOf(err)
-		countIntake(e, string(kind))
+		in.count(e, string(kind))
 		codec.Tell(w, Word{Id: e.take.Id, Kind: kind, Text: err.Error(), IsOpen: e.isOpen, Retry: in.retry(kind, e)})
 	}
 }
--- /dev/null
+++ b/internal/intake/counts_test.go
@@ -0,0 +1,45 @@
+package intake
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/config"
+)
+
+// TestTenantCounts: tenants are counted by what they were told, as long as the configuration has them.
+func TestTenantCounts(t *testing.T) {
+	Convey("Given answers to two tenants and to callers who are nobody's", t, func() {
+		c := &tenantCounts{}
+		for _, a := range [][2]string{{"a", taken}, {"a", taken}, {"a", "over_quota"}, {"b", taken}, {"", "unauthorized"}} {
+			c.add(a[0], a[1])
+		}
+		read := func(names ...string) []string {
+			rules, out := &config.Rules{Tenants: map[string]config.Tenant{}}, []string{}
+			for _, name := range names {
+				rules.Tenants[name] = config.Tenant{Name: name}
+			}
+			c.measure(rules, func(name, _ string, value float64, labels ...string) {
+				out = append(out, fmt.Sprint(name, " ", value, " ", labels))
+			})
+			slices.Sort(out)
+			return out
+		}
+		const name = "intake_tenant_answers_total "
+		Convey("each tenant's are told", func() {
+			So(read("a", "b", "c"), ShouldResemble, []string{name + "1 [tenant a told over_quota]", name + "1 [tenant b told taken]", name + "2 [tenant a told taken]"})
+		})
+		Convey("those of a tenant that is gone are forgotten, also when it comes back", func() {
+			So(read("b"), ShouldResemble, []string{name + "1 [tenant b told taken]"})
+			So(read("a", "b"), ShouldResemble, []string{name + "1 [tenant b told taken]"})
+			So(len(c.told), ShouldEqual, 1)
+		})
+		Convey("where there are no tenants, none is kept", func() {
+			So(read(), ShouldBeEmpty)
+			So(c.told, ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -31,6 +31,7 @@
 	inHand   atomic.Int64
 	held     atomic.Int64 // waits for an end
 	peers    weight.Peers // stores, as this adapter sees them
+	tenants  tenantCounts
 	limits   Limits
 	actions  path.Actions[*request]
 	programs path.Programs
@@ -67,6 +68,7 @@
 		for name, w := range in.peers.All() {
 			emit("weight_peer", "Weight of a store for messages that may go to any place.", w, "store", name)
 		}
+		in.tenants.measure(configs.Current().Rules, emit)
 	})
 	in.actions = path.Actions[*request]{
 		path.Fresh: func(_ path.Step, e *request) error {
--- a/internal/intake/take.go
+++ b/internal/intake/take.go
@@ -6,23 +6,12 @@
 	"strings"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"caperwheel/internal/errs"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
 	"caperwheel/internal/wire"
 )
 
-var answered = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "intake",
-	Name: "answers_total", Help: "Messages that came in, by lane and by what was told of them: taken, or the kind of mishap."},
-	[]string{"lane", "told"})
-
-func init() { prometheus.MustRegister(answered) }
-
-// countIntake counts by lane; names that are no lane's would grow without bound.
-func countIntake(e *request, told string) { answered.WithLabelValues(e.lane.Name, told).Inc() }
-
 // revisionOf tells the caller under which configuration the answer was given.
 func revisionOf(w http.ResponseWriter, e *request) {
 	if e.compiled != nil {
@@ -50,7 +39,7 @@
 		in.reject(w, errs.New(errs.Kind(e.taken.Kind), "%s", e.taken.Text), e)
 		return
 	}
-	countIntake(e, "taken")
+	in.count(e, taken)
 	revisionOf(w, e)
 	in.answerTaken(w, r, e.taken.Id, e.taken.State)
 }
@@ -157,7 +146,7 @@
 	if (e.isOpen || e.taken != nil) && kind != errs.Unauthorized { // then it is not known whose message it would be
 		p.Id = e.take.Id
 	}
-	countIntake(e, string(kind))
+	in.count(e, string(kind))
 	if kind != errs.Stale { // then no configuration was in use
 		revisionOf(w, e)
 	}
