--- a/internal/intake/askers_test.go
+++ b/internal/intake/askers_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -184,3 +186,37 @@
 		})
 	}
 }
+
+// TestOpenConnections: what a connection was once served does not bind what comes on it later.
+func TestOpenConnections(t *testing.T) {
+	Convey("On one connection that stays open", t, func() {
+		in, _ := intake.On(intake.Scenery{Take: held, Most: 9, Rules: twoTenants})
+		connections := atomic.Int64{}
+		server := httptest.NewUnstartedServer(intake.Served(in))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				connections.Add(1)
+			}
+		}
+		server.Start()
+		Reset(server.Close)
+		send := func(key string) int {
+			r, err := http.NewRequest("POST", server.URL+"/v1/lanes/l/messages", strings.NewReader("b"))
+			So(err, ShouldBeNil)
+			r.Header.Set("Authorization", "Bearer "+key)
+			answer, err := server.Client().Do(r)
+			So(err, ShouldBeNil)
+			_, err = io.Copy(io.Discard, answer.Body)
+			So(err, ShouldBeNil)
+			So(answer.Body.Close(), ShouldBeNil)
+			return answer.StatusCode
+		}
+		codes := []int{send("key-1"), send("key-9")}
+		intake.Change(in, ownTenants(map[string]string{"halls": "key-9"}))
+		codes = append(codes, send("key-1"), send("key-9"))
+		intake.Change(in, twoTenants)
+		codes = append(codes, send("key-1"), send("key-9"))
+		So(codes, ShouldResemble, []int{202, 401, 401, 202, 202, 401})
+		So(connections.Load(), ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/internal/manager/tenants_test.go
@@ -0,0 +1,75 @@
+package manager
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/config"
+)
+
+// asked is what a manager answers a caller.
+func asked(serve http.HandlerFunc, method, base, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, "/v1/charter", strings.NewReader(body))
+	if base != "" {
+		r.Header.Set("If-Match", base)
+	}
+	w := httptest.NewRecorder()
+	serve(w, r)
+	return w
+}
+
+// TestTenantsThatAreRefused guards against CONFIG: an invalid configuration was confirmed. With one of these
+// nothing changes.
+func TestTenantsThatAreRefused(t *testing.T) {
+	first, second := config.HashKey("key-1").String(), config.HashKey("key-2").String()
+	cases := []struct{ name, patch, path string }{
+		{"a key that another tenant holds", `{"tenants":{"b":{"keys":["` + first + `"]}}}`, "tenants.b.keys"},
+		{"a key itself", `{"tenants":{"b":{"keys":["key-2"]}}}`, "tenants.b.keys"},
+		{"a rate that is negative", `{"tenants":{"a":{"rate":-1}}}`, "tenants.a.rate"},
+		{"a name that no field holds", `{"tenants":{"a\nb":{}}}`, `tenants.a\nb`},
+	}
+	Convey("Given tenants with keys", t, func() {
+		m, _ := newFake()
+		doc := fmt.Sprintf(`{"tenants":{"a":{"keys":[%q]},"b":{"keys":[%q]}}}`, first, second)
+		So(asked(m.putConfig, "PUT", `"0"`, doc).Code, ShouldEqual, 200)
+		before := asked(m.getConfig, "GET", "", "").Body.String()
+		for _, c := range cases {
+			Convey(c.name+" is refused, and nothing changes", func() {
+				w := asked(m.patchConfig, "PATCH", `"1"`, c.patch)
+				So(w.Code, ShouldEqual, 422)
+				So(w.Body.String(), ShouldContainSubstring, `"path": "`+c.path+`"`)
+				after := asked(m.getConfig, "GET", "", "")
+				So(after.Header().Get("ETag"), ShouldEqual, `"1"`)
+				So(after.Body.String(), ShouldEqual, before)
+			})
+		}
+	})
+}
+
+// TestOriginIsGivenWholeAndNotShown: the document that a configuration was made from is read back whole, and
+// told nowhere else, since it may hold keys.
+func TestOriginIsGivenWholeAndNotShown(t *testing.T) {
+	Convey("Given a configuration with its origin", t, func() {
+		m, _ := newFake()
+		first := asked(m.putConfig, "PUT", `"0"`, `{"origin":{"api_keys":["secret-1"]}}`)
+		So(first.Code, ShouldEqual, 200)
+		second := asked(m.patchConfig, "PATCH", `"1"`, `{"origin":{"api_keys":["secret-2"]},"note":"n"}`)
+		So(second.Code, ShouldEqual, 200)
+		Convey("what has changed is told without it", func() {
+			So(first.Body.String()+second.Body.String(), ShouldNotContainSubstring, "secret")
+			So(second.Body.String(), ShouldContainSubstring, `"path": "origin"`)
+			So(second.Body.String(), ShouldContainSubstring, `"path": "note"`)
+		})
+		Convey("so is the history", func() {
+			So(asked(m.getHistory, "GET", "", "").Body.String(), ShouldNotContainSubstring, "secret")
+		})
+		Convey("whoever reads the configuration gets it whole", func() {
+			So(asked(m.getConfig, "GET", "", "").Body.String(), ShouldContainSubstring, "secret-2")
+		})
+	})
+}
