--- /dev/null
+++ b/internal/quota/mutants_test.go
@@ -0,0 +1,142 @@
+package quota
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// mutant is one guard taken out: where, the text that has it, and the text without. The replaced sources exist only
+// while the test runs; IsMutant picks one by its name, so that one build serves all.
+type mutant struct{ name, file, old, new string }
+
+// mutants is the table of guards. Each must be found by the model.
+var mutants = []mutant{
+	{"what a dropped holder held is given back", "account.go",
+		"return at >= h.Until })", "if IsMutant(NAME) && at >= h.Until {\n\t\t\ta.Free += h.held() * token\n\t\t}\n\t\treturn at >= h.Until\n\t})"},
+	{"the ledger's expiry is shorter than the front's lease", "account.go",
+		"at+ask.Lease+ask.Lease/marginPart", "at+map[bool]int64{false: ask.Lease + ask.Lease/marginPart, true: ask.Lease / 2}[IsMutant(NAME)]"},
+	{"the bucket is filled beside what is held", "account.go",
+		"a.Burst-a.held())) }", "a.Burst-map[bool]int64{false: a.held()}[IsMutant(NAME)])) }"},
+	{"time is counted again", "account.go", "a.At = max(a.At, at)", "if !IsMutant(NAME) {\n\t\ta.At = max(a.At, at)\n\t}"},
+	{"a repeated report counts down twice", "account.go", "min(c.Spent-h.Spent, h.held())",
+		"min(c.Spent-map[bool]int64{false: h.Spent}[IsMutant(NAME)], h.held())"},
+	{"what is given back counts twice", "account.go", "min(c.Returned-h.Returned, h.held())",
+		"min(c.Returned-map[bool]int64{false: h.Returned}[IsMutant(NAME)], h.held())"},
+	{"a late ask of an earlier life counts", "account.go", "if c.Life < h.Life {", "if c.Life < h.Life && !IsMutant(NAME) {"},
+	{"a new life goes on with the counts of the one before", "account.go", "*h = holder{Name: ask.Holder, Life: c.Life}",
+		"if IsMutant(NAME) {\n\t\t\th.Life = c.Life\n\t\t} else {\n\t\t\t*h = holder{Name: ask.Holder, Life: c.Life}\n\t\t}"},
+	{"a lower limit is not taken in", "account.go", "a.Rate, a.Burst = min(a.Rate, limit.Rate), min(a.Burst, limit.Burst)",
+		"if IsMutant(NAME) {\n\t\tlimit.Rate, limit.Burst = max(a.Rate, limit.Rate), max(a.Burst, limit.Burst)\n\t}\n\ta.Rate, a.Burst = min(a.Rate, limit.Rate), min(a.Burst, limit.Burst)"},
+	{"an account is forgotten before its bucket is full", "account.go", "a.Free >= a.Burst }", "(a.Free >= a.Burst || IsMutant(NAME)) }"},
+	{"a front spends after its lease", "wallet.go", "|| now < p.leaseEnd {", "|| now < p.leaseEnd || IsMutant(NAME) {"},
+	{"a lease counts from the answer", "purse.go", "max(p.leaseEnd, sentAt+p.times.Lease)",
+		"max(p.leaseEnd, map[bool]time.Duration{false: sentAt, true: now}[IsMutant(NAME)]+p.times.Lease)"},
+	{"an answer counts whose lease is over", "wallet.go", "sentAt+w.times.Lease <= now", "sentAt+w.times.Lease <= now && !IsMutant(NAME)"},
+	{"an answer to an earlier life counts", "wallet.go", "if grant.Life != p.life ||", "if grant.Life != p.life && !IsMutant(NAME) ||"},
+	{"a life's number is used again", "wallet.go", "w.lives++", "if !IsMutant(NAME) || w.lives == 0 {\n\t\tw.lives++\n\t}"},
+	{"the end of a message of an earlier life counts", "wallet.go", "if p.life != life {", "if p.life != life && !IsMutant(NAME) {"},
+	{"what is in flight is held as well", "purse.go", "p.returned - p.inFlight }", "p.returned - map[bool]int64{false: p.inFlight}[IsMutant(NAME)] }"},
+}
+
+const (
+	mutantEnv = "CAPERWHEEL_MUTANT"
+	childMark = "VERDICT "
+	huntSeeds = 1000
+)
+
+// mutantSource is added to the package of a child.
+const mutantSource = `package quota
+
+import "os"
+
+var isMutant = os.Getenv("` + mutantEnv + `")
+
+// IsMutant reports whether a guard is taken out.
+func IsMutant(name string) bool { return isMutant == name }
+`
+
+// buildMutants builds this test with all guards made optional.
+func buildMutants(t *testing.T) string {
+	dir := t.TempDir()
+	here, err := filepath.Abs(".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	texts := map[string]string{"mutant.go": mutantSource}
+	for _, m := range mutants {
+		if texts[m.file] == "" {
+			raw, err := os.ReadFile(m.file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			texts[m.file] = string(raw)
+		}
+		if n := strings.Count(texts[m.file], m.old); n != 1 {
+			t.Fatalf("%s: the guard's text is %d times in %s; the table must follow the sources", m.name, n, m.file)
+		}
+		texts[m.file] = strings.Replace(texts[m.file], m.old, strings.ReplaceAll(m.new, "NAME", strconv.Quote(m.name)), 1)
+	}
+	replace := map[string]string{}
+	for file, text := range texts {
+		at := filepath.Join(dir, file)
+		if err := os.WriteFile(at, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		replace[filepath.Join(here, file)] = at
+	}
+	raw, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		t.Fatal(err)
+	}
+	overlay, binary := filepath.Join(dir, "overlay.json"), filepath.Join(dir, "mutants.test")
+	if err := os.WriteFile(overlay, raw, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := exec.Command("go", "test", "-c", "-overlay", overlay, "-o", binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+// TestMutantChild is the search in a child; by itself it does nothing.
+func TestMutantChild(t *testing.T) {
+	if os.Getenv(mutantEnv) == "" {
+		t.Skip("runs in the children of TestMutants")
+	}
+	what, seed, _ := search(flaws{}, huntSeeds)
+	fmt.Printf("%s%s|seed %d\n", childMark, what, seed)
+}
+
+// TestMutants takes each guard out and holds that the model notices.
+func TestMutants(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds and runs children")
+	}
+	binary := buildMutants(t)
+	var all sync.WaitGroup
+	turn := make(chan struct{}, 2)
+	for _, m := range mutants {
+		all.Go(func() {
+			turn <- struct{}{}
+			defer func() { <-turn }()
+			child := exec.Command(binary, "-test.run", "^TestMutantChild$", "-test.v")
+			child.Env = append(os.Environ(), mutantEnv+"="+m.name)
+			out, err := child.CombinedOutput()
+			_, verdict, isTold := strings.Cut(string(out), childMark)
+			verdict, _, _ = strings.Cut(verdict, "\n")
+			what, how, _ := strings.Cut(verdict, "|")
+			t.Logf("%s: %q by %s", m.name, what, how)
+			if err != nil || !isTold || what == "" {
+				t.Errorf("%s is not found: %v\n%s", m.name, err, out)
+			}
+		})
+	}
+	all.Wait()
+}
