Places count what tenants' limits allow, behind feature level 2

The owner of a place gathers what fronts tell and ask while a batch of it is under way, and answers once the next is committed. Records that use it stand behind a third mark: what a group has that agreed on level 1 is written as builds of wire version 7 read it, which the one codec for the newest version would no longer have been. A Taken tells whether the message was held before: a repeat counts against a limit once.

Existing tests: TestSentAgain now wants the repeats told apart from the first send, TestLevels names the level that no build can apply by its number rather than as 2.

--- a/internal/place/command.go
+++ b/internal/place/command.go
@@ -19,6 +19,7 @@
 	CmdSent                   // an outbox entry has been taken elsewhere
 	CmdTold                   // whoever was to be told of an end has been
 	CmdLevel                  // from now on replicas apply commands as a newer feature level says
+	CmdCount                  // decide what adapters tell and ask of tenants' limits
 )
 
 // Command is one entry of a place's log. All that depends on settings or time
@@ -55,6 +56,7 @@
 	Drop     bool       `avro:"drop" since:"3"`   // End: the bytes are not kept
 	Prompt   int64      `avro:"prompt" since:"3"` // Take: within which a run is wanted to begin, once it may
 	Level    int64      `avro:"level" since:"6"`  // Level
+	Counts   []byte     `avro:"counts" since:"8"` // Count: a batch of package quota
 }
 
 // TimeMark returns a command that does nothing but tell the place time: it forgets none.
@@ -79,8 +81,11 @@
 	if c.Ids == nil {
 		c.Ids = []string{}
 	}
-	if c.Kind >= CmdLevel {
-		return commandCodec.EncodeNewest(&c)
+	switch c.Kind {
+	case CmdLevel: // also builds of version 6 read it, and refuse a level that they cannot apply
+		return commandCodec.EncodeOf(&c, 6)
+	case CmdCount:
+		return commandCodec.EncodeOf(&c, 8)
 	}
 	return commandCodec.Encode(&c, len(c.Head) > 0 || c.Delay != 0 || c.Notify != "" || c.Drop || c.Prompt != 0)
 }
--- a/internal/place/image.go
+++ b/internal/place/image.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"caperwheel/internal/quota"
 	"caperwheel/internal/wire"
 )
 
@@ -13,6 +14,7 @@
 	Messages []Message `avro:"errands"`
 	Outbox   []Child   `avro:"outbox"`
 	Level    int64     `avro:"level" since:"6"`
+	Counts   []byte    `avro:"counts" since:"8"` // of package quota
 }
 
 // The clock of an image is never negative.
@@ -36,8 +38,12 @@
 	for _, id := range slices.Sorted(maps.Keys(m.outbox)) {
 		out.Outbox = append(out.Outbox, m.outbox[id])
 	}
-	if m.level > 0 {
-		return imageCodec.EncodeNewest(&out)
+	switch {
+	case m.level >= LevelQuotas:
+		out.Counts = m.counts.Image()
+		return imageCodec.EncodeOf(&out, 8)
+	case m.level > 0:
+		return imageCodec.EncodeOf(&out, 6)
 	}
 	return imageCodec.Encode(&out, isGrown)
 }
@@ -52,7 +58,11 @@
 		return nil, err
 	}
 	m := New()
-	m.clock, m.seq, m.level = in.Clock, in.Seq, in.Level
+	counts, err := quota.Restore(in.Counts)
+	if err != nil {
+		return nil, err
+	}
+	m.clock, m.seq, m.level, m.counts = in.Clock, in.Seq, in.Level, counts
 	for _, read := range in.Messages {
 		e := &read // by itself, so that no message keeps all others in memory
 		m.messages[e.Id] = e
--- a/internal/place/level.go
+++ b/internal/place/level.go
@@ -13,7 +13,8 @@
 // is never lowered.
 const (
 	LevelFreesKeys int64 = 1 // a key goes on once a run that may still be going on must be over
-	NewestLevel          = LevelFreesKeys
+	LevelQuotas    int64 = 2 // the place counts what tenants' limits allow
+	NewestLevel          = LevelQuotas
 )
 
 // Level is the feature level that the group has agreed on.
--- a/internal/place/level_test.go
+++ b/internal/place/level_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -95,7 +96,7 @@
 		newer := Raise(NewestLevel + 1)
 		_, err := Decode(newer.Encode())
 		So(errs.KindOf(err), ShouldEqual, errs.Rejected)
-		So(err.Error(), ShouldContainSubstring, "feature level 2")
+		So(err.Error(), ShouldContainSubstring, fmt.Sprintf("feature level %d", NewestLevel+1))
 		m := New()
 		m.level = NewestLevel + 1
 		_, err = Restore(m.Image())
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"caperwheel/internal/errs"
+	"caperwheel/internal/quota"
 	"caperwheel/internal/wire"
 )
 
@@ -25,12 +26,14 @@
 	level    int64           // the feature level that the group has agreed on
 	holders  map[string]bool // messages that have succeeded while a later run of theirs may go on
 	queue    queue
+	counts   *quota.Ledger // of tenants; empty before the level LevelQuotas
 }
 
 // New gives an empty place.
 func New() *Machine {
 	return &Machine{messages: map[string]*Message{}, archive: map[string]archived{}, names: map[string]string{},
-		idems: map[string]string{}, keys: map[string][]string{}, outbox: map[string]Child{}, owed: map[string]bool{}, holders: map[string]bool{}, queue: newQueue()}
+		idems: map[string]string{}, keys: map[string][]string{}, outbox: map[string]Child{}, owed: map[string]bool{}, holders: map[string]bool{},
+		queue: newQueue(), counts: quota.NewLedger()}
 }
 
 // Verdict is what a command came to. A Kind other than "" means that it
@@ -40,9 +43,15 @@
 	State State
 	Kind  errs.Kind
 	Text  string
+
+	IsRepeat bool              // of a Take: the message is held since an earlier one
+	Grants   []wire.QuotaGrant // of a Count
 }
 
-const otherBytes = "the same Idempotency-Key came with other bytes"
+// otherBytes is the verdict on a Take of a message that is held with other bytes.
+func otherBytes(id string) Verdict {
+	return Verdict{Id: id, Kind: errs.Conflict, Text: "the same Idempotency-Key came with other bytes", IsRepeat: true}
+}
 
 func no(kind errs.Kind, id, text string) Verdict { return Verdict{Id: id, Kind: kind, Text: text} }
 
@@ -99,6 +108,8 @@
 	case CmdLevel:
 		m.level = max(m.level, c.Level)
 		return Verdict{}
+	case CmdCount:
+		return m.count(c)
 	}
 	if e == nil {
 		return no(errs.Unknown, c.Id, "no such message")
@@ -122,9 +133,9 @@
 			return no(errs.Rejected, c.Id, "settled as not taken")
 		}
 		if e.Sum != c.Sum {
-			return no(errs.Conflict, c.Id, otherBytes)
+			return otherBytes(c.Id)
 		}
-		return Verdict{Id: c.Id, State: e.State}
+		return Verdict{Id: c.Id, State: e.State, IsRepeat: true}
 	}
 	m.seq++
 	e = &Message{Id: c.Id, Seq: m.seq, Lane: c.Lane, Key: c.Key, Ordered: c.Ordered, Idem: c.Idem, Ctype: c.Ctype,
@@ -133,9 +144,9 @@
 	if c.Idem != "" {
 		if was := m.Find(m.idems[e.idemOf()]); was != nil {
 			if was.Sum != c.Sum {
-				return no(errs.Conflict, was.Id, otherBytes)
+				return otherBytes(was.Id)
 			}
-			return Verdict{Id: was.Id, State: was.State}
+			return Verdict{Id: was.Id, State: was.State, IsRepeat: true}
 		}
 		m.idems[e.idemOf()] = c.Id
 	}
--- a/internal/store/again.go
+++ b/internal/store/again.go
@@ -37,6 +37,18 @@
 	}
 }
 
+// asRepeat tells whoever joined an ask that it was asked before.
+func asRepeat(answer func(any)) func(any) {
+	return func(reply any) {
+		if taken, isTaken := reply.(*wire.Taken); isTaken {
+			again := *taken
+			again.IsRepeat = taken.Kind == "" || taken.IsRepeat
+			reply = &again
+		}
+		answer(reply)
+	}
+}
+
 func takeKey(t *wire.Take) string { return t.Id + "\x00" + t.Lane + "\x00" + t.Sum }
 
 // outcomeKey tells results of a run apart: only the same one again is the same.
--- a/internal/store/again_test.go
+++ b/internal/store/again_test.go
@@ -27,8 +27,8 @@
 			So(len(b.proposed), ShouldEqual, 1)
 			b.commit(true)
 			So(len(answers), ShouldEqual, 3)
-			for _, a := range answers {
-				So(*a, ShouldResemble, wire.Taken{Id: "0-y", State: string(place.Held)})
+			for i, a := range answers { // each but the first is told that it is a repeat
+				So(*a, ShouldResemble, wire.Taken{Id: "0-y", State: string(place.Held), IsRepeat: i > 0})
 			}
 			take("s")
 			So(len(answers), ShouldEqual, 4)
--- a/internal/store/ownership.go
+++ b/internal/store/ownership.go
@@ -19,6 +19,7 @@
 func (p *PlaceHost) begin(isOwner bool) {
 	p.inHand, p.asking = map[string]inHand{}, map[string]time.Duration{}
 	p.telling, p.away, p.raising = newTelling(), nil, 0
+	p.dropCounts()
 	p.lostAt, p.sending, p.missed = map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
 	if !isOwner {
 		p.tellOnlookers(func(string, onlooker) bool { return true })
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -40,6 +40,7 @@
 	// Those who wait for a message's end, by its id, and how many: at most mostOnlookers.
 	onlookers map[string][]onlooker
 	waiting   int
+	counting  *counting
 	ready     atomic.Pointer[map[string]int]
 }
 
@@ -60,7 +61,8 @@
 )
 
 func NewPlaceHost(environment Environment, number int64) *PlaceHost {
-	p := &PlaceHost{environment: environment, number: number, machine: place.New(), clock: groupclock.New(environment.Now()), onlookers: map[string][]onlooker{}, underWay: underWay{}}
+	p := &PlaceHost{environment: environment, number: number, machine: place.New(), clock: groupclock.New(environment.Now()), onlookers: map[string][]onlooker{}, underWay: underWay{},
+		counting: &counting{}}
 	p.ready.Store(&map[string]int{})
 	return p
 }
@@ -131,9 +133,9 @@
 		reject(errs.NotOwner, "", 0)
 		return
 	case p.isSame(t): // sent again: what is committed stays, full or not
-		answer(&wire.Taken{Id: t.Id, State: string(p.machine.Find(t.Id).State)})
+		answer(&wire.Taken{Id: t.Id, State: string(p.machine.Find(t.Id).State), IsRepeat: true})
 		return
-	case p.underWay.join(takeKey(t), answer): // sent again: it may be held yet
+	case p.underWay.join(takeKey(t), asRepeat(answer)): // sent again: it may be held yet
 		return
 	case !p.environment.IsFresh(): // the lane may be another by now
 		reject(errs.NotOwner, "", 0) // no more definite than that: an older adapter would believe it
@@ -164,7 +166,7 @@
 			reject(errs.KindOf(err), "", 0)
 			return
 		}
-		answer(&wire.Taken{Id: v.Id, State: string(v.State), Kind: string(v.Kind), Text: v.Text})
+		answer(&wire.Taken{Id: v.Id, State: string(v.State), Kind: string(v.Kind), Text: v.Text, IsRepeat: v.IsRepeat})
 	})
 }
 
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -44,6 +44,9 @@
 		with(m.Place, func(p *PlaceHost) { p.Look(m, answer) }, func(kind errs.Kind) {
 			answer(&wire.Sight{Kind: string(kind), Body: []byte{}, Proof: wire.Proof{Answer: []byte{}}})
 		})
+	case *wire.QuotaAsk:
+		with(m.Place, func(p *PlaceHost) { p.Count(m, answer) },
+			func(kind errs.Kind) { answer(&wire.QuotaGrants{Kind: string(kind), Grants: []wire.QuotaGrant{}}) })
 	case *wire.Outcome:
 		if ack := s.keeper.Serve(m, s.d.Now()); ack != nil {
 			answer(ack)
--- a/internal/wire/data.go
+++ b/internal/wire/data.go
@@ -27,6 +27,8 @@
 	Text  string `avro:"text"`
 	Owner string `avro:"owner"`
 	Retry int64  `avro:"retry"`
+
+	IsRepeat bool `avro:"is_repeat" since:"8"` // the message was held, or about to be, before this Take came
 }
 
 // Settle asks the owner to decide an undecided message: held, or never.
@@ -51,6 +53,8 @@
 		return m.Kind
 	case *OutcomeAck:
 		return m.Kind
+	case *QuotaGrants:
+		return m.Kind
 	case *Edited:
 		return m.Kind
 	}
--- a/internal/wire/grown.go
+++ b/internal/wire/grown.go
@@ -8,19 +8,21 @@
 )
 
 // Grown is a codec for a record on disk and in logs that has gained fields
-// since version 1, and more of them since grownVersion.
+// since version 1, and more of them since.
 //
 // Invariants: a record that uses none of them is written as in version 1, so an
-// older build reads it; one that uses those up to grownVersion begins with mark, with which no
-// record can begin; any other begins with mark twice. An older build refuses what it does not
-// know rather than misreads it.
+// older build reads it; one that uses later ones begins with mark, with which no
+// record can begin, once for each step of grownVersions that it needs. An older build refuses
+// what it does not know rather than misreads it.
 type Grown struct {
-	old, grown, newest *Plain
-	mark               []byte
+	old   *Plain
+	grown []*Plain // by how many marks stand before a record, from one on
+	mark  []byte
 }
 
-// grownVersion is the version whose fields a record with one mark has, all of them.
-const grownVersion = 5
+// grownVersions are the versions whose fields a record has, all of them, by how many marks stand before it.
+// A version whose records have new fields is a step of its own, behind the others.
+var grownVersions = []int64{5, 7, 8}
 
 // Marks, which no record can begin with: what stands where an older build looks
 // for a text's length, or for how many items a list has, can be neither.
@@ -34,21 +36,28 @@
 // NewGrown builds it for the type of sample, a pointer to a struct, with the
 // mark that fits its first fields.
 func NewGrown(sample any, mark string) *Grown {
-	return &Grown{NewPlain(sample), newPlain(sample, grownVersion), newPlain(sample, Version), []byte(mark)}
+	g := &Grown{old: NewPlain(sample), mark: []byte(mark)}
+	for _, version := range grownVersions {
+		g.grown = append(g.grown, newPlain(sample, version))
+	}
+	return g
 }
 
-// Encode gives the record's bytes; isGrown tells that it uses what is new.
+// Encode gives the record's bytes; isGrown tells that it uses what is new in version 5 or before.
 func (g *Grown) Encode(value any, isGrown bool) []byte {
 	if !isGrown {
 		return g.old.Encode(value)
 	}
-	return append(bytes.Clone(g.mark), g.grown.Encode(value)...)
+	return g.EncodeOf(value, grownVersions[0])
 }
 
-// EncodeNewest gives the bytes of a record that uses fields, or means what, no build before
-// this version knows.
-func (g *Grown) EncodeNewest(value any) []byte {
-	return slices.Concat(g.mark, g.mark, g.newest.Encode(value))
+// EncodeOf gives the bytes of a record that uses fields, or means what, no build before a version knows.
+func (g *Grown) EncodeOf(value any, version int64) []byte {
+	step := len(grownVersions) - 1
+	for step > 0 && grownVersions[step-1] >= version {
+		step--
+	}
+	return slices.Concat(bytes.Repeat(g.mark, step+1), g.grown[step].Encode(value))
 }
 
 // Decode reads a record of any kind back.
@@ -56,12 +65,13 @@
 	if len(raw) == 0 {
 		return errs.New(errs.Corrupt, "an empty record")
 	}
-	rest, isGrown := bytes.CutPrefix(raw, g.mark)
-	if !isGrown {
-		return g.old.Decode(raw, value)
-	}
-	if rest, isNewest := bytes.CutPrefix(rest, g.mark); isNewest {
-		return g.newest.Decode(rest, value)
+	codec := g.old
+	for _, grown := range g.grown {
+		rest, isMarked := bytes.CutPrefix(raw, g.mark)
+		if !isMarked {
+			break
+		}
+		raw, codec = rest, grown
 	}
-	return g.grown.Decode(rest, value)
+	return codec.Decode(raw, value)
 }
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -48,8 +48,8 @@
 	PartLink = newLink("part", false, []any{&Follow{}, &Edit{}, &Pull{}, &Retire{}},
 		[]any{&Followed{}, &Edited{}, &Pulled{}, &Retired{}})
 	// PlaceLink joins an adapter to a store.
-	PlaceLink = newLink("place", false, []any{&Take{}, &Settle{}, &Look{}, &Outcome{}},
-		[]any{&Taken{}, &Sight{}, &OutcomeAck{}})
+	PlaceLink = newLink("place", false, []any{&Take{}, &Settle{}, &Look{}, &Outcome{}, since{8, &QuotaAsk{}}},
+		[]any{&Taken{}, &Sight{}, &OutcomeAck{}, since{8, &QuotaGrants{}}})
 	// RunLink joins a store to an adapter.
 	RunLink = newLink("run", false, []any{&Want{}, &Run{}, &Release{}, &Open{}, &Tell{}, since{7, &TellTime{}}, since{7, &AskTime{}}},
 		[]any{&Grant{}, &RunAck{}, &OpenAck{}, &Told{}, since{7, &TimeTold{}}, since{7, &TimeKept{}}})
