Fronts admit messages of tenants with tokens that places grant

A front holds tokens ahead by the demand of the last seconds, so a steady tenant's messages wait for nobody; one that finds none asks at once and waits 1.5 % of the bound; a tenant that has used its limit up is refused without a word to any place. A repeat of an accepted message, and one that is known not to be held, give their token back.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,6 +10,9 @@
 	"caperwheel/internal/deliver"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/intake"
+	"caperwheel/internal/limit"
+	"caperwheel/internal/reach"
+	"caperwheel/internal/timing"
 	"caperwheel/internal/transport"
 	"caperwheel/internal/wire"
 	"caperwheel/platform"
@@ -31,6 +34,10 @@
 	out.Link()
 	in := intake.New(d, configs)
 	d.Mux.HandleFunc("GET /v1/messages/{id}/story", in.ForAskers(out.ServeStory))
+	limits := limit.New(limit.Options{Holder: d.Who.Boot, Places: d.Settings.Places, Bounds: d.Bounds, Now: d.Now,
+		Ask: limit.Through(&reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink, Try: timing.AttemptTimeout})})
+	in.SetLimits(limits)
+	d.Measure(limits.Measure)
 	client := d.Client(func() wire.Poll {
 		poll := d.Poll()
 		out.Say(poll.Fact.Counts)
@@ -39,6 +46,7 @@
 	go client.Run(ctx)
 	go out.Run(ctx)
 	go in.Run(ctx)
+	go limits.Run(ctx)
 	d.Ready = func() (bool, string) {
 		switch {
 		case out.IsLeaving():
--- a/internal/intake/hold.go
+++ b/internal/intake/hold.go
@@ -82,12 +82,13 @@
 func (in *Intake) ask(ctx context.Context, owners owners, e *request) (isHeld, isOpen bool, cause error) {
 	e.taken = nil
 	reply, isOpen, err := owners.Ask(ctx, wire.PlaceGroup+e.take.Place, &e.take, isOwner)
+	e.wasOpen = e.wasOpen || isOpen
 	if err != nil {
 		return false, isOpen, errs.New(errs.NotOwner, "the message's place cannot be reached")
 	}
 	e.taken = reply.(*wire.Taken)
 	if e.name != "" && e.taken.Kind == string(errs.Conflict) { // held since an earlier send, which had other bytes
-		e.taken = &wire.Taken{Id: e.take.Id, State: string(place.Held)}
+		e.taken = &wire.Taken{Id: e.take.Id, State: string(place.Held), IsRepeat: true}
 	}
 	if e.taken.Kind == "" || !isOpen || e.taken.Kind == string(errs.Rejected) {
 		return e.taken.Kind == "", false, nil
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -55,6 +55,7 @@
 	take     wire.Take
 	taken    *wire.Taken
 	isOpen   bool // a store may have it, or may have had it of an earlier send
+	wasOpen  bool // an ask of this request's may have been held before the one that was answered
 }
 
 const mostKey = 200
--- a/internal/intake/tenant.go
+++ b/internal/intake/tenant.go
@@ -171,8 +171,9 @@
 // counts reports whether a message that was admitted counts against its tenant's limit: not one that is
 // known not to be held, nor a repeat of one that was counted.
 func (e *request) counts(err error) bool {
-	if e.isOpen {
-		return true
+	if err != nil || e.taken == nil {
+		return errs.Is(err, errs.Undecided)
 	}
-	return err == nil && e.taken != nil && e.taken.Kind == ""
+	isRepeat := e.taken.IsRepeat && !e.wasOpen // else it may be this request's own ask that is repeated
+	return e.taken.Kind == "" && !isRepeat
 }
--- /dev/null
+++ b/internal/limit/limit.go
@@ -0,0 +1,138 @@
+// Package limit admits messages of tenants at an adapter, with tokens that places grant it. What is decided
+// is package quota's; this package keeps its wallet, brings its asks to the places' owners, and has messages wait.
+package limit
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"caperwheel/internal/config"
+	"caperwheel/internal/errs"
+	"caperwheel/internal/intake"
+	"caperwheel/internal/quota"
+	"caperwheel/internal/timing"
+	"caperwheel/internal/wire"
+)
+
+// Asker brings an ask to the owner of a place.
+type Asker func(ctx context.Context, place int64, ask *wire.QuotaAsk) (*wire.QuotaGrants, error)
+
+// Options are what the limits of an adapter work with.
+type Options struct {
+	Holder string // life of the adapter
+	Places int    // of the deployment
+	Bounds timing.Bounds
+	Now    func() time.Duration // a steady clock
+	Ask    Asker
+}
+
+// Limits admit messages at one adapter. They implement intake.Limits.
+//
+// Invariant: waits has a channel, with room for one decision, for each message that waits in the wallet.
+type Limits struct {
+	o Options
+
+	mu     sync.Mutex
+	wallet *quota.Wallet
+	waits  map[int64]chan quota.Decision
+}
+
+// New returns limits that hold no tokens yet.
+func New(o Options) *Limits {
+	times := quota.Times{Lease: o.Bounds.Of(timing.QuotaLease), Pause: o.Bounds.Of(timing.QuotaPause), Answer: o.Bounds.Of(timing.AttemptTimeout),
+		Horizon: o.Bounds.Of(timing.QuotaHorizon)}
+	return &Limits{o: o, wallet: quota.NewWallet(times), waits: map[int64]chan quota.Decision{}}
+}
+
+// PlaceOf returns the place that counts a tenant's messages.
+func PlaceOf(tenant string, places int) int64 {
+	h := fnv.New64a()
+	h.Write([]byte("quota\x00" + tenant))
+	return int64(h.Sum64() % uint64(places))
+}
+
+// Run looks at intervals for what to tell and ask, until ctx ends.
+func (l *Limits) Run(ctx context.Context) {
+	timing.Every(ctx, l.o.Bounds.Of(timing.QuotaTurn), l.Turn)
+}
+
+// Admit implements intake.Limits.
+func (l *Limits) Admit(ctx context.Context, tenant config.Tenant) (intake.Permit, error) {
+	if tenant.Rate <= 0 {
+		return intake.NoLimits{}.Admit(ctx, tenant)
+	}
+	decision, wait := l.take(tenant.Name)
+	if wait != nil {
+		decision = l.await(ctx, tenant.Name, decision.Waiting, wait)
+	}
+	countAdmission(decision, wait != nil)
+	switch decision.Refusal {
+	case "":
+		return &permit{l, tenant.Name, decision.Life}, nil
+	case errs.OverQuota:
+		return nil, errs.New(errs.OverQuota, "the tenant's limit is used up")
+	}
+	return nil, errs.New(errs.Lost, "whether the tenant is within its limit is not known")
+}
+
+func (l *Limits) take(tenant string) (quota.Decision, chan quota.Decision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.o.Now()
+	decision := l.wallet.Take(now, tenant)
+	var wait chan quota.Decision
+	if decision.Waiting != 0 {
+		wait = make(chan quota.Decision, 1)
+		l.waits[decision.Waiting] = wait
+	}
+	l.askFor(now, tenant)
+	return decision, wait
+}
+
+// await waits for the decision on a message, but not for long.
+func (l *Limits) await(ctx context.Context, tenant string, number int64, wait chan quota.Decision) quota.Decision {
+	ctx, cancel := timing.Within(ctx, l.o.Bounds.Of(timing.QuotaWait))
+	defer cancel()
+	select {
+	case decision := <-wait:
+		return decision
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case decision := <-wait: // it came meanwhile
+		return decision
+	default:
+	}
+	l.wallet.Cancel(tenant, number)
+	delete(l.waits, number)
+	return quota.Decision{Refusal: errs.Lost}
+}
+
+// settle tells messages that wait what was decided. l.mu is held.
+func (l *Limits) settle(all []quota.Settled) {
+	for _, s := range all {
+		l.waits[s.Number] <- s.Decision
+		delete(l.waits, s.Number)
+	}
+}
+
+// permit is a token that a message was admitted with.
+type permit struct {
+	limits *Limits
+	tenant string
+	life   int64
+}
+
+// End implements intake.Permit.
+func (p *permit) End(isCounted bool) {
+	l := p.limits
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.o.Now()
+	l.settle(l.wallet.End(now, p.tenant, p.life, isCounted))
+	l.askFor(now, p.tenant)
+}
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,164 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/config"
+	"caperwheel/internal/errs"
+	"caperwheel/internal/intake"
+	"caperwheel/internal/quota"
+	"caperwheel/internal/timing"
+	"caperwheel/internal/wire"
+)
+
+var _ intake.Limits = (*Limits)(nil)
+
+// owner is the owner of all places, which answers at once, or as long as it is held up not at all.
+type owner struct {
+	mu     sync.Mutex
+	ledger *quota.Ledger
+	now    time.Duration
+	asks   int
+	err    error
+	limit  config.Tenant
+}
+
+func (o *owner) ask(_ context.Context, _ int64, ask *wire.QuotaAsk) (*wire.QuotaGrants, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.asks++
+	if o.err != nil {
+		return nil, o.err
+	}
+	batch := quota.Batch{Limits: []quota.Limit{quota.LimitOf(o.limit.Name, o.limit.Rate, o.limit.Burst)}}
+	for _, count := range ask.Counts {
+		batch.Asks = append(batch.Asks, quota.Ask{Holder: ask.Holder, Lease: ask.Lease, Count: count})
+	}
+	return &wire.QuotaGrants{Grants: o.ledger.Apply(o.now.Milliseconds(), batch)}, nil
+}
+
+func (o *owner) clock() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.now
+}
+
+func (o *owner) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.asks
+}
+
+func newOwner(limit config.Tenant) (*owner, *Limits) {
+	o := &owner{ledger: quota.NewLedger(), now: time.Minute, limit: limit}
+	return o, New(Options{Holder: "front", Places: 7, Bounds: timing.Default, Now: o.clock, Ask: o.ask})
+}
+
+// patient has messages wait until they are settled: no test waits for time to pass.
+type patient struct{}
+
+func (patient) Within(ctx context.Context, _ time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithCancel(ctx)
+}
+func (patient) Wait(context.Context, time.Duration) {}
+
+func TestAdmissions(t *testing.T) {
+	ctx := timing.WithClock(context.Background(), patient{})
+	halls := config.Tenant{Name: "halls", Rate: 10, Burst: 10}
+	Convey("A tenant with a limit", t, func() {
+		o, limits := newOwner(halls)
+		admit := func() error {
+			permit, err := limits.Admit(ctx, halls)
+			if err == nil {
+				permit.End(true)
+			}
+			return err
+		}
+		Convey("has as many messages admitted as its burst, and no more", func() {
+			admitted := 0
+			for range 40 {
+				if err := admit(); err == nil {
+					admitted++
+				} else {
+					So(errs.KindOf(err), ShouldEqual, errs.OverQuota)
+				}
+			}
+			So(admitted, ShouldEqual, 10)
+			Convey("and what comes then is refused without a word to its place", func() {
+				asks := o.count()
+				for range 1000 {
+					So(errs.KindOf(admit()), ShouldEqual, errs.OverQuota)
+				}
+				So(o.count(), ShouldEqual, asks)
+			})
+		})
+		Convey("has its token back where the message was not accepted", func() {
+			for range 40 {
+				permit, err := limits.Admit(ctx, halls)
+				So(err, ShouldBeNil)
+				permit.End(false)
+			}
+		})
+		Convey("has nothing admitted while its place cannot be reached", func() {
+			o.err = errs.New(errs.NotOwner, "no owner of the place was found")
+			So(errs.KindOf(admit()), ShouldEqual, errs.Lost)
+		})
+		Convey("has nothing admitted under a limit that its place does not know", func() {
+			o.limit.Name = "others"
+			So(errs.KindOf(admit()), ShouldEqual, errs.Lost)
+		})
+		Convey("is told so when the caller waits no longer", func() {
+			over, cancel := context.WithCancel(ctx)
+			cancel()
+			o.mu.Lock() // its place does not answer
+			limits.o.Now = func() time.Duration { return time.Minute }
+			_, err := limits.Admit(over, halls)
+			o.mu.Unlock()
+			So(errs.KindOf(err), ShouldEqual, errs.Lost)
+		})
+	})
+	Convey("A tenant without a limit is admitted without a word to any place", t, func() {
+		o, limits := newOwner(halls)
+		for range 100 {
+			permit, err := limits.Admit(ctx, config.Tenant{Name: "free"})
+			So(err, ShouldBeNil)
+			permit.End(true)
+		}
+		So(o.count(), ShouldEqual, 0)
+	})
+	Convey("Many messages at once, of a limit that is enough for half of them", t, func() {
+		_, limits := newOwner(config.Tenant{Name: "halls", Rate: 10, Burst: 100})
+		var all sync.WaitGroup
+		var mu sync.Mutex
+		admitted := 0
+		for range 200 {
+			all.Go(func() {
+				if permit, err := limits.Admit(ctx, halls); err == nil {
+					permit.End(true)
+					mu.Lock()
+					admitted++
+					mu.Unlock()
+				}
+			})
+		}
+		all.Wait()
+		So(admitted, ShouldBeGreaterThan, 0)
+		So(admitted, ShouldBeLessThanOrEqualTo, 100)
+	})
+	Convey("Tenants are spread over places", t, func() {
+		places := map[int64]int{}
+		for i := range 700 {
+			places[PlaceOf(fmt.Sprint("tenant ", i), 7)]++
+		}
+		So(len(places), ShouldEqual, 7)
+		for _, n := range places {
+			So(n, ShouldBeBetween, 60, 140)
+		}
+	})
+}
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -61,6 +61,11 @@
 	SettingsReload    Ratio = 500   // the settings file is looked at this often
 	ProbeIdle         Ratio = 330   // a connection that was idle this long is probed, and again after as long; at least 1 s
 	ListInterval      Ratio = 160   // the source of workers is read this often
+	QuotaLease        Ratio = 500   // an adapter may spend the tokens of a tenant for so long after it asked
+	QuotaPause        Ratio = 30    // least pause between two asks for a tenant that no message waits for
+	QuotaHorizon      Ratio = 400   // tokens are held for the messages of this span
+	QuotaWait         Ratio = 15    // a message waits this long for a token
+	QuotaTurn         Ratio = 25    // an adapter looks this often for what to ask and tell
 	Resend            Ratio = 60    // a result not yet acknowledged is sent again
 )
 
