--- a/internal/sim/deliverydelays_test.go
+++ b/internal/sim/deliverydelays_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -40,6 +41,50 @@
 	})
 }
 
+// delaysAround takes messages with delays of a minute, has all stores be without power three times meanwhile, for the
+// first time from at to back, and checks that each begins in time. During a loss it does what hurt says.
+func delaysAround(seed uint64, hurt func(d *Deliveries, back time.Duration)) {
+	d := NewDeliveries(NewWorld(seed))
+	d.Run(3 * time.Second)
+	const delay = 60 * time.Second
+	sent := d.now
+	ids := []string{d.callLater(laneFree, delay), d.callLater(laneFree, delay), d.callLater(laneOut, delay), d.callLater(laneOut, delay)}
+	for _, at := range []time.Duration{13 * time.Second, 29 * time.Second, 45 * time.Second} {
+		const outage = 6 * time.Second
+		d.After(at-d.now, func() { hurt(d, at+outage) })
+		d.loseAllStores(at, outage)
+	}
+	d.Run(sent + delay + 40*time.Second)
+	for _, id := range ids {
+		at, isBegun := d.begun(id)
+		Printf("%s: %v ", id, at-sent)
+		So(isBegun, ShouldBeTrue)
+		So(at-sent, ShouldBeBetween, delay, delay+mostLate)
+	}
+}
+
+// TestDelaysThroughStaleViews: a message with a delay once lay for as long as all stores had been down where the
+// managers came back seconds after the stores: an owner gave up asking for its place's time before it knew of an adapter.
+func TestDelaysThroughStaleViews(t *testing.T) {
+	Convey("A message begins in time though its place's owners have no fresh view for seconds after each loss", t, func() {
+		delaysAround(43, func(d *Deliveries, back time.Duration) { d.control.frozen = back + 4500*time.Millisecond })
+	})
+}
+
+// TestDelaysThroughFrozenAdapters: a message with a delay once lay for as long as all stores had been down where
+// the adapters stood still as the stores came back: an owner gave up waiting for their answers.
+func TestDelaysThroughFrozenAdapters(t *testing.T) {
+	for _, after := range []time.Duration{800 * time.Millisecond, 1600 * time.Millisecond, 4 * time.Second} {
+		Convey(fmt.Sprintf("A message begins in time though all adapters stand still until %v after each loss", after), t, func() {
+			delaysAround(44, func(d *Deliveries, back time.Duration) {
+				d.After(back-200*time.Millisecond-d.now, func() {
+					each(d.adapters, func(a *deliveryAdapter) { a.frozen = back + after })
+				})
+			})
+		})
+	}
+}
+
 // TestDelaysUnderFaults plays long delays under each loss of owners.
 func TestDelaysUnderFaults(t *testing.T) {
 	type result struct {
