Mend: a place's new owner asks for its time until those that may know it have answered

What callers saw: a message with a delay lay for as long as all stores had been down since it was taken, though adapters that keep its place's time lived on, where these or the managers were slow as the stores came back.

Cause: the owner's wait for the time ended too early, and took the first word for the best. - 3 s after its election it went on by its log, also with a view that was stale all the while: it had not yet known whom to ask. Without a fresh view a store serves nothing, so it waits for one now, and listens from then on. - An adapter that had not answered within 0.3 s was taken to know nothing; so was one whose ask was lost. Now all are waited for, 3 s where another has answered, 12 s where none has (nothing is served without adapters); a lost ask is sent again while the adapter is a member. - It listened for 0.3 s from its first fresh view, which may name no adapter or one, where managers have just started. It listens from when the view last named another one. - The first word ended the wait. An adapter that stood still as it was told is behind by that. Now the others are heard for up to 0.15 s, and the farthest word holds; an adapter that takes a word late is told again.

--- a/internal/sim/deliverydelays.go
+++ b/internal/sim/deliverydelays.go
@@ -24,6 +24,7 @@
 		a.kill()
 		d.After(40*time.Millisecond, a.start)
 	},
+	"frozen adapters": DeliveryFaults["frozen adapters"], "frozen control": DeliveryFaults["frozen control"],
 	"stores away": func(d *Deliveries) {
 		each(d.stores, func(s *deliveryStore) { s.kill(true) })
 		d.away = d.now + d.seconds(8)
--- a/internal/store/recall.go
+++ b/internal/store/recall.go
@@ -1,15 +1,13 @@
 package store
 
 import (
-	"cmp"
+	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
-	"caperwheel/internal/duty"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/groupclock"
 	"caperwheel/internal/timing"
@@ -26,10 +24,6 @@
 
 func init() { prometheus.MustRegister(recalls, recalled) }
 
-// mostKeepers is how many adapters keep a place's time; a new owner asks twice as many, since
-// which adapters are members may have changed.
-const mostKeepers = 8
-
 // timedGroup is a place's group, whose owner counts as one only once it knows the place's time.
 type timedGroup struct {
 	Hosting
@@ -41,12 +35,23 @@
 //
 // Invariant: no command is proposed while it lasts.
 type recall struct {
-	began     time.Duration
-	asked     map[string]time.Duration // by life of an adapter: until when its answer is waited for; 0 once it has answered
-	isTelling bool                     // the time is known
+	freshAt   time.Duration       // when the view was first fresh in it; negative before
+	grownAt   time.Duration       // when the view last named another adapter
+	asked     map[string]*timeAsk // by life of an adapter
+	isHeard   bool                // an adapter has answered
+	isKnown   bool                // a word counted
+	knownAt   time.Duration       // when one counted that was not on its way for long; negative before
+	isTelling bool                // the time is as known as it will be
 	tellUntil time.Duration
 }
 
+// timeAsk is one adapter's part in a recall.
+type timeAsk struct {
+	sentAt     time.Duration
+	isAnswered bool
+	isFailed   bool // the ask or its answer was lost
+}
+
 // IsOwner reports whether the store owns the place and knows its time.
 func (g *timedGroup) IsOwner() bool { return g.recall == nil && g.Hosting.IsOwner() }
 
@@ -59,64 +64,10 @@
 	g.Hosting.Propose(data, tell)
 }
 
-// timekeeping is whom an owner has told its place's time. Once is enough: the time of one
-// ownership goes on with any steady clock.
-type timekeeping struct {
-	told   map[string]bool // by life of an adapter
-	lookAt time.Duration
-}
-
-// keepers returns the adapters that keep the place's time, or should.
-func (p *PlaceHost) keepers(most int) []wire.Who {
-	all := p.environment.Adapters()
-	if len(all) <= most {
-		return all
-	}
-	key := "time/" + strconv.FormatInt(p.number, 10)
-	ranked := slices.SortedFunc(slices.Values(all), func(a, b wire.Who) int {
-		return cmp.Compare(duty.Rank(key, b.Name), duty.Rank(key, a.Name))
-	})
-	return ranked[:most]
-}
-
-func (p *PlaceHost) group() int64 { return wire.PlaceGroup + p.number }
-
-// tellTime has adapters keep the place's time.
-func (p *PlaceHost) tellTime(now time.Duration) {
-	if now < p.time.lookAt {
-		return
-	}
-	p.time.lookAt = now + p.environment.Bounds().Of(timing.TimeMark)
-	told := p.time.told
-	for _, who := range p.keepers(mostKeepers) {
-		if told[who.Boot] {
-			continue
-		}
-		word := &wire.TellTime{Group: p.group(), Term: p.host.Term(), Reading: p.now()}
-		err := p.environment.Post(who, word, func(reply any, err error) {
-			if ack, isAck := reply.(*wire.TimeTold); err == nil && isAck && ack.Kind == "" {
-				_ = p.host.Do(func() { p.noteTold(told, who) })
-			}
-		})
-		if errs.Is(err, errs.Rejected) { // an older build
-			told[who.Boot] = true
-		}
-	}
-}
-
-// noteTold notes that an adapter keeps the time. The first that does lets the ownership begin.
-func (p *PlaceHost) noteTold(told map[string]bool, who wire.Who) {
-	told[who.Boot] = true
-	if r := p.host.recall; r != nil && r.isTelling && p.time.told[who.Boot] {
-		p.endRecall()
-	}
-}
-
 // beginRecall asks adapters for the place's time: the newest command in the log may be from long ago.
 func (p *PlaceHost) beginRecall() {
-	now := p.environment.Now()
-	p.host.recall = &recall{began: now, asked: map[string]time.Duration{}}
-	p.stepRecall(now)
+	p.host.recall = &recall{freshAt: -1, knownAt: -1, asked: map[string]*timeAsk{}}
+	p.stepRecall(p.environment.Now())
 }
 
 // stepRecall asks those adapters that have become members, and ends the wait once none is left that may know.
@@ -128,90 +79,143 @@
 	if r.isTelling {
 		if now >= r.tellUntil {
 			p.endRecall()
+			return
 		}
+		p.tellTime(now)
 		return
 	}
+	isFresh := p.environment.IsFresh()
+	if isFresh && r.freshAt < 0 {
+		r.freshAt = now
+	}
 	keepers := p.keepers(2 * mostKeepers)
+	r.forget(keepers)
 	for _, who := range keepers {
-		if _, isAsked := r.asked[who.Boot]; !isAsked {
-			p.askTime(r, who, now)
+		p.askTime(r, who, now)
+	}
+	if r.isSettled(now, p.environment.Bounds()) || isFresh && r.isOver(now, p.environment.Bounds()) {
+		p.concludeRecall(now)
+	}
+}
+
+// forget drops the asks that failed of adapters that are no members any more.
+func (r *recall) forget(members []wire.Who) {
+	for boot, ask := range r.asked {
+		if ask.isFailed && !slices.ContainsFunc(members, func(who wire.Who) bool { return who.Boot == boot }) {
+			delete(r.asked, boot)
 		}
 	}
-	if r.isOver(len(keepers), p.environment.IsFresh(), now, p.environment.Bounds()) {
-		recalls.WithLabelValues("false").Inc()
-		p.isUntimed.Store(true)
-		klog.Infof("place: Nobody knows the time of place %d; what has passed since its newest command is lost, or was none.", p.number)
-		p.tellFirst(now)
+}
+
+// isSettled reports whether the time is known and no other adapter is to be waited for: one that stood still as it was
+// told the time is behind those that did not.
+func (r *recall) isSettled(now time.Duration, bounds timing.Bounds) bool {
+	if r.knownAt < 0 {
+		return false
 	}
+	isOpen := func(ask *timeAsk) bool { return !ask.isAnswered && !ask.isFailed }
+	return now-r.knownAt >= bounds.Of(timing.RecallRest) || !slices.ContainsFunc(slices.Collect(maps.Values(r.asked)), isOpen)
 }
 
-// isOver reports whether there is nobody left to wait for.
-func (r *recall) isOver(keepers int, isFresh bool, now time.Duration, bounds timing.Bounds) bool {
-	switch waited := now - r.began; {
-	case waited >= bounds.Of(timing.RecallLimit):
+// isOver reports, with a fresh view, whether there is nobody left to wait for.
+func (r *recall) isOver(now time.Duration, bounds timing.Bounds) bool {
+	limit := timing.RecallAlone
+	if r.isHeard {
+		limit = timing.RecallLimit
+	}
+	switch waited := now - r.freshAt; {
+	case waited >= bounds.Of(limit):
 		return true
-	case waited < bounds.Of(timing.Recall), keepers == 0, !isFresh, len(r.asked) < keepers:
-		return false
+	case now-max(r.freshAt, r.grownAt) < bounds.Of(timing.Recall), len(r.asked) == 0:
+		return false // managers that have just started may not know all adapters yet
 	}
-	for _, until := range r.asked {
-		if now < until {
+	for _, ask := range r.asked {
+		if !ask.isAnswered {
 			return false
 		}
 	}
 	return true
 }
 
+// concludeRecall goes on with what is known by now.
+func (p *PlaceHost) concludeRecall(now time.Duration) {
+	if !p.host.recall.isKnown {
+		recalls.WithLabelValues("false").Inc()
+		p.isUntimed.Store(true)
+		klog.Infof("place: Nobody knows the time of place %d; what has passed since its newest command is lost, or was none.", p.number)
+	}
+	p.tellFirst(now)
+}
+
+// askTime asks an adapter, again where that failed a while ago.
 func (p *PlaceHost) askTime(r *recall, who wire.Who, now time.Duration) {
+	pause := p.environment.Bounds().Of(timing.Recall)
+	switch known := r.asked[who.Boot]; {
+	case known == nil:
+		r.grownAt = now
+	case !known.isFailed || now-known.sentAt < pause:
+		return
+	}
+	ask := &timeAsk{sentAt: now}
 	err := p.environment.Post(who, &wire.AskTime{Group: p.group()}, func(reply any, _ error) {
-		_ = p.host.Do(func() { p.heardTime(r, who, reply) })
+		_ = p.host.Do(func() { p.heardTime(r, ask, who, reply) })
 	})
 	switch {
 	case err == nil:
-		r.asked[who.Boot] = now + p.environment.Bounds().Of(timing.Recall)
+		r.asked[who.Boot] = ask
 	case errs.Is(err, errs.Rejected): // an older build
-		r.asked[who.Boot] = 0
+		r.asked[who.Boot], r.isHeard = &timeAsk{isAnswered: true}, true
+	default:
+		r.asked[who.Boot] = &timeAsk{sentAt: now, isFailed: true}
 	}
 }
 
-// heardTime takes in an adapter's answer. The first that counts is enough: all that heard of one
-// ownership know the same.
-func (p *PlaceHost) heardTime(r *recall, who wire.Who, reply any) {
+// heardTime takes in an adapter's answer.
+func (p *PlaceHost) heardTime(r *recall, ask *timeAsk, who wire.Who, reply any) {
 	if p.host.recall != r || r.isTelling { // an answer that came too late would make spans short that have begun
 		return
 	}
-	isLate := p.environment.Now() > r.asked[who.Boot] // this store stood still: what it is told was so when it was answered
-	r.asked[who.Boot] = 0
-	kept, isKept := reply.(*wire.TimeKept)
-	if !isKept || kept.Term == 0 {
-		return
+	now := p.environment.Now()
+	if kept, isKept := reply.(*wire.TimeKept); isKept {
+		ask.isAnswered, r.isHeard = true, true
+		p.heardWord(r, ask, who, kept, now)
+	} else {
+		ask.isFailed = true
+	}
+	if r.isSettled(now, p.environment.Bounds()) {
+		p.concludeRecall(now)
 	}
+}
+
+// heardWord has the place's time go on from a word that counts. One that may have been on its way for long, since this store
+// or the adapter stood still, is asked for again.
+func (p *PlaceHost) heardWord(r *recall, ask *timeAsk, who wire.Who, kept *wire.TimeKept, now time.Duration) {
+	switch {
+	case kept.Term == 0 || !p.goOnFrom(r, kept, who, now):
+	case now-ask.sentAt > p.environment.Bounds().Of(timing.Recall):
+		delete(r.asked, who.Boot)
+	case r.knownAt < 0:
+		r.knownAt = now
+	}
+}
+
+// goOnFrom has the place's time go on from a word, and reports whether that counts.
+func (p *PlaceHost) goOnFrom(r *recall, kept *wire.TimeKept, who wire.Who, now time.Duration) bool {
 	gained, err := p.clock.Recall(groupclock.Word{Term: kept.Term, Reading: kept.Reading},
-		groupclock.Ownership{Term: p.host.Term(), Newest: p.host.DataTerm()}, p.environment.Now())
+		groupclock.Ownership{Term: p.host.Term(), Newest: p.host.DataTerm()}, now)
 	if err != nil {
 		klog.V(1).Infof("place: What %s tells of the time of place %d does not count: %v.", who.Name, p.number, err)
-		return
+		return false
 	}
-	if isLate {
-		delete(r.asked, who.Boot) // asked again
-		return
+	if !r.isKnown {
+		r.isKnown = true
+		recalls.WithLabelValues("true").Inc()
 	}
-	recalls.WithLabelValues("true").Inc()
 	recalled.Add(gained.Seconds())
 	if gained > p.environment.Bounds().Of(timing.Recall) {
 		klog.Infof("place: Place %d goes on %v later than its log tells, by what %s knows.", p.number, gained, who.Name)
 	}
-	p.tellFirst(p.environment.Now())
-}
-
-// tellFirst has adapters keep the time, now that it is known, before the first command is proposed.
-func (p *PlaceHost) tellFirst(now time.Duration) {
-	r := p.host.recall
-	r.isTelling, r.tellUntil = true, now+p.environment.Bounds().Of(timing.Recall)
-	p.time = timekeeping{told: map[string]bool{}}
-	p.tellTime(now)
-	if len(p.time.told) == len(p.keepers(mostKeepers)) { // nobody is to answer: there are none, or of older builds
-		p.endRecall()
-	}
+	return true
 }
 
 // endRecall begins the ownership.
--- /dev/null
+++ b/internal/store/timekeeping.go
@@ -0,0 +1,90 @@
+package store
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"caperwheel/internal/duty"
+	"caperwheel/internal/errs"
+	"caperwheel/internal/timing"
+	"caperwheel/internal/wire"
+)
+
+// mostKeepers is how many adapters keep a place's time; a new owner asks twice as many, since
+// which adapters are members may have changed.
+const mostKeepers = 8
+
+// timekeeping is whom an owner has told its place's time. Once is enough: the time of one
+// ownership goes on with any steady clock.
+type timekeeping struct {
+	told   map[string]bool // by life of an adapter
+	lookAt time.Duration
+}
+
+// keepers returns the adapters that keep the place's time, or should.
+func (p *PlaceHost) keepers(most int) []wire.Who {
+	all := p.environment.Adapters()
+	if len(all) <= most {
+		return all
+	}
+	key := "time/" + strconv.FormatInt(p.number, 10)
+	ranked := slices.SortedFunc(slices.Values(all), func(a, b wire.Who) int {
+		return cmp.Compare(duty.Rank(key, b.Name), duty.Rank(key, a.Name))
+	})
+	return ranked[:most]
+}
+
+func (p *PlaceHost) group() int64 { return wire.PlaceGroup + p.number }
+
+// tellTime has adapters keep the place's time.
+func (p *PlaceHost) tellTime(now time.Duration) {
+	if now < p.time.lookAt {
+		return
+	}
+	p.time.lookAt = now + p.environment.Bounds().Of(timing.TimeMark)
+	told := p.time.told
+	for _, who := range p.keepers(mostKeepers) {
+		if told[who.Boot] {
+			continue
+		}
+		word := &wire.TellTime{Group: p.group(), Term: p.host.Term(), Reading: p.now()}
+		err := p.environment.Post(who, word, func(reply any, err error) {
+			if ack, isAck := reply.(*wire.TimeTold); err == nil && isAck && ack.Kind == "" {
+				_ = p.host.Do(func() { p.noteTold(told, who, now) })
+			}
+		})
+		if errs.Is(err, errs.Rejected) { // an older build
+			told[who.Boot] = true
+		}
+	}
+}
+
+// noteTold notes that an adapter keeps the time that it was told at a moment. The first that does lets the ownership
+// begin. One that answers late may have heard the word late, and be behind by that: it is told again.
+func (p *PlaceHost) noteTold(told map[string]bool, who wire.Who, at time.Duration) {
+	if p.environment.Now()-at > p.environment.Bounds().Of(timing.Recall) {
+		p.time.lookAt = 0
+		return
+	}
+	told[who.Boot] = true
+	if r := p.host.recall; r != nil && r.isTelling && p.time.told[who.Boot] {
+		p.endRecall()
+	}
+}
+
+// tellFirst has adapters keep the time, now that it is known or cannot be, before the first command is proposed.
+func (p *PlaceHost) tellFirst(now time.Duration) {
+	r := p.host.recall
+	limit := timing.Recall
+	if r.isKnown { // so much would be lost with the next loss of all stores
+		limit = timing.RecallLimit
+	}
+	r.isTelling, r.tellUntil = true, now+p.environment.Bounds().Of(limit)
+	p.time = timekeeping{told: map[string]bool{}}
+	p.tellTime(now)
+	if len(p.time.told) == len(p.keepers(mostKeepers)) { // nobody is to answer: there are none, or of older builds
+		p.endRecall()
+	}
+}
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -42,7 +42,9 @@
 	AdapterGone       Ratio = 1000  // runs of an adapter that has had no session this long are begun anew elsewhere
 	TimeMark          Ratio = 250   // an owner commits its group's time this often while a span runs in it
 	Recall            Ratio = 100   // a new owner listens this long for what its group's time is, and as long for one adapter's word
-	RecallLimit       Ratio = 1000  // and does not wait for adapters, or for a fresh view, any longer than this
+	RecallRest        Ratio = 50    // and for what others know, once one has told it
+	RecallLimit       Ratio = 1000  // once an adapter has answered, it waits no longer than this for others that are silent
+	RecallAlone       Ratio = 4000  // nor longer than this where none has answered, without which nothing is served
 	OrderAge          Ratio = 10000 // the age of an operators' order without a number matters for so long
 	Outage            Ratio = 40000 // a zone without any store is waited for so long
 	Join              Ratio = 50    // a store that belongs to no deployment looks for one this often
