--- a/internal/cli/doctor.go
+++ b/internal/cli/doctor.go
@@ -38,6 +38,7 @@
 			"is it running, and is --manager its HTTP address?"})
 	} else {
 		found = append(found, examine(status)...)
+		found = append(found, t.tenantFindings()...)
 	}
 	isGrave := false
 	if t.args.Json {
--- a/internal/cli/tenants.go
+++ b/internal/cli/tenants.go
@@ -103,6 +103,21 @@
 	return book, errs.Wrap(err, errs.Corrupt, "tenants")
 }
 
+// tenantFindings tells of tenants whose callers cannot get in.
+func (t *tool) tenantFindings() []finding {
+	book, err := t.readTenants()
+	if err != nil {
+		return []finding{{false, t.args.Manager, "the configuration cannot be read: " + err.Error(), "ask again, or another manager"}}
+	}
+	out := []finding{}
+	for _, name := range slices.Sorted(maps.Keys(book.tenants)) {
+		if len(book.tenants[name].Keys) == 0 {
+			out = append(out, finding{false, "tenant " + name, "it has no key: its callers are refused with 401", "give it one, or take it away"})
+		}
+	}
+	return out
+}
+
 // find returns a tenant that must be there.
 func (b tenantBook) find(name string) (tenant, error) {
 	found, isThere := b.tenants[name]
--- a/internal/cli/tenants_test.go
+++ b/internal/cli/tenants_test.go
@@ -24,6 +24,10 @@
 }
 
 func (c *charter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/status" {
+		fmt.Fprint(w, `{}`)
+		return
+	}
 	if r.Method == "GET" {
 		w.Header().Set("ETag", fmt.Sprintf(`"%d"`, c.revision))
 		_, _ = w.Write(c.doc)
@@ -116,6 +120,7 @@
 		{"a tenant to take away", "tenants remove halls", "", ExitWell, "stamp 8"},
 		{"no tenant to take away", "tenants remove other", "", ExitFailed, "unknown"},
 		{"no command", "tenants", "", ExitUsage, "add-key"},
+		{"all, looked over", "doctor", "", ExitFailed, "note  tenant growers: it has no key"},
 	}
 	Convey("A command on", t, func() {
 		for _, c := range cases {
