A configuration that says the same of a pool's list leaves the list as it is

Looked for as a second cause of a configuration that is in force late: what a change costs every daemon. Compiling 83 tenants is 1 ms, but each change of the configuration, a customer's key among them, had the lists of all pools put together anew, under the lock that requests wait for. At the sizes of the users' deployments (some 200 workers) it is no cause of theirs.

All that rules say of a list is an endpoint's address, so only a pool whose address has changed is put together anew. TestRulesLeaveListsAlone fails before in three of its four cases; TestCacheIsAsWhole holds every step against a cache made anew, as before.

--- a/internal/config/cache.go
+++ b/internal/config/cache.go
@@ -111,9 +111,7 @@
 }
 
 func (u *update) takeRules(c wire.Change) {
-	for name := range u.next.Rules.Pools {
-		u.list(name).isWhole = true
-	}
+	before := u.next.Rules.Pools
 	u.next.Revision, u.next.IsUnread = c.Revision, false
 	rules, faults := Compile(c.Value)
 	if len(faults) > 0 || c.Gone {
@@ -124,9 +122,21 @@
 		u.next.Revision = 0
 	}
 	u.next.Rules = rules
-	for name := range rules.Pools {
-		u.list(name).isWhole = true
+	for _, pools := range []map[string]Pool{before, rules.Pools} {
+		for name := range pools {
+			if endpointOf(before[name]) != endpointOf(rules.Pools[name]) {
+				u.list(name).isWhole = true
+			}
+		}
+	}
+}
+
+// endpointOf returns all that rules say of a pool's list: the address of an endpoint, and nothing for others.
+func endpointOf(p Pool) string {
+	if !p.IsEndpoint {
+		return ""
 	}
+	return p.Address
 }
 
 func (u *update) takeZone(zone string, c wire.Change) {
--- /dev/null
+++ b/internal/config/rules_test.go
@@ -0,0 +1,73 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/feed"
+	"caperwheel/internal/wire"
+)
+
+// TestRulesLeaveListsAlone: a configuration that says the same of a pool's list once had the whole list put
+// together anew by every daemon.
+func TestRulesLeaveListsAlone(t *testing.T) {
+	Convey("Given a list of workers and rules", t, func() {
+		part, view := feed.NewPart(), feed.NewView(0)
+		cache := &Cache{View: view}
+		now := func(rules string) Table[Worker] {
+			part.Apply(wire.Edit{Key: Key, Value: []byte(rules), IfRevision: -1})
+			news, _ := part.News(0, view.Revision(0))
+			view.Take([]wire.PartNews{news}, 0)
+			return cache.Current().Workers["p"]
+		}
+		list := Workers{Workers: []Worker{{Name: "w", Address: "127.0.0.1:80", State: "live"}}}
+		part.Apply(wire.Edit{Key: BucketKey("p", 0, 1), Value: list.Encode(), IfRevision: -1})
+		before := now(`{"pools":{"p":{}}}`)
+		So(before.Len(), ShouldEqual, 1)
+		same := func(t Table[Worker]) bool { return t.Len() == 1 && &t.shards[0][0] == &before.shards[0][0] }
+		Convey("other tenants leave the list as it is", func() { So(same(now(`{"pools":{"p":{}},"tenants":{"a":{}}}`)), ShouldBeTrue) })
+		Convey("so does another rate of the pool", func() { So(same(now(`{"pools":{"p":{"rate":5}}}`)), ShouldBeTrue) })
+		Convey("so does a pool that goes", func() { So(same(now(`{}`)), ShouldBeTrue) })
+		Convey("a pool that becomes an endpoint, moves, and becomes one of workers again has what its rules say", func() {
+			addresses := []string{}
+			for _, address := range []string{"127.0.0.1:1", "127.0.0.1:2"} {
+				w, _ := now(`{"pools":{"p":{"kind":"endpoint","address":"` + address + `"}}}`).Get(Endpoint)
+				addresses = append(addresses, w.Address)
+			}
+			So(addresses, ShouldResemble, []string{"127.0.0.1:1", "127.0.0.1:2"})
+			So(now(`{"pools":{"p":{}}}`), ShouldResemble, before)
+		})
+	})
+}
+
+// BenchmarkKeyRotation measures what a change of tenants costs a daemon that knows long lists of workers.
+func BenchmarkKeyRotation(b *testing.B) {
+	for _, workers := range []int{200, 10_000, 100_000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			part, view, docs := feed.NewPart(), feed.NewView(0), [][]byte{manyTenants(83, 2), manyTenants(83, 1)}
+			cache, count := &Cache{View: view}, Buckets(workers, 0)
+			take := func(e wire.Edit) {
+				e.IfRevision = -1
+				part.Apply(e)
+				news, _ := part.News(0, view.Revision(0))
+				view.Take([]wire.PartNews{news}, 0)
+				cache.Current()
+			}
+			take(wire.Edit{Key: Key, Value: docs[0]})
+			lists := make([]Workers, count)
+			for i := range workers {
+				w := Worker{Name: fmt.Sprint("i-", i), Address: "127.0.0.1:80", Zone: "a", State: "live"}
+				bucket := BucketOf(w.Name, count)
+				lists[bucket].Workers = append(lists[bucket].Workers, w)
+			}
+			for bucket, list := range lists {
+				take(wire.Edit{Key: BucketKey("p", bucket, count), Value: list.Encode()})
+			}
+			for i := 0; b.Loop(); i++ {
+				take(wire.Edit{Key: Key, Value: docs[i%2]})
+			}
+		})
+	}
+}
