--- a/internal/sim/deliverydelays_test.go
+++ b/internal/sim/deliverydelays_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"caperwheel/internal/check"
+	"caperwheel/internal/timing"
 )
 
 // loseAllStores has all stores be without power for a while, from a moment on.
@@ -85,6 +86,48 @@
 	}
 }
 
+// parted has the stores be cut off from each other for a while, so that none is elected.
+func (d *Deliveries) parted(span time.Duration) {
+	for _, s := range d.stores {
+		for _, other := range d.stores {
+			if s != other {
+				d.Cut(s.addr, other.addr)
+			}
+		}
+	}
+	d.Run(d.now + span)
+	d.Heal()
+}
+
+// TestDelaysThroughLossesOfEverything: where the adapters were lost with the stores, so that nobody knew a place's time, a delay
+// once was longer by the stores' elections as well, with each loss.
+func TestDelaysThroughLossesOfEverything(t *testing.T) {
+	Convey("A delay is longer by no more than each outage and the time since the last mark before it", t, func() {
+		d := NewDeliveries(NewWorld(45))
+		d.Run(3 * time.Second)
+		const delay, outage = 60 * time.Second, 400 * time.Millisecond
+		sent := d.now
+		ids := []string{d.callLater(laneFree, delay), d.callLater(laneFree, delay), d.callLater(laneOut, delay), d.callLater(laneOut, delay)}
+		losses := []time.Duration{13 * time.Second, 23 * time.Second, 33 * time.Second, 43 * time.Second, 53 * time.Second}
+		for _, at := range losses {
+			d.Run(at)
+			each(d.adapters, (*deliveryAdapter).kill)
+			d.loseAllStores(at, outage)
+			each(d.adapters, (*deliveryAdapter).start)
+			d.parted(2 * time.Second)
+		}
+		d.Run(sent + delay + 40*time.Second)
+		const marking = 100 * time.Millisecond // for a mark to be synced by a majority
+		most := time.Duration(len(losses))*(outage+timing.Default.Of(timing.TimeMark)+marking) + mostLate
+		for _, id := range ids {
+			at, isBegun := d.begun(id)
+			Printf("%s: %v of %v ", id, at-sent-delay, most)
+			So(isBegun, ShouldBeTrue)
+			So(at-sent-delay, ShouldBeBetween, 0, most)
+		}
+	})
+}
+
 // TestDelaysUnderFaults plays long delays under each loss of owners.
 func TestDelaysUnderFaults(t *testing.T) {
 	type result struct {
