Mend: a replica counts a command from when its log had it, not from when that was applied

What callers saw: where the adapters are lost with the stores, so that nobody knows a place's time, a delay is longer with each such loss by the stores' elections too. In the users' incident (93 s, all machines without power for half a second) every place was 2.0 to 2.35 s behind after it.

Cause: a replica's time goes on from its newest command, counted from when that was applied. After a restart no entry of the log is known to be committed until an owner has been elected and has committed in its term.

Change: what the log had as the replica began was proposed before that moment, so time counts from there. An entry is one of them if it has their index and term; one that took its place, or came later, counts from when it is applied, as before.

Left: the outage itself and the time since the newest mark (up to 0.75 s), with each loss of all stores and adapters; the time for which a store reads its disk.

--- a/internal/groupclock/groupclock.go
+++ b/internal/groupclock/groupclock.go
@@ -8,7 +8,7 @@
 // whatever was restarted, frozen or cut off.
 //
 // That holds because a replica's reading counts from the newest command that it has
-// applied, and from the moment at which it applied it, which is later than that at
+// applied, and from a moment at which its log had it, which is later than that at
 // which the command was stamped. An owner has applied all commands before its own
 // first one, so its time is behind what real time allows for each of them. What it
 // keeps of an earlier owner's time must not count any more once another owner's
@@ -16,7 +16,7 @@
 //
 // Group time may fall behind real time: with each change of owner by the time that the
 // newest command took to be applied, and where the new owner was restarted, by the time
-// since that command. Owners therefore commit the time while a span is running (Lag).
+// from that command to its start. Owners therefore commit the time while a span is running (Lag).
 package groupclock
 
 import "time"
@@ -56,12 +56,13 @@
 	}
 }
 
-// Apply takes in a command by the group's time that the newest one tells.
-func (c *Clock) Apply(reading int64, isOwn bool, now time.Duration) {
+// Apply takes in a command by the group's time that the newest one tells, and a moment at which the replica's log had the
+// command already: it was stamped before that.
+func (c *Clock) Apply(reading int64, isOwn bool, heldAt time.Duration) {
 	if isOwn {
-		c.Confirm(reading, now)
+		c.Confirm(reading, heldAt)
 	} else {
-		c.Follow(reading, now)
+		c.Follow(reading, heldAt)
 	}
 }
 
--- a/internal/host/held_test.go
+++ b/internal/host/held_test.go
@@ -29,3 +29,28 @@
 		runtime.KeepAlive(h)
 	})
 }
+
+// TestReplayed: a replica once counted the group's time from when a command was applied, which after a restart waits for an
+// election, though its log had the command as it began.
+func TestReplayed(t *testing.T) {
+	Convey("Of a log with three entries that a replica began with at 5 s", t, func() {
+		const began, now = 5 * time.Second, 9 * time.Second
+		log := newReplayed([]wire.Entry{{Index: 7, Term: 2}, {Index: 8, Term: 2}, {Index: 9, Term: 3}}, began)
+		Convey("each was there then", func() {
+			So(log.heldAt(wire.Entry{Index: 7, Term: 2}, now), ShouldEqual, began)
+			So(log.heldAt(wire.Entry{Index: 9, Term: 3}, now), ShouldEqual, began)
+		})
+		Convey("one that has taken the place of another was not", func() {
+			So(log.heldAt(wire.Entry{Index: 8, Term: 4}, now), ShouldEqual, now)
+		})
+		Convey("nor were those that came later, or are before it", func() {
+			So(log.heldAt(wire.Entry{Index: 6, Term: 2}, now), ShouldEqual, now)
+			So(log.heldAt(wire.Entry{Index: 10, Term: 3}, now), ShouldEqual, now)
+			So(log.terms, ShouldBeEmpty)
+		})
+	})
+	Convey("Without a log, none was there", t, func() {
+		log := newReplayed(nil, 0)
+		So(log.heldAt(wire.Entry{Index: 1, Term: 1}, time.Second), ShouldEqual, time.Second)
+	})
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -78,9 +78,11 @@
 	pending    int
 	applied    int64
 	dataTerm   int64 // see DataTerm
-	since      int   // entries applied since the last slot
-	bytes      int   // and their bytes
-	saving     bool  // a slot is being written
+	replayed   replayed
+	heldAt     time.Duration // see HeldAt
+	since      int           // entries applied since the last slot
+	bytes      int           // and their bytes
+	saving     bool          // a slot is being written
 	waiters    map[int64]waiter
 	begun      []begun // when the waiters' proposals were made, oldest first
 	isOwner    bool
@@ -125,6 +127,7 @@
 	}
 	h.machine = group.New(group.Options{Id: opts.Id, Self: opts.Self, Roster: opts.Roster, Bounds: opts.Bounds,
 		Seed: opts.Seed, Prefer: opts.Prefer, Room: opts.Room, Level: opts.Level, Needed: neededBy(opts.Machine)}, held.Hard, held.Image, held.Log, opts.Now())
+	h.replayed = newReplayed(held.Log, opts.Now())
 	h.apply(h.machine.Committed())
 	h.publish()
 	h.opts.Held = nil // the machine has its own state now
--- a/internal/store/bench_test.go
+++ b/internal/store/bench_test.go
@@ -34,6 +34,7 @@
 	tells       []func(isTaken bool)
 	adapters    []wire.Who
 	dataTerm    int64
+	heldFor     time.Duration // for how long the log has had the command that is applied
 	term        int64
 	isFollower  bool
 	isRefusing  bool // adapters are of a build that knows no group time
@@ -68,6 +69,7 @@
 func (b *bench) Find(name string) (wire.Who, bool) { w, isHere := b.members[name]; return w, isHere }
 func (b *bench) Adapters() []wire.Who              { return b.adapters }
 func (b *bench) DataTerm() int64                   { return b.dataTerm }
+func (b *bench) HeldAt() time.Duration             { return b.now - b.heldFor }
 func (b *bench) TakeElsewhere(t *wire.Take, tell func(bool)) {
 	b.offered, b.tells = append(b.offered, t.Id), append(b.tells, tell)
 }
--- a/internal/store/environment.go
+++ b/internal/store/environment.go
@@ -36,7 +36,8 @@
 type Hosting interface {
 	IsOwner() bool
 	Term() int64
-	DataTerm() int64 // of the newest command that was applied, or a later one
+	DataTerm() int64       // of the newest command that was applied, or a later one
+	HeldAt() time.Duration // while a command is applied: when the replica had it already
 	Waiting() int
 	Oldest() time.Duration // how long the oldest proposal has waited
 	View() group.View
--- a/internal/store/part.go
+++ b/internal/store/part.go
@@ -33,7 +33,11 @@
 		return nil
 	}
 	out := p.part.Apply(e)
-	p.clock.Apply(p.part.Clock(), isOwn, p.environment.Now())
+	heldAt := p.environment.Now()
+	if p.host != nil { // else the replica is only beginning
+		heldAt = p.host.HeldAt()
+	}
+	p.clock.Apply(p.part.Clock(), isOwn, heldAt)
 	return out
 }
 
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -75,7 +75,11 @@
 		return nil
 	}
 	v := p.machine.Apply(c)
-	p.clock.Apply(p.machine.Clock(), isOwn, p.environment.Now())
+	heldAt := p.environment.Now()
+	if p.host != nil { // else the replica is only beginning
+		heldAt = p.host.HeldAt()
+	}
+	p.clock.Apply(p.machine.Clock(), isOwn, heldAt)
 	if len(p.onlookers[c.Id]) > 0 && v.State.IsOver() {
 		p.tellOnlookers(func(id string, _ onlooker) bool { return id == c.Id })
 	}
--- a/internal/store/placetime_test.go
+++ b/internal/store/placetime_test.go
@@ -38,6 +38,12 @@
 		b.place.Apply(place.Command{Kind: place.CmdTrim, At: 5}.Encode(), true)
 		So(b.place.now(), ShouldEqual, 1000)
 	})
+	Convey("It goes on from when the log had a command, where that is applied only later", t, func() {
+		b := newBench()
+		b.heldFor = 2 * time.Second
+		b.place.Apply(place.Command{Kind: place.CmdTrim, At: 5000}.Encode(), false)
+		So(b.place.now(), ShouldEqual, 7000)
+	})
 	Convey("A replica follows the command of another owner, whether that is ahead of its own count or behind", t, func() {
 		b := newBench()
 		b.now += time.Second
