An answer for tokens counts also where the next ask has gone out already

On a machine with 40 runnable processes for 8 cores commits took longer than the 5 % of the bound that an ask waited, so fronts threw away the answers and refused what they could have admitted.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -35,7 +35,7 @@
 	in := intake.New(d, configs)
 	d.Mux.HandleFunc("GET /v1/messages/{id}/story", in.ForAskers(out.ServeStory))
 	limits := limit.New(limit.Options{Holder: d.Who.Boot, Places: d.Settings.Places, Bounds: d.Bounds, Now: d.Now,
-		Ask: limit.Through(&reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink, Try: timing.AttemptTimeout})})
+		Ask: limit.Through(&reach.Reach{Node: d.Node, Membership: d.Membership, Bounds: d.Bounds, Link: wire.PlaceLink, Try: timing.AnswerTimeout})})
 	in.SetLimits(limits)
 	d.Measure(limits.Measure)
 	client := d.Client(func() wire.Poll {
--- a/internal/limit/ask.go
+++ b/internal/limit/ask.go
@@ -39,7 +39,7 @@
 
 // ask brings one ask to its place and takes the answer in.
 func (l *Limits) ask(sentAt time.Duration, ask *wire.QuotaAsk) {
-	ctx, cancel := context.WithTimeout(context.Background(), l.o.Bounds.Of(timing.AttemptTimeout))
+	ctx, cancel := context.WithTimeout(context.Background(), l.o.Bounds.Of(timing.AnswerTimeout))
 	defer cancel()
 	reply, err := l.o.Ask(ctx, ask.Place, ask)
 	countAsk(err)
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -41,7 +41,7 @@
 
 // New returns limits that hold no tokens yet.
 func New(o Options) *Limits {
-	times := quota.Times{Lease: o.Bounds.Of(timing.QuotaLease), Pause: o.Bounds.Of(timing.QuotaPause), Answer: o.Bounds.Of(timing.AttemptTimeout),
+	times := quota.Times{Lease: o.Bounds.Of(timing.QuotaLease), Pause: o.Bounds.Of(timing.QuotaPause), Answer: o.Bounds.Of(timing.QuotaAnswer),
 		Horizon: o.Bounds.Of(timing.QuotaHorizon)}
 	return &Limits{o: o, wallet: quota.NewWallet(times), waits: map[int64]chan quota.Decision{}}
 }
