--- a/internal/intake/mutants_test.go
+++ b/internal/intake/mutants_test.go
@@ -21,8 +21,8 @@
 
 var tenancyMutants = []tenancyMutant{
 	{"the id of an operation key has its tenant", "internal/intake/tenant.go",
-		`		return tagOf(e.tenant.Name) + "n"`, "		if MUTANT {\n			return \"n\" + wire.SumOf([]byte(e.name))[:nameDigits]\n		}\n" +
-			`		return tagOf(e.tenant.Name) + "n"`, "TestOperationKeysNameTheirPlaces"},
+		`	return tagOf(tenant) + "n"`, "	if MUTANT {\n		return \"n\" + wire.SumOf([]byte(operation))[:nameDigits]\n	}\n" +
+			`	return tagOf(tenant) + "n"`, "TestOperationKeysNameTheirPlaces"},
 	{"the place of an operation key is drawn by it", "internal/intake/intake.go",
 		`	case e.name != "":`, `	case e.name != "" && !MUTANT:`, "TestOperationKeysNameTheirPlaces"},
 	{"the place of an ordered message is drawn by its order key alone", "internal/intake/intake.go",
--- a/internal/intake/tenant.go
+++ b/internal/intake/tenant.go
@@ -109,13 +109,18 @@
 	t := &e.take
 	switch {
 	case e.name != "":
-		return tagOf(e.tenant.Name) + "n" + wire.SumOf([]byte(e.tenant.Name + "\x00" + e.name))[:nameDigits]
+		return OperationToken(e.tenant.Name, e.name)
 	case t.Idem != "":
 		return tagOf(e.tenant.Name) + "k" + wire.SumOf([]byte(t.Lane + "\x00" + t.Key + "\x00" + t.Idem))[:idemDigits]
 	}
 	return tagOf(e.tenant.Name) + daemon.Random(randomBytes)
 }
 
+// OperationToken returns what follows the place in the id of all sends of a tenant with one operation key.
+func OperationToken(tenant, operation string) string {
+	return tagOf(tenant) + "n" + wire.SumOf([]byte(tenant + "\x00" + operation))[:nameDigits]
+}
+
 // tagOf returns what marks the messages of a tenant, nothing for none.
 func tagOf(tenant string) string {
 	if tenant == "" {
--- a/internal/sim/callers.go
+++ b/internal/sim/callers.go
@@ -146,9 +146,8 @@
 	try()
 }
 
-// Finish heals everything, lets all messages come to their end, reads them
-// from the owner, and checks the history.
-func (p *Places) Finish() []check.Breach {
+// healAll takes all faults back and starts what is down.
+func (p *Places) healAll() {
 	p.Calm()
 	p.Unhealthy, p.LoseAns, p.Stall, p.Break = 0, 0, 0, 0
 	for _, s := range p.stores {
@@ -159,6 +158,12 @@
 		a.frozen = 0
 		a.start()
 	}
+}
+
+// Finish heals everything, lets all messages come to their end, reads them
+// from the owner, and checks the history.
+func (p *Places) Finish() []check.Breach {
+	p.healAll()
 	p.Run(p.now + 130*time.Second)
 	for _, s := range p.H.Sent {
 		if s.Told == check.Undecided { // ask for a definite fate, as a caller would
--- a/internal/sim/mutants.go
+++ b/internal/sim/mutants.go
@@ -18,4 +18,5 @@
 	OwnCount          Mutant = "a replica keeps its own count of the group's time where that is ahead"
 	BlindToLevels     Mutant = "an owner raises the feature level without asking"
 	AnswersByPosition Mutant = "an answer goes to the call that has waited longest"
+	ForgottenEnds     Mutant = "ends are kept for the window of operation keys and no longer"
 )
--- a/internal/sim/place.go
+++ b/internal/sim/place.go
@@ -27,6 +27,7 @@
 	stores    []*simStore
 	adapters  []*simAdapter
 	rules     *config.Rules
+	retention time.Duration // for which ends are kept
 	serial    int
 	runs      []*check.Run  // as the workers saw them
 	Unhealthy int           // share of runs that fail, in thousandths
@@ -73,7 +74,8 @@
 // can apply.
 func newPlacesOf(w *World, adapters int, mutant Mutant, level func(store string) int64) *Places {
 	p := &Places{World: w, H: check.NewHistory(), stamps: newStamps(w), mutant: mutant}
-	p.rules = rulesWith(workBound)
+	p.retention = time.Hour
+	p.rules = rulesWith(workBound, p.retention)
 	p.H.Pools["free"], p.H.Pools["seq"], p.H.Order["seq"] = []string{"work"}, []string{"work"}, true
 	for i := range 3 {
 		s := &simStore{w: p, name: fmt.Sprintf("s%d", i+1), disk: &Disk{w: w}}
@@ -100,11 +102,11 @@
 	return p
 }
 
-// rulesWith are the rules of the simulation, with the pool's bound.
-func rulesWith(bound time.Duration) *config.Rules {
+// rulesWith are the rules of the simulation, with the pool's bound, and how long ends are kept.
+func rulesWith(bound, retention time.Duration) *config.Rules {
 	rules, faults := config.Compile(fmt.Appendf(nil, `{"pools":{"work":{"bound":"%v"}},"lanes":{
-		"free":{"pools":["work"],"attempts":0,"patience":"2m","retention":"1h"},
-		"seq":{"pools":["work"],"attempts":4,"ordering":"key","patience":"2m","retention":"1h"}}}`, bound))
+		"free":{"pools":["work"],"attempts":0,"patience":"2m","retention":"%v"},
+		"seq":{"pools":["work"],"attempts":4,"ordering":"key","patience":"2m","retention":"%v"}}}`, bound, retention, retention))
 	if len(faults) > 0 {
 		panic(errs.New(errs.Internal, "rules of the simulation: %v", faults))
 	}
--- a/internal/sim/placefaults.go
+++ b/internal/sim/placefaults.go
@@ -86,7 +86,7 @@
 	// The newest configuration's bound is not the one that runs were begun with. Each is
 	// over a tenth of the longest stall: a worker is not waited for any longer.
 	"changed bounds": func(p *Places) {
-		p.rules = rulesWith([]time.Duration{workBound / 2, workBound, 2 * workBound}[p.Rand.IntN(3)])
+		p.rules = rulesWith([]time.Duration{workBound / 2, workBound, 2 * workBound}[p.Rand.IntN(3)], p.retention)
 	},
 	"stuck messages": func(p *Places) { p.Stuck = 60; p.After(3*time.Second, func() { p.Stuck = 0 }) },
 	"lost messages":  func(p *Places) { p.Loss = 150; p.After(3*time.Second, func() { p.Loss = 0 }) },
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -8,7 +8,7 @@
 
 // SweepKinds lists what can be swept.
 func SweepKinds() []string {
-	return []string{"group", "moves", "place", "control", "delivery", "delays"}
+	return []string{"group", "moves", "place", "control", "delivery", "delays", "keys"}
 }
 
 // Sweep says how each seed of a sweep is run.
@@ -34,6 +34,9 @@
 			broken = append(broken, b.Rule+": "+b.Text)
 		}
 		return broken, p.Trace
+	case "keys":
+		k := RunKeys(seed, mixed(PlaceFaults, only...)...)
+		return k.Broken, k.Trace
 	case "control":
 		return s.control(seed)
 	case "delivery":
