Stand-in: the share refused below a limit is held against an exact counter of all that was sent

The first measure fed the counter what was accepted, and called each refusal one below the limit while it held a token: of a hot tenant with a limit of 20, 417 messages accepted, 1,222 refusals counted so. Now the counter is asked for every send, and what it lets pass is compared with what was accepted.

--- a/internal/standin/shares.go
+++ b/internal/standin/shares.go
@@ -15,13 +15,14 @@
 	Name     string `json:"name"`
 	Sent     int    `json:"sent"`
 	Accepted int    `json:"accepted"`
-	Over     int    `json:"refused_over_the_limit"`
-	Below    int    `json:"refused_below_the_limit"`
-	// Share is of what the limit would have let pass.
+	Refused  int    `json:"refused_with_429"`
+	Allowed  int    `json:"allowed_by_an_exact_counter"`
+	// Share is of what the limit allowed: what was refused of it.
 	Share float64 `json:"share_refused_below_the_limit"`
 }
 
-// bucket is a limit as one exact counter would hold it: it fills by the rate and holds the burst.
+// bucket is a limit as one exact counter would hold it that is asked for all that clients send: it fills by the rate
+// and holds the burst.
 //
 // Invariant: 0 <= level <= the burst of the limit that it was last asked with.
 type bucket struct {
@@ -35,8 +36,8 @@
 	b.at = max(b.at, now)
 }
 
-// tenantFigures counts for each tenant what was accepted and refused, each refusal held against an exact counter
-// of what was accepted.
+// tenantFigures counts for each tenant what was accepted and refused, beside what an exact counter would have let
+// pass of the same sends.
 func (j *judge) tenantFigures() []TenantFigures {
 	byTenant := map[string]*TenantFigures{}
 	buckets := map[string]*bucket{}
@@ -54,7 +55,7 @@
 	}
 	out := []TenantFigures{}
 	for _, f := range byTenant {
-		f.Share = float64(f.Below) / float64(max(1, f.Below+f.Accepted))
+		f.Share = float64(max(0, f.Allowed-f.Accepted)) / float64(max(1, f.Allowed))
 		out = append(out, *f)
 	}
 	slices.SortFunc(out, func(a, b TenantFigures) int { return strings.Compare(a.Name, b.Name) })
@@ -69,12 +70,14 @@
 	switch {
 	case s.Told == check.Taken && j.isFirstAccept(s):
 		f.Accepted++
-		b.level = max(0, b.level-1)
-	case s.Code != 429:
-	case b.level >= 1:
-		f.Below++
+	case s.Code == 429:
+		f.Refused++
 	default:
-		f.Over++
+		return
+	}
+	if b.level >= 1 {
+		b.level--
+		f.Allowed++
 	}
 }
 
@@ -108,8 +111,8 @@
 // shares: a tenant gets what its limit lets it send.
 func (j *judge) shares() {
 	for _, f := range j.tenantFigures() {
-		if f.Accepted+f.Below >= leastLosses && f.Share > mostLostBelow {
-			j.breach(RuleQuota, "%d of %d messages of %s were refused below its limit", f.Below, f.Accepted+f.Below, f.Name)
+		if f.Allowed >= leastLosses && f.Share > mostLostBelow {
+			j.breach(RuleQuota, "%d messages of %s were accepted, and its limit allowed %d", f.Accepted, f.Name, f.Allowed)
 		}
 	}
 }
--- a/internal/standin/tenancy_test.go
+++ b/internal/standin/tenancy_test.go
@@ -195,3 +195,36 @@
 		}
 	})
 }
+
+// TestShares: what a limit allowed and was refused all the same.
+func TestShares(t *testing.T) {
+	cases := []struct {
+		text             string
+		accepted         func(i int) bool // of 400 sends, a fiftieth of a second apart, of a tenant with a rate of 2 and a burst of 2
+		allowed, refused int
+		share            float64
+	}{
+		{"all is refused", func(int) bool { return false }, 17, 400, 1},
+		{"one in 25 is accepted", func(i int) bool { return i%25 == 0 }, 17, 384, 1 - 16.0/17},
+		{"one in 20 is accepted", func(i int) bool { return i%20 == 0 }, 17, 380, 0},
+	}
+	Convey("Of a hot tenant", t, func() {
+		for _, c := range cases {
+			Convey(c.text, func() {
+				h := tenanted()
+				h.Sent, h.Ends = nil, map[string]End{}
+				for i := range 400 {
+					code := 429
+					if c.accepted(i) {
+						code = 202
+					}
+					late(h, hallKey, code, 40*s+time.Duration(i)*20*ms)
+				}
+				f := newJudge(h).tenantFigures()
+				So(f, ShouldHaveLength, 1)
+				So([]int{f[0].Allowed, f[0].Refused}, ShouldResemble, []int{c.allowed, c.refused})
+				So(f[0].Share, ShouldAlmostEqual, c.share, 0.001)
+			})
+		}
+	})
+}
