--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -83,7 +83,7 @@
 	for try := 0; ; try++ {
 		sent, wait := c.once(ctx, via, m, time.Until(by), draws)
 		isPromised := sent.Told == check.NotTaken && sent.Code != 404
-		if !isPromised || try == furtherTries || !pause(ctx, max(wait, 30*time.Millisecond)) {
+		if !isPromised || try == furtherTries || !pause(ctx, max(wait, 30*time.Millisecond)) || time.Until(by) < time.Millisecond {
 			return sent
 		}
 		via = c.again
