--- a/internal/quota/mutants_test.go
+++ b/internal/quota/mutants_test.go
@@ -33,7 +33,8 @@
 	{"a new life goes on with the counts of the one before", "account.go", "*h = holder{Name: ask.Holder, Life: c.Life}",
 		"if IsMutant(NAME) {\n\t\t\th.Life = c.Life\n\t\t} else {\n\t\t\t*h = holder{Name: ask.Holder, Life: c.Life}\n\t\t}"},
 	{"a lower limit is not taken in", "account.go", "a.Rate, a.Burst = min(a.Rate, limit.Rate), min(a.Burst, limit.Burst)",
-		"if IsMutant(NAME) {\n\t\tlimit.Rate, limit.Burst = max(a.Rate, limit.Rate), max(a.Burst, limit.Burst)\n\t}\n\ta.Rate, a.Burst = min(a.Rate, limit.Rate), min(a.Burst, limit.Burst)"},
+		"if IsMutant(NAME) {\n\t\tlimit.Rate, limit.Burst = max(a.Rate, limit.Rate), max(a.Burst, limit.Burst)\n\t}\n" +
+			"\ta.Rate, a.Burst = min(a.Rate, limit.Rate), min(a.Burst, limit.Burst)"},
 	{"an account is forgotten before its bucket is full", "account.go", "a.Free >= a.Burst }", "(a.Free >= a.Burst || IsMutant(NAME)) }"},
 	{"a front spends after its lease", "wallet.go", "|| now < p.leaseEnd {", "|| now < p.leaseEnd || IsMutant(NAME) {"},
 	{"a lease counts from the answer", "purse.go", "max(p.leaseEnd, sentAt+p.times.Lease)",
