Test, known red: an image written between an election and the first command tells too late a term

A new owner refuses words of its place's time that are older than its newest command. From an image it knows only the term of the last entry, which may be that of an election: if all stores are lost again before that owner has told its time, each word is refused and the outage is lost. Rare: the image must fall into the milliseconds of the owner's recall.

--- a/internal/host/held_test.go
+++ b/internal/host/held_test.go
@@ -54,3 +54,62 @@
 		So(log.heldAt(wire.Entry{Index: 1, Term: 1}, time.Second), ShouldEqual, time.Second)
 	})
 }
+
+// keptDisk keeps what a replica's disk holds after it.
+type keptDisk struct {
+	quickDisk
+	held *slot.Held
+}
+
+func (d keptDisk) Persist(_ int64, p *group.Persist, then func(error)) {
+	if p.Hard != nil {
+		d.held.Hard = *p.Hard
+	}
+	d.held.Log = append(d.held.Log, p.Entries...)
+	then(nil)
+}
+
+func (d keptDisk) SaveSlot(_ int64, hard group.HardState, image *group.Image, p *group.Persist, then func(error)) {
+	*d.held = slot.Held{Hard: hard, Image: image, Log: p.Entries}
+	then(nil)
+}
+
+// live begins a replica on a disk and has it own its group of one.
+func (d keptDisk) live() *Host {
+	now := time.Duration(0)
+	held := *d.held
+	h, err := New(Options{Id: 1, Self: "a/0", Roster: []string{"a/0"}, Bounds: timing.Default, Disk: d, Held: &held,
+		Machine: idleMachine{}, Now: func() time.Duration { return now }, Send: func(wire.GroupMsg) {}})
+	So(err, ShouldBeNil)
+	for range 100 {
+		now += timing.Default.Of(timing.Tick)
+		h.Tick()
+		h.Pump()
+	}
+	So(h.IsOwner(), ShouldBeTrue)
+	return h
+}
+
+// TestImageTerm: an image that was written between an election and the owner's first command once told the election's term as that of
+// its newest command, so that words of the time of the ownership before counted no more, and what a loss of all stores took was lost.
+func TestImageTerm(t *testing.T) {
+	Convey("Given a command of one ownership and the election of another", t, func() {
+		disk := keptDisk{held: &slot.Held{}}
+		first := disk.live()
+		first.Propose([]byte("command"), func(any, error) {})
+		first.Tick()
+		first.Pump()
+		told := first.DataTerm()
+		So(told, ShouldEqual, first.Term())
+		second := disk.live()
+		So(second.Term(), ShouldBeGreaterThan, told)
+		So(second.DataTerm(), ShouldEqual, told)
+		Convey("a replica that begins with an image of then knows the command's term", func() {
+			second.Compact()
+			second.Pump()
+			So(disk.held.Image, ShouldNotBeNil)
+			third := disk.live()
+			So(third.DataTerm(), ShouldEqual, told)
+		})
+	})
+}
