Mend: an image goes up to the newest command, so that it tells that one's term

What could happen: an image written between an election and the owner's first command told the election's term. Whoever began with it took the words that adapters keep of the ownership before for older than its newest command, and refused them: what a loss of all stores took was lost to each delay.

Cause: the image's index was that of the last entry applied, which may be an election or a change of the roster.

Change: the image goes up to the newest command; entries behind it stay in the log, unless they are as many as make an image due. No format changes; of an older build's image the term may still be too late, which refuses more than it must.

Before: TestImageTerm has term 2 in place of 1. After: passes. Not shown to be part of what users saw: the image must fall into the milliseconds of a recall.

--- a/internal/host/apply.go
+++ b/internal/host/apply.go
@@ -13,7 +13,8 @@
 	for _, e := range entries {
 		var verdict any
 		if e.Kind == group.EntryData {
-			h.dataTerm, h.heldAt = e.Term, h.replayed.heldAt(e, h.opts.Now())
+			h.dataTerm, h.dataIndex = e.Term, e.Index
+			h.heldAt = h.replayed.heldAt(e, h.opts.Now())
 			verdict = h.opts.Machine.Apply(e.Data, h.isOwner && e.Term == h.ownedTerm)
 		}
 		h.applied = e.Index
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -78,6 +78,7 @@
 	pending    int
 	applied    int64
 	dataTerm   int64 // see DataTerm
+	dataIndex  int64 // of that command
 	replayed   replayed
 	heldAt     time.Duration // see HeldAt
 	since      int           // entries applied since the last slot
@@ -123,7 +124,7 @@
 		if err := opts.Machine.Restore(held.Image.State); err != nil {
 			return nil, err
 		}
-		h.image, h.dataTerm = held.Image, held.Image.Term
+		h.image, h.dataTerm, h.dataIndex = held.Image, held.Image.Term, held.Image.Index
 	}
 	h.machine = group.New(group.Options{Id: opts.Id, Self: opts.Self, Roster: opts.Roster, Bounds: opts.Bounds,
 		Seed: opts.Seed, Prefer: opts.Prefer, Room: opts.Room, Level: opts.Level, Needed: neededBy(opts.Machine)}, held.Hard, held.Image, held.Log, opts.Now())
@@ -234,7 +235,8 @@
 			h.opts.Failed(err)
 			return
 		}
-		h.image, h.applied, h.dataTerm = out.Install, out.Install.Index, out.Install.Term
+		h.image, h.applied = out.Install, out.Install.Index
+		h.dataTerm, h.dataIndex = out.Install.Term, out.Install.Index
 	}
 	h.apply(out.Apply)
 	h.settle()
--- a/internal/host/upkeep.go
+++ b/internal/host/upkeep.go
@@ -55,7 +55,7 @@
 }
 
 // DataTerm returns the term of the newest command that the machine has applied, on the host's goroutine. For one
-// that came with an image it is that of the image's last entry, which may be later.
+// that came with an image it is that of the image's last entry, which may be later where the image is of an older build.
 func (h *Host) DataTerm() int64 { return h.dataTerm }
 
 // Compact puts the group into its slot, so that old log segments can go.
@@ -68,7 +68,7 @@
 		return
 	}
 	h.saving = true
-	if image := h.machine.Compact(h.applied, h.opts.Machine.Image()); image != nil {
+	if image := h.machine.Compact(h.imageIndex(), h.opts.Machine.Image()); image != nil {
 		h.image = image
 	} // else nothing is new, but the slot must pass the log's old segments
 	h.since, h.bytes = 0, 0
@@ -76,6 +76,15 @@
 	h.opts.Disk.SaveSlot(h.opts.Id, hard, h.image, &group.Persist{Entries: log}, h.bringBack(func() { h.saving = false }))
 }
 
+// imageIndex is up to which entry an image of the state as it is now goes: up to the newest command, so that the image tells
+// its term. Other entries change no state, and are left in the log unless they are many.
+func (h *Host) imageIndex() int64 {
+	if h.applied-h.dataIndex >= int64(h.opts.Compact) {
+		return h.applied
+	}
+	return h.dataIndex
+}
+
 // repair takes one step towards the roster that should be. While steps are left it
 // is called with every tick: a group whose roster is between two states bears the
 // loss of one member less.
