Owners of places listen for the time from when the last adapter was named; a lost ask is sent again sooner

The listening begins with the newest adapter that is named, stale view or fresh; a lost ask is sent again after the pause of a dial.

--- a/internal/store/recall.go
+++ b/internal/store/recall.go
@@ -126,7 +126,7 @@
 	switch waited := now - r.freshAt; {
 	case waited >= bounds.Of(limit):
 		return true
-	case now-max(r.freshAt, r.grownAt) < bounds.Of(timing.Recall), len(r.asked) == 0:
+	case now-r.grownAt < bounds.Of(timing.Recall), len(r.asked) == 0:
 		return false // managers that have just started may not know all adapters yet
 	}
 	for _, ask := range r.asked {
@@ -149,7 +149,7 @@
 
 // askTime asks an adapter, again where that failed a while ago.
 func (p *PlaceHost) askTime(r *recall, who wire.Who, now time.Duration) {
-	pause := p.environment.Bounds().Of(timing.Recall)
+	pause := p.environment.Bounds().Of(timing.Redial)
 	switch known := r.asked[who.Boot]; {
 	case known == nil:
 		r.grownAt = now
