Test, known red: the only adapter that answers was told its place's time late

Waiting for those that are silent would end it, but each loss of an adapter beside that of an owner would then cost service for as long.

--- a/internal/sim/deliverydelays_test.go
+++ b/internal/sim/deliverydelays_test.go
@@ -149,6 +149,16 @@
 	})
 }
 
+// TestDelaysAfterLateWord: an adapter that stood still as it was told a place's time, and was not told again before all stores were
+// lost, is behind; the next owner goes on from its word where no other answers that was told in time.
+func TestDelaysAfterLateWord(t *testing.T) {
+	Convey("A message begins in time though one adapter was told late, and others stand still as the next owner asks", t, func() {
+		d, breaches := RunDelays(1818, mixed(DelayFaults)...)
+		show("seed 1818", breaches, d.Trace)
+		So(breaches, ShouldBeEmpty)
+	})
+}
+
 // delayMutants are guards of a place's time across its owners, and the kind of sweep that finds their loss.
 var delayMutants = map[string]struct {
 	sourceMutant
