--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"k8s.io/klog/v2"
@@ -91,7 +92,9 @@
 	klog.Infof("%s: %s of zone %s runs, daemons at %s, HTTP at %s.", d.Kind, d.Who.Name, d.Who.Zone, d.Who.Addr, d.Who.Http)
 	<-stop
 	klog.Infof("%s: Stopping on a signal.", d.Kind)
+	asked := d.Now()
 	d.stop(servers, leave)
+	klog.Infof("%s: Stopped %v after the signal.", d.Kind, (d.Now() - asked).Round(time.Millisecond))
 	d.Node.Close()
 	d.crashes.end(d)
 	klog.Flush()
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
 
 	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
@@ -166,4 +167,7 @@
 		case <-time.After(a.d.Bounds.Of(timing.Poll) / 4):
 		}
 	}
+	if inHand := a.InHand(); inHand > 0 {
+		klog.Warningf("deliver: %d runs are in hand still, though the time to end them is over.", inHand)
+	}
 }
