--- a/internal/sim/deliverystore.go
+++ b/internal/sim/deliverystore.go
@@ -138,6 +138,28 @@
 	}
 }
 
+// stop has the store go in order, as one does that gets SIGTERM.
+func (s *deliveryStore) stop() {
+	if !s.isUp {
+		return
+	}
+	s.d.Note("stop %s", s.name)
+	life, until := s.life, s.d.now+storeStay
+	var look func()
+	look = func() {
+		if !s.isUp || s.life != life {
+			return
+		}
+		if left := store.HandOver(s.hosts); left == 0 || s.d.now >= until {
+			s.kill(false)
+			return
+		}
+		s.pump()
+		s.d.After(s.d.bound(timing.StalePoll), look)
+	}
+	look()
+}
+
 // onAsk serves callers and adapters.
 func (s *deliveryStore) onAsk(ask any, answer func(any)) {
 	number, serve := int64(0), func(*store.PlaceHost) {}
--- a/internal/store/upkeep.go
+++ b/internal/store/upkeep.go
@@ -6,12 +6,10 @@
 	"hash/fnv"
 	"strconv"
 	"strings"
-	"time"
 
 	"k8s.io/klog/v2"
 
 	"caperwheel/internal/errs"
-	"caperwheel/internal/group"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
@@ -55,22 +53,8 @@
 // leave hands every owned group over before the store stops. It stays a follower, with
 // its disk, until its process ends: others go on sending it entries.
 func (s *Store) leave(ctx context.Context) {
-	for ctx.Err() == nil {
-		left := 0
-		for _, id := range s.groupIds() {
-			h := s.hostOf(id)
-			if v := h.View(); v.Role == group.Owner && len(group.Voters(v.Roster)) > 1 {
-				left++
-				h.HandOver(func(string) bool { return false })
-			}
-		}
-		if left == 0 {
-			break
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(s.d.Bounds.Of(timing.StalePoll)):
-		}
+	for ctx.Err() == nil && HandOver(s.heldHosts()) > 0 {
+		timing.Wait(ctx, s.d.Bounds.Of(timing.StalePoll))
 	}
 }
 
