Stores that stop together go once the results of open runs are durable

Cause: a stopping store went as soon as it owned nothing; asked together, each gave its groups to the next, the last had no majority, so all were gone 31 to 67 ms after the signal. Fronts then held results for the rest of their grace and took them along. Ruled out: the judge (planned stops alone came between), the agents (they keep nothing for lanes without a witness, and stop as well), fronts that wait longer (the stores come back only after the grace).

Now a store that is asked to stop says so in its session (a count that was there for adapters; in the membership's hash and in news for stores alone, so no new field), hands over to stores that stay, and listens 0.3 of the bound for others that stop. Where too few of a group's voters stay, its owner begins no more runs, whether it stops itself or not, and the stores go once no run has been open for 0.25 of the bound, or at 85 hundredths of the grace (adapters have 75). Without fresh news of the others it takes them to be stopping. What arrived in the first 0.3 is not handed on, or it would go to and fro between stores that stop.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,7 @@
 	Ready      func() (isReady bool, why string) // asked through IsReady
 	Clock      func() time.Duration              // in place of the monotonic clock, if given
 	Refused    func(addr string)                 // told when nobody listens where a peer was, if given before Link
+	Outlasts   bool                              // others need it until they have stopped; set before Serve
 	CanRead    func() bool                       // whether the newest configuration can be read, if the daemon needs it
 
 	// The further listeners, nil where the settings name none, and what they serve.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -20,10 +20,11 @@
 )
 
 // Shares of the time between being asked to stop and being killed, in
-// hundredths. Invariant: leaveShare < closeShare < 100.
+// hundredths. Invariant: leaveShare < outlastShare < closeShare < 100.
 const (
-	leaveShare = 75 // what is under way may end until then; what is left is answered with what is known
-	closeShare = 90 // open connections are cut then
+	leaveShare   = 75 // what is under way may end until then; what is left is answered with what is known
+	outlastShare = 85 // a daemon that others need until they have stopped has until then
+	closeShare   = 90 // open connections are cut then
 )
 
 // listen opens a port whose dead callers are noticed; none for no address.
@@ -116,6 +117,10 @@
 		}
 	})
 	timing.Wait(ctx, d.Settings.Linger.Duration)
+	if d.Outlasts {
+		ctx, cancel = context.WithTimeout(closing, stay*outlastShare/100)
+		defer cancel()
+	}
 	if leave != nil {
 		leave(ctx)
 	}
--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -15,6 +15,7 @@
 	"caperwheel/internal/path"
 	"caperwheel/internal/reach"
 	"caperwheel/internal/repair"
+	"caperwheel/internal/session"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
 )
@@ -135,7 +136,7 @@
 
 // Leaving is the count by which an adapter tells that it is going: others take
 // its duties.
-const Leaving = "leaving"
+const Leaving = session.LeavingCount
 
 // IsLeaving reports whether it was asked to stop.
 func (a *Adapter) IsLeaving() bool { return a.isLeaving.Load() }
--- a/internal/place/tally.go
+++ b/internal/place/tally.go
@@ -30,3 +30,6 @@
 	}
 	return Tally{counts, deadlines, waits}
 }
+
+// CountOpen returns how many messages have a run under way.
+func (m *Machine) CountOpen() int { return len(m.queue.open) }
--- a/internal/session/membership.go
+++ b/internal/session/membership.go
@@ -17,6 +17,8 @@
 	kinds   map[string][]wire.Who
 	members map[string]wire.Member
 	owners  map[int64]ownerHint
+	// Some store is asked to stop.
+	hasLeavingStores bool
 	// Managers and stores alone: all that an adapter or agent needs to know of,
 	// however many of its own kind there are.
 	coreHash string
@@ -50,13 +52,14 @@
 		return
 	}
 	r.hash, r.list, r.members = hash, members, map[string]wire.Member{}
-	r.kinds, r.core = map[string][]wire.Who{}, []wire.Member{}
+	r.kinds, r.core, r.hasLeavingStores = map[string][]wire.Who{}, []wire.Member{}, false
 	owners := map[int64]ownerHint{}
 	for _, m := range members {
 		r.members[m.Who.Name] = m
 		r.kinds[m.Who.Kind] = append(r.kinds[m.Who.Kind], m.Who)
 		if isCore(m.Who.Kind) {
 			r.core = append(r.core, m)
+			r.hasLeavingStores = r.hasLeavingStores || m.Who.Kind == "store" && isLeaving(m)
 		}
 		for _, o := range m.Owns {
 			if o.Term > owners[o.Group].term {
@@ -67,6 +70,11 @@
 	r.owners, r.coreHash = owners, MembershipHash(r.core)
 }
 
+// LeavingCount is the count by which a daemon tells that it is asked to stop.
+const LeavingCount = "leaving"
+
+func isLeaving(m wire.Member) bool { return m.Fact.Counts[LeavingCount] > 0 }
+
 func isCore(kind string) bool { return kind == "manager" || kind == "store" }
 
 // Find returns a member by name.
@@ -97,6 +105,20 @@
 	return false
 }
 
+// IsLeaving reports whether a member says that it is asked to stop.
+func (r *Membership) IsLeaving(name string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return isLeaving(r.members[name])
+}
+
+// HasLeavingStores reports whether some store says that it is asked to stop.
+func (r *Membership) HasLeavingStores() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.hasLeavingStores
+}
+
 // Kind returns the members of a kind. The list is the caller's own.
 func (r *Membership) Kind(kind string) []wire.Who {
 	r.mu.RLock()
--- a/internal/session/news.go
+++ b/internal/session/news.go
@@ -7,6 +7,15 @@
 	"caperwheel/internal/wire"
 )
 
+// forOthers gives what others than managers need of a member's fact.
+func forOthers(m wire.Member) wire.Fact {
+	counts := map[string]int64{}
+	if isCore(m.Who.Kind) && isLeaving(m) {
+		counts[LeavingCount] = 1
+	}
+	return wire.Fact{Counts: counts}
+}
+
 // NewsFor builds the answer to a poll from a view and a membership. Whoever passes news on
 // confirms no more than it was told itself.
 func NewsFor(poll *wire.Poll, view *feed.View, now time.Duration, membership *Membership) *wire.News {
@@ -15,7 +24,7 @@
 	out.MembershipHash = hash
 	if hash != poll.MembershipHash {
 		for _, m := range list {
-			m.Fact = wire.Fact{Counts: map[string]int64{}} // only managers need it
+			m.Fact = forOthers(m)
 			if m.Owns == nil {
 				m.Owns = []wire.Owned{}
 			}
--- a/internal/session/registry.go
+++ b/internal/session/registry.go
@@ -120,6 +120,9 @@
 			line = append(line, word...)
 		}
 		line = append(line, '}')
+		if isCore(w.Kind) && isLeaving(m) { // of others only managers need to know it
+			line = append(line, " leaving"...)
+		}
 		for _, o := range m.Owns {
 			line = append(strconv.AppendInt(append(line, ' '), o.Group, 10), '/')
 			line = strconv.AppendInt(line, o.Term, 10)
--- a/internal/store/departure.go
+++ b/internal/store/departure.go
@@ -1,20 +1,139 @@
 package store
 
 import (
+	"slices"
+	"time"
+
+	"caperwheel/internal/daemon"
 	"caperwheel/internal/group"
 	"caperwheel/internal/host"
+	"caperwheel/internal/timing"
 )
 
-// HandOver has the groups that are owned here go to another of their voters, and returns how many
-// have still to go.
-func HandOver(hosts []*host.Host) (left int) {
-	for _, h := range hosts {
-		if v := h.View(); v.Role == group.Owner && len(group.Voters(v.Roster)) > 1 {
-			left++
-			h.HandOver(func(string) bool { return false })
+// Departure is how a store that was asked to stop goes in order. What it owns goes to stores that
+// stay. Where too few of a group's stores stay to commit anything, no more runs are begun of it, and the store
+// remains a member of the group until those that are open have ended: adapters that hold their results may
+// be stopping as well, and nobody else has these.
+//
+// Invariant: a store goes of itself only where each of its groups keeps a majority, or no run has been
+// open in what it holds for a while.
+type Departure struct {
+	o          DepartureOptions
+	asked      time.Duration
+	handing    map[*host.Host]bool // groups that have been owned ever since the store was asked
+	isQuiet    bool                // no run is open in what is held here
+	quietSince time.Duration
+}
+
+// DepartureOptions are what a departure needs of its store. The simulation gives others.
+type DepartureOptions struct {
+	Daemon *daemon.Daemon
+	Hosts  func() []*host.Host
+	Places func() []*PlaceHost
+}
+
+// NewDeparture begins the departure of a store that is asked to stop now.
+func NewDeparture(o DepartureOptions) *Departure {
+	o.Daemon.Leave()
+	d := &Departure{o: o, asked: o.Daemon.Now(), handing: map[*host.Host]bool{}}
+	for _, h := range o.Hosts() {
+		d.handing[h] = true
+	}
+	return d
+}
+
+// Step does what is to be done now, and reports whether the store may go.
+func (d *Departure) Step() (mayGo bool) {
+	now, bounds := d.o.Daemon.Now(), d.o.Daemon.Bounds
+	d.noteQuiet(now)
+	hasHeard := now-d.asked >= bounds.Of(timing.Departure) // of others that stop
+	left, isNeeded := 0, false
+	for _, h := range d.o.Hosts() {
+		v := h.View()
+		voters := group.Voters(v.Roster)
+		isNeeded = isNeeded || !isMajority(voters, d.stays)
+		d.handing[h] = d.handing[h] && v.Role == group.Owner
+		if v.Role != group.Owner || !d.hasSuccessor(voters) {
+			continue
+		}
+		left++
+		if hasHeard || d.handing[h] { // what came since may be from one that stops, and would go to and fro
+			h.HandOver(d.isLeaving)
+		}
+	}
+	if !hasHeard {
+		return false
+	}
+	if !isNeeded {
+		return left == 0
+	}
+	return d.isQuiet && now-d.quietSince >= bounds.Of(timing.AnswerTimeout)
+}
+
+// noteQuiet notes since when no run is open in what is held here.
+func (d *Departure) noteQuiet(now time.Duration) {
+	open := int64(0)
+	for _, p := range d.o.Places() {
+		open += p.open.Load()
+	}
+	if isQuiet := open == 0; isQuiet != d.isQuiet {
+		d.isQuiet, d.quietSince = isQuiet, now
+	}
+}
+
+// isMajority reports whether more than half of a group's voters are so.
+func isMajority(voters []string, is func(member string) bool) bool {
+	count := 0
+	for _, m := range voters {
+		if is(m) {
+			count++
 		}
 	}
-	return left
+	return count > len(voters)/2
+}
+
+// stays reports whether a voter stays. Without news of the others, none does.
+func (d *Departure) stays(member string) bool {
+	age, isSure := d.o.Daemon.View.Age(d.o.Daemon.Now())
+	isInformed := isSure && age < d.o.Daemon.Bounds.Of(timing.AnswerTimeout)
+	return isInformed && stays(d.o.Daemon, member)
+}
+
+// isLeaving reports whether a voter is asked to stop, as far as is known.
+func (d *Departure) isLeaving(member string) bool {
+	name := group.Name(member)
+	return name == d.o.Daemon.Who.Name || d.o.Daemon.Membership.IsLeaving(name)
+}
+
+// hasSuccessor reports whether one of the voters may own the group instead.
+func (d *Departure) hasSuccessor(voters []string) bool {
+	return slices.ContainsFunc(voters, func(m string) bool { return stays(d.o.Daemon, m) })
+}
+
+// stays reports whether a voter is here and not asked to stop, as far as a daemon knows.
+func stays(d *daemon.Daemon, member string) bool {
+	name := group.Name(member)
+	if name == d.Who.Name {
+		return !d.IsLeaving()
+	}
+	_, isHere := d.Membership.Find(name)
+	return isHere && !d.Membership.IsLeaving(name)
+}
+
+// places lists those that runs may be begun of. Where stores are asked to stop and too few of a group's
+// stay, the results of what is begun now might not become durable.
+func (d *Dispatcher) places() []*PlaceHost {
+	all := d.o.Places()
+	if !d.o.Daemon.IsLeaving() && !d.o.Daemon.Membership.HasLeavingStores() {
+		return all
+	}
+	out := []*PlaceHost{}
+	for _, p := range all {
+		if isMajority(group.Voters(p.host.View().Roster), func(m string) bool { return stays(d.o.Daemon, m) }) {
+			out = append(out, p)
+		}
+	}
+	return out
 }
 
 // heldHosts lists the replicas on this store.
--- a/internal/store/dispatch.go
+++ b/internal/store/dispatch.go
@@ -104,7 +104,7 @@
 // ready sums up what may run, by lane.
 func (d *Dispatcher) ready() map[string]int {
 	out := map[string]int{}
-	for _, p := range d.o.Places() {
+	for _, p := range d.places() {
 		for lane, n := range p.Ready() {
 			out[lane] += n
 		}
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -15,7 +15,7 @@
 // PlaceHost is a place on this store: the state machine, and while this store
 // owns it, the runs under way.
 //
-// Invariants: all but ready and isUntimed is touched by the host's goroutine alone; inHand
+// Invariants: all but ready, open and isUntimed is touched by the host's goroutine alone; inHand
 // has a run only after its adapter said so in this ownership.
 type PlaceHost struct {
 	environment Environment
@@ -42,6 +42,7 @@
 	waiting   int
 	counting  *counting
 	ready     atomic.Pointer[map[string]int]
+	open      atomic.Int64 // runs that are under way, by what is applied here, as of the last tick
 }
 
 type inHand struct {
--- a/internal/store/runs.go
+++ b/internal/store/runs.go
@@ -105,8 +105,9 @@
 	p.propose(back, nil)
 }
 
-// Tick does the owner's periodic work.
+// Tick does the periodic work, most of it the owner's.
 func (p *PlaceHost) Tick(now time.Duration) {
+	p.open.Store(int64(p.machine.CountOpen()))
 	p.stepRecall(now)
 	if !p.host.IsOwner() {
 		return
--- a/internal/store/serve.go
+++ b/internal/store/serve.go
@@ -3,6 +3,7 @@
 import (
 	"caperwheel/internal/errs"
 	"caperwheel/internal/group"
+	"caperwheel/internal/session"
 	"caperwheel/internal/wire"
 )
 
@@ -115,6 +116,9 @@
 	}
 	poll.Fact.Counts = map[string]int64{"ready": count, "under": under, "full": isFull,
 		"segments": int64(s.disk.Segments()), ClusterCount: s.founder.clusterCount()}
+	if s.d.IsLeaving() {
+		poll.Fact.Counts[session.LeavingCount] = 1
+	}
 	if untimed > 0 { // seldom: what is always told costs each poll its bytes
 		poll.Fact.Counts[UntimedCount] = untimed
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -82,6 +82,7 @@
 	if s.founder.snapshot().Founded {
 		s.begin()
 	}
+	d.Outlasts = true
 	d.Measure(s.measure)
 	d.Mux.HandleFunc("GET /v1/messages/{id}/story", s.getStory)
 	go s.upkeep(ctx)
@@ -186,13 +187,14 @@
 func (s *Store) ownPlaces() []*PlaceHost { return *s.own.Load() }
 
 // prefer spreads ownership evenly: by hash of group and member, over the
-// members that are here, not retired, and not in an emptied zone.
+// members that are here, not asked to stop, not retired, and not in an emptied zone.
 func (s *Store) prefer(groupId int64, roster []string) string {
 	compiled, best, top := s.configs.Current(), "", uint64(0)
 	for _, m := range group.Voters(roster) {
 		name := group.Name(m)
 		who, isMember := s.d.Membership.Find(name)
-		if !isMember && name != s.d.Who.Name || compiled.Retired[name] || compiled.Emptied[who.Zone] {
+		isLeaving := s.d.Membership.IsLeaving(name) || name == s.d.Who.Name && s.d.IsLeaving()
+		if !isMember && name != s.d.Who.Name || isLeaving || compiled.Retired[name] || compiled.Emptied[who.Zone] {
 			continue
 		}
 		h := fnv.New64a()
--- a/internal/store/upkeep.go
+++ b/internal/store/upkeep.go
@@ -50,10 +50,11 @@
 	}
 }
 
-// leave hands every owned group over before the store stops. It stays a follower, with
-// its disk, until its process ends: others go on sending it entries.
+// leave goes in order. The store stays a follower, with its disk, until its process ends:
+// others go on sending it entries.
 func (s *Store) leave(ctx context.Context) {
-	for ctx.Err() == nil && HandOver(s.heldHosts()) > 0 {
+	departure := NewDeparture(DepartureOptions{Daemon: s.d, Hosts: s.heldHosts, Places: s.ownPlaces})
+	for ctx.Err() == nil && !departure.Step() {
 		timing.Wait(ctx, s.d.Bounds.Of(timing.StalePoll))
 	}
 }
--- a/internal/store/use.go
+++ b/internal/store/use.go
@@ -17,7 +17,7 @@
 		d.release(g)
 		return
 	}
-	places := d.o.Places()
+	places := d.places()
 	d.mu.Lock()
 	d.next++
 	first := d.next
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -37,6 +37,7 @@
 	ElectionTimeout   Ratio = 130   // least silence of an owner before a replica campaigns
 	ElectionSpread    Ratio = 130   // random spread added to Silence
 	SessionTimeout    Ratio = 700   // a daemon silent this long has lost its session
+	Departure         Ratio = 300   // a stopping store waits this long for word of others that stop: a poll, a share between managers, a poll
 	Replace           Ratio = 300   // a store that has had no session this long gives its seats to its successor
 	Abandon           Ratio = 4000  // and after this to any other store, if its zone has not gone with it
 	AdapterGone       Ratio = 1000  // runs of an adapter that has had no session this long are begun anew elsewhere
