--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -75,6 +75,44 @@
 	})
 }
 
+// TestFormerLives: polls that were under way as a daemon ended were once taken for its newest life's session, which
+// its next life then seemed to have lost.
+func TestFormerLives(t *testing.T) {
+	const gone = 2 * time.Second
+	type poll struct {
+		boot  string
+		at    time.Duration
+		isOwn bool
+	}
+	cases := []struct {
+		name  string
+		polls []poll
+		boot  string // the member's at the last poll
+	}{
+		{"not a former life whose poll comes late", []poll{{"1", 0, true}, {"2", 1, true}, {"1", 2, true}}, "2"},
+		{"nor one whose next life another manager has heard", []poll{{"1", 0, true}, {"2", 1, false}, {"1", 2, true}}, "2"},
+		{"nor one before the last", []poll{{"1", 0, true}, {"2", 1, true}, {"3", 2, true}, {"1", 3, true}}, "3"},
+		{"nor two polls that come late", []poll{{"1", 0, true}, {"2", 1, true}, {"1", 2, true}, {"1", 3, true}}, "2"},
+		{"one that goes on, as only a living one does", []poll{{"1", 0, true}, {"2", 1, true}, {"1", 2, true}, {"1", 3, true}, {"1", 4, true}}, "1"},
+		{"one that is heard once the other has been silent", []poll{{"1", 0, true}, {"2", 1, true}, {"1", gone + 2, true}}, "1"},
+		{"one that a manager has heard since", []poll{{"1", 0, true}, {"2", 1, true}, {"1", 2, false}}, "1"},
+	}
+	Convey("A member is", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				r, at := NewRegistry(gone), time.Duration(0)
+				for _, p := range c.polls {
+					r.Hear(member("x", p.boot, 0), p.at, p.isOwn)
+					at = p.at
+				}
+				_, list := r.Members(at)
+				So(len(list), ShouldEqual, 1)
+				So(list[0].Who.Boot, ShouldEqual, c.boot)
+			})
+		}
+	})
+}
+
 // TestInterest: every agent and adapter once had the whole membership, and got it anew
 // whenever any one of them came or went.
 func TestInterest(t *testing.T) {
