Sessions: a manager takes no late poll of a former life

The order is now the one in which a manager learnt of the lives of a name: a life that another has followed is refused until it has polled three times, as only a living one does, or the other's session is over. A number told by the daemon was ruled out: adapters keep nothing on disk, so it would be the wall clock's, and one that is stepped back would lock a daemon out for good; and it would need all builds. What peers share counts as before, by age. Nothing on the wire changes. Not covered: a poll of a life of which the manager had never heard.

Before: four of seven cases of TestFormerLives red.

--- a/internal/session/registry.go
+++ b/internal/session/registry.go
@@ -17,8 +17,8 @@
 
 // Registry is a manager's list of sessions, its own and its peers'.
 //
-// Invariant: of one name only the life heard last is a member; ages only ever
-// add up, so no manager makes a session younger than it was told.
+// Invariant: of one name only one life is a member: the one heard last, but for late polls of former
+// lives (see lives); ages only ever add up, so no manager makes a session younger than it was told.
 type Registry struct {
 	mu    sync.Mutex
 	gone  time.Duration // silence after which a session is over
@@ -29,6 +29,7 @@
 	member  wire.Member
 	heardAt time.Duration
 	isOwn   bool
+	lives   lives
 }
 
 // NewRegistry returns an empty registry whose sessions end after gone of silence.
@@ -45,12 +46,19 @@
 	if now-heardAt > r.gone || isKnown && heardAt < was.heardAt {
 		return
 	}
+	lives := was.lives
+	if isKnown && now-was.heardAt <= r.gone && isOwn && !lives.polled(m.Who.Boot) {
+		was.lives = lives
+		r.known[m.Who.Name] = was
+		return
+	}
+	lives.follow(m.Who.Boot)
 	before := wire.Fact{}
 	if was.member.Who.Boot == m.Who.Boot {
 		before = was.member.Fact
 	}
 	m.Fact = expand(m.Fact, before)
-	r.known[m.Who.Name] = entry{m, heardAt, isOwn}
+	r.known[m.Who.Name] = entry{m, heardAt, isOwn, lives}
 }
 
 // Meet takes in what a peer has heard of somebody else. It makes nobody's session
