--- a/internal/sim/deliverystops.go
+++ b/internal/sim/deliverystops.go
@@ -77,7 +77,8 @@
 	succeeded := map[string]*check.Run{}
 	for _, run := range d.runs { // in the order in which they began
 		if was := succeeded[run.Id]; was != nil && run.Start >= was.End {
-			breaches = append(breaches, d.breach(RuleTwice, "%s succeeded through %s at %v, and began again at %v", run.Id, was.Adapter, was.End, run.Start))
+			breaches = append(breaches, d.breach(RuleTwice, "%s succeeded through %s at %v, and began again at %v",
+				run.Id, was.Adapter, was.End, run.Start))
 		}
 		if run.Status == http.StatusOK && run.IsWhole {
 			succeeded[run.Id] = run
