--- a/internal/sim/deliveryseeds_test.go
+++ b/internal/sim/deliveryseeds_test.go
@@ -95,9 +95,9 @@
 		"	m.keys[key] = list\n	m.queue.note(m, m.messages[list[0]])", "	m.keys[key] = list", "", ""}, "is held"},
 	"words behind others to an address": {sourceMutant{"internal/deliver/tell.go", "			defer a.tellers.leave(address)\n", "", "", ""}, "Words"},
 	"the duty of an adapter that is gone": {sourceMutant{"internal/duty/steady.go",
-		"|| s.isSeenGone(key, c.Next.Before) {", "|| s == nil {", "", ""}, "is held"},
+		"|| s.isSeenGone(key, c.Next.Before) {", "|| s == nil {", "117", ""}, "is held"},
 	"duties that were planned and left for later": {sourceMutant{"internal/duty/steady.go",
-		"			out = append(out, c)\n", "			out = append(out, c)\n			s.moved[key] = now\n", "51", ""}, "is held"},
+		"			out = append(out, c)\n", "			out = append(out, c)\n			s.moved[key] = now\n", "117", ""}, "is held"},
 	"places that are ready": {sourceMutant{"internal/store/ownership.go",
 		"		p.ready.Store(&counts)\n", "		if len(counts) > 0 || len(old) == 0 {\n			p.ready.Store(&old)\n		}\n", "", ""}, "is held"},
 }
