A process that is heard has its crash heard: the runtime gets the connection before the name is told

TestDaemonsThatCrash failed once beside load: the adapter ended by a SIGSEGV, and its agent said 'silent'. Cause: the name, which the agent logs, was told before the runtime had the connection. With a pause of 0.3 s between the two the test fails each time; with the order turned round and the same pause it passes. No bound or expectation of the test has changed.

--- a/internal/crash/neighbour.go
+++ b/internal/crash/neighbour.go
@@ -101,10 +101,10 @@
 		return
 	}
 	defer conn.Close()
-	if _, err := conn.Write([]byte(s.Name + "\n")); err != nil {
+	if giveToRuntime(conn.(*net.TCPConn)) != nil { // first: whoever hears the name counts on hearing a crash
 		return
 	}
-	if giveToRuntime(conn.(*net.TCPConn)) != nil {
+	if _, err := conn.Write([]byte(s.Name + "\n")); err != nil {
 		return
 	}
 	stop := context.AfterFunc(ctx, func() {
