Mend: after a silence the first adapter that answers does not end the asking for a place's time

Callers may see delays that end late (LOST): where all adapters were silent for a bound, the first answer ended the recall, and the first to answer may be one that was never told: twice as many are asked as are told. The bound for the others counts from the first answer now. TestRecallAfterSilence: place time 5,250 and 7,260 after 4 and 6 s of silence where 90,000 was known, before; none below after.

--- a/internal/store/recall.go
+++ b/internal/store/recall.go
@@ -39,6 +39,7 @@
 	grownAt   time.Duration       // when the view last named another adapter
 	asked     map[string]*timeAsk // by life of an adapter
 	isHeard   bool                // an adapter has answered
+	heardAt   time.Duration       // when the first did
 	isKnown   bool                // a word counted
 	knownAt   time.Duration       // when one counted that was not on its way for long; negative before
 	isTelling bool                // the time is as known as it will be
@@ -123,7 +124,7 @@
 	if r.isHeard {
 		limit = timing.RecallLimit
 	}
-	switch waited := now - r.freshAt; {
+	switch waited := now - max(r.freshAt, r.heardAt); { // the first to answer after a silence need not be one that knows
 	case waited >= bounds.Of(limit):
 		return true
 	case now-r.grownAt < bounds.Of(timing.Recall), len(r.asked) == 0:
@@ -164,7 +165,8 @@
 	case err == nil:
 		r.asked[who.Boot] = ask
 	case errs.Is(err, errs.Rejected): // an older build
-		r.asked[who.Boot], r.isHeard = &timeAsk{isAnswered: true}, true
+		r.asked[who.Boot] = &timeAsk{isAnswered: true}
+		r.noteHeard(now)
 	default:
 		r.asked[who.Boot] = &timeAsk{sentAt: now, isFailed: true}
 	}
@@ -177,7 +179,8 @@
 	}
 	now := p.environment.Now()
 	if kept, isKept := reply.(*wire.TimeKept); isKept {
-		ask.isAnswered, r.isHeard = true, true
+		ask.isAnswered = true
+		r.noteHeard(now)
 		p.heardWord(r, ask, who, kept, now)
 	} else {
 		ask.isFailed = true
@@ -187,6 +190,13 @@
 	}
 }
 
+// noteHeard notes that an adapter has answered.
+func (r *recall) noteHeard(now time.Duration) {
+	if !r.isHeard {
+		r.isHeard, r.heardAt = true, now
+	}
+}
+
 // heardWord has the place's time go on from a word that counts. One that may have been on its way for long, since this store
 // or the adapter stood still, is asked for again.
 func (p *PlaceHost) heardWord(r *recall, ask *timeAsk, who wire.Who, kept *wire.TimeKept, now time.Duration) {
