--- a/internal/store/ownership.go
+++ b/internal/store/ownership.go
@@ -5,7 +5,7 @@
 // Owned starts or ends an ownership. One of a place that holds messages starts once the place's
 // time is known.
 func (p *PlaceHost) Owned(isOwner bool) {
-	p.host.recall, p.time = nil, timekeeping{told: map[string]bool{}}
+	p.host.recall, p.time = nil, newTimekeeping()
 	p.isUntimed.Store(false)
 	if isOwner && !p.machine.IsIdle() {
 		p.beginRecall()
--- a/internal/store/timekeeping.go
+++ b/internal/store/timekeeping.go
@@ -19,10 +19,21 @@
 // timekeeping is whom an owner has told its place's time. Once is enough: the time of one
 // ownership goes on with any steady clock.
 type timekeeping struct {
-	told   map[string]bool // by life of an adapter
+	told   map[string]bool          // by life of an adapter
+	sentAt map[string]time.Duration // when each was sent the word last, unless it has answered too late
 	lookAt time.Duration
 }
 
+func newTimekeeping() timekeeping {
+	return timekeeping{told: map[string]bool{}, sentAt: map[string]time.Duration{}}
+}
+
+// isUnderWay reports whether an adapter was sent the word a moment ago.
+func (t *timekeeping) isUnderWay(boot string, now, span time.Duration) bool {
+	at, isSent := t.sentAt[boot]
+	return isSent && now-at < span
+}
+
 // keepers returns the adapters that keep the place's time, or should.
 func (p *PlaceHost) keepers(most int) []wire.Who {
 	all := p.environment.Adapters()
@@ -43,12 +54,14 @@
 	if now < p.time.lookAt {
 		return
 	}
-	p.time.lookAt = now + p.environment.Bounds().Of(timing.TimeMark)
+	span := p.environment.Bounds().Of(timing.TimeMark)
+	p.time.lookAt = now + span
 	told := p.time.told
 	for _, who := range p.keepers(mostKeepers) {
-		if told[who.Boot] {
+		if told[who.Boot] || p.time.isUnderWay(who.Boot, now, span) {
 			continue
 		}
+		p.time.sentAt[who.Boot] = now
 		word := &wire.TellTime{Group: p.group(), Term: p.host.Term(), Reading: p.now()}
 		err := p.environment.Post(who, word, func(reply any, err error) {
 			if ack, isAck := reply.(*wire.TimeTold); err == nil && isAck && ack.Kind == "" {
@@ -65,7 +78,10 @@
 // begin. One that answers late may have heard the word late, and be behind by that: it is told again.
 func (p *PlaceHost) noteTold(told map[string]bool, who wire.Who, at time.Duration) {
 	if p.environment.Now()-at > p.environment.Bounds().Of(timing.Recall) {
-		p.time.lookAt = 0
+		if sentAt, isSent := p.time.sentAt[who.Boot]; isSent && sentAt == at {
+			delete(p.time.sentAt, who.Boot)
+			p.time.lookAt = 0
+		}
 		return
 	}
 	told[who.Boot] = true
@@ -82,7 +98,7 @@
 		limit = timing.RecallLimit
 	}
 	r.isTelling, r.tellUntil = true, now+p.environment.Bounds().Of(limit)
-	p.time = timekeeping{told: map[string]bool{}}
+	p.time = newTimekeeping()
 	p.tellTime(now)
 	if len(p.time.told) == len(p.keepers(mostKeepers)) { // nobody is to answer: there are none, or of older builds
 		p.endRecall()
