--- a/internal/intake/codec.go
+++ b/internal/intake/codec.go
@@ -102,14 +102,13 @@
 }
 
 // admit has a message held that counts against its tenant's limit.
-func (in *Intake) admit(e *request) error {
+func (in *Intake) admit(e *request) (err error) {
 	permit, err := in.limits.Admit(e.ctx, e.tenant)
 	if err != nil {
 		return err
 	}
-	err = path.Run(in.programs.Intake(e.compiled.Rules, e.lane.Name), in.actions, e)
-	permit.End(e.counts(err))
-	return err
+	defer func() { permit.End(e.counts(err)) }()
+	return path.Run(in.programs.Intake(e.compiled.Rules, e.lane.Name), in.actions, e)
 }
 
 // findWay takes the lane that the request's host and path lead to, as the
