Mend: a worker's answer means the same whatever its size

Cause: a body longer than what is kept as proof was an error of the read, before status and seal were judged; the run counted as one of unknown fate. Ruled out: seal or id (the same answer with 4 bytes was a success), the connection's reuse (first run of a connection too), the worker's release (it only brings the version with large answers). By the same code failures spent no attempt, a refusal for good ran again, a full worker counted as begun, a lane's own success was told as failed, and a call-back accepted with a large body was told again.

Change: answers are read to their end within the run's time; what is over the bound is dropped, not an error. The platform's codec and call-backs keep nothing of a body; own proofs have the whole answer or its checksum alone. A metric counts those not kept.

TestLargeAnswers, TestLargeProof and TestLargeWord fail on the code before, for instance "[262145, "", false, false, 200]" expected, "[262145, "too_large", true, false, 0]" met.

--- a/internal/deliver/adapter.go
+++ b/internal/deliver/adapter.go
@@ -40,7 +40,10 @@
 var ended = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "deliver",
 	Name: "runs_total", Help: "Runs by pool and how they ended."}, []string{"pool", "end"})
 
-func init() { prometheus.MustRegister(ended) }
+var answersNotKept = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "deliver",
+	Name: "answers_not_kept_total", Help: "Whole answers of workers that are longer than what is kept as proof, by pool."}, []string{"pool"})
+
+func init() { prometheus.MustRegister(ended, answersNotKept) }
 
 // New readies the delivering half; codec is how requests that came as they are
 // are put to workers.
--- a/internal/deliver/codec.go
+++ b/internal/deliver/codec.go
@@ -41,7 +41,10 @@
 type Codec struct {
 	Ask   func(a Asking) (*http.Request, error)
 	Names func(a Asking, answer *http.Response) Naming
-	Judge func(a Asking, answer *http.Response, body []byte) Judgement
+	// Judge reads a whole answer. body is nil where it has more than MostKept bytes: what the
+	// answer means must not depend on it.
+	Judge    func(a Asking, answer *http.Response, body []byte) Judgement
+	MostKept int64 // bytes of an answer's body that are kept for Judge
 
 	Tell func(t *wire.Tell) (*http.Request, error)
 	// ToldNames is Names for the answer to a word. Where it is not given, whoever
@@ -64,7 +67,7 @@
 	}
 	ctx, cancel := timing.WithRunningTimeout(e.ctx, bound+bound/timing.AnswerMargin)
 	defer cancel()
-	answer, err := a.ask(ctx, e, withBody(req, r.Body), func(answer *http.Response) Naming { return a.codec.Names(asking, answer) })
+	answer, err := a.ask(ctx, e, withBody(req, r.Body), a.codec.MostKept, func(answer *http.Response) Naming { return a.codec.Names(asking, answer) })
 	if err != nil {
 		return err
 	}
@@ -75,8 +78,7 @@
 	if j.Kind != "" {
 		return errs.New(j.Kind, "%s", j.Text)
 	}
-	p := &e.outcome.Proof
-	p.Status, p.Answer = int64(answer.StatusCode), j.Answer
+	e.prove(answer, j.Answer)
 	return nil
 }
 
--- /dev/null
+++ b/internal/deliver/large_test.go
@@ -0,0 +1,115 @@
+package deliver_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/deliver"
+	"caperwheel/internal/errs"
+	"caperwheel/internal/head"
+	"caperwheel/internal/wire"
+)
+
+// bodyOf answers with a status, a seal and a body of so many bytes, which comes with its
+// length or in chunks.
+func bodyOf(code, size int, isChunked, isNotRun bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Server-Seal", "s.1")
+		if isNotRun {
+			w.Header().Set("X-Not-Run", "1")
+		}
+		if !isChunked {
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+		}
+		w.WriteHeader(code)
+		_, _ = io.CopyN(w, endless{}, int64(size))
+	}
+}
+
+// endless gives the letter q for ever.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return copy(p, strings.Repeat("q", len(p))), nil }
+
+// sizes are the bytes of an answer's body: none, as many as are kept, one more, and many more.
+var sizes = []int{0, deliver.MostKept, deliver.MostKept + 1, 12 * deliver.MostKept}
+
+// TestLargeAnswers guards against a worker's whole answer that is taken for a run of unknown fate, or for a refusal,
+// because its body is large: its message ran again after a success, and its failures spent no attempt.
+func TestLargeAnswers(t *testing.T) {
+	answers := []struct {
+		name     string
+		code     int
+		isNotRun bool
+	}{{"a success", 200, false}, {"a failure", 500, false}, {"a refusal for good", 422, false}, {"a full worker", 503, true}}
+	for _, way := range ways {
+		Convey("To "+way.name+", the answer of", t, func() {
+			for _, a := range answers {
+				for _, isChunked := range []bool{false, true} {
+					Convey(fmt.Sprintf("%s means the same whatever its size; in chunks: %t", a.name, isChunked), func() {
+						small := meetOnce(way.codec, way.isLane, bodyOf(a.code, 4, isChunked, a.isNotRun))
+						for _, size := range sizes {
+							got := meetOnce(way.codec, way.isLane, bodyOf(a.code, size, isChunked, a.isNotRun))
+							So([]any{size, got.Kind, got.Begun, got.Final, got.Proof.Status}, ShouldResemble,
+								[]any{size, small.Kind, small.Begun, small.Final, small.Proof.Status})
+							So(len(got.Proof.Answer), ShouldBeLessThanOrEqualTo, deliver.MostKept)
+						}
+					})
+				}
+			}
+		})
+	}
+}
+
+// TestLargeProof guards against a part of an answer that is kept as if it were the whole.
+func TestLargeProof(t *testing.T) {
+	Convey("The proof of a success has the whole answer, or none and the whole one's checksum", t, func() {
+		for _, size := range sizes {
+			whole := strings.Repeat("q", size)
+			for _, way := range ways[:2] {
+				proof := meetOnce(way.codec, way.isLane, bodyOf(200, size, false, false)).Proof
+				So(proof.Sum, ShouldEqual, wire.SumOf([]byte(whole)))
+				if size <= deliver.MostKept {
+					So(string(proof.Answer) == whole, ShouldBeTrue)
+				} else {
+					So(proof.Answer, ShouldBeEmpty)
+				}
+			}
+			platforms := meetOnce(ways[2].codec, ways[2].isLane, bodyOf(200, size, false, false)).Proof
+			So(string(platforms.Answer), ShouldEqual, "s.1")
+		}
+	})
+}
+
+// TestLargeWord guards against a call-back that is told again and again since its receiver accepts it with a large body.
+func TestLargeWord(t *testing.T) {
+	Convey("A receiver that accepts a word has accepted it, whatever the size of its answer", t, func() {
+		for _, m := range codecs {
+			for _, size := range sizes {
+				receiver := httptest.NewServer(bodyOf(200, size, size%2 == 1, false))
+				told := deliver.Tell(m.codec, &wire.Tell{Id: "0-1", Url: receiver.URL + "/done", State: "ended", Head: aHead("0-1").Encode()}, 0)
+				So(errs.Kind(told.Kind), ShouldBeEmpty)
+				receiver.Close()
+			}
+		}
+	})
+}
+
+func aHead(id string) head.Head {
+	return head.Head{Method: "POST", Target: "/a", Host: "x.example", Fields: [][2]string{{"X-Attempt-Id", id}}}
+}
+
+// meetOnce puts one run to a worker.
+func meetOnce(codec deliver.Codec, isLane bool, worker http.HandlerFunc) *wire.Outcome {
+	server := httptest.NewServer(worker)
+	defer server.Close()
+	return deliver.Meeting(codec, server.Listener.Addr().String())("0-1", aHead("0-1"), isLane)
+}
--- a/internal/deliver/meet_test.go
+++ b/internal/deliver/meet_test.go
@@ -71,3 +71,6 @@
 		return a.deliver(context.Background(), r)
 	}
 }
+
+// MostKept is how many bytes of an answer are kept as proof.
+const MostKept = mostAnswer
--- a/internal/deliver/own.go
+++ b/internal/deliver/own.go
@@ -22,7 +22,8 @@
 		out.Header[messageId], out.Header["Idempotency-Key"] = []string{a.Id}, []string{a.Id}
 		return out, nil
 	},
-	Names: func(a Asking, answer *http.Response) Naming { return NamingIn(answer, messageId, a.Id) },
+	Names:    func(a Asking, answer *http.Response) Naming { return NamingIn(answer, messageId, a.Id) },
+	MostKept: mostAnswer,
 	Judge: func(_ Asking, answer *http.Response, body []byte) Judgement {
 		if answer.StatusCode >= 200 && answer.StatusCode <= 299 {
 			return Judgement{Answer: body, IsBegun: true}
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -32,7 +32,8 @@
 	compiled *config.Compiled
 }
 
-// mostAnswer bounds a worker's answer, which is kept as proof.
+// mostAnswer bounds what is kept of a worker's answer as proof, in bytes. A longer
+// answer means the same, and only its checksum is kept.
 const mostAnswer = 256 << 10
 
 // lostMachine finds a worker's machine gone that can no longer say so itself.
@@ -117,19 +118,27 @@
 		return err
 	}
 	naming := func(answer *http.Response) Naming { return ownNaming(answer, r.Id, r.Attempt) }
-	reply, err := a.ask(ctx, e, req, naming)
+	reply, err := a.ask(ctx, e, req, mostAnswer, naming)
 	if err != nil {
-		e.outcome.Final = errs.Is(err, errs.TooLarge)
 		return err
 	}
 	if reply.StatusCode < 200 || reply.StatusCode > 299 {
 		return refused(e.outcome, reply.Response)
 	}
-	p := &e.outcome.Proof
-	p.Status, p.Ctype, p.Answer, p.Sum = int64(reply.StatusCode), reply.Header.Get("Content-Type"), reply.Bytes, wire.SumOf(reply.Bytes)
+	e.prove(reply, reply.Bytes)
+	e.outcome.Proof.Ctype = reply.Header.Get("Content-Type")
 	return nil
 }
 
+// prove notes a success and what of its answer proves it; nil for nothing.
+func (e *delivery) prove(reply *web.Reply, proof []byte) {
+	p := &e.outcome.Proof
+	p.Status, p.Sum = int64(reply.StatusCode), reply.Sum
+	if proof != nil {
+		p.Answer = proof
+	}
+}
+
 // requestOf gives the request that a run is to its worker.
 func (a *Adapter) requestOf(e *delivery, path string) (*http.Request, error) {
 	r := e.run
@@ -150,10 +159,10 @@
 }
 
 // ask puts a request to a worker, once, and names what came of it. An answer
-// that may be another run's is none.
-func (a *Adapter) ask(ctx context.Context, e *delivery, req *http.Request, naming func(*http.Response) Naming) (*web.Reply, error) {
+// that may be another run's is none. At most most bytes of its body are kept.
+func (a *Adapter) ask(ctx context.Context, e *delivery, req *http.Request, most int64, naming func(*http.Response) Naming) (*web.Reply, error) {
 	mayKeep, check := sole(naming)
-	terms := web.Terms{Most: mostAnswer, MayKeep: mayKeep, Before: func() error {
+	terms := web.Terms{Most: most, IsSummed: most > 0, MayKeep: mayKeep, Before: func() error {
 		err := a.mayStillSend(e)
 		e.run.isTried.Store(err == nil)
 		return err
@@ -165,6 +174,8 @@
 		return nil, errs.Wrap(err, errs.DeadlineExceeded, "the worker did not answer in time")
 	case err != nil:
 		return nil, err
+	case most > 0 && !reply.IsKept():
+		answersNotKept.WithLabelValues(e.run.Pool).Inc()
 	}
 	return reply, check(reply)
 }
--- a/internal/deliver/tell.go
+++ b/internal/deliver/tell.go
@@ -104,7 +104,7 @@
 	ctx, cancel := timing.Within(ctx, a.d.Bounds.Of(timing.CallbackTimeout))
 	defer cancel()
 	mayKeep, check := a.judgeTold(m)
-	got, err := a.ports.Send(req.WithContext(ctx), web.Terms{Most: mostAnswer, MayKeep: mayKeep})
+	got, err := a.ports.Send(req.WithContext(ctx), web.Terms{MayKeep: mayKeep})
 	if err == nil {
 		err = check(got)
 	}
--- a/internal/sim/deliverysend.go
+++ b/internal/sim/deliverysend.go
@@ -11,6 +11,7 @@
 	"caperwheel/internal/errs"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/web"
+	"caperwheel/internal/wire"
 )
 
 // send puts a request to a worker or to the receiver, as web.Client does.
@@ -55,7 +56,7 @@
 			} else {
 				header.Set("X-Message-Id", r.id)
 				header.Set("X-Attempt", strconv.FormatInt(r.attempt, 10))
-				reply = &web.Reply{Response: &http.Response{StatusCode: status, Header: header}, Bytes: text, IsFirst: true}
+				reply = &web.Reply{Response: &http.Response{StatusCode: status, Header: header}, Bytes: text, Size: int64(len(text)), Sum: wire.SumOf(text), IsFirst: true}
 			}
 			resume()
 		}
--- a/internal/web/client.go
+++ b/internal/web/client.go
@@ -39,13 +39,6 @@
 	total int
 }
 
-// Reply is a whole answer that came in.
-type Reply struct {
-	*http.Response
-	Bytes   []byte // the body
-	IsFirst bool   // no other request went over its connection before
-}
-
 // NewClient gives a client without connections.
 func NewClient(o ClientOptions) *Client {
 	c := &Client{options: o, idle: map[string][]*connection{}}
@@ -67,8 +60,9 @@
 
 // Terms are what a request is sent on.
 type Terms struct {
-	Most    int64             // bytes of the answer's body
-	MayKeep func(*Reply) bool // whether the connection may carry another request after this answer; nil means no
+	Most     int64             // bytes of the answer's body that are kept; a longer one is read to its end and not kept
+	IsSummed bool              // the body's checksum is wanted
+	MayKeep  func(*Reply) bool // whether the connection may carry another request after this answer; nil means no
 	// Before is asked once a connection had to be made for the request, right
 	// before the request is written: making it may have taken long. Nil asks nothing.
 	Before func() error
@@ -110,7 +104,7 @@
 				return nil, true, &Unsent{err}
 			}
 		}
-		answer, err := conn.exchange(r, t.Most)
+		answer, err := conn.exchange(r, t)
 		if err == nil {
 			if t.MayKeep != nil && t.MayKeep(answer) {
 				conn.keep()
--- a/internal/web/connection.go
+++ b/internal/web/connection.go
@@ -1,7 +1,6 @@
 package web
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -91,7 +90,7 @@
 }
 
 // exchange sends a request and reads its answer whole.
-func (c *connection) exchange(r *http.Request, most int64) (*Reply, error) {
+func (c *connection) exchange(r *http.Request, t Terms) (*Reply, error) {
 	raw, err := c.tripper.RoundTrip(r)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Lost, "no answer")
@@ -100,11 +99,11 @@
 		_ = raw.Body.Close()
 		return nil, errs.New(errs.Truncated, "an answer came before its request was sent")
 	}
-	body, err := readWhole(raw, most)
-	if err != nil {
+	reply := &Reply{Response: raw, IsFirst: c.requests == 1}
+	if err := reply.read(t); err != nil {
 		return nil, err
 	}
-	return &Reply{Response: raw, Bytes: body, IsFirst: c.requests == 1}, nil
+	return reply, nil
 }
 
 func (c *connection) cameEarly() bool {
@@ -220,20 +219,3 @@
 	c.tellBack()
 	_ = c.Conn.Close()
 }
-
-// readWhole reads an answer's body to its end.
-func readWhole(answer *http.Response, most int64) ([]byte, error) {
-	defer func() { _ = answer.Body.Close() }()
-	hasNoLength := answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && answer.Request.Method != http.MethodHead
-	if answer.StatusCode < 200 || hasNoLength {
-		return nil, errs.New(errs.Truncated, "an answer that tells no length cannot be known to be whole")
-	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, most+1))
-	switch {
-	case err != nil:
-		return nil, errs.Wrap(err, errs.Truncated, "the answer was cut short")
-	case int64(len(body)) > most:
-		return nil, errs.New(errs.TooLarge, "the answer has over %d bytes", most)
-	}
-	return body, nil
-}
