Stand-in: workers and receivers answer with bodies of any size, with a length or in chunks

One message in eight now has an answer of 0, 1, 64 KiB, 256 KiB or 1 MiB, and of one byte more, the same for each of its runs; half come in chunks.

TestAnswerForms holds that each form is drawn.

--- /dev/null
+++ b/internal/standin/answer_test.go
@@ -0,0 +1,29 @@
+package standin
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestAnswerForms guards against workers that answer all alike: a bound that a long answer passes was never met.
+func TestAnswerForms(t *testing.T) {
+	Convey("Of some hundred messages each form of answer comes, and a message's own is always the same", t, func() {
+		seen := map[answerForm]int{}
+		for i := range 1000 {
+			id := fmt.Sprintf("m-%d", i)
+			form := formOf(id)
+			So(formOf(id), ShouldResemble, form)
+			seen[form]++
+		}
+		So(len(seen), ShouldEqual, 2*len(answerSizes)+2)
+		for form, count := range seen {
+			var out bytes.Buffer
+			So(form.write(&out), ShouldBeNil)
+			So(out.Len(), ShouldEqual, form.size)
+			So(count, ShouldBeGreaterThan, 0)
+		}
+	})
+}
--- a/internal/standin/receiver.go
+++ b/internal/standin/receiver.go
@@ -35,4 +35,5 @@
 	if t.State != "completed" && t.State != "dead_letter" {
 		out.WriteHeader(400)
 	}
+	_ = formOf(t.Token).write(out)
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -215,15 +215,17 @@
 	return run.Status
 }
 
-// tell answers whole; 0 if nobody heard it.
+// tell answers whole; 0 if nobody heard it. Each message has its own form of answer.
 func (w *Worker) tell(out http.ResponseWriter, code int, seal string) int {
-	text := "done by " + w.Id
+	form := formOf(out.Header().Get(attemptId))
 	if seal != "" {
 		out.Header().Set(serverSeal, seal)
 	}
-	out.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if !form.isChunked {
+		out.Header().Set("Content-Length", strconv.Itoa(form.size))
+	}
 	out.WriteHeader(code)
-	if _, err := out.Write([]byte(text)); err != nil || http.NewResponseController(out).Flush() != nil {
+	if form.write(out) != nil || http.NewResponseController(out).Flush() != nil {
 		return 0
 	}
 	return code
