Mend: a worker's identifier is carried whole, and nothing goes to a worker without it

Cause: an identifier that is too long to be spelled as a name was hashed, a hash cannot be told to a worker, and the message went out without X-Expect-Instance. The same cause: a listed worker called "endpoint" was taken for an outside endpoint, without the header; whether it is one is asked of its pool now.

Change: where a name cannot be spelled back, the list carries the identifier beside it, up to 1,024 bytes. An entry whose identifier no header field holds whole is left out, with a log line and list_entries_left_out_total (so are all entries that a list may not hold, in silence before). A worker of which only a hash is known gets nothing. The stand-in names one life in three by where it runs.

--- a/internal/config/workers.go
+++ b/internal/config/workers.go
@@ -2,7 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"caperwheel/internal/errs"
 )
@@ -15,8 +19,13 @@
 	State   string `json:"state"`           // live or leaving
 	Slots   int64  `json:"slots,omitempty"` // runs at once; 0: as the pool says
 	IsCold  bool   `json:"cold,omitempty"`  // it has just begun: no more than the pool's cold_rate
+	// What it calls itself, where that cannot be spelled as a name; empty where the name says it.
+	Identifier string `json:"identifier,omitempty"`
 }
 
+// MostIdentifier bounds a worker's identifier, in bytes: every request to it carries it.
+const MostIdentifier = 1024
+
 // Workers is a pool's live list.
 type Workers struct {
 	Workers []Worker `json:"workers"`
@@ -57,6 +66,9 @@
 	if text := CheckAddress(w.Address); text != "" {
 		faults = append(faults, Fault{"address", text})
 	}
+	if !IsIdentifier(w.Identifier) {
+		faults = append(faults, Fault{"identifier", fmt.Sprintf("must be at most %d bytes that a header field holds", MostIdentifier)})
+	}
 	if w.Slots < 0 || w.Slots > 1000 {
 		faults = append(faults, Fault{"slots", "must be from 0 to 1000"})
 	}
@@ -66,6 +78,12 @@
 	return faults
 }
 
+// IsIdentifier reports whether a text may be a worker's identifier: a header field carries it whole.
+func IsIdentifier(text string) bool {
+	return len(text) <= MostIdentifier && strings.Trim(text, " \t") == text && !strings.ContainsFunc(text, unicode.IsControl) &&
+		utf8.ValidString(text)
+}
+
 // Encode gives the list's JSON.
 func (w Workers) Encode() []byte {
 	out, err := json.Marshal(w)
--- a/internal/deliver/codec.go
+++ b/internal/deliver/codec.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"caperwheel/internal/config"
 	"caperwheel/internal/errs"
 	"caperwheel/internal/timing"
 	"caperwheel/internal/wire"
@@ -14,12 +13,13 @@
 
 // Asking is one run that is about to be put to a worker.
 type Asking struct {
-	Id      string
-	Head    []byte
-	Body    []byte
-	Address string
-	Worker  string        // its name; empty for an outside endpoint
-	Bound   time.Duration // how long it may take
+	Id         string
+	Head       []byte
+	Body       []byte
+	Address    string
+	Worker     string        // its name; empty for an outside endpoint
+	Identifier string        // what the worker calls itself, where its name does not say so
+	Bound      time.Duration // how long it may take
 }
 
 // Judgement is what a worker's whole answer says. Kind is empty for a success.
@@ -39,6 +39,8 @@
 // tell callers of ends. Names tells whose an answer of a worker says that it is;
 // one that is another run's is not judged.
 type Codec struct {
+	// Ask gives the request; errs.Unhealthy where it may not be put to this worker, any other error
+	// where it can be put to none.
 	Ask   func(a Asking) (*http.Request, error)
 	Names func(a Asking, answer *http.Response) Naming
 	// Judge reads a whole answer. body is nil where it has more than MostKept bytes: what the
@@ -56,13 +58,13 @@
 func (a *Adapter) sendAsItIs(e *delivery) error {
 	r := e.run
 	bound := time.Duration(r.Bound) * time.Millisecond
-	asking := Asking{Id: r.Id, Head: r.Head, Body: r.Body, Address: r.address, Worker: r.Worker, Bound: bound}
-	if r.Worker == config.Endpoint {
+	asking := Asking{Id: r.Id, Head: r.Head, Body: r.Body, Address: r.address, Worker: r.Worker, Identifier: r.identifier, Bound: bound}
+	if e.rules.Pools[r.Pool].IsEndpoint {
 		asking.Worker = ""
 	}
 	req, err := a.codec.Ask(asking)
 	if err != nil {
-		e.outcome.Final = true
+		e.outcome.Final = !errs.Is(err, errs.Unhealthy)
 		return err
 	}
 	ctx, cancel := timing.WithRunningTimeout(e.ctx, bound+bound/timing.AnswerMargin)
--- /dev/null
+++ b/internal/deliver/expected_test.go
@@ -0,0 +1,48 @@
+package deliver_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/config"
+	"caperwheel/internal/deliver"
+	"caperwheel/platform"
+)
+
+// TestExpectedWorker guards against a message that goes to an address without the identifier of the worker that it is for:
+// whoever has the address by then runs it.
+func TestExpectedWorker(t *testing.T) {
+	long := strings.Repeat("zone/rack/", 9) + "i-4"
+	cases := []struct{ name, worker, identifier, expects string }{
+		{"a worker whose identifier is its name", "i-4", "", "i-4"},
+		{"one with a long identifier", platform.NameOf(long), long, long},
+		{"one with an identifier as long as any may be", platform.NameOf(long), strings.Repeat("i", config.MostIdentifier), strings.Repeat("i", config.MostIdentifier)},
+		{"one of which only a hash is known", platform.NameOf(long), "", ""},
+		{"a listed worker that is called as endpoints are", config.Endpoint, "", config.Endpoint},
+	}
+	Convey("A message for", t, func() {
+		for _, c := range cases {
+			Convey(c.name+" tells whom it is for, or does not go out", func() {
+				got := make(chan string, 1)
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					got <- r.Header.Get("X-Expect-Instance")
+					answer(200, "X-Server-Seal", "s.1")(w, r)
+				}))
+				defer server.Close()
+				listed := config.Worker{Name: c.worker, Identifier: c.identifier, Address: server.Listener.Addr().String(), Zone: "c", State: "live"}
+				o := deliver.MeetWorker(platform.Deliveries, listed, aHead("m-1"))
+				if c.expects == "" {
+					So(len(got), ShouldEqual, 0)
+					So([]any{o.Kind != "", o.Begun, o.Final}, ShouldResemble, []any{true, false, false})
+					return
+				}
+				So(<-got, ShouldEqual, c.expects)
+				So(o.Kind, ShouldBeEmpty)
+			})
+		}
+	})
+}
--- a/internal/deliver/meet_test.go
+++ b/internal/deliver/meet_test.go
@@ -74,3 +74,14 @@
 
 // MostKept is how many bytes of an answer are kept as proof.
 const MostKept = mostAnswer
+
+// MeetWorker puts a request that came as it is to a listed worker.
+func MeetWorker(codec Codec, listed config.Worker, kept head.Head) *wire.Outcome {
+	a := scenery(listed.Address)
+	a.codec = codec
+	list := config.Workers{Workers: []config.Worker{listed}}
+	a.d.View.Take([]wire.PartNews{{From: 3, To: 5, Changes: []wire.Change{{Key: config.WorkersKey + "p", Revision: 4, Value: list.Encode()},
+		{Key: config.DutyKey + "p/" + listed.Name, Revision: 5, Value: config.Duty{Holder: "a", Boot: "1"}.Encode()}}}}, a.d.Now())
+	return a.deliver(context.Background(), &run{Run: wire.Run{Id: "0-x", Attempt: 1, Lane: "l", Pool: "p", Worker: listed.Name, Sum: wire.SumOf(nil),
+		Head: kept.Encode(), Bound: 50}, permit: &permit{held: &held{worker: NewWorker(config.Pool{Concurrency: 8}, 0, 0)}}})
+}
--- a/internal/deliver/runs.go
+++ b/internal/deliver/runs.go
@@ -22,11 +22,12 @@
 // durable at the place's owner, whoever that becomes.
 type run struct {
 	wire.Run
-	permit    *permit
-	address   string
-	isTried   atomic.Bool // the worker was asked, or could not be
-	isSent    atomic.Bool // the worker may have seen it
-	isHealthy atomic.Bool // the worker is well, whatever it answered
+	permit     *permit
+	address    string
+	identifier string      // of the worker, where its name does not say it
+	isTried    atomic.Bool // the worker was asked, or could not be
+	isSent     atomic.Bool // the worker may have seen it
+	isHealthy  atomic.Bool // the worker is well, whatever it answered
 }
 
 // start takes a run from a store into hand, or tells that it never starts.
--- a/internal/deliver/send.go
+++ b/internal/deliver/send.go
@@ -74,7 +74,7 @@
 			if !isLive || !e.compiled.MayWork(a.d.Who.Zone) {
 				return errs.New(errs.Rejected, "%s/%s is not live", e.run.Pool, e.run.Worker)
 			}
-			e.run.address = w.Address
+			e.run.address, e.run.identifier = w.Address, w.Identifier
 			return nil
 		},
 		path.Holder: func(_ path.Step, e *delivery) error {
@@ -191,7 +191,7 @@
 		return errs.New(errs.Stale, "the view is too old to act on")
 	case compiled.Rules != e.rules:
 		return errs.New(errs.Stale, "the configuration has changed since")
-	case !isLive || w.Address != r.address || !compiled.MayWork(a.d.Who.Zone):
+	case !isLive || w.Address != r.address || w.Identifier != r.identifier || !compiled.MayWork(a.d.Who.Zone):
 		return errs.New(errs.Rejected, "%s/%s is not live", r.Pool, r.Worker)
 	case !compiled.IsHolder(r.Pool, r.Worker, a.d.Who.Name, a.d.Who.Boot):
 		return errs.New(errs.NotOwner, "the duty of %s/%s has moved on", r.Pool, r.Worker)
--- a/internal/manager/list.go
+++ b/internal/manager/list.go
@@ -49,8 +49,9 @@
 	pools    map[string]*listedPool
 	easing   map[string]ease
 	isLost   map[*listing.Cursor]bool
-	refused  int           // calls since the reading began
-	toldFull time.Duration // when that was last logged
+	leftOut  map[string]bool // by pool and name: entries that a list may not hold, of which the log tells
+	refused  int             // calls since the reading began
+	toldFull time.Duration   // when that was last logged
 }
 
 // passed is a complete read.
@@ -132,7 +133,7 @@
 		cancel()
 	}
 	l.roster, l.plan, l.readers, l.passed, l.isLost = nil, nil, nil, nil, nil
-	l.written, l.pools, l.easing, l.refused = nil, nil, nil, 0
+	l.written, l.pools, l.easing, l.leftOut, l.refused = nil, nil, nil, nil, 0
 }
 
 // begin takes the reading up: what the view has is known, until reads leave it out.
@@ -144,7 +145,7 @@
 	}
 	klog.Infof("list: This manager reads the source of workers.")
 	l.roster, l.plan = listing.NewRoster(), listing.NewPlan(l.m.d.Bounds.Of(timing.ListInterval))
-	l.readers, l.isLost = map[*listing.Cursor]context.CancelFunc{}, map[*listing.Cursor]bool{}
+	l.readers, l.isLost, l.leftOut = map[*listing.Cursor]context.CancelFunc{}, map[*listing.Cursor]bool{}, map[string]bool{}
 	l.written, l.pools = map[string]writtenList{}, map[string]*listedPool{}
 	compiled, now := l.m.configs.Current(), l.m.d.Now()
 	for name, pool := range compiled.Rules.Pools {
--- a/internal/manager/list_test.go
+++ b/internal/manager/list_test.go
@@ -17,7 +17,8 @@
 // TestList is the table of what is written of a short list, turn by turn.
 func TestList(t *testing.T) {
 	w1, w2, left := listedWorker("w1", "live", false), listedWorker("w2", "live", true), listedWorker("w1", "leaving", false)
-	bad := listedWorker("no name", "live", false)
+	bad, untold := listedWorker("no name", "live", false), listedWorker("w3", "live", false)
+	untold.Identifier = strings.Repeat("i", config.MostIdentifier+1)
 	type turn struct {
 		read  []config.Worker
 		err   error
@@ -37,7 +38,7 @@
 		{"a worker gone once it was missed twice", []turn{{both, nil, 1, both}, {[]config.Worker{w1}, nil, 1, both},
 			{[]config.Worker{w1}, nil, 2, []config.Worker{w1}}}},
 		{"a worker missed once", []turn{{both, nil, 1, both}, {[]config.Worker{w1}, nil, 1, both}, {both, nil, 1, both}}},
-		{"no worker that a list may not hold", []turn{{[]config.Worker{w1, bad}, nil, 1, []config.Worker{w1}}}},
+		{"no worker that a list may not hold", []turn{{[]config.Worker{w1, bad, untold}, nil, 1, []config.Worker{w1}}}},
 	}
 	for _, isBlind := range []bool{false, true} {
 		name := map[bool]string{false: "The list controller writes", true: "The list controller writes, with its view behind,"}[isBlind]
--- a/internal/manager/listread.go
+++ b/internal/manager/listread.go
@@ -16,7 +16,10 @@
 var listCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "list",
 	Name: "calls_total", Help: "Pages of the list of workers asked for, by what came of them: page, refused or failed."}, []string{"end"})
 
-func init() { prometheus.MustRegister(listCalls) }
+var leftOut = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "caperwheel", Subsystem: "list",
+	Name: "entries_left_out_total", Help: "Entries read that a list of workers may not hold, by pool."}, []string{"pool"})
+
+func init() { prometheus.MustRegister(listCalls, leftOut) }
 
 // startReaders has one reader run for each list of the plan.
 func (l *lister) startReaders(ctx context.Context) {
@@ -72,7 +75,7 @@
 		return
 	}
 	for pool, list := range page.Workers {
-		for _, w := range healthy(list) {
+		for _, w := range l.healthy(pool, list) {
 			l.roster.See(pool, w, asked)
 		}
 	}
@@ -146,13 +149,12 @@
 	}
 }
 
-// healthy drops what a list may not hold.
-func healthy(list []config.Worker) []config.Worker {
+// healthy drops what a list may not hold. Called with mu held.
+func (l *lister) healthy(pool string, list []config.Worker) []config.Worker {
 	out, seen := []config.Worker{}, map[string]bool{}
 	for _, w := range list {
-		faults := w.Check()
-		if len(faults) > 0 || seen[w.Name] {
-			klog.V(2).Infof("list: Worker %q is left out: %v.", w.Name, faults)
+		if faults := w.Check(); len(faults) > 0 || seen[w.Name] {
+			l.leaveOut(pool, w, faults)
 			continue
 		}
 		seen[w.Name] = true
@@ -160,3 +162,17 @@
 	}
 	return out
 }
+
+// mostLoggedOut bounds the workers left out that are remembered so as to be logged once.
+const mostLoggedOut = 100
+
+// leaveOut counts a worker that gets no work since a list may not hold it, and logs it once.
+func (l *lister) leaveOut(pool string, w config.Worker, faults []config.Fault) {
+	leftOut.WithLabelValues(pool).Inc()
+	key := pool + "/" + w.Name
+	if l.leftOut[key] || len(l.leftOut) >= mostLoggedOut {
+		return
+	}
+	l.leftOut[key] = true
+	klog.Warningf("list: Worker %q of %s is left out and gets no work: %v.", w.Name, pool, faults)
+}
--- a/internal/standin/pool.go
+++ b/internal/standin/pool.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -116,7 +117,7 @@
 	}
 	p.mu.Lock()
 	p.lives++
-	w.Id = fmt.Sprintf("%s-%d-%x", p.Name, p.lives, rand.Uint32())
+	w.Id = identifierOf(p.Name, zone, p.lives)
 	p.mu.Unlock()
 	if err := w.begin(addr); err != nil {
 		return nil, err
@@ -128,6 +129,18 @@
 	return w, nil
 }
 
+// identifierOf names a life of a worker: one life in three by where it runs, longer than a name.
+func identifierOf(service, zone string, life int) string {
+	short := fmt.Sprintf("%s-%d-%x", service, life, rand.Uint32())
+	if life%3 != 0 {
+		return short
+	}
+	return "region/" + zone + "/" + service + "/rack-" + strings.Repeat("0", longIdentifier) + "/" + short
+}
+
+// longIdentifier is how many characters a long identifier has at least.
+const longIdentifier = 64
+
 // drop takes a life off the list.
 func (p *Pool) drop(w *Worker) {
 	p.mu.Lock()
