Mend: where an operation key is remembered does not follow from the lane

Cause: the place of a message with an operation key followed from its lane's kind, which the configuration may change between two tries. Ruled out: forgotten ends (the repeats come 7 s after the first sends; ends are kept for two windows) and the id (it has tenant and key alone, the place's number aside).

Change: with a tenant, the request's ordering key names the place if it carries one, else its operation key, whatever its lane is. Order by key is as it was, and no commit or message is added.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -51,6 +51,7 @@
 	lane     config.Lane
 	tenant   config.Tenant // whose message it is; none where the lane is public and no key was given
 	name     string        // operation key: the tenant's sends with one name are one message
+	order    string        // ordering key that the request carries, whether its lane is ordered or not
 	deadline time.Duration // how long its caller waits; 0 if that is not known
 	take     wire.Take
 	taken    *wire.Taken
@@ -117,15 +118,22 @@
 // putPlace gives the message its place and id. An ordering key names the place,
 // an idempotency or operation key the id: whoever sends the message again, through any
 // adapter, asks for the same one.
+//
+// Invariant: the place and id of a tenant's message with an operation key follow from the request and its
+// tenant alone. The lane, which a change of the configuration may replace between two sends, has no part in them.
 func (in *Intake) putPlace(e *request) {
 	t := &e.take
 	switch {
-	case t.Key != "" && e.tenant.Name != "": // wherever the lanes' ways lead meanwhile
+	case e.name != "" && e.order == "":
+		t.Place = in.placeFor(e.tenant.Name, "n"+e.name)
+	case e.name != "" && e.tenant.Name != "":
+		t.Place = in.placeFor("", "k"+wire.ScopedKey(e.tenant.Name, e.order))
+	case t.Key != "" && e.tenant.Name != "":
 		t.Place = in.placeFor("", "k"+t.Key)
 	case t.Key != "":
 		t.Place = in.placeFor(t.Lane, "k"+t.Key)
 	case e.name != "":
-		t.Place = in.placeFor(e.tenant.Name, "n"+e.name)
+		t.Place = in.placeFor("", "n"+e.name)
 	case t.Idem != "":
 		t.Place = in.placeFor(t.Lane, "i"+t.Idem)
 	default:
--- a/internal/intake/places_test.go
+++ b/internal/intake/places_test.go
@@ -4,8 +4,12 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/intake"
+	"caperwheel/platform"
 )
 
 // TestOperationKeysNameTheirPlaces guards against TWICE: a repeat of a message was put to another place than the first send.
@@ -31,3 +35,53 @@
 		So(len(other), ShouldBeGreaterThan, 10)
 	})
 }
+
+// routesOver gives the platform's configuration with more routes over those of tenanted, which a document may hold as well.
+func routesOver(version int, routes ...string) string {
+	doc := strings.Replace(tenanted, `"version":3,"routes":[`, fmt.Sprintf(`"version":%d,"routes":[%s`, version, strings.Join(append(routes, ""), ",")), 1)
+	return strings.Replace(doc, `"services":[{"name":"s"}]`, `"services":[{"name":"s"},{"name":"other"}]`, 1)
+}
+
+// TestPlacesOutliveTheConfiguration guards against TWICE: a route that was added over the path of messages that are sent again,
+// ordered where the other was not, brought their repeats to other places, which knew nothing of the first sends.
+func TestPlacesOutliveTheConfiguration(t *testing.T) {
+	over := func(fields string) string {
+		return `{"name":"r-x","hostname":"x.example","path_prefix":"/a/x/","timeout_ms":2000,` + fields + `}`
+	}
+	changes := []struct{ name, doc string }{
+		{"a route is added over its path", routesOver(5, over(`"service":"s"`))},
+		{"an ordered route is", routesOver(6, over(`"service":"s","ordered":true`))},
+		{"that route's service changes", routesOver(7, over(`"service":"other","ordered":true`))},
+		{"it is open to all", routesOver(8, over(`"service":"other","ordered":true,"public_access":true`))},
+		{"it is ordered no longer", routesOver(9, over(`"service":"other","public_access":true`))},
+		{"it is removed", routesOver(10)},
+		{"the route beneath turns ordered", strings.Replace(routesOver(11), `"path_prefix":"/a/",`, `"path_prefix":"/a/","ordered":true,`, 1)},
+		{"its host is no longer told apart", strings.Replace(routesOver(12), `"hostname":"x.example","path_prefix":"/a/"`, `"hostname":"","path_prefix":"/a/"`, 1)},
+		{"the tenant gets another key", strings.Replace(routesOver(13), `["key-1","key-2"]`, `["key-1"]`, 1)},
+	}
+	for _, order := range []string{"", "vent 4"} {
+		Convey(fmt.Sprintf("A message that is sent again, with the order key %q, has the place and name of its first send when", order), t, func() {
+			rules, err := platform.ConfigOf([]byte(tenanted), time.Minute)
+			So(err, ShouldBeNil)
+			in, takes := intake.On(intake.Scenery{Take: held, Most: 9, Rules: string(rules)})
+			serve := in.AsItIs(platform.Callers)
+			for op := range 12 {
+				fields := map[string]string{"Authorization": "Bearer key-1", "X-Operation-Key": fmt.Sprint("op", op), "X-Order-Key": order}
+				So(send(serve, "/a/x/1", fields).Code, ShouldEqual, 202)
+			}
+			for _, c := range changes {
+				Convey(c.name, func() {
+					rules, err := platform.ConfigOf([]byte(c.doc), time.Minute)
+					So(err, ShouldBeNil)
+					intake.Change(in, string(rules))
+					for op := range 12 {
+						fields := map[string]string{"Authorization": "Bearer key-1", "X-Operation-Key": fmt.Sprint("op", op), "X-Order-Key": order}
+						So(send(serve, "/a/x/1", fields).Code, ShouldEqual, 202)
+						first, again := takes()[op], takes()[12+op]
+						So([]any{again.Place, again.Id}, ShouldResemble, []any{first.Place, first.Id})
+					}
+				})
+			}
+		})
+	}
+}
--- a/internal/intake/tenant.go
+++ b/internal/intake/tenant.go
@@ -76,7 +76,7 @@
 // putName gives the message what it is known by: the name that its tenant gave it, and the ordering key
 // of the tenant's. One without a key is about nothing that others are about.
 func (e *request) putName(name, key string) {
-	e.name = name
+	e.name, e.order = name, key
 	if !e.lane.IsOrdered {
 		return
 	}
