Mend: a silent receiver of call-backs does not keep others' words waiting

What receivers see: no call-back while another receiver is silent and has more than some dozens of words at a place. Found by review, by reading.

Cause: 64 words under way at most, drawn by the least id; those of a silent receiver stay under way until given up, and came first again. An adapter's goroutines for words were held by up to twelve words to each silent receiver.

Change: a queue for each receiver, served in turn, with a share of what may be under way (64 to one, 128 to all); a silent one is told one word at a time, after rests that double; half at most goes to receivers that were silent last. The adapter has one word under way to a silent receiver.

--- a/internal/deliver/tell.go
+++ b/internal/deliver/tell.go
@@ -16,7 +16,7 @@
 // ends at the same moments.
 //
 // Invariant: only addresses with words under way have an entry, and words wait only where
-// mostTellers are under way.
+// as many are under way as may be: mostTellers, or one to a receiver that is silent.
 type tellers struct {
 	mu        sync.Mutex
 	addresses map[string]*tellQueue
@@ -25,14 +25,24 @@
 // tellQueue is what one address is told.
 type tellQueue struct {
 	count   int // under way
+	silent  int // words in turn that had no answer
 	waiting []func()
 }
 
 const (
 	mostTellers     = 12
 	mostWaitingTell = 256
+	silentAfter     = 3 // unanswered words in turn
 )
 
+// most returns how many words may be under way: a silent receiver must not hold up the goroutines that others' words need.
+func (q *tellQueue) most() int {
+	if q.silent >= silentAfter {
+		return 1
+	}
+	return mostTellers
+}
+
 // enter has work done now, or once a word before it has left, or reports that too many wait.
 func (t *tellers) enter(address string, work func()) bool {
 	t.mu.Lock()
@@ -44,7 +54,7 @@
 		q = &tellQueue{}
 		t.addresses[address] = q
 	}
-	if q.count >= mostTellers {
+	if q.count >= q.most() {
 		mayWait := len(q.waiting) < mostWaitingTell
 		if mayWait {
 			q.waiting = append(q.waiting, work)
@@ -58,21 +68,31 @@
 	return true
 }
 
-// leave notes that a word is no longer under way; the one that has waited longest goes out.
+// leave notes that a word is no longer under way; those that have waited longest go out.
 func (t *tellers) leave(address string) {
 	t.mu.Lock()
 	q := t.addresses[address]
-	if len(q.waiting) > 0 {
-		next := q.waiting[0]
-		q.waiting = q.waiting[1:]
-		t.mu.Unlock()
-		next()
-		return
-	}
-	if q.count--; q.count == 0 {
+	q.count--
+	next := q.waiting[:min(len(q.waiting), max(0, q.most()-q.count))]
+	q.waiting = q.waiting[len(next):]
+	if q.count += len(next); q.count == 0 {
 		delete(t.addresses, address)
 	}
 	t.mu.Unlock()
+	for _, work := range next {
+		work()
+	}
+}
+
+// hear notes whether a word that is under way had an answer.
+func (t *tellers) hear(address string, isAnswered bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q := t.addresses[address]
+	q.silent++
+	if isAnswered {
+		q.silent = 0
+	}
 }
 
 // tell tells a URL of an end, once; whether again is for the place's owner.
@@ -91,7 +111,9 @@
 				answer(full) // its turn has come too late: whoever waits for the answer may have given it up
 				return
 			}
-			answer(a.tellNow(ctx, m, req))
+			told := a.tellNow(ctx, m, req)
+			a.tellers.hear(address, told.Kind == "" || told.Kind == string(errs.Rejected))
+			answer(told)
 		})
 	}
 	if !a.tellers.enter(address, work) {
--- a/internal/deliver/tellqueue_test.go
+++ b/internal/deliver/tellqueue_test.go
@@ -66,3 +66,30 @@
 		So((<-told).Kind, ShouldEqual, string(errs.Full))
 	})
 }
+
+// TestTellSilent guards against words that wait for a silent receiver's: each of them held a goroutine until it was given up.
+func TestTellSilent(t *testing.T) {
+	Convey("To a receiver that let three words go without an answer one goes at a time, and twelve once it answers", t, func() {
+		tellers := &tellers{}
+		out, _ := burst(tellers, 3*mostTellers)
+		So(len(*out), ShouldEqual, mostTellers)
+		for range mostTellers + silentAfter - 1 { // as many have gone out by the time that three had no answer
+			tellers.hear("a", false)
+			tellers.leave("a")
+		}
+		So(tellers.addresses["a"].count, ShouldEqual, 1)
+		alone := len(*out)
+		tellers.hear("a", false)
+		tellers.leave("a")
+		So(len(*out), ShouldEqual, alone+1)
+		tellers.hear("a", true)
+		tellers.leave("a")
+		So(tellers.addresses["a"].count, ShouldEqual, mostTellers)
+		for left := tellers.addresses["a"]; left.count > 0; {
+			tellers.hear("a", true)
+			tellers.leave("a")
+		}
+		So(len(*out), ShouldEqual, 3*mostTellers)
+		So(len(tellers.addresses), ShouldEqual, 0)
+	})
+}
--- a/internal/store/tell.go
+++ b/internal/store/tell.go
@@ -2,11 +2,11 @@
 
 import (
 	"maps"
-	"net/url"
 	"time"
 
 	"caperwheel/internal/config"
 	"caperwheel/internal/duty"
+	"caperwheel/internal/errs"
 	"caperwheel/internal/place"
 	"caperwheel/internal/session"
 	"caperwheel/internal/timing"
@@ -15,29 +15,45 @@
 
 // telling is what an owner has under way to tell of ends.
 //
-// Invariants: at most mostTelling are under way; told has those whose word was
-// accepted and is not committed yet. A new owner tells them again: at least once
+// Invariants: at most mostTellingAll are under way, and to one receiver no more than its share; told has
+// those whose word was accepted and is not committed yet. A new owner tells them again: at least once
 // is what was promised.
 type telling struct {
-	underWay map[string]time.Duration // until when an answer is waited for
+	underWay map[string]wordUnderWay // by id
 	told     []string
 	toldAt   time.Duration
-	rests    map[string]rest // by id
+	rests    map[string]rest    // by id
+	silences map[string]silence // by address
+	last     string             // address of the newest word
 	lookAt   time.Duration
 }
 
+// wordUnderWay is a word that its receiver has not answered yet, or whose acceptance is not committed yet.
+type wordUnderWay struct {
+	address    string
+	until      time.Duration // so long an answer is waited for
+	isAccepted bool
+}
+
 // rest is a pause after a word that was not accepted; it doubles.
 type rest struct {
 	until, length time.Duration
 }
 
+func (r rest) longer(now time.Duration, bounds timing.Bounds) rest {
+	least := bounds.Of(timing.Redial)
+	length := min(max(least, 2*r.length), 8*least)
+	return rest{now + length, length}
+}
+
 const (
-	mostTelling = 64
-	tellBatch   = 100
+	mostTelling    = 64  // words under way to one receiver
+	mostTellingAll = 128 // to all, of which half at most to receivers that were silent
+	tellBatch      = 100
 )
 
 func newTelling() telling {
-	return telling{underWay: map[string]time.Duration{}, rests: map[string]rest{}}
+	return telling{underWay: map[string]wordUnderWay{}, rests: map[string]rest{}, silences: map[string]silence{}}
 }
 
 // tell tells those that asked for it of their messages' ends, and commits in
@@ -60,21 +76,34 @@
 	if len(t.rests) > p.machine.CountOwed() { // some were forgotten before they were told
 		maps.DeleteFunc(t.rests, func(id string, _ rest) bool { return p.machine.Find(id) == nil })
 	}
-	for _, e := range p.machine.Owed() {
-		if len(t.underWay)-len(t.told) >= mostTelling {
-			return
-		}
-		if now >= t.underWay[e.Id] && now >= t.rests[e.Id].until {
-			p.tellOf(e, now)
+	p.tellInTurn(t.queues(p.machine.Owed(), now), now)
+}
+
+// tellInTurn gives each receiver one word after the other, as long as there is room.
+func (p *PlaceHost) tellInTurn(queues []*queueOf, now time.Duration) {
+	t := &p.telling
+	doubtful := t.doubtful()
+	for isMore := true; isMore; {
+		isMore = false
+		for _, q := range queues {
+			if len(t.underWay)-len(t.told) >= mostTellingAll {
+				return
+			}
+			if len(q.words) == 0 || q.room <= 0 || q.isDoubtful && doubtful >= mostTellingAll/2 {
+				continue
+			}
+			if q.isDoubtful {
+				doubtful++
+			}
+			e := q.words[0]
+			q.words, q.room, isMore, t.last = q.words[1:], q.room-1, true, q.address
+			p.tellOf(e, q.address, now)
 		}
 	}
 }
 
-func (p *PlaceHost) tellOf(e *place.Message, now time.Duration) {
-	id, address := e.Id, ""
-	if u, err := url.Parse(e.Notify); err == nil {
-		address = u.Host
-	}
+func (p *PlaceHost) tellOf(e *place.Message, address string, now time.Duration) {
+	id := e.Id
 	who, isHere := p.environment.Teller(address)
 	if !isHere {
 		return
@@ -87,32 +116,50 @@
 		return raw
 	}
 	ask.Head, ask.Answer = fill(ask.Head), fill(ask.Answer)
-	p.telling.underWay[id] = now + 2*p.environment.Bounds().Config
+	p.telling.underWay[id] = wordUnderWay{address: address, until: now + 2*p.environment.Bounds().Config}
 	done := func(reply any, err error) {
 		told, isTold := reply.(*wire.Told)
-		_ = p.host.Do(func() { p.heard(id, err == nil && isTold && told.Kind == "") })
+		_ = p.host.Do(func() {
+			if err == nil && isTold {
+				p.answered(id, errs.Kind(told.Kind))
+			} else {
+				p.untold(id)
+			}
+		})
 	}
 	if err := p.environment.Post(who, ask, done); err != nil {
-		p.heard(id, false)
+		p.untold(id)
 	}
 }
 
-// heard takes in whether a word was accepted.
-func (p *PlaceHost) heard(id string, isAccepted bool) {
-	t := &p.telling
-	if _, isOurs := t.underWay[id]; !isOurs { // of an ownership before
+// answered takes in what came of a word; an empty kind is an acceptance.
+func (p *PlaceHost) answered(id string, kind errs.Kind) {
+	t, now := &p.telling, p.environment.Now()
+	word, isOurs := t.underWay[id]
+	if !isOurs { // of an ownership before
+		return
+	}
+	if kind != errs.Full { // the receiver had it
+		t.noteSilence(word.address, isSilent(kind), now, p.environment.Bounds())
+	}
+	if kind != "" {
+		p.untold(id)
 		return
 	}
-	if isAccepted {
-		t.underWay[id] = p.environment.Now() + 2*p.environment.Bounds().Config // until it is committed
-		t.told = append(t.told, id)
-		delete(t.rests, id)
+	word.until, word.isAccepted = now+2*p.environment.Bounds().Config, true // until it is committed
+	t.underWay[id] = word
+	t.told = append(t.told, id)
+	delete(t.rests, id)
+}
+
+// untold has a word that was not accepted told again after a rest.
+func (p *PlaceHost) untold(id string) {
+	t := &p.telling
+	if _, isOurs := t.underWay[id]; !isOurs {
 		return
 	}
 	delete(t.underWay, id)
-	least := p.environment.Bounds().Of(timing.Redial)
-	length := min(max(least, 2*t.rests[id].length), 8*least)
-	t.rests[id] = rest{p.environment.Now() + length, length}
+	t.rests[id] = t.rests[id].longer(p.environment.Now(), p.environment.Bounds())
 }
 
 // Teller returns the adapter that speaks to an address: the same for all stores,
