--- a/test.sh
+++ b/test.sh
@@ -4,7 +4,7 @@
 # packages to test.
 set -eu
 cd "$(dirname "$0")"
-unformatted=$(gofmt -l cmd internal platform)
+unformatted=$(gofmt -l cmd deploy docs internal platform)
 if [ -n "$unformatted" ]; then echo "not formatted: $unformatted"; exit 1; fi
 long=$(find . -name '*.go' -not -path './.git/*' -exec awk 'END { if (NR > 250) print FILENAME ": " NR " lines" }' {} \;)
 if [ -n "$long" ]; then echo "over 250 lines: $long"; exit 1; fi
