Mend: the listed workers of a service with a rate share it

Cause: slots are granted by worker, and each worker was given the whole rate. Ruled out: bursts (one worker's bucket holds a tenth of a second). Change: each holder of duties may start its part of the rate: its duties through the listed workers. A duty counts a bound after its holder saw it, a shorter list too, a longer one at once. No daemon asks another for a message. Endpoints are as before.

A test's frame changed: TestOneHolderAtATime asks the old holder all along, not first when its news end, since a share counts from when its duty was seen; all that it holds is as it was.

--- a/internal/deliver/atwork.go
+++ b/internal/deliver/atwork.go
@@ -19,7 +19,7 @@
 // them a worker with short runs stands idle from each grant until its run arrives. Where a
 // rate decides, none are needed.
 func (w *Worker) ahead(limit int64, now time.Duration) int64 {
-	if w.state != Healthy || w.micros == 0 || w.rate(now) > 0 {
+	if w.state != Healthy || w.micros == 0 || w.rate(now) > 0 || w.allowance != nil {
 		return 0
 	}
 	return min(limit, int64(math.Ceil(float64(limit)*w.lead/w.micros)))
@@ -41,7 +41,7 @@
 }
 
 // Withdraw undoes Begin for a run that was not sent, and gives its slot back.
-func (w *Worker) Withdraw() {
+func (w *Worker) Withdraw(now time.Duration) {
 	w.atWork = max(0, w.atWork-1)
-	w.Release()
+	w.Release(now)
 }
--- a/internal/deliver/fence_test.go
+++ b/internal/deliver/fence_test.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	if p, err := h.slots.use(grant.Permit, "p/w"); err == nil {
-		p.held.worker.Release()
+		p.held.worker.Release(0)
 	}
 	return true
 }
@@ -75,8 +75,9 @@
 // last, or first, news come at a step; -1 for never.
 func actsUntil(heardAt, age int) (last int) {
 	h, last := newDutyHolder("a"), -1
-	for now := range heardAt + 1 {
+	for now := range heardAt + 1 { // asked all along: a share of a rate counts a fence after its duty was seen
 		h.hear(now, min(age, now))
+		h.acts(now)
 	}
 	for now := heardAt; now <= lastStep; now++ {
 		if h.acts(now) {
--- a/internal/deliver/line.go
+++ b/internal/deliver/line.go
@@ -57,7 +57,7 @@
 func (s *slots) withdrawn(p *permit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p.held.worker.Withdraw()
+	p.held.worker.Withdraw(s.a.d.Now())
 	s.goOn(p)
 }
 
--- a/internal/deliver/permit.go
+++ b/internal/deliver/permit.go
@@ -38,7 +38,7 @@
 
 // giveBack gives a slot back unused to whoever waits for it. Called with mu held.
 func (s *slots) giveBack(p *permit) {
-	p.held.worker.Release()
+	p.held.worker.Release(s.a.d.Now())
 	if s.workers[p.key] == p.held {
 		s.answerAsks(p.key, p.held, s.a.d.Now())
 	}
--- a/internal/deliver/slots.go
+++ b/internal/deliver/slots.go
@@ -24,7 +24,10 @@
 	next    int64
 	workers map[string]*held
 	permits map[int64]*permit
-	armedAt time.Duration // when serve is called next; 0 for not at all
+	// By pool, where its listed workers share a rate.
+	allowances map[string]*sharedAllowance
+	seen       *config.Compiled // that all allowances have seen
+	armedAt    time.Duration    // when serve is called next; 0 for not at all
 }
 
 // held is a worker whose duty is held here. Asks wait for a slot on it, and the line is of
@@ -52,7 +55,8 @@
 const mostAsks = 256
 
 func newSlots(a *Adapter) *slots {
-	return &slots{a: a, next: a.ports.Permit(), workers: map[string]*held{}, permits: map[int64]*permit{}}
+	return &slots{a: a, next: a.ports.Permit(), workers: map[string]*held{}, permits: map[int64]*permit{},
+		allowances: map[string]*sharedAllowance{}}
 }
 
 // find returns the state of a worker that this adapter may serve now. Called
@@ -71,17 +75,20 @@
 	h, now := s.workers[key], s.a.d.Now()
 	if h == nil || h.address != w.Address || h.term != duty.Term {
 		fence := time.Duration(0)
-		if compiled.Rules.Pools[pool].Rate > 0 && duty.Before != "" && !duty.IsFree {
-			fence = s.a.d.Bounds.Of(timing.Fence)
+		if rules := compiled.Rules.Pools[pool]; rules.Rate > 0 && rules.IsEndpoint && duty.Before != "" && !duty.IsFree {
+			fence = s.fence()
 		}
 		s.drop(key)
 		h = &held{worker: NewWorker(compiled.Rules.Pools[pool], fence, now), term: duty.Term, address: w.Address}
 		s.workers[key] = h
 	}
 	h.worker.Change(compiled.Rules.Pools[pool], w)
+	h.worker.Share(s.allowanceOf(compiled, pool, now))
 	return h, nil
 }
 
+func (s *slots) fence() time.Duration { return s.a.d.Bounds.Of(timing.Fence) }
+
 // drop forgets a worker that is not ours any more, or not as it was. Whoever
 // waits for a slot on it is told: an ask without an answer is missed for ever.
 func (s *slots) drop(key string) {
@@ -167,7 +174,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.permits)) {
 		if p := s.permits[id]; now > p.until {
 			delete(s.permits, id)
-			p.held.worker.Release()
+			p.held.worker.Release(now)
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(s.workers)) {
@@ -210,6 +217,7 @@
 func (s *slots) observed(into map[string]int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.seeShares()
 	for key, h := range s.workers {
 		micros, misses, isProbe := h.worker.Observed()
 		into["run_micros "+key], into["run_misses "+key] = int64(micros), int64(misses*1000)
--- a/internal/deliver/worker.go
+++ b/internal/deliver/worker.go
@@ -45,6 +45,8 @@
 	lead    float64       // smoothed microseconds from a slot's grant to its run's arrival
 	misses  float64       // smoothed share of failed runs
 	isCold  bool          // the list says that it has just begun
+	// What it shares with its service's other workers, whose rate its pool then does not have; nil for nothing.
+	allowance *Allowance
 }
 
 // Constants of a worker's health.
@@ -91,6 +93,14 @@
 	w.pool, w.isCold = pool, listed.IsCold
 }
 
+// Share has the worker's starts count against an allowance; nil for none.
+func (w *Worker) Share(allowance *Allowance) {
+	w.allowance = allowance
+	if allowance != nil {
+		w.pool.Rate = 0
+	}
+}
+
 // State tells the worker's health.
 func (w *Worker) State() Health { return w.state }
 
@@ -160,6 +170,9 @@
 	if w.rate(now) > 0 {
 		w.tokens--
 	}
+	if w.allowance != nil {
+		w.allowance.Take()
+	}
 	w.inUse++
 	return true, 0
 }
@@ -186,23 +199,31 @@
 	if rate > 0 && w.tokens < 1 {
 		return max(1, time.Duration((1-w.tokens)/rate*float64(time.Second)))
 	}
+	if w.allowance != nil {
+		return w.allowance.Wait(now)
+	}
 	return 0
 }
 
 // Release gives a slot back that was never used; its token too.
-func (w *Worker) Release() {
+func (w *Worker) Release(now time.Duration) {
 	w.inUse = max(0, w.inUse-1)
 	w.tokens = min(w.tokens+1, w.burst(w.pool.Rate))
+	if w.allowance != nil {
+		w.allowance.GiveBack(now)
+	}
 }
 
 // Pace reports how long a run with a granted slot must still wait, so that slots
 // granted earlier and used late do not bunch up at a capped endpoint.
 func (w *Worker) Pace(now time.Duration) time.Duration {
+	if w.allowance != nil {
+		return w.allowance.Pace(now)
+	}
 	if w.pool.Rate == 0 {
 		return 0
 	}
-	gap := time.Duration(0.8 / w.pool.Rate * float64(time.Second))
-	at := max(now, w.startAt+gap)
+	at := max(now, w.startAt+paceGap(w.pool.Rate))
 	w.startAt = at
 	return at - now
 }
--- a/internal/deliver/worker_test.go
+++ b/internal/deliver/worker_test.go
@@ -93,7 +93,7 @@
 		grant := func() bool { isGranted, _ := w.Grant(0); return isGranted }
 		Convey("its slots are bounded, and come back when they lapse", func() {
 			So([]bool{grant(), grant(), grant()}, ShouldResemble, []bool{true, true, false})
-			w.Release()
+			w.Release(0)
 			So(grant(), ShouldBeTrue)
 		})
 		Convey("its ceiling halves on failure and grows back", func() {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -72,11 +72,17 @@
 	}
 	candidates := slices.SortedFunc(maps.Values(heard), func(a, b wire.Who) int { return strings.Compare(a.Name, b.Name) })
 	out := []Change{}
+	together := gather(pool, compiled, usable, heard, candidates)
 	for name, worker := range compiled.Workers[pool].All() {
 		held, isAssigned := compiled.Duties[pool].Get(name)
 		holder, isHere := usable[held.Holder]
 		isRight := isAssigned && isHere && holder.Boot == held.Boot
-		if isRight && (worker.Zone == "" || holder.Zone == worker.Zone || !hasZone(usable, worker.Zone)) {
+		isPlaced := worker.Zone == "" || holder.Zone == worker.Zone || !hasZone(usable, worker.Zone)
+		keeper, isGathered := together.of(name)
+		if isGathered {
+			isPlaced = holder.Name == keeper.Name
+		}
+		if isRight && isPlaced {
 			continue
 		}
 		if load == nil { // most rounds find nothing to move, and need no count of all duties
@@ -88,9 +94,12 @@
 			load[open.holder]++
 			continue
 		}
-		next := choose(pool+"/"+name, worker.Zone, candidates, load)
+		next := keeper
+		if !isGathered {
+			next = choose(pool+"/"+name, worker.Zone, candidates, load)
+		}
 		isReborn := isAssigned && isHere && holder.Boot != held.Boot
-		if isReborn && (worker.Zone == "" || holder.Zone == worker.Zone || !hasZone(usable, worker.Zone)) {
+		if isReborn && isPlaced {
 			next = holder // its life before has ended: no other can act, so no fence
 		}
 		if next.Name == "" || isRight && next.Name == held.Holder {
--- /dev/null
+++ b/internal/duty/together_test.go
@@ -0,0 +1,79 @@
+package duty
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"caperwheel/internal/config"
+	"caperwheel/internal/wire"
+)
+
+// TestTogether guards against a service whose allowed rate is cut into parts smaller than a single run: where its listed workers
+// share a rate, few adapters hold their duties, and stay.
+func TestTogether(t *testing.T) {
+	adapters := []wire.Who{}
+	for i := range 12 {
+		adapters = append(adapters, wire.Who{Name: fmt.Sprintf("a%02d", i), Boot: "1", Zone: string(rune('a' + i%3))})
+	}
+	workers := map[string]config.Worker{}
+	for i := range 30 {
+		workers[fmt.Sprint("w", i)] = config.Worker{Name: fmt.Sprint("w", i), Zone: string(rune('a' + i%3))}
+	}
+	// settle plans until nothing changes and returns the duties, with how many each adapter holds.
+	settle := func(rate float64, duties map[string]config.Held, here []wire.Who) (map[string]config.Held, map[string]int) {
+		for range 5 {
+			world := compiled(workers, duties)
+			world.Rules = &config.Rules{Pools: map[string]config.Pool{"p": {Rate: rate}}}
+			plan := Plan("p", world, Adapters{Here: here}, func(string) (int64, bool) { return 7, true })
+			next := map[string]config.Held{}
+			for name, held := range duties {
+				next[name] = held
+			}
+			for _, change := range plan {
+				next[change.Worker] = config.Held{Duty: change.Next, Term: 7}
+			}
+			duties = next
+			if len(plan) == 0 {
+				break
+			}
+		}
+		counts := map[string]int{}
+		for _, held := range duties {
+			counts[held.Holder]++
+		}
+		return duties, counts
+	}
+	Convey("Duties of a service that shares a rate", t, func() {
+		duties, counts := settle(5, nil, adapters)
+		So(len(duties), ShouldEqual, 30)
+		So(len(counts), ShouldEqual, 1)
+		keeper := duties["w0"].Holder
+		others := []wire.Who{}
+		for _, who := range adapters {
+			if who.Name != keeper {
+				others = append(others, who)
+			}
+		}
+		Convey("stay with their keeper while it lives, whoever else comes", func() {
+			_, counts := settle(5, duties, append(adapters, wire.Who{Name: "a", Boot: "1", Zone: "a"}))
+			So(counts[keeper], ShouldEqual, 30)
+		})
+		Convey("go to one other when it is gone", func() {
+			_, counts := settle(5, duties, others)
+			So(len(counts), ShouldEqual, 1)
+			So(counts[keeper], ShouldEqual, 0)
+		})
+		Convey("are gathered anew from adapters that have some each", func() {
+			spread, counts := settle(0, nil, adapters)
+			So(len(counts), ShouldBeGreaterThan, 9)
+			_, counts = settle(5, spread, adapters)
+			So(len(counts), ShouldEqual, 1)
+		})
+		Convey("have more keepers where the rate is high", func() {
+			_, counts := settle(5*perKeeper, nil, adapters)
+			So(len(counts), ShouldBeBetweenOrEqual, 2, 5)
+		})
+	})
+}
--- a/internal/sim/deliverycontrol.go
+++ b/internal/sim/deliverycontrol.go
@@ -154,6 +154,7 @@
 	bound       time.Duration // of the pools
 	concurrency int
 	rate        float64 // of the endpoint
+	shared      float64 // rate that the workers share; 0 for none
 	isRepeating bool    // the pools know a run again
 	attempts    int
 	lanes       map[string]bool // further lanes that there are
@@ -184,7 +185,7 @@
 			lanes = append(lanes, lane(name, "work", ""))
 		}
 	}
-	return fmt.Appendf(nil, `{"pools":{"work":{"bound":"%v","concurrency":%d,"ease":"0s","rest":"1s","repeats":%t},
+	return fmt.Appendf(nil, `{"pools":{"work":{"bound":"%v","concurrency":%d,"rate":%g,"ease":"0s","rest":"1s","repeats":%t},
 		"far":{"kind":"endpoint","address":"10.9.9.9:80","bound":"%v","concurrency":4,"rate":%g,"ease":"0s","rest":"1s","repeats":%t}},
-		"lanes":{%s}}`, c.bound, c.concurrency, c.isRepeating, c.bound, c.rate, c.isRepeating, strings.Join(lanes, ","))
+		"lanes":{%s}}`, c.bound, c.concurrency, c.shared, c.isRepeating, c.bound, c.rate, c.isRepeating, strings.Join(lanes, ","))
 }
--- a/internal/sim/sweep.go
+++ b/internal/sim/sweep.go
@@ -8,7 +8,7 @@
 
 // SweepKinds lists what can be swept.
 func SweepKinds() []string {
-	return []string{"group", "moves", "place", "control", "delivery", "delays", "stops", "keys"}
+	return []string{"group", "moves", "place", "control", "delivery", "delays", "stops", "keys", "ceiling"}
 }
 
 // Sweep says how each seed of a sweep is run.
@@ -51,6 +51,12 @@
 			broken = append(broken, b.Rule+": "+b.Text)
 		}
 		return broken, d.Trace
+	case "ceiling":
+		d, breaches := RunCeiling(seed, mixed(DeliveryFaults, only...)...)
+		for _, b := range breaches {
+			broken = append(broken, b.Rule+": "+b.Text)
+		}
+		return broken, d.Trace
 	case "stops":
 		d, breaches := RunStops(seed)
 		for _, b := range breaches {
