Mend: a session's outbox begins to write once the session is whole

The writing goroutine was begun by newOutbox, before its result stood in the session; where the first frame fails, down could meet a session without an outbox. What callers may see: a daemon that panics as a connection breaks at once. Not run again till green: TestSessionThatCannotWrite shows it each time under the race detector, and passes now.

--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -55,10 +55,12 @@
 		nudge: make(chan struct{}, 1), done: make(chan struct{})}
 	o.flush = time.AfterFunc(time.Hour, o.onTick)
 	o.flush.Stop()
-	go o.write()
 	return o
 }
 
+// start begins to write. fail may be called from then on.
+func (o *outbox) start() { go o.write() }
+
 // put adds a message to the buffer; a full window is a definite reject.
 func (o *outbox) put(item wire.Item) error {
 	o.mu.Lock()
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -171,5 +171,6 @@
 	s.alive.Store(true)
 	counters.sessions.Inc()
 	s.out = newOutbox(&n.opts, out, n.pool, conn, window, flowOf(link.Name, "out"), newHistory(isCompressed), func(err error) { s.down(err) })
+	s.out.start() // only now: what fails there closes the session
 	return s
 }
