--- a/internal/sim/deliveryseeds_test.go
+++ b/internal/sim/deliveryseeds_test.go
@@ -84,7 +84,7 @@
 	"runs nobody asks after": {sourceMutant{"internal/store/runs.go", "	p.askOpen(now)\n", "", "", ""}, "is started"},
 	"permits that lapse": {sourceMutant{"internal/deliver/slots.go",
 		"if p := s.permits[id]; now > p.until {", "if p := s.permits[id]; false && now > p.until {", "", ""}, "Permits"},
-	"slots given back unused": {sourceMutant{"internal/deliver/permit.go", "	p.held.worker.Release()\n", "", "", ""}, "Slots"},
+	"slots given back unused": {sourceMutant{"internal/deliver/permit.go", "	p.held.worker.Release(s.a.d.Now())\n", "", "", ""}, "Slots"},
 	"asks and lines of a duty that moves, and their lapse": {sourceMutant{"internal/deliver/slots.go",
 		"		h.advance(now)\n		s.answerAsks(key, h, now)\n", "		_ = h\n", "", ""}, "left lying"},
 	"runs in an adapter's book": {sourceMutant{"internal/deliver/runs.go",
