--- a/internal/store/level.go
+++ b/internal/store/level.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"caperwheel/internal/place"
 	"caperwheel/internal/timing"
 )
@@ -25,6 +27,9 @@
 	if next <= p.machine.Level() || p.proposedLevel >= next && now-p.levelProposedAt < p.environment.Bounds().Of(timing.AnswerTimeout) {
 		return
 	}
+	if p.proposedLevel < next {
+		klog.Infof("place: This store proposes feature level %d for place %d, which is at %d.", next, p.number, p.machine.Level())
+	}
 	p.proposedLevel, p.levelProposedAt = next, now
 	p.propose(place.RaiseLevel(next), nil)
 }
--- a/internal/store/metrics.go
+++ b/internal/store/metrics.go
@@ -64,6 +64,9 @@
 		if t.number >= 0 {
 			emit("place_time_seconds", "The time that a place owned here counts; it grows by a second a second, unless time was lost.", t.time.Seconds(),
 				"place", strconv.FormatInt(t.number, 10))
+			emit("place_feature_level", "The feature level that the group of a place owned here has agreed on.", float64(t.level),
+				"place", strconv.FormatInt(t.number, 10))
+			emit("operation_claims", "Operation keys that a place owned here remembers.", float64(t.claims), "place", strconv.FormatInt(t.number, 10))
 		}
 		for lane, wait := range t.longestWaits {
 			waits[lane] = max(waits[lane], wait)
@@ -112,6 +115,8 @@
 	orphanedRuns int // open runs whose adapter has no session
 	number       int64
 	time         time.Duration // the place's time
+	level        int64         // feature level
+	claims       int           // operation keys that are remembered
 }
 
 // stats returns the statistics of the place. It must be called on the place's goroutine.
@@ -122,6 +127,7 @@
 	}
 	now := p.now()
 	t.number, t.time = p.number, time.Duration(now)*time.Millisecond
+	t.level, t.claims = p.machine.Level(), p.machine.ClaimCount()
 	lanes := p.machine.LaneStats(now)
 	t.counts = lanes.Counts
 	for lane, deadline := range lanes.Deadlines {
