--- a/internal/sim/keyfront.go
+++ b/internal/sim/keyfront.go
@@ -17,7 +17,8 @@
 	rules      *config.Rules // of the newest configuration that has reached this adapter
 	version    int
 	knownHomes [keyPlaces]bool
-	isOlder    bool // its build does not claim operation keys
+	isOlder    bool                     // its build does not claim operation keys
+	onReply    func(request, reply any) // called with each request that was answered, if set
 }
 
 func newKeyFront(k *OperationKeys, name string) *keyFront {
@@ -38,7 +39,7 @@
 		NewToken: func() string { return token },
 		Take:     wire.Take{Body: []byte(token), Checksum: "sum of " + o.key, Deadline: (2 * time.Minute).Milliseconds()}}
 	isUnclaimed := f.isOlder || f.k.mutant == UnaskedHomes && order != ""
-	sent.IsHomeKnown = !isUnclaimed && f.knownHomes[intake.HomeOf(sent.OperationKey, keyPlaces)]
+	sent.IsHomeKnown = !isUnclaimed && f.knownHomes[homeOfKey(sent.OperationKey)]
 	operation, err := intake.OperationOf(f.rules, sent)
 	if err != nil { // the lane does not accept the API key
 		return
@@ -50,7 +51,7 @@
 	f.k.Tracef("%s is sent through %s (configuration %d, lane %s, key %q, order %q)", token, f.name, f.version, lane.Name, apiKey, order)
 	f.carryOut(operation, isUnclaimed, f.k.now+timeout, func() {
 		if operation.IsHomeKnown() {
-			f.knownHomes[intake.HomeOf(sent.OperationKey, keyPlaces)] = true
+			f.knownHomes[homeOfKey(sent.OperationKey)] = true
 		}
 		done(operation.Outcome())
 	})
@@ -81,6 +82,9 @@
 	}
 	f.k.places[number].askOwner(f.name, until, request, func(reply any) {
 		f.k.Tracef("%s: place %d answers %+v with %+v", f.name, number, request, reply)
+		if f.onReply != nil {
+			f.onReply(request, reply)
+		}
 		operation.Reply(reply)
 		f.carryOut(operation, isUnclaimed, until, done)
 	})
@@ -130,3 +134,6 @@
 	}
 	return kind != string(errs.NotOwner) && kind != string(errs.Undecided)
 }
+
+// homeOfKey returns the home of an operation key in the simulation.
+func homeOfKey(key string) int64 { return intake.HomeOf(key, keyPlaces) }
