Mend: a message that a caller had settled is not bound to a new id by a send that was on its way

Found by reading, before anything landed: a send whose id was settled bound its operation key anew whoever had it settled, so a message could run after its caller was told that it never will. A tombstone says now whether it was made for another send with the key. A send that follows the binding to a place other than the home no longer carries the claim there.

--- a/internal/intake/fakeplaces_test.go
+++ b/internal/intake/fakeplaces_test.go
@@ -11,8 +11,9 @@
 // fakePlaces is a set of places, each of which decides on requests with its own machine.
 type fakePlaces struct {
 	machines map[int64]*place.Machine
-	level    int64 // feature level of places that are first used from now on
-	loseNext bool  // the next message is lost on its way to its place
+	level    int64  // feature level of places that are first used from now on
+	loseNext bool   // the next message is lost on its way to its place
+	onTake   func() // called once, before the next message reaches its place
 	lost     int
 }
 
@@ -32,19 +33,25 @@
 		f.loseNext, f.lost = false, f.lost+1
 		return nil, false, errs.New(errs.NotOwner, "no owner")
 	}
+	if f.onTake != nil {
+		meanwhile := f.onTake
+		f.onTake = nil
+		meanwhile()
+	}
 	v := f.machine(t.Place).Apply(place.Command{Kind: place.CmdTake, Id: t.Id, Lane: t.Lane, Key: t.Key, Body: t.Body, Checksum: t.Checksum,
 		Deadline: 60_000, Operation: t.Claim.Operation, Tenant: t.Claim.Tenant, Sender: t.Claim.Sender, Retain: 60_000})
-	return &wire.Taken{Id: v.Id, State: string(v.State), Kind: string(v.Kind), IsRepeat: v.IsRepeat}, false, nil
+	return &wire.Taken{Id: v.Id, State: string(v.State), Kind: string(v.Kind), IsRepeat: v.IsRepeat, IsRebindable: v.IsRebindable}, false, nil
 }
 
 // CallOwner answers a claim or settles a message.
 func (f *fakePlaces) CallOwner(_ context.Context, _ int64, request any, _ func(any) (bool, string)) (any, error) {
 	if t, isSettle := request.(*wire.Settle); isSettle {
-		v := f.machine(t.Place).Apply(place.Command{Kind: place.CmdTombstone, Id: t.Id, Retain: 60_000})
+		cause := map[bool]string{true: place.CauseOperation}[t.IsForOperation]
+		v := f.machine(t.Place).Apply(place.Command{Kind: place.CmdTombstone, Id: t.Id, Cause: cause, Retain: 60_000})
 		if v.State == place.Tombstone {
 			v.Kind = errs.Rejected
 		}
-		return &wire.Taken{Id: t.Id, State: string(v.State), Kind: string(v.Kind)}, nil
+		return &wire.Taken{Id: t.Id, State: string(v.State), Kind: string(v.Kind), IsRebindable: v.IsRebindable}, nil
 	}
 	l := request.(*wire.Look)
 	m, c := f.machine(l.Place), l.Claim
--- a/internal/intake/operation.go
+++ b/internal/intake/operation.go
@@ -99,7 +99,7 @@
 		return &wire.Look{Place: o.home, Id: o.proposed, Claim: o.claim}, o.home
 	case settleStage:
 		number := placeOfId(o.bound)
-		return &wire.Settle{Place: number, Id: o.bound, Lane: o.take.Lane}, number
+		return &wire.Settle{Place: number, Id: o.bound, Lane: o.take.Lane, IsForOperation: true}, number
 	case takeStage:
 		return &o.take, o.take.Place
 	}
@@ -148,6 +148,7 @@
 func (o *Operation) followBinding(id string) {
 	switch {
 	case isVariant(id, o.placedId):
+		o.isAtHome = false
 		o.takeAs(id)
 	case isVariant(id, o.homeId) && !o.claim.IsPlaced:
 		o.isAtHome = true
@@ -170,20 +171,21 @@
 		o.followBinding(t.Id)
 	case errs.Unsupported:
 		o.isAtHome, o.stage = false, claimStage
-	case errs.Rejected: // another send has settled the id as never accepted, and binds the key to another one
-		o.rebind(o.take.Id)
 	default:
 		o.outcome, o.stage = *t, doneStage
 	}
+	if t.Kind == string(errs.Rejected) && t.IsRebindable { // another send binds the key to another id, or has ended before
+		o.rebind(o.take.Id)
+	}
 }
 
 // onSettled takes the answer to settle. An accepted message is the one that this send repeats. One that never will be
-// leaves the key free for this send.
+// leaves the key free for this send, unless it was a caller who had it settled.
 func (o *Operation) onSettled(t *wire.Taken) {
-	switch errs.Kind(t.Kind) {
-	case "":
+	switch {
+	case t.Kind == "":
 		o.outcome, o.stage = wire.Taken{Id: o.bound, State: t.State, IsRepeat: true}, doneStage
-	case errs.Rejected:
+	case t.IsRebindable:
 		o.rebind(o.bound)
 	default:
 		o.fail(errs.Kind(t.Kind))
--- a/internal/intake/operation_test.go
+++ b/internal/intake/operation_test.go
@@ -1,8 +1,10 @@
 package intake_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 
 	"caperwheel/internal/intake"
 	"caperwheel/internal/place"
+	"caperwheel/internal/wire"
 	"caperwheel/platform"
 )
 
@@ -169,6 +172,48 @@
 		})
 		So(places.lost, ShouldBeGreaterThan, 0)
 	})
+	Convey("A key is bound, and another send with another ordering key is accepted before the message reaches its place: it is a repeat", t, func() {
+		places := &fakePlaces{machines: map[int64]*place.Machine{}, level: place.LevelHomes}
+		front := newKeyedFront(places, routesOver(3))
+		sendWith := func(order string) string {
+			w := send(front.serve, "/o/x/1", map[string]string{"Authorization": "Bearer key-1", "X-Operation-Key": "op", "X-Order-Key": order})
+			So(w.Code, ShouldEqual, 202)
+			return w.Header().Get("X-Message-Name")
+		}
+		other := ""
+		places.onTake = func() { other = sendWith("vent 5") }
+		So(sendWith("vent 4"), ShouldEqual, other)
+		So(places.held(), ShouldEqual, 1)
+	})
+}
+
+// TestSettledByACaller guards against a message that runs although its caller was told that it never will: a send that
+// was still on its way bound the operation key to a new id.
+func TestSettledByACaller(t *testing.T) {
+	for _, path := range []string{"/a/x/1", "/o/x/1"} {
+		Convey("A caller has its message settled before it reaches its place, "+path, t, func() {
+			places := &fakePlaces{machines: map[int64]*place.Machine{}, level: place.LevelHomes}
+			front := newKeyedFront(places, routesOver(3))
+			order := map[bool]string{true: "vent 4"}[path[1] == 'o']
+			sendWith := func(order string) *httptest.ResponseRecorder {
+				return send(front.serve, path, map[string]string{"Authorization": "Bearer key-1", "X-Operation-Key": "op", "X-Order-Key": order})
+			}
+			places.loseNext = true
+			So(sendWith(order).Code, ShouldEqual, 503)
+			places.onTake = func() {
+				for number := range int64(48) { // wherever it is to be held
+					_, err := places.CallOwner(context.Background(), 0, &wire.Settle{Place: number, Id: fmt.Sprint(number, "-", wire.OperationToken("halls", "op"))}, nil)
+					So(err, ShouldBeNil)
+				}
+			}
+			So(sendWith(order).Code, ShouldNotEqual, 202)
+			So(sendWith(order).Code, ShouldNotEqual, 202)
+			if order != "" {
+				So(sendWith("vent 5").Code, ShouldNotEqual, 202)
+			}
+			So(places.held(), ShouldEqual, 0)
+		})
+	}
 }
 
 // TestHomesOfOlderBuilds guards against messages that nobody accepts, or that are accepted twice, while stores are of
--- a/internal/place/claims.go
+++ b/internal/place/claims.go
@@ -80,6 +80,12 @@
 	return out
 }
 
+// CauseOperation is the cause of a tombstone that was made for another send with the message's operation key.
+const CauseOperation = "operation"
+
+// isRebindable reports whether the operation key of a message with a tombstone may be bound to a new id.
+func isRebindable(e *Message) bool { return e.State == Tombstone && e.Cause == CauseOperation }
+
 // claimed returns the claim that a CmdClaim or CmdTake makes.
 func (c Command) claimed() Claim {
 	return Claim{Operation: c.Operation, Tenant: c.Tenant, Sender: c.Sender, Id: c.Id}
--- a/internal/place/command.go
+++ b/internal/place/command.go
@@ -48,7 +48,7 @@
 	Pool            string     `avro:"pool"`
 	Worker          string     `avro:"worker"`
 	Proof           wire.Proof `avro:"proof"`
-	Cause           string     `avro:"cause"`
+	Cause           string     `avro:"cause"`  // RunFailed, Close: kind of the error; Tombstone: CauseOperation or empty
 	CountsAsAttempt bool       `avro:"costs"`  // RunFailed, Close: the run counts towards the limit of attempts
 	State           string     `avro:"state"`  // Close: the final state, failed or expired
 	Retain          int64      `avro:"retain"` // how long a message is kept after it is over; Claim, Take: how long the claim is kept
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -66,11 +66,16 @@
 		return m.take(c, e)
 	case CmdTombstone:
 		if e != nil {
-			return Result{Id: c.Id, State: e.State}
+			return Result{Id: c.Id, State: e.State, IsRebindable: isRebindable(e)}
 		}
 		e = &Message{Id: c.Id, Lane: c.Lane, ForgetAt: m.clock + c.Retain}
+		if m.level >= LevelClaims {
+			e.Cause = c.Cause
+		}
 		m.messages[c.Id] = e
-		return m.finish(e, e.transition(Tombstone))
+		v := m.finish(e, e.transition(Tombstone))
+		v.IsRebindable = isRebindable(e)
+		return v
 	case CmdTrim:
 		for _, id := range c.Ids {
 			m.forget(id)
@@ -114,7 +119,9 @@
 func (m *Machine) take(c Command, e *Message) Result {
 	if e != nil { // a repeat, or a tombstone was committed first
 		if e.State == Tombstone {
-			return refuse(errs.Rejected, c.Id, "the message was settled as not accepted")
+			v := refuse(errs.Rejected, c.Id, "the message was settled as not accepted")
+			v.IsRebindable = isRebindable(e)
+			return v
 		}
 		if e.Checksum != c.Checksum {
 			return payloadConflict(c.Id)
--- a/internal/place/result.go
+++ b/internal/place/result.go
@@ -14,6 +14,8 @@
 
 	IsRepeat bool              // of a CmdTake: an earlier one has accepted the message already
 	Grants   []wire.QuotaGrant // of a CmdCount
+
+	IsRebindable bool // of a message with a tombstone; see wire.Taken
 }
 
 // payloadConflict is the result of a CmdTake whose id or idempotency key belongs to a message with other bytes.
--- a/internal/store/place.go
+++ b/internal/store/place.go
@@ -178,7 +178,7 @@
 			reject(errs.KindOf(err), "", 0)
 			return
 		}
-		answer(&wire.Taken{Id: v.Id, State: string(v.State), Kind: string(v.Kind), Text: v.Text, IsRepeat: v.IsRepeat})
+		answer(&wire.Taken{Id: v.Id, State: string(v.State), Kind: string(v.Kind), Text: v.Text, IsRepeat: v.IsRepeat, IsRebindable: v.IsRebindable})
 	})
 }
 
@@ -194,9 +194,13 @@
 		answer(&wire.Taken{Id: t.Id, Kind: string(errs.Full), Text: "the place holds as much as it may"})
 		return
 	}
-	p.propose(place.Command{Kind: place.CmdTombstone, Id: t.Id, Lane: t.Lane, Retain: int64(10 * time.Minute / time.Millisecond)},
+	cause := ""
+	if t.IsForOperation {
+		cause = place.CauseOperation
+	}
+	p.propose(place.Command{Kind: place.CmdTombstone, Id: t.Id, Lane: t.Lane, Cause: cause, Retain: int64(10 * time.Minute / time.Millisecond)},
 		func(v place.Result, err error) {
-			out := &wire.Taken{Id: t.Id, State: string(v.State), Kind: string(v.Kind)}
+			out := &wire.Taken{Id: t.Id, State: string(v.State), Kind: string(v.Kind), IsRebindable: v.IsRebindable}
 			if err != nil {
 				out.Kind, out.Owner = string(errs.KindOf(err)), p.ownerName()
 			} else if v.State == place.Tombstone {
--- a/internal/wire/data.go
+++ b/internal/wire/data.go
@@ -32,6 +32,9 @@
 	Retry int64  `avro:"retry"` // milliseconds after which to retry; 0 for none
 
 	IsRepeat bool `avro:"is_repeat" since:"8"` // the message was stored, or about to be, before this Take came
+	// IsRebindable, of a rejection: the id was settled for another send with the operation key, so the key may be bound
+	// to a new id. Not set if a caller had it settled, who was told that the message never runs.
+	IsRebindable bool `avro:"is_rebindable" since:"9"`
 }
 
 // Settle asks the owner to decide an undecided message: it is stored, or never will be.
@@ -39,6 +42,8 @@
 	Place int64  `avro:"place"`
 	Id    string `avro:"id"`
 	Lane  string `avro:"lane"`
+
+	IsForOperation bool `avro:"is_for_operation" since:"9"` // for another send with the message's operation key
 }
 
 // Look requests a message's state, its body, or both. With a Claim it asks the home of an operation key which id the
