Mend: starts that were held up are caught up on within the ceiling of their rate

Cause: starts are granted by tokens, at the rate, and paced when they are used, by 0.8 of their mean gap. Starts that were granted while stores or links were slow pile up, and are then used at 1.25 times the rate: in one adapter starts a run each 0.100 s for all of a window at 8 a second. Change: the gap is 0.92 of the mean one, so any backlog stays below 1/0.92 = 1.087 of the rate, under the ceiling's 1.1. Endpoints' rates have the same pacing.

--- a/internal/deliver/rateshare.go
+++ b/internal/deliver/rateshare.go
@@ -144,8 +144,14 @@
 	return at - now
 }
 
+// paceShare is the minimum time between two starts, as a share of their mean time at the rate. It is below one, so that
+// starts which were held up are caught up on, and above 1/1.1, so that they never exceed the rate by a tenth.
+const paceShare = 0.92
+
 // paceGap returns the minimum time between two starts at a rate.
-func paceGap(rate float64) time.Duration { return time.Duration(0.8 / rate * float64(time.Second)) }
+func paceGap(rate float64) time.Duration {
+	return time.Duration(paceShare / rate * float64(time.Second))
+}
 
 // isShared reports whether a pool's rate limit is shared by its listed workers.
 func isShared(pool config.Pool) bool { return pool.Rate > 0 && !pool.IsEndpoint }
