Adapters learn before the first message which places are homes

Cause: the first message of each adapter to each home asks the home first, one round trip more before a 202 whose aim is 80 ms; 62 adapters meet 36 homes, so for seconds most messages do. Change: adapters ask the owners of places that they do not know as homes, every bound of a configuration, with a claim that binds nothing.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -37,6 +37,7 @@
 	tenantAnswers tenantAnswers
 	limiter       Limiter
 	knownHomes    []atomic.Bool // by place: whether it was seen to hold messages with operation keys itself
+	homesProbedAt time.Duration // used by Run alone
 	actions       pipeline.Actions[*request]
 	programs      pipeline.Programs
 }
@@ -171,12 +172,14 @@
 	return int64(h.Sum64() % uint64(places))
 }
 
-// Run keeps connections to the stores open and updates their weights, until ctx ends.
+// Run keeps connections to the stores open, learns which places are homes, and updates the weights of the stores, until
+// ctx ends.
 func (in *Intake) Run(ctx context.Context) {
 	timing.Every(ctx, in.d.Bounds.Of(timing.AnswerTimeout), func() {
 		for _, who := range in.d.Membership.OfKind("store") {
 			in.d.Node.Peer(wire.PlaceLink, who.Addr).EnsureConnected()
 		}
+		in.probeHomes()
 		in.peers.Update(func(name string) bool { _, isHere := in.d.Membership.Find(name); return isHere })
 	})
 }
--- a/internal/intake/keyedsend.go
+++ b/internal/intake/keyedsend.go
@@ -1,6 +1,8 @@
 package intake
 
 import (
+	"strconv"
+
 	"caperwheel/internal/config"
 	"caperwheel/internal/daemon"
 	"caperwheel/internal/session"
@@ -49,3 +51,25 @@
 
 // AddCounts adds what the adapter reports of its intake with each poll.
 func (in *Intake) AddCounts(counts map[string]int64) { counts[session.ClaimsCount] = 1 }
+
+// probeHomes asks the owners of places that are not known as homes whether they are, once in the time in which a
+// configuration takes effect. Otherwise the first message to each home would wait for that answer.
+func (in *Intake) probeHomes() {
+	now := in.d.Now()
+	if in.homesProbedAt > 0 && now-in.homesProbedAt < in.d.Bounds.ConfigApply {
+		return
+	}
+	in.homesProbedAt = now
+	for number := range in.knownHomes {
+		who, isKnown := in.d.Membership.Owner(wire.FirstPlaceGroup + int64(number))
+		if in.knownHomes[number].Load() || !isKnown {
+			continue
+		}
+		probe := &wire.Look{Place: int64(number), Id: strconv.Itoa(number) + "-" + wire.HomeProbe, Claim: wire.OperationClaim{Operation: wire.HomeProbe}}
+		_ = in.d.Node.Peer(wire.PlaceLink, who.Addr).Post(probe, func(reply any, err error) { // on failure it is sent again later
+			if sight, isSight := reply.(*wire.Sight); err == nil && isSight && sight.IsHome {
+				in.knownHomes[number].Store(true)
+			}
+		})
+	}
+}
--- a/internal/store/claim.go
+++ b/internal/store/claim.go
@@ -70,6 +70,10 @@
 		answer(p.newSight(nil, errs.NotOwner))
 	case level < place.LevelClaims:
 		answer(p.newSight(nil, errs.Unsupported))
+	case l.Claim.Operation == wire.HomeProbe && level < place.LevelHomes:
+		answer(p.newSight(nil, errs.Unsupported))
+	case l.Claim.Operation == wire.HomeProbe:
+		p.answerClaim(claimHome, "", answer)
 	case !p.environment.IsFresh():
 		answer(p.newSight(nil, errs.NotOwner))
 	case known != nil && known.Id != l.Claim.Replaces:
--- a/internal/store/claim_test.go
+++ b/internal/store/claim_test.go
@@ -74,6 +74,12 @@
 			})
 		}
 	})
+	Convey("A probe is answered by the level alone, without a commit", t, func() {
+		for level, want := range map[int64]bool{place.LevelQuotas: false, place.LevelClaims: false, place.LevelHomes: true} {
+			reply, proposals := claimReply(leveledHarness(level), &wire.Look{Id: "0-probe", Claim: wire.OperationClaim{Operation: wire.HomeProbe}})
+			So([]any{reply.IsHome, reply.Bound, proposals}, ShouldResemble, []any{want, "", 0})
+		}
+	})
 	Convey("A claim that is repeated while it is being committed is proposed once", t, func() {
 		b, answers := leveledHarness(place.LevelHomes), []string{}
 		for range 3 {
--- a/internal/wire/operation.go
+++ b/internal/wire/operation.go
@@ -45,6 +45,9 @@
 	return strings.HasPrefix(token, operationMark)
 }
 
+// HomeProbe is the Operation of a claim that only asks whether the place holds messages with operation keys itself.
+const HomeProbe = "probe"
+
 // OperationClaim names the sends that belong to one message: those of one sender with one operation key. An empty
 // Operation stands for no claim.
 type OperationClaim struct {
