Test: TestDaemonsThatCrash says which signal ended a process that did not end by itself

The test held the exit code alone, which does not tell the signal; it holds the whole state now, each status as before. Suspected only: a fault of the runtime while it writes the goroutines' stacks, which the kernel ends by the same signal.

--- a/internal/crash/daemons_test.go
+++ b/internal/crash/daemons_test.go
@@ -24,6 +24,12 @@
 	"SIGABRT": syscall.SIGABRT, "SIGBUS": syscall.SIGBUS, "SIGFPE": syscall.SIGFPE, "SIGSEGV": syscall.SIGSEGV,
 	"SIGSYS": syscall.SIGSYS, "SIGSTKFLT": syscall.SIGSTKFLT}
 
+// How a process ends: after a signal on which the runtime ends it, and after one that asks it to stop.
+const (
+	afterFatalSignal = "exit status 2"
+	afterStop        = "exit status 0"
+)
+
 // process is a running daemon whose log is read line by line.
 type process struct {
 	http string
@@ -60,13 +66,13 @@
 	return read
 }
 
-// stopWith sends a signal and returns the exit code; -1 for a process that the signal itself ended.
-func (p *process) stopWith(sig syscall.Signal) int {
+// stopWith sends a signal and returns how the process ended: its exit status, or the signal that ended it.
+func (p *process) stopWith(sig syscall.Signal) string {
 	So(p.cmd.Process.Signal(sig), ShouldBeNil)
 	for p.log.Scan() { // to the end of the log, which is the end of the process
 	}
 	_ = p.cmd.Wait()
-	return p.cmd.ProcessState.ExitCode()
+	return p.cmd.ProcessState.String()
 }
 
 // metrics returns the daemon's metrics page.
@@ -93,27 +99,27 @@
 			p := startProcess(ctx, bin, "manager", "--crash_file="+file)
 			So(p.metrics(), ShouldNotContainSubstring, "previous_end")
 			for name, sig := range fatalSignals {
-				So(fmt.Sprint(name, " ", p.stopWith(sig)), ShouldEqual, name+" 2")
+				So(fmt.Sprint(name, " ", p.stopWith(sig)), ShouldEqual, name+" "+afterFatalSignal)
 				p = startProcess(ctx, bin, "manager", "--crash_file="+file)
 				So(p.metrics(), ShouldContainSubstring, `caperwheel_previous_end{cause="`+name+`"} 1`)
 				kept, err := os.ReadFile(file + ".1")
 				So(err, ShouldBeNil)
 				So(string(kept), ShouldStartWith, name+": ")
 			}
-			So(p.stopWith(syscall.SIGKILL), ShouldEqual, -1)
+			So(p.stopWith(syscall.SIGKILL), ShouldEqual, "signal: killed")
 			p = startProcess(ctx, bin, "manager", "--crash_file="+file)
 			So(p.metrics(), ShouldContainSubstring, `caperwheel_previous_end{cause="silent"} 1`)
-			So(p.stopWith(syscall.SIGTERM), ShouldEqual, 0)
+			So(p.stopWith(syscall.SIGTERM), ShouldEqual, afterStop)
 			p = startProcess(ctx, bin, "manager", "--crash_file="+file)
 			So(p.metrics(), ShouldNotContainSubstring, "previous_end")
-			So(p.stopWith(syscall.SIGTERM), ShouldEqual, 0)
+			So(p.stopWith(syscall.SIGTERM), ShouldEqual, afterStop)
 		})
 		Convey("by a store's next process, in its data folder", func() {
 			args := []string{"--seeds=127.0.0.1:9", "--data=" + filepath.Join(dir, "store"), "--reserve=1"}
-			So(startProcess(ctx, bin, "store", args...).stopWith(syscall.SIGILL), ShouldEqual, 2)
+			So(startProcess(ctx, bin, "store", args...).stopWith(syscall.SIGILL), ShouldEqual, afterFatalSignal)
 			p := startProcess(ctx, bin, "store", args...)
 			So(p.metrics(), ShouldContainSubstring, `caperwheel_previous_end{cause="SIGILL"} 1`)
-			So(p.stopWith(syscall.SIGTERM), ShouldEqual, 0)
+			So(p.stopWith(syscall.SIGTERM), ShouldEqual, afterStop)
 		})
 		Convey("by another process of the machine, for one without a disk", func() {
 			ofAgent, err := fleet.FreePort()
@@ -125,19 +131,19 @@
 			agent := startProcess(ctx, bin, "agent", agentArgs...)
 			adapter := startProcess(ctx, bin, "adapter", adapterArgs...)
 			agent.readUntil("adapter on this machine has connected")
-			So(adapter.stopWith(syscall.SIGSEGV), ShouldEqual, 2)
+			So(adapter.stopWith(syscall.SIGSEGV), ShouldEqual, afterFatalSignal)
 			So(agent.readUntil("adapter on this machine ended"), ShouldContainSubstring, "by SIGSEGV: SIGSEGV: segmentation violation")
 			So(agent.metrics(), ShouldContainSubstring, `caperwheel_neighbour_ends_total{cause="SIGSEGV",name="adapter"} 1`)
 			adapter = startProcess(ctx, bin, "adapter", adapterArgs...)
 			agent.readUntil("adapter on this machine has connected")
 			adapter.readUntil("agent on this machine has connected")
-			So(agent.stopWith(syscall.SIGBUS), ShouldEqual, 2)
+			So(agent.stopWith(syscall.SIGBUS), ShouldEqual, afterFatalSignal)
 			So(adapter.readUntil("agent on this machine ended"), ShouldContainSubstring, "by SIGBUS")
 			agent = startProcess(ctx, bin, "agent", agentArgs...)
 			agent.readUntil("adapter on this machine has connected")
-			So(adapter.stopWith(syscall.SIGTERM), ShouldEqual, 0)
+			So(adapter.stopWith(syscall.SIGTERM), ShouldEqual, afterStop)
 			So(agent.metrics(), ShouldNotContainSubstring, "neighbour_ends_total{")
-			So(agent.stopWith(syscall.SIGTERM), ShouldEqual, 0)
+			So(agent.stopWith(syscall.SIGTERM), ShouldEqual, afterStop)
 		})
 	})
 }
